--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+.PHONY: build test install generate lint run bench proofs slopes
+
+# build makes both programs.
+build:
+	go build -o bin/ ./cmd/...
+	go build -o bin/lab ./lab
+
+# install puts both programs where Go keeps programs.
+install:
+	go install ./cmd/...
+
+# generate writes the Go types of the schemas; the result is committed.
+generate:
+	cd lab && go tool go-jsonschema -t -p settings --capitalization ID --capitalization URL --tags json -o ../internal/settings/settings_gen.go ../schema/settings.json
+	cd lab && go tool go-jsonschema -t -p config --only-models --capitalization ID --capitalization URL --tags json -o ../internal/config/config_gen.go ../schema/config.json
+	cd lab && go tool go-jsonschema -t -p wire --only-models --capitalization ID --capitalization URL --tags json -o ../internal/wire/wire_gen.go ../schema/messages.json
+	gofmt -w internal/settings/settings_gen.go internal/config/config_gen.go internal/wire/wire_gen.go
+
+# test runs all tests of both modules.
+test:
+	go test -race ./... ./lab/...
+
+# lint checks format, vet and staticcheck.
+lint:
+	@test -z "$$(gofmt -l . | tee /dev/stderr)"
+	go vet ./... ./lab/...
+	go tool staticcheck ./... ./lab/...
+
+# run starts stand-ins and three nodes, sends a mixed burst, and stops all.
+run:
+	go run ./lab demo
--- /dev/null
+++ b/internal/broker/length.go
@@ -0,0 +1,60 @@
+package broker
+
+import "math"
+
+const (
+	// lengthBuckets is how many buckets a Length has; each is twice as wide as
+	// the one before, in quarter steps.
+	lengthBuckets = 64
+
+	// bucketsPerDoubling is how fine the buckets are.
+	bucketsPerDoubling = 4
+
+	// lengthFade is what each new answer leaves of the weight of the old ones.
+	lengthFade = 0.995
+
+	// firstGuess is the length assumed before any answer was seen, in tokens.
+	firstGuess = 128
+)
+
+// Length learns how long the answers of one class are. The zero value is ready.
+type Length struct {
+	weights [lengthBuckets]float64
+	total   float64
+}
+
+// Learn takes the length of a complete answer, in tokens.
+func (l *Length) Learn(tokens int) {
+	if tokens < 1 {
+		return
+	}
+	for i := range l.weights {
+		l.weights[i] *= lengthFade
+	}
+	l.weights[bucketOf(tokens)]++
+	l.total = l.total*lengthFade + 1
+}
+
+// Quantile returns the length that a share q of the answers does not exceed.
+func (l *Length) Quantile(q float64) int {
+	if l.total == 0 {
+		return firstGuess
+	}
+	sum := 0.0
+	for i, w := range l.weights {
+		sum += w
+		if sum >= q*l.total {
+			return upperEdge(i)
+		}
+	}
+	return upperEdge(lengthBuckets - 1)
+}
+
+// bucketOf returns the bucket that a length falls into.
+func bucketOf(tokens int) int {
+	i := int(math.Ceil(math.Log2(float64(tokens)) * bucketsPerDoubling))
+	return min(i, lengthBuckets-1)
+}
+
+// upperEdge returns the greatest length of a bucket.
+func upperEdge(i int) int { return int(math.Exp2(float64(i) / bucketsPerDoubling)) }
--- /dev/null
+++ b/internal/broker/pool.go
@@ -0,0 +1,555 @@
+// Package broker decides for a pool which request goes to which engine, what
+// waits and what is refused. One node at a time is the broker of a pool; what
+// it knows is rebuilt from what the nodes hold and wait for when it changes.
+package broker
+
+import (
+	"fmt"
+	"math"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/croftturn/croftturn/internal/queue"
+	"github.com/croftturn/croftturn/internal/wire"
+	"golang.org/x/time/rate"
+)
+
+// Refusal reasons, as callers and operators see them.
+const (
+	ReasonQueueFull    = "queue_full"     // ReasonQueueFull: too many of its tier or higher wait.
+	ReasonMaxWait      = "max_wait"       // ReasonMaxWait: it waited as long as its class allows.
+	ReasonTeamRate     = "team_rate"      // ReasonTeamRate: the team's requests_per_second is used up.
+	ReasonTeamInFlight = "team_in_flight" // ReasonTeamInFlight: the team's in_flight is used up.
+	ReasonMoved        = "moved"          // ReasonMoved: another node is the broker now; nodes ask there.
+	ReasonDuplicate    = "duplicate"      // ReasonDuplicate: the same request id waits or runs already.
+)
+
+// Statuses of a release.
+const (
+	StatusOK        = "ok"        // StatusOK: the answer was complete.
+	StatusFull      = "full"      // StatusFull: the engine refused, the request did not run.
+	StatusFailed    = "failed"    // StatusFailed: the engine failed or stalled.
+	StatusCancelled = "cancelled" // StatusCancelled: the caller had gone, or the grant was not used.
+)
+
+const (
+	// lengthQuantile is the share of answers that the room kept for one covers.
+	lengthQuantile = 0.8
+
+	// rebuildWait bounds how long a new broker waits for the nodes' reports.
+	rebuildWait = 500 * time.Millisecond
+
+	// degreeEvery is how often slow engines are looked for.
+	degreeEvery = 500 * time.Millisecond
+
+	// rateHalfLife is the time in which the record of grants halves.
+	rateHalfLife = 5 * time.Second
+
+	// leastRate is the drain rate assumed at least, in grants a second.
+	leastRate = 0.5
+
+	// maxComeBack bounds the time that a refused caller is told to wait.
+	maxComeBack = 30 * time.Second
+
+	// prefixBonus is how much load a cached prefix outweighs, as a share of an
+	// engine's limit.
+	prefixBonus = 0.3
+
+	// prefixMemory bounds how many prefixes a broker remembers.
+	prefixMemory = 8192
+)
+
+type (
+	// Team holds the limits of one team in a pool.
+	Team struct {
+		Weight   float64
+		Rate     float64 // Rate is requests a second; 0 for no limit.
+		Burst    int
+		InFlight int // InFlight limits requests that wait or are on engines; 0 for no limit.
+	}
+
+	// Teams looks up a team's limits.
+	Teams func(name string) Team
+
+	// Pool decides for one pool. Its methods may be called from many goroutines.
+	Pool struct {
+		mu       sync.Mutex
+		name     string
+		queue    *queue.Queue
+		classes  map[string]queue.Class
+		engines  map[string]*Engine
+		order    []*Engine // order holds the engines by name, for equal results every run.
+		teams    Teams
+		limiters map[string]*teamLimiter
+		waiting  map[string]*waiter
+		holds    map[string]*hold
+		lengths  map[string]*Length
+		prefixes map[string]string
+
+		missing    map[string]bool // missing are the nodes whose report a new broker waits for.
+		readyAt    time.Time
+		degreesAt  time.Time
+		grants     float64 // grants is the decayed count behind the drain rate.
+		grantsAt   time.Time
+		nextReturn time.Time // nextReturn is when the last refused caller was told to come back.
+	}
+
+	// waiter is a request that waits.
+	waiter struct {
+		req   wire.Acquire
+		item  *queue.Item
+		reply chan wire.Grant
+	}
+
+	// hold is a place that a node holds on an engine.
+	hold struct {
+		wire.Hold
+		node  string
+		since time.Time
+	}
+
+	// teamLimiter counts what one team uses.
+	teamLimiter struct {
+		rate  *rate.Limiter
+		inUse int // inUse counts the team's requests that wait or are on engines.
+	}
+)
+
+// NewPool returns the broker's state of a pool. It grants nothing before the
+// nodes have reported what they hold, or rebuildWait has passed.
+func NewPool(now time.Time, name string, teams Teams, nodes []string) *Pool {
+	p := &Pool{
+		name: name, queue: queue.New(0, nil), teams: teams,
+		classes: map[string]queue.Class{}, engines: map[string]*Engine{},
+		limiters: map[string]*teamLimiter{}, waiting: map[string]*waiter{}, holds: map[string]*hold{},
+		lengths: map[string]*Length{}, prefixes: map[string]string{}, missing: map[string]bool{},
+		readyAt: now.Add(rebuildWait), grantsAt: now,
+	}
+	for _, n := range nodes {
+		p.missing[n] = true
+	}
+	return p
+}
+
+// Configure takes the pool's part of a configuration.
+func (p *Pool) Configure(now time.Time, queueLimit int, classes []queue.Class, engines []Engine) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.queue.Configure(queueLimit, classes)
+	for _, c := range classes {
+		p.classes[c.Name] = c
+	}
+	keep := map[string]*Engine{}
+	p.order = p.order[:0]
+	for _, e := range engines {
+		have := p.engines[e.Name]
+		if have == nil {
+			have = p.newEngine(e.Name)
+		}
+		have.Name, have.Slots, have.KVTokens, have.Draining = e.Name, e.Slots, e.KVTokens, e.Draining
+		keep[e.Name] = have
+		p.order = append(p.order, have)
+	}
+	sort.Slice(p.order, func(i, j int) bool { return p.order[i].Name < p.order[j].Name })
+	p.engines = keep
+	p.dispatch(now)
+}
+
+// newEngine returns an engine with what the nodes hold on it already.
+func (p *Pool) newEngine(name string) *Engine {
+	e := &Engine{degree: 1}
+	for _, h := range p.holds {
+		if h.Engine == name {
+			e.inFlight++
+			e.tokens += h.Tokens
+		}
+	}
+	return e
+}
+
+// SetLeaving takes what an engine's own load report says of its leaving.
+func (p *Pool) SetLeaving(now time.Time, engine string, leaving bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e := p.engines[engine]
+	if e == nil || e.leaving == leaving {
+		return
+	}
+	e.leaving = leaving
+	p.dispatch(now)
+}
+
+// Acquire asks for a place. The answer comes on the channel, which takes one
+// value; Cancel gives up the wait.
+func (p *Pool) Acquire(now time.Time, req wire.Acquire) <-chan wire.Grant {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	w := &waiter{req: req, reply: make(chan wire.Grant, 1)}
+	if p.waiting[req.Request] != nil || p.holds[req.Request] != nil {
+		w.refuse(ReasonDuplicate, 0, "the id waits or runs already")
+		return w.reply
+	}
+	if reason, wait := p.overLimit(now, req); reason != "" {
+		w.refuse(reason, wait, "limit of team "+req.Team)
+		return w.reply
+	}
+	team := p.teams(req.Team)
+	w.item = &queue.Item{
+		ID: req.Request, Class: req.Class, Team: req.Team, Weight: math.Max(team.Weight, 0.01),
+		Cost: float64(p.tokensOf(req)), Arrived: now.Add(-time.Duration(req.WaitedMs) * time.Millisecond), Value: w,
+	}
+	p.waiting[req.Request] = w
+	p.limiter(req.Team).inUse++
+	if shed := p.queue.Push(now, w.item); shed != nil {
+		p.refuseItem(now, shed, ReasonQueueFull)
+	}
+	p.dispatch(now)
+	return w.reply
+}
+
+// tokensOf returns the room that a request is expected to take on an engine.
+func (p *Pool) tokensOf(req wire.Acquire) int {
+	l := p.lengths[req.Class]
+	output := firstGuess
+	if l != nil {
+		output = l.Quantile(lengthQuantile)
+	}
+	if req.MaxTokens > 0 {
+		output = min(output, req.MaxTokens)
+	}
+	return req.PromptTokens + output
+}
+
+// overLimit takes one request from the team's limits, or returns which limit is
+// used up and when to come back.
+func (p *Pool) overLimit(now time.Time, req wire.Acquire) (string, time.Duration) {
+	team := p.teams(req.Team)
+	l := p.limiter(req.Team)
+	if team.InFlight > 0 && l.inUse >= team.InFlight {
+		return ReasonTeamInFlight, time.Duration(float64(time.Second) / p.drainRate(now))
+	}
+	l.set(now, team)
+	if req.WaitedMs > 0 {
+		return "", 0 // It was counted when it first asked.
+	}
+	r := l.rate.ReserveN(now, 1)
+	if wait := r.DelayFrom(now); wait > 0 {
+		r.CancelAt(now)
+		return ReasonTeamRate, wait
+	}
+	return "", 0
+}
+
+// limiter returns the counts of a team.
+func (p *Pool) limiter(team string) *teamLimiter {
+	l := p.limiters[team]
+	if l == nil {
+		l = &teamLimiter{rate: rate.NewLimiter(rate.Inf, 1)}
+		p.limiters[team] = l
+	}
+	return l
+}
+
+// set brings a limiter to a team's configured rate.
+func (l *teamLimiter) set(now time.Time, team Team) {
+	limit, burst := rate.Inf, 1
+	if team.Rate > 0 {
+		limit = rate.Limit(team.Rate)
+		burst = max(team.Burst, 1)
+	}
+	if l.rate.Limit() != limit || l.rate.Burst() != burst {
+		l.rate.SetLimitAt(now, limit)
+		l.rate.SetBurstAt(now, burst)
+	}
+}
+
+// Cancel gives up a wait. A place that was granted meanwhile is given back.
+func (p *Pool) Cancel(now time.Time, request string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if w := p.waiting[request]; w != nil {
+		p.queue.Remove(w.item)
+		p.endWait(w)
+	}
+	if h := p.holds[request]; h != nil {
+		p.drop(h)
+	}
+	p.dispatch(now)
+}
+
+// Release gives a place back and takes what was learned.
+func (p *Pool) Release(now time.Time, rel wire.Release) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.holds[rel.Request]
+	if h == nil {
+		return
+	}
+	p.drop(h)
+	if e := p.engines[h.Engine]; e != nil {
+		e.learn(now, rel.Status, rel.OutputTokens, ms(rel.DurationMs), ms(rel.FirstTokenMs))
+	}
+	if rel.Status == StatusOK {
+		p.length(h.Class).Learn(rel.OutputTokens)
+	}
+	p.dispatch(now)
+}
+
+// length returns the learned lengths of a class.
+func (p *Pool) length(class string) *Length {
+	l := p.lengths[class]
+	if l == nil {
+		l = &Length{}
+		p.lengths[class] = l
+	}
+	return l
+}
+
+// Report takes what a node holds: places it holds and the broker does not know
+// are added, and places that the broker thinks it holds are dropped once they
+// are older than the report can be late.
+func (p *Pool) Report(now time.Time, r wire.Report) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	const lateness = time.Second
+	named := make(map[string]bool, len(r.Holds))
+	for _, h := range r.Holds {
+		named[h.Request] = true
+		if p.holds[h.Request] == nil {
+			p.take(&hold{Hold: h, node: r.Node, since: now})
+		}
+	}
+	for id, h := range p.holds {
+		if h.node == r.Node && !named[id] && now.Sub(h.since) > lateness {
+			p.drop(h)
+		}
+	}
+	delete(p.missing, r.Node)
+	p.dispatch(now)
+}
+
+// NodeGone drops what a dead node held and waited for.
+func (p *Pool) NodeGone(now time.Time, node string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, h := range p.holds {
+		if h.node == node {
+			p.drop(h)
+		}
+	}
+	for _, w := range p.waiting {
+		if w.req.Node == node {
+			p.queue.Remove(w.item)
+			p.endWait(w)
+		}
+	}
+	delete(p.missing, node)
+	p.dispatch(now)
+}
+
+// Sweep refuses what has waited too long, looks for slow engines and grants
+// what has become possible with time.
+func (p *Pool) Sweep(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, it := range p.queue.Expire(now) {
+		p.refuseItem(now, it, ReasonMaxWait)
+	}
+	if now.Sub(p.degreesAt) >= degreeEvery {
+		p.degreesAt = now
+		setDegrees(p.engines)
+	}
+	p.dispatch(now)
+}
+
+// Move answers all that wait that another node is the broker now.
+func (p *Pool) Move() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, it := range p.queue.Drain() {
+		w := it.Value.(*waiter)
+		p.endWait(w)
+		w.refuse(ReasonMoved, 0, "")
+	}
+}
+
+// dispatch grants places while there is room and something waits.
+func (p *Pool) dispatch(now time.Time) {
+	if len(p.missing) > 0 && now.Before(p.readyAt) {
+		return
+	}
+	for {
+		it := p.queue.Peek(now)
+		if it == nil {
+			return
+		}
+		w := it.Value.(*waiter)
+		e := p.choose(now, w.req, int(it.Cost))
+		if e == nil {
+			return
+		}
+		p.queue.Pop(now)
+		p.grant(now, w, e)
+	}
+}
+
+// choose returns the engine with room that is loaded least, counting a cached
+// prefix as less load. An engine that failed the request is taken only where
+// nothing else has room.
+func (p *Pool) choose(now time.Time, req wire.Acquire, tokens int) *Engine {
+	var best, excluded *Engine
+	least := math.Inf(1)
+	for _, e := range p.order {
+		if !e.hasRoom(now, tokens) {
+			continue
+		}
+		if e.Name == req.Exclude {
+			excluded = e
+			continue
+		}
+		load := e.load()
+		if req.Prefix != "" && p.prefixes[req.Prefix] == e.Name {
+			load -= prefixBonus
+		}
+		if load < least {
+			best, least = e, load
+		}
+	}
+	if best == nil && len(p.order) == 1 {
+		return excluded
+	}
+	return best
+}
+
+// endWait counts a request as no longer waiting.
+func (p *Pool) endWait(w *waiter) {
+	delete(p.waiting, w.req.Request)
+	p.limiter(w.req.Team).inUse--
+}
+
+// grant gives a waiting request a place on an engine.
+func (p *Pool) grant(now time.Time, w *waiter, e *Engine) {
+	p.endWait(w)
+	waited := now.Sub(w.item.Arrived)
+	p.take(&hold{
+		Hold: wire.Hold{Request: w.req.Request, Engine: e.Name, Class: w.req.Class, Team: w.req.Team, Tokens: int(w.item.Cost)},
+		node: w.req.Node, since: now,
+	})
+	p.countGrant(now)
+	p.remember(w.req.Prefix, e.Name)
+	why := fmt.Sprintf("waited %d ms; %d of %d in use", waited.Milliseconds(), e.inFlight, e.limit())
+	w.reply <- wire.Grant{Engine: e.Name, Why: why}
+}
+
+// remember notes which engine has a prefix.
+func (p *Pool) remember(prefix, engine string) {
+	if prefix == "" {
+		return
+	}
+	if len(p.prefixes) >= prefixMemory {
+		clear(p.prefixes)
+	}
+	p.prefixes[prefix] = engine
+}
+
+// take counts a place as held.
+func (p *Pool) take(h *hold) {
+	p.holds[h.Request] = h
+	if e := p.engines[h.Engine]; e != nil {
+		e.inFlight++
+		e.tokens += h.Tokens
+	}
+	p.limiter(h.Team).inUse++
+}
+
+// drop counts a place as free.
+func (p *Pool) drop(h *hold) {
+	delete(p.holds, h.Request)
+	if e := p.engines[h.Engine]; e != nil {
+		e.inFlight--
+		e.tokens -= h.Tokens
+	}
+	p.limiter(h.Team).inUse--
+}
+
+// refuseItem refuses a request that was taken out of the queue.
+func (p *Pool) refuseItem(now time.Time, it *queue.Item, reason string) {
+	w := it.Value.(*waiter)
+	p.endWait(w)
+	ahead := p.queue.Ahead(p.classes[it.Class].Tier)
+	why := fmt.Sprintf("%d wait in its tier or higher, %.1f a second get a place", ahead, p.drainRate(now))
+	w.refuse(reason, p.comeBack(now, ahead), why)
+}
+
+// refuse answers a request with a refusal.
+func (w *waiter) refuse(reason string, wait time.Duration, why string) {
+	w.reply <- wire.Grant{Refusal: reason, RetryAfterMs: int(wait.Milliseconds()), Why: why}
+}
+
+// comeBack returns how long a refused caller should wait: until the queue ahead
+// has drained, and one after the other at the rate at which it drains, so that
+// those who were refused together do not come back together.
+func (p *Pool) comeBack(now time.Time, ahead int) time.Duration {
+	each := time.Duration(float64(time.Second) / p.drainRate(now))
+	at := now.Add(time.Duration(ahead) * each)
+	if p.nextReturn.After(at) {
+		at = p.nextReturn
+	}
+	p.nextReturn = at.Add(each)
+	if wait := at.Sub(now); wait > maxComeBack {
+		p.nextReturn = now
+		return maxComeBack
+	}
+	return max(at.Sub(now), each)
+}
+
+// countGrant counts a grant for the drain rate.
+func (p *Pool) countGrant(now time.Time) {
+	p.grants = p.grants*math.Exp2(-float64(now.Sub(p.grantsAt))/float64(rateHalfLife)) + 1
+	p.grantsAt = now
+}
+
+// drainRate returns how many requests a second get a place.
+func (p *Pool) drainRate(now time.Time) float64 {
+	n := p.grants * math.Exp2(-float64(now.Sub(p.grantsAt))/float64(rateHalfLife))
+	return math.Max(leastRate, n*math.Ln2/rateHalfLife.Seconds())
+}
+
+// Waiting returns the waiting requests as rows.
+func (p *Pool) Waiting(now time.Time) []wire.Row {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []wire.Row
+	for _, it := range p.queue.Items() {
+		out = append(out, wire.Row{
+			Name: it.ID, State: "queued", Class: it.Class, Tier: p.classes[it.Class].Tier, Team: it.Team,
+			Pool: p.name, AgeMs: int(now.Sub(it.Arrived).Milliseconds()),
+		})
+	}
+	return out
+}
+
+// Engines returns the engines as rows; Count is how many requests each has.
+func (p *Pool) Engines() []wire.Row {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []wire.Row
+	for _, e := range p.order {
+		row := wire.Row{Name: e.Name, Engine: e.Name, Pool: p.name, State: "active", Count: e.inFlight}
+		switch {
+		case e.Draining || e.leaving:
+			row.State = "draining"
+		case e.failures > 0:
+			row.State = "failed"
+		case e.degree < 1:
+			row.State = "slow"
+		}
+		row.Reason = fmt.Sprintf("limit %d, %d tokens, %.1f ms a token", e.limit(), e.tokens, float64(e.pace.Microseconds())/1000)
+		out = append(out, row)
+	}
+	return out
+}
+
+// ms turns milliseconds of a message into a duration.
+func ms(n int) time.Duration { return time.Duration(n) * time.Millisecond }
--- /dev/null
+++ b/internal/broker/service.go
@@ -0,0 +1,285 @@
+package broker
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/croftturn/croftturn/internal/config"
+	"github.com/croftturn/croftturn/internal/queue"
+	"github.com/croftturn/croftturn/internal/wire"
+)
+
+// sweepEvery is how often waiting requests are looked over.
+const sweepEvery = 20 * time.Millisecond
+
+// Methods that nodes call at a broker.
+const (
+	MethodAcquire = "acq" // MethodAcquire takes an Acquire and answers with a Grant.
+	MethodRelease = "rel" // MethodRelease takes a Release.
+	MethodCancel  = "can" // MethodCancel takes an Acquire of which only pool and request count.
+	MethodReport  = "rep" // MethodReport takes a Report.
+)
+
+type (
+	// Members tells who is the broker of a pool.
+	Members interface {
+		Self() wire.Member
+		Owner(key string) (wire.Member, bool)
+		Live() []wire.Member
+		Changed() <-chan struct{}
+	}
+
+	// Loads tells what engines report of themselves.
+	Loads interface {
+		// Watch sets the engines whose reports are read.
+		Watch(engines []*config.Engine)
+		// Leaving reports whether an engine says that it is leaving.
+		Leaving(engine string) bool
+	}
+
+	// Service holds the pools of which this node is the broker.
+	Service struct {
+		members Members
+		store   *config.Store
+		loads   Loads
+
+		mu    sync.Mutex
+		pools map[string]*Pool
+		live  map[string]bool
+	}
+)
+
+// Key returns the key by which a pool's broker is found.
+func Key(pool string) string { return "broker/" + pool }
+
+// NewService returns a service without pools.
+func NewService(members Members, store *config.Store, loads Loads) *Service {
+	return &Service{members: members, store: store, loads: loads, pools: map[string]*Pool{}, live: map[string]bool{}}
+}
+
+// Run follows members and configuration, and sweeps the pools, until the
+// context ends; then it moves all that wait.
+func (s *Service) Run(ctx context.Context) {
+	tick := time.NewTicker(sweepEvery)
+	defer tick.Stop()
+	for {
+		members, config := s.members.Changed(), s.store.Changed()
+		s.follow(time.Now())
+		for settled := true; settled; {
+			select {
+			case <-ctx.Done():
+				s.moveAll()
+				return
+			case <-members:
+				settled = false
+			case <-config:
+				settled = false
+			case <-tick.C:
+				s.sweep(time.Now())
+			}
+		}
+	}
+}
+
+// follow brings the pools into line with members and configuration.
+func (s *Service) follow(now time.Time) {
+	view := s.store.View()
+	if view == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dropGone(now)
+	var watched []*config.Engine
+	for i := range view.Config.Pools {
+		pool := &view.Config.Pools[i]
+		if !s.owns(pool.Name) {
+			s.move(pool.Name)
+			continue
+		}
+		p := s.pools[pool.Name]
+		if p == nil {
+			p = NewPool(now, pool.Name, s.team, names(s.members.Live()))
+			s.pools[pool.Name] = p
+		}
+		p.Configure(now, pool.QueueLimit, classesOf(view), enginesOf(view, pool.Name))
+		watched = append(watched, view.Engines(pool.Name)...)
+	}
+	for name := range s.pools {
+		if view.Pool(name) == nil {
+			s.move(name)
+		}
+	}
+	s.loads.Watch(watched)
+}
+
+// dropGone tells the pools which nodes are no longer live.
+func (s *Service) dropGone(now time.Time) {
+	live := map[string]bool{}
+	for _, m := range s.members.Live() {
+		live[m.Name] = true
+	}
+	for name := range s.live {
+		if live[name] {
+			continue
+		}
+		for _, p := range s.pools {
+			p.NodeGone(now, name)
+		}
+	}
+	s.live = live
+}
+
+// owns reports whether this node is the broker of a pool.
+func (s *Service) owns(pool string) bool {
+	owner, ok := s.members.Owner(Key(pool))
+	return ok && owner.Name == s.members.Self().Name
+}
+
+// move gives up a pool; the caller holds the lock.
+func (s *Service) move(pool string) {
+	if p := s.pools[pool]; p != nil {
+		p.Move()
+		delete(s.pools, pool)
+	}
+}
+
+// moveAll gives up all pools.
+func (s *Service) moveAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name := range s.pools {
+		s.move(name)
+	}
+}
+
+// sweep sweeps all pools.
+func (s *Service) sweep(now time.Time) {
+	view := s.store.View()
+	for name, p := range s.all() {
+		for _, e := range view.Engines(name) {
+			p.SetLeaving(now, e.Name, s.loads.Leaving(e.Name))
+		}
+		p.Sweep(now)
+	}
+}
+
+// all returns the pools by name.
+func (s *Service) all() map[string]*Pool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make(map[string]*Pool, len(s.pools))
+	for n, p := range s.pools {
+		out[n] = p
+	}
+	return out
+}
+
+// pool returns a pool of this broker, or nil.
+func (s *Service) pool(name string) *Pool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pools[name]
+}
+
+// team looks up a team's limits in the configuration in force.
+func (s *Service) team(name string) Team {
+	view := s.store.View()
+	if view == nil || view.Team(name) == nil {
+		return Team{Weight: 1}
+	}
+	t := view.Team(name)
+	return Team{Weight: t.Weight, Rate: t.RequestsPerSecond, Burst: t.RequestBurst, InFlight: t.InFlight}
+}
+
+// Acquire waits for a place. A node that is not the broker says so.
+func (s *Service) Acquire(ctx context.Context, req *wire.Acquire) (any, error) {
+	p := s.pool(req.Pool)
+	if p == nil {
+		return &wire.Grant{Refusal: ReasonMoved}, nil
+	}
+	reply := p.Acquire(time.Now(), *req)
+	select {
+	case g := <-reply:
+		return &g, nil
+	case <-ctx.Done():
+		p.Cancel(time.Now(), req.Request)
+		return nil, ctx.Err()
+	}
+}
+
+// Release gives a place back.
+func (s *Service) Release(_ context.Context, rel *wire.Release) (any, error) {
+	if p := s.pool(rel.Pool); p != nil {
+		p.Release(time.Now(), *rel)
+	}
+	return nil, nil
+}
+
+// Cancel gives up a wait, or a place whose grant was not received.
+func (s *Service) Cancel(_ context.Context, req *wire.Acquire) (any, error) {
+	if p := s.pool(req.Pool); p != nil {
+		p.Cancel(time.Now(), req.Request)
+	}
+	return nil, nil
+}
+
+// Report takes what a node holds. The answer is false where this node is not
+// the pool's broker yet, so that the node tells it again.
+func (s *Service) Report(_ context.Context, r *wire.Report) (any, error) {
+	p := s.pool(r.Pool)
+	if p == nil {
+		return false, nil
+	}
+	p.Report(time.Now(), *r)
+	return true, nil
+}
+
+// Waiting returns all that wait at this broker.
+func (s *Service) Waiting(now time.Time) []wire.Row {
+	var out []wire.Row
+	for _, p := range s.all() {
+		out = append(out, p.Waiting(now)...)
+	}
+	return out
+}
+
+// Engines returns the engines of this broker's pools.
+func (s *Service) Engines() []wire.Row {
+	var out []wire.Row
+	for _, p := range s.all() {
+		out = append(out, p.Engines()...)
+	}
+	return out
+}
+
+// names returns the names of members.
+func names(members []wire.Member) []string {
+	out := make([]string, 0, len(members))
+	for _, m := range members {
+		out = append(out, m.Name)
+	}
+	return out
+}
+
+// classesOf returns the queue's view of the classes.
+func classesOf(view *config.View) []queue.Class {
+	out := make([]queue.Class, 0, len(view.Config.Classes))
+	for _, c := range view.Config.Classes {
+		out = append(out, queue.Class{
+			Name: c.Name, Tier: c.Tier, MinShare: c.MinShare, Limit: c.QueueLimit,
+			MaxWait: ms(c.MaxWaitMs), Target: ms(c.FirstTokenMs),
+		})
+	}
+	return out
+}
+
+// enginesOf returns the broker's view of a pool's engines.
+func enginesOf(view *config.View, pool string) []Engine {
+	var out []Engine
+	for _, e := range view.Engines(pool) {
+		out = append(out, Engine{Name: e.Name, Slots: e.Slots, KVTokens: e.KvTokens, Draining: e.State == config.EngineStateDraining})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/check/check.go
@@ -0,0 +1,192 @@
+// Package check reads JSON with comments and checks it against a schema. Each
+// problem it reports names the line it stands on.
+package check
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"sort"
+	"strings"
+
+	"github.com/santhosh-tekuri/jsonschema/v6"
+	"github.com/santhosh-tekuri/jsonschema/v6/kind"
+	"github.com/tailscale/hujson"
+	"golang.org/x/text/language"
+	"golang.org/x/text/message"
+)
+
+type (
+	// Problem is one thing wrong with a document.
+	Problem struct {
+		Line    int    // Line in the document, from 1.
+		Path    string // Path is a JSON pointer to the value.
+		Message string // Message says what is wrong and what is allowed.
+	}
+
+	// Error lists all problems of a document.
+	Error struct {
+		Name     string // Name of the document, such as a file's path.
+		Problems []Problem
+	}
+
+	// Schema is a compiled schema.
+	Schema struct {
+		schema *jsonschema.Schema
+	}
+)
+
+// Error returns all problems, one on each line.
+func (e *Error) Error() string {
+	lines := make([]string, 0, len(e.Problems))
+	for _, p := range e.Problems {
+		lines = append(lines, fmt.Sprintf("%s:%d: %s: %s", e.Name, p.Line, p.Path, p.Message))
+	}
+	return strings.Join(lines, "\n")
+}
+
+// MustCompile returns the compiled form of a schema that is part of the
+// program, and panics if the schema itself is wrong.
+func MustCompile(text []byte) *Schema {
+	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(text))
+	if err != nil {
+		panic(fmt.Sprintf("check: schema is not JSON: %v", err))
+	}
+	c := jsonschema.NewCompiler()
+	if err := c.AddResource("schema.json", doc); err != nil {
+		panic(fmt.Sprintf("check: add schema: %v", err))
+	}
+	s, err := c.Compile("schema.json")
+	if err != nil {
+		panic(fmt.Sprintf("check: compile schema: %v", err))
+	}
+	return &Schema{schema: s}
+}
+
+// Read turns a document in JSON with comments into plain JSON and checks it.
+// The error is an *Error where the document is at fault.
+func (s *Schema) Read(name string, text []byte) ([]byte, error) {
+	tree, err := hujson.Parse(text)
+	if err != nil {
+		return nil, &Error{Name: name, Problems: []Problem{{Line: syntaxLine(err), Path: "/", Message: err.Error()}}}
+	}
+	plain := tree.Clone()
+	plain.Standardize()
+	packed := plain.Pack()
+	if err := duplicateKeys(name, text, &tree); err != nil {
+		return nil, err
+	}
+	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(packed))
+	if err != nil {
+		return nil, fmt.Errorf("read %s as JSON: %w", name, err)
+	}
+	if err := s.schema.Validate(doc); err != nil {
+		return nil, problems(name, text, &tree, err)
+	}
+	return packed, nil
+}
+
+// Line returns the line on which the value at a JSON pointer stands, or 1.
+func Line(text []byte, pointer string) int {
+	tree, err := hujson.Parse(text)
+	if err != nil {
+		return 1
+	}
+	return line(text, &tree, pointer)
+}
+
+// line finds a pointer in a parsed document.
+func line(text []byte, tree *hujson.Value, pointer string) int {
+	v := tree.Find(pointer)
+	if v == nil {
+		return 1
+	}
+	return 1 + bytes.Count(text[:v.StartOffset], []byte("\n"))
+}
+
+// syntaxLine takes the line out of the parser's message, or returns 1.
+func syntaxLine(err error) int {
+	var n, col int
+	if _, e := fmt.Sscanf(err.Error(), "hujson: line %d, column %d", &n, &col); e != nil {
+		return 1
+	}
+	return n
+}
+
+// duplicateKeys reports the first key that stands twice in one object.
+func duplicateKeys(name string, text []byte, tree *hujson.Value) error {
+	var found *Problem
+	for v := range tree.All() {
+		obj, ok := v.Value.(*hujson.Object)
+		if !ok || found != nil {
+			continue
+		}
+		seen := map[string]bool{}
+		for _, m := range obj.Members {
+			var key string
+			if lit, ok := m.Name.Value.(hujson.Literal); ok {
+				key = lit.String()
+			}
+			if seen[key] {
+				at := 1 + bytes.Count(text[:m.Name.StartOffset], []byte("\n"))
+				found = &Problem{Line: at, Path: "/" + key, Message: "key stands twice; remove one"}
+			}
+			seen[key] = true
+		}
+	}
+	if found == nil {
+		return nil
+	}
+	return &Error{Name: name, Problems: []Problem{*found}}
+}
+
+// problems turns a validation error into problems with lines.
+func problems(name string, text []byte, tree *hujson.Value, err error) error {
+	verr, ok := err.(*jsonschema.ValidationError)
+	if !ok {
+		return fmt.Errorf("check %s: %w", name, err)
+	}
+	out := &Error{Name: name}
+	printer := message.NewPrinter(language.English)
+	var walk func(e *jsonschema.ValidationError)
+	walk = func(e *jsonschema.ValidationError) {
+		for _, cause := range e.Causes {
+			walk(cause)
+		}
+		if len(e.Causes) > 0 {
+			return
+		}
+		pointer := pointerOf(e.InstanceLocation)
+		msg := e.ErrorKind.LocalizedString(printer)
+		if extra, ok := e.ErrorKind.(*kind.AdditionalProperties); ok {
+			pointer += "/" + escape(extra.Properties[0])
+			msg = "unknown key; see the reference for the allowed ones"
+		}
+		out.Problems = append(out.Problems, Problem{Line: line(text, tree, pointer), Path: pointer, Message: msg})
+	}
+	walk(verr)
+	sort.SliceStable(out.Problems, func(i, j int) bool { return out.Problems[i].Line < out.Problems[j].Line })
+	return out
+}
+
+// pointerOf joins path parts to a JSON pointer.
+func pointerOf(parts []string) string {
+	var b strings.Builder
+	for _, p := range parts {
+		b.WriteString("/" + escape(p))
+	}
+	return b.String()
+}
+
+// escape writes one part of a JSON pointer.
+func escape(part string) string {
+	return strings.NewReplacer("~", "~0", "/", "~1").Replace(part)
+}
+
+// Decode reads checked JSON into a value.
+func Decode(name string, plain []byte, into any) error {
+	if err := json.Unmarshal(plain, into); err != nil {
+		return fmt.Errorf("decode %s: %w", name, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/engine/client_test.go
@@ -0,0 +1,110 @@
+package engine_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/croftturn/croftturn/internal/engine"
+)
+
+const stall = 5 * time.Second
+
+// start starts a completion at a server that a handler stands for.
+func start(t *testing.T, h http.HandlerFunc) (*engine.Stream, error) {
+	t.Helper()
+	srv := httptest.NewServer(h)
+	t.Cleanup(srv.Close)
+	c := engine.NewClient(stall)
+	t.Cleanup(c.Close)
+	s, err := c.Start(context.Background(), strings.TrimPrefix(srv.URL, "http://"), http.Header{}, []byte("{}"))
+	if err == nil {
+		t.Cleanup(s.Close)
+	}
+	return s, err
+}
+
+// TestLastEventIsNotBuffered holds that the empty line behind an event does not
+// pass for another event: it did once, and no token was flushed to the caller
+// before the stream ended.
+func TestLastEventIsNotBuffered(t *testing.T) {
+	s, err := start(t, func(w http.ResponseWriter, r *http.Request) {
+		fmt.Fprint(w, "data: {\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\n\n")
+		http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	e, err := s.Next()
+	if err != nil || e.Content != "a" {
+		t.Fatalf("Next() = %+v, %v", e, err)
+	}
+	if s.Buffered() {
+		t.Error("Buffered() = true with nothing but an empty line left")
+	}
+}
+
+func TestRefusalsAreTyped(t *testing.T) {
+	for status, want := range map[int]error{
+		http.StatusTooManyRequests: engine.ErrFull, http.StatusServiceUnavailable: engine.ErrFull,
+		http.StatusBadRequest: engine.ErrRejected, http.StatusInternalServerError: engine.ErrBroken,
+	} {
+		_, err := start(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status) })
+		if !errors.Is(err, want) {
+			t.Errorf("Start() with status %d: %v, want %v", status, err, want)
+		}
+	}
+}
+
+func TestStreamFaults(t *testing.T) {
+	for name, tc := range map[string]struct {
+		text string
+		want error
+	}{
+		"cut":       {"data: {\"choices\":[]}\n\n", engine.ErrBroken},
+		"malformed": {"data: {\"choices\": [\n\n", engine.ErrMalformed},
+		"no data":   {"hello\n", engine.ErrMalformed},
+		"too long":  {"data: " + strings.Repeat("x", 2<<20) + "\n", engine.ErrMalformed},
+		"error":     {"data: {\"error\":{\"message\":\"x\"}}\n\n", engine.ErrBroken},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, err := start(t, func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, tc.text) })
+			for err == nil {
+				_, err = s.Next()
+			}
+			if !errors.Is(err, tc.want) {
+				t.Errorf("error = %v, want %v", err, tc.want)
+			}
+		})
+	}
+}
+
+// TestEmptyBodyIsSentOnce holds that the transport does not repeat a call by
+// itself when the connection breaks, not even one without a body.
+func TestEmptyBodyIsSentOnce(t *testing.T) {
+	calls := make(chan struct{}, 10)
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		calls <- struct{}{}
+		if len(calls) > 1 {
+			panic(http.ErrAbortHandler)
+		}
+	}))
+	defer srv.Close()
+	c := engine.NewClient(stall)
+	defer c.Close()
+	for range 2 { // The second call goes out on a connection that was used before.
+		resp, err := c.Do(context.Background(), http.MethodGet, srv.URL, http.Header{"Idempotency-Key": {"k"}}, nil)
+		if err == nil {
+			resp.Body.Close()
+		}
+	}
+	if len(calls) != 2 {
+		t.Errorf("the server was called %d times, want 2", len(calls))
+	}
+}
--- /dev/null
+++ b/internal/front/chat.go
@@ -0,0 +1,326 @@
+package front
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/croftturn/croftturn/internal/broker"
+	"github.com/croftturn/croftturn/internal/engine"
+	"github.com/croftturn/croftturn/internal/sched"
+	"github.com/croftturn/croftturn/internal/telemetry"
+)
+
+// chat is the exchange of one chat completion. It always streams from the
+// engine, whatever the caller asked for.
+type chat struct {
+	f *Front
+	c *call
+
+	content strings.Builder // content is what has come so far, over all tries.
+	tokens  int             // tokens that have come so far.
+	finish  string
+	usage   *engine.Usage
+	sent    bool // sent says that the caller has received a part.
+	first   time.Time
+}
+
+// handleChat serves a chat completion.
+func (f *Front) handleChat(w http.ResponseWriter, r *http.Request) {
+	c, failure := f.readChat(w, r)
+	if failure != nil {
+		f.fail(w, "", failure)
+		return
+	}
+	if f.forwarded(w, r, c) {
+		return
+	}
+	f.serve(r.Context(), w, c, &chat{f: f, c: c})
+}
+
+// handleModels lists the models, in the published shape.
+func (f *Front) handleModels(w http.ResponseWriter, r *http.Request) {
+	view := f.views.View()
+	if _, failure := authenticate(view, r); failure != nil {
+		f.fail(w, "", failure)
+		return
+	}
+	type model struct {
+		ID      string `json:"id"`
+		Object  string `json:"object"`
+		Created int64  `json:"created"`
+		OwnedBy string `json:"owned_by"`
+	}
+	var doc struct {
+		Object string  `json:"object"`
+		Data   []model `json:"data"`
+	}
+	doc.Object, doc.Data = "list", []model{}
+	for _, name := range view.Models() {
+		doc.Data = append(doc.Data, model{ID: name, Object: "model", OwnedBy: "croftturn"})
+	}
+	f.writeJSON(w, doc)
+}
+
+// writeJSON answers with a document.
+func (f *Front) writeJSON(w http.ResponseWriter, doc any) {
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(doc); err != nil {
+		f.tele.Log.Debug("answer not delivered", "error", err.Error())
+	}
+}
+
+// begun reports whether the caller has received a part of the answer.
+func (x *chat) begun() bool { return x.sent }
+
+// resumable reports whether another engine can go on where one broke off: the
+// caller's text so far is given to it as the beginning of its answer.
+func (x *chat) resumable() bool { return x.finish == "" }
+
+// send streams the completion from one engine to the caller.
+func (x *chat) send(ctx context.Context, w http.ResponseWriter, g sched.Grant) (sched.Result, error) {
+	res := sched.Result{Status: broker.StatusFailed}
+	body, err := x.requestBody()
+	if err != nil {
+		return res, fmt.Errorf("build engine request: %w", err)
+	}
+	started := time.Now()
+	stream, err := x.f.engines.Start(ctx, g.Engine.Address, x.header(ctx), body)
+	if err != nil {
+		res.Status = statusOf(ctx, err)
+		return res, goneOr(ctx, err)
+	}
+	defer stream.Close()
+	had := x.tokens
+	err = x.relay(ctx, w, stream)
+	res.OutputTokens, res.Duration = x.tokens-had, time.Since(started)
+	if !x.first.IsZero() && x.first.After(started) {
+		res.FirstToken = x.first.Sub(started)
+	}
+	res.Status = statusOf(ctx, err)
+	if err == nil {
+		return res, nil
+	}
+	if !x.resumable() || errors.Is(goneOr(ctx, err), errCallerGone) {
+		x.f.tele.Wasted.Add(ctx, int64(x.tokens))
+	}
+	return res, goneOr(ctx, err)
+}
+
+// statusOf returns the status of a release after an error, or after none.
+func statusOf(ctx context.Context, err error) string {
+	switch {
+	case err == nil, errors.Is(err, engine.ErrRejected):
+		return broker.StatusOK
+	case errors.Is(err, errCallerGone), ctx.Err() != nil:
+		return broker.StatusCancelled
+	case errors.Is(err, engine.ErrFull):
+		return broker.StatusFull
+	}
+	return broker.StatusFailed
+}
+
+// goneOr returns errCallerGone where the caller's context has ended, else err.
+func goneOr(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return fmt.Errorf("%w: %w", errCallerGone, err)
+	}
+	return err
+}
+
+// header returns the headers for the engine.
+func (x *chat) header(ctx context.Context) http.Header {
+	h := http.Header{}
+	h.Set("Content-Type", "application/json")
+	h.Set(engine.HeaderRequestID, x.c.id)
+	if x.c.key != "" {
+		h.Set(HeaderKey, x.c.keyInSystem())
+	}
+	telemetry.Propagator.Inject(ctx, headerCarrier(h))
+	return h
+}
+
+// requestBody returns the body for the engine: the caller's, streamed, with the
+// tier as priority, and with what has come so far as the answer's beginning.
+func (x *chat) requestBody() ([]byte, error) {
+	fields := make(map[string]json.RawMessage, len(x.c.fields)+6)
+	for k, v := range x.c.fields {
+		fields[k] = v
+	}
+	fields["stream"] = json.RawMessage("true")
+	fields["stream_options"] = json.RawMessage(`{"include_usage":true}`)
+	fields["priority"] = json.RawMessage(strconv.Itoa(x.c.class.Tier))
+	if x.tokens > 0 {
+		if err := x.continueFrom(fields); err != nil {
+			return nil, err
+		}
+	}
+	text, err := json.Marshal(fields)
+	if err != nil {
+		return nil, fmt.Errorf("encode engine request: %w", err)
+	}
+	return text, nil
+}
+
+// continueFrom adds the text so far as a last message to be continued.
+func (x *chat) continueFrom(fields map[string]json.RawMessage) error {
+	var messages []json.RawMessage
+	if err := json.Unmarshal(fields["messages"], &messages); err != nil {
+		return fmt.Errorf("read messages: %w", err)
+	}
+	last, err := json.Marshal(struct {
+		Role    string `json:"role"`
+		Content string `json:"content"`
+	}{"assistant", x.content.String()})
+	if err != nil {
+		return fmt.Errorf("encode partial answer: %w", err)
+	}
+	text, err := json.Marshal(append(messages, last))
+	if err != nil {
+		return fmt.Errorf("encode messages: %w", err)
+	}
+	fields["messages"] = text
+	fields["continue_final_message"] = json.RawMessage("true")
+	fields["add_generation_prompt"] = json.RawMessage("false")
+	if x.c.maxTokens > 0 {
+		left := json.RawMessage(strconv.Itoa(max(1, x.c.maxTokens-x.tokens)))
+		delete(fields, "max_completion_tokens")
+		fields["max_tokens"] = left
+	}
+	return nil
+}
+
+// relay passes events on until the stream is whole.
+func (x *chat) relay(ctx context.Context, w http.ResponseWriter, stream *engine.Stream) error {
+	out := http.NewResponseController(w)
+	for {
+		e, err := stream.Next()
+		if err != nil {
+			return err
+		}
+		if e.Done {
+			return x.complete(w, out)
+		}
+		x.take(ctx, e)
+		if !x.c.stream || (e.Usage != nil && e.Content == "" && !x.c.wantUsage) {
+			continue
+		}
+		if err := x.pass(w, out, e.Data, !stream.Buffered()); err != nil {
+			return err
+		}
+	}
+}
+
+// take counts an event.
+func (x *chat) take(ctx context.Context, e engine.Event) {
+	if e.Usage != nil {
+		x.usage = e.Usage
+	}
+	if e.Finish != "" {
+		x.finish = e.Finish
+	}
+	if e.Content == "" {
+		return
+	}
+	if x.first.IsZero() {
+		x.first = time.Now()
+		x.f.tele.FirstToken.Record(ctx, x.first.Sub(x.c.arrived).Seconds())
+	}
+	x.tokens++
+	x.content.WriteString(e.Content)
+	x.f.tele.Tokens.Add(ctx, 1)
+}
+
+// pass writes one event to the caller, and flushes unless more has come already.
+func (x *chat) pass(w http.ResponseWriter, out *http.ResponseController, data []byte, flush bool) error {
+	if !x.sent {
+		x.sent = true
+		h := w.Header()
+		h.Set("Content-Type", "text/event-stream")
+		h.Set("Cache-Control", "no-cache")
+		h.Set("Trailer", HeaderOutcome)
+		w.WriteHeader(http.StatusOK)
+	}
+	x.extend(out)
+	line := make([]byte, 0, len(data)+8)
+	line = append(line, "data: "...)
+	line = append(line, data...)
+	line = append(line, "\n\n"...)
+	if _, err := w.Write(line); err != nil {
+		return fmt.Errorf("%w: %w", errCallerGone, err)
+	}
+	if !flush {
+		return nil
+	}
+	if err := out.Flush(); err != nil {
+		return fmt.Errorf("%w: %w", errCallerGone, err)
+	}
+	return nil
+}
+
+// extend gives the caller time for the next write.
+func (x *chat) extend(out *http.ResponseController) {
+	if err := out.SetWriteDeadline(time.Now().Add(x.f.limits.WriteTimeout)); err != nil {
+		x.f.tele.Log.Debug("no write deadline", "error", err.Error())
+	}
+}
+
+// complete ends a whole answer.
+func (x *chat) complete(w http.ResponseWriter, out *http.ResponseController) error {
+	if x.c.stream {
+		if err := x.pass(w, out, []byte("[DONE]"), true); err != nil {
+			return err
+		}
+		w.Header().Set(HeaderOutcome, OutcomeCompleted)
+		return nil
+	}
+	x.sent = true
+	x.extend(out)
+	w.Header().Set(HeaderOutcome, OutcomeCompleted)
+	x.f.writeJSON(w, x.document())
+	return nil
+}
+
+// document returns the whole answer in the published shape.
+func (x *chat) document() any {
+	type message struct {
+		Role    string `json:"role"`
+		Content string `json:"content"`
+	}
+	type choice struct {
+		Index        int     `json:"index"`
+		Message      message `json:"message"`
+		FinishReason string  `json:"finish_reason"`
+	}
+	usage := engine.Usage{PromptTokens: x.c.prompt, CompletionTokens: x.tokens, TotalTokens: x.c.prompt + x.tokens}
+	if x.usage != nil {
+		usage.PromptTokens = x.usage.PromptTokens
+		usage.TotalTokens = usage.PromptTokens + usage.CompletionTokens
+	}
+	return struct {
+		ID      string       `json:"id"`
+		Object  string       `json:"object"`
+		Created int64        `json:"created"`
+		Model   string       `json:"model"`
+		Choices []choice     `json:"choices"`
+		Usage   engine.Usage `json:"usage"`
+	}{
+		"chatcmpl-" + x.c.id, "chat.completion", x.c.arrived.Unix(), x.c.model,
+		[]choice{{Message: message{"assistant", x.content.String()}, FinishReason: x.finish}}, usage,
+	}
+}
+
+// breakOff ends a stream that is not whole: an error event, no [DONE], and a
+// connection that is cut rather than closed in order.
+func (x *chat) breakOff(w http.ResponseWriter, e *CallerError) {
+	out := http.NewResponseController(w)
+	if err := x.pass(w, out, e.body(x.c.id), true); err != nil {
+		x.f.tele.Log.Debug("error event not delivered", "request", x.c.id, "error", err.Error())
+	}
+	panic(http.ErrAbortHandler)
+}
--- /dev/null
+++ b/internal/front/front.go
@@ -0,0 +1,124 @@
+// Package front serves callers: chat completions for model pools, plain calls
+// for service pools, the entry points and tickets. Each answer is whole, or is
+// visibly not.
+package front
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/croftturn/croftturn/internal/claim"
+	"github.com/croftturn/croftturn/internal/config"
+	"github.com/croftturn/croftturn/internal/engine"
+	"github.com/croftturn/croftturn/internal/journal"
+	"github.com/croftturn/croftturn/internal/sched"
+	"github.com/croftturn/croftturn/internal/telemetry"
+	"github.com/croftturn/croftturn/internal/wire"
+)
+
+// Headers of the product, besides those of the published protocols.
+const (
+	HeaderClass         = "Croftturn-Class"          // HeaderClass names the class of a request.
+	HeaderNotRepeatable = "Croftturn-Not-Repeatable" // HeaderNotRepeatable marks a request that must run at most once.
+	HeaderOutcome       = "Croftturn-Outcome"        // HeaderOutcome is completed, not_run or unknown.
+	HeaderRequestID     = "Croftturn-Request-Id"     // HeaderRequestID is the id that explain takes.
+	HeaderRetryAfterMs  = "Retry-After-Ms"           // HeaderRetryAfterMs is Retry-After in milliseconds.
+	HeaderKey           = "Idempotency-Key"          // HeaderKey carries the caller's key or a ticket.
+)
+
+// Methods that nodes call at each other for requests that must run at most once.
+const (
+	MethodOutcome = "outcome" // MethodOutcome takes an OutcomeRequest and answers with an Outcome.
+	MethodRun     = "run"     // MethodRun takes a RunRequest and answers with an Outcome.
+)
+
+type (
+	// Members tells who the nodes are.
+	Members interface {
+		Self() wire.Member
+		Live() []wire.Member
+		Member(name string) (wire.Member, bool)
+	}
+
+	// Caller calls other nodes.
+	Caller interface {
+		Call(ctx context.Context, address, method string, params, result any) error
+	}
+
+	// Views gives the configuration in force.
+	Views interface {
+		View() *config.View
+	}
+
+	// Limits bound what a caller may send and how long things may take.
+	Limits struct {
+		MaxBody      int64         // MaxBody in bytes.
+		WriteTimeout time.Duration // WriteTimeout bounds one write to a caller.
+		EntryKeep    time.Duration // EntryKeep is how long entry points may be kept.
+	}
+
+	// Front serves callers.
+	Front struct {
+		views      Views
+		members    Members
+		peers      Caller
+		schedulers map[config.PoolScheduler]sched.Scheduler
+		engines    *engine.Client
+		journal    *journal.Journal
+		tele       *telemetry.Telemetry
+		limits     Limits
+		claims     *claim.Keeper
+		issuer     *claim.Issuer
+		registry   *claim.Registry
+		budget     *retryBudget
+		mux        *http.ServeMux
+	}
+
+	// Option sets a part of a Front.
+	Option func(*Front)
+)
+
+// WithScheduler sets the scheduler of pools that are configured so.
+func WithScheduler(name config.PoolScheduler, s sched.Scheduler) Option {
+	return func(f *Front) { f.schedulers[name] = s }
+}
+
+// WithClaims sets what makes requests run at most once.
+func WithClaims(k *claim.Keeper, i *claim.Issuer, r *claim.Registry) Option {
+	return func(f *Front) { f.claims, f.issuer, f.registry = k, i, r }
+}
+
+// WithLimits sets bounds on callers.
+func WithLimits(l Limits) Option { return func(f *Front) { f.limits = l } }
+
+// New returns a front.
+func New(views Views, members Members, peers Caller, engines *engine.Client, j *journal.Journal, tele *telemetry.Telemetry, opts ...Option) *Front {
+	f := &Front{
+		views: views, members: members, peers: peers, engines: engines, journal: j, tele: tele,
+		schedulers: map[config.PoolScheduler]sched.Scheduler{}, budget: newRetryBudget(), mux: http.NewServeMux(),
+	}
+	for _, o := range opts {
+		o(f)
+	}
+	f.mux.HandleFunc("POST /v1/chat/completions", f.handleChat)
+	f.mux.HandleFunc("GET /v1/models", f.handleModels)
+	f.mux.HandleFunc("GET /v1/entry-points", f.handleEntryPoints)
+	f.mux.HandleFunc("POST /v1/tickets", f.handleTicket)
+	f.mux.HandleFunc("/services/{pool}/{path...}", f.handleService)
+	return f
+}
+
+// ServeHTTP serves one request of a caller.
+func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if f.views.View() == nil {
+		f.fail(w, "", &CallerError{Status: http.StatusServiceUnavailable, Code: "not_ready", Message: "this node has no configuration yet", RetryAfter: time.Second})
+		return
+	}
+	ctx := telemetry.Propagator.Extract(r.Context(), headerCarrier(r.Header))
+	ctx, span := f.tele.Tracer.Start(ctx, "caller request", trace.WithSpanKind(trace.SpanKindServer))
+	defer span.End()
+	f.mux.ServeHTTP(w, r.WithContext(ctx))
+}
--- /dev/null
+++ b/internal/front/ticket.go
@@ -0,0 +1,140 @@
+package front
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/croftturn/croftturn/internal/claim"
+	"github.com/croftturn/croftturn/internal/telemetry"
+	"github.com/croftturn/croftturn/internal/wire"
+)
+
+// memoryWriter keeps an answer that goes to a peer rather than to a caller.
+type memoryWriter struct {
+	header http.Header
+	status int
+	body   bytes.Buffer
+}
+
+// Header returns the headers.
+func (m *memoryWriter) Header() http.Header { return m.header }
+
+// WriteHeader keeps the status.
+func (m *memoryWriter) WriteHeader(status int) { m.status = status }
+
+// Write keeps the body.
+func (m *memoryWriter) Write(p []byte) (int, error) {
+	if m.status == 0 {
+		m.status = http.StatusOK
+	}
+	return m.body.Write(p)
+}
+
+// FlushError has nothing to flush.
+func (m *memoryWriter) FlushError() error { return nil }
+
+// SetWriteDeadline has no deadline to keep.
+func (m *memoryWriter) SetWriteDeadline(time.Time) error { return nil }
+
+// handleTicket issues a ticket: a key that only this process will run, and that
+// any node forwards here.
+func (f *Front) handleTicket(w http.ResponseWriter, r *http.Request) {
+	team, failure := authenticate(f.views.View(), r)
+	if failure != nil {
+		f.fail(w, "", failure)
+		return
+	}
+	f.writeJSON(w, struct {
+		Ticket string `json:"ticket"`
+	}{f.issuer.Issue(time.Now(), team.Name)})
+}
+
+// forwarded hands a call whose ticket another process issued to that process,
+// and reports whether it did.
+func (f *Front) forwarded(w http.ResponseWriter, r *http.Request, c *call) bool {
+	if !claim.IsTicket(c.key) {
+		return false
+	}
+	c.notRepeatable = true
+	ticket, err := claim.ReadTicket(c.key)
+	if err != nil {
+		f.fail(w, c.id, &CallerError{Status: http.StatusBadRequest, Code: "bad_ticket", Message: "the key looks like a ticket but is none"})
+		return true
+	}
+	self := f.members.Self()
+	if ticket.Node == self.Name && ticket.Incarnation == self.Incarnation {
+		return false
+	}
+	f.replay(w, c.id, f.forward(r.Context(), r, c, ticket))
+	return true
+}
+
+// forward calls the process that issued a ticket and returns its outcome.
+func (f *Front) forward(ctx context.Context, r *http.Request, c *call, t claim.Ticket) wire.Outcome {
+	m, ok := f.members.Member(t.Node)
+	if !ok || m.Incarnation != t.Incarnation || m.State == wire.MemberStateD {
+		return wire.Outcome{State: wire.OutcomeStateUnknown, Reason: "the process that issued the ticket is gone; the request may have run"}
+	}
+	ctx, cancel := context.WithTimeout(ctx, askHolderTimeout)
+	defer cancel()
+	parent := http.Header{}
+	telemetry.Propagator.Inject(ctx, headerCarrier(parent))
+	req := &wire.RunRequest{
+		Ticket: c.key, Token: r.Header.Get("Authorization"), Class: r.Header.Get(HeaderClass), Method: r.Method,
+		Path: r.URL.RequestURI(), ContentType: r.Header.Get("Content-Type"), TraceParent: parent.Get("Traceparent"), Body: c.body,
+	}
+	o := wire.Outcome{}
+	if err := f.peers.Call(ctx, m.PeerAddress, MethodRun, req, &o); err != nil {
+		return wire.Outcome{State: wire.OutcomeStateUnknown, Reason: "the process that issued the ticket does not answer; the request may have run"}
+	}
+	return o
+}
+
+// AnswerRun runs a call that a peer forwarded with a ticket of this process; it
+// is the handler of MethodRun.
+func (f *Front) AnswerRun(ctx context.Context, req *wire.RunRequest) (any, error) {
+	r, err := http.NewRequestWithContext(ctx, req.Method, req.Path, bytes.NewReader(req.Body))
+	if err != nil {
+		return &wire.Outcome{State: wire.OutcomeStateNotRun, Reason: "bad_request"}, nil
+	}
+	r.Header.Set("Authorization", req.Token)
+	r.Header.Set(HeaderClass, req.Class)
+	r.Header.Set(HeaderKey, req.Ticket)
+	r.Header.Set("Content-Type", req.ContentType)
+	r.Header.Set("Traceparent", req.TraceParent)
+	rec := &memoryWriter{header: http.Header{}}
+	broken := f.serveInto(rec, r)
+	return f.recorded(rec, broken), nil
+}
+
+// serveInto serves a request and reports whether its answer broke off.
+func (f *Front) serveInto(w http.ResponseWriter, r *http.Request) (broken bool) {
+	defer func() {
+		if p := recover(); p != nil {
+			if p != http.ErrAbortHandler {
+				panic(p)
+			}
+			broken = true
+		}
+	}()
+	f.ServeHTTP(w, r)
+	return false
+}
+
+// recorded turns a recorded answer into an outcome.
+func (f *Front) recorded(rec *memoryWriter, broken bool) *wire.Outcome {
+	o := &wire.Outcome{State: wire.OutcomeStateUnknown, Status: rec.status, ContentType: rec.Header().Get("Content-Type"), Body: rec.body.Bytes()}
+	o.RetryAfterMs, _ = strconv.Atoi(rec.Header().Get(HeaderRetryAfterMs))
+	switch {
+	case broken:
+		return &wire.Outcome{State: wire.OutcomeStateUnknown, Reason: "the request broke off"}
+	case rec.Header().Get(HeaderOutcome) == OutcomeCompleted:
+		o.State = wire.OutcomeStateDone
+	case rec.Header().Get(HeaderOutcome) == OutcomeNotRun:
+		o.State = wire.OutcomeStateNotRun
+	}
+	return o
+}
--- /dev/null
+++ b/internal/lang/lang.go
@@ -0,0 +1,176 @@
+// Package lang is the operators' query and command language: its grammar, and
+// the table of its statements with help and examples.
+package lang
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/participle/v2"
+	"github.com/alecthomas/participle/v2/lexer"
+	"github.com/gravitational/trace"
+)
+
+type (
+	// Statement is one parsed statement; one of its fields is set.
+	Statement struct {
+		Query    *Query    `parser:"@@"`
+		Explain  *Explain  `parser:"| @@"`
+		History  *History  `parser:"| @@"`
+		State    *State    `parser:"| @@"`
+		Set      *Set      `parser:"| @@"`
+		Delete   *Delete   `parser:"| @@"`
+		Rollback *Rollback `parser:"| @@"`
+	}
+
+	// Query asks for rows of a table.
+	Query struct {
+		Table string      `parser:"@('running' | 'queued' | 'refused' | 'completed' | 'unknown' | 'cancelled' | 'engines' | 'members')"`
+		Where []Condition `parser:"( 'where' @@ ( 'and' @@ )* )?"`
+		Since string      `parser:"( 'since' @Word )?"`
+		By    string      `parser:"( 'by' @Word )?"`
+	}
+
+	// Condition is a field that has, or has not, a value.
+	Condition struct {
+		Field    string `parser:"@Word"`
+		Operator string `parser:"@('=' | '!=')"`
+		Value    string `parser:"@(Word | String)"`
+	}
+
+	// Explain asks why a request went as it did.
+	Explain struct {
+		Request string `parser:"'explain' @Word"`
+	}
+
+	// History asks for the accepted changes.
+	History struct {
+		After string `parser:"'history' ( 'after' @Word )?"`
+	}
+
+	// State drains an engine or takes it back.
+	State struct {
+		Verb   string `parser:"@('drain' | 'undrain') 'engine'"`
+		Engine string `parser:"@Word"`
+	}
+
+	// Set sets fields of one part of the configuration.
+	Set struct {
+		Kind   string       `parser:"'set' @('class' | 'team' | 'pool' | 'engine' | 'operator')"`
+		Name   string       `parser:"@Word"`
+		Fields []Assignment `parser:"@@ ( ',' @@ )*"`
+	}
+
+	// Assignment is a field and its new value.
+	Assignment struct {
+		Field string `parser:"@Word '='"`
+		Value string `parser:"@(Word | String)"`
+	}
+
+	// Delete deletes one part of the configuration.
+	Delete struct {
+		Kind string `parser:"'delete' @('class' | 'team' | 'pool' | 'engine' | 'operator')"`
+		Name string `parser:"@Word"`
+	}
+
+	// Rollback takes back all changes after a version.
+	Rollback struct {
+		Version int `parser:"'rollback' 'to' @Word"`
+	}
+
+	// Entry is one line of the table of statements.
+	Entry struct {
+		Name    string
+		Form    string
+		Help    string
+		Example string
+		Change  bool // Change says that the statement needs the role change.
+	}
+)
+
+var (
+	grammar = participle.MustBuild[Statement](
+		participle.Lexer(lexer.MustSimple([]lexer.SimpleRule{
+			{Name: "Space", Pattern: `\s+`},
+			{Name: "String", Pattern: `"(\\.|[^"\\])*"`},
+			{Name: "Word", Pattern: `[A-Za-z0-9_][A-Za-z0-9_.:/-]*`},
+			{Name: "Sign", Pattern: `!=|=|,`},
+		})),
+		participle.Elide("Space"),
+		participle.UseLookahead(2),
+	)
+
+	queryForm = " [where FIELD = VALUE [and ...]] [since DURATION] [by FIELD]"
+
+	// Table lists all statements.
+	Table = []Entry{
+		{Name: "running", Form: "running" + queryForm, Help: "Requests that are on an engine.", Example: "running where class = confirm"},
+		{Name: "queued", Form: "queued" + queryForm, Help: "Requests that wait for a place.", Example: "queued by class"},
+		{Name: "refused", Form: "refused" + queryForm, Help: "Requests that were refused.", Example: "refused since 5m by class"},
+		{Name: "completed", Form: "completed" + queryForm, Help: "Requests whose answer was whole.", Example: "completed since 1m by team"},
+		{Name: "unknown", Form: "unknown" + queryForm, Help: "Requests whose outcome is not known.", Example: "unknown since 1h"},
+		{Name: "cancelled", Form: "cancelled" + queryForm, Help: "Requests whose caller had gone.", Example: "cancelled by team"},
+		{Name: "engines", Form: "engines" + queryForm, Help: "Engines as their brokers see them.", Example: "engines where state != active"},
+		{Name: "members", Form: "members" + queryForm, Help: "Nodes as the asked node sees them.", Example: "members"},
+		{Name: "explain", Form: "explain REQUEST", Help: "Why a request waited, went where it went, or was refused.", Example: "explain 5f3a9c0de1b2a3c4d5e6f708"},
+		{Name: "history", Form: "history [after VERSION]", Help: "Accepted changes of the configuration.", Example: "history after 12"},
+		{Name: "drain", Form: "drain engine NAME", Help: "Give an engine no new work.", Example: "drain engine e3", Change: true},
+		{Name: "undrain", Form: "undrain engine NAME", Help: "Give an engine work again.", Example: "undrain engine e3", Change: true},
+		{Name: "set", Form: "set KIND NAME FIELD = VALUE [, ...]", Help: "Set fields of a class, team, pool, engine or operator.", Example: "set team ebro requests_per_second = 50", Change: true},
+		{Name: "delete", Form: "delete KIND NAME", Help: "Delete a class, team, pool, engine or operator.", Example: "delete team ebro", Change: true},
+		{Name: "rollback", Form: "rollback to VERSION", Help: "Take back all changes after a version, as a new version.", Example: "rollback to 12", Change: true},
+	}
+)
+
+// Parse reads one statement. The error is trace.BadParameter and says what was
+// expected.
+func Parse(text string) (*Statement, error) {
+	s, err := grammar.ParseString("", text)
+	if err != nil {
+		return nil, trace.BadParameter("%v; statements are: %s", err, strings.Join(names(), ", "))
+	}
+	if s.Query != nil {
+		if _, err := s.Query.Age(); err != nil {
+			return nil, err
+		}
+	}
+	return s, nil
+}
+
+// names returns the names of all statements in order.
+func names() []string {
+	out := make([]string, 0, len(Table))
+	for _, e := range Table {
+		out = append(out, e.Name)
+	}
+	sort.Strings(out)
+	return out
+}
+
+// Age returns how old rows may be, or 0 for any age.
+func (q *Query) Age() (time.Duration, error) {
+	if q.Since == "" {
+		return 0, nil
+	}
+	d, err := time.ParseDuration(q.Since)
+	if err != nil || d <= 0 {
+		return 0, trace.BadParameter("since takes a duration such as 5m, not %q", q.Since)
+	}
+	return d, nil
+}
+
+// Changes reports whether a statement changes the configuration.
+func (s *Statement) Changes() bool {
+	return s.State != nil || s.Set != nil || s.Delete != nil || s.Rollback != nil
+}
+
+// Help returns the table of statements as text.
+func Help() string {
+	var b strings.Builder
+	for _, e := range Table {
+		fmt.Fprintf(&b, "%s\n    %s\n    example: %s\n", e.Form, e.Help, e.Example)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/member/service.go
@@ -0,0 +1,186 @@
+package member
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/croftturn/croftturn/internal/wire"
+)
+
+const (
+	// MethodHeartbeat is the peers' method that takes a Heartbeat.
+	MethodHeartbeat = "hb"
+
+	// kickDelay gathers changes before they are sent ahead of the next heartbeat.
+	kickDelay = 20 * time.Millisecond
+
+	// repairEvery bounds how often one node sends its whole table.
+	repairEvery = 2 * time.Second
+)
+
+type (
+	// Caller calls a method of a peer.
+	Caller interface {
+		Call(ctx context.Context, address, method string, params, result any) error
+	}
+
+	// Versions tells and takes configuration versions, which ride on heartbeats.
+	Versions interface {
+		Version() int
+	}
+
+	// Service sends and answers heartbeats.
+	Service struct {
+		table    *Table
+		caller   Caller
+		versions Versions
+		newer    func() // newer is called when a peer has a newer configuration.
+		seeds    func(ctx context.Context) []string
+		log      *slog.Logger
+		now      func() time.Time
+		kick     chan struct{}
+		wg       sync.WaitGroup
+
+		mu       sync.Mutex
+		repaired time.Time
+	}
+)
+
+// NewService returns a service on a table. newer is called when a peer has a
+// newer configuration; seeds lists peer addresses to ask while nobody is known.
+func NewService(table *Table, caller Caller, versions Versions, newer func(), seeds func(ctx context.Context) []string, log *slog.Logger) *Service {
+	return &Service{
+		table: table, caller: caller, versions: versions, newer: newer, seeds: seeds, log: log,
+		now: time.Now, kick: make(chan struct{}, 1),
+	}
+}
+
+// Run sends heartbeats until the context ends, then waits for those in flight.
+func (s *Service) Run(ctx context.Context) {
+	defer s.wg.Wait()
+	tick := time.NewTicker(s.table.opts.Heartbeat)
+	defer tick.Stop()
+	for {
+		changed := s.table.Changed()
+		now := s.now()
+		s.table.Observe(now)
+		s.beat(ctx, now)
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		case <-changed:
+			s.settle(ctx)
+		case <-s.kick:
+		}
+	}
+}
+
+// Kick sends heartbeats at once, such as after a change of configuration.
+func (s *Service) Kick() {
+	select {
+	case s.kick <- struct{}{}:
+	default:
+	}
+}
+
+// settle waits a moment, so that changes which come together go out together.
+func (s *Service) settle(ctx context.Context) {
+	t := time.NewTimer(kickDelay)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// beat sends one heartbeat to each observer, or to the seeds while alone.
+func (s *Service) beat(ctx context.Context, now time.Time) {
+	self := s.table.Self()
+	hb := &wire.Heartbeat{
+		From: self.Name, Incarnation: self.Incarnation, ConfigVersion: s.versions.Version(),
+		Members: s.table.News(now), TableHash: s.table.Hash(),
+	}
+	targets := s.table.Targets()
+	if len(targets) == 0 {
+		hb.Members = []wire.Member{self}
+		s.wg.Add(1)
+		go func() {
+			defer s.wg.Done()
+			for _, address := range s.seeds(ctx) {
+				if address != self.PeerAddress {
+					s.send(ctx, address, hb)
+				}
+			}
+		}()
+		return
+	}
+	for _, m := range targets {
+		s.wg.Add(1)
+		go func() {
+			defer s.wg.Done()
+			s.send(ctx, m.PeerAddress, hb)
+		}()
+	}
+}
+
+// send sends a heartbeat and takes the news of its answer.
+func (s *Service) send(ctx context.Context, address string, hb *wire.Heartbeat) {
+	ctx, cancel := context.WithTimeout(ctx, s.table.opts.Suspect)
+	defer cancel()
+	reply := &wire.HeartbeatReply{}
+	if err := s.caller.Call(ctx, address, MethodHeartbeat, hb, reply); err != nil {
+		s.log.Debug("heartbeat not answered", "peer", address, "error", err.Error())
+		return
+	}
+	s.table.Merge(s.now(), reply.Members)
+	s.compareVersion(reply.ConfigVersion)
+}
+
+// Answer takes a heartbeat and returns this node's news; it is the handler of
+// MethodHeartbeat.
+func (s *Service) Answer(_ context.Context, hb *wire.Heartbeat) (any, error) {
+	now := s.now()
+	s.table.Merge(now, hb.Members)
+	s.table.Heard(now, hb.From, hb.Incarnation)
+	s.compareVersion(hb.ConfigVersion)
+	reply := &wire.HeartbeatReply{ConfigVersion: s.versions.Version()}
+	reply.Members = s.news(now, hb)
+	return reply, nil
+}
+
+// news returns what the sender of a heartbeat should know: the latest changes,
+// or the whole table where the sender is unknown, thought dead, or differs.
+func (s *Service) news(now time.Time, hb *wire.Heartbeat) []wire.Member {
+	m, known := s.table.Member(hb.From)
+	stranger := !known || m.State == wire.MemberStateD || m.State == wire.MemberStateS
+	differs := hb.TableHash != s.table.Hash()
+	if stranger || len(s.table.All()) <= 1 || (differs && s.mayRepair(now)) {
+		return s.table.All()
+	}
+	var out []wire.Member
+	if differs {
+		out = s.table.News(now)
+	}
+	return out
+}
+
+// mayRepair reports whether the whole table may be sent now.
+func (s *Service) mayRepair(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now.Sub(s.repaired) < repairEvery {
+		return false
+	}
+	s.repaired = now
+	return true
+}
+
+// compareVersion reports a newer configuration of a peer.
+func (s *Service) compareVersion(version int) {
+	if version > s.versions.Version() {
+		s.newer()
+	}
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,230 @@
+// Package node puts one croftturn process together: it starts all parts in one
+// visible order and stops them in the reverse order.
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/croftturn/croftturn/internal/admin"
+	"github.com/croftturn/croftturn/internal/broker"
+	"github.com/croftturn/croftturn/internal/claim"
+	"github.com/croftturn/croftturn/internal/config"
+	"github.com/croftturn/croftturn/internal/engine"
+	"github.com/croftturn/croftturn/internal/front"
+	"github.com/croftturn/croftturn/internal/journal"
+	"github.com/croftturn/croftturn/internal/member"
+	"github.com/croftturn/croftturn/internal/peer"
+	"github.com/croftturn/croftturn/internal/platform"
+	"github.com/croftturn/croftturn/internal/sched"
+	"github.com/croftturn/croftturn/internal/settings"
+	"github.com/croftturn/croftturn/internal/telemetry"
+	"github.com/croftturn/croftturn/internal/wire"
+)
+
+// adminTimeout bounds the header of a request to the administration API.
+const adminTimeout = 10 * time.Second
+
+// Node is one running process.
+type Node struct {
+	settings *settings.Settings
+	tele     *telemetry.Telemetry
+	platform *platform.Client
+	traffic  *peer.Traffic
+	client   *peer.Client
+	server   *peer.Server
+	table    *member.Table
+	members  *member.Service
+	store    *config.Store
+	keeper   *config.Keeper
+	journal  *journal.Journal
+	watcher  *engine.Watcher
+	direct   *sched.Direct
+	brokers  *broker.Service
+	brokered *sched.Brokered
+	engines  *engine.Client
+	claims   *claim.Keeper
+	front    *front.Front
+	admin    *admin.Admin
+
+	callers  *http.Server
+	control  *http.Server
+	stopping chan struct{}
+	cancel   context.CancelFunc
+	wg       sync.WaitGroup
+}
+
+// Start starts a node; logs go to out. Close stops it.
+func Start(ctx context.Context, s *settings.Settings, out io.Writer) (*Node, error) {
+	tele, err := telemetry.New(ctx, s, out)
+	if err != nil {
+		return nil, fmt.Errorf("start telemetry: %w", err)
+	}
+	n := &Node{settings: s, tele: tele, stopping: make(chan struct{})}
+	listeners, err := listen(s.PeerAddress, s.CallerAddress, s.AdminAddress)
+	if err != nil {
+		return nil, errors.Join(err, tele.Close())
+	}
+	ctx, n.cancel = context.WithCancel(ctx)
+	n.build(time.Now(), listeners[0])
+	if err := n.observe(); err != nil {
+		return nil, errors.Join(err, tele.Close())
+	}
+	n.run(ctx, listeners[1], listeners[2])
+	tele.Log.Info("node started", "caller_address", s.CallerAddress, "peer_address", s.PeerAddress,
+		"admin_address", s.AdminAddress, "incarnation", n.table.Self().Incarnation)
+	return n, nil
+}
+
+// listen opens all listeners, or none.
+func listen(addresses ...string) ([]net.Listener, error) {
+	var out []net.Listener
+	for _, a := range addresses {
+		l, err := net.Listen("tcp", a)
+		if err != nil {
+			for _, open := range out {
+				open.Close()
+			}
+			return nil, fmt.Errorf("listen on %s: %w", a, err)
+		}
+		out = append(out, l)
+	}
+	return out, nil
+}
+
+// build makes all parts; nothing runs yet.
+func (n *Node) build(now time.Time, peers net.Listener) {
+	s, log := n.settings, n.tele.Log
+	n.platform = platform.New(s.PlatformAddresses, ms(s.PlatformTimeoutMs))
+	n.traffic = &peer.Traffic{}
+	n.client = peer.NewClient(n.traffic)
+	n.server = peer.NewServer(peers, n.traffic, log)
+	self := wire.Member{
+		Name: s.Instance, PeerAddress: s.PeerAdvertise, CallerAddress: s.CallerAddress, Hall: s.Hall, Incarnation: int(now.UnixMilli()),
+	}
+	n.table = member.NewTable(now, self, member.Options{Heartbeat: ms(s.HeartbeatMs), Suspect: ms(s.SuspectMs), Observers: s.Observers})
+	n.store = config.NewStore()
+	n.keeper = config.NewKeeper(n.store, n.platform, n, log)
+	n.members = member.NewService(n.table, n.client, n.store, n.keeper.Wake, n.seeds, log)
+	n.journal = journal.New()
+	n.watcher = engine.NewWatcher()
+	n.direct = sched.NewDirect(n.store, n.watcher, uint64(self.Incarnation))
+	n.brokers = broker.NewService(n.table, n.store, n)
+	n.brokered = sched.NewBrokered(n.table, n.brokers, n.client, n.store, n.direct, log)
+	n.engines = engine.NewClient(ms(s.EngineStallMs))
+	n.claims = claim.NewKeeper(n.platform, s.Instance, self.Incarnation, ms(s.ClaimGatherMs))
+	n.front = front.New(n.store, n.table, n.client, n.engines, n.journal, n.tele,
+		front.WithScheduler(config.PoolSchedulerBroker, n.brokered),
+		front.WithScheduler(config.PoolSchedulerDirect, n.direct),
+		front.WithScheduler(config.PoolSchedulerRoundRobin, sched.NewRoundRobin(n.store)),
+		front.WithClaims(n.claims, claim.NewIssuer(now, s.Instance, self.Incarnation, ms(s.TicketLifeMs)), claim.NewRegistry(ms(s.TicketLifeMs))),
+		front.WithLimits(front.Limits{MaxBody: int64(s.MaxBodyBytes), WriteTimeout: ms(s.WriteTimeoutMs), EntryKeep: ms(s.EntryKeepMs)}),
+	)
+	n.admin = admin.New(n.store, n.keeper, n.table, n.client, n, log,
+		admin.WithBootstrap(s.BootstrapTokenSha256), admin.WithAccepted(n.members.Kick),
+		admin.WithReady(n.Ready), admin.WithMetrics(n.tele.Metrics),
+	)
+	n.handlePeers()
+}
+
+// handlePeers sets which methods peers may call.
+func (n *Node) handlePeers() {
+	n.server.Handle(member.MethodHeartbeat, peer.Typed(n.members.Answer))
+	n.server.Handle(broker.MethodAcquire, peer.Typed(n.brokers.Acquire))
+	n.server.Handle(broker.MethodRelease, peer.Typed(n.brokers.Release))
+	n.server.Handle(broker.MethodCancel, peer.Typed(n.brokers.Cancel))
+	n.server.Handle(broker.MethodReport, peer.Typed(n.brokers.Report))
+	n.server.Handle(front.MethodOutcome, peer.Typed(n.front.AnswerOutcome))
+	n.server.Handle(front.MethodRun, peer.Typed(n.front.AnswerRun))
+	n.server.Handle(methodChanges, peer.Typed(func(_ context.Context, r *wire.ChangesRequest) (any, error) {
+		return n.keeper.Answer(r.After)
+	}))
+	n.server.Handle(admin.MethodQuery, peer.Typed(func(_ context.Context, q *wire.QueryRequest) (any, error) {
+		return &wire.QueryReply{Rows: n.Rows(time.Now(), q)}, nil
+	}))
+}
+
+// run starts the goroutines and the servers.
+func (n *Node) run(ctx context.Context, callers, control net.Listener) {
+	s := n.settings
+	n.callers = &http.Server{
+		Handler: n.front, MaxHeaderBytes: s.MaxHeaderBytes, ReadTimeout: ms(s.ReadTimeoutMs), ReadHeaderTimeout: ms(s.ReadTimeoutMs),
+		IdleTimeout: time.Minute,
+	}
+	n.control = &http.Server{Handler: n.admin, ReadHeaderTimeout: adminTimeout}
+	n.start(n.server.Serve)
+	n.start(func() { n.members.Run(ctx) })
+	n.start(func() { n.keeper.Run(ctx, ms(s.ConfigPollMs)) })
+	n.start(func() { n.watcher.Run(ctx) })
+	n.start(func() { n.brokers.Run(ctx) })
+	n.start(func() { n.brokered.Run(ctx) })
+	n.start(func() { n.serve(n.callers, callers) })
+	n.start(func() { n.serve(n.control, control) })
+}
+
+// start runs a function on its own goroutine, for which Close waits.
+func (n *Node) start(f func()) {
+	n.wg.Add(1)
+	go func() {
+		defer n.wg.Done()
+		f()
+	}()
+}
+
+// serve serves HTTP until the server is shut down.
+func (n *Node) serve(s *http.Server, l net.Listener) {
+	if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		n.tele.Log.Error("server failed", "address", l.Addr().String(), "error", err.Error())
+	}
+}
+
+// Ready returns why the node can't serve callers, or nil.
+func (n *Node) Ready() error {
+	if n.store.View() == nil {
+		return errors.New("no configuration yet")
+	}
+	select {
+	case <-n.stopping:
+		return errors.New("stopping")
+	default:
+		return nil
+	}
+}
+
+// Close stops the node as planned: peers and entry points stop naming it, then
+// it takes no new requests, those in flight finish within the drain time, and
+// the rest stops. It returns an error where requests were cut off.
+func (n *Node) Close() error {
+	s := n.settings
+	close(n.stopping)
+	n.tele.Log.Info("node leaves", "notice_ms", s.LeaveNoticeMs, "drain_ms", s.DrainMs)
+	n.table.Leave(time.Now())
+	n.callers.SetKeepAlivesEnabled(false)
+	time.Sleep(ms(s.LeaveNoticeMs))
+	ctx, cancel := context.WithTimeout(context.Background(), ms(s.DrainMs))
+	defer cancel()
+	err := n.callers.Shutdown(ctx)
+	if err != nil {
+		err = fmt.Errorf("requests cut off after the drain time: %w", err)
+		n.callers.Close()
+	}
+	n.control.Close()
+	n.cancel()
+	n.claims.Close()
+	n.client.Close()
+	serverErr := n.server.Close()
+	n.wg.Wait()
+	n.engines.Close()
+	n.platform.Close()
+	n.tele.Log.Info("node stopped")
+	return errors.Join(err, serverErr, n.tele.Close())
+}
+
+// ms turns milliseconds of the settings into a duration.
+func ms(n int) time.Duration { return time.Duration(n) * time.Millisecond }
--- /dev/null
+++ b/internal/node/peers.go
@@ -0,0 +1,142 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"runtime"
+	"time"
+
+	"github.com/croftturn/croftturn/internal/config"
+	"github.com/croftturn/croftturn/internal/journal"
+	"github.com/croftturn/croftturn/internal/telemetry"
+	"github.com/croftturn/croftturn/internal/wire"
+	"github.com/gravitational/trace"
+)
+
+const (
+	// methodChanges is the peers' method that takes a ChangesRequest.
+	methodChanges = "changes"
+
+	// askedPeers is how many peers are asked for a newer configuration.
+	askedPeers = 3
+
+	// askTimeout bounds one such question.
+	askTimeout = time.Second
+)
+
+// seeds lists the addresses of peers to ask while no member is known: those of
+// the settings and those of the platform's list, which lags behind.
+func (n *Node) seeds(ctx context.Context) []string {
+	out := append([]string(nil), n.settings.SeedPeers...)
+	list, err := n.platform.Instances(ctx)
+	if err != nil {
+		n.tele.Log.Debug("instances not listed", "error", err.Error())
+		return out
+	}
+	for _, i := range list {
+		if !i.Leaving && i.Name != n.settings.Instance {
+			out = append(out, i.PeerAddress)
+		}
+	}
+	return out
+}
+
+// Changes asks a few peers for configuration changes after a version. It fails
+// where peers are known and none answers.
+func (n *Node) Changes(ctx context.Context, after int) ([]*wire.ChangesReply, error) {
+	self := n.table.Self().Name
+	var others []wire.Member
+	for _, m := range n.table.Live() {
+		if m.Name != self {
+			others = append(others, m)
+		}
+	}
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	var out []*wire.ChangesReply
+	for _, m := range others[:min(len(others), askedPeers)] {
+		reply, err := n.askChanges(ctx, m, after)
+		if err != nil {
+			n.tele.Log.Debug("peer not asked for changes", "peer", m.Name, "error", err.Error())
+			continue
+		}
+		out = append(out, reply)
+	}
+	if len(out) == 0 {
+		return nil, trace.ConnectionProblem(nil, "no peer answers")
+	}
+	return out, nil
+}
+
+// askChanges asks one peer.
+func (n *Node) askChanges(ctx context.Context, m wire.Member, after int) (*wire.ChangesReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	reply := &wire.ChangesReply{}
+	err := n.client.Call(ctx, m.PeerAddress, methodChanges, &wire.ChangesRequest{After: after}, reply)
+	return reply, err
+}
+
+// Watch sets the engines whose load is read: those of the pools that this node
+// is the broker of, and those of pools on which it decides alone.
+func (n *Node) Watch(engines []*config.Engine) {
+	view := n.store.View()
+	for i := range view.Config.Pools {
+		p := &view.Config.Pools[i]
+		if p.Scheduler == config.PoolSchedulerDirect {
+			engines = append(engines, view.Engines(p.Name)...)
+		}
+	}
+	n.watcher.Watch(engines)
+}
+
+// Leaving reports whether an engine says that it is leaving.
+func (n *Node) Leaving(engine string) bool { return n.watcher.Leaving(engine) }
+
+// Rows returns this node's rows of a table.
+func (n *Node) Rows(now time.Time, q *wire.QueryRequest) []wire.Row {
+	switch q.Table {
+	case "engines":
+		return n.brokers.Engines()
+	case "members":
+		return n.memberRows()
+	case "request":
+		return n.journal.Explain(now, q.Request)
+	case journal.Queued, journal.Running, journal.Refused, journal.Completed, journal.Unknown, journal.Cancelled:
+		return n.journal.Rows(now, q.Table, ms(q.SinceMs))
+	}
+	return nil
+}
+
+// memberRows returns the members as this node sees them.
+func (n *Node) memberRows() []wire.Row {
+	names := map[wire.MemberState]string{
+		wire.MemberStateA: "alive", wire.MemberStateL: "leaving", wire.MemberStateS: "suspect", wire.MemberStateD: "dead",
+	}
+	var out []wire.Row
+	for _, m := range n.table.All() {
+		out = append(out, wire.Row{Node: m.Name, Name: m.Name, State: names[m.State], Reason: m.Hall + " " + m.PeerAddress})
+	}
+	return out
+}
+
+// observe adds the numbers that are read at each scrape.
+func (n *Node) observe() error {
+	return n.tele.Observe(
+		telemetry.Observed{Name: "croftturn.control.bytes.out", Help: "Control bytes sent to peers.", Read: n.traffic.BytesOut.Load},
+		telemetry.Observed{Name: "croftturn.control.bytes.in", Help: "Control bytes received from peers.", Read: n.traffic.BytesIn.Load},
+		telemetry.Observed{Name: "croftturn.control.calls", Help: "Control calls sent and received.", Read: n.traffic.Calls.Load},
+		telemetry.Observed{Name: "croftturn.platform.reads", Help: "Read calls to the platform.", Read: n.platform.Reads.Load},
+		telemetry.Observed{Name: "croftturn.platform.writes", Help: "Transactions sent to the platform.", Read: n.platform.Writes.Load},
+		telemetry.Observed{Name: "croftturn.config.version", Help: "Configuration version in force.", Read: func() int64 { return int64(n.store.Version()) }},
+		telemetry.Observed{Name: "croftturn.requests.live", Help: "Requests that have not ended.", Read: func() int64 { return int64(n.journal.Live()) }},
+		telemetry.Observed{Name: "croftturn.cpu.microseconds", Help: "Processor time used by this process.", Read: cpuMicros},
+		telemetry.Observed{Name: "croftturn.heap.bytes", Help: "Heap in use.", Read: heapBytes},
+	)
+}
+
+// heapBytes returns the heap in use.
+func heapBytes() int64 {
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapInuse)
+}
--- /dev/null
+++ b/internal/peer/client.go
@@ -0,0 +1,130 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// ErrUnreachable says that a peer could not be connected to; nothing was sent.
+var ErrUnreachable = errors.New("peer: not reachable")
+
+type (
+	// Client keeps one connection to each peer that is called.
+	Client struct {
+		traffic *Traffic
+		ctx     context.Context
+		cancel  context.CancelFunc
+
+		mu    sync.Mutex
+		links map[string]*link
+	}
+
+	// link is the connection to one address; its lock makes callers share a dial.
+	link struct {
+		mu  sync.Mutex
+		rpc *jsonrpc2.Conn
+	}
+)
+
+// NewClient returns a client without connections.
+func NewClient(traffic *Traffic) *Client {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Client{traffic: traffic, ctx: ctx, cancel: cancel, links: map[string]*link{}}
+}
+
+// Call calls a method of the peer at an address and decodes its result. The
+// error is ErrUnreachable where nothing was sent.
+func (c *Client) Call(ctx context.Context, address, method string, params, result any) error {
+	rpc, err := c.conn(ctx, address)
+	if err != nil {
+		return fmt.Errorf("call %s at %s: %w", method, address, err)
+	}
+	c.traffic.Calls.Add(1)
+	if err := rpc.Call(ctx, method, params, result); err != nil {
+		return fmt.Errorf("call %s at %s: %w", method, address, err)
+	}
+	return nil
+}
+
+// Notify sends a method without waiting for an answer.
+func (c *Client) Notify(ctx context.Context, address, method string, params any) error {
+	rpc, err := c.conn(ctx, address)
+	if err != nil {
+		return fmt.Errorf("notify %s at %s: %w", method, address, err)
+	}
+	c.traffic.Calls.Add(1)
+	if err := rpc.Notify(ctx, method, params); err != nil {
+		return fmt.Errorf("notify %s at %s: %w", method, address, err)
+	}
+	return nil
+}
+
+// conn returns the open connection to an address, or opens one.
+func (c *Client) conn(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
+	c.mu.Lock()
+	l := c.links[address]
+	if l == nil {
+		l = &link{}
+		c.links[address] = l
+	}
+	c.mu.Unlock()
+
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.rpc != nil {
+		select {
+		case <-l.rpc.DisconnectNotify():
+			l.rpc = nil
+		default:
+			return l.rpc, nil
+		}
+	}
+	if c.ctx.Err() != nil {
+		return nil, fmt.Errorf("client is closed: %w", ErrUnreachable)
+	}
+	dialer := net.Dialer{Timeout: dialTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrUnreachable, err)
+	}
+	refuse := jsonrpc2.HandlerWithError(func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "calls go the other way"}
+	})
+	l.rpc = jsonrpc2.NewConn(c.ctx, stream(conn, c.traffic), refuse, jsonrpc2.SetLogger(discard{}))
+	return l.rpc, nil
+}
+
+// Drop closes the connection to an address, such as that of a dead member.
+func (c *Client) Drop(address string) {
+	c.mu.Lock()
+	l := c.links[address]
+	delete(c.links, address)
+	c.mu.Unlock()
+	if l == nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.rpc != nil {
+		l.rpc.Close()
+	}
+}
+
+// Close drops all connections and waits until they are gone.
+func (c *Client) Close() {
+	c.cancel()
+	c.mu.Lock()
+	addresses := make([]string, 0, len(c.links))
+	for a := range c.links {
+		addresses = append(addresses, a)
+	}
+	c.mu.Unlock()
+	for _, a := range addresses {
+		c.Drop(a)
+	}
+}
--- /dev/null
+++ b/internal/queue/queue.go
@@ -0,0 +1,495 @@
+// Package queue orders the requests that wait for one pool: by tier, then by
+// the smallest shares of classes, then by the fair shares of teams, and within
+// a team those that can still meet their target first. It decides too which
+// request is shed when too many wait.
+package queue
+
+import (
+	"container/heap"
+	"container/list"
+	"math"
+	"sort"
+	"time"
+)
+
+// shareHalfLife is the time in which the record of served work halves.
+const shareHalfLife = 10 * time.Second
+
+type (
+	// Class is what the queue knows of a service class.
+	Class struct {
+		Name     string
+		Tier     int           // Tier orders classes; 1 is the highest.
+		MinShare float64       // MinShare is the smallest share of served work while the class waits.
+		Limit    int           // Limit bounds how many of the class wait; 0 for none.
+		MaxWait  time.Duration // MaxWait is how long a request may wait.
+		Target   time.Duration // Target is how long it may wait and still meet its class's target; 0 for none.
+	}
+
+	// Item is one waiting request. The exported fields are set before Push.
+	Item struct {
+		ID      string
+		Class   string
+		Team    string
+		Weight  float64   // Weight of the team, above 0.
+		Cost    float64   // Cost is the work it is expected to take, in tokens.
+		Arrived time.Time // Arrived is when it first asked, at whichever node.
+		Value   any       // Value belongs to the caller of this package.
+
+		class *classQueue
+		team  *teamQueue
+		order *list.Element // order is the place among all of the class, by arrival.
+		place *list.Element // place is the place in the team's list.
+	}
+
+	// Queue holds waiting requests. It is not safe for use from many goroutines.
+	Queue struct {
+		limit   int
+		classes []*classQueue // classes are ordered by tier, then by name.
+		byName  map[string]*classQueue
+		waiting int
+	}
+
+	// classQueue holds the waiting requests of one class. Those that can still
+	// meet the target are apart from those that can't.
+	classQueue struct {
+		Class
+		arrivals *list.List // arrivals holds the fresh and the late, oldest first.
+		fresh    fairQueue
+		late     fairQueue
+		next     *list.Element // next is the oldest fresh request.
+		served   decayed
+		credit   float64 // credit is the work that the smallest share owes the class, in tokens.
+	}
+
+	// fairQueue shares between teams by virtual time.
+	fairQueue struct {
+		teams  map[string]*teamQueue
+		active teamHeap
+		clock  float64
+	}
+
+	// teamQueue holds one team's requests, oldest first.
+	teamQueue struct {
+		fair   *fairQueue
+		name   string
+		items  *list.List
+		finish float64 // finish is the virtual time at which the team's turn comes.
+		index  int
+	}
+
+	// teamHeap orders teams by their turn.
+	teamHeap []*teamQueue
+
+	// decayed is a sum whose past counts less and less.
+	decayed struct {
+		sum float64
+		at  time.Time
+	}
+)
+
+// New returns an empty queue in which at most limit requests wait.
+func New(limit int, classes []Class) *Queue {
+	q := &Queue{byName: map[string]*classQueue{}}
+	q.Configure(limit, classes)
+	return q
+}
+
+// Configure sets the limit and the classes. Requests of a class that is gone
+// keep waiting under what was last known of it.
+func (q *Queue) Configure(limit int, classes []Class) {
+	q.limit = limit
+	for _, c := range classes {
+		cq := q.byName[c.Name]
+		if cq == nil {
+			cq = &classQueue{arrivals: list.New()}
+			cq.fresh.teams = map[string]*teamQueue{}
+			cq.late.teams = map[string]*teamQueue{}
+			q.byName[c.Name] = cq
+			q.classes = append(q.classes, cq)
+		}
+		cq.Class = c
+	}
+	sort.SliceStable(q.classes, func(i, j int) bool {
+		if q.classes[i].Tier != q.classes[j].Tier {
+			return q.classes[i].Tier < q.classes[j].Tier
+		}
+		return q.classes[i].Name < q.classes[j].Name
+	})
+}
+
+// Len returns how many requests wait.
+func (q *Queue) Len() int { return q.waiting }
+
+// LenClass returns how many requests of a class wait.
+func (q *Queue) LenClass(name string) int {
+	c := q.byName[name]
+	if c == nil {
+		return 0
+	}
+	return c.arrivals.Len()
+}
+
+// Ahead returns how many requests wait in the same tier or a higher one.
+func (q *Queue) Ahead(tier int) int {
+	n := 0
+	for _, c := range q.classes {
+		if c.Tier <= tier {
+			n += c.arrivals.Len()
+		}
+	}
+	return n
+}
+
+// Push adds a request. Where too many wait it returns the one that is shed,
+// which may be the new one itself: the newest of the lowest tier. A class below
+// its smallest share is not shed down to nothing for a higher tier.
+func (q *Queue) Push(now time.Time, it *Item) *Item {
+	c := q.byName[it.Class]
+	if c == nil {
+		return it
+	}
+	if c.Limit > 0 && c.arrivals.Len() >= c.Limit {
+		return it
+	}
+	q.insert(now, c, it)
+	if q.waiting <= q.limit {
+		return nil
+	}
+	victim := q.victim()
+	q.Remove(victim)
+	return victim
+}
+
+// victim returns the request to shed: the newest of the lowest tier whose class
+// is not owed its last waiting request.
+func (q *Queue) victim() *Item {
+	for i := len(q.classes) - 1; i >= 0; i-- {
+		c := q.classes[i]
+		if c.arrivals.Len() == 0 || (c.arrivals.Len() == 1 && c.owed()) {
+			continue
+		}
+		return q.newestInTier(c.Tier)
+	}
+	return q.newestInTier(q.classes[len(q.classes)-1].Tier)
+}
+
+// newestInTier returns the newest request of all classes of a tier, but for the
+// last one of a class that is owed.
+func (q *Queue) newestInTier(tier int) *Item {
+	var newest *Item
+	for _, c := range q.classes {
+		if c.Tier != tier || c.arrivals.Len() == 0 {
+			continue
+		}
+		if c.arrivals.Len() == 1 && c.owed() && newest != nil {
+			continue
+		}
+		it := c.arrivals.Back().Value.(*Item)
+		if newest == nil || it.Arrived.After(newest.Arrived) {
+			newest = it
+		}
+	}
+	return newest
+}
+
+// insert puts a request into its class's lists by its time of arrival.
+func (q *Queue) insert(now time.Time, c *classQueue, it *Item) {
+	it.class = c
+	at := c.arrivals.Back()
+	for at != nil && at.Value.(*Item).Arrived.After(it.Arrived) {
+		at = at.Prev()
+	}
+	if at == nil {
+		it.order = c.arrivals.PushFront(it)
+	} else {
+		it.order = c.arrivals.InsertAfter(it, at)
+	}
+	if c.isLate(now, it) {
+		c.late.push(it)
+	} else {
+		c.fresh.push(it)
+		if c.next == nil || it.Arrived.Before(c.next.Value.(*Item).Arrived) {
+			c.next = it.order
+		}
+	}
+	q.waiting++
+}
+
+// isLate reports whether a request can no longer meet its target.
+func (c *classQueue) isLate(now time.Time, it *Item) bool {
+	return c.Target > 0 && now.Sub(it.Arrived) > c.Target
+}
+
+// Pop takes the request that goes next, or returns nil where none waits.
+func (q *Queue) Pop(now time.Time) *Item {
+	c := q.nextClass(now)
+	if c == nil {
+		return nil
+	}
+	c.ageOut(now)
+	it := c.fresh.front()
+	if it == nil {
+		it = c.late.front()
+	}
+	q.Remove(it)
+	it.team.charge(it)
+	c.served.add(now, it.Cost)
+	q.settle(c, it.Cost)
+	return it
+}
+
+// Peek returns the request that Pop would take, without taking it.
+func (q *Queue) Peek(now time.Time) *Item {
+	c := q.nextClass(now)
+	if c == nil {
+		return nil
+	}
+	c.ageOut(now)
+	if it := c.fresh.front(); it != nil {
+		return it
+	}
+	return c.late.front()
+}
+
+// nextClass returns the class that goes next: the one that is owed most of its
+// smallest share, else the least served of the highest tier that waits.
+func (q *Queue) nextClass(now time.Time) *classQueue {
+	var best *classQueue
+	for _, c := range q.classes {
+		if c.arrivals.Len() == 0 || !c.owed() {
+			continue
+		}
+		if best == nil || c.credit > best.credit {
+			best = c
+		}
+	}
+	if best != nil {
+		return best
+	}
+	for _, c := range q.classes {
+		if c.arrivals.Len() == 0 {
+			continue
+		}
+		if best != nil && c.Tier > best.Tier {
+			break
+		}
+		if best == nil || c.served.value(now) < best.served.value(now) {
+			best = c
+		}
+	}
+	return best
+}
+
+// settle credits the waiting classes with their smallest shares of a piece of
+// work, and takes the work off the credit of the class that got it. A class
+// gathers no credit while it does not wait.
+func (q *Queue) settle(got *classQueue, cost float64) {
+	for _, c := range q.classes {
+		if c.MinShare <= 0 {
+			continue
+		}
+		if c == got {
+			c.credit -= cost
+		}
+		if c == got || c.arrivals.Len() > 0 {
+			c.credit += c.MinShare * cost
+		}
+		if c.arrivals.Len() == 0 {
+			c.credit = math.Min(c.credit, 0)
+		}
+		c.credit = math.Max(c.credit, -cost/c.MinShare)
+	}
+}
+
+// owed reports whether a class has got less than its smallest share.
+func (c *classQueue) owed() bool { return c.MinShare > 0 && c.credit > 0 }
+
+// ageOut moves requests that have become late behind the fresh ones.
+func (c *classQueue) ageOut(now time.Time) {
+	for c.next != nil {
+		it := c.next.Value.(*Item)
+		if !c.isLate(now, it) {
+			return
+		}
+		c.next = c.next.Next()
+		if it.team.fair == &c.fresh {
+			it.team.remove(it)
+			c.late.push(it)
+		}
+	}
+}
+
+// Remove takes a request out of the queue, such as when its caller has gone.
+func (q *Queue) Remove(it *Item) {
+	if it.order == nil {
+		return
+	}
+	c := it.class
+	if c.next == it.order {
+		c.next = it.order.Next()
+	}
+	c.arrivals.Remove(it.order)
+	it.order = nil
+	it.team.remove(it)
+	q.waiting--
+}
+
+// Expire takes out and returns the requests that have waited longer than their
+// class allows.
+func (q *Queue) Expire(now time.Time) []*Item {
+	var out []*Item
+	for _, c := range q.classes {
+		for c.arrivals.Len() > 0 {
+			it := c.arrivals.Front().Value.(*Item)
+			if now.Sub(it.Arrived) < c.MaxWait {
+				break
+			}
+			q.Remove(it)
+			out = append(out, it)
+		}
+	}
+	return out
+}
+
+// Drain takes out and returns all requests.
+func (q *Queue) Drain() []*Item {
+	var out []*Item
+	for _, c := range q.classes {
+		for c.arrivals.Len() > 0 {
+			it := c.arrivals.Front().Value.(*Item)
+			q.Remove(it)
+			out = append(out, it)
+		}
+	}
+	return out
+}
+
+// Items returns all waiting requests, by class and arrival.
+func (q *Queue) Items() []*Item {
+	out := make([]*Item, 0, q.waiting)
+	for _, c := range q.classes {
+		for e := c.arrivals.Front(); e != nil; e = e.Next() {
+			out = append(out, e.Value.(*Item))
+		}
+	}
+	return out
+}
+
+// push adds a request to its team's list; a team that had none takes its turn
+// no earlier than the present virtual time.
+func (f *fairQueue) push(it *Item) {
+	t := f.teams[it.Team]
+	if t == nil {
+		t = &teamQueue{fair: f, name: it.Team, items: list.New()}
+		f.teams[it.Team] = t
+	}
+	it.team = t
+	at := t.items.Back()
+	for at != nil && at.Value.(*Item).Arrived.After(it.Arrived) {
+		at = at.Prev()
+	}
+	if at == nil {
+		it.place = t.items.PushFront(it)
+	} else {
+		it.place = t.items.InsertAfter(it, at)
+	}
+	if t.items.Len() == 1 {
+		t.finish = math.Max(t.finish, f.clock)
+		heap.Push(&f.active, t)
+	}
+}
+
+// front returns the oldest request of the team whose turn it is, or nil.
+func (f *fairQueue) front() *Item {
+	if len(f.active) == 0 {
+		return nil
+	}
+	return f.active[0].items.Front().Value.(*Item)
+}
+
+// remove takes a request out of the team's list.
+func (t *teamQueue) remove(it *Item) {
+	t.items.Remove(it.place)
+	if t.items.Len() > 0 {
+		return
+	}
+	heap.Remove(&t.fair.active, t.index)
+	if t.finish <= t.fair.clock {
+		delete(t.fair.teams, t.name)
+	}
+}
+
+// charge moves a team's turn back by the work it got.
+func (t *teamQueue) charge(it *Item) {
+	t.fair.clock = math.Max(t.fair.clock, t.finish)
+	t.finish = math.Max(t.finish, t.fair.clock) + it.Cost/it.Weight
+	if t.items.Len() > 0 {
+		heap.Fix(&t.fair.active, t.index)
+		return
+	}
+	t.fair.teams[t.name] = t
+	t.fair.forget()
+}
+
+// forgetAt is how many idle teams a fairQueue keeps before it forgets those
+// whose turn would be due anyway.
+const forgetAt = 1024
+
+// forget drops idle teams that are owed nothing and owe nothing.
+func (f *fairQueue) forget() {
+	if len(f.teams) < forgetAt+2*len(f.active) {
+		return
+	}
+	for name, t := range f.teams {
+		if t.items.Len() == 0 && t.finish <= f.clock {
+			delete(f.teams, name)
+		}
+	}
+}
+
+// value returns the sum as it counts now.
+func (d *decayed) value(now time.Time) float64 {
+	if d.sum == 0 {
+		return 0
+	}
+	return d.sum * math.Exp2(-float64(now.Sub(d.at))/float64(shareHalfLife))
+}
+
+// add adds to the sum.
+func (d *decayed) add(now time.Time, x float64) {
+	d.sum = d.value(now) + x
+	d.at = now
+}
+
+// Len implements heap.Interface.
+func (h teamHeap) Len() int { return len(h) }
+
+// Less implements heap.Interface.
+func (h teamHeap) Less(i, j int) bool {
+	if h[i].finish != h[j].finish {
+		return h[i].finish < h[j].finish
+	}
+	return h[i].name < h[j].name
+}
+
+// Swap implements heap.Interface.
+func (h teamHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+
+// Push implements heap.Interface.
+func (h *teamHeap) Push(x any) {
+	t := x.(*teamQueue)
+	t.index = len(*h)
+	*h = append(*h, t)
+}
+
+// Pop implements heap.Interface.
+func (h *teamHeap) Pop() any {
+	old := *h
+	t := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return t
+}
--- /dev/null
+++ b/internal/sched/brokered.go
@@ -0,0 +1,327 @@
+package sched
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/croftturn/croftturn/internal/broker"
+	"github.com/croftturn/croftturn/internal/wire"
+)
+
+const (
+	// retryPause is how long a node waits before it asks for a broker again.
+	retryPause = 50 * time.Millisecond
+
+	// fallbackAfter is how long a node asks for a broker in vain before it
+	// decides on its own.
+	fallbackAfter = 3 * time.Second
+
+	// reportEvery is how often a node tells brokers what it holds, so that a
+	// release that was lost is made good.
+	reportEvery = 10 * time.Second
+
+	// noticeTimeout bounds a release, a cancel or a report.
+	noticeTimeout = time.Second
+)
+
+type (
+	// Peers calls other nodes.
+	Peers interface {
+		Call(ctx context.Context, address, method string, params, result any) error
+		Notify(ctx context.Context, address, method string, params any) error
+	}
+
+	// Brokered asks the pool's broker, wherever it is, for a place. While no
+	// broker can be reached it falls back to another scheduler.
+	Brokered struct {
+		members  broker.Members
+		local    *broker.Service
+		peers    Peers
+		views    Views
+		fallback Scheduler
+		log      *slog.Logger
+
+		mu     sync.Mutex
+		holds  map[string]heldPlace
+		alone  map[string]bool   // alone are requests that the fallback placed.
+		told   map[string]string // told is the broker that a pool's holds were reported to.
+		closed sync.WaitGroup
+	}
+
+	// heldPlace is a place this node holds, and its pool.
+	heldPlace struct {
+		wire.Hold
+		pool string
+	}
+)
+
+// NewBrokered returns a scheduler that asks brokers.
+func NewBrokered(members broker.Members, local *broker.Service, peers Peers, views Views, fallback Scheduler, log *slog.Logger) *Brokered {
+	return &Brokered{
+		members: members, local: local, peers: peers, views: views, fallback: fallback, log: log,
+		holds: map[string]heldPlace{}, alone: map[string]bool{}, told: map[string]string{},
+	}
+}
+
+// Acquire waits for a place at the pool's broker, and follows the broker when
+// it moves. The time waited so far goes with the request.
+func (b *Brokered) Acquire(ctx context.Context, req Request) (Grant, error) {
+	var failing time.Time
+	for {
+		changed := b.members.Changed()
+		owner, ok := b.members.Owner(broker.Key(req.Pool))
+		var grant *wire.Grant
+		err := errors.New("no broker")
+		if ok {
+			grant, err = b.ask(ctx, owner, changed, req)
+		}
+		switch {
+		case ctx.Err() != nil:
+			return Grant{}, fmt.Errorf("wait for a place: %w", ctx.Err())
+		case err == nil && grant.Refusal == "":
+			return b.hold(req, grant)
+		case err == nil && grant.Refusal != broker.ReasonMoved && grant.Refusal != broker.ReasonDuplicate:
+			return Grant{}, &Refusal{Reason: grant.Refusal, RetryAfter: time.Duration(grant.RetryAfterMs) * time.Millisecond, Why: grant.Why}
+		}
+		now := time.Now()
+		if failing.IsZero() || err == errMoved {
+			failing = now
+		}
+		if now.Sub(failing) > fallbackAfter {
+			return b.decideAlone(ctx, req)
+		}
+		sleep(ctx, retryPause)
+	}
+}
+
+// errMoved says that the broker of a pool changed while a request waited there.
+var errMoved = errors.New("sched: the broker moved")
+
+// ask asks one broker. It gives up when the broker of the pool changes.
+func (b *Brokered) ask(ctx context.Context, owner wire.Member, changed <-chan struct{}, req Request) (*wire.Grant, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	done := make(chan struct{})
+	moved := make(chan bool, 1)
+	go func() {
+		defer close(moved)
+		for {
+			select {
+			case <-done:
+				return
+			case <-changed:
+			}
+			changed = b.members.Changed()
+			if now, ok := b.members.Owner(broker.Key(req.Pool)); !ok || now.Name != owner.Name || now.Incarnation != owner.Incarnation {
+				moved <- true
+				cancel()
+				return
+			}
+		}
+	}()
+	grant := &wire.Grant{}
+	params := &wire.Acquire{
+		Pool: req.Pool, Request: req.ID, Node: b.members.Self().Name, Class: req.Class, Team: req.Team,
+		PromptTokens: req.PromptTokens, MaxTokens: req.MaxTokens, Exclude: req.Exclude, Prefix: req.Prefix,
+		WaitedMs: int(time.Since(req.Arrived).Milliseconds()),
+	}
+	err := b.call(ctx, owner, params, grant)
+	close(done)
+	if <-moved {
+		b.cancelAt(owner, req)
+		return nil, errMoved
+	}
+	if err != nil {
+		b.cancelAt(owner, req)
+		return nil, fmt.Errorf("ask broker %s: %w", owner.Name, err)
+	}
+	return grant, nil
+}
+
+// call reaches the broker, which may be this node itself.
+func (b *Brokered) call(ctx context.Context, owner wire.Member, params *wire.Acquire, grant *wire.Grant) error {
+	if owner.Name != b.members.Self().Name {
+		return b.peers.Call(ctx, owner.PeerAddress, broker.MethodAcquire, params, grant)
+	}
+	answer, err := b.local.Acquire(ctx, params)
+	if err != nil {
+		return err
+	}
+	*grant = *answer.(*wire.Grant)
+	return nil
+}
+
+// cancelAt tells a broker that an answer which may come is no longer wanted.
+func (b *Brokered) cancelAt(owner wire.Member, req Request) {
+	params := &wire.Acquire{Pool: req.Pool, Request: req.ID}
+	b.notice(owner, broker.MethodCancel, params, func(ctx context.Context) { b.local.Cancel(ctx, params) })
+}
+
+// notice sends a message to a broker without holding the caller up.
+func (b *Brokered) notice(owner wire.Member, method string, params any, local func(ctx context.Context)) {
+	if owner.Name == b.members.Self().Name {
+		local(context.Background())
+		return
+	}
+	b.closed.Add(1)
+	go func() {
+		defer b.closed.Done()
+		ctx, cancel := context.WithTimeout(context.Background(), noticeTimeout)
+		defer cancel()
+		if err := b.peers.Notify(ctx, owner.PeerAddress, method, params); err != nil {
+			b.log.Debug("notice not sent", "method", method, "peer", owner.Name, "error", err.Error())
+		}
+	}()
+}
+
+// hold notes a place that was granted.
+func (b *Brokered) hold(req Request, grant *wire.Grant) (Grant, error) {
+	view := b.views.View()
+	e := view.Engine(grant.Engine)
+	b.mu.Lock()
+	b.holds[req.ID] = heldPlace{
+		Hold: wire.Hold{Request: req.ID, Engine: grant.Engine, Class: req.Class, Team: req.Team, Tokens: req.PromptTokens},
+		pool: req.Pool,
+	}
+	b.mu.Unlock()
+	if e == nil {
+		b.release(req, grant.Engine, Result{Status: broker.StatusCancelled})
+		return Grant{}, &Refusal{Reason: ReasonNoEngine, RetryAfter: noEngineWait, Why: "engine " + grant.Engine + " is not in the configuration here"}
+	}
+	return Grant{Engine: e, Why: grant.Why}, nil
+}
+
+// decideAlone uses the fallback.
+func (b *Brokered) decideAlone(ctx context.Context, req Request) (Grant, error) {
+	g, err := b.fallback.Acquire(ctx, req)
+	if err != nil {
+		return Grant{}, fmt.Errorf("decide without a broker: %w", err)
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.alone[req.ID] = true
+	g.Why = "no broker reached; " + g.Why
+	return g, nil
+}
+
+// Release gives a place back to whoever is the broker now.
+func (b *Brokered) Release(req Request, g Grant, res Result) {
+	b.mu.Lock()
+	alone := b.alone[req.ID]
+	delete(b.alone, req.ID)
+	b.mu.Unlock()
+	if alone {
+		b.fallback.Release(req, g, res)
+		return
+	}
+	b.release(req, g.Engine.Name, res)
+}
+
+// release tells the broker of an end.
+func (b *Brokered) release(req Request, engine string, res Result) {
+	b.mu.Lock()
+	delete(b.holds, req.ID)
+	b.mu.Unlock()
+	owner, ok := b.members.Owner(broker.Key(req.Pool))
+	if !ok {
+		return
+	}
+	params := &wire.Release{
+		Pool: req.Pool, Request: req.ID, Engine: engine, Status: res.Status, OutputTokens: res.OutputTokens,
+		DurationMs: int(res.Duration.Milliseconds()), FirstTokenMs: int(res.FirstToken.Milliseconds()),
+	}
+	b.notice(owner, broker.MethodRelease, params, func(ctx context.Context) { b.local.Release(ctx, params) })
+}
+
+// Run tells each new broker what this node holds, and every broker now and
+// then, until the context ends.
+func (b *Brokered) Run(ctx context.Context) {
+	defer b.closed.Wait()
+	tick := time.NewTicker(reportEvery)
+	defer tick.Stop()
+	for {
+		changed := b.members.Changed()
+		b.report(ctx, false)
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		case <-tick.C:
+			b.report(ctx, true)
+		case <-time.After(retryPause * 4):
+		}
+	}
+}
+
+// report tells brokers what this node holds. Those that know already are told
+// again only if all is set.
+func (b *Brokered) report(ctx context.Context, all bool) {
+	view := b.views.View()
+	if view == nil {
+		return
+	}
+	for i := range view.Config.Pools {
+		pool := view.Config.Pools[i].Name
+		owner, ok := b.members.Owner(broker.Key(pool))
+		if !ok {
+			continue
+		}
+		id := fmt.Sprint(owner.Name, "/", owner.Incarnation)
+		b.mu.Lock()
+		known := b.told[pool] == id
+		r := &wire.Report{Node: b.members.Self().Name, Pool: pool, Holds: b.holdsOf(pool)}
+		b.mu.Unlock()
+		if known && !all {
+			continue
+		}
+		b.closed.Add(1)
+		go func() {
+			defer b.closed.Done()
+			if b.tell(ctx, owner, r) {
+				b.mu.Lock()
+				b.told[pool] = id
+				b.mu.Unlock()
+			}
+		}()
+	}
+}
+
+// tell sends a report and returns whether the broker took it.
+func (b *Brokered) tell(ctx context.Context, owner wire.Member, r *wire.Report) bool {
+	ctx, cancel := context.WithTimeout(ctx, noticeTimeout)
+	defer cancel()
+	if owner.Name == b.members.Self().Name {
+		taken, _ := b.local.Report(ctx, r)
+		return taken == true
+	}
+	taken := false
+	if err := b.peers.Call(ctx, owner.PeerAddress, broker.MethodReport, r, &taken); err != nil {
+		b.log.Debug("report not taken", "peer", owner.Name, "error", err.Error())
+	}
+	return taken
+}
+
+// holdsOf returns what this node holds in a pool; the caller holds the lock.
+func (b *Brokered) holdsOf(pool string) []wire.Hold {
+	var out []wire.Hold
+	for _, h := range b.holds {
+		if h.pool == pool {
+			out = append(out, h.Hold)
+		}
+	}
+	return out
+}
+
+// sleep waits, or returns early when the context ends.
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/lab/load/caller.go
@@ -0,0 +1,299 @@
+package load
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/croftturn/croftturn/lab/record"
+)
+
+const (
+	// answerTimeout bounds one request.
+	answerTimeout = 60 * time.Second
+
+	// askTimeout bounds one question for the entry points.
+	askTimeout = time.Second
+)
+
+type (
+	// Caller sends requests as a caller of the system is told to: it asks any
+	// node for the entry points, keeps the answer as long as it may, and connects
+	// to the best.
+	Caller struct {
+		nodes []string // nodes are addresses to ask first.
+		http  *http.Client
+
+		mu    sync.Mutex
+		kept  map[string][]string // kept are the entry points of each team.
+		until map[string]time.Time
+	}
+
+	// Request is one request to send.
+	Request struct {
+		Arrival
+		Key   string // Key is the idempotency key; empty for none.
+		Try   int
+		Node  string // Node is the address to send to; empty for the best entry point.
+		Class string // Class overrides the class's name where set.
+	}
+)
+
+// NewCaller returns a caller that knows some nodes.
+func NewCaller(nodes []string) *Caller {
+	return &Caller{
+		nodes: nodes, kept: map[string][]string{}, until: map[string]time.Time{},
+		http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256, DialContext: (&net.Dialer{Timeout: askTimeout}).DialContext}},
+	}
+}
+
+// Close drops idle connections.
+func (c *Caller) Close() { c.http.CloseIdleConnections() }
+
+// EntryPoints returns the addresses for a team, best first.
+func (c *Caller) EntryPoints(ctx context.Context, t *Team) ([]string, error) {
+	c.mu.Lock()
+	kept, until := c.kept[t.Name], c.until[t.Name]
+	c.mu.Unlock()
+	if time.Now().Before(until) {
+		return kept, nil
+	}
+	var last error
+	for _, node := range append(append([]string(nil), kept...), c.nodes...) {
+		list, keep, err := c.ask(ctx, node, t)
+		if err != nil {
+			last = err
+			continue
+		}
+		c.mu.Lock()
+		c.kept[t.Name], c.until[t.Name] = list, time.Now().Add(keep)
+		c.mu.Unlock()
+		return list, nil
+	}
+	return nil, fmt.Errorf("no node tells the entry points: %w", last)
+}
+
+// ask asks one node for the entry points.
+func (c *Caller) ask(ctx context.Context, node string, t *Team) ([]string, time.Duration, error) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+node+"/v1/entry-points", nil)
+	if err != nil {
+		return nil, 0, err
+	}
+	req.Header.Set("Authorization", "Bearer "+t.Token)
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, 0, err
+	}
+	defer resp.Body.Close()
+	var doc struct {
+		EntryPoints []struct {
+			Address string `json:"address"`
+		} `json:"entry_points"`
+		KeepMs int `json:"keep_ms"`
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&doc); err != nil {
+		return nil, 0, err
+	}
+	if len(doc.EntryPoints) == 0 {
+		return nil, 0, errors.New("no entry points")
+	}
+	var out []string
+	for _, e := range doc.EntryPoints {
+		out = append(out, e.Address)
+	}
+	return out, time.Duration(doc.KeepMs) * time.Millisecond, nil
+}
+
+// forget drops a team's kept entry points, such as when one can't be reached.
+func (c *Caller) forget(t *Team) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.until, t.Name)
+}
+
+// Send sends a request and checks the answer against what it must be. A node
+// that can't be connected to is passed over for the next entry point.
+func (c *Caller) Send(ctx context.Context, r Request) record.Sending {
+	s := record.Sending{
+		Mark: r.Mark, Try: r.Try, Key: r.Key, Class: r.Arrival.Class.Class, Tier: r.Arrival.Class.Tier, Team: r.Team.Name,
+		OutputAsked: r.Tokens, SentMs: record.NowMs(), Outcome: "error",
+	}
+	begun := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
+	defer cancel()
+	nodes := []string{r.Node}
+	if r.Node == "" {
+		list, err := c.EntryPoints(ctx, r.Team)
+		if err != nil {
+			s.Code = err.Error()
+			return s
+		}
+		nodes = list
+	}
+	for _, node := range nodes {
+		s.Node = node
+		if c.sendTo(ctx, node, r, &s, begun) {
+			break
+		}
+		c.forget(r.Team)
+	}
+	s.TotalMs = float64(time.Since(begun).Microseconds()) / 1000
+	cl := r.Arrival.Class
+	s.OnTime = s.Outcome == "completed" && s.Fault == "" &&
+		(cl.TargetFirstMs == 0 || s.FirstMs <= cl.TargetFirstMs) && (cl.TargetTotalMs == 0 || s.TotalMs <= cl.TargetTotalMs)
+	return s
+}
+
+// sendTo sends a request to one node; false means that nothing was sent.
+func (c *Caller) sendTo(ctx context.Context, node string, r Request, s *record.Sending, begun time.Time) bool {
+	req, err := r.build(ctx, node)
+	if err != nil {
+		s.Code = err.Error()
+		return true
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		s.Code = err.Error()
+		var op *net.OpError
+		return !errors.As(err, &op) || op.Op != "dial"
+	}
+	defer resp.Body.Close()
+	s.Request = resp.Header.Get("Croftturn-Request-Id")
+	switch {
+	case resp.StatusCode != http.StatusOK:
+		readRefusal(resp, s)
+	case strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream"):
+		readStream(resp.Body, r, s, begun)
+	default:
+		readPlain(resp.Body, r, s, begun)
+	}
+	return true
+}
+
+// build makes the HTTP request.
+func (r Request) build(ctx context.Context, node string) (*http.Request, error) {
+	cl := r.Arrival.Class
+	url, body := "http://"+node+"/services/"+cl.Service+"/calls", []byte(record.Prompt(r.Mark, 1, cl.PromptWords))
+	if cl.Model != "" {
+		url = "http://" + node + "/v1/chat/completions"
+		text, err := json.Marshal(map[string]any{
+			"model": cl.Model, "stream": true,
+			"messages": []map[string]string{
+				{"role": "system", "content": "class " + cl.Class + " of " + r.Team.Name + strings.Repeat(" context", cl.PromptWords)},
+				{"role": "user", "content": record.Prompt(r.Mark, r.Tokens, 8)},
+			},
+		})
+		if err != nil {
+			return nil, fmt.Errorf("encode request: %w", err)
+		}
+		body = text
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, io.NopCloser(bytes.NewReader(body)))
+	if err != nil {
+		return nil, fmt.Errorf("build request: %w", err)
+	}
+	req.ContentLength = int64(len(body))
+	req.Header.Set("Authorization", "Bearer "+r.Team.Token)
+	req.Header.Set("Croftturn-Class", cl.Class)
+	if r.Key != "" {
+		req.Header.Set("Idempotency-Key", r.Key)
+		req.Header.Set("Croftturn-Not-Repeatable", "true")
+	}
+	return req, nil
+}
+
+// readRefusal reads an answer that is not 200.
+func readRefusal(resp *http.Response, s *record.Sending) {
+	var doc struct {
+		Error struct {
+			Code    string `json:"code"`
+			Outcome string `json:"outcome"`
+		} `json:"error"`
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&doc); err != nil {
+		s.Code = fmt.Sprintf("status %d without a typed body", resp.StatusCode)
+		return
+	}
+	s.Code, s.Outcome = doc.Error.Code, doc.Error.Outcome
+	s.RetryAfter, _ = strconv.Atoi(resp.Header.Get("Retry-After-Ms"))
+}
+
+// readStream reads a stream and checks each token.
+func readStream(body io.Reader, r Request, s *record.Sending, begun time.Time) {
+	lines := bufio.NewScanner(body)
+	lines.Buffer(nil, 1<<20)
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			s.Outcome = "completed"
+			checkTokens(r, s)
+			return
+		}
+		var chunk struct {
+			Choices []struct {
+				Delta struct {
+					Content string `json:"content"`
+				} `json:"delta"`
+			} `json:"choices"`
+			Error *struct {
+				Code    string `json:"code"`
+				Outcome string `json:"outcome"`
+			} `json:"error"`
+		}
+		if err := json.Unmarshal([]byte(data), &chunk); err != nil {
+			s.Code = "malformed event"
+			return
+		}
+		if chunk.Error != nil {
+			s.Code, s.Outcome = chunk.Error.Code, chunk.Error.Outcome
+			return
+		}
+		if len(chunk.Choices) == 0 || chunk.Choices[0].Delta.Content == "" {
+			continue
+		}
+		if s.Tokens == 0 {
+			s.FirstMs = float64(time.Since(begun).Microseconds()) / 1000
+		}
+		if want := record.Word(r.Mark, s.Tokens); chunk.Choices[0].Delta.Content != want && s.Fault == "" {
+			s.Fault = fmt.Sprintf("token %d is %q, want %q", s.Tokens, chunk.Choices[0].Delta.Content, want)
+		}
+		s.Tokens++
+	}
+	s.Code = "stream cut without [DONE]"
+}
+
+// checkTokens checks the length of a whole answer.
+func checkTokens(r Request, s *record.Sending) {
+	if s.Tokens != r.Tokens && s.Fault == "" {
+		s.Fault = fmt.Sprintf("%d tokens, want %d", s.Tokens, r.Tokens)
+	}
+}
+
+// readPlain reads and checks the answer of a plain call.
+func readPlain(body io.Reader, r Request, s *record.Sending, begun time.Time) {
+	text, err := io.ReadAll(body)
+	if err != nil {
+		s.Code = "answer cut short"
+		return
+	}
+	s.Outcome, s.Tokens = "completed", 1
+	s.FirstMs = float64(time.Since(begun).Microseconds()) / 1000
+	if want := record.Answer(r.Mark, 1); string(text) != want {
+		s.Fault = fmt.Sprintf("answer is %q, want %q", text, want)
+	}
+}
