--- a/internal/broker/length.go
+++ b/internal/broker/length.go
@@ -1,6 +1,9 @@
 package broker
 
-import "math"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// lengthBuckets is how many buckets a Length has; each is twice as wide as
@@ -17,7 +20,8 @@
 	firstGuess = 128
 )
 
-// Length learns how long the answers of one class are. The zero value is ready.
+// Length learns how long something is, such as the answers of one class, as a
+// distribution in which old samples fade. The zero value is ready.
 type Length struct {
 	weights [lengthBuckets]float64
 	total   float64
@@ -50,6 +54,15 @@
 	return upperEdge(lengthBuckets - 1)
 }
 
+// headroom returns the time to the first token that is seldom exceeded, or 0
+// before any was seen.
+func (l *Length) headroom() time.Duration {
+	if l.total == 0 {
+		return 0
+	}
+	return time.Duration(l.Quantile(firstTokenQuantile)) * time.Millisecond
+}
+
 // bucketOf returns the bucket that a length falls into.
 func bucketOf(tokens int) int {
 	i := int(math.Ceil(math.Log2(float64(tokens)) * bucketsPerDoubling))
--- a/internal/broker/pool.go
+++ b/internal/broker/pool.go
@@ -37,6 +37,14 @@
 	// lengthQuantile is the share of answers that the room kept for one covers.
 	lengthQuantile = 0.8
 
+	// firstTokenQuantile is the share of first tokens that come within the
+	// headroom which is kept of each class's target.
+	firstTokenQuantile = 0.9
+
+	// reachTime is the part of a target that passes outside the queue and the
+	// engine: between caller, node and broker.
+	reachTime = 15 * time.Millisecond
+
 	// rebuildWait bounds how long a new broker waits for the nodes' reports.
 	rebuildWait = 500 * time.Millisecond
 
@@ -85,6 +93,7 @@
 		waiting  map[string]*waiter
 		holds    map[string]*hold
 		lengths  map[string]*Length
+		first    Length // first is the time from dispatch to the first token, in milliseconds.
 		prefixes map[string]string
 
 		missing    map[string]bool // missing are the nodes whose report a new broker waits for.
@@ -292,6 +301,7 @@
 	}
 	if rel.Status == StatusOK {
 		p.length(h.Class).Learn(rel.OutputTokens)
+		p.first.Learn(rel.FirstTokenMs)
 	}
 	p.dispatch(now)
 }
@@ -359,6 +369,7 @@
 	if now.Sub(p.degreesAt) >= degreeEvery {
 		p.degreesAt = now
 		setDegrees(p.engines)
+		p.queue.SetHeadroom(reachTime + p.first.headroom())
 	}
 	p.dispatch(now)
 }
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -12,8 +12,14 @@
 	"time"
 )
 
-// shareHalfLife is the time in which the record of served work halves.
-const shareHalfLife = 10 * time.Second
+const (
+	// shareHalfLife is the time in which the record of served work halves.
+	shareHalfLife = 10 * time.Second
+
+	// leastWaitPart is the part of a target that a request may always wait,
+	// however long engines take: one in leastWaitPart.
+	leastWaitPart = 4
+)
 
 type (
 	// Class is what the queue knows of a service class.
@@ -23,7 +29,7 @@
 		MinShare float64       // MinShare is the smallest share of served work while the class waits.
 		Limit    int           // Limit bounds how many of the class wait; 0 for none.
 		MaxWait  time.Duration // MaxWait is how long a request may wait.
-		Target   time.Duration // Target is how long it may wait and still meet its class's target; 0 for none.
+		Target   time.Duration // Target is when its first token is due, counted from its arrival; 0 for none.
 	}
 
 	// Item is one waiting request. The exported fields are set before Push.
@@ -44,10 +50,11 @@
 
 	// Queue holds waiting requests. It is not safe for use from many goroutines.
 	Queue struct {
-		limit   int
-		classes []*classQueue // classes are ordered by tier, then by name.
-		byName  map[string]*classQueue
-		waiting int
+		limit    int
+		headroom time.Duration // headroom is the part of each target that an engine needs.
+		classes  []*classQueue // classes are ordered by tier, then by name.
+		byName   map[string]*classQueue
+		waiting  int
 	}
 
 	// classQueue holds the waiting requests of one class. Those that can still
@@ -118,6 +125,10 @@
 	})
 }
 
+// SetHeadroom sets how long an engine takes to the first token: a request that
+// has waited until so long before its target can no longer meet it.
+func (q *Queue) SetHeadroom(d time.Duration) { q.headroom = d }
+
 // Len returns how many requests wait.
 func (q *Queue) Len() int { return q.waiting }
 
@@ -205,7 +216,7 @@
 	} else {
 		it.order = c.arrivals.InsertAfter(it, at)
 	}
-	if c.isLate(now, it) {
+	if q.isLate(now, it) {
 		c.late.push(it)
 	} else {
 		c.fresh.push(it)
@@ -217,8 +228,12 @@
 }
 
 // isLate reports whether a request can no longer meet its target.
-func (c *classQueue) isLate(now time.Time, it *Item) bool {
-	return c.Target > 0 && now.Sub(it.Arrived) > c.Target
+func (q *Queue) isLate(now time.Time, it *Item) bool {
+	target := it.class.Target
+	if target <= 0 {
+		return false
+	}
+	return now.Sub(it.Arrived) > max(target-q.headroom, target/leastWaitPart)
 }
 
 // Pop takes the request that goes next, or returns nil where none waits.
@@ -227,7 +242,7 @@
 	if c == nil {
 		return nil
 	}
-	c.ageOut(now)
+	q.ageOut(now, c)
 	it := c.fresh.front()
 	if it == nil {
 		it = c.late.front()
@@ -245,7 +260,7 @@
 	if c == nil {
 		return nil
 	}
-	c.ageOut(now)
+	q.ageOut(now, c)
 	if it := c.fresh.front(); it != nil {
 		return it
 	}
@@ -306,10 +321,10 @@
 func (c *classQueue) owed() bool { return c.MinShare > 0 && c.credit > 0 }
 
 // ageOut moves requests that have become late behind the fresh ones.
-func (c *classQueue) ageOut(now time.Time) {
+func (q *Queue) ageOut(now time.Time, c *classQueue) {
 	for c.next != nil {
 		it := c.next.Value.(*Item)
-		if !c.isLate(now, it) {
+		if !q.isLate(now, it) {
 			return
 		}
 		c.next = c.next.Next()
--- a/lab/load/run.go
+++ b/lab/load/run.go
@@ -187,6 +187,24 @@
 	return ClassReport{Class: name}
 }
 
+// Requests returns how many requests were sent.
+func (r *Report) Requests() int {
+	n := 0
+	for _, c := range r.Classes {
+		n += c.Requests
+	}
+	return n
+}
+
+// Unknowns returns how many requests ended as unknown or with an error.
+func (r *Report) Unknowns() int {
+	n := 0
+	for _, c := range r.Classes {
+		n += c.Unknown + c.Errors
+	}
+	return n
+}
+
 // Print writes the report as a table.
 func (r *Report) Print(out io.Writer) {
 	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
--- a/lab/load/workload.go
+++ b/lab/load/workload.go
@@ -91,6 +91,16 @@
 	return out
 }
 
+// Peak returns a time in the middle of the first burst.
+func (w *Workload) Peak() time.Duration {
+	for _, c := range w.Classes {
+		if c.BurstRate > 0 {
+			return time.Duration(c.BurstFromMs+c.BurstToMs) / 2 * time.Millisecond
+		}
+	}
+	return time.Duration(w.DurationMs) / 2 * time.Millisecond
+}
+
 // rateAt returns a class's rate at a time in milliseconds.
 func (c *ClassLoad) rateAt(ms float64) float64 {
 	if ms >= float64(c.BurstFromMs) && ms < float64(c.BurstToMs) {
--- a/lab/main.go
+++ b/lab/main.go
@@ -35,6 +35,7 @@
 	{name: "service", synopsis: "stand-in of a plain backend server", flags: serviceFlags},
 	{name: "platform", synopsis: "stand-in of the platform", flags: platformFlags},
 	{name: "demo", synopsis: "start everything, send a burst, run queries, stop", flags: demoFlags},
+	{name: "bench", synopsis: "compare the ways of deciding on the same traces", flags: benchFlags},
 }
 
 // Name returns the subcommand's name.
