--- a/lab/proofs/proofs_test.go
+++ b/lab/proofs/proofs_test.go
@@ -22,7 +22,6 @@
 var (
 	alfa   = &load.Team{Name: "alfa", Token: "alfa-token"}
 	submit = &load.ClassLoad{Class: "submit", Tier: 1, Service: "bids", Once: true}
-	offer  = &load.ClassLoad{Class: "offer", Tier: 2, Model: "desk-1", Once: true}
 	tell   = &load.ClassLoad{Class: "explain", Tier: 3, Model: "desk-1"}
 )
 
--- /dev/null
+++ b/lab/proofs/tiers_test.go
@@ -0,0 +1,180 @@
+package proofs
+
+import (
+	"context"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/croftturn/croftturn/internal/config"
+	"github.com/croftturn/croftturn/lab/cluster"
+	"github.com/croftturn/croftturn/lab/load"
+	"github.com/croftturn/croftturn/lab/record"
+)
+
+// burstTraffic fills a pool three times over with the middle tier, while the
+// others go on.
+func burstTraffic() *load.Workload {
+	return &load.Workload{
+		DurationMs: 9000, Teams: []load.Team{*alfa},
+		Classes: []load.ClassLoad{
+			{Class: "confirm", Tier: 1, Model: "desk-1", Rate: 15, Tokens: 10},
+			{Class: "offer", Tier: 2, Model: "desk-1", Rate: 5, BurstRate: 130, BurstFromMs: 1000, BurstToMs: 6000, Tokens: 30, Once: true},
+			{Class: "explain", Tier: 3, Model: "desk-1", Rate: 12, Tokens: 60},
+		},
+	}
+}
+
+// burstCluster is a cluster whose pool holds few waiting requests, so that it sheds.
+func burstCluster(t *testing.T) *rig {
+	return start(t, cluster.Options{Nodes: 4, Engines: 2, Slots: 8, Queue: 8, StepBase: 8 * time.Millisecond, Config: func(c *config.Config) {
+		for i := range c.Pools {
+			c.Pools[i].QueueLimit = 60
+		}
+	}})
+}
+
+// runBurst sends the burst and waits for all answers.
+func (r *rig) runBurst() {
+	report := load.Run(context.Background(), burstTraffic().Trace(seed()), load.Options{Nodes: r.CallerAddresses(), Log: &record.Log{}})
+	for _, s := range report.Sent {
+		r.keep(s)
+	}
+}
+
+// shedAgainstTiers counts requests that were shed for want of room while more
+// lower-tier requests of a class waited on, sent before and served after, than
+// the one that a class below its smallest share may keep.
+func (r *rig) shedAgainstTiers() int {
+	n := 0
+	for _, s := range r.sent {
+		if s.Code != "queue_full" {
+			continue
+		}
+		at := float64(s.SentMs) + s.TotalMs
+		kept := map[string]int{}
+		for _, o := range r.sent {
+			waited := float64(o.SentMs) < float64(s.SentMs)-50 && float64(o.SentMs)+o.FirstMs > at+200
+			if o.Outcome == "completed" && o.Tier > s.Tier && waited {
+				kept[o.Class]++
+			}
+		}
+		for _, k := range kept {
+			if k > 1 {
+				n++
+				break
+			}
+		}
+	}
+	return n
+}
+
+// served returns the share of generated tokens that a class got in the burst.
+func (r *rig) served(class string) float64 {
+	sum, mine := 0.0, 0.0
+	for _, s := range r.sent {
+		if s.Outcome != "completed" {
+			continue
+		}
+		sum += float64(s.Tokens)
+		if s.Class == class {
+			mine += float64(s.Tokens)
+		}
+	}
+	return mine / sum
+}
+
+// checkTiers fails on a request shed against the tiers and on a class that
+// starved: both have a smallest share of 0.1 and ask for more.
+func (r *rig) checkTiers() {
+	r.t.Helper()
+	completed, _ := r.verdict()
+	if n := r.shedAgainstTiers(); n > 0 {
+		r.t.Errorf("%d requests were shed while more than one of a lower tier waited on", n)
+	}
+	share := r.served("explain")
+	if share < 0.08 {
+		r.t.Errorf("explain got %.3f of the tokens, and its smallest share is 0.1", share)
+	}
+	shed := map[int]int{}
+	for _, s := range r.sent {
+		if s.Outcome == "not_run" {
+			shed[s.Tier]++
+		}
+	}
+	r.t.Logf("%d completed, refused by tier %v, explain's share %.3f", completed, shed, share)
+	if shed[1] > 0 {
+		r.t.Errorf("%d of the top tier were refused", shed[1])
+	}
+}
+
+// TestTiersInBurst has no fault but the burst.
+func TestTiersInBurst(t *testing.T) {
+	r := burstCluster(t)
+	r.runBurst()
+	r.checkTiers()
+}
+
+// brokerOf returns the node that is a pool's broker.
+func (r *rig) brokerOf(pool string) *cluster.Node {
+	r.t.Helper()
+	var found *cluster.Node
+	must(r.t, cluster.Wait("a broker of "+pool, 5*time.Second, func() bool {
+		got, err := r.Statement(context.Background(), r.Nodes[0], "engines where pool = "+pool, "")
+		if err != nil || len(got.Rows) == 0 {
+			return false
+		}
+		for _, n := range r.Nodes {
+			if n.Name == got.Rows[0].Node {
+				found = n
+			}
+		}
+		return found != nil
+	}))
+	return found
+}
+
+// TestTiersBrokerKilled kills the pool's broker in the burst: what waited there
+// is asked for again at the next one, and nothing is shed against the tiers.
+func TestTiersBrokerKilled(t *testing.T) {
+	r := burstCluster(t)
+	broker := r.brokerOf("llm")
+	go func() {
+		time.Sleep(3 * time.Second) // Places the fault in the burst.
+		broker.Kill()
+	}()
+	r.runBurst()
+	completed, _ := r.verdict()
+	if n := r.shedAgainstTiers(); n > 0 {
+		t.Errorf("%d requests were shed while more than one of a lower tier waited on", n)
+	}
+	lost := 0
+	for _, s := range r.sent {
+		if s.Outcome == "error" && s.Node != broker.Caller {
+			lost++
+		}
+	}
+	if lost > 0 {
+		t.Errorf("%d requests of other nodes were lost with the broker", lost)
+	}
+	t.Logf("%d of %d completed", completed, len(r.sent))
+}
+
+// TestTiersBrokerFrozen freezes the broker past its death and wakes it up: for a
+// time two nodes take themselves for the broker.
+func TestTiersBrokerFrozen(t *testing.T) {
+	r := burstCluster(t)
+	broker := r.brokerOf("llm")
+	go func() {
+		time.Sleep(2 * time.Second) // Places the fault in the burst.
+		broker.Signal(syscall.SIGSTOP)
+		time.Sleep(3 * time.Second)
+		broker.Signal(syscall.SIGCONT)
+	}()
+	r.runBurst()
+	completed, _ := r.verdict()
+	if n := r.shedAgainstTiers(); n > 0 {
+		t.Errorf("%d requests were shed while more than one of a lower tier waited on", n)
+	}
+	t.Logf("%d of %d completed", completed, len(r.sent))
+}
