Give engines fenced orders, proved current where the engine does not check

The fence is the configuration version that made the order, so the platform hands it out. To an engine that checks, the pool's broker sends it plainly. To one that does not, the broker first takes the engine's row in a transaction that also checks the configuration's head, sends within a second of the start of that proof, and takes over another's unfinished sending only after watching it for three. Ruled out: a fence from the nodes' own membership, which two brokers can hold at once. Not provable: a pause between the last look at the clock and the kernel's taking of the bytes.

--- a/internal/admin/run.go
+++ b/internal/admin/run.go
@@ -187,6 +187,8 @@
 		return config.Delete(wire.EntityKind(s.Delete.Kind), s.Delete.Name), nil
 	case s.Rollback != nil:
 		return a.keeper.Undo(ctx, s.Rollback.Version)
+	case s.Order != nil:
+		return config.SetOrder(s.Order.Engine, unquote(s.Order.Text)), nil
 	case s.Set != nil:
 		return config.SetFields(wire.EntityKind(s.Set.Kind), s.Set.Name, fields(s.Set.Fields)), nil
 	}
--- a/internal/broker/service.go
+++ b/internal/broker/service.go
@@ -94,7 +94,7 @@
 	var watched []*config.Engine
 	for i := range view.Config.Pools {
 		pool := &view.Config.Pools[i]
-		if !s.owns(pool.Name) {
+		if !s.Owns(pool.Name) {
 			s.move(pool.Name)
 			continue
 		}
@@ -131,8 +131,8 @@
 	s.live = live
 }
 
-// owns reports whether this node is the broker of a pool.
-func (s *Service) owns(pool string) bool {
+// Owns reports whether this node is the broker of a pool.
+func (s *Service) Owns(pool string) bool {
 	owner, ok := s.members.Owner(Key(pool))
 	return ok && owner.Name == s.members.Self().Name
 }
--- a/internal/config/edit.go
+++ b/internal/config/edit.go
@@ -71,6 +71,19 @@
 	}
 }
 
+// SetOrder returns the edit that gives an engine an order. Its fence is the
+// version that the change makes.
+func SetOrder(name, text string) Edit {
+	return func(c *Config) error {
+		e, err := c.engine(name)
+		if err != nil {
+			return err
+		}
+		e.Order, e.OrderFence = text, c.Version+1
+		return nil
+	}
+}
+
 // engine finds an engine by name.
 func (c *Config) engine(name string) (*Engine, error) {
 	for i := range c.Engines {
--- a/internal/config/keeper.go
+++ b/internal/config/keeper.go
@@ -15,7 +15,10 @@
 )
 
 const (
-	headKey      = "config/head"
+	// HeadKey is the row that each accepted change writes: a transaction that
+	// checks its version holds only while no other change is accepted.
+	HeadKey = "config/head"
+
 	fullKey      = "config/full"
 	changePrefix = "config/change/"
 
@@ -182,18 +185,30 @@
 
 // head reads the head row and its row version.
 func (k *Keeper) head(ctx context.Context) (head, int, error) {
-	row, err := k.table.Get(ctx, headKey)
+	row, err := k.table.Get(ctx, HeadKey)
 	if err != nil {
 		return head{}, 0, fmt.Errorf("read head of configuration: %w", err)
 	}
+	h, err := decodeHead(row)
+	return h, row.Version, err
+}
+
+// decodeHead reads the head row; an absent one is version 0.
+func decodeHead(row platform.Row) (head, error) {
 	var h head
 	if row.Version == 0 {
-		return h, 0, nil
+		return h, nil
 	}
 	if err := json.Unmarshal(row.Value, &h); err != nil {
-		return head{}, 0, fmt.Errorf("decode head of configuration: %w", err)
+		return head{}, fmt.Errorf("decode head of configuration: %w", err)
 	}
-	return h, row.Version, nil
+	return h, nil
+}
+
+// HeadVersion returns the version that the head row names.
+func HeadVersion(row platform.Row) (int, error) {
+	h, err := decodeHead(row)
+	return h.Version, err
 }
 
 // full reads the whole configuration; an absent one is empty, at version 0.
@@ -305,7 +320,7 @@
 		return wire.Change{}, nil, trace.BadParameter("%v", err)
 	}
 	txn := &pending{}
-	txn.Checks = []platform.Check{{Key: headKey, Version: rowVersion}}
+	txn.Checks = []platform.Check{{Key: HeadKey, Version: rowVersion}}
 	txn.Puts = []platform.Put{{Key: fullKey, Value: text}}
 	return wire.Change{Version: next.Version, Entities: after, Before: before}, txn, nil
 }
@@ -320,7 +335,7 @@
 	if err != nil {
 		return fmt.Errorf("encode head: %w", err)
 	}
-	p.Puts = append(p.Puts, platform.Put{Key: changeKey(ch.Version), Value: text}, platform.Put{Key: headKey, Value: top})
+	p.Puts = append(p.Puts, platform.Put{Key: changeKey(ch.Version), Value: text}, platform.Put{Key: HeadKey, Value: top})
 	return nil
 }
 
--- a/internal/lang/lang.go
+++ b/internal/lang/lang.go
@@ -23,11 +23,12 @@
 		Set      *Set      `parser:"| @@"`
 		Delete   *Delete   `parser:"| @@"`
 		Rollback *Rollback `parser:"| @@"`
+		Order    *Order    `parser:"| @@"`
 	}
 
 	// Query asks for rows of a table.
 	Query struct {
-		Table string      `parser:"@('running' | 'queued' | 'refused' | 'completed' | 'unknown' | 'cancelled' | 'engines' | 'members')"`
+		Table string      `parser:"@('running' | 'queued' | 'refused' | 'completed' | 'unknown' | 'cancelled' | 'engines' | 'orders' | 'members')"`
 		Where []Condition `parser:"( 'where' @@ ( 'and' @@ )* )?"`
 		Since string      `parser:"( 'since' @Word )?"`
 		By    string      `parser:"( 'by' @Word )?"`
@@ -80,6 +81,12 @@
 		Version int `parser:"'rollback' 'to' @Word"`
 	}
 
+	// Order gives an engine a fenced order.
+	Order struct {
+		Engine string `parser:"'order' 'engine' @Word"`
+		Text   string `parser:"@String"`
+	}
+
 	// Entry is one line of the table of statements.
 	Entry struct {
 		Name    string
@@ -113,11 +120,13 @@
 		{Name: "unknown", Form: "unknown" + queryForm, Help: "Requests whose outcome is not known.", Example: "unknown since 1h"},
 		{Name: "cancelled", Form: "cancelled" + queryForm, Help: "Requests whose caller had gone.", Example: "cancelled by team"},
 		{Name: "engines", Form: "engines" + queryForm, Help: "Engines as their brokers see them.", Example: "engines where state != active"},
+		{Name: "orders", Form: "orders" + queryForm, Help: "Orders to engines, and whether they have them.", Example: "orders where state = pending"},
 		{Name: "members", Form: "members" + queryForm, Help: "Nodes as the asked node sees them.", Example: "members"},
 		{Name: "explain", Form: "explain REQUEST", Help: "Why a request waited, went where it went, or was refused.", Example: "explain 5f3a9c0de1b2a3c4d5e6f708"},
 		{Name: "history", Form: "history [after VERSION]", Help: "Accepted changes of the configuration.", Example: "history after 12"},
 		{Name: "drain", Form: "drain engine NAME", Help: "Give an engine no new work.", Example: "drain engine e3", Change: true},
 		{Name: "undrain", Form: "undrain engine NAME", Help: "Give an engine work again.", Example: "undrain engine e3", Change: true},
+		{Name: "order", Form: "order engine NAME \"TEXT\"", Help: "Order an engine to load a model, adapter or version, or to change role.", Example: "order engine e3 \"load model desk-2\"", Change: true},
 		{Name: "set", Form: "set KIND NAME FIELD = VALUE [, ...]", Help: "Set fields of a class, team, pool, engine or operator.", Example: "set team ebro requests_per_second = 50", Change: true},
 		{Name: "delete", Form: "delete KIND NAME", Help: "Delete a class, team, pool, engine or operator.", Example: "delete team ebro", Change: true},
 		{Name: "rollback", Form: "rollback to VERSION", Help: "Take back all changes after a version, as a new version.", Example: "rollback to 12", Change: true},
@@ -163,7 +172,7 @@
 
 // Changes reports whether a statement changes the configuration.
 func (s *Statement) Changes() bool {
-	return s.State != nil || s.Set != nil || s.Delete != nil || s.Rollback != nil
+	return s.State != nil || s.Set != nil || s.Delete != nil || s.Rollback != nil || s.Order != nil
 }
 
 // Help returns the table of statements as text.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,6 +20,7 @@
 	"github.com/croftturn/croftturn/internal/front"
 	"github.com/croftturn/croftturn/internal/journal"
 	"github.com/croftturn/croftturn/internal/member"
+	"github.com/croftturn/croftturn/internal/order"
 	"github.com/croftturn/croftturn/internal/peer"
 	"github.com/croftturn/croftturn/internal/platform"
 	"github.com/croftturn/croftturn/internal/sched"
@@ -49,6 +50,7 @@
 	brokers  *broker.Service
 	brokered *sched.Brokered
 	engines  *engine.Client
+	orders   *order.Service
 	claims   *claim.Keeper
 	front    *front.Front
 	admin    *admin.Admin
@@ -118,6 +120,7 @@
 	n.brokers = broker.NewService(n.table, n.store, n)
 	n.brokered = sched.NewBrokered(n.table, n.brokers, n.client, n.store, n.direct, log)
 	n.engines = engine.NewClient(ms(s.EngineStallMs))
+	n.orders = order.New(n.store, n.platform, n.engines, n.brokers, s.Instance, log)
 	n.claims = claim.NewKeeper(n.platform, s.Instance, self.Incarnation, ms(s.ClaimGatherMs))
 	n.front = front.New(n.store, n.table, n.client, n.engines, n.journal, n.tele,
 		front.WithScheduler(config.PoolSchedulerBroker, n.brokered),
@@ -164,6 +167,7 @@
 	n.start(func() { n.watcher.Run(ctx) })
 	n.start(func() { n.brokers.Run(ctx) })
 	n.start(func() { n.brokered.Run(ctx) })
+	n.start(func() { n.orders.Run(ctx) })
 	n.start(func() { n.serve(n.callers, callers) })
 	n.start(func() { n.serve(n.control, control) })
 }
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -96,6 +96,8 @@
 	switch q.Table {
 	case "engines":
 		return n.brokers.Engines()
+	case "orders":
+		return n.orders.Rows()
 	case "members":
 		return n.memberRows()
 	case "request":
--- a/lab/cluster/admin.go
+++ b/lab/cluster/admin.go
@@ -47,8 +47,8 @@
 	for _, name := range []string{"alfa", "bravo", "charlie"} {
 		out.Teams = append(out.Teams, config.Team{Name: name, TokenSha256: config.HashToken(name + "-token"), DefaultClass: "explain"})
 	}
-	for _, e := range c.Engines {
-		out.Engines = append(out.Engines, config.Engine{Name: e.Name, Pool: "llm", Address: e.Address, Slots: c.opts.Slots})
+	for i, e := range c.Engines {
+		out.Engines = append(out.Engines, config.Engine{Name: e.Name, Pool: "llm", Address: e.Address, Slots: c.opts.Slots, ChecksFence: i < c.opts.Fenced})
 	}
 	const serviceSlots = 16
 	for _, s := range c.Services {
--- a/lab/cluster/cluster.go
+++ b/lab/cluster/cluster.go
@@ -15,6 +15,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -36,6 +37,8 @@
 		cmd  *exec.Cmd
 		done chan struct{}
 		err  error
+
+		frozen atomic.Bool
 	}
 
 	// Backend is a stand-in engine or service.
@@ -54,19 +57,19 @@
 
 	// Options size a cluster.
 	Options struct {
-		Nodes     int
-		Engines   int
-		Services  int
-		Slots     int
-		StepBase  time.Duration
-		StepEach  time.Duration
-		Queue     int                              // Queue is how many requests a stand-in engine lets wait.
-		Config    func(c *config.Config)           // Config alters the configuration before it is applied.
-		Settings  func(node int, s map[string]any) // Settings alters a node's settings.
-		Dir       string                           // Dir takes logs and programs.
-		Reads     int                              // Reads is the platform's limit of reads a second.
-		Writes    int                              // Writes is the platform's limit of transactions a second.
-		WithoutIt bool                             // WithoutIt leaves the configuration away.
+		Nodes    int
+		Engines  int
+		Services int
+		Slots    int
+		StepBase time.Duration
+		StepEach time.Duration
+		Queue    int                              // Queue is how many requests a stand-in engine lets wait.
+		Config   func(c *config.Config)           // Config alters the configuration before it is applied.
+		Settings func(node int, s map[string]any) // Settings alters a node's settings.
+		Dir      string                           // Dir takes logs and programs.
+		Reads    int                              // Reads is the platform's limit of reads a second.
+		Writes   int                              // Writes is the platform's limit of transactions a second.
+		Fenced   int                              // Fenced is how many of the engines check fences.
 	}
 
 	// Cluster is a set of processes.
@@ -125,7 +128,7 @@
 	for i := range c.opts.Engines {
 		name := fmt.Sprintf("e%d", i+1)
 		e, err := c.backend(name, "engine", "-name", name, "-slots", fmt.Sprint(c.opts.Slots), "-queue", fmt.Sprint(c.opts.Queue),
-			"-step-base", c.opts.StepBase.String(), "-step-each", c.opts.StepEach.String(), "-log", c.path("executions.log"))
+			"-step-base", c.opts.StepBase.String(), "-step-each", c.opts.StepEach.String(), "-log", c.path("executions.log"), fmt.Sprintf("-checks-fence=%v", i < c.opts.Fenced))
 		if err != nil {
 			return err
 		}
@@ -144,9 +147,6 @@
 			return err
 		}
 	}
-	if c.opts.WithoutIt {
-		return nil
-	}
 	if err := c.Apply(ctx); err != nil {
 		return err
 	}
@@ -356,9 +356,18 @@
 	if err := p.cmd.Process.Signal(sig); err != nil {
 		return fmt.Errorf("signal %s: %w", p.Name, err)
 	}
+	switch sig {
+	case syscall.SIGSTOP:
+		p.frozen.Store(true)
+	case syscall.SIGCONT:
+		p.frozen.Store(false)
+	}
 	return nil
 }
 
+// Frozen reports whether a process was stopped and not yet continued.
+func (p *Process) Frozen() bool { return p.frozen.Load() }
+
 // Kill ends a process at once and waits for it.
 func (p *Process) Kill() {
 	p.cmd.Process.Kill()
--- a/lab/engine/engine.go
+++ b/lab/engine/engine.go
@@ -362,6 +362,9 @@
 		http.Error(w, "old fence", http.StatusConflict)
 		return
 	}
+	if e.opts.ChecksFence && o.Fence == e.fence {
+		return // The same order again.
+	}
 	e.fence = max(e.fence, o.Fence)
 	e.orders = append(e.orders, o)
 }
--- a/lab/proofs/tiers_test.go
+++ b/lab/proofs/tiers_test.go
@@ -120,7 +120,7 @@
 	r.t.Helper()
 	var found *cluster.Node
 	must(r.t, cluster.Wait("a broker of "+pool, 5*time.Second, func() bool {
-		got, err := r.Statement(context.Background(), r.Nodes[0], "engines where pool = "+pool, "")
+		got, err := r.Statement(context.Background(), r.alive(0), "engines where pool = "+pool, "")
 		if err != nil || len(got.Rows) == 0 {
 			return false
 		}
