--- a/lab/bench/bench.go
+++ b/lab/bench/bench.go
@@ -92,7 +92,9 @@
 		Nodes: o.Nodes, Engines: o.Engines, Services: 3, Slots: 16, Queue: 8, StepBase: 18 * time.Millisecond, StepEach: 1200 * time.Microsecond, Dir: dir,
 		Config: func(cfg *config.Config) {
 			for i := range cfg.Pools {
-				cfg.Pools[i].Scheduler = config.PoolScheduler(policy)
+				if policy != PolicyOracle {
+					cfg.Pools[i].Scheduler = config.PoolScheduler(policy)
+				}
 			}
 		},
 	})
@@ -104,7 +106,17 @@
 	faultCtx, cancel := context.WithCancel(ctx)
 	done := make(chan error, 1)
 	go func() { done <- inject(faultCtx, c, fault, o.Workload.Peak()) }()
-	r.Report = load.Run(ctx, o.Workload.Trace(uint64(seed)), load.Options{Nodes: c.CallerAddresses(), Log: &record.Log{}})
+	opts := load.Options{Nodes: c.CallerAddresses(), Log: &record.Log{}}
+	if policy == PolicyOracle {
+		best, err := newOracle(c)
+		if err != nil {
+			cancel()
+			return r, err
+		}
+		defer best.close()
+		opts.Send = best.send
+	}
+	r.Report = load.Run(ctx, o.Workload.Trace(uint64(seed)), opts)
 	cancel()
 	if err := <-done; err != nil {
 		return r, fmt.Errorf("inject fault: %w", err)
@@ -229,13 +241,13 @@
 		wait(ctx, outage)
 		return c.Nodes[0].Signal(syscall.SIGCONT)
 	case FaultKill:
-		broker(ctx, c).Kill()
+		brokerNode(ctx, c).Kill()
 	}
 	return nil
 }
 
-// broker returns the node that is the model pool's broker.
-func broker(ctx context.Context, c *cluster.Cluster) *cluster.Node {
+// brokerNode returns the node that is the model pool's broker.
+func brokerNode(ctx context.Context, c *cluster.Cluster) *cluster.Node {
 	r, err := c.Statement(ctx, c.Nodes[0], "engines where pool = llm", "")
 	if err == nil && len(r.Rows) > 0 {
 		for _, n := range c.Nodes {
--- a/lab/load/caller.go
+++ b/lab/load/caller.go
@@ -15,6 +15,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/croftturn/croftturn/lab/record"
 )
 
@@ -24,6 +26,9 @@
 
 	// askTimeout bounds one question for the entry points.
 	askTimeout = time.Second
+
+	// seats is how many callers each team has; each keeps its own entry points.
+	seats = 8
 )
 
 type (
@@ -33,10 +38,17 @@
 	Caller struct {
 		nodes []string // nodes are addresses to ask first.
 		http  *http.Client
+		asks  *http.Client // asks opens a connection for each question, as separate callers do.
 
 		mu    sync.Mutex
-		kept  map[string][]string // kept are the entry points of each team.
-		until map[string]time.Time
+		kept  map[seat][]string // kept are the entry points of each seat.
+		until map[seat]time.Time
+	}
+
+	// seat is one of a team's callers.
+	seat struct {
+		team string
+		n    uint64
 	}
 
 	// Request is one request to send.
@@ -44,39 +56,45 @@
 		Arrival
 		Key   string // Key is the idempotency key; empty for none.
 		Try   int
-		Node  string // Node is the address to send to; empty for the best entry point.
-		Class string // Class overrides the class's name where set.
+		Node  string    // Node is the address to send to; empty for the best entry point.
+		Begun time.Time // Begun is when the request was made, where that was before Send.
 	}
 )
 
 // NewCaller returns a caller that knows some nodes.
 func NewCaller(nodes []string) *Caller {
+	dial := (&net.Dialer{Timeout: askTimeout}).DialContext
 	return &Caller{
-		nodes: nodes, kept: map[string][]string{}, until: map[string]time.Time{},
-		http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256, DialContext: (&net.Dialer{Timeout: askTimeout}).DialContext}},
+		nodes: nodes, kept: map[seat][]string{}, until: map[seat]time.Time{},
+		http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256, DialContext: dial}},
+		asks: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: dial}},
 	}
 }
 
+// seatOf returns the caller of a team that sends a request.
+func seatOf(r Request) seat { return seat{r.Team.Name, xxhash.Sum64String(r.Mark) % seats} }
+
 // Close drops idle connections.
 func (c *Caller) Close() { c.http.CloseIdleConnections() }
 
-// EntryPoints returns the addresses for a team, best first.
-func (c *Caller) EntryPoints(ctx context.Context, t *Team) ([]string, error) {
+// EntryPoints returns the addresses for a request's caller, best first.
+func (c *Caller) EntryPoints(ctx context.Context, r Request) ([]string, error) {
+	at := seatOf(r)
 	c.mu.Lock()
-	kept, until := c.kept[t.Name], c.until[t.Name]
+	kept, until := c.kept[at], c.until[at]
 	c.mu.Unlock()
 	if time.Now().Before(until) {
 		return kept, nil
 	}
 	var last error
 	for _, node := range append(append([]string(nil), kept...), c.nodes...) {
-		list, keep, err := c.ask(ctx, node, t)
+		list, keep, err := c.ask(ctx, node, r.Team)
 		if err != nil {
 			last = err
 			continue
 		}
 		c.mu.Lock()
-		c.kept[t.Name], c.until[t.Name] = list, time.Now().Add(keep)
+		c.kept[at], c.until[at] = list, time.Now().Add(keep)
 		c.mu.Unlock()
 		return list, nil
 	}
@@ -92,7 +110,7 @@
 		return nil, 0, err
 	}
 	req.Header.Set("Authorization", "Bearer "+t.Token)
-	resp, err := c.http.Do(req)
+	resp, err := c.asks.Do(req)
 	if err != nil {
 		return nil, 0, err
 	}
@@ -116,11 +134,11 @@
 	return out, time.Duration(doc.KeepMs) * time.Millisecond, nil
 }
 
-// forget drops a team's kept entry points, such as when one can't be reached.
-func (c *Caller) forget(t *Team) {
+// forget drops a caller's kept entry points, such as when one can't be reached.
+func (c *Caller) forget(r Request) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	delete(c.until, t.Name)
+	delete(c.until, seatOf(r))
 }
 
 // Send sends a request and checks the answer against what it must be. A node
@@ -131,11 +149,15 @@
 		OutputAsked: r.Tokens, SentMs: record.NowMs(), Outcome: "error",
 	}
 	begun := time.Now()
+	if !r.Begun.IsZero() {
+		begun = r.Begun
+		s.SentMs = begun.UnixMilli()
+	}
 	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
 	defer cancel()
 	nodes := []string{r.Node}
 	if r.Node == "" {
-		list, err := c.EntryPoints(ctx, r.Team)
+		list, err := c.EntryPoints(ctx, r)
 		if err != nil {
 			s.Code = err.Error()
 			return s
@@ -147,7 +169,7 @@
 		if c.sendTo(ctx, node, r, &s, begun) {
 			break
 		}
-		c.forget(r.Team)
+		c.forget(r)
 	}
 	s.TotalMs = float64(time.Since(begun).Microseconds()) / 1000
 	cl := r.Arrival.Class
--- a/lab/load/run.go
+++ b/lab/load/run.go
@@ -17,8 +17,10 @@
 type (
 	// Options say how a trace is sent.
 	Options struct {
-		Nodes   []string
-		Log     *record.Log
+		Nodes []string
+		Log   *record.Log
+		// Send sends one request; nil means to send it to the nodes.
+		Send    func(ctx context.Context, r Request) record.Sending
 		Retries int // Retries is how often a refused request is sent again, at the time it was told.
 	}
 
@@ -52,8 +54,11 @@
 
 // Run sends a trace, open loop, and waits for all answers.
 func Run(ctx context.Context, trace []Arrival, opts Options) *Report {
-	caller := NewCaller(opts.Nodes)
-	defer caller.Close()
+	if opts.Send == nil {
+		caller := NewCaller(opts.Nodes)
+		defer caller.Close()
+		opts.Send = caller.Send
+	}
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	var sent []record.Sending
@@ -68,7 +73,7 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			for _, s := range sendAll(ctx, caller, a, opts) {
+			for _, s := range sendAll(ctx, a, opts) {
 				mu.Lock()
 				sent = append(sent, s)
 				mu.Unlock()
@@ -80,14 +85,14 @@
 }
 
 // sendAll sends one request, and again as the options allow.
-func sendAll(ctx context.Context, caller *Caller, a Arrival, opts Options) []record.Sending {
+func sendAll(ctx context.Context, a Arrival, opts Options) []record.Sending {
 	var out []record.Sending
 	r := Request{Arrival: a}
 	if a.Class.Once {
 		r.Key = "key-" + a.Mark
 	}
 	for r.Try = 1; ; r.Try++ {
-		s := caller.Send(ctx, r)
+		s := opts.Send(ctx, r)
 		opts.Log.Write(s)
 		out = append(out, s)
 		if s.Outcome != "not_run" || s.RetryAfter == 0 || r.Try > opts.Retries {
--- a/lab/slopes/slopes.go
+++ b/lab/slopes/slopes.go
@@ -63,6 +63,7 @@
 	Options struct {
 		Members []int         // Members are the numbers of nodes.
 		Each    time.Duration // Each is how long one point is measured.
+		Only    string        // Only is the one series to measure; empty for all.
 		Log     io.Writer
 	}
 
@@ -79,6 +80,9 @@
 func Run(ctx context.Context, o Options) ([]Series, error) {
 	var out []Series
 	for _, s := range o.plan() {
+		if o.Only != "" && o.Only != s.varied {
+			continue
+		}
 		series := Series{Varied: s.varied}
 		for _, p := range s.points {
 			u, err := o.point(ctx, p)
--- a/lab/slopescmd.go
+++ b/lab/slopescmd.go
@@ -16,8 +16,9 @@
 func slopesFlags(f *flag.FlagSet) func(ctx context.Context) error {
 	out := f.String("json", "docs/capacity.json", "file for the raw results")
 	each := f.Duration("each", 8*time.Second, "how long one point is measured")
+	only := f.String("only", "", "the one series to measure, by what it varies")
 	return func(ctx context.Context) error {
-		series, err := slopes.Run(ctx, slopes.Options{Members: []int{3, 6, 12, 24, 48}, Each: *each, Log: os.Stderr})
+		series, err := slopes.Run(ctx, slopes.Options{Members: []int{3, 6, 12, 24, 48}, Each: *each, Only: *only, Log: os.Stderr})
 		if err != nil {
 			return err
 		}
