--- a/Makefile
+++ b/Makefile
@@ -38,3 +38,9 @@
 # slopes measures what docs/CAPACITY.md is worked out from; about eight minutes.
 slopes: build
 	CROFTTURN_BIN=$(CURDIR)/bin bin/lab slopes
+
+# bench compares the ways of deciding and measures what a node adds; it fails on
+# the committed bounds. About four minutes.
+bench: build
+	go test -run '^$$' -bench . -benchtime 20000x ./internal/broker
+	CROFTTURN_BIN=$(CURDIR)/bin bin/lab bench -seeds 2 -policies broker,direct,oracle -bounds lab/bench/bounds.json
--- a/internal/broker/pool.go
+++ b/internal/broker/pool.go
@@ -77,6 +77,12 @@
 		InFlight int // InFlight limits requests that wait or are on engines; 0 for no limit.
 	}
 
+	// Options are a pool's own settings.
+	Options struct {
+		QueueLimit    int     // QueueLimit is how many requests may wait.
+		ReserveMargin float64 // ReserveMargin weighs attainment of higher tiers against goodput; 0 keeps nothing free.
+	}
+
 	// Teams looks up a team's limits.
 	Teams func(name string) Team
 
@@ -95,6 +101,8 @@
 		lengths  map[string]*Length
 		first    Length // first is the time from dispatch to the first token, in milliseconds.
 		prefixes map[string]string
+		use      map[int]*tierUse
+		margin   float64 // margin is how much is kept free for higher tiers, in spreads; 0 for nothing.
 
 		missing    map[string]bool // missing are the nodes whose report a new broker waits for.
 		readyAt    time.Time
@@ -133,7 +141,7 @@
 		classes: map[string]queue.Class{}, engines: map[string]*Engine{},
 		limiters: map[string]*teamLimiter{}, waiting: map[string]*waiter{}, holds: map[string]*hold{},
 		lengths: map[string]*Length{}, prefixes: map[string]string{}, missing: map[string]bool{},
-		readyAt: now.Add(rebuildWait), grantsAt: now,
+		use: map[int]*tierUse{}, readyAt: now.Add(rebuildWait), grantsAt: now,
 	}
 	for _, n := range nodes {
 		p.missing[n] = true
@@ -142,10 +150,11 @@
 }
 
 // Configure takes the pool's part of a configuration.
-func (p *Pool) Configure(now time.Time, queueLimit int, classes []queue.Class, engines []Engine) {
+func (p *Pool) Configure(now time.Time, opts Options, classes []queue.Class, engines []Engine) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.queue.Configure(queueLimit, classes)
+	p.queue.Configure(opts.QueueLimit, classes)
+	p.margin = opts.ReserveMargin
 	for _, c := range classes {
 		p.classes[c.Name] = c
 	}
@@ -282,7 +291,7 @@
 		p.endWait(w)
 	}
 	if h := p.holds[request]; h != nil {
-		p.drop(h)
+		p.drop(now, h)
 	}
 	p.dispatch(now)
 }
@@ -295,7 +304,7 @@
 	if h == nil {
 		return
 	}
-	p.drop(h)
+	p.drop(now, h)
 	if e := p.engines[h.Engine]; e != nil {
 		e.learn(now, rel.Status, rel.OutputTokens, ms(rel.DurationMs), ms(rel.FirstTokenMs))
 	}
@@ -332,7 +341,7 @@
 	}
 	for id, h := range p.holds {
 		if h.node == r.Node && !named[id] && now.Sub(h.since) > lateness {
-			p.drop(h)
+			p.drop(now, h)
 		}
 	}
 	delete(p.missing, r.Node)
@@ -345,7 +354,7 @@
 	defer p.mu.Unlock()
 	for _, h := range p.holds {
 		if h.node == node {
-			p.drop(h)
+			p.drop(now, h)
 		}
 	}
 	for _, w := range p.waiting {
@@ -396,27 +405,30 @@
 			return
 		}
 		w := it.Value.(*waiter)
-		e := p.choose(now, w.req, int(it.Cost))
+		e, free, slots := p.choose(now, w.req, int(it.Cost))
 		if e == nil {
 			return
 		}
+		if !p.queue.Owed(it.Class) && p.kept(now, it.Class, free, slots) {
+			return
+		}
 		p.queue.Pop(now)
 		p.grant(now, w, e)
 	}
 }
 
 // choose returns the engine with room that is loaded least, counting a cached
-// prefix as less load. An engine that failed the request is taken only where
-// nothing else has room.
-func (p *Pool) choose(now time.Time, req wire.Acquire, tokens int) *Engine {
-	var best, excluded *Engine
+// prefix as less load, and how many places of how many are free in the pool. An
+// engine that failed the request is taken only where there is no other.
+func (p *Pool) choose(now time.Time, req wire.Acquire, tokens int) (best *Engine, free, slots int) {
 	least := math.Inf(1)
 	for _, e := range p.order {
+		slots += e.limit()
 		if !e.hasRoom(now, tokens) {
 			continue
 		}
-		if e.Name == req.Exclude {
-			excluded = e
+		free += e.limit() - e.inFlight
+		if e.Name == req.Exclude && len(p.order) > 1 {
 			continue
 		}
 		load := e.load()
@@ -427,13 +439,10 @@
 			best, least = e, load
 		}
 	}
-	if best == nil && len(p.order) == 1 {
-		return excluded
-	}
 	if best == nil {
-		return p.lastResort(now)
+		best = p.lastResort(now)
 	}
-	return best
+	return best, free, slots
 }
 
 // lastResort returns an engine to try where failures have paused all of a pool:
@@ -489,6 +498,7 @@
 // take counts a place as held.
 func (p *Pool) take(h *hold) {
 	p.holds[h.Request] = h
+	p.useOf(h.Class).add(h.since, 1)
 	if e := p.engines[h.Engine]; e != nil {
 		e.inFlight++
 		e.tokens += h.Tokens
@@ -497,8 +507,9 @@
 }
 
 // drop counts a place as free.
-func (p *Pool) drop(h *hold) {
+func (p *Pool) drop(now time.Time, h *hold) {
 	delete(p.holds, h.Request)
+	p.useOf(h.Class).add(now, -1)
 	if e := p.engines[h.Engine]; e != nil {
 		e.inFlight--
 		e.tokens -= h.Tokens
--- a/internal/broker/pool_test.go
+++ b/internal/broker/pool_test.go
@@ -26,7 +26,7 @@
 	for i := range engines {
 		list = append(list, broker.Engine{Name: fmt.Sprintf("e%d", i), Slots: slots})
 	}
-	p.Configure(start, queueLimit, classes, list)
+	p.Configure(start, broker.Options{QueueLimit: queueLimit}, classes, list)
 	return p
 }
 
@@ -119,7 +119,7 @@
 // nodes reported, and then only what is free.
 func TestNewBrokerCountsWhatNodesHold(t *testing.T) {
 	p := broker.NewPool(start, "llm", func(string) broker.Team { return broker.Team{} }, []string{"n1", "n2"})
-	p.Configure(start, 10, classes, []broker.Engine{{Name: "e0", Slots: 1}})
+	p.Configure(start, broker.Options{QueueLimit: 10}, classes, []broker.Engine{{Name: "e0", Slots: 1}})
 	ch, _ := ask(p, start, "a", "explain", "x")
 	p.Report(start, wire.Report{Node: "n1", Pool: "llm"})
 	if poll(ch) != nil {
@@ -176,6 +176,32 @@
 	}
 }
 
+// TestPlacesAreKeptForHigherTiers holds that a flood of the lowest tier leaves
+// free what the top tier has been using, and that without a margin it does not.
+func TestPlacesAreKeptForHigherTiers(t *testing.T) {
+	for margin, wantFree := range map[float64]bool{0: false, 2: true} {
+		p := pool(t, 1000, 2, 10, broker.Team{})
+		p.Configure(start, broker.Options{QueueLimit: 1000, ReserveMargin: margin}, classes, []broker.Engine{{Name: "e0", Slots: 10}, {Name: "e1", Slots: 10}})
+		now := start
+		for i := range 400 { // Four confirmations at a time, for forty seconds.
+			id := fmt.Sprint("c", i)
+			_, g := ask(p, now, id, "confirm", "x")
+			if i >= 4 {
+				old := fmt.Sprint("c", i-4)
+				p.Release(now, wire.Release{Pool: "llm", Request: old, Engine: g.Engine, Status: broker.StatusOK, OutputTokens: 10})
+			}
+			now = now.Add(100 * time.Millisecond)
+		}
+		for i := range 100 {
+			ask(p, now, fmt.Sprint("x", i), "explain", "x")
+		}
+		_, g := ask(p, now, "late", "confirm", "x")
+		if got := g != nil && g.Engine != ""; got != wantFree {
+			t.Errorf("margin %v: a place was free for the top tier: %v, want %v", margin, got, wantFree)
+		}
+	}
+}
+
 // crowd is a pool under load, for benchmarks.
 type crowd struct {
 	pool    *broker.Pool
--- a/internal/broker/service.go
+++ b/internal/broker/service.go
@@ -7,7 +7,9 @@
 
 	"github.com/croftturn/croftturn/internal/config"
 	"github.com/croftturn/croftturn/internal/queue"
+	"github.com/croftturn/croftturn/internal/telemetry"
 	"github.com/croftturn/croftturn/internal/wire"
+	"go.opentelemetry.io/otel/trace"
 )
 
 // sweepEvery is how often waiting requests are looked over.
@@ -43,6 +45,7 @@
 		members Members
 		store   *config.Store
 		loads   Loads
+		tracer  trace.Tracer
 
 		mu    sync.Mutex
 		pools map[string]*Pool
@@ -54,8 +57,8 @@
 func Key(pool string) string { return "broker/" + pool }
 
 // NewService returns a service without pools.
-func NewService(members Members, store *config.Store, loads Loads) *Service {
-	return &Service{members: members, store: store, loads: loads, pools: map[string]*Pool{}, live: map[string]bool{}}
+func NewService(members Members, store *config.Store, loads Loads, tracer trace.Tracer) *Service {
+	return &Service{members: members, store: store, loads: loads, tracer: tracer, pools: map[string]*Pool{}, live: map[string]bool{}}
 }
 
 // Run follows members and configuration, and sweeps the pools, until the
@@ -103,7 +106,7 @@
 			p = NewPool(now, pool.Name, s.team, names(s.members.Live()))
 			s.pools[pool.Name] = p
 		}
-		p.Configure(now, pool.QueueLimit, classesOf(view), enginesOf(view, pool.Name))
+		p.Configure(now, Options{QueueLimit: pool.QueueLimit, ReserveMargin: pool.ReserveMargin}, classesOf(view), enginesOf(view, pool.Name))
 		watched = append(watched, view.Engines(pool.Name)...)
 	}
 	for name := range s.pools {
@@ -195,6 +198,8 @@
 
 // Acquire waits for a place. A node that is not the broker says so.
 func (s *Service) Acquire(ctx context.Context, req *wire.Acquire) (any, error) {
+	ctx, span := s.tracer.Start(telemetry.WithTraceParent(ctx, req.TraceParent), "broker queue")
+	defer span.End()
 	p := s.pool(req.Pool)
 	if p == nil {
 		return &wire.Grant{Refusal: ReasonMoved}, nil
--- a/internal/check/check.go
+++ b/internal/check/check.go
@@ -81,7 +81,7 @@
 		return nil, fmt.Errorf("read %s as JSON: %w", name, err)
 	}
 	if err := s.schema.Validate(doc); err != nil {
-		return nil, problems(name, text, &tree, err)
+		return nil, s.problems(name, text, &tree, err)
 	}
 	return packed, nil
 }
@@ -141,7 +141,7 @@
 }
 
 // problems turns a validation error into problems with lines.
-func problems(name string, text []byte, tree *hujson.Value, err error) error {
+func (s *Schema) problems(name string, text []byte, tree *hujson.Value, err error) error {
 	verr, ok := err.(*jsonschema.ValidationError)
 	if !ok {
 		return fmt.Errorf("check %s: %w", name, err)
@@ -160,7 +160,7 @@
 		msg := e.ErrorKind.LocalizedString(printer)
 		if extra, ok := e.ErrorKind.(*kind.AdditionalProperties); ok {
 			pointer += "/" + escape(extra.Properties[0])
-			msg = "unknown key; see the reference for the allowed ones"
+			msg = "unknown key; allowed are " + strings.Join(s.allowed(e.InstanceLocation), ", ")
 		}
 		out.Problems = append(out.Problems, Problem{Line: line(text, tree, pointer), Path: pointer, Message: msg})
 	}
@@ -169,6 +169,34 @@
 	return out
 }
 
+// allowed returns the keys that an object at a place may have, in order.
+func (s *Schema) allowed(path []string) []string {
+	at := s.schema
+	for _, part := range path {
+		at = resolve(at)
+		switch next := at.Properties[part]; {
+		case next != nil:
+			at = next
+		case at.Items2020 != nil:
+			at = at.Items2020
+		}
+	}
+	var out []string
+	for key := range resolve(at).Properties {
+		out = append(out, key)
+	}
+	sort.Strings(out)
+	return out
+}
+
+// resolve follows references.
+func resolve(s *jsonschema.Schema) *jsonschema.Schema {
+	for s.Ref != nil {
+		s = s.Ref
+	}
+	return s
+}
+
 // pointerOf joins path parts to a JSON pointer.
 func pointerOf(parts []string) string {
 	var b strings.Builder
--- a/internal/config/config_gen.go
+++ b/internal/config/config_gen.go
@@ -119,9 +119,17 @@
 	// Name of the pool.
 	Name string `json:"name"`
 
+	// Profile sets the weights below where they are absent: attainment keeps places
+	// free for higher tiers, goodput fills all. Attainment if absent.
+	Profile PoolProfile `json:"profile,omitempty,omitzero"`
+
 	// QueueLimit is how many requests may wait in the pool; 1000 if absent.
 	QueueLimit int `json:"queue_limit,omitempty,omitzero"`
 
+	// ReserveMargin is how much is kept free for the tiers above, in spreads over
+	// their average use; below 0 for nothing, 0 for the profile's.
+	ReserveMargin float64 `json:"reserve_margin,omitempty,omitzero"`
+
 	// Scheduler decides which engine takes a request; broker if absent.
 	Scheduler PoolScheduler `json:"scheduler,omitempty,omitzero"`
 }
@@ -131,6 +139,11 @@
 const PoolKindModel PoolKind = "model"
 const PoolKindService PoolKind = "service"
 
+type PoolProfile string
+
+const PoolProfileAttainment PoolProfile = "attainment"
+const PoolProfileGoodput PoolProfile = "goodput"
+
 type PoolScheduler string
 
 const PoolSchedulerBroker PoolScheduler = "broker"
--- a/internal/config/view.go
+++ b/internal/config/view.go
@@ -17,6 +17,11 @@
 	// defaultQueueLimit is a pool's queue limit where none is configured.
 	defaultQueueLimit = 1000
 
+	// attainmentMargin is the reserve margin of the profile attainment; that of
+	// the profile goodput keeps nothing free.
+	attainmentMargin = 2
+	goodputMargin    = -1
+
 	// defaultMaxWaitMs is a class's longest wait where none is configured.
 	defaultMaxWaitMs = 60000
 )
@@ -124,6 +129,12 @@
 		if p.QueueLimit == 0 {
 			p.QueueLimit = defaultQueueLimit
 		}
+		if p.Profile == "" {
+			p.Profile = PoolProfileAttainment
+		}
+		if p.ReserveMargin == 0 {
+			p.ReserveMargin = map[PoolProfile]float64{PoolProfileAttainment: attainmentMargin, PoolProfileGoodput: goodputMargin}[p.Profile]
+		}
 		if p.Scheduler == "" {
 			p.Scheduler = PoolSchedulerBroker
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -117,7 +117,7 @@
 	n.journal = journal.New()
 	n.watcher = engine.NewWatcher()
 	n.direct = sched.NewDirect(n.store, n.watcher, uint64(self.Incarnation))
-	n.brokers = broker.NewService(n.table, n.store, n)
+	n.brokers = broker.NewService(n.table, n.store, n, n.tele.Tracer)
 	n.brokered = sched.NewBrokered(n.table, n.brokers, n.client, n.store, n.direct, log)
 	n.engines = engine.NewClient(ms(s.EngineStallMs))
 	n.orders = order.New(n.store, n.platform, n.engines, n.brokers, s.Instance, log)
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -317,6 +317,12 @@
 	}
 }
 
+// Owed reports whether a class has got less than its smallest share.
+func (q *Queue) Owed(class string) bool {
+	c := q.byName[class]
+	return c != nil && c.owed()
+}
+
 // owed reports whether a class has got less than its smallest share.
 func (c *classQueue) owed() bool { return c.MinShare > 0 && c.credit > 0 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -50,15 +50,13 @@
 	add := func(pointer, message string) {
 		out = append(out, check.Problem{Line: check.Line(text, pointer), Path: pointer, Message: message})
 	}
-	addresses := map[string]string{
-		"/caller_address": s.CallerAddress,
-		"/peer_address":   s.PeerAddress,
-		"/admin_address":  s.AdminAddress,
+	addresses := []struct{ pointer, value string }{
+		{"/caller_address", s.CallerAddress}, {"/peer_address", s.PeerAddress}, {"/admin_address", s.AdminAddress},
 	}
-	for pointer, address := range addresses {
-		host, _, err := net.SplitHostPort(address)
+	for _, a := range addresses {
+		host, _, err := net.SplitHostPort(a.value)
 		if err != nil || net.ParseIP(strings.Trim(host, "[]")) == nil {
-			add(pointer, "must be an IP address and a port")
+			add(a.pointer, "must be an IP address and a port")
 		}
 	}
 	if s.SuspectMs < 3*s.HeartbeatMs {
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -27,8 +27,13 @@
 	"github.com/croftturn/croftturn/internal/settings"
 )
 
-// closeTimeout bounds the sending of the last spans.
-const closeTimeout = 3 * time.Second
+const (
+	// closeTimeout bounds the sending of the last spans.
+	closeTimeout = 3 * time.Second
+
+	// traceParentKey is the W3C name of the trace context.
+	traceParentKey = "traceparent"
+)
 
 // Propagator takes and passes on W3C trace contexts.
 var Propagator = propagation.TraceContext{}
@@ -59,6 +64,25 @@
 	}
 )
 
+// TraceParent returns the W3C trace context of a traced request, or nothing, so
+// that a request which is not traced does not pay for it on the wire.
+func TraceParent(ctx context.Context) string {
+	if !trace.SpanContextFromContext(ctx).IsSampled() {
+		return ""
+	}
+	carrier := propagation.MapCarrier{}
+	Propagator.Inject(ctx, carrier)
+	return carrier.Get(traceParentKey)
+}
+
+// WithTraceParent returns a context that goes on with a trace of another node.
+func WithTraceParent(ctx context.Context, parent string) context.Context {
+	if parent == "" {
+		return ctx
+	}
+	return Propagator.Extract(ctx, propagation.MapCarrier{traceParentKey: parent})
+}
+
 // New sets up telemetry as the settings say; logs go to out.
 func New(ctx context.Context, s *settings.Settings, out io.Writer) (*Telemetry, error) {
 	t := &Telemetry{}
--- a/internal/wire/wire_gen.go
+++ b/internal/wire/wire_gen.go
@@ -21,6 +21,9 @@
 	// Node is the asking instance.
 	Node string `json:"n,omitempty,omitzero"`
 
+	// TraceParent is the W3C trace context, where the request is traced.
+	TraceParent string `json:"o,omitempty,omitzero"`
+
 	// Pool that is to take the request.
 	Pool string `json:"p"`
 
--- a/lab/bench/oracle.go
+++ b/lab/bench/oracle.go
@@ -54,7 +54,7 @@
 			engines = append(engines, broker.Engine{Name: e.Name, Slots: e.Slots})
 			o.address[e.Name] = e.Address
 		}
-		pool.Configure(now, p.QueueLimit, classes, engines)
+		pool.Configure(now, broker.Options{QueueLimit: p.QueueLimit, ReserveMargin: p.ReserveMargin}, classes, engines)
 		o.pools[p.Name] = pool
 	}
 	o.wg.Add(1)
--- a/lab/cluster/admin.go
+++ b/lab/cluster/admin.go
@@ -74,11 +74,16 @@
 	if id == "" {
 		id = NewID()
 	}
+	return c.statement(ctx, n, OperatorToken, text, id)
+}
+
+// statement runs a statement.
+func (c *Cluster) statement(ctx context.Context, n *Node, token, text, id string) (*admin.Result, error) {
 	body, err := json.Marshal(map[string]string{"text": text, "change_id": id})
 	if err != nil {
 		return nil, fmt.Errorf("encode statement: %w", err)
 	}
-	answer, err := c.call(ctx, n, "/admin/v1/statements", body, OperatorToken)
+	answer, err := c.call(ctx, n, "/admin/v1/statements", body, token)
 	if err != nil {
 		return nil, err
 	}
@@ -89,6 +94,11 @@
 	return r, nil
 }
 
+// StatementAs runs a statement at a node with some token.
+func (c *Cluster) StatementAs(ctx context.Context, n *Node, token, text string) (*admin.Result, error) {
+	return c.statement(ctx, n, token, text, NewID())
+}
+
 // StatusError is an answer other than 200.
 type StatusError struct {
 	Status int
--- a/lab/load/caller.go
+++ b/lab/load/caller.go
@@ -204,6 +204,45 @@
 	return true
 }
 
+// sendWithTicket gets a ticket for a request that has a key, and sends it to the
+// node that issued the ticket. The time counts from before the ticket.
+func (c *Caller) sendWithTicket(ctx context.Context, r Request) record.Sending {
+	if r.Key == "" {
+		return c.Send(ctx, r)
+	}
+	r.Begun = time.Now()
+	nodes, err := c.EntryPoints(ctx, r)
+	if err == nil {
+		r.Node = nodes[0]
+		r.Key, err = c.Ticket(ctx, r.Node, r.Team)
+	}
+	if err != nil {
+		return record.Sending{Mark: r.Mark, Try: r.Try, Class: r.Arrival.Class.Class, Team: r.Team.Name, Outcome: "error", Code: err.Error()}
+	}
+	return c.Send(ctx, r)
+}
+
+// Ticket gets a ticket from a node.
+func (c *Caller) Ticket(ctx context.Context, node string, t *Team) (string, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+node+"/v1/tickets", nil)
+	if err != nil {
+		return "", fmt.Errorf("build ticket request: %w", err)
+	}
+	req.Header.Set("Authorization", "Bearer "+t.Token)
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return "", fmt.Errorf("get ticket: %w", err)
+	}
+	defer resp.Body.Close()
+	var doc struct {
+		Ticket string `json:"ticket"`
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&doc); err != nil {
+		return "", fmt.Errorf("decode ticket: %w", err)
+	}
+	return doc.Ticket, nil
+}
+
 // build makes the HTTP request.
 func (r Request) build(ctx context.Context, node string) (*http.Request, error) {
 	cl := r.Arrival.Class
--- a/lab/load/run.go
+++ b/lab/load/run.go
@@ -21,7 +21,8 @@
 		Log   *record.Log
 		// Send sends one request; nil means to send it to the nodes.
 		Send    func(ctx context.Context, r Request) record.Sending
-		Retries int // Retries is how often a refused request is sent again, at the time it was told.
+		Tickets bool // Tickets makes requests with a key ask for a ticket first.
+		Retries int  // Retries is how often a refused request is sent again, at the time it was told.
 	}
 
 	// ClassReport is what happened to one class.
@@ -58,6 +59,9 @@
 		caller := NewCaller(opts.Nodes)
 		defer caller.Close()
 		opts.Send = caller.Send
+		if opts.Tickets {
+			opts.Send = caller.sendWithTicket
+		}
 	}
 	var mu sync.Mutex
 	var wg sync.WaitGroup
--- a/lab/main.go
+++ b/lab/main.go
@@ -36,6 +36,7 @@
 	{name: "platform", synopsis: "stand-in of the platform", flags: platformFlags},
 	{name: "demo", synopsis: "start everything, send a burst, run queries, stop", flags: demoFlags},
 	{name: "bench", synopsis: "compare the ways of deciding on the same traces", flags: benchFlags},
+	{name: "once", synopsis: "measure what claims and tickets cost", flags: onceFlags},
 	{name: "slopes", synopsis: "measure how the cost of a node grows", flags: slopesFlags},
 }
 
--- a/lab/proofs/once_test.go
+++ b/lab/proofs/once_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"net/http"
 	"syscall"
 	"testing"
 	"time"
@@ -159,15 +157,9 @@
 // ticket gets a ticket from a node.
 func (r *rig) ticket(n *cluster.Node) string {
 	r.t.Helper()
-	req, err := http.NewRequest(http.MethodPost, "http://"+n.Caller+"/v1/tickets", nil)
+	text, err := r.caller.Ticket(context.Background(), n.Caller, alfa)
 	must(r.t, err)
-	req.Header.Set("Authorization", "Bearer "+alfa.Token)
-	resp, err := http.DefaultClient.Do(req)
-	must(r.t, err)
-	defer resp.Body.Close()
-	var doc struct{ Ticket string }
-	must(r.t, json.NewDecoder(resp.Body).Decode(&doc))
-	return doc.Ticket
+	return text
 }
 
 // TestOnceOutage holds that in an outage of the platform offers with tickets
