--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test install generate lint run bench proofs slopes
+.PHONY: build test install generate lint run bench proofs slopes replay
 
 # build makes both programs.
 build:
@@ -44,3 +44,8 @@
 bench: build
 	go test -run '^$$' -bench . -benchtime 20000x ./internal/broker
 	CROFTTURN_BIN=$(CURDIR)/bin bin/lab bench -seeds 2 -policies broker,direct,oracle -bounds lab/bench/bounds.json
+
+# replay plays the recorded traces against their stated outcomes, in time of its
+# own; the result is the same every time.
+replay:
+	go test -count=1 -v ./lab/replay
