Remove old claims; keep a table's digest until it changes

Cause: claim rows stayed for good. Ruled out: removal by the writer, which may be gone. Tests of the package claim: one of many attempts wins with answers lost, void ends earlier attempts, gathering, tickets, a registry that forgets bodies and never a run in its time.

--- /dev/null
+++ b/internal/claim/claim_test.go
@@ -0,0 +1,243 @@
+package claim_test
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sort"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/croftturn/croftturn/internal/claim"
+	"github.com/croftturn/croftturn/internal/platform"
+	"github.com/croftturn/croftturn/internal/wire"
+)
+
+// table is a table in memory that loses acknowledgements on command.
+type table struct {
+	mu    sync.Mutex
+	rows  map[string]platform.Row
+	lose  int
+	calls int
+}
+
+// Get reads a row.
+func (t *table) Get(_ context.Context, key string) (platform.Row, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.rows[key], nil
+}
+
+// List reads rows by prefix.
+func (t *table) List(_ context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []platform.Row
+	for key, row := range t.rows {
+		if strings.HasPrefix(key, prefix) && key > after {
+			row.Key = key
+			out = append(out, row)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Key < out[j].Key })
+	return out[:min(limit, len(out))], nil
+}
+
+// Transact checks and writes rows, and may lose the answer.
+func (t *table) Transact(_ context.Context, txn platform.Txn) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.calls++
+	conflict := &platform.ConflictError{}
+	for _, c := range txn.Checks {
+		if row := t.rows[c.Key]; row.Version != c.Version {
+			row.Key = c.Key
+			conflict.Rows = append(conflict.Rows, row)
+		}
+	}
+	if len(conflict.Rows) > 0 {
+		return conflict
+	}
+	for _, p := range txn.Puts {
+		if p.Value == nil {
+			delete(t.rows, p.Key)
+			continue
+		}
+		t.rows[p.Key] = platform.Row{Key: p.Key, Value: p.Value, Version: t.rows[p.Key].Version + 1}
+	}
+	if t.lose > 0 {
+		t.lose--
+		return platform.ErrUncertain
+	}
+	return nil
+}
+
+// keeper returns a keeper of a node on a table.
+func keeper(t *testing.T, tab *table, node string) *claim.Keeper {
+	k := claim.NewKeeper(tab, node, 1, time.Millisecond)
+	t.Cleanup(k.Close)
+	return k
+}
+
+// begin begins an attempt that must find the key free.
+func begin(t *testing.T, k *claim.Keeper, key, id string) *claim.Attempt {
+	t.Helper()
+	a, err := k.Begin(context.Background(), key, id)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return a
+}
+
+// TestOneOfManyClaims lets attempts at several nodes claim one key at the same
+// time, among other keys that must not suffer, with answers lost.
+func TestOneOfManyClaims(t *testing.T) {
+	tab := &table{rows: map[string]platform.Row{}, lose: 3}
+	won, others := 0, 0
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for _, node := range []string{"n1", "n2", "n3"} {
+		k := keeper(t, tab, node)
+		for _, key := range []string{"same", "own-" + node, "more-" + node} {
+			a := begin(t, k, key, node+key)
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				err := a.Claim(context.Background(), time.Now())
+				mu.Lock()
+				defer mu.Unlock()
+				var taken *claim.TakenError
+				switch {
+				case err == nil && key == "same":
+					won++
+				case err == nil:
+					others++
+				case key != "same" || !errors.As(err, &taken):
+					t.Errorf("claim of %s at %s: %v", key, node, err)
+				}
+			}()
+		}
+	}
+	wg.Wait()
+	if won != 1 || others != 6 {
+		t.Errorf("%d claims of one key and %d of 6 others held", won, others)
+	}
+}
+
+func TestVoidEndsEarlierAttempts(t *testing.T) {
+	tab := &table{rows: map[string]platform.Row{}}
+	k := keeper(t, tab, "n1")
+	stale, refused := begin(t, k, "k", "a1"), begin(t, k, "k", "a2")
+	if err := refused.Void(context.Background(), time.Now()); err != nil {
+		t.Fatal(err)
+	}
+	var taken *claim.TakenError
+	if err := stale.Claim(context.Background(), time.Now()); !errors.As(err, &taken) || !taken.Void() {
+		t.Errorf("an attempt from before the refusal: %v", err)
+	}
+	if err := begin(t, k, "k", "a3").Claim(context.Background(), time.Now()); err != nil {
+		t.Errorf("a new try: %v", err)
+	}
+}
+
+// TestClaimCanBeVoidedByItsHolder holds that an attempt which claimed and then
+// found no engine can still make its refusal certain.
+func TestClaimCanBeVoidedByItsHolder(t *testing.T) {
+	tab := &table{rows: map[string]platform.Row{}}
+	a := begin(t, keeper(t, tab, "n1"), "k", "a1")
+	if err := a.Claim(context.Background(), time.Now()); err != nil {
+		t.Fatal(err)
+	}
+	if err := a.Void(context.Background(), time.Now()); err != nil {
+		t.Errorf("void after claim: %v", err)
+	}
+}
+
+// TestGathering holds that claims which come together go out in few
+// transactions.
+func TestGathering(t *testing.T) {
+	tab := &table{rows: map[string]platform.Row{}}
+	k := claim.NewKeeper(tab, "n1", 1, 50*time.Millisecond)
+	defer k.Close()
+	var wg sync.WaitGroup
+	for i := range 50 {
+		a := begin(t, k, strings.Repeat("k", i+1), strings.Repeat("a", i+1))
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			if err := a.Claim(context.Background(), time.Now()); err != nil {
+				t.Error(err)
+			}
+		}()
+	}
+	wg.Wait()
+	if tab.calls > 10 {
+		t.Errorf("50 claims took %d transactions", tab.calls)
+	}
+}
+
+func TestTickets(t *testing.T) {
+	now := time.Unix(1000, 0)
+	i := claim.NewIssuer(now, "n1", 7, time.Minute)
+	ticket := i.Issue(now, "alfa")
+	read, err := claim.ReadTicket(ticket)
+	if err != nil || read != (claim.Ticket{Node: "n1", Incarnation: 7}) {
+		t.Errorf("ReadTicket() = %+v, %v", read, err)
+	}
+	for name, tc := range map[string]struct {
+		ticket, team string
+		at           time.Time
+		want         error
+	}{
+		"good":           {ticket, "alfa", now.Add(59 * time.Second), nil},
+		"expired":        {ticket, "alfa", now.Add(61 * time.Second), claim.ErrExpiredTicket},
+		"another team's": {ticket, "bravo", now, claim.ErrBadTicket},
+		"altered":        {strings.Replace(ticket, ".1.", ".2.", 1), "alfa", now, claim.ErrBadTicket},
+		"another start":  {claim.NewIssuer(now, "n1", 7, time.Minute).Issue(now, "alfa"), "alfa", now, claim.ErrBadTicket},
+	} {
+		if err := i.Check(tc.at, tc.ticket, tc.team); !errors.Is(err, tc.want) {
+			t.Errorf("%s: Check() = %v, want %v", name, err, tc.want)
+		}
+	}
+}
+
+// TestRegistryNeverForgetsARunInItsTime fills the registry with bodies beyond
+// its bound: the first key must still be known, as unknown, and not run again.
+func TestRegistryNeverForgetsARunInItsTime(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := claim.NewRegistry(time.Minute)
+	for i := range 40 {
+		run, first := r.Begin(now, strings.Repeat("k", i+1), "a")
+		if !first {
+			t.Fatal("a new key is not the first")
+		}
+		r.Finish(now, run, wire.Outcome{State: wire.OutcomeStateDone, Body: make([]byte, 1<<20)})
+	}
+	run, first := r.Begin(now.Add(14*time.Minute), "k", "b")
+	if first || r.Outcome(run).State != wire.OutcomeStateUnknown {
+		t.Errorf("first = %v, outcome %q, want the run without its body", first, r.Outcome(run).State)
+	}
+	if _, first := r.Begin(now.Add(16*time.Minute), "k", "c"); !first {
+		t.Error("the key is remembered beyond its time")
+	}
+}
+
+func TestSweeperRemovesOnlyTheOld(t *testing.T) {
+	tab := &table{rows: map[string]platform.Row{}}
+	k := keeper(t, tab, "n1")
+	now := time.Now()
+	for key, at := range map[string]time.Time{"old": now.Add(-49 * time.Hour), "new": now.Add(-47 * time.Hour)} {
+		if err := begin(t, k, key, key).Claim(context.Background(), at); err != nil {
+			t.Fatal(err)
+		}
+	}
+	s := claim.NewSweeper(tab, 48*time.Hour, func() bool { return true }, slog.New(slog.DiscardHandler))
+	if removed, err := s.Page(context.Background(), now); err != nil || removed != 1 {
+		t.Errorf("Page() = %d, %v, want 1", removed, err)
+	}
+	if _, err := k.Begin(context.Background(), "new", "x"); err == nil {
+		t.Error("the new claim is gone")
+	}
+}
--- a/internal/member/service.go
+++ b/internal/member/service.go
@@ -157,7 +157,7 @@
 	m, known := s.table.Member(hb.From)
 	stranger := !known || m.State == wire.MemberStateD || m.State == wire.MemberStateS
 	differs := hb.TableHash != s.table.Hash()
-	if stranger || len(s.table.All()) <= 1 || (differs && s.mayRepair(now)) {
+	if stranger || s.table.Len() <= 1 || (differs && s.mayRepair(now)) {
 		return s.table.All()
 	}
 	var out []wire.Member
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -48,6 +48,7 @@
 		entries map[string]*entry
 		changed chan struct{}
 		moved   bool // moved says that members came or went since rewatch.
+		hash    int  // hash is the digest of the table; 0 where it is to be worked out.
 	}
 )
 
@@ -102,6 +103,7 @@
 	}
 	e.Member = m
 	e.changed = now
+	t.hash = 0
 	close(t.changed)
 	t.changed = make(chan struct{})
 }
@@ -248,6 +250,7 @@
 		case e.State == wire.MemberStateD:
 			if now.Sub(e.changed) > tombstoneLife {
 				delete(t.entries, name)
+				t.hash = 0
 			}
 		case e.watched && now.Sub(e.heard) > t.opts.Suspect:
 			t.miss(now, e)
@@ -405,6 +408,9 @@
 func (t *Table) Hash() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.hash != 0 {
+		return t.hash
+	}
 	var sum uint32
 	for n, e := range t.entries {
 		if e.State == wire.MemberStateD {
@@ -413,7 +419,15 @@
 		line := n + "/" + strconv.Itoa(e.Incarnation) + "/" + strconv.Itoa(e.Revision) + "/" + string(e.State)
 		sum ^= uint32(xxhash.Sum64String(line))
 	}
-	return int(sum)
+	t.hash = int(sum)
+	return t.hash
+}
+
+// Len returns how many members are known, dead ones included.
+func (t *Table) Len() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.entries)
 }
 
 // Top returns the n names that rank first for a key by rendezvous hashing.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -52,6 +52,7 @@
 	engines  *engine.Client
 	orders   *order.Service
 	claims   *claim.Keeper
+	sweeper  *claim.Sweeper
 	front    *front.Front
 	admin    *admin.Admin
 
@@ -122,6 +123,7 @@
 	n.engines = engine.NewClient(ms(s.EngineStallMs))
 	n.orders = order.New(n.store, n.platform, n.engines, n.brokers, s.Instance, log)
 	n.claims = claim.NewKeeper(n.platform, s.Instance, self.Incarnation, ms(s.ClaimGatherMs))
+	n.sweeper = claim.NewSweeper(n.platform, time.Duration(s.ClaimKeepHours)*time.Hour, n.sweeps, log)
 	n.front = front.New(n.store, n.table, n.client, n.engines, n.journal, n.tele,
 		front.WithScheduler(config.PoolSchedulerBroker, n.brokered),
 		front.WithScheduler(config.PoolSchedulerDirect, n.direct),
@@ -168,6 +170,7 @@
 	n.start(func() { n.brokers.Run(ctx) })
 	n.start(func() { n.brokered.Run(ctx) })
 	n.start(func() { n.orders.Run(ctx) })
+	n.start(func() { n.sweeper.Run(ctx) })
 	n.start(func() { n.serve(n.callers, callers) })
 	n.start(func() { n.serve(n.control, control) })
 }
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/croftturn/croftturn/internal/claim"
 	"github.com/croftturn/croftturn/internal/config"
 	"github.com/croftturn/croftturn/internal/journal"
 	"github.com/croftturn/croftturn/internal/telemetry"
@@ -75,6 +76,12 @@
 	return reply, err
 }
 
+// sweeps reports whether this node is the one that removes old claims.
+func (n *Node) sweeps() bool {
+	owner, ok := n.table.Owner(claim.SweepKey)
+	return ok && owner.Name == n.settings.Instance
+}
+
 // Watch sets the engines whose load is read: those of the pools that this node
 // is the broker of, and those of pools on which it decides alone.
 func (n *Node) Watch(engines []*config.Engine) {
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -25,6 +25,10 @@
 	// milliseconds.
 	ClaimGatherMs int `json:"claim_gather_ms,omitempty,omitzero"`
 
+	// ClaimKeepHours is how long claims of keys are kept at the platform; it must
+	// exceed the time for which callers send a key again, by more than clocks differ.
+	ClaimKeepHours int `json:"claim_keep_hours,omitempty,omitzero"`
+
 	// ConfigPollMs is the time between two polls of the platform for a newer
 	// configuration, in milliseconds.
 	ConfigPollMs int `json:"config_poll_ms,omitempty,omitzero"`
@@ -200,6 +204,15 @@
 	if 0 > plain.ClaimGatherMs {
 		return fmt.Errorf("field %s: must be >= %v", "claim_gather_ms", 0)
 	}
+	if v, ok := raw["claim_keep_hours"]; !ok || v == nil {
+		plain.ClaimKeepHours = 72
+	}
+	if 8760 < plain.ClaimKeepHours {
+		return fmt.Errorf("field %s: must be <= %v", "claim_keep_hours", 8760)
+	}
+	if 24 > plain.ClaimKeepHours {
+		return fmt.Errorf("field %s: must be >= %v", "claim_keep_hours", 24)
+	}
 	if v, ok := raw["config_poll_ms"]; !ok || v == nil {
 		plain.ConfigPollMs = 1500
 	}
