--- a/internal/member/table_test.go
+++ b/internal/member/table_test.go
@@ -138,6 +138,9 @@
 	doubt.State, doubt.SuspectedBy = wire.MemberStateS, []string{target}
 	m.tables[target].Merge(m.now, []wire.Member{doubt})
 	for range 5 {
+		if got := m.count("n4", wire.MemberStateD); got > 0 {
+			t.Fatalf("n4 is seen dead by %d though one observer alone missed it", got)
+		}
 		m.round()
 	}
 	if got := m.count("n4", wire.MemberStateA); got != 9 {
--- a/internal/order/order.go
+++ b/internal/order/order.go
@@ -124,7 +124,7 @@
 		s.wg.Add(1)
 		go func() {
 			defer s.wg.Done()
-			err := s.deliver(ctx, time.Now(), &e)
+			err := s.Deliver(ctx, time.Now(), &e)
 			s.end(e, err)
 		}()
 	}
@@ -162,9 +162,9 @@
 // Error describes the refusal.
 func (e *OldFenceError) Error() string { return "order: engine at " + e.Engine + " has a newer fence" }
 
-// deliver sends one order, after proving it current where the engine does not
+// Deliver sends one order, after proving it current where the engine does not
 // check fences. now is when the proof begins.
-func (s *Service) deliver(ctx context.Context, now time.Time, e *config.Engine) error {
+func (s *Service) Deliver(ctx context.Context, now time.Time, e *config.Engine) error {
 	deadline := now.Add(sendWithin)
 	if e.ChecksFence {
 		return s.sender.Order(ctx, e.Address, e.OrderFence, e.Order, deadline)
--- a/lab/bench/bench.go
+++ b/lab/bench/bench.go
@@ -42,21 +42,23 @@
 		Engines  int
 		Nodes    int
 		Log      io.Writer
+		Plots    string // Plots is a folder for a plot of each run; empty for none.
 	}
 
 	// Result is one run of one policy.
 	Result struct {
-		Policy       string       `json:"policy"`
-		Fault        string       `json:"fault"`
-		Seed         int          `json:"seed"`
-		Report       *load.Report `json:"report"`
-		Wasted       float64      `json:"wasted"` // Wasted is the share of generated tokens that reached nobody whole.
-		Jain         float64      `json:"jain"`   // Jain is Jain's index over the teams' completed shares.
-		Writes       int          `json:"platform_writes"`
-		Reads        int          `json:"platform_reads"`
-		ControlBytes int          `json:"control_bytes"` // ControlBytes are sent by all nodes together.
-		Violations   int          `json:"violations"`
-		Inversions   int          `json:"inversions"` // Inversions are requests refused while one of a lower tier, sent before, was completed after.
+		Policy       string        `json:"policy"`
+		Fault        string        `json:"fault"`
+		Seed         int           `json:"seed"`
+		Report       *load.Report  `json:"report"`
+		Wasted       float64       `json:"wasted"` // Wasted is the share of generated tokens that reached nobody whole.
+		Jain         float64       `json:"jain"`   // Jain is Jain's index over the teams' completed shares.
+		Writes       int           `json:"platform_writes"`
+		Reads        int           `json:"platform_reads"`
+		ControlBytes int           `json:"control_bytes"` // ControlBytes are sent by all nodes together.
+		Violations   int           `json:"violations"`
+		Queue        []QueueSample `json:"-"`
+		Inversions   int           `json:"inversions"` // Inversions are requests refused while one of a lower tier, sent before, was completed after.
 	}
 )
 
@@ -106,6 +108,10 @@
 	faultCtx, cancel := context.WithCancel(ctx)
 	done := make(chan error, 1)
 	go func() { done <- inject(faultCtx, c, fault, o.Workload.Peak()) }()
+	sampled := make(chan []QueueSample, 1)
+	if o.Plots != "" {
+		go func() { sampled <- sampleQueue(faultCtx, c, c.Nodes[len(c.Nodes)-1]) }()
+	}
 	opts := load.Options{Nodes: c.CallerAddresses(), Log: &record.Log{}}
 	if policy == PolicyOracle {
 		best, err := newOracle(c)
@@ -121,6 +127,12 @@
 	if err := <-done; err != nil {
 		return r, fmt.Errorf("inject fault: %w", err)
 	}
+	if o.Plots != "" {
+		r.Queue = <-sampled
+		if err := Plot(o.Plots, fmt.Sprintf("%s-%s-%s-%d", o.Workload.Name, fault, policy, seed), &r); err != nil {
+			return r, err
+		}
+	}
 	return r, r.measure(c)
 }
 
--- a/lab/benchcmd.go
+++ b/lab/benchcmd.go
@@ -23,6 +23,7 @@
 	f.IntVar(&o.Seeds, "seeds", 5, "how many seeds")
 	f.IntVar(&o.Engines, "engines", 9, "how many engines")
 	f.IntVar(&o.Nodes, "nodes", 7, "how many nodes")
+	f.StringVar(&o.Plots, "plots", "", "folder for a plot of each run")
 	bounds := f.String("bounds", "", "file of bounds; the run fails where it is out of them")
 	return func(ctx context.Context) error {
 		w, err := load.Read(*workload)
--- a/lab/engine/engine.go
+++ b/lab/engine/engine.go
@@ -34,7 +34,7 @@
 	// Faults are what the control port sets.
 	Faults struct {
 		Slow       float64 `json:"slow"`        // Slow multiplies the step time; 0 means 1.
-		Leaving    bool    `json:"leaving"`     // Leaving refuses new work and says so in the load report.
+		Leaving    bool    `json:"leaving"`     // Leaving says so in the load report; new work is taken all the same.
 		BreakAfter int     `json:"break_after"` // BreakAfter cuts each stream after so many tokens; 0 for never.
 		Malformed  int     `json:"malformed"`   // Malformed sends a broken event after so many tokens; 0 for never.
 		StallAfter int     `json:"stall_after"` // StallAfter sends nothing more after so many tokens; 0 for never.
@@ -200,7 +200,7 @@
 func (e *Engine) submit(j *job) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.faults.Leaving || len(e.waiting) >= e.opts.QueueLimit && len(e.running) >= e.opts.Slots {
+	if len(e.waiting) >= e.opts.QueueLimit && len(e.running) >= e.opts.Slots {
 		return false
 	}
 	e.order++
--- a/lab/load/caller.go
+++ b/lab/load/caller.go
@@ -36,6 +36,10 @@
 	// node for the entry points, keeps the answer as long as it may, and connects
 	// to the best.
 	Caller struct {
+		// FirstOnly makes it connect to the first of its entry points only, and
+		// give the request up where that can't be reached.
+		FirstOnly bool
+
 		nodes []string // nodes are addresses to ask first.
 		http  *http.Client
 		asks  *http.Client // asks opens a connection for each question, as separate callers do.
@@ -163,6 +167,9 @@
 			return s
 		}
 		nodes = list
+		if c.FirstOnly {
+			nodes = list[:1]
+		}
 	}
 	for _, node := range nodes {
 		s.Node = node
--- a/lab/proofs/stop_test.go
+++ b/lab/proofs/stop_test.go
@@ -59,6 +59,7 @@
 // planned and under load.
 func TestRollingRestartCutsOffNothing(t *testing.T) {
 	r := start(t, cluster.Options{Nodes: 3, Engines: 3, Services: 2, Slots: 16, Queue: 16, Settings: quickLeave})
+	r.caller.FirstOnly = true
 	ctx, cancel := context.WithCancel(context.Background())
 	r.traffic(ctx, 10,
 		load.ClassLoad{Class: "explain", Tier: 3, Model: "desk-1", Tokens: 100, TokensSpread: 0.5},
