Notice a broker that does not answer

Cause: over a half-open connection a request waited at a broker for as long as the membership saw it alive, which its own heartbeats kept up. Ruled out: a vote in the membership, which the member contradicts, so that it would flap.

--- a/internal/broker/service.go
+++ b/internal/broker/service.go
@@ -21,6 +21,7 @@
 	MethodRelease = "rel" // MethodRelease takes a Release.
 	MethodCancel  = "can" // MethodCancel takes an Acquire of which only pool and request count.
 	MethodReport  = "rep" // MethodReport takes a Report.
+	MethodPulse   = "pul" // MethodPulse is answered by a node that takes calls.
 )
 
 type (
@@ -241,6 +242,9 @@
 	return true, nil
 }
 
+// Pulse answers, to show that calls get through both ways.
+func (s *Service) Pulse(context.Context, *struct{}) (any, error) { return struct{}{}, nil }
+
 // Waiting returns all that wait at this broker.
 func (s *Service) Waiting(now time.Time) []wire.Row {
 	var out []wire.Row
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -145,6 +145,7 @@
 	n.server.Handle(broker.MethodRelease, peer.Typed(n.brokers.Release))
 	n.server.Handle(broker.MethodCancel, peer.Typed(n.brokers.Cancel))
 	n.server.Handle(broker.MethodReport, peer.Typed(n.brokers.Report))
+	n.server.Handle(broker.MethodPulse, peer.Typed(n.brokers.Pulse))
 	n.server.Handle(front.MethodOutcome, peer.Typed(n.front.AnswerOutcome))
 	n.server.Handle(front.MethodRun, peer.Typed(n.front.AnswerRun))
 	n.server.Handle(methodChanges, peer.Typed(func(_ context.Context, r *wire.ChangesRequest) (any, error) {
--- a/internal/sched/brokered.go
+++ b/internal/sched/brokered.go
@@ -34,6 +34,8 @@
 	Peers interface {
 		Call(ctx context.Context, address, method string, params, result any) error
 		Notify(ctx context.Context, address, method string, params any) error
+		// Drop closes the connection to an address.
+		Drop(address string)
 	}
 
 	// Brokered asks the pool's broker, wherever it is, for a place. While no
@@ -44,6 +46,7 @@
 		peers    Peers
 		views    Views
 		fallback Scheduler
+		pulse    *pulse
 		log      *slog.Logger
 
 		mu     sync.Mutex
@@ -63,7 +66,7 @@
 // NewBrokered returns a scheduler that asks brokers.
 func NewBrokered(members broker.Members, local *broker.Service, peers Peers, views Views, fallback Scheduler, log *slog.Logger) *Brokered {
 	return &Brokered{
-		members: members, local: local, peers: peers, views: views, fallback: fallback, log: log,
+		members: members, local: local, peers: peers, views: views, fallback: fallback, pulse: newPulse(peers), log: log,
 		holds: map[string]heldPlace{}, alone: map[string]bool{}, told: map[string]string{},
 	}
 }
@@ -88,6 +91,9 @@
 		case err == nil && grant.Refusal != broker.ReasonMoved && grant.Refusal != broker.ReasonDuplicate:
 			return Grant{}, &Refusal{Reason: grant.Refusal, RetryAfter: time.Duration(grant.RetryAfterMs) * time.Millisecond, Why: grant.Why}
 		}
+		if errors.Is(err, errDeaf) {
+			return b.decideAlone(ctx, req)
+		}
 		now := time.Now()
 		if failing.IsZero() || err == errMoved {
 			failing = now
@@ -102,26 +108,26 @@
 // errMoved says that the broker of a pool changed while a request waited there.
 var errMoved = errors.New("sched: the broker moved")
 
-// ask asks one broker. It gives up when the broker of the pool changes.
+// ask asks one broker. It gives up when the broker of the pool changes, or does
+// not answer any more.
 func (b *Brokered) ask(ctx context.Context, owner wire.Member, changed <-chan struct{}, req Request) (*wire.Grant, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	var broken <-chan struct{}
+	if owner.Name != b.members.Self().Name {
+		var err error
+		if broken, err = b.pulse.begin(owner); err != nil {
+			return nil, err
+		}
+		defer b.pulse.end(owner)
+	}
 	done := make(chan struct{})
-	moved := make(chan bool, 1)
+	lost := make(chan error, 1)
 	go func() {
-		defer close(moved)
-		for {
-			select {
-			case <-done:
-				return
-			case <-changed:
-			}
-			changed = b.members.Changed()
-			if now, ok := b.members.Owner(broker.Key(req.Pool)); !ok || now.Name != owner.Name || now.Incarnation != owner.Incarnation {
-				moved <- true
-				cancel()
-				return
-			}
+		defer close(lost)
+		if err := b.watch(done, changed, broken, owner, req.Pool); err != nil {
+			lost <- err
+			cancel()
 		}
 	}()
 	grant := &wire.Grant{}
@@ -132,9 +138,9 @@
 	}
 	err := b.call(ctx, owner, params, grant)
 	close(done)
-	if <-moved {
+	if reason := <-lost; reason != nil {
 		b.cancelAt(owner, req)
-		return nil, errMoved
+		return nil, reason
 	}
 	if err != nil {
 		b.cancelAt(owner, req)
@@ -143,6 +149,25 @@
 	return grant, nil
 }
 
+// watch waits until an ask is done, and returns an error where the broker of the
+// pool changes or turns deaf before.
+func (b *Brokered) watch(done, changed, broken <-chan struct{}, owner wire.Member, pool string) error {
+	for {
+		select {
+		case <-done:
+			return nil
+		case <-broken:
+			return errDeaf
+		case <-changed:
+		}
+		changed = b.members.Changed()
+		now, ok := b.members.Owner(broker.Key(pool))
+		if !ok || now.Name != owner.Name || now.Incarnation != owner.Incarnation {
+			return errMoved
+		}
+	}
+}
+
 // call reaches the broker, which may be this node itself.
 func (b *Brokered) call(ctx context.Context, owner wire.Member, params *wire.Acquire, grant *wire.Grant) error {
 	if owner.Name != b.members.Self().Name {
@@ -242,6 +267,11 @@
 // then, until the context ends.
 func (b *Brokered) Run(ctx context.Context) {
 	defer b.closed.Wait()
+	b.closed.Add(1)
+	go func() {
+		defer b.closed.Done()
+		b.pulse.run(ctx)
+	}()
 	tick := time.NewTicker(reportEvery)
 	defer tick.Stop()
 	for {
@@ -271,7 +301,7 @@
 		if !ok {
 			continue
 		}
-		id := fmt.Sprint(owner.Name, "/", owner.Incarnation)
+		id := processID(owner)
 		b.mu.Lock()
 		known := b.told[pool] == id
 		r := &wire.Report{Node: b.members.Self().Name, Pool: pool, Holds: b.holdsOf(pool)}
