Prove claims on a platform that answers after it was given up

Cause: writes that take effect late were in no proof. Change: TestOnceSlowPlatform, with answers 0.3, 1.3 and 2.5 s late.

--- a/lab/proofs/once_test.go
+++ b/lab/proofs/once_test.go
@@ -197,3 +197,27 @@
 		}
 	}
 }
+
+// TestOnceSlowPlatform makes the platform answer after the nodes have given a
+// write up, so that writes take effect late: a claim may appear for an attempt
+// that did not run, and must never let two run.
+func TestOnceSlowPlatform(t *testing.T) {
+	r := serviceCluster(t)
+	for i := range 30 {
+		if i%10 == 0 {
+			must(t, r.Post(r.Platform.Address, "/control/faults", platform.Faults{SlowMs: []int{1300, 300, 2500}[i/10]}))
+		}
+		req := r.request(submit, i, 1)
+		r.send(at(req, r.Nodes[i%3], 1))
+		r.pause(60 * time.Millisecond)
+		r.send(at(req, r.Nodes[(i+1)%3], 2))
+	}
+	r.wg.Wait()
+	must(t, r.Post(r.Platform.Address, "/control/faults", platform.Faults{}))
+	for i := range 30 {
+		r.send(at(r.request(submit, i, 1), r.Nodes[(i+2)%3], 3))
+	}
+	if completed, _ := r.verdict(); completed < 20 {
+		t.Errorf("only %d of 90 sendings completed", completed)
+	}
+}
