Split the largest files by their jobs

Change: grants, limits and refusals, fair sharing and shedding, observing and ownership, and the writing of changes have files of their own; insertion by arrival, which stood twice, is one function.

--- a/internal/broker/pool.go
+++ b/internal/broker/pool.go
@@ -12,7 +12,6 @@
 
 	"github.com/croftturn/croftturn/internal/queue"
 	"github.com/croftturn/croftturn/internal/wire"
-	"golang.org/x/time/rate"
 )
 
 // Refusal reasons, as callers and operators see them.
@@ -125,12 +124,6 @@
 		node  string
 		since time.Time
 	}
-
-	// teamLimiter counts what one team uses.
-	teamLimiter struct {
-		rate  *rate.Limiter
-		inUse int // inUse counts the team's requests that wait or are on engines.
-	}
 )
 
 // NewPool returns the broker's state of a pool. It grants nothing before the
@@ -239,49 +232,6 @@
 	return req.PromptTokens + output
 }
 
-// overLimit takes one request from the team's limits, or returns which limit is
-// used up and when to come back.
-func (p *Pool) overLimit(now time.Time, req wire.Acquire) (string, time.Duration) {
-	team := p.teams(req.Team)
-	l := p.limiter(req.Team)
-	if team.InFlight > 0 && l.inUse >= team.InFlight {
-		return ReasonTeamInFlight, time.Duration(float64(time.Second) / p.drainRate(now))
-	}
-	l.set(now, team)
-	if req.WaitedMs > 0 {
-		return "", 0 // It was counted when it first asked.
-	}
-	r := l.rate.ReserveN(now, 1)
-	if wait := r.DelayFrom(now); wait > 0 {
-		r.CancelAt(now)
-		return ReasonTeamRate, wait
-	}
-	return "", 0
-}
-
-// limiter returns the counts of a team.
-func (p *Pool) limiter(team string) *teamLimiter {
-	l := p.limiters[team]
-	if l == nil {
-		l = &teamLimiter{rate: rate.NewLimiter(rate.Inf, 1)}
-		p.limiters[team] = l
-	}
-	return l
-}
-
-// set brings a limiter to a team's configured rate.
-func (l *teamLimiter) set(now time.Time, team Team) {
-	limit, burst := rate.Inf, 1
-	if team.Rate > 0 {
-		limit = rate.Limit(team.Rate)
-		burst = max(team.Burst, 1)
-	}
-	if l.rate.Limit() != limit || l.rate.Burst() != burst {
-		l.rate.SetLimitAt(now, limit)
-		l.rate.SetBurstAt(now, burst)
-	}
-}
-
 // Cancel gives up a wait. A place that was granted meanwhile is given back.
 func (p *Pool) Cancel(now time.Time, request string) {
 	p.mu.Lock()
@@ -394,172 +344,6 @@
 	}
 }
 
-// dispatch grants places while there is room and something waits.
-func (p *Pool) dispatch(now time.Time) {
-	if len(p.missing) > 0 && now.Before(p.readyAt) {
-		return
-	}
-	for {
-		it := p.queue.Peek(now)
-		if it == nil {
-			return
-		}
-		w := it.Value.(*waiter)
-		e, free, slots := p.choose(now, w.req, int(it.Cost))
-		if e == nil {
-			return
-		}
-		if !p.queue.Owed(it.Class) && p.kept(now, it.Class, free, slots) {
-			return
-		}
-		p.queue.Pop(now)
-		p.grant(now, w, e)
-	}
-}
-
-// choose returns the engine with room that is loaded least, counting a cached
-// prefix as less load, and how many places of how many are free in the pool. An
-// engine that failed the request is taken only where there is no other.
-func (p *Pool) choose(now time.Time, req wire.Acquire, tokens int) (best *Engine, free, slots int) {
-	least := math.Inf(1)
-	for _, e := range p.order {
-		slots += e.limit()
-		if !e.hasRoom(now, tokens) {
-			continue
-		}
-		free += e.limit() - e.inFlight
-		if e.Name == req.Exclude && len(p.order) > 1 {
-			continue
-		}
-		load := e.load()
-		if req.Prefix != "" && p.prefixes[req.Prefix] == e.Name {
-			load -= prefixBonus
-		}
-		if load < least {
-			best, least = e, load
-		}
-	}
-	if best == nil {
-		best = p.lastResort(now)
-	}
-	return best, free, slots
-}
-
-// lastResort returns an engine to try where failures have paused all of a pool:
-// never are all engines ejected at once. The one that failed least gets one
-// request.
-func (p *Pool) lastResort(now time.Time) *Engine {
-	var best *Engine
-	for _, e := range p.order {
-		if e.Draining || e.leaving {
-			continue
-		}
-		if e.failures == 0 || !now.Before(e.pausedTil) {
-			return nil // It is full, not ejected.
-		}
-		if e.inFlight == 0 && (best == nil || e.failures < best.failures) {
-			best = e
-		}
-	}
-	return best
-}
-
-// endWait counts a request as no longer waiting.
-func (p *Pool) endWait(w *waiter) {
-	delete(p.waiting, w.req.Request)
-	p.limiter(w.req.Team).inUse--
-}
-
-// grant gives a waiting request a place on an engine.
-func (p *Pool) grant(now time.Time, w *waiter, e *Engine) {
-	p.endWait(w)
-	waited := now.Sub(w.item.Arrived)
-	p.take(&hold{
-		Hold: wire.Hold{Request: w.req.Request, Engine: e.Name, Class: w.req.Class, Team: w.req.Team, Tokens: int(w.item.Cost)},
-		node: w.req.Node, since: now,
-	})
-	p.countGrant(now)
-	p.remember(w.req.Prefix, e.Name)
-	why := fmt.Sprintf("waited %d ms; %d of %d in use", waited.Milliseconds(), e.inFlight, e.limit())
-	w.reply <- wire.Grant{Engine: e.Name, Why: why}
-}
-
-// remember notes which engine has a prefix.
-func (p *Pool) remember(prefix, engine string) {
-	if prefix == "" {
-		return
-	}
-	if len(p.prefixes) >= prefixMemory {
-		clear(p.prefixes)
-	}
-	p.prefixes[prefix] = engine
-}
-
-// take counts a place as held.
-func (p *Pool) take(h *hold) {
-	p.holds[h.Request] = h
-	p.useOf(h.Class).add(h.since, 1)
-	if e := p.engines[h.Engine]; e != nil {
-		e.inFlight++
-		e.tokens += h.Tokens
-	}
-	p.limiter(h.Team).inUse++
-}
-
-// drop counts a place as free.
-func (p *Pool) drop(now time.Time, h *hold) {
-	delete(p.holds, h.Request)
-	p.useOf(h.Class).add(now, -1)
-	if e := p.engines[h.Engine]; e != nil {
-		e.inFlight--
-		e.tokens -= h.Tokens
-	}
-	p.limiter(h.Team).inUse--
-}
-
-// refuseItem refuses a request that was taken out of the queue.
-func (p *Pool) refuseItem(now time.Time, it *queue.Item, reason string) {
-	w := it.Value.(*waiter)
-	p.endWait(w)
-	ahead := p.queue.Ahead(p.classes[it.Class].Tier)
-	why := fmt.Sprintf("%d wait in its tier or higher, %.1f a second get a place", ahead, p.drainRate(now))
-	w.refuse(reason, p.comeBack(now, ahead), why)
-}
-
-// refuse answers a request with a refusal.
-func (w *waiter) refuse(reason string, wait time.Duration, why string) {
-	w.reply <- wire.Grant{Refusal: reason, RetryAfterMs: int(wait.Milliseconds()), Why: why}
-}
-
-// comeBack returns how long a refused caller should wait: until the queue ahead
-// has drained, and one after the other at the rate at which it drains, so that
-// those who were refused together do not come back together.
-func (p *Pool) comeBack(now time.Time, ahead int) time.Duration {
-	each := time.Duration(float64(time.Second) / p.drainRate(now))
-	at := now.Add(time.Duration(ahead) * each)
-	if p.nextReturn.After(at) {
-		at = p.nextReturn
-	}
-	p.nextReturn = at.Add(each)
-	if wait := at.Sub(now); wait > maxComeBack {
-		p.nextReturn = now
-		return maxComeBack
-	}
-	return max(at.Sub(now), each)
-}
-
-// countGrant counts a grant for the drain rate.
-func (p *Pool) countGrant(now time.Time) {
-	p.grants = p.grants*math.Exp2(-float64(now.Sub(p.grantsAt))/float64(rateHalfLife)) + 1
-	p.grantsAt = now
-}
-
-// drainRate returns how many requests a second get a place.
-func (p *Pool) drainRate(now time.Time) float64 {
-	n := p.grants * math.Exp2(-float64(now.Sub(p.grantsAt))/float64(rateHalfLife))
-	return math.Max(leastRate, n*math.Ln2/rateHalfLife.Seconds())
-}
-
 // Waiting returns the waiting requests as rows.
 func (p *Pool) Waiting(now time.Time) []wire.Row {
 	p.mu.Lock()
--- /dev/null
+++ b/internal/broker/refuse.go
@@ -0,0 +1,53 @@
+package broker
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/croftturn/croftturn/internal/queue"
+	"github.com/croftturn/croftturn/internal/wire"
+)
+
+// refuseItem refuses a request that was taken out of the queue.
+func (p *Pool) refuseItem(now time.Time, it *queue.Item, reason string) {
+	w := it.Value.(*waiter)
+	p.endWait(w)
+	ahead := p.queue.Ahead(p.classes[it.Class].Tier)
+	why := fmt.Sprintf("%d wait in its tier or higher, %.1f a second get a place", ahead, p.drainRate(now))
+	w.refuse(reason, p.comeBack(now, ahead), why)
+}
+
+// refuse answers a request with a refusal.
+func (w *waiter) refuse(reason string, wait time.Duration, why string) {
+	w.reply <- wire.Grant{Refusal: reason, RetryAfterMs: int(wait.Milliseconds()), Why: why}
+}
+
+// comeBack returns how long a refused caller should wait: until the queue ahead
+// has drained, and one after the other at the rate at which it drains, so that
+// those who were refused together do not come back together.
+func (p *Pool) comeBack(now time.Time, ahead int) time.Duration {
+	each := time.Duration(float64(time.Second) / p.drainRate(now))
+	at := now.Add(time.Duration(ahead) * each)
+	if p.nextReturn.After(at) {
+		at = p.nextReturn
+	}
+	p.nextReturn = at.Add(each)
+	if wait := at.Sub(now); wait > maxComeBack {
+		p.nextReturn = now
+		return maxComeBack
+	}
+	return max(at.Sub(now), each)
+}
+
+// countGrant counts a grant for the drain rate.
+func (p *Pool) countGrant(now time.Time) {
+	p.grants = p.grants*math.Exp2(-float64(now.Sub(p.grantsAt))/float64(rateHalfLife)) + 1
+	p.grantsAt = now
+}
+
+// drainRate returns how many requests a second get a place.
+func (p *Pool) drainRate(now time.Time) float64 {
+	n := p.grants * math.Exp2(-float64(now.Sub(p.grantsAt))/float64(rateHalfLife))
+	return math.Max(leastRate, n*math.Ln2/rateHalfLife.Seconds())
+}
--- /dev/null
+++ b/internal/config/writer.go
@@ -0,0 +1,188 @@
+package config
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/croftturn/croftturn/internal/platform"
+	"github.com/croftturn/croftturn/internal/wire"
+	"github.com/gravitational/trace"
+)
+
+// Write makes an edit of the newest configuration an accepted change. It
+// returns only when that is certain: a nil error means accepted and in force at
+// this node. trace.CompareFailed means that another operator's change came
+// between and nothing was written; ErrUncertain means that the platform could
+// not be asked in time, and the history will tell by the change's id.
+func (k *Keeper) Write(ctx context.Context, now time.Time, id, author, statement string, edit Edit) (wire.Change, error) {
+	h, rowVersion, err := k.head(ctx)
+	if err != nil {
+		return wire.Change{}, fmt.Errorf("nothing written: %w", err)
+	}
+	base, err := k.full(ctx)
+	if err != nil {
+		return wire.Change{}, fmt.Errorf("nothing written: %w", err)
+	}
+	if base.Version != h.Version {
+		return wire.Change{}, trace.CompareFailed("another change came between; nothing was written; try again")
+	}
+	ch, txn, err := prepare(base, rowVersion, edit)
+	if err != nil {
+		return wire.Change{}, err
+	}
+	ch.ID, ch.Author, ch.Statement = id, author, statement
+	ch.At = now.UTC().Format(time.RFC3339Nano)
+	if err := txn.finish(ch); err != nil {
+		return wire.Change{}, err
+	}
+	if err := k.commit(ctx, ch, txn.Txn); err != nil {
+		return ch, err
+	}
+	if err := k.store.Apply([]wire.Change{ch}); err != nil {
+		if err := k.fromTable(ctx); err != nil {
+			return ch, fmt.Errorf("accepted as version %d, but not yet in force here: %w", ch.Version, err)
+		}
+	}
+	return ch, nil
+}
+
+// pending is a transaction whose change row is not yet filled in.
+type pending struct {
+	platform.Txn
+}
+
+// prepare builds the change and the transaction that an edit asks for.
+func prepare(base *Config, rowVersion int, edit Edit) (wire.Change, *pending, error) {
+	next, err := base.Clone()
+	if err != nil {
+		return wire.Change{}, nil, err
+	}
+	if err := edit(next); err != nil {
+		return wire.Change{}, nil, fmt.Errorf("edit configuration: %w", err)
+	}
+	next.Version = base.Version + 1
+	text, err := json.Marshal(next)
+	if err != nil {
+		return wire.Change{}, nil, fmt.Errorf("encode configuration: %w", err)
+	}
+	if _, err := compiled.Read("configuration", text); err != nil {
+		return wire.Change{}, nil, trace.BadParameter("%v", err)
+	}
+	// The difference is taken before NewView fills in the defaults.
+	after, before, err := Diff(base, next)
+	if err != nil {
+		return wire.Change{}, nil, err
+	}
+	if _, err := NewView(next); err != nil {
+		return wire.Change{}, nil, trace.BadParameter("%v", err)
+	}
+	txn := &pending{}
+	txn.Checks = []platform.Check{{Key: HeadKey, Version: rowVersion}}
+	txn.Puts = []platform.Put{{Key: fullKey, Value: text}}
+	return wire.Change{Version: next.Version, Entities: after, Before: before}, txn, nil
+}
+
+// finish adds the rows of the change and of the head.
+func (p *pending) finish(ch wire.Change) error {
+	text, err := json.Marshal(ch)
+	if err != nil {
+		return fmt.Errorf("encode change: %w", err)
+	}
+	top, err := json.Marshal(head{Version: ch.Version, Change: ch.ID})
+	if err != nil {
+		return fmt.Errorf("encode head: %w", err)
+	}
+	p.Puts = append(p.Puts, platform.Put{Key: changeKey(ch.Version), Value: text}, platform.Put{Key: HeadKey, Value: top})
+	return nil
+}
+
+// commit sends the transaction until it is known whether it took effect. An
+// uncertain write is sent again: the check on the head row lets at most one of
+// the copies through, and the id of the change tells whether it was ours.
+func (k *Keeper) commit(ctx context.Context, ch wire.Change, txn platform.Txn) error {
+	uncertain := false
+	for try := 0; try < writeTries; try++ {
+		err := k.table.Transact(ctx, txn)
+		switch {
+		case err == nil:
+			return nil
+		case errors.Is(err, platform.ErrConflict):
+			mine, readErr := k.accepted(ctx, ch)
+			if readErr == nil && mine {
+				return nil
+			}
+			if readErr == nil {
+				return trace.CompareFailed("another change became version %d first; nothing was written", ch.Version)
+			}
+			uncertain = true
+		case errors.Is(err, platform.ErrUncertain):
+			uncertain = true
+		case !uncertain:
+			return fmt.Errorf("nothing written: %w", err)
+		}
+		if err := pause(ctx, try); err != nil {
+			break
+		}
+	}
+	return fmt.Errorf("change %s: %w", ch.ID, platform.ErrUncertain)
+}
+
+// accepted reports whether the change that made a version is this one.
+func (k *Keeper) accepted(ctx context.Context, ch wire.Change) (bool, error) {
+	row, err := k.table.Get(ctx, changeKey(ch.Version))
+	if err != nil {
+		return false, fmt.Errorf("read change back: %w", err)
+	}
+	if row.Version == 0 {
+		return false, nil
+	}
+	var got wire.Change
+	if err := json.Unmarshal(row.Value, &got); err != nil {
+		return false, fmt.Errorf("decode change: %w", err)
+	}
+	return got.ID == ch.ID, nil
+}
+
+// pause waits longer after each try, or until the context ends.
+func pause(ctx context.Context, try int) error {
+	const step = 50 * time.Millisecond
+	t := time.NewTimer(step * time.Duration(try+1))
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-t.C:
+		return nil
+	}
+}
+
+// Undo returns the edit that takes back all changes after a version.
+func (k *Keeper) Undo(ctx context.Context, version int) (Edit, error) {
+	changes, err := k.History(ctx, version, recentChanges+1)
+	if err != nil {
+		return nil, err
+	}
+	if len(changes) > recentChanges {
+		return nil, trace.LimitExceeded("a rollback takes back at most %d changes", recentChanges)
+	}
+	if len(changes) == 0 || changes[0].Version != version+1 {
+		return nil, trace.NotFound("no change after version %d is known", version)
+	}
+	newest := changes[len(changes)-1].Version
+	return func(c *Config) error {
+		if c.Version != newest {
+			return trace.CompareFailed("version %d came between", c.Version)
+		}
+		for i := len(changes) - 1; i >= 0; i-- {
+			for _, e := range changes[i].Before {
+				if err := c.put(e); err != nil {
+					return fmt.Errorf("take back version %d: %w", changes[i].Version, err)
+				}
+			}
+		}
+		return nil
+	}, nil
+}
--- /dev/null
+++ b/internal/member/owner.go
@@ -0,0 +1,65 @@
+package member
+
+import (
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/croftturn/croftturn/internal/wire"
+)
+
+// Owner returns the member that a key belongs to: the first by rendezvous
+// hashing among those that are alive, or where there is none, among the suspect.
+func (t *Table) Owner(key string) (wire.Member, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var alive, doubted []string
+	for n, e := range t.entries {
+		switch e.State {
+		case wire.MemberStateA:
+			alive = append(alive, n)
+		case wire.MemberStateS:
+			doubted = append(doubted, n)
+		}
+	}
+	if len(alive) == 0 {
+		alive = doubted
+	}
+	top := Top(key, alive, 1)
+	if len(top) == 0 {
+		return wire.Member{}, false
+	}
+	return t.entries[top[0]].Member, true
+}
+
+// Top returns the n names that rank first for a key by rendezvous hashing.
+func Top(key string, names []string, n int) []string {
+	type scored struct {
+		name  string
+		score uint64
+	}
+	list := make([]scored, 0, len(names))
+	for _, name := range names {
+		list = append(list, scored{name, xxhash.Sum64String(key + "\x00" + name)})
+	}
+	sort.Slice(list, func(i, j int) bool {
+		if list[i].score != list[j].score {
+			return list[i].score > list[j].score
+		}
+		return list[i].name < list[j].name
+	})
+	out := make([]string, 0, n)
+	for i := 0; i < n && i < len(list); i++ {
+		out = append(out, list[i].name)
+	}
+	return out
+}
+
+// contains reports whether a name is in a short list.
+func contains(list []string, name string) bool {
+	for _, n := range list {
+		if n == name {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -5,7 +5,6 @@
 package queue
 
 import (
-	"container/heap"
 	"container/list"
 	"math"
 	"sort"
@@ -69,25 +68,6 @@
 		credit   float64 // credit is the work that the smallest share owes the class, in tokens.
 	}
 
-	// fairQueue shares between teams by virtual time.
-	fairQueue struct {
-		teams  map[string]*teamQueue
-		active teamHeap
-		clock  float64
-	}
-
-	// teamQueue holds one team's requests, oldest first.
-	teamQueue struct {
-		fair   *fairQueue
-		name   string
-		items  *list.List
-		finish float64 // finish is the virtual time at which the team's turn comes.
-		index  int
-	}
-
-	// teamHeap orders teams by their turn.
-	teamHeap []*teamQueue
-
 	// decayed is a sum whose past counts less and less.
 	decayed struct {
 		sum float64
@@ -152,70 +132,10 @@
 	return n
 }
 
-// Push adds a request. Where too many wait it returns the one that is shed,
-// which may be the new one itself: the newest of the lowest tier. A class below
-// its smallest share is not shed down to nothing for a higher tier.
-func (q *Queue) Push(now time.Time, it *Item) *Item {
-	c := q.byName[it.Class]
-	if c == nil {
-		return it
-	}
-	if c.Limit > 0 && c.arrivals.Len() >= c.Limit {
-		return it
-	}
-	q.insert(now, c, it)
-	if q.waiting <= q.limit {
-		return nil
-	}
-	victim := q.victim()
-	q.Remove(victim)
-	return victim
-}
-
-// victim returns the request to shed: the newest of the lowest tier whose class
-// is not owed its last waiting request.
-func (q *Queue) victim() *Item {
-	for i := len(q.classes) - 1; i >= 0; i-- {
-		c := q.classes[i]
-		if c.arrivals.Len() == 0 || (c.arrivals.Len() == 1 && c.owed()) {
-			continue
-		}
-		return q.newestInTier(c.Tier)
-	}
-	return q.newestInTier(q.classes[len(q.classes)-1].Tier)
-}
-
-// newestInTier returns the newest request of all classes of a tier, but for the
-// last one of a class that is owed.
-func (q *Queue) newestInTier(tier int) *Item {
-	var newest *Item
-	for _, c := range q.classes {
-		if c.Tier != tier || c.arrivals.Len() == 0 {
-			continue
-		}
-		if c.arrivals.Len() == 1 && c.owed() && newest != nil {
-			continue
-		}
-		it := c.arrivals.Back().Value.(*Item)
-		if newest == nil || it.Arrived.After(newest.Arrived) {
-			newest = it
-		}
-	}
-	return newest
-}
-
 // insert puts a request into its class's lists by its time of arrival.
 func (q *Queue) insert(now time.Time, c *classQueue, it *Item) {
 	it.class = c
-	at := c.arrivals.Back()
-	for at != nil && at.Value.(*Item).Arrived.After(it.Arrived) {
-		at = at.Prev()
-	}
-	if at == nil {
-		it.order = c.arrivals.PushFront(it)
-	} else {
-		it.order = c.arrivals.InsertAfter(it, at)
-	}
+	it.order = insertByArrival(c.arrivals, it)
 	if q.isLate(now, it) {
 		c.late.push(it)
 	} else {
@@ -397,78 +317,6 @@
 	return out
 }
 
-// push adds a request to its team's list; a team that had none takes its turn
-// no earlier than the present virtual time.
-func (f *fairQueue) push(it *Item) {
-	t := f.teams[it.Team]
-	if t == nil {
-		t = &teamQueue{fair: f, name: it.Team, items: list.New()}
-		f.teams[it.Team] = t
-	}
-	it.team = t
-	at := t.items.Back()
-	for at != nil && at.Value.(*Item).Arrived.After(it.Arrived) {
-		at = at.Prev()
-	}
-	if at == nil {
-		it.place = t.items.PushFront(it)
-	} else {
-		it.place = t.items.InsertAfter(it, at)
-	}
-	if t.items.Len() == 1 {
-		t.finish = math.Max(t.finish, f.clock)
-		heap.Push(&f.active, t)
-	}
-}
-
-// front returns the oldest request of the team whose turn it is, or nil.
-func (f *fairQueue) front() *Item {
-	if len(f.active) == 0 {
-		return nil
-	}
-	return f.active[0].items.Front().Value.(*Item)
-}
-
-// remove takes a request out of the team's list.
-func (t *teamQueue) remove(it *Item) {
-	t.items.Remove(it.place)
-	if t.items.Len() > 0 {
-		return
-	}
-	heap.Remove(&t.fair.active, t.index)
-	if t.finish <= t.fair.clock {
-		delete(t.fair.teams, t.name)
-	}
-}
-
-// charge moves a team's turn back by the work it got.
-func (t *teamQueue) charge(it *Item) {
-	t.fair.clock = math.Max(t.fair.clock, t.finish)
-	t.finish = math.Max(t.finish, t.fair.clock) + it.Cost/it.Weight
-	if t.items.Len() > 0 {
-		heap.Fix(&t.fair.active, t.index)
-		return
-	}
-	t.fair.teams[t.name] = t
-	t.fair.forget()
-}
-
-// forgetAt is how many idle teams a fairQueue keeps before it forgets those
-// whose turn would be due anyway.
-const forgetAt = 1024
-
-// forget drops idle teams that are owed nothing and owe nothing.
-func (f *fairQueue) forget() {
-	if len(f.teams) < forgetAt+2*len(f.active) {
-		return
-	}
-	for name, t := range f.teams {
-		if t.items.Len() == 0 && t.finish <= f.clock {
-			delete(f.teams, name)
-		}
-	}
-}
-
 // value returns the sum as it counts now.
 func (d *decayed) value(now time.Time) float64 {
 	if d.sum == 0 {
@@ -482,35 +330,3 @@
 	d.sum = d.value(now) + x
 	d.at = now
 }
-
-// Len implements heap.Interface.
-func (h teamHeap) Len() int { return len(h) }
-
-// Less implements heap.Interface.
-func (h teamHeap) Less(i, j int) bool {
-	if h[i].finish != h[j].finish {
-		return h[i].finish < h[j].finish
-	}
-	return h[i].name < h[j].name
-}
-
-// Swap implements heap.Interface.
-func (h teamHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index, h[j].index = i, j
-}
-
-// Push implements heap.Interface.
-func (h *teamHeap) Push(x any) {
-	t := x.(*teamQueue)
-	t.index = len(*h)
-	*h = append(*h, t)
-}
-
-// Pop implements heap.Interface.
-func (h *teamHeap) Pop() any {
-	old := *h
-	t := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return t
-}
--- /dev/null
+++ b/internal/queue/shed.go
@@ -0,0 +1,55 @@
+package queue
+
+import "time"
+
+// Push adds a request. Where too many wait it returns the one that is shed,
+// which may be the new one itself: the newest of the lowest tier. A class below
+// its smallest share is not shed down to nothing for a higher tier.
+func (q *Queue) Push(now time.Time, it *Item) *Item {
+	c := q.byName[it.Class]
+	if c == nil {
+		return it
+	}
+	if c.Limit > 0 && c.arrivals.Len() >= c.Limit {
+		return it
+	}
+	q.insert(now, c, it)
+	if q.waiting <= q.limit {
+		return nil
+	}
+	victim := q.victim()
+	q.Remove(victim)
+	return victim
+}
+
+// victim returns the request to shed: the newest of the lowest tier whose class
+// is not owed its last waiting request.
+func (q *Queue) victim() *Item {
+	for i := len(q.classes) - 1; i >= 0; i-- {
+		c := q.classes[i]
+		if c.arrivals.Len() == 0 || (c.arrivals.Len() == 1 && c.owed()) {
+			continue
+		}
+		return q.newestInTier(c.Tier)
+	}
+	return q.newestInTier(q.classes[len(q.classes)-1].Tier)
+}
+
+// newestInTier returns the newest request of all classes of a tier, but for the
+// last one of a class that is owed.
+func (q *Queue) newestInTier(tier int) *Item {
+	var newest *Item
+	for _, c := range q.classes {
+		if c.Tier != tier || c.arrivals.Len() == 0 {
+			continue
+		}
+		if c.arrivals.Len() == 1 && c.owed() && newest != nil {
+			continue
+		}
+		it := c.arrivals.Back().Value.(*Item)
+		if newest == nil || it.Arrived.After(newest.Arrived) {
+			newest = it
+		}
+	}
+	return newest
+}
