Weigh an engine's slowness when it is chosen, not only in its limit

Ruled out: a smaller limit alone, which it had (two fifths of its slots). Change: the load by which engines are compared is multiplied by the pace over the median. The replay's outcomes state the longest answer too.

--- a/internal/broker/engine.go
+++ b/internal/broker/engine.go
@@ -33,6 +33,7 @@
 	tokens    int           // tokens that those in flight are expected to occupy.
 	pace      time.Duration // pace is the time for one token, from what completed.
 	degree    float64       // degree is the part of its slots that it gets, from 0 to 1.
+	slowness  float64       // slowness is its pace over the median of its pool, 1 at least.
 	failures  int           // failures in a row.
 	pausedTil time.Time
 	leaving   bool // leaving is what its own load report says.
@@ -59,8 +60,9 @@
 	return true
 }
 
-// load orders engines: the share of its limit in use after one more request.
-func (e *Engine) load() float64 { return float64(e.inFlight+1) / float64(e.limit()) }
+// load orders engines: the share of its limit in use after one more request,
+// and more for one that is slow.
+func (e *Engine) load() float64 { return e.slowness * float64(e.inFlight+1) / float64(e.limit()) }
 
 // learn takes what a request showed of the engine.
 func (e *Engine) learn(now time.Time, status string, outputTokens int, duration, firstToken time.Duration) {
@@ -104,9 +106,10 @@
 	sort.Slice(paces, func(i, j int) bool { return paces[i] < paces[j] })
 	median := paces[(len(paces)-1)/2]
 	for _, e := range engines {
-		e.degree = 1
+		e.degree, e.slowness = 1, 1
 		if e.pace > time.Duration(slowFactor*float64(median)) {
-			e.degree = slowFactor * float64(median) / float64(e.pace)
+			e.slowness = float64(e.pace) / float64(median)
+			e.degree = slowFactor / e.slowness
 		}
 	}
 }
--- a/internal/broker/pool.go
+++ b/internal/broker/pool.go
@@ -169,7 +169,7 @@
 
 // newEngine returns an engine with what the nodes hold on it already.
 func (p *Pool) newEngine(name string) *Engine {
-	e := &Engine{degree: 1}
+	e := &Engine{degree: 1, slowness: 1}
 	for _, h := range p.holds {
 		if h.Engine == name {
 			e.inFlight++
--- a/lab/replay/replay.go
+++ b/lab/replay/replay.go
@@ -44,6 +44,7 @@
 		Waited  time.Duration // Waited is from arrival to place or refusal.
 		Retry   time.Duration // Retry is when a refused caller was told to come back.
 		First   time.Duration // First is from arrival to the first token.
+		Total   time.Duration // Total is from arrival to the last token.
 	}
 
 	// player is the state of one replay.
@@ -146,6 +147,7 @@
 		p.running[g.Engine]++
 		step := p.step(g.Engine)
 		o.First = waited + step
+		o.Total = waited + time.Duration(w.arrival.Tokens)*step
 		begun := p.now
 		p.plan(p.now.Add(time.Duration(w.arrival.Tokens)*step), func() { p.finish(w.arrival, g.Engine, begun, step) })
 	}
@@ -200,7 +202,7 @@
 func Print(w io.Writer, out []Outcome) {
 	type sums struct {
 		requests, onTime, refused, tokens int
-		longest                           time.Duration
+		longest, slowest                  time.Duration
 	}
 	classes := map[string]*sums{}
 	total := 0
@@ -217,7 +219,7 @@
 		}
 		s.tokens += o.Tokens
 		total += o.Tokens
-		s.longest = max(s.longest, o.Waited)
+		s.longest, s.slowest = max(s.longest, o.Waited), max(s.slowest, o.Total)
 		if float64(o.First.Milliseconds()) <= o.Class.TargetFirstMs {
 			s.onTime++
 		}
@@ -228,10 +230,10 @@
 	}
 	sort.Strings(names)
 	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
-	fmt.Fprintln(t, "CLASS\tREQUESTS\tATTAINMENT\tREFUSED\tSHARE OF TOKENS\tLONGEST WAIT SERVED")
+	fmt.Fprintln(t, "CLASS\tREQUESTS\tATTAINMENT\tREFUSED\tSHARE OF TOKENS\tLONGEST WAIT SERVED\tLONGEST ANSWER")
 	for _, n := range names {
 		s := classes[n]
-		fmt.Fprintf(t, "%s\t%d\t%.3f\t%d\t%.3f\t%d ms\n", n, s.requests, float64(s.onTime)/float64(s.requests), s.refused, float64(s.tokens)/float64(total), s.longest.Milliseconds())
+		fmt.Fprintf(t, "%s\t%d\t%.3f\t%d\t%.3f\t%d ms\t%d ms\n", n, s.requests, float64(s.onTime)/float64(s.requests), s.refused, float64(s.tokens)/float64(total), s.longest.Milliseconds(), s.slowest.Milliseconds())
 	}
 	t.Flush()
 	fmt.Fprintf(w, "shed against the tiers: %d\n", Inversions(out))
