Bound each write to a caller, of plain answers too

Cause: a caller of a plain service who took nothing held its place for good; only streams had a deadline for each write. Ruled out: that a deadline outlasts its answer and cuts the next on the same connection (a test of that passes before and after). Change: one function sets the deadline before every write.

--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -78,8 +78,17 @@
 	return "invalid_request_error"
 }
 
+// extend gives the caller time for the next write, so that one who takes nothing
+// does not hold its place on an engine for good.
+func (f *Front) extend(w http.ResponseWriter) {
+	if err := http.NewResponseController(w).SetWriteDeadline(time.Now().Add(f.limits.WriteTimeout)); err != nil {
+		f.tele.Log.Debug("no write deadline", "error", err.Error())
+	}
+}
+
 // fail answers with an error.
 func (f *Front) fail(w http.ResponseWriter, id string, e *CallerError) {
+	f.extend(w)
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
 	h.Set(HeaderOutcome, e.outcome())
@@ -98,6 +107,7 @@
 
 // replay answers with an outcome that was recorded, here or at another node.
 func (f *Front) replay(w http.ResponseWriter, id string, o wire.Outcome) {
+	f.extend(w)
 	retry := time.Duration(o.RetryAfterMs) * time.Millisecond
 	switch {
 	case o.State == wire.OutcomeStateDone || (o.Status != 0 && len(o.Body) > 0):
--- a/internal/front/chat.go
+++ b/internal/front/chat.go
@@ -69,6 +69,7 @@
 
 // writeJSON answers with a document.
 func (f *Front) writeJSON(w http.ResponseWriter, doc any) {
+	f.extend(w)
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(doc); err != nil {
 		f.tele.Log.Debug("answer not delivered", "error", err.Error())
@@ -246,7 +247,7 @@
 		h.Set("Trailer", HeaderOutcome)
 		w.WriteHeader(http.StatusOK)
 	}
-	x.extend(out)
+	x.f.extend(w)
 	line := make([]byte, 0, len(data)+8)
 	line = append(line, "data: "...)
 	line = append(line, data...)
@@ -263,13 +264,6 @@
 	return nil
 }
 
-// extend gives the caller time for the next write.
-func (x *chat) extend(out *http.ResponseController) {
-	if err := out.SetWriteDeadline(time.Now().Add(x.f.limits.WriteTimeout)); err != nil {
-		x.f.tele.Log.Debug("no write deadline", "error", err.Error())
-	}
-}
-
 // complete ends a whole answer.
 func (x *chat) complete(w http.ResponseWriter, out *http.ResponseController) error {
 	if x.c.stream {
@@ -280,7 +274,6 @@
 		return nil
 	}
 	x.sent = true
-	x.extend(out)
 	w.Header().Set(HeaderOutcome, OutcomeCompleted)
 	x.f.writeJSON(w, x.document())
 	return nil
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -1,12 +1,14 @@
 package front_test
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -29,6 +31,9 @@
 const (
 	token   = "team-token"
 	maxBody = 4096
+
+	// writeTimeout is short, so that a test can outlast it.
+	writeTimeout = 300 * time.Millisecond
 )
 
 type (
@@ -166,7 +171,7 @@
 	f := front.New(views{view}, alone{}, alone{}, client, journal.New(), tele,
 		front.WithScheduler(config.PoolSchedulerDirect, r.sched),
 		front.WithClaims(keeper, claim.NewIssuer(time.Now(), "n1", 1, time.Minute), claim.NewRegistry(time.Minute)),
-		front.WithLimits(front.Limits{MaxBody: maxBody, WriteTimeout: 5 * time.Second, EntryKeep: time.Second}))
+		front.WithLimits(front.Limits{MaxBody: maxBody, WriteTimeout: writeTimeout, EntryKeep: time.Second}))
 	srv := httptest.NewServer(f)
 	t.Cleanup(srv.Close)
 	r.url = srv.URL
@@ -475,3 +480,28 @@
 		t.Errorf("request %v, answer %v", got, resp.Header)
 	}
 }
+
+// TestConnectionIsGoodForAnotherRequest holds that the deadline of the last
+// write of one answer does not cut the next answer on the same connection.
+func TestConnectionIsGoodForAnotherRequest(t *testing.T) {
+	r := newRig(t, answers("one"))
+	conn, err := net.Dial("tcp", strings.TrimPrefix(r.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	begun := time.Now()
+	for _, call := range []struct{ method, path, body string }{{"POST", "/v1/chat/completions", hello}, {"GET", "/v1/models", ""}, {"POST", "/services/bids/x", "b"}} {
+		fmt.Fprintf(conn, "%s %s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", call.method, call.path, token, len(call.body), call.body)
+		resp, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			t.Fatalf("%s %s after %v: %v", call.method, call.path, time.Since(begun), err)
+		}
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+			t.Errorf("%s %s: %v", call.method, call.path, err)
+		}
+		resp.Body.Close()
+		<-time.After(writeTimeout + 50*time.Millisecond)
+	}
+}
--- a/internal/front/service.go
+++ b/internal/front/service.go
@@ -85,6 +85,7 @@
 	for {
 		n, err := resp.Body.Read(buf)
 		if n > 0 {
+			x.f.extend(w)
 			if _, werr := w.Write(buf[:n]); werr != nil {
 				return fmt.Errorf("%w: %w", errCallerGone, werr)
 			}
@@ -105,6 +106,7 @@
 	if err != nil {
 		return fmt.Errorf("read answer: %w: %w", engine.ErrBroken, err)
 	}
+	x.f.extend(w)
 	x.copyHeader(w, resp)
 	if _, err := w.Write(body); err != nil {
 		return fmt.Errorf("%w: %w", errCallerGone, err)
