Use a ticket up when it is refused

Cause: reading the code: a sending of a ticket that came late by way of another node could run after the caller was told not_run and had taken a new ticket. Change: a refusal is the ticket's outcome. TestRefusedTicketIsUsedUp fails before (it ran on the second sending) and passes.

--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -463,6 +463,31 @@
 	}
 }
 
+// TestRefusedTicketIsUsedUp holds that a sending which comes late does not run a
+// ticket of which not_run was said.
+func TestRefusedTicketIsUsedUp(t *testing.T) {
+	runs := 0
+	r := newRig(t, func(w http.ResponseWriter, _ *http.Request) {
+		runs++
+		fmt.Fprint(w, "accepted")
+	})
+	_, body := r.send(t, "/v1/tickets", "")
+	var doc struct{ Ticket string }
+	if err := json.Unmarshal([]byte(body), &doc); err != nil {
+		t.Fatal(err)
+	}
+	r.sched.refusals = []*sched.Refusal{{Reason: "queue_full", RetryAfter: time.Second}}
+	for i := range 2 {
+		resp, body := r.send(t, "/services/bids/offers", "x", front.HeaderClass, "offer", front.HeaderKey, doc.Ticket)
+		if resp.Header.Get(front.HeaderOutcome) != front.OutcomeNotRun || code(t, body) != "queue_full" {
+			t.Errorf("sending %d: %s", i, body)
+		}
+	}
+	if runs != 0 {
+		t.Errorf("it ran %d times", runs)
+	}
+}
+
 // TestCallerGoneCancelsTheEngine holds that the engine is told when the caller
 // has gone in mid-stream.
 func TestCallerGoneCancelsTheEngine(t *testing.T) {
--- a/internal/front/once.go
+++ b/internal/front/once.go
@@ -117,7 +117,9 @@
 }
 
 // runTicket runs a call whose key is a ticket of this process. Nobody else can
-// run it, so that no write is needed.
+// run it, so that no write is needed. A ticket that was refused is used up: a
+// sending of it that comes late, by way of another node, must not run after the
+// caller was told not_run.
 func (f *Front) runTicket(ctx context.Context, rec *recorder, c *call, x exchange, run *claim.Run) ending {
 	if err := f.issuer.Check(time.Now(), c.key, c.team.Name); err != nil {
 		e := &CallerError{Status: http.StatusBadRequest, Code: "bad_ticket", Message: "the ticket is not valid for this team"}
@@ -128,11 +130,11 @@
 		return ending{state: journal.Refused, failure: e}
 	}
 	end := f.run(ctx, rec, c, x, nil)
+	outcome := rec.outcome(end)
 	if end.state == journal.Refused {
-		f.registry.Abandon(time.Now(), run, notRun(end.failure))
-		return end
+		outcome = notRun(end.failure)
 	}
-	f.registry.Finish(time.Now(), run, rec.outcome(end))
+	f.registry.Finish(time.Now(), run, outcome)
 	return end
 }
 
