Decide alone on a share of the slots, in the broker's order, while there is no broker

Change: each node has a queue of its own, in the broker's order, on a fixed share of each engine's slots; the shares add up to the slots. It is used as soon as the broker can't be connected to or is deaf (0.95 s), counts what brokers granted, and gives the wait back when a broker answers again. pulse calls sooner (every 250 ms, 700 ms to answer).

--- a/internal/broker/pool.go
+++ b/internal/broker/pool.go
@@ -298,6 +298,15 @@
 	p.dispatch(now)
 }
 
+// Adopt counts a place that a node got elsewhere.
+func (p *Pool) Adopt(now time.Time, node string, h wire.Hold) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.holds[h.Request] == nil {
+		p.take(&hold{Hold: h, node: node, since: now})
+	}
+}
+
 // NodeGone drops what a dead node held and waited for.
 func (p *Pool) NodeGone(now time.Time, node string) {
 	p.mu.Lock()
--- a/internal/broker/service.go
+++ b/internal/broker/service.go
@@ -104,10 +104,10 @@
 		}
 		p := s.pools[pool.Name]
 		if p == nil {
-			p = NewPool(now, pool.Name, s.team, names(s.members.Live()))
+			p = NewPool(now, pool.Name, s.team, Names(s.members.Live()))
 			s.pools[pool.Name] = p
 		}
-		p.Configure(now, Options{QueueLimit: pool.QueueLimit, ReserveMargin: pool.ReserveMargin}, classesOf(view), enginesOf(view, pool.Name))
+		p.Configure(now, Options{QueueLimit: pool.QueueLimit, ReserveMargin: pool.ReserveMargin}, ClassesOf(view), EnginesOf(view, pool.Name))
 		watched = append(watched, view.Engines(pool.Name)...)
 	}
 	for name := range s.pools {
@@ -263,8 +263,8 @@
 	return out
 }
 
-// names returns the names of members.
-func names(members []wire.Member) []string {
+// Names returns the names of members.
+func Names(members []wire.Member) []string {
 	out := make([]string, 0, len(members))
 	for _, m := range members {
 		out = append(out, m.Name)
@@ -272,8 +272,8 @@
 	return out
 }
 
-// classesOf returns the queue's view of the classes.
-func classesOf(view *config.View) []queue.Class {
+// ClassesOf returns the queue's view of the classes.
+func ClassesOf(view *config.View) []queue.Class {
 	out := make([]queue.Class, 0, len(view.Config.Classes))
 	for _, c := range view.Config.Classes {
 		out = append(out, queue.Class{
@@ -284,8 +284,8 @@
 	return out
 }
 
-// enginesOf returns the broker's view of a pool's engines.
-func enginesOf(view *config.View, pool string) []Engine {
+// EnginesOf returns the broker's view of a pool's engines.
+func EnginesOf(view *config.View, pool string) []Engine {
 	var out []Engine
 	for _, e := range view.Engines(pool) {
 		out = append(out, Engine{Name: e.Name, Slots: e.Slots, KVTokens: e.KvTokens, Draining: e.State == config.EngineStateDraining})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -47,6 +47,7 @@
 	journal  *journal.Journal
 	watcher  *engine.Watcher
 	direct   *sched.Direct
+	shared   *sched.Shared
 	brokers  *broker.Service
 	brokered *sched.Brokered
 	engines  *engine.Client
@@ -118,8 +119,9 @@
 	n.journal = journal.New()
 	n.watcher = engine.NewWatcher()
 	n.direct = sched.NewDirect(n.store, n.watcher, uint64(self.Incarnation))
+	n.shared = sched.NewShared(n.table, n.store)
 	n.brokers = broker.NewService(n.table, n.store, n, n.tele.Tracer)
-	n.brokered = sched.NewBrokered(n.table, n.brokers, n.client, n.store, n.direct, log)
+	n.brokered = sched.NewBrokered(n.table, n.brokers, n.client, n.store, n.shared, log)
 	n.engines = engine.NewClient(ms(s.EngineStallMs))
 	n.orders = order.New(n.store, n.platform, n.engines, n.brokers, s.Instance, log)
 	n.claims = claim.NewKeeper(n.platform, s.Instance, self.Incarnation, ms(s.ClaimGatherMs), claim.WithForwarder(n))
@@ -171,6 +173,7 @@
 	n.start(func() { n.watcher.Run(ctx) })
 	n.start(func() { n.brokers.Run(ctx) })
 	n.start(func() { n.brokered.Run(ctx) })
+	n.start(func() { n.shared.Run(ctx) })
 	n.start(func() { n.orders.Run(ctx) })
 	n.start(func() { n.sweeper.Run(ctx) })
 	n.start(func() { n.serve(n.callers, callers) })
--- a/internal/sched/brokered.go
+++ b/internal/sched/brokered.go
@@ -17,10 +17,13 @@
 	// retryPause is how long a node waits before it asks for a broker again.
 	retryPause = 50 * time.Millisecond
 
-	// fallbackAfter is how long a node asks for a broker in vain before it
-	// decides on its own.
+	// fallbackAfter is how long a node asks, while no node takes itself for the
+	// broker, before it decides on its own.
 	fallbackAfter = 3 * time.Second
 
+	// unreachableAfter is the same while the broker can't be connected to.
+	unreachableAfter = 150 * time.Millisecond
+
 	// reportEvery is how often a node tells brokers what it holds, so that a
 	// release that was lost is made good.
 	reportEvery = 10 * time.Second
@@ -38,6 +41,13 @@
 		Drop(address string)
 	}
 
+	// Fallback decides while no broker can be reached. It is told of the places
+	// that brokers granted.
+	Fallback interface {
+		Scheduler
+		Adopt(req Request, engine string)
+	}
+
 	// Brokered asks the pool's broker, wherever it is, for a place. While no
 	// broker can be reached it falls back to another scheduler.
 	Brokered struct {
@@ -45,13 +55,12 @@
 		local    *broker.Service
 		peers    Peers
 		views    Views
-		fallback Scheduler
+		fallback Fallback
 		pulse    *pulse
 		log      *slog.Logger
 
 		mu     sync.Mutex
 		holds  map[string]heldPlace
-		alone  map[string]bool   // alone are requests that the fallback placed.
 		told   map[string]string // told is the broker that a pool's holds were reported to.
 		closed sync.WaitGroup
 	}
@@ -64,10 +73,10 @@
 )
 
 // NewBrokered returns a scheduler that asks brokers.
-func NewBrokered(members broker.Members, local *broker.Service, peers Peers, views Views, fallback Scheduler, log *slog.Logger) *Brokered {
+func NewBrokered(members broker.Members, local *broker.Service, peers Peers, views Views, fallback Fallback, log *slog.Logger) *Brokered {
 	return &Brokered{
 		members: members, local: local, peers: peers, views: views, fallback: fallback, pulse: newPulse(peers), log: log,
-		holds: map[string]heldPlace{}, alone: map[string]bool{}, told: map[string]string{},
+		holds: map[string]heldPlace{}, told: map[string]string{},
 	}
 }
 
@@ -75,38 +84,60 @@
 // it moves. The time waited so far goes with the request.
 func (b *Brokered) Acquire(ctx context.Context, req Request) (Grant, error) {
 	var failing time.Time
-	for {
+	for ctx.Err() == nil {
 		changed := b.members.Changed()
 		owner, ok := b.members.Owner(broker.Key(req.Pool))
 		var grant *wire.Grant
-		err := errors.New("no broker")
+		err := errNoBroker
 		if ok {
 			grant, err = b.ask(ctx, owner, changed, req)
 		}
-		switch {
-		case ctx.Err() != nil:
-			return Grant{}, fmt.Errorf("wait for a place: %w", ctx.Err())
-		case err == nil && grant.Refusal == "":
-			return b.hold(req, grant)
-		case err == nil && grant.Refusal != broker.ReasonMoved && grant.Refusal != broker.ReasonDuplicate:
-			return Grant{}, &Refusal{Reason: grant.Refusal, RetryAfter: time.Duration(grant.RetryAfterMs) * time.Millisecond, Why: grant.Why}
+		if err == nil && !comesAgain(grant.Refusal) {
+			return b.taken(req, grant)
 		}
-		if errors.Is(err, errDeaf) {
-			return b.decideAlone(ctx, req)
+		now, patience := time.Now(), unreachableAfter
+		if err == nil {
+			patience = fallbackAfter
 		}
-		now := time.Now()
-		if failing.IsZero() || err == errMoved {
+		if failing.IsZero() || errors.Is(err, errMoved) {
 			failing = now
 		}
-		if now.Sub(failing) > fallbackAfter {
-			return b.decideAlone(ctx, req)
+		if !errors.Is(err, errDeaf) && now.Sub(failing) <= patience {
+			sleep(ctx, retryPause)
+			continue
+		}
+		if g, err := b.decideAlone(ctx, owner, changed, req); !errors.Is(err, errReturned) {
+			return g, err
 		}
-		sleep(ctx, retryPause)
+		failing = time.Time{}
 	}
+	return Grant{}, fmt.Errorf("wait for a place: %w", ctx.Err())
 }
 
-// errMoved says that the broker of a pool changed while a request waited there.
-var errMoved = errors.New("sched: the broker moved")
+// comesAgain reports whether a refusal means that the request is to ask again.
+func comesAgain(refusal string) bool {
+	return refusal == broker.ReasonMoved || refusal == broker.ReasonDuplicate
+}
+
+// taken turns a broker's answer into a grant or a refusal.
+func (b *Brokered) taken(req Request, grant *wire.Grant) (Grant, error) {
+	if grant.Refusal != "" {
+		return Grant{}, &Refusal{Reason: grant.Refusal, RetryAfter: time.Duration(grant.RetryAfterMs) * time.Millisecond, Why: grant.Why}
+	}
+	b.fallback.Adopt(req, grant.Engine)
+	return b.hold(req, grant)
+}
+
+var (
+	// errMoved says that the broker of a pool changed while a request waited there.
+	errMoved = errors.New("sched: the broker moved")
+
+	// errNoBroker says that no member can be the broker.
+	errNoBroker = errors.New("sched: no broker")
+
+	// errReturned says that a broker may be reached again.
+	errReturned = errors.New("sched: a broker may be reached again")
+)
 
 // ask asks one broker. It gives up when the broker of the pool changes, or does
 // not answer any more.
@@ -206,14 +237,8 @@
 
 // hold notes a place that was granted.
 func (b *Brokered) hold(req Request, grant *wire.Grant) (Grant, error) {
-	view := b.views.View()
-	e := view.Engine(grant.Engine)
-	b.mu.Lock()
-	b.holds[req.ID] = heldPlace{
-		Hold: wire.Hold{Request: req.ID, Engine: grant.Engine, Class: req.Class, Team: req.Team, Tokens: req.PromptTokens},
-		pool: req.Pool,
-	}
-	b.mu.Unlock()
+	e := b.views.View().Engine(grant.Engine)
+	b.note(req, grant.Engine)
 	if e == nil {
 		b.release(req, grant.Engine, Result{Status: broker.StatusCancelled})
 		return Grant{}, &Refusal{Reason: ReasonNoEngine, RetryAfter: noEngineWait, Why: "engine " + grant.Engine + " is not in the configuration here"}
@@ -221,29 +246,59 @@
 	return Grant{Engine: e, Why: grant.Why}, nil
 }
 
-// decideAlone uses the fallback.
-func (b *Brokered) decideAlone(ctx context.Context, req Request) (Grant, error) {
-	g, err := b.fallback.Acquire(ctx, req)
+// note remembers a place, for reports to brokers.
+func (b *Brokered) note(req Request, engine string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.holds[req.ID] = heldPlace{
+		Hold: wire.Hold{Request: req.ID, Engine: engine, Class: req.Class, Team: req.Team, Tokens: req.PromptTokens},
+		pool: req.Pool,
+	}
+}
+
+// decideAlone uses the fallback until it gives a place or a broker may be reached
+// again. The next broker is told of the place like of any other.
+func (b *Brokered) decideAlone(ctx context.Context, owner wire.Member, changed <-chan struct{}, req Request) (Grant, error) {
+	b.pulse.lose(owner)
+	alone, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	go b.awaitBroker(alone, cancel, owner, changed)
+	g, err := b.fallback.Acquire(alone, req)
+	if err != nil && context.Cause(alone) == errReturned {
+		return Grant{}, errReturned
+	}
 	if err != nil {
 		return Grant{}, fmt.Errorf("decide without a broker: %w", err)
 	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.alone[req.ID] = true
+	b.note(req, g.Engine.Name)
 	g.Why = "no broker reached; " + g.Why
 	return g, nil
 }
 
+// awaitBroker ends a wait at the fallback when the members change or the broker
+// answers again.
+func (b *Brokered) awaitBroker(ctx context.Context, cancel context.CancelCauseFunc, owner wire.Member, changed <-chan struct{}) {
+	tick := time.NewTicker(pulseEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+			cancel(errReturned)
+			return
+		case <-tick.C:
+			if !b.pulse.lost(owner) {
+				cancel(errReturned)
+				return
+			}
+		}
+	}
+}
+
 // Release gives a place back to whoever is the broker now.
 func (b *Brokered) Release(req Request, g Grant, res Result) {
-	b.mu.Lock()
-	alone := b.alone[req.ID]
-	delete(b.alone, req.ID)
-	b.mu.Unlock()
-	if alone {
-		b.fallback.Release(req, g, res)
-		return
-	}
+	b.fallback.Release(req, g, res)
 	b.release(req, g.Engine.Name, res)
 }
 
@@ -256,11 +311,16 @@
 	if !ok {
 		return
 	}
-	params := &wire.Release{
+	params := release(req, engine, res)
+	b.notice(owner, broker.MethodRelease, &params, func(ctx context.Context) { b.local.Release(ctx, &params) })
+}
+
+// release returns the message that gives a place back.
+func release(req Request, engine string, res Result) wire.Release {
+	return wire.Release{
 		Pool: req.Pool, Request: req.ID, Engine: engine, Status: res.Status, OutputTokens: res.OutputTokens,
 		DurationMs: int(res.Duration.Milliseconds()), FirstTokenMs: int(res.FirstToken.Milliseconds()),
 	}
-	b.notice(owner, broker.MethodRelease, params, func(ctx context.Context) { b.local.Release(ctx, params) })
 }
 
 // Run tells each new broker what this node holds, and every broker now and
--- a/internal/sched/pulse.go
+++ b/internal/sched/pulse.go
@@ -13,10 +13,14 @@
 
 const (
 	// pulseEvery is how often a broker at which requests wait is called.
-	pulseEvery = 500 * time.Millisecond
+	pulseEvery = 250 * time.Millisecond
+
+	// forgetAfter is how long a deaf broker at which nothing waits is called: by
+	// then the membership knows that it is dead, or that it is another process.
+	forgetAfter = 30 * time.Second
 
 	// pulseTimeout is how long it has to answer.
-	pulseTimeout = time.Second
+	pulseTimeout = 700 * time.Millisecond
 )
 
 // errDeaf says that a broker takes calls and does not answer, as over a
@@ -37,6 +41,7 @@
 		owner  wire.Member
 		asking int
 		deaf   bool
+		lostAt time.Time     // lostAt is when it turned deaf.
 		broken chan struct{} // broken is closed when the process turns deaf.
 	}
 )
@@ -69,6 +74,31 @@
 	p.lines[processID(owner)].asking--
 }
 
+// lose notes that a broker could not be reached, so that it is called until it
+// answers.
+func (p *pulse) lose(owner wire.Member) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	id := processID(owner)
+	l := p.lines[id]
+	if l == nil {
+		l = &line{owner: owner, broken: make(chan struct{})}
+		p.lines[id] = l
+	}
+	if !l.deaf {
+		l.deaf, l.lostAt = true, time.Now()
+		close(l.broken)
+	}
+}
+
+// lost reports whether a broker was lost and has not answered since.
+func (p *pulse) lost(owner wire.Member) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := p.lines[processID(owner)]
+	return l != nil && l.deaf
+}
+
 // processID names one incarnation of a node.
 func processID(m wire.Member) string { return fmt.Sprint(m.Name, "/", m.Incarnation) }
 
@@ -84,7 +114,7 @@
 			return
 		case <-tick.C:
 		}
-		for _, l := range p.watched() {
+		for _, l := range p.watched(time.Now()) {
 			wg.Add(1)
 			go func() {
 				defer wg.Done()
@@ -95,12 +125,12 @@
 }
 
 // watched returns the lines to call: those in use, and those that are deaf.
-func (p *pulse) watched() []*line {
+func (p *pulse) watched(now time.Time) []*line {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var out []*line
 	for id, l := range p.lines {
-		if l.asking > 0 || l.deaf {
+		if l.asking > 0 || (l.deaf && now.Sub(l.lostAt) < forgetAfter) {
 			out = append(out, l)
 			continue
 		}
@@ -125,7 +155,7 @@
 		l.deaf, l.broken = false, make(chan struct{})
 	}
 	if turned && !answers {
-		l.deaf = true
+		l.deaf, l.lostAt = true, time.Now()
 		close(l.broken)
 	}
 	p.mu.Unlock()
