--- a/internal/broker/service.go
+++ b/internal/broker/service.go
@@ -245,15 +245,6 @@
 // Pulse answers, to show that calls get through both ways.
 func (s *Service) Pulse(context.Context, *struct{}) (any, error) { return struct{}{}, nil }
 
-// Waiting returns all that wait at this broker.
-func (s *Service) Waiting(now time.Time) []wire.Row {
-	var out []wire.Row
-	for _, p := range s.all() {
-		out = append(out, p.Waiting(now)...)
-	}
-	return out
-}
-
 // Engines returns the engines of this broker's pools.
 func (s *Service) Engines() []wire.Row {
 	var out []wire.Row
--- a/internal/config/edit.go
+++ b/internal/config/edit.go
@@ -14,11 +14,6 @@
 	Value json.RawMessage
 }
 
-// Kinds returns the kinds of parts that a configuration has.
-func Kinds() []wire.EntityKind {
-	return []wire.EntityKind{wire.EntityKindClass, wire.EntityKindTeam, wire.EntityKindPool, wire.EntityKindEngine, wire.EntityKindOperator}
-}
-
 // SetFields returns the edit that sets fields of one part, which is made if it
 // does not exist.
 func SetFields(kind wire.EntityKind, name string, fields []Field) Edit {
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -112,15 +112,6 @@
 // Len returns how many requests wait.
 func (q *Queue) Len() int { return q.waiting }
 
-// LenClass returns how many requests of a class wait.
-func (q *Queue) LenClass(name string) int {
-	c := q.byName[name]
-	if c == nil {
-		return 0
-	}
-	return c.arrivals.Len()
-}
-
 // Ahead returns how many requests wait in the same tier or a higher one.
 func (q *Queue) Ahead(tier int) int {
 	n := 0
--- a/internal/sched/brokered.go
+++ b/internal/sched/brokered.go
@@ -32,6 +32,17 @@
 	noticeTimeout = time.Second
 )
 
+var (
+	// errMoved says that the broker of a pool changed while a request waited there.
+	errMoved = errors.New("sched: the broker moved")
+
+	// errNoBroker says that no member can be the broker.
+	errNoBroker = errors.New("sched: no broker")
+
+	// errReturned says that a broker may be reached again.
+	errReturned = errors.New("sched: a broker may be reached again")
+)
+
 type (
 	// Peers calls other nodes.
 	Peers interface {
@@ -128,17 +139,6 @@
 	return b.hold(req, grant)
 }
 
-var (
-	// errMoved says that the broker of a pool changed while a request waited there.
-	errMoved = errors.New("sched: the broker moved")
-
-	// errNoBroker says that no member can be the broker.
-	errNoBroker = errors.New("sched: no broker")
-
-	// errReturned says that a broker may be reached again.
-	errReturned = errors.New("sched: a broker may be reached again")
-)
-
 // ask asks one broker. It gives up when the broker of the pool changes, or does
 // not answer any more.
 func (b *Brokered) ask(ctx context.Context, owner wire.Member, changed <-chan struct{}, req Request) (*wire.Grant, error) {
@@ -256,46 +256,6 @@
 	}
 }
 
-// decideAlone uses the fallback until it gives a place or a broker may be reached
-// again. The next broker is told of the place like of any other.
-func (b *Brokered) decideAlone(ctx context.Context, owner wire.Member, changed <-chan struct{}, req Request) (Grant, error) {
-	b.pulse.lose(owner)
-	alone, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	go b.awaitBroker(alone, cancel, owner, changed)
-	g, err := b.fallback.Acquire(alone, req)
-	if err != nil && context.Cause(alone) == errReturned {
-		return Grant{}, errReturned
-	}
-	if err != nil {
-		return Grant{}, fmt.Errorf("decide without a broker: %w", err)
-	}
-	b.note(req, g.Engine.Name)
-	g.Why = "no broker reached; " + g.Why
-	return g, nil
-}
-
-// awaitBroker ends a wait at the fallback when the members change or the broker
-// answers again.
-func (b *Brokered) awaitBroker(ctx context.Context, cancel context.CancelCauseFunc, owner wire.Member, changed <-chan struct{}) {
-	tick := time.NewTicker(pulseEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-changed:
-			cancel(errReturned)
-			return
-		case <-tick.C:
-			if !b.pulse.lost(owner) {
-				cancel(errReturned)
-				return
-			}
-		}
-	}
-}
-
 // Release gives a place back to whoever is the broker now.
 func (b *Brokered) Release(req Request, g Grant, res Result) {
 	b.fallback.Release(req, g, res)
@@ -323,90 +283,6 @@
 	}
 }
 
-// Run tells each new broker what this node holds, and every broker now and
-// then, until the context ends.
-func (b *Brokered) Run(ctx context.Context) {
-	defer b.closed.Wait()
-	b.closed.Add(1)
-	go func() {
-		defer b.closed.Done()
-		b.pulse.run(ctx)
-	}()
-	tick := time.NewTicker(reportEvery)
-	defer tick.Stop()
-	for {
-		changed := b.members.Changed()
-		b.report(ctx, false)
-		select {
-		case <-ctx.Done():
-			return
-		case <-changed:
-		case <-tick.C:
-			b.report(ctx, true)
-		case <-time.After(retryPause * 4):
-		}
-	}
-}
-
-// report tells brokers what this node holds. Those that know already are told
-// again only if all is set.
-func (b *Brokered) report(ctx context.Context, all bool) {
-	view := b.views.View()
-	if view == nil {
-		return
-	}
-	for i := range view.Config.Pools {
-		pool := view.Config.Pools[i].Name
-		owner, ok := b.members.Owner(broker.Key(pool))
-		if !ok {
-			continue
-		}
-		id := processID(owner)
-		b.mu.Lock()
-		known := b.told[pool] == id
-		r := &wire.Report{Node: b.members.Self().Name, Pool: pool, Holds: b.holdsOf(pool)}
-		b.mu.Unlock()
-		if known && !all {
-			continue
-		}
-		b.closed.Add(1)
-		go func() {
-			defer b.closed.Done()
-			if b.tell(ctx, owner, r) {
-				b.mu.Lock()
-				b.told[pool] = id
-				b.mu.Unlock()
-			}
-		}()
-	}
-}
-
-// tell sends a report and returns whether the broker took it.
-func (b *Brokered) tell(ctx context.Context, owner wire.Member, r *wire.Report) bool {
-	ctx, cancel := context.WithTimeout(ctx, noticeTimeout)
-	defer cancel()
-	if owner.Name == b.members.Self().Name {
-		taken, _ := b.local.Report(ctx, r)
-		return taken == true
-	}
-	taken := false
-	if err := b.peers.Call(ctx, owner.PeerAddress, broker.MethodReport, r, &taken); err != nil {
-		b.log.Debug("report not taken", "peer", owner.Name, "error", err.Error())
-	}
-	return taken
-}
-
-// holdsOf returns what this node holds in a pool; the caller holds the lock.
-func (b *Brokered) holdsOf(pool string) []wire.Hold {
-	var out []wire.Hold
-	for _, h := range b.holds {
-		if h.pool == pool {
-			out = append(out, h.Hold)
-		}
-	}
-	return out
-}
-
 // sleep waits, or returns early when the context ends.
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
--- /dev/null
+++ b/internal/sched/report.go
@@ -0,0 +1,93 @@
+package sched
+
+import (
+	"context"
+	"time"
+
+	"github.com/croftturn/croftturn/internal/broker"
+	"github.com/croftturn/croftturn/internal/wire"
+)
+
+// Run tells each new broker what this node holds, and every broker now and
+// then, until the context ends.
+func (b *Brokered) Run(ctx context.Context) {
+	defer b.closed.Wait()
+	b.closed.Add(1)
+	go func() {
+		defer b.closed.Done()
+		b.pulse.run(ctx)
+	}()
+	tick := time.NewTicker(reportEvery)
+	defer tick.Stop()
+	for {
+		changed := b.members.Changed()
+		b.report(ctx, false)
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		case <-tick.C:
+			b.report(ctx, true)
+		case <-time.After(retryPause * 4):
+		}
+	}
+}
+
+// report tells brokers what this node holds. Those that know already are told
+// again only if all is set.
+func (b *Brokered) report(ctx context.Context, all bool) {
+	view := b.views.View()
+	if view == nil {
+		return
+	}
+	for i := range view.Config.Pools {
+		pool := view.Config.Pools[i].Name
+		owner, ok := b.members.Owner(broker.Key(pool))
+		if !ok {
+			continue
+		}
+		id := processID(owner)
+		b.mu.Lock()
+		known := b.told[pool] == id
+		r := &wire.Report{Node: b.members.Self().Name, Pool: pool, Holds: b.holdsOf(pool)}
+		b.mu.Unlock()
+		if known && !all {
+			continue
+		}
+		b.closed.Add(1)
+		go func() {
+			defer b.closed.Done()
+			if b.tell(ctx, owner, r) {
+				b.mu.Lock()
+				b.told[pool] = id
+				b.mu.Unlock()
+			}
+		}()
+	}
+}
+
+// tell sends a report and returns whether the broker took it.
+func (b *Brokered) tell(ctx context.Context, owner wire.Member, r *wire.Report) bool {
+	ctx, cancel := context.WithTimeout(ctx, noticeTimeout)
+	defer cancel()
+	if owner.Name == b.members.Self().Name {
+		taken, _ := b.local.Report(ctx, r)
+		return taken == true
+	}
+	taken := false
+	if err := b.peers.Call(ctx, owner.PeerAddress, broker.MethodReport, r, &taken); err != nil {
+		b.log.Debug("report not taken", "peer", owner.Name, "error", err.Error())
+	}
+	return taken
+}
+
+// holdsOf returns what this node holds in a pool; the caller holds the lock.
+func (b *Brokered) holdsOf(pool string) []wire.Hold {
+	var out []wire.Hold
+	for _, h := range b.holds {
+		if h.pool == pool {
+			out = append(out, h.Hold)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/lab/cluster/process.go
@@ -0,0 +1,133 @@
+package cluster
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+)
+
+// Build builds the programs once for this process and returns their folder.
+func Build() (string, error) {
+	buildOnce.Do(func() {
+		if buildDir = os.Getenv("CROFTTURN_BIN"); buildDir != "" {
+			return
+		}
+		if buildDir, buildErr = os.MkdirTemp("", "croftturn-bin"); buildErr != nil {
+			return
+		}
+		cmd := exec.Command("go", "build", "-o", buildDir+"/", "github.com/croftturn/croftturn/cmd/...", "github.com/croftturn/croftturn/lab")
+		if out, err := cmd.CombinedOutput(); err != nil {
+			buildErr = fmt.Errorf("build: %w: %s", err, out)
+		}
+	})
+	return buildDir, buildErr
+}
+
+// launch starts a program and collects its exit.
+func (c *Cluster) launch(name, program string, args ...string) (*Process, error) {
+	dir, err := Build()
+	if err != nil {
+		return nil, err
+	}
+	out, err := os.OpenFile(c.path(name+".out"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return nil, fmt.Errorf("open output: %w", err)
+	}
+	defer out.Close()
+	cmd := exec.Command(filepath.Join(dir, program), args...)
+	cmd.Stdout, cmd.Stderr = out, out
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	p := &Process{Name: name, cmd: cmd, done: make(chan struct{})}
+	if err := cmd.Start(); err != nil {
+		return nil, fmt.Errorf("start %s: %w", name, err)
+	}
+	go func() {
+		p.err = cmd.Wait()
+		close(p.done)
+	}()
+	return p, nil
+}
+
+// freeAddress returns a loopback address whose port was free just now.
+func freeAddress() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", fmt.Errorf("find a free port: %w", err)
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// waitListening waits until something listens at an address.
+func waitListening(address string) error {
+	for end := time.Now().Add(readyTimeout); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		conn, err := net.DialTimeout("tcp", address, time.Second)
+		if err == nil {
+			conn.Close()
+			return nil
+		}
+	}
+	return fmt.Errorf("nothing listens at %s", address)
+}
+
+// Wait waits for an event that a condition tells of; it fails after a while.
+func Wait(what string, within time.Duration, condition func() bool) error {
+	for end := time.Now().Add(within); ; time.Sleep(10 * time.Millisecond) {
+		if condition() {
+			return nil
+		}
+		if time.Now().After(end) {
+			return fmt.Errorf("not within %v: %s", within, what)
+		}
+	}
+}
+
+// Signal sends a signal to a process.
+func (p *Process) Signal(sig syscall.Signal) error {
+	if err := p.cmd.Process.Signal(sig); err != nil {
+		return fmt.Errorf("signal %s: %w", p.Name, err)
+	}
+	switch sig {
+	case syscall.SIGSTOP:
+		p.frozen.Store(true)
+	case syscall.SIGCONT:
+		p.frozen.Store(false)
+	}
+	return nil
+}
+
+// Frozen reports whether a process was stopped and not yet continued.
+func (p *Process) Frozen() bool { return p.frozen.Load() }
+
+// Kill ends a process at once and waits for it.
+func (p *Process) Kill() {
+	p.cmd.Process.Kill()
+	<-p.done
+}
+
+// Stop asks a process to stop and returns how it exited.
+func (p *Process) Stop(within time.Duration) error {
+	if err := p.Signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	select {
+	case <-p.done:
+		return p.err
+	case <-time.After(within):
+		return fmt.Errorf("%s did not stop within %v", p.Name, within)
+	}
+}
+
+// Exited reports whether a process has ended.
+func (p *Process) Exited() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
--- a/lab/slopes/slopes.go
+++ b/lab/slopes/slopes.go
@@ -123,19 +123,6 @@
 
 // plan lists the series.
 func (o Options) plan() []plan {
-	perNode := func(f func(u Usage) float64) func(u Usage) float64 {
-		return func(u Usage) float64 { return f(u) / float64(u.Nodes) / u.Seconds }
-	}
-	perSecond := func(f func(u Usage) float64) func(u Usage) float64 {
-		return func(u Usage) float64 { return f(u) / u.Seconds }
-	}
-	bytes := func(u Usage) float64 { return u.BytesOut + u.BytesIn }
-	cpu := func(u Usage) float64 { return u.CPUMicros }
-	reads := func(u Usage) float64 { return u.Reads }
-	writes := func(u Usage) float64 { return u.Writes }
-	heap := func(u Usage) float64 { return u.HeapLive }
-	total := func(u Usage) float64 { return u.CPUMicros }
-
 	var atBroker, members, requests, tokens, teams, engines, changes, keys, waiting []setup
 	for _, n := range o.Members {
 		c := small()
@@ -173,20 +160,36 @@
 		c.Slots, c.Queue = 4, 4
 		waiting = append(waiting, setup{x: float64(n), cluster: c, work: wait(n)})
 	}
+	return series(members, requests, atBroker, tokens, teams, engines, changes, keys, waiting)
+}
+
+// series puts the points of each thing varied together with what is fitted.
+func series(members, requests, atBroker, tokens, teams, engines, changes, keys, waiting []setup) []plan {
+	perNode := func(f func(u Usage) float64) func(u Usage) float64 {
+		return func(u Usage) float64 { return f(u) / float64(u.Nodes) / u.Seconds }
+	}
+	perSecond := func(f func(u Usage) float64) func(u Usage) float64 {
+		return func(u Usage) float64 { return f(u) / u.Seconds }
+	}
+	bytes := func(u Usage) float64 { return u.BytesOut + u.BytesIn }
+	cpu := func(u Usage) float64 { return u.CPUMicros }
+	reads := func(u Usage) float64 { return u.Reads }
+	writes := func(u Usage) float64 { return u.Writes }
+	heap := func(u Usage) float64 { return u.HeapLive }
 	return []plan{
 		{"members", members, []measure{
 			{"control bytes a node", "B/s", perNode(bytes)}, {"CPU a node", "us/s", perNode(cpu)}, {"platform reads a node", "1/s", perNode(reads)}, {"live heap", "B", heap}}},
 		{"requests a second", requests, []measure{
-			{"control bytes, all nodes", "B/s", perSecond(bytes)}, {"CPU, all nodes", "us/s", perSecond(total)}}},
+			{"control bytes, all nodes", "B/s", perSecond(bytes)}, {"CPU, all nodes", "us/s", perSecond(cpu)}}},
 		{"requests a second at the broker", atBroker, []measure{
-			{"control bytes of the broker", "B/s", perSecond(bytes)}, {"CPU of the broker", "us/s", perSecond(total)}}},
-		{"tokens a second", tokens, []measure{{"CPU, all nodes", "us/s", perSecond(total)}}},
+			{"control bytes of the broker", "B/s", perSecond(bytes)}, {"CPU of the broker", "us/s", perSecond(cpu)}}},
+		{"tokens a second", tokens, []measure{{"CPU, all nodes", "us/s", perSecond(cpu)}}},
 		{"teams", teams, []measure{{"live heap", "B", heap}, {"CPU a node", "us/s", perNode(cpu)}}},
-		{"engines", engines, []measure{{"live heap", "B", heap}, {"CPU, all nodes", "us/s", perSecond(total)}}},
+		{"engines", engines, []measure{{"live heap", "B", heap}, {"CPU, all nodes", "us/s", perSecond(cpu)}}},
 		{"changes a second", changes, []measure{
 			{"control bytes a node", "B/s", perNode(bytes)}, {"CPU a node", "us/s", perNode(cpu)}, {"platform writes", "1/s", perSecond(writes)}, {"platform reads", "1/s", perSecond(reads)}}},
 		{"keyed requests a second", keys, []measure{
-			{"platform writes", "1/s", perSecond(writes)}, {"platform reads", "1/s", perSecond(reads)}, {"CPU, all nodes", "us/s", perSecond(total)}, {"live heap", "B", heap}}},
+			{"platform writes", "1/s", perSecond(writes)}, {"platform reads", "1/s", perSecond(reads)}, {"CPU, all nodes", "us/s", perSecond(cpu)}, {"live heap", "B", heap}}},
 		{"waiting requests", waiting, []measure{{"live heap", "B", heap}}},
 	}
 }
