Leave shedding to the broker while nodes decide alone

Change: alone, a node refuses by the classes' longest wait; its queue's size only bounds memory (50 times the pool's limit).

--- a/internal/sched/shared.go
+++ b/internal/sched/shared.go
@@ -12,8 +12,16 @@
 	"github.com/croftturn/croftturn/internal/wire"
 )
 
-// sharedSweepEvery is how often waiting requests are looked over.
-const sharedSweepEvery = 20 * time.Millisecond
+const (
+	// sharedSweepEvery is how often waiting requests are looked over.
+	sharedSweepEvery = 20 * time.Millisecond
+
+	// sharedQueueFactor is how many times a pool's queue limit may wait at a node
+	// alone. A node can't know what waits at the others, so that shedding here
+	// could be for a lower tier there: it is left to the classes' longest wait,
+	// and this only bounds memory.
+	sharedQueueFactor = 50
+)
 
 // Shared decides at each node alone, on a fixed share of each engine's slots: the
 // shares of all live nodes add up to the slots. It orders what waits like a
@@ -72,7 +80,7 @@
 			engines = append(engines, e)
 		}
 	}
-	p.Configure(now, broker.Options{QueueLimit: pool.QueueLimit}, broker.ClassesOf(view), engines)
+	p.Configure(now, broker.Options{QueueLimit: sharedQueueFactor * pool.QueueLimit}, broker.ClassesOf(view), engines)
 }
 
 // team looks up a team's weight; its limits are the broker's to count.
