Hold tokens back in a stalled stand-in instead of leaving them out

The stand-in engine, told to stall after 10 tokens, generated on and dropped what it did not send; when the fault was taken back before the node's 0.5 s of patience it ended the stream as whole. Ruled out: the router's resuming (each hole began at the stall's tenth token). Change: a stalled stand-in waits.

--- a/lab/engine/engine.go
+++ b/lab/engine/engine.go
@@ -265,7 +265,7 @@
 				w.Header().Set("Content-Type", "text/event-stream")
 				first = false
 			}
-			if !e.writeToken(w, record.Word(mark, i), sent) {
+			if !e.stall(r.Context(), sent) || !e.writeToken(w, record.Word(mark, i), sent) {
 				line.Event, line.Tokens, line.AtMs = "cancel", sent, record.NowMs()
 				e.log.Write(line)
 				panic(http.ErrAbortHandler)
@@ -316,6 +316,25 @@
 	return n
 }
 
+// stall holds a token back for as long as the faults say, and reports whether the
+// caller is still there. No token is left out: a stream that goes on has no hole.
+func (e *Engine) stall(ctx context.Context, sent int) bool {
+	const look = 5 * time.Millisecond
+	for {
+		e.mu.Lock()
+		stalled := e.faults.StallAfter > 0 && sent >= e.faults.StallAfter
+		e.mu.Unlock()
+		if !stalled {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(look):
+		}
+	}
+}
+
 // writeToken sends one event, or fails as the faults say.
 func (e *Engine) writeToken(w http.ResponseWriter, word string, sent int) bool {
 	e.mu.Lock()
@@ -326,8 +345,6 @@
 		return false
 	case f.Malformed > 0 && sent >= f.Malformed:
 		fmt.Fprint(w, "data: {\"choices\": [\n\n")
-	case f.StallAfter > 0 && sent >= f.StallAfter:
-		return true
 	default:
 		fmt.Fprintf(w, "data: {\"id\":\"c\",\"object\":\"chat.completion.chunk\",\"choices\":[{\"index\":0,\"delta\":{\"content\":%q}}]}\n\n", word)
 	}
