Give test processes ports that outgoing connections can't take

Cause: with five runs of the proofs side by side, three tests failed with 'nothing listens': a port was chosen by binding to port 0 and freeing it, and an outgoing connection of another process took it before the program bound it. Change: ports come from below the range of outgoing connections, from a place of its own for each test process.

--- a/lab/cluster/process.go
+++ b/lab/cluster/process.go
@@ -6,10 +6,24 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
 
+// Ports are given out below those that the system gives to outgoing connections,
+// so that none is taken between its choice and its use. Test processes that run
+// side by side begin at different places.
+const (
+	firstPort    = 10000
+	portsEach    = 400
+	portBlocks   = 50
+	portAttempts = 2000
+)
+
+// lastPort is the port that was given out last.
+var lastPort atomic.Int64
+
 // Build builds the programs once for this process and returns their folder.
 func Build() (string, error) {
 	buildOnce.Do(func() {
@@ -52,14 +66,23 @@
 	return p, nil
 }
 
-// freeAddress returns a loopback address whose port was free just now.
+// freeAddress returns a loopback address whose port is free.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", fmt.Errorf("find a free port: %w", err)
+	block := int64(os.Getpid()%portBlocks) * portsEach
+	for range portAttempts {
+		n := lastPort.Add(1)
+		port := firstPort + (block+n)%(portsEach*portBlocks)
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		if err := l.Close(); err != nil {
+			return "", fmt.Errorf("free a port: %w", err)
+		}
+		return address, nil
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", fmt.Errorf("no free port after %d tries", portAttempts)
 }
 
 // waitListening waits until something listens at an address.
