--- a/internal/front/chat.go
+++ b/internal/front/chat.go
@@ -32,15 +32,7 @@
 
 // handleChat serves a chat completion.
 func (f *Front) handleChat(w http.ResponseWriter, r *http.Request) {
-	c, failure := f.readChat(w, r)
-	if failure != nil {
-		f.fail(w, "", failure)
-		return
-	}
-	if f.forwarded(w, r, c) {
-		return
-	}
-	f.serve(r.Context(), w, c, &chat{f: f, c: c})
+	f.handle(w, r, f.readChat, func(c *call) exchange { return &chat{f: f, c: c} })
 }
 
 // handleModels lists the models, in the published shape.
--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -58,6 +58,20 @@
 // errCallerGone says that the caller can't be written to any more.
 var errCallerGone = errors.New("front: the caller has gone")
 
+// handle reads a call and serves it, here or at the process that issued its
+// ticket.
+func (f *Front) handle(w http.ResponseWriter, r *http.Request, read func(http.ResponseWriter, *http.Request) (*call, *CallerError), with func(c *call) exchange) {
+	c, failure := read(w, r)
+	if failure != nil {
+		f.fail(w, "", failure)
+		return
+	}
+	if f.forwarded(w, r, c) {
+		return
+	}
+	f.serve(r.Context(), w, c, with(c))
+}
+
 // serve runs a call from its journal entry to its last byte.
 func (f *Front) serve(ctx context.Context, w http.ResponseWriter, c *call, x exchange) {
 	span := trace.SpanFromContext(ctx)
--- a/internal/front/service.go
+++ b/internal/front/service.go
@@ -33,15 +33,7 @@
 
 // handleService serves a plain call to a service pool.
 func (f *Front) handleService(w http.ResponseWriter, r *http.Request) {
-	c, failure := f.readService(w, r)
-	if failure != nil {
-		f.fail(w, "", failure)
-		return
-	}
-	if f.forwarded(w, r, c) {
-		return
-	}
-	f.serve(r.Context(), w, c, &plain{f: f, c: c})
+	f.handle(w, r, f.readService, func(c *call) exchange { return &plain{f: f, c: c} })
 }
 
 // begun reports whether the caller has received a part of the answer.
