Let a stand-in add nothing to an answer that is whole already

An engine asked to continue a whole answer ends it at once. Change: the stand-in ends at once; it can cut a stream at that place on command, and TestResumeOfAWholeAnswerAddsNothing does so.

--- a/lab/engine/engine.go
+++ b/lab/engine/engine.go
@@ -33,12 +33,13 @@
 
 	// Faults are what the control port sets.
 	Faults struct {
-		Slow       float64 `json:"slow"`        // Slow multiplies the step time; 0 means 1.
-		Leaving    bool    `json:"leaving"`     // Leaving says so in the load report; new work is taken all the same.
-		BreakAfter int     `json:"break_after"` // BreakAfter cuts each stream after so many tokens; 0 for never.
-		Malformed  int     `json:"malformed"`   // Malformed sends a broken event after so many tokens; 0 for never.
-		StallAfter int     `json:"stall_after"` // StallAfter sends nothing more after so many tokens; 0 for never.
-		Crash      bool    `json:"crash"`       // Crash ends the process at once.
+		Slow       float64 `json:"slow"`         // Slow multiplies the step time; 0 means 1.
+		Leaving    bool    `json:"leaving"`      // Leaving says so in the load report; new work is taken all the same.
+		BreakAfter int     `json:"break_after"`  // BreakAfter cuts each stream after so many tokens; 0 for never.
+		Malformed  int     `json:"malformed"`    // Malformed sends a broken event after so many tokens; 0 for never.
+		StallAfter int     `json:"stall_after"`  // StallAfter sends nothing more after so many tokens; 0 for never.
+		BreakAtEnd bool    `json:"break_at_end"` // BreakAtEnd cuts each stream between its last token and its end.
+		Crash      bool    `json:"crash"`        // Crash ends the process at once.
 	}
 
 	// Engine serves the stand-in.
@@ -244,6 +245,11 @@
 		return
 	}
 	mark, j := e.newJob(r.Context(), &req)
+	if j.from == j.to {
+		w.Header().Set("Content-Type", "text/event-stream")
+		writeEnd(w, j, 0) // The partial answer was whole already.
+		return
+	}
 	if !e.submit(j) {
 		http.Error(w, `{"error":{"message":"full"}}`, http.StatusTooManyRequests)
 		return
@@ -297,7 +303,7 @@
 	for _, m := range req.Messages {
 		prompt += len(m.Content) / bytesPerToken
 	}
-	j := &job{priority: req.Priority, prompt: prompt, room: prompt + tokens, from: from, to: max(tokens, from+1), ctx: ctx}
+	j := &job{priority: req.Priority, prompt: prompt, room: prompt + tokens, from: from, to: max(tokens, from), ctx: ctx}
 	if len(req.Messages) > 1 && !req.Continue {
 		j.prefix = req.Messages[0].Content
 	}
@@ -361,6 +367,17 @@
 	if line.Event == "cancel" {
 		return
 	}
+	e.mu.Lock()
+	cut := e.faults.BreakAtEnd
+	e.mu.Unlock()
+	if cut {
+		panic(http.ErrAbortHandler)
+	}
+	writeEnd(w, j, sent)
+}
+
+// writeEnd sends what follows the last token.
+func writeEnd(w http.ResponseWriter, j *job, sent int) {
 	fmt.Fprintf(w, "data: {\"id\":\"c\",\"object\":\"chat.completion.chunk\",\"choices\":[{\"index\":0,\"delta\":{},\"finish_reason\":\"stop\"}]}\n\n")
 	fmt.Fprintf(w, "data: {\"id\":\"c\",\"object\":\"chat.completion.chunk\",\"choices\":[],\"usage\":{\"prompt_tokens\":%d,\"completion_tokens\":%d,\"total_tokens\":%d}}\n\n", j.prompt, sent, j.prompt+sent)
 	fmt.Fprint(w, "data: [DONE]\n\n")
--- a/lab/proofs/whole_test.go
+++ b/lab/proofs/whole_test.go
@@ -65,3 +65,19 @@
 	r.verdict()
 	r.allCompleted()
 }
+
+// TestResumeOfAWholeAnswerAddsNothing breaks streams after their last token and
+// before their end: the next engine has nothing to add, and the answer is whole.
+func TestResumeOfAWholeAnswerAddsNothing(t *testing.T) {
+	r := start(t, cluster.Options{Nodes: 1, Engines: 2, Slots: 16, Queue: 16})
+	for _, e := range r.Engines {
+		r.faults(e, engine.Faults{BreakAtEnd: true})
+	}
+	for i := range 6 {
+		req := r.request(tell, i, 10)
+		req.Key = ""
+		r.keep(r.caller.Send(context.Background(), req))
+	}
+	r.verdict()
+	r.allCompleted()
+}
