Keep one way to look up a line and one to turn it deaf

Change: one function for each; behaviour is the same. The scheduler's tests with the race detector and TestHalfOpenBroker pass; lint passes.

--- a/internal/sched/pulse.go
+++ b/internal/sched/pulse.go
@@ -54,17 +54,29 @@
 func (p *pulse) begin(owner wire.Member) (<-chan struct{}, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	l := p.line(owner)
+	if l.deaf {
+		return nil, errDeaf
+	}
+	l.asking++
+	return l.broken, nil
+}
+
+// line returns what is known of the way to a process; the caller holds the lock.
+func (p *pulse) line(owner wire.Member) *line {
 	id := processID(owner)
 	l := p.lines[id]
 	if l == nil {
 		l = &line{owner: owner, broken: make(chan struct{})}
 		p.lines[id] = l
 	}
-	if l.deaf {
-		return nil, errDeaf
-	}
-	l.asking++
-	return l.broken, nil
+	return l
+}
+
+// turnDeaf notes that a process that answered does not any more.
+func (l *line) turnDeaf(now time.Time) {
+	l.deaf, l.lostAt = true, now
+	close(l.broken)
 }
 
 // end notes that a request asks no more.
@@ -79,15 +91,9 @@
 func (p *pulse) lose(owner wire.Member) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	id := processID(owner)
-	l := p.lines[id]
-	if l == nil {
-		l = &line{owner: owner, broken: make(chan struct{})}
-		p.lines[id] = l
-	}
+	l := p.line(owner)
 	if !l.deaf {
-		l.deaf, l.lostAt = true, time.Now()
-		close(l.broken)
+		l.turnDeaf(time.Now())
 	}
 }
 
@@ -155,8 +161,7 @@
 		l.deaf, l.broken = false, make(chan struct{})
 	}
 	if turned && !answers {
-		l.deaf, l.lostAt = true, time.Now()
-		close(l.broken)
+		l.turnDeaf(time.Now())
 	}
 	p.mu.Unlock()
 	if !answers {
