--- a/cmd/croftturn/main.go
+++ b/cmd/croftturn/main.go
@@ -12,12 +12,18 @@
 
 	"github.com/google/subcommands"
 
+	"github.com/croftturn/croftturn/internal/edge"
 	"github.com/croftturn/croftturn/internal/node"
 	"github.com/croftturn/croftturn/internal/settings"
 )
 
-// version is the product's version.
-const version = "0.1.0"
+const (
+	// version is the product's version.
+	version = "0.1.0"
+
+	// settingsVariable names the settings file where the command line does not.
+	settingsVariable = "CROFTTURN_SETTINGS"
+)
 
 // command is one subcommand: a name, what it is for, and what it does.
 type command struct {
@@ -28,6 +34,7 @@
 // commands lists the subcommands.
 var commands = []command{
 	{"run", "run the node", "run SETTINGS-FILE\n", runNode},
+	{"edge", "run the node on the users' platform", "edge [SETTINGS-FILE]\nThe file is that of $CROFTTURN_SETTINGS if none is named.\n", runEdge},
 	{"check", "check a settings file", "check SETTINGS-FILE\n", checkSettings},
 	{"version", "print the version", "version\n", printVersion},
 }
@@ -88,6 +95,23 @@
 	return n.Close()
 }
 
+// runEdge runs the node on the users' platform until it is told to stop.
+func runEdge(ctx context.Context, args []string) error {
+	if len(args) == 0 {
+		args = []string{os.Getenv(settingsVariable)}
+	}
+	s, err := load(args)
+	if err != nil {
+		return err
+	}
+	e, err := edge.Start(context.WithoutCancel(ctx), s, os.Stdout)
+	if err != nil {
+		return fmt.Errorf("start node: %w", err)
+	}
+	<-ctx.Done()
+	return e.Close()
+}
+
 // checkSettings reports what is wrong with a settings file.
 func checkSettings(_ context.Context, args []string) error {
 	if _, err := load(args); err != nil {
--- /dev/null
+++ b/internal/admission/admission.go
@@ -0,0 +1,53 @@
+// Package admission decides at a request's arrival whether it can still be
+// served on time. One that can't is refused at once, with the time after which
+// the work before it will have been done, instead of being late behind others.
+package admission
+
+import "time"
+
+const (
+	// minReturn is the shortest time that a caller is asked to wait.
+	minReturn = 200 * time.Millisecond
+
+	// maxReturn is the longest; callers heed at most a third of the time they
+	// have, and the users' longest prompts have four seconds.
+	maxReturn = 1300 * time.Millisecond
+
+	// returnedShare tells a request that was refused before: less of its time is
+	// left than a first sending would have.
+	returnedShare = 0.9
+
+	// returnedPatience is how much more expected waiting a returned request is
+	// taken with; refusing it again helps nobody.
+	returnedPatience = 3.0
+)
+
+// patience is the expected wait that is still accepted, as a share of the
+// target, by tier; tiers beyond the last have the last's. Higher tiers bear
+// more, so that lower ones are refused before them; the highest is never refused.
+var patience = []float64{0, 1.5, 0.4}
+
+// Request is what admission needs to know of a request.
+type Request struct {
+	Tier    int
+	Target  time.Duration // Target for the answer or the first event.
+	Timeout time.Duration // Timeout is the time that a first sending has.
+	Left    time.Duration // Left of the caller's time.
+	Wait    time.Duration // Wait is expected until the request's prompt is read.
+}
+
+// Decide reports whether the request is taken, and if not, when its caller
+// should come back.
+func Decide(r Request) (comeBack time.Duration, ok bool) {
+	if r.Tier <= 0 || r.Target <= 0 {
+		return 0, true
+	}
+	limit := time.Duration(patience[min(r.Tier, len(patience)-1)] * float64(r.Target))
+	if r.Left < time.Duration(returnedShare*float64(r.Timeout)) {
+		limit = time.Duration(returnedPatience * float64(limit))
+	}
+	if r.Wait <= limit {
+		return 0, true
+	}
+	return min(max(r.Wait-limit/2, minReturn), maxReturn), false
+}
--- /dev/null
+++ b/internal/dispatch/dispatch.go
@@ -0,0 +1,177 @@
+// Package dispatch walks a request from its arrival to its end: it checks the
+// route and the key, lets admission and placement decide, sends the request to
+// an engine, and passes the answer on. What may run at most once is sent to one
+// engine once, unless that engine said that it did not run it.
+package dispatch
+
+import (
+	"context"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"github.com/croftturn/croftturn/internal/freshness"
+	"github.com/croftturn/croftturn/internal/placement"
+	"github.com/croftturn/croftturn/internal/retry"
+	"github.com/croftturn/croftturn/internal/routing"
+)
+
+const (
+	// defaultPatience is how long a caller is taken to wait that does not say.
+	defaultPatience = 30 * time.Second
+
+	// shortReturn is when callers should come back where another node can serve
+	// them at once.
+	shortReturn = 50 * time.Millisecond
+
+	// streamStop is how long before the end of the process no more streams are
+	// taken: most of the users' streams end within it.
+	streamStop = 4500 * time.Millisecond
+
+	// lastStop is how long before the end of the process nothing more is taken.
+	lastStop = time.Second
+)
+
+type (
+	// Observer counts what happens to requests.
+	Observer interface {
+		Ended(route string, outcome string, first, total time.Duration)
+		Retried(pool string)
+	}
+
+	// Dispatcher serves requests. Its methods may be called from many goroutines.
+	Dispatcher struct {
+		table     atomic.Pointer[routing.Table]
+		stopBy    atomic.Pointer[time.Time]
+		active    atomic.Int64
+		proof     *freshness.Proof
+		placement *placement.Placement
+		budget    *retry.Budget
+		sender    Sender
+		observer  Observer
+		log       *slog.Logger
+	}
+)
+
+// New returns a dispatcher without a configuration.
+func New(proof *freshness.Proof, p *placement.Placement, b *retry.Budget, s Sender, o Observer, log *slog.Logger) *Dispatcher {
+	return &Dispatcher{proof: proof, placement: p, budget: b, sender: s, observer: o, log: log}
+}
+
+// Table returns the configuration in force, or nil.
+func (d *Dispatcher) Table() *routing.Table { return d.table.Load() }
+
+// SetTable puts a version of the configuration in force; one that is not newer
+// changes nothing.
+func (d *Dispatcher) SetTable(t *routing.Table) bool {
+	for {
+		old := d.table.Load()
+		if old != nil && t.Version <= old.Version {
+			return false
+		}
+		if d.table.CompareAndSwap(old, t) {
+			return true
+		}
+	}
+}
+
+// StopBy makes the dispatcher refuse what can't end before the process does.
+func (d *Dispatcher) StopBy(at time.Time) { d.stopBy.Store(&at) }
+
+// Active returns how many requests are being served.
+func (d *Dispatcher) Active() int { return int(d.active.Load()) }
+
+// Ready returns why the node can't serve callers, or an empty reason.
+func (d *Dispatcher) Ready(now time.Time) Reason {
+	switch {
+	case d.table.Load() == nil:
+		return NotReady
+	case d.stopBy.Load() != nil:
+		return Stopping
+	case !d.proof.Fresh(now):
+		return Stale
+	}
+	return ""
+}
+
+// Check decides from a request's head whether it is served at all; it returns
+// the route and the team, or why not.
+func (d *Dispatcher) Check(now time.Time, r *Request) (*routing.Route, *routing.Team, *Refusal) {
+	t := d.table.Load()
+	if t == nil {
+		return nil, nil, &Refusal{Reason: NotReady, ComeBack: shortReturn}
+	}
+	if !d.proof.Fresh(now) {
+		return nil, nil, &Refusal{Reason: Stale, ComeBack: shortReturn}
+	}
+	route := t.Route(r.Host, r.Path)
+	if route == nil {
+		return nil, nil, &Refusal{Reason: NoRoute}
+	}
+	var team *routing.Team
+	if t.Keyed() && !route.Public {
+		if team = t.Team(r.Key); team == nil {
+			return nil, nil, &Refusal{Reason: UnknownKey}
+		}
+	}
+	if stop := d.stopBy.Load(); stop != nil {
+		left := stop.Sub(now)
+		if left < lastStop || route.Kind == routing.Stream && left < streamStop {
+			return nil, nil, &Refusal{Reason: Stopping, ComeBack: shortReturn}
+		}
+	}
+	return route, team, nil
+}
+
+// MaxBody returns the longest body that is taken, in bytes.
+func (d *Dispatcher) MaxBody() int64 {
+	if t := d.table.Load(); t != nil {
+		return t.Limits.MaxBodyBytes
+	}
+	return 0
+}
+
+// Serve serves one request whose head was checked and whose body is read.
+func (d *Dispatcher) Serve(ctx context.Context, arrived time.Time, r *Request, route *routing.Route, team *routing.Team, a Answer) {
+	d.active.Add(1)
+	defer d.active.Add(-1)
+	patience := r.Patience
+	if patience <= 0 {
+		patience = defaultPatience
+	}
+	if route.Timeout > 0 {
+		patience = min(patience, route.Timeout)
+	}
+	w := &walk{
+		d: d, req: r, route: route, team: team, answer: a, arrived: arrived, deadline: arrived.Add(patience),
+		pool: route.Choose(r.ID), avoid: map[string]bool{}, lastEventID: r.LastEventID,
+	}
+	ctx, cancel := context.WithDeadline(ctx, w.deadline)
+	defer cancel()
+	w.run(ctx)
+	w.end(time.Now())
+}
+
+// Refused records a request that was refused before it was served.
+func (d *Dispatcher) Refused(now time.Time, r *Request, refusal *Refusal) {
+	d.log.Info("request refused", "request", r.ID, "host", r.Host, "path", r.Path, "outcome", refusal.Reason,
+		"config_version", d.version(), "proof_age_ms", d.proofAge(now))
+	d.observer.Ended("", string(refusal.Reason), 0, 0)
+}
+
+// version returns the version in force, 0 if there is none.
+func (d *Dispatcher) version() int {
+	if t := d.table.Load(); t != nil {
+		return t.Version
+	}
+	return 0
+}
+
+// proofAge returns the age of the proof in milliseconds, -1 if there is none.
+func (d *Dispatcher) proofAge(now time.Time) int64 {
+	age, ok := d.proof.Age(now)
+	if !ok {
+		return -1
+	}
+	return age.Milliseconds()
+}
--- /dev/null
+++ b/internal/dispatch/relay.go
@@ -0,0 +1,207 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/croftturn/croftturn/internal/placement"
+	"github.com/croftturn/croftturn/internal/routing"
+	"github.com/croftturn/croftturn/internal/sse"
+)
+
+const (
+	// wholeBytes is the longest plain answer that is read whole before it is
+	// passed on, so that a failure of its engine can still be told by a status.
+	wholeBytes = 256 << 10
+
+	// copyBytes is the size of the buffer that answers are copied through.
+	copyBytes = 4 << 10
+
+	// stalled is how long a stream that may go on elsewhere waits for an event.
+	stalled = time.Second
+)
+
+// errCaller says that the caller could not be written to.
+var errCaller = errors.New("dispatch: caller not reachable")
+
+// answered decides what follows on an engine's answer.
+func (w *walk) answered(ctx context.Context, cancel context.CancelCauseFunc, resp *Response) (again bool) {
+	now := time.Now()
+	w.status = resp.Status
+	w.call.Began(now)
+	if resp.Loaded {
+		w.call.Report(now, resp.Running, resp.Waiting)
+	}
+	switch {
+	case resp.Replaced:
+		w.call.End(now, placement.Turned)
+		w.d.placement.Remove(w.choice.Engine.ID)
+		return w.turned(now, errors.New("another engine has the address"))
+	case resp.NotRun:
+		w.call.End(now, placement.Turned)
+		return w.turned(now, fmt.Errorf("engine turned the request away with status %d", resp.Status))
+	case resp.Status >= http.StatusInternalServerError:
+		w.call.End(now, placement.Failed)
+		if w.retry(now, fmt.Errorf("engine answered with status %d", resp.Status)) {
+			return true
+		}
+	}
+	w.first = now.Sub(w.arrived)
+	if w.route.Kind == routing.Stream && resp.Status < http.StatusMultipleChoices {
+		return w.relayStream(ctx, cancel, resp)
+	}
+	return w.relayPlain(ctx, resp)
+}
+
+// turned decides what follows where an engine did not run the request.
+func (w *walk) turned(now time.Time, cause error) (again bool) {
+	w.refused = Refusal{Reason: Full, ComeBack: shortReturn * 4}
+	if w.sent < w.route.MaxEngines && now.Before(w.deadline) && w.takeRetry(now, cause) {
+		return true
+	}
+	w.refuse(w.refused)
+	return false
+}
+
+// relayPlain passes on an answer that is no stream; a short one is read whole first.
+func (w *walk) relayPlain(ctx context.Context, resp *Response) (again bool) {
+	head := make([]byte, 0, copyBytes)
+	whole, err := readUpTo(resp.Body, &head, wholeBytes)
+	now := time.Now()
+	if err != nil {
+		return w.failedMidway(ctx, err)
+	}
+	w.begin(resp)
+	if werr := w.answer.Write(head); werr != nil {
+		w.callerGone(now)
+		return false
+	}
+	if !whole {
+		return w.copyRest(ctx, resp)
+	}
+	w.finish(now)
+	return false
+}
+
+// begin begins the caller's answer.
+func (w *walk) begin(resp *Response) {
+	if !w.begun {
+		w.begun = true
+		w.answer.Begin(resp)
+	}
+}
+
+// finish records that the answer is whole.
+func (w *walk) finish(now time.Time) {
+	w.refused = Refusal{}
+	w.call.End(now, placement.Answered)
+}
+
+// callerGone records that the caller could not be written to.
+func (w *walk) callerGone(now time.Time) {
+	w.call.End(now, placement.Left)
+	w.refused = Refusal{Reason: CallerLeft}
+	w.answer.Abort()
+}
+
+// readUpTo reads a body until its end or a limit, and reports whether it ended.
+func readUpTo(r io.Reader, into *[]byte, limit int) (whole bool, err error) {
+	for len(*into) < limit {
+		if len(*into) == cap(*into) {
+			*into = append(*into, 0)[:len(*into)]
+		}
+		n, err := r.Read((*into)[len(*into):cap(*into)])
+		*into = (*into)[:len(*into)+n]
+		if errors.Is(err, io.EOF) {
+			return true, nil
+		}
+		if err != nil {
+			return false, fmt.Errorf("read answer: %w", err)
+		}
+	}
+	return false, nil
+}
+
+// copyRest copies a body as it comes.
+func (w *walk) copyRest(ctx context.Context, resp *Response) (again bool) {
+	buf := make([]byte, copyBytes)
+	for {
+		n, err := resp.Body.Read(buf)
+		now := time.Now()
+		if n > 0 {
+			w.call.Heard(now)
+			if werr := w.answer.Write(buf[:n]); werr != nil {
+				w.callerGone(now)
+				return false
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			w.finish(now)
+			return false
+		}
+		if err != nil {
+			return w.failedMidway(ctx, fmt.Errorf("read answer: %w", err))
+		}
+	}
+}
+
+// relayStream passes on a stream as it comes. One that may go on at another
+// engine is passed on by whole events, so that nothing is repeated there.
+func (w *walk) relayStream(ctx context.Context, cancel context.CancelCauseFunc, resp *Response) (again bool) {
+	if !w.route.Resumable {
+		w.begin(resp)
+		return w.copyRest(ctx, resp)
+	}
+	stall := time.AfterFunc(time.Until(w.deadline), func() { cancel(errSlow) })
+	defer stall.Stop()
+	elsewhere := w.sent < w.route.MaxEngines
+	if elsewhere {
+		stall.Reset(stalled)
+	}
+	events := sse.NewReader(resp.Body)
+	for {
+		event, err := events.Next()
+		now := time.Now()
+		if errors.Is(err, io.EOF) {
+			w.begin(resp)
+			w.finish(now)
+			return false
+		}
+		if err != nil {
+			return w.failedMidway(ctx, err)
+		}
+		w.call.Heard(now)
+		if elsewhere {
+			stall.Reset(stalled)
+		}
+		w.begin(resp)
+		if werr := w.answer.Write(event.Raw); werr != nil {
+			w.callerGone(now)
+			return false
+		}
+		if event.ID != "" {
+			w.lastEventID = event.ID
+		}
+	}
+}
+
+// failedMidway decides what follows where an engine broke off within its answer.
+func (w *walk) failedMidway(ctx context.Context, err error) (again bool) {
+	now := time.Now()
+	if w.callerLeft(ctx) {
+		w.callerGone(now)
+		return false
+	}
+	w.call.End(now, placement.Failed)
+	resumable := !w.begun || w.route.Resumable
+	if resumable && w.retry(now, err) {
+		return true
+	}
+	w.d.log.Warn("answer broke off", "request", w.req.ID, "engine", w.choice.Engine.ID, "error", err.Error(), "begun", w.begun)
+	w.refuse(Refusal{Reason: w.lateOr(now, Broken)})
+	return false
+}
--- /dev/null
+++ b/internal/dispatch/walk.go
@@ -0,0 +1,263 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/croftturn/croftturn/internal/admission"
+	"github.com/croftturn/croftturn/internal/placement"
+	"github.com/croftturn/croftturn/internal/routing"
+)
+
+const (
+	// maxUnsent is how many engines may be tried that can't be connected to; such
+	// tries are no sendings.
+	maxUnsent = 3
+
+	// firstPatience is how long a repeatable request waits for the first byte of
+	// an engine before it goes to another, in targets.
+	firstPatience = 2
+
+	// sensitiveGap is the longest bearable pause of a stream that long prompts
+	// beside it make late: an engine reads about 12,000 tokens in it.
+	sensitiveGap = 300 * time.Millisecond
+)
+
+// errSlow ends an attempt whose engine sends nothing for too long.
+var errSlow = errors.New("dispatch: engine sends nothing")
+
+// walk is one request on its way.
+type walk struct {
+	d        *Dispatcher
+	req      *Request
+	route    *routing.Route
+	team     *routing.Team
+	answer   Answer
+	arrived  time.Time
+	deadline time.Time
+	pool     string
+
+	avoid       map[string]bool // avoid holds the engines that were tried
+	sent        int             // sent counts the engines that the request was sent to
+	unsent      int             // unsent counts the engines that could not be connected to
+	lastEventID string
+	begun       bool // begun says that the caller's answer has begun
+	choice      placement.Choice
+	call        *placement.Call
+	refused     Refusal
+	status      int
+	first       time.Duration
+}
+
+// run tries engines until one has answered, or there is no use in another.
+func (w *walk) run(ctx context.Context) {
+	for {
+		again := w.attempt(ctx)
+		if !again {
+			return
+		}
+	}
+}
+
+// attempt sends the request to one engine and reports whether another should be tried.
+func (w *walk) attempt(ctx context.Context) (again bool) {
+	now := time.Now()
+	if refusal := w.stillAllowed(now); refusal != nil {
+		w.refuse(*refusal)
+		return false
+	}
+	request := w.placementRequest()
+	choice, ok := w.d.placement.Choose(now, request)
+	if !ok {
+		w.refuse(Refusal{Reason: w.without(), ComeBack: shortReturn})
+		return false
+	}
+	w.choice = choice
+	if w.sent == 0 && w.unsent == 0 {
+		if comeBack, ok := w.admit(now, choice); !ok {
+			w.refuse(Refusal{Reason: Busy, ComeBack: comeBack})
+			return false
+		}
+		w.d.budget.Request(now, w.pool)
+	}
+	w.avoid[choice.Engine.ID] = true
+	w.call = w.d.placement.Start(now, choice, request)
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	watch := w.watchFirst(cancel)
+	resp, err := w.d.sender.Send(ctx, w.req, w.attemptFor(now, choice.Engine))
+	watch.Stop()
+	if err != nil {
+		return w.failed(ctx, err)
+	}
+	defer resp.Body.Close()
+	w.sent++
+	return w.answered(ctx, cancel, resp)
+}
+
+// stillAllowed checks before each sending that the configuration is proven and
+// still holds the key: it may have been taken away since the request came.
+func (w *walk) stillAllowed(now time.Time) *Refusal {
+	if !w.d.proof.Fresh(now) {
+		return &Refusal{Reason: w.orMayHaveRun(Stale), ComeBack: shortReturn}
+	}
+	if w.team != nil && w.d.Table().Team(w.req.Key) == nil {
+		return &Refusal{Reason: w.orMayHaveRun(UnknownKey)}
+	}
+	return nil
+}
+
+// orMayHaveRun returns the reason, or Broken where the request was sent before.
+func (w *walk) orMayHaveRun(r Reason) Reason {
+	if w.sent > 0 {
+		return Broken
+	}
+	return r
+}
+
+// without says why no engine is left.
+func (w *walk) without() Reason {
+	if w.refused.Reason != "" {
+		return w.refused.Reason
+	}
+	return w.orMayHaveRun(NoEngine)
+}
+
+// placementRequest returns what placement weighs.
+func (w *walk) placementRequest() placement.Request {
+	return placement.Request{Pool: w.pool, Prompt: w.req.Prompt, Stream: w.sensitive(), Avoid: w.avoid}
+}
+
+// sensitive reports whether the caller's stream bears only short pauses.
+func (w *walk) sensitive() bool {
+	return w.route.Kind == routing.Stream && w.route.MaxGap > 0 && w.route.MaxGap <= sensitiveGap
+}
+
+// admit asks admission whether the request can be served on time.
+func (w *walk) admit(now time.Time, c placement.Choice) (comeBack time.Duration, ok bool) {
+	return admission.Decide(admission.Request{
+		Tier: w.tier(), Target: w.route.Target, Timeout: w.route.Timeout, Left: w.deadline.Sub(now),
+		Wait: time.Duration(c.Wait * float64(time.Millisecond)),
+	})
+}
+
+// tier returns the request's tier: the team's where it has one.
+func (w *walk) tier() int {
+	if w.team != nil && w.team.Tier != nil {
+		return *w.team.Tier
+	}
+	return w.route.Tier
+}
+
+// attemptFor returns what is sent to an engine.
+func (w *walk) attemptFor(now time.Time, e placement.Engine) Attempt {
+	a := Attempt{Engine: e, Tier: w.tier(), Left: w.deadline.Sub(now), LastEventID: w.lastEventID}
+	if w.team != nil {
+		a.Team = w.team.Name
+	}
+	return a
+}
+
+// watchFirst gives an attempt up whose engine sends nothing for too long, where
+// another engine may be tried.
+func (w *walk) watchFirst(cancel context.CancelCauseFunc) *time.Timer {
+	if !w.mayRepeat() || w.route.Target <= 0 {
+		return time.NewTimer(time.Until(w.deadline))
+	}
+	return time.AfterFunc(firstPatience*w.route.Target, func() { cancel(errSlow) })
+}
+
+// mayRepeat reports whether the request may go to one more engine after this
+// one, whatever became of it here.
+func (w *walk) mayRepeat() bool {
+	return w.route.Repeatable() && w.sent+1 < w.route.MaxEngines
+}
+
+// failed decides what follows where an engine gave no answer.
+func (w *walk) failed(ctx context.Context, err error) (again bool) {
+	now := time.Now()
+	if w.callerLeft(ctx) {
+		w.call.End(now, placement.Left)
+		w.refused = Refusal{Reason: CallerLeft}
+		w.answer.Abort()
+		return false
+	}
+	w.call.End(now, placement.Failed)
+	if errors.Is(err, ErrNotSent) {
+		w.unsent++
+		w.d.log.Warn("engine not reached", "request", w.req.ID, "engine", w.choice.Engine.ID, "error", err.Error(), "tries", w.unsent)
+		if w.unsent < maxUnsent && now.Before(w.deadline) {
+			return true
+		}
+		w.refuse(Refusal{Reason: w.orMayHaveRun(NoEngine), ComeBack: shortReturn})
+		return false
+	}
+	w.sent++
+	if w.retry(now, err) {
+		return true
+	}
+	w.refuse(Refusal{Reason: w.lateOr(now, Broken)})
+	return false
+}
+
+// lateOr returns TimedOut where the deadline has passed, else the reason.
+func (w *walk) lateOr(now time.Time, r Reason) Reason {
+	if !now.Before(w.deadline) {
+		return TimedOut
+	}
+	return r
+}
+
+// callerLeft reports whether the caller closed its connection.
+func (w *walk) callerLeft(ctx context.Context) bool {
+	return errors.Is(context.Cause(ctx), context.Canceled)
+}
+
+// retry reports whether a repeatable request goes to another engine after a
+// failure, and takes it from the budget.
+func (w *walk) retry(now time.Time, cause error) bool {
+	if !w.route.Repeatable() || w.sent >= w.route.MaxEngines || !now.Before(w.deadline) {
+		return false
+	}
+	return w.takeRetry(now, cause)
+}
+
+// takeRetry takes one retry from the budget.
+func (w *walk) takeRetry(now time.Time, cause error) bool {
+	ok := w.d.budget.Take(now, w.pool)
+	w.d.log.Info("retry", "request", w.req.ID, "engine", w.choice.Engine.ID, "cause", cause.Error(), "allowed", ok, "sent", w.sent)
+	if ok {
+		w.d.observer.Retried(w.pool)
+	}
+	return ok
+}
+
+// refuse gives the caller its final answer where no engine did. An answer that
+// has begun can only be broken off.
+func (w *walk) refuse(r Refusal) {
+	w.refused = r
+	if w.begun {
+		w.answer.Abort()
+		return
+	}
+	w.answer.Refuse(r)
+}
+
+// end records how the request ended.
+func (w *walk) end(now time.Time) {
+	outcome := "answered"
+	if w.refused.Reason != "" {
+		outcome = string(w.refused.Reason)
+	}
+	team := ""
+	if w.team != nil {
+		team = w.team.Name
+	}
+	w.d.log.Info("request ended", "request", w.req.ID, "route", w.route.Name, "team", team, "tier", w.tier(), "pool", w.pool,
+		"outcome", outcome, "status", w.status, "engine", w.choice.Engine.ID, "sent", w.sent, "unsent", w.unsent,
+		"cost_ms", int(w.choice.Cost), "wait_ms", int(w.choice.Wait), "prompt_tokens", w.req.Prompt.Tokens, "unread_tokens", w.choice.Unread,
+		"first_ms", w.first.Milliseconds(), "total_ms", now.Sub(w.arrived).Milliseconds(), "patience_ms", w.deadline.Sub(w.arrived).Milliseconds(),
+		"come_back_ms", w.refused.ComeBack.Milliseconds(), "config_version", w.d.version(), "proof_age_ms", w.d.proofAge(now))
+	w.d.observer.Ended(w.route.Name, outcome, w.first, now.Sub(w.arrived))
+}
--- /dev/null
+++ b/internal/edge/edge.go
@@ -0,0 +1,219 @@
+// Package edge runs a node on the users' platform: it starts all parts in one
+// visible order and stops them in the reverse order. The platform keeps the
+// configuration and lists the engines; nothing here outlives the process.
+package edge
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"github.com/croftturn/croftturn/internal/dispatch"
+	"github.com/croftturn/croftturn/internal/freshness"
+	"github.com/croftturn/croftturn/internal/gossip"
+	"github.com/croftturn/croftturn/internal/logline"
+	"github.com/croftturn/croftturn/internal/placement"
+	"github.com/croftturn/croftturn/internal/retry"
+	"github.com/croftturn/croftturn/internal/settings"
+	"github.com/croftturn/croftturn/internal/telemetry"
+	"github.com/croftturn/croftturn/platform"
+)
+
+const (
+	// gcPercent makes the collector run often: live memory is a few megabytes, so
+	// that it costs little time, and memory is what the users pay most for.
+	gcPercent = 50
+
+	// memoryShare of the memory allowed is where the collector works harder.
+	memoryShare = 0.7
+
+	// clientIdle is how long a client's connection may rest. Clients use theirs
+	// again within four fifths of the configuration's limit, 15 s at the users'.
+	clientIdle = 2 * time.Minute
+
+	// leaveTimeout bounds the removal of this node's row from the register.
+	leaveTimeout = time.Second
+
+	// stopMargin is how long before the platform kills the process it ends.
+	stopMargin = 400 * time.Millisecond
+
+	// stopAtLeast is how long a stopping node goes on taking requests, since
+	// clients keep addresses for up to three times two seconds.
+	stopAtLeast = 6200 * time.Millisecond
+
+	// stopPoll is how often a stopping node looks whether it is idle.
+	stopPoll = 50 * time.Millisecond
+)
+
+// Edge is one running node on the users' platform.
+type Edge struct {
+	settings   *settings.Settings
+	lines      *logline.Writer
+	tele       *telemetry.Telemetry
+	log        *slog.Logger
+	proof      *freshness.Proof
+	placement  *placement.Placement
+	gossip     *gossip.Gossip
+	dispatcher *dispatch.Dispatcher
+	egress     *platform.Egress
+	store      *platform.Store
+	discovery  *platform.Discovery
+	register   *platform.Register
+	metrics    *metrics
+
+	servers []*http.Server
+	cancel  context.CancelFunc
+	wg      sync.WaitGroup
+}
+
+// Start starts a node; logs go to out. Close stops it.
+func Start(ctx context.Context, s *settings.Settings, out io.Writer) (*Edge, error) {
+	debug.SetGCPercent(gcPercent)
+	if s.MemoryMb > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMb) * (1 << 20)))
+	}
+	e := &Edge{settings: s, lines: logline.New(out)}
+	tele, err := telemetry.New(ctx, s, e.lines)
+	if err != nil {
+		return nil, errors.Join(fmt.Errorf("start telemetry: %w", err), e.lines.Close())
+	}
+	e.tele, e.log = tele, tele.Log
+	if err := e.build(time.Now()); err != nil {
+		return nil, errors.Join(err, tele.Close(), e.lines.Close())
+	}
+	ctx, e.cancel = context.WithCancel(ctx)
+	if err := e.run(ctx); err != nil {
+		return nil, errors.Join(err, e.stop())
+	}
+	e.log.Info("node started", "hall", s.Hall, "caller_address", s.CallerAddress, "peer_address", s.PeerAddress, "platform", s.PlatformAddresses)
+	return e, nil
+}
+
+// build makes all parts; nothing runs yet.
+func (e *Edge) build(now time.Time) error {
+	s := e.settings
+	self := gossip.Self{
+		Name: s.Instance, Incarnation: now.UnixMilli(), PeerAddress: s.PeerAddress, CallerAddress: s.CallerAddress, Hall: s.Hall,
+	}
+	var err error
+	e.proof = freshness.New(ms(s.ConfigMaxAgeMs))
+	e.placement = placement.New(s.Hall)
+	if e.gossip, err = gossip.New(self, e.placement, e.Ready, e.log); err != nil {
+		return fmt.Errorf("start gossip: %w", err)
+	}
+	if e.metrics, err = newMetrics(e); err != nil {
+		return fmt.Errorf("make metrics: %w", err)
+	}
+	limits := retry.Limits{Share: s.RetryShare, Extra: s.RetryExtra, Window: ms(s.RetryWindowMs)}
+	e.egress = platform.NewEgress()
+	e.dispatcher = dispatch.New(e.proof, e.placement, retry.New(now, limits, e.gossip.Nodes), e.egress, e.metrics, e.log)
+	e.store = platform.NewStore(s.PlatformAddresses[0])
+	e.discovery = platform.NewDiscovery(e.store, e, e.log)
+	e.register = platform.NewRegister(e.store, self, e.gossip.Meet, e.log)
+	return nil
+}
+
+// run starts the goroutines and the servers.
+func (e *Edge) run(ctx context.Context) error {
+	s := e.settings
+	control := http.NewServeMux()
+	control.Handle("GET /metrics", e.tele.Metrics)
+	servers := []struct {
+		address string
+		handler http.Handler
+	}{
+		{s.CallerAddress, platform.NewIngress(e.dispatcher)},
+		{s.DirectoryAddress, platform.NewDirectory(e, e.log)},
+		{s.ReadyAddress, platform.NewReady(e)},
+		{s.AdminAddress, control},
+	}
+	for _, each := range servers {
+		if err := e.serve(each.address, each.handler); err != nil {
+			return err
+		}
+	}
+	e.start(func() { e.gossip.Run(ctx) })
+	e.start(func() { e.discovery.Run(ctx) })
+	e.start(func() { e.register.Run(ctx) })
+	return nil
+}
+
+// serve serves HTTP on an address until the node stops.
+func (e *Edge) serve(address string, handler http.Handler) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return fmt.Errorf("listen on %s: %w", address, err)
+	}
+	s := e.settings
+	server := &http.Server{
+		Handler: handler, MaxHeaderBytes: s.MaxHeaderBytes, ReadHeaderTimeout: ms(s.ReadTimeoutMs), IdleTimeout: clientIdle,
+		ErrorLog: slog.NewLogLogger(e.log.Handler(), slog.LevelDebug),
+	}
+	e.servers = append(e.servers, server)
+	e.start(func() {
+		if err := server.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			e.log.Error("server failed", "address", address, "error", err.Error())
+		}
+	})
+	return nil
+}
+
+// start runs a function on its own goroutine, for which Close waits.
+func (e *Edge) start(f func()) {
+	e.wg.Add(1)
+	go func() {
+		defer e.wg.Done()
+		f()
+	}()
+}
+
+// Close stops the node as planned: entry points stop naming it at once, it goes
+// on serving callers that still come, and ends when none do any more.
+func (e *Edge) Close() error {
+	begin := time.Now()
+	end := begin.Add(ms(e.settings.StopGraceMs) - stopMargin)
+	e.dispatcher.StopBy(end)
+	e.log.Info("node stops", "active", e.dispatcher.Active(), "within_ms", time.Until(end).Milliseconds())
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	if err := e.register.Leave(ctx); err != nil {
+		e.log.Warn("node stays in the register", "error", err.Error())
+	}
+	cancel()
+	tick := time.NewTicker(stopPoll)
+	defer tick.Stop()
+	for now := range tick.C {
+		idle := e.dispatcher.Active() == 0 && now.Sub(begin) >= stopAtLeast
+		if idle || now.After(end) {
+			break
+		}
+	}
+	e.log.Info("node stopped", "active", e.dispatcher.Active(), "after_ms", time.Since(begin).Milliseconds())
+	return e.stop()
+}
+
+// stop ends all parts and waits for them.
+func (e *Edge) stop() error {
+	var errs []error
+	for _, s := range e.servers {
+		errs = append(errs, s.Close())
+	}
+	e.cancel()
+	e.wg.Wait()
+	e.egress.Close()
+	e.store.Close()
+	errs = append(errs, e.tele.Close(), e.lines.Close())
+	if err := errors.Join(errs...); err != nil {
+		return fmt.Errorf("stop node: %w", err)
+	}
+	return nil
+}
+
+// ms turns milliseconds of the settings into a duration.
+func ms(n int) time.Duration { return time.Duration(n) * time.Millisecond }
--- /dev/null
+++ b/internal/edge/metrics.go
@@ -0,0 +1,68 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"github.com/croftturn/croftturn/internal/telemetry"
+)
+
+// metrics counts what happens to requests.
+type metrics struct {
+	ended   metric.Int64Counter
+	retried metric.Int64Counter
+	first   metric.Float64Histogram
+	total   metric.Float64Histogram
+}
+
+// newMetrics makes the instruments of a node.
+func newMetrics(e *Edge) (*metrics, error) {
+	m := &metrics{}
+	var errs [5]error
+	meter := e.tele.Meter
+	m.ended, errs[0] = meter.Int64Counter("croftturn.edge.requests")
+	m.retried, errs[1] = meter.Int64Counter("croftturn.edge.retries")
+	m.first, errs[2] = meter.Float64Histogram("croftturn.edge.first.seconds")
+	m.total, errs[3] = meter.Float64Histogram("croftturn.edge.total.seconds")
+	errs[4] = e.tele.Observe(
+		telemetry.Observed{Name: "croftturn.edge.active", Help: "requests being served", Read: func() int64 { return int64(e.dispatcher.Active()) }},
+		telemetry.Observed{Name: "croftturn.edge.engine_connections_opened", Help: "connections opened to engines", Read: func() int64 { return e.egress.Opened() }},
+		telemetry.Observed{Name: "croftturn.edge.log_lines_dropped", Help: "log lines dropped", Read: func() int64 { return e.lines.Dropped() }},
+		telemetry.Observed{Name: "croftturn.edge.nodes", Help: "nodes alive", Read: func() int64 { return int64(e.gossip.Nodes()) }},
+		telemetry.Observed{Name: "croftturn.edge.config_age_ms", Help: "age of the proof that the configuration is the newest", Read: e.configAge},
+	)
+	if err := errors.Join(errs[:]...); err != nil {
+		return nil, fmt.Errorf("make instruments: %w", err)
+	}
+	return m, nil
+}
+
+// configAge returns the age of the proof in milliseconds, -1 if there is none.
+func (e *Edge) configAge() int64 {
+	age, ok := e.proof.Age(time.Now())
+	if !ok {
+		return -1
+	}
+	return age.Milliseconds()
+}
+
+// Ended counts the end of a request.
+func (m *metrics) Ended(route, outcome string, first, total time.Duration) {
+	ctx := context.Background()
+	labels := metric.WithAttributes(attribute.String("route", route), attribute.String("outcome", outcome))
+	m.ended.Add(ctx, 1, labels)
+	if first > 0 {
+		m.first.Record(ctx, first.Seconds(), metric.WithAttributes(attribute.String("route", route)))
+	}
+	m.total.Record(ctx, total.Seconds(), labels)
+}
+
+// Retried counts a request that was sent to a second engine.
+func (m *metrics) Retried(pool string) {
+	m.retried.Add(context.Background(), 1, metric.WithAttributes(attribute.String("pool", pool)))
+}
--- /dev/null
+++ b/internal/freshness/freshness.go
@@ -0,0 +1,44 @@
+// Package freshness tells how long ago it was proved that the configuration in
+// force is the newest, on the steady clock. A node that can't prove it refuses
+// requests with keys, since a key may have been taken away meanwhile.
+package freshness
+
+import (
+	"sync"
+	"time"
+)
+
+// Proof is the newest proof that the configuration in force is the newest.
+type Proof struct {
+	maxAge time.Duration
+
+	mu     sync.Mutex
+	at     time.Time
+	proven bool
+}
+
+// New returns a proof that holds for maxAge once it is given.
+func New(maxAge time.Duration) *Proof { return &Proof{maxAge: maxAge} }
+
+// Renew records that the configuration in force was the newest at a moment; an
+// older moment changes nothing.
+func (p *Proof) Renew(at time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.proven || at.After(p.at) {
+		p.at, p.proven = at, true
+	}
+}
+
+// Age returns the age of the newest proof, and whether there is one.
+func (p *Proof) Age(now time.Time) (time.Duration, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return now.Sub(p.at), p.proven
+}
+
+// Fresh reports whether the newest proof still holds.
+func (p *Proof) Fresh(now time.Time) bool {
+	age, ok := p.Age(now)
+	return ok && age <= p.maxAge
+}
--- /dev/null
+++ b/internal/placement/call.go
@@ -0,0 +1,142 @@
+package placement
+
+import "time"
+
+const (
+	// Answered says that the engine answered as it should.
+	Answered Outcome = iota
+
+	// Failed says that the engine failed: it broke off, did not answer, or
+	// answered with a failure of its own.
+	Failed
+
+	// Turned says that the engine turned the request away without running it.
+	Turned
+
+	// Left says that the request ended for a reason that is not the engine's.
+	Left
+)
+
+type (
+	// Outcome is how a call ended, as far as it tells of the engine.
+	Outcome int
+
+	// Call is one request at one engine, from its sending to its end.
+	Call struct {
+		p      *Placement
+		engine *engine
+		load   Load
+		began  bool
+		ended  bool
+	}
+)
+
+// Start records that a request is sent to an engine.
+func (p *Placement) Start(now time.Time, c Choice, r Request) *Call {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e := p.engines[c.Engine.ID]
+	if e == nil {
+		e = &engine{Engine: c.Engine, peers: map[string]peerLoad{}}
+	}
+	call := &Call{p: p, engine: e, load: Load{Unread: c.Unread, InFlight: 1}}
+	if r.Stream {
+		call.load.Streams = 1
+	}
+	if e.own.InFlight == 0 {
+		e.heardAt = now
+	}
+	e.own = e.own.add(call.load)
+	for _, part := range r.Prompt.Shared {
+		p.cache.use(now, e.ID, part.ID)
+		p.uses = append(p.uses, Use{Engine: e.ID, Part: part.ID})
+	}
+	return call
+}
+
+// Began records that the engine has read the prompt: its answer has begun.
+func (c *Call) Began(now time.Time) {
+	c.p.mu.Lock()
+	defer c.p.mu.Unlock()
+	c.engine.heardAt = now
+	if !c.began {
+		c.began = true
+		c.engine.own.Unread -= c.load.Unread
+	}
+}
+
+// Heard records that bytes came from the engine.
+func (c *Call) Heard(now time.Time) {
+	c.p.mu.Lock()
+	defer c.p.mu.Unlock()
+	c.engine.heardAt = now
+}
+
+// Report records what the engine told of its load.
+func (c *Call) Report(now time.Time, running, waiting int) {
+	c.p.mu.Lock()
+	defer c.p.mu.Unlock()
+	c.engine.reported = report{running: running, waiting: waiting, at: now}
+}
+
+// End records the end of the request; later calls change nothing.
+func (c *Call) End(now time.Time, o Outcome) {
+	c.p.mu.Lock()
+	defer c.p.mu.Unlock()
+	if c.ended {
+		return
+	}
+	c.ended = true
+	if !c.began {
+		c.engine.own.Unread -= c.load.Unread
+	}
+	c.engine.own.InFlight--
+	c.engine.own.Streams -= c.load.Streams
+	switch o {
+	case Answered:
+		c.engine.failures.note(now, false)
+	case Failed:
+		c.engine.failures.note(now, true)
+	}
+}
+
+// Loads returns this node's own work at each engine that has some.
+func (p *Placement) Loads() map[string]Load {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := map[string]Load{}
+	for id, e := range p.engines {
+		if e.own != (Load{}) {
+			out[id] = e.own
+		}
+	}
+	return out
+}
+
+// TakeUses returns the parts that this node gave to engines since the last call.
+func (p *Placement) TakeUses() []Use {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := p.uses
+	p.uses = nil
+	return out
+}
+
+// Peer records what a peer told: its work at each engine, in place of what it
+// told before, and the parts it gave to engines since.
+func (p *Placement) Peer(now time.Time, peer string, loads map[string]Load, uses []Use) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, e := range p.engines {
+		if l, ok := loads[id]; ok {
+			e.peers[peer] = peerLoad{Load: l, at: now}
+			continue
+		}
+		delete(e.peers, peer)
+	}
+	for _, u := range uses {
+		if p.engines[u.Engine] != nil {
+			p.cache.use(now, u.Engine, u.Part)
+		}
+	}
+}
--- /dev/null
+++ b/internal/placement/engine.go
@@ -0,0 +1,129 @@
+package placement
+
+import (
+	"time"
+)
+
+const (
+	// peerLoadLife is how long what a peer told of its load counts: five of its
+	// usual messages, so that lost datagrams do not make an engine look idle.
+	peerLoadLife = 500 * time.Millisecond
+
+	// reportLife is how long an engine's own report counts; later its load has
+	// changed by more than the report tells.
+	reportLife = 300 * time.Millisecond
+
+	// failureMemory is the time in which an engine's share of failures halves
+	// its weight; about the time that engines stay in trouble.
+	failureMemory = 2 * time.Second
+)
+
+type (
+	// Engine is an engine or backend server as service discovery shows it.
+	Engine struct {
+		ID       string // ID is of one start of the engine; a later start has another.
+		Pool     string
+		Address  string
+		Hall     string
+		Slots    int
+		Draining bool // Draining engines get no new requests.
+	}
+
+	// Load is the work at an engine, of one node or of all.
+	Load struct {
+		Unread   int // Unread is how many prompt tokens are still to be read.
+		InFlight int // InFlight is how many requests are sent and not yet ended.
+		Streams  int // Streams is how many of these are streams that long prompts would make late.
+	}
+
+	// engine is an engine with what this node learned of it.
+	engine struct {
+		Engine
+
+		own      Load
+		peers    map[string]peerLoad
+		reported report
+		failures failures
+
+		// heardAt is when bytes last came from the engine, or when the first of this
+		// node's requests there was sent.
+		heardAt time.Time
+	}
+
+	// peerLoad is what one peer told of its requests at an engine.
+	peerLoad struct {
+		Load
+		at time.Time
+	}
+
+	// report is what the engine told of itself with an answer.
+	report struct {
+		running, waiting int
+		at               time.Time
+	}
+
+	// failures is the share of requests that failed lately, newer ones weighing more.
+	failures struct {
+		failed, ended float64
+		at            time.Time
+	}
+)
+
+// add adds another load.
+func (l Load) add(o Load) Load {
+	return Load{Unread: l.Unread + o.Unread, InFlight: l.InFlight + o.InFlight, Streams: l.Streams + o.Streams}
+}
+
+// load returns the work at the engine, of this node and of its peers.
+func (e *engine) load(now time.Time) Load {
+	total := e.own
+	for _, p := range e.peers {
+		if now.Sub(p.at) <= peerLoadLife {
+			total = total.add(p.Load)
+		}
+	}
+	return total
+}
+
+// waiting returns how many requests the engine said were waiting, if it said so lately.
+func (e *engine) waiting(now time.Time) int {
+	if now.Sub(e.reported.at) > reportLife {
+		return 0
+	}
+	return e.reported.waiting
+}
+
+// note counts the end of a request.
+func (f *failures) note(now time.Time, failed bool) {
+	f.decay(now)
+	f.ended++
+	if failed {
+		f.failed++
+	}
+}
+
+// decay lets older ends weigh less.
+func (f *failures) decay(now time.Time) {
+	if f.at.IsZero() {
+		f.at = now
+	}
+	for f.ended > 0 && now.Sub(f.at) >= failureMemory {
+		f.failed /= 2
+		f.ended /= 2
+		f.at = f.at.Add(failureMemory)
+		if f.ended < 0.1 {
+			*f = failures{at: now}
+		}
+	}
+	if f.ended == 0 {
+		f.at = now
+	}
+}
+
+// share returns the share of requests that failed lately; the prior stands for
+// requests that succeeded, so that one failure alone does not condemn an engine.
+func (f *failures) share(now time.Time) float64 {
+	const prior = 2
+	f.decay(now)
+	return f.failed / (f.ended + prior)
+}
--- /dev/null
+++ b/internal/placement/placement.go
@@ -0,0 +1,262 @@
+// Package placement decides which engine takes a request. It weighs, in
+// milliseconds, how long the request would wait at each engine, how much of its
+// prompt the engine has cached, and how late it would make what runs there.
+//
+// A model engine reads prompts in pieces between the tokens of the streams that
+// it runs. Long prompts one after another therefore make streams late whose
+// callers bear only short pauses; such streams and long prompts are kept on
+// different engines as far as the load allows.
+package placement
+
+import (
+	"math"
+	"sort"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// readRate is how many prompt tokens an engine reads in a millisecond: the
+	// order of a present-day engine; only proportions of costs hang on it.
+	readRate = 50.0
+
+	// callCost is what each request in flight at an engine costs another, in
+	// milliseconds: batches with more requests take longer for each token.
+	callCost = 2.0
+
+	// waitingCost is what each request costs that the engine said was waiting, in
+	// milliseconds: about the time until a place is free.
+	waitingCost = 30.0
+
+	// hallCost stands for the way to another hall and back and for the price of
+	// the bytes, in milliseconds.
+	hallCost = 4.0
+
+	// rankCost makes nodes that know equally little of a session choose the same
+	// engine, in milliseconds a rank.
+	rankCost = 8.0
+
+	// separationCost is what a long prompt costs on an engine kept for streams, in
+	// milliseconds. In trials 300 was best of 0, 300 and strict separation.
+	separationCost = 300.0
+
+	// shortOnLongCost is what a short prompt costs on the other engines, in
+	// milliseconds; small, so that short prompts use them before they wait.
+	shortOnLongCost = 60.0
+
+	// streamShare is the share of a pool's engines that is kept for streams.
+	streamShare = 0.3
+
+	// longPrompt is how many tokens make a prompt long: it takes an engine longer
+	// to read than callers of streams bear without noticing.
+	longPrompt = 3500
+
+	// failureCost is what an engine costs whose requests all failed lately, in
+	// milliseconds; it is weighed by the share that failed.
+	failureCost = 3000.0
+
+	// silenceBefore is how long an engine may send nothing, while it has requests
+	// of this node, before it is avoided.
+	silenceBefore = 600 * time.Millisecond
+
+	// silenceCost is what a silent engine costs, in milliseconds.
+	silenceCost = 2000.0
+
+	// fullCost is what an engine costs that has as many requests as places, in
+	// milliseconds; more so for each that is over.
+	fullCost = 200.0
+)
+
+type (
+	// Request is what placement needs to know of a request.
+	Request struct {
+		Pool   string
+		Prompt Prompt
+		Stream bool // Stream says that the caller bears only short pauses between events.
+		Avoid  map[string]bool
+	}
+
+	// Choice is the engine that was chosen, and why.
+	Choice struct {
+		Engine Engine
+		Cost   float64 // Cost is the expected time to the first token and what is weighed with it, in milliseconds.
+		Wait   float64 // Wait is the expected time until the prompt is read, in milliseconds.
+		Unread int     // Unread is how many tokens of the prompt the engine still has to read.
+		Known  int     // Known is how many engines were weighed.
+	}
+
+	// Use tells that an engine has read parts of a prompt.
+	Use struct {
+		Engine string
+		Part   uint64
+	}
+
+	// Placement knows all engines and chooses among them. Its methods may be
+	// called from many goroutines.
+	Placement struct {
+		hall string
+
+		mu      sync.Mutex
+		engines map[string]*engine
+		pools   map[string][]*engine // sorted by the order in which engines are kept for streams
+		cache   cache
+		uses    []Use // uses since the last call of TakeUses
+	}
+)
+
+// New returns a placement for a node in a hall.
+func New(hall string) *Placement {
+	return &Placement{hall: hall, engines: map[string]*engine{}, pools: map[string][]*engine{}, cache: cache{parts: map[uint64]map[string]time.Time{}}}
+}
+
+// Set adds an engine or changes it; what was learned of it is kept.
+func (p *Placement) Set(e Engine) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := p.engines[e.ID]
+	if known == nil {
+		known = &engine{peers: map[string]peerLoad{}}
+		p.engines[e.ID] = known
+	}
+	known.Engine = e
+	p.sortPools()
+}
+
+// Remove forgets an engine.
+func (p *Placement) Remove(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.engines[id] == nil {
+		return
+	}
+	delete(p.engines, id)
+	p.cache.forget(id)
+	p.sortPools()
+}
+
+// Engine returns an engine by its id.
+func (p *Placement) Engine(id string) (Engine, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e, ok := p.engines[id]
+	if !ok {
+		return Engine{}, false
+	}
+	return e.Engine, true
+}
+
+// Engines returns all engines.
+func (p *Placement) Engines() []Engine {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make([]Engine, 0, len(p.engines))
+	for _, e := range p.engines {
+		out = append(out, e.Engine)
+	}
+	return out
+}
+
+// sortPools rebuilds the lists of engines by pool. The order is by hash, so that
+// all nodes keep the same engines for streams.
+func (p *Placement) sortPools() {
+	p.pools = map[string][]*engine{}
+	for _, e := range p.engines {
+		if !e.Draining {
+			p.pools[e.Pool] = append(p.pools[e.Pool], e)
+		}
+	}
+	for _, list := range p.pools {
+		sort.Slice(list, func(i, j int) bool { return xxhash.Sum64String(list[i].ID) < xxhash.Sum64String(list[j].ID) })
+	}
+}
+
+// Choose returns the engine with the lowest cost; ok is false where the pool
+// has no engine that may be used.
+func (p *Placement) Choose(now time.Time, r Request) (choice Choice, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.pools[r.Pool]
+	ranks := rank(list, r.Prompt.Session())
+	streams := streamEngines(len(list))
+	best := math.Inf(1)
+	for i, e := range list {
+		if r.Avoid[e.ID] {
+			continue
+		}
+		c := p.weigh(now, e, r, i < streams, ranks[e.ID])
+		if c.Cost < best {
+			best, choice, ok = c.Cost, c, true
+		}
+	}
+	choice.Known = len(list)
+	return choice, ok
+}
+
+// streamEngines returns how many of a pool's engines are kept for streams.
+func streamEngines(engines int) int {
+	if engines < 2 {
+		return 0
+	}
+	return max(1, int(math.Round(streamShare*float64(engines))))
+}
+
+// rank orders engines for a session by rendezvous hashing, the first being 0.
+func rank(list []*engine, session uint64) map[string]int {
+	if session == 0 {
+		return nil
+	}
+	type scored struct {
+		id    string
+		score uint64
+	}
+	scores := make([]scored, 0, len(list))
+	seed := strconv.FormatUint(session, 16)
+	for _, e := range list {
+		scores = append(scores, scored{e.ID, xxhash.Sum64String(e.ID + seed)})
+	}
+	sort.Slice(scores, func(i, j int) bool { return scores[i].score > scores[j].score })
+	ranks := make(map[string]int, len(scores))
+	for i, s := range scores {
+		ranks[s.id] = i
+	}
+	return ranks
+}
+
+// weigh works out the cost of a request at an engine.
+func (p *Placement) weigh(now time.Time, e *engine, r Request, forStreams bool, rank int) Choice {
+	load := e.load(now)
+	c := Choice{Engine: e.Engine}
+	if r.Prompt.Tokens > 0 {
+		c.Unread = p.cache.unread(now, e.ID, r.Prompt)
+		c.Wait = float64(load.Unread+c.Unread) / readRate
+		c.Cost += rankCost * float64(rank)
+		c.Cost += separation(r, forStreams)
+	}
+	c.Cost += c.Wait + callCost*float64(load.InFlight) + waitingCost*float64(e.waiting(now))
+	if over := load.InFlight - e.Slots; e.Slots > 0 && over >= 0 {
+		c.Cost += fullCost * float64(1+over)
+	}
+	if e.Hall != p.hall {
+		c.Cost += hallCost
+	}
+	c.Cost += failureCost * e.failures.share(now)
+	if e.own.InFlight > 0 && now.Sub(e.heardAt) > silenceBefore {
+		c.Cost += silenceCost
+	}
+	return c
+}
+
+// separation returns what it costs to mix long prompts and streams.
+func separation(r Request, forStreams bool) float64 {
+	long := r.Prompt.Tokens > longPrompt
+	switch {
+	case long && forStreams:
+		return separationCost
+	case !long && !forStreams:
+		return shortOnLongCost
+	}
+	return 0
+}
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -29,10 +29,18 @@
 	// exceed the time for which callers send a key again, by more than clocks differ.
 	ClaimKeepHours int `json:"claim_keep_hours,omitempty,omitzero"`
 
+	// ConfigMaxAgeMs is how old the newest proof may be that the configuration in
+	// force is the newest; beyond it requests with keys are refused, in milliseconds.
+	ConfigMaxAgeMs int `json:"config_max_age_ms,omitempty,omitzero"`
+
 	// ConfigPollMs is the time between two polls of the platform for a newer
 	// configuration, in milliseconds.
 	ConfigPollMs int `json:"config_poll_ms,omitempty,omitzero"`
 
+	// DirectoryAddress is the IP address and port that callers ask for entry points
+	// on the users' platform; empty elsewhere.
+	DirectoryAddress string `json:"directory_address,omitempty,omitzero"`
+
 	// DrainMs bounds how long a planned stop waits for requests in flight, in
 	// milliseconds.
 	DrainMs int `json:"drain_ms,omitempty,omitzero"`
@@ -68,6 +76,9 @@
 	// MaxHeaderBytes bounds a caller's request headers, in bytes.
 	MaxHeaderBytes int `json:"max_header_bytes,omitempty,omitzero"`
 
+	// MemoryMb is the memory that the process may use, in megabytes; 0 for no limit.
+	MemoryMb int `json:"memory_mb,omitempty,omitzero"`
+
 	// Observers is how many peers watch each member.
 	Observers int `json:"observers,omitempty,omitzero"`
 
@@ -88,13 +99,33 @@
 	// milliseconds.
 	ReadTimeoutMs int `json:"read_timeout_ms,omitempty,omitzero"`
 
+	// ReadyAddress is the IP address and port that answers whether this node takes
+	// callers; empty where the administration API alone does.
+	ReadyAddress string `json:"ready_address,omitempty,omitzero"`
+
 	// Region is the region of the hall.
 	Region string `json:"region"`
 
+	// RetryExtra is how many more may be sent to a second engine in each window, over
+	// all nodes.
+	RetryExtra int `json:"retry_extra,omitempty,omitzero"`
+
+	// RetryShare is how many requests may be sent to a second engine, as a share of
+	// those that came, over all nodes.
+	RetryShare float64 `json:"retry_share,omitempty,omitzero"`
+
+	// RetryWindowMs is the sliding window in which retries are counted, in
+	// milliseconds.
+	RetryWindowMs int `json:"retry_window_ms,omitempty,omitzero"`
+
 	// SeedPeers are peer addresses asked first when the platform's list of instances
 	// can't be read.
 	SeedPeers []string `json:"seed_peers,omitempty,omitzero"`
 
+	// StopGraceMs is the time from the signal to stop until the process is killed, in
+	// milliseconds.
+	StopGraceMs int `json:"stop_grace_ms,omitempty,omitzero"`
+
 	// SuspectMs is how long an observer waits for a heartbeat before it suspects a
 	// member, in milliseconds.
 	SuspectMs int `json:"suspect_ms,omitempty,omitzero"`
@@ -213,6 +244,15 @@
 	if 24 > plain.ClaimKeepHours {
 		return fmt.Errorf("field %s: must be >= %v", "claim_keep_hours", 24)
 	}
+	if v, ok := raw["config_max_age_ms"]; !ok || v == nil {
+		plain.ConfigMaxAgeMs = 4500
+	}
+	if 600000 < plain.ConfigMaxAgeMs {
+		return fmt.Errorf("field %s: must be <= %v", "config_max_age_ms", 600000)
+	}
+	if 100 > plain.ConfigMaxAgeMs {
+		return fmt.Errorf("field %s: must be >= %v", "config_max_age_ms", 100)
+	}
 	if v, ok := raw["config_poll_ms"]; !ok || v == nil {
 		plain.ConfigPollMs = 1500
 	}
@@ -222,6 +262,12 @@
 	if 50 > plain.ConfigPollMs {
 		return fmt.Errorf("field %s: must be >= %v", "config_poll_ms", 50)
 	}
+	if v, ok := raw["directory_address"]; !ok || v == nil {
+		plain.DirectoryAddress = ""
+	}
+	if matched, _ := regexp.MatchString(`^([0-9a-fA-F.:\[\]]+:[0-9]+)?$`, string(plain.DirectoryAddress)); !matched {
+		return fmt.Errorf("field %s pattern match: must match %s", "DirectoryAddress", `^([0-9a-fA-F.:\[\]]+:[0-9]+)?$`)
+	}
 	if v, ok := raw["drain_ms"]; !ok || v == nil {
 		plain.DrainMs = 30000
 	}
@@ -294,6 +340,15 @@
 	if 4096 > plain.MaxHeaderBytes {
 		return fmt.Errorf("field %s: must be >= %v", "max_header_bytes", 4096)
 	}
+	if v, ok := raw["memory_mb"]; !ok || v == nil {
+		plain.MemoryMb = 0
+	}
+	if 1048576 < plain.MemoryMb {
+		return fmt.Errorf("field %s: must be <= %v", "memory_mb", 1048576)
+	}
+	if 0 > plain.MemoryMb {
+		return fmt.Errorf("field %s: must be >= %v", "memory_mb", 0)
+	}
 	if v, ok := raw["observers"]; !ok || v == nil {
 		plain.Observers = 3
 	}
@@ -330,12 +385,54 @@
 	if 100 > plain.ReadTimeoutMs {
 		return fmt.Errorf("field %s: must be >= %v", "read_timeout_ms", 100)
 	}
+	if v, ok := raw["ready_address"]; !ok || v == nil {
+		plain.ReadyAddress = ""
+	}
+	if matched, _ := regexp.MatchString(`^([0-9a-fA-F.:\[\]]+:[0-9]+)?$`, string(plain.ReadyAddress)); !matched {
+		return fmt.Errorf("field %s pattern match: must match %s", "ReadyAddress", `^([0-9a-fA-F.:\[\]]+:[0-9]+)?$`)
+	}
 	if utf8.RuneCountInString(string(plain.Region)) < 1 {
 		return fmt.Errorf("field %s length: must be >= %d", "region", 1)
 	}
+	if v, ok := raw["retry_extra"]; !ok || v == nil {
+		plain.RetryExtra = 0
+	}
+	if 100000 < plain.RetryExtra {
+		return fmt.Errorf("field %s: must be <= %v", "retry_extra", 100000)
+	}
+	if 0 > plain.RetryExtra {
+		return fmt.Errorf("field %s: must be >= %v", "retry_extra", 0)
+	}
+	if v, ok := raw["retry_share"]; !ok || v == nil {
+		plain.RetryShare = 0.1
+	}
+	if 1 < plain.RetryShare {
+		return fmt.Errorf("field %s: must be <= %v", "retry_share", 1)
+	}
+	if 0 > plain.RetryShare {
+		return fmt.Errorf("field %s: must be >= %v", "retry_share", 0)
+	}
+	if v, ok := raw["retry_window_ms"]; !ok || v == nil {
+		plain.RetryWindowMs = 10000
+	}
+	if 600000 < plain.RetryWindowMs {
+		return fmt.Errorf("field %s: must be <= %v", "retry_window_ms", 600000)
+	}
+	if 100 > plain.RetryWindowMs {
+		return fmt.Errorf("field %s: must be >= %v", "retry_window_ms", 100)
+	}
 	if v, ok := raw["seed_peers"]; !ok || v == nil {
 		plain.SeedPeers = []string{}
 	}
+	if v, ok := raw["stop_grace_ms"]; !ok || v == nil {
+		plain.StopGraceMs = 8000
+	}
+	if 600000 < plain.StopGraceMs {
+		return fmt.Errorf("field %s: must be <= %v", "stop_grace_ms", 600000)
+	}
+	if 100 > plain.StopGraceMs {
+		return fmt.Errorf("field %s: must be >= %v", "stop_grace_ms", 100)
+	}
 	if v, ok := raw["suspect_ms"]; !ok || v == nil {
 		plain.SuspectMs = 1600
 	}
--- /dev/null
+++ b/internal/sse/sse.go
@@ -0,0 +1,76 @@
+// Package sse splits a stream of server-sent events into whole events, byte for
+// byte as they came.
+package sse
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+)
+
+// maxEvent bounds one event, in bytes.
+const maxEvent = 1 << 20
+
+// ErrTooLong says that an event is longer than is read.
+var ErrTooLong = errors.New("sse: event too long")
+
+type (
+	// Event is one whole event.
+	Event struct {
+		Raw []byte // Raw is the event with the empty line that ends it; it is valid until the next call of Next.
+		ID  string // ID is the event's id, empty if it has none.
+	}
+
+	// Reader reads events.
+	Reader struct {
+		lines *bufio.Reader
+		raw   []byte
+	}
+)
+
+// NewReader returns a reader of the events in r.
+func NewReader(r io.Reader) *Reader { return &Reader{lines: bufio.NewReaderSize(r, 1<<10)} }
+
+// Next returns the next whole event. At the end of the stream it returns
+// io.EOF; an event that is cut short is io.ErrUnexpectedEOF.
+func (r *Reader) Next() (Event, error) {
+	r.raw = r.raw[:0]
+	e := Event{}
+	for {
+		start := len(r.raw)
+		err := r.line()
+		if errors.Is(err, io.EOF) {
+			if len(r.raw) == 0 {
+				return Event{}, io.EOF
+			}
+			return Event{}, io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return Event{}, fmt.Errorf("read event: %w", err)
+		}
+		line := bytes.TrimRight(r.raw[start:], "\r\n")
+		if len(line) == 0 {
+			e.Raw = r.raw
+			return e, nil
+		}
+		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			e.ID = string(bytes.TrimSpace(id))
+		}
+	}
+}
+
+// line adds the next line to the event.
+func (r *Reader) line() error {
+	for {
+		part, err := r.lines.ReadSlice('\n')
+		r.raw = append(r.raw, part...)
+		if len(r.raw) > maxEvent {
+			return ErrTooLong
+		}
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return err
+		}
+	}
+}
