--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -33,6 +33,7 @@
 	now := time.Now()
 	w.status = resp.Status
 	w.call.Began(now)
+	w.heard = now
 	if resp.Loaded {
 		w.call.Report(now, resp.Running, resp.Waiting)
 	}
@@ -133,7 +134,7 @@
 		n, err := resp.Body.Read(buf)
 		now := time.Now()
 		if n > 0 {
-			w.call.Heard(now)
+			w.hear(now)
 			if werr := w.answer.Write(buf[:n]); werr != nil {
 				w.callerGone(now)
 				return false
@@ -174,7 +175,7 @@
 		if err != nil {
 			return w.failedMidway(ctx, err)
 		}
-		w.call.Heard(now)
+		w.hear(now)
 		if elsewhere {
 			stall.Reset(stalled)
 		}
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -89,7 +89,7 @@
 	Attempt struct {
 		Engine      placement.Engine
 		Team        string
-		Tier        int
+		Urgency     int           // Urgency is the request's place in the order of all, 0 first.
 		Left        time.Duration // Left of the caller's time.
 		LastEventID string        // LastEventID is the event after which the engine goes on; empty for a whole answer.
 	}
--- a/internal/dispatch/walk.go
+++ b/internal/dispatch/walk.go
@@ -19,9 +19,10 @@
 	// an engine before it goes to another, in targets.
 	firstPatience = 2
 
-	// sensitiveGap is the longest bearable pause of a stream that long prompts
-	// beside it make late: an engine reads about 12,000 tokens in it.
-	sensitiveGap = 300 * time.Millisecond
+	// stepTime is how long an engine takes from token to token while it reads long
+	// prompts: it reads about 2,000 tokens between two steps, at about 50 in a
+	// millisecond, and a step itself takes some 6 ms.
+	stepTime = 47 * time.Millisecond
 )
 
 // errSlow ends an attempt whose engine sends nothing for too long.
@@ -48,6 +49,8 @@
 	refused     Refusal
 	status      int
 	first       time.Duration
+	heard       time.Time     // heard is when bytes last came from the engine
+	gap         time.Duration // gap is the longest time between two pieces of the answer
 }
 
 // run tries engines until one has answered, or there is no use in another.
@@ -129,30 +132,30 @@
 	return placement.Request{Pool: w.pool, Prompt: w.req.Prompt, Stream: w.sensitive(), Avoid: w.avoid}
 }
 
-// sensitive reports whether the caller's stream bears only short pauses.
+// sensitive reports whether the caller's stream is late while its engine reads
+// long prompts: whether the tokens of one event take longer than the caller bears.
 func (w *walk) sensitive() bool {
-	return w.route.Kind == routing.Stream && w.route.MaxGap > 0 && w.route.MaxGap <= sensitiveGap
+	if w.route.Kind != routing.Stream || w.route.MaxGap <= 0 {
+		return false
+	}
+	pool := w.d.Table().Pool(w.pool)
+	if pool == nil || pool.Model == nil {
+		return false
+	}
+	return time.Duration(pool.Model.TokensPerEvent)*stepTime > w.route.MaxGap
 }
 
 // admit asks admission whether the request can be served on time.
 func (w *walk) admit(now time.Time, c placement.Choice) (comeBack time.Duration, ok bool) {
 	return admission.Decide(admission.Request{
-		Tier: w.tier(), Target: w.route.Target, Timeout: w.route.Timeout, Left: w.deadline.Sub(now),
+		Tier: min(routing.Tier(w.route, w.team), w.route.Tier), Target: w.route.Target, Timeout: w.route.Timeout, Left: w.deadline.Sub(now),
 		Wait: time.Duration(c.Wait * float64(time.Millisecond)),
 	})
 }
 
-// tier returns the request's tier: the team's where it has one.
-func (w *walk) tier() int {
-	if w.team != nil && w.team.Tier != nil {
-		return *w.team.Tier
-	}
-	return w.route.Tier
-}
-
 // attemptFor returns what is sent to an engine.
 func (w *walk) attemptFor(now time.Time, e placement.Engine) Attempt {
-	a := Attempt{Engine: e, Tier: w.tier(), Left: w.deadline.Sub(now), LastEventID: w.lastEventID}
+	a := Attempt{Engine: e, Urgency: routing.Urgency(w.route, w.team), Left: w.deadline.Sub(now), LastEventID: w.lastEventID}
 	if w.team != nil {
 		a.Team = w.team.Name
 	}
@@ -244,6 +247,15 @@
 	w.answer.Refuse(r)
 }
 
+// hear records that a piece of the answer came.
+func (w *walk) hear(now time.Time) {
+	if !w.heard.IsZero() {
+		w.gap = max(w.gap, now.Sub(w.heard))
+	}
+	w.heard = now
+	w.call.Heard(now)
+}
+
 // end records how the request ended.
 func (w *walk) end(now time.Time) {
 	outcome := "answered"
@@ -254,10 +266,10 @@
 	if w.team != nil {
 		team = w.team.Name
 	}
-	w.d.log.Info("request ended", "request", w.req.ID, "route", w.route.Name, "team", team, "tier", w.tier(), "pool", w.pool,
+	w.d.log.Info("request ended", "request", w.req.ID, "route", w.route.Name, "team", team, "urgency", routing.Urgency(w.route, w.team), "pool", w.pool,
 		"outcome", outcome, "status", w.status, "engine", w.choice.Engine.ID, "sent", w.sent, "unsent", w.unsent,
 		"cost_ms", int(w.choice.Cost), "wait_ms", int(w.choice.Wait), "prompt_tokens", w.req.Prompt.Tokens, "unread_tokens", w.choice.Unread,
-		"first_ms", w.first.Milliseconds(), "total_ms", now.Sub(w.arrived).Milliseconds(), "patience_ms", w.deadline.Sub(w.arrived).Milliseconds(),
+		"first_ms", w.first.Milliseconds(), "gap_ms", w.gap.Milliseconds(), "total_ms", now.Sub(w.arrived).Milliseconds(), "patience_ms", w.deadline.Sub(w.arrived).Milliseconds(),
 		"come_back_ms", w.refused.ComeBack.Milliseconds(), "config_version", w.d.version(), "proof_age_ms", w.d.proofAge(now))
 	w.d.observer.Ended(w.route.Name, outcome, w.first, now.Sub(w.arrived))
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -39,20 +39,21 @@
 	// engine, in milliseconds a rank.
 	rankCost = 8.0
 
-	// separationCost is what a long prompt costs on an engine kept for streams, in
-	// milliseconds. In trials 300 was best of 0, 300 and strict separation.
-	separationCost = 300.0
+	// gatherCost makes streams that long prompts would make late gather on few
+	// engines, in milliseconds for each engine further down the pool's order, so
+	// that the others may read long prompts one after another.
+	gatherCost = 40.0
 
-	// shortOnLongCost is what a short prompt costs on the other engines, in
-	// milliseconds; small, so that short prompts use them before they wait.
-	shortOnLongCost = 60.0
+	// bearableTokens is how many unread tokens an engine may have without making
+	// streams late: it reads them in about 160 ms, and the streams' callers bear 250.
+	bearableTokens = 5000.0
 
-	// streamShare is the share of a pool's engines that is kept for streams.
-	streamShare = 0.3
+	// lateCost is what it costs to make ten streams late, or to be made late, in
+	// milliseconds.
+	lateCost = 1500.0
 
-	// longPrompt is how many tokens make a prompt long: it takes an engine longer
-	// to read than callers of streams bear without noticing.
-	longPrompt = 3500
+	// manyStreams is how many streams weigh as much as can be.
+	manyStreams = 3.0
 
 	// failureCost is what an engine costs whose requests all failed lately, in
 	// milliseconds; it is weighed by the share that failed.
@@ -180,13 +181,12 @@
 	defer p.mu.Unlock()
 	list := p.pools[r.Pool]
 	ranks := rank(list, r.Prompt.Session())
-	streams := streamEngines(len(list))
 	best := math.Inf(1)
 	for i, e := range list {
 		if r.Avoid[e.ID] {
 			continue
 		}
-		c := p.weigh(now, e, r, i < streams, ranks[e.ID])
+		c := p.weigh(now, e, r, i, ranks[e.ID])
 		if c.Cost < best {
 			best, choice, ok = c.Cost, c, true
 		}
@@ -195,14 +195,6 @@
 	return choice, ok
 }
 
-// streamEngines returns how many of a pool's engines are kept for streams.
-func streamEngines(engines int) int {
-	if engines < 2 {
-		return 0
-	}
-	return max(1, int(math.Round(streamShare*float64(engines))))
-}
-
 // rank orders engines for a session by rendezvous hashing, the first being 0.
 func rank(list []*engine, session uint64) map[string]int {
 	if session == 0 {
@@ -226,14 +218,14 @@
 }
 
 // weigh works out the cost of a request at an engine.
-func (p *Placement) weigh(now time.Time, e *engine, r Request, forStreams bool, rank int) Choice {
+func (p *Placement) weigh(now time.Time, e *engine, r Request, order, rank int) Choice {
 	load := e.load(now)
 	c := Choice{Engine: e.Engine}
 	if r.Prompt.Tokens > 0 {
 		c.Unread = p.cache.unread(now, e.ID, r.Prompt)
 		c.Wait = float64(load.Unread+c.Unread) / readRate
 		c.Cost += rankCost * float64(rank)
-		c.Cost += separation(r, forStreams)
+		c.Cost += lateness(load, c.Unread, r, order)
 	}
 	c.Cost += c.Wait + callCost*float64(load.InFlight) + waitingCost*float64(e.waiting(now))
 	if over := load.InFlight - e.Slots; e.Slots > 0 && over >= 0 {
@@ -249,14 +241,13 @@
 	return c
 }
 
-// separation returns what it costs to mix long prompts and streams.
-func separation(r Request, forStreams bool) float64 {
-	long := r.Prompt.Tokens > longPrompt
-	switch {
-	case long && forStreams:
-		return separationCost
-	case !long && !forStreams:
-		return shortOnLongCost
+// lateness returns what it costs that the request makes streams late, or that it
+// is a stream which what the engine has to read makes late.
+func lateness(load Load, unread int, r Request, order int) float64 {
+	over := (float64(load.Unread+unread) - bearableTokens) / bearableTokens
+	over = min(max(over, 0), 1)
+	if r.Stream {
+		return gatherCost*float64(order) + lateCost*over
 	}
-	return 0
+	return lateCost * over * min(float64(load.Streams), manyStreams) / manyStreams
 }
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -22,6 +22,14 @@
 	Stream
 )
 
+const (
+	// routeTiers is how many tiers of routes are told apart within a tier of teams.
+	routeTiers = 3
+
+	// maxUrgency is the least urgent place that engines tell apart.
+	maxUrgency = 9
+)
+
 type (
 	// Kind says how the requests of a route may be treated.
 	Kind int
@@ -131,6 +139,21 @@
 // Team returns the team that holds a key, or nil.
 func (t *Table) Team(key string) *Team { return t.teams[key] }
 
+// Tier returns a request's tier: the team's where it has one, else the route's.
+func Tier(r *Route, t *Team) int {
+	if t != nil && t.Tier != nil {
+		return *t.Tier
+	}
+	return r.Tier
+}
+
+// Urgency returns a request's place in the order of all requests, 0 first: by
+// tier, and within a tier by that of the route, so that a team's own requests
+// keep the order of their routes where the team has a tier.
+func Urgency(r *Route, t *Team) int {
+	return min(max(Tier(r, t)*routeTiers+min(max(r.Tier, 0), routeTiers-1), 0), maxUrgency)
+}
+
 // Keyed reports whether requests need a key.
 func (t *Table) Keyed() bool { return t.keyed }
 
