--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -39,18 +39,23 @@
 	// engine, in milliseconds a rank.
 	rankCost = 8.0
 
+	// rereadWeight is how much more a token weighs that the engine has to read
+	// than its reading takes: other engines may have it cached, and what is read
+	// twice takes that time from others.
+	rereadWeight = 4.0
+
 	// gatherCost makes streams that long prompts would make late gather on few
 	// engines, in milliseconds for each engine further down the pool's order, so
 	// that the others may read long prompts one after another.
-	gatherCost = 40.0
+	gatherCost = 80.0
 
 	// bearableTokens is how many unread tokens an engine may have without making
 	// streams late: it reads them in about 160 ms, and the streams' callers bear 250.
-	bearableTokens = 5000.0
+	bearableTokens = 4000.0
 
 	// lateCost is what it costs to make ten streams late, or to be made late, in
 	// milliseconds.
-	lateCost = 1500.0
+	lateCost = 3000.0
 
 	// manyStreams is how many streams weigh as much as can be.
 	manyStreams = 3.0
@@ -227,6 +232,7 @@
 		c.Cost += rankCost * float64(rank)
 		c.Cost += lateness(load, c.Unread, r, order)
 	}
+	c.Cost += rereadWeight * float64(c.Unread) / readRate
 	c.Cost += c.Wait + callCost*float64(load.InFlight) + waitingCost*float64(e.waiting(now))
 	if over := load.InFlight - e.Slots; e.Slots > 0 && over >= 0 {
 		c.Cost += fullCost * float64(1+over)
