--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -42,7 +42,7 @@
 	// rereadWeight is how much more a token weighs that the engine has to read
 	// than its reading takes: other engines may have it cached, and what is read
 	// twice takes that time from others.
-	rereadWeight = 4.0
+	rereadWeight = 6.0
 
 	// gatherCost makes streams that long prompts would make late gather on few
 	// engines, in milliseconds for each engine further down the pool's order, so
