Let two nodes read the platform's tables and the others hear from them

A call for engines now waits 1.2 s, not 8.

Change: internal/feed keeps copies of tables, a reader follows the store and a follower takes from peers what they tell of by datagram; internal/discovery and internal/register moved out of platform/.

--- /dev/null
+++ b/internal/discovery/discovery.go
@@ -0,0 +1,122 @@
+// Package discovery follows the entries of engines and decides which of them
+// get new work. Entries also go while the platform's store is away, though the
+// engines live, and come back soon after; an engine that said that it leaves
+// gets no new work any more, whatever its entry says later.
+package discovery
+
+import (
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/croftturn/croftturn/internal/feed"
+	"github.com/croftturn/croftturn/internal/placement"
+)
+
+// unsettledFor is how long after the store's return an engine without entry is
+// still used: engines write their entries again within two seconds, and new
+// work must stop two seconds after an entry has gone for good.
+const unsettledFor = 1800 * time.Millisecond
+
+type (
+	// Decode returns the engine of a row.
+	Decode func(row feed.Row) (placement.Engine, error)
+
+	// Engines takes the engines that may get work.
+	Engines interface {
+		Set(e placement.Engine)
+		Remove(id string)
+	}
+
+	// Discovery follows entries.
+	Discovery struct {
+		decode  Decode
+		engines Engines
+		log     *slog.Logger
+
+		mu       sync.Mutex
+		lostAt   time.Time            // lostAt is when the store last could not be called.
+		missing  map[string]time.Time // missing holds engines without entry, and when they are dropped.
+		draining map[string]bool      // draining holds engines that once said that they leave.
+	}
+)
+
+// New returns a discovery that tells engines to a placement.
+func New(decode Decode, engines Engines, log *slog.Logger) *Discovery {
+	return &Discovery{decode: decode, engines: engines, log: log, missing: map[string]time.Time{}, draining: map[string]bool{}}
+}
+
+// Lost records that the store could not be called at a moment.
+func (d *Discovery) Lost(at time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if at.After(d.lostAt) {
+		d.lostAt = at
+	}
+}
+
+// Take takes changed entries; it is a feed.Consumer.
+func (d *Discovery) Take(now time.Time, rows []feed.Row) {
+	for _, r := range rows {
+		if r.Deleted {
+			d.miss(now, r.Key)
+			continue
+		}
+		e, err := d.decode(r)
+		if err != nil {
+			d.log.Error("engine not understood; it gets no work", "engine", r.Key, "error", err.Error())
+			continue
+		}
+		d.set(e, r.Version)
+	}
+}
+
+// set takes an engine's entry.
+func (d *Discovery) set(e placement.Engine, version int64) {
+	d.mu.Lock()
+	delete(d.missing, e.ID)
+	if e.Draining {
+		d.draining[e.ID] = true
+	}
+	e.Draining = d.draining[e.ID]
+	d.mu.Unlock()
+	d.log.Info("engine", "engine", e.ID, "pool", e.Pool, "address", e.Address, "hall", e.Hall, "draining", e.Draining, "version", version)
+	d.engines.Set(e)
+}
+
+// miss drops an engine without entry: at once, or after a while where the store
+// was away.
+func (d *Discovery) miss(now time.Time, id string) {
+	d.mu.Lock()
+	settled := d.lostAt.IsZero() || now.Sub(d.lostAt) > unsettledFor
+	if _, known := d.missing[id]; !settled && !known {
+		d.missing[id] = now.Add(unsettledFor)
+		time.AfterFunc(unsettledFor, func() { d.Expire(time.Now()) })
+	}
+	d.mu.Unlock()
+	if settled {
+		d.remove(id, "its entry is gone")
+	}
+}
+
+// Expire drops engines whose entries did not come back.
+func (d *Discovery) Expire(now time.Time) {
+	d.mu.Lock()
+	var gone []string
+	for id, at := range d.missing {
+		if !now.Before(at) {
+			gone = append(gone, id)
+			delete(d.missing, id)
+		}
+	}
+	d.mu.Unlock()
+	for _, id := range gone {
+		d.remove(id, "its entry did not come back after the store was away")
+	}
+}
+
+// remove drops an engine.
+func (d *Discovery) remove(id, reason string) {
+	d.log.Info("engine removed", "engine", id, "reason", reason)
+	d.engines.Remove(id)
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -155,12 +155,12 @@
 // Refused records a request that was refused before it was served.
 func (d *Dispatcher) Refused(now time.Time, r *Request, refusal *Refusal) {
 	d.log.Info("request refused", "request", r.ID, "host", r.Host, "path", r.Path, "outcome", refusal.Reason,
-		"config_version", d.version(), "proof_age_ms", d.proofAge(now))
+		"config_version", d.Version(), "proof_age_ms", d.proofAge(now))
 	d.observer.Ended("", string(refusal.Reason), 0, 0)
 }
 
-// version returns the version in force, 0 if there is none.
-func (d *Dispatcher) version() int {
+// Version returns the version of the configuration in force, 0 if there is none.
+func (d *Dispatcher) Version() int {
 	if t := d.table.Load(); t != nil {
 		return t.Version
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -13,13 +13,18 @@
 	"net/http"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/croftturn/croftturn/internal/discovery"
 	"github.com/croftturn/croftturn/internal/dispatch"
+	"github.com/croftturn/croftturn/internal/feed"
 	"github.com/croftturn/croftturn/internal/freshness"
 	"github.com/croftturn/croftturn/internal/gossip"
 	"github.com/croftturn/croftturn/internal/logline"
+	"github.com/croftturn/croftturn/internal/peer"
 	"github.com/croftturn/croftturn/internal/placement"
+	"github.com/croftturn/croftturn/internal/register"
 	"github.com/croftturn/croftturn/internal/retry"
 	"github.com/croftturn/croftturn/internal/settings"
 	"github.com/croftturn/croftturn/internal/telemetry"
@@ -41,6 +46,16 @@
 	// leaveTimeout bounds the removal of this node's row from the register.
 	leaveTimeout = time.Second
 
+	// configWait is how long a call waits for a newer configuration. Each answer
+	// proves the configuration in force; three calls may fail before the proof of
+	// the usual 4.5 s is too old.
+	configWait = 1500 * time.Millisecond
+
+	// enginesWait is how long a call waits for changes of engines. When the store
+	// drops its history, calls in flight may stay deaf until they end; new work
+	// must stop within two seconds of an engine's leaving all the same.
+	enginesWait = 1200 * time.Millisecond
+
 	// stopMargin is how long before the platform kills the process it ends.
 	stopMargin = 400 * time.Millisecond
 
@@ -64,9 +79,16 @@
 	dispatcher *dispatch.Dispatcher
 	egress     *platform.Egress
 	store      *platform.Store
-	discovery  *platform.Discovery
-	register   *platform.Register
+	discovery  *discovery.Discovery
+	register   *register.Register
 	metrics    *metrics
+	traffic    *peer.Traffic
+	calls      *peer.Client
+	peers      *peer.Server
+	config     *feed.Table
+	engines    *feed.Table
+	follower   *feed.Follower
+	lostAt     atomic.Pointer[time.Time] // lostAt is when the store last could not be called.
 
 	servers []*http.Server
 	cancel  context.CancelFunc
@@ -105,9 +127,13 @@
 	var err error
 	e.proof = freshness.New(ms(s.ConfigMaxAgeMs))
 	e.placement = placement.New(s.Hall)
-	if e.gossip, err = gossip.New(self, e.placement, e.Ready, e.log); err != nil {
+	if e.gossip, err = gossip.New(self, e.log); err != nil {
 		return fmt.Errorf("start gossip: %w", err)
 	}
+	listener, err := net.Listen("tcp", s.PeerAddress)
+	if err != nil {
+		return fmt.Errorf("listen for peers: %w", err)
+	}
 	if e.metrics, err = newMetrics(e); err != nil {
 		return fmt.Errorf("make metrics: %w", err)
 	}
@@ -115,8 +141,15 @@
 	e.egress = platform.NewEgress()
 	e.dispatcher = dispatch.New(e.proof, e.placement, retry.New(now, limits, e.gossip.Nodes), e.egress, e.metrics, e.log)
 	e.store = platform.NewStore(s.PlatformAddresses[0])
-	e.discovery = platform.NewDiscovery(e.store, e, e.log)
-	e.register = platform.NewRegister(e.store, self, e.gossip.Meet, e.log)
+	e.discovery = discovery.New(platform.Engine, e.placement, e.log)
+	e.register = register.New(e.store, self, e.gossip.Meet, e.log)
+	e.config = feed.NewTable(platform.TableConfig, e.takeConfig)
+	e.engines = feed.NewTable(platform.TableEngines, e.discovery.Take)
+	e.traffic = &peer.Traffic{}
+	e.calls = peer.NewClient(e.traffic)
+	e.follower = feed.NewFollower(e.calls, e.log, e.config, e.engines)
+	e.peers = peer.NewServer(listener, e.traffic, e.log)
+	e.peers.Handle(feed.MethodTable, peer.Typed(e.follower.Answer))
 	return nil
 }
 
@@ -139,8 +172,12 @@
 			return err
 		}
 	}
-	e.start(func() { e.gossip.Run(ctx) })
-	e.start(func() { e.discovery.Run(ctx) })
+	config := &feed.Reader{Table: e.config, Source: e.store, Wait: configWait, Wanted: e.reads, Proven: e.proven, Lost: e.lost, Log: e.log}
+	engines := &feed.Reader{Table: e.engines, Source: e.store, Wait: enginesWait, Wanted: e.reads, Lost: e.lost, Log: e.log}
+	e.start(e.peers.Serve)
+	e.start(func() { e.gossip.Run(ctx, e) })
+	e.start(func() { config.Run(ctx) })
+	e.start(func() { engines.Run(ctx) })
 	e.start(func() { e.register.Run(ctx) })
 	return nil
 }
@@ -205,6 +242,8 @@
 		errs = append(errs, s.Close())
 	}
 	e.cancel()
+	errs = append(errs, e.follower.Close(), e.peers.Close())
+	e.calls.Close()
 	e.wg.Wait()
 	e.egress.Close()
 	e.store.Close()
--- /dev/null
+++ b/internal/feed/reader.go
@@ -0,0 +1,121 @@
+package feed
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	// retryFirst and retryMost bound the pause after a failed call; it doubles, and
+	// is drawn by chance so that nodes that start together do not call together.
+	retryFirst = 50 * time.Millisecond
+	retryMost  = 800 * time.Millisecond
+
+	// idlePoll is how often a node that does not read looks whether it should.
+	idlePoll = 100 * time.Millisecond
+)
+
+type (
+	// Source is where tables are read from.
+	Source interface {
+		List(ctx context.Context, table, part string) (Snapshot, error)
+		Changes(ctx context.Context, table string, after int64, wait time.Duration) (Snapshot, error)
+	}
+
+	// Reader keeps a table's copy up to date from the platform, while it is asked to.
+	Reader struct {
+		Table  *Table
+		Source Source
+		Wait   time.Duration            // Wait is how long a call waits for changes.
+		Wanted func(now time.Time) bool // Wanted says whether this node should read.
+		Proven func(at time.Time)       // Proven is told of a moment at which the copy was the newest; may be nil.
+		Lost   func(now time.Time)      // Lost is told of each failed call.
+		Log    *slog.Logger
+
+		version int64 // version is the newest of all tables that was taken.
+		known   bool  // known says that version is set.
+		lost    bool
+	}
+)
+
+// Run reads until the context ends.
+func (r *Reader) Run(ctx context.Context) {
+	pause := retryFirst
+	for ctx.Err() == nil {
+		if !r.Wanted(time.Now()) {
+			sleep(ctx, idlePoll)
+			continue
+		}
+		err := r.once(ctx)
+		switch {
+		case ctx.Err() != nil:
+			return
+		case errors.Is(err, ErrHistoryGone):
+			r.Log.Warn("history of the table is gone; reading it anew", "table", r.Table.Name(), "version", r.version)
+			r.known = false
+		case err != nil:
+			r.failed(time.Now(), err)
+			sleep(ctx, pause/2+rand.N(pause))
+			pause = min(2*pause, retryMost)
+		default:
+			pause = retryFirst
+		}
+	}
+}
+
+// once makes one call and takes its answer.
+func (r *Reader) once(ctx context.Context) error {
+	if last, ok := r.Table.Last(); ok && last > r.version {
+		r.version, r.known = last, true // A peer told more while this node did not read.
+	}
+	if !r.known {
+		snap, err := r.Source.List(ctx, r.Table.Name(), "")
+		if err != nil {
+			return err
+		}
+		r.Table.Replace(time.Now(), snap)
+		r.took(snap)
+		return nil
+	}
+	snap, err := r.Source.Changes(ctx, r.Table.Name(), r.version, r.Wait)
+	if err != nil {
+		return err
+	}
+	r.Table.Change(time.Now(), snap.Rows)
+	r.took(snap)
+	return nil
+}
+
+// took records that an answer was taken.
+func (r *Reader) took(snap Snapshot) {
+	if r.lost {
+		r.Log.Info("store regained", "table", r.Table.Name(), "version", snap.Version)
+	}
+	r.lost = false
+	r.version, r.known = max(r.version, snap.Version), true
+	if r.Proven != nil {
+		r.Proven(snap.AsOf)
+	}
+}
+
+// failed records a failed call, once for each time that the store is lost.
+func (r *Reader) failed(now time.Time, err error) {
+	if !r.lost {
+		r.Log.Warn("store lost", "table", r.Table.Name(), "version", r.version, "error", err.Error())
+	}
+	r.lost = true
+	r.Lost(now)
+}
+
+// sleep waits, or until the context ends.
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -33,6 +33,15 @@
 	// forgetAfter is how long a peer that is not heard is remembered.
 	forgetAfter = 5 * time.Minute
 
+	// manyPeers is how many peers make messages to other halls rarer, by
+	// farSlowDown, since bytes between halls are paid for.
+	manyPeers   = 12
+	farSlowDown = 2
+
+	// remembered is how many messages a node remembers the sending of: a peer that
+	// is so far behind has been silent for longer than it counts as alive.
+	remembered = 64
+
 	// maxDatagram is the longest message that is read, in bytes.
 	maxDatagram = 60 << 10
 )
@@ -47,44 +56,68 @@
 		Hall          string
 	}
 
+	// Said is what a node tells its peers of its state, besides who it is.
+	Said struct {
+		_             struct{}                  `cbor:",toarray"`
+		Ready         bool                      // Ready says that it takes callers.
+		Loads         map[string]placement.Load // Loads is its own work, by engine.
+		Uses          []placement.Use           // Uses are the prompt parts it gave to engines since it last spoke.
+		Versions      map[string]int64          // Versions are those of its tables.
+		ConfigVersion int                       // ConfigVersion is of the configuration in force there.
+		ProofAgeMs    int64                     // ProofAgeMs is the age of the proof that this is the newest; -1 for none.
+		CantRead      bool                      // CantRead says that its last call to the platform's store failed.
+		LostAgeMs     int64                     // LostAgeMs is how long ago that was; -1 if never.
+	}
+
 	// Peer is another node.
 	Peer struct {
 		Self
-		Ready bool // Ready says that it takes callers.
+		Said  Said
 		heard time.Time
 		met   time.Time
 		addr  *net.UDPAddr
+		echo  uint32 // echo is the number of the newest message from the peer.
+	}
+
+	// Node is the node that gossips.
+	Node interface {
+		// Say returns what the peers are told.
+		Say(now time.Time) Said
+
+		// Heard takes what a peer said, after it had received what this node sent
+		// at a moment; that is zero where it has received nothing yet.
+		Heard(now time.Time, p Self, s Said, received time.Time)
 	}
 
 	// message is one datagram.
 	message struct {
 		_           struct{} `cbor:",toarray"`
+		Echo        uint32   // Echo is the number of the newest message that the sender has from the receiver.
+		Seq         uint32   // Seq numbers the sender's messages.
 		Name        string
 		Incarnation int64
 		Peer        string
 		Caller      string
 		Hall        string
-		Ready       bool
-		Loads       map[string]placement.Load
-		Uses        []placement.Use
+		Said        cbor.RawMessage
 	}
 
 	// Gossip talks to the peers.
 	Gossip struct {
-		self      Self
-		placement *placement.Placement
-		ready     func(now time.Time) bool
-		log       *slog.Logger
-		conn      *net.UDPConn
+		self Self
+		node Node
+		log  *slog.Logger
+		conn *net.UDPConn
 
 		mu    sync.Mutex
 		peers map[string]*Peer
+		seq   uint32
+		sent  [remembered]time.Time // sent holds when the newest messages were sent, by number
 	}
 )
 
-// New returns a gossip on the self's peer address; ready tells whether this node
-// takes callers.
-func New(self Self, p *placement.Placement, ready func(now time.Time) bool, log *slog.Logger) (*Gossip, error) {
+// New returns a gossip on the self's peer address. Run begins it.
+func New(self Self, log *slog.Logger) (*Gossip, error) {
 	addr, err := net.ResolveUDPAddr("udp4", self.PeerAddress)
 	if err != nil {
 		return nil, fmt.Errorf("peer address: %w", err)
@@ -93,7 +126,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for peers: %w", err)
 	}
-	return &Gossip{self: self, placement: p, ready: ready, log: log, conn: conn, peers: map[string]*Peer{}}, nil
+	return &Gossip{self: self, log: log, conn: conn, peers: map[string]*Peer{}}, nil
 }
 
 // Meet adds a peer that was learned of elsewhere, such as from the platform.
@@ -131,8 +164,9 @@
 // Nodes returns how many nodes are alive, this one among them.
 func (g *Gossip) Nodes() int { return len(g.Peers(time.Now())) + 1 }
 
-// Run sends and receives until the context ends.
-func (g *Gossip) Run(ctx context.Context) {
+// Run sends and receives for a node until the context ends.
+func (g *Gossip) Run(ctx context.Context, node Node) {
+	g.node = node
 	var wg sync.WaitGroup
 	wg.Add(1)
 	go func() {
@@ -155,27 +189,50 @@
 
 // send tells the peers of this node.
 func (g *Gossip) send(now time.Time, turn int) {
-	m := message{
-		Name: g.self.Name, Incarnation: g.self.Incarnation, Peer: g.self.PeerAddress, Caller: g.self.CallerAddress, Hall: g.self.Hall,
-		Ready: g.ready(now), Loads: g.placement.Loads(), Uses: g.placement.TakeUses(),
-	}
-	packet, err := cbor.Marshal(m)
+	said, err := cbor.Marshal(g.node.Say(now))
 	if err != nil {
 		g.log.Error("message to peers not encoded", "error", err.Error())
 		return
 	}
-	for _, addr := range g.targets(now, turn) {
-		if _, err := g.conn.WriteToUDP(packet, addr); err != nil {
-			g.log.Debug("message to peer not sent", "address", addr.String(), "error", err.Error())
+	m := message{
+		Seq: g.number(now), Name: g.self.Name, Incarnation: g.self.Incarnation, Peer: g.self.PeerAddress, Caller: g.self.CallerAddress,
+		Hall: g.self.Hall, Said: said,
+	}
+	for _, to := range g.targets(now, turn) {
+		m.Echo = to.echo
+		packet, err := cbor.Marshal(m)
+		if err != nil {
+			g.log.Error("message to peer not encoded", "error", err.Error())
+			return
+		}
+		if _, err := g.conn.WriteToUDP(packet, to.addr); err != nil {
+			g.log.Debug("message to peer not sent", "peer", to.Name, "error", err.Error())
 		}
 	}
 }
 
+// number returns the number of the next message and remembers when it is sent.
+func (g *Gossip) number(now time.Time) uint32 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.seq++
+	g.sent[g.seq%remembered] = now
+	return g.seq
+}
+
+// sentAt returns when a message was sent, or zero if that is forgotten.
+func (g *Gossip) sentAt(seq uint32) time.Time {
+	if seq == 0 || seq > g.seq || g.seq-seq >= remembered {
+		return time.Time{}
+	}
+	return g.sent[seq%remembered]
+}
+
 // targets returns whom to send to this turn, and forgets peers that are long gone.
-func (g *Gossip) targets(now time.Time, turn int) []*net.UDPAddr {
+func (g *Gossip) targets(now time.Time, turn int) []Peer {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	var out []*net.UDPAddr
+	var out []Peer
 	for name, p := range g.peers {
 		last := p.met
 		if p.heard.After(last) {
@@ -185,8 +242,10 @@
 		switch {
 		case quiet > forgetAfter:
 			delete(g.peers, name)
-		case quiet <= quietFor || turn%slowDown == 0:
-			out = append(out, p.addr)
+		case quiet > quietFor && turn%slowDown != 0:
+		case p.Hall != g.self.Hall && len(g.peers) > manyPeers && turn%farSlowDown != 0:
+		default:
+			out = append(out, *p)
 		}
 	}
 	return out
@@ -220,21 +279,32 @@
 	if m.Name == g.self.Name {
 		return
 	}
+	var said Said
+	if err := cbor.Unmarshal(m.Said, &said); err != nil {
+		g.log.Warn("message from peer not understood", "peer", m.Name, "error", err.Error())
+		return
+	}
+	self := Self{Name: m.Name, Incarnation: m.Incarnation, PeerAddress: m.Peer, CallerAddress: m.Caller, Hall: m.Hall}
 	g.mu.Lock()
 	p := g.peers[m.Name]
 	if p != nil && p.Incarnation > m.Incarnation && now.Sub(p.heard) <= aliveFor {
 		g.mu.Unlock()
 		return
 	}
-	if p == nil || p.Incarnation < m.Incarnation || now.Sub(p.heard) > aliveFor {
-		g.log.Info("peer heard", "peer", m.Name, "incarnation", m.Incarnation, "address", m.Peer, "ready", m.Ready)
+	same := p != nil && p.Incarnation == m.Incarnation
+	if !same || now.Sub(p.heard) > aliveFor {
+		g.log.Info("peer heard", "peer", m.Name, "incarnation", m.Incarnation, "address", m.Peer, "ready", said.Ready)
 	}
 	if p == nil {
 		p = &Peer{met: now}
 		g.peers[m.Name] = p
 	}
-	p.Self = Self{Name: m.Name, Incarnation: m.Incarnation, PeerAddress: m.Peer, CallerAddress: m.Caller, Hall: m.Hall}
-	p.Ready, p.heard, p.addr = m.Ready, now, from
+	if same && m.Seq < p.echo {
+		g.mu.Unlock()
+		return // It was overtaken by a newer one.
+	}
+	p.Self, p.Said, p.heard, p.addr, p.echo = self, said, now, from, m.Seq
+	received := g.sentAt(m.Echo)
 	g.mu.Unlock()
-	g.placement.Peer(now, m.Name, m.Loads, m.Uses)
+	g.node.Heard(now, self, said, received)
 }
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -31,9 +31,10 @@
 
 	// Load is the work at an engine, of one node or of all.
 	Load struct {
-		Unread   int // Unread is how many prompt tokens are still to be read.
-		InFlight int // InFlight is how many requests are sent and not yet ended.
-		Streams  int // Streams is how many of these are streams that long prompts would make late.
+		_        struct{} `cbor:",toarray"`
+		Unread   int      // Unread is how many prompt tokens are still to be read.
+		InFlight int      // InFlight is how many requests are sent and not yet ended.
+		Streams  int      // Streams is how many of these are streams that long prompts would make late.
 	}
 
 	// engine is an engine with what this node learned of it.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -96,6 +96,7 @@
 
 	// Use tells that an engine has read parts of a prompt.
 	Use struct {
+		_      struct{} `cbor:",toarray"`
 		Engine string
 		Part   uint64
 	}
--- a/platform/register.go
+++ b/internal/register/register.go
@@ -1,4 +1,6 @@
-package platform
+// Package register makes nodes known to each other through a table of the
+// platform, where each has a row. Afterwards they tell each other by datagrams.
+package register
 
 import (
 	"context"
@@ -9,12 +11,13 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/croftturn/croftturn/internal/feed"
 	"github.com/croftturn/croftturn/internal/gossip"
 )
 
 const (
-	// tableNodes holds a row for each node, under its name.
-	tableNodes = "croftturn-nodes"
+	// table holds a row for each node, under its name.
+	table = "croftturn-nodes"
 
 	// nodesEvery is how often the table is read again once this node stands in
 	// it. Nodes that start later make themselves known by datagrams, so that this
@@ -24,19 +27,29 @@
 	// nodesSoon is how soon it is read again after the start, when others that
 	// started at the same moment have written their rows.
 	nodesSoon = 1500 * time.Millisecond
+
+	// retryFirst and retryMost bound the pause after a failed try; it doubles.
+	retryFirst = 50 * time.Millisecond
+	retryMost  = 800 * time.Millisecond
 )
 
+// Store is what the register needs of the platform.
+type Store interface {
+	List(ctx context.Context, table, part string) (feed.Snapshot, error)
+	Write(ctx context.Context, tx feed.Tx) error
+}
+
 // Register makes this node known to the others through the store, and the
 // others to it.
 type Register struct {
-	store *Store
+	store Store
 	self  gossip.Self
 	meet  func(now time.Time, s gossip.Self)
 	log   *slog.Logger
 }
 
-// NewRegister returns a register; meet is told of each node in it.
-func NewRegister(store *Store, self gossip.Self, meet func(now time.Time, s gossip.Self), log *slog.Logger) *Register {
+// New returns a register; meet is told of each node in it.
+func New(store Store, self gossip.Self, meet func(now time.Time, s gossip.Self), log *slog.Logger) *Register {
 	return &Register{store: store, self: self, meet: meet, log: log}
 }
 
@@ -60,13 +73,13 @@
 }
 
 // read reads the register and returns this node's own row, which may be absent.
-func (r *Register) read(ctx context.Context) (own Row, err error) {
-	snap, err := r.store.List(ctx, tableNodes, "")
+func (r *Register) read(ctx context.Context) (own feed.Row, err error) {
+	snap, err := r.store.List(ctx, table, "")
 	if err != nil {
-		return Row{}, fmt.Errorf("read register: %w", err)
+		return feed.Row{}, fmt.Errorf("read register: %w", err)
 	}
 	now := time.Now()
-	own = Row{Table: tableNodes, Key: r.self.Name}
+	own = feed.Row{Table: table, Key: r.self.Name}
 	for _, row := range snap.Rows {
 		if row.Key == r.self.Name {
 			own = row
@@ -83,14 +96,14 @@
 }
 
 // write writes this node's row, on the condition that it is still as it was read.
-func (r *Register) write(ctx context.Context, own Row) error {
+func (r *Register) write(ctx context.Context, own feed.Row) error {
 	value, err := json.Marshal(r.self)
 	if err != nil {
 		return fmt.Errorf("encode node: %w", err)
 	}
-	put := Row{Table: tableNodes, Key: r.self.Name, Value: value}
-	expect := Row{Table: tableNodes, Key: r.self.Name, Version: own.Version}
-	if err := r.store.Write(ctx, Tx{Expect: []Row{expect}, Put: []Row{put}}); err != nil {
+	put := feed.Row{Table: table, Key: r.self.Name, Value: value}
+	expect := feed.Row{Table: table, Key: r.self.Name, Version: own.Version}
+	if err := r.store.Write(ctx, feed.Tx{Expect: []feed.Row{expect}, Put: []feed.Row{put}}); err != nil {
 		return fmt.Errorf("write register: %w", err)
 	}
 	r.log.Info("node registered", "peer_address", r.self.PeerAddress, "caller_address", r.self.CallerAddress, "incarnation", r.self.Incarnation)
@@ -107,9 +120,19 @@
 	if own.Version == 0 {
 		return nil
 	}
-	err = r.store.Write(ctx, Tx{Expect: []Row{own}, Delete: []Row{own}})
-	if err != nil && !errors.Is(err, ErrConflict) {
+	err = r.store.Write(ctx, feed.Tx{Expect: []feed.Row{own}, Delete: []feed.Row{own}})
+	if err != nil && !errors.Is(err, feed.ErrConflict) {
 		return fmt.Errorf("leave register: %w", err)
 	}
 	return nil
 }
+
+// sleep waits, or until the context ends.
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
