--- a/cmd/croftturn/main.go
+++ b/cmd/croftturn/main.go
@@ -104,12 +104,21 @@
 	if err != nil {
 		return err
 	}
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
 	e, err := edge.Start(context.WithoutCancel(ctx), s, os.Stdout)
 	if err != nil {
 		return fmt.Errorf("start node: %w", err)
 	}
-	<-ctx.Done()
-	return e.Close()
+	for {
+		select {
+		case <-ctx.Done():
+			return e.Close()
+		case <-reload:
+			e.Reload(func() (*settings.Settings, error) { return load(args) })
+		}
+	}
 }
 
 // checkSettings reports what is wrong with a settings file.
--- /dev/null
+++ b/internal/admission/admission_test.go
@@ -0,0 +1,37 @@
+package admission_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/croftturn/croftturn/internal/admission"
+)
+
+// TestLowerTiersAreRefusedFirst holds that at no wait a higher tier is refused
+// while a lower one with the same target is taken, and that the highest never is.
+func TestLowerTiersAreRefusedFirst(t *testing.T) {
+	for wait := time.Duration(0); wait < 10*time.Second; wait += 50 * time.Millisecond {
+		higher := true
+		for tier := range 5 {
+			_, ok := admission.Decide(admission.Request{Tier: tier, Target: time.Second, Timeout: 4 * time.Second, Left: 4 * time.Second, Wait: wait})
+			if ok && !higher || tier == 0 && !ok {
+				t.Fatalf("wait %v: tier %d is taken: %v, the tier above: %v", wait, tier, ok, higher)
+			}
+			higher = ok
+		}
+	}
+}
+
+// TestReturnedRequestsAreBorneLonger holds that a request which was refused once
+// is not refused again at the same wait, and that times to come back are bounded.
+func TestReturnedRequestsAreBorneLonger(t *testing.T) {
+	r := admission.Request{Tier: 2, Target: time.Second, Timeout: 4 * time.Second, Left: 4 * time.Second, Wait: 700 * time.Millisecond}
+	comeBack, ok := admission.Decide(r)
+	if ok || comeBack < 100*time.Millisecond || comeBack > 1400*time.Millisecond {
+		t.Errorf("first: %v %v", comeBack, ok)
+	}
+	r.Left = 3 * time.Second
+	if _, ok := admission.Decide(r); !ok {
+		t.Error("refused again at the same wait")
+	}
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log"
 	"log/slog"
 	"net"
 	"net/http"
@@ -63,6 +64,9 @@
 	// clients keep addresses for up to three times two seconds.
 	stopAtLeast = 6200 * time.Millisecond
 
+	// libraryBytes is how much of a library's own log line is kept.
+	libraryBytes = 48
+
 	// stopPoll is how often a stopping node looks whether it is idle.
 	stopPoll = 50 * time.Millisecond
 )
@@ -75,6 +79,7 @@
 	log        *slog.Logger
 	proof      *freshness.Proof
 	placement  *placement.Placement
+	budget     *retry.Budget
 	gossip     *gossip.Gossip
 	dispatcher *dispatch.Dispatcher
 	egress     *platform.Egress
@@ -98,15 +103,15 @@
 // Start starts a node; logs go to out. Close stops it.
 func Start(ctx context.Context, s *settings.Settings, out io.Writer) (*Edge, error) {
 	debug.SetGCPercent(gcPercent)
-	if s.MemoryMb > 0 {
-		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMb) * (1 << 20)))
-	}
+	setMemoryLimit(s)
 	e := &Edge{settings: s, lines: logline.New(out)}
 	tele, err := telemetry.New(ctx, s, e.lines)
 	if err != nil {
 		return nil, errors.Join(fmt.Errorf("start telemetry: %w", err), e.lines.Close())
 	}
 	e.tele, e.log = tele, tele.Log
+	log.SetFlags(0)
+	log.SetOutput(libraryLog{e.log})
 	if err := e.build(time.Now()); err != nil {
 		return nil, errors.Join(err, tele.Close(), e.lines.Close())
 	}
@@ -137,9 +142,9 @@
 	if e.metrics, err = newMetrics(e); err != nil {
 		return fmt.Errorf("make metrics: %w", err)
 	}
-	limits := retry.Limits{Share: s.RetryShare, Extra: s.RetryExtra, Window: ms(s.RetryWindowMs)}
+	e.budget = retry.New(now, retryLimits(s), e.gossip.Nodes)
 	e.egress = platform.NewEgress()
-	e.dispatcher = dispatch.New(e.proof, e.placement, retry.New(now, limits, e.gossip.Nodes), e.egress, e.metrics, e.log)
+	e.dispatcher = dispatch.New(e.proof, e.placement, e.budget, e.egress, e.metrics, e.log)
 	e.store = platform.NewStore(s.PlatformAddresses[0])
 	e.discovery = discovery.New(platform.Engine, e.placement, e.log)
 	e.register = register.New(e.store, self, e.gossip.Meet, e.log)
@@ -254,5 +259,14 @@
 	return nil
 }
 
+// libraryLog takes what libraries log by themselves.
+type libraryLog struct{ log *slog.Logger }
+
+// Write logs the beginning of a line: the rest may hold bytes of an answer.
+func (l libraryLog) Write(p []byte) (int, error) {
+	l.log.Debug("library", "text", string(p[:min(len(p), libraryBytes)]))
+	return len(p), nil
+}
+
 // ms turns milliseconds of the settings into a duration.
 func ms(n int) time.Duration { return time.Duration(n) * time.Millisecond }
--- /dev/null
+++ b/internal/feed/feed_test.go
@@ -0,0 +1,211 @@
+package feed_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/croftturn/croftturn/internal/feed"
+)
+
+var (
+	start = time.Unix(1000, 0)
+	quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
+)
+
+// sink keeps what a table hands on, as a consumer would.
+type sink struct {
+	mu   sync.Mutex
+	rows map[string]feed.Row
+	back int // back counts rows that came older than one before
+}
+
+func (s *sink) take(_ time.Time, rows []feed.Row) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.rows == nil {
+		s.rows = map[string]feed.Row{}
+	}
+	for _, r := range rows {
+		if r.Version <= s.rows[r.Key].Version {
+			s.back++
+		}
+		s.rows[r.Key] = r
+	}
+}
+
+// live returns the values of rows that are not deleted.
+func (s *sink) live() map[string]string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := map[string]string{}
+	for k, r := range s.rows {
+		if !r.Deleted {
+			out[k] = string(r.Value)
+		}
+	}
+	return out
+}
+
+func row(key, value string, version int64) feed.Row {
+	return feed.Row{Table: "t", Key: key, Value: []byte(value), Version: version}
+}
+
+// TestNothingGoesBack holds that older rows, in whatever order and by whichever
+// way they come, never replace newer ones.
+func TestNothingGoesBack(t *testing.T) {
+	s := &sink{}
+	table := feed.NewTable("t", s.take)
+	table.Replace(start, feed.Snapshot{Rows: []feed.Row{row("a", "1", 1), row("b", "1", 2)}, Version: 5})
+	table.Change(start, []feed.Row{row("a", "3", 9)})
+	table.Change(start, []feed.Row{row("a", "2", 7)})
+	table.Change(start, []feed.Row{{Table: "t", Key: "b", Version: 8, Deleted: true}})
+	table.Change(start, []feed.Row{row("b", "1", 2)})
+	table.Replace(start, feed.Snapshot{Rows: []feed.Row{row("a", "1", 1)}, Version: 6})
+	if got := s.live(); len(got) != 1 || got["a"] != "3" || s.back > 0 {
+		t.Errorf("got %v, %d went back", got, s.back)
+	}
+}
+
+// TestWholeTableDropsWhatItLacks holds that a row deleted while history was lost
+// is dropped, and one written since is kept.
+func TestWholeTableDropsWhatItLacks(t *testing.T) {
+	s := &sink{}
+	table := feed.NewTable("t", s.take)
+	table.Replace(start, feed.Snapshot{Rows: []feed.Row{row("a", "1", 1), row("b", "1", 2)}, Version: 3})
+	table.Change(start, []feed.Row{row("c", "1", 20)})
+	table.Replace(start, feed.Snapshot{Rows: []feed.Row{row("a", "1", 1)}, Version: 10})
+	if got := s.live(); len(got) != 2 || got["a"] == "" || got["c"] == "" {
+		t.Errorf("got %v, want a and c", got)
+	}
+}
+
+// direct lets followers call each other without a network.
+type direct map[string]*feed.Follower
+
+func (d direct) Call(ctx context.Context, address, _ string, params, result any) error {
+	f := d[address]
+	if f == nil {
+		return errors.New("not there")
+	}
+	reply, err := f.Answer(ctx, params.(*feed.TableRequest))
+	if err != nil {
+		return err
+	}
+	text, err := json.Marshal(reply)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(text, result)
+}
+
+// TestFollowersConverge holds that nodes which hear of versions only from each
+// other, some of them from late starters, end with the same table, for 30 seeds.
+func TestFollowersConverge(t *testing.T) {
+	for seed := range uint64(30) {
+		rnd := rand.New(rand.NewPCG(seed, 1))
+		net := direct{}
+		var tables []*feed.Table
+		var sinks []*sink
+		for i := range 5 {
+			s := &sink{}
+			table := feed.NewTable("t", s.take)
+			net[fmt.Sprint(i)] = feed.NewFollower(net, quiet, table)
+			tables, sinks = append(tables, table), append(sinks, s)
+		}
+		truth := map[string]string{}
+		version := int64(0)
+		tables[0].Replace(start, feed.Snapshot{Version: version})
+		for step := range 60 {
+			version++
+			key := fmt.Sprint("k", rnd.IntN(8))
+			if rnd.IntN(3) == 0 {
+				delete(truth, key)
+				tables[0].Change(start, []feed.Row{{Table: "t", Key: key, Version: version, Deleted: true}})
+			} else {
+				truth[key] = fmt.Sprint(step)
+				tables[0].Change(start, []feed.Row{row(key, fmt.Sprint(step), version)})
+			}
+			hear(net, rnd.IntN(5), rnd.IntN(5))
+		}
+		for range 5 {
+			for i := range 5 {
+				hear(net, 0, i)
+			}
+		}
+		for i, s := range sinks {
+			if got := s.live(); fmt.Sprint(got) != fmt.Sprint(truth) || s.back > 0 {
+				t.Errorf("seed %d: node %d has %v, want %v; %d went back", seed, i, got, truth, s.back)
+			}
+		}
+	}
+}
+
+// hear lets one node hear another's versions, and waits for what it asks for.
+func hear(net direct, from, to int) {
+	f := net[fmt.Sprint(to)]
+	f.Heard(fmt.Sprint(from), net[fmt.Sprint(from)].Versions())
+	f.Wait()
+}
+
+// script is a source whose answers a test writes.
+type script struct {
+	mu    sync.Mutex
+	calls []string
+	next  func(call string) (feed.Snapshot, error)
+}
+
+func (s *script) say(call string) (feed.Snapshot, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls = append(s.calls, call)
+	return s.next(call)
+}
+
+func (s *script) List(context.Context, string, string) (feed.Snapshot, error) { return s.say("list") }
+
+func (s *script) Changes(_ context.Context, _ string, after int64, _ time.Duration) (feed.Snapshot, error) {
+	return s.say(fmt.Sprint("after ", after))
+}
+
+// TestReaderRereadsLostHistory holds that after the history is gone the table is
+// read whole, an engine dropped in the gap is dropped, and the proof is renewed
+// only by answers.
+func TestReaderRereadsLostHistory(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &sink{}
+	proofs, lost := 0, 0
+	source := &script{}
+	source.next = func(call string) (feed.Snapshot, error) {
+		switch len(source.calls) {
+		case 1:
+			return feed.Snapshot{Rows: []feed.Row{row("a", "1", 1), row("b", "1", 2)}, Version: 4}, nil
+		case 2:
+			return feed.Snapshot{}, fmt.Errorf("wrapped: %w", feed.ErrHistoryGone)
+		case 3:
+			return feed.Snapshot{}, feed.ErrUnavailable
+		case 4:
+			return feed.Snapshot{Rows: []feed.Row{row("a", "2", 8)}, Version: 9}, nil
+		}
+		cancel()
+		return feed.Snapshot{Version: 9}, nil
+	}
+	r := &feed.Reader{
+		Table: feed.NewTable("t", s.take), Source: source, Wanted: func(time.Time) bool { return true },
+		Proven: func(time.Time) { proofs++ }, Lost: func(time.Time) { lost++ }, Log: quiet,
+	}
+	r.Run(ctx)
+	if got := fmt.Sprint(source.calls); got != "[list after 4 list list after 9]" {
+		t.Errorf("calls %s", got)
+	}
+	if got := s.live(); len(got) != 1 || got["a"] != "2" || lost != 1 || proofs != 3 {
+		t.Errorf("got %v, lost %d, proofs %d", got, lost, proofs)
+	}
+}
--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -155,3 +155,6 @@
 	f.wg.Wait()
 	return nil
 }
+
+// Wait waits until no call is in flight.
+func (f *Follower) Wait() { f.wg.Wait() }
--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -10,9 +10,8 @@
 
 // Proof is the newest proof that the configuration in force is the newest.
 type Proof struct {
-	maxAge time.Duration
-
 	mu     sync.Mutex
+	maxAge time.Duration
 	at     time.Time
 	proven bool
 }
@@ -20,6 +19,13 @@
 // New returns a proof that holds for maxAge once it is given.
 func New(maxAge time.Duration) *Proof { return &Proof{maxAge: maxAge} }
 
+// SetMaxAge changes how long a proof holds.
+func (p *Proof) SetMaxAge(maxAge time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.maxAge = maxAge
+}
+
 // Renew records that the configuration in force was the newest at a moment; an
 // older moment changes nothing.
 func (p *Proof) Renew(at time.Time) {
@@ -39,6 +45,7 @@
 
 // Fresh reports whether the newest proof still holds.
 func (p *Proof) Fresh(now time.Time) bool {
-	age, ok := p.Age(now)
-	return ok && age <= p.maxAge
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.proven && now.Sub(p.at) <= p.maxAge
 }
--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,188 @@
+package placement_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/croftturn/croftturn/internal/placement"
+)
+
+var start = time.Unix(1000, 0)
+
+// newPlacement returns a placement with some engines of one pool.
+func newPlacement(n int) *placement.Placement {
+	p := placement.New("hall")
+	for i := range n {
+		p.Set(placement.Engine{ID: fmt.Sprintf("e%d", i), Pool: "p", Hall: "hall", Slots: 64})
+	}
+	return p
+}
+
+// long returns a request with a long prompt of a session.
+func long(session int) placement.Request {
+	return placement.Request{Pool: "p", Prompt: placement.Prompt{Tokens: 9000, Shared: []placement.Part{
+		placement.NewPart("root", 2500), placement.NewPart(fmt.Sprint("session", session), 3700),
+	}}}
+}
+
+// stream returns a request for a stream that bears only short pauses.
+func stream(session int) placement.Request {
+	return placement.Request{Pool: "p", Stream: true, Prompt: placement.Prompt{Tokens: 700, Shared: []placement.Part{
+		placement.NewPart(fmt.Sprint("short", session), 150),
+	}}}
+}
+
+// choose chooses and fails the test where there is no engine.
+func choose(t *testing.T, p *placement.Placement, now time.Time, r placement.Request) placement.Choice {
+	t.Helper()
+	c, ok := p.Choose(now, r)
+	if !ok {
+		t.Fatal("no engine")
+	}
+	return c
+}
+
+// TestSessionStaysWhereItIsCached holds that requests of a session go to the
+// engine that read it, and elsewhere when much waits there.
+func TestSessionStaysWhereItIsCached(t *testing.T) {
+	p := newPlacement(9)
+	first := choose(t, p, start, long(1))
+	call := p.Start(start, first, long(1))
+	call.Began(start.Add(200 * time.Millisecond))
+	call.End(start.Add(time.Second), placement.Answered)
+	now := start.Add(2 * time.Second)
+	again := choose(t, p, now, long(1))
+	if again.Engine.ID != first.Engine.ID || again.Unread != 9000-6200 {
+		t.Errorf("then %s with %d to read, first %s", again.Engine.ID, again.Unread, first.Engine.ID)
+	}
+	for range 20 {
+		p.Start(now, again, placement.Request{Pool: "p", Prompt: placement.Prompt{Tokens: 9000}})
+	}
+	if other := choose(t, p, now, long(1)); other.Engine.ID == first.Engine.ID {
+		t.Errorf("still %s, where %v ms wait", other.Engine.ID, other.Wait)
+	}
+}
+
+// TestNodesThatKnowNothingAgree holds that nodes choose the same engine for a
+// session which none of them has seen, and spread sessions.
+func TestNodesThatKnowNothingAgree(t *testing.T) {
+	a, b := newPlacement(9), newPlacement(9)
+	used := map[string]bool{}
+	for s := range 40 {
+		x, y := choose(t, a, start, long(s)), choose(t, b, start, long(s))
+		if x.Engine.ID != y.Engine.ID {
+			t.Errorf("session %d: %s and %s", s, x.Engine.ID, y.Engine.ID)
+		}
+		used[x.Engine.ID] = true
+	}
+	if len(used) < 6 {
+		t.Errorf("40 sessions went to %d of 9 engines", len(used))
+	}
+}
+
+// TestPeersTellWhatTheyGave holds that what a peer gave to an engine counts as
+// cached and as work there, and that its work no longer counts once it is silent.
+func TestPeersTellWhatTheyGave(t *testing.T) {
+	p := newPlacement(2)
+	p.Peer(start, "peer", map[string]placement.Load{"e0": {Unread: 20000, InFlight: 4}}, []placement.Use{
+		{Engine: "e0", Part: placement.NewPart("root", 0).ID}, {Engine: "e0", Part: placement.NewPart("session1", 0).ID},
+	})
+	if c := choose(t, p, start, placement.Request{Pool: "p", Prompt: placement.Prompt{Tokens: 500}}); c.Engine.ID != "e1" {
+		t.Errorf("chose %s, where the peer's requests wait", c.Engine.ID)
+	}
+	later := start.Add(5 * time.Second)
+	if c := choose(t, p, later, long(1)); c.Engine.ID != "e0" || c.Unread != 2800 {
+		t.Errorf("chose %s with %d to read, want e0, which has the session", c.Engine.ID, c.Unread)
+	}
+}
+
+// TestLongPromptsKeepAwayFromStreams holds that streams which bear only short
+// pauses gather, and that long prompts do not queue where they run.
+func TestLongPromptsKeepAwayFromStreams(t *testing.T) {
+	p := newPlacement(9)
+	streams := map[string]bool{}
+	for s := range 20 {
+		c := choose(t, p, start, stream(s))
+		streams[c.Engine.ID] = true
+		p.Start(start, c, stream(s)).Began(start)
+	}
+	if len(streams) > 4 {
+		t.Errorf("20 streams went to %d of 9 engines", len(streams))
+	}
+	for s := range 12 {
+		c := choose(t, p, start, long(s))
+		if streams[c.Engine.ID] {
+			t.Errorf("long prompt %d went to %s, where streams run", s, c.Engine.ID)
+		}
+		p.Start(start, c, long(s))
+	}
+}
+
+// TestFailingEngineIsAvoidedAndTriedAgain holds that an engine is avoided by the
+// share that failed there, that its failures are forgotten, and that engines
+// which all fail are still used.
+func TestFailingEngineIsAvoidedAndTriedAgain(t *testing.T) {
+	p := newPlacement(3)
+	r := placement.Request{Pool: "p"}
+	bad := choose(t, p, start, r).Engine.ID
+	fail := func(id string) {
+		e, _ := p.Engine(id)
+		for range 3 {
+			p.Start(start, placement.Choice{Engine: e}, r).End(start, placement.Failed)
+		}
+	}
+	fail(bad)
+	if got := choose(t, p, start, r).Engine.ID; got == bad {
+		t.Errorf("still %s", got)
+	}
+	for _, id := range []string{"e0", "e1", "e2"} {
+		if id != bad {
+			fail(id)
+		}
+	}
+	choose(t, p, start, r)
+	if got := choose(t, p, start.Add(30*time.Second), r).Engine.ID; got != bad {
+		t.Errorf("after a while %s, want %s as at first", got, bad)
+	}
+}
+
+// TestSilentEngineIsAvoided holds that an engine which sends nothing for too long,
+// while it has requests, gets no more where others can take them.
+func TestSilentEngineIsAvoided(t *testing.T) {
+	p := newPlacement(2)
+	r := placement.Request{Pool: "p"}
+	c := choose(t, p, start, r)
+	call := p.Start(start, c, r)
+	now := start.Add(2 * time.Second)
+	if got := choose(t, p, now, r); got.Engine.ID == c.Engine.ID {
+		t.Error("a silent engine gets more")
+	}
+	call.Heard(now)
+	call.End(now, placement.Answered)
+	if got := choose(t, p, now, r); got.Engine.ID != c.Engine.ID {
+		t.Error("an engine that was heard is still avoided")
+	}
+}
+
+// TestLeavingEngineGetsNothing holds that draining and removed engines are not
+// chosen, and that the work counted at a removed one harms nothing.
+func TestLeavingEngineGetsNothing(t *testing.T) {
+	p := newPlacement(1)
+	r := placement.Request{Pool: "p"}
+	call := p.Start(start, choose(t, p, start, r), r)
+	p.Set(placement.Engine{ID: "e0", Pool: "p", Draining: true})
+	if _, ok := p.Choose(start, r); ok {
+		t.Error("a leaving engine was chosen")
+	}
+	p.Remove("e0")
+	call.End(start, placement.Answered)
+	if len(p.Loads()) != 0 || len(p.Engines()) != 0 {
+		t.Errorf("left: %v %v", p.Loads(), p.Engines())
+	}
+	p.Set(placement.Engine{ID: "e0", Pool: "p"})
+	r.Avoid = map[string]bool{"e0": true}
+	if _, ok := p.Choose(start, r); ok {
+		t.Error("an engine to be avoided was chosen")
+	}
+}
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -41,6 +41,14 @@
 	return &Budget{limits: limits, nodes: nodes, start: now, pools: map[string]*window{}}
 }
 
+// SetLimits changes the limits; a new window takes effect with a new process only.
+func (b *Budget) SetLimits(l Limits) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	l.Window = b.limits.Window
+	b.limits = l
+}
+
 // Request counts a request for a pool.
 func (b *Budget) Request(now time.Time, pool string) {
 	b.mu.Lock()
--- /dev/null
+++ b/internal/routing/routing_test.go
@@ -0,0 +1,62 @@
+package routing_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/croftturn/croftturn/internal/routing"
+)
+
+// TestLongestPrefixWins holds how routes are found.
+func TestLongestPrefixWins(t *testing.T) {
+	table := routing.NewTable(1, []*routing.Route{
+		{Name: "short", Host: "A.example", PathPrefix: "/a/"}, {Name: "long", Host: "a.example", PathPrefix: "/a/b/"}, {Name: "other", Host: "b.example", PathPrefix: "/"},
+	}, nil, nil, routing.Limits{})
+	for _, test := range []struct{ host, path, want string }{
+		{"a.example", "/a/x", "short"}, {"a.example:80", "/a/b/x", "long"}, {"A.EXAMPLE", "/a/b", "short"}, {"a.example", "/b/", ""}, {"b.example", "/a/b/", "other"}, {"c.example", "/", ""},
+	} {
+		got := ""
+		if r := table.Route(test.host, test.path); r != nil {
+			got = r.Name
+		}
+		if got != test.want {
+			t.Errorf("Route(%q, %q) = %q, want %q", test.host, test.path, got, test.want)
+		}
+	}
+}
+
+// TestSharesFollowWeights holds that requests are split by weight, and that one
+// request always goes the same way.
+func TestSharesFollowWeights(t *testing.T) {
+	r := &routing.Route{Shares: []routing.Share{{Pool: "a", Weight: 90}, {Pool: "b", Weight: 10}, {Pool: "never", Weight: 0}}}
+	count := map[string]int{}
+	for i := range 10000 {
+		id := fmt.Sprint(i)
+		pool := r.Choose(id)
+		if pool != r.Choose(id) {
+			t.Fatal("a request goes two ways")
+		}
+		count[pool]++
+	}
+	if count["never"] > 0 || count["b"] < 800 || count["b"] > 1200 {
+		t.Errorf("got %v", count)
+	}
+}
+
+// TestUrgencyKeepsRoutesInOrderWithinATier holds the order of requests.
+func TestUrgencyKeepsRoutesInOrderWithinATier(t *testing.T) {
+	tier := func(n int) *routing.Team { return &routing.Team{Tier: &n} }
+	last := -1
+	for team := range 3 {
+		for route := range 3 {
+			got := routing.Urgency(&routing.Route{Tier: route}, tier(team))
+			if got <= last || got > 9 {
+				t.Errorf("urgency of route %d, team %d is %d after %d", route, team, got, last)
+			}
+			last = got
+		}
+	}
+	if a, b := routing.Urgency(&routing.Route{Tier: 0}, nil), routing.Urgency(&routing.Route{Tier: 1}, &routing.Team{}); a >= b {
+		t.Errorf("without a team's tier: %d and %d", a, b)
+	}
+}
