Weigh how slow engines are; make messages to other halls rarer where nodes are many

Ruled out: the pause between events as the sign (it is six times longer where prompts are read, which is no fault); a pool's own moving average as what is usual (the slow engine's requests fill it). Change: the time to the first token against what was expected, by engine, against the pool's median, forgotten with time; messages to other halls every 500 ms beyond twelve peers, and without addresses once these are known.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -36,7 +36,11 @@
 	// manyPeers is how many peers make messages to other halls rarer, by
 	// farSlowDown, since bytes between halls are paid for.
 	manyPeers   = 12
-	farSlowDown = 2
+	farSlowDown = 5
+
+	// introduceEvery is how often a message says who the sender is and how to reach
+	// it; between, its name is enough for peers that have answered it.
+	introduceEvery = 20
 
 	// remembered is how many messages a node remembers the sending of: a peer that
 	// is so far behind has been silent for longer than it counts as alive.
@@ -96,7 +100,7 @@
 		Seq         uint32   // Seq numbers the sender's messages.
 		Name        string
 		Incarnation int64
-		Peer        string
+		Peer        string // Peer, Caller and Hall are empty where the receiver knows them.
 		Caller      string
 		Hall        string
 		Said        cbor.RawMessage
@@ -194,12 +198,13 @@
 		g.log.Error("message to peers not encoded", "error", err.Error())
 		return
 	}
-	m := message{
-		Seq: g.number(now), Name: g.self.Name, Incarnation: g.self.Incarnation, Peer: g.self.PeerAddress, Caller: g.self.CallerAddress,
-		Hall: g.self.Hall, Said: said,
-	}
+	m := message{Seq: g.number(now), Name: g.self.Name, Incarnation: g.self.Incarnation, Said: said}
 	for _, to := range g.targets(now, turn) {
 		m.Echo = to.echo
+		m.Peer, m.Caller, m.Hall = "", "", ""
+		if to.echo == 0 || turn%introduceEvery < farSlowDown {
+			m.Peer, m.Caller, m.Hall = g.self.PeerAddress, g.self.CallerAddress, g.self.Hall
+		}
 		packet, err := cbor.Marshal(m)
 		if err != nil {
 			g.log.Error("message to peer not encoded", "error", err.Error())
@@ -292,6 +297,13 @@
 		return
 	}
 	same := p != nil && p.Incarnation == m.Incarnation
+	switch {
+	case m.Peer == "" && !same:
+		g.mu.Unlock()
+		return // Who it is comes with one of its next messages.
+	case m.Peer == "":
+		self = p.Self
+	}
 	if !same || now.Sub(p.heard) > aliveFor {
 		g.log.Info("peer heard", "peer", m.Name, "incarnation", m.Incarnation, "address", m.Peer, "ready", said.Ready)
 	}
--- a/internal/placement/call.go
+++ b/internal/placement/call.go
@@ -26,6 +26,8 @@
 		p      *Placement
 		engine *engine
 		load   Load
+		start  time.Time
+		wait   time.Duration // wait is how long the engine was expected to take before it begins
 		began  bool
 		ended  bool
 	}
@@ -39,7 +41,7 @@
 	if e == nil {
 		e = &engine{Engine: c.Engine, peers: map[string]peerLoad{}}
 	}
-	call := &Call{p: p, engine: e, load: Load{Unread: c.Unread, InFlight: 1}}
+	call := &Call{p: p, engine: e, load: Load{Unread: c.Unread, InFlight: 1}, start: now, wait: time.Duration(c.Wait * float64(time.Millisecond))}
 	if r.Stream {
 		call.load.Streams = 1
 	}
@@ -62,6 +64,7 @@
 	if !c.began {
 		c.began = true
 		c.engine.own.Unread -= c.load.Unread
+		c.engine.pace.note(now, now.Sub(c.start), c.wait)
 	}
 }
 
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -1,13 +1,14 @@
 package placement
 
 import (
+	"math"
 	"time"
 )
 
 const (
-	// peerLoadLife is how long what a peer told of its load counts: five of its
-	// usual messages, so that lost datagrams do not make an engine look idle.
-	peerLoadLife = 500 * time.Millisecond
+	// peerLoadLife is how long what a peer told of its load counts: two of the
+	// rarest messages, so that a lost datagram does not make an engine look idle.
+	peerLoadLife = 1200 * time.Millisecond
 
 	// reportLife is how long an engine's own report counts; later its load has
 	// changed by more than the report tells.
@@ -16,6 +17,18 @@
 	// failureMemory is the time in which an engine's share of failures halves
 	// its weight; about the time that engines stay in trouble.
 	failureMemory = 2 * time.Second
+
+	// paceFloor is what a request takes besides waiting for prompts to be read: the
+	// way there and back and a step or two.
+	paceFloor = 30 * time.Millisecond
+
+	// paceShare is the weight of the newest request in the moving average; about
+	// the last five count.
+	paceShare = 0.2
+
+	// paceMemory is the time in which the slowness of an engine without new
+	// requests counts half.
+	paceMemory = 3 * time.Second
 )
 
 type (
@@ -45,6 +58,7 @@
 		peers    map[string]peerLoad
 		reported report
 		failures failures
+		pace     pace
 
 		// heardAt is when bytes last came from the engine, or when the first of this
 		// node's requests there was sent.
@@ -57,6 +71,12 @@
 		at time.Time
 	}
 
+	// pace is how long requests waited for their first token, against what was expected.
+	pace struct {
+		ratio float64 // ratio is a moving average; 0 before the first request.
+		at    time.Time
+	}
+
 	// report is what the engine told of itself with an answer.
 	report struct {
 		running, waiting int
@@ -128,3 +148,20 @@
 	f.decay(now)
 	return f.failed / (f.ended + prior)
 }
+
+// note takes the time to the first token of one request, and what was expected.
+func (p *pace) note(now time.Time, took, expected time.Duration) {
+	ratio := float64(took) / float64(expected+paceFloor)
+	if p.ratio == 0 {
+		p.ratio = ratio
+	}
+	p.ratio += paceShare * (ratio - p.ratio)
+	p.at = now
+}
+
+// slowness returns how much slower than usual the engine is, 1 being usual. It is
+// forgotten with time, so that an engine which got no requests is tried again.
+func (p *pace) slowness(now time.Time, usual float64) float64 {
+	age := now.Sub(p.at).Seconds() / paceMemory.Seconds()
+	return 1 + max(0, p.ratio/usual-1)*math.Exp2(-age)
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -64,6 +64,14 @@
 	// milliseconds; it is weighed by the share that failed.
 	failureCost = 3000.0
 
+	// slowCost is what an engine costs that is twice as slow as it may be, in
+	// milliseconds; more so the slower it is. Most of a stream's time is lost there.
+	slowCost = 300.0
+
+	// bearableSlowness is how much slower than its pool an engine may be: engines
+	// of a pool differ, and what is expected is not exact.
+	bearableSlowness = 2.0
+
 	// silenceBefore is how long an engine may send nothing, while it has requests
 	// of this node, before it is avoided.
 	silenceBefore = 600 * time.Millisecond
@@ -187,12 +195,13 @@
 	defer p.mu.Unlock()
 	list := p.pools[r.Pool]
 	ranks := rank(list, r.Prompt.Session())
+	usual := usualPace(list)
 	best := math.Inf(1)
 	for i, e := range list {
 		if r.Avoid[e.ID] {
 			continue
 		}
-		c := p.weigh(now, e, r, i, ranks[e.ID])
+		c := p.weigh(now, e, r, usual, i, ranks[e.ID])
 		if c.Cost < best {
 			best, choice, ok = c.Cost, c, true
 		}
@@ -201,6 +210,20 @@
 	return choice, ok
 }
 
+// usualPace returns the median of the engines' paces, at least 1; engines without
+// requests so far count as being as fast as expected.
+func usualPace(list []*engine) float64 {
+	ratios := make([]float64, 0, len(list))
+	for _, e := range list {
+		ratios = append(ratios, max(1, e.pace.ratio))
+	}
+	if len(ratios) == 0 {
+		return 1
+	}
+	sort.Float64s(ratios)
+	return ratios[(len(ratios)-1)/2]
+}
+
 // rank orders engines for a session by rendezvous hashing, the first being 0.
 func rank(list []*engine, session uint64) map[string]int {
 	if session == 0 {
@@ -224,7 +247,7 @@
 }
 
 // weigh works out the cost of a request at an engine.
-func (p *Placement) weigh(now time.Time, e *engine, r Request, order, rank int) Choice {
+func (p *Placement) weigh(now time.Time, e *engine, r Request, usual float64, order, rank int) Choice {
 	load := e.load(now)
 	c := Choice{Engine: e.Engine}
 	if r.Prompt.Tokens > 0 {
@@ -242,6 +265,7 @@
 		c.Cost += hallCost
 	}
 	c.Cost += failureCost * e.failures.share(now)
+	c.Cost += slowCost * max(0, e.pace.slowness(now, usual)-bearableSlowness)
 	if e.own.InFlight > 0 && now.Sub(e.heardAt) > silenceBefore {
 		c.Cost += silenceCost
 	}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -186,3 +186,31 @@
 		t.Error("an engine to be avoided was chosen")
 	}
 }
+
+// TestSlowEngineIsAvoidedByDegree holds that an engine whose first tokens come
+// much later than is usual in its pool gets fewer requests, and some again later.
+func TestSlowEngineIsAvoidedByDegree(t *testing.T) {
+	p := newPlacement(3)
+	r := placement.Request{Pool: "p", Prompt: placement.Prompt{Tokens: 500}}
+	now := start
+	count := map[string]int{}
+	for range 200 {
+		c := choose(t, p, now, r)
+		count[c.Engine.ID]++
+		took := 40 * time.Millisecond
+		if c.Engine.ID == "e1" {
+			took *= 8
+		}
+		call := p.Start(now, c, r)
+		call.Began(now.Add(took))
+		call.End(now.Add(took), placement.Answered)
+		now = now.Add(20 * time.Millisecond)
+	}
+	if count["e1"] > 40 {
+		t.Errorf("the slow engine got %d of 200 requests", count["e1"])
+	}
+	later := now.Add(time.Minute)
+	if c := choose(t, p, later, placement.Request{Pool: "p", Avoid: map[string]bool{"e0": true, "e2": true}}); c.Cost > 300 {
+		t.Errorf("a minute later it still costs %v", c.Cost)
+	}
+}
