Keep one client of the store; let the stand-in speak the platform's protocol

Cause: two clients of two protocols stood in the tree, one of them the project's own invention. Ruled out: moving the old node's rows into the feed's tables (it needs keys and transactions, not changes). Change: internal/kv keeps the product's rows through platform.Store; the lab's stand-in speaks rows and a feed of changes, with deaf feeds and lost history as new faults.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -18,8 +18,8 @@
 	"github.com/gravitational/trace"
 
 	"github.com/croftturn/croftturn/internal/config"
+	"github.com/croftturn/croftturn/internal/kv"
 	"github.com/croftturn/croftturn/internal/lang"
-	"github.com/croftturn/croftturn/internal/platform"
 	"github.com/croftturn/croftturn/internal/wire"
 )
 
@@ -251,9 +251,9 @@
 		status = http.StatusNotFound
 	case trace.IsCompareFailed(err), trace.IsLimitExceeded(err):
 		status = http.StatusConflict
-	case errors.Is(err, platform.ErrUncertain):
+	case errors.Is(err, kv.ErrUncertain):
 		status = http.StatusGatewayTimeout
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, kv.ErrUnavailable):
 		status = http.StatusServiceUnavailable
 	}
 	a.answer(w, status, failure(err.Error()))
--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -11,30 +11,30 @@
 	"time"
 
 	"github.com/croftturn/croftturn/internal/claim"
-	"github.com/croftturn/croftturn/internal/platform"
+	"github.com/croftturn/croftturn/internal/kv"
 	"github.com/croftturn/croftturn/internal/wire"
 )
 
 // table is a table in memory that loses acknowledgements on command.
 type table struct {
 	mu    sync.Mutex
-	rows  map[string]platform.Row
+	rows  map[string]kv.Row
 	lose  int
 	calls int
 }
 
 // Get reads a row.
-func (t *table) Get(_ context.Context, key string) (platform.Row, error) {
+func (t *table) Get(_ context.Context, key string) (kv.Row, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.rows[key], nil
 }
 
 // List reads rows by prefix.
-func (t *table) List(_ context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (t *table) List(_ context.Context, prefix, after string, limit int) ([]kv.Row, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var out []platform.Row
+	var out []kv.Row
 	for key, row := range t.rows {
 		if strings.HasPrefix(key, prefix) && key > after {
 			row.Key = key
@@ -46,11 +46,11 @@
 }
 
 // Transact checks and writes rows, and may lose the answer.
-func (t *table) Transact(_ context.Context, txn platform.Txn) error {
+func (t *table) Transact(_ context.Context, txn kv.Txn) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.calls++
-	conflict := &platform.ConflictError{}
+	conflict := &kv.ConflictError{}
 	for _, c := range txn.Checks {
 		if row := t.rows[c.Key]; row.Version != c.Version {
 			row.Key = c.Key
@@ -65,11 +65,11 @@
 			delete(t.rows, p.Key)
 			continue
 		}
-		t.rows[p.Key] = platform.Row{Key: p.Key, Value: p.Value, Version: t.rows[p.Key].Version + 1}
+		t.rows[p.Key] = kv.Row{Key: p.Key, Value: p.Value, Version: t.rows[p.Key].Version + 1}
 	}
 	if t.lose > 0 {
 		t.lose--
-		return platform.ErrUncertain
+		return kv.ErrUncertain
 	}
 	return nil
 }
@@ -94,7 +94,7 @@
 // TestOneOfManyClaims lets attempts at several nodes claim one key at the same
 // time, among other keys that must not suffer, with answers lost.
 func TestOneOfManyClaims(t *testing.T) {
-	tab := &table{rows: map[string]platform.Row{}, lose: 3}
+	tab := &table{rows: map[string]kv.Row{}, lose: 3}
 	won, others := 0, 0
 	var mu sync.Mutex
 	var wg sync.WaitGroup
@@ -149,7 +149,7 @@
 // the gathering node settles like a lost answer of the platform.
 func TestGatheringForOtherNodes(t *testing.T) {
 	for _, down := range []bool{false, true} {
-		tab := &table{rows: map[string]platform.Row{}}
+		tab := &table{rows: map[string]kv.Row{}}
 		center := claim.NewKeeper(tab, "n0", 1, 30*time.Millisecond)
 		defer center.Close()
 		var mu sync.Mutex
@@ -188,7 +188,7 @@
 }
 
 func TestVoidEndsEarlierAttempts(t *testing.T) {
-	tab := &table{rows: map[string]platform.Row{}}
+	tab := &table{rows: map[string]kv.Row{}}
 	k := keeper(t, tab, "n1")
 	stale, refused := begin(t, k, "k", "a1"), begin(t, k, "k", "a2")
 	if err := refused.Void(context.Background(), time.Now()); err != nil {
@@ -206,7 +206,7 @@
 // TestClaimCanBeVoidedByItsHolder holds that an attempt which claimed and then
 // found no engine can still make its refusal certain.
 func TestClaimCanBeVoidedByItsHolder(t *testing.T) {
-	tab := &table{rows: map[string]platform.Row{}}
+	tab := &table{rows: map[string]kv.Row{}}
 	a := begin(t, keeper(t, tab, "n1"), "k", "a1")
 	if err := a.Claim(context.Background(), time.Now()); err != nil {
 		t.Fatal(err)
@@ -219,7 +219,7 @@
 // TestGathering holds that claims which come together go out in few
 // transactions.
 func TestGathering(t *testing.T) {
-	tab := &table{rows: map[string]platform.Row{}}
+	tab := &table{rows: map[string]kv.Row{}}
 	k := claim.NewKeeper(tab, "n1", 1, 50*time.Millisecond)
 	defer k.Close()
 	var wg sync.WaitGroup
@@ -286,7 +286,7 @@
 }
 
 func TestSweeperRemovesOnlyTheOld(t *testing.T) {
-	tab := &table{rows: map[string]platform.Row{}}
+	tab := &table{rows: map[string]kv.Row{}}
 	k := keeper(t, tab, "n1")
 	now := time.Now()
 	for key, at := range map[string]time.Time{"old": now.Add(-49 * time.Hour), "new": now.Add(-47 * time.Hour)} {
--- a/internal/claim/keeper.go
+++ b/internal/claim/keeper.go
@@ -13,7 +13,7 @@
 	"sync"
 	"time"
 
-	"github.com/croftturn/croftturn/internal/platform"
+	"github.com/croftturn/croftturn/internal/kv"
 )
 
 const (
@@ -43,8 +43,8 @@
 type (
 	// Table is what claims need of the platform.
 	Table interface {
-		Get(ctx context.Context, key string) (platform.Row, error)
-		Transact(ctx context.Context, txn platform.Txn) error
+		Get(ctx context.Context, key string) (kv.Row, error)
+		Transact(ctx context.Context, txn kv.Txn) error
 	}
 
 	// Record is the row of one key.
@@ -150,7 +150,7 @@
 }
 
 // decode reads a row; an absent one gives nil.
-func decode(row platform.Row) (*TakenError, error) {
+func decode(row kv.Row) (*TakenError, error) {
 	if row.Version == 0 {
 		return nil, nil
 	}
@@ -267,7 +267,7 @@
 	uncertain := false
 	for len(batch) > 0 {
 		err := k.table.Transact(ctx, txnOf(batch))
-		var conflict *platform.ConflictError
+		var conflict *kv.ConflictError
 		switch {
 		case err == nil:
 			answer(batch, nil)
@@ -275,7 +275,7 @@
 		case errors.As(err, &conflict):
 			batch = k.resolve(batch, conflict)
 			continue
-		case errors.Is(err, platform.ErrUncertain):
+		case errors.Is(err, kv.ErrUncertain):
 			uncertain = true
 		case !uncertain:
 			answer(batch, fmt.Errorf("%w: %w", ErrUnsettled, err))
@@ -289,19 +289,19 @@
 }
 
 // txnOf returns the transaction of a batch.
-func txnOf(batch []*op) platform.Txn {
-	var txn platform.Txn
+func txnOf(batch []*op) kv.Txn {
+	var txn kv.Txn
 	for _, o := range batch {
-		txn.Checks = append(txn.Checks, platform.Check{Key: rowPrefix + o.key, Version: o.version})
-		txn.Puts = append(txn.Puts, platform.Put{Key: rowPrefix + o.key, Value: o.record.encode()})
+		txn.Checks = append(txn.Checks, kv.Check{Key: rowPrefix + o.key, Version: o.version})
+		txn.Puts = append(txn.Puts, kv.Put{Key: rowPrefix + o.key, Value: o.record.encode()})
 	}
 	return txn
 }
 
 // resolve answers the rows that a conflict names and returns the others. A row
 // that holds the very attempt was written by an earlier, uncertain try.
-func (k *Keeper) resolve(batch []*op, conflict *platform.ConflictError) []*op {
-	rows := make(map[string]platform.Row, len(conflict.Rows))
+func (k *Keeper) resolve(batch []*op, conflict *kv.ConflictError) []*op {
+	rows := make(map[string]kv.Row, len(conflict.Rows))
 	for _, r := range conflict.Rows {
 		rows[r.Key] = r
 	}
@@ -322,7 +322,7 @@
 }
 
 // verdict says what a row that was found means for an op.
-func (o *op) verdict(row platform.Row) error {
+func (o *op) verdict(row kv.Row) error {
 	taken, err := decode(row)
 	switch {
 	case err != nil:
--- a/internal/claim/sweeper.go
+++ b/internal/claim/sweeper.go
@@ -7,7 +7,7 @@
 	"log/slog"
 	"time"
 
-	"github.com/croftturn/croftturn/internal/platform"
+	"github.com/croftturn/croftturn/internal/kv"
 )
 
 const (
@@ -22,7 +22,7 @@
 	// Lister reads pages of rows, besides what claims need.
 	Lister interface {
 		Table
-		List(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error)
+		List(ctx context.Context, prefix, after string, limit int) ([]kv.Row, error)
 	}
 
 	// Sweeper removes claims that are too old to matter. One node sweeps, the one
@@ -77,14 +77,14 @@
 	if len(rows) == sweepPage {
 		s.after = rows[len(rows)-1].Key
 	}
-	var txn platform.Txn
+	var txn kv.Txn
 	for _, row := range rows {
 		var r Record
 		if err := json.Unmarshal(row.Value, &r); err != nil || now.Sub(time.UnixMilli(r.AtMs)) < s.keep {
 			continue
 		}
-		txn.Checks = append(txn.Checks, platform.Check{Key: row.Key, Version: row.Version})
-		txn.Puts = append(txn.Puts, platform.Put{Key: row.Key})
+		txn.Checks = append(txn.Checks, kv.Check{Key: row.Key, Version: row.Version})
+		txn.Puts = append(txn.Puts, kv.Put{Key: row.Key})
 	}
 	if len(txn.Puts) == 0 {
 		return 0, nil
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -14,7 +14,7 @@
 	"time"
 
 	"github.com/croftturn/croftturn/internal/config"
-	"github.com/croftturn/croftturn/internal/platform"
+	"github.com/croftturn/croftturn/internal/kv"
 	"github.com/croftturn/croftturn/internal/wire"
 	"github.com/gravitational/trace"
 	"pgregory.net/rapid"
@@ -26,7 +26,7 @@
 	// table is a table in memory whose writes fail on command.
 	table struct {
 		mu   sync.Mutex
-		rows map[string]platform.Row
+		rows map[string]kv.Row
 		// faults are what becomes of the next writes: "" for nothing, "lost" for an
 		// answer that is lost after the write, "dropped" for one that is lost before.
 		faults []string
@@ -54,17 +54,17 @@
 }
 
 // Get reads a row.
-func (t *table) Get(_ context.Context, key string) (platform.Row, error) {
+func (t *table) Get(_ context.Context, key string) (kv.Row, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.rows[key], nil
 }
 
 // List reads rows by prefix.
-func (t *table) List(_ context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (t *table) List(_ context.Context, prefix, after string, limit int) ([]kv.Row, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var out []platform.Row
+	var out []kv.Row
 	for key, row := range t.rows {
 		if strings.HasPrefix(key, prefix) && key > after {
 			out = append(out, row)
@@ -75,7 +75,7 @@
 }
 
 // Transact checks and writes rows, or fails as the next fault says.
-func (t *table) Transact(_ context.Context, txn platform.Txn) error {
+func (t *table) Transact(_ context.Context, txn kv.Txn) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	fault := ""
@@ -83,18 +83,18 @@
 		fault, t.faults = t.faults[0], t.faults[1:]
 	}
 	if fault == "dropped" {
-		return platform.ErrUncertain
+		return kv.ErrUncertain
 	}
 	for _, c := range txn.Checks {
 		if t.rows[c.Key].Version != c.Version {
-			return platform.ErrConflict
+			return kv.ErrConflict
 		}
 	}
 	for _, p := range txn.Puts {
-		t.rows[p.Key] = platform.Row{Key: p.Key, Value: p.Value, Version: t.rows[p.Key].Version + 1}
+		t.rows[p.Key] = kv.Row{Key: p.Key, Value: p.Value, Version: t.rows[p.Key].Version + 1}
 	}
 	if fault == "lost" {
-		return platform.ErrUncertain
+		return kv.ErrUncertain
 	}
 	return nil
 }
@@ -118,7 +118,7 @@
 // version; what was refused is not; and no store goes back.
 func TestChangesUnderFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		tab := &table{rows: map[string]platform.Row{}}
+		tab := &table{rows: map[string]kv.Row{}}
 		k1, s1 := keeper(tab)
 		k2, s2 := keeper(tab)
 		accepted := map[string]int{}
@@ -152,7 +152,7 @@
 }
 
 func TestConflictWritesNothing(t *testing.T) {
-	tab := &table{rows: map[string]platform.Row{}}
+	tab := &table{rows: map[string]kv.Row{}}
 	k, _ := keeper(tab)
 	other, _ := keeper(tab)
 	_, err := k.Write(context.Background(), now, "mine", "op", "race", func(c *config.Config) error {
@@ -169,7 +169,7 @@
 }
 
 func TestUndoIsANewVersion(t *testing.T) {
-	tab := &table{rows: map[string]platform.Row{}}
+	tab := &table{rows: map[string]kv.Row{}}
 	k, s := keeper(tab)
 	for i := range 4 {
 		if _, err := setWeight(k, fmt.Sprint(i), i+1); err != nil {
--- a/internal/config/keeper.go
+++ b/internal/config/keeper.go
@@ -8,7 +8,7 @@
 	"strconv"
 	"time"
 
-	"github.com/croftturn/croftturn/internal/platform"
+	"github.com/croftturn/croftturn/internal/kv"
 	"github.com/croftturn/croftturn/internal/wire"
 	"github.com/gravitational/trace"
 )
@@ -32,9 +32,9 @@
 type (
 	// Table is what the keeper needs of the platform.
 	Table interface {
-		Get(ctx context.Context, key string) (platform.Row, error)
-		List(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error)
-		Transact(ctx context.Context, txn platform.Txn) error
+		Get(ctx context.Context, key string) (kv.Row, error)
+		List(ctx context.Context, prefix, after string, limit int) ([]kv.Row, error)
+		Transact(ctx context.Context, txn kv.Txn) error
 	}
 
 	// Peers asks other nodes for changes after a version, newest first.
@@ -209,7 +209,7 @@
 }
 
 // decodeHead reads the head row; an absent one is version 0.
-func decodeHead(row platform.Row) (head, error) {
+func decodeHead(row kv.Row) (head, error) {
 	var h head
 	if row.Version == 0 {
 		return h, nil
@@ -221,7 +221,7 @@
 }
 
 // HeadVersion returns the version that the head row names.
-func HeadVersion(row platform.Row) (int, error) {
+func HeadVersion(row kv.Row) (int, error) {
 	h, err := decodeHead(row)
 	return h.Version, err
 }
--- a/internal/config/writer.go
+++ b/internal/config/writer.go
@@ -7,7 +7,7 @@
 	"fmt"
 	"time"
 
-	"github.com/croftturn/croftturn/internal/platform"
+	"github.com/croftturn/croftturn/internal/kv"
 	"github.com/croftturn/croftturn/internal/wire"
 	"github.com/gravitational/trace"
 )
@@ -51,7 +51,7 @@
 
 // pending is a transaction whose change row is not yet filled in.
 type pending struct {
-	platform.Txn
+	kv.Txn
 }
 
 // prepare builds the change and the transaction that an edit asks for.
@@ -80,8 +80,8 @@
 		return wire.Change{}, nil, trace.BadParameter("%v", err)
 	}
 	txn := &pending{}
-	txn.Checks = []platform.Check{{Key: HeadKey, Version: rowVersion}}
-	txn.Puts = []platform.Put{{Key: fullKey, Value: text}}
+	txn.Checks = []kv.Check{{Key: HeadKey, Version: rowVersion}}
+	txn.Puts = []kv.Put{{Key: fullKey, Value: text}}
 	return wire.Change{Version: next.Version, Entities: after, Before: before}, txn, nil
 }
 
@@ -95,21 +95,21 @@
 	if err != nil {
 		return fmt.Errorf("encode head: %w", err)
 	}
-	p.Puts = append(p.Puts, platform.Put{Key: changeKey(ch.Version), Value: text}, platform.Put{Key: HeadKey, Value: top})
+	p.Puts = append(p.Puts, kv.Put{Key: changeKey(ch.Version), Value: text}, kv.Put{Key: HeadKey, Value: top})
 	return nil
 }
 
 // commit sends the transaction until it is known whether it took effect. An
 // uncertain write is sent again: the check on the head row lets at most one of
 // the copies through, and the id of the change tells whether it was ours.
-func (k *Keeper) commit(ctx context.Context, ch wire.Change, txn platform.Txn) error {
+func (k *Keeper) commit(ctx context.Context, ch wire.Change, txn kv.Txn) error {
 	uncertain := false
 	for try := 0; try < writeTries; try++ {
 		err := k.table.Transact(ctx, txn)
 		switch {
 		case err == nil:
 			return nil
-		case errors.Is(err, platform.ErrConflict):
+		case errors.Is(err, kv.ErrConflict):
 			mine, readErr := k.accepted(ctx, ch)
 			if readErr == nil && mine {
 				return nil
@@ -118,7 +118,7 @@
 				return trace.CompareFailed("another change became version %d first; nothing was written", ch.Version)
 			}
 			uncertain = true
-		case errors.Is(err, platform.ErrUncertain):
+		case errors.Is(err, kv.ErrUncertain):
 			uncertain = true
 		case !uncertain:
 			return fmt.Errorf("nothing written: %w", err)
@@ -127,7 +127,7 @@
 			break
 		}
 	}
-	return fmt.Errorf("change %s: %w", ch.ID, platform.ErrUncertain)
+	return fmt.Errorf("change %s: %w", ch.ID, kv.ErrUncertain)
 }
 
 // accepted reports whether the change that made a version is this one.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -145,7 +145,7 @@
 	e.budget = retry.New(now, retryLimits(s), e.gossip.Nodes)
 	e.egress = platform.NewEgress()
 	e.dispatcher = dispatch.New(e.proof, e.placement, e.budget, e.egress, e.metrics, e.log)
-	e.store = platform.NewStore(s.PlatformAddresses[0])
+	e.store = platform.NewStore(s.PlatformAddresses, platform.StoreTimeout)
 	e.discovery = discovery.New(platform.Engine, e.placement, e.log)
 	e.register = register.New(e.store, self, e.gossip.Meet, e.log)
 	e.config = feed.NewTable(platform.TableConfig, e.takeConfig)
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -5,6 +5,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"sort"
 	"sync"
 	"time"
@@ -53,6 +54,11 @@
 		Delete []Row
 	}
 
+	// ConflictError names the rows that have other versions, as they are now.
+	ConflictError struct {
+		Rows []Row
+	}
+
 	// Consumer takes changed rows, deleted ones among them, in the order of their versions.
 	Consumer func(now time.Time, rows []Row)
 
@@ -70,6 +76,12 @@
 	}
 )
 
+// Error describes the conflict.
+func (e *ConflictError) Error() string { return fmt.Sprintf("%v: %d rows", ErrConflict, len(e.Rows)) }
+
+// Is makes errors.Is(err, ErrConflict) true.
+func (e *ConflictError) Is(target error) bool { return target == ErrConflict }
+
 // NewTable returns an empty copy.
 func NewTable(name string, consume Consumer) *Table {
 	return &Table{name: name, consume: consume, rows: map[string]Row{}, deleted: map[string]Row{}}
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -21,7 +21,7 @@
 	"github.com/croftturn/croftturn/internal/engine"
 	"github.com/croftturn/croftturn/internal/front"
 	"github.com/croftturn/croftturn/internal/journal"
-	"github.com/croftturn/croftturn/internal/platform"
+	"github.com/croftturn/croftturn/internal/kv"
 	"github.com/croftturn/croftturn/internal/sched"
 	"github.com/croftturn/croftturn/internal/settings"
 	"github.com/croftturn/croftturn/internal/telemetry"
@@ -56,7 +56,7 @@
 	// table is a table in memory that can be out.
 	table struct {
 		mu   sync.Mutex
-		rows map[string]platform.Row
+		rows map[string]kv.Row
 		down bool
 	}
 )
@@ -106,30 +106,30 @@
 }
 
 // Get reads a row.
-func (t *table) Get(_ context.Context, key string) (platform.Row, error) {
+func (t *table) Get(_ context.Context, key string) (kv.Row, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.down {
-		return platform.Row{}, platform.ErrUnavailable
+		return kv.Row{}, kv.ErrUnavailable
 	}
 	return t.rows[key], nil
 }
 
 // Transact checks and writes rows.
-func (t *table) Transact(_ context.Context, txn platform.Txn) error {
+func (t *table) Transact(_ context.Context, txn kv.Txn) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.down {
-		return platform.ErrUnavailable
+		return kv.ErrUnavailable
 	}
 	for _, c := range txn.Checks {
 		if row := t.rows[c.Key]; row.Version != c.Version {
 			row.Key = c.Key
-			return &platform.ConflictError{Rows: []platform.Row{row}}
+			return &kv.ConflictError{Rows: []kv.Row{row}}
 		}
 	}
 	for _, p := range txn.Puts {
-		t.rows[p.Key] = platform.Row{Key: p.Key, Value: p.Value, Version: t.rows[p.Key].Version + 1}
+		t.rows[p.Key] = kv.Row{Key: p.Key, Value: p.Value, Version: t.rows[p.Key].Version + 1}
 	}
 	return nil
 }
@@ -167,7 +167,7 @@
 	}
 	tele.Log = slog.New(slog.DiscardHandler)
 	t.Cleanup(func() { tele.Close() })
-	r := &rig{sched: &inTurn{views: views{view}}, table: &table{rows: map[string]platform.Row{}}}
+	r := &rig{sched: &inTurn{views: views{view}}, table: &table{rows: map[string]kv.Row{}}}
 	client := engine.NewClient(2 * time.Second)
 	t.Cleanup(client.Close)
 	keeper := claim.NewKeeper(r.table, "n1", 1, time.Millisecond)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,10 +19,10 @@
 	"github.com/croftturn/croftturn/internal/engine"
 	"github.com/croftturn/croftturn/internal/front"
 	"github.com/croftturn/croftturn/internal/journal"
+	"github.com/croftturn/croftturn/internal/kv"
 	"github.com/croftturn/croftturn/internal/member"
 	"github.com/croftturn/croftturn/internal/order"
 	"github.com/croftturn/croftturn/internal/peer"
-	"github.com/croftturn/croftturn/internal/platform"
 	"github.com/croftturn/croftturn/internal/sched"
 	"github.com/croftturn/croftturn/internal/settings"
 	"github.com/croftturn/croftturn/internal/telemetry"
@@ -36,7 +36,7 @@
 type Node struct {
 	settings *settings.Settings
 	tele     *telemetry.Telemetry
-	platform *platform.Client
+	platform *kv.Client
 	traffic  *peer.Traffic
 	client   *peer.Client
 	server   *peer.Server
@@ -105,7 +105,7 @@
 // build makes all parts; nothing runs yet.
 func (n *Node) build(now time.Time, peers net.Listener) {
 	s, log := n.settings, n.tele.Log
-	n.platform = platform.New(s.PlatformAddresses, ms(s.PlatformTimeoutMs))
+	n.platform = kv.New(s.PlatformAddresses, ms(s.PlatformTimeoutMs))
 	n.traffic = &peer.Traffic{}
 	n.client = peer.NewClient(n.traffic)
 	n.server = peer.NewServer(peers, n.traffic, log)
--- a/internal/order/order.go
+++ b/internal/order/order.go
@@ -15,7 +15,7 @@
 	"time"
 
 	"github.com/croftturn/croftturn/internal/config"
-	"github.com/croftturn/croftturn/internal/platform"
+	"github.com/croftturn/croftturn/internal/kv"
 	"github.com/croftturn/croftturn/internal/wire"
 )
 
@@ -40,8 +40,8 @@
 type (
 	// Table is what orders need of the platform.
 	Table interface {
-		Get(ctx context.Context, key string) (platform.Row, error)
-		Transact(ctx context.Context, txn platform.Txn) error
+		Get(ctx context.Context, key string) (kv.Row, error)
+		Transact(ctx context.Context, txn kv.Txn) error
 	}
 
 	// Sender sends an order to an engine. It sends nothing after the deadline. The
@@ -182,7 +182,7 @@
 // prove takes the engine's row for this order, in one transaction that fails
 // unless the configuration is still the one that made the order the newest. It
 // waits while another node may still be sending.
-func (s *Service) prove(ctx context.Context, now time.Time, e *config.Engine) (platform.Row, error) {
+func (s *Service) prove(ctx context.Context, now time.Time, e *config.Engine) (kv.Row, error) {
 	row, err := s.table.Get(ctx, rowPrefix+e.Name)
 	if err != nil {
 		return row, fmt.Errorf("%w: %w", ErrNotCurrent, err)
@@ -206,7 +206,7 @@
 	if version, err := config.HeadVersion(head); err != nil || version != s.store.Version() {
 		return row, fmt.Errorf("%w: the configuration here is not the newest", ErrNotCurrent)
 	}
-	check := &platform.Check{Key: config.HeadKey, Version: head.Version}
+	check := &kv.Check{Key: config.HeadKey, Version: head.Version}
 	return row, s.write(ctx, e, row.Version, sending{Fence: e.OrderFence, Node: s.node}, check)
 }
 
@@ -224,13 +224,13 @@
 
 // write writes an engine's row from a version. A write whose fate is not known
 // counts as failed: the order is not sent on it.
-func (s *Service) write(ctx context.Context, e *config.Engine, version int, row sending, also *platform.Check) error {
+func (s *Service) write(ctx context.Context, e *config.Engine, version int, row sending, also *kv.Check) error {
 	text, err := json.Marshal(row)
 	if err != nil {
 		return fmt.Errorf("encode order row: %w", err)
 	}
 	key := rowPrefix + e.Name
-	txn := platform.Txn{Checks: []platform.Check{{Key: key, Version: version}}, Puts: []platform.Put{{Key: key, Value: text}}}
+	txn := kv.Txn{Checks: []kv.Check{{Key: key, Version: version}}, Puts: []kv.Put{{Key: key, Value: text}}}
 	if also != nil {
 		txn.Checks = append(txn.Checks, *also)
 	}
--- a/internal/order/order_test.go
+++ b/internal/order/order_test.go
@@ -11,8 +11,8 @@
 	"time"
 
 	"github.com/croftturn/croftturn/internal/config"
+	"github.com/croftturn/croftturn/internal/kv"
 	"github.com/croftturn/croftturn/internal/order"
-	"github.com/croftturn/croftturn/internal/platform"
 )
 
 var (
@@ -23,12 +23,12 @@
 // table is a table in memory.
 type table struct {
 	mu     sync.Mutex
-	rows   map[string]platform.Row
+	rows   map[string]kv.Row
 	before func() // before is called before each transaction.
 }
 
 // Get reads a row.
-func (t *table) Get(_ context.Context, key string) (platform.Row, error) {
+func (t *table) Get(_ context.Context, key string) (kv.Row, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.rows[key], nil
@@ -37,11 +37,11 @@
 // put writes a row.
 func (t *table) put(key string, value any) {
 	text, _ := json.Marshal(value)
-	t.rows[key] = platform.Row{Key: key, Value: text, Version: t.rows[key].Version + 1}
+	t.rows[key] = kv.Row{Key: key, Value: text, Version: t.rows[key].Version + 1}
 }
 
 // Transact checks and writes rows.
-func (t *table) Transact(_ context.Context, txn platform.Txn) error {
+func (t *table) Transact(_ context.Context, txn kv.Txn) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.before != nil {
@@ -49,7 +49,7 @@
 	}
 	for _, c := range txn.Checks {
 		if t.rows[c.Key].Version != c.Version {
-			return platform.ErrConflict
+			return kv.ErrConflict
 		}
 	}
 	for _, p := range txn.Puts {
@@ -78,7 +78,7 @@
 
 // newTable returns a table whose configuration is at a version.
 func newTable(version int) *table {
-	t := &table{rows: map[string]platform.Row{}}
+	t := &table{rows: map[string]kv.Row{}}
 	t.put(config.HeadKey, map[string]int{"version": version})
 	return t
 }
