Add a fault soak of the edge node as processes

Change: lab/soak runs nodes as processes against stand-ins of the store and of engines, each way to the store and to an engine over a relay; signals, relays, the store's faults, engines that misbehave, crash or leave, and lost keys come in series and overlap, drawn from a seed. Ruled out: relays between nodes (their datagrams may be lost anyway; freezes and kills cut them).

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -36,7 +36,7 @@
 	// manyPeers is how many peers make messages to other halls rarer, by
 	// farSlowDown, since bytes between halls are paid for.
 	manyPeers   = 12
-	farSlowDown = 5
+	farSlowDown = 2
 
 	// introduceEvery is how often a message says who the sender is and how to reach
 	// it; between, its name is enough for peers that have answered it.
--- a/lab/cluster/cluster.go
+++ b/lab/cluster/cluster.go
@@ -150,7 +150,7 @@
 
 // backend starts a stand-in on a port of its own.
 func (c *Cluster) backend(name string, args ...string) (*Backend, error) {
-	address, err := freeAddress()
+	address, err := FreeAddress()
 	if err != nil {
 		return nil, err
 	}
@@ -197,7 +197,7 @@
 func (c *Cluster) newNode(i int, name string) (*Node, error) {
 	n := &Node{settings: c.path(name + ".json")}
 	for _, a := range []*string{&n.Caller, &n.Peer, &n.Admin} {
-		address, err := freeAddress()
+		address, err := FreeAddress()
 		if err != nil {
 			return nil, err
 		}
--- a/lab/cluster/process.go
+++ b/lab/cluster/process.go
@@ -41,13 +41,18 @@
 	return buildDir, buildErr
 }
 
-// launch starts a program and collects its exit.
+// launch starts a program of the cluster and collects its exit.
 func (c *Cluster) launch(name, program string, args ...string) (*Process, error) {
+	return Launch(c.path(name+".out"), name, program, args...)
+}
+
+// Launch starts a program whose output is added to a file, and collects its exit.
+func Launch(output, name, program string, args ...string) (*Process, error) {
 	dir, err := Build()
 	if err != nil {
 		return nil, err
 	}
-	out, err := os.OpenFile(c.path(name+".out"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	out, err := os.OpenFile(output, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
 		return nil, fmt.Errorf("open output: %w", err)
 	}
@@ -66,8 +71,8 @@
 	return p, nil
 }
 
-// freeAddress returns a loopback address whose port is free.
-func freeAddress() (string, error) {
+// FreeAddress returns a loopback address whose port is free.
+func FreeAddress() (string, error) {
 	block := int64(os.Getpid()%portBlocks) * portsEach
 	for range portAttempts {
 		n := lastPort.Add(1)
--- /dev/null
+++ b/lab/soak/caller.go
@@ -0,0 +1,124 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+)
+
+const (
+	success      = http.StatusOK
+	unauthorized = http.StatusUnauthorized
+	unavailable  = http.StatusServiceUnavailable
+	tooMany      = http.StatusTooManyRequests
+
+	// patience is how long a caller waits for a request, in milliseconds.
+	patience = 3000
+
+	// callerPause is the usual time between two requests of a caller.
+	callerPause = 25 * time.Millisecond
+)
+
+// caller sends requests one after the other, over kept connections, to addresses
+// that it asks the nodes for.
+type caller struct {
+	world   *World
+	rand    *rand.Rand
+	name    string
+	client  *http.Client
+	entries []string
+	asked   time.Time
+	count   int
+}
+
+// newCaller returns a caller.
+func newCaller(w *World, name string, seed uint64) *caller {
+	return &caller{world: w, name: name, rand: rand.New(rand.NewPCG(seed, 7)), client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}}}
+}
+
+// run sends requests until the context ends.
+func (c *caller) run(ctx context.Context) {
+	defer c.client.CloseIdleConnections()
+	for ctx.Err() == nil {
+		c.once(ctx)
+		select {
+		case <-ctx.Done():
+		case <-time.After(callerPause/2 + time.Duration(c.rand.Int64N(int64(callerPause)))):
+		}
+	}
+}
+
+// once sends one request and records how it ended.
+func (c *caller) once(ctx context.Context) {
+	address := c.entry()
+	if address == "" {
+		return
+	}
+	c.count++
+	id := fmt.Sprintf("%s-%d", c.name, c.count)
+	e := ending{route: routes[c.rand.IntN(len(routes))], sent: time.Now()}
+	e.key, e.team = c.world.anyKey(c.rand)
+	ctx, cancel := context.WithTimeout(ctx, (patience+500)*time.Millisecond)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/"+e.route+"/x", strings.NewReader("body of "+id))
+	if err != nil {
+		c.world.ledger.exited(fmt.Sprintf("request not built: %v", err))
+		return
+	}
+	req.GetBody = nil // The transport must not send it again by itself.
+	req.Host = host
+	for name, value := range map[string]string{
+		"Attempt-Id": id, "Deadline-Ms": fmt.Sprint(patience), "Authorization": "Bearer " + e.key, "Model": "m", "Token-Counts": "700,40",
+		"Prompt-Prefix": fmt.Sprintf("a%d:300,%s:400", c.rand.IntN(9), id),
+	} {
+		req.Header.Set(name, value)
+	}
+	resp, err := c.client.Do(req)
+	if err == nil {
+		body, readErr := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		e.status, e.body, e.whole = resp.StatusCode, string(body), readErr == nil
+	} else {
+		c.asked = time.Time{} // Another address is asked for.
+	}
+	e.ended = time.Now()
+	c.world.ledger.ended(id, e)
+}
+
+// entry returns an address to use, asking a node for addresses every two seconds.
+func (c *caller) entry() string {
+	if time.Since(c.asked) > 2*time.Second || len(c.entries) == 0 {
+		for range 3 {
+			if list := c.ask(c.world.anyDirectory(c.rand)); len(list) > 0 {
+				c.entries, c.asked = list, time.Now()
+				break
+			}
+		}
+	}
+	if len(c.entries) == 0 {
+		return ""
+	}
+	return c.entries[c.rand.IntN(len(c.entries))]
+}
+
+// ask asks one node for addresses.
+func (c *caller) ask(address string) []string {
+	client := http.Client{Timeout: time.Second}
+	resp, err := client.Get("http://" + address + "/-/resolve?name=" + host + "&zone=h1")
+	if err != nil {
+		return nil
+	}
+	defer resp.Body.Close()
+	var body struct {
+		Addresses []string `json:"addresses"`
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&body); err != nil {
+		return nil
+	}
+	return body.Addresses
+}
--- /dev/null
+++ b/lab/soak/engine.go
@@ -0,0 +1,142 @@
+package soak
+
+import (
+	"fmt"
+	"hash/fnv"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Modes of an engine.
+const (
+	modeWell       = iota
+	modeFails      // modeFails answers every second request with 500.
+	modeFull       // modeFull turns every second request away.
+	modeLoses      // modeLoses runs every second request and closes its connection.
+	modeMute       // modeMute answers every second request never.
+	modeBreaksOff  // modeBreaksOff ends every second stream after its first event.
+	modesOfEngines // modesOfEngines is how many there are.
+)
+
+// eventPause is the time between two events of a stream.
+const eventPause = 20 * time.Millisecond
+
+// engine is a stand-in engine that keeps in the ledger what it runs.
+type engine struct {
+	id, pool string
+	ledger   *Ledger
+	server   *http.Server
+	listener net.Listener
+	mode     atomic.Int64
+	count    atomic.Int64
+	wg       sync.WaitGroup
+}
+
+// newEngine starts an engine.
+func newEngine(id, pool string, l *Ledger) (*engine, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("start engine: %w", err)
+	}
+	e := &engine{id: id, pool: pool, ledger: l, listener: listener}
+	e.server = &http.Server{Handler: e}
+	e.wg.Add(1)
+	go func() {
+		defer e.wg.Done()
+		// It ends with Close; whatever else ends it is seen by its callers.
+		_ = e.server.Serve(listener)
+	}()
+	return e, nil
+}
+
+// close ends the engine and its connections.
+func (e *engine) close() {
+	e.server.Close()
+	e.wg.Wait()
+}
+
+// ServeHTTP runs one request, as the mode says.
+func (e *engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("Attempt-Id")
+	w.Header().Set("Attempt-Id", id)
+	if expected := r.Header.Get("Expect-Instance"); expected != "" && expected != e.id {
+		w.Header().Set("Instance-Id", e.id)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return // The request did not come whole, and is not run.
+	}
+	mode := int(e.mode.Load())
+	if e.count.Add(1)%2 == 0 {
+		mode = modeWell
+	}
+	if mode == modeFull {
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	e.ledger.ran(id, run{engine: e.id, team: r.Header.Get("Tenant"), at: time.Now()})
+	w.Header().Set("Response-Seal", "seal-"+id)
+	switch mode {
+	case modeFails:
+		w.WriteHeader(http.StatusInternalServerError)
+	case modeLoses:
+		panic(http.ErrAbortHandler)
+	case modeMute:
+		<-r.Context().Done()
+	default:
+		e.answer(w, r, id, mode)
+	}
+}
+
+// answer gives the whole answer, or a stream's from where it goes on.
+func (e *engine) answer(w http.ResponseWriter, r *http.Request, id string, mode int) {
+	route := strings.Split(r.URL.Path, "/")[1]
+	if route != routeStream && route != routeResumable {
+		fmt.Fprint(w, wholeAnswer(route, id))
+		return
+	}
+	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	w.Header().Set("Content-Type", "text/event-stream")
+	for n := after + 1; n <= events(id); n++ {
+		fmt.Fprint(w, event(id, n))
+		w.(http.Flusher).Flush()
+		if mode == modeBreaksOff {
+			panic(http.ErrAbortHandler)
+		}
+		select {
+		case <-r.Context().Done():
+			return
+		case <-time.After(eventPause):
+		}
+	}
+}
+
+// events returns how many events the stream of a request has.
+func events(id string) int {
+	h := fnv.New32a()
+	h.Write([]byte(id))
+	return 2 + int(h.Sum32()%8)
+}
+
+// event returns one event of a request's stream.
+func event(id string, n int) string { return fmt.Sprintf("id: %d\ndata: %s %d\n\n", n, id, n) }
+
+// wholeAnswer returns the whole body that a request must get.
+func wholeAnswer(route, id string) string {
+	if route != routeStream && route != routeResumable {
+		return "answer to " + id
+	}
+	var b strings.Builder
+	for n := 1; n <= events(id); n++ {
+		b.WriteString(event(id, n))
+	}
+	return b.String()
+}
--- /dev/null
+++ b/lab/soak/faults.go
@@ -0,0 +1,284 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/croftturn/croftturn/lab/platform"
+	"github.com/croftturn/croftturn/lab/relay"
+)
+
+const (
+	// betweenFaults is the usual time between the beginnings of two faults; most
+	// last longer, so that they overlap.
+	betweenFaults = 700 * time.Millisecond
+
+	// longestFault bounds one fault.
+	longestFault = 6 * time.Second
+)
+
+// fault is one kind of fault: what it does, for how long at most, and whether
+// promises with a time bound are suspended meanwhile.
+type fault struct {
+	name    string
+	longest time.Duration
+	suspend bool
+	inject  func(ctx context.Context, w *World, r *rand.Rand, d time.Duration) error
+}
+
+// faults lists the kinds.
+var faults = []fault{
+	{"kill a node", time.Second, true, killNode},
+	{"stop a node", time.Second, true, stopNode},
+	{"freeze a node", longestFault, true, freezeNode},
+	{"hang up a node", time.Second, false, hangUp},
+	{"cut a node from the store", longestFault, true, atStore(relay.Cut)},
+	{"silence the store for a node", longestFault, true, atStore(relay.Hold)},
+	{"delay the store for a node", longestFault, true, atStore(relay.Delay)},
+	{"store down", 4 * time.Second, true, store(platform.Faults{Down: true})},
+	{"store slow", 4 * time.Second, true, store(platform.Faults{SlowMs: 400})},
+	{"store loses answers", 2 * time.Second, true, store(platform.Faults{LoseAcks: 5})},
+	{"store's feeds deaf", 2 * time.Second, true, store(platform.Faults{Deaf: true})},
+	{"store forgets", 100 * time.Millisecond, true, store(platform.Faults{Forget: true})},
+	{"engine misbehaves", 4 * time.Second, false, misbehave},
+	{"way to an engine cut", 3 * time.Second, false, atEngine(relay.Cut)},
+	{"way to an engine silent", 3 * time.Second, false, atEngine(relay.Hold)},
+	{"engine crashes", time.Second, false, crashEngine},
+	{"engine leaves", 2500 * time.Millisecond, false, drainEngine},
+	{"key taken away", 100 * time.Millisecond, false, revokeKey},
+	{"key given back", 100 * time.Millisecond, false, giveKey},
+}
+
+// injectFaults injects faults for the time of the options, and waits until all
+// have ended.
+func (w *World) injectFaults(ctx context.Context) error {
+	r := rand.New(rand.NewPCG(w.opts.Seed, 42))
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	var failed error
+	end := time.Now().Add(w.opts.Faults)
+	for time.Now().Before(end) && ctx.Err() == nil {
+		f := faults[r.IntN(len(faults))]
+		d := time.Duration(r.Int64N(int64(f.longest)))
+		own := rand.New(rand.NewPCG(r.Uint64(), 3))
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			begin := time.Now()
+			err := f.inject(ctx, w, own, d)
+			if f.suspend {
+				w.ledger.fault(begin, time.Now())
+			}
+			if err != nil {
+				mu.Lock()
+				failed = fmt.Errorf("%s: %w", f.name, err)
+				mu.Unlock()
+			}
+		}()
+		sleep(ctx, betweenFaults/2+time.Duration(r.Int64N(int64(betweenFaults))))
+		w.checkExits()
+	}
+	wg.Wait()
+	return failed
+}
+
+// take returns a node that no other fault has taken, or nil; giveBack frees it.
+func (w *World) take(r *rand.Rand) *node {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := w.nodes[r.IntN(len(w.nodes))]
+	if n.taken {
+		return nil
+	}
+	n.taken = true
+	return n
+}
+
+// giveBack frees a node for the next fault of its process.
+func (w *World) giveBack(n *node) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n.taken = false
+}
+
+// expect says that a node's end is no finding.
+func (w *World) expect(n *node) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n.expected = true
+}
+
+// killNode kills a node and starts it again after a while.
+func killNode(ctx context.Context, w *World, r *rand.Rand, d time.Duration) error {
+	n := w.take(r)
+	if n == nil {
+		return nil
+	}
+	defer w.giveBack(n)
+	w.expect(n)
+	n.Kill()
+	sleep(ctx, d)
+	return w.launch(n)
+}
+
+// stopNode stops a node as planned and starts it again after a while.
+func stopNode(ctx context.Context, w *World, r *rand.Rand, d time.Duration) error {
+	n := w.take(r)
+	if n == nil {
+		return nil
+	}
+	defer w.giveBack(n)
+	w.expect(n)
+	if err := n.Stop(stopGrace); err != nil {
+		w.ledger.exited(fmt.Sprintf("%s did not stop as planned: %v", n.name, err))
+		n.Kill()
+	}
+	sleep(ctx, d)
+	return w.launch(n)
+}
+
+// freezeNode freezes a node and wakes it.
+func freezeNode(ctx context.Context, w *World, r *rand.Rand, d time.Duration) error {
+	n := w.take(r)
+	if n == nil {
+		return nil
+	}
+	defer w.giveBack(n)
+	if err := n.Signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	sleep(ctx, d)
+	return n.Signal(syscall.SIGCONT)
+}
+
+// hangUp tells a node to read its settings again.
+func hangUp(_ context.Context, w *World, r *rand.Rand, _ time.Duration) error {
+	n := w.take(r)
+	if n == nil {
+		return nil
+	}
+	defer w.giveBack(n)
+	return n.Signal(syscall.SIGHUP)
+}
+
+// atStore returns a fault of the way between one node and the store.
+func atStore(m relay.Mode) func(context.Context, *World, *rand.Rand, time.Duration) error {
+	return func(ctx context.Context, w *World, r *rand.Rand, d time.Duration) error {
+		w.mu.Lock()
+		n := w.nodes[r.IntN(len(w.nodes))]
+		w.mu.Unlock()
+		n.store.Set(m)
+		sleep(ctx, d)
+		n.store.Set(relay.Pass)
+		return nil
+	}
+}
+
+// store returns a fault of the store.
+func store(f platform.Faults) func(context.Context, *World, *rand.Rand, time.Duration) error {
+	return func(ctx context.Context, w *World, _ *rand.Rand, d time.Duration) error {
+		if err := w.post("/control/faults", f); err != nil {
+			return err
+		}
+		sleep(ctx, d)
+		return w.post("/control/faults", platform.Faults{})
+	}
+}
+
+// anyEngine returns an engine by chance.
+func (w *World) anyEngine(r *rand.Rand) (*engine, *relay.Relay) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	e := w.engines[r.IntN(len(w.engines))]
+	return e, w.relays[e.id]
+}
+
+// misbehave lets an engine misbehave in one of its ways.
+func misbehave(ctx context.Context, w *World, r *rand.Rand, d time.Duration) error {
+	e, _ := w.anyEngine(r)
+	e.mode.Store(int64(r.IntN(modesOfEngines)))
+	sleep(ctx, d)
+	e.mode.Store(modeWell)
+	return nil
+}
+
+// atEngine returns a fault of the way to one engine.
+func atEngine(m relay.Mode) func(context.Context, *World, *rand.Rand, time.Duration) error {
+	return func(ctx context.Context, w *World, r *rand.Rand, d time.Duration) error {
+		_, way := w.anyEngine(r)
+		way.Set(m)
+		sleep(ctx, d)
+		way.Set(relay.Pass)
+		return nil
+	}
+}
+
+// replace takes an engine out of the world and puts a new one in its place.
+func (w *World) replace(e *engine) error {
+	w.mu.Lock()
+	for i, other := range w.engines {
+		if other == e {
+			w.engines = append(w.engines[:i:i], w.engines[i+1:]...)
+			break
+		}
+	}
+	w.mu.Unlock()
+	return w.addEngine(e.pool)
+}
+
+// crashEngine ends an engine without a word; its entry goes later.
+func crashEngine(ctx context.Context, w *World, r *rand.Rand, d time.Duration) error {
+	e, way := w.anyEngine(r)
+	if err := w.replace(e); err != nil {
+		return err
+	}
+	e.close()
+	way.Set(relay.Cut)
+	sleep(ctx, d)
+	return w.write(row{"servers", e.id, nil})
+}
+
+// drainEngine lets an engine say that it leaves, serve on for a while, and end.
+func drainEngine(ctx context.Context, w *World, r *rand.Rand, d time.Duration) error {
+	e, _ := w.anyEngine(r)
+	if err := w.replace(e); err != nil {
+		return err
+	}
+	if err := w.putEngine(e, "draining"); err != nil {
+		return err
+	}
+	w.ledger.mark(w.ledger.leaving, e.id, time.Now())
+	sleep(ctx, drainWithin+d)
+	e.close()
+	return w.write(row{"servers", e.id, nil})
+}
+
+// revokeKey takes a key away, but for the last two.
+func revokeKey(_ context.Context, w *World, r *rand.Rand, _ time.Duration) error {
+	w.mu.Lock()
+	if len(w.keys) <= 2 {
+		w.mu.Unlock()
+		return nil
+	}
+	i := r.IntN(len(w.keys))
+	gone := w.keys[i]
+	w.keys = append(w.keys[:i:i], w.keys[i+1:]...)
+	w.mu.Unlock()
+	if err := w.putConfig(); err != nil {
+		return err
+	}
+	w.ledger.mark(w.ledger.revoked, gone.text, time.Now())
+	return nil
+}
+
+// giveKey gives a new team key that callers do not use, so that the version rises.
+func giveKey(_ context.Context, w *World, r *rand.Rand, _ time.Duration) error {
+	w.mu.Lock()
+	w.keys = append(w.keys, key{fmt.Sprintf("new-%d", r.Uint64()), "team-0"})
+	w.mu.Unlock()
+	return w.putConfig()
+}
--- /dev/null
+++ b/lab/soak/ledger.go
@@ -0,0 +1,158 @@
+package soak
+
+import (
+	"fmt"
+	"sync"
+	"time"
+)
+
+type (
+	// run is one start of a request at an engine.
+	run struct {
+		engine, team string
+		at           time.Time
+	}
+
+	// ending is how a request ended for its caller.
+	ending struct {
+		route, key, team string
+		sent, ended      time.Time
+		status           int  // status is 0 where no whole head came.
+		whole            bool // whole says that the body came to its end.
+		body             string
+	}
+
+	// span is a time in which something was at fault.
+	span struct{ from, to time.Time }
+
+	// Ledger keeps what callers, engines and the operator saw.
+	Ledger struct {
+		mu      sync.Mutex
+		runs    map[string][]run
+		endings map[string]ending
+		revoked map[string]time.Time // revoked holds when the loss of a key was acknowledged.
+		leaving map[string]time.Time // leaving holds when an engine's leaving was acknowledged.
+		faults  []span               // faults of nodes and of the store
+		exits   []string             // exits of processes that nobody ended
+	}
+)
+
+// newLedger returns an empty ledger.
+func newLedger() *Ledger {
+	return &Ledger{runs: map[string][]run{}, endings: map[string]ending{}, revoked: map[string]time.Time{}, leaving: map[string]time.Time{}}
+}
+
+// ran records a start at an engine.
+func (l *Ledger) ran(id string, r run) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.runs[id] = append(l.runs[id], r)
+}
+
+// ended records how a request ended.
+func (l *Ledger) ended(id string, e ending) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.endings[id] = e
+}
+
+// fault records a time of fault of nodes or of the store.
+func (l *Ledger) fault(from, to time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.faults = append(l.faults, span{from, to})
+}
+
+// mark records a moment under a name.
+func (l *Ledger) mark(in map[string]time.Time, name string, at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	in[name] = at
+}
+
+// exited records the end of a process that nobody ended.
+func (l *Ledger) exited(what string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.exits = append(l.exits, what)
+}
+
+// Served returns how many requests ended well among those sent after a moment.
+func (l *Ledger) Served(after time.Time) (served, asked int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, e := range l.endings {
+		if e.sent.After(after) && e.status != unauthorized {
+			asked++
+			if e.status == success && e.whole {
+				served++
+			}
+		}
+	}
+	return served, asked
+}
+
+// Broken returns every broken promise, one a line.
+func (l *Ledger) Broken() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []string
+	out = append(out, l.exits...)
+	for id, e := range l.endings {
+		out = append(out, l.brokenBy(id, e)...)
+	}
+	for engine, at := range l.leaving {
+		if l.calm(at.Add(-settle), at.Add(drainWithin+settle)) {
+			out = append(out, l.lateStarts(engine, at)...)
+		}
+	}
+	return out
+}
+
+// brokenBy checks the promises to one request.
+func (l *Ledger) brokenBy(id string, e ending) []string {
+	var out []string
+	runs := l.runs[id]
+	once := e.route == routeUnsafe || e.route == routeStream
+	if once && len(runs) > 1 {
+		out = append(out, fmt.Sprintf("%s %s ran %d times", e.route, id, len(runs)))
+	}
+	if (e.status == unavailable || e.status == tooMany) && once && len(runs) > 0 {
+		out = append(out, fmt.Sprintf("%s %s ran, though its caller got %d", e.route, id, e.status))
+	}
+	if e.status == success && e.whole && e.body != wholeAnswer(e.route, id) {
+		out = append(out, fmt.Sprintf("%s %s got %q", e.route, id, e.body))
+	}
+	for _, r := range runs {
+		if r.team != e.team {
+			out = append(out, fmt.Sprintf("%s %s ran for team %q, its key is of %q", e.route, id, r.team, e.team))
+		}
+		if gone, ok := l.revoked[e.key]; ok && r.at.After(gone.Add(revokeWithin)) {
+			out = append(out, fmt.Sprintf("%s %s ran %v after its key was taken away", e.route, id, r.at.Sub(gone)))
+		}
+	}
+	return out
+}
+
+// lateStarts returns starts at an engine too long after it said that it leaves.
+func (l *Ledger) lateStarts(engine string, at time.Time) []string {
+	var out []string
+	for id, runs := range l.runs {
+		for _, r := range runs {
+			if r.engine == engine && r.at.After(at.Add(drainWithin)) {
+				out = append(out, fmt.Sprintf("%s started at %s %v after it said that it leaves", id, engine, r.at.Sub(at)))
+			}
+		}
+	}
+	return out
+}
+
+// calm reports whether nodes and store were without fault in a span.
+func (l *Ledger) calm(from, to time.Time) bool {
+	for _, f := range l.faults {
+		if f.from.Before(to) && f.to.After(from) {
+			return false
+		}
+	}
+	return true
+}
