--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test install generate lint run bench proofs slopes replay
+.PHONY: build test install generate lint run bench proofs slopes replay soak
 
 # build makes both programs.
 build:
@@ -35,6 +35,11 @@
 proofs:
 	CROFTTURN_PROOFS=all CROFTTURN_SEED=$(SEED) go test -count=1 -timeout 60m -v ./lab/proofs
 
+# soak plays seeds of the fault soak; about 15 s a seed.
+SEEDS ?= 3-52
+soak:
+	SOAK_SEEDS=$(SEEDS) go test -count=1 -timeout 60m -v -run 'TestSoak$$' ./lab/soak
+
 # slopes measures what docs/CAPACITY.md is worked out from; about eight minutes.
 slopes: build
 	CROFTTURN_BIN=$(CURDIR)/bin bin/lab slopes
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/croftturn/croftturn/internal/dispatch"
 	"github.com/croftturn/croftturn/internal/feed"
 	"github.com/croftturn/croftturn/internal/gossip"
 	"github.com/croftturn/croftturn/platform"
@@ -98,7 +99,7 @@
 // Say returns what the peers are told of this node.
 func (e *Edge) Say(now time.Time) gossip.Said {
 	s := gossip.Said{
-		Ready: e.Ready(now), Loads: e.placement.Loads(), Uses: e.placement.TakeUses(), Versions: e.follower.Versions(),
+		Ready: e.Ready(now), Stopping: e.dispatcher.Ready(now) == dispatch.Stopping, Loads: e.placement.Loads(), Uses: e.placement.TakeUses(), Versions: e.follower.Versions(),
 		ConfigVersion: e.dispatcher.Version(), ProofAgeMs: -1, CantRead: e.cantRead(now), LostAgeMs: -1,
 	}
 	if age, ok := e.proof.Age(now); ok {
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -64,6 +64,7 @@
 	Said struct {
 		_             struct{}                  `cbor:",toarray"`
 		Ready         bool                      // Ready says that it takes callers.
+		Stopping      bool                      // Stopping says that it ends soon.
 		Loads         map[string]placement.Load // Loads is its own work, by engine.
 		Uses          []placement.Use           // Uses are the prompt parts it gave to engines since it last spoke.
 		Versions      map[string]int64          // Versions are those of its tables.
--- a/internal/placement/call.go
+++ b/internal/placement/call.go
@@ -98,8 +98,8 @@
 	switch o {
 	case Answered:
 		c.engine.failures.note(now, false)
-	case Failed:
-		c.engine.failures.note(now, true)
+	case Failed, Turned:
+		c.engine.failures.note(now, true) // An engine that turns requests away is avoided for a while, too.
 	}
 }
 
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -214,3 +214,17 @@
 		t.Errorf("a minute later it still costs %v", c.Cost)
 	}
 }
+
+// TestEngineThatTurnsAwayIsAvoided holds that an engine which turns requests away,
+// whatever its load, gets fewer.
+func TestEngineThatTurnsAwayIsAvoided(t *testing.T) {
+	p := newPlacement(2)
+	r := placement.Request{Pool: "p"}
+	c := choose(t, p, start, r)
+	for range 3 {
+		p.Start(start, c, r).End(start, placement.Turned)
+	}
+	if got := choose(t, p, start, r).Engine.ID; got == c.Engine.ID {
+		t.Errorf("still %s", got)
+	}
+}
