See members dead in time whose observers died with them

Ruled out: the test's bound (4.8 s is what the users can bear); the order of rounds, which is Go's own and unseeded, only shows it. Change: a newly chosen observer gives two thirds of the time, two heartbeats and more.

--- a/internal/member/observe.go
+++ b/internal/member/observe.go
@@ -42,13 +42,15 @@
 }
 
 // rewatch finds out which members this node watches, after some came or went. A
-// member that it has only now begun to watch gets its time.
+// member that it has only now begun to watch gets two thirds of its time: long
+// enough for two heartbeats, and not so long that a member whose observers all
+// died with it is missed late.
 func (t *Table) rewatch(now time.Time) {
 	t.moved = false
 	for name, e := range t.entries {
 		watching := name != t.self.Name && contains(t.observers(name), t.self.Name)
 		if watching && !e.watched {
-			e.heard = now
+			e.heard = now.Add(-t.opts.Suspect / 3)
 		}
 		e.watched = watching
 	}
