Write the register first and once; let a few nodes read first where many start

Ruled out: no register (nothing else tells of nodes). Change: a node writes its row under the condition that there is none, keeps an old one that serves, then reads; where more than twelve others are known, the first four by hash read the tables at once and the others after 0.6 s if no peer told them.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -93,6 +93,7 @@
 	config     *feed.Table
 	engines    *feed.Table
 	follower   *feed.Follower
+	startedAt  time.Time
 	lostAt     atomic.Pointer[time.Time] // lostAt is when the store last could not be called.
 
 	servers []*http.Server
@@ -104,7 +105,7 @@
 func Start(ctx context.Context, s *settings.Settings, out io.Writer) (*Edge, error) {
 	debug.SetGCPercent(gcPercent)
 	setMemoryLimit(s)
-	e := &Edge{settings: s, lines: logline.New(out)}
+	e := &Edge{settings: s, lines: logline.New(out), startedAt: time.Now()}
 	tele, err := telemetry.New(ctx, s, e.lines)
 	if err != nil {
 		return nil, errors.Join(fmt.Errorf("start telemetry: %w", err), e.lines.Close())
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -21,6 +21,15 @@
 	// four times as many half as long later: those that read now do not succeed.
 	readMoreAfter = 2 * time.Second
 
+	// manyNodes is how many other nodes make one that starts wait for them.
+	manyNodes = 12
+
+	// registerWait is how long a node that starts waits for the register, and
+	// peersWait for its peers, before it reads by itself; a call to the store takes
+	// some 10 ms, a message to peers comes each 100 ms.
+	registerWait = 150 * time.Millisecond
+	peersWait    = 600 * time.Millisecond
+
 	// cantReadFor is how long a node whose call failed leaves reading to others.
 	cantReadFor = 3 * time.Second
 )
@@ -33,7 +42,7 @@
 	age, ok := e.proof.Age(now)
 	switch {
 	case !ok:
-		return true
+		return e.readsAtStart(now)
 	case age > readMoreAfter*3/2:
 		limit *= 4
 	case age > readMoreAfter:
@@ -66,6 +75,28 @@
 	return false
 }
 
+// readsAtStart reports whether this node should read the tables before it has a
+// proof. Where many nodes are known and may start together, a few do at once, and
+// the others only if these have not told them by then.
+func (e *Edge) readsAtStart(now time.Time) bool {
+	age := now.Sub(e.startedAt)
+	if !e.register.Read() {
+		return age > registerWait
+	}
+	names := e.gossip.Met()
+	if len(names) < manyNodes || age > peersWait {
+		return true
+	}
+	before := 0
+	own := xxhash.Sum64String(e.settings.Instance)
+	for _, name := range names {
+		if xxhash.Sum64String(name) < own {
+			before++
+		}
+	}
+	return before < 2*readers
+}
+
 // cantRead reports whether the last call to the store failed lately.
 func (e *Edge) cantRead(now time.Time) bool {
 	lost := e.lostAt.Load()
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -166,6 +166,17 @@
 	return out
 }
 
+// Met returns the names of all peers that are known, heard or not.
+func (g *Gossip) Met() []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	out := make([]string, 0, len(g.peers))
+	for name := range g.peers {
+		out = append(out, name)
+	}
+	return out
+}
+
 // Nodes returns how many nodes are alive, this one among them.
 func (g *Gossip) Nodes() int { return len(g.Peers(time.Now())) + 1 }
 
--- a/internal/register/register.go
+++ b/internal/register/register.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/croftturn/croftturn/internal/feed"
@@ -22,11 +23,7 @@
 	// nodesEvery is how often the table is read again once this node stands in
 	// it. Nodes that start later make themselves known by datagrams, so that this
 	// is only for those whose datagrams were lost.
-	nodesEvery = 20 * time.Second
-
-	// nodesSoon is how soon it is read again after the start, when others that
-	// started at the same moment have written their rows.
-	nodesSoon = 1500 * time.Millisecond
+	nodesEvery = time.Minute
 
 	// retryFirst and retryMost bound the pause after a failed try; it doubles.
 	retryFirst = 50 * time.Millisecond
@@ -46,6 +43,8 @@
 	self  gossip.Self
 	meet  func(now time.Time, s gossip.Self)
 	log   *slog.Logger
+
+	wasRead atomic.Bool
 }
 
 // New returns a register; meet is told of each node in it.
@@ -53,19 +52,24 @@
 	return &Register{store: store, self: self, meet: meet, log: log}
 }
 
-// Run registers the node and reads the register until the context ends.
+// Run registers the node and reads the register until the context ends. It
+// writes first and reads then, so that of two nodes which start together at least
+// one sees the other, and makes itself known to it.
 func (r *Register) Run(ctx context.Context) {
 	pause := retryFirst
 	written := false
 	for ctx.Err() == nil {
 		next := nodesEvery
-		rows, err := r.read(ctx)
-		if err == nil && !written {
-			err = r.write(ctx, rows)
-			written, next = err == nil, nodesSoon
+		var err error
+		if !written {
+			err = r.write(ctx, 0)
+			written = err == nil
+		}
+		if err == nil {
+			_, err = r.read(ctx)
 		}
 		if err != nil {
-			r.log.Warn("node not registered yet", "written", written, "error", err.Error())
+			r.log.Warn("register not written or read", "written", written, "error", err.Error())
 			next, pause = pause, min(2*pause, retryMost)
 		}
 		sleep(ctx, next/2+rand.N(next))
@@ -92,24 +96,46 @@
 		}
 		r.meet(now, other)
 	}
+	r.wasRead.Store(true)
 	return own, nil
 }
 
-// write writes this node's row, on the condition that it is still as it was read.
-func (r *Register) write(ctx context.Context, own feed.Row) error {
+// Read reports whether the register was read at least once.
+func (r *Register) Read() bool { return r.wasRead.Load() }
+
+// write writes this node's row, on the condition that it has a version. A row
+// of an earlier start with the same addresses serves as it is.
+func (r *Register) write(ctx context.Context, version int64) error {
 	value, err := json.Marshal(r.self)
 	if err != nil {
 		return fmt.Errorf("encode node: %w", err)
 	}
 	put := feed.Row{Table: table, Key: r.self.Name, Value: value}
-	expect := feed.Row{Table: table, Key: r.self.Name, Version: own.Version}
-	if err := r.store.Write(ctx, feed.Tx{Expect: []feed.Row{expect}, Put: []feed.Row{put}}); err != nil {
+	expect := feed.Row{Table: table, Key: r.self.Name, Version: version}
+	err = r.store.Write(ctx, feed.Tx{Expect: []feed.Row{expect}, Put: []feed.Row{put}})
+	var conflict *feed.ConflictError
+	if errors.As(err, &conflict) && len(conflict.Rows) == 1 && conflict.Rows[0].Version != version {
+		if r.serves(conflict.Rows[0]) {
+			return nil
+		}
+		return r.write(ctx, conflict.Rows[0].Version)
+	}
+	if err != nil {
 		return fmt.Errorf("write register: %w", err)
 	}
 	r.log.Info("node registered", "peer_address", r.self.PeerAddress, "caller_address", r.self.CallerAddress, "incarnation", r.self.Incarnation)
 	return nil
 }
 
+// serves reports whether a row tells how to reach this node.
+func (r *Register) serves(row feed.Row) bool {
+	var old gossip.Self
+	if err := json.Unmarshal(row.Value, &old); err != nil {
+		return false // It is replaced.
+	}
+	return old.PeerAddress == r.self.PeerAddress && old.CallerAddress == r.self.CallerAddress && old.Hall == r.self.Hall
+}
+
 // Leave removes this node's row. A row that stays harms nothing: others see by
 // its silence that the node is gone.
 func (r *Register) Leave(ctx context.Context) error {
