Spread streams over as many engines as they need; compile schemas when first needed

The schemas of parts that an edge node does not use were compiled at its start (0.9 MB of 10). Change: streams gather on one engine for each 24 that run, and one more, spread by session.

--- a/internal/config/view.go
+++ b/internal/config/view.go
@@ -8,6 +8,7 @@
 	"encoding/hex"
 	"fmt"
 	"sort"
+	"sync"
 
 	"github.com/croftturn/croftturn/internal/check"
 	"github.com/croftturn/croftturn/schema"
@@ -26,7 +27,8 @@
 	defaultMaxWaitMs = 60000
 )
 
-var compiled = check.MustCompile(schema.Config)
+// compiled returns the schema's compiled form, made when it is first needed.
+var compiled = sync.OnceValue(func() *check.Schema { return check.MustCompile(schema.Config) })
 
 // View is a configuration with its indexes. It is never changed after it was
 // made, so that any goroutine may read it.
@@ -45,7 +47,7 @@
 
 // Parse checks the text of a configuration, in JSON with comments.
 func Parse(name string, text []byte) (*Config, error) {
-	plain, err := compiled.Read(name, text)
+	plain, err := compiled().Read(name, text)
 	if err != nil {
 		return nil, fmt.Errorf("check configuration: %w", err)
 	}
--- a/internal/config/writer.go
+++ b/internal/config/writer.go
@@ -68,7 +68,7 @@
 	if err != nil {
 		return wire.Change{}, nil, fmt.Errorf("encode configuration: %w", err)
 	}
-	if _, err := compiled.Read("configuration", text); err != nil {
+	if _, err := compiled().Read("configuration", text); err != nil {
 		return wire.Change{}, nil, trace.BadParameter("%v", err)
 	}
 	// The difference is taken before NewView fills in the defaults.
--- a/internal/lang/lang.go
+++ b/internal/lang/lang.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"sort"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/alecthomas/participle/v2"
@@ -98,16 +99,19 @@
 )
 
 var (
-	grammar = participle.MustBuild[Statement](
-		participle.Lexer(lexer.MustSimple([]lexer.SimpleRule{
-			{Name: "Space", Pattern: `\s+`},
-			{Name: "String", Pattern: `"(\\.|[^"\\])*"`},
-			{Name: "Word", Pattern: `[A-Za-z0-9_][A-Za-z0-9_.:/-]*`},
-			{Name: "Sign", Pattern: `!=|=|,`},
-		})),
-		participle.Elide("Space"),
-		participle.UseLookahead(2),
-	)
+	// grammar returns the parser, made when it is first needed.
+	grammar = sync.OnceValue(func() *participle.Parser[Statement] {
+		return participle.MustBuild[Statement](
+			participle.Lexer(lexer.MustSimple([]lexer.SimpleRule{
+				{Name: "Space", Pattern: `\s+`},
+				{Name: "String", Pattern: `"(\\.|[^"\\])*"`},
+				{Name: "Word", Pattern: `[A-Za-z0-9_][A-Za-z0-9_.:/-]*`},
+				{Name: "Sign", Pattern: `!=|=|,`},
+			})),
+			participle.Elide("Space"),
+			participle.UseLookahead(2),
+		)
+	})
 
 	queryForm = " [where FIELD = VALUE [and ...]] [since DURATION] [by FIELD]"
 
@@ -136,7 +140,7 @@
 // Parse reads one statement. The error is trace.BadParameter and says what was
 // expected.
 func Parse(text string) (*Statement, error) {
-	s, err := grammar.ParseString("", text)
+	s, err := grammar().ParseString("", text)
 	if err != nil {
 		return nil, trace.BadParameter("%v; statements are: %s", err, strings.Join(names(), ", "))
 	}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -45,10 +45,14 @@
 	rereadWeight = 6.0
 
 	// gatherCost makes streams that long prompts would make late gather on few
-	// engines, in milliseconds for each engine further down the pool's order, so
+	// engines, in milliseconds for each engine beyond these in the pool's order, so
 	// that the others may read long prompts one after another.
 	gatherCost = 80.0
 
+	// streamsEach is how many streams gather on one engine: with so many a token
+	// takes an engine some 6 ms, and it bears the loss of its neighbour's.
+	streamsEach = 24
+
 	// bearableTokens is how many unread tokens an engine may have without making
 	// streams late: it reads them in about 160 ms, and the streams' callers bear 250.
 	bearableTokens = 4000.0
@@ -196,12 +200,13 @@
 	list := p.pools[r.Pool]
 	ranks := rank(list, r.Prompt.Session())
 	usual := usualPace(list)
+	gather := gatherOn(now, list)
 	best := math.Inf(1)
 	for i, e := range list {
 		if r.Avoid[e.ID] {
 			continue
 		}
-		c := p.weigh(now, e, r, usual, i, ranks[e.ID])
+		c := p.weigh(now, e, r, usual, max(0, i-gather), ranks[e.ID])
 		if c.Cost < best {
 			best, choice, ok = c.Cost, c, true
 		}
@@ -247,14 +252,14 @@
 }
 
 // weigh works out the cost of a request at an engine.
-func (p *Placement) weigh(now time.Time, e *engine, r Request, usual float64, order, rank int) Choice {
+func (p *Placement) weigh(now time.Time, e *engine, r Request, usual float64, beyond, rank int) Choice {
 	load := e.load(now)
 	c := Choice{Engine: e.Engine}
 	if r.Prompt.Tokens > 0 {
 		c.Unread = p.cache.unread(now, e.ID, r.Prompt)
 		c.Wait = float64(load.Unread+c.Unread) / readRate
 		c.Cost += rankCost * float64(rank)
-		c.Cost += lateness(load, c.Unread, r, order)
+		c.Cost += lateness(load, c.Unread, r, beyond)
 	}
 	c.Cost += rereadWeight * float64(c.Unread) / readRate
 	c.Cost += c.Wait + callCost*float64(load.InFlight) + waitingCost*float64(e.waiting(now))
@@ -272,13 +277,25 @@
 	return c
 }
 
+// gatherOn returns on how many of a pool's engines, from the first, streams
+// gather: enough for those that run, and one more. They are spread over these, so
+// that nodes which do not see each other's last requests do not all choose one.
+func gatherOn(now time.Time, list []*engine) int {
+	streams := 0
+	for _, e := range list {
+		streams += e.load(now).Streams
+	}
+	return 1 + streams/streamsEach
+}
+
 // lateness returns what it costs that the request makes streams late, or that it
-// is a stream which what the engine has to read makes late.
-func lateness(load Load, unread int, r Request, order int) float64 {
+// is a stream which what the engine has to read makes late. Streams gather; beyond
+// tells how far the engine lies beyond those on which they do.
+func lateness(load Load, unread int, r Request, beyond int) float64 {
 	over := (float64(load.Unread+unread) - bearableTokens) / bearableTokens
 	over = min(max(over, 0), 1)
 	if r.Stream {
-		return gatherCost*float64(order) + lateCost*over
+		return gatherCost*float64(beyond) + lateCost*over
 	}
 	return lateCost * over * min(float64(load.Streams), manyStreams) / manyStreams
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -7,12 +7,14 @@
 	"net"
 	"os"
 	"strings"
+	"sync"
 
 	"github.com/croftturn/croftturn/internal/check"
 	"github.com/croftturn/croftturn/schema"
 )
 
-var compiled = check.MustCompile(schema.Settings)
+// compiled returns the schema's compiled form, made when it is first needed.
+var compiled = sync.OnceValue(func() *check.Schema { return check.MustCompile(schema.Settings) })
 
 // Load reads and checks a settings file. A fault in the file comes as a
 // *check.Error that names each line.
@@ -26,7 +28,7 @@
 
 // Parse checks the text of a settings file and fills in the defaults.
 func Parse(name string, text []byte) (*Settings, error) {
-	plain, err := compiled.Read(name, text)
+	plain, err := compiled().Read(name, text)
 	if err != nil {
 		return nil, fmt.Errorf("check settings: %w", err)
 	}
