--- /dev/null
+++ b/internal/edge/edge_test.go
@@ -0,0 +1,275 @@
+package edge
+
+import (
+	"context"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/croftturn/croftturn/internal/feed"
+	"github.com/croftturn/croftturn/internal/gossip"
+	"github.com/croftturn/croftturn/internal/settings"
+)
+
+// configRow is a configuration with one team, as the operator writes it.
+const configRow = `{"version":3,"routes":[{"name":"r","host":"h","path_prefix":"/a/","kind":"safe","timeout_ms":1000,"target_latency_ms":100,` +
+	`"priority":1,"service":"p","max_attempts":1}],"services":[{"name":"p","max_connections":9}],"limits":{"max_body_bytes":1000},` +
+	`"tenants":[{"name":"t","api_keys":["k"]}]}`
+
+// newStore starts a store that answers reads with one configuration and takes all writes.
+func newStore(t *testing.T) string {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		rows := "[]"
+		if r.URL.Path == "/-/rows-get" && r.URL.Query().Get("table") == "op" {
+			rows = fmt.Sprintf(`[{"table":"op","part":"","tls_key":"config","value":%q,"ver":5}]`, base64.StdEncoding.EncodeToString([]byte(configRow)))
+		}
+		if r.URL.Path == "/-/rows-feed" {
+			select {
+			case <-r.Context().Done():
+			case <-time.After(50 * time.Millisecond):
+			}
+		}
+		fmt.Fprintf(w, `{"rows":%s,"ver":7,"now_ms":%d}`, rows, time.Now().UnixMilli())
+	}))
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+// newSettings returns settings with free addresses.
+func newSettings(t *testing.T, name, store string) *settings.Settings {
+	t.Helper()
+	address := func() string {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		return l.Addr().String()
+	}
+	text, err := json.Marshal(map[string]any{
+		"instance": name, "hall": "h1", "region": "r", "caller_address": address(), "directory_address": address(), "ready_address": address(),
+		"peer_address": address(), "admin_address": address(), "platform_addresses": []string{store}, "stop_grace_ms": 800, "trace_share": 0,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := settings.Parse(name, text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// lines keeps what a node logs.
+type lines struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+func (l *lines) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
+}
+
+// get returns the status and body at an address.
+func get(t *testing.T, url string) (int, string) {
+	t.Helper()
+	resp, err := http.Get(url)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp.StatusCode, string(body)
+}
+
+// TestNodeStartsServesAndStops holds what a node answers from its start to its
+// planned stop, and that its log is JSON lines with one at the start, for the
+// configuration, for a refusal, for a reload and at the stop.
+func TestNodeStartsServesAndStops(t *testing.T) {
+	out := &lines{}
+	s := newSettings(t, "n1", newStore(t))
+	e, err := Start(context.Background(), s, out)
+	if err != nil {
+		t.Fatal(err)
+	}
+	deadline := time.Now().Add(5 * time.Second)
+	for !e.Ready(time.Now()) {
+		if time.Now().After(deadline) {
+			t.Fatalf("not ready: %s", out)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	if status, _ := get(t, "http://"+s.ReadyAddress+"/-/ready"); status != 200 {
+		t.Errorf("ready: %d", status)
+	}
+	if status, body := get(t, "http://"+s.DirectoryAddress+"/-/resolve?name=h&zone=h1"); status != 200 || !strings.Contains(body, s.CallerAddress) {
+		t.Errorf("directory: %d %s", status, body)
+	}
+	if status, _ := get(t, "http://"+s.CallerAddress+"/a/x"); status != 400 {
+		t.Errorf("a request without id: %d", status)
+	}
+	if status, body := get(t, "http://"+s.AdminAddress+"/metrics"); status != 200 || !strings.Contains(body, "croftturn_edge_requests") || !strings.Contains(body, "_bucket") {
+		t.Errorf("metrics: %d %.200s", status, body)
+	}
+	next := *s
+	next.ConfigMaxAgeMs, next.CallerAddress = 1, "127.0.0.1:9"
+	e.Reload(func() (*settings.Settings, error) { return &next, nil })
+	e.Reload(func() (*settings.Settings, error) { return nil, fmt.Errorf("no such file") })
+	if e.proof.Fresh(time.Now().Add(time.Second)) {
+		t.Error("the new age of a proof is not in force")
+	}
+	closed := make(chan error)
+	go func() { closed <- e.Close() }()
+	for e.Ready(time.Now()) {
+		time.Sleep(time.Millisecond)
+	}
+	if status, _ := get(t, "http://"+s.ReadyAddress+"/-/ready"); status != 503 {
+		t.Errorf("ready while stopping: %d", status)
+	}
+	if err := <-closed; err != nil {
+		t.Errorf("stop: %v", err)
+	}
+	for _, msg := range []string{"node started", "configuration", "request refused", "settings reloaded", "settings not reloaded", "node stops", "node stopped"} {
+		if !strings.Contains(out.String(), `"msg":"`+msg) {
+			t.Errorf("no line %q", msg)
+		}
+	}
+	for _, line := range strings.Split(strings.TrimSpace(out.String()), "\n") {
+		if !json.Valid([]byte(line)) {
+			t.Errorf("not JSON: %s", line)
+		}
+	}
+}
+
+// heardFrom returns a node that has just heard some peers.
+func heardFrom(t *testing.T, peers map[string]gossip.Said) *Edge {
+	t.Helper()
+	e, err := Start(context.Background(), newSettings(t, "self", newStore(t)), io.Discard)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if err := e.stop(); err != nil {
+			t.Errorf("stop: %v", err)
+		}
+	})
+	for name, said := range peers {
+		e.gossip.Introduce(time.Now(), gossip.Self{Name: name, Incarnation: 1, PeerAddress: "127.0.0.1:1", CallerAddress: "c-" + name, Hall: "h" + name[:1]}, said)
+	}
+	return e
+}
+
+// TestFewNodesRead holds that of many nodes a few read the store's tables, that
+// those which can't are passed over, and that a node which hears nobody reads.
+func TestFewNodesRead(t *testing.T) {
+	peers := map[string]gossip.Said{}
+	for i := range 9 {
+		peers[fmt.Sprintf("%d-n", i)] = gossip.Said{}
+	}
+	e := heardFrom(t, peers)
+	now := time.Now()
+	e.proven(now)
+	count := 0
+	for _, name := range append([]string{"self"}, keysOf(peers)...) {
+		e.settings.Instance = name // As the node of that name sees it.
+		if e.reads(now) {
+			count++
+		}
+	}
+	if count < readers || count > readers+1 {
+		t.Errorf("%d nodes read, want %d", count, readers)
+	}
+	if !heardFrom(t, nil).reads(time.Now().Add(time.Second)) {
+		t.Error("a node that hears nobody does not read")
+	}
+	for name := range peers {
+		peers[name] = gossip.Said{CantRead: true}
+	}
+	e = heardFrom(t, peers)
+	e.proven(now)
+	if !e.reads(now) {
+		t.Error("a node does not read, though no other can")
+	}
+}
+
+// keysOf returns the names of peers.
+func keysOf(peers map[string]gossip.Said) []string {
+	var out []string
+	for name := range peers {
+		out = append(out, name)
+	}
+	return out
+}
+
+// TestProofOfAPeer holds that a peer's proof counts from when it had this node's
+// message, and only for a configuration that this node has.
+func TestProofOfAPeer(t *testing.T) {
+	e := heardFrom(t, nil)
+	deadline := time.Now().Add(5 * time.Second)
+	for e.dispatcher.Version() != 3 {
+		if time.Now().After(deadline) {
+			t.Fatal("no configuration")
+		}
+		time.Sleep(time.Millisecond)
+	}
+	future := time.Now().Add(time.Hour)
+	hear := func(version int, ageMs int64, received time.Time) time.Duration {
+		e.Heard(future, gossip.Self{Name: "p"}, gossip.Said{ConfigVersion: version, ProofAgeMs: ageMs, LostAgeMs: -1}, received)
+		age, _ := e.proof.Age(future)
+		return age
+	}
+	if age := hear(3, 200, time.Time{}); age < 50*time.Minute {
+		t.Errorf("a peer that has no message of ours renews the proof: %v", age)
+	}
+	if age := hear(4, 200, future.Add(-time.Second)); age < 50*time.Minute {
+		t.Errorf("a proof of a newer configuration counts: %v", age)
+	}
+	if age := hear(3, 200, future.Add(-time.Second)); age != 1200*time.Millisecond {
+		t.Errorf("the proof is %v old, want 1.2 s", age)
+	}
+	if age := hear(3, 5000, future); age != 1200*time.Millisecond {
+		t.Errorf("an older proof takes the newer one's place: %v", age)
+	}
+}
+
+// TestEntries holds which nodes callers are told to use.
+func TestEntries(t *testing.T) {
+	ready, stale, stopping := gossip.Said{Ready: true}, gossip.Said{}, gossip.Said{Stopping: true}
+	e := heardFrom(t, map[string]gossip.Said{"1-a": ready, "2-b": ready, "2-c": ready, "2-d": stale, "3-e": stopping})
+	now := time.Now()
+	e.proven(now)
+	e.takeConfig(now, []feed.Row{{Key: "config", Value: []byte(configRow), Version: 9}})
+	if got := e.Entries(now, "h2"); len(got) != 2 {
+		t.Errorf("in h2: %v, want its two ready nodes", got)
+	}
+	if got := e.Entries(now, "h3"); len(got) != 4 {
+		t.Errorf("in h3, where none is ready: %v, want all four ready nodes", got)
+	}
+	late := now.Add(1100 * time.Millisecond)
+	e.proof.SetMaxAge(-time.Hour)
+	e = heardFrom(t, map[string]gossip.Said{"2-d": stale, "3-e": stopping})
+	e.proof.SetMaxAge(-time.Hour)
+	if got := e.Entries(late, "h2"); len(got) != 2 {
+		t.Errorf("where none is ready: %v, want those alive that do not stop", got)
+	}
+}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -153,6 +153,13 @@
 	g.peers[s.Name] = &Peer{Self: s, addr: addr, met: now}
 }
 
+// Introduce takes a peer as if it had just said something.
+func (g *Gossip) Introduce(now time.Time, s Self, said Said) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.peers[s.Name] = &Peer{Self: s, Said: said, heard: now, met: now}
+}
+
 // Peers returns the peers that are alive.
 func (g *Gossip) Peers(now time.Time) []Peer {
 	g.mu.Lock()
@@ -259,6 +266,7 @@
 		switch {
 		case quiet > forgetAfter:
 			delete(g.peers, name)
+		case p.addr == nil:
 		case quiet > quietFor && turn%slowDown != 0:
 		case p.Hall != g.self.Hall && len(g.peers) > manyPeers && turn%farSlowDown != 0:
 		default:
