Take the deployment's bounds from the settings; bound slow callers

Cause: the age of a proof, and how long an engine without entry is used, were fixed for one deployment; others may have other bounds, or serve unproven. A caller that stopped within its body, or read nothing, was waited for without end. Ruled out: ReadTimeout of the server (it would end streams' connections). Change: revoke_within_ms, serve_unproven and engine_drain_ms are settings; a body has a deadline (408: not run) and so has each write; public routes are served without a proof.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -13,10 +13,12 @@
 	"github.com/croftturn/croftturn/internal/placement"
 )
 
-// unsettledFor is how long after the store's return an engine without entry is
-// still used: engines write their entries again within two seconds, and new
-// work must stop two seconds after an entry has gone for good.
-const unsettledFor = 1800 * time.Millisecond
+// unsettledMost bounds how long after the store's return an engine without entry
+// is still used: engines write their entries again within two seconds.
+const unsettledMost = 1800 * time.Millisecond
+
+// unsettledShare of the time in which new work must stop is at most used for that.
+const unsettledShare = 0.9
 
 type (
 	// Decode returns the engine of a row.
@@ -34,6 +36,8 @@
 		engines Engines
 		log     *slog.Logger
 
+		unsettledFor time.Duration // unsettledFor is how long an engine without entry is used after the store's return.
+
 		mu       sync.Mutex
 		lostAt   time.Time            // lostAt is when the store last could not be called.
 		missing  map[string]time.Time // missing holds engines without entry, and when they are dropped.
@@ -41,9 +45,11 @@
 	}
 )
 
-// New returns a discovery that tells engines to a placement.
-func New(decode Decode, engines Engines, log *slog.Logger) *Discovery {
-	return &Discovery{decode: decode, engines: engines, log: log, missing: map[string]time.Time{}, draining: map[string]bool{}}
+// New returns a discovery that tells engines to a placement; new work at an engine
+// that left must stop within drain.
+func New(decode Decode, engines Engines, drain time.Duration, log *slog.Logger) *Discovery {
+	unsettled := min(unsettledMost, time.Duration(unsettledShare*float64(drain)))
+	return &Discovery{decode: decode, engines: engines, log: log, unsettledFor: unsettled, missing: map[string]time.Time{}, draining: map[string]bool{}}
 }
 
 // Lost records that the store could not be called at a moment.
@@ -88,10 +94,10 @@
 // was away.
 func (d *Discovery) miss(now time.Time, id string) {
 	d.mu.Lock()
-	settled := d.lostAt.IsZero() || now.Sub(d.lostAt) > unsettledFor
+	settled := d.lostAt.IsZero() || now.Sub(d.lostAt) > d.unsettledFor
 	if _, known := d.missing[id]; !settled && !known {
-		d.missing[id] = now.Add(unsettledFor)
-		time.AfterFunc(unsettledFor, func() { d.Expire(time.Now()) })
+		d.missing[id] = now.Add(d.unsettledFor)
+		time.AfterFunc(d.unsettledFor, func() { d.Expire(time.Now()) })
 	}
 	d.mu.Unlock()
 	if settled {
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -39,7 +39,7 @@
 // as after a read of old rows, gives a leaving engine no work.
 func TestDrainingEngineNeverComesBack(t *testing.T) {
 	got := engines{}
-	d := discovery.New(decode, got, quiet)
+	d := discovery.New(decode, got, 2*time.Second, quiet)
 	d.Take(start, []feed.Row{entry("a", false, 1)})
 	d.Take(start, []feed.Row{entry("a", true, 2)})
 	d.Take(start, []feed.Row{entry("a", false, 3)})
@@ -52,7 +52,7 @@
 // where the store is well.
 func TestEntryGoneIsDroppedAtOnce(t *testing.T) {
 	got := engines{}
-	d := discovery.New(decode, got, quiet)
+	d := discovery.New(decode, got, 2*time.Second, quiet)
 	d.Take(start, []feed.Row{entry("a", false, 1)})
 	d.Take(start, []feed.Row{{Key: "a", Version: 2, Deleted: true}})
 	if len(got) != 0 {
@@ -65,7 +65,7 @@
 // does not.
 func TestEntryLapsedWhileTheStoreWasAway(t *testing.T) {
 	got := engines{}
-	d := discovery.New(decode, got, quiet)
+	d := discovery.New(decode, got, 2*time.Second, quiet)
 	d.Take(start, []feed.Row{entry("back", false, 1), entry("gone", false, 2)})
 	d.Lost(start)
 	after := start.Add(500 * time.Millisecond)
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -101,10 +101,10 @@
 	if t == nil {
 		return nil, nil, &Refusal{Reason: NotReady, ComeBack: shortReturn}
 	}
-	if !d.proof.Fresh(now) {
+	route := t.Route(r.Host, r.Path)
+	if !d.proof.Fresh(now) && (route == nil || !route.Public) {
 		return nil, nil, &Refusal{Reason: Stale, ComeBack: shortReturn}
 	}
-	route := t.Route(r.Host, r.Path)
 	if route == nil {
 		return nil, nil, &Refusal{Reason: NoRoute}
 	}
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -23,6 +23,9 @@
 	// BadRequest says that the request can't be understood.
 	BadRequest Reason = "bad_request"
 
+	// TooSlow says that the caller did not send its request in time.
+	TooSlow Reason = "request_too_slow"
+
 	// NotReady says that the node knows no configuration yet.
 	NotReady Reason = "no_configuration"
 
--- a/internal/dispatch/walk.go
+++ b/internal/dispatch/walk.go
@@ -102,10 +102,13 @@
 // stillAllowed checks before each sending that the configuration is proven and
 // still holds the key: it may have been taken away since the request came.
 func (w *walk) stillAllowed(now time.Time) *Refusal {
+	if w.team == nil {
+		return nil
+	}
 	if !w.d.proof.Fresh(now) {
 		return &Refusal{Reason: w.orMayHaveRun(Stale), ComeBack: shortReturn}
 	}
-	if w.team != nil && w.d.Table().Team(w.req.Key) == nil {
+	if w.d.Table().Team(w.req.Key) == nil {
 		return &Refusal{Reason: w.orMayHaveRun(UnknownKey)}
 	}
 	return nil
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -47,8 +47,12 @@
 	// leaveTimeout bounds the removal of this node's row from the register.
 	leaveTimeout = time.Second
 
+	// proofShare of the time within which a key must be out of use is how long a
+	// proof holds; the rest is for requests on their way to an engine.
+	proofShare = 0.9
+
 	// configWait is how long a call waits for a newer configuration. Each answer
-	// proves the configuration in force; three calls may fail before the proof of
+	// proves the configuration in force; two calls may fail before the proof of
 	// the usual 4.5 s is too old.
 	configWait = 1500 * time.Millisecond
 
@@ -131,7 +135,7 @@
 		Name: s.Instance, Incarnation: now.UnixMilli(), PeerAddress: s.PeerAddress, CallerAddress: s.CallerAddress, Hall: s.Hall,
 	}
 	var err error
-	e.proof = freshness.New(ms(s.ConfigMaxAgeMs))
+	e.proof = freshness.New(proofLife(s))
 	e.placement = placement.New(s.Hall)
 	if e.gossip, err = gossip.New(self, e.log); err != nil {
 		return fmt.Errorf("start gossip: %w", err)
@@ -147,7 +151,7 @@
 	e.egress = platform.NewEgress()
 	e.dispatcher = dispatch.New(e.proof, e.placement, e.budget, e.egress, e.metrics, e.log)
 	e.store = platform.NewStore(s.PlatformAddresses, platform.StoreTimeout)
-	e.discovery = discovery.New(platform.Engine, e.placement, e.log)
+	e.discovery = discovery.New(platform.Engine, e.placement, ms(s.EngineDrainMs), e.log)
 	e.register = register.New(e.store, self, e.gossip.Meet, e.log)
 	e.config = feed.NewTable(platform.TableConfig, e.takeConfig)
 	e.engines = feed.NewTable(platform.TableEngines, e.discovery.Take)
@@ -168,7 +172,7 @@
 		address string
 		handler http.Handler
 	}{
-		{s.CallerAddress, platform.NewIngress(e.dispatcher)},
+		{s.CallerAddress, platform.NewIngress(e.dispatcher, platform.Limits{Read: ms(s.ReadTimeoutMs), Write: ms(s.WriteTimeoutMs)})},
 		{s.DirectoryAddress, platform.NewDirectory(e, e.log)},
 		{s.ReadyAddress, platform.NewReady(e)},
 		{s.AdminAddress, control},
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -132,7 +132,7 @@
 		t.Errorf("metrics: %d %.200s", status, body)
 	}
 	next := *s
-	next.ConfigMaxAgeMs, next.CallerAddress = 1, "127.0.0.1:9"
+	next.RevokeWithinMs, next.CallerAddress = 1, "127.0.0.1:9"
 	e.Reload(func() (*settings.Settings, error) { return &next, nil })
 	e.Reload(func() (*settings.Settings, error) { return nil, fmt.Errorf("no such file") })
 	if e.proof.Fresh(time.Now().Add(time.Second)) {
--- a/internal/edge/reload.go
+++ b/internal/edge/reload.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"runtime/debug"
+	"time"
 
 	"github.com/croftturn/croftturn/internal/retry"
 	"github.com/croftturn/croftturn/internal/settings"
@@ -17,10 +18,10 @@
 		e.log.Error("settings not reloaded; the old ones stay in force", "error", err.Error())
 		return
 	}
-	e.proof.SetMaxAge(ms(s.ConfigMaxAgeMs))
+	e.proof.SetMaxAge(proofLife(s))
 	e.budget.SetLimits(retryLimits(s))
 	setMemoryLimit(s)
-	e.log.Info("settings reloaded", "config_max_age_ms", s.ConfigMaxAgeMs, "retry_share", s.RetryShare, "retry_extra", s.RetryExtra,
+	e.log.Info("settings reloaded", "revoke_within_ms", s.RevokeWithinMs, "retry_share", s.RetryShare, "retry_extra", s.RetryExtra,
 		"memory_mb", s.MemoryMb, "restart_needed", !sameSettings(s, e.settings))
 }
 
@@ -31,6 +32,14 @@
 		a.RetryWindowMs == b.RetryWindowMs && len(a.PlatformAddresses) == len(b.PlatformAddresses) && a.PlatformAddresses[0] == b.PlatformAddresses[0]
 }
 
+// proofLife returns how long a proof of the configuration holds.
+func proofLife(s *settings.Settings) time.Duration {
+	if s.ServeUnproven {
+		return math.MaxInt64
+	}
+	return time.Duration(proofShare * float64(ms(s.RevokeWithinMs)))
+}
+
 // retryLimits returns the limits of retries in the settings.
 func retryLimits(s *settings.Settings) retry.Limits {
 	return retry.Limits{Share: s.RetryShare, Extra: s.RetryExtra, Window: ms(s.RetryWindowMs)}
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -29,10 +29,6 @@
 	// exceed the time for which callers send a key again, by more than clocks differ.
 	ClaimKeepHours int `json:"claim_keep_hours,omitempty,omitzero"`
 
-	// ConfigMaxAgeMs is how old the newest proof may be that the configuration in
-	// force is the newest; beyond it requests with keys are refused, in milliseconds.
-	ConfigMaxAgeMs int `json:"config_max_age_ms,omitempty,omitzero"`
-
 	// ConfigPollMs is the time between two polls of the platform for a newer
 	// configuration, in milliseconds.
 	ConfigPollMs int `json:"config_poll_ms,omitempty,omitzero"`
@@ -45,6 +41,10 @@
 	// milliseconds.
 	DrainMs int `json:"drain_ms,omitempty,omitzero"`
 
+	// EngineDrainMs is how long after an engine said that it leaves it may still get
+	// new requests, in milliseconds.
+	EngineDrainMs int `json:"engine_drain_ms,omitempty,omitzero"`
+
 	// EngineStallMs is how long an engine may send nothing before the request is
 	// given up there, in milliseconds.
 	EngineStallMs int `json:"engine_stall_ms,omitempty,omitzero"`
@@ -118,10 +118,19 @@
 	// milliseconds.
 	RetryWindowMs int `json:"retry_window_ms,omitempty,omitzero"`
 
+	// RevokeWithinMs is how long after a key was taken away it may still be used, in
+	// milliseconds; a node that can't prove for nearly as long that its configuration
+	// is the newest refuses keys.
+	RevokeWithinMs int `json:"revoke_within_ms,omitempty,omitzero"`
+
 	// SeedPeers are peer addresses asked first when the platform's list of instances
 	// can't be read.
 	SeedPeers []string `json:"seed_peers,omitempty,omitzero"`
 
+	// ServeUnproven lets a node serve keys though it can't prove that its
+	// configuration is the newest.
+	ServeUnproven bool `json:"serve_unproven,omitempty,omitzero"`
+
 	// StopGraceMs is the time from the signal to stop until the process is killed, in
 	// milliseconds.
 	StopGraceMs int `json:"stop_grace_ms,omitempty,omitzero"`
@@ -244,15 +253,6 @@
 	if 24 > plain.ClaimKeepHours {
 		return fmt.Errorf("field %s: must be >= %v", "claim_keep_hours", 24)
 	}
-	if v, ok := raw["config_max_age_ms"]; !ok || v == nil {
-		plain.ConfigMaxAgeMs = 4500
-	}
-	if 600000 < plain.ConfigMaxAgeMs {
-		return fmt.Errorf("field %s: must be <= %v", "config_max_age_ms", 600000)
-	}
-	if 100 > plain.ConfigMaxAgeMs {
-		return fmt.Errorf("field %s: must be >= %v", "config_max_age_ms", 100)
-	}
 	if v, ok := raw["config_poll_ms"]; !ok || v == nil {
 		plain.ConfigPollMs = 1500
 	}
@@ -277,6 +277,15 @@
 	if 0 > plain.DrainMs {
 		return fmt.Errorf("field %s: must be >= %v", "drain_ms", 0)
 	}
+	if v, ok := raw["engine_drain_ms"]; !ok || v == nil {
+		plain.EngineDrainMs = 2000
+	}
+	if 600000 < plain.EngineDrainMs {
+		return fmt.Errorf("field %s: must be <= %v", "engine_drain_ms", 600000)
+	}
+	if 200 > plain.EngineDrainMs {
+		return fmt.Errorf("field %s: must be >= %v", "engine_drain_ms", 200)
+	}
 	if v, ok := raw["engine_stall_ms"]; !ok || v == nil {
 		plain.EngineStallMs = 5000
 	}
@@ -421,9 +430,21 @@
 	if 100 > plain.RetryWindowMs {
 		return fmt.Errorf("field %s: must be >= %v", "retry_window_ms", 100)
 	}
+	if v, ok := raw["revoke_within_ms"]; !ok || v == nil {
+		plain.RevokeWithinMs = 5000
+	}
+	if 600000 < plain.RevokeWithinMs {
+		return fmt.Errorf("field %s: must be <= %v", "revoke_within_ms", 600000)
+	}
+	if 200 > plain.RevokeWithinMs {
+		return fmt.Errorf("field %s: must be >= %v", "revoke_within_ms", 200)
+	}
 	if v, ok := raw["seed_peers"]; !ok || v == nil {
 		plain.SeedPeers = []string{}
 	}
+	if v, ok := raw["serve_unproven"]; !ok || v == nil {
+		plain.ServeUnproven = false
+	}
 	if v, ok := raw["stop_grace_ms"]; !ok || v == nil {
 		plain.StopGraceMs = 8000
 	}
