Share the retries among all nodes that are known, heard or not

Cause, by reading: nodes cut off from each other each took the whole of the extra retries, since only nodes that are heard counted; six of them could send six times what all may. Ruled out: counting over nodes by datagrams (cut off with them). Change: every registered node has its part; before the register was read there is no extra.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -147,7 +147,7 @@
 	if e.metrics, err = newMetrics(e); err != nil {
 		return fmt.Errorf("make metrics: %w", err)
 	}
-	e.budget = retry.New(now, retryLimits(s), e.gossip.Nodes)
+	e.budget = retry.New(now, retryLimits(s), e.nodes)
 	e.egress = platform.NewEgress()
 	e.dispatcher = dispatch.New(e.proof, e.placement, e.budget, e.egress, e.metrics, e.log)
 	e.store = platform.NewStore(s.PlatformAddresses, platform.StoreTimeout)
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -273,3 +273,19 @@
 		t.Errorf("where none is ready: %v, want those alive that do not stop", got)
 	}
 }
+
+// TestNodesThatAreNotHeardShareTheRetries holds that a node which hears nobody does
+// not take the others' part of the retries for its own.
+func TestNodesThatAreNotHeardShareTheRetries(t *testing.T) {
+	e := heardFrom(t, map[string]gossip.Said{"1-a": {}, "2-b": {}})
+	deadline := time.Now().Add(5 * time.Second)
+	for !e.register.Read() {
+		if time.Now().After(deadline) {
+			t.Fatal("the register was not read")
+		}
+		time.Sleep(time.Millisecond)
+	}
+	if got := e.nodes(); got != 3 || len(e.gossip.Peers(time.Now().Add(time.Minute))) != 0 {
+		t.Errorf("%d nodes share, want 3", got)
+	}
+}
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"math"
 	"sort"
 	"time"
 
@@ -97,6 +98,16 @@
 	return before < 2*readers
 }
 
+// nodes returns how many nodes share the limits of retries: all that are known,
+// heard or not, since nodes that do not hear each other still send. Before the
+// register was read there may be any number.
+func (e *Edge) nodes() int {
+	if !e.register.Read() {
+		return math.MaxInt32
+	}
+	return len(e.gossip.Met()) + 1
+}
+
 // cantRead reports whether the last call to the store failed lately.
 func (e *Edge) cantRead(now time.Time) bool {
 	lost := e.lostAt.Load()
