Drop what nothing uses any more

Cause: staticcheck named an error variable and a field of a test that nothing reads; by reading, a choice counted the engines weighed for nobody, the table of routes gave out its pools to nobody, and three methods served tests alone. Ruled out: dropping what is decoded but not weighed yet (connections of a pool, tokens of an answer), since that may be meant.

--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -29,9 +29,6 @@
 	stalled = time.Second
 )
 
-// errCaller says that the caller could not be written to.
-var errCaller = errors.New("dispatch: caller not reachable")
-
 // answered decides what follows on an engine's answer.
 func (w *walk) answered(ctx context.Context, cancel context.CancelCauseFunc, resp *Response) (again bool) {
 	now := time.Now()
--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -155,6 +155,3 @@
 	f.wg.Wait()
 	return nil
 }
-
-// Wait waits until no call is in flight.
-func (f *Follower) Wait() { f.wg.Wait() }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -106,7 +106,6 @@
 		Cost   float64 // Cost is the expected time to the first token and what is weighed with it, in milliseconds.
 		Wait   float64 // Wait is the expected time until the prompt is read, in milliseconds.
 		Unread int     // Unread is how many tokens of the prompt the engine still has to read.
-		Known  int     // Known is how many engines were weighed.
 	}
 
 	// Use tells that an engine has read parts of a prompt.
@@ -159,28 +158,6 @@
 	p.sortPools()
 }
 
-// Engine returns an engine by its id.
-func (p *Placement) Engine(id string) (Engine, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	e, ok := p.engines[id]
-	if !ok {
-		return Engine{}, false
-	}
-	return e.Engine, true
-}
-
-// Engines returns all engines.
-func (p *Placement) Engines() []Engine {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	out := make([]Engine, 0, len(p.engines))
-	for _, e := range p.engines {
-		out = append(out, e.Engine)
-	}
-	return out
-}
-
 // sortPools rebuilds the lists of engines by pool. The order is by hash, so that
 // all nodes keep the same engines for streams.
 func (p *Placement) sortPools() {
@@ -214,7 +191,6 @@
 			best, choice, ok = c.Cost, c, true
 		}
 	}
-	choice.Known = len(list)
 	return choice, ok
 }
 
--- a/internal/placement/replay_test.go
+++ b/internal/placement/replay_test.go
@@ -54,7 +54,7 @@
 	}
 
 	// outcome counts what became of the requests of a kind.
-	outcome struct{ asked, onTime, reread int }
+	outcome struct{ asked, onTime int }
 )
 
 var kinds = []kindOf{
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -160,9 +160,6 @@
 // Pool returns a pool by name, or nil.
 func (t *Table) Pool(name string) *Pool { return t.pools[name] }
 
-// Pools returns the pools by name.
-func (t *Table) Pools() map[string]*Pool { return t.pools }
-
 // Choose returns the pool that serves a request, by the route's weights; the
 // same request id always gets the same pool.
 func (r *Route) Choose(requestID string) string {
