Wait for a time or a context's end in one place

Cause: seven packages had the same few lines that wait for a time which the end of a context cuts short, under three names. Ruled out: joining config's wait, which returns the context's error and grows with each try.

--- a/internal/claim/keeper.go
+++ b/internal/claim/keeper.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/croftturn/croftturn/internal/kv"
+	"github.com/croftturn/croftturn/internal/pause"
 )
 
 const (
@@ -281,7 +282,7 @@
 			answer(batch, fmt.Errorf("%w: %w", ErrUnsettled, err))
 			return
 		}
-		if !wait(ctx, settlePause) {
+		if !pause.For(ctx, settlePause) {
 			answer(batch, fmt.Errorf("%w: %w", ErrUnsettled, err))
 			return
 		}
@@ -341,15 +342,3 @@
 		o.result <- err
 	}
 }
-
-// wait waits and returns whether the context still goes on.
-func wait(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/feed/reader.go
+++ b/internal/feed/reader.go
@@ -6,6 +6,8 @@
 	"log/slog"
 	"math/rand/v2"
 	"time"
+
+	"github.com/croftturn/croftturn/internal/pause"
 )
 
 const (
@@ -43,10 +45,10 @@
 
 // Run reads until the context ends.
 func (r *Reader) Run(ctx context.Context) {
-	pause := retryFirst
+	backoff := retryFirst
 	for ctx.Err() == nil {
 		if !r.Wanted(time.Now()) {
-			sleep(ctx, idlePoll)
+			pause.For(ctx, idlePoll)
 			continue
 		}
 		err := r.once(ctx)
@@ -58,10 +60,10 @@
 			r.known = false
 		case err != nil:
 			r.failed(time.Now(), err)
-			sleep(ctx, pause/2+rand.N(pause))
-			pause = min(2*pause, retryMost)
+			pause.For(ctx, backoff/2+rand.N(backoff))
+			backoff = min(2*backoff, retryMost)
 		default:
-			pause = retryFirst
+			backoff = retryFirst
 		}
 	}
 }
@@ -109,13 +111,3 @@
 	r.lost = true
 	r.Lost(now)
 }
-
-// sleep waits, or until the context ends.
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -13,6 +13,7 @@
 	"github.com/croftturn/croftturn/internal/broker"
 	"github.com/croftturn/croftturn/internal/engine"
 	"github.com/croftturn/croftturn/internal/journal"
+	"github.com/croftturn/croftturn/internal/pause"
 	"github.com/croftturn/croftturn/internal/sched"
 )
 
@@ -139,7 +140,7 @@
 		exclude = g.Engine.Name
 		started = started || !neverRan(err)
 		if errors.Is(err, engine.ErrFull) {
-			pause(ctx, fullPause)
+			pause.For(ctx, fullPause)
 		}
 		f.tele.Retries.Add(ctx, 1)
 	}
@@ -220,13 +221,3 @@
 	}
 	return ending{state: journal.Unknown, failure: unknown("the engine broke off: " + err.Error())}, true
 }
-
-// pause waits, or returns early when the context ends.
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- /dev/null
+++ b/internal/pause/pause.go
@@ -0,0 +1,19 @@
+// Package pause waits for a time that the end of a context cuts short.
+package pause
+
+import (
+	"context"
+	"time"
+)
+
+// For waits for a duration and reports whether the context still goes on.
+func For(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- a/internal/register/register.go
+++ b/internal/register/register.go
@@ -14,6 +14,7 @@
 
 	"github.com/croftturn/croftturn/internal/feed"
 	"github.com/croftturn/croftturn/internal/gossip"
+	"github.com/croftturn/croftturn/internal/pause"
 )
 
 const (
@@ -56,7 +57,7 @@
 // writes first and reads then, so that of two nodes which start together at least
 // one sees the other, and makes itself known to it.
 func (r *Register) Run(ctx context.Context) {
-	pause := retryFirst
+	backoff := retryFirst
 	written := false
 	for ctx.Err() == nil {
 		next := nodesEvery
@@ -70,9 +71,9 @@
 		}
 		if err != nil {
 			r.log.Warn("register not written or read", "written", written, "error", err.Error())
-			next, pause = pause, min(2*pause, retryMost)
+			next, backoff = backoff, min(2*backoff, retryMost)
 		}
-		sleep(ctx, next/2+rand.N(next))
+		pause.For(ctx, next/2+rand.N(next))
 	}
 }
 
@@ -152,13 +153,3 @@
 	}
 	return nil
 }
-
-// sleep waits, or until the context ends.
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/sched/brokered.go
+++ b/internal/sched/brokered.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/croftturn/croftturn/internal/broker"
+	"github.com/croftturn/croftturn/internal/pause"
 	"github.com/croftturn/croftturn/internal/telemetry"
 	"github.com/croftturn/croftturn/internal/wire"
 )
@@ -114,7 +115,7 @@
 			failing = now
 		}
 		if !errors.Is(err, errDeaf) && now.Sub(failing) <= patience {
-			sleep(ctx, retryPause)
+			pause.For(ctx, retryPause)
 			continue
 		}
 		if g, err := b.decideAlone(ctx, owner, changed, req); !errors.Is(err, errReturned) {
@@ -282,13 +283,3 @@
 		DurationMs: int(res.Duration.Milliseconds()), FirstTokenMs: int(res.FirstToken.Milliseconds()),
 	}
 }
-
-// sleep waits, or returns early when the context ends.
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/lab/bench/bench.go
+++ b/lab/bench/bench.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/croftturn/croftturn/internal/config"
+	"github.com/croftturn/croftturn/internal/pause"
 	"github.com/croftturn/croftturn/lab/check"
 	"github.com/croftturn/croftturn/lab/cluster"
 	"github.com/croftturn/croftturn/lab/engine"
@@ -241,19 +242,19 @@
 	if fault == FaultSlow {
 		return c.Post(c.Engines[0].Address, "/control/faults", engine.Faults{Slow: 5})
 	}
-	if fault == FaultNone || !wait(ctx, peak) {
+	if fault == FaultNone || !pause.For(ctx, peak) {
 		return nil
 	}
 	switch fault {
 	case FaultCrash:
 		c.Engines[1].Kill()
-		wait(ctx, outage)
+		pause.For(ctx, outage)
 		return c.RestartBackend(c.Engines[1])
 	case FaultFreeze:
 		if err := c.Nodes[0].Signal(syscall.SIGSTOP); err != nil {
 			return err
 		}
-		wait(ctx, outage)
+		pause.For(ctx, outage)
 		return c.Nodes[0].Signal(syscall.SIGCONT)
 	case FaultKill:
 		BrokerNode(ctx, c).Kill()
@@ -274,18 +275,6 @@
 	return c.Nodes[0]
 }
 
-// wait waits and reports whether the context still goes on.
-func wait(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // Print writes means over the seeds, with the spread, as a table.
 func Print(out io.Writer, results []Result) {
 	type key struct{ fault, policy string }
--- a/lab/bench/plot.go
+++ b/lab/bench/plot.go
@@ -13,6 +13,7 @@
 	"gonum.org/v1/plot/plotutil"
 	"gonum.org/v1/plot/vg"
 
+	"github.com/croftturn/croftturn/internal/pause"
 	"github.com/croftturn/croftturn/lab/cluster"
 	"github.com/croftturn/croftturn/lab/record"
 )
@@ -35,7 +36,7 @@
 func sampleQueue(ctx context.Context, c *cluster.Cluster, n *cluster.Node) []QueueSample {
 	var out []QueueSample
 	begun := time.Now()
-	for wait(ctx, sampleEvery) {
+	for pause.For(ctx, sampleEvery) {
 		r, err := c.Statement(ctx, n, "queued by tier", "")
 		if err != nil {
 			continue
--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"github.com/croftturn/croftturn/internal/pause"
 	"github.com/croftturn/croftturn/lab/platform"
 	"github.com/croftturn/croftturn/lab/relay"
 )
@@ -79,7 +80,7 @@
 				mu.Unlock()
 			}
 		}()
-		sleep(ctx, betweenFaults/2+time.Duration(r.Int64N(int64(betweenFaults))))
+		pause.For(ctx, betweenFaults/2+time.Duration(r.Int64N(int64(betweenFaults))))
 		w.checkExits()
 	}
 	wg.Wait()
@@ -121,7 +122,7 @@
 	defer w.giveBack(n)
 	w.expect(n)
 	n.Kill()
-	sleep(ctx, d)
+	pause.For(ctx, d)
 	return w.launch(n)
 }
 
@@ -137,7 +138,7 @@
 		w.ledger.exited(fmt.Sprintf("%s did not stop as planned: %v", n.name, err))
 		n.Kill()
 	}
-	sleep(ctx, d)
+	pause.For(ctx, d)
 	return w.launch(n)
 }
 
@@ -151,7 +152,7 @@
 	if err := n.Signal(syscall.SIGSTOP); err != nil {
 		return err
 	}
-	sleep(ctx, d)
+	pause.For(ctx, d)
 	return n.Signal(syscall.SIGCONT)
 }
 
@@ -172,7 +173,7 @@
 		n := w.nodes[r.IntN(len(w.nodes))]
 		w.mu.Unlock()
 		n.store.Set(m)
-		sleep(ctx, d)
+		pause.For(ctx, d)
 		n.store.Set(relay.Pass)
 		return nil
 	}
@@ -184,7 +185,7 @@
 		if err := w.post("/control/faults", f); err != nil {
 			return err
 		}
-		sleep(ctx, d)
+		pause.For(ctx, d)
 		return w.post("/control/faults", platform.Faults{})
 	}
 }
@@ -201,7 +202,7 @@
 func misbehave(ctx context.Context, w *World, r *rand.Rand, d time.Duration) error {
 	e, _ := w.anyEngine(r)
 	e.mode.Store(int64(r.IntN(modesOfEngines)))
-	sleep(ctx, d)
+	pause.For(ctx, d)
 	e.mode.Store(modeWell)
 	return nil
 }
@@ -211,7 +212,7 @@
 	return func(ctx context.Context, w *World, r *rand.Rand, d time.Duration) error {
 		_, way := w.anyEngine(r)
 		way.Set(m)
-		sleep(ctx, d)
+		pause.For(ctx, d)
 		way.Set(relay.Pass)
 		return nil
 	}
@@ -238,7 +239,7 @@
 	}
 	e.close()
 	way.Set(relay.Cut)
-	sleep(ctx, d)
+	pause.For(ctx, d)
 	return w.write(row{"servers", e.id, nil})
 }
 
@@ -252,7 +253,7 @@
 		return err
 	}
 	w.ledger.mark(w.ledger.leaving, e.id, time.Now())
-	sleep(ctx, drainWithin+d)
+	pause.For(ctx, drainWithin+d)
 	e.close()
 	return w.write(row{"servers", e.id, nil})
 }
--- a/lab/soak/world.go
+++ b/lab/soak/world.go
@@ -16,6 +16,7 @@
 	"sync"
 	"time"
 
+	"github.com/croftturn/croftturn/internal/pause"
 	"github.com/croftturn/croftturn/lab/cluster"
 	"github.com/croftturn/croftturn/lab/platform"
 	"github.com/croftturn/croftturn/lab/relay"
@@ -362,20 +363,12 @@
 	if err := w.waitReady(12 * time.Second); err != nil {
 		return fmt.Errorf("after the last fault: %w", err)
 	}
-	sleep(ctx, settle)
+	pause.For(ctx, settle)
 	begin := time.Now()
-	sleep(ctx, w.opts.Calm)
+	pause.For(ctx, w.opts.Calm)
 	served, asked := w.ledger.Served(begin)
 	if asked == 0 || float64(served) < 0.9*float64(asked) {
 		return fmt.Errorf("after the last fault %d of %d requests are served", served, asked)
 	}
 	return nil
 }
-
-// sleep waits, or until the context ends.
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
