Part the soak's world by what it does

Ruled out: one function for the faults of the two kinds of relays (they have different ways to their relay). The order in which faults draw by chance is kept.

--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -33,10 +33,10 @@
 
 // faults lists the kinds.
 var faults = []fault{
-	{"kill a node", time.Second, true, killNode},
-	{"stop a node", time.Second, true, stopNode},
-	{"freeze a node", longestFault, true, freezeNode},
-	{"hang up a node", time.Second, false, hangUp},
+	{"kill a node", time.Second, true, onNode(killNode)},
+	{"stop a node", time.Second, true, onNode(stopNode)},
+	{"freeze a node", longestFault, true, onNode(freezeNode)},
+	{"hang up a node", time.Second, false, onNode(hangUp)},
 	{"cut a node from the store", longestFault, true, atStore(relay.Cut)},
 	{"silence the store for a node", longestFault, true, atStore(relay.Hold)},
 	{"delay the store for a node", longestFault, true, atStore(relay.Delay)},
@@ -87,39 +87,21 @@
 	return failed
 }
 
-// take returns a node that no other fault has taken, or nil; giveBack frees it.
-func (w *World) take(r *rand.Rand) *node {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	n := w.nodes[r.IntN(len(w.nodes))]
-	if n.taken {
-		return nil
+// onNode returns a fault of a node that no other fault has taken; where another has,
+// nothing happens.
+func onNode(do func(ctx context.Context, w *World, n *node, d time.Duration) error) func(context.Context, *World, *rand.Rand, time.Duration) error {
+	return func(ctx context.Context, w *World, r *rand.Rand, d time.Duration) error {
+		n := w.take(r)
+		if n == nil {
+			return nil
+		}
+		defer w.giveBack(n)
+		return do(ctx, w, n, d)
 	}
-	n.taken = true
-	return n
-}
-
-// giveBack frees a node for the next fault of its process.
-func (w *World) giveBack(n *node) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	n.taken = false
-}
-
-// expect says that a node's end is no finding.
-func (w *World) expect(n *node) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	n.expected = true
 }
 
 // killNode kills a node and starts it again after a while.
-func killNode(ctx context.Context, w *World, r *rand.Rand, d time.Duration) error {
-	n := w.take(r)
-	if n == nil {
-		return nil
-	}
-	defer w.giveBack(n)
+func killNode(ctx context.Context, w *World, n *node, d time.Duration) error {
 	w.expect(n)
 	n.Kill()
 	pause.For(ctx, d)
@@ -127,12 +109,7 @@
 }
 
 // stopNode stops a node as planned and starts it again after a while.
-func stopNode(ctx context.Context, w *World, r *rand.Rand, d time.Duration) error {
-	n := w.take(r)
-	if n == nil {
-		return nil
-	}
-	defer w.giveBack(n)
+func stopNode(ctx context.Context, w *World, n *node, d time.Duration) error {
 	w.expect(n)
 	if err := n.Stop(stopGrace); err != nil {
 		w.ledger.exited(fmt.Sprintf("%s did not stop as planned: %v", n.name, err))
@@ -143,12 +120,7 @@
 }
 
 // freezeNode freezes a node and wakes it.
-func freezeNode(ctx context.Context, w *World, r *rand.Rand, d time.Duration) error {
-	n := w.take(r)
-	if n == nil {
-		return nil
-	}
-	defer w.giveBack(n)
+func freezeNode(ctx context.Context, w *World, n *node, d time.Duration) error {
 	if err := n.Signal(syscall.SIGSTOP); err != nil {
 		return err
 	}
@@ -157,12 +129,7 @@
 }
 
 // hangUp tells a node to read its settings again.
-func hangUp(_ context.Context, w *World, r *rand.Rand, _ time.Duration) error {
-	n := w.take(r)
-	if n == nil {
-		return nil
-	}
-	defer w.giveBack(n)
+func hangUp(_ context.Context, w *World, n *node, _ time.Duration) error {
 	return n.Signal(syscall.SIGHUP)
 }
 
--- /dev/null
+++ b/lab/soak/rows.go
@@ -0,0 +1,96 @@
+package soak
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// row is a row to be written; a nil value deletes it.
+type row struct {
+	table, key string
+	value      any
+}
+
+// write writes a row and returns once it is acknowledged, or can't be.
+func (w *World) write(r row) error {
+	name := map[string]any{"table": r.table, "part": "", "tls_key": r.key}
+	tx := map[string]any{"expected_revision": []any{}, "puts": []any{}, "remove": []any{}}
+	if r.value == nil {
+		tx["remove"] = []any{name}
+	} else {
+		text, err := json.Marshal(r.value)
+		if err != nil {
+			return fmt.Errorf("encode row: %w", err)
+		}
+		name["value"] = text
+		tx["puts"] = []any{name}
+	}
+	return w.post("/-/rows-tx", tx)
+}
+
+// post posts a document to the store until it is taken.
+func (w *World) post(path string, doc any) error {
+	text, err := json.Marshal(doc)
+	if err != nil {
+		return fmt.Errorf("encode: %w", err)
+	}
+	for tries := 0; ; tries++ {
+		resp, err := w.client.Post("http://"+w.addr+path, "application/json", bytes.NewReader(text))
+		if err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		if tries > 200 {
+			return fmt.Errorf("the store does not take %s: %v", path, err)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// putConfig writes the next version of the configuration.
+func (w *World) putConfig() error {
+	w.mu.Lock()
+	w.version++
+	teams := map[string][]string{}
+	for _, k := range w.keys {
+		teams[k.team] = append(teams[k.team], k.text)
+	}
+	version := w.version
+	w.mu.Unlock()
+	var tenants, list []any
+	for team, keys := range teams {
+		tenants = append(tenants, map[string]any{"name": team, "api_keys": keys, "priority": 1})
+	}
+	for i, name := range routes {
+		service, kind, attempts := "llm", "streaming", 1
+		switch name {
+		case routeSafe:
+			service, kind, attempts = "desk", "safe", 2
+		case routeUnsafe:
+			service, kind = "desk", "unsafe"
+		case routeResumable:
+			attempts = 2
+		}
+		list = append(list, map[string]any{
+			"name": name, "host": host, "path_prefix": "/" + name + "/", "kind": kind, "timeout_ms": patience, "target_latency_ms": 300, "priority": i % 3,
+			"service": service, "max_attempts": attempts, "public": false, "resumable": name == routeResumable, "gap_aim_ms": 250,
+		})
+	}
+	return w.write(row{"op", "config", map[string]any{
+		"version": version, "routes": list, "tenants": tenants, "limits": map[string]any{"max_body_bytes": 1 << 20},
+		"services": []any{map[string]any{"name": "desk", "max_connections": 200}, map[string]any{"name": "llm", "max_connections": 200, "engine": map[string]any{"slots": 8, "stride": 6}}},
+	}})
+}
+
+// putEngine writes an engine's entry.
+func (w *World) putEngine(e *engine, state string) error {
+	w.mu.Lock()
+	address := w.relays[e.id].Address()
+	w.mu.Unlock()
+	return w.write(row{"servers", e.id, map[string]any{"service": e.pool, "address": address, "zone": "h1", "version": "v1", "slots": 8, "state": state, "sequence": 1}})
+}
--- /dev/null
+++ b/lab/soak/run.go
@@ -0,0 +1,64 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/croftturn/croftturn/internal/pause"
+)
+
+// Options size a soak.
+type Options struct {
+	Seed    uint64
+	Nodes   int
+	Engines int
+	Callers int
+	Faults  time.Duration // Faults is how long faults are injected.
+	Calm    time.Duration // Calm is how long requests are counted after the last fault.
+	Dir     string        // Dir takes settings and logs.
+}
+
+// Run runs a soak and returns the ledger of what was seen.
+func Run(ctx context.Context, o Options) (*Ledger, error) {
+	w, err := start(o)
+	if w != nil {
+		defer w.close()
+	}
+	if err != nil {
+		return nil, fmt.Errorf("start: %w", err)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	for i := range o.Callers {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			newCaller(w, fmt.Sprintf("c%d", i), o.Seed*100+uint64(i)).run(ctx)
+		}()
+	}
+	err = w.injectFaults(ctx)
+	if err == nil {
+		err = w.calm(ctx)
+	}
+	cancel()
+	wg.Wait()
+	w.checkExits()
+	return w.ledger, err
+}
+
+// calm waits until the nodes are back and counts what is served then.
+func (w *World) calm(ctx context.Context) error {
+	if err := w.waitReady(12 * time.Second); err != nil {
+		return fmt.Errorf("after the last fault: %w", err)
+	}
+	pause.For(ctx, settle)
+	begin := time.Now()
+	pause.For(ctx, w.opts.Calm)
+	served, asked := w.ledger.Served(begin)
+	if asked == 0 || float64(served) < 0.9*float64(asked) {
+		return fmt.Errorf("after the last fault %d of %d requests are served", served, asked)
+	}
+	return nil
+}
