Record a caller that left in one place

Cause: the walk had the lines for a caller that left twice, once for an engine that gave no answer and once for one that did; discovery had two single constants. Ruled out: joining the two ends of a walk whole (one knows whether a byte was sent, the other whether the answer has begun). Change: failed uses callerGone; the constants stand in a group. Behaviour unchanged; platform, which plays the dispatcher, and internal/discovery passed with -race.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -13,12 +13,14 @@
 	"github.com/croftturn/croftturn/internal/placement"
 )
 
-// unsettledMost bounds how long after the store's return an engine without entry
-// is still used: engines write their entries again within two seconds.
-const unsettledMost = 1800 * time.Millisecond
+const (
+	// unsettledMost bounds how long after the store's return an engine without entry
+	// is still used: engines write their entries again within two seconds.
+	unsettledMost = 1800 * time.Millisecond
 
-// unsettledShare of the time in which new work must stop is at most used for that.
-const unsettledShare = 0.9
+	// unsettledShare of the time in which new work must stop is at most used for that.
+	unsettledShare = 0.9
+)
 
 type (
 	// Decode returns the engine of a row.
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -106,7 +106,7 @@
 	w.call.End(now, placement.Answered)
 }
 
-// callerGone records that the caller could not be written to.
+// callerGone records that the caller left, or could not be written to.
 func (w *walk) callerGone(now time.Time) {
 	w.call.End(now, placement.Left)
 	w.refused = Refusal{Reason: CallerLeft}
--- a/internal/dispatch/walk.go
+++ b/internal/dispatch/walk.go
@@ -185,9 +185,7 @@
 func (w *walk) failed(ctx context.Context, err error) (again bool) {
 	now := time.Now()
 	if w.callerLeft(ctx) {
-		w.call.End(now, placement.Left)
-		w.refused = Refusal{Reason: CallerLeft}
-		w.answer.Abort()
+		w.callerGone(now)
 		return false
 	}
 	w.call.End(now, placement.Failed)
