--- a/internal/dispatch/walk.go
+++ b/internal/dispatch/walk.go
@@ -185,9 +185,7 @@
 func (w *walk) failed(ctx context.Context, err error) (again bool) {
 	now := time.Now()
 	if w.callerLeft(ctx) {
-		w.call.End(now, placement.Left)
-		w.refused = Refusal{Reason: CallerLeft}
-		w.answer.Abort()
+		w.callerGone(now)
 		return false
 	}
 	w.call.End(now, placement.Failed)
@@ -275,6 +273,6 @@
 		"outcome", outcome, "status", w.status, "engine", w.choice.Engine.ID, "sent", w.sent, "unsent", w.unsent,
 		"cost_ms", int(w.choice.Cost), "wait_ms", int(w.choice.Wait), "prompt_tokens", w.req.Prompt.Tokens, "unread_tokens", w.choice.Unread,
 		"first_ms", w.first.Milliseconds(), "gap_ms", w.gap.Milliseconds(), "total_ms", now.Sub(w.arrived).Milliseconds(), "patience_ms", w.deadline.Sub(w.arrived).Milliseconds(),
-		"come_back_ms", w.refused.ComeBack.Milliseconds(), "config_version", w.d.Version(), "proof_age_ms", w.d.proofAge(now))
+		"come_back_ms", w.refused.ComeBack.Milliseconds(), "config_version", w.d.Version(), "proof_age_ms", w.d.proof.AgeMs(now))
 	w.d.observer.Ended(w.route.Name, outcome, w.first, now.Sub(w.arrived))
 }
--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"github.com/croftturn/croftturn/internal/pause"
 	"github.com/croftturn/croftturn/lab/platform"
 	"github.com/croftturn/croftturn/lab/relay"
 )
@@ -32,10 +33,10 @@
 
 // faults lists the kinds.
 var faults = []fault{
-	{"kill a node", time.Second, true, killNode},
-	{"stop a node", time.Second, true, stopNode},
-	{"freeze a node", longestFault, true, freezeNode},
-	{"hang up a node", time.Second, false, hangUp},
+	{"kill a node", time.Second, true, onNode(killNode)},
+	{"stop a node", time.Second, true, onNode(stopNode)},
+	{"freeze a node", longestFault, true, onNode(freezeNode)},
+	{"hang up a node", time.Second, false, onNode(hangUp)},
 	{"cut a node from the store", longestFault, true, atStore(relay.Cut)},
 	{"silence the store for a node", longestFault, true, atStore(relay.Hold)},
 	{"delay the store for a node", longestFault, true, atStore(relay.Delay)},
@@ -79,89 +80,56 @@
 				mu.Unlock()
 			}
 		}()
-		sleep(ctx, betweenFaults/2+time.Duration(r.Int64N(int64(betweenFaults))))
+		pause.For(ctx, betweenFaults/2+time.Duration(r.Int64N(int64(betweenFaults))))
 		w.checkExits()
 	}
 	wg.Wait()
 	return failed
 }
 
-// take returns a node that no other fault has taken, or nil; giveBack frees it.
-func (w *World) take(r *rand.Rand) *node {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	n := w.nodes[r.IntN(len(w.nodes))]
-	if n.taken {
-		return nil
+// onNode returns a fault of a node that no other fault has taken; where another has,
+// nothing happens.
+func onNode(do func(ctx context.Context, w *World, n *node, d time.Duration) error) func(context.Context, *World, *rand.Rand, time.Duration) error {
+	return func(ctx context.Context, w *World, r *rand.Rand, d time.Duration) error {
+		n := w.take(r)
+		if n == nil {
+			return nil
+		}
+		defer w.giveBack(n)
+		return do(ctx, w, n, d)
 	}
-	n.taken = true
-	return n
-}
-
-// giveBack frees a node for the next fault of its process.
-func (w *World) giveBack(n *node) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	n.taken = false
-}
-
-// expect says that a node's end is no finding.
-func (w *World) expect(n *node) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	n.expected = true
 }
 
 // killNode kills a node and starts it again after a while.
-func killNode(ctx context.Context, w *World, r *rand.Rand, d time.Duration) error {
-	n := w.take(r)
-	if n == nil {
-		return nil
-	}
-	defer w.giveBack(n)
+func killNode(ctx context.Context, w *World, n *node, d time.Duration) error {
 	w.expect(n)
 	n.Kill()
-	sleep(ctx, d)
+	pause.For(ctx, d)
 	return w.launch(n)
 }
 
 // stopNode stops a node as planned and starts it again after a while.
-func stopNode(ctx context.Context, w *World, r *rand.Rand, d time.Duration) error {
-	n := w.take(r)
-	if n == nil {
-		return nil
-	}
-	defer w.giveBack(n)
+func stopNode(ctx context.Context, w *World, n *node, d time.Duration) error {
 	w.expect(n)
 	if err := n.Stop(stopGrace); err != nil {
 		w.ledger.exited(fmt.Sprintf("%s did not stop as planned: %v", n.name, err))
 		n.Kill()
 	}
-	sleep(ctx, d)
+	pause.For(ctx, d)
 	return w.launch(n)
 }
 
 // freezeNode freezes a node and wakes it.
-func freezeNode(ctx context.Context, w *World, r *rand.Rand, d time.Duration) error {
-	n := w.take(r)
-	if n == nil {
-		return nil
-	}
-	defer w.giveBack(n)
+func freezeNode(ctx context.Context, w *World, n *node, d time.Duration) error {
 	if err := n.Signal(syscall.SIGSTOP); err != nil {
 		return err
 	}
-	sleep(ctx, d)
+	pause.For(ctx, d)
 	return n.Signal(syscall.SIGCONT)
 }
 
 // hangUp tells a node to read its settings again.
-func hangUp(_ context.Context, w *World, r *rand.Rand, _ time.Duration) error {
-	n := w.take(r)
-	if n == nil {
-		return nil
-	}
-	defer w.giveBack(n)
+func hangUp(_ context.Context, w *World, n *node, _ time.Duration) error {
 	return n.Signal(syscall.SIGHUP)
 }
 
@@ -172,7 +140,7 @@
 		n := w.nodes[r.IntN(len(w.nodes))]
 		w.mu.Unlock()
 		n.store.Set(m)
-		sleep(ctx, d)
+		pause.For(ctx, d)
 		n.store.Set(relay.Pass)
 		return nil
 	}
@@ -184,7 +152,7 @@
 		if err := w.post("/control/faults", f); err != nil {
 			return err
 		}
-		sleep(ctx, d)
+		pause.For(ctx, d)
 		return w.post("/control/faults", platform.Faults{})
 	}
 }
@@ -201,7 +169,7 @@
 func misbehave(ctx context.Context, w *World, r *rand.Rand, d time.Duration) error {
 	e, _ := w.anyEngine(r)
 	e.mode.Store(int64(r.IntN(modesOfEngines)))
-	sleep(ctx, d)
+	pause.For(ctx, d)
 	e.mode.Store(modeWell)
 	return nil
 }
@@ -211,7 +179,7 @@
 	return func(ctx context.Context, w *World, r *rand.Rand, d time.Duration) error {
 		_, way := w.anyEngine(r)
 		way.Set(m)
-		sleep(ctx, d)
+		pause.For(ctx, d)
 		way.Set(relay.Pass)
 		return nil
 	}
@@ -238,7 +206,7 @@
 	}
 	e.close()
 	way.Set(relay.Cut)
-	sleep(ctx, d)
+	pause.For(ctx, d)
 	return w.write(row{"servers", e.id, nil})
 }
 
@@ -252,7 +220,7 @@
 		return err
 	}
 	w.ledger.mark(w.ledger.leaving, e.id, time.Now())
-	sleep(ctx, drainWithin+d)
+	pause.For(ctx, drainWithin+d)
 	e.close()
 	return w.write(row{"servers", e.id, nil})
 }
