--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -82,12 +82,12 @@
 // set takes an engine's entry.
 func (d *Discovery) set(e placement.Engine, version int64) {
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	delete(d.missing, e.ID)
 	if e.Draining {
 		d.draining[e.ID] = true
 	}
 	e.Draining = d.draining[e.ID]
-	d.mu.Unlock()
 	d.log.Info("engine", "engine", e.ID, "pool", e.Pool, "address", e.Address, "hall", e.Hall, "draining", e.Draining, "version", version)
 	d.engines.Set(e)
 }
@@ -96,12 +96,12 @@
 // was away.
 func (d *Discovery) miss(now time.Time, id string) {
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	settled := d.lostAt.IsZero() || now.Sub(d.lostAt) > d.unsettledFor
 	if _, known := d.missing[id]; !settled && !known {
 		d.missing[id] = now.Add(d.unsettledFor)
 		time.AfterFunc(d.unsettledFor, func() { d.Expire(time.Now()) })
 	}
-	d.mu.Unlock()
 	if settled {
 		d.remove(id, "its entry is gone")
 	}
@@ -110,20 +110,17 @@
 // Expire drops engines whose entries did not come back.
 func (d *Discovery) Expire(now time.Time) {
 	d.mu.Lock()
-	var gone []string
+	defer d.mu.Unlock()
 	for id, at := range d.missing {
 		if !now.Before(at) {
-			gone = append(gone, id)
 			delete(d.missing, id)
+			d.remove(id, "its entry did not come back after the store was away")
 		}
 	}
-	d.mu.Unlock()
-	for _, id := range gone {
-		d.remove(id, "its entry did not come back after the store was away")
-	}
 }
 
-// remove drops an engine.
+// remove drops an engine; the caller holds the lock, so that an entry which comes
+// back meanwhile is taken after it.
 func (d *Discovery) remove(id, reason string) {
 	d.log.Info("engine removed", "engine", id, "reason", reason)
 	d.engines.Remove(id)
--- a/internal/dispatch/walk.go
+++ b/internal/dispatch/walk.go
@@ -109,7 +109,7 @@
 	if !w.d.proof.Fresh(now) {
 		return &Refusal{Reason: w.orMayHaveRun(Stale), ComeBack: shortReturn}
 	}
-	if w.d.Table().Team(w.req.Key) == nil {
+	if team := w.d.Table().Team(w.req.Key); team == nil || team.Name != w.team.Name {
 		return &Refusal{Reason: w.orMayHaveRun(UnknownKey)}
 	}
 	return nil
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -209,3 +209,21 @@
 		t.Errorf("got %v, lost %d, proofs %d", got, lost, proofs)
 	}
 }
+
+// TestDeletionsInALostHistoryReachPeers holds that a node which read its table anew
+// does not keep from its peers a deletion that it never saw itself.
+func TestDeletionsInALostHistoryReachPeers(t *testing.T) {
+	mine, theirs := &sink{}, &sink{}
+	a, b := feed.NewTable("t", mine.take), feed.NewTable("t", theirs.take)
+	a.Replace(start, feed.Snapshot{Rows: []feed.Row{row("x", "1", 1)}, Version: 1})
+	b.Replace(start, feed.Snapshot{Rows: []feed.Row{row("x", "1", 1)}, Version: 1})
+	b.Change(start, []feed.Row{row("y", "1", 5)}) // Only the peer saw y before it was deleted.
+	a.Replace(start, feed.Snapshot{Rows: []feed.Row{row("x", "2", 9)}, Version: 9})
+	net := direct{"a": feed.NewFollower(direct{}, quiet, a)}
+	f := feed.NewFollower(net, quiet, b)
+	f.Heard("a", map[string]int64{"t": 9})
+	f.Wait()
+	if got := theirs.live(); len(got) != 1 || got["x"] != "2" {
+		t.Errorf("the peer has %v, want only x", got)
+	}
+}
--- a/internal/feed/table.go
+++ b/internal/feed/table.go
@@ -59,9 +59,7 @@
 		}
 	}
 	t.take(now, changes)
-	if !t.whole {
-		t.floor = snap.Version
-	}
+	t.floor = max(t.floor, snap.Version) // Rows may have been deleted before it that the copy never had.
 	t.whole = true
 }
 
--- a/internal/register/register.go
+++ b/internal/register/register.go
@@ -69,6 +69,9 @@
 		if err == nil {
 			_, err = r.read(ctx)
 		}
+		if err == nil {
+			backoff = retryFirst
+		}
 		if err != nil {
 			r.log.Warn("register not written or read", "written", written, "error", err.Error())
 			next, backoff = backoff, min(2*backoff, retryMost)
