Pass over readers without an answer before what they read is late

Cause, by reading: where both nodes that read were turned away in silence, the others noticed only by the proof's age, after 2 s; an engine's leaving must have reached every node within 2 s. Ruled out: one reader more (turned away with the others as well). Change: readers tell how long they have had no answer, and leave reading to others after 1.2 s; calls for engines wait 0.8 s.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -59,7 +59,7 @@
 	// enginesWait is how long a call waits for changes of engines. When the store
 	// drops its history, calls in flight may stay deaf until they end; new work
 	// must stop within two seconds of an engine's leaving all the same.
-	enginesWait = 1200 * time.Millisecond
+	enginesWait = 800 * time.Millisecond
 
 	// stopMargin is how long before the platform kills the process it ends.
 	stopMargin = 400 * time.Millisecond
@@ -99,6 +99,8 @@
 	follower   *feed.Follower
 	startedAt  time.Time
 	lostAt     atomic.Pointer[time.Time] // lostAt is when the store last could not be called.
+	silentAt   atomic.Pointer[time.Time] // silentAt is when this node last left reading to others for want of answers.
+	quietSince atomic.Pointer[time.Time] // quietSince is when the store last answered, or this node began to read.
 
 	servers []*http.Server
 	cancel  context.CancelFunc
@@ -183,7 +185,7 @@
 		}
 	}
 	config := &feed.Reader{Table: e.config, Source: e.store, Wait: configWait, Wanted: e.reads, Proven: e.proven, Lost: e.lost, Log: e.log}
-	engines := &feed.Reader{Table: e.engines, Source: e.store, Wait: enginesWait, Wanted: e.reads, Lost: e.lost, Log: e.log}
+	engines := &feed.Reader{Table: e.engines, Source: e.store, Wait: enginesWait, Wanted: e.reads, Proven: e.answered, Lost: e.lost, Log: e.log}
 	e.start(e.peers.Serve)
 	e.start(func() { e.gossip.Run(ctx, e) })
 	e.start(func() { config.Run(ctx) })
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -183,7 +183,13 @@
 // heardFrom returns a node that has just heard some peers.
 func heardFrom(t *testing.T, peers map[string]gossip.Said) *Edge {
 	t.Helper()
-	e, err := Start(context.Background(), newSettings(t, "self", newStore(t)), io.Discard)
+	return heardFromAt(t, newStore(t), peers)
+}
+
+// heardFromAt returns such a node with a store at an address.
+func heardFromAt(t *testing.T, store string, peers map[string]gossip.Said) *Edge {
+	t.Helper()
+	e, err := Start(context.Background(), newSettings(t, "self", store), io.Discard)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -210,8 +216,7 @@
 	e.proven(now)
 	count := 0
 	for _, name := range append([]string{"self"}, keysOf(peers)...) {
-		e.settings.Instance = name // As the node of that name sees it.
-		if e.reads(now) {
+		if e.readsAs(now, name) {
 			count++
 		}
 	}
@@ -222,7 +227,7 @@
 		t.Error("a node that hears nobody does not read")
 	}
 	for name := range peers {
-		peers[name] = gossip.Said{CantRead: true}
+		peers[name] = gossip.Said{CantRead: true, SilentMs: -1}
 	}
 	e = heardFrom(t, peers)
 	e.proven(now)
@@ -231,6 +236,52 @@
 	}
 }
 
+// TestSilentReadersArePassedOver holds that nodes which read without having an
+// answer for too long do not keep others from reading, and that this node leaves
+// reading to others when it has none.
+func TestSilentReadersArePassedOver(t *testing.T) {
+	peers := map[string]gossip.Said{}
+	for i := range 9 {
+		peers[fmt.Sprintf("%d-n", i)] = gossip.Said{SilentMs: 1500}
+	}
+	e := heardFrom(t, peers)
+	now := time.Now()
+	e.proven(now)
+	if !e.reads(now) {
+		t.Error("a node does not read, though those that do have no answer")
+	}
+	peers = map[string]gossip.Said{}
+	for i := 0; len(peers) < 9; i++ {
+		if name := fmt.Sprintf("%d-n", i); newCandidate("self", false).before(newCandidate(name, false)) {
+			peers[name] = gossip.Said{SilentMs: -1}
+		}
+	}
+	mute := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if _, err := io.Copy(io.Discard, r.Body); err == nil {
+			<-r.Context().Done()
+		}
+	}))
+	t.Cleanup(mute.Close)
+	t.Cleanup(mute.CloseClientConnections)
+	e = heardFromAt(t, mute.Listener.Addr().String(), peers)
+	now = time.Now()
+	e.proven(now)
+	e.quietSince.Store(nil)
+	if e.watchSilence(now) != 0 || e.watchSilence(now.Add(time.Second)) != time.Second || e.cantRead(now.Add(time.Second)) {
+		t.Error("a node that reads is silent too soon")
+	}
+	later := now.Add(1300 * time.Millisecond)
+	for name := range peers {
+		e.gossip.Introduce(later, gossip.Self{Name: name, Incarnation: 1}, peers[name]) // They are heard until then.
+	}
+	if e.watchSilence(later); !e.cantRead(later) || e.reads(later) {
+		t.Error("a node without answers goes on reading")
+	}
+	if again := later.Add(4 * time.Second); e.cantRead(again) {
+		t.Error("a node never reads again")
+	}
+}
+
 // keysOf returns the names of peers.
 func keysOf(peers map[string]gossip.Said) []string {
 	var out []string
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -20,14 +20,18 @@
 
 // Say returns what the peers are told of this node.
 func (e *Edge) Say(now time.Time) gossip.Said {
+	silent := e.watchSilence(now)
 	s := gossip.Said{
 		Ready: e.Ready(now), Stopping: e.dispatcher.Ready(now) == dispatch.Stopping, Loads: e.placement.Loads(), Uses: e.placement.TakeUses(), Versions: e.follower.Versions(),
-		ConfigVersion: e.dispatcher.Version(), ProofAgeMs: -1, CantRead: e.cantRead(now), LostAgeMs: -1,
+		ConfigVersion: e.dispatcher.Version(), ProofAgeMs: -1, CantRead: e.cantRead(now), SilentMs: -1, LostAgeMs: -1,
 	}
 	if age, ok := e.proof.Age(now); ok {
 		s.ProofAgeMs = age.Milliseconds() + 1 // It is rounded up: a proof must not grow younger on its way.
 	}
-	if lost := e.lostAt.Load(); lost != nil && e.reads(now) {
+	if silent >= 0 {
+		s.SilentMs = silent.Milliseconds()
+	}
+	if lost := e.lostAt.Load(); lost != nil && silent >= 0 {
 		s.LostAgeMs = now.Sub(*lost).Milliseconds()
 	}
 	return s
--- a/internal/edge/reading.go
+++ b/internal/edge/reading.go
@@ -25,14 +25,20 @@
 	registerWait = 150 * time.Millisecond
 	peersWait    = 600 * time.Millisecond
 
-	// cantReadFor is how long a node whose call failed leaves reading to others.
+	// cantReadFor is how long a node whose call failed, or that had no answer for
+	// too long, leaves reading to others.
 	cantReadFor = 3 * time.Second
+
+	// readSilence is how long a reader may be without an answer before another
+	// reads in its place: half as long again as its shortest call waits. What the
+	// store tells must have reached all nodes within two seconds.
+	readSilence = 1200 * time.Millisecond
 )
 
 // candidate is a node that may read the platform's tables.
 type candidate struct {
 	name  string
-	fails bool   // fails says that its last call to the store failed.
+	fails bool   // fails says that it had no answer of the store lately.
 	hash  uint64 // hash orders candidates alike at all nodes.
 }
 
@@ -53,7 +59,10 @@
 // reads reports whether this node should read the platform's tables: whether it
 // is among the first by hash of the nodes that are alive and can read. A node
 // that hears nobody always reads.
-func (e *Edge) reads(now time.Time) bool {
+func (e *Edge) reads(now time.Time) bool { return e.readsAs(now, e.settings.Instance) }
+
+// readsAs reports whether the node of a name, with what this one knows, should read.
+func (e *Edge) readsAs(now time.Time, self string) bool {
 	limit := readers
 	age, ok := e.proof.Age(now)
 	switch {
@@ -68,13 +77,14 @@
 	if len(peers) < limit {
 		return true
 	}
-	list := []candidate{newCandidate(e.settings.Instance, e.cantRead(now))}
+	list := []candidate{newCandidate(self, e.cantRead(now))}
 	for _, p := range peers {
-		list = append(list, newCandidate(p.Name, p.Said.CantRead))
+		silent := p.Said.SilentMs > readSilence.Milliseconds()
+		list = append(list, newCandidate(p.Name, p.Said.CantRead || silent))
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].before(list[j]) })
 	for _, c := range list[:limit] {
-		if c.name == e.settings.Instance {
+		if c.name == self {
 			return true
 		}
 	}
@@ -103,17 +113,50 @@
 	return before < 2*readers
 }
 
-// cantRead reports whether the last call to the store failed lately.
+// cantRead reports whether this node had a failed call, or no answer for too
+// long, lately.
 func (e *Edge) cantRead(now time.Time) bool {
-	lost := e.lostAt.Load()
-	return lost != nil && now.Sub(*lost) < cantReadFor
+	for _, at := range []*time.Time{e.lostAt.Load(), e.silentAt.Load()} {
+		if at != nil && now.Sub(*at) < cantReadFor {
+			return true
+		}
+	}
+	return false
 }
 
+// watchSilence returns how long this node has had no answer of the store though
+// it reads, or -1 if it does not read. From a certain time on it leaves reading to
+// others.
+func (e *Edge) watchSilence(now time.Time) time.Duration {
+	if !e.reads(now) {
+		e.quietSince.Store(nil)
+		return -1
+	}
+	since := e.quietSince.Load()
+	if since == nil {
+		e.quietSince.Store(&now)
+		return 0
+	}
+	silent := now.Sub(*since)
+	if silent > readSilence && !e.cantRead(now) {
+		e.log.Warn("store silent", "ms", silent.Milliseconds())
+		e.silentAt.Store(&now)
+	}
+	return silent
+}
+
+// answered records an answer of the store.
+func (e *Edge) answered(at time.Time) { e.quietSince.Store(&at) }
+
 // lost records that the store could not be called.
 func (e *Edge) lost(now time.Time) {
 	e.lostAt.Store(&now)
 	e.discovery.Lost(now)
 }
 
-// proven records a moment at which the configuration in force was the newest.
-func (e *Edge) proven(at time.Time) { e.proof.Renew(at) }
+// proven records an answer of the store by which the configuration in force was
+// the newest at a moment.
+func (e *Edge) proven(at time.Time) {
+	e.proof.Renew(at)
+	e.answered(at)
+}
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -29,8 +29,9 @@
 		Versions      map[string]int64          // Versions are those of its tables.
 		ConfigVersion int                       // ConfigVersion is of the configuration in force there.
 		ProofAgeMs    int64                     // ProofAgeMs is the age of the proof that this is the newest; -1 for none.
-		CantRead      bool                      // CantRead says that its last call to the platform's store failed.
-		LostAgeMs     int64                     // LostAgeMs is how long ago that was; -1 if never.
+		CantRead      bool                      // CantRead says that it leaves reading the platform's store to others for now.
+		SilentMs      int64                     // SilentMs is how long a node that reads the store has had no answer; -1 if it does not read.
+		LostAgeMs     int64                     // LostAgeMs is how long ago its last call failed; -1 if never.
 	}
 
 	// Peer is another node.
