Name few entry points a hall, the larger nodes first; tell idle nodes rarely; reserve a retry before leaving a slow engine

A node that starts read the tables by itself after 150 ms, before the store (150 rows of a part a second) had written all nodes' rows. A repeatable request left a slow engine before the retry budget was asked. Ruled out: engines' own connections closing (idle time is 4 s, the pairs of nodes and engines 7,440 for 634 requests a second); the restart after lost power (1.3 s dark, 120 ms to serve). Change: internal/entry chooses entry points by size and by the hall's rate of requests; messages between nodes of which one is idle come every 300 or 500 ms; uses of prompt parts are told for all turns since the last message; waits for engines' changes follow the time in which new work must stop; a retry is taken from the budget before an attempt is given up. TestSlowEngine fails on the code before (1 sending, engine_failed).

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -44,6 +44,7 @@
 		table     atomic.Pointer[routing.Table]
 		stopBy    atomic.Pointer[time.Time]
 		active    atomic.Int64
+		rate      rate
 		proof     *freshness.Proof
 		placement *placement.Placement
 		budget    *retry.Budget
@@ -81,6 +82,9 @@
 // Active returns how many requests are being served.
 func (d *Dispatcher) Active() int { return int(d.active.Load()) }
 
+// Rate returns how many requests a second are served.
+func (d *Dispatcher) Rate(now time.Time) float64 { return d.rate.at(now) }
+
 // Ready returns why the node can't serve callers, or an empty reason.
 func (d *Dispatcher) Ready(now time.Time) Reason {
 	switch {
@@ -134,6 +138,7 @@
 // Serve serves one request whose head was checked and whose body is read.
 func (d *Dispatcher) Serve(ctx context.Context, arrived time.Time, r *Request, route *routing.Route, team *routing.Team, a Answer) {
 	d.active.Add(1)
+	d.rate.note(arrived)
 	defer d.active.Add(-1)
 	patience := r.Patience
 	if patience <= 0 {
--- /dev/null
+++ b/internal/dispatch/dispatch_test.go
@@ -0,0 +1,206 @@
+package dispatch_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/croftturn/croftturn/internal/dispatch"
+	"github.com/croftturn/croftturn/internal/freshness"
+	"github.com/croftturn/croftturn/internal/placement"
+	"github.com/croftturn/croftturn/internal/retry"
+	"github.com/croftturn/croftturn/internal/routing"
+)
+
+const (
+	target  = 20 * time.Millisecond
+	timeout = 2 * time.Second
+)
+
+// errCut is an engine's connection that broke after the request was sent.
+var errCut = errors.New("connection reset")
+
+type (
+	// engines is a sender whose answers a test writes; n counts sendings from 1.
+	engines struct {
+		serve func(ctx context.Context, n int, a dispatch.Attempt) (*dispatch.Response, error)
+
+		mu   sync.Mutex
+		sent []dispatch.Attempt
+	}
+
+	// answer keeps what the caller gets.
+	answer struct {
+		refusal *dispatch.Refusal
+		status  int
+		body    strings.Builder
+		aborted bool
+	}
+
+	// noMetrics counts nothing.
+	noMetrics struct{}
+)
+
+func (e *engines) Send(ctx context.Context, _ *dispatch.Request, a dispatch.Attempt) (*dispatch.Response, error) {
+	e.mu.Lock()
+	e.sent = append(e.sent, a)
+	n := len(e.sent)
+	e.mu.Unlock()
+	return e.serve(ctx, n, a)
+}
+
+func (a *answer) Refuse(r dispatch.Refusal)             { a.refusal = &r }
+func (a *answer) Begin(r *dispatch.Response)            { a.status = r.Status }
+func (a *answer) Write(p []byte) error                  { _, err := a.body.Write(p); return err }
+func (a *answer) Abort()                                { a.aborted = true }
+func (noMetrics) Ended(_, _ string, _, _ time.Duration) {}
+func (noMetrics) Retried(string)                        {}
+
+// respond returns an engine's whole answer.
+func respond(status int, body string) *dispatch.Response {
+	return &dispatch.Response{Status: status, Header: http.Header{}, Length: int64(len(body)), Body: io.NopCloser(strings.NewReader(body))}
+}
+
+// newDispatcher returns a dispatcher of two engines with a budget of some retries.
+func newDispatcher(e *engines, retries int) *dispatch.Dispatcher {
+	now := time.Now()
+	p := placement.New("hall")
+	for _, id := range []string{"e1", "e2"} {
+		p.Set(placement.Engine{ID: id, Pool: "p", Hall: "hall", Slots: 8})
+	}
+	proof := freshness.New(time.Hour)
+	proof.Renew(now)
+	budget := retry.New(now, retry.Limits{Extra: retries, Window: 10 * time.Second}, func() int { return 1 })
+	d := dispatch.New(proof, p, budget, e, noMetrics{}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	d.SetTable(table(1, "k"))
+	return d
+}
+
+// table returns a configuration with a route of each kind that holds some keys.
+func table(version int, keys ...string) *routing.Table {
+	route := func(name string, kind routing.Kind, engines int) *routing.Route {
+		return &routing.Route{
+			Name: name, Host: "h", PathPrefix: "/" + name + "/", Kind: kind, Timeout: timeout, Target: target, MaxEngines: engines,
+			Shares: []routing.Share{{Pool: "p", Weight: 1}},
+		}
+	}
+	routes := []*routing.Route{route("safe", routing.Safe, 2), route("unsafe", routing.Unsafe, 2), route("stream", routing.Stream, 1)}
+	return routing.NewTable(version, routes, []*routing.Pool{{Name: "p"}}, []*routing.Team{{Name: "t", Keys: keys}}, routing.Limits{})
+}
+
+// serve serves one request on a route and returns what its caller got.
+func serve(t *testing.T, d *dispatch.Dispatcher, name string) *answer {
+	t.Helper()
+	now := time.Now()
+	r := &dispatch.Request{ID: "id", Host: "h", Path: "/" + name + "/x", Key: "k", Patience: timeout}
+	route, team, refusal := d.Check(now, r)
+	if refusal != nil {
+		t.Fatalf("refused: %v", refusal.Reason)
+	}
+	a := &answer{}
+	d.Serve(context.Background(), now, r, route, team, a)
+	return a
+}
+
+// TestSlowEngine holds that a repeatable request leaves an engine that sends nothing
+// where the budget has a retry, and otherwise waits for the answer that may come.
+func TestSlowEngine(t *testing.T) {
+	for retries, want := range map[int]struct {
+		sent int
+		body string
+	}{1: {2, "second"}, 0: {1, "first"}} {
+		e := &engines{}
+		e.serve = func(ctx context.Context, n int, _ dispatch.Attempt) (*dispatch.Response, error) {
+			if n > 1 {
+				return respond(200, "second"), nil
+			}
+			select {
+			case <-ctx.Done():
+				return nil, context.Cause(ctx)
+			case <-time.After(10 * target):
+				return respond(200, "first"), nil
+			}
+		}
+		a := serve(t, newDispatcher(e, retries), "safe")
+		if len(e.sent) != want.sent || a.body.String() != want.body {
+			t.Errorf("with %d retries: %d sendings, refusal %+v, body %q; want %d and %q", retries, len(e.sent), a.refusal, a.body.String(), want.sent, want.body)
+		}
+	}
+}
+
+// TestUncertainEnd holds that what may have run is sent again only where it may be
+// repeated, and is never called "not run".
+func TestUncertainEnd(t *testing.T) {
+	for name, want := range map[string]int{"safe": 2, "unsafe": 1, "stream": 1} {
+		e := &engines{serve: func(context.Context, int, dispatch.Attempt) (*dispatch.Response, error) { return nil, errCut }}
+		a := serve(t, newDispatcher(e, 5), name)
+		if len(e.sent) != want || a.refusal == nil || a.refusal.Reason != dispatch.Broken {
+			t.Errorf("%s: %d sendings, refusal %+v; want %d and %s", name, len(e.sent), a.refusal, want, dispatch.Broken)
+		}
+	}
+}
+
+// TestEngineThatDoesNotRunIt holds that a request which its engine turned away goes
+// to another, also where it may run only once, and that it is refused as not run
+// where that one turns it away too.
+func TestEngineThatDoesNotRunIt(t *testing.T) {
+	away := func(n int) (*dispatch.Response, error) {
+		resp := respond(http.StatusServiceUnavailable, "")
+		resp.NotRun = true
+		return resp, nil
+	}
+	e := &engines{serve: func(_ context.Context, n int, _ dispatch.Attempt) (*dispatch.Response, error) {
+		if n == 1 {
+			return away(n)
+		}
+		return respond(200, "well"), nil
+	}}
+	if a := serve(t, newDispatcher(e, 5), "unsafe"); a.body.String() != "well" || e.sent[0].Engine.ID == e.sent[1].Engine.ID {
+		t.Errorf("got %+v after %v", a, e.sent)
+	}
+	e = &engines{serve: func(_ context.Context, n int, _ dispatch.Attempt) (*dispatch.Response, error) { return away(n) }}
+	if a := serve(t, newDispatcher(e, 5), "unsafe"); a.refusal == nil || a.refusal.Reason != dispatch.Full || a.refusal.ComeBack <= 0 {
+		t.Errorf("got %+v, want a refusal with a time to come back", a.refusal)
+	}
+}
+
+// TestKeyThatGoesBetweenTwoSendings holds that a request is not sent on once its key
+// was taken away, and that it is not called "not run" where it may have run.
+func TestKeyThatGoesBetweenTwoSendings(t *testing.T) {
+	e := &engines{}
+	d := newDispatcher(e, 5)
+	e.serve = func(context.Context, int, dispatch.Attempt) (*dispatch.Response, error) {
+		d.SetTable(table(2, "another"))
+		return nil, errCut
+	}
+	if a := serve(t, d, "safe"); len(e.sent) != 1 || a.refusal == nil || a.refusal.Reason != dispatch.Broken {
+		t.Errorf("%d sendings, refusal %+v", len(e.sent), a.refusal)
+	}
+}
+
+// TestStopping holds what a node that stops still takes: streams until they could
+// not end any more, the rest until shortly before the end.
+func TestStopping(t *testing.T) {
+	d := newDispatcher(&engines{}, 0)
+	now := time.Now()
+	d.StopBy(now.Add(10 * time.Second))
+	for _, test := range []struct {
+		route string
+		after time.Duration
+		taken bool
+	}{{"stream", time.Second, true}, {"stream", 6 * time.Second, false}, {"safe", 6 * time.Second, true}, {"safe", 9500 * time.Millisecond, false}} {
+		_, _, refusal := d.Check(now.Add(test.after), &dispatch.Request{Host: "h", Path: "/" + test.route + "/", Key: "k"})
+		if taken := refusal == nil; taken != test.taken || !taken && refusal.Reason != dispatch.Stopping {
+			t.Errorf("%s after %v: %+v, want taken %v", test.route, test.after, refusal, test.taken)
+		}
+	}
+	if d.Ready(now) != dispatch.Stopping {
+		t.Error("a node that stops is ready")
+	}
+}
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -65,7 +65,7 @@
 // turned decides what follows where an engine did not run the request.
 func (w *walk) turned(now time.Time, cause error) (again bool) {
 	w.refused = Refusal{Reason: w.orMayHaveRun(Full), ComeBack: fullReturn}
-	if w.sent < w.route.MaxEngines && now.Before(w.deadline) && w.takeRetry(now, cause) {
+	if w.sent < w.route.MaxEngines && now.Before(w.deadline) && w.takeRetry(now, w.choice.Engine.ID, w.sent, cause) {
 		return true
 	}
 	w.refuse(w.refused)
@@ -161,7 +161,7 @@
 		w.begin(resp)
 		return w.copyRest(ctx, resp)
 	}
-	stall := time.AfterFunc(time.Until(w.deadline), func() { cancel(errSlow) })
+	stall := time.AfterFunc(time.Until(w.deadline), w.leaveSlow(cancel))
 	defer stall.Stop()
 	elsewhere := w.sent < w.route.MaxEngines
 	if elsewhere {
--- a/internal/dispatch/walk.go
+++ b/internal/dispatch/walk.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/croftturn/croftturn/internal/admission"
@@ -43,8 +44,9 @@
 	sent        int             // sent counts the engines that the request was sent to
 	unsent      int             // unsent counts the engines that could not be connected to
 	lastEventID string
-	mayHaveRun  bool // mayHaveRun says that an engine which got the request did not say that it did not run it
-	begun       bool // begun says that the caller's answer has begun
+	reserved    atomic.Bool // reserved says that a retry was taken from the budget and not used yet
+	mayHaveRun  bool        // mayHaveRun says that an engine which got the request did not say that it did not run it
+	begun       bool        // begun says that the caller's answer has begun
 	choice      placement.Choice
 	call        *placement.Call
 	refused     Refusal
@@ -172,7 +174,19 @@
 	if !w.mayRepeat() || w.route.Target <= 0 {
 		return time.NewTimer(time.Until(w.deadline))
 	}
-	return time.AfterFunc(firstPatience*w.route.Target, func() { cancel(errSlow) })
+	return time.AfterFunc(firstPatience*w.route.Target, w.leaveSlow(cancel))
+}
+
+// leaveSlow returns a function that gives the present attempt up for another, where
+// the budget has a retry for it; else the answer may still come. A timer calls it.
+func (w *walk) leaveSlow(cancel context.CancelCauseFunc) func() {
+	engine, sent := w.choice.Engine.ID, w.sent
+	return func() {
+		if w.takeRetry(time.Now(), engine, sent, errSlow) {
+			w.reserved.Store(true)
+			cancel(errSlow)
+		}
+	}
 }
 
 // mayRepeat reports whether the request may go to one more engine after this
@@ -226,13 +240,14 @@
 	if !w.route.Repeatable() || w.sent >= w.route.MaxEngines || !now.Before(w.deadline) {
 		return false
 	}
-	return w.takeRetry(now, cause)
+	return w.reserved.Swap(false) || w.takeRetry(now, w.choice.Engine.ID, w.sent, cause)
 }
 
-// takeRetry takes one retry from the budget.
-func (w *walk) takeRetry(now time.Time, cause error) bool {
+// takeRetry takes one retry from the budget, after a number of sendings of which
+// the last was to an engine.
+func (w *walk) takeRetry(now time.Time, engine string, sent int, cause error) bool {
 	ok := w.d.budget.Take(now, w.pool)
-	w.d.log.Info("retry", "request", w.req.ID, "engine", w.choice.Engine.ID, "cause", cause.Error(), "allowed", ok, "sent", w.sent)
+	w.d.log.Info("retry", "request", w.req.ID, "engine", engine, "cause", cause.Error(), "allowed", ok, "sent", sent)
 	if ok {
 		w.d.observer.Retried(w.pool)
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -56,10 +56,11 @@
 	// the usual 4.5 s is too old.
 	configWait = 1500 * time.Millisecond
 
-	// enginesWait is how long a call waits for changes of engines. When the store
-	// drops its history, calls in flight may stay deaf until they end; new work
-	// must stop within two seconds of an engine's leaving all the same.
-	enginesWait = 800 * time.Millisecond
+	// enginesWaitShare of the time within which new work at an engine that leaves must
+	// stop is how long a call waits for changes of engines. When the store drops its
+	// history, calls in flight may stay deaf until they end; the rest of the time is
+	// for the next call and for telling the peers.
+	enginesWaitShare = 0.4
 
 	// stopMargin is how long before the platform kills the process it ends.
 	stopMargin = 400 * time.Millisecond
@@ -135,6 +136,7 @@
 	s := e.settings
 	self := gossip.Self{
 		Name: s.Instance, Incarnation: now.UnixMilli(), PeerAddress: s.PeerAddress, CallerAddress: s.CallerAddress, Hall: s.Hall,
+		Cores: cores(s),
 	}
 	var err error
 	e.proof = freshness.New(proofLife(s))
@@ -185,7 +187,7 @@
 		}
 	}
 	config := &feed.Reader{Table: e.config, Source: e.store, Wait: configWait, Wanted: e.reads, Proven: e.proven, Lost: e.lost, Log: e.log}
-	engines := &feed.Reader{Table: e.engines, Source: e.store, Wait: enginesWait, Wanted: e.reads, Proven: e.answered, Lost: e.lost, Log: e.log}
+	engines := &feed.Reader{Table: e.engines, Source: e.store, Wait: share(enginesWaitShare, s.EngineDrainMs), Wanted: e.reads, Proven: e.answered, Lost: e.lost, Log: e.log}
 	e.start(e.peers.Serve)
 	e.start(func() { e.gossip.Run(ctx, e) })
 	e.start(func() { config.Run(ctx) })
@@ -275,5 +277,8 @@
 	return len(p), nil
 }
 
+// share returns a share of a time in milliseconds.
+func share(part float64, n int) time.Duration { return time.Duration(part * float64(ms(n))) }
+
 // ms turns milliseconds of the settings into a duration.
 func ms(n int) time.Duration { return time.Duration(n) * time.Millisecond }
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -22,7 +22,7 @@
 func (e *Edge) Say(now time.Time) gossip.Said {
 	silent := e.watchSilence(now)
 	s := gossip.Said{
-		Ready: e.Ready(now), Stopping: e.dispatcher.Ready(now) == dispatch.Stopping, Loads: e.placement.Loads(), Uses: e.placement.TakeUses(), Versions: e.follower.Versions(),
+		Ready: e.Ready(now), Stopping: e.dispatcher.Ready(now) == dispatch.Stopping, Rate: float32(e.dispatcher.Rate(now)), Loads: e.placement.Loads(), Uses: e.placement.TakeUses(), Versions: e.follower.Versions(),
 		ConfigVersion: e.dispatcher.Version(), ProofAgeMs: -1, CantRead: e.cantRead(now), SilentMs: -1, LostAgeMs: -1,
 	}
 	if age, ok := e.proof.Age(now); ok {
--- a/internal/edge/reading.go
+++ b/internal/edge/reading.go
@@ -20,19 +20,20 @@
 	manyNodes = 12
 
 	// registerWait is how long a node that starts waits for the register, and
-	// peersWait for its peers, before it reads by itself; a call to the store takes
-	// some 10 ms, a message to peers comes each 100 ms.
-	registerWait = 150 * time.Millisecond
+	// peersWait for its peers, before it reads by itself. The store writes 150 rows of
+	// the register a second, so that the last of 80 nodes waits half a second; a
+	// message to peers comes each 100 ms.
+	registerWait = 500 * time.Millisecond
 	peersWait    = 600 * time.Millisecond
 
 	// cantReadFor is how long a node whose call failed, or that had no answer for
 	// too long, leaves reading to others.
 	cantReadFor = 3 * time.Second
 
-	// readSilence is how long a reader may be without an answer before another
-	// reads in its place: half as long again as its shortest call waits. What the
-	// store tells must have reached all nodes within two seconds.
-	readSilence = 1200 * time.Millisecond
+	// readSilenceShare of the time within which new work at an engine that leaves must
+	// stop is how long a reader may be without an answer before another reads in its
+	// place: half as long again as its shortest call waits.
+	readSilenceShare = 0.6
 )
 
 // candidate is a node that may read the platform's tables.
@@ -79,7 +80,7 @@
 	}
 	list := []candidate{newCandidate(self, e.cantRead(now))}
 	for _, p := range peers {
-		silent := p.Said.SilentMs > readSilence.Milliseconds()
+		silent := ms(int(p.Said.SilentMs)) > e.readSilence()
 		list = append(list, newCandidate(p.Name, p.Said.CantRead || silent))
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].before(list[j]) })
@@ -138,13 +139,16 @@
 		return 0
 	}
 	silent := now.Sub(*since)
-	if silent > readSilence && !e.cantRead(now) {
+	if silent > e.readSilence() && !e.cantRead(now) {
 		e.log.Warn("store silent", "ms", silent.Milliseconds())
 		e.silentAt.Store(&now)
 	}
 	return silent
 }
 
+// readSilence returns how long a reader may be without an answer.
+func (e *Edge) readSilence() time.Duration { return share(readSilenceShare, e.settings.EngineDrainMs) }
+
 // answered records an answer of the store.
 func (e *Edge) answered(at time.Time) { e.quietSince.Store(&at) }
 
--- a/internal/edge/reload.go
+++ b/internal/edge/reload.go
@@ -37,9 +37,12 @@
 	if s.ServeUnproven {
 		return math.MaxInt64
 	}
-	return time.Duration(proofShare * float64(ms(s.RevokeWithinMs)))
+	return share(proofShare, s.RevokeWithinMs)
 }
 
+// cores returns the processor that the settings allow, in cores.
+func cores(s *settings.Settings) float64 { return s.ProcessorShare * s.ProcessorSpeed }
+
 // retryLimits returns the limits of retries in the settings.
 func retryLimits(s *settings.Settings) retry.Limits {
 	return retry.Limits{Share: s.RetryShare, Extra: s.RetryExtra, Window: ms(s.RetryWindowMs)}
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -1,47 +1,29 @@
 package edge
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/croftturn/croftturn/internal/dispatch"
+	"github.com/croftturn/croftturn/internal/entry"
 )
 
-// enoughNearby is how many nodes of a caller's hall make those of other halls
-// unnecessary as its entry points.
-const enoughNearby = 2
-
 // Ready reports whether this node takes callers.
 func (e *Edge) Ready(now time.Time) bool { return e.dispatcher.Ready(now) == "" }
 
-// Entries returns the addresses that callers in a hall should use: of the nodes
-// there that are ready, or of all nodes where there are too few. Where none is
-// ready, as when the platform's store is away, those that are alive are named:
-// callers come back to them, and need not ask again first.
+// Entries returns the addresses that callers in a hall should use, of the nodes
+// that are alive and do not stop.
 func (e *Edge) Entries(now time.Time, hall string) []string {
-	var near, ready, alive []string
-	add := func(address, at string, isReady bool) {
-		alive = append(alive, address)
-		if !isReady {
-			return
-		}
-		ready = append(ready, address)
-		if at == hall {
-			near = append(near, address)
-		}
-	}
+	var nodes []entry.Node
 	if e.dispatcher.Ready(now) != dispatch.Stopping {
-		add(e.settings.CallerAddress, e.settings.Hall, e.Ready(now))
+		nodes = append(nodes, entry.Node{
+			Name: e.settings.Instance, Address: e.settings.CallerAddress, Hall: e.settings.Hall, Ready: e.Ready(now), Cores: cores(e.settings), Rate: e.dispatcher.Rate(now),
+		})
 	}
 	for _, p := range e.gossip.Peers(now) {
 		if !p.Said.Stopping {
-			add(p.CallerAddress, p.Hall, p.Said.Ready)
+			nodes = append(nodes, entry.Node{Name: p.Name, Address: p.CallerAddress, Hall: p.Hall, Ready: p.Said.Ready, Cores: p.Cores, Rate: float64(p.Said.Rate)})
 		}
 	}
-	switch {
-	case len(near) >= enoughNearby:
-		return near
-	case len(ready) > 0:
-		return ready
-	}
-	return alive
+	return entry.Choose(hall, nodes, rand.Float64)
 }
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -11,6 +11,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/croftturn/croftturn/internal/placement"
 )
 
 const (
@@ -29,13 +31,23 @@
 	// forgetAfter is how long a peer that is not heard is remembered.
 	forgetAfter = 5 * time.Minute
 
-	// manyPeers is how many peers make messages to other halls rarer, by
-	// farSlowDown, since bytes between halls are paid for.
-	manyPeers   = 12
-	farSlowDown = 2
-
-	// introduceEvery is how often a message says who the sender is and how to reach
-	// it; between, its name is enough for peers that have answered it.
+	// manyPeers is how many peers make messages rarer, in turns from one to the
+	// next: to other halls, since bytes between halls are paid for, and between
+	// nodes of which one serves hardly any requests and has no loads to tell. A peer
+	// that misses one of the rarest still hears the next while the sender counts as
+	// alive.
+	manyPeers = 12
+	nearTurns = 1
+	farTurns  = 2
+	nearIdle  = 3
+	farIdle   = 5
+
+	// busyRate is how many requests a second make a node busy; the platform's own
+	// checks reach each node about once a second.
+	busyRate = 2
+
+	// introduceEvery is how many messages to a peer make one that says who the sender
+	// is and how to reach it; between, its name is enough for peers that have answered.
 	introduceEvery = 20
 
 	// remembered is how many messages a node remembers the sending of: a peer that
@@ -67,8 +79,10 @@
 
 		mu    sync.Mutex
 		peers map[string]*Peer
+		busy  bool // busy says that this node serves requests.
 		seq   uint32
-		sent  [remembered]time.Time // sent holds when the newest messages were sent, by number
+		sent  [remembered]time.Time    // sent holds when the newest messages were sent, by number
+		uses  [farIdle][]placement.Use // uses holds the prompt parts told in the newest turns, by turn
 	}
 )
 
@@ -101,14 +115,14 @@
 	if known != nil && known.Incarnation >= s.Incarnation {
 		return
 	}
-	g.peers[s.Name] = &Peer{Self: s, addr: addr, met: now}
+	g.peers[s.Name] = &Peer{Self: s, addr: addr, met: now, phase: g.phase(s.Name)}
 }
 
 // Introduce takes a peer as if it had just said something.
 func (g *Gossip) Introduce(now time.Time, s Self, said Said) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.peers[s.Name] = &Peer{Self: s, Said: said, heard: now, met: now}
+	g.peers[s.Name] = &Peer{Self: s, Said: said, heard: now, met: now, phase: g.phase(s.Name)}
 }
 
 // Peers returns the peers that are alive.
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -17,6 +17,7 @@
 		PeerAddress   string // PeerAddress takes datagrams.
 		CallerAddress string
 		Hall          string
+		Cores         float64 // Cores is the processor that it may use; 0 if it does not say.
 	}
 
 	// Said is what a node tells its peers of its state, besides who it is.
@@ -24,8 +25,9 @@
 		_             struct{}                  `cbor:",toarray"`
 		Ready         bool                      // Ready says that it takes callers.
 		Stopping      bool                      // Stopping says that it ends soon.
+		Rate          float32                   // Rate is how many requests a second it serves.
 		Loads         map[string]placement.Load // Loads is its own work, by engine.
-		Uses          []placement.Use           // Uses are the prompt parts it gave to engines since it last spoke.
+		Uses          []placement.Use           // Uses are the prompt parts it gave to engines since it last spoke to the receiver.
 		Versions      map[string]int64          // Versions are those of its tables.
 		ConfigVersion int                       // ConfigVersion is of the configuration in force there.
 		ProofAgeMs    int64                     // ProofAgeMs is the age of the proof that this is the newest; -1 for none.
@@ -42,6 +44,8 @@
 		met   time.Time
 		addr  *net.UDPAddr
 		echo  uint32 // echo is the number of the newest message from the peer.
+		sent  int    // sent counts the messages to the peer.
+		phase int    // phase spreads messages to peers over the turns.
 	}
 
 	// message is one datagram.
@@ -51,9 +55,10 @@
 		Seq         uint32   // Seq numbers the sender's messages.
 		Name        string
 		Incarnation int64
-		Peer        string // Peer, Caller and Hall are empty where the receiver knows them.
+		Peer        string // Peer, Caller, Hall and Cores are empty where the receiver knows them.
 		Caller      string
 		Hall        string
+		Cores       float64
 		Said        cbor.RawMessage
 	}
 )
--- a/internal/gossip/receive.go
+++ b/internal/gossip/receive.go
@@ -53,7 +53,7 @@
 // node sent the message that the peer answers; ok is false where the message says
 // nothing new.
 func (g *Gossip) believe(now time.Time, m message, said Said, from *net.UDPAddr) (self Self, received time.Time, ok bool) {
-	self = Self{Name: m.Name, Incarnation: m.Incarnation, PeerAddress: m.Peer, CallerAddress: m.Caller, Hall: m.Hall}
+	self = Self{Name: m.Name, Incarnation: m.Incarnation, PeerAddress: m.Peer, CallerAddress: m.Caller, Hall: m.Hall, Cores: m.Cores}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	p := g.peers[m.Name]
@@ -71,7 +71,7 @@
 		g.log.Info("peer heard", "peer", m.Name, "incarnation", m.Incarnation, "address", m.Peer, "ready", said.Ready)
 	}
 	if p == nil {
-		p = &Peer{met: now}
+		p = &Peer{met: now, phase: g.phase(m.Name)}
 		g.peers[m.Name] = p
 	}
 	if same && m.Seq < p.echo {
--- a/internal/gossip/send.go
+++ b/internal/gossip/send.go
@@ -3,36 +3,70 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
+
+	"github.com/croftturn/croftturn/internal/placement"
 )
 
+// target is a peer that gets a message this turn.
+type target struct {
+	Peer
+	turns int // turns is how many turns lie between two messages to it.
+}
+
 // send tells the peers of this node. Whom it answers is settled before what it
 // says is worked out: receivers count ages in it from when they sent the message
 // that it answers, so that it must not be older.
 func (g *Gossip) send(turn int) {
 	targets := g.targets(time.Now(), turn)
 	now := time.Now()
-	said, err := cbor.Marshal(g.node.Say(now))
+	said := g.node.Say(now)
+	g.uses[turn%farIdle] = said.Uses
+	g.setBusy(said.Rate >= busyRate)
+	m := message{Seq: g.number(now), Name: g.self.Name, Incarnation: g.self.Incarnation}
+	encoded := map[int]cbor.RawMessage{} // by the turns that the message tells of
+	for _, to := range targets {
+		if encoded[to.turns] == nil {
+			said.Uses = g.usesOf(turn, to.turns)
+			raw, err := cbor.Marshal(said)
+			if err != nil {
+				g.log.Error("message to peers not encoded", "error", err.Error())
+				return
+			}
+			encoded[to.turns] = raw
+		}
+		m.Said = encoded[to.turns]
+		g.sendTo(to, m)
+	}
+}
+
+// sendTo sends a message to one peer.
+func (g *Gossip) sendTo(to target, m message) {
+	m.Echo = to.echo
+	if to.echo == 0 || to.sent%introduceEvery == 0 {
+		m.Peer, m.Caller, m.Hall, m.Cores = g.self.PeerAddress, g.self.CallerAddress, g.self.Hall, g.self.Cores
+	}
+	packet, err := cbor.Marshal(m)
 	if err != nil {
-		g.log.Error("message to peers not encoded", "error", err.Error())
+		g.log.Error("message to peer not encoded", "error", err.Error())
 		return
 	}
-	m := message{Seq: g.number(now), Name: g.self.Name, Incarnation: g.self.Incarnation, Said: said}
-	for _, to := range targets {
-		m.Echo = to.echo
-		m.Peer, m.Caller, m.Hall = "", "", ""
-		if to.echo == 0 || turn%introduceEvery < farSlowDown {
-			m.Peer, m.Caller, m.Hall = g.self.PeerAddress, g.self.CallerAddress, g.self.Hall
-		}
-		packet, err := cbor.Marshal(m)
-		if err != nil {
-			g.log.Error("message to peer not encoded", "error", err.Error())
-			return
-		}
-		if _, err := g.conn.WriteToUDP(packet, to.addr); err != nil {
-			g.log.Debug("message to peer not sent", "peer", to.Name, "error", err.Error())
-		}
+	if _, err := g.conn.WriteToUDP(packet, to.addr); err != nil {
+		g.log.Debug("message to peer not sent", "peer", to.Name, "error", err.Error())
+	}
+}
+
+// usesOf returns the prompt parts told in the last turns.
+func (g *Gossip) usesOf(turn, turns int) []placement.Use {
+	if turns == 1 {
+		return g.uses[turn%farIdle]
 	}
+	var out []placement.Use
+	for back := range min(turns, turn+1) {
+		out = append(out, g.uses[(turn-back)%farIdle]...)
+	}
+	return out
 }
 
 // number returns the number of the next message and remembers when it is sent.
@@ -44,26 +78,62 @@
 	return g.seq
 }
 
+// setBusy records whether this node serves requests.
+func (g *Gossip) setBusy(busy bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.busy = busy
+}
+
 // targets returns whom to send to this turn, and forgets peers that are long gone.
-func (g *Gossip) targets(now time.Time, turn int) []Peer {
+func (g *Gossip) targets(now time.Time, turn int) []target {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	var out []Peer
+	var out []target
 	for name, p := range g.peers {
-		last := p.met
-		if p.heard.After(last) {
-			last = p.heard
-		}
-		quiet := now.Sub(last)
+		quiet := now.Sub(latest(p.met, p.heard))
+		turns := g.turns(p)
 		switch {
 		case quiet > forgetAfter:
 			delete(g.peers, name)
 		case p.addr == nil:
+		case quiet <= quietFor && (turn+p.phase)%turns != 0:
 		case quiet > quietFor && turn%slowDown != 0:
-		case p.Hall != g.self.Hall && len(g.peers) > manyPeers && turn%farSlowDown != 0:
 		default:
-			out = append(out, *p)
+			out = append(out, target{Peer: *p, turns: turns})
+			p.sent++
 		}
 	}
 	return out
 }
+
+// turns returns how many turns lie between two messages to a peer.
+func (g *Gossip) turns(p *Peer) int {
+	if len(g.peers) <= manyPeers {
+		return nearTurns
+	}
+	idle := !g.busy || p.Said.Rate < busyRate
+	far := p.Hall != g.self.Hall
+	switch {
+	case idle && far:
+		return farIdle
+	case idle:
+		return nearIdle
+	case far:
+		return farTurns
+	}
+	return nearTurns
+}
+
+// phase spreads the messages between many nodes over the turns.
+func (g *Gossip) phase(peer string) int {
+	return int(xxhash.Sum64String(g.self.Name+" "+peer) % (farTurns * nearIdle * farIdle))
+}
+
+// latest returns the later of two moments.
+func latest(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
--- /dev/null
+++ b/internal/gossip/send_test.go
@@ -0,0 +1,100 @@
+package gossip
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/croftturn/croftturn/internal/placement"
+)
+
+// newTestGossip returns a gossip that does not run and knows some peers of two
+// halls, half of them in each; every third is busy.
+func newTestGossip(t *testing.T, now time.Time, peers int) *Gossip {
+	t.Helper()
+	g, err := New(Self{Name: "self", PeerAddress: "127.0.0.1:0", Hall: "h0"}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { g.conn.Close() })
+	for i := range peers {
+		s := Self{Name: fmt.Sprint("p", i), Incarnation: 1, PeerAddress: "127.0.0.1:9", Hall: fmt.Sprint("h", i%2)}
+		g.Meet(now, s)
+		g.peers[s.Name].heard = now
+		if i%3 == 0 {
+			g.peers[s.Name].Said.Rate = 2 * busyRate
+		}
+	}
+	return g
+}
+
+// TestIdleNodesAreToldRarely holds how often each kind of peer gets a message where
+// nodes are many, that none waits longer than peers count as alive, and that all get
+// every message where nodes are few.
+func TestIdleNodesAreToldRarely(t *testing.T) {
+	now := time.Unix(1000, 0)
+	g := newTestGossip(t, now, 30)
+	const turns = 30
+	count := func(busy bool) map[string]int {
+		g.setBusy(busy)
+		got := map[string]int{}
+		for turn := range turns {
+			for _, to := range g.targets(now, turn) {
+				got[to.Name]++
+			}
+		}
+		return got
+	}
+	busy, idle := count(true), count(false)
+	want := map[string]struct{ busy, idle int }{
+		"p0": {turns / nearTurns, turns / nearIdle}, // busy, near
+		"p3": {turns / farTurns, turns / farIdle},   // busy, far
+		"p2": {turns / nearIdle, turns / nearIdle},  // idle, near
+		"p1": {turns / farIdle, turns / farIdle},    // idle, far
+	}
+	for name, n := range want {
+		if busy[name] != n.busy || idle[name] != n.idle {
+			t.Errorf("%s gets %d messages of a busy node and %d of an idle one, want %d and %d", name, busy[name], idle[name], n.busy, n.idle)
+		}
+	}
+	if longest := farIdle * every; 2*longest > aliveFor {
+		t.Errorf("a peer that misses one message is dead: %v between two, %v alive", longest, aliveFor)
+	}
+	if got := len(newTestGossip(t, now, manyPeers).targets(now, 1)); got != manyPeers {
+		t.Errorf("%d of %d peers get a message where nodes are few", got, manyPeers)
+	}
+}
+
+// TestQuietPeersAreAskedNowAndThen holds that a peer that was long not heard still
+// gets messages, whatever the turns in which it would get others.
+func TestQuietPeersAreAskedNowAndThen(t *testing.T) {
+	now := time.Unix(1000, 0)
+	g := newTestGossip(t, now, 30)
+	got := 0
+	for turn := range 2 * slowDown {
+		got += len(g.targets(now.Add(quietFor+time.Second), turn))
+	}
+	if got != 2*30 {
+		t.Errorf("%d messages to 30 quiet peers in %d turns, want 60", got, 2*slowDown)
+	}
+}
+
+// TestPeersMissNoUses holds that a peer that gets a message only in some turns is
+// told of the prompt parts used in the turns between.
+func TestPeersMissNoUses(t *testing.T) {
+	g := newTestGossip(t, time.Unix(1000, 0), 0)
+	for turn := range 10 {
+		g.uses[turn%farIdle] = []placement.Use{{Part: uint64(turn)}}
+	}
+	for turns, want := range map[int]int{1: 1, 2: 2, farIdle: farIdle} {
+		got := g.usesOf(9, turns)
+		if len(got) != want || got[0].Part != 9 || got[want-1].Part != uint64(10-want) {
+			t.Errorf("of %d turns: %v", turns, got)
+		}
+	}
+	if got := g.usesOf(0, farIdle); len(got) != 1 {
+		t.Errorf("in the first turn: %v, want its own", got)
+	}
+}
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -95,6 +95,12 @@
 	// PlatformTimeoutMs bounds one call to the platform, in milliseconds.
 	PlatformTimeoutMs int `json:"platform_timeout_ms,omitempty,omitzero"`
 
+	// ProcessorShare is the share of a processor's time that the process may use.
+	ProcessorShare float64 `json:"processor_share,omitempty,omitzero"`
+
+	// ProcessorSpeed is how many times as fast as a usual core this processor is.
+	ProcessorSpeed float64 `json:"processor_speed,omitempty,omitzero"`
+
 	// ReadTimeoutMs bounds how long a caller may take to send a request, in
 	// milliseconds.
 	ReadTimeoutMs int `json:"read_timeout_ms,omitempty,omitzero"`
@@ -385,6 +391,24 @@
 	if 10 > plain.PlatformTimeoutMs {
 		return fmt.Errorf("field %s: must be >= %v", "platform_timeout_ms", 10)
 	}
+	if v, ok := raw["processor_share"]; !ok || v == nil {
+		plain.ProcessorShare = 1.0
+	}
+	if 1 < plain.ProcessorShare {
+		return fmt.Errorf("field %s: must be <= %v", "processor_share", 1)
+	}
+	if 0 >= plain.ProcessorShare {
+		return fmt.Errorf("field %s: must be > %v", "processor_share", 0)
+	}
+	if v, ok := raw["processor_speed"]; !ok || v == nil {
+		plain.ProcessorSpeed = 1.0
+	}
+	if 1024 < plain.ProcessorSpeed {
+		return fmt.Errorf("field %s: must be <= %v", "processor_speed", 1024)
+	}
+	if 0 >= plain.ProcessorSpeed {
+		return fmt.Errorf("field %s: must be > %v", "processor_speed", 0)
+	}
 	if v, ok := raw["read_timeout_ms"]; !ok || v == nil {
 		plain.ReadTimeoutMs = 10000
 	}
