Break off a stream whose second engine fails instead of ending it with that failure

Ruled out: an event cut by the first engine (it is dropped); the second engine's framing. Change: once the caller's answer has begun, an answer other than a success breaks it off.

--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -55,8 +55,14 @@
 			return true
 		}
 	}
+	success := resp.Status < http.StatusMultipleChoices
+	if w.begun && !success {
+		w.call.End(now, placement.Failed)
+		w.refuse(Refusal{Reason: Broken}) // The caller has the head of another engine's answer.
+		return false
+	}
 	w.first = now.Sub(w.arrived)
-	if w.route.Kind == routing.Stream && resp.Status < http.StatusMultipleChoices {
+	if w.route.Kind == routing.Stream && success {
 		return w.relayStream(ctx, cancel, resp)
 	}
 	return w.relayPlain(ctx, resp)
--- a/internal/edge/reading.go
+++ b/internal/edge/reading.go
@@ -21,10 +21,10 @@
 
 	// registerWait is how long a node that starts waits for the register, and
 	// peersWait for its peers, before it reads by itself. The store writes 150 rows of
-	// the register a second, so that the last of 80 nodes waits half a second; a
-	// message to peers comes each 100 ms.
-	registerWait = 500 * time.Millisecond
-	peersWait    = 600 * time.Millisecond
+	// the register a second, so that the last of 80 nodes waits half a second, and the
+	// first of their messages to peers come within another.
+	registerWait = time.Second
+	peersWait    = 1500 * time.Millisecond
 
 	// cantReadFor is how long a node whose call failed, or that had no answer for
 	// too long, leaves reading to others.
--- a/internal/feed/reader.go
+++ b/internal/feed/reader.go
@@ -40,6 +40,8 @@
 		version int64 // version is the newest of all tables that was taken.
 		known   bool  // known says that version is set.
 		lost    bool
+		reads   bool  // reads says that this node read when it last looked.
+		calls   int64 // calls counts the calls so far.
 	}
 )
 
@@ -47,7 +49,7 @@
 func (r *Reader) Run(ctx context.Context) {
 	backoff := retryFirst
 	for ctx.Err() == nil {
-		if !r.Wanted(time.Now()) {
+		if !r.wanted(time.Now()) {
 			pause.For(ctx, idlePoll)
 			continue
 		}
@@ -68,8 +70,19 @@
 	}
 }
 
+// wanted reports whether this node should read, and logs a change.
+func (r *Reader) wanted(now time.Time) bool {
+	reads := r.Wanted(now)
+	if reads != r.reads {
+		r.Log.Info("reading of the store", "table", r.Table.Name(), "reads", reads, "version", r.version, "calls", r.calls)
+	}
+	r.reads = reads
+	return reads
+}
+
 // once makes one call and takes its answer.
 func (r *Reader) once(ctx context.Context) error {
+	r.calls++
 	if last, ok := r.Table.Last(); ok && last > r.version {
 		r.version, r.known = last, true // A peer told more while this node did not read.
 	}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -20,8 +20,11 @@
 	// prompts of about two requests meanwhile.
 	every = 100 * time.Millisecond
 
-	// aliveFor is how long a peer counts as alive after its last message.
-	aliveFor = 1200 * time.Millisecond
+	// aliveFor is how long a peer counts as alive after its last message, and
+	// aliveFarIdle one in another hall that serves hardly any requests, where
+	// messages are rarest: one of them may be lost.
+	aliveFor     = 1200 * time.Millisecond
+	aliveFarIdle = 2*farIdle*every + 500*time.Millisecond
 
 	// quietFor is how long a peer that is not heard still gets every message;
 	// afterwards it gets one in slowDown.
@@ -33,14 +36,12 @@
 
 	// manyPeers is how many peers make messages rarer, in turns from one to the
 	// next: to other halls, since bytes between halls are paid for, and between
-	// nodes of which one serves hardly any requests and has no loads to tell. A peer
-	// that misses one of the rarest still hears the next while the sender counts as
-	// alive.
+	// nodes of which one serves hardly any requests and has no loads to tell.
 	manyPeers = 12
 	nearTurns = 1
 	farTurns  = 2
 	nearIdle  = 3
-	farIdle   = 5
+	farIdle   = 20
 
 	// busyRate is how many requests a second make a node busy; the platform's own
 	// checks reach each node about once a second.
@@ -79,7 +80,7 @@
 
 		mu    sync.Mutex
 		peers map[string]*Peer
-		busy  bool // busy says that this node serves requests.
+		said  Said // said is what this node told last.
 		seq   uint32
 		sent  [remembered]time.Time    // sent holds when the newest messages were sent, by number
 		uses  [farIdle][]placement.Use // uses holds the prompt parts told in the newest turns, by turn
@@ -131,13 +132,22 @@
 	defer g.mu.Unlock()
 	var out []Peer
 	for _, p := range g.peers {
-		if now.Sub(p.heard) <= aliveFor {
+		if g.alive(now, p) {
 			out = append(out, *p)
 		}
 	}
 	return out
 }
 
+// alive reports whether a peer was heard lately; the caller holds the lock.
+func (g *Gossip) alive(now time.Time, p *Peer) bool {
+	limit := aliveFor
+	if g.turns(p) == farIdle {
+		limit = aliveFarIdle
+	}
+	return now.Sub(p.heard) <= limit
+}
+
 // Met returns the names of all peers that are known, heard or not.
 func (g *Gossip) Met() []string {
 	g.mu.Lock()
--- a/internal/gossip/receive.go
+++ b/internal/gossip/receive.go
@@ -57,7 +57,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	p := g.peers[m.Name]
-	if p != nil && p.Incarnation > m.Incarnation && now.Sub(p.heard) <= aliveFor {
+	if p != nil && p.Incarnation > m.Incarnation && g.alive(now, p) {
 		return Self{}, time.Time{}, false
 	}
 	same := p != nil && p.Incarnation == m.Incarnation
@@ -67,7 +67,7 @@
 	case m.Peer == "":
 		self = p.Self
 	}
-	if !same || now.Sub(p.heard) > aliveFor {
+	if !same || !g.alive(now, p) {
 		g.log.Info("peer heard", "peer", m.Name, "incarnation", m.Incarnation, "address", m.Peer, "ready", said.Ready)
 	}
 	if p == nil {
--- a/internal/gossip/send.go
+++ b/internal/gossip/send.go
@@ -23,7 +23,7 @@
 	now := time.Now()
 	said := g.node.Say(now)
 	g.uses[turn%farIdle] = said.Uses
-	g.setBusy(said.Rate >= busyRate)
+	g.told(said)
 	m := message{Seq: g.number(now), Name: g.self.Name, Incarnation: g.self.Incarnation}
 	encoded := map[int]cbor.RawMessage{} // by the turns that the message tells of
 	for _, to := range targets {
@@ -78,11 +78,11 @@
 	return g.seq
 }
 
-// setBusy records whether this node serves requests.
-func (g *Gossip) setBusy(busy bool) {
+// told records what this node tells.
+func (g *Gossip) told(s Said) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.busy = busy
+	g.said = s
 }
 
 // targets returns whom to send to this turn, and forgets peers that are long gone.
@@ -107,12 +107,14 @@
 	return out
 }
 
-// turns returns how many turns lie between two messages to a peer.
+// turns returns how many turns lie between two messages to a peer. Nodes that read
+// the platform's store tell all others what they have, and whether they live, as
+// often as busy nodes tell each other their loads.
 func (g *Gossip) turns(p *Peer) int {
 	if len(g.peers) <= manyPeers {
 		return nearTurns
 	}
-	idle := !g.busy || p.Said.Rate < busyRate
+	idle := !(g.said.busy() && p.Said.busy()) && !g.said.reads() && !p.Said.reads()
 	far := p.Hall != g.self.Hall
 	switch {
 	case idle && far:
