Take the headers of one connection off in one place; sort engines once a batch; compare all settings at a reload

Ruled out: a change of what callers see (front states the length of a plain answer as before). Change: internal/header; pools are sorted when first used after a change; needsRestart compares all but the reloadable settings; nodes of other halls that do not read the store count as alive for 4.5 s where nodes are many.

--- a/internal/dispatch/walk.go
+++ b/internal/dispatch/walk.go
@@ -286,7 +286,7 @@
 	}
 	w.d.log.Info("request ended", "request", w.req.ID, "route", w.route.Name, "team", team, "urgency", routing.Urgency(w.route, w.team), "pool", w.pool,
 		"outcome", outcome, "status", w.status, "engine", w.choice.Engine.ID, "sent", w.sent, "unsent", w.unsent,
-		"cost_ms", int(w.choice.Cost), "wait_ms", int(w.choice.Wait), "prompt_tokens", w.req.Prompt.Tokens, "unread_tokens", w.choice.Unread,
+		"cost_ms", int(w.choice.Cost), "wait_ms", int(w.choice.Wait), "prompt_tokens", w.req.Prompt.Tokens, "session", w.req.Prompt.Session(), "unread_tokens", w.choice.Unread,
 		"first_ms", w.first.Milliseconds(), "gap_ms", w.gap.Milliseconds(), "total_ms", now.Sub(w.arrived).Milliseconds(), "patience_ms", w.deadline.Sub(w.arrived).Milliseconds(),
 		"come_back_ms", w.refused.ComeBack.Milliseconds(), "config_version", w.d.Version(), "proof_age_ms", w.d.proof.AgeMs(now))
 	w.d.observer.Ended(w.route.Name, outcome, w.first, now.Sub(w.arrived))
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -347,3 +347,27 @@
 		t.Errorf("%d nodes share, want 3", got)
 	}
 }
+
+// TestNeedsRestart holds that a change of what is read at the start only is told,
+// and that one of what a reload puts in force is not.
+func TestNeedsRestart(t *testing.T) {
+	running := newSettings(t, "n", "127.0.0.1:1")
+	for name, test := range map[string]struct {
+		change func(s *settings.Settings)
+		want   bool
+	}{
+		"nothing":       {func(*settings.Settings) {}, false},
+		"retries":       {func(s *settings.Settings) { s.RetryExtra, s.RetryShare = 9, 0.9 }, false},
+		"keys":          {func(s *settings.Settings) { s.RevokeWithinMs, s.ServeUnproven = 700, true }, false},
+		"first start":   {func(s *settings.Settings) { s.FirstStart = true }, false},
+		"second store":  {func(s *settings.Settings) { s.PlatformAddresses = append([]string{"127.0.0.1:1"}, "127.0.0.1:2") }, true},
+		"engines' time": {func(s *settings.Settings) { s.EngineDrainMs = 900 }, true},
+		"headers":       {func(s *settings.Settings) { s.MaxHeaderBytes = 8192 }, true},
+	} {
+		next := *running
+		test.change(&next)
+		if got := needsRestart(running, &next); got != test.want {
+			t.Errorf("%s: restart needed %v, want %v", name, got, test.want)
+		}
+	}
+}
--- a/internal/edge/reload.go
+++ b/internal/edge/reload.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"reflect"
 	"runtime/debug"
 	"time"
 
@@ -22,14 +23,16 @@
 	e.budget.SetLimits(retryLimits(s))
 	setMemoryLimit(s)
 	e.log.Info("settings reloaded", "revoke_within_ms", s.RevokeWithinMs, "retry_share", s.RetryShare, "retry_extra", s.RetryExtra,
-		"memory_mb", s.MemoryMb, "restart_needed", !sameSettings(s, e.settings))
+		"memory_mb", s.MemoryMb, "restart_needed", needsRestart(e.settings, s))
 }
 
-// sameSettings reports whether two settings are alike in what needs a restart.
-func sameSettings(a, b *settings.Settings) bool {
-	return a.Instance == b.Instance && a.Hall == b.Hall && a.CallerAddress == b.CallerAddress && a.DirectoryAddress == b.DirectoryAddress &&
-		a.ReadyAddress == b.ReadyAddress && a.PeerAddress == b.PeerAddress && a.AdminAddress == b.AdminAddress && a.StopGraceMs == b.StopGraceMs &&
-		a.RetryWindowMs == b.RetryWindowMs && len(a.PlatformAddresses) == len(b.PlatformAddresses) && a.PlatformAddresses[0] == b.PlatformAddresses[0]
+// needsRestart reports whether settings differ in what is read at the start only.
+func needsRestart(running, next *settings.Settings) bool {
+	same := *next
+	same.RevokeWithinMs, same.ServeUnproven = running.RevokeWithinMs, running.ServeUnproven
+	same.RetryShare, same.RetryExtra, same.MemoryMb = running.RetryShare, running.RetryExtra, running.MemoryMb
+	same.FirstStart = running.FirstStart // It is of the last start.
+	return !reflect.DeepEqual(&same, running)
 }
 
 // proofLife returns how long a proof of the configuration holds.
--- a/internal/front/service.go
+++ b/internal/front/service.go
@@ -6,11 +6,12 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strings"
+	"strconv"
 	"time"
 
 	"github.com/croftturn/croftturn/internal/broker"
 	"github.com/croftturn/croftturn/internal/engine"
+	"github.com/croftturn/croftturn/internal/header"
 	"github.com/croftturn/croftturn/internal/sched"
 	"github.com/croftturn/croftturn/internal/telemetry"
 )
@@ -18,12 +19,6 @@
 // copyBuffer is how much of a plain answer is passed on at once, in bytes.
 const copyBuffer = 32 << 10
 
-// hopByHop are the headers that concern one connection only.
-var hopByHop = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer",
-	"Transfer-Encoding", "Upgrade",
-}
-
 // plain is the exchange of one plain call.
 type plain struct {
 	f    *Front
@@ -45,14 +40,14 @@
 // send makes the call at one backend server and passes its answer on.
 func (x *plain) send(ctx context.Context, w http.ResponseWriter, g sched.Grant) (sched.Result, error) {
 	started := time.Now()
-	header := endToEnd(x.c.request.Header)
-	header.Del("Authorization") // The team's token is between the caller and the router.
-	header.Set(engine.HeaderRequestID, x.c.id)
+	h := header.EndToEnd(x.c.request.Header)
+	h.Del("Authorization") // The team's token is between the caller and the router.
+	h.Set(engine.HeaderRequestID, x.c.id)
 	if x.c.key != "" {
-		header.Set(HeaderKey, x.c.keyInSystem())
+		h.Set(HeaderKey, x.c.keyInSystem())
 	}
-	telemetry.Propagator.Inject(ctx, headerCarrier(header))
-	resp, err := x.f.engines.Do(ctx, x.c.request.Method, "http://"+g.Engine.Address+x.c.path, header, x.c.body)
+	telemetry.Propagator.Inject(ctx, headerCarrier(h))
+	resp, err := x.f.engines.Do(ctx, x.c.request.Method, "http://"+g.Engine.Address+x.c.path, h, x.c.body)
 	if err == nil {
 		err = x.pass(w, resp)
 	}
@@ -110,9 +105,12 @@
 func (x *plain) copyHeader(w http.ResponseWriter, resp *http.Response) {
 	x.sent = true
 	h := w.Header()
-	for k, v := range endToEnd(resp.Header) {
+	for k, v := range header.EndToEnd(resp.Header) {
 		h[k] = v
 	}
+	if resp.ContentLength >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
+	}
 	h.Set(HeaderRequestID, x.c.id)
 	h.Set(HeaderOutcome, OutcomeCompleted)
 	w.WriteHeader(resp.StatusCode)
@@ -121,17 +119,3 @@
 // breakOff cuts the connection, so that the caller sees that its answer is not
 // whole.
 func (x *plain) breakOff(http.ResponseWriter, *CallerError) { panic(http.ErrAbortHandler) }
-
-// endToEnd returns a copy of headers without those of one connection.
-func endToEnd(h http.Header) http.Header {
-	out := h.Clone()
-	for _, line := range h.Values("Connection") {
-		for _, name := range strings.Split(line, ",") {
-			out.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopByHop {
-		out.Del(name)
-	}
-	return out
-}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -20,11 +20,11 @@
 	// prompts of about two requests meanwhile.
 	every = 100 * time.Millisecond
 
-	// aliveFor is how long a peer counts as alive after its last message, and
-	// aliveFarIdle one in another hall that serves hardly any requests, where
-	// messages are rarest: one of them may be lost.
-	aliveFor     = 1200 * time.Millisecond
-	aliveFarIdle = 2*farIdle*every + 500*time.Millisecond
+	// aliveFor is how long a peer counts as alive after its last message. Where nodes
+	// are many, aliveFar is it for peers in other halls that do not read the store:
+	// their messages are rarest, and one of them may be lost.
+	aliveFor = 1200 * time.Millisecond
+	aliveFar = 2*farIdle*every + 500*time.Millisecond
 
 	// quietFor is how long a peer that is not heard still gets every message;
 	// afterwards it gets one in slowDown.
@@ -141,11 +141,10 @@
 
 // alive reports whether a peer was heard lately; the caller holds the lock.
 func (g *Gossip) alive(now time.Time, p *Peer) bool {
-	limit := aliveFor
-	if g.turns(p) == farIdle {
-		limit = aliveFarIdle
+	if len(g.peers) > manyPeers && p.Hall != g.self.Hall && !p.Said.reads() {
+		return now.Sub(p.heard) <= aliveFar
 	}
-	return now.Sub(p.heard) <= limit
+	return now.Sub(p.heard) <= aliveFor
 }
 
 // Met returns the names of all peers that are known, heard or not.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -48,7 +48,7 @@
 
 		mu      sync.Mutex
 		engines map[string]*engine
-		pools   map[string][]*engine // sorted by the order in which engines are kept for streams
+		pools   map[string][]*engine // pools are sorted by the order in which engines are kept for streams; nil once an engine changed.
 		cache   cache
 		uses    []Use // uses since the last call of TakeUses
 	}
@@ -69,7 +69,7 @@
 		p.engines[e.ID] = known
 	}
 	known.Engine = e
-	p.sortPools()
+	p.pools = nil
 }
 
 // Remove forgets an engine.
@@ -81,7 +81,7 @@
 	}
 	delete(p.engines, id)
 	p.cache.forget(id)
-	p.sortPools()
+	p.pools = nil
 }
 
 // Known reports whether any engine is known.
@@ -91,8 +91,17 @@
 	return len(p.engines) > 0
 }
 
-// sortPools rebuilds the lists of engines by pool. The order is by hash, so that
-// all nodes keep the same engines for streams.
+// pool returns the engines of a pool that take new work. The lists are rebuilt when
+// they are first used after a change, since engines change many at once. The order is
+// by hash, so that all nodes keep the same engines for streams.
+func (p *Placement) pool(name string) []*engine {
+	if p.pools == nil {
+		p.sortPools()
+	}
+	return p.pools[name]
+}
+
+// sortPools rebuilds the lists of engines by pool.
 func (p *Placement) sortPools() {
 	p.pools = map[string][]*engine{}
 	for _, e := range p.engines {
@@ -110,7 +119,7 @@
 func (p *Placement) Choose(now time.Time, r Request) (choice Choice, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := p.pools[r.Pool]
+	list := p.pool(r.Pool)
 	ranks := rank(list, r.Prompt.Session())
 	usual := usualPace(list)
 	gather := gatherOn(now, list)
