Gather changes of the store's tables for a tenth of a second

Ruled out: heartbeats of engines waking the call (calls that bring nothing are those whose wait ended). Change: after an answer with changes the reader waits 100 ms before it asks again. TestChangesAreGathered fails before (40 calls).

--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -227,3 +227,27 @@
 		t.Errorf("the peer has %v, want only x", got)
 	}
 }
+
+// TestChangesAreGathered holds that changes which come one after another are fetched
+// in few calls, and that the last of them is.
+func TestChangesAreGathered(t *testing.T) {
+	const changes = 40
+	ctx, cancel := context.WithCancel(context.Background())
+	begin := time.Now()
+	source := &script{}
+	source.next = func(call string) (feed.Snapshot, error) {
+		newest := min(1+int64(time.Since(begin)/(5*time.Millisecond)), changes) // One change each 5 ms.
+		if newest == changes {
+			cancel()
+		}
+		return feed.Snapshot{Rows: []feed.Row{row("a", fmt.Sprint(newest), newest)}, Version: newest}, nil
+	}
+	s := &sink{}
+	r := &feed.Reader{
+		Table: feed.NewTable("t", s.take), Source: source, Wanted: func(time.Time) bool { return true }, Lost: func(time.Time) {}, Log: quiet,
+	}
+	r.Run(ctx)
+	if got := len(source.calls); got > 8 || s.live()["a"] != fmt.Sprint(changes) {
+		t.Errorf("%d calls for %d changes in 200 ms, the last is %v", got, changes, s.live())
+	}
+}
--- a/internal/feed/reader.go
+++ b/internal/feed/reader.go
@@ -16,6 +16,10 @@
 	retryFirst = 50 * time.Millisecond
 	retryMost  = 800 * time.Millisecond
 
+	// gather is the pause after changes, so that the next call brings several where
+	// changes come one after another, as when engines start; each call is paid for.
+	gather = 100 * time.Millisecond
+
 	// idlePoll is how often a node that does not read looks whether it should.
 	idlePoll = 100 * time.Millisecond
 )
@@ -101,6 +105,9 @@
 	}
 	r.Table.Change(time.Now(), snap.Rows)
 	r.took(snap)
+	if len(snap.Rows) > 0 {
+		pause.For(ctx, gather)
+	}
 	return nil
 }
 
