Serve chat completions on the users' platform as a second decoder of the dispatcher

Ruled out: moving internal/front's own walk (claims, tickets, brokers) to the dispatcher: it rewrites answers and guards keys over nodes, which the platform makes needless.

--- a/internal/dispatch/refusal.go
+++ b/internal/dispatch/refusal.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "time"
+import (
+	"net/http"
+	"time"
+)
 
 const (
 	// NoRoute says that no route has the host and path.
@@ -56,3 +59,34 @@
 		ComeBack time.Duration // ComeBack is when the caller should ask again; 0 if it should not, or at once.
 	}
 )
+
+// statuses are the HTTP statuses of refusals. 408, 429 and 503 promise that the
+// request has not run; 502 and 504 promise nothing.
+var statuses = map[Reason]int{
+	NoRoute:    http.StatusNotFound,
+	UnknownKey: http.StatusUnauthorized,
+	TooLarge:   http.StatusRequestEntityTooLarge,
+	BadRequest: http.StatusBadRequest,
+	TooSlow:    http.StatusRequestTimeout,
+	NotReady:   http.StatusServiceUnavailable,
+	Stale:      http.StatusServiceUnavailable,
+	Stopping:   http.StatusServiceUnavailable,
+	NoEngine:   http.StatusServiceUnavailable,
+	Busy:       http.StatusServiceUnavailable,
+	Full:       http.StatusServiceUnavailable,
+	Broken:     http.StatusBadGateway,
+	TimedOut:   http.StatusGatewayTimeout,
+}
+
+// Status returns the HTTP status of a refusal.
+func (r Reason) Status() int {
+	if status, ok := statuses[r]; ok {
+		return status
+	}
+	return http.StatusBadGateway
+}
+
+// MayHaveRun reports whether a refused request may have run nevertheless.
+func (r Reason) MayHaveRun() bool {
+	return r.Status() == http.StatusBadGateway || r.Status() == http.StatusGatewayTimeout
+}
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -25,6 +25,7 @@
 		Host         string
 		Path         string
 		Key          string
+		Model        string // Model is what an engine is asked for; empty where Header says it in the engines' own way.
 		Prompt       placement.Prompt
 		OutputTokens int           // OutputTokens is the most that the answer may have; 0 if unknown.
 		Patience     time.Duration // Patience is how long the caller waits; 0 if it does not say.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -21,6 +21,7 @@
 	"github.com/croftturn/croftturn/internal/dispatch"
 	"github.com/croftturn/croftturn/internal/feed"
 	"github.com/croftturn/croftturn/internal/freshness"
+	"github.com/croftturn/croftturn/internal/front"
 	"github.com/croftturn/croftturn/internal/gossip"
 	"github.com/croftturn/croftturn/internal/logline"
 	"github.com/croftturn/croftturn/internal/peer"
@@ -108,6 +109,12 @@
 	wg      sync.WaitGroup
 }
 
+// listener is an address and what is served there.
+type listener struct {
+	address string
+	handler http.Handler
+}
+
 // Start starts a node; logs go to out. Close stops it.
 func Start(ctx context.Context, s *settings.Settings, out io.Writer) (*Edge, error) {
 	debug.SetGCPercent(gcPercent)
@@ -172,15 +179,16 @@
 	s := e.settings
 	control := http.NewServeMux()
 	control.Handle("GET /metrics", e.tele.Metrics)
-	servers := []struct {
-		address string
-		handler http.Handler
-	}{
+	servers := []listener{
 		{s.CallerAddress, platform.NewIngress(e.dispatcher, platform.Limits{Read: ms(s.ReadTimeoutMs), Write: ms(s.WriteTimeoutMs)})},
 		{s.DirectoryAddress, platform.NewDirectory(e, e.log)},
 		{s.ReadyAddress, platform.NewReady(e)},
 		{s.AdminAddress, control},
 	}
+	if s.ChatAddress != "" {
+		completions := front.NewCompletions(e.dispatcher, front.Limits{MaxBody: int64(s.MaxBodyBytes), WriteTimeout: ms(s.WriteTimeoutMs)}, e.log)
+		servers = append(servers, listener{s.ChatAddress, completions})
+	}
 	for _, each := range servers {
 		if err := e.serve(each.address, each.handler); err != nil {
 			return err
--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -89,6 +89,13 @@
 // fail answers with an error.
 func (f *Front) fail(w http.ResponseWriter, id string, e *CallerError) {
 	f.extend(w)
+	if err := e.write(w, id); err != nil {
+		f.tele.Log.Debug("error answer not delivered", "request", id, "error", err.Error())
+	}
+}
+
+// write writes the answer to a request.
+func (e *CallerError) write(w http.ResponseWriter, id string) error {
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
 	h.Set(HeaderOutcome, e.outcome())
@@ -101,8 +108,9 @@
 	}
 	w.WriteHeader(e.Status)
 	if _, err := w.Write(e.body(id)); err != nil {
-		f.tele.Log.Debug("error answer not delivered", "request", id, "error", err.Error())
+		return fmt.Errorf("write error answer: %w", err)
 	}
+	return nil
 }
 
 // replay answers with an outcome that was recorded, here or at another node.
--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -56,6 +56,33 @@
 	}
 )
 
+// completion is what the router reads of a chat completion.
+type completion struct {
+	Model     string            `json:"model"`
+	Messages  []json.RawMessage `json:"messages"`
+	Stream    bool              `json:"stream"`
+	MaxTokens int               `json:"max_tokens"`
+	MaxNew    int               `json:"max_completion_tokens"`
+	Options   struct {
+		IncludeUsage bool `json:"include_usage"`
+	} `json:"stream_options"`
+}
+
+// outputTokens returns the most tokens that the answer may have; 0 if not given.
+func (c *completion) outputTokens() int { return max(c.MaxTokens, c.MaxNew) }
+
+// parseCompletion reads the body of a chat completion.
+func parseCompletion(body []byte) (*completion, *CallerError) {
+	doc := &completion{}
+	if err := json.Unmarshal(body, doc); err != nil {
+		return nil, &CallerError{Status: http.StatusBadRequest, Code: "bad_body", Message: "the body is not a chat completion: " + err.Error()}
+	}
+	if len(doc.Messages) == 0 {
+		return nil, &CallerError{Status: http.StatusBadRequest, Code: "bad_body", Message: "messages is missing or empty"}
+	}
+	return doc, nil
+}
+
 // newID returns a random request id.
 func newID() string {
 	var b [12]byte
@@ -95,17 +122,31 @@
 
 // authenticate finds the caller's team.
 func authenticate(view *config.View, r *http.Request) (*config.Team, *CallerError) {
-	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	token := bearerToken(r)
 	team := view.TeamByToken(token)
-	if !ok || team == nil {
+	if token == "" || team == nil {
 		return nil, &CallerError{Status: http.StatusUnauthorized, Code: "bad_token", Message: "the bearer token is missing or not known"}
 	}
 	return team, nil
 }
 
+// bearerToken returns the caller's bearer token, or nothing.
+func bearerToken(r *http.Request) string {
+	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return ""
+	}
+	return token
+}
+
 // readBody reads a bounded body; one that is cut short is refused.
 func (f *Front) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *CallerError) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, f.limits.MaxBody))
+	return readBody(w, r, f.limits.MaxBody)
+}
+
+// readBody reads a body of a bounded length.
+func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *CallerError) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
@@ -122,31 +163,19 @@
 	if failure != nil {
 		return nil, failure
 	}
-	var doc struct {
-		Model     string            `json:"model"`
-		Messages  []json.RawMessage `json:"messages"`
-		Stream    bool              `json:"stream"`
-		MaxTokens int               `json:"max_tokens"`
-		MaxNew    int               `json:"max_completion_tokens"`
-		Options   struct {
-			IncludeUsage bool `json:"include_usage"`
-		} `json:"stream_options"`
-	}
-	if err := json.Unmarshal(c.body, &doc); err != nil {
-		return nil, &CallerError{Status: http.StatusBadRequest, Code: "bad_body", Message: "the body is not a chat completion: " + err.Error()}
+	doc, failure := parseCompletion(c.body)
+	if failure != nil {
+		return nil, failure
 	}
 	if err := json.Unmarshal(c.body, &c.fields); err != nil {
 		return nil, &CallerError{Status: http.StatusBadRequest, Code: "bad_body", Message: "the body is not a JSON object"}
 	}
-	if len(doc.Messages) == 0 {
-		return nil, &CallerError{Status: http.StatusBadRequest, Code: "bad_body", Message: "messages is missing or empty"}
-	}
 	c.pool = f.views.View().PoolForModel(doc.Model)
 	if c.pool == nil {
 		return nil, &CallerError{Status: http.StatusNotFound, Code: "model_not_found", Message: "no model " + strconv.Quote(doc.Model)}
 	}
 	c.model, c.stream, c.wantUsage = doc.Model, doc.Stream, doc.Options.IncludeUsage
-	c.maxTokens = max(doc.MaxTokens, doc.MaxNew)
+	c.maxTokens = doc.outputTokens()
 	c.prompt = len(c.body) / bytesPerToken
 	if len(doc.Messages[0]) >= leastPrefix {
 		c.prefix = strconv.FormatUint(xxhash.Sum64(doc.Messages[0]), 36)
--- /dev/null
+++ b/internal/front/completions.go
@@ -0,0 +1,136 @@
+package front
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/croftturn/croftturn/internal/dispatch"
+	"github.com/croftturn/croftturn/internal/placement"
+	"github.com/croftturn/croftturn/internal/reply"
+	"github.com/croftturn/croftturn/internal/routing"
+)
+
+// HeaderPatience is how long the caller of a chat completion waits, in milliseconds;
+// the route's time where it does not say.
+const HeaderPatience = "Croftturn-Patience-Ms"
+
+type (
+	// Dispatcher serves requests whose head was checked and whose body is read.
+	Dispatcher interface {
+		AwaitStart(ctx context.Context, arrived time.Time, r *dispatch.Request)
+		Check(now time.Time, r *dispatch.Request) (*routing.Route, *routing.Team, *dispatch.Refusal)
+		Serve(ctx context.Context, arrived time.Time, r *dispatch.Request, route *routing.Route, team *routing.Team, a dispatch.Answer)
+		Refused(now time.Time, r *dispatch.Request, refusal *dispatch.Refusal)
+	}
+
+	// Completions serves chat completions at a node of the users' platform: it decodes
+	// them into the requests that the node's dispatcher serves, as the platform's
+	// adapter does with those of the platform.
+	Completions struct {
+		dispatcher Dispatcher
+		limits     Limits
+		log        *slog.Logger
+	}
+
+	// completionAnswer writes the answer to one completion.
+	completionAnswer struct {
+		*reply.Writer
+		w   http.ResponseWriter
+		id  string
+		log *slog.Logger
+	}
+)
+
+// NewCompletions returns the handler.
+func NewCompletions(d Dispatcher, l Limits, log *slog.Logger) http.Handler {
+	c := &Completions{dispatcher: d, limits: l, log: log}
+	mux := http.NewServeMux()
+	mux.Handle("POST /v1/chat/completions", c)
+	return mux
+}
+
+// ServeHTTP serves one completion.
+func (c *Completions) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	arrived := time.Now()
+	a := &completionAnswer{Writer: reply.New(w, c.limits.WriteTimeout), w: w, id: newID(), log: c.log}
+	body, failure := readBody(w, r, c.limits.MaxBody)
+	if failure != nil {
+		a.fail(failure)
+		return
+	}
+	req, failure := decodeCompletion(r, a.id, body)
+	if failure != nil {
+		a.fail(failure)
+		return
+	}
+	c.dispatcher.AwaitStart(r.Context(), arrived, req)
+	now := time.Now()
+	route, team, refusal := c.dispatcher.Check(now, req)
+	if refusal != nil {
+		c.dispatcher.Refused(now, req, refusal)
+		a.Refuse(*refusal)
+		return
+	}
+	c.dispatcher.Serve(r.Context(), arrived, req, route, team, a)
+	a.Finish()
+}
+
+// decodeCompletion returns the request that a completion stands for.
+func decodeCompletion(r *http.Request, id string, body []byte) (*dispatch.Request, *CallerError) {
+	doc, failure := parseCompletion(body)
+	if failure != nil {
+		return nil, failure
+	}
+	req := &dispatch.Request{
+		ID: id, Host: r.Host, Path: r.URL.EscapedPath(), Target: r.URL.RequestURI(), Method: r.Method, Body: body,
+		Model: doc.Model, Prompt: doc.prompt(len(body)), OutputTokens: doc.outputTokens(),
+		Header: http.Header{"Content-Type": {"application/json"}},
+	}
+	req.Key = bearerToken(r)
+	if text := r.Header.Get(HeaderPatience); text != "" {
+		ms, err := strconv.Atoi(text)
+		if err != nil || ms <= 0 {
+			return nil, &CallerError{Status: http.StatusBadRequest, Code: "bad_patience", Message: HeaderPatience + " is not a number of milliseconds"}
+		}
+		req.Patience = time.Duration(ms) * time.Millisecond
+	}
+	return req, nil
+}
+
+// prompt returns the parts of the prompt. All messages but the last may be shared with
+// other requests, each as far as those before it are the same; lengths in tokens are
+// guessed from those in bytes.
+func (c *completion) prompt(bytes int) placement.Prompt {
+	p := placement.Prompt{Tokens: bytes / bytesPerToken}
+	for _, m := range c.Messages[:len(c.Messages)-1] {
+		p.Shared = append(p.Shared, placement.Part{ID: xxhash.Sum64(m), Tokens: len(m) / bytesPerToken})
+	}
+	return p
+}
+
+// Refuse gives the final answer where no engine gave one.
+func (a *completionAnswer) Refuse(r dispatch.Refusal) {
+	e := &CallerError{Status: r.Reason.Status(), Code: string(r.Reason), Message: "the request was not served: " + string(r.Reason), RetryAfter: r.ComeBack}
+	if r.Reason.MayHaveRun() {
+		e.Outcome = OutcomeUnknown
+	}
+	a.fail(e)
+}
+
+// fail answers with an error.
+func (a *completionAnswer) fail(e *CallerError) {
+	if err := e.write(a.w, a.id); err != nil {
+		a.log.Debug("error answer not delivered", "request", a.id, "error", err.Error())
+	}
+}
+
+// Begin begins an engine's answer.
+func (a *completionAnswer) Begin(resp *dispatch.Response) {
+	a.w.Header().Set(HeaderRequestID, a.id)
+	a.Writer.Begin(resp)
+}
--- /dev/null
+++ b/internal/front/completions_test.go
@@ -0,0 +1,154 @@
+package front
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/croftturn/croftturn/internal/dispatch"
+	"github.com/croftturn/croftturn/internal/routing"
+)
+
+// fakeDispatcher refuses requests, or serves them as a test says.
+type fakeDispatcher struct {
+	refusal *dispatch.Refusal
+	serve   func(a dispatch.Answer)
+	got     *dispatch.Request
+	refused int
+}
+
+func (*fakeDispatcher) AwaitStart(context.Context, time.Time, *dispatch.Request) {}
+
+func (d *fakeDispatcher) Check(_ time.Time, r *dispatch.Request) (*routing.Route, *routing.Team, *dispatch.Refusal) {
+	d.got = r
+	return &routing.Route{}, nil, d.refusal
+}
+
+func (d *fakeDispatcher) Serve(_ context.Context, _ time.Time, _ *dispatch.Request, _ *routing.Route, _ *routing.Team, a dispatch.Answer) {
+	d.serve(a)
+}
+
+func (d *fakeDispatcher) Refused(time.Time, *dispatch.Request, *dispatch.Refusal) { d.refused++ }
+
+// complete sends a body to a server of completions.
+func complete(t *testing.T, d *fakeDispatcher, body string, header map[string]string) (resp *http.Response, text string, err error) {
+	t.Helper()
+	limits := Limits{MaxBody: 4 << 10, WriteTimeout: time.Second}
+	server := httptest.NewServer(NewCompletions(d, limits, slog.New(slog.NewTextHandler(io.Discard, nil))))
+	t.Cleanup(server.Close)
+	req, err := http.NewRequest(http.MethodPost, server.URL+"/v1/chat/completions", strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, value := range header {
+		req.Header.Set(name, value)
+	}
+	resp, err = http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	got, err := io.ReadAll(resp.Body)
+	return resp, string(got), err
+}
+
+// conversation returns the body of a completion with a long first message.
+func conversation(last string) string {
+	return fmt.Sprintf(`{"model":"m","max_tokens":70,"stream":true,"messages":[{"role":"system","content":%q},{"role":"user","content":%q}]}`, strings.Repeat("x", 800), last)
+}
+
+// TestCompletionBecomesARequest holds what the dispatcher is given: that the first
+// messages are shared parts which are told alike in another conversation, and that
+// the answer passes unchanged.
+func TestCompletionBecomesARequest(t *testing.T) {
+	d := &fakeDispatcher{serve: func(a dispatch.Answer) {
+		a.Begin(&dispatch.Response{Status: 200, Header: http.Header{"Content-Type": {"text/event-stream"}, "Connection": {"close"}}, Length: -1})
+		if err := a.Write([]byte("data: 1\n\n")); err != nil {
+			t.Error(err)
+		}
+	}}
+	header := map[string]string{"Authorization": "Bearer k", HeaderPatience: "1500"}
+	resp, text, err := complete(t, d, conversation("one"), header)
+	if resp.StatusCode != 200 || text != "data: 1\n\n" || err != nil || resp.Header.Get(HeaderRequestID) != d.got.ID || d.got.ID == "" {
+		t.Errorf("got %d %q %v, id %q", resp.StatusCode, text, err, d.got.ID)
+	}
+	first := d.got
+	if first.Key != "k" || first.Model != "m" || first.OutputTokens != 70 || first.Patience != 1500*time.Millisecond || string(first.Body) != conversation("one") {
+		t.Errorf("got %+v", first)
+	}
+	if len(first.Prompt.Shared) != 1 || first.Prompt.Shared[0].Tokens < 200 || first.Prompt.Tokens <= first.Prompt.Shared[0].Tokens {
+		t.Errorf("prompt %+v", first.Prompt)
+	}
+	if _, _, err := complete(t, d, conversation("two"), header); err != nil || d.got.Prompt.Session() != first.Prompt.Session() || d.got.ID == first.ID {
+		t.Errorf("another conversation: %+v after %+v, %v", d.got.Prompt, first.Prompt, err)
+	}
+}
+
+// TestCompletionIsRefused holds the shape of refusals: the status, whether the request
+// ran, and when to come back.
+func TestCompletionIsRefused(t *testing.T) {
+	for _, test := range []struct {
+		refusal dispatch.Refusal
+		status  int
+		outcome string
+		after   string
+	}{
+		{dispatch.Refusal{Reason: dispatch.Busy, ComeBack: 400 * time.Millisecond}, 503, OutcomeNotRun, "400"},
+		{dispatch.Refusal{Reason: dispatch.UnknownKey}, 401, OutcomeNotRun, ""},
+		{dispatch.Refusal{Reason: dispatch.Broken}, 502, OutcomeUnknown, ""},
+		{dispatch.Refusal{Reason: dispatch.TimedOut}, 504, OutcomeUnknown, ""},
+	} {
+		resp, text, err := complete(t, &fakeDispatcher{refusal: &test.refusal}, conversation("x"), nil)
+		var doc struct {
+			Error struct {
+				Code    string `json:"code"`
+				Outcome string `json:"outcome"`
+			} `json:"error"`
+		}
+		if err = errors.Join(err, json.Unmarshal([]byte(text), &doc)); err != nil {
+			t.Fatal(err)
+		}
+		if resp.StatusCode != test.status || doc.Error.Outcome != test.outcome || resp.Header.Get(HeaderOutcome) != test.outcome ||
+			resp.Header.Get(HeaderRetryAfterMs) != test.after || doc.Error.Code != string(test.refusal.Reason) {
+			t.Errorf("%s: got %d %s %v", test.refusal.Reason, resp.StatusCode, text, resp.Header)
+		}
+	}
+}
+
+// TestBadCompletions holds that what is not understood whole reaches no dispatcher.
+func TestBadCompletions(t *testing.T) {
+	for body, want := range map[string]int{
+		`{`: 400, `[]`: 400, `{"model":"m","messages":[]}`: 400, strings.Repeat(" ", 5<<10): 413,
+	} {
+		d := &fakeDispatcher{}
+		if resp, text, err := complete(t, d, body, nil); resp.StatusCode != want || err != nil || d.got != nil {
+			t.Errorf("%.20q: got %d %s %v", body, resp.StatusCode, text, err)
+		}
+	}
+	d := &fakeDispatcher{}
+	if resp, _, _ := complete(t, d, conversation("x"), map[string]string{HeaderPatience: "soon"}); resp.StatusCode != 400 || d.got != nil {
+		t.Errorf("a patience that is no number: %d", resp.StatusCode)
+	}
+}
+
+// TestCompletionThatBreaksOff holds that an answer which is not whole does not look whole.
+func TestCompletionThatBreaksOff(t *testing.T) {
+	d := &fakeDispatcher{serve: func(a dispatch.Answer) {
+		a.Begin(&dispatch.Response{Status: 200, Header: http.Header{}, Length: -1})
+		if err := a.Write([]byte("data: 1\n\n")); err != nil {
+			t.Error(err)
+		}
+		a.Abort()
+	}}
+	if _, text, err := complete(t, d, conversation("x"), nil); err == nil {
+		t.Errorf("got %q as a whole answer", text)
+	}
+}
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -21,6 +21,10 @@
 	// CallerAddress is the IP address and port that callers connect to.
 	CallerAddress string `json:"caller_address"`
 
+	// ChatAddress is the IP address and port of chat completions on the users'
+	// platform; empty for none.
+	ChatAddress string `json:"chat_address,omitempty,omitzero"`
+
 	// ClaimGatherMs is how long claims are gathered into one transaction, in
 	// milliseconds.
 	ClaimGatherMs int `json:"claim_gather_ms,omitempty,omitzero"`
@@ -245,6 +249,12 @@
 	if matched, _ := regexp.MatchString(`^[0-9a-fA-F.:\[\]]+:[0-9]+$`, string(plain.CallerAddress)); !matched {
 		return fmt.Errorf("field %s pattern match: must match %s", "CallerAddress", `^[0-9a-fA-F.:\[\]]+:[0-9]+$`)
 	}
+	if v, ok := raw["chat_address"]; !ok || v == nil {
+		plain.ChatAddress = ""
+	}
+	if matched, _ := regexp.MatchString(`^([0-9a-fA-F.:\[\]]+:[0-9]+)?$`, string(plain.ChatAddress)); !matched {
+		return fmt.Errorf("field %s pattern match: must match %s", "ChatAddress", `^([0-9a-fA-F.:\[\]]+:[0-9]+)?$`)
+	}
 	if v, ok := raw["claim_gather_ms"]; !ok || v == nil {
 		plain.ClaimGatherMs = 10
 	}
