Soak: ways cut one way and reset, callers' ways, a store's clock that jumps, engines at fault in two ways, faults planted in the program

Planted faults were planted in ledgers only. Ruled out: datagrams cut one way, which needs an address to advertise beside the one that is listened on; not done.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test install generate lint run bench proofs slopes replay soak
+.PHONY: build test install generate lint run bench proofs slopes replay soak planted
 
 # build makes both programs.
 build:
@@ -54,3 +54,7 @@
 # own; the result is the same every time.
 replay:
 	go test -count=1 -v ./lab/replay
+
+# planted builds the node with planted faults and plays the soak until it finds each.
+planted:
+	SOAK_PLANTED=1 go test -count=1 -timeout 30m -v -run 'TestPlantedFaultsAreFound$$' ./lab/soak
--- a/lab/cluster/process.go
+++ b/lab/cluster/process.go
@@ -46,18 +46,22 @@
 	return Launch(c.path(name+".out"), name, program, args...)
 }
 
-// Launch starts a program whose output is added to a file, and collects its exit.
+// Launch starts a program whose output is added to a file, and collects its exit. A
+// program without a path is one of this repository's.
 func Launch(output, name, program string, args ...string) (*Process, error) {
-	dir, err := Build()
-	if err != nil {
-		return nil, err
+	if !filepath.IsAbs(program) {
+		dir, err := Build()
+		if err != nil {
+			return nil, err
+		}
+		program = filepath.Join(dir, program)
 	}
 	out, err := os.OpenFile(output, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
 		return nil, fmt.Errorf("open output: %w", err)
 	}
 	defer out.Close()
-	cmd := exec.Command(filepath.Join(dir, program), args...)
+	cmd := exec.Command(program, args...)
 	cmd.Stdout, cmd.Stderr = out, out
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	p := &Process{Name: name, cmd: cmd, done: make(chan struct{})}
--- a/lab/platform/platform.go
+++ b/lab/platform/platform.go
@@ -42,6 +42,7 @@
 		LagMs    int  `json:"lag_ms"`    // LagMs is how far the list of instances lags behind.
 		Deaf     bool `json:"deaf"`      // Deaf lets feeds hear nothing until their calls end.
 		Forget   bool `json:"forget"`    // Forget drops the history of changes, once.
+		ClockMs  int  `json:"clock_ms"`  // ClockMs is added to the steady clock, which then is not steady.
 	}
 
 	// Counts tells what the platform was asked.
@@ -119,8 +120,10 @@
 	}
 }
 
-// nowMs returns the steady clock that answers tell.
-func (p *Platform) nowMs() int64 { return time.Since(p.started).Milliseconds() }
+// nowMs returns the steady clock that answers tell; the caller holds the lock.
+func (p *Platform) nowMs() int64 {
+	return time.Since(p.started).Milliseconds() + int64(p.faults.ClockMs)
+}
 
 // answer writes a document.
 func answer(w http.ResponseWriter, status int, doc any) {
--- a/lab/relay/relay.go
+++ b/lab/relay/relay.go
@@ -14,10 +14,12 @@
 
 // Modes of a relay.
 const (
-	Pass  Mode = iota // Pass hands everything on.
-	Hold              // Hold takes bytes and hands nothing on, as a half-open connection does.
-	Cut               // Cut drops all connections and refuses new ones.
-	Delay             // Delay hands on late: everything, or as DelaySome says.
+	Pass     Mode = iota // Pass hands everything on.
+	Hold                 // Hold takes bytes and hands nothing on, as a half-open connection does.
+	HoldBack             // HoldBack hands on to the target, and nothing back, as a cut one way does.
+	Cut                  // Cut drops all connections and refuses new ones.
+	Reset                // Reset drops all connections once so that both ends see a reset, and hands on what comes later.
+	Delay                // Delay hands on late: everything, or as DelaySome says.
 )
 
 // Relay hands connections on to a target.
@@ -57,8 +59,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.mode = m
-	if m == Cut {
+	switch m {
+	case Cut:
 		r.dropAll()
+	case Reset:
+		r.resetAll()
 	}
 	r.changed.Broadcast()
 }
@@ -77,6 +82,17 @@
 	}
 }
 
+// resetAll closes all connections with a reset; the caller holds the lock.
+func (r *Relay) resetAll() {
+	for c := range r.conns {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			// Where the linger can't be set, the connection ends in order; that is a fault too.
+			_ = tcp.SetLinger(0)
+		}
+	}
+	r.dropAll()
+}
+
 // Close ends the relay and waits for its goroutines.
 func (r *Relay) Close() {
 	r.listener.Close()
@@ -105,8 +121,8 @@
 			continue
 		}
 		r.wg.Add(2)
-		go r.copy(in, out)
-		go r.copy(out, in)
+		go r.copy(in, out, false)
+		go r.copy(out, in, true)
 	}
 }
 
@@ -123,16 +139,15 @@
 	return true
 }
 
-// copy hands bytes on as the mode says.
-func (r *Relay) copy(from, to net.Conn) {
+// copy hands bytes on as the mode says; back tells the way from the target.
+func (r *Relay) copy(from, to net.Conn, back bool) {
 	defer r.wg.Done()
-	defer from.Close()
-	defer to.Close()
+	defer r.drop(from, to)
 	const size = 32 << 10
 	buf := make([]byte, size)
 	for {
 		n, err := from.Read(buf)
-		if err != nil || !r.pass() {
+		if err != nil || !r.pass(back) {
 			return
 		}
 		if _, err := to.Write(buf[:n]); err != nil {
@@ -141,11 +156,21 @@
 	}
 }
 
+// drop closes a pair of connections and forgets them.
+func (r *Relay) drop(conns ...net.Conn) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range conns {
+		c.Close()
+		delete(r.conns, c)
+	}
+}
+
 // pass waits as the mode says and returns whether to hand on.
-func (r *Relay) pass() bool {
+func (r *Relay) pass(back bool) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for r.mode == Hold && !r.closed {
+	for (r.mode == Hold || r.mode == HoldBack && back) && !r.closed {
 		r.changed.Wait()
 	}
 	if r.mode == Delay && (r.rand == nil || r.rand.Float64() < r.share) {
--- a/lab/soak/caller.go
+++ b/lab/soak/caller.go
@@ -103,7 +103,7 @@
 	if len(c.entries) == 0 {
 		return ""
 	}
-	return c.entries[c.rand.IntN(len(c.entries))]
+	return c.world.wayTo(c.entries[c.rand.IntN(len(c.entries))])
 }
 
 // ask asks one node for addresses.
--- a/lab/soak/engine.go
+++ b/lab/soak/engine.go
@@ -16,11 +16,11 @@
 // Modes of an engine.
 const (
 	modeWell       = iota
-	modeFails      // modeFails answers every second request with 500.
-	modeFull       // modeFull turns every second request away.
-	modeLoses      // modeLoses runs every second request and closes its connection.
-	modeMute       // modeMute answers every second request never.
-	modeBreaksOff  // modeBreaksOff ends every second stream after its first event.
+	modeFails      // modeFails answers with 500.
+	modeFull       // modeFull turns a request away.
+	modeLoses      // modeLoses runs a request and closes its connection.
+	modeMute       // modeMute never answers.
+	modeBreaksOff  // modeBreaksOff ends a stream after its first event.
 	modesOfEngines // modesOfEngines is how many there are.
 )
 
@@ -33,7 +33,8 @@
 	ledger   *Ledger
 	server   *http.Server
 	listener net.Listener
-	mode     atomic.Int64
+	odd      atomic.Int64 // odd is the mode for every second request.
+	even     atomic.Int64 // even is the mode for the others.
 	count    atomic.Int64
 	wg       sync.WaitGroup
 }
@@ -73,9 +74,9 @@
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return // The request did not come whole, and is not run.
 	}
-	mode := int(e.mode.Load())
+	mode := int(e.odd.Load())
 	if e.count.Add(1)%2 == 0 {
-		mode = modeWell
+		mode = int(e.even.Load())
 	}
 	if mode == modeFull {
 		w.Header().Set("Not-Executed", "1")
@@ -87,6 +88,7 @@
 	switch mode {
 	case modeFails:
 		w.WriteHeader(http.StatusInternalServerError)
+		fmt.Fprint(w, "failed")
 	case modeLoses:
 		panic(http.ErrAbortHandler)
 	case modeMute:
--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -40,6 +40,13 @@
 	{"cut a node from the store", longestFault, true, atStore(relay.Cut)},
 	{"silence the store for a node", longestFault, true, atStore(relay.Hold)},
 	{"delay the store for a node", longestFault, true, atStore(relay.Delay)},
+	{"answers of the store held back from a node", longestFault, true, atStore(relay.HoldBack)},
+	{"a node's connections to the store reset", 100 * time.Millisecond, true, atStore(relay.Reset)},
+	{"callers' connections to a node reset", 100 * time.Millisecond, false, atCallers(relay.Reset)},
+	{"answers of a node held back from callers", 2 * time.Second, false, atCallers(relay.HoldBack)},
+	{"callers delayed", 3 * time.Second, false, atCallers(relay.Delay)},
+	{"store's clock ahead", 4 * time.Second, false, store(platform.Faults{ClockMs: 20_000})},
+	{"store's clock behind", 4 * time.Second, false, store(platform.Faults{ClockMs: -20_000})},
 	{"store down", 4 * time.Second, true, store(platform.Faults{Down: true})},
 	{"store slow", 4 * time.Second, true, store(platform.Faults{SlowMs: 400})},
 	{"store loses answers", 2 * time.Second, true, store(platform.Faults{LoseAcks: 5})},
@@ -48,6 +55,8 @@
 	{"engine misbehaves", 4 * time.Second, false, misbehave},
 	{"way to an engine cut", 3 * time.Second, false, atEngine(relay.Cut)},
 	{"way to an engine silent", 3 * time.Second, false, atEngine(relay.Hold)},
+	{"answers of an engine held back", 3 * time.Second, false, atEngine(relay.HoldBack)},
+	{"connections to an engine reset", 100 * time.Millisecond, false, atEngine(relay.Reset)},
 	{"engine crashes", time.Second, false, crashEngine},
 	{"engine leaves", 2500 * time.Millisecond, false, drainEngine},
 	{"key taken away", 100 * time.Millisecond, false, revokeKey},
@@ -135,13 +144,23 @@
 
 // atStore returns a fault of the way between one node and the store.
 func atStore(m relay.Mode) func(context.Context, *World, *rand.Rand, time.Duration) error {
+	return onWay(m, func(n *node) *relay.Relay { return n.store })
+}
+
+// atCallers returns a fault of the way between callers and one node.
+func atCallers(m relay.Mode) func(context.Context, *World, *rand.Rand, time.Duration) error {
+	return onWay(m, func(n *node) *relay.Relay { return n.callers })
+}
+
+// onWay returns a fault of one of the ways of one node.
+func onWay(m relay.Mode, way func(n *node) *relay.Relay) func(context.Context, *World, *rand.Rand, time.Duration) error {
 	return func(ctx context.Context, w *World, r *rand.Rand, d time.Duration) error {
 		w.mu.Lock()
 		n := w.nodes[r.IntN(len(w.nodes))]
 		w.mu.Unlock()
-		n.store.Set(m)
+		way(n).Set(m)
 		pause.For(ctx, d)
-		n.store.Set(relay.Pass)
+		way(n).Set(relay.Pass)
 		return nil
 	}
 }
@@ -165,12 +184,14 @@
 	return e, w.relays[e.id]
 }
 
-// misbehave lets an engine misbehave in one of its ways.
+// misbehave lets an engine misbehave in one or two of its ways.
 func misbehave(ctx context.Context, w *World, r *rand.Rand, d time.Duration) error {
 	e, _ := w.anyEngine(r)
-	e.mode.Store(int64(r.IntN(modesOfEngines)))
+	e.odd.Store(int64(r.IntN(modesOfEngines)))
+	e.even.Store(int64(r.IntN(modesOfEngines)))
 	pause.For(ctx, d)
-	e.mode.Store(modeWell)
+	e.odd.Store(modeWell)
+	e.even.Store(modeWell)
 	return nil
 }
 
--- a/lab/soak/node.go
+++ b/lab/soak/node.go
@@ -11,12 +11,13 @@
 	"github.com/croftturn/croftturn/lab/relay"
 )
 
-// node is one node's process, and the relay between it and the store.
+// node is one node's process, and the relays between it and the store and callers.
 type node struct {
 	*cluster.Process
 	name, settings         string
 	front, directory, peer string
 	store                  *relay.Relay
+	callers                *relay.Relay
 	taken                  bool // taken says that a fault has the process in hand.
 	expected               bool // expected says that its end is no finding.
 }
@@ -25,7 +26,7 @@
 func (w *World) addNode(i int) error {
 	n := &node{name: fmt.Sprintf("node-%d", i)}
 	var err error
-	if n.store, err = relay.New(w.addr, storeDelay); err != nil {
+	if n.store, err = relay.New(w.addr, relayDelay); err != nil {
 		return fmt.Errorf("relay to store: %w", err)
 	}
 	var ready, admin string
@@ -34,6 +35,9 @@
 			return err
 		}
 	}
+	if n.callers, err = relay.New(n.front, relayDelay); err != nil {
+		return fmt.Errorf("relay to node: %w", err)
+	}
 	text, err := json.Marshal(map[string]any{
 		"instance": n.name, "hall": fmt.Sprintf("h%d", i%3), "region": "r", "caller_address": n.front, "directory_address": n.directory,
 		"ready_address": ready, "peer_address": n.peer, "admin_address": admin, "platform_addresses": []string{n.store.Address()},
@@ -54,7 +58,7 @@
 
 // launch starts a node's process; its end is a finding unless it is expected.
 func (w *World) launch(n *node) error {
-	p, err := cluster.Launch(filepath.Join(w.opts.Dir, n.name+".log"), n.name, "croftturn", "edge", n.settings)
+	p, err := cluster.Launch(filepath.Join(w.opts.Dir, n.name+".log"), n.name, w.opts.Program, "edge", n.settings)
 	if err != nil {
 		return err
 	}
--- a/lab/soak/run.go
+++ b/lab/soak/run.go
@@ -18,10 +18,14 @@
 	Faults  time.Duration // Faults is how long faults are injected.
 	Calm    time.Duration // Calm is how long requests are counted after the last fault.
 	Dir     string        // Dir takes settings and logs.
+	Program string        // Program is the node's; that of this repository if empty.
 }
 
 // Run runs a soak and returns the ledger of what was seen.
 func Run(ctx context.Context, o Options) (*Ledger, error) {
+	if o.Program == "" {
+		o.Program = "croftturn"
+	}
 	w, err := start(o)
 	if w != nil {
 		defer w.close()
--- a/lab/soak/world.go
+++ b/lab/soak/world.go
@@ -37,8 +37,8 @@
 	// stopGrace is the time from the signal to stop until a node must have ended.
 	stopGrace = 8 * time.Second
 
-	// storeDelay is what a relay that delays adds to each piece, in both directions.
-	storeDelay = 300 * time.Millisecond
+	// relayDelay is what a relay that delays adds to each piece, in both directions.
+	relayDelay = 300 * time.Millisecond
 )
 
 var routes = []string{routeSafe, routeUnsafe, routeStream, routeResumable}
@@ -104,6 +104,7 @@
 			n.Kill()
 		}
 		n.store.Close()
+		n.callers.Close()
 	}
 	for _, r := range w.relays {
 		r.Close()
@@ -124,7 +125,7 @@
 	if err != nil {
 		return err
 	}
-	r, err := relay.New(e.listener.Addr().String(), storeDelay)
+	r, err := relay.New(e.listener.Addr().String(), relayDelay)
 	if err != nil {
 		return fmt.Errorf("relay to engine: %w", err)
 	}
@@ -148,6 +149,18 @@
 	return w.nodes[r.IntN(len(w.nodes))].directory
 }
 
+// wayTo returns the address at which callers reach a node that has an address.
+func (w *World) wayTo(address string) string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, n := range w.nodes {
+		if n.front == address {
+			return n.callers.Address()
+		}
+	}
+	return address
+}
+
 // waitReady waits until every node names every node as an entry point.
 func (w *World) waitReady(within time.Duration) error {
 	c := newCaller(w, "probe", 1)
