Tell idle nodes of other halls no work; let half of the soak's engines misbehave at once

Ruled out: nodes that read the store (they tell all). Change: such messages hold neither loads nor uses; a soak's fault takes each engine with even odds.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -82,8 +82,8 @@
 		peers map[string]*Peer
 		said  Said // said is what this node told last.
 		seq   uint32
-		sent  [remembered]time.Time    // sent holds when the newest messages were sent, by number
-		uses  [farIdle][]placement.Use // uses holds the prompt parts told in the newest turns, by turn
+		sent  [remembered]time.Time     // sent holds when the newest messages were sent, by number
+		uses  [nearIdle][]placement.Use // uses holds the prompt parts told in the newest turns, by turn
 	}
 )
 
--- a/internal/gossip/send.go
+++ b/internal/gossip/send.go
@@ -5,8 +5,6 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
-
-	"github.com/croftturn/croftturn/internal/placement"
 )
 
 // target is a peer that gets a message this turn.
@@ -22,14 +20,13 @@
 	targets := g.targets(time.Now(), turn)
 	now := time.Now()
 	said := g.node.Say(now)
-	g.uses[turn%farIdle] = said.Uses
+	g.uses[turn%len(g.uses)] = said.Uses
 	g.told(said)
 	m := message{Seq: g.number(now), Name: g.self.Name, Incarnation: g.self.Incarnation}
 	encoded := map[int]cbor.RawMessage{} // by the turns that the message tells of
 	for _, to := range targets {
 		if encoded[to.turns] == nil {
-			said.Uses = g.usesOf(turn, to.turns)
-			raw, err := cbor.Marshal(said)
+			raw, err := cbor.Marshal(g.saidTo(said, turn, to.turns))
 			if err != nil {
 				g.log.Error("message to peers not encoded", "error", err.Error())
 				return
@@ -57,16 +54,19 @@
 	}
 }
 
-// usesOf returns the prompt parts told in the last turns.
-func (g *Gossip) usesOf(turn, turns int) []placement.Use {
-	if turns == 1 {
-		return g.uses[turn%farIdle]
+// saidTo returns what is told to peers that get a message each so many turns: the
+// prompt parts used since the last one. Idle nodes of other halls place hardly any
+// requests, and bytes between halls are paid for: they are told no work of others.
+func (g *Gossip) saidTo(s Said, turn, turns int) Said {
+	if turns == farIdle {
+		s.Loads, s.Uses = nil, nil
+		return s
 	}
-	var out []placement.Use
+	s.Uses = nil
 	for back := range min(turns, turn+1) {
-		out = append(out, g.uses[(turn-back)%farIdle]...)
+		s.Uses = append(s.Uses, g.uses[(turn-back)%len(g.uses)]...)
 	}
-	return out
+	return s
 }
 
 // number returns the number of the next message and remembers when it is sent.
--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -52,7 +52,7 @@
 	{"store loses answers", 2 * time.Second, true, store(platform.Faults{LoseAcks: 5})},
 	{"store's feeds deaf", 2 * time.Second, true, store(platform.Faults{Deaf: true})},
 	{"store forgets", 100 * time.Millisecond, true, store(platform.Faults{Forget: true})},
-	{"engine misbehaves", 4 * time.Second, false, misbehave},
+	{"engines misbehave", 4 * time.Second, false, misbehave},
 	{"way to an engine cut", 3 * time.Second, false, atEngine(relay.Cut)},
 	{"way to an engine silent", 3 * time.Second, false, atEngine(relay.Hold)},
 	{"answers of an engine held back", 3 * time.Second, false, atEngine(relay.HoldBack)},
@@ -184,14 +184,22 @@
 	return e, w.relays[e.id]
 }
 
-// misbehave lets an engine misbehave in one or two of its ways.
+// misbehave lets about half of the engines misbehave, each in one or two of its ways.
 func misbehave(ctx context.Context, w *World, r *rand.Rand, d time.Duration) error {
-	e, _ := w.anyEngine(r)
-	e.odd.Store(int64(r.IntN(modesOfEngines)))
-	e.even.Store(int64(r.IntN(modesOfEngines)))
+	w.mu.Lock()
+	engines := append([]*engine(nil), w.engines...)
+	w.mu.Unlock()
+	for _, e := range engines {
+		if r.IntN(2) == 0 {
+			e.odd.Store(int64(r.IntN(modesOfEngines)))
+			e.even.Store(int64(r.IntN(modesOfEngines)))
+		}
+	}
 	pause.For(ctx, d)
-	e.odd.Store(modeWell)
-	e.even.Store(modeWell)
+	for _, e := range engines {
+		e.odd.Store(modeWell)
+		e.even.Store(modeWell)
+	}
 	return nil
 }
 
