--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -53,6 +53,8 @@
 	{"store's feeds deaf", 2 * time.Second, true, store(platform.Faults{Deaf: true})},
 	{"store forgets", 100 * time.Millisecond, true, store(platform.Faults{Forget: true})},
 	{"engines misbehave", 4 * time.Second, false, misbehave},
+	{"engines misbehave for long", longestFault, false, misbehave},
+	{"engines misbehave, then well", 2 * time.Second, false, misbehave},
 	{"way to an engine cut", 3 * time.Second, false, atEngine(relay.Cut)},
 	{"way to an engine silent", 3 * time.Second, false, atEngine(relay.Hold)},
 	{"answers of an engine held back", 3 * time.Second, false, atEngine(relay.HoldBack)},
--- a/lab/soak/planted_test.go
+++ b/lab/soak/planted_test.go
@@ -29,7 +29,7 @@
 }
 
 // plantedSeeds is how many seeds may be needed to find a fault.
-const plantedSeeds = 8
+const plantedSeeds = 24
 
 // TestPlantedFaultsAreFound holds that the soak finds faults planted in the program:
 // it builds the program with each and plays seeds until a promise is broken.
