--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -20,6 +20,10 @@
 
 	// longestFault bounds one fault.
 	longestFault = 6 * time.Second
+
+	// cutAll is how long all nodes are cut from the store while a key is taken away:
+	// longer than a key may still be used then.
+	cutAll = revokeWithin + 2*time.Second
 )
 
 // fault is one kind of fault: what it does, for how long at most, and whether
@@ -62,6 +66,7 @@
 	{"engine crashes", time.Second, false, crashEngine},
 	{"engine leaves", 2500 * time.Millisecond, false, drainEngine},
 	{"key taken away", 100 * time.Millisecond, false, revokeKey},
+	{"key taken away unseen", cutAll, true, revokeUnseen},
 	{"key given back", 100 * time.Millisecond, false, giveKey},
 }
 
@@ -274,6 +279,22 @@
 	return nil
 }
 
+// revokeUnseen takes a key away while no node can hear of it.
+func revokeUnseen(ctx context.Context, w *World, r *rand.Rand, d time.Duration) error {
+	w.mu.Lock()
+	nodes := append([]*node(nil), w.nodes...)
+	w.mu.Unlock()
+	for _, n := range nodes {
+		n.store.Set(relay.Cut)
+	}
+	err := revokeKey(ctx, w, r, d)
+	pause.For(ctx, cutAll)
+	for _, n := range nodes {
+		n.store.Set(relay.Pass)
+	}
+	return err
+}
+
 // giveKey gives a new team key that callers do not use, so that the version rises.
 func giveKey(_ context.Context, w *World, r *rand.Rand, _ time.Duration) error {
 	w.mu.Lock()
