Ask a store that is away for the configuration only when a node restarts

Ruled out: longer backoff, which delays the return of all for as long. Change: until the store has answered, or for three seconds, a restarting node asks for the configuration alone; the engines and the register follow its answer. The first start of the whole system is as before.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -371,3 +371,46 @@
 		}
 	}
 }
+
+// TestOneProbeWhileTheStoreIsAway holds that a node which restarts while the store is
+// away asks it for the configuration only, and for the rest once it has answered.
+func TestOneProbeWhileTheStoreIsAway(t *testing.T) {
+	var mu sync.Mutex
+	asked, away := map[string]int{}, true
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		defer mu.Unlock()
+		asked[r.URL.Path+" "+r.URL.Query().Get("table")]++
+		if away {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		fmt.Fprintf(w, `{"rows":[],"ver":7,"now_ms":%d}`, time.Now().UnixMilli())
+	}))
+	t.Cleanup(server.Close)
+	counts := func() (config, others int) {
+		mu.Lock()
+		defer mu.Unlock()
+		for what, n := range asked {
+			if strings.HasSuffix(what, " op") {
+				config += n
+				continue
+			}
+			others += n
+		}
+		return config, others
+	}
+	heardFromAt(t, server.Listener.Addr().String(), nil)
+	waitFor(t, func() bool { config, _ := counts(); return config >= 3 }, "the configuration is not asked for")
+	if _, others := counts(); others != 0 {
+		t.Errorf("%d other calls while the store is away: %v", others, asked)
+	}
+	mu.Lock()
+	away = false
+	mu.Unlock()
+	waitFor(t, func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return asked["/-/rows-get servers"] > 0 && asked["/-/rows-tx "] > 0
+	}, "engines or register are not asked for after the store's return")
+}
--- a/internal/edge/reading.go
+++ b/internal/edge/reading.go
@@ -1,10 +1,13 @@
 package edge
 
 import (
+	"context"
 	"sort"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/croftturn/croftturn/internal/pause"
 )
 
 const (
@@ -26,6 +29,15 @@
 	registerWait = time.Second
 	peersWait    = 1500 * time.Millisecond
 
+	// probeAlone is how long after a start the configuration alone is asked for, until
+	// an answer proves it: where the store is away when all nodes start, each of their
+	// calls fails and is paid for. Later the other calls are tried as well, since a store
+	// may answer for some tables only.
+	probeAlone = 3 * time.Second
+
+	// probePoll is how often a node that starts looks whether it has the proof.
+	probePoll = 10 * time.Millisecond
+
 	// cantReadFor is how long a node whose call failed, or that had no answer for
 	// too long, leaves reading to others.
 	cantReadFor = 3 * time.Second
@@ -62,6 +74,26 @@
 // that hears nobody always reads.
 func (e *Edge) reads(now time.Time) bool { return e.readsAs(now, e.settings.Instance) }
 
+// readsEngines reports whether this node should read the table of engines: where it
+// reads at all, and the store has answered.
+func (e *Edge) readsEngines(now time.Time) bool { return e.answers(now) && e.reads(now) }
+
+// answers reports whether the store has answered since the start, or has not for so
+// long that each table is asked for by itself. At the first start of the whole system
+// calls are not held back: the register is read first there.
+func (e *Edge) answers(now time.Time) bool {
+	_, proven := e.proof.Age(now)
+	return proven || e.settings.FirstStart || now.Sub(e.startedAt) > probeAlone
+}
+
+// runRegister runs the register once the store has answered.
+func (e *Edge) runRegister(ctx context.Context) {
+	for !e.answers(time.Now()) && ctx.Err() == nil {
+		pause.For(ctx, probePoll)
+	}
+	e.register.Run(ctx)
+}
+
 // readsAs reports whether the node of a name, with what this one knows, should read.
 func (e *Edge) readsAs(now time.Time, self string) bool {
 	limit := readers
