Read the engines right after the configuration at a restart

Ruled out: the store's answer. Change: the reader of engines and the register begin once the store has answered, looked at each 10 ms.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -195,12 +195,18 @@
 		}
 	}
 	config := &feed.Reader{Table: e.config, Source: e.store, Wait: configWait, Wanted: e.reads, Proven: e.proven, Lost: e.lost, Log: e.log}
-	engines := &feed.Reader{Table: e.engines, Source: e.store, Wait: share(enginesWaitShare, s.EngineDrainMs), Wanted: e.readsEngines, Proven: e.answered, Lost: e.lost, Log: e.log}
+	engines := &feed.Reader{Table: e.engines, Source: e.store, Wait: share(enginesWaitShare, s.EngineDrainMs), Wanted: e.reads, Proven: e.answered, Lost: e.lost, Log: e.log}
 	e.start(e.peers.Serve)
 	e.start(func() { e.gossip.Run(ctx, e) })
 	e.start(func() { config.Run(ctx) })
-	e.start(func() { engines.Run(ctx) })
-	e.start(func() { e.runRegister(ctx) })
+	e.start(func() {
+		e.awaitAnswer(ctx)
+		engines.Run(ctx)
+	})
+	e.start(func() {
+		e.awaitAnswer(ctx)
+		e.register.Run(ctx)
+	})
 	return nil
 }
 
--- a/internal/edge/reading.go
+++ b/internal/edge/reading.go
@@ -74,24 +74,18 @@
 // that hears nobody always reads.
 func (e *Edge) reads(now time.Time) bool { return e.readsAs(now, e.settings.Instance) }
 
-// readsEngines reports whether this node should read the table of engines: where it
-// reads at all, and the store has answered.
-func (e *Edge) readsEngines(now time.Time) bool { return e.answers(now) && e.reads(now) }
-
-// answers reports whether the store has answered since the start, or has not for so
+// awaitAnswer waits until the store has answered since the start, or has not for so
 // long that each table is asked for by itself. At the first start of the whole system
-// calls are not held back: the register is read first there.
-func (e *Edge) answers(now time.Time) bool {
-	_, proven := e.proof.Age(now)
-	return proven || e.settings.FirstStart || now.Sub(e.startedAt) > probeAlone
-}
-
-// runRegister runs the register once the store has answered.
-func (e *Edge) runRegister(ctx context.Context) {
-	for !e.answers(time.Now()) && ctx.Err() == nil {
+// nothing is held back: the register is read first there.
+func (e *Edge) awaitAnswer(ctx context.Context) {
+	for ctx.Err() == nil {
+		now := time.Now()
+		_, proven := e.proof.Age(now)
+		if proven || e.settings.FirstStart || now.Sub(e.startedAt) > probeAlone {
+			return
+		}
 		pause.For(ctx, probePoll)
 	}
-	e.register.Run(ctx)
 }
 
 // readsAs reports whether the node of a name, with what this one knows, should read.
