Soak: let an engine leave while all is calm, and judge more of the leavings

Ruled out: the checker of ledgers. Change: at the end an engine says that it leaves while nothing is at fault and is watched for a second past the bound; the calm asked for ends with that watch.

--- a/lab/soak/ledger.go
+++ b/lab/soak/ledger.go
@@ -102,7 +102,7 @@
 		out = append(out, l.brokenBy(id, e)...)
 	}
 	for engine, at := range l.leaving {
-		if l.calm(at.Add(-settle), at.Add(drainWithin+settle)) {
+		if l.calm(at.Add(-settle), at.Add(drainWithin+afterDrain)) {
 			out = append(out, l.lateStarts(engine, at)...)
 		}
 	}
--- a/lab/soak/run.go
+++ b/lab/soak/run.go
@@ -3,12 +3,16 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/croftturn/croftturn/internal/pause"
 )
 
+// afterDrain is how long starts at an engine that left are still counted.
+const afterDrain = time.Second
+
 // Options size a soak.
 type Options struct {
 	Seed    uint64
@@ -52,6 +56,17 @@
 	return w.ledger, err
 }
 
+// leaveInCalm lets an engine say that it leaves, and serve on, while nothing else is at
+// fault: only then is it a finding that it gets new work later.
+func (w *World) leaveInCalm() error {
+	e, _ := w.anyEngine(rand.New(rand.NewPCG(w.opts.Seed, 11)))
+	if err := w.putEngine(e, "draining"); err != nil {
+		return err
+	}
+	w.ledger.mark(w.ledger.leaving, e.id, time.Now())
+	return nil
+}
+
 // calm waits until the nodes are back and counts what is served then.
 func (w *World) calm(ctx context.Context) error {
 	if err := w.waitReady(12 * time.Second); err != nil {
@@ -59,7 +74,10 @@
 	}
 	pause.For(ctx, settle)
 	begin := time.Now()
-	pause.For(ctx, w.opts.Calm)
+	if err := w.leaveInCalm(); err != nil {
+		return err
+	}
+	pause.For(ctx, max(w.opts.Calm, drainWithin+afterDrain))
 	served, asked := w.ledger.Served(begin)
 	if asked == 0 || float64(served) < 0.9*float64(asked) {
 		return fmt.Errorf("after the last fault %d of %d requests are served", served, asked)
