--- a/internal/placement/call.go
+++ b/internal/placement/call.go
@@ -130,13 +130,19 @@
 func (p *Placement) Peer(now time.Time, peer string, loads map[string]Load, uses []Use) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for id, e := range p.engines {
-		if l, ok := loads[id]; ok {
+	for _, id := range p.told[peer] {
+		if e := p.engines[id]; e != nil {
+			delete(e.peers, peer)
+		}
+	}
+	told := p.told[peer][:0]
+	for id, l := range loads {
+		if e := p.engines[id]; e != nil {
 			e.peers[peer] = peerLoad{Load: l, at: now}
-			continue
+			told = append(told, id)
 		}
-		delete(e.peers, peer)
 	}
+	p.told[peer] = told
 	for _, u := range uses {
 		if p.engines[u.Engine] != nil {
 			p.cache.use(now, u.Engine, u.Part)
--- a/internal/placement/export_test.go
+++ b/internal/placement/export_test.go
@@ -21,3 +21,10 @@
 	}
 	return out
 }
+
+// PeersAt returns how many peers are known to have work at an engine.
+func (p *Placement) PeersAt(id string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.engines[id].peers)
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -50,13 +50,14 @@
 		engines map[string]*engine
 		pools   map[string][]*engine // pools are sorted by the order in which engines are kept for streams; nil once an engine changed.
 		cache   cache
-		uses    []Use // uses since the last call of TakeUses
+		told    map[string][]string // told holds the engines at which each peer last told of work.
+		uses    []Use               // uses since the last call of TakeUses
 	}
 )
 
 // New returns a placement for a node in a hall.
 func New(hall string) *Placement {
-	return &Placement{hall: hall, engines: map[string]*engine{}, pools: map[string][]*engine{}, cache: cache{parts: map[uint64]map[string]time.Time{}}}
+	return &Placement{hall: hall, engines: map[string]*engine{}, pools: map[string][]*engine{}, told: map[string][]string{}, cache: cache{parts: map[uint64]map[string]time.Time{}}}
 }
 
 // Set adds an engine or changes it; what was learned of it is kept.
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -228,3 +228,40 @@
 		t.Errorf("still %s", got)
 	}
 }
+
+// TestPeersWorkIsReplaced holds that what a peer tells stands in place of what it
+// told before, at each engine, and that other peers' work stays.
+func TestPeersWorkIsReplaced(t *testing.T) {
+	p := placement.New("hall")
+	for _, id := range []string{"e0", "e1", "e2"} {
+		p.Set(placement.Engine{ID: id, Pool: "p", Hall: "hall"})
+	}
+	one := placement.Load{InFlight: 1}
+	p.Peer(start, "a", map[string]placement.Load{"e0": one, "e1": one, "unknown": one}, nil)
+	p.Peer(start, "b", map[string]placement.Load{"e0": one}, nil)
+	p.Peer(start, "a", map[string]placement.Load{"e1": one, "e2": one}, nil)
+	for id, want := range map[string]int{"e0": 1, "e1": 1, "e2": 1} {
+		if got := p.PeersAt(id); got != want {
+			t.Errorf("%d peers have work at %s, want %d", got, id, want)
+		}
+	}
+	p.Peer(start, "a", nil, nil)
+	p.Peer(start, "b", nil, nil)
+	for _, id := range []string{"e0", "e1", "e2"} {
+		if got := p.PeersAt(id); got != 0 {
+			t.Errorf("%d peers have work at %s after they told of none", got, id)
+		}
+	}
+}
+
+// BenchmarkPeer measures what a message of a peer costs where engines are many.
+func BenchmarkPeer(b *testing.B) {
+	p := placement.New("hall")
+	for i := range 3000 {
+		p.Set(placement.Engine{ID: fmt.Sprint("e", i), Pool: "p", Hall: "hall"})
+	}
+	loads := map[string]placement.Load{"e1": {InFlight: 1}, "e2": {InFlight: 2}}
+	for b.Loop() {
+		p.Peer(start, "peer", loads, nil)
+	}
+}
