--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -16,37 +16,6 @@
 )
 
 const (
-	// every is the time between two messages to each peer: an engine reads the
-	// prompts of about two requests meanwhile.
-	every = 100 * time.Millisecond
-
-	// aliveFor is how long a peer counts as alive after its last message. Where nodes
-	// are many, aliveFar is it for peers in other halls that do not read the store:
-	// their messages are rarest, and one of them may be lost.
-	aliveFor = 1200 * time.Millisecond
-	aliveFar = 2*farIdle*every + 500*time.Millisecond
-
-	// quietFor is how long a peer that is not heard still gets every message;
-	// afterwards it gets one in slowDown.
-	quietFor = 10 * time.Second
-	slowDown = 20
-
-	// forgetAfter is how long a peer that is not heard is remembered.
-	forgetAfter = 5 * time.Minute
-
-	// manyPeers is how many peers make messages rarer, in turns from one to the
-	// next: to other halls, since bytes between halls are paid for, and between
-	// nodes of which one serves hardly any requests and has no loads to tell.
-	manyPeers = 12
-	nearTurns = 1
-	farTurns  = 2
-	nearIdle  = 3
-	farIdle   = 20
-
-	// busyRate is how many requests a second make a node busy; the platform's own
-	// checks reach each node about once a second.
-	busyRate = 2
-
 	// introduceEvery is how many messages to a peer make one that says who the sender
 	// is and how to reach it; between, its name is enough for peers that have answered.
 	introduceEvery = 20
@@ -82,8 +51,8 @@
 		peers map[string]*Peer
 		said  Said // said is what this node told last.
 		seq   uint32
-		sent  [remembered]time.Time     // sent holds when the newest messages were sent, by number
-		uses  [nearIdle][]placement.Use // uses holds the prompt parts told in the newest turns, by turn
+		sent  [remembered]time.Time     // sent holds when the newest messages were sent, by number.
+		uses  [nearIdle][]placement.Use // uses holds the prompt parts told in the newest turns, by turn; only send has it.
 	}
 )
 
@@ -139,14 +108,6 @@
 	return out
 }
 
-// alive reports whether a peer was heard lately; the caller holds the lock.
-func (g *Gossip) alive(now time.Time, p *Peer) bool {
-	if len(g.peers) > manyPeers && p.Hall != g.self.Hall && !p.Said.reads() {
-		return now.Sub(p.heard) <= aliveFar
-	}
-	return now.Sub(p.heard) <= aliveFor
-}
-
 // Met returns the names of all peers that are known, heard or not.
 func (g *Gossip) Met() []string {
 	g.mu.Lock()
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -62,9 +62,3 @@
 		Said        cbor.RawMessage
 	}
 )
-
-// busy reports whether the node serves enough requests for its loads to matter.
-func (s *Said) busy() bool { return s.Rate >= busyRate }
-
-// reads reports whether the node reads the platform's store.
-func (s *Said) reads() bool { return s.SilentMs >= 0 }
--- a/internal/gossip/send.go
+++ b/internal/gossip/send.go
@@ -3,16 +3,9 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 )
 
-// target is a peer that gets a message this turn.
-type target struct {
-	Peer
-	turns int // turns is how many turns lie between two messages to it.
-}
-
 // send tells the peers of this node. Whom it answers is settled before what it
 // says is worked out: receivers count ages in it from when they sent the message
 // that it answers, so that it must not be older.
@@ -54,21 +47,6 @@
 	}
 }
 
-// saidTo returns what is told to peers that get a message each so many turns: the
-// prompt parts used since the last one. Idle nodes of other halls place hardly any
-// requests, and bytes between halls are paid for: they are told no work of others.
-func (g *Gossip) saidTo(s Said, turn, turns int) Said {
-	if turns == farIdle {
-		s.Loads, s.Uses = nil, nil
-		return s
-	}
-	s.Uses = nil
-	for back := range min(turns, turn+1) {
-		s.Uses = append(s.Uses, g.uses[(turn-back)%len(g.uses)]...)
-	}
-	return s
-}
-
 // number returns the number of the next message and remembers when it is sent.
 func (g *Gossip) number(now time.Time) uint32 {
 	g.mu.Lock()
@@ -84,58 +62,3 @@
 	defer g.mu.Unlock()
 	g.said = s
 }
-
-// targets returns whom to send to this turn, and forgets peers that are long gone.
-func (g *Gossip) targets(now time.Time, turn int) []target {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	var out []target
-	for name, p := range g.peers {
-		quiet := now.Sub(latest(p.met, p.heard))
-		turns := g.turns(p)
-		switch {
-		case quiet > forgetAfter:
-			delete(g.peers, name)
-		case p.addr == nil:
-		case quiet <= quietFor && (turn+p.phase)%turns != 0:
-		case quiet > quietFor && turn%slowDown != 0:
-		default:
-			out = append(out, target{Peer: *p, turns: turns})
-			p.sent++
-		}
-	}
-	return out
-}
-
-// turns returns how many turns lie between two messages to a peer. Nodes that read
-// the platform's store tell all others what they have, and whether they live, as
-// often as busy nodes tell each other their loads.
-func (g *Gossip) turns(p *Peer) int {
-	if len(g.peers) <= manyPeers {
-		return nearTurns
-	}
-	idle := !(g.said.busy() && p.Said.busy()) && !g.said.reads() && !p.Said.reads()
-	far := p.Hall != g.self.Hall
-	switch {
-	case idle && far:
-		return farIdle
-	case idle:
-		return nearIdle
-	case far:
-		return farTurns
-	}
-	return nearTurns
-}
-
-// phase spreads the messages between many nodes over the turns.
-func (g *Gossip) phase(peer string) int {
-	return int(xxhash.Sum64String(g.self.Name+" "+peer) % (farTurns * nearIdle * farIdle))
-}
-
-// latest returns the later of two moments.
-func latest(a, b time.Time) time.Time {
-	if b.After(a) {
-		return b
-	}
-	return a
-}
