Entry: split the choice of nodes that take callers into steps

taking summed, sorted and cut in one function, and sorted its argument in place. bySize and totalRate are functions now; thin names what share did (leave smaller nodes out of some answers), and mostAddresses what most bounded. Behaviour is the same.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -21,8 +21,8 @@
 	leastChosen = 3
 	leastShare  = 0.25
 
-	// most is how many addresses a caller looks at.
-	most = 64
+	// mostAddresses is how many addresses a caller looks at.
+	mostAddresses = 64
 
 	// plannedUse is the share of a node's processor that its requests should take,
 	// so that a burst of three times as many finds room.
@@ -63,7 +63,7 @@
 	near := filter(ready, func(n Node) bool { return n.Hall == hall })
 	switch {
 	case len(near) >= enoughNearby:
-		return addresses(share(taking(near), draw))
+		return addresses(thin(taking(near), draw))
 	case len(ready) > 0:
 		return addresses(ready)
 	}
@@ -81,20 +81,11 @@
 	return out
 }
 
-// taking returns the nodes of a hall that take its callers: the largest first,
-// those of one size by hash so that all nodes choose the same, until they are
-// enough for the requests that the hall has.
+// taking returns the nodes of a hall that take its callers: the first in order, until
+// they are enough for the requests that the hall has.
 func taking(near []Node) []Node {
-	rate := 0.0
-	for _, n := range near {
-		rate += n.Rate
-	}
-	sort.Slice(near, func(i, j int) bool {
-		if near[i].cores() != near[j].cores() {
-			return near[i].cores() > near[j].cores()
-		}
-		return xxhash.Sum64String(near[i].Name) < xxhash.Sum64String(near[j].Name)
-	})
+	rate := totalRate(near)
+	near = bySize(near)
 	least := max(leastChosen, int(leastShare*float64(len(near))))
 	planned := 0.0
 	for i, n := range near {
@@ -106,9 +97,31 @@
 	return near
 }
 
-// share leaves smaller nodes out of some answers, so that each node gets callers
-// by its size; the first two are always named.
-func share(chosen []Node, draw func() float64) []Node {
+// totalRate returns how many requests a second some nodes serve together.
+func totalRate(nodes []Node) float64 {
+	rate := 0.0
+	for _, n := range nodes {
+		rate += n.Rate
+	}
+	return rate
+}
+
+// bySize returns the nodes with the largest first, those of one size by hash, so that
+// all nodes choose the same.
+func bySize(nodes []Node) []Node {
+	out := append([]Node(nil), nodes...)
+	sort.Slice(out, func(i, j int) bool {
+		if out[i].cores() != out[j].cores() {
+			return out[i].cores() > out[j].cores()
+		}
+		return xxhash.Sum64String(out[i].Name) < xxhash.Sum64String(out[j].Name)
+	})
+	return out
+}
+
+// thin leaves smaller nodes out of some answers, so that each node gets callers by its
+// size; the first enoughNearby are always named.
+func thin(chosen []Node, draw func() float64) []Node {
 	largest := chosen[0].cores()
 	var out []Node
 	for i, n := range chosen {
@@ -122,7 +135,7 @@
 // addresses returns the addresses of nodes, as many as callers look at.
 func addresses(nodes []Node) []string {
 	var out []string
-	for _, n := range nodes[:min(len(nodes), most)] {
+	for _, n := range nodes[:min(len(nodes), mostAddresses)] {
 		out = append(out, n.Address)
 	}
 	return out
