--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/croftturn/croftturn/internal/freshness"
-	"github.com/croftturn/croftturn/internal/pause"
 	"github.com/croftturn/croftturn/internal/placement"
 	"github.com/croftturn/croftturn/internal/retry"
 	"github.com/croftturn/croftturn/internal/routing"
@@ -29,16 +28,6 @@
 	// taken: most of the users' streams end within it.
 	streamStop = 4500 * time.Millisecond
 
-	// startWait bounds how long a request waits at a node that has just started until
-	// it can be served, as does startShare of the time that the caller waits. A start
-	// takes about a tenth of a second, and callers that come back after a loss of power
-	// have one try left.
-	startWait  = 500 * time.Millisecond
-	startShare = 0.25
-
-	// startPoll is how often a node looks whether its start is done.
-	startPoll = 5 * time.Millisecond
-
 	// lastStop is how long before the end of the process nothing more is taken.
 	lastStop = time.Second
 )
@@ -110,26 +99,6 @@
 	return ""
 }
 
-// AwaitStart waits until a node that has just started can serve, within bounds; it
-// never waits at one that could serve before.
-func (d *Dispatcher) AwaitStart(ctx context.Context, arrived time.Time, r *Request) {
-	limit := startWait
-	if r.Patience > 0 {
-		limit = min(limit, time.Duration(startShare*float64(r.Patience)))
-	}
-	for now := arrived; !d.hasStarted(now) && now.Sub(arrived) < limit && ctx.Err() == nil; now = time.Now() {
-		pause.For(ctx, startPoll)
-	}
-}
-
-// hasStarted reports whether this node is able to serve, or was once.
-func (d *Dispatcher) hasStarted(now time.Time) bool {
-	if !d.started.Load() && d.Ready(now) == "" && d.placement.Known() {
-		d.started.Store(true)
-	}
-	return d.started.Load()
-}
-
 // Check decides from a request's head whether it is served at all; it returns
 // the route and the team, or why not.
 func (d *Dispatcher) Check(now time.Time, r *Request) (*routing.Route, *routing.Team, *Refusal) {
@@ -172,15 +141,8 @@
 	d.active.Add(1)
 	d.rate.note(arrived)
 	defer d.active.Add(-1)
-	patience := r.Patience
-	if patience <= 0 {
-		patience = defaultPatience
-	}
-	if route.Timeout > 0 {
-		patience = min(patience, route.Timeout)
-	}
 	w := &walk{
-		d: d, req: r, route: route, team: team, answer: a, arrived: arrived, deadline: arrived.Add(patience),
+		d: d, req: r, route: route, team: team, answer: a, arrived: arrived, deadline: arrived.Add(patience(r, route)),
 		pool: route.Choose(r.ID), avoid: map[string]bool{}, lastEventID: r.LastEventID,
 	}
 	ctx, cancel := context.WithDeadline(ctx, w.deadline)
@@ -189,6 +151,19 @@
 	w.end(time.Now())
 }
 
+// patience returns how long a request may take: as long as its caller waits and its
+// route allows.
+func patience(r *Request, route *routing.Route) time.Duration {
+	wait := r.Patience
+	if wait <= 0 {
+		wait = defaultPatience
+	}
+	if route.Timeout > 0 {
+		wait = min(wait, route.Timeout)
+	}
+	return wait
+}
+
 // Refused records a request that was refused before it was served.
 func (d *Dispatcher) Refused(now time.Time, r *Request, refusal *Refusal) {
 	d.log.Info("request refused", "request", r.ID, "host", r.Host, "path", r.Path, "outcome", refusal.Reason,
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -32,14 +32,7 @@
 // answered decides what follows on an engine's answer.
 func (w *walk) answered(ctx context.Context, cancel context.CancelCauseFunc, resp *Response) (again bool) {
 	now := time.Now()
-	w.status = resp.Status
-	if !resp.NotRun {
-		w.call.Began(now)
-		w.heard = now
-	}
-	if resp.Loaded {
-		w.call.Report(now, resp.Running, resp.Waiting)
-	}
+	w.noteHead(now, resp)
 	switch {
 	case resp.Replaced:
 		w.call.End(now, placement.Turned)
@@ -68,6 +61,18 @@
 	return w.relayPlain(ctx, resp)
 }
 
+// noteHead records what the head of an engine's answer tells.
+func (w *walk) noteHead(now time.Time, resp *Response) {
+	w.status = resp.Status
+	if !resp.NotRun {
+		w.call.Began(now)
+		w.heard = now
+	}
+	if resp.Loaded {
+		w.call.Report(now, resp.Running, resp.Waiting)
+	}
+}
+
 // turned decides what follows where an engine did not run the request.
 func (w *walk) turned(now time.Time, cause error) (again bool) {
 	w.refused = Refusal{Reason: w.orMayHaveRun(Full), ComeBack: fullReturn}
@@ -167,12 +172,8 @@
 		w.begin(resp)
 		return w.copyRest(ctx, resp)
 	}
-	stall := time.AfterFunc(time.Until(w.deadline), w.leaveSlow(cancel))
+	stall, heard := w.watchEvents(cancel)
 	defer stall.Stop()
-	elsewhere := w.sent < w.route.MaxEngines
-	if elsewhere {
-		stall.Reset(stalled)
-	}
 	events := sse.NewReader(resp.Body)
 	for {
 		event, err := events.Next()
@@ -186,9 +187,7 @@
 			return w.failedMidway(ctx, err)
 		}
 		w.hear(now)
-		if elsewhere {
-			stall.Reset(stalled)
-		}
+		heard()
 		w.begin(resp)
 		if werr := w.answer.Write(event.Raw); werr != nil {
 			w.callerGone(now)
@@ -200,6 +199,17 @@
 	}
 }
 
+// watchEvents gives an attempt up whose engine sends no event for too long, where the
+// stream may go on elsewhere. It returns its timer, and what is to be called with each event.
+func (w *walk) watchEvents(cancel context.CancelCauseFunc) (stall *time.Timer, heard func()) {
+	stall = time.AfterFunc(time.Until(w.deadline), w.leaveSlow(cancel))
+	if w.sent >= w.route.MaxEngines {
+		return stall, func() {}
+	}
+	stall.Reset(stalled)
+	return stall, func() { stall.Reset(stalled) }
+}
+
 // failedMidway decides what follows where an engine broke off within its answer.
 func (w *walk) failedMidway(ctx context.Context, err error) (again bool) {
 	now := time.Now()
--- /dev/null
+++ b/internal/dispatch/resend.go
@@ -0,0 +1,61 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// firstPatience is how long a repeatable request waits for the first byte of an
+// engine before it goes to another, in targets.
+const firstPatience = 2
+
+// errSlow ends an attempt whose engine sends nothing for too long.
+var errSlow = errors.New("dispatch: engine sends nothing")
+
+// watchFirst gives an attempt up whose engine sends nothing for too long, where
+// another engine may be tried.
+func (w *walk) watchFirst(cancel context.CancelCauseFunc) *time.Timer {
+	if !w.mayRepeat() || w.route.Target <= 0 {
+		return time.NewTimer(time.Until(w.deadline))
+	}
+	return time.AfterFunc(firstPatience*w.route.Target, w.leaveSlow(cancel))
+}
+
+// leaveSlow returns a function that gives the present attempt up for another, where
+// the budget has a retry for it; else the answer may still come. A timer calls it.
+func (w *walk) leaveSlow(cancel context.CancelCauseFunc) func() {
+	engine, sent := w.choice.Engine.ID, w.sent
+	return func() {
+		if w.takeRetry(time.Now(), engine, sent, errSlow) {
+			w.reserved.Store(true)
+			cancel(errSlow)
+		}
+	}
+}
+
+// mayRepeat reports whether the request may go to one more engine after this
+// one, whatever became of it here.
+func (w *walk) mayRepeat() bool {
+	return w.route.Repeatable() && w.sent+1 < w.route.MaxEngines
+}
+
+// retry reports whether a repeatable request goes to another engine after a
+// failure, and takes it from the budget.
+func (w *walk) retry(now time.Time, cause error) bool {
+	if !w.route.Repeatable() || w.sent >= w.route.MaxEngines || !now.Before(w.deadline) {
+		return false
+	}
+	return w.reserved.Swap(false) || w.takeRetry(now, w.choice.Engine.ID, w.sent, cause)
+}
+
+// takeRetry takes one retry from the budget, after a number of sendings of which
+// the last was to an engine.
+func (w *walk) takeRetry(now time.Time, engine string, sent int, cause error) bool {
+	ok := w.d.budget.Take(now, w.pool)
+	w.d.log.Info("retry", "request", w.req.ID, "engine", engine, "cause", cause.Error(), "allowed", ok, "sent", sent)
+	if ok {
+		w.d.observer.Retried(w.pool)
+	}
+	return ok
+}
--- a/internal/dispatch/walk.go
+++ b/internal/dispatch/walk.go
@@ -16,19 +16,12 @@
 	// tries are no sendings.
 	maxUnsent = 3
 
-	// firstPatience is how long a repeatable request waits for the first byte of
-	// an engine before it goes to another, in targets.
-	firstPatience = 2
-
 	// stepTime is how long an engine takes from token to token while it reads long
 	// prompts: it reads about 2,000 tokens between two steps, at about 50 in a
 	// millisecond, and a step itself takes some 6 ms.
 	stepTime = 47 * time.Millisecond
 )
 
-// errSlow ends an attempt whose engine sends nothing for too long.
-var errSlow = errors.New("dispatch: engine sends nothing")
-
 // walk is one request on its way.
 type walk struct {
 	d        *Dispatcher
@@ -69,30 +62,42 @@
 // attempt sends the request to one engine and reports whether another should be tried.
 func (w *walk) attempt(ctx context.Context) (again bool) {
 	now := time.Now()
-	if refusal := w.stillAllowed(now); refusal != nil {
+	request := w.placementRequest()
+	if refusal := w.choose(now, request); refusal != nil {
 		w.refuse(*refusal)
 		return false
 	}
-	request := w.placementRequest()
+	w.avoid[w.choice.Engine.ID] = true
+	w.call = w.d.placement.Start(now, w.choice, request)
+	return w.send(ctx, now)
+}
+
+// choose chooses the engine of the next attempt, or returns why there is none.
+func (w *walk) choose(now time.Time, request placement.Request) *Refusal {
+	if refusal := w.stillAllowed(now); refusal != nil {
+		return refusal
+	}
 	choice, ok := w.d.placement.Choose(now, request)
 	if !ok {
-		w.refuse(Refusal{Reason: w.without(), ComeBack: shortReturn})
-		return false
+		return &Refusal{Reason: w.without(), ComeBack: shortReturn}
 	}
 	w.choice = choice
-	if w.sent == 0 && w.unsent == 0 {
-		if comeBack, ok := w.admit(now, choice); !ok {
-			w.refuse(Refusal{Reason: Busy, ComeBack: comeBack})
-			return false
-		}
-		w.d.budget.Request(now, w.pool)
+	if w.sent > 0 || w.unsent > 0 {
+		return nil
+	}
+	if comeBack, ok := w.admit(now, choice); !ok {
+		return &Refusal{Reason: Busy, ComeBack: comeBack}
 	}
-	w.avoid[choice.Engine.ID] = true
-	w.call = w.d.placement.Start(now, choice, request)
+	w.d.budget.Request(now, w.pool)
+	return nil
+}
+
+// send sends the request to the chosen engine and reports whether another should be tried.
+func (w *walk) send(ctx context.Context, now time.Time) (again bool) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	watch := w.watchFirst(cancel)
-	resp, err := w.d.sender.Send(ctx, w.req, w.attemptFor(now, choice.Engine))
+	resp, err := w.d.sender.Send(ctx, w.req, w.attemptFor(now, w.choice.Engine))
 	watch.Stop()
 	if err != nil {
 		return w.failed(ctx, err)
@@ -161,38 +166,15 @@
 
 // attemptFor returns what is sent to an engine.
 func (w *walk) attemptFor(now time.Time, e placement.Engine) Attempt {
-	a := Attempt{Engine: e, Urgency: routing.Urgency(w.route, w.team), Left: w.deadline.Sub(now), LastEventID: w.lastEventID}
-	if w.team != nil {
-		a.Team = w.team.Name
-	}
-	return a
-}
-
-// watchFirst gives an attempt up whose engine sends nothing for too long, where
-// another engine may be tried.
-func (w *walk) watchFirst(cancel context.CancelCauseFunc) *time.Timer {
-	if !w.mayRepeat() || w.route.Target <= 0 {
-		return time.NewTimer(time.Until(w.deadline))
-	}
-	return time.AfterFunc(firstPatience*w.route.Target, w.leaveSlow(cancel))
+	return Attempt{Engine: e, Team: w.teamName(), Urgency: routing.Urgency(w.route, w.team), Left: w.deadline.Sub(now), LastEventID: w.lastEventID}
 }
 
-// leaveSlow returns a function that gives the present attempt up for another, where
-// the budget has a retry for it; else the answer may still come. A timer calls it.
-func (w *walk) leaveSlow(cancel context.CancelCauseFunc) func() {
-	engine, sent := w.choice.Engine.ID, w.sent
-	return func() {
-		if w.takeRetry(time.Now(), engine, sent, errSlow) {
-			w.reserved.Store(true)
-			cancel(errSlow)
-		}
+// teamName returns the name of the caller's team, or nothing where the route needs no key.
+func (w *walk) teamName() string {
+	if w.team == nil {
+		return ""
 	}
-}
-
-// mayRepeat reports whether the request may go to one more engine after this
-// one, whatever became of it here.
-func (w *walk) mayRepeat() bool {
-	return w.route.Repeatable() && w.sent+1 < w.route.MaxEngines
+	return w.team.Name
 }
 
 // failed decides what follows where an engine gave no answer.
@@ -234,26 +216,6 @@
 	return errors.Is(context.Cause(ctx), context.Canceled)
 }
 
-// retry reports whether a repeatable request goes to another engine after a
-// failure, and takes it from the budget.
-func (w *walk) retry(now time.Time, cause error) bool {
-	if !w.route.Repeatable() || w.sent >= w.route.MaxEngines || !now.Before(w.deadline) {
-		return false
-	}
-	return w.reserved.Swap(false) || w.takeRetry(now, w.choice.Engine.ID, w.sent, cause)
-}
-
-// takeRetry takes one retry from the budget, after a number of sendings of which
-// the last was to an engine.
-func (w *walk) takeRetry(now time.Time, engine string, sent int, cause error) bool {
-	ok := w.d.budget.Take(now, w.pool)
-	w.d.log.Info("retry", "request", w.req.ID, "engine", engine, "cause", cause.Error(), "allowed", ok, "sent", sent)
-	if ok {
-		w.d.observer.Retried(w.pool)
-	}
-	return ok
-}
-
 // refuse gives the caller its final answer where no engine did. An answer that
 // has begun can only be broken off.
 func (w *walk) refuse(r Refusal) {
@@ -276,18 +238,19 @@
 
 // end records how the request ended.
 func (w *walk) end(now time.Time) {
-	outcome := "answered"
-	if w.refused.Reason != "" {
-		outcome = string(w.refused.Reason)
-	}
-	team := ""
-	if w.team != nil {
-		team = w.team.Name
-	}
-	w.d.log.Info("request ended", "request", w.req.ID, "route", w.route.Name, "team", team, "urgency", routing.Urgency(w.route, w.team), "pool", w.pool,
+	outcome := w.outcome()
+	w.d.log.Info("request ended", "request", w.req.ID, "route", w.route.Name, "team", w.teamName(), "urgency", routing.Urgency(w.route, w.team), "pool", w.pool,
 		"outcome", outcome, "status", w.status, "engine", w.choice.Engine.ID, "sent", w.sent, "unsent", w.unsent,
 		"cost_ms", int(w.choice.Cost), "wait_ms", int(w.choice.Wait), "prompt_tokens", w.req.Prompt.Tokens, "session", w.req.Prompt.Session(), "unread_tokens", w.choice.Unread,
 		"first_ms", w.first.Milliseconds(), "gap_ms", w.gap.Milliseconds(), "total_ms", now.Sub(w.arrived).Milliseconds(), "patience_ms", w.deadline.Sub(w.arrived).Milliseconds(),
 		"come_back_ms", w.refused.ComeBack.Milliseconds(), "config_version", w.d.Version(), "proof_age_ms", w.d.proof.AgeMs(now))
 	w.d.observer.Ended(w.route.Name, outcome, w.first, now.Sub(w.arrived))
 }
+
+// outcome names how the request ended, for the log and the counters.
+func (w *walk) outcome() string {
+	if w.refused.Reason != "" {
+		return string(w.refused.Reason)
+	}
+	return "answered"
+}
--- a/lab/soak/planted_test.go
+++ b/lab/soak/planted_test.go
@@ -19,7 +19,7 @@
 // plants lists the faults that the soak must find. CI plays the first one;
 // SOAK_PLANTED=1 plays all.
 var plants = []planted{
-	{"a request that may run once is sent again", "internal/dispatch/walk.go", "if !w.route.Repeatable() || w.sent >= w.route.MaxEngines || !now", "if w.sent > 1 || !now"},
+	{"a request that may run once is sent again", "internal/dispatch/resend.go", "if !w.route.Repeatable() || w.sent >= w.route.MaxEngines || !now", "if w.sent > 1 || !now"},
 	{"a stream is ended by a failure", "internal/dispatch/relay.go", "if w.begun && !success {", "if w.begun && !success && w.sent > 9 {"},
 	{"a request that may have run is called not run", "internal/dispatch/walk.go", "w.refuse(Refusal{Reason: w.lateOr(now, Broken)})", "w.refuse(Refusal{Reason: NoEngine})"},
 	{"a proof never grows old", "internal/freshness/freshness.go", "return p.proven && now.Sub(p.at) <= p.maxAge", "return p.proven"},
