--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -18,9 +18,6 @@
 )
 
 const (
-	// bytesPerToken is the guess for a prompt's length in tokens.
-	bytesPerToken = 4
-
 	// leastPrefix is the shortest first message that counts as a prefix worth
 	// caching, in bytes.
 	leastPrefix = 256
@@ -56,33 +53,6 @@
 	}
 )
 
-// completion is what the router reads of a chat completion.
-type completion struct {
-	Model     string            `json:"model"`
-	Messages  []json.RawMessage `json:"messages"`
-	Stream    bool              `json:"stream"`
-	MaxTokens int               `json:"max_tokens"`
-	MaxNew    int               `json:"max_completion_tokens"`
-	Options   struct {
-		IncludeUsage bool `json:"include_usage"`
-	} `json:"stream_options"`
-}
-
-// outputTokens returns the most tokens that the answer may have; 0 if not given.
-func (c *completion) outputTokens() int { return max(c.MaxTokens, c.MaxNew) }
-
-// parseCompletion reads the body of a chat completion.
-func parseCompletion(body []byte) (*completion, *CallerError) {
-	doc := &completion{}
-	if err := json.Unmarshal(body, doc); err != nil {
-		return nil, &CallerError{Status: http.StatusBadRequest, Code: "bad_body", Message: "the body is not a chat completion: " + err.Error()}
-	}
-	if len(doc.Messages) == 0 {
-		return nil, &CallerError{Status: http.StatusBadRequest, Code: "bad_body", Message: "messages is missing or empty"}
-	}
-	return doc, nil
-}
-
 // newID returns a random request id.
 func newID() string {
 	var b [12]byte
@@ -114,7 +84,7 @@
 	}
 	marked := r.Header.Get(HeaderNotRepeatable)
 	c.notRepeatable = c.class.NotRepeatable || strings.EqualFold(marked, "true")
-	if c.body, failure = f.readBody(w, r); failure != nil {
+	if c.body, failure = readBody(w, r, f.limits.MaxBody); failure != nil {
 		return nil, failure
 	}
 	return c, nil
@@ -139,12 +109,7 @@
 	return token
 }
 
-// readBody reads a bounded body; one that is cut short is refused.
-func (f *Front) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *CallerError) {
-	return readBody(w, r, f.limits.MaxBody)
-}
-
-// readBody reads a body of a bounded length.
+// readBody reads a body of a bounded length; one that is cut short is refused.
 func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *CallerError) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	var tooLarge *http.MaxBytesError
--- a/internal/front/completions.go
+++ b/internal/front/completions.go
@@ -7,10 +7,7 @@
 	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/croftturn/croftturn/internal/dispatch"
-	"github.com/croftturn/croftturn/internal/placement"
 	"github.com/croftturn/croftturn/internal/reply"
 	"github.com/croftturn/croftturn/internal/routing"
 )
@@ -58,12 +55,7 @@
 func (c *Completions) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
 	a := &completionAnswer{Writer: reply.New(w, c.limits.WriteTimeout), w: w, id: newID(), log: c.log}
-	body, failure := readBody(w, r, c.limits.MaxBody)
-	if failure != nil {
-		a.fail(failure)
-		return
-	}
-	req, failure := decodeCompletion(r, a.id, body)
+	req, failure := c.read(w, r, a.id)
 	if failure != nil {
 		a.fail(failure)
 		return
@@ -80,37 +72,43 @@
 	a.Finish()
 }
 
+// read reads a completion whole and returns the request that it stands for.
+func (c *Completions) read(w http.ResponseWriter, r *http.Request, id string) (*dispatch.Request, *CallerError) {
+	body, failure := readBody(w, r, c.limits.MaxBody)
+	if failure != nil {
+		return nil, failure
+	}
+	return decodeCompletion(r, id, body)
+}
+
 // decodeCompletion returns the request that a completion stands for.
 func decodeCompletion(r *http.Request, id string, body []byte) (*dispatch.Request, *CallerError) {
 	doc, failure := parseCompletion(body)
 	if failure != nil {
 		return nil, failure
 	}
-	req := &dispatch.Request{
+	wait, failure := patience(r)
+	if failure != nil {
+		return nil, failure
+	}
+	return &dispatch.Request{
 		ID: id, Host: r.Host, Path: r.URL.EscapedPath(), Target: r.URL.RequestURI(), Method: r.Method, Body: body,
-		Model: doc.Model, Prompt: doc.prompt(len(body)), OutputTokens: doc.outputTokens(),
+		Key: bearerToken(r), Patience: wait, Model: doc.Model, Prompt: doc.prompt(len(body)), OutputTokens: doc.outputTokens(),
 		Header: http.Header{"Content-Type": {"application/json"}},
-	}
-	req.Key = bearerToken(r)
-	if text := r.Header.Get(HeaderPatience); text != "" {
-		ms, err := strconv.Atoi(text)
-		if err != nil || ms <= 0 {
-			return nil, &CallerError{Status: http.StatusBadRequest, Code: "bad_patience", Message: HeaderPatience + " is not a number of milliseconds"}
-		}
-		req.Patience = time.Duration(ms) * time.Millisecond
-	}
-	return req, nil
+	}, nil
 }
 
-// prompt returns the parts of the prompt. All messages but the last may be shared with
-// other requests, each as far as those before it are the same; lengths in tokens are
-// guessed from those in bytes.
-func (c *completion) prompt(bytes int) placement.Prompt {
-	p := placement.Prompt{Tokens: bytes / bytesPerToken}
-	for _, m := range c.Messages[:len(c.Messages)-1] {
-		p.Shared = append(p.Shared, placement.Part{ID: xxhash.Sum64(m), Tokens: len(m) / bytesPerToken})
+// patience returns how long the caller waits, 0 if it does not say so.
+func patience(r *http.Request) (time.Duration, *CallerError) {
+	text := r.Header.Get(HeaderPatience)
+	if text == "" {
+		return 0, nil
+	}
+	ms, err := strconv.Atoi(text)
+	if err != nil || ms <= 0 {
+		return 0, &CallerError{Status: http.StatusBadRequest, Code: "bad_patience", Message: HeaderPatience + " is not a number of milliseconds"}
 	}
-	return p
+	return time.Duration(ms) * time.Millisecond, nil
 }
 
 // Refuse gives the final answer where no engine gave one.
