--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -2,262 +2,20 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
-	"log/slog"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
-	"github.com/croftturn/croftturn/internal/claim"
-	"github.com/croftturn/croftturn/internal/config"
-	"github.com/croftturn/croftturn/internal/engine"
 	"github.com/croftturn/croftturn/internal/front"
-	"github.com/croftturn/croftturn/internal/journal"
-	"github.com/croftturn/croftturn/internal/kv"
 	"github.com/croftturn/croftturn/internal/sched"
-	"github.com/croftturn/croftturn/internal/settings"
-	"github.com/croftturn/croftturn/internal/telemetry"
-	"github.com/croftturn/croftturn/internal/wire"
 )
 
-const (
-	token   = "team-token"
-	maxBody = 4096
-
-	// writeTimeout is short, so that a test can outlast it.
-	writeTimeout = 300 * time.Millisecond
-)
-
-type (
-	// views holds one configuration.
-	views struct{ view *config.View }
-
-	// alone is a membership of one node.
-	alone struct{}
-
-	// inTurn gives the engines of a pool in turn, the excluded one last.
-	inTurn struct {
-		mu       sync.Mutex
-		views    views
-		next     int
-		results  []sched.Result
-		refusals []*sched.Refusal
-		after    *sched.Refusal // after is what comes after the first grant.
-	}
-
-	// table is a table in memory that can be out.
-	table struct {
-		mu   sync.Mutex
-		rows map[string]kv.Row
-		down bool
-	}
-)
-
-// View returns the configuration.
-func (v views) View() *config.View { return v.view }
-
-// Self returns the only member.
-func (alone) Self() wire.Member { return wire.Member{Name: "n1", Incarnation: 1} }
-
-// Live returns the only member.
-func (a alone) Live() []wire.Member { return []wire.Member{a.Self()} }
-
-// Member knows the only member.
-func (a alone) Member(name string) (wire.Member, bool) { return a.Self(), name == "n1" }
-
-// Call reaches nobody.
-func (alone) Call(context.Context, string, string, any, any) error { return io.ErrClosedPipe }
-
-// Acquire gives the next engine, or the next refusal where one is planned.
-func (s *inTurn) Acquire(_ context.Context, req sched.Request) (sched.Grant, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if len(s.refusals) > 0 {
-		r := s.refusals[0]
-		s.refusals = s.refusals[1:]
-		return sched.Grant{}, r
-	}
-	if s.after != nil && s.next > 0 {
-		return sched.Grant{}, s.after
-	}
-	engines := s.views.view.Engines(req.Pool)
-	for {
-		e := engines[s.next%len(engines)]
-		s.next++
-		if e.Name != req.Exclude || len(engines) == 1 {
-			return sched.Grant{Engine: e, Why: "its turn"}, nil
-		}
-	}
-}
-
-// Release keeps the result.
-func (s *inTurn) Release(_ sched.Request, _ sched.Grant, res sched.Result) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.results = append(s.results, res)
-}
-
-// Get reads a row.
-func (t *table) Get(_ context.Context, key string) (kv.Row, error) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.down {
-		return kv.Row{}, kv.ErrUnavailable
-	}
-	return t.rows[key], nil
-}
-
-// Transact checks and writes rows.
-func (t *table) Transact(_ context.Context, txn kv.Txn) error {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.down {
-		return kv.ErrUnavailable
-	}
-	for _, c := range txn.Checks {
-		if row := t.rows[c.Key]; row.Version != c.Version {
-			row.Key = c.Key
-			return &kv.ConflictError{Rows: []kv.Row{row}}
-		}
-	}
-	for _, p := range txn.Puts {
-		t.rows[p.Key] = kv.Row{Key: p.Key, Value: p.Value, Version: t.rows[p.Key].Version + 1}
-	}
-	return nil
-}
-
-// rig is a front with engines that handlers stand for.
-type rig struct {
-	sched *inTurn
-	table *table
-	url   string
-}
-
-// newRig starts a front before some engines; service engines go by the same
-// handlers.
-func newRig(t *testing.T, engines ...http.HandlerFunc) *rig {
-	t.Helper()
-	c := &config.Config{
-		Classes: []config.Class{{Name: "explain", Tier: 3}, {Name: "offer", Tier: 2, NotRepeatable: true}},
-		Teams:   []config.Team{{Name: "alfa", TokenSha256: config.HashToken(token), DefaultClass: "explain"}},
-		Pools:   []config.Pool{{Name: "llm", Kind: config.PoolKindModel, Models: []string{"m"}, Scheduler: config.PoolSchedulerDirect}, {Name: "bids", Kind: config.PoolKindService, Scheduler: config.PoolSchedulerDirect}},
-	}
-	for i, h := range engines {
-		srv := httptest.NewServer(h)
-		t.Cleanup(srv.Close)
-		address := strings.TrimPrefix(srv.URL, "http://")
-		c.Engines = append(c.Engines, config.Engine{Name: fmt.Sprint("e", i), Pool: "llm", Address: address, Slots: 4},
-			config.Engine{Name: fmt.Sprint("s", i), Pool: "bids", Address: address, Slots: 4})
-	}
-	view, err := config.NewView(c)
-	if err != nil {
-		t.Fatal(err)
-	}
-	tele, err := telemetry.New(context.Background(), &settings.Settings{Instance: "n1", LogLevel: "error"}, io.Discard)
-	if err != nil {
-		t.Fatal(err)
-	}
-	tele.Log = slog.New(slog.DiscardHandler)
-	t.Cleanup(func() { tele.Close() })
-	r := &rig{sched: &inTurn{views: views{view}}, table: &table{rows: map[string]kv.Row{}}}
-	client := engine.NewClient(2 * time.Second)
-	t.Cleanup(client.Close)
-	keeper := claim.NewKeeper(r.table, "n1", 1, time.Millisecond)
-	t.Cleanup(keeper.Close)
-	f := front.New(views{view}, alone{}, alone{}, client, journal.New(), tele,
-		front.WithScheduler(config.PoolSchedulerDirect, r.sched),
-		front.WithClaims(keeper, claim.NewIssuer(time.Now(), "n1", 1, time.Minute), claim.NewRegistry(time.Minute)),
-		front.WithLimits(front.Limits{MaxBody: maxBody, WriteTimeout: writeTimeout, EntryKeep: time.Second}))
-	srv := httptest.NewServer(f)
-	t.Cleanup(srv.Close)
-	r.url = srv.URL
-	return r
-}
-
-// send posts a body with headers given in pairs and returns status, headers and
-// the answer's text, which is cut where the connection was.
-func (r *rig) send(t *testing.T, path, body string, headers ...string) (*http.Response, string) {
-	t.Helper()
-	req, err := http.NewRequest(http.MethodPost, r.url+path, strings.NewReader(body))
-	if err != nil {
-		t.Fatal(err)
-	}
-	req.Header.Set("Authorization", "Bearer "+token)
-	for i := 0; i+1 < len(headers); i += 2 {
-		req.Header.Set(headers[i], headers[i+1])
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer resp.Body.Close()
-	var text bytes.Buffer
-	io.Copy(&text, resp.Body) // A cut answer is what some tests look for.
-	return resp, text.String()
-}
-
-// code takes the code out of an error answer.
-func code(t *testing.T, text string) string {
-	t.Helper()
-	var doc struct {
-		Error struct{ Code string }
-	}
-	if err := json.Unmarshal([]byte(text), &doc); err != nil {
-		t.Fatalf("answer %q: %v", text, err)
-	}
-	return doc.Error.Code
-}
-
-// event returns one event of a stream with a text.
-func event(text string) string {
-	return fmt.Sprintf("data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":%q}}]}\n\n", text)
-}
-
-// answers returns a handler that streams words and ends as it should.
-func answers(words ...string) http.HandlerFunc {
-	return func(w http.ResponseWriter, _ *http.Request) {
-		for _, word := range words {
-			fmt.Fprint(w, event(word))
-		}
-		fmt.Fprint(w, "data: {\"choices\":[{\"delta\":{},\"finish_reason\":\"stop\"}]}\n\ndata: [DONE]\n\n")
-	}
-}
-
-// cuts returns a handler that streams words and cuts the connection.
-func cuts(words ...string) http.HandlerFunc {
-	return func(w http.ResponseWriter, _ *http.Request) {
-		for _, word := range words {
-			fmt.Fprint(w, event(word))
-		}
-		http.NewResponseController(w).Flush()
-		panic(http.ErrAbortHandler)
-	}
-}
-
-// text joins the contents of a stream's events.
-func text(stream string) string {
-	var b strings.Builder
-	for _, line := range strings.Split(stream, "\n") {
-		var chunk struct {
-			Choices []struct{ Delta struct{ Content string } }
-		}
-		if json.Unmarshal([]byte(strings.TrimPrefix(line, "data: ")), &chunk) == nil && len(chunk.Choices) > 0 {
-			b.WriteString(chunk.Choices[0].Delta.Content)
-		}
-	}
-	return b.String()
-}
-
-const hello = `{"model":"m","stream":true,"messages":[{"role":"user","content":"hi"}]}`
-
 func TestBadInput(t *testing.T) {
 	r := newRig(t, answers("a"))
 	for name, tc := range map[string]struct {
@@ -360,18 +118,6 @@
 	}
 }
 
-// TestRejectedKeyIsNotRunAndMayBeTriedAgain holds that a key whose request the
-// engine rejected gets the engine's status each time it is sent.
-func TestRejectedKeyIsNotRunAndMayBeTriedAgain(t *testing.T) {
-	r := newRig(t, func(w http.ResponseWriter, _ *http.Request) { http.Error(w, "too long", http.StatusBadRequest) })
-	for range 2 {
-		resp, body := r.send(t, "/v1/chat/completions", hello, front.HeaderClass, "offer", front.HeaderKey, "k1")
-		if resp.StatusCode != http.StatusBadRequest || code(t, body) != "engine_rejected" || resp.Header.Get(front.HeaderOutcome) != front.OutcomeNotRun {
-			t.Errorf("answer = %d %s", resp.StatusCode, body)
-		}
-	}
-}
-
 // TestRefusalAfterABrokenTryIsUnknown holds that a request which began on an
 // engine that broke off, and got no other place, is not said not to have run. It
 // was: 12 such refusals in one run with an engine that crashed.
@@ -393,101 +139,6 @@
 	}
 }
 
-// TestSameKeyGetsFirstOutcome holds that a key which was seen before runs no
-// second time and gets the recorded answer.
-func TestSameKeyGetsFirstOutcome(t *testing.T) {
-	var runs int
-	r := newRig(t, func(w http.ResponseWriter, req *http.Request) {
-		runs++
-		fmt.Fprint(w, "accepted")
-	})
-	for range 2 {
-		resp, body := r.send(t, "/services/bids/offers", "x", front.HeaderClass, "offer", front.HeaderKey, "k1")
-		if body != "accepted" || resp.Header.Get(front.HeaderOutcome) != front.OutcomeCompleted {
-			t.Errorf("answer = %q %v", body, resp.Header)
-		}
-	}
-	if runs != 1 {
-		t.Errorf("it ran %d times", runs)
-	}
-}
-
-// TestRefusalIsMadeCertain holds that not_run is said of a key only after no
-// attempt that began before can claim it any more, and that a new try may run.
-func TestRefusalIsMadeCertain(t *testing.T) {
-	r := newRig(t, func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "accepted") })
-	stale := claim.NewKeeper(r.table, "n2", 1, time.Millisecond)
-	defer stale.Close()
-	attempt, err := stale.Begin(context.Background(), "alfa/k1", "stale")
-	if err != nil {
-		t.Fatal(err)
-	}
-	r.sched.refusals = []*sched.Refusal{{Reason: "queue_full", RetryAfter: time.Second}}
-	resp, body := r.send(t, "/services/bids/offers", "x", front.HeaderClass, "offer", front.HeaderKey, "k1")
-	if resp.Header.Get(front.HeaderOutcome) != front.OutcomeNotRun || resp.Header.Get("Retry-After") != "1" {
-		t.Fatalf("answer = %s %v", body, resp.Header)
-	}
-	if err := attempt.Claim(context.Background(), time.Now()); err == nil {
-		t.Error("an attempt from before the refusal claimed the key after it")
-	}
-	if _, body := r.send(t, "/services/bids/offers", "x", front.HeaderClass, "offer", front.HeaderKey, "k1"); body != "accepted" {
-		t.Errorf("a new try got %s", body)
-	}
-}
-
-// TestOutageRefusesKeysButServesTickets holds that in an outage of the platform
-// a key of the caller's own is not run, and a ticket is.
-func TestOutageRefusesKeysButServesTickets(t *testing.T) {
-	runs := 0
-	r := newRig(t, func(w http.ResponseWriter, _ *http.Request) {
-		runs++
-		fmt.Fprint(w, "accepted")
-	})
-	r.table.down = true
-	resp, body := r.send(t, "/services/bids/offers", "x", front.HeaderClass, "offer", front.HeaderKey, "k1")
-	if code(t, body) != "claim_unsettled" || resp.Header.Get(front.HeaderOutcome) != front.OutcomeUnknown || runs != 0 {
-		t.Errorf("key in an outage: %s, ran %d times", body, runs)
-	}
-	_, body = r.send(t, "/v1/tickets", "")
-	var doc struct{ Ticket string }
-	if err := json.Unmarshal([]byte(body), &doc); err != nil {
-		t.Fatal(err)
-	}
-	for range 2 {
-		if _, body := r.send(t, "/services/bids/offers", "x", front.HeaderClass, "offer", front.HeaderKey, doc.Ticket); body != "accepted" {
-			t.Errorf("ticket in an outage: %s", body)
-		}
-	}
-	if runs != 1 {
-		t.Errorf("the ticket ran %d times", runs)
-	}
-}
-
-// TestRefusedTicketIsUsedUp holds that a sending which comes late does not run a
-// ticket of which not_run was said.
-func TestRefusedTicketIsUsedUp(t *testing.T) {
-	runs := 0
-	r := newRig(t, func(w http.ResponseWriter, _ *http.Request) {
-		runs++
-		fmt.Fprint(w, "accepted")
-	})
-	_, body := r.send(t, "/v1/tickets", "")
-	var doc struct{ Ticket string }
-	if err := json.Unmarshal([]byte(body), &doc); err != nil {
-		t.Fatal(err)
-	}
-	r.sched.refusals = []*sched.Refusal{{Reason: "queue_full", RetryAfter: time.Second}}
-	for i := range 2 {
-		resp, body := r.send(t, "/services/bids/offers", "x", front.HeaderClass, "offer", front.HeaderKey, doc.Ticket)
-		if resp.Header.Get(front.HeaderOutcome) != front.OutcomeNotRun || code(t, body) != "queue_full" {
-			t.Errorf("sending %d: %s", i, body)
-		}
-	}
-	if runs != 0 {
-		t.Errorf("it ran %d times", runs)
-	}
-}
-
 // TestCallerGoneCancelsTheEngine holds that the engine is told when the caller
 // has gone in mid-stream.
 func TestCallerGoneCancelsTheEngine(t *testing.T) {
@@ -514,26 +165,6 @@
 	}
 }
 
-// TestHopByHopHeadersAreDropped holds that what concerns one connection, and
-// the team's token, does not reach a backend server.
-func TestHopByHopHeadersAreDropped(t *testing.T) {
-	var got http.Header
-	r := newRig(t, func(w http.ResponseWriter, req *http.Request) {
-		got = req.Header.Clone()
-		w.Header().Set("Keep-Alive", "timeout=5")
-		fmt.Fprint(w, "x")
-	})
-	resp, _ := r.send(t, "/services/bids/x", "b", "Proxy-Authorization", "p", "Connection", "X-Private", "X-Private", "1", "X-Kept", "1")
-	for _, name := range []string{"Proxy-Authorization", "X-Private", "Authorization"} {
-		if got.Get(name) != "" {
-			t.Errorf("%s reached the backend server", name)
-		}
-	}
-	if got.Get("X-Kept") != "1" || resp.Header.Get("Keep-Alive") != "" {
-		t.Errorf("request %v, answer %v", got, resp.Header)
-	}
-}
-
 // TestConnectionIsGoodForAnotherRequest holds that the deadline of the last
 // write of one answer does not cut the next answer on the same connection.
 func TestConnectionIsGoodForAnotherRequest(t *testing.T) {
--- /dev/null
+++ b/internal/front/once_test.go
@@ -0,0 +1,121 @@
+package front_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/croftturn/croftturn/internal/claim"
+	"github.com/croftturn/croftturn/internal/front"
+	"github.com/croftturn/croftturn/internal/sched"
+)
+
+// TestRejectedKeyIsNotRunAndMayBeTriedAgain holds that a key whose request the
+// engine rejected gets the engine's status each time it is sent.
+func TestRejectedKeyIsNotRunAndMayBeTriedAgain(t *testing.T) {
+	r := newRig(t, func(w http.ResponseWriter, _ *http.Request) { http.Error(w, "too long", http.StatusBadRequest) })
+	for range 2 {
+		resp, body := r.send(t, "/v1/chat/completions", hello, front.HeaderClass, "offer", front.HeaderKey, "k1")
+		if resp.StatusCode != http.StatusBadRequest || code(t, body) != "engine_rejected" || resp.Header.Get(front.HeaderOutcome) != front.OutcomeNotRun {
+			t.Errorf("answer = %d %s", resp.StatusCode, body)
+		}
+	}
+}
+
+// TestSameKeyGetsFirstOutcome holds that a key which was seen before runs no
+// second time and gets the recorded answer.
+func TestSameKeyGetsFirstOutcome(t *testing.T) {
+	var runs int
+	r := newRig(t, func(w http.ResponseWriter, req *http.Request) {
+		runs++
+		fmt.Fprint(w, "accepted")
+	})
+	for range 2 {
+		resp, body := r.send(t, "/services/bids/offers", "x", front.HeaderClass, "offer", front.HeaderKey, "k1")
+		if body != "accepted" || resp.Header.Get(front.HeaderOutcome) != front.OutcomeCompleted {
+			t.Errorf("answer = %q %v", body, resp.Header)
+		}
+	}
+	if runs != 1 {
+		t.Errorf("it ran %d times", runs)
+	}
+}
+
+// TestRefusalIsMadeCertain holds that not_run is said of a key only after no
+// attempt that began before can claim it any more, and that a new try may run.
+func TestRefusalIsMadeCertain(t *testing.T) {
+	r := newRig(t, func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "accepted") })
+	stale := claim.NewKeeper(r.table, "n2", 1, time.Millisecond)
+	defer stale.Close()
+	attempt, err := stale.Begin(context.Background(), "alfa/k1", "stale")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.sched.refusals = []*sched.Refusal{{Reason: "queue_full", RetryAfter: time.Second}}
+	resp, body := r.send(t, "/services/bids/offers", "x", front.HeaderClass, "offer", front.HeaderKey, "k1")
+	if resp.Header.Get(front.HeaderOutcome) != front.OutcomeNotRun || resp.Header.Get("Retry-After") != "1" {
+		t.Fatalf("answer = %s %v", body, resp.Header)
+	}
+	if err := attempt.Claim(context.Background(), time.Now()); err == nil {
+		t.Error("an attempt from before the refusal claimed the key after it")
+	}
+	if _, body := r.send(t, "/services/bids/offers", "x", front.HeaderClass, "offer", front.HeaderKey, "k1"); body != "accepted" {
+		t.Errorf("a new try got %s", body)
+	}
+}
+
+// TestOutageRefusesKeysButServesTickets holds that in an outage of the platform
+// a key of the caller's own is not run, and a ticket is.
+func TestOutageRefusesKeysButServesTickets(t *testing.T) {
+	runs := 0
+	r := newRig(t, func(w http.ResponseWriter, _ *http.Request) {
+		runs++
+		fmt.Fprint(w, "accepted")
+	})
+	r.table.down = true
+	resp, body := r.send(t, "/services/bids/offers", "x", front.HeaderClass, "offer", front.HeaderKey, "k1")
+	if code(t, body) != "claim_unsettled" || resp.Header.Get(front.HeaderOutcome) != front.OutcomeUnknown || runs != 0 {
+		t.Errorf("key in an outage: %s, ran %d times", body, runs)
+	}
+	_, body = r.send(t, "/v1/tickets", "")
+	var doc struct{ Ticket string }
+	if err := json.Unmarshal([]byte(body), &doc); err != nil {
+		t.Fatal(err)
+	}
+	for range 2 {
+		if _, body := r.send(t, "/services/bids/offers", "x", front.HeaderClass, "offer", front.HeaderKey, doc.Ticket); body != "accepted" {
+			t.Errorf("ticket in an outage: %s", body)
+		}
+	}
+	if runs != 1 {
+		t.Errorf("the ticket ran %d times", runs)
+	}
+}
+
+// TestRefusedTicketIsUsedUp holds that a sending which comes late does not run a
+// ticket of which not_run was said.
+func TestRefusedTicketIsUsedUp(t *testing.T) {
+	runs := 0
+	r := newRig(t, func(w http.ResponseWriter, _ *http.Request) {
+		runs++
+		fmt.Fprint(w, "accepted")
+	})
+	_, body := r.send(t, "/v1/tickets", "")
+	var doc struct{ Ticket string }
+	if err := json.Unmarshal([]byte(body), &doc); err != nil {
+		t.Fatal(err)
+	}
+	r.sched.refusals = []*sched.Refusal{{Reason: "queue_full", RetryAfter: time.Second}}
+	for i := range 2 {
+		resp, body := r.send(t, "/services/bids/offers", "x", front.HeaderClass, "offer", front.HeaderKey, doc.Ticket)
+		if resp.Header.Get(front.HeaderOutcome) != front.OutcomeNotRun || code(t, body) != "queue_full" {
+			t.Errorf("sending %d: %s", i, body)
+		}
+	}
+	if runs != 0 {
+		t.Errorf("it ran %d times", runs)
+	}
+}
--- /dev/null
+++ b/internal/front/rig_test.go
@@ -0,0 +1,258 @@
+package front_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/croftturn/croftturn/internal/claim"
+	"github.com/croftturn/croftturn/internal/config"
+	"github.com/croftturn/croftturn/internal/engine"
+	"github.com/croftturn/croftturn/internal/front"
+	"github.com/croftturn/croftturn/internal/journal"
+	"github.com/croftturn/croftturn/internal/kv"
+	"github.com/croftturn/croftturn/internal/sched"
+	"github.com/croftturn/croftturn/internal/settings"
+	"github.com/croftturn/croftturn/internal/telemetry"
+	"github.com/croftturn/croftturn/internal/wire"
+)
+
+const (
+	token   = "team-token"
+	maxBody = 4096
+
+	// writeTimeout is short, so that a test can outlast it.
+	writeTimeout = 300 * time.Millisecond
+)
+
+type (
+	// views holds one configuration.
+	views struct{ view *config.View }
+
+	// alone is a membership of one node.
+	alone struct{}
+
+	// inTurn gives the engines of a pool in turn, the excluded one last.
+	inTurn struct {
+		mu       sync.Mutex
+		views    views
+		next     int
+		results  []sched.Result
+		refusals []*sched.Refusal
+		after    *sched.Refusal // after is what comes after the first grant.
+	}
+
+	// table is a table in memory that can be out.
+	table struct {
+		mu   sync.Mutex
+		rows map[string]kv.Row
+		down bool
+	}
+)
+
+// View returns the configuration.
+func (v views) View() *config.View { return v.view }
+
+// Self returns the only member.
+func (alone) Self() wire.Member { return wire.Member{Name: "n1", Incarnation: 1} }
+
+// Live returns the only member.
+func (a alone) Live() []wire.Member { return []wire.Member{a.Self()} }
+
+// Member knows the only member.
+func (a alone) Member(name string) (wire.Member, bool) { return a.Self(), name == "n1" }
+
+// Call reaches nobody.
+func (alone) Call(context.Context, string, string, any, any) error { return io.ErrClosedPipe }
+
+// Acquire gives the next engine, or the next refusal where one is planned.
+func (s *inTurn) Acquire(_ context.Context, req sched.Request) (sched.Grant, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.refusals) > 0 {
+		r := s.refusals[0]
+		s.refusals = s.refusals[1:]
+		return sched.Grant{}, r
+	}
+	if s.after != nil && s.next > 0 {
+		return sched.Grant{}, s.after
+	}
+	engines := s.views.view.Engines(req.Pool)
+	for {
+		e := engines[s.next%len(engines)]
+		s.next++
+		if e.Name != req.Exclude || len(engines) == 1 {
+			return sched.Grant{Engine: e, Why: "its turn"}, nil
+		}
+	}
+}
+
+// Release keeps the result.
+func (s *inTurn) Release(_ sched.Request, _ sched.Grant, res sched.Result) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.results = append(s.results, res)
+}
+
+// Get reads a row.
+func (t *table) Get(_ context.Context, key string) (kv.Row, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.down {
+		return kv.Row{}, kv.ErrUnavailable
+	}
+	return t.rows[key], nil
+}
+
+// Transact checks and writes rows.
+func (t *table) Transact(_ context.Context, txn kv.Txn) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.down {
+		return kv.ErrUnavailable
+	}
+	for _, c := range txn.Checks {
+		if row := t.rows[c.Key]; row.Version != c.Version {
+			row.Key = c.Key
+			return &kv.ConflictError{Rows: []kv.Row{row}}
+		}
+	}
+	for _, p := range txn.Puts {
+		t.rows[p.Key] = kv.Row{Key: p.Key, Value: p.Value, Version: t.rows[p.Key].Version + 1}
+	}
+	return nil
+}
+
+// rig is a front with engines that handlers stand for.
+type rig struct {
+	sched *inTurn
+	table *table
+	url   string
+}
+
+// newRig starts a front before some engines; service engines go by the same
+// handlers.
+func newRig(t *testing.T, engines ...http.HandlerFunc) *rig {
+	t.Helper()
+	c := &config.Config{
+		Classes: []config.Class{{Name: "explain", Tier: 3}, {Name: "offer", Tier: 2, NotRepeatable: true}},
+		Teams:   []config.Team{{Name: "alfa", TokenSha256: config.HashToken(token), DefaultClass: "explain"}},
+		Pools:   []config.Pool{{Name: "llm", Kind: config.PoolKindModel, Models: []string{"m"}, Scheduler: config.PoolSchedulerDirect}, {Name: "bids", Kind: config.PoolKindService, Scheduler: config.PoolSchedulerDirect}},
+	}
+	for i, h := range engines {
+		srv := httptest.NewServer(h)
+		t.Cleanup(srv.Close)
+		address := strings.TrimPrefix(srv.URL, "http://")
+		c.Engines = append(c.Engines, config.Engine{Name: fmt.Sprint("e", i), Pool: "llm", Address: address, Slots: 4},
+			config.Engine{Name: fmt.Sprint("s", i), Pool: "bids", Address: address, Slots: 4})
+	}
+	view, err := config.NewView(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	tele, err := telemetry.New(context.Background(), &settings.Settings{Instance: "n1", LogLevel: "error"}, io.Discard)
+	if err != nil {
+		t.Fatal(err)
+	}
+	tele.Log = slog.New(slog.DiscardHandler)
+	t.Cleanup(func() { tele.Close() })
+	r := &rig{sched: &inTurn{views: views{view}}, table: &table{rows: map[string]kv.Row{}}}
+	client := engine.NewClient(2 * time.Second)
+	t.Cleanup(client.Close)
+	keeper := claim.NewKeeper(r.table, "n1", 1, time.Millisecond)
+	t.Cleanup(keeper.Close)
+	f := front.New(views{view}, alone{}, alone{}, client, journal.New(), tele,
+		front.WithScheduler(config.PoolSchedulerDirect, r.sched),
+		front.WithClaims(keeper, claim.NewIssuer(time.Now(), "n1", 1, time.Minute), claim.NewRegistry(time.Minute)),
+		front.WithLimits(front.Limits{MaxBody: maxBody, WriteTimeout: writeTimeout, EntryKeep: time.Second}))
+	srv := httptest.NewServer(f)
+	t.Cleanup(srv.Close)
+	r.url = srv.URL
+	return r
+}
+
+// send posts a body with headers given in pairs and returns status, headers and
+// the answer's text, which is cut where the connection was.
+func (r *rig) send(t *testing.T, path, body string, headers ...string) (*http.Response, string) {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodPost, r.url+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+token)
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	var text bytes.Buffer
+	io.Copy(&text, resp.Body) // A cut answer is what some tests look for.
+	return resp, text.String()
+}
+
+// code takes the code out of an error answer.
+func code(t *testing.T, text string) string {
+	t.Helper()
+	var doc struct {
+		Error struct{ Code string }
+	}
+	if err := json.Unmarshal([]byte(text), &doc); err != nil {
+		t.Fatalf("answer %q: %v", text, err)
+	}
+	return doc.Error.Code
+}
+
+// event returns one event of a stream with a text.
+func event(text string) string {
+	return fmt.Sprintf("data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":%q}}]}\n\n", text)
+}
+
+// answers returns a handler that streams words and ends as it should.
+func answers(words ...string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		for _, word := range words {
+			fmt.Fprint(w, event(word))
+		}
+		fmt.Fprint(w, "data: {\"choices\":[{\"delta\":{},\"finish_reason\":\"stop\"}]}\n\ndata: [DONE]\n\n")
+	}
+}
+
+// cuts returns a handler that streams words and cuts the connection.
+func cuts(words ...string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		for _, word := range words {
+			fmt.Fprint(w, event(word))
+		}
+		http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// text joins the contents of a stream's events.
+func text(stream string) string {
+	var b strings.Builder
+	for _, line := range strings.Split(stream, "\n") {
+		var chunk struct {
+			Choices []struct{ Delta struct{ Content string } }
+		}
+		if json.Unmarshal([]byte(strings.TrimPrefix(line, "data: ")), &chunk) == nil && len(chunk.Choices) > 0 {
+			b.WriteString(chunk.Choices[0].Delta.Content)
+		}
+	}
+	return b.String()
+}
+
+// hello is the body of a chat completion that is streamed.
+const hello = `{"model":"m","stream":true,"messages":[{"role":"user","content":"hi"}]}`
