--- a/internal/reply/reply.go
+++ b/internal/reply/reply.go
@@ -26,9 +26,6 @@
 	return &Writer{w: w, control: http.NewResponseController(w), limit: limit}
 }
 
-// Header returns the caller's headers, which may be set until Begin.
-func (w *Writer) Header() http.Header { return w.w.Header() }
-
 // Begin begins an engine's answer.
 func (w *Writer) Begin(resp *dispatch.Response) {
 	h := w.w.Header()
