--- a/lab/soak/planted_test.go
+++ b/lab/soak/planted_test.go
@@ -42,22 +42,31 @@
 		t.Run(p.name, func(t *testing.T) {
 			program := buildWith(t, p)
 			for seed := uint64(1); seed <= plantedSeeds; seed++ {
-				ledger, err := Run(context.Background(), Options{
-					Seed: seed, Nodes: 4, Engines: 6, Callers: 8, Faults: 8 * time.Second, Calm: time.Second, Dir: t.TempDir(), Program: program,
-				})
-				if ledger != nil && len(ledger.Broken()) > 0 {
-					t.Logf("found with seed %d: %s", seed, ledger.Broken()[0])
+				if findsFault(t, program, seed) {
 					return
 				}
-				if err != nil {
-					t.Logf("seed %d: %v", seed, err)
-				}
 			}
 			t.Errorf("not found with %d seeds", plantedSeeds)
 		})
 	}
 }
 
+// findsFault plays one seed with a program and reports whether a promise was broken.
+func findsFault(t *testing.T, program string, seed uint64) bool {
+	t.Helper()
+	ledger, err := Run(context.Background(), Options{
+		Seed: seed, Nodes: 4, Engines: 6, Callers: 8, Faults: 8 * time.Second, Calm: time.Second, Dir: t.TempDir(), Program: program,
+	})
+	if ledger != nil && len(ledger.Broken()) > 0 {
+		t.Logf("found with seed %d: %s", seed, ledger.Broken()[0])
+		return true
+	}
+	if err != nil {
+		t.Logf("seed %d: %v", seed, err)
+	}
+	return false
+}
+
 // buildWith builds the program with a planted fault and returns its path.
 func buildWith(t *testing.T, p planted) string {
 	t.Helper()
@@ -65,7 +74,34 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	original := filepath.Join(root, p.file)
+	dir := t.TempDir()
+	overlay := writeOverlay(t, p, root, dir)
+	program := filepath.Join(dir, "croftturn")
+	cmd := exec.Command("go", "build", "-overlay", overlay, "-o", program, "./cmd/croftturn")
+	cmd.Dir = root
+	if out, err := cmd.CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	return program
+}
+
+// writeOverlay writes a changed copy of a fault's file to a directory, and an overlay that
+// makes the compiler read it in place of the original; it returns the overlay's path.
+func writeOverlay(t *testing.T, p planted, root, dir string) string {
+	t.Helper()
+	original, changed, overlay := filepath.Join(root, p.file), filepath.Join(dir, "changed.go"), filepath.Join(dir, "overlay.json")
+	text, err := json.Marshal(struct{ Replace map[string]string }{map[string]string{original: changed}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	writeFile(t, changed, changedText(t, p, original))
+	writeFile(t, overlay, text)
+	return overlay
+}
+
+// changedText returns the text of a file with a fault in it.
+func changedText(t *testing.T, p planted, original string) []byte {
+	t.Helper()
 	text, err := os.ReadFile(original)
 	if err != nil {
 		t.Fatal(err)
@@ -74,21 +110,13 @@
 	if changed == string(text) {
 		t.Fatalf("%s does not hold %q any more", p.file, p.old)
 	}
-	dir := t.TempDir()
-	overlay, err := json.Marshal(struct{ Replace map[string]string }{map[string]string{original: filepath.Join(dir, "changed.go")}})
-	if err != nil {
+	return []byte(changed)
+}
+
+// writeFile writes a file.
+func writeFile(t *testing.T, path string, data []byte) {
+	t.Helper()
+	if err := os.WriteFile(path, data, 0o644); err != nil {
 		t.Fatal(err)
 	}
-	for name, data := range map[string][]byte{"changed.go": []byte(changed), "overlay.json": overlay} {
-		if err := os.WriteFile(filepath.Join(dir, name), data, 0o644); err != nil {
-			t.Fatal(err)
-		}
-	}
-	program := filepath.Join(dir, "croftturn")
-	cmd := exec.Command("go", "build", "-overlay", filepath.Join(dir, "overlay.json"), "-o", program, "./cmd/croftturn")
-	cmd.Dir = root
-	if out, err := cmd.CombinedOutput(); err != nil {
-		t.Fatalf("build: %v\n%s", err, out)
-	}
-	return program
 }
