Lab: name the steps of the soak's engine and of the relay

ServeHTTP of the soak's engine chose the mode between its checks and went on to run the request; nextMode and run are functions. The relay's package comment told neither resets nor cuts one way, and the condition of holding is a function. Behaviour is the same.

--- a/lab/relay/relay.go
+++ b/lab/relay/relay.go
@@ -1,5 +1,5 @@
-// Package relay is a TCP relay for tests that can drop, delay and half-open the
-// connections between two processes.
+// Package relay is a TCP relay for tests that can drop, reset, delay and half-open the
+// connections between two processes, both ways or one way.
 package relay
 
 import (
@@ -166,11 +166,16 @@
 	}
 }
 
+// holds reports whether the mode hands nothing on in a direction; the caller holds the lock.
+func (r *Relay) holds(back bool) bool {
+	return r.mode == Hold || r.mode == HoldBack && back
+}
+
 // pass waits as the mode says and returns whether to hand on.
 func (r *Relay) pass(back bool) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for (r.mode == Hold || r.mode == HoldBack && back) && !r.closed {
+	for r.holds(back) && !r.closed {
 		r.changed.Wait()
 	}
 	if r.mode == Delay && (r.rand == nil || r.rand.Float64() < r.share) {
--- a/lab/soak/engine.go
+++ b/lab/soak/engine.go
@@ -62,7 +62,7 @@
 	e.wg.Wait()
 }
 
-// ServeHTTP runs one request, as the mode says.
+// ServeHTTP takes one request, and runs it as the mode says.
 func (e *engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("Attempt-Id")
 	w.Header().Set("Attempt-Id", id)
@@ -74,15 +74,25 @@
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return // The request did not come whole, and is not run.
 	}
-	mode := int(e.odd.Load())
-	if e.count.Add(1)%2 == 0 {
-		mode = int(e.even.Load())
-	}
+	mode := e.nextMode()
 	if mode == modeFull {
 		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	e.run(w, r, id, mode)
+}
+
+// nextMode returns the mode for one more request.
+func (e *engine) nextMode() int {
+	if e.count.Add(1)%2 == 0 {
+		return int(e.even.Load())
+	}
+	return int(e.odd.Load())
+}
+
+// run records that a request runs and answers it, or fails to.
+func (e *engine) run(w http.ResponseWriter, r *http.Request, id string, mode int) {
 	e.ledger.ran(id, run{engine: e.id, team: r.Header.Get("Tenant"), at: time.Now()})
 	w.Header().Set("Response-Seal", "seal-"+id)
 	switch mode {
