--- a/internal/front/once_test.go
+++ b/internal/front/once_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"testing"
@@ -80,13 +79,9 @@
 	if code(t, body) != "claim_unsettled" || resp.Header.Get(front.HeaderOutcome) != front.OutcomeUnknown || runs != 0 {
 		t.Errorf("key in an outage: %s, ran %d times", body, runs)
 	}
-	_, body = r.send(t, "/v1/tickets", "")
-	var doc struct{ Ticket string }
-	if err := json.Unmarshal([]byte(body), &doc); err != nil {
-		t.Fatal(err)
-	}
+	ticket := r.ticket(t)
 	for range 2 {
-		if _, body := r.send(t, "/services/bids/offers", "x", front.HeaderClass, "offer", front.HeaderKey, doc.Ticket); body != "accepted" {
+		if _, body := r.send(t, "/services/bids/offers", "x", front.HeaderClass, "offer", front.HeaderKey, ticket); body != "accepted" {
 			t.Errorf("ticket in an outage: %s", body)
 		}
 	}
@@ -103,14 +98,10 @@
 		runs++
 		fmt.Fprint(w, "accepted")
 	})
-	_, body := r.send(t, "/v1/tickets", "")
-	var doc struct{ Ticket string }
-	if err := json.Unmarshal([]byte(body), &doc); err != nil {
-		t.Fatal(err)
-	}
+	ticket := r.ticket(t)
 	r.sched.refusals = []*sched.Refusal{{Reason: "queue_full", RetryAfter: time.Second}}
 	for i := range 2 {
-		resp, body := r.send(t, "/services/bids/offers", "x", front.HeaderClass, "offer", front.HeaderKey, doc.Ticket)
+		resp, body := r.send(t, "/services/bids/offers", "x", front.HeaderClass, "offer", front.HeaderKey, ticket)
 		if resp.Header.Get(front.HeaderOutcome) != front.OutcomeNotRun || code(t, body) != "queue_full" {
 			t.Errorf("sending %d: %s", i, body)
 		}
--- a/internal/front/rig_test.go
+++ b/internal/front/rig_test.go
@@ -202,6 +202,17 @@
 	return resp, text.String()
 }
 
+// ticket gets a ticket.
+func (r *rig) ticket(t *testing.T) string {
+	t.Helper()
+	_, body := r.send(t, "/v1/tickets", "")
+	var doc struct{ Ticket string }
+	if err := json.Unmarshal([]byte(body), &doc); err != nil {
+		t.Fatal(err)
+	}
+	return doc.Ticket
+}
+
 // code takes the code out of an error answer.
 func code(t *testing.T, text string) string {
 	t.Helper()
