--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/iotest"
 	"time"
@@ -24,8 +25,13 @@
 	timeout = 2 * time.Second
 )
 
-// errCut is an engine's connection that broke after the request was sent.
-var errCut = errors.New("connection reset")
+var (
+	// errCut is an engine's connection that broke after the request was sent.
+	errCut = errors.New("connection reset")
+
+	// retried counts the retries taken.
+	retried atomic.Int64
+)
 
 type (
 	// engines is a sender whose answers a test writes; n counts sendings from 1.
@@ -44,7 +50,7 @@
 		aborted bool
 	}
 
-	// noMetrics counts nothing.
+	// noMetrics counts retries only.
 	noMetrics struct{}
 )
 
@@ -61,7 +67,7 @@
 func (a *answer) Write(p []byte) error                  { _, err := a.body.Write(p); return err }
 func (a *answer) Abort()                                { a.aborted = true }
 func (noMetrics) Ended(_, _ string, _, _ time.Duration) {}
-func (noMetrics) Retried(string)                        {}
+func (noMetrics) Retried(string)                        { retried.Add(1) }
 
 // respond returns an engine's whole answer.
 func respond(status int, body string) *dispatch.Response {
@@ -267,3 +273,58 @@
 		t.Errorf("a node that could serve before holds a request for %v", held)
 	}
 }
+
+// TestRetryIsTakenOnce holds that a retry taken to leave a slow engine serves where
+// that engine then says that it did not run the request: the budget has no second one.
+func TestRetryIsTakenOnce(t *testing.T) {
+	e := &engines{}
+	e.serve = func(_ context.Context, n int, _ dispatch.Attempt) (*dispatch.Response, error) {
+		if n > 1 {
+			return respond(200, "second"), nil
+		}
+		time.Sleep(4 * target) // The engine answers after it was given up.
+		resp := respond(http.StatusServiceUnavailable, "")
+		resp.NotRun = true
+		return resp, nil
+	}
+	if a := serve(t, newDispatcher(e, 1), "safe"); a.body.String() != "second" {
+		t.Errorf("got %q, refusal %+v", a.body.String(), a.refusal)
+	}
+}
+
+// TestNoRetryIsTakenForNothing holds that a stream which has no further engine to go
+// to takes no retry when its last engine sends nothing until the deadline.
+func TestNoRetryIsTakenForNothing(t *testing.T) {
+	for range 5 {
+		e := &engines{}
+		e.serve = func(ctx context.Context, n int, _ dispatch.Attempt) (*dispatch.Response, error) {
+			if n == 1 {
+				return nil, errCut
+			}
+			resp := respond(200, "")
+			resp.Length, resp.Body = -1, io.NopCloser(&silent{ctx})
+			return resp, nil
+		}
+		d := newDispatcher(e, 9)
+		now := time.Now()
+		r := &dispatch.Request{ID: "id", Host: "h", Path: "/resumable/x", Key: "k", Patience: 100 * time.Millisecond}
+		route, team, refusal := d.Check(now, r)
+		if refusal != nil {
+			t.Fatal(refusal.Reason)
+		}
+		before := retried.Load()
+		d.Serve(context.Background(), now, r, route, team, &answer{})
+		if got := retried.Load() - before; got != 1 {
+			t.Fatalf("%d retries taken for one second sending", got)
+		}
+	}
+}
+
+// silent is a body that holds nothing until its request ends.
+type silent struct{ ctx context.Context }
+
+func (s *silent) Read([]byte) (int, error) {
+	<-s.ctx.Done()
+	time.Sleep(5 * time.Millisecond) // Timers that end with the request fire first.
+	return 0, context.Cause(s.ctx)
+}
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -54,7 +54,9 @@
 		w.refuse(Refusal{Reason: Broken}) // The caller has the head of another engine's answer.
 		return false
 	}
-	w.first = now.Sub(w.arrived)
+	if w.first == 0 {
+		w.first = now.Sub(w.arrived)
+	}
 	if w.route.Kind == routing.Stream && success {
 		return w.relayStream(ctx, cancel, resp)
 	}
@@ -66,6 +68,8 @@
 	w.status = resp.Status
 	if !resp.NotRun {
 		w.call.Began(now)
+	}
+	if !resp.NotRun && w.heard.IsZero() {
 		w.heard = now
 	}
 	if resp.Loaded {
@@ -76,7 +80,7 @@
 // turned decides what follows where an engine did not run the request.
 func (w *walk) turned(now time.Time, cause error) (again bool) {
 	w.refused = Refusal{Reason: w.orMayHaveRun(Full), ComeBack: fullReturn}
-	if w.sent < w.route.MaxEngines && now.Before(w.deadline) && w.takeRetry(now, w.choice.Engine.ID, w.sent, cause) {
+	if w.sent < w.route.MaxEngines && now.Before(w.deadline) && w.useRetry(now, cause) {
 		return true
 	}
 	w.refuse(w.refused)
@@ -202,11 +206,10 @@
 // watchEvents gives an attempt up whose engine sends no event for too long, where the
 // stream may go on elsewhere. It returns its timer, and what is to be called with each event.
 func (w *walk) watchEvents(cancel context.CancelCauseFunc) (stall *time.Timer, heard func()) {
-	stall = time.AfterFunc(time.Until(w.deadline), w.leaveSlow(cancel))
 	if w.sent >= w.route.MaxEngines {
-		return stall, func() {}
+		return time.NewTimer(time.Until(w.deadline)), func() {}
 	}
-	stall.Reset(stalled)
+	stall = time.AfterFunc(stalled, w.leaveSlow(cancel))
 	return stall, func() { stall.Reset(stalled) }
 }
 
--- a/internal/dispatch/resend.go
+++ b/internal/dispatch/resend.go
@@ -46,6 +46,12 @@
 	if !w.route.Repeatable() || w.sent >= w.route.MaxEngines || !now.Before(w.deadline) {
 		return false
 	}
+	return w.useRetry(now, cause)
+}
+
+// useRetry uses the retry that was taken when a slow engine was given up, or takes
+// one from the budget.
+func (w *walk) useRetry(now time.Time, cause error) bool {
 	return w.reserved.Swap(false) || w.takeRetry(now, w.choice.Engine.ID, w.sent, cause)
 }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -186,7 +186,7 @@
 		{s.AdminAddress, control},
 	}
 	if s.ChatAddress != "" {
-		completions := front.NewCompletions(e.dispatcher, front.Limits{MaxBody: int64(s.MaxBodyBytes), WriteTimeout: ms(s.WriteTimeoutMs)}, e.log)
+		completions := front.NewCompletions(e.dispatcher, front.Limits{MaxBody: int64(s.MaxBodyBytes), WriteTimeout: ms(s.WriteTimeoutMs), ReadTimeout: ms(s.ReadTimeoutMs)}, e.log)
 		servers = append(servers, listener{s.ChatAddress, completions})
 	}
 	for _, each := range servers {
--- a/internal/front/completions.go
+++ b/internal/front/completions.go
@@ -57,6 +57,8 @@
 	a := &completionAnswer{Writer: reply.New(w, c.limits.WriteTimeout), w: w, id: newID(), log: c.log}
 	req, failure := c.read(w, r, a.id)
 	if failure != nil {
+		head := &dispatch.Request{ID: a.id, Host: r.Host, Path: r.URL.EscapedPath()}
+		c.dispatcher.Refused(time.Now(), head, &dispatch.Refusal{Reason: dispatch.BadRequest})
 		a.fail(failure)
 		return
 	}
@@ -74,7 +76,14 @@
 
 // read reads a completion whole and returns the request that it stands for.
 func (c *Completions) read(w http.ResponseWriter, r *http.Request, id string) (*dispatch.Request, *CallerError) {
+	control := http.NewResponseController(w)
+	if err := control.SetReadDeadline(time.Now().Add(c.limits.ReadTimeout)); err != nil {
+		return nil, &CallerError{Status: http.StatusInternalServerError, Code: "internal", Message: "the reading of the body can't be bounded"}
+	}
 	body, failure := readBody(w, r, c.limits.MaxBody)
+	if err := control.SetReadDeadline(time.Time{}); err != nil {
+		c.log.Debug("read deadline not taken back", "request", id, "error", err.Error())
+	}
 	if failure != nil {
 		return nil, failure
 	}
@@ -87,6 +96,9 @@
 	if failure != nil {
 		return nil, failure
 	}
+	if doc.Model == "" {
+		return nil, &CallerError{Status: http.StatusBadRequest, Code: "bad_body", Message: "model is missing"}
+	}
 	wait, failure := patience(r)
 	if failure != nil {
 		return nil, failure
--- a/internal/front/completions_test.go
+++ b/internal/front/completions_test.go
@@ -41,7 +41,7 @@
 // complete sends a body to a server of completions.
 func complete(t *testing.T, d *fakeDispatcher, body string, header map[string]string) (resp *http.Response, text string, err error) {
 	t.Helper()
-	limits := Limits{MaxBody: 4 << 10, WriteTimeout: time.Second}
+	limits := Limits{MaxBody: 4 << 10, WriteTimeout: time.Second, ReadTimeout: time.Second}
 	server := httptest.NewServer(NewCompletions(d, limits, slog.New(slog.NewTextHandler(io.Discard, nil))))
 	t.Cleanup(server.Close)
 	req, err := http.NewRequest(http.MethodPost, server.URL+"/v1/chat/completions", strings.NewReader(body))
@@ -126,10 +126,10 @@
 // TestBadCompletions holds that what is not understood whole reaches no dispatcher.
 func TestBadCompletions(t *testing.T) {
 	for body, want := range map[string]int{
-		`{`: 400, `[]`: 400, `{"model":"m","messages":[]}`: 400, strings.Repeat(" ", 5<<10): 413,
+		`{`: 400, `[]`: 400, `{"model":"m","messages":[]}`: 400, `{"messages":[{"role":"user"}]}`: 400, strings.Repeat(" ", 5<<10): 413,
 	} {
 		d := &fakeDispatcher{}
-		if resp, text, err := complete(t, d, body, nil); resp.StatusCode != want || err != nil || d.got != nil {
+		if resp, text, err := complete(t, d, body, nil); resp.StatusCode != want || err != nil || d.got != nil || d.refused != 1 {
 			t.Errorf("%.20q: got %d %s %v", body, resp.StatusCode, text, err)
 		}
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -57,6 +57,7 @@
 	Limits struct {
 		MaxBody      int64         // MaxBody in bytes.
 		WriteTimeout time.Duration // WriteTimeout bounds one write to a caller.
+		ReadTimeout  time.Duration // ReadTimeout bounds the reading of a completion's body.
 		EntryKeep    time.Duration // EntryKeep is how long entry points may be kept.
 	}
 
