--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -278,11 +278,11 @@
 // that engine then says that it did not run the request: the budget has no second one.
 func TestRetryIsTakenOnce(t *testing.T) {
 	e := &engines{}
-	e.serve = func(_ context.Context, n int, _ dispatch.Attempt) (*dispatch.Response, error) {
+	e.serve = func(ctx context.Context, n int, _ dispatch.Attempt) (*dispatch.Response, error) {
 		if n > 1 {
 			return respond(200, "second"), nil
 		}
-		time.Sleep(4 * target) // The engine answers after it was given up.
+		<-ctx.Done() // The engine answers after it was given up.
 		resp := respond(http.StatusServiceUnavailable, "")
 		resp.NotRun = true
 		return resp, nil
--- /dev/null
+++ b/internal/edge/reading_test.go
@@ -0,0 +1,144 @@
+package edge
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/croftturn/croftturn/internal/gossip"
+)
+
+// TestFewNodesRead holds that of many nodes a few read the store's tables, that
+// those which can't are passed over, and that a node which hears nobody reads.
+func TestFewNodesRead(t *testing.T) {
+	peers := map[string]gossip.Said{}
+	for i := range 9 {
+		peers[fmt.Sprintf("%d-n", i)] = gossip.Said{}
+	}
+	e := heardFrom(t, peers)
+	now := time.Now()
+	e.proven(now)
+	count := 0
+	for _, name := range append([]string{"self"}, keysOf(peers)...) {
+		if e.readsAs(now, name) {
+			count++
+		}
+	}
+	if count < readers || count > readers+1 {
+		t.Errorf("%d nodes read, want %d", count, readers)
+	}
+	if !heardFrom(t, nil).reads(time.Now().Add(time.Second)) {
+		t.Error("a node that hears nobody does not read")
+	}
+	for name := range peers {
+		peers[name] = gossip.Said{CantRead: true, SilentMs: -1}
+	}
+	e = heardFrom(t, peers)
+	e.proven(now)
+	if !e.reads(now) {
+		t.Error("a node does not read, though no other can")
+	}
+}
+
+// keysOf returns the names of peers.
+func keysOf(peers map[string]gossip.Said) []string {
+	var out []string
+	for name := range peers {
+		out = append(out, name)
+	}
+	return out
+}
+
+// TestSilentReadersArePassedOver holds that nodes which read without having an
+// answer for too long do not keep others from reading, and that this node leaves
+// reading to others when it has none.
+func TestSilentReadersArePassedOver(t *testing.T) {
+	peers := map[string]gossip.Said{}
+	for i := range 9 {
+		peers[fmt.Sprintf("%d-n", i)] = gossip.Said{SilentMs: 1500}
+	}
+	e := heardFrom(t, peers)
+	now := time.Now()
+	e.proven(now)
+	if !e.reads(now) {
+		t.Error("a node does not read, though those that do have no answer")
+	}
+	peers = map[string]gossip.Said{}
+	for i := 0; len(peers) < 9; i++ {
+		if name := fmt.Sprintf("%d-n", i); newCandidate("self", false).before(newCandidate(name, false)) {
+			peers[name] = gossip.Said{SilentMs: -1}
+		}
+	}
+	mute := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if _, err := io.Copy(io.Discard, r.Body); err == nil {
+			<-r.Context().Done()
+		}
+	}))
+	t.Cleanup(mute.Close)
+	t.Cleanup(mute.CloseClientConnections)
+	e = heardFromAt(t, mute.Listener.Addr().String(), peers)
+	now = time.Now()
+	e.proven(now)
+	e.quietSince.Store(nil)
+	if e.watchSilence(now) != 0 || e.watchSilence(now.Add(time.Second)) != time.Second || e.cantRead(now.Add(time.Second)) {
+		t.Error("a node that reads is silent too soon")
+	}
+	later := now.Add(1300 * time.Millisecond)
+	for name := range peers {
+		e.gossip.Introduce(later, gossip.Self{Name: name, Incarnation: 1}, peers[name]) // They are heard until then.
+	}
+	if e.watchSilence(later); !e.cantRead(later) || e.reads(later) {
+		t.Error("a node without answers goes on reading")
+	}
+	if again := later.Add(4 * time.Second); e.cantRead(again) {
+		t.Error("a node never reads again")
+	}
+}
+
+// TestOneProbeWhileTheStoreIsAway holds that a node which restarts while the store is
+// away asks it for the configuration only, and for the rest once it has answered.
+func TestOneProbeWhileTheStoreIsAway(t *testing.T) {
+	var mu sync.Mutex
+	asked, away := map[string]int{}, true
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		defer mu.Unlock()
+		asked[r.URL.Path+" "+r.URL.Query().Get("table")]++
+		if away {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		fmt.Fprintf(w, `{"rows":[],"ver":7,"now_ms":%d}`, time.Now().UnixMilli())
+	}))
+	t.Cleanup(server.Close)
+	counts := func() (config, others int) {
+		mu.Lock()
+		defer mu.Unlock()
+		for what, n := range asked {
+			if strings.HasSuffix(what, " op") {
+				config += n
+				continue
+			}
+			others += n
+		}
+		return config, others
+	}
+	heardFromAt(t, server.Listener.Addr().String(), nil)
+	waitFor(t, func() bool { config, _ := counts(); return config >= 3 }, "the configuration is not asked for")
+	if _, others := counts(); others != 0 {
+		t.Errorf("%d other calls while the store is away: %v", others, asked)
+	}
+	mu.Lock()
+	away = false
+	mu.Unlock()
+	waitFor(t, func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return asked["/-/rows-get servers"] > 0 && asked["/-/rows-tx "] > 0
+	}, "engines or register are not asked for after the store's return")
+}
