Keep one backoff and one choice of the first nodes

The reader of tables and the register had the same two constants, doubling and spread; a starting node counted by hash what the choice of readers worked out by building a list, sorting it and looking itself up, some thirty times a second. Ruled out: the reading of bodies, alike in platform.Ingress and front.Completions: they refuse by different types, and joining them would change an answer; left for its own issue. Change: pause.Backoff and pause.Spread; candidate.amongFirst counts who comes before, for both choices. Behaviour is the same: the same pauses in the same order, the same nodes.

--- a/internal/edge/reading.go
+++ b/internal/edge/reading.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sort"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -50,14 +49,13 @@
 
 // candidate is a node that may read the platform's tables.
 type candidate struct {
-	name  string
 	fails bool   // fails says that it had no answer of the store lately.
 	hash  uint64 // hash orders candidates alike at all nodes.
 }
 
 // newCandidate returns a candidate.
 func newCandidate(name string, fails bool) candidate {
-	return candidate{name: name, fails: fails, hash: xxhash.Sum64String(name)}
+	return candidate{fails: fails, hash: xxhash.Sum64String(name)}
 }
 
 // before reports whether a candidate should read rather than another: one that
@@ -69,6 +67,17 @@
 	return c.hash < other.hash
 }
 
+// amongFirst reports whether a candidate is among the first so many of itself and others.
+func (c candidate) amongFirst(limit int, others []candidate) bool {
+	before := 0
+	for _, other := range others {
+		if other.before(c) {
+			before++
+		}
+	}
+	return before < limit
+}
+
 // reads reports whether this node should read the platform's tables: whether it
 // is among the first by hash of the nodes that are alive and can read. A node
 // that hears nobody always reads.
@@ -104,18 +113,12 @@
 	if len(peers) < limit {
 		return true
 	}
-	list := []candidate{newCandidate(self, e.cantRead(now))}
+	others := make([]candidate, 0, len(peers))
 	for _, p := range peers {
 		silent := ms(int(p.Said.SilentMs)) > e.readSilence()
-		list = append(list, newCandidate(p.Name, p.Said.CantRead || silent))
+		others = append(others, newCandidate(p.Name, p.Said.CantRead || silent))
 	}
-	sort.Slice(list, func(i, j int) bool { return list[i].before(list[j]) })
-	for _, c := range list[:limit] {
-		if c.name == self {
-			return true
-		}
-	}
-	return false
+	return newCandidate(self, e.cantRead(now)).amongFirst(limit, others)
 }
 
 // readsAtStart reports whether this node should read the tables before it has a
@@ -134,14 +137,11 @@
 	if len(names) < manyNodes || age > peersWait {
 		return true
 	}
-	before := 0
-	own := xxhash.Sum64String(e.settings.Instance)
+	others := make([]candidate, 0, len(names))
 	for _, name := range names {
-		if xxhash.Sum64String(name) < own {
-			before++
-		}
+		others = append(others, newCandidate(name, false))
 	}
-	return before < 2*readers
+	return newCandidate(e.settings.Instance, false).amongFirst(2*readers, others)
 }
 
 // cantRead reports whether this node had a failed call, or no answer for too
--- a/internal/feed/reader.go
+++ b/internal/feed/reader.go
@@ -4,18 +4,12 @@
 	"context"
 	"errors"
 	"log/slog"
-	"math/rand/v2"
 	"time"
 
 	"github.com/croftturn/croftturn/internal/pause"
 )
 
 const (
-	// retryFirst and retryMost bound the pause after a failed call; it doubles, and
-	// is drawn by chance so that nodes that start together do not call together.
-	retryFirst = 50 * time.Millisecond
-	retryMost  = 800 * time.Millisecond
-
 	// gather is the pause after changes, so that the next call brings several where
 	// changes come one after another, as when engines start; each call is paid for.
 	gather = 100 * time.Millisecond
@@ -51,7 +45,7 @@
 
 // Run reads until the context ends.
 func (r *Reader) Run(ctx context.Context) {
-	backoff := retryFirst
+	var backoff pause.Backoff
 	for ctx.Err() == nil {
 		if !r.wanted(time.Now()) {
 			pause.For(ctx, idlePoll)
@@ -66,10 +60,9 @@
 			r.known = false
 		case err != nil:
 			r.failed(time.Now(), err)
-			pause.For(ctx, backoff/2+rand.N(backoff))
-			backoff = min(2*backoff, retryMost)
+			backoff.Wait(ctx)
 		default:
-			backoff = retryFirst
+			backoff.Reset()
 		}
 	}
 }
--- /dev/null
+++ b/internal/pause/backoff.go
@@ -0,0 +1,35 @@
+package pause
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	// backoffFirst and backoffMost bound the pause after a failed call to the platform's
+	// store, which answers within some 10 ms and is away for seconds.
+	backoffFirst = 50 * time.Millisecond
+	backoffMost  = 800 * time.Millisecond
+)
+
+// Backoff is the pause after failures in a row. It doubles with each of them. The zero
+// value is ready for use.
+type Backoff struct{ next time.Duration }
+
+// Reset makes the next pause the first one again; it is called after a success.
+func (b *Backoff) Reset() { b.next = 0 }
+
+// Wait pauses after a failure.
+func (b *Backoff) Wait(ctx context.Context) { Spread(ctx, b.step()) }
+
+// step returns the usual length of the present pause and doubles the next.
+func (b *Backoff) step() time.Duration {
+	d := max(b.next, backoffFirst)
+	b.next = min(2*d, backoffMost)
+	return d
+}
+
+// Spread pauses for a duration drawn by chance between half of it and half as long
+// again, so that nodes which start together do not call together.
+func Spread(ctx context.Context, usual time.Duration) { For(ctx, usual/2+rand.N(usual)) }
--- a/internal/register/register.go
+++ b/internal/register/register.go
@@ -8,7 +8,6 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -25,10 +24,6 @@
 	// it. Nodes that start later make themselves known by datagrams, so that this
 	// is only for those whose datagrams were lost.
 	nodesEvery = time.Minute
-
-	// retryFirst and retryMost bound the pause after a failed try; it doubles.
-	retryFirst = 50 * time.Millisecond
-	retryMost  = 800 * time.Millisecond
 )
 
 // Store is what the register needs of the platform.
@@ -57,10 +52,9 @@
 // writes first and reads then, so that of two nodes which start together at least
 // one sees the other, and makes itself known to it.
 func (r *Register) Run(ctx context.Context) {
-	backoff := retryFirst
+	var backoff pause.Backoff
 	written := false
 	for ctx.Err() == nil {
-		next := nodesEvery
 		var err error
 		if !written {
 			err = r.write(ctx, 0)
@@ -69,14 +63,13 @@
 		if err == nil {
 			_, err = r.read(ctx)
 		}
-		if err == nil {
-			backoff = retryFirst
-		}
 		if err != nil {
 			r.log.Warn("register not written or read", "written", written, "error", err.Error())
-			next, backoff = backoff, min(2*backoff, retryMost)
+			backoff.Wait(ctx)
+			continue
 		}
-		pause.For(ctx, next/2+rand.N(next))
+		backoff.Reset()
+		pause.Spread(ctx, nodesEvery)
 	}
 }
 
