Learn how fast engines read and how long their streams pause

Cause: which streams long prompts make late, and how long a request waits, rested on constants of two earlier kinds of engine (50 tokens a millisecond, 47 ms a step). Change: the pool's reading rate is the median over its engines, learned from prompts read alone; a stream counts as made late where its engine was seen to pause for longer than its caller bears. Only streams with short prompts gather. The replay's engines now let streams pause while they read: before, their streams went on sending in the very time that made them late.

--- a/internal/dispatch/walk.go
+++ b/internal/dispatch/walk.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -15,11 +16,6 @@
 	// maxUnsent is how many engines may be tried that can't be connected to; such
 	// tries are no sendings.
 	maxUnsent = 3
-
-	// stepTime is how long an engine takes from token to token while it reads long
-	// prompts: it reads about 2,000 tokens between two steps, at about 50 in a
-	// millisecond, and a step itself takes some 6 ms.
-	stepTime = 47 * time.Millisecond
 )
 
 // walk is one request on its way.
@@ -140,20 +136,12 @@
 
 // placementRequest returns what placement weighs.
 func (w *walk) placementRequest() placement.Request {
-	return placement.Request{Pool: w.pool, Prompt: w.req.Prompt, Stream: w.sensitive(), Avoid: w.avoid}
-}
-
-// sensitive reports whether the caller's stream is late while its engine reads
-// long prompts: whether the tokens of one event take longer than the caller bears.
-func (w *walk) sensitive() bool {
-	if w.route.Kind != routing.Stream || w.route.MaxGap <= 0 {
-		return false
-	}
+	r := placement.Request{Pool: w.pool, Prompt: w.req.Prompt, Avoid: w.avoid}
 	pool := w.d.Table().Pool(w.pool)
-	if pool == nil || pool.Model == nil {
-		return false
+	if w.route.Kind == routing.Stream && pool != nil && pool.Model != nil {
+		r.MaxGap, r.TokensPerEvent = w.route.MaxGap, pool.Model.TokensPerEvent
 	}
-	return time.Duration(pool.Model.TokensPerEvent)*stepTime > w.route.MaxGap
+	return r
 }
 
 // admit asks admission whether the request can be served on time.
@@ -242,6 +230,7 @@
 	w.d.log.Info("request ended", "request", w.req.ID, "route", w.route.Name, "team", w.teamName(), "urgency", routing.Urgency(w.route, w.team), "pool", w.pool,
 		"outcome", outcome, "status", w.status, "engine", w.choice.Engine.ID, "sent", w.sent, "unsent", w.unsent,
 		"cost_ms", int(w.choice.Cost), "wait_ms", int(w.choice.Wait), "prompt_tokens", w.req.Prompt.Tokens, "session", w.req.Prompt.Session(), "unread_tokens", w.choice.Unread,
+		"ahead_tokens", w.choice.Ahead, "read_rate", math.Round(10*w.choice.Read)/10, "reading_pause_ms", int(w.choice.Pause), "tight", w.choice.Tight,
 		"first_ms", w.first.Milliseconds(), "gap_ms", w.gap.Milliseconds(), "total_ms", now.Sub(w.arrived).Milliseconds(), "patience_ms", w.deadline.Sub(w.arrived).Milliseconds(),
 		"come_back_ms", w.refused.ComeBack.Milliseconds(), "config_version", w.d.Version(), "proof_age_ms", w.d.proof.AgeMs(now))
 	w.d.observer.Ended(w.route.Name, outcome, w.first, now.Sub(w.arrived))
--- a/internal/placement/call.go
+++ b/internal/placement/call.go
@@ -28,8 +28,15 @@
 		load   Load
 		start  time.Time
 		wait   time.Duration // wait is how long the engine was expected to take before it begins
-		began  bool
-		ended  bool
+		ahead  int           // ahead is how many tokens it was expected to read until then
+		read   float64       // read is the rate that was expected, in tokens a millisecond
+
+		streams bool      // streams says that the answer is a stream whose pauses matter.
+		heard   time.Time // heard is when bytes last came
+		longest float64   // longest is the longest pause so far, in milliseconds
+		unread  int       // unread is the most that the engine had to read meanwhile
+		began   bool
+		ended   bool
 	}
 )
 
@@ -41,9 +48,13 @@
 	if e == nil {
 		e = &engine{Engine: c.Engine, peers: map[string]peerLoad{}}
 	}
-	call := &Call{p: p, engine: e, load: Load{Unread: c.Unread, InFlight: 1}, start: now, wait: time.Duration(c.Wait * float64(time.Millisecond))}
-	if r.Stream {
+	call := &Call{p: p, engine: e, load: Load{Unread: c.Unread, InFlight: 1}, start: now, wait: time.Duration(c.Wait * float64(time.Millisecond)), ahead: c.Ahead, read: c.Read, streams: r.MaxGap > 0}
+	if c.Tight {
 		call.load.Streams = 1
+		known := p.knownPool(r.Pool)
+		if known.tightest == 0 || r.MaxGap < known.tightest {
+			known.tightest = r.MaxGap
+		}
 	}
 	if e.own.InFlight == 0 {
 		e.heardAt = now
@@ -65,6 +76,9 @@
 		c.began = true
 		c.engine.own.Unread -= c.load.Unread
 		c.engine.pace.note(now, now.Sub(c.start), c.wait)
+		if own := float64(c.load.Unread); own >= readLeast && own >= readAlone*float64(c.ahead) {
+			c.engine.reading.note(now, float64(c.ahead), now.Sub(c.start)-readFloor, c.read)
+		}
 	}
 }
 
@@ -73,6 +87,18 @@
 	c.p.mu.Lock()
 	defer c.p.mu.Unlock()
 	c.engine.heardAt = now
+	if c.streams {
+		c.notePause(now)
+	}
+}
+
+// notePause follows how long a stream pauses, and how much its engine has to read.
+func (c *Call) notePause(now time.Time) {
+	if !c.heard.IsZero() {
+		c.longest = max(c.longest, milliseconds(now.Sub(c.heard)))
+	}
+	c.heard = now
+	c.unread = max(c.unread, c.engine.load(now).Unread)
 }
 
 // Report records what the engine told of its load.
@@ -95,6 +121,9 @@
 	}
 	c.engine.own.InFlight--
 	c.engine.own.Streams -= c.load.Streams
+	if c.streams && o == Answered {
+		c.p.knownPool(c.engine.Pool).learnPauses(c.engine, c.longest, c.unread, c.read)
+	}
 	switch o {
 	case Answered:
 		c.engine.failures.note(now, false)
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -59,6 +59,8 @@
 		reported report
 		failures failures
 		pace     pace
+		reading  reading
+		pauses   pauses
 
 		// heardAt is when bytes last came from the engine, or when the first of this
 		// node's requests there was sent.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -20,10 +20,11 @@
 type (
 	// Request is what placement needs to know of a request.
 	Request struct {
-		Pool   string
-		Prompt Prompt
-		Stream bool // Stream says that the caller bears only short pauses between events.
-		Avoid  map[string]bool
+		Pool           string
+		Prompt         Prompt
+		MaxGap         time.Duration // MaxGap is the longest pause between events that the caller bears; 0 if any.
+		TokensPerEvent int           // TokensPerEvent is how many tokens an event of a stream of the pool holds.
+		Avoid          map[string]bool
 	}
 
 	// Choice is the engine that was chosen, and why.
@@ -32,6 +33,11 @@
 		Cost   float64 // Cost is the expected time to the first token and what is weighed with it, in milliseconds.
 		Wait   float64 // Wait is the expected time until the prompt is read, in milliseconds.
 		Unread int     // Unread is how many tokens of the prompt the engine still has to read.
+		Tight  bool    // Tight says that the request is a stream whose caller would be made late if the engine reads long prompts meanwhile.
+
+		Ahead int     // Ahead is how many tokens the engine reads until then, those of the prompt among them.
+		Read  float64 // Read is the rate at which the engine is expected to read, in tokens a millisecond.
+		Pause float64 // Pause is how long a stream there pauses while the engine reads long prompts, in milliseconds.
 	}
 
 	// Use tells that an engine has read parts of a prompt.
@@ -48,7 +54,8 @@
 
 		mu      sync.Mutex
 		engines map[string]*engine
-		pools   map[string][]*engine // pools are sorted by the order in which engines are kept for streams; nil once an engine changed.
+		pools   map[string]*pool
+		changed bool // changed says that the pools' lists of engines are out of date.
 		cache   cache
 		told    map[string][]string // told holds the engines at which each peer last told of work.
 		uses    []Use               // uses since the last call of TakeUses
@@ -57,7 +64,7 @@
 
 // New returns a placement for a node in a hall.
 func New(hall string) *Placement {
-	return &Placement{hall: hall, engines: map[string]*engine{}, pools: map[string][]*engine{}, told: map[string][]string{}, cache: cache{parts: map[uint64]map[string]time.Time{}}}
+	return &Placement{hall: hall, engines: map[string]*engine{}, pools: map[string]*pool{}, told: map[string][]string{}, cache: cache{parts: map[uint64]map[string]time.Time{}}}
 }
 
 // Set adds an engine or changes it; what was learned of it is kept.
@@ -70,7 +77,7 @@
 		p.engines[e.ID] = known
 	}
 	known.Engine = e
-	p.pools = nil
+	p.changed = true
 }
 
 // Remove forgets an engine.
@@ -82,7 +89,7 @@
 	}
 	delete(p.engines, id)
 	p.cache.forget(id)
-	p.pools = nil
+	p.changed = true
 }
 
 // Known reports whether any engine is known.
@@ -92,25 +99,40 @@
 	return len(p.engines) > 0
 }
 
-// pool returns the engines of a pool that take new work. The lists are rebuilt when
+// pool returns a pool with the engines that take new work. The lists are rebuilt when
 // they are first used after a change, since engines change many at once. The order is
 // by hash, so that all nodes keep the same engines for streams.
-func (p *Placement) pool(name string) []*engine {
-	if p.pools == nil {
+func (p *Placement) pool(name string) *pool {
+	if p.changed {
 		p.sortPools()
+		p.changed = false
+	}
+	return p.knownPool(name)
+}
+
+// knownPool returns what is known of a pool, which is nothing at first.
+func (p *Placement) knownPool(name string) *pool {
+	known := p.pools[name]
+	if known == nil {
+		known = &pool{}
+		p.pools[name] = known
 	}
-	return p.pools[name]
+	return known
 }
 
 // sortPools rebuilds the lists of engines by pool.
 func (p *Placement) sortPools() {
-	p.pools = map[string][]*engine{}
+	for _, known := range p.pools {
+		known.engines = nil
+	}
 	for _, e := range p.engines {
 		if !e.Draining {
-			p.pools[e.Pool] = append(p.pools[e.Pool], e)
+			known := p.knownPool(e.Pool)
+			known.engines = append(known.engines, e)
 		}
 	}
-	for _, list := range p.pools {
+	for _, known := range p.pools {
+		list := known.engines
 		sort.Slice(list, func(i, j int) bool { return xxhash.Sum64String(list[i].ID) < xxhash.Sum64String(list[j].ID) })
 	}
 }
@@ -120,16 +142,16 @@
 func (p *Placement) Choose(now time.Time, r Request) (choice Choice, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := p.pool(r.Pool)
-	ranks := rank(list, r.Prompt.Session())
-	usual := usualPace(list)
-	gather := gatherOn(now, list)
+	known := p.pool(r.Pool)
+	known.learnUsual(now)
+	ranks := rank(known.engines, r.Prompt.Session())
+	gather := gatherOn(now, known.engines)
 	best := math.Inf(1)
-	for i, e := range list {
+	for i, e := range known.engines {
 		if r.Avoid[e.ID] {
 			continue
 		}
-		c := p.weigh(now, e, r, usual, max(0, i-gather), ranks[e.ID])
+		c := p.weigh(now, known, e, r, max(0, i-gather), ranks[e.ID])
 		if c.Cost < best {
 			best, choice, ok = c.Cost, c, true
 		}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -28,7 +28,7 @@
 
 // stream returns a request for a stream that bears only short pauses.
 func stream(session int) placement.Request {
-	return placement.Request{Pool: "p", Stream: true, Prompt: placement.Prompt{Tokens: 700, Shared: []placement.Part{
+	return placement.Request{Pool: "p", MaxGap: 250 * time.Millisecond, TokensPerEvent: 6, Prompt: placement.Prompt{Tokens: 700, Shared: []placement.Part{
 		placement.NewPart(fmt.Sprint("short", session), 150),
 	}}}
 }
--- a/internal/placement/replay_test.go
+++ b/internal/placement/replay_test.go
@@ -20,6 +20,7 @@
 	replayFor     = 20 * time.Second
 	replayGossip  = 100 * time.Millisecond
 	gapTicks      = 50 // a stream is late after so many ticks of nothing but reading
+	eventTicks    = 55 // a stream's event comes after so many ticks where its engine reads meanwhile
 )
 
 type (
@@ -50,7 +51,7 @@
 		sessionTokens  int
 		ownTokens      int
 		target, length time.Duration
-		stream         bool
+		maxGap         time.Duration // maxGap is the longest pause between events that the caller bears; 0 if any
 	}
 
 	// outcome counts what became of the requests of a kind.
@@ -58,9 +59,9 @@
 )
 
 var kinds = []kindOf{
-	{"long", 25, 4, 117, 2520, 3780, 2890, 1200 * time.Millisecond, 300 * time.Millisecond, false},
-	{"brief", 15.5, 8, 109, 341, 227, 1800, 500 * time.Millisecond, 150 * time.Millisecond, false},
-	{"answer", 11.8, 8, 55, 103, 69, 543, 300 * time.Millisecond, 1600 * time.Millisecond, true},
+	{"long", 25, 4, 117, 2520, 3780, 2890, 1200 * time.Millisecond, 300 * time.Millisecond, 0},
+	{"brief", 15.5, 8, 109, 341, 227, 1800, 500 * time.Millisecond, 150 * time.Millisecond, 0},
+	{"answer", 11.8, 8, 55, 103, 69, 543, 300 * time.Millisecond, 1600 * time.Millisecond, 250 * time.Millisecond},
 }
 
 // TestReplayedTraffic plays seeded arrivals through the placement of several nodes
@@ -138,7 +139,7 @@
 		placement.NewPart(fmt.Sprint(kind.name, "root", session%kind.roots), kind.rootTokens),
 		placement.NewPart(fmt.Sprint(kind.name, session), kind.sessionTokens),
 	}
-	r := placement.Request{Pool: "p", Stream: kind.stream, Prompt: placement.Prompt{
+	r := placement.Request{Pool: "p", MaxGap: kind.maxGap, TokensPerEvent: 6, Prompt: placement.Prompt{
 		Shared: parts, Tokens: kind.rootTokens + kind.sessionTokens + kind.ownTokens,
 	}}
 	c, _ := p.Choose(now, r)
@@ -187,9 +188,11 @@
 		if !reading {
 			x.held = 0
 		}
-		x.late = x.late || kinds[x.kind].stream && x.held > gapTicks
+		x.late = x.late || kinds[x.kind].maxGap > 0 && x.held > gapTicks
 		if now.Before(x.ends) {
-			x.call.Heard(now)
+			if x.held%eventTicks == 0 {
+				x.call.Heard(now)
+			}
 			left = append(left, x)
 			continue
 		}
--- /dev/null
+++ b/internal/placement/speed_test.go
@@ -0,0 +1,78 @@
+package placement_test
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/croftturn/croftturn/internal/placement"
+)
+
+// read lets an engine read one prompt alone at a rate, in tokens a millisecond, and
+// returns what was expected of it.
+func read(t *testing.T, p *placement.Placement, now time.Time, rate float64) placement.Choice {
+	t.Helper()
+	r := placement.Request{Pool: "p", Prompt: placement.Prompt{Tokens: 9000}}
+	c := choose(t, p, now, r)
+	call := p.Start(now, c, r)
+	end := now.Add(time.Duration(9000 / rate * float64(time.Millisecond)))
+	call.Began(end)
+	call.End(end, placement.Answered)
+	return c
+}
+
+// TestReadingRateIsLearned holds that the expected wait follows the rate at which
+// engines are seen to read, whether they are slow or fast, and that an engine which
+// once stood still does not count as slow for long.
+func TestReadingRateIsLearned(t *testing.T) {
+	for _, rate := range []float64{12, 45, 180} {
+		p := newPlacement(2)
+		now := start
+		for range 30 {
+			read(t, p, now, rate)
+			now = now.Add(time.Second)
+		}
+		if got := read(t, p, now, rate).Wait * rate / 9000; math.Abs(got-1) > 0.3 {
+			t.Errorf("at %v tokens a millisecond the expected wait is %.2f of the true one", rate, got)
+		}
+		read(t, p, now, rate/50)
+		now = now.Add(time.Minute)
+		for range 4 {
+			now = now.Add(5 * time.Second)
+			read(t, p, now, rate)
+		}
+		if got := read(t, p, now.Add(time.Second), rate).Wait * rate / 9000; math.Abs(got-1) > 0.5 {
+			t.Errorf("at %v tokens a millisecond, after a stand-still: %.2f of the true one", rate, got)
+		}
+	}
+}
+
+// TestPausesDecideWhichStreamsAreKeptApart holds that a stream is kept from long prompts
+// where such streams were seen to pause for longer than its caller bears, and only there.
+func TestPausesDecideWhichStreamsAreKeptApart(t *testing.T) {
+	tests := []struct {
+		name  string
+		pause time.Duration
+		tight bool
+	}{
+		{"short pauses", 60 * time.Millisecond, false},
+		{"long pauses", 400 * time.Millisecond, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			p := newPlacement(1)
+			p.Peer(start, "peer", map[string]placement.Load{"e0": {Unread: 60000, InFlight: 4}}, nil)
+			r := stream(1)
+			for range 40 {
+				call := p.Start(start, choose(t, p, start, r), r)
+				call.Began(start)
+				call.Heard(start)
+				call.Heard(start.Add(test.pause))
+				call.End(start.Add(test.pause), placement.Answered)
+			}
+			if c := choose(t, p, start, r); c.Tight != test.tight {
+				t.Errorf("after pauses of %v a caller that bears %v counts as made late: %v; pauses are taken to be %.0f ms", test.pause, r.MaxGap, c.Tight, c.Pause)
+			}
+		})
+	}
+}
--- a/internal/placement/weigh.go
+++ b/internal/placement/weigh.go
@@ -9,10 +9,6 @@
 )
 
 const (
-	// readRate is how many prompt tokens an engine reads in a millisecond: the
-	// order of a present-day engine; only proportions of costs hang on it.
-	readRate = 50.0
-
 	// callCost is what each request in flight at an engine costs another, in
 	// milliseconds: batches with more requests take longer for each token.
 	callCost = 2.0
@@ -43,11 +39,18 @@
 	// takes an engine some 6 ms, and it bears the loss of its neighbour's.
 	streamsEach = 24
 
-	// bearableTokens is how many unread tokens an engine may have without making
-	// streams late: it reads them in about 80 ms, and the streams' callers bear 250;
-	// the rest is for what other nodes send it meanwhile. Of 3,000 to 8,000 the
-	// trials were best from 3,000 to 5,000.
-	bearableTokens = 4000.0
+	// shortShare is the share of the longest pause that a stream's caller bears in which an
+	// engine reads a short prompt; streams with longer ones make others late themselves.
+	shortShare = 0.5
+
+	// tightShare is the share of the longest pause that a stream's caller bears from which
+	// an engine that reads long prompts makes some late.
+	tightShare = 0.8
+
+	// bearableShare is the share of the longest pause that a stream's caller bears in
+	// which an engine should be able to read all that waits there; the rest is for what
+	// other nodes send it meanwhile.
+	bearableShare = 0.3
 
 	// lateCost is what it costs to make many streams late, or to be made late, in
 	// milliseconds. Trials with 3,000 were better than with 800 and 1,500.
@@ -81,20 +84,6 @@
 	fullCost = 200.0
 )
 
-// usualPace returns the median of the engines' paces, at least 1; engines without
-// requests so far count as being as fast as expected.
-func usualPace(list []*engine) float64 {
-	ratios := make([]float64, 0, len(list))
-	for _, e := range list {
-		ratios = append(ratios, max(1, e.pace.ratio))
-	}
-	if len(ratios) == 0 {
-		return 1
-	}
-	sort.Float64s(ratios)
-	return ratios[(len(ratios)-1)/2]
-}
-
 // rank orders engines for a session by rendezvous hashing, the first being 0.
 func rank(list []*engine, session uint64) map[string]int {
 	if session == 0 {
@@ -118,16 +107,20 @@
 }
 
 // weigh works out the cost of a request at an engine.
-func (p *Placement) weigh(now time.Time, e *engine, r Request, usual float64, beyond, rank int) Choice {
+func (p *Placement) weigh(now time.Time, known *pool, e *engine, r Request, beyond, rank int) Choice {
 	load := e.load(now)
-	c := Choice{Engine: e.Engine}
+	c := Choice{Engine: e.Engine, Read: known.usualRead}
 	if r.Prompt.Tokens > 0 {
 		c.Unread = p.cache.unread(now, e.ID, r.Prompt)
-		c.Wait = float64(load.Unread+c.Unread) / readRate
+		c.Ahead = load.Unread + c.Unread
+		c.Wait = float64(c.Ahead) / c.Read
+		c.Pause = known.pause(e, r.TokensPerEvent)
+		gap := milliseconds(r.MaxGap)
+		c.Tight = r.MaxGap > 0 && c.Pause > tightShare*gap && float64(r.Prompt.Tokens) <= shortShare*gap*c.Read
 		c.Cost += rankCost * float64(rank)
-		c.Cost += lateness(load, c.Unread, r, beyond)
+		c.Cost += known.lateness(load, c, r, beyond)
 	}
-	c.Cost += rereadWeight * float64(c.Unread) / readRate
+	c.Cost += rereadWeight * float64(c.Unread) / c.Read
 	c.Cost += c.Wait + callCost*float64(load.InFlight) + waitingCost*float64(e.waiting(now))
 	if over := load.InFlight - e.Slots; e.Slots > 0 && over >= 0 {
 		c.Cost += fullCost * float64(1+over)
@@ -136,7 +129,7 @@
 		c.Cost += hallCost
 	}
 	c.Cost += failureCost * e.failures.share(now)
-	c.Cost += slowCost * max(0, e.pace.slowness(now, usual)-bearableSlowness)
+	c.Cost += slowCost * max(0, e.pace.slowness(now, known.usualPace)-bearableSlowness)
 	if e.own.InFlight > 0 && now.Sub(e.heardAt) > silenceBefore {
 		c.Cost += silenceCost
 	}
@@ -157,11 +150,22 @@
 // lateness returns what it costs that the request makes streams late, or that it
 // is a stream which what the engine has to read makes late. Streams gather; beyond
 // tells how far the engine lies beyond those on which they do.
-func lateness(load Load, unread int, r Request, beyond int) float64 {
-	over := (float64(load.Unread+unread) - bearableTokens) / bearableTokens
-	over = min(max(over, 0), 1)
-	if r.Stream {
-		return gatherCost*float64(beyond) + lateCost*over
+func (p *pool) lateness(load Load, c Choice, r Request, beyond int) float64 {
+	if c.Tight {
+		return gatherCost*float64(beyond) + lateCost*excess(c, milliseconds(r.MaxGap))
+	}
+	if load.Streams == 0 || p.tightest == 0 {
+		return 0
 	}
-	return lateCost * over * min(float64(load.Streams), manyStreams) / manyStreams
+	return lateCost * excess(c, milliseconds(p.tightest)) * min(float64(load.Streams), manyStreams) / manyStreams
 }
+
+// excess tells how much more an engine has to read than streams there bear whose
+// callers bear a pause, in milliseconds: 0 for no more, 1 for twice as much.
+func excess(c Choice, gap float64) float64 {
+	bearable := bearableShare * gap * c.Read
+	return min(max((float64(c.Ahead)-bearable)/bearable, 0), 1)
+}
+
+// milliseconds turns a duration into milliseconds.
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
