Weigh places against cached prompts, and order scarce places by one urgency of the pool

Cause: with 3,000 ms for a full engine, prompts were read again elsewhere for the sake of a place that was soon free; with urgency 9 where places are few, all that had been sent before with its own urgency went first. Change: a full engine costs 800 ms; where places are few, requests get the last urgency of their pool.

--- a/internal/dispatch/line.go
+++ b/internal/dispatch/line.go
@@ -52,7 +52,7 @@
 		every   time.Duration            // every is the usual time from one place to the next while requests wait.
 		since   time.Time                // since is when the newest place was found, or the line began.
 		asked   recent                   // asked counts the requests of the highest tier.
-		refused recent                   // refused counts those of them that got no place.
+		lacked  recent                   // lacked counts those of them that got no place.
 		peers   map[string]told          // peers holds what each peer told last.
 
 		pressure admission.Pressure // pressure is of the waits that were expected for the pool's requests; it has a lock of its own.
--- a/internal/dispatch/line_test.go
+++ b/internal/dispatch/line_test.go
@@ -74,7 +74,7 @@
 	}
 	d := &Dispatcher{}
 	d.lines.pools = map[string]*line{"p": l}
-	d.HeardPlaces(begin, "peer", map[string]Places{"p": {Asked: 20, Refused: 10}})
+	d.HeardPlaces(begin, "peer", map[string]Places{"p": {Asked: 20, Lacked: 10}})
 	if !l.short(begin) {
 		t.Error("not short with ten more refused at a peer")
 	}
@@ -85,7 +85,7 @@
 	for range 20 {
 		l.count(later, false)
 	}
-	if got := d.Places(later.Add(time.Second)); got["p"].Refused != 24 {
+	if got := d.Places(later.Add(time.Second)); got["p"].Lacked != 24 {
 		t.Errorf("peers are told %v", got)
 	}
 	if !l.short(later.Add(4 * time.Second)) {
--- a/internal/dispatch/place_test.go
+++ b/internal/dispatch/place_test.go
@@ -22,11 +22,13 @@
 func placesTable() *routing.Table {
 	route := func(name string, tier int) *routing.Route {
 		return &routing.Route{
-			Name: name, Host: "h", PathPrefix: "/" + name + "/", Kind: routing.Safe, Timeout: timeout, Target: placeTarget, MaxEngines: 1, Tier: tier, Public: true,
+			Name: name, Host: "h", PathPrefix: "/" + name + "/", Kind: routing.Safe, Timeout: timeout, Target: placeTarget, MaxEngines: 1, Tier: tier,
 			Shares: []routing.Share{{Pool: "p", Weight: 1}},
 		}
 	}
-	return routing.NewTable(1, []*routing.Route{route("high", 0), route("low", 1)}, []*routing.Pool{{Name: "p"}}, nil, routing.Limits{})
+	highest, lowest := 0, 1
+	teams := []*routing.Team{{Name: "t", Keys: []string{"k"}, Tier: &highest}, {Name: "u", Keys: []string{"l"}, Tier: &lowest}}
+	return routing.NewTable(1, []*routing.Route{route("high", 0), route("low", 1)}, []*routing.Pool{{Name: "p"}}, teams, routing.Limits{})
 }
 
 // newPlaces returns a dispatcher of one engine with some places.
@@ -87,7 +89,7 @@
 	if got := serve(t, d, "low"); got.status != 200 {
 		t.Errorf("with places free the lower tier gets %+v", got.refusal)
 	}
-	d.HeardPlaces(time.Now(), "peer", map[string]dispatch.Places{"p": {Asked: 20, Refused: 8}})
+	d.HeardPlaces(time.Now(), "peer", map[string]dispatch.Places{"p": {Asked: 20, Lacked: 8}})
 	if got := serve(t, d, "low"); got.refusal == nil || got.refusal.Reason != dispatch.Busy {
 		t.Errorf("while the highest is refused the lower tier gets status %d", got.status)
 	}
@@ -96,10 +98,11 @@
 	}
 }
 
-// TestOneUrgencyWherePlacesAreFew holds that requests are sent with one urgency to an
-// engine whose places are nearly all taken, so that it puts none of them back for
-// another, and with their own where it has many free.
+// TestOneUrgencyWherePlacesAreFew holds that all requests are sent to an engine whose
+// places are nearly all taken as those of the lowest route and team are, so that it puts
+// none back for another, and with their own urgency where it has many free.
 func TestOneUrgencyWherePlacesAreFew(t *testing.T) {
+	const last = 4 // The urgency of the lower route, of tier 1, for a team of tier 1.
 	release := make(chan struct{})
 	e := &engines{serve: func(ctx context.Context, n int, _ dispatch.Attempt) (*dispatch.Response, error) {
 		<-release
@@ -119,13 +122,12 @@
 	}
 	close(release)
 	wg.Wait()
-	own := map[int]bool{e.sent[0].Urgency: true, e.sent[1].Urgency: true}
-	if len(own) != 2 || own[routing.MaxUrgency] {
-		t.Errorf("with places free the urgencies are %v", own)
+	if first, second := e.sent[0].Urgency, e.sent[1].Urgency; first >= second || second >= last {
+		t.Errorf("with places free the urgencies of a team of the highest tier are %d and %d", first, second)
 	}
-	for _, a := range e.sent[7:] {
-		if a.Urgency != routing.MaxUrgency {
-			t.Errorf("with few places free an urgency is %d", a.Urgency)
+	for n, a := range e.sent[7:] {
+		if a.Urgency != last {
+			t.Errorf("with few places free request %d has urgency %d, want %d", 7+n, a.Urgency, last)
 		}
 	}
 }
--- a/internal/dispatch/short.go
+++ b/internal/dispatch/short.go
@@ -3,7 +3,7 @@
 import "time"
 
 const (
-	// shortShare is the share of the highest tier's requests that must be refused for a pool
+	// shortShare is the share of the highest tier's requests that must lack places for a pool
 	// to count as short of places, and shortLeast their least number over all nodes, in the
 	// newest recentSlices: lower tiers then get none, so that no higher one is refused for them.
 	shortShare = 0.05
@@ -16,9 +16,9 @@
 type (
 	// Places tells how the requests of a pool's highest tier fared lately.
 	Places struct {
-		_       struct{} `cbor:",toarray"`
-		Asked   int
-		Refused int // Refused is how many of them got no place.
+		_      struct{} `cbor:",toarray"`
+		Asked  int
+		Lacked int // Lacked is how many of them got no place.
 	}
 
 	// told is what a peer told, and when.
@@ -34,16 +34,16 @@
 	defer l.mu.Unlock()
 	l.asked.add(now)
 	if !placed {
-		l.refused.add(now)
+		l.lacked.add(now)
 	}
 }
 
 // places returns how many requests of the highest tier asked here lately, and how many
-// of them got no place.
+// of them got none.
 func (l *line) places(now time.Time) Places {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return Places{Asked: l.asked.sum(now), Refused: l.refused.sum(now)}
+	return Places{Asked: l.asked.sum(now), Lacked: l.lacked.sum(now)}
 }
 
 // short reports whether requests of the highest tier lack places, over all nodes.
@@ -57,12 +57,12 @@
 			continue
 		}
 		total.Asked += told.Asked
-		total.Refused += told.Refused
+		total.Lacked += told.Lacked
 	}
-	return total.Refused >= shortLeast && float64(total.Refused) > shortShare*float64(total.Asked)
+	return total.Lacked >= shortLeast && float64(total.Lacked) > shortShare*float64(total.Asked)
 }
 
-// Places returns how the highest tier fared here lately, by pools that refused some.
+// Places returns how the highest tier fared here lately, by pool.
 func (d *Dispatcher) Places(now time.Time) map[string]Places {
 	d.lines.mu.Lock()
 	defer d.lines.mu.Unlock()
--- a/internal/dispatch/walk.go
+++ b/internal/dispatch/walk.go
@@ -169,12 +169,12 @@
 }
 
 // urgency returns the place among the requests at the chosen engine. Where places are
-// few, all have the last one: this node has decided who goes first, and an engine whose
-// places are all taken puts back what it runs for what is more urgent, which makes the
-// former's streams late and has their prompts read again.
+// few, all have the last one of their pool: an engine whose places are all taken puts back
+// what it runs for what is more urgent, which makes the former's streams late and has their
+// prompts read again; who gets a place this node has decided.
 func (w *walk) urgency() int {
 	if w.choice.Scarce {
-		return routing.MaxUrgency
+		return w.d.Table().LastUrgency(w.pool)
 	}
 	return routing.Urgency(w.route, w.team)
 }
--- a/internal/placement/weigh.go
+++ b/internal/placement/weigh.go
@@ -83,9 +83,9 @@
 	scarceShare = 0.7
 
 	// fullCost is what an engine costs that has as many requests as places, in
-	// milliseconds, and overCost what each costs that is over. No cached prompt weighs as
-	// much as a place.
-	fullCost = 3000.0
+	// milliseconds, and overCost what each costs that is over. With 3,000 prompts were read
+	// again elsewhere for the sake of a place that was soon free (worth 0.56 to 0.59).
+	fullCost = 800.0
 	overCost = 200.0
 )
 
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -4,6 +4,7 @@
 package routing
 
 import (
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -26,8 +27,8 @@
 	// routeTiers is how many tiers of routes are told apart within a tier of teams.
 	routeTiers = 3
 
-	// MaxUrgency is the least urgent place that engines tell apart.
-	MaxUrgency = 9
+	// maxUrgency is the least urgent place that engines tell apart.
+	maxUrgency = 9
 )
 
 type (
@@ -90,6 +91,7 @@
 		hosts map[string][]*Route // each host's routes, longest prefix first
 		pools map[string]*Pool
 		teams map[string]*Team // by key
+		last  int              // last is the lowest tier that a team has.
 		keyed bool
 	}
 )
@@ -116,6 +118,9 @@
 		t.pools[p.Name] = p
 	}
 	for _, team := range teams {
+		if team.Tier != nil {
+			t.last = max(t.last, *team.Tier)
+		}
 		for _, key := range team.Keys {
 			t.teams[key] = team
 		}
@@ -150,8 +155,30 @@
 // Urgency returns a request's place in the order of all requests, 0 first: by
 // tier, and within a tier by that of the route, so that a team's own requests
 // keep the order of their routes where the team has a tier.
-func Urgency(r *Route, t *Team) int {
-	return min(max(Tier(r, t)*routeTiers+min(max(r.Tier, 0), routeTiers-1), 0), MaxUrgency)
+func Urgency(r *Route, t *Team) int { return urgency(Tier(r, t), r) }
+
+// LastUrgency returns the last place that requests for a pool have: that of its lowest
+// route for the lowest team.
+func (t *Table) LastUrgency(pool string) int {
+	last := 0
+	for _, routes := range t.hosts {
+		for _, r := range routes {
+			if r.servedBy(pool) {
+				last = max(last, urgency(max(r.Tier, t.last), r))
+			}
+		}
+	}
+	return last
+}
+
+// servedBy reports whether a pool serves the route.
+func (r *Route) servedBy(pool string) bool {
+	return slices.ContainsFunc(r.Shares, func(s Share) bool { return s.Pool == pool })
+}
+
+// urgency returns the place of a route's requests within a tier.
+func urgency(tier int, r *Route) int {
+	return min(max(tier*routeTiers+min(max(r.Tier, 0), routeTiers-1), 0), maxUrgency)
 }
 
 // Keyed reports whether requests need a key.
