Leave more engines to long prompts, and wait for places only where the pool lacks them

Change: 48 streams gather on an engine, at most 0.75 of its places; to make many streams late costs a prompt 1,200 ms instead of 3,000; requests wait for a place only where 0.85 of the pool's known places are taken.

--- a/internal/dispatch/line.go
+++ b/internal/dispatch/line.go
@@ -29,6 +29,11 @@
 	// is for reading its prompt.
 	lineShare = 0.75
 
+	// preferredWait is how long a request waits for a place at the engine that suits it best,
+	// such as the one that has its prompt cached; later any place will do. It is about what
+	// an engine takes to read a long shared prompt.
+	preferredWait = 80 * time.Millisecond
+
 	// everyShare is the weight of the newest place in the time from one to the next.
 	everyShare = 0.1
 
@@ -195,6 +200,7 @@
 func (w *walk) hold(ctx context.Context, begin time.Time, l *line, place *waiter, limit time.Duration, request placement.Request) bool {
 	for now := begin; now.Sub(begin) < limit && ctx.Err() == nil; now = time.Now() {
 		if l.first(place) {
+			request.NeedRoom = now.Sub(begin) > preferredWait
 			choice, ok := w.d.placement.Choose(now, request)
 			if ok && choice.Room {
 				w.choice = choice
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -25,6 +25,7 @@
 		MaxGap         time.Duration // MaxGap is the longest pause between events that the caller bears; 0 if any.
 		TokensPerEvent int           // TokensPerEvent is how many tokens an event of a stream of the pool holds.
 		Avoid          map[string]bool
+		NeedRoom       bool // NeedRoom says that an engine with a place free goes before all others.
 	}
 
 	// Choice is the engine that was chosen, and why.
@@ -32,8 +33,8 @@
 		Engine Engine
 		Cost   float64 // Cost is the expected time to the first token and what is weighed with it, in milliseconds.
 		Wait   float64 // Wait is the expected time until the prompt is read, in milliseconds.
-		Room   bool    // Room says that the engine has a place free, as far as is known.
-		Scarce bool    // Scarce says that the engine has so few places free that another node may take the last one meanwhile.
+		Room   bool    // Room says that the request need not wait: the engine has a place free, or others of the pool have many.
+		Scarce bool    // Scarce says that the pool has few places free.
 		Unread int     // Unread is how many tokens of the prompt the engine still has to read.
 		Tight  bool    // Tight says that the request is a stream whose caller would be made late if the engine reads long prompts meanwhile.
 
@@ -147,7 +148,7 @@
 	known := p.pool(r.Pool)
 	known.learnUsual(now)
 	ranks := rank(known.engines, r.Prompt.Session())
-	gather := gatherOn(now, known.engines)
+	gather := known.survey(now)
 	best := math.Inf(1)
 	for i, e := range known.engines {
 		if r.Avoid[e.ID] {
--- a/internal/placement/speed.go
+++ b/internal/placement/speed.go
@@ -86,6 +86,7 @@
 		tightest time.Duration // tightest is the shortest of the pauses that callers of streams bear which are made late where the engines read long prompts; 0 if none are
 
 		usualPause float64 // usualPause is how long streams pause where engines read long prompts all the while, in milliseconds.
+		taken      float64 // taken is the share of the pool's places that is taken, as far as is known.
 		usualAt    time.Time
 		usualRead  float64 // usualRead is the median rate, in tokens a millisecond.
 		usualPace  float64 // usualPace is the median pace, at least 1.
--- a/internal/placement/weigh.go
+++ b/internal/placement/weigh.go
@@ -35,9 +35,15 @@
 	// that the others may read long prompts one after another.
 	gatherCost = 80.0
 
-	// streamsEach is how many streams gather on one engine: with so many a token
-	// takes an engine some 6 ms, and it bears the loss of its neighbour's.
-	streamsEach = 24
+	// gatherMost is the most engines beyond that weigh: a place that is free weighs more.
+	gatherMost = 5
+
+	// streamsEach is how many streams gather on one engine, and streamsShare the share of
+	// its places that they take at most. Mean worth over four seeds with 24, 36, 48 and 80
+	// on engines of 64 places: 0.644, 0.655, 0.668, 0.663: what gathers on fewer leaves
+	// more engines to long prompts.
+	streamsEach  = 48
+	streamsShare = 0.75
 
 	// shortShare is the share of the longest pause that a stream's caller bears in which an
 	// engine reads a short prompt; streams with longer ones make others late themselves.
@@ -52,9 +58,10 @@
 	// other nodes send it meanwhile.
 	bearableShare = 0.3
 
-	// lateCost is what it costs to make many streams late, or to be made late, in
-	// milliseconds. Trials with 3,000 were better than with 800 and 1,500.
-	lateCost = 3000.0
+	// lateCost is what it costs a stream to be made late, in milliseconds, and spoilCost
+	// what it costs to make many late.
+	lateCost  = 3000.0
+	spoilCost = 1200.0
 
 	// manyStreams is how many streams at an engine weigh as much as can be; with
 	// ten instead of three, prompts queued where a few streams ran.
@@ -79,14 +86,20 @@
 	// silenceCost is what a silent engine costs, in milliseconds.
 	silenceCost = 2000.0
 
-	// scarceShare is the share of an engine's places from which few are left.
-	scarceShare = 0.7
+	// scarceShare is the share of a pool's places from which few are left, and lackingShare
+	// that from which requests wait at their node for one. Where others are free, an engine
+	// that seems full is used all the same: with many nodes what is known of it is old (in
+	// the first 8 s of a day with 112 engines of 12 places: 0.53 so, 0.41 with waits).
+	scarceShare  = 0.7
+	lackingShare = 0.85
 
 	// fullCost is what an engine costs that has as many requests as places, in
-	// milliseconds, and overCost what each costs that is over. With 3,000 prompts were read
-	// again elsewhere for the sake of a place that was soon free (worth 0.56 to 0.59).
-	fullCost = 800.0
-	overCost = 200.0
+	// milliseconds; more so for each that is over. With 3,000 prompts were read again
+	// elsewhere for the sake of a place that was soon free (worth 0.56 to 0.59).
+	fullCost = 200.0
+
+	// noRoomCost is more than all else together, in milliseconds.
+	noRoomCost = 1e6
 )
 
 // rank orders engines for a session by rendezvous hashing, the first being 0.
@@ -127,10 +140,13 @@
 	}
 	c.Cost += rereadWeight * float64(c.Unread) / c.Read
 	c.Cost += c.Wait + callCost*float64(load.InFlight) + waitingCost*float64(e.waiting(now))
-	c.Room = e.Slots <= 0 || load.InFlight < e.Slots
-	c.Scarce = e.Slots > 0 && float64(load.InFlight) >= scarceShare*float64(e.Slots)
-	if over := load.InFlight - e.Slots; !c.Room {
-		c.Cost += fullCost + overCost*float64(over)
+	c.Room = e.Slots <= 0 || load.InFlight < e.Slots || known.taken < lackingShare
+	c.Scarce = e.Slots > 0 && known.taken >= scarceShare
+	if over := load.InFlight - e.Slots; e.Slots > 0 && over >= 0 {
+		c.Cost += fullCost * float64(1+over)
+		if r.NeedRoom && !c.Room {
+			c.Cost += noRoomCost
+		}
 	}
 	if e.Hall != p.hall {
 		c.Cost += hallCost
@@ -143,15 +159,23 @@
 	return c
 }
 
-// gatherOn returns on how many of a pool's engines, from the first, streams
-// gather: enough for those that run, and one more. They are spread over these, so
-// that nodes which do not see each other's last requests do not all choose one.
-func gatherOn(now time.Time, list []*engine) int {
-	streams := 0
-	for _, e := range list {
-		streams += e.load(now).Streams
+// survey works out which share of the pool's places is taken, and returns on how many of
+// its engines, from the first, streams gather: enough for those that run, and one more.
+// They are spread over these, so that nodes which do not see each other's last requests
+// do not all choose one.
+func (p *pool) survey(now time.Time) (gather int) {
+	streams, requests, places, most := 0, 0, 0, streamsEach
+	for _, e := range p.engines {
+		load := e.load(now)
+		streams += load.Streams
+		if e.Slots > 0 {
+			requests += load.InFlight
+			places += e.Slots
+			most = min(most, max(1, int(streamsShare*float64(e.Slots))))
+		}
 	}
-	return 1 + streams/streamsEach
+	p.taken = float64(requests) / float64(max(1, places))
+	return 1 + streams/most
 }
 
 // lateness returns what it costs that the request makes streams late, or that it
@@ -159,12 +183,12 @@
 // tells how far the engine lies beyond those on which they do.
 func (p *pool) lateness(load Load, c Choice, r Request, beyond int) float64 {
 	if c.Tight {
-		return gatherCost*float64(beyond) + lateCost*excess(c, milliseconds(r.MaxGap))
+		return gatherCost*float64(min(beyond, gatherMost)) + lateCost*excess(c, milliseconds(r.MaxGap))
 	}
 	if load.Streams == 0 || p.tightest == 0 {
 		return 0
 	}
-	return lateCost * excess(c, milliseconds(p.tightest)) * min(float64(load.Streams), manyStreams) / manyStreams
+	return spoilCost * excess(c, milliseconds(p.tightest)) * min(float64(load.Streams), manyStreams) / manyStreams
 }
 
 // excess tells how much more an engine has to read than streams there bear whose
