Placement: what is known of a pool in a file of its own; a test of places

Cause: speed.go held both how one engine is learned and what is known of a pool, and the choice between waiting for a place and using an engine that seems full had no test of its own.

--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -265,3 +265,40 @@
 		p.Peer(start, "peer", loads, nil)
 	}
 }
+
+// TestRoomIsOfThePool holds that a request need not wait for a place while the pool has
+// many free, even at an engine that seems full, that it has to once nearly all are taken,
+// and that then any free place goes before the engine which has its prompt cached.
+func TestRoomIsOfThePool(t *testing.T) {
+	p := placement.New("hall")
+	for i := range 5 {
+		p.Set(placement.Engine{ID: fmt.Sprint("e", i), Pool: "p", Hall: "hall", Slots: 4})
+	}
+	cached := choose(t, p, start, long(1)).Engine.ID
+	first := p.Start(start, choose(t, p, start, long(1)), long(1))
+	first.Began(start)
+	full := map[string]placement.Load{cached: {InFlight: 3}}
+	p.Peer(start, "peer", full, nil)
+	if c := choose(t, p, start, long(1)); c.Engine.ID != cached || !c.Room || c.Scarce {
+		t.Errorf("with one engine full: %s, room %v, scarce %v", c.Engine.ID, c.Room, c.Scarce)
+	}
+	for i := range 5 {
+		if id := fmt.Sprint("e", i); id != cached {
+			full[id] = placement.Load{InFlight: 4}
+		}
+	}
+	free := "e0"
+	if cached == free {
+		free = "e1"
+	}
+	full[free] = placement.Load{InFlight: 3}
+	p.Peer(start, "peer", full, nil)
+	if c := choose(t, p, start, long(1)); c.Engine.ID != cached || c.Room || !c.Scarce {
+		t.Errorf("with one place left: %s, room %v, scarce %v", c.Engine.ID, c.Room, c.Scarce)
+	}
+	r := long(1)
+	r.NeedRoom = true
+	if c := choose(t, p, start, r); c.Engine.ID != free || !c.Room {
+		t.Errorf("where a place is needed: %s, room %v, want %s", c.Engine.ID, c.Room, free)
+	}
+}
--- /dev/null
+++ b/internal/placement/pool.go
@@ -0,0 +1,102 @@
+package placement
+
+import (
+	"sort"
+	"time"
+)
+
+// usualLife is how long the medians over a pool's engines are used before they are
+// worked out again: learning takes some requests, which are rarer.
+const usualLife = 50 * time.Millisecond
+
+// pool is what is known of a pool's engines together.
+type pool struct {
+	engines []*engine // engines that take new work, in the order in which streams gather on them
+	pauses  pauses    // pauses are of streams at all engines
+
+	// tightest is the shortest pause that callers of streams bear which engines make late
+	// while they read long prompts; 0 if there are no such streams.
+	tightest time.Duration
+
+	usualPause float64 // usualPause is how long streams pause where engines read long prompts all the while, in milliseconds.
+	taken      float64 // taken is the share of the pool's places that is taken, as far as is known.
+	usualAt    time.Time
+	usualRead  float64 // usualRead is the median rate, in tokens a millisecond.
+	usualPace  float64 // usualPace is the median pace, at least 1.
+}
+
+// learnUsual works out the medians over the engines, unless that was done lately.
+func (p *pool) learnUsual(now time.Time) {
+	if age := now.Sub(p.usualAt); age >= 0 && age < usualLife && p.usualRead > 0 {
+		return
+	}
+	p.usualAt = now
+	rates := make([]float64, 0, len(p.engines))
+	paces := make([]float64, 0, len(p.engines))
+	for _, e := range p.engines {
+		if e.reading.tokens >= readLeast {
+			rates = append(rates, e.reading.tokens/e.reading.ms)
+		}
+		paces = append(paces, max(1, e.pace.ratio))
+	}
+	p.usualPace = median(paces, 1)
+	p.usualRead = median(rates, p.usual())
+}
+
+// median returns the lower median, or a value that stands in for none.
+func median(values []float64, none float64) float64 {
+	if len(values) == 0 {
+		return none
+	}
+	sort.Float64s(values)
+	return values[(len(values)-1)/2]
+}
+
+// usual returns the usual rate of the pool's engines, in tokens a millisecond.
+func (p *pool) usual() float64 {
+	if p.usualRead == 0 {
+		return firstRead
+	}
+	return p.usualRead
+}
+
+// pause returns how long a stream pauses at an engine that reads long prompts all the
+// while, in milliseconds.
+func (p *pool) pause(e *engine, tokensPerEvent int) float64 {
+	p.usualPause = p.pauses.upper
+	if p.pauses.seen == 0 {
+		p.usualPause = firstPiece * float64(max(1, tokensPerEvent)) / p.usual()
+	}
+	usual := p.usualPause
+	weight := float64(min(e.pauses.seen, pauseMost))
+	return (usual*pausePrior + e.pauses.upper*weight) / (pausePrior + weight)
+}
+
+// learnPauses takes a stream that has ended: its longest pause, in milliseconds, and the
+// most tokens that its engine had to read meanwhile. Where these were enough for the
+// engine to read all through a longer pause, there are none longer.
+func (p *pool) learnPauses(e *engine, longest float64, unread int, read float64) {
+	if longest > 0 && float64(unread) >= read*max(pauseEvidence*longest, p.usualPause) {
+		p.pauses.note(longest)
+		e.pauses.note(longest)
+	}
+}
+
+// survey works out which share of the pool's places is taken, and returns on how many of
+// its engines, from the first, streams gather: enough for those that run, and one more.
+// They are spread over these, so that nodes which do not see each other's last requests
+// do not all choose one.
+func (p *pool) survey(now time.Time) (gather int) {
+	streams, requests, places, most := 0, 0, 0, streamsEach
+	for _, e := range p.engines {
+		load := e.load(now)
+		streams += load.Streams
+		if e.Slots > 0 {
+			requests += load.InFlight
+			places += e.Slots
+			most = min(most, max(1, int(streamsShare*float64(e.Slots))))
+		}
+	}
+	p.taken = float64(requests) / float64(max(1, places))
+	return 1 + streams/most
+}
--- a/internal/placement/speed.go
+++ b/internal/placement/speed.go
@@ -8,7 +8,6 @@
 
 import (
 	"math"
-	"sort"
 	"time"
 )
 
@@ -59,10 +58,6 @@
 	// pauseMost how many of the engine's own count.
 	pausePrior = 4
 	pauseMost  = 16
-
-	// usualLife is how long the medians over a pool's engines are used before they are
-	// worked out again: learning takes some requests, which are rarer.
-	usualLife = 50 * time.Millisecond
 )
 
 type (
@@ -78,19 +73,6 @@
 		upper float64 // upper is the pause that a share of pauseShare does not exceed, in milliseconds.
 		seen  int
 	}
-
-	// pool is what is known of a pool's engines together.
-	pool struct {
-		engines  []*engine     // engines that take new work, in the order in which streams gather on them; nil once one changed
-		pauses   pauses        // pauses are of streams at all engines
-		tightest time.Duration // tightest is the shortest of the pauses that callers of streams bear which are made late where the engines read long prompts; 0 if none are
-
-		usualPause float64 // usualPause is how long streams pause where engines read long prompts all the while, in milliseconds.
-		taken      float64 // taken is the share of the pool's places that is taken, as far as is known.
-		usualAt    time.Time
-		usualRead  float64 // usualRead is the median rate, in tokens a millisecond.
-		usualPace  float64 // usualPace is the median pace, at least 1.
-	}
 )
 
 // note takes the time in which an engine read some tokens, and the rate that was expected.
@@ -119,41 +101,6 @@
 	}
 }
 
-// learnUsual works out the medians over the engines, unless that was done lately.
-func (p *pool) learnUsual(now time.Time) {
-	if age := now.Sub(p.usualAt); age >= 0 && age < usualLife && p.usualRead > 0 {
-		return
-	}
-	p.usualAt = now
-	rates := make([]float64, 0, len(p.engines))
-	paces := make([]float64, 0, len(p.engines))
-	for _, e := range p.engines {
-		if e.reading.tokens >= readLeast {
-			rates = append(rates, e.reading.tokens/e.reading.ms)
-		}
-		paces = append(paces, max(1, e.pace.ratio))
-	}
-	p.usualPace = median(paces, 1)
-	p.usualRead = median(rates, p.usual())
-}
-
-// median returns the lower median, or a value that stands in for none.
-func median(values []float64, none float64) float64 {
-	if len(values) == 0 {
-		return none
-	}
-	sort.Float64s(values)
-	return values[(len(values)-1)/2]
-}
-
-// usual returns the usual rate of the pool's engines, in tokens a millisecond.
-func (p *pool) usual() float64 {
-	if p.usualRead == 0 {
-		return firstRead
-	}
-	return p.usualRead
-}
-
 // note takes the longest pause of a stream, in milliseconds.
 func (p *pauses) note(ms float64) {
 	p.seen++
@@ -167,25 +114,3 @@
 		p.upper *= 1 - step*(1-pauseShare)
 	}
 }
-
-// pause returns how long a stream pauses at an engine that reads long prompts all the
-// while, in milliseconds.
-func (p *pool) pause(e *engine, tokensPerEvent int) float64 {
-	p.usualPause = p.pauses.upper
-	if p.pauses.seen == 0 {
-		p.usualPause = firstPiece * float64(max(1, tokensPerEvent)) / p.usual()
-	}
-	usual := p.usualPause
-	weight := float64(min(e.pauses.seen, pauseMost))
-	return (usual*pausePrior + e.pauses.upper*weight) / (pausePrior + weight)
-}
-
-// learnPauses takes a stream that has ended: its longest pause, in milliseconds, and the
-// most tokens that its engine had to read meanwhile. Where these were enough for the
-// engine to read all through a longer pause, there are none longer.
-func (p *pool) learnPauses(e *engine, longest float64, unread int, read float64) {
-	if longest > 0 && float64(unread) >= read*max(pauseEvidence*longest, p.usualPause) {
-		p.pauses.note(longest)
-		e.pauses.note(longest)
-	}
-}
--- a/internal/placement/weigh.go
+++ b/internal/placement/weigh.go
@@ -159,25 +159,6 @@
 	return c
 }
 
-// survey works out which share of the pool's places is taken, and returns on how many of
-// its engines, from the first, streams gather: enough for those that run, and one more.
-// They are spread over these, so that nodes which do not see each other's last requests
-// do not all choose one.
-func (p *pool) survey(now time.Time) (gather int) {
-	streams, requests, places, most := 0, 0, 0, streamsEach
-	for _, e := range p.engines {
-		load := e.load(now)
-		streams += load.Streams
-		if e.Slots > 0 {
-			requests += load.InFlight
-			places += e.Slots
-			most = min(most, max(1, int(streamsShare*float64(e.Slots))))
-		}
-	}
-	p.taken = float64(requests) / float64(max(1, places))
-	return 1 + streams/most
-}
-
 // lateness returns what it costs that the request makes streams late, or that it
 // is a stream which what the engine has to read makes late. Streams gather; beyond
 // tells how far the engine lies beyond those on which they do.
