One count of recent events for retries and for places

Cause: the read-through found that dispatch counted its newest five seconds with a copy of the slices that the retry budget has, and by the time of day, so that a step of the clock forgot what it had counted or kept it for too long. Ruled out: a timer that clears slices; both would still stand twice. Change: internal/recent counts by the steady clock for both; a pool's line is made where it is first asked for, with its counts. The budget's windows and the line's five seconds in ten slices stay as they were.

--- a/internal/dispatch/line.go
+++ b/internal/dispatch/line.go
@@ -1,9 +1,5 @@
 package dispatch
 
-// Requests wait for a place at their node, not in an engine's queue. With 20 places an
-// engine, 431 requests of a day of 2,800 were put back for more urgent ones, 72 of them
-// while less urgent ones ran on; with the line 0 to 58 on five such days.
-
 import (
 	"context"
 	"math/rand/v2"
@@ -14,6 +10,7 @@
 	"github.com/croftturn/croftturn/internal/admission"
 	"github.com/croftturn/croftturn/internal/pause"
 	"github.com/croftturn/croftturn/internal/placement"
+	"github.com/croftturn/croftturn/internal/recent"
 )
 
 const (
@@ -48,16 +45,19 @@
 		pools map[string]*line
 	}
 
-	// line holds the requests of one pool that wait at this node for a place at an engine:
-	// the highest tier first, and within a tier the shortest answers.
+	// line holds the requests of one pool that wait at this node, not in an engine's queue,
+	// for a place at an engine: the highest tier first, and within a tier the shortest
+	// answers. With 20 places an engine, 431 requests of a day of 2,800 were put back for
+	// more urgent ones, 72 of them while less urgent ones ran on; with the line 0 to 58 on
+	// five such days.
 	line struct {
 		mu      sync.Mutex
 		waiting []*waiter
 		limits  [lineTiers]time.Duration // limits are how long requests of each tier may wait; 0 where none came yet.
 		every   time.Duration            // every is the usual time from one place to the next while requests wait.
 		since   time.Time                // since is when the newest place was found, or the line began.
-		asked   recent                   // asked counts the requests of the highest tier.
-		lacked  recent                   // lacked counts those of them that got no place.
+		asked   *recent.Count            // asked counts the requests of the highest tier.
+		lacked  *recent.Count            // lacked counts those of them that got no place.
 		peers   map[string]told          // peers holds what each peer told last.
 
 		pressure admission.Pressure // pressure is of the waits that were expected for the pool's requests; it has a lock of its own.
@@ -70,15 +70,20 @@
 	}
 )
 
+// newLine returns an empty line.
+func newLine(now time.Time) *line {
+	return &line{asked: recent.New(now, shortSpan, shortSlices), lacked: recent.New(now, shortSpan, shortSlices), peers: map[string]told{}}
+}
+
 // of returns a pool's line.
-func (l *lines) of(pool string) *line {
+func (l *lines) of(now time.Time, pool string) *line {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.pools == nil {
 		l.pools = map[string]*line{}
 	}
 	if l.pools[pool] == nil {
-		l.pools[pool] = &line{}
+		l.pools[pool] = newLine(now)
 	}
 	return l.pools[pool]
 }
@@ -147,7 +152,8 @@
 func (l *line) leave(now time.Time, w *waiter, placed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.waiting = slices.Delete(l.waiting, slices.Index(l.waiting, w), slices.Index(l.waiting, w)+1)
+	at := slices.Index(l.waiting, w)
+	l.waiting = slices.Delete(l.waiting, at, at+1)
 	if placed {
 		l.every += time.Duration(everyShare * float64(now.Sub(l.since)-l.every))
 		l.since = now
@@ -158,7 +164,7 @@
 // in an engine's queue can't be refused truthfully any more, and takes the place of one
 // that runs where it is more urgent.
 func (w *walk) awaitPlace(ctx context.Context, now time.Time, request placement.Request) *Refusal {
-	l := w.d.lines.of(w.pool)
+	l := w.d.lines.of(now, w.pool)
 	if w.route.Target <= 0 {
 		return nil
 	}
--- a/internal/dispatch/line_test.go
+++ b/internal/dispatch/line_test.go
@@ -20,7 +20,7 @@
 // TestLineOrder holds that the highest tier goes first, within a tier the shortest
 // expected answer, and among equals the one that came first.
 func TestLineOrder(t *testing.T) {
-	l := &line{}
+	l := newLine(begin)
 	low := join(t, l, 1, 10)
 	long := join(t, l, 0, 900)
 	first := join(t, l, 0, 100)
@@ -36,7 +36,7 @@
 // TestLineRefusesWhoWouldWaitTooLong holds that a request is refused at its arrival where
 // those before it take longer than it may wait, judged by the places found lately.
 func TestLineRefusesWhoWouldWaitTooLong(t *testing.T) {
-	l := &line{}
+	l := newLine(begin)
 	now := begin
 	for range 60 {
 		w, ok := l.join(now, 0, 0, time.Second)
@@ -55,7 +55,7 @@
 
 // TestLimitOfLowerTiers holds that no tier waits longer than one above it.
 func TestLimitOfLowerTiers(t *testing.T) {
-	l := &line{}
+	l := newLine(begin)
 	high := l.limit(0, 300*time.Millisecond)
 	if low := l.limit(1, 1200*time.Millisecond); low > high {
 		t.Errorf("the lower tier waits %v, the highest %v", low, high)
@@ -65,7 +65,7 @@
 // TestShortOfPlaces holds that a pool counts as short of places while more than a few of
 // the highest tier's requests of the newest seconds got none, counted over all nodes.
 func TestShortOfPlaces(t *testing.T) {
-	l := &line{}
+	l := newLine(begin)
 	for i := range 100 {
 		l.count(begin, i >= 4)
 	}
--- a/internal/dispatch/short.go
+++ b/internal/dispatch/short.go
@@ -5,9 +5,12 @@
 const (
 	// shortShare is the share of the highest tier's requests that must lack places for a pool
 	// to count as short of places, and shortLeast their least number over all nodes, in the
-	// newest recentSlices: lower tiers then get none, so that no higher one is refused for them.
-	shortShare = 0.05
-	shortLeast = 4
+	// newest shortSpan: lower tiers then get none, so that no higher one is refused for them.
+	// Over so long the users ask whether a tier got nothing while one below it was served.
+	shortShare  = 0.05
+	shortLeast  = 4
+	shortSpan   = 5 * time.Second
+	shortSlices = 10
 
 	// shortLife is how long a peer's word that a pool is short of places counts.
 	shortLife = time.Second
@@ -32,9 +35,9 @@
 func (l *line) count(now time.Time, placed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.asked.add(now)
+	l.asked.Add(now)
 	if !placed {
-		l.lacked.add(now)
+		l.lacked.Add(now)
 	}
 }
 
@@ -43,7 +46,7 @@
 func (l *line) places(now time.Time) Places {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return Places{Asked: l.asked.sum(now), Lacked: l.lacked.sum(now)}
+	return Places{Asked: l.asked.Sum(now), Lacked: l.lacked.Sum(now)}
 }
 
 // short reports whether requests of the highest tier lack places, over all nodes.
@@ -66,16 +69,11 @@
 func (d *Dispatcher) Places(now time.Time) map[string]Places {
 	d.lines.mu.Lock()
 	defer d.lines.mu.Unlock()
-	var out map[string]Places
+	out := map[string]Places{}
 	for name, l := range d.lines.pools {
-		p := l.places(now)
-		if p.Asked == 0 {
-			continue
-		}
-		if out == nil {
-			out = map[string]Places{}
+		if p := l.places(now); p.Asked > 0 {
+			out[name] = p
 		}
-		out[name] = p
 	}
 	return out
 }
@@ -83,11 +81,8 @@
 // HeardPlaces takes what a peer tells of how the highest tier fares there.
 func (d *Dispatcher) HeardPlaces(now time.Time, peer string, pools map[string]Places) {
 	for name, p := range pools {
-		l := d.lines.of(name)
+		l := d.lines.of(now, name)
 		l.mu.Lock()
-		if l.peers == nil {
-			l.peers = map[string]told{}
-		}
 		l.peers[peer] = told{Places: p, at: now}
 		l.mu.Unlock()
 	}
--- a/internal/dispatch/walk.go
+++ b/internal/dispatch/walk.go
@@ -159,7 +159,7 @@
 	wait := time.Duration(c.Wait * float64(time.Millisecond))
 	return admission.Decide(admission.Request{
 		Tier: w.tier(), Target: w.route.Target, Timeout: w.route.Timeout, Left: w.deadline.Sub(now), Wait: wait,
-		Pressure: w.d.lines.of(w.pool).pressure.Note(now, wait, w.route.Target),
+		Pressure: w.d.lines.of(now, w.pool).pressure.Note(now, wait, w.route.Target),
 	})
 }
 
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -5,6 +5,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/croftturn/croftturn/internal/recent"
 )
 
 // slices is how many parts a window is counted in.
@@ -28,11 +30,9 @@
 		pools map[string]*window
 	}
 
-	// window counts by slices of its length.
+	// window counts what was sent to one pool.
 	window struct {
-		requests [slices]int
-		retries  [slices]int
-		last     int64 // last is the number of the newest slice
+		requests, retries *recent.Count
 	}
 )
 
@@ -53,8 +53,7 @@
 func (b *Budget) Request(now time.Time, pool string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	w := b.window(now, pool)
-	w.requests[w.last%slices]++
+	b.window(pool).requests.Add(now)
 }
 
 // Take reports whether one more request may be sent again, and counts it. This
@@ -62,35 +61,21 @@
 func (b *Budget) Take(now time.Time, pool string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	w := b.window(now, pool)
-	allowed := b.limits.Share*float64(sum(w.requests)) + float64(b.limits.Extra)/float64(max(1, b.nodes()))
-	if float64(sum(w.retries)+1) > allowed {
+	w := b.window(pool)
+	allowed := b.limits.Share*float64(w.requests.Sum(now)) + float64(b.limits.Extra)/float64(max(1, b.nodes()))
+	if float64(w.retries.Sum(now)+1) > allowed {
 		return false
 	}
-	w.retries[w.last%slices]++
+	w.retries.Add(now)
 	return true
 }
 
-// window returns a pool's counts with the slices before the window cleared.
-func (b *Budget) window(now time.Time, pool string) *window {
+// window returns a pool's counts.
+func (b *Budget) window(pool string) *window {
 	w := b.pools[pool]
-	at := int64(now.Sub(b.start) / (b.limits.Window / slices))
 	if w == nil {
-		w = &window{last: at}
+		w = &window{requests: recent.New(b.start, b.limits.Window, slices), retries: recent.New(b.start, b.limits.Window, slices)}
 		b.pools[pool] = w
 	}
-	for step := max(w.last+1, at-slices+1); step <= at; step++ {
-		w.requests[step%slices], w.retries[step%slices] = 0, 0
-	}
-	w.last = max(w.last, at)
 	return w
 }
-
-// sum adds up the slices.
-func sum(counts [slices]int) int {
-	total := 0
-	for _, n := range counts {
-		total += n
-	}
-	return total
-}
