Derive what was stored, and work out the last urgency with the table

Ruled out: leaving the pause to the last weighing; it differs from the derived one only by streams that end between a request's choice and its own end.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -62,6 +62,16 @@
 	return e.serve(ctx, n, a)
 }
 
+// awaitSent waits until some requests were sent.
+func (e *engines) awaitSent(t *testing.T, n int) {
+	t.Helper()
+	for end := time.Now().Add(timeout); e.sentSoFar() < n; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d requests were sent, want %d", e.sentSoFar(), n)
+		}
+	}
+}
+
 // sentSoFar returns how many requests were sent.
 func (e *engines) sentSoFar() int {
 	e.mu.Lock()
@@ -83,16 +93,22 @@
 
 // newDispatcher returns a dispatcher of two engines with a budget of some retries.
 func newDispatcher(e *engines, retries int) *dispatch.Dispatcher {
+	return dispatcherOf(e, retries, table(1, "k"), 8, "e1", "e2")
+}
+
+// dispatcherOf returns a dispatcher with a budget of some retries, a configuration, and
+// engines that have some places each.
+func dispatcherOf(e *engines, retries int, t *routing.Table, slots int, ids ...string) *dispatch.Dispatcher {
 	now := time.Now()
 	p := placement.New("hall")
-	for _, id := range []string{"e1", "e2"} {
-		p.Set(placement.Engine{ID: id, Pool: "p", Hall: "hall", Slots: 8})
+	for _, id := range ids {
+		p.Set(placement.Engine{ID: id, Pool: "p", Hall: "hall", Slots: slots})
 	}
 	proof := freshness.New(time.Hour)
 	proof.Renew(now)
 	budget := retry.New(now, retry.Limits{Extra: retries, Window: 10 * time.Second}, func() int { return 1 })
 	d := dispatch.New(proof, p, budget, e, noMetrics{}, slog.New(slog.NewTextHandler(io.Discard, nil)))
-	d.SetTable(table(1, "k"))
+	d.SetTable(t)
 	return d
 }
 
--- a/internal/dispatch/place_test.go
+++ b/internal/dispatch/place_test.go
@@ -2,16 +2,11 @@
 
 import (
 	"context"
-	"io"
-	"log/slog"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/croftturn/croftturn/internal/dispatch"
-	"github.com/croftturn/croftturn/internal/freshness"
-	"github.com/croftturn/croftturn/internal/placement"
-	"github.com/croftturn/croftturn/internal/retry"
 	"github.com/croftturn/croftturn/internal/routing"
 )
 
@@ -33,15 +28,7 @@
 
 // newPlaces returns a dispatcher of one engine with some places.
 func newPlaces(e *engines, slots int) *dispatch.Dispatcher {
-	now := time.Now()
-	p := placement.New("hall")
-	p.Set(placement.Engine{ID: "e1", Pool: "p", Hall: "hall", Slots: slots})
-	proof := freshness.New(time.Hour)
-	proof.Renew(now)
-	budget := retry.New(now, retry.Limits{Window: 10 * time.Second}, func() int { return 1 })
-	d := dispatch.New(proof, p, budget, e, noMetrics{}, slog.New(slog.NewTextHandler(io.Discard, nil)))
-	d.SetTable(placesTable())
-	return d
+	return dispatcherOf(e, 0, placesTable(), slots, "e1")
 }
 
 // TestPlaceIsAwaitedAtTheNode holds that a request is not sent to an engine whose places
@@ -62,9 +49,7 @@
 		defer wg.Done()
 		serve(t, d, "high")
 	}()
-	for d.Active() == 0 || e.sentSoFar() == 0 {
-		time.Sleep(time.Millisecond)
-	}
+	e.awaitSent(t, 1)
 	refused := serve(t, d, "high")
 	if refused.refusal == nil || refused.refusal.Reason != dispatch.Busy || refused.refusal.ComeBack <= 0 {
 		t.Errorf("without a place: %+v", refused.refusal)
@@ -116,9 +101,7 @@
 			defer wg.Done()
 			serve(t, d, []string{"high", "low"}[n%2])
 		}()
-		for e.sentSoFar() <= n {
-			time.Sleep(time.Millisecond)
-		}
+		e.awaitSent(t, n+1)
 	}
 	close(release)
 	wg.Wait()
--- a/internal/placement/call.go
+++ b/internal/placement/call.go
@@ -31,12 +31,14 @@
 		ahead  int           // ahead is how many tokens it was expected to read until then
 		read   float64       // read is the rate that was expected, in tokens a millisecond
 
-		streams bool      // streams says that the answer is a stream whose pauses matter.
-		heard   time.Time // heard is when bytes last came
-		longest float64   // longest is the longest pause so far, in milliseconds
-		unread  int       // unread is the most that the engine had to read meanwhile
-		began   bool
-		ended   bool
+		stream         bool      // stream says that the answer is a stream whose pauses matter
+		tokensPerEvent int       // tokensPerEvent is how many tokens an event of it holds
+		heard          time.Time // heard is when bytes last came
+		longest        float64   // longest is the longest pause so far, in milliseconds
+		unread         int       // unread is the most that the engine had to read meanwhile
+
+		began bool
+		ended bool
 	}
 )
 
@@ -48,13 +50,13 @@
 	if e == nil {
 		e = &engine{Engine: c.Engine, peers: map[string]peerLoad{}}
 	}
-	call := &Call{p: p, engine: e, load: Load{Unread: c.Unread, InFlight: 1}, start: now, wait: time.Duration(c.Wait * float64(time.Millisecond)), ahead: c.Ahead, read: c.Read, streams: r.MaxGap > 0}
+	call := &Call{
+		p: p, engine: e, load: Load{Unread: c.Unread, InFlight: 1}, start: now, wait: time.Duration(c.Wait * float64(time.Millisecond)),
+		ahead: c.Ahead, read: c.Read, stream: r.MaxGap > 0, tokensPerEvent: r.TokensPerEvent,
+	}
 	if c.Tight {
 		call.load.Streams = 1
-		known := p.knownPool(r.Pool)
-		if known.tightest == 0 || r.MaxGap < known.tightest {
-			known.tightest = r.MaxGap
-		}
+		p.knownPool(r.Pool).noteTight(r.MaxGap)
 	}
 	if e.own.InFlight == 0 {
 		e.heardAt = now
@@ -87,7 +89,7 @@
 	c.p.mu.Lock()
 	defer c.p.mu.Unlock()
 	c.engine.heardAt = now
-	if c.streams {
+	if c.stream {
 		c.notePause(now)
 	}
 }
@@ -121,8 +123,8 @@
 	}
 	c.engine.own.InFlight--
 	c.engine.own.Streams -= c.load.Streams
-	if c.streams && o == Answered {
-		c.p.knownPool(c.engine.Pool).learnPauses(c.engine, c.longest, c.unread, c.read)
+	if c.stream && o == Answered {
+		c.p.knownPool(c.engine.Pool).learnPauses(c)
 	}
 	switch o {
 	case Answered:
--- a/internal/placement/choose_test.go
+++ b/internal/placement/choose_test.go
@@ -9,8 +9,9 @@
 )
 
 // BenchmarkChoose measures a decision among the engines of one pool, with the work of
-// some peers at each; the goals are 10 us with 12 engines and 60 us with 600. Measured before engines' rates
-// and pauses were learned and after, on one core: 7.6 and 7.4 us, 390 and 371 us.
+// some peers at each; the goals are 10 us with 12 engines and 60 us with 600. Measured
+// before rates and pauses were learned and after, on one core: 7.6 and 7.4 us, 390 and
+// 371 us.
 func BenchmarkChoose(b *testing.B) {
 	for _, engines := range []int{12, 600} {
 		b.Run(fmt.Sprint(engines, " engines"), func(b *testing.B) {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -33,14 +33,13 @@
 		Engine Engine
 		Cost   float64 // Cost is the expected time to the first token and what is weighed with it, in milliseconds.
 		Wait   float64 // Wait is the expected time until the prompt is read, in milliseconds.
+		Unread int     // Unread is how many tokens of the prompt the engine still has to read.
+		Ahead  int     // Ahead is how many tokens the engine reads until then, Unread among them.
+		Read   float64 // Read is the rate at which the engine is expected to read, in tokens a millisecond.
+		Pause  float64 // Pause is how long a stream there pauses while the engine reads long prompts, in milliseconds.
+		Tight  bool    // Tight says that the request is a stream whose caller such pauses would make late.
 		Room   bool    // Room says that the request need not wait: the engine has a place free, or others of the pool have many.
 		Scarce bool    // Scarce says that the pool has few places free.
-		Unread int     // Unread is how many tokens of the prompt the engine still has to read.
-		Tight  bool    // Tight says that the request is a stream whose caller would be made late if the engine reads long prompts meanwhile.
-
-		Ahead int     // Ahead is how many tokens the engine reads until then, those of the prompt among them.
-		Read  float64 // Read is the rate at which the engine is expected to read, in tokens a millisecond.
-		Pause float64 // Pause is how long a stream there pauses while the engine reads long prompts, in milliseconds.
 	}
 
 	// Use tells that an engine has read parts of a prompt.
@@ -108,7 +107,6 @@
 func (p *Placement) pool(name string) *pool {
 	if p.changed {
 		p.sortPools()
-		p.changed = false
 	}
 	return p.knownPool(name)
 }
@@ -125,6 +123,7 @@
 
 // sortPools rebuilds the lists of engines by pool.
 func (p *Placement) sortPools() {
+	p.changed = false
 	for _, known := range p.pools {
 		known.engines = nil
 	}
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -18,11 +18,10 @@
 	// while they read long prompts; 0 if there are no such streams.
 	tightest time.Duration
 
-	usualPause float64 // usualPause is how long streams pause where engines read long prompts all the while, in milliseconds.
-	taken      float64 // taken is the share of the pool's places that is taken, as far as is known.
-	usualAt    time.Time
-	usualRead  float64 // usualRead is the median rate, in tokens a millisecond.
-	usualPace  float64 // usualPace is the median pace, at least 1.
+	taken     float64 // taken is the share of the pool's places that is taken, as far as is known.
+	usualAt   time.Time
+	usualRead float64 // usualRead is the median rate, in tokens a millisecond.
+	usualPace float64 // usualPace is the median pace, at least 1.
 }
 
 // learnUsual works out the medians over the engines, unless that was done lately.
@@ -60,25 +59,35 @@
 	return p.usualRead
 }
 
-// pause returns how long a stream pauses at an engine that reads long prompts all the
-// while, in milliseconds.
-func (p *pool) pause(e *engine, tokensPerEvent int) float64 {
-	p.usualPause = p.pauses.upper
+// usualPause returns how long streams pause where the pool's engines read long prompts
+// all the while, in milliseconds.
+func (p *pool) usualPause(tokensPerEvent int) float64 {
 	if p.pauses.seen == 0 {
-		p.usualPause = firstPiece * float64(max(1, tokensPerEvent)) / p.usual()
+		return firstPiece * float64(max(1, tokensPerEvent)) / p.usual()
 	}
-	usual := p.usualPause
+	return p.pauses.upper
+}
+
+// pause returns what usualPause does, for one engine.
+func (p *pool) pause(e *engine, tokensPerEvent int) float64 {
 	weight := float64(min(e.pauses.seen, pauseMost))
-	return (usual*pausePrior + e.pauses.upper*weight) / (pausePrior + weight)
+	return (p.usualPause(tokensPerEvent)*pausePrior + e.pauses.upper*weight) / (pausePrior + weight)
 }
 
 // learnPauses takes a stream that has ended: its longest pause, in milliseconds, and the
 // most tokens that its engine had to read meanwhile. Where these were enough for the
 // engine to read all through a longer pause, there are none longer.
-func (p *pool) learnPauses(e *engine, longest float64, unread int, read float64) {
-	if longest > 0 && float64(unread) >= read*max(pauseEvidence*longest, p.usualPause) {
-		p.pauses.note(longest)
-		e.pauses.note(longest)
+func (p *pool) learnPauses(c *Call) {
+	if c.longest > 0 && float64(c.unread) >= c.read*max(pauseEvidence*c.longest, p.usualPause(c.tokensPerEvent)) {
+		p.pauses.note(c.longest)
+		c.engine.pauses.note(c.longest)
+	}
+}
+
+// noteTight takes the pause that the caller of a stream bears which is kept apart.
+func (p *pool) noteTight(gap time.Duration) {
+	if p.tightest == 0 || gap < p.tightest {
+		p.tightest = gap
 	}
 }
 
--- a/internal/placement/speed.go
+++ b/internal/placement/speed.go
@@ -1,11 +1,5 @@
 package placement
 
-// What engines are seen to do stands in place of constants of a kind of engine: the
-// rate at which they read prompts, and how long their streams pause meanwhile. Mean
-// worth of days with trouble, constants and learned: 0.615 and 0.632 where engines read
-// 43 tokens a millisecond (four seeds), 0.397 and 0.466 where they read 26 and 0.636
-// and 0.670 where they read 26 with other pauses (one seed each).
-
 import (
 	"math"
 	"time"
@@ -60,6 +54,11 @@
 	pauseMost  = 16
 )
 
+// What engines are seen to do stands in place of constants of a kind of engine: the
+// rate at which they read prompts, and how long their streams pause meanwhile. Mean
+// worth of days with trouble, constants and learned: 0.615 and 0.632 where engines read
+// 43 tokens a millisecond (four seeds), 0.397 and 0.466 where they read 26 and 0.636
+// and 0.670 where they read 26 with other pauses (one seed each).
 type (
 	// reading is how fast an engine reads prompts: tokens, and the time that they took.
 	reading struct {
@@ -78,8 +77,7 @@
 // note takes the time in which an engine read some tokens, and the rate that was expected.
 func (r *reading) note(now time.Time, tokens float64, took time.Duration, expected float64) {
 	r.decay(now)
-	ms := float64(took) / float64(time.Millisecond)
-	ms = min(max(ms, tokens/expected/readBound), tokens/expected*readBound)
+	ms := min(max(milliseconds(took), tokens/expected/readBound), tokens/expected*readBound)
 	r.tokens += tokens
 	r.ms += ms
 	if r.tokens > readMemory {
--- a/internal/placement/weigh.go
+++ b/internal/placement/weigh.go
@@ -88,8 +88,9 @@
 
 	// scarceShare is the share of a pool's places from which few are left, and lackingShare
 	// that from which requests wait at their node for one. Where others are free, an engine
-	// that seems full is used all the same: with many nodes what is known of it is old (in
-	// the first 8 s of a day with 112 engines of 12 places: 0.53 so, 0.41 with waits).
+	// that seems full is used all the same: with many nodes what is known of it is old. Mean
+	// worth with 112 engines of 12 places and 87 nodes, one play each: 0.609 with waits
+	// wherever an engine seemed full, 0.678 so and with the present spoilCost.
 	scarceShare  = 0.7
 	lackingShare = 0.85
 
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -4,7 +4,6 @@
 package routing
 
 import (
-	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -91,7 +90,7 @@
 		hosts map[string][]*Route // each host's routes, longest prefix first
 		pools map[string]*Pool
 		teams map[string]*Team // by key
-		last  int              // last is the lowest tier that a team has.
+		last  map[string]int   // last is, by pool, the last place that a request for it has.
 		keyed bool
 	}
 )
@@ -105,7 +104,7 @@
 func NewTable(version int, routes []*Route, pools []*Pool, teams []*Team, limits Limits) *Table {
 	t := &Table{
 		Version: version, Limits: limits, keyed: len(teams) > 0,
-		hosts: map[string][]*Route{}, pools: map[string]*Pool{}, teams: map[string]*Team{},
+		hosts: map[string][]*Route{}, pools: map[string]*Pool{}, teams: map[string]*Team{}, last: map[string]int{},
 	}
 	for _, r := range routes {
 		host := strings.ToLower(r.Host)
@@ -117,14 +116,20 @@
 	for _, p := range pools {
 		t.pools[p.Name] = p
 	}
+	lowest := 0
 	for _, team := range teams {
 		if team.Tier != nil {
-			t.last = max(t.last, *team.Tier)
+			lowest = max(lowest, *team.Tier)
 		}
 		for _, key := range team.Keys {
 			t.teams[key] = team
 		}
 	}
+	for _, r := range routes {
+		for _, s := range r.Shares {
+			t.last[s.Pool] = max(t.last[s.Pool], urgency(max(r.Tier, lowest), r))
+		}
+	}
 	return t
 }
 
@@ -159,22 +164,7 @@
 
 // LastUrgency returns the last place that requests for a pool have: that of its lowest
 // route for the lowest team.
-func (t *Table) LastUrgency(pool string) int {
-	last := 0
-	for _, routes := range t.hosts {
-		for _, r := range routes {
-			if r.servedBy(pool) {
-				last = max(last, urgency(max(r.Tier, t.last), r))
-			}
-		}
-	}
-	return last
-}
-
-// servedBy reports whether a pool serves the route.
-func (r *Route) servedBy(pool string) bool {
-	return slices.ContainsFunc(r.Shares, func(s Share) bool { return s.Pool == pool })
-}
+func (t *Table) LastUrgency(pool string) int { return t.last[pool] }
 
 // urgency returns the place of a route's requests within a tier.
 func urgency(tier int, r *Route) int {
