Sight: how a table came from a peer, how large it was and how long it took

Whether a configuration comes late because of its source's processor, its link, or answers that are thrown away could only be worked out from processor time and bytes a second. No change of what is decided.

--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -9,6 +9,7 @@
 
 // takeConfig puts a changed configuration in force; it is a feed.Consumer.
 func (e *Edge) takeConfig(_ time.Time, rows []feed.Row) {
+	begin := time.Now()
 	table, err := platform.Config(rows)
 	if err != nil {
 		e.log.Error("configuration not understood; it is not in force", "error", err.Error())
@@ -19,5 +20,5 @@
 	}
 	before := e.dispatcher.Version()
 	taken := e.dispatcher.SetTable(table)
-	e.log.Info("configuration", "version", table.Version, "before", before, "taken", taken)
+	e.log.Info("configuration", "version", table.Version, "before", before, "taken", taken, "ms", time.Since(begin).Milliseconds())
 }
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -35,6 +35,11 @@
 		telemetry.Observed{Name: "croftturn.edge.log_lines_dropped", Help: "log lines dropped", Read: func() int64 { return e.lines.Dropped() }},
 		telemetry.Observed{Name: "croftturn.edge.nodes", Help: "nodes alive", Read: func() int64 { return int64(e.gossip.Nodes()) }},
 		telemetry.Observed{Name: "croftturn.edge.config_age_ms", Help: "age of the proof that the configuration is the newest", Read: func() int64 { return e.proof.AgeMs(time.Now()) }},
+		telemetry.Observed{Name: "croftturn.edge.tables_given", Help: "tables given to peers", Read: func() int64 { return e.follower.Pulls().Given }},
+		telemetry.Observed{Name: "croftturn.edge.tables_taken", Help: "tables taken from peers", Read: func() int64 { return e.follower.Pulls().Taken }},
+		telemetry.Observed{Name: "croftturn.edge.tables_failed", Help: "tables asked of peers in vain", Read: func() int64 { return e.follower.Pulls().Failed }},
+		telemetry.Observed{Name: "croftturn.edge.peer_bytes_out", Help: "bytes sent in calls of peers", Read: func() int64 { return e.traffic.BytesOut.Load() }},
+		telemetry.Observed{Name: "croftturn.edge.peer_bytes_in", Help: "bytes received in calls of peers", Read: func() int64 { return e.traffic.BytesIn.Load() }},
 	)
 	if err := errors.Join(errs[:]...); err != nil {
 		return nil, fmt.Errorf("make instruments: %w", err)
--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -15,6 +16,11 @@
 
 	// pullTimeout bounds one such call; its answer is at most some 100 KB.
 	pullTimeout = time.Second
+
+	// slowPull and largePull are from when on a pull that ended well has a line in the log:
+	// the usual one takes a few milliseconds and brings some engines.
+	slowPull  = 250 * time.Millisecond
+	largePull = 64 << 10
 )
 
 type (
@@ -47,6 +53,15 @@
 		mu      sync.Mutex
 		tables  map[string]*Table
 		pulling map[string]bool
+
+		given, taken, failed atomic.Int64
+	}
+
+	// Pulls counts tables that were asked for between peers.
+	Pulls struct {
+		Given  int64 // Given counts answers to peers.
+		Taken  int64 // Taken counts answers of peers that were taken.
+		Failed int64 // Failed counts calls to peers that brought none.
 	}
 )
 
@@ -96,8 +111,10 @@
 	f.wg.Add(1)
 	go func() {
 		defer f.wg.Done()
-		if err := f.ask(address, t); err != nil && f.ctx.Err() == nil {
-			f.log.Warn("table not taken from peer", "table", t.Name(), "peer_address", address, "error", err.Error())
+		begin := time.Now()
+		if err := f.ask(address, t, begin); err != nil && f.ctx.Err() == nil {
+			f.failed.Add(1)
+			f.log.Warn("table not taken from peer", "table", t.Name(), "peer_address", address, "ms", time.Since(begin).Milliseconds(), "error", err.Error())
 		}
 		f.mu.Lock()
 		delete(f.pulling, t.Name())
@@ -106,7 +123,7 @@
 }
 
 // ask takes what a peer has of a table.
-func (f *Follower) ask(address string, t *Table) error {
+func (f *Follower) ask(address string, t *Table, begin time.Time) error {
 	ctx, cancel := context.WithTimeout(f.ctx, pullTimeout)
 	defer cancel()
 	req := TableRequest{Table: t.Name(), After: -1}
@@ -118,6 +135,7 @@
 		return fmt.Errorf("ask for table: %w", err)
 	}
 	now := time.Now()
+	f.took(t, address, reply.Rows, now.Sub(begin))
 	if reply.Whole {
 		t.Replace(now, Snapshot{Rows: reply.Rows, Version: reply.Last})
 		return nil
@@ -126,12 +144,30 @@
 	return nil
 }
 
+// took counts an answer that came, and logs a slow or large one.
+func (f *Follower) took(t *Table, address string, rows []Row, after time.Duration) {
+	f.taken.Add(1)
+	bytes := 0
+	for _, r := range rows {
+		bytes += len(r.Value)
+	}
+	if after >= slowPull || bytes >= largePull {
+		f.log.Info("table taken from peer", "table", t.Name(), "peer_address", address, "rows", len(rows), "bytes", bytes, "ms", after.Milliseconds())
+	}
+}
+
+// Pulls returns what was counted so far.
+func (f *Follower) Pulls() Pulls {
+	return Pulls{Given: f.given.Load(), Taken: f.taken.Load(), Failed: f.failed.Load()}
+}
+
 // Answer gives a peer what this node has; it is the handler of MethodTable.
 func (f *Follower) Answer(_ context.Context, req *TableRequest) (any, error) {
 	t := f.tables[req.Table]
 	if t == nil {
 		return nil, fmt.Errorf("no table %q", req.Table)
 	}
+	f.given.Add(1)
 	if req.After >= 0 {
 		rows, err := t.Since(req.After)
 		if err == nil {
