Peers: a call that meets silence on a kept connection is made once more over a new one

Suspected beside the incident's cause: where connections of all nodes fall silent without a reset, each pull costs its bound and the next one waits for another message, to a peer whose connection is as silent. TestACallMeetsSilenceOnce, TestALongAnswerIsNoSilence.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -39,11 +39,24 @@
 	}
 )
 
+// silentError says that a peer was silent in a call.
+type silentError struct {
+	kept bool // kept says that the peer had said something on the connection before the call.
+}
+
+// Error describes it.
+func (e *silentError) Error() string { return ErrSilent.Error() }
+
+// Is makes errors.Is(err, ErrSilent) true.
+func (e *silentError) Is(target error) bool { return target == ErrSilent }
+
 // Option changes a client.
 type Option func(*Client)
 
 // WithSilence makes calls end, with ErrSilent, when nothing comes from the peer for so long.
-// A call then needs no bound that grows with its answer.
+// A call then needs no bound that grows with its answer. One that met silence on a connection
+// that was kept is made once more over a new one, so that it should be one that may be repeated:
+// where the connections of all nodes fall silent at once, to ask another peer meets the same.
 func WithSilence(most time.Duration) Option { return func(c *Client) { c.silence = most } }
 
 // NewClient returns a client without connections.
@@ -61,25 +74,36 @@
 // while a call ran into its deadline is closed: connections may fall silent for good without
 // a reset, and the next call then goes over a new one.
 func (c *Client) Call(ctx context.Context, address, method string, params, result any) error {
-	rpc, conn, err := c.conn(ctx, address)
+	err := c.callOnce(ctx, address, method, params, result)
+	var silent *silentError
+	if errors.As(err, &silent) && silent.kept && ctx.Err() == nil {
+		err = c.callOnce(ctx, address, method, params, result)
+	}
 	if err != nil {
 		return fmt.Errorf("call %s at %s: %w", method, address, err)
 	}
+	return nil
+}
+
+// callOnce calls over the connection that there is, or a new one.
+func (c *Client) callOnce(ctx context.Context, address, method string, params, result any) error {
+	rpc, conn, err := c.conn(ctx, address)
+	if err != nil {
+		return err
+	}
 	c.traffic.Calls.Add(1)
 	before := conn.reads.Load()
 	ctx, stop := c.watch(ctx, conn)
 	defer stop()
-	if err := rpc.Call(ctx, method, params, result); err != nil {
-		silent := errors.Is(context.Cause(ctx), ErrSilent)
-		if silent {
-			err = ErrSilent
-		}
-		if silent || errors.Is(err, context.DeadlineExceeded) && conn.reads.Load() == before {
-			rpc.Close() // The next call finds it closed; its own error tells no more.
-		}
-		return fmt.Errorf("call %s at %s: %w", method, address, err)
+	err = rpc.Call(ctx, method, params, result)
+	silent := err != nil && errors.Is(context.Cause(ctx), ErrSilent)
+	if silent || errors.Is(err, context.DeadlineExceeded) && conn.reads.Load() == before {
+		rpc.Close() // The next call finds it closed; its own error tells no more.
 	}
-	return nil
+	if silent {
+		return &silentError{kept: before > 0}
+	}
+	return err
 }
 
 // watch returns a context for a call on a connection that ends when nothing comes on it for
--- a/internal/peer/client_test.go
+++ b/internal/peer/client_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -101,3 +102,104 @@
 		t.Errorf("%v over %d connections, want that one which answers other calls is kept", err, m.accepted.Load())
 	}
 }
+
+// echo starts a server on a listener, with a method that answers and one that never does, and
+// returns a client of it that bears some silence.
+func echo(t *testing.T, l net.Listener, silence time.Duration) *peer.Client {
+	t.Helper()
+	s := peer.NewServer(l, &peer.Traffic{}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	s.Handle("echo", peer.Typed(func(_ context.Context, p *string) (any, error) { return *p, nil }))
+	s.Handle("wait", peer.Typed(func(ctx context.Context, _ *string) (any, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}))
+	go s.Serve()
+	c := peer.NewClient(&peer.Traffic{}, peer.WithSilence(silence))
+	t.Cleanup(func() {
+		c.Close()
+		if err := s.Close(); err != nil {
+			t.Error(err)
+		}
+	})
+	return c
+}
+
+// TestACallMeetsSilenceOnce holds that a call over a connection which has fallen silent is
+// answered over a new one, where the client bears no silence, and that silence on a new one ends it.
+func TestACallMeetsSilenceOnce(t *testing.T) {
+	const silence = 100 * time.Millisecond
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := &muted{Listener: l}
+	m.silent.Store(&atomic.Bool{})
+	c := echo(t, m, silence)
+	call := func(method string) (string, error) {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		var got string
+		err := c.Call(ctx, l.Addr().String(), method, "x", &got)
+		return got, err
+	}
+	for range 2 {
+		if got, err := call("echo"); got != "x" || err != nil {
+			t.Errorf("%q %v, want an answer", got, err)
+		}
+		m.mute()
+	}
+	if got, err := call("echo"); got != "x" || err != nil || m.accepted.Load() != 3 {
+		t.Errorf("%q %v over %d connections, want an answer over a third", got, err, m.accepted.Load())
+	}
+	begin := time.Now()
+	if _, err := call("wait"); !errors.Is(err, peer.ErrSilent) || time.Since(begin) > time.Second {
+		t.Errorf("a peer that does not answer: %v after %v", err, time.Since(begin))
+	}
+}
+
+// slow is a listener whose connections write one piece at a time.
+type slow struct {
+	net.Listener
+	each time.Duration
+}
+
+// Accept returns a slow connection.
+func (l *slow) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &slowConn{conn, l.each}, nil
+}
+
+// slowConn is one such connection.
+type slowConn struct {
+	net.Conn
+	each time.Duration
+}
+
+// Write pauses before each piece.
+func (c *slowConn) Write(p []byte) (int, error) {
+	<-time.After(c.each)
+	return c.Conn.Write(p)
+}
+
+// TestALongAnswerIsNoSilence holds that a call whose answer comes slowly goes on for longer
+// than the client bears silence.
+func TestALongAnswerIsNoSilence(t *testing.T) {
+	const silence = 200 * time.Millisecond
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := echo(t, &slow{l, 30 * time.Millisecond}, silence)
+	long := strings.Repeat("x", 400<<10)
+	begin := time.Now()
+	var got string
+	if err := c.Call(context.Background(), l.Addr().String(), "echo", long, &got); err != nil || got != long {
+		t.Errorf("%d bytes, %v, want %d", len(got), err, len(long))
+	}
+	if took := time.Since(begin); took < 2*silence {
+		t.Errorf("it took %v, too little to show anything", took)
+	}
+}
