Engines that start again under their id; entries of other writers

One that starts again under its id would keep the load, cached parts, failures and slowness of its former life, its draining for ever, and requests in flight until their connection or deadline ended. An entry that could not be read left the engine of a former good entry in use; one that lacked fields, or a configuration without routes, was taken.

Change: the start that an engine tells of (compared for equality alone) tells lives apart. At another one placement begins anew with the engine, requests in flight without a sign for 0.5 s are lost as at a crash, connections that rest are closed, and what peers tell counts from the version of the entry by which the life was known. Entries and configurations are checked whole; what can't be understood names no engine, or leaves the configuration in force; one line each, bounded, and counters. The register and the store's answers likewise.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -1,10 +1,12 @@
 // Package discovery follows the entries of engines and decides which of them
 // get new work. Entries also go while the platform's store is away, though the
 // engines live, and come back soon after; an engine that said that it leaves
-// gets no new work any more, whatever its entry says later.
+// gets no new work any more, whatever its entry says later, until it has started again.
+// An entry that can't be understood names no engine to use.
 package discovery
 
 import (
+	"errors"
 	"log/slog"
 	"sync"
 	"time"
@@ -44,18 +46,29 @@
 
 		unsettledFor time.Duration // unsettledFor is how long an engine without entry is used after the store's return.
 
-		mu       sync.Mutex
-		lostAt   time.Time            // lostAt is when the store last could not be called.
-		missing  map[string]time.Time // missing holds engines without entry, and when they are dropped.
-		draining map[string]bool      // draining holds engines that once said that they leave.
+		mu      sync.Mutex
+		lostAt  time.Time            // lostAt is when the store last could not be called.
+		missing map[string]time.Time // missing holds engines without entry, and when they are dropped.
+		lives   map[string]life      // lives holds all engines that were ever known.
+		refused int64                // refused counts the changes by which an entry could not be understood.
+	}
+
+	// life is one of an engine's, from its start.
+	life struct {
+		born     int64 // born is what the engine says of its start; 0 if nothing.
+		since    int64 // since is the version of the entry by which the life was known first.
+		draining bool  // draining says that it once said that it leaves.
 	}
 )
 
+// errNotBorn says that an entry lacks what the engine said before.
+var errNotBorn = errors.New("the entry no longer tells of the engine's start")
+
 // New returns a discovery that tells engines to a placement; new work at an engine
 // that left must stop within drain.
 func New(decode Decode, engines Engines, drain time.Duration, log *slog.Logger) *Discovery {
 	unsettled := min(unsettledMost, time.Duration(unsettledShare*float64(drain)))
-	return &Discovery{decode: decode, engines: engines, log: log, unsettledFor: unsettled, missing: map[string]time.Time{}, draining: map[string]bool{}}
+	return &Discovery{decode: decode, engines: engines, log: log, unsettledFor: unsettled, missing: map[string]time.Time{}, lives: map[string]life{}}
 }
 
 // Lost records that the store could not be called at a moment.
@@ -70,41 +83,74 @@
 // Take takes changed entries; it is a feed.Consumer.
 func (d *Discovery) Take(now time.Time, rows []feed.Row) {
 	each := len(rows) <= linesMost
-	taken, draining := 0, 0
+	taken, draining, refused := 0, 0, 0
 	for _, r := range rows {
 		if r.Deleted {
 			d.miss(now, r.Key)
 			continue
 		}
-		e, err := d.decode(r)
+		leaves, err := d.takeEntry(r, each)
 		if err != nil {
-			d.log.Error("engine not understood; it gets no work", "engine", r.Key, "error", err.Error())
+			refused++
+			d.refuse(r.Key, err, refused <= linesMost)
 			continue
 		}
 		taken++
-		if d.set(e, r.Version, each) {
+		if leaves {
 			draining++
 		}
 	}
 	if !each {
-		d.log.Info("engines", "taken", taken, "draining", draining, "rows", len(rows))
+		d.log.Info("engines", "taken", taken, "draining", draining, "refused", refused, "rows", len(rows))
 	}
 }
 
-// set takes an engine's entry and reports whether the engine leaves.
-func (d *Discovery) set(e placement.Engine, version int64, log bool) (draining bool) {
+// takeEntry takes one entry and reports whether the engine leaves.
+func (d *Discovery) takeEntry(r feed.Row, log bool) (draining bool, err error) {
+	e, err := d.decode(r)
+	if err != nil {
+		return false, err
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	delete(d.missing, e.ID)
-	if e.Draining {
-		d.draining[e.ID] = true
+	l, known := d.lives[e.ID]
+	switch {
+	case known && l.born != 0 && e.Born == 0:
+		return false, errNotBorn
+	case known && l.born != e.Born:
+		d.log.Info("engine started again", "engine", e.ID, "born", e.Born, "before", l.born, "version", r.Version)
+		l = life{born: e.Born, since: r.Version}
+	case !known:
+		l = life{born: e.Born, since: r.Version}
 	}
-	e.Draining = d.draining[e.ID]
+	l.draining = l.draining || e.Draining
+	d.lives[e.ID] = l
+	e.Draining, e.Since = l.draining, l.since
+	delete(d.missing, e.ID)
 	if log {
-		d.log.Info("engine", "engine", e.ID, "pool", e.Pool, "address", e.Address, "hall", e.Hall, "draining", e.Draining, "version", version)
+		d.log.Info("engine", "engine", e.ID, "pool", e.Pool, "address", e.Address, "hall", e.Hall, "draining", e.Draining, "version", r.Version)
 	}
 	d.engines.Set(e)
-	return e.Draining
+	return e.Draining, nil
+}
+
+// refuse gives an engine no new work whose entry can't be understood.
+func (d *Discovery) refuse(id string, cause error, log bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.refused++
+	delete(d.missing, id)
+	d.engines.Remove(id)
+	if log {
+		d.log.Error("entry not understood; the engine gets no work", "engine", id, "error", cause.Error())
+	}
+}
+
+// Refused returns how many changes of entries could not be understood so far.
+func (d *Discovery) Refused() int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.refused
 }
 
 // miss drops an engine without entry: at once, or after a while where the store
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -106,3 +106,83 @@
 		t.Errorf("%d lines for 3 engines", lines)
 	}
 }
+
+// lives keeps the engines as they were set last.
+type lives map[string]placement.Engine
+
+func (l lives) Set(e placement.Engine) { l[e.ID] = e }
+func (l lives) Remove(id string)       { delete(l, id) }
+
+// bornEntry returns an entry of a life of an engine; 0 is of one that does not tell.
+func bornEntry(id string, born int64, draining bool, version int64) feed.Row {
+	text, _ := json.Marshal(placement.Engine{ID: id, Born: born, Draining: draining})
+	return feed.Row{Key: id, Value: text, Version: version}
+}
+
+// decodeLife reads such entries.
+func decodeLife(r feed.Row) (placement.Engine, error) {
+	var e placement.Engine
+	err := json.Unmarshal(r.Value, &e)
+	return e, err
+}
+
+// TestAnEngineThatStartsAgainMayTakeWork holds that an engine which said that it leaves gets work again
+// once it has started again, since which entry that is known, and that an entry of the present
+// life doesn't change it. Starts are told apart by being others, not by their order.
+func TestAnEngineThatStartsAgainMayTakeWork(t *testing.T) {
+	got := lives{}
+	d := discovery.New(decodeLife, got, 2*time.Second, quiet)
+	for i, step := range []struct {
+		born     int64
+		draining bool
+		want     placement.Engine
+	}{
+		{100, false, placement.Engine{ID: "e", Born: 100, Since: 1}},
+		{100, true, placement.Engine{ID: "e", Born: 100, Since: 1, Draining: true}},
+		{100, false, placement.Engine{ID: "e", Born: 100, Since: 1, Draining: true}},
+		{50, false, placement.Engine{ID: "e", Born: 50, Since: 4}},
+		{50, false, placement.Engine{ID: "e", Born: 50, Since: 4}},
+		{100, true, placement.Engine{ID: "e", Born: 100, Since: 6, Draining: true}},
+	} {
+		d.Take(start, []feed.Row{bornEntry("e", step.born, step.draining, int64(i+1))})
+		if got["e"] != step.want {
+			t.Errorf("entry %d: %+v, want %+v", i+1, got["e"], step.want)
+		}
+	}
+	d.Take(start, []feed.Row{{Key: "e", Version: 7, Deleted: true}})
+	d.Take(start, []feed.Row{bornEntry("e", 100, false, 8)})
+	if !got["e"].Draining {
+		t.Error("a leaving engine whose entry was away gets work again, though it has not started again")
+	}
+}
+
+// TestAnEntryOfAnotherWriterNamesNoEngine holds that an engine whose entry can't be understood any more, or
+// lacks its start, gets no work, that the others in the same answer hold, that it gets work again by
+// a good entry, and that there is one line for each such change, with a bound, and a count.
+func TestAnEntryOfAnotherWriterNamesNoEngine(t *testing.T) {
+	var out bytes.Buffer
+	got := lives{}
+	d := discovery.New(decodeLife, got, 2*time.Second, slog.New(slog.NewJSONHandler(&out, nil)))
+	d.Take(start, []feed.Row{bornEntry("a", 1, false, 1), bornEntry("b", 1, false, 2), bornEntry("c", 1, false, 3)})
+	out.Reset()
+	d.Take(start, []feed.Row{{Key: "a", Value: []byte{0xff, 0}, Version: 4}, bornEntry("c", 0, false, 5), bornEntry("d", 1, false, 6)})
+	if _, a := got["a"]; a || len(got) != 2 || got["d"].ID == "" {
+		t.Errorf("engines that get work: %v, want b and d", got)
+	}
+	if lines := strings.Count(out.String(), "not understood"); lines != 2 || d.Refused() != 2 {
+		t.Errorf("%d lines and a count of %d for two entries: %s", lines, d.Refused(), out.String())
+	}
+	d.Take(start, []feed.Row{bornEntry("a", 1, false, 7)})
+	if got["a"].ID == "" {
+		t.Error("an engine with a good entry again gets no work")
+	}
+	var many []feed.Row
+	for i := range 300 {
+		many = append(many, feed.Row{Key: fmt.Sprint("x", i), Value: []byte("no"), Version: int64(100 + i)})
+	}
+	out.Reset()
+	d.Take(start, many)
+	if lines := strings.Count(out.String(), "\n"); lines > 30 || !strings.Contains(out.String(), `"refused":300`) {
+		t.Errorf("%d lines for 300 entries that can't be understood: %.300s", lines, out.String())
+	}
+}
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -99,8 +99,12 @@
 // dispatcherOf returns a dispatcher with a budget of some retries, a configuration, and
 // engines that have some places each.
 func dispatcherOf(e *engines, retries int, t *routing.Table, slots int, ids ...string) *dispatch.Dispatcher {
+	return dispatcherAt(placement.New("hall"), e, retries, t, slots, ids...)
+}
+
+// dispatcherAt returns such a dispatcher with a placement to which the engines are added.
+func dispatcherAt(p *placement.Placement, e *engines, retries int, t *routing.Table, slots int, ids ...string) *dispatch.Dispatcher {
 	now := time.Now()
-	p := placement.New("hall")
 	for _, id := range ids {
 		p.Set(placement.Engine{ID: id, Pool: "p", Hall: "hall", Slots: slots})
 	}
@@ -374,3 +378,48 @@
 		t.Error("three seconds after the stop began a stream is taken")
 	}
 }
+
+// TestRequestsOfAFormerLifeAreLost holds that a request at an engine which has started again ends there,
+// though its connection says nothing: one that may be repeated goes to another engine, and one
+// that may not is told that it broke. One of which the engine gives signs is left alone.
+func TestRequestsOfAFormerLifeAreLost(t *testing.T) {
+	for _, c := range []struct {
+		route     string
+		status    int
+		reason    dispatch.Reason
+		sendings  int
+		withSigns bool
+	}{
+		{"safe", http.StatusOK, "", 2, false},
+		{"unsafe", 0, dispatch.Broken, 1, false},
+		{"unsafe", http.StatusOK, "", 1, true},
+	} {
+		p := placement.New("hall")
+		e := &engines{}
+		e.serve = func(ctx context.Context, n int, a dispatch.Attempt) (*dispatch.Response, error) {
+			if n > 1 {
+				return respond(http.StatusOK, "fine"), nil
+			}
+			again := a.Engine
+			again.Born++
+			if c.withSigns {
+				p.Set(again)
+				return respond(http.StatusOK, "fine"), nil
+			}
+			go p.Set(again)
+			<-ctx.Done()
+			return nil, context.Cause(ctx)
+		}
+		patient := table(1, "k")
+		patient.Route("h", "/safe/").Target = time.Minute // Slowness alone ends no attempt.
+		d := dispatcherAt(p, e, 5, patient, 8, "e1", "e2")
+		began := time.Now()
+		a := serve(t, d, c.route)
+		if a.status != c.status || (a.refusal != nil) != (c.reason != "") || a.refusal != nil && a.refusal.Reason != c.reason || e.sentSoFar() != c.sendings {
+			t.Errorf("%s: status %d, refusal %+v after %d sendings, want %d %q after %d", c.route, a.status, a.refusal, e.sentSoFar(), c.status, c.reason, c.sendings)
+		}
+		if took := time.Since(began); took > timeout/2 {
+			t.Errorf("%s: it took %v", c.route, took)
+		}
+	}
+}
--- a/internal/dispatch/resend.go
+++ b/internal/dispatch/resend.go
@@ -6,12 +6,24 @@
 	"time"
 )
 
-// firstPatience is how long a repeatable request waits for the first byte of an
-// engine before it goes to another, in targets.
-const firstPatience = 2
+const (
+	// firstPatience is how long a repeatable request waits for the first byte of an
+	// engine before it goes to another, in targets.
+	firstPatience = 2
 
-// errSlow ends an attempt whose engine sends nothing for too long.
-var errSlow = errors.New("dispatch: engine sends nothing")
+	// restartQuiet is for how long a request has had no sign of an engine that is known to
+	// have started again when it is taken to have been sent to the former life. One that
+	// was sent to the present life before this node knew of it has signs, or soon will.
+	restartQuiet = 500 * time.Millisecond
+)
+
+var (
+	// errSlow ends an attempt whose engine sends nothing for too long.
+	errSlow = errors.New("dispatch: engine sends nothing")
+
+	// errRestarted ends an attempt whose engine has started again.
+	errRestarted = errors.New("dispatch: engine has started again")
+)
 
 // watchFirst gives an attempt up whose engine sends nothing for too long, where
 // another engine may be tried.
@@ -34,6 +46,25 @@
 	}
 }
 
+// watchRestart ends an attempt whose engine has started again: the request does not run
+// there any more, and its connection may say nothing until the deadline.
+func (w *walk) watchRestart(cancel context.CancelCauseFunc) {
+	call := w.call
+	end := func() { cancel(errRestarted) }
+	call.OnLost(func() {
+		quiet := call.Quiet(time.Now())
+		if quiet >= restartQuiet {
+			end()
+			return
+		}
+		time.AfterFunc(restartQuiet-quiet, func() {
+			if call.Quiet(time.Now()) >= restartQuiet {
+				end()
+			}
+		})
+	})
+}
+
 // mayRepeat reports whether the request may go to one more engine after this
 // one, whatever became of it here.
 func (w *walk) mayRepeat() bool {
--- a/internal/dispatch/walk.go
+++ b/internal/dispatch/walk.go
@@ -99,6 +99,7 @@
 func (w *walk) send(ctx context.Context, now time.Time) (again bool) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	w.watchRestart(cancel)
 	watch := w.watchFirst(cancel)
 	resp, err := w.d.sender.Send(ctx, w.req, w.attemptFor(now, w.choice.Engine))
 	watch.Stop()
--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -12,7 +12,8 @@
 	begin := time.Now()
 	table, err := platform.Config(rows)
 	if err != nil {
-		e.log.Error("configuration not understood; it is not in force", "error", err.Error())
+		e.configsRefused.Add(1)
+		e.log.Error("configuration not understood; the one before stays in force", "in_force", e.dispatcher.Version(), "error", err.Error())
 		return
 	}
 	if table == nil {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -104,6 +104,8 @@
 	silentAt   atomic.Pointer[time.Time] // silentAt is when this node last left reading to others for want of answers.
 	quietSince atomic.Pointer[time.Time] // quietSince is when the store last answered, or this node began to read.
 
+	configsRefused atomic.Int64 // configsRefused counts configurations that could not be understood.
+
 	wakeConfig, wakeEngines chan struct{} // These tell the readers that this node should read.
 
 	servers []*http.Server
@@ -164,7 +166,7 @@
 	e.egress = platform.NewEgress()
 	e.dispatcher = dispatch.New(e.proof, e.placement, e.budget, e.egress, e.metrics, e.log)
 	e.store = platform.NewStore(s.PlatformAddresses, platform.StoreTimeout)
-	e.discovery = discovery.New(platform.Engine, e.placement, ms(s.EngineDrainMs), e.log)
+	e.discovery = discovery.New(platform.Engine, engines{e.placement, e.egress}, ms(s.EngineDrainMs), e.log)
 	e.register = register.New(e.store, self, s.FirstStart, e.gossip.Meet, e.log)
 	e.config = feed.NewTable(platform.TableConfig, e.takeConfig)
 	e.engines = feed.NewTable(platform.TableEngines, e.discovery.Take)
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -17,6 +17,7 @@
 	"github.com/croftturn/croftturn/internal/gossip"
 	"github.com/croftturn/croftturn/internal/settings"
 	"github.com/croftturn/croftturn/internal/testport"
+	"github.com/croftturn/croftturn/platform"
 )
 
 // configRow is a configuration with one team, as the operator writes it.
@@ -254,6 +255,29 @@
 	}
 }
 
+// TestAnInvalidConfigurationChangesNothing holds that one that can't be read or is invalid leaves the one in force
+// and its proof as they are, is counted, and delays the next in no way.
+func TestAnInvalidConfigurationChangesNothing(t *testing.T) {
+	e := heardFrom(t, nil)
+	waitFor(t, func() bool { return e.Ready(time.Now()) }, "not ready")
+	row := func(value string, version int64) []feed.Row {
+		return []feed.Row{{Table: platform.TableConfig, Key: "config", Value: []byte(value), Version: version}}
+	}
+	for i, bad := range []string{"\xff\x00", "", `{"version":4}`, strings.Replace(configRow, `"kind":"safe"`, `"kind":7`, 1), configRow[:len(configRow)-1]} {
+		e.config.Change(time.Now(), row(bad, int64(10+i)))
+		if e.dispatcher.Version() != 3 || !e.Ready(time.Now()) || e.configsRefused.Load() != int64(i+1) {
+			t.Errorf("after %q: version %d, ready %v, %d refused", bad, e.dispatcher.Version(), e.Ready(time.Now()), e.configsRefused.Load())
+		}
+	}
+	if last, _ := e.config.Last(); last != 14 {
+		t.Errorf("the table is at version %d, want 14: peers are not to be asked again for what was refused", last)
+	}
+	e.config.Change(time.Now(), row(strings.Replace(configRow, `"version":3`, `"version":5`, 1), 20))
+	if e.dispatcher.Version() != 5 {
+		t.Errorf("version %d after a good one, want 5", e.dispatcher.Version())
+	}
+}
+
 // TestNodesThatAreNotHeardShareTheRetries holds that a node which hears nobody does
 // not take the others' part of the retries for its own.
 func TestNodesThatAreNotHeardShareTheRetries(t *testing.T) {
--- /dev/null
+++ b/internal/edge/engines.go
@@ -0,0 +1,23 @@
+package edge
+
+import (
+	"github.com/croftturn/croftturn/internal/placement"
+	"github.com/croftturn/croftturn/platform"
+)
+
+// engines takes the engines that may get work.
+type engines struct {
+	placement *placement.Placement
+	egress    *platform.Egress
+}
+
+// Set takes an engine. Connections that rest are of the former life of one that has started
+// again, and a request which may not be repeated would be lost on them.
+func (s engines) Set(e placement.Engine) {
+	if s.placement.Set(e) {
+		s.egress.Forget(e.Address)
+	}
+}
+
+// Remove drops an engine.
+func (s engines) Remove(id string) { s.placement.Remove(id) }
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -6,6 +6,7 @@
 
 	"github.com/croftturn/croftturn/internal/dispatch"
 	"github.com/croftturn/croftturn/internal/gossip"
+	"github.com/croftturn/croftturn/platform"
 )
 
 // nodes returns how many nodes share the limits of retries: all that are known,
@@ -21,8 +22,9 @@
 // Say returns what the peers are told of this node.
 func (e *Edge) Say(now time.Time) gossip.Said {
 	silent := e.watchSilence(now)
+	versions := e.follower.Versions() // They are read before the work: it may be of later entries, not of earlier ones.
 	s := gossip.Said{
-		Ready: e.Ready(now), Stopping: e.dispatcher.Ready(now) == dispatch.Stopping, Rate: float32(e.dispatcher.Rate(now)), Loads: e.placement.Loads(), Uses: e.placement.TakeUses(), Versions: e.follower.Versions(),
+		Ready: e.Ready(now), Stopping: e.dispatcher.Ready(now) == dispatch.Stopping, Rate: float32(e.dispatcher.Rate(now)), Loads: e.placement.Loads(), Uses: e.placement.TakeUses(), Versions: versions,
 		ConfigVersion: e.dispatcher.Version(), ProofAgeMs: -1, CantRead: e.cantRead(now), SilentMs: -1, LostAgeMs: -1, Places: e.dispatcher.Places(now),
 	}
 	if age, ok := e.proof.Age(now); ok {
@@ -40,7 +42,7 @@
 // Heard takes what a peer said. Its proof is as old as it said at a moment after
 // it had received this node's message, which is on this node's clock.
 func (e *Edge) Heard(now time.Time, p gossip.Self, s gossip.Said, received time.Time) {
-	e.placement.Peer(now, p.Name, s.Loads, s.Uses)
+	e.placement.Peer(now, p.Name, s.Versions[platform.TableEngines], s.Loads, s.Uses)
 	e.dispatcher.HeardPlaces(now, p.Name, s.Places)
 	e.follower.Heard(p.PeerAddress, s.Versions)
 	if s.ProofAgeMs >= 0 && !received.IsZero() && s.ConfigVersion > 0 && s.ConfigVersion <= e.dispatcher.Version() {
--- a/internal/gossip/cadence_test.go
+++ b/internal/gossip/cadence_test.go
@@ -117,3 +117,31 @@
 		t.Errorf("to spokes without work: %+v", got)
 	}
 }
+
+// scripted is a node that says what a test sets.
+type scripted struct{ said Said }
+
+func (s *scripted) Say(time.Time) Said                     { return s.said }
+func (s *scripted) Heard(time.Time, Self, Said, time.Time) {}
+
+// TestUsesOfBeforeAChangeOfEnginesAreNotTold holds that prompt parts which were given to engines before this
+// node took newer entries are not told with the newer version: they may be of a former life.
+func TestUsesOfBeforeAChangeOfEnginesAreNotTold(t *testing.T) {
+	now := time.Unix(1000, 0)
+	g := newTestGossip(t, now, 30)
+	node := &scripted{}
+	g.node = node
+	use := func(part uint64) []placement.Use { return []placement.Use{{Engine: "e", Part: part}} }
+	compose := func(turn int, version int64, part uint64) []placement.Use {
+		node.said = Said{Versions: map[string]int64{"servers": version}, Uses: use(part)}
+		g.compose(func() time.Time { return now }, turn)
+		return g.saidTo(node.said, turn, usesKept).Uses
+	}
+	compose(0, 5, 1)
+	if got := compose(1, 5, 2); len(got) != 2 {
+		t.Errorf("with the same entries %v is told, want what was used in two turns", got)
+	}
+	if got := compose(2, 6, 3); len(got) != 1 || got[0].Part != 3 {
+		t.Errorf("after a change of entries %v is told, want only what was used since", got)
+	}
+}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -27,6 +28,9 @@
 	// firstSeqs bounds the number of the first message, which is drawn by chance: a
 	// peer may still answer one of an earlier start of this node.
 	firstSeqs = 1 << 30
+
+	// longestLogged is how much of an address that is none is logged, in bytes.
+	longestLogged = 48
 )
 
 type (
@@ -88,9 +92,9 @@
 	if s.Name == g.self.Name {
 		return
 	}
-	addr, err := net.ResolveUDPAddr("udp4", s.PeerAddress)
-	if err != nil {
-		g.log.Warn("peer address not usable", "peer", s.Name, "address", s.PeerAddress, "error", err.Error())
+	at, err := netip.ParseAddrPort(s.PeerAddress) // It may be any text, and no name to look up.
+	if err != nil || !at.Addr().Is4() {
+		g.log.Warn("peer address not usable", "peer", s.Name, "address", s.PeerAddress[:min(len(s.PeerAddress), longestLogged)])
 		return
 	}
 	g.mu.Lock()
@@ -99,7 +103,7 @@
 	if known != nil && known.Incarnation >= s.Incarnation {
 		return
 	}
-	g.peers[s.Name] = &Peer{Self: s, addr: addr, met: now}
+	g.peers[s.Name] = &Peer{Self: s, addr: net.UDPAddrFromAddrPort(at), met: now}
 }
 
 // Introduce takes a peer as if it had just said something.
--- a/internal/placement/cache_test.go
+++ b/internal/placement/cache_test.go
@@ -10,7 +10,7 @@
 
 // tellPart tells a placement that a peer gave a session's part to an engine.
 func tellPart(p *placement.Placement, now time.Time, engine string, session int) {
-	p.Peer(now, "peer", nil, []placement.Use{{Engine: engine, Part: placement.NewPart(fmt.Sprint("session", session), 0).ID}, {Engine: engine, Part: placement.NewPart("root", 0).ID}})
+	p.Peer(now, "peer", 0, nil, []placement.Use{{Engine: engine, Part: placement.NewPart(fmt.Sprint("session", session), 0).ID}, {Engine: engine, Part: placement.NewPart("root", 0).ID}})
 }
 
 // TestThousandsOfSessionsAreRemembered holds that a node knows for each of 6,000 sessions,
--- a/internal/placement/call.go
+++ b/internal/placement/call.go
@@ -33,6 +33,10 @@
 
 		stream bool      // stream says that the answer is a stream whose pauses matter
 		heard  time.Time // heard is when bytes last came
+		signed time.Time // signed is when the engine last gave a sign, by the head of its answer or by bytes
+
+		lost   bool   // lost says that the engine has started again since
+		onLost func() // onLost is called then; it may be nil
 
 		began bool
 		ended bool
@@ -49,8 +53,9 @@
 	}
 	call := &Call{
 		p: p, engine: e, load: Load{Unread: c.Unread, InFlight: 1}, start: now, wait: time.Duration(c.Wait * float64(time.Millisecond)),
-		ahead: c.Ahead, read: c.Read, stream: r.MaxGap > 0,
+		ahead: c.Ahead, read: c.Read, stream: r.MaxGap > 0, signed: now,
 	}
+	e.calls[call] = true
 	if c.Unread > 0 {
 		p.knownPool(r.Pool).noteRead(c.Unread, c.Tight)
 	}
@@ -75,7 +80,7 @@
 	defer c.p.mu.Unlock()
 	c.engine.heardAt = now
 	if !c.began {
-		c.began = true
+		c.began, c.signed = true, now
 		c.engine.own.Unread -= c.load.Unread
 		c.engine.pace.note(now, now.Sub(c.start), c.wait)
 		if own := float64(c.load.Unread); own >= readLeast && own >= readAlone*float64(c.ahead) {
@@ -92,7 +97,37 @@
 	if c.stream && !c.heard.IsZero() {
 		c.p.knownPool(c.engine.Pool).notePause(c.engine, now.Sub(c.heard))
 	}
-	c.heard = now
+	c.heard, c.signed = now, now
+}
+
+// Quiet returns for how long nothing has come from the engine for this request.
+func (c *Call) Quiet(now time.Time) time.Duration {
+	c.p.mu.Lock()
+	defer c.p.mu.Unlock()
+	return now.Sub(c.signed)
+}
+
+// OnLost has a function called once it is known that the engine has started again since
+// the request was sent.
+func (c *Call) OnLost(f func()) {
+	c.p.mu.Lock()
+	lost := c.lost
+	c.onLost = f
+	c.p.mu.Unlock()
+	if lost {
+		f()
+	}
+}
+
+// lose records that the engine has started again. The caller does not hold the lock.
+func (c *Call) lose() {
+	c.p.mu.Lock()
+	c.lost = true
+	f := c.onLost
+	c.p.mu.Unlock()
+	if f != nil {
+		f()
+	}
 }
 
 // Report records what the engine told of its load.
@@ -110,6 +145,7 @@
 		return
 	}
 	c.ended = true
+	delete(c.engine.calls, c)
 	if !c.began {
 		c.engine.own.Unread -= c.load.Unread
 	}
@@ -146,8 +182,10 @@
 }
 
 // Peer records what a peer told: its work at each engine, in place of what it
-// told before, and the parts it gave to engines since.
-func (p *Placement) Peer(now time.Time, peer string, loads map[string]Load, uses []Use) {
+// told before, and the parts it gave to engines since. known is the newest version of the
+// engines' entries that it had then: what it told of an engine that has started again later
+// is of the former life.
+func (p *Placement) Peer(now time.Time, peer string, known int64, loads map[string]Load, uses []Use) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, id := range p.told[peer] {
@@ -157,14 +195,14 @@
 	}
 	told := p.told[peer][:0]
 	for id, l := range loads {
-		if e := p.engines[id]; e != nil {
+		if e := p.engines[id]; e != nil && known >= e.Since {
 			e.setPeer(now, peer, l)
 			told = append(told, id)
 		}
 	}
 	p.told[peer] = told
 	for _, u := range uses {
-		if p.engines[u.Engine] != nil {
+		if e := p.engines[u.Engine]; e != nil && known >= e.Since {
 			p.cache.use(now, u.Engine, u.Part)
 		}
 	}
--- a/internal/placement/choose_test.go
+++ b/internal/placement/choose_test.go
@@ -22,7 +22,7 @@
 				for i := range engines {
 					loads[fmt.Sprint("e", i)] = placement.Load{Unread: 900, InFlight: 2, Streams: 1}
 				}
-				p.Peer(start, fmt.Sprint("peer", peer), loads, nil)
+				p.Peer(start, fmt.Sprint("peer", peer), 0, loads, nil)
 			}
 			now := start
 			for i := 0; b.Loop(); i++ {
@@ -47,7 +47,7 @@
 			for range 40 {
 				loads[fmt.Sprint("e", rng.IntN(engines))] = placement.Load{Unread: rng.IntN(20000), InFlight: 1 + rng.IntN(40), Streams: rng.IntN(20)}
 			}
-			p.Peer(now, fmt.Sprint("peer", rng.IntN(6)), loads, nil)
+			p.Peer(now, fmt.Sprint("peer", rng.IntN(6)), 0, loads, nil)
 		}
 		r := long(rng.IntN(30))
 		if step%3 == 0 {
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -36,12 +36,14 @@
 type (
 	// Engine is an engine or backend server as service discovery shows it.
 	Engine struct {
-		ID       string // ID is of one start of the engine; a later start has another.
+		ID       string
 		Pool     string
 		Address  string
 		Hall     string
 		Slots    int
-		Draining bool // Draining engines get no new requests.
+		Draining bool  // Draining engines get no new requests.
+		Born     int64 // Born tells one life of the engine, from its start, from the next; 0 where it does not say.
+		Since    int64 // Since is the version of the entry by which this life was known first.
 	}
 
 	// Load is the work at an engine, of one node or of all.
@@ -60,6 +62,7 @@
 		order int    // order is the engine's place in its pool's list.
 
 		own         Load
+		calls       map[*Call]bool // calls are this node's requests there.
 		peers       map[string]peerLoad
 		others      Load      // others is the sum of what the peers told.
 		othersUntil time.Time // othersUntil is until when it holds.
@@ -105,7 +108,7 @@
 
 // newEngine returns an engine of which nothing is known yet.
 func newEngine(e Engine) *engine {
-	return &engine{Engine: e, hash: xxhash.Sum64String(e.ID), peers: map[string]peerLoad{}}
+	return &engine{Engine: e, hash: xxhash.Sum64String(e.ID), calls: map[*Call]bool{}, peers: map[string]peerLoad{}}
 }
 
 // load returns the work at the engine, of this node and of its peers.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -9,7 +9,9 @@
 package placement
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -71,17 +73,35 @@
 	return &Placement{hall: hall, engines: map[string]*engine{}, pools: map[string]*pool{}, told: map[string][]string{}, cache: cache{parts: map[uint64]map[string]time.Time{}}}
 }
 
-// Set adds an engine or changes it; what was learned of it is kept.
-func (p *Placement) Set(e Engine) {
+// Set adds an engine or changes it, and reports whether it has started again. What was
+// learned of it is kept, but for one that has started again: that one holds and runs nothing of
+// before, is not slow or failing for what it did then, and its requests are lost.
+func (p *Placement) Set(e Engine) (restarted bool) {
+	lost, restarted := p.set(e)
+	for _, c := range lost {
+		c.lose()
+	}
+	return restarted
+}
+
+// set takes an engine and returns the requests that it has lost.
+func (p *Placement) set(e Engine) (lost []*Call, restarted bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.changed = true
 	known := p.engines[e.ID]
-	if known == nil {
-		known = newEngine(e)
-		p.engines[e.ID] = known
+	switch {
+	case known == nil:
+		p.engines[e.ID] = newEngine(e)
+		return nil, false
+	case known.Born == e.Born:
+		known.Engine = e
+		return nil, false
 	}
-	known.Engine = e
-	p.changed = true
+	p.engines[e.ID] = newEngine(e)
+	p.cache.forget(e.ID)
+	p.uses = slices.DeleteFunc(p.uses, func(u Use) bool { return u.Engine == e.ID })
+	return slices.Collect(maps.Keys(known.calls)), true
 }
 
 // Remove forgets an engine.
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -85,7 +85,7 @@
 // cached and as work there, and that its work no longer counts once it is silent.
 func TestPeersTellWhatTheyGave(t *testing.T) {
 	p := newPlacement(2)
-	p.Peer(start, "peer", map[string]placement.Load{"e0": {Unread: 20000, InFlight: 4}}, []placement.Use{
+	p.Peer(start, "peer", 0, map[string]placement.Load{"e0": {Unread: 20000, InFlight: 4}}, []placement.Use{
 		{Engine: "e0", Part: placement.NewPart("root", 0).ID}, {Engine: "e0", Part: placement.NewPart("session1", 0).ID},
 	})
 	if c := choose(t, p, start, placement.Request{Pool: "p", Prompt: placement.Prompt{Tokens: 500}}); c.Engine.ID != "e1" {
@@ -237,16 +237,16 @@
 		p.Set(placement.Engine{ID: id, Pool: "p", Hall: "hall"})
 	}
 	one := placement.Load{InFlight: 1}
-	p.Peer(start, "a", map[string]placement.Load{"e0": one, "e1": one, "unknown": one}, nil)
-	p.Peer(start, "b", map[string]placement.Load{"e0": one}, nil)
-	p.Peer(start, "a", map[string]placement.Load{"e1": one, "e2": one}, nil)
+	p.Peer(start, "a", 0, map[string]placement.Load{"e0": one, "e1": one, "unknown": one}, nil)
+	p.Peer(start, "b", 0, map[string]placement.Load{"e0": one}, nil)
+	p.Peer(start, "a", 0, map[string]placement.Load{"e1": one, "e2": one}, nil)
 	for id, want := range map[string]int{"e0": 1, "e1": 1, "e2": 1} {
 		if got := p.PeersAt(id); got != want {
 			t.Errorf("%d peers have work at %s, want %d", got, id, want)
 		}
 	}
-	p.Peer(start, "a", nil, nil)
-	p.Peer(start, "b", nil, nil)
+	p.Peer(start, "a", 0, nil, nil)
+	p.Peer(start, "b", 0, nil, nil)
 	for _, id := range []string{"e0", "e1", "e2"} {
 		if got := p.PeersAt(id); got != 0 {
 			t.Errorf("%d peers have work at %s after they told of none", got, id)
@@ -262,7 +262,7 @@
 	}
 	loads := map[string]placement.Load{"e1": {InFlight: 1}, "e2": {InFlight: 2}}
 	for b.Loop() {
-		p.Peer(start, "peer", loads, nil)
+		p.Peer(start, "peer", 0, loads, nil)
 	}
 }
 
@@ -279,7 +279,7 @@
 	first := p.Start(start, choose(t, p, start, long(1)), long(1))
 	first.Began(start)
 	full := map[string]placement.Load{cached: {InFlight: 3}}
-	p.Peer(start, "peer", full, nil)
+	p.Peer(start, "peer", 0, full, nil)
 	if c := choose(t, p, start, long(1)); c.Engine.ID != cached || !c.Room || !c.Scarce {
 		t.Errorf("with one engine full: %s, room %v, scarce %v", c.Engine.ID, c.Room, c.Scarce)
 	}
@@ -298,7 +298,7 @@
 		free = "e1"
 	}
 	full[free] = placement.Load{InFlight: 3}
-	p.Peer(start, "peer", full, nil)
+	p.Peer(start, "peer", 0, full, nil)
 	if c := choose(t, p, start, long(1)); c.Engine.ID != cached || c.Room || !c.Scarce {
 		t.Errorf("with one place left: %s, room %v, scarce %v", c.Engine.ID, c.Room, c.Scarce)
 	}
--- a/internal/placement/replay_test.go
+++ b/internal/placement/replay_test.go
@@ -267,7 +267,7 @@
 		loads, uses := from.Loads(), from.TakeUses()
 		for j, to := range nodes {
 			if i != j {
-				to.Peer(now, fmt.Sprint(i), loads, uses)
+				to.Peer(now, fmt.Sprint(i), 0, loads, uses)
 			}
 		}
 	}
--- /dev/null
+++ b/internal/register/decode_test.go
@@ -0,0 +1,34 @@
+package register
+
+import (
+	"encoding/json"
+	"testing"
+
+	"github.com/croftturn/croftturn/internal/feed"
+	"github.com/croftturn/croftturn/internal/gossip"
+)
+
+// good is a row as a node writes it.
+var good = gossip.Self{Name: "n", Incarnation: 1, PeerAddress: "10.0.0.1:7780", CallerAddress: "10.0.0.1:8080", Hall: "h", Cores: 0.4}
+
+// FuzzDecode holds that whatever lies in the register is taken whole or not at all.
+func FuzzDecode(f *testing.F) {
+	text, err := json.Marshal(good)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add("n", text)
+	f.Add("other", text)
+	for _, bad := range []string{``, `null`, `{}`, `[]`, `{"Name":"n"}`, `{"Name":3}`, `{"Name":"n","Incarnation":1e99}`, "\xff\xfe", `{"Name":"n","Hall":["h"]}`} {
+		f.Add("n", []byte(bad))
+	}
+	f.Fuzz(func(t *testing.T, key string, value []byte) {
+		s, err := decode(feed.Row{Key: key, Value: value})
+		if err != nil && s != (gossip.Self{}) {
+			t.Errorf("half taken: %+v with %v", s, err)
+		}
+		if err == nil && (s.Name != key || s.PeerAddress == "" || s.Hall == "") {
+			t.Errorf("taken: %+v", s)
+		}
+	})
+}
--- a/internal/register/register.go
+++ b/internal/register/register.go
@@ -32,6 +32,9 @@
 	startSpread = 2 * time.Second
 )
 
+// errNotNode says that a row lacks what each node writes of itself.
+var errNotNode = errors.New("a node's name, hall or address is missing")
+
 // Store is what the register needs of the platform.
 type Store interface {
 	List(ctx context.Context, table, part string) (feed.Snapshot, error)
@@ -115,8 +118,8 @@
 			own = row
 			continue
 		}
-		var other gossip.Self
-		if err := json.Unmarshal(row.Value, &other); err != nil {
+		other, err := decode(row)
+		if err != nil {
 			r.log.Error("node in register not understood", "key", row.Key, "error", err.Error())
 			continue
 		}
@@ -125,6 +128,18 @@
 	return own, nil
 }
 
+// decode returns the node of a row. An error says that no node wrote it.
+func decode(row feed.Row) (gossip.Self, error) {
+	var s gossip.Self
+	if err := json.Unmarshal(row.Value, &s); err != nil {
+		return gossip.Self{}, fmt.Errorf("decode node: %w", err)
+	}
+	if s.Name != row.Key || s.Hall == "" || s.PeerAddress == "" || s.CallerAddress == "" || s.Incarnation <= 0 || s.Cores < 0 {
+		return gossip.Self{}, errNotNode
+	}
+	return s, nil
+}
+
 // Read reports whether this node stands in the register and has read it.
 func (r *Register) Read() bool { return r.wasRead.Load() }
 
@@ -154,8 +169,8 @@
 
 // serves reports whether a row tells how to reach this node.
 func (r *Register) serves(row feed.Row) bool {
-	var old gossip.Self
-	if err := json.Unmarshal(row.Value, &old); err != nil {
+	old, err := decode(row)
+	if err != nil {
 		return false // It is replaced.
 	}
 	return old.PeerAddress == r.self.PeerAddress && old.CallerAddress == r.self.CallerAddress && old.Hall == r.self.Hall
--- a/lab/soak/engine.go
+++ b/lab/soak/engine.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"fmt"
 	"hash/fnv"
 	"io"
@@ -11,6 +12,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/croftturn/croftturn/internal/pause"
 )
 
 // Modes of an engine.
@@ -36,6 +39,7 @@
 	odd      atomic.Int64 // odd is the mode for every second request.
 	even     atomic.Int64 // even is the mode for the others.
 	count    atomic.Int64
+	born     atomic.Int64 // born is when it started, in Unix milliseconds.
 	wg       sync.WaitGroup
 }
 
@@ -45,17 +49,35 @@
 	if err != nil {
 		return nil, fmt.Errorf("start engine: %w", err)
 	}
-	e := &engine{id: id, pool: pool, ledger: l, listener: listener}
-	e.server = &http.Server{Handler: e}
-	e.wg.Add(1)
-	go func() {
-		defer e.wg.Done()
-		// It ends with Close; whatever else ends it is seen by its callers.
-		_ = e.server.Serve(listener)
-	}()
+	e := &engine{id: id, pool: pool, ledger: l}
+	e.serve(listener)
 	return e, nil
 }
 
+// serve begins a life of the engine on a listener.
+func (e *engine) serve(listener net.Listener) {
+	e.listener, e.server = listener, &http.Server{Handler: e}
+	e.born.Store(time.Now().UnixMilli())
+	server := e.server
+	e.wg.Go(func() {
+		// It ends with Close; whatever else ends it is seen by its callers.
+		_ = server.Serve(listener)
+	})
+}
+
+// restart ends the engine, and starts it again at its address after a while.
+func (e *engine) restart(ctx context.Context, after time.Duration) error {
+	address := e.listener.Addr().String()
+	e.close()
+	pause.For(ctx, after)
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return fmt.Errorf("start engine again: %w", err)
+	}
+	e.serve(listener)
+	return nil
+}
+
 // close ends the engine and its connections.
 func (e *engine) close() {
 	e.server.Close()
--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -65,6 +65,8 @@
 	{"connections to an engine reset", 100 * time.Millisecond, false, atEngine(relay.Reset)},
 	{"engine crashes", time.Second, false, crashEngine},
 	{"engine leaves", 2500 * time.Millisecond, false, drainEngine},
+	{"engine starts again under its id", 2 * time.Second, false, restartEngine},
+	{"entries of other writers", 2 * time.Second, false, strangeEntries},
 	{"key taken away", 100 * time.Millisecond, false, revokeKey},
 	{"key taken away unseen", cutAll, true, revokeUnseen},
 	{"key given back", 100 * time.Millisecond, false, giveKey},
--- a/lab/soak/rows.go
+++ b/lab/soak/rows.go
@@ -8,20 +8,29 @@
 	"time"
 )
 
-// row is a row to be written; a nil value deletes it.
-type row struct {
-	table, key string
-	value      any
-}
+type (
+	// row is a row to be written; a nil value deletes it.
+	row struct {
+		table, key string
+		value      any
+	}
+
+	// raw is a value that is written as it is.
+	raw []byte
+)
 
 // write writes a row and returns once it is acknowledged, or can't be.
 func (w *World) write(r row) error {
 	name := map[string]any{"table": r.table, "part": "", "tls_key": r.key}
 	tx := map[string]any{"expected_revision": []any{}, "puts": []any{}, "remove": []any{}}
-	if r.value == nil {
+	switch value := r.value.(type) {
+	case nil:
 		tx["remove"] = []any{name}
-	} else {
-		text, err := json.Marshal(r.value)
+	case raw:
+		name["value"] = []byte(value)
+		tx["puts"] = []any{name}
+	default:
+		text, err := json.Marshal(value)
 		if err != nil {
 			return fmt.Errorf("encode row: %w", err)
 		}
@@ -92,5 +101,5 @@
 	w.mu.Lock()
 	address := w.relays[e.id].Address()
 	w.mu.Unlock()
-	return w.write(row{"servers", e.id, map[string]any{"service": e.pool, "address": address, "zone": "h1", "version": "v1", "slots": 8, "state": state, "sequence": 1}})
+	return w.write(row{"servers", e.id, map[string]any{"service": e.pool, "address": address, "zone": "h1", "version": "v1", "slots": 8, "state": state, "cold_remaining_ms": 0, "sequence": 1, "born": e.born.Load()}})
 }
