--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -47,16 +47,16 @@
 		unsettledFor time.Duration // unsettledFor is how long an engine without entry is used after the store's return.
 
 		mu      sync.Mutex
-		lostAt  time.Time            // lostAt is when the store last could not be called.
-		missing map[string]time.Time // missing holds engines without entry, and when they are dropped.
-		lives   map[string]life      // lives holds all engines that were ever known.
-		refused int64                // refused counts the changes by which an entry could not be understood.
+		lostAt  time.Time              // lostAt is when the store last could not be called.
+		missing map[string]time.Time   // missing holds engines without entry, and when they are dropped.
+		known   map[string]incarnation // known holds the present incarnation of all engines that were ever known.
+		refused int64                  // refused counts the changes by which an entry could not be understood.
 	}
 
-	// life is one of an engine's, from its start.
-	life struct {
+	// incarnation is one of an engine's, from its start.
+	incarnation struct {
 		born     int64 // born is what the engine says of its start; 0 if nothing.
-		since    int64 // since is the version of the entry by which the life was known first.
+		since    int64 // since is the version of the entry by which it was known first.
 		draining bool  // draining says that it once said that it leaves.
 	}
 )
@@ -68,7 +68,7 @@
 // that left must stop within drain.
 func New(decode Decode, engines Engines, drain time.Duration, log *slog.Logger) *Discovery {
 	unsettled := min(unsettledMost, time.Duration(unsettledShare*float64(drain)))
-	return &Discovery{decode: decode, engines: engines, log: log, unsettledFor: unsettled, missing: map[string]time.Time{}, lives: map[string]life{}}
+	return &Discovery{decode: decode, engines: engines, log: log, unsettledFor: unsettled, missing: map[string]time.Time{}, known: map[string]incarnation{}}
 }
 
 // Lost records that the store could not be called at a moment.
@@ -113,19 +113,19 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	l, known := d.lives[e.ID]
-	switch {
-	case known && l.born != 0 && e.Born == 0:
+	present, known := d.known[e.ID]
+	if known && present.born != 0 && e.Born == 0 {
 		return false, errNotBorn
-	case known && l.born != e.Born:
-		d.log.Info("engine started again", "engine", e.ID, "born", e.Born, "before", l.born, "version", r.Version)
-		l = life{born: e.Born, since: r.Version}
-	case !known:
-		l = life{born: e.Born, since: r.Version}
 	}
-	l.draining = l.draining || e.Draining
-	d.lives[e.ID] = l
-	e.Draining, e.Since = l.draining, l.since
+	if known && present.born != e.Born {
+		d.log.Info("engine started again", "engine", e.ID, "born", e.Born, "before", present.born, "version", r.Version)
+	}
+	if !known || present.born != e.Born {
+		present = incarnation{born: e.Born, since: r.Version}
+	}
+	present.draining = present.draining || e.Draining
+	d.known[e.ID] = present
+	e.Draining, e.Since = present.draining, present.since
 	delete(d.missing, e.ID)
 	if log {
 		d.log.Info("engine", "engine", e.ID, "pool", e.Pool, "address", e.Address, "hall", e.Hall, "draining", e.Draining, "version", r.Version)
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -113,14 +113,14 @@
 func (l lives) Set(e placement.Engine) { l[e.ID] = e }
 func (l lives) Remove(id string)       { delete(l, id) }
 
-// bornEntry returns an entry of a life of an engine; 0 is of one that does not tell.
+// bornEntry returns an entry of an incarnation of an engine; 0 is of one that does not tell.
 func bornEntry(id string, born int64, draining bool, version int64) feed.Row {
 	text, _ := json.Marshal(placement.Engine{ID: id, Born: born, Draining: draining})
 	return feed.Row{Key: id, Value: text, Version: version}
 }
 
-// decodeLife reads such entries.
-func decodeLife(r feed.Row) (placement.Engine, error) {
+// decodeBorn reads such entries.
+func decodeBorn(r feed.Row) (placement.Engine, error) {
 	var e placement.Engine
 	err := json.Unmarshal(r.Value, &e)
 	return e, err
@@ -128,10 +128,10 @@
 
 // TestAnEngineThatStartsAgainMayTakeWork holds that an engine which said that it leaves gets work again
 // once it has started again, since which entry that is known, and that an entry of the present
-// life doesn't change it. Starts are told apart by being others, not by their order.
+// incarnation does not change it. Starts are told apart by being others, not by their order.
 func TestAnEngineThatStartsAgainMayTakeWork(t *testing.T) {
 	got := lives{}
-	d := discovery.New(decodeLife, got, 2*time.Second, quiet)
+	d := discovery.New(decodeBorn, got, 2*time.Second, quiet)
 	for i, step := range []struct {
 		born     int64
 		draining bool
@@ -162,7 +162,7 @@
 func TestAnEntryOfAnotherWriterNamesNoEngine(t *testing.T) {
 	var out bytes.Buffer
 	got := lives{}
-	d := discovery.New(decodeLife, got, 2*time.Second, slog.New(slog.NewJSONHandler(&out, nil)))
+	d := discovery.New(decodeBorn, got, 2*time.Second, slog.New(slog.NewJSONHandler(&out, nil)))
 	d.Take(start, []feed.Row{bornEntry("a", 1, false, 1), bornEntry("b", 1, false, 2), bornEntry("c", 1, false, 3)})
 	out.Reset()
 	d.Take(start, []feed.Row{{Key: "a", Value: []byte{0xff, 0}, Version: 4}, bornEntry("c", 0, false, 5), bornEntry("d", 1, false, 6)})
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -379,10 +379,10 @@
 	}
 }
 
-// TestRequestsOfAFormerLifeAreLost holds that a request at an engine which has started again ends there,
+// TestRequestsOfAFormerIncarnationAreLost holds that a request at an engine which has started again ends there,
 // though its connection says nothing: one that may be repeated goes to another engine, and one
 // that may not is told that it broke. One of which the engine gives signs is left alone.
-func TestRequestsOfAFormerLifeAreLost(t *testing.T) {
+func TestRequestsOfAFormerIncarnationAreLost(t *testing.T) {
 	for _, c := range []struct {
 		route     string
 		status    int
--- a/internal/dispatch/resend.go
+++ b/internal/dispatch/resend.go
@@ -12,8 +12,10 @@
 	firstPatience = 2
 
 	// restartQuiet is for how long a request has had no sign of an engine that is known to
-	// have started again when it is taken to have been sent to the former life. One that
-	// was sent to the present life before this node knew of it has signs, or soon will.
+	// have started again when it is taken to have been sent to the former incarnation: twice
+	// what an entry takes from the store to a node by way of another (a pause to gather changes
+	// and a message, 100 ms each). One that was sent to the present incarnation before
+	// that has signs, or soon will.
 	restartQuiet = 500 * time.Millisecond
 )
 
--- a/internal/edge/engines.go
+++ b/internal/edge/engines.go
@@ -11,7 +11,7 @@
 	egress    *platform.Egress
 }
 
-// Set takes an engine. Connections that rest are of the former life of one that has started
+// Set takes an engine. Connections that rest are of the former incarnation of one that has started
 // again, and a request which may not be repeated would be lost on them.
 func (s engines) Set(e placement.Engine) {
 	if s.placement.Set(e) {
--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -45,17 +45,17 @@
 	TableRequest struct {
 		Table  string `json:"t"`
 		After  int64  `json:"a"`           // After is the version that the asking node has; -1 for the whole table.
-		Packed bool   `json:"p,omitempty"` // Packed says that it takes packed rows; nodes before that did not.
+		Packed bool   `json:"p,omitempty"` // Packed says that it takes packed rows; older programs do not.
 		Asker  string `json:"f,omitempty"` // Asker is the asking node's address, where others may ask it later.
 	}
 
 	// TableReply is what a peer has.
 	TableReply struct {
-		Rows   []Shared `json:"r,omitempty"`
-		Last   int64    `json:"l"`           // Last is the newest version among the peer's rows.
-		Whole  bool     `json:"w,omitempty"` // Whole says that Rows is the whole table.
-		Busy   bool     `json:"b,omitempty"` // Busy says that others are answered first; Rows is empty.
-		Others []string `json:"o,omitempty"` // Others are addresses of nodes that a busy peer has answered.
+		Rows   []PeerRow `json:"r,omitempty"`
+		Last   int64     `json:"l"`           // Last is the newest version among the peer's rows.
+		Whole  bool      `json:"w,omitempty"` // Whole says that Rows is the whole table.
+		Busy   bool      `json:"b,omitempty"` // Busy says that others are answered first; Rows is empty.
+		Others []string  `json:"o,omitempty"` // Others are addresses of nodes that a busy peer has answered.
 	}
 
 	// Follower takes tables from peers that tell of newer versions.
@@ -229,7 +229,7 @@
 }
 
 // took counts an answer that came, and logs a slow or large one.
-func (f *Follower) took(t *Table, address string, rows []Shared, after time.Duration) {
+func (f *Follower) took(t *Table, address string, rows []PeerRow, after time.Duration) {
 	f.taken.Add(1)
 	bytes := size(rows)
 	if after >= slowPull || bytes >= largePull {
@@ -257,12 +257,12 @@
 		f.given.Add(1)
 		return reply, nil
 	}
-	g := gift{table: req.Table, version: reply.Last}
-	if ok, others := f.turns.take(ctx, g); !ok {
+	v := tableVersion{table: req.Table, version: reply.Last}
+	if ok, others := f.turns.take(ctx, v); !ok {
 		return &TableReply{Last: reply.Last, Busy: true, Others: others}, nil
 	}
 	f.given.Add(1)
-	return &largeReply{TableReply: reply, sent: func() { f.turns.end(g, req.Asker) }}, nil
+	return &largeReply{TableReply: reply, sent: func() { f.turns.end(v, req.Asker) }}, nil
 }
 
 // answer returns what a table has for a request.
--- a/internal/feed/shared.go
+++ b/internal/feed/peer_row.go
@@ -21,25 +21,25 @@
 // errTooLarge says that a packed value is larger than any that the store gives.
 var errTooLarge = errors.New("value is too large")
 
-// Shared is a row as nodes keep it and tell it to each other. A large value is packed
+// PeerRow is a row as nodes keep it and tell it to each other. A large value is packed
 // once, by the node that read it from the store, and passed on as it is: forty nodes that ask at once
 // took two seconds of a small node's processor where each answer was encoded anew.
-type Shared struct {
+type PeerRow struct {
 	Row
 	Packed []byte `json:"z,omitempty"` // Packed stands in place of a large value.
 }
 
-// share returns rows of the store as they are shared.
-func share(rows []Row) []Shared {
-	out := make([]Shared, 0, len(rows))
+// peerRows returns rows of the store as peers tell them.
+func peerRows(rows []Row) []PeerRow {
+	out := make([]PeerRow, 0, len(rows))
 	for _, r := range rows {
-		out = append(out, Shared{Row: r})
+		out = append(out, PeerRow{Row: r})
 	}
 	return out
 }
 
 // pack returns the row without its value where this is large, packed.
-func (s Shared) pack() Shared {
+func (s PeerRow) pack() PeerRow {
 	if s.Packed == nil && len(s.Value) > packAbove {
 		var out bytes.Buffer
 		w := gzip.NewWriter(&out)
@@ -56,7 +56,7 @@
 }
 
 // unpack returns the row with its value.
-func (s Shared) unpack() (Shared, error) {
+func (s PeerRow) unpack() (PeerRow, error) {
 	if s.Packed == nil {
 		return s, nil
 	}
@@ -75,8 +75,8 @@
 }
 
 // unpackAll returns rows with their values.
-func unpackAll(rows []Shared) ([]Shared, error) {
-	out := make([]Shared, 0, len(rows))
+func unpackAll(rows []PeerRow) ([]PeerRow, error) {
+	out := make([]PeerRow, 0, len(rows))
 	for _, r := range rows {
 		r, err := r.unpack()
 		if err != nil {
@@ -88,7 +88,7 @@
 }
 
 // size returns how many bytes the values of rows take on their way.
-func size(rows []Shared) int {
+func size(rows []PeerRow) int {
 	n := 0
 	for _, r := range rows {
 		n += len(r.Value) + len(r.Packed)
--- a/internal/feed/shared_test.go
+++ b/internal/feed/peer_row_test.go
@@ -26,7 +26,7 @@
 // TestLargeRowsArePackedOnce holds that a large value is kept packed and comes back as it was,
 // that a small one stays as it is, and that what can't be unpacked is an error.
 func TestLargeRowsArePackedOnce(t *testing.T) {
-	small, large := Shared{Row: Row{Key: "s", Value: noisy(packAbove)}}, Shared{Row: Row{Key: "l", Value: noisy(packAbove + 1)}}
+	small, large := PeerRow{Row: Row{Key: "s", Value: noisy(packAbove)}}, PeerRow{Row: Row{Key: "l", Value: noisy(packAbove + 1)}}
 	if got := small.pack(); got.Packed != nil || !bytes.Equal(got.Value, small.Value) {
 		t.Errorf("a small value is packed: %d bytes", len(got.Packed))
 	}
@@ -42,7 +42,7 @@
 		t.Error("a value that came packed is packed again")
 	}
 	for _, bad := range [][]byte{{1, 2, 3}, packed.Packed[:len(packed.Packed)/2]} {
-		if _, err := (Shared{Packed: bad}).unpack(); err == nil {
+		if _, err := (PeerRow{Packed: bad}).unpack(); err == nil {
 			t.Errorf("%d bytes that are no packed value are taken", len(bad))
 		}
 	}
@@ -56,14 +56,14 @@
 	if err := w.Close(); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := (Shared{Packed: bomb.Bytes()}).unpack(); !errors.Is(err, errTooLarge) {
+	if _, err := (PeerRow{Packed: bomb.Bytes()}).unpack(); !errors.Is(err, errTooLarge) {
 		t.Errorf("%d bytes that unpack to over %d: %v", bomb.Len(), unpackedMost, err)
 	}
 }
 
-// TestNodesOfBeforeGetRowsAsTheyWere holds that a node which does not say that it takes
+// TestOlderProgramsGetRowsAsTheyWere holds that a node which does not say that it takes
 // packed rows gets values.
-func TestNodesOfBeforeGetRowsAsTheyWere(t *testing.T) {
+func TestOlderProgramsGetRowsAsTheyWere(t *testing.T) {
 	table := NewTable("t", func(time.Time, []Row) {})
 	value := noisy(3 * packAbove)
 	table.Replace(time.Time{}, Snapshot{Rows: []Row{{Table: "t", Key: "l", Value: value, Version: 3}}, Version: 3})
@@ -91,34 +91,34 @@
 // TestAskersAreSentToThoseWhoHave holds that few large answers go out at a time, and that who
 // is not answered is told of those that were, for the same version alone.
 func TestAskersAreSentToThoseWhoHave(t *testing.T) {
-	turns, g := newTurns(), gift{"t", 7}
+	turns, v := newTurns(), tableVersion{"t", 7}
 	ctx := context.Background()
 	for i := range answersMost {
-		if ok, _ := turns.take(ctx, g); !ok {
+		if ok, _ := turns.take(ctx, v); !ok {
 			t.Fatalf("answer %d has to wait", i)
 		}
 	}
 	begin := time.Now()
-	if ok, others := turns.take(ctx, g); ok || len(others) > 0 || time.Since(begin) < turnWait {
+	if ok, others := turns.take(ctx, v); ok || len(others) > 0 || time.Since(begin) < turnWait {
 		t.Errorf("one more gets %v and is told of %v after %v", ok, others, time.Since(begin))
 	}
 	for i := range answersMost {
-		turns.end(g, fmt.Sprint("n", i))
+		turns.end(v, fmt.Sprint("n", i))
 	}
 	for range answersMost {
-		turns.take(ctx, g)
+		turns.take(ctx, v)
 	}
-	ok, others := turns.take(ctx, g)
+	ok, others := turns.take(ctx, v)
 	slices.Sort(others)
 	if ok || !slices.Equal(others, []string{"n0", "n1", "n2"}) {
 		t.Errorf("one more gets %v and is told of %v, want those that were answered", ok, others)
 	}
-	newer := gift{"t", 8}
+	newer := tableVersion{"t", 8}
 	if _, others := turns.take(ctx, newer); len(others) > 0 {
 		t.Errorf("one that asks for a newer version is told of %v, who have the one before", others)
 	}
 	turns.end(newer, "n9")
-	turns.end(g, "late")
+	turns.end(v, "late")
 	for range 2 {
 		turns.take(ctx, newer)
 	}
@@ -133,7 +133,7 @@
 func BenchmarkPack(b *testing.B) {
 	value := benchConfig()
 	for b.Loop() {
-		if got := (Shared{Row: Row{Value: value}}).pack(); got.Packed == nil {
+		if got := (PeerRow{Row: Row{Value: value}}).pack(); got.Packed == nil {
 			b.Fatal("not packed")
 		}
 	}
@@ -142,11 +142,11 @@
 // BenchmarkAnswer measures the encoding of an answer with such a configuration, as it was
 // before and packed.
 func BenchmarkAnswer(b *testing.B) {
-	whole := Shared{Row: Row{Value: benchConfig()}}
-	for name, row := range map[string]Shared{"before": whole, "packed": whole.pack()} {
+	whole := PeerRow{Row: Row{Value: benchConfig()}}
+	for name, row := range map[string]PeerRow{"before": whole, "packed": whole.pack()} {
 		b.Run(name, func(b *testing.B) {
 			for b.Loop() {
-				if _, err := json.Marshal(&TableReply{Rows: []Shared{row}}); err != nil {
+				if _, err := json.Marshal(&TableReply{Rows: []PeerRow{row}}); err != nil {
 					b.Fatal(err)
 				}
 			}
--- a/internal/feed/table.go
+++ b/internal/feed/table.go
@@ -20,8 +20,8 @@
 		consume Consumer
 
 		mu      sync.Mutex
-		rows    map[string]Shared
-		deleted map[string]Shared
+		rows    map[string]PeerRow
+		deleted map[string]PeerRow
 		last    int64 // last is the newest version among the rows, deleted ones included.
 		floor   int64 // floor is the version up to which deleted rows may be unknown.
 		whole   bool  // whole says that the table was read whole once.
@@ -30,7 +30,7 @@
 
 // NewTable returns an empty copy.
 func NewTable(name string, consume Consumer) *Table {
-	return &Table{name: name, consume: consume, rows: map[string]Shared{}, deleted: map[string]Shared{}}
+	return &Table{name: name, consume: consume, rows: map[string]PeerRow{}, deleted: map[string]PeerRow{}}
 }
 
 // Name returns the table's name.
@@ -46,21 +46,21 @@
 // Replace takes the whole table as it was at a version. Rows that it lacks were
 // deleted, unless the copy has them in a newer version.
 func (t *Table) Replace(now time.Time, snap Snapshot) {
-	t.replace(now, share(snap.Rows), snap.Version)
+	t.replace(now, peerRows(snap.Rows), snap.Version)
 }
 
 // replace takes the whole table.
-func (t *Table) replace(now time.Time, rows []Shared, version int64) {
+func (t *Table) replace(now time.Time, rows []PeerRow, version int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	present := map[string]bool{}
 	for _, r := range rows {
 		present[r.Key] = true
 	}
-	changes := append([]Shared(nil), rows...)
+	changes := append([]PeerRow(nil), rows...)
 	for key, r := range t.rows {
 		if !present[key] && r.Version <= version {
-			changes = append(changes, Shared{Row: Row{Table: t.name, Key: key, Version: version, Deleted: true}})
+			changes = append(changes, PeerRow{Row: Row{Table: t.name, Key: key, Version: version, Deleted: true}})
 		}
 	}
 	t.take(now, changes)
@@ -69,17 +69,17 @@
 }
 
 // Change takes changed rows.
-func (t *Table) Change(now time.Time, rows []Row) { t.change(now, share(rows)) }
+func (t *Table) Change(now time.Time, rows []Row) { t.change(now, peerRows(rows)) }
 
 // change takes changed rows.
-func (t *Table) change(now time.Time, rows []Shared) {
+func (t *Table) change(now time.Time, rows []PeerRow) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.take(now, rows)
 }
 
 // take keeps what is newer than the copy and hands it on.
-func (t *Table) take(now time.Time, rows []Shared) {
+func (t *Table) take(now time.Time, rows []PeerRow) {
 	var news []Row
 	for _, r := range rows {
 		if r.Version <= max(t.rows[r.Key].Version, t.deleted[r.Key].Version) {
@@ -107,7 +107,7 @@
 	if len(t.deleted) <= keptDeleted {
 		return
 	}
-	list := make([]Shared, 0, len(t.deleted))
+	list := make([]PeerRow, 0, len(t.deleted))
 	for _, r := range t.deleted {
 		list = append(list, r)
 	}
@@ -120,14 +120,14 @@
 
 // Since returns the rows that changed after a version, deleted ones among them.
 // The error is ErrHistoryGone where All has to be asked for.
-func (t *Table) Since(after int64) ([]Shared, error) {
+func (t *Table) Since(after int64) ([]PeerRow, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !t.whole || after < t.floor {
 		return nil, ErrHistoryGone
 	}
-	var out []Shared
-	for _, list := range []map[string]Shared{t.rows, t.deleted} {
+	var out []PeerRow
+	for _, list := range []map[string]PeerRow{t.rows, t.deleted} {
 		for _, r := range list {
 			if r.Version > after {
 				out = append(out, r)
@@ -138,10 +138,10 @@
 }
 
 // All returns all rows and the newest version among them and those deleted.
-func (t *Table) All() (rows []Shared, last int64, ok bool) {
+func (t *Table) All() (rows []PeerRow, last int64, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	rows = make([]Shared, 0, len(t.rows))
+	rows = make([]PeerRow, 0, len(t.rows))
 	for _, r := range t.rows {
 		rows = append(rows, r)
 	}
--- a/internal/feed/turns.go
+++ b/internal/feed/turns.go
@@ -24,8 +24,8 @@
 )
 
 type (
-	// gift is what a large answer holds: a table up to a version.
-	gift struct {
+	// tableVersion is a table up to a version, as a large answer holds it.
+	tableVersion struct {
 		table   string
 		version int64
 	}
@@ -37,12 +37,12 @@
 	turns struct {
 		free chan struct{} // free has an entry for each answer that may begin.
 
-		mu     sync.Mutex
-		having map[string]having // having is by table.
+		mu      sync.Mutex
+		holders map[string]holders // holders is by table.
 	}
 
-	// having are the nodes that were given a version of a table, the latest last.
-	having struct {
+	// holders are the nodes that were given a version of a table, the latest last.
+	holders struct {
 		version   int64
 		addresses []string
 	}
@@ -59,7 +59,7 @@
 
 // newTurns returns turns of which none is taken.
 func newTurns() *turns {
-	t := &turns{free: make(chan struct{}, answersMost), having: map[string]having{}}
+	t := &turns{free: make(chan struct{}, answersMost), holders: map[string]holders{}}
 	for range answersMost {
 		t.free <- struct{}{}
 	}
@@ -68,13 +68,13 @@
 
 // take waits for a turn where nobody else can be asked, and reports whether it came. If it
 // did not, others may have what is asked for.
-func (t *turns) take(ctx context.Context, g gift) (ok bool, others []string) {
+func (t *turns) take(ctx context.Context, v tableVersion) (ok bool, others []string) {
 	select {
 	case <-t.free:
 		return true, nil
 	default:
 	}
-	if others := t.others(g); len(others) > 0 {
+	if others := t.others(v); len(others) > 0 {
 		return false, others
 	}
 	late := time.NewTimer(turnWait)
@@ -85,35 +85,35 @@
 	case <-late.C:
 	case <-ctx.Done():
 	}
-	return false, t.others(g)
+	return false, t.others(v)
 }
 
 // end ends the turn of an answer to an asker, who may be asked from now on.
-func (t *turns) end(g gift, asker string) {
+func (t *turns) end(v tableVersion, asker string) {
 	t.free <- struct{}{}
 	if asker == "" {
 		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	h := t.having[g.table]
+	h := t.holders[v.table]
 	switch {
-	case h.version > g.version:
+	case h.version > v.version:
 		return // Nobody asks for it any more.
-	case h.version < g.version:
-		h = having{version: g.version}
+	case h.version < v.version:
+		h = holders{version: v.version}
 	}
 	h.addresses = append(h.addresses, asker)
 	h.addresses = h.addresses[max(0, len(h.addresses)-othersKept):]
-	t.having[g.table] = h
+	t.holders[v.table] = h
 }
 
 // others returns some of the nodes that have what is asked for.
-func (t *turns) others(g gift) []string {
+func (t *turns) others(v tableVersion) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	h := t.having[g.table]
-	if h.version != g.version {
+	h := t.holders[v.table]
+	if h.version != v.version {
 		return nil
 	}
 	var out []string
--- a/internal/gossip/cadence_test.go
+++ b/internal/gossip/cadence_test.go
@@ -125,7 +125,7 @@
 func (s *scripted) Heard(time.Time, Self, Said, time.Time) {}
 
 // TestUsesOfBeforeAChangeOfEnginesAreNotTold holds that prompt parts which were given to engines before this
-// node took newer entries are not told with the newer version: they may be of a former life.
+// node took newer entries are not told with the newer version: they may be of a former incarnation.
 func TestUsesOfBeforeAChangeOfEnginesAreNotTold(t *testing.T) {
 	now := time.Unix(1000, 0)
 	g := newTestGossip(t, now, 30)
--- a/internal/gossip/send.go
+++ b/internal/gossip/send.go
@@ -29,7 +29,7 @@
 	now := clock()
 	said := g.node.Say(now)
 	if said.news(g.saidBefore()) {
-		clear(g.uses[:]) // What was used before a change of engines may be of a former life.
+		clear(g.uses[:]) // What was used before a change of engines may be of a former incarnation.
 	}
 	g.uses[turn%len(g.uses)] = said.Uses
 	chosen := g.told(said)
--- a/internal/placement/call.go
+++ b/internal/placement/call.go
@@ -184,7 +184,7 @@
 // Peer records what a peer told: its work at each engine, in place of what it
 // told before, and the parts it gave to engines since. known is the newest version of the
 // engines' entries that it had then: what it told of an engine that has started again later
-// is of the former life.
+// is of the former incarnation.
 func (p *Placement) Peer(now time.Time, peer string, known int64, loads map[string]Load, uses []Use) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -42,8 +42,8 @@
 		Hall     string
 		Slots    int
 		Draining bool  // Draining engines get no new requests.
-		Born     int64 // Born tells one life of the engine, from its start, from the next; 0 where it does not say.
-		Since    int64 // Since is the version of the entry by which this life was known first.
+		Born     int64 // Born tells one incarnation of the engine from the next; it is the start by the engine's own clock; 0 where it does not say.
+		Since    int64 // Since is the version of the entry by which this incarnation was known first.
 	}
 
 	// Load is the work at an engine, of one node or of all.
--- a/internal/placement/restart_test.go
+++ b/internal/placement/restart_test.go
@@ -7,8 +7,8 @@
 	"github.com/croftturn/croftturn/internal/placement"
 )
 
-// TestARestartedEngineHasNothingOfBefore holds that all that was learned of an engine's former life is
-// gone once an entry tells of another start, that what ends or is told of that life later changes
+// TestARestartedEngineHasNothingOfBefore holds that all that was learned of an engine's former incarnation is
+// gone once an entry tells of another start, that what ends or is told of that incarnation later changes
 // nothing, and that the requests in flight there are lost.
 func TestARestartedEngineHasNothingOfBefore(t *testing.T) {
 	p := placement.New("hall")
@@ -26,12 +26,12 @@
 	before := choose(t, p, start, r)
 
 	if p.Set(first) {
-		t.Error("an entry of the same life counts as a start")
+		t.Error("an entry of the same incarnation counts as a start")
 	}
 	again := first
 	again.Born, again.Since = 50, 9 // The engine's clock may have been set back.
 	if !p.Set(again) || lost != 1 {
-		t.Errorf("a new life is no start, or the request in flight is not lost (%d)", lost)
+		t.Errorf("a new incarnation is no start, or the request in flight is not lost (%d)", lost)
 	}
 	late := 0
 	inFlight.OnLost(func() { late++ })
@@ -39,7 +39,7 @@
 		t.Error("who asks later is not told that the request is lost")
 	}
 	if len(p.TakeUses()) > 0 {
-		t.Error("peers are told of parts that the former life has read")
+		t.Error("peers are told of parts that the former incarnation has read")
 	}
 	p.Peer(start, "peer", 8, map[string]placement.Load{"e": {Unread: 50000, InFlight: 9}}, []placement.Use{{Engine: "e", Part: part}})
 	inFlight.End(start, placement.Failed)
@@ -49,7 +49,7 @@
 		t.Errorf("after the start %+v, want as of a new engine %+v; before it %+v", got, want, before)
 	}
 	if len(p.Loads()) > 0 || p.PeersAt("e") > 0 {
-		t.Errorf("work of the former life is left: %v, %d peers", p.Loads(), p.PeersAt("e"))
+		t.Errorf("work of the former incarnation is left: %v, %d peers", p.Loads(), p.PeersAt("e"))
 	}
 	p.Peer(start, "peer", 9, map[string]placement.Load{"e": {InFlight: 1}}, nil)
 	if p.PeersAt("e") != 1 {
--- a/lab/soak/engine.go
+++ b/lab/soak/engine.go
@@ -54,7 +54,7 @@
 	return e, nil
 }
 
-// serve begins a life of the engine on a listener.
+// serve begins an incarnation of the engine on a listener.
 func (e *engine) serve(listener net.Listener) {
 	e.listener, e.server = listener, &http.Server{Handler: e}
 	e.born.Store(time.Now().UnixMilli())
