Revert: a node that has just started does not gather its streams

Next: gather by an estimate of what the nodes that start together send, told by the register, in place of not at all.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -63,12 +63,6 @@
 	// for the next call and for telling the peers.
 	enginesWaitShare = 0.4
 
-	// blindFor is for how long after its start a node does not know what work others have at
-	// engines: it reads the register, its messages are answered in the next turns, and nodes that start
-	// with it tell theirs. Of 87 nodes 48 lost power and came back together; within 0.7 s the two engines
-	// on which all gathered their streams had 20 requests for 12 places, and put urgent ones back.
-	blindFor = time.Second
-
 	// stopMargin is how long before the platform kills the process it ends.
 	stopMargin = 400 * time.Millisecond
 
@@ -158,9 +152,6 @@
 	var err error
 	e.proof = freshness.New(proofLife(s))
 	e.placement = placement.New(s.Hall)
-	if !s.FirstStart {
-		e.placement.Blind(now.Add(blindFor))
-	}
 	if e.gossip, err = gossip.New(self, e.log); err != nil {
 		return fmt.Errorf("start gossip: %w", err)
 	}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -64,7 +64,6 @@
 		cache   cache
 		ranking ranking
 		told    map[string][]string // told holds the engines at which each peer last told of work.
-		blind   time.Time           // blind is until when others' work is not known.
 		uses    []Use               // uses since the last call of TakeUses
 	}
 )
@@ -105,15 +104,6 @@
 	return slices.Collect(maps.Keys(known.calls)), true
 }
 
-// Blind says until when this node can't know the work of others, as after its start. Until then
-// streams do not gather, since all nodes that start together would choose the same engine,
-// and the places of all engines count as scarce.
-func (p *Placement) Blind(until time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.blind = until
-}
-
 // Remove forgets an engine.
 func (p *Placement) Remove(id string) {
 	p.mu.Lock()
@@ -182,10 +172,6 @@
 	known := p.pool(r.Pool)
 	known.learnUsual(now)
 	known.survey(now)
-	known.blind = now.Before(p.blind)
-	if known.blind {
-		known.gather = len(known.engines)
-	}
 	r.tight = known.tight(r)
 	best := math.Inf(1)
 	for rank, e := range p.ranking.order(known.engines, r.Prompt.Session()) {
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -33,7 +33,6 @@
 	// weighing more, and readTight the part of streams that are kept apart.
 	read, readTight float64
 
-	blind     bool    // blind says that others' work is not known
 	taken     float64 // taken is the share of the pool's places that is taken, as far as is known.
 	usualAt   time.Time
 	usualRead float64 // usualRead is the median rate, in tokens a millisecond.
--- a/internal/placement/weigh.go
+++ b/internal/placement/weigh.go
@@ -117,7 +117,7 @@
 	c.Cost += rereadWeight * float64(c.Unread) / c.Read
 	c.Cost += c.Wait + callCost*float64(load.InFlight) + waitingCost*float64(e.waiting(now))
 	c.Room = e.Slots <= 0 || load.InFlight < e.Slots || known.taken < lackingShare
-	c.Scarce = e.Slots > 0 && (known.blind || known.taken >= scarceShare || float64(load.InFlight) >= scarceShare*float64(e.Slots))
+	c.Scarce = e.Slots > 0 && (known.taken >= scarceShare || float64(load.InFlight) >= scarceShare*float64(e.Slots))
 	c.Last = e.Slots > 0 && known.taken >= lastShare
 	if over := load.InFlight - e.Slots; e.Slots > 0 && over >= 0 {
 		c.Cost += fullCost * float64(1+over)
