--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -26,7 +26,8 @@
 	// times in 10 s, and kept those nodes busy.
 	PullSilence = 500 * time.Millisecond
 
-	// busyPause is the usual pause after a peer that answers others first.
+	// busyPause is the usual pause after a peer that answers others first: one answer of 80 KB
+	// takes 66 ms over 10 Mbit/s, and the next turn is free then.
 	busyPause = 50 * time.Millisecond
 
 	// slowPull and largePull are from when on a pull that ended well has a line in the log:
