Sight: whether an engine has ended under a request, and which requests are the same

Cause looked for: at each end of an engine a request of one size was at work. Logs could not tell whether requests are the same (by path, caller and body), nor whether an engine ended or a connection was cut. Change: where an engine breaks off, one connection is tried to its address, at most 150 ms, once for all requests that break off there within 0.5 s; a refused one says that it ended. Logged with the request's fingerprint, counted. No decision depends on it.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -38,6 +38,9 @@
 	Observer interface {
 		Ended(route string, outcome string, first, total time.Duration)
 		Retried(pool string)
+
+		// EngineEnded counts a request under which its engine has ended.
+		EngineEnded(pool string)
 	}
 
 	// Dispatcher serves requests. Its methods may be called from many goroutines.
@@ -51,6 +54,7 @@
 		placement *placement.Placement
 		budget    *retry.Budget
 		lines     lines
+		endings   endings
 		sender    Sender
 		observer  Observer
 		log       *slog.Logger
@@ -58,8 +62,12 @@
 )
 
 // New returns a dispatcher without a configuration.
-func New(proof *freshness.Proof, p *placement.Placement, b *retry.Budget, s Sender, o Observer, log *slog.Logger) *Dispatcher {
-	return &Dispatcher{proof: proof, placement: p, budget: b, sender: s, observer: o, log: log}
+func New(proof *freshness.Proof, p *placement.Placement, b *retry.Budget, s Sender, o Observer, log *slog.Logger, options ...Option) *Dispatcher {
+	d := &Dispatcher{proof: proof, placement: p, budget: b, sender: s, observer: o, log: log, endings: endings{probes: map[string]*probe{}}}
+	for _, option := range options {
+		option(d)
+	}
+	return d
 }
 
 // Table returns the configuration in force, or nil.
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -85,6 +85,7 @@
 func (a *answer) Abort()                                { a.aborted = true }
 func (noMetrics) Ended(_, _ string, _, _ time.Duration) {}
 func (noMetrics) Retried(string)                        { retried.Add(1) }
+func (noMetrics) EngineEnded(string)                    {}
 
 // respond returns an engine's whole answer.
 func respond(status int, body string) *dispatch.Response {
@@ -138,9 +139,20 @@
 
 // serveUntil does what serve does for a caller that leaves when the context ends.
 func serveUntil(ctx context.Context, t *testing.T, d *dispatch.Dispatcher, name string) *answer {
+	t.Helper()
+	return serveRequest(ctx, t, d, &dispatch.Request{ID: "id", Host: "h", Path: "/" + name + "/x", Key: "k", Patience: timeout})
+}
+
+// serveFor does what serve does for a caller that waits for a time.
+func serveFor(t *testing.T, d *dispatch.Dispatcher, name string, patience time.Duration) *answer {
+	t.Helper()
+	return serveRequest(context.Background(), t, d, &dispatch.Request{ID: "id", Host: "h", Path: "/" + name + "/x", Key: "k", Patience: patience})
+}
+
+// serveRequest serves a request and returns what its caller got.
+func serveRequest(ctx context.Context, t *testing.T, d *dispatch.Dispatcher, r *dispatch.Request) *answer {
 	t.Helper()
 	now := time.Now()
-	r := &dispatch.Request{ID: "id", Host: "h", Path: "/" + name + "/x", Key: "k", Patience: timeout}
 	route, team, refusal := d.Check(now, r)
 	if refusal != nil {
 		t.Fatalf("refused: %v", refusal.Reason)
--- /dev/null
+++ b/internal/dispatch/ended_test.go
@@ -0,0 +1,98 @@
+package dispatch_test
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	"github.com/croftturn/croftturn/internal/dispatch"
+	"github.com/croftturn/croftturn/internal/freshness"
+	"github.com/croftturn/croftturn/internal/placement"
+	"github.com/croftturn/croftturn/internal/retry"
+)
+
+type (
+	// prober says of all engines that they have ended, or live, and counts how often it is asked.
+	prober struct {
+		ended bool
+		asked atomic.Int64
+	}
+
+	// endedCount counts requests under which their engine ended.
+	endedCount struct {
+		noMetrics
+		n atomic.Int64
+	}
+)
+
+func (p *prober) Ended(context.Context, string) bool {
+	p.asked.Add(1)
+	time.Sleep(10 * time.Millisecond) // Others break off meanwhile.
+	return p.ended
+}
+
+func (c *endedCount) EngineEnded(string) { c.n.Add(1) }
+
+// TestWhatCountsAsTheEndOfAnEngine holds under which failures a request counts as one under which
+// its engine ended, and that requests which break off together ask once.
+func TestWhatCountsAsTheEndOfAnEngine(t *testing.T) {
+	cut := func(ctx context.Context) (*dispatch.Response, error) { return nil, errCut }
+	midway := func(ctx context.Context) (*dispatch.Response, error) {
+		resp := respond(http.StatusOK, "")
+		resp.Length, resp.Body = -1, io.NopCloser(io.MultiReader(strings.NewReader("id: 1\ndata: x\n\n"), iotest.ErrReader(errCut)))
+		return resp, nil
+	}
+	silentToTheEnd := func(ctx context.Context) (*dispatch.Response, error) {
+		<-ctx.Done()
+		return nil, context.Cause(ctx)
+	}
+	failure := func(ctx context.Context) (*dispatch.Response, error) {
+		return respond(http.StatusInternalServerError, ""), nil
+	}
+	foreign := func(ctx context.Context) (*dispatch.Response, error) { return nil, dispatch.ErrForeign }
+	for name, c := range map[string]struct {
+		serve    func(ctx context.Context) (*dispatch.Response, error)
+		ended    bool
+		draining bool
+		want     int64 // want is how many of two requests count.
+		asked    int64
+	}{
+		"no answer, the engine has ended":      {cut, true, false, 2, 1},
+		"part of it, the engine has ended":     {midway, true, false, 2, 1},
+		"no answer, the engine lives":          {cut, false, false, 0, 1},
+		"no answer, the engine was to leave":   {cut, true, true, 0, 0},
+		"silence":                              {silentToTheEnd, true, false, 0, 0},
+		"a failure of the engine's own":        {failure, true, false, 0, 0},
+		"an answer that is of another request": {foreign, true, false, 0, 0},
+	} {
+		p, place, count := &prober{ended: c.ended}, placement.New("hall"), &endedCount{}
+		place.Set(placement.Engine{ID: "e", Pool: "p", Hall: "hall", Slots: 8})
+		proof := freshness.New(time.Hour)
+		proof.Renew(time.Now())
+		budget := retry.New(time.Now(), retry.Limits{Window: time.Second}, func() int { return 1 })
+		e := &engines{serve: func(ctx context.Context, _ int, _ dispatch.Attempt) (*dispatch.Response, error) {
+			place.Set(placement.Engine{ID: "e", Pool: "p", Hall: "hall", Slots: 8, Draining: c.draining})
+			return c.serve(ctx)
+		}}
+		d := dispatch.New(proof, place, budget, e, count, slog.New(slog.DiscardHandler), dispatch.WithProber(p))
+		d.SetTable(table(1, "k"))
+		var wg sync.WaitGroup
+		for range 2 {
+			wg.Go(func() { serveFor(t, d, "stream", 100*time.Millisecond) })
+			if c.draining {
+				wg.Wait() // The second finds no engine.
+			}
+		}
+		wg.Wait()
+		if count.n.Load() != c.want || p.asked.Load() != c.asked {
+			t.Errorf("%s: %d requests count, after %d probes; want %d after %d", name, count.n.Load(), p.asked.Load(), c.want, c.asked)
+		}
+	}
+}
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -222,6 +222,7 @@
 	}
 	w.mayHaveRun = true
 	w.call.End(now, placement.Failed)
+	w.lostEngine(ctx, now, err)
 	resumable := !w.begun || w.route.Resumable
 	if resumable && w.retry(now, err) {
 		return true
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -26,6 +26,7 @@
 		Path           string
 		Key            string
 		Model          string // Model is what an engine is asked for; empty where Header says it in the engines' own way.
+		Asked          string // Asked is the model that the caller names, in whichever way; empty where only the body does.
 		Prompt         placement.Prompt
 		OutputTokens   int           // OutputTokens is the most that the answer may have; 0 if unknown.
 		ExpectedTokens int           // ExpectedTokens is the caller's guess of how many the answer has, right in the median; 0 if it has none.
--- a/internal/dispatch/walk.go
+++ b/internal/dispatch/walk.go
@@ -37,6 +37,7 @@
 	mayHaveRun  bool        // mayHaveRun says that an engine which got the request did not say that it did not run it
 	highest     bool        // highest says that the request is of the highest tier that its pool serves
 	begun       bool        // begun says that the caller's answer has begun
+	sentAt      time.Time   // sentAt is when the request was last sent
 	choice      placement.Choice
 	call        *placement.Call
 	refused     Refusal
@@ -67,6 +68,7 @@
 	}
 	now = time.Now()
 	w.avoid[w.choice.Engine.ID] = true
+	w.sentAt = now
 	w.call = w.d.placement.Start(now, w.choice, request)
 	return w.send(ctx, now)
 }
@@ -209,6 +211,7 @@
 	}
 	w.sent++
 	w.mayHaveRun = true
+	w.lostEngine(ctx, now, err)
 	if w.retry(now, err) {
 		return true
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -164,7 +164,7 @@
 	}
 	e.budget = retry.New(now, retryLimits(s), e.nodes)
 	e.egress = platform.NewEgress()
-	e.dispatcher = dispatch.New(e.proof, e.placement, e.budget, e.egress, e.metrics, e.log)
+	e.dispatcher = dispatch.New(e.proof, e.placement, e.budget, e.egress, e.metrics, e.log, dispatch.WithProber(e.egress))
 	e.store = platform.NewStore(s.PlatformAddresses, platform.StoreTimeout)
 	e.discovery = discovery.New(platform.Engine, engines{e.placement, e.egress}, ms(s.EngineDrainMs), e.log)
 	e.register = register.New(e.store, self, s.FirstStart, e.gossip.Meet, e.log)
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -16,6 +16,7 @@
 type metrics struct {
 	ended   metric.Int64Counter
 	retried metric.Int64Counter
+	crashed metric.Int64Counter
 	first   metric.Float64Histogram
 	total   metric.Float64Histogram
 }
@@ -23,12 +24,13 @@
 // newMetrics makes the instruments of a node.
 func newMetrics(e *Edge) (*metrics, error) {
 	m := &metrics{}
-	var errs [5]error
+	var errs [6]error
 	meter := e.tele.Meter
 	m.ended, errs[0] = meter.Int64Counter("croftturn.edge.requests")
 	m.retried, errs[1] = meter.Int64Counter("croftturn.edge.retries")
 	m.first, errs[2] = meter.Float64Histogram("croftturn.edge.first.seconds")
 	m.total, errs[3] = meter.Float64Histogram("croftturn.edge.total.seconds")
+	m.crashed, errs[5] = meter.Int64Counter("croftturn.edge.engines_ended_under_requests")
 	errs[4] = e.tele.Observe(
 		telemetry.Observed{Name: "croftturn.edge.active", Help: "requests being served", Read: func() int64 { return int64(e.dispatcher.Active()) }},
 		telemetry.Observed{Name: "croftturn.edge.engine_connections_opened", Help: "connections opened to engines", Read: func() int64 { return e.egress.Opened() }},
@@ -64,3 +66,8 @@
 func (m *metrics) Retried(pool string) {
 	m.retried.Add(context.Background(), 1, metric.WithAttributes(attribute.String("pool", pool)))
 }
+
+// EngineEnded counts a request under which its engine has ended.
+func (m *metrics) EngineEnded(pool string) {
+	m.crashed.Add(context.Background(), 1, metric.WithAttributes(attribute.String("pool", pool)))
+}
--- a/internal/front/completions.go
+++ b/internal/front/completions.go
@@ -120,6 +120,7 @@
 		return &CallerError{Status: http.StatusBadRequest, Code: "bad_body", Message: "model is missing"}
 	}
 	req.Body, req.Model, req.Prompt, req.OutputTokens = body, doc.Model, doc.prompt(len(body)), doc.outputTokens()
+	req.Asked = doc.Model
 	return nil
 }
 
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -116,6 +116,14 @@
 	p.changed = true
 }
 
+// Leaving reports whether an engine has said that it leaves, or its entry is gone.
+func (p *Placement) Leaving(id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e := p.engines[id]
+	return e == nil || e.Draining
+}
+
 // Known reports whether any engine is known.
 func (p *Placement) Known() bool {
 	p.mu.Lock()
