Quarantine: a request under which engines have ended gets no more of them, at no node

Cause (reproduced by TestARequestThatCrashesEnginesReachesFew): nodes knew requests one at a time and engines by their failures alone. Nobody remembered which requests were at work when an engine ended, nor told the others, so that each node sent a request which crashes engines on as if it were new. Its class: evidence that only adds up over requests and nodes was used for one request at one node and then thrown away. Ruled out: the router's own retries (sent is 1 in each line, the route allows one engine); connections cut with engines alive (connections to them are refused afterwards). Change: where an engine has ended under a request, the node keeps its fingerprint with the engine and the time, and tells its peers in the messages that it sends anyway. After three ends without a whole answer between them the request is refused for good (400), also one that waits for a place. A whole answer anywhere frees it, and spares it for 2 s, so that a popular request is not held for engines that are lost at once. A minute later one node tries it once; the time doubles. Not done yet: what is held is lost when all nodes are.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -12,6 +12,7 @@
 
 	"github.com/croftturn/croftturn/internal/freshness"
 	"github.com/croftturn/croftturn/internal/placement"
+	"github.com/croftturn/croftturn/internal/quarantine"
 	"github.com/croftturn/croftturn/internal/retry"
 	"github.com/croftturn/croftturn/internal/routing"
 )
@@ -45,19 +46,20 @@
 
 	// Dispatcher serves requests. Its methods may be called from many goroutines.
 	Dispatcher struct {
-		table     atomic.Pointer[routing.Table]
-		stopBy    atomic.Pointer[time.Time]
-		active    atomic.Int64
-		rate      rate
-		started   atomic.Bool // started says that this node was able to serve once.
-		proof     *freshness.Proof
-		placement *placement.Placement
-		budget    *retry.Budget
-		lines     lines
-		endings   endings
-		sender    Sender
-		observer  Observer
-		log       *slog.Logger
+		table      atomic.Pointer[routing.Table]
+		stopBy     atomic.Pointer[time.Time]
+		active     atomic.Int64
+		rate       rate
+		started    atomic.Bool // started says that this node was able to serve once.
+		proof      *freshness.Proof
+		placement  *placement.Placement
+		budget     *retry.Budget
+		lines      lines
+		endings    endings
+		quarantine *quarantine.Quarantine // quarantine is nil where nothing is remembered of requests.
+		sender     Sender
+		observer   Observer
+		log        *slog.Logger
 	}
 )
 
@@ -155,6 +157,7 @@
 		d: d, req: r, route: route, team: team, answer: a, arrived: arrived, deadline: arrived.Add(patience(r, route)),
 		pool: route.Choose(r.ID), avoid: map[string]bool{}, lastEventID: r.LastEventID,
 	}
+	w.fingerprint = fingerprintOf(r, w.teamName())
 	ctx, cancel := context.WithDeadline(ctx, w.deadline)
 	defer cancel()
 	w.run(ctx)
--- a/internal/dispatch/ended.go
+++ b/internal/dispatch/ended.go
@@ -2,12 +2,8 @@
 
 import (
 	"context"
-	"errors"
-	"log/slog"
 	"sync"
 	"time"
-
-	"github.com/croftturn/croftturn/internal/quarantine"
 )
 
 const (
@@ -82,42 +78,3 @@
 		}
 	}
 }
-
-// work returns what makes the request the same as another.
-func (w *walk) work() quarantine.Work {
-	return quarantine.Work{Team: w.teamName(), Method: w.req.Method, Host: w.req.Host, Target: w.req.Target, Model: w.req.Asked, Body: w.req.Body}
-}
-
-// lostEngine finds out, where an engine broke off, whether it has ended while the request was at
-// work there, unplanned: not whether a connection was cut or fell silent, nor the end of an
-// engine that had said it leaves.
-func (w *walk) lostEngine(ctx context.Context, now time.Time, cause error) bool {
-	d, engine := w.d, w.choice.Engine
-	restarted := errors.Is(context.Cause(ctx), errRestarted)
-	broke := ctx.Err() == nil && !errors.Is(cause, ErrForeign)
-	if d.endings.prober == nil || !restarted && !broke || d.placement.Leaving(engine.ID) {
-		return false
-	}
-	ended, took := restarted, time.Duration(0)
-	if !restarted {
-		p := d.endings.at(ctx, now, engine.Address)
-		ended, took = p.ended, p.took
-	}
-	d.log.Log(ctx, endedLevel(ended), "engine failed under request", "request", w.req.ID, "fingerprint", w.fingerprint().String(), "route", w.route.Name, "team", w.teamName(),
-		"engine", engine.ID, "ended", ended, "restarted", restarted, "after_ms", now.Sub(w.sentAt).Milliseconds(), "probe_ms", took.Milliseconds(), "error", cause.Error())
-	if ended {
-		d.observer.EngineEnded(w.pool)
-	}
-	return ended
-}
-
-// fingerprint returns the request's fingerprint.
-func (w *walk) fingerprint() quarantine.Fingerprint { return quarantine.FingerprintOf(w.work()) }
-
-// endedLevel returns the level at which the failure of an engine is logged.
-func endedLevel(ended bool) slog.Level {
-	if ended {
-		return slog.LevelWarn
-	}
-	return slog.LevelInfo
-}
--- a/internal/dispatch/refusal.go
+++ b/internal/dispatch/refusal.go
@@ -45,6 +45,10 @@
 	// TimedOut says that no answer came in time; the request may have run.
 	TimedOut Reason = "timed_out"
 
+	// CrashesEngines says that engines have ended under the same request again and again, and that it
+	// gets no more. Of the statuses only 400 and its like tell callers of all kinds of routes not to come again.
+	CrashesEngines Reason = "crashes_engines"
+
 	// CallerLeft says that the caller closed its connection.
 	CallerLeft Reason = "caller_left"
 )
@@ -63,19 +67,20 @@
 // statuses are the HTTP statuses of refusals. 408, 429 and 503 promise that the
 // request has not run; 502 and 504 promise nothing.
 var statuses = map[Reason]int{
-	NoRoute:    http.StatusNotFound,
-	UnknownKey: http.StatusUnauthorized,
-	TooLarge:   http.StatusRequestEntityTooLarge,
-	BadRequest: http.StatusBadRequest,
-	TooSlow:    http.StatusRequestTimeout,
-	NotReady:   http.StatusServiceUnavailable,
-	Stale:      http.StatusServiceUnavailable,
-	Stopping:   http.StatusServiceUnavailable,
-	NoEngine:   http.StatusServiceUnavailable,
-	Busy:       http.StatusServiceUnavailable,
-	Full:       http.StatusServiceUnavailable,
-	Broken:     http.StatusBadGateway,
-	TimedOut:   http.StatusGatewayTimeout,
+	NoRoute:        http.StatusNotFound,
+	UnknownKey:     http.StatusUnauthorized,
+	TooLarge:       http.StatusRequestEntityTooLarge,
+	BadRequest:     http.StatusBadRequest,
+	TooSlow:        http.StatusRequestTimeout,
+	NotReady:       http.StatusServiceUnavailable,
+	Stale:          http.StatusServiceUnavailable,
+	Stopping:       http.StatusServiceUnavailable,
+	NoEngine:       http.StatusServiceUnavailable,
+	Busy:           http.StatusServiceUnavailable,
+	Full:           http.StatusServiceUnavailable,
+	CrashesEngines: http.StatusBadRequest,
+	Broken:         http.StatusBadGateway,
+	TimedOut:       http.StatusGatewayTimeout,
 }
 
 // Status returns the HTTP status of a refusal.
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -119,6 +119,7 @@
 func (w *walk) finish(now time.Time) {
 	w.refused = Refusal{}
 	w.call.End(now, placement.Answered)
+	w.noteAnswer(now)
 }
 
 // callerGone records that the caller left, or could not be written to.
@@ -222,7 +223,7 @@
 	}
 	w.mayHaveRun = true
 	w.call.End(now, placement.Failed)
-	w.lostEngine(ctx, now, err)
+	w.noteEnd(ctx, now, err)
 	resumable := !w.begun || w.route.Resumable
 	if resumable && w.retry(now, err) {
 		return true
--- a/internal/dispatch/walk.go
+++ b/internal/dispatch/walk.go
@@ -9,6 +9,7 @@
 
 	"github.com/croftturn/croftturn/internal/admission"
 	"github.com/croftturn/croftturn/internal/placement"
+	"github.com/croftturn/croftturn/internal/quarantine"
 	"github.com/croftturn/croftturn/internal/routing"
 )
 
@@ -29,6 +30,9 @@
 	deadline time.Time
 	pool     string
 
+	fingerprint quarantine.Fingerprint
+	trial       bool // trial says that the next sending is the trial of a request that is held.
+
 	avoid       map[string]bool // avoid holds the engines that were tried
 	sent        int             // sent counts the engines that the request was sent to
 	unsent      int             // unsent counts the engines that could not be connected to
@@ -67,6 +71,11 @@
 		return false
 	}
 	now = time.Now()
+	if refusal := w.admitted(now); refusal != nil { // It may have waited for a place meanwhile.
+		w.refuse(*refusal)
+		return false
+	}
+	w.trial = false
 	w.avoid[w.choice.Engine.ID] = true
 	w.sentAt = now
 	w.call = w.d.placement.Start(now, w.choice, request)
@@ -78,6 +87,9 @@
 	if refusal := w.stillAllowed(now); refusal != nil {
 		return refusal
 	}
+	if refusal := w.admitted(now); refusal != nil {
+		return refusal
+	}
 	choice, ok := w.d.placement.Choose(now, request)
 	if !ok {
 		return &Refusal{Reason: w.without(), ComeBack: shortReturn}
@@ -211,7 +223,7 @@
 	}
 	w.sent++
 	w.mayHaveRun = true
-	w.lostEngine(ctx, now, err)
+	w.noteEnd(ctx, now, err)
 	if w.retry(now, err) {
 		return true
 	}
--- a/internal/edge/crash_test.go
+++ b/internal/edge/crash_test.go
@@ -266,6 +266,7 @@
 			later++
 		}
 	}
+	t.Logf("%d crashes in all; the third was %v after the first", len(w.crashes), third.Sub(w.crashes[0]).Round(time.Millisecond))
 	if later > mostLater {
 		t.Errorf("%d runs began later than %v after the third crash, want %d at most; %d crashes in all", later, settled, mostLater, len(w.crashes))
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -26,6 +26,7 @@
 	"github.com/croftturn/croftturn/internal/logline"
 	"github.com/croftturn/croftturn/internal/peer"
 	"github.com/croftturn/croftturn/internal/placement"
+	"github.com/croftturn/croftturn/internal/quarantine"
 	"github.com/croftturn/croftturn/internal/register"
 	"github.com/croftturn/croftturn/internal/retry"
 	"github.com/croftturn/croftturn/internal/settings"
@@ -85,6 +86,7 @@
 	log        *slog.Logger
 	proof      *freshness.Proof
 	placement  *placement.Placement
+	quarantine *quarantine.Quarantine
 	budget     *retry.Budget
 	gossip     *gossip.Gossip
 	dispatcher *dispatch.Dispatcher
@@ -152,6 +154,7 @@
 	var err error
 	e.proof = freshness.New(proofLife(s))
 	e.placement = placement.New(s.Hall)
+	e.quarantine = quarantine.New(e.triesHeld, e.log)
 	if e.gossip, err = gossip.New(self, e.log); err != nil {
 		return fmt.Errorf("start gossip: %w", err)
 	}
@@ -164,7 +167,7 @@
 	}
 	e.budget = retry.New(now, retryLimits(s), e.nodes)
 	e.egress = platform.NewEgress()
-	e.dispatcher = dispatch.New(e.proof, e.placement, e.budget, e.egress, e.metrics, e.log, dispatch.WithProber(e.egress))
+	e.dispatcher = dispatch.New(e.proof, e.placement, e.budget, e.egress, e.metrics, e.log, dispatch.WithProber(e.egress), dispatch.WithQuarantine(e.quarantine))
 	e.store = platform.NewStore(s.PlatformAddresses, platform.StoreTimeout)
 	e.discovery = discovery.New(platform.Engine, engines{e.placement, e.egress}, ms(s.EngineDrainMs), e.log)
 	e.register = register.New(e.store, self, s.FirstStart, e.gossip.Meet, e.log)
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -39,6 +39,7 @@
 		telemetry.Observed{Name: "croftturn.edge.config_age_ms", Help: "age of the proof that the configuration is the newest", Read: func() int64 { return e.proof.AgeMs(time.Now()) }},
 		telemetry.Observed{Name: "croftturn.edge.entries_refused", Help: "changes of engines' entries that could not be understood", Read: func() int64 { return e.discovery.Refused() }},
 		telemetry.Observed{Name: "croftturn.edge.configs_refused", Help: "configurations that could not be understood", Read: func() int64 { return e.configsRefused.Load() }},
+		telemetry.Observed{Name: "croftturn.edge.requests_held", Help: "requests that get no engine, since engines ended under them", Read: func() int64 { return e.quarantine.Len() }},
 		telemetry.Observed{Name: "croftturn.edge.tables_given", Help: "tables given to peers", Read: func() int64 { return e.follower.Pulls().Given }},
 		telemetry.Observed{Name: "croftturn.edge.tables_taken", Help: "tables taken from peers", Read: func() int64 { return e.follower.Pulls().Taken }},
 		telemetry.Observed{Name: "croftturn.edge.tables_failed", Help: "tables asked of peers in vain", Read: func() int64 { return e.follower.Pulls().Failed }},
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -2,10 +2,14 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/croftturn/croftturn/internal/dispatch"
 	"github.com/croftturn/croftturn/internal/gossip"
+	"github.com/croftturn/croftturn/internal/quarantine"
 	"github.com/croftturn/croftturn/platform"
 )
 
@@ -25,7 +29,7 @@
 	versions := e.follower.Versions() // They are read before the work: it may be of later entries, not of earlier ones.
 	s := gossip.Said{
 		Ready: e.Ready(now), Stopping: e.dispatcher.Ready(now) == dispatch.Stopping, Rate: float32(e.dispatcher.Rate(now)), Loads: e.placement.Loads(), Uses: e.placement.TakeUses(), Versions: versions,
-		ConfigVersion: e.dispatcher.Version(), ProofAgeMs: -1, CantRead: e.cantRead(now), SilentMs: -1, LostAgeMs: -1, Places: e.dispatcher.Places(now),
+		ConfigVersion: e.dispatcher.Version(), ProofAgeMs: -1, CantRead: e.cantRead(now), SilentMs: -1, LostAgeMs: -1, Places: e.dispatcher.Places(now), Crashing: e.quarantine.Tell(now, gossip.NewsLife),
 	}
 	if age, ok := e.proof.Age(now); ok {
 		s.ProofAgeMs = age.Milliseconds() + 1 // It is rounded up: a proof must not grow younger on its way.
@@ -44,6 +48,7 @@
 func (e *Edge) Heard(now time.Time, p gossip.Self, s gossip.Said, received time.Time) {
 	e.placement.Peer(now, p.Name, s.Versions[platform.TableEngines], s.Loads, s.Uses)
 	e.dispatcher.HeardPlaces(now, p.Name, s.Places)
+	e.quarantine.Hear(now, s.Crashing)
 	e.follower.Heard(p.PeerAddress, s.Versions)
 	if s.ProofAgeMs >= 0 && !received.IsZero() && s.ConfigVersion > 0 && s.ConfigVersion <= e.dispatcher.Version() {
 		e.proof.Renew(received.Add(-time.Duration(s.ProofAgeMs) * time.Millisecond))
@@ -52,3 +57,11 @@
 		e.discovery.Lost(now.Add(-time.Duration(s.LostAgeMs) * time.Millisecond))
 	}
 }
+
+// triesHeld reports whether this node is the one of those that take callers to try a request again that is
+// held: the first by a hash of both. Two nodes that see other peers may both be.
+func (e *Edge) triesHeld(now time.Time, f quarantine.Fingerprint) bool {
+	rank := func(name string) uint64 { return xxhash.Sum64String(f.String() + name) }
+	own := rank(e.settings.Instance)
+	return e.gossip.Hub() && !slices.ContainsFunc(e.gossip.Hubs(now), func(p gossip.Peer) bool { return p.Said.Ready && rank(p.Name) < own })
+}
--- a/internal/gossip/cadence.go
+++ b/internal/gossip/cadence.go
@@ -47,6 +47,16 @@
 	// costs processor time, and nothing that it does is due more often.
 	restTurns = 5
 
+	// newsTurns is for how many turns beyond those of one message what is new of requests under which engines ended
+	// is told, so that it comes in two messages at least. All that are held are told in one message of
+	// allEvery, the first one among them, for those that have started or missed them: every five
+	// seconds to most peers.
+	newsTurns = 3
+	allEvery  = 50
+
+	// NewsLife is how long what is new of such requests is told to those that hear the rarest messages.
+	NewsLife = (spokeTurns + newsTurns) * every
+
 	// busyRate is how many requests a second make a spoke tell its work; the platform's
 	// own checks reach each node about once a second.
 	busyRate = 2
--- a/internal/gossip/cadence_test.go
+++ b/internal/gossip/cadence_test.go
@@ -7,7 +7,10 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"github.com/croftturn/croftturn/internal/placement"
+	"github.com/croftturn/croftturn/internal/quarantine"
 )
 
 // newTestGossip returns a gossip that is not connected and knows some peers of two
@@ -145,3 +148,47 @@
 		t.Errorf("after a change of entries %v is told, want only what was used since", got)
 	}
 }
+
+// TestWhatCrashesEnginesIsTold holds that what is new of requests under which engines ended comes in two messages at least to
+// each peer, whatever its turns, and that one of old which is held comes with the first message to a peer, and now and then.
+func TestWhatCrashesEnginesIsTold(t *testing.T) {
+	start := time.Unix(1000, 0)
+	g := newTestGossip(t, start, 30)
+	g.hub = true
+	node := &scripted{}
+	g.node = node
+	news, old := map[string]int{}, map[string]int{}
+	const turns = 2 * allEvery * farTurns
+	for turn := range turns {
+		now := start.Add(time.Duration(turn) * every)
+		for _, p := range g.peers {
+			p.heard = now
+		}
+		node.said = Said{Crashing: []quarantine.Told{{Fingerprint: 1, Age: now.Sub(start)}, {Fingerprint: 2, Age: time.Hour}}}
+		if turn*int(every) > int(NewsLife) {
+			node.said.Crashing = node.said.Crashing[1:]
+		}
+		for _, o := range g.compose(func() time.Time { return now }, turn) {
+			var said Said
+			if err := cbor.Unmarshal(o.Said, &said); err != nil {
+				t.Fatal(err)
+			}
+			for _, told := range said.Crashing {
+				if told.Fingerprint == 1 {
+					news[o.to.Name]++
+					continue
+				}
+				old[o.to.Name]++
+			}
+		}
+	}
+	if len(news) == 0 {
+		t.Fatal("nobody was told")
+	}
+	for name, n := range news {
+		most := 2 + turns/allEvery
+		if n < 2 || n > 6 || old[name] < 1 || old[name] > most {
+			t.Errorf("%s was told %d times of what is new, want 2 to 6, and %d times of what is old, want 1 to %d", name, n, old[name], most)
+		}
+	}
+}
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -8,6 +8,7 @@
 
 	"github.com/croftturn/croftturn/internal/dispatch"
 	"github.com/croftturn/croftturn/internal/placement"
+	"github.com/croftturn/croftturn/internal/quarantine"
 )
 
 type (
@@ -36,6 +37,7 @@
 		SilentMs      int64                        // SilentMs is how long a node that reads the store has had no answer; -1 if it does not read.
 		LostAgeMs     int64                        // LostAgeMs is how long ago its last call failed; -1 if never.
 		Places        map[string][]dispatch.Places // Places tells how the tiers fared, by pool.
+		Crashing      []quarantine.Told            // Crashing are requests under which engines ended: what was learned of them lately, and all that are held.
 	}
 
 	// Peer is another node.
--- a/internal/gossip/receive.go
+++ b/internal/gossip/receive.go
@@ -76,7 +76,7 @@
 		g.peers[m.Name] = p
 	}
 	if !same {
-		p.due = 0 // It knows nothing yet: it is answered in the next turn.
+		p.due, p.sent = 0, 0 // It knows nothing yet: it is answered in the next turn, with all.
 	}
 	if same && m.Seq < p.echo {
 		return Self{}, time.Time{}, false // It was overtaken by a newer one.
--- a/internal/gossip/send.go
+++ b/internal/gossip/send.go
@@ -1,9 +1,12 @@
 package gossip
 
 import (
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+
+	"github.com/croftturn/croftturn/internal/quarantine"
 )
 
 // outgoing is a message on its way to a peer.
@@ -12,6 +15,25 @@
 	message
 }
 
+// content is what tells what is said to one peer from what is said to another.
+type content struct {
+	turns int  // turns is how many turns the message tells of.
+	all   bool // all says that it tells of all requests that are held, not only what is new of them.
+}
+
+// crashing returns what is told of requests under which engines ended.
+func (c content) crashing(list []quarantine.Told) []quarantine.Told {
+	if c.all {
+		return list
+	}
+	news := time.Duration(c.turns+newsTurns) * every
+	at := slices.IndexFunc(list, func(t quarantine.Told) bool { return t.Age > news })
+	if at < 0 {
+		return list
+	}
+	return list[:at]
+}
+
 // send tells the peers of this node.
 func (g *Gossip) send(turn int) {
 	for _, o := range g.compose(time.Now, turn) {
@@ -34,18 +56,21 @@
 		return nil
 	}
 	seq := g.number(now)
-	encoded := map[int]cbor.RawMessage{} // by the turns that the message tells of
+	encoded := map[content]cbor.RawMessage{}
 	out := make([]outgoing, 0, len(targets))
 	for _, to := range targets {
-		if encoded[to.turns] == nil {
-			raw, err := cbor.Marshal(g.saidTo(said, turn, to.turns))
+		of := content{turns: to.turns, all: to.sent%allEvery == 0}
+		if encoded[of] == nil {
+			s := g.saidTo(said, turn, to.turns)
+			s.Crashing = of.crashing(said.Crashing)
+			raw, err := cbor.Marshal(s)
 			if err != nil {
 				g.log.Error("message to peers not encoded", "error", err.Error())
 				return nil
 			}
-			encoded[to.turns] = raw
+			encoded[of] = raw
 		}
-		m := message{Echo: to.echo, Seq: seq, Name: g.self.Name, Incarnation: g.self.Incarnation, Hubs: chosen, Said: encoded[to.turns]}
+		m := message{Echo: to.echo, Seq: seq, Name: g.self.Name, Incarnation: g.self.Incarnation, Hubs: chosen, Said: encoded[of]}
 		if to.echo == 0 || to.sent%introduceEvery == 0 {
 			m.Peer, m.Caller, m.Hall, m.Cores = g.self.PeerAddress, g.self.CallerAddress, g.self.Hall, g.self.Cores
 		}
--- /dev/null
+++ b/internal/quarantine/quarantine.go
@@ -0,0 +1,205 @@
+package quarantine
+
+import (
+	"log/slog"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// mostEnds is how many engines must have ended under a request for it to get no more. With two, a
+	// request that comes again after a crash, and meets one more that is not its doing, would be held.
+	mostEnds = 3
+
+	// sameEnd is how far apart nodes may learn of one end of an engine: each when its own
+	// connections break, or by a message. An engine is back after some seconds.
+	sameEnd = 2 * time.Second
+
+	// spared is how long after a whole answer an end does not count: a request that engines answer
+	// all the time is at work on those that are lost, too, also on several that are lost at once.
+	spared = 2 * time.Second
+
+	// suspectLife is how long the ends of an engine under a request are remembered while it
+	// is not held. Those that come again came within seconds.
+	suspectLife = 10 * time.Minute
+
+	// firstTrial is how long after its newest crash a request that is held may be tried once more, and
+	// mostTrials how often that time is doubled: engines may have got another version. A trial that
+	// crashes costs its engine's other requests; at most three are made in the first six minutes.
+	firstTrial = time.Minute
+	mostTrials = 5
+
+	// keptEnds is how many ends of one request are kept; they tell how often it was tried.
+	keptEnds = mostEnds + mostTrials
+
+	// clearedLife is how long a request that was answered whole stays known, so that all peers hear of it.
+	clearedLife = 10 * time.Second
+
+	// mostRecords is how many requests are remembered, over all teams. A record takes some 250 bytes.
+	mostRecords = 4096
+)
+
+type (
+	// Subject says whose request it is, and what it asks for.
+	Subject struct {
+		Team, Route string
+	}
+
+	// End is an engine's end while a request was at work there.
+	End struct {
+		Engine string
+		At     time.Time
+	}
+
+	// Held is a request that gets no engine, and why.
+	Held struct {
+		Subject
+		Fingerprint Fingerprint
+		Ends        []End     // Ends are the engines that ended under it, the oldest first.
+		TrialAt     time.Time // TrialAt is when it may be tried once more.
+	}
+
+	// Quarantine knows under which requests engines have ended. Its methods may be called from many
+	// goroutines.
+	Quarantine struct {
+		tries func(now time.Time, f Fingerprint) bool // tries says whether this node is the one to try a request once more.
+		log   *slog.Logger
+
+		held atomic.Int64 // held is how many requests are held.
+
+		mu       sync.Mutex
+		records  map[Fingerprint]*record
+		answered map[string]*answered // answered are the newest whole answers, by team.
+	}
+)
+
+// New returns an empty quarantine. A request that is held for long enough is tried again, once, by
+// the node for which tries holds.
+func New(tries func(now time.Time, f Fingerprint) bool, log *slog.Logger) *Quarantine {
+	return &Quarantine{tries: tries, log: log, records: map[Fingerprint]*record{}, answered: map[string]*answered{}}
+}
+
+// Ended records that an engine has ended while a request was at work there.
+func (q *Quarantine) Ended(now time.Time, f Fingerprint, s Subject, engine string) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.end(now, f, s, End{Engine: engine, At: now})
+}
+
+// end takes an end of an engine under a request, and reports whether it was not known and counts.
+// The caller holds the lock.
+func (q *Quarantine) end(now time.Time, f Fingerprint, s Subject, e End) bool {
+	r := q.records[f]
+	if last := q.lastAnswer(f, s, r); !last.IsZero() && e.At.Sub(last) <= spared {
+		return false
+	}
+	if r == nil {
+		r = q.add(now, f, s)
+	}
+	if r.knows(e) {
+		return false
+	}
+	before := r.isHeld()
+	if !before {
+		r.ends = slices.DeleteFunc(r.ends, func(o End) bool { return now.Sub(o.At) > suspectLife })
+	}
+	r.ends = append(r.ends, e)
+	slices.SortFunc(r.ends, func(a, b End) int { return a.At.Compare(b.At) })
+	r.ends = r.ends[max(0, len(r.ends)-keptEnds):]
+	r.changed = now
+	if r.isHeld() {
+		q.log.Warn("request held", "fingerprint", f.String(), "team", s.Team, "route", s.Route, "engines", engines(r.ends), "since_ms", now.Sub(r.ends[0].At).Milliseconds(),
+			"newest_ms", now.Sub(e.At).Milliseconds(), "trial_in_ms", r.trialAt().Sub(now).Milliseconds())
+		if !before {
+			q.held.Add(1)
+		}
+	}
+	return true
+}
+
+// lastAnswer returns when a request was last known to be answered whole; r may be nil. The caller
+// holds the lock.
+func (q *Quarantine) lastAnswer(f Fingerprint, s Subject, r *record) time.Time {
+	var last time.Time
+	if own := q.answered[s.Team]; own != nil {
+		last = own.at(f)
+	}
+	if r != nil && r.answered.After(last) {
+		last = r.answered
+	}
+	return last
+}
+
+// Answered records that an engine has answered a request whole. A request that crashes engines
+// never is: what was counted against it was not its doing.
+func (q *Quarantine) Answered(now time.Time, f Fingerprint, team string) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	own := q.answered[team]
+	if own == nil {
+		own = &answered{}
+		q.answered[team] = own
+	}
+	own.note(now, f)
+	if r := q.records[f]; r != nil {
+		q.clear(now, now, f, r)
+	}
+}
+
+// clear drops the ends under a request that was answered whole at a moment. The caller holds the lock.
+func (q *Quarantine) clear(now, at time.Time, f Fingerprint, r *record) {
+	if at.After(r.answered) {
+		r.answered = at
+	}
+	known, before := len(r.ends), r.isHeld()
+	r.ends = slices.DeleteFunc(r.ends, func(e End) bool { return e.At.Sub(r.answered) <= spared })
+	if len(r.ends) == known {
+		return
+	}
+	r.changed = now
+	if before && !r.isHeld() {
+		q.held.Add(-1)
+		q.log.Warn("request no longer held", "fingerprint", f.String(), "team", r.Team, "route", r.Route, "reason", "an engine has answered it whole", "answered_ms", now.Sub(r.answered).Milliseconds())
+	}
+}
+
+// Admit returns why a request may not be sent to an engine, or nil if it may. One that is held may be sent once
+// where its time for a trial has come and this node is the one to try it; it is a trial then.
+func (q *Quarantine) Admit(now time.Time, f Fingerprint) (held *Held, trial bool) {
+	if q.held.Load() == 0 {
+		return nil, false
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	r := q.records[f]
+	switch {
+	case r == nil || !r.isHeld():
+		return nil, false
+	case now.Before(r.trialAt()) || !q.tries(now, f):
+		return r.held(f), false
+	}
+	r.tried = now
+	q.log.Warn("request tried again", "fingerprint", f.String(), "team", r.Team, "route", r.Route, "engines", engines(r.ends))
+	return nil, true
+}
+
+// List returns the requests that are held.
+func (q *Quarantine) List() []*Held {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	var out []*Held
+	for f, r := range q.records {
+		if r.isHeld() {
+			out = append(out, r.held(f))
+		}
+	}
+	return out
+}
+
+// Len returns how many requests are held.
+func (q *Quarantine) Len() int64 { return q.held.Load() }
+
+// Engines returns the engines that ended under a request that is held.
+func (h *Held) Engines() []string { return engines(h.Ends) }
