Quarantine: what is held outlives all nodes, in the platform's store

Cause: nodes tell each other which requests are held, so that a loss of all of them at once would cost three more engines for each. Ruled out: a write for each end (engines end far more often than requests are held), a condition (all write the same). Change: a row for each request that is held, dropped when it is freed; read once at a node's start.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -215,6 +215,10 @@
 		e.awaitAnswer(ctx)
 		e.register.Run(ctx)
 	})
+	e.start(func() {
+		e.awaitAnswer(ctx)
+		quarantine.NewKeeper(e.quarantine, e.store, s.FirstStart, e.log).Run(ctx)
+	})
 	return nil
 }
 
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -72,20 +72,29 @@
 		mu       sync.Mutex
 		records  map[Fingerprint]*record
 		answered map[string]*answered // answered are the newest whole answers, by team.
+		unkept   map[Fingerprint]bool // unkept are the requests of which the platform's store should hear.
+		due      chan struct{}        // due tells the keeper that there are some.
 	}
 )
 
 // New returns an empty quarantine. A request that is held for long enough is tried again, once, by
 // the node for which tries holds.
 func New(tries func(now time.Time, f Fingerprint) bool, log *slog.Logger) *Quarantine {
-	return &Quarantine{tries: tries, log: log, records: map[Fingerprint]*record{}, answered: map[string]*answered{}}
+	return &Quarantine{tries: tries, log: log, records: map[Fingerprint]*record{}, answered: map[string]*answered{}, unkept: map[Fingerprint]bool{}, due: make(chan struct{}, 1)}
 }
 
 // Ended records that an engine has ended while a request was at work there.
 func (q *Quarantine) Ended(now time.Time, f Fingerprint, s Subject, engine string) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.end(now, f, s, End{Engine: engine, At: now})
+	if !q.end(now, f, s, End{Engine: engine, At: now}) {
+		return
+	}
+	r := q.records[f]
+	r.own = true
+	if r.isHeld() {
+		q.keep(f)
+	}
 }
 
 // end takes an end of an engine under a request, and reports whether it was not known and counts.
@@ -115,6 +124,9 @@
 		if !before {
 			q.held.Add(1)
 		}
+		if !before && r.own {
+			q.keep(f)
+		}
 	}
 	return true
 }
@@ -144,6 +156,7 @@
 	}
 	own.note(now, f)
 	if r := q.records[f]; r != nil {
+		r.own = true
 		q.clear(now, now, f, r)
 	}
 }
@@ -161,6 +174,9 @@
 	r.changed = now
 	if before && !r.isHeld() {
 		q.held.Add(-1)
+		if r.own {
+			q.keep(f)
+		}
 		q.log.Warn("request no longer held", "fingerprint", f.String(), "team", r.Team, "route", r.Route, "reason", "an engine has answered it whole", "answered_ms", now.Sub(r.answered).Milliseconds())
 	}
 }
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -12,6 +12,7 @@
 	ends     []End     // ends are those since the newest whole answer, the oldest first.
 	answered time.Time // answered is when it was last known to be answered whole.
 	tried    time.Time // tried is when this node last let it be tried.
+	own      bool      // own says that this node has seen an end or an answer itself: those that have keep the request in the platform's store.
 	changed  time.Time // changed is when something was learned that peers may not know.
 }
 
