--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -16,6 +16,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/croftturn/croftturn/internal/clock"
 	"github.com/croftturn/croftturn/internal/config"
 	"github.com/croftturn/croftturn/internal/header"
 	"github.com/croftturn/croftturn/internal/kv"
@@ -232,7 +233,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	ch, err := a.keeper.Write(ctx, time.Now(), id, author, text, edit)
+	ch, err := a.keeper.Write(ctx, clock.Now(), id, author, text, edit)
 	if err != nil {
 		return nil, fmt.Errorf("change %s: %w", id, err)
 	}
--- a/internal/admin/run.go
+++ b/internal/admin/run.go
@@ -8,10 +8,10 @@
 	"strconv"
 	"strings"
 	"sync"
-	"time"
 
 	"github.com/gravitational/trace"
 
+	"github.com/croftturn/croftturn/internal/clock"
 	"github.com/croftturn/croftturn/internal/config"
 	"github.com/croftturn/croftturn/internal/lang"
 	"github.com/croftturn/croftturn/internal/wire"
@@ -30,7 +30,7 @@
 	var rows []wire.Row
 	var missing []string
 	if q.Table == "members" {
-		rows = a.tables.Rows(time.Now(), req)
+		rows = a.tables.Rows(clock.Now(), req)
 	} else {
 		rows, missing = a.ask(ctx, req)
 	}
@@ -66,7 +66,7 @@
 			reply := wire.QueryReply{}
 			var err error
 			if m.Name == self {
-				reply.Rows = a.tables.Rows(time.Now(), req)
+				reply.Rows = a.tables.Rows(clock.Now(), req)
 			} else {
 				err = a.peers.Call(ctx, m.PeerAddress, MethodQuery, req, &reply)
 			}
--- a/internal/broker/service.go
+++ b/internal/broker/service.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/croftturn/croftturn/internal/clock"
 	"github.com/croftturn/croftturn/internal/config"
 	"github.com/croftturn/croftturn/internal/queue"
 	"github.com/croftturn/croftturn/internal/telemetry"
@@ -78,7 +79,7 @@
 	defer tick.Stop()
 	for {
 		members, config := s.members.Changed(), s.store.Changed()
-		s.follow(time.Now())
+		s.follow(clock.Now())
 		for settled := true; settled; {
 			select {
 			case <-ctx.Done():
@@ -89,7 +90,7 @@
 			case <-config:
 				settled = false
 			case <-tick.C:
-				settled = s.tick(time.Now())
+				settled = s.tick(clock.Now())
 			}
 		}
 	}
@@ -235,7 +236,7 @@
 func (s *Service) Acquire(ctx context.Context, req *wire.Acquire) (any, error) {
 	ctx, span := s.tracer.Start(telemetry.WithTraceParent(ctx, req.TraceParent), "broker queue")
 	defer span.End()
-	now := time.Now()
+	now := clock.Now()
 	p := s.pool(now, req.Pool)
 	if p == nil {
 		return &wire.Grant{Refusal: ReasonMoved}, nil
@@ -245,14 +246,14 @@
 	case g := <-reply:
 		return &g, nil
 	case <-ctx.Done():
-		p.Cancel(time.Now(), req.Request)
+		p.Cancel(clock.Now(), req.Request)
 		return nil, ctx.Err()
 	}
 }
 
 // Release gives a place back.
 func (s *Service) Release(_ context.Context, rel *wire.Release) (any, error) {
-	now := time.Now()
+	now := clock.Now()
 	if p := s.pool(now, rel.Pool); p != nil {
 		p.Release(now, *rel)
 	}
@@ -261,7 +262,7 @@
 
 // Cancel gives up a wait, or a place whose grant was not received.
 func (s *Service) Cancel(_ context.Context, req *wire.Acquire) (any, error) {
-	now := time.Now()
+	now := clock.Now()
 	if p := s.pool(now, req.Pool); p != nil {
 		p.Cancel(now, req.Request)
 	}
@@ -271,7 +272,7 @@
 // Report takes what a node holds. The answer is false where this node is not
 // the pool's broker yet, so that the node tells it again.
 func (s *Service) Report(_ context.Context, r *wire.Report) (any, error) {
-	now := time.Now()
+	now := clock.Now()
 	p := s.pool(now, r.Pool)
 	if p == nil {
 		return false, nil
--- a/internal/claim/keeper.go
+++ b/internal/claim/keeper.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/croftturn/croftturn/internal/clock"
 	"github.com/croftturn/croftturn/internal/kv"
 	"github.com/croftturn/croftturn/internal/pause"
 )
@@ -187,7 +188,7 @@
 		to = k.forwards
 	}
 	o := &op{key: a.key, version: a.version, result: make(chan error, 1), record: Record{
-		State: state, Node: k.node, Incarnation: k.incarnation, Attempt: a.ID, AtMs: now.UnixMilli(),
+		State: state, Node: k.node, Incarnation: k.incarnation, Attempt: a.ID, AtMs: clock.Wall(now).UnixMilli(),
 	}}
 	select {
 	case to <- o:
--- a/internal/claim/sweeper.go
+++ b/internal/claim/sweeper.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"time"
 
+	"github.com/croftturn/croftturn/internal/clock"
 	"github.com/croftturn/croftturn/internal/kv"
 )
 
@@ -59,7 +60,7 @@
 		if !s.owns() {
 			continue
 		}
-		if removed, err := s.Page(ctx, time.Now()); err != nil {
+		if removed, err := s.Page(ctx, clock.Now()); err != nil {
 			s.log.Debug("claims not swept", "error", err.Error())
 		} else if removed > 0 {
 			s.log.Info("old claims removed", "rows", removed)
--- a/internal/config/writer.go
+++ b/internal/config/writer.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"time"
 
+	"github.com/croftturn/croftturn/internal/clock"
 	"github.com/croftturn/croftturn/internal/kv"
 	"github.com/croftturn/croftturn/internal/wire"
 	"github.com/gravitational/trace"
@@ -34,7 +35,7 @@
 		return wire.Change{}, err
 	}
 	ch.ID, ch.Author, ch.Statement = id, author, statement
-	ch.At = now.UTC().Format(time.RFC3339Nano)
+	ch.At = clock.Wall(now).UTC().Format(time.RFC3339Nano)
 	if err := txn.finish(ch); err != nil {
 		return wire.Change{}, err
 	}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/croftturn/croftturn/internal/clock"
 	"github.com/croftturn/croftturn/internal/feed"
 	"github.com/croftturn/croftturn/internal/placement"
 )
@@ -161,7 +162,7 @@
 	settled := d.lostAt.IsZero() || now.Sub(d.lostAt) > d.unsettledFor
 	if _, known := d.missing[id]; !settled && !known {
 		d.missing[id] = now.Add(d.unsettledFor)
-		time.AfterFunc(d.unsettledFor, func() { d.Expire(time.Now()) })
+		time.AfterFunc(d.unsettledFor, func() { d.Expire(clock.Now()) })
 	}
 	if settled {
 		d.remove(id, "its entry is gone")
--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/croftturn/croftturn/internal/clock"
 	"github.com/croftturn/croftturn/internal/quarantine"
 )
 
@@ -39,7 +40,7 @@
 // noteEnd records, where an engine broke off, whether it has ended under the request.
 func (w *walk) noteEnd(ctx context.Context, now time.Time, cause error) {
 	if w.engineEnded(ctx, now, cause) && w.d.quarantine != nil {
-		w.d.quarantine.Ended(time.Now(), w.fingerprint, quarantine.Subject{Team: w.teamName(), Route: w.route.Name}, w.choice.Engine.ID)
+		w.d.quarantine.Ended(clock.Now(), w.fingerprint, quarantine.Subject{Team: w.teamName(), Route: w.route.Name}, w.choice.Engine.ID)
 	}
 }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/croftturn/croftturn/internal/clock"
 	"github.com/croftturn/croftturn/internal/freshness"
 	"github.com/croftturn/croftturn/internal/placement"
 	"github.com/croftturn/croftturn/internal/quarantine"
@@ -56,6 +57,7 @@
 		budget     *retry.Budget
 		lines      lines
 		endings    endings
+		present    present
 		quarantine *quarantine.Quarantine // quarantine is nil where nothing is remembered of requests.
 		sender     Sender
 		observer   Observer
@@ -65,7 +67,7 @@
 
 // New returns a dispatcher without a configuration.
 func New(proof *freshness.Proof, p *placement.Placement, b *retry.Budget, s Sender, o Observer, log *slog.Logger, options ...Option) *Dispatcher {
-	d := &Dispatcher{proof: proof, placement: p, budget: b, sender: s, observer: o, log: log, endings: endings{probes: map[string]*probe{}}}
+	d := &Dispatcher{proof: proof, placement: p, budget: b, sender: s, observer: o, log: log, endings: endings{probes: map[string]*probe{}}, present: present{walks: map[*walk]context.CancelCauseFunc{}}}
 	for _, option := range options {
 		option(d)
 	}
@@ -158,10 +160,13 @@
 		pool: route.Choose(r.ID), avoid: map[string]bool{}, lastEventID: r.LastEventID,
 	}
 	w.fingerprint = fingerprintOf(r, w.teamName())
-	ctx, cancel := context.WithDeadline(ctx, w.deadline)
+	ctx, cancel := context.WithTimeout(ctx, w.deadline.Sub(clock.Now()))
 	defer cancel()
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	defer d.present.add(w, end)()
 	w.run(ctx)
-	w.end(time.Now())
+	w.end(clock.Now())
 }
 
 // patience returns how long a request may take: as long as its caller waits and its
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -105,11 +105,15 @@
 
 // dispatcherAt returns such a dispatcher with a placement to which the engines are added.
 func dispatcherAt(p *placement.Placement, e *engines, retries int, t *routing.Table, slots int, ids ...string) *dispatch.Dispatcher {
+	return dispatcherBy(freshness.New(time.Hour), p, e, retries, t, slots, ids...)
+}
+
+// dispatcherBy returns such a dispatcher whose configuration is proven now.
+func dispatcherBy(proof *freshness.Proof, p *placement.Placement, e *engines, retries int, t *routing.Table, slots int, ids ...string) *dispatch.Dispatcher {
 	now := time.Now()
 	for _, id := range ids {
 		p.Set(placement.Engine{ID: id, Pool: "p", Hall: "hall", Slots: slots})
 	}
-	proof := freshness.New(time.Hour)
 	proof.Renew(now)
 	budget := retry.New(now, retry.Limits{Extra: float64(retries), Window: 10 * time.Second}, func() int { return 1 })
 	d := dispatch.New(proof, p, budget, e, noMetrics{}, slog.New(slog.NewTextHandler(io.Discard, nil)))
--- a/internal/dispatch/ended.go
+++ b/internal/dispatch/ended.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/croftturn/croftturn/internal/clock"
 )
 
 const (
@@ -65,7 +67,7 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeWait)
 	defer cancel()
 	p.ended = e.prober.Ended(ctx, address)
-	p.took = time.Since(now)
+	p.took = clock.Since(now)
 	close(p.done)
 	return p
 }
--- a/internal/dispatch/line.go
+++ b/internal/dispatch/line.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/croftturn/croftturn/internal/admission"
+	"github.com/croftturn/croftturn/internal/clock"
 	"github.com/croftturn/croftturn/internal/pause"
 	"github.com/croftturn/croftturn/internal/placement"
 )
@@ -177,7 +178,7 @@
 	}
 	limit := l.limit(w.tier(), w.route.Target)
 	placed := w.mayBegin(w.choice) && l.empty(w.tier()) || w.wait(ctx, now, l, limit, request)
-	now = time.Now()
+	now = clock.Now()
 	if w.callerLeft(ctx) {
 		return &Refusal{Reason: CallerLeft} // It lacked no place: it may have left before one got free.
 	}
@@ -211,14 +212,14 @@
 		return false
 	}
 	placed = w.hold(ctx, now, l, place, limit, request)
-	l.leave(time.Now(), place, placed)
-	w.held = time.Since(now)
+	l.leave(clock.Now(), place, placed)
+	w.held = clock.Since(now)
 	return placed
 }
 
 // hold looks for a place until a limit, while the request is the first of its line.
 func (w *walk) hold(ctx context.Context, begin time.Time, l *line, place *waiter, limit time.Duration, request placement.Request) bool {
-	for now := begin; now.Sub(begin) < limit && ctx.Err() == nil; now = time.Now() {
+	for now := begin; now.Sub(begin) < limit && ctx.Err() == nil; now = clock.Now() {
 		if l.first(place) {
 			request.NeedRoom = now.Sub(begin) > preferredWait
 			choice, ok := w.d.placement.Choose(now, request)
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"github.com/croftturn/croftturn/internal/clock"
 	"github.com/croftturn/croftturn/internal/placement"
 	"github.com/croftturn/croftturn/internal/routing"
 	"github.com/croftturn/croftturn/internal/sse"
@@ -31,7 +32,7 @@
 
 // answered decides what follows on an engine's answer.
 func (w *walk) answered(ctx context.Context, cancel context.CancelCauseFunc, resp *Response) (again bool) {
-	now := time.Now()
+	now := clock.Now()
 	w.noteHead(now, resp)
 	switch {
 	case resp.Replaced:
@@ -91,7 +92,7 @@
 func (w *walk) relayPlain(ctx context.Context, resp *Response) (again bool) {
 	head := make([]byte, 0, copyBytes)
 	whole, err := readUpTo(resp.Body, &head, wholeBytes)
-	now := time.Now()
+	now := clock.Now()
 	if err != nil {
 		return w.failedMidway(ctx, err)
 	}
@@ -152,7 +153,7 @@
 	buf := make([]byte, copyBytes)
 	for {
 		n, err := resp.Body.Read(buf)
-		now := time.Now()
+		now := clock.Now()
 		if n > 0 {
 			w.hear(now)
 			if werr := w.answer.Write(buf[:n]); werr != nil {
@@ -182,7 +183,7 @@
 	events := sse.NewReader(resp.Body)
 	for {
 		event, err := events.Next()
-		now := time.Now()
+		now := clock.Now()
 		if errors.Is(err, io.EOF) {
 			w.begin(resp)
 			w.finish(now)
@@ -208,7 +209,7 @@
 // stream may go on elsewhere. It returns its timer, and what is to be called with each event.
 func (w *walk) watchEvents(cancel context.CancelCauseFunc) (stall *time.Timer, heard func()) {
 	if w.sent >= w.route.MaxEngines {
-		return time.NewTimer(time.Until(w.deadline)), func() {}
+		return time.NewTimer(clock.Until(w.deadline)), func() {}
 	}
 	stall = time.AfterFunc(stalled, w.leaveSlow(cancel))
 	return stall, func() { stall.Reset(stalled) }
@@ -216,7 +217,7 @@
 
 // failedMidway decides what follows where an engine broke off within its answer.
 func (w *walk) failedMidway(ctx context.Context, err error) (again bool) {
-	now := time.Now()
+	now := clock.Now()
 	if w.callerLeft(ctx) {
 		w.callerGone(now)
 		return false
--- a/internal/dispatch/resend.go
+++ b/internal/dispatch/resend.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"time"
+
+	"github.com/croftturn/croftturn/internal/clock"
 )
 
 const (
@@ -31,7 +33,7 @@
 // another engine may be tried.
 func (w *walk) watchFirst(cancel context.CancelCauseFunc) *time.Timer {
 	if !w.mayRepeat() || w.route.Target <= 0 {
-		return time.NewTimer(time.Until(w.deadline))
+		return time.NewTimer(clock.Until(w.deadline))
 	}
 	return time.AfterFunc(firstPatience*w.route.Target, w.leaveSlow(cancel))
 }
@@ -41,7 +43,7 @@
 func (w *walk) leaveSlow(cancel context.CancelCauseFunc) func() {
 	engine, sent := w.choice.Engine.ID, w.sent
 	return func() {
-		if w.takeRetry(time.Now(), engine, sent, errSlow) {
+		if w.takeRetry(clock.Now(), engine, sent, errSlow) {
 			w.reserved.Store(true)
 			cancel(errSlow)
 		}
@@ -54,13 +56,13 @@
 	call := w.call
 	end := func() { cancel(errRestarted) }
 	call.OnLost(func() {
-		quiet := call.Quiet(time.Now())
+		quiet := call.Quiet(clock.Now())
 		if quiet >= restartQuiet {
 			end()
 			return
 		}
 		time.AfterFunc(restartQuiet-quiet, func() {
-			if call.Quiet(time.Now()) >= restartQuiet {
+			if call.Quiet(clock.Now()) >= restartQuiet {
 				end()
 			}
 		})
--- a/internal/dispatch/start.go
+++ b/internal/dispatch/start.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/croftturn/croftturn/internal/clock"
 	"github.com/croftturn/croftturn/internal/pause"
 )
 
@@ -26,7 +27,7 @@
 	if r.Patience > 0 {
 		limit = min(limit, time.Duration(startShare*float64(r.Patience)))
 	}
-	for now := arrived; !d.hasStarted(now) && d.Ready(now) != Stopping && now.Sub(arrived) < limit && ctx.Err() == nil; now = time.Now() {
+	for now := arrived; !d.hasStarted(now) && d.Ready(now) != Stopping && now.Sub(arrived) < limit && ctx.Err() == nil; now = clock.Now() {
 		pause.For(ctx, startPoll)
 	}
 }
--- a/internal/dispatch/walk.go
+++ b/internal/dispatch/walk.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/croftturn/croftturn/internal/admission"
+	"github.com/croftturn/croftturn/internal/clock"
 	"github.com/croftturn/croftturn/internal/placement"
 	"github.com/croftturn/croftturn/internal/quarantine"
 	"github.com/croftturn/croftturn/internal/routing"
@@ -64,13 +65,16 @@
 
 // attempt sends the request to one engine and reports whether another should be tried.
 func (w *walk) attempt(ctx context.Context) (again bool) {
-	now := time.Now()
+	now, returns := clock.Now(), w.d.present.returns.Load()
 	request := w.placementRequest()
 	if refusal := w.choose(ctx, now, request); refusal != nil {
 		w.refuse(*refusal)
 		return false
 	}
-	now = time.Now()
+	now = clock.Now()
+	if w.d.present.returns.Load() != returns {
+		return true // What was decided before an absence is decided again.
+	}
 	if refusal := w.admitted(now); refusal != nil { // It may have waited for a place meanwhile.
 		w.refuse(*refusal)
 		return false
@@ -101,7 +105,7 @@
 	if refusal := w.awaitPlace(ctx, now, request); refusal != nil {
 		return refusal
 	}
-	now, choice = time.Now(), w.choice
+	now, choice = clock.Now(), w.choice
 	if comeBack, ok := w.admit(now, choice); !ok {
 		return &Refusal{Reason: Busy, ComeBack: comeBack}
 	}
@@ -206,7 +210,7 @@
 
 // failed decides what follows where an engine gave no answer.
 func (w *walk) failed(ctx context.Context, err error) (again bool) {
-	now := time.Now()
+	now := clock.Now()
 	if w.callerLeft(ctx) {
 		w.callerGone(now)
 		return false
--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -3,13 +3,14 @@
 import (
 	"time"
 
+	"github.com/croftturn/croftturn/internal/clock"
 	"github.com/croftturn/croftturn/internal/feed"
 	"github.com/croftturn/croftturn/platform"
 )
 
 // takeConfig puts a changed configuration in force; it is a feed.Consumer.
 func (e *Edge) takeConfig(_ time.Time, rows []feed.Row) {
-	begin := time.Now()
+	begin := clock.Now()
 	table, err := platform.Config(rows)
 	if err != nil {
 		e.configsRefused.Add(1)
@@ -21,5 +22,5 @@
 	}
 	before := e.dispatcher.Version()
 	taken := e.dispatcher.SetTable(table)
-	e.log.Info("configuration", "version", table.Version, "before", before, "taken", taken, "ms", time.Since(begin).Milliseconds())
+	e.log.Info("configuration", "version", table.Version, "before", before, "taken", taken, "ms", clock.Since(begin).Milliseconds())
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -17,6 +17,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/croftturn/croftturn/internal/clock"
 	"github.com/croftturn/croftturn/internal/discovery"
 	"github.com/croftturn/croftturn/internal/dispatch"
 	"github.com/croftturn/croftturn/internal/feed"
@@ -108,6 +109,10 @@
 
 	configsRefused atomic.Int64 // configsRefused counts configurations that could not be understood.
 
+	absences  atomic.Int64       // absences counts how often this process was away.
+	back      chan time.Duration // back tells of each absence once it is over, and how long it was.
+	stopClock func()             // stopClock ends the hook of the clock.
+
 	wakeConfig, wakeEngines chan struct{} // These tell the readers that this node should read.
 
 	servers []*http.Server
@@ -125,7 +130,7 @@
 func Start(ctx context.Context, s *settings.Settings, out io.Writer) (*Edge, error) {
 	debug.SetGCPercent(gcPercent)
 	setMemoryLimit(s)
-	e := &Edge{settings: s, lines: logline.New(out), startedAt: time.Now(), wakeConfig: make(chan struct{}, 1), wakeEngines: make(chan struct{}, 1)}
+	e := &Edge{settings: s, lines: logline.New(out), startedAt: clock.Now(), wakeConfig: make(chan struct{}, 1), wakeEngines: make(chan struct{}, 1), back: make(chan time.Duration, 1), stopClock: func() {}}
 	tele, err := telemetry.New(ctx, s, e.lines)
 	if err != nil {
 		return nil, errors.Join(fmt.Errorf("start telemetry: %w", err), e.lines.Close())
@@ -133,7 +138,7 @@
 	e.tele, e.log = tele, tele.Log
 	log.SetFlags(0)
 	log.SetOutput(libraryLog{e.log})
-	if err := e.build(time.Now()); err != nil {
+	if err := e.build(clock.Now()); err != nil {
 		return nil, errors.Join(err, tele.Close(), e.lines.Close())
 	}
 	ctx, e.cancel = context.WithCancel(ctx)
@@ -148,7 +153,7 @@
 func (e *Edge) build(now time.Time) error {
 	s := e.settings
 	self := gossip.Self{
-		Name: s.Instance, Incarnation: now.UnixMilli(), PeerAddress: s.PeerAddress, CallerAddress: s.CallerAddress, Hall: s.Hall,
+		Name: s.Instance, Incarnation: clock.Wall(now).UnixMilli(), PeerAddress: s.PeerAddress, CallerAddress: s.CallerAddress, Hall: s.Hall,
 		Cores: cores(s),
 	}
 	var err error
@@ -203,6 +208,8 @@
 	}
 	config := &feed.Reader{Table: e.config, Source: e.store, Wait: configWait, Wanted: e.reads, Proven: e.proven, Lost: e.lost, Wake: e.wakeConfig, Log: e.log}
 	engines := &feed.Reader{Table: e.engines, Source: e.store, Wait: share(enginesWaitShare, s.EngineDrainMs), Wanted: e.reads, Proven: e.answered, Lost: e.lost, Wake: e.wakeEngines, Log: e.log}
+	e.stopClock = clock.OnAway(e.returned)
+	e.start(func() { e.makeUp(ctx) })
 	e.start(e.peers.Serve)
 	e.start(func() { e.gossip.Run(ctx, e) })
 	e.start(func() { config.Run(ctx) })
@@ -254,10 +261,10 @@
 // Close stops the node as planned: entry points stop naming it at once, it goes
 // on serving callers that still come, and ends when none do any more.
 func (e *Edge) Close() error {
-	begin := time.Now()
+	begin := clock.Now()
 	end := begin.Add(ms(e.settings.StopGraceMs) - stopMargin)
 	e.dispatcher.StopBy(end)
-	e.log.Info("node stops", "active", e.dispatcher.Active(), "within_ms", time.Until(end).Milliseconds())
+	e.log.Info("node stops", "active", e.dispatcher.Active(), "within_ms", clock.Until(end).Milliseconds())
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	if err := e.register.Leave(ctx); err != nil {
 		e.log.Warn("node stays in the register", "error", err.Error())
@@ -271,7 +278,7 @@
 			break
 		}
 	}
-	e.log.Info("node stopped", "active", e.dispatcher.Active(), "after_ms", time.Since(begin).Milliseconds())
+	e.log.Info("node stopped", "active", e.dispatcher.Active(), "after_ms", clock.Since(begin).Milliseconds())
 	return e.stop()
 }
 
@@ -281,6 +288,7 @@
 	for _, s := range e.servers {
 		errs = append(errs, s.Close())
 	}
+	e.stopClock()
 	e.cancel()
 	errs = append(errs, e.follower.Close(), e.peers.Close())
 	e.calls.Close()
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -311,3 +311,24 @@
 		}
 	}
 }
+
+// TestANodeThatWasAwayProvesItsConfigurationFirst holds that a node does not take callers after an absence until it has read
+// anew from the store, that it does so at once, and that what a peer proved before the absence does not count.
+func TestANodeThatWasAwayProvesItsConfigurationFirst(t *testing.T) {
+	e := heardFrom(t, nil)
+	waitFor(t, func() bool { return e.Ready(time.Now()) }, "not ready")
+	back := time.Now()
+	e.returned(back, leastAbsence/2)
+	if !e.Ready(back) {
+		t.Error("not ready after a pause that is no absence")
+	}
+	e.returned(back.Add(time.Second), 3*time.Second)
+	e.Heard(back, gossip.Self{Name: "p"}, gossip.Said{ConfigVersion: 3, ProofAgeMs: 0, LostAgeMs: -1}, back.Add(900*time.Millisecond))
+	if e.Ready(back.Add(time.Second)) || e.absences.Load() != 1 {
+		t.Errorf("ready after an absence without a proof; %d absences", e.absences.Load())
+	}
+	waitFor(t, func() bool { return e.Ready(time.Now()) }, "not ready after an absence")
+	if took := time.Since(back); took < time.Second || took > configWait {
+		t.Errorf("ready %v after, want soon after the end of the absence, a second later", took)
+	}
+}
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -9,6 +9,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
 
+	"github.com/croftturn/croftturn/internal/clock"
 	"github.com/croftturn/croftturn/internal/telemetry"
 )
 
@@ -36,9 +37,10 @@
 		telemetry.Observed{Name: "croftturn.edge.engine_connections_opened", Help: "connections opened to engines", Read: func() int64 { return e.egress.Opened() }},
 		telemetry.Observed{Name: "croftturn.edge.log_lines_dropped", Help: "log lines dropped", Read: func() int64 { return e.lines.Dropped() }},
 		telemetry.Observed{Name: "croftturn.edge.nodes", Help: "nodes alive", Read: func() int64 { return int64(e.gossip.Nodes()) }},
-		telemetry.Observed{Name: "croftturn.edge.config_age_ms", Help: "age of the proof that the configuration is the newest", Read: func() int64 { return e.proof.AgeMs(time.Now()) }},
+		telemetry.Observed{Name: "croftturn.edge.config_age_ms", Help: "age of the proof that the configuration is the newest", Read: func() int64 { return e.proof.AgeMs(clock.Now()) }},
 		telemetry.Observed{Name: "croftturn.edge.entries_refused", Help: "changes of engines' entries that could not be understood", Read: func() int64 { return e.discovery.Refused() }},
 		telemetry.Observed{Name: "croftturn.edge.configs_refused", Help: "configurations that could not be understood", Read: func() int64 { return e.configsRefused.Load() }},
+		telemetry.Observed{Name: "croftturn.edge.absences", Help: "times that this process was away, as by a suspended machine", Read: func() int64 { return e.absences.Load() }},
 		telemetry.Observed{Name: "croftturn.edge.requests_held", Help: "requests that get no engine, since engines ended under them", Read: func() int64 { return e.quarantine.Len() }},
 		telemetry.Observed{Name: "croftturn.edge.tables_given", Help: "tables given to peers", Read: func() int64 { return e.follower.Pulls().Given }},
 		telemetry.Observed{Name: "croftturn.edge.tables_taken", Help: "tables taken from peers", Read: func() int64 { return e.follower.Pulls().Taken }},
--- a/internal/edge/reading.go
+++ b/internal/edge/reading.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/croftturn/croftturn/internal/clock"
 	"github.com/croftturn/croftturn/internal/pause"
 )
 
@@ -101,10 +102,10 @@
 // awaitRegister waits, after the store's first answer, until this node knows the others: a
 // spoke does not read the engines, but takes them from its hubs.
 func (e *Edge) awaitRegister(ctx context.Context) {
-	for ctx.Err() == nil && !e.register.Read() && time.Since(e.startedAt) <= probeAlone {
+	for ctx.Err() == nil && !e.register.Read() && clock.Since(e.startedAt) <= probeAlone {
 		pause.For(ctx, probePoll)
 	}
-	e.gossip.Settle(time.Now())
+	e.gossip.Settle(clock.Now())
 }
 
 // awaitAnswer waits until the store has answered since the start, or has not for so
@@ -112,7 +113,7 @@
 // nothing is held back: the register is read first there.
 func (e *Edge) awaitAnswer(ctx context.Context) {
 	for ctx.Err() == nil {
-		now := time.Now()
+		now := clock.Now()
 		_, proven := e.proof.Age(now)
 		if proven || e.settings.FirstStart || now.Sub(e.startedAt) > probeAlone {
 			return
--- a/internal/engine/order.go
+++ b/internal/engine/order.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"github.com/croftturn/croftturn/internal/clock"
 	"github.com/croftturn/croftturn/internal/order"
 )
 
@@ -21,7 +22,7 @@
 	if err != nil {
 		return fmt.Errorf("encode order: %w", err)
 	}
-	ctx, cancel := context.WithDeadline(ctx, deadline)
+	ctx, cancel := context.WithTimeout(ctx, clock.Until(deadline))
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/orders", bytes.NewReader(body))
 	if err != nil {
--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/croftturn/croftturn/internal/clock"
 	"github.com/croftturn/croftturn/internal/pause"
 )
 
@@ -158,7 +159,7 @@
 	if !ok {
 		return false
 	}
-	begin := time.Now()
+	begin := clock.Now()
 	err := f.ask(address, t, begin)
 	var busy *busyError
 	switch {
@@ -167,7 +168,7 @@
 		pause.Spread(f.ctx, busyPause)
 	case err != nil && f.ctx.Err() == nil:
 		f.failed.Add(1)
-		f.log.Warn("table not taken from peer", "table", t.Name(), "peer_address", address, "ms", time.Since(begin).Milliseconds(), "error", err.Error())
+		f.log.Warn("table not taken from peer", "table", t.Name(), "peer_address", address, "ms", clock.Since(begin).Milliseconds(), "error", err.Error())
 	}
 	return true
 }
@@ -219,7 +220,7 @@
 	if err != nil {
 		return fmt.Errorf("take table: %w", err)
 	}
-	now := time.Now()
+	now := clock.Now()
 	f.took(t, address, reply.Rows, now.Sub(begin))
 	if reply.Whole {
 		t.replace(now, rows, reply.Last)
--- a/internal/feed/reader.go
+++ b/internal/feed/reader.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"time"
 
+	"github.com/croftturn/croftturn/internal/clock"
 	"github.com/croftturn/croftturn/internal/pause"
 )
 
@@ -49,7 +50,7 @@
 func (r *Reader) Run(ctx context.Context) {
 	var backoff pause.Backoff
 	for ctx.Err() == nil {
-		if !r.wanted(time.Now()) {
+		if !r.wanted(clock.Now()) {
 			r.rest(ctx)
 			continue
 		}
@@ -61,7 +62,7 @@
 			r.Log.Warn("history of the table is gone; reading it anew", "table", r.Table.Name(), "version", r.version)
 			r.known = false
 		case err != nil:
-			r.failed(time.Now(), err)
+			r.failed(clock.Now(), err)
 			backoff.Wait(ctx)
 		default:
 			backoff.Reset()
@@ -69,6 +70,9 @@
 	}
 }
 
+// Read reads once what has changed.
+func (r *Reader) Read(ctx context.Context) error { return r.once(ctx) }
+
 // rest pauses until it may be time to read.
 func (r *Reader) rest(ctx context.Context) {
 	timer := time.NewTimer(idlePoll)
@@ -101,7 +105,7 @@
 		if err != nil {
 			return err
 		}
-		r.Table.Replace(time.Now(), snap)
+		r.Table.Replace(clock.Now(), snap)
 		r.took(snap)
 		return nil
 	}
@@ -109,7 +113,7 @@
 	if err != nil {
 		return err
 	}
-	r.Table.Change(time.Now(), snap.Rows)
+	r.Table.Change(clock.Now(), snap.Rows)
 	r.took(snap)
 	if len(snap.Rows) > 0 {
 		pause.For(ctx, gather)
--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -14,6 +14,7 @@
 	maxAge time.Duration
 	at     time.Time
 	proven bool
+	from   time.Time // from is the moment before which no proof counts.
 }
 
 // New returns a proof that holds for maxAge once it is given.
@@ -31,11 +32,18 @@
 func (p *Proof) Renew(at time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.proven || at.After(p.at) {
+	if !at.Before(p.from) && (!p.proven || at.After(p.at)) {
 		p.at, p.proven = at, true
 	}
 }
 
+// Forget drops the proof, and counts none of before a moment: that at which the process was back from an absence.
+func (p *Proof) Forget(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.proven, p.from = false, now
+}
+
 // Age returns the age of the newest proof, and whether there is one.
 func (p *Proof) Age(now time.Time) (time.Duration, bool) {
 	p.mu.Lock()
--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/croftturn/croftturn/internal/clock"
 	"github.com/croftturn/croftturn/internal/config"
 	"github.com/croftturn/croftturn/internal/header"
 	"github.com/croftturn/croftturn/internal/sched"
@@ -70,7 +71,7 @@
 	if failure != nil {
 		return nil, failure
 	}
-	c := &call{id: newID(), team: team, arrived: time.Now(), request: r}
+	c := &call{id: newID(), team: team, arrived: clock.Now(), request: r}
 	name := r.Header.Get(HeaderClass)
 	if name == "" {
 		name = team.DefaultClass
--- a/internal/front/chat.go
+++ b/internal/front/chat.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/croftturn/croftturn/internal/broker"
+	"github.com/croftturn/croftturn/internal/clock"
 	"github.com/croftturn/croftturn/internal/engine"
 	"github.com/croftturn/croftturn/internal/sched"
 	"github.com/croftturn/croftturn/internal/telemetry"
@@ -82,7 +83,7 @@
 	if err != nil {
 		return res, fmt.Errorf("build engine request: %w", err)
 	}
-	started := time.Now()
+	started := clock.Now()
 	stream, err := x.f.engines.Start(ctx, g.Engine.Address, x.header(ctx), body)
 	if err != nil {
 		res.Status = statusOf(ctx, err)
@@ -91,7 +92,7 @@
 	defer stream.Close()
 	had := x.tokens
 	err = x.relay(ctx, w, stream)
-	res.OutputTokens, res.Duration = x.tokens-had, time.Since(started)
+	res.OutputTokens, res.Duration = x.tokens-had, clock.Since(started)
 	if !x.first.IsZero() && x.first.After(started) {
 		res.FirstToken = x.first.Sub(started)
 	}
@@ -221,7 +222,7 @@
 		return
 	}
 	if x.first.IsZero() {
-		x.first = time.Now()
+		x.first = clock.Now()
 		x.f.tele.FirstToken.Record(ctx, x.first.Sub(x.c.arrived).Seconds())
 	}
 	x.tokens++
@@ -295,7 +296,7 @@
 		Choices []choice     `json:"choices"`
 		Usage   engine.Usage `json:"usage"`
 	}{
-		"chatcmpl-" + x.c.id, "chat.completion", x.c.arrived.Unix(), x.c.model,
+		"chatcmpl-" + x.c.id, "chat.completion", clock.Wall(x.c.arrived).Unix(), x.c.model,
 		[]choice{{Message: message{"assistant", x.content.String()}, FinishReason: x.finish}}, usage,
 	}
 }
--- a/internal/front/completions.go
+++ b/internal/front/completions.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"github.com/croftturn/croftturn/internal/clock"
 	"github.com/croftturn/croftturn/internal/dispatch"
 	"github.com/croftturn/croftturn/internal/header"
 	"github.com/croftturn/croftturn/internal/reply"
@@ -54,7 +55,7 @@
 
 // ServeHTTP serves one completion.
 func (c *Completions) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	arrived := time.Now()
+	arrived := clock.Now()
 	a := &completionAnswer{Writer: reply.New(w, c.limits.WriteTimeout), w: w, id: newID(), log: c.log}
 	req, failure := completionHead(r, a.id)
 	if failure != nil {
@@ -62,10 +63,10 @@
 		return
 	}
 	c.dispatcher.AwaitStart(r.Context(), arrived, req)
-	route, team, refusal := c.dispatcher.Check(time.Now(), req)
+	route, team, refusal := c.dispatcher.Check(clock.Now(), req)
 	if refusal != nil {
 		w.Header().Set("Connection", "close") // Else the server reads the body before it sends the refusal.
-		c.dispatcher.Refused(time.Now(), req, refusal)
+		c.dispatcher.Refused(clock.Now(), req, refusal)
 		a.Refuse(*refusal)
 		return
 	}
@@ -79,7 +80,7 @@
 
 // badRequest refuses a completion that can't be understood.
 func (c *Completions) badRequest(a *completionAnswer, req *dispatch.Request, failure *CallerError) {
-	c.dispatcher.Refused(time.Now(), req, &dispatch.Refusal{Reason: dispatch.BadRequest})
+	c.dispatcher.Refused(clock.Now(), req, &dispatch.Refusal{Reason: dispatch.BadRequest})
 	a.fail(failure)
 }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -11,6 +11,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/croftturn/croftturn/internal/claim"
+	"github.com/croftturn/croftturn/internal/clock"
 	"github.com/croftturn/croftturn/internal/config"
 	"github.com/croftturn/croftturn/internal/engine"
 	"github.com/croftturn/croftturn/internal/journal"
@@ -114,7 +115,7 @@
 
 // ServeHTTP serves one request of a caller.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if !f.awaitConfig(r.Context(), time.Now()) {
+	if !f.awaitConfig(r.Context(), clock.Now()) {
 		f.fail(w, "", &CallerError{Status: http.StatusServiceUnavailable, Code: "not_ready", Message: "this node has no configuration yet", RetryAfter: time.Second})
 		return
 	}
--- a/internal/front/once.go
+++ b/internal/front/once.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/croftturn/croftturn/internal/claim"
+	"github.com/croftturn/croftturn/internal/clock"
 	"github.com/croftturn/croftturn/internal/journal"
 	"github.com/croftturn/croftturn/internal/wire"
 )
@@ -91,10 +92,10 @@
 // runOnce runs a call whose key must run at most once in the whole system. A
 // key that was seen before gets the first run's outcome, or unknown.
 func (f *Front) runOnce(ctx context.Context, w http.ResponseWriter, c *call, x exchange) ending {
-	run, first := f.registry.Begin(time.Now(), c.keyInSystem(), c.id)
+	run, first := f.registry.Begin(clock.Now(), c.keyInSystem(), c.id)
 	if !first {
 		<-run.Done()
-		f.journal.Note(time.Now(), c.id, "", "", "the same key runs or ran here as "+run.Attempt)
+		f.journal.Note(clock.Now(), c.id, "", "", "the same key runs or ran here as "+run.Attempt)
 		return f.replayed(w, c, f.registry.Outcome(run))
 	}
 	rec := &recorder{ResponseWriter: w}
@@ -121,12 +122,12 @@
 // sending of it that comes late, by way of another node, must not run after the
 // caller was told not_run.
 func (f *Front) runTicket(ctx context.Context, rec *recorder, c *call, x exchange, run *claim.Run) ending {
-	if err := f.issuer.Check(time.Now(), c.key, c.team.Name); err != nil {
+	if err := f.issuer.Check(clock.Now(), c.key, c.team.Name); err != nil {
 		e := &CallerError{Status: http.StatusBadRequest, Code: "bad_ticket", Message: "the ticket is not valid for this team"}
 		if errors.Is(err, claim.ErrExpiredTicket) {
 			e = unknown("the ticket has expired")
 		}
-		f.registry.Abandon(time.Now(), run, wire.Outcome{State: wire.OutcomeStateUnknown, Reason: e.Message})
+		f.registry.Abandon(clock.Now(), run, wire.Outcome{State: wire.OutcomeStateUnknown, Reason: e.Message})
 		return ending{state: journal.Refused, failure: e}
 	}
 	end := f.run(ctx, rec, c, x, nil)
@@ -134,7 +135,7 @@
 	if end.state == journal.Refused {
 		outcome = notRun(end.failure)
 	}
-	f.registry.Finish(time.Now(), run, outcome)
+	f.registry.Finish(clock.Now(), run, outcome)
 	return end
 }
 
@@ -145,20 +146,20 @@
 		return f.notMine(ctx, rec, c, run, err)
 	}
 	end := f.run(ctx, rec, c, x, func(ctx context.Context) error {
-		f.journal.Note(time.Now(), c.id, "", "", "claiming its key")
-		return attempt.Claim(ctx, time.Now())
+		f.journal.Note(clock.Now(), c.id, "", "", "claiming its key")
+		return attempt.Claim(ctx, clock.Now())
 	})
 	if end.gateErr != nil {
 		return f.notMine(ctx, rec, c, run, end.gateErr)
 	}
 	if end.state != journal.Refused {
-		f.registry.Finish(time.Now(), run, rec.outcome(end))
+		f.registry.Finish(clock.Now(), run, rec.outcome(end))
 		return end
 	}
-	if err := attempt.Void(ctx, time.Now()); err != nil {
+	if err := attempt.Void(ctx, clock.Now()); err != nil {
 		return f.notMine(ctx, rec, c, run, err)
 	}
-	f.registry.Abandon(time.Now(), run, notRun(end.failure))
+	f.registry.Abandon(clock.Now(), run, notRun(end.failure))
 	return end
 }
 
@@ -169,15 +170,15 @@
 	if !errors.As(err, &taken) {
 		e := unknown("the platform could not be asked whether an earlier sending ran; this one did not")
 		e.Status, e.Code, e.RetryAfter = http.StatusServiceUnavailable, "claim_unsettled", unsettledRetryAfter
-		f.registry.Abandon(time.Now(), run, wire.Outcome{State: wire.OutcomeStateUnknown, Reason: e.Message})
+		f.registry.Abandon(clock.Now(), run, wire.Outcome{State: wire.OutcomeStateUnknown, Reason: e.Message})
 		return ending{state: journal.Unknown, failure: e}
 	}
-	f.journal.Note(time.Now(), c.id, "", "", err.Error())
+	f.journal.Note(clock.Now(), c.id, "", "", err.Error())
 	o := wire.Outcome{State: wire.OutcomeStateNotRun, Reason: "superseded"}
 	if !taken.Void() {
 		o = f.askHolder(ctx, c.keyInSystem(), taken.Record)
 	}
-	f.registry.Abandon(time.Now(), run, o)
+	f.registry.Abandon(clock.Now(), run, o)
 	return f.replayed(rec, c, o)
 }
 
--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -11,6 +11,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/croftturn/croftturn/internal/broker"
+	"github.com/croftturn/croftturn/internal/clock"
 	"github.com/croftturn/croftturn/internal/engine"
 	"github.com/croftturn/croftturn/internal/journal"
 	"github.com/croftturn/croftturn/internal/pause"
@@ -94,11 +95,11 @@
 	if end.failure != nil {
 		reason = end.failure.Code
 	}
-	f.journal.End(time.Now(), c.id, end.state, reason)
+	f.journal.End(clock.Now(), c.id, end.state, reason)
 	f.tele.Requests.Add(context.Background(), 1, metric.WithAttributes(
 		attribute.String("class", c.class.Name), attribute.String("state", end.state)))
 	f.tele.Log.Info("request ended", "request", c.id, "class", c.class.Name, "team", c.team.Name, "pool", c.pool.Name,
-		"state", end.state, "reason", reason, "ms", time.Since(c.arrived).Milliseconds())
+		"state", end.state, "reason", reason, "ms", clock.Since(c.arrived).Milliseconds())
 	switch {
 	case end.failure == nil:
 	case x.begun():
@@ -120,7 +121,7 @@
 		if err != nil {
 			return f.noPlace(ctx, err).after(started)
 		}
-		f.journal.Note(time.Now(), c.id, journal.Running, g.Engine.Name, g.Why)
+		f.journal.Note(clock.Now(), c.id, journal.Running, g.Engine.Name, g.Why)
 		if pass != nil {
 			if err := pass(ctx); err != nil {
 				scheduler.Release(want, g, sched.Result{Status: broker.StatusCancelled})
@@ -133,7 +134,7 @@
 		if err == nil {
 			return ending{state: journal.Completed}
 		}
-		f.journal.Note(time.Now(), c.id, "", "", "engine "+g.Engine.Name+": "+err.Error())
+		f.journal.Note(clock.Now(), c.id, "", "", "engine "+g.Engine.Name+": "+err.Error())
 		if end, over := f.afterFailure(c, x, err, try); over {
 			return end.after(started)
 		}
--- a/internal/front/service.go
+++ b/internal/front/service.go
@@ -7,9 +7,9 @@
 	"io"
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/croftturn/croftturn/internal/broker"
+	"github.com/croftturn/croftturn/internal/clock"
 	"github.com/croftturn/croftturn/internal/engine"
 	"github.com/croftturn/croftturn/internal/header"
 	"github.com/croftturn/croftturn/internal/sched"
@@ -39,7 +39,7 @@
 
 // send makes the call at one backend server and passes its answer on.
 func (x *plain) send(ctx context.Context, w http.ResponseWriter, g sched.Grant) (sched.Result, error) {
-	started := time.Now()
+	started := clock.Now()
 	h := header.EndToEnd(x.c.request.Header)
 	h.Del("Authorization") // The team's token is between the caller and the router.
 	h.Set(engine.HeaderRequestID, x.c.id)
@@ -51,7 +51,7 @@
 	if err == nil {
 		err = x.pass(w, resp)
 	}
-	res := sched.Result{Status: statusOf(ctx, err), Duration: time.Since(started)}
+	res := sched.Result{Status: statusOf(ctx, err), Duration: clock.Since(started)}
 	if res.Status == broker.StatusOK {
 		res.OutputTokens = 1
 	}
--- a/internal/front/start.go
+++ b/internal/front/start.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/croftturn/croftturn/internal/clock"
 	"github.com/croftturn/croftturn/internal/pause"
 )
 
@@ -19,7 +20,7 @@
 
 // awaitConfig waits for the node's first configuration, and reports whether it has one.
 func (f *Front) awaitConfig(ctx context.Context, arrived time.Time) bool {
-	for now := arrived; f.views.View() == nil && now.Sub(arrived) < startWait && ctx.Err() == nil; now = time.Now() {
+	for now := arrived; f.views.View() == nil && now.Sub(arrived) < startWait && ctx.Err() == nil; now = clock.Now() {
 		pause.For(ctx, startPoll)
 	}
 	return f.views.View() != nil
--- a/internal/front/ticket.go
+++ b/internal/front/ticket.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/croftturn/croftturn/internal/claim"
+	"github.com/croftturn/croftturn/internal/clock"
 	"github.com/croftturn/croftturn/internal/telemetry"
 	"github.com/croftturn/croftturn/internal/wire"
 )
@@ -49,7 +50,7 @@
 	}
 	f.writeJSON(w, struct {
 		Ticket string `json:"ticket"`
-	}{f.issuer.Issue(time.Now(), team.Name)})
+	}{f.issuer.Issue(clock.Now(), team.Name)})
 }
 
 // forwarded hands a call whose ticket another process issued to that process,
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/croftturn/croftturn/internal/clock"
 	"github.com/croftturn/croftturn/internal/placement"
 )
 
@@ -159,7 +160,7 @@
 }
 
 // Nodes returns how many nodes are alive, this one among them.
-func (g *Gossip) Nodes() int { return len(g.Peers(time.Now())) + 1 }
+func (g *Gossip) Nodes() int { return len(g.Peers(clock.Now())) + 1 }
 
 // Run sends and receives for a node until the context ends.
 func (g *Gossip) Run(ctx context.Context, node Node) {
--- a/internal/gossip/receive.go
+++ b/internal/gossip/receive.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+
+	"github.com/croftturn/croftturn/internal/clock"
 )
 
 // maxDatagram is the longest message that is read, in bytes.
@@ -29,7 +31,7 @@
 			g.log.Warn("message from peer not understood", "from", from.String(), "error", err.Error())
 			continue
 		}
-		g.take(time.Now(), m, from)
+		g.take(clock.Now(), m, from)
 	}
 }
 
@@ -76,7 +78,10 @@
 		g.peers[m.Name] = p
 	}
 	if !same {
-		p.due, p.sent = 0, 0 // It knows nothing yet: it is answered in the next turn, with all.
+		p.due = 0 // It knows nothing yet: it is answered in the next turn.
+	}
+	if !same || !g.heardLately(now, p) {
+		p.sent = 0 // It is told all that it has missed.
 	}
 	if same && m.Seq < p.echo {
 		return Self{}, time.Time{}, false // It was overtaken by a newer one.
--- a/internal/gossip/send.go
+++ b/internal/gossip/send.go
@@ -6,6 +6,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/croftturn/croftturn/internal/clock"
 	"github.com/croftturn/croftturn/internal/quarantine"
 )
 
@@ -36,7 +37,7 @@
 
 // send tells the peers of this node.
 func (g *Gossip) send(turn int) {
-	for _, o := range g.compose(time.Now, turn) {
+	for _, o := range g.compose(clock.Now, turn) {
 		g.sendTo(o)
 	}
 }
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/croftturn/croftturn/internal/clock"
 	"github.com/croftturn/croftturn/internal/wire"
 )
 
@@ -128,7 +129,7 @@
 func (e *Entry) row(now time.Time) wire.Row {
 	return wire.Row{
 		Name: e.ID, State: e.State, Class: e.Class, Tier: e.Tier, Team: e.Team, Pool: e.Pool, Engine: e.Engine,
-		Reason: e.Reason, AtMs: int(e.Began.UnixMilli()), AgeMs: int(now.Sub(e.Began).Milliseconds()),
+		Reason: e.Reason, AtMs: int(clock.Wall(e.Began).UnixMilli()), AgeMs: int(now.Sub(e.Began).Milliseconds()),
 	}
 }
 
--- a/internal/member/service.go
+++ b/internal/member/service.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/croftturn/croftturn/internal/clock"
 	"github.com/croftturn/croftturn/internal/wire"
 )
 
@@ -53,7 +54,7 @@
 func NewService(table *Table, caller Caller, versions Versions, newer func(), seeds func(ctx context.Context) []string, log *slog.Logger) *Service {
 	return &Service{
 		table: table, caller: caller, versions: versions, newer: newer, seeds: seeds, log: log,
-		now: time.Now, kick: make(chan struct{}, 1),
+		now: clock.Now, kick: make(chan struct{}, 1),
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,6 +15,7 @@
 	"github.com/croftturn/croftturn/internal/admin"
 	"github.com/croftturn/croftturn/internal/broker"
 	"github.com/croftturn/croftturn/internal/claim"
+	"github.com/croftturn/croftturn/internal/clock"
 	"github.com/croftturn/croftturn/internal/config"
 	"github.com/croftturn/croftturn/internal/engine"
 	"github.com/croftturn/croftturn/internal/front"
@@ -76,7 +77,7 @@
 		return nil, errors.Join(err, tele.Close())
 	}
 	ctx, n.cancel = context.WithCancel(ctx)
-	n.build(time.Now(), listeners[0])
+	n.build(clock.Now(), listeners[0])
 	if err := n.observe(); err != nil {
 		return nil, errors.Join(err, tele.Close())
 	}
@@ -110,7 +111,7 @@
 	n.client = peer.NewClient(n.traffic)
 	n.server = peer.NewServer(peers, n.traffic, log)
 	self := wire.Member{
-		Name: s.Instance, PeerAddress: s.PeerAdvertise, CallerAddress: s.CallerAddress, Hall: s.Hall, Incarnation: int(now.UnixMilli()),
+		Name: s.Instance, PeerAddress: s.PeerAdvertise, CallerAddress: s.CallerAddress, Hall: s.Hall, Incarnation: int(clock.Wall(now).UnixMilli()),
 	}
 	n.table = member.NewTable(now, self, member.Options{Heartbeat: ms(s.HeartbeatMs), Suspect: ms(s.SuspectMs), Observers: s.Observers})
 	n.store = config.NewStore()
@@ -155,7 +156,7 @@
 		return n.keeper.Answer(r.After)
 	}))
 	n.server.Handle(admin.MethodQuery, peer.Typed(func(_ context.Context, q *wire.QueryRequest) (any, error) {
-		return &wire.QueryReply{Rows: n.Rows(time.Now(), q)}, nil
+		return &wire.QueryReply{Rows: n.Rows(clock.Now(), q)}, nil
 	}))
 }
 
@@ -231,7 +232,7 @@
 	s := n.settings
 	close(n.stopping)
 	n.tele.Log.Info("node leaves", "notice_ms", s.LeaveNoticeMs, "drain_ms", s.DrainMs)
-	n.table.Leave(time.Now())
+	n.table.Leave(clock.Now())
 	time.Sleep(ms(s.LeaveNoticeMs))
 	ctx, cancel := context.WithTimeout(context.Background(), ms(s.DrainMs))
 	defer cancel()
--- a/internal/order/order.go
+++ b/internal/order/order.go
@@ -14,6 +14,7 @@
 	"sync"
 	"time"
 
+	"github.com/croftturn/croftturn/internal/clock"
 	"github.com/croftturn/croftturn/internal/config"
 	"github.com/croftturn/croftturn/internal/kv"
 	"github.com/croftturn/croftturn/internal/wire"
@@ -124,7 +125,7 @@
 		s.wg.Add(1)
 		go func() {
 			defer s.wg.Done()
-			err := s.Deliver(ctx, time.Now(), &e)
+			err := s.Deliver(ctx, clock.Now(), &e)
 			s.end(e, err)
 		}()
 	}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/croftturn/croftturn/internal/clock"
 )
 
 var (
@@ -113,12 +115,12 @@
 		return ctx, func() {}
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
-	since := time.Now()
+	since := clock.Now()
 	var timer *time.Timer
 	ready := make(chan struct{}) // It is closed once timer is set.
 	timer = time.AfterFunc(c.silence, func() {
 		<-ready
-		if quiet := conn.quietFor(time.Now(), since); quiet < c.silence {
+		if quiet := conn.quietFor(clock.Now(), since); quiet < c.silence {
 			timer.Reset(c.silence - quiet)
 			return
 		}
@@ -175,7 +177,7 @@
 	refuse := jsonrpc2.HandlerWithError(func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "calls go the other way"}
 	})
-	l.conn = &countingConn{Conn: conn, traffic: c.traffic, opened: time.Now()}
+	l.conn = &countingConn{Conn: conn, traffic: c.traffic, opened: clock.Now()}
 	l.rpc = jsonrpc2.NewConn(c.ctx, stream(l.conn), refuse, jsonrpc2.SetLogger(discard{}))
 	return l.rpc, l.conn, nil
 }
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/croftturn/croftturn/internal/clock"
 )
 
 const (
@@ -41,7 +43,7 @@
 	c.traffic.BytesIn.Add(int64(n))
 	if n > 0 {
 		c.reads.Add(1)
-		c.readAt.Store(int64(time.Since(c.opened)))
+		c.readAt.Store(int64(clock.Since(c.opened)))
 	}
 	return n, err
 }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -8,9 +8,10 @@
 	"log/slog"
 	"net"
 	"sync"
-	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/croftturn/croftturn/internal/clock"
 )
 
 type (
@@ -87,7 +88,7 @@
 	defer s.wg.Done()
 	ctx, cancel := context.WithCancel(s.ctx)
 	defer cancel()
-	rpc := jsonrpc2.NewConn(ctx, stream(&countingConn{Conn: conn, traffic: s.traffic, opened: time.Now()}), jsonrpc2.AsyncHandler(handler{s}),
+	rpc := jsonrpc2.NewConn(ctx, stream(&countingConn{Conn: conn, traffic: s.traffic, opened: clock.Now()}), jsonrpc2.AsyncHandler(handler{s}),
 		jsonrpc2.SetLogger(discard{}))
 	s.mu.Lock()
 	s.conns[rpc] = true
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"github.com/croftturn/croftturn/internal/clock"
 	"github.com/croftturn/croftturn/internal/feed"
 	"github.com/croftturn/croftturn/internal/pause"
 )
@@ -85,7 +86,7 @@
 		k.read = true
 	}
 	for {
-		tx, prints := k.q.pending(time.Now())
+		tx, prints := k.q.pending(clock.Now())
 		if len(prints) == 0 {
 			return nil
 		}
@@ -102,7 +103,7 @@
 	if err != nil {
 		return fmt.Errorf("read held requests: %w", err)
 	}
-	now := time.Now()
+	now := clock.Now()
 	for _, r := range snap.Rows {
 		f, held, err := decode(r)
 		if err != nil {
@@ -133,7 +134,7 @@
 func (q *Quarantine) restore(now time.Time, f Fingerprint, held row) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if now.Sub(time.Unix(held.HeldUnix, 0)) > rowLife {
+	if clock.Wall(now).Sub(time.Unix(held.HeldUnix, 0)) > rowLife {
 		q.keep(f)
 		return
 	}
@@ -169,7 +170,7 @@
 			tx.Delete = append(tx.Delete, feed.Row{Table: table, Key: f.String()})
 			continue
 		}
-		value, err := json.Marshal(row{Team: r.Team, Route: r.Route, Engines: engines(r.ends), HeldUnix: now.Unix()})
+		value, err := json.Marshal(row{Team: r.Team, Route: r.Route, Engines: engines(r.ends), HeldUnix: clock.Wall(now).Unix()})
 		if err != nil {
 			q.log.Error("held request not encoded", "fingerprint", f.String(), "error", err.Error())
 			continue
--- a/internal/register/register.go
+++ b/internal/register/register.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/croftturn/croftturn/internal/clock"
 	"github.com/croftturn/croftturn/internal/feed"
 	"github.com/croftturn/croftturn/internal/gossip"
 	"github.com/croftturn/croftturn/internal/pause"
@@ -111,7 +112,7 @@
 	if err != nil {
 		return feed.Row{}, fmt.Errorf("read register: %w", err)
 	}
-	now := time.Now()
+	now := clock.Now()
 	own = feed.Row{Table: table, Key: r.self.Name}
 	for _, row := range snap.Rows {
 		if row.Key == r.self.Name {
--- a/internal/sched/brokered.go
+++ b/internal/sched/brokered.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/croftturn/croftturn/internal/broker"
+	"github.com/croftturn/croftturn/internal/clock"
 	"github.com/croftturn/croftturn/internal/pause"
 	"github.com/croftturn/croftturn/internal/telemetry"
 	"github.com/croftturn/croftturn/internal/wire"
@@ -110,7 +111,7 @@
 		if err == nil && grant.Refusal == broker.ReasonMoved {
 			b.tellAnew(req.Pool)
 		}
-		now, patience := time.Now(), unreachableAfter
+		now, patience := clock.Now(), unreachableAfter
 		if err == nil {
 			patience = fallbackAfter
 		}
@@ -169,7 +170,7 @@
 	params := &wire.Acquire{
 		Pool: req.Pool, Request: req.ID, Node: b.members.Self().Name, Class: req.Class, Team: req.Team,
 		PromptTokens: req.PromptTokens, MaxTokens: req.MaxTokens, Exclude: req.Exclude, Prefix: req.Prefix,
-		WaitedMs: int(time.Since(req.Arrived).Milliseconds()), TraceParent: telemetry.TraceParent(ctx),
+		WaitedMs: int(clock.Since(req.Arrived).Milliseconds()), TraceParent: telemetry.TraceParent(ctx),
 	}
 	err := b.call(ctx, owner, params, grant)
 	close(done)
--- a/internal/sched/pulse.go
+++ b/internal/sched/pulse.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/croftturn/croftturn/internal/broker"
+	"github.com/croftturn/croftturn/internal/clock"
 	"github.com/croftturn/croftturn/internal/wire"
 )
 
@@ -93,7 +94,7 @@
 	defer p.mu.Unlock()
 	l := p.line(owner)
 	if !l.deaf {
-		l.turnDeaf(time.Now())
+		l.turnDeaf(clock.Now())
 	}
 }
 
@@ -120,7 +121,7 @@
 			return
 		case <-tick.C:
 		}
-		for _, l := range p.watched(time.Now()) {
+		for _, l := range p.watched(clock.Now()) {
 			wg.Add(1)
 			go func() {
 				defer wg.Done()
@@ -161,7 +162,7 @@
 		l.deaf, l.broken = false, make(chan struct{})
 	}
 	if turned && !answers {
-		l.turnDeaf(time.Now())
+		l.turnDeaf(clock.Now())
 	}
 	p.mu.Unlock()
 	if !answers {
--- a/internal/sched/shared.go
+++ b/internal/sched/shared.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/croftturn/croftturn/internal/broker"
+	"github.com/croftturn/croftturn/internal/clock"
 	"github.com/croftturn/croftturn/internal/member"
 	"github.com/croftturn/croftturn/internal/wire"
 )
@@ -93,7 +94,7 @@
 
 // Adopt counts a place that the broker granted against this node's shares.
 func (s *Shared) Adopt(req Request, engine string) {
-	now := time.Now()
+	now := clock.Now()
 	hold := wire.Hold{Request: req.ID, Engine: engine, Class: req.Class, Team: req.Team, Tokens: req.PromptTokens}
 	s.existing(now, req.Pool).Adopt(now, s.members.Self().Name, hold)
 }
@@ -111,7 +112,7 @@
 
 // Acquire waits for a place on this node's shares.
 func (s *Shared) Acquire(ctx context.Context, req Request) (Grant, error) {
-	now := time.Now()
+	now := clock.Now()
 	p := s.pool(now, req.Pool)
 	reply := p.Acquire(now, wire.Acquire{
 		Pool: req.Pool, Request: req.ID, Node: s.members.Self().Name, Class: req.Class, Team: req.Team, PromptTokens: req.PromptTokens,
@@ -121,7 +122,7 @@
 	case g := <-reply:
 		return s.granted(p, req, g)
 	case <-ctx.Done():
-		p.Cancel(time.Now(), req.ID)
+		p.Cancel(clock.Now(), req.ID)
 		return Grant{}, fmt.Errorf("wait for a place: %w", ctx.Err())
 	}
 }
@@ -133,7 +134,7 @@
 	}
 	e := s.views.View().Engine(g.Engine)
 	if e == nil {
-		p.Cancel(time.Now(), req.ID)
+		p.Cancel(clock.Now(), req.ID)
 		return Grant{}, &Refusal{Reason: ReasonNoEngine, RetryAfter: noEngineWait, Why: "engine " + g.Engine + " is gone"}
 	}
 	return Grant{Engine: e, Why: "this node's share: " + g.Why}, nil
@@ -141,13 +142,13 @@
 
 // Waiting returns how many requests wait in a pool at this node alone.
 func (s *Shared) Waiting(pool string) int {
-	now := time.Now()
+	now := clock.Now()
 	return len(s.existing(now, pool).Waiting(now))
 }
 
 // Release gives a place back.
 func (s *Shared) Release(req Request, g Grant, res Result) {
-	now := time.Now()
+	now := clock.Now()
 	s.existing(now, req.Pool).Release(now, release(req, g.Engine.Name, res))
 }
 
