Tests, soak: requests that crash engines, several at once and beside others; a popular one is served

The soak draws such a request beside its other faults: engines refuse connections when they have ended, as a process does (a mode of the relay), and come back.

--- a/internal/dispatch/crashes_test.go
+++ b/internal/dispatch/crashes_test.go
@@ -38,9 +38,10 @@
 		sent   int
 		reason dispatch.Reason
 	}{
-		"unsafe": {{1, dispatch.Broken}, {2, dispatch.Broken}, {3, dispatch.Broken}, {3, dispatch.CrashesEngines}},
-		"stream": {{1, dispatch.Broken}, {2, dispatch.Broken}, {3, dispatch.Broken}, {3, dispatch.CrashesEngines}},
-		"safe":   {{2, dispatch.Broken}, {3, dispatch.Broken}, {3, dispatch.CrashesEngines}},
+		"unsafe":    {{1, dispatch.Broken}, {2, dispatch.Broken}, {3, dispatch.Broken}, {3, dispatch.CrashesEngines}},
+		"stream":    {{1, dispatch.Broken}, {2, dispatch.Broken}, {3, dispatch.Broken}, {3, dispatch.CrashesEngines}},
+		"safe":      {{2, dispatch.Broken}, {3, dispatch.Broken}, {3, dispatch.CrashesEngines}},
+		"resumable": {{2, dispatch.Broken}, {3, dispatch.Broken}, {3, dispatch.CrashesEngines}},
 	} {
 		e := &engines{serve: func(context.Context, int, dispatch.Attempt) (*dispatch.Response, error) { return nil, errCut }}
 		d, q := newQuarantined(e)
@@ -51,7 +52,7 @@
 			}
 		}
 		e.serve = func(context.Context, int, dispatch.Attempt) (*dispatch.Response, error) {
-			return respond(200, "well"), nil
+			return respond(200, "data: well\n\n"), nil
 		}
 		other := &dispatch.Request{ID: "id", Host: "h", Path: "/" + route + "/x", Key: "k", Patience: timeout, Body: []byte("other")}
 		if a := serveRequest(context.Background(), t, d, other); a.status != 200 || q.Len() != 1 {
--- a/lab/relay/relay.go
+++ b/lab/relay/relay.go
@@ -20,22 +20,24 @@
 	Cut                  // Cut drops all connections and refuses new ones.
 	Reset                // Reset drops all connections once so that both ends see a reset, and hands on what comes later.
 	Delay                // Delay hands on late: everything, or as DelaySome says.
+	Refuse               // Refuse drops all connections, and nothing listens until the next mode, as where a process has ended.
 )
 
 // Relay hands connections on to a target.
 type Relay struct {
+	address string
+	target  string
+	delay   time.Duration
+	wg      sync.WaitGroup
+
+	mu       sync.Mutex
 	listener net.Listener
-	target   string
-	delay    time.Duration
-	wg       sync.WaitGroup
-
-	mu      sync.Mutex
-	mode    Mode
-	rand    *rand.Rand // rand draws what is delayed; nil for everything.
-	share   float64
-	changed *sync.Cond
-	conns   map[net.Conn]bool
-	closed  bool
+	mode     Mode
+	rand     *rand.Rand // rand draws what is delayed; nil for everything.
+	share    float64
+	changed  *sync.Cond
+	conns    map[net.Conn]bool
+	closed   bool
 }
 
 // New returns a relay to a target, on an address of its own.
@@ -44,22 +46,28 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Relay{listener: l, target: target, delay: delay, conns: map[net.Conn]bool{}}
+	r := &Relay{address: l.Addr().String(), listener: l, target: target, delay: delay, conns: map[net.Conn]bool{}}
 	r.changed = sync.NewCond(&r.mu)
 	r.wg.Add(1)
-	go r.accept()
+	go r.accept(l)
 	return r, nil
 }
 
 // Address returns where the relay listens.
-func (r *Relay) Address() string { return r.listener.Addr().String() }
+func (r *Relay) Address() string { return r.address }
 
 // Set changes the mode.
 func (r *Relay) Set(m Mode) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.mode == Refuse && m != Refuse {
+		r.listen()
+	}
 	r.mode = m
 	switch m {
+	case Refuse:
+		r.listener.Close()
+		r.dropAll()
 	case Cut:
 		r.dropAll()
 	case Reset:
@@ -68,6 +76,17 @@
 	r.changed.Broadcast()
 }
 
+// listen listens again; the caller holds the lock. Where the address is taken meanwhile, nothing is handed on any more.
+func (r *Relay) listen() {
+	l, err := net.Listen("tcp", r.address)
+	if err != nil || r.closed {
+		return
+	}
+	r.listener = l
+	r.wg.Add(1)
+	go r.accept(l)
+}
+
 // DelaySome delays a share of what is received, drawn with a seed.
 func (r *Relay) DelaySome(seed uint64, share float64) {
 	r.mu.Lock()
@@ -95,9 +114,9 @@
 
 // Close ends the relay and waits for its goroutines.
 func (r *Relay) Close() {
-	r.listener.Close()
 	r.mu.Lock()
 	r.closed = true
+	r.listener.Close()
 	r.dropAll()
 	r.changed.Broadcast()
 	r.mu.Unlock()
@@ -105,10 +124,10 @@
 }
 
 // accept takes connections.
-func (r *Relay) accept() {
+func (r *Relay) accept(l net.Listener) {
 	defer r.wg.Done()
 	for {
-		in, err := r.listener.Accept()
+		in, err := l.Accept()
 		if err != nil {
 			return
 		}
@@ -130,7 +149,7 @@
 func (r *Relay) add(conns ...net.Conn) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.mode == Cut || r.closed {
+	if r.mode == Cut || r.mode == Refuse || r.closed {
 		return false
 	}
 	for _, c := range conns {
@@ -183,5 +202,5 @@
 		time.Sleep(r.delay)
 		r.mu.Lock()
 	}
-	return r.mode != Cut && !r.closed
+	return r.mode != Cut && r.mode != Refuse && !r.closed
 }
--- a/lab/soak/engine.go
+++ b/lab/soak/engine.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"hash/fnv"
@@ -39,17 +40,19 @@
 	odd      atomic.Int64 // odd is the mode for every second request.
 	even     atomic.Int64 // even is the mode for the others.
 	count    atomic.Int64
-	born     atomic.Int64 // born is when it started, in Unix milliseconds.
+	born     atomic.Int64                 // born is when it started, in Unix milliseconds.
+	crash    func(e *engine, body string) // crash ends the engine under a request, and starts it again later.
+	ending   sync.Mutex                   // ending is held while the engine ends and starts again, and from its last end on.
 	wg       sync.WaitGroup
 }
 
 // newEngine starts an engine.
-func newEngine(id, pool string, l *Ledger) (*engine, error) {
+func newEngine(id, pool string, l *Ledger, crash func(e *engine, body string)) (*engine, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, fmt.Errorf("start engine: %w", err)
 	}
-	e := &engine{id: id, pool: pool, ledger: l}
+	e := &engine{id: id, pool: pool, ledger: l, crash: crash}
 	e.serve(listener)
 	return e, nil
 }
@@ -78,6 +81,12 @@
 	return nil
 }
 
+// end ends the engine for good.
+func (e *engine) end() {
+	e.ending.Lock()
+	e.close()
+}
+
 // close ends the engine and its connections.
 func (e *engine) close() {
 	e.server.Close()
@@ -93,7 +102,8 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
 		return // The request did not come whole, and is not run.
 	}
 	mode := e.nextMode()
@@ -102,6 +112,11 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if bytes.HasPrefix(body, []byte(crashingBody)) {
+		go e.crash(e, string(body))
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
 	e.run(w, r, id, mode)
 }
 
--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -66,6 +66,7 @@
 	{"engine crashes", time.Second, false, crashEngine},
 	{"engine leaves", 2500 * time.Millisecond, false, drainEngine},
 	{"engine starts again under its id", 2 * time.Second, false, restartEngine},
+	{"a request crashes engines", longestFault, false, crashingRequest},
 	{"entries of other writers", 2 * time.Second, false, strangeEntries},
 	{"key taken away", 100 * time.Millisecond, false, revokeKey},
 	{"key taken away unseen", cutAll, true, revokeUnseen},
--- a/lab/soak/faults_engine.go
+++ b/lab/soak/faults_engine.go
@@ -55,7 +55,7 @@
 	if err := w.replace(e); err != nil {
 		return err
 	}
-	e.close()
+	e.end()
 	way.Set(relay.Cut)
 	pause.For(ctx, d)
 	return w.write(row{"servers", e.id, nil})
@@ -67,6 +67,7 @@
 	if err := w.replace(e); err != nil {
 		return err
 	}
+	e.ending.Lock() // It serves on, and does not start again.
 	if err := w.putEngine(e, "draining"); err != nil {
 		return err
 	}
--- a/lab/soak/faults_entry.go
+++ b/lab/soak/faults_entry.go
@@ -49,6 +49,8 @@
 	if r.IntN(2) == 0 {
 		way.Set(relay.Hold)
 	}
+	e.ending.Lock()
+	defer e.ending.Unlock()
 	err := e.restart(ctx, d)
 	way.Set(relay.Pass)
 	if err != nil {
--- a/lab/soak/ledger.go
+++ b/lab/soak/ledger.go
@@ -30,16 +30,17 @@
 		mu      sync.Mutex
 		runs    map[string][]run
 		endings map[string]ending
-		revoked map[string]time.Time // revoked holds when the loss of a key was acknowledged.
-		leaving map[string]time.Time // leaving holds when an engine's leaving was acknowledged.
-		faults  []span               // faults of nodes and of the store
-		exits   []string             // exits of processes that nobody ended
+		revoked map[string]time.Time   // revoked holds when the loss of a key was acknowledged.
+		leaving map[string]time.Time   // leaving holds when an engine's leaving was acknowledged.
+		faults  []span                 // faults of nodes and of the store
+		crashes map[string][]time.Time // crashes holds when requests that crash engines were run, by their bodies.
+		exits   []string               // exits of processes that nobody ended
 	}
 )
 
 // newLedger returns an empty ledger.
 func newLedger() *Ledger {
-	return &Ledger{runs: map[string][]run{}, endings: map[string]ending{}, revoked: map[string]time.Time{}, leaving: map[string]time.Time{}}
+	return &Ledger{runs: map[string][]run{}, endings: map[string]ending{}, revoked: map[string]time.Time{}, leaving: map[string]time.Time{}, crashes: map[string][]time.Time{}}
 }
 
 // ran records a start at an engine.
@@ -63,6 +64,31 @@
 	l.faults = append(l.faults, span{from, to})
 }
 
+// crashed records a run of a request that crashes its engine.
+func (l *Ledger) crashed(body string, at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.crashes[body] = append(l.crashes[body], at)
+}
+
+// lateCrashes returns requests of which more than crashesLater runs began later than settle after the third, while nodes
+// and the store had been without fault for as long.
+func (l *Ledger) lateCrashes() []string {
+	var out []string
+	for body, runs := range l.crashes {
+		later := 0
+		for _, at := range runs[min(3, len(runs)):] {
+			if at.After(runs[2].Add(settle)) && l.calm(at.Add(-settle), at) {
+				later++
+			}
+		}
+		if later > crashesLater {
+			out = append(out, fmt.Sprintf("%s crashed %d engines, %d of them later than %v after the third", body, len(runs), later, settle))
+		}
+	}
+	return out
+}
+
 // mark records a moment under a name.
 func (l *Ledger) mark(in map[string]time.Time, name string, at time.Time) {
 	l.mu.Lock()
@@ -98,6 +124,7 @@
 	defer l.mu.Unlock()
 	var out []string
 	out = append(out, l.exits...)
+	out = append(out, l.lateCrashes()...)
 	for id, e := range l.endings {
 		out = append(out, l.brokenBy(id, e)...)
 	}
--- a/lab/soak/planted_test.go
+++ b/lab/soak/planted_test.go
@@ -27,6 +27,7 @@
 	{"a proof never grows old", "after its key was taken away", "key taken away unseen", "internal/freshness/freshness.go", "return p.proven && now.Sub(p.at) <= p.maxAge", "return p.proven"},
 	{"an engine that leaves gets new work", "after it said that it leaves", "", "internal/discovery/discovery.go", "e.Draining = d.draining[e.ID]", "e.Draining = false"},
 	{"a reload ends the process", "ended by itself", "hang up a node", "cmd/croftturn/main.go", "signal.Notify(reload, syscall.SIGHUP)", ""},
+	{"a request that crashes engines is never held", "later than", "a request crashes engines", "internal/quarantine/record.go", "return len(r.ends) >= mostEnds", "return false"},
 	{"the team is not the key's", "its key is of", "", "platform/egress.go", "h.Set(headerTeam, a.Team)", `h.Set(headerTeam, a.Team+"x")`},
 }
 
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -71,9 +71,14 @@
 			e.route, e.body = routeStream, event("a", 1)+event("a", 3)
 			l.ended("a", e)
 		},
-		"another team":         func(l *Ledger) { l.ended("a", well); r := here; r.team = "x"; l.ran("a", r) },
-		"a key taken away":     func(l *Ledger) { l.ended("a", well); l.mark(l.revoked, "k", at.Add(-6*time.Second)); l.ran("a", here) },
-		"an engine that left":  func(l *Ledger) { l.ended("a", well); l.mark(l.leaving, "e", at.Add(-3*time.Second)); l.ran("a", here) },
+		"another team":        func(l *Ledger) { l.ended("a", well); r := here; r.team = "x"; l.ran("a", r) },
+		"a key taken away":    func(l *Ledger) { l.ended("a", well); l.mark(l.revoked, "k", at.Add(-6*time.Second)); l.ran("a", here) },
+		"an engine that left": func(l *Ledger) { l.ended("a", well); l.mark(l.leaving, "e", at.Add(-3*time.Second)); l.ran("a", here) },
+		"crashes without end": func(l *Ledger) {
+			for i := range 8 {
+				l.crashed("crash x", at.Add(time.Duration(i)*2*time.Second))
+			}
+		},
 		"a process that ended": func(l *Ledger) { l.exited("node-1 ended by itself") },
 	}
 	for name, plant := range tests {
--- a/lab/soak/world.go
+++ b/lab/soak/world.go
@@ -110,7 +110,7 @@
 		r.Close()
 	}
 	for _, e := range engines {
-		e.close()
+		e.end()
 	}
 	w.store.Close()
 }
@@ -121,7 +121,7 @@
 	w.made++
 	id := fmt.Sprintf("i-%d", w.made)
 	w.mu.Unlock()
-	e, err := newEngine(id, pool, w.ledger)
+	e, err := newEngine(id, pool, w.ledger, w.crash)
 	if err != nil {
 		return err
 	}
