Operators: what is held is listed with its engines, and released at all nodes

croftctl held and release go to a node's administration address on the users' platform, in the API that statements go to anyway. Listing is open, as the metrics beside it are; releasing needs the token of the settings, and is refused to all without one. A release reaches the peers as a whole answer does. Tested with the loss of all nodes: listed, refused without the token, released once, free at three nodes.

--- a/internal/edge/crash_test.go
+++ b/internal/edge/crash_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
+	"regexp"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -105,6 +108,53 @@
 	if status := w.post(0, "other", "other"); status != http.StatusOK {
 		t.Errorf("another request got %d", status)
 	}
+	w.release(t)
+}
+
+// release holds that an operator is told of what is held and why, that only one with the token may release it, and that it is
+// free at all nodes then.
+func (w *crashWorld) release(t *testing.T) {
+	t.Helper()
+	address := w.nodes[0].settings.AdminAddress
+	status, list := state(t, address, "", "held")
+	row := regexp.MustCompile(`"name":"([0-9a-f]{16})".*"reason":"3 engines ended under it, on route r`).FindStringSubmatch(list)
+	if status != http.StatusOK || row == nil {
+		t.Fatalf("held: %d %s", status, list)
+	}
+	for _, test := range []struct {
+		token, text string
+		want        int
+	}{
+		{"", "release " + row[1], http.StatusForbidden}, {operatorsToken, "release 1", http.StatusNotFound}, {operatorsToken, "drop", http.StatusBadRequest},
+		{operatorsToken, "release " + row[1], http.StatusOK}, {operatorsToken, "release " + row[1], http.StatusNotFound},
+	} {
+		if status, text := state(t, address, test.token, test.text); status != test.want {
+			t.Errorf("%s with token %q: %d %s, want %d", test.text, test.token, status, text, test.want)
+		}
+	}
+	for _, e := range w.nodes {
+		waitFor(t, func() bool { return e.quarantine.Len() == 0 }, "still held at a node")
+	}
+}
+
+// state sends an operator's statement and returns the status and the answer.
+func state(t *testing.T, address, token, text string) (int, string) {
+	t.Helper()
+	r, err := http.NewRequest(http.MethodPost, "http://"+address+"/admin/v1/statements", strings.NewReader(`{"text":"`+text+`"}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set("Authorization", "Bearer "+token)
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp.StatusCode, string(answer)
 }
 
 // TestSuspectsCostTheirNeighboursLittle has four requests that crash engines come at once, beside others that run for a fifth of a
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -191,6 +191,7 @@
 	s := e.settings
 	control := http.NewServeMux()
 	control.Handle("GET /metrics", e.tele.Metrics)
+	control.HandleFunc("POST /admin/v1/statements", e.held)
 	servers := []listener{
 		{s.CallerAddress, platform.NewIngress(e.dispatcher, platform.Limits{Read: ms(s.ReadTimeoutMs), Write: ms(s.WriteTimeoutMs)})},
 		{s.DirectoryAddress, platform.NewDirectory(e, e.log)},
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/croftturn/croftturn/internal/config"
 	"github.com/croftturn/croftturn/internal/feed"
 	"github.com/croftturn/croftturn/internal/gossip"
 	"github.com/croftturn/croftturn/internal/settings"
@@ -20,6 +21,9 @@
 	"github.com/croftturn/croftturn/platform"
 )
 
+// operatorsToken is the token of the operators at all nodes.
+const operatorsToken = "operators"
+
 // configRow is a configuration with one team, as the operator writes it.
 const configRow = `{"version":3,"routes":[{"name":"r","host":"h","path_prefix":"/a/","kind":"safe","timeout_ms":1000,"target_latency_ms":100,` +
 	`"priority":1,"service":"p","max_attempts":1}],"services":[{"name":"p","max_connections":9}],"limits":{"max_body_bytes":1000},` +
@@ -62,6 +66,7 @@
 	text, err := json.Marshal(map[string]any{
 		"instance": name, "hall": "h1", "region": "r", "caller_address": address(), "directory_address": address(), "ready_address": address(),
 		"peer_address": address(), "admin_address": address(), "platform_addresses": []string{store}, "stop_grace_ms": 800, "trace_share": 0,
+		"bootstrap_token_sha256": config.HashToken(operatorsToken),
 	})
 	if err != nil {
 		t.Fatal(err)
--- /dev/null
+++ b/internal/edge/held.go
@@ -0,0 +1,73 @@
+package edge
+
+import (
+	"crypto/subtle"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/croftturn/croftturn/internal/admin"
+	"github.com/croftturn/croftturn/internal/clock"
+	"github.com/croftturn/croftturn/internal/config"
+	"github.com/croftturn/croftturn/internal/header"
+	"github.com/croftturn/croftturn/internal/quarantine"
+	"github.com/croftturn/croftturn/internal/wire"
+)
+
+// longestStatement bounds a statement of an operator, in bytes.
+const longestStatement = 4 << 10
+
+// held serves the operators' statements on requests that are held: "held" lists them, and "release FINGERPRINT" frees
+// one at all nodes. Who releases one needs the operators' token; without one in the settings nobody may.
+func (e *Edge) held(w http.ResponseWriter, r *http.Request) {
+	var statement struct {
+		Text string `json:"text"`
+	}
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, longestStatement)).Decode(&statement); err != nil {
+		http.Error(w, "statement not understood: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	now := clock.Now()
+	words := strings.Fields(statement.Text)
+	switch {
+	case len(words) == 1 && words[0] == "held":
+	case len(words) != 2 || words[0] != "release":
+		http.Error(w, `want "held" or "release FINGERPRINT"`, http.StatusBadRequest)
+		return
+	case !isOperator(e.settings.BootstrapTokenSha256, header.Bearer(r.Header)):
+		http.Error(w, "the token is not the operators'", http.StatusForbidden)
+		return
+	default:
+		f, err := strconv.ParseUint(words[1], 16, 64)
+		if err != nil || !e.quarantine.Release(now, quarantine.Fingerprint(f)) {
+			http.Error(w, words[1]+" is not held", http.StatusNotFound)
+			return
+		}
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(admin.Result{Rows: e.heldRows(now)}); err != nil {
+		e.log.Debug("answer to an operator not delivered", "error", err.Error())
+	}
+}
+
+// heldRows returns the requests that are held as rows for operators.
+func (e *Edge) heldRows(now time.Time) []wire.Row {
+	var rows []wire.Row
+	for _, h := range e.quarantine.List() {
+		newest := h.Ends[len(h.Ends)-1].At
+		rows = append(rows, wire.Row{
+			Name: h.Fingerprint.String(), State: "held", Team: h.Team, Engine: strings.Join(h.Engines(), " "),
+			Reason: fmt.Sprintf("%d engines ended under it, on route %s; tried again in %v", len(h.Ends), h.Route, max(0, h.TrialAt.Sub(now)).Round(time.Second)),
+			AtMs:   int(clock.Wall(newest).UnixMilli()), AgeMs: int(now.Sub(newest).Milliseconds()),
+		})
+	}
+	return rows
+}
+
+// isOperator reports whether a token is the one of a hex SHA-256.
+func isOperator(hash, token string) bool {
+	return hash != "" && subtle.ConstantTimeCompare([]byte(config.HashToken(token)), []byte(hash)) == 1
+}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -161,6 +161,20 @@
 	}
 }
 
+// Release frees a request that is held, at all nodes, and reports whether it was.
+func (q *Quarantine) Release(now time.Time, f Fingerprint) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	r := q.records[f]
+	if r == nil || !r.isHeld() {
+		return false
+	}
+	q.log.Warn("request released", "fingerprint", f.String(), "team", r.Team, "route", r.Route, "engines", engines(r.ends))
+	r.own = true
+	q.clear(now, now, f, r)
+	return true
+}
+
 // clear drops the ends under a request that was answered whole at a moment. The caller holds the lock.
 func (q *Quarantine) clear(now, at time.Time, f Fingerprint, r *record) {
 	if at.After(r.answered) {
@@ -177,7 +191,7 @@
 		if r.own {
 			q.keep(f)
 		}
-		q.log.Warn("request no longer held", "fingerprint", f.String(), "team", r.Team, "route", r.Route, "reason", "an engine has answered it whole", "answered_ms", now.Sub(r.answered).Milliseconds())
+		q.log.Warn("request no longer held", "fingerprint", f.String(), "team", r.Team, "route", r.Route, "answered_ms", now.Sub(r.answered).Milliseconds())
 	}
 }
 
