Quarantine: a probe holds for 50 ms, answers grow no younger by being told, what is held is told every five seconds to all

Found by reading: (1) an engine that was found alive counted as alive for 0.5 s, so that its end in that time was missed; (2) a whole answer of before the ends seemed some ms later with each message, and after some hundred messages undid ends that came seconds after it; (3) spokes, which get a message a second, would have been told all that is held once in 50 s. Tests of 1 and 2 fail without the change (no request held after three ends; ends replaced by later ones).

--- a/internal/dispatch/crashes_test.go
+++ b/internal/dispatch/crashes_test.go
@@ -14,20 +14,21 @@
 	"github.com/croftturn/croftturn/internal/retry"
 )
 
-// newQuarantined returns a dispatcher of eight engines that all have ended where they break off, and its quarantine.
-func newQuarantined(e *engines) (*dispatch.Dispatcher, *quarantine.Quarantine) {
+// newQuarantined returns a dispatcher of eight engines that all have ended where they break off, its quarantine, and what says
+// that they have.
+func newQuarantined(e *engines) (*dispatch.Dispatcher, *quarantine.Quarantine, *prober) {
 	log := slog.New(slog.DiscardHandler)
 	q := quarantine.New(func(time.Time, quarantine.Fingerprint) bool { return false }, log)
-	p, proof := placement.New("hall"), freshness.New(time.Hour)
+	p, place, proof := newProber(true), placement.New("hall"), freshness.New(time.Hour)
 	for i := range 8 {
 		id := fmt.Sprint("e", i)
-		p.Set(placement.Engine{ID: id, Pool: "p", Hall: "hall", Slots: 8, Address: id})
+		place.Set(placement.Engine{ID: id, Pool: "p", Hall: "hall", Slots: 8, Address: "a"})
 	}
 	proof.Renew(time.Now())
 	budget := retry.New(time.Now(), retry.Limits{Extra: 9, Window: 10 * time.Second}, func() int { return 1 })
-	d := dispatch.New(proof, p, budget, e, noMetrics{}, log, dispatch.WithProber(&prober{ended: true}), dispatch.WithQuarantine(q))
+	d := dispatch.New(proof, place, budget, e, noMetrics{}, log, dispatch.WithProber(p), dispatch.WithQuarantine(q))
 	d.SetTable(table(1, "k"))
-	return d, q
+	return d, q, p
 }
 
 // TestARequestThatEndsEnginesGetsNoMore holds that on each kind of route a request under which three engines have
@@ -44,7 +45,7 @@
 		"resumable": {{2, dispatch.Broken}, {3, dispatch.Broken}, {3, dispatch.CrashesEngines}},
 	} {
 		e := &engines{serve: func(context.Context, int, dispatch.Attempt) (*dispatch.Response, error) { return nil, errCut }}
-		d, q := newQuarantined(e)
+		d, q, _ := newQuarantined(e)
 		for i, w := range want {
 			a := serve(t, d, route)
 			if a.refusal == nil || a.refusal.Reason != w.reason || a.refusal.ComeBack != 0 || e.sentSoFar() != w.sent {
@@ -71,7 +72,7 @@
 		}
 		return nil, errCut
 	}
-	d, q := newQuarantined(e)
+	d, q, _ := newQuarantined(e)
 	for range 12 {
 		serve(t, d, "unsafe")
 	}
--- a/internal/dispatch/ended.go
+++ b/internal/dispatch/ended.go
@@ -15,8 +15,8 @@
 	probeWait = 150 * time.Millisecond
 
 	// probeLife is how long what was found out about an engine holds for other requests that
-	// broke off there: all connections of a process end within some ms.
-	probeLife = 500 * time.Millisecond
+	// broke off there: all connections of a process end within some ms. One that lived a while ago may have ended since.
+	probeLife = 50 * time.Millisecond
 )
 
 type (
--- a/internal/dispatch/ended_test.go
+++ b/internal/dispatch/ended_test.go
@@ -21,7 +21,7 @@
 type (
 	// prober says of all engines that they have ended, or live, and counts how often it is asked.
 	prober struct {
-		ended bool
+		ended atomic.Bool
 		asked atomic.Int64
 	}
 
@@ -32,10 +32,17 @@
 	}
 )
 
+// newProber returns a prober.
+func newProber(ended bool) *prober {
+	p := &prober{}
+	p.ended.Store(ended)
+	return p
+}
+
 func (p *prober) Ended(context.Context, string) bool {
 	p.asked.Add(1)
 	time.Sleep(10 * time.Millisecond) // Others break off meanwhile.
-	return p.ended
+	return p.ended.Load()
 }
 
 func (c *endedCount) EngineEnded(string) { c.n.Add(1) }
@@ -72,7 +79,7 @@
 		"a failure of the engine's own":        {failure, true, false, 0, 0},
 		"an answer that is of another request": {foreign, true, false, 0, 0},
 	} {
-		p, place, count := &prober{ended: c.ended}, placement.New("hall"), &endedCount{}
+		p, place, count := newProber(c.ended), placement.New("hall"), &endedCount{}
 		place.Set(placement.Engine{ID: "e", Pool: "p", Hall: "hall", Slots: 8})
 		proof := freshness.New(time.Hour)
 		proof.Renew(time.Now())
@@ -96,3 +103,20 @@
 		}
 	}
 }
+
+// TestAnEngineThatLivedAMomentAgoMayHaveEnded holds that what was found out about an engine does not hold for a request that breaks off
+// there a while later.
+func TestAnEngineThatLivedAMomentAgoMayHaveEnded(t *testing.T) {
+	e := &engines{serve: func(context.Context, int, dispatch.Attempt) (*dispatch.Response, error) { return nil, errCut }}
+	d, q, p := newQuarantined(e)
+	p.ended.Store(false)
+	serve(t, d, "unsafe")
+	p.ended.Store(true)
+	for range 3 {
+		time.Sleep(100 * time.Millisecond)
+		serve(t, d, "unsafe")
+	}
+	if q.Len() != 1 {
+		t.Errorf("%d requests held after three ends, want 1", q.Len())
+	}
+}
--- a/internal/gossip/cadence.go
+++ b/internal/gossip/cadence.go
@@ -48,11 +48,10 @@
 	restTurns = 5
 
 	// newsTurns is for how many turns beyond those of one message what is new of requests under which engines ended
-	// is told, so that it comes in two messages at least. All that are held are told in one message of
-	// allEvery, the first one among them, for those that have started or missed them: every five
-	// seconds to most peers.
+	// is told, so that it comes in two messages at least. All that are held are told with the first message to a
+	// peer and once in allTurns, every five seconds, for those that have started or missed them.
 	newsTurns = 3
-	allEvery  = 50
+	allTurns  = 50
 
 	// NewsLife is how long what is new of such requests is told to those that hear the rarest messages.
 	NewsLife = (spokeTurns + newsTurns) * every
--- a/internal/gossip/cadence_test.go
+++ b/internal/gossip/cadence_test.go
@@ -158,7 +158,7 @@
 	node := &scripted{}
 	g.node = node
 	news, old := map[string]int{}, map[string]int{}
-	const turns = 2 * allEvery * farTurns
+	const turns = 2 * allTurns * farTurns
 	for turn := range turns {
 		now := start.Add(time.Duration(turn) * every)
 		for _, p := range g.peers {
@@ -186,7 +186,7 @@
 		t.Fatal("nobody was told")
 	}
 	for name, n := range news {
-		most := 2 + turns/allEvery
+		most := 2 + turns/allTurns
 		if n < 2 || n > 6 || old[name] < 1 || old[name] > most {
 			t.Errorf("%s was told %d times of what is new, want 2 to 6, and %d times of what is old, want 1 to %d", name, n, old[name], most)
 		}
--- a/internal/gossip/send.go
+++ b/internal/gossip/send.go
@@ -60,7 +60,7 @@
 	encoded := map[content]cbor.RawMessage{}
 	out := make([]outgoing, 0, len(targets))
 	for _, to := range targets {
-		of := content{turns: to.turns, all: to.sent%allEvery == 0}
+		of := content{turns: to.turns, all: to.sent%(allTurns/to.turns) == 0}
 		if encoded[of] == nil {
 			s := g.saidTo(said, turn, to.turns)
 			s.Crashing = of.crashing(said.Crashing)
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -238,3 +238,23 @@
 		t.Error("held, though a peer told of a whole answer 100 ms before the ends")
 	}
 }
+
+// TestAnAnswerOfBeforeGrowsNoYounger holds that a whole answer of before the ends frees nothing however often nodes tell each other of
+// it: each message makes it seem a little later.
+func TestAnAnswerOfBeforeGrowsNoYounger(t *testing.T) {
+	one, other := newQuarantine(never), newQuarantine(never)
+	one.Ended(at(0), print, subject, "e0")
+	other.Ended(at(0), print, subject, "e0")
+	one.Answered(at(10), print, subject.Team)
+	other.Hear(at(40), one.Tell(at(20), time.Second))
+	for i := range 3 {
+		one.Ended(at(3000+i), print, subject, fmt.Sprint("e", i))
+	}
+	for ms := 3100; ms < 600_000; ms += 1000 {
+		other.Hear(at(ms+30), one.Tell(at(ms), time.Second))
+		one.Hear(at(ms+80), other.Tell(at(ms+50), time.Second))
+	}
+	if held, _ := one.Admit(at(30_000), print); held == nil || !held.Ends[0].At.Equal(at(3000)) || !isHeld(other, at(30_000), print) {
+		t.Errorf("held for %+v, want the ends as they were seen", held)
+	}
+}
--- a/internal/quarantine/tell.go
+++ b/internal/quarantine/tell.go
@@ -6,8 +6,14 @@
 	"time"
 )
 
-// mostTold is how many records are told in one message: about 5 KB.
-const mostTold = 64
+const (
+	// mostTold is how many records are told in one message: about 5 KB.
+	mostTold = 64
+
+	// sameAnswer is how far apart two whole answers are told of that may be one: each message on its way makes it seem
+	// later, and what is told again and again would grow as young as the ends after it.
+	sameAnswer = time.Second
+)
 
 type (
 	// Told is what a node tells its peers of one request.
@@ -63,8 +69,8 @@
 	defer q.mu.Unlock()
 	for _, t := range list {
 		f, s := Fingerprint(t.Fingerprint), Subject{Team: t.Team, Route: t.Route}
-		if r := q.records[f]; r != nil && t.AnsweredAgeMs >= 0 {
-			q.clear(now, now.Add(-millis(t.AnsweredAgeMs)), f, r)
+		if r, at := q.records[f], now.Add(-millis(t.AnsweredAgeMs)); r != nil && t.AnsweredAgeMs >= 0 && at.Sub(r.answered) > sameAnswer {
+			q.clear(now, at, f, r)
 		}
 		for _, e := range t.Ends {
 			at := now.Add(-millis(e.AgeMs))
