--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -21,8 +21,8 @@
 	return func(d *Dispatcher) { d.quarantine = q }
 }
 
-// admitted refuses a request that is held.
-func (w *walk) admitted(now time.Time) *Refusal {
+// refuseHeld returns the refusal of a request that is held, or nil where it may be sent.
+func (w *walk) refuseHeld(now time.Time) *Refusal {
 	if w.d.quarantine == nil || w.trial {
 		return nil
 	}
--- a/internal/dispatch/walk.go
+++ b/internal/dispatch/walk.go
@@ -75,7 +75,7 @@
 	if w.d.present.returns.Load() != returns {
 		return true // What was decided before an absence is decided again.
 	}
-	if refusal := w.admitted(now); refusal != nil { // It may have waited for a place meanwhile.
+	if refusal := w.refuseHeld(now); refusal != nil { // It may have waited for a place meanwhile.
 		w.refuse(*refusal)
 		return false
 	}
@@ -91,7 +91,7 @@
 	if refusal := w.stillAllowed(now); refusal != nil {
 		return refusal
 	}
-	if refusal := w.admitted(now); refusal != nil {
+	if refusal := w.refuseHeld(now); refusal != nil {
 		return refusal
 	}
 	choice, ok := w.d.placement.Choose(now, request)
