--- a/lab/soak/faults_request.go
+++ b/lab/soak/faults_request.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net/http"
 	"time"
 
 	"github.com/croftturn/croftturn/internal/pause"
