Lease: one row in the platform's store says which node may act for all

Cause: the platform asks for calls that one node makes at a time; nothing in the system said which. Ruled out: a vote among nodes, another service, clocks of two nodes compared; a version of the store as the token (it is known only with the answer). A first version numbered the writes of a term from one: a write of an earlier process, done late, was then taken for the present one's; each write has a number of its own now. Change: internal/lease, the protocol as a view that knows no network. A term counts from when its renewal was sent; a take-over waits the lease and a margin out, by its own clock; a node does not come back within lease_ms after another's term, also after its own restart.

--- /dev/null
+++ b/internal/lease/lease.go
@@ -0,0 +1,187 @@
+// Package lease decides which node may act for all: at most one at a time, for as long as its lease has time left.
+// The lease is one row in the platform's store. Nothing is agreed between nodes; who writes the row under the
+// condition that it has not changed is the holder.
+//
+// A holder counts its lease from when it sent the write that renewed it. Whoever takes over has seen the row unchanged for
+// the lease's life and a margin, by its own clock, and then changes it under the condition that it still is unchanged.
+// So the new term begins after the former one has ended, whatever became of answers and however long writes were
+// on their way. Clocks of two nodes are never compared.
+package lease
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+const (
+	// recentMost is how many former holders are remembered in the row: more than can follow each other within Apart,
+	// since each take-over without a release takes as long as a lease.
+	recentMost = 8
+
+	// pendingMost is how many writes of unknown outcome are remembered; each is made after the row was read again.
+	pendingMost = 8
+
+	// firstWrites bounds the number of the first write, which is drawn by chance: a write of an earlier process of the
+	// same node may still be done.
+	firstWrites = 1 << 40
+)
+
+type (
+	// Terms are what all nodes agree on.
+	Terms struct {
+		Life   time.Duration // Life is how long a holder may act after it sent its last renewal.
+		Margin time.Duration // Margin is what a take-over waits beyond Life, for calls of the former holder that are on their way.
+		Apart  time.Duration // Apart is the least time between two terms of one node with another's between them.
+	}
+
+	// Record is the content of the row.
+	Record struct {
+		Holder   string   `json:"holder"`
+		Address  string   `json:"address"` // Address is where peers call the holder.
+		Token    int64    `json:"token"`   // Token rises by one with each term; no two terms have the same.
+		Write    int64    `json:"write"`   // Write tells this write from all others, also of the same term.
+		Released bool     `json:"released,omitempty"`
+		Recent   []string `json:"recent,omitempty"` // Recent are the holders before, the newest last.
+	}
+
+	// Term is what a holder acts with.
+	Term struct {
+		Token int64
+		Until time.Time // Until is when the holder stops acting; what it sends must have ended by then.
+	}
+
+	// Lease is one node's view of the lease. It is not safe for concurrent use.
+	Lease struct {
+		self    string
+		address string
+		terms   Terms
+
+		known    bool // known says that record is what the row held at version.
+		record   Record
+		version  int64
+		seenAt   time.Time // seenAt is when the row was first seen as it is.
+		holderAt time.Time // holderAt is when the present term was first seen.
+
+		token   int64     // token is of this node's present term; 0 for none.
+		until   time.Time // until is the end of it.
+		writes  int64     // writes is the number of the newest write.
+		pending []pending // pending are writes that were not seen to be done yet, the newest last.
+	}
+
+	// pending is a write whose outcome may be unknown.
+	pending struct {
+		record Record
+		sent   time.Time
+	}
+)
+
+// New returns the view of a node that has not read the row yet; peers call it at an address.
+func New(self, address string, terms Terms) *Lease {
+	return &Lease{self: self, address: address, terms: terms, writes: rand.Int64N(firstWrites)}
+}
+
+// Holds returns the term in which this node may act at a moment.
+func (l *Lease) Holds(now time.Time) (Term, bool) {
+	return Term{Token: l.token, Until: l.until}, l.token > 0 && now.Before(l.until)
+}
+
+// Record returns what the row held when it was last seen.
+func (l *Lease) Record() Record { return l.record }
+
+// Seen takes the row as it was read after a moment; version 0 says that there is none. A write of this node whose
+// answer was lost shows here.
+func (l *Lease) Seen(now time.Time, r Record, version int64) {
+	if !l.known || version != l.version {
+		l.seenAt = now
+	}
+	if !l.known || r.Token != l.record.Token {
+		l.holderAt = now
+	}
+	l.known, l.record, l.version = true, r, version
+	switch at := slices.IndexFunc(l.pending, func(p pending) bool { return p.record.Write == r.Write }); {
+	case at >= 0 && r.Holder == l.self && !r.Released:
+		l.confirm(l.pending[at])
+		l.pending = l.pending[at+1:]
+	case r.Token != l.token || r.Holder != l.self || r.Released:
+		l.token = 0
+	}
+}
+
+// MayTakeAt returns when this node may write itself as the holder; ok is false where the row is not known.
+func (l *Lease) MayTakeAt() (at time.Time, ok bool) {
+	if !l.known {
+		return time.Time{}, false
+	}
+	at = l.seenAt
+	if l.version > 0 && !l.record.Released {
+		at = at.Add(l.terms.Life + l.terms.Margin)
+	}
+	if l.record.Holder != l.self && slices.Contains(l.record.Recent, l.self) {
+		at = later(at, l.holderAt.Add(l.terms.Apart+l.terms.Margin))
+	}
+	return at, true
+}
+
+// Take returns the write that begins a term of this node, which is sent at a moment not before MayTakeAt.
+func (l *Lease) Take(now time.Time) (r Record, expect int64) {
+	recent := l.record.Recent
+	if l.record.Holder != "" && l.record.Holder != l.self {
+		recent = append(slices.Clone(recent), l.record.Holder)
+	}
+	recent = slices.DeleteFunc(slices.Clone(recent), func(name string) bool { return name == l.self })
+	recent = recent[max(0, len(recent)-recentMost):]
+	return l.send(now, Record{Holder: l.self, Address: l.address, Token: l.record.Token + 1, Recent: recent})
+}
+
+// Renew returns the write that makes this node's term longer, which is sent at a moment.
+func (l *Lease) Renew(now time.Time) (r Record, expect int64) {
+	return l.send(now, l.record)
+}
+
+// Release ends this node's term at once and returns the write that tells so.
+func (l *Lease) Release(now time.Time) (r Record, expect int64) {
+	l.token = 0
+	r = l.record
+	r.Released = true
+	return l.send(now, r)
+}
+
+// send remembers a write.
+func (l *Lease) send(now time.Time, r Record) (Record, int64) {
+	l.writes++
+	r.Write = l.writes
+	l.pending = append(l.pending, pending{record: r, sent: now})
+	l.pending = l.pending[max(0, len(l.pending)-pendingMost):]
+	return r, l.version
+}
+
+// Written says that the newest write was done, and of which version the row is now.
+func (l *Lease) Written(now time.Time, version int64) {
+	l.Seen(now, l.pending[len(l.pending)-1].record, version)
+}
+
+// Conflict says that the newest write was not done, since the row had changed. Until it is read again this node
+// neither acts nor writes: another may hold the lease.
+func (l *Lease) Conflict() { l.known, l.token = false, 0 }
+
+// Unknown says that the outcome of the newest write is not known: the row is read before the next one. The term
+// goes on until its end.
+func (l *Lease) Unknown() { l.known = false }
+
+// Known reports whether the row is known, so that a write may be tried.
+func (l *Lease) Known() bool { return l.known }
+
+// confirm begins or lengthens this node's term: a write was done. The term counts from when that was sent.
+func (l *Lease) confirm(p pending) {
+	l.token = p.record.Token
+	l.until = p.sent.Add(l.terms.Life)
+}
+
+// later returns the later of two moments.
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
--- /dev/null
+++ b/internal/lease/lease_test.go
@@ -0,0 +1,117 @@
+package lease
+
+import (
+	"testing"
+	"time"
+)
+
+var (
+	terms = Terms{Life: 2 * time.Second, Margin: 300 * time.Millisecond, Apart: 3 * time.Second}
+	start = time.Unix(1000, 0)
+)
+
+// at returns a moment some milliseconds after the start.
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+// store is the row in the platform's store.
+type store struct {
+	record  Record
+	version int64
+}
+
+// write does a write if its condition holds.
+func (s *store) write(r Record, expect int64) bool {
+	if expect != s.version {
+		return false
+	}
+	s.record = r
+	s.version++
+	return true
+}
+
+// TestALeaseCountsFromTheSending holds that a term ends its life after its renewal was sent, not after the
+// answer came, and that a renewal whose answer was lost counts once it is seen.
+func TestALeaseCountsFromTheSending(t *testing.T) {
+	s, l := &store{}, New("a", "a:1", terms)
+	l.Seen(at(0), s.record, s.version)
+	s.write(l.Take(at(10)))
+	l.Written(at(900), s.version)
+	if _, ok := l.Holds(at(2009)); !ok {
+		t.Error("the term ended before its life")
+	}
+	if _, ok := l.Holds(at(2010)); ok {
+		t.Error("the term goes on after its life, counted from the sending")
+	}
+	s.write(l.Renew(at(1500)))
+	l.Unknown()
+	if _, ok := l.Holds(at(2011)); ok {
+		t.Error("a renewal of unknown outcome counts")
+	}
+	l.Seen(at(1900), s.record, s.version)
+	if _, ok := l.Holds(at(3499)); !ok {
+		t.Error("a renewal that was done does not count, since its answer was lost")
+	}
+	if _, ok := l.Holds(at(3500)); ok {
+		t.Error("the renewal counts from when it was seen")
+	}
+}
+
+// TestATakeOverWaitsTheLeaseOut holds that a row must have been seen unchanged for a life and a margin, that a
+// renewal begins that anew, and that a released one is free at once.
+func TestATakeOverWaitsTheLeaseOut(t *testing.T) {
+	s, a, b := &store{}, New("a", "", terms), New("b", "", terms)
+	a.Seen(at(0), s.record, s.version)
+	s.write(a.Take(at(0)))
+	a.Written(at(5), s.version)
+	b.Seen(at(100), s.record, s.version)
+	if from, ok := b.MayTakeAt(); !ok || from != at(2400) {
+		t.Errorf("b may take over from %v on, want 2.4 s", from.Sub(start))
+	}
+	stale, expect := b.Take(at(2400))
+	s.write(a.Renew(at(1000)))
+	a.Written(at(1005), s.version)
+	if s.write(stale, expect) {
+		t.Error("b took over though the lease was renewed")
+	}
+	b.Conflict()
+	if _, ok := b.MayTakeAt(); ok {
+		t.Error("b may take over without having read the row")
+	}
+	s.write(a.Release(at(1500)))
+	if _, ok := a.Holds(at(1501)); ok {
+		t.Error("a acts after its release")
+	}
+	b.Seen(at(1600), s.record, s.version)
+	if from, _ := b.MayTakeAt(); from != at(1600) {
+		t.Errorf("b waits until %v for a lease that was released", from.Sub(start))
+	}
+	s.write(b.Take(at(1600)))
+	b.Written(at(1605), s.version)
+	if term, ok := b.Holds(at(1700)); !ok || term.Token != 2 {
+		t.Errorf("b has term %+v, %v", term, ok)
+	}
+}
+
+// TestNoReturnWithinApart holds that a former holder does not come back, after another's term, within the time in
+// which holders must not act in turn, also where it has started again.
+func TestNoReturnWithinApart(t *testing.T) {
+	s, a, b := &store{}, New("a", "", terms), New("b", "", terms)
+	a.Seen(at(0), s.record, s.version)
+	s.write(a.Take(at(0)))
+	a.Written(at(5), s.version)
+	s.write(a.Release(at(100)))
+	b.Seen(at(110), s.record, s.version)
+	s.write(b.Take(at(110)))
+	b.Written(at(115), s.version)
+	s.write(b.Release(at(120)))
+	again := New("a", "", terms)
+	again.Seen(at(130), s.record, s.version)
+	if from, _ := again.MayTakeAt(); from.Before(at(130 + 3000)) {
+		t.Errorf("a comes back %v after the start", from.Sub(start))
+	}
+	c := New("c", "", terms)
+	c.Seen(at(130), s.record, s.version)
+	if from, _ := c.MayTakeAt(); from != at(130) {
+		t.Errorf("c waits until %v", from.Sub(start))
+	}
+}
