Scaling: how many engines each hall should hold, of ordinary ones and of those that may be taken away

Change: internal/scaling, a decision without a network: the need of the last minute, more of it the cheaper; ordinary engines for what the newest seconds need where cheap ones can't be had. What both kinds are ordered to never passes the limit. Tests on a small platform: replacement, loss of one hall and of all for ten seconds, dear engines with 4 and 9 s to start, a new holder. They failed first on orders beyond the limit and on a new holder that ordered fewer at once.

--- /dev/null
+++ b/internal/scaling/scaling_test.go
@@ -0,0 +1,223 @@
+package scaling
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+var start = time.Unix(1000, 0)
+
+// step is the time between two looks of the holder.
+const step = 250 * time.Millisecond
+
+// limits are those of a pool with three halls, where engines that may be taken away have a price.
+func limits(spot float64, boot time.Duration) Limits {
+	return Limits{Min: 1, Max: 40, Boot: boot, Spot: spot, Prices: map[string]float64{"a": 0.85, "b": 1.2, "c": 1}}
+}
+
+// site is a platform that starts and takes away engines.
+type site struct {
+	t       *testing.T
+	s       *Scaler
+	limits  Limits
+	now     time.Time
+	load    float64 // load is how many engines are kept busy.
+	want    map[kind]int
+	have    map[kind]int
+	starts  map[kind][]time.Time
+	dry     time.Time // dry is until when no engine that may be taken away can be had.
+	orders  int
+	price   float64 // price is what was paid, in seconds of an ordinary engine.
+	leastOf int     // leastOf is the least number of engines that served at once since it was reset.
+}
+
+// newSite returns a platform with some ordinary engines in each of three halls.
+func newSite(t *testing.T, l Limits, each int) *site {
+	x := &site{t: t, s: New("p"), limits: l, now: start, want: map[kind]int{}, have: map[kind]int{}, starts: map[kind][]time.Time{}, leastOf: 1 << 30}
+	for hall := range l.Prices {
+		x.want[kind{hall, false}], x.have[kind{hall, false}] = each, each
+	}
+	return x
+}
+
+// seen returns what service discovery shows.
+func (x *site) seen() map[string]Seen {
+	out := map[string]Seen{}
+	for hall := range x.limits.Prices {
+		out[hall] = Seen{Staying: x.have[kind{hall, false}], Spot: x.have[kind{hall, true}]}
+	}
+	return out
+}
+
+// run lets some time pass.
+func (x *site) run(d time.Duration) {
+	for end := x.now.Add(d); x.now.Before(end); x.now = x.now.Add(step) {
+		x.s.Note(x.now, x.load)
+		for _, o := range x.s.Decide(x.now, x.limits, x.seen()) {
+			x.take(o)
+		}
+		x.pass()
+	}
+}
+
+// take takes an order.
+func (x *site) take(o Order) {
+	x.orders++
+	k := kind{o.Hall, o.Spot}
+	if o.Spot && x.now.Before(x.dry) && o.Count > x.have[k] {
+		x.s.Refused(x.now, o)
+		return
+	}
+	other := x.want[kind{o.Hall, !o.Spot}]
+	if o.Count < 0 || o.Count+other > x.limits.Max {
+		x.t.Errorf("%v: order %+v beside %d of the other kind", x.now.Sub(start), o, other)
+	}
+	x.want[k] = o.Count
+	x.have[k] = min(x.have[k], o.Count)
+	x.starts[k] = nil
+	for range o.Count - x.have[k] {
+		x.starts[k] = append(x.starts[k], x.now.Add(x.limits.Boot))
+	}
+	x.s.Ordered(x.now, o)
+}
+
+// pass starts engines and counts what they cost.
+func (x *site) pass() {
+	serving := 0
+	for hall, price := range x.limits.Prices {
+		for _, spot := range []bool{false, true} {
+			k := kind{hall, spot}
+			for len(x.starts[k]) > 0 && !x.now.Before(x.starts[k][0]) {
+				x.starts[k] = x.starts[k][1:]
+				x.have[k]++
+			}
+			serving += x.have[k]
+			if spot {
+				price *= x.limits.Spot
+			}
+			x.price += price * float64(x.have[k]) * step.Seconds()
+		}
+	}
+	x.leastOf = min(x.leastOf, serving)
+}
+
+// reclaim takes all engines of a hall away that may be, and none can be had for a while.
+func (x *site) reclaim(hall string, dry time.Duration) {
+	x.have[kind{hall, true}], x.starts[kind{hall, true}] = 0, nil
+	x.dry = x.now.Add(dry)
+}
+
+// serving returns how many engines serve.
+func (x *site) serving() int {
+	n := 0
+	for _, have := range x.have {
+		n += have
+	}
+	return n
+}
+
+// TestCheapEnginesReplaceOrdinaryOnes holds that where engines that may be taken away cost little, they take the place of ordinary
+// ones, that never fewer serve meanwhile than the operators began with, and that it then stays so.
+func TestCheapEnginesReplaceOrdinaryOnes(t *testing.T) {
+	x := newSite(t, limits(0.15, 4*time.Second), 20)
+	x.run(20 * time.Second)
+	if x.leastOf < 60 {
+		t.Errorf("only %d engines served meanwhile, of 60 at first", x.leastOf)
+	}
+	for hall, seen := range x.seen() {
+		if seen.Staying > 3 || seen.Staying+seen.Spot != 40 {
+			t.Errorf("hall %s: %+v, want 40 and few ordinary ones", hall, seen)
+		}
+	}
+	before := x.orders
+	x.load = 20
+	x.run(30 * time.Second)
+	if x.orders-before > 6 {
+		t.Errorf("%d orders in 30 s of an even load", x.orders-before)
+	}
+}
+
+// TestLossOfAHallOrOfAll holds what serves once all engines that may be taken away have left one hall, or all halls, and
+// none can be had for ten seconds: what the load needs, after the time in which ordinary ones start.
+func TestLossOfAHallOrOfAll(t *testing.T) {
+	for _, lost := range []int{1, 3} {
+		x := newSite(t, limits(0.15, 4*time.Second), 20)
+		x.load = 25
+		x.run(30 * time.Second)
+		for _, hall := range []string{"a", "b", "c"}[:lost] {
+			x.reclaim(hall, 10*time.Second)
+		}
+		x.run(6 * time.Second)
+		if need := int(x.load / busyShort); x.serving() < need {
+			t.Errorf("%d halls: 6 s later %d engines serve, want %d", lost, x.serving(), need)
+		}
+		x.run(25 * time.Second)
+		for hall, seen := range x.seen() {
+			if seen.Staying > 3 || seen.Spot < 35 {
+				t.Errorf("%d halls: 30 s later hall %s has %+v", lost, hall, seen)
+			}
+		}
+	}
+}
+
+// TestWhereTheyAreDear holds that where engines that may be taken away cost nearly as much, ordinary ones follow the load:
+// up at once, down not before a minute, and never by more orders than changes of the load.
+func TestWhereTheyAreDear(t *testing.T) {
+	for _, boot := range []time.Duration{4 * time.Second, 9 * time.Second} {
+		x := newSite(t, limits(0.9, boot), 20)
+		x.load = 10
+		x.run(30 * time.Second)
+		x.load = 30
+		x.run(boot + 2*time.Second)
+		if x.serving() < 75 {
+			t.Errorf("boot %v: %d engines serve a load of 30, want 75", boot, x.serving())
+		}
+		x.load = 10
+		x.run(40 * time.Second)
+		if x.serving() < 75 {
+			t.Errorf("boot %v: the reserve is gone 40 s after the peak, %d engines", boot, x.serving())
+		}
+		x.run(60 * time.Second)
+		if x.serving() > 40 {
+			t.Errorf("boot %v: %d engines still serve a load of 10", boot, x.serving())
+		}
+		for hall, seen := range x.seen() {
+			if seen.Spot > 0 {
+				t.Errorf("hall %s has %d dear engines that may be taken away", hall, seen.Spot)
+			}
+		}
+		if x.orders > 24 {
+			t.Errorf("boot %v: %d orders for three changes of the load", boot, x.orders)
+		}
+	}
+}
+
+// TestNothingIsOrderedBeforeTheEnginesAreKnown holds that a holder which does not know the engines yet orders nothing.
+func TestNothingIsOrderedBeforeTheEnginesAreKnown(t *testing.T) {
+	s := New("p")
+	l := limits(0.15, 4*time.Second)
+	for i := range 40 {
+		now := start.Add(time.Duration(i) * step)
+		if got := s.Decide(now, l, map[string]Seen{"a": {}, "b": {}, "c": {}}); len(got) > 0 {
+			t.Fatalf("ordered %+v with no engine known", got)
+		}
+	}
+}
+
+// TestOrdersOutliveTheHolder holds that a holder which knows what was ordered before does not order it again.
+func TestOrdersOutliveTheHolder(t *testing.T) {
+	x := newSite(t, limits(0.15, 4*time.Second), 20)
+	x.load = 25
+	x.run(30 * time.Second)
+	next := New("p")
+	for _, o := range x.s.All() {
+		next.Restore(x.now, o)
+	}
+	before := fmt.Sprint(x.want)
+	x.s, x.orders = next, 0
+	x.run(3 * time.Second)
+	if x.orders > 3 {
+		t.Errorf("%d orders of a new holder: %s, then %v", x.orders, before, x.want)
+	}
+}
