Duties: one node reports usage and orders engines, and hands both on

Ruled out: one lease a subject, all nodes as candidates, polling the row to see who holds it (docs/design/duties.md).

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -41,6 +41,9 @@
 		Ended(route string, outcome string, first, total time.Duration)
 		Retried(pool string)
 
+		// Began counts a request of a team that an engine began to run.
+		Began(now time.Time, team string)
+
 		// EngineEnded counts a request under which its engine has ended.
 		EngineEnded(pool string)
 	}
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -69,6 +69,7 @@
 	w.status = resp.Status
 	if !resp.NotRun {
 		w.call.Began(now)
+		w.d.observer.Began(now, w.teamName())
 	}
 	if !resp.NotRun && w.heard.IsZero() {
 		w.heard = now
--- a/internal/dispatch/rig_test.go
+++ b/internal/dispatch/rig_test.go
@@ -84,6 +84,7 @@
 func (a *answer) Abort()                                { a.aborted = true }
 func (noMetrics) Ended(_, _ string, _, _ time.Duration) {}
 func (noMetrics) Retried(string)                        { retried.Add(1) }
+func (noMetrics) Began(time.Time, string)               {}
 func (noMetrics) EngineEnded(string)                    {}
 
 // respond returns an engine's whole answer.
--- /dev/null
+++ b/internal/duty/hold.go
@@ -0,0 +1,320 @@
+package duty
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/croftturn/croftturn/internal/clock"
+	"github.com/croftturn/croftturn/internal/feed"
+	"github.com/croftturn/croftturn/internal/lease"
+	"github.com/croftturn/croftturn/internal/pause"
+	"github.com/croftturn/croftturn/internal/scaling"
+	"github.com/croftturn/croftturn/internal/usage"
+)
+
+// hold becomes the holder when it is this node's turn, and stays it, until the context ends.
+func (d *Duties) hold(ctx context.Context) {
+	var backoff pause.Backoff
+	for ctx.Err() == nil {
+		now := clock.Now()
+		var err error
+		wait := campaignPoll
+		switch _, holds := d.Holds(now); {
+		case holds:
+			wait, err = d.keep(ctx, now)
+		case d.mayTry(now):
+			wait, err = d.campaign(ctx, now)
+		case !d.candidate(now):
+			wait = restPoll
+		}
+		if err != nil && ctx.Err() == nil {
+			d.log.Warn("lease not written or read", "error", err.Error())
+			backoff.Wait(ctx)
+			continue
+		}
+		backoff.Reset()
+		d.rest(ctx, wait)
+	}
+}
+
+// candidate reports whether this node stands ready to become the holder.
+func (d *Duties) candidate(now time.Time) bool {
+	_, ok := d.node.Rank(now)
+	return ok
+}
+
+// rest waits for a while, or until the node stops.
+func (d *Duties) rest(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-d.wake:
+	case <-timer.C:
+	}
+}
+
+// mayTry reports whether it is this node's turn to become the holder: nobody has said for a while that it is, and those
+// that should before this one have had their time.
+func (d *Duties) mayTry(now time.Time) bool {
+	rank, ok := d.node.Rank(now)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !ok || d.releases || now.Before(d.restsTo) {
+		d.aloneAt = time.Time{}
+		return false
+	}
+	if !d.told.Free && now.Sub(d.told.SaidAt) < holderLife && d.told.Address != d.settings.PeerAddress {
+		d.aloneAt = time.Time{}
+		return false
+	}
+	if d.aloneAt.IsZero() {
+		d.aloneAt = now
+	}
+	return now.Sub(d.aloneAt) >= time.Duration(rank)*candidateWait
+}
+
+// campaign reads the lease, waits it out and takes it. It returns when to try again.
+func (d *Duties) campaign(ctx context.Context, now time.Time) (wait time.Duration, err error) {
+	d.mu.Lock()
+	at, known := d.lease.MayTakeAt()
+	d.mu.Unlock()
+	if known && now.Before(at) {
+		return min(at.Sub(now), holderLife), nil
+	}
+	rows, err := d.read(ctx)
+	if err != nil {
+		return 0, err
+	}
+	now = clock.Now()
+	d.mu.Lock()
+	at, _ = d.lease.MayTakeAt()
+	_, holds := d.lease.Holds(now)
+	if holds || now.Before(at) {
+		d.mu.Unlock()
+		return min(max(at.Sub(now), campaignPoll), holderLife), nil
+	}
+	r, expect := d.lease.Take(now)
+	d.mu.Unlock()
+	if err := d.commit(ctx, r, expect, nil); err != nil {
+		return 0, err
+	}
+	return 0, d.took(rows)
+}
+
+// took begins a term with what the holder before left.
+func (d *Duties) took(rows []feed.Row) error {
+	now := clock.Now()
+	term, ok := d.Holds(now)
+	if !ok {
+		return nil
+	}
+	var counts []usage.Row
+	for _, r := range rows {
+		counts = append(counts, usage.Row{Key: r.Key, Value: r.Value})
+	}
+	if err := d.ledger.Load(now, counts); err != nil {
+		d.log.Error("counts of the holder before not understood", "error", err.Error())
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.demand = demand{nodes: map[string]*given{}, since: now}
+	d.failing = time.Time{}
+	d.scalers = map[string]*scaling.Scaler{}
+	d.orders = ""
+	for _, r := range rows {
+		if r.Key == keyOrders {
+			d.restore(now, r.Value)
+		}
+	}
+	d.log.Info("duties taken", "token", term.Token, "before", d.lease.Record().Recent, "rows", len(rows))
+	return nil
+}
+
+// restore takes the orders of the holder before. The caller holds the lock.
+func (d *Duties) restore(now time.Time, value []byte) {
+	var all []scaling.Order
+	if err := json.Unmarshal(value, &all); err != nil {
+		d.log.Error("orders of the holder before not understood", "error", err.Error())
+		return
+	}
+	for _, o := range all {
+		d.scaler(o.Pool).Restore(now, o)
+	}
+	d.orders = string(value)
+}
+
+// scaler returns the scaler of a pool. The caller holds the lock.
+func (d *Duties) scaler(pool string) *scaling.Scaler {
+	s := d.scalers[pool]
+	if s == nil {
+		s = scaling.New(pool)
+		d.scalers[pool] = s
+	}
+	return s
+}
+
+// read reads all rows of the duties, as of one moment, and tells the lease.
+func (d *Duties) read(ctx context.Context) ([]feed.Row, error) {
+	snap, err := d.store.List(ctx, table, part)
+	if err != nil {
+		return nil, fmt.Errorf("read duties: %w", err)
+	}
+	var record lease.Record
+	version := int64(0)
+	for _, r := range snap.Rows {
+		if r.Key != keyLease {
+			continue
+		}
+		if err := json.Unmarshal(r.Value, &record); err != nil {
+			d.log.Error("lease not understood; it is taken as one that runs", "error", err.Error())
+		}
+		version = r.Version
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.lease.Seen(clock.Now(), record, version)
+	return snap.Rows, nil
+}
+
+// keep renews the lease and writes what is new. It returns when to do so again.
+func (d *Duties) keep(ctx context.Context, now time.Time) (wait time.Duration, err error) {
+	d.mu.Lock()
+	known := d.lease.Known()
+	term, _ := d.lease.Holds(now)
+	d.mu.Unlock()
+	if !known {
+		if _, err := d.read(ctx); err != nil {
+			return 0, err
+		}
+		return 0, nil
+	}
+	for _, w := range d.ledger.Settle(now) {
+		d.log.Info("window settled", "window", w.Number, "token", term.Token, "teams", len(w.Counts), "requests", total(w.Counts))
+	}
+	puts, state := d.changes(now)
+	renewEvery := time.Duration(renewShare * float64(d.life()))
+	d.mu.Lock()
+	leaves := d.mustRelease(now)
+	if left := term.Until.Sub(now) - d.life() + renewEvery; len(puts) == 0 && left > 0 && !leaves {
+		d.mu.Unlock()
+		return min(left, writeEvery), nil
+	}
+	if leaves {
+		d.mu.Unlock()
+		return 0, d.release(ctx, puts)
+	}
+	r, expect := d.lease.Renew(now)
+	d.mu.Unlock()
+	if err := d.commit(ctx, r, expect, puts); err != nil {
+		return 0, err
+	}
+	d.written(puts, state)
+	return min(writeEvery, renewEvery), nil
+}
+
+// life returns the life of the lease.
+func (d *Duties) life() time.Duration { return time.Duration(lifeShare * float64(d.settings.Apart)) }
+
+// mustRelease reports whether this node should leave the duties to another: it stops, or the platform has not
+// answered its calls for long. The caller holds the lock.
+func (d *Duties) mustRelease(now time.Time) bool {
+	if !d.failing.IsZero() && now.Sub(d.failing) > giveUpAfter {
+		d.restsTo = now.Add(restAfter)
+		return true
+	}
+	return d.releases
+}
+
+// changes returns the rows that differ from what is in the store, and the ledger's state that they are of.
+func (d *Duties) changes(now time.Time) (rows []feed.Row, state int64) {
+	counts, state := d.ledger.Pending(now)
+	for _, r := range counts {
+		rows = append(rows, feed.Row{Table: table, Part: part, Key: r.Key, Value: r.Value})
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var all []scaling.Order
+	for _, s := range d.scalers {
+		all = append(all, s.All()...)
+	}
+	if text, err := json.Marshal(all); err == nil && len(all) > 0 && string(text) != d.orders {
+		rows = append(rows, feed.Row{Table: table, Part: part, Key: keyOrders, Value: text})
+	}
+	return rows, state
+}
+
+// written records what is in the store now.
+func (d *Duties) written(rows []feed.Row, state int64) {
+	d.ledger.Written(state)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, r := range rows {
+		if r.Key == keyOrders {
+			d.orders = string(r.Value)
+		}
+	}
+}
+
+// commit writes the lease's row, and others with it, if the lease's has not changed.
+func (d *Duties) commit(ctx context.Context, r lease.Record, expect int64, rows []feed.Row) error {
+	value, err := json.Marshal(r)
+	if err != nil {
+		return fmt.Errorf("encode lease: %w", err)
+	}
+	row := feed.Row{Table: table, Part: part, Key: keyLease}
+	tx := feed.Tx{Expect: []feed.Row{row}}
+	tx.Expect[0].Version = expect
+	row.Value = value
+	tx.Put = append(tx.Put, row)
+	for _, each := range rows {
+		if len(each.Value) == 0 {
+			tx.Delete = append(tx.Delete, each)
+			continue
+		}
+		tx.Put = append(tx.Put, each)
+	}
+	version, err := d.store.Commit(ctx, tx)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch {
+	case err == nil && version > 0:
+		d.lease.Written(clock.Now(), version)
+		return nil
+	case errors.Is(err, feed.ErrConflict):
+		d.lease.Conflict()
+	case err == nil || !errors.Is(err, feed.ErrUnavailable):
+		d.lease.Unknown()
+	}
+	if err == nil {
+		return errors.New("the store did not tell the row's version")
+	}
+	return fmt.Errorf("write lease: %w", err)
+}
+
+// release ends this node's term with a last write of what is new.
+func (d *Duties) release(ctx context.Context, rows []feed.Row) error {
+	d.mu.Lock()
+	r, expect := d.lease.Release(clock.Now())
+	d.mu.Unlock()
+	d.log.Info("duties released", "token", r.Token)
+	if err := d.commit(ctx, r, expect, rows); err != nil {
+		return err
+	}
+	d.Hear(Holder{Token: r.Token, Free: true})
+	return nil
+}
+
+// Stop hands the duties over: this node becomes the holder no more, and leaves them if it is.
+func (d *Duties) Stop() {
+	d.mu.Lock()
+	d.releases = true
+	d.mu.Unlock()
+	select {
+	case d.wake <- struct{}{}:
+	default: // It was woken already.
+	}
+}
--- /dev/null
+++ b/internal/edge/duties.go
@@ -0,0 +1,142 @@
+package edge
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/croftturn/croftturn/internal/clock"
+	"github.com/croftturn/croftturn/internal/dispatch"
+	"github.com/croftturn/croftturn/internal/duty"
+	"github.com/croftturn/croftturn/internal/gossip"
+	"github.com/croftturn/croftturn/internal/peer"
+	"github.com/croftturn/croftturn/internal/scaling"
+	"github.com/croftturn/croftturn/internal/settings"
+	"github.com/croftturn/croftturn/internal/wire"
+	"github.com/croftturn/croftturn/platform"
+)
+
+const (
+	// holderTold is for how long after a holder said so its term is told on.
+	holderTold = 3 * time.Second
+
+	// firstDuties is how long after the first start of the whole system nobody takes the duties: until all have
+	// registered, small nodes don't know that there are larger ones.
+	firstDuties = firstReads + 300*time.Millisecond
+
+	// candidates is how many nodes stand ready to take the duties over.
+	candidates = 4
+)
+
+// newDuties returns this node's part in the duties, or nil where the platform asks for none.
+func (e *Edge) newDuties(now time.Time) *duty.Duties {
+	s := e.settings
+	if s.DutiesAddress == "" || len(s.Duties) == 0 {
+		return nil
+	}
+	e.dutyCalls = platform.NewDuties(s.DutiesAddress)
+	d := duty.New(now, duty.Settings{
+		Name: s.Instance, Process: fmt.Sprintf("%s/%x", s.Instance, clock.Wall(now).UnixNano()), PeerAddress: s.PeerAddress,
+		Apart: ms(s.LeaseMs), Window: ms(s.UsageWindowMs), Late: ms(s.UsageLateMs),
+		Usage: slices.Contains(s.Duties, settings.SettingsDutiesElemUsage), Scaling: slices.Contains(s.Duties, settings.SettingsDutiesElemScaling),
+	}, e.store, e.dutyCalls, e.calls, dutyNode{e}, e.log)
+	e.peers.Handle(duty.MethodUsage, peer.Typed(d.TakeCounts))
+	e.metrics.usage = d.Counter
+	return d
+}
+
+// dutyNode is what the duties see of a node.
+type dutyNode struct{ e *Edge }
+
+// Rank returns how many nodes should hold the duties before this one: hubs that can call the store, the largest first.
+func (n dutyNode) Rank(now time.Time) (rank int, ok bool) {
+	e := n.e
+	if e.settings.FirstStart && now.Sub(e.startedAt) < firstDuties || !e.register.Read() || !e.gossip.Hub() || e.dispatcher.Ready(now) == dispatch.Stopping || e.cantRead(now) {
+		return 0, false
+	}
+	self := newCandidate(e.settings.Instance, cores(e.settings), false)
+	for _, p := range e.gossip.Hubs(now) {
+		if newCandidate(p.Name, p.Cores, p.Said.CantRead || p.Said.Stopping).before(self) {
+			rank++
+		}
+	}
+	return rank, rank < candidates
+}
+
+// Pools returns what this node sees of the pools whose engines can be ordered.
+func (n dutyNode) Pools(time.Time) []duty.Pool {
+	table := n.e.dispatcher.Table()
+	if table == nil {
+		return nil
+	}
+	var out []duty.Pool
+	for _, p := range table.Pools() {
+		if p.Scaling == nil {
+			continue
+		}
+		halls := map[string]scaling.Seen{}
+		for hall := range p.Scaling.Prices {
+			halls[hall] = scaling.Seen{}
+		}
+		for hall, present := range n.e.placement.Present(p.Name) {
+			halls[hall] = scaling.Seen(present)
+		}
+		out = append(out, duty.Pool{Name: p.Name, Limits: *p.Scaling, Halls: halls})
+	}
+	return out
+}
+
+// Work returns, by pool, the reading that this node gave to engines so far, in milliseconds of an engine.
+func (n dutyNode) Work() map[string]float64 { return n.e.placement.Work() }
+
+// sayHolder returns what is told of who holds the duties.
+func (e *Edge) sayHolder(now time.Time) gossip.Holder {
+	if e.duties == nil {
+		return gossip.Holder{}
+	}
+	h := e.duties.Holder(now)
+	if h.Free {
+		return gossip.Holder{Token: h.Token, Address: h.Address, AgeMs: -1}
+	}
+	if age := now.Sub(h.SaidAt); h.Token > 0 && age <= holderTold {
+		return gossip.Holder{Token: h.Token, Address: h.Address, AgeMs: age.Milliseconds()}
+	}
+	return gossip.Holder{}
+}
+
+// hearHolder takes what a peer tells of who holds the duties.
+func (e *Edge) hearHolder(now time.Time, h gossip.Holder) {
+	if e.duties != nil && h.Token > 0 {
+		e.duties.Hear(duty.Holder{Token: h.Token, Address: h.Address, SaidAt: now.Add(-ms(int(max(h.AgeMs, 0)))), Free: h.AgeMs < 0})
+	}
+}
+
+// dutyRows returns who holds the duties, and what this node did of them, as rows for operators.
+func (e *Edge) dutyRows(now time.Time) []wire.Row {
+	if e.duties == nil {
+		return nil
+	}
+	s := e.duties.Shown(now)
+	rows := []wire.Row{{
+		Name: "holder", Node: s.Holder.Address, Count: int(s.Holder.Token), AgeMs: int(now.Sub(s.Holder.SaidAt).Milliseconds()),
+		Reason: fmt.Sprintf("term %d; holders before: %v", s.Holder.Token, s.Before), State: map[bool]string{true: "given up", false: "held"}[s.Holder.Free],
+	}}
+	for _, w := range s.Windows {
+		state := "open"
+		switch {
+		case w.Sent:
+			state = "reported"
+		case w.Settled:
+			state = "settled"
+		}
+		requests := 0
+		for _, n := range w.Counts {
+			requests += n
+		}
+		rows = append(rows, wire.Row{Name: fmt.Sprint("window ", w.Number), State: state, Count: requests, Reason: fmt.Sprintf("by team: %v", w.Counts)})
+	}
+	for _, o := range s.Orders {
+		rows = append(rows, wire.Row{Name: "engines in " + o.Hall, Pool: o.Pool, Count: o.Count, State: map[bool]string{true: "may be taken away", false: "ordinary"}[o.Spot], Reason: fmt.Sprintf("the load needs %d in all", s.Need[o.Pool])})
+	}
+	return rows
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -20,6 +20,7 @@
 	"github.com/croftturn/croftturn/internal/clock"
 	"github.com/croftturn/croftturn/internal/discovery"
 	"github.com/croftturn/croftturn/internal/dispatch"
+	"github.com/croftturn/croftturn/internal/duty"
 	"github.com/croftturn/croftturn/internal/feed"
 	"github.com/croftturn/croftturn/internal/freshness"
 	"github.com/croftturn/croftturn/internal/front"
@@ -88,6 +89,8 @@
 	proof      *freshness.Proof
 	placement  *placement.Placement
 	quarantine *quarantine.Quarantine
+	duties     *duty.Duties // duties is nil where the platform asks for none.
+	dutyCalls  *platform.Duties
 	budget     *retry.Budget
 	gossip     *gossip.Gossip
 	dispatcher *dispatch.Dispatcher
@@ -183,6 +186,7 @@
 	e.follower = feed.NewFollower(s.PeerAddress, e.calls, e.log, e.config, e.engines)
 	e.peers = peer.NewServer(listener, e.traffic, e.log)
 	e.peers.Handle(feed.MethodTable, peer.Typed(e.follower.Answer))
+	e.duties = e.newDuties(now)
 	return nil
 }
 
@@ -191,7 +195,7 @@
 	s := e.settings
 	control := http.NewServeMux()
 	control.Handle("GET /metrics", e.tele.Metrics)
-	control.HandleFunc("POST /admin/v1/statements", e.held)
+	control.HandleFunc("POST /admin/v1/statements", e.statements)
 	servers := []listener{
 		{s.CallerAddress, platform.NewIngress(e.dispatcher, platform.Limits{Read: ms(s.ReadTimeoutMs), Write: ms(s.WriteTimeoutMs)})},
 		{s.DirectoryAddress, platform.NewDirectory(e, e.log)},
@@ -227,6 +231,12 @@
 		e.awaitAnswer(ctx)
 		quarantine.NewKeeper(e.quarantine, e.store, s.FirstStart, e.log).Run(ctx)
 	})
+	if e.duties != nil {
+		e.start(func() {
+			e.awaitAnswer(ctx)
+			e.duties.Run(ctx)
+		})
+	}
 	return nil
 }
 
@@ -266,6 +276,9 @@
 	end := begin.Add(ms(e.settings.StopGraceMs) - stopMargin)
 	e.dispatcher.StopBy(end)
 	e.log.Info("node stops", "active", e.dispatcher.Active(), "within_ms", clock.Until(end).Milliseconds())
+	if e.duties != nil {
+		e.duties.Stop()
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	if err := e.register.Leave(ctx); err != nil {
 		e.log.Warn("node stays in the register", "error", err.Error())
@@ -296,6 +309,9 @@
 	e.wg.Wait()
 	e.egress.Close()
 	e.store.Close()
+	if e.dutyCalls != nil {
+		e.dutyCalls.Close()
+	}
 	errs = append(errs, e.tele.Close(), e.lines.Close())
 	if err := errors.Join(errs...); err != nil {
 		return fmt.Errorf("stop node: %w", err)
--- a/internal/edge/held.go
+++ b/internal/edge/held.go
@@ -19,9 +19,10 @@
 // longestStatement bounds a statement of an operator, in bytes.
 const longestStatement = 4 << 10
 
-// held serves the operators' statements on requests that are held: "held" lists them, and "release FINGERPRINT" frees
-// one at all nodes. Who releases one needs the operators' token; without one in the settings nobody may.
-func (e *Edge) held(w http.ResponseWriter, r *http.Request) {
+// statements serves the operators' statements: "duties" shows what one node does for all, "held" lists requests that are
+// held, and "release FINGERPRINT" frees one at all nodes. Who releases one needs the operators' token; without one in
+// the settings nobody may.
+func (e *Edge) statements(w http.ResponseWriter, r *http.Request) {
 	var statement struct {
 		Text string `json:"text"`
 	}
@@ -31,10 +32,13 @@
 	}
 	now := clock.Now()
 	words := strings.Fields(statement.Text)
+	rows := e.heldRows
 	switch {
 	case len(words) == 1 && words[0] == "held":
+	case len(words) == 1 && words[0] == "duties":
+		rows = e.dutyRows
 	case len(words) != 2 || words[0] != "release":
-		http.Error(w, `want "held" or "release FINGERPRINT"`, http.StatusBadRequest)
+		http.Error(w, `want "duties", "held" or "release FINGERPRINT"`, http.StatusBadRequest)
 		return
 	case !config.TokenHas(header.Bearer(r.Header), e.settings.BootstrapTokenSha256):
 		http.Error(w, "the token is not the operators'", http.StatusForbidden)
@@ -47,7 +51,7 @@
 		}
 	}
 	w.Header().Set("Content-Type", "application/json")
-	if err := json.NewEncoder(w).Encode(admin.Result{Rows: e.heldRows(now)}); err != nil {
+	if err := json.NewEncoder(w).Encode(admin.Result{Rows: rows(now)}); err != nil {
 		e.log.Debug("answer to an operator not delivered", "error", err.Error())
 	}
 }
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -11,6 +11,7 @@
 
 	"github.com/croftturn/croftturn/internal/clock"
 	"github.com/croftturn/croftturn/internal/telemetry"
+	"github.com/croftturn/croftturn/internal/usage"
 )
 
 // metrics counts what happens to requests.
@@ -18,6 +19,7 @@
 	ended   metric.Int64Counter
 	retried metric.Int64Counter
 	crashed metric.Int64Counter
+	usage   *usage.Counter // usage is nil where nobody asks for it.
 	first   metric.Float64Histogram
 	total   metric.Float64Histogram
 }
@@ -70,6 +72,13 @@
 	m.retried.Add(context.Background(), 1, metric.WithAttributes(attribute.String("pool", pool)))
 }
 
+// Began counts a request of a team that an engine began to run.
+func (m *metrics) Began(now time.Time, team string) {
+	if m.usage != nil && team != "" {
+		m.usage.Began(now, team)
+	}
+}
+
 // EngineEnded counts a request under which its engine has ended.
 func (m *metrics) EngineEnded(pool string) {
 	m.crashed.Add(context.Background(), 1, metric.WithAttributes(attribute.String("pool", pool)))
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -37,9 +37,18 @@
 		SilentMs      int64                        // SilentMs is how long a node that reads the store has had no answer; -1 if it does not read.
 		LostAgeMs     int64                        // LostAgeMs is how long ago its last call failed; -1 if never.
 		Places        map[string][]dispatch.Places // Places tells how the tiers fared, by pool.
+		Holder        Holder                       // Holder is who holds the system's duties, as the sender knows.
 		Crashing      []quarantine.Told            // Crashing are requests under which engines ended: what was learned of them lately, and all that are held.
 	}
 
+	// Holder is the node that acts for all towards the platform.
+	Holder struct {
+		_       struct{} `cbor:",toarray"`
+		Token   int64    // Token is of its term; 0 for none.
+		Address string   // Address is where peers call it.
+		AgeMs   int64    // AgeMs is how long ago it said so; -1 where it gave the term up.
+	}
+
 	// Peer is another node.
 	Peer struct {
 		Self
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -42,6 +42,7 @@
 		Hall     string
 		Slots    int
 		Draining bool  // Draining engines get no new requests.
+		Spot     bool  // Spot engines may be taken away by the platform.
 		Born     int64 // Born tells one incarnation of the engine from the next; it is the start by the engine's own clock; 0 where it does not say.
 		Since    int64 // Since is the version of the entry by which this incarnation was known first.
 	}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -66,6 +66,7 @@
 		ranking ranking
 		told    map[string][]string // told holds the engines at which each peer last told of work.
 		uses    []Use               // uses since the last call of TakeUses
+		work    map[string]float64  // work is the reading that this node gave to the engines of a pool so far, in milliseconds.
 	}
 )
 
@@ -82,7 +83,7 @@
 func New(hall string, options ...Option) *Placement {
 	p := &Placement{
 		hall: hall, unheard: func(time.Time) int { return 0 },
-		engines: map[string]*engine{}, pools: map[string]*pool{}, told: map[string][]string{}, cache: cache{parts: map[uint64]map[string]time.Time{}},
+		engines: map[string]*engine{}, pools: map[string]*pool{}, told: map[string][]string{}, work: map[string]float64{}, cache: cache{parts: map[uint64]map[string]time.Time{}},
 	}
 	for _, option := range options {
 		option(p)
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -4,11 +4,15 @@
 package routing
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/croftturn/croftturn/internal/scaling"
 )
 
 const (
@@ -59,8 +63,9 @@
 	// Pool is a group of engines, or of backend servers, that do the same work.
 	Pool struct {
 		Name     string
-		MaxConns int    // MaxConns is the most connections one engine takes, from all nodes together.
-		Model    *Model // Model is nil for plain backend servers.
+		MaxConns int             // MaxConns is the most connections one engine takes, from all nodes together.
+		Model    *Model          // Model is nil for plain backend servers.
+		Scaling  *scaling.Limits // Scaling is nil where engines can't be ordered.
 	}
 
 	// Model says what is known of the model engines of a pool.
@@ -174,6 +179,9 @@
 // Keyed reports whether requests need a key.
 func (t *Table) Keyed() bool { return t.keyed }
 
+// Pools returns all pools, in no order.
+func (t *Table) Pools() []*Pool { return slices.Collect(maps.Values(t.pools)) }
+
 // Pool returns a pool by name, or nil.
 func (t *Table) Pool(name string) *Pool { return t.pools[name] }
 
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -45,6 +45,13 @@
 	// milliseconds.
 	DrainMs int `json:"drain_ms,omitempty,omitzero"`
 
+	// Duties are what one node at a time does for all: report usage, order engines.
+	Duties []SettingsDutiesElem `json:"duties,omitempty,omitzero"`
+
+	// DutiesAddress is the IP address and port of the platform's API for what one
+	// node does for all; empty where there is none.
+	DutiesAddress string `json:"duties_address,omitempty,omitzero"`
+
 	// EngineDrainMs is how long after an engine said that it leaves it may still get
 	// new requests, in milliseconds.
 	EngineDrainMs int `json:"engine_drain_ms,omitempty,omitzero"`
@@ -71,6 +78,10 @@
 	// Instance is the name of this instance, unique in the system.
 	Instance string `json:"instance"`
 
+	// LeaseMs is the least time between two terms of one node as holder of the duties
+	// with another's between them, in milliseconds; a lease lasts two thirds of it.
+	LeaseMs int `json:"lease_ms,omitempty,omitzero"`
+
 	// LeaveNoticeMs is how long a stopping node goes on taking requests after the
 	// entry points stopped naming it, in milliseconds.
 	LeaveNoticeMs int `json:"leave_notice_ms,omitempty,omitzero"`
@@ -166,11 +177,48 @@
 	// TraceShare is the share of requests without a sampled parent that are traced.
 	TraceShare float64 `json:"trace_share,omitempty,omitzero"`
 
+	// UsageLateMs is how long after its end a window's usage is due, in milliseconds.
+	UsageLateMs int `json:"usage_late_ms,omitempty,omitzero"`
+
+	// UsageWindowMs is the length of the windows of time for which usage is reported,
+	// in milliseconds.
+	UsageWindowMs int `json:"usage_window_ms,omitempty,omitzero"`
+
 	// WriteTimeoutMs bounds how long one write to a caller may block, in
 	// milliseconds.
 	WriteTimeoutMs int `json:"write_timeout_ms,omitempty,omitzero"`
 }
 
+type SettingsDutiesElem string
+
+const SettingsDutiesElemScaling SettingsDutiesElem = "scaling"
+const SettingsDutiesElemUsage SettingsDutiesElem = "usage"
+
+var enumValues_SettingsDutiesElem = []interface{}{
+	"usage",
+	"scaling",
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *SettingsDutiesElem) UnmarshalJSON(value []byte) error {
+	var v string
+	if err := json.Unmarshal(value, &v); err != nil {
+		return err
+	}
+	var ok bool
+	for _, expected := range enumValues_SettingsDutiesElem {
+		if reflect.DeepEqual(v, expected) {
+			ok = true
+			break
+		}
+	}
+	if !ok {
+		return fmt.Errorf("invalid value (expected one of %#v): %#v", enumValues_SettingsDutiesElem, v)
+	}
+	*j = SettingsDutiesElem(v)
+	return nil
+}
+
 type SettingsLogLevel string
 
 const SettingsLogLevelDebug SettingsLogLevel = "debug"
@@ -297,6 +345,15 @@
 	if 0 > plain.DrainMs {
 		return fmt.Errorf("field %s: must be >= %v", "drain_ms", 0)
 	}
+	if v, ok := raw["duties"]; !ok || v == nil {
+		plain.Duties = []SettingsDutiesElem{}
+	}
+	if v, ok := raw["duties_address"]; !ok || v == nil {
+		plain.DutiesAddress = ""
+	}
+	if matched, _ := regexp.MatchString(`^([0-9a-fA-F.:\[\]]+:[0-9]+)?$`, string(plain.DutiesAddress)); !matched {
+		return fmt.Errorf("field %s pattern match: must match %s", "DutiesAddress", `^([0-9a-fA-F.:\[\]]+:[0-9]+)?$`)
+	}
 	if v, ok := raw["engine_drain_ms"]; !ok || v == nil {
 		plain.EngineDrainMs = 2000
 	}
@@ -342,6 +399,15 @@
 	if matched, _ := regexp.MatchString(`^[a-z0-9][a-z0-9-]{0,62}$`, string(plain.Instance)); !matched {
 		return fmt.Errorf("field %s pattern match: must match %s", "Instance", `^[a-z0-9][a-z0-9-]{0,62}$`)
 	}
+	if v, ok := raw["lease_ms"]; !ok || v == nil {
+		plain.LeaseMs = 3000
+	}
+	if 600000 < plain.LeaseMs {
+		return fmt.Errorf("field %s: must be <= %v", "lease_ms", 600000)
+	}
+	if 500 > plain.LeaseMs {
+		return fmt.Errorf("field %s: must be >= %v", "lease_ms", 500)
+	}
 	if v, ok := raw["leave_notice_ms"]; !ok || v == nil {
 		plain.LeaveNoticeMs = 2000
 	}
@@ -528,6 +594,24 @@
 	if 0 > plain.TraceShare {
 		return fmt.Errorf("field %s: must be >= %v", "trace_share", 0)
 	}
+	if v, ok := raw["usage_late_ms"]; !ok || v == nil {
+		plain.UsageLateMs = 10000
+	}
+	if 86400000 < plain.UsageLateMs {
+		return fmt.Errorf("field %s: must be <= %v", "usage_late_ms", 86400000)
+	}
+	if 3000 > plain.UsageLateMs {
+		return fmt.Errorf("field %s: must be >= %v", "usage_late_ms", 3000)
+	}
+	if v, ok := raw["usage_window_ms"]; !ok || v == nil {
+		plain.UsageWindowMs = 5000
+	}
+	if 86400000 < plain.UsageWindowMs {
+		return fmt.Errorf("field %s: must be <= %v", "usage_window_ms", 86400000)
+	}
+	if 100 > plain.UsageWindowMs {
+		return fmt.Errorf("field %s: must be >= %v", "usage_window_ms", 100)
+	}
 	if v, ok := raw["write_timeout_ms"]; !ok || v == nil {
 		plain.WriteTimeoutMs = 10000
 	}
