--- a/internal/dispatch/ended_test.go
+++ b/internal/dispatch/ended_test.go
@@ -49,16 +49,25 @@
 func (c *endedCount) EngineEnded(string)      { c.n.Add(1) }
 func (c *endedCount) Began(time.Time, string) { c.began.Add(1) }
 
+// midway answers with an event, and breaks off.
+func midway(context.Context) (*dispatch.Response, error) {
+	resp := respond(http.StatusOK, "")
+	resp.Length, resp.Body = -1, io.NopCloser(io.MultiReader(strings.NewReader("id: 1\ndata: x\n\n"), iotest.ErrReader(errCut)))
+	return resp, nil
+}
+
+// turned turns a request away.
+func turned(context.Context) (*dispatch.Response, error) {
+	resp := respond(http.StatusServiceUnavailable, "")
+	resp.NotRun = true
+	return resp, nil
+}
+
 // TestWhatCountsAsTheEndOfAnEngine holds under which failures a request counts as one under which
 // its engine ended, that requests which break off together ask once, and which count as begun by their engine: those of
 // which the head of an answer came, and those whose answer was lost while the engine lives.
 func TestWhatCountsAsTheEndOfAnEngine(t *testing.T) {
 	cut := func(ctx context.Context) (*dispatch.Response, error) { return nil, errCut }
-	midway := func(ctx context.Context) (*dispatch.Response, error) {
-		resp := respond(http.StatusOK, "")
-		resp.Length, resp.Body = -1, io.NopCloser(io.MultiReader(strings.NewReader("id: 1\ndata: x\n\n"), iotest.ErrReader(errCut)))
-		return resp, nil
-	}
 	silentToTheEnd := func(ctx context.Context) (*dispatch.Response, error) {
 		<-ctx.Done()
 		return nil, context.Cause(ctx)
@@ -66,11 +75,6 @@
 	failure := func(ctx context.Context) (*dispatch.Response, error) {
 		return respond(http.StatusInternalServerError, ""), nil
 	}
-	turned := func(ctx context.Context) (*dispatch.Response, error) {
-		resp := respond(http.StatusServiceUnavailable, "")
-		resp.NotRun = true
-		return resp, nil
-	}
 	foreign := func(ctx context.Context) (*dispatch.Response, error) { return nil, dispatch.ErrForeign }
 	for name, c := range map[string]struct {
 		serve    func(ctx context.Context) (*dispatch.Response, error)
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -156,16 +156,16 @@
 
 		mu       sync.Mutex
 		lease    *lease.Lease
-		told     Holder // told is the holder that this node heard of last.
-		aloneAt  time.Time
-		mine     int64     // mine is the token of this process's last term, until it gives it up.
-		restsTo  time.Time // restsTo is until when this node leaves the duties to others.
-		failing  time.Time // failing is since when the platform's calls fail; zero where they don't.
-		releases bool      // releases says that this node stops.
-		demand   demand
-		scalers  map[string]*scaling.Scaler
-		orders   string // orders is the row of orders as it lies in the store.
-		wake     chan struct{}
+		told     Holder                     // told is the holder that this node heard of last.
+		aloneAt  time.Time                  // aloneAt is since when this node would become the holder and hears of none; zero where it does.
+		mine     int64                      // mine is the token of this process's last term, until it gives it up.
+		restsTo  time.Time                  // restsTo is until when this node leaves the duties to others.
+		failing  time.Time                  // failing is since when the platform's calls fail; zero where they don't.
+		releases bool                       // releases says that this node stops.
+		demand   demand                     // demand is what engines are given to read, as the nodes tell the holder.
+		scalers  map[string]*scaling.Scaler // scalers are by pool.
+		orders   string                     // orders is the row of orders as it lies in the store.
+		wake     chan struct{}              // wake ends the rest of hold.
 	}
 )
 
--- /dev/null
+++ b/internal/placement/present_test.go
@@ -0,0 +1,37 @@
+package placement_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/croftturn/croftturn/internal/placement"
+)
+
+// TestPresentAndWork holds how engines are counted by hall and kind, and that the work which a node sends counts.
+func TestPresentAndWork(t *testing.T) {
+	p, now := placement.New("a"), time.Unix(1000, 0)
+	for id, e := range map[string]placement.Engine{
+		"1": {Hall: "a"}, "2": {Hall: "a", Draining: true}, "3": {Hall: "a", Spot: true}, "4": {Hall: "b", Spot: true, Draining: true}, "5": {Hall: "b"},
+	} {
+		e.ID, e.Pool, e.Slots = id, "p", 8
+		p.Set(e)
+	}
+	got := p.Present("p")
+	if want := (placement.Present{Staying: 1, Spot: 1}); got["a"] != want {
+		t.Errorf("hall a: %+v, want %+v", got["a"], want)
+	}
+	if want := (placement.Present{Staying: 1, Leaving: 1}); got["b"] != want {
+		t.Errorf("hall b: %+v, want %+v", got["b"], want)
+	}
+	r := placement.Request{Pool: "p", Prompt: placement.Prompt{Tokens: 5000}}
+	choice, ok := p.Choose(now, r)
+	if !ok {
+		t.Fatal("no engine")
+	}
+	p.Start(now, choice, r)
+	once := p.Work()["p"]
+	p.Start(now, choice, r)
+	if twice := p.Work()["p"]; once != 5000/choice.Read || twice != 2*once {
+		t.Errorf("5,000 tokens at %v a millisecond are %v ms, twice as many %v", choice.Read, once, twice)
+	}
+}
--- a/internal/usage/counter.go
+++ b/internal/usage/counter.go
@@ -8,7 +8,6 @@
 package usage
 
 import (
-	"maps"
 	"sync"
 	"time"
 )
@@ -190,6 +189,3 @@
 	}
 	return c.clock.PutRight(time.UnixMilli(a.WallMs).Sub(c.clock.At(middle)))
 }
-
-// clone returns a copy.
-func clone(teams map[string]int) map[string]int { return maps.Clone(teams) }
--- a/internal/usage/ledger.go
+++ b/internal/usage/ledger.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 	"sort"
 	"strconv"
@@ -358,7 +359,7 @@
 			w, ok = *each, true
 		}
 	}
-	w.Counts = clone(w.Counts)
+	w.Counts = maps.Clone(w.Counts)
 	return w, ok
 }
 
@@ -384,7 +385,7 @@
 	for _, w := range l.windows {
 		if !w.Sent {
 			shown := *w
-			shown.Counts = clone(w.Counts)
+			shown.Counts = maps.Clone(w.Counts)
 			windows = append(windows, shown)
 		}
 	}
