--- a/internal/dispatch/overload_test.go
+++ b/internal/dispatch/overload_test.go
@@ -204,9 +204,10 @@
 	var wg sync.WaitGroup
 	for i := range count {
 		id := fmt.Sprint("e", i)
-		engines[id] = &reader{wake: make(chan struct{}, 1)}
+		engine := &reader{wake: make(chan struct{}, 1)}
+		engines[id] = engine
 		place.Set(placement.Engine{ID: id, Pool: "p", Hall: "hall", Slots: 64})
-		wg.Go(func() { engines[id].run(ctx) })
+		wg.Go(func() { engine.run(ctx) })
 	}
 	proof := freshness.New(time.Hour)
 	proof.Renew(time.Now())
