Duties: a node that learns by reading that it took over goes on with what the holder before left

Cause, found by reading the diff: a take-over whose answer from the store was lost showed by the next read, after which the node acted without the rows of the holder before. Counts in the store were lost, and a window that was settled could have been settled again with other counts. Between the write's answer and the rows being taken there was a moment in which counts were taken and lost, too. Change: a node acts only once it has taken the rows of its term. Ruled out: a report from an earlier term of the same process (it is in the store as it was settled, so that it is an exact repeat).

--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -199,7 +199,14 @@
 func (d *Duties) Holds(now time.Time) (lease.Term, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.lease.Holds(now)
+	return d.acts(now)
+}
+
+// acts returns the term in which this node may act: it holds the lease, and has taken what the holder before left. Counts
+// that came between the two would be lost. The caller holds the lock.
+func (d *Duties) acts(now time.Time) (lease.Term, bool) {
+	term, holds := d.lease.Holds(now)
+	return term, holds && term.Token == d.mine
 }
 
 // Hear takes who holds the duties, as a peer says.
@@ -216,7 +223,7 @@
 func (d *Duties) Holder(now time.Time) Holder {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if term, ok := d.lease.Holds(now); ok {
+	if term, ok := d.acts(now); ok {
 		d.told = Holder{Token: term.Token, Address: d.settings.PeerAddress, SaidAt: d.lease.Renewed()}
 	}
 	return d.told
@@ -269,7 +276,7 @@
 	now := clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	term, ok := d.lease.Holds(now)
+	term, ok := d.acts(now)
 	if !ok {
 		return nil, errNotHolder
 	}
--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -349,6 +349,33 @@
 	r.reported(n)
 }
 
+// TestATakeOverWhoseAnswerIsLost holds that a node which learns only by reading that it took over goes on with what the holder
+// before had written.
+func TestATakeOverWhoseAnswerIsLost(t *testing.T) {
+	r := newRig(t, 2)
+	r.holder("n0")
+	n := r.began(300*time.Millisecond, "n0", "n1")
+	r.acknowledged("n0", "n1")
+	r.memory.loseAnswers(true)
+	r.ends["n0"]()
+	r.memory.set(r.memory.gone, "n0")
+	r.holder("n1")
+	r.memory.loseAnswers(false)
+	r.reported(n)
+}
+
+// acknowledged waits until what nodes counted is in the store.
+func (r *rig) acknowledged(names ...string) {
+	r.t.Helper()
+	for _, name := range names {
+		for deadline := time.Now().Add(5 * time.Second); r.nodes[name].Counter.Unkept() > 0; time.Sleep(5 * time.Millisecond) {
+			if time.Now().After(deadline) {
+				r.t.Fatalf("counts of %s are not in the store", name)
+			}
+		}
+	}
+}
+
 // loseAnswers says whether answers to writes are lost.
 func (m *memory) loseAnswers(lose bool) {
 	m.mu.Lock()
--- a/internal/duty/hold.go
+++ b/internal/duty/hold.go
@@ -97,10 +97,12 @@
 		return 0, err
 	}
 	now = clock.Now()
+	if d.tookUnheard(now) {
+		return 0, d.took(rows)
+	}
 	d.mu.Lock()
 	at, _ = d.lease.MayTakeAt()
-	_, holds := d.lease.Holds(now)
-	if holds || now.Before(at) {
+	if now.Before(at) {
 		d.mu.Unlock()
 		return min(max(at.Sub(now), campaignPoll), holderLife), nil
 	}
@@ -112,13 +114,18 @@
 	return 0, d.took(rows)
 }
 
+// tookUnheard reports whether this node holds the lease by a write of which it has learned only now that it was done. What the
+// holder before left is still to be taken then: without it, windows that this one had settled would be counted anew.
+func (d *Duties) tookUnheard(now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	term, holds := d.lease.Holds(now)
+	return holds && term.Token != d.mine
+}
+
 // took begins a term with what the holder before left.
 func (d *Duties) took(rows []feed.Row) error {
 	now := clock.Now()
-	term, ok := d.Holds(now)
-	if !ok {
-		return nil
-	}
 	var counts []usage.Row
 	for _, r := range rows {
 		counts = append(counts, usage.Row{Key: r.Key, Value: r.Value})
@@ -128,6 +135,10 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	term, ok := d.lease.Holds(now)
+	if !ok {
+		return nil // It ran out meanwhile.
+	}
 	d.demand = demand{nodes: map[string]*given{}, since: now}
 	d.failing = time.Time{}
 	d.scalers = map[string]*scaling.Scaler{}
@@ -192,13 +203,14 @@
 func (d *Duties) keep(ctx context.Context, now time.Time) (wait time.Duration, err error) {
 	d.mu.Lock()
 	known := d.lease.Known()
-	term, holds := d.lease.Holds(now)
+	term, holds := d.acts(now)
 	d.mu.Unlock()
 	if !known {
-		if _, err := d.read(ctx); err != nil {
-			return 0, err
+		rows, err := d.read(ctx)
+		if err == nil && d.tookUnheard(clock.Now()) {
+			err = d.took(rows)
 		}
-		return 0, nil
+		return 0, err
 	}
 	if holds {
 		d.settle(now, term)
--- a/internal/usage/counter.go
+++ b/internal/usage/counter.go
@@ -162,6 +162,13 @@
 	return r, true
 }
 
+// Unkept returns how many batches, the open one among them, are not known to be in the store.
+func (c *Counter) Unkept() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.batches) + min(len(c.open), 1)
+}
+
 // closeBatch makes a batch of the open counts, or adds them to one that nobody has seen. The caller holds the lock.
 func (c *Counter) closeBatch() {
 	if n := len(c.batches); n >= batchesMost && c.batches[n-1].Number > c.sent {
