--- a/internal/feed/reader.go
+++ b/internal/feed/reader.go
@@ -51,7 +51,7 @@
 	var backoff pause.Backoff
 	for ctx.Err() == nil {
 		if !r.wanted(clock.Now()) {
-			r.rest(ctx)
+			pause.Woken(ctx, idlePoll, r.Wake)
 			continue
 		}
 		err := r.once(ctx)
@@ -73,17 +73,6 @@
 // Read reads once what has changed.
 func (r *Reader) Read(ctx context.Context) error { return r.once(ctx) }
 
-// rest pauses until it may be time to read.
-func (r *Reader) rest(ctx context.Context) {
-	timer := time.NewTimer(idlePoll)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-r.Wake:
-	case <-timer.C:
-	}
-}
-
 // wanted reports whether this node should read, and logs a change.
 func (r *Reader) wanted(now time.Time) bool {
 	reads := r.Wanted(now)
--- a/internal/pause/pause.go
+++ b/internal/pause/pause.go
@@ -17,3 +17,14 @@
 		return true
 	}
 }
+
+// Woken waits for a duration, which the end of a context and a wake-up cut short. A nil channel never wakes.
+func Woken(ctx context.Context, d time.Duration, wake <-chan struct{}) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-wake:
+	case <-t.C:
+	}
+}
