Line: one function for the least limit up to a place in an order

How long a request waits for a place and the wait with which admission takes one were each bounded by those before it, in two loops of the same kind. The least now has the request's own limit in it, which Decide took the least of anyway: nothing else changes.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -41,7 +41,7 @@
 	Left    time.Duration // Left of the caller's time.
 	Wait    time.Duration // Wait is expected until the request's prompt is read.
 
-	// Most is the least limit of requests that are more urgent, 0 for none.
+	// Most is the least limit of this request and of those that are more urgent, 0 where only its own counts.
 	Most time.Duration
 
 	// Pressure is the share of the pool's newest requests that were expected to wait long.
--- a/internal/dispatch/line.go
+++ b/internal/dispatch/line.go
@@ -57,7 +57,7 @@
 		mu      sync.Mutex
 		waiting []*waiter
 		limits  [lineTiers]time.Duration // limits are how long requests of each tier may wait; 0 where none came yet.
-		bears   [urgencies]time.Duration // bears are the waits with which admission took requests of each urgency last; 0 where none came yet.
+		borne   [urgencies]time.Duration // borne are the waits with which admission took requests of each urgency last; 0 where none came yet.
 		every   time.Duration            // every is the usual time from one place to the next while requests wait.
 		since   time.Time                // since is when the newest place was found, or the line began.
 		tiers   [lineTiers]tierCount     // tiers tells how the requests of each tier of routes fared.
@@ -107,10 +107,14 @@
 func (l *line) limit(tier int, target time.Duration) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	tier = min(tier, lineTiers-1)
-	l.limits[tier] = time.Duration(lineShare * float64(target))
-	limit := l.limits[tier]
-	for _, higher := range l.limits[:tier] {
+	return leastUpTo(l.limits[:], min(tier, lineTiers-1), time.Duration(lineShare*float64(target)))
+}
+
+// leastUpTo records the limit of one place in an order, and returns the least of it and of those before it. A place of which
+// none is known yet has 0.
+func leastUpTo(limits []time.Duration, at int, limit time.Duration) time.Duration {
+	limits[at] = limit
+	for _, higher := range limits[:at] {
 		if higher > 0 {
 			limit = min(limit, higher)
 		}
@@ -118,20 +122,14 @@
 	return limit
 }
 
-// bearsMost takes the wait with which admission takes a request of an urgency, and returns the least of those that are more
+// bears takes the wait with which admission takes a request of an urgency, and returns the least of it and of those that are more
 // urgent: by its own target alone a long prompt was taken at waits with which short ones of a higher tier were refused.
 // With this, and with refusals at arrival counted as places that lack, 183 of 190 short requests began where none did, beside
 // prompts five times as long, at 1.7 times what the engines read.
-func (l *line) bearsMost(urgency int, limit time.Duration) (most time.Duration) {
+func (l *line) bears(urgency int, limit time.Duration) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.bears[urgency] = limit
-	for _, higher := range l.bears[:urgency] {
-		if higher > 0 && (most == 0 || higher < most) {
-			most = higher
-		}
-	}
-	return most
+	return leastUpTo(l.borne[:], urgency, limit)
 }
 
 // join puts a request into the line, unless those before it are expected to take longer
--- a/internal/dispatch/walk.go
+++ b/internal/dispatch/walk.go
@@ -181,7 +181,7 @@
 		Pressure: l.pressure.Note(now, wait, w.route.Target),
 	}
 	if limit, bounded := r.Limit(); bounded {
-		r.Most = l.bearsMost(routing.Urgency(w.route, w.team), limit)
+		r.Most = l.bears(routing.Urgency(w.route, w.team), limit)
 	}
 	return admission.Decide(r)
 }
