Duties: what was there twice or could be derived, and an order that changed by chance

- The row of orders was written in the order of a map: with two pools, or both kinds of one number in a hall, it differed by chance from the one in the store and was written again, up to 2.5 times a second.
One order now; the test failed before.
- Rank was worked out twice for a node that is no candidate; the ledger's rows were copied to and from the store's; the sum of a window's counts stood in two places; the time of the next renewal was worked out back from the end of the term.
- A report told the same moment twice (wall_ms, through_ms).
- The due window is looked for only by a holder.

--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -171,16 +171,18 @@
 
 // New returns a node's part in the duties. Run begins it.
 func New(now time.Time, s Settings, store Store, p Platform, caller Caller, node Node, log *slog.Logger) *Duties {
-	life := time.Duration(lifeShare * float64(s.Apart))
 	day := usage.NewClock(now, clock.Wall(now))
 	return &Duties{
 		settings: s, store: store, platform: p, caller: caller, node: node, log: log,
 		clock: day, Counter: usage.NewCounter(s.Process, s.Window, day), ledger: usage.NewLedger(s.Window, s.Late, day),
-		lease:  lease.New(s.Name, s.PeerAddress, lease.Terms{Life: life, Margin: margin, Apart: s.Apart}),
+		lease:  lease.New(s.Name, s.PeerAddress, lease.Terms{Life: s.life(), Margin: margin, Apart: s.Apart}),
 		demand: demand{nodes: map[string]*given{}}, scalers: map[string]*scaling.Scaler{}, wake: make(chan struct{}, 1),
 	}
 }
 
+// life returns the life of the lease.
+func (s Settings) life() time.Duration { return time.Duration(lifeShare * float64(s.Apart)) }
+
 // Run takes part until the context ends.
 func (d *Duties) Run(ctx context.Context) {
 	var wg sync.WaitGroup
@@ -256,11 +258,7 @@
 // sendCounts sends counts to the holder, which may be this node.
 func (d *Duties) sendCounts(ctx context.Context, h Holder, r *usage.Report) (usage.Ack, error) {
 	if h.Address == d.settings.PeerAddress {
-		got, err := d.TakeCounts(ctx, r)
-		if err != nil {
-			return usage.Ack{}, err
-		}
-		return *got.(*usage.Ack), nil
+		return d.take(clock.Now(), r)
 	}
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
@@ -273,28 +271,31 @@
 
 // TakeCounts takes a node's counts; it is the handler of MethodUsage.
 func (d *Duties) TakeCounts(_ context.Context, r *usage.Report) (any, error) {
-	now := clock.Now()
+	return d.take(clock.Now(), r)
+}
+
+// take takes a node's counts, if this node is the holder.
+func (d *Duties) take(now time.Time, r *usage.Report) (usage.Ack, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	term, ok := d.acts(now)
 	if !ok {
-		return nil, errNotHolder
+		return usage.Ack{}, errNotHolder
 	}
 	d.demand.take(now, r.Node, r.WorkMs)
-	ack := d.ledger.Take(now, term.Token, *r)
-	return &ack, nil
+	return d.ledger.Take(now, term.Token, *r), nil
 }
 
 // reportWindows reports the windows that are settled, while this node is the holder, until the context ends.
 func (d *Duties) reportWindows(ctx context.Context) {
 	var backoff pause.Backoff
 	for ctx.Err() == nil {
-		w, due := d.ledger.Due()
 		term, ok := d.Holds(clock.Now())
 		if !ok {
 			pause.For(ctx, restPoll)
 			continue
 		}
+		w, due := d.ledger.Due()
 		if !due {
 			pause.For(ctx, campaignPoll)
 			continue
@@ -311,20 +312,11 @@
 		}
 		backoff.Reset()
 		d.ledger.Sent(w.Number)
-		d.log.Info("usage reported", "window", w.Number, "token", term.Token, "teams", len(w.Counts), "requests", total(w.Counts), "late_ms", d.ledger.Age(begin, w.Number).Milliseconds(),
+		d.log.Info("usage reported", "window", w.Number, "token", term.Token, "teams", len(w.Counts), "requests", w.Requests(), "late_ms", d.ledger.Age(begin, w.Number).Milliseconds(),
 			"ms", after.Milliseconds(), "refused", err != nil)
 	}
 }
 
-// total returns the sum of counts.
-func total(counts map[string]int) int {
-	sum := 0
-	for _, n := range counts {
-		sum += n
-	}
-	return sum
-}
-
 // call makes a call to the platform that ends before the term does, and notes whether the platform can be called.
 func (d *Duties) call(ctx context.Context, term lease.Term, f func(ctx context.Context) error) error {
 	now := clock.Now()
--- a/internal/duty/hold.go
+++ b/internal/duty/hold.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/croftturn/croftturn/internal/clock"
@@ -12,7 +14,6 @@
 	"github.com/croftturn/croftturn/internal/lease"
 	"github.com/croftturn/croftturn/internal/pause"
 	"github.com/croftturn/croftturn/internal/scaling"
-	"github.com/croftturn/croftturn/internal/usage"
 )
 
 // hold becomes the holder when it is this node's turn, and stays it, until the context ends.
@@ -20,24 +21,30 @@
 	var backoff pause.Backoff
 	for ctx.Err() == nil {
 		now := clock.Now()
-		var err error
-		wait := campaignPoll
-		switch _, holds := d.Holds(now); {
-		case holds || d.resumes():
-			wait, err = d.keep(ctx, now)
-		case d.mayTry(now):
-			wait, err = d.campaign(ctx, now)
-		case !d.candidate(now):
-			wait = restPoll
-		}
+		wait, err := d.step(ctx, now)
 		if err != nil && ctx.Err() == nil {
 			d.log.Warn("lease not written or read", "error", err.Error())
 			backoff.Wait(ctx)
 			continue
 		}
 		backoff.Reset()
-		d.rest(ctx, wait)
+		pause.Woken(ctx, wait, d.wake)
+	}
+}
+
+// step does what is due for the lease, and returns when to look again.
+func (d *Duties) step(ctx context.Context, now time.Time) (wait time.Duration, err error) {
+	if _, holds := d.Holds(now); holds || d.resumes() {
+		return d.keep(ctx, now)
+	}
+	rank, ok := d.node.Rank(now)
+	switch {
+	case d.mayTry(now, rank, ok):
+		return d.campaign(ctx, now)
+	case !ok:
+		return restPoll, nil
 	}
+	return campaignPoll, nil
 }
 
 // resumes reports whether this node's last term may go on, though it ran out: nobody has been seen to take over.
@@ -47,30 +54,12 @@
 	return !d.releases && (d.lease.Resumes() || !d.lease.Known() && d.mine > 0 && d.told.Token == d.mine)
 }
 
-// candidate reports whether this node stands ready to become the holder.
-func (d *Duties) candidate(now time.Time) bool {
-	_, ok := d.node.Rank(now)
-	return ok
-}
-
-// rest waits for a while, or until the node stops.
-func (d *Duties) rest(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-d.wake:
-	case <-timer.C:
-	}
-}
-
-// mayTry reports whether it is this node's turn to become the holder: nobody has said for a while that it is, and those
-// that should before this one have had their time.
-func (d *Duties) mayTry(now time.Time) bool {
-	rank, ok := d.node.Rank(now)
+// mayTry reports whether it is the turn of this node, which stands ready if candidate, to become the holder: nobody has said for a
+// while that it is, and those that should before this one, as many as its rank, have had their time.
+func (d *Duties) mayTry(now time.Time, rank int, candidate bool) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !ok || d.releases || now.Before(d.restsTo) {
+	if !candidate || d.releases || now.Before(d.restsTo) {
 		d.aloneAt = time.Time{}
 		return false
 	}
@@ -126,11 +115,7 @@
 // took begins a term with what the holder before left.
 func (d *Duties) took(rows []feed.Row) error {
 	now := clock.Now()
-	var counts []usage.Row
-	for _, r := range rows {
-		counts = append(counts, usage.Row{Key: r.Key, Value: r.Value})
-	}
-	if err := d.ledger.Load(now, counts); err != nil {
+	if err := d.ledger.Load(now, rows); err != nil {
 		d.log.Error("counts of the holder before not understood", "error", err.Error())
 	}
 	d.mu.Lock()
@@ -216,10 +201,10 @@
 		d.settle(now, term)
 	}
 	puts, state := d.changes(now)
-	renewEvery := time.Duration(renewShare * float64(d.life()))
+	renewEvery := time.Duration(renewShare * float64(d.settings.life()))
 	d.mu.Lock()
 	leaves := d.mustRelease(now)
-	if left := term.Until.Sub(now) - d.life() + renewEvery; len(puts) == 0 && left > 0 && !leaves {
+	if left := d.lease.Renewed().Add(renewEvery).Sub(now); len(puts) == 0 && left > 0 && !leaves {
 		d.mu.Unlock()
 		return min(left, writeEvery), nil
 	}
@@ -239,13 +224,10 @@
 // settle settles the windows that are due.
 func (d *Duties) settle(now time.Time, term lease.Term) {
 	for _, w := range d.ledger.Settle(now) {
-		d.log.Info("window settled", "window", w.Number, "token", term.Token, "teams", len(w.Counts), "requests", total(w.Counts))
+		d.log.Info("window settled", "window", w.Number, "token", term.Token, "teams", len(w.Counts), "requests", w.Requests())
 	}
 }
 
-// life returns the life of the lease.
-func (d *Duties) life() time.Duration { return time.Duration(lifeShare * float64(d.settings.Apart)) }
-
 // mustRelease reports whether this node should leave the duties to another: it stops, or the platform has not
 // answered its calls for long. The caller holds the lock.
 func (d *Duties) mustRelease(now time.Time) bool {
@@ -258,18 +240,15 @@
 
 // changes returns the rows that differ from what is in the store, and the ledger's state that they are of.
 func (d *Duties) changes(now time.Time) (rows []feed.Row, state int64) {
-	counts, state := d.ledger.Pending(now)
-	for _, r := range counts {
-		rows = append(rows, feed.Row{Table: table, Part: part, Key: r.Key, Value: r.Value})
-	}
+	rows, state = d.ledger.Pending(now)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var all []scaling.Order
-	for _, s := range d.scalers {
-		all = append(all, s.All()...)
+	for _, pool := range slices.Sorted(maps.Keys(d.scalers)) { // In one order, so that the row changes with the orders alone.
+		all = append(all, d.scalers[pool].All()...)
 	}
 	if text, err := json.Marshal(all); err == nil && len(all) > 0 && string(text) != d.orders {
-		rows = append(rows, feed.Row{Table: table, Part: part, Key: keyOrders, Value: text})
+		rows = append(rows, feed.Row{Key: keyOrders, Value: text})
 	}
 	return rows, state
 }
@@ -286,23 +265,23 @@
 	}
 }
 
-// commit writes the lease's row, and others with it, if the lease's has not changed.
+// commit writes the lease's row, and others of the duties with it, if the lease's has not changed.
 func (d *Duties) commit(ctx context.Context, r lease.Record, expect int64, rows []feed.Row) error {
 	value, err := json.Marshal(r)
 	if err != nil {
 		return fmt.Errorf("encode lease: %w", err)
 	}
-	row := feed.Row{Table: table, Part: part, Key: keyLease}
-	tx := feed.Tx{Expect: []feed.Row{row}}
-	tx.Expect[0].Version = expect
-	row.Value = value
-	tx.Put = append(tx.Put, row)
-	for _, each := range rows {
-		if len(each.Value) == 0 {
-			tx.Delete = append(tx.Delete, each)
+	tx := feed.Tx{
+		Expect: []feed.Row{{Table: table, Part: part, Key: keyLease, Version: expect}},
+		Put:    []feed.Row{{Table: table, Part: part, Key: keyLease, Value: value}},
+	}
+	for _, row := range rows {
+		row.Table, row.Part = table, part
+		if row.Deleted {
+			tx.Delete = append(tx.Delete, row)
 			continue
 		}
-		tx.Put = append(tx.Put, each)
+		tx.Put = append(tx.Put, row)
 	}
 	version, err := d.store.Commit(ctx, tx)
 	d.mu.Lock()
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -138,11 +138,8 @@
 
 // Take returns the write that begins a term of this node, which is sent at a moment not before MayTakeAt.
 func (l *Lease) Take(now time.Time) (r Record, expect int64) {
-	recent := l.record.Recent
-	if l.record.Holder != "" && l.record.Holder != l.self {
-		recent = append(slices.Clone(recent), l.record.Holder)
-	}
-	recent = slices.DeleteFunc(slices.Clone(recent), func(name string) bool { return name == l.self })
+	recent := append(slices.Clone(l.record.Recent), l.record.Holder)
+	recent = slices.DeleteFunc(recent, func(name string) bool { return name == l.self || name == "" })
 	recent = recent[max(0, len(recent)-recentMost):]
 	return l.send(now, Record{Holder: l.self, Address: l.address, Token: l.record.Token + 1, Recent: recent})
 }
--- a/internal/scaling/scaling.go
+++ b/internal/scaling/scaling.go
@@ -307,7 +307,7 @@
 	s.kind(order.Hall, order.Spot, 0).refused = now
 }
 
-// All returns what was ordered last of each kind.
+// All returns what was ordered last of each kind, always in one order.
 func (s *Scaler) All() []Order {
 	var out []Order
 	for k, o := range s.kinds {
@@ -316,7 +316,13 @@
 		}
 	}
 	slices.SortFunc(out, func(a, b Order) int {
-		return cmp.Or(cmp.Compare(a.Hall, b.Hall), cmp.Compare(b.Count, a.Count))
+		if a.Hall != b.Hall {
+			return cmp.Compare(a.Hall, b.Hall)
+		}
+		if b.Spot {
+			return -1 // Ordinary ones come first.
+		}
+		return 1
 	})
 	return out
 }
--- a/internal/scaling/scaling_test.go
+++ b/internal/scaling/scaling_test.go
@@ -221,3 +221,20 @@
 		t.Errorf("%d orders of a new holder: %s, then %v", x.orders, before, x.want)
 	}
 }
+
+// TestAllOrdersComeInOneOrder holds that what was ordered is always told in one order, also where both kinds have as many: it is
+// written to the store whenever it differs.
+func TestAllOrdersComeInOneOrder(t *testing.T) {
+	s := New("p")
+	for _, hall := range []string{"b", "a"} {
+		for _, spot := range []bool{true, false} {
+			s.Ordered(start, Order{Pool: "p", Hall: hall, Spot: spot, Count: 20})
+		}
+	}
+	first := fmt.Sprint(s.All())
+	for range 50 {
+		if got := fmt.Sprint(s.All()); got != first {
+			t.Fatalf("first %s, then %s", first, got)
+		}
+	}
+}
--- a/internal/usage/counter.go
+++ b/internal/usage/counter.go
@@ -38,10 +38,9 @@
 
 	// Report is what a node sends to the holder.
 	Report struct {
-		Node      string  `json:"node"` // Node tells one process from all others: its instance, a slash, and what is its own.
-		WallMs    int64   `json:"wall_ms"`
-		ThroughMs int64   `json:"through_ms"` // ThroughMs is up to which moment, by WallMs, all counts are in the batches.
-		Batches   []Batch `json:"batches,omitempty"`
+		Node    string  `json:"node"`    // Node tells one process from all others: its instance, a slash, and what is its own.
+		WallMs  int64   `json:"wall_ms"` // WallMs is the node's time of day; all counts up to then are in the batches.
+		Batches []Batch `json:"batches,omitempty"`
 
 		WorkMs map[string]float64 `json:"work_ms,omitempty"` // WorkMs is, by pool, the reading that this node has given to engines since its start.
 	}
@@ -148,8 +147,7 @@
 	if len(c.open) > 0 {
 		c.closeBatch()
 	}
-	wall := c.clock.At(now).UnixMilli()
-	r = Report{Node: c.node, WallMs: wall, ThroughMs: wall}
+	r = Report{Node: c.node, WallMs: c.clock.At(now).UnixMilli()}
 	for _, b := range c.batches {
 		if b.Number > c.taken {
 			r.Batches = append(r.Batches, b)
--- a/internal/usage/ledger.go
+++ b/internal/usage/ledger.go
@@ -10,6 +10,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/croftturn/croftturn/internal/feed"
 )
 
 const (
@@ -60,12 +62,6 @@
 		changed int64 // changed is the state of the ledger at which it changed last.
 	}
 
-	// Row is a row of the ledger in the platform's store; an empty value drops it.
-	Row struct {
-		Key   string
-		Value []byte
-	}
-
 	// Ledger gathers the counts of all nodes at the holder. Its methods may be called from many goroutines.
 	Ledger struct {
 		length time.Duration // length is that of a window.
@@ -89,7 +85,7 @@
 		taken   int64         // taken is the number of the last batch that was added.
 		durable int64         // durable is that of the last one in the store.
 		changed int64         // changed is the state at which taken changed.
-		through time.Time     // through is the time of day up to which all its counts are known.
+		through time.Time     // through is the time of day, by this node's clock, up to which all its counts are known: that at which it was heard.
 		heard   time.Time     // heard is when it was heard last.
 		counted time.Time     // counted is when it last had counts.
 		gone    bool          // gone says that a later process of its instance was heard.
@@ -103,13 +99,22 @@
 	}
 )
 
+// Requests returns how many requests engines began in the window.
+func (w *Window) Requests() int {
+	sum := 0
+	for _, n := range w.Counts {
+		sum += n
+	}
+	return sum
+}
+
 // NewLedger returns an empty ledger for windows of a length that are due some time after their end.
 func NewLedger(length, late time.Duration, clock *Clock) *Ledger {
 	return &Ledger{length: length, late: late, clock: clock, windows: map[int64]*Window{}, nodes: map[string]*node{}}
 }
 
 // Load takes the rows that the holder before left. What this node knew of an earlier term of its own is dropped.
-func (l *Ledger) Load(now time.Time, rows []Row) error {
+func (l *Ledger) Load(now time.Time, rows []feed.Row) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.since, l.state, l.written, l.begun, l.next = now, 0, 0, false, 0
@@ -123,7 +128,7 @@
 }
 
 // load takes one row.
-func (l *Ledger) load(now time.Time, r Row) error {
+func (l *Ledger) load(now time.Time, r feed.Row) error {
 	if r.Key == keyNodes {
 		var all nodesRow
 		if err := json.Unmarshal(r.Value, &all); err != nil {
@@ -163,7 +168,7 @@
 		l.succeed(r.Node)
 	}
 	n.heard, n.ahead = now, time.UnixMilli(r.WallMs).Sub(wall)
-	n.through = time.UnixMilli(r.ThroughMs).Add(-n.ahead)
+	n.through = wall
 	for _, b := range r.Batches {
 		if b.Number <= n.taken {
 			continue
@@ -293,8 +298,8 @@
 	}
 }
 
-// Pending returns the rows that differ from what is in the store, and the state that they are of.
-func (l *Ledger) Pending(now time.Time) (rows []Row, state int64) {
+// Pending returns the rows that differ from what is in the store, by their keys alone, and the state that they are of.
+func (l *Ledger) Pending(now time.Time) (rows []feed.Row, state int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.written == l.state {
@@ -310,14 +315,14 @@
 			all.Nodes[name] = n.taken
 		}
 	}
-	rows = append(rows, Row{Key: keyNodes, Value: encode(all)})
+	rows = append(rows, feed.Row{Key: keyNodes, Value: encode(all)})
 	for number, w := range l.windows {
 		key := prefixWindows + strconv.FormatInt(number, 10)
 		switch {
 		case w.Sent:
-			rows = append(rows, Row{Key: key})
+			rows = append(rows, feed.Row{Key: key, Deleted: true})
 		case w.changed > l.written:
-			rows = append(rows, Row{Key: key, Value: encode(w)})
+			rows = append(rows, feed.Row{Key: key, Value: encode(w)})
 		}
 	}
 	sort.Slice(rows, func(i, j int) bool { return rows[i].Key < rows[j].Key })
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"github.com/croftturn/croftturn/internal/feed"
 )
 
 const (
@@ -44,9 +46,9 @@
 	r.t.Helper()
 	r.token++
 	r.held = NewLedger(window, late, r.nodes[node].clock)
-	var rows []Row
+	var rows []feed.Row
 	for key, value := range r.rows {
-		rows = append(rows, Row{Key: key, Value: value})
+		rows = append(rows, feed.Row{Key: key, Value: value})
 	}
 	if err := r.held.Load(now, rows); err != nil {
 		r.t.Fatal(err)
@@ -68,7 +70,7 @@
 func (r *rig) write(now time.Time) {
 	rows, state := r.held.Pending(now)
 	for _, row := range rows {
-		if len(row.Value) == 0 {
+		if row.Deleted {
 			delete(r.rows, row.Key)
 			continue
 		}
