Edge: one rank of a candidate; engines are counted in the words of scaling

Who holds the duties counted the candidates before it as the reading of the store does. placement.Present had the same three counts as scaling.Seen, into which the edge turned it; the requests of a window were summed here, too. Nothing else changes.

--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -10,7 +10,6 @@
 	"github.com/croftturn/croftturn/internal/duty"
 	"github.com/croftturn/croftturn/internal/gossip"
 	"github.com/croftturn/croftturn/internal/peer"
-	"github.com/croftturn/croftturn/internal/scaling"
 	"github.com/croftturn/croftturn/internal/settings"
 	"github.com/croftturn/croftturn/internal/wire"
 	"github.com/croftturn/croftturn/platform"
@@ -54,12 +53,11 @@
 	if e.settings.FirstStart && now.Sub(e.startedAt) < firstDuties || !e.register.Read() || !e.gossip.Hub() || e.dispatcher.Ready(now) == dispatch.Stopping || e.cantRead(now) {
 		return 0, false
 	}
-	self := newCandidate(e.settings.Instance, cores(e.settings), false)
+	var others []candidate
 	for _, p := range e.gossip.Hubs(now) {
-		if newCandidate(p.Name, p.Cores, p.Said.CantRead || p.Said.Stopping).before(self) {
-			rank++
-		}
+		others = append(others, newCandidate(p.Name, p.Cores, p.Said.CantRead || p.Said.Stopping))
 	}
+	rank = newCandidate(e.settings.Instance, cores(e.settings), false).rank(others)
 	return rank, rank < candidates
 }
 
@@ -74,12 +72,9 @@
 		if p.Scaling == nil {
 			continue
 		}
-		halls := map[string]scaling.Seen{}
+		halls := n.e.placement.Present(p.Name)
 		for hall := range p.Scaling.Prices {
-			halls[hall] = scaling.Seen{}
-		}
-		for hall, present := range n.e.placement.Present(p.Name) {
-			halls[hall] = scaling.Seen(present)
+			halls[hall] = halls[hall] // One without engines can get some.
 		}
 		out = append(out, duty.Pool{Name: p.Name, Limits: *p.Scaling, Halls: halls})
 	}
@@ -129,11 +124,7 @@
 		case w.Settled:
 			state = "settled"
 		}
-		requests := 0
-		for _, n := range w.Counts {
-			requests += n
-		}
-		rows = append(rows, wire.Row{Name: fmt.Sprint("window ", w.Number), State: state, Count: requests, Reason: fmt.Sprintf("by team: %v", w.Counts)})
+		rows = append(rows, wire.Row{Name: fmt.Sprint("window ", w.Number), State: state, Count: w.Requests(), Reason: fmt.Sprintf("by team: %v", w.Counts)})
 	}
 	for _, o := range s.Orders {
 		rows = append(rows, wire.Row{Name: "engines in " + o.Hall, Pool: o.Pool, Count: o.Count, State: map[bool]string{true: "may be taken away", false: "ordinary"}[o.Spot], Reason: fmt.Sprintf("the load needs %d in all", s.Need[o.Pool])})
--- a/internal/edge/reading.go
+++ b/internal/edge/reading.go
@@ -83,15 +83,15 @@
 	return c.hash < other.hash
 }
 
-// amongFirst reports whether a candidate is among the first so many of itself and others.
-func (c candidate) amongFirst(limit int, others []candidate) bool {
+// rank returns how many of others come before a candidate.
+func (c candidate) rank(others []candidate) int {
 	before := 0
 	for _, other := range others {
 		if other.before(c) {
 			before++
 		}
 	}
-	return before < limit
+	return before
 }
 
 // reads reports whether this node should read the platform's tables: whether it
@@ -145,7 +145,7 @@
 		silent := ms(int(p.Said.SilentMs)) > e.readSilence()
 		others = append(others, newCandidate(p.Name, p.Cores, p.Said.CantRead || silent))
 	}
-	return newCandidate(self, cores(e.settings), e.cantRead(now)).amongFirst(limit, others)
+	return newCandidate(self, cores(e.settings), e.cantRead(now)).rank(others) < limit
 }
 
 // readsUnproven reports whether this node should read the tables where it has no proof. When
--- a/internal/placement/present.go
+++ b/internal/placement/present.go
@@ -1,19 +1,16 @@
 package placement
 
-import "maps"
+import (
+	"maps"
 
-// Present counts the engines of a pool that a hall has.
-type Present struct {
-	Staying int // Staying engines are ordinary ones that take new work.
-	Spot    int // Spot engines take new work and may be taken away.
-	Leaving int // Leaving engines may be taken away and take no new work.
-}
+	"github.com/croftturn/croftturn/internal/scaling"
+)
 
 // Present returns what each hall has of a pool.
-func (p *Placement) Present(pool string) map[string]Present {
+func (p *Placement) Present(pool string) map[string]scaling.Seen {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	out := map[string]Present{}
+	out := map[string]scaling.Seen{}
 	for _, e := range p.engines {
 		if e.Pool != pool {
 			continue
--- a/internal/placement/present_test.go
+++ b/internal/placement/present_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/croftturn/croftturn/internal/placement"
+	"github.com/croftturn/croftturn/internal/scaling"
 )
 
 // TestPresentAndWork holds how engines are counted by hall and kind, and that the work which a node sends counts.
@@ -17,10 +18,10 @@
 		p.Set(e)
 	}
 	got := p.Present("p")
-	if want := (placement.Present{Staying: 1, Spot: 1}); got["a"] != want {
+	if want := (scaling.Seen{Staying: 1, Spot: 1}); got["a"] != want {
 		t.Errorf("hall a: %+v, want %+v", got["a"], want)
 	}
-	if want := (placement.Present{Staying: 1, Leaving: 1}); got["b"] != want {
+	if want := (scaling.Seen{Staying: 1, Leaving: 1}); got["b"] != want {
 		t.Errorf("hall b: %+v, want %+v", got["b"], want)
 	}
 	r := placement.Request{Pool: "p", Prompt: placement.Prompt{Tokens: 5000}}
