--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -10,6 +10,7 @@
 	"github.com/croftturn/croftturn/internal/duty"
 	"github.com/croftturn/croftturn/internal/gossip"
 	"github.com/croftturn/croftturn/internal/peer"
+	"github.com/croftturn/croftturn/internal/scaling"
 	"github.com/croftturn/croftturn/internal/settings"
 	"github.com/croftturn/croftturn/internal/wire"
 	"github.com/croftturn/croftturn/platform"
@@ -74,7 +75,9 @@
 		}
 		halls := n.e.placement.Present(p.Name)
 		for hall := range p.Scaling.Prices {
-			halls[hall] = halls[hall] // One without engines can get some.
+			if _, ok := halls[hall]; !ok {
+				halls[hall] = scaling.Seen{} // One without engines can get some.
+			}
 		}
 		out = append(out, duty.Pool{Name: p.Name, Limits: *p.Scaling, Halls: halls})
 	}
