--- a/lab/load/caller.go
+++ b/lab/load/caller.go
@@ -178,7 +178,7 @@
 		}
 		c.forget(r)
 	}
-	s.TotalMs = float64(time.Since(begun).Microseconds()) / 1000
+	s.TotalMs = msSince(begun)
 	cl := r.Arrival.Class
 	s.OnTime = s.Outcome == "completed" && s.Fault == "" &&
 		(cl.TargetFirstMs == 0 || s.FirstMs <= cl.TargetFirstMs) && (cl.TargetTotalMs == 0 || s.TotalMs <= cl.TargetTotalMs)
@@ -192,6 +192,7 @@
 		s.Code = err.Error()
 		return true
 	}
+	s.GivenMs = msSince(begun)
 	resp, err := c.http.Do(req)
 	if err != nil {
 		s.Code = err.Error()
@@ -335,7 +336,7 @@
 			continue
 		}
 		if s.Tokens == 0 {
-			s.FirstMs = float64(time.Since(begun).Microseconds()) / 1000
+			s.FirstMs = msSince(begun)
 		}
 		if want := record.Word(r.Mark, s.Tokens); chunk.Choices[0].Delta.Content != want && s.Fault == "" {
 			s.Fault = fmt.Sprintf("token %d is %q, want %q", s.Tokens, chunk.Choices[0].Delta.Content, want)
@@ -360,8 +361,11 @@
 		return
 	}
 	s.Outcome, s.Tokens = "completed", 1
-	s.FirstMs = float64(time.Since(begun).Microseconds()) / 1000
+	s.FirstMs = msSince(begun)
 	if want := record.Answer(r.Mark, 1); string(text) != want {
 		s.Fault = fmt.Sprintf("answer is %q, want %q", text, want)
 	}
 }
+
+// msSince returns how long ago a moment was, in milliseconds.
+func msSince(t time.Time) float64 { return float64(time.Since(t).Microseconds()) / 1000 }
--- a/lab/record/record.go
+++ b/lab/record/record.go
@@ -42,6 +42,7 @@
 		Fault       string  `json:"fault,omitempty"`   // Fault is what is wrong with a completed answer.
 		Tokens      int     `json:"tokens,omitempty"`
 		SentMs      int64   `json:"sent_ms"`
+		GivenMs     float64 `json:"given_ms,omitempty"` // GivenMs is from sending to when the node was called: the caller may have to find one first.
 		FirstMs     float64 `json:"first_ms,omitempty"` // FirstMs is from sending to the first token.
 		TotalMs     float64 `json:"total_ms"`
 		RetryAfter  int     `json:"retry_after_ms,omitempty"`
