Refusing: the lowest tier gives way by what the engines can't read, at arrival

Cause: lower tiers gave way by what lacked in the newest five seconds, and by waits, which both tell late. Where nearly all engines leave within a second, long prompts of the lowest tier that were begun in that second held up the short ones of the tier above for two more. Change: nodes tell each other how long the prompts take that came in the newest two seconds, by tier; what exceeds the engines that are there is refused of the lowest tier that asks.

--- a/internal/dispatch/line.go
+++ b/internal/dispatch/line.go
@@ -189,9 +189,9 @@
 	if w.route.Target <= 0 {
 		return nil
 	}
-	highest, giveWay := l.standing(now, w.route.Tier)
-	w.highest = highest
-	if rand.Float64() < giveWay {
+	l.arrived(now, w.route.Tier, readingTime(w.choice))
+	w.highest, w.giveWay = l.standing(now, w.route.Tier, w.choice.Engines)
+	if rand.Float64() < w.giveWay {
 		return &Refusal{Reason: Busy, ComeBack: w.comeBack()}
 	}
 	limit := l.limit(w.tier(), w.route.Target)
--- a/internal/dispatch/line_test.go
+++ b/internal/dispatch/line_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"testing"
 	"time"
 )
@@ -19,13 +20,13 @@
 
 // giveWay returns the share of a tier's requests that get nothing.
 func giveWay(l *line, now time.Time, tier int) float64 {
-	_, share := l.standing(now, tier)
+	_, share := l.standing(now, tier, 1)
 	return share
 }
 
 // highest reports whether the pool serves no tier above one.
 func highest(l *line, now time.Time, tier int) bool {
-	is, _ := l.standing(now, tier)
+	is, _ := l.standing(now, tier, 1)
 	return is
 }
 
@@ -135,3 +136,35 @@
 		}
 	}
 }
+
+// TestWhatEnginesCantReadGivesWay holds that of the lowest tier that asks as much is refused as the engines can't read besides
+// what is above it, that tiers between are refused only where what is above them takes all, and that it counts over all nodes.
+func TestWhatEnginesCantReadGivesWay(t *testing.T) {
+	const engines = 4
+	most := engines * readingSpan // most is what the engines can read.
+	for _, c := range []struct {
+		name                   string
+		high, middle, low      time.Duration
+		wantMiddle, wantLowest float64
+	}{
+		{"all can be read", most / 4, most / 4, most / 2, 0, 0},
+		{"half of the lowest", most / 4, most / 4, most, 0, 0.5},
+		{"none of the lowest", most / 4, 3 * most / 4, most, 0, 1},
+		{"more than all in the middle", most / 2, most, most, 0, 1},
+		{"all for the highest", most, most, most, 1, 1},
+		{"no lower one asks", most / 2, most, 0, 0.5, 1},
+	} {
+		l, peer := newLine(begin), newLine(begin)
+		for tier, reading := range []time.Duration{c.high, c.middle, c.low} {
+			l.arrived(begin, tier, reading/4)
+			peer.arrived(begin, tier, 3*reading/4)
+			l.count(begin, tier, true, true)
+		}
+		l.peers["peer"] = told{places: peer.places(begin), at: begin}
+		_, middle := l.standing(begin, 1, engines)
+		_, lowest := l.standing(begin, 2, engines)
+		if math.Abs(middle-c.wantMiddle) > 0.01 || math.Abs(lowest-c.wantLowest) > 0.01 {
+			t.Errorf("%s: %.2f of the middle tier and %.2f of the lowest give way, want %.2f and %.2f", c.name, middle, lowest, c.wantMiddle, c.wantLowest)
+		}
+	}
+}
--- a/internal/dispatch/overload_test.go
+++ b/internal/dispatch/overload_test.go
@@ -124,12 +124,12 @@
 	}
 }
 
-// send sends requests of a kind for a while.
-func (k *kindOf) send(t *testing.T, d *dispatch.Dispatcher, rnd *rand.Rand) {
+// send sends requests of a kind for a while, and counts what comes of those that are sent within a time of it.
+func (k *kindOf) send(t *testing.T, d *dispatch.Dispatcher, rnd *rand.Rand, from, to time.Duration) {
 	var wg sync.WaitGroup
 	begin := time.Now()
 	for n := 0; time.Since(begin) < overloadFor; n++ {
-		counts := time.Since(begin) >= overloadFrom
+		counts := time.Since(begin) >= from && time.Since(begin) < to
 		wg.Go(func() {
 			r := &dispatch.Request{ID: fmt.Sprint(k.route, n), Host: "h", Path: "/" + k.route + "/x", Key: "k", Patience: 3 * time.Second, Prompt: placement.Prompt{Tokens: k.tokens}}
 			got := serveRequest(context.Background(), t, d, r)
@@ -166,16 +166,9 @@
 			draft := kinds[2]
 			left := load*engineCount*readRate - 600.0/40 - 1900.0/30 // left is what drafts bring, in tokens a millisecond.
 			draft.every = time.Duration(float64(draft.tokens) / left * float64(time.Millisecond))
-			d, stop := newReaders(t, kinds, engineCount)
+			d, _, stop := newReaders(t, kinds, engineCount)
 			defer stop()
-			var wg sync.WaitGroup
-			for i, k := range kinds {
-				wg.Go(func() { k.send(t, d, rand.New(rand.NewPCG(1, uint64(i)))) })
-			}
-			wg.Wait()
-			for _, k := range kinds {
-				t.Logf("%s: %d asked, %d began, %d got nothing", k.route, k.asked, k.began, k.nothing)
-			}
+			sendAll(t, d, kinds, overloadFrom, overloadFor)
 			brief := kinds[1]
 			if nothing := float64(brief.nothing) / float64(brief.asked); nothing > nothingMost && draft.began >= 5 {
 				t.Errorf("%.3f of the short requests got nothing, while %d long ones began", nothing, draft.began)
@@ -187,8 +180,55 @@
 	}
 }
 
+// sendAll sends requests of all kinds for a while, and logs what came of those that were sent within a time of it.
+func sendAll(t *testing.T, d *dispatch.Dispatcher, kinds []*kindOf, from, to time.Duration) {
+	t.Helper()
+	var wg sync.WaitGroup
+	for i, k := range kinds {
+		wg.Go(func() { k.send(t, d, rand.New(rand.NewPCG(1, uint64(i))), from, to) })
+	}
+	wg.Wait()
+	for _, k := range kinds {
+		t.Logf("%s: %d asked, %d began, %d got nothing", k.route, k.asked, k.began, k.nothing)
+	}
+}
+
+// TestShortRequestsAreServedWhenMostEnginesLeave holds that of the short requests, all of which the engines that stay can read, no
+// more than a twelfth get nothing in the two seconds after 21 of 24 engines have left within a moment: what is refused are the long
+// ones of a lower tier, from the first moment on, rather than once the short ones wait behind them.
+func TestShortRequestsAreServedWhenMostEnginesLeave(t *testing.T) {
+	t.Parallel()
+	kinds := []*kindOf{
+		{route: "explain", tier: 0, target: 300 * time.Millisecond, tokens: 600, every: 30 * time.Millisecond},
+		{route: "brief", tier: 1, target: 500 * time.Millisecond, tokens: 1900, every: 25 * time.Millisecond},
+		{route: "draft", tier: 2, target: 1500 * time.Millisecond, tokens: 9000, every: 10 * time.Millisecond},
+	}
+	const (
+		before, after = 24, 3
+		leaveAt       = 1500 * time.Millisecond
+		watched       = 2 * time.Second
+	)
+	d, place, stop := newReaders(t, kinds, before)
+	defer stop()
+	leave := time.AfterFunc(leaveAt, func() {
+		for i := after; i < before; i++ {
+			place.Remove(engineID(i))
+		}
+	})
+	defer leave.Stop()
+	sendAll(t, d, kinds, leaveAt, leaveAt+watched)
+	for _, k := range kinds[:2] {
+		if nothing := float64(k.nothing) / float64(k.asked); nothing > nothingMost {
+			t.Errorf("%.3f of the requests of %s got nothing", nothing, k.route)
+		}
+	}
+}
+
+// engineID returns the id of an engine of the test.
+func engineID(n int) string { return fmt.Sprint("e", n) }
+
 // newReaders returns a dispatcher of some engines for kinds of requests of one team.
-func newReaders(t *testing.T, kinds []*kindOf, count int) (d *dispatch.Dispatcher, stop func()) {
+func newReaders(t *testing.T, kinds []*kindOf, count int) (d *dispatch.Dispatcher, place *placement.Placement, stop func()) {
 	t.Helper()
 	tier := 1
 	var routes []*routing.Route
@@ -200,10 +240,11 @@
 	}
 	pool := &routing.Pool{Name: "p", Model: &routing.Model{Slots: 64, TokensPerEvent: 7}}
 	ctx, cancel := context.WithCancel(context.Background())
-	engines, place := readers{}, placement.New("hall")
+	engines := readers{}
+	place = placement.New("hall")
 	var wg sync.WaitGroup
 	for i := range count {
-		id := fmt.Sprint("e", i)
+		id := engineID(i)
 		engine := &reader{wake: make(chan struct{}, 1)}
 		engines[id] = engine
 		place.Set(placement.Engine{ID: id, Pool: "p", Hall: "hall", Slots: 64})
@@ -214,7 +255,7 @@
 	budget := retry.New(time.Now(), retry.Limits{Window: time.Second}, func() int { return 1 })
 	d = dispatch.New(proof, place, budget, engines, noMetrics{}, slog.New(slog.DiscardHandler))
 	d.SetTable(routing.NewTable(1, routes, []*routing.Pool{pool}, []*routing.Team{{Name: "t", Keys: []string{"k"}, Tier: &tier}}, routing.Limits{}))
-	return d, func() {
+	return d, place, func() {
 		cancel()
 		wg.Wait()
 	}
--- a/internal/dispatch/tiers.go
+++ b/internal/dispatch/tiers.go
@@ -47,12 +47,17 @@
 		Tier   int      // Tier is that of their routes.
 		Asked  int
 		Lacked int // Lacked is how many of them got no place.
+
+		// Reading is how long engines take to read the prompts that came in the newest readingSpan, refused ones among them, in
+		// microseconds of an engine.
+		Reading int
 	}
 
 	// tierCount counts how a tier's requests fared in the newest shortSpan.
 	tierCount struct {
 		asked, lacked *recent.Count
-		began         time.Time // began is when one last got a place.
+		reading       *recent.Count // reading is what the prompts take that came in the newest readingSpan, in microseconds.
+		began         time.Time     // began is when one last got a place.
 	}
 
 	// told is what a peer told, by tier, and when.
@@ -64,12 +69,22 @@
 
 // newTierCount returns a count of nothing.
 func newTierCount(now time.Time) tierCount {
-	return tierCount{asked: recent.New(now, shortSpan, shortSlices), lacked: recent.New(now, shortSpan, shortSlices)}
+	return tierCount{
+		asked: recent.New(now, shortSpan, shortSlices), lacked: recent.New(now, shortSpan, shortSlices),
+		reading: recent.New(now, readingSpan, shortSlices),
+	}
 }
 
 // lineTier returns the tier of a line that stands for one of a route.
 func lineTier(tier int) int { return max(0, min(tier, lineTiers-1)) }
 
+// arrived counts what an engine takes to read the prompt of a request of a tier that came.
+func (l *line) arrived(now time.Time, tier int, reading time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.tiers[lineTier(tier)].reading.AddMany(now, int(reading/time.Microsecond))
+}
+
 // count counts a request by the tier of its route, which got a place, in time or late, or
 // none.
 func (l *line) count(now time.Time, tier int, placed, inTime bool) {
@@ -99,6 +114,7 @@
 			at := &all[lineTier(p.Tier)]
 			at.Asked += p.Asked
 			at.Lacked += p.Lacked
+			at.Reading += p.Reading
 		}
 	}
 	return all
@@ -119,8 +135,9 @@
 	var out []Places
 	for tier := range l.tiers {
 		t := &l.tiers[tier]
-		if asked := t.asked.Sum(now); asked > 0 {
-			out = append(out, Places{Tier: tier, Asked: asked, Lacked: t.lacked.Sum(now)})
+		p := Places{Tier: tier, Asked: t.asked.Sum(now), Lacked: t.lacked.Sum(now), Reading: t.reading.Sum(now)}
+		if p.Asked > 0 || p.Reading > 0 {
+			out = append(out, p)
 		}
 	}
 	return out
@@ -143,8 +160,8 @@
 
 // standing returns whether the pool serves no tier above a route's, and the share of the
 // tier's requests that should get nothing, since tiers above it lack places, over all nodes:
-// all where the highest does, and else the more the more it is.
-func (l *line) standing(now time.Time, tier int) (highest bool, giveWay float64) {
+// all where the highest does, and else the more the more it is; or since so many engines can't read more.
+func (l *line) standing(now time.Time, tier, engines int) (highest bool, giveWay float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	all := l.all(now)
@@ -163,6 +180,9 @@
 		}
 		highest = false
 	}
+	if !highest {
+		giveWay = max(giveWay, beyondReading(all, lineTier(tier), engines))
+	}
 	return highest, giveWay
 }
 
--- a/internal/dispatch/walk.go
+++ b/internal/dispatch/walk.go
@@ -41,6 +41,7 @@
 	reserved    atomic.Bool // reserved says that a retry was taken from the budget and not used yet
 	mayHaveRun  bool        // mayHaveRun says that an engine which got the request did not say that it did not run it
 	highest     bool        // highest says that the request is of the highest tier that its pool serves
+	giveWay     float64     // giveWay is the share of its tier's requests that got nothing for the sake of higher ones when it came
 	headed      bool        // headed says that the head of the present engine's answer came
 	begun       bool        // begun says that the caller's answer has begun
 	sentAt      time.Time   // sentAt is when the request was last sent
@@ -275,7 +276,7 @@
 	outcome := w.outcome()
 	w.d.log.Info("request ended", "request", w.req.ID, "route", w.route.Name, "team", w.teamName(), "urgency", routing.Urgency(w.route, w.team), "pool", w.pool,
 		"outcome", outcome, "status", w.status, "engine", w.choice.Engine.ID, "sent", w.sent, "unsent", w.unsent,
-		"cost_ms", int(w.choice.Cost), "wait_ms", int(w.choice.Wait), "held_ms", w.held.Milliseconds(), "prompt_tokens", w.req.Prompt.Tokens, "session", w.req.Prompt.Session(), "unread_tokens", w.choice.Unread,
+		"cost_ms", int(w.choice.Cost), "wait_ms", int(w.choice.Wait), "held_ms", w.held.Milliseconds(), "give_way", math.Round(100*w.giveWay)/100, "prompt_tokens", w.req.Prompt.Tokens, "session", w.req.Prompt.Session(), "unread_tokens", w.choice.Unread,
 		"ahead_tokens", w.choice.Ahead, "read_rate", math.Round(10*w.choice.Read)/10, "tight", w.choice.Tight,
 		"first_ms", w.first.Milliseconds(), "gap_ms", w.gap.Milliseconds(), "total_ms", now.Sub(w.arrived).Milliseconds(), "patience_ms", w.deadline.Sub(w.arrived).Milliseconds(),
 		"target_ms", w.route.Target.Milliseconds(), "longest_gap_ms", w.route.MaxGap.Milliseconds(),
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -43,6 +43,8 @@
 		Room   bool    // Room says that the request need not wait: the engine has a place free, or others of the pool have many.
 		Scarce bool    // Scarce says that the pool, or the engine, has few places free.
 		Last   bool    // Last says that the places that are free are the pool's last ones.
+
+		Engines int // Engines is how many engines of the pool take new work.
 	}
 
 	// Use tells that an engine has read parts of a prompt.
@@ -212,5 +214,6 @@
 			best, choice, ok = c.Cost, c, true
 		}
 	}
+	choice.Engines = len(known.engines)
 	return choice, ok
 }
--- a/internal/recent/recent.go
+++ b/internal/recent/recent.go
@@ -20,9 +20,12 @@
 }
 
 // Add counts an event.
-func (c *Count) Add(now time.Time) {
+func (c *Count) Add(now time.Time) { c.AddMany(now, 1) }
+
+// AddMany counts so many events, or an amount of something.
+func (c *Count) AddMany(now time.Time, n int) {
 	c.move(now)
-	c.counts[c.newest%int64(len(c.counts))]++
+	c.counts[c.newest%int64(len(c.counts))] += n
 }
 
 // Sum returns the number of recent events.
