Refusing: places that came late count as lacking only while places are scarce

Cause: where requests of the highest tier get places late, the tiers below it get none for five seconds. Ruled out: that the short ones can't be read there (waits), that the highest tier lacked places still (waits of 0.02 s). Change: such requests count while the pool's places, or those of the engine chosen, are scarce; those that got none count as before.

--- a/internal/dispatch/line.go
+++ b/internal/dispatch/line.go
@@ -190,7 +190,7 @@
 		return nil
 	}
 	l.arrived(now, w.route.Tier, readingTime(w.choice))
-	w.highest, w.giveWay = l.standing(now, w.route.Tier, w.choice.Engines)
+	w.highest, w.giveWay = l.standing(now, w.route.Tier, w.choice)
 	if rand.Float64() < w.giveWay {
 		return &Refusal{Reason: Busy, ComeBack: w.comeBack()}
 	}
--- a/internal/dispatch/tiers.go
+++ b/internal/dispatch/tiers.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/croftturn/croftturn/internal/placement"
 	"github.com/croftturn/croftturn/internal/recent"
 )
 
@@ -47,6 +48,7 @@
 		Tier   int      // Tier is that of their routes.
 		Asked  int
 		Lacked int // Lacked is how many of them got no place.
+		Late   int // Late is how many got one too late.
 
 		// Reading is how long engines take to read the prompts that came in the newest readingSpan, refused ones among them, in
 		// microseconds of an engine.
@@ -56,6 +58,7 @@
 	// tierCount counts how a tier's requests fared in the newest shortSpan.
 	tierCount struct {
 		asked, lacked *recent.Count
+		late          *recent.Count // late counts those that got a place too late.
 		reading       *recent.Count // reading is what the prompts take that came in the newest readingSpan, in microseconds.
 		began         time.Time     // began is when one last got a place.
 	}
@@ -71,7 +74,7 @@
 func newTierCount(now time.Time) tierCount {
 	return tierCount{
 		asked: recent.New(now, shortSpan, shortSlices), lacked: recent.New(now, shortSpan, shortSlices),
-		reading: recent.New(now, readingSpan, shortSlices),
+		late: recent.New(now, shortSpan, shortSlices), reading: recent.New(now, readingSpan, shortSlices),
 	}
 }
 
@@ -95,8 +98,11 @@
 	if placed {
 		t.began = now
 	}
-	if !placed || !inTime {
+	switch {
+	case !placed:
 		t.lacked.Add(now)
+	case !inTime:
+		t.late.Add(now)
 	}
 }
 
@@ -114,6 +120,7 @@
 			at := &all[lineTier(p.Tier)]
 			at.Asked += p.Asked
 			at.Lacked += p.Lacked
+			at.Late += p.Late
 			at.Reading += p.Reading
 		}
 	}
@@ -135,7 +142,7 @@
 	var out []Places
 	for tier := range l.tiers {
 		t := &l.tiers[tier]
-		p := Places{Tier: tier, Asked: t.asked.Sum(now), Lacked: t.lacked.Sum(now), Reading: t.reading.Sum(now)}
+		p := Places{Tier: tier, Asked: t.asked.Sum(now), Lacked: t.lacked.Sum(now), Late: t.late.Sum(now), Reading: t.reading.Sum(now)}
 		if p.Asked > 0 || p.Reading > 0 {
 			out = append(out, p)
 		}
@@ -160,8 +167,9 @@
 
 // standing returns whether the pool serves no tier above a route's, and the share of the
 // tier's requests that should get nothing, since tiers above it lack places, over all nodes:
-// all where the highest does, and else the more the more it is; or since so many engines can't read more.
-func (l *line) standing(now time.Time, tier, engines int) (highest bool, giveWay float64) {
+// all where the highest does, and else the more the more it is; or since the engines can't read more. What is known of the
+// engines is that of the choice made for the request.
+func (l *line) standing(now time.Time, tier int, known placement.Choice) (highest bool, giveWay float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	all := l.all(now)
@@ -170,22 +178,34 @@
 		if !served(all, higher) {
 			continue
 		}
-		lacked := float64(p.Lacked) / float64(p.Asked)
+		lacked := p.lacking(known.Scarce)
+		share := float64(lacked) / float64(p.Asked)
 		switch {
-		case p.Lacked < shortLeast:
-		case highest && lacked > shortShare:
+		case lacked < shortLeast:
+		case highest && share > shortShare:
 			return false, 1
 		case !highest:
-			giveWay = max(giveWay, min((lacked-yieldFrom)/(yieldWhole-yieldFrom), 1))
+			giveWay = max(giveWay, min((share-yieldFrom)/(yieldWhole-yieldFrom), 1))
 		}
 		highest = false
 	}
 	if !highest {
-		giveWay = max(giveWay, beyondReading(all, lineTier(tier), engines))
+		giveWay = max(giveWay, beyondReading(all, lineTier(tier), known.Engines))
 	}
 	return highest, giveWay
 }
 
+// lacking returns how many of a tier's requests count as ones that lacked a place: those that got none, and while places are
+// scarce those that got one too late. Where many are free again, the latter keep lower tiers from engines that stand idle: after
+// all engines that may be taken away had left three halls within 0.7 s, 1,100 short requests of three seconds at waits
+// of 0.02 to 0.07 s.
+func (p Places) lacking(scarce bool) int {
+	if scarce {
+		return p.Lacked + p.Late
+	}
+	return p.Lacked
+}
+
 // Places returns how the tiers fared here lately, by pool.
 func (d *Dispatcher) Places(now time.Time) map[string][]Places {
 	d.lines.mu.Lock()
