Gossip: what nodes say goes by numbered fields, so that a release and the next understand each other

Cause: what a node says was an array of a fixed length, which a peer whose release knows one field more or less can't decode at all: while a release rolls neither hears the other's work, tiers or holder. Nodes of the releases before this one still don't understand it. Ruled out: decoding arrays of other lengths (the library refuses them). Change: numbered fields, empty ones left out; what is not known is passed over. Test: TestReleasesUnderstandEachOther, between a release that knows fewer fields and one that knows more. Not in it: the envelope and the work at engines, which stay arrays.

--- a/internal/dispatch/tiers.go
+++ b/internal/dispatch/tiers.go
@@ -42,17 +42,16 @@
 )
 
 type (
-	// Places tells how the requests of a tier fared lately in a pool.
+	// Places tells how the requests of a tier fared lately in a pool. Peers of other releases may know fewer fields, or more.
 	Places struct {
-		_      struct{} `cbor:",toarray"`
-		Tier   int      // Tier is that of their routes.
-		Asked  int
-		Lacked int // Lacked is how many of them got no place.
-		Late   int // Late is how many got one too late.
+		Tier   int `cbor:"1,keyasint,omitempty"` // Tier is that of their routes.
+		Asked  int `cbor:"2,keyasint,omitempty"`
+		Lacked int `cbor:"3,keyasint,omitempty"` // Lacked is how many of them got no place.
+		Late   int `cbor:"4,keyasint,omitempty"` // Late is how many got one too late.
 
 		// Reading is how long engines take to read the prompts that came in the newest readingSpan, refused ones among them, in
 		// microseconds of an engine.
-		Reading int
+		Reading int `cbor:"5,keyasint,omitempty"`
 	}
 
 	// tierCount counts how a tier's requests fared in the newest shortSpan.
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -22,23 +22,24 @@
 		Cores         float64 // Cores is the processor that it may use; 0 if it does not say.
 	}
 
-	// Said is what a node tells its peers of its state, besides who it is.
+	// Said is what a node tells its peers of its state, besides who it is. Fields go by their numbers, so that nodes of one release
+	// and the next understand each other while a release rolls: what is not known is passed over, and what is not told is
+	// zero. A number is never used again for something else, and a new field's zero says that nothing is told.
 	Said struct {
-		_             struct{}                     `cbor:",toarray"`
-		Ready         bool                         // Ready says that it takes callers.
-		Stopping      bool                         // Stopping says that it ends soon.
-		Rate          float32                      // Rate is how many requests a second it serves.
-		Loads         map[string]placement.Load    // Loads is its own work, by engine.
-		Uses          []placement.Use              // Uses are the prompt parts it gave to engines since it last spoke to the receiver.
-		Versions      map[string]int64             // Versions are those of its tables.
-		ConfigVersion int                          // ConfigVersion is of the configuration in force there.
-		ProofAgeMs    int64                        // ProofAgeMs is the age of the proof that this is the newest; -1 for none.
-		CantRead      bool                         // CantRead says that it leaves reading the platform's store to others for now.
-		SilentMs      int64                        // SilentMs is how long a node that reads the store has had no answer; -1 if it does not read.
-		LostAgeMs     int64                        // LostAgeMs is how long ago its last call failed; -1 if never.
-		Places        map[string][]dispatch.Places // Places tells how the tiers fared, by pool.
-		Holder        Holder                       // Holder is who holds the system's duties, as the sender knows.
-		Crashing      []quarantine.Told            // Crashing are requests under which engines ended: what was learned of them lately, and all that are held.
+		Ready         bool                         `cbor:"1,keyasint,omitempty"`  // Ready says that it takes callers.
+		Stopping      bool                         `cbor:"2,keyasint,omitempty"`  // Stopping says that it ends soon.
+		Rate          float32                      `cbor:"3,keyasint,omitempty"`  // Rate is how many requests a second it serves.
+		Loads         map[string]placement.Load    `cbor:"4,keyasint,omitempty"`  // Loads is its own work, by engine.
+		Uses          []placement.Use              `cbor:"5,keyasint,omitempty"`  // Uses are the prompt parts it gave to engines since it last spoke to the receiver.
+		Versions      map[string]int64             `cbor:"6,keyasint,omitempty"`  // Versions are those of its tables.
+		ConfigVersion int                          `cbor:"7,keyasint,omitempty"`  // ConfigVersion is of the configuration in force there.
+		ProofAgeMs    int64                        `cbor:"8,keyasint,omitempty"`  // ProofAgeMs is the age of the proof that this is the newest; -1 for none.
+		CantRead      bool                         `cbor:"9,keyasint,omitempty"`  // CantRead says that it leaves reading the platform's store to others for now.
+		SilentMs      int64                        `cbor:"10,keyasint,omitempty"` // SilentMs is how long a node that reads the store has had no answer; -1 if it does not read.
+		LostAgeMs     int64                        `cbor:"11,keyasint,omitempty"` // LostAgeMs is how long ago its last call failed; -1 if never.
+		Places        map[string][]dispatch.Places `cbor:"12,keyasint,omitempty"` // Places tells how the tiers fared, by pool.
+		Holder        Holder                       `cbor:"13,keyasint,omitempty"` // Holder is who holds the system's duties, as the sender knows.
+		Crashing      []quarantine.Told            `cbor:"14,keyasint,omitempty"` // Crashing are requests under which engines ended: what was learned of them lately, and all that are held.
 	}
 
 	// Holder is the node that acts for all towards the platform.
--- /dev/null
+++ b/internal/gossip/message_test.go
@@ -0,0 +1,66 @@
+package gossip_test
+
+import (
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/croftturn/croftturn/internal/dispatch"
+	"github.com/croftturn/croftturn/internal/gossip"
+)
+
+// TestReleasesUnderstandEachOther holds that what a node says is understood by one whose release knows fewer fields, and by one
+// whose release knows more, in each of what it says and of its places.
+func TestReleasesUnderstandEachOther(t *testing.T) {
+	type (
+		olderPlaces struct {
+			Tier  int `cbor:"1,keyasint,omitempty"`
+			Asked int `cbor:"2,keyasint,omitempty"`
+		}
+		older struct {
+			Ready  bool                     `cbor:"1,keyasint,omitempty"`
+			Rate   float32                  `cbor:"3,keyasint,omitempty"`
+			Places map[string][]olderPlaces `cbor:"12,keyasint,omitempty"`
+		}
+		newerPlaces struct {
+			dispatch.Places
+			Newer int `cbor:"90,keyasint"`
+		}
+		newer struct {
+			Ready  bool                     `cbor:"1,keyasint"`
+			Places map[string][]newerPlaces `cbor:"12,keyasint"`
+			Newer  []string                 `cbor:"99,keyasint"`
+		}
+	)
+	said := gossip.Said{Ready: true, Rate: 3, ProofAgeMs: -1, Places: map[string][]dispatch.Places{"p": {{Tier: 2, Asked: 7, Lacked: 1, Late: 2, Reading: 900}}}}
+
+	var old older
+	translate(t, said, &old)
+	if !old.Ready || old.Rate != 3 || len(old.Places["p"]) != 1 || old.Places["p"][0] != (olderPlaces{Tier: 2, Asked: 7}) {
+		t.Errorf("the older release understands %+v", old)
+	}
+
+	var got gossip.Said
+	translate(t, newer{Ready: true, Places: map[string][]newerPlaces{"p": {{Places: said.Places["p"][0], Newer: 1}}}, Newer: []string{"x"}}, &got)
+	if !got.Ready || len(got.Places["p"]) != 1 || got.Places["p"][0] != said.Places["p"][0] {
+		t.Errorf("of the newer release is understood %+v", got)
+	}
+
+	var same gossip.Said
+	translate(t, said, &same)
+	if same.ProofAgeMs != -1 || same.Places["p"][0] != said.Places["p"][0] {
+		t.Errorf("the same release understands %+v", same)
+	}
+}
+
+// translate encodes what one release says and decodes it as another does.
+func translate(t *testing.T, from, to any) {
+	t.Helper()
+	raw, err := cbor.Marshal(from)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cbor.Unmarshal(raw, to); err != nil {
+		t.Fatal(err)
+	}
+}
