--- a/internal/usage/ledger.go
+++ b/internal/usage/ledger.go
@@ -1,54 +1,21 @@
 package usage
 
 import (
-	"encoding/json"
-	"fmt"
 	"maps"
 	"slices"
 	"sort"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
-
-	"github.com/croftturn/croftturn/internal/feed"
 )
 
 const (
-	// quietMost is for how long after a node's last count it goes on telling that there are no more, and waitsFor how long
-	// after that it is waited for when a window ends.
-	quietMost = 15 * time.Second
-	waitsFor  = quietMost - 3*emptyEvery
-
-	// settleLeast is how long after its end a window is settled at the earliest: nodes send four times a second.
-	settleLeast = 1500 * time.Millisecond
-
-	// settleShare of the time until a window is due is how long nodes that are not heard are waited for, as where they are
-	// cut off. The rest is what a new holder takes: 1.2 s until the one before is missed, 2.3 s to wait its lease out.
-	settleShare = 0.65
-
-	// settleMost of that time is up to when a new holder listens before it settles a window: nodes send it again what the
-	// holder before had not written.
-	settleMost = 0.9
-
-	// windowsMost is how many windows may be unsettled or unsent; after a longer outage the oldest are given up.
-	windowsMost = 80
-
 	// keptSent is how many windows are kept to be shown after they were sent.
 	keptSent = 12
 
-	// forgetNode is how long the number of a node's last batch is remembered. Batches of a node are sent again for
-	// as long as it lives, four times a second.
-	forgetNode = 2 * time.Minute
-
 	// clocksLeast is how many nodes must have told their time of day before any is put right, and clocksAfter how long
 	// a new holder listens first: those that counted send within a quarter of a second.
 	clocksLeast = 3
 	clocksAfter = time.Second
-
-	// The keys of rows.
-	keyNodes      = "usage"
-	prefixWindows = "usage-"
 )
 
 type (
@@ -91,12 +58,6 @@
 		gone    bool          // gone says that a later process of its instance was heard.
 		ahead   time.Duration // ahead is by how much its time of day is ahead of this node's.
 	}
-
-	// nodesRow is the row of what is not of one window.
-	nodesRow struct {
-		Next  int64            `json:"next"`
-		Nodes map[string]int64 `json:"nodes"` // Nodes holds the number of each node's last batch that was added.
-	}
 )
 
 // Requests returns how many requests engines began in the window.
@@ -113,49 +74,6 @@
 	return &Ledger{length: length, late: late, clock: clock, windows: map[int64]*Window{}, nodes: map[string]*node{}}
 }
 
-// Load takes the rows that the holder before left. What this node knew of an earlier term of its own is dropped.
-func (l *Ledger) Load(now time.Time, rows []feed.Row) error {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.since, l.state, l.written, l.begun, l.next = now, 0, 0, false, 0
-	l.windows, l.nodes = map[int64]*Window{}, map[string]*node{}
-	for _, r := range rows {
-		if err := l.load(now, r); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// load takes one row.
-func (l *Ledger) load(now time.Time, r feed.Row) error {
-	if r.Key == keyNodes {
-		var all nodesRow
-		if err := json.Unmarshal(r.Value, &all); err != nil {
-			return fmt.Errorf("decode usage of nodes: %w", err)
-		}
-		l.begun, l.next = all.Next > 0, all.Next
-		for name, taken := range all.Nodes {
-			l.nodes[name] = &node{taken: taken, durable: taken, heard: now, counted: now}
-		}
-		return nil
-	}
-	text, ok := strings.CutPrefix(r.Key, prefixWindows)
-	if !ok {
-		return nil
-	}
-	number, err := strconv.ParseInt(text, 10, 64)
-	if err != nil {
-		return fmt.Errorf("decode number of a window: %w", err)
-	}
-	w := &Window{Number: number}
-	if err := json.Unmarshal(r.Value, w); err != nil {
-		return fmt.Errorf("decode window %d: %w", number, err)
-	}
-	l.windows[number] = w
-	return nil
-}
-
 // Take adds a node's batches that were not added before.
 func (l *Ledger) Take(now time.Time, token int64, r Report) Ack {
 	l.mu.Lock()
@@ -247,114 +165,6 @@
 	return all[(len(all)-1)/2], true
 }
 
-// Settle settles the windows of which all that can be heard was heard, or that can't wait longer, the earliest first. A
-// settled window is to be written before it is sent.
-func (l *Ledger) Settle(now time.Time) (settled []Window) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	wall := l.clock.At(now)
-	l.begin(windowOf(wall, l.length))
-	l.next = max(l.next, windowOf(wall, l.length)-windowsMost)
-	for end := l.end(l.next); l.ended(now, wall, end); end = l.end(l.next) {
-		l.state++
-		w := l.window(l.next)
-		w.Settled, w.changed = true, l.state
-		l.next++
-		settled = append(settled, *w)
-	}
-	return settled
-}
-
-// end returns when a window ends.
-func (l *Ledger) end(number int64) time.Time {
-	return time.UnixMilli((number + 1) * l.length.Milliseconds())
-}
-
-// ended reports whether a window that ends at a time of day can be settled. The caller holds the lock.
-func (l *Ledger) ended(now, wall, end time.Time) bool {
-	after := wall.Sub(end)
-	listens := now.Sub(l.since) < clocksAfter && after < time.Duration(settleMost*float64(l.late))
-	if after < settleLeast || listens {
-		return false
-	}
-	if after >= time.Duration(settleShare*float64(l.late)) {
-		return true
-	}
-	for _, n := range l.nodes {
-		if now.Sub(n.counted) < waitsFor && n.through.Before(end) && !n.gone {
-			return false
-		}
-	}
-	return true
-}
-
-// succeed takes that a process tells of itself: the others of its instance have ended. The caller holds the lock.
-func (l *Ledger) succeed(process string) {
-	instance, _, ok := strings.Cut(process, "/")
-	for name, n := range l.nodes {
-		if other, _, _ := strings.Cut(name, "/"); ok && other == instance && name != process {
-			n.gone = true
-		}
-	}
-}
-
-// Pending returns the rows that differ from what is in the store, by their keys alone, and the state that they are of.
-func (l *Ledger) Pending(now time.Time) (rows []feed.Row, state int64) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.written == l.state {
-		return nil, l.state
-	}
-	all := nodesRow{Next: l.next, Nodes: map[string]int64{}}
-	for name, n := range l.nodes {
-		if now.Sub(n.heard) > forgetNode {
-			delete(l.nodes, name)
-			continue
-		}
-		if n.taken > 0 {
-			all.Nodes[name] = n.taken
-		}
-	}
-	rows = append(rows, feed.Row{Key: keyNodes, Value: encode(all)})
-	for number, w := range l.windows {
-		key := prefixWindows + strconv.FormatInt(number, 10)
-		switch {
-		case w.Sent:
-			rows = append(rows, feed.Row{Key: key, Deleted: true})
-		case w.changed > l.written:
-			rows = append(rows, feed.Row{Key: key, Value: encode(w)})
-		}
-	}
-	sort.Slice(rows, func(i, j int) bool { return rows[i].Key < rows[j].Key })
-	return rows, l.state
-}
-
-// encode returns what is kept as JSON; numbers and texts always can be encoded.
-func encode(v any) []byte {
-	text, err := json.Marshal(v)
-	if err != nil {
-		panic(err)
-	}
-	return text
-}
-
-// Written says that all up to a state is in the store.
-func (l *Ledger) Written(state int64) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.written = max(l.written, state)
-	for _, n := range l.nodes {
-		if n.changed <= l.written {
-			n.durable = n.taken
-		}
-	}
-	for number, w := range l.windows {
-		if w.Sent && w.changed <= l.written {
-			delete(l.windows, number)
-		}
-	}
-}
-
 // Due returns the earliest window that is settled in the store and not sent yet.
 func (l *Ledger) Due() (w Window, ok bool) {
 	l.mu.Lock()
--- /dev/null
+++ b/internal/usage/rows.go
@@ -0,0 +1,128 @@
+package usage
+
+import (
+	"encoding/json"
+	"fmt"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/croftturn/croftturn/internal/feed"
+)
+
+const (
+	// forgetNode is how long the number of a node's last batch is remembered. Batches of a node are sent again for
+	// as long as it lives, four times a second.
+	forgetNode = 2 * time.Minute
+
+	// The keys of rows.
+	keyNodes      = "usage"
+	prefixWindows = "usage-"
+)
+
+// nodesRow is the row of what is not of one window.
+type nodesRow struct {
+	Next  int64            `json:"next"`
+	Nodes map[string]int64 `json:"nodes"` // Nodes holds the number of each node's last batch that was added.
+}
+
+// Load takes the rows that the holder before left. What this node knew of an earlier term of its own is dropped.
+func (l *Ledger) Load(now time.Time, rows []feed.Row) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.since, l.state, l.written, l.begun, l.next = now, 0, 0, false, 0
+	l.windows, l.nodes = map[int64]*Window{}, map[string]*node{}
+	for _, r := range rows {
+		if err := l.load(now, r); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// load takes one row.
+func (l *Ledger) load(now time.Time, r feed.Row) error {
+	if r.Key == keyNodes {
+		var all nodesRow
+		if err := json.Unmarshal(r.Value, &all); err != nil {
+			return fmt.Errorf("decode usage of nodes: %w", err)
+		}
+		l.begun, l.next = all.Next > 0, all.Next
+		for name, taken := range all.Nodes {
+			l.nodes[name] = &node{taken: taken, durable: taken, heard: now, counted: now}
+		}
+		return nil
+	}
+	text, ok := strings.CutPrefix(r.Key, prefixWindows)
+	if !ok {
+		return nil
+	}
+	number, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		return fmt.Errorf("decode number of a window: %w", err)
+	}
+	w := &Window{Number: number}
+	if err := json.Unmarshal(r.Value, w); err != nil {
+		return fmt.Errorf("decode window %d: %w", number, err)
+	}
+	l.windows[number] = w
+	return nil
+}
+
+// Pending returns the rows that differ from what is in the store, by their keys alone, and the state that they are of.
+func (l *Ledger) Pending(now time.Time) (rows []feed.Row, state int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.written == l.state {
+		return nil, l.state
+	}
+	all := nodesRow{Next: l.next, Nodes: map[string]int64{}}
+	for name, n := range l.nodes {
+		if now.Sub(n.heard) > forgetNode {
+			delete(l.nodes, name)
+			continue
+		}
+		if n.taken > 0 {
+			all.Nodes[name] = n.taken
+		}
+	}
+	rows = append(rows, feed.Row{Key: keyNodes, Value: encode(all)})
+	for number, w := range l.windows {
+		key := prefixWindows + strconv.FormatInt(number, 10)
+		switch {
+		case w.Sent:
+			rows = append(rows, feed.Row{Key: key, Deleted: true})
+		case w.changed > l.written:
+			rows = append(rows, feed.Row{Key: key, Value: encode(w)})
+		}
+	}
+	sort.Slice(rows, func(i, j int) bool { return rows[i].Key < rows[j].Key })
+	return rows, l.state
+}
+
+// encode returns what is kept as JSON; numbers and texts always can be encoded.
+func encode(v any) []byte {
+	text, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return text
+}
+
+// Written says that all up to a state is in the store.
+func (l *Ledger) Written(state int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.written = max(l.written, state)
+	for _, n := range l.nodes {
+		if n.changed <= l.written {
+			n.durable = n.taken
+		}
+	}
+	for number, w := range l.windows {
+		if w.Sent && w.changed <= l.written {
+			delete(l.windows, number)
+		}
+	}
+}
