--- a/lab/proofs/tiers_test.go
+++ b/lab/proofs/tiers_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"syscall"
 	"testing"
 	"time"
@@ -93,6 +94,21 @@
 	}
 }
 
+// afterThaw returns how long after a frozen process went on each request that came to it before was at its engine, in
+// milliseconds, in order.
+func (r *rig) afterThaw(st *standstill) []int64 {
+	began := r.began()
+	var out []int64
+	for _, s := range r.sent {
+		e, ran := began[s.Mark]
+		if ran && s.Node == st.node.Caller && givenAt(s) < float64(st.until) && e.AtMs > st.until {
+			out = append(out, e.AtMs-st.until)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // shedAgainstTiers counts requests that were shed for want of room while more
 // lower-tier requests of a class waited on, given to a node before and served after, than
 // the one that a class below its smallest share may keep. Those that a frozen process
@@ -242,10 +258,11 @@
 	}()
 	r.runBurst()
 	completed, _ := r.verdict()
-	if n := r.shedAgainstTiers(&standstill{node: broker, until: <-thawed}); n > 0 {
+	stood := &standstill{node: broker, until: <-thawed}
+	if n := r.shedAgainstTiers(stood); n > 0 {
 		t.Errorf("%d requests were shed while more than one of a lower tier waited on", n)
 	}
-	t.Logf("%d of %d completed", completed, len(r.sent))
+	t.Logf("%d of %d completed; those that the frozen node took before it went on were at engines after (ms) %v", completed, len(r.sent), r.afterThaw(stood))
 }
 
 // TestTiersEngineCrash kills an engine in the burst and brings it back: requests
