--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -100,3 +100,24 @@
 		t.Error("a call after the term is no error")
 	}
 }
+
+// TestOperatorsSeeWhoHoldsWhat holds that operators are shown the same holder and term at each node, and at the holder the windows
+// with all that was counted.
+func TestOperatorsSeeWhoHoldsWhat(t *testing.T) {
+	r := newRig(t, 2)
+	r.holder("n0")
+	n := r.began(500*time.Millisecond, "n0", "n1")
+	r.reported(n)
+	now := time.Now()
+	held, other := r.nodes["n0"].Shown(now), r.nodes["n1"].Shown(now)
+	if held.Holder.Token == 0 || held.Holder.Token != other.Holder.Token || held.Holder.Address != other.Holder.Address || held.Holder.Free {
+		t.Errorf("the holder is shown as %+v, elsewhere as %+v", held.Holder, other.Holder)
+	}
+	shown := 0
+	for _, w := range held.Windows {
+		shown += w.Requests()
+	}
+	if shown != n || len(other.Windows) > 0 {
+		t.Errorf("%d of %d requests are shown at the holder, %d windows elsewhere", shown, n, len(other.Windows))
+	}
+}
