Evacuation of a hall: its engines get no new requests

The row lies in the operators' table, which all nodes follow and which a node reads before it takes callers; so it comes the same ways, in the same order, and survives the same losses as the configuration. Ruled out: a table of its own (a third that is read by two nodes and pulled by all); treating the engines as leaving (that is kept for an incarnation's life).

Where engines can be ordered, the other halls hold engines for the whole load, and the evacuated one keeps its own. The other way, fewer engines there meanwhile, was not built: it is taken back without notice.

Engines of the soak now stand in three halls.

--- a/cmd/croftctl/main.go
+++ b/cmd/croftctl/main.go
@@ -38,6 +38,7 @@
 	{name: "rollback", synopsis: "take back changes", usage: "rollback to VERSION\n", run: prefixed("rollback")},
 	{name: "explain", synopsis: "tell why a request went as it did", usage: "explain REQUEST\n", run: prefixed("explain")},
 	{name: "duties", synopsis: "show who reports usage and orders engines, the newest windows and orders, at a node on the users' platform", usage: "duties\n", run: prefixed("duties")},
+	{name: "evacuations", synopsis: "list the halls that are evacuated, since when, and what still runs there, at a node on the users' platform", usage: "evacuations\n", run: prefixed("evacuations")},
 	{name: "held", synopsis: "list requests that are kept from engines, at a node on the users' platform", usage: "held\n", run: prefixed("held")},
 	{name: "release", synopsis: "let one of them reach engines again, at all nodes", usage: "release FINGERPRINT\n", run: prefixed("release")},
 	{name: "statements", synopsis: "list the statements with examples", usage: "statements\n", run: listStatements},
--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -8,9 +8,11 @@
 	"github.com/croftturn/croftturn/platform"
 )
 
-// takeConfig puts a changed configuration in force; it is a feed.Consumer.
-func (e *Edge) takeConfig(_ time.Time, rows []feed.Row) {
+// takeConfig puts changes of the operators in force; it is a feed.Consumer. Evacuations go before a
+// configuration: no request is taken by a node that starts before it knows of them.
+func (e *Edge) takeConfig(now time.Time, rows []feed.Row) {
 	begin := clock.Now()
+	e.evacuations.Take(now, platform.Evacuations(rows))
 	table, err := platform.Config(rows)
 	if err != nil {
 		e.configsRefused.Add(1)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -21,6 +21,7 @@
 	"github.com/croftturn/croftturn/internal/discovery"
 	"github.com/croftturn/croftturn/internal/dispatch"
 	"github.com/croftturn/croftturn/internal/duty"
+	"github.com/croftturn/croftturn/internal/evacuation"
 	"github.com/croftturn/croftturn/internal/feed"
 	"github.com/croftturn/croftturn/internal/freshness"
 	"github.com/croftturn/croftturn/internal/front"
@@ -82,33 +83,34 @@
 
 // Edge is one running node on the users' platform.
 type Edge struct {
-	settings   *settings.Settings
-	lines      *logline.Writer
-	tele       *telemetry.Telemetry
-	log        *slog.Logger
-	proof      *freshness.Proof
-	placement  *placement.Placement
-	quarantine *quarantine.Quarantine
-	duties     *duty.Duties // duties is nil where the platform asks for none.
-	dutyCalls  *platform.Duties
-	budget     *retry.Budget
-	gossip     *gossip.Gossip
-	dispatcher *dispatch.Dispatcher
-	egress     *platform.Egress
-	store      *platform.Store
-	discovery  *discovery.Discovery
-	register   *register.Register
-	metrics    *metrics
-	traffic    *peer.Traffic
-	calls      *peer.Client
-	peers      *peer.Server
-	config     *feed.Table
-	engines    *feed.Table
-	follower   *feed.Follower
-	startedAt  time.Time
-	lostAt     atomic.Pointer[time.Time] // lostAt is when the store last could not be called.
-	silentAt   atomic.Pointer[time.Time] // silentAt is when this node last left reading to others for want of answers.
-	quietSince atomic.Pointer[time.Time] // quietSince is when the store last answered, or this node began to read.
+	settings    *settings.Settings
+	lines       *logline.Writer
+	tele        *telemetry.Telemetry
+	log         *slog.Logger
+	proof       *freshness.Proof
+	placement   *placement.Placement
+	quarantine  *quarantine.Quarantine
+	evacuations *evacuation.Evacuations
+	duties      *duty.Duties // duties is nil where the platform asks for none.
+	dutyCalls   *platform.Duties
+	budget      *retry.Budget
+	gossip      *gossip.Gossip
+	dispatcher  *dispatch.Dispatcher
+	egress      *platform.Egress
+	store       *platform.Store
+	discovery   *discovery.Discovery
+	register    *register.Register
+	metrics     *metrics
+	traffic     *peer.Traffic
+	calls       *peer.Client
+	peers       *peer.Server
+	config      *feed.Table
+	engines     *feed.Table
+	follower    *feed.Follower
+	startedAt   time.Time
+	lostAt      atomic.Pointer[time.Time] // lostAt is when the store last could not be called.
+	silentAt    atomic.Pointer[time.Time] // silentAt is when this node last left reading to others for want of answers.
+	quietSince  atomic.Pointer[time.Time] // quietSince is when the store last answered, or this node began to read.
 
 	configsRefused atomic.Int64 // configsRefused counts configurations that could not be understood.
 
@@ -163,6 +165,7 @@
 	e.proof = freshness.New(proofLife(s))
 	e.placement = placement.New(s.Hall, placement.WithUnheard(e.unheard))
 	e.quarantine = quarantine.New(e.triesHeld, e.log)
+	e.evacuations = evacuation.New(e.placement, e.log)
 	if e.gossip, err = gossip.New(self, e.log); err != nil {
 		return fmt.Errorf("start gossip: %w", err)
 	}
--- a/internal/edge/held.go
+++ b/internal/edge/held.go
@@ -19,8 +19,8 @@
 // longestStatement bounds a statement of an operator, in bytes.
 const longestStatement = 4 << 10
 
-// statements serves the operators' statements: "duties" shows what one node does for all, "held" lists requests that are
-// held, and "release FINGERPRINT" frees one at all nodes. Who releases one needs the operators' token; without one in
+// statements serves the operators' statements: "duties" shows what one node does for all, "evacuations" lists the halls
+// that are evacuated, "held" lists requests that are held, and "release FINGERPRINT" frees one at all nodes. Who releases one needs the operators' token; without one in
 // the settings nobody may.
 func (e *Edge) statements(w http.ResponseWriter, r *http.Request) {
 	var statement struct {
@@ -37,8 +37,10 @@
 	case len(words) == 1 && words[0] == "held":
 	case len(words) == 1 && words[0] == "duties":
 		rows = e.dutyRows
+	case len(words) == 1 && words[0] == "evacuations":
+		rows = e.evacuationRows
 	case len(words) != 2 || words[0] != "release":
-		http.Error(w, `want "duties", "held" or "release FINGERPRINT"`, http.StatusBadRequest)
+		http.Error(w, `want "duties", "evacuations", "held" or "release FINGERPRINT"`, http.StatusBadRequest)
 		return
 	case !config.TokenHas(header.Bearer(r.Header), e.settings.BootstrapTokenSha256):
 		http.Error(w, "the token is not the operators'", http.StatusForbidden)
@@ -56,6 +58,20 @@
 	}
 }
 
+// evacuationRows returns the halls that are evacuated as rows for operators, with the requests that still run there as far as
+// this node knows.
+func (e *Edge) evacuationRows(now time.Time) []wire.Row {
+	var rows []wire.Row
+	for _, each := range e.evacuations.List() {
+		n := e.placement.InFlight(now, each.Hall)
+		rows = append(rows, wire.Row{
+			Name: each.Hall, State: "evacuated", Count: n, AgeMs: int(now.Sub(each.Since).Milliseconds()), AtMs: int(clock.Wall(each.Since).UnixMilli()),
+			Reason: fmt.Sprintf("asked for in version %d of the operators' table; %d requests still run at its engines", each.Version, n),
+		})
+	}
+	return rows
+}
+
 // heldRows returns the requests that are held as rows for operators.
 func (e *Edge) heldRows(now time.Time) []wire.Row {
 	var rows []wire.Row
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -60,15 +60,16 @@
 		hall    string
 		unheard func(now time.Time) int // unheard returns how many nodes may have begun work of which this one has not heard.
 
-		mu      sync.Mutex
-		engines map[string]*engine
-		pools   map[string]*pool
-		changed bool // changed says that the pools' lists of engines are out of date.
-		cache   cache
-		ranking ranking
-		told    map[string][]string // told holds the engines at which each peer last told of work.
-		uses    []Use               // uses since the last call of TakeUses
-		work    map[string]float64  // work is the reading that this node gave to the engines of a pool so far, in milliseconds.
+		mu        sync.Mutex
+		engines   map[string]*engine
+		evacuated map[string]bool // evacuated holds the halls whose engines get no new requests.
+		pools     map[string]*pool
+		changed   bool // changed says that the pools' lists of engines are out of date.
+		cache     cache
+		ranking   ranking
+		told      map[string][]string // told holds the engines at which each peer last told of work.
+		uses      []Use               // uses since the last call of TakeUses
+		work      map[string]float64  // work is the reading that this node gave to the engines of a pool so far, in milliseconds.
 	}
 )
 
@@ -85,7 +86,7 @@
 func New(hall string, options ...Option) *Placement {
 	p := &Placement{
 		hall: hall, unheard: func(time.Time) int { return 0 },
-		engines: map[string]*engine{}, pools: map[string]*pool{}, told: map[string][]string{}, work: map[string]float64{}, cache: cache{parts: map[uint64]map[string]time.Time{}},
+		engines: map[string]*engine{}, evacuated: map[string]bool{}, pools: map[string]*pool{}, told: map[string][]string{}, work: map[string]float64{}, cache: cache{parts: map[uint64]map[string]time.Time{}},
 	}
 	for _, option := range options {
 		option(p)
@@ -178,7 +179,7 @@
 		known.engines = nil
 	}
 	for _, e := range p.engines {
-		if !e.Draining {
+		if !e.Draining && !p.evacuated[e.Hall] {
 			known := p.knownPool(e.Pool)
 			known.engines = append(known.engines, e)
 		}
--- a/internal/placement/present.go
+++ b/internal/placement/present.go
@@ -26,6 +26,11 @@
 		}
 		out[e.Hall] = h
 	}
+	for hall := range p.evacuated {
+		h := out[hall]
+		h.Evacuated = true
+		out[hall] = h
+	}
 	return out
 }
 
--- a/internal/scaling/scaling.go
+++ b/internal/scaling/scaling.go
@@ -68,6 +68,8 @@
 		Staying int // Staying counts ordinary engines that serve and do not leave.
 		Spot    int // Spot counts those that may be taken away, serve and do not leave.
 		Leaving int // Leaving counts those that may be taken away and leave.
+
+		Evacuated bool // Evacuated says that engines there get no new requests.
 	}
 
 	// Order asks for a number of engines of one kind in a hall.
@@ -176,6 +178,7 @@
 	if !s.begin(now, halls) {
 		return nil
 	}
+	names = serving(names, halls)
 	need := s.Need(now)
 	wanted := s.wanted(now, limits, names, halls, need)
 	least := needOf(s.needShort(now), len(names))
@@ -186,6 +189,21 @@
 	return orders
 }
 
+// serving returns the halls that are not evacuated, which hold what the load needs meanwhile; all if there are none. An
+// evacuated hall keeps its engines: it is taken back without notice, and new ones take seconds to start.
+func serving(names []string, halls map[string]Seen) []string {
+	var out []string
+	for _, name := range names {
+		if !halls[name].Evacuated {
+			out = append(out, name)
+		}
+	}
+	if len(out) == 0 {
+		return names
+	}
+	return out
+}
+
 // inHall returns the orders that are due in a hall, of which least engines must go on serving. What both kinds are
 // ordered to be never passes the limit, so that what makes room comes first.
 func (s *Scaler) inHall(now time.Time, limits Limits, hall string, seen Seen, w target, least int) []Order {
--- a/internal/scaling/scaling_test.go
+++ b/internal/scaling/scaling_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 )
@@ -238,3 +239,31 @@
 		}
 	}
 }
+
+// TestOtherHallsHoldWhatAnEvacuatedOneDid holds that the halls which are not evacuated get engines for the whole load at once,
+// that the evacuated one keeps its own, and that where all are evacuated nothing is ordered for it.
+func TestOtherHallsHoldWhatAnEvacuatedOneDid(t *testing.T) {
+	s := New("p")
+	halls := map[string]Seen{"a": {Staying: 12}, "b": {Staying: 12}, "c": {Staying: 12}}
+	now := start
+	decide := func() (orders []Order) {
+		for end := now.Add(2 * firstFor); now.Before(end); now = now.Add(step) {
+			s.Note(now, 10)
+			for _, o := range s.Decide(now, limits(1, 4*time.Second), halls) {
+				s.Ordered(now, o)
+				orders = append(orders, o)
+			}
+		}
+		return orders
+	}
+	before := decide()
+	halls["b"] = Seen{Staying: 12, Evacuated: true}
+	count := map[string]int{}
+	for _, o := range decide() {
+		count[o.Hall] = o.Count
+	}
+	want := int(math.Ceil(reserveLeast * 36 / 2))
+	if _, ordered := count["b"]; ordered || count["a"] != want || count["c"] != want {
+		t.Errorf("ordered %v after %v, want %d in a and in c each, and none changed in b", count, before, want)
+	}
+}
--- a/lab/soak/engine.go
+++ b/lab/soak/engine.go
@@ -34,6 +34,7 @@
 // engine is a stand-in engine that keeps in the ledger what it runs.
 type engine struct {
 	id, pool string
+	hall     string
 	ledger   *Ledger
 	server   *http.Server
 	listener net.Listener
@@ -47,12 +48,12 @@
 }
 
 // newEngine starts an engine.
-func newEngine(id, pool string, l *Ledger, crash func(e *engine, body string)) (*engine, error) {
+func newEngine(id, pool, hall string, l *Ledger, crash func(e *engine, body string)) (*engine, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, fmt.Errorf("start engine: %w", err)
 	}
-	e := &engine{id: id, pool: pool, ledger: l, crash: crash}
+	e := &engine{id: id, pool: pool, hall: hall, ledger: l, crash: crash}
 	e.serve(listener)
 	return e, nil
 }
@@ -130,7 +131,7 @@
 
 // run records that a request runs and answers it, or fails to.
 func (e *engine) run(w http.ResponseWriter, r *http.Request, id string, mode int) {
-	e.ledger.ran(id, run{engine: e.id, team: r.Header.Get("Tenant"), at: time.Now()})
+	e.ledger.ran(id, run{engine: e.id, hall: e.hall, team: r.Header.Get("Tenant"), at: time.Now()})
 	w.Header().Set("Response-Seal", "seal-"+id)
 	switch mode {
 	case modeFails:
--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -68,6 +68,7 @@
 	{"engine starts again under its id", 2 * time.Second, false, restartEngine},
 	{"a request crashes engines", longestFault, false, crashingRequest},
 	{"entries of other writers", 2 * time.Second, false, strangeEntries},
+	{"hall evacuated", longestFault, false, evacuateHall},
 	{"key taken away", 100 * time.Millisecond, false, revokeKey},
 	{"key taken away unseen", cutAll, true, revokeUnseen},
 	{"key given back", 100 * time.Millisecond, false, giveKey},
--- a/lab/soak/ledger.go
+++ b/lab/soak/ledger.go
@@ -10,9 +10,16 @@
 	// run is one start of a request at an engine.
 	run struct {
 		engine, team string
+		hall         string // hall is the engine's.
 		at           time.Time
 	}
 
+	// evacuated is the evacuation of a hall, from its acknowledgement until the operator took it back.
+	evacuated struct {
+		hall string
+		span
+	}
+
 	// ending is how a request ended for its caller.
 	ending struct {
 		route, key, team string
@@ -35,6 +42,8 @@
 		faults  []span                 // faults of nodes and of the store
 		crashes map[string][]time.Time // crashes holds when requests that crash engines were run, by their bodies.
 		exits   []string               // exits of processes that nobody ended
+
+		evacuations []evacuated
 	}
 )
 
@@ -89,6 +98,27 @@
 	return out
 }
 
+// evacuate records an evacuation.
+func (l *Ledger) evacuate(hall string, from, to time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.evacuations = append(l.evacuations, evacuated{hall, span{from, to}})
+}
+
+// startsWhileEvacuated returns starts in a hall too long after it was evacuated, while nodes and the store had been without
+// fault for that long.
+func (l *Ledger) startsWhileEvacuated(e evacuated) []string {
+	var out []string
+	for id, runs := range l.runs {
+		for _, r := range runs {
+			if r.hall == e.hall && r.at.After(e.from.Add(evacuateWithin)) && r.at.Before(e.to) && l.calm(e.from.Add(-settle), r.at) {
+				out = append(out, fmt.Sprintf("%s started at %s %v after hall %s was evacuated", id, r.engine, r.at.Sub(e.from), e.hall))
+			}
+		}
+	}
+	return out
+}
+
 // mark records a moment under a name.
 func (l *Ledger) mark(in map[string]time.Time, name string, at time.Time) {
 	l.mu.Lock()
@@ -128,6 +158,9 @@
 	for id, e := range l.endings {
 		out = append(out, l.brokenBy(id, e)...)
 	}
+	for _, e := range l.evacuations {
+		out = append(out, l.startsWhileEvacuated(e)...)
+	}
 	for engine, at := range l.leaving {
 		if l.calm(at.Add(-settle), at.Add(drainWithin+afterDrain)) {
 			out = append(out, l.lateStarts(engine, at)...)
--- a/lab/soak/node.go
+++ b/lab/soak/node.go
@@ -39,7 +39,7 @@
 		return fmt.Errorf("relay to node: %w", err)
 	}
 	text, err := json.Marshal(map[string]any{
-		"instance": n.name, "hall": fmt.Sprintf("h%d", i%3), "region": "r", "caller_address": n.front, "directory_address": n.directory,
+		"instance": n.name, "hall": hallOf(i), "region": "r", "caller_address": n.front, "directory_address": n.directory,
 		"ready_address": ready, "peer_address": n.peer, "admin_address": admin, "platform_addresses": []string{n.store.Address()},
 		"revoke_within_ms": 5000, "stop_grace_ms": stopGrace.Milliseconds(), "retry_share": 0.2, "retry_extra": 50, "memory_mb": 200, "trace_share": 0,
 	})
--- a/lab/soak/planted_test.go
+++ b/lab/soak/planted_test.go
@@ -26,6 +26,7 @@
 	{"a request that may have run is called not run", "though its caller got", "", "internal/dispatch/walk.go", "w.refuse(Refusal{Reason: w.lateOr(now, Broken)})", "w.refuse(Refusal{Reason: NoEngine})"},
 	{"a proof never grows old", "after its key was taken away", "key taken away unseen", "internal/freshness/freshness.go", "return p.proven && now.Sub(p.at) <= p.maxAge", "return p.proven"},
 	{"an engine that leaves gets new work", "after it said that it leaves", "", "internal/discovery/discovery.go", "e.Draining, e.Since = present.draining, present.since", "e.Draining, e.Since = false, present.since"},
+	{"a hall that is evacuated gets new requests", "was evacuated", "hall evacuated", "internal/placement/placement.go", "if !e.Draining && !p.evacuated[e.Hall] {", "if !e.Draining {"},
 	{"a reload ends the process", "ended by itself", "hang up a node", "cmd/croftturn/main.go", "signal.Notify(reload, syscall.SIGHUP)", ""},
 	{"a request that crashes engines is never held", "later than", "a request crashes engines", "internal/quarantine/record.go", "return len(r.ends) >= mostEnds", "return false"},
 	{"the team is not the key's", "its key is of", "", "platform/egress.go", "h.Set(headerTeam, a.Team)", `h.Set(headerTeam, a.Team+"x")`},
--- a/lab/soak/rows.go
+++ b/lab/soak/rows.go
@@ -106,5 +106,5 @@
 
 // entry returns what an engine that is reached at an address writes of itself.
 func (e *engine) entry(address, state string) map[string]any {
-	return map[string]any{"service": e.pool, "address": address, "zone": "h1", "version": "v1", "slots": 8, "state": state, "cold_remaining_ms": 0, "sequence": 1, "born": e.born.Load()}
+	return map[string]any{"service": e.pool, "address": address, "zone": e.hall, "version": "v1", "slots": 8, "state": state, "cold_remaining_ms": 0, "sequence": 1, "born": e.born.Load()}
 }
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -74,6 +74,13 @@
 		"another team":        func(l *Ledger) { l.ended("a", well); r := here; r.team = "x"; l.ran("a", r) },
 		"a key taken away":    func(l *Ledger) { l.ended("a", well); l.mark(l.revoked, "k", at.Add(-6*time.Second)); l.ran("a", here) },
 		"an engine that left": func(l *Ledger) { l.ended("a", well); l.mark(l.leaving, "e", at.Add(-3*time.Second)); l.ran("a", here) },
+		"a hall that is evacuated": func(l *Ledger) {
+			l.ended("a", well)
+			r := here
+			r.hall = "h"
+			l.ran("a", r)
+			l.evacuate("h", at.Add(-evacuateWithin-time.Millisecond), at.Add(time.Second))
+		},
 		"crashes without end": func(l *Ledger) {
 			for i := range 8 {
 				l.crashed("crash x", at.Add(time.Duration(i)*2*time.Second))
--- a/lab/soak/world.go
+++ b/lab/soak/world.go
@@ -31,6 +31,13 @@
 	// drainWithin is how long after an engine's leaving it may get new work.
 	drainWithin = 2250 * time.Millisecond
 
+	// evacuateWithin is how long after a hall's evacuation its engines may get new requests, with what a loaded machine
+	// takes to record a start.
+	evacuateWithin = 5250 * time.Millisecond
+
+	// halls is how many halls there are.
+	halls = 3
+
 	// settle is how long after a fault promises with a time bound hold again.
 	settle = 3 * time.Second
 
@@ -55,6 +62,8 @@
 		addr   string // addr is the store's address.
 		client *http.Client
 
+		evacuating sync.Mutex // evacuating is held while a hall is evacuated: the others serve meanwhile.
+
 		mu      sync.Mutex
 		nodes   []*node
 		engines []*engine
@@ -115,13 +124,16 @@
 	w.store.Close()
 }
 
+// hallOf returns the hall of a node or engine by its number.
+func hallOf(i int) string { return fmt.Sprintf("h%d", i%halls) }
+
 // addEngine starts an engine and writes its entry.
 func (w *World) addEngine(pool string) error {
 	w.mu.Lock()
 	w.made++
-	id := fmt.Sprintf("i-%d", w.made)
+	id, hall := fmt.Sprintf("i-%d", w.made), hallOf(w.made)
 	w.mu.Unlock()
-	e, err := newEngine(id, pool, w.ledger, w.crash)
+	e, err := newEngine(id, pool, hall, w.ledger, w.crash)
 	if err != nil {
 		return err
 	}
