Register: a part for each hall, read by its head; small nodes write no row

Ruled out: a longer time over which nodes register (the whole register would still be read by each); the register as a third table that all follow (a rolling stop of half the nodes is two changes for each, which every node would pull).

Change: a hall is a part, and its rows stand in the order in which its nodes become hubs. A node reads the first 32, and writes a row only where it belongs among them; hubs read the heads of the other halls once, and one head a minute afterwards; a node that hears no hub looks further, each time after twice as long. A node that learns little from the register learns the rest from hubs, which tell how to reach the hubs of their hall and how many nodes there are (the budget of retries is divided by that). Few nodes read the tables at the first start, more of them the longer nobody has; nodes that know nobody do so by lot, whatever their number.

In simulated time (TestStartOfManyNodesGrowsWithTheirNumber): 400 nodes make 515 reads of 2.0 MB and 325 writes, 600 make 775 of 3.3 MB and 362; all agree on the hubs within seven seconds, also after all were killed. With the register of before 600 nodes would make 1,800 calls of 360,000 rows (worked out).

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -181,7 +181,7 @@
 	e.dispatcher = dispatch.New(e.proof, e.placement, e.budget, e.egress, e.metrics, e.log, dispatch.WithProber(e.egress), dispatch.WithQuarantine(e.quarantine))
 	e.store = platform.NewStore(s.PlatformAddresses, platform.StoreTimeout)
 	e.discovery = discovery.New(platform.Engine, engines{e.placement, e.egress}, ms(s.EngineDrainMs), e.log)
-	e.register = register.New(e.store, self, s.FirstStart, e.gossip.Meet, e.log)
+	e.register = register.New(now, e.store, self, s.Halls, s.FirstStart, e.gossip, e.log)
 	e.config = feed.NewTable(platform.TableConfig, e.takeConfig)
 	e.engines = feed.NewTable(platform.TableEngines, e.discovery.Take)
 	e.traffic = &peer.Traffic{}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -18,13 +18,13 @@
 const startsTogether = 400 * time.Millisecond
 
 // nodes returns how many nodes share the limits of retries: all that are known,
-// heard or not, since nodes that do not hear each other still send. Before the
-// register was read there may be any number.
+// heard or not, since nodes that do not hear each other still send. Before all are counted there may be any number.
 func (e *Edge) nodes() int {
-	if !e.register.Read() {
+	n, sure := e.gossip.Count()
+	if !e.register.Read() || !sure {
 		return math.MaxInt32
 	}
-	return len(e.gossip.Met()) + 1
+	return n
 }
 
 // unheard returns how many nodes may have begun work of which this node has not heard: for a while after
--- a/internal/edge/reading.go
+++ b/internal/edge/reading.go
@@ -25,11 +25,16 @@
 	firstReads = 2500 * time.Millisecond
 
 	// registerWait is how long a node waits for the register at the first start of the
-	// whole system, and peersWait for its peers, before it reads by itself. Nodes write their
+	// whole system, and peersWait for its peers, before it may read by itself. Nodes write their
 	// rows within two seconds, and the store may take another for the last of them.
 	registerWait = 4 * time.Second
 	peersWait    = 1500 * time.Millisecond
 
+	// firstOdds is one in how many nodes reads at first where none has told this one; every widenEvery twice as many do, so
+	// that some do soon, however many there are, and not all at once.
+	firstOdds  = 1024
+	widenEvery = 500 * time.Millisecond
+
 	// spokesRead is how many spokes try to read at a time where the hubs do not succeed, and
 	// spokesTurn how long they try before it is the turn of others: the store may turn some
 	// machines away, but not all nodes should ask one that is away.
@@ -128,7 +133,7 @@
 	age, ok := e.proof.Age(now)
 	switch {
 	case !ok:
-		return e.readsUnproven(now)
+		return e.readsUnproven(now, self)
 	case !e.gossip.Hub():
 		return age > readMoreAfter*3/2 && e.spokeReads(now)
 	case age > readMoreAfter*3/2:
@@ -136,6 +141,11 @@
 	case age > readMoreAfter:
 		limit *= 2
 	}
+	return e.among(now, self, limit)
+}
+
+// among reports whether a node is among the first hubs that can read, of which there are to be so many.
+func (e *Edge) among(now time.Time, self string, limit int) bool {
 	hubs := e.gossip.Hubs(now)
 	if len(hubs) < limit {
 		return true
@@ -148,28 +158,43 @@
 	return newCandidate(self, cores(e.settings), e.cantRead(now)).rank(others) < limit
 }
 
-// readsUnproven reports whether this node should read the tables where it has no proof. When
-// the whole system starts for the first time, no caller waits yet: the hubs read, and the
-// others only if these have not told them by then. At any other start callers wait, so that
+// readsUnproven reports whether the node of a name should read the tables where this one has no proof. When
+// the whole system starts for the first time, no caller waits yet: the first hubs read, more of them until they have told
+// the others, and those that know nobody by lot. At any other start callers wait, so that
 // the node asks for the configuration at once; where its proof has lapsed later, the hubs
 // read and a few others.
-func (e *Edge) readsUnproven(now time.Time) bool {
+func (e *Edge) readsUnproven(now time.Time, self string) bool {
 	age := now.Sub(e.startedAt)
 	starts := !e.settings.FirstStart && age <= peersWait
 	switch {
-	case e.settings.FirstStart && (age < firstReads || !e.register.Read()):
-		return age > registerWait
+	case e.settings.FirstStart && age < firstReads:
+		return false
+	case e.settings.FirstStart && !e.register.Read():
+		return drawn(e.settings.Instance, age-registerWait)
+	case e.settings.FirstStart && e.gossip.Hub():
+		return e.among(now, self, readers<<min((age-firstReads)/widenEvery, 16))
 	case starts || e.gossip.Hub():
 		return true
 	}
 	return age > registerWait && e.spokeReads(now)
 }
 
+// drawn reports whether the lot of a node has been drawn after it has waited for a time: first for one in firstOdds, then for
+// more, and for all in the end.
+func drawn(name string, waited time.Duration) bool {
+	if waited < 0 {
+		return false
+	}
+	odds := uint64(firstOdds) >> min(waited/widenEvery, 63)
+	return xxhash.Sum64String(name)%max(1, odds) == 0
+}
+
 // spokeReads reports whether it is this spoke's turn to read.
 func (e *Edge) spokeReads(now time.Time) bool {
 	turn := int64(now.Sub(e.startedAt) / spokesTurn)
 	drawn := xxhash.Sum64String(e.settings.Instance + strconv.FormatInt(turn, 10))
-	return !e.cantRead(now) && drawn%uint64(len(e.gossip.Met())+1) < spokesRead
+	nodes, _ := e.gossip.Count()
+	return !e.cantRead(now) && drawn%uint64(nodes) < spokesRead
 }
 
 // cantRead reports whether this node had a failed call, or no answer for too
--- a/internal/edge/reading_test.go
+++ b/internal/edge/reading_test.go
@@ -215,3 +215,26 @@
 		}
 	}
 }
+
+// TestLotsAreDrawnWhateverTheNumberOfNodes holds that of nodes which know nobody some read soon after they have waited, a few at
+// first, and all in the end.
+func TestLotsAreDrawnWhateverTheNumberOfNodes(t *testing.T) {
+	for _, nodes := range []int{1, 30, 1000, 20000} {
+		before := 0
+		for waited := -widenEvery; waited <= 10*widenEvery; waited += widenEvery {
+			reads := 0
+			for i := range nodes {
+				if drawn(fmt.Sprint("n", i), waited) {
+					reads++
+				}
+			}
+			if reads < before || reads > max(8, 3*before, nodes/500) {
+				t.Errorf("%d of %d nodes read after %v, %d before", reads, nodes, waited, before)
+			}
+			before = reads
+		}
+		if before != nodes {
+			t.Errorf("%d of %d nodes read in the end", before, nodes)
+		}
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -5,6 +5,8 @@
 package entry
 
 import (
+	"fmt"
+	"math"
 	"sort"
 
 	"github.com/cespare/xxhash/v2"
@@ -121,6 +123,12 @@
 	return out
 }
 
+// SizeKey returns a text that sorts as BySize orders the node, by thousandths of a core.
+func (n Node) SizeKey() string {
+	milli := uint32(min(n.cores()*1000, math.MaxUint32))
+	return fmt.Sprintf("%08x-%016x", math.MaxUint32-milli, xxhash.Sum64String(n.Name))
+}
+
 // thin leaves smaller nodes out of some answers, so that each node gets callers by its
 // size; the first enoughNearby are always named.
 func thin(chosen []Node, draw func() float64) []Node {
--- a/internal/gossip/cadence.go
+++ b/internal/gossip/cadence.go
@@ -64,7 +64,8 @@
 // target is a peer that gets a message this turn.
 type target struct {
 	Peer
-	turns int // turns is how many turns lie between two messages to it.
+	turns  int  // turns is how many turns lie between two messages to it.
+	chosen bool // chosen says that it is told how to reach the hubs of the hall.
 }
 
 // targets returns whom to send to this turn, and forgets peers that should be heard and
@@ -83,7 +84,9 @@
 		case p.addr == nil:
 		case turn < p.due && !(g.urgent && quiet <= quietFor):
 		default:
-			out = append(out, target{Peer: *p, turns: turns})
+			chosen := len(g.chosen) > 0 && p.Hall == g.self.Hall && (p.chose != g.choices || p.sent%introduceEvery == 0)
+			p.chose = g.choices
+			out = append(out, target{Peer: *p, turns: turns, chosen: chosen})
 			p.sent++
 			p.due = turn + turns
 			if quiet > quietFor {
--- /dev/null
+++ b/internal/gossip/count.go
@@ -0,0 +1,46 @@
+package gossip
+
+// Count returns how many nodes there are, this one among them, heard lately or not. A hub knows the nodes of its own hall,
+// and the hubs of other halls tell it of theirs; a spoke is told by its hubs. sure says that the nodes of all halls are
+// counted.
+func (g *Gossip) Count() (nodes int, sure bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	nodes = g.count().All
+	if g.few() || g.hub {
+		return nodes, true
+	}
+	for _, p := range g.peers {
+		if p.Said.Nodes.All > 0 {
+			nodes, sure = max(nodes, p.Said.Nodes.All), true
+		}
+	}
+	return nodes, sure
+}
+
+// count returns the nodes that this one knows, and those that hubs of other halls know of their own. The caller holds the
+// lock.
+func (g *Gossip) count() NodeCount {
+	halls := map[string]NodeCount{g.self.Hall: {Hall: 1}}
+	for _, p := range g.peers {
+		n := halls[p.Hall]
+		n.Hall++
+		n.All = max(n.All, p.Said.Nodes.Hall)
+		halls[p.Hall] = n
+	}
+	c := NodeCount{Hall: halls[g.self.Hall].Hall}
+	for _, n := range halls {
+		c.All += max(n.Hall, n.All)
+	}
+	return c
+}
+
+// tellCount returns what peers are told of the number of nodes, which is nothing where this node is no hub.
+func (g *Gossip) tellCount() NodeCount {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.few() || !g.hub {
+		return NodeCount{}
+	}
+	return g.count()
+}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -63,6 +63,7 @@
 		hub      bool                 // hub says that this node is a hub.
 		hubs     map[string]bool      // hubs are the nodes that count as hubs, of all halls.
 		chosen   []string             // chosen are the hubs that this node, being one, wants in its hall.
+		choices  int                  // choices counts how often chosen has changed.
 		hubHeard map[string]time.Time // hubHeard is when a hub of a hall was last heard, or first missed.
 		promoted chan struct{}        // promoted tells a spoke that rests that a hub wants it to be one.
 	}
@@ -127,15 +128,16 @@
 	return out
 }
 
-// Met returns the names of all peers that are known, heard or not.
-func (g *Gossip) Met() []string {
+// Lonely reports whether this node, where it is a spoke, hears no hub, and else whether it hears nobody.
+func (g *Gossip) Lonely(now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	out := make([]string, 0, len(g.peers))
-	for name := range g.peers {
-		out = append(out, name)
+	for _, p := range g.peers {
+		if g.alive(now, p) {
+			return false
+		}
 	}
-	return out
+	return true
 }
 
 // Unheard returns how many peers that may serve callers have said nothing since this node started: all,
--- a/internal/gossip/hubs.go
+++ b/internal/gossip/hubs.go
@@ -33,8 +33,19 @@
 	widenEvery = 700 * time.Millisecond
 )
 
-// few reports whether there are so few nodes that each is a hub. The caller holds the lock.
-func (g *Gossip) few() bool { return len(g.peers) <= manyPeers }
+// few reports whether there are so few nodes that each is a hub: this node knows few, and no hub knows more. The caller
+// holds the lock.
+func (g *Gossip) few() bool {
+	if len(g.peers) > manyPeers {
+		return false
+	}
+	for _, p := range g.peers {
+		if p.Said.Nodes.All > manyPeers+1 {
+			return false
+		}
+	}
+	return true
+}
 
 // Hub reports whether this node is a hub.
 func (g *Gossip) Hub() bool {
@@ -81,6 +92,7 @@
 	}
 	if !slices.Equal(before, g.chosen) {
 		g.urgent = true
+		g.choices++
 	}
 	for _, name := range g.chosen {
 		hubs[name] = true
@@ -199,6 +211,26 @@
 	return names(entry.Taking(ready))
 }
 
+// knownChosen returns how others reach the hubs that this node wants in its hall. The caller holds the lock.
+func (g *Gossip) knownChosen() []Known {
+	var out []Known
+	for _, name := range g.chosen {
+		self := g.self
+		if p := g.peers[name]; p != nil {
+			self = p.Self
+		}
+		out = append(out, Known{Name: self.Name, Incarnation: self.Incarnation, PeerAddress: self.PeerAddress, CallerAddress: self.CallerAddress, Cores: self.Cores})
+	}
+	return out
+}
+
+// meetChosen takes the hubs that a hub of a hall wants there.
+func (g *Gossip) meetChosen(now time.Time, hall string, chosen []Known) {
+	for _, k := range chosen {
+		g.Meet(now, Self{Name: k.Name, Incarnation: k.Incarnation, PeerAddress: k.PeerAddress, CallerAddress: k.CallerAddress, Hall: hall, Cores: k.Cores})
+	}
+}
+
 // own returns this node as its peers know it.
 func (g *Gossip) own() *Peer { return &Peer{Self: g.self, Said: g.said} }
 
--- a/internal/gossip/hubs_test.go
+++ b/internal/gossip/hubs_test.go
@@ -51,7 +51,7 @@
 	var selves []Self
 	for h := range halls {
 		for i := range each {
-			s := Self{Name: fmt.Sprintf("n%d-%d", h, i), Incarnation: 1, PeerAddress: fmt.Sprintf("127.0.%d.%d:9", h, i), Hall: fmt.Sprint("h", h), Cores: 0.2}
+			s := Self{Name: fmt.Sprintf("n%d-%d", h, i), Incarnation: 1, PeerAddress: fmt.Sprintf("127.0.%d.%d:9", h, i), CallerAddress: fmt.Sprintf("127.0.%d.%d:8", h, i), Hall: fmt.Sprint("h", h), Cores: 0.2}
 			if i < 3 {
 				s.Cores = 0.8
 			}
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -40,6 +40,24 @@
 		Places        map[string][]dispatch.Places `cbor:"12,keyasint,omitempty"` // Places tells how the tiers fared, by pool.
 		Holder        Holder                       `cbor:"13,keyasint,omitempty"` // Holder is who holds the system's duties, as the sender knows.
 		Crashing      []quarantine.Told            `cbor:"14,keyasint,omitempty"` // Crashing are requests under which engines ended: what was learned of them lately, and all that are held.
+		Nodes         NodeCount                    `cbor:"15,keyasint,omitzero"`  // Nodes is how many nodes a hub knows of.
+		Chosen        []Known                      `cbor:"16,keyasint,omitempty"` // Chosen are the hubs that a hub wants in its hall, for those that may not know them.
+	}
+
+	// Known is a node of the sender's hall, as others reach it.
+	Known struct {
+		_             struct{} `cbor:",toarray"`
+		Name          string
+		Incarnation   int64
+		PeerAddress   string
+		CallerAddress string
+		Cores         float64
+	}
+
+	// NodeCount is how many nodes a hub knows of: those of its hall and those of all.
+	NodeCount struct {
+		_         struct{} `cbor:",toarray"`
+		Hall, All int
 	}
 
 	// Holder is the node that acts for all towards the platform.
@@ -61,6 +79,7 @@
 		sent  int      // sent counts the messages to the peer.
 		hubs  []string // hubs are those that the peer, being a hub, wants in its hall.
 		due   int      // due is the turn of the next message to the peer.
+		chose int      // chose is which choice of hubs the peer was told last.
 	}
 
 	// message is one datagram.
--- a/internal/gossip/receive.go
+++ b/internal/gossip/receive.go
@@ -46,6 +46,7 @@
 		return
 	}
 	if self, received, ok := g.believe(now, m, said, from); ok {
+		g.meetChosen(now, self.Hall, said.Chosen)
 		g.node.Heard(now, self, said, received)
 	}
 }
--- a/internal/gossip/send.go
+++ b/internal/gossip/send.go
@@ -18,8 +18,9 @@
 
 // content is what tells what is said to one peer from what is said to another.
 type content struct {
-	turns int  // turns is how many turns the message tells of.
-	all   bool // all says that it tells of all requests that are held, not only what is new of them.
+	turns  int  // turns is how many turns the message tells of.
+	all    bool // all says that it tells of all requests that are held, not only what is new of them.
+	chosen bool // chosen says that it tells how to reach the hubs of the hall.
 }
 
 // crashing returns what is told of requests under which engines ended.
@@ -51,7 +52,8 @@
 	targets := g.targets(before, turn)
 	now := clock()
 	said := g.node.Say(now)
-	chosen := g.told(said)
+	said.Nodes = g.tellCount()
+	chosen, known := g.told(said)
 	g.uses[turn%len(g.uses)] = said.Uses
 	if len(targets) == 0 {
 		return nil
@@ -60,10 +62,13 @@
 	encoded := map[content]cbor.RawMessage{}
 	out := make([]outgoing, 0, len(targets))
 	for _, to := range targets {
-		of := content{turns: to.turns, all: to.sent%(allTurns/to.turns) == 0}
+		of := content{turns: to.turns, all: to.sent%(allTurns/to.turns) == 0, chosen: to.chosen}
 		if encoded[of] == nil {
 			s := g.saidTo(said, turn, to.turns)
 			s.Crashing = of.crashing(said.Crashing)
+			if of.chosen {
+				s.Chosen = known
+			}
 			raw, err := cbor.Marshal(s)
 			if err != nil {
 				g.log.Error("message to peers not encoded", "error", err.Error())
@@ -102,8 +107,8 @@
 }
 
 // told records what this node tells, and whether its next messages are urgent. It returns
-// the hubs that the node wants in its hall, if it is one.
-func (g *Gossip) told(s Said) []string {
+// the hubs that the node wants in its hall, if it is one, and how they are reached.
+func (g *Gossip) told(s Said) (chosen []string, known []Known) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.urgent = s.news(g.said)
@@ -111,5 +116,5 @@
 		clear(g.uses[:]) // What was used before a change of engines may be of a former incarnation.
 	}
 	g.said = s
-	return g.chosen
+	return g.chosen, g.knownChosen()
 }
--- /dev/null
+++ b/internal/gossip/start_test.go
@@ -0,0 +1,144 @@
+package gossip_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/croftturn/croftturn/internal/feed"
+	"github.com/croftturn/croftturn/internal/gossip"
+	"github.com/croftturn/croftturn/internal/register"
+)
+
+// table is the platform's table in memory; it counts what it is asked.
+type table struct {
+	rows         map[string][]feed.Row // rows are by part, in the order of their keys.
+	version      int64
+	reads, bytes int
+	writes       map[string]int // writes are by part.
+}
+
+// Range returns rows of a part.
+func (s *table) Range(_ context.Context, _, part, from, _ string, limit int) (feed.Snapshot, bool, error) {
+	s.reads++
+	at, _ := slices.BinarySearchFunc(s.rows[part], from, func(r feed.Row, key string) int { return compare(r.Key, key) })
+	rows := s.rows[part][at:]
+	more := len(rows) > limit
+	snap := feed.Snapshot{Version: s.version, Rows: slices.Clone(rows[:min(limit, len(rows))])}
+	for _, r := range snap.Rows {
+		s.bytes += len(r.Key) + len(r.Value)
+	}
+	return snap, more, nil
+}
+
+// Commit writes one row.
+func (s *table) Commit(_ context.Context, tx feed.Tx) (int64, error) {
+	s.version++
+	for _, put := range tx.Put {
+		put.Version = s.version
+		s.writes[put.Part]++
+		at, there := slices.BinarySearchFunc(s.rows[put.Part], put.Key, func(r feed.Row, key string) int { return compare(r.Key, key) })
+		if there {
+			return 0, &feed.ConflictError{Rows: []feed.Row{s.rows[put.Part][at]}}
+		}
+		s.rows[put.Part] = slices.Insert(s.rows[put.Part], at, put)
+	}
+	return s.version, nil
+}
+
+// compare compares two keys by their bytes.
+func compare(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// start plays the start of nodes, spread over a time, and what follows, for some time.
+func start(n gossip.Network, s *table, halls int, first bool, spread, d time.Duration) {
+	r := rand.New(rand.NewPCG(uint64(len(n.Names())), 1))
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	var names []string
+	for h := range halls {
+		names = append(names, fmt.Sprint("h", h))
+	}
+	starts := map[string]time.Time{}
+	registers := map[string]*register.Register{}
+	for _, name := range n.Names() {
+		starts[name] = n.Now().Add(time.Duration(r.Int64N(int64(spread))))
+		registers[name] = register.New(n.Now(), s, n.Self(name), names, first, n.Node(name), log)
+	}
+	order := slices.Clone(n.Names())
+	slices.SortFunc(order, func(a, b string) int { return starts[a].Compare(starts[b]) })
+	for end, step := n.Now().Add(d), 0; n.Now().Before(end); step++ {
+		for _, name := range order {
+			switch {
+			case n.Now().Before(starts[name]):
+			case !registers[name].Read():
+				n.Start(name)
+				_ = registers[name].Enter(context.Background()) // The table never fails.
+			case step%5 == 0:
+				_ = registers[name].Watch(context.Background(), n.Now())
+			}
+		}
+		n.Run(gossip.Every)
+	}
+}
+
+// TestStartOfManyNodesGrowsWithTheirNumber plays the first start of all nodes, of which each knows nobody but by the register,
+// and one after all were killed. All have to agree on the hubs; what the store gives grows as the nodes do, and what is written
+// in a hall stays below what the store takes there in the time over which nodes start.
+func TestStartOfManyNodesGrowsWithTheirNumber(t *testing.T) {
+	const (
+		halls     = 5
+		within    = 7 * time.Second
+		spread    = 2 * time.Second
+		partWrite = 150 // a second
+	)
+	type cost struct{ reads, bytes int }
+	costs := map[int]cost{}
+	for _, each := range []int{20, 80, 120} {
+		n := gossip.NewNetwork(t, halls, each)
+		s := &table{rows: map[string][]feed.Row{}, writes: map[string]int{}}
+		start(n, s, halls, true, spread, within)
+		if err := n.Agree(halls); err != nil {
+			t.Errorf("%d nodes, first start: %v", halls*each, err)
+		}
+		for part, writes := range s.writes {
+			if writes > int(partWrite*spread.Seconds()) {
+				t.Errorf("%d nodes: %d rows written in %s within %v", halls*each, writes, part, spread)
+			}
+		}
+		costs[each] = cost{s.reads, s.bytes}
+		t.Logf("%d nodes: %d reads, %d bytes, writes %v", halls*each, s.reads, s.bytes, s.writes)
+		for _, name := range n.Names() {
+			if nodes, sure := n.Node(name).Count(); !sure || nodes < halls*each*9/10 || nodes > halls*each {
+				t.Fatalf("%s counts %d nodes (%v) of %d", name, nodes, sure, halls*each)
+			}
+		}
+		for _, name := range n.Names() {
+			n.Kill(name)
+		}
+		before := s.bytes
+		start(n, s, halls, false, 300*time.Millisecond, within)
+		if err := n.Agree(halls); err != nil {
+			t.Errorf("%d nodes, all killed: %v", halls*each, err)
+		}
+		t.Logf("%d nodes after all were killed: %d bytes", halls*each, s.bytes-before)
+	}
+	small, large := costs[80], costs[120]
+	if r := float64(large.reads) / float64(small.reads); r > 1.1*120/80 {
+		t.Errorf("reads grow by %.2f where nodes grow by 1.5", r)
+	}
+	if r := float64(large.bytes) / float64(small.bytes); r > 1.1*120/80 {
+		t.Errorf("bytes grow by %.2f where nodes grow by 1.5", r)
+	}
+}
--- a/internal/register/decode_test.go
+++ b/internal/register/decode_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strings"
 	"testing"
 
 	"github.com/croftturn/croftturn/internal/feed"
@@ -17,17 +18,17 @@
 	if err != nil {
 		f.Fatal(err)
 	}
-	f.Add("n", text)
+	f.Add("1-n", text)
 	f.Add("other", text)
 	for _, bad := range []string{``, `null`, `{}`, `[]`, `{"Name":"n"}`, `{"Name":3}`, `{"Name":"n","Incarnation":1e99}`, "\xff\xfe", `{"Name":"n","Hall":["h"]}`} {
-		f.Add("n", []byte(bad))
+		f.Add("1-n", []byte(bad))
 	}
 	f.Fuzz(func(t *testing.T, key string, value []byte) {
 		s, err := decode(feed.Row{Key: key, Value: value})
 		if err != nil && s != (gossip.Self{}) {
 			t.Errorf("half taken: %+v with %v", s, err)
 		}
-		if err == nil && (s.Name != key || s.PeerAddress == "" || s.Hall == "") {
+		if err == nil && (!strings.HasSuffix(key, "-"+s.Name) || s.PeerAddress == "" || s.Hall == "") {
 			t.Errorf("taken: %+v", s)
 		}
 	})
--- a/internal/register/register_test.go
+++ b/internal/register/register_test.go
@@ -3,8 +3,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"log/slog"
+	"maps"
+	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -20,29 +24,40 @@
 	rows    map[string]feed.Row
 	version int64
 	writes  int
+	reads   int
 	fail    int
 }
 
-func (s *store) List(context.Context, string, string) (feed.Snapshot, error) {
+// Range returns rows in the order of their keys.
+func (s *store) Range(_ context.Context, _, part, from, _ string, limit int) (snap feed.Snapshot, more bool, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	snap := feed.Snapshot{Version: s.version}
-	for _, r := range s.rows {
-		snap.Rows = append(snap.Rows, r)
+	s.reads++
+	snap.Version = s.version
+	for _, key := range slices.Sorted(maps.Keys(s.rows)) {
+		r := s.rows[key]
+		switch {
+		case r.Part != part || key < from:
+		case len(snap.Rows) == limit:
+			return snap, true, nil
+		default:
+			snap.Rows = append(snap.Rows, r)
+		}
 	}
-	return snap, nil
+	return snap, false, nil
 }
 
-func (s *store) Write(_ context.Context, tx feed.Tx) error {
+// Commit does a transaction.
+func (s *store) Commit(_ context.Context, tx feed.Tx) (int64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.fail > 0 {
 		s.fail--
-		return feed.ErrUncertain
+		return 0, feed.ErrUncertain
 	}
 	for _, e := range tx.Expect {
 		if have := s.rows[e.Key]; have.Version != e.Version {
-			return &feed.ConflictError{Rows: []feed.Row{have}}
+			return 0, &feed.ConflictError{Rows: []feed.Row{have}}
 		}
 	}
 	s.version++
@@ -54,14 +69,30 @@
 	for _, d := range tx.Delete {
 		delete(s.rows, d.Key)
 	}
-	return nil
+	return s.version, nil
+}
+
+// peers keeps whom a node met.
+type peers struct {
+	met         map[string]gossip.Self
+	hub, lonely bool
+}
+
+func (p *peers) Meet(_ time.Time, s gossip.Self) { p.met[s.Name] = s }
+func (p *peers) Settle(time.Time)                {}
+func (p *peers) Hub() bool                       { return p.hub }
+func (p *peers) Lonely(time.Time) bool           { return p.lonely }
+
+// newRegister returns a node's register and its peers; there are two halls.
+func newRegister(s *store, self gossip.Self) (*register.Register, *peers) {
+	p := &peers{met: map[string]gossip.Self{}}
+	return register.New(time.Unix(1000, 0), s, self, []string{"h", "i"}, false, p, slog.New(slog.NewTextHandler(io.Discard, nil))), p
 }
 
 // meet runs a node's register until it was read, and returns whom it met.
 func meet(t *testing.T, s *store, self gossip.Self) (*register.Register, map[string]gossip.Self) {
 	t.Helper()
-	met := map[string]gossip.Self{}
-	r := register.New(s, self, false, func(_ time.Time, other gossip.Self) { met[other.Name] = other }, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	r, p := newRegister(s, self)
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
 	done := make(chan struct{})
@@ -74,7 +105,7 @@
 	if !r.Read() {
 		t.Fatal("the register was not read")
 	}
-	return r, met
+	return r, p.met
 }
 
 // TestOfTwoNodesOneSeesTheOther holds that a later node meets an earlier one, that
@@ -102,7 +133,116 @@
 	if err := rb.Leave(context.Background()); err != nil {
 		t.Fatal(err)
 	}
-	if _, there := s.rows["b"]; there || errors.Is(rb.Leave(context.Background()), feed.ErrConflict) {
+	if left := len(s.rows); left != 1 || errors.Is(rb.Leave(context.Background()), feed.ErrConflict) {
 		t.Error("b still stands in the register")
 	}
 }
+
+// node returns what a node of a hall says of itself.
+func node(hall, name string, cores float64) gossip.Self {
+	return gossip.Self{Name: name, Incarnation: 1, PeerAddress: "p-" + name, CallerAddress: "c-" + name, Hall: hall, Cores: cores}
+}
+
+// TestSmallNodesReadTheHeadAndLeaveItToLargerOnes holds that a node which does not belong to the head of its hall makes one call,
+// meets the nodes of the head alone, and writes no row; and that it writes one, and reads all rows of its hall, where it goes on
+// hearing nobody.
+func TestSmallNodesReadTheHeadAndLeaveItToLargerOnes(t *testing.T) {
+	ctx, now := context.Background(), time.Unix(1000, 0)
+	s := &store{rows: map[string]feed.Row{}}
+	for i := range 60 {
+		r, p := newRegister(s, node("h", fmt.Sprint("n", i), 1))
+		p.lonely = true
+		if err := errors.Join(r.Enter(ctx), r.Watch(ctx, now), r.Watch(ctx, now.Add(3*time.Second))); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if len(s.rows) != 60 {
+		t.Fatalf("%d rows of 60 nodes that heard nobody", len(s.rows))
+	}
+	s.reads, s.writes = 0, 0
+	r, p := newRegister(s, node("h", "small", 0.2))
+	if err := r.Enter(ctx); err != nil || !r.Read() || s.reads != 1 || s.writes != 0 {
+		t.Errorf("%v: read %v, %d reads, %d writes; want one read", err, r.Read(), s.reads, s.writes)
+	}
+	head := len(p.met)
+	if head == 0 || head >= 60 {
+		t.Errorf("it met %d nodes of 60, want the head", head)
+	}
+	at := now
+	watch := func(d time.Duration) {
+		t.Helper()
+		at = at.Add(d)
+		if err := r.Watch(ctx, at); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if watch(0); s.reads != 1 || s.writes != 0 {
+		t.Errorf("a node that hears its peers makes %d more reads", s.reads-1)
+	}
+	p.lonely = true
+	watch(0)
+	watch(1900 * time.Millisecond)
+	if s.reads != 1 {
+		t.Error("it reads on before it was lonely for long")
+	}
+	if watch(200 * time.Millisecond); s.writes != 1 || len(p.met) != head {
+		t.Errorf("lonely for 2 s: %d writes, %d met; want its row, and the head again", s.writes, len(p.met))
+	}
+	if watch(4 * time.Second); len(p.met) != 60 {
+		t.Errorf("lonely for longer it has met %d of 60", len(p.met))
+	}
+	reads := s.reads
+	if watch(4 * time.Second); s.reads != reads {
+		t.Error("it does not wait longer each time")
+	}
+	if err := r.Leave(ctx); err != nil || len(s.rows) != 60 {
+		t.Errorf("%v: %d rows after it left, want 60", err, len(s.rows))
+	}
+}
+
+// TestAHubStandsInTheRegisterAndKnowsOtherHalls holds that a node which becomes a hub writes its row and reads the heads of the
+// other halls once, and later one head at a time.
+func TestAHubStandsInTheRegisterAndKnowsOtherHalls(t *testing.T) {
+	ctx, now := context.Background(), time.Unix(1000, 0)
+	s := &store{rows: map[string]feed.Row{}}
+	for i := range 40 {
+		meet(t, s, node("h", fmt.Sprint("n", i), 1))
+	}
+	meet(t, s, node("i", "far", 1))
+	r, p := newRegister(s, node("h", "small", 0.2))
+	if err := r.Enter(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if _, ok := p.met["far"]; ok || s.rows[smallKey(s)].Version != 0 {
+		t.Error("a node that is no hub meets those of other halls, or stands in the register")
+	}
+	p.hub = true
+	reads := s.reads
+	for range 5 {
+		if err := r.Watch(ctx, now); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, ok := p.met["far"]; !ok || smallKey(s) == "" || s.reads != reads+1 {
+		t.Errorf("a hub met %d nodes, its row is %q, %d reads", len(p.met), smallKey(s), s.reads-reads)
+	}
+	reads = s.reads
+	for i := range 10 {
+		if err := r.Watch(ctx, now.Add(time.Duration(i)*time.Minute)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if more := s.reads - reads; more < 4 || more > 10 {
+		t.Errorf("%d reads in ten minutes, want about one a minute", more)
+	}
+}
+
+// smallKey returns the key of the row of the node "small", if there is one.
+func smallKey(s *store) string {
+	for key := range s.rows {
+		if strings.HasSuffix(key, "-small") {
+			return key
+		}
+	}
+	return ""
+}
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -71,6 +71,9 @@
 	// Hall is the hall that this instance stands in.
 	Hall string `json:"hall"`
 
+	// Halls are all halls that have nodes; this instance's need not stand among them.
+	Halls []string `json:"halls,omitempty,omitzero"`
+
 	// HeartbeatMs is the time between two heartbeats to each observer, in
 	// milliseconds.
 	HeartbeatMs int `json:"heartbeat_ms,omitempty,omitzero"`
@@ -387,6 +390,9 @@
 	if utf8.RuneCountInString(string(plain.Hall)) < 1 {
 		return fmt.Errorf("field %s length: must be >= %d", "hall", 1)
 	}
+	if v, ok := raw["halls"]; !ok || v == nil {
+		plain.Halls = []string{}
+	}
 	if v, ok := raw["heartbeat_ms"]; !ok || v == nil {
 		plain.HeartbeatMs = 400
 	}
