Placement: a cold engine gets no more requests than it bears

Cause: an engine is cold for some seconds after a start or a return, and falls over at well above what it then bears; the bound counts all nodes within any second. Nothing in the code knew it.

Ways weighed: a share for each node that sends, by their number (12 nodes of one request each already pass 18 a second in their first moment); one node of a hall that gives out places (a hop, and a pause at its loss, for a state of seconds). Kept: a few nodes, by rendezvous of engine and node, send to a cold engine, so many that each may send more than one request a second; together half of what is borne, so that nodes cut into halves that each take themselves for all stay below it too.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -31,7 +31,7 @@
 
 type (
 	// Decode returns the engine of a row.
-	Decode func(row feed.Row) (placement.Engine, error)
+	Decode func(now time.Time, row feed.Row) (placement.Engine, error)
 
 	// Engines takes the engines that may get work.
 	Engines interface {
@@ -90,7 +90,7 @@
 			d.miss(now, r.Key)
 			continue
 		}
-		leaves, err := d.takeEntry(r, each)
+		leaves, err := d.takeEntry(now, r, each)
 		if err != nil {
 			refused++
 			d.refuse(r.Key, err, refused <= linesMost)
@@ -107,8 +107,8 @@
 }
 
 // takeEntry takes one entry and reports whether the engine leaves.
-func (d *Discovery) takeEntry(r feed.Row, log bool) (draining bool, err error) {
-	e, err := d.decode(r)
+func (d *Discovery) takeEntry(now time.Time, r feed.Row, log bool) (draining bool, err error) {
+	e, err := d.decode(now, r)
 	if err != nil {
 		return false, err
 	}
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -21,7 +21,7 @@
 )
 
 // decode reads the test's own entries.
-func decode(r feed.Row) (placement.Engine, error) {
+func decode(_ time.Time, r feed.Row) (placement.Engine, error) {
 	e := placement.Engine{ID: r.Key}
 	err := json.Unmarshal(r.Value, &e.Draining)
 	return e, err
@@ -120,7 +120,7 @@
 }
 
 // decodeBorn reads such entries.
-func decodeBorn(r feed.Row) (placement.Engine, error) {
+func decodeBorn(_ time.Time, r feed.Row) (placement.Engine, error) {
 	var e placement.Engine
 	err := json.Unmarshal(r.Value, &e)
 	return e, err
--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -5,6 +5,7 @@
 
 	"github.com/croftturn/croftturn/internal/clock"
 	"github.com/croftturn/croftturn/internal/feed"
+	"github.com/croftturn/croftturn/internal/routing"
 	"github.com/croftturn/croftturn/platform"
 )
 
@@ -22,7 +23,19 @@
 	if table == nil {
 		return
 	}
+	for _, p := range table.Pools() {
+		e.placement.SetColdLimit(p.Name, e.coldLimit(p))
+	}
 	before := e.dispatcher.Version()
 	taken := e.dispatcher.SetTable(table)
 	e.log.Info("configuration", "version", table.Version, "before", before, "taken", taken, "ms", clock.Since(begin).Milliseconds())
 }
+
+// coldLimit returns how many requests an engine of a pool may get in any second while it is cold, from all nodes together; 0
+// for any number.
+func (e *Edge) coldLimit(p *routing.Pool) float64 {
+	if p.ColdRate <= 0 {
+		return 0
+	}
+	return p.ColdRate*e.settings.ColdOverage + e.settings.ColdSlack
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -163,7 +163,7 @@
 	}
 	var err error
 	e.proof = freshness.New(proofLife(s))
-	e.placement = placement.New(s.Hall, placement.WithUnheard(e.unheard))
+	e.placement = placement.New(s.Hall, placement.WithUnheard(e.unheard), placement.WithSenders(s.Instance, e.senders))
 	e.quarantine = quarantine.New(e.triesHeld, e.log)
 	e.evacuations = evacuation.New(e.placement, e.log)
 	if e.gossip, err = gossip.New(self, e.log); err != nil {
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -36,6 +36,17 @@
 	return e.gossip.Unheard()
 }
 
+// senders returns the names of the peers that send requests to engines: hubs that take callers.
+func (e *Edge) senders(now time.Time) []string {
+	var out []string
+	for _, p := range e.gossip.Hubs(now) {
+		if p.Said.Ready {
+			out = append(out, p.Name)
+		}
+	}
+	return out
+}
+
 // Say returns what the peers are told of this node.
 func (e *Edge) Say(now time.Time) gossip.Said {
 	silent := e.watchSilence(now)
--- a/internal/placement/call.go
+++ b/internal/placement/call.go
@@ -56,6 +56,7 @@
 		ahead: c.Ahead, read: c.Read, stream: r.MaxGap > 0, signed: now,
 	}
 	e.calls[call] = true
+	p.noteCold(now, p.knownPool(r.Pool), e)
 	if c.Unread > 0 {
 		p.work[r.Pool] += float64(c.Unread) / c.Read
 		p.knownPool(r.Pool).noteRead(c.Unread, c.Tight)
--- /dev/null
+++ b/internal/placement/cold.go
@@ -0,0 +1,92 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// coldSendersLeast is for how many requests a second that a cold engine bears one node may send there. Few nodes do, so that
+	// each may send more than one: a node may begin with one at any moment.
+	coldSendersLeast = 4.0
+
+	// coldUse is the share of what a cold engine bears that is used. The rest is for nodes that don't agree on who may
+	// send, as when some were killed or cut off.
+	coldUse = 0.5
+
+	// sendersLife is for how long the nodes that may send are remembered.
+	sendersLife = 100 * time.Millisecond
+)
+
+// senders are the nodes that send requests, by the hashes of their names.
+type senders struct {
+	self   string
+	names  func(now time.Time) []string
+	at     time.Time
+	hashes []uint64
+}
+
+// WithSenders tells a placement of the nodes that send requests, by name, and which of them this one is. What cold engines
+// bear is divided among some of them; without it this node counts as the only one.
+func WithSenders(self string, names func(now time.Time) []string) Option {
+	return func(p *Placement) { p.senders = senders{self: self, names: names} }
+}
+
+// SetColdLimit sets how many requests an engine of a pool bears in any second while it is cold, from all nodes together; 0
+// for any number.
+func (p *Placement) SetColdLimit(pool string, most float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.knownPool(pool).coldLimit = most
+}
+
+// bears reports whether an engine, where it is cold, may get one more request of this node.
+func (p *Placement) bears(now time.Time, known *pool, e *engine) bool {
+	if known.coldLimit <= 0 || !now.Before(e.ColdUntil) {
+		return true
+	}
+	return !now.Before(e.coldNext) && p.coldEvery(now, known, e) > 0
+}
+
+// noteCold records that a request is sent to an engine.
+func (p *Placement) noteCold(now time.Time, known *pool, e *engine) {
+	if known.coldLimit > 0 && now.Before(e.ColdUntil) {
+		e.coldNext = now.Add(p.coldEvery(now, known, e))
+	}
+}
+
+// coldEvery returns the least time between two requests of this node to a cold engine; 0 if it is to send none, since others
+// are before it in the order of senders for that engine.
+func (p *Placement) coldEvery(now time.Time, known *pool, e *engine) time.Duration {
+	all := p.senders.known(now)
+	many := min(max(1, int(known.coldLimit/coldSendersLeast)), len(all))
+	own := mix(e.hash ^ xxhash.Sum64String(p.senders.self))
+	before := 0
+	for _, other := range all {
+		if mix(e.hash^other) < own {
+			before++
+		}
+	}
+	if before >= many {
+		return 0
+	}
+	share := coldUse * known.coldLimit / float64(many)
+	return time.Duration(float64(time.Second) / max(share-1, share/2)) // One may go out at any moment, beside those of a second.
+}
+
+// known returns the hashes of the nodes that send requests, this one among them.
+func (s *senders) known(now time.Time) []uint64 {
+	if age := now.Sub(s.at); len(s.hashes) > 0 && age >= 0 && age < sendersLife {
+		return s.hashes
+	}
+	s.at, s.hashes = now, append(s.hashes[:0], xxhash.Sum64String(s.self))
+	if s.names != nil {
+		for _, name := range s.names(now) {
+			if name != s.self {
+				s.hashes = append(s.hashes, xxhash.Sum64String(name))
+			}
+		}
+	}
+	return s.hashes
+}
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -45,6 +45,8 @@
 		Spot     bool  // Spot engines may be taken away by the platform.
 		Born     int64 // Born tells one incarnation of the engine from the next; it is the start by the engine's own clock; 0 where it does not say.
 		Since    int64 // Since is the version of the entry by which this incarnation was known first.
+
+		ColdUntil time.Time // ColdUntil is until when the engine is cold; zero if it is not.
 	}
 
 	// Load is the work at an engine, of one node or of all.
@@ -75,6 +77,8 @@
 		// heardAt is when bytes last came from the engine, or when the first of this
 		// node's requests there was sent.
 		heardAt time.Time
+
+		coldNext time.Time // coldNext is when this node may next send a request to the engine while it is cold.
 	}
 
 	// peerLoad is what one peer told of its requests at an engine.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -66,6 +66,7 @@
 		pools     map[string]*pool
 		changed   bool // changed says that the pools' lists of engines are out of date.
 		cache     cache
+		senders   senders
 		ranking   ranking
 		told      map[string][]string // told holds the engines at which each peer last told of work.
 		uses      []Use               // uses since the last call of TakeUses
@@ -207,7 +208,7 @@
 		if leastCost(r, rank) >= best {
 			break // No engine after this one costs less.
 		}
-		if r.Avoid[e.ID] {
+		if r.Avoid[e.ID] || !p.bears(now, known, e) {
 			continue
 		}
 		c := p.weigh(now, known, e, r, max(0, e.order-known.gather), rank)
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -38,6 +38,7 @@
 	// weighing more, and readTight the part of streams that are kept apart.
 	read, readTight float64
 
+	coldLimit float64 // coldLimit is how many requests a cold engine bears in a second; 0 for any number.
 	blind     bool    // blind says that nodes were not heard which may have begun work.
 	taken     float64 // taken is the share of the pool's places that is taken, as far as is known.
 	usualAt   time.Time
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -65,6 +65,7 @@
 		Name     string
 		MaxConns int             // MaxConns is the most connections one engine takes, from all nodes together.
 		Model    *Model          // Model is nil for plain backend servers.
+		ColdRate float64         // ColdRate is how many requests a second an engine bears while it is cold; 0 if any number.
 		Scaling  *scaling.Limits // Scaling is nil where engines can't be ordered.
 	}
 
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -33,6 +33,13 @@
 	// exceed the time for which callers send a key again, by more than clocks differ.
 	ClaimKeepHours int `json:"claim_keep_hours,omitempty,omitzero"`
 
+	// ColdOverage times what a cold engine bears in a second, and ColdSlack more, are
+	// the most requests that one may get in any second, over all nodes.
+	ColdOverage float64 `json:"cold_overage,omitempty,omitzero"`
+
+	// ColdSlack is described at cold_overage.
+	ColdSlack float64 `json:"cold_slack,omitempty,omitzero"`
+
 	// ConfigPollMs is the time between two polls of the platform for a newer
 	// configuration, in milliseconds.
 	ConfigPollMs int `json:"config_poll_ms,omitempty,omitzero"`
@@ -324,6 +331,24 @@
 	if 24 > plain.ClaimKeepHours {
 		return fmt.Errorf("field %s: must be >= %v", "claim_keep_hours", 24)
 	}
+	if v, ok := raw["cold_overage"]; !ok || v == nil {
+		plain.ColdOverage = 1.0
+	}
+	if 1000 < plain.ColdOverage {
+		return fmt.Errorf("field %s: must be <= %v", "cold_overage", 1000)
+	}
+	if 0 > plain.ColdOverage {
+		return fmt.Errorf("field %s: must be >= %v", "cold_overage", 0)
+	}
+	if v, ok := raw["cold_slack"]; !ok || v == nil {
+		plain.ColdSlack = 0.0
+	}
+	if 100000 < plain.ColdSlack {
+		return fmt.Errorf("field %s: must be <= %v", "cold_slack", 100000)
+	}
+	if 0 > plain.ColdSlack {
+		return fmt.Errorf("field %s: must be >= %v", "cold_slack", 0)
+	}
 	if v, ok := raw["config_poll_ms"]; !ok || v == nil {
 		plain.ConfigPollMs = 1500
 	}
