Entry points: how many nodes take a hall's callers follows from the load alone

Cause: at least 6 in 100 of a hall's nodes took its callers, 11 or 12 in each hall of 197, though the load needs one; all of them tell each other their work, so that messages, and bytes between halls, grew with the square of the nodes at the same load (at 2,000 nodes 120 hubs, some 72,000 messages a second between halls; worked out). Below 67 nodes a hall nothing changes: three is the least there already.

Ruled out: one hub of each hall that tells the others its hall's sum, which is for far more requests.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -17,13 +17,11 @@
 	// halls unnecessary as its entry points.
 	enoughNearby = 2
 
-	// leastChosen and leastShare bound from below how many nodes of a hall take its
-	// callers. Three still leave two when one dies. Those that take callers tell each other
-	// their work: with a quarter of the nodes of a hall, and every node telling every other,
-	// streams whose callers bear pauses of 400 ms earned 0.772 of their worth where 295
-	// nodes served 204 engines, in four seconds; with these, and hubs, 0.823.
+	// leastChosen bounds from below how many nodes of a hall take its callers: three still leave
+	// two when one dies. Beyond it only the load counts. Those that take callers tell each
+	// other their work, so that a share of the nodes would have their messages grow with the
+	// square of the nodes.
 	leastChosen = 3
-	leastShare  = 0.06
 
 	// mostAddresses is how many addresses a caller looks at.
 	mostAddresses = 64
@@ -90,10 +88,9 @@
 func Taking(near []Node) []Node {
 	rate := totalRate(near)
 	near = BySize(near)
-	least := max(leastChosen, int(leastShare*float64(len(near))))
 	planned := 0.0
 	for i, n := range near {
-		if i >= least && planned >= rate {
+		if i >= leastChosen && planned >= rate {
 			return near[:i]
 		}
 		planned += n.planned()
