Refusing: requests that gave way to a higher tier count as refused ones of theirs

Cause: a request that got nothing for the sake of a higher tier did not count among those of its tier that lacked a place. Once the highest had its places again, the lowest tier began beside a middle one of which most had got nothing in the seconds before. The test fails without the change: TestLowestTierWaitsForWhatAMiddleOneWasRefused.

By a play with logs the lowest tier begins nothing from 0.8 s after the engines left on; what counts against it began before.

--- a/internal/dispatch/line.go
+++ b/internal/dispatch/line.go
@@ -192,6 +192,7 @@
 	l.arrived(now, w.route.Tier, readingTime(w.choice))
 	w.highest, w.giveWay = l.standing(now, w.route.Tier, w.choice)
 	if rand.Float64() < w.giveWay {
+		l.count(now, w.route.Tier, false, false) // Tiers below it give way to it as well.
 		return &Refusal{Reason: Busy, ComeBack: w.comeBack()}
 	}
 	limit := l.limit(w.tier(), w.route.Target)
--- a/internal/dispatch/place_test.go
+++ b/internal/dispatch/place_test.go
@@ -153,6 +153,38 @@
 	}
 }
 
+// TestLowestTierWaitsForWhatAMiddleOneWasRefused holds that requests which gave way to the highest tier count as refused ones of
+// their own: once the highest has its places again, a tier below them does not begin while most of them got nothing in the
+// newest seconds, and they themselves do.
+func TestLowestTierWaitsForWhatAMiddleOneWasRefused(t *testing.T) {
+	e := &engines{serve: func(context.Context, int, dispatch.Attempt) (*dispatch.Response, error) {
+		return respond(200, "whole"), nil
+	}}
+	var routes []*routing.Route
+	for tier, name := range []string{"high", "middle", "low"} {
+		routes = append(routes, &routing.Route{
+			Name: name, Host: "h", PathPrefix: "/" + name + "/", Kind: routing.Safe, Timeout: timeout, Target: placeTarget, MaxEngines: 1, Tier: tier,
+			Shares: []routing.Share{{Pool: "p", Weight: 1}},
+		})
+	}
+	teams := []*routing.Team{{Name: "t", Keys: []string{"k"}}}
+	table := routing.NewTable(1, routes, []*routing.Pool{{Name: "p"}}, teams, routing.Limits{})
+	d := dispatcherOf(e, 0, table, 8, "e1")
+	d.HeardPlaces(time.Now(), "peer", map[string][]dispatch.Places{"p": {{Asked: 20, Lacked: 8}}})
+	for range 20 {
+		if got := serve(t, d, "middle"); got.refusal == nil {
+			t.Fatalf("while the highest is refused the middle tier gets status %d", got.status)
+		}
+	}
+	time.Sleep(1100 * time.Millisecond) // The peer's word counts for a second.
+	if got := serve(t, d, "low"); got.refusal == nil {
+		t.Errorf("the lowest tier gets status %d a second after the middle one got nothing", got.status)
+	}
+	if got := serve(t, d, "middle"); got.status != 200 {
+		t.Errorf("the middle tier gets %+v, though the highest lacks no place any more", got.refusal)
+	}
+}
+
 // TestOneUrgencyWherePlacesAreFew holds that all requests are sent to an engine whose
 // places are nearly all taken as those of the lowest route and team are, so that it puts
 // none back for another, and with their own urgency where it has many free.
