--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -111,7 +111,7 @@
 		Pools(now time.Time) []Pool
 
 		// Work returns, by pool, the reading that this node gave to engines so far, in milliseconds of an engine.
-		Work() map[string]float64
+		Work() map[string]scaling.Demand
 	}
 
 	// Pool is a pool whose engines can be ordered.
@@ -243,7 +243,7 @@
 		if !ok {
 			continue
 		}
-		r.WorkMs = d.node.Work()
+		r.Work = d.node.Work()
 		ack, err := d.sendCounts(ctx, h, &r)
 		if err != nil {
 			d.log.Debug("counts not sent", "holder", h.Address, "token", h.Token, "error", err.Error())
@@ -282,7 +282,7 @@
 	if !ok {
 		return usage.Ack{}, errNotHolder
 	}
-	d.demand.take(now, r.Node, r.WorkMs)
+	d.demand.take(now, r.Node, r.Work)
 	return d.ledger.Take(now, term.Token, *r), nil
 }
 
--- a/internal/duty/orders.go
+++ b/internal/duty/orders.go
@@ -33,12 +33,12 @@
 	// given is the work of one node.
 	given struct {
 		at, beforeAt time.Time
-		work, before map[string]float64
+		work, before map[string]scaling.Demand
 	}
 )
 
 // take takes what a node told of its work since its start.
-func (d *demand) take(now time.Time, node string, work map[string]float64) {
+func (d *demand) take(now time.Time, node string, work map[string]scaling.Demand) {
 	g := d.nodes[node]
 	if g == nil {
 		d.nodes[node] = &given{at: now, beforeAt: now, work: work, before: work}
@@ -51,15 +51,15 @@
 }
 
 // of returns how many engines of a pool are kept busy with what was told lately.
-func (d *demand) of(now time.Time, pool string) float64 {
-	sum := 0.0
+func (d *demand) of(now time.Time, pool string) (sum scaling.Demand) {
 	for name, g := range d.nodes {
 		over := g.at.Sub(g.beforeAt)
 		switch {
 		case now.Sub(g.at) > givenLife:
 			delete(d.nodes, name)
 		case over > 0:
-			sum += max(0, g.work[pool]-g.before[pool]) / float64(over.Milliseconds())
+			sum.All += max(0, g.work[pool].All-g.before[pool].All) / float64(over.Milliseconds())
+			sum.Upper += max(0, g.work[pool].Upper-g.before[pool].Upper) / float64(over.Milliseconds())
 		}
 	}
 	return sum
--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -85,7 +85,7 @@
 }
 
 // Work returns, by pool, the reading that this node gave to engines so far, in milliseconds of an engine.
-func (n dutyNode) Work() map[string]float64 { return n.e.placement.Work() }
+func (n dutyNode) Work() map[string]scaling.Demand { return n.e.placement.Work() }
 
 // sayHolder returns what is told of who holds the duties.
 func (e *Edge) sayHolder(now time.Time) gossip.Holder {
--- a/internal/placement/call.go
+++ b/internal/placement/call.go
@@ -58,7 +58,7 @@
 	e.calls[call] = true
 	p.noteCold(now, p.knownPool(r.Pool), e)
 	if c.Unread > 0 {
-		p.work[r.Pool] += float64(c.Unread) / c.Read
+		p.noteWork(r, float64(c.Unread)/c.Read)
 		p.knownPool(r.Pool).noteRead(c.Unread, c.Tight)
 	}
 	if c.Tight {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -15,6 +15,8 @@
 	"sort"
 	"sync"
 	"time"
+
+	"github.com/croftturn/croftturn/internal/scaling"
 )
 
 type (
@@ -26,6 +28,7 @@
 		TokensPerEvent int           // TokensPerEvent is how many tokens an event of a stream of the pool holds.
 		Events         int           // Events is how many events the answer is expected to have; 0 if unknown.
 		Avoid          map[string]bool
+		Lowest         bool // Lowest says that its pool serves no lower tier.
 		NeedRoom       bool // NeedRoom says that an engine with a place free goes before all others.
 
 		tight bool // tight says that it is a stream which is kept from long prompts.
@@ -68,9 +71,9 @@
 		cache     cache
 		senders   senders
 		ranking   ranking
-		told      map[string][]string // told holds the engines at which each peer last told of work.
-		uses      []Use               // uses since the last call of TakeUses
-		work      map[string]float64  // work is the reading that this node gave to the engines of a pool so far, in milliseconds.
+		told      map[string][]string       // told holds the engines at which each peer last told of work.
+		uses      []Use                     // uses since the last call of TakeUses
+		work      map[string]scaling.Demand // work is the reading that this node gave to the engines of a pool so far, in milliseconds.
 	}
 )
 
@@ -87,7 +90,7 @@
 func New(hall string, options ...Option) *Placement {
 	p := &Placement{
 		hall: hall, unheard: func(time.Time) int { return 0 },
-		engines: map[string]*engine{}, evacuated: map[string]bool{}, pools: map[string]*pool{}, told: map[string][]string{}, work: map[string]float64{}, cache: cache{parts: map[uint64]map[string]time.Time{}},
+		engines: map[string]*engine{}, evacuated: map[string]bool{}, pools: map[string]*pool{}, told: map[string][]string{}, work: map[string]scaling.Demand{}, cache: cache{parts: map[uint64]map[string]time.Time{}},
 	}
 	for _, option := range options {
 		option(p)
--- a/internal/placement/present.go
+++ b/internal/placement/present.go
@@ -34,8 +34,19 @@
 	return out
 }
 
+// noteWork counts how long an engine takes to read the prompt of a request that is sent, in milliseconds. The caller holds the
+// lock.
+func (p *Placement) noteWork(r Request, ms float64) {
+	w := p.work[r.Pool]
+	w.All += ms
+	if !r.Lowest {
+		w.Upper += ms
+	}
+	p.work[r.Pool] = w
+}
+
 // Work returns, by pool, how many milliseconds of an engine the prompts take that this node has sent since its start.
-func (p *Placement) Work() map[string]float64 {
+func (p *Placement) Work() map[string]scaling.Demand {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return maps.Clone(p.work)
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -96,6 +96,7 @@
 		hosts map[string][]*Route // each host's routes, longest prefix first
 		pools map[string]*Pool
 		teams map[string]*Team // by key
+		low   map[string]int   // low is, by pool, the lowest tier of the routes that it serves.
 		last  map[string]int   // last is, by pool, the last place that a request for it has.
 		keyed bool
 	}
@@ -110,7 +111,7 @@
 func NewTable(version int, routes []*Route, pools []*Pool, teams []*Team, limits Limits) *Table {
 	t := &Table{
 		Version: version, Limits: limits, keyed: len(teams) > 0,
-		hosts: map[string][]*Route{}, pools: map[string]*Pool{}, teams: map[string]*Team{}, last: map[string]int{},
+		hosts: map[string][]*Route{}, pools: map[string]*Pool{}, teams: map[string]*Team{}, low: map[string]int{}, last: map[string]int{},
 	}
 	for _, r := range routes {
 		host := strings.ToLower(r.Host)
@@ -133,6 +134,7 @@
 	}
 	for _, r := range routes {
 		for _, s := range r.Shares {
+			t.low[s.Pool] = max(t.low[s.Pool], r.Tier)
 			t.last[s.Pool] = max(t.last[s.Pool], urgency(max(r.Tier, lowest), r))
 		}
 	}
@@ -172,6 +174,9 @@
 // route for the lowest team.
 func (t *Table) LastUrgency(pool string) int { return t.last[pool] }
 
+// LowestTier returns the lowest tier of the routes that a pool serves.
+func (t *Table) LowestTier(pool string) int { return t.low[pool] }
+
 // urgency returns the place of a route's requests within a tier.
 func urgency(tier int, r *Route) int {
 	return min(max(tier*routeTiers+min(max(r.Tier, 0), routeTiers-1), 0), maxUrgency)
--- a/internal/scaling/scaling.go
+++ b/internal/scaling/scaling.go
@@ -28,8 +28,8 @@
 	// cheapBelow is the price from which on engines that may be taken away aren't worth their loss.
 	cheapBelow = 0.8
 
-	// stayingShare of what the load needs are ordinary engines at all times: what the highest tiers need if all
-	// others leave at once.
+	// stayingShare of what the load needs are ordinary engines at all times, and no less than read the prompts of all tiers
+	// but the lowest: what these need if all others leave at once.
 	stayingShare = 0.03
 
 	// peakLife is how long the highest load counts, and shortLife for how long while engines can't be had.
@@ -84,7 +84,8 @@
 	Scaler struct {
 		pool  string
 		kinds map[kind]*ordered
-		peaks []peak
+		peaks peaks // peaks are of all requests.
+		upper peaks // upper are of those above the lowest tier.
 
 		first   int       // first is how many engines there were at first: what the operators began with.
 		firstAt time.Time // firstAt is since when they were as many.
@@ -94,6 +95,12 @@
 		loadedAt time.Time // loadedAt is when a load was first seen.
 	}
 
+	// Demand is reading that engines are given: how many would be busy all the time with it or, in a sum, milliseconds of one.
+	Demand struct {
+		All   float64 `json:"all"`   // All is of all requests.
+		Upper float64 `json:"upper"` // Upper is of those for which the pool serves a lower tier, too.
+	}
+
 	// kind is one kind of engine in a hall.
 	kind struct {
 		hall string
@@ -108,6 +115,9 @@
 		refused time.Time // refused is when none could be had.
 	}
 
+	// peaks are the highest loads of late, each higher than those after it.
+	peaks []peak
+
 	// peak is a load at a moment.
 	peak struct {
 		at     time.Time
@@ -119,22 +129,35 @@
 func New(pool string) *Scaler { return &Scaler{pool: pool, kinds: map[kind]*ordered{}} }
 
 // Note takes the load: how many engines would be busy all the time with the prompts that come.
-func (s *Scaler) Note(now time.Time, demand float64) {
-	s.peaks = slices.DeleteFunc(s.peaks, func(p peak) bool { return now.Sub(p.at) > peakLife || p.demand <= demand })
-	s.peaks = append(s.peaks, peak{at: now, demand: demand})
-	if s.loadedAt.IsZero() && demand >= demandLeast {
+func (s *Scaler) Note(now time.Time, demand Demand) {
+	s.peaks.note(now, demand.All)
+	s.upper.note(now, demand.Upper)
+	if s.loadedAt.IsZero() && demand.All >= demandLeast {
 		s.loadedAt = now
 	}
 }
 
+// note takes a load, and forgets those that don't count any more.
+func (p *peaks) note(now time.Time, demand float64) {
+	*p = slices.DeleteFunc(*p, func(old peak) bool { return now.Sub(old.at) > peakLife || old.demand <= demand })
+	*p = append(*p, peak{at: now, demand: demand})
+}
+
+// highest returns the highest load since a moment.
+func (p peaks) highest(since time.Time) float64 {
+	highest := 0.0
+	for _, each := range p {
+		if !each.at.Before(since) {
+			highest = max(highest, each.demand)
+		}
+	}
+	return highest
+}
+
 // Need returns how many engines the highest load of late needs. Until a load was seen for long enough, it is no less
 // than what the operators began with.
 func (s *Scaler) Need(now time.Time) int {
-	highest := 0.0
-	for _, p := range s.peaks {
-		highest = max(highest, p.demand)
-	}
-	need := int(math.Ceil(highest / busyMost))
+	need := int(math.Ceil(s.peaks.highest(now.Add(-peakLife)) / busyMost))
 	if s.loadedAt.IsZero() || now.Sub(s.loadedAt) < peakLife {
 		need = max(need, s.first)
 	}
@@ -150,13 +173,7 @@
 	if s.loadedAt.IsZero() {
 		return s.first
 	}
-	highest := 0.0
-	for _, p := range s.peaks {
-		if now.Sub(p.at) <= shortLife {
-			highest = max(highest, p.demand)
-		}
-	}
-	return int(math.Ceil(highest / busyShort))
+	return int(math.Ceil(s.peaks.highest(now.Add(-shortLife)) / busyShort))
 }
 
 // begin settles what the operators began with, and reports whether that is known.
@@ -253,7 +270,8 @@
 		}
 		return out
 	}
-	staying := min(int(math.Ceil(stayingShare*float64(need)/float64(n))), perHall)
+	always := max(stayingShare*float64(need), s.upper.highest(now.Add(-peakLife))/busyShort)
+	staying := min(int(math.Ceil(always/float64(n))), perHall)
 	have := 0
 	for _, hall := range names {
 		t := target{staying: staying, spot: perHall - staying}
--- a/internal/usage/counter.go
+++ b/internal/usage/counter.go
@@ -10,6 +10,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/croftturn/croftturn/internal/scaling"
 )
 
 const (
@@ -42,7 +44,7 @@
 		WallMs  int64   `json:"wall_ms"` // WallMs is the node's time of day; all counts up to then are in the batches.
 		Batches []Batch `json:"batches,omitempty"`
 
-		WorkMs map[string]float64 `json:"work_ms,omitempty"` // WorkMs is, by pool, the reading that this node has given to engines since its start.
+		Work map[string]scaling.Demand `json:"work,omitempty"` // Work is, by pool, the reading that this node has given to engines since its start, in milliseconds.
 	}
 
 	// Ack is the holder's answer.
