Regions: a request that is bound to regions is sent to engines there alone

Cause: a route or a team may be allowed in some regions only; nothing knew it. The regions of all halls come with the settings.

No site here sends such a configuration (the wire pages name the field, the examples have none), so that this is proved by tests alone.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -10,9 +10,11 @@
 	"io"
 	"log"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -163,7 +165,7 @@
 	}
 	var err error
 	e.proof = freshness.New(proofLife(s))
-	e.placement = placement.New(s.Hall, placement.WithUnheard(e.unheard), placement.WithSenders(s.Instance, e.senders))
+	e.placement = placement.New(s.Hall, placement.WithUnheard(e.unheard), placement.WithSenders(s.Instance, e.senders), placement.WithRegions(s.HallRegions))
 	e.quarantine = quarantine.New(e.triesHeld, e.log)
 	e.evacuations = evacuation.New(e.placement, e.log)
 	if e.gossip, err = gossip.New(self, e.log); err != nil {
@@ -181,7 +183,7 @@
 	e.dispatcher = dispatch.New(e.proof, e.placement, e.budget, e.egress, e.metrics, e.log, dispatch.WithProber(e.egress), dispatch.WithQuarantine(e.quarantine))
 	e.store = platform.NewStore(s.PlatformAddresses, platform.StoreTimeout)
 	e.discovery = discovery.New(platform.Engine, engines{e.placement, e.egress}, ms(s.EngineDrainMs), e.log)
-	e.register = register.New(now, e.store, self, s.Halls, s.FirstStart, e.gossip, e.log)
+	e.register = register.New(now, e.store, self, slices.Collect(maps.Keys(s.HallRegions)), s.FirstStart, e.gossip, e.log)
 	e.config = feed.NewTable(platform.TableConfig, e.takeConfig)
 	e.engines = feed.NewTable(platform.TableEngines, e.discovery.Take)
 	e.traffic = &peer.Traffic{}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -28,8 +28,10 @@
 		TokensPerEvent int           // TokensPerEvent is how many tokens an event of a stream of the pool holds.
 		Events         int           // Events is how many events the answer is expected to have; 0 if unknown.
 		Avoid          map[string]bool
-		Lowest         bool // Lowest says that its pool serves no lower tier.
-		NeedRoom       bool // NeedRoom says that an engine with a place free goes before all others.
+		Bound          bool     // Bound says that it may be served in Regions alone.
+		Regions        []string // Regions is described at Bound.
+		Lowest         bool     // Lowest says that its pool serves no lower tier.
+		NeedRoom       bool     // NeedRoom says that an engine with a place free goes before all others.
 
 		tight bool // tight says that it is a stream which is kept from long prompts.
 	}
@@ -61,6 +63,7 @@
 	// called from many goroutines.
 	Placement struct {
 		hall    string
+		regions map[string]string       // regions are those of halls.
 		unheard func(now time.Time) int // unheard returns how many nodes may have begun work of which this one has not heard.
 
 		mu        sync.Mutex
@@ -211,7 +214,7 @@
 		if leastCost(r, rank) >= best {
 			break // No engine after this one costs less.
 		}
-		if r.Avoid[e.ID] || !p.bears(now, known, e) {
+		if r.Avoid[e.ID] || !p.allows(r, e) || !p.bears(now, known, e) {
 			continue
 		}
 		c := p.weigh(now, known, e, r, max(0, e.order-known.gather), rank)
--- /dev/null
+++ b/internal/placement/regions.go
@@ -0,0 +1,18 @@
+package placement
+
+import "slices"
+
+// WithRegions tells a placement of the regions of halls. An engine in a hall of which none is known takes no request that is
+// bound to regions.
+func WithRegions(byHall map[string]string) Option {
+	return func(p *Placement) { p.regions = byHall }
+}
+
+// allows reports whether a request may be served where an engine stands.
+func (p *Placement) allows(r Request, e *engine) bool {
+	if !r.Bound {
+		return true
+	}
+	region, known := p.regions[e.Hall]
+	return known && slices.Contains(r.Regions, region)
+}
--- /dev/null
+++ b/internal/placement/regions_test.go
@@ -0,0 +1,30 @@
+package placement_test
+
+import (
+	"testing"
+
+	"github.com/croftturn/croftturn/internal/placement"
+)
+
+// TestRequestsBoundToRegionsStayThere holds that a request which is bound to regions is sent to engines there alone, whatever
+// else speaks for others, and to none where there is no engine, or its hall is in no region that is known.
+func TestRequestsBoundToRegionsStayThere(t *testing.T) {
+	p := placement.New("a1", placement.WithRegions(map[string]string{"a1": "a", "b1": "b"}))
+	for id, hall := range map[string]string{"near": "a1", "far": "b1", "strange": "c1"} {
+		p.Set(placement.Engine{ID: id, Pool: "p", Hall: hall, Slots: 4})
+	}
+	for _, test := range []struct {
+		name    string
+		regions []string
+		want    string
+	}{{"own", []string{"a"}, "near"}, {"other", []string{"b"}, "far"}, {"unknown", []string{"c"}, ""}, {"none", nil, ""}} {
+		c, _ := p.Choose(start, placement.Request{Pool: "p", Bound: true, Regions: test.regions})
+		if c.Engine.ID != test.want {
+			t.Errorf("%s: sent to %q, want %q", test.name, c.Engine.ID, test.want)
+		}
+	}
+	p.SetEvacuated("b1", true)
+	if c, ok := p.Choose(start, placement.Request{Pool: "p", Bound: true, Regions: []string{"b"}}); ok {
+		t.Errorf("with its only hall evacuated it is sent to %q", c.Engine.ID)
+	}
+}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -52,6 +52,7 @@
 		Public     bool          // Public routes need no key.
 		Resumable  bool          // Resumable streams may go on at another engine.
 		Shares     []Share       // Shares are the pools that serve the route.
+		Regions    []string      // Regions are where requests may be served; anywhere if there are none.
 	}
 
 	// Share is one pool's part of a route's requests.
@@ -81,6 +82,8 @@
 		Name string
 		Keys []string
 		Tier *int // Tier goes before that of the route where it is set.
+
+		Regions []string // Regions are where its requests may be served; anywhere if there are none.
 	}
 
 	// Limits bound what a caller may send.
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -78,8 +78,8 @@
 	// Hall is the hall that this instance stands in.
 	Hall string `json:"hall"`
 
-	// Halls are all halls that have nodes; this instance's need not stand among them.
-	Halls []string `json:"halls,omitempty,omitzero"`
+	// HallRegions are the regions of all halls that have nodes or engines, by hall.
+	HallRegions SettingsHallRegions `json:"hall_regions,omitempty,omitzero"`
 
 	// HeartbeatMs is the time between two heartbeats to each observer, in
 	// milliseconds.
@@ -229,6 +229,9 @@
 	return nil
 }
 
+// HallRegions are the regions of all halls that have nodes or engines, by hall.
+type SettingsHallRegions map[string]string
+
 type SettingsLogLevel string
 
 const SettingsLogLevelDebug SettingsLogLevel = "debug"
@@ -415,8 +418,8 @@
 	if utf8.RuneCountInString(string(plain.Hall)) < 1 {
 		return fmt.Errorf("field %s length: must be >= %d", "hall", 1)
 	}
-	if v, ok := raw["halls"]; !ok || v == nil {
-		plain.Halls = []string{}
+	if v, ok := raw["hall_regions"]; !ok || v == nil {
+		plain.HallRegions = map[string]string{}
 	}
 	if v, ok := raw["heartbeat_ms"]; !ok || v == nil {
 		plain.HeartbeatMs = 400
