Placement: on more engines shared parts of prompts are read no more often

Cause: a request passes over an engine at a fixed cost in its session's order, so that it looks for one that has read the part which many sessions share among the first 40 or so, whatever their number. From 1,000 engines on the cost goes by the share of the pool.

TestSharedPartsAreReadNoMoreOftenOnMoreEngines: of 1,000 new sessions 105 read it anew on 1,000 engines and 442 on 8,000 before, 113 now.

Ruled out: fewer engines in use at all (streams and prompts would meet on them); a set of engines for each part, sized by its load (another thing to learn and to agree on).

--- a/internal/placement/cache_test.go
+++ b/internal/placement/cache_test.go
@@ -51,3 +51,29 @@
 		t.Error("the newest session is forgotten")
 	}
 }
+
+// TestSharedPartsAreReadNoMoreOftenOnMoreEngines lets a node serve many new sessions that share the first part of their prompts, one
+// after the other, and holds that with eight times as many engines not much more of them read that part anew.
+func TestSharedPartsAreReadNoMoreOftenOnMoreEngines(t *testing.T) {
+	const sessions = 1000
+	anew := map[int]int{}
+	for _, engines := range []int{1000, 8000} {
+		p := newPlacement(engines)
+		now := start
+		for i := range sessions {
+			r := long(i)
+			c := choose(t, p, now, r)
+			if c.Unread == r.Prompt.Tokens {
+				anew[engines]++
+			}
+			call := p.Start(now, c, r)
+			call.Began(now.Add(100 * time.Millisecond))
+			call.End(now.Add(100*time.Millisecond), placement.Answered)
+			now = now.Add(10 * time.Millisecond)
+		}
+	}
+	t.Logf("read anew, by engines: %v", anew)
+	if float64(anew[8000]) > 1.5*float64(anew[1000]) {
+		t.Errorf("the shared part is read anew %d times on 8,000 engines, %d on 1,000", anew[8000], anew[1000])
+	}
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -211,7 +211,7 @@
 	r.tight = known.tight(r)
 	best := math.Inf(1)
 	for rank, e := range p.ranking.order(known.engines, r.Prompt.Session()) {
-		if leastCost(r, rank) >= best {
+		if known.leastCost(r, rank) >= best {
 			break // No engine after this one costs less.
 		}
 		if r.Avoid[e.ID] || !p.allows(r, e) || !p.bears(now, known, e) {
--- a/internal/placement/weigh.go
+++ b/internal/placement/weigh.go
@@ -18,8 +18,11 @@
 	hallCost = 4.0
 
 	// rankCost makes nodes that know equally little of a session choose the same
-	// engine, in milliseconds a rank.
-	rankCost = 8.0
+	// engine, in milliseconds a rank. Of more engines than rankEngines each weighs as much less, so that it is a share of
+	// the pool that a request passes over for one which has read a part of its prompt. Were it a number of engines, more of
+	// them would read the parts that many sessions share, the more engines there are.
+	rankCost    = 8.0
+	rankEngines = 1000
 
 	// rereadWeight is how much more a token weighs that the engine has to read
 	// than its reading takes: other engines may have it cached, and what is read
@@ -112,7 +115,7 @@
 		c.Ahead = load.Unread + c.Unread
 		c.Wait = float64(c.Ahead) / c.Read
 		c.Tight = r.tight
-		c.Cost += leastCost(r, rank)
+		c.Cost += known.leastCost(r, rank)
 		c.Cost += known.lateness(load, c, r, beyond)
 	}
 	c.Cost += rereadWeight * float64(c.Unread) / c.Read
@@ -139,11 +142,11 @@
 
 // leastCost returns what a request costs at an engine by its rank alone; all else that is
 // weighed adds to it.
-func leastCost(r Request, rank int) float64 {
+func (p *pool) leastCost(r Request, rank int) float64 {
 	if r.Prompt.Tokens == 0 {
 		return 0
 	}
-	return rankCost * float64(rank)
+	return rankCost * float64(rank) * min(1, rankEngines/float64(len(p.engines)))
 }
 
 // lateness returns what it costs that the request makes streams late, or that it
