--- a/internal/scaling/scaling.go
+++ b/internal/scaling/scaling.go
@@ -28,8 +28,8 @@
 	// cheapBelow is the price from which on engines that may be taken away aren't worth their loss.
 	cheapBelow = 0.8
 
-	// stayingShare of what the load needs are ordinary engines at all times, and no less than read the prompts of all tiers
-	// but the lowest: what these need if all others leave at once.
+	// stayingShare of what the load needs are ordinary engines at all times, and no less than can read the prompts of all
+	// tiers but the lowest, reading all the time: what these need for some seconds if all others leave at once.
 	stayingShare = 0.03
 
 	// peakLife is how long the highest load counts, and shortLife for how long while engines can't be had.
@@ -270,7 +270,7 @@
 		}
 		return out
 	}
-	always := max(stayingShare*float64(need), s.upper.highest(now.Add(-peakLife))/busyShort)
+	always := max(stayingShare*float64(need), s.upper.highest(now.Add(-peakLife)))
 	staying := min(int(math.Ceil(always/float64(n))), perHall)
 	have := 0
 	for _, hall := range names {
