--- a/internal/placement/call.go
+++ b/internal/placement/call.go
@@ -55,6 +55,9 @@
 		p: p, engine: e, load: Load{Unread: c.Unread, InFlight: 1}, start: now, wait: time.Duration(c.Wait * float64(time.Millisecond)),
 		ahead: c.Ahead, read: c.Read, stream: r.MaxGap > 0, signed: now,
 	}
+	if e.calls == nil {
+		e.calls = map[*Call]bool{}
+	}
 	e.calls[call] = true
 	p.noteCold(now, p.knownPool(r.Pool), e)
 	if c.Unread > 0 {
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -65,10 +65,10 @@
 		order int    // order is the engine's place in its pool's list.
 
 		own         Load
-		calls       map[*Call]bool // calls are this node's requests there.
-		peers       map[string]peerLoad
-		others      Load      // others is the sum of what the peers told.
-		othersUntil time.Time // othersUntil is until when it holds.
+		calls       map[*Call]bool      // calls are this node's requests there; nil before the first.
+		peers       map[string]peerLoad // peers is nil before one told of work there.
+		others      Load                // others is the sum of what the peers told.
+		othersUntil time.Time           // othersUntil is until when it holds.
 		reported    report
 		failures    failures
 		pace        pace
@@ -113,7 +113,7 @@
 
 // newEngine returns an engine of which nothing is known yet.
 func newEngine(e Engine) *engine {
-	return &engine{Engine: e, hash: xxhash.Sum64String(e.ID), calls: map[*Call]bool{}, peers: map[string]peerLoad{}}
+	return &engine{Engine: e, hash: xxhash.Sum64String(e.ID)}
 }
 
 // load returns the work at the engine, of this node and of its peers.
@@ -147,6 +147,9 @@
 	if l == (Load{}) {
 		delete(e.peers, peer)
 	} else {
+		if e.peers == nil {
+			e.peers = map[string]peerLoad{}
+		}
 		e.peers[peer] = peerLoad{Load: l, at: now}
 	}
 	e.othersUntil = time.Time{}
