--- a/internal/dispatch/walk.go
+++ b/internal/dispatch/walk.go
@@ -161,8 +161,8 @@
 // placementRequest returns what placement weighs.
 func (w *walk) placementRequest() placement.Request {
 	r := placement.Request{Pool: w.pool, Prompt: w.req.Prompt, Avoid: w.avoid, Lowest: w.route.Tier >= w.d.Table().LowestTier(w.pool)}
-	regions, any := routing.Regions(w.route, w.team)
-	r.Regions, r.Bound = regions, !any
+	regions, everywhere := routing.Regions(w.route, w.team)
+	r.Regions, r.Bound = regions, !everywhere
 	pool := w.d.Table().Pool(w.pool)
 	if w.route.Kind == routing.Stream && pool != nil && pool.Model != nil {
 		r.MaxGap, r.TokensPerEvent = w.route.MaxGap, pool.Model.TokensPerEvent
--- a/internal/register/register.go
+++ b/internal/register/register.go
@@ -79,10 +79,10 @@
 	Register struct {
 		store Store
 		self  gossip.Self
-		key   string   // key is of this node's row.
-		halls []string // halls are all halls, this node's first.
-		first bool     // first says that the whole system starts for the first time.
-		begin time.Time
+		key   string    // key is of this node's row.
+		halls []string  // halls are all halls, this node's first.
+		first bool      // first says that the whole system starts for the first time.
+		begin time.Time // begin is when this node started.
 		peers Peers
 		log   *slog.Logger
 
--- a/internal/routing/regions.go
+++ b/internal/routing/regions.go
@@ -2,9 +2,9 @@
 
 import "slices"
 
-// Regions returns the regions in which a request may be served; any says that every one is. Where the route and the team are
+// Regions returns the regions in which a request may be served; everywhere says that no region is left out. Where the route and the team are
 // both bound, both bind.
-func Regions(r *Route, t *Team) (regions []string, any bool) {
+func Regions(r *Route, t *Team) (regions []string, everywhere bool) {
 	var team []string
 	if t != nil {
 		team = t.Regions
--- a/internal/routing/regions_test.go
+++ b/internal/routing/regions_test.go
@@ -12,7 +12,7 @@
 	for _, test := range []struct {
 		name              string
 		route, team, want []string
-		any               bool
+		everywhere        bool
 	}{
 		{"none bound", nil, nil, nil, true},
 		{"route", []string{"a", "b"}, nil, []string{"a", "b"}, false},
@@ -20,12 +20,12 @@
 		{"both", []string{"a", "b"}, []string{"b", "c"}, []string{"b"}, false},
 		{"nowhere", []string{"a"}, []string{"c"}, nil, false},
 	} {
-		got, any := routing.Regions(&routing.Route{Regions: test.route}, &routing.Team{Regions: test.team})
-		if !slices.Equal(got, test.want) || any != test.any {
-			t.Errorf("%s: %v %v, want %v %v", test.name, got, any, test.want, test.any)
+		got, everywhere := routing.Regions(&routing.Route{Regions: test.route}, &routing.Team{Regions: test.team})
+		if !slices.Equal(got, test.want) || everywhere != test.everywhere {
+			t.Errorf("%s: %v %v, want %v %v", test.name, got, everywhere, test.want, test.everywhere)
 		}
 	}
-	if _, any := routing.Regions(&routing.Route{}, nil); !any {
+	if _, everywhere := routing.Regions(&routing.Route{}, nil); !everywhere {
 		t.Error("a request without a team is bound")
 	}
 }
