--- a/internal/edge/held.go
+++ b/internal/edge/held.go
@@ -20,8 +20,8 @@
 const longestStatement = 4 << 10
 
 // statements serves the operators' statements: "duties" shows what one node does for all, "evacuations" lists the halls
-// that are evacuated, "held" lists requests that are held, and "release FINGERPRINT" frees one at all nodes. Who releases one needs the operators' token; without one in
-// the settings nobody may.
+// that are evacuated, "held" lists requests that are held, and "release FINGERPRINT" frees one at all nodes. Who releases one
+// needs the operators' token; without one in the settings nobody may.
 func (e *Edge) statements(w http.ResponseWriter, r *http.Request) {
 	var statement struct {
 		Text string `json:"text"`
@@ -32,13 +32,9 @@
 	}
 	now := clock.Now()
 	words := strings.Fields(statement.Text)
-	rows := e.heldRows
+	rows, shows := map[string]func(time.Time) []wire.Row{"held": e.heldRows, "duties": e.dutyRows, "evacuations": e.evacuationRows}[strings.Join(words, " ")]
 	switch {
-	case len(words) == 1 && words[0] == "held":
-	case len(words) == 1 && words[0] == "duties":
-		rows = e.dutyRows
-	case len(words) == 1 && words[0] == "evacuations":
-		rows = e.evacuationRows
+	case shows:
 	case len(words) != 2 || words[0] != "release":
 		http.Error(w, `want "duties", "evacuations", "held" or "release FINGERPRINT"`, http.StatusBadRequest)
 		return
@@ -51,6 +47,7 @@
 			http.Error(w, words[1]+" is not held", http.StatusNotFound)
 			return
 		}
+		rows = e.heldRows
 	}
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(admin.Result{Rows: rows(now)}); err != nil {
--- a/internal/edge/reading.go
+++ b/internal/edge/reading.go
@@ -170,7 +170,7 @@
 	case e.settings.FirstStart && age < firstReads:
 		return false
 	case e.settings.FirstStart && !e.register.Read():
-		return drawn(e.settings.Instance, age-registerWait)
+		return drawn(self, age-registerWait)
 	case e.settings.FirstStart && e.gossip.Hub():
 		return e.among(now, self, readers<<min((age-firstReads)/widenEvery, 16))
 	case starts || e.gossip.Hub():
@@ -192,9 +192,9 @@
 // spokeReads reports whether it is this spoke's turn to read.
 func (e *Edge) spokeReads(now time.Time) bool {
 	turn := int64(now.Sub(e.startedAt) / spokesTurn)
-	drawn := xxhash.Sum64String(e.settings.Instance + strconv.FormatInt(turn, 10))
+	lot := xxhash.Sum64String(e.settings.Instance + strconv.FormatInt(turn, 10))
 	nodes, _ := e.gossip.Count()
-	return !e.cantRead(now) && drawn%uint64(nodes) < spokesRead
+	return !e.cantRead(now) && lot%uint64(nodes) < spokesRead
 }
 
 // cantRead reports whether this node had a failed call, or no answer for too
--- a/internal/gossip/count.go
+++ b/internal/gossip/count.go
@@ -21,16 +21,14 @@
 // count returns the nodes that this one knows, and those that hubs of other halls know of their own. The caller holds the
 // lock.
 func (g *Gossip) count() NodeCount {
-	halls := map[string]NodeCount{g.self.Hall: {Hall: 1}}
+	known, told := map[string]int{g.self.Hall: 1}, map[string]int{}
 	for _, p := range g.peers {
-		n := halls[p.Hall]
-		n.Hall++
-		n.All = max(n.All, p.Said.Nodes.Hall)
-		halls[p.Hall] = n
+		known[p.Hall]++
+		told[p.Hall] = max(told[p.Hall], p.Said.Nodes.Hall)
 	}
-	c := NodeCount{Hall: halls[g.self.Hall].Hall}
-	for _, n := range halls {
-		c.All += max(n.Hall, n.All)
+	c := NodeCount{Hall: known[g.self.Hall]}
+	for hall, n := range known {
+		c.All += max(n, told[hall])
 	}
 	return c
 }
--- a/internal/gossip/hubs.go
+++ b/internal/gossip/hubs.go
@@ -211,8 +211,10 @@
 	return names(entry.Taking(ready))
 }
 
-// knownChosen returns how others reach the hubs that this node wants in its hall. The caller holds the lock.
+// knownChosen returns how others reach the hubs that this node wants in its hall.
 func (g *Gossip) knownChosen() []Known {
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	var out []Known
 	for _, name := range g.chosen {
 		self := g.self
--- a/internal/gossip/send.go
+++ b/internal/gossip/send.go
@@ -53,7 +53,7 @@
 	now := clock()
 	said := g.node.Say(now)
 	said.Nodes = g.tellCount()
-	chosen, known := g.told(said)
+	chosen := g.told(said)
 	g.uses[turn%len(g.uses)] = said.Uses
 	if len(targets) == 0 {
 		return nil
@@ -67,7 +67,7 @@
 			s := g.saidTo(said, turn, to.turns)
 			s.Crashing = of.crashing(said.Crashing)
 			if of.chosen {
-				s.Chosen = known
+				s.Chosen = g.knownChosen()
 			}
 			raw, err := cbor.Marshal(s)
 			if err != nil {
@@ -107,8 +107,8 @@
 }
 
 // told records what this node tells, and whether its next messages are urgent. It returns
-// the hubs that the node wants in its hall, if it is one, and how they are reached.
-func (g *Gossip) told(s Said) (chosen []string, known []Known) {
+// the hubs that the node wants in its hall, if it is one.
+func (g *Gossip) told(s Said) []string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.urgent = s.news(g.said)
@@ -116,5 +116,5 @@
 		clear(g.uses[:]) // What was used before a change of engines may be of a former incarnation.
 	}
 	g.said = s
-	return g.chosen, g.knownChosen()
+	return g.chosen
 }
--- a/internal/gossip/start_test.go
+++ b/internal/gossip/start_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -23,10 +24,16 @@
 	writes       map[string]int // writes are by part.
 }
 
+// List returns all rows of a part.
+func (s *table) List(ctx context.Context, table, part string) (feed.Snapshot, error) {
+	snap, _, err := s.Range(ctx, table, part, "", "", len(s.rows[part]))
+	return snap, err
+}
+
 // Range returns rows of a part.
 func (s *table) Range(_ context.Context, _, part, from, _ string, limit int) (feed.Snapshot, bool, error) {
 	s.reads++
-	at, _ := slices.BinarySearchFunc(s.rows[part], from, func(r feed.Row, key string) int { return compare(r.Key, key) })
+	at, _ := slices.BinarySearchFunc(s.rows[part], from, func(r feed.Row, key string) int { return strings.Compare(r.Key, key) })
 	rows := s.rows[part][at:]
 	more := len(rows) > limit
 	snap := feed.Snapshot{Version: s.version, Rows: slices.Clone(rows[:min(limit, len(rows))])}
@@ -42,7 +49,7 @@
 	for _, put := range tx.Put {
 		put.Version = s.version
 		s.writes[put.Part]++
-		at, there := slices.BinarySearchFunc(s.rows[put.Part], put.Key, func(r feed.Row, key string) int { return compare(r.Key, key) })
+		at, there := slices.BinarySearchFunc(s.rows[put.Part], put.Key, func(r feed.Row, key string) int { return strings.Compare(r.Key, key) })
 		if there {
 			return 0, &feed.ConflictError{Rows: []feed.Row{s.rows[put.Part][at]}}
 		}
@@ -51,17 +58,6 @@
 	return s.version, nil
 }
 
-// compare compares two keys by their bytes.
-func compare(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
-
 // start plays the start of nodes, spread over a time, and what follows, for some time.
 func start(n gossip.Network, s *table, halls int, first bool, spread, d time.Duration) {
 	r := rand.New(rand.NewPCG(uint64(len(n.Names())), 1))
--- a/internal/placement/cold.go
+++ b/internal/placement/cold.go
@@ -61,9 +61,9 @@
 func (p *Placement) coldEvery(now time.Time, known *pool, e *engine) time.Duration {
 	all := p.senders.known(now)
 	many := min(max(1, int(known.coldLimit/coldSendersLeast)), len(all))
-	own := mix(e.hash ^ xxhash.Sum64String(p.senders.self))
+	own := mix(e.hash ^ all[0])
 	before := 0
-	for _, other := range all {
+	for _, other := range all[1:] {
 		if mix(e.hash^other) < own {
 			before++
 		}
@@ -75,17 +75,15 @@
 	return time.Duration(float64(time.Second) / max(share-1, share/2)) // One may go out at any moment, beside those of a second.
 }
 
-// known returns the hashes of the nodes that send requests, this one among them.
+// known returns the hashes of the nodes that send requests, this one's first.
 func (s *senders) known(now time.Time) []uint64 {
 	if age := now.Sub(s.at); len(s.hashes) > 0 && age >= 0 && age < sendersLife {
 		return s.hashes
 	}
 	s.at, s.hashes = now, append(s.hashes[:0], xxhash.Sum64String(s.self))
-	if s.names != nil {
-		for _, name := range s.names(now) {
-			if name != s.self {
-				s.hashes = append(s.hashes, xxhash.Sum64String(name))
-			}
+	for _, name := range s.names(now) {
+		if name != s.self {
+			s.hashes = append(s.hashes, xxhash.Sum64String(name))
 		}
 	}
 	return s.hashes
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -92,7 +92,7 @@
 // New returns a placement for a node in a hall.
 func New(hall string, options ...Option) *Placement {
 	p := &Placement{
-		hall: hall, unheard: func(time.Time) int { return 0 },
+		hall: hall, unheard: func(time.Time) int { return 0 }, senders: senders{names: func(time.Time) []string { return nil }},
 		engines: map[string]*engine{}, evacuated: map[string]bool{}, pools: map[string]*pool{}, told: map[string][]string{}, work: map[string]scaling.Demand{}, cache: cache{parts: map[uint64]map[string]time.Time{}},
 	}
 	for _, option := range options {
--- a/internal/register/register.go
+++ b/internal/register/register.go
@@ -28,10 +28,8 @@
 	// table holds the rows of nodes. Its name differs from that of earlier releases, whose rows stand in no order.
 	table = "croftturn-register"
 
-	// headRows is how many rows are the head of a hall: of so many nodes some live and know the hubs. pageRows is how many
-	// are read at once where all are.
+	// headRows is how many rows are the head of a hall: of so many nodes some live and know the hubs.
 	headRows = 16
-	pageRows = 200
 
 	// startSpread is the time over which nodes register at the first start of the whole system: the store takes some
 	// 150 rows of a part a second.
@@ -55,6 +53,7 @@
 type (
 	// Store is what the register needs of the platform.
 	Store interface {
+		List(ctx context.Context, table, part string) (feed.Snapshot, error)
 		Range(ctx context.Context, table, part, from, to string, limit int) (snap feed.Snapshot, more bool, err error)
 		Commit(ctx context.Context, tx feed.Tx) (version int64, err error)
 	}
@@ -239,8 +238,12 @@
 
 // readHead reads the head of a hall and tells the peers of it.
 func (r *Register) readHead(ctx context.Context, hall string) ([]feed.Row, error) {
-	head, _, err := r.read(ctx, hall, "", headRows)
-	return head, err
+	snap, _, err := r.store.Range(ctx, table, hall, "", "", headRows)
+	if err != nil {
+		return nil, fmt.Errorf("read head of register: %w", err)
+	}
+	r.takeAll(hall, snap.Rows)
+	return snap.Rows, nil
 }
 
 // readOwnHead reads the head of this node's hall.
@@ -251,31 +254,20 @@
 
 // readAll reads all rows of this node's hall and tells the peers of them.
 func (r *Register) readAll(ctx context.Context) error {
-	for from, more := "", true; more; {
-		var rows []feed.Row
-		var err error
-		if rows, more, err = r.read(ctx, r.self.Hall, from, pageRows); err != nil {
-			return err
-		}
-		if len(rows) == 0 {
-			break
-		}
-		from = rows[len(rows)-1].Key + "\x00"
+	snap, err := r.store.List(ctx, table, r.self.Hall)
+	if err != nil {
+		return fmt.Errorf("read register: %w", err)
 	}
+	r.takeAll(r.self.Hall, snap.Rows)
 	return nil
 }
 
-// read reads rows of a hall from a key on, tells the peers of them, and reports whether there are more.
-func (r *Register) read(ctx context.Context, hall, from string, limit int) (rows []feed.Row, more bool, err error) {
-	snap, more, err := r.store.Range(ctx, table, hall, from, "", limit)
-	if err != nil {
-		return nil, false, fmt.Errorf("read register: %w", err)
-	}
+// takeAll takes rows of a hall.
+func (r *Register) takeAll(hall string, rows []feed.Row) {
 	now := clock.Now()
-	for _, row := range snap.Rows {
+	for _, row := range rows {
 		r.take(now, hall, row)
 	}
-	return snap.Rows, more, nil
 }
 
 // take takes one row.
--- a/internal/register/register_test.go
+++ b/internal/register/register_test.go
@@ -28,6 +28,12 @@
 	fail    int
 }
 
+// List returns all rows of a part.
+func (s *store) List(ctx context.Context, table, part string) (feed.Snapshot, error) {
+	snap, _, err := s.Range(ctx, table, part, "", "", len(s.rows))
+	return snap, err
+}
+
 // Range returns rows in the order of their keys.
 func (s *store) Range(_ context.Context, _, part, from, _ string, limit int) (snap feed.Snapshot, more bool, err error) {
 	s.mu.Lock()
