Answers: an engine's limit is read and told in the line of each request

The adapter reads it, and the line 'request ended' names the limit of the newest answer (engine_limit, -1 for none). Nothing decides by it yet.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -160,7 +160,7 @@
 	defer d.active.Add(-1)
 	w := &walk{
 		d: d, req: r, route: route, team: team, answer: a, arrived: arrived, deadline: arrived.Add(patience(r, route)),
-		pool: route.Choose(r.ID), avoid: map[string]bool{}, lastEventID: r.LastEventID,
+		pool: route.Choose(r.ID), avoid: map[string]bool{}, lastEventID: r.LastEventID, limit: noLimit,
 	}
 	w.fingerprint = fingerprintOf(r, w.teamName())
 	ctx, cancel := context.WithTimeout(ctx, w.deadline.Sub(clock.Now()))
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -26,6 +26,9 @@
 	// the time in which one of their requests ends.
 	fullReturn = 200 * time.Millisecond
 
+	// noLimit stands in the log for an answer that named no limit.
+	noLimit = -1
+
 	// stalled is how long a stream that may go on elsewhere waits for an event.
 	stalled = time.Second
 )
@@ -67,6 +70,10 @@
 // noteHead records what the head of an engine's answer tells.
 func (w *walk) noteHead(now time.Time, resp *Response) {
 	w.status = resp.Status
+	w.limit = noLimit
+	if resp.Limited {
+		w.limit = resp.Limit
+	}
 	if !resp.NotRun {
 		w.headed = true
 		w.call.Began(now)
