--- a/internal/edge/crash_rig_test.go
+++ b/internal/edge/crash_rig_test.go
@@ -210,7 +210,7 @@
 	for i := range nodes {
 		w.nodes = append(w.nodes, startNode(t, fmt.Sprint("n", i), w.address))
 	}
-	w.introduce()
+	introduce(w.nodes)
 	for _, e := range w.nodes {
 		waitFor(t, func() bool {
 			now := time.Now()
@@ -219,11 +219,11 @@
 	}
 }
 
-// introduce makes all nodes known to each other.
-func (w *crashWorld) introduce() {
+// introduce makes nodes known to each other.
+func introduce(nodes []*Edge) {
 	now := time.Now()
-	for _, e := range w.nodes {
-		for _, o := range w.nodes {
+	for _, e := range nodes {
+		for _, o := range nodes {
 			s := o.settings
 			e.gossip.Meet(now, gossip.Self{Name: s.Instance, Incarnation: o.startedAt.UnixMilli(), PeerAddress: s.PeerAddress, CallerAddress: s.CallerAddress, Hall: s.Hall})
 		}
--- /dev/null
+++ b/internal/edge/says_rig_test.go
@@ -0,0 +1,186 @@
+package edge
+
+import (
+	"encoding/base64"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// saysConfig is a configuration with a route of each of two tiers, to one pool.
+const saysConfig = `{"version":3,"routes":[` +
+	`{"name":"high","host":"h","path_prefix":"/high/","kind":"safe","timeout_ms":2000,"target_latency_ms":600,"priority":0,"service":"p","max_attempts":2},` +
+	`{"name":"low","host":"h","path_prefix":"/low/","kind":"safe","timeout_ms":2000,"target_latency_ms":600,"priority":1,"service":"p","max_attempts":2}],` +
+	`"services":[{"name":"p","max_connections":90}],"limits":{"max_body_bytes":1000},"tenants":[{"name":"t","api_keys":["k"]}]}`
+
+type (
+	// saysWorld is some nodes, and engines that say of themselves what a test wants.
+	saysWorld struct {
+		nodes   []*Edge
+		engines []*sayingEngine
+		address string // address is the store's.
+	}
+
+	// sayingEngine is a stand-in engine.
+	sayingEngine struct {
+		id, hall string
+		address  string
+		limit    atomic.Pointer[float64] // limit is what it names; nil for none.
+
+		mu       sync.Mutex
+		arrivals []time.Time
+	}
+
+	// got is what a caller got.
+	got struct {
+		status   int
+		took     time.Duration
+		comeBack string
+	}
+)
+
+// newSaysWorld starts engines, and nodes that know each other and them.
+func newSaysWorld(t *testing.T, engines, nodes int) *saysWorld {
+	t.Helper()
+	w := &saysWorld{}
+	for i := range engines {
+		e := &sayingEngine{id: fmt.Sprint("e", i), hall: "h1"}
+		server := httptest.NewServer(e)
+		t.Cleanup(server.Close)
+		e.address = server.Listener.Addr().String()
+		w.engines = append(w.engines, e)
+	}
+	store := httptest.NewServer(http.HandlerFunc(w.store))
+	t.Cleanup(store.Close)
+	w.address = store.Listener.Addr().String()
+	for i := range nodes {
+		w.nodes = append(w.nodes, startNode(t, fmt.Sprint("n", i), w.address))
+	}
+	introduce(w.nodes)
+	for _, e := range w.nodes {
+		waitFor(t, func() bool {
+			now := time.Now()
+			return e.Ready(now) && e.placement.Known() && len(e.gossip.Peers(now)) == nodes-1
+		}, "a node is not ready")
+	}
+	return w
+}
+
+// store answers reads with the configuration and the engines' entries.
+func (w *saysWorld) store(rw http.ResponseWriter, r *http.Request) {
+	var rows []string
+	switch table := r.URL.Query().Get("table"); {
+	case r.URL.Path == "/-/rows-feed":
+		time.Sleep(20 * time.Millisecond)
+	case table == "op":
+		rows = append(rows, fmt.Sprintf(`{"table":"op","part":"","tls_key":"config","value":%q,"ver":5}`, base64.StdEncoding.EncodeToString([]byte(saysConfig))))
+	case table == "servers":
+		for _, e := range w.engines {
+			value := fmt.Sprintf(`{"service":"p","address":%q,"zone":%q,"version":"1","slots":64,"state":"ready","cold_remaining_ms":0,"sequence":1}`, e.address, e.hall)
+			rows = append(rows, fmt.Sprintf(`{"table":"servers","part":"","tls_key":%q,"value":%q,"ver":6}`, e.id, base64.StdEncoding.EncodeToString([]byte(value))))
+		}
+	}
+	fmt.Fprintf(rw, `{"rows":[%s],"ver":7,"now_ms":%d}`, strings.Join(rows, ","), time.Now().UnixMilli())
+}
+
+// ServeHTTP runs one request, and says of the engine what it is to say.
+func (e *sayingEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	e.arrivals = append(e.arrivals, time.Now())
+	e.mu.Unlock()
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return
+	}
+	if limit := e.limit.Load(); limit != nil {
+		w.Header().Set("Server-Limit", strconv.FormatFloat(*limit, 'f', -1, 64))
+	}
+	w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
+	w.Header().Set("Response-Seal", "seal")
+	fmt.Fprint(w, "well")
+}
+
+// names has the engine name a limit from now on, or none where it is below 0.
+func (e *sayingEngine) names(limit float64) {
+	if limit < 0 {
+		e.limit.Store(nil)
+		return
+	}
+	e.limit.Store(&limit)
+}
+
+// between returns how many requests came between two moments.
+func (e *sayingEngine) between(from, to time.Time) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := 0
+	for _, at := range e.arrivals {
+		if !at.Before(from) && at.Before(to) {
+			n++
+		}
+	}
+	return n
+}
+
+// most returns the most requests that came within a span, from a moment on.
+func (e *sayingEngine) most(from time.Time, span time.Duration) int {
+	e.mu.Lock()
+	arrivals := append([]time.Time(nil), e.arrivals...)
+	e.mu.Unlock()
+	most := 0
+	for _, at := range arrivals {
+		if !at.Before(from) {
+			most = max(most, e.between(at, at.Add(span)))
+		}
+	}
+	return most
+}
+
+// load sends requests at an interval for a time, to the nodes by turns, every second one of the lower tier. It calls ended
+// with each end.
+func (w *saysWorld) load(every, lasts time.Duration, ended func(route string, sent time.Time, g got)) {
+	var wg sync.WaitGroup
+	tick := time.NewTicker(every)
+	defer tick.Stop()
+	for i, begin := 0, time.Now(); time.Since(begin) < lasts; i++ {
+		<-tick.C
+		wg.Go(func() {
+			route, sent := []string{"high", "low"}[i/len(w.nodes)%2], time.Now()
+			ended(route, sent, w.ask(w.nodes[i%len(w.nodes)], route, fmt.Sprint("r-", i)))
+		})
+	}
+	wg.Wait()
+}
+
+// ask sends one request to a node.
+func (w *saysWorld) ask(node *Edge, route, id string) got {
+	begin := time.Now()
+	r, err := http.NewRequest(http.MethodPost, "http://"+node.settings.CallerAddress+"/"+route+"/x", strings.NewReader("body"))
+	if err != nil {
+		return got{}
+	}
+	r.Host = "h"
+	r.Header.Set("Attempt-Id", id)
+	r.Header.Set("Authorization", "Bearer k")
+	r.Header.Set("Deadline-Ms", "2000")
+	session := xxhash.Sum64String(id) % 64 // Sessions spread the requests over the engines.
+	r.Header.Set("Token-Counts", "110,10")
+	r.Header.Set("Prompt-Prefix", fmt.Sprintf("%x:100,%x:10", 1+session, 1000+session))
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return got{}
+	}
+	defer resp.Body.Close()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return got{}
+	}
+	return got{status: resp.StatusCode, took: time.Since(begin), comeBack: resp.Header.Get("Retry-After")}
+}
