Limits of engines: one node issues the permits for all

Cause: no node read the header; a limit of all nodes together has no place in a router whose nodes each choose for themselves by load.

Now nodes tell each other limits, one node of the engine's hall issues its permits, and a request takes one before it is sent. It works since there is one order for each engine, whoever sends; since the next issuer begins with a pause; and since both sides of a cut share the rate.

--- a/internal/dispatch/line.go
+++ b/internal/dispatch/line.go
@@ -221,9 +221,13 @@
 
 // comeBack returns when a caller should come back that found no place: as late as it can,
 // since places lack for seconds, and spread, so that not all come back at once.
-func (w *walk) comeBack() time.Duration {
+func (w *walk) comeBack() time.Duration { return w.comeBackAfter(0) }
+
+// comeBackAfter returns when a caller should come back for whom no place gets free before a time has passed.
+func (w *walk) comeBackAfter(least time.Duration) time.Duration {
 	longest := time.Duration(returnShare * float64(w.deadline.Sub(w.arrived)))
-	return longest/2 + rand.N(longest/2+1)
+	from := min(max(least, longest/2), longest*3/4)
+	return from + rand.N(longest-from+1)
 }
 
 // wait waits in a line and reports whether a place was found.
@@ -246,7 +250,7 @@
 	for now := begin; now.Sub(begin) < limit && ctx.Err() == nil; now = clock.Now() {
 		if l.first(place) {
 			request.NeedRoom = now.Sub(begin) > preferredWait
-			choice, ok := w.d.placement.Choose(now, request)
+			choice, ok := w.place(now, request)
 			if ok && w.mayBegin(choice) {
 				w.choice = choice
 				return true
--- /dev/null
+++ b/internal/dispatch/permit.go
@@ -0,0 +1,93 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/croftturn/croftturn/internal/clock"
+	"github.com/croftturn/croftturn/internal/pause"
+	"github.com/croftturn/croftturn/internal/placement"
+)
+
+const (
+	// permitTries is how many engines a request asks a permit for: what is known of the others is old by then.
+	permitTries = 3
+
+	// permitShare is how long a request without a target waits for a permit, as a share of the time that its caller waits.
+	permitShare = 0.25
+)
+
+// Permits issues permits to send requests to engines that have named a limit, over all nodes together.
+type Permits interface {
+	// Answered takes what an engine said of its limit in the answer to a request that was sent at a moment.
+	Answered(now, sent time.Time, engine string, rate float64, limited bool)
+
+	// Take takes a permit for one request to an engine in a hall, which may be used after a wait, the longest at most.
+	Take(ctx context.Context, now time.Time, hall, engine string, longest time.Duration) (wait time.Duration, ok bool)
+}
+
+// WithPermits has a dispatcher keep to the limits of engines.
+func WithPermits(p Permits) Option {
+	return func(d *Dispatcher) { d.permits = p }
+}
+
+// place chooses an engine for the request: one that it may be sent to now or, where there is none, the one whose limit leaves
+// room first.
+func (w *walk) place(now time.Time, request placement.Request) (placement.Choice, bool) {
+	if choice, ok := w.d.placement.Choose(now, request); ok {
+		return choice, true
+	}
+	return w.d.placement.ChooseLimited(now, request)
+}
+
+// takePermit takes a permit where the chosen engine needs one, or chooses another engine where none is free. It waits for one
+// only where all engines that are left have limits.
+func (w *walk) takePermit(ctx context.Context, request placement.Request) *Refusal {
+	var left time.Duration
+	for try := 0; w.choice.Limited && w.d.permits != nil; try++ {
+		now := clock.Now()
+		longest := time.Duration(0)
+		if left = w.choice.Opens.Sub(now); left > 0 {
+			longest = w.bearsPermit(now)
+		}
+		if left > longest || try == permitTries {
+			return w.withoutPermit(left)
+		}
+		wait, ok := w.d.permits.Take(ctx, now, w.choice.Engine.Hall, w.choice.Engine.ID, longest)
+		if ok {
+			w.permitWait += wait
+			pause.For(ctx, wait)
+			return w.mayStillSend(ctx)
+		}
+		choice, ok := w.place(clock.Now(), request)
+		if !ok {
+			return w.withoutPermit(wait)
+		}
+		w.choice = choice
+	}
+	return nil
+}
+
+// withoutPermit returns the refusal of a request for which no permit gets free before a time has passed.
+func (w *walk) withoutPermit(left time.Duration) *Refusal {
+	return &Refusal{Reason: w.orMayHaveRun(Busy), ComeBack: w.comeBackAfter(left)}
+}
+
+// mayStillSend checks a request again that has waited.
+func (w *walk) mayStillSend(ctx context.Context) *Refusal {
+	if w.callerLeft(ctx) {
+		return &Refusal{Reason: CallerLeft}
+	}
+	return w.stillAllowed(clock.Now())
+}
+
+// bearsPermit returns how long the request may wait for a permit: each tier half as long as the one above it. Permits are
+// issued in the order in which they are asked for, so that lower tiers get what higher ones leave.
+func (w *walk) bearsPermit(now time.Time) time.Duration {
+	longest := time.Duration(permitShare * float64(w.deadline.Sub(w.arrived)))
+	if w.route.Target > 0 {
+		longest = w.d.lines.of(now, w.pool).limit(w.tier(), w.route.Target)
+	}
+	longest >>= min(w.tier(), lineTiers)
+	return max(0, min(longest-now.Sub(w.arrived), w.deadline.Sub(now)))
+}
--- a/internal/dispatch/walk.go
+++ b/internal/dispatch/walk.go
@@ -51,6 +51,7 @@
 	status      int
 	limit       float64       // limit is the limit that the newest answer named, in requests a second; -1 for none
 	held        time.Duration // held is how long the request waited at this node for a place at an engine
+	permitWait  time.Duration // permitWait is how long it waited for permits
 	first       time.Duration
 	heard       time.Time     // heard is when bytes last came from the engine
 	gap         time.Duration // gap is the longest time between two pieces of the answer
@@ -74,6 +75,10 @@
 		w.refuse(*refusal)
 		return false
 	}
+	if refusal := w.takePermit(ctx, request); refusal != nil {
+		w.refuse(*refusal)
+		return false
+	}
 	now = clock.Now()
 	if w.d.present.returns.Load() != returns {
 		return true // What was decided before an absence is decided again.
@@ -97,7 +102,7 @@
 	if refusal := w.refuseHeld(now); refusal != nil {
 		return refusal
 	}
-	choice, ok := w.d.placement.Choose(now, request)
+	choice, ok := w.place(now, request)
 	if !ok {
 		return &Refusal{Reason: w.without(), ComeBack: shortReturn}
 	}
@@ -282,7 +287,7 @@
 		"cost_ms", int(w.choice.Cost), "wait_ms", int(w.choice.Wait), "held_ms", w.held.Milliseconds(), "give_way", math.Round(100*w.giveWay)/100, "prompt_tokens", w.req.Prompt.Tokens, "session", w.req.Prompt.Session(), "unread_tokens", w.choice.Unread,
 		"ahead_tokens", w.choice.Ahead, "read_rate", math.Round(10*w.choice.Read)/10, "tight", w.choice.Tight,
 		"first_ms", w.first.Milliseconds(), "gap_ms", w.gap.Milliseconds(), "total_ms", now.Sub(w.arrived).Milliseconds(), "patience_ms", w.deadline.Sub(w.arrived).Milliseconds(),
-		"engine_limit", w.limit, "target_ms", w.route.Target.Milliseconds(), "longest_gap_ms", w.route.MaxGap.Milliseconds(),
+		"engine_limit", w.limit, "permit_ms", w.permitWait.Milliseconds(), "target_ms", w.route.Target.Milliseconds(), "longest_gap_ms", w.route.MaxGap.Milliseconds(),
 		"come_back_ms", w.refused.ComeBack.Milliseconds(), "config_version", w.d.Version(), "proof_age_ms", w.d.proof.AgeMs(now))
 	w.d.observer.Ended(w.route.Name, outcome, w.first, now.Sub(w.arrived))
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -28,6 +28,7 @@
 	"github.com/croftturn/croftturn/internal/freshness"
 	"github.com/croftturn/croftturn/internal/front"
 	"github.com/croftturn/croftturn/internal/gossip"
+	"github.com/croftturn/croftturn/internal/limit"
 	"github.com/croftturn/croftturn/internal/logline"
 	"github.com/croftturn/croftturn/internal/peer"
 	"github.com/croftturn/croftturn/internal/placement"
@@ -92,6 +93,8 @@
 	proof       *freshness.Proof
 	placement   *placement.Placement
 	quarantine  *quarantine.Quarantine
+	limits      *limit.Limits
+	permits     *limit.Permits
 	evacuations *evacuation.Evacuations
 	duties      *duty.Duties // duties is nil where the platform asks for none.
 	dutyCalls   *platform.Duties
@@ -165,7 +168,8 @@
 	}
 	var err error
 	e.proof = freshness.New(proofLife(s))
-	e.placement = placement.New(s.Hall, placement.WithUnheard(e.unheard), placement.WithSenders(s.Instance, e.senders), placement.WithRegions(s.HallRegions))
+	e.limits = limit.New(e.log)
+	e.placement = placement.New(s.Hall, placement.WithLimits(e.limits), placement.WithUnheard(e.unheard), placement.WithSenders(s.Instance, e.senders), placement.WithRegions(s.HallRegions))
 	e.quarantine = quarantine.New(e.triesHeld, e.log)
 	e.evacuations = evacuation.New(e.placement, e.log)
 	if e.gossip, err = gossip.New(self, e.log); err != nil {
@@ -180,17 +184,19 @@
 	}
 	e.budget = retry.New(now, retryLimits(s), e.nodes)
 	e.egress = platform.NewEgress()
-	e.dispatcher = dispatch.New(e.proof, e.placement, e.budget, e.egress, e.metrics, e.log, dispatch.WithProber(e.egress), dispatch.WithQuarantine(e.quarantine))
+	e.traffic = &peer.Traffic{}
+	e.calls = peer.NewClient(e.traffic, peer.WithSilence(feed.PullSilence))
+	e.permits = limit.NewPermits(e.limits, e.calls, e.issuer, e.gossip.Reach, e.log)
+	e.dispatcher = dispatch.New(e.proof, e.placement, e.budget, e.egress, e.metrics, e.log, dispatch.WithProber(e.egress), dispatch.WithQuarantine(e.quarantine), dispatch.WithPermits(e.permits))
 	e.store = platform.NewStore(s.PlatformAddresses, platform.StoreTimeout)
-	e.discovery = discovery.New(platform.Engine, engines{e.placement, e.egress}, ms(s.EngineDrainMs), e.log)
+	e.discovery = discovery.New(platform.Engine, engines{e.placement, e.egress, e.limits}, ms(s.EngineDrainMs), e.log)
 	e.register = register.New(now, e.store, self, slices.Collect(maps.Keys(s.HallRegions)), s.FirstStart, e.gossip, e.log)
 	e.config = feed.NewTable(platform.TableConfig, e.takeConfig)
 	e.engines = feed.NewTable(platform.TableEngines, e.discovery.Take)
-	e.traffic = &peer.Traffic{}
-	e.calls = peer.NewClient(e.traffic, peer.WithSilence(feed.PullSilence))
 	e.follower = feed.NewFollower(s.PeerAddress, e.calls, e.log, e.config, e.engines)
 	e.peers = peer.NewServer(listener, e.traffic, e.log)
 	e.peers.Handle(feed.MethodTable, peer.Typed(e.follower.Answer))
+	e.peers.Handle(limit.MethodPermit, peer.Typed(e.permits.Answer))
 	e.duties = e.newDuties(now)
 	return nil
 }
--- a/internal/edge/engines.go
+++ b/internal/edge/engines.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"github.com/croftturn/croftturn/internal/limit"
 	"github.com/croftturn/croftturn/internal/placement"
 	"github.com/croftturn/croftturn/platform"
 )
@@ -9,6 +10,7 @@
 type engines struct {
 	placement *placement.Placement
 	egress    *platform.Egress
+	limits    *limit.Limits
 }
 
 // Set takes an engine. Connections that rest are of the former incarnation of one that has started
@@ -16,6 +18,7 @@
 func (s engines) Set(e placement.Engine) {
 	if s.placement.Set(e) {
 		s.egress.Forget(e.Address)
+		s.limits.Forget(e.ID)
 	}
 }
 
--- a/internal/edge/limit_test.go
+++ b/internal/edge/limit_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -113,3 +114,34 @@
 		t.Errorf("%d requests in %v with a limit of 1 a second, %d in the last second of those without", before, limitSettles-time.Second, after)
 	}
 }
+
+// TestALimitHoldsWhereItsIssuerIsLost guards against nodes that send on their own, or no more, once the node that issued the permits is gone.
+func TestALimitHoldsWhereItsIssuerIsLost(t *testing.T) {
+	const limit = 4
+	w := newSaysWorld(t, 1, 5)
+	engine := w.engines[0]
+	engine.names(limit)
+	begin := time.Now()
+	var lost atomic.Pointer[time.Time]
+	time.AfterFunc(limitSettles, func() {
+		for _, e := range w.nodes {
+			if place, ok := e.issuer(time.Now(), engine.hall, engine.id); ok && place.Self {
+				now := time.Now()
+				lost.Store(&now)
+				_ = e.stop() // It goes without a word to its peers.
+				return
+			}
+		}
+	})
+	w.load(20*time.Millisecond, 3*limitSettles, func(string, time.Time, got) {})
+	if lost.Load() == nil {
+		t.Fatal("no node issues the permits")
+	}
+	if most := engine.most(begin.Add(limitSettles), limitSpan); most > mostAllowed(limit) {
+		t.Errorf("the engine got %d requests in %v, allowed %d", most, limitSpan, mostAllowed(limit))
+	}
+	from := lost.Load().Add(2 * time.Second)
+	if n := engine.between(from, from.Add(limitSettles)); float64(n) < 0.6*limit*limitSettles.Seconds() {
+		t.Errorf("the engine got %d requests in %v once another issues the permits", n, limitSettles)
+	}
+}
--- a/internal/edge/says_rig_test.go
+++ b/internal/edge/says_rig_test.go
@@ -171,9 +171,9 @@
 	r.Header.Set("Attempt-Id", id)
 	r.Header.Set("Authorization", "Bearer k")
 	r.Header.Set("Deadline-Ms", "2000")
-	session := xxhash.Sum64String(id) % 64 // Sessions spread the requests over the engines.
+	session := xxhash.Sum64String(id) >> 1 // Each request has a session of its own, which spreads them over the engines.
 	r.Header.Set("Token-Counts", "110,10")
-	r.Header.Set("Prompt-Prefix", fmt.Sprintf("%x:100,%x:10", 1+session, 1000+session))
+	r.Header.Set("Prompt-Prefix", fmt.Sprintf("%x:100,%x:10", session, session+1))
 	resp, err := http.DefaultClient.Do(r)
 	if err != nil {
 		return got{}
--- a/internal/gossip/count.go
+++ b/internal/gossip/count.go
@@ -1,5 +1,36 @@
 package gossip
 
+import "time"
+
+// reachLife is for how long a node that is heard no more counts as one that may be there.
+const reachLife = 30 * time.Second
+
+// Reach returns which part of the nodes that were heard within reachLife is alive as far as this node knows, this one among
+// them. It is the part that a side of a cut has; nodes that stop as planned don't count.
+func (g *Gossip) Reach(now time.Time) float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	alive, all := 1, 1
+	for _, p := range g.peers {
+		switch {
+		case p.heard.IsZero() || p.Said.Stopping:
+		case g.heardLately(now, p):
+			alive++
+			all++
+		case now.Sub(p.heard) <= reachLife:
+			all++
+		}
+	}
+	return float64(alive) / float64(all)
+}
+
+// InHall reports whether any node of a hall is known, heard lately or not.
+func (g *Gossip) InHall(hall string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.halls()[hall]
+}
+
 // Count returns how many nodes there are, this one among them, heard lately or not. A hub knows the nodes of its own hall,
 // and the hubs of other halls tell it of theirs; a spoke is told by its hubs. sure says that the nodes of all halls are
 // counted.
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -7,6 +7,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/croftturn/croftturn/internal/dispatch"
+	"github.com/croftturn/croftturn/internal/limit"
 	"github.com/croftturn/croftturn/internal/placement"
 	"github.com/croftturn/croftturn/internal/quarantine"
 )
@@ -42,6 +43,7 @@
 		Crashing      []quarantine.Told            `cbor:"14,keyasint,omitempty"` // Crashing are requests under which engines ended: what was learned of them lately, and all that are held.
 		Nodes         NodeCount                    `cbor:"15,keyasint,omitzero"`  // Nodes is how many nodes a hub knows of.
 		Chosen        []Known                      `cbor:"16,keyasint,omitempty"` // Chosen are the hubs that a hub wants in its hall, for those that may not know them.
+		Limits        []limit.Told                 `cbor:"17,keyasint,omitempty"` // Limits are the limits of engines, and which of them have ended lately.
 	}
 
 	// Known is a node of the sender's hall, as others reach it.
--- a/internal/gossip/send.go
+++ b/internal/gossip/send.go
@@ -7,6 +7,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/croftturn/croftturn/internal/clock"
+	"github.com/croftturn/croftturn/internal/limit"
 	"github.com/croftturn/croftturn/internal/quarantine"
 )
 
@@ -19,17 +20,18 @@
 // content is what tells what is said to one peer from what is said to another.
 type content struct {
 	turns  int  // turns is how many turns the message tells of.
-	all    bool // all says that it tells of all requests that are held, not only what is new of them.
+	all    bool // all says that it tells of all requests that are held and of all limits, not only what is new of them.
 	chosen bool // chosen says that it tells how to reach the hubs of the hall.
 }
 
-// crashing returns what is told of requests under which engines ended.
-func (c content) crashing(list []quarantine.Told) []quarantine.Told {
+// news returns what is told of a list that begins with what is newest: what is new, or all. age returns how long ago the sender
+// learned of an entry.
+func news[T any](c content, list []T, age func(T) time.Duration) []T {
 	if c.all {
 		return list
 	}
-	news := time.Duration(c.turns+newsTurns) * every
-	at := slices.IndexFunc(list, func(t quarantine.Told) bool { return t.Age > news })
+	span := time.Duration(c.turns+newsTurns) * every
+	at := slices.IndexFunc(list, func(t T) bool { return age(t) > span })
 	if at < 0 {
 		return list
 	}
@@ -65,7 +67,8 @@
 		of := content{turns: to.turns, all: to.sent%(allTurns/to.turns) == 0, chosen: to.chosen}
 		if encoded[of] == nil {
 			s := g.saidTo(said, turn, to.turns)
-			s.Crashing = of.crashing(said.Crashing)
+			s.Crashing = news(of, said.Crashing, func(t quarantine.Told) time.Duration { return t.Age })
+			s.Limits = news(of, said.Limits, func(t limit.Told) time.Duration { return t.Age })
 			if of.chosen {
 				s.Chosen = g.knownChosen()
 			}
--- /dev/null
+++ b/internal/limit/tell.go
@@ -0,0 +1,63 @@
+package limit
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// mostTold is how many engines are told of in one message: about 2 KB.
+const mostTold = 64
+
+// Told is what a node tells its peers of an engine's limit.
+type Told struct {
+	_      struct{} `cbor:",toarray"`
+	Engine string
+	Rate   float64       // Rate is in requests a second; 0 where the limit has ended.
+	AgeMs  int64         // AgeMs is how long ago the engine said so.
+	Age    time.Duration `cbor:"-"` // Age is how long ago the sender learned it; it is not sent.
+}
+
+// Tell returns what peers should know: first what was learned within a time, the newest first, then some of the rest by turns.
+func (l *Limits) Tell(now time.Time, news time.Duration) []Told {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.engines) == 0 {
+		return nil
+	}
+	l.forgetOld(now)
+	var recent, rest []Told
+	for _, engine := range slices.Sorted(maps.Keys(l.engines)) {
+		s := l.engines[engine]
+		t := Told{Engine: engine, Rate: s.rate, AgeMs: now.Sub(s.at).Milliseconds(), Age: now.Sub(s.changed)}
+		if t.Age <= news {
+			recent = append(recent, t)
+		} else {
+			rest = append(rest, t)
+		}
+	}
+	slices.SortStableFunc(recent, func(a, b Told) int { return cmp.Compare(a.Age, b.Age) })
+	out := recent[:min(len(recent), mostTold)]
+	more := min(mostTold-len(out), len(rest))
+	for i := range more {
+		out = append(out, rest[(l.turn+i)%len(rest)])
+	}
+	l.turn += more
+	return out
+}
+
+// Hear takes what a peer tells.
+func (l *Limits) Hear(now time.Time, list []Told) {
+	if len(list) == 0 {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, t := range list {
+		if t.AgeMs < 0 || t.Rate < 0 {
+			continue
+		}
+		l.take(now, now.Add(-time.Duration(t.AgeMs)*time.Millisecond), t.Engine, kept(t.Rate, t.Rate > 0), "peer")
+	}
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -49,6 +49,9 @@
 		Scarce bool    // Scarce says that the pool, or the engine, has few places free.
 		Last   bool    // Last says that the places that are free are the pool's last ones.
 
+		Limited bool      // Limited says that the engine has named a limit, so that the request needs a permit.
+		Opens   time.Time // Opens is when a permit for it is expected to be free; zero or past if there is one.
+
 		Engines int // Engines is how many engines of the pool take new work.
 	}
 
@@ -65,6 +68,7 @@
 		hall    string
 		regions map[string]string       // regions are those of halls.
 		unheard func(now time.Time) int // unheard returns how many nodes may have begun work of which this one has not heard.
+		limits  Limits
 
 		mu        sync.Mutex
 		engines   map[string]*engine
@@ -92,7 +96,7 @@
 // New returns a placement for a node in a hall.
 func New(hall string, options ...Option) *Placement {
 	p := &Placement{
-		hall: hall, unheard: func(time.Time) int { return 0 }, senders: senders{names: func(time.Time) []string { return nil }},
+		hall: hall, unheard: func(time.Time) int { return 0 }, limits: noLimits{}, senders: senders{names: func(time.Time) []string { return nil }},
 		engines: map[string]*engine{}, evacuated: map[string]bool{}, pools: map[string]*pool{}, told: map[string][]string{}, work: map[string]scaling.Demand{}, cache: cache{parts: map[uint64]map[string]time.Time{}},
 	}
 	for _, option := range options {
@@ -209,7 +213,7 @@
 	known.learnUsual(now)
 	known.survey(now, p.unheard(now))
 	r.tight = known.tight(r)
-	best := math.Inf(1)
+	best, opens := math.Inf(1), p.limits.Opens()
 	for rank, e := range p.ranking.order(known.engines, r.Prompt.Session()) {
 		if known.leastCost(r, rank) >= best {
 			break // No engine after this one costs less.
@@ -217,7 +221,12 @@
 		if r.Avoid[e.ID] || !p.allows(r, e) || !p.bears(now, known, e) {
 			continue
 		}
+		at, limited := opens[e.ID]
+		if limited && now.Before(at) {
+			continue
+		}
 		c := p.weigh(now, known, e, r, max(0, e.order-known.gather), rank)
+		c.Limited = limited
 		if c.Cost < best {
 			best, choice, ok = c.Cost, c, true
 		}
