--- a/internal/edge/says_rig_test.go
+++ b/internal/edge/says_rig_test.go
@@ -27,7 +27,9 @@
 	saysWorld struct {
 		nodes   []*Edge
 		engines []*sayingEngine
-		address string // address is the store's.
+		address string       // address is the store's.
+		version atomic.Int64 // version is of the newest change of an entry; the rows have it.
+		away    atomic.Bool  // away says that the store turns all calls away.
 	}
 
 	// sayingEngine is a stand-in engine.
@@ -35,9 +37,13 @@
 		id, hall string
 		address  string
 		limit    atomic.Pointer[float64] // limit is what it names; nil for none.
+		leaving  atomic.Bool             // leaving says that it says so in its answers.
+		status   atomic.Int64            // status is that of its answers; 0 for 200. With 503 it did not run the request.
+		born     atomic.Int64            // born is when it started, as its entry says.
 
 		mu       sync.Mutex
 		arrivals []time.Time
+		from     []string // from holds the nodes that sent what arrived, by their requests' ids.
 	}
 
 	// got is what a caller got.
@@ -52,8 +58,10 @@
 func newSaysWorld(t *testing.T, engines, nodes int) *saysWorld {
 	t.Helper()
 	w := &saysWorld{}
+	w.version.Store(6)
 	for i := range engines {
 		e := &sayingEngine{id: fmt.Sprint("e", i), hall: "h1"}
+		e.born.Store(1)
 		server := httptest.NewServer(e)
 		t.Cleanup(server.Close)
 		e.address = server.Listener.Addr().String()
@@ -77,25 +85,34 @@
 
 // store answers reads with the configuration and the engines' entries.
 func (w *saysWorld) store(rw http.ResponseWriter, r *http.Request) {
+	if w.away.Load() {
+		http.Error(rw, "away", http.StatusServiceUnavailable)
+		return
+	}
 	var rows []string
-	switch table := r.URL.Query().Get("table"); {
-	case r.URL.Path == "/-/rows-feed":
+	version := w.version.Load()
+	if r.URL.Path == "/-/rows-feed" {
 		time.Sleep(20 * time.Millisecond)
+	}
+	switch table, since := r.URL.Query().Get("table"), r.URL.Query().Get("since_revision"); {
+	case since == strconv.FormatInt(version, 10):
 	case table == "op":
 		rows = append(rows, fmt.Sprintf(`{"table":"op","part":"","tls_key":"config","value":%q,"ver":5}`, base64.StdEncoding.EncodeToString([]byte(saysConfig))))
 	case table == "servers":
 		for _, e := range w.engines {
-			value := fmt.Sprintf(`{"service":"p","address":%q,"zone":%q,"version":"1","slots":64,"state":"ready","cold_remaining_ms":0,"sequence":1}`, e.address, e.hall)
-			rows = append(rows, fmt.Sprintf(`{"table":"servers","part":"","tls_key":%q,"value":%q,"ver":6}`, e.id, base64.StdEncoding.EncodeToString([]byte(value))))
+			value := fmt.Sprintf(`{"service":"p","address":%q,"zone":%q,"version":"1","slots":64,"state":"ready","cold_remaining_ms":0,"sequence":%d,"born":%d}`, e.address, e.hall, version, e.born.Load())
+			rows = append(rows, fmt.Sprintf(`{"table":"servers","part":"","tls_key":%q,"value":%q,"ver":%d}`, e.id, base64.StdEncoding.EncodeToString([]byte(value)), version))
 		}
 	}
-	fmt.Fprintf(rw, `{"rows":[%s],"ver":7,"now_ms":%d}`, strings.Join(rows, ","), time.Now().UnixMilli())
+	fmt.Fprintf(rw, `{"rows":[%s],"ver":%d,"now_ms":%d}`, strings.Join(rows, ","), version, time.Now().UnixMilli())
 }
 
 // ServeHTTP runs one request, and says of the engine what it is to say.
 func (e *sayingEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	node, _, _ := strings.Cut(r.Header.Get("Attempt-Id"), "-")
 	e.mu.Lock()
 	e.arrivals = append(e.arrivals, time.Now())
+	e.from = append(e.from, node)
 	e.mu.Unlock()
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return
@@ -103,7 +120,19 @@
 	if limit := e.limit.Load(); limit != nil {
 		w.Header().Set("Server-Limit", strconv.FormatFloat(*limit, 'f', -1, 64))
 	}
+	if e.leaving.Load() {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
+	switch status := int(e.status.Load()); status {
+	case http.StatusServiceUnavailable:
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(status)
+		return
+	case 0:
+	default:
+		w.WriteHeader(status)
+	}
 	w.Header().Set("Response-Seal", "seal")
 	fmt.Fprint(w, "well")
 }
@@ -154,7 +183,8 @@
 		<-tick.C
 		wg.Go(func() {
 			route, sent := []string{"high", "low"}[i/len(w.nodes)%2], time.Now()
-			ended(route, sent, w.ask(w.nodes[i%len(w.nodes)], route, fmt.Sprint("r-", i)))
+			node := w.nodes[i%len(w.nodes)]
+			ended(route, sent, w.ask(node, route, fmt.Sprint(node.settings.Instance, "-", i)))
 		})
 	}
 	wg.Wait()
