Engines that say in an answer that they leave get nothing more

What users saw (DRAIN): requests reached an engine 2 to 13 s after its answers had said that it leaves. Cause: only the entry said who leaves, and the entry can't change while the store is away; the header was read nowhere.

Now discovery, which keeps who leaves over renewed entries until the engine has started again, takes it from any answer as well, and nodes tell each other with their next messages (64 engines in one at most, by turns). A request does not wait for places where a pool has no engine left. The turns of the lists, as limits have them, are a package of their own (internal/news). It works since the word needs neither the store nor the peers: each node holds it from its own answer.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -13,6 +13,7 @@
 
 	"github.com/croftturn/croftturn/internal/clock"
 	"github.com/croftturn/croftturn/internal/feed"
+	"github.com/croftturn/croftturn/internal/news"
 	"github.com/croftturn/croftturn/internal/placement"
 )
 
@@ -37,6 +38,9 @@
 	Engines interface {
 		Set(e placement.Engine)
 		Remove(id string)
+
+		// Drain has an engine get no new work from now on.
+		Drain(id string)
 	}
 
 	// Discovery follows entries.
@@ -51,6 +55,8 @@
 		lostAt  time.Time              // lostAt is when the store last could not be called.
 		missing map[string]time.Time   // missing holds engines without entry, and when they are dropped.
 		known   map[string]incarnation // known holds the present incarnation of all engines that were ever known.
+		said    map[string]bool        // said holds the engines with an entry that said in an answer that they leave.
+		turn    news.Turn              // turn is of what peers are told of those.
 		refused int64                  // refused counts the changes by which an entry could not be understood.
 	}
 
@@ -59,6 +65,8 @@
 		born     int64 // born is what the engine says of its start; 0 if nothing.
 		since    int64 // since is the version of the entry by which it was known first.
 		draining bool  // draining says that it once said that it leaves.
+
+		saidAt time.Time // saidAt is when this node learned that an answer of it said so; zero if none did.
 	}
 )
 
@@ -69,7 +77,7 @@
 // that left must stop within drain.
 func New(decode Decode, engines Engines, drain time.Duration, log *slog.Logger) *Discovery {
 	unsettled := min(unsettledMost, time.Duration(unsettledShare*float64(drain)))
-	return &Discovery{decode: decode, engines: engines, log: log, unsettledFor: unsettled, missing: map[string]time.Time{}, known: map[string]incarnation{}}
+	return &Discovery{decode: decode, engines: engines, log: log, unsettledFor: unsettled, missing: map[string]time.Time{}, known: map[string]incarnation{}, said: map[string]bool{}}
 }
 
 // Lost records that the store could not be called at a moment.
@@ -123,9 +131,13 @@
 	}
 	if !known || present.born != e.Born {
 		present = incarnation{born: e.Born, since: r.Version}
+		delete(d.said, e.ID)
 	}
 	present.draining = present.draining || e.Draining
 	d.known[e.ID] = present
+	if !present.saidAt.IsZero() {
+		d.said[e.ID] = true // Its entry may have been gone.
+	}
 	e.Draining, e.Since = present.draining, present.since
 	delete(d.missing, e.ID)
 	if log {
@@ -185,5 +197,6 @@
 // back meanwhile is taken after it.
 func (d *Discovery) remove(id, reason string) {
 	d.log.Info("engine removed", "engine", id, "reason", reason)
+	delete(d.said, id)
 	d.engines.Remove(id)
 }
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -32,6 +32,7 @@
 
 func (e engines) Set(x placement.Engine) { e[x.ID] = !x.Draining }
 func (e engines) Remove(id string)       { delete(e, id) }
+func (e engines) Drain(id string)        { e[id] = false }
 
 func entry(id string, draining bool, version int64) feed.Row {
 	text, _ := json.Marshal(draining)
@@ -113,6 +114,12 @@
 func (l lives) Set(e placement.Engine) { l[e.ID] = e }
 func (l lives) Remove(id string)       { delete(l, id) }
 
+func (l lives) Drain(id string) {
+	e := l[id]
+	e.Draining = true
+	l[id] = e
+}
+
 // bornEntry returns an entry of an incarnation of an engine; 0 is of one that does not tell.
 func bornEntry(id string, born int64, draining bool, version int64) feed.Row {
 	text, _ := json.Marshal(placement.Engine{ID: id, Born: born, Draining: draining})
--- /dev/null
+++ b/internal/discovery/leaving.go
@@ -0,0 +1,74 @@
+package discovery
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/croftturn/croftturn/internal/news"
+)
+
+// mostTold is how many engines that leave are told of in one message: about 2 KB.
+const mostTold = 64
+
+// Told is what a node tells its peers of an engine that said in an answer that it leaves.
+type Told struct {
+	_      struct{} `cbor:",toarray"`
+	Engine string
+	Born   int64         // Born tells the incarnation that said so.
+	Age    time.Duration `cbor:"-"` // Age is how long ago the sender learned it; it is not sent.
+}
+
+// age returns how long ago the sender learned it.
+func (t Told) age() time.Duration { return t.Age }
+
+// Leaves takes that an engine said in an answer that it leaves: it gets no new work until it has started again, whatever its
+// entry says.
+func (d *Discovery) Leaves(now time.Time, id string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if known, ok := d.known[id]; ok {
+		d.leaves(now, id, known.born, "answer")
+	}
+}
+
+// leaves takes that an incarnation of an engine leaves. The caller holds the lock.
+func (d *Discovery) leaves(now time.Time, id string, born int64, from string) {
+	known, ok := d.known[id]
+	if !ok || known.born != born || known.saidAt != (time.Time{}) {
+		return
+	}
+	d.log.Info("engine leaves", "engine", id, "born", born, "from", from, "entry_draining", known.draining)
+	known.draining, known.saidAt = true, now
+	d.known[id] = known
+	d.said[id] = true
+	d.engines.Drain(id)
+}
+
+// TellLeaving returns what peers should know of engines that said that they leave: what was learned within a time, and some of the rest
+// by turns, as long as their entries are there.
+func (d *Discovery) TellLeaving(now time.Time, span time.Duration) []Told {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.said) == 0 {
+		return nil
+	}
+	list := make([]Told, 0, len(d.said))
+	for _, id := range slices.Sorted(maps.Keys(d.said)) {
+		known := d.known[id]
+		list = append(list, Told{Engine: id, Born: known.born, Age: now.Sub(known.saidAt)})
+	}
+	return news.Select(&d.turn, list, Told.age, span, mostTold)
+}
+
+// HearLeaving takes what a peer tells.
+func (d *Discovery) HearLeaving(now time.Time, list []Told) {
+	if len(list) == 0 {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, t := range list {
+		d.leaves(now, t.Engine, t.Born, "peer")
+	}
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -62,6 +62,7 @@
 		endings    endings
 		present    present
 		quarantine *quarantine.Quarantine // quarantine is nil where nothing is remembered of requests.
+		leavers    Leavers                // leavers is nil where engines don't say that they leave.
 		permits    Permits                // permits is nil where engines name no limits.
 		sender     Sender
 		observer   Observer
--- a/internal/dispatch/line.go
+++ b/internal/dispatch/line.go
@@ -255,6 +255,9 @@
 				w.choice = choice
 				return true
 			}
+			if !ok && choice.Engines == 0 {
+				return false // Nothing is left to wait for.
+			}
 		}
 		pause.For(ctx, linePoll)
 	}
--- a/internal/dispatch/permit.go
+++ b/internal/dispatch/permit.go
@@ -34,10 +34,14 @@
 // place chooses an engine for the request: one that it may be sent to now or, where there is none, the one whose limit leaves
 // room first.
 func (w *walk) place(now time.Time, request placement.Request) (placement.Choice, bool) {
-	if choice, ok := w.d.placement.Choose(now, request); ok {
+	choice, ok := w.d.placement.Choose(now, request)
+	if ok {
 		return choice, true
 	}
-	return w.d.placement.ChooseLimited(now, request)
+	if limited, ok := w.d.placement.ChooseLimited(now, request); ok {
+		return limited, true
+	}
+	return choice, false
 }
 
 // takePermit takes a permit where the chosen engine needs one, or chooses another engine where none is free. It waits for one
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -74,6 +74,9 @@
 	if resp.Limited {
 		w.limit = resp.Limit
 	}
+	if w.d.leavers != nil && resp.Leaving && !resp.Replaced {
+		w.d.leavers.Leaves(now, w.choice.Engine.ID)
+	}
 	if w.d.permits != nil && !resp.Replaced {
 		w.d.permits.Answered(now, w.sentAt, w.choice.Engine.ID, resp.Limit, resp.Limited)
 	}
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -56,6 +56,7 @@
 		Running  int     // Running is how many requests the engine had at work.
 		Waiting  int     // Waiting is how many more waited there.
 		Loaded   bool    // Loaded says that Running and Waiting were told.
+		Leaving  bool    // Leaving says that the engine leaves.
 		Limited  bool    // Limited says that the engine named a limit.
 		Limit    float64 // Limit is how many requests a second the engine takes from all nodes together.
 		Length   int64   // Length of the body, -1 if unknown.
--- a/internal/edge/engines.go
+++ b/internal/edge/engines.go
@@ -22,5 +22,8 @@
 	}
 }
 
+// Drain has an engine get no new requests.
+func (s engines) Drain(id string) { s.placement.Drain(id) }
+
 // Remove drops an engine.
 func (s engines) Remove(id string) { s.placement.Remove(id) }
--- a/internal/gossip/send.go
+++ b/internal/gossip/send.go
@@ -1,13 +1,14 @@
 package gossip
 
 import (
-	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/croftturn/croftturn/internal/clock"
+	"github.com/croftturn/croftturn/internal/discovery"
 	"github.com/croftturn/croftturn/internal/limit"
+	"github.com/croftturn/croftturn/internal/news"
 	"github.com/croftturn/croftturn/internal/quarantine"
 )
 
@@ -20,22 +21,17 @@
 // content is what tells what is said to one peer from what is said to another.
 type content struct {
 	turns  int  // turns is how many turns the message tells of.
-	all    bool // all says that it tells of all requests that are held and of all limits, not only what is new of them.
+	all    bool // all says that it tells of all requests that are held, all limits and all engines that leave, not only what is new of them.
 	chosen bool // chosen says that it tells how to reach the hubs of the hall.
 }
 
-// news returns what is told of a list that begins with what is newest: what is new, or all. age returns how long ago the sender
+// told returns what is told of a list that begins with what is newest: what is new, or all. age returns how long ago the sender
 // learned of an entry.
-func news[T any](c content, list []T, age func(T) time.Duration) []T {
+func told[T any](c content, list []T, age func(T) time.Duration) []T {
 	if c.all {
 		return list
 	}
-	span := time.Duration(c.turns+newsTurns) * every
-	at := slices.IndexFunc(list, func(t T) bool { return age(t) > span })
-	if at < 0 {
-		return list
-	}
-	return list[:at]
+	return news.Recent(list, age, time.Duration(c.turns+newsTurns)*every)
 }
 
 // send tells the peers of this node.
@@ -67,8 +63,9 @@
 		of := content{turns: to.turns, all: to.sent%(allTurns/to.turns) == 0, chosen: to.chosen}
 		if encoded[of] == nil {
 			s := g.saidTo(said, turn, to.turns)
-			s.Crashing = news(of, said.Crashing, func(t quarantine.Told) time.Duration { return t.Age })
-			s.Limits = news(of, said.Limits, func(t limit.Told) time.Duration { return t.Age })
+			s.Crashing = told(of, said.Crashing, func(t quarantine.Told) time.Duration { return t.Age })
+			s.Limits = told(of, said.Limits, func(t limit.Told) time.Duration { return t.Age })
+			s.Leaving = told(of, said.Leaving, func(t discovery.Told) time.Duration { return t.Age })
 			if of.chosen {
 				s.Chosen = g.knownChosen()
 			}
--- a/internal/limit/limits.go
+++ b/internal/limit/limits.go
@@ -9,6 +9,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/croftturn/croftturn/internal/news"
 )
 
 const (
@@ -32,7 +34,7 @@
 
 		mu      sync.Mutex
 		engines map[string]*stated
-		turn    int // turn is where the next list of what peers are told goes on.
+		turn    news.Turn
 
 		opens atomic.Pointer[map[string]time.Time] // opens is what Opens returns; it is replaced, not changed.
 	}
--- a/internal/limit/tell.go
+++ b/internal/limit/tell.go
@@ -1,10 +1,11 @@
 package limit
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/croftturn/croftturn/internal/news"
 )
 
 // mostTold is how many engines are told of in one message: about 2 KB.
@@ -19,32 +20,23 @@
 	Age    time.Duration `cbor:"-"` // Age is how long ago the sender learned it; it is not sent.
 }
 
+// age returns how long ago the sender learned it.
+func (t Told) age() time.Duration { return t.Age }
+
 // Tell returns what peers should know: first what was learned within a time, the newest first, then some of the rest by turns.
-func (l *Limits) Tell(now time.Time, news time.Duration) []Told {
+func (l *Limits) Tell(now time.Time, span time.Duration) []Told {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if len(l.engines) == 0 {
 		return nil
 	}
 	l.forgetOld(now)
-	var recent, rest []Told
+	list := make([]Told, 0, len(l.engines))
 	for _, engine := range slices.Sorted(maps.Keys(l.engines)) {
 		s := l.engines[engine]
-		t := Told{Engine: engine, Rate: s.rate, AgeMs: now.Sub(s.at).Milliseconds(), Age: now.Sub(s.changed)}
-		if t.Age <= news {
-			recent = append(recent, t)
-		} else {
-			rest = append(rest, t)
-		}
-	}
-	slices.SortStableFunc(recent, func(a, b Told) int { return cmp.Compare(a.Age, b.Age) })
-	out := recent[:min(len(recent), mostTold)]
-	more := min(mostTold-len(out), len(rest))
-	for i := range more {
-		out = append(out, rest[(l.turn+i)%len(rest)])
+		list = append(list, Told{Engine: engine, Rate: s.rate, AgeMs: now.Sub(s.at).Milliseconds(), Age: now.Sub(s.changed)})
 	}
-	l.turn += more
-	return out
+	return news.Select(&l.turn, list, Told.age, span, mostTold)
 }
 
 // Hear takes what a peer tells.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -136,6 +136,16 @@
 	return slices.Collect(maps.Keys(known.calls)), true
 }
 
+// Drain has an engine get no new requests from now on.
+func (p *Placement) Drain(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if e := p.engines[id]; e != nil && !e.Draining {
+		e.Draining = true
+		p.changed = true
+	}
+}
+
 // Remove forgets an engine.
 func (p *Placement) Remove(id string) {
 	p.mu.Lock()
