Tests: engines that ask a node for rest, failing

Three nodes and stand-in engines that turn requests away with Retry-After. On this code a node sends 23 to 26 requests within a rest of 2.5 s where all engines ask for it, its callers are all told to come back after the same 0.2 s, and an engine that alone has rested gets nothing in the second after.

--- a/internal/edge/says_rig_test.go
+++ b/internal/edge/says_rig_test.go
@@ -39,6 +39,7 @@
 		limit    atomic.Pointer[float64] // limit is what it names; nil for none.
 		leaving  atomic.Bool             // leaving says that it says so in its answers.
 		status   atomic.Int64            // status is that of its answers; 0 for 200. With 503 it did not run the request.
+		rest     atomic.Pointer[string]  // rest is the time to come back that its refusals bear; nil for none.
 		born     atomic.Int64            // born is when it started, as its entry says.
 
 		mu       sync.Mutex
@@ -127,6 +128,9 @@
 	switch status := int(e.status.Load()); status {
 	case http.StatusServiceUnavailable:
 		w.Header().Set("Not-Executed", "1")
+		if rest := e.rest.Load(); rest != nil {
+			w.Header().Set("Retry-After", *rest)
+		}
 		w.WriteHeader(status)
 		return
 	case 0:
@@ -146,6 +150,25 @@
 	e.limit.Store(&limit)
 }
 
+// rests has the engine turn requests away from now on and ask for rest, until it is told otherwise.
+func (e *sayingEngine) rests(seconds string) {
+	e.rest.Store(&seconds)
+	e.status.Store(http.StatusServiceUnavailable)
+}
+
+// by returns the moments at which requests of a node came.
+func (e *sayingEngine) by(node string) []time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var out []time.Time
+	for i, at := range e.arrivals {
+		if e.from[i] == node {
+			out = append(out, at)
+		}
+	}
+	return out
+}
+
 // between returns how many requests came between two moments.
 func (e *sayingEngine) between(from, to time.Time) int {
 	e.mu.Lock()
