Engines that ask a node for rest get it

Cause: the engine's Retry-After was read nowhere; a refusal counted as one failure among others, whose weight halves in 2 s and which, the other way round, keeps an engine from work after its rest.

Now a node sends an engine nothing until the rest it asked for is over, the last of several, whatever its entry does, and then one request before more, at a moment of its own. Where no engine is left that takes something, callers are refused at once, to come back when one may, spread. A refusal with a rest is no failure. It works since the time is kept with the engine at the node that was asked, and the choice of each sending, first or retry, goes by it.

--- a/internal/dispatch/line.go
+++ b/internal/dispatch/line.go
@@ -255,7 +255,7 @@
 				w.choice = choice
 				return true
 			}
-			if !ok && choice.Engines == 0 {
+			if !ok && (choice.Engines == 0 || choice.Opens.Sub(begin) > limit) {
 				return false // Nothing is left to wait for.
 			}
 		}
--- a/internal/dispatch/permit.go
+++ b/internal/dispatch/permit.go
@@ -57,15 +57,15 @@
 		if left > longest || try == permitTries {
 			return w.withoutPermit(left)
 		}
-		wait, ok := w.d.permits.Take(ctx, now, w.choice.Engine.Hall, w.choice.Engine.ID, longest)
-		if ok {
+		if wait, ok := w.d.permits.Take(ctx, now, w.choice.Engine.Hall, w.choice.Engine.ID, longest); ok {
 			w.permitWait += wait
 			pause.For(ctx, wait)
 			return w.mayStillSend(ctx)
 		}
-		choice, ok := w.place(clock.Now(), request)
+		now = clock.Now()
+		choice, ok := w.place(now, request)
 		if !ok {
-			return w.withoutPermit(wait)
+			return w.withoutEngine(now, choice)
 		}
 		w.choice = choice
 	}
@@ -74,6 +74,7 @@
 
 // withoutPermit returns the refusal of a request for which no permit gets free before a time has passed.
 func (w *walk) withoutPermit(left time.Duration) *Refusal {
+	w.opens = left
 	return &Refusal{Reason: w.orMayHaveRun(Busy), ComeBack: w.comeBackAfter(left)}
 }
 
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -43,7 +43,7 @@
 		w.d.placement.Remove(w.choice.Engine.ID)
 		return w.turned(now, errors.New("another engine has the address"))
 	case resp.NotRun:
-		w.call.End(now, placement.Turned)
+		w.call.End(now, turnedAs(resp))
 		return w.turned(now, fmt.Errorf("engine turned the request away with status %d", resp.Status))
 	case resp.Status >= http.StatusInternalServerError:
 		w.mayHaveRun = true
@@ -74,6 +74,10 @@
 	if resp.Limited {
 		w.limit = resp.Limit
 	}
+	if resp.Rest > 0 && !resp.Replaced {
+		w.d.log.Info("engine rests", "request", w.req.ID, "engine", w.choice.Engine.ID, "rest_ms", resp.Rest.Milliseconds(), "status", resp.Status, "not_run", resp.NotRun)
+		w.d.placement.Rest(now, w.choice.Engine.ID, resp.Rest)
+	}
 	if w.d.leavers != nil && resp.Leaving && !resp.Replaced {
 		w.d.leavers.Leaves(now, w.choice.Engine.ID)
 	}
@@ -96,13 +100,25 @@
 // turned decides what follows where an engine did not run the request.
 func (w *walk) turned(now time.Time, cause error) (again bool) {
 	w.refused = Refusal{Reason: w.orMayHaveRun(Full), ComeBack: fullReturn}
-	if w.sent < w.route.MaxEngines && now.Before(w.deadline) && w.useRetry(now, cause) {
+	next, ok := w.place(now, w.placementRequest())
+	if ok && w.sent < w.route.MaxEngines && now.Before(w.deadline) && w.useRetry(now, cause) {
 		return true
 	}
+	if !ok {
+		w.refused = *w.withoutEngine(now, next)
+	}
 	w.refuse(w.refused)
 	return false
 }
 
+// turnedAs returns what it tells of an engine that it turned a request away.
+func turnedAs(resp *Response) placement.Outcome {
+	if resp.Rest > 0 {
+		return placement.Asked
+	}
+	return placement.Turned
+}
+
 // relayPlain passes on an answer that is no stream; a short one is read whole first.
 func (w *walk) relayPlain(ctx context.Context, resp *Response) (again bool) {
 	head := make([]byte, 0, copyBytes)
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -51,15 +51,16 @@
 	Response struct {
 		Status   int
 		Header   http.Header
-		NotRun   bool    // NotRun says that the engine did not run the request.
-		Replaced bool    // Replaced says that another engine has the address now.
-		Running  int     // Running is how many requests the engine had at work.
-		Waiting  int     // Waiting is how many more waited there.
-		Loaded   bool    // Loaded says that Running and Waiting were told.
-		Leaving  bool    // Leaving says that the engine leaves.
-		Limited  bool    // Limited says that the engine named a limit.
-		Limit    float64 // Limit is how many requests a second the engine takes from all nodes together.
-		Length   int64   // Length of the body, -1 if unknown.
+		NotRun   bool          // NotRun says that the engine did not run the request.
+		Replaced bool          // Replaced says that another engine has the address now.
+		Running  int           // Running is how many requests the engine had at work.
+		Waiting  int           // Waiting is how many more waited there.
+		Loaded   bool          // Loaded says that Running and Waiting were told.
+		Rest     time.Duration // Rest is for how long the engine wants nothing of this node; 0 if it did not say.
+		Leaving  bool          // Leaving says that the engine leaves.
+		Limited  bool          // Limited says that the engine named a limit.
+		Limit    float64       // Limit is how many requests a second the engine takes from all nodes together.
+		Length   int64         // Length of the body, -1 if unknown.
 		Body     io.ReadCloser
 	}
 
--- a/internal/dispatch/walk.go
+++ b/internal/dispatch/walk.go
@@ -52,6 +52,7 @@
 	limit       float64       // limit is the limit that the newest answer named, in requests a second; -1 for none
 	held        time.Duration // held is how long the request waited at this node for a place at an engine
 	permitWait  time.Duration // permitWait is how long it waited for permits
+	opens       time.Duration // opens is how long it was, when it was refused, until an engine takes something again; 0 where that is not known
 	first       time.Duration
 	heard       time.Time     // heard is when bytes last came from the engine
 	gap         time.Duration // gap is the longest time between two pieces of the answer
@@ -104,7 +105,7 @@
 	}
 	choice, ok := w.place(now, request)
 	if !ok {
-		return &Refusal{Reason: w.without(), ComeBack: shortReturn}
+		return w.withoutEngine(now, choice)
 	}
 	w.choice = choice
 	if w.sent > 0 || w.unsent > 0 {
@@ -156,6 +157,21 @@
 	return r
 }
 
+// withoutEngine returns the refusal of a request for which there is no engine now, by what placement returned: where some are
+// there that take nothing for a time, its caller should come back after it.
+func (w *walk) withoutEngine(now time.Time, none placement.Choice) *Refusal {
+	reason := w.without()
+	left := none.Opens.Sub(now)
+	if left <= 0 {
+		return &Refusal{Reason: reason, ComeBack: shortReturn}
+	}
+	w.opens = left
+	if reason == NoEngine {
+		reason = Full
+	}
+	return &Refusal{Reason: reason, ComeBack: w.comeBackAfter(left)}
+}
+
 // without says why no engine is left.
 func (w *walk) without() Reason {
 	if w.refused.Reason != "" {
@@ -287,7 +303,7 @@
 		"cost_ms", int(w.choice.Cost), "wait_ms", int(w.choice.Wait), "held_ms", w.held.Milliseconds(), "give_way", math.Round(100*w.giveWay)/100, "prompt_tokens", w.req.Prompt.Tokens, "session", w.req.Prompt.Session(), "unread_tokens", w.choice.Unread,
 		"ahead_tokens", w.choice.Ahead, "read_rate", math.Round(10*w.choice.Read)/10, "tight", w.choice.Tight,
 		"first_ms", w.first.Milliseconds(), "gap_ms", w.gap.Milliseconds(), "total_ms", now.Sub(w.arrived).Milliseconds(), "patience_ms", w.deadline.Sub(w.arrived).Milliseconds(),
-		"engine_limit", w.limit, "permit_ms", w.permitWait.Milliseconds(), "target_ms", w.route.Target.Milliseconds(), "longest_gap_ms", w.route.MaxGap.Milliseconds(),
+		"engine_limit", w.limit, "permit_ms", w.permitWait.Milliseconds(), "opens_ms", w.opens.Milliseconds(), "target_ms", w.route.Target.Milliseconds(), "longest_gap_ms", w.route.MaxGap.Milliseconds(),
 		"come_back_ms", w.refused.ComeBack.Milliseconds(), "config_version", w.d.Version(), "proof_age_ms", w.d.proof.AgeMs(now))
 	w.d.observer.Ended(w.route.Name, outcome, w.first, now.Sub(w.arrived))
 }
--- a/internal/placement/call.go
+++ b/internal/placement/call.go
@@ -13,6 +13,9 @@
 	// Turned says that the engine turned the request away without running it.
 	Turned
 
+	// Asked says that the engine turned the request away and asked for rest, which is no failure.
+	Asked
+
 	// Left says that the request ended for a reason that is not the engine's.
 	Left
 )
@@ -59,6 +62,7 @@
 		e.calls = map[*Call]bool{}
 	}
 	e.calls[call] = true
+	p.noteTrial(call)
 	p.noteCold(now, p.knownPool(r.Pool), e)
 	if c.Unread > 0 {
 		p.noteWork(r, float64(c.Unread)/c.Read)
@@ -86,6 +90,7 @@
 	c.engine.heardAt = now
 	if !c.began {
 		c.began, c.signed = true, now
+		c.p.endRest(c)
 		c.engine.own.Unread -= c.load.Unread
 		c.engine.pace.note(now, now.Sub(c.start), c.wait)
 		if own := float64(c.load.Unread); own >= readLeast && own >= readAlone*float64(c.ahead) {
@@ -150,6 +155,7 @@
 		return
 	}
 	c.ended = true
+	c.p.endRest(c)
 	delete(c.engine.calls, c)
 	if !c.began {
 		c.engine.own.Unread -= c.load.Unread
--- a/internal/placement/limit.go
+++ b/internal/placement/limit.go
@@ -34,7 +34,7 @@
 	var first *engine
 	for _, e := range known.engines {
 		at, limited := opens[e.ID]
-		if !limited || r.Avoid[e.ID] || !p.allows(r, e) || !p.bears(now, known, e) || first != nil && !at.Before(opens[first.ID]) {
+		if !limited || now.Before(p.rested(now, e.ID)) || r.Avoid[e.ID] || !p.allows(r, e) || !p.bears(now, known, e) || first != nil && !at.Before(opens[first.ID]) {
 			continue
 		}
 		first = e
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -50,7 +50,7 @@
 		Last   bool    // Last says that the places that are free are the pool's last ones.
 
 		Limited bool      // Limited says that the engine has named a limit, so that the request needs a permit.
-		Opens   time.Time // Opens is when a permit for it is expected to be free; zero or past if there is one.
+		Opens   time.Time // Opens is when a permit for it is expected to be free; zero or past if there is one. Where no engine was chosen, it is when one may be.
 
 		Engines int // Engines is how many engines of the pool take new work.
 	}
@@ -78,6 +78,7 @@
 		cache     cache
 		senders   senders
 		ranking   ranking
+		rests     map[string]*rest          // rests are the rests that engines asked this node for.
 		told      map[string][]string       // told holds the engines at which each peer last told of work.
 		uses      []Use                     // uses since the last call of TakeUses
 		work      map[string]scaling.Demand // work is the reading that this node gave to the engines of a pool so far, in milliseconds.
@@ -97,7 +98,7 @@
 func New(hall string, options ...Option) *Placement {
 	p := &Placement{
 		hall: hall, unheard: func(time.Time) int { return 0 }, limits: noLimits{}, senders: senders{names: func(time.Time) []string { return nil }},
-		engines: map[string]*engine{}, evacuated: map[string]bool{}, pools: map[string]*pool{}, told: map[string][]string{}, work: map[string]scaling.Demand{}, cache: cache{parts: map[uint64]map[string]time.Time{}},
+		engines: map[string]*engine{}, evacuated: map[string]bool{}, pools: map[string]*pool{}, told: map[string][]string{}, rests: map[string]*rest{}, work: map[string]scaling.Demand{}, cache: cache{parts: map[uint64]map[string]time.Time{}},
 	}
 	for _, option := range options {
 		option(p)
@@ -131,6 +132,7 @@
 		return nil, false
 	}
 	p.engines[e.ID] = newEngine(e)
+	delete(p.rests, e.ID)
 	p.cache.forget(e.ID)
 	p.uses = slices.DeleteFunc(p.uses, func(u Use) bool { return u.Engine == e.ID })
 	return slices.Collect(maps.Keys(known.calls)), true
@@ -223,6 +225,7 @@
 	known.learnUsual(now)
 	known.survey(now, p.unheard(now))
 	r.tight = known.tight(r)
+	var first time.Time // first is when the first engine may be sent to that may not be now.
 	best, opens := math.Inf(1), p.limits.Opens()
 	for rank, e := range p.ranking.order(known.engines, r.Prompt.Session()) {
 		if known.leastCost(r, rank) >= best {
@@ -232,7 +235,13 @@
 			continue
 		}
 		at, limited := opens[e.ID]
-		if limited && now.Before(at) {
+		if rested := p.rested(now, e.ID); rested.After(at) {
+			at = rested
+		}
+		if now.Before(at) {
+			if first.IsZero() || at.Before(first) {
+				first = at
+			}
 			continue
 		}
 		c := p.weigh(now, known, e, r, max(0, e.order-known.gather), rank)
@@ -242,5 +251,8 @@
 		}
 	}
 	choice.Engines = len(known.engines)
+	if !ok {
+		choice.Opens = first
+	}
 	return choice, ok
 }
--- /dev/null
+++ b/internal/placement/rest.go
@@ -0,0 +1,88 @@
+package placement
+
+import (
+	"maps"
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	// mostRest is the longest rest that is kept to. An engine that asks for more is tried again after it.
+	mostRest = 10 * time.Minute
+
+	// restSpread is by how much longer than an engine asked for it rests at most, as a share, and mostSpread the longest: nodes
+	// that it asked together don't come back together.
+	restSpread = 0.2
+	mostSpread = 500 * time.Millisecond
+
+	// restKept is for how long a rest is remembered after its end where the engine is not tried.
+	restKept = time.Minute
+)
+
+// rest is the rest that an engine asked this node for. After its end one request is sent there, and more once the engine has
+// taken it.
+type rest struct {
+	until time.Time
+	trial *Call // trial is the request that was sent after the end; nil for none.
+}
+
+// Rest takes that an engine asked this node to send nothing for a time. Of several rests the one that ends last counts.
+func (p *Placement) Rest(now time.Time, id string, lasts time.Duration) {
+	if lasts <= 0 {
+		return
+	}
+	lasts = min(lasts, mostRest)
+	until := now.Add(lasts + time.Duration(rand.Float64()*float64(min(time.Duration(restSpread*float64(lasts)), mostSpread))))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	maps.DeleteFunc(p.rests, func(_ string, r *rest) bool { return now.Sub(r.until) > restKept })
+	known := p.rests[id]
+	if known == nil {
+		known = &rest{}
+		p.rests[id] = known
+	}
+	if until.After(known.until) {
+		known.until = until
+	}
+	known.trial = nil
+}
+
+// Resting returns how many engines rest.
+func (p *Placement) Resting(now time.Time) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, r := range p.rests {
+		if now.Before(r.until) {
+			n++
+		}
+	}
+	return n
+}
+
+// rested returns when an engine may be sent a request, as far as it asked for rest; in the past if now. The caller holds the lock.
+func (p *Placement) rested(now time.Time, id string) time.Time {
+	r := p.rests[id]
+	switch {
+	case r == nil:
+		return time.Time{}
+	case r.trial != nil && now.After(r.until):
+		return now.Add(paceFloor) // The answer of the one that was sent will tell.
+	}
+	return r.until
+}
+
+// noteTrial records a request to an engine whose rest is over. The caller holds the lock.
+func (p *Placement) noteTrial(c *Call) {
+	if r := p.rests[c.engine.ID]; r != nil && r.trial == nil {
+		r.trial = c
+	}
+}
+
+// endRest forgets the rest of an engine that has taken the request which was sent after its end, or has not asked for another.
+// The caller holds the lock.
+func (p *Placement) endRest(c *Call) {
+	if r := p.rests[c.engine.ID]; r != nil && r.trial == c {
+		delete(p.rests, c.engine.ID)
+	}
+}
