Soak: engines that name limits, ask for rest, or leave with a ready entry

Nodes and ways to engines that are at fault are left out of the checks while and shortly before they are.

--- a/lab/soak/caller.go
+++ b/lab/soak/caller.go
@@ -61,6 +61,7 @@
 	}
 	c.count++
 	id := fmt.Sprintf("%s-%d", c.name, c.count)
+	c.world.ledger.sentTo(id, c.world.nodeAt(address), time.Now())
 	e := ending{route: routes[c.rand.IntN(len(routes))], sent: time.Now()}
 	e.key, e.team = c.world.anyKey(c.rand)
 	ctx, cancel := context.WithTimeout(ctx, (patience+500)*time.Millisecond)
--- a/lab/soak/engine.go
+++ b/lab/soak/engine.go
@@ -41,6 +41,7 @@
 	odd      atomic.Int64 // odd is the mode for every second request.
 	even     atomic.Int64 // even is the mode for the others.
 	count    atomic.Int64
+	says     atomic.Pointer[saying]       // says is what it says of itself; nil for nothing.
 	born     atomic.Int64                 // born is when it started, in Unix milliseconds.
 	crash    func(e *engine, body string) // crash ends the engine under a request, and starts it again later.
 	ending   sync.Mutex                   // ending is held while the engine ends and starts again, and from its last end on.
@@ -107,6 +108,9 @@
 	if err != nil {
 		return // The request did not come whole, and is not run.
 	}
+	if e.say(w, id) {
+		return
+	}
 	mode := e.nextMode()
 	if mode == modeFull {
 		w.Header().Set("Not-Executed", "1")
--- a/lab/soak/faults_node.go
+++ b/lab/soak/faults_node.go
@@ -25,6 +25,7 @@
 
 // killNode kills a node and starts it again after a while.
 func killNode(ctx context.Context, w *World, n *node, d time.Duration) error {
+	defer w.ledger.away(n.name)()
 	w.expect(n)
 	n.Kill()
 	pause.For(ctx, d)
@@ -33,6 +34,7 @@
 
 // stopNode stops a node as planned and starts it again after a while.
 func stopNode(ctx context.Context, w *World, n *node, d time.Duration) error {
+	defer w.ledger.away(n.name)()
 	w.expect(n)
 	if err := n.Stop(stopGrace); err != nil {
 		w.ledger.exited(fmt.Sprintf("%s did not stop as planned: %v", n.name, err))
@@ -44,6 +46,7 @@
 
 // freezeNode freezes a node and wakes it.
 func freezeNode(ctx context.Context, w *World, n *node, d time.Duration) error {
+	defer w.ledger.away(n.name)()
 	if err := n.Signal(syscall.SIGSTOP); err != nil {
 		return err
 	}
--- a/lab/soak/faults_way.go
+++ b/lab/soak/faults_way.go
@@ -26,6 +26,7 @@
 		w.mu.Lock()
 		n := w.nodes[r.IntN(len(w.nodes))]
 		w.mu.Unlock()
+		defer w.ledger.away(n.name)()
 		disturb(ctx, way(n), m, d)
 		return nil
 	}
@@ -34,7 +35,8 @@
 // atEngine returns a fault of the way to one engine.
 func atEngine(m relay.Mode) injection {
 	return func(ctx context.Context, w *World, r *rand.Rand, d time.Duration) error {
-		_, way := w.anyEngine(r)
+		e, way := w.anyEngine(r)
+		defer w.ledger.away(e.id)()
 		disturb(ctx, way, m, d)
 		return nil
 	}
--- a/lab/soak/ledger.go
+++ b/lab/soak/ledger.go
@@ -29,6 +29,12 @@
 		body             string
 	}
 
+	// sender is where a caller sent a request, and when.
+	sender struct {
+		node string
+		at   time.Time
+	}
+
 	// span is a time in which something was at fault.
 	span struct{ from, to time.Time }
 
@@ -44,12 +50,20 @@
 		exits   []string               // exits of processes that nobody ended
 
 		evacuations []evacuated
+
+		senders  map[string]sender    // senders holds where callers sent their requests, by id.
+		arrivals map[string][]arrival // arrivals are by engine.
+		told     map[string][]told    // told holds what engines said of themselves, by engine.
+		aways    map[string][]span    // aways holds the faults of nodes and of ways to engines, by name.
 	}
 )
 
 // newLedger returns an empty ledger.
 func newLedger() *Ledger {
-	return &Ledger{runs: map[string][]run{}, endings: map[string]ending{}, revoked: map[string]time.Time{}, leaving: map[string]time.Time{}, crashes: map[string][]time.Time{}}
+	return &Ledger{
+		runs: map[string][]run{}, endings: map[string]ending{}, revoked: map[string]time.Time{}, leaving: map[string]time.Time{}, crashes: map[string][]time.Time{},
+		senders: map[string]sender{}, arrivals: map[string][]arrival{}, told: map[string][]told{}, aways: map[string][]span{},
+	}
 }
 
 // ran records a start at an engine.
@@ -155,6 +169,7 @@
 	var out []string
 	out = append(out, l.exits...)
 	out = append(out, l.lateCrashes()...)
+	out = append(out, l.unheard()...)
 	for id, e := range l.endings {
 		out = append(out, l.brokenBy(id, e)...)
 	}
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -81,6 +81,29 @@
 			l.ran("a", r)
 			l.evacuate("h", at.Add(-evacuateWithin-time.Millisecond), at.Add(time.Second))
 		},
+		"an engine that said it leaves": func(l *Ledger) {
+			l.sentTo("a", "n", at)
+			l.said("e", "a", saying{leaving: true}, at)
+			l.sentTo("b", "n", at.Add(3*time.Second))
+			l.arrived("e", "b", at.Add(3*time.Second))
+		},
+		"an engine that rests": func(l *Ledger) {
+			l.sentTo("a", "n", at)
+			l.said("e", "a", saying{rest: 2 * time.Second}, at)
+			for i := range 3 {
+				l.sentTo(fmt.Sprint(i), "n", at)
+				l.arrived("e", fmt.Sprint(i), at.Add(time.Second))
+			}
+		},
+		"an engine over its limit": func(l *Ledger) {
+			l.sentTo("a", "n", at)
+			l.said("e", "a", saying{limit: 1}, at)
+			for i := range 12 {
+				l.sentTo(fmt.Sprint(i), "n", at)
+				l.arrived("e", fmt.Sprint(i), at.Add(5*time.Second))
+			}
+			l.said("e", "a", saying{}, at.Add(9*time.Second))
+		},
 		"crashes without end": func(l *Ledger) {
 			for i := range 8 {
 				l.crashed("crash x", at.Add(time.Duration(i)*2*time.Second))
--- a/lab/soak/world.go
+++ b/lab/soak/world.go
@@ -173,6 +173,18 @@
 	return address
 }
 
+// nodeAt returns the name of the node that callers reach at an address.
+func (w *World) nodeAt(address string) string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, n := range w.nodes {
+		if n.callers.Address() == address {
+			return n.name
+		}
+	}
+	return ""
+}
+
 // waitReady waits until every node names every node as an entry point.
 func (w *World) waitReady(within time.Duration) error {
 	c := newCaller(w, "probe", 1)
