Permits: a question that reaches a node which does not issue them is passed on

A spoke knows its own hall alone, and would have had a hub there issue the permits for an engine of another hall, beside the one that does; so would a node that does not know yet that another took its place. Such a question is now passed on once. Each permit has a line with the request, the limit and its age.

--- a/internal/dispatch/permit.go
+++ b/internal/dispatch/permit.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/croftturn/croftturn/internal/clock"
+	"github.com/croftturn/croftturn/internal/limit"
 	"github.com/croftturn/croftturn/internal/pause"
 	"github.com/croftturn/croftturn/internal/placement"
 )
@@ -23,7 +24,7 @@
 	Answered(now, sent time.Time, engine string, rate float64, limited bool)
 
 	// Take takes a permit for one request to an engine in a hall, which may be used after a wait, the longest at most.
-	Take(ctx context.Context, now time.Time, hall, engine string, longest time.Duration) (wait time.Duration, ok bool)
+	Take(ctx context.Context, now time.Time, hall, engine string, longest time.Duration) limit.Permit
 }
 
 // WithPermits has a dispatcher keep to the limits of engines.
@@ -57,9 +58,12 @@
 		if left > longest || try == permitTries {
 			return w.withoutPermit(left)
 		}
-		if wait, ok := w.d.permits.Take(ctx, now, w.choice.Engine.Hall, w.choice.Engine.ID, longest); ok {
-			w.permitWait += wait
-			pause.For(ctx, wait)
+		permit := w.d.permits.Take(ctx, now, w.choice.Engine.Hall, w.choice.Engine.ID, longest)
+		w.d.log.Info("permit", "request", w.req.ID, "engine", w.choice.Engine.ID, "issued", permit.Issued, "wait_ms", permit.Wait.Milliseconds(), "longest_ms", longest.Milliseconds(),
+			"rate", permit.Rate, "age_ms", permit.Age.Milliseconds())
+		if permit.Issued {
+			w.permitWait += permit.Wait
+			pause.For(ctx, permit.Wait)
 			return w.mayStillSend(ctx)
 		}
 		now = clock.Now()
--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -174,7 +174,8 @@
 	l := newLimits()
 	p := limit.NewPermits(l, others, place, reach, slog.New(slog.DiscardHandler))
 	take := func(longest time.Duration) (time.Duration, bool) {
-		return p.Take(context.Background(), time.Now(), "h", "e", longest)
+		permit := p.Take(context.Background(), time.Now(), "h", "e", longest)
+		return permit.Wait, permit.Issued
 	}
 	if _, ok := take(0); !ok {
 		t.Error("an engine without a limit needs no permit")
@@ -189,8 +190,14 @@
 	if _, ok := take(0); ok || !l.Opens()["e"].After(time.Now().Add(500*time.Millisecond)) {
 		t.Errorf("a second one at once: %v, open at %v", ok, l.Opens()["e"])
 	}
+	others["b"] = limit.NewPermits(newLimits(), others, func(time.Time, string, string) (limit.Place, bool) { return limit.Place{Address: "a"}, true }, reach, slog.New(slog.DiscardHandler))
+	at = "b"
+	if wait, ok := take(time.Second); !ok || wait < 800*time.Millisecond {
+		t.Errorf("by a node that does not issue them: %v, %v", wait, ok)
+	}
+	at = "a"
 	share = 0.5
-	if wait, ok := take(2 * time.Second); !ok || wait < 900*time.Millisecond {
+	if wait, ok := take(5 * time.Second); !ok || wait < 2*time.Second {
 		t.Errorf("where half of the nodes are reached, a permit after %v, %v", wait, ok)
 	}
 	for _, lose := range []func(){func() { at = "gone" }, func() { at, known = "a", false }} {
--- a/internal/limit/permits.go
+++ b/internal/limit/permits.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"time"
 
@@ -49,12 +50,24 @@
 		log    *slog.Logger
 	}
 
+	// Permit is the answer to a request that needs one for its engine.
+	Permit struct {
+		Issued bool
+		Wait   time.Duration // Wait is how long it is until the permit may be used or, where none was issued, until one is expected to be free.
+		Rate   float64       // Rate is the engine's limit, in requests a second; 0 if it has none.
+		Age    time.Duration // Age is how long ago the engine said so.
+	}
+
 	// PermitRequest asks a peer for a permit. It tells what the asking node knows of the limit.
 	PermitRequest struct {
+		Hall      string  `json:"h"`
 		Engine    string  `json:"e"`
 		Rate      float64 `json:"r"`
 		AgeMs     int64   `json:"a"`
 		LongestMs int64   `json:"w"` // LongestMs is how long the asking node can wait for the permit.
+
+		// Passed says that a node passed the question on which is not the one that issues these permits.
+		Passed bool `json:"p,omitempty"`
 	}
 
 	// PermitReply tells whether a permit was issued, and how long it is until it may be used or one is free.
@@ -75,57 +88,61 @@
 	p.limits.Answered(now, sent, engine, rate, limited)
 }
 
-// Take takes a permit to send one request to an engine in a hall, which may be used after a wait, the longest at most. ok is
-// false where none is free by then; the limits then tell when one may be.
-func (p *Permits) Take(ctx context.Context, now time.Time, hall, engine string, longest time.Duration) (wait time.Duration, ok bool) {
+// Take takes a permit to send one request to an engine in a hall, which may be used after a wait, the longest at most. Where none
+// is free by then the limits tell when one may be.
+func (p *Permits) Take(ctx context.Context, now time.Time, hall, engine string, longest time.Duration) Permit {
 	rate, age, limited := p.limits.Rate(now, engine)
 	if !limited {
-		return 0, true
+		return Permit{Issued: true}
 	}
-	req := PermitRequest{Engine: engine, Rate: rate, AgeMs: age.Milliseconds(), LongestMs: longest.Milliseconds()}
-	reply, err := p.ask(ctx, now, hall, req)
+	reply, err := p.ask(ctx, now, &PermitRequest{Hall: hall, Engine: engine, Rate: rate, AgeMs: age.Milliseconds(), LongestMs: longest.Milliseconds()})
 	if err != nil {
-		p.log.Info("permit not asked for", "engine", engine, "rate", rate, "age_ms", req.AgeMs, "error", err.Error())
-		p.limits.Close(engine, now.Add(callPause))
-		return callPause, false
+		p.log.Warn("permit not asked for", "engine", engine, "rate", rate, "age_ms", age.Milliseconds(), "error", err.Error())
+		reply = &PermitReply{WaitMs: float64(callPause) / float64(time.Millisecond)}
 	}
-	wait = time.Duration(reply.WaitMs * float64(time.Millisecond))
-	if !reply.Issued {
-		p.limits.Close(engine, now.Add(wait))
+	permit := Permit{Issued: reply.Issued, Wait: time.Duration(reply.WaitMs * float64(time.Millisecond)), Rate: rate, Age: age}
+	if !permit.Issued {
+		p.limits.Close(engine, now.Add(permit.Wait))
 	}
-	return wait, reply.Issued
+	return permit
 }
 
 // ask asks the node that issues the permits for an engine.
-func (p *Permits) ask(ctx context.Context, now time.Time, hall string, req PermitRequest) (reply PermitReply, err error) {
-	place, ok := p.places(now, hall, req.Engine)
+func (p *Permits) ask(ctx context.Context, now time.Time, req *PermitRequest) (*PermitReply, error) {
+	place, ok := p.places(now, req.Hall, req.Engine)
 	switch {
 	case !ok:
-		return PermitReply{}, errNoIssuer
+		return nil, errNoIssuer
 	case place.Self:
-		return p.issue(now, &req), nil
+		return p.issue(now, req), nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	err = p.caller.Call(ctx, place.Address, MethodPermit, &req, &reply)
-	return reply, err
+	reply := &PermitReply{}
+	if err := p.caller.Call(ctx, place.Address, MethodPermit, req, reply); err != nil {
+		return nil, fmt.Errorf("ask for a permit: %w", err)
+	}
+	return reply, nil
 }
 
-// Answer answers a peer that asks for a permit.
-func (p *Permits) Answer(_ context.Context, req *PermitRequest) (any, error) {
+// Answer answers a peer that asks for a permit. Nodes may not agree on who issues it, and those that know their own hall alone
+// ask one there: the question is passed on once.
+func (p *Permits) Answer(ctx context.Context, req *PermitRequest) (any, error) {
 	now := clock.Now()
-	reply := p.issue(now, req)
-	p.log.Debug("permit asked for", "engine", req.Engine, "rate", req.Rate, "age_ms", req.AgeMs, "issued", reply.Issued, "wait_ms", reply.WaitMs)
-	return &reply, nil
+	if req.Passed {
+		return p.issue(now, req), nil
+	}
+	req.Passed = true
+	return p.ask(ctx, now, req)
 }
 
 // issue issues a permit, if one is free in time, by the newest that is known of the engine's limit.
-func (p *Permits) issue(now time.Time, req *PermitRequest) PermitReply {
+func (p *Permits) issue(now time.Time, req *PermitRequest) *PermitReply {
 	p.limits.Hear(now, []Told{{Engine: req.Engine, Rate: req.Rate, AgeMs: req.AgeMs}})
 	rate, _, limited := p.limits.Rate(now, req.Engine)
 	if !limited {
-		return PermitReply{Issued: true} // The limit has ended, of which the asking node will hear.
+		return &PermitReply{Issued: true} // The limit has ended, of which the asking node will hear.
 	}
 	wait, ok := p.issuer.Issue(now, req.Engine, rate*p.share(now), time.Duration(req.LongestMs)*time.Millisecond)
-	return PermitReply{Issued: ok, WaitMs: float64(wait) / float64(time.Millisecond)}
+	return &PermitReply{Issued: ok, WaitMs: float64(wait) / float64(time.Millisecond)}
 }
