Placement: who may send to a cold engine is worked out when the senders change

Each choice ranked all senders anew for each cold engine that it looked at: 985 hashes each on the fleet. The share is kept with the engine until the senders or the bound change.

--- a/internal/placement/cold.go
+++ b/internal/placement/cold.go
@@ -19,12 +19,21 @@
 	sendersLife = 100 * time.Millisecond
 )
 
+// coldShare is what coldEvery returned last, and what it was worked out from.
+type coldShare struct {
+	limit  float64
+	change int
+	every  time.Duration
+}
+
 // senders are the nodes that send requests, by the hashes of their names.
 type senders struct {
 	self   string
 	names  func(now time.Time) []string
 	at     time.Time
 	hashes []uint64
+	sum    uint64 // sum is of the hashes, in whatever order.
+	change int    // change counts how often the nodes have changed.
 }
 
 // WithSenders tells a placement of the nodes that send requests, by name, and which of them this one is. What cold engines
@@ -60,18 +69,26 @@
 // are before it in the order of senders for that engine.
 func (p *Placement) coldEvery(now time.Time, known *pool, e *engine) time.Duration {
 	all := p.senders.known(now)
-	many := min(max(1, int(known.coldLimit/coldSendersLeast)), len(all))
-	own := mix(e.hash ^ all[0])
+	if e.cold.limit != known.coldLimit || e.cold.change != p.senders.change {
+		e.cold = coldShare{limit: known.coldLimit, change: p.senders.change, every: shareOfCold(known.coldLimit, e.hash, all)}
+	}
+	return e.cold.every
+}
+
+// shareOfCold returns coldEvery for an engine, of a hash, and the nodes that send requests, by theirs; this one's is the first.
+func shareOfCold(limit float64, engine uint64, all []uint64) time.Duration {
+	many := min(max(1, int(limit/coldSendersLeast)), len(all))
+	own := mix(engine ^ all[0])
 	before := 0
 	for _, other := range all[1:] {
-		if mix(e.hash^other) < own {
+		if mix(engine^other) < own {
 			before++
 		}
 	}
 	if before >= many {
 		return 0
 	}
-	share := coldUse * known.coldLimit / float64(many)
+	share := coldUse * limit / float64(many)
 	return time.Duration(float64(time.Second) / max(share-1, share/2)) // One may go out at any moment, beside those of a second.
 }
 
@@ -86,5 +103,13 @@
 			s.hashes = append(s.hashes, xxhash.Sum64String(name))
 		}
 	}
+	sum := uint64(0)
+	for _, hash := range s.hashes {
+		sum += mix(hash)
+	}
+	if sum != s.sum {
+		s.sum = sum
+		s.change++
+	}
 	return s.hashes
 }
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -78,6 +78,7 @@
 		// node's requests there was sent.
 		heardAt time.Time
 
+		cold     coldShare
 		coldNext time.Time // coldNext is when this node may next send a request to the engine while it is cold.
 	}
 
--- /dev/null
+++ b/internal/placement/many_test.go
@@ -0,0 +1,50 @@
+package placement_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/croftturn/croftturn/internal/placement"
+)
+
+// opening tells when engines that have named a limit open.
+type opening map[string]time.Time
+
+func (o opening) Opens() map[string]time.Time { return o }
+
+// BenchmarkChooseAmongMany measures a decision among the engines of a large fleet, where none is held back, and where a tenth is
+// cold, has named a limit, or rests.
+func BenchmarkChooseAmongMany(b *testing.B) {
+	const engines, nodes = 10_000, 985
+	names := make([]string, nodes)
+	for i := range names {
+		names[i] = fmt.Sprint("n", i)
+	}
+	id := func(i int) string { return fmt.Sprint("e", i) }
+	for name, hold := range map[string]func(p *placement.Placement, o opening, i int){
+		"none": func(*placement.Placement, opening, int) {},
+		"cold": func(p *placement.Placement, _ opening, i int) {
+			p.Set(placement.Engine{ID: id(i), Pool: "p", Hall: "h", Slots: 64, ColdUntil: start.Add(time.Hour)})
+		},
+		"limited": func(_ *placement.Placement, o opening, i int) { o[id(i)] = start.Add(time.Hour) },
+		"resting": func(p *placement.Placement, _ opening, i int) { p.Rest(start, id(i), time.Hour) },
+	} {
+		b.Run(name, func(b *testing.B) {
+			o := opening{}
+			p := placement.New("h", placement.WithLimits(o), placement.WithSenders("n0", func(time.Time) []string { return names }))
+			p.SetColdLimit("p", coldMost)
+			for i := range engines {
+				p.Set(placement.Engine{ID: id(i), Pool: "p", Hall: "h", Slots: 64})
+				if i%10 == 0 {
+					hold(p, o, i)
+				}
+			}
+			now := start
+			for i := 0; b.Loop(); i++ {
+				now = now.Add(time.Microsecond)
+				p.Choose(now, long(i%100))
+			}
+		})
+	}
+}
