Limits, leaving engines: what peers are told costs the same however many engines spoke

With 10,000 engines limited, what a node does for a message took 5 ms (it sorted all names), and each refusal of a permit copied the list of all: 159 us with 1,000. Names now stand in a list that goes on where the last message ended, and placement asks for each engine that it looks at.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -55,8 +55,7 @@
 		lostAt  time.Time              // lostAt is when the store last could not be called.
 		missing map[string]time.Time   // missing holds engines without entry, and when they are dropped.
 		known   map[string]incarnation // known holds the present incarnation of all engines that were ever known.
-		said    map[string]bool        // said holds the engines with an entry that said in an answer that they leave.
-		turn    news.Turn              // turn is of what peers are told of those.
+		said    news.List              // said holds the engines with an entry that said in an answer that they leave.
 		refused int64                  // refused counts the changes by which an entry could not be understood.
 	}
 
@@ -77,7 +76,7 @@
 // that left must stop within drain.
 func New(decode Decode, engines Engines, drain time.Duration, log *slog.Logger) *Discovery {
 	unsettled := min(unsettledMost, time.Duration(unsettledShare*float64(drain)))
-	return &Discovery{decode: decode, engines: engines, log: log, unsettledFor: unsettled, missing: map[string]time.Time{}, known: map[string]incarnation{}, said: map[string]bool{}}
+	return &Discovery{decode: decode, engines: engines, log: log, unsettledFor: unsettled, missing: map[string]time.Time{}, known: map[string]incarnation{}}
 }
 
 // Lost records that the store could not be called at a moment.
@@ -131,12 +130,12 @@
 	}
 	if !known || present.born != e.Born {
 		present = incarnation{born: e.Born, since: r.Version}
-		delete(d.said, e.ID)
+		d.said.Remove(e.ID)
 	}
 	present.draining = present.draining || e.Draining
 	d.known[e.ID] = present
 	if !present.saidAt.IsZero() {
-		d.said[e.ID] = true // Its entry may have been gone.
+		d.said.Add(e.ID)
 	}
 	e.Draining, e.Since = present.draining, present.since
 	delete(d.missing, e.ID)
@@ -197,6 +196,6 @@
 // back meanwhile is taken after it.
 func (d *Discovery) remove(id, reason string) {
 	d.log.Info("engine removed", "engine", id, "reason", reason)
-	delete(d.said, id)
+	d.said.Remove(id)
 	d.engines.Remove(id)
 }
--- a/internal/discovery/leaving.go
+++ b/internal/discovery/leaving.go
@@ -1,12 +1,6 @@
 package discovery
 
-import (
-	"maps"
-	"slices"
-	"time"
-
-	"github.com/croftturn/croftturn/internal/news"
-)
+import "time"
 
 // mostTold is how many engines that leave are told of in one message: about 2 KB.
 const mostTold = 64
@@ -19,9 +13,6 @@
 	Age    time.Duration `cbor:"-"` // Age is how long ago the sender learned it; it is not sent.
 }
 
-// age returns how long ago the sender learned it.
-func (t Told) age() time.Duration { return t.Age }
-
 // Leaves takes that an engine said in an answer that it leaves: it gets no new work until it has started again, whatever its
 // entry says.
 func (d *Discovery) Leaves(now time.Time, id string) {
@@ -35,13 +26,14 @@
 // leaves takes that an incarnation of an engine leaves. The caller holds the lock.
 func (d *Discovery) leaves(now time.Time, id string, born int64, from string) {
 	known, ok := d.known[id]
-	if !ok || known.born != born || known.saidAt != (time.Time{}) {
+	if !ok || known.born != born || !known.saidAt.IsZero() {
 		return
 	}
 	d.log.Info("engine leaves", "engine", id, "born", born, "from", from, "entry_draining", known.draining)
 	known.draining, known.saidAt = true, now
 	d.known[id] = known
-	d.said[id] = true
+	d.said.Add(id)
+	d.said.Changed(id)
 	d.engines.Drain(id)
 }
 
@@ -50,15 +42,13 @@
 func (d *Discovery) TellLeaving(now time.Time, span time.Duration) []Told {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if len(d.said) == 0 {
-		return nil
-	}
-	list := make([]Told, 0, len(d.said))
-	for _, id := range slices.Sorted(maps.Keys(d.said)) {
+	recent := func(id string) bool { return now.Sub(d.known[id].saidAt) <= span }
+	var out []Told
+	for _, id := range d.said.Next(recent, mostTold) {
 		known := d.known[id]
-		list = append(list, Told{Engine: id, Born: known.born, Age: now.Sub(known.saidAt)})
+		out = append(out, Told{Engine: id, Born: known.born, Age: now.Sub(known.saidAt)})
 	}
-	return news.Select(&d.turn, list, Told.age, span, mostTold)
+	return out
 }
 
 // HearLeaving takes what a peer tells.
--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -111,7 +111,7 @@
 		l := newLimits()
 		test.said(l)
 		rate, _, ok := l.Rate(at(200), "e")
-		if _, opens := l.Opens()["e"]; rate != test.want || ok != (test.want > 0) || opens != ok {
+		if _, opens := l.Opens("e"); rate != test.want || ok != (test.want > 0) || opens != ok {
 			t.Errorf("%s: rate %v, %v, listed %v, want %v", test.name, rate, ok, opens, test.want)
 		}
 	}
@@ -187,8 +187,12 @@
 	if rate, _, _ := issuers.Rate(time.Now(), "e"); rate != 2 {
 		t.Errorf("the issuer knows of a limit of %v", rate)
 	}
-	if _, ok := take(0); ok || !l.Opens()["e"].After(time.Now().Add(500*time.Millisecond)) {
-		t.Errorf("a second one at once: %v, open at %v", ok, l.Opens()["e"])
+	opens := func() time.Duration {
+		at, _ := l.Opens("e")
+		return time.Until(at)
+	}
+	if _, ok := take(0); ok || opens() < 500*time.Millisecond {
+		t.Errorf("a second one at once: %v, open in %v", ok, opens())
 	}
 	others["b"] = limit.NewPermits(newLimits(), others, func(time.Time, string, string) (limit.Place, bool) { return limit.Place{Address: "a"}, true }, reach, slog.New(slog.DiscardHandler))
 	at = "b"
@@ -202,7 +206,7 @@
 	}
 	for _, lose := range []func(){func() { at = "gone" }, func() { at, known = "a", false }} {
 		lose()
-		if _, ok := take(time.Minute); ok || !l.Opens()["e"].After(time.Now()) {
+		if _, ok := take(time.Minute); ok || opens() <= 0 {
 			t.Error("a permit where none issues them")
 		}
 	}
--- a/internal/limit/limits.go
+++ b/internal/limit/limits.go
@@ -5,7 +5,6 @@
 
 import (
 	"log/slog"
-	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -32,11 +31,12 @@
 	Limits struct {
 		log *slog.Logger
 
-		mu      sync.Mutex
-		engines map[string]*stated
-		turn    news.Turn
+		limited atomic.Int64 // limited is how many engines have a limit.
 
-		opens atomic.Pointer[map[string]time.Time] // opens is what Opens returns; it is replaced, not changed.
+		mu      sync.RWMutex
+		engines map[string]*stated
+		tell    news.List // tell is what peers are told of.
+		swept   time.Time // swept is when old entries were last looked for.
 	}
 
 	// stated is what an engine said of its limit.
@@ -54,7 +54,7 @@
 // Answered takes what an engine said in an answer to a request that was sent at a moment: its limit, or that it has none. An
 // answer without a limit ends one only if the request was sent after the limit was last said: it may have overtaken another.
 func (l *Limits) Answered(now, sent time.Time, engine string, rate float64, limited bool) {
-	if !limited && l.opens.Load() == nil {
+	if !limited && l.limited.Load() == 0 {
 		return
 	}
 	l.mu.Lock()
@@ -83,6 +83,7 @@
 		}
 		known = &stated{}
 		l.engines[engine] = known
+		l.tell.Add(engine)
 	}
 	if !at.After(known.at) {
 		return
@@ -92,8 +93,20 @@
 		return
 	}
 	l.log.Info("engine limit", "engine", engine, "rate", rate, "before", known.rate, "from", from, "age_ms", now.Sub(at).Milliseconds())
-	known.rate, known.changed, known.opens = rate, now, time.Time{}
-	l.publish()
+	l.count(known, rate)
+	known.changed, known.opens = now, time.Time{}
+	l.tell.Changed(engine)
+}
+
+// count sets the rate of an engine, and counts those that have a limit. The caller holds the lock.
+func (l *Limits) count(known *stated, rate float64) {
+	switch {
+	case known.rate == 0 && rate > 0:
+		l.limited.Add(1)
+	case known.rate > 0 && rate == 0:
+		l.limited.Add(-1)
+	}
+	known.rate = rate
 }
 
 // Close records that no permit for an engine is free before a moment, as far as is known.
@@ -102,7 +115,6 @@
 	defer l.mu.Unlock()
 	if known := l.engines[engine]; known != nil {
 		known.opens = until
-		l.publish()
 	}
 }
 
@@ -110,28 +122,36 @@
 func (l *Limits) Forget(engine string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.engines[engine] != nil {
+	l.drop(engine)
+}
+
+// drop drops what is known of an engine. The caller holds the lock.
+func (l *Limits) drop(engine string) {
+	if known := l.engines[engine]; known != nil {
+		l.count(known, 0)
+		l.tell.Remove(engine)
 		delete(l.engines, engine)
-		l.publish()
 	}
 }
 
-// Opens returns the engines that have a limit, and for each when a permit is expected to be free there. The map is not to be
-// changed; it is nil where no engine has a limit.
-func (l *Limits) Opens() map[string]time.Time {
-	if opens := l.opens.Load(); opens != nil {
-		return *opens
+// Opens reports whether an engine has a limit, and when a permit to send a request there is expected to be free.
+func (l *Limits) Opens(engine string) (at time.Time, limited bool) {
+	if l.limited.Load() == 0 {
+		return time.Time{}, false
+	}
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	known := l.engines[engine]
+	if known == nil || known.rate == 0 {
+		return time.Time{}, false
 	}
-	return nil
+	return known.opens, true
 }
 
 // Rate returns an engine's limit in requests a second and the age of what it said, or false where it has none.
 func (l *Limits) Rate(now time.Time, engine string) (rate float64, age time.Duration, ok bool) {
-	if l.opens.Load() == nil {
-		return 0, 0, false
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
+	l.mu.RLock()
+	defer l.mu.RUnlock()
 	known := l.engines[engine]
 	if known == nil || known.rate == 0 {
 		return 0, 0, false
@@ -140,33 +160,17 @@
 }
 
 // Len returns how many engines have a limit.
-func (l *Limits) Len() int64 { return int64(len(l.Opens())) }
+func (l *Limits) Len() int64 { return l.limited.Load() }
 
-// publish makes Opens return what is known now. The caller holds the lock.
-func (l *Limits) publish() {
-	opens := map[string]time.Time{}
-	for engine, known := range l.engines {
-		if known.rate > 0 {
-			opens[engine] = known.opens
-		}
-	}
-	if len(opens) == 0 {
-		l.opens.Store(nil)
+// sweep drops limits that nobody said for long, and ends that all have heard of. The caller holds the lock.
+func (l *Limits) sweep(now time.Time) {
+	if now.Sub(l.swept) < sweepEvery {
 		return
 	}
-	l.opens.Store(&opens)
-}
-
-// forgetOld drops limits that nobody said for long, and ends that all have heard of. The caller holds the lock.
-func (l *Limits) forgetOld(now time.Time) {
-	known := len(l.engines)
-	maps.DeleteFunc(l.engines, func(_ string, s *stated) bool {
-		if s.rate == 0 {
-			return now.Sub(s.changed) > endedLife
+	l.swept = now
+	for engine, known := range l.engines {
+		if known.rate == 0 && now.Sub(known.changed) > endedLife || now.Sub(known.at) > statedLife {
+			l.drop(engine)
 		}
-		return now.Sub(s.at) > statedLife
-	})
-	if len(l.engines) != known {
-		l.publish()
 	}
 }
--- a/internal/limit/tell.go
+++ b/internal/limit/tell.go
@@ -1,12 +1,6 @@
 package limit
 
-import (
-	"maps"
-	"slices"
-	"time"
-
-	"github.com/croftturn/croftturn/internal/news"
-)
+import "time"
 
 // mostTold is how many engines are told of in one message: about 2 KB.
 const mostTold = 64
@@ -20,23 +14,18 @@
 	Age    time.Duration `cbor:"-"` // Age is how long ago the sender learned it; it is not sent.
 }
 
-// age returns how long ago the sender learned it.
-func (t Told) age() time.Duration { return t.Age }
-
 // Tell returns what peers should know: first what was learned within a time, the newest first, then some of the rest by turns.
 func (l *Limits) Tell(now time.Time, span time.Duration) []Told {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.engines) == 0 {
-		return nil
-	}
-	l.forgetOld(now)
-	list := make([]Told, 0, len(l.engines))
-	for _, engine := range slices.Sorted(maps.Keys(l.engines)) {
+	l.sweep(now)
+	recent := func(engine string) bool { return now.Sub(l.engines[engine].changed) <= span }
+	var out []Told
+	for _, engine := range l.tell.Next(recent, mostTold) {
 		s := l.engines[engine]
-		list = append(list, Told{Engine: engine, Rate: s.rate, AgeMs: now.Sub(s.at).Milliseconds(), Age: now.Sub(s.changed)})
+		out = append(out, Told{Engine: engine, Rate: s.rate, AgeMs: now.Sub(s.at).Milliseconds(), Age: now.Sub(s.changed)})
 	}
-	return news.Select(&l.turn, list, Told.age, span, mostTold)
+	return out
 }
 
 // Hear takes what a peer tells.
--- a/internal/news/news.go
+++ b/internal/news/news.go
@@ -3,37 +3,80 @@
 package news
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
 
-// Turn remembers where the next list goes on.
-type Turn struct{ next int }
-
-// Select returns some of a list, the most at most: first what is no older than a time, the newest first, then some of the rest,
-// others with each call. The list is to come in the same order each time. The caller of its age says how long ago the sender
-// learned of an entry.
-func Select[T any](t *Turn, list []T, age func(T) time.Duration, span time.Duration, most int) []T {
-	var recent, rest []T
-	for _, each := range list {
-		if age(each) <= span {
-			recent = append(recent, each)
-		} else {
-			rest = append(rest, each)
-		}
+// List holds the names of what peers are told of. Its zero value is empty.
+type List struct {
+	names  []string
+	has    map[string]bool // has holds the names.
+	recent []string        // recent are those that changed, the newest last.
+	next   int             // next is where the next turn goes on.
+}
+
+// Add adds a name, unless it is there.
+func (l *List) Add(name string) {
+	if l.has[name] {
+		return
+	}
+	if l.has == nil {
+		l.has = map[string]bool{}
+	}
+	l.has[name] = true
+	l.names = append(l.names, name)
+}
+
+// Changed says that there is something new of a name.
+func (l *List) Changed(name string) {
+	l.forget(name)
+	l.recent = append(l.recent, name)
+}
+
+// Remove removes a name.
+func (l *List) Remove(name string) {
+	if !l.has[name] {
+		return
 	}
-	slices.SortStableFunc(recent, func(a, b T) int { return cmp.Compare(age(a), age(b)) })
-	out := recent[:min(len(recent), most)]
-	more := min(most-len(out), len(rest))
-	for i := range more {
-		out = append(out, rest[(t.next+i)%len(rest)])
+	delete(l.has, name)
+	l.forget(name)
+	at := slices.Index(l.names, name)
+	l.names = slices.Delete(l.names, at, at+1)
+}
+
+// forget takes a name out of those that changed.
+func (l *List) forget(name string) {
+	if at := slices.Index(l.recent, name); at >= 0 {
+		l.recent = slices.Delete(l.recent, at, at+1)
+	}
+}
+
+// Next returns the names that peers are told of now, the most at most: first those that changed and are still recent, the newest
+// first, then some of the others, other ones with each call.
+func (l *List) Next(recent func(name string) bool, most int) []string {
+	old := 0
+	for old < len(l.recent) && !recent(l.recent[old]) {
+		old++
+	}
+	l.recent = slices.Delete(l.recent, 0, old)
+	var out []string
+	for i := len(l.recent) - 1; i >= 0 && len(out) < most; i-- {
+		out = append(out, l.recent[i])
+	}
+	for range min(most, len(l.names)) {
+		if len(out) >= most {
+			break
+		}
+		name := l.names[l.next%len(l.names)]
+		l.next++
+		if !slices.Contains(l.recent, name) {
+			out = append(out, name)
+		}
 	}
-	t.next += more
 	return out
 }
 
-// Recent returns the beginning of a list that Select made, up to the first entry that is older than a time.
+// Recent returns the beginning of a list that is told, the newest first, up to the first entry that is older than a time.
 func Recent[T any](list []T, age func(T) time.Duration, span time.Duration) []T {
 	if at := slices.IndexFunc(list, func(each T) bool { return age(each) > span }); at >= 0 {
 		return list[:at]
--- a/internal/placement/limit.go
+++ b/internal/placement/limit.go
@@ -5,8 +5,8 @@
 type (
 	// Limits tells which engines have named a limit of requests.
 	Limits interface {
-		// Opens returns these engines, and for each when a permit to send a request there is expected to be free.
-		Opens() map[string]time.Time
+		// Opens reports whether an engine has, and when a permit to send a request there is expected to be free.
+		Opens(engine string) (at time.Time, limited bool)
 	}
 
 	// noLimits are the limits of no engine.
@@ -14,7 +14,7 @@
 )
 
 // Opens returns none.
-func (noLimits) Opens() map[string]time.Time { return nil }
+func (noLimits) Opens(string) (time.Time, bool) { return time.Time{}, false }
 
 // WithLimits tells a placement of the limits of engines.
 func WithLimits(l Limits) Option {
@@ -24,25 +24,22 @@
 // ChooseLimited returns, where Choose finds none, the engine at which a permit is expected to be free first; ok is false
 // where the pool has none that may be used.
 func (p *Placement) ChooseLimited(now time.Time, r Request) (choice Choice, ok bool) {
-	opens := p.limits.Opens()
-	if opens == nil {
-		return Choice{}, false
-	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	known := p.pool(r.Pool)
 	var first *engine
+	var opens time.Time
 	for _, e := range known.engines {
-		at, limited := opens[e.ID]
-		if !limited || now.Before(p.rested(now, e.ID)) || r.Avoid[e.ID] || !p.allows(r, e) || !p.bears(now, known, e) || first != nil && !at.Before(opens[first.ID]) {
+		at, limited := p.limits.Opens(e.ID)
+		if !limited || now.Before(p.rested(now, e.ID)) || r.Avoid[e.ID] || !p.allows(r, e) || !p.bears(now, known, e) || first != nil && !at.Before(opens) {
 			continue
 		}
-		first = e
+		first, opens = e, at
 	}
 	if first == nil {
 		return Choice{}, false
 	}
 	choice = p.weigh(now, known, first, r, max(0, first.order-known.gather), 0)
-	choice.Limited, choice.Opens, choice.Engines = true, opens[first.ID], len(known.engines)
+	choice.Limited, choice.Opens, choice.Engines = true, opens, len(known.engines)
 	return choice, true
 }
--- a/internal/placement/many_test.go
+++ b/internal/placement/many_test.go
@@ -11,7 +11,10 @@
 // opening tells when engines that have named a limit open.
 type opening map[string]time.Time
 
-func (o opening) Opens() map[string]time.Time { return o }
+func (o opening) Opens(engine string) (time.Time, bool) {
+	at, ok := o[engine]
+	return at, ok
+}
 
 // BenchmarkChooseAmongMany measures a decision among the engines of a large fleet, where none is held back, and where a tenth is
 // cold, has named a limit, or rests.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -226,7 +226,7 @@
 	known.survey(now, p.unheard(now))
 	r.tight = known.tight(r)
 	var first time.Time // first is when the first engine may be sent to that may not be now.
-	best, opens := math.Inf(1), p.limits.Opens()
+	best := math.Inf(1)
 	for rank, e := range p.ranking.order(known.engines, r.Prompt.Session()) {
 		if known.leastCost(r, rank) >= best {
 			break // No engine after this one costs less.
@@ -234,7 +234,7 @@
 		if r.Avoid[e.ID] || !p.allows(r, e) || !p.bears(now, known, e) {
 			continue
 		}
-		at, limited := opens[e.ID]
+		at, limited := p.limits.Opens(e.ID)
 		if rested := p.rested(now, e.ID); rested.After(at) {
 			at = rested
 		}
