Hubs: a choice is told until it has come, and who tells counts where the others are not heard

Cause: how the hubs of a hall are reached was told once for each choice, and again after twenty messages, 20 s later. A spoke for which that message was lost went by names that it could not reach and no longer by the hub that it heard all the time; its proof grew old, it named itself to callers and refused them as stale.

--- a/internal/gossip/cadence.go
+++ b/internal/gossip/cadence.go
@@ -84,8 +84,10 @@
 		case p.addr == nil:
 		case turn < p.due && !(g.urgent && quiet <= quietFor):
 		default:
-			chosen := len(g.chosen) > 0 && (p.chose != g.choices || p.sent%introduceEvery == 0)
-			p.chose = g.choices
+			if p.chose != g.choices {
+				p.chose, p.choseSeq = g.choices, g.seq+1 // It is told with the next message.
+			}
+			chosen := len(g.chosen) > 0 && (p.got < p.choseSeq || p.sent%introduceEvery == 0)
 			out = append(out, target{Peer: *p, turns: turns, chosen: chosen})
 			p.sent++
 			p.due = turn + turns
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -65,7 +65,9 @@
 		chosen   []string             // chosen are the hubs that this node, being one, wants in its hall.
 		choices  int                  // choices counts how often chosen has changed.
 		hubHeard map[string]time.Time // hubHeard is when a hub of a hall was last heard, or first missed.
-		promoted chan struct{}        // promoted tells a spoke that rests that a hub wants it to be one.
+
+		unheardSince map[string]time.Time // unheardSince is since when none of the hubs that others name in a hall is heard.
+		promoted     chan struct{}        // promoted tells a spoke that rests that a hub wants it to be one.
 	}
 )
 
@@ -86,7 +88,7 @@
 
 // newGossip returns a gossip that is not connected.
 func newGossip(self Self, log *slog.Logger) *Gossip {
-	return &Gossip{self: self, log: log, peers: map[string]*Peer{}, hubHeard: map[string]time.Time{}, promoted: make(chan struct{}, 1), seq: 1 + rand.Uint32N(firstSeqs)}
+	return &Gossip{self: self, log: log, peers: map[string]*Peer{}, hubHeard: map[string]time.Time{}, unheardSince: map[string]time.Time{}, promoted: make(chan struct{}, 1), seq: 1 + rand.Uint32N(firstSeqs)}
 }
 
 // Meet adds a peer that was learned of elsewhere, such as from the platform.
--- a/internal/gossip/hubs.go
+++ b/internal/gossip/hubs.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -31,6 +32,10 @@
 	// to a spoke come once a second.
 	firstHubs  = 4
 	widenEvery = 700 * time.Millisecond
+
+	// hubUnheard is how long none of the hubs that others name is heard until those that name them count, too: a hub's
+	// rarest message to a spoke comes within it.
+	hubUnheard = spokeTurns * every
 )
 
 // few reports whether there are so few nodes that each is a hub: this node knows few, and no hub knows more. The caller
@@ -143,30 +148,44 @@
 }
 
 // toldHubs returns, by hall, the nodes that hubs there which are heard say are hubs. What a
-// hub says of itself counts only where it is the only one, so that one that is silent is
-// passed over as soon as the others do.
+// hub says of itself counts only where none of these has been heard for a while, so that one that is silent is
+// passed over as soon as the others do, and a node that can't reach the others keeps the hubs that it hears.
 func (g *Gossip) toldHubs(now time.Time) map[string][]string {
 	out := map[string][]string{}
-	alone := map[string]string{}
+	tellers := map[string][]string{}
 	for name, p := range g.peers {
 		if !g.choiceCounts(now, p) {
 			continue
 		}
-		alone[p.Hall] = name
+		tellers[p.Hall] = append(tellers[p.Hall], name)
 		for _, hub := range p.hubs {
 			if hub != name {
 				out[p.Hall] = append(out[p.Hall], hub)
 			}
 		}
 	}
-	for hall, name := range alone {
-		if len(out[hall]) == 0 {
-			out[hall] = []string{name}
+	maps.DeleteFunc(g.unheardSince, func(hall string, _ time.Time) bool { return len(tellers[hall]) == 0 })
+	for hall, names := range tellers {
+		switch {
+		case slices.ContainsFunc(out[hall], func(name string) bool { return g.hears(now, name) }):
+			delete(g.unheardSince, hall)
+		case len(out[hall]) == 0:
+			out[hall] = names
+		case g.unheardSince[hall].IsZero():
+			g.unheardSince[hall] = now
+		case now.Sub(g.unheardSince[hall]) >= hubUnheard:
+			out[hall] = append(out[hall], names...)
 		}
 	}
 	return out
 }
 
+// hears reports whether a node is this one, or was heard lately. The caller holds the lock.
+func (g *Gossip) hears(now time.Time, name string) bool {
+	p := g.peers[name]
+	return name == g.self.Name || p != nil && g.heardLately(now, p)
+}
+
 // firstNodes returns the first nodes of a hall, more of them the longer no hub there has
 // been heard.
 func (g *Gossip) firstNodes(now time.Time, hall string) []string {
--- a/internal/gossip/hubs_test.go
+++ b/internal/gossip/hubs_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"math"
 	"net"
 	"slices"
@@ -38,6 +39,7 @@
 	turn  int
 	loss  float64
 	seed  uint64
+	cut   func(o outgoing) bool // cut says that a message is lost; nil if none is by it.
 	nodes map[string]*simulated
 	order []string
 }
@@ -99,7 +101,7 @@
 		node.sent++
 		node.bytes += len(raw)
 		to := n.nodes[o.to.Name]
-		if to.dead || n.loses(node.self.Name, o.to.Name) {
+		if to.dead || n.loses(node.self.Name, o.to.Name) || n.cut != nil && n.cut(o) {
 			continue
 		}
 		addr, err := net.ResolveUDPAddr("udp4", node.self.PeerAddress)
@@ -346,3 +348,31 @@
 		}
 	}
 }
+
+// TestASpokeIsToldOfNewHubsAgain guards against a spoke without a hub that hears one all the time: the hubs that this one names
+// are not known to it, since the message was lost that says how they are reached.
+func TestASpokeIsToldOfNewHubsAgain(t *testing.T) {
+	n := newNetwork(t, 1, 40, 0, 1)
+	n.run(4 * time.Second)
+	hubs := n.hubs("h0")
+	spoke := n.nodes[n.order[len(n.order)-1]]
+	for _, name := range n.order { // Nodes know the hubs alone, as where the hall's head in the register does not hold the others.
+		maps.DeleteFunc(n.nodes[name].peers, func(other string, _ *Peer) bool { return !slices.Contains(hubs, name) && !slices.Contains(hubs, other) })
+	}
+	for _, name := range hubs {
+		n.nodes[name].say.Stopping = true
+	}
+	n.cut = func(o outgoing) bool { return o.to.Name == spoke.self.Name }
+	n.run(time.Second)
+	n.cut = nil
+	var without time.Duration
+	for range 80 {
+		n.run(every)
+		if len(spoke.Hubs(n.now)) == 0 {
+			without += every
+		}
+	}
+	if without > spokeTurns*every {
+		t.Errorf("a spoke that hears hubs counts none as one for %v of 8 s", without)
+	}
+}
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -83,7 +83,10 @@
 		sent  int      // sent counts the messages to the peer.
 		hubs  []string // hubs are those that the peer, being a hub, wants in its hall.
 		due   int      // due is the turn of the next message to the peer.
-		chose int      // chose is which choice of hubs the peer was told last.
+		got   uint32   // got is the number of the newest message that the peer has of this node, as it said.
+
+		chose    int    // chose is which choice of hubs the peer is told.
+		choseSeq uint32 // choseSeq is the number of the first message that told it.
 	}
 
 	// message is one datagram.
--- a/internal/gossip/receive.go
+++ b/internal/gossip/receive.go
@@ -90,7 +90,7 @@
 	if !g.hub && slices.Contains(m.Hubs, g.self.Name) {
 		g.wake()
 	}
-	p.Self, p.Said, p.hubs, p.heard, p.addr, p.echo = self, said, m.Hubs, now, from, m.Seq
+	p.Self, p.Said, p.hubs, p.heard, p.addr, p.echo, p.got = self, said, m.Hubs, now, from, m.Seq, m.Echo
 	return self, g.sentAt(m.Echo), true
 }
 
