Permits: a request without one goes to an engine that needs none

After three questions in vain a request was refused, though an engine without a limit was free, and where all engines have limits it asked with no time to wait first. It now waits for a permit wherever all engines that are left need one, and after three questions goes to one that needs none. Measured: the test's request was refused before (e1 to e4 limited, e5 not), served now after three questions; tests of limits pass.

--- a/internal/dispatch/permit.go
+++ b/internal/dispatch/permit.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	// permitTries is how many engines a request asks a permit for: what is known of the others is old by then.
+	// permitTries is how many engines a request asks a permit for. After that it goes to one that needs none.
 	permitTries = 3
 
 	// permitShare is how long a request without a target waits for a permit, as a share of the time that its caller waits.
@@ -45,27 +45,28 @@
 	return choice, false
 }
 
-// takePermit takes a permit where the chosen engine needs one, or chooses another engine where none is free. It waits for one
-// only where all engines that are left have limits.
+// takePermit takes a permit where the chosen engine needs one, or chooses another engine where none is free. The request waits
+// for a permit only where all engines that are left need one.
 func (w *walk) takePermit(ctx context.Context, request placement.Request) *Refusal {
-	var left time.Duration
-	for try := 0; w.choice.Limited && w.d.permits != nil; try++ {
+	for try := 1; w.choice.Limited && w.d.permits != nil; try++ {
 		now := clock.Now()
-		longest := time.Duration(0)
-		if left = w.choice.Opens.Sub(now); left > 0 {
+		request.Unlimited = true
+		other, exempt := w.d.placement.Choose(now, request)
+		if exempt && try > permitTries {
+			w.choice = other
+			return nil
+		}
+		longest, left := time.Duration(0), w.choice.Opens.Sub(now)
+		if !exempt {
 			longest = w.bearsPermit(now)
 		}
-		if left > longest || try == permitTries {
+		if left > longest || try > permitTries {
 			return w.withoutPermit(left)
 		}
-		permit := w.d.permits.Take(ctx, now, w.choice.Engine.Hall, w.choice.Engine.ID, longest)
-		w.d.log.Info("permit", "request", w.req.ID, "engine", w.choice.Engine.ID, "issued", permit.Issued, "wait_ms", permit.Wait.Milliseconds(), "longest_ms", longest.Milliseconds(),
-			"rate", permit.Rate, "age_ms", permit.Age.Milliseconds())
-		if permit.Issued {
-			w.permitWait += permit.Wait
-			pause.For(ctx, permit.Wait)
+		if w.askPermit(ctx, now, longest) {
 			return w.mayStillSend(ctx)
 		}
+		request.Unlimited = false
 		now = clock.Now()
 		choice, ok := w.place(now, request)
 		if !ok {
@@ -76,6 +77,19 @@
 	return nil
 }
 
+// askPermit asks for a permit for the chosen engine, waits until it may be used, and reports whether it was issued.
+func (w *walk) askPermit(ctx context.Context, now time.Time, longest time.Duration) bool {
+	engine := w.choice.Engine
+	permit := w.d.permits.Take(ctx, now, engine.Hall, engine.ID, longest)
+	w.d.log.Info("permit", "request", w.req.ID, "engine", engine.ID, "issued", permit.Issued, "wait_ms", permit.Wait.Milliseconds(), "longest_ms", longest.Milliseconds(),
+		"rate", permit.Rate, "age_ms", permit.Age.Milliseconds())
+	if permit.Issued {
+		w.permitWait += permit.Wait
+		pause.For(ctx, permit.Wait)
+	}
+	return permit.Issued
+}
+
 // withoutPermit returns the refusal of a request for which no permit gets free before a time has passed.
 func (w *walk) withoutPermit(left time.Duration) *Refusal {
 	w.opens = left
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -32,6 +32,7 @@
 		Regions        []string // Regions is described at Bound.
 		Lowest         bool     // Lowest says that its pool serves no lower tier.
 		NeedRoom       bool     // NeedRoom says that an engine with a place free goes before all others.
+		Unlimited      bool     // Unlimited says that engines which have named a limit don't count.
 
 		tight bool // tight says that it is a stream which is kept from long prompts.
 	}
@@ -238,7 +239,7 @@
 		if rested := p.rested(now, e.ID); rested.After(at) {
 			at = rested
 		}
-		if now.Before(at) {
+		if now.Before(at) || limited && r.Unlimited {
 			if first.IsZero() || at.Before(first) {
 				first = at
 			}
