--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -26,9 +26,6 @@
 	// the time in which one of their requests ends.
 	fullReturn = 200 * time.Millisecond
 
-	// noLimit stands in the log for an answer that named no limit.
-	noLimit = -1
-
 	// stalled is how long a stream that may go on elsewhere waits for an event.
 	stalled = time.Second
 )
@@ -70,19 +67,8 @@
 // noteHead records what the head of an engine's answer tells.
 func (w *walk) noteHead(now time.Time, resp *Response) {
 	w.status = resp.Status
-	w.limit = noLimit
-	if resp.Limited {
-		w.limit = resp.Limit
-	}
-	if resp.Rest > 0 && !resp.Replaced {
-		w.d.log.Info("engine rests", "request", w.req.ID, "engine", w.choice.Engine.ID, "rest_ms", resp.Rest.Milliseconds(), "status", resp.Status, "not_run", resp.NotRun)
-		w.d.placement.Rest(now, w.choice.Engine.ID, resp.Rest)
-	}
-	if w.d.leavers != nil && resp.Leaving && !resp.Replaced {
-		w.d.leavers.Leaves(now, w.choice.Engine.ID)
-	}
-	if w.d.permits != nil && !resp.Replaced {
-		w.d.permits.Answered(now, w.sentAt, w.choice.Engine.ID, resp.Limit, resp.Limited)
+	if !resp.Replaced {
+		w.noteSaid(now, resp)
 	}
 	if !resp.NotRun {
 		w.headed = true
