Soak: nodes know of all halls

Cause, by the nodes' logs: nodes of the three halls had never heard each other ('nobody heard', three issuers of its permits), since the soak's settings did not name the halls, by which nodes look for each other since the register has a part for each. The product's own template names them.

--- a/lab/soak/node.go
+++ b/lab/soak/node.go
@@ -38,8 +38,12 @@
 	if n.callers, err = relay.New(n.front, relayDelay); err != nil {
 		return fmt.Errorf("relay to node: %w", err)
 	}
+	regions := map[string]string{}
+	for h := range halls {
+		regions[hallOf(h)] = "r"
+	}
 	text, err := json.Marshal(map[string]any{
-		"instance": n.name, "hall": hallOf(i), "region": "r", "caller_address": n.front, "directory_address": n.directory,
+		"instance": n.name, "hall": hallOf(i), "region": "r", "hall_regions": regions, "caller_address": n.front, "directory_address": n.directory,
 		"ready_address": ready, "peer_address": n.peer, "admin_address": admin, "platform_addresses": []string{n.store.Address()},
 		"revoke_within_ms": 5000, "stop_grace_ms": stopGrace.Milliseconds(), "retry_share": 0.2, "retry_extra": 50, "memory_mb": 200, "trace_share": 0,
 	})
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -14,7 +14,7 @@
 // failed are added to failedSeeds, with a line on the cause.
 var (
 	seedsInCI   = []uint64{1, 2}
-	failedSeeds = []uint64{}
+	failedSeeds = []uint64{63} // Nodes of different halls did not know each other: their settings named no halls.
 )
 
 // fromEnv returns a number of the environment, or a usual one.
