Placement: engines that are held back add nothing to what a pool can take

Engines that have named a limit or asked for rest counted as engines that read, and with all their places: tiers gave way too late, and a pool that was short looked as if it had room.

--- a/internal/dispatch/tiers.go
+++ b/internal/dispatch/tiers.go
@@ -189,7 +189,7 @@
 		highest = false
 	}
 	if !highest {
-		giveWay = max(giveWay, beyondReading(all, lineTier(tier), known.Engines))
+		giveWay = max(giveWay, beyondReading(all, lineTier(tier), known.Free))
 	}
 	return highest, giveWay
 }
--- a/internal/placement/export_test.go
+++ b/internal/placement/export_test.go
@@ -40,7 +40,7 @@
 	defer p.mu.Unlock()
 	known := p.pool(r.Pool)
 	known.learnUsual(now)
-	known.survey(now, p.unheard(now))
+	known.survey(now, p.unheard(now), p.heldBack)
 	r.tight = known.tight(r)
 	least := math.Inf(1)
 	for rank, e := range new(ranking).order(known.engines, r.Prompt.Session()) {
--- /dev/null
+++ b/internal/placement/held_test.go
@@ -0,0 +1,49 @@
+package placement_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/croftturn/croftturn/internal/placement"
+)
+
+// TestEnginesThatAreHeldBackAddNoPlaces holds that engines that have named a limit or asked for rest don't count among what a
+// pool can take: neither as engines that read, nor by their places.
+func TestEnginesThatAreHeldBackAddNoPlaces(t *testing.T) {
+	const engines, slots = 6, 10
+	for _, test := range []struct {
+		name                 string
+		limited, resting     int
+		busy                 int // busy is how many requests each other engine has.
+		free                 int
+		scarce, lastOfPlaces bool
+	}{
+		{"none", 0, 0, 2, 6, false, false},
+		{"two limited", 2, 0, 7, 4, true, false},
+		{"two resting", 0, 2, 8, 4, true, true},
+		{"all but one", 3, 2, 2, 1, false, false},
+	} {
+		o := opening{}
+		p := placement.New("h", placement.WithLimits(o))
+		now := start
+		loads := map[string]placement.Load{}
+		for i := range engines {
+			id := fmt.Sprint("e", i)
+			p.Set(placement.Engine{ID: id, Pool: "p", Hall: "h", Slots: slots})
+			switch {
+			case i < test.limited:
+				o[id] = now.Add(time.Minute)
+			case i < test.limited+test.resting:
+				p.Rest(now, id, time.Minute)
+			default:
+				loads[id] = placement.Load{InFlight: test.busy}
+			}
+		}
+		p.Peer(now, "peer", 0, loads, nil)
+		c, ok := p.Choose(now, placement.Request{Pool: "p"})
+		if !ok || c.Engines != engines || c.Free != test.free || c.Scarce != test.scarce || c.Last != test.lastOfPlaces {
+			t.Errorf("%s: %+v", test.name, c)
+		}
+	}
+}
--- a/internal/placement/limit.go
+++ b/internal/placement/limit.go
@@ -40,6 +40,13 @@
 		return Choice{}, false
 	}
 	choice = p.weigh(now, known, first, r, max(0, first.order-known.gather), 0)
-	choice.Limited, choice.Opens, choice.Engines = true, opens, len(known.engines)
+	choice.Limited, choice.Opens, choice.Engines, choice.Free = true, opens, len(known.engines), known.free
 	return choice, true
 }
+
+// heldBack reports whether an engine takes few requests or none, since it has named a limit or asked for rest. The caller holds
+// the lock.
+func (p *Placement) heldBack(now time.Time, e *engine) bool {
+	_, limited := p.limits.Opens(e.ID)
+	return limited || now.Before(p.rested(now, e.ID))
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -54,6 +54,7 @@
 		Opens   time.Time // Opens is when a permit for it is expected to be free; zero or past if there is one. Where no engine was chosen, it is when one may be.
 
 		Engines int // Engines is how many engines of the pool take new work.
+		Free    int // Free is how many of these are not held back by a limit or by rest.
 	}
 
 	// Use tells that an engine has read parts of a prompt.
@@ -224,7 +225,7 @@
 	defer p.mu.Unlock()
 	known := p.pool(r.Pool)
 	known.learnUsual(now)
-	known.survey(now, p.unheard(now))
+	known.survey(now, p.unheard(now), p.heldBack)
 	r.tight = known.tight(r)
 	var first time.Time // first is when the first engine may be sent to that may not be now.
 	best := math.Inf(1)
@@ -251,7 +252,7 @@
 			best, choice, ok = c.Cost, c, true
 		}
 	}
-	choice.Engines = len(known.engines)
+	choice.Engines, choice.Free = len(known.engines), known.free
 	if !ok {
 		choice.Opens = first
 	}
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -41,6 +41,7 @@
 	coldLimit float64 // coldLimit is how many requests a cold engine bears in a second; 0 for any number.
 	blind     bool    // blind says that nodes were not heard which may have begun work.
 	taken     float64 // taken is the share of the pool's places that is taken, as far as is known.
+	free      int     // free is how many engines are not held back by a limit or by rest.
 	usualAt   time.Time
 	usualRead float64 // usualRead is the median rate, in tokens a millisecond.
 	usualPace float64 // usualPace is the median pace, at least 1.
@@ -92,13 +93,18 @@
 // engines streams gather: enough for those that run and one more, and for the prompts that
 // they bring. They are spread over these, so that nodes which do not see each other's last
 // requests do not all choose one. Nodes that have not been heard are taken to have as many as this one, and to
-// add to them when it does.
-func (p *pool) survey(now time.Time, unheard int) {
+// add to them when it does. The places of engines that are held back don't count.
+func (p *pool) survey(now time.Time, unheard int, heldBack func(now time.Time, e *engine) bool) {
 	streams, own, requests, places, most := 0, 1, 0, 0, streamsEach
+	p.free = 0
 	for _, e := range p.engines {
 		load := e.load(now)
 		streams += load.Streams
 		own += e.own.Streams
+		if heldBack(now, e) {
+			continue
+		}
+		p.free++
 		if e.Slots > 0 {
 			requests += load.InFlight
 			places += e.Slots
