Rest: a request that was on its way when an engine asked for rest does not end it

Such a request counted as the one that is tried after the rest: where the engine took it, the rest was forgotten and the node sent on. Found by reading. The new case of TestRests failed before (the engine was chosen 10 ms before the rest's end).

--- a/internal/placement/call.go
+++ b/internal/placement/call.go
@@ -62,7 +62,7 @@
 		e.calls = map[*Call]bool{}
 	}
 	e.calls[call] = true
-	p.noteTrial(call)
+	p.noteTrial(now, call)
 	p.noteCold(now, p.knownPool(r.Pool), e)
 	if c.Unread > 0 {
 		p.noteWork(r, float64(c.Unread)/c.Read)
--- a/internal/placement/rest.go
+++ b/internal/placement/rest.go
@@ -73,8 +73,8 @@
 }
 
 // noteTrial records a request to an engine whose rest is over. The caller holds the lock.
-func (p *Placement) noteTrial(c *Call) {
-	if r := p.rests[c.engine.ID]; r != nil && r.trial == nil {
+func (p *Placement) noteTrial(now time.Time, c *Call) {
+	if r := p.rests[c.engine.ID]; r != nil && r.trial == nil && !now.Before(r.until) {
 		r.trial = c
 	}
 }
--- a/internal/placement/rest_test.go
+++ b/internal/placement/rest_test.go
@@ -35,6 +35,9 @@
 			again.Born = 2
 			p.Set(again)
 		}, 100, true},
+		{"one that was on its way is taken", func(p *placement.Placement) {
+			p.Start(after(10), placement.Choice{Engine: engine}, r).Began(after(20))
+		}, 990, false},
 		{"one is tried", func(p *placement.Placement) { send(p, after(1210)) }, 1220, false},
 		{"it has taken it", func(p *placement.Placement) { send(p, after(1210)).Began(after(1220)) }, 1230, true},
 		{"it has turned it away", func(p *placement.Placement) {
