Leaving: an answer of an engine's former life does not count for the present one

The answer to a request that was sent to a former incarnation marked whichever was present as leaving, for good. Found by reading; the answer now counts for the incarnation that the request was sent to. The new case of TestWhatAnAnswerSaysOfLeaving did not compile before.

--- a/internal/discovery/leaving.go
+++ b/internal/discovery/leaving.go
@@ -13,14 +13,12 @@
 	Age    time.Duration `cbor:"-"` // Age is how long ago the sender learned it; it is not sent.
 }
 
-// Leaves takes that an engine said in an answer that it leaves: it gets no new work until it has started again, whatever its
-// entry says.
-func (d *Discovery) Leaves(now time.Time, id string) {
+// Leaves takes that an incarnation of an engine said in an answer that it leaves: it gets no new work, whatever its entry says,
+// until the engine has started again.
+func (d *Discovery) Leaves(now time.Time, id string, born int64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if known, ok := d.known[id]; ok {
-		d.leaves(now, id, known.born, "answer")
-	}
+	d.leaves(now, id, born, "answer")
 }
 
 // leaves takes that an incarnation of an engine leaves. The caller holds the lock.
--- a/internal/discovery/leaving_test.go
+++ b/internal/discovery/leaving_test.go
@@ -19,23 +19,27 @@
 		works bool // works says that the engine gets work then.
 	}{
 		{"nothing", func(*discovery.Discovery) {}, true},
-		{"it leaves", func(d *discovery.Discovery) { d.Leaves(start, "a") }, false},
+		{"it leaves", func(d *discovery.Discovery) { d.Leaves(start, "a", 1) }, false},
 		{"its entry is renewed", func(d *discovery.Discovery) {
-			d.Leaves(start, "a")
+			d.Leaves(start, "a", 1)
 			d.Take(start, []feed.Row{bornEntry("a", 1, false, 2)})
 		}, false},
 		{"its entry goes and comes", func(d *discovery.Discovery) {
-			d.Leaves(start, "a")
+			d.Leaves(start, "a", 1)
 			d.Take(start, []feed.Row{gone})
 			d.Take(start, []feed.Row{bornEntry("a", 1, false, 3)})
 		}, false},
 		{"it starts again", func(d *discovery.Discovery) {
-			d.Leaves(start, "a")
+			d.Leaves(start, "a", 1)
 			d.Take(start, []feed.Row{bornEntry("a", 2, false, 2)})
 		}, true},
+		{"an answer of its former life", func(d *discovery.Discovery) {
+			d.Take(start, []feed.Row{bornEntry("a", 2, false, 2)})
+			d.Leaves(start, "a", 1)
+		}, true},
 		{"a peer's word", func(d *discovery.Discovery) { d.HearLeaving(start, told(1)) }, false},
 		{"a peer's word of a former life", func(d *discovery.Discovery) { d.HearLeaving(start, told(7)) }, true},
-		{"a word of an engine that is not known", func(d *discovery.Discovery) { d.Leaves(start, "b") }, true},
+		{"a word of an engine that is not known", func(d *discovery.Discovery) { d.Leaves(start, "b", 1) }, true},
 	} {
 		got := lives{}
 		d := discovery.New(decodeBorn, got, 2*time.Second, quiet)
@@ -58,7 +62,7 @@
 	for i := range many {
 		id := fmt.Sprint("e", i)
 		d.Take(start, []feed.Row{bornEntry(id, 1, false, int64(i))})
-		d.Leaves(start.Add(time.Duration(i)*time.Second), id)
+		d.Leaves(start.Add(time.Duration(i)*time.Second), id, 1)
 	}
 	if list := d.TellLeaving(start.Add(many*time.Second), 2*time.Second); len(list) != 64 || list[0].Engine != "e199" {
 		t.Errorf("%d engines are told of, first %v", len(list), list[0])
--- a/internal/dispatch/said.go
+++ b/internal/dispatch/said.go
@@ -7,8 +7,8 @@
 
 // Leavers takes which engines leave.
 type Leavers interface {
-	// Leaves takes that an engine said in an answer that it leaves.
-	Leaves(now time.Time, engine string)
+	// Leaves takes that an incarnation of an engine said in an answer that it leaves.
+	Leaves(now time.Time, engine string, born int64)
 }
 
 // WithLeavers has a dispatcher tell which engines say that they leave.
@@ -28,7 +28,7 @@
 		w.d.placement.Rest(now, engine, resp.Rest)
 	}
 	if w.d.leavers != nil && resp.Leaving {
-		w.d.leavers.Leaves(now, engine)
+		w.d.leavers.Leaves(now, engine, w.choice.Engine.Born)
 	}
 	if w.d.permits != nil {
 		w.d.permits.Answered(now, w.sentAt, engine, resp.Limit, resp.Limited)
