One way to find the first hub for a key; one check of spans that overlap

The issuer of an engine's permits and the node that tries a held request again are both the first of some hubs by rendezvous hashing, written twice; the soak's ledger had a twin of its check whether a fault lies in a span. No change of what is promised: which of the hubs issues is another one, by the same hashing. Tests of limits and of held requests in internal/edge and of the ledger pass.

--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -2,11 +2,8 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/croftturn/croftturn/internal/dispatch"
 	"github.com/croftturn/croftturn/internal/gossip"
 	"github.com/croftturn/croftturn/internal/quarantine"
@@ -86,9 +83,8 @@
 }
 
 // triesHeld reports whether this node is the one of those that take callers to try a request again that is
-// held: the first by a hash of both. Two nodes that see other peers may both be.
+// held. Two nodes that see other peers may both be.
 func (e *Edge) triesHeld(now time.Time, f quarantine.Fingerprint) bool {
-	rank := func(name string) uint64 { return xxhash.Sum64String(f.String() + name) }
-	own := rank(e.settings.Instance)
-	return e.gossip.Hub() && !slices.ContainsFunc(e.gossip.Hubs(now), func(p gossip.Peer) bool { return p.Said.Ready && rank(p.Name) < own })
+	_, self, _ := e.firstHub(now, f.String(), e.gossip.Hub(), func(p gossip.Peer) bool { return p.Said.Ready })
+	return self
 }
--- a/lab/soak/ledger.go
+++ b/lab/soak/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 )
@@ -224,10 +225,10 @@
 
 // calm reports whether nodes and store were without fault in a span.
 func (l *Ledger) calm(from, to time.Time) bool {
-	for _, f := range l.faults {
-		if f.from.Before(to) && f.to.After(from) {
-			return false
-		}
-	}
-	return true
+	return !overlaps(l.faults, from, to)
+}
+
+// overlaps reports whether one of some spans overlaps another.
+func overlaps(spans []span, from, to time.Time) bool {
+	return slices.ContainsFunc(spans, func(s span) bool { return s.from.Before(to) && s.to.After(from) })
 }
--- a/lab/soak/ledger_say.go
+++ b/lab/soak/ledger_say.go
@@ -76,12 +76,7 @@
 
 // wasAway reports whether a node or the way to an engine was at fault in a span.
 func (l *Ledger) wasAway(name string, from, to time.Time) bool {
-	for _, f := range l.aways[name] {
-		if f.from.Before(to) && f.to.After(from) {
-			return true
-		}
-	}
-	return false
+	return overlaps(l.aways[name], from, to)
 }
 
 // unheard returns where engines got what they had said that they don't take.
