--- a/internal/dispatch/permit_test.go
+++ b/internal/dispatch/permit_test.go
@@ -19,6 +19,8 @@
 	return time.Time{}, slices.Contains(l, engine)
 }
 
+func (l limits) Len() int64 { return int64(len(l)) }
+
 // permits issues some permits, and no more.
 type permits struct {
 	left int
--- a/internal/placement/limit.go
+++ b/internal/placement/limit.go
@@ -7,6 +7,9 @@
 	Limits interface {
 		// Opens reports whether an engine has, and when a permit to send a request there is expected to be free.
 		Opens(engine string) (at time.Time, limited bool)
+
+		// Len returns how many have.
+		Len() int64
 	}
 
 	// noLimits are the limits of no engine.
@@ -16,6 +19,9 @@
 // Opens returns none.
 func (noLimits) Opens(string) (time.Time, bool) { return time.Time{}, false }
 
+// Len returns 0.
+func (noLimits) Len() int64 { return 0 }
+
 // WithLimits tells a placement of the limits of engines.
 func WithLimits(l Limits) Option {
 	return func(p *Placement) { p.limits = l }
@@ -47,6 +53,9 @@
 // heldBack reports whether an engine takes few requests or none, since it has named a limit or asked for rest. The caller holds
 // the lock.
 func (p *Placement) heldBack(now time.Time, e *engine) bool {
+	if len(p.rests) == 0 && p.limits.Len() == 0 {
+		return false
+	}
 	_, limited := p.limits.Opens(e.ID)
 	return limited || now.Before(p.rested(now, e.ID))
 }
--- a/internal/placement/many_test.go
+++ b/internal/placement/many_test.go
@@ -16,6 +16,8 @@
 	return at, ok
 }
 
+func (o opening) Len() int64 { return int64(len(o)) }
+
 // BenchmarkChooseAmongMany measures a decision among the engines of a large fleet, where none is held back, and where a tenth is
 // cold, has named a limit, or rests.
 func BenchmarkChooseAmongMany(b *testing.B) {
