Dispatch: request ended says whether the answer ended with its connection

Nothing in the logs told an answer with a length or chunks from one that ends with its connection, so a broken-off answer and a complete one looked alike. Response.Unframed carries it and the line has it as unframed.

--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -68,7 +68,7 @@
 
 // recordHead records what the head of an answer says.
 func (x *exchange) recordHead(now time.Time, resp *Response) {
-	x.status = resp.Status
+	x.status, x.unframed = resp.Status, resp.Unframed
 	if !resp.Replaced {
 		x.recordSignals(now, resp)
 	}
--- a/internal/dispatch/walk.go
+++ b/internal/dispatch/walk.go
@@ -63,6 +63,7 @@
 	call          *placement.Call
 	refusal       Refusal
 	status        int
+	unframed      bool          // unframed is set if the latest answer ends with its connection
 	engineLimit   float64       // engineLimit is the rate limit in the latest answer, in requests per second; -1 for none
 	sendBefore    time.Time     // sendBefore is until when the request may be sent to the current engine; zero unless the engine leaves
 	leavingFor    time.Duration // leavingFor is how long before the end of its use the current engine, which leaves, got the request; 0 for others
@@ -348,7 +349,7 @@
 func (x *exchange) recordEnd(now time.Time) {
 	outcome := x.outcome()
 	x.overloadLog().Info("request ended", "request", x.req.ID, "route", x.route.Name, "team", x.teamName(), "urgency", routing.Urgency(x.route, x.team), "pool", x.pool,
-		"outcome", outcome, "status", x.status, "engine", x.choice.Engine.ID, "sent", x.sent, "unsent", x.unreachable,
+		"outcome", outcome, "status", x.status, "unframed", x.unframed, "engine", x.choice.Engine.ID, "sent", x.sent, "unsent", x.unreachable,
 		"cost_ms", int(x.choice.Cost), "wait_ms", int(x.choice.Wait), "held_ms", x.queuedFor.Milliseconds(), "give_way", math.Round(100*x.shedShare)/100, "prompt_tokens", x.req.Prompt.Tokens, "session", x.req.Prompt.Session(), "unread_tokens", x.choice.PrefillTokens,
 		"ahead_tokens", x.choice.QueuedTokens, "read_rate", math.Round(10*x.choice.PrefillRate)/10, "tight", x.choice.GapSensitive, "slowdown", math.Round(100*x.slowdown)/100, "leaving_ms", x.leavingFor.Milliseconds(), "transfer_tokens", x.choice.TransferTokens, "transfer_from", x.choice.TransferFrom,
 		"first_ms", x.firstByte.Milliseconds(), "gap_ms", x.maxGap.Milliseconds(), "total_ms", now.Sub(x.arrived).Milliseconds(), "patience_ms", x.deadline.Sub(x.arrived).Milliseconds(),
