--- a/internal/front/service_test.go
+++ b/internal/front/service_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 )
 
@@ -25,3 +26,26 @@
 		t.Errorf("request %v, answer %v", got, resp.Header)
 	}
 }
+
+func TestUnframedServiceStreamCutInsideAnEventNeverLooksComplete(t *testing.T) {
+	for body, whole := range map[string]bool{"data: x\n\n": true, "data: x\n\ndata: y\n": false, "": false} {
+		r := newTestServer(t, func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, err := w.(http.Hijacker).Hijack()
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer conn.Close()
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n%s", body)
+		})
+		req, err := http.NewRequest(http.MethodPost, r.url+"/services/bids/x", strings.NewReader("b"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Header.Set("Authorization", "Bearer "+token)
+		resp, got, err := r.do(t, req)
+		if complete := resp.StatusCode == http.StatusOK && err == nil; complete != whole || whole && got != body {
+			t.Errorf("%q: complete %v (status %d, %v)", body, complete, resp.StatusCode, err)
+		}
+	}
+}
