Soak: engines answer with every frame, and cut streams inside an event

Engines answered in chunks alone, so an answer that ends with its connection was never seen. They now answer by turns in chunks, with a trailer, with a length and Connection: close, with neither, and as HTTP/1.0; a cut is inside an event and, without a frame, ends the connection in order.

--- a/lab/soak/engine.go
+++ b/lab/soak/engine.go
@@ -24,7 +24,7 @@
 	modeFull           // modeFull rejects the request as not executed.
 	modeDropConnection // modeDropConnection runs the request and closes its connection.
 	modeNoResponse     // modeNoResponse runs the request and never responds.
-	modeTruncateStream // modeTruncateStream aborts a stream after its first event.
+	modeTruncateStream // modeTruncateStream cuts a stream off inside its second event.
 	modeCount          // modeCount is the number of modes.
 )
 
@@ -162,17 +162,28 @@
 func (e *engine) answer(w http.ResponseWriter, r *http.Request, id string, mode int) {
 	route := strings.Split(r.URL.Path, "/")[1]
 	if route != routeStream && route != routeResumable {
-		fmt.Fprint(w, expectedBody(route, id))
+		body := expectedBody(route, id)
+		frameOf(id).set(w, r, len(body))
+		fmt.Fprint(w, body)
 		return
 	}
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	w.Header().Set("Content-Type", "text/event-stream")
+	length := 0
 	for n := after + 1; n <= events(id); n++ {
-		fmt.Fprint(w, event(id, n))
-		w.(http.Flusher).Flush()
-		if mode == modeTruncateStream {
-			panic(http.ErrAbortHandler)
+		length += len(event(id, n))
+	}
+	f := frameOf(id)
+	f.set(w, r, length)
+	for n := after + 1; n <= events(id); n++ {
+		text := event(id, n)
+		if mode == modeTruncateStream && n > after+1 {
+			fmt.Fprint(w, text[:len(text)/2])
+			f.cut()
+			return
 		}
+		fmt.Fprint(w, text)
+		w.(http.Flusher).Flush()
 		select {
 		case <-r.Context().Done():
 			return
