Reach: nodes see that they have lost their way to all engines of a pool

Nothing in logs or metrics told a node that is cut off from a pool from a pool whose engines are gone, or refused connections from open ones that died. reach.Monitor follows what requests hear of engines; a failed connection, a broken one or half a second without any sign has it probe one engine of the pool, then two more. The line way to engines changed and the gauge pools_unreachable tell the result; nothing is decided by it yet.

The options of connections move to internal/dial, and engine_source_ip sets the address that connections to engines come from, so that tests and the soak can tell the nodes of one machine apart.

--- /dev/null
+++ b/internal/dial/dial.go
@@ -0,0 +1,58 @@
+// Package dial opens TCP connections that notice within seconds that nothing arrives at the other end
+// any more.
+package dial
+
+import (
+	"net"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// unackedTimeout closes a connection whose peer acknowledges nothing. A machine without power
+	// sends nothing, and the kernel's default is to retry for minutes.
+	unackedTimeout = 2 * time.Second
+
+	// keepAliveIdle, keepAliveInterval and keepAliveProbes close an idle connection whose peer is
+	// gone after about two and a half seconds.
+	keepAliveIdle     = time.Second
+	keepAliveInterval = 500 * time.Millisecond
+	keepAliveProbes   = 3
+)
+
+// Option configures a dialer.
+type Option func(*net.Dialer)
+
+// WithSource makes connections come from an IP address of this machine; an empty one leaves the choice
+// to the kernel.
+func WithSource(ip string) Option {
+	return func(d *net.Dialer) {
+		if parsed := net.ParseIP(ip); parsed != nil {
+			d.LocalAddr = &net.TCPAddr{IP: parsed}
+		}
+	}
+}
+
+// New returns a dialer whose connections detect a dead peer; timeout bounds the time to connect.
+func New(timeout time.Duration, options ...Option) *net.Dialer {
+	d := &net.Dialer{
+		Timeout:         timeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveProbes},
+		Control: func(_, _ string, c syscall.RawConn) error {
+			var sockoptErr error
+			err := c.Control(func(fd uintptr) {
+				sockoptErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
+			})
+			if err != nil {
+				return err
+			}
+			return sockoptErr
+		},
+	}
+	for _, option := range options {
+		option(d)
+	}
+	return d
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -14,6 +14,7 @@
 	"github.com/croftturn/croftturn/internal/freshness"
 	"github.com/croftturn/croftturn/internal/placement"
 	"github.com/croftturn/croftturn/internal/quarantine"
+	"github.com/croftturn/croftturn/internal/reach"
 	"github.com/croftturn/croftturn/internal/retry"
 	"github.com/croftturn/croftturn/internal/routing"
 )
@@ -64,7 +65,8 @@
 		quarantine    *quarantine.Quarantine // quarantine is nil if requests that crash engines are not tracked.
 		leaveObserver LeaveObserver          // leaveObserver is nil if engines do not announce that they leave.
 		relay         relayBuffers
-		permits       Permits // permits is nil if engines declare no rate limits.
+		permits       Permits        // permits is nil if engines declare no rate limits.
+		reach         *reach.Monitor // reach is nil if the way to engines is not watched.
 
 		overloadObserver OverloadObserver // overloadObserver is nil if refusals for overload are not counted.
 		leavingObserver  LeavingObserver  // leavingObserver is nil if requests to leaving engines are not counted.
@@ -171,6 +173,7 @@
 		d: d, req: r, route: route, team: team, answer: a, arrived: arrived, deadline: arrived.Add(patience(r, route)),
 		pool: route.ChoosePool(r.ID), tried: map[string]bool{}, lastEventID: r.LastEventID, engineLimit: noLimit,
 	}
+	x.reach = d.reachOf(x.pool)
 	x.fingerprint = fingerprintOf(r, x.teamName())
 	defer x.hold(len(r.Body))()
 	x.left = ctx.Done()
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -87,6 +87,10 @@
 // recordHead records what the head of an answer says.
 func (x *exchange) recordHead(now time.Time, resp *Response) {
 	x.status, x.unframed = resp.Status, resp.Unframed
+	x.noteHeard(now)
+	if !resp.Reused && x.reach != nil {
+		x.reach.Connected(now)
+	}
 	if !resp.Replaced {
 		x.recordSignals(now, resp)
 	}
@@ -293,6 +297,7 @@
 	x.call.End(now, x.bodyErrorOutcome(now))
 	if !x.gaveUp(now) {
 		x.noteConnectionLost(ctx, now)
+		x.noteUnheard(ctx, now, true)
 		x.leftEarly(ctx, false)
 	}
 	x.recordFailure(ctx, now, err)
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -67,6 +67,7 @@
 		Limited  bool          // Limited is set if the engine declared a rate limit.
 		Limit    float64       // Limit is the number of requests per second that the engine accepts from all nodes together.
 		Length   int64         // Length of the body; -1 if unknown.
+		Reused   bool          // Reused is set if the connection had served another request before.
 		Unframed bool          // Unframed is set if the body has neither a length nor chunks, so that it ends with its connection.
 		Body     io.ReadCloser
 	}
--- a/internal/dispatch/walk.go
+++ b/internal/dispatch/walk.go
@@ -12,6 +12,7 @@
 	"github.com/croftturn/croftturn/internal/overload"
 	"github.com/croftturn/croftturn/internal/placement"
 	"github.com/croftturn/croftturn/internal/quarantine"
+	"github.com/croftturn/croftturn/internal/reach"
 	"github.com/croftturn/croftturn/internal/relaybuf"
 	"github.com/croftturn/croftturn/internal/routing"
 )
@@ -33,6 +34,7 @@
 	arrived  time.Time
 	deadline time.Time
 	pool     string
+	reach    *reach.Pool // reach is what this node knows of its way to the pool's engines; nil if it is not watched
 
 	left  <-chan struct{}         // left is closed when the caller leaves
 	ended <-chan struct{}         // ended is closed when the request ends, at the latest at its deadline
@@ -151,9 +153,10 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	x.watchRestart(ctx, cancel)
-	watch := x.watchFirstByte(cancel)
+	watch, silence := x.watchFirstByte(cancel), x.watchSilence(now)
 	resp, err := x.d.sender.Send(ctx, x.req, x.attemptFor(now, x.choice.Engine))
 	watch.Stop()
+	silence.Stop()
 	if err != nil {
 		return x.handleSendError(ctx, err)
 	}
@@ -290,6 +293,9 @@
 		x.noteConnectionLost(ctx, now)
 	}
 	x.leftEarly(ctx, errors.Is(err, ErrNotSent))
+	if !errors.Is(err, ErrMismatchedResponse) {
+		x.noteUnheard(ctx, now, !errors.Is(err, ErrNotSent))
+	}
 	if errors.Is(err, ErrNotSent) {
 		x.unreachable++
 		x.d.log.Warn("engine unreachable", "request", x.req.ID, "engine", x.choice.Engine.ID, "error", err.Error(), "tries", x.unreachable)
@@ -343,6 +349,7 @@
 		x.firstEventAt = now
 	}
 	x.call.Received(now)
+	x.noteHeard(now)
 }
 
 // recordEnd records how the request ended.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -34,6 +34,7 @@
 	"github.com/croftturn/croftturn/internal/peer"
 	"github.com/croftturn/croftturn/internal/placement"
 	"github.com/croftturn/croftturn/internal/quarantine"
+	"github.com/croftturn/croftturn/internal/reach"
 	"github.com/croftturn/croftturn/internal/register"
 	"github.com/croftturn/croftturn/internal/relaybuf"
 	"github.com/croftturn/croftturn/internal/retry"
@@ -106,6 +107,7 @@
 	gossip        *gossip.Gossip
 	dispatcher    *dispatch.Dispatcher
 	egress        *platform.Egress
+	reach         *reach.Monitor
 	cacheEvents   *platform.CacheEvents
 	cacheWatcher  *cachewatch.Watcher
 	store         *platform.Store
@@ -191,7 +193,8 @@
 		return fmt.Errorf("create metrics: %w", err)
 	}
 	e.budget = retry.New(now, retryLimits(s), e.nodeCount)
-	e.egress = platform.NewEgress()
+	e.egress = platform.NewEgress(platform.WithSourceIP(s.EngineSourceIp))
+	e.reach = reach.New(e.placement, e.egress, e.wayChanged, e.log)
 	observer, err := newCacheMetrics(e.tele.Meter)
 	if err != nil {
 		return err
@@ -202,7 +205,7 @@
 	e.peerClient = peer.NewClient(e.traffic, peer.WithIdleTimeout(feed.PullIdleTimeout))
 	e.discovery = discovery.New(platform.DecodeEngine, engineSink{e.placement, e.egress, e.limits, e.cacheWatcher}, ms(s.EngineDrainMs), e.log, discovery.WithSpotNotice(ms(s.SpotNoticeMs)))
 	e.permits = limit.NewPermits(e.limits, e.peerClient, e.permitIssuer, e.gossip.ReachableShare, e.log)
-	e.dispatcher = dispatch.New(e.proof, e.placement, e.budget, e.egress, e.metrics, e.log, dispatch.WithProber(e.egress), dispatch.WithQuarantine(e.quarantine), dispatch.WithLeaveObserver(e.discovery), dispatch.WithPermits(e.permits), dispatch.WithInteractiveTarget(ms(s.InteractiveTargetMs)), dispatch.WithOverloadObserver(e.metrics), dispatch.WithLeavingObserver(e.metrics), e.relayBuffers())
+	e.dispatcher = dispatch.New(e.proof, e.placement, e.budget, e.egress, e.metrics, e.log, dispatch.WithProber(e.egress), dispatch.WithQuarantine(e.quarantine), dispatch.WithLeaveObserver(e.discovery), dispatch.WithPermits(e.permits), dispatch.WithReach(e.reach), dispatch.WithInteractiveTarget(ms(s.InteractiveTargetMs)), dispatch.WithOverloadObserver(e.metrics), dispatch.WithLeavingObserver(e.metrics), e.relayBuffers())
 	e.store = platform.NewStore(s.PlatformAddresses, platform.StoreTimeout)
 	e.register = register.New(now, e.store, self, slices.Collect(maps.Keys(s.HallRegions)), s.FirstStart, e.gossip, e.log)
 	e.configTable = feed.NewTable(platform.TableConfig, e.applyConfig)
@@ -340,6 +343,7 @@
 	errs = append(errs, e.follower.Close(), e.peerServer.Close())
 	e.peerClient.Close()
 	e.wg.Wait()
+	e.reach.Close()
 	e.egress.Close()
 	e.cacheEvents.Close()
 	e.store.Close()
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -23,6 +23,7 @@
 	refused metric.Int64Counter // refused counts refusals of interactive pools by reason.
 	second  metric.Int64Counter // second counts requests of interactive pools that went to a second choice.
 	leaving metric.Int64Counter // leaving counts requests of interactive pools to leaving engines.
+	ways    metric.Int64Counter // ways counts how often the way to the engines of a pool was lost or found again.
 	usage   *usage.Counter      // usage is nil where the platform does not ask for usage reports.
 	first   metric.Float64Histogram
 	total   metric.Float64Histogram
@@ -31,7 +32,7 @@
 // newMetrics registers the instruments of a node.
 func newMetrics(e *Edge) (*metrics, error) {
 	m := &metrics{}
-	var errs [12]error
+	var errs [13]error
 	meter := e.tele.Meter
 	m.ended, errs[0] = meter.Int64Counter("croftturn.edge.requests")
 	m.retried, errs[1] = meter.Int64Counter("croftturn.edge.retries")
@@ -41,6 +42,7 @@
 	m.refused, errs[9] = meter.Int64Counter("croftturn.edge.overload_refusals")
 	m.second, errs[10] = meter.Int64Counter("croftturn.edge.second_choices")
 	m.leaving, errs[11] = meter.Int64Counter("croftturn.edge.leaving_requests")
+	m.ways, errs[12] = meter.Int64Counter("croftturn.edge.ways_changed", metric.WithDescription("times that the way to all engines of a pool was lost, or was there again"))
 	errs[4] = e.tele.RegisterGauges(
 		telemetry.Gauge{Name: "croftturn.edge.active", Help: "requests being served", Read: func() int64 { return int64(e.dispatcher.Active()) }},
 		telemetry.Gauge{Name: "croftturn.edge.engine_connections_opened", Help: "connections opened to engines", Read: func() int64 { return e.egress.ConnectionsOpened() }},
@@ -53,6 +55,7 @@
 		telemetry.Gauge{Name: "croftturn.edge.requests_held", Help: "requests that get no engine, since engines ended under them", Read: func() int64 { return e.quarantine.Len() }},
 		telemetry.Gauge{Name: "croftturn.edge.engines_limited", Help: "engines that have named a limit of requests", Read: func() int64 { return e.limits.Len() }},
 		telemetry.Gauge{Name: "croftturn.edge.engines_resting", Help: "engines that asked this node for rest", Read: func() int64 { return int64(e.placement.BackingOff(clock.Now())) }},
+		telemetry.Gauge{Name: "croftturn.edge.pools_unreachable", Help: "pools of whose engines this node reaches none", Read: func() int64 { return int64(len(e.reach.Unreachable())) }},
 		telemetry.Gauge{Name: "croftturn.edge.cache_parts_not_told", Help: "forgotten prompt parts that did not fit into messages to peers", Read: func() int64 { return e.gossip.EvictionsLeftOut() }},
 		telemetry.Gauge{Name: "croftturn.edge.load_updates_sent", Help: "updates of the load at engines sent to peers between messages", Read: func() int64 { sent, _ := e.gossip.LoadUpdates(); return sent }},
 		telemetry.Gauge{Name: "croftturn.edge.load_updates_received", Help: "updates of the load at engines received from peers", Read: func() int64 { _, received := e.gossip.LoadUpdates(); return received }},
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -63,6 +63,10 @@
 	// new requests, in milliseconds.
 	EngineDrainMs int `json:"engine_drain_ms,omitempty,omitzero"`
 
+	// EngineSourceIp is the IP address of this machine from which connections to
+	// engines are opened; empty for the kernel's choice.
+	EngineSourceIp string `json:"engine_source_ip,omitempty,omitzero"`
+
 	// EngineStallMs is how long an engine may send nothing before the request is
 	// given up there, in milliseconds.
 	EngineStallMs int `json:"engine_stall_ms,omitempty,omitzero"`
@@ -403,6 +407,12 @@
 	if 200 > plain.EngineDrainMs {
 		return fmt.Errorf("field %s: must be >= %v", "engine_drain_ms", 200)
 	}
+	if v, ok := raw["engine_source_ip"]; !ok || v == nil {
+		plain.EngineSourceIp = ""
+	}
+	if matched, _ := regexp.MatchString(`^([0-9]+\.[0-9]+\.[0-9]+\.[0-9]+)?$`, string(plain.EngineSourceIp)); !matched {
+		return fmt.Errorf("field %s pattern match: must match %s", "EngineSourceIp", `^([0-9]+\.[0-9]+\.[0-9]+\.[0-9]+)?$`)
+	}
 	if v, ok := raw["engine_stall_ms"]; !ok || v == nil {
 		plain.EngineStallMs = 5000
 	}
