--- a/internal/edge/leaving_test.go
+++ b/internal/edge/leaving_test.go
@@ -37,7 +37,7 @@
 			leaver.leaving.Store(true)
 			begin := time.Now()
 			time.AfterFunc(leavingGrace/2, func() { test.meanwhile(w) })
-			w.load(10*time.Millisecond, leavingGrace+drainTime, func(string, time.Time, result) {})
+			w.load(10*time.Millisecond, leavingGrace+drainTime, func(string, int, time.Time, result) {})
 			if leaver.countBetween(begin, begin.Add(leavingGrace)) == 0 {
 				t.Error("no request was sent to the engine before it announced that it leaves")
 			}
@@ -60,7 +60,7 @@
 		leaver.startedAt.Store(2)
 		w.version.Add(1)
 	})
-	w.load(10*time.Millisecond, 3*leavingGrace, func(string, time.Time, result) {})
+	w.load(10*time.Millisecond, 3*leavingGrace, func(string, int, time.Time, result) {})
 	if n := leaver.countBetween(begin.Add(2*leavingGrace), time.Now()); n < 20 {
 		t.Errorf("%d requests in the last second, though the engine has restarted", n)
 	}
@@ -75,7 +75,7 @@
 	}
 	from := time.Now().Add(leavingGrace)
 	var refused, others atomic.Int64
-	w.load(10*time.Millisecond, 2*leavingGrace, func(_ string, sent time.Time, g result) {
+	w.load(10*time.Millisecond, 2*leavingGrace, func(_ string, _ int, sent time.Time, g result) {
 		switch {
 		case sent.Before(from):
 		case g.status == http.StatusServiceUnavailable && g.took < 100*time.Millisecond:
@@ -111,12 +111,12 @@
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
 			w := newScriptedClusterWith(t, 3, 3, config, test.interactiveMs)
-			w.load(10*time.Millisecond, 500*time.Millisecond, func(string, time.Time, result) {})
+			w.load(10*time.Millisecond, 500*time.Millisecond, func(string, int, time.Time, result) {})
 			leaver, begin := w.engines[0], time.Now()
 			leaver.draining.Store(true)
 			w.version.Add(1)
 			time.AfterFunc(500*time.Millisecond, func() { test.meanwhile(w) })
-			w.load(10*time.Millisecond, drainTime, func(string, time.Time, result) {})
+			w.load(10*time.Millisecond, drainTime, func(string, int, time.Time, result) {})
 			n := leaver.countBetween(begin, time.Now())
 			t.Logf("%d requests after the entry", n)
 			if leaver.countBetween(begin.Add(test.until), time.Now()) == 0 && test.until > 0 {
--- a/internal/edge/limit_test.go
+++ b/internal/edge/limit_test.go
@@ -42,7 +42,7 @@
 				w.engines[i].setLimit(limit)
 			}
 			begin := time.Now()
-			w.load(10*time.Millisecond, limitGrace+2*limitWindow, func(string, time.Time, result) {})
+			w.load(10*time.Millisecond, limitGrace+2*limitWindow, func(string, int, time.Time, result) {})
 			for i, limit := range test.limits {
 				if limit < 0 {
 					continue
@@ -73,7 +73,7 @@
 	var mu sync.Mutex
 	served, asked, retryAfters := map[string]int{}, map[string]int{}, map[string]bool{}
 	from := time.Now().Add(limitGrace)
-	w.load(25*time.Millisecond, limitGrace+limitWindow, func(route string, sent time.Time, g result) {
+	w.load(25*time.Millisecond, limitGrace+limitWindow, func(route string, _ int, sent time.Time, g result) {
 		if sent.Before(from) {
 			return
 		}
@@ -113,7 +113,7 @@
 	w.engines[0].setLimit(1)
 	time.AfterFunc(limitGrace, func() { w.engines[0].setLimit(-1) })
 	begin := time.Now()
-	w.load(10*time.Millisecond, 2*limitGrace, func(string, time.Time, result) {})
+	w.load(10*time.Millisecond, 2*limitGrace, func(string, int, time.Time, result) {})
 	before := w.engines[0].countBetween(begin.Add(time.Second), begin.Add(limitGrace))
 	after := w.engines[0].countBetween(begin.Add(2*limitGrace-time.Second), begin.Add(2*limitGrace))
 	if after < 20 || before > 12 {
@@ -140,7 +140,7 @@
 			}
 		}
 	})
-	w.load(20*time.Millisecond, 3*limitGrace, func(string, time.Time, result) {})
+	w.load(20*time.Millisecond, 3*limitGrace, func(string, int, time.Time, result) {})
 	if lost.Load() == nil {
 		t.Fatal("no node issues the permits")
 	}
--- a/internal/edge/rest_test.go
+++ b/internal/edge/rest_test.go
@@ -37,7 +37,7 @@
 				e.setBackoff(test.retryAfter)
 			}
 			time.AfterFunc(backoffGrace, func() { test.meanwhile(w) })
-			w.load(10*time.Millisecond, 3*time.Second, func(string, time.Time, result) {})
+			w.load(10*time.Millisecond, 3*time.Second, func(string, int, time.Time, result) {})
 			for _, e := range w.engines[:test.backingOff] {
 				for _, node := range w.nodes {
 					came := e.arrivalsFrom(node.settings.Instance)
@@ -70,7 +70,7 @@
 	var mu sync.Mutex
 	retryAfters := map[string]bool{}
 	early := 0
-	w.load(10*time.Millisecond, 2*time.Second, func(_ string, sent time.Time, g result) {
+	w.load(10*time.Millisecond, 2*time.Second, func(_ string, _ int, sent time.Time, g result) {
 		mu.Lock()
 		defer mu.Unlock()
 		after, err := strconv.ParseFloat(g.retryAfter, 64)
@@ -100,7 +100,7 @@
 	e.setBackoff("1")
 	begin := time.Now()
 	time.AfterFunc(500*time.Millisecond, func() { e.status.Store(0) })
-	w.load(10*time.Millisecond, 3*time.Second, func(string, time.Time, result) {})
+	w.load(10*time.Millisecond, 3*time.Second, func(string, int, time.Time, result) {})
 	if n := e.countBetween(begin.Add(2*time.Second), time.Now()); n < 20 {
 		t.Errorf("%d requests in the last second, long after the backoff ended", n)
 	}
--- a/internal/edge/says_rig_test.go
+++ b/internal/edge/says_rig_test.go
@@ -45,9 +45,10 @@
 		retryAfter atomic.Pointer[string]  // retryAfter is the Retry-After value of its 503 responses; nil for none.
 		startedAt  atomic.Int64            // startedAt is its start time as stated in its entry.
 
-		mu       sync.Mutex
-		arrivals []time.Time
-		senders  []string // senders are the nodes that sent the requests in arrivals, taken from the request IDs.
+		mu         sync.Mutex
+		arrivals   []time.Time
+		unsafeRuns []string // unsafeRuns are the IDs of the requests that it ran on the route "low".
+		senders    []string // senders are the nodes that sent the requests in arrivals, taken from the request IDs.
 	}
 
 	// result is the answer to a caller.
@@ -142,6 +143,11 @@
 	default:
 		w.WriteHeader(status)
 	}
+	if strings.HasPrefix(r.URL.Path, "/low/") {
+		e.mu.Lock()
+		e.unsafeRuns = append(e.unsafeRuns, r.Header.Get("Attempt-Id"))
+		e.mu.Unlock()
+	}
 	w.Header().Set("Response-Seal", "seal")
 	fmt.Fprint(w, "well")
 }
@@ -204,7 +210,7 @@
 
 // load sends requests at an interval for a duration, to the nodes in turn and alternating between
 // the two tiers. It calls onEnd with each answer.
-func (w *scriptedCluster) load(every, duration time.Duration, onEnd func(route string, sent time.Time, g result)) {
+func (w *scriptedCluster) load(every, duration time.Duration, onEnd func(route string, node int, sent time.Time, g result)) {
 	var wg sync.WaitGroup
 	tick := time.NewTicker(every)
 	defer tick.Stop()
@@ -213,7 +219,7 @@
 		wg.Go(func() {
 			route, sent := []string{"high", "low"}[i/len(w.nodes)%2], time.Now()
 			node := w.nodes[i%len(w.nodes)]
-			onEnd(route, sent, w.send(node, route, fmt.Sprint(node.settings.Instance, "-", i)))
+			onEnd(route, i%len(w.nodes), sent, w.send(node, route, fmt.Sprintf("%s-%d-%d", node.settings.Instance, begin.UnixMicro(), i)))
 		})
 	}
 	wg.Wait()
