Forward: a node that reaches no engine sends its requests by way of another node

Callers of nodes that had lost their way to all engines were refused (no_engine) while other nodes served the same pools: three tries that can't connect ended a request, and nothing told "this engine is away" from "I am away from all engines". What hung at such a node stood in its reports as work at the engines, and their refused connections were told to peers as crashes of engines.

A request of which nothing was sent, or that may be repeated, now goes to a node that is ready and has not lost the pool: of the same hall first, of two at random the less busy one, at most three in turn. That node checks key and route with its own configuration, decides as for its own callers and with the time that has passed, and relays the answer; it never forwards on. Not run is said only where nothing was sent or the other node says so. While new connections fail and open ones live the open ones are used.

--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -81,6 +81,8 @@
 	if !restarted {
 		probe := d.crashes.probe(ctx, now, engine.Address)
 		ended, took = probe.ended, probe.took
+		// A node that is cut off from all engines finds each of them ended.
+		ended = ended && (x.reach == nil || x.reach.OthersAnswer(context.WithoutCancel(ctx), engine.ID))
 	}
 	d.log.Log(ctx, crashLogLevel(ended), "engine failed while running request", "request", x.req.ID, "fingerprint", x.fingerprint.String(), "route", x.route.Name, "team", x.teamName(),
 		"engine", engine.ID, "ended", ended, "restarted", restarted, "after_ms", now.Sub(x.sentAt).Milliseconds(), "probe_ms", took.Milliseconds(), "error", cause.Error())
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -67,6 +67,8 @@
 		relay         relayBuffers
 		permits       Permits        // permits is nil if engines declare no rate limits.
 		reach         *reach.Monitor // reach is nil if the way to engines is not watched.
+		forwarder     Forwarder      // forwarder is nil if no requests are forwarded to other nodes.
+		node          string         // node is the name of this node.
 
 		overloadObserver OverloadObserver // overloadObserver is nil if refusals for overload are not counted.
 		leavingObserver  LeavingObserver  // leavingObserver is nil if requests to leaving engines are not counted.
@@ -174,6 +176,7 @@
 		pool: route.ChoosePool(r.ID), tried: map[string]bool{}, lastEventID: r.LastEventID, engineLimit: noLimit,
 	}
 	x.reach = d.reachOf(x.pool)
+	x.resume(r.Forwarded)
 	x.fingerprint = fingerprintOf(r, x.teamName())
 	defer x.hold(len(r.Body))()
 	x.left = ctx.Done()
--- /dev/null
+++ b/internal/dispatch/forward.go
@@ -0,0 +1,182 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/croftturn/croftturn/internal/clock"
+	"github.com/croftturn/croftturn/internal/placement"
+	"github.com/croftturn/croftturn/internal/routing"
+)
+
+// A node that has lost its way to the engines of a pool still reaches other nodes, which may reach them.
+// It forwards its requests to such a node, which decides on them as on those of its own callers, and
+// relays the answers. A forwarded request is never forwarded again. Only requests of which nothing was
+// sent to an engine, or that may be repeated, are forwarded.
+
+// maxForwards is how many nodes a request is forwarded to until one takes it.
+const maxForwards = 3
+
+type (
+	// Forwarder sends requests to other nodes.
+	Forwarder interface {
+		// Choose chooses a node that may reach the engines of a pool, other than those to avoid.
+		Choose(now time.Time, pool string, avoid []string) (node, address string, ok bool)
+
+		// Forward sends a request to a node and returns its answer or refusal. The error is ErrNotSent
+		// if no byte was sent.
+		Forward(ctx context.Context, address string, r *Request, f Forwarded) (*Response, *Refusal, error)
+	}
+
+	// Forwarded is what a node tells another of a request besides the request itself.
+	Forwarded struct {
+		From        string        `cbor:"1,keyasint,omitempty"` // From is the node that the caller sent the request to.
+		Spent       time.Duration `cbor:"2,keyasint,omitempty"` // Spent is the time since the request arrived there.
+		Sent        int           `cbor:"3,keyasint,omitempty"` // Sent is how many engines the request was sent to.
+		Tried       []string      `cbor:"4,keyasint,omitempty"` // Tried are the engines that were tried.
+		LastEventID string        `cbor:"5,keyasint,omitempty"` // LastEventID is the event after which a stream goes on; empty for a whole answer.
+		MayHaveRun  bool          `cbor:"6,keyasint,omitempty"` // MayHaveRun is set if an engine may have run the request.
+		Counted     bool          `cbor:"7,keyasint,omitempty"` // Counted is set if the request was counted for the budget of retries.
+	}
+)
+
+// WithForwarder makes a dispatcher forward requests whose engines this node cannot reach.
+func WithForwarder(node string, f Forwarder) Option {
+	return func(d *Dispatcher) { d.node, d.forwarder = node, f }
+}
+
+// resume continues a request where the node that forwarded it has left off.
+func (x *exchange) resume(f *Forwarded) {
+	if f == nil {
+		return
+	}
+	x.sent, x.mayHaveRun, x.counted, x.lastEventID = f.Sent, f.MayHaveRun, f.Counted, f.LastEventID
+	for _, engine := range f.Tried {
+		x.tried[engine] = true
+	}
+}
+
+// mustForward reports whether the request should go by way of another node.
+func (x *exchange) mustForward() bool {
+	if x.d.forwarder == nil || x.reach == nil || x.req.Forwarded != nil || x.forwardFailed {
+		return false
+	}
+	return x.unreachable >= maxUnreachable || x.reach.Unreachable() || x.unreachable > 0 && x.reach.Unconnectable()
+}
+
+// forward sends the request by way of another node. handled is false if none took it, so that nothing
+// was sent; again is as for attempt.
+func (x *exchange) forward(ctx context.Context) (handled, again bool) {
+	var avoid []string
+	for range maxForwards {
+		now := clock.Now()
+		if refusal := x.stillAllowed(now); refusal != nil {
+			x.refuse(*refusal)
+			return true, false
+		}
+		if refusal := x.refuseHeld(now); refusal != nil {
+			x.refuse(*refusal)
+			return true, false
+		}
+		node, address, ok := x.d.forwarder.Choose(now, x.pool, avoid)
+		if !ok || !now.Before(x.deadline) {
+			break
+		}
+		avoid = append(avoid, node)
+		resp, refusal, err := x.sendTo(ctx, now, node, address)
+		switch {
+		case x.callerLeft(ctx):
+			if resp != nil {
+				resp.Body.Close()
+			}
+			x.refuse(Refusal{Reason: CallerLeft})
+			return true, false
+		case errors.Is(err, ErrNotSent) || refusal != nil && x.elsewhere(refusal):
+			continue
+		case err != nil:
+			return true, x.handleForwardError(ctx, err)
+		case refusal != nil:
+			x.mayHaveRun = x.mayHaveRun || refusal.Reason.MayHaveRun()
+			x.refuse(Refusal{Reason: x.unlessMayHaveRun(refusal.Reason), RetryAfter: refusal.RetryAfter})
+			return true, false
+		}
+		return true, x.relayForwarded(ctx, resp)
+	}
+	x.forwardFailed, x.via = true, ""
+	return false, false
+}
+
+// sendTo sends the request to another node.
+func (x *exchange) sendTo(ctx context.Context, now time.Time, node, address string) (*Response, *Refusal, error) {
+	tried := make([]string, 0, len(x.tried))
+	for engine := range x.tried {
+		tried = append(tried, engine)
+	}
+	slices.Sort(tried)
+	x.via, x.sentAt, x.bufferedSince, x.choice = node, now, now, placement.Choice{}
+	x.call, x.headReceived, x.sendBefore, x.leavingFor = x.d.placement.Relayed(now), false, time.Time{}, 0
+	resp, refusal, err := x.d.forwarder.Forward(ctx, address, x.req, Forwarded{
+		From: x.d.node, Spent: now.Sub(x.arrived), Sent: x.sent, Tried: tried, LastEventID: x.lastEventID, MayHaveRun: x.mayHaveRun, Counted: x.counted,
+	})
+	result, reason := "answered", Reason("")
+	switch {
+	case err != nil:
+		result = err.Error()
+	case refusal != nil:
+		result, reason = "refused", refusal.Reason
+	}
+	x.d.log.Info("request forwarded", "request", x.req.ID, "node", node, "pool", x.pool, "unsent", x.unreachable, "result", result, "reason", reason, "after_ms", clock.Since(now).Milliseconds())
+	return resp, refusal, err
+}
+
+// elsewhere reports whether another node may take a request that a node refused: that one cannot decide
+// on it now, reaches no engine either, or has an older configuration.
+func (x *exchange) elsewhere(r *Refusal) bool {
+	switch r.Reason {
+	case NotReady, Stale, Stopping, NoEngine:
+		return true
+	case NoRoute, UnknownKey:
+		return r.Version < x.d.Version()
+	}
+	return false
+}
+
+// handleForwardError handles a node that gave no answer: an engine may have run the request.
+func (x *exchange) handleForwardError(ctx context.Context, err error) (again bool) {
+	now := clock.Now()
+	x.sent++
+	x.mayHaveRun = true
+	if x.retry(now, fmt.Errorf("by way of another node: %w", err)) {
+		return true
+	}
+	x.refuse(Refusal{Reason: x.unlessTimedOut(now, EngineFailed)})
+	return false
+}
+
+// relayForwarded relays the answer that another node got from an engine. That node has recorded what the
+// answer says of the engine, and has tried others if the request may be repeated.
+func (x *exchange) relayForwarded(ctx context.Context, resp *Response) (again bool) {
+	defer resp.Body.Close()
+	now := clock.Now()
+	x.status, x.unframed, x.headReceived, x.choice.Engine.ID = resp.Status, resp.Unframed, true, resp.Engine
+	x.sent = max(x.sent, resp.Tries)
+	success := resp.Status < http.StatusMultipleChoices
+	if x.answerBegun && !success {
+		x.refuse(Refusal{Reason: EngineFailed})
+		return false
+	}
+	if x.lastByteAt.IsZero() {
+		x.lastByteAt = now
+	}
+	if x.firstByte == 0 {
+		x.firstByte = now.Sub(x.arrived)
+	}
+	if x.route.Kind == routing.Stream && success {
+		return x.relayStream(ctx, func(error) {}, resp)
+	}
+	return x.relayPlain(ctx, resp)
+}
--- a/internal/dispatch/refusal.go
+++ b/internal/dispatch/refusal.go
@@ -64,6 +64,7 @@
 	Refusal struct {
 		Reason     Reason
 		RetryAfter time.Duration // RetryAfter is when the caller should retry; 0 if it should not, or may at once.
+		Version    int           // Version is that of the configuration that another node refused the request by; 0 for this node's.
 	}
 )
 
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -173,6 +173,7 @@
 func (x *exchange) beginAnswer(resp *Response) {
 	if !x.answerBegun {
 		x.answerBegun = true
+		resp.Engine, resp.Tries = x.choice.Engine.ID, x.sent
 		x.answer.Begin(resp)
 	}
 }
@@ -181,6 +182,9 @@
 func (x *exchange) finishAnswer(now time.Time) {
 	x.refusal = Refusal{}
 	x.call.End(now, placement.Answered)
+	if x.via != "" {
+		return // The other node has recorded it.
+	}
 	if x.route.Kind == routing.Stream && x.interactive() {
 		x.d.placement.NoteAnswer(x.choice, x.events, now.Sub(x.firstEventAt))
 	}
@@ -279,7 +283,7 @@
 // watchEvents abandons an attempt whose engine sends no event for too long, if the stream can
 // resume elsewhere. It returns the timer and a function to call on each event.
 func (x *exchange) watchEvents(cancel context.CancelCauseFunc) (stall *time.Timer, onEvent func()) {
-	if x.sent >= x.route.MaxEngines {
+	if x.via != "" || x.sent >= x.route.MaxEngines { // Another node watches its engines itself.
 		return time.NewTimer(clock.Until(x.deadline)), func() {}
 	}
 	stall = time.AfterFunc(streamStallTimeout, x.abandonSlow(cancel))
@@ -295,12 +299,14 @@
 	}
 	x.mayHaveRun = true
 	x.call.End(now, x.bodyErrorOutcome(now))
-	if !x.gaveUp(now) {
+	if x.via == "" && !x.gaveUp(now) {
 		x.noteConnectionLost(ctx, now)
 		x.noteUnheard(ctx, now, true)
 		x.leftEarly(ctx, false)
 	}
-	x.recordFailure(ctx, now, err)
+	if x.via == "" {
+		x.recordFailure(ctx, now, err)
+	}
 	resumable := !x.answerBegun || x.route.Resumable
 	if resumable && x.retry(now, err) {
 		return true
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -14,6 +14,10 @@
 	// ErrNotSent means that no byte of a request was sent, so it has not run.
 	ErrNotSent = errors.New("dispatch: request not sent")
 
+	// ErrNoConnection means that a request was not sent because there was no open connection to its
+	// engine and none was to be opened.
+	ErrNoConnection = errors.New("dispatch: no open connection to the engine")
+
 	// ErrTooLate means that a request was not sent because its engine was about to leave by then.
 	ErrTooLate = errors.New("dispatch: engine leaves before the request could be sent")
 
@@ -39,6 +43,7 @@
 		Method         string
 		Target         string // Target is the path and query as sent.
 		Body           []byte
+		Forwarded      *Forwarded // Forwarded is set if another node forwarded the request.
 	}
 
 	// Attempt is what is sent to one engine.
@@ -49,6 +54,7 @@
 		Urgency      int           // Urgency orders requests at the engine; 0 is the most urgent.
 		TimeLeft     time.Duration // TimeLeft is how much longer the caller waits.
 		TransferFrom string        // TransferFrom is the address of the engine from which cached prompt parts are copied; empty for none.
+		OpenOnly     bool          // OpenOnly sends the request over an open connection or not at all.
 		LastEventID  string        // LastEventID is the event after which the engine resumes; empty for a whole answer.
 	}
 
@@ -66,6 +72,8 @@
 		Leaving  bool          // Leaving is set if the engine announces that it leaves.
 		Limited  bool          // Limited is set if the engine declared a rate limit.
 		Limit    float64       // Limit is the number of requests per second that the engine accepts from all nodes together.
+		Engine   string        // Engine is the engine that gave the answer, for the node that forwarded the request.
+		Tries    int           // Tries is how many engines the request was sent to, for that node.
 		Length   int64         // Length of the body; -1 if unknown.
 		Reused   bool          // Reused is set if the connection had served another request before.
 		Unframed bool          // Unframed is set if the body has neither a length nor chunks, so that it ends with its connection.
--- a/internal/dispatch/walk.go
+++ b/internal/dispatch/walk.go
@@ -64,6 +64,9 @@
 	choice        placement.Choice
 	call          *placement.Call
 	refusal       Refusal
+	via           string // via is the node that the request was last forwarded to; empty if this node sent it
+	forwardFailed bool   // forwardFailed is set if no other node took the request
+	counted       bool   // counted is set if the request was counted for the budget of retries
 	status        int
 	unframed      bool          // unframed is set if the latest answer ends with its connection
 	engineLimit   float64       // engineLimit is the rate limit in the latest answer, in requests per second; -1 for none
@@ -92,9 +95,21 @@
 
 // attempt sends the request to one engine and reports whether another should be tried.
 func (x *exchange) attempt(ctx context.Context) (again bool) {
+	if x.mustForward() {
+		if handled, again := x.forward(ctx); handled {
+			return again
+		}
+	}
 	now, resumes := clock.Now(), x.d.exchanges.resumes.Load()
+	if x.unreachable >= maxUnreachable {
+		x.refuse(Refusal{Reason: x.unlessMayHaveRun(NoEngine), RetryAfter: shortRetryAfter})
+		return false
+	}
 	request := x.placementRequest()
 	if refusal := x.selectEngine(ctx, now, request); refusal != nil {
+		if x.mustForward() {
+			return true // The way to the engines was lost while the request waited.
+		}
 		x.refuse(*refusal)
 		return false
 	}
@@ -118,6 +133,7 @@
 	x.trial, x.headReceived = false, false
 	x.tried[x.choice.Engine.ID] = true
 	x.sentAt, x.bufferedSince = now, now
+	x.via = ""
 	x.call = x.d.placement.Start(now, x.choice, request)
 	if !x.call.HasTransfer() {
 		x.choice.TransferFrom, x.choice.TransferTokens = "", 0 // The source is gone since the choice.
@@ -144,7 +160,10 @@
 	if refusal := x.awaitSlot(ctx, now, request); refusal != nil {
 		return refusal
 	}
-	x.d.budget.Request(clock.Now(), x.pool)
+	if !x.counted {
+		x.counted = true
+		x.d.budget.Request(clock.Now(), x.pool)
+	}
 	return nil
 }
 
@@ -254,7 +273,8 @@
 
 // attemptFor returns what is sent to an engine.
 func (x *exchange) attemptFor(now time.Time, e placement.Engine) Attempt {
-	return Attempt{Engine: e, SendBefore: x.sendBefore, Team: x.teamName(), TransferFrom: x.choice.TransferFrom, Urgency: x.urgency(), TimeLeft: x.deadline.Sub(now), LastEventID: x.lastEventID}
+	return Attempt{Engine: e, SendBefore: x.sendBefore, Team: x.teamName(), TransferFrom: x.choice.TransferFrom, Urgency: x.urgency(), TimeLeft: x.deadline.Sub(now), LastEventID: x.lastEventID,
+		OpenOnly: x.reach != nil && x.reach.Unconnectable()}
 }
 
 // urgency returns the urgency of the request at the chosen engine. If slots are scarce, all
@@ -288,6 +308,15 @@
 		x.d.placement.DrainIncarnation(x.choice.Engine)
 		return true
 	}
+	if errors.Is(err, ErrNoConnection) {
+		x.call.End(now, placement.Aborted)
+		x.unreachable++
+		if x.mustForward() {
+			return true
+		}
+		x.refuse(Refusal{Reason: x.unlessMayHaveRun(NoEngine), RetryAfter: shortRetryAfter})
+		return false
+	}
 	x.call.End(now, placement.Failed)
 	if !errors.Is(err, ErrMismatchedResponse) {
 		x.noteConnectionLost(ctx, now)
@@ -299,7 +328,7 @@
 	if errors.Is(err, ErrNotSent) {
 		x.unreachable++
 		x.d.log.Warn("engine unreachable", "request", x.req.ID, "engine", x.choice.Engine.ID, "error", err.Error(), "tries", x.unreachable)
-		if x.unreachable < maxUnreachable && now.Before(x.deadline) {
+		if now.Before(x.deadline) && (x.unreachable < maxUnreachable || x.mustForward()) {
 			return true
 		}
 		x.refuse(Refusal{Reason: x.unlessMayHaveRun(NoEngine), RetryAfter: shortRetryAfter})
@@ -349,14 +378,16 @@
 		x.firstEventAt = now
 	}
 	x.call.Received(now)
-	x.noteHeard(now)
+	if x.via == "" {
+		x.noteHeard(now)
+	}
 }
 
 // recordEnd records how the request ended.
 func (x *exchange) recordEnd(now time.Time) {
 	outcome := x.outcome()
 	x.overloadLog().Info("request ended", "request", x.req.ID, "route", x.route.Name, "team", x.teamName(), "urgency", routing.Urgency(x.route, x.team), "pool", x.pool,
-		"outcome", outcome, "status", x.status, "unframed", x.unframed, "engine", x.choice.Engine.ID, "sent", x.sent, "unsent", x.unreachable,
+		"outcome", outcome, "via", x.via, "forwarded_by", x.forwardedBy(), "status", x.status, "unframed", x.unframed, "engine", x.choice.Engine.ID, "sent", x.sent, "unsent", x.unreachable,
 		"cost_ms", int(x.choice.Cost), "wait_ms", int(x.choice.Wait), "held_ms", x.queuedFor.Milliseconds(), "give_way", math.Round(100*x.shedShare)/100, "prompt_tokens", x.req.Prompt.Tokens, "session", x.req.Prompt.Session(), "unread_tokens", x.choice.PrefillTokens,
 		"ahead_tokens", x.choice.QueuedTokens, "read_rate", math.Round(10*x.choice.PrefillRate)/10, "tight", x.choice.GapSensitive, "slowdown", math.Round(100*x.slowdown)/100, "leaving_ms", x.leavingFor.Milliseconds(), "transfer_tokens", x.choice.TransferTokens, "transfer_from", x.choice.TransferFrom,
 		"first_ms", x.firstByte.Milliseconds(), "gap_ms", x.maxGap.Milliseconds(), "total_ms", now.Sub(x.arrived).Milliseconds(), "patience_ms", x.deadline.Sub(x.arrived).Milliseconds(),
@@ -365,6 +396,14 @@
 	x.d.observer.Ended(x.route.Name, outcome, x.firstByte, now.Sub(x.arrived))
 }
 
+// forwardedBy returns the node that forwarded the request, empty if its caller sent it.
+func (x *exchange) forwardedBy() string {
+	if x.req.Forwarded == nil {
+		return ""
+	}
+	return x.req.Forwarded.From
+}
+
 // outcome returns the outcome of the request for the log and the metrics.
 func (x *exchange) outcome() string {
 	if x.refusal.Reason != "" {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -26,6 +26,7 @@
 	"github.com/croftturn/croftturn/internal/duty"
 	"github.com/croftturn/croftturn/internal/evacuation"
 	"github.com/croftturn/croftturn/internal/feed"
+	"github.com/croftturn/croftturn/internal/forward"
 	"github.com/croftturn/croftturn/internal/freshness"
 	"github.com/croftturn/croftturn/internal/front"
 	"github.com/croftturn/croftturn/internal/gossip"
@@ -108,6 +109,7 @@
 	dispatcher    *dispatch.Dispatcher
 	egress        *platform.Egress
 	reach         *reach.Monitor
+	forwards      *forward.Client
 	cacheEvents   *platform.CacheEvents
 	cacheWatcher  *cachewatch.Watcher
 	store         *platform.Store
@@ -189,6 +191,7 @@
 		return fmt.Errorf("listen for peers: %w", err)
 	}
 	e.relayBudget = newRelayBudget(s)
+	e.forwards = forward.NewClient()
 	if e.metrics, err = newMetrics(e); err != nil {
 		return fmt.Errorf("create metrics: %w", err)
 	}
@@ -205,7 +208,7 @@
 	e.peerClient = peer.NewClient(e.traffic, peer.WithIdleTimeout(feed.PullIdleTimeout))
 	e.discovery = discovery.New(platform.DecodeEngine, engineSink{e.placement, e.egress, e.limits, e.cacheWatcher}, ms(s.EngineDrainMs), e.log, discovery.WithSpotNotice(ms(s.SpotNoticeMs)))
 	e.permits = limit.NewPermits(e.limits, e.peerClient, e.permitIssuer, e.gossip.ReachableShare, e.log)
-	e.dispatcher = dispatch.New(e.proof, e.placement, e.budget, e.egress, e.metrics, e.log, dispatch.WithProber(e.egress), dispatch.WithQuarantine(e.quarantine), dispatch.WithLeaveObserver(e.discovery), dispatch.WithPermits(e.permits), dispatch.WithReach(e.reach), dispatch.WithInteractiveTarget(ms(s.InteractiveTargetMs)), dispatch.WithOverloadObserver(e.metrics), dispatch.WithLeavingObserver(e.metrics), e.relayBuffers())
+	e.dispatcher = dispatch.New(e.proof, e.placement, e.budget, e.egress, e.metrics, e.log, dispatch.WithProber(e.egress), dispatch.WithQuarantine(e.quarantine), dispatch.WithLeaveObserver(e.discovery), dispatch.WithPermits(e.permits), dispatch.WithReach(e.reach), dispatch.WithInteractiveTarget(ms(s.InteractiveTargetMs)), dispatch.WithOverloadObserver(e.metrics), dispatch.WithLeavingObserver(e.metrics), e.forwarding(), e.relayBuffers())
 	e.store = platform.NewStore(s.PlatformAddresses, platform.StoreTimeout)
 	e.register = register.New(now, e.store, self, slices.Collect(maps.Keys(s.HallRegions)), s.FirstStart, e.gossip, e.log)
 	e.configTable = feed.NewTable(platform.TableConfig, e.applyConfig)
@@ -234,6 +237,11 @@
 		completions := front.NewCompletions(e.dispatcher, front.Limits{MaxBody: int64(s.MaxBodyBytes), WriteTimeout: ms(s.WriteTimeoutMs), ReadTimeout: ms(s.ReadTimeoutMs)}, e.log)
 		servers = append(servers, endpoint{s.ChatAddress, completions})
 	}
+	if s.ForwardAddress != "" {
+		forwarded := http.NewServeMux()
+		forwarded.Handle("POST "+forward.Path, forward.NewHandler(e.dispatcher, forward.Limits{Read: ms(s.ReadTimeoutMs), Write: ms(s.WriteTimeoutMs)}, e.log))
+		servers = append(servers, endpoint{s.ForwardAddress, forwarded})
+	}
 	for _, each := range servers {
 		if err := e.serve(each.address, each.handler); err != nil {
 			return err
@@ -344,6 +352,7 @@
 	e.peerClient.Close()
 	e.wg.Wait()
 	e.reach.Close()
+	e.forwards.Close()
 	e.egress.Close()
 	e.cacheEvents.Close()
 	e.store.Close()
--- /dev/null
+++ b/internal/edge/forward.go
@@ -0,0 +1,93 @@
+package edge
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/croftturn/croftturn/internal/dispatch"
+	"github.com/croftturn/croftturn/internal/forward"
+	"github.com/croftturn/croftturn/internal/gossip"
+)
+
+// forwarder sends requests to the other nodes that may reach their engines.
+type forwarder struct {
+	*forward.Client
+	e *Edge
+}
+
+// forwarding returns the dispatcher's option to forward requests.
+func (e *Edge) forwarding() dispatch.Option {
+	if e.settings.ForwardAddress == "" {
+		return func(*dispatch.Dispatcher) {}
+	}
+	return dispatch.WithForwarder(e.settings.Instance, forwarder{e.forwards, e})
+}
+
+// Choose chooses one of the nodes that take forwarded requests and have not lost their way to the
+// engines of a pool: of two at random the one with the lower rate for its size. Nodes of other halls
+// are chosen where none of this hall is left, or all of them serve more than they are planned for.
+func (f forwarder) Choose(now time.Time, pool string, avoid []string) (node, address string, ok bool) {
+	var near, far []gossip.Peer
+	for _, p := range f.e.gossip.Peers(now) {
+		s := p.State
+		if !s.Ready || s.Stopping || s.ForwardPort == 0 || slices.Contains(s.Unreachable, pool) || slices.Contains(avoid, p.Name) {
+			continue
+		}
+		if far = append(far, p); p.Hall == f.e.settings.Hall && !p.Entry().Busy() {
+			near = append(near, p)
+		}
+	}
+	if len(near) == 0 {
+		near = far
+	}
+	if len(near) == 0 {
+		return "", "", false
+	}
+	chosen, other := near[rand.IntN(len(near))], near[rand.IntN(len(near))]
+	if other.Entry().Load() < chosen.Entry().Load() {
+		chosen = other
+	}
+	at, err := netip.ParseAddrPort(chosen.PeerAddress)
+	if err != nil {
+		return "", "", false
+	}
+	return chosen.Name, netip.AddrPortFrom(at.Addr(), chosen.State.ForwardPort).String(), true
+}
+
+// forwardPort returns the port at which this node takes forwarded requests, 0 for none.
+func (e *Edge) forwardPort() uint16 {
+	_, text, err := net.SplitHostPort(e.settings.ForwardAddress)
+	if err != nil {
+		return 0
+	}
+	port, err := strconv.ParseUint(text, 10, 16)
+	if err != nil {
+		return 0
+	}
+	return uint16(port)
+}
+
+// cutOff reports whether a node that has lost its way to some pools reaches no engine at all.
+func (e *Edge) cutOff(unreachable []string) bool {
+	table := e.dispatcher.Table()
+	if len(unreachable) == 0 || table == nil {
+		return false
+	}
+	for _, p := range table.Pools() {
+		if _, engines := e.placement.Sample(p.Name, 0, nil); engines > 0 && !slices.Contains(unreachable, p.Name) {
+			return false
+		}
+	}
+	return true
+}
+
+// wayChanged handles that this node has lost its way to the engines of a pool, or has it back.
+func (e *Edge) wayChanged(pool string) {
+	e.placement.SetUnreachable(pool, e.reach.Pool(pool).Unreachable())
+	e.metrics.ways.Add(context.Background(), 1, byPool(pool))
+}
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -56,6 +56,7 @@
 		telemetry.Gauge{Name: "croftturn.edge.engines_limited", Help: "engines that have named a limit of requests", Read: func() int64 { return e.limits.Len() }},
 		telemetry.Gauge{Name: "croftturn.edge.engines_resting", Help: "engines that asked this node for rest", Read: func() int64 { return int64(e.placement.BackingOff(clock.Now())) }},
 		telemetry.Gauge{Name: "croftturn.edge.pools_unreachable", Help: "pools of whose engines this node reaches none", Read: func() int64 { return int64(len(e.reach.Unreachable())) }},
+		telemetry.Gauge{Name: "croftturn.edge.requests_forwarded", Help: "requests sent by way of another node", Read: e.forwards.Sent},
 		telemetry.Gauge{Name: "croftturn.edge.cache_parts_not_told", Help: "forgotten prompt parts that did not fit into messages to peers", Read: func() int64 { return e.gossip.EvictionsLeftOut() }},
 		telemetry.Gauge{Name: "croftturn.edge.load_updates_sent", Help: "updates of the load at engines sent to peers between messages", Read: func() int64 { sent, _ := e.gossip.LoadUpdates(); return sent }},
 		telemetry.Gauge{Name: "croftturn.edge.load_updates_received", Help: "updates of the load at engines received from peers", Read: func() int64 { _, received := e.gossip.LoadUpdates(); return received }},
--- a/internal/edge/partition_test.go
+++ b/internal/edge/partition_test.go
@@ -42,7 +42,7 @@
 	w.address = store.Listener.Addr().String()
 	for i := range nodes {
 		s := newSettings(t, fmt.Sprint("n", i), w.address)
-		s.EngineSourceIp = sourceOf(i)
+		s.EngineSourceIp, s.ForwardAddress = sourceOf(i), freeAddress(t)
 		w.nodes = append(w.nodes, startNodeWith(t, s))
 	}
 	t.Cleanup(func() {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -48,6 +48,12 @@
 // plannedRate returns how many requests a second the node is planned to serve.
 func (n Node) plannedRate() float64 { return n.cores() * targetUtilization / requestCPUSeconds }
 
+// Load returns the rate that the node serves as a share of what it is planned for.
+func (n Node) Load() float64 { return n.Rate / n.plannedRate() }
+
+// Busy reports whether the node serves more than it is planned for.
+func (n Node) Busy() bool { return n.Load() > 1 }
+
 func (n Node) cores() float64 {
 	if n.Cores <= 0 {
 		return 1
--- /dev/null
+++ b/internal/forward/server.go
@@ -0,0 +1,112 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/croftturn/croftturn/internal/clock"
+	"github.com/croftturn/croftturn/internal/dispatch"
+	"github.com/croftturn/croftturn/internal/reply"
+	"github.com/croftturn/croftturn/internal/routing"
+)
+
+type (
+	// Dispatcher checks and serves requests.
+	Dispatcher interface {
+		Check(now time.Time, r *dispatch.Request) (*routing.Route, *routing.Team, *dispatch.Refusal)
+		Serve(ctx context.Context, arrived time.Time, r *dispatch.Request, route *routing.Route, team *routing.Team, a dispatch.AnswerWriter)
+		Refused(now time.Time, r *dispatch.Request, refusal *dispatch.Refusal)
+		MaxBody() int64
+		Version() int
+	}
+
+	// Limits bound what a sending node may take.
+	Limits struct {
+		Read  time.Duration // Read limits the time for receiving a request.
+		Write time.Duration // Write limits the time that one write may block.
+	}
+
+	// Handler serves the requests that other nodes forward.
+	Handler struct {
+		dispatcher Dispatcher
+		limits     Limits
+		log        *slog.Logger
+	}
+
+	// answer writes the answer to a forwarded request.
+	answer struct {
+		*reply.Writer
+		version func() int
+		log     *slog.Logger
+		id      string
+	}
+)
+
+// NewHandler returns the handler of forwarded requests.
+func NewHandler(d Dispatcher, l Limits, log *slog.Logger) *Handler {
+	return &Handler{dispatcher: d, limits: l, log: log}
+}
+
+// ServeHTTP implements http.Handler. The key and the route are checked anew, with the configuration of
+// this node. The time that the request has spent at its first node counts.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	req, err := h.read(w, r)
+	if err != nil {
+		h.log.Warn("invalid forwarded request", "error", err.Error())
+		http.Error(w, "invalid request", http.StatusBadRequest)
+		return
+	}
+	now := clock.Now()
+	a := &answer{Writer: reply.New(w, h.limits.Write), version: h.dispatcher.Version, log: h.log, id: req.ID}
+	route, team, refusal := h.dispatcher.Check(now, req)
+	if refusal != nil {
+		h.dispatcher.Refused(now, req, refusal)
+		a.Refuse(*refusal)
+	} else {
+		h.dispatcher.Serve(r.Context(), now.Add(-req.Forwarded.Spent), req, route, team, a)
+	}
+	a.Finish()
+}
+
+// read reads a forwarded request.
+func (h *Handler) read(w http.ResponseWriter, r *http.Request) (*dispatch.Request, error) {
+	control := http.NewResponseController(w)
+	if err := control.SetReadDeadline(time.Now().Add(h.limits.Read)); err != nil {
+		return nil, err
+	}
+	head := &requestHead{}
+	if err := readHead(r.Body, head); err != nil {
+		return nil, err
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, max(h.dispatcher.MaxBody(), 0)+1))
+	if err != nil {
+		return nil, err
+	}
+	return head.request(body), control.SetReadDeadline(time.Time{})
+}
+
+// Refuse implements dispatch.AnswerWriter.
+func (a *answer) Refuse(r dispatch.Refusal) {
+	a.begin(&responseHead{Refusal: r.Reason, RetryAfter: r.RetryAfter, Version: a.version()})
+}
+
+// Begin implements dispatch.AnswerWriter.
+func (a *answer) Begin(r *dispatch.Response) {
+	a.begin(&responseHead{Status: r.Status, Header: r.Header, Length: r.Length, Unframed: r.Unframed, Engine: r.Engine, Tries: r.Tries})
+}
+
+// begin writes the head of the answer.
+func (a *answer) begin(head *responseHead) {
+	raw, err := writeHead(head)
+	if err == nil {
+		a.Writer.Begin(&dispatch.Response{Status: http.StatusOK, Header: http.Header{}, Length: -1})
+		err = a.Write(raw)
+	}
+	if err != nil {
+		a.log.Debug("failed to write the answer to a forwarded request", "request", a.id, "error", err.Error())
+		a.Abort()
+	}
+}
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -53,6 +53,8 @@
 		Slowdowns         []placement.Slowdown            `cbor:"21,keyasint,omitempty"` // Slowdowns are those that engines reported to the node in the last 300 ms.
 		LowerAdmitted     map[string]bool                 `cbor:"22,keyasint,omitempty"` // LowerAdmitted holds the interactive pools in which the node admitted a request below the highest tier within the last second.
 		TakesLoadUpdates  bool                            `cbor:"23,keyasint,omitempty"` // TakesLoadUpdates reports whether the node accepts load updates between messages.
+		Unreachable       []string                        `cbor:"24,keyasint,omitempty"` // Unreachable are the pools of whose engines the node reaches none.
+		ForwardPort       uint16                          `cbor:"25,keyasint,omitempty"` // ForwardPort is where the node takes requests that others forward, at the host of its peer address; 0 if it takes none.
 	}
 
 	// HubInfo identifies a hub in the sender's hall and says how to reach it.
--- a/internal/placement/call.go
+++ b/internal/placement/call.go
@@ -272,8 +272,8 @@
 	defer p.mu.Unlock()
 	out := map[string]Load{}
 	for id, e := range p.engines {
-		if e.own != (Load{}) {
-			out[id] = e.own
+		if l := p.reportedLoad(e); l != (Load{}) {
+			out[id] = l
 		}
 	}
 	return out
--- a/internal/placement/loadchanges.go
+++ b/internal/placement/loadchanges.go
@@ -73,7 +73,7 @@
 	loads = make(map[string]Load, len(p.changes.engines))
 	for id := range p.changes.engines {
 		if e := p.engines[id]; e != nil {
-			loads[id] = e.own
+			loads[id] = p.reportedLoad(e)
 		}
 	}
 	for id := range p.changes.broken {
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -36,6 +36,7 @@
 	gaps          gapStats    // gaps of streams on the other engines
 	prefillTime   prefillTime // time to the first event by prompt tokens
 	interactive   bool        // whether the latest request was of an interactive pool
+	unreachable   bool        // whether this node has lost its way to the engines
 	stats         PoolStats
 
 	// minStreamGap is the shortest gap limit of callers whose streams are delayed by long
--- /dev/null
+++ b/internal/placement/reach.go
@@ -0,0 +1,34 @@
+package placement
+
+import "time"
+
+// SetUnreachable records whether this node has lost its way to the engines of a pool. While it has,
+// its load there is not reported to peers: what it had sent does not reach the engines, or it cannot
+// tell what became of it.
+func (p *Placement) SetUnreachable(pool string, unreachable bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := p.poolState(pool)
+	if known.unreachable == unreachable {
+		return
+	}
+	known.unreachable = unreachable
+	for _, e := range p.engines {
+		if e.Pool == pool && e.own != (Load{}) {
+			p.noteLoadChange(e)
+		}
+	}
+}
+
+// reportedLoad returns this node's load at an engine as peers are told. The caller must hold the lock.
+func (p *Placement) reportedLoad(e *engine) Load {
+	if known := p.pools[e.Pool]; known != nil && known.unreachable {
+		return Load{}
+	}
+	return e.own
+}
+
+// Relayed returns a call for a request that another node sends to an engine: it changes nothing here.
+func (p *Placement) Relayed(now time.Time) *Call {
+	return &Call{p: p, engine: newEngine(Engine{}), start: now, lastSign: now}
+}
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -79,6 +79,11 @@
 	// waits for this node yet.
 	FirstStart bool `json:"first_start,omitempty,omitzero"`
 
+	// ForwardAddress is the IP address and port where other nodes send requests whose
+	// engines they do not reach; its host is that of peer_address. If it is empty,
+	// this node takes none and forwards none.
+	ForwardAddress string `json:"forward_address,omitempty,omitzero"`
+
 	// Hall is the hall that this instance stands in.
 	Hall string `json:"hall"`
 
@@ -434,6 +439,12 @@
 	if v, ok := raw["first_start"]; !ok || v == nil {
 		plain.FirstStart = false
 	}
+	if v, ok := raw["forward_address"]; !ok || v == nil {
+		plain.ForwardAddress = ""
+	}
+	if matched, _ := regexp.MatchString(`^([0-9a-fA-F.:\[\]]+:[0-9]+)?$`, string(plain.ForwardAddress)); !matched {
+		return fmt.Errorf("field %s pattern match: must match %s", "ForwardAddress", `^([0-9a-fA-F.:\[\]]+:[0-9]+)?$`)
+	}
 	if utf8.RuneCountInString(string(plain.Hall)) < 1 {
 		return fmt.Errorf("field %s length: must be >= %d", "hall", 1)
 	}
