Forward: engines that a cut-off node has tried may be tried by the other node

In a pool of three engines a forwarded request was refused: the node that forwarded it named the engines that it had tried, all of them, and the other avoided them (TestForwardedAnswerIsUnchanged got no_engine for each status). What failed is the first node's own way, so it no longer names them. The tests of forwarded requests come with it.

--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/croftturn/croftturn/internal/clock"
@@ -32,12 +31,12 @@
 		Forward(ctx context.Context, address string, r *Request, f Forwarded) (*Response, *Refusal, error)
 	}
 
-	// Forwarded is what a node tells another of a request besides the request itself.
+	// Forwarded is what a node tells another of a request besides the request itself. It does not tell
+	// the engines that were tried: what failed is as likely its own way to them.
 	Forwarded struct {
 		From        string        `cbor:"1,keyasint,omitempty"` // From is the node that the caller sent the request to.
 		Spent       time.Duration `cbor:"2,keyasint,omitempty"` // Spent is the time since the request arrived there.
 		Sent        int           `cbor:"3,keyasint,omitempty"` // Sent is how many engines the request was sent to.
-		Tried       []string      `cbor:"4,keyasint,omitempty"` // Tried are the engines that were tried.
 		LastEventID string        `cbor:"5,keyasint,omitempty"` // LastEventID is the event after which a stream goes on; empty for a whole answer.
 		MayHaveRun  bool          `cbor:"6,keyasint,omitempty"` // MayHaveRun is set if an engine may have run the request.
 		Counted     bool          `cbor:"7,keyasint,omitempty"` // Counted is set if the request was counted for the budget of retries.
@@ -55,9 +54,6 @@
 		return
 	}
 	x.sent, x.mayHaveRun, x.counted, x.lastEventID = f.Sent, f.MayHaveRun, f.Counted, f.LastEventID
-	for _, engine := range f.Tried {
-		x.tried[engine] = true
-	}
 }
 
 // mustForward reports whether the request should go by way of another node.
@@ -112,15 +108,10 @@
 
 // sendTo sends the request to another node.
 func (x *exchange) sendTo(ctx context.Context, now time.Time, node, address string) (*Response, *Refusal, error) {
-	tried := make([]string, 0, len(x.tried))
-	for engine := range x.tried {
-		tried = append(tried, engine)
-	}
-	slices.Sort(tried)
 	x.via, x.sentAt, x.bufferedSince, x.choice = node, now, now, placement.Choice{}
 	x.call, x.headReceived, x.sendBefore, x.leavingFor = x.d.placement.Relayed(now), false, time.Time{}, 0
 	resp, refusal, err := x.d.forwarder.Forward(ctx, address, x.req, Forwarded{
-		From: x.d.node, Spent: now.Sub(x.arrived), Sent: x.sent, Tried: tried, LastEventID: x.lastEventID, MayHaveRun: x.mayHaveRun, Counted: x.counted,
+		From: x.d.node, Spent: now.Sub(x.arrived), Sent: x.sent, LastEventID: x.lastEventID, MayHaveRun: x.mayHaveRun, Counted: x.counted,
 	})
 	result, reason := "answered", Reason("")
 	switch {
--- /dev/null
+++ b/internal/forward/forward_test.go
@@ -0,0 +1,275 @@
+package forward_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/croftturn/croftturn/internal/dispatch"
+	"github.com/croftturn/croftturn/internal/forward"
+	"github.com/croftturn/croftturn/internal/freshness"
+	"github.com/croftturn/croftturn/internal/placement"
+	"github.com/croftturn/croftturn/internal/reach"
+	"github.com/croftturn/croftturn/internal/retry"
+	"github.com/croftturn/croftturn/internal/routing"
+)
+
+type (
+	// sender is the engines as one node sees them.
+	sender struct {
+		serve func(ctx context.Context, r *dispatch.Request, a dispatch.Attempt) (*dispatch.Response, error)
+
+		mu   sync.Mutex
+		sent []dispatch.Attempt
+	}
+
+	// caller records what a caller gets.
+	caller struct {
+		mu      sync.Mutex
+		refusal dispatch.Reason
+		status  int
+		body    string
+		aborted bool
+	}
+
+	// link forwards to the node at an address, and counts.
+	link struct {
+		*forward.Client
+		address string
+		tries   atomic.Int64
+	}
+
+	// nobody is a prober that reaches no engine, and an observer that counts nothing.
+	nobody struct{}
+)
+
+var errRefused = errors.New("connection refused")
+
+func (nobody) Probe(context.Context, string) (connected, answered bool) { return false, false }
+func (nobody) Ended(string, string, time.Duration, time.Duration)       {}
+func (nobody) Retried(string)                                           {}
+func (nobody) Began(time.Time, string)                                  {}
+func (nobody) EngineCrashed(string)                                     {}
+func (c *caller) Refuse(r dispatch.Refusal)                             { c.refusal = r.Reason }
+func (c *caller) Begin(r *dispatch.Response)                            { c.status = r.Status }
+func (c *caller) Abort()                                                { c.aborted = true }
+func (c *caller) Write(p []byte) error                                  { c.mu.Lock(); c.body += string(p); c.mu.Unlock(); return nil }
+func (c *caller) got() string                                           { c.mu.Lock(); defer c.mu.Unlock(); return c.body }
+func (l *link) Choose(_ time.Time, _ string, avoid []string) (string, string, bool) {
+	l.tries.Add(1)
+	return fmt.Sprint("n", len(avoid)), l.address, true
+}
+
+func (s *sender) Send(ctx context.Context, r *dispatch.Request, a dispatch.Attempt) (*dispatch.Response, error) {
+	s.mu.Lock()
+	s.sent = append(s.sent, a)
+	s.mu.Unlock()
+	return s.serve(ctx, r, a)
+}
+
+func (s *sender) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.sent)
+}
+
+// unreachable is what a node sees that is cut off.
+func unreachable(context.Context, *dispatch.Request, dispatch.Attempt) (*dispatch.Response, error) {
+	return nil, fmt.Errorf("%w: %w", dispatch.ErrNotSent, errRefused)
+}
+
+// table returns a configuration; version is its version, key a valid key.
+func table(version int, key string) *routing.Table {
+	var routes []*routing.Route
+	for name, kind := range map[string]routing.Kind{"safe": routing.Safe, "unsafe": routing.Unsafe, "stream": routing.Stream, "resumable": routing.Stream} {
+		routes = append(routes, &routing.Route{
+			Name: name, Host: "h", PathPrefix: "/" + name + "/", Kind: kind, Timeout: 2 * time.Second, Target: 200 * time.Millisecond, MaxEngines: 2,
+			Resumable: name == "resumable", Shares: []routing.Share{{Pool: "p", Weight: 1}},
+		})
+	}
+	return routing.NewTable(version, routes, []*routing.Pool{{Name: "p"}}, []*routing.Team{{Name: "t", Keys: []string{key}}}, routing.Limits{MaxBodyBytes: 1 << 20})
+}
+
+// newNode returns a dispatcher with three engines.
+func newNode(t *testing.T, name string, s *sender, conf *routing.Table, f dispatch.Forwarder) *dispatch.Dispatcher {
+	t.Helper()
+	now, proof, p, log := time.Now(), freshness.New(time.Hour), placement.New("hall"), slog.New(slog.NewTextHandler(io.Discard, nil))
+	for i := range 3 {
+		p.Set(placement.Engine{ID: fmt.Sprint("e", i), Pool: "p", Hall: "hall", Slots: 8})
+	}
+	proof.Renew(now)
+	m := reach.New(p, nobody{}, func(string) {}, log)
+	t.Cleanup(m.Close)
+	options := []dispatch.Option{dispatch.WithReach(m)}
+	if f != nil {
+		options = append(options, dispatch.WithForwarder(name, f))
+	}
+	d := dispatch.New(proof, p, retry.New(now, retry.Limits{Extra: 10, Window: 10 * time.Second}, func() int { return 1 }), s, nobody{}, log, options...)
+	d.SetTable(conf)
+	return d
+}
+
+// newPair returns a node that reaches no engine, the link to another that may, and their engines.
+func newPair(t *testing.T, second *sender, conf *routing.Table) (first *dispatch.Dispatcher, engines *sender, l *link, server *httptest.Server) {
+	t.Helper()
+	d := newNode(t, "n1", second, conf, nil)
+	server = httptest.NewServer(forward.NewHandler(d, forward.Limits{Read: time.Second, Write: time.Second}, slog.New(slog.NewTextHandler(io.Discard, nil))))
+	t.Cleanup(server.Close)
+	l = &link{Client: forward.NewClient(), address: server.Listener.Addr().String()}
+	t.Cleanup(l.Close)
+	engines = &sender{serve: unreachable}
+	return newNode(t, "n0", engines, table(2, "k"), l), engines, l, server
+}
+
+// answering answers requests with a body that is read from a reader; length is -1 for chunks.
+func answering(status int, length int64, body func(ctx context.Context) io.Reader) *sender {
+	return &sender{serve: func(ctx context.Context, _ *dispatch.Request, _ dispatch.Attempt) (*dispatch.Response, error) {
+		h := http.Header{"Response-Seal": {"seal"}, "Content-Type": {"text/event-stream"}}
+		return &dispatch.Response{Status: status, Header: h, Length: length, Body: io.NopCloser(body(ctx))}, nil
+	}}
+}
+
+// ask sends a request to a node.
+func ask(ctx context.Context, t *testing.T, d *dispatch.Dispatcher, route string) *caller {
+	t.Helper()
+	r := &dispatch.Request{ID: "id", Host: "h", Path: "/" + route + "/x", Key: "k", Method: "POST", Patience: 2 * time.Second, Header: http.Header{"A": {"b"}}, Body: []byte("body")}
+	now := time.Now()
+	matched, team, refusal := d.Check(now, r)
+	if refusal != nil {
+		t.Fatalf("refused: %v", refusal.Reason)
+	}
+	c := &caller{}
+	d.Serve(ctx, now, r, matched, team, c)
+	return c
+}
+
+func TestForwardedAnswerIsUnchanged(t *testing.T) {
+	for _, status := range []int{200, 404, 500} {
+		second := answering(status, 5, func(context.Context) io.Reader { return strings.NewReader("whole") })
+		first, _, _, _ := newPair(t, second, table(2, "k"))
+		if c := ask(context.Background(), t, first, "unsafe"); c.status != status || c.body != "whole" || c.aborted {
+			t.Errorf("got %+v, want status %d", c, status)
+		}
+		if second.count() != 1 || second.sent[0].Team != "t" || second.sent[0].TimeLeft > 2*time.Second {
+			t.Errorf("sent %+v", second.sent)
+		}
+	}
+}
+
+func TestForwardedRequestIsNotForwardedAgain(t *testing.T) {
+	second := &sender{serve: unreachable}
+	first, engines, l, _ := newPair(t, second, table(2, "k"))
+	if c := ask(context.Background(), t, first, "unsafe"); c.refusal != dispatch.NoEngine {
+		t.Errorf("got %+v, want %s", c, dispatch.NoEngine)
+	}
+	if l.tries.Load() != 3 || engines.count() > 3 || second.count() != 9 {
+		t.Errorf("%d nodes tried, %d and %d engines tried", l.tries.Load(), engines.count(), second.count())
+	}
+}
+
+func TestUnsafeRequestIsNotRepeatedAfterItsLinkBroke(t *testing.T) {
+	for _, route := range []string{"unsafe", "stream"} {
+		var server *httptest.Server
+		second := &sender{}
+		second.serve = func(ctx context.Context, _ *dispatch.Request, _ dispatch.Attempt) (*dispatch.Response, error) {
+			server.CloseClientConnections()
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		first, engines, _, s := newPair(t, second, table(2, "k"))
+		server = s
+		if c := ask(context.Background(), t, first, route); c.refusal != dispatch.EngineFailed {
+			t.Errorf("%s: got %+v, want %s", route, c, dispatch.EngineFailed)
+		}
+		if second.count() != 1 || engines.count() > 3 {
+			t.Errorf("%s: sent %d times", route, second.count())
+		}
+	}
+}
+
+func TestForwardedStreamBrokenOffNeverLooksComplete(t *testing.T) {
+	second := answering(200, -1, func(context.Context) io.Reader {
+		return io.MultiReader(strings.NewReader("id: 1\ndata: x\n\n"), &failing{})
+	})
+	first, _, _, _ := newPair(t, second, table(2, "k"))
+	if c := ask(context.Background(), t, first, "stream"); !c.aborted || c.body != "id: 1\ndata: x\n\n" {
+		t.Errorf("got %+v, want an aborted answer", c)
+	}
+}
+
+// failing is a body that breaks off.
+type failing struct{}
+
+func (*failing) Read([]byte) (int, error) { return 0, errRefused }
+
+func TestForwardedEventsArriveAsTheyComeAndEndWithTheCaller(t *testing.T) {
+	events, ended := make(chan string), make(chan struct{})
+	second := answering(200, -1, func(ctx context.Context) io.Reader {
+		r, w := io.Pipe()
+		go func() {
+			for event := range events {
+				if _, err := io.WriteString(w, event); err != nil {
+					return
+				}
+			}
+		}()
+		context.AfterFunc(ctx, func() { w.CloseWithError(ctx.Err()); close(ended) })
+		return r
+	})
+	first, _, _, _ := newPair(t, second, table(2, "k"))
+	ctx, leave := context.WithCancel(context.Background())
+	r := &dispatch.Request{ID: "id", Host: "h", Path: "/stream/x", Key: "k", Method: "POST", Patience: 2 * time.Second}
+	route, team, _ := first.Check(time.Now(), r)
+	c, done := &caller{}, make(chan struct{})
+	go func() { first.Serve(ctx, time.Now(), r, route, team, c); close(done) }()
+	for _, want := range []string{"id: 1\n\n", "id: 1\n\nid: 2\n\n"} {
+		events <- want[len(want)-7:]
+		for end := time.Now().Add(time.Second); c.got() != want; time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("got %q, want %q", c.got(), want)
+			}
+		}
+	}
+	leave()
+	select {
+	case <-ended:
+	case <-time.After(time.Second):
+		t.Error("the engine still runs a request whose caller has left")
+	}
+	close(events)
+	<-done
+}
+
+func TestOlderConfigurationRefusesNothingForwarded(t *testing.T) {
+	for version, want := range map[int]dispatch.Reason{1: dispatch.NoEngine, 3: dispatch.UnknownKey} {
+		second := &sender{serve: unreachable}
+		first, _, l, _ := newPair(t, second, table(version, "other"))
+		if c := ask(context.Background(), t, first, "unsafe"); c.refusal != want || second.count() > 0 {
+			t.Errorf("version %d there, 2 here: got %+v after %d nodes, want %s", version, c, l.tries.Load(), want)
+		}
+	}
+}
+
+func TestUnreachableNodeIsPassedOver(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := l.Addr().String()
+	l.Close()
+	c := forward.NewClient()
+	defer c.Close()
+	if _, _, err := c.Forward(context.Background(), address, &dispatch.Request{ID: "a"}, dispatch.Forwarded{}); !errors.Is(err, dispatch.ErrNotSent) {
+		t.Errorf("got %v, want ErrNotSent", err)
+	}
+}
