Soak: nodes cut off from all engines

A node's connections to all engines hang, end or are reset, by the address they come from, for up to seven seconds; from 3 s on it must serve two thirds of what the others serve.

--- a/lab/relay/relay.go
+++ b/lab/relay/relay.go
@@ -36,7 +36,8 @@
 	rand     *rand.Rand // rand selects which data is delayed; nil for all.
 	share    float64
 	changed  *sync.Cond
-	conns    map[net.Conn]bool
+	conns    map[net.Conn]string // conns holds the open connections with their sources.
+	sources  map[string]Mode     // sources holds the modes of single sources.
 	closed   bool
 }
 
@@ -46,7 +47,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Relay{address: l.Addr().String(), listener: l, target: target, delay: delay, conns: map[net.Conn]bool{}}
+	r := &Relay{address: l.Addr().String(), listener: l, target: target, delay: delay, conns: map[net.Conn]string{}, sources: map[string]Mode{}}
 	r.changed = sync.NewCond(&r.mu)
 	r.wg.Add(1)
 	go r.accept(l)
@@ -76,6 +77,31 @@
 	r.changed.Broadcast()
 }
 
+// SetFor changes the mode for connections from one IP address; Pass takes it back. Only Pass, Hold, Cut
+// and Reset may be set, and Reset resets new connections as well.
+func (r *Relay) SetFor(source string, m Mode) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sources[source] = m
+	for c, from := range r.conns {
+		if from == source && (m == Cut || m == Reset) {
+			if tcp, ok := c.(*net.TCPConn); ok && m == Reset {
+				_ = tcp.SetLinger(0) // Otherwise the connection closes normally, which is a fault as well.
+			}
+			c.Close()
+		}
+	}
+	r.changed.Broadcast()
+}
+
+// modeOf returns the mode of connections from a source; the caller holds the lock.
+func (r *Relay) modeOf(source string) Mode {
+	if m := r.sources[source]; m != Pass {
+		return m
+	}
+	return r.mode
+}
+
 // listen listens again; the caller holds the lock. If the address is taken meanwhile, the
 // relay forwards nothing any more.
 func (r *Relay) listen() {
@@ -132,8 +158,9 @@
 		if err != nil {
 			return
 		}
+		source, _, _ := net.SplitHostPort(in.RemoteAddr().String()) // A TCP address has a host.
 		out, err := net.Dial("tcp", r.target)
-		if err != nil || !r.add(in, out) {
+		if err != nil || !r.add(source, in, out) {
 			in.Close()
 			if out != nil {
 				out.Close()
@@ -141,34 +168,34 @@
 			continue
 		}
 		r.wg.Add(2)
-		go r.copy(in, out, false)
-		go r.copy(out, in, true)
+		go r.copy(source, in, out, false)
+		go r.copy(source, out, in, true)
 	}
 }
 
 // add registers a pair of connections; it returns false if the relay is cut, refusing or
 // closed.
-func (r *Relay) add(conns ...net.Conn) bool {
+func (r *Relay) add(source string, conns ...net.Conn) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.mode == Cut || r.mode == Refuse || r.closed {
+	if m := r.modeOf(source); m == Cut || m == Refuse || r.sources[source] == Reset || r.closed {
 		return false
 	}
 	for _, c := range conns {
-		r.conns[c] = true
+		r.conns[c] = source
 	}
 	return true
 }
 
 // copy forwards data as the mode requires; fromTarget is the direction from the target.
-func (r *Relay) copy(from, to net.Conn, fromTarget bool) {
+func (r *Relay) copy(source string, from, to net.Conn, fromTarget bool) {
 	defer r.wg.Done()
 	defer r.drop(from, to)
 	const size = 32 << 10
 	buf := make([]byte, size)
 	for {
 		n, err := from.Read(buf)
-		if err != nil || !r.waitToForward(fromTarget) {
+		if err != nil || !r.waitToForward(source, fromTarget) {
 			return
 		}
 		if _, err := to.Write(buf[:n]); err != nil {
@@ -188,15 +215,16 @@
 }
 
 // holds reports whether the mode forwards nothing in a direction; the caller holds the lock.
-func (r *Relay) holds(fromTarget bool) bool {
-	return r.mode == Hold || r.mode == HoldResponses && fromTarget
+func (r *Relay) holds(source string, fromTarget bool) bool {
+	m := r.modeOf(source)
+	return m == Hold || m == HoldResponses && fromTarget
 }
 
 // waitToForward waits as the mode requires and reports whether to forward the data.
-func (r *Relay) waitToForward(fromTarget bool) bool {
+func (r *Relay) waitToForward(source string, fromTarget bool) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for r.holds(fromTarget) && !r.closed {
+	for r.holds(source, fromTarget) && !r.closed {
 		r.changed.Wait()
 	}
 	if r.mode == Delay && (r.rand == nil || r.rand.Float64() < r.share) {
@@ -204,5 +232,6 @@
 		time.Sleep(r.delay)
 		r.mu.Lock()
 	}
-	return r.mode != Cut && r.mode != Refuse && !r.closed
+	m := r.modeOf(source)
+	return m != Cut && m != Refuse && !r.closed
 }
--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -61,6 +61,7 @@
 	{"engines misbehave, then well", 2 * time.Second, false, misbehave},
 	{"way to an engine cut", 3 * time.Second, false, engineLinkFault(relay.Cut)},
 	{"way to an engine silent", 3 * time.Second, false, engineLinkFault(relay.Hold)},
+	{"node cut off from engines", 3 * time.Second, false, cutOffNode},
 	{"answers of an engine held back", 3 * time.Second, false, engineLinkFault(relay.HoldResponses)},
 	{"connections to an engine reset", 100 * time.Millisecond, false, engineLinkFault(relay.Reset)},
 	{"engine crashes", time.Second, false, crashEngine},
--- a/lab/soak/ledger.go
+++ b/lab/soak/ledger.go
@@ -52,6 +52,7 @@
 		violations []string
 
 		evacuations []evacuation
+		cuts        []cut
 
 		senders  map[string]sender        // senders holds where callers sent their requests, by request id.
 		arrivals map[string][]arrival     // arrivals holds the requests that reached engines, by engine.
@@ -189,6 +190,9 @@
 	for _, e := range l.evacuations {
 		out = append(out, l.startsWhileEvacuated(e)...)
 	}
+	for _, c := range l.cuts {
+		out = append(out, l.unservedWhileCut(c)...)
+	}
 	for engine, at := range l.leaving {
 		if l.faultFree(at.Add(-recoveryTime), at.Add(drainWithin+drainObservation)) {
 			out = append(out, l.lateStarts(engine, at)...)
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -125,6 +125,19 @@
 			}
 			l.recordSignals("e", "a", engineSignals{}, at.Add(9*time.Second))
 		},
+		"node cut off": func(l *Ledger) {
+			l.recordCut("n", at.Add(-4*time.Second), at.Add(2*time.Second))
+			for i := range 40 {
+				node, e := []string{"n", "m"}[i%2], goodResult
+				if e.ended = at.Add(time.Second); node == "n" {
+					e.status = unavailable
+				}
+				id := fmt.Sprint("x", i)
+				e.body = expectedBody(e.route, id)
+				l.recordSender(id, node, at)
+				l.recordResult(id, e)
+			}
+		},
 		"repeated crashes": func(l *Ledger) {
 			for i := range 8 {
 				l.recordCrash("crash x", at.Add(time.Duration(i)*2*time.Second))
