--- a/internal/edge/says_rig_test.go
+++ b/internal/edge/says_rig_test.go
@@ -31,6 +31,7 @@
 		address   string       // address is the store's.
 		version   atomic.Int64 // version is that of the newest change of an entry, and of all rows.
 		config    string       // config is the operators' configuration; empty for twoTierConfig.
+		slots     int          // slots is that of the engines' entries; 0 for 64.
 		storeDown atomic.Bool  // storeDown makes the store reject all calls.
 	}
 
@@ -107,7 +108,7 @@
 		rows = append(rows, fmt.Sprintf(`{"table":"op","part":"","tls_key":"config","value":%q,"ver":5}`, base64.StdEncoding.EncodeToString([]byte(cmp.Or(w.config, twoTierConfig)))))
 	case table == "servers":
 		for _, e := range w.engines {
-			value := fmt.Sprintf(`{"service":"p","address":%q,"zone":%q,"version":"1","slots":64,"state":%q,"cold_remaining_ms":0,"sequence":%d,"born":%d}`, e.address, e.hall, map[bool]string{false: "ready", true: "draining"}[e.draining.Load()], version, e.startedAt.Load())
+			value := fmt.Sprintf(`{"service":"p","address":%q,"zone":%q,"version":"1","slots":%d,"state":%q,"cold_remaining_ms":0,"sequence":%d,"born":%d}`, e.address, e.hall, cmp.Or(w.slots, 64), map[bool]string{false: "ready", true: "draining"}[e.draining.Load()], version, e.startedAt.Load())
 			rows = append(rows, fmt.Sprintf(`{"table":"servers","part":"","tls_key":%q,"value":%q,"ver":%d}`, e.id, base64.StdEncoding.EncodeToString([]byte(value)), version))
 		}
 	}
