Placement: the slots of brittle engines are divided among the nodes

Each slot of a brittle engine belongs to one node by rendezvous hashing, and a node sends no more than it has slots; free slots are lent slowly, once they have been free for 300 ms. A request waits at its node. The word of one answer counts for the pool, at peers too.

--- a/internal/dispatch/line.go
+++ b/internal/dispatch/line.go
@@ -192,7 +192,7 @@
 func (x *exchange) awaitSlot(ctx context.Context, now time.Time, request placement.Request) *Refusal {
 	q := x.d.queues.of(now, x.pool)
 	if x.route.Target <= 0 {
-		return nil
+		return x.awaitFull(ctx, now, q, request)
 	}
 	if x.interactive() {
 		return x.awaitInteractive(ctx, now, q, request)
@@ -221,6 +221,19 @@
 	return nil
 }
 
+// awaitFull waits for a slot of a request without a target if this node may have no more requests at any
+// engine that it may go to.
+func (x *exchange) awaitFull(ctx context.Context, now time.Time, q *queue, request placement.Request) *Refusal {
+	longest := time.Duration(permitWaitShare * float64(x.deadline.Sub(x.arrived)))
+	if !x.choice.Full || x.waitInQueue(ctx, now, q, longest, request) {
+		return nil
+	}
+	if x.callerLeft(ctx) {
+		return &Refusal{Reason: CallerLeft}
+	}
+	return &Refusal{Reason: Busy, RetryAfter: x.retryAfter()}
+}
+
 // mayUseSlot reports whether the request may take a slot at an engine. Lower tiers leave the last
 // slots of a pool to the highest, because a running request keeps its slot for seconds.
 func (x *exchange) mayUseSlot(c placement.Choice) bool {
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -119,7 +119,7 @@
 func (x *exchange) handleRejection(now time.Time, cause error) (again bool) {
 	x.refusal = Refusal{Reason: x.unlessMayHaveRun(EnginesFull), RetryAfter: fullRetryAfter}
 	next, ok := x.pickEngine(now, x.placementRequest())
-	if ok && x.sent < x.route.MaxEngines && now.Before(x.deadline) && x.useRetry(now, cause) {
+	if ok && !next.Full && x.sent < x.route.MaxEngines && now.Before(x.deadline) && x.useRetry(now, cause) {
 		return true
 	}
 	if !ok {
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -70,6 +70,7 @@
 		Slowdown float64       // Slowdown is the time that work takes at the engine as a multiple of the usual; 0 if it did not say.
 		BackOff  time.Duration // BackOff is how long the engine wants no requests from this node; 0 if it did not say.
 		Leaving  bool          // Leaving is set if the engine announces that it leaves.
+		Brittle  bool          // Brittle is set if the engine falls over when it has to reject more than a few requests a second.
 		Limited  bool          // Limited is set if the engine declared a rate limit.
 		Limit    float64       // Limit is the number of requests per second that the engine accepts from all nodes together.
 		Engine   string        // Engine is the engine that gave the answer, for the node that forwarded the request.
--- a/internal/dispatch/said.go
+++ b/internal/dispatch/said.go
@@ -2,8 +2,13 @@
 
 import "time"
 
-// noLimit is logged for an answer without a rate limit.
-const noLimit = -1
+const (
+	// noLimit is logged for an answer without a rate limit.
+	noLimit = -1
+
+	// brittleBackoff is how long a node sends nothing to a brittle engine that rejected a request.
+	brittleBackoff = time.Second
+)
 
 // LeaveObserver is notified of engines that leave.
 type LeaveObserver interface {
@@ -28,6 +33,12 @@
 		x.d.log.Info("engine asked to back off", "request", x.req.ID, "engine", engine, "rest_ms", resp.BackOff.Milliseconds(), "status", resp.Status, "not_run", resp.NotRun)
 		x.d.placement.BackOff(now, engine, resp.BackOff)
 	}
+	if x.d.placement.NoteBrittle(now, x.pool, resp.Brittle) {
+		x.d.log.Info("engines of a pool changed between brittle and sound", "pool", x.pool, "brittle", resp.Brittle, "request", x.req.ID, "engine", engine)
+	}
+	if resp.Brittle && resp.NotRun {
+		x.d.placement.BackOff(now, engine, brittleBackoff)
+	}
 	if x.d.leaveObserver != nil && resp.Leaving {
 		x.d.leaveObserver.Leaves(now, engine, x.choice.Engine.Incarnation)
 	}
--- a/internal/dispatch/walk.go
+++ b/internal/dispatch/walk.go
@@ -155,6 +155,9 @@
 	}
 	x.choice = choice
 	if x.sent > 0 || x.unreachable > 0 {
+		if choice.Full {
+			return &Refusal{Reason: x.unlessMayHaveRun(EnginesFull), RetryAfter: fullRetryAfter}
+		}
 		return nil
 	}
 	if refusal := x.awaitSlot(ctx, now, request); refusal != nil {
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -54,7 +54,7 @@
 		Ready: e.Ready(now), Stopping: e.dispatcher.Ready(now) == dispatch.Stopping, Rate: float32(e.dispatcher.Rate(now)), Loads: e.placement.Loads(), Uses: e.placement.TakeUses(), Slowdowns: e.placement.Slowdowns(now), Versions: versions,
 		ConfigVersion: e.dispatcher.Version(), ProofAgeMs: -1, CannotReadStore: e.readFailing(now), StoreSilentMs: -1, StoreFailureAgeMs: -1, TierStats: e.dispatcher.TierStats(now), Holder: e.announcedHolder(now), Crashing: e.quarantine.GossipEntries(now, gossip.UpdateLifetime), Limits: e.limits.GossipEntries(now, gossip.UpdateLifetime), Leaving: e.discovery.GossipEntries(now, gossip.UpdateLifetime), Evicted: e.cacheWatcher.TakeEvicted(),
 		TeamWork: e.dispatcher.TeamWork(now), LowerAdmitted: e.dispatcher.LowerAdmitted(now),
-		Unreachable: e.reach.Unreachable(), ForwardPort: e.forwardPort(),
+		Unreachable: e.reach.Unreachable(), ForwardPort: e.forwardPort(), Brittle: e.placement.Brittle(now),
 	}
 	if age, ok := e.proof.Age(now); ok {
 		s.ProofAgeMs = age.Milliseconds() + 1 // Rounded up, since a proof must not get younger on its way.
@@ -80,6 +80,7 @@
 	e.dispatcher.SetPeerLowerAdmitted(now, p.Name, s.LowerAdmitted)
 	e.quarantine.MergeGossip(now, s.Crashing)
 	e.limits.MergeGossip(now, s.Limits)
+	e.placement.MergeBrittle(now, s.Brittle)
 	e.discovery.MergeGossip(now, s.Leaving)
 	e.receiveHolder(now, s.Holder)
 	e.follower.ObserveVersions(p.PeerAddress, s.Versions)
--- a/internal/placement/call.go
+++ b/internal/placement/call.go
@@ -63,6 +63,7 @@
 	if e == nil {
 		e = newEngine(c.Engine)
 	}
+	e.starting = max(0, e.starting-1)
 	sample := r.Interactive && e.takesAtOnce(now)
 	if c.transfer.source != nil {
 		c, sample = p.startTransfer(now, c, e, r), false // The time of the transfer is no prefill.
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -95,6 +95,10 @@
 		// and answeredAt when it last began an answer to this node.
 		brokenAt, answeredAt time.Time
 
+		share    slotShare // slots of this node while the engine is brittle
+		lending  lending
+		starting int // requests that are about to be sent while the engine is brittle
+
 		cold         coldPacing
 		nextColdSend time.Time // nextColdSend is when this node may next send a request to the engine while it is cold.
 	}
--- a/internal/placement/leaving.go
+++ b/internal/placement/leaving.go
@@ -84,13 +84,21 @@
 // when; zero for no limit. In an interactive pool the engine must not have been removed, and a draining
 // one must still be in use. Other pools always send to the engine that was chosen.
 func (p *Placement) MaySend(now time.Time, c Choice, r Request) (until time.Time, ok bool) {
-	if !r.Interactive {
-		return time.Time{}, true
-	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	e := p.engines[c.Engine.ID]
+	if known := p.poolState(r.Pool); e != nil && known.brittle(now) {
+		if p.full(now, known, e) {
+			return time.Time{}, false // Another request took the slot.
+		}
+		if e.own.InFlight+e.starting >= p.ownSlots(now, e) {
+			e.lending.lentAt = now
+		}
+		e.starting++
+	}
 	switch {
+	case !r.Interactive:
+		return time.Time{}, true
 	case e == nil || e.Incarnation != c.Engine.Incarnation:
 		return time.Time{}, false
 	case !e.Draining:
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -61,6 +61,7 @@
 		TransferTokens int     // TransferTokens is the number of tokens copied from there.
 		GapSensitive   bool    // GapSensitive means that long prompts would make this stream late too often.
 		SlotAvailable  bool    // SlotAvailable means that the request need not wait: the engine has a free slot, or the rest of the pool has many.
+		Full           bool    // Full means that the engine is brittle and this node may have no more requests there now.
 		SlotsScarce    bool    // SlotsScarce means that the pool or the engine has few free slots.
 		SlotsReserved  bool    // SlotsReserved means that the remaining free slots are reserved for the highest tier.
 
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -27,17 +27,19 @@
 
 // pool is the state of a pool's engines.
 type pool struct {
-	engines       []*engine   // engines that take new work, in the order in which streams fill them
-	leaving       []*engine   // draining engines that interactive pools use until they leave
-	withLeaving   []*engine   // engines, then leaving
-	setAnswers    answerTimes // how long the answers of streams of the set take
-	answers       answerTimes // how long other answers take
-	streamEngines int         // number of engines, from the first, reserved for separated streams
-	gaps          gapStats    // gaps of streams on the other engines
-	prefillTime   prefillTime // time to the first event by prompt tokens
-	interactive   bool        // whether the latest request was of an interactive pool
-	unreachable   bool        // whether this node has lost its way to the engines
-	stats         PoolStats
+	engines          []*engine   // engines that take new work, in the order in which streams fill them
+	leaving          []*engine   // draining engines that interactive pools use until they leave
+	withLeaving      []*engine   // engines, then leaving
+	setAnswers       answerTimes // how long the answers of streams of the set take
+	answers          answerTimes // how long other answers take
+	streamEngines    int         // number of engines, from the first, reserved for separated streams
+	gaps             gapStats    // gaps of streams on the other engines
+	prefillTime      prefillTime // time to the first event by prompt tokens
+	interactive      bool        // whether the latest request was of an interactive pool
+	brittleUntil     time.Time   // when the engines stop counting as brittle by their own answers to this node
+	peerBrittleUntil time.Time   // the same by what peers report
+	unreachable      bool        // whether this node has lost its way to the engines
+	stats            PoolStats
 
 	// minStreamGap is the shortest gap limit of callers whose streams are delayed by long
 	// prompts; 0 if there are none.
--- a/internal/placement/weigh.go
+++ b/internal/placement/weigh.go
@@ -148,6 +148,10 @@
 	if r.separated {
 		c.class = p.class(now, known, e, load, c, r, rate)
 	}
+	if c.Full = p.full(now, known, e); c.Full {
+		c.SlotAvailable = false
+		c.class += classNoSlot
+	}
 	return c
 }
 
