--- a/lab/soak/engine.go
+++ b/lab/soak/engine.go
@@ -28,6 +28,9 @@
 	modeCount          // modeCount is the number of modes.
 )
 
+// usualSlots is how many slots the entries of engines name.
+const usualSlots = 8
+
 // eventInterval is the time between two events of a stream.
 const eventInterval = 20 * time.Millisecond
 
@@ -44,6 +47,8 @@
 	cacheCalls  atomic.Int64
 	interactive bool                          // interactive is set if the nodes treat the pools as interactive.
 	signals     atomic.Pointer[engineSignals] // signals is what the engine reports in response headers; nil for nothing.
+	brittle     atomic.Pointer[brittleness]   // brittle is nil while the engine is sound.
+	slots       atomic.Int64                  // slots is that of its entry.
 	startedAt   atomic.Int64                  // startedAt is the last start, in Unix milliseconds.
 	crash       func(e *engine, body string)  // crash stops the engine while it runs a request, and restarts it later.
 	lifecycleMu sync.Mutex                    // lifecycleMu is held while the engine restarts or must not restart, and is never released after its final stop.
@@ -57,6 +62,7 @@
 		return nil, fmt.Errorf("start engine: %w", err)
 	}
 	e := &engine{id: id, pool: pool, hall: hall, interactive: interactive, ledger: l, crash: crash}
+	e.slots.Store(usualSlots)
 	e.serve(listener)
 	return e, nil
 }
@@ -119,6 +125,11 @@
 	if e.writeSignals(w, id) {
 		return
 	}
+	leave, rejected := e.rejectBrittle(w)
+	if rejected {
+		return
+	}
+	defer leave()
 	mode := e.nextMode()
 	if mode == modeFull {
 		w.Header().Set("Not-Executed", "1")
--- a/lab/soak/engine_frame.go
+++ b/lab/soak/engine_frame.go
@@ -26,6 +26,21 @@
 	return frame(h.Sum32() % uint32(frameCount))
 }
 
+// endsBetweenEvents reports whether an answer without a frame ends early after a whole event: nothing in
+// it, nor at the end of its connection, tells it from a whole one.
+func endsBetweenEvents(id string, e result) bool {
+	if f := frameOf(id); f != frameNone && f != frameOldHTTP || e.route != routeStream && e.route != routeResumable {
+		return false
+	}
+	whole := ""
+	for n := 1; n <= events(id); n++ {
+		if whole += event(id, n); e.body == whole {
+			return true
+		}
+	}
+	return false
+}
+
 // set prepares a response to be framed; length is that of its body.
 func (f frame) set(w http.ResponseWriter, r *http.Request, length int) {
 	switch f {
--- a/lab/soak/world.go
+++ b/lab/soak/world.go
@@ -64,6 +64,8 @@
 
 		evacuationMu sync.Mutex // evacuationMu is held during an evacuation, so that at most one hall is evacuated at a time and the others keep serving.
 
+		brittleMu sync.Mutex // brittleMu is held while engines are brittle.
+
 		mu             sync.Mutex
 		nodes          []*node
 		engines        []*engine
