Dial: all connections between machines give a silent peer up after three seconds

Connections between nodes, and to engines of croftturn run, had no TCP_USER_TIMEOUT at all: the default keep-alive gives a silent peer up after minutes. Where one was set, it was shorter than what the keep-alive settings say (2 s; Go rounds the interval of 500 ms up to a second, 4 s), and as it decides when probes give up, one lost probe ended a connection that waited for its answer. Both now say 3 s, so that one probe may be lost, and all dialers are internal/dial's.

--- a/internal/dial/dial.go
+++ b/internal/dial/dial.go
@@ -12,14 +12,15 @@
 
 const (
 	// unackedTimeout closes a connection whose peer acknowledges nothing. A machine without power
-	// sends nothing, and the kernel's default is to retry for minutes.
-	unackedTimeout = 2 * time.Second
+	// sends nothing, and the kernel's default is to retry for minutes. It is TCP_USER_TIMEOUT, which
+	// also decides when keep-alive probes give up, whatever their count.
+	unackedTimeout = keepAliveIdle + keepAliveProbes*keepAliveInterval
 
-	// keepAliveIdle, keepAliveInterval and keepAliveProbes close an idle connection whose peer is
-	// gone after about two and a half seconds.
+	// keepAliveIdle, keepAliveInterval and keepAliveProbes find an idle connection whose peer is gone;
+	// one probe may be lost. The kernel takes whole seconds.
 	keepAliveIdle     = time.Second
-	keepAliveInterval = 500 * time.Millisecond
-	keepAliveProbes   = 3
+	keepAliveInterval = time.Second
+	keepAliveProbes   = 2
 )
 
 // Option configures a dialer.
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/croftturn/croftturn/internal/dial"
 	"github.com/croftturn/croftturn/internal/header"
 	"github.com/croftturn/croftturn/internal/sse"
 )
@@ -103,11 +104,10 @@
 // NewClient returns a client that cancels a request when its engine sends no data
 // for the duration stall.
 func NewClient(stall time.Duration) *Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &Client{
 		stall: stall,
 		http: &http.Client{
-			Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute},
+			Transport: &http.Transport{DialContext: dial.New(dialTimeout).DialContext, MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute},
 			CheckRedirect: func(*http.Request, []*http.Request) error {
 				return http.ErrUseLastResponse
 			},
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -4,13 +4,13 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"sync"
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/croftturn/croftturn/internal/clock"
+	"github.com/croftturn/croftturn/internal/dial"
 )
 
 var (
@@ -172,8 +172,7 @@
 	if c.ctx.Err() != nil {
 		return nil, nil, fmt.Errorf("client is closed: %w", ErrUnreachable)
 	}
-	dialer := net.Dialer{Timeout: dialTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
+	conn, err := dial.New(dialTimeout).DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, nil, fmt.Errorf("%w: %w", ErrUnreachable, err)
 	}
