Relay: a resumable stream stays longer at an engine that is silent but there

Engines may fall silent for a second or so and go on. A resumable stream left its engine after a second without an event, which costs a retry and a prefill, and leaves an engine that has not seen yet that it works for nobody. After that second the node now checks whether the engine's address accepts a connection: if it does, the stream waits 0.75 s more, as its caller leaves after two seconds at the earliest; if not, it moves.

--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -6,10 +6,12 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/croftturn/croftturn/internal/clock"
 	"github.com/croftturn/croftturn/internal/header"
+	"github.com/croftturn/croftturn/internal/pause"
 	"github.com/croftturn/croftturn/internal/placement"
 	"github.com/croftturn/croftturn/internal/routing"
 	"github.com/croftturn/croftturn/internal/sse"
@@ -27,8 +29,11 @@
 	// which one of their requests ends.
 	fullRetryAfter = 200 * time.Millisecond
 
-	// streamStallTimeout is how long a resumable stream waits for an event.
+	// streamStallTimeout is how long a resumable stream waits for an event, and silentGrace how much
+	// longer if its engine still accepts connections: engines may fall silent for a second or so and go
+	// on, and callers leave after two seconds at the earliest.
 	streamStallTimeout = time.Second
+	silentGrace        = 750 * time.Millisecond
 )
 
 // wholeBody is the body of an answer whose end is checked.
@@ -247,7 +252,7 @@
 		x.beginAnswer(resp)
 		return x.copyRest(ctx, resp)
 	}
-	stall, onEvent := x.watchEvents(cancel)
+	stall, onEvent := x.watchEvents(ctx, cancel)
 	defer stall.Stop()
 	events := sse.NewReader(resp.Body)
 	for {
@@ -282,12 +287,25 @@
 
 // watchEvents abandons an attempt whose engine sends no event for too long, if the stream can
 // resume elsewhere. It returns the timer and a function to call on each event.
-func (x *exchange) watchEvents(cancel context.CancelCauseFunc) (stall *time.Timer, onEvent func()) {
+func (x *exchange) watchEvents(ctx context.Context, cancel context.CancelCauseFunc) (stall *time.Timer, onEvent func()) {
 	if x.via != "" || x.sent >= x.route.MaxEngines { // Another node watches its engines itself.
 		return time.NewTimer(clock.Until(x.deadline)), func() {}
 	}
-	stall = time.AfterFunc(streamStallTimeout, x.abandonSlow(cancel))
-	return stall, func() { stall.Reset(streamStallTimeout) }
+	var events atomic.Int64
+	abandon, address := x.abandonSlow(cancel), x.choice.Engine.Address
+	stall = time.AfterFunc(streamStallTimeout, func() {
+		now, before := clock.Now(), events.Load()
+		if x.reach != nil && x.reach.Accepts(ctx, address) {
+			pause.For(ctx, silentGrace-clock.Since(now))
+		}
+		if ctx.Err() == nil && events.Load() == before {
+			abandon()
+		}
+	})
+	return stall, func() {
+		events.Add(1)
+		stall.Reset(streamStallTimeout)
+	}
 }
 
 // handleBodyError handles an engine that failed in the middle of its answer.
--- /dev/null
+++ b/internal/dispatch/silent_test.go
@@ -0,0 +1,86 @@
+package dispatch_test
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/croftturn/croftturn/internal/dispatch"
+	"github.com/croftturn/croftturn/internal/freshness"
+	"github.com/croftturn/croftturn/internal/placement"
+	"github.com/croftturn/croftturn/internal/reach"
+	"github.com/croftturn/croftturn/internal/retry"
+)
+
+// silentProber says whether engines accept connections; they answer nothing.
+type silentProber bool
+
+func (p silentProber) Probe(context.Context, string) (connected, answered bool) {
+	return bool(p), false
+}
+
+// pausingStream is an answer of two events with a pause between them, or one that ends with its request.
+type pausingStream struct {
+	ctx    context.Context
+	pieces []string
+	pause  time.Duration
+	next   int
+}
+
+func (s *pausingStream) Read(p []byte) (int, error) {
+	if s.next == len(s.pieces) {
+		return 0, io.EOF
+	}
+	if s.next > 0 {
+		select {
+		case <-s.ctx.Done():
+			return 0, context.Cause(s.ctx)
+		case <-time.After(s.pause):
+		}
+	}
+	s.next++
+	return copy(p, s.pieces[s.next-1]), nil
+}
+
+// servePausing serves a resumable stream whose first engine pauses, and returns how often it was sent and
+// how long that took.
+func servePausing(t *testing.T, accepts bool, pause time.Duration) (sent int, took time.Duration, a *recordedAnswer) {
+	t.Helper()
+	e := &fakeSender{serve: func(ctx context.Context, n int, a dispatch.Attempt) (*dispatch.Response, error) {
+		resp := respond(200, "")
+		resp.Length, resp.Body = -1, io.NopCloser(strings.NewReader("id: 2\ndata: y\n\n"))
+		if n == 1 {
+			resp.Body = io.NopCloser(&pausingStream{ctx: ctx, pieces: []string{"id: 1\ndata: x\n\n", "id: 2\ndata: y\n\n"}, pause: pause})
+		}
+		return resp, nil
+	}}
+	now, proof, p, log := time.Now(), freshness.New(time.Hour), placement.New("hall"), slog.New(slog.NewTextHandler(io.Discard, nil))
+	for _, id := range []string{"e1", "e2", "e3", "e4"} {
+		p.Set(placement.Engine{ID: id, Pool: "p", Hall: "hall", Slots: 8})
+	}
+	proof.Renew(now)
+	m := reach.New(p, silentProber(accepts), func(string) {}, log)
+	t.Cleanup(m.Close)
+	d := dispatch.New(proof, p, retry.New(now, retry.Limits{Extra: 5, Window: 10 * time.Second}, func() int { return 1 }), e, retryObserver{}, log, dispatch.WithReach(m))
+	d.SetTable(table(1, "k"))
+	a = serve(t, d, "resumable")
+	return e.sentCount(), time.Since(now), a
+}
+
+func TestSilentEngineThatGoesOnKeepsItsStreams(t *testing.T) {
+	if sent, _, a := servePausing(t, true, 1300*time.Millisecond); sent != 1 || a.aborted || a.body.String() != "id: 1\ndata: x\n\nid: 2\ndata: y\n\n" {
+		t.Errorf("sent %d times, body %q, aborted %v", sent, a.body.String(), a.aborted)
+	}
+}
+
+func TestStreamLeavesAnEngineThatIsGone(t *testing.T) {
+	for accepts, longest := range map[bool]time.Duration{false: 1400 * time.Millisecond, true: 1900 * time.Millisecond} {
+		sent, took, a := servePausing(t, accepts, time.Minute)
+		if sent != 2 || took > longest || a.body.String() != "id: 1\ndata: x\n\nid: 2\ndata: y\n\n" {
+			t.Errorf("accepts connections %v: sent %d times, took %v, body %q", accepts, sent, took, a.body.String())
+		}
+	}
+}
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -31,6 +31,9 @@
 
 	// probeTimeout bounds one probe. It leaves an answer the time of one that waits for another step.
 	probeTimeout = 400 * time.Millisecond
+
+	// acceptTimeout bounds the check whether a silent engine accepts connections.
+	acceptTimeout = 250 * time.Millisecond
 )
 
 type (
@@ -290,6 +293,15 @@
 	p.updateAndUnlock(now)
 }
 
+// Accepts reports whether an engine's address accepts a connection, as that of an engine does which is
+// silent but not gone.
+func (p *Pool) Accepts(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
+	defer cancel()
+	connected, _ := p.m.prober.Probe(ctx, address)
+	return connected
+}
+
 // OthersAnswer reports whether an engine of the pool other than a given one answers a probe now, or
 // there is no other.
 func (p *Pool) OthersAnswer(ctx context.Context, engine string) bool {
