Forward: a configuration without a limit of bodies refuses no forwarded request

The first node has applied the limit; the second bounds bodies by the most that settings allow. A caller that leaves meanwhile is recorded as everywhere.

--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -37,9 +37,9 @@
 		From        string        `cbor:"1,keyasint,omitempty"` // From is the node that the caller sent the request to.
 		Spent       time.Duration `cbor:"2,keyasint,omitempty"` // Spent is the time since the request arrived there.
 		Sent        int           `cbor:"3,keyasint,omitempty"` // Sent is how many engines the request was sent to.
-		LastEventID string        `cbor:"5,keyasint,omitempty"` // LastEventID is the event after which a stream goes on; empty for a whole answer.
-		MayHaveRun  bool          `cbor:"6,keyasint,omitempty"` // MayHaveRun is set if an engine may have run the request.
-		Counted     bool          `cbor:"7,keyasint,omitempty"` // Counted is set if the request was counted for the budget of retries.
+		LastEventID string        `cbor:"4,keyasint,omitempty"` // LastEventID is the event after which a stream goes on; empty for a whole answer.
+		MayHaveRun  bool          `cbor:"5,keyasint,omitempty"` // MayHaveRun is set if an engine may have run the request.
+		Counted     bool          `cbor:"6,keyasint,omitempty"` // Counted is set if the request was counted for the budget of retries.
 	}
 )
 
@@ -56,6 +56,14 @@
 	x.sent, x.mayHaveRun, x.counted, x.lastEventID = f.Sent, f.MayHaveRun, f.Counted, f.LastEventID
 }
 
+// forwardedBy returns the node that forwarded the request, empty if its caller sent it.
+func (x *exchange) forwardedBy() string {
+	if x.req.Forwarded == nil {
+		return ""
+	}
+	return x.req.Forwarded.From
+}
+
 // mustForward reports whether the request should go by way of another node.
 func (x *exchange) mustForward() bool {
 	if x.d.forwarder == nil || x.reach == nil || x.req.Forwarded != nil || x.forwardFailed {
@@ -89,7 +97,7 @@
 			if resp != nil {
 				resp.Body.Close()
 			}
-			x.refuse(Refusal{Reason: CallerLeft})
+			x.abortAnswer(clock.Now())
 			return true, false
 		case errors.Is(err, ErrNotSent) || refusal != nil && x.elsewhere(refusal):
 			continue
--- a/internal/dispatch/walk.go
+++ b/internal/dispatch/walk.go
@@ -399,14 +399,6 @@
 	x.d.observer.Ended(x.route.Name, outcome, x.firstByte, now.Sub(x.arrived))
 }
 
-// forwardedBy returns the node that forwarded the request, empty if its caller sent it.
-func (x *exchange) forwardedBy() string {
-	if x.req.Forwarded == nil {
-		return ""
-	}
-	return x.req.Forwarded.From
-}
-
 // outcome returns the outcome of the request for the log and the metrics.
 func (x *exchange) outcome() string {
 	if x.refusal.Reason != "" {
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -97,7 +97,7 @@
 			Resumable: name == "resumable", Shares: []routing.Share{{Pool: "p", Weight: 1}},
 		})
 	}
-	return routing.NewTable(version, routes, []*routing.Pool{{Name: "p"}}, []*routing.Team{{Name: "t", Keys: []string{key}}}, routing.Limits{MaxBodyBytes: 1 << 20})
+	return routing.NewTable(version, routes, []*routing.Pool{{Name: "p"}}, []*routing.Team{{Name: "t", Keys: []string{key}}}, routing.Limits{})
 }
 
 // newNode returns a dispatcher with three engines.
--- a/internal/forward/message.go
+++ b/internal/forward/message.go
@@ -22,8 +22,14 @@
 // Path is where a node takes forwarded requests.
 const Path = "/v1/forwarded-requests"
 
-// maxHead is the maximum length of a head, in bytes: the headers of a request and some names.
-const maxHead = 2 << 20
+const (
+	// maxHead is the maximum length of a head, in bytes: the headers of a request and some names.
+	maxHead = 2 << 20
+
+	// maxBody is the maximum length of a request's body, in bytes. The node that forwards it has applied
+	// the limit of the configuration.
+	maxBody = 64 << 20
+)
 
 // errHeadTooLong means that the head of a message exceeds the maximum length.
 var errHeadTooLong = errors.New("forward: head too long")
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"net/http"
@@ -19,7 +20,6 @@
 		Check(now time.Time, r *dispatch.Request) (*routing.Route, *routing.Team, *dispatch.Refusal)
 		Serve(ctx context.Context, arrived time.Time, r *dispatch.Request, route *routing.Route, team *routing.Team, a dispatch.AnswerWriter)
 		Refused(now time.Time, r *dispatch.Request, refusal *dispatch.Refusal)
-		MaxBody() int64
 		Version() int
 	}
 
@@ -75,17 +75,20 @@
 func (h *Handler) read(w http.ResponseWriter, r *http.Request) (*dispatch.Request, error) {
 	control := http.NewResponseController(w)
 	if err := control.SetReadDeadline(time.Now().Add(h.limits.Read)); err != nil {
-		return nil, err
+		return nil, fmt.Errorf("set read deadline: %w", err)
 	}
 	head := &requestHead{}
 	if err := readHead(r.Body, head); err != nil {
 		return nil, err
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, max(h.dispatcher.MaxBody(), 0)+1))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("read body: %w", err)
+	}
+	if err := control.SetReadDeadline(time.Time{}); err != nil {
+		return nil, fmt.Errorf("clear read deadline: %w", err)
 	}
-	return head.request(body), control.SetReadDeadline(time.Time{})
+	return head.request(body), nil
 }
 
 // Refuse implements dispatch.AnswerWriter.
