Gossip: a cut-off node says so itself, so that a decision does not wait for its own lock

Placement asks for the nodes that send requests with its lock held, and since nodes say which pools they do not reach that question asked placement how many engines a pool has: the first message of a peer without engines, and the next decision on a cold engine or a stream set, ended the node.

Each node now computes it for itself and says it in its state (CutOff). TestPeerWithoutEnginesBlocksNoDecision hung before and passes.

--- a/internal/edge/cache_watch.go
+++ b/internal/edge/cache_watch.go
@@ -85,7 +85,7 @@
 	}
 	var others []string
 	for _, p := range e.gossip.Hubs(now) {
-		if p.Hall == e.settings.Hall && p.State.Ready && !e.cutOff(p.State.Unreachable) {
+		if p.Hall == e.settings.Hall && p.State.Ready && !p.State.CutOff {
 			others = append(others, p.Name)
 		}
 	}
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -72,7 +72,7 @@
 	return uint16(port)
 }
 
-// cutOff reports whether a node that has lost its way to some pools reaches no engine at all.
+// cutOff reports whether this node, which has lost its way to some pools, reaches no engine at all.
 func (e *Edge) cutOff(unreachable []string) bool {
 	table := e.dispatcher.Table()
 	if len(unreachable) == 0 || table == nil {
--- a/internal/edge/partition_test.go
+++ b/internal/edge/partition_test.go
@@ -8,6 +8,9 @@
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/croftturn/croftturn/internal/gossip"
+	"github.com/croftturn/croftturn/internal/placement"
 )
 
 const (
@@ -154,3 +157,23 @@
 		}
 	}
 }
+
+func TestPeerWithoutEnginesBlocksNoDecision(t *testing.T) {
+	e := startWithPeers(t, map[string]gossip.State{"b": {Ready: true, Unreachable: []string{"p"}, CutOff: true}})
+	waitFor(t, func() bool { return e.dispatcher.Version() == 3 }, "no configuration")
+	e.placement.Set(placement.Engine{ID: "e", Pool: "p", Hall: "h1", Slots: 4, ColdUntil: time.Now().Add(time.Hour)})
+	e.placement.SetColdLimit("p", 100)
+	decided := make(chan bool, 1)
+	go func() {
+		_, ok := e.placement.Choose(time.Now(), placement.Request{Pool: "p"})
+		decided <- ok
+	}()
+	select {
+	case ok := <-decided:
+		if !ok {
+			t.Error("no engine, though this node alone sends requests")
+		}
+	case <-time.After(2 * time.Second):
+		t.Fatal("the decision hangs")
+	}
+}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -35,11 +35,11 @@
 }
 
 // senders returns the nodes that send requests to engines, the hubs that serve callers and this node,
-// with their rates in requests per second.
+// with their rates in requests per second. Placement calls it with its lock held.
 func (e *Edge) senders(now time.Time) map[string]float64 {
 	out := map[string]float64{e.settings.Instance: e.dispatcher.Rate(now)}
 	for _, p := range e.gossip.Hubs(now) {
-		if p.State.Ready && !e.cutOff(p.State.Unreachable) {
+		if p.State.Ready && !p.State.CutOff {
 			out[p.Name] = float64(p.State.Rate)
 		}
 	}
@@ -48,13 +48,13 @@
 
 // LocalState returns this node's state as reported to its peers.
 func (e *Edge) LocalState(now time.Time) gossip.State {
-	silent := e.checkSilence(now)
+	silent, unreachable := e.checkSilence(now), e.reach.Unreachable()
 	versions := e.follower.Versions() // Read before the loads, which may be of later entries but not of earlier ones.
 	s := gossip.State{
 		Ready: e.Ready(now), Stopping: e.dispatcher.Ready(now) == dispatch.Stopping, Rate: float32(e.dispatcher.Rate(now)), Loads: e.placement.Loads(), Uses: e.placement.TakeUses(), Slowdowns: e.placement.Slowdowns(now), Versions: versions,
 		ConfigVersion: e.dispatcher.Version(), ProofAgeMs: -1, CannotReadStore: e.readFailing(now), StoreSilentMs: -1, StoreFailureAgeMs: -1, TierStats: e.dispatcher.TierStats(now), Holder: e.announcedHolder(now), Crashing: e.quarantine.GossipEntries(now, gossip.UpdateLifetime), Limits: e.limits.GossipEntries(now, gossip.UpdateLifetime), Leaving: e.discovery.GossipEntries(now, gossip.UpdateLifetime), Evicted: e.cacheWatcher.TakeEvicted(),
 		TeamWork: e.dispatcher.TeamWork(now), LowerAdmitted: e.dispatcher.LowerAdmitted(now),
-		Unreachable: e.reach.Unreachable(), ForwardPort: e.forwardPort(), Brittle: e.placement.Brittle(now),
+		Unreachable: unreachable, CutOff: e.cutOff(unreachable), ForwardPort: e.forwardPort(), Brittle: e.placement.Brittle(now),
 	}
 	if age, ok := e.proof.Age(now); ok {
 		s.ProofAgeMs = age.Milliseconds() + 1 // Rounded up, since a proof must not get younger on its way.
@@ -96,6 +96,6 @@
 // trial of a held request. Nodes that hear from different peers may both be.
 func (e *Edge) maySendTrial(now time.Time, f quarantine.Fingerprint) bool {
 	self := e.gossip.IsHub() && !e.cutOff(e.reach.Unreachable())
-	_, self, _ = e.selectHub(now, f.String(), self, func(p gossip.Peer) bool { return p.State.Ready && !e.cutOff(p.State.Unreachable) })
+	_, self, _ = e.selectHub(now, f.String(), self, func(p gossip.Peer) bool { return p.State.Ready && !p.State.CutOff })
 	return self
 }
