--- a/internal/overload/overload_test.go
+++ b/internal/overload/overload_test.go
@@ -144,8 +144,8 @@
 		c.SetPeerLower(epoch, "peer", true)
 	}
 	told.SetPeerLower(epoch, "peer", peer.AdmitsLower(epoch.Add(1100*time.Millisecond)))
-	for after, want := range map[time.Duration]bool{1100 * time.Millisecond: true, 1300 * time.Millisecond: false} {
-		now := epoch.Add(after)
+	for _, after := range []time.Duration{1100 * time.Millisecond, 1300 * time.Millisecond} {
+		now, want := epoch.Add(after), after < 1200*time.Millisecond
 		if alive.Arrive(now, top).BesideLower != want || told.Arrive(now, top).BesideLower || !peer.AdmitsLower(epoch.Add(900*time.Millisecond)) {
 			t.Errorf("after %v: want %v while the peer is silent, and false once it says so", after, want)
 		}
