Placement: a request that is not sent takes no slot of a brittle engine

In interactive pools a brittle engine ended up with no request at all: a slot was taken for each request that was about to be sent, and kept where the engine turned out to have left or restarted since it was chosen (found in review; four such requests left none of four slots, TestRequestsThatAreNotSentTakeNoSlotOfABrittleEngine failed with 0 of 4). The slot is now taken as the last step, once the request is known to be sent.

--- a/internal/placement/brittle.go
+++ b/internal/placement/brittle.go
@@ -114,6 +114,22 @@
 	return e.own.InFlight+e.starting >= p.ownSlots(now, e) && !lendable
 }
 
+// reserveSlot takes a slot of a brittle engine for a request that is about to be sent, and reports whether
+// there was one; there is at any other engine. The caller must hold the lock.
+func (p *Placement) reserveSlot(now time.Time, e *engine) bool {
+	if e == nil || !p.poolState(e.Pool).brittle(now) {
+		return true
+	}
+	if p.full(now, p.poolState(e.Pool), e) {
+		return false // Another request took the slot.
+	}
+	if e.own.InFlight+e.starting >= p.ownSlots(now, e) {
+		e.lending.lentAt = now
+	}
+	e.starting++
+	return true
+}
+
 // ownSlots returns how many slots of a brittle engine belong to this node. The caller must hold the
 // lock.
 func (p *Placement) ownSlots(now time.Time, e *engine) int {
--- a/internal/placement/brittle_test.go
+++ b/internal/placement/brittle_test.go
@@ -74,3 +74,18 @@
 		t.Error("a peer's word that the engines are brittle is not followed")
 	}
 }
+
+func TestRequestsThatAreNotSentTakeNoSlotOfABrittleEngine(t *testing.T) {
+	now := time.Now()
+	p := newBrittleNode(now, "a", 4, map[string]float64{"a": 1})
+	r := placement.Request{Pool: "p", Interactive: true}
+	former := placement.Choice{Engine: placement.Engine{ID: "e", Pool: "p", Incarnation: 7}}
+	for range 4 {
+		if _, ok := p.MaySend(now, former, r); ok {
+			t.Fatal("a former incarnation may be sent to")
+		}
+	}
+	if sent := fill(now, p); sent != 4 {
+		t.Errorf("%d requests sent to 4 free slots", sent)
+	}
+}
--- a/internal/placement/leaving.go
+++ b/internal/placement/leaving.go
@@ -87,24 +87,15 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	e := p.engines[c.Engine.ID]
-	if known := p.poolState(r.Pool); e != nil && known.brittle(now) {
-		if p.full(now, known, e) {
-			return time.Time{}, false // Another request took the slot.
-		}
-		if e.own.InFlight+e.starting >= p.ownSlots(now, e) {
-			e.lending.lentAt = now
-		}
-		e.starting++
-	}
+	ok = true
 	switch {
 	case !r.Interactive:
-		return time.Time{}, true
 	case e == nil || e.Incarnation != c.Engine.Incarnation:
 		return time.Time{}, false
-	case !e.Draining:
-		return time.Time{}, true
+	case e.Draining:
+		until, ok = e.useEnd(), p.usesLeaving(now, e)
 	}
-	return e.useEnd(), p.usesLeaving(now, e)
+	return until, ok && p.reserveSlot(now, e)
 }
 
 // usesLeaving reports whether a draining engine is still used. The caller must hold the lock.
