Dispatch: a node that cannot forward tries its engines on new connections

Where new connections to engines had failed a node without forward_address, or one that no other node helped, refused its callers at the first engine without an open connection, and opened none itself, whatever the other engines' state (found in review; TestNodeThatCannotForwardTriesItsEnginesOnNewConnections was refused after one attempt). Requests are kept to open connections only where they may go by way of another node instead, and an engine without one counts as one of the three that are tried.

--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -64,9 +64,14 @@
 	return x.req.Forwarded.From
 }
 
+// mayForward reports whether the request may go by way of another node.
+func (x *exchange) mayForward() bool {
+	return x.d.forwarder != nil && x.reach != nil && x.req.Forwarded == nil && !x.forwardFailed
+}
+
 // mustForward reports whether the request should go by way of another node.
 func (x *exchange) mustForward() bool {
-	if x.d.forwarder == nil || x.reach == nil || x.req.Forwarded != nil || x.forwardFailed {
+	if !x.mayForward() {
 		return false
 	}
 	return x.unreachable >= maxUnreachable || x.reach.Unreachable() || x.unreachable > 0 && x.reach.Unconnectable()
--- a/internal/dispatch/silent_test.go
+++ b/internal/dispatch/silent_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"strings"
@@ -84,3 +85,27 @@
 		}
 	}
 }
+
+func TestNodeThatCannotForwardTriesItsEnginesOnNewConnections(t *testing.T) {
+	now, proof, p, log := time.Now(), freshness.New(time.Hour), placement.New("hall"), slog.New(slog.NewTextHandler(io.Discard, nil))
+	for _, id := range []string{"e1", "e2", "e3", "e4"} {
+		p.Set(placement.Engine{ID: id, Pool: "p", Hall: "hall", Slots: 8})
+	}
+	proof.Renew(now)
+	m := reach.New(p, silentProber(false), func(string) {}, log)
+	t.Cleanup(m.Close)
+	for _, id := range []string{"e1", "e2", "e3"} {
+		m.Pool("p").ConnectFailed(now, id)
+	}
+	e := &fakeSender{serve: func(_ context.Context, n int, a dispatch.Attempt) (*dispatch.Response, error) {
+		if a.OpenOnly || n == 1 {
+			return nil, fmt.Errorf("%w: %w", dispatch.ErrNotSent, dispatch.ErrNoConnection)
+		}
+		return respond(200, "well"), nil
+	}}
+	d := dispatch.New(proof, p, retry.New(now, retry.Limits{Extra: 5, Window: 10 * time.Second}, func() int { return 1 }), e, retryObserver{}, log, dispatch.WithReach(m))
+	d.SetTable(table(1, "k"))
+	if a := serve(t, d, "unsafe"); a.body.String() != "well" {
+		t.Errorf("got %+v after %d attempts", a.refusal, e.sentCount())
+	}
+}
--- a/internal/dispatch/walk.go
+++ b/internal/dispatch/walk.go
@@ -277,7 +277,7 @@
 // attemptFor returns what is sent to an engine.
 func (x *exchange) attemptFor(now time.Time, e placement.Engine) Attempt {
 	return Attempt{Engine: e, SendBefore: x.sendBefore, Team: x.teamName(), TransferFrom: x.choice.TransferFrom, Urgency: x.urgency(), TimeLeft: x.deadline.Sub(now), LastEventID: x.lastEventID,
-		OpenOnly: x.reach != nil && x.reach.Unconnectable()}
+		OpenOnly: x.mayForward() && x.reach.Unconnectable()}
 }
 
 // urgency returns the urgency of the request at the chosen engine. If slots are scarce, all
@@ -313,12 +313,7 @@
 	}
 	if errors.Is(err, ErrNoConnection) {
 		x.call.End(now, placement.Aborted)
-		x.unreachable++
-		if x.mustForward() {
-			return true
-		}
-		x.refuse(Refusal{Reason: x.unlessMayHaveRun(NoEngine), RetryAfter: shortRetryAfter})
-		return false
+		return x.tryNextUnsent(now)
 	}
 	x.call.End(now, placement.Failed)
 	if !errors.Is(err, ErrMismatchedResponse) {
@@ -329,13 +324,8 @@
 		x.noteUnheard(ctx, now, !errors.Is(err, ErrNotSent))
 	}
 	if errors.Is(err, ErrNotSent) {
-		x.unreachable++
-		x.d.log.Warn("engine unreachable", "request", x.req.ID, "engine", x.choice.Engine.ID, "error", err.Error(), "tries", x.unreachable)
-		if now.Before(x.deadline) && (x.unreachable < maxUnreachable || x.mustForward()) {
-			return true
-		}
-		x.refuse(Refusal{Reason: x.unlessMayHaveRun(NoEngine), RetryAfter: shortRetryAfter})
-		return false
+		x.d.log.Warn("engine unreachable", "request", x.req.ID, "engine", x.choice.Engine.ID, "error", err.Error(), "tries", x.unreachable+1)
+		return x.tryNextUnsent(now)
 	}
 	x.sent++
 	x.mayHaveRun = true
@@ -347,6 +337,17 @@
 	return false
 }
 
+// tryNextUnsent counts an engine that the request could not be sent to, and reports whether it goes to
+// another one or by way of another node.
+func (x *exchange) tryNextUnsent(now time.Time) (again bool) {
+	x.unreachable++
+	if now.Before(x.deadline) && (x.unreachable < maxUnreachable || x.mustForward()) {
+		return true
+	}
+	x.refuse(Refusal{Reason: x.unlessMayHaveRun(NoEngine), RetryAfter: shortRetryAfter})
+	return false
+}
+
 // unlessTimedOut returns the reason, or TimedOut if the deadline has passed.
 func (x *exchange) unlessTimedOut(now time.Time, r Reason) Reason {
 	if !now.Before(x.deadline) {
