Reach, Forward: names and comments in the usual terms

The node's connectivity to engines was called its way, nodes without engines cut off, which callers that read too slowly are as well, and some methods had no term at all (elsewhere, endsInEvents, resume). The log message is engine connectivity changed, the metric reachability_changes, the state of peers Partitioned. No logic changes.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -66,7 +66,7 @@
 		leaveObserver LeaveObserver          // leaveObserver is nil if engines do not announce that they leave.
 		relay         relayBuffers
 		permits       Permits        // permits is nil if engines declare no rate limits.
-		reach         *reach.Monitor // reach is nil if the way to engines is not watched.
+		reach         *reach.Monitor // reach is nil if connectivity to engines is not monitored.
 		forwarder     Forwarder      // forwarder is nil if no requests are forwarded to other nodes.
 		node          string         // node is the name of this node.
 
@@ -176,7 +176,7 @@
 		pool: route.ChoosePool(r.ID), tried: map[string]bool{}, lastEventID: r.LastEventID, engineLimit: noLimit,
 	}
 	x.reach = d.reachOf(x.pool)
-	x.resume(r.Forwarded)
+	x.restoreForwarded(r.Forwarded)
 	x.fingerprint = fingerprintOf(r, x.teamName())
 	defer x.hold(len(r.Body))()
 	x.left = ctx.Done()
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -12,9 +12,8 @@
 	"github.com/croftturn/croftturn/internal/routing"
 )
 
-// A node that has lost its way to the engines of a pool still reaches other nodes, which may reach them.
-// It forwards its requests to such a node, which decides on them as on those of its own callers, and
-// relays the answers. A forwarded request is never forwarded again. Only requests of which nothing was
+// A node that can reach no engine of a pool may still reach other nodes that can. It forwards its requests
+// to such a node, which handles them like those of its own callers, and relays the answers. A forwarded request is never forwarded again. Only requests of which nothing was
 // sent to an engine, or that may be repeated, are forwarded.
 
 // maxForwards is how many nodes a request is forwarded to until one takes it.
@@ -31,8 +30,8 @@
 		Forward(ctx context.Context, address string, r *Request, f Forwarded) (*Response, *Refusal, error)
 	}
 
-	// Forwarded is what a node tells another of a request besides the request itself. It does not tell
-	// the engines that were tried: what failed is as likely its own way to them.
+	// Forwarded is what a node tells another of a request besides the request itself. The
+	// engines that were tried are not included: the fault is as likely the first node's connectivity.
 	Forwarded struct {
 		From        string        `cbor:"1,keyasint,omitempty"` // From is the node that the caller sent the request to.
 		Spent       time.Duration `cbor:"2,keyasint,omitempty"` // Spent is the time since the request arrived there.
@@ -48,8 +47,8 @@
 	return func(d *Dispatcher) { d.node, d.forwarder = node, f }
 }
 
-// resume continues a request where the node that forwarded it has left off.
-func (x *exchange) resume(f *Forwarded) {
+// restoreForwarded restores the state of a request that another node forwarded.
+func (x *exchange) restoreForwarded(f *Forwarded) {
 	if f == nil {
 		return
 	}
@@ -96,7 +95,7 @@
 			break
 		}
 		avoid = append(avoid, node)
-		resp, refusal, err := x.sendTo(ctx, now, node, address)
+		resp, refusal, err := x.forwardTo(ctx, now, node, address)
 		switch {
 		case x.callerLeft(ctx):
 			if resp != nil {
@@ -104,7 +103,7 @@
 			}
 			x.abortAnswer(clock.Now())
 			return true, false
-		case errors.Is(err, ErrNotSent) || refusal != nil && x.elsewhere(refusal):
+		case errors.Is(err, ErrNotSent) || refusal != nil && x.mayTryNextNode(refusal):
 			continue
 		case err != nil:
 			return true, x.handleForwardError(ctx, err)
@@ -119,10 +118,10 @@
 	return false, false
 }
 
-// sendTo sends the request to another node.
-func (x *exchange) sendTo(ctx context.Context, now time.Time, node, address string) (*Response, *Refusal, error) {
+// forwardTo sends the request to another node.
+func (x *exchange) forwardTo(ctx context.Context, now time.Time, node, address string) (*Response, *Refusal, error) {
 	x.via, x.sentAt, x.bufferedSince, x.choice = node, now, now, placement.Choice{}
-	x.call, x.headReceived, x.sendBefore, x.leavingFor = x.d.placement.Relayed(now), false, time.Time{}, 0
+	x.call, x.headReceived, x.sendBefore, x.leavingFor = x.d.placement.ForwardedCall(now), false, time.Time{}, 0
 	resp, refusal, err := x.d.forwarder.Forward(ctx, address, x.req, Forwarded{
 		From: x.d.node, Spent: now.Sub(x.arrived), Sent: x.sent, LastEventID: x.lastEventID, MayHaveRun: x.mayHaveRun, Counted: x.counted,
 	})
@@ -137,9 +136,9 @@
 	return resp, refusal, err
 }
 
-// elsewhere reports whether another node may take a request that a node refused: that one cannot decide
-// on it now, reaches no engine either, or has an older configuration.
-func (x *exchange) elsewhere(r *Refusal) bool {
+// mayTryNextNode reports whether another node may take a request that a node refused: that one cannot
+// serve any request now, reaches no engine either, or has an older configuration.
+func (x *exchange) mayTryNextNode(r *Refusal) bool {
 	switch r.Reason {
 	case NotReady, Stale, Stopping, NoEngine:
 		return true
--- a/internal/dispatch/reach.go
+++ b/internal/dispatch/reach.go
@@ -8,12 +8,12 @@
 	"github.com/croftturn/croftturn/internal/reach"
 )
 
-// WithReach makes a dispatcher report what it sees of its way to engines.
+// WithReach makes a dispatcher report to a monitor which engines respond.
 func WithReach(m *reach.Monitor) Option {
 	return func(d *Dispatcher) { d.reach = m }
 }
 
-// reachOf returns what this node knows of its way to the engines of a pool, nil if that is not watched.
+// reachOf returns the connectivity to the engines of a pool, nil if it is not monitored.
 func (d *Dispatcher) reachOf(pool string) *reach.Pool {
 	if d.reach == nil {
 		return nil
@@ -21,8 +21,8 @@
 	return d.reach.Pool(pool)
 }
 
-// watchSilence suspects the way to the engines if the current attempt and all other requests of the
-// pool get no sign of an engine for some time.
+// watchSilence returns a timer that reports the pool as suspect if no engine of it responds to this node
+// for some time.
 func (x *exchange) watchSilence(now time.Time) *time.Timer {
 	if x.reach == nil {
 		return time.NewTimer(reach.Silence)
@@ -37,8 +37,9 @@
 	}
 }
 
-// noteUnheard records that an attempt failed on its way to the engine or back, unless this node ended it.
-func (x *exchange) noteUnheard(ctx context.Context, now time.Time, connected bool) {
+// noteLinkFailure records that the connection to the engine failed, or could not be opened, unless this
+// node ended the attempt.
+func (x *exchange) noteLinkFailure(ctx context.Context, now time.Time, connected bool) {
 	switch {
 	case x.reach == nil || context.Cause(ctx) != nil:
 	case connected:
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -36,8 +36,8 @@
 	silentGrace        = 750 * time.Millisecond
 )
 
-// wholeBody is the body of an answer whose end is checked.
-type wholeBody struct {
+// checkedBody is the body of an answer whose end is checked.
+type checkedBody struct {
 	*sse.WholeReader
 	io.Closer
 }
@@ -63,8 +63,8 @@
 		}
 	}
 	success := resp.Status < http.StatusMultipleChoices
-	if success && x.endsInEvents(resp) {
-		resp.Body = wholeBody{sse.NewWholeReader(resp.Body), resp.Body}
+	if success && x.needsEndCheck(resp) {
+		resp.Body = checkedBody{sse.NewWholeReader(resp.Body), resp.Body}
 	}
 	if x.answerBegun && !success {
 		x.call.End(now, placement.Failed)
@@ -81,8 +81,8 @@
 	return x.relayPlain(ctx, resp)
 }
 
-// endsInEvents reports whether only the last event of an answer tells if it is complete.
-func (x *exchange) endsInEvents(resp *Response) bool {
+// needsEndCheck reports whether only the last event of an answer shows if it is complete.
+func (x *exchange) needsEndCheck(resp *Response) bool {
 	if !resp.Unframed {
 		return false
 	}
@@ -319,7 +319,7 @@
 	x.call.End(now, x.bodyErrorOutcome(now))
 	if x.via == "" && !x.gaveUp(now) {
 		x.noteConnectionLost(ctx, now)
-		x.noteUnheard(ctx, now, true)
+		x.noteLinkFailure(ctx, now, true)
 		x.leftEarly(ctx, false)
 	}
 	if x.via == "" {
--- a/internal/dispatch/walk.go
+++ b/internal/dispatch/walk.go
@@ -34,7 +34,7 @@
 	arrived  time.Time
 	deadline time.Time
 	pool     string
-	reach    *reach.Pool // reach is what this node knows of its way to the pool's engines; nil if it is not watched
+	reach    *reach.Pool // reach is the connectivity to the pool's engines; nil if it is not monitored
 
 	left  <-chan struct{}         // left is closed when the caller leaves
 	ended <-chan struct{}         // ended is closed when the request ends, at the latest at its deadline
@@ -108,7 +108,7 @@
 	request := x.placementRequest()
 	if refusal := x.selectEngine(ctx, now, request); refusal != nil {
 		if x.mustForward() {
-			return true // The way to the engines was lost while the request waited.
+			return true // The engines became unreachable while the request waited.
 		}
 		x.refuse(*refusal)
 		return false
@@ -321,7 +321,7 @@
 	}
 	x.leftEarly(ctx, errors.Is(err, ErrNotSent))
 	if !errors.Is(err, ErrMismatchedResponse) {
-		x.noteUnheard(ctx, now, !errors.Is(err, ErrNotSent))
+		x.noteLinkFailure(ctx, now, !errors.Is(err, ErrNotSent))
 	}
 	if errors.Is(err, ErrNotSent) {
 		x.d.log.Warn("engine unreachable", "request", x.req.ID, "engine", x.choice.Engine.ID, "error", err.Error(), "tries", x.unreachable+1)
--- a/internal/edge/cache_watch.go
+++ b/internal/edge/cache_watch.go
@@ -80,12 +80,12 @@
 // among the hubs there that serve callers.
 func (e *Edge) enginesToWatch(now time.Time) []placement.Engine {
 	pools := e.watchedPools()
-	if len(pools) == 0 || !e.gossip.IsHub() || !e.Ready(now) || e.cutOff(e.reach.Unreachable()) {
+	if len(pools) == 0 || !e.gossip.IsHub() || !e.Ready(now) || e.partitioned(e.reach.Unreachable()) {
 		return nil
 	}
 	var others []string
 	for _, p := range e.gossip.Hubs(now) {
-		if p.Hall == e.settings.Hall && p.State.Ready && !p.State.CutOff {
+		if p.Hall == e.settings.Hall && p.State.Ready && !p.State.Partitioned {
 			others = append(others, p.Name)
 		}
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -197,7 +197,7 @@
 	}
 	e.budget = retry.New(now, retryLimits(s), e.nodeCount)
 	e.egress = platform.NewEgress(platform.WithSourceIP(s.EngineSourceIp))
-	e.reach = reach.New(e.placement, e.egress, e.wayChanged, e.log)
+	e.reach = reach.New(e.placement, e.egress, e.reachabilityChanged, e.log)
 	observer, err := newCacheMetrics(e.tele.Meter)
 	if err != nil {
 		return err
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -28,8 +28,8 @@
 	return dispatch.WithForwarder(e.settings.Instance, forwarder{e.forwards, e})
 }
 
-// Choose chooses one of the nodes that take forwarded requests and have not lost their way to the
-// engines of a pool: of two at random the one with the lower rate for its size. Nodes of other halls
+// Choose chooses one of the nodes that take forwarded requests and can reach the engines of a pool: of
+// two at random the one with the lower rate for its size. Nodes of other halls
 // are chosen where none of this hall is left, or all of them serve more than they are planned for.
 func (f forwarder) Choose(now time.Time, pool string, avoid []string) (node, address string, ok bool) {
 	var near, far []gossip.Peer
@@ -72,8 +72,8 @@
 	return uint16(port)
 }
 
-// cutOff reports whether this node, which has lost its way to some pools, reaches no engine at all.
-func (e *Edge) cutOff(unreachable []string) bool {
+// partitioned reports whether this node, which cannot reach some pools, reaches no engine at all.
+func (e *Edge) partitioned(unreachable []string) bool {
 	table := e.dispatcher.Table()
 	if len(unreachable) == 0 || table == nil {
 		return false
@@ -86,8 +86,8 @@
 	return true
 }
 
-// wayChanged handles that this node has lost its way to the engines of a pool, or has it back.
-func (e *Edge) wayChanged(pool string) {
+// reachabilityChanged handles that the engines of a pool became unreachable or reachable for this node.
+func (e *Edge) reachabilityChanged(pool string) {
 	e.placement.SetUnreachable(pool, e.reach.Pool(pool).Unreachable())
-	e.metrics.ways.Add(context.Background(), 1, byPool(pool))
+	e.metrics.reachability.Add(context.Background(), 1, byPool(pool))
 }
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -16,17 +16,17 @@
 
 // metrics holds the instruments that count requests.
 type metrics struct {
-	ended   metric.Int64Counter
-	retried metric.Int64Counter
-	crashed metric.Int64Counter
-	cutOff  metric.Int64Counter // cutOff is nil if no answers are buffered.
-	refused metric.Int64Counter // refused counts refusals of interactive pools by reason.
-	second  metric.Int64Counter // second counts requests of interactive pools that went to a second choice.
-	leaving metric.Int64Counter // leaving counts requests of interactive pools to leaving engines.
-	ways    metric.Int64Counter // ways counts how often the way to the engines of a pool was lost or found again.
-	usage   *usage.Counter      // usage is nil where the platform does not ask for usage reports.
-	first   metric.Float64Histogram
-	total   metric.Float64Histogram
+	ended        metric.Int64Counter
+	retried      metric.Int64Counter
+	crashed      metric.Int64Counter
+	cutOff       metric.Int64Counter // cutOff is nil if no answers are buffered.
+	refused      metric.Int64Counter // refused counts refusals of interactive pools by reason.
+	second       metric.Int64Counter // second counts requests of interactive pools that went to a second choice.
+	leaving      metric.Int64Counter // leaving counts requests of interactive pools to leaving engines.
+	reachability metric.Int64Counter // reachability counts changes of whether a pool is reachable.
+	usage        *usage.Counter      // usage is nil where the platform does not ask for usage reports.
+	first        metric.Float64Histogram
+	total        metric.Float64Histogram
 }
 
 // newMetrics registers the instruments of a node.
@@ -42,7 +42,7 @@
 	m.refused, errs[9] = meter.Int64Counter("croftturn.edge.overload_refusals")
 	m.second, errs[10] = meter.Int64Counter("croftturn.edge.second_choices")
 	m.leaving, errs[11] = meter.Int64Counter("croftturn.edge.leaving_requests")
-	m.ways, errs[12] = meter.Int64Counter("croftturn.edge.ways_changed", metric.WithDescription("times that the way to all engines of a pool was lost, or was there again"))
+	m.reachability, errs[12] = meter.Int64Counter("croftturn.edge.reachability_changes", metric.WithDescription("changes of whether this node reaches any engine of a pool"))
 	errs[4] = e.tele.RegisterGauges(
 		telemetry.Gauge{Name: "croftturn.edge.active", Help: "requests being served", Read: func() int64 { return int64(e.dispatcher.Active()) }},
 		telemetry.Gauge{Name: "croftturn.edge.engine_connections_opened", Help: "connections opened to engines", Read: func() int64 { return e.egress.ConnectionsOpened() }},
--- a/internal/edge/partition_test.go
+++ b/internal/edge/partition_test.go
@@ -99,7 +99,7 @@
 	t.Logf("other nodes served %d of %d, nodes cut off %d of %d", c.served[0], c.asked[0], c.served[1], c.asked[1])
 }
 
-func TestNodesCutOffFromAllEnginesServeTheirCallers(t *testing.T) {
+func TestNodesPartitionedFromAllEnginesServeTheirCallers(t *testing.T) {
 	for name, mode := range map[string]cutMode{"refused": cutRefuse, "hanging": cutHang, "new connections refused": cutNew} {
 		for _, cut := range []int{1, 3} {
 			t.Run(fmt.Sprint(name, " ", cut), func(t *testing.T) {
@@ -120,7 +120,7 @@
 	}
 }
 
-func TestIdleNodeCutOffFromEnginesServesItsCallers(t *testing.T) {
+func TestIdleNodePartitionedFromEnginesServesItsCallers(t *testing.T) {
 	for name, mode := range map[string]cutMode{"refused": cutRefuse, "hanging": cutHang} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -159,7 +159,7 @@
 }
 
 func TestPeerWithoutEnginesBlocksNoDecision(t *testing.T) {
-	e := startWithPeers(t, map[string]gossip.State{"b": {Ready: true, Unreachable: []string{"p"}, CutOff: true}})
+	e := startWithPeers(t, map[string]gossip.State{"b": {Ready: true, Unreachable: []string{"p"}, Partitioned: true}})
 	waitFor(t, func() bool { return e.dispatcher.Version() == 3 }, "no configuration")
 	e.placement.Set(placement.Engine{ID: "e", Pool: "p", Hall: "h1", Slots: 4, ColdUntil: time.Now().Add(time.Hour)})
 	e.placement.SetColdLimit("p", 100)
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -39,7 +39,7 @@
 func (e *Edge) senders(now time.Time) map[string]float64 {
 	out := map[string]float64{e.settings.Instance: e.dispatcher.Rate(now)}
 	for _, p := range e.gossip.Hubs(now) {
-		if p.State.Ready && !p.State.CutOff {
+		if p.State.Ready && !p.State.Partitioned {
 			out[p.Name] = float64(p.State.Rate)
 		}
 	}
@@ -54,7 +54,7 @@
 		Ready: e.Ready(now), Stopping: e.dispatcher.Ready(now) == dispatch.Stopping, Rate: float32(e.dispatcher.Rate(now)), Loads: e.placement.Loads(), Uses: e.placement.TakeUses(), Slowdowns: e.placement.Slowdowns(now), Versions: versions,
 		ConfigVersion: e.dispatcher.Version(), ProofAgeMs: -1, CannotReadStore: e.readFailing(now), StoreSilentMs: -1, StoreFailureAgeMs: -1, TierStats: e.dispatcher.TierStats(now), Holder: e.announcedHolder(now), Crashing: e.quarantine.GossipEntries(now, gossip.UpdateLifetime), Limits: e.limits.GossipEntries(now, gossip.UpdateLifetime), Leaving: e.discovery.GossipEntries(now, gossip.UpdateLifetime), Evicted: e.cacheWatcher.TakeEvicted(),
 		TeamWork: e.dispatcher.TeamWork(now), LowerAdmitted: e.dispatcher.LowerAdmitted(now),
-		Unreachable: unreachable, CutOff: e.cutOff(unreachable), ForwardPort: e.forwardPort(), Brittle: e.placement.Brittle(now),
+		Unreachable: unreachable, Partitioned: e.partitioned(unreachable), ForwardPort: e.forwardPort(), Brittle: e.placement.Brittle(now),
 	}
 	if age, ok := e.proof.Age(now); ok {
 		s.ProofAgeMs = age.Milliseconds() + 1 // Rounded up, since a proof must not get younger on its way.
@@ -95,7 +95,7 @@
 // maySendTrial reports whether this node is the one, of those that serve callers, that sends the
 // trial of a held request. Nodes that hear from different peers may both be.
 func (e *Edge) maySendTrial(now time.Time, f quarantine.Fingerprint) bool {
-	self := e.gossip.IsHub() && !e.cutOff(e.reach.Unreachable())
-	_, self, _ = e.selectHub(now, f.String(), self, func(p gossip.Peer) bool { return p.State.Ready && !p.State.CutOff })
+	self := e.gossip.IsHub() && !e.partitioned(e.reach.Unreachable())
+	_, self, _ = e.selectHub(now, f.String(), self, func(p gossip.Peer) bool { return p.State.Ready && !p.State.Partitioned })
 	return self
 }
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -55,7 +55,7 @@
 		TakesLoadUpdates  bool                            `cbor:"23,keyasint,omitempty"` // TakesLoadUpdates reports whether the node accepts load updates between messages.
 		Unreachable       []string                        `cbor:"24,keyasint,omitempty"` // Unreachable are the pools of whose engines the node reaches none.
 		ForwardPort       uint16                          `cbor:"25,keyasint,omitempty"` // ForwardPort is where the node takes requests that others forward, at the host of its peer address; 0 if it takes none.
-		CutOff            bool                            `cbor:"27,keyasint,omitempty"` // CutOff reports whether these are all pools that have engines.
+		Partitioned       bool                            `cbor:"27,keyasint,omitempty"` // Partitioned reports whether the node reaches no engine at all.
 		Brittle           []string                        `cbor:"26,keyasint,omitempty"` // Brittle are the pools whose engines told the node that they are brittle.
 	}
 
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -38,7 +38,7 @@
 	interactive      bool        // whether the latest request was of an interactive pool
 	brittleUntil     time.Time   // when the engines stop counting as brittle by their own answers to this node
 	peerBrittleUntil time.Time   // the same by what peers report
-	unreachable      bool        // whether this node has lost its way to the engines
+	unreachable      bool        // whether this node can reach no engine of the pool
 	stats            PoolStats
 
 	// minStreamGap is the shortest gap limit of callers whose streams are delayed by long
--- a/internal/placement/reach.go
+++ b/internal/placement/reach.go
@@ -2,9 +2,8 @@
 
 import "time"
 
-// SetUnreachable records whether this node has lost its way to the engines of a pool. While it has,
-// its load there is not reported to peers: what it had sent does not reach the engines, or it cannot
-// tell what became of it.
+// SetUnreachable records whether this node can reach no engine of a pool. Meanwhile its load there is not
+// reported to peers: its requests did not arrive at the engines, or their state is unknown.
 func (p *Placement) SetUnreachable(pool string, unreachable bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -28,7 +27,8 @@
 	return e.own
 }
 
-// Relayed returns a call for a request that another node sends to an engine: it changes nothing here.
-func (p *Placement) Relayed(now time.Time) *Call {
+// ForwardedCall returns a call for a request that another node sends to an engine. It has no effect on the
+// state of engines here.
+func (p *Placement) ForwardedCall(now time.Time) *Call {
 	return &Call{p: p, engine: newEngine(Engine{}), start: now, lastSign: now}
 }
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -1,5 +1,5 @@
-// Package reach finds out whether this node has lost its way to the engines of a pool, as in a network
-// partition, from what its requests see and from probes.
+// Package reach detects that this node can reach no engine of a pool, as in a network partition, from
+// the outcome of its requests and from probes.
 package reach
 
 import (
@@ -16,7 +16,8 @@
 )
 
 const (
-	// Silence is how long a request waits for a first sign of its engine until the pool is suspected.
+	// Silence is how long a request may get no response from any engine of its pool until the pool is
+	// suspected to be unreachable.
 	Silence = 500 * time.Millisecond
 
 	// enoughFailures is how many engines of a pool must fail one after another, with none heard
@@ -64,7 +65,7 @@
 		pools map[string]*Pool
 	}
 
-	// Pool is what this node knows of its way to the engines of one pool.
+	// Pool is the connectivity of this node to the engines of one pool.
 	Pool struct {
 		m    *Monitor
 		name string
@@ -166,8 +167,8 @@
 	p.Suspect(now)
 }
 
-// answerFailed records that an engine accepted a connection and did not answer.
-func (p *Pool) answerFailed(now time.Time, engine string) {
+// noteNoAnswer records that an engine accepted a connection and did not answer.
+func (p *Pool) noteNoAnswer(now time.Time, engine string) {
 	p.mu.Lock()
 	p.failed[engine] = true
 	p.updateAndUnlock(now)
@@ -187,7 +188,7 @@
 	failed, heardAgo := len(p.failed), now.Sub(p.heardAt)
 	p.mu.Unlock()
 	if logged {
-		p.m.log.Warn("way to engines changed", "pool", p.name, "reachable", !unreachable, "connectable", !unconnectable, "failed", failed, "engines", total, "heard_ago_ms", heardAgo.Milliseconds())
+		p.m.log.Warn("engine connectivity changed", "pool", p.name, "reachable", !unreachable, "connectable", !unconnectable, "failed", failed, "engines", total, "heard_ago_ms", heardAgo.Milliseconds())
 	}
 	if changed {
 		p.m.onChange(p.name)
@@ -204,8 +205,8 @@
 	}
 }
 
-// Suspect has the pool probed unless one of its engines is heard soon: a connection broke, or a
-// request got no answer.
+// Suspect starts probes of the pool unless one of its engines is heard soon. It is called when a
+// connection broke or a request got no answer.
 func (p *Pool) Suspect(now time.Time) {
 	p.m.mu.Lock()
 	defer p.m.mu.Unlock()
@@ -279,7 +280,7 @@
 		p.Connected(now)
 		p.Heard(now)
 	case connected:
-		p.answerFailed(now, e.ID)
+		p.noteNoAnswer(now, e.ID)
 	default:
 		p.ConnectFailed(now, e.ID)
 	}
--- a/lab/soak/planted_test.go
+++ b/lab/soak/planted_test.go
@@ -23,7 +23,7 @@
 var plantedFaults = []plantedFault{
 	{"a request that may run once is sent again", " ran 2 times", "", "internal/dispatch/resend.go", "if !x.route.Repeatable() || x.sent >= x.route.MaxEngines || !now", "if x.sent > 1 || !now"},
 	{"a stream is ended by a failure", " got ", "engines misbehave", "internal/dispatch/relay.go", "if x.answerBegun && !success {", "if x.answerBegun && !success && x.sent > 9 {"},
-	{"the end of its connection ends a stream", " got ", "engines misbehave", "internal/dispatch/relay.go", "if success && x.endsInEvents(resp) {", "if success && x.sent > 9 && x.endsInEvents(resp) {"},
+	{"the end of its connection ends a stream", " got ", "engines misbehave", "internal/dispatch/relay.go", "if success && x.needsEndCheck(resp) {", "if success && x.sent > 9 && x.needsEndCheck(resp) {"},
 	{"a node that reaches no engine keeps its requests", "while it was cut off", "node cut off from engines", "internal/dispatch/forward.go", "return x.d.forwarder != nil &&", "return x.d.forwarder == nil &&"},
 	{"a request that may have run is called not run", "though its caller got", "", "internal/dispatch/walk.go", "x.refuse(Refusal{Reason: x.unlessTimedOut(now, EngineFailed)})", "x.refuse(Refusal{Reason: NoEngine})"},
 	{"a proof never grows old", "after its key was revoked", "key taken away unseen", "internal/freshness/freshness.go", "return p.proven && now.Sub(p.provenAt) <= p.maxAge", "return p.proven"},
