Soak: an engine falls silent for a moment

An engine sends nothing for 1.3 s and goes on; its resumable streams must not leave it before 1.2 s.

--- a/lab/soak/ledger.go
+++ b/lab/soak/ledger.go
@@ -54,6 +54,7 @@
 		evacuations []evacuation
 		cuts        []cut
 		brittle     []brittlePeriod
+		silences    []silence
 
 		senders  map[string]sender        // senders holds where callers sent their requests, by request id.
 		arrivals map[string][]arrival     // arrivals holds the requests that reached engines, by engine.
@@ -194,6 +195,9 @@
 	for _, p := range l.brittle {
 		out = append(out, l.tooManyFalls(p)...)
 	}
+	for _, s := range l.silences {
+		out = append(out, l.movedFromSilent(s)...)
+	}
 	for _, c := range l.cuts {
 		out = append(out, l.unservedWhileCut(c)...)
 	}
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -158,6 +158,16 @@
 		"brittle engines fall over": func(l *Ledger) {
 			l.recordBrittle(brittlePeriod{"p", interval{at, at.Add(time.Second)}, maxFalls + 1})
 		},
+		"silent engine left": func(l *Ledger) {
+			e := goodResult
+			e.route = routeResumable
+			l.recordResult("a", e)
+			l.recordRun("a", goodRun)
+			r := goodRun
+			r.engine, r.at = "other", at.Add(time.Second)
+			l.recordRun("a", r)
+			l.recordSilence(silence{"e", interval{at, at.Add(silenceTime)}})
+		},
 		"repeated crashes": func(l *Ledger) {
 			for i := range 8 {
 				l.recordCrash("crash x", at.Add(time.Duration(i)*2*time.Second))
