Reach: no probe begins after Close

All probes are started in one place, which refuses after Close; then no other engine counts as answering, and no crash is recorded.

--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -81,7 +81,7 @@
 	if !restarted {
 		probe := d.crashes.probe(ctx, now, engine.Address)
 		ended, took = probe.ended, probe.took
-		// A node that is cut off from all engines finds each of them ended.
+		// To a node that is partitioned from all engines each of them seems to have ended.
 		ended = ended && (x.reach == nil || x.reach.OthersAnswer(context.WithoutCancel(ctx), engine.ID))
 	}
 	d.log.Log(ctx, crashLogLevel(ended), "engine failed while running request", "request", x.req.ID, "fingerprint", x.fingerprint.String(), "route", x.route.Name, "team", x.teamName(),
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -95,6 +95,17 @@
 	m.wg.Wait()
 }
 
+// start runs a function in a goroutine that Close waits for; it returns false after Close.
+func (m *Monitor) start(f func()) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.ctx.Err() != nil {
+		return false
+	}
+	m.wg.Go(f)
+	return true
+}
+
 // Pool returns a pool by its name.
 func (m *Monitor) Pool(name string) *Pool {
 	m.mu.Lock()
@@ -208,15 +219,11 @@
 // Suspect starts probes of the pool unless one of its engines is heard soon. It is called when a
 // connection broke or a request got no answer.
 func (p *Pool) Suspect(now time.Time) {
-	p.m.mu.Lock()
-	defer p.m.mu.Unlock()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.probing || p.m.ctx.Err() != nil {
-		return
+	if !p.probing {
+		p.probing = p.m.start(func() { p.investigate(now) })
 	}
-	p.probing = true
-	p.m.wg.Go(func() { p.investigate(now) })
 }
 
 // investigate probes the pool: one engine, then as many as make it unreachable, and then one at a time
@@ -314,10 +321,13 @@
 	defer cancel()
 	answers := make(chan bool, len(sample))
 	for _, e := range sample {
-		p.m.wg.Go(func() {
+		started := p.m.start(func() {
 			_, answered := p.m.prober.Probe(ctx, e.Address)
 			answers <- answered
 		})
+		if !started {
+			return false
+		}
 	}
 	for range sample {
 		if <-answers {
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -128,3 +128,16 @@
 	}
 	w.mu.Unlock()
 }
+
+func TestNothingIsProbedAfterClose(t *testing.T) {
+	w, p, m := newPool(t, 4, true, true)
+	m.Close()
+	p.Suspect(time.Now())
+	if p.OthersAnswer(context.Background(), "e0") {
+		t.Error("another engine counts as answering though no probe was made")
+	}
+	if w.mu.Lock(); w.probes > 0 {
+		t.Errorf("%d probes", w.probes)
+	}
+	w.mu.Unlock()
+}
