Dispatch: a stream that continues at another engine says at which version

Logs could not tell the software version of a request's engine, which attempt a stream continues, nor whether it moved inside one answer or over its caller's tries. Request ended has the engine's version, and stream continues has both versions and the attempt that the caller names. Nothing is decided by them.

--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -39,6 +39,7 @@
 		ExpectedTokens int           // ExpectedTokens is the length of the answer that the caller expects, correct in the median; 0 if unknown.
 		Patience       time.Duration // Patience is how long the caller waits; 0 if unknown.
 		LastEventID    string        // LastEventID is the last event that the caller received of a stream it resumes.
+		Resumes        string        // Resumes is the ID of the request that brought the first event of that stream; empty if unknown.
 		Header         http.Header   // Header is forwarded to the engine, except hop-by-hop fields.
 		Method         string
 		Target         string // Target is the path and query as sent.
--- a/internal/dispatch/walk.go
+++ b/internal/dispatch/walk.go
@@ -51,6 +51,7 @@
 	sent          int             // sent counts the engines that the request was sent to
 	unreachable   int             // unreachable counts the engines that could not be connected to
 	lastEventID   string
+	beganVersion  string            // beganVersion is the software version of the engine whose event was passed on first; empty before
 	retryReserved atomic.Bool       // retryReserved is set if a retry was taken from the budget and not used yet
 	mayHaveRun    bool              // mayHaveRun is set if an engine got the request and did not report that it did not run it
 	topTier       bool              // topTier is set if the request is of the highest tier that its pool serves
@@ -138,6 +139,7 @@
 	if !x.call.HasTransfer() {
 		x.choice.TransferFrom, x.choice.TransferTokens = "", 0 // The source is gone since the choice.
 	}
+	x.logContinuation()
 	return x.send(ctx, now)
 }
 
@@ -391,7 +393,7 @@
 func (x *exchange) recordEnd(now time.Time) {
 	outcome := x.outcome()
 	x.overloadLog().Info("request ended", "request", x.req.ID, "route", x.route.Name, "team", x.teamName(), "urgency", routing.Urgency(x.route, x.team), "pool", x.pool,
-		"outcome", outcome, "via", x.via, "forwarded_by", x.forwardedBy(), "status", x.status, "unframed", x.unframed, "engine", x.choice.Engine.ID, "sent", x.sent, "unsent", x.unreachable,
+		"outcome", outcome, "via", x.via, "forwarded_by", x.forwardedBy(), "status", x.status, "unframed", x.unframed, "engine", x.choice.Engine.ID, "engine_version", x.choice.Engine.Version, "sent", x.sent, "unsent", x.unreachable,
 		"cost_ms", int(x.choice.Cost), "wait_ms", int(x.choice.Wait), "held_ms", x.queuedFor.Milliseconds(), "give_way", math.Round(100*x.shedShare)/100, "prompt_tokens", x.req.Prompt.Tokens, "session", x.req.Prompt.Session(), "unread_tokens", x.choice.PrefillTokens,
 		"ahead_tokens", x.choice.QueuedTokens, "read_rate", math.Round(10*x.choice.PrefillRate)/10, "tight", x.choice.GapSensitive, "slowdown", math.Round(100*x.slowdown)/100, "leaving_ms", x.leavingFor.Milliseconds(), "transfer_tokens", x.choice.TransferTokens, "transfer_from", x.choice.TransferFrom,
 		"first_ms", x.firstByte.Milliseconds(), "gap_ms", x.maxGap.Milliseconds(), "total_ms", now.Sub(x.arrived).Milliseconds(), "patience_ms", x.deadline.Sub(x.arrived).Milliseconds(),
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -43,6 +43,7 @@
 		Pool         string
 		Address      string
 		Hall         string
+		Version      string // Version is that of the engine's software; versions are only compared for equality.
 		Slots        int
 		Draining     bool  // Draining engines get no new requests, except in interactive pools until LastSend.
 		Spot         bool  // Spot engines may be reclaimed by the platform.
