Dispatch: a stream continues inside its answer at the version that began it

Callers got events of two software versions in one answer. The first event that is passed on now binds the stream to the version of its engine, and placement offers it engines of that version only, with counts and occupancy of those. Before the first event any version will do. Where no engine of the version is left, the answer is broken off visibly.

--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -268,9 +268,7 @@
 		}
 		x.recordBytes(now)
 		onEvent()
-		if !x.answerBegun {
-			x.beganVersion = x.choice.Engine.Version
-		}
+		x.noteFirstPassedOn()
 		x.beginAnswer(resp)
 		if x.buffer != nil {
 			stall.Stop() // While the caller lags the engine may be ahead.
--- a/internal/dispatch/walk.go
+++ b/internal/dispatch/walk.go
@@ -51,7 +51,7 @@
 	sent          int             // sent counts the engines that the request was sent to
 	unreachable   int             // unreachable counts the engines that could not be connected to
 	lastEventID   string
-	beganVersion  string            // beganVersion is the software version of the engine whose event was passed on first; empty before
+	origin        origin            // origin is the software version that a resumable stream is bound to
 	retryReserved atomic.Bool       // retryReserved is set if a retry was taken from the budget and not used yet
 	mayHaveRun    bool              // mayHaveRun is set if an engine got the request and did not report that it did not run it
 	topTier       bool              // topTier is set if the request is of the highest tier that its pool serves
@@ -246,6 +246,7 @@
 	r := placement.Request{Pool: x.pool, Prompt: x.req.Prompt, Avoid: x.tried, LowestTier: x.route.Tier >= x.d.Table().LowestTier(x.pool)}
 	regions, everywhere := routing.Regions(x.route, x.team)
 	r.Regions, r.RegionBound = regions, !everywhere
+	x.restrictVersion(&r)
 	pool := x.d.Table().Pool(x.pool)
 	if x.route.Kind == routing.Stream && pool != nil && pool.Model != nil {
 		r.MaxGap, r.TokensPerEvent = x.route.MaxGap, pool.Model.TokensPerEvent
--- a/internal/placement/leaving.go
+++ b/internal/placement/leaving.go
@@ -142,6 +142,9 @@
 // neither limited nor in backoff. The caller must hold the lock.
 func (p *Placement) counts(now time.Time, known *pool, r Request) (engines, usable int) {
 	engines, usable = len(known.engines), known.usable
+	if r.bound != nil {
+		return r.bound.engines, r.bound.usable
+	}
 	if !r.Interactive {
 		return engines, usable
 	}
--- a/internal/placement/limit.go
+++ b/internal/placement/limit.go
@@ -36,7 +36,7 @@
 	var availableAt time.Time
 	for _, e := range known.engines {
 		at, limited := p.limits.Opens(e.ID)
-		if !limited || now.Before(p.backoffUntil(now, e.ID)) || r.Avoid[e.ID] || !p.regionAllowed(r, e) || !p.allowsCold(now, known, e) || first != nil && !at.Before(availableAt) {
+		if !limited || now.Before(p.backoffUntil(now, e.ID)) || r.Avoid[e.ID] || !p.regionAllowed(r, e) || !r.versionAllowed(e) || !p.allowsCold(now, known, e) || first != nil && !at.Before(availableAt) {
 			continue
 		}
 		first, availableAt = e, at
@@ -44,6 +44,7 @@
 	if first == nil {
 		return Choice{}, false
 	}
+	r.bound = p.boundEngines(now, known, r)
 	if r.Interactive {
 		known.separate(now, &r)
 	}
@@ -51,7 +52,8 @@
 		r.source = p.transferSource(now, r)
 	}
 	choice = p.evaluate(now, known, first, r, known.beyond(r, first), 0)
-	choice.Limited, choice.AvailableAt, choice.Engines, choice.Usable = true, availableAt, len(known.engines), known.usable
+	choice.Limited, choice.AvailableAt = true, availableAt
+	choice.Engines, choice.Usable = p.counts(now, known, r)
 	return choice, true
 }
 
@@ -64,6 +66,7 @@
 		return Choice{}, false
 	}
 	known := p.pool(r.Pool)
+	r.bound = p.boundEngines(now, known, r)
 	if r.TransferRate > 0 {
 		r.source = p.transferSource(now, r)
 	}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -33,6 +33,8 @@
 		Avoid          map[string]bool
 		RegionBound    bool          // RegionBound restricts the request to Regions.
 		Regions        []string      // Regions applies only if RegionBound is set.
+		VersionBound   bool          // VersionBound restricts the request to engines with software of Version.
+		Version        string        // Version applies only if VersionBound is set.
 		LowestTier     bool          // LowestTier means that the pool serves no lower tier.
 		NeedSlot       bool          // NeedSlot prefers any engine with a free slot to all others.
 		ExcludeLimited bool          // ExcludeLimited excludes engines with a request limit.
@@ -42,10 +44,11 @@
 		Target         time.Duration // Target is the time to the first event that the caller expects; 0 for none.
 		Recoverable    bool          // Recoverable means that the request may be repeated or resumed if its engine is lost.
 
-		gapSensitive bool // whether it is a stream to be separated from long prompts
-		separated    bool // whether the pool has a stream set
-		intoSet      bool // whether it is a long prompt that is expected to be late at the cheapest engine
-		maxPrefill   int  // for such a prompt, most tokens to prefill outside the set
+		bound        *boundEngines // the engines that a version-bound request may go to; nil for others
+		gapSensitive bool          // whether it is a stream to be separated from long prompts
+		separated    bool          // whether the pool has a stream set
+		intoSet      bool          // whether it is a long prompt that is expected to be late at the cheapest engine
+		maxPrefill   int           // for such a prompt, most tokens to prefill outside the set
 		source       transferSource
 	}
 
@@ -270,6 +273,7 @@
 	known.interactive = r.Interactive
 	known.refreshMedians(now)
 	known.refreshOccupancy(now, p.unseenNodes(now), p.throttled)
+	r.bound = p.boundEngines(now, known, r)
 	if r.Interactive {
 		known.separate(now, &r)
 	} else {
@@ -308,7 +312,7 @@
 		if !r.Fastest && choice.class == 0 && known.minCost(r, rank) >= best || r.Fastest && rank >= maxFastestRank {
 			break // No later engine can cost less, or enough engines were compared.
 		}
-		if r.Avoid[e.ID] || !p.regionAllowed(r, e) || !p.allowsCold(now, known, e) || e.Draining && !p.usesLeaving(now, e) {
+		if r.Avoid[e.ID] || !p.regionAllowed(r, e) || !r.versionAllowed(e) || !p.allowsCold(now, known, e) || e.Draining && !p.usesLeaving(now, e) {
 			continue
 		}
 		at, limited := p.limits.Opens(e.ID)
--- a/internal/placement/weigh.go
+++ b/internal/placement/weigh.go
@@ -109,7 +109,10 @@
 
 // evaluate computes the cost of a request at an engine.
 func (p *Placement) evaluate(now time.Time, known *pool, e *engine, r Request, beyond, rank int) Choice {
-	load := e.load(now)
+	load, occupancy := e.load(now), known.occupancy
+	if r.bound != nil {
+		occupancy = r.bound.occupancy
+	}
 	c := Choice{Engine: e.Engine, PrefillRate: known.medianPrefillRate, slowdown: known.slowdownAt(now, e)}
 	overhead, rate := 0.0, c.PrefillRate // rate is the usual one.
 	if r.Interactive {
@@ -128,7 +131,7 @@
 	c.Cost += prefillWeight * c.slowdown * float64(c.PrefillTokens) / rate
 	c.Cost += prefillWeight * c.transfer.ms
 	c.Cost += c.Wait + r.inFlightCost()*float64(load.InFlight) + waitingCost*float64(e.waiting(now))
-	c.SlotAvailable = e.Slots <= 0 || load.InFlight < e.Slots || known.occupancy < waitingShare
+	c.SlotAvailable = e.Slots <= 0 || load.InFlight < e.Slots || occupancy < waitingShare
 	c.SlotsScarce = e.Slots > 0 && (known.partialView || known.occupancy >= scarceShare || float64(load.InFlight) >= scarceShare*float64(e.Slots))
 	c.SlotsReserved = e.Slots > 0 && known.occupancy >= reservedShare
 	if over := load.InFlight - e.Slots; e.Slots > 0 && over >= 0 {
