Pinning: streams that are taken up go on at the version that began them

Any node let a stream with Last-Event-Id go on at any engine; Resumes was not read.

The node that passes a stream's first event on now records pool and version of its engine, at itself and at three other nodes found by hashing the attempt's id and team, and passes the event on once one of them has the record (25 ms at most). A node at which a stream is taken up looks at its own records and asks five nodes. Where none has a record, a row in the platform's store decides, read anew: it says whether all streams of the pool began at one version. Before a node begins a stream at a second version the row says so, so that it holds when all records are lost. What is not known is refused as not run: version_unknown and version_gone without a time to come back, version_unanswered with one.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -69,6 +69,9 @@
 		reach         *reach.Monitor // reach is nil if connectivity to engines is not monitored.
 		forwarder     Forwarder      // forwarder is nil if no requests are forwarded to other nodes.
 		node          string         // node is the name of this node.
+		origins       Origins        // origins is nil if the origins of streams are not recorded; then versions and continuations are, too.
+		versions      VersionHistory
+		continuations ContinuationObserver
 
 		overloadObserver OverloadObserver // overloadObserver is nil if refusals for overload are not counted.
 		leavingObserver  LeavingObserver  // leavingObserver is nil if requests to leaving engines are not counted.
--- a/internal/dispatch/permit.go
+++ b/internal/dispatch/permit.go
@@ -46,6 +46,9 @@
 	if limited, ok := x.d.placement.ChooseLimited(now, request); ok {
 		return limited, true
 	}
+	if anywhere, ok := x.placeAnywhere(now, request); ok {
+		return anywhere, true
+	}
 	return choice, false
 }
 
--- a/internal/dispatch/refusal.go
+++ b/internal/dispatch/refusal.go
@@ -49,6 +49,16 @@
 	// no more engines. Only statuses such as 400 tell callers of all kinds of routes not to retry.
 	CrashesEngines Reason = "crashes_engines"
 
+	// VersionUnknown means that no node knows at which software version the stream began which the
+	// caller takes up, and its pool has had several.
+	VersionUnknown Reason = "version_unknown"
+
+	// VersionUnanswered means the same, but that nodes or the store which may know did not answer.
+	VersionUnanswered Reason = "version_unanswered"
+
+	// VersionGone means that the version at which the stream began has no engines any more.
+	VersionGone Reason = "version_gone"
+
 	// CallerLeft means that the caller closed its connection.
 	CallerLeft Reason = "caller_left"
 
@@ -71,20 +81,23 @@
 // statuses maps reasons to HTTP statuses. 408, 429 and 503 guarantee that the request has not run;
 // 502 and 504 guarantee nothing.
 var statuses = map[Reason]int{
-	NoRoute:        http.StatusNotFound,
-	UnknownKey:     http.StatusUnauthorized,
-	TooLarge:       http.StatusRequestEntityTooLarge,
-	BadRequest:     http.StatusBadRequest,
-	TooSlow:        http.StatusRequestTimeout,
-	NotReady:       http.StatusServiceUnavailable,
-	Stale:          http.StatusServiceUnavailable,
-	Stopping:       http.StatusServiceUnavailable,
-	NoEngine:       http.StatusServiceUnavailable,
-	Busy:           http.StatusServiceUnavailable,
-	EnginesFull:    http.StatusServiceUnavailable,
-	CrashesEngines: http.StatusBadRequest,
-	EngineFailed:   http.StatusBadGateway,
-	TimedOut:       http.StatusGatewayTimeout,
+	NoRoute:           http.StatusNotFound,
+	UnknownKey:        http.StatusUnauthorized,
+	TooLarge:          http.StatusRequestEntityTooLarge,
+	BadRequest:        http.StatusBadRequest,
+	TooSlow:           http.StatusRequestTimeout,
+	NotReady:          http.StatusServiceUnavailable,
+	Stale:             http.StatusServiceUnavailable,
+	Stopping:          http.StatusServiceUnavailable,
+	NoEngine:          http.StatusServiceUnavailable,
+	Busy:              http.StatusServiceUnavailable,
+	EnginesFull:       http.StatusServiceUnavailable,
+	VersionUnknown:    http.StatusServiceUnavailable,
+	VersionUnanswered: http.StatusServiceUnavailable,
+	VersionGone:       http.StatusServiceUnavailable,
+	CrashesEngines:    http.StatusBadRequest,
+	EngineFailed:      http.StatusBadGateway,
+	TimedOut:          http.StatusGatewayTimeout,
 }
 
 // Status returns the HTTP status of a refusal.
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -268,7 +268,7 @@
 		}
 		x.recordBytes(now)
 		onEvent()
-		x.noteFirstPassedOn()
+		x.notePassedOn(ctx, now)
 		x.beginAnswer(resp)
 		if x.buffer != nil {
 			stall.Stop() // While the caller lags the engine may be ahead.
--- a/internal/dispatch/walk.go
+++ b/internal/dispatch/walk.go
@@ -86,6 +86,10 @@
 
 // run tries engines until one has answered or no other should be tried.
 func (x *exchange) run(ctx context.Context) {
+	if refusal := x.findOrigin(ctx); refusal != nil {
+		x.refuse(*refusal)
+		return
+	}
 	for {
 		again := x.attempt(ctx)
 		if !again {
@@ -139,7 +143,7 @@
 	if !x.call.HasTransfer() {
 		x.choice.TransferFrom, x.choice.TransferTokens = "", 0 // The source is gone since the choice.
 	}
-	x.logContinuation()
+	x.noteContinuation("sent")
 	return x.send(ctx, now)
 }
 
@@ -221,6 +225,9 @@
 // refuseNoEngine returns the refusal of a request for which placement found no engine. If engines
 // accept requests again after a time, the caller should retry after it.
 func (x *exchange) refuseNoEngine(now time.Time, none placement.Choice) *Refusal {
+	if gone := x.refuseGone(now); gone != nil {
+		return gone
+	}
 	reason := x.noEngineReason()
 	left := none.AvailableAt.Sub(now)
 	if left <= 0 {
@@ -368,6 +375,7 @@
 // aborted.
 func (x *exchange) refuse(r Refusal) {
 	x.refusal = r
+	x.noteContinuation(string(r.Reason))
 	if x.answerBegun {
 		x.answer.Abort()
 		return
--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -29,6 +29,7 @@
 	}
 	before := e.dispatcher.Version()
 	taken := e.dispatcher.SetTable(table)
+	e.versions.Wake()
 	e.log.Info("configuration", "version", table.Version, "before", before, "taken", taken, "ms", clock.Since(begin).Milliseconds())
 }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -33,6 +33,7 @@
 	"github.com/croftturn/croftturn/internal/limit"
 	"github.com/croftturn/croftturn/internal/logline"
 	"github.com/croftturn/croftturn/internal/peer"
+	"github.com/croftturn/croftturn/internal/pinning"
 	"github.com/croftturn/croftturn/internal/placement"
 	"github.com/croftturn/croftturn/internal/quarantine"
 	"github.com/croftturn/croftturn/internal/reach"
@@ -110,6 +111,8 @@
 	egress        *platform.Egress
 	reach         *reach.Monitor
 	forwards      *forward.Client
+	pins          *pinning.Keeper
+	versions      *pinning.History
 	cacheEvents   *platform.CacheEvents
 	cacheWatcher  *cachewatch.Watcher
 	store         *platform.Store
@@ -128,6 +131,9 @@
 	storeSilentAt atomic.Pointer[time.Time] // storeSilentAt is when this node last left reading to others because the store did not answer.
 	noAnswerSince atomic.Pointer[time.Time] // noAnswerSince is when the store last answered, or when this node began to read.
 
+	incarnationsMu sync.Mutex
+	incarnations   map[string]int64 // incarnations holds the newest incarnation of each peer that was heard.
+
 	configsRefused atomic.Int64 // configsRefused counts configurations that were rejected as invalid.
 
 	suspensions     atomic.Int64       // suspensions counts how often this process was suspended.
@@ -151,7 +157,7 @@
 func Start(ctx context.Context, s *settings.Settings, out io.Writer) (*Edge, error) {
 	debug.SetGCPercent(gcPercent)
 	setMemoryLimit(s)
-	e := &Edge{settings: s, logWriter: logline.New(out), startedAt: clock.Now(), wakeConfig: make(chan struct{}, 1), wakeEngines: make(chan struct{}, 1), suspensionEnded: make(chan time.Duration, 1), removeClockHook: func() {}}
+	e := &Edge{settings: s, logWriter: logline.New(out), startedAt: clock.Now(), wakeConfig: make(chan struct{}, 1), wakeEngines: make(chan struct{}, 1), suspensionEnded: make(chan time.Duration, 1), incarnations: map[string]int64{}, removeClockHook: func() {}}
 	tele, err := telemetry.New(ctx, s, e.logWriter)
 	if err != nil {
 		return nil, errors.Join(fmt.Errorf("start telemetry: %w", err), e.logWriter.Close())
@@ -206,15 +212,16 @@
 	e.cacheWatcher = cachewatch.New(e.cacheEvents, e.placement, observer, e.log)
 	e.traffic = &peer.Traffic{}
 	e.peerClient = peer.NewClient(e.traffic, peer.WithIdleTimeout(feed.PullIdleTimeout))
-	e.discovery = discovery.New(platform.DecodeEngine, engineSink{e.placement, e.egress, e.limits, e.cacheWatcher}, ms(s.EngineDrainMs), e.log, discovery.WithSpotNotice(ms(s.SpotNoticeMs)))
-	e.permits = limit.NewPermits(e.limits, e.peerClient, e.permitIssuer, e.gossip.ReachableShare, e.log)
-	e.dispatcher = dispatch.New(e.proof, e.placement, e.budget, e.egress, e.metrics, e.log, dispatch.WithProber(e.egress), dispatch.WithQuarantine(e.quarantine), dispatch.WithLeaveObserver(e.discovery), dispatch.WithPermits(e.permits), dispatch.WithReach(e.reach), dispatch.WithInteractiveTarget(ms(s.InteractiveTargetMs)), dispatch.WithOverloadObserver(e.metrics), dispatch.WithLeavingObserver(e.metrics), e.forwarding(), e.relayBuffers())
 	e.store = platform.NewStore(s.PlatformAddresses, platform.StoreTimeout)
+	e.peerServer = peer.NewServer(listener, e.traffic, e.log)
+	e.newPinning()
+	e.discovery = discovery.New(platform.DecodeEngine, engineSink{e.placement, e.egress, e.limits, e.cacheWatcher, e.versions}, ms(s.EngineDrainMs), e.log, discovery.WithSpotNotice(ms(s.SpotNoticeMs)))
+	e.permits = limit.NewPermits(e.limits, e.peerClient, e.permitIssuer, e.gossip.ReachableShare, e.log)
+	e.dispatcher = dispatch.New(e.proof, e.placement, e.budget, e.egress, e.metrics, e.log, dispatch.WithProber(e.egress), dispatch.WithQuarantine(e.quarantine), dispatch.WithLeaveObserver(e.discovery), dispatch.WithPermits(e.permits), dispatch.WithReach(e.reach), dispatch.WithInteractiveTarget(ms(s.InteractiveTargetMs)), dispatch.WithOverloadObserver(e.metrics), dispatch.WithLeavingObserver(e.metrics), dispatch.WithPinning(e.pins, e.versions, e.metrics), e.forwarding(), e.relayBuffers())
 	e.register = register.New(now, e.store, self, slices.Collect(maps.Keys(s.HallRegions)), s.FirstStart, e.gossip, e.log)
 	e.configTable = feed.NewTable(platform.TableConfig, e.applyConfig)
 	e.engineTable = feed.NewTable(platform.TableEngines, e.discovery.Apply)
 	e.follower = feed.NewFollower(s.PeerAddress, e.peerClient, e.log, e.configTable, e.engineTable)
-	e.peerServer = peer.NewServer(listener, e.traffic, e.log)
 	e.peerServer.Handle(feed.MethodTable, peer.Typed(e.follower.HandleTable))
 	e.peerServer.Handle(limit.MethodPermit, peer.Typed(e.permits.HandleRequest))
 	e.duties = e.newDuties(now)
@@ -272,6 +279,10 @@
 		e.awaitAnswer(ctx)
 		quarantine.NewPersister(e.quarantine, e.store, s.FirstStart, e.log).Run(ctx)
 	})
+	e.startGoroutine(func() {
+		e.awaitAnswer(ctx)
+		e.versions.Run(ctx)
+	})
 	if s.InteractiveTargetMs > 0 {
 		e.startGoroutine(func() { e.watchCaches(ctx) })
 	}
@@ -328,6 +339,7 @@
 		e.log.Warn("could not remove the node from the register", "error", err.Error())
 	}
 	cancel()
+	e.startGoroutine(func() { e.handOverPins(begin) })
 	tick := time.NewTicker(stopPollInterval)
 	defer tick.Stop()
 	for now := range tick.C {
@@ -349,6 +361,7 @@
 	e.removeClockHook()
 	e.cancel()
 	errs = append(errs, e.follower.Close(), e.peerServer.Close())
+	e.pins.Close()
 	e.peerClient.Close()
 	e.wg.Wait()
 	e.reach.Close()
--- a/internal/edge/engines.go
+++ b/internal/edge/engines.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/croftturn/croftturn/internal/cachewatch"
 	"github.com/croftturn/croftturn/internal/limit"
+	"github.com/croftturn/croftturn/internal/pinning"
 	"github.com/croftturn/croftturn/internal/placement"
 	"github.com/croftturn/croftturn/platform"
 )
@@ -13,12 +14,14 @@
 	egress    *platform.Egress
 	limits    *limit.Limits
 	watcher   *cachewatch.Watcher
+	versions  *pinning.History
 }
 
 // Set adds or updates an engine. If the engine has restarted, idle connections belong to its
 // former incarnation, and a request that may not be repeated would be lost on them.
 func (s engineSink) Set(e placement.Engine) {
 	restarted := s.placement.Set(e)
+	s.versions.Observe(e.Pool, e.Version)
 	if restarted || e.Draining {
 		s.watcher.Stop(e.ID) // A restarted engine is watched anew.
 	}
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -22,6 +22,7 @@
 	cutOff       metric.Int64Counter // cutOff is nil if no answers are buffered.
 	refused      metric.Int64Counter // refused counts refusals of interactive pools by reason.
 	second       metric.Int64Counter // second counts requests of interactive pools that went to a second choice.
+	continued    metric.Int64Counter // continued counts the streams that callers take up by decision.
 	leaving      metric.Int64Counter // leaving counts requests of interactive pools to leaving engines.
 	reachability metric.Int64Counter // reachability counts changes of whether a pool is reachable.
 	usage        *usage.Counter      // usage is nil where the platform does not ask for usage reports.
@@ -32,7 +33,7 @@
 // newMetrics registers the instruments of a node.
 func newMetrics(e *Edge) (*metrics, error) {
 	m := &metrics{}
-	var errs [13]error
+	var errs [15]error
 	meter := e.tele.Meter
 	m.ended, errs[0] = meter.Int64Counter("croftturn.edge.requests")
 	m.retried, errs[1] = meter.Int64Counter("croftturn.edge.retries")
@@ -43,6 +44,8 @@
 	m.second, errs[10] = meter.Int64Counter("croftturn.edge.second_choices")
 	m.leaving, errs[11] = meter.Int64Counter("croftturn.edge.leaving_requests")
 	m.reachability, errs[12] = meter.Int64Counter("croftturn.edge.reachability_changes", metric.WithDescription("changes of whether this node reaches any engine of a pool"))
+	m.continued, errs[13] = meter.Int64Counter("croftturn.edge.streams_continued", metric.WithDescription("streams that callers took up, by decision"))
+	errs[14] = e.tele.RegisterGauges(e.pinGauges()...)
 	errs[4] = e.tele.RegisterGauges(
 		telemetry.Gauge{Name: "croftturn.edge.active", Help: "requests being served", Read: func() int64 { return int64(e.dispatcher.Active()) }},
 		telemetry.Gauge{Name: "croftturn.edge.engine_connections_opened", Help: "connections opened to engines", Read: func() int64 { return e.egress.ConnectionsOpened() }},
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -54,7 +54,7 @@
 		Ready: e.Ready(now), Stopping: e.dispatcher.Ready(now) == dispatch.Stopping, Rate: float32(e.dispatcher.Rate(now)), Loads: e.placement.Loads(), Uses: e.placement.TakeUses(), Slowdowns: e.placement.Slowdowns(now), Versions: versions,
 		ConfigVersion: e.dispatcher.Version(), ProofAgeMs: -1, CannotReadStore: e.readFailing(now), StoreSilentMs: -1, StoreFailureAgeMs: -1, TierStats: e.dispatcher.TierStats(now), Holder: e.announcedHolder(now), Crashing: e.quarantine.GossipEntries(now, gossip.UpdateLifetime), Limits: e.limits.GossipEntries(now, gossip.UpdateLifetime), Leaving: e.discovery.GossipEntries(now, gossip.UpdateLifetime), Evicted: e.cacheWatcher.TakeEvicted(),
 		TeamWork: e.dispatcher.TeamWork(now), LowerAdmitted: e.dispatcher.LowerAdmitted(now),
-		Unreachable: unreachable, Partitioned: e.partitioned(unreachable), ForwardPort: e.forwardPort(), Brittle: e.placement.Brittle(now),
+		Unreachable: unreachable, Partitioned: e.partitioned(unreachable), ForwardPort: e.forwardPort(), Brittle: e.placement.Brittle(now), PinsStreams: true, PoolVersions: e.versions.GossipEntries(now),
 	}
 	if age, ok := e.proof.Age(now); ok {
 		s.ProofAgeMs = age.Milliseconds() + 1 // Rounded up, since a proof must not get younger on its way.
@@ -83,6 +83,8 @@
 	e.placement.MergeBrittle(now, s.Brittle)
 	e.discovery.MergeGossip(now, s.Leaving)
 	e.receiveHolder(now, s.Holder)
+	e.versions.MergeGossip(now, s.PoolVersions)
+	e.noteIncarnation(now, p)
 	e.follower.ObserveVersions(p.PeerAddress, s.Versions)
 	if s.ProofAgeMs >= 0 && !received.IsZero() && s.ConfigVersion > 0 && s.ConfigVersion <= e.dispatcher.Version() {
 		e.proof.Renew(received.Add(-time.Duration(s.ProofAgeMs) * time.Millisecond))
--- a/internal/edge/rowstore_test.go
+++ b/internal/edge/rowstore_test.go
@@ -60,6 +60,14 @@
 	return true
 }
 
+// has reports whether there is a row with a table and key.
+func (s *rowStore) has(name string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, ok := s.rows[name]
+	return ok
+}
+
 // transact applies a transaction if the rows have the expected versions.
 func (s *rowStore) transact(w http.ResponseWriter, r *http.Request) {
 	var tx struct {
--- a/internal/edge/version_test.go
+++ b/internal/edge/version_test.go
@@ -1,6 +1,9 @@
 package edge
 
 import (
+	"fmt"
+	"net/http"
+	"strings"
 	"testing"
 	"time"
 )
@@ -24,3 +27,78 @@
 		}
 	}).check(t, 0.5)
 }
+
+// restartAll ends all nodes and starts them again.
+func (w *versionCluster) restartAll(t *testing.T) {
+	t.Helper()
+	for i := range w.nodes {
+		_ = w.nodes[i].stop()
+	}
+	for i, old := range w.nodes {
+		s := *old.settings
+		s.FirstStart = false
+		w.nodes[i] = startNodeWith(t, &s)
+	}
+	connect(t, w.nodes)
+}
+
+func TestStreamsWithoutARecordGoOnOnlyInAServiceOfOneVersion(t *testing.T) {
+	one, two := []string{"a", "a"}, []string{"a", "b"}
+	restart := func(t *testing.T, w *versionCluster, _ *streamResult) { w.restartAll(t) }
+	resumes := func(id string) func(*testing.T, *versionCluster, *streamResult) {
+		return func(_ *testing.T, _ *versionCluster, g *streamResult) { g.first = id }
+	}
+	for name, test := range map[string]struct {
+		versions []string
+		before   func(t *testing.T, w *versionCluster, g *streamResult)
+		key      string
+		goesOn   bool
+	}{
+		"nothing happened":                 {two, resumes("first"), "k", true},
+		"all nodes restarted":              {two, restart, "k", false},
+		"all nodes restarted, one version": {one, restart, "k", true},
+		"no attempt named":                 {two, resumes(""), "k", false},
+		"no attempt named, one version":    {one, resumes(""), "k", true},
+		"an attempt that brought nothing":  {two, resumes("second"), "k", false},
+		"a name that is too long":          {two, resumes(strings.Repeat("x", 9000)), "k", false},
+		"the attempt of another team":      {two, resumes("first"), "other", false},
+		"only engines of another version left": {one, func(t *testing.T, w *versionCluster, _ *streamResult) {
+			w.engines[0].gone.Store(true)
+			w.engines[1].set("b")
+			w.revision.Add(1)
+			w.restartAll(t)
+		}, "k", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w := newVersionCluster(t, 3, test.versions...)
+			waitFor(t, func() bool { return w.rows.has("croftturn-versions/p") }, "no row for the pool")
+			g := &streamResult{versions: map[string]bool{}}
+			w.attempt(0, "first", "k", g, leaveAfter)
+			test.before(t, w, g)
+			status, retryAfter := w.attempt(1, "second", test.key, g, 0)
+			if g.whole != test.goesOn || len(g.versions) != 1 || !test.goesOn && (status != http.StatusServiceUnavailable || retryAfter > 0) {
+				t.Errorf("status %d, Retry-After %v, whole %t, versions %v", status, retryAfter, g.whole, g.versions)
+			}
+		})
+	}
+}
+
+func TestRecordsOutliveNodesThatAreKilledOneAfterAnother(t *testing.T) {
+	w := newVersionCluster(t, 5, "a", "b", "b", "b")
+	for i := range 8 {
+		g := &streamResult{versions: map[string]bool{}}
+		id := fmt.Sprint("first-", i)
+		w.attempt(0, id, "k", g, leaveAfter)
+		defer func() {
+			if w.attempt(2, id+"-again", "k", g, 0); !g.whole || len(g.versions) != 1 {
+				t.Errorf("whole %t, versions %v", g.whole, g.versions)
+			}
+		}()
+	}
+	for i := range w.nodes {
+		w.restart(t, i)
+		waitFor(t, func() bool { return len(w.node(i).gossip.Peers(time.Now())) == len(w.nodes)-1 }, "peers not heard")
+		time.Sleep(300 * time.Millisecond) // The peers notice the restart and give the records.
+	}
+}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -44,6 +44,7 @@
 		Version int64     // Version is the newest version of all tables at the time of the reply.
 		AsOf    time.Time // AsOf is a local monotonic time at which the reply was current.
 		Sent    time.Time // Sent is when the call was sent; zero if unknown.
+		NowMs   int64     // NowMs is the time of the reply on the store's monotonic clock, in milliseconds.
 	}
 
 	// Tx is an atomic transaction.
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -10,6 +10,7 @@
 	"github.com/croftturn/croftturn/internal/dispatch"
 	"github.com/croftturn/croftturn/internal/limit"
 	"github.com/croftturn/croftturn/internal/overload"
+	"github.com/croftturn/croftturn/internal/pinning"
 	"github.com/croftturn/croftturn/internal/placement"
 	"github.com/croftturn/croftturn/internal/quarantine"
 )
@@ -57,6 +58,8 @@
 		ForwardPort       uint16                          `cbor:"25,keyasint,omitempty"` // ForwardPort is where the node takes requests that others forward, at the host of its peer address; 0 if it takes none.
 		Partitioned       bool                            `cbor:"27,keyasint,omitempty"` // Partitioned reports whether the node reaches no engine at all.
 		Brittle           []string                        `cbor:"26,keyasint,omitempty"` // Brittle are the pools whose engines told the node that they are brittle.
+		PinsStreams       bool                            `cbor:"28,keyasint,omitempty"` // PinsStreams reports whether the node keeps records of where streams began, and continues them there.
+		PoolVersions      []pinning.PoolVersion           `cbor:"29,keyasint,omitempty"` // PoolVersions say at which software versions the streams of pools have begun.
 	}
 
 	// HubInfo identifies a hub in the sender's hall and says how to reach it.
--- a/internal/gossip/send.go
+++ b/internal/gossip/send.go
@@ -9,6 +9,7 @@
 	"github.com/croftturn/croftturn/internal/discovery"
 	"github.com/croftturn/croftturn/internal/limit"
 	"github.com/croftturn/croftturn/internal/news"
+	"github.com/croftturn/croftturn/internal/pinning"
 	"github.com/croftturn/croftturn/internal/quarantine"
 )
 
@@ -68,6 +69,7 @@
 			s.Crashing = selectEntries(kind, state.Crashing, func(t quarantine.GossipEntry) time.Duration { return t.Age })
 			s.Limits = selectEntries(kind, state.Limits, func(t limit.GossipEntry) time.Duration { return t.Age })
 			s.Leaving = selectEntries(kind, state.Leaving, func(t discovery.GossipEntry) time.Duration { return t.Age })
+			s.PoolVersions = selectEntries(kind, state.PoolVersions, func(v pinning.PoolVersion) time.Duration { return v.Age })
 			if kind.withHubs {
 				s.ChosenHubs = g.chosenHubInfo()
 			}
--- /dev/null
+++ b/internal/pinning/history.go
@@ -0,0 +1,370 @@
+package pinning
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/croftturn/croftturn/internal/clock"
+	"github.com/croftturn/croftturn/internal/feed"
+)
+
+const (
+	// historyTable has one row for each pool with resumable streams.
+	historyTable = "croftturn-versions"
+
+	// soleTime is how long all streams of a pool must have begun at one version for one without a record
+	// to have begun there: longer than any caller waits to take a stream up.
+	soleTime = time.Hour
+
+	// settleTime is how long all engines of a pool must have had one version before that counts as its
+	// only one again.
+	settleTime = time.Minute
+
+	// checkInterval is how often the rows are compared with the engines if nothing is known to differ.
+	checkInterval = 5 * time.Second
+
+	// writerDelay is how long the other nodes leave a change to the one that is chosen to write it.
+	writerDelay = 600 * time.Millisecond
+
+	// retryInterval is the pause after a call to the store that failed.
+	retryInterval = 250 * time.Millisecond
+
+	// maxObserved bounds the versions of a pool that are remembered.
+	maxObserved = 8
+)
+
+// ErrSeveral is returned if the streams of a pool may have begun at several versions.
+var ErrSeveral = errors.New("pinning: streams of the pool have begun at several versions")
+
+type (
+	// Store is the part of the platform's store that a History uses.
+	Store interface {
+		Range(ctx context.Context, table, part, from, to string, limit int) (snap feed.Snapshot, more bool, err error)
+		Commit(ctx context.Context, tx feed.Tx) (version int64, err error)
+	}
+
+	// Engines knows the engines' versions.
+	Engines interface {
+		// Versions returns the software versions of a pool's engines, draining ones included.
+		Versions(pool string) []string
+	}
+
+	// PoolVersion says at which versions the streams of a pool have begun, as stored.
+	PoolVersion struct {
+		_        struct{} `cbor:",toarray"`
+		Pool     string
+		Version  string // Version is the only one; it applies unless Several is set.
+		Several  bool
+		SinceMs  int64         // SinceMs is since when, on the store's clock; 0 for ever.
+		Revision int64         // Revision is that of the row.
+		Age      time.Duration `cbor:"-"` // Age is how long ago this node learned of it; it is not sent.
+	}
+
+	// History knows at which versions the streams of each pool have begun, and keeps the rows that say so up
+	// to date. Before a stream begins at a second version, the row says so.
+	History struct {
+		store      Store
+		engines    Engines
+		pools      func() []string                       // pools returns the pools with resumable streams.
+		isWriter   func(now time.Time, pool string) bool // isWriter reports whether this node is chosen to write a pool's row.
+		firstStart bool                                  // firstStart is set at the first start of the whole system: no streams have begun.
+		log        *slog.Logger
+		wake       chan struct{}
+
+		mu    sync.Mutex
+		known map[string]*poolState
+		reads map[string]*sharedRead
+	}
+
+	// poolState is what this node knows of one pool.
+	poolState struct {
+		row       PoolVersion // row has revision 0 while it is unknown.
+		learnedAt time.Time
+		observed  []string  // observed are the versions of engines that this node has seen.
+		changedAt time.Time // changedAt is since when the row differs from what is observed; zero if it does not.
+		single    string    // single is the only version of the pool's engines since singleAt.
+		singleAt  time.Time
+	}
+
+	// sharedRead is a read of a row that several requests wait for.
+	sharedRead struct {
+		startedAt time.Time
+		done      chan struct{}
+		row       PoolVersion
+		nowMs     int64
+		err       error
+	}
+
+	// historyRow is the stored form of a PoolVersion.
+	historyRow struct {
+		Version string `json:"version,omitempty"`
+		Several bool   `json:"several,omitempty"`
+		SinceMs int64  `json:"since_ms"`
+	}
+)
+
+// NewHistory returns a History that knows nothing yet.
+func NewHistory(store Store, engines Engines, pools func() []string, isWriter func(now time.Time, pool string) bool, firstStart bool, log *slog.Logger) *History {
+	return &History{store: store, engines: engines, pools: pools, isWriter: isWriter, firstStart: firstStart, log: log, wake: make(chan struct{}, 1), known: map[string]*poolState{}, reads: map[string]*sharedRead{}}
+}
+
+// Observe records that an engine of a pool has a version.
+func (h *History) Observe(pool, version string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	s := h.state(pool)
+	if slices.Contains(s.observed, version) || len(s.observed) >= maxObserved {
+		return
+	}
+	s.observed = append(s.observed, version)
+	if s.row.Revision == 0 || s.pending() {
+		h.Wake()
+	}
+}
+
+// Wake makes Run look at the rows now.
+func (h *History) Wake() {
+	select {
+	case h.wake <- struct{}{}:
+	default: // It has been woken already.
+	}
+}
+
+// state returns the state of a pool. The caller holds the lock.
+func (h *History) state(pool string) *poolState {
+	if h.known[pool] == nil {
+		h.known[pool] = &poolState{}
+	}
+	return h.known[pool]
+}
+
+// pending reports whether engines have a version that the row does not allow streams to begin at.
+func (s *poolState) pending() bool {
+	return s.row.Revision > 0 && !s.row.Several && slices.ContainsFunc(s.observed, func(v string) bool { return v != s.row.Version })
+}
+
+// Established returns the only version at which streams of a pool may begin while its row has not been
+// changed; ok is false if they may begin at any.
+func (h *History) Established(pool string) (version string, ok bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	s := h.known[pool]
+	if s == nil || !s.pending() {
+		return "", false
+	}
+	return s.row.Version, true
+}
+
+// Sole returns the version at which all streams of a pool that callers can still take up have begun. It
+// reads the row anew, unless that is known to name several versions. The error is ErrSeveral or that of
+// the store.
+func (h *History) Sole(ctx context.Context, now time.Time, pool string) (version string, err error) {
+	h.mu.Lock()
+	several := h.state(pool).row.Several
+	h.mu.Unlock()
+	if several {
+		return "", ErrSeveral
+	}
+	r, err := h.readSince(ctx, now, pool)
+	if err != nil {
+		return "", err
+	}
+	if r.row.Revision == 0 || r.row.Several || r.row.SinceMs > 0 && r.nowMs-r.row.SinceMs < soleTime.Milliseconds() {
+		return "", ErrSeveral
+	}
+	return r.row.Version, nil
+}
+
+// readSince reads the row of a pool with a call that began at a time or later. Requests share calls.
+func (h *History) readSince(ctx context.Context, now time.Time, pool string) (*sharedRead, error) {
+	for {
+		h.mu.Lock()
+		r := h.reads[pool]
+		if r == nil {
+			r = &sharedRead{startedAt: clock.Now(), done: make(chan struct{})}
+			h.reads[pool] = r
+			go h.read(context.WithoutCancel(ctx), pool, r)
+		}
+		h.mu.Unlock()
+		select {
+		case <-r.done:
+		case <-ctx.Done():
+			return nil, fmt.Errorf("read versions of %s: %w", pool, ctx.Err())
+		}
+		if !r.startedAt.Before(now) {
+			return r, r.err
+		}
+	}
+}
+
+// read reads the row of a pool; it has revision 0 if there is none.
+func (h *History) read(ctx context.Context, pool string, r *sharedRead) {
+	snap, _, err := h.store.Range(ctx, historyTable, "", pool, pool+"\x00", 1)
+	r.nowMs, r.row = snap.NowMs, PoolVersion{Pool: pool}
+	if err != nil {
+		r.err = fmt.Errorf("read versions of %s: %w", pool, err)
+	}
+	for _, row := range snap.Rows {
+		if r.row, err = decodeRow(row); err != nil {
+			r.err = err
+		}
+	}
+	if r.err == nil && r.row.Revision > 0 {
+		h.learn(clock.Now(), r.row)
+	}
+	h.mu.Lock()
+	delete(h.reads, pool)
+	h.mu.Unlock()
+	close(r.done)
+}
+
+// decodeRow decodes a row.
+func decodeRow(row feed.Row) (PoolVersion, error) {
+	var stored historyRow
+	if err := json.Unmarshal(row.Value, &stored); err != nil {
+		return PoolVersion{}, fmt.Errorf("decode versions of %s: %w", row.Key, err)
+	}
+	return PoolVersion{Pool: row.Key, Version: stored.Version, Several: stored.Several, SinceMs: stored.SinceMs, Revision: row.Version}, nil
+}
+
+// learn takes a row over if it is newer than the known one.
+func (h *History) learn(now time.Time, row PoolVersion) {
+	versions := h.engines.Versions(row.Pool)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	s := h.state(row.Pool)
+	if row.Revision <= s.row.Revision {
+		return
+	}
+	h.log.Info("versions of a pool", "pool", row.Pool, "version", row.Version, "several", row.Several, "since_ms", row.SinceMs, "revision", row.Revision, "before", s.row.Revision)
+	if s.row.Several && !row.Several {
+		s.observed = versions // Engines of other versions have been gone for long.
+	}
+	s.row, s.learnedAt, s.changedAt = row, now, time.Time{}
+	if s.pending() {
+		h.Wake()
+	}
+}
+
+// GossipEntries returns the known rows, the newest first.
+func (h *History) GossipEntries(now time.Time) []PoolVersion {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var out []PoolVersion
+	for _, s := range h.known {
+		if s.row.Revision > 0 {
+			row := s.row
+			row.Age = now.Sub(s.learnedAt)
+			out = append(out, row)
+		}
+	}
+	slices.SortFunc(out, func(a, b PoolVersion) int { return int(a.Age - b.Age) })
+	return out
+}
+
+// MergeGossip takes over what a peer knows.
+func (h *History) MergeGossip(now time.Time, list []PoolVersion) {
+	for _, row := range list {
+		h.learn(now, row)
+	}
+}
+
+// Run keeps the rows up to date until the context ends.
+func (h *History) Run(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-h.wake:
+		case <-timer.C:
+		}
+		next := checkInterval
+		for _, pool := range h.pools() {
+			next = min(next, h.update(ctx, clock.Now(), pool))
+		}
+		timer.Reset(next)
+	}
+}
+
+// update compares the row of a pool with its engines, changes it if they differ, and returns when to look
+// again.
+func (h *History) update(ctx context.Context, now time.Time, pool string) (next time.Duration) {
+	versions := h.engines.Versions(pool)
+	h.mu.Lock()
+	s := h.state(pool)
+	wanted, differs := s.wanted(now, versions)
+	if !differs {
+		s.changedAt = time.Time{}
+		h.mu.Unlock()
+		return checkInterval
+	}
+	if s.changedAt.IsZero() {
+		s.changedAt = now
+	}
+	waited, before := now.Sub(s.changedAt), s.row
+	h.mu.Unlock()
+	if delay := writerDelay + rand.N(writerDelay); waited < writerDelay && !h.isWriter(now, pool) {
+		return delay
+	}
+	if err := h.write(ctx, pool, before, wanted); err != nil {
+		h.log.Warn("cannot store the versions of a pool; retrying", "pool", pool, "error", err.Error())
+		return retryInterval
+	}
+	return checkInterval
+}
+
+// wanted returns the row that the engines of a pool call for, and whether it differs from the known one.
+func (s *poolState) wanted(now time.Time, versions []string) (row PoolVersion, differs bool) {
+	if len(versions) != 1 {
+		s.single, s.singleAt = "", time.Time{}
+	} else if s.singleAt.IsZero() || s.single != versions[0] {
+		s.single, s.singleAt = versions[0], now
+	}
+	several := s.pending() || len(versions) > 1
+	switch {
+	case len(versions) == 0:
+		return PoolVersion{}, false
+	case s.row.Revision == 0:
+		return PoolVersion{Version: versions[0], Several: len(versions) > 1}, true
+	case several:
+		return PoolVersion{Several: true}, !s.row.Several
+	case s.row.Several && now.Sub(s.singleAt) >= settleTime:
+		return PoolVersion{Version: versions[0]}, true
+	}
+	return PoolVersion{}, false
+}
+
+// write changes the row of a pool, unless another node has.
+func (h *History) write(ctx context.Context, pool string, before, wanted PoolVersion) error {
+	r, err := h.readSince(ctx, clock.Now(), pool)
+	if err != nil {
+		return err
+	}
+	if r.row.Revision != before.Revision {
+		return nil // The row that was read is known now; the next look decides by it.
+	}
+	wanted.Pool, wanted.SinceMs = pool, max(r.nowMs, 1)
+	if h.firstStart && before.Revision == 0 && !wanted.Several {
+		wanted.SinceMs = 0
+	}
+	value, err := json.Marshal(historyRow{Version: wanted.Version, Several: wanted.Several, SinceMs: wanted.SinceMs})
+	if err != nil {
+		return fmt.Errorf("encode versions of %s: %w", pool, err)
+	}
+	key := feed.Row{Table: historyTable, Key: pool, Version: before.Revision}
+	wanted.Revision, err = h.store.Commit(ctx, feed.Tx{Expect: []feed.Row{key}, Put: []feed.Row{{Table: historyTable, Key: pool, Value: value}}})
+	if err != nil {
+		return fmt.Errorf("write versions of %s: %w", pool, err)
+	}
+	h.learn(clock.Now(), wanted)
+	return nil
+}
--- a/internal/placement/version.go
+++ b/internal/placement/version.go
@@ -1,6 +1,9 @@
 package placement
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // boundEngines are the figures of those engines of a pool that a version-bound request may go to.
 type boundEngines struct {
@@ -37,14 +40,28 @@
 	return b
 }
 
-// HasVersion reports whether a pool has an engine with a software version, draining ones included.
-func (p *Placement) HasVersion(pool, version string) bool {
+// Versions returns the software versions of a pool's engines, draining ones included.
+func (p *Placement) Versions(pool string) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []string
+	for _, e := range p.engines {
+		if e.Pool == pool && !slices.Contains(out, e.Version) {
+			out = append(out, e.Version)
+		}
+	}
+	return out
+}
+
+// VersionGone reports whether a pool has no engine with a software version any more. While changes in the
+// platform's store do not reach this node, that is not known.
+func (p *Placement) VersionGone(now time.Time, pool, version string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, e := range p.engines {
 		if e.Pool == pool && e.Version == version {
-			return true
+			return false
 		}
 	}
-	return false
+	return p.storeKnown(now)
 }
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -109,6 +109,7 @@
 		lowestTier  map[string]int           // lowest tier of the routes served by each pool
 		lastUrgency map[string]int           // last urgency of requests for each pool
 		maxTarget   map[string]time.Duration // longest target of the streams served by each pool
+		resumable   []string                 // pools that serve resumable streams
 		requiresKey bool
 	}
 )
@@ -147,6 +148,9 @@
 		for _, s := range r.Shares {
 			t.lowestTier[s.Pool] = max(t.lowestTier[s.Pool], r.Tier)
 			t.lastUrgency[s.Pool] = max(t.lastUrgency[s.Pool], urgency(max(r.Tier, lowest), r))
+			if r.Kind == Stream && r.Resumable && !slices.Contains(t.resumable, s.Pool) {
+				t.resumable = append(t.resumable, s.Pool)
+			}
 			if r.Kind == Stream {
 				t.maxTarget[s.Pool] = max(t.maxTarget[s.Pool], r.streamTarget())
 			}
@@ -230,6 +234,14 @@
 // Pools returns all pools in no particular order.
 func (t *Table) Pools() []*Pool { return slices.Collect(maps.Values(t.pools)) }
 
+// ResumablePools returns the names of the pools that serve resumable streams.
+func (t *Table) ResumablePools() []string { return t.resumable }
+
+// HasPool reports whether a pool serves the route.
+func (r *Route) HasPool(name string) bool {
+	return slices.ContainsFunc(r.Shares, func(s Share) bool { return s.Pool == name && s.Weight > 0 })
+}
+
 // Pool returns a pool by name, or nil.
 func (t *Table) Pool(name string) *Pool { return t.pools[name] }
 
