Forward: a stream keeps its version by way of another node

A node that reaches no engine sends its requests by way of another one. That node chose an engine of any version for a stream that had begun, and the first node did not know at which version a stream began there. What fixes the version crosses the hop both ways now: the request says at which pool and version the stream may go on, the answer where it began, and the node that the caller talks to records it. Resumable streams go to no node of a release that would ignore this.

TestForwardedStreamKeepsItsVersionWhenItsLinkBreaks failed before: begun at version b, continued at c.

--- a/internal/dispatch/continuation.go
+++ b/internal/dispatch/continuation.go
@@ -97,9 +97,14 @@
 	if !x.route.HasPool(found.Pool) {
 		return &Refusal{Reason: VersionGone}
 	}
+	x.bindTo(found)
+	return nil
+}
+
+// bindTo binds the stream to the pool and version where it began.
+func (x *exchange) bindTo(found pinning.Found) {
 	x.origin.Found, x.origin.bound = found, true
 	x.pool, x.reach = found.Pool, x.d.reachOf(found.Pool)
-	return nil
 }
 
 // nameStream sets the name of the stream: that of the attempt which brought its first event.
@@ -134,7 +139,7 @@
 // node that the caller talks to does, also for what another node got from an engine.
 func (x *exchange) notePassedOn(ctx context.Context, now time.Time) {
 	if !x.origin.bound {
-		at := pinning.Origin{Pool: x.pool, Version: x.choice.Engine.Version}
+		at := pinning.Origin{Pool: x.choice.Engine.Pool, Version: x.choice.Engine.Version}
 		x.origin.Found, x.origin.bound = pinning.Found{Origin: at, From: fromAnswer}, true
 		if x.recordsOrigin() {
 			x.d.origins.Record(ctx, now, x.origin.stream, at)
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/croftturn/croftturn/internal/clock"
+	"github.com/croftturn/croftturn/internal/pinning"
 	"github.com/croftturn/croftturn/internal/placement"
 	"github.com/croftturn/croftturn/internal/routing"
 )
@@ -22,8 +23,9 @@
 type (
 	// Forwarder sends requests to other nodes.
 	Forwarder interface {
-		// Choose chooses a node that may reach the engines of a pool, other than those to avoid.
-		Choose(now time.Time, pool string, avoid []string) (node, address string, ok bool)
+		// Choose chooses a node that may reach the engines of a pool, other than those to avoid. For a
+		// resumable stream it must be one that keeps streams at the version that began them.
+		Choose(now time.Time, pool string, resumable bool, avoid []string) (node, address string, ok bool)
 
 		// Forward sends a request to a node and returns its answer or refusal. The error is ErrNotSent
 		// if no byte was sent.
@@ -39,6 +41,9 @@
 		LastEventID string        `cbor:"4,keyasint,omitempty"` // LastEventID is the event after which a stream goes on; empty for a whole answer.
 		MayHaveRun  bool          `cbor:"5,keyasint,omitempty"` // MayHaveRun is set if an engine may have run the request.
 		Counted     bool          `cbor:"6,keyasint,omitempty"` // Counted is set if the request was counted for the budget of retries.
+		Bound       bool          `cbor:"7,keyasint,omitempty"` // Bound is set if the stream may go on at one pool and version only.
+		Pool        string        `cbor:"8,keyasint,omitempty"`
+		Version     string        `cbor:"9,keyasint,omitempty"` // Version is that of the engines' software.
 	}
 )
 
@@ -53,6 +58,9 @@
 		return
 	}
 	x.sent, x.mayHaveRun, x.counted, x.lastEventID = f.Sent, f.MayHaveRun, f.Counted, f.LastEventID
+	if f.Bound {
+		x.bindTo(pinning.Found{Origin: pinning.Origin{Pool: f.Pool, Version: f.Version}, From: fromNode})
+	}
 }
 
 // forwardedBy returns the node that forwarded the request, empty if its caller sent it.
@@ -90,7 +98,7 @@
 			x.refuse(*refusal)
 			return true, false
 		}
-		node, address, ok := x.d.forwarder.Choose(now, x.pool, avoid)
+		node, address, ok := x.d.forwarder.Choose(now, x.pool, x.resumable(), avoid)
 		if !ok || !now.Before(x.deadline) {
 			break
 		}
@@ -124,6 +132,7 @@
 	x.call, x.headReceived, x.sendBefore, x.leavingFor = x.d.placement.ForwardedCall(now), false, time.Time{}, 0
 	resp, refusal, err := x.d.forwarder.Forward(ctx, address, x.req, Forwarded{
 		From: x.d.node, Spent: now.Sub(x.arrived), Sent: x.sent, LastEventID: x.lastEventID, MayHaveRun: x.mayHaveRun, Counted: x.counted,
+		Bound: x.origin.bound, Pool: x.origin.Pool, Version: x.origin.Version,
 	})
 	result, reason := "answered", Reason("")
 	switch {
@@ -165,7 +174,8 @@
 func (x *exchange) relayForwarded(ctx context.Context, resp *Response) (again bool) {
 	defer resp.Body.Close()
 	now := clock.Now()
-	x.status, x.unframed, x.headReceived, x.choice.Engine.ID = resp.Status, resp.Unframed, true, resp.Engine
+	x.status, x.unframed, x.headReceived = resp.Status, resp.Unframed, true
+	x.choice.Engine = placement.Engine{ID: resp.Engine, Pool: resp.Pool, Version: resp.Version}
 	x.sent = max(x.sent, resp.Tries)
 	success := resp.Status < http.StatusMultipleChoices
 	if x.answerBegun && !success {
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -178,7 +178,7 @@
 func (x *exchange) beginAnswer(resp *Response) {
 	if !x.answerBegun {
 		x.answerBegun = true
-		resp.Engine, resp.Tries = x.choice.Engine.ID, x.sent
+		resp.Engine, resp.Pool, resp.Version, resp.Tries = x.choice.Engine.ID, x.choice.Engine.Pool, x.choice.Engine.Version, x.sent
 		x.answer.Begin(resp)
 	}
 }
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -75,6 +75,8 @@
 		Limited  bool          // Limited is set if the engine declared a rate limit.
 		Limit    float64       // Limit is the number of requests per second that the engine accepts from all nodes together.
 		Engine   string        // Engine is the engine that gave the answer, for the node that forwarded the request.
+		Pool     string        // Pool is that of the engine, for that node.
+		Version  string        // Version is that of the engine's software, for that node.
 		Tries    int           // Tries is how many engines the request was sent to, for that node.
 		Length   int64         // Length of the body; -1 if unknown.
 		Reused   bool          // Reused is set if the connection had served another request before.
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -30,12 +30,13 @@
 
 // Choose chooses one of the nodes that take forwarded requests and can reach the engines of a pool: of
 // two at random the one with the lower rate for its size. Nodes of other halls
-// are chosen where none of this hall is left, or all of them serve more than they are planned for.
-func (f forwarder) Choose(now time.Time, pool string, avoid []string) (node, address string, ok bool) {
+// are chosen where none of this hall is left, or all of them serve more than they are planned for. A node of
+// a release that would continue a resumable stream at any version gets none.
+func (f forwarder) Choose(now time.Time, pool string, resumable bool, avoid []string) (node, address string, ok bool) {
 	var near, far []gossip.Peer
 	for _, p := range f.e.gossip.Peers(now) {
 		s := p.State
-		if !s.Ready || s.Stopping || s.ForwardPort == 0 || slices.Contains(s.Unreachable, pool) || slices.Contains(avoid, p.Name) {
+		if !s.Ready || s.Stopping || s.ForwardPort == 0 || slices.Contains(s.Unreachable, pool) || slices.Contains(avoid, p.Name) || resumable && !s.PinsStreams {
 			continue
 		}
 		if far = append(far, p); p.Hall == f.e.settings.Hall && !p.Entry().Busy() {
--- a/internal/edge/version_test.go
+++ b/internal/edge/version_test.go
@@ -6,6 +6,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/croftturn/croftturn/internal/gossip"
 )
 
 // goOnShare is the share of the streams taken up that must go on while their version serves.
@@ -102,3 +104,18 @@
 		time.Sleep(300 * time.Millisecond) // The peers notice the restart and give the records.
 	}
 }
+
+func TestStreamsAreForwardedOnlyToNodesThatKeepTheirVersion(t *testing.T) {
+	e := startWithPeers(t, map[string]gossip.State{"old": {Ready: true, ForwardPort: 1}, "new": {Ready: true, ForwardPort: 1, PinsStreams: true}})
+	chosen := map[string]bool{}
+	for range 50 {
+		node, _, _ := forwarder{nil, e}.Choose(time.Now(), "p", true, nil)
+		chosen[node] = true
+	}
+	if len(chosen) != 1 || !chosen["new"] {
+		t.Errorf("chosen: %v", chosen)
+	}
+	if _, _, ok := (forwarder{nil, e}).Choose(time.Now(), "p", false, []string{"new"}); !ok {
+		t.Error("no other request goes to a node of an older release")
+	}
+}
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -137,5 +137,5 @@
 		body.Close()
 		return nil, &dispatch.Refusal{Reason: head.Refusal, RetryAfter: head.RetryAfter, Version: head.Version}, nil
 	}
-	return &dispatch.Response{Status: head.Status, Header: head.Header, Length: head.Length, Unframed: head.Unframed, Engine: head.Engine, Tries: head.Tries, Body: body}, nil, nil
+	return &dispatch.Response{Status: head.Status, Header: head.Header, Length: head.Length, Unframed: head.Unframed, Engine: head.Engine, Pool: head.Pool, Version: head.EngineVersion, Tries: head.Tries, Body: body}, nil, nil
 }
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -65,7 +65,7 @@
 func (c *caller) Abort()                                                { c.aborted = true }
 func (c *caller) Write(p []byte) error                                  { c.mu.Lock(); c.body += string(p); c.mu.Unlock(); return nil }
 func (c *caller) got() string                                           { c.mu.Lock(); defer c.mu.Unlock(); return c.body }
-func (l *link) Choose(_ time.Time, _ string, avoid []string) (string, string, bool) {
+func (l *link) Choose(_ time.Time, _ string, _ bool, avoid []string) (string, string, bool) {
 	l.tries.Add(1)
 	return fmt.Sprint("n", len(avoid)), l.address, true
 }
@@ -103,10 +103,17 @@
 // newNode returns a dispatcher with three engines.
 func newNode(t testing.TB, name string, s *sender, conf *routing.Table, f dispatch.Forwarder) *dispatch.Dispatcher {
 	t.Helper()
-	now, proof, p, log := time.Now(), freshness.New(time.Hour), placement.New("hall"), slog.New(slog.NewTextHandler(io.Discard, nil))
+	p := placement.New("hall")
 	for i := range 3 {
 		p.Set(placement.Engine{ID: fmt.Sprint("e", i), Pool: "p", Hall: "hall", Slots: 8})
 	}
+	return newNodeWith(t, name, s, conf, f, p)
+}
+
+// newNodeWith returns a dispatcher with a placement.
+func newNodeWith(t testing.TB, name string, s *sender, conf *routing.Table, f dispatch.Forwarder, p *placement.Placement) *dispatch.Dispatcher {
+	t.Helper()
+	now, proof, log := time.Now(), freshness.New(time.Hour), slog.New(slog.NewTextHandler(io.Discard, nil))
 	proof.Renew(now)
 	m := reach.New(p, nobody{}, func(string) {}, log)
 	t.Cleanup(m.Close)
@@ -122,7 +129,12 @@
 // newPair returns a node that reaches no engine, the link to another that may, and their engines.
 func newPair(t *testing.T, second *sender, conf *routing.Table) (first *dispatch.Dispatcher, engines *sender, l *link, server *httptest.Server) {
 	t.Helper()
-	d := newNode(t, "n1", second, conf, nil)
+	return newPairOf(t, newNode(t, "n1", second, conf, nil))
+}
+
+// newPairOf is newPair with the other node.
+func newPairOf(t *testing.T, d *dispatch.Dispatcher) (first *dispatch.Dispatcher, engines *sender, l *link, server *httptest.Server) {
+	t.Helper()
 	server = httptest.NewServer(forward.NewHandler(d, forward.Limits{Read: time.Second, Write: time.Second}, slog.New(slog.NewTextHandler(io.Discard, nil))))
 	t.Cleanup(server.Close)
 	l = &link{Client: forward.NewClient(), address: server.Listener.Addr().String()}
@@ -294,3 +306,37 @@
 		}
 	}
 }
+
+// breaking is a body that closes the connections between nodes and waits until the request has ended.
+type breaking struct {
+	ctx    context.Context
+	server *httptest.Server
+}
+
+func (b breaking) Read([]byte) (int, error) {
+	b.server.CloseClientConnections()
+	<-b.ctx.Done()
+	return 0, b.ctx.Err()
+}
+
+func TestForwardedStreamKeepsItsVersionWhenItsLinkBreaks(t *testing.T) {
+	var server *httptest.Server
+	second, p := &sender{}, placement.New("hall")
+	second.serve = func(ctx context.Context, _ *dispatch.Request, a dispatch.Attempt) (*dispatch.Response, error) {
+		body := io.Reader(strings.NewReader("id: 2\n\n"))
+		if a.LastEventID == "" {
+			p.Drain(a.Engine.ID)
+			body = io.MultiReader(strings.NewReader("id: 1\n\n"), breaking{ctx, server})
+		}
+		return &dispatch.Response{Status: 200, Header: http.Header{}, Length: -1, Body: io.NopCloser(body)}, nil
+	}
+	for i, version := range []string{"a", "b", "c", "a", "b", "c"} {
+		p.Set(placement.Engine{ID: fmt.Sprint("e", i), Pool: "p", Hall: "hall", Slots: 8, Version: version})
+	}
+	first, _, _, s := newPairOf(t, newNodeWith(t, "n1", second, table(2, "k"), nil, p))
+	server = s
+	c := ask(context.Background(), t, first, "resumable")
+	if c.aborted || c.body != "id: 1\n\nid: 2\n\n" || second.count() != 2 || second.sent[0].Engine.Version != second.sent[1].Engine.Version {
+		t.Errorf("got %+v from %+v", c, second.sent)
+	}
+}
--- a/internal/forward/message.go
+++ b/internal/forward/message.go
@@ -53,19 +53,22 @@
 		Target         string           `cbor:"14,keyasint,omitempty"`
 
 		Forwarded dispatch.Forwarded `cbor:"15,keyasint,omitempty"`
+		Resumes   string             `cbor:"16,keyasint,omitempty"`
 	}
 
 	// responseHead is the head of the answer to a forwarded request.
 	responseHead struct {
-		Refusal    dispatch.Reason `cbor:"1,keyasint,omitempty"` // Refusal is the reason if the request was refused.
-		RetryAfter time.Duration   `cbor:"2,keyasint,omitempty"`
-		Version    int             `cbor:"3,keyasint,omitempty"` // Version is that of the configuration that refused the request.
-		Status     int             `cbor:"4,keyasint,omitempty"`
-		Header     http.Header     `cbor:"5,keyasint,omitempty"`
-		Length     int64           `cbor:"6,keyasint,omitempty"`
-		Unframed   bool            `cbor:"7,keyasint,omitempty"`
-		Engine     string          `cbor:"8,keyasint,omitempty"`
-		Tries      int             `cbor:"9,keyasint,omitempty"`
+		Refusal       dispatch.Reason `cbor:"1,keyasint,omitempty"` // Refusal is the reason if the request was refused.
+		RetryAfter    time.Duration   `cbor:"2,keyasint,omitempty"`
+		Version       int             `cbor:"3,keyasint,omitempty"` // Version is that of the configuration that refused the request.
+		Status        int             `cbor:"4,keyasint,omitempty"`
+		Header        http.Header     `cbor:"5,keyasint,omitempty"`
+		Length        int64           `cbor:"6,keyasint,omitempty"`
+		Unframed      bool            `cbor:"7,keyasint,omitempty"`
+		Engine        string          `cbor:"8,keyasint,omitempty"`
+		Tries         int             `cbor:"9,keyasint,omitempty"`
+		Pool          string          `cbor:"10,keyasint,omitempty"` // Pool is that of the engine.
+		EngineVersion string          `cbor:"11,keyasint,omitempty"` // EngineVersion is that of the engine's software.
 	}
 )
 
@@ -102,7 +105,7 @@
 func headOf(r *dispatch.Request, f dispatch.Forwarded) *requestHead {
 	return &requestHead{
 		ID: r.ID, Host: r.Host, Path: r.Path, Key: r.Key, Model: r.Model, RequestedModel: r.RequestedModel, Prompt: r.Prompt, OutputTokens: r.OutputTokens,
-		ExpectedTokens: r.ExpectedTokens, Patience: r.Patience, LastEventID: r.LastEventID, Header: r.Header, Method: r.Method, Target: r.Target, Forwarded: f,
+		ExpectedTokens: r.ExpectedTokens, Patience: r.Patience, LastEventID: r.LastEventID, Resumes: r.Resumes, Header: r.Header, Method: r.Method, Target: r.Target, Forwarded: f,
 	}
 }
 
@@ -110,6 +113,6 @@
 func (h *requestHead) request(body []byte) *dispatch.Request {
 	return &dispatch.Request{
 		ID: h.ID, Host: h.Host, Path: h.Path, Key: h.Key, Model: h.Model, RequestedModel: h.RequestedModel, Prompt: h.Prompt, OutputTokens: h.OutputTokens,
-		ExpectedTokens: h.ExpectedTokens, Patience: h.Patience, LastEventID: h.LastEventID, Header: h.Header, Method: h.Method, Target: h.Target, Body: body, Forwarded: &h.Forwarded,
+		ExpectedTokens: h.ExpectedTokens, Patience: h.Patience, LastEventID: h.LastEventID, Resumes: h.Resumes, Header: h.Header, Method: h.Method, Target: h.Target, Body: body, Forwarded: &h.Forwarded,
 	}
 }
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -98,7 +98,7 @@
 
 // Begin implements dispatch.AnswerWriter.
 func (a *answer) Begin(r *dispatch.Response) {
-	a.begin(&responseHead{Status: r.Status, Header: r.Header, Length: r.Length, Unframed: r.Unframed, Engine: r.Engine, Tries: r.Tries})
+	a.begin(&responseHead{Status: r.Status, Header: r.Header, Length: r.Length, Unframed: r.Unframed, Engine: r.Engine, Pool: r.Pool, EngineVersion: r.Version, Tries: r.Tries})
 }
 
 // begin writes the head of the answer.
