Dispatch: streams that wait for their version hold up no others

A stream that may go on at one version only waited in the pool's one queue. At its head it held up all requests behind it while engines of other versions had free slots, and behind others it lost slots of its version to requests that could have gone elsewhere. Each request now waits for the first place among those that wait for the same engines, and the free slots of a version are left to the streams of the same or a higher tier that wait for it.

TestStreamsThatWaitForTheirVersionHoldUpNoOthers failed before: the stream was refused as busy after the request behind it had its slot.

--- a/internal/dispatch/continuation.go
+++ b/internal/dispatch/continuation.go
@@ -160,6 +160,14 @@
 	return x.d.origins != nil && x.origin.named && x.req.Forwarded == nil
 }
 
+// boundVersion returns the version that the stream is bound to, nil if none.
+func (x *exchange) boundVersion() *string {
+	if !x.resumable() || !x.origin.bound {
+		return nil
+	}
+	return &x.origin.Version
+}
+
 // restrictVersion restricts the input of placement to the version that the stream is bound to, or at which
 // streams of its pool may begin for now.
 func (x *exchange) restrictVersion(r *placement.Request) {
--- a/internal/dispatch/interactive.go
+++ b/internal/dispatch/interactive.go
@@ -122,7 +122,7 @@
 	x.standing, x.topTier = c.Arrive(now, r), r.Tier <= 0 || q.highestInUse(now, x.route.Tier)
 	allowed := x.withinLimit(now, request)
 	slotWait := x.slotWaitLimit(now, r)
-	placed := allowed && x.mayUseSlot(x.choice) && q.noneAhead(x.tier())
+	placed := allowed && x.mayUseSlot(x.choice) && q.noneAhead(x.tier(), x.boundVersion())
 	if allowed && !placed {
 		placed = x.waitInQueue(ctx, now, q, slotWait, request)
 		now = clock.Now()
--- a/internal/dispatch/line.go
+++ b/internal/dispatch/line.go
@@ -74,7 +74,8 @@
 	// waiter is a request in a queue.
 	waiter struct {
 		tier           int
-		expectedTokens int // expectedTokens is the expected length of the answer.
+		expectedTokens int     // expectedTokens is the expected length of the answer.
+		version        *string // version is the only software version of engines that it may go to; nil for any.
 	}
 )
 
@@ -100,11 +101,35 @@
 	return q.pools[pool]
 }
 
-// noneAhead reports whether no waiting request goes before a new one of a tier.
-func (q *queue) noneAhead(tier int) bool {
+// noneAhead reports whether no waiting request goes before a new one of a tier, for engines of a version or,
+// if that is nil, of any.
+func (q *queue) noneAhead(tier int, version *string) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return len(q.waiting) == 0 || q.waiting[0].tier > tier
+	return !slices.ContainsFunc(q.waiting, func(o *waiter) bool { return o.tier <= tier && o.sameEngines(version) })
+}
+
+// sameEngines reports whether a request waits for the engines of a version or, if that is nil, for any
+// engine. Requests that wait for different engines do not hold each other up.
+func (w *waiter) sameEngines(version *string) bool {
+	if w.version == nil || version == nil {
+		return w.version == version
+	}
+	return *w.version == *version
+}
+
+// reservedVersions returns the versions for whose engines requests of a tier or a higher one wait that can
+// go to no others.
+func (q *queue) reservedVersions(tier int) []string {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	var out []string
+	for _, w := range q.waiting {
+		if w.version != nil && w.tier <= tier {
+			out = append(out, *w.version)
+		}
+	}
+	return out
 }
 
 // waitLimit returns how long a request of a tier with a target may wait: no longer than any higher
@@ -141,22 +166,27 @@
 
 // enqueue adds a request to the queue, unless the requests ahead of it are expected to take longer
 // than it may wait.
-func (q *queue) enqueue(now time.Time, tier, tokens int, limit time.Duration) (w *waiter, ok bool) {
+func (q *queue) enqueue(now time.Time, w *waiter, limit time.Duration) (ok bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if len(q.waiting) == 0 {
 		q.lastSlotAt = now
 	}
-	w = &waiter{tier: tier, expectedTokens: tokens}
 	at := len(q.waiting)
 	for at > 0 && w.before(q.waiting[at-1]) {
 		at--
 	}
-	if time.Duration(at)*q.slotInterval > limit {
-		return nil, false
+	ahead := 0
+	for _, o := range q.waiting[:at] {
+		if o.sameEngines(w.version) {
+			ahead++
+		}
+	}
+	if time.Duration(ahead)*q.slotInterval > limit {
+		return false
 	}
 	q.waiting = slices.Insert(q.waiting, at, w)
-	return w, true
+	return true
 }
 
 // before reports whether a request goes before another: the higher tier first and, within a tier,
@@ -168,11 +198,12 @@
 	return w.expectedTokens < o.expectedTokens
 }
 
-// isHead reports whether a request is at the head of the queue.
+// isHead reports whether a request is the first of those that wait for the same engines.
 func (q *queue) isHead(w *waiter) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.waiting[0] == w
+	first := slices.IndexFunc(q.waiting, func(o *waiter) bool { return o.sameEngines(w.version) })
+	return q.waiting[first] == w
 }
 
 // remove removes a request from the queue, with a slot or without.
@@ -204,7 +235,7 @@
 		return &Refusal{Reason: Busy, RetryAfter: x.retryAfter()}
 	}
 	limit := q.waitLimit(x.tier(), x.route.Target)
-	placed := x.mayUseSlot(x.choice) && q.noneAhead(x.tier()) || x.waitInQueue(ctx, now, q, limit, request)
+	placed := x.mayUseSlot(x.choice) && q.noneAhead(x.tier(), x.boundVersion()) || x.waitInQueue(ctx, now, q, limit, request)
 	now = clock.Now()
 	if x.callerLeft(ctx) {
 		return &Refusal{Reason: CallerLeft} // Not counted as without a slot: it may have left before one got free.
@@ -261,8 +292,8 @@
 		}
 		limit = max(limit, longest)
 	}
-	w, ok := q.enqueue(now, x.tier(), x.req.ExpectedTokens, limit)
-	if !ok {
+	w := &waiter{tier: x.tier(), expectedTokens: x.req.ExpectedTokens, version: x.boundVersion()}
+	if !q.enqueue(now, w, limit) {
 		return false
 	}
 	placed = x.pollForSlot(ctx, now, q, w, limit, request)
@@ -276,6 +307,7 @@
 	for now := begin; now.Sub(begin) < limit && ctx.Err() == nil && !x.mustForward(); now = clock.Now() {
 		if q.isHead(w) {
 			request.NeedSlot = now.Sub(begin) > preferredEngineWait
+			request.Reserved = q.reservedVersions(w.tier)
 			choice, ok := x.pickEngine(now, request)
 			if ok && x.mayUseSlot(choice) {
 				x.choice = choice
--- a/internal/dispatch/line_test.go
+++ b/internal/dispatch/line_test.go
@@ -13,7 +13,8 @@
 // enqueue adds a request to a queue and fails the test if it is refused.
 func enqueue(t *testing.T, q *queue, tier, tokens int) *waiter {
 	t.Helper()
-	w, ok := q.enqueue(begin, tier, tokens, time.Second)
+	w := &waiter{tier: tier, expectedTokens: tokens}
+	ok := q.enqueue(begin, w, time.Second)
 	if !ok {
 		t.Fatalf("tier %d with %d tokens is refused", tier, tokens)
 	}
@@ -54,7 +55,8 @@
 	q := newQueue(begin)
 	now := begin
 	for range 60 {
-		w, ok := q.enqueue(now, 0, 0, time.Second)
+		w := &waiter{}
+		ok := q.enqueue(now, w, time.Second)
 		if !ok {
 			t.Fatal("refused at the head of the queue")
 		}
@@ -62,7 +64,7 @@
 		q.remove(now, w, true)
 	}
 	for i := range 5 {
-		if _, ok := q.enqueue(now, 0, 0, 350*time.Millisecond); ok != (i < 4) {
+		if ok := q.enqueue(now, &waiter{}, 350*time.Millisecond); ok != (i < 4) {
 			t.Errorf("with %d before it, at a slot each 100 ms and 350 ms to wait: accepted is %v", i, ok)
 		}
 	}
--- a/internal/dispatch/version_test.go
+++ b/internal/dispatch/version_test.go
@@ -2,10 +2,15 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"testing"
+	"time"
 
 	"github.com/croftturn/croftturn/internal/dispatch"
+	"github.com/croftturn/croftturn/internal/pinning"
 	"github.com/croftturn/croftturn/internal/placement"
+	"github.com/croftturn/croftturn/internal/routing"
 )
 
 // newVersionsDispatcher returns a dispatcher with one engine for each of some software versions.
@@ -54,3 +59,63 @@
 		t.Errorf("aborted %t after %d engines", got.aborted, e.sentCount())
 	}
 }
+
+// beganAt finds that all streams began at a version.
+type beganAt string
+
+func (beganAt) Record(context.Context, time.Time, pinning.Stream, pinning.Origin) {}
+func (beganAt) Refresh(time.Time, pinning.Stream, pinning.Found)                  {}
+func (beganAt) Established(string) (string, bool)                                 { return "", false }
+func (beganAt) Sole(context.Context, time.Time, string) (string, error) {
+	return "", pinning.ErrSeveral
+}
+
+func (b beganAt) Find(context.Context, time.Time, pinning.Stream) (pinning.Found, error) {
+	return pinning.Found{Origin: pinning.Origin{Pool: "p", Version: string(b)}}, nil
+}
+
+func TestStreamsThatWaitForTheirVersionHoldUpNoOthers(t *testing.T) {
+	release := map[string]chan struct{}{"a": make(chan struct{}), "b": make(chan struct{})}
+	var mu sync.Mutex
+	var order []string // order is which requests were sent to engines of which version.
+	e := &fakeSender{serve: func(_ context.Context, _ int, a dispatch.Attempt) (*dispatch.Response, error) {
+		mu.Lock()
+		order = append(order, a.LastEventID+"@"+a.Engine.Version)
+		first := len(order) <= 2
+		mu.Unlock()
+		if first {
+			<-release[a.Engine.Version]
+		}
+		return events(8, 9, nil), nil
+	}}
+	route := &routing.Route{Name: "r", Host: "h", PathPrefix: "/r/", Kind: routing.Stream, Resumable: true, Timeout: timeout, Target: slotTarget, MaxEngines: 1, Shares: []routing.Share{{Pool: "p", Weight: 1}}}
+	p := placement.New("hall")
+	d := newDispatcherWithPlacement(p, e, 9, routing.NewTable(1, []*routing.Route{route}, []*routing.Pool{{Name: "p"}}, []*routing.Team{{Name: "t", Keys: []string{"k"}}}, routing.Limits{}), 1)
+	dispatch.WithPinning(beganAt("a"), beganAt("a"), nil)(d)
+	for _, version := range []string{"a", "b"} {
+		p.Set(placement.Engine{ID: version, Pool: "p", Hall: "hall", Slots: 1, Version: version})
+	}
+	var wg sync.WaitGroup
+	send := func(lastEvent string) {
+		wg.Go(func() {
+			r := &dispatch.Request{ID: "id", Host: "h", Path: "/r/x", Key: "k", Patience: timeout, LastEventID: lastEvent, Resumes: "first"}
+			if got := serveRequest(context.Background(), t, d, r); got.refusal != nil {
+				t.Errorf("request after event %q got %+v", lastEvent, got.refusal)
+			}
+		})
+	}
+	for i := range 2 {
+		send("")
+		e.awaitSent(t, i+1)
+	}
+	send("7") // It waits for the engine of version a.
+	time.Sleep(20 * time.Millisecond)
+	send("")
+	close(release["b"])
+	e.awaitSent(t, 3)
+	close(release["a"])
+	wg.Wait()
+	if want := []string{"@b", "7@a"}; !slices.Equal(order[2:], want) {
+		t.Errorf("sent %v, want %v at the end", order, want)
+	}
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -35,6 +35,7 @@
 		Regions        []string      // Regions applies only if RegionBound is set.
 		VersionBound   bool          // VersionBound restricts the request to engines with software of Version.
 		Version        string        // Version applies only if VersionBound is set.
+		Reserved       []string      // Reserved are versions whose free slots are left to requests that are bound to them.
 		LowestTier     bool          // LowestTier means that the pool serves no lower tier.
 		NeedSlot       bool          // NeedSlot prefers any engine with a free slot to all others.
 		ExcludeLimited bool          // ExcludeLimited excludes engines with a request limit.
--- a/internal/placement/version.go
+++ b/internal/placement/version.go
@@ -15,6 +15,11 @@
 // versionAllowed reports whether a request may be served by an engine's software version.
 func (r *Request) versionAllowed(e *engine) bool { return !r.VersionBound || e.Version == r.Version }
 
+// reserves reports whether the free slots of an engine are left to other requests.
+func (r *Request) reserves(e *engine) bool {
+	return !r.VersionBound && slices.Contains(r.Reserved, e.Version)
+}
+
 // boundEngines returns the figures of the engines for a request; nil unless it is version-bound. The
 // caller must hold the lock.
 func (p *Placement) boundEngines(now time.Time, known *pool, r Request) *boundEngines {
--- a/internal/placement/weigh.go
+++ b/internal/placement/weigh.go
@@ -151,6 +151,11 @@
 	if r.separated {
 		c.class = p.class(now, known, e, load, c, r, rate)
 	}
+	if r.reserves(e) {
+		c.SlotAvailable = false
+		c.Cost += noSlotCost
+		c.class += classNoSlot
+	}
 	if c.Full = p.full(now, known, e); c.Full {
 		c.SlotAvailable = false
 		c.class += classNoSlot
