Placement: cached parts are copied between engines of one version only

An engine of one software version could be told to take the cached parts of a prompt from one of another version. Nothing says that what one version has cached fits another (docs/QUESTIONS.md), so the safe side: the best source is kept for each version, and engines take from that of theirs.

TestPartsAreCopiedBetweenEnginesOfOneVersionOnly failed before: the parts came from the other version's engine.

--- a/internal/placement/limit.go
+++ b/internal/placement/limit.go
@@ -49,7 +49,7 @@
 		known.separate(now, &r)
 	}
 	if r.TransferRate > 0 {
-		r.source = p.transferSource(now, r)
+		r.sources = p.transferSources(now, r)
 	}
 	choice = p.evaluate(now, known, first, r, known.beyond(r, first), 0)
 	choice.Limited, choice.AvailableAt = true, availableAt
@@ -68,7 +68,7 @@
 	known := p.pool(r.Pool)
 	r.bound = p.boundEngines(now, known, r)
 	if r.TransferRate > 0 {
-		r.source = p.transferSource(now, r)
+		r.sources = p.transferSources(now, r)
 	}
 	choice = p.evaluate(now, known, e, r, known.beyond(r, e), 0)
 	choice.GapSensitive, choice.Limited, choice.AvailableAt = c.GapSensitive, c.Limited, c.AvailableAt
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -50,7 +50,7 @@
 		separated    bool          // whether the pool has a stream set
 		intoSet      bool          // whether it is a long prompt that is expected to be late at the cheapest engine
 		maxPrefill   int           // for such a prompt, most tokens to prefill outside the set
-		source       transferSource
+		sources      []transferSource
 	}
 
 	// Choice is the chosen engine with the figures behind the decision.
@@ -282,7 +282,7 @@
 		r.gapSensitive = known.gapSensitive(r)
 	}
 	if r.TransferRate > 0 {
-		r.source = p.transferSource(now, r)
+		r.sources = p.transferSources(now, r)
 	}
 	if r.separated && r.gapSensitive {
 		if known.packSize < known.setSize {
--- a/internal/placement/transfer.go
+++ b/internal/placement/transfer.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -56,8 +57,9 @@
 type (
 	// transferSource is the engine with the longest prefix of a prompt that can be copied.
 	transferSource struct {
-		engine *engine // engine is nil if there is none.
+		engine *engine
 		tokens int     // tokens is the length of that prefix.
+		cost   float64 // cost orders sources of the same prefix, in milliseconds.
 	}
 
 	// link is the use of an engine's link by transfers of this node, which run one after another.
@@ -76,12 +78,13 @@
 	}
 )
 
-// transferSource returns the engine from which most of a prompt can be copied; of several, the one
-// where a transfer is expected to begin first and to succeed.
-func (p *Placement) transferSource(now time.Time, r Request) transferSource {
-	var best transferSource
-	least, looks := math.Inf(1), 0
-	for i := len(r.Prompt.Shared) - 1; i >= 0 && best.engine == nil && looks < maxLooks; i-- {
+// transferSources returns, for each software version, the engine from which most of a prompt can be copied;
+// of several, the one where a transfer is expected to begin first and to succeed. What one version has
+// cached may not fit another.
+func (p *Placement) transferSources(now time.Time, r Request) []transferSource {
+	var out []transferSource
+	looks := 0
+	for i := len(r.Prompt.Shared) - 1; i >= 0 && len(out) == 0 && looks < maxLooks; i-- {
 		holders := p.cache.parts[r.Prompt.Shared[i].ID]
 		candidates := 0
 		for id, lastUse := range holders {
@@ -99,12 +102,24 @@
 			}
 			tokens := p.cache.copyableTokens(now, id, r.Prompt)
 			cost := p.sourceCost(now, e, lastUse)
-			if tokens > best.tokens || tokens == best.tokens && tokens > 0 && cost < least {
-				best.engine, best.tokens, least = e, tokens, cost
+			if tokens > 0 {
+				out = addSource(out, transferSource{engine: e, tokens: tokens, cost: cost})
 			}
 		}
 	}
-	return best
+	return out
+}
+
+// addSource adds a source to a list, unless there is a better one of its version.
+func addSource(list []transferSource, s transferSource) []transferSource {
+	at := slices.IndexFunc(list, func(o transferSource) bool { return o.engine.Version == s.engine.Version })
+	if at < 0 {
+		return append(list, s)
+	}
+	if s.tokens > list[at].tokens || s.tokens == list[at].tokens && s.cost < list[at].cost {
+		list[at] = s
+	}
+	return list
 }
 
 // maySend reports whether an engine may be the source of a transfer for a request. Engines that are
@@ -171,11 +186,12 @@
 // useTransfer makes a choice copy the part of the prompt that its engine lacks and the source has,
 // if that is faster than the prefill.
 func (c *Choice) useTransfer(now time.Time, r Request, e *engine) {
-	source := r.source.engine
-	if source == nil || source == e {
+	at := slices.IndexFunc(r.sources, func(s transferSource) bool { return s.engine.Version == e.Version })
+	if at < 0 || r.sources[at].engine == e {
 		return
 	}
-	tokens := c.PrefillTokens - (r.Prompt.Tokens - r.source.tokens)
+	source := r.sources[at].engine
+	tokens := c.PrefillTokens - (r.Prompt.Tokens - r.sources[at].tokens)
 	prefill := float64(tokens) / c.PrefillRate
 	ms := transferOverhead + float64(tokens)/r.TransferRate + max(source.link.queued(now), e.link.queued(now))
 	if tokens < minTransferTokens || ms*minTransferGain > prefill {
--- a/internal/placement/transfer_test.go
+++ b/internal/placement/transfer_test.go
@@ -346,3 +346,19 @@
 		}
 	}
 }
+
+func TestPartsAreCopiedBetweenEnginesOfOneVersionOnly(t *testing.T) {
+	p := placement.New("hall")
+	for id, version := range map[string]string{"source": "a", "same": "a", "other": "b"} {
+		p.Set(placement.Engine{ID: id, Address: id, Pool: "p", Hall: "hall", Slots: 24, Version: version, Draining: id == "source"})
+	}
+	now := start.Add(time.Second)
+	held(p, start, 1, "source")
+	for _, id := range []string{"same", "other"} {
+		r := copying(1)
+		r.Avoid = map[string]bool{"same": id != "same", "other": id != "other"}
+		if c := choose(t, p, now, r); c.Engine.ID != id || (c.TransferFrom == "source") != (id == "same") {
+			t.Errorf("at %s the parts come from %q", c.Engine.ID, c.TransferFrom)
+		}
+	}
+}
