Placement: bound streams use draining engines of their version last

A stream that may go on at one version only was refused where all engines of the version were draining, though these serve for a while and take requests until drain_ms after the store has their word. In pools that are not interactive such a stream now goes to a draining engine if no other of its version may take it, up to the same end of use as in interactive ones.

TestBoundStreamsUseDrainingEnginesOfTheirVersion failed before: no engine was chosen.

--- a/internal/dispatch/continuation.go
+++ b/internal/dispatch/continuation.go
@@ -174,7 +174,7 @@
 	switch {
 	case !x.resumable():
 	case x.origin.bound:
-		r.VersionBound, r.Version = true, x.origin.Version
+		r.VersionBound, r.Version, r.MayLeave = true, x.origin.Version, true
 	case x.d.versions != nil:
 		r.Version, r.VersionBound = x.d.versions.Established(x.pool)
 	}
--- a/internal/placement/leaving.go
+++ b/internal/placement/leaving.go
@@ -82,14 +82,14 @@
 
 // MaySend reports whether a request may still be sent to the engine that was chosen for it, and until
 // when; zero for no limit. In an interactive pool the engine must not have been removed, and a draining
-// one must still be in use. Other pools always send to the engine that was chosen.
+// one must still be in use. Other pools send to the engine that was chosen, unless it was draining then.
 func (p *Placement) MaySend(now time.Time, c Choice, r Request) (until time.Time, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	e := p.engines[c.Engine.ID]
 	ok = true
 	switch {
-	case !r.Interactive:
+	case !r.Interactive && !c.Engine.Draining:
 	case e == nil || e.Incarnation != c.Engine.Incarnation:
 		return time.Time{}, false
 	case e.Draining:
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -35,6 +35,7 @@
 		Regions        []string      // Regions applies only if RegionBound is set.
 		VersionBound   bool          // VersionBound restricts the request to engines with software of Version.
 		Version        string        // Version applies only if VersionBound is set.
+		MayLeave       bool          // MayLeave allows draining engines that are still in use if no other may take the request; in interactive pools they are used anyway.
 		Reserved       []string      // Reserved are versions whose free slots are left to requests that are bound to them.
 		LowestTier     bool          // LowestTier means that the pool serves no lower tier.
 		NeedSlot       bool          // NeedSlot prefers any engine with a free slot to all others.
@@ -295,6 +296,9 @@
 		}
 	}
 	choice, ok = p.cheapest(now, known, r, known.candidates(r))
+	if !ok && r.MayLeave && !r.Interactive {
+		return p.cheapest(now, known, r, known.leaving)
+	}
 	if !ok || !r.separated || r.gapSensitive || !choice.late(r) && choice.class < classHarmful {
 		return choice, ok
 	}
--- a/internal/placement/version.go
+++ b/internal/placement/version.go
@@ -27,8 +27,8 @@
 		return nil
 	}
 	b, requests, slots := &boundEngines{}, 0, 0
-	for _, e := range known.candidates(r) {
-		if !r.versionAllowed(e) || e.Draining && !p.usesLeaving(now, e) {
+	for _, e := range known.withLeaving {
+		if e.Draining && !r.Interactive && !r.MayLeave || !r.versionAllowed(e) || e.Draining && !p.usesLeaving(now, e) {
 			continue
 		}
 		b.engines++
