Placement: resumable streams avoid engines that may have other software

An engine may start again under its id with software of another version. Until its new entry arrives (100 to 300 ms) the table names the former one, so that a stream would be recorded at a version that did not begin it, or be continued at another. An engine that was seen down since its entry was learned gets no resumable streams for 2 s or until its entry is that of a new incarnation; new ones go there if no other engine is left.

TestResumableStreamsAvoidEnginesThatMayHaveOtherSoftware: the engine was chosen before.

--- a/internal/dispatch/continuation.go
+++ b/internal/dispatch/continuation.go
@@ -171,8 +171,9 @@
 // restrictVersion restricts the input of placement to the version that the stream is bound to, or at which
 // streams of its pool may begin for now.
 func (x *exchange) restrictVersion(r *placement.Request) {
+	r.Resumable = x.resumable()
 	switch {
-	case !x.resumable():
+	case !r.Resumable:
 	case x.origin.bound:
 		r.VersionBound, r.Version, r.MayLeave = true, x.origin.Version, true
 	case x.d.versions != nil:
@@ -180,13 +181,13 @@
 	}
 }
 
-// placeAnywhere places a stream that has not begun at any version if no engine of the established one can
-// take it, and reports whether it did.
+// placeAnywhere places a stream that has not begun if no engine can take it whose version is certain and
+// established, and reports whether it did.
 func (x *exchange) placeAnywhere(now time.Time, request placement.Request) (choice placement.Choice, ok bool) {
-	if !request.VersionBound || x.origin.bound {
+	if !request.Resumable || x.origin.bound {
 		return placement.Choice{}, false
 	}
-	request.VersionBound = false
+	request.VersionBound, request.Resumable = false, false
 	return x.d.placement.Choose(now, request)
 }
 
--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -83,6 +83,9 @@
 		ended, took = probe.ended, probe.took
 		// To a node that is partitioned from all engines each of them seems to have ended.
 		ended = ended && (x.reach == nil || x.reach.OthersAnswer(context.WithoutCancel(ctx), engine.ID))
+		if ended {
+			x.call.EngineDown(clock.Now())
+		}
 	}
 	d.log.Log(ctx, crashLogLevel(ended), "engine failed while running request", "request", x.req.ID, "fingerprint", x.fingerprint.String(), "route", x.route.Name, "team", x.teamName(),
 		"engine", engine.ID, "ended", ended, "restarted", restarted, "after_ms", now.Sub(x.sentAt).Milliseconds(), "probe_ms", took.Milliseconds(), "error", cause.Error())
--- a/internal/dispatch/walk.go
+++ b/internal/dispatch/walk.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/croftturn/croftturn/internal/admission"
@@ -330,6 +331,9 @@
 	if !errors.Is(err, ErrMismatchedResponse) {
 		x.noteConnectionLost(ctx, now)
 	}
+	if errors.Is(err, syscall.ECONNREFUSED) && (x.reach == nil || !x.reach.Unreachable() && !x.reach.Unconnectable()) {
+		x.call.EngineDown(now)
+	}
 	x.leftEarly(ctx, errors.Is(err, ErrNotSent))
 	if !errors.Is(err, ErrMismatchedResponse) {
 		x.noteLinkFailure(ctx, now, !errors.Is(err, ErrNotSent))
--- a/internal/pinning/keeper.go
+++ b/internal/pinning/keeper.go
@@ -90,7 +90,6 @@
 		Pool    string `json:"p,omitempty"`
 		Version string `json:"v,omitempty"`
 		AgeMs   int64  `json:"a,omitempty"`
-		Replace bool   `json:"r,omitempty"` // Replace makes the record replace one with another origin.
 	}
 
 	// RecordRequest gives records to a node.
@@ -164,12 +163,6 @@
 	k.replicate(now, wireRecord{Stream: s[:], Pool: f.Pool, Version: f.Version, AgeMs: f.Age.Milliseconds()})
 }
 
-// Correct replaces the origin of a stream that this node recorded wrongly.
-func (k *Keeper) Correct(now time.Time, s Stream, o Origin) {
-	k.records.replace(now, s, o, now)
-	k.replicate(now, wireRecord{Stream: s[:], Pool: o.Pool, Version: o.Version, Replace: true})
-}
-
 // replicate gives a record to the nodes that keep it, and returns their number and a channel that gets the
 // outcome of each call.
 func (k *Keeper) replicate(now time.Time, r wireRecord) (confirmed <-chan bool, replicas int) {
@@ -202,12 +195,7 @@
 		if len(r.Stream) != len(Stream{}) {
 			return nil, fmt.Errorf("record: name of %d bytes", len(r.Stream))
 		}
-		s, o, at := Stream(r.Stream), Origin{Pool: r.Pool, Version: r.Version}, now.Add(-time.Duration(r.AgeMs)*time.Millisecond)
-		if r.Replace {
-			k.records.replace(now, s, o, at)
-		} else {
-			k.records.put(now, s, o, at)
-		}
+		k.records.put(now, Stream(r.Stream), Origin{Pool: r.Pool, Version: r.Version}, now.Add(-time.Duration(r.AgeMs)*time.Millisecond))
 		if req.Relay {
 			k.replicate(now, r)
 		}
--- a/internal/pinning/pins.go
+++ b/internal/pinning/pins.go
@@ -67,14 +67,6 @@
 	r.newer[s] = record{origin: unique.Make(o), at: at}
 }
 
-// replace changes the origin of a stream.
-func (r *records) replace(now time.Time, s Stream, o Origin, at time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.rotate(now)
-	r.newer[s] = record{origin: unique.Make(o), at: at}
-}
-
 // get returns the record of a stream.
 func (r *records) get(s Stream) (o Origin, at time.Time, ok bool) {
 	r.mu.Lock()
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -92,6 +92,8 @@
 		// current requests was sent.
 		lastData time.Time
 
+		downAt time.Time // downAt is when this node last saw that nothing listens at the engine's address
+
 		// brokenAt is when the engine last broke a connection or could not be connected to, for this node or a peer,
 		// and answeredAt when it last began an answer to this node.
 		brokenAt, answeredAt time.Time
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -33,6 +33,7 @@
 		Avoid          map[string]bool
 		RegionBound    bool          // RegionBound restricts the request to Regions.
 		Regions        []string      // Regions applies only if RegionBound is set.
+		Resumable      bool          // Resumable means that the request is for a stream that may continue at another engine of the same version only.
 		VersionBound   bool          // VersionBound restricts the request to engines with software of Version.
 		Version        string        // Version applies only if VersionBound is set.
 		MayLeave       bool          // MayLeave allows draining engines that are still in use if no other may take the request; in interactive pools they are used anyway.
@@ -317,7 +318,7 @@
 		if !r.Fastest && choice.class == 0 && known.minCost(r, rank) >= best || r.Fastest && rank >= maxFastestRank {
 			break // No later engine can cost less, or enough engines were compared.
 		}
-		if r.Avoid[e.ID] || !p.regionAllowed(r, e) || !r.versionAllowed(e) || !p.allowsCold(now, known, e) || e.Draining && !p.usesLeaving(now, e) {
+		if r.Avoid[e.ID] || !p.regionAllowed(r, e) || !r.versionAllowed(e) || r.Resumable && e.mayHaveRestarted(now) || !p.allowsCold(now, known, e) || e.Draining && !p.usesLeaving(now, e) {
 			continue
 		}
 		at, limited := p.limits.Opens(e.ID)
--- a/internal/placement/version.go
+++ b/internal/placement/version.go
@@ -5,6 +5,10 @@
 	"time"
 )
 
+// restartTime is how long after an engine was seen down its entry may still be that of its former
+// incarnation: the time that a new one takes from the store to all nodes, with a margin.
+const restartTime = 2 * time.Second
+
 // boundEngines are the figures of those engines of a pool that a version-bound request may go to.
 type boundEngines struct {
 	engines   int     // number of engines that take such requests
@@ -15,6 +19,17 @@
 // versionAllowed reports whether a request may be served by an engine's software version.
 func (r *Request) versionAllowed(e *engine) bool { return !r.VersionBound || e.Version == r.Version }
 
+// mayHaveRestarted reports whether the engine was seen down since its entry was learned, and may have started
+// again with software of another version.
+func (e *engine) mayHaveRestarted(now time.Time) bool { return now.Sub(e.downAt) < restartTime }
+
+// EngineDown records that nothing listened at the engine's address.
+func (c *Call) EngineDown(now time.Time) {
+	c.p.mu.Lock()
+	defer c.p.mu.Unlock()
+	c.engine.downAt = now
+}
+
 // reserves reports whether the free slots of an engine are left to other requests.
 func (r *Request) reserves(e *engine) bool {
 	return !r.VersionBound && slices.Contains(r.Reserved, e.Version)
--- a/internal/placement/version_test.go
+++ b/internal/placement/version_test.go
@@ -31,3 +31,27 @@
 		t.Errorf("another request goes to %s", c.Engine.ID)
 	}
 }
+
+func TestResumableStreamsAvoidEnginesThatMayHaveOtherSoftware(t *testing.T) {
+	p := placement.New("hall")
+	now, e := time.Now(), placement.Engine{ID: "e", Pool: "p", Hall: "hall", Slots: 8, Version: "a", Incarnation: 1}
+	p.Set(e)
+	for _, r := range []placement.Request{{Pool: "p", Resumable: true}, {Pool: "p", Resumable: true, VersionBound: true, Version: "a"}} {
+		c, _ := p.Choose(now, r)
+		p.Start(now, c, r).EngineDown(now)
+		if _, ok := p.Choose(now.Add(time.Second), r); ok {
+			t.Error("chosen though the engine may have started again")
+		}
+		if _, ok := p.Choose(now.Add(time.Second), placement.Request{Pool: "p"}); !ok {
+			t.Error("not chosen for another request")
+		}
+		if _, ok := p.Choose(now.Add(3*time.Second), r); !ok {
+			t.Error("not chosen though it has not started again")
+		}
+		e.Incarnation++
+		p.Set(e)
+		if _, ok := p.Choose(now.Add(time.Second), r); !ok {
+			t.Error("not chosen though its entry is that of the new incarnation")
+		}
+	}
+}
