--- a/internal/pinning/keeper.go
+++ b/internal/pinning/keeper.go
@@ -266,9 +266,9 @@
 func (k *Keeper) HandOver(now time.Time) {
 	nodes, direct := k.members.Keepers(now)
 	batches := map[string][]wireRecord{}
-	for s, r := range k.records.all() {
+	for s, r := range k.records.all(now) {
 		for _, n := range rank(s, nodes, writeReplicas) {
-			batches[n.Name] = append(batches[n.Name], r.wire(now, s))
+			batches[n.Name] = append(batches[n.Name], r)
 		}
 	}
 	given := 0
@@ -288,10 +288,10 @@
 		}
 		var at Node
 		var batch []wireRecord
-		for s, r := range k.records.all() {
+		for s, r := range k.records.all(now) {
 			for _, n := range rank(s, nodes, writeReplicas) {
 				if n.Name == peer {
-					at, batch = n, append(batch, r.wire(now, s))
+					at, batch = n, append(batch, r)
 				}
 			}
 		}
@@ -313,12 +313,6 @@
 	return given
 }
 
-// wire returns a record as it is in messages.
-func (r record) wire(now time.Time, s Stream) wireRecord {
-	o := r.origin.Value()
-	return wireRecord{Stream: s[:], Pool: o.Pool, Version: o.Version, AgeMs: now.Sub(r.at).Milliseconds()}
-}
-
 // Counts returns the number of records here, of those dropped before their time, and of first events that
 // were passed on before another node had the record.
 func (k *Keeper) Counts() (kept, dropped, unconfirmed int64) {
--- a/internal/pinning/pins.go
+++ b/internal/pinning/pins.go
@@ -17,7 +17,7 @@
 	// stream up long after it broke off.
 	lifetime = 5 * time.Minute
 
-	// maxRecords is how many records a node keeps, of some 60 bytes each. The older half is dropped first.
+	// maxRecords is how many records a node keeps, of some 70 bytes each. The older half is dropped first.
 	maxRecords = 1 << 17
 )
 
@@ -34,13 +34,14 @@
 	// record is the origin of one stream.
 	record struct {
 		origin unique.Handle[Origin]
-		at     time.Time // at is when the first event was passed on.
+		at     time.Duration // at is when the first event was passed on, counted from the base of the records.
 	}
 
 	// records holds records in two generations. The older one is dropped as a whole.
 	records struct {
 		mu           sync.Mutex
 		newer, older map[Stream]record
+		base         time.Time
 		since        time.Time // since is when the newer generation began.
 		dropped      int64     // dropped counts the records that were dropped before their time.
 	}
@@ -64,7 +65,7 @@
 		o = Origin{}
 	}
 	r.rotate(now)
-	r.newer[s] = record{origin: unique.Make(o), at: at}
+	r.newer[s] = record{origin: unique.Make(o), at: at.Sub(r.base)}
 }
 
 // get returns the record of a stream.
@@ -75,7 +76,7 @@
 	if !ok {
 		return Origin{}, time.Time{}, false
 	}
-	return known.origin.Value(), known.at, true
+	return known.origin.Value(), r.base.Add(known.at), true
 }
 
 // find returns the record of a stream. The caller holds the lock.
@@ -92,6 +93,7 @@
 	full := len(r.newer) >= maxRecords/2
 	switch {
 	case r.newer == nil:
+		r.base = now
 	case full:
 		r.dropped += int64(len(r.older))
 	case now.Sub(r.since) < lifetime:
@@ -100,16 +102,16 @@
 	r.older, r.newer, r.since = r.newer, map[Stream]record{}, now
 }
 
-// all returns the names and records of all streams.
-func (r *records) all() map[Stream]record {
+// all returns all records as they are in messages.
+func (r *records) all(now time.Time) map[Stream]wireRecord {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	out := make(map[Stream]record, len(r.newer)+len(r.older))
-	for s, known := range r.older {
-		out[s] = known
-	}
-	for s, known := range r.newer {
-		out[s] = known
+	out := make(map[Stream]wireRecord, len(r.newer)+len(r.older))
+	for _, generation := range []map[Stream]record{r.older, r.newer} {
+		for s, known := range generation {
+			o := known.origin.Value()
+			out[s] = wireRecord{Stream: s[:], Pool: o.Pool, Version: o.Version, AgeMs: now.Sub(r.base.Add(known.at)).Milliseconds()}
+		}
 	}
 	return out
 }
