Dispatch: a stream stays at a slow engine without another of its version

A resumable stream whose engine was silent for a second was given up for another engine. Bound to a version, it has none if that engine is the last of it, so that a stream which would have gone on was broken off. It now leaves only if another engine of its version gets requests; the same where a stream that was taken up waits for its first event.

TestStreamStaysAtASlowEngineWithoutAnotherOfItsVersion failed before: aborted after one event.

--- a/internal/dispatch/continuation.go
+++ b/internal/dispatch/continuation.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"time"
 
 	"github.com/croftturn/croftturn/internal/clock"
@@ -181,6 +182,18 @@
 	}
 }
 
+// canMove returns a function that reports whether another engine may take over from the current one, for the
+// time of this attempt. passedOn reports whether an event of the current engine was passed on.
+func (x *exchange) canMove(passedOn func() bool) func(now time.Time) bool {
+	if !x.resumable() {
+		return func(time.Time) bool { return true }
+	}
+	bound, pool, version, tried := x.origin.bound, x.pool, x.choice.Engine.Version, maps.Clone(x.tried)
+	return func(now time.Time) bool {
+		return !bound && !passedOn() || x.d.placement.HasVersion(now, pool, version, tried)
+	}
+}
+
 // placeAnywhere places a stream that has not begun if no engine can take it whose version is certain and
 // established, and reports whether it did.
 func (x *exchange) placeAnywhere(now time.Time, request placement.Request) (choice placement.Choice, ok bool) {
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -293,7 +293,8 @@
 		return time.NewTimer(clock.Until(x.deadline)), func() {}
 	}
 	var events atomic.Int64
-	abandon, address := x.abandonSlow(cancel), x.choice.Engine.Address
+	canMove := x.canMove(func() bool { return events.Load() > 0 })
+	abandon, address := x.abandonSlow(cancel, canMove), x.choice.Engine.Address
 	stall = time.AfterFunc(streamStallTimeout, func() {
 		now, before := clock.Now(), events.Load()
 		if x.reach != nil && x.reach.Accepts(ctx, address) {
--- a/internal/dispatch/version_test.go
+++ b/internal/dispatch/version_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	"net/http"
 	"slices"
 	"sync"
 	"testing"
@@ -119,3 +121,14 @@
 		t.Errorf("sent %v, want %v at the end", order, want)
 	}
 }
+
+func TestStreamStaysAtASlowEngineWithoutAnotherOfItsVersion(t *testing.T) {
+	e := &fakeSender{serve: func(ctx context.Context, _ int, _ dispatch.Attempt) (*dispatch.Response, error) {
+		body := &pausingStream{ctx: ctx, pieces: []string{"id: 1\n\n", "id: 2\n\n"}, pause: 1300 * time.Millisecond}
+		return &dispatch.Response{Status: 200, Header: http.Header{}, Length: -1, Body: io.NopCloser(body)}, nil
+	}}
+	got := serve(t, newVersionsDispatcher(e, map[string]string{"e1": "a", "e2": "b"}), "resumable")
+	if got.aborted || got.body.String() != "id: 1\n\nid: 2\n\n" || e.sentCount() != 1 {
+		t.Errorf("aborted %t, body %q after %d engines", got.aborted, got.body.String(), e.sentCount())
+	}
+}
