Pinning: a node that hears nobody does not say that nobody knows

A node that has heard no peer since its start, or knows no hub, told callers that the version of their stream is not known anywhere, though other nodes may have the record. It now names a time to come back. A pool counts as one of a single version after 15 minutes in place of an hour: after an upgrade from a release without records, streams that were begun there could not be taken up for as long. Close waits for the calls to the store. TestNodeThatHearsNobodyDoesNotSayThatNobodyKnows failed before.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -362,6 +362,7 @@
 	e.cancel()
 	errs = append(errs, e.follower.Close(), e.peerServer.Close())
 	e.pins.Close()
+	e.versions.Close()
 	e.peerClient.Close()
 	e.wg.Wait()
 	e.reach.Close()
--- a/internal/edge/pinning.go
+++ b/internal/edge/pinning.go
@@ -34,6 +34,9 @@
 
 // Complete implements pinning.Members.
 func (m pinMembers) Complete(now time.Time) bool {
+	if nodes, _ := m.e.gossip.TotalNodes(); nodes > 1 && m.e.gossip.Isolated(now) {
+		return false
+	}
 	return m.e.register.Joined() && m.e.unheardPeers(now) == 0 && m.e.gossip.ReachableShare(now) == 1
 }
 
--- a/internal/edge/version_test.go
+++ b/internal/edge/version_test.go
@@ -119,3 +119,13 @@
 		t.Error("no other request goes to a node of an older release")
 	}
 }
+
+func TestNodeThatHearsNobodyDoesNotSayThatNobodyKnows(t *testing.T) {
+	e := startWithPeers(t, nil)
+	waitFor(t, func() bool { return pinMembers{e}.Complete(time.Now()) }, "a node alone does not know all records")
+	e.gossip.AddPeer(time.Now(), gossip.NodeInfo{Name: "never heard", Incarnation: 1, PeerAddress: "127.0.0.1:1", Hall: "h1"})
+	time.Sleep(simultaneousStartWindow) // Until then all peers count as unheard.
+	if (pinMembers{e}).Complete(time.Now()) {
+		t.Error("another node may have records")
+	}
+}
--- a/internal/pinning/history.go
+++ b/internal/pinning/history.go
@@ -20,8 +20,8 @@
 	historyTable = "croftturn-versions"
 
 	// soleTime is how long all streams of a pool must have begun at one version for one without a record
-	// to have begun there: longer than any caller waits to take a stream up.
-	soleTime = time.Hour
+	// to have begun there: longer than any caller goes on taking a stream up.
+	soleTime = 15 * time.Minute
 
 	// settleTime is how long all engines of a pool must have had one version before that counts as its
 	// only one again.
@@ -40,8 +40,12 @@
 	maxObserved = 8
 )
 
-// ErrSeveral is returned if the streams of a pool may have begun at several versions.
-var ErrSeveral = errors.New("pinning: streams of the pool have begun at several versions")
+var (
+	// ErrSeveral is returned if the streams of a pool may have begun at several versions.
+	ErrSeveral = errors.New("pinning: streams of the pool have begun at several versions")
+
+	errClosed = errors.New("pinning: closed")
+)
 
 type (
 	// Store is the part of the platform's store that a History uses.
@@ -78,9 +82,11 @@
 		log        *slog.Logger
 		wake       chan struct{}
 
-		mu    sync.Mutex
-		known map[string]*poolState
-		reads map[string]*sharedRead
+		mu     sync.Mutex
+		known  map[string]*poolState
+		reads  map[string]*sharedRead
+		closed bool
+		wg     sync.WaitGroup // wg counts the reads.
 	}
 
 	// poolState is what this node knows of one pool.
@@ -187,10 +193,14 @@
 	for {
 		h.mu.Lock()
 		r := h.reads[pool]
+		if r == nil && h.closed {
+			h.mu.Unlock()
+			return nil, errClosed
+		}
 		if r == nil {
 			r = &sharedRead{startedAt: clock.Now(), done: make(chan struct{})}
 			h.reads[pool] = r
-			go h.read(context.WithoutCancel(ctx), pool, r)
+			h.wg.Go(func() { h.read(context.WithoutCancel(ctx), pool, r) })
 		}
 		h.mu.Unlock()
 		select {
@@ -295,6 +305,14 @@
 	}
 }
 
+// Close waits for the calls to the store.
+func (h *History) Close() {
+	h.mu.Lock()
+	h.closed = true
+	h.mu.Unlock()
+	h.wg.Wait()
+}
+
 // update compares the row of a pool with its engines, changes it if they differ, and returns when to look
 // again.
 func (h *History) update(ctx context.Context, now time.Time, pool string) (next time.Duration) {
--- a/internal/pinning/keeper.go
+++ b/internal/pinning/keeper.go
@@ -216,7 +216,7 @@
 	for _, n := range nodes {
 		k.start(func() { replies <- k.ask(ctx, n, &FindRequest{Stream: s[:], Relay: !direct}) })
 	}
-	unanswered := !k.members.Complete(now)
+	unanswered := !k.members.Complete(now) || len(nodes) == 0 && !direct
 	for range nodes {
 		select {
 		case r := <-replies:
