Forward: nodes without forward_address take requests at their peer address

The address for the calls of peers is always there. Its server now tells HTTP from those calls by the first two bytes of a connection, and a node without an address of its own for forwarded requests tells that port to its peers. The test wants 95 in 100 of the cut node's requests served, as of all nodes.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -231,25 +231,7 @@
 // run starts the goroutines and the servers.
 func (e *Edge) run(ctx context.Context) error {
 	s := e.settings
-	control := http.NewServeMux()
-	control.Handle("GET /metrics", e.tele.Metrics)
-	control.HandleFunc("POST /admin/v1/statements", e.statements)
-	servers := []endpoint{
-		{s.CallerAddress, platform.NewIngress(e.dispatcher, platform.Timeouts{Read: ms(s.ReadTimeoutMs), Write: ms(s.WriteTimeoutMs)})},
-		{s.DirectoryAddress, platform.NewDirectoryHandler(e, e.log)},
-		{s.ReadyAddress, platform.NewReadinessHandler(e)},
-		{s.AdminAddress, control},
-	}
-	if s.ChatAddress != "" {
-		completions := front.NewCompletions(e.dispatcher, front.Limits{MaxBody: int64(s.MaxBodyBytes), WriteTimeout: ms(s.WriteTimeoutMs), ReadTimeout: ms(s.ReadTimeoutMs)}, e.log)
-		servers = append(servers, endpoint{s.ChatAddress, completions})
-	}
-	if s.ForwardAddress != "" {
-		forwarded := http.NewServeMux()
-		forwarded.Handle("POST "+forward.Path, forward.NewHandler(e.dispatcher, forward.Limits{Read: ms(s.ReadTimeoutMs), Write: ms(s.WriteTimeoutMs)}, e.log))
-		servers = append(servers, endpoint{s.ForwardAddress, forwarded})
-	}
-	for _, each := range servers {
+	for _, each := range e.endpoints() {
 		if err := e.serve(each.address, each.handler); err != nil {
 			return err
 		}
@@ -295,18 +277,39 @@
 	return nil
 }
 
+// endpoints returns what the node serves and where.
+func (e *Edge) endpoints() []endpoint {
+	s := e.settings
+	control := http.NewServeMux()
+	control.Handle("GET /metrics", e.tele.Metrics)
+	control.HandleFunc("POST /admin/v1/statements", e.statements)
+	servers := []endpoint{
+		{s.CallerAddress, platform.NewIngress(e.dispatcher, platform.Timeouts{Read: ms(s.ReadTimeoutMs), Write: ms(s.WriteTimeoutMs)})},
+		{s.DirectoryAddress, platform.NewDirectoryHandler(e, e.log)},
+		{s.ReadyAddress, platform.NewReadinessHandler(e)},
+		{s.AdminAddress, control},
+	}
+	if s.ChatAddress != "" {
+		completions := front.NewCompletions(e.dispatcher, front.Limits{MaxBody: int64(s.MaxBodyBytes), WriteTimeout: ms(s.WriteTimeoutMs), ReadTimeout: ms(s.ReadTimeoutMs)}, e.log)
+		servers = append(servers, endpoint{s.ChatAddress, completions})
+	}
+	forwarded := http.NewServeMux()
+	forwarded.Handle("POST "+forward.Path, forward.NewHandler(e.dispatcher, forward.Limits{Read: ms(s.ReadTimeoutMs), Write: ms(s.WriteTimeoutMs)}, e.log))
+	if s.ForwardAddress != "" {
+		servers = append(servers, endpoint{s.ForwardAddress, forwarded})
+	} else {
+		e.peerServer.HandleHTTP(e.newServer(forwarded))
+	}
+	return servers
+}
+
 // serve serves HTTP on an address until the node stops.
 func (e *Edge) serve(address string, handler http.Handler) error {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return fmt.Errorf("listen on %s: %w", address, err)
 	}
-	s := e.settings
-	server := &http.Server{
-		Handler: handler, MaxHeaderBytes: s.MaxHeaderBytes, ReadHeaderTimeout: ms(s.ReadTimeoutMs), IdleTimeout: clientIdleTimeout,
-		ConnContext: e.connContext(), ErrorLog: slog.NewLogLogger(e.log.Handler(), slog.LevelDebug),
-	}
-	e.servers = append(e.servers, server)
+	server := e.newServer(handler)
 	e.startGoroutine(func() {
 		if err := server.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			e.log.Error("server failed", "address", address, "error", err.Error())
@@ -315,6 +318,17 @@
 	return nil
 }
 
+// newServer returns a server that the node closes when it stops.
+func (e *Edge) newServer(handler http.Handler) *http.Server {
+	s := e.settings
+	server := &http.Server{
+		Handler: handler, MaxHeaderBytes: s.MaxHeaderBytes, ReadHeaderTimeout: ms(s.ReadTimeoutMs), IdleTimeout: clientIdleTimeout,
+		ConnContext: e.connContext(), ErrorLog: slog.NewLogLogger(e.log.Handler(), slog.LevelDebug),
+	}
+	e.servers = append(e.servers, server)
+	return server
+}
+
 // startGoroutine runs a function in a goroutine that Close waits for.
 func (e *Edge) startGoroutine(f func()) {
 	e.wg.Add(1)
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net"
@@ -22,9 +23,6 @@
 
 // forwarding returns the dispatcher's option to forward requests.
 func (e *Edge) forwarding() dispatch.Option {
-	if e.settings.ForwardAddress == "" {
-		return func(*dispatch.Dispatcher) {}
-	}
 	return dispatch.WithForwarder(e.settings.Instance, forwarder{e.forwards, e})
 }
 
@@ -60,9 +58,10 @@
 	return chosen.Name, netip.AddrPortFrom(at.Addr(), chosen.State.ForwardPort).String(), true
 }
 
-// forwardPort returns the port at which this node takes forwarded requests, 0 for none.
+// forwardPort returns the port at which this node takes forwarded requests: one of its own, or that for
+// the calls of peers.
 func (e *Edge) forwardPort() uint16 {
-	_, text, err := net.SplitHostPort(e.settings.ForwardAddress)
+	_, text, err := net.SplitHostPort(cmp.Or(e.settings.ForwardAddress, e.settings.PeerAddress))
 	if err != nil {
 		return 0
 	}
--- a/internal/edge/partition_test.go
+++ b/internal/edge/partition_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/croftturn/croftturn/internal/gossip"
 	"github.com/croftturn/croftturn/internal/placement"
+	"github.com/croftturn/croftturn/internal/settings"
 )
 
 const (
@@ -26,6 +27,12 @@
 
 // newPartitionedCluster starts engines and nodes that can be cut off from them, by source address.
 func newPartitionedCluster(t *testing.T, engines, nodes int) (*scriptedCluster, *partition) {
+	t.Helper()
+	return newPartitionedClusterWith(t, engines, nodes, func(s *settings.Settings) { s.ForwardAddress = freeAddress(t) })
+}
+
+// newPartitionedClusterWith is newPartitionedCluster with changed settings of each node.
+func newPartitionedClusterWith(t *testing.T, engines, nodes int, change func(s *settings.Settings)) (*scriptedCluster, *partition) {
 	t.Helper()
 	p := newPartition()
 	w := &scriptedCluster{config: safeAndUnsafeConfig}
@@ -45,7 +52,8 @@
 	w.address = store.Listener.Addr().String()
 	for i := range nodes {
 		s := newSettings(t, fmt.Sprint("n", i), w.address)
-		s.EngineSourceIp, s.ForwardAddress = sourceOf(i), freeAddress(t)
+		s.EngineSourceIp = sourceOf(i)
+		change(s)
 		w.nodes = append(w.nodes, startNodeWith(t, s))
 	}
 	t.Cleanup(func() {
@@ -120,6 +128,13 @@
 	}
 }
 
+func TestNodesForwardWithTheSettingsOfBefore(t *testing.T) {
+	w, p := newPartitionedClusterWith(t, 8, 5, func(*settings.Settings) {})
+	p.set(sourceOf(0), cutRefuse)
+	countLoad(w, 1, 10*time.Millisecond, 2*contactTime, time.Now().Add(contactTime)).check(t)
+	w.checkRuns(t)
+}
+
 func TestIdleNodePartitionedFromEnginesServesItsCallers(t *testing.T) {
 	for name, mode := range map[string]cutMode{"refused": cutRefuse, "hanging": cutHang} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -31,6 +31,7 @@
 		traffic  *Traffic
 		log      *slog.Logger
 		listener net.Listener
+		http     *connQueue // http gets the connections that speak HTTP; nil if they are not expected.
 		ctx      context.Context
 		cancel   context.CancelFunc
 		wg       sync.WaitGroup
@@ -87,6 +88,19 @@
 	defer s.wg.Done()
 	ctx, cancel := context.WithCancel(s.ctx)
 	defer cancel()
+	if s.http != nil {
+		stop := context.AfterFunc(s.ctx, func() { conn.Close() })
+		sniffed, isHTTP, err := sniff(conn)
+		if !stop() || err != nil {
+			conn.Close()
+			return
+		}
+		if isHTTP {
+			s.http.put(sniffed)
+			return
+		}
+		conn = sniffed
+	}
 	rpc := jsonrpc2.NewConn(ctx, stream(&countingConn{Conn: conn, traffic: s.traffic, opened: clock.Now()}), jsonrpc2.AsyncHandler(requestHandler{s}),
 		jsonrpc2.SetLogger(noLogger{}))
 	s.mu.Lock()
@@ -146,6 +160,10 @@
 func (s *Server) Close() error {
 	s.cancel()
 	err := s.listener.Close()
+	if s.http != nil {
+		// The queue has no error to return.
+		_ = s.http.Close()
+	}
 	s.wg.Wait()
 	if err != nil {
 		return fmt.Errorf("close peer listener: %w", err)
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -81,7 +81,7 @@
 
 	// ForwardAddress is the IP address and port where other nodes send requests whose
 	// engines they do not reach; its host is that of peer_address. If it is empty,
-	// this node takes none and forwards none.
+	// they send them to peer_address.
 	ForwardAddress string `json:"forward_address,omitempty,omitzero"`
 
 	// Hall is the hall that this instance stands in.
--- a/lab/soak/node.go
+++ b/lab/soak/node.go
@@ -41,6 +41,9 @@
 	if n.callers, err = relay.New(n.callerAddress, relayDelay); err != nil {
 		return fmt.Errorf("relay to node: %w", err)
 	}
+	if env.opts.Seed%2 == 1 {
+		forward = "" // Requests are forwarded to the peer address.
+	}
 	regions := map[string]string{}
 	for h := range halls {
 		regions[hallOf(h)] = "r"
