Pinning: records that no other node confirmed are given out again

A node that has just started knows nobody, and one whose keepers of a stream have died has not noticed yet: the record of a stream that begins then stayed at that node alone, so that others refused the stream as version_unknown though it lived. It is given out again 1.5 s later. TestUnconfirmedRecordIsGivenOutAgain failed before.

--- a/internal/pinning/keeper.go
+++ b/internal/pinning/keeper.go
@@ -12,6 +12,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/croftturn/croftturn/internal/clock"
+	"github.com/croftturn/croftturn/internal/pause"
 )
 
 const (
@@ -23,6 +24,10 @@
 	// to a node of the same hall, and one to another region.
 	recordTimeout = 25 * time.Millisecond
 
+	// repeatDelay is how long after a record that no other node confirmed it is given out again: by then
+	// a node that has just started knows others, and a dead one is known to be dead.
+	repeatDelay = 1500 * time.Millisecond
+
 	// callTimeout bounds a call to a peer.
 	callTimeout = 150 * time.Millisecond
 
@@ -135,26 +140,35 @@
 // that in time, after recordTimeout.
 func (k *Keeper) Record(ctx context.Context, now time.Time, s Stream, o Origin) {
 	k.records.put(now, s, o, now)
-	confirmed, replicas := k.replicate(now, wireRecord{Stream: s[:], Pool: o.Pool, Version: o.Version})
-	if replicas == 0 {
+	if k.confirmed(ctx, now, s, o) {
 		return
 	}
+	k.unconfirmed.Add(1)
+	k.start(func() {
+		pause.For(k.ctx, repeatDelay)
+		k.Refresh(clock.Now(), s, Found{Origin: o, Age: clock.Since(now)})
+	})
+}
+
+// confirmed gives a new record to the nodes that keep it, and reports whether one of them confirms it in
+// time.
+func (k *Keeper) confirmed(ctx context.Context, now time.Time, s Stream, o Origin) bool {
+	confirmed, replicas := k.replicate(now, wireRecord{Stream: s[:], Pool: o.Pool, Version: o.Version})
 	timeout := time.NewTimer(recordTimeout)
 	defer timeout.Stop()
 	for range replicas {
 		select {
 		case ok := <-confirmed:
 			if ok {
-				return
+				return true
 			}
 		case <-timeout.C:
-			k.unconfirmed.Add(1)
-			return
+			return false
 		case <-ctx.Done():
-			return
+			return false
 		}
 	}
-	k.unconfirmed.Add(1)
+	return false
 }
 
 // Refresh makes the nodes that keep a record now keep it for longer.
--- a/internal/pinning/pinning_test.go
+++ b/internal/pinning/pinning_test.go
@@ -113,6 +113,23 @@
 	}
 }
 
+func TestUnconfirmedRecordIsGivenOutAgain(t *testing.T) {
+	m, s := newMesh(t, 2), StreamOf("t", "a")
+	m.silent["n1"] = true
+	m.keepers["n0"].Record(context.Background(), time.Now(), s, Origin{"p", "v1"})
+	m.mu.Lock()
+	m.silent["n1"] = false
+	m.mu.Unlock()
+	for end := time.Now().Add(2 * repeatDelay); ; time.Sleep(10 * time.Millisecond) {
+		if _, _, ok := m.keepers["n1"].records.get(s); ok {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatal("the other node did not get the record")
+		}
+	}
+}
+
 func TestStreamsOfOneNameAreAmbiguous(t *testing.T) {
 	m, now, s := newMesh(t, 4), time.Now(), StreamOf("t", "a")
 	m.keepers["n1"].Record(context.Background(), now, s, Origin{"p", "v1"})
