Pinning, Dispatch: names as a newcomer reads them

The records have a file of their name, the keeper no field that nothing reads, and the reserved versions of a pool are read without the clock.

--- a/internal/dispatch/line.go
+++ b/internal/dispatch/line.go
@@ -101,6 +101,17 @@
 	return q.pools[pool]
 }
 
+// reservedVersions returns those of the queue of a pool.
+func (q *queues) reservedVersions(pool string, tier int) []string {
+	q.mu.Lock()
+	known := q.pools[pool]
+	q.mu.Unlock()
+	if known == nil {
+		return nil
+	}
+	return known.reservedVersions(tier)
+}
+
 // noneAhead reports whether no waiting request goes before a new one of a tier, for engines of a version or,
 // if that is nil, of any.
 func (q *queue) noneAhead(tier int, version *string) bool {
--- a/internal/dispatch/walk.go
+++ b/internal/dispatch/walk.go
@@ -255,7 +255,7 @@
 	regions, everywhere := routing.Regions(x.route, x.team)
 	r.Regions, r.RegionBound = regions, !everywhere
 	x.restrictVersion(&r)
-	r.Reserved = x.d.queues.of(clock.Now(), x.pool).reservedVersions(x.tier())
+	r.Reserved = x.d.queues.reservedVersions(x.pool, x.tier())
 	pool := x.d.Table().Pool(x.pool)
 	if x.route.Kind == routing.Stream && pool != nil && pool.Model != nil {
 		r.MaxGap, r.TokensPerEvent = x.route.MaxGap, pool.Model.TokensPerEvent
--- a/internal/edge/pinning.go
+++ b/internal/edge/pinning.go
@@ -42,7 +42,7 @@
 
 // newPinning creates what records where streams begin.
 func (e *Edge) newPinning() {
-	e.pins = pinning.NewKeeper(e.settings.Instance, pinMembers{e}, e.peerClient, e.log)
+	e.pins = pinning.NewKeeper(pinMembers{e}, e.peerClient, e.log)
 	e.versions = pinning.NewHistory(e.store, e.placement, e.resumablePools, e.writesVersions, e.settings.FirstStart, e.log)
 	e.peerServer.Handle(pinning.MethodRecord, peer.Typed(e.pins.HandleRecord))
 	e.peerServer.Handle(pinning.MethodFind, peer.Typed(e.pins.HandleFind))
--- a/internal/pinning/bench_test.go
+++ b/internal/pinning/bench_test.go
@@ -27,7 +27,7 @@
 			b.Fatal(err)
 		}
 		traffic := &peer.Traffic{}
-		k := NewKeeper(fmt.Sprint("n", i), peers{}, peer.NewClient(traffic), quiet)
+		k := NewKeeper(peers{}, peer.NewClient(traffic), quiet)
 		s := peer.NewServer(l, traffic, quiet)
 		s.Handle(MethodRecord, peer.Typed(k.HandleRecord))
 		go s.Serve()
@@ -37,7 +37,7 @@
 	traffic := &peer.Traffic{}
 	client := peer.NewClient(traffic)
 	defer client.Close()
-	k := NewKeeper("self", others, client, quiet)
+	k := NewKeeper(others, client, quiet)
 	defer k.Close()
 	ctx, now := context.Background(), time.Now()
 	b.ReportAllocs()
--- a/internal/pinning/keeper.go
+++ b/internal/pinning/keeper.go
@@ -74,7 +74,6 @@
 
 	// Keeper keeps the records of streams at this node and a few others.
 	Keeper struct {
-		self    string
 		members Members
 		caller  Caller
 		log     *slog.Logger
@@ -129,9 +128,9 @@
 	}
 )
 
-// NewKeeper returns a Keeper of a node. Close ends it.
-func NewKeeper(self string, m Members, c Caller, log *slog.Logger) *Keeper {
-	k := &Keeper{self: self, members: m, caller: c, log: log}
+// NewKeeper returns a Keeper without records. Close ends it.
+func NewKeeper(m Members, c Caller, log *slog.Logger) *Keeper {
+	k := &Keeper{members: m, caller: c, log: log}
 	k.ctx, k.cancel = context.WithCancel(context.Background())
 	return k
 }
--- a/internal/pinning/pinning_test.go
+++ b/internal/pinning/pinning_test.go
@@ -34,7 +34,7 @@
 	m := &mesh{keepers: map[string]*Keeper{}, silent: map[string]bool{}, spokes: map[string]bool{}}
 	for i := range nodes {
 		name := fmt.Sprint("n", i)
-		m.keepers[name] = NewKeeper(name, view{m, name}, view{m, name}, quiet)
+		m.keepers[name] = NewKeeper(view{m, name}, view{m, name}, quiet)
 		t.Cleanup(m.keepers[name].Close)
 	}
 	return m
--- a/lab/soak/planted_test.go
+++ b/lab/soak/planted_test.go
@@ -27,7 +27,7 @@
 	{"a node that reaches no engine keeps its requests", "while it was cut off", "node cut off from engines", "internal/dispatch/forward.go", "return x.d.forwarder != nil &&", "return x.d.forwarder == nil &&"},
 	{"a stream goes on at any version", "of several versions", "", "internal/dispatch/continuation.go", "if !x.takenUp() || x.origin.bound {", "if !x.takenUp() || x.sent == 0 {"},
 	{"a stream changes its version inside an answer", "of several versions", "engines misbehave for long", "internal/dispatch/continuation.go", "case x.origin.bound:", "case x.origin.bound && !x.answerBegun:"},
-	{"records of streams are lost", "that were taken up went on", "", "internal/pinning/pins.go", "r.newer[s] = record{origin: unique.Make(o), at: at.Sub(r.base)}", "_ = unique.Make(o)"},
+	{"records of streams are lost", "that were taken up went on", "", "internal/pinning/records.go", "r.newer[s] = record{origin: unique.Make(o), at: at.Sub(r.base)}", "_ = unique.Make(o)"},
 	{"a request that may have run is called not run", "though its caller got", "", "internal/dispatch/walk.go", "x.refuse(Refusal{Reason: x.unlessTimedOut(now, EngineFailed)})", "x.refuse(Refusal{Reason: NoEngine})"},
 	{"a proof never grows old", "after its key was revoked", "key taken away unseen", "internal/freshness/freshness.go", "return p.proven && now.Sub(p.provenAt) <= p.maxAge", "return p.proven"},
 	{"an engine that leaves gets new work", "after it reported that it is leaving", "", "internal/discovery/discovery.go", "e.Draining, e.SinceVersion = current.draining, current.firstVersion", "e.Draining, e.SinceVersion = false, current.firstVersion"},
