Pinning: only the chosen node looks at a pool's row at a start

Where the node that is chosen to write a pool's row had done so, others looked at the store themselves 0.6 s after their start, before a hub's message once a second had told a spoke of it: one read for each of 985 nodes. They wait for 3 to 6 s now, and ask each 0.25 s whether they are chosen.

--- a/internal/pinning/history.go
+++ b/internal/pinning/history.go
@@ -30,10 +30,12 @@
 	// checkInterval is how often the rows are compared with the engines if nothing is known to differ.
 	checkInterval = 5 * time.Second
 
-	// writerDelay is how long the other nodes leave a change to the one that is chosen to write it.
-	writerDelay = 600 * time.Millisecond
+	// writerDelay is how long at least the other nodes leave a change to the one that is chosen to write it:
+	// a few messages from a hub to a spoke.
+	writerDelay = 3 * time.Second
 
-	// retryInterval is the pause after a call to the store that failed.
+	// retryInterval is the pause after a call to the store that failed, and until a node looks again whether
+	// it is chosen.
 	retryInterval = 250 * time.Millisecond
 
 	// maxObserved bounds the versions of a pool that are remembered.
@@ -93,9 +95,10 @@
 	poolState struct {
 		row       PoolVersion // row has revision 0 while it is unknown.
 		learnedAt time.Time
-		observed  []string  // observed are the versions of engines that this node has seen.
-		changedAt time.Time // changedAt is since when the row differs from what is observed; zero if it does not.
-		single    string    // single is the only version of the pool's engines since singleAt.
+		observed  []string      // observed are the versions of engines that this node has seen.
+		changedAt time.Time     // changedAt is since when the row differs from what is observed; zero if it does not.
+		patience  time.Duration // patience is how long after that this node changes the row though it is not chosen to.
+		single    string        // single is the only version of the pool's engines since singleAt.
 		singleAt  time.Time
 	}
 
@@ -326,12 +329,12 @@
 		return checkInterval
 	}
 	if s.changedAt.IsZero() {
-		s.changedAt = now
+		s.changedAt, s.patience = now, writerDelay+rand.N(writerDelay)
 	}
-	waited, before := now.Sub(s.changedAt), s.row
+	patient, before := now.Sub(s.changedAt) < s.patience, s.row
 	h.mu.Unlock()
-	if delay := writerDelay + rand.N(writerDelay); waited < writerDelay && !h.isWriter(now, pool) {
-		return delay
+	if patient && !h.isWriter(now, pool) {
+		return retryInterval
 	}
 	if err := h.write(ctx, pool, before, wanted); err != nil {
 		h.log.Warn("cannot store the versions of a pool; retrying", "pool", pool, "error", err.Error())
