--- a/internal/edge/rowstore_test.go
+++ b/internal/edge/rowstore_test.go
@@ -6,19 +6,14 @@
 	"net/http"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
 // rowStore is the part of a fake store that keeps the rows which nodes write to tables of their own.
 type rowStore struct {
-	down   atomic.Bool // down makes the store reject all calls.
-	mu     sync.Mutex
-	ver    int64
-	rows   map[string]storedRow // rows holds the rows by table and key.
-	clock  atomic.Int64         // clock is what the store's clock is ahead, in milliseconds.
-	reads  atomic.Int64
-	writes atomic.Int64
+	mu   sync.Mutex
+	ver  int64
+	rows map[string]storedRow // rows holds the rows by table and key.
 }
 
 // storedRow is a row as it goes over the wire.
@@ -32,10 +27,6 @@
 
 // serve answers a call that concerns rows of the nodes, and reports whether it did.
 func (s *rowStore) serve(w http.ResponseWriter, r *http.Request) bool {
-	if s.down.Load() {
-		http.Error(w, "away", http.StatusServiceUnavailable)
-		return true
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.rows == nil {
@@ -46,7 +37,6 @@
 	case r.URL.Path == "/-/rows-tx":
 		s.transact(w, r)
 	case r.URL.Path == "/-/rows-get" && strings.HasPrefix(table, "croftturn-"):
-		s.reads.Add(1)
 		var rows []storedRow
 		for _, row := range s.rows {
 			if row.Table == table {
@@ -87,7 +77,6 @@
 	}
 	s.ver++
 	for _, row := range tx.Puts {
-		s.writes.Add(1)
 		row.Ver = s.ver
 		s.rows[row.Table+"/"+row.Key] = row
 	}
@@ -104,5 +93,5 @@
 		text = []byte("[]")
 	}
 	w.WriteHeader(status)
-	fmt.Fprintf(w, `{"rows":%s,"ver":%d,"now_ms":%d}`, text, s.ver, time.Now().UnixMilli()+s.clock.Load())
+	fmt.Fprintf(w, `{"rows":%s,"ver":%d,"now_ms":%d}`, text, s.ver, time.Now().UnixMilli())
 }
--- a/internal/edge/version_rig_test.go
+++ b/internal/edge/version_rig_test.go
@@ -22,6 +22,9 @@
 	streamEvents = 8
 	leaveAfter   = 3
 
+	// eventInterval is the time between two events.
+	eventInterval = 10 * time.Millisecond
+
 	// streamTries is how often a client sends a request for one stream at most.
 	streamTries = 6
 )
@@ -48,11 +51,8 @@
 		id, address string
 		version     atomic.Pointer[string]
 		gone        atomic.Bool  // gone takes its entry out of the table.
-		slots       atomic.Int64 // slots is that of its entry.
 		breakEvery  atomic.Int64 // breakEvery makes it break off one in so many streams; 0 for none.
-		interval    time.Duration
 		started     atomic.Int64
-		running     atomic.Int64
 	}
 
 	// streamResult is what a client got of one stream.
@@ -89,13 +89,6 @@
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return
 	}
-	if e.running.Add(1) > e.slots.Load() {
-		e.running.Add(-1)
-		w.Header().Set("Not-Executed", "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	defer e.running.Add(-1)
 	every := e.breakEvery.Load()
 	breaks := every > 0 && e.started.Add(1)%every == 0
 	version := *e.version.Load()
@@ -111,7 +104,7 @@
 		select {
 		case <-r.Context().Done():
 			return
-		case <-time.After(e.interval):
+		case <-time.After(eventInterval):
 		}
 	}
 }
@@ -136,7 +129,7 @@
 				rows = append(rows, fmt.Sprintf(`{"table":"servers","part":"","tls_key":%q,"tombstone":true,"ver":%d}`, e.id, revision))
 				continue
 			}
-			value := fmt.Sprintf(`{"service":"p","address":%q,"zone":"h1","version":%q,"slots":%d,"state":"ready","cold_remaining_ms":0,"sequence":%d,"born":1}`, e.address, *e.version.Load(), e.slots.Load(), revision)
+			value := fmt.Sprintf(`{"service":"p","address":%q,"zone":"h1","version":%q,"slots":64,"state":"ready","cold_remaining_ms":0,"sequence":%d,"born":1}`, e.address, *e.version.Load(), revision)
 			rows = append(rows, fmt.Sprintf(`{"table":"servers","part":"","tls_key":%q,"value":%q,"ver":%d}`, e.id, base64.StdEncoding.EncodeToString([]byte(value)), revision))
 		}
 	}
@@ -149,9 +142,8 @@
 	w := &versionCluster{}
 	w.revision.Store(6)
 	for i, version := range versions {
-		e := &versionedEngine{id: fmt.Sprint("e", i), interval: 10 * time.Millisecond}
+		e := &versionedEngine{id: fmt.Sprint("e", i)}
 		e.set(version)
-		e.slots.Store(64)
 		server := httptest.NewServer(e)
 		t.Cleanup(server.Close)
 		e.address = server.Listener.Addr().String()
