--- a/internal/peer/http.go
+++ b/internal/peer/http.go
@@ -10,7 +10,7 @@
 	"syscall"
 )
 
-// httpMethodBytes is how many capital letters at the begin of a connection tell HTTP from JSON-RPC, whose
+// httpMethodBytes is how many capital letters at the start of a connection tell HTTP from JSON-RPC, whose
 // messages begin with their length and an opening brace.
 const httpMethodBytes = 2
 
