--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -3,14 +3,19 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"net/http"
 	"time"
 
 	"github.com/croftturn/croftturn/internal/clock"
+	"github.com/croftturn/croftturn/internal/placement"
 	"github.com/croftturn/croftturn/internal/quarantine"
 )
 
+// maxLoggedParts bounds the prompt parts in a log line.
+const maxLoggedParts = 16
+
 // A request can crash the engine that runs it and is often sent again, to this node or another.
 // Each node therefore remembers under which requests engines crashed, tells its peers, and sends
 // such requests to no more engines. With one such request every 0.15 s to three nodes in turn,
@@ -88,13 +93,22 @@
 		}
 	}
 	d.log.Log(ctx, crashLogLevel(ended), "engine failed while running request", "request", x.req.ID, "fingerprint", x.fingerprint.String(), "route", x.route.Name, "team", x.teamName(),
-		"engine", engine.ID, "ended", ended, "restarted", restarted, "after_ms", now.Sub(x.sentAt).Milliseconds(), "probe_ms", took.Milliseconds(), "error", cause.Error())
+		"engine", engine.ID, "ended", ended, "restarted", restarted, "parts", partNames(x.req.Prompt.Shared), "begun", x.headReceived, "unframed", x.unframed, "after_ms", now.Sub(x.sentAt).Milliseconds(), "probe_ms", took.Milliseconds(), "error", cause.Error())
 	if ended {
 		d.observer.EngineCrashed(x.pool)
 	}
 	return ended
 }
 
+// partNames returns the first maxLoggedParts shared parts of a prompt, as in log lines.
+func partNames(parts []placement.Part) []string {
+	names := make([]string, 0, min(len(parts), maxLoggedParts))
+	for _, p := range parts[:cap(names)] {
+		names = append(names, fmt.Sprintf("%016x", p.ID))
+	}
+	return names
+}
+
 // crashLogLevel returns the level at which an engine failure is logged.
 func crashLogLevel(ended bool) slog.Level {
 	if ended {
