--- a/internal/edge/crash_rig_test.go
+++ b/internal/edge/crash_rig_test.go
@@ -29,6 +29,7 @@
 	address      string        // address is the store's.
 	runTime      time.Duration // runTime is how long an engine runs a request.
 	restartDelay time.Duration // restartDelay is how long after a crash an engine starts again.
+	unframed     bool          // unframed makes answers end with their connection; those of crashing requests look complete.
 
 	mu       sync.Mutex
 	held     map[string]string // held are the stored rows of held requests, by key.
@@ -90,13 +91,16 @@
 	e.server.Close()
 }
 
-// ServeHTTP runs one request, and crashes after it if its body begins with crashingBody.
+// ServeHTTP runs one request, and crashes after it if its body begins with crashingBody or if a shared
+// part of its prompt begins with crashingPart.
 func (e *crashingEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
 	}
-	crashes := strings.HasPrefix(string(body), crashingBody)
+	shared := strings.Split(r.Header.Get("Prompt-Prefix"), ",")
+	shared = shared[:len(shared)-1]
+	crashes := strings.HasPrefix(string(body), crashingBody) || slices.ContainsFunc(shared, func(part string) bool { return strings.HasPrefix(part, crashingPart) })
 	if crashes {
 		e.cluster.recordTime(&e.cluster.arrivals)
 	}
@@ -107,14 +111,31 @@
 	}
 	if crashes {
 		e.cluster.recordTime(&e.cluster.crashes)
+		if e.cluster.unframed {
+			writeUnframed(w, r)
+		}
 		e.crash()
 		panic(http.ErrAbortHandler)
 	}
+	if e.cluster.unframed {
+		writeUnframed(w, r)
+		return
+	}
 	w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
 	w.Header().Set("Response-Seal", "seal")
 	fmt.Fprint(w, "well")
 }
 
+// writeUnframed writes an answer that ends with its connection.
+func writeUnframed(w http.ResponseWriter, r *http.Request) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Seal: seal\r\nContent-Type: text/plain\r\nConnection: close\r\n\r\nwell", r.Header.Get("Attempt-Id"))
+	_ = conn.Close()
+}
+
 // recordTime adds the current time to a list.
 func (w *crashCluster) recordTime(list *[]time.Time) {
 	w.mu.Lock()
@@ -258,7 +279,10 @@
 }
 
 // post sends a request to a node and returns the status, or 0 if no complete answer came.
-func (w *crashCluster) post(node int, id, body string) int {
+func (w *crashCluster) post(node int, id, body string) int { return w.postPrompt(node, id, body, "") }
+
+// postPrompt is post for a request whose prompt has the given parts, in the format of its header.
+func (w *crashCluster) postPrompt(node int, id, body, parts string) int {
 	r, err := http.NewRequest(http.MethodPost, "http://"+w.nodes[node].settings.CallerAddress+"/a/x", strings.NewReader(body))
 	if err != nil {
 		return 0
@@ -267,6 +291,10 @@
 	r.Header.Set("Attempt-Id", id)
 	r.Header.Set("Authorization", "Bearer k")
 	r.Header.Set("Deadline-Ms", "1000")
+	if parts != "" {
+		r.Header.Set("Token-Counts", "100,10")
+		r.Header.Set("Prompt-Prefix", parts)
+	}
 	resp, err := http.DefaultClient.Do(r)
 	if err != nil {
 		return 0
@@ -279,12 +307,15 @@
 }
 
 // thirdCrash returns the time of the third crash; ok is false if there have been fewer.
-func (w *crashCluster) thirdCrash() (at time.Time, ok bool) {
+func (w *crashCluster) thirdCrash() (at time.Time, ok bool) { return w.nthCrash(3) }
+
+// nthCrash returns the time of the nth crash; ok is false if there have been fewer.
+func (w *crashCluster) nthCrash(n int) (at time.Time, ok bool) {
 	crashes := w.crashTimes()
-	if len(crashes) < 3 {
+	if len(crashes) < n {
 		return time.Time{}, false
 	}
-	return crashes[2], true
+	return crashes[n-1], true
 }
 
 // load sends n requests at an interval, with the body that the function body returns for each
