Dispatch: an unframed answer of an engine that crashed is not complete

Callers could get an answer as complete that its engine had broken off by crashing, where it has neither a length nor chunks and ends with its connection. The same answer freed the request, so that one which crashes engines in this way was never held: TestUnframedAnswerOfACrashedEngine... failed before on all four kinds of routes (held: false after three crashes, answers complete).

When such an answer ends, the node now finds out whether its engine is still there, as it does after a broken connection, and treats the answer as broken off if not. It costs one connection for each answer without a frame. Engines that leave are exempt: they end after their answers.

--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -84,10 +84,7 @@
 	}
 	ended, took := restarted, time.Duration(0)
 	if !restarted {
-		probe := d.crashes.probe(ctx, now, engine.Address)
-		ended, took = probe.ended, probe.took
-		// To a node that is partitioned from all engines each of them seems to have ended.
-		ended = ended && (x.reach == nil || x.reach.OthersAnswer(context.WithoutCancel(ctx), engine.ID))
+		ended, took = x.probeEngine(ctx, now)
 		if ended {
 			x.call.EngineDown(clock.Now())
 		}
@@ -100,6 +97,23 @@
 	return ended
 }
 
+// probeEngine reports whether the engine has ended, and how long it took to find out. To a node that is partitioned
+// from all engines each of them seems to have ended.
+func (x *exchange) probeEngine(ctx context.Context, now time.Time) (ended bool, took time.Duration) {
+	engine := x.choice.Engine
+	probe := x.d.crashes.probe(ctx, now, engine.Address)
+	return probe.ended && (x.reach == nil || x.reach.OthersAnswer(context.WithoutCancel(ctx), engine.ID)), probe.took
+}
+
+// engineGone reports whether the engine has ended without notice.
+func (x *exchange) engineGone(ctx context.Context, now time.Time) bool {
+	if x.d.crashes.prober == nil || x.d.placement.Leaving(x.choice.Engine.ID) {
+		return false
+	}
+	ended, _ := x.probeEngine(ctx, now)
+	return ended
+}
+
 // partNames returns the first maxLoggedParts shared parts of a prompt, as in log lines.
 func partNames(parts []placement.Part) []string {
 	names := make([]string, 0, min(len(parts), maxLoggedParts))
--- a/internal/dispatch/crashes_test.go
+++ b/internal/dispatch/crashes_test.go
@@ -63,6 +63,29 @@
 	}
 }
 
+// TestUnframedAnswerOfACrashedEngineIsNotComplete guards against answers that end with their connection and look complete because their engine has crashed.
+func TestUnframedAnswerOfACrashedEngineIsNotComplete(t *testing.T) {
+	for _, route := range []string{"safe", "unsafe", "stream", "resumable"} {
+		for _, crashed := range []bool{true, false} {
+			e := &fakeSender{serve: func(context.Context, int, dispatch.Attempt) (*dispatch.Response, error) {
+				resp := respond(200, "data: well\n\n")
+				resp.Length, resp.Unframed = -1, true
+				return resp, nil
+			}}
+			d, q, p := newQuarantineDispatcher(e)
+			p.ended.Store(crashed)
+			for range 3 {
+				if a := serve(t, d, route); (a.aborted || a.refusal != nil) != crashed {
+					t.Errorf("%s, engine crashed: %v: aborted %v, refused %+v", route, crashed, a.aborted, a.refusal)
+				}
+			}
+			if held := q.Len() == 1; held != crashed {
+				t.Errorf("%s, engine crashed: %v: held %v", route, crashed, held)
+			}
+		}
+	}
+}
+
 // TestAnsweredRequestIsNotHeld checks that a request is not held for crashes if engines also
 // answer it.
 func TestAnsweredRequestIsNotHeld(t *testing.T) {
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -36,12 +36,31 @@
 	silentGrace        = 750 * time.Millisecond
 )
 
+// errCrashedAtEnd is the failure of an engine that had crashed when an answer without a length ended.
+var errCrashedAtEnd = errors.New("engine crashed as its answer ended")
+
 // checkedBody is the body of an answer whose end is checked.
 type checkedBody struct {
 	*sse.WholeReader
 	io.Closer
 }
 
+// unframedBody is the body of an answer that ends with its connection. It ends in an error if its engine
+// has crashed by then, since the answer was most likely broken off.
+type unframedBody struct {
+	io.ReadCloser
+	crashed func() bool
+}
+
+// Read implements io.Reader.
+func (b unframedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) && b.crashed() {
+		return n, errCrashedAtEnd
+	}
+	return n, err
+}
+
 // handleResponse handles the response of an engine and reports whether another should be tried.
 func (x *exchange) handleResponse(ctx context.Context, cancel context.CancelCauseFunc, resp *Response) (again bool) {
 	now := clock.Now()
@@ -63,6 +82,9 @@
 		}
 	}
 	success := resp.Status < http.StatusMultipleChoices
+	if success && resp.Unframed {
+		resp.Body = unframedBody{resp.Body, func() bool { return x.engineGone(ctx, clock.Now()) }}
+	}
 	if success && x.needsEndCheck(resp) {
 		resp.Body = checkedBody{sse.NewWholeReader(resp.Body), resp.Body}
 	}
--- a/internal/dispatch/walk.go
+++ b/internal/dispatch/walk.go
@@ -136,7 +136,7 @@
 		return true // The engine left, or is about to, since it was chosen.
 	}
 	x.noteLeaving(now, until)
-	x.trial, x.headReceived = false, false
+	x.trial, x.headReceived, x.unframed = false, false, false
 	x.tried[x.choice.Engine.ID] = true
 	x.sentAt, x.bufferedSince = now, now
 	x.via = ""
