Quarantine: prompt parts that crash engines are withheld

The quarantine knew only whole requests, of which no two were alike.

Nodes now remember under which shared parts engines crashed, tell each other, and let a complete answer clear its parts of earlier crashes at that software version. A part that engines crashed under at three moments without an answer between is held, unless another part explains these crashes. Parts that can't be told apart are held together; a request with only some of them shows by its end, sent as a trial and one at a time, which is the cause. Held parts are stored, listed and released like held requests.

--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -16,9 +16,9 @@
 // maxLoggedParts bounds the prompt parts in a log line.
 const maxLoggedParts = 16
 
-// A request can crash the engine that runs it and is often sent again, to this node or another.
-// Each node therefore remembers under which requests engines crashed, tells its peers, and sends
-// such requests to no more engines. With one such request every 0.15 s to three nodes in turn,
+// A request can crash the engine that runs it and is often sent again, to this node or another. So can
+// a part of the prompt that requests share which differ otherwise. Each node therefore remembers under which
+// requests and prompt parts engines crashed, tells its peers, and sends such requests to no more engines. With one such request every 0.15 s to three nodes in turn,
 // engines crashed 40 times in six seconds without this and 3 times with it (six engines, restarted
 // after 0.3 s; three runs each).
 
@@ -27,9 +27,17 @@
 	return func(d *Dispatcher) { d.quarantine = q }
 }
 
-// refuseHeld returns the refusal of a request that is held in the quarantine, or nil if the request
+// WithParts makes a dispatcher stop sending requests with prompt parts under which engines have crashed.
+func WithParts(p *quarantine.Parts) Option {
+	return func(d *Dispatcher) { d.parts = p }
+}
+
+// refuseHeld returns the refusal of a request that is held in the quarantine or has a held prompt part, or nil if the request
 // may be sent.
 func (x *exchange) refuseHeld(now time.Time) *Refusal {
+	if refusal := x.refuseHeldParts(now); refusal != nil {
+		return refusal
+	}
 	if x.d.quarantine == nil || x.trial {
 		return nil
 	}
@@ -38,12 +46,48 @@
 	if held == nil {
 		return nil
 	}
-	first, newest := held.Crashes[0], held.Crashes[len(held.Crashes)-1]
-	x.d.log.Info("held request refused", "request", x.req.ID, "fingerprint", held.Fingerprint.String(), "team", held.Team, "route", held.Route, "engines", held.Engines(),
-		"since_ms", now.Sub(first.At).Milliseconds(), "newest_ms", now.Sub(newest.At).Milliseconds(), "trial_in_ms", held.TrialAt.Sub(now).Milliseconds())
+	x.logHeld(now, held.Crashes, held.TrialAt, "fingerprint", held.Fingerprint.String(), "team", held.Team, "route", held.Route)
 	return &Refusal{Reason: x.unlessMayHaveRun(CrashesEngines)}
 }
 
+// refuseHeldParts returns the refusal of a request with a held prompt part, or nil if the request may be sent.
+func (x *exchange) refuseHeldParts(now time.Time) *Refusal {
+	if x.d.parts == nil {
+		return nil
+	}
+	decision := x.d.parts.Admit(now, x.partTrial, x.pool, x.req.Prompt.SharedIDs())
+	if decision.Trial {
+		x.partTrial = now
+	}
+	held := decision.Held
+	if held == nil {
+		return nil
+	}
+	x.logHeld(now, held.Crashes, held.TrialAt, "part", held.Part.String(), "pool", held.Pool, "rivals", held.Rivals, "team", x.teamName(), "route", x.route.Name, "come_back_ms", decision.RetryAfter.Milliseconds())
+	if decision.RetryAfter > 0 {
+		return &Refusal{Reason: x.unlessMayHaveRun(MayCrashEngines), RetryAfter: decision.RetryAfter}
+	}
+	return &Refusal{Reason: x.unlessMayHaveRun(CrashesEngines)}
+}
+
+// logHeld logs the refusal of a held request.
+func (x *exchange) logHeld(now time.Time, crashes []quarantine.Crash, trialAt time.Time, what ...any) {
+	engines := make([]string, 0, len(crashes))
+	for _, c := range crashes {
+		engines = append(engines, c.Engine)
+	}
+	x.d.log.Info("held request refused", append([]any{"request", x.req.ID, "engines", engines, "since_ms", now.Sub(crashes[0].At).Milliseconds(),
+		"newest_ms", now.Sub(crashes[len(crashes)-1].At).Milliseconds(), "trial_in_ms", trialAt.Sub(now).Milliseconds()}, what...)...)
+}
+
+// endTrial ends the trial of held prompt parts, if the request is one.
+func (x *exchange) endTrial() {
+	if !x.partTrial.IsZero() {
+		x.partTrial = time.Time{}
+		x.d.parts.EndTrial(clock.Now(), x.pool, x.req.Prompt.SharedIDs())
+	}
+}
+
 // recordFailure records whether a failed engine crashed under the request. An engine that is still
 // alive has most likely run the request, because connections can break and lose answers. With 18 in
 // 100 answers lost, the usage counts of teams were off by 8 in 100 if these requests were not
@@ -53,17 +97,24 @@
 	if ended && x.d.quarantine != nil {
 		x.d.quarantine.RecordCrash(clock.Now(), x.fingerprint, quarantine.Subject{Team: x.teamName(), Route: x.route.Name}, x.choice.Engine.ID)
 	}
+	if ended && x.d.parts != nil {
+		x.d.parts.RecordCrash(clock.Now(), x.pool, x.choice.Engine.ID, x.choice.Engine.Version, x.req.Prompt.SharedIDs())
+	}
 	if !ended && !x.headReceived && ctx.Err() == nil {
 		x.d.observer.Began(now, x.teamName())
 	}
 }
 
 // recordAnswer records that an engine answered the request completely. A server error does not
-// count: the engine may have failed before it ran the request.
+// count: the engine may have failed before it ran the request. Only a success is known to be written
+// by a model that has read the prompt.
 func (x *exchange) recordAnswer(now time.Time) {
 	if x.d.quarantine != nil && x.status < http.StatusInternalServerError {
 		x.d.quarantine.RecordAnswer(now, x.fingerprint, x.teamName())
 	}
+	if x.d.parts != nil && x.status < http.StatusMultipleChoices {
+		x.d.parts.RecordAnswer(now, x.pool, x.choice.Engine.Version, x.req.Prompt.SharedIDs())
+	}
 }
 
 // fingerprintOf returns the fingerprint that identifies equal requests of a team.
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -63,6 +63,7 @@
 		crashes       crashDetector
 		exchanges     activeExchanges
 		quarantine    *quarantine.Quarantine // quarantine is nil if requests that crash engines are not tracked.
+		parts         *quarantine.Parts      // parts is nil if prompt parts that crash engines are not tracked.
 		leaveObserver LeaveObserver          // leaveObserver is nil if engines do not announce that they leave.
 		relay         relayBuffers
 		permits       Permits        // permits is nil if engines declare no rate limits.
@@ -182,6 +183,7 @@
 	x.restoreForwarded(r.Forwarded)
 	x.fingerprint = fingerprintOf(r, x.teamName())
 	defer x.hold(len(r.Body))()
+	defer x.endTrial()
 	x.left = ctx.Done()
 	ctx, cancel := context.WithTimeout(ctx, x.deadline.Sub(clock.Now()))
 	defer cancel()
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -43,7 +43,8 @@
 		Counted     bool          `cbor:"6,keyasint,omitempty"` // Counted is set if the request was counted for the budget of retries.
 		Bound       bool          `cbor:"7,keyasint,omitempty"` // Bound is set if the stream may go on at one pool and version only.
 		Pool        string        `cbor:"8,keyasint,omitempty"`
-		Version     string        `cbor:"9,keyasint,omitempty"` // Version is that of the engines' software.
+		Version     string        `cbor:"9,keyasint,omitempty"`  // Version is that of the engines' software.
+		Trial       bool          `cbor:"10,keyasint,omitempty"` // Trial is set if the request is the trial of a held request or of held prompt parts.
 	}
 )
 
@@ -58,6 +59,9 @@
 		return
 	}
 	x.sent, x.mayHaveRun, x.counted, x.lastEventID = f.Sent, f.MayHaveRun, f.Counted, f.LastEventID
+	if f.Trial {
+		x.trial, x.partTrial = true, clock.Now()
+	}
 	if f.Bound {
 		x.bindTo(pinning.Found{Origin: pinning.Origin{Pool: f.Pool, Version: f.Version}, From: fromNode})
 	}
@@ -132,7 +136,7 @@
 	x.call, x.headReceived, x.sendBefore, x.leavingFor = x.d.placement.ForwardedCall(now), false, time.Time{}, 0
 	resp, refusal, err := x.d.forwarder.Forward(ctx, address, x.req, Forwarded{
 		From: x.d.node, Spent: now.Sub(x.arrived), Sent: x.sent, LastEventID: x.lastEventID, MayHaveRun: x.mayHaveRun, Counted: x.counted,
-		Bound: x.origin.bound, Pool: x.origin.Pool, Version: x.origin.Version,
+		Bound: x.origin.bound, Pool: x.origin.Pool, Version: x.origin.Version, Trial: x.trial || !x.partTrial.IsZero(),
 	})
 	result, reason := "answered", Reason("")
 	switch {
--- a/internal/dispatch/refusal.go
+++ b/internal/dispatch/refusal.go
@@ -49,6 +49,10 @@
 	// no more engines. Only statuses such as 400 tell callers of all kinds of routes not to retry.
 	CrashesEngines Reason = "crashes_engines"
 
+	// MayCrashEngines means that engines crashed repeatedly under a part of the prompt, and that it will soon be
+	// known whether that part or another one is the cause.
+	MayCrashEngines Reason = "may_crash_engines"
+
 	// VersionUnknown means that no node knows at which software version the stream began which the
 	// caller takes up, and its pool has had several.
 	VersionUnknown Reason = "version_unknown"
@@ -96,6 +100,7 @@
 	VersionUnanswered: http.StatusServiceUnavailable,
 	VersionGone:       http.StatusServiceUnavailable,
 	CrashesEngines:    http.StatusBadRequest,
+	MayCrashEngines:   http.StatusServiceUnavailable,
 	EngineFailed:      http.StatusBadGateway,
 	TimedOut:          http.StatusGatewayTimeout,
 }
--- a/internal/dispatch/walk.go
+++ b/internal/dispatch/walk.go
@@ -46,7 +46,8 @@
 	readAgainAt   atomic.Pointer[time.Time] // readAgainAt is when the engine was last read again after a wait; nil if it was read all the time
 
 	fingerprint quarantine.Fingerprint
-	trial       bool // trial is set if the next attempt is the trial of a request held in the quarantine
+	trial       bool      // trial is set if the next attempt is the trial of a request held in the quarantine
+	partTrial   time.Time // partTrial is when the request became the trial of held parts of its prompt; zero if it is none
 
 	tried         map[string]bool // tried holds the engines that were tried
 	sent          int             // sent counts the engines that the request was sent to
@@ -145,6 +146,7 @@
 		x.choice.TransferFrom, x.choice.TransferTokens = "", 0 // The source is gone since the choice.
 	}
 	x.noteContinuation("sent")
+	defer x.endTrial() // Its end has shown what the parts do; another attempt is decided on anew.
 	return x.send(ctx, now)
 }
 
--- a/internal/edge/crash_rig_test.go
+++ b/internal/edge/crash_rig_test.go
@@ -32,9 +32,9 @@
 	unframed     bool          // unframed makes answers end with their connection; those of crashing requests look complete.
 
 	mu       sync.Mutex
-	held     map[string]string // held are the stored rows of held requests, by key.
-	arrivals []time.Time       // arrivals are when the crashing request reached engines.
-	crashes  []time.Time       // crashes are when it crashed them.
+	held     map[string]map[string]string // held are the stored rows of held requests and prompt parts, by table and key.
+	arrivals []time.Time                  // arrivals are when the crashing request reached engines.
+	crashes  []time.Time                  // crashes are when it crashed them.
 }
 
 // crashingEngine is a fake engine that crashes on a certain request and restarts after a delay.
@@ -149,9 +149,9 @@
 	switch table := r.URL.Query().Get("table"); {
 	case r.URL.Path == "/-/rows-tx":
 		w.writeHeld(r)
-	case table == "croftturn-held":
+	case strings.HasPrefix(table, "croftturn-held"):
 		w.mu.Lock()
-		rows = slices.Collect(maps.Values(w.held))
+		rows = slices.Collect(maps.Values(w.held[table]))
 		w.mu.Unlock()
 	case r.URL.Path == "/-/rows-feed":
 		time.Sleep(20 * time.Millisecond)
@@ -166,7 +166,7 @@
 	fmt.Fprintf(rw, `{"rows":[%s],"ver":7,"now_ms":%d}`, strings.Join(rows, ","), time.Now().UnixMilli())
 }
 
-// writeHeld applies a transaction on the rows of held requests; it ignores all other rows.
+// writeHeld applies a transaction on the rows of held requests and parts; it ignores all other rows.
 func (w *crashCluster) writeHeld(r *http.Request) {
 	var tx struct {
 		Puts, Remove []struct {
@@ -181,20 +181,20 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, row := range tx.Puts {
-		if row.Table == "croftturn-held" {
-			w.held[row.Key] = fmt.Sprintf(`{"table":%q,"part":"","tls_key":%q,"value":%q,"ver":7}`, row.Table, row.Key, row.Value)
+		if rows := w.held[row.Table]; rows != nil {
+			rows[row.Key] = fmt.Sprintf(`{"table":%q,"part":"","tls_key":%q,"value":%q,"ver":7}`, row.Table, row.Key, row.Value)
 		}
 	}
 	for _, row := range tx.Remove {
-		delete(w.held, row.Key)
+		delete(w.held[row.Table], row.Key)
 	}
 }
 
-// storedHeld returns how many held requests the store has.
-func (w *crashCluster) storedHeld() int {
+// storedHeld returns how many rows of a table of held requests or parts the store has.
+func (w *crashCluster) storedHeld(table string) int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return len(w.held)
+	return len(w.held[table])
 }
 
 // crashTimes returns when engines have crashed so far.
@@ -207,7 +207,7 @@
 // newCrashCluster starts engines, a store and nodes that know each other.
 func newCrashCluster(t *testing.T, engines, nodes int, runTime, restartDelay time.Duration) *crashCluster {
 	t.Helper()
-	w := &crashCluster{held: map[string]string{}, runTime: runTime, restartDelay: restartDelay}
+	w := &crashCluster{held: map[string]map[string]string{"croftturn-held": {}, "croftturn-held-parts": {}}, runTime: runTime, restartDelay: restartDelay}
 	for range engines {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
--- a/internal/edge/crash_test.go
+++ b/internal/edge/crash_test.go
@@ -87,7 +87,7 @@
 	for i := 0; len(w.crashTimes()) < 3; i++ {
 		w.post(i%nodes, fmt.Sprint("crash-", i), crashingBody)
 	}
-	waitFor(t, func() bool { return w.storedHeld() == 1 }, "the held request was not stored")
+	waitFor(t, func() bool { return w.storedHeld("croftturn-held") == 1 }, "the held request was not stored")
 	for _, e := range w.nodes {
 		if err := e.stop(); err != nil {
 			t.Fatal(err)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -99,6 +99,7 @@
 	proof         *freshness.Proof
 	placement     *placement.Placement
 	quarantine    *quarantine.Quarantine
+	parts         *quarantine.Parts
 	limits        *limit.Limits
 	permits       *limit.Permits
 	evacuations   *evacuation.Evacuations
@@ -187,7 +188,8 @@
 	e.proof = freshness.New(proofMaxAge(s))
 	e.limits = limit.New(e.log)
 	e.placement = placement.New(s.Hall, placement.WithLimits(e.limits), placement.WithUnseenNodes(e.unheardPeers), placement.WithSenders(s.Instance, e.senders), placement.WithRegions(s.HallRegions), placement.WithStoreKnown(e.storeKnown))
-	e.quarantine = quarantine.New(e.maySendTrial, e.log)
+	e.quarantine = quarantine.New(func(now time.Time, f quarantine.Fingerprint) bool { return e.maySendTrial(now, f.String()) }, e.log)
+	e.parts = quarantine.NewParts(e.maySendTrial, e.log)
 	e.evacuations = evacuation.New(e.placement, e.log)
 	if e.gossip, err = gossip.New(self, e.log); err != nil {
 		return fmt.Errorf("start gossip: %w", err)
@@ -217,7 +219,7 @@
 	e.newPinning()
 	e.discovery = discovery.New(platform.DecodeEngine, engineSink{e.placement, e.egress, e.limits, e.cacheWatcher, e.versions}, ms(s.EngineDrainMs), e.log, discovery.WithSpotNotice(ms(s.SpotNoticeMs)))
 	e.permits = limit.NewPermits(e.limits, e.peerClient, e.permitIssuer, e.gossip.ReachableShare, e.log)
-	e.dispatcher = dispatch.New(e.proof, e.placement, e.budget, e.egress, e.metrics, e.log, dispatch.WithProber(e.egress), dispatch.WithQuarantine(e.quarantine), dispatch.WithLeaveObserver(e.discovery), dispatch.WithPermits(e.permits), dispatch.WithReach(e.reach), dispatch.WithInteractiveTarget(ms(s.InteractiveTargetMs)), dispatch.WithOverloadObserver(e.metrics), dispatch.WithLeavingObserver(e.metrics), dispatch.WithPinning(e.pins, e.versions, e.metrics), e.forwarding(), e.relayBuffers())
+	e.dispatcher = dispatch.New(e.proof, e.placement, e.budget, e.egress, e.metrics, e.log, dispatch.WithProber(e.egress), dispatch.WithQuarantine(e.quarantine), dispatch.WithParts(e.parts), dispatch.WithLeaveObserver(e.discovery), dispatch.WithPermits(e.permits), dispatch.WithReach(e.reach), dispatch.WithInteractiveTarget(ms(s.InteractiveTargetMs)), dispatch.WithOverloadObserver(e.metrics), dispatch.WithLeavingObserver(e.metrics), dispatch.WithPinning(e.pins, e.versions, e.metrics), e.forwarding(), e.relayBuffers())
 	e.register = register.New(now, e.store, self, slices.Collect(maps.Keys(s.HallRegions)), s.FirstStart, e.gossip, e.log)
 	e.configTable = feed.NewTable(platform.TableConfig, e.applyConfig)
 	e.engineTable = feed.NewTable(platform.TableEngines, e.discovery.Apply)
@@ -261,6 +263,10 @@
 		e.awaitAnswer(ctx)
 		quarantine.NewPersister(e.quarantine, e.store, s.FirstStart, e.log).Run(ctx)
 	})
+	e.startGoroutine(func() {
+		e.awaitAnswer(ctx)
+		quarantine.NewPartPersister(e.parts, e.store, s.FirstStart, e.log).Run(ctx)
+	})
 	e.startGoroutine(func() {
 		e.awaitAnswer(ctx)
 		e.versions.Run(ctx)
--- a/internal/edge/held.go
+++ b/internal/edge/held.go
@@ -20,8 +20,8 @@
 const maxStatementBytes = 4 << 10
 
 // statements serves the operators' statements: "duties" shows the duties that one node performs
-// for all, "evacuations" lists the halls that are evacuated, "held" lists the requests that are
-// held, and "release FINGERPRINT" releases one at all nodes. Releasing requires the operators'
+// for all, "evacuations" lists the halls that are evacuated, "held" lists the requests and prompt parts
+// that are held, and "release ID" releases one at all nodes. Releasing requires the operators'
 // token; if the settings have none, it is forbidden.
 func (e *Edge) statements(w http.ResponseWriter, r *http.Request) {
 	var statement struct {
@@ -37,14 +37,14 @@
 	switch {
 	case isQuery:
 	case len(words) != 2 || words[0] != "release":
-		http.Error(w, `want "duties", "evacuations", "held" or "release FINGERPRINT"`, http.StatusBadRequest)
+		http.Error(w, `want "duties", "evacuations", "held" or "release ID"`, http.StatusBadRequest)
 		return
 	case !config.TokenMatches(header.Bearer(r.Header), e.settings.BootstrapTokenSha256):
 		http.Error(w, "the token is not the operators'", http.StatusForbidden)
 		return
 	default:
-		f, err := strconv.ParseUint(words[1], 16, 64)
-		if err != nil || !e.quarantine.Release(now, quarantine.Fingerprint(f)) {
+		id, err := strconv.ParseUint(words[1], 16, 64)
+		if err != nil || !e.quarantine.Release(now, quarantine.Fingerprint(id)) && !e.parts.Release(now, id) {
 			http.Error(w, words[1]+" is not held", http.StatusNotFound)
 			return
 		}
@@ -70,7 +70,7 @@
 	return rows
 }
 
-// heldRows returns the held requests as rows for operators.
+// heldRows returns the held requests and prompt parts as rows for operators.
 func (e *Edge) heldRows(now time.Time) []wire.Row {
 	var rows []wire.Row
 	for _, h := range e.quarantine.List() {
@@ -81,5 +81,13 @@
 			AtMs:   int(clock.Wall(newest).UnixMilli()), AgeMs: int(now.Sub(newest).Milliseconds()),
 		})
 	}
+	for _, h := range e.parts.List() {
+		newest := h.Crashes[len(h.Crashes)-1].At
+		rows = append(rows, wire.Row{
+			Name: h.Part.String(), State: "held part", Engine: strings.Join(h.Engines(), " "),
+			Reason: fmt.Sprintf("%d engines ended under prompts with it, in pool %s; %d other parts may be the cause; tried again in %v", len(h.Crashes), h.Pool, h.Rivals, max(0, h.TrialAt.Sub(now)).Round(time.Second)),
+			AtMs:   int(clock.Wall(newest).UnixMilli()), AgeMs: int(now.Sub(newest).Milliseconds()),
+		})
+	}
 	return rows
 }
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -56,6 +56,8 @@
 		telemetry.Gauge{Name: "croftturn.edge.configs_refused", Help: "configurations that could not be understood", Read: func() int64 { return e.configsRefused.Load() }},
 		telemetry.Gauge{Name: "croftturn.edge.absences", Help: "times that this process was away, as by a suspended machine", Read: func() int64 { return e.suspensions.Load() }},
 		telemetry.Gauge{Name: "croftturn.edge.requests_held", Help: "requests that get no engine, since engines ended under them", Read: func() int64 { return e.quarantine.Len() }},
+		telemetry.Gauge{Name: "croftturn.edge.prompt_parts_held", Help: "prompt parts that get no engine, since engines ended under them", Read: func() int64 { return e.parts.Len() }},
+		telemetry.Gauge{Name: "croftturn.edge.prompt_parts_suspected", Help: "prompt parts under which engines ended several times without an answer between, held or not", Read: func() int64 { return e.parts.Suspected() }},
 		telemetry.Gauge{Name: "croftturn.edge.engines_limited", Help: "engines that have named a limit of requests", Read: func() int64 { return e.limits.Len() }},
 		telemetry.Gauge{Name: "croftturn.edge.engines_resting", Help: "engines that asked this node for rest", Read: func() int64 { return int64(e.placement.BackingOff(clock.Now())) }},
 		telemetry.Gauge{Name: "croftturn.edge.pools_unreachable", Help: "pools of whose engines this node reaches none", Read: func() int64 { return int64(len(e.reach.Unreachable())) }},
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -6,7 +6,6 @@
 
 	"github.com/croftturn/croftturn/internal/dispatch"
 	"github.com/croftturn/croftturn/internal/gossip"
-	"github.com/croftturn/croftturn/internal/quarantine"
 	"github.com/croftturn/croftturn/platform"
 )
 
@@ -52,7 +51,7 @@
 	versions := e.follower.Versions() // Read before the loads, which may be of later entries but not of earlier ones.
 	s := gossip.State{
 		Ready: e.Ready(now), Stopping: e.dispatcher.Ready(now) == dispatch.Stopping, Rate: float32(e.dispatcher.Rate(now)), Loads: e.placement.Loads(), Uses: e.placement.TakeUses(), Slowdowns: e.placement.Slowdowns(now), Versions: versions,
-		ConfigVersion: e.dispatcher.Version(), ProofAgeMs: -1, CannotReadStore: e.readFailing(now), StoreSilentMs: -1, StoreFailureAgeMs: -1, TierStats: e.dispatcher.TierStats(now), Holder: e.announcedHolder(now), Crashing: e.quarantine.GossipEntries(now, gossip.UpdateLifetime), Limits: e.limits.GossipEntries(now, gossip.UpdateLifetime), Leaving: e.discovery.GossipEntries(now, gossip.UpdateLifetime), Evicted: e.cacheWatcher.TakeEvicted(),
+		ConfigVersion: e.dispatcher.Version(), ProofAgeMs: -1, CannotReadStore: e.readFailing(now), StoreSilentMs: -1, StoreFailureAgeMs: -1, TierStats: e.dispatcher.TierStats(now), Holder: e.announcedHolder(now), Crashing: e.quarantine.GossipEntries(now, gossip.UpdateLifetime), CrashingParts: e.parts.GossipEntries(now, gossip.UpdateLifetime), Limits: e.limits.GossipEntries(now, gossip.UpdateLifetime), Leaving: e.discovery.GossipEntries(now, gossip.UpdateLifetime), Evicted: e.cacheWatcher.TakeEvicted(),
 		TeamWork: e.dispatcher.TeamWork(now), LowerAdmitted: e.dispatcher.LowerAdmitted(now),
 		Unreachable: unreachable, Partitioned: e.partitioned(unreachable), ForwardPort: e.forwardPort(), Brittle: e.placement.Brittle(now), PinsStreams: true, PoolVersions: e.versions.GossipEntries(now),
 	}
@@ -79,6 +78,7 @@
 	e.dispatcher.SetPeerTeamWork(now, p.Name, s.TeamWork)
 	e.dispatcher.SetPeerLowerAdmitted(now, p.Name, s.LowerAdmitted)
 	e.quarantine.MergeGossip(now, s.Crashing)
+	e.parts.MergeGossip(now, s.CrashingParts)
 	e.limits.MergeGossip(now, s.Limits)
 	e.placement.MergeBrittle(now, s.Brittle)
 	e.discovery.MergeGossip(now, s.Leaving)
@@ -95,9 +95,9 @@
 }
 
 // maySendTrial reports whether this node is the one, of those that serve callers, that sends the
-// trial of a held request. Nodes that hear from different peers may both be.
-func (e *Edge) maySendTrial(now time.Time, f quarantine.Fingerprint) bool {
+// trial of a held request or prompt part. Nodes that hear from different peers may both be.
+func (e *Edge) maySendTrial(now time.Time, name string) bool {
 	self := e.gossip.IsHub() && !e.partitioned(e.reach.Unreachable())
-	_, self, _ = e.selectHub(now, f.String(), self, func(p gossip.Peer) bool { return p.State.Ready && !p.State.Partitioned })
+	_, self, _ = e.selectHub(now, name, self, func(p gossip.Peer) bool { return p.State.Ready && !p.State.Partitioned })
 	return self
 }
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -60,6 +60,7 @@
 		Brittle           []string                        `cbor:"26,keyasint,omitempty"` // Brittle are the pools whose engines told the node that they are brittle.
 		PinsStreams       bool                            `cbor:"28,keyasint,omitempty"` // PinsStreams reports whether the node keeps records of where streams began, and continues them there.
 		PoolVersions      []pinning.PoolVersion           `cbor:"29,keyasint,omitempty"` // PoolVersions say at which software versions the streams of pools have begun.
+		CrashingParts     quarantine.PartGossip           `cbor:"30,keyasint,omitzero"`  // CrashingParts are prompt parts under which engines crashed: recent changes, or all that are held or may be.
 	}
 
 	// HubInfo identifies a hub in the sender's hall and says how to reach it.
--- a/internal/gossip/send.go
+++ b/internal/gossip/send.go
@@ -32,7 +32,12 @@
 	if c.full {
 		return list
 	}
-	return news.Recent(list, age, time.Duration(c.rounds+updateRounds)*roundInterval)
+	return news.Recent(list, age, c.recentWindow())
+}
+
+// recentWindow returns how long ago the sender learned of the entries that are recent for the payload.
+func (c payloadKind) recentWindow() time.Duration {
+	return time.Duration(c.rounds+updateRounds) * roundInterval
 }
 
 // send sends the messages of a round.
@@ -67,6 +72,9 @@
 		if encoded[kind] == nil {
 			s := g.stateFor(state, round, to.rounds)
 			s.Crashing = selectEntries(kind, state.Crashing, func(t quarantine.GossipEntry) time.Duration { return t.Age })
+			if !kind.full {
+				s.CrashingParts = state.CrashingParts.Recent(kind.recentWindow())
+			}
 			s.Limits = selectEntries(kind, state.Limits, func(t limit.GossipEntry) time.Duration { return t.Age })
 			s.Leaving = selectEntries(kind, state.Leaving, func(t discovery.GossipEntry) time.Duration { return t.Age })
 			s.PoolVersions = selectEntries(kind, state.PoolVersions, func(v pinning.PoolVersion) time.Duration { return v.Age })
--- a/internal/placement/cache.go
+++ b/internal/placement/cache.go
@@ -52,6 +52,15 @@
 	return p.Shared[len(p.Shared)-1].ID
 }
 
+// SharedIDs returns the IDs of the shared parts.
+func (p Prompt) SharedIDs() []uint64 {
+	ids := make([]uint64, 0, len(p.Shared))
+	for _, part := range p.Shared {
+		ids = append(ids, part.ID)
+	}
+	return ids
+}
+
 // recordUse records that an engine has processed parts.
 func (c *cache) recordUse(now time.Time, engine string, parts ...uint64) {
 	for _, id := range parts {
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -15,10 +15,10 @@
 )
 
 const (
-	// table has one row per held request, keyed by its fingerprint. The information is worth storing because it cost
+	// requestTable has one row per held request, keyed by its fingerprint. The information is worth storing because it cost
 	// three engines, and all nodes may be lost at once. It costs one write when a request becomes held, one when it
 	// is released, and one read when a node starts.
-	table = "croftturn-held"
+	requestTable = "croftturn-held"
 
 	// rowTTL is how long a row is valid, by wall-clock time. Rows expire because engines get new versions eventually.
 	rowTTL = 24 * time.Hour
@@ -37,11 +37,20 @@
 		Write(ctx context.Context, tx feed.Tx) error
 	}
 
-	// Persister saves held requests in the platform's store, so that they survive the loss of all nodes.
+	// rowSource is what a Persister saves: held requests or held parts of prompts.
+	rowSource interface {
+		table() string
+		wakeups() <-chan struct{}                               // wakeups receives a value when there are unsaved changes.
+		count() int64                                           // count returns how many are held.
+		restoreRow(now time.Time, r feed.Row) error             // restoreRow returns an error for a row that no node can have written.
+		takePending(now time.Time) (tx feed.Tx, requeue func()) // takePending returns the next unsaved changes, an empty transaction if there are none.
+	}
+
+	// Persister saves what is held in the platform's store, so that it survives the loss of all nodes.
 	Persister struct {
-		q      *Quarantine
+		source rowSource
 		store  Store
-		loaded bool // loaded is set once the stored requests are known, or known to be none.
+		loaded bool // loaded is set once the stored rows are known, or known to be none.
 		log    *slog.Logger
 	}
 
@@ -54,29 +63,34 @@
 	}
 )
 
-// NewPersister returns a Persister. At the first start of the whole system it has nothing to load.
+// NewPersister returns a Persister of held requests. At the first start of the whole system it has nothing to load.
 func NewPersister(q *Quarantine, store Store, firstStart bool, log *slog.Logger) *Persister {
-	return &Persister{q: q, store: store, loaded: firstStart, log: log}
+	return &Persister{source: q, store: store, loaded: firstStart, log: log}
+}
+
+// NewPartPersister is NewPersister for held parts of prompts.
+func NewPartPersister(q *Parts, store Store, firstStart bool, log *slog.Logger) *Persister {
+	return &Persister{source: q, store: store, loaded: firstStart, log: log}
 }
 
-// Run loads the requests that were held before this node started, and saves changes until the context ends.
+// Run loads what was held before this node started, and saves changes until the context ends.
 func (p *Persister) Run(ctx context.Context) {
 	var backoff pause.Backoff
 	for ctx.Err() == nil {
 		if err := p.sync(ctx); err != nil {
-			p.log.Warn("cannot load or save held requests; retrying", "read", p.loaded, "error", err.Error())
+			p.log.Warn("cannot load or save held requests; retrying", "table", p.source.table(), "read", p.loaded, "error", err.Error())
 			backoff.Wait(ctx)
 			continue
 		}
 		backoff.Reset()
 		select {
 		case <-ctx.Done():
-		case <-p.q.wake:
+		case <-p.source.wakeups():
 		}
 	}
 }
 
-// sync loads the stored requests if that is still to be done, and writes all unsaved changes.
+// sync loads the stored rows if that is still to be done, and writes all unsaved changes.
 func (p *Persister) sync(ctx context.Context) error {
 	if !p.loaded {
 		if err := p.load(ctx); err != nil {
@@ -85,33 +99,45 @@
 		p.loaded = true
 	}
 	for {
-		tx, fingerprints := p.q.takePending(clock.Now())
-		if len(fingerprints) == 0 {
+		tx, requeue := p.source.takePending(clock.Now())
+		if len(tx.Put)+len(tx.Delete) == 0 {
 			return nil
 		}
 		if err := p.store.Write(ctx, tx); err != nil {
-			p.q.requeue(fingerprints)
+			requeue()
 			return fmt.Errorf("write held requests: %w", err)
 		}
 	}
 }
 
-// load restores the stored requests.
+// load restores the stored rows.
 func (p *Persister) load(ctx context.Context) error {
-	snap, err := p.store.List(ctx, table, "")
+	snap, err := p.store.List(ctx, p.source.table(), "")
 	if err != nil {
 		return fmt.Errorf("read held requests: %w", err)
 	}
 	now := clock.Now()
 	for _, r := range snap.Rows {
-		f, held, err := decodeRow(r)
-		if err != nil {
-			p.log.Error("invalid row of a held request; ignored", "key", r.Key, "error", err.Error())
-			continue
+		if err := p.source.restoreRow(now, r); err != nil {
+			p.log.Error("invalid row of a held request; ignored", "table", p.source.table(), "key", r.Key, "error", err.Error())
 		}
-		p.q.restore(now, f, held)
 	}
-	p.log.Info("held requests loaded", "rows", len(snap.Rows), "held", p.q.Len())
+	p.log.Info("held requests loaded", "table", p.source.table(), "rows", len(snap.Rows), "held", p.source.count())
+	return nil
+}
+
+// table, wakeups, count, restoreRow and takePending implement rowSource.
+func (q *Quarantine) table() string            { return requestTable }
+func (q *Quarantine) wakeups() <-chan struct{} { return q.wake }
+func (q *Quarantine) count() int64             { return q.Len() }
+
+// restoreRow restores a held request.
+func (q *Quarantine) restoreRow(now time.Time, r feed.Row) error {
+	f, held, err := decodeRow(r)
+	if err != nil {
+		return err
+	}
+	q.restore(now, f, held)
 	return nil
 }
 
@@ -152,12 +178,11 @@
 	}
 }
 
-// takePending returns a transaction with the next unsaved changes and the requests that they belong to, and
-// marks those as saved.
-func (q *Quarantine) takePending(now time.Time) (feed.Tx, []Fingerprint) {
+// takePending returns a transaction with the next unsaved changes, which it marks as saved, and a function that marks them as
+// unsaved again.
+func (q *Quarantine) takePending(now time.Time) (tx feed.Tx, requeue func()) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	var tx feed.Tx
 	var fingerprints []Fingerprint
 	for f := range q.unsaved {
 		if len(fingerprints) == maxWriteBatch {
@@ -167,7 +192,7 @@
 		delete(q.unsaved, f)
 		r := q.records[f]
 		if r == nil || !r.isHeld() {
-			tx.Delete = append(tx.Delete, feed.Row{Table: table, Key: f.String()})
+			tx.Delete = append(tx.Delete, feed.Row{Table: requestTable, Key: f.String()})
 			continue
 		}
 		value, err := json.Marshal(row{Team: r.Team, Route: r.Route, Engines: engineIDs(r.crashes), HeldUnix: clock.Wall(now).Unix()})
@@ -175,9 +200,9 @@
 			q.log.Error("cannot encode held request", "fingerprint", f.String(), "error", err.Error())
 			continue
 		}
-		tx.Put = append(tx.Put, feed.Row{Table: table, Key: f.String(), Value: value})
+		tx.Put = append(tx.Put, feed.Row{Table: requestTable, Key: f.String(), Value: value})
 	}
-	return tx, fingerprints
+	return tx, func() { q.requeue(fingerprints) }
 }
 
 // requeue marks requests as unsaved again after a failed write.
--- /dev/null
+++ b/internal/quarantine/parts_test.go
@@ -0,0 +1,243 @@
+package quarantine_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/croftturn/croftturn/internal/feed"
+	"github.com/croftturn/croftturn/internal/quarantine"
+)
+
+const (
+	first, bad, other = 1, 2, 3 // first, bad and other are parts.
+)
+
+// newParts returns a Parts whose trials other nodes send first.
+func newParts() *quarantine.Parts {
+	return quarantine.NewParts(func(time.Time, string) bool { return false }, slog.New(slog.DiscardHandler))
+}
+
+// crashAll records crashes of different engines under some parts.
+func crashAll(q *quarantine.Parts, times []int, ids ...uint64) {
+	for i, ms := range times {
+		q.RecordCrash(at(ms), "p", fmt.Sprint("e", i, "-", ms), "1", ids)
+	}
+}
+
+// sends reports whether a request with some parts is sent.
+func sends(q *quarantine.Parts, ms int, ids ...uint64) bool {
+	return q.Admit(at(ms), time.Time{}, "p", ids).Held == nil
+}
+
+// TestPartIsHeldUnlessAnsweredBetweenCrashes checks which crashes and answers hold a part.
+func TestPartIsHeldUnlessAnsweredBetweenCrashes(t *testing.T) {
+	for name, test := range map[string]struct {
+		crashes  []int
+		answered int // answered is when a request with the part was answered.
+		version  string
+		held     bool
+	}{
+		"three crashes":                           {[]int{1000, 2000, 3000}, 0, "1", true},
+		"two crashes":                             {[]int{1000, 2000}, 0, "1", false},
+		"answered between":                        {[]int{1000, 2000, 3000}, 1500, "1", false},
+		"answered before":                         {[]int{1000, 2000, 3000}, 900, "1", true},
+		"answered before and held all the same":   {[]int{1000, 2000, 3000, 4000}, 1500, "1", true},
+		"answered afterwards":                     {[]int{1000, 2000, 3000}, 3500, "1", false},
+		"answered by another version":             {[]int{1000, 2000, 3000}, 3500, "2", true},
+		"engines crash together":                  {[]int{1000, 1010, 1020, 1030, 1040}, 0, "1", false},
+		"engines crash together again":            {[]int{1000, 1010, 1020, 2000, 2010}, 0, "1", false},
+		"one after another within half a second":  {[]int{1000, 1100, 1200, 1300, 1400}, 0, "1", true},
+		"one each half minute":                    {[]int{0, 30_000, 60_000}, 0, "1", true},
+		"too far apart":                           {[]int{0, 400_000, 800_000}, 0, "1", false},
+		"a part of its own beside, each time new": {[]int{1000, 2000, 3000}, 0, "1", true},
+	} {
+		q := newParts()
+		times := slices.Clone(test.crashes)
+		if test.answered > 0 {
+			times = append(times, test.answered)
+			slices.Sort(times)
+		}
+		for i, ms := range times {
+			if ms == test.answered && test.answered > 0 {
+				q.RecordAnswer(at(ms), "p", test.version, []uint64{bad})
+				continue
+			}
+			q.RecordCrash(at(ms), "p", fmt.Sprint("e", i), "1", []uint64{bad, uint64(100 + i), bad})
+		}
+		end := times[len(times)-1] + 100
+		if held := !sends(q, end, bad, 99); held != test.held {
+			t.Errorf("%s: held %v, want %v", name, held, test.held)
+		}
+		if !sends(q, end, other, 100) || !sends(q, end) {
+			t.Errorf("%s: another request is held", name)
+		}
+	}
+}
+
+// TestSoundPartBesideACrashingOneIsFoundByATrial checks that parts which occurred in the same crashes are held together, that a request
+// which has only some of them is sent as a trial, one at a time, and that its answer or crash shows which part is the cause.
+func TestSoundPartBesideACrashingOneIsFoundByATrial(t *testing.T) {
+	q := newParts()
+	crashAll(q, []int{1000, 2000, 3000}, first, bad)
+	if sends(q, 3100, first, bad) || q.Len() != 2 {
+		t.Fatalf("%d parts held, want both", q.Len())
+	}
+	if d := q.Admit(at(3100), time.Time{}, "p", []uint64{first, other}); !d.Trial {
+		t.Fatalf("a request with one of the parts is no trial: %+v", d)
+	}
+	if d := q.Admit(at(3150), time.Time{}, "p", []uint64{first, 4}); d.Held == nil || d.RetryAfter == 0 {
+		t.Errorf("a second trial at the same time: %+v", d)
+	}
+	q.RecordAnswer(at(3300), "p", "2", []uint64{first, other})
+	q.EndTrial(at(3300), "p", []uint64{first, other})
+	if !sends(q, 3400, first, 4) || sends(q, 3400, first, bad) || q.Len() != 1 {
+		t.Errorf("%d parts held after the answer, want the other one", q.Len())
+	}
+
+	q = newParts()
+	crashAll(q, []int{1000, 2000, 3000}, first, bad)
+	if d := q.Admit(at(3100), time.Time{}, "p", []uint64{bad, other}); !d.Trial {
+		t.Fatal("no trial")
+	}
+	q.RecordCrash(at(3200), "p", "e9", "1", []uint64{bad, other})
+	q.EndTrial(at(3200), "p", []uint64{bad, other})
+	if sends(q, 3300, bad, 4) || !q.Admit(at(3300), time.Time{}, "p", []uint64{first, 4}).Trial {
+		t.Error("after a trial that crashed its engine the other part is not tried")
+	}
+}
+
+// TestPeriodicTrialsOfAPart checks when a part is tried whose crashes nothing else explains.
+func TestPeriodicTrialsOfAPart(t *testing.T) {
+	q := quarantine.NewParts(func(time.Time, string) bool { return true }, slog.New(slog.DiscardHandler))
+	crashAll(q, []int{1000, 2000, 3000}, bad)
+	d := q.Admit(at(10_000), time.Time{}, "p", []uint64{bad})
+	if d.Held == nil || d.RetryAfter != 0 || fmt.Sprint(d.Held.Engines()) != "[e0-1000 e1-2000 e2-3000]" {
+		t.Errorf("before the trial is due: %+v", d)
+	}
+	if !q.Admit(at(64_000), time.Time{}, "p", []uint64{bad}).Trial {
+		t.Error("no trial a minute after the newest crash")
+	}
+	q.RecordCrash(at(64_100), "p", "e7", "1", []uint64{bad})
+	q.EndTrial(at(64_100), "p", []uint64{bad})
+	if !q.Admit(at(64_100), at(64_000), "p", []uint64{bad}).Held.TrialAt.Equal(at(64_100 + 120_000)) {
+		t.Error("want the next trial two minutes after the crash in the first")
+	}
+}
+
+// TestCrashesOfPartsAreSharedBetweenPeers checks that crashes seen by different nodes add up at all, also at one that has just started,
+// and that an answer or a release at one of them holds for all.
+func TestCrashesOfPartsAreSharedBetweenPeers(t *testing.T) {
+	all := []*quarantine.Parts{newParts(), newParts(), newParts(), newParts()}
+	exchange := func(ms int) {
+		for _, from := range all {
+			for _, to := range all {
+				if from != to {
+					to.MergeGossip(at(ms+20), from.GossipEntries(at(ms), 400*time.Millisecond).Recent(400*time.Millisecond))
+				}
+			}
+		}
+	}
+	for round, clearing := range []func(ms int){
+		func(ms int) { all[2].RecordAnswer(at(ms), "p", "1", []uint64{bad}) },
+		func(ms int) { all[1].Release(at(ms), bad) },
+	} {
+		base := round * 30_000
+		for i := range 3 {
+			all[i].RecordCrash(at(base+1000*i), "p", fmt.Sprint("e", i), "1", []uint64{first, bad, uint64(10 + i)})
+			all[i+1].RecordCrash(at(base+1000*i+30), "p", fmt.Sprint("e", i), "1", []uint64{other}) // Another request ran on the same engine.
+			all[0].RecordAnswer(at(base+1000*i+40), "p", "1", []uint64{first, other})
+			exchange(base + 1000*i + 50)
+			exchange(base + 1000*i + 150)
+		}
+		started := newParts()
+		started.MergeGossip(at(base+20_000), all[3].GossipEntries(at(base+20_000), 400*time.Millisecond))
+		for i, q := range append(slices.Clone(all), started) {
+			if sends(q, base+20_100, bad) || !sends(q, base+20_100, first, other) {
+				t.Fatalf("round %d, node %d: held %+v, want one; bad sent: %v", round, i, q.List(), sends(q, base+20_100, bad))
+			}
+		}
+		clearing(base + 21_000)
+		exchange(base + 21_010)
+		exchange(base + 21_110)
+		for i, q := range all {
+			if !sends(q, base+21_200, bad) {
+				t.Errorf("node %d still holds it", i)
+			}
+		}
+	}
+}
+
+// TestInventedPartsEvictNoEvidence checks that a caller with many parts, in each request or over many crashes, evicts no other's and that all stays bounded.
+func TestInventedPartsEvictNoEvidence(t *testing.T) {
+	q := newParts()
+	crashAll(q, []int{1000, 2000, 3000}, bad)
+	invented := uint64(1000)
+	for i := range 5000 {
+		ids := make([]uint64, 100)
+		for j := range ids {
+			invented++
+			ids[j] = invented
+		}
+		q.RecordCrash(at(4000+10*i), "p", fmt.Sprint("x", i), "1", ids)
+		q.RecordAnswer(at(4000+10*i), "p", "1", ids[50:])
+	}
+	if sends(q, 60_000, bad) || q.Len() != 1 {
+		t.Errorf("%d parts held, want the one", q.Len())
+	}
+	g := q.GossipEntries(at(54_000), 400*time.Millisecond)
+	told, parts := false, 0
+	for _, c := range g.Crashes {
+		parts += len(c.Parts)
+		told = told || slices.Contains(c.Parts, uint64(bad))
+	}
+	if parts > 400 {
+		t.Errorf("%d parts in one message", parts)
+	}
+	if g = q.GossipEntries(at(60_000), 400*time.Millisecond); len(g.Crashes) != 3 || told {
+		t.Errorf("%d crashes are told of once nothing is new, want those of the held part", len(g.Crashes))
+	}
+}
+
+// TestHeldPartsArePersisted checks that held parts are written, restored with what tells them apart, and deleted once released.
+func TestHeldPartsArePersisted(t *testing.T) {
+	now := time.Now()
+	q, s := newParts(), &store{failures: 2, written: make(chan feed.Tx, 9)}
+	for i := range 3 {
+		q.RecordCrash(now.Add(time.Duration(i-5)*time.Second), "p", fmt.Sprint("e", i), "1", []uint64{first, bad})
+	}
+	runPartPersister(t, q, s)
+	put := (<-s.written).Put
+	if len(put) != 2 {
+		t.Fatalf("written: %+v", put)
+	}
+	restarted := newParts()
+	runPartPersister(t, restarted, &store{written: make(chan feed.Tx, 9), rows: append(put, feed.Row{Key: "x@p", Value: put[0].Value}, feed.Row{Key: "8@p", Value: []byte("\xff")})})
+	for end := time.Now().Add(5 * time.Second); restarted.Len() != 2; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d held after the start, want 2", restarted.Len())
+		}
+	}
+	if now := time.Now(); restarted.Admit(now, time.Time{}, "p", []uint64{bad, first}).Held == nil || !restarted.Admit(now, time.Time{}, "p", []uint64{first}).Trial {
+		t.Error("want both held, and a request with one of them as a trial")
+	}
+	q.Release(time.Now(), bad)
+	if tx := <-s.written; len(tx.Delete) != 1 || tx.Delete[0].Key != "0000000000000002@p" {
+		t.Errorf("written after a release: %+v", tx)
+	}
+}
+
+// runPartPersister is runPersister for parts.
+func runPartPersister(t *testing.T, q *quarantine.Parts, s *store) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		quarantine.NewPartPersister(q, s, false, slog.New(slog.DiscardHandler)).Run(ctx)
+	}()
+	t.Cleanup(func() { cancel(); <-done })
+}
