Quarantine: trials of prompt parts end, and show what they can

A trial whose engine failed without being known to have crashed did not count, so that the next one followed at once: one part reached four engines late (TestTrialWhoseEngineFailedIsNotRepeatedAtOnce).

A popular sound part stayed held: three other parts had crashed the engines under it, and only pairs of parts were weighed against it. All suspects that a request lacks now count.

An engine that is back within two seconds and crashes again counted as the same crash. Crashes are told apart by incarnations where these are known.

--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/croftturn/croftturn/internal/clock"
-	"github.com/croftturn/croftturn/internal/placement"
 	"github.com/croftturn/croftturn/internal/quarantine"
 )
 
@@ -84,7 +83,7 @@
 func (x *exchange) endTrial() {
 	if !x.partTrial.IsZero() {
 		x.partTrial = time.Time{}
-		x.d.parts.EndTrial(clock.Now(), x.pool, x.req.Prompt.SharedIDs())
+		x.d.parts.EndTrial(clock.Now(), x.pool, x.req.Prompt.SharedIDs(), x.mayHaveRun)
 	}
 }
 
@@ -98,7 +97,9 @@
 		x.d.quarantine.RecordCrash(clock.Now(), x.fingerprint, quarantine.Subject{Team: x.teamName(), Route: x.route.Name}, x.choice.Engine.ID)
 	}
 	if ended && x.d.parts != nil {
-		x.d.parts.RecordCrash(clock.Now(), x.pool, x.choice.Engine.ID, x.choice.Engine.Version, x.req.Prompt.SharedIDs())
+		engine := quarantine.EngineRun{ID: x.choice.Engine.ID, Version: x.choice.Engine.Version, Incarnation: x.choice.Engine.Incarnation}
+		now := clock.Now()
+		x.d.parts.RecordCrash(now, now, x.pool, engine, x.req.Prompt.SharedIDs())
 	}
 	if !ended && !x.headReceived && ctx.Err() == nil {
 		x.d.observer.Began(now, x.teamName())
@@ -141,7 +142,7 @@
 		}
 	}
 	d.log.Log(ctx, crashLogLevel(ended), "engine failed while running request", "request", x.req.ID, "fingerprint", x.fingerprint.String(), "route", x.route.Name, "team", x.teamName(),
-		"engine", engine.ID, "ended", ended, "restarted", restarted, "parts", partNames(x.req.Prompt.Shared), "begun", x.headReceived, "unframed", x.unframed, "after_ms", now.Sub(x.sentAt).Milliseconds(), "probe_ms", took.Milliseconds(), "error", cause.Error())
+		"engine", engine.ID, "ended", ended, "restarted", restarted, "parts", partNames(x.req.Prompt.SharedIDs()), "begun", x.headReceived, "unframed", x.unframed, "after_ms", now.Sub(x.sentAt).Milliseconds(), "probe_ms", took.Milliseconds(), "error", cause.Error())
 	if ended {
 		d.observer.EngineCrashed(x.pool)
 	}
@@ -156,8 +157,8 @@
 	return probe.ended && (x.reach == nil || x.reach.OthersAnswer(context.WithoutCancel(ctx), engine.ID)), probe.took
 }
 
-// engineGone reports whether the engine has ended without notice.
-func (x *exchange) engineGone(ctx context.Context, now time.Time) bool {
+// engineEnded reports whether the engine has ended without notice.
+func (x *exchange) engineEnded(ctx context.Context, now time.Time) bool {
 	if x.d.crashes.prober == nil || x.d.placement.Leaving(x.choice.Engine.ID) {
 		return false
 	}
@@ -166,10 +167,10 @@
 }
 
 // partNames returns the first maxLoggedParts shared parts of a prompt, as in log lines.
-func partNames(parts []placement.Part) []string {
-	names := make([]string, 0, min(len(parts), maxLoggedParts))
-	for _, p := range parts[:cap(names)] {
-		names = append(names, fmt.Sprintf("%016x", p.ID))
+func partNames(ids []uint64) []string {
+	names := make([]string, 0, min(len(ids), maxLoggedParts))
+	for _, id := range ids[:min(len(ids), maxLoggedParts)] {
+		names = append(names, fmt.Sprintf("%016x", id))
 	}
 	return names
 }
--- a/internal/quarantine/draws_test.go
+++ b/internal/quarantine/draws_test.go
@@ -94,9 +94,9 @@
 	d := j.Admit(now, time.Time{}, "p", ids)
 	return d.Held == nil, d.Trial
 }
-func (j partsJudge) endTrial(now time.Time, ids []uint64) { j.EndTrial(now, "p", ids) }
+func (j partsJudge) endTrial(now time.Time, ids []uint64) { j.EndTrial(now, "p", ids, false) }
 func (j partsJudge) crash(now time.Time, engine string, ids []uint64) {
-	j.RecordCrash(now, "p", engine, "1", ids)
+	j.RecordCrash(now, now, "p", run(engine), ids)
 }
 func (j partsJudge) answer(now time.Time, ids []uint64) { j.RecordAnswer(now, "p", "1", ids) }
 
--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 )
@@ -53,7 +54,7 @@
 	// partTrial is the latest trial of a part.
 	partTrial struct {
 		at       time.Time
-		failed   int  // failed is the number of other trials in which the engine crashed.
+		failed   int  // failed is the number of other trials in which the engine failed.
 		count    int  // count is the number of periodic trials since the part was last answered.
 		here     bool // here is set while this node runs the trial.
 		periodic bool
@@ -181,7 +182,7 @@
 func (s *suspect) engineIDs() []string {
 	out := make([]string, 0, len(s.crashes))
 	for _, c := range s.crashes {
-		out = append(out, c.engine)
+		out = append(out, c.engine.ID)
 	}
 	return out
 }
@@ -205,8 +206,8 @@
 	return n
 }
 
-// splits reports whether the end of a request shows which part is the cause: one or two parts that it lacks explain the crashes under
-// its held parts about as well as these.
+// splits reports whether the end of a request shows which part is the cause: the parts that it lacks explain the crashes under its
+// held parts about as well as these. Other suspects count, and up to two parts with fewer crashes.
 func (q *Parts) splits(now time.Time, held []*suspect, ids []uint64) bool {
 	var crashes []*partCrash // crashes are those under any of the held parts.
 	for _, s := range held {
@@ -214,23 +215,34 @@
 	}
 	slices.SortFunc(crashes, comparePartCrashes)
 	crashes = slices.Compact(crashes)
-	inside := func(c *partCrash) bool {
-		return slices.ContainsFunc(held, func(s *suspect) bool { return c.parts[s.part.ID] })
-	}
 	quiet := now.Sub(crashes[len(crashes)-1].at)
-	late := quiet >= splitDelay
 	if len(held) > 1 && quiet < rivalTrialDelay {
 		return false // A request with fewer of them would show more.
 	}
-	outside := q.othersBlamed(crashes, ids)
-	for i, a := range outside {
-		for _, b := range outside[i:] {
-			unexplained := moments(crashes, func(c *partCrash) bool { return !c.parts[a.ID] && !c.parts[b.ID] })
-			if unexplained > maxUnexplained {
-				continue
+	needed, left := 0, []*partCrash(nil)
+	for _, c := range crashes {
+		suspected := false
+		for id := range c.parts {
+			if s := q.suspects[Part{c.pool, id}]; s != nil && !slices.Contains(ids, id) {
+				suspected = true
+				needed = max(needed, q.momentsWithout(s.part, held))
 			}
-			needed := max(moments(q.index[a], func(c *partCrash) bool { return !inside(c) }), moments(q.index[b], func(c *partCrash) bool { return !inside(c) }))
-			if late || unexplained <= needed {
+		}
+		if !suspected {
+			left = append(left, c)
+		}
+	}
+	shows := func(unexplained, needed int) bool {
+		return unexplained <= maxUnexplained && (unexplained <= needed || quiet >= splitDelay)
+	}
+	if len(left) < len(crashes) && shows(moments(left, func(*partCrash) bool { return true }), needed) {
+		return true
+	}
+	others := q.othersBlamed(left, ids)
+	for i, a := range others {
+		for _, b := range others[i:] {
+			unexplained := moments(left, func(c *partCrash) bool { return !c.parts[a.ID] && !c.parts[b.ID] })
+			if shows(unexplained, max(needed, q.momentsWithout(a, held), q.momentsWithout(b, held))) {
 				return true
 			}
 		}
@@ -238,6 +250,13 @@
 	return false
 }
 
+// momentsWithout returns at how many moments engines crashed under a part without any of the held parts of a request.
+func (q *Parts) momentsWithout(p Part, held []*suspect) int {
+	return moments(q.index[p], func(c *partCrash) bool {
+		return !slices.ContainsFunc(held, func(s *suspect) bool { return c.parts[s.part.ID] })
+	})
+}
+
 // othersBlamed returns the parts other than some that are blamed for several of the crashes, those for most of them first.
 func (q *Parts) othersBlamed(crashes []*partCrash, ids []uint64) []Part {
 	count := map[Part]int{}
@@ -248,13 +267,8 @@
 			}
 		}
 	}
-	var out []Part
-	for p, n := range count {
-		if n > 1 {
-			out = append(out, p)
-		}
-	}
-	slices.SortFunc(out, func(a, b Part) int { return cmp.Or(cmp.Compare(count[b], count[a]), cmp.Compare(a.ID, b.ID)) })
+	maps.DeleteFunc(count, func(_ Part, n int) bool { return n < 2 })
+	out := slices.SortedFunc(maps.Keys(count), func(a, b Part) int { return cmp.Or(cmp.Compare(count[b], count[a]), cmp.Compare(a.ID, b.ID)) })
 	return out[:min(len(out), maxRivalsCompared)]
 }
 
@@ -358,8 +372,9 @@
 	}
 }
 
-// EndTrial records that a trial has ended. One that showed nothing, neither by an answer nor by a crash, does not count.
-func (q *Parts) EndTrial(now time.Time, pool string, ids []uint64) {
+// EndTrial records that a trial has ended. failed is set if its engine failed, though it may not be known to have crashed. A
+// trial that ended otherwise without an answer does not count.
+func (q *Parts) EndTrial(now time.Time, pool string, ids []uint64, failed bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for _, id := range limitParts(ids) {
@@ -369,11 +384,11 @@
 			continue
 		}
 		t.here, t.changed = false, now
-		crashed := q.suspects[p] != nil && q.suspects[p].newest().After(t.at)
+		failed := failed || q.suspects[p] != nil && q.suspects[p].newest().After(t.at)
 		switch {
-		case t.periodic && !crashed:
+		case t.periodic && !failed:
 			t.count--
-		case !t.periodic && crashed:
+		case !t.periodic && failed:
 			t.failed++
 		}
 	}
@@ -383,7 +398,7 @@
 func (q *Parts) describe(s *suspect) *HeldPart {
 	h := &HeldPart{Part: s.part, TrialAt: q.trialAt(s), Rivals: q.rivals(s)}
 	for _, c := range s.crashes {
-		h.Crashes = append(h.Crashes, Crash{Engine: c.engine, At: c.at})
+		h.Crashes = append(h.Crashes, Crash{Engine: c.engine.ID, At: c.at})
 	}
 	return h
 }
--- a/internal/quarantine/part_gossip.go
+++ b/internal/quarantine/part_gossip.go
@@ -29,7 +29,8 @@
 		Version string        `cbor:"3,keyasint,omitempty"`
 		AgeMs   int64         `cbor:"4,keyasint,omitempty"`
 		Parts   []uint64      `cbor:"5,keyasint,omitempty"`
-		Age     time.Duration `cbor:"-"` // Age is how long ago the sender last learned something about it; it is not sent.
+		Run     int64         `cbor:"6,keyasint,omitempty"` // Run is the incarnation of the engine.
+		Age     time.Duration `cbor:"-"`                    // Age is how long ago the sender last learned something about it; it is not sent.
 	}
 
 	// PartEntry is the latest answer to requests with a part or the latest trial of it.
@@ -68,7 +69,7 @@
 	for _, c := range q.crashes {
 		age := now.Sub(c.changed)
 		if ids := q.partsToTell(c, age <= window); len(ids) > 0 {
-			g.Crashes = append(g.Crashes, PartCrashEntry{Pool: c.pool, Engine: c.engine, Version: c.version, AgeMs: now.Sub(c.at).Milliseconds(), Parts: ids, Age: age})
+			g.Crashes = append(g.Crashes, PartCrashEntry{Pool: c.pool, Engine: c.engine.ID, Version: c.engine.Version, Run: c.engine.Incarnation, AgeMs: now.Sub(c.at).Milliseconds(), Parts: ids, Age: age})
 		}
 	}
 	for key, a := range q.answers {
@@ -119,7 +120,7 @@
 	}
 	for _, e := range g.Crashes {
 		if e.AgeMs >= 0 && e.AgeMs <= rowTTL.Milliseconds() {
-			q.addCrash(now, &partCrash{pool: e.Pool, engine: e.Engine, version: e.Version, at: now.Add(-millis(e.AgeMs))}, e.Parts)
+			q.addCrash(now, &partCrash{pool: e.Pool, engine: EngineRun{e.Engine, e.Version, e.Run}, at: now.Add(-millis(e.AgeMs))}, e.Parts)
 		}
 	}
 	q.judge(now)
--- a/internal/quarantine/part_rows.go
+++ b/internal/quarantine/part_rows.go
@@ -75,7 +75,7 @@
 	}
 	for _, c := range row.Crashes {
 		age := max(0, wall.Sub(time.UnixMilli(c.UnixMs)))
-		q.addCrash(now, &partCrash{pool: p.Pool, engine: c.Engine, version: c.Version, at: now.Add(-min(age, rowTTL))}, []uint64{id})
+		q.addCrash(now, &partCrash{pool: p.Pool, engine: EngineRun{ID: c.Engine, Version: c.Version}, at: now.Add(-min(age, rowTTL))}, []uint64{id})
 	}
 	q.judge(now)
 	return nil
@@ -99,7 +99,7 @@
 		}
 		row := partRow{Pool: p.Pool, HeldUnix: clock.Wall(now).Unix()}
 		for _, c := range s.crashes[max(0, len(s.crashes)-maxCrashesKept):] {
-			row.Crashes = append(row.Crashes, crashAt{c.engine, c.version, clock.Wall(c.at).UnixMilli()})
+			row.Crashes = append(row.Crashes, crashAt{c.engine.ID, c.engine.Version, clock.Wall(c.at).UnixMilli()})
 		}
 		value, err := json.Marshal(row)
 		if err != nil {
--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -50,10 +50,18 @@
 	// partCrash is the crash of an engine and the parts of the requests that it ran. A part is removed once a request
 	// with it is answered later.
 	partCrash struct {
-		pool, engine, version string
-		at                    time.Time
-		parts                 map[uint64]bool
-		changed               time.Time
+		pool    string
+		engine  EngineRun
+		at      time.Time
+		parts   map[uint64]bool
+		changed time.Time
+	}
+
+	// EngineRun is an incarnation of an engine.
+	EngineRun struct {
+		ID          string
+		Version     string // Version is that of its software.
+		Incarnation int64  // Incarnation is 0 if it is not known; crashes of an engine are then told apart by their times.
 	}
 
 	// Parts records under which parts of prompts engines crashed, and decides which parts are held: requests with
@@ -89,15 +97,15 @@
 	}
 }
 
-// RecordCrash records that an engine crashed while it ran a request of a pool. ids are the shared parts of its prompt.
-func (q *Parts) RecordCrash(now time.Time, pool, engine, version string, ids []uint64) {
+// RecordCrash records that an engine crashed at a time while it ran a request of a pool. ids are the shared parts of its prompt.
+func (q *Parts) RecordCrash(now, at time.Time, pool string, engine EngineRun, ids []uint64) {
 	ids = limitParts(ids)
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for _, id := range ids {
 		q.seenHere[Part{pool, id}] = true
 	}
-	q.addCrash(now, &partCrash{pool: pool, engine: engine, version: version, at: now}, ids)
+	q.addCrash(now, &partCrash{pool: pool, engine: engine, at: at}, ids)
 	q.judge(now)
 }
 
@@ -164,7 +172,7 @@
 
 // comparePartCrashes orders crashes by time and, if they came at once, by engine.
 func comparePartCrashes(a, b *partCrash) int {
-	return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.engine, b.engine))
+	return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.engine.ID, b.engine.ID))
 }
 
 // findCrash returns the record of a crash that another request or node reported too, or nil.
@@ -173,7 +181,8 @@
 		if c.at.Sub(o.at) > sameCrashWindow {
 			return nil
 		}
-		if o.engine == c.engine && o.pool == c.pool && c.at.Sub(o.at).Abs() <= sameCrashWindow {
+		sameRun := o.engine.Incarnation == c.engine.Incarnation || o.engine.Incarnation == 0 || c.engine.Incarnation == 0
+		if o.engine.ID == c.engine.ID && sameRun && o.pool == c.pool && c.at.Sub(o.at).Abs() <= sameCrashWindow {
 			return o
 		}
 	}
@@ -182,7 +191,7 @@
 
 // answeredSince reports whether a request with a part was answered after a crash. Peers that blame the part are told.
 func (q *Parts) answeredSince(now time.Time, c *partCrash, p Part) bool {
-	for _, key := range []answerKey{{p, c.version}, {p, ""}} {
+	for _, key := range []answerKey{{p, c.engine.Version}, {p, ""}} {
 		if a := q.answers[key]; a != nil && !a.at.Before(c.at) {
 			a.changed = now
 			return true
@@ -210,7 +219,7 @@
 	list := q.index[key.Part]
 	left := make([]*partCrash, 0, len(list))
 	for _, c := range list {
-		if c.at.After(a.at) || key.version != "" && c.version != key.version {
+		if c.at.After(a.at) || key.version != "" && c.engine.Version != key.version {
 			left = append(left, c)
 			continue
 		}
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -21,10 +21,13 @@
 	return quarantine.NewParts(func(time.Time, string) bool { return false }, slog.New(slog.DiscardHandler))
 }
 
+// run returns an engine of version 1.
+func run(engine string) quarantine.EngineRun { return quarantine.EngineRun{ID: engine, Version: "1"} }
+
 // crashAll records crashes of different engines under some parts.
 func crashAll(q *quarantine.Parts, times []int, ids ...uint64) {
 	for i, ms := range times {
-		q.RecordCrash(at(ms), "p", fmt.Sprint("e", i, "-", ms), "1", ids)
+		q.RecordCrash(at(ms), at(ms), "p", run(fmt.Sprint("e", i, "-", ms)), ids)
 	}
 }
 
@@ -66,7 +69,7 @@
 				q.RecordAnswer(at(ms), "p", test.version, []uint64{bad})
 				continue
 			}
-			q.RecordCrash(at(ms), "p", fmt.Sprint("e", i), "1", []uint64{bad, uint64(100 + i), bad})
+			q.RecordCrash(at(ms), at(ms), "p", run(fmt.Sprint("e", i)), []uint64{bad, uint64(100 + i), bad})
 		}
 		end := times[len(times)-1] + 100
 		if held := !sends(q, end, bad, 99); held != test.held {
@@ -93,7 +96,7 @@
 		t.Errorf("a second trial at the same time: %+v", d)
 	}
 	q.RecordAnswer(at(3300), "p", "2", []uint64{first, other})
-	q.EndTrial(at(3300), "p", []uint64{first, other})
+	q.EndTrial(at(3300), "p", []uint64{first, other}, false)
 	if !sends(q, 3400, first, 4) || sends(q, 3400, first, bad) || q.Len() != 1 {
 		t.Errorf("%d parts held after the answer, want the other one", q.Len())
 	}
@@ -103,8 +106,8 @@
 	if d := q.Admit(at(3100), time.Time{}, "p", []uint64{bad, other}); !d.Trial {
 		t.Fatal("no trial")
 	}
-	q.RecordCrash(at(3200), "p", "e9", "1", []uint64{bad, other})
-	q.EndTrial(at(3200), "p", []uint64{bad, other})
+	q.RecordCrash(at(3200), at(3200), "p", run("e9"), []uint64{bad, other})
+	q.EndTrial(at(3200), "p", []uint64{bad, other}, false)
 	if sends(q, 3300, bad, 4) || !q.Admit(at(3300), time.Time{}, "p", []uint64{first, 4}).Trial {
 		t.Error("after a trial that crashed its engine the other part is not tried")
 	}
@@ -121,13 +124,31 @@
 	if !q.Admit(at(64_000), time.Time{}, "p", []uint64{bad}).Trial {
 		t.Error("no trial a minute after the newest crash")
 	}
-	q.RecordCrash(at(64_100), "p", "e7", "1", []uint64{bad})
-	q.EndTrial(at(64_100), "p", []uint64{bad})
+	q.RecordCrash(at(64_100), at(64_100), "p", run("e7"), []uint64{bad})
+	q.EndTrial(at(64_100), "p", []uint64{bad}, false)
 	if !q.Admit(at(64_100), at(64_000), "p", []uint64{bad}).Held.TrialAt.Equal(at(64_100 + 120_000)) {
 		t.Error("want the next trial two minutes after the crash in the first")
 	}
 }
 
+// TestTrialWhoseEngineFailedIsNotRepeatedAtOnce guards against trials one after another while crashes are not known to be such.
+func TestTrialWhoseEngineFailedIsNotRepeatedAtOnce(t *testing.T) {
+	for _, failed := range []bool{true, false} {
+		q := quarantine.NewParts(func(time.Time, string) bool { return true }, slog.New(slog.DiscardHandler))
+		crashAll(q, []int{1000, 2000, 2010, 3000}, bad)
+		trials := 0
+		for ms := 4100; ms < 30_000; ms += 100 {
+			if q.Admit(at(ms), time.Time{}, "p", []uint64{bad}).Trial {
+				trials++
+				q.EndTrial(at(ms+50), "p", []uint64{bad}, failed)
+			}
+		}
+		if failed && trials != 1 || !failed && trials < 2 {
+			t.Errorf("failed %v: %d trials", failed, trials)
+		}
+	}
+}
+
 // TestCrashesOfPartsAreSharedBetweenPeers checks that crashes seen by different nodes add up at all, also at one that has just started,
 // and that an answer or a release at one of them holds for all.
 func TestCrashesOfPartsAreSharedBetweenPeers(t *testing.T) {
@@ -147,8 +168,8 @@
 	} {
 		base := round * 30_000
 		for i := range 3 {
-			all[i].RecordCrash(at(base+1000*i), "p", fmt.Sprint("e", i), "1", []uint64{first, bad, uint64(10 + i)})
-			all[i+1].RecordCrash(at(base+1000*i+30), "p", fmt.Sprint("e", i), "1", []uint64{other}) // Another request ran on the same engine.
+			all[i].RecordCrash(at(base+1000*i), at(base+1000*i), "p", run(fmt.Sprint("e", i)), []uint64{first, bad, uint64(10 + i)})
+			all[i+1].RecordCrash(at(base+1000*i+30), at(base+1000*i+30), "p", run(fmt.Sprint("e", i)), []uint64{other}) // Another request ran on the same engine.
 			all[0].RecordAnswer(at(base+1000*i+40), "p", "1", []uint64{first, other})
 			exchange(base + 1000*i + 50)
 			exchange(base + 1000*i + 150)
@@ -182,7 +203,7 @@
 			invented++
 			ids[j] = invented
 		}
-		q.RecordCrash(at(4000+10*i), "p", fmt.Sprint("x", i), "1", ids)
+		q.RecordCrash(at(4000+10*i), at(4000+10*i), "p", run(fmt.Sprint("x", i)), ids)
 		q.RecordAnswer(at(4000+10*i), "p", "1", ids[50:])
 	}
 	if sends(q, 60_000, bad) || q.Len() != 1 {
@@ -207,7 +228,7 @@
 	now := time.Now()
 	q, s := newParts(), &store{failures: 2, written: make(chan feed.Tx, 9)}
 	for i := range 3 {
-		q.RecordCrash(now.Add(time.Duration(i-5)*time.Second), "p", fmt.Sprint("e", i), "1", []uint64{first, bad})
+		q.RecordCrash(now.Add(time.Duration(i-5)*time.Second), now.Add(time.Duration(i-5)*time.Second), "p", run(fmt.Sprint("e", i)), []uint64{first, bad})
 	}
 	runPartPersister(t, q, s)
 	put := (<-s.written).Put
