Dispatch: crashes that only the engine's entry shows count for prompt parts

Where most engines of a pool are down, or the machine of one says nothing, a broken connection was not known to be a crash: the node could not tell it from being cut off, since no other engine answered.

--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -145,6 +145,8 @@
 		"engine", engine.ID, "ended", ended, "restarted", restarted, "parts", partNames(x.req.Prompt.SharedIDs()), "begun", x.headReceived, "unframed", x.unframed, "after_ms", now.Sub(x.sentAt).Milliseconds(), "probe_ms", took.Milliseconds(), "error", cause.Error())
 	if ended {
 		d.observer.EngineCrashed(x.pool)
+	} else {
+		x.noteUnconfirmed(now)
 	}
 	return ended
 }
--- a/internal/dispatch/crashes_test.go
+++ b/internal/dispatch/crashes_test.go
@@ -16,7 +16,7 @@
 
 // newQuarantineDispatcher returns a dispatcher with eight engines that are all found crashed when
 // they fail, its quarantine and its prober.
-func newQuarantineDispatcher(e *fakeSender) (*dispatch.Dispatcher, *quarantine.Quarantine, *fakeProber) {
+func newQuarantineDispatcher(e *fakeSender, options ...dispatch.Option) (*dispatch.Dispatcher, *quarantine.Quarantine, *fakeProber) {
 	log := slog.New(slog.DiscardHandler)
 	q := quarantine.New(func(time.Time, quarantine.Fingerprint) bool { return false }, log)
 	p, place, proof := newFakeProber(true), placement.New("hall"), freshness.New(time.Hour)
@@ -26,7 +26,7 @@
 	}
 	proof.Renew(time.Now())
 	budget := retry.New(time.Now(), retry.Limits{Extra: 9, Window: 10 * time.Second}, func() int { return 1 })
-	d := dispatch.New(proof, place, budget, e, retryObserver{}, log, dispatch.WithProber(p), dispatch.WithQuarantine(q))
+	d := dispatch.New(proof, place, budget, e, retryObserver{}, log, append(options, dispatch.WithProber(p), dispatch.WithQuarantine(q))...)
 	d.SetTable(table(1, "k"))
 	return d, q, p
 }
--- a/internal/dispatch/ended.go
+++ b/internal/dispatch/ended.go
@@ -25,6 +25,9 @@
 	Prober interface {
 		// Ended reports whether nothing listens at the address of an engine any more.
 		Ended(ctx context.Context, address string) bool
+
+		// Probe reports whether an address accepts a connection, and whether an engine answers there.
+		Probe(ctx context.Context, address string) (connected, answered bool)
 	}
 
 	// Option configures a dispatcher.
@@ -37,6 +40,8 @@
 
 		mu     sync.Mutex
 		probes map[string]*probe // probes are keyed by engine address.
+
+		unconfirmed map[string][]unconfirmedCrash // unconfirmed holds recent failures by engine.
 	}
 
 	// probe is one check of an engine. ended and took are set before done is closed.
--- a/internal/dispatch/ended_test.go
+++ b/internal/dispatch/ended_test.go
@@ -22,6 +22,7 @@
 	// fakeProber reports a fixed result for all engines and counts its probes.
 	fakeProber struct {
 		ended  atomic.Bool
+		silent atomic.Bool // silent is set if engines accept no connections either.
 		probes atomic.Int64
 	}
 
@@ -46,6 +47,10 @@
 	return p.ended.Load()
 }
 
+func (p *fakeProber) Probe(context.Context, string) (connected, answered bool) {
+	return !p.ended.Load() && !p.silent.Load(), false
+}
+
 func (c *crashObserver) EngineCrashed(string)    { c.n.Add(1) }
 func (c *crashObserver) Began(time.Time, string) { c.began.Add(1) }
 
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -83,7 +83,7 @@
 	}
 	success := resp.Status < http.StatusMultipleChoices
 	if success && resp.Unframed {
-		resp.Body = unframedBody{resp.Body, func() bool { return x.engineGone(ctx, clock.Now()) }}
+		resp.Body = unframedBody{resp.Body, func() bool { return x.engineEnded(ctx, clock.Now()) }}
 	}
 	if success && x.needsEndCheck(resp) {
 		resp.Body = checkedBody{sse.NewWholeReader(resp.Body), resp.Body}
--- a/internal/edge/cache_watch_test.go
+++ b/internal/edge/cache_watch_test.go
@@ -126,7 +126,7 @@
 	before := near.count()
 	waitFor(t, func() bool { return near.count() > before }, "nobody took over")
 
-	sink := engineSink{second.placement, second.egress, second.limits, second.cacheWatcher, second.versions}
+	sink := engineSink{second.placement, second.egress, second.limits, second.cacheWatcher, second.versions, func(string, bool) {}}
 	sink.Drain("e0")
 	waitFor(t, func() bool { near.mu.Lock(); defer near.mu.Unlock(); return near.held == 0 }, "the call to a leaving engine is still held")
 	if watching(second) {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -217,7 +217,7 @@
 	e.store = platform.NewStore(s.PlatformAddresses, platform.StoreTimeout)
 	e.peerServer = peer.NewServer(listener, e.traffic, e.log)
 	e.newPinning()
-	e.discovery = discovery.New(platform.DecodeEngine, engineSink{e.placement, e.egress, e.limits, e.cacheWatcher, e.versions}, ms(s.EngineDrainMs), e.log, discovery.WithSpotNotice(ms(s.SpotNoticeMs)))
+	e.discovery = discovery.New(platform.DecodeEngine, engineSink{e.placement, e.egress, e.limits, e.cacheWatcher, e.versions, func(id string, restarted bool) { e.dispatcher.EngineGone(clock.Now(), id, restarted) }}, ms(s.EngineDrainMs), e.log, discovery.WithSpotNotice(ms(s.SpotNoticeMs)))
 	e.permits = limit.NewPermits(e.limits, e.peerClient, e.permitIssuer, e.gossip.ReachableShare, e.log)
 	e.dispatcher = dispatch.New(e.proof, e.placement, e.budget, e.egress, e.metrics, e.log, dispatch.WithProber(e.egress), dispatch.WithQuarantine(e.quarantine), dispatch.WithParts(e.parts), dispatch.WithLeaveObserver(e.discovery), dispatch.WithPermits(e.permits), dispatch.WithReach(e.reach), dispatch.WithInteractiveTarget(ms(s.InteractiveTargetMs)), dispatch.WithOverloadObserver(e.metrics), dispatch.WithLeavingObserver(e.metrics), dispatch.WithPinning(e.pins, e.versions, e.metrics), e.forwarding(), e.relayBuffers())
 	e.register = register.New(now, e.store, self, slices.Collect(maps.Keys(s.HallRegions)), s.FirstStart, e.gossip, e.log)
--- a/internal/edge/engines.go
+++ b/internal/edge/engines.go
@@ -15,6 +15,7 @@
 	limits    *limit.Limits
 	watcher   *cachewatch.Watcher
 	versions  *pinning.History
+	gone      func(id string, restarted bool) // gone is called when an engine's entry is gone or tells of another start.
 }
 
 // Set adds or updates an engine. If the engine has restarted, idle connections belong to its
@@ -28,6 +29,7 @@
 	if restarted {
 		s.egress.CloseIdle(e.Address)
 		s.limits.Forget(e.ID)
+		s.gone(e.ID, true)
 	}
 }
 
@@ -41,4 +43,5 @@
 func (s engineSink) Remove(id string) {
 	s.placement.Remove(id)
 	s.watcher.Stop(id)
+	s.gone(id, false)
 }
