Soak: a part of prompts crashes engines

Series of requests of which no two are alike and that share one part, on any route, also with answers that end with their connection, beside the other faults and each other. Checked: not more than three reach engines later than three seconds after the fifth crash, and sound requests of the same first part or key begin at least half as often as others.

--- a/lab/soak/caller.go
+++ b/lab/soak/caller.go
@@ -20,6 +20,9 @@
 	// requestTimeoutMs is the deadline of a request, in milliseconds.
 	requestTimeoutMs = 3000
 
+	// firstParts is the number of different first parts of prompts.
+	firstParts = 9
+
 	// requestInterval is the mean time between two requests of a caller.
 	requestInterval = 25 * time.Millisecond
 )
@@ -62,11 +65,11 @@
 	c.sent++
 	id := fmt.Sprintf("%s-%d", c.name, c.sent)
 	c.env.ledger.recordSender(id, c.env.nodeAt(address), time.Now())
-	e := result{route: routes[c.rand.IntN(len(routes))], sent: time.Now()}
+	e := result{route: routes[c.rand.IntN(len(routes))], first: fmt.Sprint("a", c.rand.IntN(firstParts)), sent: time.Now()}
 	e.key, e.team = c.env.randomKey(c.rand)
 	ctx, cancel := context.WithTimeout(ctx, (requestTimeoutMs+500)*time.Millisecond)
 	defer cancel()
-	req, err := newRequest(ctx, address, e.route, id, e.key, fmt.Sprintf("a%d:2500,%s:400", c.rand.IntN(9), id), "body of "+id)
+	req, err := newRequest(ctx, address, e.route, id, e.key, fmt.Sprintf("%s:2500,b%d:100,%s:400", e.first, c.sent%3, id), "body of "+id)
 	if err != nil {
 		c.env.ledger.recordExit(err.Error())
 		return
--- a/lab/soak/engine.go
+++ b/lab/soak/engine.go
@@ -46,20 +46,20 @@
 	evenMode    atomic.Int64 // evenMode is the mode of the remaining requests.
 	received    atomic.Int64
 	cacheCalls  atomic.Int64
-	interactive bool                          // interactive is set if the nodes treat the pools as interactive.
-	signals     atomic.Pointer[engineSignals] // signals is what the engine reports in response headers; nil for nothing.
-	brittle     atomic.Pointer[brittleness]   // brittle is nil while the engine is sound.
-	slots       atomic.Int64                  // slots is that of its entry.
-	entryMu     sync.Mutex                    // entryMu is held while its entry is written with other slots.
-	replaced    bool                          // replaced is set once another engine has its place, so that its entry must not say ready again.
-	startedAt   atomic.Int64                  // startedAt is the last start, in Unix milliseconds.
-	crash       func(e *engine, body string)  // crash stops the engine while it runs a request, and restarts it later.
-	lifecycleMu sync.Mutex                    // lifecycleMu is held while the engine restarts or must not restart, and is never released after its final stop.
+	interactive bool                                       // interactive is set if the nodes treat the pools as interactive.
+	signals     atomic.Pointer[engineSignals]              // signals is what the engine reports in response headers; nil for nothing.
+	brittle     atomic.Pointer[brittleness]                // brittle is nil while the engine is sound.
+	slots       atomic.Int64                               // slots is that of its entry.
+	entryMu     sync.Mutex                                 // entryMu is held while its entry is written with other slots.
+	replaced    bool                                       // replaced is set once another engine has its place, so that its entry must not say ready again.
+	startedAt   atomic.Int64                               // startedAt is the last start, in Unix milliseconds.
+	crash       func(e *engine, record func(at time.Time)) // crash stops the engine while it runs a request, and restarts it later.
+	lifecycleMu sync.Mutex                                 // lifecycleMu is held while the engine restarts or must not restart, and is never released after its final stop.
 	wg          sync.WaitGroup
 }
 
 // newEngine starts an engine.
-func newEngine(id, pool, version, hall string, interactive bool, l *Ledger, crash func(e *engine, body string)) (*engine, error) {
+func newEngine(id, pool, version, hall string, interactive bool, l *Ledger, crash func(e *engine, record func(at time.Time))) (*engine, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, fmt.Errorf("start engine: %w", err)
@@ -140,10 +140,14 @@
 		return
 	}
 	if bytes.HasPrefix(body, []byte(crashingBody)) {
-		go e.crash(e, string(body))
+		go e.crash(e, func(at time.Time) { e.ledger.recordCrash(string(body), at) })
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
 	}
+	if part := partOf(r); part != "" {
+		e.crashOnPart(w, r, id, part)
+		return
+	}
 	e.run(w, r, id, mode)
 }
 
--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -19,6 +19,9 @@
 
 	// maxFaultDuration bounds the duration of a single fault.
 	maxFaultDuration = 6 * time.Second
+
+	// partSeriesTime is longer, so that requests are observed once nodes have found the part.
+	partSeriesTime = 14 * time.Second
 )
 
 type (
@@ -75,6 +78,7 @@
 	{"kill all nodes", time.Second, true, killAllNodes},
 	{"engine starts again under its id", 2 * time.Second, false, restartEngine},
 	{"a request crashes engines", maxFaultDuration, false, crashingRequest},
+	{"a part of prompts crashes engines", partSeriesTime, false, crashingPartSeries},
 	{"entries of other writers", 2 * time.Second, false, invalidEntries},
 	{"hall evacuated", maxFaultDuration, false, evacuateHall},
 	{"key taken away", 100 * time.Millisecond, false, revokeKey},
--- a/lab/soak/faults_request.go
+++ b/lab/soak/faults_request.go
@@ -26,13 +26,13 @@
 )
 
 // crash stops an engine as a process crash does and restarts it later, unless it is already
-// stopping or restarting.
-func (env *Environment) crash(e *engine, body string) {
+// stopping or restarting. record is called with the time.
+func (env *Environment) crash(e *engine, record func(at time.Time)) {
 	if !e.lifecycleMu.TryLock() {
 		return
 	}
 	defer e.lifecycleMu.Unlock()
-	env.ledger.recordCrash(body, time.Now())
+	record(time.Now())
 	env.mu.Lock()
 	link := env.relays[e.id]
 	env.mu.Unlock()
@@ -57,7 +57,7 @@
 	for end := time.Now().Add(d); time.Now().Before(end); {
 		c.resolvedAt = time.Time{} // Forces a new resolution, so that another node may get it.
 		if address := c.entryAddress(); address != "" {
-			go c.send(ctx, address, route, fmt.Sprint("crashing-", r.Uint64()), name)
+			go c.send(ctx, address, route, fmt.Sprint("crashing-", r.Uint64()), name, "a:2500,b:400")
 		}
 		pause.For(ctx, crashInterval)
 	}
@@ -66,10 +66,10 @@
 
 // send sends a request that crashes engines; its result is ignored because no guarantee covers
 // it.
-func (c *caller) send(ctx context.Context, address, route, id, body string) {
+func (c *caller) send(ctx context.Context, address, route, id, body, prompt string) {
 	ctx, cancel := context.WithTimeout(ctx, requestTimeoutMs*time.Millisecond)
 	defer cancel()
-	req, err := newRequest(ctx, address, route, id, "key-0", "a:2500,b:400", body)
+	req, err := newRequest(ctx, address, route, id, crashingKey, prompt, body)
 	if err != nil {
 		c.env.ledger.recordExit(err.Error())
 		return
--- a/lab/soak/ledger.go
+++ b/lab/soak/ledger.go
@@ -24,6 +24,7 @@
 	// result is the result of a request as its caller saw it.
 	result struct {
 		route, key, team string
+		first            string // first is the first part of the prompt.
 		sent, ended      time.Time
 		status           int  // status is 0 if no complete response header arrived.
 		complete         bool // complete is set if the body was read to its end.
@@ -56,8 +57,12 @@
 		cuts        []cut
 		brittle     []brittlePeriod
 		silences    []silence
+		partSeries  []partSeries
 		streamTries []streamTry
 
+		partArrivals map[string][]time.Time // partArrivals holds when requests with a part that crashes engines reached them, by part.
+		partCrashes  map[string][]time.Time // partCrashes holds the times of the crashes, by part.
+
 		senders  map[string]sender        // senders holds where callers sent their requests, by request id.
 		arrivals map[string][]arrival     // arrivals holds the requests that reached engines, by engine.
 		signals  map[string][]sentSignals // signals holds what engines reported about themselves, by engine.
@@ -69,6 +74,7 @@
 func newLedger() *Ledger {
 	return &Ledger{
 		runs: map[string][]run{}, results: map[string]result{}, revoked: map[string]time.Time{}, leaving: map[string]time.Time{}, crashes: map[string][]time.Time{},
+		partArrivals: map[string][]time.Time{}, partCrashes: map[string][]time.Time{},
 		senders: map[string]sender{}, arrivals: map[string][]arrival{}, signals: map[string][]sentSignals{}, outages: map[string][]interval{},
 	}
 }
@@ -198,6 +204,9 @@
 	for _, p := range l.brittle {
 		out = append(out, l.tooManyFalls(p)...)
 	}
+	for _, s := range l.partSeries {
+		out = append(out, l.partViolations(s)...)
+	}
 	for _, s := range l.silences {
 		out = append(out, l.movedFromSilent(s)...)
 	}
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -30,7 +30,7 @@
 }
 
 // TestSoak runs the soak with several seeds and expects no violations. SOAK_SEEDS=FROM-TO
-// selects other seeds, SOAK_SECONDS the time of faults, and SOAK_NODES, SOAK_ENGINES and
+// selects other seeds, SOAK_ONLY one kind of fault, SOAK_SECONDS the time of faults, and SOAK_NODES, SOAK_ENGINES and
 // SOAK_CALLERS the size.
 func TestSoak(t *testing.T) {
 	seconds := fromEnv("SOAK_SECONDS", 8)
@@ -54,7 +54,7 @@
 				}
 			}
 			ledger, err := Run(context.Background(), Options{
-				Seed: seed, Nodes: nodes, Engines: engines, Callers: callers, Faults: time.Duration(seconds) * time.Second, Cooldown: 2 * time.Second, Dir: dir,
+				Seed: seed, Nodes: nodes, Engines: engines, Callers: callers, Faults: time.Duration(seconds) * time.Second, Cooldown: 2 * time.Second, Dir: dir, Only: os.Getenv("SOAK_ONLY"),
 			})
 			if err != nil {
 				t.Fatal(err)
@@ -184,6 +184,30 @@
 				l.recordCrash("crash x", at.Add(time.Duration(i)*2*time.Second))
 			}
 		},
+		"part that crashes engines": func(l *Ledger) {
+			for i := range 9 {
+				l.recordPartCrash("bad-x", at.Add(time.Duration(i)*time.Second))
+				l.recordPartArrival("bad-x", at.Add(time.Duration(i)*time.Second))
+			}
+			l.recordPartArrival("bad-x", at.Add(9*time.Second))
+			l.recordPartArrival("bad-x", at.Add(9500*time.Millisecond))
+			l.recordPartArrival("bad-x", at.Add(10*time.Second))
+			l.recordPartSeries(partSeries{part: "bad-x", interval: interval{at, at.Add(11 * time.Second)}})
+		},
+		"sound requests withheld beside a part": func(l *Ledger) {
+			l.recordPartCrash("bad-x", at.Add(-soundTime-time.Second))
+			l.recordPartSeries(partSeries{part: "bad-x", first: "a1", interval: interval{at.Add(-2 * soundTime), at.Add(time.Second)}})
+			for i := range 100 {
+				id, e := fmt.Sprint("x", i), goodResult
+				e.body, e.first = expectedBody(e.route, id), fmt.Sprint("a", i%2)
+				if e.ended = at; e.first == "a1" && i%8 > 1 {
+					e.status = unavailable
+				} else {
+					l.recordRun(id, goodRun)
+				}
+				l.recordResult(id, e)
+			}
+		},
 		"unexpected exit": func(l *Ledger) { l.recordExit("node-1 exited unexpectedly") },
 	}
 	for name, plant := range tests {
