Front: requests and messages that crash engines are withheld at the product's own interface, too

A node now finds out whether an engine is gone where a try broke off, and keeps requests and the messages that prompts share in the same quarantine as croftturn edge. A retry of one request at a second engine counts as a crash of its own, also on the users' platform, where a route with several tries could crash as many engines at each of three moments. What is held is not stored in the platform's table, nor listed to operators.

--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -99,13 +99,22 @@
 	if ended && x.d.parts != nil {
 		engine := quarantine.EngineRun{ID: x.choice.Engine.ID, Version: x.choice.Engine.Version, Incarnation: x.choice.Engine.Incarnation}
 		now := clock.Now()
-		x.d.parts.RecordCrash(now, now, x.pool, engine, x.req.Prompt.SharedIDs())
+		x.d.parts.RecordCrash(now, x.resentAt(), now, x.pool, engine, x.req.Prompt.SharedIDs())
 	}
+	x.crashedEngine = x.crashedEngine || ended
 	if !ended && !x.headReceived && ctx.Err() == nil {
 		x.d.observer.Began(now, x.teamName())
 	}
 }
 
+// resentAt returns when the request was last sent if an engine had crashed under it before, else zero.
+func (x *exchange) resentAt() time.Time {
+	if x.crashedEngine {
+		return x.sentAt
+	}
+	return time.Time{}
+}
+
 // recordAnswer records that an engine answered the request completely. A server error does not
 // count: the engine may have failed before it ran the request. Only a success is known to be written
 // by a model that has read the prompt.
--- a/internal/dispatch/unconfirmed.go
+++ b/internal/dispatch/unconfirmed.go
@@ -20,6 +20,7 @@
 
 // unconfirmedCrash is a failed request whose engine may have crashed: its machine does not respond, or no engine responds.
 type unconfirmedCrash struct {
+	resent time.Time // resent is when the request was sent if another engine had crashed under it before, else zero.
 	at     time.Time
 	engine placement.Engine
 	pool   string
@@ -44,7 +45,7 @@
 	}
 	if total < maxUnconfirmed {
 		id := x.choice.Engine.ID
-		c.unconfirmed[id] = append(c.unconfirmed[id], unconfirmedCrash{now, x.choice.Engine, x.pool, parts})
+		c.unconfirmed[id] = append(c.unconfirmed[id], unconfirmedCrash{x.resentAt(), now, x.choice.Engine, x.pool, parts})
 	}
 }
 
@@ -70,7 +71,7 @@
 		now := clock.Now()
 		for _, f := range list {
 			d.log.Warn("engine crashed under a request that failed before", "engine", id, "restarted", restarted, "parts", partNames(f.parts), "ago_ms", now.Sub(f.at).Milliseconds())
-			d.parts.RecordCrash(now, f.at, f.pool, quarantine.EngineRun{ID: id, Version: f.engine.Version, Incarnation: f.engine.Incarnation}, f.parts)
+			d.parts.RecordCrash(now, f.resent, f.at, f.pool, quarantine.EngineRun{ID: id, Version: f.engine.Version, Incarnation: f.engine.Incarnation}, f.parts)
 		}
 	})
 }
--- a/internal/dispatch/walk.go
+++ b/internal/dispatch/walk.go
@@ -49,6 +49,7 @@
 	trial       bool      // trial is set if the next attempt is the trial of a request held in the quarantine
 	partTrial   time.Time // partTrial is when the request became the trial of held parts of its prompt; zero if it is none
 
+	crashedEngine bool            // crashedEngine is set once an engine has crashed under the request
 	tried         map[string]bool // tried holds the engines that were tried
 	sent          int             // sent counts the engines that the request was sent to
 	unreachable   int             // unreachable counts the engines that could not be connected to
--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -16,6 +16,7 @@
 	"github.com/croftturn/croftturn/internal/clock"
 	"github.com/croftturn/croftturn/internal/config"
 	"github.com/croftturn/croftturn/internal/header"
+	"github.com/croftturn/croftturn/internal/quarantine"
 	"github.com/croftturn/croftturn/internal/sched"
 )
 
@@ -40,7 +41,14 @@
 		body          []byte
 		arrived       time.Time
 
+		fingerprint   quarantine.Fingerprint
+		trial         bool      // trial is set if the next try is the trial of a held request.
+		partTrial     time.Time // partTrial is when the call became the trial of held prompt parts; zero if it is none.
+		crashedEngine bool      // crashedEngine is set once an engine has crashed under the call.
+		failed        bool      // failed is set if the backend server answered with a failure.
+
 		// Chat completions only:
+		parts        []uint64 // parts are the messages that prompts share.
 		stream       bool
 		includeUsage bool
 		model        string
@@ -135,6 +143,8 @@
 	c.model, c.stream, c.includeUsage = doc.Model, doc.Stream, doc.Options.IncludeUsage
 	c.maxTokens = doc.outputTokens()
 	c.prompt = len(c.body) / bytesPerToken
+	c.parts = doc.prompt(len(c.body)).SharedIDs()
+	c.identify(r, r.URL.Path)
 	if len(doc.Messages[0]) >= minPrefixBytes {
 		c.prefix = strconv.FormatUint(xxhash.Sum64(doc.Messages[0]), 36)
 	}
@@ -157,6 +167,7 @@
 	if r.URL.RawQuery != "" {
 		c.path += "?" + r.URL.RawQuery
 	}
+	c.identify(r, c.path)
 	return c, nil
 }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -15,6 +15,7 @@
 	"github.com/croftturn/croftturn/internal/config"
 	"github.com/croftturn/croftturn/internal/engine"
 	"github.com/croftturn/croftturn/internal/journal"
+	"github.com/croftturn/croftturn/internal/quarantine"
 	"github.com/croftturn/croftturn/internal/sched"
 	"github.com/croftturn/croftturn/internal/telemetry"
 	"github.com/croftturn/croftturn/internal/wire"
@@ -76,6 +77,8 @@
 		issuer     *claim.Issuer
 		registry   *claim.Registry
 		budget     *retryBudget
+		quarantine *quarantine.Quarantine // quarantine is nil if requests that crash engines are not tracked; then parts is, too.
+		parts      *quarantine.Parts
 		mux        *http.ServeMux
 	}
 
--- a/internal/front/rig_test.go
+++ b/internal/front/rig_test.go
@@ -20,6 +20,7 @@
 	"github.com/croftturn/croftturn/internal/front"
 	"github.com/croftturn/croftturn/internal/journal"
 	"github.com/croftturn/croftturn/internal/kv"
+	"github.com/croftturn/croftturn/internal/quarantine"
 	"github.com/croftturn/croftturn/internal/sched"
 	"github.com/croftturn/croftturn/internal/settings"
 	"github.com/croftturn/croftturn/internal/telemetry"
@@ -179,6 +180,7 @@
 	t.Cleanup(keeper.Close)
 	f := front.New(views{view}, singleNode{}, singleNode{}, client, journal.New(), tele,
 		front.WithScheduler(config.PoolSchedulerDirect, r.sched),
+		front.WithQuarantine(quarantine.New(func(time.Time, quarantine.Fingerprint) bool { return false }, tele.Log), quarantine.NewParts(func(time.Time, string) bool { return false }, tele.Log)),
 		front.WithClaims(keeper, claim.NewIssuer(time.Now(), "n1", 1, time.Minute), claim.NewRegistry(time.Minute)),
 		front.WithLimits(front.Limits{MaxBody: maxBody, WriteTimeout: writeTimeout, EntryPointTTL: time.Second}))
 	srv := httptest.NewServer(f)
--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -115,13 +115,21 @@
 	scheduler := f.schedulers[c.pool.Scheduler]
 	f.budget.countRequest(c.pool.Name)
 	exclude, started := "", false
+	defer func() { f.endTrial(c, false) }()
 	for try := 1; ; try++ {
+		if failure := f.refuseHeld(clock.Now(), c); failure != nil {
+			return callResult{state: journal.Refused, failure: failure}.withEarlierTry(started)
+		}
 		want := c.schedRequest(exclude)
 		g, err := f.acquire(ctx, scheduler, want)
 		if err != nil {
 			return f.acquireFailed(ctx, err).withEarlierTry(started)
 		}
 		f.journal.Note(clock.Now(), c.id, journal.Running, g.Engine.Name, g.Why)
+		if failure := f.refuseHeld(clock.Now(), c); failure != nil { // It may have become held while it waited for a slot.
+			scheduler.Release(want, g, sched.Result{Status: broker.StatusCancelled})
+			return callResult{state: journal.Refused, failure: failure}.withEarlierTry(started)
+		}
 		if check != nil {
 			if err := check(ctx); err != nil {
 				scheduler.Release(want, g, sched.Result{Status: broker.StatusCancelled})
@@ -129,8 +137,10 @@
 			}
 			check = nil
 		}
+		sent := clock.Now()
 		res, err := f.send(ctx, w, c, x, g)
 		scheduler.Release(want, g, res)
+		f.recordTry(ctx, c, g.Engine, sent, res.Status, err)
 		if err == nil {
 			return callResult{state: journal.Completed}
 		}
--- a/internal/front/service.go
+++ b/internal/front/service.go
@@ -49,7 +49,11 @@
 	telemetry.Propagator.Inject(ctx, headerCarrier(h))
 	resp, err := x.f.engines.Do(ctx, x.c.request.Method, "http://"+g.Engine.Address+x.c.path, h, x.c.body)
 	if err == nil {
+		x.c.failed = resp.StatusCode >= http.StatusInternalServerError
 		err = x.copyResponse(w, resp)
+		if err == nil && header.Unframed(resp) && x.f.engines.Refuses(context.WithoutCancel(ctx), g.Engine.Address) {
+			err = fmt.Errorf("backend server crashed as its answer ended: %w", engine.ErrBroken)
+		}
 	}
 	res := sched.Result{Status: statusOf(ctx, err), Duration: clock.Since(started)}
 	if res.Status == broker.StatusOK {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -24,6 +24,7 @@
 	"github.com/croftturn/croftturn/internal/member"
 	"github.com/croftturn/croftturn/internal/order"
 	"github.com/croftturn/croftturn/internal/peer"
+	"github.com/croftturn/croftturn/internal/quarantine"
 	"github.com/croftturn/croftturn/internal/sched"
 	"github.com/croftturn/croftturn/internal/settings"
 	"github.com/croftturn/croftturn/internal/telemetry"
@@ -35,28 +36,30 @@
 
 // Node is one running process.
 type Node struct {
-	settings *settings.Settings
-	tele     *telemetry.Telemetry
-	platform *kv.Client
-	traffic  *peer.Traffic
-	client   *peer.Client
-	server   *peer.Server
-	table    *member.Table
-	members  *member.Service
-	store    *config.Store
-	keeper   *config.Syncer
-	journal  *journal.Journal
-	watcher  *engine.Watcher
-	direct   *sched.Direct
-	shared   *sched.Shared
-	brokers  *broker.Service
-	brokered *sched.Brokered
-	engines  *engine.Client
-	orders   *order.Service
-	claims   *claim.Claimer
-	sweeper  *claim.Sweeper
-	front    *front.Front
-	admin    *admin.Admin
+	settings   *settings.Settings
+	tele       *telemetry.Telemetry
+	platform   *kv.Client
+	traffic    *peer.Traffic
+	client     *peer.Client
+	server     *peer.Server
+	table      *member.Table
+	members    *member.Service
+	store      *config.Store
+	keeper     *config.Syncer
+	journal    *journal.Journal
+	watcher    *engine.Watcher
+	direct     *sched.Direct
+	shared     *sched.Shared
+	brokers    *broker.Service
+	brokered   *sched.Brokered
+	engines    *engine.Client
+	orders     *order.Service
+	quarantine *quarantine.Quarantine
+	parts      *quarantine.Parts
+	claims     *claim.Claimer
+	sweeper    *claim.Sweeper
+	front      *front.Front
+	admin      *admin.Admin
 
 	callers  *http.Server
 	control  *http.Server
@@ -127,10 +130,13 @@
 	n.orders = order.New(n.store, n.platform, n.engines, n.brokers, s.Instance, log)
 	n.claims = claim.NewClaimer(n.platform, s.Instance, self.Incarnation, ms(s.ClaimGatherMs), claim.WithForwarder(n))
 	n.sweeper = claim.NewSweeper(n.platform, time.Duration(s.ClaimKeepHours)*time.Hour, n.isClaimSweeper, log)
+	n.quarantine = quarantine.New(func(now time.Time, f quarantine.Fingerprint) bool { return n.maySendTrial(now, f.String()) }, log)
+	n.parts = quarantine.NewParts(n.maySendTrial, log)
 	n.front = front.New(n.store, n.table, n.client, n.engines, n.journal, n.tele,
 		front.WithScheduler(config.PoolSchedulerBroker, n.brokered),
 		front.WithScheduler(config.PoolSchedulerDirect, n.direct),
 		front.WithScheduler(config.PoolSchedulerRoundRobin, sched.NewRoundRobin(n.store)),
+		front.WithQuarantine(n.quarantine, n.parts),
 		front.WithClaims(n.claims, claim.NewIssuer(now, s.Instance, self.Incarnation, ms(s.TicketLifeMs)), claim.NewRegistry(ms(s.TicketLifeMs))),
 		front.WithLimits(front.Limits{MaxBody: int64(s.MaxBodyBytes), WriteTimeout: ms(s.WriteTimeoutMs), EntryPointTTL: ms(s.EntryKeepMs)}),
 	)
@@ -152,6 +158,7 @@
 	n.server.Handle(front.MethodOutcome, peer.Typed(n.front.HandleOutcome))
 	n.server.Handle(front.MethodRun, peer.Typed(n.front.HandleRun))
 	n.server.Handle(claim.MethodClaims, peer.Typed(n.claims.HandleClaims))
+	n.server.Handle(methodHeld, peer.Typed(n.handleHeld))
 	n.server.Handle(methodChanges, peer.Typed(func(_ context.Context, r *wire.ChangesRequest) (any, error) {
 		return n.keeper.ChangesReply(r.After)
 	}))
@@ -177,6 +184,7 @@
 	n.start(func() { n.shared.Run(ctx) })
 	n.start(func() { n.orders.Run(ctx) })
 	n.start(func() { n.sweeper.Run(ctx) })
+	n.start(func() { n.shareHeld(ctx) })
 	n.start(func() { n.serve(n.callers, callers) })
 	n.start(func() { n.serve(n.control, control) })
 }
--- a/internal/quarantine/draws_test.go
+++ b/internal/quarantine/draws_test.go
@@ -96,7 +96,7 @@
 }
 func (j partsJudge) endTrial(now time.Time, ids []uint64) { j.EndTrial(now, "p", ids, false) }
 func (j partsJudge) crash(now time.Time, engine string, ids []uint64) {
-	j.RecordCrash(now, now, "p", run(engine), ids)
+	j.RecordCrash(now, time.Time{}, now, "p", run(engine), ids)
 }
 func (j partsJudge) answer(now time.Time, ids []uint64) { j.RecordAnswer(now, "p", "1", ids) }
 
--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -80,15 +80,16 @@
 // String returns the part's ID in hexadecimal, as in log lines and row keys.
 func (p Part) String() string { return fmt.Sprintf("%016x", p.ID) }
 
-// moments returns at how many different moments some of the crashes, sorted by time, occurred.
-func moments(crashes []*partCrash, counts func(c *partCrash) bool) int {
+// moments returns at how many different moments some of the crashes under a part, sorted by time, occurred. Crashes that lie close
+// together are told apart by a request with the part that was sent again after the first of two.
+func moments(crashes []*partCrash, id uint64, counts func(c *partCrash) bool) int {
 	n := 0
 	var last time.Time
 	for _, c := range crashes {
 		if !counts(c) {
 			continue
 		}
-		if n == 0 || c.at.Sub(last) > crashMoment {
+		if n == 0 || c.at.Sub(last) > crashMoment || c.parts[id].After(last) {
 			n++
 		}
 		last = c.at
@@ -107,14 +108,14 @@
 	q.suspects = map[Part]*suspect{}
 	var list []*suspect
 	for p, crashes := range q.index {
-		if moments(crashes, func(*partCrash) bool { return true }) >= heldMoments {
+		if moments(crashes, p.ID, func(*partCrash) bool { return true }) >= heldMoments {
 			s := &suspect{part: p, crashes: crashes}
 			q.suspects[p], list = s, append(list, s)
 		}
 	}
 	explained := map[*partCrash]bool{}
 	for _, s := range list {
-		if moments(s.crashes, func(c *partCrash) bool { return !q.hasOtherSuspect(c, s.part) }) >= heldMoments {
+		if moments(s.crashes, s.part.ID, func(c *partCrash) bool { return !q.hasOtherSuspect(c, s.part) }) >= heldMoments {
 			for _, c := range s.crashes {
 				explained[c] = true
 			}
@@ -122,7 +123,7 @@
 	}
 	for _, s := range list {
 		old := before[s.part]
-		s.held = old != nil && old.held || moments(s.crashes, func(c *partCrash) bool { return !explained[c] || !q.hasOtherSuspect(c, s.part) }) >= heldMoments
+		s.held = old != nil && old.held || moments(s.crashes, s.part.ID, func(c *partCrash) bool { return !explained[c] || !q.hasOtherSuspect(c, s.part) }) >= heldMoments
 	}
 	held := 0
 	for _, s := range list {
@@ -151,12 +152,12 @@
 func (q *Parts) isDoubtful(s *suspect) bool {
 	first, last := s.crashes[0].at, s.crashes[len(s.crashes)-1].at
 	for i := 1; i < len(s.crashes); i++ {
-		if s.crashes[i].at.Sub(s.crashes[i-1].at) <= crashMoment {
+		if before := s.crashes[i-1]; s.crashes[i].at.Sub(before.at) <= crashMoment && !s.crashes[i].parts[s.part.ID].After(before.at) {
 			return true
 		}
 	}
 	return slices.ContainsFunc(q.crashes, func(c *partCrash) bool {
-		return c.pool == s.part.Pool && !c.at.Before(first) && !c.at.After(last) && !c.parts[s.part.ID] && !q.hasOtherSuspect(c, s.part)
+		return c.pool == s.part.Pool && !c.at.Before(first) && !c.at.After(last) && !c.has(s.part.ID) && !q.hasOtherSuspect(c, s.part)
 	})
 }
 
@@ -192,7 +193,7 @@
 
 // couldBe reports whether another part may be the cause of the crashes under this one: too few are left that it doesn't explain.
 func (s *suspect) couldBe(other *suspect) bool {
-	return other != s && other.part.Pool == s.part.Pool && moments(s.crashes, func(c *partCrash) bool { return !c.parts[other.part.ID] }) < heldMoments
+	return other != s && other.part.Pool == s.part.Pool && moments(s.crashes, s.part.ID, func(c *partCrash) bool { return !c.has(other.part.ID) }) < heldMoments
 }
 
 // rivals returns how many other parts may be the cause of the crashes under a part.
@@ -235,13 +236,13 @@
 	shows := func(unexplained, needed int) bool {
 		return unexplained <= maxUnexplained && (unexplained <= needed || quiet >= splitDelay)
 	}
-	if len(left) < len(crashes) && shows(moments(left, func(*partCrash) bool { return true }), needed) {
+	if len(left) < len(crashes) && shows(moments(left, held[0].part.ID, func(*partCrash) bool { return true }), needed) {
 		return true
 	}
 	others := q.othersBlamed(left, ids)
 	for i, a := range others {
 		for _, b := range others[i:] {
-			unexplained := moments(left, func(c *partCrash) bool { return !c.parts[a.ID] && !c.parts[b.ID] })
+			unexplained := moments(left, held[0].part.ID, func(c *partCrash) bool { return !c.has(a.ID) && !c.has(b.ID) })
 			if shows(unexplained, max(needed, q.momentsWithout(a, held), q.momentsWithout(b, held))) {
 				return true
 			}
@@ -252,8 +253,8 @@
 
 // momentsWithout returns at how many moments engines crashed under a part without any of the held parts of a request.
 func (q *Parts) momentsWithout(p Part, held []*suspect) int {
-	return moments(q.index[p], func(c *partCrash) bool {
-		return !slices.ContainsFunc(held, func(s *suspect) bool { return c.parts[s.part.ID] })
+	return moments(q.index[p], p.ID, func(c *partCrash) bool {
+		return !slices.ContainsFunc(held, func(s *suspect) bool { return c.has(s.part.ID) })
 	})
 }
 
--- a/internal/quarantine/part_gossip.go
+++ b/internal/quarantine/part_gossip.go
@@ -24,13 +24,14 @@
 
 	// PartCrashEntry is the crash of an engine with the parts of the requests that it ran.
 	PartCrashEntry struct {
-		Pool    string        `cbor:"1,keyasint,omitempty"`
-		Engine  string        `cbor:"2,keyasint,omitempty"`
-		Version string        `cbor:"3,keyasint,omitempty"`
-		AgeMs   int64         `cbor:"4,keyasint,omitempty"`
-		Parts   []uint64      `cbor:"5,keyasint,omitempty"`
-		Run     int64         `cbor:"6,keyasint,omitempty"` // Run is the incarnation of the engine.
-		Age     time.Duration `cbor:"-"`                    // Age is how long ago the sender last learned something about it; it is not sent.
+		Pool     string        `cbor:"1,keyasint,omitempty"`
+		Engine   string        `cbor:"2,keyasint,omitempty"`
+		Version  string        `cbor:"3,keyasint,omitempty"`
+		AgeMs    int64         `cbor:"4,keyasint,omitempty"`
+		Parts    []uint64      `cbor:"5,keyasint,omitempty"`
+		ResentMs []int64       `cbor:"7,keyasint,omitempty"` // ResentMs is how long before the crash a request with each part was sent after an earlier crash, -1 if none was.
+		Run      int64         `cbor:"6,keyasint,omitempty"` // Run is the incarnation of the engine.
+		Age      time.Duration `cbor:"-"`                    // Age is how long ago the sender last learned something about it; it is not sent.
 	}
 
 	// PartEntry is the latest answer to requests with a part or the latest trial of it.
@@ -69,7 +70,7 @@
 	for _, c := range q.crashes {
 		age := now.Sub(c.changed)
 		if ids := q.partsToTell(c, age <= window); len(ids) > 0 {
-			g.Crashes = append(g.Crashes, PartCrashEntry{Pool: c.pool, Engine: c.engine.ID, Version: c.engine.Version, Run: c.engine.Incarnation, AgeMs: now.Sub(c.at).Milliseconds(), Parts: ids, Age: age})
+			g.Crashes = append(g.Crashes, PartCrashEntry{Pool: c.pool, Engine: c.engine.ID, Version: c.engine.Version, Run: c.engine.Incarnation, ResentMs: c.resentMs(ids), AgeMs: now.Sub(c.at).Milliseconds(), Parts: ids, Age: age})
 		}
 	}
 	for key, a := range q.answers {
@@ -86,7 +87,7 @@
 	total := 0
 	for i, c := range g.Crashes {
 		left := max(0, maxGossipParts-total)
-		g.Crashes[i].Parts = c.Parts[:min(len(c.Parts), left)]
+		g.Crashes[i].Parts, g.Crashes[i].ResentMs = c.Parts[:min(len(c.Parts), left)], c.ResentMs[:min(len(c.ResentMs), left)]
 		total += len(g.Crashes[i].Parts)
 		if left == 0 {
 			g.Crashes = g.Crashes[:i]
@@ -96,6 +97,27 @@
 	return g
 }
 
+// resentMs returns how long before the crash a request with each part was sent after an earlier crash.
+func (c *partCrash) resentMs(ids []uint64) []int64 {
+	out := make([]int64, 0, len(ids))
+	for _, id := range ids {
+		ms := int64(unknownAge)
+		if sent := c.parts[id]; !sent.IsZero() {
+			ms = max(0, c.at.Sub(sent).Milliseconds())
+		}
+		out = append(out, ms)
+	}
+	return out
+}
+
+// resentAt returns when a request with part i was sent, after an earlier crash, to the engine that crashed at a time; zero if none was.
+func (e PartCrashEntry) resentAt(at time.Time, i int) time.Time {
+	if i >= len(e.ResentMs) || e.ResentMs[i] < 0 {
+		return time.Time{}
+	}
+	return at.Add(-millis(e.ResentMs[i]))
+}
+
 // partsToTell returns the parts of a crash that peers should know, those with the most crashes first: all, or only those that
 // are held or may be.
 func (q *Parts) partsToTell(c *partCrash, all bool) []uint64 {
@@ -120,7 +142,9 @@
 	}
 	for _, e := range g.Crashes {
 		if e.AgeMs >= 0 && e.AgeMs <= rowTTL.Milliseconds() {
-			q.addCrash(now, &partCrash{pool: e.Pool, engine: EngineRun{e.Engine, e.Version, e.Run}, at: now.Add(-millis(e.AgeMs))}, e.Parts)
+			c := &partCrash{pool: e.Pool, engine: EngineRun{e.Engine, e.Version, e.Run}, at: now.Add(-millis(e.AgeMs))}
+			at := c.at
+			q.addCrash(now, c, e.Parts, func(i int) time.Time { return e.resentAt(at, i) })
 		}
 	}
 	q.judge(now)
--- a/internal/quarantine/part_rows.go
+++ b/internal/quarantine/part_rows.go
@@ -75,7 +75,7 @@
 	}
 	for _, c := range row.Crashes {
 		age := max(0, wall.Sub(time.UnixMilli(c.UnixMs)))
-		q.addCrash(now, &partCrash{pool: p.Pool, engine: EngineRun{ID: c.Engine, Version: c.Version}, at: now.Add(-min(age, rowTTL))}, []uint64{id})
+		q.addCrash(now, &partCrash{pool: p.Pool, engine: EngineRun{ID: c.Engine, Version: c.Version}, at: now.Add(-min(age, rowTTL))}, []uint64{id}, func(int) time.Time { return time.Time{} })
 	}
 	q.judge(now)
 	return nil
--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -53,7 +53,7 @@
 		pool    string
 		engine  EngineRun
 		at      time.Time
-		parts   map[uint64]bool
+		parts   map[uint64]time.Time // parts holds when a request with each part was sent here after another engine had crashed under it; zero if none was.
 		changed time.Time
 	}
 
@@ -97,15 +97,16 @@
 	}
 }
 
-// RecordCrash records that an engine crashed at a time while it ran a request of a pool. ids are the shared parts of its prompt.
-func (q *Parts) RecordCrash(now, at time.Time, pool string, engine EngineRun, ids []uint64) {
+// RecordCrash records that an engine crashed at a time while it ran a request of a pool. resent is when the request was sent to it if
+// another engine had crashed under it before, else zero. ids are the shared parts of its prompt.
+func (q *Parts) RecordCrash(now, resent, at time.Time, pool string, engine EngineRun, ids []uint64) {
 	ids = limitParts(ids)
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for _, id := range ids {
 		q.seenHere[Part{pool, id}] = true
 	}
-	q.addCrash(now, &partCrash{pool: pool, engine: engine, at: at}, ids)
+	q.addCrash(now, &partCrash{pool: pool, engine: engine, at: at}, ids, func(int) time.Time { return resent })
 	q.judge(now)
 }
 
@@ -149,21 +150,28 @@
 }
 
 // addCrash adds parts to the record of a crash, but for those that were answered later. The caller holds the lock.
-func (q *Parts) addCrash(now time.Time, c *partCrash, ids []uint64) {
+// resent returns when the request with each of them was sent after an earlier crash.
+func (q *Parts) addCrash(now time.Time, c *partCrash, ids []uint64, resent func(i int) time.Time) {
 	known := q.findCrash(c)
 	if known == nil {
 		q.expire(now)
-		c.parts, c.changed, known = map[uint64]bool{}, now, c
+		c.parts, c.changed, known = map[uint64]time.Time{}, now, c
 		at, _ := slices.BinarySearchFunc(q.crashes, c, comparePartCrashes)
 		q.crashes = slices.Insert(q.crashes, at, c)
 		q.judged = false
 	}
-	for _, id := range ids {
+	for i, id := range ids {
 		p := Part{c.pool, id}
-		if known.parts[id] || len(known.parts) >= maxPartsPerCrash || q.answeredSince(now, known, p) {
+		if before, ok := known.parts[id]; ok {
+			if resent(i).After(before) {
+				known.parts[id], q.judged = resent(i), false
+			}
+			continue
+		}
+		if len(known.parts) >= maxPartsPerCrash || q.answeredSince(now, known, p) {
 			continue
 		}
-		known.parts[id], known.changed, q.judged = true, now, false
+		known.parts[id], known.changed, q.judged = resent(i), now, false
 		list := q.index[p]
 		at, _ := slices.BinarySearchFunc(list, known, comparePartCrashes)
 		q.index[p] = slices.Insert(list, at, known)
@@ -272,6 +280,12 @@
 	}
 }
 
+// has reports whether a part is blamed for the crash.
+func (c *partCrash) has(id uint64) bool {
+	_, ok := c.parts[id]
+	return ok
+}
+
 // blamesHeld reports whether a held part is blamed for a crash.
 func (q *Parts) blamesHeld(c *partCrash) bool {
 	for id := range c.parts {
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -27,7 +27,7 @@
 // crashAll records crashes of different engines under some parts.
 func crashAll(q *quarantine.Parts, times []int, ids ...uint64) {
 	for i, ms := range times {
-		q.RecordCrash(at(ms), at(ms), "p", run(fmt.Sprint("e", i, "-", ms)), ids)
+		q.RecordCrash(at(ms), time.Time{}, at(ms), "p", run(fmt.Sprint("e", i, "-", ms)), ids)
 	}
 }
 
@@ -69,7 +69,7 @@
 				q.RecordAnswer(at(ms), "p", test.version, []uint64{bad})
 				continue
 			}
-			q.RecordCrash(at(ms), at(ms), "p", run(fmt.Sprint("e", i)), []uint64{bad, uint64(100 + i), bad})
+			q.RecordCrash(at(ms), time.Time{}, at(ms), "p", run(fmt.Sprint("e", i)), []uint64{bad, uint64(100 + i), bad})
 		}
 		end := times[len(times)-1] + 100
 		if held := !sends(q, end, bad, 99); held != test.held {
@@ -106,7 +106,7 @@
 	if d := q.Admit(at(3100), time.Time{}, "p", []uint64{bad, other}); !d.Trial {
 		t.Fatal("no trial")
 	}
-	q.RecordCrash(at(3200), at(3200), "p", run("e9"), []uint64{bad, other})
+	q.RecordCrash(at(3200), time.Time{}, at(3200), "p", run("e9"), []uint64{bad, other})
 	q.EndTrial(at(3200), "p", []uint64{bad, other}, false)
 	if sends(q, 3300, bad, 4) || !q.Admit(at(3300), time.Time{}, "p", []uint64{first, 4}).Trial {
 		t.Error("after a trial that crashed its engine the other part is not tried")
@@ -124,7 +124,7 @@
 	if !q.Admit(at(64_000), time.Time{}, "p", []uint64{bad}).Trial {
 		t.Error("no trial a minute after the newest crash")
 	}
-	q.RecordCrash(at(64_100), at(64_100), "p", run("e7"), []uint64{bad})
+	q.RecordCrash(at(64_100), time.Time{}, at(64_100), "p", run("e7"), []uint64{bad})
 	q.EndTrial(at(64_100), "p", []uint64{bad}, false)
 	if !q.Admit(at(64_100), at(64_000), "p", []uint64{bad}).Held.TrialAt.Equal(at(64_100 + 120_000)) {
 		t.Error("want the next trial two minutes after the crash in the first")
@@ -168,8 +168,8 @@
 	} {
 		base := round * 30_000
 		for i := range 3 {
-			all[i].RecordCrash(at(base+1000*i), at(base+1000*i), "p", run(fmt.Sprint("e", i)), []uint64{first, bad, uint64(10 + i)})
-			all[i+1].RecordCrash(at(base+1000*i+30), at(base+1000*i+30), "p", run(fmt.Sprint("e", i)), []uint64{other}) // Another request ran on the same engine.
+			all[i].RecordCrash(at(base+1000*i), time.Time{}, at(base+1000*i), "p", run(fmt.Sprint("e", i)), []uint64{first, bad, uint64(10 + i)})
+			all[i+1].RecordCrash(at(base+1000*i+30), time.Time{}, at(base+1000*i+30), "p", run(fmt.Sprint("e", i)), []uint64{other}) // Another request ran on the same engine.
 			all[0].RecordAnswer(at(base+1000*i+40), "p", "1", []uint64{first, other})
 			exchange(base + 1000*i + 50)
 			exchange(base + 1000*i + 150)
@@ -203,7 +203,7 @@
 			invented++
 			ids[j] = invented
 		}
-		q.RecordCrash(at(4000+10*i), at(4000+10*i), "p", run(fmt.Sprint("x", i)), ids)
+		q.RecordCrash(at(4000+10*i), time.Time{}, at(4000+10*i), "p", run(fmt.Sprint("x", i)), ids)
 		q.RecordAnswer(at(4000+10*i), "p", "1", ids[50:])
 	}
 	if sends(q, 60_000, bad) || q.Len() != 1 {
@@ -228,7 +228,7 @@
 	now := time.Now()
 	q, s := newParts(), &store{failures: 2, written: make(chan feed.Tx, 9)}
 	for i := range 3 {
-		q.RecordCrash(now.Add(time.Duration(i-5)*time.Second), now.Add(time.Duration(i-5)*time.Second), "p", run(fmt.Sprint("e", i)), []uint64{first, bad})
+		q.RecordCrash(now.Add(time.Duration(i-5)*time.Second), time.Time{}, now.Add(time.Duration(i-5)*time.Second), "p", run(fmt.Sprint("e", i)), []uint64{first, bad})
 	}
 	runPartPersister(t, q, s)
 	put := (<-s.written).Put
@@ -262,3 +262,19 @@
 	}()
 	t.Cleanup(func() { cancel(); <-done })
 }
+
+// TestRetriesThatCrashEnginesAtOnceCount guards against routes with several tries, on which a part crashes two or three engines within moments.
+func TestRetriesThatCrashEnginesAtOnceCount(t *testing.T) {
+	one, other := newParts(), newParts()
+	for i := range 3 {
+		resent := time.Time{}
+		if i > 0 {
+			resent = at(1000 + 10*i - 5)
+		}
+		one.RecordCrash(at(1000+10*i), resent, at(1000+10*i), "p", run(fmt.Sprint("e", i)), []uint64{bad, uint64(100 + i)})
+	}
+	other.MergeGossip(at(1100), one.GossipEntries(at(1090), time.Second))
+	if sends(one, 1200, bad) || sends(other, 1200, bad) || !sends(one, 1200, 100) {
+		t.Error("a part is not held after one request with it crashed three engines")
+	}
+}
