--- a/lab/engine/chat.go
+++ b/lab/engine/chat.go
@@ -5,11 +5,16 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"os"
+	"strings"
 	"time"
 
 	"github.com/croftturn/croftturn/lab/record"
 )
 
+// CrashWord in a message ends the engine's process when it begins to answer.
+const CrashWord = "crash-the-engine"
+
 // chatRequest is what the engine reads of a chat completion.
 type chatRequest struct {
 	Messages []struct {
@@ -58,6 +63,9 @@
 			if sent == 0 {
 				w.Header().Set("Content-Type", "text/event-stream")
 			}
+			if j.crashes {
+				os.Exit(1)
+			}
 			if !e.stall(r.Context(), sent) || !e.writeToken(w, record.Word(mark, i), sent) {
 				e.note(line, "cancel", sent)
 				panic(http.ErrAbortHandler)
@@ -91,10 +99,12 @@
 	}
 	const bytesPerToken = 4
 	prompt := 0
+	crashes := false
 	for _, m := range req.Messages {
 		prompt += len(m.Content) / bytesPerToken
+		crashes = crashes || strings.Contains(m.Content, CrashWord)
 	}
-	j := &job{priority: req.Priority, prompt: prompt, room: prompt + tokens, from: from, to: max(tokens, from), ctx: ctx}
+	j := &job{priority: req.Priority, prompt: prompt, room: prompt + tokens, from: from, to: max(tokens, from), crashes: crashes, ctx: ctx}
 	if len(req.Messages) > 1 && !req.Continue {
 		j.prefix = req.Messages[0].Content
 	}
--- a/lab/engine/job.go
+++ b/lab/engine/job.go
@@ -13,6 +13,7 @@
 		prefix        string
 		room          int
 		from, to      int // from and to bound the tokens to generate.
+		crashes       bool
 		out           chan int
 		ctx           context.Context
 	}
