Quarantine: parts are remembered for an hour, in bounded memory

A part that crashes engines but comes less often than each five minutes was never held, as crashes were forgotten after ten minutes. They are now kept for an hour.

--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -97,8 +97,10 @@
 	return n
 }
 
-// judge finds the parts that are held: the fewest that explain the crashes. The part with the most crashes comes first;
-// another one is held only if enough crashes are left that those before it don't explain. A held part stays so until its crashes are cleared. The caller holds the lock.
+// judge finds the suspects, under which engines crashed at enough moments without an answer between, and which of them are held.
+// A suspect that alone explains enough crashes is held, and explains all of its crashes: another one is held only if enough others are
+// left for it. Suspects that can't be told apart are held together. A held part stays so until its crashes are cleared. The caller
+// holds the lock.
 func (q *Parts) judge(now time.Time) {
 	if q.judged {
 		return
@@ -107,7 +109,8 @@
 	before := q.suspects
 	q.suspects = map[Part]*suspect{}
 	var list []*suspect
-	for p, crashes := range q.index {
+	for p := range q.repeated {
+		crashes := q.index[p]
 		if moments(crashes, p.ID, func(*partCrash) bool { return true }) >= heldMoments {
 			s := &suspect{part: p, crashes: crashes}
 			q.suspects[p], list = s, append(list, s)
@@ -316,7 +319,7 @@
 		at := q.trialAt(s)
 		isDue := !now.Before(at) && (now.Sub(at) >= trialTurn || q.maySendTrial(now, s.part.String()))
 		mayTry = mayTry && (splits && q.pauseOver(now, s.part) || isDue) && !runs
-		open = open && (splits || runs || s.doubtful && q.trialCount(s.part) == 0)
+		open = open && (splits || s.doubtful && q.trialCount(s.part) == 0)
 		if at.After(due) {
 			due = at
 		}
--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"log/slog"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -16,6 +17,12 @@
 	// maxPartsPerCrash bounds the parts that are blamed for one crash. Engines run fewer than 32 requests at a time.
 	maxPartsPerCrash = 32 * maxPartsPerRequest
 
+	// partCrashTTL is how long crashes are remembered for parts that are not held. Parts may come rarely.
+	partCrashTTL = time.Hour
+
+	// pruneInterval is how often what is no longer needed is looked for.
+	pruneInterval = 10 * time.Second
+
 	// maxPartCrashes bounds the crashes that are remembered. A crash with 30 parts takes about 2 KB of heap.
 	maxPartCrashes = 1024
 
@@ -76,9 +83,11 @@
 		mu       sync.Mutex
 		crashes  []*partCrash          // crashes are sorted by time.
 		index    map[Part][]*partCrash // index holds the crashes that each part is blamed for, sorted by time.
+		repeated map[Part]bool         // repeated holds the parts with enough crashes to be suspects.
 		answers  map[answerKey]*partAnswer
 		recent   [2]map[answerKey]time.Time // recent holds the latest answers to all parts, the younger generation first.
 		rotateAt time.Time
+		prunedAt time.Time
 		trials   map[Part]*partTrial
 		suspects map[Part]*suspect // suspects is the result of the latest judgement.
 		judged   bool              // judged is set if suspects is up to date.
@@ -92,7 +101,7 @@
 // trial of a part.
 func NewParts(maySendTrial func(now time.Time, name string) bool, log *slog.Logger) *Parts {
 	return &Parts{
-		maySendTrial: maySendTrial, log: log, index: map[Part][]*partCrash{}, answers: map[answerKey]*partAnswer{}, recent: [2]map[answerKey]time.Time{{}, {}},
+		maySendTrial: maySendTrial, log: log, index: map[Part][]*partCrash{}, repeated: map[Part]bool{}, answers: map[answerKey]*partAnswer{}, recent: [2]map[answerKey]time.Time{{}, {}},
 		trials: map[Part]*partTrial{}, suspects: map[Part]*suspect{}, judged: true, seenHere: map[Part]bool{}, unsaved: map[Part]bool{}, wake: make(chan struct{}, 1),
 	}
 }
@@ -103,10 +112,10 @@
 	ids = limitParts(ids)
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.addCrash(now, &partCrash{pool: pool, engine: engine, at: at}, ids, func(int) time.Time { return resent })
 	for _, id := range ids {
 		q.seenHere[Part{pool, id}] = true
 	}
-	q.addCrash(now, &partCrash{pool: pool, engine: engine, at: at}, ids, func(int) time.Time { return resent })
 	q.judge(now)
 }
 
@@ -174,7 +183,7 @@
 		known.parts[id], known.changed, q.judged = resent(i), now, false
 		list := q.index[p]
 		at, _ := slices.BinarySearchFunc(list, known, comparePartCrashes)
-		q.index[p] = slices.Insert(list, at, known)
+		q.setIndex(p, slices.Insert(list, at, known))
 	}
 }
 
@@ -244,17 +253,29 @@
 func (q *Parts) setIndex(p Part, list []*partCrash) {
 	if len(list) == 0 {
 		delete(q.index, p)
-		return
+	} else {
+		q.index[p] = list
+	}
+	if len(list) >= heldMoments {
+		q.repeated[p] = true
+	} else {
+		delete(q.repeated, p)
 	}
-	q.index[p] = list
 }
 
 // expire removes what is no longer needed, and the oldest crashes if there are too many. Crashes of held parts
 // are kept longest. The caller holds the lock.
 func (q *Parts) expire(now time.Time) {
+	if now.Sub(q.prunedAt) >= pruneInterval {
+		q.prunedAt = now
+		q.prune(now)
+	}
 	excess := len(q.crashes) + 1 - maxPartCrashes
+	if len(q.crashes) == 0 || excess <= 0 && now.Sub(q.crashes[0].at) <= partCrashTTL {
+		return
+	}
 	q.crashes = slices.DeleteFunc(q.crashes, func(c *partCrash) bool {
-		if now.Sub(c.at) <= suspectTTL && excess <= 0 || q.blamesHeld(c) && now.Sub(c.at) <= rowTTL {
+		if now.Sub(c.at) <= partCrashTTL && excess <= 0 || q.blamesHeld(c) && now.Sub(c.at) <= rowTTL {
 			return false
 		}
 		excess--
@@ -262,22 +283,16 @@
 		for id := range c.parts {
 			p := Part{c.pool, id}
 			q.setIndex(p, slices.DeleteFunc(q.index[p], func(o *partCrash) bool { return o == c }))
-			if len(q.index[p]) == 0 {
-				delete(q.seenHere, p)
-			}
 		}
 		return true
 	})
-	for key, a := range q.answers {
-		if now.Sub(a.changed) > suspectTTL {
-			delete(q.answers, key)
-		}
-	}
-	for p, t := range q.trials {
-		if q.suspects[p] == nil && now.Sub(t.at) > suspectTTL {
-			delete(q.trials, p)
-		}
-	}
+}
+
+// prune removes what was noted of parts that are not blamed any more. The caller holds the lock.
+func (q *Parts) prune(now time.Time) {
+	maps.DeleteFunc(q.seenHere, func(p Part, _ bool) bool { return len(q.index[p]) == 0 && q.suspects[p] == nil })
+	maps.DeleteFunc(q.answers, func(_ answerKey, a *partAnswer) bool { return now.Sub(a.changed) > partCrashTTL })
+	maps.DeleteFunc(q.trials, func(p Part, t *partTrial) bool { return q.suspects[p] == nil && now.Sub(t.at) > partCrashTTL })
 }
 
 // has reports whether a part is blamed for the crash.
