--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -26,6 +26,9 @@
 	// maxPartCrashes bounds the crashes that are remembered. A crash with 30 parts takes about 2 KB of heap.
 	maxPartCrashes = 1024
 
+	// maxBlames bounds the parts of all crashes together, at about 12 MB of heap.
+	maxBlames = 1 << 15
+
 	// maxRecentParts bounds the parts of recent answers in one generation, at about 0.4 MB.
 	maxRecentParts = 4096
 
@@ -82,6 +85,7 @@
 
 		mu       sync.Mutex
 		crashes  []*partCrash          // crashes are sorted by time.
+		blames   int                   // blames is the number of parts of all crashes together.
 		index    map[Part][]*partCrash // index holds the crashes that each part is blamed for, sorted by time.
 		repeated map[Part]bool         // repeated holds the parts with enough crashes to be suspects.
 		answers  map[answerKey]*partAnswer
@@ -181,6 +185,7 @@
 			continue
 		}
 		known.parts[id], known.changed, q.judged = resent(i), now, false
+		q.blames++
 		list := q.index[p]
 		at, _ := slices.BinarySearchFunc(list, known, comparePartCrashes)
 		q.setIndex(p, slices.Insert(list, at, known))
@@ -241,6 +246,7 @@
 			continue
 		}
 		delete(c.parts, key.ID)
+		q.blames--
 	}
 	if len(left) == len(list) {
 		return
@@ -266,19 +272,20 @@
 // expire removes what is no longer needed, and the oldest crashes if there are too many. Crashes of held parts
 // are kept longest. The caller holds the lock.
 func (q *Parts) expire(now time.Time) {
-	if now.Sub(q.prunedAt) >= pruneInterval {
+	if now.Sub(q.prunedAt) >= pruneInterval || len(q.seenHere) > 2*maxBlames {
 		q.prunedAt = now
 		q.prune(now)
 	}
 	excess := len(q.crashes) + 1 - maxPartCrashes
-	if len(q.crashes) == 0 || excess <= 0 && now.Sub(q.crashes[0].at) <= partCrashTTL {
+	if len(q.crashes) == 0 || excess <= 0 && q.blames < maxBlames && now.Sub(q.crashes[0].at) <= partCrashTTL {
 		return
 	}
 	q.crashes = slices.DeleteFunc(q.crashes, func(c *partCrash) bool {
-		if now.Sub(c.at) <= partCrashTTL && excess <= 0 || q.blamesHeld(c) && now.Sub(c.at) <= rowTTL {
+		if now.Sub(c.at) <= partCrashTTL && excess <= 0 && q.blames < maxBlames || q.blamesHeld(c) && now.Sub(c.at) <= rowTTL {
 			return false
 		}
 		excess--
+		q.blames -= len(c.parts)
 		q.judged = false
 		for id := range c.parts {
 			p := Part{c.pool, id}
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"runtime"
 	"slices"
 	"testing"
 	"time"
@@ -198,19 +199,28 @@
 	q := newParts()
 	crashAll(q, []int{1000, 2000, 3000}, bad)
 	invented := uint64(1000)
-	for i := range 5000 {
+	for i := range 1200 {
 		ids := make([]uint64, 100)
-		for j := range ids {
-			invented++
-			ids[j] = invented
+		for range 20 {
+			for j := range ids {
+				invented++
+				ids[j] = invented
+			}
+			q.RecordCrash(at(4000+10*i), time.Time{}, at(4000+10*i), "p", run(fmt.Sprint("x", i)), ids)
 		}
-		q.RecordCrash(at(4000+10*i), time.Time{}, at(4000+10*i), "p", run(fmt.Sprint("x", i)), ids)
 		q.RecordAnswer(at(4000+10*i), "p", "1", ids[50:])
 	}
 	if sends(q, 60_000, bad) || q.Len() != 1 {
 		t.Errorf("%d parts held, want the one", q.Len())
 	}
-	g := q.GossipEntries(at(54_000), 400*time.Millisecond)
+	var memory runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&memory)
+	t.Logf("%d MB of heap", memory.HeapAlloc>>20)
+	if memory.HeapAlloc > 40<<20 {
+		t.Errorf("%d MB of heap", memory.HeapAlloc>>20)
+	}
+	g := q.GossipEntries(at(16_100), 400*time.Millisecond)
 	told, parts := false, 0
 	for _, c := range g.Crashes {
 		parts += len(c.Parts)
