--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -26,10 +26,10 @@
 	// maxPartCrashes bounds the crashes that are remembered. A crash with 30 parts takes about 2 KB of heap.
 	maxPartCrashes = 1024
 
-	// maxBlames bounds the parts of all crashes together, at about 12 MB of heap.
+	// maxBlames bounds the parts of all crashes together, at about 20 MB of heap.
 	maxBlames = 1 << 15
 
-	// maxRecentParts bounds the parts of recent answers in one generation, at about 0.4 MB.
+	// maxRecentParts bounds the parts of recent answers in one generation, at about 0.6 MB.
 	maxRecentParts = 4096
 
 	// recentGeneration is how long answers go into one generation of two. It exceeds the time in which nodes
