--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -24,9 +24,6 @@
 	// between, for the pool to count as unreachable; in smaller pools it is all of them.
 	enoughFailures = 3
 
-	// othersProbed is how many other engines are asked whether one of them answers. Several may have crashed as well.
-	othersProbed = 8
-
 	// settleTime is how long a suspicion waits for another engine of the pool to be heard.
 	settleTime = 100 * time.Millisecond
 
@@ -316,7 +313,7 @@
 // OthersAnswer reports whether an engine of the pool other than a given one answers a probe now, or
 // there is no other.
 func (p *Pool) OthersAnswer(ctx context.Context, engine string) bool {
-	sample, _ := p.m.engines.Sample(p.name, othersProbed, func(id string) bool { return id == engine })
+	sample, _ := p.m.engines.Sample(p.name, enoughFailures, func(id string) bool { return id == engine })
 	if len(sample) == 0 {
 		return true
 	}
