Quarantine: crashes in quick succession are several moments

A part that many requests have at once crashed engines less than 60 ms apart, one after the other, and all of these crashes counted as one moment, since each was compared with the one before.

A moment now lasts 60 ms from its first crash. The case "many at once, for a fifth of a second" of TestPartIsHeldUnlessAnsweredBetweenCrashes failed before (not held); engines that crash within 60 ms are one moment as before.

--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -37,16 +37,16 @@
 func (p Part) String() string { return fmt.Sprintf("%016x", p.ID) }
 
 // moments returns at how many different moments some of the crashes under a part, sorted by time, occurred. Crashes that lie close
-// together are told apart by a request with the part that was sent again after the first of two.
+// together are told apart by a request with the part that was sent again after the one before.
 func moments(crashes []*partCrash, id uint64, counts func(c *partCrash) bool) int {
 	n := 0
-	var last time.Time
+	var first, last time.Time // first and last are those of the latest moment.
 	for _, c := range crashes {
 		if !counts(c) {
 			continue
 		}
-		if n == 0 || c.at.Sub(last) > crashMoment || c.parts[id].After(last) {
-			n++
+		if n == 0 || c.at.Sub(first) > crashMoment || c.parts[id].After(last) {
+			n, first = n+1, c.at
 		}
 		last = c.at
 	}
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -55,6 +55,7 @@
 		"engines crash together":                  {[]int{1000, 1010, 1020, 1030, 1040}, 0, "1", false},
 		"engines crash together again":            {[]int{1000, 1010, 1020, 2000, 2010}, 0, "1", false},
 		"one after another within half a second":  {[]int{1000, 1100, 1200, 1300, 1400}, 0, "1", true},
+		"many at once, for a fifth of a second":   {[]int{1000, 1050, 1100, 1150, 1200}, 0, "1", true},
 		"one each ten minutes":                    {[]int{0, 600_000, 1_200_000}, 0, "1", true},
 		"one each half minute":                    {[]int{0, 30_000, 60_000}, 0, "1", true},
 		"too far apart":                           {[]int{0, 2_000_000, 4_000_000}, 0, "1", false},
