Lab: draws with several nodes, and with long runs and more crashing parts

The draws had one judge that hears of all after 150 ms. The product has one at each node, which sees only its own requests and learns the rest from messages.

--- a/lab/draws/draws.go
+++ b/lab/draws/draws.go
@@ -20,16 +20,21 @@
 )
 
 type (
-	// Judge decides which requests are sent to engines.
+	// Judge decides which requests are sent to engines. A request is at one of the nodes, numbered from 0.
 	Judge interface {
+		// Nodes returns the number of nodes, and NewsDelay how long after it happened a crash is known to the node of a request.
+		Nodes() int
+		NewsDelay() time.Duration
+		// Tick is called in each step.
+		Tick(now time.Time)
 		// Admit reports whether a request with some shared parts is sent, and whether as a trial.
-		Admit(now time.Time, ids []uint64) (send, trial bool)
+		Admit(now time.Time, node int, ids []uint64) (send, trial bool)
 		// EndTrial is called when a trial has ended.
-		EndTrial(now time.Time, ids []uint64)
+		EndTrial(now time.Time, node int, ids []uint64)
 		// Crash is called for each request that an engine ran when it crashed.
-		Crash(now time.Time, engine string, ids []uint64)
+		Crash(now time.Time, node int, engine string, ids []uint64)
 		// Answer is called for each complete answer.
-		Answer(now time.Time, ids []uint64)
+		Answer(now time.Time, node int, ids []uint64)
 	}
 
 	// Flow is a series of similar requests.
@@ -46,6 +51,7 @@
 		Engines   int
 		DownTime  time.Duration // DownTime is how long a crashed engine stays down.
 		RunTime   time.Duration // RunTime is the mean time of a run.
+		WaitTime  time.Duration // WaitTime is the mean time until an engine begins to answer.
 		OwnRate   float64       // OwnRate is how many engines a second crash for other reasons.
 		GroupRate float64       // GroupRate is how often a second a group of engines crashes at once.
 	}
@@ -56,7 +62,7 @@
 func New(r *rand.Rand) Draw {
 	rate := func() float64 { return 0.2 * math.Pow(100, r.Float64()) }
 	other := func() uint64 { return 10 + r.Uint64N(otherParts) }
-	d := Draw{Engines: 6 + r.IntN(maxEngines-6), DownTime: time.Duration(2+r.IntN(4)) * time.Second, RunTime: time.Duration(50+r.IntN(1000)) * time.Millisecond}
+	d := Draw{Engines: 6 + r.IntN(maxEngines-6), DownTime: time.Duration(2+r.IntN(4)) * time.Second, RunTime: time.Duration(50+r.IntN(1000)) * time.Millisecond, WaitTime: 80 * time.Millisecond}
 	for range 2 + r.IntN(6) {
 		d.Flows = append(d.Flows, Flow{Parts: []uint64{1 + r.Uint64N(firstParts), []uint64{ownPart, other()}[r.IntN(2)]}, Rate: rate()})
 	}
@@ -86,3 +92,17 @@
 	}
 	return d
 }
+
+// NewBusy draws a mix like New, with longer runs and waits, and with further parts that crash engines, some of them in many requests.
+func NewBusy(r *rand.Rand) Draw {
+	d := New(r)
+	d.RunTime = time.Duration(100*math.Pow(100, r.Float64())) * time.Millisecond
+	d.WaitTime = time.Duration(50*math.Pow(40, r.Float64())) * time.Millisecond
+	for i := range r.IntN(2) {
+		guilty := uint64(guiltyParts + 10 + i)
+		parts := []uint64{1 + r.Uint64N(firstParts), guilty, []uint64{ownPart, 10 + r.Uint64N(otherParts)}[r.IntN(2)]}
+		r.Shuffle(len(parts), func(i, j int) { parts[i], parts[j] = parts[j], parts[i] })
+		d.Flows = append(d.Flows, Flow{Parts: parts, Guilty: guilty, Rate: 0.2 * math.Pow(200, r.Float64()), Since: time.Duration(3+r.IntN(15)) * time.Second})
+	}
+	return d
+}
--- a/lab/draws/judges.go
+++ b/lab/draws/judges.go
@@ -20,11 +20,20 @@
 )
 
 type (
+	// central is the part of judges that hear of all nodes' requests.
+	central struct{}
+
 	// Parts is the product's judge.
-	Parts struct{ parts *quarantine.Parts }
+	Parts struct {
+		central
+		parts *quarantine.Parts
+	}
 
 	// Count holds each part with some crashes since its last answer.
-	Count struct{ crashes map[uint64]int }
+	Count struct {
+		central
+		crashes map[uint64]int
+	}
 
 	// Likelihood holds a part if its crashes are improbable at the rate at which all requests meet crashes.
 	Likelihood struct {
@@ -33,48 +42,57 @@
 	}
 )
 
+// Nodes implements Judge.
+func (central) Nodes() int { return 1 }
+
+// NewsDelay implements Judge.
+func (central) NewsDelay() time.Duration { return newsDelay }
+
+// Tick implements Judge.
+func (central) Tick(time.Time) {}
+
 // NewParts returns the product's judge.
 func NewParts() *Parts {
-	return &Parts{quarantine.NewParts(func(time.Time, string) bool { return true }, slog.New(slog.DiscardHandler))}
+	return &Parts{parts: quarantine.NewParts(func(time.Time, string) bool { return true }, slog.New(slog.DiscardHandler))}
 }
 
 // Admit implements Judge.
-func (j *Parts) Admit(now time.Time, ids []uint64) (send, trial bool) {
+func (j *Parts) Admit(now time.Time, _ int, ids []uint64) (send, trial bool) {
 	d := j.parts.Admit(now, time.Time{}, pool, ids)
 	return d.Held == nil, d.Trial
 }
 
 // EndTrial implements Judge.
-func (j *Parts) EndTrial(now time.Time, ids []uint64) { j.parts.EndTrial(now, pool, ids, false) }
+func (j *Parts) EndTrial(now time.Time, _ int, ids []uint64) { j.parts.EndTrial(now, pool, ids, false) }
 
 // Crash implements Judge.
-func (j *Parts) Crash(now time.Time, engine string, ids []uint64) {
+func (j *Parts) Crash(now time.Time, _ int, engine string, ids []uint64) {
 	j.parts.RecordCrash(now, time.Time{}, now, pool, quarantine.EngineRun{ID: engine}, ids)
 }
 
 // Answer implements Judge.
-func (j *Parts) Answer(now time.Time, ids []uint64) { j.parts.RecordAnswer(now, pool, "", ids) }
+func (j *Parts) Answer(now time.Time, _ int, ids []uint64) { j.parts.RecordAnswer(now, pool, "", ids) }
 
 // NewCount returns a judge that counts.
-func NewCount() *Count { return &Count{map[uint64]int{}} }
+func NewCount() *Count { return &Count{crashes: map[uint64]int{}} }
 
 // Admit implements Judge.
-func (j *Count) Admit(_ time.Time, ids []uint64) (send, trial bool) {
+func (j *Count) Admit(_ time.Time, _ int, ids []uint64) (send, trial bool) {
 	return !slices.ContainsFunc(ids, func(id uint64) bool { return j.crashes[id] >= countLimit }), false
 }
 
 // EndTrial implements Judge.
-func (j *Count) EndTrial(time.Time, []uint64) {}
+func (j *Count) EndTrial(time.Time, int, []uint64) {}
 
 // Crash implements Judge.
-func (j *Count) Crash(_ time.Time, _ string, ids []uint64) {
+func (j *Count) Crash(_ time.Time, _ int, _ string, ids []uint64) {
 	for _, id := range ids {
 		j.crashes[id]++
 	}
 }
 
 // Answer implements Judge.
-func (j *Count) Answer(_ time.Time, ids []uint64) {
+func (j *Count) Answer(_ time.Time, _ int, ids []uint64) {
 	for _, id := range ids {
 		delete(j.crashes, id)
 	}
@@ -84,7 +102,7 @@
 func NewLikelihood() *Likelihood { return &Likelihood{Count: *NewCount()} }
 
 // Admit implements Judge.
-func (j *Likelihood) Admit(_ time.Time, ids []uint64) (send, trial bool) {
+func (j *Likelihood) Admit(_ time.Time, _ int, ids []uint64) (send, trial bool) {
 	rate := (j.hits + 1) / (j.hits + j.answers + 20) // Before anything is known one request in 20 is taken to meet a crash.
 	return !slices.ContainsFunc(ids, func(id uint64) bool {
 		return j.crashes[id] >= 2 && math.Pow(rate, float64(j.crashes[id])) < improbable
@@ -92,13 +110,13 @@
 }
 
 // Crash implements Judge.
-func (j *Likelihood) Crash(now time.Time, engine string, ids []uint64) {
+func (j *Likelihood) Crash(now time.Time, _ int, engine string, ids []uint64) {
 	j.hits++
-	j.Count.Crash(now, engine, ids)
+	j.Count.Crash(now, 0, engine, ids)
 }
 
 // Answer implements Judge.
-func (j *Likelihood) Answer(now time.Time, ids []uint64) {
+func (j *Likelihood) Answer(now time.Time, _ int, ids []uint64) {
 	j.answers++
-	j.Count.Answer(now, ids)
+	j.Count.Answer(now, 0, ids)
 }
--- a/lab/draws/play.go
+++ b/lab/draws/play.go
@@ -12,7 +12,7 @@
 	step   = 10 * time.Millisecond
 	length = 45 * time.Second
 
-	// newsDelay is how long after it happened a crash is known to the judge; answers are known in half of it.
+	// newsDelay is how long after it happened a crash is known to a judge that hears of all; answers are known in half of it.
 	newsDelay = 150 * time.Millisecond
 
 	// allowedCrashes is how many engines a part may crash; contactTime later no more than maxLate requests with it may be sent, and
@@ -38,6 +38,7 @@
 		guilty uint64
 		ends   time.Duration // ends is when it is answered, or crashes the engine.
 		trial  bool
+		node   int
 	}
 
 	// news is something that the judge learns.
@@ -81,6 +82,7 @@
 	}
 	for t := time.Duration(0); t < length; t += step {
 		p.tellNews(t)
+		p.judge.Tick(start.Add(t))
 		p.endRuns(t)
 		p.crashOthers(t)
 		for _, f := range d.Flows {
@@ -124,8 +126,8 @@
 				p.crashes[r.guilty] = append(p.crashes[r.guilty], t)
 				p.crash(t, e)
 			default:
-				p.later(t+newsDelay/2, func(now time.Time) {
-					p.judge.Answer(now, r.parts)
+				p.later(t+p.judge.NewsDelay()/2, func(now time.Time) {
+					p.judge.Answer(now, r.node, r.parts)
 					p.endTrial(now, r)
 				})
 			}
@@ -139,7 +141,7 @@
 // endTrial ends the trial that a run may be.
 func (p *play) endTrial(now time.Time, r run) {
 	if r.trial {
-		p.judge.EndTrial(now, r.parts)
+		p.judge.EndTrial(now, r.node, r.parts)
 	}
 }
 
@@ -150,8 +152,8 @@
 	}
 	p.downUntil[e] = t + p.DownTime
 	for _, r := range p.runs[e] {
-		p.later(t+newsDelay, func(now time.Time) {
-			p.judge.Crash(now, fmt.Sprint("e", e), r.parts)
+		p.later(t+time.Duration((0.5+p.rand.Float64())*float64(p.judge.NewsDelay())), func(now time.Time) {
+			p.judge.Crash(now, r.node, fmt.Sprint("e", e), r.parts)
 			p.endTrial(now, r)
 		})
 	}
@@ -188,7 +190,8 @@
 			parts[i] = p.own
 		}
 	}
-	ok, trial := p.judge.Admit(start.Add(t), parts)
+	node := p.rand.IntN(p.judge.Nodes())
+	ok, trial := p.judge.Admit(start.Add(t), node, parts)
 	if f.Guilty == 0 {
 		p.result.Asked++
 		if !ok {
@@ -199,8 +202,8 @@
 	if !ok {
 		return
 	}
-	begins := t + time.Duration(p.rand.ExpFloat64()*float64(80*time.Millisecond))
-	r := run{parts: parts, guilty: f.Guilty, trial: trial, ends: begins + time.Duration((0.5+p.rand.Float64())*float64(p.RunTime))}
+	begins := t + time.Duration(p.rand.ExpFloat64()*float64(p.WaitTime))
+	r := run{parts: parts, guilty: f.Guilty, trial: trial, node: node, ends: begins + time.Duration((0.5+p.rand.Float64())*float64(p.RunTime))}
 	if f.Guilty != 0 {
 		r.ends = begins + time.Duration(20+p.rand.IntN(100))*time.Millisecond
 		p.sent[f.Guilty] = append(p.sent[f.Guilty], t)
