Dispatch: an unframed answer is not complete where no other engine answers either

Callers could still get an answer as complete that its engine had broken off by crashing, if no other engine of the pool answered a probe: the node took its engine for alive, since to a partitioned node all engines seem to have ended. That is the state of a pool which a prompt part has just crashed, and the answer cleared the part of these crashes.

A node that has just got the end of an answer is not partitioned, so the refused connection alone decides now; whether the failure counts as a crash is decided as before, at once or by the engine's entry. The case with the others down failed before on all four kinds of routes (aborted false, refused <nil>).

--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -168,13 +168,13 @@
 	return probe.ended && (x.reach == nil || x.reach.OthersAnswer(context.WithoutCancel(ctx), engine.ID)), probe.took
 }
 
-// engineEnded reports whether the engine has ended without notice.
+// engineEnded reports whether the engine has ended without notice by the time that its answer has. No other engine is asked: a node
+// that has just got the end of an answer is not partitioned.
 func (x *exchange) engineEnded(ctx context.Context, now time.Time) bool {
 	if x.d.crashes.prober == nil || x.d.placement.Leaving(x.choice.Engine.ID) {
 		return false
 	}
-	ended, _ := x.probeEngine(ctx, now)
-	return ended
+	return x.d.crashes.probe(ctx, now, x.choice.Engine.Address).ended
 }
 
 // partNames returns the first maxLoggedParts shared parts of a prompt, as in log lines.
--- a/internal/dispatch/crashes_test.go
+++ b/internal/dispatch/crashes_test.go
@@ -66,21 +66,26 @@
 // TestUnframedAnswerOfACrashedEngineIsNotComplete guards against answers that end with their connection and look complete because their engine has crashed.
 func TestUnframedAnswerOfACrashedEngineIsNotComplete(t *testing.T) {
 	for _, route := range []string{"safe", "unsafe", "stream", "resumable"} {
-		for _, crashed := range []bool{true, false} {
+		for _, test := range []struct{ crashed, othersDown bool }{{true, false}, {false, false}, {true, true}} {
+			crashed := test.crashed
 			e := &fakeSender{serve: func(context.Context, int, dispatch.Attempt) (*dispatch.Response, error) {
 				resp := respond(200, "data: well\n\n")
 				resp.Length, resp.Unframed = -1, true
 				return resp, nil
 			}}
-			d, q, p := newQuarantineDispatcher(e)
+			var options []dispatch.Option
+			if test.othersDown {
+				options = append(options, withoutAnswers(t))
+			}
+			d, q, p := newQuarantineDispatcher(e, options...)
 			p.ended.Store(crashed)
 			for range 3 {
 				if a := serve(t, d, route); (a.aborted || a.refusal != nil) != crashed {
-					t.Errorf("%s, engine crashed: %v: aborted %v, refused %+v", route, crashed, a.aborted, a.refusal)
+					t.Errorf("%s, %+v: aborted %v, refused %+v", route, test, a.aborted, a.refusal)
 				}
 			}
-			if held := q.Len() == 1; held != crashed {
-				t.Errorf("%s, engine crashed: %v: held %v", route, crashed, held)
+			if held := q.Len() == 1; held != (crashed && !test.othersDown) {
+				t.Errorf("%s, %+v: held %v", route, test, held)
 			}
 		}
 	}
