Dispatch: crashes that only the engine's entry shows count for whole requests, too

A request under which engines crash while no other engine answers, or whose engines' machines say nothing, was sent on: such a failure waited for the engine's entry on behalf of its prompt parts alone. And a node partitioned from all engines blamed its requests for engines that had left meanwhile, as a silent address counted as ended.

Both kinds of evidence go the same way now, with the time of the crash. An engine whose entry is gone counts as crashed if its machine refuses connections, or is silent while another engine answers.

--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -93,13 +93,10 @@
 // counted.
 func (x *exchange) recordFailure(ctx context.Context, now time.Time, cause error) {
 	ended := x.engineCrashed(ctx, now, cause)
-	if ended && x.d.quarantine != nil {
-		x.d.quarantine.RecordCrash(clock.Now(), x.fingerprint, quarantine.Subject{Team: x.teamName(), Route: x.route.Name}, x.choice.Engine.ID)
-	}
-	if ended && x.d.parts != nil {
-		engine := quarantine.EngineRun{ID: x.choice.Engine.ID, Version: x.choice.Engine.Version, Incarnation: x.choice.Engine.Incarnation}
+	if ended {
 		now := clock.Now()
-		x.d.parts.RecordCrash(now, x.resentAt(), now, x.pool, engine, x.req.Prompt.SharedIDs())
+		f := x.failedRun(now)
+		x.d.recordCrash(now, &f)
 	}
 	x.crashedEngine = x.crashedEngine || ended
 	if !ended && !x.headReceived && ctx.Err() == nil {
@@ -107,14 +104,6 @@
 	}
 }
 
-// resentAt returns when the request was last sent if an engine had crashed under it before, else zero.
-func (x *exchange) resentAt() time.Time {
-	if x.crashedEngine {
-		return x.sentAt
-	}
-	return time.Time{}
-}
-
 // recordAnswer records that an engine answered the request completely. A server error does not
 // count: the engine may have failed before it ran the request. Only a success is known to be written
 // by a model that has read the prompt.
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -87,7 +87,7 @@
 
 // New returns a dispatcher without a configuration.
 func New(proof *freshness.Proof, p *placement.Placement, b *retry.Budget, s Sender, o Observer, log *slog.Logger, options ...Option) *Dispatcher {
-	d := &Dispatcher{proof: proof, placement: p, budget: b, sender: s, observer: o, log: log, crashes: crashDetector{probes: map[string]*probe{}, unconfirmed: map[string][]unconfirmedCrash{}}, exchanges: activeExchanges{cancels: map[*exchange]context.CancelCauseFunc{}}}
+	d := &Dispatcher{proof: proof, placement: p, budget: b, sender: s, observer: o, log: log, crashes: crashDetector{probes: map[string]*probe{}, unconfirmed: map[string][]failedRun{}}, exchanges: activeExchanges{cancels: map[*exchange]context.CancelCauseFunc{}}}
 	for _, option := range options {
 		option(d)
 	}
--- a/internal/dispatch/ended.go
+++ b/internal/dispatch/ended.go
@@ -41,7 +41,7 @@
 		mu     sync.Mutex
 		probes map[string]*probe // probes are keyed by engine address.
 
-		unconfirmed map[string][]unconfirmedCrash // unconfirmed holds recent failures by engine.
+		unconfirmed map[string][]failedRun // unconfirmed holds recent failures by engine.
 	}
 
 	// probe is one check of an engine. ended and took are set before done is closed.
--- a/internal/dispatch/unconfirmed.go
+++ b/internal/dispatch/unconfirmed.go
@@ -7,6 +7,7 @@
 	"github.com/croftturn/croftturn/internal/clock"
 	"github.com/croftturn/croftturn/internal/placement"
 	"github.com/croftturn/croftturn/internal/quarantine"
+	"github.com/croftturn/croftturn/internal/reach"
 )
 
 const (
@@ -18,19 +19,33 @@
 	maxUnconfirmed = 1024
 )
 
-// unconfirmedCrash is a failed request whose engine may have crashed: its machine does not respond, or no engine responds.
-type unconfirmedCrash struct {
+// failedRun is a request whose engine failed while running it.
+type failedRun struct {
 	resent time.Time // resent is when the request was sent if another engine had crashed under it before, else zero.
 	at     time.Time
 	engine placement.Engine
 	pool   string
 	parts  []uint64
+
+	reach *reach.Pool // reach is nil if the connectivity to engines is not monitored.
+
+	fingerprint quarantine.Fingerprint
+	subject     quarantine.Subject
+}
+
+// failedRun returns what is known of the request whose engine failed at a time.
+func (x *exchange) failedRun(at time.Time) failedRun {
+	f := failedRun{at: at, engine: x.choice.Engine, pool: x.pool, reach: x.reach, parts: x.req.Prompt.SharedIDs(), fingerprint: x.fingerprint, subject: quarantine.Subject{Team: x.teamName(), Route: x.route.Name}}
+	if x.crashedEngine {
+		f.resent = x.sentAt
+	}
+	return f
 }
 
-// noteUnconfirmed remembers a failure until the entry of the engine shows whether it has crashed.
+// noteUnconfirmed remembers a failure whose engine may have crashed, since its machine does not respond or no engine responds, until the
+// entry of the engine shows whether it has.
 func (x *exchange) noteUnconfirmed(now time.Time) {
-	parts := x.req.Prompt.SharedIDs()
-	if x.d.parts == nil || len(parts) == 0 {
+	if x.d.parts == nil && x.d.quarantine == nil {
 		return
 	}
 	c := &x.d.crashes
@@ -45,12 +60,22 @@
 	}
 	if total < maxUnconfirmed {
 		id := x.choice.Engine.ID
-		c.unconfirmed[id] = append(c.unconfirmed[id], unconfirmedCrash{x.resentAt(), now, x.choice.Engine, x.pool, parts})
+		c.unconfirmed[id] = append(c.unconfirmed[id], x.failedRun(now))
+	}
+}
+
+// recordCrash records the crash of an engine under a request.
+func (d *Dispatcher) recordCrash(now time.Time, f *failedRun) {
+	if d.quarantine != nil {
+		d.quarantine.RecordCrash(now, f.at, f.fingerprint, f.subject, f.engine.ID)
+	}
+	if d.parts != nil {
+		d.parts.RecordCrash(now, f.resent, f.at, f.pool, quarantine.EngineRun{ID: f.engine.ID, Version: f.engine.Version, Incarnation: f.engine.Incarnation}, f.parts)
 	}
 }
 
 // EngineGone records the crash of an engine whose entry is gone or tells of another start, if requests failed there shortly before. One
-// that still accepts connections has left without notice.
+// that still accepts connections has left without notice. To a node that is partitioned from all engines, those that have left are silent.
 func (d *Dispatcher) EngineGone(now time.Time, id string, restarted bool) {
 	c := &d.crashes
 	c.mu.Lock()
@@ -61,17 +86,24 @@
 		return
 	}
 	time.AfterFunc(0, func() {
-		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-		defer cancel()
-		if !restarted {
-			if accepts, _ := c.prober.Probe(ctx, list[0].engine.Address); accepts {
-				return
-			}
+		if !restarted && !c.hasCrashed(&list[0]) {
+			return
 		}
 		now := clock.Now()
 		for _, f := range list {
-			d.log.Warn("engine crashed under a request that failed before", "engine", id, "restarted", restarted, "parts", partNames(f.parts), "ago_ms", now.Sub(f.at).Milliseconds())
-			d.parts.RecordCrash(now, f.resent, f.at, f.pool, quarantine.EngineRun{ID: id, Version: f.engine.Version, Incarnation: f.engine.Incarnation}, f.parts)
+			d.log.Warn("engine crashed under a request that failed before", "engine", id, "restarted", restarted, "fingerprint", f.fingerprint.String(), "parts", partNames(f.parts), "ago_ms", now.Sub(f.at).Milliseconds())
+			d.recordCrash(now, &f)
 		}
 	})
 }
+
+// hasCrashed reports whether an engine whose entry is gone has crashed: its machine refuses connections, or is silent while other engines
+// of the pool answer.
+func (c *crashDetector) hasCrashed(f *failedRun) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	if accepts, _ := c.prober.Probe(ctx, f.engine.Address); accepts {
+		return false
+	}
+	return f.reach == nil || c.prober.Ended(ctx, f.engine.Address) || f.reach.OthersAnswer(context.Background(), f.engine.ID)
+}
--- a/internal/quarantine/keeper_test.go
+++ b/internal/quarantine/keeper_test.go
@@ -59,7 +59,7 @@
 	now := time.Now()
 	q, s := newQuarantine(never), &store{failures: 2, written: make(chan feed.Tx, 9)}
 	for i := range 3 {
-		q.RecordCrash(now, fingerprint, subject, fmt.Sprint("e", i))
+		q.RecordCrash(now, now, fingerprint, subject, fmt.Sprint("e", i))
 	}
 	runPersister(t, q, s)
 	put := (<-s.written).Put
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -82,11 +82,11 @@
 	return &Quarantine{maySendTrial: maySendTrial, log: log, records: map[Fingerprint]*record{}, answered: map[string]*recentAnswers{}, unsaved: map[Fingerprint]bool{}, wake: make(chan struct{}, 1)}
 }
 
-// RecordCrash records that an engine crashed while it ran a request.
-func (q *Quarantine) RecordCrash(now time.Time, f Fingerprint, s Subject, engine string) {
+// RecordCrash records that an engine crashed at a time while it ran a request.
+func (q *Quarantine) RecordCrash(now, at time.Time, f Fingerprint, s Subject, engine string) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if !q.addCrash(now, f, s, Crash{Engine: engine, At: now}) {
+	if !q.addCrash(now, f, s, Crash{Engine: engine, At: at}) {
 		return
 	}
 	r := q.records[f]
