Quarantine: requests don't wait for the end of a long answer to a trial

Sound requests whose first part is held beside a crashing one got 503 until the trial of that part had been answered to its end, and one trial runs at a time in a pool: with answers of 3 to 10 s nearly all of them, again and again.

An engine that crashes under a part does so as it begins to answer. A trial whose answer has been written for 2 s now clears its parts as a whole answer does; once, until nothing has been blamed on the part for an hour, so that a part which crashes engines later in their answers is found after that.

TestLongAnswerToATrialClearsItsParts fails without the change of dispatch (2 parts held), TestLongTrialClearsItsPartsOnceBeforeItsEnd is of the new method.

--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"net/http"
 	"time"
@@ -79,6 +80,38 @@
 		"newest_ms", now.Sub(crashes[len(crashes)-1].At).Milliseconds(), "trial_in_ms", trialAt.Sub(now).Milliseconds()}, what...)...)
 }
 
+// trialBody is the body of an answer to the trial of held prompt parts.
+type trialBody struct {
+	io.ReadCloser
+	began    time.Time           // began is when its first piece came.
+	survived func(now time.Time) // survived is called with the first piece that comes quarantine.SurvivalTime later; nil after that.
+}
+
+// Read implements io.Reader.
+func (b *trialBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if n == 0 || err != nil || b.survived == nil {
+		return n, err
+	}
+	now := clock.Now()
+	switch {
+	case b.began.IsZero():
+		b.began = now
+	case now.Sub(b.began) >= quarantine.SurvivalTime:
+		b.survived(now)
+		b.survived = nil
+	}
+	return n, err
+}
+
+// watchTrial makes the body of an answer clear the held prompt parts whose trial the request is once it has been written for long enough.
+func (x *exchange) watchTrial(body io.ReadCloser) io.ReadCloser {
+	if x.partTrial.IsZero() {
+		return body
+	}
+	return &trialBody{ReadCloser: body, survived: func(now time.Time) { x.d.parts.TrialSurvives(now, x.pool, x.req.Prompt.SharedIDs()) }}
+}
+
 // endTrial ends the trial of held prompt parts, if the request is one.
 func (x *exchange) endTrial() {
 	if !x.partTrial.IsZero() {
--- a/internal/dispatch/crashes_test.go
+++ b/internal/dispatch/crashes_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"log/slog"
 	"testing"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/croftturn/croftturn/internal/placement"
 	"github.com/croftturn/croftturn/internal/quarantine"
 	"github.com/croftturn/croftturn/internal/retry"
+	"github.com/croftturn/croftturn/internal/routing"
 )
 
 // newQuarantineDispatcher returns a dispatcher with eight engines that are all found crashed when
@@ -109,3 +111,31 @@
 		t.Errorf("%d attempts of 12, %d requests held", e.sentCount(), q.Len())
 	}
 }
+
+// TestLongAnswerToATrialClearsItsParts guards against requests that are withheld until a long answer has ended.
+func TestLongAnswerToATrialClearsItsParts(t *testing.T) {
+	e := &fakeSender{serve: func(ctx context.Context, _ int, _ dispatch.Attempt) (*dispatch.Response, error) {
+		resp := respond(200, "")
+		resp.Length, resp.Body = -1, io.NopCloser(&pausingStream{ctx: ctx, pieces: []string{"data: x\n\n", "data: y\n\n", "data: z\n\n"}, pause: quarantine.SurvivalTime + 100*time.Millisecond})
+		return resp, nil
+	}}
+	parts := quarantine.NewParts(func(time.Time, string) bool { return true }, slog.New(slog.DiscardHandler))
+	for i := range 3 {
+		at := time.Now().Add(time.Duration(i-3) * time.Second)
+		parts.RecordCrash(time.Now(), time.Time{}, at, "p", quarantine.EngineRun{ID: fmt.Sprint("e", i)}, []uint64{1, 2})
+	}
+	d, _, _ := newQuarantineDispatcher(e, dispatch.WithParts(parts))
+	route := &routing.Route{Name: "stream", Host: "h", PathPrefix: "/stream/", Kind: routing.Stream, Timeout: time.Minute, Target: target, MaxEngines: 1, Shares: []routing.Share{{Pool: "p", Weight: 1}}}
+	d.SetTable(routing.NewTable(2, []*routing.Route{route}, []*routing.Pool{{Name: "p"}}, []*routing.Team{{Name: "t", Keys: []string{"k"}}}, routing.Limits{}))
+	done := make(chan *recordedAnswer)
+	go func() {
+		done <- serveRequest(context.Background(), t, d, &dispatch.Request{ID: "id", Host: "h", Path: "/stream/x", Key: "k", Patience: time.Minute, Prompt: placement.Prompt{Shared: []placement.Part{{ID: 1}}}})
+	}()
+	time.Sleep(quarantine.SurvivalTime + time.Second)
+	if parts.Len() != 1 {
+		t.Errorf("%d parts held while the trial is answered, want the other one", parts.Len())
+	}
+	if a := <-done; a.aborted || parts.Len() != 1 {
+		t.Errorf("aborted %v, %d parts held at the end", a.aborted, parts.Len())
+	}
+}
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -88,6 +88,9 @@
 	if success && x.needsEndCheck(resp) {
 		resp.Body = checkedBody{sse.NewWholeReader(resp.Body), resp.Body}
 	}
+	if success {
+		resp.Body = x.watchTrial(resp.Body)
+	}
 	if x.answerBegun && !success {
 		x.call.End(now, placement.Failed)
 		x.refuse(Refusal{Reason: EngineFailed}) // The caller already has the head of the answer of another engine.
--- a/internal/front/chat.go
+++ b/internal/front/chat.go
@@ -225,6 +225,7 @@
 		x.first = clock.Now()
 		x.f.tele.FirstToken.Record(ctx, x.first.Sub(x.c.arrived).Seconds())
 	}
+	x.f.noteProgress(clock.Now(), x.c)
 	x.tokens++
 	x.content.WriteString(e.Content)
 	x.f.tele.Tokens.Add(ctx, 1)
--- a/internal/front/held.go
+++ b/internal/front/held.go
@@ -39,7 +39,7 @@
 	}
 	d := f.parts.Admit(now, c.partTrial, c.pool.Name, c.parts)
 	if d.Trial {
-		c.partTrial = now
+		c.partTrial, c.trialBegan = now, time.Time{}
 	}
 	if d.Held != nil {
 		f.tele.Log.Info("held request refused", "request", c.id, "part", d.Held.Part.String(), "pool", c.pool.Name, "team", c.team.Name, "engines", d.Held.Engines(), "rivals", d.Held.Rivals)
@@ -60,6 +60,17 @@
 	return &CallerError{Status: http.StatusBadRequest, Code: CodeCrashesEngines, Message: "engines crashed while running this request"}
 }
 
+// noteProgress clears the held prompt parts whose trial the call is, if its engine has been answering it for long enough.
+func (f *Front) noteProgress(now time.Time, c *call) {
+	switch {
+	case c.partTrial.IsZero():
+	case c.trialBegan.IsZero():
+		c.trialBegan = now
+	case now.Sub(c.trialBegan) >= quarantine.SurvivalTime:
+		f.parts.TrialSurvives(now, c.pool.Name, c.parts)
+	}
+}
+
 // endTrial ends the trial of held prompt parts, if the call is one. failed is set if its engine failed.
 func (f *Front) endTrial(c *call, failed bool) {
 	if !c.partTrial.IsZero() {
--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -132,7 +132,7 @@
 	for p, old := range before {
 		if s := q.suspects[p]; old.held && (s == nil || !s.held) {
 			q.log.Warn("prompt part no longer held", "part", p.String(), "pool", p.Pool, "engines", old.engineIDs(), "answered", len(q.index[p]) == 0)
-			delete(q.trials, p)
+			q.forgetTrials(p)
 			q.markUnsaved(p)
 		}
 	}
--- a/internal/quarantine/part_gossip.go
+++ b/internal/quarantine/part_gossip.go
@@ -43,7 +43,8 @@
 		TrialAge  int64         `cbor:"5,keyasint,omitempty"` // TrialAge is in milliseconds, -1 for none.
 		Trials    int           `cbor:"6,keyasint,omitempty"` // Trials is the number of periodic trials, and Failed that of others in which the engine crashed.
 		Failed    int           `cbor:"7,keyasint,omitempty"`
-		Age       time.Duration `cbor:"-"` // Age is how long ago the sender last learned something about it; it is not sent.
+		Survived  bool          `cbor:"8,keyasint,omitempty"` // Survived is set if a trial has cleared the part before its end.
+		Age       time.Duration `cbor:"-"`                    // Age is how long ago the sender last learned something about it; it is not sent.
 	}
 )
 
@@ -79,7 +80,7 @@
 		}
 	}
 	for p, t := range q.trials {
-		g.Parts = append(g.Parts, PartEntry{Pool: p.Pool, Part: p.ID, AnswerAge: unknownAge, TrialAge: now.Sub(t.at).Milliseconds(), Trials: t.count, Failed: t.failed, Age: now.Sub(t.changed)})
+		g.Parts = append(g.Parts, PartEntry{Pool: p.Pool, Part: p.ID, AnswerAge: unknownAge, TrialAge: now.Sub(t.at).Milliseconds(), Trials: t.count, Failed: t.failed, Survived: t.survived, Age: now.Sub(t.changed)})
 	}
 	slices.SortFunc(g.Crashes, func(a, b PartCrashEntry) int { return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.AgeMs, b.AgeMs)) })
 	slices.SortFunc(g.Parts, func(a, b PartEntry) int { return cmp.Compare(a.Age, b.Age) })
@@ -166,8 +167,8 @@
 			t = &partTrial{}
 			q.trials[p] = t
 		}
-		if at.Sub(t.at) > sameAnswerWindow || e.Trials > t.count || e.Failed > t.failed {
-			t.count, t.failed, t.changed = max(t.count, e.Trials), max(t.failed, e.Failed), now
+		if at.Sub(t.at) > sameAnswerWindow || e.Trials > t.count || e.Failed > t.failed || e.Survived && !t.survived {
+			t.count, t.failed, t.survived, t.changed = max(t.count, e.Trials), max(t.failed, e.Failed), t.survived || e.Survived, now
 			if at.After(t.at) {
 				t.at = at
 			}
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -116,6 +116,30 @@
 	}
 }
 
+// TestLongTrialClearsItsPartsOnceBeforeItsEnd guards against requests that wait for the end of a long answer to the trial of a sound
+// part, and against a part that is cleared again and again though engines crash under it later in their answers.
+func TestLongTrialClearsItsPartsOnceBeforeItsEnd(t *testing.T) {
+	q := newParts()
+	ids := []uint64{first, other}
+	for i, want := range []bool{true, false} {
+		ms := 100_000 * i
+		cause := uint64(bad + 10*i)
+		crashAll(q, []int{ms + 1000, ms + 2000, ms + 3000}, first, cause)
+		if !q.Admit(at(ms+3100), time.Time{}, "p", ids).Trial {
+			t.Fatal("no trial")
+		}
+		q.TrialSurvives(at(ms+6000), "p", ids)
+		if sends(q, ms+6100, first, 4) != want || sends(q, ms+6100, first, cause) {
+			t.Errorf("trial %d: after %v of its answer a request with the sound part is sent: %v", i, quarantine.SurvivalTime, !want)
+		}
+		q.RecordAnswer(at(ms+9000), "p", "1", ids)
+		q.EndTrial(at(ms+9000), "p", ids, false)
+		if !sends(q, ms+9100, first, 4) {
+			t.Errorf("trial %d: held after its end", i)
+		}
+	}
+}
+
 // TestPeriodicTrialsOfAPart checks when a part is tried whose crashes nothing else explains.
 func TestPeriodicTrialsOfAPart(t *testing.T) {
 	q := quarantine.NewParts(func(time.Time, string) bool { return true }, slog.New(slog.DiscardHandler))
--- a/internal/quarantine/trial.go
+++ b/internal/quarantine/trial.go
@@ -30,6 +30,9 @@
 	// splitTrialPause is how long after such a trial in which the engine crashed the next one is sent; it doubles each time.
 	splitTrialPause = 4 * time.Second
 
+	// SurvivalTime is for how long an engine must have answered a trial to clear its parts: engines crash as they begin to answer.
+	SurvivalTime = 2 * time.Second
+
 	// splitDelay is how long after the newest crash such a trial is sent by a request whose parts explain the crashes better than those it lacks.
 	splitDelay = 2 * time.Second
 )
@@ -41,6 +44,7 @@
 		failed   int  // failed is the number of other trials in which the engine failed.
 		count    int  // count is the number of periodic trials since the part was last answered.
 		here     bool // here is set while this node runs the trial.
+		survived bool // survived is set once the part was cleared by a trial that was still being answered.
 		periodic bool
 		changed  time.Time
 	}
@@ -219,6 +223,30 @@
 	}
 }
 
+// forgetTrials removes what is known of the trials of a part, but for whether one has cleared it before its end.
+func (q *Parts) forgetTrials(p Part) {
+	if t := q.trials[p]; t != nil && t.survived {
+		q.trials[p] = &partTrial{at: t.at, here: t.here, survived: true, changed: t.changed}
+		return
+	}
+	delete(q.trials, p)
+}
+
+// TrialSurvives records that an engine has been answering a trial for SurvivalTime. It clears the parts as a complete answer does, so that
+// other requests don't wait for the end of a long answer, but only once: a part under which engines crash again needs a complete answer.
+func (q *Parts) TrialSurvives(now time.Time, pool string, ids []uint64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, id := range limitParts(ids) {
+		p := Part{pool, id}
+		if t := q.trials[p]; t != nil && t.here && !t.survived {
+			t.survived, t.changed = true, now
+			q.addAnswer(now, now, answerKey{Part: p})
+		}
+	}
+	q.judge(now)
+}
+
 // EndTrial records that a trial has ended. failed is set if its engine failed, though it may not be known to have crashed. A
 // trial that ended otherwise without an answer does not count.
 func (q *Parts) EndTrial(now time.Time, pool string, ids []uint64, failed bool) {
--- a/lab/draws/draws.go
+++ b/lab/draws/draws.go
@@ -29,6 +29,8 @@
 		Tick(now time.Time)
 		// Admit reports whether a request with some shared parts is sent, and whether as a trial.
 		Admit(now time.Time, node int, ids []uint64) (send, trial bool)
+		// Survives is called for a trial that has been answered for some time.
+		Survives(now time.Time, node int, ids []uint64)
 		// EndTrial is called when a trial has ended.
 		EndTrial(now time.Time, node int, ids []uint64)
 		// Crash is called for each request that an engine ran when it crashed.
--- a/lab/draws/judges.go
+++ b/lab/draws/judges.go
@@ -51,6 +51,9 @@
 // Tick implements Judge.
 func (central) Tick(time.Time) {}
 
+// Survives implements Judge.
+func (central) Survives(time.Time, int, []uint64) {}
+
 // NewParts returns the product's judge.
 func NewParts() *Parts {
 	return &Parts{parts: quarantine.NewParts(func(time.Time, string) bool { return true }, slog.New(slog.DiscardHandler))}
@@ -62,6 +65,9 @@
 	return d.Held == nil, d.Trial
 }
 
+// Survives implements Judge.
+func (j *Parts) Survives(now time.Time, _ int, ids []uint64) { j.parts.TrialSurvives(now, pool, ids) }
+
 // EndTrial implements Judge.
 func (j *Parts) EndTrial(now time.Time, _ int, ids []uint64) { j.parts.EndTrial(now, pool, ids, false) }
 
--- a/lab/draws/nodes.go
+++ b/lab/draws/nodes.go
@@ -88,6 +88,11 @@
 	return d.Held == nil, d.Trial
 }
 
+// Survives implements Judge.
+func (m *Mesh) Survives(now time.Time, node int, ids []uint64) {
+	m.nodes[node].TrialSurvives(now, pool, ids)
+}
+
 // EndTrial implements Judge.
 func (m *Mesh) EndTrial(now time.Time, node int, ids []uint64) {
 	m.nodes[node].EndTrial(now, pool, ids, false)
--- a/lab/draws/play.go
+++ b/lab/draws/play.go
@@ -15,6 +15,9 @@
 	// newsDelay is how long after it happened a crash is known to a judge that hears of all; answers are known in half of it.
 	newsDelay = 150 * time.Millisecond
 
+	// survivalTime is for how long a trial is answered until the judge is told.
+	survivalTime = 2 * time.Second
+
 	// allowedCrashes is how many engines a part may crash; contactTime later no more than maxLate requests with it may be sent, and
 	// after twice that time half of the sound requests with the same first part must be, if there are minAsked.
 	allowedCrashes = 5
@@ -36,6 +39,7 @@
 	run struct {
 		parts  []uint64
 		guilty uint64
+		shows  time.Duration // shows is when it has been answered for survivalTime.
 		ends   time.Duration // ends is when it is answered, or crashes the engine.
 		trial  bool
 		node   int
@@ -121,6 +125,9 @@
 			switch {
 			case p.downUntil[e] > t: // A run before has crashed the engine.
 			case r.ends > t:
+				if r.trial && r.shows <= t && r.shows > t-step {
+					p.judge.Survives(start.Add(t), r.node, r.parts)
+				}
 				left = append(left, r)
 			case r.guilty != 0:
 				p.crashes[r.guilty] = append(p.crashes[r.guilty], t)
@@ -203,7 +210,7 @@
 		return
 	}
 	begins := t + time.Duration(p.rand.ExpFloat64()*float64(p.WaitTime))
-	r := run{parts: parts, guilty: f.Guilty, trial: trial, node: node, ends: begins + time.Duration((0.5+p.rand.Float64())*float64(p.RunTime))}
+	r := run{parts: parts, guilty: f.Guilty, trial: trial, node: node, shows: begins + survivalTime, ends: begins + time.Duration((0.5+p.rand.Float64())*float64(p.RunTime))}
 	if f.Guilty != 0 {
 		r.ends = begins + time.Duration(20+p.rand.IntN(100))*time.Millisecond
 		p.sent[f.Guilty] = append(p.sent[f.Guilty], t)
