Quarantine: nodes send trials one after the other

Where a trial may be sent by any node (5 s after the newest crash, or after the turn of one node has passed), all nodes may send it from the same moment on.

Each node now waits for its own delay of up to 2 s more, except the one whose turn it is. TestNodesSendTrialsOneAfterTheOther checks it.

--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"log/slog"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -67,6 +68,9 @@
 		changed time.Time
 	}
 
+	// PartsOption configures a Parts.
+	PartsOption func(*Parts)
+
 	// EngineRun is an incarnation of an engine.
 	EngineRun struct {
 		ID          string
@@ -78,6 +82,7 @@
 	// them are not sent to engines. It is safe for concurrent use.
 	Parts struct {
 		maySendTrial func(now time.Time, name string) bool // maySendTrial reports whether it is this node's turn to send a trial.
+		stagger      time.Duration                         // stagger is how much later than others this node sends a trial that any node may send.
 		log          *slog.Logger
 
 		held      atomic.Int64 // held is the number of held parts.
@@ -101,13 +106,20 @@
 	}
 )
 
+// WithStagger sets how much later than others a node sends a trial that any node may send; by default it is random.
+func WithStagger(d time.Duration) PartsOption { return func(q *Parts) { q.stagger = d } }
+
 // NewParts returns an empty Parts. Of all nodes, the one for which maySendTrial returns true is the first to send the
 // trial of a part.
-func NewParts(maySendTrial func(now time.Time, name string) bool, log *slog.Logger) *Parts {
-	return &Parts{
-		maySendTrial: maySendTrial, log: log, index: map[Part][]*partCrash{}, repeated: map[Part]bool{}, answers: map[answerKey]*partAnswer{}, recent: [2]map[answerKey]time.Time{{}, {}},
+func NewParts(maySendTrial func(now time.Time, name string) bool, log *slog.Logger, options ...PartsOption) *Parts {
+	q := &Parts{
+		maySendTrial: maySendTrial, stagger: rand.N(maxStagger), log: log, index: map[Part][]*partCrash{}, repeated: map[Part]bool{}, answers: map[answerKey]*partAnswer{}, recent: [2]map[answerKey]time.Time{{}, {}},
 		trials: map[Part]*partTrial{}, suspects: map[Part]*suspect{}, judged: true, seenHere: map[Part]bool{}, unsaved: map[Part]bool{}, wake: make(chan struct{}, 1),
 	}
+	for _, option := range options {
+		option(q)
+	}
+	return q
 }
 
 // RecordCrash records that an engine crashed at a time while it ran a request of a pool. resent is when the request was sent to it if
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -19,7 +19,7 @@
 
 // newParts returns a Parts whose trials other nodes send first.
 func newParts() *quarantine.Parts {
-	return quarantine.NewParts(func(time.Time, string) bool { return false }, slog.New(slog.DiscardHandler))
+	return quarantine.NewParts(func(time.Time, string) bool { return false }, slog.New(slog.DiscardHandler), quarantine.WithStagger(0))
 }
 
 // run returns an engine of version 1.
@@ -140,6 +140,33 @@
 	}
 }
 
+// TestNodesSendTrialsOneAfterTheOther guards against a popular part that crashes an engine at each node whose trial is due at once.
+func TestNodesSendTrialsOneAfterTheOther(t *testing.T) {
+	const stagger = 700 * time.Millisecond
+	for name, test := range map[string]struct {
+		times []int
+		parts []uint64 // parts are those of the crashes.
+		due   int
+	}{
+		"doubtful": {[]int{1000, 2000, 2010, 3000}, []uint64{bad}, 4000 + 5000},
+		"rivals":   {[]int{1000, 2000, 3000}, []uint64{first, bad}, 3000 + 5000},
+	} {
+		q := quarantine.NewParts(func(time.Time, string) bool { return false }, slog.New(slog.DiscardHandler), quarantine.WithStagger(stagger))
+		crashAll(q, test.times, test.parts...)
+		ids := append(test.parts, other)
+		if name == "rivals" {
+			q.RecordCrash(at(3000), time.Time{}, at(3000), "p", run("e2-3000"), []uint64{5})
+			q.RecordCrash(at(2000), time.Time{}, at(2000), "p", run("e1-2000"), []uint64{5})
+		}
+		if q.Admit(at(test.due+600), time.Time{}, "p", ids).Trial {
+			t.Errorf("%s: a trial before the time of this node", name)
+		}
+		if !q.Admit(at(test.due+800), time.Time{}, "p", ids).Trial {
+			t.Errorf("%s: no trial", name)
+		}
+	}
+}
+
 // TestPeriodicTrialsOfAPart checks when a part is tried whose crashes nothing else explains.
 func TestPeriodicTrialsOfAPart(t *testing.T) {
 	q := quarantine.NewParts(func(time.Time, string) bool { return true }, slog.New(slog.DiscardHandler))
--- a/internal/quarantine/trial.go
+++ b/internal/quarantine/trial.go
@@ -17,6 +17,10 @@
 	// whose turn it is.
 	trialTurn = 5 * time.Second
 
+	// maxStagger bounds by how much a node sends trials later than others that may send them as well, so that few nodes do before
+	// they hear of each other's.
+	maxStagger = 2 * time.Second
+
 	// trialTimeout is how long a trial by any node keeps other requests with the part waiting.
 	trialTimeout = 2 * time.Second
 
@@ -66,7 +70,7 @@
 	}
 	slices.SortFunc(crashes, comparePartCrashes)
 	crashes = slices.Compact(crashes)
-	quiet := now.Sub(crashes[len(crashes)-1].at)
+	quiet := now.Sub(crashes[len(crashes)-1].at) - q.stagger
 	if len(held) > 1 && quiet < rivalTrialDelay {
 		return false // A request with fewer of them would show more.
 	}
@@ -164,7 +168,7 @@
 	mayTry, open, due := true, true, time.Time{}
 	for _, s := range held {
 		at := q.trialAt(s)
-		isDue := !now.Before(at) && (now.Sub(at) >= trialTurn || q.maySendTrial(now, s.part.String()))
+		isDue := !now.Before(at) && (now.Sub(at) >= trialTurn+q.stagger || q.maySendTrial(now, s.part.String()))
 		mayTry = mayTry && (splits && q.pauseOver(now, s.part) || isDue) && !runs
 		open = open && (splits || s.doubtful && q.trialCount(s.part) == 0)
 		if at.After(due) {
@@ -185,7 +189,7 @@
 // pauseOver reports whether the pause after the latest failed trial of a part is over.
 func (q *Parts) pauseOver(now time.Time, p Part) bool {
 	t := q.trials[p]
-	return t == nil || t.failed == 0 || now.Sub(t.at) >= splitTrialPause<<(t.failed-1)
+	return t == nil || t.failed == 0 || now.Sub(t.at) >= splitTrialPause<<(t.failed-1)+q.stagger
 }
 
 // trialCount returns the number of periodic trials of a part since it was last answered.
--- a/lab/draws/nodes.go
+++ b/lab/draws/nodes.go
@@ -18,6 +18,9 @@
 	fullMessages    = 50
 	messageWindow   = 400 * time.Millisecond
 	messageLoss     = 0.02
+
+	// maxStagger bounds by how much a node sends trials later than others.
+	maxStagger = 2 * time.Second
 )
 
 type (
@@ -42,7 +45,7 @@
 func NewMesh(r *rand.Rand, nodes int) *Mesh {
 	m := &Mesh{rand: r, sendAt: make([]time.Time, nodes), sent: make([]int, nodes)}
 	for i := range nodes {
-		m.nodes = append(m.nodes, quarantine.NewParts(func(time.Time, string) bool { return i == 0 }, slog.New(slog.DiscardHandler)))
+		m.nodes = append(m.nodes, quarantine.NewParts(func(time.Time, string) bool { return i == 0 }, slog.New(slog.DiscardHandler), quarantine.WithStagger(time.Duration(r.Float64()*float64(maxStagger)))))
 		m.sendAt[i] = start.Add(time.Duration(r.Float64() * float64(messageInterval)))
 	}
 	return m
