Quarantine: a part that retries crashed engines with stays held after a restart

The part was held since retries of one request had crashed three engines within some ms. The row kept the times of the crashes but not that the request had been sent again in between, by which such crashes count as several moments, so that the loaded part was no suspect.

Rows have that time now. TestRetriesThatCrashedEnginesAtOnceCountAfterARestart failed before (not held after 5 s).

--- a/internal/quarantine/part_rows.go
+++ b/internal/quarantine/part_rows.go
@@ -23,9 +23,10 @@
 
 // crashAt is a crash in a row.
 type crashAt struct {
-	Engine  string `json:"engine"`
-	Version string `json:"version,omitempty"`
-	UnixMs  int64  `json:"unix_ms"`
+	Engine   string `json:"engine"`
+	Version  string `json:"version,omitempty"`
+	UnixMs   int64  `json:"unix_ms"`
+	ResentMs int64  `json:"resent_ms,omitempty"` // ResentMs is how long before the crash a request with the part was sent after an earlier crash, 0 if none was.
 }
 
 // rowKey returns the key of a part's row.
@@ -75,7 +76,11 @@
 	}
 	for _, c := range row.Crashes {
 		age := max(0, wall.Sub(time.UnixMilli(c.UnixMs)))
-		q.addCrash(now, &partCrash{pool: p.Pool, engine: EngineRun{ID: c.Engine, Version: c.Version}, at: now.Add(-min(age, rowTTL))}, []uint64{id}, func(int) time.Time { return time.Time{} })
+		at, resent := now.Add(-min(age, rowTTL)), time.Time{}
+		if c.ResentMs > 0 {
+			resent = at.Add(-millis(c.ResentMs))
+		}
+		q.addCrash(now, &partCrash{pool: p.Pool, engine: EngineRun{ID: c.Engine, Version: c.Version}, at: at}, []uint64{id}, func(int) time.Time { return resent })
 	}
 	q.judge(now)
 	return nil
@@ -99,7 +104,11 @@
 		}
 		row := partRow{Pool: p.Pool, HeldUnix: clock.Wall(now).Unix()}
 		for _, c := range s.crashes[max(0, len(s.crashes)-maxCrashesKept):] {
-			row.Crashes = append(row.Crashes, crashAt{c.engine.ID, c.engine.Version, clock.Wall(c.at).UnixMilli()})
+			at := crashAt{Engine: c.engine.ID, Version: c.engine.Version, UnixMs: clock.Wall(c.at).UnixMilli()}
+			if sent := c.parts[p.ID]; !sent.IsZero() {
+				at.ResentMs = max(1, c.at.Sub(sent).Milliseconds())
+			}
+			row.Crashes = append(row.Crashes, at)
 		}
 		value, err := json.Marshal(row)
 		if err != nil {
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -341,3 +341,24 @@
 		t.Error("a part is not held after one request with it crashed three engines")
 	}
 }
+
+// TestRetriesThatCrashedEnginesAtOnceCountAfterARestart guards against a held part that is sent again once all nodes were killed.
+func TestRetriesThatCrashedEnginesAtOnceCountAfterARestart(t *testing.T) {
+	now := time.Now().Add(-time.Second)
+	q, s := newParts(), &store{written: make(chan feed.Tx, 9)}
+	for i := range 3 {
+		crashed, resent := now.Add(time.Duration(10*i)*time.Millisecond), time.Time{}
+		if i > 0 {
+			resent = crashed.Add(-5 * time.Millisecond)
+		}
+		q.RecordCrash(crashed, resent, crashed, "p", run(fmt.Sprint("e", i)), []uint64{bad})
+	}
+	runPartPersister(t, q, s)
+	restarted := newParts()
+	runPartPersister(t, restarted, &store{written: make(chan feed.Tx, 9), rows: (<-s.written).Put})
+	for end := time.Now().Add(5 * time.Second); restarted.Len() != 1; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the part is not held after the restart")
+		}
+	}
+}
