Node: operators list and release what is held at the product's own interface

croftturn run withheld requests and messages under which engines crashed, but operators could neither see nor release them, and all was forgotten when all nodes were lost: the same prompts then crashed engines again.

The statements "held" and "release ID" are new there (releasing takes the role change), with the rows of croftturn edge, and the rows are stored in the same tables of the platform's store. Two gauges tell how many are held.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -11,6 +11,7 @@
 	"log/slog"
 	"net/http"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -73,6 +74,7 @@
 		bootstrap string
 		accepted  func()
 		ready     func() error
+		release   func(now time.Time, id uint64) bool
 		log       *slog.Logger
 		mux       *http.ServeMux
 	}
@@ -93,6 +95,11 @@
 // WithReady sets the readiness check; a nil error means ready.
 func WithReady(f func() error) Option { return func(a *Admin) { a.ready = f } }
 
+// WithRelease sets the function that releases a held request or prompt part on all nodes and reports whether it was held.
+func WithRelease(f func(now time.Time, id uint64) bool) Option {
+	return func(a *Admin) { a.release = f }
+}
+
 // WithMetrics sets the handler of /metrics.
 func WithMetrics(h http.Handler) Option { return func(a *Admin) { a.mux.Handle("GET /metrics", h) } }
 
@@ -100,7 +107,7 @@
 func New(store *config.Store, keeper *config.Syncer, members Members, peers PeerCaller, tables RowSource, log *slog.Logger, opts ...Option) *Admin {
 	a := &Admin{
 		store: store, keeper: keeper, members: members, peers: peers, tables: tables, log: log, mux: http.NewServeMux(),
-		accepted: func() {}, ready: func() error { return nil },
+		accepted: func() {}, ready: func() error { return nil }, release: func(time.Time, uint64) bool { return false },
 	}
 	for _, o := range opts {
 		o(a)
@@ -217,6 +224,13 @@
 		return &Result{Rows: rows, Missing: missing}, nil
 	case s.History != nil:
 		return a.history(ctx, s.History)
+	case s.Release != nil:
+		held, err := strconv.ParseUint(s.Release.ID, 16, 64)
+		if err != nil || !a.release(clock.Now(), held) {
+			return nil, trace.NotFound("%s is not held", s.Release.ID)
+		}
+		a.log.Info("released", "id", s.Release.ID, "author", author)
+		return &Result{}, nil
 	}
 	edit, err := a.edit(ctx, s)
 	if err != nil {
--- a/internal/edge/held.go
+++ b/internal/edge/held.go
@@ -71,23 +71,4 @@
 }
 
 // heldRows returns the held requests and prompt parts as rows for operators.
-func (e *Edge) heldRows(now time.Time) []wire.Row {
-	var rows []wire.Row
-	for _, h := range e.quarantine.List() {
-		newest := h.Crashes[len(h.Crashes)-1].At
-		rows = append(rows, wire.Row{
-			Name: h.Fingerprint.String(), State: "held", Team: h.Team, Engine: strings.Join(h.Engines(), " "),
-			Reason: fmt.Sprintf("%d engines ended under it, on route %s; tried again in %v", len(h.Crashes), h.Route, max(0, h.TrialAt.Sub(now)).Round(time.Second)),
-			AtMs:   int(clock.Wall(newest).UnixMilli()), AgeMs: int(now.Sub(newest).Milliseconds()),
-		})
-	}
-	for _, h := range e.parts.List() {
-		newest := h.Crashes[len(h.Crashes)-1].At
-		rows = append(rows, wire.Row{
-			Name: h.Part.String(), State: "held part", Engine: strings.Join(h.Engines(), " "),
-			Reason: fmt.Sprintf("%d engines ended under prompts with it, in pool %s; %d other parts may be the cause; tried again in %v", len(h.Crashes), h.Pool, h.Rivals, max(0, h.TrialAt.Sub(now)).Round(time.Second)),
-			AtMs:   int(clock.Wall(newest).UnixMilli()), AgeMs: int(now.Sub(newest).Milliseconds()),
-		})
-	}
-	return rows
-}
+func (e *Edge) heldRows(now time.Time) []wire.Row { return quarantine.Rows(now, e.quarantine, e.parts) }
--- a/internal/kv/client.go
+++ b/internal/kv/client.go
@@ -96,6 +96,9 @@
 	return &Client{store: platform.NewStore(addresses, timeout)}
 }
 
+// Tables returns the store with all of its tables.
+func (c *Client) Tables() *platform.Store { return c.store }
+
 // Get reads one row; a missing row is returned with version 0.
 func (c *Client) Get(ctx context.Context, key string) (Row, error) {
 	found, err := c.scan(ctx, key, key+"\x00", 1)
--- a/internal/lang/lang.go
+++ b/internal/lang/lang.go
@@ -25,11 +25,12 @@
 		Delete   *Delete   `parser:"| @@"`
 		Rollback *Rollback `parser:"| @@"`
 		Order    *Order    `parser:"| @@"`
+		Release  *Release  `parser:"| @@"`
 	}
 
 	// Query selects rows of a table.
 	Query struct {
-		Table string      `parser:"@('running' | 'queued' | 'refused' | 'completed' | 'unknown' | 'cancelled' | 'engines' | 'orders' | 'members')"`
+		Table string      `parser:"@('running' | 'queued' | 'refused' | 'completed' | 'unknown' | 'cancelled' | 'engines' | 'orders' | 'members' | 'held')"`
 		Where []Condition `parser:"( 'where' @@ ( 'and' @@ )* )?"`
 		Since string      `parser:"( 'since' @Word )?"`
 		By    string      `parser:"( 'by' @Word )?"`
@@ -88,6 +89,11 @@
 		Text   string `parser:"@String"`
 	}
 
+	// Release lets a held request or prompt part reach engines again.
+	Release struct {
+		ID string `parser:"'release' @Word"`
+	}
+
 	// StatementInfo describes a statement in the help text.
 	StatementInfo struct {
 		Name          string
@@ -126,11 +132,13 @@
 		{Name: "engines", Syntax: "engines" + querySyntax, Help: "Engines as their brokers see them.", Example: "engines where state != active"},
 		{Name: "orders", Syntax: "orders" + querySyntax, Help: "Orders to engines, and whether they have them.", Example: "orders where state = pending"},
 		{Name: "members", Syntax: "members" + querySyntax, Help: "Nodes as the asked node sees them.", Example: "members"},
+		{Name: "held", Syntax: "held" + querySyntax, Help: "Requests and prompt parts that are kept from engines, since engines crashed under them.", Example: "held where pool = desk"},
 		{Name: "explain", Syntax: "explain REQUEST", Help: "Why a request waited, went where it went, or was refused.", Example: "explain 5f3a9c0de1b2a3c4d5e6f708"},
 		{Name: "history", Syntax: "history [after VERSION]", Help: "Accepted changes of the configuration.", Example: "history after 12"},
 		{Name: "drain", Syntax: "drain engine NAME", Help: "Give an engine no new work.", Example: "drain engine e3", ChangesConfig: true},
 		{Name: "undrain", Syntax: "undrain engine NAME", Help: "Give an engine work again.", Example: "undrain engine e3", ChangesConfig: true},
 		{Name: "order", Syntax: "order engine NAME \"TEXT\"", Help: "Order an engine to load a model, adapter or version, or to change role.", Example: "order engine e3 \"load model desk-2\"", ChangesConfig: true},
+		{Name: "release", Syntax: "release ID", Help: "Let a held request or prompt part reach engines again, at all nodes.", Example: "release 4b1d7a0c52e98f36", ChangesConfig: true},
 		{Name: "set", Syntax: "set KIND NAME FIELD = VALUE [, ...]", Help: "Set fields of a class, team, pool, engine or operator.", Example: "set team ebro requests_per_second = 50", ChangesConfig: true},
 		{Name: "delete", Syntax: "delete KIND NAME", Help: "Delete a class, team, pool, engine or operator.", Example: "delete team ebro", ChangesConfig: true},
 		{Name: "rollback", Syntax: "rollback to VERSION", Help: "Take back all changes after a version, as a new version.", Example: "rollback to 12", ChangesConfig: true},
@@ -174,9 +182,9 @@
 	return d, nil
 }
 
-// Changes reports whether a statement changes the configuration.
+// Changes reports whether a statement changes the configuration or what is held.
 func (s *Statement) Changes() bool {
-	return s.State != nil || s.Set != nil || s.Delete != nil || s.Rollback != nil || s.Order != nil
+	return s.Release != nil || s.State != nil || s.Set != nil || s.Delete != nil || s.Rollback != nil || s.Order != nil
 }
 
 // Help returns the help text for all statements.
--- a/internal/node/held.go
+++ b/internal/node/held.go
@@ -37,6 +37,20 @@
 	return !ok || owner.Name == n.table.Self().Name
 }
 
+// heldRows returns the held requests and prompt parts as rows for operators.
+func (n *Node) heldRows(now time.Time) []wire.Row {
+	rows := quarantine.Rows(now, n.quarantine, n.parts)
+	for i := range rows {
+		rows[i].Node = n.settings.Instance
+	}
+	return rows
+}
+
+// release releases a held request or prompt part on all nodes, and reports whether it was held.
+func (n *Node) release(now time.Time, id uint64) bool {
+	return n.quarantine.Release(now, quarantine.Fingerprint(id)) || n.parts.Release(now, id)
+}
+
 // heldState returns what this node knows: all, or what it learned within a window.
 func (n *Node) heldState(now time.Time, window time.Duration, all bool) heldState {
 	s := heldState{Requests: n.quarantine.GossipEntries(now, window), Parts: n.parts.GossipEntries(now, window)}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -142,7 +142,7 @@
 	)
 	n.admin = admin.New(n.store, n.keeper, n.table, n.client, n, log,
 		admin.WithBootstrap(s.BootstrapTokenSha256), admin.WithAccepted(n.members.SendNow),
-		admin.WithReady(n.Ready), admin.WithMetrics(n.tele.Metrics),
+		admin.WithReady(n.Ready), admin.WithMetrics(n.tele.Metrics), admin.WithRelease(n.release),
 	)
 	n.registerPeerMethods()
 }
@@ -185,6 +185,8 @@
 	n.start(func() { n.orders.Run(ctx) })
 	n.start(func() { n.sweeper.Run(ctx) })
 	n.start(func() { n.shareHeld(ctx) })
+	n.start(func() { quarantine.NewPersister(n.quarantine, n.platform.Tables(), s.FirstStart, n.tele.Log).Run(ctx) })
+	n.start(func() { quarantine.NewPartPersister(n.parts, n.platform.Tables(), s.FirstStart, n.tele.Log).Run(ctx) })
 	n.start(func() { n.serve(n.callers, callers) })
 	n.start(func() { n.serve(n.control, control) })
 }
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -129,6 +129,8 @@
 		return n.orders.Rows()
 	case "members":
 		return n.memberRows()
+	case "held":
+		return n.heldRows(now)
 	case "request":
 		return n.journal.Explain(now, q.Request)
 	case journal.Queued, journal.Running, journal.Refused, journal.Completed, journal.Unknown, journal.Cancelled:
@@ -158,6 +160,8 @@
 		telemetry.Gauge{Name: "croftturn.platform.reads", Help: "Read calls to the platform.", Read: n.platform.Reads.Load},
 		telemetry.Gauge{Name: "croftturn.platform.writes", Help: "Transactions sent to the platform.", Read: n.platform.Writes.Load},
 		telemetry.Gauge{Name: "croftturn.config.version", Help: "Configuration version in force.", Read: func() int64 { return int64(n.store.Version()) }},
+		telemetry.Gauge{Name: "croftturn.requests.held", Help: "Requests that get no engine, since engines crashed under them.", Read: n.quarantine.Len},
+		telemetry.Gauge{Name: "croftturn.prompt_parts.held", Help: "Prompt parts that get no engine, since engines crashed under them.", Read: n.parts.Len},
 		telemetry.Gauge{Name: "croftturn.requests.live", Help: "Requests that have not ended.", Read: func() int64 { return int64(n.journal.Live()) }},
 		telemetry.Gauge{Name: "croftturn.cpu.microseconds", Help: "Processor time used by this process.", Read: cpuMicros},
 		telemetry.Gauge{Name: "croftturn.heap.live.bytes", Help: "Heap that the last collection found in use.", Read: func() int64 { return runtimeMetric("/gc/heap/live:bytes") }},
--- a/lab/proofs/crash_test.go
+++ b/lab/proofs/crash_test.go
@@ -40,8 +40,19 @@
 	return resp.StatusCode, string(text)
 }
 
+// heldParts is the statement that lists the held prompt parts.
+const heldParts = `held where state = "held part"`
+
+// waitHeld waits until a node lists a number of rows of held parts at all nodes.
+func (r *rig) waitHeld(n *cluster.Node, count int) error {
+	return cluster.Wait(fmt.Sprintf("%d rows are held", count), 15*time.Second, func() bool {
+		list, err := r.Statement(context.Background(), n, heldParts, "")
+		return err == nil && len(list.Rows) == count
+	})
+}
+
 // TestMessageThatCrashesEnginesReachesFew sends prompts with one message that ends the engine's process to all nodes in turn, among sound ones
-// with the same first message, and starts a node again meanwhile.
+// with the same first message, starts a node again meanwhile, kills all nodes at once, and releases the message.
 func TestMessageThatCrashesEnginesReachesFew(t *testing.T) {
 	r := start(t, cluster.Options{Nodes: 3, Engines: 9, Settings: quickLeave})
 	own := func(i int) string { return record.Prompt(fmt.Sprint("mark-", i), 5, 3) }
@@ -59,22 +70,50 @@
 	must(t, err)
 	must(t, r.WaitReady(context.Background()))
 	r.pause(time.Second)
-	if last := send(10, 16); !strings.Contains(last, "crashes_engines") {
-		t.Errorf("a prompt with the message got %s", last)
+	refused := func(last string) {
+		t.Helper()
+		if !strings.Contains(last, "crashes_engines") {
+			t.Errorf("a prompt with the message got %s", last)
+		}
 	}
-	ended := 0
-	for _, e := range r.Engines {
-		if e.Exited() {
-			ended++
+	refused(send(10, 16))
+	ended := func() (n int) {
+		for _, e := range r.Engines {
+			if e.Exited() {
+				n++
+			}
 		}
+		return n
+	}
+	before := ended()
+	t.Logf("%d of %d engines ended", before, len(r.Engines))
+	if before == 0 || before > maxCrashedEngines {
+		t.Errorf("%d engines ended, want 1 to %d", before, maxCrashedEngines)
+	}
+	for _, n := range r.Nodes {
+		n.Kill()
 	}
-	t.Logf("%d of %d engines ended", ended, len(r.Engines))
-	if ended == 0 || ended > maxCrashedEngines {
-		t.Errorf("%d engines ended, want 1 to %d", ended, maxCrashedEngines)
+	for i := range r.Nodes {
+		_, err := r.StartNode(i)
+		must(t, err)
+	}
+	must(t, r.WaitReady(context.Background()))
+	must(t, r.waitHeld(r.Nodes[0], 3))
+	refused(send(20, 26))
+	if n := ended(); n != before {
+		t.Errorf("%d engines ended after all nodes were killed, %d before", n, before)
 	}
 	for i := range 6 {
 		if status, text := r.chat(i%3, "system", own(2000+i)); status != http.StatusOK {
 			t.Errorf("a sound prompt got %d %s", status, text)
 		}
 	}
+	list, err := r.Statement(context.Background(), r.Nodes[1], heldParts, "")
+	must(t, err)
+	if len(list.Rows) != 3 {
+		t.Fatalf("held: %+v, want one part at each node", list.Rows)
+	}
+	_, err = r.Statement(context.Background(), r.Nodes[1], "release "+list.Rows[0].Name, "")
+	must(t, err)
+	must(t, r.waitHeld(r.Nodes[0], 0))
 }
