Reach: an engine that accepts connections shows that its pool is reached

Callers beside requests that crash engines lost more answers than need be where engines are busy: whether an engine had crashed was known only once another one had answered a probe, in place of the node's own partition. In the logs of TestCrashingRequestsAffectFewOthers that took 200 ms for each crash, as long as an engine there runs anything; by then the next copy of the request had been sent, four times of four: 16 engines crashed in place of 12, and 15 to 19 beside load.

An accepted connection says as much of the way to the pool. It is asked for alone now, and in place of the whole probe also for silent engines.

--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -187,7 +187,7 @@
 func (x *exchange) probeEngine(ctx context.Context, now time.Time) (ended bool, took time.Duration) {
 	engine := x.choice.Engine
 	probe := x.d.crashes.probe(ctx, now, engine.Address)
-	return probe.ended && (x.reach == nil || x.reach.OthersAnswer(context.WithoutCancel(ctx), engine.ID)), probe.took
+	return probe.ended && (x.reach == nil || x.reach.OthersAccept(context.WithoutCancel(ctx), engine.ID)), probe.took
 }
 
 // engineEnded reports whether the engine has ended without notice by the time that its answer has. No other engine is asked: a node
--- a/internal/dispatch/ended.go
+++ b/internal/dispatch/ended.go
@@ -26,8 +26,8 @@
 		// Ended reports whether nothing listens at the address of an engine any more.
 		Ended(ctx context.Context, address string) bool
 
-		// Probe reports whether an address accepts a connection, and whether an engine answers there.
-		Probe(ctx context.Context, address string) (connected, answered bool)
+		// Accepts reports whether an address accepts a connection.
+		Accepts(ctx context.Context, address string) bool
 	}
 
 	// Option configures a dispatcher.
--- a/internal/dispatch/silent_test.go
+++ b/internal/dispatch/silent_test.go
@@ -19,6 +19,8 @@
 // silentProber says whether engines accept connections; they answer nothing.
 type silentProber bool
 
+func (p silentProber) Accepts(context.Context, string) bool { return bool(p) }
+
 func (p silentProber) Probe(context.Context, string) (connected, answered bool) {
 	return bool(p), false
 }
--- a/internal/dispatch/unconfirmed.go
+++ b/internal/dispatch/unconfirmed.go
@@ -42,7 +42,7 @@
 	return f
 }
 
-// noteUnconfirmed remembers a failure whose engine may have crashed, since its machine does not respond or no engine responds, until the
+// noteUnconfirmed remembers a failure whose engine may have crashed, since its machine does not respond or no engine accepts connections, until the
 // entry of the engine shows whether it has.
 func (x *exchange) noteUnconfirmed(now time.Time) {
 	if x.d.parts == nil && x.d.quarantine == nil {
@@ -97,13 +97,13 @@
 	})
 }
 
-// hasCrashed reports whether an engine whose entry is gone has crashed: its machine refuses connections, or is silent while other engines
-// of the pool answer.
+// hasCrashed reports whether an engine whose entry is gone has crashed: its machine refuses connections, or is silent while another engine
+// of the pool accepts connections.
 func (c *crashDetector) hasCrashed(f *failedRun) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
-	if accepts, _ := c.prober.Probe(ctx, f.engine.Address); accepts {
+	if c.prober.Accepts(ctx, f.engine.Address) {
 		return false
 	}
-	return f.reach == nil || c.prober.Ended(ctx, f.engine.Address) || f.reach.OthersAnswer(context.Background(), f.engine.ID)
+	return f.reach == nil || c.prober.Ended(ctx, f.engine.Address) || f.reach.OthersAccept(context.Background(), f.engine.ID)
 }
--- a/internal/dispatch/unconfirmed_test.go
+++ b/internal/dispatch/unconfirmed_test.go
@@ -12,7 +12,7 @@
 	"github.com/croftturn/croftturn/internal/quarantine"
 )
 
-// TestCrashKnownOnlyFromTheEntryCounts guards against crashes that hold neither requests nor prompt parts since no other engine answers,
+// TestCrashKnownOnlyFromTheEntryCounts guards against crashes that hold neither requests nor prompt parts since no other engine accepts connections,
 // and against crashes that a partitioned node sees in engines that have left.
 func TestCrashKnownOnlyFromTheEntryCounts(t *testing.T) {
 	for name, test := range map[string]struct {
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -55,6 +55,8 @@
 
 var errRefused = errors.New("connection refused")
 
+func (nobody) Accepts(context.Context, string) bool { return false }
+
 func (nobody) Probe(context.Context, string) (connected, answered bool) { return false, false }
 func (nobody) Ended(string, string, time.Duration, time.Duration)       {}
 func (nobody) Retried(string)                                           {}
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -33,7 +33,7 @@
 	// probeTimeout bounds one probe. It leaves an answer the time of one that waits for another step.
 	probeTimeout = 400 * time.Millisecond
 
-	// acceptTimeout bounds the check whether a silent engine accepts connections.
+	// acceptTimeout bounds the check whether an engine accepts connections.
 	acceptTimeout = 250 * time.Millisecond
 )
 
@@ -49,6 +49,9 @@
 	Prober interface {
 		// Probe reports whether an engine's address accepts a connection, and whether it answers.
 		Probe(ctx context.Context, address string) (connected, answered bool)
+
+		// Accepts reports whether an address accepts a connection.
+		Accepts(ctx context.Context, address string) bool
 	}
 
 	// Monitor watches the pools of a node. It is safe for concurrent use.
@@ -306,24 +309,22 @@
 func (p *Pool) Accepts(ctx context.Context, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
 	defer cancel()
-	connected, _ := p.m.prober.Probe(ctx, address)
-	return connected
+	return p.m.prober.Accepts(ctx, address)
 }
 
-// OthersAnswer reports whether an engine of the pool other than a given one answers a probe now, or
-// there is no other.
-func (p *Pool) OthersAnswer(ctx context.Context, engine string) bool {
+// OthersAccept reports whether an engine of the pool other than a given one accepts a connection now, or
+// there is no other. An answer would show no more of the way there, and busy engines take their time.
+func (p *Pool) OthersAccept(ctx context.Context, engine string) bool {
 	sample, _ := p.m.engines.Sample(p.name, enoughFailures, func(id string) bool { return id == engine })
 	if len(sample) == 0 {
 		return true
 	}
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
 	defer cancel()
 	answers := make(chan bool, len(sample))
 	for _, e := range sample {
 		started := p.m.start(func() {
-			_, answered := p.m.prober.Probe(ctx, e.Address)
-			answers <- answered
+			answers <- p.m.prober.Accepts(ctx, e.Address)
 		})
 		if !started {
 			return false
