Feed: a stale table from a peer brings no deleted entry back

Nodes that start read the table of engines from the store and ask peers for it at the same time.

A row that a table doesn't know and that is not newer than the version up to which it is complete was deleted, and is ignored now. TestStaleTableRestoresNoDeletedRow failed before (gone:2).

--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -87,6 +87,19 @@
 	}
 }
 
+// TestStaleTableRestoresNoDeletedRow guards against a deleted row that comes back for good with a table that a peer had sent before the node
+// read the store.
+func TestStaleTableRestoresNoDeletedRow(t *testing.T) {
+	s := &sink{}
+	table := feed.NewTable("t", s.take)
+	table.Replace(start, feed.Snapshot{Rows: []feed.Row{row("a", "1", 3)}, Version: 10})
+	table.Replace(start, feed.Snapshot{Rows: []feed.Row{row("gone", "1", 1), row("a", "1", 3)}, Version: 4})
+	table.Apply(start, []feed.Row{row("gone", "2", 9), row("b", "1", 11)})
+	if got := s.live(); len(got) != 2 || got["gone"] != "" {
+		t.Errorf("got %v, want a and b", got)
+	}
+}
+
 // directCaller calls followers without a network.
 type directCaller map[string]*feed.Follower
 
--- a/internal/feed/table.go
+++ b/internal/feed/table.go
@@ -90,8 +90,8 @@
 	var changed []Row
 	before, latest := t.latest, int64(0)
 	for _, r := range rows {
-		if r.Version <= max(t.rows[r.Key].Version, t.tombstones[r.Key].Version) {
-			continue
+		if known := max(t.rows[r.Key].Version, t.tombstones[r.Key].Version); r.Version <= known || known == 0 && r.Version <= t.historyStart {
+			continue // It is older, or was deleted before the table was read.
 		}
 		if r.Version <= before {
 			acceptedAfter = time.Time{}
