--- a/lab/proofs/crash_test.go
+++ b/lab/proofs/crash_test.go
@@ -51,6 +51,29 @@
 	})
 }
 
+// endedEngines returns the number of engines whose process has ended.
+func (r *rig) endedEngines() (n int) {
+	for _, e := range r.Engines {
+		if e.Exited() {
+			n++
+		}
+	}
+	return n
+}
+
+// killAndStartNodes kills all nodes at once and starts them again.
+func (r *rig) killAndStartNodes() {
+	r.t.Helper()
+	for _, n := range r.Nodes {
+		n.Kill()
+	}
+	for i := range r.Nodes {
+		_, err := r.StartNode(i)
+		must(r.t, err)
+	}
+	must(r.t, r.WaitReady(context.Background()))
+}
+
 // TestMessageThatCrashesEnginesReachesFew sends prompts with one message that ends the engine's process to all nodes in turn, among sound ones
 // with the same first message, starts a node again meanwhile, kills all nodes at once, and releases the message.
 func TestMessageThatCrashesEnginesReachesFew(t *testing.T) {
@@ -77,30 +100,15 @@
 		}
 	}
 	refused(send(10, 16))
-	ended := func() (n int) {
-		for _, e := range r.Engines {
-			if e.Exited() {
-				n++
-			}
-		}
-		return n
-	}
-	before := ended()
+	before := r.endedEngines()
 	t.Logf("%d of %d engines ended", before, len(r.Engines))
 	if before == 0 || before > maxCrashedEngines {
 		t.Errorf("%d engines ended, want 1 to %d", before, maxCrashedEngines)
 	}
-	for _, n := range r.Nodes {
-		n.Kill()
-	}
-	for i := range r.Nodes {
-		_, err := r.StartNode(i)
-		must(t, err)
-	}
-	must(t, r.WaitReady(context.Background()))
+	r.killAndStartNodes()
 	must(t, r.waitHeld(r.Nodes[0], 3))
 	refused(send(20, 26))
-	if n := ended(); n != before {
+	if n := r.endedEngines(); n != before {
 		t.Errorf("%d engines ended after all nodes were killed, %d before", n, before)
 	}
 	for i := range 6 {
