Node: the other nodes hear of a crash at once at the product's own interface

Nodes of croftturn run told each other of crashes each 100 ms, so that beside load a message that crashes engines reached more of them at the next node. They now do so after each crash, besides.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -79,6 +79,7 @@
 		budget     *retryBudget
 		quarantine *quarantine.Quarantine // quarantine is nil if requests that crash engines are not tracked; then parts is, too.
 		parts      *quarantine.Parts
+		onCrash    func()
 		mux        *http.ServeMux
 	}
 
--- a/internal/front/held.go
+++ b/internal/front/held.go
@@ -22,9 +22,9 @@
 // maxOthersProbed bounds the engines that are asked whether this node reaches any besides one that seems to have crashed.
 const maxOthersProbed = 8
 
-// WithQuarantine makes a Front refuse requests and prompt parts under which engines have crashed.
-func WithQuarantine(q *quarantine.Quarantine, p *quarantine.Parts) Option {
-	return func(f *Front) { f.quarantine, f.parts = q, p }
+// WithQuarantine makes a Front refuse requests and prompt parts under which engines have crashed. onCrash is called after each crash.
+func WithQuarantine(q *quarantine.Quarantine, p *quarantine.Parts, onCrash func()) Option {
+	return func(f *Front) { f.quarantine, f.parts, f.onCrash = q, p, onCrash }
 }
 
 // identify sets what tells whether two calls are the same.
@@ -102,6 +102,7 @@
 		f.tele.Log.Warn("engine failed while running request", "request", c.id, "fingerprint", c.fingerprint.String(), "pool", c.pool.Name, "team", c.team.Name, "engine", e.Name, "ended", true, "error", err.Error())
 		f.quarantine.RecordCrash(now, now, c.fingerprint, quarantine.Subject{Team: c.team.Name, Route: c.pool.Name}, e.Name)
 		f.parts.RecordCrash(now, resent, now, c.pool.Name, quarantine.EngineRun{ID: e.Name}, c.parts)
+		f.onCrash()
 	}
 }
 
--- a/internal/front/rig_test.go
+++ b/internal/front/rig_test.go
@@ -180,7 +180,7 @@
 	t.Cleanup(keeper.Close)
 	f := front.New(views{view}, singleNode{}, singleNode{}, client, journal.New(), tele,
 		front.WithScheduler(config.PoolSchedulerDirect, r.sched),
-		front.WithQuarantine(quarantine.New(func(time.Time, quarantine.Fingerprint) bool { return false }, tele.Log), quarantine.NewParts(func(time.Time, string) bool { return false }, tele.Log)),
+		front.WithQuarantine(quarantine.New(func(time.Time, quarantine.Fingerprint) bool { return false }, tele.Log), quarantine.NewParts(func(time.Time, string) bool { return false }, tele.Log), func() {}),
 		front.WithClaims(keeper, claim.NewIssuer(time.Now(), "n1", 1, time.Minute), claim.NewRegistry(time.Minute)),
 		front.WithLimits(front.Limits{MaxBody: maxBody, WriteTimeout: writeTimeout, EntryPointTTL: time.Second}))
 	srv := httptest.NewServer(f)
--- a/internal/node/held.go
+++ b/internal/node/held.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/croftturn/croftturn/internal/clock"
-	"github.com/croftturn/croftturn/internal/pause"
 	"github.com/croftturn/croftturn/internal/quarantine"
 	"github.com/croftturn/croftturn/internal/wire"
 )
@@ -16,7 +15,7 @@
 	// engines crashed.
 	methodHeld = "held"
 
-	// heldInterval is how often changes are sent to all nodes, and heldSyncInterval how often one node is told and asked everything.
+	// heldInterval is how often changes are sent to all nodes, besides after each crash, and heldSyncInterval how often one node is told and asked everything.
 	heldInterval     = 100 * time.Millisecond
 	heldSyncInterval = 5 * time.Second
 
@@ -85,11 +84,23 @@
 	return &reply, nil
 }
 
+// noteCrash makes this node tell the others at once.
+func (n *Node) noteCrash() {
+	select {
+	case n.crashed <- struct{}{}:
+	default: // It is about to.
+	}
+}
+
 // shareHeld tells all nodes of changes, and now and then exchanges everything with one, at first as soon as there is one.
 func (n *Node) shareHeld(ctx context.Context) {
 	var syncAt time.Time
 	for ctx.Err() == nil {
-		pause.For(ctx, heldInterval)
+		select {
+		case <-ctx.Done():
+		case <-n.crashed:
+		case <-time.After(heldInterval):
+		}
 		now := clock.Now()
 		if s := n.heldState(now, 2*heldInterval, false); len(s.Requests) > 0 || !s.Parts.IsEmpty() {
 			for _, m := range n.table.Live() {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -56,6 +56,7 @@
 	orders     *order.Service
 	quarantine *quarantine.Quarantine
 	parts      *quarantine.Parts
+	crashed    chan struct{} // crashed receives a value after the crash of an engine.
 	claims     *claim.Claimer
 	sweeper    *claim.Sweeper
 	front      *front.Front
@@ -132,11 +133,12 @@
 	n.sweeper = claim.NewSweeper(n.platform, time.Duration(s.ClaimKeepHours)*time.Hour, n.isClaimSweeper, log)
 	n.quarantine = quarantine.New(func(now time.Time, f quarantine.Fingerprint) bool { return n.maySendTrial(now, f.String()) }, log)
 	n.parts = quarantine.NewParts(n.maySendTrial, log)
+	n.crashed = make(chan struct{}, 1)
 	n.front = front.New(n.store, n.table, n.client, n.engines, n.journal, n.tele,
 		front.WithScheduler(config.PoolSchedulerBroker, n.brokered),
 		front.WithScheduler(config.PoolSchedulerDirect, n.direct),
 		front.WithScheduler(config.PoolSchedulerRoundRobin, sched.NewRoundRobin(n.store)),
-		front.WithQuarantine(n.quarantine, n.parts),
+		front.WithQuarantine(n.quarantine, n.parts, n.noteCrash),
 		front.WithClaims(n.claims, claim.NewIssuer(now, s.Instance, self.Incarnation, ms(s.TicketLifeMs)), claim.NewRegistry(ms(s.TicketLifeMs))),
 		front.WithLimits(front.Limits{MaxBody: int64(s.MaxBodyBytes), WriteTimeout: ms(s.WriteTimeoutMs), EntryPointTTL: ms(s.EntryKeepMs)}),
 	)
