Broker: a late cancel leaves its node's next ask alone

Cause: a node that gave up an ask and asks again sends the cancel and the new ask on different connections, or on one whose messages are handled side by side. A cancel named the request only, so one that came late removed the new ask from the queue without an answer, or gave away a slot in use. The end of the earlier ask's connection did the same.

Change: the asks of a process have numbers; a cancel ends the ask that it names. A number of 0, from nodes of the release before, still stands for any.

Test failed before: with the number ignored, TestLateCancelLeavesTheNextAskAlone says "the later ask no longer waits". Measured: internal/broker passes with -race.

--- a/internal/broker/pool.go
+++ b/internal/broker/pool.go
@@ -128,6 +128,7 @@
 	hold struct {
 		wire.Hold
 		node  string
+		ask   int // ask is the ask that was granted; 0 if it is not known.
 		since time.Time
 	}
 )
@@ -242,20 +243,24 @@
 	return req.PromptTokens + output
 }
 
-// Cancel gives up a wait. A slot that was granted meanwhile is given back.
-func (p *Pool) Cancel(now time.Time, request string) {
+// Cancel gives up the wait of an ask. A slot that was granted meanwhile is given back. A cancel may
+// arrive after its node has asked again for the same request, and leaves the later ask alone.
+func (p *Pool) Cancel(now time.Time, request string, ask int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if w := p.waiting[request]; w != nil {
+	if w := p.waiting[request]; w != nil && sameAsk(w.req.Ask, ask) {
 		p.queue.Remove(w.item)
 		p.removeWaiter(w)
 	}
-	if h := p.holds[request]; h != nil {
+	if h := p.holds[request]; h != nil && sameAsk(h.ask, ask) {
 		p.removeHold(now, h)
 	}
 	p.dispatch(now)
 }
 
+// sameAsk reports whether two numbers may be those of one ask; 0 may be any.
+func sameAsk(a, b int) bool { return a == b || a == 0 || b == 0 }
+
 // Release gives a slot back and records the result of the request.
 func (p *Pool) Release(now time.Time, rel wire.Release) {
 	p.mu.Lock()
--- a/internal/broker/pool_test.go
+++ b/internal/broker/pool_test.go
@@ -135,6 +135,27 @@
 	}
 }
 
+// TestLateCancelLeavesTheNextAskAlone checks that a cancel that arrives after its node has asked again
+// ends neither the wait nor the slot of the later ask.
+func TestLateCancelLeavesTheNextAskAlone(t *testing.T) {
+	p := pool(t, 10, 1, 1, broker.Team{})
+	ask(p, start, "running", "explain", "x")
+	again := p.Acquire(start, wire.Acquire{Pool: "llm", Request: "a", Node: "n1", Class: "explain", Team: "x", Ask: 2})
+	p.Cancel(start, "a", 1)
+	p.Release(start, wire.Release{Pool: "llm", Request: "running", Engine: "e0", Status: broker.StatusOK})
+	if poll(again) == nil {
+		t.Fatal("the later ask no longer waits")
+	}
+	p.Cancel(start, "a", 1)
+	if _, g := ask(p, start, "b", "explain", "x"); g != nil {
+		t.Errorf("the slot of the later ask was given away: %+v", g)
+	}
+	p.Cancel(start, "a", 2)
+	if n := p.Engines()[0].Count; n != 1 {
+		t.Errorf("%d slots are taken after its own cancel, want that of the next request", n)
+	}
+}
+
 // TestPoolWithAllEnginesFailedStillGrants checks that a pool whose engines have all failed still
 // grants slots. Without that, the pool took no requests for the whole pause:
 // 28 of 40 requests were refused in TestOnceBackendBreaks.
--- a/internal/broker/service.go
+++ b/internal/broker/service.go
@@ -28,7 +28,7 @@
 const (
 	MethodAcquire = "acq" // MethodAcquire takes an Acquire and answers with a Grant.
 	MethodRelease = "rel" // MethodRelease takes a Release.
-	MethodCancel  = "can" // MethodCancel takes an Acquire of which only pool and request count.
+	MethodCancel  = "can" // MethodCancel takes an Acquire of which only pool, request and ask count.
 	MethodReport  = "rep" // MethodReport takes a Report.
 	MethodPing    = "pul" // MethodPing is answered by a node that accepts calls.
 )
@@ -246,7 +246,7 @@
 	case g := <-reply:
 		return &g, nil
 	case <-ctx.Done():
-		p.Cancel(clock.Now(), req.Request)
+		p.Cancel(clock.Now(), req.Request, req.Ask)
 		return nil, ctx.Err()
 	}
 }
@@ -264,7 +264,7 @@
 func (s *Service) Cancel(_ context.Context, req *wire.Acquire) (any, error) {
 	now := clock.Now()
 	if p := s.pool(now, req.Pool); p != nil {
-		p.Cancel(now, req.Request)
+		p.Cancel(now, req.Request, req.Ask)
 	}
 	return nil, nil
 }
--- a/internal/sched/brokered.go
+++ b/internal/sched/brokered.go
@@ -73,6 +73,7 @@
 		log      *slog.Logger
 
 		mu         sync.Mutex
+		lastAsk    int // lastAsk is the number of the newest ask.
 		holds      map[string]heldSlot
 		reportedTo map[string]string // reportedTo is the broker process that has a pool's holds, by pool.
 		background sync.WaitGroup
@@ -169,17 +170,17 @@
 	grant := &wire.Grant{}
 	params := &wire.Acquire{
 		Pool: req.Pool, Request: req.ID, Node: b.members.Self().Name, Class: req.Class, Team: req.Team,
-		PromptTokens: req.PromptTokens, MaxTokens: req.MaxTokens, Exclude: req.Exclude, Prefix: req.Prefix,
+		PromptTokens: req.PromptTokens, MaxTokens: req.MaxTokens, Exclude: req.Exclude, Prefix: req.Prefix, Ask: b.nextAsk(),
 		WaitedMs: int(clock.Since(req.Arrived).Milliseconds()), TraceParent: telemetry.TraceParent(ctx),
 	}
 	err := b.call(ctx, owner, params, grant)
 	close(done)
 	if reason := <-lost; reason != nil {
-		b.cancelAsk(owner, req)
+		b.cancelAsk(owner, params)
 		return nil, reason
 	}
 	if err != nil {
-		b.cancelAsk(owner, req)
+		b.cancelAsk(owner, params)
 		return nil, fmt.Errorf("ask broker %s: %w", owner.Name, err)
 	}
 	return grant, nil
@@ -217,9 +218,17 @@
 	return nil
 }
 
-// cancelAsk tells a broker that the answer to a request is no longer wanted.
-func (b *Brokered) cancelAsk(owner wire.Member, req Request) {
-	params := &wire.Acquire{Pool: req.Pool, Request: req.ID}
+// nextAsk returns the number of a new ask.
+func (b *Brokered) nextAsk() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.lastAsk++
+	return b.lastAsk
+}
+
+// cancelAsk tells a broker that the answer to an ask is no longer wanted.
+func (b *Brokered) cancelAsk(owner wire.Member, ask *wire.Acquire) {
+	params := &wire.Acquire{Pool: ask.Pool, Request: ask.Request, Ask: ask.Ask}
 	b.notify(owner, broker.MethodCancel, params, func(ctx context.Context) { b.local.Cancel(ctx, params) })
 }
 
--- a/internal/sched/shared.go
+++ b/internal/sched/shared.go
@@ -122,7 +122,7 @@
 	case g := <-reply:
 		return s.granted(p, req, g)
 	case <-ctx.Done():
-		p.Cancel(clock.Now(), req.ID)
+		p.Cancel(clock.Now(), req.ID, 0)
 		return Grant{}, fmt.Errorf("wait for a place: %w", ctx.Err())
 	}
 }
@@ -134,7 +134,7 @@
 	}
 	e := s.views.View().Engine(g.Engine)
 	if e == nil {
-		p.Cancel(clock.Now(), req.ID)
+		p.Cancel(clock.Now(), req.ID, 0)
 		return Grant{}, &Refusal{Reason: ReasonNoEngine, RetryAfter: noEngineRetryAfter, Why: "engine " + g.Engine + " is gone"}
 	}
 	return Grant{Engine: e, Why: "this node's share: " + g.Why}, nil
--- a/internal/wire/wire_gen.go
+++ b/internal/wire/wire_gen.go
@@ -6,6 +6,9 @@
 
 // Acquire asks a pool's broker for a place on an engine.
 type Acquire struct {
+	// Ask numbers the asks of a process from 1; 0 from nodes that number none.
+	Ask int `json:"a,omitempty,omitzero"`
+
 	// Class of the request.
 	Class string `json:"c,omitempty,omitzero"`
 
