Sched: a report answered after the broker lost its state is repeated

Callers saw: for up to ten seconds requests that had to wait although slots were free, or engines that refused as full, after the broker of their pool had stalled. Cause: a broker takes a report, stalls, and refuses the next ask as moved; the node forgets that it has reported. Where the answer to the report came after that, the node noted the report again, for a state that was gone.

Change: a report is noted before it is sent and forgotten if it fails. This also sends no second report while the first is on its way.

Test failed before: TestReportAnsweredAfterALossIsRepeated, "a broker that has lost its state gets no report of the node's holds", every time.

--- a/internal/sched/brokered.go
+++ b/internal/sched/brokered.go
@@ -75,7 +75,7 @@
 		mu         sync.Mutex
 		lastAsk    int // lastAsk is the number of the newest ask.
 		holds      map[string]heldSlot
-		reportedTo map[string]string // reportedTo is the broker process that has a pool's holds, by pool.
+		reportedTo map[string]string // reportedTo is the broker process that has a pool's holds or is being sent them, by pool.
 		background sync.WaitGroup
 	}
 
--- a/internal/sched/brokered_test.go
+++ b/internal/sched/brokered_test.go
@@ -20,9 +20,14 @@
 	mu       sync.Mutex
 	asked    int
 	reported chan int // reported receives, for each report, the number of requests that asked before it.
+
+	answer chan struct{} // answer delays the answers to reports until it is closed; nil for at once.
 }
 
 func (b *restartedBroker) Call(_ context.Context, _, method string, _, result any) error {
+	if method == broker.MethodReport {
+		defer b.waitToAnswer()
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	switch method {
@@ -39,6 +44,12 @@
 	return nil
 }
 
+func (b *restartedBroker) waitToAnswer() {
+	if b.answer != nil {
+		<-b.answer
+	}
+}
+
 func (b *restartedBroker) Notify(context.Context, string, string, any) error { return nil }
 
 func (b *restartedBroker) Drop(string) {}
@@ -47,6 +58,20 @@
 // process soon gets a report of each node's holds, not only with the next report after ten
 // seconds: until then it would grant slots that are taken.
 func TestBrokerWithLostStateGetsReport(t *testing.T) {
+	checkReportAfterLoss(t, &restartedBroker{reported: make(chan int, 8)}, func() {})
+}
+
+// TestReportAnsweredAfterALossIsRepeated checks the same for a report that the broker took before it
+// lost its state and whose answer comes afterwards.
+func TestReportAnsweredAfterALossIsRepeated(t *testing.T) {
+	peers := &restartedBroker{reported: make(chan int, 8), answer: make(chan struct{})}
+	checkReportAfterLoss(t, peers, func() { close(peers.answer) })
+}
+
+// checkReportAfterLoss has a request refused as moved by the broker that the report went to, and checks
+// that another report follows.
+func checkReportAfterLoss(t *testing.T, peers *restartedBroker, refused func()) {
+	t.Helper()
 	store := config.NewStore()
 	c := config.Empty()
 	c.Version = 1
@@ -63,7 +88,6 @@
 		}
 		table.Merge(time.Now(), []wire.Member{{Name: name, Incarnation: 1, State: wire.MemberStateA}})
 	}
-	peers := &restartedBroker{reported: make(chan int, 8)}
 	b := sched.NewBrokered(table, nil, peers, store, sched.NewShared(table, store), slog.New(slog.DiscardHandler))
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
@@ -76,6 +100,7 @@
 	if _, err := b.Acquire(ctx, sched.Request{ID: "a", Pool: "llm", Class: "explain", Team: "x", Arrived: time.Now()}); err != nil {
 		t.Fatal(err)
 	}
+	refused()
 	select {
 	case <-peers.reported:
 	case <-time.After(5 * time.Second):
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -49,6 +49,7 @@
 		id := processID(owner)
 		b.mu.Lock()
 		known := b.reportedTo[pool] == id
+		b.reportedTo[pool] = id // Before it is sent: if the broker loses its state meanwhile, this is forgotten.
 		r := &wire.Report{Node: b.members.Self().Name, Pool: pool, Holds: b.holdsOf(pool)}
 		b.mu.Unlock()
 		if known && !all {
@@ -57,10 +58,8 @@
 		b.background.Add(1)
 		go func() {
 			defer b.background.Done()
-			if b.sendReport(ctx, owner, r) {
-				b.mu.Lock()
-				b.reportedTo[pool] = id
-				b.mu.Unlock()
+			if !b.sendReport(ctx, owner, r) {
+				b.forgetReport(pool)
 			}
 		}()
 	}
