Broker: slots of asks that were given up are freed when the broker is back

Slots looked taken.

Cause: what was written to a half-open connection arrives once it is open. The node had given those asks up and cancelled them over another connection. Where an ask came after its cancel, or the cancel was lost with a connection that a failed ping closed, the broker granted it a slot that nobody used, until the node's next regular report, every 10 s. Ruled out: a stalled queue, nodes that still decide alone (statements during the wait: 48 of 48 slots taken, nine queued, none running).

Change: a report has the number of the node's newest ask and the asks that still wait. The broker frees slots and waits of the others, and refuses those that arrive later as stale; it ignores a report older than the last. A node reports at once when a broker answers again, and soon after an ask failed.

Tests failed before: TestReportFreesWhatGivenUpAsksGot ("the ask that still waits got <nil>"), TestBrokerThatAnswersAgainHearsWhichAsksHaveEnded ("a broker that answers again gets no report").

--- a/internal/broker/grant.go
+++ b/internal/broker/grant.go
@@ -95,7 +95,7 @@
 	waited := now.Sub(w.item.Arrived)
 	p.addHold(&hold{
 		Hold: wire.Hold{Request: w.req.Request, Engine: e.Name, Class: w.req.Class, Team: w.req.Team, Tokens: int(w.item.Cost)},
-		node: w.req.Node, ask: w.req.Ask, since: now,
+		node: w.req.Node, process: w.req.Process, ask: w.req.Ask, since: now,
 	})
 	p.countGrant(now)
 	p.rememberPrefix(w.req.Prefix, e.Name)
--- a/internal/broker/pool.go
+++ b/internal/broker/pool.go
@@ -22,6 +22,7 @@
 	ReasonTeamInFlight = "team_in_flight" // ReasonTeamInFlight: the team's in_flight limit is reached.
 	ReasonMoved        = "moved"          // ReasonMoved: this node is no longer the broker; nodes ask the current one.
 	ReasonDuplicate    = "duplicate"      // ReasonDuplicate: a request with the same id waits or runs already.
+	ReasonStale        = "stale"          // ReasonStale: the node has given up this ask.
 )
 
 // Statuses of a release.
@@ -102,6 +103,7 @@
 		limiters      map[string]*teamLimiter
 		waiting       map[string]*waiter
 		holds         map[string]*hold
+		asks          map[string]nodeAsks // asks holds what the nodes last reported of their asks.
 		lengths       map[string]*LengthHistogram
 		firstTokens   LengthHistogram // firstTokens is the time from dispatch to the first token, in milliseconds.
 		prefixes      map[string]string
@@ -127,9 +129,10 @@
 	// hold is a slot that a node holds on an engine.
 	hold struct {
 		wire.Hold
-		node  string
-		ask   int // ask is the ask that was granted; 0 if it is not known.
-		since time.Time
+		node    string
+		process int
+		ask     int // ask is the ask that was granted; 0 if it is not known.
+		since   time.Time
 	}
 )
 
@@ -139,7 +142,7 @@
 	p := &Pool{
 		name: name, queue: queue.New(0, nil), teams: teams,
 		classes: map[string]queue.Class{}, engines: map[string]*Engine{},
-		limiters: map[string]*teamLimiter{}, waiting: map[string]*waiter{}, holds: map[string]*hold{},
+		limiters: map[string]*teamLimiter{}, waiting: map[string]*waiter{}, holds: map[string]*hold{}, asks: map[string]nodeAsks{},
 		lengths: map[string]*LengthHistogram{}, prefixes: map[string]string{}, unreported: map[string]bool{},
 		tierUses: map[int]*tierUse{}, rebuildDeadline: now.Add(rebuildTimeout), grantsAt: now,
 	}
@@ -207,6 +210,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	w := &waiter{req: req, reply: make(chan wire.Grant, 1)}
+	if p.asks[req.Node].ended(req.Process, req.Ask) {
+		w.refuse(ReasonStale, 0, "the node has given up this ask")
+		return w.reply
+	}
 	if p.waiting[req.Request] != nil || p.holds[req.Request] != nil {
 		w.refuse(ReasonDuplicate, 0, "the id waits or runs already")
 		return w.reply
@@ -290,13 +297,19 @@
 	return l
 }
 
-// Report reconciles the holds with a node's report: slots unknown to the broker
-// are added, and slots missing from the report are removed once they are older
-// than the maximum delay of a report.
+// Report reconciles the holds with a node's report: slots unknown to the broker are added, and
+// slots and waits of asks that the node has ended are removed. Where it is not known which ask a
+// slot was granted to, it is removed once it is older than the maximum delay of a report.
 func (p *Pool) Report(now time.Time, r wire.Report) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	const lateness = time.Second
+	if p.asks[r.Node].after(r) {
+		return
+	}
+	asks := asksOf(r)
+	p.asks[r.Node] = asks
+	p.removeEndedWaits(r.Node, asks)
 	named := make(map[string]bool, len(r.Holds))
 	for _, h := range r.Holds {
 		named[h.Request] = true
@@ -305,7 +318,13 @@
 		}
 	}
 	for id, h := range p.holds {
-		if h.node == r.Node && !named[id] && now.Sub(h.since) > lateness {
+		if h.node != r.Node || named[id] {
+			continue
+		}
+		if asks.numbers(h.process, h.ask) && !asks.ended(h.process, h.ask) {
+			continue // The node has not had the answer yet.
+		}
+		if asks.ended(h.process, h.ask) || now.Sub(h.since) > lateness {
 			p.removeHold(now, h)
 		}
 	}
@@ -338,6 +357,7 @@
 		}
 	}
 	delete(p.unreported, node)
+	delete(p.asks, node)
 	p.dispatch(now)
 }
 
--- a/internal/broker/pool_test.go
+++ b/internal/broker/pool_test.go
@@ -135,6 +135,35 @@
 	}
 }
 
+// TestReportFreesWhatGivenUpAsksGot checks that a node's report ends the asks that it has given up,
+// whether they have a slot, wait, or arrive only now, and leaves those that it still waits for.
+func TestReportFreesWhatGivenUpAsksGot(t *testing.T) {
+	p := pool(t, 10, 1, 2, broker.Team{})
+	acquire := func(id string, n int) <-chan wire.Grant {
+		return p.Acquire(start, wire.Acquire{Pool: "llm", Request: id, Node: "n1", Class: "explain", Team: "x", Process: 9, Ask: n})
+	}
+	acquire("given-up", 1)
+	acquire("answer-on-its-way", 2)
+	late, waiting := acquire("waits-given-up", 3), acquire("waits", 4)
+	p.Report(start, wire.Report{Node: "n1", Pool: "llm", Process: 9, LastAsk: 6, Asking: []int{2, 4}})
+	if g := poll(late); g == nil || g.Refusal != broker.ReasonStale {
+		t.Errorf("the wait that was given up got %+v, want the refusal %q", g, broker.ReasonStale)
+	}
+	if g := poll(waiting); g == nil || g.Engine != "e0" {
+		t.Errorf("the ask that still waits got %+v, want the slot that was given up", g)
+	}
+	if g := poll(acquire("overtaken", 5)); g == nil || g.Refusal != broker.ReasonStale {
+		t.Errorf("an ask that arrives after its node gave it up got %+v, want the refusal %q", g, broker.ReasonStale)
+	}
+	p.Report(start.Add(time.Minute), wire.Report{Node: "n1", Pool: "llm", Process: 9, LastAsk: 5})
+	if n := p.Engines()[0].Count; n != 2 {
+		t.Errorf("%d slots are taken after an earlier report that came late, want 2", n)
+	}
+	if g := poll(p.Acquire(start, wire.Acquire{Pool: "llm", Request: "restarted", Node: "n1", Class: "explain", Process: 10, Ask: 1})); g != nil {
+		t.Errorf("an ask of the node's next process got %+v, want it to wait", g)
+	}
+}
+
 // TestLateCancelLeavesTheNextAskAlone checks that a cancel that arrives after its node has asked again
 // ends neither the wait nor the slot of the later ask.
 func TestLateCancelLeavesTheNextAskAlone(t *testing.T) {
--- a/internal/sched/brokered.go
+++ b/internal/sched/brokered.go
@@ -71,9 +71,12 @@
 		fallback Fallback
 		monitor  *brokerMonitor
 		log      *slog.Logger
+		process  int           // process tells this process from earlier ones of the node.
+		returned chan struct{} // returned receives a value when a broker answers again.
 
 		mu         sync.Mutex
-		lastAsk    int // lastAsk is the number of the newest ask.
+		lastAsk    int            // lastAsk is the number of the newest ask, or of the newest report.
+		asking     map[int]string // asking holds the asks that wait for an answer, with their pools.
 		holds      map[string]heldSlot
 		reportedTo map[string]string // reportedTo is the broker process that has a pool's holds or is being sent them, by pool.
 		background sync.WaitGroup
@@ -88,10 +91,13 @@
 
 // NewBrokered returns a scheduler that asks brokers.
 func NewBrokered(members broker.Members, local *broker.Service, peers Peers, views Views, fallback Fallback, log *slog.Logger) *Brokered {
-	return &Brokered{
-		members: members, local: local, peers: peers, views: views, fallback: fallback, monitor: newBrokerMonitor(peers), log: log,
-		holds: map[string]heldSlot{}, reportedTo: map[string]string{},
+	b := &Brokered{
+		members: members, local: local, peers: peers, views: views, fallback: fallback, log: log,
+		process: members.Self().Incarnation, returned: make(chan struct{}, 1),
+		asking: map[int]string{}, holds: map[string]heldSlot{}, reportedTo: map[string]string{},
 	}
+	b.monitor = newBrokerMonitor(peers, b.brokerReturned)
+	return b
 }
 
 // Acquire waits for a slot from the pool's broker, and asks the new broker when
@@ -133,7 +139,7 @@
 
 // mustAskAgain reports whether the request has to ask again after a refusal.
 func mustAskAgain(refusal string) bool {
-	return refusal == broker.ReasonMoved || refusal == broker.ReasonDuplicate
+	return refusal == broker.ReasonMoved || refusal == broker.ReasonDuplicate || refusal == broker.ReasonStale
 }
 
 // acceptReply converts a broker's answer to a grant or a refusal.
@@ -170,9 +176,10 @@
 	grant := &wire.Grant{}
 	params := &wire.Acquire{
 		Pool: req.Pool, Request: req.ID, Node: b.members.Self().Name, Class: req.Class, Team: req.Team,
-		PromptTokens: req.PromptTokens, MaxTokens: req.MaxTokens, Exclude: req.Exclude, Prefix: req.Prefix, Ask: b.nextAsk(),
+		PromptTokens: req.PromptTokens, MaxTokens: req.MaxTokens, Exclude: req.Exclude, Prefix: req.Prefix, Process: b.process, Ask: b.openAsk(req.Pool),
 		WaitedMs: int(clock.Since(req.Arrived).Milliseconds()), TraceParent: telemetry.TraceParent(ctx),
 	}
+	defer b.closeAsk(params.Ask)
 	err := b.call(ctx, owner, params, grant)
 	close(done)
 	if reason := <-lost; reason != nil {
@@ -181,8 +188,14 @@
 	}
 	if err != nil {
 		b.cancelAsk(owner, params)
+		if ctx.Err() == nil {
+			b.forgetReport(req.Pool) // Releases may be lost with the connection.
+		}
 		return nil, fmt.Errorf("ask broker %s: %w", owner.Name, err)
 	}
+	if grant.Refusal == "" {
+		b.recordHold(req, grant.Engine)
+	}
 	return grant, nil
 }
 
@@ -218,14 +231,22 @@
 	return nil
 }
 
-// nextAsk returns the number of a new ask.
-func (b *Brokered) nextAsk() int {
+// openAsk returns the number of a new ask in a pool.
+func (b *Brokered) openAsk(pool string) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.lastAsk++
+	b.asking[b.lastAsk] = pool
 	return b.lastAsk
 }
 
+// closeAsk records that an ask is answered, and its slot recorded, or that it is given up.
+func (b *Brokered) closeAsk(ask int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.asking, ask)
+}
+
 // cancelAsk tells a broker that the answer to an ask is no longer wanted.
 func (b *Brokered) cancelAsk(owner wire.Member, ask *wire.Acquire) {
 	params := &wire.Acquire{Pool: ask.Pool, Request: ask.Request, Ask: ask.Ask}
@@ -249,10 +270,9 @@
 	}()
 }
 
-// acceptGrant records a granted slot, or releases it if its engine is not in the configuration.
+// acceptGrant accepts a granted slot, or releases it if its engine is not in the configuration.
 func (b *Brokered) acceptGrant(req Request, grant *wire.Grant) (Grant, error) {
 	e := b.views.View().Engine(grant.Engine)
-	b.recordHold(req, grant.Engine)
 	if e == nil {
 		b.release(req, grant.Engine, Result{Status: broker.StatusCancelled})
 		return Grant{}, &Refusal{Reason: ReasonNoEngine, RetryAfter: noEngineRetryAfter, Why: "engine " + grant.Engine + " is not in the configuration here"}
--- a/internal/sched/brokered_test.go
+++ b/internal/sched/brokered_test.go
@@ -71,6 +71,24 @@
 // checkReportAfterLoss has a request refused as moved by the broker that the report went to, and checks
 // that another report follows.
 func checkReportAfterLoss(t *testing.T, peers *restartedBroker, refused func()) {
+	t.Helper()
+	b, ctx := runBrokered(t, peers)
+	if asked := <-peers.reported; asked != 0 {
+		t.Fatalf("the first report came after %d requests, want before any", asked)
+	}
+	if _, err := b.Acquire(ctx, sched.Request{ID: "a", Pool: "llm", Class: "explain", Team: "x", Arrived: time.Now()}); err != nil {
+		t.Fatal(err)
+	}
+	refused()
+	select {
+	case <-peers.reported:
+	case <-time.After(5 * time.Second):
+		t.Error("a broker that has lost its state gets no report of the node's holds")
+	}
+}
+
+// runBrokered runs a scheduler whose broker is another node, reached by peers, until the test ends.
+func runBrokered(t *testing.T, peers sched.Peers) (*sched.Brokered, context.Context) {
 	t.Helper()
 	store := config.NewStore()
 	c := config.Empty()
@@ -92,18 +110,53 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	running.Go(func() { b.Run(ctx) })
-	defer running.Wait()
-	defer cancel()
-	if asked := <-peers.reported; asked != 0 {
-		t.Fatalf("the first report came after %d requests, want before any", asked)
+	t.Cleanup(func() {
+		cancel()
+		running.Wait()
+	})
+	return b, ctx
+}
+
+// halfOpenBroker is a fake broker that answers nothing until it is opened, except reports before that.
+type halfOpenBroker struct {
+	opened  chan struct{}
+	reports chan wire.Report
+}
+
+func (b *halfOpenBroker) Call(ctx context.Context, _, method string, params, result any) error {
+	if method == broker.MethodReport {
+		b.reports <- *params.(*wire.Report)
+		*result.(*bool) = true
+		return nil
+	}
+	select {
+	case <-b.opened:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
 	}
+}
+
+func (b *halfOpenBroker) Notify(context.Context, string, string, any) error { return nil }
+
+func (b *halfOpenBroker) Drop(string) {}
+
+// TestBrokerThatAnswersAgainHearsWhichAsksHaveEnded checks that a broker whose way was half-open soon
+// gets a report: asks that reach it only now would take slots that nobody uses.
+func TestBrokerThatAnswersAgainHearsWhichAsksHaveEnded(t *testing.T) {
+	peers := &halfOpenBroker{opened: make(chan struct{}), reports: make(chan wire.Report, 8)}
+	b, ctx := runBrokered(t, peers)
+	<-peers.reports
 	if _, err := b.Acquire(ctx, sched.Request{ID: "a", Pool: "llm", Class: "explain", Team: "x", Arrived: time.Now()}); err != nil {
 		t.Fatal(err)
 	}
-	refused()
+	close(peers.opened)
 	select {
-	case <-peers.reported:
+	case r := <-peers.reports:
+		if r.LastAsk < 2 || len(r.Asking) > 0 || len(r.Holds) != 1 {
+			t.Errorf("the report is %+v, want one that ends the ask and has the slot of the fallback", r)
+		}
 	case <-time.After(5 * time.Second):
-		t.Error("a broker that has lost its state gets no report of the node's holds")
+		t.Error("a broker that answers again gets no report")
 	}
 }
--- a/internal/sched/pulse.go
+++ b/internal/sched/pulse.go
@@ -31,7 +31,8 @@
 type (
 	// brokerMonitor pings the brokers at which requests of this node wait.
 	brokerMonitor struct {
-		peers Peers
+		peers    Peers
+		returned func(owner wire.Member) // returned is called when an unresponsive broker answers again.
 
 		mu    sync.Mutex
 		conns map[string]*brokerConn
@@ -48,8 +49,8 @@
 )
 
 // newBrokerMonitor returns a monitor without brokers.
-func newBrokerMonitor(peers Peers) *brokerMonitor {
-	return &brokerMonitor{peers: peers, conns: map[string]*brokerConn{}}
+func newBrokerMonitor(peers Peers, returned func(owner wire.Member)) *brokerMonitor {
+	return &brokerMonitor{peers: peers, returned: returned, conns: map[string]*brokerConn{}}
 }
 
 // beginAsk records that a request asks a broker, and returns a channel that is closed
@@ -167,7 +168,10 @@
 		c.markUnresponsive(clock.Now())
 	}
 	m.mu.Unlock()
-	if !answers {
+	switch {
+	case !answers:
 		m.peers.Drop(c.owner.PeerAddress)
+	case turned:
+		m.returned(c.owner)
 	}
 }
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -28,6 +28,7 @@
 		case <-changed:
 		case <-tick.C:
 			b.report(ctx, true)
+		case <-b.returned:
 		case <-time.After(retryPause * 4):
 		}
 	}
@@ -48,13 +49,13 @@
 		}
 		id := processID(owner)
 		b.mu.Lock()
-		known := b.reportedTo[pool] == id
-		b.reportedTo[pool] = id // Before it is sent: if the broker loses its state meanwhile, this is forgotten.
-		r := &wire.Report{Node: b.members.Self().Name, Pool: pool, Holds: b.holdsOf(pool)}
-		b.mu.Unlock()
-		if known && !all {
+		if b.reportedTo[pool] == id && !all {
+			b.mu.Unlock()
 			continue
 		}
+		b.reportedTo[pool] = id // Before it is sent: if the broker loses its state meanwhile, this is forgotten.
+		r := b.reportOf(pool)
+		b.mu.Unlock()
 		b.background.Add(1)
 		go func() {
 			defer b.background.Done()
@@ -73,6 +74,22 @@
 	delete(b.reportedTo, pool)
 }
 
+// brokerReturned makes the next report include a broker that answers again, and wakes Run: asks that
+// were given up meanwhile may have reached it, and releases may not.
+func (b *Brokered) brokerReturned(owner wire.Member) {
+	b.mu.Lock()
+	for pool, id := range b.reportedTo {
+		if id == processID(owner) {
+			delete(b.reportedTo, pool)
+		}
+	}
+	b.mu.Unlock()
+	select {
+	case b.returned <- struct{}{}:
+	default: // Run has yet to act on the last one.
+	}
+}
+
 // sendReport sends a report and returns whether the broker accepted it.
 func (b *Brokered) sendReport(ctx context.Context, owner wire.Member, r *wire.Report) bool {
 	ctx, cancel := context.WithTimeout(ctx, notifyTimeout)
@@ -88,6 +105,19 @@
 	return taken
 }
 
+// reportOf returns a report on a pool, numbered like an ask so that later ones have higher numbers; the
+// caller holds the lock.
+func (b *Brokered) reportOf(pool string) *wire.Report {
+	b.lastAsk++
+	r := &wire.Report{Node: b.members.Self().Name, Pool: pool, Holds: b.holdsOf(pool), Process: b.process, LastAsk: b.lastAsk}
+	for ask, askedIn := range b.asking {
+		if askedIn == pool {
+			r.Asking = append(r.Asking, ask)
+		}
+	}
+	return r
+}
+
 // holdsOf returns this node's holds in a pool; the caller holds the lock.
 func (b *Brokered) holdsOf(pool string) []wire.Hold {
 	var out []wire.Hold
--- a/internal/wire/wire_gen.go
+++ b/internal/wire/wire_gen.go
@@ -33,6 +33,9 @@
 	// Request is the id of the request.
 	Request string `json:"r"`
 
+	// Process tells the asking instance's processes apart.
+	Process int `json:"s,omitempty,omitzero"`
+
 	// Team of the caller.
 	Team string `json:"t,omitempty,omitzero"`
 
@@ -326,14 +329,23 @@
 
 // Report tells a new broker what a node holds in a pool.
 type Report struct {
+	// Asking are the asks in the pool whose answer the node still waits for.
+	Asking []int `json:"a,omitempty,omitzero"`
+
 	// Holds are all places that the node holds in the pool.
 	Holds []Hold `json:"h,omitempty,omitzero"`
 
+	// LastAsk is the number of the newest ask; 0 from nodes that number none.
+	LastAsk int `json:"l,omitempty,omitzero"`
+
 	// Node that reports.
 	Node string `json:"n"`
 
 	// Pool that is reported on.
 	Pool string `json:"p"`
+
+	// Process tells the reporting instance's processes apart.
+	Process int `json:"s,omitempty,omitzero"`
 }
 
 // Row is one line of a query's answer: a request, or another thing with a name.
