Front: a test's crashing word no longer appears in random ids

TestCallsThatCrashEnginesReachFew failed in 8 of 23 runs today: "sound call 11 is not served", or 10, or 3.

Cause, from the nodes' log lines: a sound call crashed three engines. The engines of the test crash under requests whose text has the word "bad", with their headers, and three hexadecimal digits of a trace id or request id may be "bad". The product held the call's messages, as it should.

Change: the word is "poison", which no hexadecimal id has. Nothing else of the test changes, so it checks what it did before.

--- a/internal/front/held_test.go
+++ b/internal/front/held_test.go
@@ -47,15 +47,15 @@
 		crashing, sound func(i int) string
 		headers         []string
 	}{
-		"a message of many prompts": {"/v1/chat/completions", func(i int) string { return chat("system", "bad", fmt.Sprint("own", i)) }, func(i int) string { return chat("system", fmt.Sprint("own", i)) }, nil},
-		"that may run once":         {"/v1/chat/completions", func(int) string { return chat("system", "bad", "own") }, func(i int) string { return chat("system", fmt.Sprint("own", i)) }, []string{front.HeaderNotRepeatable, "true"}},
-		"calls that are alike":      {"/services/bids/x", func(int) string { return "bad" }, func(i int) string { return fmt.Sprint("sound", i) }, nil},
+		"a message of many prompts": {"/v1/chat/completions", func(i int) string { return chat("system", "poison", fmt.Sprint("own", i)) }, func(i int) string { return chat("system", fmt.Sprint("own", i)) }, nil},
+		"that may run once":         {"/v1/chat/completions", func(int) string { return chat("system", "poison", "own") }, func(i int) string { return chat("system", fmt.Sprint("own", i)) }, []string{front.HeaderNotRepeatable, "true"}},
+		"calls that are alike":      {"/services/bids/x", func(int) string { return "poison" }, func(i int) string { return fmt.Sprint("sound", i) }, nil},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var crashes atomic.Int64
 			engines := make([]http.HandlerFunc, 12)
 			for i := range engines {
-				engines[i] = crashesOn("bad", &crashes)
+				engines[i] = crashesOn("poison", &crashes)
 			}
 			r := newTestServer(t, engines...)
 			last := ""
