Front: a surviving trial is noted once, not with each token

By reading: after two seconds of the answer to a trial each further token took the lock of all prompt parts and had them judged again. The parts were cleared by the first one, so that nothing changed by it. Change: the call remembers that its trial has survived, as internal/dispatch does. Also: the id of a held part or request in a release statement is named heldID, since held read like a flag. Measured: tests of both packages pass with -race; the load of a token was not measured.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -225,8 +225,8 @@
 	case s.History != nil:
 		return a.history(ctx, s.History)
 	case s.Release != nil:
-		held, err := strconv.ParseUint(s.Release.ID, 16, 64)
-		if err != nil || !a.release(clock.Now(), held) {
+		heldID, err := strconv.ParseUint(s.Release.ID, 16, 64)
+		if err != nil || !a.release(clock.Now(), heldID) {
 			return nil, trace.NotFound("%s is not held", s.Release.ID)
 		}
 		a.log.Info("released", "id", s.Release.ID, "author", author)
--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -45,6 +45,7 @@
 		trial         bool      // trial is set if the next try is the trial of a held request.
 		partTrial     time.Time // partTrial is when the call became the trial of held prompt parts; zero if it is none.
 		trialBegan    time.Time // trialBegan is when the engine began to answer that trial.
+		trialSurvived bool      // trialSurvived is set once the engine has answered that trial for long enough.
 		crashedEngine bool      // crashedEngine is set once an engine has crashed under the call.
 		failed        bool      // failed is set if the backend server answered with a failure.
 
--- a/internal/front/held.go
+++ b/internal/front/held.go
@@ -39,7 +39,7 @@
 	}
 	d := f.parts.Admit(now, c.partTrial, c.pool.Name, c.parts)
 	if d.Trial {
-		c.partTrial, c.trialBegan = now, time.Time{}
+		c.partTrial, c.trialBegan, c.trialSurvived = now, time.Time{}, false
 	}
 	if d.Held != nil {
 		f.tele.Log.Info("held request refused", "request", c.id, "part", d.Held.Part.String(), "pool", c.pool.Name, "team", c.team.Name, "engines", d.Held.Engines(), "rivals", d.Held.Rivals)
@@ -63,10 +63,11 @@
 // noteProgress clears the held prompt parts whose trial the call is, if its engine has been answering it for long enough.
 func (f *Front) noteProgress(now time.Time, c *call) {
 	switch {
-	case c.partTrial.IsZero():
+	case c.partTrial.IsZero() || c.trialSurvived:
 	case c.trialBegan.IsZero():
 		c.trialBegan = now
 	case now.Sub(c.trialBegan) >= quarantine.SurvivalTime:
+		c.trialSurvived = true
 		f.parts.TrialSurvives(now, c.pool.Name, c.parts)
 	}
 }
