Broker: the rule for slots missing from a report is said once

Reading as a newcomer: two conditions asked the same. The rule is unchanged: a slot whose ask is known is gone when that ask has ended, any other once it is older than a report may be late. Measured: tests of internal/broker and internal/sched pass with -race.

--- a/internal/broker/pool.go
+++ b/internal/broker/pool.go
@@ -321,10 +321,11 @@
 		if h.node != r.Node || named[id] {
 			continue
 		}
-		if asks.numbers(h.process, h.ask) && !asks.ended(h.process, h.ask) {
-			continue // The node has not had the answer yet.
+		gone := now.Sub(h.since) > lateness
+		if asks.numbers(h.process, h.ask) {
+			gone = asks.ended(h.process, h.ask) // If not, the node has not had the answer yet.
 		}
-		if asks.ended(h.process, h.ask) || now.Sub(h.since) > lateness {
+		if gone {
 			p.removeHold(now, h)
 		}
 	}
