--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -108,3 +109,21 @@
 		t.Errorf("the server was called %d times, want 2", len(calls))
 	}
 }
+
+// TestEngineThatEndsWhileItIsLookedAtRefuses guards against a crashed engine that counts as alive because its machine still
+// accepted a connection.
+func TestEngineThatEndsWhileItIsLookedAtRefuses(t *testing.T) {
+	c := engine.NewClient(time.Second)
+	defer c.Close()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.Refuses(context.Background(), l.Addr().String()) {
+		t.Error("an engine that accepts connections refuses them")
+	}
+	time.AfterFunc(10*time.Millisecond, func() { l.Close() })
+	if !c.Refuses(context.Background(), l.Addr().String()) {
+		t.Error("an engine that ends 10 ms after a connection was opened does not refuse")
+	}
+}
--- a/internal/engine/probe.go
+++ b/internal/engine/probe.go
@@ -2,20 +2,22 @@
 
 import (
 	"context"
-	"errors"
-	"net"
-	"syscall"
 	"time"
 
 	"github.com/croftturn/croftturn/internal/dial"
 )
 
-// probeTimeout bounds connecting to an engine whose state is in question.
-const probeTimeout = 150 * time.Millisecond
+const (
+	// probeTimeout bounds connecting to an engine whose state is in question.
+	probeTimeout = 150 * time.Millisecond
 
-// Refuses reports whether an address refuses connections, as that of a crashed engine does.
+	// endingTime is how long an engine that ends may still accept connections. Only requests whose connection broke wait for it.
+	endingTime = 50 * time.Millisecond
+)
+
+// Refuses reports whether an address refuses connections, as that of a crashed engine does, maybe after one that it closed.
 func (c *Client) Refuses(ctx context.Context, address string) bool {
-	return errors.Is(probe(ctx, address), syscall.ECONNREFUSED)
+	return dial.Ended(ctx, dial.New(probeTimeout), address, endingTime)
 }
 
 // Accepts reports whether an address accepts connections.
@@ -25,7 +27,7 @@
 func probe(ctx context.Context, address string) error {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	var d *net.Dialer = dial.New(probeTimeout)
+	d := dial.New(probeTimeout)
 	conn, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return err
