--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -41,6 +41,7 @@
 	// Snapshot is the store's reply to a List or Changes call.
 	Snapshot struct {
 		Rows    []Row
+		Era     int64     // Era is that of the reply, as in history.Position.
 		Version int64     // Version is the newest version of all tables at the time of the reply.
 		AsOf    time.Time // AsOf is a local monotonic time at which the reply was current.
 		Sent    time.Time // Sent is when the call was sent; zero if unknown.
--- a/internal/feed/reader.go
+++ b/internal/feed/reader.go
@@ -38,6 +38,7 @@
 		Wake       <-chan struct{}          // Wake ends the wait of an inactive reader; it may be nil.
 		Log        *slog.Logger
 
+		era        int64     // era is that of the last reply.
 		version    int64     // version is the newest version of all tables that was read.
 		hasVersion bool      // hasVersion is set once version is valid.
 		currentAt  time.Time // currentAt is when the last reply was current; rows that are not in it were accepted later.
@@ -60,7 +61,7 @@
 		case ctx.Err() != nil:
 			return
 		case errors.Is(err, ErrHistoryGone):
-			r.Log.Warn("table history is no longer available; reading the full table", "table", r.Table.Name(), "version", r.version)
+			r.Log.Warn("table history is no longer available; reading the full table", "table", r.Table.Name(), "version", r.version, "era", r.era)
 			r.hasVersion = false
 		case err != nil:
 			r.recordFailure(clock.Now(), err)
@@ -114,8 +115,12 @@
 // recordSuccess records a successful call.
 func (r *Reader) recordSuccess(snap Snapshot) {
 	if r.failing {
-		r.Log.Info("store is available again", "table", r.Table.Name(), "version", snap.Version)
+		r.Log.Info("store is available again", "table", r.Table.Name(), "version", snap.Version, "era", snap.Era)
 	}
+	if r.hasVersion && snap.Era != r.era {
+		r.Log.Warn("store has come back from an older copy", "table", r.Table.Name(), "era", snap.Era, "era_before", r.era, "version", snap.Version, "version_before", r.version)
+	}
+	r.era = snap.Era
 	r.failing = false
 	r.version, r.hasVersion, r.currentAt = max(r.version, snap.Version), true, snap.AsOf
 	if r.OnSuccess != nil {
