--- /dev/null
+++ b/internal/feed/return_test.go
@@ -0,0 +1,100 @@
+package feed_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/croftturn/croftturn/internal/feed"
+)
+
+// copiedStore is a store that can come back from an older copy of itself.
+type copiedStore struct {
+	era, version int64
+	rows         map[string]feed.Row
+	changes      []feed.Row
+}
+
+func newCopiedStore() *copiedStore { return &copiedStore{rows: map[string]feed.Row{}} }
+
+// put writes a row, or deletes it if the value is empty.
+func (s *copiedStore) put(key, value string) {
+	s.version++
+	r := row(key, value, s.version)
+	r.Deleted = value == ""
+	if s.changes = append(s.changes, r); r.Deleted {
+		delete(s.rows, key)
+		return
+	}
+	s.rows[key] = r
+}
+
+// goBack loses all transactions after a version.
+func (s *copiedStore) goBack(to int64) {
+	old := s.changes
+	s.era, s.version, s.rows, s.changes = s.era+1, 0, map[string]feed.Row{}, nil
+	for _, r := range old {
+		if r.Version <= to {
+			s.put(r.Key, string(r.Value))
+		}
+	}
+}
+
+// snapshot returns an answer with rows.
+func (s *copiedStore) snapshot(rows []feed.Row) feed.Snapshot {
+	return feed.Snapshot{Rows: rows, Era: s.era, Version: s.version, AsOf: start}
+}
+
+func (s *copiedStore) List(context.Context, string, string) (feed.Snapshot, error) {
+	var all []feed.Row
+	for _, r := range s.rows {
+		all = append(all, r)
+	}
+	return s.snapshot(all), nil
+}
+
+func (s *copiedStore) Changes(_ context.Context, _ string, after int64, _ time.Duration) (feed.Snapshot, error) {
+	if after > s.version {
+		return feed.Snapshot{}, fmt.Errorf("after %d: %w", after, feed.ErrHistoryGone)
+	}
+	var out []feed.Row
+	for _, r := range s.changes {
+		if r.Version > after {
+			out = append(out, r)
+		}
+	}
+	return s.snapshot(out), nil
+}
+
+// TestRowsWrittenAfterAReturnAreTaken guards against rows that are missed for good because a store that came back from a copy gave them lower versions.
+func TestRowsWrittenAfterAReturnAreTaken(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		filling int // filling is how many transactions follow before the next read; six make it one without a 410.
+	}{{"with a 410", 0}, {"without a 410", 6}} {
+		store, got := newCopiedStore(), &sink{}
+		for i := range 10 {
+			store.put("k", fmt.Sprint(i))
+		}
+		reader := &feed.Reader{Table: feed.NewTable("t", got.take), Source: store, Log: quiet, OnFailure: func(time.Time) {}}
+		read := func() {
+			for range 4 { // A 410 takes one more call.
+				if err := reader.Read(context.Background()); err != nil {
+					t.Logf("%s: %v", test.name, err)
+				}
+			}
+		}
+		read()
+		store.goBack(5)
+		store.put("k", "written after the return")
+		store.put("new", "1")
+		for i := range test.filling {
+			store.put("filling", fmt.Sprint(i))
+		}
+		read()
+		if live := got.live(); live["k"] != "written after the return" || live["new"] != "1" {
+			t.Errorf("%s: the table has %v", test.name, live)
+		}
+	}
+}
--- a/lab/platform/platform.go
+++ b/lab/platform/platform.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -18,6 +19,9 @@
 
 	// keptChanges is how many changes the feed remembers.
 	keptChanges = 4096
+
+	// keptUndo is how many of the newest changes can be lost when the store comes back from a copy.
+	keptUndo = 1 << 15
 )
 
 type (
@@ -45,6 +49,19 @@
 		ClockMs  int  `json:"clock_ms"`  // ClockMs is added to the steady clock, which then is not steady.
 	}
 
+	// Return makes the store come back from a copy, an era later.
+	Return struct {
+		LoseMs int `json:"lose_ms"` // LoseMs is how old the copy is: transactions since are lost.
+	}
+
+	// undo is what a change replaced.
+	undo struct {
+		at      time.Time
+		version int64 // version is that before the transaction.
+		name    rowName
+		before  row // before has version 0 if there was no row.
+	}
+
 	// Counts tells what the platform was asked.
 	Counts struct {
 		Reads  int `json:"reads"`
@@ -53,20 +70,22 @@
 
 	// Platform serves the stand-in.
 	Platform struct {
-		mu      sync.Mutex
-		rows    map[rowName]row
-		changes []row
-		version int64         // version counts transactions
-		floor   int64         // floor is the version up to which changes are forgotten
-		changed chan struct{} // changed is closed and replaced at each transaction
-		objects map[string][]byte
-		shown   []row // shown is the list of instances as it is told
-		shownAt time.Time
-		faults  Faults
-		counts  Counts
-		reads   *rate.Limiter
-		writes  *rate.Limiter
-		started time.Time
+		mu       sync.Mutex
+		rows     map[rowName]row
+		changes  []row
+		version  int64         // version counts transactions
+		floor    int64         // floor is the version up to which changes are forgotten
+		eraShown atomic.Int64  // eraShown counts the returns
+		undo     []undo        // undo holds what the newest changes replaced, the newest last
+		changed  chan struct{} // changed is closed and replaced at each transaction
+		objects  map[string][]byte
+		shown    []row // shown is the list of instances as it is told
+		shownAt  time.Time
+		faults   Faults
+		counts   Counts
+		reads    *rate.Limiter
+		writes   *rate.Limiter
+		started  time.Time
 	}
 )
 
@@ -88,6 +107,7 @@
 	mux.HandleFunc("GET /-/blob-get/{name...}", p.faulty(p.handleGetObject))
 	mux.HandleFunc("PUT /-/blob-put/{name...}", p.faulty(p.handlePutObject))
 	mux.HandleFunc("POST /control/faults", p.handleFaults)
+	mux.HandleFunc("POST /control/return", p.handleReturn)
 	mux.HandleFunc("POST /control/instances", p.handleSetInstances)
 	mux.HandleFunc("GET /control/counts", p.handleCounts)
 	return mux
@@ -109,6 +129,7 @@
 		if f.SlowMs > 0 {
 			time.Sleep(time.Duration(f.SlowMs) * time.Millisecond)
 		}
+		w = &eraWriter{ResponseWriter: w, platform: p}
 		switch {
 		case f.Down:
 			http.Error(w, "down", http.StatusServiceUnavailable)
--- a/lab/platform/rows.go
+++ b/lab/platform/rows.go
@@ -84,7 +84,7 @@
 
 // since returns the changes of a table after a version, and whether these are forgotten.
 func (p *Platform) since(table string, after int64) (out []row, gone bool) {
-	if after < p.floor {
+	if after < p.floor || after > p.version {
 		return nil, true
 	}
 	out = []row{}
@@ -133,6 +133,7 @@
 
 // write writes and deletes rows as one transaction.
 func (p *Platform) write(puts, deletes []row) {
+	p.recordUndo(time.Now(), puts, deletes)
 	p.version++
 	for _, r := range puts {
 		r.Version = p.version
