--- a/internal/cachewatch/cachewatch_test.go
+++ b/internal/cachewatch/cachewatch_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/croftturn/croftturn/internal/cachewatch"
+	"github.com/croftturn/croftturn/internal/history"
 	"github.com/croftturn/croftturn/internal/placement"
 )
 
@@ -98,7 +99,7 @@
 		p.Start(time.Now(), c, r).End(time.Now(), placement.Aborted)
 		p.TakeUses()
 	}
-	p.UpdatePeer(time.Now(), "sender", 0, nil, uses)
+	p.UpdatePeer(time.Now(), "sender", history.Position{}, nil, uses)
 	return p
 }
 
@@ -135,7 +136,7 @@
 				time.Sleep(2 * time.Second)
 				synctest.Wait()
 				told := w.TakeEvicted()
-				peer.EvictFromPeer(time.Now(), 0, told)
+				peer.EvictFromPeer(time.Now(), history.Position{}, told)
 				if cached(node) || cached(peer) || len(told) != 1 || count.forgotten != 1 {
 					t.Errorf("the node still expects the part: %v, its peer: %v; told %v, counted %d", cached(node), cached(peer), told, count.forgotten)
 				}
@@ -206,7 +207,7 @@
 			engines = append(engines, each)
 		}
 		used := engines[len(engines)-1]
-		node.UpdatePeer(time.Now(), "sender", 0, nil, []placement.Use{{Engine: used.ID, Part: part.ID}})
+		node.UpdatePeer(time.Now(), "sender", history.Position{}, nil, []placement.Use{{Engine: used.ID, Part: part.ID}})
 		began := time.Now()
 		for range 80 {
 			w.Sync(engines)
@@ -280,7 +281,7 @@
 		e.set(func() { e.broken = true })
 		w.Sync(engines)
 		time.Sleep(25 * time.Second)
-		node.UpdatePeer(time.Now(), "sender", 0, nil, []placement.Use{{Engine: target.ID, Part: part.ID}})
+		node.UpdatePeer(time.Now(), "sender", history.Position{}, nil, []placement.Use{{Engine: target.ID, Part: part.ID}})
 		time.Sleep(5 * time.Second)
 		if !cached(node) {
 			t.Error("failures change what is expected to be cached")
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -12,6 +12,7 @@
 
 	"github.com/croftturn/croftturn/internal/clock"
 	"github.com/croftturn/croftturn/internal/feed"
+	"github.com/croftturn/croftturn/internal/history"
 	"github.com/croftturn/croftturn/internal/news"
 	"github.com/croftturn/croftturn/internal/placement"
 )
@@ -62,9 +63,9 @@
 
 	// incarnation is one run of an engine, from its start.
 	incarnation struct {
-		born         int64 // born is the start time that the engine reports; 0 if none.
-		firstVersion int64 // firstVersion is the version of the first entry of this incarnation.
-		draining     bool  // draining is set once the engine announced that it is leaving.
+		born     int64            // born is the start time that the engine reports; 0 if none.
+		first    history.Position // first is the position of the first entry of this incarnation.
+		draining bool             // draining is set once the engine announced that it is leaving.
 
 		learnedAt time.Time // learnedAt is when this node learned of an answer that announced it; zero if there was none.
 
@@ -136,7 +137,7 @@
 		d.log.Info("engine restarted", "engine", e.ID, "born", e.Incarnation, "before", current.born, "version", r.Version)
 	}
 	if !known || current.born != e.Incarnation {
-		current = incarnation{born: e.Incarnation, firstVersion: r.Version}
+		current = incarnation{born: e.Incarnation, first: r.Position()}
 		d.leaving.Remove(e.ID)
 	}
 	if e.Draining {
@@ -146,7 +147,7 @@
 	if !current.learnedAt.IsZero() {
 		d.leaving.Add(e.ID)
 	}
-	e.Draining, e.SinceVersion = current.draining, current.firstVersion
+	e.Draining, e.Since = current.draining, current.first
 	e.LeavesAt, e.LastSend = current.leavesAt, current.lastSend
 	delete(d.dropAt, e.ID)
 	if log {
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/croftturn/croftturn/internal/discovery"
 	"github.com/croftturn/croftturn/internal/feed"
+	"github.com/croftturn/croftturn/internal/history"
 	"github.com/croftturn/croftturn/internal/placement"
 )
 
@@ -143,12 +144,12 @@
 		draining bool
 		want     placement.Engine
 	}{
-		{100, false, placement.Engine{ID: "e", Incarnation: 100, SinceVersion: 1}},
-		{100, true, placement.Engine{ID: "e", Incarnation: 100, SinceVersion: 1, Draining: true}},
-		{100, false, placement.Engine{ID: "e", Incarnation: 100, SinceVersion: 1, Draining: true}},
-		{50, false, placement.Engine{ID: "e", Incarnation: 50, SinceVersion: 4}},
-		{50, false, placement.Engine{ID: "e", Incarnation: 50, SinceVersion: 4}},
-		{100, true, placement.Engine{ID: "e", Incarnation: 100, SinceVersion: 6, Draining: true}},
+		{100, false, placement.Engine{ID: "e", Incarnation: 100, Since: history.Position{Version: 1}}},
+		{100, true, placement.Engine{ID: "e", Incarnation: 100, Since: history.Position{Version: 1}, Draining: true}},
+		{100, false, placement.Engine{ID: "e", Incarnation: 100, Since: history.Position{Version: 1}, Draining: true}},
+		{50, false, placement.Engine{ID: "e", Incarnation: 50, Since: history.Position{Version: 4}}},
+		{50, false, placement.Engine{ID: "e", Incarnation: 50, Since: history.Position{Version: 4}}},
+		{100, true, placement.Engine{ID: "e", Incarnation: 100, Since: history.Position{Version: 6}, Draining: true}},
 	} {
 		d.Apply(start, []feed.Row{startEntry("e", step.born, step.draining, int64(i+1))})
 		if got["e"] != step.want {
--- a/internal/dispatch/interactive_test.go
+++ b/internal/dispatch/interactive_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/croftturn/croftturn/internal/dispatch"
 	"github.com/croftturn/croftturn/internal/freshness"
+	"github.com/croftturn/croftturn/internal/history"
 	"github.com/croftturn/croftturn/internal/placement"
 	"github.com/croftturn/croftturn/internal/retry"
 	"github.com/croftturn/croftturn/internal/routing"
@@ -113,11 +114,11 @@
 			p := placement.New("hall", placement.WithLimits(limits))
 			d, full := newInteractiveWith(t, p, 0, 0), placement.Load{InFlight: 8}
 			change := func() {
-				p.UpdatePeer(time.Now(), "peer", 0, map[string]placement.Load{"e0": {PrefillTokens: queued, InFlight: 1}, "e1": {PrefillTokens: queued, InFlight: 8}}, nil)
+				p.UpdatePeer(time.Now(), "peer", history.Position{}, map[string]placement.Load{"e0": {PrefillTokens: queued, InFlight: 1}, "e1": {PrefillTokens: queued, InFlight: 8}}, nil)
 			}
 			dispatch.WithPermits(&fakePermits{left: 1, before: change})(d)
 			if wait == "slot" {
-				p.UpdatePeer(time.Now(), "peer", 0, map[string]placement.Load{"e0": full, "e1": full}, nil)
+				p.UpdatePeer(time.Now(), "peer", history.Position{}, map[string]placement.Load{"e0": full, "e1": full}, nil)
 				time.AfterFunc(30*time.Millisecond, change)
 			}
 			got := serveRequest(context.Background(), t, d, &dispatch.Request{ID: "id", Host: "h", Path: "/stream/x", Key: "k", Patience: timeout, Prompt: placement.Prompt{Tokens: 2000}})
--- a/internal/dispatch/transfer_test.go
+++ b/internal/dispatch/transfer_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/croftturn/croftturn/internal/dispatch"
 	"github.com/croftturn/croftturn/internal/freshness"
+	"github.com/croftturn/croftturn/internal/history"
 	"github.com/croftturn/croftturn/internal/placement"
 	"github.com/croftturn/croftturn/internal/retry"
 	"github.com/croftturn/croftturn/internal/routing"
@@ -38,7 +39,7 @@
 		}
 		p.Set(placement.Engine{ID: "source", Address: "source", Pool: "p", Hall: "hall", Slots: 8, Draining: true})
 		part := placement.NewPart("part", 6000)
-		p.UpdatePeer(now, "peer", 0, nil, []placement.Use{{Engine: "source", Part: part.ID}})
+		p.UpdatePeer(now, "peer", history.Position{}, nil, []placement.Use{{Engine: "source", Part: part.ID}})
 		serveRequest(context.Background(), t, d, &dispatch.Request{ID: "id", Host: "h", Path: "/r/x", Key: "k", Patience: timeout, Prompt: placement.Prompt{Tokens: 7000, Shared: []placement.Part{part}}})
 		want := "source"
 		if interactive == 0 {
--- a/internal/edge/cache_watch_test.go
+++ b/internal/edge/cache_watch_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/croftturn/croftturn/internal/history"
 	"github.com/croftturn/croftturn/internal/placement"
 	"github.com/croftturn/croftturn/internal/routing"
 	"github.com/croftturn/croftturn/internal/scaling"
@@ -104,7 +105,7 @@
 		return ok && c.PrefillTokens < prompt.Tokens
 	}
 	for _, e := range nodes {
-		e.placement.UpdatePeer(time.Now().Add(-2*time.Second), "sender", 6, nil, []placement.Use{{Engine: "e0", Part: part.ID}})
+		e.placement.UpdatePeer(time.Now().Add(-2*time.Second), "sender", history.Position{Version: 6}, nil, []placement.Use{{Engine: "e0", Part: part.ID}})
 		if !cached(e) {
 			t.Fatal("the part is not expected to be cached")
 		}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -135,6 +135,9 @@
 	incarnationsMu sync.Mutex
 	incarnations   map[string]int64 // incarnations holds the newest incarnation of each peer that was heard.
 
+	returnedAt atomic.Pointer[time.Time] // returnedAt is when the store is known to have come back from a copy; nil if it never has.
+	returns    atomic.Int64              // returns counts how often that was seen.
+
 	configsRefused atomic.Int64 // configsRefused counts configurations that were rejected as invalid.
 
 	suspensions     atomic.Int64       // suspensions counts how often this process was suspended.
@@ -221,8 +224,8 @@
 	e.permits = limit.NewPermits(e.limits, e.peerClient, e.permitIssuer, e.gossip.ReachableShare, e.log)
 	e.dispatcher = dispatch.New(e.proof, e.placement, e.budget, e.egress, e.metrics, e.log, dispatch.WithProber(e.egress), dispatch.WithQuarantine(e.quarantine), dispatch.WithParts(e.parts), dispatch.WithLeaveObserver(e.discovery), dispatch.WithPermits(e.permits), dispatch.WithReach(e.reach), dispatch.WithInteractiveTarget(ms(s.InteractiveTargetMs)), dispatch.WithOverloadObserver(e.metrics), dispatch.WithLeavingObserver(e.metrics), dispatch.WithPinning(e.pins, e.versions, e.metrics), e.forwarding(), e.relayBuffers())
 	e.register = register.New(now, e.store, self, slices.Collect(maps.Keys(s.HallRegions)), s.FirstStart, e.gossip, e.log)
-	e.configTable = feed.NewTable(platform.TableConfig, e.applyConfig)
-	e.engineTable = feed.NewTable(platform.TableEngines, e.discovery.Apply)
+	e.configTable = feed.NewTable(platform.TableConfig, e.applyConfig, feed.WithCarry(configCarry()), feed.WithReturnObserver(e.storeReturned))
+	e.engineTable = feed.NewTable(platform.TableEngines, e.discovery.Apply, feed.WithCarry(engineCarry(s)), feed.WithReturnObserver(e.storeReturned))
 	e.follower = feed.NewFollower(s.PeerAddress, e.peerClient, e.log, e.configTable, e.engineTable)
 	e.peerServer.Handle(feed.MethodTable, peer.Typed(e.follower.HandleTable))
 	e.peerServer.Handle(limit.MethodPermit, peer.Typed(e.permits.HandleRequest))
@@ -381,6 +384,8 @@
 	e.removeClockHook()
 	e.cancel()
 	errs = append(errs, e.follower.Close(), e.peerServer.Close())
+	e.configTable.Close()
+	e.engineTable.Close()
 	e.pins.Close()
 	e.versions.Close()
 	e.peerClient.Close()
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -299,7 +299,7 @@
 			t.Errorf("after %q: version %d, ready %v, %d refused", bad, e.dispatcher.Version(), e.Ready(time.Now()), e.configsRefused.Load())
 		}
 	}
-	if last, _ := e.configTable.Latest(); last != 14 {
+	if last, _ := e.configTable.Position(); last.Version != 14 {
 		t.Errorf("the table is at version %d, want 14: a rejected row must not be requested from peers again", last)
 	}
 	e.configTable.Apply(time.Now(), row(strings.Replace(configRow, `"version":3`, `"version":5`, 1), 20))
--- a/internal/edge/load_updates.go
+++ b/internal/edge/load_updates.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/croftturn/croftturn/internal/gossip"
+	"github.com/croftturn/croftturn/internal/history"
 	"github.com/croftturn/croftturn/platform"
 )
 
@@ -15,14 +16,15 @@
 
 // TakeLoadChanges implements gossip.LoadNode.
 func (n loadNode) TakeLoadChanges(now time.Time) gossip.LoadChanges {
-	version := n.e.follower.Versions()[platform.TableEngines] // Read before the loads, which may be of later entries but not of earlier ones.
+	at := n.e.follower.Announcement().Position(platform.TableEngines) // Read before the loads, which may be of later entries but not of earlier ones.
 	loads, uses, slowdowns, broken := n.e.placement.TakeLoadChanges(now)
-	return gossip.LoadChanges{EngineVersion: version, Loads: loads, Uses: uses, Slowdowns: slowdowns, Broken: broken}
+	return gossip.LoadChanges{EngineVersion: at.Version, EngineEra: at.Era, Loads: loads, Uses: uses, Slowdowns: slowdowns, Broken: broken}
 }
 
 // HandleLoadChanges implements gossip.LoadNode.
 func (n loadNode) HandleLoadChanges(now time.Time, peer string, c gossip.LoadChanges) {
-	n.e.placement.UpdatePeerLoads(now, peer, c.EngineVersion, c.Loads, c.Uses)
-	n.e.placement.UpdateSlowdowns(now, c.EngineVersion, c.Slowdowns)
-	n.e.placement.UpdateBroken(now, c.EngineVersion, c.Broken)
+	known := history.Position{Era: c.EngineEra, Version: c.EngineVersion}
+	n.e.placement.UpdatePeerLoads(now, peer, known, c.Loads, c.Uses)
+	n.e.placement.UpdateSlowdowns(now, known, c.Slowdowns)
+	n.e.placement.UpdateBroken(now, known, c.Broken)
 }
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/croftturn/croftturn/internal/dispatch"
+	"github.com/croftturn/croftturn/internal/feed"
 	"github.com/croftturn/croftturn/internal/gossip"
 	"github.com/croftturn/croftturn/platform"
 )
@@ -48,9 +49,9 @@
 // LocalState returns this node's state as reported to its peers.
 func (e *Edge) LocalState(now time.Time) gossip.State {
 	silent, unreachable := e.checkSilence(now), e.reach.Unreachable()
-	versions := e.follower.Versions() // Read before the loads, which may be of later entries but not of earlier ones.
+	tables := e.follower.Announcement() // Read before the loads, which may be of later entries but not of earlier ones.
 	s := gossip.State{
-		Ready: e.Ready(now), Stopping: e.dispatcher.Ready(now) == dispatch.Stopping, Rate: float32(e.dispatcher.Rate(now)), Loads: e.placement.Loads(), Uses: e.placement.TakeUses(), Slowdowns: e.placement.Slowdowns(now), Versions: versions,
+		Ready: e.Ready(now), Stopping: e.dispatcher.Ready(now) == dispatch.Stopping, Rate: float32(e.dispatcher.Rate(now)), Loads: e.placement.Loads(), Uses: e.placement.TakeUses(), Slowdowns: e.placement.Slowdowns(now), Versions: tables.Versions, Eras: tables.Eras, Kept: tables.Kept, ReturnAgeMs: e.returnAgeMs(now),
 		ConfigVersion: e.dispatcher.Version(), ProofAgeMs: -1, CannotReadStore: e.readFailing(now), StoreSilentMs: -1, StoreFailureAgeMs: -1, TierStats: e.dispatcher.TierStats(now), Holder: e.announcedHolder(now), Crashing: e.quarantine.GossipEntries(now, gossip.UpdateLifetime), CrashingParts: e.parts.GossipEntries(now, gossip.UpdateLifetime), Limits: e.limits.GossipEntries(now, gossip.UpdateLifetime), Leaving: e.discovery.GossipEntries(now, gossip.UpdateLifetime), Evicted: e.cacheWatcher.TakeEvicted(),
 		TeamWork: e.dispatcher.TeamWork(now), LowerAdmitted: e.dispatcher.LowerAdmitted(now),
 		Unreachable: unreachable, Partitioned: e.partitioned(unreachable), ForwardPort: e.forwardPort(), Brittle: e.placement.Brittle(now), PinsStreams: true, PoolVersions: e.versions.GossipEntries(now),
@@ -71,9 +72,11 @@
 // had received by then, zero if there is none. The age of the peer's proof is counted from
 // received, which is on this node's clock and not later than the report.
 func (e *Edge) HandlePeerState(now time.Time, p gossip.NodeInfo, s gossip.State, received time.Time) {
-	e.placement.UpdatePeer(now, p.Name, s.Versions[platform.TableEngines], s.Loads, s.Uses)
-	e.placement.EvictFromPeer(now, s.Versions[platform.TableEngines], s.Evicted) // After the uses, which are newer.
-	e.placement.UpdateSlowdowns(now, s.Versions[platform.TableEngines], s.Slowdowns)
+	tables := feed.Announcement{Versions: s.Versions, Eras: s.Eras, Kept: s.Kept}
+	known := tables.Position(platform.TableEngines)
+	e.placement.UpdatePeer(now, p.Name, known, s.Loads, s.Uses)
+	e.placement.EvictFromPeer(now, known, s.Evicted) // After the uses, which are newer.
+	e.placement.UpdateSlowdowns(now, known, s.Slowdowns)
 	e.dispatcher.SetPeerTierStats(now, p.Name, s.TierStats)
 	e.dispatcher.SetPeerTeamWork(now, p.Name, s.TeamWork)
 	e.dispatcher.SetPeerLowerAdmitted(now, p.Name, s.LowerAdmitted)
@@ -85,7 +88,8 @@
 	e.receiveHolder(now, s.Holder)
 	e.versions.MergeGossip(now, s.PoolVersions)
 	e.noteIncarnation(now, p)
-	e.follower.ObserveVersions(p.PeerAddress, s.Versions)
+	e.follower.Observe(now, p.PeerAddress, tables)
+	e.heardOfReturn(now, s)
 	if s.ProofAgeMs >= 0 && !received.IsZero() && s.ConfigVersion > 0 && s.ConfigVersion <= e.dispatcher.Version() {
 		e.proof.Renew(received.Add(-time.Duration(s.ProofAgeMs) * time.Millisecond))
 	}
--- a/internal/edge/reading.go
+++ b/internal/edge/reading.go
@@ -9,6 +9,7 @@
 
 	"github.com/croftturn/croftturn/internal/clock"
 	"github.com/croftturn/croftturn/internal/pause"
+	"github.com/croftturn/croftturn/platform"
 )
 
 const (
@@ -157,9 +158,11 @@
 		return true
 	}
 	others := make([]candidate, 0, len(hubs))
+	at, _ := e.configTable.Position()
 	for _, p := range hubs {
+		behind := p.State.Eras[platform.TableConfig] < at.Era // Its release may not know eras: nobody here follows it.
 		silent := ms(int(p.State.StoreSilentMs)) > e.maxSilence()
-		others = append(others, newCandidate(p.Name, p.Cores, p.State.CannotReadStore || silent))
+		others = append(others, newCandidate(p.Name, p.Cores, p.State.CannotReadStore || silent || behind))
 	}
 	return newCandidate(self, cores(e.settings), e.readFailing(now)).rank(others) < limit
 }
@@ -274,6 +277,8 @@
 // configProven records an answer of the store that proves that the configuration in force was the
 // newest at that time.
 func (e *Edge) configProven(at time.Time) {
-	e.proof.Renew(at)
+	if !e.mayLackWrites(at) {
+		e.proof.Renew(at)
+	}
 	e.storeAnswered(at)
 }
--- a/internal/feed/age.go
+++ b/internal/feed/age.go
@@ -1,6 +1,10 @@
 package feed
 
-import "time"
+import (
+	"time"
+
+	"github.com/croftturn/croftturn/internal/history"
+)
 
 const (
 	// minLongPoll is how long a Changes call must have waited at the store for its rows to count as
@@ -69,13 +73,13 @@
 	return oldest
 }
 
-// maxAgeMs returns the most milliseconds for which the store may have had the rows newer than a
-// version, at least 1; 0 if unknown.
-func (t *Table) maxAgeMs(now time.Time, version int64) int64 {
+// maxAgeMs returns the most milliseconds for which the store may have had the rows after a
+// position, at least 1; 0 if unknown.
+func (t *Table) maxAgeMs(now time.Time, at history.Position) int64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	after := t.batches.acceptedAfter(version)
-	if after.IsZero() {
+	after := t.batches.acceptedAfter(at.Version)
+	if after.IsZero() || at.Era != t.era {
 		return 0
 	}
 	return max(now.Sub(after).Milliseconds(), 0) + 1
--- a/internal/feed/age_test.go
+++ b/internal/feed/age_test.go
@@ -69,7 +69,7 @@
 		if at := got.rows["k"].AcceptedAfter; at.IsZero() != (test.after == 0) || test.after > 0 && now.Sub(at) != test.after {
 			t.Errorf("%s: accepted after %v", test.name, now.Sub(at))
 		}
-		peer.ObserveVersions("a", map[string]int64{"t": 2})
+		peer.Observe(now, "a", feed.Announcement{Versions: map[string]int64{"t": 2}})
 		for end := time.Now().Add(time.Second); len(peerGot.live()) == 0 && time.Now().Before(end); time.Sleep(ms) {
 		}
 		if at := peerGot.rows["k"].AcceptedAfter; at.IsZero() != (test.after == 0) || test.after > 0 && now.Sub(at) < test.after-ms {
--- a/internal/feed/bundle.go
+++ b/internal/feed/bundle.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+
+	"github.com/croftturn/croftturn/internal/history"
 )
 
 // maxBundleBytes limits the decompressed size of a bundle. A thousand engine entries take 0.25 MB, and
@@ -18,13 +20,13 @@
 // 0.62 MB, or 0.83 MB encoded. A node with a 10 Mbit/s link sent three such replies in two seconds, so the last
 // of 299 nodes killed together had the table 6.3 s after its start and refused requests until then.
 type bundle struct {
-	after      int64 // after is the requester's version; -1 for none.
-	generation int64 // generation is the table's change count when the reply was built.
+	after      history.Position // after is the requester's position.
+	generation int64            // generation is the table's change count when the reply was built.
 	reply      *TableReply
 }
 
-// bundledSince returns the changes after a version, or the full table, compressed as one bundle if it is large.
-func (t *Table) bundledSince(after int64) (*TableReply, error) {
+// bundledSince returns the changes after a position, or the full table, compressed as one bundle if it is large.
+func (t *Table) bundledSince(after history.Position) (*TableReply, error) {
 	t.bundleMu.Lock()
 	defer t.bundleMu.Unlock()
 	t.mu.Lock()
@@ -50,14 +52,14 @@
 	return reply, nil
 }
 
-// replaceFromReply replaces the table with a peer's full reply. If the table was empty before, the reply's
+// replaceFromReply replaces the table with a peer's full reply. If the table has no other rows then, the reply's
 // bundle is reused for other peers without being compressed again.
-func (t *Table) replaceFromReply(now time.Time, rows []PeerRow, reply *TableReply, acceptedAfter time.Time) {
+func (t *Table) replaceFromReply(now time.Time, u update, reply *TableReply) {
 	t.bundleMu.Lock()
 	defer t.bundleMu.Unlock()
-	wasEmpty, count := t.replace(now, rows, reply.Latest, acceptedAfter)
-	if wasEmpty && reply.Bundle != nil {
-		t.bundle = bundle{after: -1, generation: count, reply: reply}
+	same, count := t.replace(now, u)
+	if same && reply.Bundle != nil {
+		t.bundle = bundle{after: history.Position{Version: -1}, generation: count, reply: reply}
 	}
 }
 
--- a/internal/feed/bundle_test.go
+++ b/internal/feed/bundle_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"github.com/croftturn/croftturn/internal/history"
 )
 
 // TestBundleIsCompressedOnceAndReused checks that a reply of many rows is compressed once until a row changes, that
@@ -26,7 +28,7 @@
 	if again := bundleOf(t, from, -1); &again[0] != &first[0] {
 		t.Error("the same reply is compressed twice")
 	}
-	reply, err := from.bundledSince(-1)
+	reply, err := from.bundledSince(history.Position{Version: -1})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -34,7 +36,7 @@
 	if err != nil || len(received) != 300 {
 		t.Fatalf("%d rows, %v", len(received), err)
 	}
-	to.replaceFromReply(now, received, reply, time.Time{})
+	to.replaceFromReply(now, update{rows: received, at: reply.position()}, reply)
 	if forwarded := bundleOf(t, to, -1); &forwarded[0] != &first[0] {
 		t.Error("a received bundle is compressed again")
 	}
@@ -56,7 +58,7 @@
 // bundleOf returns the bundle of a reply; nil if its rows are sent individually.
 func bundleOf(t *testing.T, table *Table, after int64) []byte {
 	t.Helper()
-	reply, err := table.bundledSince(after)
+	reply, err := table.bundledSince(history.Position{Version: after})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -1,18 +1,24 @@
 // Package feed replicates some of the platform's tables to every node. A few
 // nodes read changes from the platform; the others fetch them from any peer that
-// has them. A row is only ever replaced by a newer version, whatever its source.
+// has them. A row is only ever replaced by one of a later position in the store's
+// history, whatever its source.
 package feed
 
 import (
 	"errors"
 	"fmt"
 	"time"
+
+	"github.com/croftturn/croftturn/internal/history"
 )
 
 var (
 	// ErrHistoryGone reports that the changes since a version are no longer available.
 	ErrHistoryGone = errors.New("feed: history of the table is gone")
 
+	// ErrStale reports a reply of an earlier era than one that is known.
+	ErrStale = errors.New("feed: the reply is of an earlier era of the store")
+
 	// ErrConflict reports that a row does not have the expected version; nothing was written.
 	ErrConflict = errors.New("feed: a row has another version")
 
@@ -30,7 +36,8 @@
 		Part    string `json:"p,omitempty"`
 		Key     string `json:"k"`
 		Value   []byte `json:"v,omitempty"`
-		Version int64  `json:"r"`           // Version comes from one counter over all tables.
+		Version int64  `json:"r"`           // Version comes from one counter over all tables, which starts again lower with an era.
+		Era     int64  `json:"-"`           // Era is that in which the row was read, as in history.Position.
 		Deleted bool   `json:"d,omitempty"` // Deleted marks a deletion; only changes contain deleted rows.
 
 		// AcceptedAfter is a local monotonic time before which the store did not have this version of
@@ -61,6 +68,14 @@
 	}
 )
 
+// Position returns the row's position in the store's history.
+func (r Row) Position() history.Position { return history.Position{Era: r.Era, Version: r.Version} }
+
+// Position returns the position of the reply in the store's history.
+func (s Snapshot) Position() history.Position {
+	return history.Position{Era: s.Era, Version: s.Version}
+}
+
 // Error implements error.
 func (e *ConflictError) Error() string { return fmt.Sprintf("%v: %d rows", ErrConflict, len(e.Rows)) }
 
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -164,7 +164,7 @@
 // deliverVersions tells one node another's versions and waits for its fetches.
 func deliverVersions(net directCaller, from, to int) {
 	f := net[fmt.Sprint(to)]
-	f.ObserveVersions(fmt.Sprint(from), net[fmt.Sprint(from)].Versions())
+	f.Observe(start, fmt.Sprint(from), net[fmt.Sprint(from)].Announcement())
 	f.Wait()
 }
 
@@ -236,7 +236,7 @@
 	a.Replace(start, feed.Snapshot{Rows: []feed.Row{row("x", "2", 9)}, Version: 9})
 	net := directCaller{"a": feed.NewFollower("a", directCaller{}, quiet, a)}
 	f := feed.NewFollower("b", net, quiet, b)
-	f.ObserveVersions("a", map[string]int64{"t": 9})
+	f.Observe(start, "a", feed.Announcement{Versions: map[string]int64{"t": 9}})
 	f.Wait()
 	if got := theirs.live(); len(got) != 1 || got["x"] != "2" {
 		t.Errorf("the peer has %v, want only x", got)
--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/croftturn/croftturn/internal/clock"
+	"github.com/croftturn/croftturn/internal/history"
 	"github.com/croftturn/croftturn/internal/pause"
 )
 
@@ -31,6 +32,9 @@
 	// 10 Mbit/s, after which a reply slot is free.
 	busyRetryDelay = 50 * time.Millisecond
 
+	// keptInterval is the shortest time between two calls for what peers keep of a table.
+	keptInterval = 500 * time.Millisecond
+
 	// slowPull and largePullBytes are the thresholds from which a successful pull is logged;
 	// a typical one takes a few milliseconds and carries a few engines.
 	slowPull       = 250 * time.Millisecond
@@ -47,6 +51,8 @@
 	TableRequest struct {
 		Table             string `json:"t"`
 		After             int64  `json:"a"`           // After is the requester's version; -1 for the full table.
+		Era               int64  `json:"e,omitempty"` // Era is that of After.
+		AcceptsEra        bool   `json:"x,omitempty"` // AcceptsEra is set if the requester orders versions by era; older peers do not.
 		AcceptsCompressed bool   `json:"p,omitempty"` // AcceptsCompressed is set if the requester accepts compressed rows; older peers do not.
 		AcceptsBundle     bool   `json:"b,omitempty"` // AcceptsBundle is set if the requester accepts a bundle; older peers do not.
 		Requester         string `json:"f,omitempty"` // Requester is the requester's address, to which later requesters may be redirected.
@@ -57,6 +63,9 @@
 		Rows    []PeerRow `json:"r,omitempty"`
 		Bundle  []byte    `json:"z,omitempty"` // Bundle holds the rows, compressed together, in place of Rows.
 		Latest  int64     `json:"l"`           // Latest is the newest version among the peer's rows.
+		Era     int64     `json:"e,omitempty"` // Era is that of the rows.
+		Base    int64     `json:"h,omitempty"` // Base is the version at which the peer first read the table in this era.
+		Kept    []KeptRow `json:"k,omitempty"` // Kept holds what the peer keeps in force of earlier eras.
 		Full    bool      `json:"w,omitempty"` // Full is set if the reply holds the full table.
 		Busy    bool      `json:"b,omitempty"` // Busy is set if the peer has no reply slot free; Rows is empty.
 		Holders []string  `json:"o,omitempty"` // Holders are addresses of nodes to which a busy peer has sent the table.
@@ -77,12 +86,26 @@
 
 		mu      sync.Mutex
 		tables  map[string]*Table
-		sources map[string]map[string]int64 // sources holds, for each table being fetched, the candidate peers and their versions.
+		sources map[string]map[string]candidate // sources holds, for each table being fetched, the candidate peers.
+		askedAt map[string]time.Time            // askedAt is when a peer was last asked for what it keeps of a table.
 		limiter *replyLimiter
 
 		served, fetched, failed atomic.Int64
 	}
 
+	// Announcement is what a node tells its peers of its tables, by table.
+	Announcement struct {
+		Versions map[string]int64  // Versions are the newest versions of the tables that are loaded.
+		Eras     map[string]int64  // Eras are the eras of these versions; absent for 0, and at older releases.
+		Kept     map[string]uint64 // Kept are the digests of what is kept of earlier eras; absent if nothing is.
+	}
+
+	// candidate is what a peer announced of a table.
+	candidate struct {
+		at   history.Position
+		kept bool // kept is set if the peer is to be asked for what it keeps, even if it has no newer rows.
+	}
+
 	// PullStats counts table transfers between peers.
 	PullStats struct {
 		Served  int64 // Served counts tables sent to peers.
@@ -93,8 +116,8 @@
 
 // busyError reports that a peer has no reply slot free.
 type busyError struct {
-	version int64    // version is the peer's version of the table.
-	holders []string // holders have that version, too.
+	at      history.Position // at is the peer's position of the table.
+	holders []string         // holders have that position, too.
 }
 
 // Error implements error.
@@ -103,41 +126,78 @@
 // NewFollower returns a follower of the given tables; self is the address at which peers call it.
 func NewFollower(self string, caller Caller, log *slog.Logger, tables ...*Table) *Follower {
 	ctx, cancel := context.WithCancel(context.Background())
-	f := &Follower{self: self, caller: caller, log: log, ctx: ctx, cancel: cancel, tables: map[string]*Table{}, sources: map[string]map[string]int64{}, limiter: newReplyLimiter()}
+	f := &Follower{self: self, caller: caller, log: log, ctx: ctx, cancel: cancel, tables: map[string]*Table{}, sources: map[string]map[string]candidate{}, askedAt: map[string]time.Time{}, limiter: newReplyLimiter()}
 	for _, t := range tables {
 		f.tables[t.Name()] = t
 	}
 	return f
 }
 
-// Versions returns the latest version of each table that is loaded.
-func (f *Follower) Versions() map[string]int64 {
-	out := map[string]int64{}
+// Announcement returns what peers are told of the tables that are loaded.
+func (f *Follower) Announcement() Announcement {
+	out := Announcement{Versions: map[string]int64{}}
 	for name, t := range f.tables {
-		if last, ok := t.Latest(); ok {
-			out[name] = last
+		at, ok := t.Position()
+		if !ok {
+			continue
+		}
+		out.Versions[name] = at.Version
+		if at.Era > 0 {
+			out.Eras = set(out.Eras, name, at.Era)
+		}
+		if digest := t.keptDigest(); digest != 0 {
+			out.Kept = set(out.Kept, name, digest)
 		}
 	}
 	return out
 }
 
-// ObserveVersions starts a fetch of each table of which the peer announces a newer version.
-func (f *Follower) ObserveVersions(address string, versions map[string]int64) {
-	for name, theirs := range versions {
+// set sets an entry of a map, which may be nil.
+func set[V any](m map[string]V, key string, value V) map[string]V {
+	if m == nil {
+		m = map[string]V{}
+	}
+	m[key] = value
+	return m
+}
+
+// Position returns the announced position of a table.
+func (a Announcement) Position(table string) history.Position {
+	return history.Position{Era: a.Eras[table], Version: a.Versions[table]}
+}
+
+// Observe starts a fetch of each table of which the peer announces a later position, or of which it keeps other rows of earlier eras.
+func (f *Follower) Observe(now time.Time, address string, a Announcement) {
+	for name := range a.Versions {
 		t := f.tables[name]
 		if t == nil {
 			continue
 		}
-		if mine, ok := t.Latest(); ok && mine >= theirs {
-			continue
+		theirs := candidate{at: a.Position(name)}
+		mine, loaded := t.Position()
+		if a.Kept[name] != 0 && theirs.at.Era == mine.Era && a.Kept[name] != t.keptDigest() {
+			theirs.kept = f.mayAskKept(now, name)
 		}
-		f.pull(address, t, theirs)
+		if !loaded || theirs.at.After(mine) || theirs.kept {
+			f.pull(address, t, theirs)
+		}
+	}
+}
+
+// mayAskKept reports whether a peer may be asked for what it keeps of a table, and records that one is.
+func (f *Follower) mayAskKept(now time.Time, table string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if now.Sub(f.askedAt[table]) < keptInterval {
+		return false
 	}
+	f.askedAt[table] = now
+	return true
 }
 
 // pull starts fetching a table from a peer. If a fetch is running already, the peer is
 // added to its candidates.
-func (f *Follower) pull(address string, t *Table, theirs int64) {
+func (f *Follower) pull(address string, t *Table, theirs candidate) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.ctx.Err() != nil {
@@ -148,7 +208,7 @@
 		sources[address] = theirs
 		return
 	}
-	f.sources[t.Name()] = map[string]int64{address: theirs}
+	f.sources[t.Name()] = map[string]candidate{address: theirs}
 	f.wg.Add(1)
 	go func() {
 		defer f.wg.Done()
@@ -169,7 +229,7 @@
 	var busy *busyError
 	switch {
 	case errors.As(err, &busy):
-		f.addSources(t, busy.version, append(busy.holders, address))
+		f.addSources(t, busy.at, append(busy.holders, address))
 		pause.Jittered(f.ctx, busyRetryDelay)
 	case err != nil && f.ctx.Err() == nil:
 		f.failed.Add(1)
@@ -181,13 +241,13 @@
 // nextSource removes and returns a random peer among those with a newer version of a table.
 // If there is none, the fetch is over.
 func (f *Follower) nextSource(t *Table) (address string, ok bool) {
-	mine, loaded := t.Latest()
+	mine, loaded := t.Position()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	sources := f.sources[t.Name()]
 	for address, theirs := range sources { // Map iteration order is random.
 		delete(sources, address)
-		if f.ctx.Err() == nil && (!loaded || theirs > mine) {
+		if f.ctx.Err() == nil && (!loaded || theirs.at.After(mine) || theirs.kept) {
 			return address, true
 		}
 	}
@@ -195,13 +255,13 @@
 	return "", false
 }
 
-// addSources adds peers that have a version of a table being fetched.
-func (f *Follower) addSources(t *Table, version int64, addresses []string) {
+// addSources adds peers that have a position of a table being fetched.
+func (f *Follower) addSources(t *Table, at history.Position, addresses []string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, address := range addresses {
 		if address != f.self {
-			f.sources[t.Name()][address] = version
+			f.sources[t.Name()][address] = candidate{at: at}
 		}
 	}
 }
@@ -210,16 +270,16 @@
 func (f *Follower) fetch(address string, t *Table, begin time.Time) error {
 	ctx, cancel := context.WithTimeout(f.ctx, pullTimeout)
 	defer cancel()
-	req := TableRequest{Table: t.Name(), After: -1, AcceptsCompressed: true, AcceptsBundle: true, Requester: f.self}
-	if last, ok := t.Latest(); ok {
-		req.After = last
+	req := TableRequest{Table: t.Name(), After: -1, AcceptsCompressed: true, AcceptsBundle: true, AcceptsEra: true, Requester: f.self}
+	if last, ok := t.Position(); ok {
+		req.After, req.Era = last.Version, last.Era
 	}
 	var reply TableReply
 	if err := f.caller.Call(ctx, address, MethodTable, &req, &reply); err != nil {
 		return fmt.Errorf("request table: %w", err)
 	}
 	if reply.Busy {
-		return &busyError{version: reply.Latest, holders: reply.Holders}
+		return &busyError{at: reply.position(), holders: reply.Holders}
 	}
 	rows, err := reply.decodeRows()
 	if err != nil {
@@ -227,14 +287,21 @@
 	}
 	now := clock.Now()
 	f.recordFetch(t, address, &reply, len(rows), now.Sub(begin))
+	u := update{rows: rows, at: reply.position(), base: reply.Base, acceptedAfter: reply.acceptedAfter(begin)}
 	if reply.Full {
-		t.replaceFromReply(now, rows, &reply, reply.acceptedAfter(begin))
-		return nil
+		t.replaceFromReply(now, u, &reply)
+	} else {
+		t.apply(now, u)
 	}
-	t.apply(now, rows, reply.acceptedAfter(begin))
+	t.mergeKept(now, reply.Era, reply.Kept)
 	return nil
 }
 
+// position returns the position of the peer's newest row.
+func (r *TableReply) position() history.Position {
+	return history.Position{Era: r.Era, Version: r.Latest}
+}
+
 // recordFetch counts a successful fetch and logs a slow or large one.
 func (f *Follower) recordFetch(t *Table, address string, reply *TableReply, rows int, after time.Duration) {
 	f.fetched.Add(1)
@@ -261,14 +328,18 @@
 	}
 	reply := &TableReply{}
 	*reply = *cached
-	reply.MaxAgeMs = t.maxAgeMs(clock.Now(), req.After)
+	now := clock.Now()
+	reply.MaxAgeMs = t.maxAgeMs(now, history.Position{Era: req.Era, Version: req.After})
+	if req.AcceptsEra {
+		reply.Kept, reply.Base = t.keptForPeers(now)
+	}
 	if reply.payloadSize() < largeReplyBytes {
 		f.served.Add(1)
 		return reply, nil
 	}
-	v := tableVersion{table: req.Table, version: reply.Latest}
+	v := tablePosition{table: req.Table, at: reply.position()}
 	if ok, holders := f.limiter.acquire(ctx, v); !ok {
-		return &TableReply{Latest: reply.Latest, Busy: true, Holders: holders}, nil
+		return &TableReply{Latest: reply.Latest, Era: reply.Era, Busy: true, Holders: holders}, nil
 	}
 	f.served.Add(1)
 	return &largeReply{TableReply: reply, sent: func() { f.limiter.release(v, req.Requester) }}, nil
@@ -276,10 +347,16 @@
 
 // buildReply returns a table's reply to a request.
 func buildReply(t *Table, req *TableRequest) (*TableReply, error) {
+	after := history.Position{Era: req.Era, Version: req.After}
+	if !req.AcceptsEra && req.After >= 0 {
+		if at, ok := t.Position(); ok {
+			after.Era = at.Era // An older release takes versions of all eras for those of one.
+		}
+	}
 	if req.AcceptsBundle {
-		return t.bundledSince(req.After)
+		return t.bundledSince(after)
 	}
-	reply, err := changesSince(t, req.After)
+	reply, err := changesSince(t, after)
 	if err != nil {
 		return nil, err
 	}
@@ -297,14 +374,14 @@
 	return reply, nil
 }
 
-// changesSince returns the changes in a table after a version, or the full table if the
-// history does not reach back that far.
-func changesSince(t *Table, after int64) (*TableReply, error) {
-	if after >= 0 {
+// changesSince returns the changes in a table after a position, or the full table if the
+// history does not reach back that far. A negative version stands for the full table.
+func changesSince(t *Table, after history.Position) (*TableReply, error) {
+	if after.Version >= 0 {
 		rows, err := t.Since(after)
 		if err == nil {
-			last, _ := t.Latest()
-			return &TableReply{Rows: rows, Latest: last}, nil
+			last, _ := t.Position()
+			return &TableReply{Rows: rows, Latest: last.Version, Era: last.Era}, nil
 		}
 		if !errors.Is(err, ErrHistoryGone) {
 			return nil, err
@@ -314,7 +391,7 @@
 	if !ok {
 		return nil, errors.New("table not known yet")
 	}
-	return &TableReply{Rows: rows, Latest: last, Full: true}, nil
+	return &TableReply{Rows: rows, Latest: last.Version, Era: last.Era, Full: true}, nil
 }
 
 // Close cancels the fetches in flight and waits for them.
--- a/internal/feed/peer_row.go
+++ b/internal/feed/peer_row.go
@@ -27,6 +27,8 @@
 type PeerRow struct {
 	Row
 	Compressed []byte `json:"z,omitempty"` // Compressed replaces a large Value.
+
+	removed *PeerRow // removed is the row that a deletion removed here; nil if it is unknown.
 }
 
 // peerRows converts rows of the store to PeerRows.
--- a/internal/feed/peer_row_test.go
+++ b/internal/feed/peer_row_test.go
@@ -11,6 +11,8 @@
 	"slices"
 	"testing"
 	"time"
+
+	"github.com/croftturn/croftturn/internal/history"
 )
 
 // noisy returns random text of n bytes, which compresses badly.
@@ -91,7 +93,7 @@
 // TestBusyPeerRedirectsToHolders checks that few large replies are sent concurrently, and that
 // other requesters are redirected to nodes which have received the same version.
 func TestBusyPeerRedirectsToHolders(t *testing.T) {
-	limiter, v := newReplyLimiter(), tableVersion{"t", 7}
+	limiter, v := newReplyLimiter(), tablePosition{"t", history.Position{Version: 7}}
 	ctx := context.Background()
 	for i := range maxLargeReplies {
 		if ok, _ := limiter.acquire(ctx, v); !ok {
@@ -113,7 +115,7 @@
 	if ok || !slices.Equal(others, []string{"n0", "n1", "n2"}) {
 		t.Errorf("one more gets a slot: %v, holders %v, want n0, n1 and n2", ok, others)
 	}
-	newer := tableVersion{"t", 8}
+	newer := tablePosition{"t", history.Position{Version: 8}}
 	if _, others := limiter.acquire(ctx, newer); len(others) > 0 {
 		t.Errorf("a request for a newer version is redirected to %v, which have the older one", others)
 	}
--- a/internal/feed/reader.go
+++ b/internal/feed/reader.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"time"
 
 	"github.com/croftturn/croftturn/internal/clock"
+	"github.com/croftturn/croftturn/internal/history"
 	"github.com/croftturn/croftturn/internal/pause"
 )
 
@@ -38,19 +40,19 @@
 		Wake       <-chan struct{}          // Wake ends the wait of an inactive reader; it may be nil.
 		Log        *slog.Logger
 
-		era        int64     // era is that of the last reply.
-		version    int64     // version is the newest version of all tables that was read.
-		hasVersion bool      // hasVersion is set once version is valid.
-		currentAt  time.Time // currentAt is when the last reply was current; rows that are not in it were accepted later.
-		failing    bool      // failing is set while calls fail.
-		active     bool      // active is the last result of ShouldRead.
-		calls      int64     // calls counts the calls so far.
+		at        history.Position // at is the newest position of all tables that was read.
+		hasRead   bool             // hasRead is set once changes after at can be read.
+		currentAt time.Time        // currentAt is when the last reply was current; rows that are not in it were accepted later.
+		failing   bool             // failing is set while calls fail.
+		active    bool             // active is the last result of ShouldRead.
+		calls     int64            // calls counts the calls so far.
 	}
 )
 
 // Run reads until the context ends.
 func (r *Reader) Run(ctx context.Context) {
 	var backoff pause.Backoff
+	rereading := false
 	for ctx.Err() == nil {
 		if !r.checkActive(clock.Now()) {
 			pause.ForOrWake(ctx, idlePollInterval, r.Wake)
@@ -60,13 +62,15 @@
 		switch {
 		case ctx.Err() != nil:
 			return
-		case errors.Is(err, ErrHistoryGone):
-			r.Log.Warn("table history is no longer available; reading the full table", "table", r.Table.Name(), "version", r.version, "era", r.era)
-			r.hasVersion = false
+		case errors.Is(err, ErrHistoryGone) && !rereading:
+			rereading = true // The full table is read at once, but not again and again.
+		case errors.Is(err, ErrStale):
+			backoff.Wait(ctx)
 		case err != nil:
 			r.recordFailure(clock.Now(), err)
 			backoff.Wait(ctx)
 		default:
+			rereading = rereading && !r.hasRead
 			backoff.Reset()
 		}
 	}
@@ -79,7 +83,7 @@
 func (r *Reader) checkActive(now time.Time) bool {
 	active := r.ShouldRead(now)
 	if active != r.active {
-		r.Log.Info("store reader changed state", "table", r.Table.Name(), "reads", active, "version", r.version, "calls", r.calls)
+		r.Log.Info("store reader changed state", "table", r.Table.Name(), "reads", active, "version", r.at.Version, "era", r.at.Era, "calls", r.calls)
 	}
 	r.active = active
 	return active
@@ -88,23 +92,26 @@
 // readOnce makes one call and applies its result.
 func (r *Reader) readOnce(ctx context.Context) error {
 	r.calls++
-	if last, ok := r.Table.Latest(); ok && last > r.version {
-		r.version, r.hasVersion = last, true // Peers sent newer rows while this reader was inactive.
+	if last, ok := r.Table.Position(); ok && last.After(r.at) {
+		r.at, r.hasRead = last, true // Peers sent newer rows while this reader was inactive.
 	}
-	if !r.hasVersion {
-		snap, err := r.Source.List(ctx, r.Table.Name(), "")
-		if err != nil {
-			return err
-		}
-		r.Table.replace(clock.Now(), peerRows(snap.Rows), snap.Version, r.currentAt)
-		r.recordSuccess(snap)
-		return nil
+	if !r.hasRead {
+		return r.readAll(ctx)
+	}
+	snap, err := r.Source.Changes(ctx, r.Table.Name(), r.at.Version, r.Wait)
+	if errors.Is(err, ErrHistoryGone) {
+		r.Log.Warn("table history is no longer available; reading the full table", "table", r.Table.Name(), "version", r.at.Version, "era", r.at.Era)
+		r.hasRead = false
 	}
-	snap, err := r.Source.Changes(ctx, r.Table.Name(), r.version, r.Wait)
 	if err != nil {
 		return err
 	}
-	r.Table.apply(clock.Now(), peerRows(snap.Rows), r.acceptedAfter(snap))
+	if snap.Era > r.at.Era {
+		return r.readAll(ctx) // These are the changes after a position of another history.
+	}
+	if snap.Era < r.at.Era || !r.Table.apply(clock.Now(), update{rows: peerRows(snap.Rows), at: snap.Position(), acceptedAfter: r.acceptedAfter(snap)}) {
+		return fmt.Errorf("changes of %s: %w", r.Table.Name(), ErrStale)
+	}
 	r.recordSuccess(snap)
 	if len(snap.Rows) > 0 {
 		pause.For(ctx, batchDelay)
@@ -112,17 +119,27 @@
 	return nil
 }
 
+// readAll reads the full table.
+func (r *Reader) readAll(ctx context.Context) error {
+	snap, err := r.Source.List(ctx, r.Table.Name(), "")
+	if err != nil {
+		return err
+	}
+	if at, ok := r.Table.Position(); ok && snap.Era < at.Era {
+		return fmt.Errorf("rows of %s: %w", r.Table.Name(), ErrStale)
+	}
+	r.Table.replace(clock.Now(), update{rows: peerRows(snap.Rows), at: snap.Position(), base: snap.Version, acceptedAfter: r.currentAt})
+	r.recordSuccess(snap)
+	return nil
+}
+
 // recordSuccess records a successful call.
 func (r *Reader) recordSuccess(snap Snapshot) {
 	if r.failing {
 		r.Log.Info("store is available again", "table", r.Table.Name(), "version", snap.Version, "era", snap.Era)
 	}
-	if r.hasVersion && snap.Era != r.era {
-		r.Log.Warn("store has come back from an older copy", "table", r.Table.Name(), "era", snap.Era, "era_before", r.era, "version", snap.Version, "version_before", r.version)
-	}
-	r.era = snap.Era
 	r.failing = false
-	r.version, r.hasVersion, r.currentAt = max(r.version, snap.Version), true, snap.AsOf
+	r.at, r.hasRead, r.currentAt = history.Later(r.at, snap.Position()), true, snap.AsOf
 	if r.OnSuccess != nil {
 		r.OnSuccess(snap.AsOf)
 	}
@@ -131,7 +148,7 @@
 // recordFailure records a failed call and logs the first of consecutive failures.
 func (r *Reader) recordFailure(now time.Time, err error) {
 	if !r.failing {
-		r.Log.Warn("store request failed", "table", r.Table.Name(), "version", r.version, "error", err.Error())
+		r.Log.Warn("store request failed", "table", r.Table.Name(), "version", r.at.Version, "era", r.at.Era, "error", err.Error())
 	}
 	r.failing = true
 	r.OnFailure(now)
--- a/internal/feed/spread_test.go
+++ b/internal/feed/spread_test.go
@@ -150,7 +150,7 @@
 	for {
 		for _, o := range others {
 			if o != n {
-				o.follower.ObserveVersions(n.address, n.follower.Versions())
+				o.follower.Observe(start, n.address, n.follower.Announcement())
 			}
 		}
 		select {
--- a/internal/feed/turns.go
+++ b/internal/feed/turns.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"github.com/croftturn/croftturn/internal/history"
 )
 
 const (
@@ -24,10 +26,10 @@
 )
 
 type (
-	// tableVersion identifies the content of a large reply.
-	tableVersion struct {
-		table   string
-		version int64
+	// tablePosition identifies the content of a large reply.
+	tablePosition struct {
+		table string
+		at    history.Position
 	}
 
 	// replyLimiter limits concurrent large replies. Other requesters are redirected to nodes
@@ -41,9 +43,9 @@
 		holders map[string]holders // holders is keyed by table.
 	}
 
-	// holders lists the nodes that received a version of a table, the most recent last.
+	// holders lists the nodes that received a table at a position, the most recent last.
 	holders struct {
-		version   int64
+		at        history.Position
 		addresses []string
 	}
 
@@ -68,7 +70,7 @@
 
 // acquire takes a slot, and waits for one if no other node has the version. If it fails, it
 // returns nodes that may have the version.
-func (l *replyLimiter) acquire(ctx context.Context, v tableVersion) (ok bool, holders []string) {
+func (l *replyLimiter) acquire(ctx context.Context, v tablePosition) (ok bool, holders []string) {
 	select {
 	case <-l.slots:
 		return true, nil
@@ -89,7 +91,7 @@
 }
 
 // release frees the slot of a reply and adds its requester to the holders.
-func (l *replyLimiter) release(v tableVersion, requester string) {
+func (l *replyLimiter) release(v tablePosition, requester string) {
 	l.slots <- struct{}{}
 	if requester == "" {
 		return
@@ -98,10 +100,10 @@
 	defer l.mu.Unlock()
 	h := l.holders[v.table]
 	switch {
-	case h.version > v.version:
-		return // A newer version has superseded it.
-	case h.version < v.version:
-		h = holders{version: v.version}
+	case h.at.After(v.at):
+		return // A later position has superseded it.
+	case v.at.After(h.at):
+		h = holders{at: v.at}
 	}
 	h.addresses = append(h.addresses, requester)
 	h.addresses = h.addresses[max(0, len(h.addresses)-maxHolders):]
@@ -109,11 +111,11 @@
 }
 
 // redirects returns some of the nodes that have a version.
-func (l *replyLimiter) redirects(v tableVersion) []string {
+func (l *replyLimiter) redirects(v tablePosition) []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	h := l.holders[v.table]
-	if h.version != v.version {
+	if h.at != v.at {
 		return nil
 	}
 	var out []string
--- a/internal/gossip/cadence.go
+++ b/internal/gossip/cadence.go
@@ -206,7 +206,9 @@
 func (g *Gossip) EvictionsLeftOut() int64 { return g.evictionsLeft.Load() }
 
 // hasNewVersions reports whether the state has new table versions, which peers should get at once.
-func (s *State) hasNewVersions(before State) bool { return !maps.Equal(s.Versions, before.Versions) }
+func (s *State) hasNewVersions(before State) bool {
+	return !maps.Equal(s.Versions, before.Versions) || !maps.Equal(s.Eras, before.Eras) || !maps.Equal(s.Kept, before.Kept)
+}
 
 // busy reports whether the node serves enough requests for its loads to matter.
 func (s *State) busy() bool { return s.Rate >= busyRate }
--- a/internal/gossip/loadupdate.go
+++ b/internal/gossip/loadupdate.go
@@ -72,6 +72,7 @@
 		Loads         map[string]placement.Load `cbor:"2,keyasint,omitempty"` // Loads is the present load by engine; zero if there is none any more.
 		Uses          []placement.Use           `cbor:"3,keyasint,omitempty"` // Uses are the prompt parts sent to engines.
 		Slowdowns     []placement.Slowdown      `cbor:"4,keyasint,omitempty"` // Slowdowns are those that engines reported to the node since.
+		EngineEra     int64                     `cbor:"6,keyasint,omitempty"` // EngineEra is the era of EngineVersion.
 		Broken        []string                  `cbor:"5,keyasint,omitempty"` // Broken are engines that broke a connection of the node and have not answered since.
 	}
 
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -61,6 +61,9 @@
 		PinsStreams       bool                            `cbor:"28,keyasint,omitempty"` // PinsStreams reports whether the node keeps records of where streams began, and continues them there.
 		PoolVersions      []pinning.PoolVersion           `cbor:"29,keyasint,omitempty"` // PoolVersions say at which software versions the streams of pools have begun.
 		CrashingParts     quarantine.PartGossip           `cbor:"30,keyasint,omitzero"`  // CrashingParts are prompt parts under which engines crashed: recent changes, or all that are held or may be.
+		Eras              map[string]int64                `cbor:"31,keyasint,omitempty"` // Eras are the eras of Versions, as in feed.Announcement.
+		Kept              map[string]uint64               `cbor:"32,keyasint,omitempty"` // Kept are the digests of what the node's tables keep of earlier eras.
+		ReturnAgeMs       int64                           `cbor:"33,keyasint,omitempty"` // ReturnAgeMs is how long ago the store is known to have come back from a copy, at least 1; 0 if not lately.
 	}
 
 	// HubInfo identifies a hub in the sender's hall and says how to reach it.
--- a/internal/history/position.go
+++ b/internal/history/position.go
@@ -2,7 +2,13 @@
 // the newest transactions, and gives their versions out again. Each return begins a new era.
 package history
 
-import "cmp"
+import (
+	"cmp"
+	"math"
+)
+
+// Latest is after all positions of a store, for what is known of the present.
+var Latest = Position{Era: math.MaxInt64, Version: math.MaxInt64}
 
 // Position is a position in the store's history. The zero value is before all others.
 type Position struct {
--- a/internal/placement/brittle_test.go
+++ b/internal/placement/brittle_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/croftturn/croftturn/internal/history"
 	"github.com/croftturn/croftturn/internal/placement"
 )
 
@@ -43,7 +44,7 @@
 		for name := range rates {
 			p := newBrittleNode(now, name, slots, rates)
 			for peer, loads := range reports {
-				p.UpdatePeer(now, peer, 1, loads, nil)
+				p.UpdatePeer(now, peer, history.Position{Version: 1}, loads, nil)
 			}
 			total += fill(now, p)
 			reports[name] = p.Loads()
--- a/internal/placement/cache_test.go
+++ b/internal/placement/cache_test.go
@@ -5,12 +5,13 @@
 	"testing"
 	"time"
 
+	"github.com/croftturn/croftturn/internal/history"
 	"github.com/croftturn/croftturn/internal/placement"
 )
 
 // reportPart reports as a peer that an engine has processed a session's part.
 func reportPart(p *placement.Placement, now time.Time, engine string, session int) {
-	p.UpdatePeer(now, "peer", 0, nil, []placement.Use{{Engine: engine, Part: placement.NewPart(fmt.Sprint("session", session), 0).ID}, {Engine: engine, Part: placement.NewPart("root", 0).ID}})
+	p.UpdatePeer(now, "peer", history.Position{}, nil, []placement.Use{{Engine: engine, Part: placement.NewPart(fmt.Sprint("session", session), 0).ID}, {Engine: engine, Part: placement.NewPart("root", 0).ID}})
 }
 
 // TestThousandsOfSessionsAreRemembered checks that a node knows, for each of 6,000 sessions with
--- a/internal/placement/call.go
+++ b/internal/placement/call.go
@@ -1,6 +1,10 @@
 package placement
 
-import "time"
+import (
+	"time"
+
+	"github.com/croftturn/croftturn/internal/history"
+)
 
 const (
 	// Answered means that the engine answered normally.
@@ -293,7 +297,7 @@
 // report, and the parts it sent to engines since. known is the newest version of the engine
 // entries that the peer had; what it reports of an engine that restarted after that version
 // concerns the previous incarnation and is ignored.
-func (p *Placement) UpdatePeer(now time.Time, peer string, known int64, loads map[string]Load, uses []Use) {
+func (p *Placement) UpdatePeer(now time.Time, peer string, known history.Position, loads map[string]Load, uses []Use) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, id := range p.peerEngines[peer] {
@@ -303,7 +307,7 @@
 	}
 	reported := p.peerEngines[peer][:0]
 	for id, l := range loads {
-		if e := p.engines[id]; e != nil && known >= e.SinceVersion {
+		if e := p.engines[id]; e != nil && !e.Since.After(known) {
 			e.setPeer(now, peer, l)
 			reported = append(reported, id)
 		}
--- a/internal/placement/choose_test.go
+++ b/internal/placement/choose_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/croftturn/croftturn/internal/history"
 	"github.com/croftturn/croftturn/internal/placement"
 )
 
@@ -22,7 +23,7 @@
 				for i := range engines {
 					loads[fmt.Sprint("e", i)] = placement.Load{PrefillTokens: 900, InFlight: 2, Streams: 1}
 				}
-				p.UpdatePeer(start, fmt.Sprint("peer", peer), 0, loads, nil)
+				p.UpdatePeer(start, fmt.Sprint("peer", peer), history.Position{}, loads, nil)
 			}
 			now := start
 			for i := 0; b.Loop(); i++ {
@@ -62,7 +63,7 @@
 			for range 40 {
 				loads[fmt.Sprint("e", rng.IntN(engines))] = placement.Load{PrefillTokens: rng.IntN(20000), InFlight: 1 + rng.IntN(40), Streams: rng.IntN(20)}
 			}
-			p.UpdatePeer(now, fmt.Sprint("peer", rng.IntN(6)), 0, loads, nil)
+			p.UpdatePeer(now, fmt.Sprint("peer", rng.IntN(6)), history.Position{}, loads, nil)
 		}
 		r := long(rng.IntN(30))
 		if step%3 == 0 {
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/croftturn/croftturn/internal/history"
 )
 
 const (
@@ -39,16 +41,16 @@
 type (
 	// Engine is an engine or backend server as published by service discovery.
 	Engine struct {
-		ID           string
-		Pool         string
-		Address      string
-		Hall         string
-		Version      string // Version is that of the engine's software; versions are only compared for equality.
-		Slots        int
-		Draining     bool  // Draining engines get no new requests, except in interactive pools until LastSend.
-		Spot         bool  // Spot engines may be reclaimed by the platform.
-		Incarnation  int64 // Incarnation distinguishes restarts: the start time by the engine's own clock; 0 if unknown.
-		SinceVersion int64 // SinceVersion is the version of the entry that first showed this incarnation.
+		ID          string
+		Pool        string
+		Address     string
+		Hall        string
+		Version     string // Version is that of the engine's software; versions are only compared for equality.
+		Slots       int
+		Draining    bool             // Draining engines get no new requests, except in interactive pools until LastSend.
+		Spot        bool             // Spot engines may be reclaimed by the platform.
+		Incarnation int64            // Incarnation distinguishes restarts: the start time by the engine's own clock; 0 if unknown.
+		Since       history.Position // Since is the position of the entry that first showed this incarnation.
 
 		ColdUntil time.Time // ColdUntil is when the engine stops being cold; zero if it is not cold.
 
--- a/internal/placement/evict.go
+++ b/internal/placement/evict.go
@@ -1,9 +1,10 @@
 package placement
 
 import (
-	"math"
 	"slices"
 	"time"
+
+	"github.com/croftturn/croftturn/internal/history"
 )
 
 // heldShare is the share of a part's tokens from which an engine holds it: caches consist of blocks of
@@ -25,13 +26,13 @@
 func (p *Placement) Evict(now time.Time, uses []Use) []Use {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.evict(now, math.MaxInt64, uses)
+	return p.evict(now, history.Latest, uses)
 }
 
 // EvictFromPeer does the same for what a peer reports. known is the newest version of the engine
 // entries that the peer had; what it reports of an engine that restarted after that version concerns
 // the previous incarnation and is ignored.
-func (p *Placement) EvictFromPeer(now time.Time, known int64, uses []Use) {
+func (p *Placement) EvictFromPeer(now time.Time, known history.Position, uses []Use) {
 	if len(uses) == 0 {
 		return
 	}
@@ -41,9 +42,9 @@
 }
 
 // evict implements Evict and EvictFromPeer. The caller holds the lock.
-func (p *Placement) evict(now time.Time, known int64, uses []Use) (gone []Use) {
+func (p *Placement) evict(now time.Time, known history.Position, uses []Use) (gone []Use) {
 	for _, u := range uses {
-		if e := p.engines[u.Engine]; e == nil || known < e.SinceVersion {
+		if e := p.engines[u.Engine]; e == nil || e.Since.After(known) {
 			continue
 		}
 		if p.cache.drop(now, u.Engine, u.Part) {
--- a/internal/placement/evict_test.go
+++ b/internal/placement/evict_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/croftturn/croftturn/internal/history"
 	"github.com/croftturn/croftturn/internal/placement"
 )
 
@@ -43,7 +44,7 @@
 func TestPartsInUse(t *testing.T) {
 	p, _, uses := sentLong(t)
 	later := start.Add(7 * time.Second)
-	p.UpdatePeer(later, "peer", 0, nil, []placement.Use{uses[0], {Engine: "e0", Part: 7}})
+	p.UpdatePeer(later, "peer", history.Position{}, nil, []placement.Use{uses[0], {Engine: "e0", Part: 7}})
 	for within, want := range map[time.Duration]int{7 * time.Second: 3, 6 * time.Second: 2} {
 		if got := p.PartsInUse(later, within); got["e0"] != want {
 			t.Errorf("%v parts were used within %v, want %d", got, within, want)
@@ -53,7 +54,7 @@
 	for i := range many {
 		many[i] = placement.Use{Engine: "e0", Part: uint64(100 + i)}
 	}
-	p.UpdatePeer(later, "peer", 0, nil, many)
+	p.UpdatePeer(later, "peer", history.Position{}, nil, many)
 	if got := p.PartsInUse(later, time.Second); got["e0"] < 8000 || got["e0"] > 8192 {
 		t.Errorf("%v of 20,000 parts are counted, want 8,192", got)
 	}
@@ -63,14 +64,14 @@
 // restarted engine has cached since.
 func TestEvictionsOfAPreviousIncarnationAreIgnored(t *testing.T) {
 	p, uncached, uses := sentLong(t)
-	p.Set(placement.Engine{ID: "e0", Pool: "p", Hall: "hall", Slots: 64, Incarnation: 2, SinceVersion: 9})
-	p.UpdatePeer(start, "peer", 9, nil, uses)
+	p.Set(placement.Engine{ID: "e0", Pool: "p", Hall: "hall", Slots: 64, Incarnation: 2, Since: history.Position{Version: 9}})
+	p.UpdatePeer(start, "peer", history.Position{Version: 9}, nil, uses)
 	later := start.Add(2 * time.Second)
-	p.EvictFromPeer(later, 8, uses)
+	p.EvictFromPeer(later, history.Position{Version: 8}, uses)
 	if got := uncached(later); got != 9000-6200 {
 		t.Errorf("%d tokens are left after a report about the previous incarnation", got)
 	}
-	p.EvictFromPeer(later, 9, uses)
+	p.EvictFromPeer(later, history.Position{Version: 9}, uses)
 	if got := uncached(later); got != 9000 {
 		t.Errorf("%d tokens are left after a report about this incarnation, want all", got)
 	}
@@ -107,7 +108,7 @@
 func TestUnusedPartsAreForgottenByAge(t *testing.T) {
 	p, uncached, uses := sentLong(t)
 	later := start.Add(10 * time.Second)
-	p.UpdatePeer(start.Add(5*time.Second), "peer", 0, nil, uses[:1])
+	p.UpdatePeer(start.Add(5*time.Second), "peer", history.Position{}, nil, uses[:1])
 	if gone := p.EvictUnused(later, "e0", 7*time.Second); !slices.Equal(gone, uses[1:]) || uncached(later) != 9000-2500 {
 		t.Errorf("%v is forgotten, want what was not used for 7 s: %v", gone, uses[1:])
 	}
--- a/internal/placement/fastest_test.go
+++ b/internal/placement/fastest_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/croftturn/croftturn/internal/history"
 	"github.com/croftturn/croftturn/internal/placement"
 )
 
@@ -16,7 +17,7 @@
 	for range 5 { // e0 fails.
 		p.Start(start, placement.Choice{Engine: placement.Engine{ID: "e0"}, PrefillRate: 50}, plain).End(start, placement.Failed)
 	}
-	p.UpdatePeer(start, "peer", 0, map[string]placement.Load{"e1": {InFlight: 64}, "e2": {PrefillTokens: 3000}, "e3": {PrefillTokens: 12000}}, nil)
+	p.UpdatePeer(start, "peer", history.Position{}, map[string]placement.Load{"e1": {InFlight: 64}, "e2": {PrefillTokens: 3000}, "e3": {PrefillTokens: 12000}}, nil)
 	cached := long(1)
 	p.Start(start, placement.Choice{Engine: placement.Engine{ID: "e3"}, PrefillRate: 50}, cached)
 	cached.Interactive, cached.Fastest = true, true
--- a/internal/placement/held_test.go
+++ b/internal/placement/held_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/croftturn/croftturn/internal/history"
 	"github.com/croftturn/croftturn/internal/placement"
 )
 
@@ -40,7 +41,7 @@
 				loads[id] = placement.Load{InFlight: test.busy}
 			}
 		}
-		p.UpdatePeer(now, "peer", 0, loads, nil)
+		p.UpdatePeer(now, "peer", history.Position{}, loads, nil)
 		c, ok := p.Choose(now, placement.Request{Pool: "p"})
 		if !ok || c.Engines != engines || c.Usable != test.free || c.SlotsScarce != test.scarce || c.SlotsReserved != test.reserved {
 			t.Errorf("%s: %+v", test.name, c)
--- a/internal/placement/leaving_test.go
+++ b/internal/placement/leaving_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/croftturn/croftturn/internal/history"
 	"github.com/croftturn/croftturn/internal/placement"
 )
 
@@ -43,7 +44,7 @@
 	var nodes []*placement.Placement
 	for _, name := range names {
 		p := interactivePool(count, placement.WithSenders(name, func(time.Time) map[string]float64 { return equalRates(names) }))
-		p.UpdatePeer(start, "earlier", 0, nil, uses)
+		p.UpdatePeer(start, "earlier", history.Position{}, nil, uses)
 		nodes = append(nodes, p)
 	}
 	var running, all []*leavingRequest
--- a/internal/placement/loadchanges.go
+++ b/internal/placement/loadchanges.go
@@ -1,6 +1,10 @@
 package placement
 
-import "time"
+import (
+	"time"
+
+	"github.com/croftturn/croftturn/internal/history"
+)
 
 // recentAnswer is how long an answer of an engine to this node outweighs a peer's report that it is
 // unreachable: the peer may have lost its own way there.
@@ -90,11 +94,11 @@
 
 // UpdatePeerLoads records what has changed of a peer's load since its last report. known is as in
 // UpdatePeer.
-func (p *Placement) UpdatePeerLoads(now time.Time, peer string, known int64, loads map[string]Load, uses []Use) {
+func (p *Placement) UpdatePeerLoads(now time.Time, peer string, known history.Position, loads map[string]Load, uses []Use) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for id, l := range loads {
-		if e := p.engines[id]; e != nil && known >= e.SinceVersion {
+		if e := p.engines[id]; e != nil && !e.Since.After(known) {
 			e.setPeer(now, peer, l)
 			p.peerEngines[peer] = append(p.peerEngines[peer], id) // The next report replaces the load.
 		}
@@ -103,20 +107,20 @@
 }
 
 // UpdateBroken records engines that broke a connection of a peer. known is as in UpdatePeer.
-func (p *Placement) UpdateBroken(now time.Time, known int64, broken []string) {
+func (p *Placement) UpdateBroken(now time.Time, known history.Position, broken []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, id := range broken {
-		if e := p.engines[id]; e != nil && known >= e.SinceVersion && now.Sub(e.answeredAt) > recentAnswer {
+		if e := p.engines[id]; e != nil && !e.Since.After(known) && now.Sub(e.answeredAt) > recentAnswer {
 			e.brokenAt = now
 		}
 	}
 }
 
 // recordPeerUses records the parts that a peer sent to engines. The caller must hold the lock.
-func (p *Placement) recordPeerUses(now time.Time, known int64, loads map[string]Load, uses []Use) {
+func (p *Placement) recordPeerUses(now time.Time, known history.Position, loads map[string]Load, uses []Use) {
 	for _, u := range uses {
-		if e := p.engines[u.Engine]; e != nil && known >= e.SinceVersion {
+		if e := p.engines[u.Engine]; e != nil && !e.Since.After(known) {
 			p.expectPeerPart(now, e, loads[u.Engine], u.Part)
 			p.cache.recordUse(now, u.Engine, u.Part)
 		}
--- a/internal/placement/loadchanges_test.go
+++ b/internal/placement/loadchanges_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/croftturn/croftturn/internal/history"
 	"github.com/croftturn/croftturn/internal/placement"
 )
 
@@ -87,10 +88,10 @@
 				continue
 			}
 			if changes {
-				to.UpdatePeerLoads(now, fmt.Sprint("n", i), 0, loads, uses)
+				to.UpdatePeerLoads(now, fmt.Sprint("n", i), history.Position{}, loads, uses)
 			}
 			if report {
-				to.UpdatePeer(now, fmt.Sprint("n", i), 0, from.Loads(), nil)
+				to.UpdatePeer(now, fmt.Sprint("n", i), history.Position{}, from.Loads(), nil)
 			}
 		}
 	}
@@ -108,13 +109,13 @@
 	choice, _ := from.Choose(now, r)
 	call := from.Start(now, choice, r)
 	loads, _, _, _ := from.TakeLoadChanges(now)
-	to.UpdatePeerLoads(now, "n", 0, loads, nil)
+	to.UpdatePeerLoads(now, "n", history.Position{}, loads, nil)
 	if to.PeersAt("e") != 1 || loads["e"].PrefillTokens != 4000 {
 		t.Fatalf("changes %v, peers %d", loads, to.PeersAt("e"))
 	}
 	call.End(now, placement.Answered)
 	from.TakeLoadChanges(now) // This update is lost.
-	to.UpdatePeer(now, "n", 0, from.Loads(), nil)
+	to.UpdatePeer(now, "n", history.Position{}, from.Loads(), nil)
 	if to.PeersAt("e") != 0 {
 		t.Error("the load of an ended request stays")
 	}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/croftturn/croftturn/internal/history"
 	"github.com/croftturn/croftturn/internal/placement"
 )
 
@@ -85,7 +86,7 @@
 // load as load at the engine, and that the load expires when the peer stops reporting.
 func TestPeerReportsCountAsCacheAndLoad(t *testing.T) {
 	p := newPlacement(2)
-	p.UpdatePeer(start, "peer", 0, map[string]placement.Load{"e0": {PrefillTokens: 20000, InFlight: 4}}, []placement.Use{
+	p.UpdatePeer(start, "peer", history.Position{}, map[string]placement.Load{"e0": {PrefillTokens: 20000, InFlight: 4}}, []placement.Use{
 		{Engine: "e0", Part: placement.NewPart("root", 0).ID}, {Engine: "e0", Part: placement.NewPart("session1", 0).ID},
 	})
 	if c := choose(t, p, start, placement.Request{Pool: "p", Prompt: placement.Prompt{Tokens: 500}}); c.Engine.ID != "e1" {
@@ -236,16 +237,16 @@
 		p.Set(placement.Engine{ID: id, Pool: "p", Hall: "hall"})
 	}
 	one := placement.Load{InFlight: 1}
-	p.UpdatePeer(start, "a", 0, map[string]placement.Load{"e0": one, "e1": one, "unknown": one}, nil)
-	p.UpdatePeer(start, "b", 0, map[string]placement.Load{"e0": one}, nil)
-	p.UpdatePeer(start, "a", 0, map[string]placement.Load{"e1": one, "e2": one}, nil)
+	p.UpdatePeer(start, "a", history.Position{}, map[string]placement.Load{"e0": one, "e1": one, "unknown": one}, nil)
+	p.UpdatePeer(start, "b", history.Position{}, map[string]placement.Load{"e0": one}, nil)
+	p.UpdatePeer(start, "a", history.Position{}, map[string]placement.Load{"e1": one, "e2": one}, nil)
 	for id, want := range map[string]int{"e0": 1, "e1": 1, "e2": 1} {
 		if got := p.PeersAt(id); got != want {
 			t.Errorf("%d peers have load at %s, want %d", got, id, want)
 		}
 	}
-	p.UpdatePeer(start, "a", 0, nil, nil)
-	p.UpdatePeer(start, "b", 0, nil, nil)
+	p.UpdatePeer(start, "a", history.Position{}, nil, nil)
+	p.UpdatePeer(start, "b", history.Position{}, nil, nil)
 	for _, id := range []string{"e0", "e1", "e2"} {
 		if got := p.PeersAt(id); got != 0 {
 			t.Errorf("%d peers have load at %s after they reported none", got, id)
@@ -261,7 +262,7 @@
 	}
 	loads := map[string]placement.Load{"e1": {InFlight: 1}, "e2": {InFlight: 2}}
 	for b.Loop() {
-		p.UpdatePeer(start, "peer", 0, loads, nil)
+		p.UpdatePeer(start, "peer", history.Position{}, loads, nil)
 	}
 }
 
@@ -278,7 +279,7 @@
 	first := p.Start(start, choose(t, p, start, long(1)), long(1))
 	first.Began(start)
 	full := map[string]placement.Load{cached: {InFlight: 3}}
-	p.UpdatePeer(start, "peer", 0, full, nil)
+	p.UpdatePeer(start, "peer", history.Position{}, full, nil)
 	if c := choose(t, p, start, long(1)); c.Engine.ID != cached || !c.SlotAvailable || !c.SlotsScarce {
 		t.Errorf("with one engine full: %s, slot available %v, scarce %v", c.Engine.ID, c.SlotAvailable, c.SlotsScarce)
 	}
@@ -297,7 +298,7 @@
 		free = "e1"
 	}
 	full[free] = placement.Load{InFlight: 3}
-	p.UpdatePeer(start, "peer", 0, full, nil)
+	p.UpdatePeer(start, "peer", history.Position{}, full, nil)
 	if c := choose(t, p, start, long(1)); c.Engine.ID != cached || c.SlotAvailable || !c.SlotsScarce {
 		t.Errorf("with one slot left: %s, slot available %v, scarce %v", c.Engine.ID, c.SlotAvailable, c.SlotsScarce)
 	}
--- a/internal/placement/prefill_test.go
+++ b/internal/placement/prefill_test.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"testing"
 	"time"
+
+	"github.com/croftturn/croftturn/internal/history"
 )
 
 // maxFitError is the largest error of an expected time. A tenth of the samples at the specified cap of
@@ -82,7 +84,7 @@
 	p.Set(Engine{ID: "e", Pool: "p", Hall: "hall", Slots: 24})
 	r := Request{Pool: "p", Interactive: true, Prompt: Prompt{Tokens: 9000}}
 	for _, inFlight := range []int{24, 23} {
-		p.UpdatePeer(now, "peer", 0, map[string]Load{"e": {InFlight: inFlight}}, nil)
+		p.UpdatePeer(now, "peer", history.Position{}, map[string]Load{"e": {InFlight: inFlight}}, nil)
 		c, _ := p.Choose(now, r)
 		call := p.Start(now, c, r)
 		call.Began(now.Add(400 * time.Millisecond))
--- a/internal/placement/replay_test.go
+++ b/internal/placement/replay_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/croftturn/croftturn/internal/history"
 	"github.com/croftturn/croftturn/internal/placement"
 )
 
@@ -268,8 +269,8 @@
 		loads, uses, slowed := from.Loads(), from.TakeUses(), from.Slowdowns(now)
 		for j, to := range nodes {
 			if i != j {
-				to.UpdatePeer(now, fmt.Sprint(i), 0, loads, uses)
-				to.UpdateSlowdowns(now, 0, slowed)
+				to.UpdatePeer(now, fmt.Sprint(i), history.Position{}, loads, uses)
+				to.UpdateSlowdowns(now, history.Position{}, slowed)
 			}
 		}
 	}
--- a/internal/placement/restart_test.go
+++ b/internal/placement/restart_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/croftturn/croftturn/internal/history"
 	"github.com/croftturn/croftturn/internal/placement"
 )
 
@@ -12,7 +13,7 @@
 // previous incarnation have no effect, and that its requests in flight are lost.
 func TestRestartedEngineLosesItsState(t *testing.T) {
 	p := placement.New("hall")
-	first := placement.Engine{ID: "e", Pool: "p", Hall: "hall", Slots: 8, Incarnation: 100, SinceVersion: 5}
+	first := placement.Engine{ID: "e", Pool: "p", Hall: "hall", Slots: 8, Incarnation: 100, Since: history.Position{Version: 5}}
 	p.Set(first)
 	r := long(1)
 	failed := p.Start(start, choose(t, p, start, r), r)
@@ -22,14 +23,14 @@
 	lost := 0
 	inFlight.OnLost(func() { lost++ })
 	part := r.Prompt.Shared[0].ID
-	p.UpdatePeer(start, "peer", 5, map[string]placement.Load{"e": {PrefillTokens: 50000, InFlight: 9}}, []placement.Use{{Engine: "e", Part: part}})
+	p.UpdatePeer(start, "peer", history.Position{Version: 5}, map[string]placement.Load{"e": {PrefillTokens: 50000, InFlight: 9}}, []placement.Use{{Engine: "e", Part: part}})
 	before := choose(t, p, start, r)
 
 	if p.Set(first) {
 		t.Error("an entry of the same incarnation counts as a restart")
 	}
 	again := first
-	again.Incarnation, again.SinceVersion = 50, 9 // The engine's clock may have been set back.
+	again.Incarnation, again.Since = 50, history.Position{Version: 9} // The engine's clock may have been set back.
 	if !p.Set(again) || lost != 1 {
 		t.Errorf("a new incarnation does not count as a restart, or the request in flight is not lost (%d)", lost)
 	}
@@ -41,7 +42,7 @@
 	if len(p.TakeUses()) > 0 {
 		t.Error("parts processed by the previous incarnation are reported to peers")
 	}
-	p.UpdatePeer(start, "peer", 8, map[string]placement.Load{"e": {PrefillTokens: 50000, InFlight: 9}}, []placement.Use{{Engine: "e", Part: part}})
+	p.UpdatePeer(start, "peer", history.Position{Version: 8}, map[string]placement.Load{"e": {PrefillTokens: 50000, InFlight: 9}}, []placement.Use{{Engine: "e", Part: part}})
 	inFlight.End(start, placement.Failed)
 	fresh := placement.New("hall")
 	fresh.Set(again)
@@ -51,7 +52,7 @@
 	if len(p.Loads()) > 0 || p.PeersAt("e") > 0 {
 		t.Errorf("load of the previous incarnation remains: %v, %d peers", p.Loads(), p.PeersAt("e"))
 	}
-	p.UpdatePeer(start, "peer", 9, map[string]placement.Load{"e": {InFlight: 1}}, nil)
+	p.UpdatePeer(start, "peer", history.Position{Version: 9}, map[string]placement.Load{"e": {InFlight: 1}}, nil)
 	if p.PeersAt("e") != 1 {
 		t.Error("the report of a peer that knows of the restart is ignored")
 	}
--- a/internal/placement/slowdown.go
+++ b/internal/placement/slowdown.go
@@ -4,6 +4,8 @@
 	"math"
 	"sort"
 	"time"
+
+	"github.com/croftturn/croftturn/internal/history"
 )
 
 const (
@@ -177,11 +179,11 @@
 
 // UpdateSlowdowns records the slowdowns that a peer reported. known is the newest version of the
 // engine entries that the peer had, as in UpdatePeer.
-func (p *Placement) UpdateSlowdowns(now time.Time, known int64, list []Slowdown) {
+func (p *Placement) UpdateSlowdowns(now time.Time, known history.Position, list []Slowdown) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, s := range list {
-		if e := p.engines[s.Engine]; e != nil && known >= e.SinceVersion {
+		if e := p.engines[s.Engine]; e != nil && !e.Since.After(known) {
 			p.noteSlowdown(e, now.Add(-time.Duration(s.AgeMs)*time.Millisecond), float64(s.Percent)/100, false)
 		}
 	}
--- a/internal/placement/slowdown_test.go
+++ b/internal/placement/slowdown_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/croftturn/croftturn/internal/history"
 	"github.com/croftturn/croftturn/internal/placement"
 )
 
@@ -45,11 +46,11 @@
 			if avoided(start.Add(pool.end)) {
 				t.Errorf("still avoided %v after a report of 2.5", pool.end)
 			}
-			p.UpdateSlowdowns(start.Add(50*time.Millisecond), 0, []placement.Slowdown{{Engine: first.Engine.ID, Percent: 100, AgeMs: 60}})
+			p.UpdateSlowdowns(start.Add(50*time.Millisecond), history.Position{}, []placement.Slowdown{{Engine: first.Engine.ID, Percent: 100, AgeMs: 60}})
 			if !avoided(start.Add(50 * time.Millisecond)) {
 				t.Error("an older report of a peer replaced a newer one")
 			}
-			p.UpdateSlowdowns(start.Add(50*time.Millisecond), 0, []placement.Slowdown{{Engine: first.Engine.ID, Percent: 140, AgeMs: 10}})
+			p.UpdateSlowdowns(start.Add(50*time.Millisecond), history.Position{}, []placement.Slowdown{{Engine: first.Engine.ID, Percent: 140, AgeMs: 10}})
 			r.Avoid = map[string]bool{}
 			for _, e := range p.Engines() {
 				r.Avoid[e.ID] = e.ID != first.Engine.ID
--- a/internal/placement/streamset_replay_test.go
+++ b/internal/placement/streamset_replay_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/croftturn/croftturn/internal/history"
 	"github.com/croftturn/croftturn/internal/placement"
 )
 
@@ -144,7 +145,7 @@
 	for i := range len(rates) {
 		name := fmt.Sprint("n", i)
 		p := interactivePool(count, placement.WithSenders(name, func(time.Time) map[string]float64 { return rates }))
-		p.UpdatePeer(start, "earlier", 0, nil, rootUses(count))
+		p.UpdatePeer(start, "earlier", history.Position{}, nil, rootUses(count))
 		nodes, senders = append(nodes, p), append(senders, slices.Repeat([]*placement.Placement{p}, int(rates[name]))...)
 	}
 	shortRate := m.streams * count / 2.1 // Such a stream runs for 2.1 s.
--- a/internal/placement/streamset_test.go
+++ b/internal/placement/streamset_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/croftturn/croftturn/internal/history"
 	"github.com/croftturn/croftturn/internal/placement"
 )
 
@@ -61,7 +62,7 @@
 		l := loads[fmt.Sprint("e", i%engines)]
 		loads[fmt.Sprint("e", i%engines)] = placement.Load{InFlight: l.InFlight + 1, Streams: l.Streams + 1}
 	}
-	p.UpdatePeer(now, "peer", 0, loads, nil)
+	p.UpdatePeer(now, "peer", history.Position{}, loads, nil)
 }
 
 // TestSetFollowsItsHalls guards against streams that go to the other engines, or to none, when all
@@ -265,7 +266,7 @@
 	if n := len(a.Owned(start.Add(time.Second))); n != 60 {
 		t.Errorf("a node that knows no peer and no rate owns %d of 60 engines", n)
 	}
-	a.UpdatePeer(start, "earlier", 0, nil, rootUses(60))
+	a.UpdatePeer(start, "earlier", history.Position{}, nil, rootUses(60))
 	startStreams(t, a, start.Add(time.Second), 240)
 	got, before := map[string]bool{}, a.Loads()
 	for s := range 300 {
--- a/internal/placement/transfer_test.go
+++ b/internal/placement/transfer_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/croftturn/croftturn/internal/history"
 	"github.com/croftturn/croftturn/internal/placement"
 )
 
@@ -28,7 +29,7 @@
 // peer's requests there have begun.
 func held(p *placement.Placement, now time.Time, session int, engines ...string) {
 	for _, id := range engines {
-		p.UpdatePeer(now, "peer", 0, nil, []placement.Use{{Engine: id, Part: placement.NewPart("root", 0).ID}, {Engine: id, Part: placement.NewPart(fmt.Sprint("session", session), 0).ID}})
+		p.UpdatePeer(now, "peer", history.Position{}, nil, []placement.Use{{Engine: id, Part: placement.NewPart("root", 0).ID}, {Engine: id, Part: placement.NewPart(fmt.Sprint("session", session), 0).ID}})
 	}
 }
 
@@ -160,7 +161,7 @@
 // earlier than elsewhere; and that a prefill that never ended leaves nothing to copy.
 func TestPartIsCopiedOnceItsPrefillHasEnded(t *testing.T) {
 	busy := func(p *placement.Placement, now time.Time, id string, tokens int) { // Work that makes requests go elsewhere.
-		p.UpdatePeer(now, "busy", 0, map[string]placement.Load{id: {PrefillTokens: tokens, InFlight: 1}}, nil)
+		p.UpdatePeer(now, "busy", history.Position{}, map[string]placement.Load{id: {PrefillTokens: tokens, InFlight: 1}}, nil)
 	}
 	p := placement.New("hall")
 	addEngines(p, 0, 4, false)
@@ -188,7 +189,7 @@
 	}
 	held := []placement.Use{{Engine: "e0", Part: placement.NewPart("root", 0).ID}, {Engine: "e0", Part: placement.NewPart("session3", 0).ID}}
 	busy(p, start, "e0", 20000)
-	p.UpdatePeer(start, "peer", 0, map[string]placement.Load{"e0": {PrefillTokens: 9000, InFlight: 1}}, held)
+	p.UpdatePeer(start, "peer", history.Position{}, map[string]placement.Load{"e0": {PrefillTokens: 9000, InFlight: 1}}, held)
 	if c := choose(t, p, start, copying(3)); c.TransferFrom != "" {
 		t.Errorf("copies from %s what a peer's request has just begun to prefill", c.TransferFrom)
 	}
@@ -282,7 +283,7 @@
 	for s := range 40 {
 		c := choose(t, p, start, long(s))
 		p.Start(start, c, long(s))
-		p.UpdatePeer(start, "busy", 0, map[string]placement.Load{"e2": {PrefillTokens: 9000, InFlight: 1}}, []placement.Use{{Engine: "e2", Part: placement.NewPart(fmt.Sprint("session", s), 0).ID}})
+		p.UpdatePeer(start, "busy", history.Position{}, map[string]placement.Load{"e2": {PrefillTokens: 9000, InFlight: 1}}, []placement.Use{{Engine: "e2", Part: placement.NewPart(fmt.Sprint("session", s), 0).ID}})
 		if c.TransferFrom != "" {
 			t.Fatalf("copies from %s", c.TransferFrom)
 		}
@@ -319,8 +320,10 @@
 	toSource := copying(1)
 	toSource.Avoid = map[string]bool{"e1": true}
 	for name, fail := range map[string]func(p *placement.Placement, call *placement.Call){
-		"failed here":       func(_ *placement.Placement, call *placement.Call) { call.ConnectionLost(start) },
-		"failed for a peer": func(p *placement.Placement, _ *placement.Call) { p.UpdateBroken(start, 0, []string{"e0"}) },
+		"failed here": func(_ *placement.Placement, call *placement.Call) { call.ConnectionLost(start) },
+		"failed for a peer": func(p *placement.Placement, _ *placement.Call) {
+			p.UpdateBroken(start, history.Position{}, []string{"e0"})
+		},
 	} {
 		p := placement.New("hall")
 		addEngines(p, 0, 2, false)
--- a/internal/placement/unchanged_test.go
+++ b/internal/placement/unchanged_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/croftturn/croftturn/internal/history"
 	"github.com/croftturn/croftturn/internal/placement"
 )
 
@@ -21,7 +22,7 @@
 	for step := range 3000 {
 		now = now.Add(4 * time.Millisecond)
 		if step%25 == 0 {
-			p.UpdatePeer(now, fmt.Sprint("peer", step/25%4), 0, map[string]placement.Load{
+			p.UpdatePeer(now, fmt.Sprint("peer", step/25%4), history.Position{}, map[string]placement.Load{
 				fmt.Sprint("e", rng.IntN(24)): {PrefillTokens: rng.IntN(9000), InFlight: 1 + rng.IntN(30), Streams: rng.IntN(20)},
 			}, nil)
 		}
--- a/lab/soak/planted_test.go
+++ b/lab/soak/planted_test.go
@@ -30,7 +30,7 @@
 	{"records of streams are lost", "that were taken up went on", "", "internal/pinning/records.go", "r.newer[s] = record{origin: unique.Make(o), at: at.Sub(r.base)}", "_ = unique.Make(o)"},
 	{"a request that may have run is called not run", "though its caller got", "", "internal/dispatch/walk.go", "x.refuse(Refusal{Reason: x.unlessTimedOut(now, EngineFailed)})", "x.refuse(Refusal{Reason: NoEngine})"},
 	{"a proof never grows old", "after its key was revoked", "key taken away unseen", "internal/freshness/freshness.go", "return p.proven && now.Sub(p.provenAt) <= p.maxAge", "return p.proven"},
-	{"an engine that leaves gets new work", "after it reported that it is leaving", "", "internal/discovery/discovery.go", "e.Draining, e.SinceVersion = current.draining, current.firstVersion", "e.Draining, e.SinceVersion = false, current.firstVersion"},
+	{"an engine that leaves gets new work", "after it reported that it is leaving", "", "internal/discovery/discovery.go", "e.Draining, e.Since = current.draining, current.first", "e.Draining, e.Since = false, current.first"},
 	{"what an answer says of leaving is not read", "that it is leaving", "engine leaves, its entry ready", "platform/egress.go", `httpResp.Header.Get(headerLeaving) == "1"`, `httpResp.Header.Get(headerLeaving) == "never"`},
 	{"each node keeps to a limit by itself", "had advertised a limit", "engine names a limit", "internal/limit/permits.go", "case node.Self:", "case node.Self || !req.Forwarded:"},
 	{"brittle engines get as many requests as others", "fell over", "engines brittle", "internal/placement/brittle.go", "if e.Slots <= 0 || !known.brittle(now) {", "if e.Slots <= 0 || !known.brittle(now) || len(known.engines) > 0 {"},
