--- a/internal/config/keeper.go
+++ b/internal/config/keeper.go
@@ -200,14 +200,14 @@
 	return nil
 }
 
-// readHead reads the head row and returns its row version too.
-func (s *Syncer) readHead(ctx context.Context) (head, int, error) {
+// readHead reads the head and returns its row, too.
+func (s *Syncer) readHead(ctx context.Context) (head, kv.Row, error) {
 	row, err := s.table.Get(ctx, HeadKey)
 	if err != nil {
-		return head{}, 0, fmt.Errorf("read head of configuration: %w", err)
+		return head{}, kv.Row{}, fmt.Errorf("read head of configuration: %w", err)
 	}
 	h, err := decodeHead(row)
-	return h, row.Version, err
+	return h, row, err
 }
 
 // decodeHead decodes the head row; a missing row means version 0.
--- a/internal/config/writer.go
+++ b/internal/config/writer.go
@@ -19,7 +19,7 @@
 // written; kv.ErrUncertain that the outcome could not be read from the platform in
 // time, and the history shows it by the change's id.
 func (s *Syncer) Write(ctx context.Context, now time.Time, id, author, statement string, edit Edit) (wire.Change, error) {
-	h, rowVersion, err := s.readHead(ctx)
+	h, row, err := s.readHead(ctx)
 	if err != nil {
 		return wire.Change{}, fmt.Errorf("nothing written: %w", err)
 	}
@@ -30,7 +30,7 @@
 	if base.Version != h.Version {
 		return wire.Change{}, trace.CompareFailed("another change came between; nothing was written; try again")
 	}
-	ch, txn, err := prepareTxn(base, rowVersion, edit)
+	ch, txn, err := prepareTxn(base, row, edit)
 	if err != nil {
 		return wire.Change{}, err
 	}
@@ -56,7 +56,7 @@
 }
 
 // prepareTxn builds the change and the transaction for an edit.
-func prepareTxn(base *Config, rowVersion int, edit Edit) (wire.Change, *pendingTxn, error) {
+func prepareTxn(base *Config, head kv.Row, edit Edit) (wire.Change, *pendingTxn, error) {
 	next, err := base.Clone()
 	if err != nil {
 		return wire.Change{}, nil, err
@@ -81,7 +81,7 @@
 		return wire.Change{}, nil, trace.BadParameter("%v", err)
 	}
 	txn := &pendingTxn{}
-	txn.Checks = []kv.Check{{Key: HeadKey, Version: rowVersion}}
+	txn.Checks, txn.Fenced = []kv.Check{{Key: HeadKey, Version: head.Version, Era: head.Era}}, true
 	txn.Puts = []kv.Put{{Key: fullKey, Value: text}}
 	return wire.Change{Version: next.Version, Entities: after, Before: before}, txn, nil
 }
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -14,6 +14,8 @@
 
 	"github.com/croftturn/croftturn/internal/clock"
 	"github.com/croftturn/croftturn/internal/feed"
+	"github.com/croftturn/croftturn/internal/fence"
+	"github.com/croftturn/croftturn/internal/history"
 	"github.com/croftturn/croftturn/internal/lease"
 	"github.com/croftturn/croftturn/internal/pause"
 	"github.com/croftturn/croftturn/internal/scaling"
@@ -86,7 +88,7 @@
 	// Store is the platform's store.
 	Store interface {
 		List(ctx context.Context, table, part string) (feed.Snapshot, error)
-		Commit(ctx context.Context, tx feed.Tx) (version int64, err error)
+		Commit(ctx context.Context, tx feed.Tx) (at history.Position, err error)
 	}
 
 	// Platform handles the holder's calls.
@@ -132,6 +134,7 @@
 		DueAfter    time.Duration // DueAfter is how long after its end a window is due.
 		Usage       bool          // Usage enables usage reports.
 		Scaling     bool          // Scaling enables orders of engines.
+		FirstStart  bool          // FirstStart is set at the first start of the whole system.
 	}
 
 	// Holder is the lease holder, as far as a node knows.
@@ -146,6 +149,7 @@
 	Duties struct {
 		settings Settings
 		store    Store
+		fence    *fence.Fence // fence makes the holder's writes fail that were sent before the store came back from a copy.
 		platform Platform
 		caller   Caller
 		node     Node
@@ -166,6 +170,7 @@
 		demand        demand                     // demand is the load of all nodes, as reported to the holder.
 		scalers       map[string]*scaling.Scaler // scalers holds the scalers by pool.
 		storedOrders  string                     // storedOrders is the row of orders as last stored.
+		storedEra     int64                      // storedEra is the era in which this term's state was stored.
 		wake          chan struct{}              // wake wakes runLease early.
 	}
 )
@@ -174,13 +179,21 @@
 func New(now time.Time, s Settings, store Store, p Platform, caller Caller, node Node, log *slog.Logger) *Duties {
 	day := usage.NewClock(now, clock.Wall(now))
 	return &Duties{
-		settings: s, store: store, platform: p, caller: caller, node: node, log: log,
+		settings: s, store: store, fence: fence.New(store), platform: p, caller: caller, node: node, log: log,
 		clock: day, Counter: usage.NewCounter(s.ProcessID, s.Window, day), ledger: usage.NewLedger(s.Window, s.DueAfter, day),
-		lease:  lease.New(s.Name, s.PeerAddress, lease.Timing{TTL: s.leaseTTL(), Margin: takeoverMargin, ReturnDelay: s.ReturnDelay}),
+		lease:  lease.New(s.Name, s.PeerAddress, lease.Timing{TTL: s.leaseTTL(), Margin: takeoverMargin, ReturnDelay: s.ReturnDelay}, s.leaseOptions()...),
 		demand: demand{nodes: map[string]*nodeWork{}}, scalers: map[string]*scaling.Scaler{}, wake: make(chan struct{}, 1),
 	}
 }
 
+// leaseOptions returns the options of the lease.
+func (s Settings) leaseOptions() []lease.Option {
+	if s.FirstStart {
+		return []lease.Option{lease.WithFirstStart()}
+	}
+	return nil
+}
+
 // leaseTTL returns the TTL of the lease.
 func (s Settings) leaseTTL() time.Duration {
 	return time.Duration(leaseTTLShare * float64(s.ReturnDelay))
--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -3,11 +3,13 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"log/slog"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/croftturn/croftturn/internal/history"
 	"github.com/croftturn/croftturn/internal/lease"
 	"github.com/croftturn/croftturn/internal/scaling"
 )
@@ -51,6 +53,41 @@
 	}
 }
 
+// TestCountsLostByTheStoreAreReportedOnce guards against windows that are reported twice, with other counts or not at all, and against tokens that are given out
+// twice, after the store has come back from a copy.
+func TestCountsLostByTheStoreAreReportedOnce(t *testing.T) {
+	for how, killed := range map[string]bool{"the holder goes on": false, "the holder is gone": true} {
+		t.Run(how, func(t *testing.T) {
+			t.Parallel()
+			r := newTestCluster(t, 3)
+			first := r.holder("n0", "n1", "n2")
+			others := []string{}
+			for name := range r.nodes {
+				if name != first {
+					others = append(others, name)
+				}
+			}
+			n := r.countRequests(1500*time.Millisecond, others...)
+			r.waitStored(others...)
+			if killed {
+				r.kill[first]()
+				r.platform.mark(r.platform.stopped, first)
+			}
+			r.platform.goBack(time.Second)
+			if killed {
+				r.holder(others...)
+			}
+			r.waitReported(n + r.countRequests(500*time.Millisecond, others...))
+			r.platform.mu.Lock()
+			_, fenced := r.platform.rows[fmt.Sprintf("%016x", 1)]
+			r.platform.mu.Unlock()
+			if !fenced {
+				t.Error("the era was not written to the store")
+			}
+		})
+	}
+}
+
 // TestHolderReleasesIfItsCallsFail checks that a holder whose calls the platform does not answer releases the lease.
 func TestHolderReleasesIfItsCallsFail(t *testing.T) {
 	r := newTestCluster(t, 2)
@@ -135,7 +172,7 @@
 		m, now := platformView{newFakePlatform(), "n"}, time.Now()
 		d := New(now, Settings{Name: "n", ReturnDelay: time.Minute}, nil, m, nil, nil, slog.New(slog.NewTextHandler(&log, nil)))
 		d.lease.Acquire(now)
-		d.lease.WriteSucceeded(now, 1)
+		d.lease.WriteSucceeded(now, history.Position{Version: 1})
 		term, _ := d.lease.Holds(now)
 		d.ownToken = term.Token
 		d.restoreOrders(now, []byte(`[{"pool":"p","hall":"a","spot":true,"count":40},{"pool":"p","hall":"b","spot":true,"count":40}]`))
--- a/internal/duty/hold.go
+++ b/internal/duty/hold.go
@@ -11,6 +11,7 @@
 
 	"github.com/croftturn/croftturn/internal/clock"
 	"github.com/croftturn/croftturn/internal/feed"
+	"github.com/croftturn/croftturn/internal/history"
 	"github.com/croftturn/croftturn/internal/lease"
 	"github.com/croftturn/croftturn/internal/pause"
 	"github.com/croftturn/croftturn/internal/scaling"
@@ -115,7 +116,7 @@
 // beginTerm begins a term with the state of the previous holder.
 func (d *Duties) beginTerm(rows []feed.Row) error {
 	now := clock.Now()
-	if err := d.ledger.Load(now, rows); err != nil {
+	if err := d.ledger.Load(now, rows, d.copied(rows)); err != nil {
 		d.log.Error("cannot decode the counts of the previous holder", "error", err.Error())
 	}
 	d.mu.Lock()
@@ -133,11 +134,22 @@
 			d.restoreOrders(now, r.Value)
 		}
 	}
-	d.ownToken = term.Token
+	d.ownToken, d.storedEra = term.Token, d.lease.Era()
 	d.log.Info("duties acquired", "token", term.Token, "before", d.lease.Record().Recent, "rows", len(rows))
 	return nil
 }
 
+// copied reports whether rows that were read before this term began are those of a copy.
+func (d *Duties) copied(rows []feed.Row) bool {
+	for _, r := range rows {
+		var record lease.Record
+		if r.Key == keyLease && json.Unmarshal(r.Value, &record) == nil {
+			return record.Era < r.Era
+		}
+	}
+	return false
+}
+
 // restoreOrders restores the orders of the previous holder. The caller holds the lock.
 func (d *Duties) restoreOrders(now time.Time, value []byte) {
 	var all []scaling.Order
@@ -168,7 +180,7 @@
 		return nil, fmt.Errorf("read duties: %w", err)
 	}
 	var record lease.Record
-	version := int64(0)
+	at := history.Position{Era: snap.Era}
 	for _, r := range snap.Rows {
 		if r.Key != keyLease {
 			continue
@@ -176,24 +188,28 @@
 		if err := json.Unmarshal(r.Value, &record); err != nil {
 			d.log.Error("cannot decode the lease; treating it as held", "error", err.Error())
 		}
-		version = r.Version
+		at.Version = r.Version
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.lease.Observe(clock.Now(), record, version)
+	d.lease.Observe(clock.Now(), record, at)
 	return snap.Rows, nil
 }
 
 // renewLease renews the lease and writes changes. It returns when to do so again.
 func (d *Duties) renewLease(ctx context.Context, now time.Time) (wait time.Duration, err error) {
 	d.mu.Lock()
-	known := d.lease.Known()
+	known := d.lease.Known() && d.lease.Era() == d.storedEra
 	term, holds := d.activeTerm(now)
 	d.mu.Unlock()
 	if !known {
 		rows, err := d.readRows(ctx)
-		if err == nil && d.termNotBegun(clock.Now()) {
+		switch {
+		case err != nil:
+		case d.termNotBegun(clock.Now()):
 			err = d.beginTerm(rows)
+		default:
+			d.noteEra(clock.Now(), rows)
 		}
 		return 0, err
 	}
@@ -221,6 +237,21 @@
 	return min(writeInterval, renewInterval), nil
 }
 
+// noteEra makes the holder write all its state again if the store has come back from a copy with some rows.
+func (d *Duties) noteEra(now time.Time, rows []feed.Row) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	term, holds := d.activeTerm(now)
+	era, before := d.lease.Era(), d.storedEra
+	d.storedEra = era
+	if !holds || era == before {
+		return
+	}
+	d.storedOrders = ""
+	d.ledger.StoreReturned(rows)
+	d.log.Warn("store has come back from an older copy; writing the duties again", "token", term.Token, "era", era, "era_before", before, "rows", len(rows))
+}
+
 // settleWindows settles the windows that are due.
 func (d *Duties) settleWindows(now time.Time, term lease.Term) {
 	for _, w := range d.ledger.Settle(now) {
@@ -266,13 +297,13 @@
 }
 
 // commit writes the lease's row, together with other rows, on condition that the lease's row has not changed.
-func (d *Duties) commit(ctx context.Context, r lease.Record, expect int64, rows []feed.Row) error {
+func (d *Duties) commit(ctx context.Context, r lease.Record, expect history.Position, rows []feed.Row) error {
 	value, err := json.Marshal(r)
 	if err != nil {
 		return fmt.Errorf("encode lease: %w", err)
 	}
 	tx := feed.Tx{
-		Expect: []feed.Row{{Table: table, Part: part, Key: keyLease, Version: expect}},
+		Expect: []feed.Row{{Table: table, Part: part, Key: keyLease, Version: expect.Version, Era: expect.Era}},
 		Put:    []feed.Row{{Table: table, Part: part, Key: keyLease, Value: value}},
 	}
 	for _, row := range rows {
@@ -283,12 +314,12 @@
 		}
 		tx.Put = append(tx.Put, row)
 	}
-	version, err := d.store.Commit(ctx, tx)
+	at, err := d.fence.Commit(ctx, expect.Era, part, tx)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	switch {
-	case err == nil && version > 0:
-		d.lease.WriteSucceeded(clock.Now(), version)
+	case err == nil && at.Version > 0:
+		d.lease.WriteSucceeded(clock.Now(), at)
 		return nil
 	case errors.Is(err, feed.ErrConflict):
 		d.lease.WriteConflicted()
--- a/internal/duty/rig_test.go
+++ b/internal/duty/rig_test.go
@@ -6,11 +6,13 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/croftturn/croftturn/internal/feed"
+	"github.com/croftturn/croftturn/internal/history"
 	"github.com/croftturn/croftturn/internal/scaling"
 	"github.com/croftturn/croftturn/internal/usage"
 )
@@ -27,6 +29,8 @@
 		mu          sync.Mutex
 		rows        map[string]feed.Row
 		version     int64
+		era         int64
+		copies      []storeCopy     // copies are the states before each write.
 		dropAnswers bool            // dropAnswers makes writes succeed without an answer.
 		storeDown   map[string]bool // storeDown holds the nodes that can't reach the store.
 		stopped     map[string]bool // stopped holds the nodes that others see as stopping or silent.
@@ -36,6 +40,13 @@
 		calls   []platformCall
 	}
 
+	// storeCopy is an earlier state of the store.
+	storeCopy struct {
+		at      time.Time
+		version int64
+		rows    map[string]feed.Row
+	}
+
 	// platformCall is an API call of a holder.
 	platformCall struct {
 		holder string
@@ -71,24 +82,26 @@
 	if m.storeDown[m.name] {
 		return feed.Snapshot{}, errDown
 	}
-	snap := feed.Snapshot{Version: m.version}
+	snap := feed.Snapshot{Era: m.era, Version: m.version}
 	for _, r := range m.rows {
+		r.Era = m.era
 		snap.Rows = append(snap.Rows, r)
 	}
 	return snap, nil
 }
 
-func (m platformView) Commit(_ context.Context, tx feed.Tx) (int64, error) {
+func (m platformView) Commit(_ context.Context, tx feed.Tx) (history.Position, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.storeDown[m.name] {
-		return 0, fmt.Errorf("%w: %w", errDown, feed.ErrUnavailable)
+		return history.Position{}, fmt.Errorf("%w: %w", errDown, feed.ErrUnavailable)
 	}
 	for _, r := range tx.Expect {
 		if m.rows[r.Key].Version != r.Version {
-			return 0, &feed.ConflictError{}
+			return history.Position{Era: m.era}, &feed.ConflictError{}
 		}
 	}
+	m.copies = append(m.copies, storeCopy{time.Now(), m.version, maps.Clone(m.rows)})
 	m.version++
 	for _, r := range tx.Put {
 		r.Version = m.version
@@ -98,9 +111,9 @@
 		delete(m.rows, r.Key)
 	}
 	if m.dropAnswers {
-		return 0, fmt.Errorf("answer lost: %w", feed.ErrUncertain)
+		return history.Position{}, fmt.Errorf("answer lost: %w", feed.ErrUncertain)
 	}
-	return m.version, nil
+	return history.Position{Era: m.era, Version: m.version}, nil
 }
 
 func (m platformView) Usage(ctx context.Context, holder string, token, window int64, counts map[string]int) error {
@@ -282,6 +295,20 @@
 	}
 }
 
+// goBack makes the store come back from a copy of some age.
+func (m *fakePlatform) goBack(age time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.era++
+	for len(m.copies) > 0 {
+		last := m.copies[len(m.copies)-1]
+		if time.Since(last.at) > age {
+			return
+		}
+		m.version, m.rows, m.copies = last.version, last.rows, m.copies[:len(m.copies)-1]
+	}
+}
+
 // mark adds a node to a set.
 func (m *fakePlatform) mark(of map[string]bool, name string) {
 	m.mu.Lock()
--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -38,7 +38,7 @@
 	d := duty.New(now, duty.Settings{
 		Name: s.Instance, ProcessID: fmt.Sprintf("%s/%x", s.Instance, clock.Wall(now).UnixNano()), PeerAddress: s.PeerAddress,
 		ReturnDelay: ms(s.LeaseMs), Window: ms(s.UsageWindowMs), DueAfter: ms(s.UsageLateMs),
-		Usage: slices.Contains(s.Duties, settings.SettingsDutiesElemUsage), Scaling: slices.Contains(s.Duties, settings.SettingsDutiesElemScaling),
+		FirstStart: s.FirstStart, Usage: slices.Contains(s.Duties, settings.SettingsDutiesElemUsage), Scaling: slices.Contains(s.Duties, settings.SettingsDutiesElemScaling),
 	}, e.store, e.dutyClient, e.peerClient, dutyNode{e}, e.log)
 	e.peerServer.Handle(duty.MethodUsage, peer.Typed(d.HandleCounts))
 	e.metrics.usage = d.Counter
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -137,6 +137,7 @@
 
 	returnedAt atomic.Pointer[time.Time] // returnedAt is when the store is known to have come back from a copy; nil if it never has.
 	returns    atomic.Int64              // returns counts how often that was seen.
+	onReturn   []func()                  // onReturn are called after it is seen that the store has come back from a copy.
 
 	configsRefused atomic.Int64 // configsRefused counts configurations that were rejected as invalid.
 
@@ -243,6 +244,7 @@
 	}
 	config := &feed.Reader{Table: e.configTable, Source: e.store, Wait: configLongPoll, ShouldRead: e.shouldRead, OnSuccess: e.configProven, OnFailure: e.storeFailed, Wake: e.wakeConfig, Log: e.log}
 	engines := &feed.Reader{Table: e.engineTable, Source: e.store, Wait: scaleMs(enginesLongPollShare, s.EngineDrainMs), ShouldRead: e.shouldRead, OnSuccess: e.storeAnswered, OnFailure: e.storeFailed, Wake: e.wakeEngines, Log: e.log}
+	e.onReturn = []func(){e.register.StoreReturned, e.versions.StoreReturned}
 	e.removeClockHook = clock.OnResume(e.afterSuspension)
 	e.startGoroutine(func() { e.handleSuspensions(ctx) })
 	e.startRelaySweeps(ctx)
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -7,6 +7,7 @@
 	"github.com/croftturn/croftturn/internal/dispatch"
 	"github.com/croftturn/croftturn/internal/feed"
 	"github.com/croftturn/croftturn/internal/gossip"
+	"github.com/croftturn/croftturn/internal/pinning"
 	"github.com/croftturn/croftturn/platform"
 )
 
@@ -56,6 +57,7 @@
 		TeamWork: e.dispatcher.TeamWork(now), LowerAdmitted: e.dispatcher.LowerAdmitted(now),
 		Unreachable: unreachable, Partitioned: e.partitioned(unreachable), ForwardPort: e.forwardPort(), Brittle: e.placement.Brittle(now), PinsStreams: true, PoolVersions: e.versions.GossipEntries(now),
 	}
+	s.PoolEras = pinning.Eras(s.PoolVersions)
 	if age, ok := e.proof.Age(now); ok {
 		s.ProofAgeMs = age.Milliseconds() + 1 // Rounded up, since a proof must not get younger on its way.
 	}
@@ -86,7 +88,7 @@
 	e.placement.MergeBrittle(now, s.Brittle)
 	e.discovery.MergeGossip(now, s.Leaving)
 	e.receiveHolder(now, s.Holder)
-	e.versions.MergeGossip(now, s.PoolVersions)
+	e.versions.MergeGossip(now, s.PoolVersions, s.PoolEras)
 	e.noteIncarnation(now, p)
 	e.follower.Observe(now, p.PeerAddress, tables)
 	e.heardOfReturn(now, s)
--- a/internal/edge/returns.go
+++ b/internal/edge/returns.go
@@ -43,6 +43,12 @@
 	e.returns.Add(1)
 	e.log.Warn("store has come back from an older copy", "table", r.Table, "era", r.After.Era, "era_before", r.Before.Era, "version", r.After.Version, "version_before", r.Before.Version, "kept", r.Kept, "gone", r.Gone)
 	e.noteReturn(now)
+	if r.Table != platform.TableConfig {
+		return // Once for each return is enough.
+	}
+	for _, f := range e.onReturn {
+		f()
+	}
 }
 
 // noteReturn records that the store came back at a time or shortly before.
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -63,6 +63,7 @@
 		CrashingParts     quarantine.PartGossip           `cbor:"30,keyasint,omitzero"`  // CrashingParts are prompt parts under which engines crashed: recent changes, or all that are held or may be.
 		Eras              map[string]int64                `cbor:"31,keyasint,omitempty"` // Eras are the eras of Versions, as in feed.Announcement.
 		Kept              map[string]uint64               `cbor:"32,keyasint,omitempty"` // Kept are the digests of what the node's tables keep of earlier eras.
+		PoolEras          map[string][2]int64             `cbor:"34,keyasint,omitempty"` // PoolEras are the eras of PoolVersions, as pinning.Eras returns them.
 		ReturnAgeMs       int64                           `cbor:"33,keyasint,omitempty"` // ReturnAgeMs is how long ago the store is known to have come back from a copy, at least 1; 0 if not lately.
 	}
 
--- a/internal/gossip/start_test.go
+++ b/internal/gossip/start_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/croftturn/croftturn/internal/feed"
 	"github.com/croftturn/croftturn/internal/gossip"
+	"github.com/croftturn/croftturn/internal/history"
 	"github.com/croftturn/croftturn/internal/register"
 )
 
@@ -41,18 +42,18 @@
 	return snap, more, nil
 }
 
-func (s *table) Commit(_ context.Context, tx feed.Tx) (int64, error) {
+func (s *table) Commit(_ context.Context, tx feed.Tx) (history.Position, error) {
 	s.version++
 	for _, put := range tx.Put {
 		put.Version = s.version
 		s.writes[put.Part]++
 		at, there := slices.BinarySearchFunc(s.rows[put.Part], put.Key, func(r feed.Row, key string) int { return strings.Compare(r.Key, key) })
 		if there {
-			return 0, &feed.ConflictError{Rows: []feed.Row{s.rows[put.Part][at]}}
+			return history.Position{}, &feed.ConflictError{Rows: []feed.Row{s.rows[put.Part][at]}}
 		}
 		s.rows[put.Part] = slices.Insert(s.rows[put.Part], at, put)
 	}
-	return s.version, nil
+	return history.Position{Version: s.version}, nil
 }
 
 // start simulates nodes that start at random times within spread, for a duration d in all.
--- a/internal/kv/client.go
+++ b/internal/kv/client.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/croftturn/croftturn/internal/feed"
+	"github.com/croftturn/croftturn/internal/fence"
+	"github.com/croftturn/croftturn/internal/history"
 	"github.com/croftturn/croftturn/platform"
 )
 
@@ -41,13 +43,15 @@
 	Row struct {
 		Key     string          `json:"key"`
 		Value   json.RawMessage `json:"value,omitempty"`
-		Version int             `json:"version"` // Version increases with each write of the row; 0 means that it does not exist.
+		Version int             `json:"version"` // Version increases with each write of the row in an era; 0 means that it does not exist.
+		Era     int64           `json:"-"`       // Era is that of the store when the row was read, as in history.Position.
 	}
 
 	// Check is a precondition of a transaction: the row must have this version.
 	Check struct {
 		Key     string `json:"key"`
 		Version int    `json:"version"`
+		Era     int64  `json:"-"` // Era is that in which the version was read.
 	}
 
 	// Put writes one row; a nil value deletes it.
@@ -60,6 +64,7 @@
 	Txn struct {
 		Checks []Check `json:"checks,omitempty"`
 		Puts   []Put   `json:"puts,omitempty"`
+		Fenced bool    `json:"-"` // Fenced is set if the checks must fail once the store has come back from a copy and was written to.
 	}
 
 	// ConflictError holds the current rows whose checks failed.
@@ -77,6 +82,7 @@
 	// Client reads and writes rows. It is safe for concurrent use.
 	Client struct {
 		store *platform.Store
+		fence *fence.Fence
 
 		Reads  atomic.Int64 // Reads counts read calls sent.
 		Writes atomic.Int64 // Writes counts transactions sent.
@@ -93,20 +99,25 @@
 
 // New returns a client for the store at these addresses; timeout bounds each call.
 func New(addresses []string, timeout time.Duration) *Client {
-	return &Client{store: platform.NewStore(addresses, timeout)}
+	store := platform.NewStore(addresses, timeout)
+	return &Client{store: store, fence: fence.New(store)}
 }
 
 // Tables returns the store with all of its tables.
 func (c *Client) Tables() *platform.Store { return c.store }
 
+// Era returns the latest era that an answer of the store has named; ok is false if none has.
+func (c *Client) Era() (era int64, ok bool) { return c.store.Era(), c.store.EraKnown() }
+
 // Get reads one row; a missing row is returned with version 0.
 func (c *Client) Get(ctx context.Context, key string) (Row, error) {
-	found, err := c.scan(ctx, key, key+"\x00", 1)
+	snap, err := c.scan(ctx, key, key+"\x00", 1)
 	if err != nil {
 		return Row{}, fmt.Errorf("get row %s: %w", key, err)
 	}
+	found := toRows(snap.Rows)
 	if len(found) == 0 {
-		return Row{Key: key, Version: absentVersion}, nil
+		return Row{Key: key, Version: absentVersion, Era: snap.Era}, nil
 	}
 	return found[0], nil
 }
@@ -121,7 +132,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("list rows %s: %w", prefix, err)
 	}
-	return found, nil
+	return toRows(found.Rows), nil
 }
 
 // prefixEnd returns the first key after all keys with a prefix, or "" if there is none.
@@ -135,20 +146,20 @@
 }
 
 // scan reads up to limit rows with keys in [from, to).
-func (c *Client) scan(ctx context.Context, from, to string, limit int) ([]Row, error) {
+func (c *Client) scan(ctx context.Context, from, to string, limit int) (feed.Snapshot, error) {
 	c.Reads.Add(1)
 	snap, _, err := c.store.Range(ctx, tableRows, "", from, to, limit)
 	if err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
+		return feed.Snapshot{}, fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
-	return toRows(snap.Rows), nil
+	return snap, nil
 }
 
 // toRows converts rows of the platform's store to Rows.
 func toRows(rows []feed.Row) []Row {
 	out := make([]Row, 0, len(rows))
 	for _, r := range rows {
-		out = append(out, Row{Key: r.Key, Value: r.Value, Version: int(r.Version)})
+		out = append(out, Row{Key: r.Key, Value: r.Value, Version: int(r.Version), Era: r.Era})
 	}
 	return out
 }
@@ -157,8 +168,9 @@
 // nothing was written, and ErrUncertain if that is unknown.
 func (c *Client) Transact(ctx context.Context, txn Txn) error {
 	c.Writes.Add(1)
-	tx := feed.Tx{}
+	tx, era := feed.Tx{}, int64(0)
 	for _, check := range txn.Checks {
+		era = max(era, check.Era)
 		tx.Expect = append(tx.Expect, feed.Row{Table: tableRows, Key: check.Key, Version: int64(check.Version)})
 	}
 	for _, put := range txn.Puts {
@@ -169,7 +181,13 @@
 		}
 		tx.Put = append(tx.Put, row)
 	}
-	err := c.store.Write(ctx, tx)
+	commit := c.store.Commit
+	if txn.Fenced {
+		commit = func(ctx context.Context, tx feed.Tx) (history.Position, error) {
+			return c.fence.Commit(ctx, era, "", tx)
+		}
+	}
+	_, err := commit(ctx, tx)
 	var conflict *feed.ConflictError
 	switch {
 	case err == nil:
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/croftturn/croftturn/internal/history"
 )
 
 var (
@@ -17,25 +19,42 @@
 type store struct {
 	record  Record
 	version int64
+	era     int64
+	written bool    // written is set once the row was written in the present era.
+	earlier []store // earlier holds the states before, the newest last.
 }
 
-// write applies a write if its condition holds.
-func (s *store) write(r Record, expect int64) bool {
-	if expect != s.version {
+// at returns the position of the row.
+func (s *store) at() history.Position { return history.Position{Era: s.era, Version: s.version} }
+
+// write applies a write if its condition holds. One that was sent before a return may still be applied as long as the row is as
+// in the copy.
+func (s *store) write(r Record, expect history.Position) bool {
+	if expect != s.at() && (s.written || expect.Era > s.era || expect.Version != s.version) {
 		return false
 	}
-	s.record = r
+	s.earlier = append(s.earlier, store{record: s.record, version: s.version})
+	s.record, s.written = r, true
 	s.version++
 	return true
 }
 
+// goBack makes the store come back as it was some writes before.
+func (s *store) goBack(writes int) {
+	if writes = min(writes, len(s.earlier)); writes > 0 {
+		to := s.earlier[len(s.earlier)-writes]
+		s.record, s.version, s.earlier = to.record, to.version, s.earlier[:len(s.earlier)-writes]
+	}
+	s.era, s.written = s.era+1, false
+}
+
 // TestTermStartsWhenTheWriteIsSent checks that a term lasts for the TTL from the time its renewal was sent, not from the
 // time of the answer, and that a renewal whose answer was lost counts once it is seen in the row.
 func TestTermStartsWhenTheWriteIsSent(t *testing.T) {
 	s, l := &store{}, New("a", "a:1", timing)
-	l.Observe(at(0), s.record, s.version)
+	l.Observe(at(0), s.record, s.at())
 	s.write(l.Acquire(at(10)))
-	l.WriteSucceeded(at(900), s.version)
+	l.WriteSucceeded(at(900), s.at())
 	if _, ok := l.Holds(at(2009)); !ok {
 		t.Error("the term ended before its TTL")
 	}
@@ -47,7 +66,7 @@
 	if _, ok := l.Holds(at(2011)); ok {
 		t.Error("a renewal of unknown outcome extends the term")
 	}
-	l.Observe(at(1900), s.record, s.version)
+	l.Observe(at(1900), s.record, s.at())
 	if _, ok := l.Holds(at(3499)); !ok {
 		t.Error("a renewal that was applied does not extend the term, since its answer was lost")
 	}
@@ -60,16 +79,16 @@
 // renewal restarts this wait, and that a released lease can be acquired at once.
 func TestTakeoverWaitsForExpiry(t *testing.T) {
 	s, a, b := &store{}, New("a", "", timing), New("b", "", timing)
-	a.Observe(at(0), s.record, s.version)
+	a.Observe(at(0), s.record, s.at())
 	s.write(a.Acquire(at(0)))
-	a.WriteSucceeded(at(5), s.version)
-	b.Observe(at(100), s.record, s.version)
+	a.WriteSucceeded(at(5), s.at())
+	b.Observe(at(100), s.record, s.at())
 	if from, ok := b.AcquirableAt(); !ok || from != at(2400) {
 		t.Errorf("b may take over from %v on, want 2.4 s", from.Sub(start))
 	}
 	stale, expect := b.Acquire(at(2400))
 	s.write(a.Renew(at(1000)))
-	a.WriteSucceeded(at(1005), s.version)
+	a.WriteSucceeded(at(1005), s.at())
 	if s.write(stale, expect) {
 		t.Error("b took over although the lease was renewed")
 	}
@@ -81,12 +100,12 @@
 	if _, ok := a.Holds(at(1501)); ok {
 		t.Error("a acts after its release")
 	}
-	b.Observe(at(1600), s.record, s.version)
+	b.Observe(at(1600), s.record, s.at())
 	if from, _ := b.AcquirableAt(); from != at(1600) {
 		t.Errorf("b waits until %v for a released lease", from.Sub(start))
 	}
 	s.write(b.Acquire(at(1600)))
-	b.WriteSucceeded(at(1605), s.version)
+	b.WriteSucceeded(at(1605), s.at())
 	if term, ok := b.Holds(at(1700)); !ok || term.Token != 2 {
 		t.Errorf("b has term %+v, %v", term, ok)
 	}
@@ -96,55 +115,84 @@
 // for expiry, as long as nobody took over; and that it does not after its release, or as another process.
 func TestExpiredTermIsResumed(t *testing.T) {
 	s, a, b := &store{}, New("a", "", timing), New("b", "", timing)
-	a.Observe(at(0), s.record, s.version)
+	a.Observe(at(0), s.record, s.at())
 	s.write(a.Acquire(at(0)))
-	a.WriteSucceeded(at(5), s.version)
+	a.WriteSucceeded(at(5), s.at())
 	a.Renew(at(1000)) // It does not reach the store.
 	a.WriteUncertain()
-	a.Observe(at(5000), s.record, s.version)
+	a.Observe(at(5000), s.record, s.at())
 	if _, ok := a.Holds(at(5000)); ok || !a.CanResume() {
 		t.Errorf("holds %v, can resume %v", ok, a.CanResume())
 	}
-	b.Observe(at(2600), s.record, s.version)
+	b.Observe(at(2600), s.record, s.at())
 	taken, expect := b.Acquire(at(5005))
 	if !s.write(a.Renew(at(5000))) || s.write(taken, expect) {
 		t.Error("want the renewal applied and the takeover rejected")
 	}
-	a.WriteSucceeded(at(5010), s.version)
+	a.WriteSucceeded(at(5010), s.at())
 	if term, ok := a.Holds(at(6999)); !ok || term.Token != 1 {
 		t.Errorf("after the renewal: %+v, %v", term, ok)
 	}
 	again := New("a", "", timing)
-	again.Observe(at(6000), s.record, s.version)
+	again.Observe(at(6000), s.record, s.at())
 	if again.CanResume() {
 		t.Error("another process of the node resumes its term")
 	}
 	s.write(a.Release(at(6500)))
-	a.WriteSucceeded(at(6505), s.version)
+	a.WriteSucceeded(at(6505), s.at())
 	if a.CanResume() {
 		t.Error("a released term is resumed")
 	}
 }
 
+// TestTermLostByTheStoreIsNotRepeated guards against a second holder, or a second use of a token, after the store has come back from a copy that
+// lacks a term: the row then says that the lease is free or held by another node.
+func TestTermLostByTheStoreIsNotRepeated(t *testing.T) {
+	s, a, b := &store{}, New("a", "", timing), New("b", "", timing)
+	a.Observe(at(0), s.record, s.at())
+	s.write(a.Acquire(at(0)))
+	a.WriteSucceeded(at(5), s.at())
+	s.write(a.Release(at(100)))
+	b.Observe(at(110), s.record, s.at())
+	s.write(b.Acquire(at(110)))
+	b.WriteSucceeded(at(115), s.at())
+	lost, _ := b.Holds(at(120))
+	s.goBack(1)
+	c := New("c", "", timing)
+	c.Observe(at(200), s.record, s.at())
+	if from, _ := c.AcquirableAt(); from != at(200+2300) {
+		t.Errorf("the copy says that the lease is free, and it is taken after %v", from.Sub(at(200)))
+	}
+	b.Observe(at(300), s.record, s.at())
+	if _, ok := b.Holds(at(301)); ok {
+		t.Error("the holder of the lost term goes on without its row")
+	}
+	s.write(c.Acquire(at(2500)))
+	c.WriteSucceeded(at(2505), s.at())
+	if term, ok := c.Holds(at(2510)); !ok || term.Token <= lost.Token {
+		t.Errorf("the new term has token %d, %v; the lost one had %d", term.Token, ok, lost.Token)
+	}
+}
+
 // TestFormerHolderWaitsForTheReturnDelay checks that a former holder does not acquire the lease within ReturnDelay after
 // another node's term, also if it has restarted.
 func TestFormerHolderWaitsForTheReturnDelay(t *testing.T) {
 	s, a, b := &store{}, New("a", "", timing), New("b", "", timing)
-	a.Observe(at(0), s.record, s.version)
+	a.Observe(at(0), s.record, s.at())
 	s.write(a.Acquire(at(0)))
-	a.WriteSucceeded(at(5), s.version)
+	a.WriteSucceeded(at(5), s.at())
 	s.write(a.Release(at(100)))
-	b.Observe(at(110), s.record, s.version)
+	b.Observe(at(110), s.record, s.at())
 	s.write(b.Acquire(at(110)))
-	b.WriteSucceeded(at(115), s.version)
+	b.WriteSucceeded(at(115), s.at())
 	s.write(b.Release(at(120)))
 	again := New("a", "", timing)
-	again.Observe(at(130), s.record, s.version)
+	again.Observe(at(130), s.record, s.at())
 	if from, _ := again.AcquirableAt(); from.Before(at(130 + 3000)) {
 		t.Errorf("a comes back %v after the start", from.Sub(start))
 	}
 	c := New("c", "", timing)
-	c.Observe(at(130), s.record, s.version)
+	c.Observe(at(130), s.record, s.at())
 	if from, _ := c.AcquirableAt(); from != at(130) {
 		t.Errorf("c waits until %v", from.Sub(start))
 	}
--- a/internal/lease/model_test.go
+++ b/internal/lease/model_test.go
@@ -6,17 +6,20 @@
 	"slices"
 	"testing"
 	"time"
+
+	"github.com/croftturn/croftturn/internal/history"
 )
 
 // The model runs random sequences of steps of two or three nodes and the store, by seed: a node reads the row or sends a
 // write; the write is applied now, later or never; its answer arrives or is lost; a node stalls while time passes for the
-// others. At most one node may act at any time, and tokens must not decrease. The model must also detect each of three
-// mutations of the protocol.
+// others; the store comes back from a copy. At most one node may act at any time, and each term has a token above those of all terms before, also of those
+// that the store lost. The model must also detect each of five mutations of the protocol.
 
 const (
 	tick        = 500 * time.Millisecond // tick is the unit of time in the model.
 	modelRuns   = 15_000                 // modelRuns is how many sequences are run.
 	modelSteps  = 60                     // modelSteps is the number of steps per sequence.
+	maxReturns  = 3                      // maxReturns is how often the store comes back from a copy.
 	maxInFlight = 2                      // maxInFlight is how many writes of a node may be in transit at once.
 )
 
@@ -31,6 +34,8 @@
 	skipWait                 // skipWait acquires the lease without waiting for expiry.
 	countFromAnswer          // countFromAnswer counts a lease from when the answer arrived.
 	localToken               // localToken takes the token from the node, not from the row.
+	trustCopy                // trustCopy takes what the row says for true after a return.
+	rowToken                 // rowToken counts on from the token of the row, whatever the era.
 )
 
 type (
@@ -38,9 +43,10 @@
 	inFlightWrite struct {
 		node   int
 		record Record
-		expect int64
+		expect history.Position
 		done   bool // done is set once the store handled it and the answer is in transit.
 		ok     bool
+		at     history.Position // at is the position that the answer names.
 	}
 
 	// model is a state of the nodes and the store.
@@ -50,6 +56,7 @@
 		nodes        []Lease
 		inFlight     []inFlightWrite
 		highestToken int64
+		holders      map[int64]string // holders holds the node of each token.
 	}
 )
 
@@ -61,9 +68,12 @@
 	var out []func()
 	add := func(f func()) { out = append(out, f) }
 	add(func() { w.ticks++ })
+	if w.store.era < maxReturns {
+		add(func() { w.store.goBack(1 + w.ticks%3) })
+	}
 	for i := range w.nodes {
-		if l := &w.nodes[i]; !l.Known() || l.version != w.store.version {
-			add(func() { l.Observe(w.now(), w.store.record, w.store.version) })
+		if l := &w.nodes[i]; !l.Known() || l.at != w.store.at() {
+			add(func() { l.Observe(w.now(), w.seen(p), w.store.at()) })
 		}
 		if w.mayWrite(i, p) && countInFlight(w.inFlight, i) < maxInFlight {
 			add(func() {
@@ -74,7 +84,7 @@
 	}
 	for i, f := range w.inFlight {
 		if !f.done {
-			add(func() { w.inFlight[i].done, w.inFlight[i].ok = true, w.store.write(f.record, f.expect) })
+			add(func() { w.apply(i) })
 			continue
 		}
 		add(func() { w.deliverAnswer(i, p) })
@@ -86,6 +96,22 @@
 	return out
 }
 
+// apply makes the store handle a write.
+func (w *model) apply(i int) {
+	f := &w.inFlight[i]
+	f.done, f.ok = true, w.store.write(f.record, f.expect)
+	f.at = w.store.at()
+}
+
+// seen returns the row as a node reads it.
+func (w *model) seen(p mutation) Record {
+	r := w.store.record
+	if p == trustCopy {
+		r.Era = w.store.era
+	}
+	return r
+}
+
 // deliverAnswer delivers the answer to a write.
 func (w *model) deliverAnswer(i int, p mutation) {
 	f := w.inFlight[i]
@@ -99,7 +125,7 @@
 		if p == countFromAnswer {
 			l.pending[newest].sent = w.now()
 		}
-		l.WriteSucceeded(w.now(), f.expect+1)
+		l.WriteSucceeded(w.now(), f.at)
 	}
 }
 
@@ -123,12 +149,16 @@
 }
 
 // write makes a node send a write.
-func (w *model) write(i int, p mutation) (r Record, expect int64) {
+func (w *model) write(i int, p mutation) (r Record, expect history.Position) {
 	l := &w.nodes[i]
 	if _, holds := l.Holds(w.now()); holds || l.CanResume() {
 		return l.Renew(w.now())
 	}
 	r, expect = l.Acquire(w.now())
+	if p == rowToken {
+		r.Token = l.record.Token + 1
+		l.pending[len(l.pending)-1].record = r
+	}
 	if p == localToken {
 		r.Token = int64(1 + i%2)
 		l.pending[len(l.pending)-1].record = r
@@ -147,10 +177,20 @@
 	if holders > 1 {
 		return "two nodes may act"
 	}
-	if w.store.record.Token < w.highestToken {
-		return "a token decreased"
+	for i := range w.nodes {
+		term, ok := w.nodes[i].Holds(w.now())
+		if !ok {
+			continue
+		}
+		name, known := w.holders[term.Token]
+		if known && name != w.nodes[i].self {
+			return "a token was given out twice"
+		}
+		if !known && term.Token < w.highestToken {
+			return "a token decreased"
+		}
+		w.holders[term.Token], w.highestToken = w.nodes[i].self, max(w.highestToken, term.Token)
 	}
-	w.highestToken = w.store.record.Token
 	return ""
 }
 
@@ -158,7 +198,7 @@
 func search(nodes int, p mutation) (violation string, runs int) {
 	for run := range modelRuns {
 		rnd := rand.New(rand.NewPCG(uint64(run), uint64(nodes)))
-		w := &model{}
+		w := &model{holders: map[int64]string{}}
 		for i := range nodes {
 			w.nodes = append(w.nodes, *New(fmt.Sprint("n", i), "", modelTiming))
 		}
@@ -186,7 +226,7 @@
 
 // TestModelDetectsMutations checks that the model detects faults of the protocol.
 func TestModelDetectsMutations(t *testing.T) {
-	for name, p := range map[string]mutation{"no wait before a takeover": skipWait, "lease counted from the answer": countFromAnswer, "token not from the row": localToken} {
+	for name, p := range map[string]mutation{"no wait before a takeover": skipWait, "lease counted from the answer": countFromAnswer, "token not from the row": localToken, "copy believed": trustCopy, "token of the row, whatever the era": rowToken} {
 		if violation, runs := search(2, p); violation == "" {
 			t.Errorf("%s: not found in %d sequences", name, runs)
 		} else {
--- a/internal/pinning/history.go
+++ b/internal/pinning/history.go
@@ -13,6 +13,8 @@
 
 	"github.com/croftturn/croftturn/internal/clock"
 	"github.com/croftturn/croftturn/internal/feed"
+	"github.com/croftturn/croftturn/internal/fence"
+	"github.com/croftturn/croftturn/internal/history"
 )
 
 const (
@@ -53,7 +55,7 @@
 	// Store is the part of the platform's store that a History uses.
 	Store interface {
 		Range(ctx context.Context, table, part, from, to string, limit int) (snap feed.Snapshot, more bool, err error)
-		Commit(ctx context.Context, tx feed.Tx) (version int64, err error)
+		Commit(ctx context.Context, tx feed.Tx) (at history.Position, err error)
 	}
 
 	// Engines knows the engines' versions.
@@ -69,7 +71,9 @@
 		Version  string // Version is the only one; it applies unless Several is set.
 		Several  bool
 		SinceMs  int64         // SinceMs is since when, on the store's clock; 0 for ever.
-		Revision int64         // Revision is that of the row.
+		Revision int64         // Revision is the row's version.
+		Era      int64         `cbor:"-"` // Era is that of Revision; it is sent apart, since older releases take no further field.
+		Written  int64         `cbor:"-"` // Written is the era in which the row was written; before Era, the row is of a copy.
 		Age      time.Duration `cbor:"-"` // Age is how long ago this node learned of it; it is not sent.
 	}
 
@@ -77,6 +81,7 @@
 	// to date. Before a stream begins at a second version, the row says so.
 	History struct {
 		store      Store
+		fence      *fence.Fence // fence makes writes fail that were sent before the store came back from a copy.
 		engines    Engines
 		pools      func() []string                       // pools returns the pools with resumable streams.
 		isWriter   func(now time.Time, pool string) bool // isWriter reports whether this node is chosen to write a pool's row.
@@ -94,6 +99,7 @@
 	// poolState is what this node knows of one pool.
 	poolState struct {
 		row       PoolVersion // row has revision 0 while it is unknown.
+		verify    bool        // verify is set until the row is read after the store has come back from a copy.
 		learnedAt time.Time
 		observed  []string      // observed are the versions of engines that this node has seen.
 		changedAt time.Time     // changedAt is since when the row differs from what is observed; zero if it does not.
@@ -116,12 +122,21 @@
 		Version string `json:"version,omitempty"`
 		Several bool   `json:"several,omitempty"`
 		SinceMs int64  `json:"since_ms"`
+		Era     int64  `json:"era,omitempty"`
 	}
 )
 
+// Position returns the position of the row in the store's history.
+func (v PoolVersion) Position() history.Position {
+	return history.Position{Era: v.Era, Version: v.Revision}
+}
+
+// copied reports whether the row may be older than what was known before the store came back from a copy.
+func (v PoolVersion) copied() bool { return v.Written < v.Era }
+
 // NewHistory returns a History that knows nothing yet.
 func NewHistory(store Store, engines Engines, pools func() []string, isWriter func(now time.Time, pool string) bool, firstStart bool, log *slog.Logger) *History {
-	return &History{store: store, engines: engines, pools: pools, isWriter: isWriter, firstStart: firstStart, log: log, wake: make(chan struct{}, 1), known: map[string]*poolState{}, reads: map[string]*sharedRead{}}
+	return &History{store: store, fence: fence.New(store), engines: engines, pools: pools, isWriter: isWriter, firstStart: firstStart, log: log, wake: make(chan struct{}, 1), known: map[string]*poolState{}, reads: map[string]*sharedRead{}}
 }
 
 // Observe records that an engine of a pool has a version.
@@ -133,7 +148,7 @@
 		return
 	}
 	s.observed = append(s.observed, version)
-	if s.row.Revision == 0 || s.pending() {
+	if s.row.Position() == (history.Position{}) || s.pending() {
 		h.Wake()
 	}
 }
@@ -185,6 +200,12 @@
 	if err != nil {
 		return "", err
 	}
+	h.mu.Lock()
+	several = h.state(pool).row.Several
+	h.mu.Unlock()
+	if several || r.row.copied() {
+		return "", ErrSeveral
+	}
 	if r.row.Revision == 0 || r.row.Several || r.row.SinceMs > 0 && r.nowMs-r.row.SinceMs < soleTime.Milliseconds() {
 		return "", ErrSeveral
 	}
@@ -220,7 +241,7 @@
 // read reads the row of a pool; it has revision 0 if there is none.
 func (h *History) read(ctx context.Context, pool string, r *sharedRead) {
 	snap, _, err := h.store.Range(ctx, historyTable, "", pool, pool+"\x00", 1)
-	r.nowMs, r.row = snap.NowMs, PoolVersion{Pool: pool}
+	r.nowMs, r.row = snap.NowMs, PoolVersion{Pool: pool, Era: snap.Era}
 	if err != nil {
 		r.err = fmt.Errorf("read versions of %s: %w", pool, err)
 	}
@@ -229,7 +250,7 @@
 			r.err = err
 		}
 	}
-	if r.err == nil && r.row.Revision > 0 {
+	if r.err == nil {
 		h.learn(clock.Now(), r.row)
 	}
 	h.mu.Lock()
@@ -244,28 +265,53 @@
 	if err := json.Unmarshal(row.Value, &stored); err != nil {
 		return PoolVersion{}, fmt.Errorf("decode versions of %s: %w", row.Key, err)
 	}
-	return PoolVersion{Pool: row.Key, Version: stored.Version, Several: stored.Several, SinceMs: stored.SinceMs, Revision: row.Version}, nil
+	return PoolVersion{Pool: row.Key, Version: stored.Version, Several: stored.Several, SinceMs: stored.SinceMs, Revision: row.Version, Era: row.Era, Written: stored.Era}, nil
 }
 
-// learn takes a row over if it is newer than the known one.
+// learn takes a row over if it is newer than the known one; revision 0 means that there is none. Where the store has come back from a copy, streams may also have
+// begun at the versions that were known before.
 func (h *History) learn(now time.Time, row PoolVersion) {
 	versions := h.engines.Versions(row.Pool)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	s := h.state(row.Pool)
-	if row.Revision <= s.row.Revision {
+	before := s.row
+	if row.Era == before.Era && row.Revision <= before.Revision || row.Era < before.Era && !before.copied() {
+		return
+	}
+	if row.Era != before.Era {
+		earlier, later := before, row
+		if row.Era < before.Era {
+			earlier, later = row, before
+		}
+		if earlier.Revision > 0 && later.copied() {
+			later.merge(earlier)
+		}
+		row = later
+	}
+	if row == before {
 		return
 	}
 	h.log.Info("versions of a pool", "pool", row.Pool, "version", row.Version, "several", row.Several, "since_ms", row.SinceMs, "revision", row.Revision, "before", s.row.Revision)
 	if s.row.Several && !row.Several {
 		s.observed = versions // Engines of other versions have been gone for long.
 	}
-	s.row, s.learnedAt, s.changedAt = row, now, time.Time{}
-	if s.pending() {
+	s.row, s.learnedAt, s.changedAt, s.verify = row, now, time.Time{}, false
+	if s.pending() || row.copied() {
 		h.Wake()
 	}
 }
 
+// merge adds what was known before the store came back from a copy.
+func (v *PoolVersion) merge(earlier PoolVersion) {
+	switch {
+	case v.Revision == 0:
+		v.Version, v.Several, v.SinceMs = earlier.Version, earlier.Several, earlier.SinceMs
+	case earlier.Several || earlier.Version != v.Version:
+		v.Version, v.Several = "", true
+	}
+}
+
 // GossipEntries returns the known rows, the newest first.
 func (h *History) GossipEntries(now time.Time) []PoolVersion {
 	h.mu.Lock()
@@ -282,9 +328,31 @@
 	return out
 }
 
-// MergeGossip takes over what a peer knows.
-func (h *History) MergeGossip(now time.Time, list []PoolVersion) {
+// Eras returns the eras of rows, by pool: that of the revision and that in which it was written. Pools without any are left out.
+func Eras(list []PoolVersion) map[string][2]int64 {
+	out := map[string][2]int64{}
 	for _, row := range list {
+		if row.Era > 0 {
+			out[row.Pool] = [2]int64{row.Era, row.Written}
+		}
+	}
+	return out
+}
+
+// StoreReturned records that the store has come back from a copy: the rows are read again.
+func (h *History) StoreReturned() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, s := range h.known {
+		s.verify = s.row.Revision > 0
+	}
+	h.Wake()
+}
+
+// MergeGossip takes over what a peer knows; eras are as Eras returns them.
+func (h *History) MergeGossip(now time.Time, list []PoolVersion, eras map[string][2]int64) {
+	for _, row := range list {
+		row.Era, row.Written = eras[row.Pool][0], eras[row.Pool][1]
 		h.learn(now, row)
 	}
 }
@@ -323,6 +391,7 @@
 	h.mu.Lock()
 	s := h.state(pool)
 	wanted, differs := s.wanted(now, versions)
+	differs = differs || s.verify
 	if !differs {
 		s.changedAt = time.Time{}
 		h.mu.Unlock()
@@ -331,11 +400,20 @@
 	if s.changedAt.IsZero() {
 		s.changedAt, s.patience = now, writerDelay+rand.N(writerDelay)
 	}
-	patient, before := now.Sub(s.changedAt) < s.patience, s.row
+	patient, before, verify := now.Sub(s.changedAt) < s.patience, s.row, s.verify
 	h.mu.Unlock()
 	if patient && !h.isWriter(now, pool) {
 		return retryInterval
 	}
+	if verify {
+		if _, err := h.readSince(ctx, now, pool); err != nil {
+			h.log.Warn("cannot read the versions of a pool after the store's return; retrying", "pool", pool, "error", err.Error())
+		}
+		h.mu.Lock()
+		s.verify = s.verify && s.row.Era == before.Era
+		h.mu.Unlock()
+		return retryInterval
+	}
 	if err := h.write(ctx, pool, before, wanted); err != nil {
 		h.log.Warn("cannot store the versions of a pool; retrying", "pool", pool, "error", err.Error())
 		return retryInterval
@@ -354,6 +432,13 @@
 	switch {
 	case len(versions) == 0:
 		return PoolVersion{}, false
+	case s.row.copied() && (s.row.Revision > 0 || s.row.Several || s.row.Version != ""):
+		several = several || s.row.Several || s.row.Version != versions[0]
+		row = PoolVersion{Several: several, SinceMs: s.row.SinceMs}
+		if !several {
+			row.Version = s.row.Version
+		}
+		return row, true
 	case s.row.Revision == 0:
 		return PoolVersion{Version: versions[0], Several: len(versions) > 1}, true
 	case several:
@@ -370,22 +455,26 @@
 	if err != nil {
 		return err
 	}
-	if r.row.Revision != before.Revision {
+	if r.row.Position() != before.Position() {
 		return nil // The row that was read is known now; the next look decides by it.
 	}
-	wanted.Pool, wanted.SinceMs = pool, max(r.nowMs, 1)
+	wanted.Pool, wanted.Era, wanted.Written = pool, r.row.Era, r.row.Era
+	if unchanged := before.copied() && !wanted.Several && wanted.Version == before.Version; !unchanged {
+		wanted.SinceMs = max(r.nowMs, 1)
+	}
 	if h.firstStart && before.Revision == 0 && !wanted.Several {
 		wanted.SinceMs = 0
 	}
-	value, err := json.Marshal(historyRow{Version: wanted.Version, Several: wanted.Several, SinceMs: wanted.SinceMs})
+	value, err := json.Marshal(historyRow{Version: wanted.Version, Several: wanted.Several, SinceMs: wanted.SinceMs, Era: wanted.Written})
 	if err != nil {
 		return fmt.Errorf("encode versions of %s: %w", pool, err)
 	}
-	key := feed.Row{Table: historyTable, Key: pool, Version: before.Revision}
-	wanted.Revision, err = h.store.Commit(ctx, feed.Tx{Expect: []feed.Row{key}, Put: []feed.Row{{Table: historyTable, Key: pool, Value: value}}})
+	key := feed.Row{Table: historyTable, Key: pool, Version: before.Revision, Era: before.Era}
+	at, err := h.fence.Commit(ctx, before.Era, "", feed.Tx{Expect: []feed.Row{key}, Put: []feed.Row{{Table: historyTable, Key: pool, Value: value}}})
 	if err != nil {
 		return fmt.Errorf("write versions of %s: %w", pool, err)
 	}
+	wanted.Revision, wanted.Era = at.Version, at.Era
 	h.learn(clock.Now(), wanted)
 	return nil
 }
--- a/internal/pinning/pinning_test.go
+++ b/internal/pinning/pinning_test.go
@@ -11,7 +11,9 @@
 	"testing"
 	"time"
 
+	"github.com/croftturn/croftturn/internal/clock"
 	"github.com/croftturn/croftturn/internal/feed"
+	"github.com/croftturn/croftturn/internal/history"
 )
 
 var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
@@ -159,29 +161,30 @@
 	down  bool
 	row   feed.Row
 	nowMs int64
+	era   int64
 }
 
 func (f *fakeStore) Range(context.Context, string, string, string, string, int) (feed.Snapshot, bool, error) {
 	if f.down {
 		return feed.Snapshot{}, false, feed.ErrUnavailable
 	}
-	snap := feed.Snapshot{NowMs: f.nowMs}
-	if f.row.Version > 0 {
+	snap := feed.Snapshot{NowMs: f.nowMs, Era: f.era}
+	if f.row.Era = f.era; f.row.Version > 0 {
 		snap.Rows = []feed.Row{f.row}
 	}
 	return snap, false, nil
 }
 
-func (f *fakeStore) Commit(_ context.Context, tx feed.Tx) (int64, error) {
+func (f *fakeStore) Commit(_ context.Context, tx feed.Tx) (history.Position, error) {
 	if f.down {
-		return 0, feed.ErrUnavailable
+		return history.Position{}, feed.ErrUnavailable
 	}
 	if tx.Expect[0].Version != f.row.Version {
-		return 0, feed.ErrConflict
+		return history.Position{}, feed.ErrConflict
 	}
 	f.row = tx.Put[0]
-	f.row.Version = tx.Expect[0].Version + 1
-	return f.row.Version, nil
+	f.row.Version, f.row.Era = tx.Expect[0].Version+1, f.era
+	return f.row.Position(), nil
 }
 
 // versions are those of a pool's engines.
@@ -241,3 +244,37 @@
 		t.Errorf("without a row: %v", err)
 	}
 }
+
+// TestLostVersionOfAPoolIsNotForgotten guards against streams that are taken up at one version since the store came back from a copy that lacks the row
+// which named several.
+func TestLostVersionOfAPoolIsNotForgotten(t *testing.T) {
+	for name, copied := range map[string]bool{"the copy has the row before": true, "the copy has no row": false} {
+		store, engines, ctx, now := &fakeStore{nowMs: 5}, &versions{"v1"}, context.Background(), time.Now()
+		h, peer := newHistory(store, engines, true), newHistory(store, &versions{"v2"}, false)
+		h.update(ctx, now, "p")
+		before := store.row
+		*engines = versions{"v1", "v2"}
+		h.update(ctx, now, "p")
+		*engines = versions{"v2"}
+		store.era, store.row = 1, feed.Row{}
+		if copied {
+			store.row = before
+		}
+		if _, err := peer.Sole(ctx, now, "p"); !errors.Is(err, ErrSeveral) {
+			t.Errorf("%s: a node that knows the copy only: %v", name, err)
+		}
+		h.StoreReturned()
+		for range 3 {
+			h.update(ctx, clock.Now(), "p")
+		}
+		var stored historyRow
+		if err := json.Unmarshal(store.row.Value, &stored); err != nil || !stored.Several || stored.Era != 1 {
+			t.Errorf("%s: the row is %s, %v", name, store.row.Value, err)
+		}
+		list := h.GossipEntries(now)
+		peer.MergeGossip(now, list, Eras(list))
+		if _, err := peer.Sole(ctx, now, "p"); !errors.Is(err, ErrSeveral) {
+			t.Errorf("%s: after the row was written again: %v", name, err)
+		}
+	}
+}
--- a/internal/register/register.go
+++ b/internal/register/register.go
@@ -22,6 +22,7 @@
 	"github.com/croftturn/croftturn/internal/entry"
 	"github.com/croftturn/croftturn/internal/feed"
 	"github.com/croftturn/croftturn/internal/gossip"
+	"github.com/croftturn/croftturn/internal/history"
 	"github.com/croftturn/croftturn/internal/pause"
 )
 
@@ -58,7 +59,7 @@
 	Store interface {
 		List(ctx context.Context, table, part string) (feed.Snapshot, error)
 		Range(ctx context.Context, table, part, from, to string, limit int) (snap feed.Snapshot, more bool, err error)
-		Commit(ctx context.Context, tx feed.Tx) (version int64, err error)
+		Commit(ctx context.Context, tx feed.Tx) (at history.Position, err error)
 	}
 
 	// Peers receives the nodes found in the register.
@@ -88,6 +89,8 @@
 		log        *slog.Logger
 
 		row           atomic.Pointer[feed.Row] // row is this node's row; nil if there is none.
+		returned      atomic.Bool              // returned is set once the store has come back from a copy, which may lack the row.
+		rewriteAt     time.Time                // rewriteAt is when the row is written again after that; zero if it is not to be.
 		joined        atomic.Bool
 		headsRead     bool          // headsRead reports whether the heads of all halls were read.
 		rereads       int           // rereads counts the heads that were reread.
@@ -165,6 +168,9 @@
 // pollNow calls Poll with the current time.
 func (r *Register) pollNow(ctx context.Context) error { return r.Poll(ctx, clock.Now()) }
 
+// StoreReturned records that the store has come back from a copy. A node that has a row writes it again if the copy lacks it.
+func (r *Register) StoreReturned() { r.returned.Store(true) }
+
 // Poll reads more of the register if that is due. A hub always has a row, so a reader of a hall's head
 // finds running nodes as long as there are any. At the first start Poll waits until all nodes have had
 // time to register.
@@ -172,6 +178,9 @@
 	if r.firstStart && now.Sub(r.startedAt) < startSpread+pollInterval {
 		return nil
 	}
+	if r.returned.Swap(false) && r.row.Load() != nil {
+		r.rewriteAt = now.Add(rand.N(startSpread))
+	}
 	hub, isolated := r.peers.IsHub(), r.peers.Isolated(now)
 	switch {
 	case !isolated:
@@ -184,6 +193,11 @@
 		return r.searchPeers(ctx, now)
 	case hub && r.row.Load() == nil:
 		return r.writeOwnRow(ctx)
+	case !r.rewriteAt.IsZero() && !now.Before(r.rewriteAt):
+		if err := r.writeOwnRow(ctx); err != nil {
+			return err
+		}
+		r.rewriteAt = time.Time{}
 	case hub && !r.headsRead:
 		return r.readHeads(ctx, now)
 	case hub && !now.Before(r.nextReread):
@@ -319,7 +333,8 @@
 	}
 	put := feed.Row{Table: table, Part: r.self.Hall, Key: r.key, Value: value}
 	expect := feed.Row{Table: table, Part: r.self.Hall, Key: r.key, Version: version}
-	put.Version, err = r.store.Commit(ctx, feed.Tx{Expect: []feed.Row{expect}, Put: []feed.Row{put}})
+	at, err := r.store.Commit(ctx, feed.Tx{Expect: []feed.Row{expect}, Put: []feed.Row{put}})
+	put.Version, put.Era = at.Version, at.Era
 	var conflict *feed.ConflictError
 	if errors.As(err, &conflict) && len(conflict.Rows) == 1 && conflict.Rows[0].Version != version {
 		if existing := conflict.Rows[0]; r.matchesSelf(existing) {
--- a/internal/register/register_test.go
+++ b/internal/register/register_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/croftturn/croftturn/internal/feed"
 	"github.com/croftturn/croftturn/internal/gossip"
+	"github.com/croftturn/croftturn/internal/history"
 	"github.com/croftturn/croftturn/internal/register"
 )
 
@@ -53,16 +54,16 @@
 }
 
 // Commit applies a transaction.
-func (s *store) Commit(_ context.Context, tx feed.Tx) (int64, error) {
+func (s *store) Commit(_ context.Context, tx feed.Tx) (history.Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.fail > 0 {
 		s.fail--
-		return 0, feed.ErrUncertain
+		return history.Position{}, feed.ErrUncertain
 	}
 	for _, e := range tx.Expect {
 		if have := s.rows[e.Key]; have.Version != e.Version {
-			return 0, &feed.ConflictError{Rows: []feed.Row{have}}
+			return history.Position{}, &feed.ConflictError{Rows: []feed.Row{have}}
 		}
 	}
 	s.version++
@@ -74,7 +75,7 @@
 	for _, d := range tx.Delete {
 		delete(s.rows, d.Key)
 	}
-	return s.version, nil
+	return history.Position{Version: s.version}, nil
 }
 
 // peers records the nodes that it is given.
@@ -251,3 +252,28 @@
 	}
 	return ""
 }
+
+// TestLostRowIsWrittenAgainOnce guards against a node that nobody finds since the store came back from a copy without its row.
+func TestLostRowIsWrittenAgainOnce(t *testing.T) {
+	s := &store{rows: map[string]feed.Row{}}
+	now := time.Now()
+	r, _ := newRegister(s, gossip.NodeInfo{Name: "n", Incarnation: 1, PeerAddress: "10.0.0.1:1", CallerAddress: "10.0.0.1:2", Hall: "h", Cores: 1})
+	if err := r.Join(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	for _, lost := range []bool{true, false} {
+		before := s.writes
+		if lost {
+			clear(s.rows)
+		}
+		r.StoreReturned()
+		for at := now; at.Before(now.Add(5 * time.Second)); at = at.Add(500 * time.Millisecond) {
+			if err := r.Poll(context.Background(), at); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if want := map[bool]int{true: 1}[lost]; s.writes-before != want || len(s.rows) != 1 {
+			t.Errorf("lost %v: %d writes, want %d; %d rows", lost, s.writes-before, want, len(s.rows))
+		}
+	}
+}
--- a/internal/usage/counter.go
+++ b/internal/usage/counter.go
@@ -26,6 +26,10 @@
 	// emptyReportInterval is how often a node that counted recently sends a report without counts: the holder waits for it
 	// before it settles a window.
 	emptyReportInterval = time.Second
+
+	// storedRetention is how long a batch is kept after it was stored, for the next holder: the store may lose the last seconds before it comes back
+	// from a copy.
+	storedRetention = 10 * time.Second
 )
 
 type (
@@ -63,6 +67,12 @@
 		baseWall time.Time // baseWall is the wall-clock time at base.
 	}
 
+	// storedBatch is a batch that was stored.
+	storedBatch struct {
+		Batch
+		at time.Time // at is when this node learned of it.
+	}
+
 	// Counter counts at one node. It is safe for concurrent use.
 	Counter struct {
 		node   string
@@ -71,11 +81,12 @@
 
 		mu           sync.Mutex
 		open         Counts
-		batches      []Batch // batches are closed and not known to be in the store, the newest last.
-		lastNumber   int64   // lastNumber is the number of the newest batch.
-		holderToken  int64   // holderToken is the token of the holder last sent to.
-		lastSent     int64   // lastSent is the number of the last batch sent to any holder.
-		lastReceived int64   // lastReceived is the number of the last batch that this holder has.
+		batches      []Batch       // batches are closed and not known to be in the store, the newest last.
+		stored       []storedBatch // stored are batches that were stored lately, the newest last.
+		lastNumber   int64         // lastNumber is the number of the newest batch.
+		holderToken  int64         // holderToken is the token of the holder last sent to.
+		lastSent     int64         // lastSent is the number of the last batch sent to any holder.
+		lastReceived int64         // lastReceived is the number of the last batch that this holder has.
 
 		lastBeganAt  time.Time // lastBeganAt is when an engine last started a request.
 		lastReportAt time.Time // lastReportAt is when the last report was made.
@@ -150,6 +161,11 @@
 		c.closeBatch()
 	}
 	r = Report{Node: c.node, WallMs: c.clock.At(now).UnixMilli()}
+	for _, b := range c.stored {
+		if b.Number > c.lastReceived {
+			r.Batches = append(r.Batches, b.Batch)
+		}
+	}
 	for _, b := range c.batches {
 		if b.Number > c.lastReceived {
 			r.Batches = append(r.Batches, b)
@@ -188,8 +204,12 @@
 		c.lastReceived = max(c.lastReceived, a.Received)
 	}
 	for len(c.batches) > 0 && c.batches[0].Number <= a.Durable {
+		c.stored = append(c.stored, storedBatch{c.batches[0], received})
 		c.batches = c.batches[1:]
 	}
+	for len(c.stored) > 0 && received.Sub(c.stored[0].at) > storedRetention {
+		c.stored = c.stored[1:]
+	}
 	c.mu.Unlock()
 	middle := sent.Add(received.Sub(sent) / 2)
 	if a.WallMs == 0 || received.Sub(sent) > maxClockSkew {
--- a/internal/usage/ledger.go
+++ b/internal/usage/ledger.go
@@ -37,6 +37,7 @@
 
 		mu             sync.Mutex
 		since          time.Time // since is when this node became the holder.
+		copied         bool      // copied is set if the state that was loaded then may lack the last seconds.
 		revision       int64     // revision counts the changes.
 		storedRevision int64     // storedRevision is the revision up to which everything is in the store.
 		nextKnown      bool      // nextKnown is set once next is.
--- a/internal/usage/rows.go
+++ b/internal/usage/rows.go
@@ -27,10 +27,12 @@
 	Nodes map[string]int64 `json:"nodes"` // Nodes holds the number of each node's last batch that was added.
 }
 
-// Load loads the rows of the previous holder. State of an earlier term of this node is discarded.
-func (l *Ledger) Load(now time.Time, rows []feed.Row) error {
+// Load loads the rows of the previous holder. State of an earlier term of this node is discarded. copied is set if the rows are those of a copy from
+// which the store has come back: nodes then send what it lacks.
+func (l *Ledger) Load(now time.Time, rows []feed.Row, copied bool) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.copied = copied
 	l.since, l.revision, l.storedRevision, l.nextKnown, l.next = now, 0, 0, false, 0
 	l.windows, l.nodes = map[int64]*Window{}, map[string]*node{}
 	for _, r := range rows {
@@ -101,6 +103,22 @@
 	return rows, l.revision
 }
 
+// StoreReturned records that the store has come back from a copy with some rows: all state is written again, and windows that were reported
+// since the copy was made are removed again.
+func (l *Ledger) StoreReturned(rows []feed.Row) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.revision++
+	l.storedRevision = -1
+	for _, r := range rows {
+		text, isWindow := strings.CutPrefix(r.Key, prefixWindows)
+		number, err := strconv.ParseInt(text, 10, 64)
+		if isWindow && err == nil && l.windows[number] == nil && number < l.next {
+			l.windows[number] = &Window{Number: number, Settled: true, Sent: true, changed: l.revision}
+		}
+	}
+}
+
 // encode encodes rows as JSON, which can't fail for numbers and strings.
 func encode(v any) []byte {
 	text, err := json.Marshal(v)
--- a/internal/usage/settle.go
+++ b/internal/usage/settle.go
@@ -22,6 +22,9 @@
 	// counts that the previous holder had not stored.
 	listenShare = 0.9
 
+	// resendTime is how long a new holder listens at least if the store has lost counts: nodes send them again within two reports.
+	resendTime = 700 * time.Millisecond
+
 	// maxOpenWindows is how many windows may be unsettled or unsent; after a longer outage the oldest are discarded.
 	maxOpenWindows = 80
 )
@@ -53,7 +56,8 @@
 func (l *Ledger) canSettle(now, wall, end time.Time) bool {
 	after := wall.Sub(end)
 	listening := now.Sub(l.since) < clockListenTime && after < time.Duration(listenShare*float64(l.dueAfter))
-	if after < minSettleDelay || listening {
+	resending := l.copied && now.Sub(l.since) < resendTime
+	if after < minSettleDelay || listening || resending {
 		return false
 	}
 	if after >= time.Duration(nodeWaitShare*float64(l.dueAfter)) {
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -50,7 +50,7 @@
 	for key, value := range r.rows {
 		rows = append(rows, feed.Row{Key: key, Value: value})
 	}
-	if err := r.ledger.Load(now, rows); err != nil {
+	if err := r.ledger.Load(now, rows, false); err != nil {
 		r.t.Fatal(err)
 	}
 }
