Quarantine: held requests that the store lost are written again by one node

A held request or part whose row the store lost was forgotten once all nodes had started again, and would have crashed engines anew; one that had been released was held again. One node, chosen by hash, now compares the rows with what is held after each return and writes what differs.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -244,7 +244,9 @@
 	}
 	config := &feed.Reader{Table: e.configTable, Source: e.store, Wait: configLongPoll, ShouldRead: e.shouldRead, OnSuccess: e.configProven, OnFailure: e.storeFailed, Wake: e.wakeConfig, Log: e.log}
 	engines := &feed.Reader{Table: e.engineTable, Source: e.store, Wait: scaleMs(enginesLongPollShare, s.EngineDrainMs), ShouldRead: e.shouldRead, OnSuccess: e.storeAnswered, OnFailure: e.storeFailed, Wake: e.wakeEngines, Log: e.log}
-	e.onReturn = []func(){e.register.StoreReturned, e.versions.StoreReturned}
+	held := quarantine.NewPersister(e.quarantine, e.store, s.FirstStart, e.rewritesHeld, e.log)
+	heldParts := quarantine.NewPartPersister(e.parts, e.store, s.FirstStart, e.rewritesHeld, e.log)
+	e.onReturn = []func(){held.StoreReturned, heldParts.StoreReturned, e.register.StoreReturned, e.versions.StoreReturned}
 	e.removeClockHook = clock.OnResume(e.afterSuspension)
 	e.startGoroutine(func() { e.handleSuspensions(ctx) })
 	e.startRelaySweeps(ctx)
@@ -266,11 +268,11 @@
 	})
 	e.startGoroutine(func() {
 		e.awaitAnswer(ctx)
-		quarantine.NewPersister(e.quarantine, e.store, s.FirstStart, e.log).Run(ctx)
+		held.Run(ctx)
 	})
 	e.startGoroutine(func() {
 		e.awaitAnswer(ctx)
-		quarantine.NewPartPersister(e.parts, e.store, s.FirstStart, e.log).Run(ctx)
+		heldParts.Run(ctx)
 	})
 	e.startGoroutine(func() {
 		e.awaitAnswer(ctx)
--- a/internal/edge/returns.go
+++ b/internal/edge/returns.go
@@ -51,6 +51,9 @@
 	}
 }
 
+// rewritesHeld reports whether this node is the one that compares what is held with the rows after a return.
+func (e *Edge) rewritesHeld(now time.Time) bool { return e.writesVersions(now, "held") }
+
 // noteReturn records that the store came back at a time or shortly before.
 func (e *Edge) noteReturn(at time.Time) {
 	if known := e.returnedAt.Load(); known == nil || at.Sub(*known) > rewriteTime {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -187,8 +187,11 @@
 	n.start(func() { n.orders.Run(ctx) })
 	n.start(func() { n.sweeper.Run(ctx) })
 	n.start(func() { n.shareHeld(ctx) })
-	n.start(func() { quarantine.NewPersister(n.quarantine, n.platform.Tables(), s.FirstStart, n.tele.Log).Run(ctx) })
-	n.start(func() { quarantine.NewPartPersister(n.parts, n.platform.Tables(), s.FirstStart, n.tele.Log).Run(ctx) })
+	held := quarantine.NewPersister(n.quarantine, n.platform.Tables(), s.FirstStart, n.rewritesHeld, n.tele.Log)
+	heldParts := quarantine.NewPartPersister(n.parts, n.platform.Tables(), s.FirstStart, n.rewritesHeld, n.tele.Log)
+	n.start(func() { held.Run(ctx) })
+	n.start(func() { heldParts.Run(ctx) })
+	n.start(func() { n.watchStore(ctx, held.StoreReturned, heldParts.StoreReturned) })
 	n.start(func() { n.serve(n.callers, callers) })
 	n.start(func() { n.serve(n.control, control) })
 }
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -44,6 +44,7 @@
 		count() int64                                           // count returns how many are held.
 		restoreRow(now time.Time, r feed.Row) error             // restoreRow returns an error for a row that no node can have written.
 		takePending(now time.Time) (tx feed.Tx, requeue func()) // takePending returns the next unsaved changes, an empty transaction if there are none.
+		markDiffering(stored []feed.Row)                        // markDiffering marks as unsaved what is held and has no row, and what has one and is not held.
 	}
 
 	// Persister saves what is held in the platform's store, so that it survives the loss of all nodes.
@@ -51,7 +52,11 @@
 		source rowSource
 		store  Store
 		loaded bool // loaded is set once the stored rows are known, or known to be none.
-		log    *slog.Logger
+
+		isWriter    func(now time.Time) bool // isWriter reports whether this node is the one that writes again what the store has lost.
+		returnedNow bool                     // returnedNow is set until the rows are compared after that.
+		returned    chan struct{}            // returned receives a value when the store has come back from a copy.
+		log         *slog.Logger
 	}
 
 	// row is the stored form of a held request.
@@ -63,14 +68,14 @@
 	}
 )
 
-// NewPersister returns a Persister of held requests. At the first start of the whole system it has nothing to load.
-func NewPersister(q *Quarantine, store Store, firstStart bool, log *slog.Logger) *Persister {
-	return &Persister{source: q, store: store, loaded: firstStart, log: log}
+// NewPersister returns a Persister of held requests; isWriter reports whether this node is the one that writes again what the store has lost. At the first start of the whole system it has nothing to load.
+func NewPersister(q *Quarantine, store Store, firstStart bool, isWriter func(now time.Time) bool, log *slog.Logger) *Persister {
+	return &Persister{source: q, store: store, loaded: firstStart, isWriter: isWriter, returned: make(chan struct{}, 1), log: log}
 }
 
 // NewPartPersister is NewPersister for held parts of prompts.
-func NewPartPersister(q *Parts, store Store, firstStart bool, log *slog.Logger) *Persister {
-	return &Persister{source: q, store: store, loaded: firstStart, log: log}
+func NewPartPersister(q *Parts, store Store, firstStart bool, isWriter func(now time.Time) bool, log *slog.Logger) *Persister {
+	return &Persister{source: q, store: store, loaded: firstStart, isWriter: isWriter, returned: make(chan struct{}, 1), log: log}
 }
 
 // Run loads what was held before this node started, and saves changes until the context ends.
@@ -86,10 +91,34 @@
 		select {
 		case <-ctx.Done():
 		case <-p.source.wakeups():
+		case <-p.returned:
+			p.returnedNow = true
 		}
 	}
 }
 
+// StoreReturned records that the store has come back from a copy.
+func (p *Persister) StoreReturned() {
+	select {
+	case p.returned <- struct{}{}:
+	default: // It is known already.
+	}
+}
+
+// resync compares the stored rows with what is held, if this node is the one that does.
+func (p *Persister) resync(ctx context.Context) error {
+	if !p.isWriter(clock.Now()) {
+		return nil
+	}
+	snap, err := p.store.List(ctx, p.source.table(), "")
+	if err != nil {
+		return fmt.Errorf("read held requests: %w", err)
+	}
+	p.source.markDiffering(snap.Rows)
+	p.log.Info("held requests compared after the store's return", "table", p.source.table(), "rows", len(snap.Rows), "held", p.source.count(), "era", snap.Era)
+	return nil
+}
+
 // sync loads the stored rows if that is still to be done, and writes all unsaved changes.
 func (p *Persister) sync(ctx context.Context) error {
 	if !p.loaded {
@@ -98,6 +127,12 @@
 		}
 		p.loaded = true
 	}
+	if p.returnedNow {
+		if err := p.resync(ctx); err != nil {
+			return err
+		}
+		p.returnedNow = false
+	}
 	for {
 		tx, requeue := p.source.takePending(clock.Now())
 		if len(tx.Put)+len(tx.Delete) == 0 {
@@ -141,6 +176,28 @@
 	return nil
 }
 
+// markDiffering implements rowSource.
+func (q *Quarantine) markDiffering(stored []feed.Row) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	missing := map[Fingerprint]bool{}
+	for f, r := range q.records {
+		if r.isHeld() {
+			missing[f] = true
+		}
+	}
+	for _, r := range stored {
+		if f, _, err := decodeRow(r); err == nil && missing[f] {
+			delete(missing, f)
+		} else if err == nil {
+			q.markUnsaved(f) // It was released since the copy was made.
+		}
+	}
+	for f := range missing {
+		q.markUnsaved(f)
+	}
+}
+
 // decodeRow decodes a row. It returns an error for a row that no node can have written.
 func decodeRow(r feed.Row) (Fingerprint, row, error) {
 	var held row
--- a/internal/quarantine/keeper_test.go
+++ b/internal/quarantine/keeper_test.go
@@ -47,7 +47,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		quarantine.NewPersister(q, s, false, slog.New(slog.DiscardHandler)).Run(ctx)
+		quarantine.NewPersister(q, s, false, func(time.Time) bool { return true }, slog.New(slog.DiscardHandler)).Run(ctx)
 	}()
 	t.Cleanup(func() { cancel(); <-done })
 }
@@ -89,3 +89,35 @@
 		t.Errorf("after loading an expired row: %+v, %d held", tx, expired.Len())
 	}
 }
+
+// TestHeldRequestsLostByTheStoreAreWrittenAgain guards against held requests that are forgotten at the next start, and released ones that are held again, since
+// the store came back from a copy.
+func TestHeldRequestsLostByTheStoreAreWrittenAgain(t *testing.T) {
+	now := time.Now()
+	for _, writer := range []bool{true, false} {
+		q, s := newQuarantine(never), &store{written: make(chan feed.Tx, 9)}
+		for i := range 3 {
+			q.RecordCrash(now, now, fingerprint, subject, fmt.Sprint("e", i))
+		}
+		p := quarantine.NewPersister(q, s, true, func(time.Time) bool { return writer }, slog.New(slog.DiscardHandler))
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() { defer close(done); p.Run(ctx) }()
+		first := (<-s.written).Put[0]
+		released := feed.Row{Key: "00000000000000ff", Value: first.Value}
+		s.rows = []feed.Row{released}
+		p.StoreReturned()
+		select {
+		case tx := <-s.written:
+			if !writer || len(tx.Put) != 1 || tx.Put[0].Key != first.Key || len(tx.Delete) != 1 || tx.Delete[0].Key != released.Key {
+				t.Errorf("writer %v: written after the return: %+v", writer, tx)
+			}
+		case <-time.After(map[bool]time.Duration{true: 5 * time.Second, false: 100 * time.Millisecond}[writer]):
+			if writer {
+				t.Error("nothing was written after the return")
+			}
+		}
+		cancel()
+		<-done
+	}
+}
--- a/internal/quarantine/part_rows.go
+++ b/internal/quarantine/part_rows.go
@@ -54,6 +54,31 @@
 func (q *Parts) wakeups() <-chan struct{} { return q.wake }
 func (q *Parts) count() int64             { return q.Len() }
 
+// markDiffering implements rowSource.
+func (q *Parts) markDiffering(stored []feed.Row) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	missing := map[Part]bool{}
+	for p, s := range q.suspects {
+		if s.held {
+			missing[p] = true
+		}
+	}
+	for _, r := range stored {
+		hex, pool, _ := strings.Cut(r.Key, "@")
+		id, err := strconv.ParseUint(hex, 16, 64)
+		if p := (Part{pool, id}); err == nil && missing[p] {
+			delete(missing, p)
+		} else if err == nil {
+			q.unsaved[p] = true // It was released since the copy was made.
+		}
+	}
+	for p := range missing {
+		q.unsaved[p] = true
+	}
+	q.wakePersister()
+}
+
 // restoreRow restores a part that was held before this node started. A row older than rowTTL is deleted.
 func (q *Parts) restoreRow(now time.Time, r feed.Row) error {
 	var row partRow
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -321,7 +321,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		quarantine.NewPartPersister(q, s, false, slog.New(slog.DiscardHandler)).Run(ctx)
+		quarantine.NewPartPersister(q, s, false, func(time.Time) bool { return true }, slog.New(slog.DiscardHandler)).Run(ctx)
 	}()
 	t.Cleanup(func() { cancel(); <-done })
 }
