--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -21,6 +21,7 @@
 	rows     map[string]kv.Row
 	loseAcks int
 	calls    int
+	era      int64
 }
 
 // Get reads a row.
@@ -74,6 +75,13 @@
 	return nil
 }
 
+// Era returns the table's era.
+func (t *table) Era() (int64, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.era, true
+}
+
 // newClaimer returns a claimer for a node.
 func newClaimer(t *testing.T, tab *table, node string) *claim.Claimer {
 	k := claim.NewClaimer(tab, node, 1, time.Millisecond)
@@ -303,3 +311,30 @@
 		t.Error("the new claim was removed")
 	}
 }
+
+// TestClaimLostByThePlatformIsNotClaimedAgain guards against a request that runs twice since the platform came back from a copy without its claim.
+func TestClaimLostByThePlatformIsNotClaimedAgain(t *testing.T) {
+	ctx, tab := context.Background(), &table{rows: map[string]kv.Row{}}
+	a, b := newClaimer(t, tab, "a"), newClaimer(t, tab, "b")
+	first := begin(t, a, "key", "first")
+	under := begin(t, b, "other", "under way")
+	if err := first.Claim(ctx, time.Now()); err != nil {
+		t.Fatal(err)
+	}
+	tab.mu.Lock()
+	clear(tab.rows)
+	tab.era++
+	tab.mu.Unlock()
+	if _, err := b.Begin(ctx, "key", "again"); !errors.Is(err, claim.ErrUnsettled) {
+		t.Errorf("before the claim is written again another attempt gets %v", err)
+	}
+	if err := under.Claim(ctx, time.Now()); !errors.Is(err, claim.ErrUnsettled) {
+		t.Errorf("a claim that began before the return: %v", err)
+	}
+	a.StoreReturned(ctx)
+	a.StoreReturned(ctx)
+	var taken *claim.TakenError
+	if _, err := b.Begin(ctx, "key", "again"); !errors.As(err, &taken) || taken.Record.Attempt != "first" {
+		t.Errorf("after it is written again: %v", err)
+	}
+}
--- a/internal/claim/keeper.go
+++ b/internal/claim/keeper.go
@@ -47,6 +47,9 @@
 	Table interface {
 		Get(ctx context.Context, key string) (kv.Row, error)
 		Transact(ctx context.Context, txn kv.Txn) error
+
+		// Era returns the latest era that the platform has named; ok is false if it has named none.
+		Era() (era int64, ok bool)
 	}
 
 	// Record is the value of a key's row.
@@ -76,6 +79,7 @@
 		writes      chan *op // writes receives claims to write here.
 		wg          sync.WaitGroup
 		stop        context.CancelFunc
+		recent      recentClaims
 	}
 
 	// Option configures a Claimer.
@@ -87,7 +91,8 @@
 
 		claimer *Claimer
 		key     string
-		version int // version is the row's version when the request arrived.
+		version int   // version is the row's version when the request arrived.
+		era     int64 // era is that of the platform then.
 	}
 
 	// op writes one row if it still has the given version.
@@ -139,7 +144,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrUnsettled, err)
 	}
-	a := &Attempt{ID: attempt, claimer: c, key: key, version: row.Version}
+	era, _ := c.table.Era()
+	a := &Attempt{ID: attempt, claimer: c, key: key, version: row.Version, era: era}
 	taken, err := decode(row)
 	if err != nil {
 		return nil, err
@@ -147,6 +153,9 @@
 	if taken != nil && !taken.Void() {
 		return nil, taken
 	}
+	if c.recent.mayLack(clock.Now(), era) {
+		return nil, fmt.Errorf("%w: the platform may have lost a claim of the key", ErrUnsettled)
+	}
 	return a, nil
 }
 
@@ -182,20 +191,35 @@
 // write queues a row for the next batch and waits for its result.
 func (a *Attempt) write(ctx context.Context, now time.Time, state string) error {
 	c := a.claimer
-	to := c.writes
-	if c.forward != nil && c.forward.ShouldForward() {
-		to = c.forwards
-	}
-	o := &op{key: a.key, version: a.version, result: make(chan error, 1), record: Record{
-		State: state, Node: c.node, Incarnation: c.incarnation, Attempt: a.ID, AtMs: clock.Wall(now).UnixMilli(),
-	}}
+	o := newOp(a.key, a.version, Record{State: state, Node: c.node, Incarnation: c.incarnation, Attempt: a.ID, AtMs: clock.Wall(now).UnixMilli()})
 	select {
-	case to <- o:
+	case c.destination() <- o:
 	case <-ctx.Done():
 		return fmt.Errorf("%w: %w", ErrUnsettled, ctx.Err())
 	}
 	// The wait ignores ctx: the result is needed even after the caller has disconnected.
-	return <-o.result
+	err := <-o.result
+	if err != nil {
+		return err
+	}
+	if now, _ := c.table.Era(); now != a.era {
+		return fmt.Errorf("%w: the platform came back from a copy meanwhile", ErrUnsettled)
+	}
+	c.recent.add(now, o)
+	return nil
+}
+
+// newOp returns an op.
+func newOp(key string, version int, r Record) *op {
+	return &op{key: key, version: version, record: r, result: make(chan error, 1)}
+}
+
+// destination returns where rows go to be written: here or at the aggregator.
+func (c *Claimer) destination() chan<- *op {
+	if c.forward != nil && c.forward.ShouldForward() {
+		return c.forwards
+	}
+	return c.writes
 }
 
 // runBatches collects rows into batches and handles each batch in its own goroutine.
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -6,6 +6,7 @@
 	"flag"
 	"fmt"
 	"log/slog"
+	"maps"
 	"os"
 	"sort"
 	"strings"
@@ -231,3 +232,43 @@
 		}
 	}
 }
+
+// TestChangesLostByThePlatformAreWrittenAgain guards against accepted changes that are lost, and against two configurations with one version, since the platform
+// came back from a copy.
+func TestChangesLostByThePlatformAreWrittenAgain(t *testing.T) {
+	ctx, table := context.Background(), &faultyTable{rows: map[string]kv.Row{}}
+	newSyncer := func() (*config.Syncer, *config.Store) {
+		s := config.NewStore()
+		return config.NewSyncer(s, table, noPeers{}, slog.New(slog.DiscardHandler)), s
+	}
+	a, _ := newSyncer()
+	if err := a.Refresh(ctx); err != nil {
+		t.Fatal(err)
+	}
+	for _, weight := range []int{1, 2} {
+		if _, err := setWeight(a, fmt.Sprint("kept", weight), weight); err != nil {
+			t.Fatal(err)
+		}
+	}
+	copied := maps.Clone(table.rows)
+	lost, err := setWeight(a, "lost", 3)
+	if err != nil {
+		t.Fatal(err)
+	}
+	table.rows = copied
+	next, err := setWeight(a, "next", 4)
+	if err != nil || next.Version != lost.Version+1 {
+		t.Errorf("the change after the return has version %d, %v; the lost one had %d", next.Version, err, lost.Version)
+	}
+	table.rows = maps.Clone(copied)
+	if err := a.Refresh(ctx); err != nil {
+		t.Fatal(err)
+	}
+	b, store := newSyncer()
+	if err := b.Refresh(ctx); err != nil || store.Version() != next.Version {
+		t.Errorf("a node that starts has version %d, %v, want %d", store.Version(), err, next.Version)
+	}
+	if changes, err := b.History(ctx, 0, 9); err != nil || len(changes) != next.Version {
+		t.Errorf("%d changes in the history, %v, want %d", len(changes), err, next.Version)
+	}
+}
--- a/internal/config/keeper.go
+++ b/internal/config/keeper.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"log/slog"
 	"strconv"
@@ -25,6 +26,9 @@
 	// further behind reads the whole configuration.
 	maxFetchedChanges = 64
 
+	// restorerPolls is how many polls the other nodes leave it to the chosen one to write a lost configuration again.
+	restorerPolls = 3
+
 	// maxWriteAttempts bounds how often a write with an unknown outcome is retried.
 	maxWriteAttempts = 8
 )
@@ -42,6 +46,9 @@
 		Changes(ctx context.Context, after int) ([]*wire.ChangesReply, error)
 	}
 
+	// Option configures a Syncer.
+	Option func(*Syncer)
+
 	// Syncer reads the configuration from the platform or from peers into a
 	// Store, and writes accepted changes to the platform.
 	Syncer struct {
@@ -50,6 +57,9 @@
 		peers Peers
 		log   *slog.Logger
 		wake  chan struct{}
+
+		isRestorer func() bool // isRestorer reports whether this node is the one that writes again what the platform lost.
+		lostPolls  int         // lostPolls counts the polls in a row that found an older configuration on the platform.
 	}
 
 	// head is the value of the HeadKey row, which every node polls.
@@ -63,9 +73,17 @@
 	Edit func(c *Config) error
 )
 
+// WithRestorer sets a function that reports whether this node is the one that writes changes again which the platform lost when it came back from
+// a copy. Without it, any node does.
+func WithRestorer(f func() bool) Option { return func(s *Syncer) { s.isRestorer = f } }
+
 // NewSyncer returns a Syncer that updates a store.
-func NewSyncer(store *Store, table Table, peers Peers, log *slog.Logger) *Syncer {
-	return &Syncer{store: store, table: table, peers: peers, log: log, wake: make(chan struct{}, 1)}
+func NewSyncer(store *Store, table Table, peers Peers, log *slog.Logger, options ...Option) *Syncer {
+	s := &Syncer{store: store, table: table, peers: peers, log: log, wake: make(chan struct{}, 1), isRestorer: func() bool { return true }}
+	for _, option := range options {
+		option(s)
+	}
+	return s
 }
 
 // Run keeps the store up to date until the context is done. It polls the head row
@@ -176,14 +194,20 @@
 // pullFromPlatform reads the head row and, if it is newer, the changes or the
 // whole configuration.
 func (s *Syncer) pullFromPlatform(ctx context.Context) error {
-	h, _, err := s.readHead(ctx)
+	h, row, err := s.readHead(ctx)
 	if err != nil {
 		return err
 	}
 	have := s.store.Version()
+	if h.Version < have {
+		if s.lostPolls++; s.isRestorer() || s.lostPolls > restorerPolls {
+			return s.restore(ctx, h, row)
+		}
+	}
 	if h.Version <= have {
 		return nil
 	}
+	s.lostPolls = 0
 	if have > 0 && h.Version-have <= maxFetchedChanges {
 		changes, err := s.History(ctx, have, maxFetchedChanges)
 		if err == nil && s.store.Apply(changes) == nil && s.store.Version() >= h.Version {
@@ -200,6 +224,45 @@
 	return nil
 }
 
+// restore writes the configuration in effect to a platform that has come back from a copy with an older one. Every accepted change was on the platform
+// before it took effect here, so an older head means that it was lost.
+func (s *Syncer) restore(ctx context.Context, h head, row kv.Row) error {
+	view := s.store.View()
+	text, err := json.Marshal(view.Config)
+	if err != nil {
+		return fmt.Errorf("encode configuration: %w", err)
+	}
+	top := head{Version: view.Config.Version}
+	txn := kv.Txn{Checks: []kv.Check{{Key: HeadKey, Version: row.Version, Era: row.Era}}, Puts: []kv.Put{{Key: fullKey, Value: text}}, Fenced: true}
+	changes, known := s.store.ChangesAfter(h.Version)
+	if len(changes) > maxFetchedChanges {
+		changes = changes[len(changes)-maxFetchedChanges:]
+	}
+	for _, ch := range changes {
+		value, err := json.Marshal(ch)
+		if err != nil {
+			return fmt.Errorf("encode change: %w", err)
+		}
+		txn.Puts = append(txn.Puts, kv.Put{Key: changeKey(ch.Version), Value: value})
+		top.Change = ch.ID
+	}
+	value, err := json.Marshal(top)
+	if err != nil {
+		return fmt.Errorf("encode head: %w", err)
+	}
+	txn.Puts = append(txn.Puts, kv.Put{Key: HeadKey, Value: value})
+	err = s.table.Transact(ctx, txn)
+	if errors.Is(err, kv.ErrConflict) {
+		return nil // Another node was first; the next poll shows it.
+	}
+	if err != nil {
+		return fmt.Errorf("write the configuration again: %w", err)
+	}
+	s.lostPolls = 0
+	s.log.Warn("configuration written again after the platform lost it", "version", top.Version, "version_lost_to", h.Version, "changes", len(changes), "history_whole", known, "era", row.Era)
+	return nil
+}
+
 // readHead reads the head and returns its row, too.
 func (s *Syncer) readHead(ctx context.Context) (head, kv.Row, error) {
 	row, err := s.table.Get(ctx, HeadKey)
--- a/internal/config/writer.go
+++ b/internal/config/writer.go
@@ -23,6 +23,14 @@
 	if err != nil {
 		return wire.Change{}, fmt.Errorf("nothing written: %w", err)
 	}
+	if h.Version < s.store.Version() {
+		if err := s.restore(ctx, h, row); err != nil {
+			return wire.Change{}, fmt.Errorf("nothing written: %w", err)
+		}
+		if h, row, err = s.readHead(ctx); err != nil {
+			return wire.Change{}, fmt.Errorf("nothing written: %w", err)
+		}
+	}
 	base, err := s.readConfig(ctx)
 	if err != nil {
 		return wire.Change{}, fmt.Errorf("nothing written: %w", err)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -119,7 +119,7 @@
 	}
 	n.table = member.NewTable(now, self, member.Options{Heartbeat: ms(s.HeartbeatMs), Suspect: ms(s.SuspectMs), Observers: s.Observers})
 	n.store = config.NewStore()
-	n.keeper = config.NewSyncer(n.store, n.platform, n, log)
+	n.keeper = config.NewSyncer(n.store, n.platform, n, log, config.WithRestorer(n.rewritesConfig))
 	n.members = member.NewService(n.table, n.client, n.store, n.keeper.Wake, n.seeds, log)
 	n.journal = journal.New()
 	n.watcher = engine.NewWatcher()
@@ -191,7 +191,9 @@
 	heldParts := quarantine.NewPartPersister(n.parts, n.platform.Tables(), s.FirstStart, n.rewritesHeld, n.tele.Log)
 	n.start(func() { held.Run(ctx) })
 	n.start(func() { heldParts.Run(ctx) })
-	n.start(func() { n.watchStore(ctx, held.StoreReturned, heldParts.StoreReturned) })
+	n.start(func() {
+		n.watchStore(ctx, func() { n.start(func() { n.claims.StoreReturned(ctx) }) }, held.StoreReturned, heldParts.StoreReturned)
+	})
 	n.start(func() { n.serve(n.callers, callers) })
 	n.start(func() { n.serve(n.control, control) })
 }
