Soak: the store comes back from a copy; edge: a return holds the proof back once

The time counts from when the return was first seen, by era; the call that waits for a newer configuration ends with it.

The soak draws returns, after an outage or without, once or twice in a row, right after a key was revoked; the operator and the engines write again what they had written.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -135,9 +135,9 @@
 	incarnationsMu sync.Mutex
 	incarnations   map[string]int64 // incarnations holds the newest incarnation of each peer that was heard.
 
-	returnedAt atomic.Pointer[time.Time] // returnedAt is when the store is known to have come back from a copy; nil if it never has.
-	returns    atomic.Int64              // returns counts how often that was seen.
-	onReturn   []func()                  // onReturn are called after it is seen that the store has come back from a copy.
+	returned atomic.Pointer[storeReturn] // returned is the store's last return from a copy; nil if none is known.
+	returns  atomic.Int64                // returns counts how often that was seen.
+	onReturn []func()                    // onReturn are called after it is seen that the store has come back from a copy.
 
 	configsRefused atomic.Int64 // configsRefused counts configurations that were rejected as invalid.
 
@@ -242,7 +242,7 @@
 			return err
 		}
 	}
-	config := &feed.Reader{Table: e.configTable, Source: e.store, Wait: configLongPoll, ShouldRead: e.shouldRead, OnSuccess: e.configProven, OnFailure: e.storeFailed, Wake: e.wakeConfig, Log: e.log}
+	config := &feed.Reader{Table: e.configTable, Source: e.store, Wait: configLongPoll, WaitFor: e.configWait, ShouldRead: e.shouldRead, OnSuccess: e.configProven, OnFailure: e.storeFailed, Wake: e.wakeConfig, Log: e.log}
 	engines := &feed.Reader{Table: e.engineTable, Source: e.store, Wait: scaleMs(enginesLongPollShare, s.EngineDrainMs), ShouldRead: e.shouldRead, OnSuccess: e.storeAnswered, OnFailure: e.storeFailed, Wake: e.wakeEngines, Log: e.log}
 	held := quarantine.NewPersister(e.quarantine, e.store, s.FirstStart, e.rewritesHeld, e.log)
 	heldParts := quarantine.NewPartPersister(e.parts, e.store, s.FirstStart, e.rewritesHeld, e.log)
--- a/internal/edge/returns.go
+++ b/internal/edge/returns.go
@@ -27,6 +27,12 @@
 	returnLifetime = olderTime
 )
 
+// storeReturn is the store's last return from a copy.
+type storeReturn struct {
+	at  time.Time // at is when it was first seen.
+	era int64     // era is the era that it began.
+}
+
 // configCarry says what of the operators' table stays in force after a return. The configuration stays until one with the same or a later
 // number is written.
 func configCarry() feed.Carry {
@@ -42,7 +48,7 @@
 func (e *Edge) storeReturned(now time.Time, r feed.Return) {
 	e.returns.Add(1)
 	e.log.Warn("store has come back from an older copy", "table", r.Table, "era", r.After.Era, "era_before", r.Before.Era, "version", r.After.Version, "version_before", r.Before.Version, "kept", r.Kept, "gone", r.Gone)
-	e.noteReturn(now)
+	e.noteReturn(now, r.After.Era)
 	if r.Table != platform.TableConfig {
 		return // Once for each return is enough.
 	}
@@ -54,10 +60,10 @@
 // rewritesHeld reports whether this node is the one that compares what is held with the rows after a return.
 func (e *Edge) rewritesHeld(now time.Time) bool { return e.writesVersions(now, "held") }
 
-// noteReturn records that the store came back at a time or shortly before.
-func (e *Edge) noteReturn(at time.Time) {
-	if known := e.returnedAt.Load(); known == nil || at.Sub(*known) > rewriteTime {
-		e.returnedAt.Store(&at)
+// noteReturn records that the store came back to an era at a time or shortly before. Tables and peers that are later to see it change nothing.
+func (e *Edge) noteReturn(at time.Time, era int64) {
+	if known := e.returned.Load(); known == nil || known.era < era {
+		e.returned.Store(&storeReturn{at: at, era: era})
 	}
 }
 
@@ -67,25 +73,35 @@
 		return
 	}
 	at := now.Add(-ms(int(s.ReturnAgeMs)))
-	if known := e.returnedAt.Load(); known != nil || now.Sub(at) > rewriteTime {
+	if known := e.returned.Load(); known != nil || now.Sub(at) > rewriteTime {
 		return
 	}
-	e.returnedAt.Store(&at)
+	e.noteReturn(at, s.Eras[platform.TableConfig])
 	e.proof.Invalidate(at.Add(rewriteTime))
 }
 
 // returnAgeMs returns how long ago the store came back, for peers; 0 if it did not lately.
 func (e *Edge) returnAgeMs(now time.Time) int64 {
-	at := e.returnedAt.Load()
-	if at == nil || now.Sub(*at) > returnLifetime {
+	known := e.returned.Load()
+	if known == nil || now.Sub(known.at) > returnLifetime {
 		return 0
 	}
-	return max(1, now.Sub(*at).Milliseconds())
+	return max(1, now.Sub(known.at).Milliseconds())
 }
 
 // mayLackWrites reports whether what the store said at a time may lack what operators wrote before it came back from a copy: then it
 // proves nothing about the configuration.
 func (e *Edge) mayLackWrites(at time.Time) bool {
-	returned := e.returnedAt.Load()
-	return returned != nil && at.Before(returned.Add(rewriteTime))
+	known := e.returned.Load()
+	return known != nil && at.Before(known.at.Add(rewriteTime))
+}
+
+// configWait returns how long a call for a newer configuration waits at the store: until its answer may be a proof again after a return, so that
+// callers are not refused for longer.
+func (e *Edge) configWait(now time.Time) time.Duration {
+	known := e.returned.Load()
+	if known == nil || !e.mayLackWrites(now) {
+		return configLongPoll
+	}
+	return min(configLongPoll, known.at.Add(rewriteTime).Sub(now)+proofPollInterval)
 }
--- /dev/null
+++ b/internal/edge/returns_test.go
@@ -0,0 +1,60 @@
+package edge
+
+import (
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/croftturn/croftturn/internal/feed"
+	"github.com/croftturn/croftturn/internal/freshness"
+	"github.com/croftturn/croftturn/internal/gossip"
+	"github.com/croftturn/croftturn/internal/history"
+	"github.com/croftturn/croftturn/platform"
+)
+
+// TestConfigurationIsNotProvenByACopy guards against a revoked key that is accepted since the store came back without its revocation, and against callers who are refused
+// for longer because a table is late to see the return.
+func TestConfigurationIsNotProvenByACopy(t *testing.T) {
+	start := time.Unix(1000, 0)
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	returned := func(e *Edge, ms int, table string, era int64) {
+		e.storeReturned(at(ms), feed.Return{Table: table, After: history.Position{Era: era}})
+	}
+	proven := func(e *Edge, ms int) bool {
+		e.configProven(at(ms))
+		age, ok := e.proof.Age(at(ms))
+		return ok && age == 0
+	}
+	newEdge := func() *Edge {
+		return &Edge{proof: freshness.New(4 * time.Second), log: slog.New(slog.DiscardHandler), store: platform.NewStore([]string{"127.0.0.1:1"}, time.Second)}
+	}
+	e := newEdge()
+	if !proven(e, 0) {
+		t.Error("an answer proves nothing before any return")
+	}
+	returned(e, 1000, platform.TableEngines, 1)
+	returned(e, 2500, platform.TableConfig, 1)
+	for ms, want := range map[int]bool{1100: false, 2999: false} {
+		if got := proven(e, ms); got != want {
+			t.Errorf("an answer %d ms after the return proves the configuration: %v", ms-1000, got)
+		}
+	}
+	if wait := e.configWait(at(2900)); wait > 200*time.Millisecond {
+		t.Errorf("the call before an answer may be a proof waits %v", wait)
+	}
+	if !proven(e, 3000) {
+		t.Error("the second table to see the return prolongs the time without a proof")
+	}
+	returned(e, 3100, platform.TableConfig, 2)
+	if proven(e, 3200) || !proven(e, 5100) {
+		t.Error("a second return does not count")
+	}
+	started := newEdge()
+	if !proven(started, 0) {
+		t.Error("an answer proves nothing at a node that has started")
+	}
+	started.heardOfReturn(at(500), gossip.State{ReturnAgeMs: 800})
+	if proven(started, 1100) || !proven(started, 1700) {
+		t.Error("a node that has started believes the copy, though a peer tells of the return")
+	}
+}
--- a/internal/feed/reader.go
+++ b/internal/feed/reader.go
@@ -33,11 +33,12 @@
 	Reader struct {
 		Table      *Table
 		Source     Source
-		Wait       time.Duration            // Wait is the long-poll duration of a Changes call.
-		ShouldRead func(now time.Time) bool // ShouldRead reports whether this node should read.
-		OnSuccess  func(at time.Time)       // OnSuccess is called with a time at which the copy was current; may be nil.
-		OnFailure  func(now time.Time)      // OnFailure is called after each failed call.
-		Wake       <-chan struct{}          // Wake ends the wait of an inactive reader; it may be nil.
+		Wait       time.Duration                     // Wait is the long-poll duration of a Changes call.
+		WaitFor    func(now time.Time) time.Duration // WaitFor returns a shorter Wait for a call; it may be nil.
+		ShouldRead func(now time.Time) bool          // ShouldRead reports whether this node should read.
+		OnSuccess  func(at time.Time)                // OnSuccess is called with a time at which the copy was current; may be nil.
+		OnFailure  func(now time.Time)               // OnFailure is called after each failed call.
+		Wake       <-chan struct{}                   // Wake ends the wait of an inactive reader; it may be nil.
 		Log        *slog.Logger
 
 		at        history.Position // at is the newest position of all tables that was read.
@@ -98,7 +99,11 @@
 	if !r.hasRead {
 		return r.readAll(ctx)
 	}
-	snap, err := r.Source.Changes(ctx, r.Table.Name(), r.at.Version, r.Wait)
+	wait := r.Wait
+	if r.WaitFor != nil {
+		wait = r.WaitFor(clock.Now())
+	}
+	snap, err := r.Source.Changes(ctx, r.Table.Name(), r.at.Version, wait)
 	if errors.Is(err, ErrHistoryGone) {
 		r.Log.Warn("table history is no longer available; reading the full table", "table", r.Table.Name(), "version", r.at.Version, "era", r.at.Era)
 		r.hasRead = false
--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -58,6 +58,7 @@
 	{"store slow", 4 * time.Second, true, storeFault(platform.Faults{SlowMs: 400})},
 	{"store loses answers", 2 * time.Second, true, storeFault(platform.Faults{LoseAcks: 5})},
 	{"store's feeds deaf", 2 * time.Second, true, storeFault(platform.Faults{Deaf: true})},
+	{"store comes back from a copy", time.Second, true, returnStore},
 	{"store forgets", 100 * time.Millisecond, true, storeFault(platform.Faults{Forget: true})},
 	{"engines misbehave", 4 * time.Second, false, misbehave},
 	{"engines misbehave for long", maxFaultDuration, false, misbehave},
--- a/lab/soak/rows.go
+++ b/lab/soak/rows.go
@@ -21,6 +21,14 @@
 
 // write writes a row, retrying until the store acknowledges it or the retries run out.
 func (env *Environment) write(r row) error {
+	env.writeMu.Lock()
+	defer env.writeMu.Unlock()
+	return env.writeLocked(r)
+}
+
+// writeLocked implements write. The caller holds writeMu.
+func (env *Environment) writeLocked(r row) error {
+	env.written[[2]string{r.table, r.key}] = writtenRow{row: r, at: time.Now()}
 	name := map[string]any{"table": r.table, "part": "", "tls_key": r.key}
 	tx := map[string]any{"expected_revision": []any{}, "puts": []any{}, "remove": []any{}}
 	switch value := r.value.(type) {
@@ -106,5 +114,5 @@
 
 // entry returns the entry of an engine that is reached at an address.
 func (e *engine) entry(address, state string) map[string]any {
-	return map[string]any{"service": e.pool, "address": address, "zone": e.hall, "version": e.version, "slots": e.slots.Load(), "state": state, "cold_remaining_ms": 0, "sequence": 1, "born": e.startedAt.Load()}
+	return map[string]any{"service": e.pool, "address": address, "zone": e.hall, "version": e.version, "slots": e.slots.Load(), "state": state, "cold_remaining_ms": 0, "sequence": time.Now().UnixMicro(), "born": e.startedAt.Load()}
 }
--- a/lab/soak/world.go
+++ b/lab/soak/world.go
@@ -66,6 +66,9 @@
 
 		brittleMu sync.Mutex // brittleMu is held while engines are brittle.
 
+		writeMu sync.Mutex               // writeMu is held while a row is written.
+		written map[[2]string]writtenRow // written holds the last value of each row, by table and key.
+
 		mu             sync.Mutex
 		nodes          []*node
 		engines        []*engine
@@ -79,7 +82,7 @@
 
 // start starts the store, the engines and the nodes, and waits until the nodes are ready.
 func start(o Options) (*Environment, error) {
-	env := &Environment{opts: o, ledger: newLedger(), client: &http.Client{Timeout: 5 * time.Second}, relays: map[string]*relay.Relay{}}
+	env := &Environment{opts: o, ledger: newLedger(), client: &http.Client{Timeout: 5 * time.Second}, relays: map[string]*relay.Relay{}, written: map[[2]string]writtenRow{}}
 	for i := range 6 {
 		env.keys = append(env.keys, key{fmt.Sprintf("key-%d", i), fmt.Sprintf("team-%d", i%3)})
 	}
