Readers: bytes without end are bounded at every reader

A server in trouble may send bytes that are no answer and never end, in a head or a body. Heads were read up to the transport's 10 MB for each connection, and a message of a peer, or of whatever has its address, as long as its length field said.

--- a/cmd/croftctl/client.go
+++ b/cmd/croftctl/client.go
@@ -21,6 +21,9 @@
 // requestTimeout bounds one request; it exceeds the node's timeout for writing a change.
 const requestTimeout = 15 * time.Second
 
+// maxAnswerBytes limits an answer.
+const maxAnswerBytes = 64 << 20
+
 // client is a client of a node's administration API.
 type client struct {
 	options
@@ -89,7 +92,7 @@
 		return fmt.Errorf("no answer; look for change %s in the history: %w", id, err)
 	}
 	defer resp.Body.Close()
-	answer, err := io.ReadAll(resp.Body)
+	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
 	if err != nil {
 		return fmt.Errorf("answer cut short; look for change %s in the history: %w", id, err)
 	}
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -107,7 +107,7 @@
 	return &Client{
 		stall: stall,
 		http: &http.Client{
-			Transport: &http.Transport{DialContext: dial.New(dialTimeout).DialContext, MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute},
+			Transport: &http.Transport{DialContext: dial.New(dialTimeout).DialContext, MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: dial.MaxHeadBytes},
 			CheckRedirect: func(*http.Request, []*http.Request) error {
 				return http.ErrUseLastResponse
 			},
--- a/internal/engine/load.go
+++ b/internal/engine/load.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/croftturn/croftturn/internal/config"
+	"github.com/croftturn/croftturn/internal/dial"
 )
 
 const (
@@ -47,7 +48,7 @@
 // NewWatcher returns a Watcher without engines.
 func NewWatcher() *Watcher {
 	return &Watcher{
-		http:  &http.Client{Timeout: loadTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 1}},
+		http:  &http.Client{Timeout: loadTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: dial.MaxHeadBytes}},
 		loads: map[string]Load{},
 	}
 }
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -62,7 +62,7 @@
 			}
 			return &countedConn{Conn: conn}, nil
 		},
-		DisableCompression: true, MaxIdleConnsPerHost: idleConns, IdleConnTimeout: idleTimeout, ReadBufferSize: bufferBytes, WriteBufferSize: bufferBytes,
+		DisableCompression: true, MaxResponseHeaderBytes: dial.MaxHeadBytes, MaxIdleConnsPerHost: idleConns, IdleConnTimeout: idleTimeout, ReadBufferSize: bufferBytes, WriteBufferSize: bufferBytes,
 	}}
 }
 
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -3,6 +3,12 @@
 package peer
 
 import (
+	"bufio"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
 	"net"
 	"sync/atomic"
 	"time"
@@ -20,8 +26,14 @@
 
 	// dialTimeout bounds the opening of a connection to a peer.
 	dialTimeout = 500 * time.Millisecond
+
+	// maxMessageBytes is more than the largest table that nodes send each other.
+	maxMessageBytes = 24 << 20
 )
 
+// errMessageTooLong reports a message longer than any that nodes send.
+var errMessageTooLong = errors.New("peer: message is too long")
+
 // Traffic counts control bytes and calls. The zero value is ready to use.
 type Traffic struct {
 	BytesOut, BytesIn atomic.Int64
@@ -76,5 +88,20 @@
 
 // stream frames messages on a connection.
 func stream(conn *countingConn) jsonrpc2.ObjectStream {
-	return jsonrpc2.NewBufferedStream(conn, jsonrpc2.VarintObjectCodec{})
+	return jsonrpc2.NewBufferedStream(conn, boundedCodec{})
+}
+
+// boundedCodec is jsonrpc2.VarintObjectCodec, but it reads no message over maxMessageBytes.
+type boundedCodec struct{ jsonrpc2.VarintObjectCodec }
+
+// ReadObject implements jsonrpc2.ObjectCodec.
+func (boundedCodec) ReadObject(stream *bufio.Reader, v any) error {
+	size, err := binary.ReadUvarint(stream)
+	switch {
+	case err != nil:
+		return err
+	case size > maxMessageBytes:
+		return fmt.Errorf("%w: %d bytes", errMessageTooLong, size)
+	}
+	return json.NewDecoder(io.LimitReader(stream, int64(size))).Decode(v)
 }
