--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -36,8 +36,9 @@
 		cancel   context.CancelFunc
 		wg       sync.WaitGroup
 
-		mu    sync.Mutex
-		conns map[*jsonrpc2.Conn]bool
+		mu     sync.Mutex
+		closed bool // closed is set once Close waits.
+		conns  map[*jsonrpc2.Conn]bool
 	}
 )
 
@@ -78,11 +79,25 @@
 			}
 			return
 		}
-		s.wg.Add(1)
-		go s.serveConn(conn)
+		if !s.startConn(conn) {
+			conn.Close()
+			return
+		}
 	}
 }
 
+// startConn serves a connection, unless the server is closed: Close must not wait while connections are added.
+func (s *Server) startConn(conn net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	s.wg.Add(1)
+	go s.serveConn(conn)
+	return true
+}
+
 // serveConn answers one peer until its connection ends.
 func (s *Server) serveConn(conn net.Conn) {
 	defer s.wg.Done()
@@ -158,6 +173,9 @@
 
 // Close stops accepting, closes all connections and waits for their goroutines.
 func (s *Server) Close() error {
+	s.mu.Lock()
+	s.closed = true
+	s.mu.Unlock()
 	s.cancel()
 	err := s.listener.Close()
 	if s.http != nil {
