--- a/internal/front/rig_test.go
+++ b/internal/front/rig_test.go
@@ -114,6 +114,9 @@
 	return t.rows[key], nil
 }
 
+// Era returns the table's era.
+func (t *table) Era() (int64, bool) { return 0, true }
+
 // Transact checks and writes rows.
 func (t *table) Transact(_ context.Context, txn kv.Txn) error {
 	t.mu.Lock()
