--- a/cmd/croftctl/main.go
+++ b/cmd/croftctl/main.go
@@ -38,6 +38,7 @@
 	{name: "rollback", synopsis: "take back changes", usage: "rollback to VERSION\n", run: runPrefixed("rollback")},
 	{name: "explain", synopsis: "tell why a request went as it did", usage: "explain REQUEST\n", run: runPrefixed("explain")},
 	{name: "duties", synopsis: "show who reports usage and orders engines, the newest windows and orders, at a node on the users' platform", usage: "duties\n", run: runPrefixed("duties")},
+	{name: "store", synopsis: "show the era and the positions at which a node on the users' platform has read the store, and what it keeps of earlier eras", usage: "store\n", run: runPrefixed("store")},
 	{name: "evacuations", synopsis: "list the halls that are evacuated, since when, and what still runs there, at a node on the users' platform", usage: "evacuations\n", run: runPrefixed("evacuations")},
 	{name: "held", synopsis: "list requests and prompt parts that are kept from engines, since engines crashed under them", usage: "held\n", run: runPrefixed("held")},
 	{name: "release", synopsis: "let one of them reach engines again, at all nodes", usage: "release ID\n", run: runPrefixed("release")},
--- a/internal/edge/held.go
+++ b/internal/edge/held.go
@@ -20,7 +20,7 @@
 const maxStatementBytes = 4 << 10
 
 // statements serves the operators' statements: "duties" shows the duties that one node performs
-// for all, "evacuations" lists the halls that are evacuated, "held" lists the requests and prompt parts
+// for all, "evacuations" lists the halls that are evacuated, "store" shows the era and the positions of the tables, "held" lists the requests and prompt parts
 // that are held, and "release ID" releases one at all nodes. Releasing requires the operators'
 // token; if the settings have none, it is forbidden.
 func (e *Edge) statements(w http.ResponseWriter, r *http.Request) {
@@ -33,11 +33,11 @@
 	}
 	now := clock.Now()
 	words := strings.Fields(statement.Text)
-	rows, isQuery := map[string]func(time.Time) []wire.Row{"held": e.heldRows, "duties": e.dutyRows, "evacuations": e.evacuationRows}[strings.Join(words, " ")]
+	rows, isQuery := map[string]func(time.Time) []wire.Row{"held": e.heldRows, "duties": e.dutyRows, "evacuations": e.evacuationRows, "store": e.storeRows}[strings.Join(words, " ")]
 	switch {
 	case isQuery:
 	case len(words) != 2 || words[0] != "release":
-		http.Error(w, `want "duties", "evacuations", "held" or "release ID"`, http.StatusBadRequest)
+		http.Error(w, `want "duties", "evacuations", "held", "store" or "release ID"`, http.StatusBadRequest)
 		return
 	case !config.TokenMatches(header.Bearer(r.Header), e.settings.BootstrapTokenSha256):
 		http.Error(w, "the token is not the operators'", http.StatusForbidden)
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -56,6 +56,7 @@
 		telemetry.Gauge{Name: "croftturn.edge.configs_refused", Help: "configurations that could not be understood", Read: func() int64 { return e.configsRefused.Load() }},
 		telemetry.Gauge{Name: "croftturn.edge.store_era", Help: "how often the store has come back from an older copy, as its answers say", Read: func() int64 { return e.store.Era() }},
 		telemetry.Gauge{Name: "croftturn.edge.store_returns", Help: "tables taken over anew since the store came back from an older copy", Read: func() int64 { return e.returns.Load() }},
+		telemetry.Gauge{Name: "croftturn.edge.store_rows_kept", Help: "rows and deletions in force of earlier eras of the store", Read: func() int64 { return int64(e.configTable.Kept() + e.engineTable.Kept()) }},
 		telemetry.Gauge{Name: "croftturn.edge.absences", Help: "times that this process was away, as by a suspended machine", Read: func() int64 { return e.suspensions.Load() }},
 		telemetry.Gauge{Name: "croftturn.edge.requests_held", Help: "requests that get no engine, since engines ended under them", Read: func() int64 { return e.quarantine.Len() }},
 		telemetry.Gauge{Name: "croftturn.edge.prompt_parts_held", Help: "prompt parts that get no engine, since engines ended under them", Read: func() int64 { return e.parts.Len() }},
--- a/internal/edge/returns.go
+++ b/internal/edge/returns.go
@@ -1,11 +1,13 @@
 package edge
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/croftturn/croftturn/internal/feed"
 	"github.com/croftturn/croftturn/internal/gossip"
 	"github.com/croftturn/croftturn/internal/settings"
+	"github.com/croftturn/croftturn/internal/wire"
 	"github.com/croftturn/croftturn/platform"
 )
 
@@ -80,6 +82,23 @@
 	e.proof.Invalidate(at.Add(rewriteTime))
 }
 
+// storeRows returns, as rows for operators, each table with its position in the store's history and what it keeps of earlier eras.
+func (e *Edge) storeRows(now time.Time) []wire.Row {
+	var rows []wire.Row
+	for _, t := range []*feed.Table{e.configTable, e.engineTable} {
+		at, loaded := t.Position()
+		r := wire.Row{Name: t.Name(), Count: t.Kept(), State: "not read", Reason: fmt.Sprintf("era %d, version %d; count is what is in force of earlier eras", at.Era, at.Version)}
+		if loaded {
+			r.State = "read"
+		}
+		if back := e.returned.Load(); back != nil {
+			r.State, r.AgeMs = "came back from a copy", int(now.Sub(back.at).Milliseconds())
+		}
+		rows = append(rows, r)
+	}
+	return rows
+}
+
 // returnAgeMs returns how long ago the store came back, for peers; 0 if it did not lately.
 func (e *Edge) returnAgeMs(now time.Time) int64 {
 	known := e.returned.Load()
--- a/internal/edge/returns_test.go
+++ b/internal/edge/returns_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"strings"
 	"testing"
 	"time"
 
@@ -58,3 +59,18 @@
 		t.Error("a node that has started believes the copy, though a peer tells of the return")
 	}
 }
+
+// TestOperatorsSeeAReturn checks that the statement "store" shows the era and what is kept of the one before.
+func TestOperatorsSeeAReturn(t *testing.T) {
+	now := time.Now()
+	e := &Edge{log: slog.New(slog.DiscardHandler)}
+	ignore := func(time.Time, []feed.Row) {}
+	e.configTable = feed.NewTable(platform.TableConfig, ignore, feed.WithCarry(configCarry()), feed.WithReturnObserver(e.storeReturned))
+	e.engineTable = feed.NewTable(platform.TableEngines, ignore)
+	e.configTable.Replace(now, feed.Snapshot{Version: 7, Rows: []feed.Row{{Key: "config", Value: []byte(configRow), Version: 7}}})
+	e.configTable.Replace(now, feed.Snapshot{Era: 1, Version: 3})
+	rows := e.storeRows(now)
+	if len(rows) != 2 || rows[0].Count != 1 || rows[0].State != "came back from a copy" || !strings.HasPrefix(rows[0].Reason, "era 1, version 0") || e.returns.Load() != 1 {
+		t.Errorf("%+v, %d returns", rows, e.returns.Load())
+	}
+}
--- a/internal/feed/carry.go
+++ b/internal/feed/carry.go
@@ -158,13 +158,7 @@
 	t.generation++
 	gone := t.emitChanges(now, old)
 	t.scheduleExpiry(now)
-	kept := 0
-	for _, r := range t.kept {
-		if t.differs(r) {
-			kept++
-		}
-	}
-	t.onEra(now, Return{Table: t.name, Before: before, After: u.at, Kept: kept, Gone: gone})
+	t.onEra(now, Return{Table: t.name, Before: before, After: u.at, Kept: t.countKept(), Gone: gone})
 }
 
 // yields reports whether a kept row gives way to a row of the table's era, which may be of the copy. The caller holds the lock.
@@ -273,6 +267,23 @@
 	return rows, t.base
 }
 
+// Kept returns how many rows and deletions of earlier eras are in force in place of what the store has.
+func (t *Table) Kept() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.countKept()
+}
+
+// countKept implements Kept. The caller holds the lock.
+func (t *Table) countKept() (n int) {
+	for _, r := range t.kept {
+		if t.differs(r) {
+			n++
+		}
+	}
+	return n
+}
+
 // differs reports whether a kept row is in force in place of another state, and does not only serve for a further return. The caller holds the lock.
 func (t *Table) differs(r keptRow) bool {
 	_, stored := t.rows[r.Key]
