--- a/internal/feed/return_test.go
+++ b/internal/feed/return_test.go
@@ -98,3 +98,33 @@
 		}
 	}
 }
+
+// TestOlderReleasesAreNotFollowedAfterAReturn guards against the older history that comes back from a node of a release that knows no eras.
+func TestOlderReleasesAreNotFollowedAfterAReturn(t *testing.T) {
+	got, net := &sink{}, directCaller{}
+	table := feed.NewTable("t", got.take)
+	net["new"] = feed.NewFollower("new", net, quiet, table)
+	older := feed.NewTable("t", (&sink{}).take)
+	net["old"] = feed.NewFollower("old", net, quiet, older)
+	older.Replace(start, feed.Snapshot{Rows: []feed.Row{row("k", "older", 9)}, Version: 9})
+	table.Replace(start, feed.Snapshot{Rows: []feed.Row{row("k", "older", 8)}, Version: 8})
+	table.Replace(start, feed.Snapshot{Rows: []feed.Row{row("k", "newer", 6), row("other", "1", 7)}, Era: 1, Version: 7})
+	net["new"].Observe(start, "old", net["old"].Announcement())
+	net["new"].Wait()
+	if live := got.live(); live["k"] != "newer" {
+		t.Errorf("after the older node's announcement the table has %v", live)
+	}
+	reply, err := net["new"].HandleTable(context.Background(), &feed.TableRequest{Table: "t", After: 9})
+	if err != nil || len(reply.(*feed.TableReply).Rows) != 0 || reply.(*feed.TableReply).Full || len(reply.(*feed.TableReply).Kept) != 0 {
+		t.Errorf("an older node gets %+v, %v", reply, err)
+	}
+	fresh := feed.NewTable("t", (&sink{}).take)
+	net["fresh"] = feed.NewFollower("fresh", net, quiet, fresh)
+	for _, from := range []string{"old", "new", "old"} {
+		net["fresh"].Observe(start, from, net[from].Announcement())
+		net["fresh"].Wait()
+	}
+	if at, ok := fresh.Position(); !ok || at.Era != 1 || at.Version != 7 {
+		t.Errorf("a node that starts is at %+v", at)
+	}
+}
