--- a/internal/order/order.go
+++ b/internal/order/order.go
@@ -16,6 +16,7 @@
 
 	"github.com/croftturn/croftturn/internal/clock"
 	"github.com/croftturn/croftturn/internal/config"
+	"github.com/croftturn/croftturn/internal/history"
 	"github.com/croftturn/croftturn/internal/kv"
 	"github.com/croftturn/croftturn/internal/wire"
 )
@@ -79,10 +80,10 @@
 		Done  bool   `json:"done"`
 	}
 
-	// observation is when this node first saw a version of a row.
+	// observation is when this node first saw a row at a position.
 	observation struct {
-		version int
-		at      time.Time
+		row history.Position
+		at  time.Time
 	}
 )
 
@@ -177,7 +178,7 @@
 	if err := s.sender.Order(ctx, e.Address, e.OrderFence, e.Order, deadline); err != nil {
 		return fmt.Errorf("send order: %w", err)
 	}
-	return s.write(ctx, e, row.Version+1, sendRecord{Fence: e.OrderFence, Node: s.node, Done: true}, nil)
+	return s.write(ctx, e, row, row.Version+1, sendRecord{Fence: e.OrderFence, Node: s.node, Done: true}, nil)
 }
 
 // verify claims the engine's row for this order in a transaction that fails unless this node's
@@ -196,7 +197,7 @@
 	if current.Fence > e.OrderFence || (current.Done && current.Fence == e.OrderFence) {
 		return row, &OldFenceError{Engine: e.Address}
 	}
-	if row.Version > 0 && !current.Done && !s.sendExpired(now, e.Name, row.Version) {
+	if row.Version > 0 && !current.Done && !s.sendExpired(now, e.Name, history.Position{Era: row.Era, Version: int64(row.Version)}) {
 		return row, fmt.Errorf("%w: node %s may still be sending", ErrNotCurrent, current.Node)
 	}
 	head, err := s.table.Get(ctx, config.HeadKey)
@@ -206,31 +207,31 @@
 	if version, err := config.HeadVersion(head); err != nil || version != s.store.Version() {
 		return row, fmt.Errorf("%w: this node's configuration is out of date", ErrNotCurrent)
 	}
-	check := &kv.Check{Key: config.HeadKey, Version: head.Version}
-	return row, s.write(ctx, e, row.Version, sendRecord{Fence: e.OrderFence, Node: s.node}, check)
+	check := &kv.Check{Key: config.HeadKey, Version: head.Version, Era: head.Era}
+	return row, s.write(ctx, e, row, row.Version, sendRecord{Fence: e.OrderFence, Node: s.node}, check)
 }
 
 // sendExpired reports whether another node's unfinished send has been watched for so long that
 // the other node may no longer send.
-func (s *Service) sendExpired(now time.Time, engine string, version int) bool {
+func (s *Service) sendExpired(now time.Time, engine string, row history.Position) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if seen := s.observed[engine]; seen.version == version {
+	if seen := s.observed[engine]; seen.row == row {
 		return now.Sub(seen.at) > takeOverAfter
 	}
-	s.observed[engine] = observation{version, now}
+	s.observed[engine] = observation{row, now}
 	return false
 }
 
-// write updates an engine's row at a given version. A write with an unknown outcome counts as
+// write updates an engine's row at a given version, of the era in which it was read. A write with an unknown outcome counts as
 // failed, and the order is not sent.
-func (s *Service) write(ctx context.Context, e *config.Engine, version int, row sendRecord, headCheck *kv.Check) error {
+func (s *Service) write(ctx context.Context, e *config.Engine, read kv.Row, version int, row sendRecord, headCheck *kv.Check) error {
 	text, err := json.Marshal(row)
 	if err != nil {
 		return fmt.Errorf("encode order row: %w", err)
 	}
 	key := rowPrefix + e.Name
-	txn := kv.Txn{Checks: []kv.Check{{Key: key, Version: version}}, Puts: []kv.Put{{Key: key, Value: text}}}
+	txn := kv.Txn{Fenced: true, Checks: []kv.Check{{Key: key, Version: version, Era: read.Era}}, Puts: []kv.Put{{Key: key, Value: text}}}
 	if headCheck != nil {
 		txn.Checks = append(txn.Checks, *headCheck)
 	}
