--- a/internal/pinning/history.go
+++ b/internal/pinning/history.go
@@ -126,14 +126,6 @@
 	}
 )
 
-// Position returns the position of the row in the store's history.
-func (v PoolVersion) Position() history.Position {
-	return history.Position{Era: v.Era, Version: v.Revision}
-}
-
-// copied reports whether the row may be older than what was known before the store came back from a copy.
-func (v PoolVersion) copied() bool { return v.Written < v.Era }
-
 // NewHistory returns a History that knows nothing yet.
 func NewHistory(store Store, engines Engines, pools func() []string, isWriter func(now time.Time, pool string) bool, firstStart bool, log *slog.Logger) *History {
 	return &History{store: store, fence: fence.New(store), engines: engines, pools: pools, isWriter: isWriter, firstStart: firstStart, log: log, wake: make(chan struct{}, 1), known: map[string]*poolState{}, reads: map[string]*sharedRead{}}
@@ -268,28 +260,14 @@
 	return PoolVersion{Pool: row.Key, Version: stored.Version, Several: stored.Several, SinceMs: stored.SinceMs, Revision: row.Version, Era: row.Era, Written: stored.Era}, nil
 }
 
-// learn takes a row over if it is newer than the known one; revision 0 means that there is none. Where the store has come back from a copy, streams may also have
-// begun at the versions that were known before.
+// learn takes a row over if it is newer than the known one; revision 0 means that there is none.
 func (h *History) learn(now time.Time, row PoolVersion) {
 	versions := h.engines.Versions(row.Pool)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	s := h.state(row.Pool)
-	before := s.row
-	if row.Era == before.Era && row.Revision <= before.Revision || row.Era < before.Era && !before.copied() {
-		return
-	}
-	if row.Era != before.Era {
-		earlier, later := before, row
-		if row.Era < before.Era {
-			earlier, later = row, before
-		}
-		if earlier.Revision > 0 && later.copied() {
-			later.merge(earlier)
-		}
-		row = later
-	}
-	if row == before {
+	row = combine(s.row, row)
+	if row == s.row {
 		return
 	}
 	h.log.Info("versions of a pool", "pool", row.Pool, "version", row.Version, "several", row.Several, "since_ms", row.SinceMs, "revision", row.Revision, "before", s.row.Revision)
@@ -302,16 +280,6 @@
 	}
 }
 
-// merge adds what was known before the store came back from a copy.
-func (v *PoolVersion) merge(earlier PoolVersion) {
-	switch {
-	case v.Revision == 0:
-		v.Version, v.Several, v.SinceMs = earlier.Version, earlier.Several, earlier.SinceMs
-	case earlier.Several || earlier.Version != v.Version:
-		v.Version, v.Several = "", true
-	}
-}
-
 // GossipEntries returns the known rows, the newest first.
 func (h *History) GossipEntries(now time.Time) []PoolVersion {
 	h.mu.Lock()
@@ -328,27 +296,6 @@
 	return out
 }
 
-// Eras returns the eras of rows, by pool: that of the revision and that in which it was written. Pools without any are left out.
-func Eras(list []PoolVersion) map[string][2]int64 {
-	out := map[string][2]int64{}
-	for _, row := range list {
-		if row.Era > 0 {
-			out[row.Pool] = [2]int64{row.Era, row.Written}
-		}
-	}
-	return out
-}
-
-// StoreReturned records that the store has come back from a copy: the rows are read again.
-func (h *History) StoreReturned() {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	for _, s := range h.known {
-		s.verify = s.row.Revision > 0
-	}
-	h.Wake()
-}
-
 // MergeGossip takes over what a peer knows; eras are as Eras returns them.
 func (h *History) MergeGossip(now time.Time, list []PoolVersion, eras map[string][2]int64) {
 	for _, row := range list {
