Edge: a peer's proof counts only after the time to write again

Callers with a revoked key could be accepted after the store came back without the revocation: a node that starts then knows only the copy, calls its configuration proven and tells its peers, whose own answers prove nothing for 2 s. Each of them took the peer's proof over.

A peer's proof is held to the same rule as an answer of the store. TestPeerThatKnowsTheCopyProvesNothing failed before: ages of 0 where 1.5 and 3 s were right.

--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -93,13 +93,21 @@
 	e.follower.Observe(now, p.PeerAddress, tables)
 	e.heardOfReturn(now, s)
 	if s.ProofAgeMs >= 0 && !received.IsZero() && s.ConfigVersion > 0 && s.ConfigVersion <= e.dispatcher.Version() {
-		e.proof.Renew(received.Add(-time.Duration(s.ProofAgeMs) * time.Millisecond))
+		e.provenByPeer(received, time.Duration(s.ProofAgeMs)*time.Millisecond)
 	}
 	if s.StoreFailureAgeMs >= 0 {
 		e.storeLost(now.Add(-time.Duration(s.StoreFailureAgeMs) * time.Millisecond))
 	}
 }
 
+// provenByPeer records a peer's proof of the configuration, of some age at a time. The peer may have started after the store came back from a copy and
+// know nothing else.
+func (e *Edge) provenByPeer(received time.Time, age time.Duration) {
+	if at := received.Add(-age); !e.mayLackWrites(at) {
+		e.proof.Renew(at)
+	}
+}
+
 // maySendTrial reports whether this node is the one, of those that serve callers, that sends the
 // trial of a held request or prompt part. Nodes that hear from different peers may both be.
 func (e *Edge) maySendTrial(now time.Time, name string) bool {
--- a/internal/edge/returns_test.go
+++ b/internal/edge/returns_test.go
@@ -60,6 +60,24 @@
 	}
 }
 
+// TestPeerThatKnowsTheCopyProvesNothing guards against a revoked key that is accepted since a node that has started and read the copy calls it proven.
+func TestPeerThatKnowsTheCopyProvesNothing(t *testing.T) {
+	start := time.Unix(1000, 0)
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	e := &Edge{proof: freshness.New(4 * time.Second), log: slog.New(slog.DiscardHandler), store: platform.NewStore([]string{"127.0.0.1:1"}, time.Second)}
+	e.configProven(at(0))
+	e.storeReturned(at(1000), feed.Return{Table: platform.TableEngines, After: history.Position{Era: 1}})
+	for ms, want := range map[int]time.Duration{1500: 1500 * time.Millisecond, 2999: 2999 * time.Millisecond} {
+		e.provenByPeer(at(ms), 0)
+		if age, _ := e.proof.Age(at(ms)); age != want {
+			t.Errorf("%d ms after the return a peer's proof counts: age %v, want %v", ms-1000, age, want)
+		}
+	}
+	if e.provenByPeer(at(3000), 0); !e.proof.Fresh(at(6900)) {
+		t.Error("a peer's proof from after the time to write again does not count")
+	}
+}
+
 // TestOperatorsSeeAReturn checks that the statement "store" shows the era and what is kept of the one before.
 func TestOperatorsSeeAReturn(t *testing.T) {
 	now := time.Now()
