Fence: a condition fails also two returns later

A write sent before two returns could be applied after the second, if its copy was older than the first return: the row of the era in between was lost with it, and that row alone was the writer's condition. Callers of the duties could then have had two holders.

The first write of an era writes the rows of the last four eras. TestConditionOfAnEraBeforeTwoReturnsFails failed before for the write of the first era.

--- a/internal/fence/fence.go
+++ b/internal/fence/fence.go
@@ -1,7 +1,7 @@
 // Package fence limits the conditions of writes to one era of the platform's store. After the store has come back from a copy, the version that
 // a condition names may have been given to another value of the row, and a write sent before may be applied seconds later.
 //
-// The first write of an era to a part also writes a row that names the era. Every write requires that the row of the next era is absent. So a
+// The first write of an era to a part also writes a row for it and the eras before. Every write requires that the row of the next era is absent. So a
 // condition of an earlier era holds only as long as nothing was written to the part since the return, when its rows are those of the copy.
 package fence
 
@@ -15,8 +15,13 @@
 	"github.com/croftturn/croftturn/internal/history"
 )
 
-// table has one row for each part and era that was written to.
-const table = "croftturn-eras"
+const (
+	// table has one row for each part and era that was written to.
+	table = "croftturn-eras"
+
+	// rowsWritten is for how many eras a row is written: a copy may be older than several returns, and lack their rows.
+	rowsWritten = 4
+)
 
 type (
 	// Store is the platform's store.
@@ -41,7 +46,10 @@
 func (f *Fence) Commit(ctx context.Context, era int64, part string, tx feed.Tx) (at history.Position, err error) {
 	tx.Expect = append(tx.Expect[:len(tx.Expect):len(tx.Expect)], row(part, era+1))
 	if era > f.markedEra(part) {
-		tx.Put = append(tx.Put[:len(tx.Put):len(tx.Put)], row(part, era))
+		tx.Put = tx.Put[:len(tx.Put):len(tx.Put)]
+		for past := max(1, era-rowsWritten+1); past <= era; past++ {
+			tx.Put = append(tx.Put, row(part, past))
+		}
 	}
 	at, err = f.store.Commit(ctx, tx)
 	if err == nil {
--- a/internal/fence/fence_test.go
+++ b/internal/fence/fence_test.go
@@ -64,3 +64,18 @@
 		t.Errorf("%d rows, %v", len(s.rows), err)
 	}
 }
+
+// TestConditionOfAnEraBeforeTwoReturnsFails guards against a write that is applied two returns later, when the copy is older than the first return and lacks its row.
+func TestConditionOfAnEraBeforeTwoReturnsFails(t *testing.T) {
+	ctx, s := context.Background(), &store{rows: map[string]feed.Row{}}
+	put := feed.Tx{Expect: []feed.Row{{Table: "t", Key: "k", Version: 0}}, Put: []feed.Row{{Table: "t", Key: "k"}}}
+	s.at = history.Position{Era: 2}
+	if _, err := fence.New(s).Commit(ctx, 2, "", put); err != nil {
+		t.Fatal(err)
+	}
+	for era := range int64(2) {
+		if _, err := fence.New(s).Commit(ctx, era, "", feed.Tx{Put: put.Put}); !errors.Is(err, feed.ErrStale) {
+			t.Errorf("a write of era %d: %v", era, err)
+		}
+	}
+}
