Lease: tokens stay exact for large eras

A store whose eras begin with a large number, such as a time, would have got tokens above 2^53, which readers of floating-point numbers round, and from 2^31 on negative ones: two terms could look like one.

An era has 2^24 tokens. TestTokensOfLaterErasAreHigher failed before with an era of 2^28.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -28,8 +28,8 @@
 	// same node may still be applied.
 	maxInitialWriteID = 1 << 40
 
-	// tokensPerEra is more than the terms of any era: one a millisecond for 49 days.
-	tokensPerEra = 1 << 32
+	// tokensPerEra is more than the terms of an era: one a second for half a year. Tokens of eras up to 2^28 stay below 2^53.
+	tokensPerEra = 1 << 24
 )
 
 type (
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -197,3 +197,18 @@
 		t.Errorf("c waits until %v", from.Sub(start))
 	}
 }
+
+// TestTokensOfLaterErasAreHigher guards against tokens that overflow or lose digits on their way, where the store's eras begin with a large number.
+func TestTokensOfLaterErasAreHigher(t *testing.T) {
+	const exact = 1 << 53 // exact is the largest number up to which all whole numbers survive readers that take them for floating-point ones.
+	last := int64(0)
+	for _, era := range []int64{0, 1, 2, 1000, 1 << 28} {
+		l := New("a", "", timing)
+		l.Observe(at(0), Record{Token: last, Holder: "b"}, history.Position{Era: era, Version: 1})
+		r, _ := l.Acquire(at(9000))
+		if r.Token <= last || r.Token >= exact {
+			t.Errorf("era %d: token %d after %d", era, r.Token, last)
+		}
+		last = r.Token
+	}
+}
