Quarantine: a row that the writer knows nothing of stays

The node that compares the rows with what is held after a return removed those that it did not hold. One that had started, or had not heard yet of what another node had just stored, would have removed a row of a held request, and the request would have crashed engines again once all nodes had started.

It removes a row only if it knows of the release. TestHeldRequestsLostByTheStoreAreWrittenAgain, with such a row, failed before.

--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -44,7 +44,7 @@
 		count() int64                                           // count returns how many are held.
 		restoreRow(now time.Time, r feed.Row) error             // restoreRow returns an error for a row that no node can have written.
 		takePending(now time.Time) (tx feed.Tx, requeue func()) // takePending returns the next unsaved changes, an empty transaction if there are none.
-		markDiffering(stored []feed.Row)                        // markDiffering marks as unsaved what is held and has no row, and what has one and is not held.
+		markDiffering(stored []feed.Row)                        // markDiffering marks as unsaved what is held and has no row, and what has one and is known to be released.
 	}
 
 	// Persister saves what is held in the platform's store, so that it survives the loss of all nodes.
@@ -189,7 +189,7 @@
 	for _, r := range stored {
 		if f, _, err := decodeRow(r); err == nil && missing[f] {
 			delete(missing, f)
-		} else if err == nil {
+		} else if known := q.records[f]; err == nil && known != nil && !known.isHeld() && !known.answered.IsZero() {
 			q.markUnsaved(f) // It was released since the copy was made.
 		}
 	}
--- a/internal/quarantine/keeper_test.go
+++ b/internal/quarantine/keeper_test.go
@@ -104,8 +104,15 @@
 		done := make(chan struct{})
 		go func() { defer close(done); p.Run(ctx) }()
 		first := (<-s.written).Put[0]
-		released := feed.Row{Key: "00000000000000ff", Value: first.Value}
-		s.rows = []feed.Row{released}
+		const other = quarantine.Fingerprint(0xff)
+		for i := range 3 {
+			q.RecordCrash(now, now, other, subject, fmt.Sprint("e", i))
+		}
+		<-s.written
+		q.Release(now.Add(time.Second), other)
+		<-s.written
+		released, unknown := feed.Row{Key: other.String(), Value: first.Value}, feed.Row{Key: "00000000000000fe", Value: first.Value}
+		s.rows = []feed.Row{released, unknown}
 		p.StoreReturned()
 		select {
 		case tx := <-s.written:
--- a/internal/quarantine/part_rows.go
+++ b/internal/quarantine/part_rows.go
@@ -69,7 +69,7 @@
 		id, err := strconv.ParseUint(hex, 16, 64)
 		if p := (Part{pool, id}); err == nil && missing[p] {
 			delete(missing, p)
-		} else if err == nil {
+		} else if err == nil && q.wasAnswered(p) {
 			q.unsaved[p] = true // It was released since the copy was made.
 		}
 	}
@@ -79,6 +79,16 @@
 	q.wakePersister()
 }
 
+// wasAnswered reports whether a request with a part, or its release, is known to have cleared it. The caller holds the lock.
+func (q *Parts) wasAnswered(p Part) bool {
+	for key := range q.answers {
+		if key.Part == p {
+			return true
+		}
+	}
+	return false
+}
+
 // restoreRow restores a part that was held before this node started. A row older than rowTTL is deleted.
 func (q *Parts) restoreRow(now time.Time, r feed.Row) error {
 	var row partRow
