Claims: one that an aggregator wrote does not span a return

The aggregator's reply names the latest era it knows; a claim of an earlier one is unsettled. TestClaimThroughAnAggregatorDoesNotSpanAReturn failed before: the claim succeeded.

--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -338,3 +338,25 @@
 		t.Errorf("after it is written again: %v", err)
 	}
 }
+
+// eraTable is a table as one node sees it, which has not heard of the latest era.
+type eraTable struct{ *table }
+
+// Era returns the first era.
+func (eraTable) Era() (int64, bool) { return 0, true }
+
+// TestClaimThroughAnAggregatorDoesNotSpanAReturn guards against a request that runs twice since its claim was written by another node after the platform had come back
+// without an earlier one, of which the claim's own node has not heard.
+func TestClaimThroughAnAggregatorDoesNotSpanAReturn(t *testing.T) {
+	tab := &table{rows: map[string]kv.Row{}}
+	to := newClaimer(t, tab, "aggregator")
+	k := claim.NewClaimer(eraTable{tab}, "n", 1, time.Millisecond, claim.WithForwarder(&fakeForwarder{to: to}))
+	t.Cleanup(k.Close)
+	a := begin(t, k, "key", "late")
+	tab.mu.Lock()
+	tab.era++
+	tab.mu.Unlock()
+	if err := a.Claim(context.Background(), time.Now()); !errors.Is(err, claim.ErrUnsettled) {
+		t.Errorf("the claim gets %v", err)
+	}
+}
--- a/internal/claim/forward.go
+++ b/internal/claim/forward.go
@@ -58,6 +58,7 @@
 		return
 	}
 	for i, o := range batch {
+		o.era = int64(reply.Era)
 		o.result <- decodeResult(reply.Results[i])
 	}
 }
@@ -102,6 +103,8 @@
 	for _, o := range ops {
 		reply.Results = append(reply.Results, encodeResult(<-o.result))
 	}
+	era, _ := c.table.Era()
+	reply.Era = int(era)
 	return reply, nil
 }
 
--- a/internal/claim/keeper.go
+++ b/internal/claim/keeper.go
@@ -100,6 +100,7 @@
 		key     string
 		version int
 		record  Record
+		era     int64 // era is the platform's latest that the aggregator knows, set before the result; 0 if it did not say.
 		result  chan error
 	}
 )
@@ -202,7 +203,7 @@
 	if err != nil {
 		return err
 	}
-	if now, _ := c.table.Era(); now != a.era {
+	if latest, _ := c.table.Era(); max(latest, o.era) != a.era {
 		return fmt.Errorf("%w: the platform came back from a copy meanwhile", ErrUnsettled)
 	}
 	c.recent.add(now, o)
--- a/internal/wire/wire_gen.go
+++ b/internal/wire/wire_gen.go
@@ -96,6 +96,10 @@
 
 // ClaimReply answers a ClaimBatch, row by row.
 type ClaimReply struct {
+	// Era is the latest era of the platform that the answering node knows after the
+	// writes.
+	Era int `json:"e,omitempty,omitzero"`
+
 	// Results in the order of the rows.
 	Results []ClaimResult `json:"results"`
 }
