Configuration: a node with a lost change takes the platform's

At croftturn run nodes could have different configurations of one version: the platform came back without a change, and another one was accepted under its version before the nodes that had the lost one had written it again. They ignored the new one, which has no newer version, or put later changes on top of the lost one.

Once in each era a node compares the change under its version with the platform's; if they differ, the platform's configuration goes into effect and the lost change is logged. TestNodeWithALostChangeTakesThePlatforms failed before with one change since the return.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -28,6 +28,7 @@
 	faultyTable struct {
 		mu   sync.Mutex
 		rows map[string]kv.Row
+		era  int64
 		// faults are the faults of the next writes: "" for none, "lost" if the reply
 		// is lost after the write took effect, "dropped" if the write never arrives.
 		faults []string
@@ -58,7 +59,9 @@
 func (t *faultyTable) Get(_ context.Context, key string) (kv.Row, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.rows[key], nil
+	row := t.rows[key]
+	row.Era = t.era
+	return row, nil
 }
 
 // List reads rows by prefix.
@@ -272,3 +275,36 @@
 		t.Errorf("%d changes in the history, %v, want %d", len(changes), err, next.Version)
 	}
 }
+
+// TestNodeWithALostChangeTakesThePlatforms guards against nodes with different configurations of one version: after the platform came back without a change, another one got its
+// version before the nodes that had the lost one wrote it again.
+func TestNodeWithALostChangeTakesThePlatforms(t *testing.T) {
+	for _, further := range []int{0, 1} {
+		ctx, table := context.Background(), &faultyTable{rows: map[string]kv.Row{}}
+		a, mine := newSyncer(table)
+		b, theirs := newSyncer(table)
+		if _, err := setWeight(a, "kept", 1); err != nil {
+			t.Fatal(err)
+		}
+		if err := b.Refresh(ctx); err != nil {
+			t.Fatal(err)
+		}
+		copied := maps.Clone(table.rows)
+		if _, err := setWeight(a, "lost", 2); err != nil {
+			t.Fatal(err)
+		}
+		table.rows, table.era = copied, 1
+		for i := range 1 + further {
+			if _, err := setWeight(b, fmt.Sprint("since", i), 3+i); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if err := a.Refresh(ctx); err != nil {
+			t.Fatal(err)
+		}
+		got, want := mine.View().Config, theirs.View().Config
+		if got.Version != want.Version || fmt.Sprint(got.Teams) != fmt.Sprint(want.Teams) {
+			t.Errorf("%d changes since: the node has version %d %v, the platform %d %v", 1+further, got.Version, got.Teams, want.Version, want.Teams)
+		}
+	}
+}
--- a/internal/config/keeper.go
+++ b/internal/config/keeper.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"log/slog"
 	"strconv"
@@ -59,7 +58,9 @@
 		wake  chan struct{}
 
 		isRestorer func() bool // isRestorer reports whether this node is the one that writes again what the platform lost.
-		lostPolls  int         // lostPolls counts the polls in a row that found an older configuration on the platform.
+		compared   bool        // compared is set once the configuration in effect was compared with the platform's in era.
+		era        int64
+		lostPolls  int // lostPolls counts the polls in a row that found an older configuration on the platform.
 	}
 
 	// head is the value of the HeadKey row, which every node polls.
@@ -203,11 +204,15 @@
 		if s.lostPolls++; s.isRestorer() || s.lostPolls > restorerPolls {
 			return s.restore(ctx, h, row)
 		}
-	}
-	if h.Version <= have {
 		return nil
 	}
 	s.lostPolls = 0
+	if err := s.compareEra(ctx, have, row); err != nil {
+		return err
+	}
+	if have = s.store.Version(); h.Version <= have {
+		return nil
+	}
 	if have > 0 && h.Version-have <= maxFetchedChanges {
 		changes, err := s.History(ctx, have, maxFetchedChanges)
 		if err == nil && s.store.Apply(changes) == nil && s.store.Version() >= h.Version {
@@ -224,45 +229,6 @@
 	return nil
 }
 
-// restore writes the configuration in effect to a platform that has come back from a copy with an older one. Every accepted change was on the platform
-// before it took effect here, so an older head means that it was lost.
-func (s *Syncer) restore(ctx context.Context, h head, row kv.Row) error {
-	view := s.store.View()
-	text, err := json.Marshal(view.Config)
-	if err != nil {
-		return fmt.Errorf("encode configuration: %w", err)
-	}
-	top := head{Version: view.Config.Version}
-	txn := kv.Txn{Checks: []kv.Check{{Key: HeadKey, Version: row.Version, Era: row.Era}}, Puts: []kv.Put{{Key: fullKey, Value: text}}, Fenced: true}
-	changes, known := s.store.ChangesAfter(h.Version)
-	if len(changes) > maxFetchedChanges {
-		changes = changes[len(changes)-maxFetchedChanges:]
-	}
-	for _, ch := range changes {
-		value, err := json.Marshal(ch)
-		if err != nil {
-			return fmt.Errorf("encode change: %w", err)
-		}
-		txn.Puts = append(txn.Puts, kv.Put{Key: changeKey(ch.Version), Value: value})
-		top.Change = ch.ID
-	}
-	value, err := json.Marshal(top)
-	if err != nil {
-		return fmt.Errorf("encode head: %w", err)
-	}
-	txn.Puts = append(txn.Puts, kv.Put{Key: HeadKey, Value: value})
-	err = s.table.Transact(ctx, txn)
-	if errors.Is(err, kv.ErrConflict) {
-		return nil // Another node was first; the next poll shows it.
-	}
-	if err != nil {
-		return fmt.Errorf("write the configuration again: %w", err)
-	}
-	s.lostPolls = 0
-	s.log.Warn("configuration written again after the platform lost it", "version", top.Version, "version_lost_to", h.Version, "changes", len(changes), "history_whole", known, "era", row.Era)
-	return nil
-}
-
 // readHead reads the head and returns its row, too.
 func (s *Syncer) readHead(ctx context.Context) (head, kv.Row, error) {
 	row, err := s.table.Get(ctx, HeadKey)
--- a/internal/config/store.go
+++ b/internal/config/store.go
@@ -58,10 +58,26 @@
 		return false, nil
 	}
 	s.recent = nil
-	s.install(v)
+	s.putInEffect(v)
 	return true, nil
 }
 
+// install installs a whole configuration that has the version in effect or a newer one, whatever is in effect.
+func (s *Store) install(c *Config) error {
+	v, err := NewView(c)
+	if err != nil {
+		return fmt.Errorf("install configuration: %w", err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.view != nil && c.Version < s.view.Config.Version {
+		return nil
+	}
+	s.recent = nil
+	s.putInEffect(v)
+	return nil
+}
+
 // Apply applies changes in order and skips those already in effect. It fails
 // if there is a gap in the versions.
 func (s *Store) Apply(changes []wire.Change) error {
@@ -86,13 +102,13 @@
 		if len(s.recent) > maxRecentChanges {
 			s.recent = s.recent[1:]
 		}
-		s.install(v)
+		s.putInEffect(v)
 	}
 	return nil
 }
 
-// install makes a view the one in effect; the caller must hold s.mu.
-func (s *Store) install(v *View) {
+// putInEffect makes a view the one in effect; the caller must hold s.mu.
+func (s *Store) putInEffect(v *View) {
 	s.view = v
 	close(s.changed)
 	s.changed = make(chan struct{})
