--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -235,7 +235,7 @@
 // Next returns the next event. The event with Done set is the last. An error means
 // that the stream is incomplete.
 func (s *Stream) Next() (Event, error) {
-	for {
+	for skipped := 0; skipped <= maxEventBytes; {
 		line, err := s.lines.ReadSlice('\n')
 		if errors.Is(err, bufio.ErrBufferFull) {
 			line, err = s.readLongLine(line)
@@ -244,12 +244,14 @@
 			return Event{}, fmt.Errorf("read stream: %w: %w", ErrBroken, err)
 		}
 		s.watch.timer.Reset(s.watch.after)
+		skipped += len(line)
 		line = bytes.TrimRight(line, "\r\n")
 		if len(line) == 0 || line[0] == ':' {
 			continue
 		}
 		return parseEvent(line)
 	}
+	return Event{}, fmt.Errorf("%d bytes without an event: %w", maxEventBytes, ErrMalformed)
 }
 
 // Buffered reports whether part of another event is buffered. The empty line that
