Soak: returns that lose an evacuation and a term of the duties; two more planted faults

Returns of the store were drawn, but a copy that is believed and a token that is given out twice were found by the lease's model alone: the soak had no duties, and no return lost an evacuation.

Nodes report usage to the stand-in, which takes no call with a token below an earlier one; no token may be used by two holders. Two kinds of returns lose an evacuation that has lasted, and the term of a holder whose predecessor was killed, and which is killed then.

--- a/lab/platform/platform.go
+++ b/lab/platform/platform.go
@@ -83,6 +83,7 @@
 		shownAt  time.Time
 		faults   Faults
 		counts   Counts
+		duties   []DutyCall
 		reads    *rate.Limiter
 		writes   *rate.Limiter
 		started  time.Time
@@ -106,6 +107,7 @@
 	mux.HandleFunc("POST /-/rows-tx", p.faulty(p.handleTransact))
 	mux.HandleFunc("GET /-/blob-get/{name...}", p.faulty(p.handleGetObject))
 	mux.HandleFunc("PUT /-/blob-put/{name...}", p.faulty(p.handlePutObject))
+	mux.HandleFunc("POST /usage", p.handleUsage)
 	mux.HandleFunc("POST /control/faults", p.handleFaults)
 	mux.HandleFunc("POST /control/return", p.handleReturn)
 	mux.HandleFunc("POST /control/instances", p.handleSetInstances)
--- a/lab/soak/faults_return.go
+++ b/lab/soak/faults_return.go
@@ -15,6 +15,9 @@
 	// maxLoss is the most that the store loses when it comes back from a copy.
 	maxLoss = 3 * time.Second
 
+	// termWithin is how long another node may take to become the holder of the duties.
+	termWithin = 8 * time.Second
+
 	// maxRewriteDelay is how long the operator and the engines take at most to write again what was lost.
 	maxRewriteDelay = 800 * time.Millisecond
 )
@@ -50,6 +53,59 @@
 	return env.writeAgain(lost)
 }
 
+// loseEvacuation makes the store come back from a copy that lacks a hall's evacuation, which the operator writes again.
+func loseEvacuation(ctx context.Context, env *Environment, r *rand.Rand, d time.Duration) error {
+	hall := hallOf(r.IntN(halls))
+	env.evacuationMu.Lock()
+	defer env.evacuationMu.Unlock()
+	key := "evacuate/" + hall
+	copied := time.Now()
+	if err := env.write(row{"op", key, map[string]any{}}); err != nil {
+		return err
+	}
+	begin := time.Now()
+	pause.For(ctx, evacuateWithin+d)
+	env.platform.GoBack(copied)
+	pause.For(ctx, maxRewriteDelay)
+	if err := env.writeAgain(copied); err != nil {
+		return err
+	}
+	pause.For(ctx, d)
+	env.ledger.recordEvacuation(hall, begin, time.Now())
+	return env.write(row{"op", key, nil})
+}
+
+// loseTerm kills the holder of the duties, makes the store come back from a copy that lacks the term of the next one, and kills that, too.
+func loseTerm(ctx context.Context, env *Environment, _ *rand.Rand, d time.Duration) error {
+	copied := time.Now()
+	for range 2 {
+		calls := env.platform.DutyCalls()
+		if len(calls) == 0 {
+			return nil
+		}
+		last := calls[len(calls)-1]
+		n := env.reserveNodeNamed(last.Holder)
+		if n == nil {
+			return nil
+		}
+		if err := func() error { defer env.releaseNode(n); return killNode(ctx, env, n, d) }(); err != nil {
+			return err
+		}
+		for end := time.Now().Add(termWithin); time.Now().Before(end) && env.platform.DutyCalls()[len(env.platform.DutyCalls())-1] == last; {
+			pause.For(ctx, 50*time.Millisecond)
+		}
+		if copied.IsZero() {
+			break
+		}
+		env.platform.GoBack(copied)
+		if err := env.writeAgain(copied); err != nil {
+			return err
+		}
+		copied = time.Time{}
+	}
+	return nil
+}
+
 // writeAgain writes the rows again that were written since a time, in their order.
 func (env *Environment) writeAgain(since time.Time) error {
 	env.writeMu.Lock()
--- a/lab/soak/node.go
+++ b/lab/soak/node.go
@@ -52,6 +52,7 @@
 		"instance": n.name, "hall": hallOf(i), "region": "r", "hall_regions": regions, "caller_address": n.callerAddress, "directory_address": n.directoryAddress,
 		"ready_address": ready, "peer_address": n.peerAddress, "admin_address": admin, "forward_address": forward, "engine_source_ip": n.sourceIP, "platform_addresses": []string{n.store.Address()},
 		"revoke_within_ms": 5000, "stop_grace_ms": stopGrace.Milliseconds(), "retry_share": 0.2, "retry_extra": 50, "memory_mb": 200, "trace_share": 0,
+		"duties": []string{"usage"}, "duties_address": env.storeAddress, "lease_ms": 1500, "usage_window_ms": 500, "usage_late_ms": 3000,
 		"interactive_target_ms": interactiveTargetMs * (env.opts.Seed % 2), // The pool of streams is interactive with odd seeds.
 	})
 	if err != nil {
@@ -104,6 +105,19 @@
 	return n
 }
 
+// reserveNodeNamed reserves the node with a name; it returns nil if another fault owns it.
+func (env *Environment) reserveNodeNamed(name string) *node {
+	env.mu.Lock()
+	defer env.mu.Unlock()
+	for _, n := range env.nodes {
+		if n.name == name && !n.reserved {
+			n.reserved = true
+			return n
+		}
+	}
+	return nil
+}
+
 // releaseNode makes a reserved node available to other faults.
 func (env *Environment) releaseNode(n *node) {
 	env.mu.Lock()
--- a/lab/soak/planted_test.go
+++ b/lab/soak/planted_test.go
@@ -30,6 +30,8 @@
 	{"records of streams are lost", "that were taken up went on", "", "internal/pinning/records.go", "r.newer[s] = record{origin: unique.Make(o), at: at.Sub(r.base)}", "_ = unique.Make(o)"},
 	{"a request that may have run is called not run", "though its caller got", "", "internal/dispatch/walk.go", "x.refuse(Refusal{Reason: x.unlessTimedOut(now, EngineFailed)})", "x.refuse(Refusal{Reason: NoEngine})"},
 	{"the store's era is ignored", "s after it", "store comes back from a copy", "platform/era.go", "if err != nil || era < 0 {", "if err != nil || era >= 0 {"},
+	{"a copy of the store is believed", "was evacuated", "store loses an evacuation", "internal/feed/carry.go", "keep, limit = c.Missing > 0, c.Missing", "keep, limit = false, c.Missing"},
+	{"a token is given out twice", "was used by", "store loses a term of the duties", "internal/lease/lease.go", "return max(l.record.Token, l.at.Era*tokensPerEra) + 1", "return l.record.Token + 1 + 0*l.at.Era*tokensPerEra"},
 	{"a proof never grows old", "after its key was revoked", "key taken away unseen", "internal/freshness/freshness.go", "return p.proven && now.Sub(p.provenAt) <= p.maxAge", "return p.proven"},
 	{"an engine that leaves gets new work", "after it reported that it is leaving", "", "internal/discovery/discovery.go", "e.Draining, e.Since = current.draining, current.first", "e.Draining, e.Since = false, current.first"},
 	{"what an answer says of leaving is not read", "that it is leaving", "engine leaves, its entry ready", "platform/egress.go", `httpResp.Header.Get(headerLeaving) == "1"`, `httpResp.Header.Get(headerLeaving) == "never"`},
--- a/lab/soak/run.go
+++ b/lab/soak/run.go
@@ -55,6 +55,7 @@
 	cancel()
 	wg.Wait()
 	env.checkExits()
+	env.ledger.checkTokens(env.platform.DutyCalls())
 	return env.ledger, err
 }
 
--- a/lab/soak/world.go
+++ b/lab/soak/world.go
@@ -66,6 +66,8 @@
 
 		brittleMu sync.Mutex // brittleMu is held while engines are brittle.
 
+		platform *platform.Platform
+
 		writeMu sync.Mutex               // writeMu is held while a row is written.
 		written map[[2]string]writtenRow // written holds the last value of each row, by table and key.
 
@@ -91,7 +93,8 @@
 		return nil, fmt.Errorf("start store: %w", err)
 	}
 	env.storeAddress = l.Addr().String()
-	env.store = &http.Server{Handler: platform.New(2000, 400).Handler()}
+	env.platform = platform.New(2000, 400)
+	env.store = &http.Server{Handler: env.platform.Handler()}
 	go func() { _ = env.store.Serve(l) }() // Returns when close closes the server.
 	for i := range o.Engines {
 		if err := env.addEngine([]string{streamPool, "desk"}[i%2], env.initialVersion()); err != nil {
