Claims: the sweeper's conditions hold in one era

After a return a row's version may belong to a newer claim of its key; a removal that was sent before it could have removed that one, and the request would have run again.

--- a/internal/claim/sweeper.go
+++ b/internal/claim/sweeper.go
@@ -77,13 +77,13 @@
 	if len(rows) == sweepPageSize {
 		s.cursor = rows[len(rows)-1].Key
 	}
-	var txn kv.Txn
+	txn := kv.Txn{Fenced: true}
 	for _, row := range rows {
 		var r Record
 		if err := json.Unmarshal(row.Value, &r); err != nil || now.Sub(time.UnixMilli(r.AtMs)) < s.retention {
 			continue
 		}
-		txn.Checks = append(txn.Checks, kv.Check{Key: row.Key, Version: row.Version})
+		txn.Checks = append(txn.Checks, kv.Check{Key: row.Key, Version: row.Version, Era: row.Era})
 		txn.Puts = append(txn.Puts, kv.Put{Key: row.Key})
 	}
 	if len(txn.Puts) == 0 {
