--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -312,7 +312,7 @@
 	}
 }
 
-// TestClaimLostByThePlatformIsNotClaimedAgain guards against a request that runs twice since the platform came back from a copy without its claim.
+// TestClaimLostByThePlatformIsNotClaimedAgain guards against a second run of a key whose claim the platform lost.
 func TestClaimLostByThePlatformIsNotClaimedAgain(t *testing.T) {
 	ctx, tab := context.Background(), &table{rows: map[string]kv.Row{}}
 	a, b := newClaimer(t, tab, "a"), newClaimer(t, tab, "b")
@@ -345,8 +345,7 @@
 // Era returns the first era.
 func (eraTable) Era() (int64, bool) { return 0, true }
 
-// TestClaimThroughAnAggregatorDoesNotSpanAReturn guards against a request that runs twice since its claim was written by another node after the platform had come back
-// without an earlier one, of which the claim's own node has not heard.
+// TestClaimThroughAnAggregatorDoesNotSpanAReturn guards against a second run of a key claimed elsewhere after a return.
 func TestClaimThroughAnAggregatorDoesNotSpanAReturn(t *testing.T) {
 	tab := &table{rows: map[string]kv.Row{}}
 	to := newClaimer(t, tab, "aggregator")
--- a/internal/claim/returns.go
+++ b/internal/claim/returns.go
@@ -10,10 +10,12 @@
 )
 
 const (
-	// lossTime is how long a claim is kept to be written again: longer than what the platform may lose when it comes back from a copy.
+	// lossTime is how long a claim is kept to be written again: longer than what the platform may lose when it
+	// comes back from a copy.
 	lossTime = 15 * time.Second
 
-	// rewriteTime is how long after such a return unclaimed keys are not claimed: until then, other nodes may have claims that the platform lost.
+	// rewriteTime is how long after such a return unclaimed keys are not claimed: until then, other nodes may have
+	// claims that the platform lost.
 	rewriteTime = 3 * time.Second
 
 	// maxRecent bounds the claims that are kept.
@@ -72,8 +74,8 @@
 	return out
 }
 
-// StoreReturned writes the claims of the last lossTime again, after the platform has come back from a copy. A claim that the copy has is left as it is.
-// Claims of nodes that are gone can't be written again.
+// StoreReturned writes the claims of the last lossTime again, after the platform has come back from a copy. A claim
+// that the copy has is left as it is. Claims of nodes that are gone can't be written again.
 func (c *Claimer) StoreReturned(ctx context.Context) {
 	now := clock.Now()
 	era, _ := c.table.Era()
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -236,8 +236,7 @@
 	}
 }
 
-// TestChangesLostByThePlatformAreWrittenAgain guards against accepted changes that are lost, and against two configurations with one version, since the platform
-// came back from a copy.
+// TestChangesLostByThePlatformAreWrittenAgain guards against lost changes and a version that two changes have.
 func TestChangesLostByThePlatformAreWrittenAgain(t *testing.T) {
 	ctx, table := context.Background(), &faultyTable{rows: map[string]kv.Row{}}
 	newSyncer := func() (*config.Syncer, *config.Store) {
@@ -276,8 +275,7 @@
 	}
 }
 
-// TestNodeWithALostChangeTakesThePlatforms guards against nodes with different configurations of one version: after the platform came back without a change, another one got its
-// version before the nodes that had the lost one wrote it again.
+// TestNodeWithALostChangeTakesThePlatforms guards against nodes with different configurations of one version.
 func TestNodeWithALostChangeTakesThePlatforms(t *testing.T) {
 	for _, further := range []int{0, 1} {
 		ctx, table := context.Background(), &faultyTable{rows: map[string]kv.Row{}}
--- a/internal/config/keeper.go
+++ b/internal/config/keeper.go
@@ -74,8 +74,8 @@
 	Edit func(c *Config) error
 )
 
-// WithRestorer sets a function that reports whether this node is the one that writes changes again which the platform lost when it came back from
-// a copy. Without it, any node does.
+// WithRestorer sets a function that reports whether this node is the one that writes changes again which the
+// platform lost when it came back from a copy. Without it, any node does.
 func WithRestorer(f func() bool) Option { return func(s *Syncer) { s.isRestorer = f } }
 
 // NewSyncer returns a Syncer that updates a store.
--- a/internal/config/returns.go
+++ b/internal/config/returns.go
@@ -9,8 +9,9 @@
 	"github.com/croftturn/croftturn/internal/kv"
 )
 
-// compareEra makes the platform's configuration the one in effect if it has another change under the version in effect here: one that was accepted
-// after the platform had come back from a copy without the change that this node has. It compares once for each era.
+// compareEra makes the platform's configuration the one in effect if it has another change under the version in
+// effect here: one that was accepted after the platform had come back from a copy without the change that this node
+// has. It compares once for each era.
 func (s *Syncer) compareEra(ctx context.Context, have int, row kv.Row) error {
 	if s.compared && s.era == row.Era {
 		return nil
@@ -35,8 +36,9 @@
 	return nil
 }
 
-// hasChange reports whether the change under a version on the platform is the one that is in effect here. Where a node does not know which one is, as
-// after it has started, it counts as the same until the platform comes back again.
+// hasChange reports whether the change under a version on the platform is the one that is in effect here. Where a
+// node does not know which one is, as after it has started, it counts as the same until the platform comes back
+// again.
 func (s *Syncer) hasChange(ctx context.Context, version int) (bool, error) {
 	changes, known := s.store.ChangesAfter(version - 1)
 	if !known || len(changes) == 0 {
@@ -49,8 +51,8 @@
 	return len(stored) == 1 && stored[0].ID == changes[0].ID, nil
 }
 
-// restore writes the configuration in effect to a platform that has come back from a copy with an older one. Every accepted change was on the platform
-// before it took effect here, so an older head means that it was lost.
+// restore writes the configuration in effect to a platform that has come back from a copy with an older one. Every
+// accepted change was on the platform before it took effect here, so an older head means that it was lost.
 func (s *Syncer) restore(ctx context.Context, h head, row kv.Row) error {
 	view := s.store.View()
 	text, err := json.Marshal(view.Config)
--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -53,8 +53,7 @@
 	}
 }
 
-// TestCountsLostByTheStoreAreReportedOnce guards against windows that are reported twice, with other counts or not at all, and against tokens that are given out
-// twice, after the store has come back from a copy.
+// TestCountsLostByTheStoreAreReportedOnce guards against windows reported twice or not at all after a return.
 func TestCountsLostByTheStoreAreReportedOnce(t *testing.T) {
 	for how, killed := range map[string]bool{"the holder goes on": false, "the holder is gone": true} {
 		t.Run(how, func(t *testing.T) {
--- a/internal/edge/held.go
+++ b/internal/edge/held.go
@@ -19,10 +19,10 @@
 // maxStatementBytes is the longest request body accepted with an operator's statement.
 const maxStatementBytes = 4 << 10
 
-// statements serves the operators' statements: "duties" shows the duties that one node performs
-// for all, "evacuations" lists the halls that are evacuated, "store" shows the era and the positions of the tables, "held" lists the requests and prompt parts
-// that are held, and "release ID" releases one at all nodes. Releasing requires the operators'
-// token; if the settings have none, it is forbidden.
+// statements serves the operators' statements: "duties" shows the duties that one node performs for all,
+// "evacuations" lists the halls that are evacuated, "store" shows the era and the positions of the tables, "held"
+// lists the requests and prompt parts that are held, and "release ID" releases one at all nodes. Releasing requires
+// the operators' token; if the settings have none, it is forbidden.
 func (e *Edge) statements(w http.ResponseWriter, r *http.Request) {
 	var statement struct {
 		Text string `json:"text"`
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -100,8 +100,8 @@
 	}
 }
 
-// provenByPeer records a peer's proof of the configuration, of some age at a time. The peer may have started after the store came back from a copy and
-// know nothing else.
+// provenByPeer records a peer's proof of the configuration, of some age at a time. The peer may have started after
+// the store came back from a copy and know nothing else.
 func (e *Edge) provenByPeer(received time.Time, age time.Duration) {
 	if at := received.Add(-age); !e.mayLackWrites(at) {
 		e.proof.Renew(at)
--- a/internal/edge/returns.go
+++ b/internal/edge/returns.go
@@ -12,11 +12,12 @@
 )
 
 const (
-	// rewriteTime is how long after the store's return from a copy operators and engines may take to write again what it lost.
+	// rewriteTime is how long after the store's return from a copy operators and engines may take to write again
+	// what it lost.
 	rewriteTime = 2 * time.Second
 
-	// olderTime is how long an engine's state is kept of which the copy has an older one. An entry that nobody writes is gone
-	// after three heartbeats, each about 1.2 s.
+	// olderTime is how long an engine's state is kept of which the copy has an older one. An entry that nobody
+	// writes is gone after three heartbeats, each about 1.2 s.
 	olderTime = 6 * time.Second
 
 	// missingShare is the share of the drain time for which an engine is kept that the copy lacks.
@@ -35,8 +36,8 @@
 	era int64     // era is the era that it began.
 }
 
-// configCarry says what of the operators' table stays in force after a return. The configuration stays until one with the same or a later
-// number is written.
+// configCarry says what of the operators' table stays in force after a return. The configuration stays until one
+// with the same or a later number is written.
 func configCarry() feed.Carry {
 	return feed.Carry{Compare: platform.CompareConfigs, Lasting: platform.IsConfig, Missing: evacuationTime, Older: evacuationTime}
 }
@@ -62,7 +63,8 @@
 // rewritesHeld reports whether this node is the one that compares what is held with the rows after a return.
 func (e *Edge) rewritesHeld(now time.Time) bool { return e.writesVersions(now, "held") }
 
-// noteReturn records that the store came back to an era at a time or shortly before. Tables and peers that are later to see it change nothing.
+// noteReturn records that the store came back to an era at a time or shortly before. Tables and peers that are
+// later to see it change nothing.
 func (e *Edge) noteReturn(at time.Time, era int64) {
 	if known := e.returned.Load(); known == nil || known.era < era {
 		e.returned.Store(&storeReturn{at: at, era: era})
@@ -82,7 +84,8 @@
 	e.proof.Invalidate(at.Add(rewriteTime))
 }
 
-// storeRows returns, as rows for operators, each table with its position in the store's history and what it keeps of earlier eras.
+// storeRows returns, as rows for operators, each table with its position in the store's history and what it keeps
+// of earlier eras.
 func (e *Edge) storeRows(now time.Time) []wire.Row {
 	var rows []wire.Row
 	for _, t := range []*feed.Table{e.configTable, e.engineTable} {
@@ -108,15 +111,15 @@
 	return max(1, now.Sub(known.at).Milliseconds())
 }
 
-// mayLackWrites reports whether what the store said at a time may lack what operators wrote before it came back from a copy: then it
-// proves nothing about the configuration.
+// mayLackWrites reports whether what the store said at a time may lack what operators wrote before it came back
+// from a copy: then it proves nothing about the configuration.
 func (e *Edge) mayLackWrites(at time.Time) bool {
 	known := e.returned.Load()
 	return known != nil && at.Before(known.at.Add(rewriteTime))
 }
 
-// configWait returns how long a call for a newer configuration waits at the store: until its answer may be a proof again after a return, so that
-// callers are not refused for longer.
+// configWait returns how long a call for a newer configuration waits at the store: until its answer may be a proof
+// again after a return, so that callers are not refused for longer.
 func (e *Edge) configWait(now time.Time) time.Duration {
 	known := e.returned.Load()
 	if known == nil || !e.mayLackWrites(now) {
--- a/internal/edge/returns_test.go
+++ b/internal/edge/returns_test.go
@@ -13,8 +13,7 @@
 	"github.com/croftturn/croftturn/platform"
 )
 
-// TestConfigurationIsNotProvenByACopy guards against a revoked key that is accepted since the store came back without its revocation, and against callers who are refused
-// for longer because a table is late to see the return.
+// TestConfigurationIsNotProvenByACopy guards against a copy that proves a configuration, and a second wait for one return.
 func TestConfigurationIsNotProvenByACopy(t *testing.T) {
 	start := time.Unix(1000, 0)
 	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
@@ -60,7 +59,7 @@
 	}
 }
 
-// TestPeerThatKnowsTheCopyProvesNothing guards against a revoked key that is accepted since a node that has started and read the copy calls it proven.
+// TestPeerThatKnowsTheCopyProvesNothing guards against a proof from a peer that has only read the copy.
 func TestPeerThatKnowsTheCopyProvesNothing(t *testing.T) {
 	start := time.Unix(1000, 0)
 	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
@@ -78,7 +77,7 @@
 	}
 }
 
-// TestOperatorsSeeAReturn checks that the statement "store" shows the era and what is kept of the one before.
+// TestOperatorsSeeAReturn checks the era and the kept rows that operators are shown.
 func TestOperatorsSeeAReturn(t *testing.T) {
 	now := time.Now()
 	e := &Edge{log: slog.New(slog.DiscardHandler)}
--- a/internal/engine/endless_test.go
+++ b/internal/engine/endless_test.go
@@ -10,7 +10,8 @@
 	"time"
 )
 
-// writeEndless writes a beginning and then a piece again and again, until the connection is closed, and returns how many bytes went out.
+// writeEndless writes a beginning and then a piece again and again, until the connection is closed, and returns how
+// many bytes went out.
 func writeEndless(conn net.Conn, beginning, piece string) (written int) {
 	chunk := bytes.Repeat([]byte(piece), 64<<10/len(piece))
 	for out := []byte(beginning); ; out = chunk {
@@ -21,7 +22,7 @@
 	}
 }
 
-// TestEndlessBytesOfAnEngineAreNotRead guards against a node whose memory or time an engine in trouble takes, with a head, a line, comments or a refusal without end.
+// TestEndlessBytesOfAnEngineAreNotRead guards against a head, line, comment or refusal without end.
 func TestEndlessBytesOfAnEngineAreNotRead(t *testing.T) {
 	const bytesBound, timeBound = 8 << 20, 5 * time.Second // The kernel buffers some megabytes of what is not read.
 	client, watcher := NewClient(time.Second), NewWatcher()
--- a/internal/feed/carry.go
+++ b/internal/feed/carry.go
@@ -14,9 +14,10 @@
 	"github.com/croftturn/croftturn/internal/history"
 )
 
-// When the store comes back from a copy, its tables are as they were some seconds before, until what was written since is written
-// again. A table then has two layers: the rows of the new era, in the order of their versions, and the rows and deletions of earlier eras
-// that are kept in force in place of them, because the copy lacks them or has an older state. These rules hold:
+// When the store comes back from a copy, its tables are as they were some seconds before, until what was written
+// since is written again. A table then has two layers: the rows of the new era, in the order of their versions, and
+// the rows and deletions of earlier eras that are kept in force in place of them, because the copy lacks them or
+// has an older state. These rules hold:
 //
 //   - A table's era never falls, and within an era no row is replaced by one of a lower version.
 //   - A kept row yields to a row that was written in the new era, unless that still holds an older state.
@@ -26,11 +27,11 @@
 // So all nodes that hear of each other agree once the times have passed, whatever they knew before the return.
 
 type (
-	// Carry says what stays in force when the store comes back from an older copy. With the zero value, rows are told apart by version
-	// alone and nothing is kept.
+	// Carry says what stays in force when the store comes back from an older copy. With the zero value, rows are
+	// told apart by version alone and nothing is kept.
 	Carry struct {
-		// Compare compares what two rows of one key hold, written in different eras: it returns -1 if a is older than b. ok is
-		// false if the rows don't tell.
+		// Compare compares what two rows of one key hold, written in different eras: it returns -1 if a is older
+		// than b. ok is false if the rows don't tell.
 		Compare func(a, b Row) (order int, ok bool)
 
 		// Lasting reports whether a row with a key is kept until it is written again.
@@ -73,8 +74,8 @@
 	return !ok || order <= 0
 }
 
-// keeps reports whether a row or deletion of an earlier era stays in force in place of what the copy has, and for how long; 0
-// is for a lasting row.
+// keeps reports whether a row or deletion of an earlier era stays in force in place of what the copy has, and for
+// how long; 0 is for a lasting row.
 func (c Carry) keeps(old, copied PeerRow) (keep bool, limit time.Duration) {
 	missing := copied.Version == 0
 	switch {
@@ -161,7 +162,8 @@
 	t.onEra(now, Return{Table: t.name, Before: before, After: u.at, Kept: t.countKept(), Gone: gone})
 }
 
-// yields reports whether a kept row gives way to a row of the table's era, which may be of the copy. The caller holds the lock.
+// yields reports whether a kept row gives way to a row of the table's era, which may be of the copy. The caller
+// holds the lock.
 func (t *Table) yields(kept, r PeerRow) bool {
 	if r.Version > t.base {
 		return t.carry.yields(kept, r)
@@ -183,7 +185,8 @@
 	return out
 }
 
-// emitChanges passes on what is in force in place of what was, and returns how many rows are no longer there. The caller holds the lock.
+// emitChanges passes on what is in force in place of what was, and returns how many rows are no longer there. The
+// caller holds the lock.
 func (t *Table) emitChanges(now time.Time, was map[string]PeerRow) (gone int) {
 	is := t.inForce()
 	var changed []Row
@@ -284,7 +287,8 @@
 	return n
 }
 
-// differs reports whether a kept row is in force in place of another state, and does not only serve for a further return. The caller holds the lock.
+// differs reports whether a kept row is in force in place of another state, and does not only serve for a further
+// return. The caller holds the lock.
 func (t *Table) differs(r keptRow) bool {
 	_, stored := t.rows[r.Key]
 	return stored || !r.Deleted
--- a/internal/feed/eras_test.go
+++ b/internal/feed/eras_test.go
@@ -87,8 +87,7 @@
 	}
 }
 
-// TestNoNodeGoesBackAcrossReturns checks for random orders of writes, returns, reads, starts and messages that no number in force at a node
-// ever falls, and that all nodes have what was written once it has been written again.
+// TestNoNodeGoesBackAcrossReturns checks random orders of writes, returns, reads, starts and messages.
 func TestNoNodeGoesBackAcrossReturns(t *testing.T) {
 	keys := []string{"config", "e1", "e2", "e3", "f1", "f2"}
 	for seed := range uint64(400) {
@@ -141,12 +140,7 @@
 			}
 		}
 		for i, n := range nodes {
-			n.table.Expire(start.Add(100 * 365 * 24 * time.Hour))
-			n.checkBack(t, seed, i)
-			if fmt.Sprint(n.live) != fmt.Sprint(w.held) {
-				t.Errorf("seed %d: node %d has %v, written is %v", seed, i, n.live, w.held)
-			}
-			n.table.Close()
+			n.checkEnd(t, seed, i, w.held)
 		}
 		if t.Failed() {
 			return
@@ -154,6 +148,17 @@
 	}
 }
 
+// checkEnd fails the test unless the node has what was written once the times of kept rows have passed.
+func (n *eraNode) checkEnd(t *testing.T, seed uint64, i int, want map[string]int) {
+	t.Helper()
+	n.table.Expire(start.Add(100 * 365 * 24 * time.Hour))
+	n.checkBack(t, seed, i)
+	if fmt.Sprint(n.live) != fmt.Sprint(want) {
+		t.Errorf("seed %d: node %d has %v, written is %v", seed, i, n.live, want)
+	}
+	n.table.Close()
+}
+
 // checkBack fails the test if a number in force fell at a node.
 func (n *eraNode) checkBack(t *testing.T, seed uint64, i int) {
 	t.Helper()
--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -126,7 +126,8 @@
 	return f
 }
 
-// Observe starts a fetch of each table of which the peer announces a later position, or of which it keeps other rows of earlier eras.
+// Observe starts a fetch of each table of which the peer announces a later position, or of which it keeps other
+// rows of earlier eras.
 func (f *Follower) Observe(now time.Time, address string, a Announcement) {
 	for name := range a.Versions {
 		t := f.tables[name]
--- a/internal/feed/return_test.go
+++ b/internal/feed/return_test.go
@@ -67,7 +67,7 @@
 	return s.snapshot(out), nil
 }
 
-// TestRowsWrittenAfterAReturnAreTaken guards against rows that are missed for good because a store that came back from a copy gave them lower versions.
+// TestRowsWrittenAfterAReturnAreTaken guards against rows missed because their versions are lower after a return.
 func TestRowsWrittenAfterAReturnAreTaken(t *testing.T) {
 	for _, test := range []struct {
 		name    string
@@ -99,7 +99,7 @@
 	}
 }
 
-// TestOlderReleasesAreNotFollowedAfterAReturn guards against the older history that comes back from a node of a release that knows no eras.
+// TestOlderReleasesAreNotFollowedAfterAReturn guards against older rows from a node that knows no eras.
 func TestOlderReleasesAreNotFollowedAfterAReturn(t *testing.T) {
 	got, net := &sink{}, directCaller{}
 	table := feed.NewTable("t", got.take)
--- a/internal/feed/table.go
+++ b/internal/feed/table.go
@@ -58,7 +58,8 @@
 // WithCarry sets what stays in force when the store comes back from an older copy.
 func WithCarry(c Carry) TableOption { return func(t *Table) { t.carry = c } }
 
-// WithReturnObserver sets a function that is called after the table has taken over a later era. It must not call the table.
+// WithReturnObserver sets a function that is called after the table has taken over a later era. It must not call
+// the table.
 func WithReturnObserver(f func(now time.Time, r Return)) TableOption {
 	return func(t *Table) { t.onEra = f }
 }
@@ -92,8 +93,8 @@
 	t.replace(now, update{rows: peerRows(snap.Rows), at: snap.Position(), base: snap.Version})
 }
 
-// replace applies a full snapshot and takes ownership of its rows. It reports whether the table now has these rows and no others,
-// and returns the generation after the update. A snapshot of an earlier era is ignored.
+// replace applies a full snapshot and takes ownership of its rows. It reports whether the table now has these rows
+// and no others, and returns the generation after the update. A snapshot of an earlier era is ignored.
 func (t *Table) replace(now time.Time, u update) (same bool, generation int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/fence/fence.go
+++ b/internal/fence/fence.go
@@ -1,8 +1,10 @@
-// Package fence limits the conditions of writes to one era of the platform's store. After the store has come back from a copy, the version that
-// a condition names may have been given to another value of the row, and a write sent before may be applied seconds later.
+// Package fence limits the conditions of writes to one era of the platform's store. After the store has come back
+// from a copy, the version that a condition names may have been given to another value of the row, and a write sent
+// before may be applied seconds later.
 //
-// The first write of an era to a part also writes a row for it and the eras before. Every write requires that the row of the next era is absent. So a
-// condition of an earlier era holds only as long as nothing was written to the part since the return, when its rows are those of the copy.
+// The first write of an era to a part also writes a row for it and the eras before. Every write requires that the
+// row of the next era is absent. So a condition of an earlier era holds only as long as nothing was written to the
+// part since the return, when its rows are those of the copy.
 package fence
 
 import (
@@ -41,8 +43,8 @@
 // New returns a Fence in front of a store.
 func New(store Store) *Fence { return &Fence{store: store, marked: map[string]int64{}} }
 
-// Commit commits a transaction whose conditions were read in an era. The error is feed.ErrConflict and feed.ErrStale if the part was written
-// to in a later one.
+// Commit commits a transaction whose conditions were read in an era. The error is feed.ErrConflict and
+// feed.ErrStale if the part was written to in a later one.
 func (f *Fence) Commit(ctx context.Context, era int64, part string, tx feed.Tx) (at history.Position, err error) {
 	tx.Expect = append(tx.Expect[:len(tx.Expect):len(tx.Expect)], row(part, era+1))
 	if era > f.markedEra(part) {
--- a/internal/fence/fence_test.go
+++ b/internal/fence/fence_test.go
@@ -35,7 +35,7 @@
 	return s.at, nil
 }
 
-// TestConditionOfALostVersionFails guards against a write whose condition names a version that the store has given to another value since its return.
+// TestConditionOfALostVersionFails guards against a condition that holds for another value of the same version.
 func TestConditionOfALostVersionFails(t *testing.T) {
 	ctx, s := context.Background(), &store{rows: map[string]feed.Row{}}
 	before, after := fence.New(s), fence.New(s)
@@ -65,7 +65,7 @@
 	}
 }
 
-// TestConditionOfAnEraBeforeTwoReturnsFails guards against a write that is applied two returns later, when the copy is older than the first return and lacks its row.
+// TestConditionOfAnEraBeforeTwoReturnsFails guards against a write applied after a second, older copy.
 func TestConditionOfAnEraBeforeTwoReturnsFails(t *testing.T) {
 	ctx, s := context.Background(), &store{rows: map[string]feed.Row{}}
 	put := feed.Tx{Expect: []feed.Row{{Table: "t", Key: "k", Version: 0}}, Put: []feed.Row{{Table: "t", Key: "k"}}}
--- a/internal/forward/endless_test.go
+++ b/internal/forward/endless_test.go
@@ -11,7 +11,7 @@
 	"github.com/croftturn/croftturn/internal/forward"
 )
 
-// TestEndlessBytesOfANodeAreNotRead guards against a node whose memory or time something at another node's address takes.
+// TestEndlessBytesOfANodeAreNotRead guards against an answer without end from another node's address.
 func TestEndlessBytesOfANodeAreNotRead(t *testing.T) {
 	const bound = 8 << 20 // The kernel buffers some megabytes of what is not read.
 	for _, beginning := range []string{"", "HTTP/1.1 200 OK\r\nX: ", "HTTP/1.1 200 OK\r\n\r\n\xff\xff\xff\xff", "HTTP/1.1 500 No\r\n\r\n"} {
--- a/internal/history/position.go
+++ b/internal/history/position.go
@@ -1,5 +1,5 @@
-// Package history names positions in the history of the platform's store. The store may come back from an older copy: it then loses
-// the newest transactions, and gives their versions out again. Each return begins a new era.
+// Package history names positions in the history of the platform's store. The store may come back from an older
+// copy: it then loses the newest transactions, and gives their versions out again. Each return begins a new era.
 package history
 
 import (
@@ -16,7 +16,8 @@
 	Version int64 // Version is the store's transaction counter, which starts again lower with an era.
 }
 
-// Compare returns -1, 0 or 1 if p is before, the same as or after other. A position of a later era is after all of an earlier one.
+// Compare returns -1, 0 or 1 if p is before, the same as or after other. A position of a later era is after all of
+// an earlier one.
 func (p Position) Compare(other Position) int {
 	return cmp.Or(cmp.Compare(p.Era, other.Era), cmp.Compare(p.Version, other.Version))
 }
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -28,7 +28,8 @@
 	// same node may still be applied.
 	maxInitialWriteID = 1 << 40
 
-	// tokensPerEra is more than the terms of an era: one a second for half a year. Tokens of eras up to 2^28 stay below 2^53.
+	// tokensPerEra is more than the terms of an era: one a second for half a year. Tokens of eras up to 2^28 stay
+	// below 2^53.
 	tokensPerEra = 1 << 24
 )
 
@@ -121,9 +122,9 @@
 // Observe records the row as it was read after a time; version 0 means that there is no row. It also reveals a write of this
 // node whose answer was lost. A row of an earlier era than a known one is ignored.
 //
-// When the store comes back from a copy, the row may be of an earlier term. Terms that the store lost end within the TTL and the margin
-// after the return, and only a holder whose term has not ended may continue it. A write whose condition was read before the return
-// begins and extends no term, even if the copy fulfilled it.
+// When the store comes back from a copy, the row may be of an earlier term. Terms that the store lost end within
+// the TTL and the margin after the return, and only a holder whose term has not ended may continue it. A write
+// whose condition was read before the return begins and extends no term, even if the copy fulfilled it.
 func (l *Lease) Observe(now time.Time, r Record, at history.Position) {
 	if at.Era < l.at.Era {
 		return
@@ -175,7 +176,8 @@
 	return l.record.Released && l.record.Era == l.at.Era
 }
 
-// nextToken returns the token of the next term. Those of an era are above all of earlier ones, also of terms that the store lost.
+// nextToken returns the token of the next term. Those of an era are above all of earlier ones, also of terms that
+// the store lost.
 func (l *Lease) nextToken() int64 { return max(l.record.Token, l.at.Era*tokensPerEra) + 1 }
 
 // Acquire returns the write that begins a term of this node, to be sent at a time not before AcquirableAt.
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -27,8 +27,8 @@
 // at returns the position of the row.
 func (s *store) at() history.Position { return history.Position{Era: s.era, Version: s.version} }
 
-// write applies a write if its condition holds. One that was sent before a return may still be applied as long as the row is as
-// in the copy.
+// write applies a write if its condition holds. One that was sent before a return may still be applied as long as
+// the row is as in the copy.
 func (s *store) write(r Record, expect history.Position) bool {
 	if expect != s.at() && (s.written || expect.Era > s.era || expect.Version != s.version) {
 		return false
@@ -145,8 +145,7 @@
 	}
 }
 
-// TestTermLostByTheStoreIsNotRepeated guards against a second holder, or a second use of a token, after the store has come back from a copy that
-// lacks a term: the row then says that the lease is free or held by another node.
+// TestTermLostByTheStoreIsNotRepeated guards against a second holder and a reused token after a return.
 func TestTermLostByTheStoreIsNotRepeated(t *testing.T) {
 	s, a, b := &store{}, New("a", "", timing), New("b", "", timing)
 	a.Observe(at(0), s.record, s.at())
@@ -198,7 +197,7 @@
 	}
 }
 
-// TestTokensOfLaterErasAreHigher guards against tokens that overflow or lose digits on their way, where the store's eras begin with a large number.
+// TestTokensOfLaterErasAreHigher guards against tokens that overflow or lose digits with a large era.
 func TestTokensOfLaterErasAreHigher(t *testing.T) {
 	const exact = 1 << 53 // exact is the largest number up to which all whole numbers survive readers that take them for floating-point ones.
 	last := int64(0)
--- a/internal/lease/model_test.go
+++ b/internal/lease/model_test.go
@@ -10,10 +10,11 @@
 	"github.com/croftturn/croftturn/internal/history"
 )
 
-// The model runs random sequences of steps of two or three nodes and the store, by seed: a node reads the row or sends a
-// write; the write is applied now, later or never; its answer arrives or is lost; a node stalls while time passes for the
-// others; the store comes back from a copy. At most one node may act at any time, and each term has a token above those of all terms before, also of those
-// that the store lost. The model must also detect each of five mutations of the protocol.
+// The model runs random sequences of steps of two or three nodes and the store, by seed: a node reads the row or
+// sends a write; the write is applied now, later or never; its answer arrives or is lost; a node stalls while time
+// passes for the others; the store comes back from a copy. At most one node may act at any time, and each term has
+// a token above those of all terms before, also of those that the store lost. The model must also detect each of
+// five mutations of the protocol.
 
 const (
 	tick        = 500 * time.Millisecond // tick is the unit of time in the model.
--- a/internal/node/returns.go
+++ b/internal/node/returns.go
@@ -16,8 +16,8 @@
 	keyConfig = "config"
 )
 
-// watchStore calls functions each time the store has come back from a copy, until the context ends. The configuration's head, which every node
-// polls, tells the era.
+// watchStore calls functions each time the store has come back from a copy, until the context ends. The
+// configuration's head, which every node polls, tells the era.
 func (n *Node) watchStore(ctx context.Context, returned ...func()) {
 	era, known := n.platform.Era()
 	for pause.For(ctx, eraPoll) {
--- a/internal/order/order.go
+++ b/internal/order/order.go
@@ -223,8 +223,8 @@
 	return false
 }
 
-// write updates an engine's row at a given version, of the era in which it was read. A write with an unknown outcome counts as
-// failed, and the order is not sent.
+// write updates an engine's row at a given version, of the era in which it was read. A write with an unknown
+// outcome counts as failed, and the order is not sent.
 func (s *Service) write(ctx context.Context, e *config.Engine, read kv.Row, version int, row sendRecord, headCheck *kv.Check) error {
 	text, err := json.Marshal(row)
 	if err != nil {
--- a/internal/peer/endless_test.go
+++ b/internal/peer/endless_test.go
@@ -24,7 +24,7 @@
 	}
 }
 
-// TestEndlessMessageIsNotRead guards against a process whose memory a peer fills, or something at its address.
+// TestEndlessMessageIsNotRead guards against a message of a peer without end.
 func TestEndlessMessageIsNotRead(t *testing.T) {
 	const bound = 32 << 20
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -70,7 +70,7 @@
 	}
 }
 
-// TestConnectionsDuringCloseAreClosed guards against a connection that is accepted as the server closes and outlives it.
+// TestConnectionsDuringCloseAreClosed guards against a connection that outlives Close.
 func TestConnectionsDuringCloseAreClosed(t *testing.T) {
 	for range 200 {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/pinning/pinning_test.go
+++ b/internal/pinning/pinning_test.go
@@ -245,8 +245,7 @@
 	}
 }
 
-// TestLostVersionOfAPoolIsNotForgotten guards against streams that are taken up at one version since the store came back from a copy that lacks the row
-// which named several.
+// TestLostVersionOfAPoolIsNotForgotten guards against a single version that only the copy names.
 func TestLostVersionOfAPoolIsNotForgotten(t *testing.T) {
 	for name, copied := range map[string]bool{"the copy has the row before": true, "the copy has no row": false} {
 		store, engines, ctx, now := &fakeStore{nowMs: 5}, &versions{"v1"}, context.Background(), time.Now()
--- a/internal/pinning/returns.go
+++ b/internal/pinning/returns.go
@@ -10,7 +10,8 @@
 // copied reports whether the row may be older than what was known before the store came back from a copy.
 func (v PoolVersion) copied() bool { return v.Written < v.Era }
 
-// combine returns what is known of a pool by a known row and another one. Where one is of a copy, streams may also have begun at the versions of the other.
+// combine returns what is known of a pool by a known row and another one. Where one is of a copy, streams may also
+// have begun at the versions of the other.
 func combine(known, row PoolVersion) PoolVersion {
 	earlier, later := known, row
 	if !row.Position().After(known.Position()) {
@@ -32,7 +33,8 @@
 	}
 }
 
-// Eras returns the eras of rows, by pool: that of the revision and that in which it was written. Pools without any are left out.
+// Eras returns the eras of rows, by pool: that of the revision and that in which it was written. Pools without any
+// are left out.
 func Eras(list []PoolVersion) map[string][2]int64 {
 	out := map[string][2]int64{}
 	for _, row := range list {
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -68,7 +68,8 @@
 	}
 )
 
-// NewPersister returns a Persister of held requests; isWriter reports whether this node is the one that writes again what the store has lost. At the first start of the whole system it has nothing to load.
+// NewPersister returns a Persister of held requests; isWriter reports whether this node is the one that writes
+// again what the store has lost. At the first start of the whole system it has nothing to load.
 func NewPersister(q *Quarantine, store Store, firstStart bool, isWriter func(now time.Time) bool, log *slog.Logger) *Persister {
 	return &Persister{source: q, store: store, loaded: firstStart, isWriter: isWriter, returned: make(chan struct{}, 1), log: log}
 }
--- a/internal/quarantine/keeper_test.go
+++ b/internal/quarantine/keeper_test.go
@@ -90,8 +90,7 @@
 	}
 }
 
-// TestHeldRequestsLostByTheStoreAreWrittenAgain guards against held requests that are forgotten at the next start, and released ones that are held again, since
-// the store came back from a copy.
+// TestHeldRequestsLostByTheStoreAreWrittenAgain guards against held requests that a return forgets or brings back.
 func TestHeldRequestsLostByTheStoreAreWrittenAgain(t *testing.T) {
 	now := time.Now()
 	for _, writer := range []bool{true, false} {
--- a/internal/quarantine/part_rows.go
+++ b/internal/quarantine/part_rows.go
@@ -79,7 +79,8 @@
 	q.wakePersister()
 }
 
-// wasAnswered reports whether a request with a part, or its release, is known to have cleared it. The caller holds the lock.
+// wasAnswered reports whether a request with a part, or its release, is known to have cleared it. The caller holds
+// the lock.
 func (q *Parts) wasAnswered(p Part) bool {
 	for key := range q.answers {
 		if key.Part == p {
--- a/internal/register/register.go
+++ b/internal/register/register.go
@@ -168,7 +168,8 @@
 // pollNow calls Poll with the current time.
 func (r *Register) pollNow(ctx context.Context) error { return r.Poll(ctx, clock.Now()) }
 
-// StoreReturned records that the store has come back from a copy. A node that has a row writes it again if the copy lacks it.
+// StoreReturned records that the store has come back from a copy. A node that has a row writes it again if the copy
+// lacks it.
 func (r *Register) StoreReturned() { r.returned.Store(true) }
 
 // Poll reads more of the register if that is due. A hub always has a row, so a reader of a hall's head
--- a/internal/register/register_test.go
+++ b/internal/register/register_test.go
@@ -253,7 +253,7 @@
 	return ""
 }
 
-// TestLostRowIsWrittenAgainOnce guards against a node that nobody finds since the store came back from a copy without its row.
+// TestLostRowIsWrittenAgainOnce guards against a node that nobody finds after a return.
 func TestLostRowIsWrittenAgainOnce(t *testing.T) {
 	s := &store{rows: map[string]feed.Row{}}
 	now := time.Now()
--- a/internal/usage/counter.go
+++ b/internal/usage/counter.go
@@ -27,8 +27,8 @@
 	// before it settles a window.
 	emptyReportInterval = time.Second
 
-	// storedRetention is how long a batch is kept after it was stored, for the next holder: the store may lose the last seconds before it comes back
-	// from a copy.
+	// storedRetention is how long a batch is kept after it was stored, for the next holder: the store may lose the
+	// last seconds before it comes back from a copy.
 	storedRetention = 10 * time.Second
 )
 
--- a/internal/usage/rows.go
+++ b/internal/usage/rows.go
@@ -27,8 +27,8 @@
 	Nodes map[string]int64 `json:"nodes"` // Nodes holds the number of each node's last batch that was added.
 }
 
-// Load loads the rows of the previous holder. State of an earlier term of this node is discarded. copied is set if the rows are those of a copy from
-// which the store has come back: nodes then send what it lacks.
+// Load loads the rows of the previous holder. State of an earlier term of this node is discarded. copied is set if
+// the rows are those of a copy from which the store has come back: nodes then send what it lacks.
 func (l *Ledger) Load(now time.Time, rows []feed.Row, copied bool) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -103,8 +103,8 @@
 	return rows, l.revision
 }
 
-// StoreReturned records that the store has come back from a copy with some rows: all state is written again, and windows that were reported
-// since the copy was made are removed again.
+// StoreReturned records that the store has come back from a copy with some rows: all state is written again, and
+// windows that were reported since the copy was made are removed again.
 func (l *Ledger) StoreReturned(rows []feed.Row) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/usage/settle.go
+++ b/internal/usage/settle.go
@@ -22,7 +22,8 @@
 	// counts that the previous holder had not stored.
 	listenShare = 0.9
 
-	// resendTime is how long a new holder listens at least if the store has lost counts: nodes send them again within two reports.
+	// resendTime is how long a new holder listens at least if the store has lost counts: nodes send them again
+	// within two reports.
 	resendTime = 700 * time.Millisecond
 
 	// maxOpenWindows is how many windows may be unsettled or unsent; after a longer outage the oldest are discarded.
--- a/lab/platform/return.go
+++ b/lab/platform/return.go
@@ -30,7 +30,8 @@
 	p.GoBack(time.Now().Add(-time.Duration(back.LoseMs) * time.Millisecond))
 }
 
-// GoBack makes the store come back from a copy of a time: transactions since are lost, their versions are given out again, and a new era begins.
+// GoBack makes the store come back from a copy of a time: transactions since are lost, their versions are given out
+// again, and a new era begins.
 func (p *Platform) GoBack(to time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/lab/soak/faults_return.go
+++ b/lab/soak/faults_return.go
@@ -28,8 +28,8 @@
 	at time.Time
 }
 
-// returnStore makes the store come back from a copy, right after a key was revoked, once or twice in a row, after an outage or without one.
-// The operator and the engines write again what they had written.
+// returnStore makes the store come back from a copy, right after a key was revoked, once or twice in a row, after
+// an outage or without one. The operator and the engines write again what they had written.
 func returnStore(ctx context.Context, env *Environment, r *rand.Rand, d time.Duration) error {
 	if err := revokeKey(ctx, env, r, d); err != nil {
 		return err
@@ -75,7 +75,8 @@
 	return env.write(row{"op", key, nil})
 }
 
-// loseTerm kills the holder of the duties, makes the store come back from a copy that lacks the term of the next one, and kills that, too.
+// loseTerm kills the holder of the duties, makes the store come back from a copy that lacks the term of the next
+// one, and kills that, too.
 func loseTerm(ctx context.Context, env *Environment, _ *rand.Rand, d time.Duration) error {
 	copied := time.Now()
 	for range 2 {
