Edge: a running node keeps its proof when a peer is first to see a return

Callers with keys were refused for two seconds by every node that heard of the store's return from a peer before its own table was taken over: the rule for nodes that have started since, and know only the copy, dropped the proof of running nodes as well. With it all hubs began to read at once, and a node that was away for longer than six seconds waited another two.

A node whose table is of the earlier era keeps its proof, which what stays in force bears out; the return counts from when it was first seen anywhere, for as long as most nodes that were away are back. TestRunningNodeKeepsItsProofAtAReturn failed before in both.

--- a/internal/edge/returns.go
+++ b/internal/edge/returns.go
@@ -26,8 +26,8 @@
 	// evacuationTime is how long the copy's state of an evacuation is not believed where it differs from the known one.
 	evacuationTime = 3 * time.Second
 
-	// returnLifetime is how long peers are told of a return.
-	returnLifetime = olderTime
+	// returnLifetime is how long peers are told of a return: most nodes that were away are back by then.
+	returnLifetime = time.Minute
 )
 
 // storeReturn is the store's last return from a copy.
@@ -71,17 +71,18 @@
 	}
 }
 
-// heardOfReturn records a return that a peer reports, for a node that has started since and knows only the copy.
+// heardOfReturn records a return that a peer reports. What a node knows of the earlier era stays in force, and with
+// it the proof; a node that has started since and knows only the copy has none.
 func (e *Edge) heardOfReturn(now time.Time, s gossip.State) {
-	if s.ReturnAgeMs <= 0 || s.Eras[platform.TableConfig] < e.store.Era() {
+	era, known := s.Eras[platform.TableConfig], e.returned.Load()
+	if s.ReturnAgeMs <= 0 || era < e.store.Era() || known != nil && known.era >= era {
 		return
 	}
 	at := now.Add(-ms(int(s.ReturnAgeMs)))
-	if known := e.returned.Load(); known != nil || now.Sub(at) > rewriteTime {
-		return
+	e.noteReturn(at, era)
+	if own, loaded := e.configTable.Position(); (!loaded || own.Era >= era) && e.mayLackWrites(now) {
+		e.proof.Invalidate(at.Add(rewriteTime))
 	}
-	e.noteReturn(at, s.Eras[platform.TableConfig])
-	e.proof.Invalidate(at.Add(rewriteTime))
 }
 
 // storeRows returns, as rows for operators, each table with its position in the store's history and what it keeps
--- a/internal/edge/returns_test.go
+++ b/internal/edge/returns_test.go
@@ -50,15 +50,43 @@
 		t.Error("a second return does not count")
 	}
 	started := newEdge()
+	started.configTable = feed.NewTable(platform.TableConfig, func(time.Time, []feed.Row) {})
+	started.configTable.Replace(at(0), feed.Snapshot{Era: 1, Version: 7})
 	if !proven(started, 0) {
 		t.Error("an answer proves nothing at a node that has started")
 	}
-	started.heardOfReturn(at(500), gossip.State{ReturnAgeMs: 800})
+	started.heardOfReturn(at(500), gossip.State{ReturnAgeMs: 800, Eras: map[string]int64{platform.TableConfig: 1}})
 	if proven(started, 1100) || !proven(started, 1700) {
 		t.Error("a node that has started believes the copy, though a peer tells of the return")
 	}
 }
 
+// TestRunningNodeKeepsItsProofAtAReturn guards against nodes that refuse keys because a peer was first to see a return.
+func TestRunningNodeKeepsItsProofAtAReturn(t *testing.T) {
+	start := time.Unix(1000, 0)
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	e := &Edge{proof: freshness.New(4 * time.Second), log: slog.New(slog.DiscardHandler), store: platform.NewStore([]string{"127.0.0.1:1"}, time.Second)}
+	e.configTable = feed.NewTable(platform.TableConfig, func(time.Time, []feed.Row) {}, feed.WithReturnObserver(e.storeReturned))
+	e.configTable.Replace(at(0), feed.Snapshot{Era: 1, Version: 7})
+	e.configProven(at(0))
+	told := gossip.State{ReturnAgeMs: 200, Eras: map[string]int64{platform.TableConfig: 2}}
+	if e.heardOfReturn(at(1000), told); !e.proof.Fresh(at(1000)) {
+		t.Error("the proof of the earlier era is dropped")
+	}
+	e.configTable.Replace(at(1100), feed.Snapshot{Era: 2, Version: 3})
+	for ms, want := range map[int]bool{1200: false, 2799: false, 2800: true} {
+		if got := !e.mayLackWrites(at(ms)); got != want {
+			t.Errorf("%d ms after the return an answer of the store proves the configuration: %v", ms-800, got)
+		}
+	}
+	told = gossip.State{ReturnAgeMs: 10_000, Eras: map[string]int64{platform.TableConfig: 3}}
+	e.heardOfReturn(at(20_000), told)
+	e.configTable.Replace(at(20_100), feed.Snapshot{Era: 3, Version: 3})
+	if e.mayLackWrites(at(20_100)) {
+		t.Error("a node that was away waits again for what was written long ago")
+	}
+}
+
 // TestPeerThatKnowsTheCopyProvesNothing guards against a proof from a peer that has only read the copy.
 func TestPeerThatKnowsTheCopyProvesNothing(t *testing.T) {
 	start := time.Unix(1000, 0)
