Feed: a table that came from an older release is no return

During an upgrade to this release callers with keys would have been refused by all nodes: a node that had its tables from peers of an older release, which tell no era, took the store's era for a return, held its proof back for two seconds and told all peers, which did the same.

A table knows whether any of its rows came with an era, if perhaps the first one; only then is a later era a return. What is kept in force stays the same. TestAPeerWithoutErasIsNoReturn failed before: two returns were seen in place of one.

--- a/internal/feed/carry.go
+++ b/internal/feed/carry.go
@@ -159,7 +159,10 @@
 	t.generation++
 	gone := t.emitChanges(now, old)
 	t.scheduleExpiry(now)
-	t.onEra(now, Return{Table: t.name, Before: before, After: u.at, Kept: t.countKept(), Gone: gone})
+	if t.ordersByEra {
+		t.onEra(now, Return{Table: t.name, Before: before, After: u.at, Kept: t.countKept(), Gone: gone})
+	}
+	t.ordersByEra = true
 }
 
 // yields reports whether a kept row gives way to a row of the table's era, which may be of the copy. The caller
--- a/internal/feed/reader.go
+++ b/internal/feed/reader.go
@@ -114,7 +114,7 @@
 	if snap.Era > r.at.Era {
 		return r.readAll(ctx) // These are the changes after a position of another history.
 	}
-	if snap.Era < r.at.Era || !r.Table.apply(clock.Now(), update{rows: peerRows(snap.Rows), at: snap.Position(), acceptedAfter: r.acceptedAfter(snap)}) {
+	if snap.Era < r.at.Era || !r.Table.apply(clock.Now(), update{rows: peerRows(snap.Rows), at: snap.Position(), base: snap.Version, acceptedAfter: r.acceptedAfter(snap)}) {
 		return fmt.Errorf("changes of %s: %w", r.Table.Name(), ErrStale)
 	}
 	r.recordSuccess(snap)
--- a/internal/feed/return_test.go
+++ b/internal/feed/return_test.go
@@ -128,3 +128,35 @@
 		t.Errorf("a node that starts is at %+v", at)
 	}
 }
+
+// replyCaller answers every call with one reply.
+type replyCaller struct{ reply feed.TableReply }
+
+func (c replyCaller) Call(_ context.Context, _, _ string, _, result any) error {
+	*result.(*feed.TableReply) = c.reply
+	return nil
+}
+
+// TestAPeerWithoutErasIsNoReturn guards against an upgrade that looks like a return, since the table came from an older release.
+func TestAPeerWithoutErasIsNoReturn(t *testing.T) {
+	for name, test := range map[string]struct {
+		older bool // older is set if the peer is of a release that knows no eras.
+		want  int
+	}{"an older release": {true, 0}, "a store in its first era": {false, 1}} {
+		returns := 0
+		table := feed.NewTable("t", func(time.Time, []feed.Row) {}, feed.WithReturnObserver(func(time.Time, feed.Return) { returns++ }))
+		reply := feed.TableReply{Rows: []feed.PeerRow{{Row: row("a", "1", 5)}}, Latest: 5, Full: true, Base: 5}
+		if test.older {
+			reply.Base = 0
+		}
+		f := feed.NewFollower("self", replyCaller{reply}, quiet, table)
+		f.Observe(start, "peer", feed.Announcement{Versions: map[string]int64{"t": 5}})
+		f.Wait()
+		table.Replace(start, feed.Snapshot{Era: 1, Version: 7, Rows: []feed.Row{row("a", "1", 5)}})
+		table.Replace(start, feed.Snapshot{Era: 2, Version: 6, Rows: []feed.Row{row("a", "1", 5)}})
+		if returns != test.want+1 {
+			t.Errorf("%s: %d returns seen, want %d", name, returns, test.want+1)
+		}
+		table.Close()
+	}
+}
--- a/internal/feed/table.go
+++ b/internal/feed/table.go
@@ -35,6 +35,7 @@
 		historyStart int64              // historyStart is the version up to which deleted rows may be unknown.
 		base         int64              // base is the version of the first snapshot of the era; rows up to it may be those of the copy.
 		loaded       bool               // loaded is set once the full table was read.
+		ordersByEra  bool               // ordersByEra is set once rows came from the store or from a peer that tells their era, if perhaps the first one.
 		generation   int64              // generation counts the updates that changed rows.
 		batches      batches
 		expiry       *time.Timer // expiry ends the time of kept rows; nil if none is kept for a time.
@@ -64,6 +65,10 @@
 	return func(t *Table) { t.onEra = f }
 }
 
+// ordersByEra reports whether the source of an update tells its era. A peer of an earlier release does not, and its
+// rows may be of any.
+func (u update) ordersByEra() bool { return u.at.Era > 0 || u.base > 0 }
+
 // NewTable returns an empty table.
 func NewTable(name string, consume Consumer, options ...TableOption) *Table {
 	t := &Table{name: name, consume: consume, rows: map[string]PeerRow{}, tombstones: map[string]PeerRow{}, kept: map[string]keptRow{}, onEra: func(time.Time, Return) {}}
@@ -105,6 +110,7 @@
 		t.beginEra(now, u)
 		return true, t.generation
 	}
+	t.ordersByEra = t.ordersByEra || u.ordersByEra()
 	same = len(t.rows)+len(t.tombstones) == 0
 	if !t.loaded {
 		t.era, t.base = u.at.Era, u.base
@@ -138,6 +144,7 @@
 	if u.at.Era != t.era {
 		return false
 	}
+	t.ordersByEra = t.ordersByEra || u.ordersByEra()
 	t.merge(now, u)
 	return true
 }
