Feed: after a return a table is compressed once for all nodes

When the store comes back, every node asks for the whole table, each with its own position in the earlier era, and whoever sent it compressed it anew for each position: 3,000 engines a hundred times at the hubs of 985 nodes, while callers' requests wait for the processor. A node that had received the bytes compressed them again, too.

The reply to a position of another era is the full table, so that it is that of a node without rows, and the bundle is reused. TestBundleIsReusedAfterAReturn failed before for both positions of the earlier era.

--- a/internal/feed/bundle.go
+++ b/internal/feed/bundle.go
@@ -31,6 +31,9 @@
 	defer t.bundleMu.Unlock()
 	t.mu.Lock()
 	count := t.generation
+	if after.Era != t.era {
+		after = history.Position{Version: -1} // The reply is the full table, whatever the position.
+	}
 	t.mu.Unlock()
 	if b := t.bundle; b.reply != nil && b.after == after && b.generation == count {
 		return b.reply, nil
--- a/internal/feed/bundle_test.go
+++ b/internal/feed/bundle_test.go
@@ -55,6 +55,42 @@
 	}
 }
 
+// TestBundleIsReusedAfterAReturn guards against nodes that compress a table again for each position of the era before.
+func TestBundleIsReusedAfterAReturn(t *testing.T) {
+	now := time.Unix(1000, 0)
+	rows := make([]Row, 300)
+	for i := range rows {
+		rows[i] = Row{Table: "t", Key: fmt.Sprint("k", i), Value: noisy(100), Version: int64(i + 1)}
+	}
+	var first []byte
+	for _, name := range []string{"a reader", "a node that got the table from it"} {
+		table := NewTable("t", func(time.Time, []Row) {})
+		table.Replace(now, Snapshot{Rows: rows, Era: 1, Version: 310})
+		if first == nil {
+			table.Replace(now, Snapshot{Rows: rows, Era: 2, Version: 300})
+		} else {
+			reply := &TableReply{Bundle: first, Latest: 300, Era: 2, Full: true}
+			received, err := reply.decodeRows()
+			if err != nil {
+				t.Fatal(err)
+			}
+			table.replaceFromReply(now, update{rows: received, at: reply.position()}, reply)
+		}
+		for _, after := range []history.Position{{Version: -1}, {Era: 1, Version: 310}, {Era: 1, Version: 305}} {
+			reply, err := table.bundledSince(after)
+			if err != nil || !reply.Full || len(reply.Bundle) == 0 {
+				t.Fatalf("%s: after %+v: %v", name, after, err)
+			}
+			if first == nil {
+				first = reply.Bundle
+			}
+			if &reply.Bundle[0] != &first[0] {
+				t.Errorf("%s: the table is compressed again for a node at %+v", name, after)
+			}
+		}
+	}
+}
+
 // bundleOf returns the bundle of a reply; nil if its rows are sent individually.
 func bundleOf(t *testing.T, table *Table, after int64) []byte {
 	t.Helper()
