Feed: what is kept in force lasts through a second return

Requests could reach an evacuated hall, or an engine that had said it leaves, if the store came back twice within seconds: what stays in force of the time before the first return ended at its first time, before operators and engines could write it to the second copy.

The time begins anew with each return. TestKeptRowsLastThroughASecondReturn failed before: the row was gone two seconds after the second return, of three.

--- a/internal/feed/carry.go
+++ b/internal/feed/carry.go
@@ -137,7 +137,6 @@
 // beginEra replaces all rows by those of a later era and keeps in force what the copy lacks. The caller holds the lock.
 func (t *Table) beginEra(now time.Time, u update) {
 	before, old := t.position(), t.inForce()
-	lacking := maps.Clone(t.kept)
 	t.rows, t.tombstones, t.kept, t.batches = map[string]PeerRow{}, map[string]PeerRow{}, map[string]keptRow{}, batches{}
 	t.era, t.latest, t.historyStart, t.base = u.at.Era, 0, u.at.Version, u.base
 	for _, r := range u.rows {
@@ -150,11 +149,11 @@
 		if !keep {
 			continue
 		}
-		until := lacking[key].until // A second return does not prolong the time.
-		if _, again := lacking[key]; !again && limit > 0 {
-			until = now.Add(limit)
+		kept := keptRow{PeerRow: r}
+		if limit > 0 {
+			kept.until = now.Add(limit) // From a second return on it may take as long again to be written.
 		}
-		t.kept[key] = keptRow{PeerRow: r, until: until}
+		t.kept[key] = kept
 	}
 	t.generation++
 	gone := t.emitChanges(now, old)
--- a/internal/feed/return_test.go
+++ b/internal/feed/return_test.go
@@ -160,3 +160,23 @@
 		table.Close()
 	}
 }
+
+// TestKeptRowsLastThroughASecondReturn guards against rows that end before they can be written to the second copy.
+func TestKeptRowsLastThroughASecondReturn(t *testing.T) {
+	got := &sink{}
+	table := feed.NewTable("t", got.take, feed.WithCarry(feed.Carry{Missing: 3 * time.Second, Older: 3 * time.Second}))
+	defer table.Close()
+	at := func(seconds int) time.Time { return start.Add(time.Duration(seconds) * time.Second) }
+	table.Replace(at(0), feed.Snapshot{Version: 7, Rows: []feed.Row{row("evacuated", "1", 6)}})
+	table.Replace(at(1), feed.Snapshot{Era: 1, Version: 4})
+	table.Replace(at(3), feed.Snapshot{Era: 2, Version: 4})
+	for _, step := range []struct {
+		second int
+		want   string
+	}{{5, "1"}, {6, ""}} {
+		table.Expire(at(step.second))
+		if live := got.live()["evacuated"]; live != step.want {
+			t.Errorf("%d s after the second return the row is %q, want %q", step.second-3, live, step.want)
+		}
+	}
+}
