Dispatch: a request that waited for a slot is sent only if its key still holds

Callers with a revoked key were served after its time was over, and requests went to engines without a proof of the configuration: the key and the proof were checked before a request waited for a slot, and not after, so that a wait of a second made the 4.5 s of a proof 5.5 s. Waits for a permit were followed by a check, and what crashes engines was looked up again; the key was not.

The key and the proof are checked once more right before a request is sent; it is then refused as not run. TestKeyRevokedWhileARequestWaits failed before in both cases: the second request was sent.

--- a/internal/dispatch/place_test.go
+++ b/internal/dispatch/place_test.go
@@ -2,19 +2,22 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/croftturn/croftturn/internal/dispatch"
+	"github.com/croftturn/croftturn/internal/freshness"
+	"github.com/croftturn/croftturn/internal/placement"
 	"github.com/croftturn/croftturn/internal/routing"
 )
 
 // slotTarget is the target of the routes in these tests, long enough for the steps of a test.
 const slotTarget = 400 * time.Millisecond
 
-// twoTierTable returns a configuration with routes of the highest tier and the next.
-func twoTierTable() *routing.Table {
+// twoTierTable returns a configuration with routes of the highest tier and the next, without keys that are revoked.
+func twoTierTable(revoked ...string) *routing.Table {
 	route := func(name string, tier int) *routing.Route {
 		return &routing.Route{
 			Name: name, Host: "h", PathPrefix: "/" + name + "/", Kind: routing.Safe, Timeout: timeout, Target: slotTarget, MaxEngines: 1, Tier: tier,
@@ -22,8 +25,11 @@
 		}
 	}
 	highest, lowest := 0, 1
-	teams := []*routing.Team{{Name: "t", Keys: []string{"k"}, Tier: &highest}, {Name: "u", Keys: []string{"l"}, Tier: &lowest}}
-	return routing.NewTable(1, []*routing.Route{route("high", 0), route("low", 1)}, []*routing.Pool{{Name: "p"}}, teams, routing.Limits{})
+	keys := func(key string) []string {
+		return slices.DeleteFunc([]string{key}, func(key string) bool { return slices.Contains(revoked, key) })
+	}
+	teams := []*routing.Team{{Name: "t", Keys: keys("k"), Tier: &highest}, {Name: "u", Keys: keys("l"), Tier: &lowest}}
+	return routing.NewTable(1+len(revoked), []*routing.Route{route("high", 0), route("low", 1)}, []*routing.Pool{{Name: "p"}}, teams, routing.Limits{})
 }
 
 // newOneEngineDispatcher returns a dispatcher with one engine that has some slots.
@@ -44,6 +50,33 @@
 	return wg
 }
 
+// TestKeyRevokedWhileARequestWaits guards against requests that are sent with a revoked key, or without a proof, after a wait for a slot.
+func TestKeyRevokedWhileARequestWaits(t *testing.T) {
+	for want, change := range map[dispatch.Reason]func(d *dispatch.Dispatcher, proof *freshness.Proof){
+		dispatch.UnknownKey: func(d *dispatch.Dispatcher, _ *freshness.Proof) { d.SetTable(twoTierTable("k")) },
+		dispatch.Stale:      func(_ *dispatch.Dispatcher, proof *freshness.Proof) { proof.Invalidate(time.Now().Add(time.Hour)) },
+	} {
+		release := make(chan struct{})
+		e := &fakeSender{serve: func(context.Context, int, dispatch.Attempt) (*dispatch.Response, error) {
+			<-release
+			return respond(200, "x"), nil
+		}}
+		proof := freshness.New(time.Hour)
+		d := newDispatcherWithProof(proof, placement.New("hall"), e, 0, twoTierTable(), 1, "e1")
+		wg := occupySlot(t, d, e, "high")
+		time.AfterFunc(slotTarget/8, func() { // The second request waits for the slot meanwhile.
+			change(d, proof)
+			close(release)
+		})
+		if a := serve(t, d, "high"); a.refusal == nil || a.refusal.Reason != want || a.refusal.Reason.MayHaveRun() {
+			t.Errorf("%+v, want %s", a.refusal, want)
+		}
+		if wg.Wait(); e.sentCount() != 1 {
+			t.Errorf("%s: %d requests were sent, want the first alone", want, e.sentCount())
+		}
+	}
+}
+
 // TestSlotIsAwaitedAtNode checks that a request is not sent to an engine without a free slot, that
 // it is sent once one is free, and that it is refused as not run if none gets free in time.
 func TestSlotIsAwaitedAtNode(t *testing.T) {
--- a/internal/dispatch/walk.go
+++ b/internal/dispatch/walk.go
@@ -129,7 +129,7 @@
 	if x.d.exchanges.resumes.Load() != resumes {
 		return true // A decision made before a suspension is made again.
 	}
-	if refusal := x.refuseHeld(now); refusal != nil { // It may have become held while it waited for a slot.
+	if refusal := x.recheckSending(now); refusal != nil {
 		x.refuse(*refusal)
 		return false
 	}
@@ -212,6 +212,15 @@
 	return nil
 }
 
+// recheckSending checks again what may have changed while the request waited for a slot: its key may have been
+// revoked, and the request may have become held.
+func (x *exchange) recheckSending(now time.Time) *Refusal {
+	if refusal := x.stillAllowed(now); refusal != nil {
+		return refusal
+	}
+	return x.refuseHeld(now)
+}
+
 // keyValid reports whether the key of the request still belongs to its team.
 func (x *exchange) keyValid() bool {
 	team := x.d.Table().Team(x.req.Key)
