Edge: a spoke reads the store while no hub tells eras

During an upgrade callers of a spoke got an older configuration for up to four seconds, and an engine that leaves for as long as the spoke's proof was renewed: a node that knows an era follows no peer without one, so that a spoke of this release whose hubs are all of the release before heard of no change, and left the reading to them.

Such a spoke reads for itself, one waiting call a table, until a hub tells the era. 925 spokes make some 1,900 calls a second then, worked out; the store takes 2,000, so that hubs are best upgraded first. TestSpokeReadsBesideHubsOfOlderReleases failed before.

--- a/internal/edge/reading.go
+++ b/internal/edge/reading.go
@@ -142,7 +142,7 @@
 	case !ok:
 		return e.shouldReadUnproven(now, self)
 	case !e.gossip.IsHub():
-		return age > moreReadersAfter*3/2 && e.spokeShouldRead(now)
+		return e.hubsLackEras(now) || age > moreReadersAfter*3/2 && e.spokeShouldRead(now)
 	case age > moreReadersAfter*3/2:
 		limit *= 4
 	case age > moreReadersAfter:
@@ -151,6 +151,23 @@
 	return e.rankedWithin(now, self, limit)
 }
 
+// hubsLackEras reports whether no hub tells of the era that this node knows, as hubs of older releases do not. Their
+// changes are not followed, since these may be of any era.
+func (e *Edge) hubsLackEras(now time.Time) bool {
+	at, _ := e.configTable.Position()
+	if at.Era == 0 {
+		return false
+	}
+	older := false
+	for _, p := range e.gossip.Hubs(now) {
+		if p.State.Eras[platform.TableConfig] >= at.Era {
+			return false
+		}
+		older = older || p.State.Versions[platform.TableConfig] > 0 // Others have read nothing yet.
+	}
+	return older
+}
+
 // rankedWithin reports whether a node is among the first limit hubs that can read.
 func (e *Edge) rankedWithin(now time.Time, self string, limit int) bool {
 	hubs := e.gossip.Hubs(now)
--- a/internal/edge/reading_test.go
+++ b/internal/edge/reading_test.go
@@ -11,7 +11,9 @@
 	"testing"
 	"time"
 
+	"github.com/croftturn/croftturn/internal/feed"
 	"github.com/croftturn/croftturn/internal/gossip"
+	"github.com/croftturn/croftturn/platform"
 )
 
 // TestFewNodesRead checks that only a few of many nodes read the store's tables, that nodes that
@@ -79,6 +81,36 @@
 	}
 }
 
+// TestSpokeReadsBesideHubsOfOlderReleases guards against a spoke that hears of no changes, as it follows no hub without eras.
+func TestSpokeReadsBesideHubsOfOlderReleases(t *testing.T) {
+	e := startWithPeers(t, nil)
+	now := time.Now()
+	introduce := func(i int, said gossip.State) {
+		said.Ready, said.StoreSilentMs, said.Versions = true, -1, map[string]int64{platform.TableConfig: 9}
+		name := fmt.Sprint("n", i)
+		e.gossip.AddAlivePeer(now, gossip.NodeInfo{Name: name, Incarnation: 1, CallerAddress: "c-" + name, Hall: e.settings.Hall, Cores: 4}, said)
+	}
+	for i := range 30 {
+		introduce(i, gossip.State{})
+	}
+	e.gossip.UpdateHubs(now)
+	e.configProven(now.Add(time.Minute)) // Whatever the node itself reads meanwhile.
+	if e.gossip.IsHub() || e.shouldRead(now) {
+		t.Error("a spoke reads beside hubs of a store that names no era")
+	}
+	e.configTable.Replace(now, feed.Snapshot{Era: 2, Version: 10})
+	e.returned.Store(nil)
+	if !e.shouldRead(now) {
+		t.Error("a spoke whose hubs are all of an older release does not read")
+	}
+	for i := range 30 {
+		introduce(i, gossip.State{Eras: map[string]int64{platform.TableConfig: 2}})
+	}
+	if e.shouldRead(now) {
+		t.Error("a spoke reads though its hubs tell eras")
+	}
+}
+
 func keysOf(peers map[string]gossip.State) []string {
 	var out []string
 	for name := range peers {
