Edge: hubs that are late to a return are counted on to read

At a return all hubs called the store for a second or two: each that had taken the new era over saw the others in the earlier one and took them for nodes of an older release, which are not counted on. At 985 nodes that is up to sixty hubs in place of two.

Only a peer that names no era is passed over. TestHubsThatAreLateToAReturnAreCountedOn failed before beside hubs of the earlier era.

--- a/internal/edge/reading.go
+++ b/internal/edge/reading.go
@@ -177,7 +177,7 @@
 	others := make([]candidate, 0, len(hubs))
 	at, _ := e.configTable.Position()
 	for _, p := range hubs {
-		behind := p.State.Eras[platform.TableConfig] < at.Era // Its release may not know eras: nobody here follows it.
+		behind := at.Era > 0 && p.State.Eras[platform.TableConfig] == 0 // Its release may not know eras: nobody here follows it.
 		silent := ms(int(p.State.StoreSilentMs)) > e.maxSilence()
 		others = append(others, newCandidate(p.Name, p.Cores, p.State.CannotReadStore || silent || behind))
 	}
--- a/internal/edge/reading_test.go
+++ b/internal/edge/reading_test.go
@@ -81,6 +81,25 @@
 	}
 }
 
+// TestHubsThatAreLateToAReturnAreCountedOn guards against hubs that all read at once, as each is ahead of the others at a return.
+func TestHubsThatAreLateToAReturnAreCountedOn(t *testing.T) {
+	for era, want := range map[int64]bool{0: true, 1: false} { // Only a peer of an older release names none.
+		e := startWithPeers(t, nil)
+		now := time.Now()
+		for i := range 9 {
+			said := gossip.State{Ready: true, StoreSilentMs: -1, Versions: map[string]int64{platform.TableConfig: 9}, Eras: map[string]int64{platform.TableConfig: era}}
+			name := fmt.Sprint("large", i)
+			e.gossip.AddAlivePeer(now, gossip.NodeInfo{Name: name, Incarnation: 1, CallerAddress: "c-" + name, Hall: e.settings.Hall, Cores: 4}, said)
+		}
+		e.configTable.Replace(now, feed.Snapshot{Era: 2, Version: 10})
+		e.returned.Store(nil)
+		e.configProven(now.Add(time.Minute))
+		if got := e.shouldRead(now); got != want {
+			t.Errorf("beside hubs of era %d the node reads: %v", era, got)
+		}
+	}
+}
+
 // TestSpokeReadsBesideHubsOfOlderReleases guards against a spoke that hears of no changes, as it follows no hub without eras.
 func TestSpokeReadsBesideHubsOfOlderReleases(t *testing.T) {
 	e := startWithPeers(t, nil)
