Edge: a node that was suspended during a return waits for the proof

A node that resumed while the store's answers proved nothing yet read both tables again and again without a pause until one did: 3,006 calls in 0.3 s in the test, up to two seconds long, of the 2,000 a second that all nodes may make together. Other nodes' calls got 429 meanwhile, and callers waited for the tables.

It reads once, and again when the time to write again is over. TestSuspensionDuringAReturnMakesFewCalls failed before.

--- a/internal/edge/absence.go
+++ b/internal/edge/absence.go
@@ -61,6 +61,8 @@
 		if err != nil {
 			e.log.Warn("could not read the store after a suspension; retrying", "error", err.Error())
 			backoff.Wait(ctx)
+			continue
 		}
+		pause.For(ctx, e.provesAfter(clock.Now()))
 	}
 }
--- a/internal/edge/returns.go
+++ b/internal/edge/returns.go
@@ -114,17 +114,23 @@
 
 // mayLackWrites reports whether what the store said at a time may lack what operators wrote before it came back
 // from a copy: then it proves nothing about the configuration.
-func (e *Edge) mayLackWrites(at time.Time) bool {
+func (e *Edge) mayLackWrites(at time.Time) bool { return e.provesAfter(at) > 0 }
+
+// provesAfter returns for how much longer what the store says proves nothing about the configuration.
+func (e *Edge) provesAfter(now time.Time) time.Duration {
 	known := e.returned.Load()
-	return known != nil && at.Before(known.at.Add(rewriteTime))
+	if known == nil {
+		return 0
+	}
+	return max(0, known.at.Add(rewriteTime).Sub(now))
 }
 
 // configWait returns how long a call for a newer configuration waits at the store: until its answer may be a proof
 // again after a return, so that callers are not refused for longer.
 func (e *Edge) configWait(now time.Time) time.Duration {
-	known := e.returned.Load()
-	if known == nil || !e.mayLackWrites(now) {
+	left := e.provesAfter(now)
+	if left == 0 {
 		return configLongPoll
 	}
-	return min(configLongPoll, known.at.Add(rewriteTime).Sub(now)+proofPollInterval)
+	return min(configLongPoll, left+proofPollInterval)
 }
--- a/internal/edge/returns_test.go
+++ b/internal/edge/returns_test.go
@@ -1,11 +1,18 @@
 package edge
 
 import (
+	"context"
+	"encoding/base64"
+	"fmt"
 	"log/slog"
+	"net/http"
+	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/croftturn/croftturn/internal/clock"
 	"github.com/croftturn/croftturn/internal/feed"
 	"github.com/croftturn/croftturn/internal/freshness"
 	"github.com/croftturn/croftturn/internal/gossip"
@@ -105,6 +112,31 @@
 	}
 }
 
+// TestSuspensionDuringAReturnMakesFewCalls guards against a node that reads the store without a pause until an answer is a proof.
+func TestSuspensionDuringAReturnMakesFewCalls(t *testing.T) {
+	const left = 300 * time.Millisecond
+	var calls atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		calls.Add(1)
+		if r.URL.Path == "/-/rows-get" {
+			fmt.Fprintf(w, `{"rows":[{"table":"op","tls_key":"config","value":%q,"ver":5}],"ver":7,"now_ms":1}`, base64.StdEncoding.EncodeToString([]byte(configRow)))
+			return
+		}
+		fmt.Fprint(w, `{"rows":[],"ver":7,"now_ms":1}`)
+	}))
+	defer server.Close()
+	e := &Edge{proof: freshness.New(4 * time.Second), log: slog.New(slog.DiscardHandler), store: platform.NewStore([]string{server.Listener.Addr().String()}, time.Second)}
+	defer e.store.Close()
+	ignore := func(time.Time, []feed.Row) {}
+	e.configTable, e.engineTable = feed.NewTable(platform.TableConfig, ignore), feed.NewTable(platform.TableEngines, ignore)
+	begin := clock.Now()
+	e.noteReturn(begin.Add(left-rewriteTime), 1)
+	e.refreshTables(context.Background())
+	if took := clock.Since(begin); took < left || took > 2*left || calls.Load() > 8 {
+		t.Errorf("the configuration was proven after %v and %d calls, want %v and a few", took, calls.Load(), left)
+	}
+}
+
 // TestOperatorsSeeAReturn checks the era and the kept rows that operators are shown.
 func TestOperatorsSeeAReturn(t *testing.T) {
 	now := time.Now()
