Edge: a node that starts believes the store only once its era is settled

A fleet that was lost while the store came back from a copy accepted keys that had been revoked in the lost seconds: a node that starts can't tell from the store's answers that it has just come back, and nobody was left to say so. A single node believed the copy until it heard of its first peer.

One row names the newest era in which operators have had the time to write again. One node by hash writes it two to four seconds after the first start and after each return; a copy names an earlier era. A node reads it at its start beside the configuration, and while it names an earlier one the store's answers prove nothing for two seconds; proofs of running peers count as before, and the first start of the whole system waits for nothing. Weighed against a wait for the first peer, which costs every start its time, and against eras in the rows of the register, which only some nodes write and which a return does not change.

TestNodeThatStartsAloneDoesNotBelieveACopy failed without the check: ready after 2 to 3 ms in the three cases that must wait. Cost: a read at each start, two calls of one node after the first start and each return.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -137,6 +137,11 @@
 
 	returned atomic.Pointer[storeReturn] // returned is the store's last return from a copy; nil if none is known.
 	returns  atomic.Int64                // returns counts how often that was seen.
+
+	provenFrom   atomic.Pointer[time.Time] // provenFrom is from when on the store's answers prove the configuration, as far as a start is concerned; nil until that is known.
+	configReadAt atomic.Pointer[time.Time] // configReadAt is when the store's last answer about the configuration was current.
+	eraBegan     chan struct{}             // eraBegan receives a value after a return.
+
 	onReturn []func()                    // onReturn are called after it is seen that the store has come back from a copy.
 
 	configsRefused atomic.Int64 // configsRefused counts configurations that were rejected as invalid.
@@ -162,7 +167,7 @@
 func Start(ctx context.Context, s *settings.Settings, out io.Writer) (*Edge, error) {
 	debug.SetGCPercent(gcPercent)
 	setMemoryLimit(s)
-	e := &Edge{settings: s, logWriter: logline.New(out), startedAt: clock.Now(), wakeConfig: make(chan struct{}, 1), wakeEngines: make(chan struct{}, 1), suspensionEnded: make(chan time.Duration, 1), incarnations: map[string]int64{}, removeClockHook: func() {}}
+	e := &Edge{settings: s, logWriter: logline.New(out), startedAt: clock.Now(), wakeConfig: make(chan struct{}, 1), wakeEngines: make(chan struct{}, 1), suspensionEnded: make(chan time.Duration, 1), incarnations: map[string]int64{}, eraBegan: make(chan struct{}, 1), removeClockHook: func() {}}
 	tele, err := telemetry.New(ctx, s, e.logWriter)
 	if err != nil {
 		return nil, errors.Join(fmt.Errorf("start telemetry: %w", err), e.logWriter.Close())
@@ -246,7 +251,7 @@
 	engines := &feed.Reader{Table: e.engineTable, Source: e.store, Wait: scaleMs(enginesLongPollShare, s.EngineDrainMs), ShouldRead: e.shouldRead, OnSuccess: e.storeAnswered, OnFailure: e.storeFailed, Wake: e.wakeEngines, Log: e.log}
 	held := quarantine.NewPersister(e.quarantine, e.store, s.FirstStart, e.rewritesHeld, e.log)
 	heldParts := quarantine.NewPartPersister(e.parts, e.store, s.FirstStart, e.rewritesHeld, e.log)
-	e.onReturn = []func(){held.StoreReturned, heldParts.StoreReturned, e.register.StoreReturned, e.versions.StoreReturned}
+	e.onReturn = []func(){held.StoreReturned, heldParts.StoreReturned, e.register.StoreReturned, e.versions.StoreReturned, e.wakeSettled}
 	e.removeClockHook = clock.OnResume(e.afterSuspension)
 	e.startGoroutine(func() { e.handleSuspensions(ctx) })
 	e.startRelaySweeps(ctx)
@@ -256,6 +261,12 @@
 		e.startGoroutine(func() { e.gossip.RunLoadUpdates(ctx) })
 	}
 	e.startGoroutine(func() { e.gossip.Run(ctx, e) })
+	if s.FirstStart {
+		e.answersProveFrom(time.Time{})
+	} else {
+		e.startGoroutine(func() { e.checkSettled(ctx) })
+	}
+	e.startGoroutine(func() { e.keepSettled(ctx) })
 	e.startGoroutine(func() { config.Run(ctx) })
 	e.startGoroutine(func() {
 		e.awaitAnswer(ctx)
--- a/internal/edge/reading.go
+++ b/internal/edge/reading.go
@@ -127,7 +127,7 @@
 	for ctx.Err() == nil {
 		now := clock.Now()
 		_, proven := e.proof.Age(now)
-		if proven || e.settings.FirstStart || now.Sub(e.startedAt) > configOnlyTime {
+		if proven || e.provenFrom.Load() != nil || e.settings.FirstStart || now.Sub(e.startedAt) > configOnlyTime {
 			return
 		}
 		pause.For(ctx, proofPollInterval)
@@ -294,8 +294,14 @@
 // configProven records an answer of the store that proves that the configuration in force was the
 // newest at that time.
 func (e *Edge) configProven(at time.Time) {
-	if !e.mayLackWrites(at) {
+	e.configReadAt.Store(&at)
+	e.proveConfig(at)
+	e.storeAnswered(at)
+}
+
+// proveConfig renews the proof by an answer of the store, unless that may lack what operators had written.
+func (e *Edge) proveConfig(at time.Time) {
+	if e.answersProve(at) && !e.mayLackWrites(at) {
 		e.proof.Renew(at)
 	}
-	e.storeAnswered(at)
 }
--- a/internal/edge/returns.go
+++ b/internal/edge/returns.go
@@ -125,11 +125,20 @@
 	return max(0, known.at.Add(rewriteTime).Sub(now))
 }
 
+// provesIn returns how long this node waits until an answer of the store may prove the configuration.
+func (e *Edge) provesIn(now time.Time) time.Duration {
+	from := e.provenFrom.Load()
+	if from == nil {
+		return max(e.provesAfter(now), proofPollInterval)
+	}
+	return max(e.provesAfter(now), from.Sub(now))
+}
+
 // configWait returns how long a call for a newer configuration waits at the store: until its answer may be a proof
 // again after a return, so that callers are not refused for longer.
 func (e *Edge) configWait(now time.Time) time.Duration {
-	left := e.provesAfter(now)
-	if left == 0 {
+	left := e.provesIn(now)
+	if left == 0 || e.provenFrom.Load() == nil {
 		return configLongPoll
 	}
 	return min(configLongPoll, left+proofPollInterval)
--- a/internal/edge/returns_test.go
+++ b/internal/edge/returns_test.go
@@ -33,7 +33,9 @@
 		return ok && age == 0
 	}
 	newEdge := func() *Edge {
-		return &Edge{proof: freshness.New(4 * time.Second), log: slog.New(slog.DiscardHandler), store: platform.NewStore([]string{"127.0.0.1:1"}, time.Second)}
+		e := &Edge{proof: freshness.New(4 * time.Second), log: slog.New(slog.DiscardHandler), store: platform.NewStore([]string{"127.0.0.1:1"}, time.Second)}
+		e.answersProveFrom(time.Time{})
+		return e
 	}
 	e := newEdge()
 	if !proven(e, 0) {
@@ -75,6 +77,7 @@
 	e := &Edge{proof: freshness.New(4 * time.Second), log: slog.New(slog.DiscardHandler), store: platform.NewStore([]string{"127.0.0.1:1"}, time.Second)}
 	e.configTable = feed.NewTable(platform.TableConfig, func(time.Time, []feed.Row) {}, feed.WithReturnObserver(e.storeReturned))
 	e.configTable.Replace(at(0), feed.Snapshot{Era: 1, Version: 7})
+	e.answersProveFrom(time.Time{})
 	e.configProven(at(0))
 	told := gossip.State{ReturnAgeMs: 200, Eras: map[string]int64{platform.TableConfig: 2}}
 	if e.heardOfReturn(at(1000), told); !e.proof.Fresh(at(1000)) {
@@ -99,6 +102,7 @@
 	start := time.Unix(1000, 0)
 	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 	e := &Edge{proof: freshness.New(4 * time.Second), log: slog.New(slog.DiscardHandler), store: platform.NewStore([]string{"127.0.0.1:1"}, time.Second)}
+	e.answersProveFrom(time.Time{})
 	e.configProven(at(0))
 	e.storeReturned(at(1000), feed.Return{Table: platform.TableEngines, After: history.Position{Era: 1}})
 	for ms, want := range map[int]time.Duration{1500: 1500 * time.Millisecond, 2999: 2999 * time.Millisecond} {
@@ -130,6 +134,7 @@
 	ignore := func(time.Time, []feed.Row) {}
 	e.configTable, e.engineTable = feed.NewTable(platform.TableConfig, ignore), feed.NewTable(platform.TableEngines, ignore)
 	begin := clock.Now()
+	e.answersProveFrom(time.Time{})
 	e.noteReturn(begin.Add(left-rewriteTime), 1)
 	e.refreshTables(context.Background())
 	if took := clock.Since(begin); took < left || took > 2*left || calls.Load() > 8 {
--- /dev/null
+++ b/internal/edge/settled.go
@@ -0,0 +1,137 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/croftturn/croftturn/internal/clock"
+	"github.com/croftturn/croftturn/internal/feed"
+	"github.com/croftturn/croftturn/internal/pause"
+)
+
+// A node that starts cannot tell from the store's answers whether the store has just come back from a copy, and all
+// nodes that could tell it may have been lost. So one row names the newest era in which operators have had the time
+// to write again. While it names an earlier one, the store's answers prove nothing about the configuration.
+
+const (
+	// settledTable has a single row, with the key settledKey. A copy from before a return names an earlier era.
+	settledTable = "croftturn-settled"
+	settledKey   = "era"
+
+	// settledSpread is the period over which nodes look whether the row is to be written.
+	settledSpread = 2 * time.Second
+
+	// settledRecheck is how often nodes look whether they are the one that writes the row.
+	settledRecheck = time.Minute
+
+	// settledTurn is the owner of the row among the hubs, by hash.
+	settledTurn = "settled"
+)
+
+// settledRow is the value of the row.
+type settledRow struct {
+	Era int64 `json:"era"`
+}
+
+// readSettled reads the era that the row names, and the store's. A missing row names none, which is -1.
+func (e *Edge) readSettled(ctx context.Context) (settled, era int64, row feed.Row, err error) {
+	snap, _, err := e.store.Range(ctx, settledTable, "", settledKey, settledKey+"\x00", 1)
+	if err != nil {
+		return 0, 0, row, fmt.Errorf("read the settled era: %w", err)
+	}
+	if len(snap.Rows) == 0 {
+		return -1, snap.Era, row, nil
+	}
+	row = snap.Rows[0]
+	var stored settledRow
+	if err := json.Unmarshal(row.Value, &stored); err != nil {
+		return -1, snap.Era, row, nil // It is written anew.
+	}
+	return stored.Era, snap.Era, row, nil
+}
+
+// checkSettled finds out at a start from when on the store's answers prove the configuration. It repeats failed
+// calls until the context ends.
+func (e *Edge) checkSettled(ctx context.Context) {
+	var backoff pause.Backoff
+	for ctx.Err() == nil {
+		settled, era, _, err := e.readSettled(ctx)
+		if err != nil {
+			e.log.Warn("cannot read the settled era; retrying", "error", err.Error())
+			backoff.Wait(ctx)
+			continue
+		}
+		from := time.Time{}
+		if settled < era && e.store.EraKnown() {
+			from = clock.Now().Add(rewriteTime)
+			e.log.Warn("the store may have come back from a copy before this node started", "era", era, "era_settled", settled)
+		}
+		e.answersProveFrom(from)
+		return
+	}
+}
+
+// answersProveFrom sets from when on the store's answers prove the configuration, and lets the last one do so.
+func (e *Edge) answersProveFrom(from time.Time) {
+	e.provenFrom.Store(&from)
+	if last := e.configReadAt.Load(); last != nil {
+		e.proveConfig(*last)
+	}
+}
+
+// keepSettled writes the row a while after a start and after each return, if this node is the one that does.
+func (e *Edge) keepSettled(ctx context.Context) {
+	for pause.For(ctx, rewriteTime+rand.N(settledSpread)) {
+		if !e.writesVersions(clock.Now(), settledTurn) {
+			pause.ForOrWake(ctx, settledRecheck, e.eraBegan)
+			continue
+		}
+		settled, err := e.writeSettled(ctx)
+		switch {
+		case err != nil:
+			e.log.Warn("cannot write the settled era; retrying", "error", err.Error())
+		case settled:
+			pause.ForOrWake(ctx, settledRecheck, e.eraBegan)
+		}
+	}
+}
+
+// wakeSettled makes keepSettled look at the row after a return.
+func (e *Edge) wakeSettled() {
+	select {
+	case e.eraBegan <- struct{}{}:
+	default: // It is to look already.
+	}
+}
+
+// writeSettled writes the row if it names an earlier era, and reports whether it now names the store's.
+func (e *Edge) writeSettled(ctx context.Context) (done bool, err error) {
+	settled, era, row, err := e.readSettled(ctx)
+	if err != nil || settled >= era || !e.store.EraKnown() {
+		return err == nil, err
+	}
+	now := clock.Now()
+	if at, loaded := e.configTable.Position(); !loaded || at.Era != era || e.mayLackWrites(now) || !e.answersProve(now) {
+		return false, nil // This node has not seen the return yet, or it was just now.
+	}
+	value, err := json.Marshal(settledRow{Era: era})
+	if err != nil {
+		return false, fmt.Errorf("encode the settled era: %w", err)
+	}
+	put := feed.Row{Table: settledTable, Key: settledKey, Version: row.Version, Value: value}
+	if _, err := e.store.Commit(ctx, feed.Tx{Expect: []feed.Row{put}, Put: []feed.Row{put}}); err != nil {
+		return false, fmt.Errorf("write the settled era: %w", err)
+	}
+	e.log.Info("era settled", "era", era, "before", settled)
+	return true, nil
+}
+
+// answersProve reports whether the store's answers prove the configuration from a time or earlier, as far as a start
+// is concerned.
+func (e *Edge) answersProve(now time.Time) bool {
+	from := e.provenFrom.Load()
+	return from != nil && !now.Before(*from)
+}
--- /dev/null
+++ b/internal/edge/settled_test.go
@@ -0,0 +1,76 @@
+package edge
+
+import (
+	"context"
+	"encoding/base64"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// TestNodeThatStartsAloneDoesNotBelieveACopy guards against a fleet that is lost at a return and starts with the copy's keys.
+func TestNodeThatStartsAloneDoesNotBelieveACopy(t *testing.T) {
+	for name, test := range map[string]struct {
+		settled string // settled is the row's value; none if it is empty.
+		first   bool   // first is set at the first start of the whole system.
+		waits   bool
+	}{
+		"a copy from before the return":  {settled: `{"era":1}`, waits: true},
+		"no row":                         {waits: true},
+		"a row that can't be read":       {settled: `x`, waits: true},
+		"written again since the return": {settled: `{"era":2}`},
+		"the first start":                {first: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var written atomic.Pointer[string]
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				rows, table := "", r.URL.Query().Get("table")
+				switch {
+				case r.URL.Path == "/-/rows-tx":
+					if body, err := io.ReadAll(r.Body); err == nil && strings.Contains(string(body), settledTable) {
+						text := string(body)
+						written.Store(&text)
+					}
+				case r.URL.Path == "/-/rows-feed":
+					time.Sleep(20 * time.Millisecond)
+				case table == "op":
+					rows = fmt.Sprintf(`{"table":"op","tls_key":"config","value":%q,"ver":5}`, base64.StdEncoding.EncodeToString([]byte(configRow)))
+				case table == settledTable && test.settled != "":
+					rows = fmt.Sprintf(`{"table":%q,"tls_key":%q,"value":%q,"ver":6}`, settledTable, settledKey, base64.StdEncoding.EncodeToString([]byte(test.settled)))
+				}
+				w.Header().Set("Store-Era", "2")
+				fmt.Fprintf(w, `{"rows":[%s],"ver":7,"now_ms":%d}`, rows, time.Now().UnixMilli())
+			}))
+			defer server.Close()
+			s := newSettings(t, "self", server.Listener.Addr().String())
+			s.FirstStart = test.first
+			begin := time.Now()
+			e, err := Start(context.Background(), s, io.Discard)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() {
+				if err := e.stop(); err != nil {
+					t.Errorf("stop: %v", err)
+				}
+			}()
+			waitFor(t, func() bool { return e.dispatcher.Version() == 3 && e.Ready(time.Now()) }, "not ready")
+			if took := time.Since(begin); took >= rewriteTime != (test.waits || test.first) { // At the first start nodes read after a while.
+				t.Errorf("ready after %v", took)
+			}
+			if test.settled == `{"era":2}` {
+				return
+			}
+			waitFor(t, func() bool { return written.Load() != nil }, "the row is not written")
+			if want := base64.StdEncoding.EncodeToString([]byte(`{"era":2}`)); !strings.Contains(*written.Load(), want) {
+				t.Errorf("written is %s", *written.Load())
+			}
+		})
+	}
+}
