Edge: a store that names no era costs no call for the settled one

Each start made a read more, also where the store names no era and can't come back from a copy. The row is read after the first answer about the configuration has named an era; that costs one way there and back at such a start, and nothing elsewhere.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -140,6 +140,7 @@
 
 	provenFrom   atomic.Pointer[time.Time] // provenFrom is from when on the store's answers prove the configuration, as far as a start is concerned; nil until that is known.
 	configReadAt atomic.Pointer[time.Time] // configReadAt is when the store's last answer about the configuration was current.
+	firstAnswer  chan struct{}             // firstAnswer is closed at the first of these answers.
 	eraBegan     chan struct{}             // eraBegan receives a value after a return.
 
 	onReturn []func()                    // onReturn are called after it is seen that the store has come back from a copy.
@@ -167,7 +168,7 @@
 func Start(ctx context.Context, s *settings.Settings, out io.Writer) (*Edge, error) {
 	debug.SetGCPercent(gcPercent)
 	setMemoryLimit(s)
-	e := &Edge{settings: s, logWriter: logline.New(out), startedAt: clock.Now(), wakeConfig: make(chan struct{}, 1), wakeEngines: make(chan struct{}, 1), suspensionEnded: make(chan time.Duration, 1), incarnations: map[string]int64{}, eraBegan: make(chan struct{}, 1), removeClockHook: func() {}}
+	e := &Edge{settings: s, logWriter: logline.New(out), startedAt: clock.Now(), wakeConfig: make(chan struct{}, 1), wakeEngines: make(chan struct{}, 1), suspensionEnded: make(chan time.Duration, 1), incarnations: map[string]int64{}, firstAnswer: make(chan struct{}), eraBegan: make(chan struct{}, 1), removeClockHook: func() {}}
 	tele, err := telemetry.New(ctx, s, e.logWriter)
 	if err != nil {
 		return nil, errors.Join(fmt.Errorf("start telemetry: %w", err), e.logWriter.Close())
--- a/internal/edge/returns_test.go
+++ b/internal/edge/returns_test.go
@@ -33,7 +33,7 @@
 		return ok && age == 0
 	}
 	newEdge := func() *Edge {
-		e := &Edge{proof: freshness.New(4 * time.Second), log: slog.New(slog.DiscardHandler), store: platform.NewStore([]string{"127.0.0.1:1"}, time.Second)}
+		e := &Edge{proof: freshness.New(4 * time.Second), firstAnswer: make(chan struct{}), log: slog.New(slog.DiscardHandler), store: platform.NewStore([]string{"127.0.0.1:1"}, time.Second)}
 		e.answersProveFrom(time.Time{})
 		return e
 	}
@@ -74,7 +74,7 @@
 func TestRunningNodeKeepsItsProofAtAReturn(t *testing.T) {
 	start := time.Unix(1000, 0)
 	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
-	e := &Edge{proof: freshness.New(4 * time.Second), log: slog.New(slog.DiscardHandler), store: platform.NewStore([]string{"127.0.0.1:1"}, time.Second)}
+	e := &Edge{proof: freshness.New(4 * time.Second), firstAnswer: make(chan struct{}), log: slog.New(slog.DiscardHandler), store: platform.NewStore([]string{"127.0.0.1:1"}, time.Second)}
 	e.configTable = feed.NewTable(platform.TableConfig, func(time.Time, []feed.Row) {}, feed.WithReturnObserver(e.storeReturned))
 	e.configTable.Replace(at(0), feed.Snapshot{Era: 1, Version: 7})
 	e.answersProveFrom(time.Time{})
@@ -101,7 +101,7 @@
 func TestPeerThatKnowsTheCopyProvesNothing(t *testing.T) {
 	start := time.Unix(1000, 0)
 	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
-	e := &Edge{proof: freshness.New(4 * time.Second), log: slog.New(slog.DiscardHandler), store: platform.NewStore([]string{"127.0.0.1:1"}, time.Second)}
+	e := &Edge{proof: freshness.New(4 * time.Second), firstAnswer: make(chan struct{}), log: slog.New(slog.DiscardHandler), store: platform.NewStore([]string{"127.0.0.1:1"}, time.Second)}
 	e.answersProveFrom(time.Time{})
 	e.configProven(at(0))
 	e.storeReturned(at(1000), feed.Return{Table: platform.TableEngines, After: history.Position{Era: 1}})
@@ -129,7 +129,7 @@
 		fmt.Fprint(w, `{"rows":[],"ver":7,"now_ms":1}`)
 	}))
 	defer server.Close()
-	e := &Edge{proof: freshness.New(4 * time.Second), log: slog.New(slog.DiscardHandler), store: platform.NewStore([]string{server.Listener.Addr().String()}, time.Second)}
+	e := &Edge{proof: freshness.New(4 * time.Second), firstAnswer: make(chan struct{}), log: slog.New(slog.DiscardHandler), store: platform.NewStore([]string{server.Listener.Addr().String()}, time.Second)}
 	defer e.store.Close()
 	ignore := func(time.Time, []feed.Row) {}
 	e.configTable, e.engineTable = feed.NewTable(platform.TableConfig, ignore), feed.NewTable(platform.TableEngines, ignore)
--- a/internal/edge/settled.go
+++ b/internal/edge/settled.go
@@ -53,9 +53,17 @@
 	return stored.Era, snap.Era, row, nil
 }
 
-// checkSettled finds out at a start from when on the store's answers prove the configuration. It repeats failed
-// calls until the context ends.
+// checkSettled finds out, after the store's first answer since a start, from when on its answers prove the
+// configuration. Those of a store that names no era always do. It repeats failed calls until the context ends.
 func (e *Edge) checkSettled(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-e.firstAnswer:
+	}
+	if !e.store.EraKnown() {
+		e.answersProveFrom(time.Time{})
+		return
+	}
 	var backoff pause.Backoff
 	for ctx.Err() == nil {
 		settled, era, _, err := e.readSettled(ctx)
@@ -65,7 +73,7 @@
 			continue
 		}
 		from := time.Time{}
-		if settled < era && e.store.EraKnown() {
+		if settled < era {
 			from = clock.Now().Add(rewriteTime)
 			e.log.Warn("the store may have come back from a copy before this node started", "era", era, "era_settled", settled)
 		}
@@ -109,8 +117,11 @@
 
 // writeSettled writes the row if it names an earlier era, and reports whether it now names the store's.
 func (e *Edge) writeSettled(ctx context.Context) (done bool, err error) {
+	if !e.store.EraKnown() {
+		return true, nil
+	}
 	settled, era, row, err := e.readSettled(ctx)
-	if err != nil || settled >= era || !e.store.EraKnown() {
+	if err != nil || settled >= era {
 		return err == nil, err
 	}
 	now := clock.Now()
