Feed: a peer's kept row does not hide a later one of the store

After several returns a node could go back: it had a deletion in force in place of what the copy has, a peer told it a row that is later than that deletion, and it took the row over without a look at the store's own, which was later still. An engine that had started again was so taken for its former run until the time of the kept row was over.

A kept row that a peer's supersedes goes in any case, and the peer's stays only if it holds against the row of the era. TestKeptRowDoesNotHideALaterOne failed before: 19 in force, where the store has 21.

--- a/internal/feed/carry.go
+++ b/internal/feed/carry.go
@@ -306,7 +306,11 @@
 	was := t.inForce()
 	for _, r := range list {
 		r.PeerRow.Era, r.PeerRow.removed = r.Era, r.Removed
-		if r.Era >= t.era || !t.takesKept(r.PeerRow) {
+		if mine, ok := t.kept[r.Key]; r.Era >= t.era || ok && !t.carry.later(r.PeerRow, mine.PeerRow) {
+			continue
+		}
+		delete(t.kept, r.Key) // It is older than the peer's, which may be older than what the store has.
+		if !t.takesKept(r.PeerRow) {
 			continue
 		}
 		kept := keptRow{PeerRow: r.PeerRow}
@@ -319,11 +323,9 @@
 	t.scheduleExpiry(now)
 }
 
-// takesKept reports whether a row that a peer keeps is to be kept here. The caller holds the lock.
+// takesKept reports whether a row that a peer keeps stays in force in place of what this table has of its era. The
+// caller holds the lock.
 func (t *Table) takesKept(r PeerRow) bool {
-	if mine, ok := t.kept[r.Key]; ok {
-		return t.carry.later(r, mine.PeerRow)
-	}
 	current, buried := t.rows[r.Key], t.tombstones[r.Key]
 	if buried.Version > 0 && (buried.Version > t.base || t.carry.later(buried, r)) {
 		return false
--- a/internal/feed/return_test.go
+++ b/internal/feed/return_test.go
@@ -180,3 +180,22 @@
 		}
 	}
 }
+
+// TestKeptRowDoesNotHideALaterOne guards against a peer's kept row that replaces a kept deletion and hides the store's later row.
+func TestKeptRowDoesNotHideALaterOne(t *testing.T) {
+	got := &sink{}
+	table := feed.NewTable("t", got.take, feed.WithCarry(testCarry))
+	defer table.Close()
+	table.Replace(start, feed.Snapshot{Era: 8, Version: 19})
+	gone := row("e", "", 20)
+	gone.Deleted = true
+	table.Apply(start, []feed.Row{gone})
+	table.Replace(start, feed.Snapshot{Era: 13, Version: 15, Rows: []feed.Row{row("e", "21", 15)}})
+	kept := feed.KeptRow{PeerRow: feed.PeerRow{Row: row("e", "19", 28)}, Era: 9, LeftMs: 5000}
+	f := feed.NewFollower("self", replyCaller{feed.TableReply{Latest: 15, Era: 13, Base: 14, Kept: []feed.KeptRow{kept}}}, quiet, table)
+	f.Observe(start, "peer", feed.Announcement{Versions: map[string]int64{"t": 15}, Eras: map[string]int64{"t": 13}, Kept: map[string]uint64{"t": 1}})
+	f.Wait()
+	if live := got.live()["e"]; live != "21" {
+		t.Errorf("in force is %q, want the store's 21", live)
+	}
+}
