--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -143,7 +143,7 @@
 	firstAnswer  chan struct{}             // firstAnswer is closed at the first of these answers.
 	eraBegan     chan struct{}             // eraBegan receives a value after a return.
 
-	onReturn []func()                    // onReturn are called after it is seen that the store has come back from a copy.
+	onReturn []func() // onReturn are called after it is seen that the store has come back from a copy.
 
 	configsRefused atomic.Int64 // configsRefused counts configurations that were rejected as invalid.
 
