Configuration: the fence of a lost order is not given out again

Engines and nodes that had the lost order took the new one for it, or for an older one, and it was not sent.

The first change in an era leaves out 10,000 versions, more than the platform can lose; changes that are written again keep theirs and leave that to the next one, since later ones may be lost, too. Nodes take a configuration whose versions have a gap as a whole, as before. TestFenceOfALostOrderIsNotGivenOutAgain failed before: fence 2 after 6 had been given out.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"flag"
 	"fmt"
@@ -306,3 +307,56 @@
 		}
 	}
 }
+
+// TestFenceOfALostOrderIsNotGivenOutAgain guards against an order that engines take for one that they have, since the platform lost it.
+func TestFenceOfALostOrderIsNotGivenOutAgain(t *testing.T) {
+	table := &faultyTable{rows: map[string]kv.Row{}}
+	order := func(k *config.Syncer, text string) int {
+		edit := func(c *config.Config) error {
+			if len(c.Engines) == 0 {
+				c.Pools = []config.Pool{{Name: "llm", Kind: config.PoolKindModel}}
+				c.Engines = []config.Engine{{Name: "e1", Pool: "llm", Address: "127.0.0.1:1", Slots: 1}}
+			}
+			return config.SetOrder("e1", text)(c)
+		}
+		ch, err := k.Write(context.Background(), now, text, "op", "order", edit)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var e config.Engine
+		for _, each := range ch.Entities {
+			if each.Kind == wire.EntityKindEngine {
+				if err := json.Unmarshal(*each.Body, &e); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		return e.OrderFence
+	}
+	a, _ := newSyncer(table)
+	b, store := newSyncer(table)
+	knowsSome, _ := newSyncer(table)
+	refresh := func(k *config.Syncer) {
+		if err := k.Refresh(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	first := order(a, "first")
+	refresh(b)
+	copied := maps.Clone(table.rows)
+	lost := 0
+	for i := range 5 {
+		lost = order(a, fmt.Sprint("lost", i))
+		if i == 2 {
+			refresh(knowsSome)
+		}
+	}
+	table.rows, table.era = copied, 1
+	refresh(knowsSome) // It writes again what it knows.
+	next := order(b, "next")
+	last := order(b, "last")
+	if first >= lost || next <= lost || last != next+1 || store.Version() != last {
+		t.Errorf("fences %d, then lost up to %d, then %d and %d in version %d", first, lost, next, last, store.Version())
+	}
+	refresh(a)
+}
--- a/internal/config/keeper.go
+++ b/internal/config/keeper.go
@@ -67,6 +67,7 @@
 	head struct {
 		Version int    `json:"version"`
 		Change  string `json:"change"`
+		Era     *int64 `json:"era,omitempty"` // Era is that of the platform in which the row was written; nil from older releases.
 	}
 
 	// Edit modifies a copy of the configuration in place; the difference becomes
--- a/internal/config/returns.go
+++ b/internal/config/returns.go
@@ -9,6 +9,18 @@
 	"github.com/croftturn/croftturn/internal/kv"
 )
 
+// maxLostVersions is more changes than the platform can lose: one every 8 ms for over a minute.
+const maxLostVersions = 10_000
+
+// lostVersions returns how many versions the next change leaves out. The first one in an era leaves out those of
+// changes that the platform may have lost: orders to engines were sent with them as fencing tokens.
+func (h head) lostVersions(row kv.Row) int {
+	if h.Era != nil && *h.Era < row.Era {
+		return maxLostVersions
+	}
+	return 0
+}
+
 // compareEra makes the platform's configuration the one in effect if it has another change under the version in
 // effect here: one that was accepted after the platform had come back from a copy without the change that this node
 // has. It compares once for each era.
@@ -29,7 +41,7 @@
 			if err := s.store.install(c); err != nil {
 				return fmt.Errorf("take configuration of the platform: %w", err)
 			}
-			s.log.Error("a change that the platform lost is no longer in effect; another one has its version", "version", have, "version_now", c.Version, "era", row.Era)
+			s.log.Error("a change that the platform lost is no longer in effect; another one was accepted before it was written again", "version", have, "version_now", c.Version, "era", row.Era)
 		}
 	}
 	s.compared, s.era = true, row.Era
@@ -59,7 +71,7 @@
 	if err != nil {
 		return fmt.Errorf("encode configuration: %w", err)
 	}
-	top := head{Version: view.Config.Version}
+	top := head{Version: view.Config.Version, Era: h.Era} // Later versions may be lost, too.
 	txn := kv.Txn{Checks: []kv.Check{{Key: HeadKey, Version: row.Version, Era: row.Era}}, Puts: []kv.Put{{Key: fullKey, Value: text}}, Fenced: true}
 	changes, known := s.store.ChangesAfter(h.Version)
 	if len(changes) > maxFetchedChanges {
--- a/internal/config/writer.go
+++ b/internal/config/writer.go
@@ -38,13 +38,13 @@
 	if base.Version != h.Version {
 		return wire.Change{}, trace.CompareFailed("another change came between; nothing was written; try again")
 	}
-	ch, txn, err := prepareTxn(base, row, edit)
+	ch, txn, err := prepareTxn(base, h.lostVersions(row), row, edit)
 	if err != nil {
 		return wire.Change{}, err
 	}
 	ch.ID, ch.Author, ch.Statement = id, author, statement
 	ch.At = clock.Wall(now).UTC().Format(time.RFC3339Nano)
-	if err := txn.addChangeRows(ch); err != nil {
+	if err := txn.addChangeRows(ch, row.Era); err != nil {
 		return wire.Change{}, err
 	}
 	if err := s.commit(ctx, ch, txn.Txn); err != nil {
@@ -63,16 +63,18 @@
 	kv.Txn
 }
 
-// prepareTxn builds the change and the transaction for an edit.
-func prepareTxn(base *Config, head kv.Row, edit Edit) (wire.Change, *pendingTxn, error) {
+// prepareTxn builds the change and the transaction for an edit. The change leaves out versions that changes lost by
+// the platform may have had.
+func prepareTxn(base *Config, leftOut int, head kv.Row, edit Edit) (wire.Change, *pendingTxn, error) {
 	next, err := base.Clone()
 	if err != nil {
 		return wire.Change{}, nil, err
 	}
+	next.Version += leftOut
 	if err := edit(next); err != nil {
 		return wire.Change{}, nil, fmt.Errorf("edit configuration: %w", err)
 	}
-	next.Version = base.Version + 1
+	next.Version = base.Version + leftOut + 1
 	text, err := json.Marshal(next)
 	if err != nil {
 		return wire.Change{}, nil, fmt.Errorf("encode configuration: %w", err)
@@ -95,12 +97,12 @@
 }
 
 // addChangeRows adds the rows of the change and the head.
-func (p *pendingTxn) addChangeRows(ch wire.Change) error {
+func (p *pendingTxn) addChangeRows(ch wire.Change, era int64) error {
 	text, err := json.Marshal(ch)
 	if err != nil {
 		return fmt.Errorf("encode change: %w", err)
 	}
-	top, err := json.Marshal(head{Version: ch.Version, Change: ch.ID})
+	top, err := json.Marshal(head{Version: ch.Version, Change: ch.ID, Era: &era})
 	if err != nil {
 		return fmt.Errorf("encode head: %w", err)
 	}
