Edge: the settled era is written by a node that its peers prove, too

The node that is to write the settled era may never read the store itself: its peers prove its configuration. It then never wrote the row, and read it every few seconds, so that nodes that started waited 2 s for as long as it ran.

It writes once its table is of the store's era, the time to write again is over and its proof is fresh, whoever gave it. TestNodeProvenByPeersSettlesTheEra failed before: nothing was written.

--- a/internal/edge/settled.go
+++ b/internal/edge/settled.go
@@ -125,7 +125,7 @@
 		return err == nil, err
 	}
 	now := clock.Now()
-	if at, loaded := e.configTable.Position(); !loaded || at.Era != era || e.mayLackWrites(now) || !e.answersProve(now) {
+	if at, _ := e.configTable.Position(); at.Era != era || e.mayLackWrites(now) || !e.proof.Fresh(now) {
 		return false, nil // This node has not seen the return yet, or it was just now.
 	}
 	value, err := json.Marshal(settledRow{Era: era})
--- a/internal/edge/settled_test.go
+++ b/internal/edge/settled_test.go
@@ -5,14 +5,52 @@
 	"encoding/base64"
 	"fmt"
 	"io"
+	"log/slog"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/croftturn/croftturn/internal/feed"
+	"github.com/croftturn/croftturn/internal/freshness"
+	"github.com/croftturn/croftturn/platform"
 )
 
+// TestNodeProvenByPeersSettlesTheEra guards against an era that stays unsettled since the node that is to write it never reads.
+func TestNodeProvenByPeersSettlesTheEra(t *testing.T) {
+	written := 0
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/-/rows-tx" {
+			written++
+		}
+		w.Header().Set("Store-Era", "2")
+		fmt.Fprint(w, `{"rows":[],"ver":7,"now_ms":1}`)
+	}))
+	defer server.Close()
+	e := &Edge{proof: freshness.New(4 * time.Second), log: slog.New(slog.DiscardHandler), store: platform.NewStore([]string{server.Listener.Addr().String()}, time.Second)}
+	defer e.store.Close()
+	e.configTable = feed.NewTable(platform.TableConfig, func(time.Time, []feed.Row) {})
+	if _, _, _, err := e.readSettled(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	for i, step := range []struct {
+		change func()
+		want   int
+	}{
+		{func() {}, 0},
+		{func() { e.configTable.Replace(time.Now(), feed.Snapshot{Era: 2, Version: 7}) }, 0},
+		{func() { e.provenByPeer(time.Now(), 0) }, 1},
+		{func() { e.noteReturn(time.Now(), 2) }, 1},
+	} {
+		step.change()
+		if done, err := e.writeSettled(context.Background()); err != nil || written != step.want || done != (written > 0 && i == 2) {
+			t.Errorf("step %d: done %v, %v, written %d times, want %d", i, done, err, written, step.want)
+		}
+	}
+}
+
 // TestNodeThatStartsAloneDoesNotBelieveACopy guards against a fleet that is lost at a return and starts with the copy's keys.
 func TestNodeThatStartsAloneDoesNotBelieveACopy(t *testing.T) {
 	for name, test := range map[string]struct {
