Edge: an answer from long before its era was settled proves nothing

A node whose first calls for the settled era failed let its last answer about the configuration count once it had the row, also one that was given while the copy could lack a revocation. And an answer of a store that names no era waited for another goroutine.

The row is written half a second later than operators may take, and an answer counts only if it is no older than that when the row is read; a store that names no era is known at once. TestAnswerFromBeforeTheEraWasSettledProvesNothing failed before, at 501 ms.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -263,7 +263,7 @@
 	}
 	e.startGoroutine(func() { e.gossip.Run(ctx, e) })
 	if s.FirstStart {
-		e.answersProveFrom(time.Time{})
+		e.answersProveFrom(clock.Now(), time.Time{})
 	} else {
 		e.startGoroutine(func() { e.checkSettled(ctx) })
 	}
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -232,7 +232,7 @@
 			t.Errorf("stop: %v", err)
 		}
 	})
-	e.answersProveFrom(time.Time{}) // The tests prove the configuration themselves.
+	e.answersProveFrom(time.Time{}, time.Time{}) // The tests prove the configuration themselves.
 	for name, said := range peers {
 		e.gossip.AddAlivePeer(time.Now(), gossip.NodeInfo{Name: name, Incarnation: 1, PeerAddress: "127.0.0.1:1", CallerAddress: "c-" + name, Hall: "h" + name[:1]}, said)
 	}
--- a/internal/edge/reading.go
+++ b/internal/edge/reading.go
@@ -294,9 +294,7 @@
 // configProven records an answer of the store that proves that the configuration in force was the
 // newest at that time.
 func (e *Edge) configProven(at time.Time) {
-	if e.configReadAt.Swap(&at) == nil {
-		close(e.firstAnswer)
-	}
+	e.noteAnswer(at)
 	e.proveConfig(at)
 	e.storeAnswered(at)
 }
--- a/internal/edge/returns_test.go
+++ b/internal/edge/returns_test.go
@@ -34,7 +34,7 @@
 	}
 	newEdge := func() *Edge {
 		e := &Edge{proof: freshness.New(4 * time.Second), firstAnswer: make(chan struct{}), log: slog.New(slog.DiscardHandler), store: platform.NewStore([]string{"127.0.0.1:1"}, time.Second)}
-		e.answersProveFrom(time.Time{})
+		e.answersProveFrom(time.Time{}, time.Time{})
 		return e
 	}
 	e := newEdge()
@@ -77,7 +77,7 @@
 	e := &Edge{proof: freshness.New(4 * time.Second), firstAnswer: make(chan struct{}), log: slog.New(slog.DiscardHandler), store: platform.NewStore([]string{"127.0.0.1:1"}, time.Second)}
 	e.configTable = feed.NewTable(platform.TableConfig, func(time.Time, []feed.Row) {}, feed.WithReturnObserver(e.storeReturned))
 	e.configTable.Replace(at(0), feed.Snapshot{Era: 1, Version: 7})
-	e.answersProveFrom(time.Time{})
+	e.answersProveFrom(time.Time{}, time.Time{})
 	e.configProven(at(0))
 	told := gossip.State{ReturnAgeMs: 200, Eras: map[string]int64{platform.TableConfig: 2}}
 	if e.heardOfReturn(at(1000), told); !e.proof.Fresh(at(1000)) {
@@ -102,7 +102,7 @@
 	start := time.Unix(1000, 0)
 	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 	e := &Edge{proof: freshness.New(4 * time.Second), firstAnswer: make(chan struct{}), log: slog.New(slog.DiscardHandler), store: platform.NewStore([]string{"127.0.0.1:1"}, time.Second)}
-	e.answersProveFrom(time.Time{})
+	e.answersProveFrom(time.Time{}, time.Time{})
 	e.configProven(at(0))
 	e.storeReturned(at(1000), feed.Return{Table: platform.TableEngines, After: history.Position{Era: 1}})
 	for ms, want := range map[int]time.Duration{1500: 1500 * time.Millisecond, 2999: 2999 * time.Millisecond} {
@@ -134,7 +134,7 @@
 	ignore := func(time.Time, []feed.Row) {}
 	e.configTable, e.engineTable = feed.NewTable(platform.TableConfig, ignore), feed.NewTable(platform.TableEngines, ignore)
 	begin := clock.Now()
-	e.answersProveFrom(time.Time{})
+	e.answersProveFrom(time.Time{}, time.Time{})
 	e.noteReturn(begin.Add(left-rewriteTime), 1)
 	e.refreshTables(context.Background())
 	if took := clock.Since(begin); took < left || took > 2*left || calls.Load() > 8 {
--- a/internal/edge/settled.go
+++ b/internal/edge/settled.go
@@ -21,6 +21,10 @@
 	settledTable = "croftturn-settled"
 	settledKey   = "era"
 
+	// settledMargin is how much longer than operators may take the row is not written, and how old an answer that was
+	// given before the row was read may be to count.
+	settledMargin = 500 * time.Millisecond
+
 	// settledSpread is the period over which nodes look whether the row is to be written.
 	settledSpread = 2 * time.Second
 
@@ -53,46 +57,55 @@
 	return stored.Era, snap.Era, row, nil
 }
 
+// noteAnswer records an answer about the configuration that was current at a time. After the first one, checkSettled
+// finds out from when on they prove it; those of a store that names no era always do.
+func (e *Edge) noteAnswer(at time.Time) {
+	if e.configReadAt.Swap(&at) != nil {
+		return
+	}
+	if !e.store.EraKnown() {
+		e.provenFrom.CompareAndSwap(nil, &time.Time{})
+	}
+	close(e.firstAnswer)
+}
+
 // checkSettled finds out, after the store's first answer since a start, from when on its answers prove the
-// configuration. Those of a store that names no era always do. It repeats failed calls until the context ends.
+// configuration. It repeats failed calls until the context ends.
 func (e *Edge) checkSettled(ctx context.Context) {
 	select {
 	case <-ctx.Done():
 	case <-e.firstAnswer:
 	}
-	if !e.store.EraKnown() {
-		e.answersProveFrom(time.Time{})
-		return
-	}
 	var backoff pause.Backoff
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && e.provenFrom.Load() == nil {
 		settled, era, _, err := e.readSettled(ctx)
 		if err != nil {
 			e.log.Warn("cannot read the settled era; retrying", "error", err.Error())
 			backoff.Wait(ctx)
 			continue
 		}
-		from := time.Time{}
+		now, from := clock.Now(), time.Time{}
 		if settled < era {
-			from = clock.Now().Add(rewriteTime)
+			from = now.Add(rewriteTime)
 			e.log.Warn("the store may have come back from a copy before this node started", "era", era, "era_settled", settled)
 		}
-		e.answersProveFrom(from)
+		e.answersProveFrom(now, from)
 		return
 	}
 }
 
-// answersProveFrom sets from when on the store's answers prove the configuration, and lets the last one do so.
-func (e *Edge) answersProveFrom(from time.Time) {
+// answersProveFrom sets from when on the store's answers prove the configuration, and lets the last one do so if it is
+// recent: an older one may have been given before the era was settled.
+func (e *Edge) answersProveFrom(now, from time.Time) {
 	e.provenFrom.Store(&from)
-	if last := e.configReadAt.Load(); last != nil {
+	if last := e.configReadAt.Load(); last != nil && now.Sub(*last) <= settledMargin {
 		e.proveConfig(*last)
 	}
 }
 
 // keepSettled writes the row a while after a start and after each return, if this node is the one that does.
 func (e *Edge) keepSettled(ctx context.Context) {
-	for pause.For(ctx, rewriteTime+rand.N(settledSpread)) {
+	for pause.For(ctx, rewriteTime+settledMargin+rand.N(settledSpread)) {
 		if !e.writesVersions(clock.Now(), settledTurn) {
 			pause.ForOrWake(ctx, settledRecheck, e.eraBegan)
 			continue
--- a/internal/edge/settled_test.go
+++ b/internal/edge/settled_test.go
@@ -18,26 +18,34 @@
 	"github.com/croftturn/croftturn/platform"
 )
 
-// TestNodeProvenByPeersSettlesTheEra guards against an era that stays unsettled since the node that is to write it never reads.
-func TestNodeProvenByPeersSettlesTheEra(t *testing.T) {
-	written := 0
+// newStoreOfEra returns a store without rows that has named its era, 2, and the number of writes to it.
+func newStoreOfEra(t *testing.T) (*platform.Store, *atomic.Int64) {
+	t.Helper()
+	written := &atomic.Int64{}
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/-/rows-tx" {
-			written++
+			written.Add(1)
 		}
 		w.Header().Set("Store-Era", "2")
 		fmt.Fprint(w, `{"rows":[],"ver":7,"now_ms":1}`)
 	}))
-	defer server.Close()
-	e := &Edge{proof: freshness.New(4 * time.Second), log: slog.New(slog.DiscardHandler), store: platform.NewStore([]string{server.Listener.Addr().String()}, time.Second)}
-	defer e.store.Close()
-	e.configTable = feed.NewTable(platform.TableConfig, func(time.Time, []feed.Row) {})
-	if _, _, _, err := e.readSettled(context.Background()); err != nil {
+	t.Cleanup(server.Close)
+	store := platform.NewStore([]string{server.Listener.Addr().String()}, time.Second)
+	t.Cleanup(store.Close)
+	if _, err := store.List(context.Background(), settledTable, ""); err != nil {
 		t.Fatal(err)
 	}
+	return store, written
+}
+
+// TestNodeProvenByPeersSettlesTheEra guards against an era that stays unsettled since the node that is to write it never reads.
+func TestNodeProvenByPeersSettlesTheEra(t *testing.T) {
+	store, written := newStoreOfEra(t)
+	e := &Edge{proof: freshness.New(4 * time.Second), log: slog.New(slog.DiscardHandler), store: store}
+	e.configTable = feed.NewTable(platform.TableConfig, func(time.Time, []feed.Row) {})
 	for i, step := range []struct {
 		change func()
-		want   int
+		want   int64
 	}{
 		{func() {}, 0},
 		{func() { e.configTable.Replace(time.Now(), feed.Snapshot{Era: 2, Version: 7}) }, 0},
@@ -45,8 +53,24 @@
 		{func() { e.noteReturn(time.Now(), 2) }, 1},
 	} {
 		step.change()
-		if done, err := e.writeSettled(context.Background()); err != nil || written != step.want || done != (written > 0 && i == 2) {
-			t.Errorf("step %d: done %v, %v, written %d times, want %d", i, done, err, written, step.want)
+		if done, err := e.writeSettled(context.Background()); err != nil || written.Load() != step.want || done != (i == 2) {
+			t.Errorf("step %d: done %v, %v, written %d times, want %d", i, done, err, written.Load(), step.want)
+		}
+	}
+}
+
+// TestAnswerFromBeforeTheEraWasSettledProvesNothing guards against a copy that was read long before the row that settles its era.
+func TestAnswerFromBeforeTheEraWasSettledProvesNothing(t *testing.T) {
+	start := time.Unix(1000, 0)
+	store, _ := newStoreOfEra(t)
+	for took, want := range map[time.Duration]bool{settledMargin: true, settledMargin + time.Millisecond: false} {
+		e := &Edge{proof: freshness.New(4 * time.Second), firstAnswer: make(chan struct{}), store: store}
+		e.configProven(start)
+		if e.proof.Fresh(start) {
+			t.Error("an answer proves the configuration before the row was read")
+		}
+		if e.answersProveFrom(start.Add(took), time.Time{}); e.proof.Fresh(start.Add(took)) != want {
+			t.Errorf("an answer from %v before the row was read proves the configuration: %v", took, !want)
 		}
 	}
 }
