Edge: a node that starts waits for the store's first answer, not for its first proof

The register, the engines and what is held were read as soon as it was known from when on answers prove something, which a test sets itself: six calls went to a store that was unavailable (TestOneProbeWhileTheStoreIsUnavailable). They wait for the first answer about the configuration.

--- a/internal/edge/reading.go
+++ b/internal/edge/reading.go
@@ -127,7 +127,7 @@
 	for ctx.Err() == nil {
 		now := clock.Now()
 		_, proven := e.proof.Age(now)
-		if proven || e.provenFrom.Load() != nil || e.settings.FirstStart || now.Sub(e.startedAt) > configOnlyTime {
+		if proven || e.configReadAt.Load() != nil || e.settings.FirstStart || now.Sub(e.startedAt) > configOnlyTime {
 			return
 		}
 		pause.For(ctx, proofPollInterval)
