Soak: the store comes back as all nodes are lost; a planted fault for nodes that believe a copy

Returns were drawn beside kills of nodes, but never so that nobody was left who knew better, and with the revocation old enough to show it: a key is revoked, and shortly before its time is over the store comes back without that and all nodes are killed; what was lost is written again 1.8 s later.

--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -59,6 +59,7 @@
 	{"store loses answers", 2 * time.Second, true, storeFault(platform.Faults{LoseAcks: 5})},
 	{"store's feeds deaf", 2 * time.Second, true, storeFault(platform.Faults{Deaf: true})},
 	{"store comes back from a copy", time.Second, true, returnStore},
+	{"store comes back as all nodes are lost", time.Second, true, loseAllAtAReturn},
 	{"store loses an evacuation", time.Second, false, loseEvacuation},
 	{"store loses a term of the duties", time.Second, true, loseTerm},
 	{"store forgets", 100 * time.Millisecond, true, storeFault(platform.Faults{Forget: true})},
--- a/lab/soak/faults_return.go
+++ b/lab/soak/faults_return.go
@@ -18,6 +18,13 @@
 	// termWithin is how long another node may take to become the holder of the duties.
 	termWithin = 8 * time.Second
 
+	// lateRewriteDelay is how long they take where nodes start meanwhile, about as long as the nodes expect at most.
+	lateRewriteDelay = 1800 * time.Millisecond
+
+	// lossBeforeRevoked is how long before the end of a revoked key the store comes back without the revocation: before
+	// then nodes start and read the copy, and what was lost is written again only after it.
+	lossBeforeRevoked = 800 * time.Millisecond
+
 	// maxRewriteDelay is how long the operator and the engines take at most to write again what was lost.
 	maxRewriteDelay = 800 * time.Millisecond
 )
@@ -53,6 +60,23 @@
 	return env.writeAgain(lost)
 }
 
+// loseAllAtAReturn revokes a key, and shortly before its time is over makes the store come back from a copy that has it
+// and kills all nodes, so that nobody is left who knows better.
+func loseAllAtAReturn(ctx context.Context, env *Environment, r *rand.Rand, d time.Duration) error {
+	copied := time.Now()
+	if err := revokeKey(ctx, env, r, d); err != nil {
+		return err
+	}
+	pause.For(ctx, revokeWithin-lossBeforeRevoked)
+	env.platform.GoBack(copied)
+	back := time.Now()
+	if err := killAllNodes(ctx, env, r, 0); err != nil {
+		return err
+	}
+	pause.For(ctx, lateRewriteDelay-time.Since(back))
+	return env.writeAgain(copied)
+}
+
 // loseEvacuation makes the store come back from a copy that lacks a hall's evacuation, which the operator writes again.
 func loseEvacuation(ctx context.Context, env *Environment, r *rand.Rand, d time.Duration) error {
 	hall := hallOf(r.IntN(halls))
--- a/lab/soak/planted_test.go
+++ b/lab/soak/planted_test.go
@@ -31,6 +31,7 @@
 	{"a request that may have run is called not run", "though its caller got", "", "internal/dispatch/walk.go", "x.refuse(Refusal{Reason: x.unlessTimedOut(now, EngineFailed)})", "x.refuse(Refusal{Reason: NoEngine})"},
 	{"the store's era is ignored", "s after it", "store comes back from a copy", "platform/era.go", "if err != nil || era < 0 {", "if err != nil || era >= 0 {"},
 	{"a copy of the store is believed", "was evacuated", "store loses an evacuation", "internal/feed/carry.go", "keep, limit = c.Missing > 0, c.Missing", "keep, limit = false, c.Missing"},
+	{"a node that starts believes a copy", "after its key was revoked", "store comes back as all nodes are lost", "internal/edge/settled.go", "if settled < era {", "if settled < era && era < 0 {"},
 	{"a token is given out twice", "was used by", "store loses a term of the duties", "internal/lease/lease.go", "return max(l.record.Token, l.at.Era*tokensPerEra) + 1", "return l.record.Token + 1 + 0*l.at.Era*tokensPerEra"},
 	{"a proof never grows old", "after its key was revoked", "key taken away unseen", "internal/freshness/freshness.go", "return p.proven && now.Sub(p.provenAt) <= p.maxAge", "return p.proven"},
 	{"an engine that leaves gets new work", "after it reported that it is leaving", "", "internal/discovery/discovery.go", "e.Draining, e.Since = current.draining, current.first", "e.Draining, e.Since = false, current.first"},
