Edge: names of two times after a return

rewriteLeft is what is left of the time to write again, and proofWait how long this node waits for an answer that may be a proof; the names before said neither. No change of behaviour.

--- a/internal/edge/absence.go
+++ b/internal/edge/absence.go
@@ -63,6 +63,6 @@
 			backoff.Wait(ctx)
 			continue
 		}
-		pause.For(ctx, e.provesIn(clock.Now()))
+		pause.For(ctx, e.proofWait(clock.Now()))
 	}
 }
--- a/internal/edge/returns.go
+++ b/internal/edge/returns.go
@@ -114,10 +114,10 @@
 
 // mayLackWrites reports whether what the store said at a time may lack what operators wrote before it came back
 // from a copy: then it proves nothing about the configuration.
-func (e *Edge) mayLackWrites(at time.Time) bool { return e.provesAfter(at) > 0 }
+func (e *Edge) mayLackWrites(at time.Time) bool { return e.rewriteLeft(at) > 0 }
 
-// provesAfter returns for how much longer what the store says proves nothing about the configuration.
-func (e *Edge) provesAfter(now time.Time) time.Duration {
+// rewriteLeft returns how much is left of the time in which what the store lost is written again.
+func (e *Edge) rewriteLeft(now time.Time) time.Duration {
 	known := e.returned.Load()
 	if known == nil {
 		return 0
@@ -125,19 +125,19 @@
 	return max(0, known.at.Add(rewriteTime).Sub(now))
 }
 
-// provesIn returns how long this node waits until an answer of the store may prove the configuration.
-func (e *Edge) provesIn(now time.Time) time.Duration {
+// proofWait returns how long this node waits until an answer of the store may prove the configuration.
+func (e *Edge) proofWait(now time.Time) time.Duration {
 	from := e.provenFrom.Load()
 	if from == nil {
-		return max(e.provesAfter(now), proofPollInterval)
+		return max(e.rewriteLeft(now), proofPollInterval)
 	}
-	return max(e.provesAfter(now), from.Sub(now))
+	return max(e.rewriteLeft(now), from.Sub(now))
 }
 
 // configWait returns how long a call for a newer configuration waits at the store: until its answer may be a proof
 // again after a return, so that callers are not refused for longer.
 func (e *Edge) configWait(now time.Time) time.Duration {
-	left := e.provesIn(now)
+	left := e.proofWait(now)
 	if left == 0 || e.provenFrom.Load() == nil {
 		return configLongPoll
 	}
