Feed: a node that is late to a return brings no gone row back

Requests could reach an engine that had left long before: a node that was frozen or cut off while the store came back took the new era over ten seconds later, kept what it knew of the time before for as long as any node, and told its peers, which no longer knew that the engine was gone and used it again for up to two seconds.

What a peer keeps stays in force at a node no longer than the times since that node itself took the era over; a configuration has no time and goes by its number.

--- a/internal/feed/carry.go
+++ b/internal/feed/carry.go
@@ -22,7 +22,8 @@
 //   - A table's era never falls, and within an era no row is replaced by one of a lower version.
 //   - A kept row yields to a row that was written in the new era, unless that still holds an older state.
 //   - A kept row ends after a time, so that what nobody writes again goes; a lasting one ends only by yielding.
-//   - Peers tell each other what they keep. Of two kept rows the one of the later state stays.
+//   - Peers tell each other what they keep. Of two kept rows the one of the later state stays. A node that is late to
+//     a return prolongs no time of the others.
 //
 // So all nodes that hear of each other agree once the times have passed, whatever they knew before the return.
 
@@ -138,7 +139,7 @@
 func (t *Table) beginEra(now time.Time, u update) {
 	before, old := t.position(), t.inForce()
 	t.rows, t.tombstones, t.kept, t.batches = map[string]PeerRow{}, map[string]PeerRow{}, map[string]keptRow{}, batches{}
-	t.era, t.latest, t.historyStart, t.base = u.at.Era, 0, u.at.Version, u.base
+	t.era, t.latest, t.historyStart, t.base, t.eraAt = u.at.Era, 0, u.at.Version, u.base, now
 	for _, r := range u.rows {
 		r.Era, r.AcceptedAfter = t.era, time.Time{}
 		t.rows[r.Key] = r.compress()
@@ -306,23 +307,37 @@
 	was := t.inForce()
 	for _, r := range list {
 		r.PeerRow.Era, r.PeerRow.removed = r.Era, r.Removed
-		if mine, ok := t.kept[r.Key]; r.Era >= t.era || ok && !t.carry.later(r.PeerRow, mine.PeerRow) {
+		end, ended := t.keptUntil(now, r)
+		if mine, ok := t.kept[r.Key]; ended || r.Era >= t.era || ok && !t.carry.later(r.PeerRow, mine.PeerRow) {
 			continue
 		}
 		delete(t.kept, r.Key) // It is older than the peer's, which may be older than what the store has.
 		if !t.takesKept(r.PeerRow) {
 			continue
 		}
-		kept := keptRow{PeerRow: r.PeerRow}
-		if r.LeftMs > 0 {
-			kept.until = now.Add(time.Duration(r.LeftMs) * time.Millisecond)
-		}
-		t.kept[r.Key] = kept
+		t.kept[r.Key] = keptRow{PeerRow: r.PeerRow, until: end}
 	}
 	t.emitChanges(now, was)
 	t.scheduleExpiry(now)
 }
 
+// keptUntil returns until when a row that a peer keeps may stay in force here, zero for a lasting one, and whether that
+// is over: the peer may have taken the era over later than this table. The caller holds the lock.
+func (t *Table) keptUntil(now time.Time, r KeptRow) (end time.Time, ended bool) {
+	if r.LeftMs <= 0 {
+		return time.Time{}, false
+	}
+	end = now.Add(time.Duration(r.LeftMs) * time.Millisecond)
+	limit := t.carry.Older
+	if t.rows[r.Key].Version == 0 && !r.Deleted {
+		limit = t.carry.Missing
+	}
+	if longest := t.eraAt.Add(limit); longest.Before(end) {
+		end = longest
+	}
+	return end, !now.Before(end)
+}
+
 // takesKept reports whether a row that a peer keeps stays in force in place of what this table has of its era. The
 // caller holds the lock.
 func (t *Table) takesKept(r PeerRow) bool {
--- a/internal/feed/return_test.go
+++ b/internal/feed/return_test.go
@@ -183,19 +183,47 @@
 
 // TestKeptRowDoesNotHideALaterOne guards against a peer's kept row that replaces a kept deletion and hides the store's later row.
 func TestKeptRowDoesNotHideALaterOne(t *testing.T) {
-	got := &sink{}
+	got, now := &sink{}, time.Now()
 	table := feed.NewTable("t", got.take, feed.WithCarry(testCarry))
 	defer table.Close()
-	table.Replace(start, feed.Snapshot{Era: 8, Version: 19})
+	table.Replace(now, feed.Snapshot{Era: 8, Version: 19})
 	gone := row("e", "", 20)
 	gone.Deleted = true
-	table.Apply(start, []feed.Row{gone})
-	table.Replace(start, feed.Snapshot{Era: 13, Version: 15, Rows: []feed.Row{row("e", "21", 15)}})
+	table.Apply(now, []feed.Row{gone})
+	table.Replace(now, feed.Snapshot{Era: 13, Version: 15, Rows: []feed.Row{row("e", "21", 15)}})
 	kept := feed.KeptRow{PeerRow: feed.PeerRow{Row: row("e", "19", 28)}, Era: 9, LeftMs: 5000}
 	f := feed.NewFollower("self", replyCaller{feed.TableReply{Latest: 15, Era: 13, Base: 14, Kept: []feed.KeptRow{kept}}}, quiet, table)
-	f.Observe(start, "peer", feed.Announcement{Versions: map[string]int64{"t": 15}, Eras: map[string]int64{"t": 13}, Kept: map[string]uint64{"t": 1}})
+	f.Observe(now, "peer", feed.Announcement{Versions: map[string]int64{"t": 15}, Eras: map[string]int64{"t": 13}, Kept: map[string]uint64{"t": 1}})
 	f.Wait()
 	if live := got.live()["e"]; live != "21" {
 		t.Errorf("in force is %q, want the store's 21", live)
 	}
 }
+
+// TestLateNodeBringsNoGoneRowBack guards against a node that was away during a return and makes its peers use engines that left long ago.
+func TestLateNodeBringsNoGoneRowBack(t *testing.T) {
+	at := func(seconds int) time.Time { return start.Add(time.Duration(seconds) * time.Second) }
+	carry := feed.WithCarry(feed.Carry{Compare: testCarry.Compare, Lasting: testCarry.Lasting, Missing: 2 * time.Second, Older: 6 * time.Second})
+	net, got := directCaller{}, map[string]*sink{"late": {}, "in time": {}}
+	tables := map[string]*feed.Table{}
+	for name, s := range got {
+		tables[name] = feed.NewTable("t", s.take, carry)
+		defer tables[name].Close()
+		net[name] = feed.NewFollower(name, net, quiet, tables[name])
+		tables[name].Replace(at(0), feed.Snapshot{Era: 1, Version: 20, Rows: []feed.Row{row("gone", "1", 10), row("config", "1", 11)}})
+	}
+	tables["in time"].Replace(at(1), feed.Snapshot{Era: 1, Version: 21, Rows: []feed.Row{row("config", "1", 11)}})
+	tables["late"].Apply(at(1), []feed.Row{row("config", "2", 22)})
+	copied := feed.Snapshot{Era: 2, Version: 15, Rows: []feed.Row{row("config", "1", 11)}}
+	tables["in time"].Replace(at(2), copied)
+	tables["in time"].Expire(at(9))
+	tables["late"].Replace(at(10), copied)
+	if live := got["late"].live(); live["gone"] != "1" || live["config"] != "2" {
+		t.Errorf("the late node has %v", live)
+	}
+	net["in time"].Observe(at(10), "late", net["late"].Announcement())
+	net["in time"].Wait()
+	if live := got["in time"].live(); live["gone"] != "" || live["config"] != "2" {
+		t.Errorf("after the late node's announcement the other has %v, want no row that is gone, and the later configuration", live)
+	}
+}
--- a/internal/feed/table.go
+++ b/internal/feed/table.go
@@ -33,6 +33,7 @@
 		era          int64              // era is that of all rows but the kept ones.
 		latest       int64              // latest is the newest version among the rows, including deleted ones.
 		historyStart int64              // historyStart is the version up to which deleted rows may be unknown.
+		eraAt        time.Time          // eraAt is when the table took the era over.
 		base         int64              // base is the version of the first snapshot of the era; rows up to it may be those of the copy.
 		loaded       bool               // loaded is set once the full table was read.
 		ordersByEra  bool               // ordersByEra is set once rows came from the store or from a peer that tells their era, if perhaps the first one.
@@ -113,7 +114,7 @@
 	t.ordersByEra = t.ordersByEra || u.ordersByEra()
 	same = len(t.rows)+len(t.tombstones) == 0
 	if !t.loaded {
-		t.era, t.base = u.at.Era, u.base
+		t.era, t.base, t.eraAt = u.at.Era, u.base, now
 	}
 	present := map[string]bool{}
 	for _, r := range u.rows {
