Dispatch: callers are told when a proof is due after a return

While no node could have a proof, for two seconds after a return, callers with keys were told to come back after 50 ms, as if another node could serve them, used up their few tries within a quarter of a second and failed.

The proof knows until when none is accepted, also across a suspension, and the refusal, which says not run, names that time with a quarter more to spread the callers. TestCallersAreToldWhenAProofIsDue failed before: 50 ms, where a second was left.

--- a/internal/dispatch/absence_test.go
+++ b/internal/dispatch/absence_test.go
@@ -54,6 +54,20 @@
 	}
 }
 
+// TestCallersAreToldWhenAProofIsDue guards against callers who use up their tries while no node can have a proof.
+func TestCallersAreToldWhenAProofIsDue(t *testing.T) {
+	proof, now := freshness.New(time.Second), time.Now()
+	d := newDispatcherWithProof(proof, placement.New("hall"), &fakeSender{}, 0, table(1, "k"), 8, "e1")
+	proof.Invalidate(now)
+	r := &dispatch.Request{ID: "id", Host: "h", Path: "/safe/x", Key: "k", Patience: timeout}
+	for _, test := range []struct{ wait, least, most time.Duration }{{0, time.Millisecond, 200 * time.Millisecond}, {time.Second, time.Second, 1500 * time.Millisecond}} {
+		proof.Hold(now.Add(test.wait))
+		if _, _, refusal := d.Check(now, r); refusal == nil || refusal.Reason != dispatch.Stale || refusal.RetryAfter < test.least || refusal.RetryAfter > test.most {
+			t.Errorf("no proof for %v: %+v", test.wait, refusal)
+		}
+	}
+}
+
 // TestDecisionIsRepeatedAfterSuspension checks that a request whose engine was chosen before a
 // suspension, but which was not sent yet, is not sent by that choice: without a proof it is refused
 // as not run.
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -142,7 +143,7 @@
 	}
 	route := t.Route(r.Host, r.Path)
 	if !d.proof.Fresh(now) && (route == nil || !route.Public) {
-		return nil, nil, &Refusal{Reason: Stale, RetryAfter: shortRetryAfter}
+		return nil, nil, &Refusal{Reason: Stale, RetryAfter: d.proofRetryAfter(now)}
 	}
 	if route == nil {
 		return nil, nil, &Refusal{Reason: NoRoute}
@@ -162,6 +163,13 @@
 	return route, team, nil
 }
 
+// proofRetryAfter returns the retry delay while the configuration is not proven: another node may have a proof, unless
+// none is accepted for a time. Then callers are spread over a quarter of it.
+func (d *Dispatcher) proofRetryAfter(now time.Time) time.Duration {
+	wait := d.proof.Wait(now)
+	return wait + shortRetryAfter + rand.N(wait/4+1)
+}
+
 // MaxBody returns the maximum length of a request body, in bytes.
 func (d *Dispatcher) MaxBody() int64 {
 	if t := d.table.Load(); t != nil {
--- a/internal/dispatch/walk.go
+++ b/internal/dispatch/walk.go
@@ -204,7 +204,7 @@
 		return nil
 	}
 	if !x.d.proof.Fresh(now) {
-		return &Refusal{Reason: x.unlessMayHaveRun(Stale), RetryAfter: shortRetryAfter}
+		return &Refusal{Reason: x.unlessMayHaveRun(Stale), RetryAfter: x.d.proofRetryAfter(now)}
 	}
 	if !x.keyValid() {
 		return &Refusal{Reason: x.unlessMayHaveRun(UnknownKey)}
--- a/internal/edge/returns.go
+++ b/internal/edge/returns.go
@@ -68,6 +68,7 @@
 func (e *Edge) noteReturn(at time.Time, era int64) {
 	if known := e.returned.Load(); known == nil || known.era < era {
 		e.returned.Store(&storeReturn{at: at, era: era})
+		e.proof.Hold(at.Add(rewriteTime))
 	}
 }
 
--- a/internal/edge/returns_test.go
+++ b/internal/edge/returns_test.go
@@ -145,7 +145,7 @@
 // TestOperatorsSeeAReturn checks the era and the kept rows that operators are shown.
 func TestOperatorsSeeAReturn(t *testing.T) {
 	now := time.Now()
-	e := &Edge{log: slog.New(slog.DiscardHandler)}
+	e := &Edge{proof: freshness.New(time.Second), log: slog.New(slog.DiscardHandler)}
 	ignore := func(time.Time, []feed.Row) {}
 	e.configTable = feed.NewTable(platform.TableConfig, ignore, feed.WithCarry(configCarry()), feed.WithReturnObserver(e.storeReturned))
 	e.engineTable = feed.NewTable(platform.TableEngines, ignore)
--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -40,7 +40,27 @@
 func (p *Proof) Invalidate(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.proven, p.notBefore = false, now
+	p.proven = false
+	if now.After(p.notBefore) {
+		p.notBefore = now
+	}
+}
+
+// Hold rejects proofs from before a time, at which what the platform had lost is written again. The present proof
+// stays. An earlier time changes nothing.
+func (p *Proof) Hold(until time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if until.After(p.notBefore) {
+		p.notBefore = until
+	}
+}
+
+// Wait returns for how long no proof is accepted.
+func (p *Proof) Wait(now time.Time) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return max(0, p.notBefore.Sub(now))
 }
 
 // Age returns the age of the newest proof, and whether there is one.
--- a/internal/freshness/freshness_test.go
+++ b/internal/freshness/freshness_test.go
@@ -21,4 +21,9 @@
 	if p.Renew(resumed); !p.Fresh(resumed) {
 		t.Error("a proof from after the suspension is not accepted")
 	}
+	p.Hold(resumed.Add(time.Second))
+	p.Invalidate(resumed.Add(time.Millisecond))
+	if p.Renew(resumed.Add(2 * time.Millisecond)); p.Fresh(resumed.Add(2*time.Millisecond)) || p.Wait(resumed) != time.Second {
+		t.Error("a suspension ends the time for which no proof is accepted")
+	}
 }
