--- a/lab/soak/faults_return.go
+++ b/lab/soak/faults_return.go
@@ -32,7 +32,7 @@
 // writtenRow is the last value of a row that the operator or an engine wrote.
 type writtenRow struct {
 	row
-	at time.Time
+	at time.Time // at is when the store had acknowledged it.
 }
 
 // returnStore makes the store come back from a copy, right after a key was revoked, once or twice in a row, after
--- a/lab/soak/rows.go
+++ b/lab/soak/rows.go
@@ -28,7 +28,6 @@
 
 // writeLocked implements write. The caller holds writeMu.
 func (env *Environment) writeLocked(r row) error {
-	env.written[[2]string{r.table, r.key}] = writtenRow{row: r, at: time.Now()}
 	name := map[string]any{"table": r.table, "part": "", "tls_key": r.key}
 	tx := map[string]any{"expected_revision": []any{}, "puts": []any{}, "remove": []any{}}
 	switch value := r.value.(type) {
@@ -45,7 +44,11 @@
 		name["value"] = text
 		tx["puts"] = []any{name}
 	}
-	return env.post("/-/rows-tx", tx)
+	if err := env.post("/-/rows-tx", tx); err != nil {
+		return err
+	}
+	env.written[[2]string{r.table, r.key}] = writtenRow{row: r, at: time.Now()} // Not when it was first tried: the store may have been down.
+	return nil
 }
 
 // post posts a document to the store, retrying until it is accepted or the retries run out.
