Edge: proofs come soon after the time to write again, at all nodes

After a return callers of some nodes were refused for up to 1.5 s longer than the 2 s: nodes count them from when they hear of it, so that the first proof of a reader is from before their end elsewhere, and its next call waits 1.5 s.

For a second after that time the configuration is asked for every 200 ms, by the nodes that read: five calls each, once a return. TestConfigurationIsNotProvenByACopy, extended by this, failed before: 1.5 s.

--- a/internal/edge/returns.go
+++ b/internal/edge/returns.go
@@ -26,6 +26,11 @@
 	// evacuationTime is how long the copy's state of an evacuation is not believed where it differs from the known one.
 	evacuationTime = 3 * time.Second
 
+	// proofsTime is how long after that the store is asked for proofs every proofsInterval: nodes count the time to write
+	// again from when they hear of the return, and the first proof may be from before its end at others.
+	proofsTime     = time.Second
+	proofsInterval = 200 * time.Millisecond
+
 	// returnLifetime is how long peers are told of a return: most nodes that were away are back by then.
 	returnLifetime = time.Minute
 )
@@ -136,11 +141,16 @@
 }
 
 // configWait returns how long a call for a newer configuration waits at the store: until its answer may be a proof
-// again after a return, so that callers are not refused for longer.
+// again after a return, here or at other nodes, so that callers are not refused for longer.
 func (e *Edge) configWait(now time.Time) time.Duration {
-	left := e.proofWait(now)
-	if left == 0 || e.provenFrom.Load() == nil {
+	left, known := e.proofWait(now), e.returned.Load()
+	switch {
+	case e.provenFrom.Load() == nil:
 		return configLongPoll
+	case left > 0:
+		return min(configLongPoll, left+proofPollInterval)
+	case known != nil && now.Before(known.at.Add(rewriteTime+proofsTime)):
+		return proofsInterval
 	}
-	return min(configLongPoll, left+proofPollInterval)
+	return configLongPoll
 }
--- a/internal/edge/returns_test.go
+++ b/internal/edge/returns_test.go
@@ -51,6 +51,11 @@
 	if wait := e.configWait(at(2900)); wait > 200*time.Millisecond {
 		t.Errorf("the call before an answer may be a proof waits %v", wait)
 	}
+	for ms, want := range map[int]time.Duration{3000: 250 * time.Millisecond, 3900: 250 * time.Millisecond, 4100: configLongPoll} {
+		if wait := e.configWait(at(ms)); wait > want {
+			t.Errorf("a call %d ms after the return waits %v, want %v: other nodes wait for its proof", ms-1000, wait, want)
+		}
+	}
 	if !proven(e, 3000) {
 		t.Error("the second table to see the return prolongs the time without a proof")
 	}
