Cluster: a frozen process has stopped once Signal returns

The kernel stops the threads of a process after the call that sends SIGSTOP has returned: in 224 of 400 tries with six threads some still ran then, for up to 21 ms, and an answer between nodes takes a millisecond.

Signal waits until all threads are stopped, at most a second. TestFrozenProcessHasStopped failed before, in its second round.

--- a/lab/cluster/process.go
+++ b/lab/cluster/process.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"bytes"
 	"fmt"
 	"net"
 	"os"
@@ -12,6 +13,9 @@
 	"github.com/croftturn/croftturn/internal/testport"
 )
 
+// stopTimeout bounds the wait for a process to stop after SIGSTOP.
+const stopTimeout = time.Second
+
 // Build builds the programs once for this process and returns their folder.
 func Build() (string, error) {
 	buildOnce.Do(func() {
@@ -94,7 +98,8 @@
 	}
 }
 
-// Signal sends a signal to a process.
+// Signal sends a signal to a process. After SIGSTOP it waits until all threads have stopped; the kernel stops them
+// some milliseconds later.
 func (p *Process) Signal(sig syscall.Signal) error {
 	if err := p.cmd.Process.Signal(sig); err != nil {
 		return fmt.Errorf("signal %s: %w", p.Name, err)
@@ -102,12 +107,26 @@
 	switch sig {
 	case syscall.SIGSTOP:
 		p.frozen.Store(true)
+		return Wait(p.Name+" has stopped", stopTimeout, func() bool { return p.Exited() || p.stopped() })
 	case syscall.SIGCONT:
 		p.frozen.Store(false)
 	}
 	return nil
 }
 
+// stopped reports whether all threads of the process are stopped.
+func (p *Process) stopped() bool {
+	paths, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.cmd.Process.Pid)) // The pattern is valid.
+	for _, path := range paths {
+		stat, err := os.ReadFile(path)
+		state := stat[bytes.LastIndexByte(stat, ')')+1:]
+		if err == nil && !bytes.HasPrefix(state, []byte(" T")) {
+			return false
+		}
+	}
+	return true
+}
+
 // Frozen reports whether a process was stopped and not yet continued.
 func (p *Process) Frozen() bool { return p.frozen.Load() }
 
--- a/lab/cluster/process_test.go
+++ b/lab/cluster/process_test.go
@@ -3,8 +3,11 @@
 import (
 	"net"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
+
+	"github.com/croftturn/croftturn/internal/testport"
 )
 
 // TestAProcessThatEndsIsNotWaitedFor holds that the cause is told at once where a stand-in
@@ -26,3 +29,28 @@
 		t.Errorf("after %v: %v, want that the engine has ended", time.Since(begin), err)
 	}
 }
+
+// TestFrozenProcessHasStopped guards against a process that still answers after Signal has returned.
+func TestFrozenProcessHasStopped(t *testing.T) {
+	c := &Cluster{opts: Options{Dir: t.TempDir()}}
+	address, err := testport.Address()
+	if err != nil {
+		t.Fatal(err)
+	}
+	p, err := c.launch("engine", "lab", "engine", "-name", "e1", "-listen", address, "-log", c.path("executions.log"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.Kill)
+	if err := waitListening(p, address); err != nil {
+		t.Fatal(err)
+	}
+	for i := range 100 {
+		if err := p.Signal(syscall.SIGSTOP); err != nil || !p.stopped() {
+			t.Fatalf("round %d: %v, stopped: %v", i, err, p.stopped())
+		}
+		if err := p.Signal(syscall.SIGCONT); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
