--- a/internal/edge/settled.go
+++ b/internal/edge/settled.go
@@ -28,10 +28,10 @@
 	// settledSpread is the period over which nodes look whether the row is to be written.
 	settledSpread = 2 * time.Second
 
-	// settledRecheck is how often nodes look whether they are the one that writes the row.
+	// settledRecheck is how often hubs check whether they are the one that writes the row.
 	settledRecheck = time.Minute
 
-	// settledTurn is the owner of the row among the hubs, by hash.
+	// settledTurn is the key by whose hash one hub is chosen to write the row.
 	settledTurn = "settled"
 )
 
