Soak: a revoked key counts by when its caller sent, where the way to the engine held the request back

The check is narrowed to that: only where the way to the engine was out between sending and running does the caller's time count; a request sent too late is a violation there as well, which the ledger's test has.

--- a/lab/soak/ledger.go
+++ b/lab/soak/ledger.go
@@ -242,7 +242,11 @@
 		if r.team != e.team {
 			out = append(out, fmt.Sprintf("%s %s ran for team %q, its key belongs to %q", e.route, id, r.team, e.team))
 		}
-		if revokedAt, ok := l.revoked[e.key]; ok && r.at.After(revokedAt.Add(revokeWithin)) {
+		at := r.at
+		if l.hadOutage(r.engine, e.sent, r.at) {
+			at = e.sent // The way to the engine may have held the request back.
+		}
+		if revokedAt, ok := l.revoked[e.key]; ok && at.After(revokedAt.Add(revokeWithin)) {
 			out = append(out, fmt.Sprintf("%s %s ran %v after its key was revoked", e.route, id, r.at.Sub(revokedAt)))
 		}
 	}
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -118,6 +118,12 @@
 			l.recordTime(l.revoked, "k", at.Add(-6*time.Second))
 			l.recordRun("a", goodRun)
 		},
+		"revoked key at an engine whose way was silent": func(l *Ledger) {
+			l.recordResult("a", goodResult)
+			l.recordTime(l.revoked, "k", at.Add(-6*time.Second))
+			l.outages["e"] = []interval{{at, at.Add(time.Second)}}
+			l.recordRun("a", run{engine: "e", team: "t", at: at.Add(time.Second)})
+		},
 		"draining engine": func(l *Ledger) {
 			l.recordResult("a", goodResult)
 			l.recordTime(l.leaving, "e", at.Add(-3*time.Second))
@@ -222,7 +228,12 @@
 	l.recordResult("a", goodResult)
 	l.recordTime(l.leaving, "e", at.Add(-3*time.Second))
 	l.recordFault(at.Add(-4*time.Second), at.Add(-2*time.Second))
+	held := goodResult
+	held.sent = at.Add(-3 * time.Second)
+	l.recordResult("a", held)
+	l.recordTime(l.revoked, "k", at.Add(-6*time.Second))
+	l.outages["e"] = []interval{{at.Add(-2 * time.Second), at}}
 	if violations := l.Violations(); len(violations) > 0 {
-		t.Errorf("violations found although the store had a fault: %v", violations)
+		t.Errorf("violations found although the store had a fault, or the way to the engine held a request back: %v", violations)
 	}
 }
