--- a/lab/soak/node.go
+++ b/lab/soak/node.go
@@ -17,12 +17,12 @@
 // node is a node process with the relays in front of the store and of its caller address.
 type node struct {
 	*cluster.Process
-	name, settingsPath, sourceIP                 string
-	callerAddress, directoryAddress, peerAddress string
-	store                                        *relay.Relay
-	callers                                      *relay.Relay
-	reserved                                     bool // reserved is set while a fault owns the process.
-	exitExpected                                 bool // exitExpected is set if an exit is not a violation.
+	name, settingsPath, sourceIP                               string
+	callerAddress, directoryAddress, peerAddress, readyAddress string
+	store                                                      *relay.Relay
+	callers                                                    *relay.Relay
+	reserved                                                   bool // reserved is set while a fault owns the process.
+	exitExpected                                               bool // exitExpected is set if an exit is not a violation.
 }
 
 // addNode writes the settings of a node and starts it.
@@ -32,8 +32,8 @@
 	if n.store, err = relay.New(env.storeAddress, relayDelay); err != nil {
 		return fmt.Errorf("relay to store: %w", err)
 	}
-	var ready, admin, forward string
-	for _, a := range []*string{&n.callerAddress, &n.directoryAddress, &n.peerAddress, &ready, &admin, &forward} {
+	var admin, forward string
+	for _, a := range []*string{&n.callerAddress, &n.directoryAddress, &n.peerAddress, &n.readyAddress, &admin, &forward} {
 		if *a, err = cluster.FreeAddress(); err != nil {
 			return err
 		}
@@ -50,7 +50,7 @@
 	}
 	text, err := json.Marshal(map[string]any{
 		"instance": n.name, "hall": hallOf(i), "region": "r", "hall_regions": regions, "caller_address": n.callerAddress, "directory_address": n.directoryAddress,
-		"ready_address": ready, "peer_address": n.peerAddress, "admin_address": admin, "forward_address": forward, "engine_source_ip": n.sourceIP, "platform_addresses": []string{n.store.Address()},
+		"ready_address": n.readyAddress, "peer_address": n.peerAddress, "admin_address": admin, "forward_address": forward, "engine_source_ip": n.sourceIP, "platform_addresses": []string{n.store.Address()},
 		"revoke_within_ms": 5000, "stop_grace_ms": stopGrace.Milliseconds(), "retry_share": 0.2, "retry_extra": 50, "memory_mb": 200, "trace_share": 0,
 		"duties": []string{"usage"}, "duties_address": env.storeAddress, "lease_ms": 1500, "usage_window_ms": 500, "usage_late_ms": 3000,
 		"interactive_target_ms": interactiveTargetMs * (env.opts.Seed % 2), // The pool of streams is interactive with odd seeds.
--- a/lab/soak/world.go
+++ b/lab/soak/world.go
@@ -109,7 +109,10 @@
 			return env, err
 		}
 	}
-	return env, env.waitReady(20 * time.Second)
+	if err := env.waitReady(20 * time.Second); err != nil {
+		return env, err
+	}
+	return env, env.waitProven(20 * time.Second)
 }
 
 // close stops everything that was started.
@@ -194,6 +197,24 @@
 	return ""
 }
 
+// waitProven waits until every node has a proof of its configuration: one that starts where no node has settled the
+// store's era waits for it, and faults would begin before there is any.
+func (env *Environment) waitProven(within time.Duration) error {
+	return cluster.Wait("every node is ready", within, func() bool {
+		for _, n := range env.nodes {
+			resp, err := env.client.Get("http://" + n.readyAddress + "/-/ready")
+			if err != nil {
+				return false
+			}
+			resp.Body.Close()
+			if resp.StatusCode != http.StatusOK {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 // waitReady waits until every node resolves the host to at least one entry point.
 func (env *Environment) waitReady(within time.Duration) error {
 	c := newCaller(env, "probe", 1)
