--- a/review/stop/main.go
+++ b/review/stop/main.go
@@ -30,7 +30,8 @@
 	deadline    = 6 * time.Second // the clients' and the route's
 	workLeast   = 1500 * time.Millisecond
 	workMost    = 4 * time.Second
-	usedShare   = 0.7 // requests that had used more of their time are left out
+	usedShare   = 0.7             // requests that had used more of their time are left out
+	excusedFor  = 3 * time.Second // requests sent so soon after the SIGTERM are left out
 )
 
 var halls = []string{"hall-a", "hall-b", "hall-c"}
@@ -148,7 +149,7 @@
 	w.counts[how]++
 	termAt, stopping := w.termAt[address]
 	took := now.Sub(sent)
-	if err != nil && begun && !whole && stopping && sent.After(termAt) && took.Seconds() < usedShare*deadline.Seconds() {
+	if err != nil && begun && !whole && stopping && sent.Sub(termAt) > excusedFor && took.Seconds() < usedShare*deadline.Seconds() {
 		w.lost++
 		w.r.LogAt(sent, "LOST %s: sent to %s %.3f s after its SIGTERM, passed on to an engine %.3f s later, connection closed without an answer after %.3f s of %.0f s (%v)", id, address, sent.Sub(termAt).Seconds(), begunAt.Sub(sent).Seconds(), took.Seconds(), deadline.Seconds(), err)
 		return false
