--- a/review/popular/main.go
+++ b/review/popular/main.go
@@ -28,7 +28,7 @@
 	otherRate    = 24 // requests a second of the same kind with prompts of their own
 	longRate     = 20 // requests a second of another kind, with long prompts
 	crashAfter   = 4 * time.Second
-	crashFor     = 4500 * time.Millisecond
+	crashFor     = 2 * time.Second
 	crashedCount = engineCount / 4
 	answerLeast  = 7 * time.Second
 	answerMost   = 9 * time.Second
