--- a/review/cut/main.go
+++ b/review/cut/main.go
@@ -207,6 +207,9 @@
 	w.sent++
 	how := fmt.Sprint(a.Status)
 	s := w.streams[id]
+	if s == nil {
+		s = &stream{engine: "none"}
+	}
 	switch {
 	case a.Status == 0:
 		how = "no whole answer"
@@ -218,11 +221,7 @@
 		w.r.LogAt(a.Ended, "EARLY END of %s, sent to %s: status 200 and the end of a whole answer after %d of %d events; engine %s, unframed %v, ended its run %v", id, address, strings.Count(string(a.Body), "\n\n"), events, s.engine, s.unframed, s.ended)
 	}
 	w.statuses[how]++
-	if s != nil {
-		w.r.LogAt(a.Sent, "sent %s to %s, run by %s (unframed %v, run to its end %v): %s", id, address, s.engine, s.unframed, s.ended, how)
-	} else {
-		w.r.LogAt(a.Sent, "sent %s to %s, not run: %s", id, address, how)
-	}
+	w.r.LogAt(a.Sent, "sent %s to %s, run by %s (unframed %v, run to its end %v): %s", id, address, s.engine, s.unframed, s.ended, how)
 }
 
 func run(r *kit.Record, dir string, trouble bool) int {
--- a/review/popular/main.go
+++ b/review/popular/main.go
@@ -21,9 +21,9 @@
 const (
 	engineCount  = 12
 	nodeCount    = 3
-	rounds       = 5
-	roundTime    = 17 * time.Second
-	popularFor   = 10 * time.Second
+	rounds       = 7
+	roundTime    = 12 * time.Second
+	popularFor   = 8 * time.Second
 	popularRate  = 11 // requests a second of one tenant with the same prompt
 	otherRate    = 24 // requests a second of the same kind with prompts of their own
 	longRate     = 20 // requests a second of another kind, with long prompts
@@ -244,7 +244,7 @@
 		denied := w.denied
 		w.mu.Unlock()
 		r.Logf("round %d: %d ended with a 4xx of a node so far", round, denied)
-		if denied > 40 {
+		if denied > 20 {
 			break
 		}
 	}
