--- a/review/stop/main.go
+++ b/review/stop/main.go
@@ -24,13 +24,13 @@
 const (
 	engineCount = 3
 	nodeCount   = 3
-	clientCount = 300
+	clientCount = 700
 	rounds      = 5
 	grace       = 8 * time.Second // the platform kills the process after it
-	deadline    = 6 * time.Second // the clients' and the route's
-	workLeast   = 1500 * time.Millisecond
-	workMost    = 4 * time.Second
-	usedShare   = 0.7             // requests that had used more of their time are left out
+	deadline    = 4 * time.Second // the clients' and the route's
+	workLeast   = time.Second
+	workMost    = 3500 * time.Millisecond
+	usedShare   = 0.8             // requests that had used more of their time are left out
 	excusedFor  = 3 * time.Second // requests sent so soon after the SIGTERM are left out
 )
 
@@ -151,7 +151,7 @@
 	took := now.Sub(sent)
 	if err != nil && begun && !whole && stopping && sent.Sub(termAt) > excusedFor && took.Seconds() < usedShare*deadline.Seconds() {
 		w.lost++
-		w.r.LogAt(sent, "LOST %s: sent to %s %.3f s after its SIGTERM, passed on to an engine %.3f s later, connection closed without an answer after %.3f s of %.0f s (%v)", id, address, sent.Sub(termAt).Seconds(), begunAt.Sub(sent).Seconds(), took.Seconds(), deadline.Seconds(), err)
+		w.r.LogAt(sent, "LOST %s: sent to %s %.3f s after its SIGTERM, passed on to an engine %.3f s later, connection closed without an answer after %.3f s of %.1f s (%v)", id, address, sent.Sub(termAt).Seconds(), begunAt.Sub(sent).Seconds(), took.Seconds(), deadline.Seconds(), err)
 		return false
 	}
 	w.r.LogAt(sent, "sent %s to %s: %s after %.3f s, begun by an engine %v", id, address, how, took.Seconds(), begun)
@@ -167,9 +167,9 @@
 	w := &world{r: r, runs: &runs{begun: map[string]time.Time{}, ended: map[string]time.Time{}}, termAt: map[string]time.Time{}, counts: map[string]int{}}
 	store.Put("op", "config", map[string]any{
 		"version": 1,
-		"routes": []any{map[string]any{"name": "r-order", "host": "desk.example", "path_prefix": "/order/", "kind": "unsafe", "timeout_ms": deadline.Milliseconds(), "target_latency_ms": 5000, "priority": 0,
+		"routes": []any{map[string]any{"name": "r-order", "host": "desk.example", "path_prefix": "/order/", "kind": "unsafe", "timeout_ms": deadline.Milliseconds(), "target_latency_ms": 3500, "priority": 0,
 			"service": "desk", "max_attempts": 1, "public": true, "sticky": false, "resumable": false}},
-		"services": []any{map[string]any{"name": "desk", "health_path": "/health", "max_connections": 360, "protocol": "h1", "tls": false}},
+		"services": []any{map[string]any{"name": "desk", "health_path": "/health", "max_connections": 600, "protocol": "h1", "tls": false}},
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 5000, "idle_timeout_ms": 15000},
 	})
 	for i := range engineCount {
@@ -206,7 +206,7 @@
 			rw.Header().Set("Response-Seal", "seal-"+attempt)
 			io.WriteString(rw, "receipt of "+attempt)
 		}))
-		store.Put("servers", id, map[string]any{"service": "desk", "address": l.Addr().String(), "zone": halls[i%3], "version": "v1", "slots": 256, "state": "ready", "cold_remaining_ms": 0, "sequence": 1})
+		store.Put("servers", id, map[string]any{"service": "desk", "address": l.Addr().String(), "zone": halls[i%3], "version": "v1", "slots": 512, "state": "ready", "cold_remaining_ms": 0, "sequence": 1})
 	}
 	for i := range nodeCount {
 		n := kit.NewNode(i, kit.NodeOptions{Dir: dir, Store: store.Address, Halls: halls})
