--- a/review/paged/main.go
+++ b/review/paged/main.go
@@ -103,6 +103,7 @@
 		return
 	}
 	w.runs.Add(1)
+	w.r.LogAt(at, "run %s at %s", id, e.id)
 	e.mu.Lock()
 	draining, version := e.draining, e.version
 	e.mu.Unlock()
@@ -233,6 +234,7 @@
 					w.sentTo.Store(id, n)
 					a := clients.Send(address, http.MethodGet, "/status/1", id, deadline, nil, nil)
 					w.count(a.Status)
+					w.r.LogAt(a.Sent, "sent %s to %s: status %d after %.3f s", id, n.Name, a.Status, a.Ended.Sub(a.Sent).Seconds())
 					time.AfterFunc(3*time.Second, func() { w.sentTo.Delete(id) })
 				}
 			}()
