Log when a request was read and written, and whether its caller had left then

The three hypotheses differ in where a request spent the time after its caller had closed: unread in its socket, in the node, or behind the write. "request ended" now has unread_ms (from TCP_INFO, as the kernel counts), decided_ms, written_ms and closed_at_write. internal/caller asks the kernel in one call; the connection of each request is known to all doors, not only where answers are buffered.

--- a/internal/dispatch/buffer.go
+++ b/internal/dispatch/buffer.go
@@ -62,7 +62,10 @@
 	if x.d.relay.budget == nil || !x.interactive() {
 		return false
 	}
-	caller := relaybuf.Caller{Write: x.answer.Write, Interrupt: func() {}, Extend: func() {}, Unread: relaybuf.Unread(ctx), Left: x.left}
+	caller := relaybuf.Caller{Write: x.answer.Write, Interrupt: func() {}, Extend: func() {}, Left: x.left}
+	if x.caller != nil {
+		caller.Unread = x.caller.Unread
+	}
 	if i, ok := x.answer.(Interrupter); ok {
 		caller.Interrupt, caller.Extend = i.Interrupt, i.Extend
 	}
--- a/internal/dispatch/buffer_test.go
+++ b/internal/dispatch/buffer_test.go
@@ -18,6 +18,7 @@
 	"testing"
 	"time"
 
+	"github.com/croftturn/croftturn/internal/caller"
 	"github.com/croftturn/croftturn/internal/dispatch"
 	"github.com/croftturn/croftturn/internal/freshness"
 	"github.com/croftturn/croftturn/internal/placement"
@@ -389,7 +390,7 @@
 		close(served)
 		a.Finish()
 	}))
-	server.Config.ConnContext = relaybuf.WithConn
+	server.Config.ConnContext = caller.WithConn
 	server.Start()
 	conn, err := net.Dial("tcp", server.Listener.Addr().String())
 	if err != nil {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/croftturn/croftturn/internal/caller"
 	"github.com/croftturn/croftturn/internal/clock"
 	"github.com/croftturn/croftturn/internal/freshness"
 	"github.com/croftturn/croftturn/internal/placement"
@@ -185,7 +186,7 @@
 	defer d.active.Add(-1)
 	x := &exchange{
 		d: d, req: r, route: route, team: team, answer: a, arrived: arrived, deadline: arrived.Add(patience(r, route)),
-		pool: route.ChoosePool(r.ID), tried: map[string]bool{}, lastEventID: r.LastEventID, engineLimit: noLimit,
+		caller: caller.ConnOf(ctx), pool: route.ChoosePool(r.ID), tried: map[string]bool{}, lastEventID: r.LastEventID, engineLimit: noLimit,
 	}
 	x.reach = d.reachOf(x.pool)
 	x.restoreForwarded(r.Forwarded)
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -44,7 +44,8 @@
 		Method         string
 		Target         string // Target is the path and query as sent.
 		Body           []byte
-		Forwarded      *Forwarded // Forwarded is set if another node forwarded the request.
+		Forwarded      *Forwarded    // Forwarded is set if another node forwarded the request.
+		Unread         time.Duration // Unread is how long the request lay in its socket until this node read it; 0 if unknown.
 	}
 
 	// Attempt is what is sent to one engine.
@@ -57,6 +58,10 @@
 		TransferFrom string        // TransferFrom is the address of the engine from which cached prompt parts are copied; empty for none.
 		OpenOnly     bool          // OpenOnly sends the request over an open connection or not at all.
 		LastEventID  string        // LastEventID is the event after which the engine resumes; empty for a whole answer.
+
+		// BeforeWrite is called right before each write of the request to the engine, which does not
+		// happen if it returns an error. It may be called by another goroutine than the sender's.
+		BeforeWrite func(now time.Time) error
 	}
 
 	// Response is an engine's answer.
--- a/internal/dispatch/walk.go
+++ b/internal/dispatch/walk.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/croftturn/croftturn/internal/admission"
+	"github.com/croftturn/croftturn/internal/caller"
 	"github.com/croftturn/croftturn/internal/clock"
 	"github.com/croftturn/croftturn/internal/overload"
 	"github.com/croftturn/croftturn/internal/placement"
@@ -31,6 +32,7 @@
 	route    *routing.Route
 	team     *routing.Team
 	answer   AnswerWriter
+	caller   *caller.Conn     // caller is the connection to the caller; nil if it is not known
 	buffer   *relaybuf.Buffer // buffer holds what the caller has not read; nil if the answer is not buffered
 	arrived  time.Time
 	deadline time.Time
@@ -64,7 +66,8 @@
 	shedShare     float64           // shedShare is the share of requests of its tier refused on arrival because tiers above lack slots
 	headReceived  bool              // headReceived is set once the current engine has sent the head of its answer
 	answerBegun   bool              // answerBegun is set once the answer to the caller has begun
-	sentAt        time.Time         // sentAt is when the request was last sent
+	sentAt        time.Time         // sentAt is when the request was last handed over for sending
+	written       writeRecord       // written tells when the request was last written
 	choice        placement.Choice
 	call          *placement.Call
 	refusal       Refusal
@@ -141,6 +144,7 @@
 	x.trial, x.headReceived, x.unframed = false, false, false
 	x.tried[x.choice.Engine.ID] = true
 	x.sentAt, x.bufferedSince = now, now
+	x.written.clear()
 	x.via = ""
 	x.call = x.d.placement.Start(now, x.choice, request)
 	if !x.call.HasTransfer() {
@@ -300,7 +304,7 @@
 
 // attemptFor returns what is sent to an engine.
 func (x *exchange) attemptFor(now time.Time, e placement.Engine) Attempt {
-	return Attempt{Engine: e, SendBefore: x.sendBefore, Team: x.teamName(), TransferFrom: x.choice.TransferFrom, Urgency: x.urgency(), TimeLeft: x.deadline.Sub(now), LastEventID: x.lastEventID,
+	return Attempt{Engine: e, SendBefore: x.sendBefore, Team: x.teamName(), TransferFrom: x.choice.TransferFrom, Urgency: x.urgency(), TimeLeft: x.deadline.Sub(now), LastEventID: x.lastEventID, BeforeWrite: x.beforeWrite,
 		OpenOnly: x.mayForward() && x.reach.Unconnectable()}
 }
 
@@ -423,6 +427,7 @@
 		"cost_ms", int(x.choice.Cost), "wait_ms", int(x.choice.Wait), "held_ms", x.queuedFor.Milliseconds(), "give_way", math.Round(100*x.shedShare)/100, "prompt_tokens", x.req.Prompt.Tokens, "session", x.req.Prompt.Session(), "unread_tokens", x.choice.PrefillTokens,
 		"ahead_tokens", x.choice.QueuedTokens, "read_rate", math.Round(10*x.choice.PrefillRate)/10, "tight", x.choice.GapSensitive, "slowdown", math.Round(100*x.slowdown)/100, "leaving_ms", x.leavingFor.Milliseconds(), "transfer_tokens", x.choice.TransferTokens, "transfer_from", x.choice.TransferFrom,
 		"first_ms", x.firstByte.Milliseconds(), "gap_ms", x.maxGap.Milliseconds(), "total_ms", now.Sub(x.arrived).Milliseconds(), "patience_ms", x.deadline.Sub(x.arrived).Milliseconds(),
+		"unread_ms", x.req.Unread.Milliseconds(), "decided_ms", x.sinceArrival(x.sentAt), "written_ms", x.sinceArrival(x.written.time()), "closed_at_write", x.written.closed.Load(),
 		"engine_limit", x.engineLimit, "permit_ms", x.permitWait.Milliseconds(), "opens_ms", x.capacityDelay.Milliseconds(), "target_ms", x.route.Target.Milliseconds(), "longest_gap_ms", x.route.MaxGap.Milliseconds(),
 		"come_back_ms", x.refusal.RetryAfter.Milliseconds(), "config_version", x.d.Version(), "proof_age_ms", x.d.proof.AgeMs(now))
 	x.d.observer.Ended(x.route.Name, outcome, x.firstByte, now.Sub(x.arrived))
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"github.com/croftturn/croftturn/internal/cachewatch"
+	"github.com/croftturn/croftturn/internal/caller"
 	"github.com/croftturn/croftturn/internal/clock"
 	"github.com/croftturn/croftturn/internal/discovery"
 	"github.com/croftturn/croftturn/internal/dispatch"
@@ -348,7 +349,7 @@
 	s := e.settings
 	server := &http.Server{
 		Handler: handler, MaxHeaderBytes: s.MaxHeaderBytes, ReadHeaderTimeout: ms(s.ReadTimeoutMs), IdleTimeout: clientIdleTimeout,
-		ConnContext: e.connContext(), ErrorLog: slog.NewLogLogger(e.log.Handler(), slog.LevelDebug),
+		ConnContext: caller.WithConn, ErrorLog: slog.NewLogLogger(e.log.Handler(), slog.LevelDebug),
 	}
 	e.servers = append(e.servers, server)
 	return server
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
@@ -31,14 +30,6 @@
 	return dispatch.WithRelayBuffers(e.relayBudget, e.metrics.CutOff)
 }
 
-// connContext returns what makes callers' connections known to buffered answers.
-func (e *Edge) connContext() func(context.Context, net.Conn) context.Context {
-	if e.relayBudget == nil {
-		return nil
-	}
-	return relaybuf.WithConn
-}
-
 // startRelaySweeps starts cutting off callers that do not read.
 func (e *Edge) startRelaySweeps(ctx context.Context) {
 	if e.relayBudget != nil {
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"github.com/croftturn/croftturn/internal/caller"
 	"github.com/croftturn/croftturn/internal/clock"
 	"github.com/croftturn/croftturn/internal/dispatch"
 	"github.com/croftturn/croftturn/internal/reply"
@@ -53,12 +54,14 @@
 // ServeHTTP implements http.Handler. The key and the route are checked anew, with the configuration of
 // this node. The time that the request has spent at its first node counts.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	unread := caller.ConnOf(r.Context()).State().Quiet
 	req, err := h.read(w, r)
 	if err != nil {
 		h.log.Warn("invalid forwarded request", "error", err.Error())
 		http.Error(w, "invalid request", http.StatusBadRequest)
 		return
 	}
+	req.Unread = unread
 	now := clock.Now()
 	a := &answer{Writer: reply.New(w, h.limits.Write), version: h.dispatcher.Version, log: h.log, id: req.ID}
 	route, team, refusal := h.dispatcher.Check(now, req)
--- a/internal/front/completions.go
+++ b/internal/front/completions.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"github.com/croftturn/croftturn/internal/caller"
 	"github.com/croftturn/croftturn/internal/clock"
 	"github.com/croftturn/croftturn/internal/dispatch"
 	"github.com/croftturn/croftturn/internal/header"
@@ -58,6 +59,7 @@
 	arrived := clock.Now()
 	a := &completionAnswer{Writer: reply.New(w, c.limits.WriteTimeout), w: w, id: newID(), log: c.log}
 	req, failure := completionHead(r, a.id)
+	req.Unread = caller.ConnOf(r.Context()).State().Quiet
 	if failure != nil {
 		c.badRequest(a, req, failure)
 		return
