Withhold requests whose callers have left or whose deadline has passed

A request was checked by its context when an engine was chosen; its close lay unread behind it in the socket, its deadline began when the handler did, and up to 2.3 s lay between the choice and the write.

Now the state of the caller's connection and the clock are asked where a request is written to an engine or to another node, before each write: nothing of this process can come in between. A deadline is reckoned from when the kernel got the caller's last data, as far as it tells, at all doors and for forwarded requests. A caller that left before its request was read is let go at once, no retry is taken for one that has left, and an attempt begins only within the deadline. Both refusals are 503: the request was not sent, so it has not run.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -87,6 +87,12 @@
 	return s
 }
 
+// Arrival returns when the caller sent its last data, as far as that is known, and whether it has left by now.
+func (c *Conn) Arrival(now time.Time) (at time.Time, left bool) {
+	s := c.State()
+	return now.Add(-s.Quiet), s.Closed
+}
+
 // Left reports whether the caller has closed the connection.
 func (c *Conn) Left() bool { return c.State().Closed }
 
--- a/internal/dispatch/departed.go
+++ b/internal/dispatch/departed.go
@@ -1,22 +1,43 @@
 package dispatch
 
 import (
+	"context"
+	"errors"
+	"fmt"
 	"sync/atomic"
 	"time"
+
+	"github.com/croftturn/croftturn/internal/placement"
+)
+
+// A process that is behind learns late that a caller has closed its connection, and reads requests late whose time
+// is over. What decides is asked of the kernel and the clock where the request is written, because nothing
+// can come between this and the write: no request is written once its caller's close has reached this machine or
+// its deadline has passed.
+
+var (
+	// ErrWithheld means that a request was not written because nobody waits for its answer any more, or because
+	// its engine should not get it.
+	ErrWithheld = errors.New("dispatch: request withheld")
+
+	// ErrCallerLeft means that a request was not written because its caller had left.
+	ErrCallerLeft = fmt.Errorf("%w: its caller has left", ErrWithheld)
+
+	// ErrExpired means that a request was not written because its deadline had passed.
+	ErrExpired = fmt.Errorf("%w: its deadline has passed", ErrWithheld)
+
+	// ErrTooLate means that a request was not written because its engine was about to leave by then.
+	ErrTooLate = fmt.Errorf("%w: its engine leaves", ErrWithheld)
 )
 
 // writeRecord tells when a request was last written. The goroutine that writes is another than the one that
 // serves the request.
 type writeRecord struct {
-	at     atomic.Pointer[time.Time] // at is when its first byte was written; nil if none was
-	closed atomic.Bool               // closed is set if the caller's close had reached this machine by then
+	at atomic.Pointer[time.Time] // at is when its first byte was written; nil if none was
 }
 
 // clear forgets the record, for another attempt.
-func (r *writeRecord) clear() {
-	r.at.Store(nil)
-	r.closed.Store(false)
-}
+func (r *writeRecord) clear() { r.at.Store(nil) }
 
 // time returns when the first byte was written, zero if none was.
 func (r *writeRecord) time() time.Time {
@@ -26,14 +47,39 @@
 	return time.Time{}
 }
 
-// beforeWrite is called right before the request is written.
-func (x *exchange) beforeWrite(now time.Time) error {
-	if x.written.at.CompareAndSwap(nil, &now) {
-		x.written.closed.Store(x.caller.Left())
+// mayWrite is asked right before each write of the request. It may run in another goroutine than the exchange.
+func (x *exchange) mayWrite(now time.Time) error {
+	switch {
+	case !now.Before(x.deadline):
+		return ErrExpired
+	case x.caller.Left():
+		return ErrCallerLeft
 	}
+	x.written.at.CompareAndSwap(nil, &now)
 	return nil
 }
 
+// callerLeft reports whether the caller closed its connection or was cut off.
+func (x *exchange) callerLeft(ctx context.Context) bool {
+	return errors.Is(context.Cause(ctx), context.Canceled) || x.buffer != nil && x.buffer.Err() != nil || x.caller.Left()
+}
+
+// refuseExpired ends a request whose deadline has passed before it was sent to an engine, or to another one.
+func (x *exchange) refuseExpired() {
+	reason := Expired
+	if x.mayHaveRun {
+		reason = TimedOut
+	}
+	x.refuse(Refusal{Reason: reason})
+}
+
+// handleExpired ends an attempt that was withheld because the deadline had passed.
+func (x *exchange) handleExpired(now time.Time, err error) {
+	x.call.End(now, placement.Aborted)
+	x.mayHaveRun = x.mayHaveRun || !errors.Is(err, ErrNotSent)
+	x.refuseExpired()
+}
+
 // sinceArrival returns the time from the request's arrival until t in milliseconds, -1 if t is zero.
 func (x *exchange) sinceArrival(t time.Time) int64 {
 	if t.IsZero() {
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -27,9 +27,9 @@
 		// resumable stream it must be one that keeps streams at the version that began them.
 		Choose(now time.Time, pool string, resumable bool, avoid []string) (node, address string, ok bool)
 
-		// Forward sends a request to a node and returns its answer or refusal. The error is ErrNotSent
-		// if no byte was sent.
-		Forward(ctx context.Context, address string, r *Request, f Forwarded) (*Response, *Refusal, error)
+		// Forward sends a request to a node and returns its answer or refusal. mayWrite is as in Attempt.
+		// The error is ErrNotSent if no byte was sent.
+		Forward(ctx context.Context, address string, r *Request, f Forwarded, mayWrite func(now time.Time) error) (*Response, *Refusal, error)
 	}
 
 	// Forwarded is what a node tells another of a request besides the request itself. The
@@ -115,6 +115,9 @@
 			}
 			x.abortAnswer(clock.Now())
 			return true, false
+		case errors.Is(err, ErrExpired):
+			x.handleExpired(clock.Now(), err)
+			return true, false
 		case errors.Is(err, ErrNotSent) || refusal != nil && x.mayTryNextNode(refusal):
 			continue
 		case err != nil:
@@ -137,7 +140,7 @@
 	resp, refusal, err := x.d.forwarder.Forward(ctx, address, x.req, Forwarded{
 		From: x.d.node, Spent: now.Sub(x.arrived), Sent: x.sent, LastEventID: x.lastEventID, MayHaveRun: x.mayHaveRun, Counted: x.counted,
 		Bound: x.origin.bound, Pool: x.origin.Pool, Version: x.origin.Version, Trial: x.trial || !x.partTrial.IsZero(),
-	})
+	}, x.mayWrite)
 	result, reason := "answered", Reason("")
 	switch {
 	case err != nil:
--- a/internal/dispatch/refusal.go
+++ b/internal/dispatch/refusal.go
@@ -63,7 +63,11 @@
 	// VersionGone means that the version at which the stream began has no engines any more.
 	VersionGone Reason = "version_gone"
 
-	// CallerLeft means that the caller closed its connection.
+	// Expired means that the deadline passed before the request was sent to an engine.
+	Expired Reason = "expired"
+
+	// CallerLeft means that the caller closed its connection, or its writing side, before the request was sent to an
+	// engine, or while it was.
 	CallerLeft Reason = "caller_left"
 
 	// CallerTooSlow means that the caller was cut off because it did not read its answer.
@@ -101,6 +105,8 @@
 	VersionGone:       http.StatusServiceUnavailable,
 	CrashesEngines:    http.StatusBadRequest,
 	MayCrashEngines:   http.StatusServiceUnavailable,
+	Expired:           http.StatusServiceUnavailable,
+	CallerLeft:        http.StatusServiceUnavailable,
 	EngineFailed:      http.StatusBadGateway,
 	TimedOut:          http.StatusGatewayTimeout,
 }
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -18,9 +18,6 @@
 	// engine and none was to be opened.
 	ErrNoConnection = errors.New("dispatch: no open connection to the engine")
 
-	// ErrTooLate means that a request was not sent because its engine was about to leave by then.
-	ErrTooLate = errors.New("dispatch: engine leaves before the request could be sent")
-
 	// ErrMismatchedResponse means that the answer of an engine belongs to another request.
 	ErrMismatchedResponse = errors.New("dispatch: response belongs to another request")
 )
@@ -59,9 +56,9 @@
 		OpenOnly     bool          // OpenOnly sends the request over an open connection or not at all.
 		LastEventID  string        // LastEventID is the event after which the engine resumes; empty for a whole answer.
 
-		// BeforeWrite is called right before each write of the request to the engine, which does not
-		// happen if it returns an error. It may be called by another goroutine than the sender's.
-		BeforeWrite func(now time.Time) error
+		// MayWrite is asked right before each write of the request, which does not happen if it returns an
+		// error. Other goroutines than the caller of Send may ask. It may be nil.
+		MayWrite func(now time.Time) error
 	}
 
 	// Response is an engine's answer.
--- a/internal/dispatch/resend.go
+++ b/internal/dispatch/resend.go
@@ -124,9 +124,12 @@
 	return x.retryReserved.Swap(false) || x.takeRetry(now, x.choice.Engine.ID, x.sent, cause)
 }
 
-// takeRetry takes one retry from the budget. engine is the last engine that the request was sent
+// takeRetry takes one retry from the budget, unless nobody waits for it. engine is the last engine that the request was sent
 // to, sent the number of engines so far.
 func (x *exchange) takeRetry(now time.Time, engine string, sent int, cause error) bool {
+	if x.caller.Left() {
+		return false
+	}
 	ok := x.d.budget.Take(now, x.pool)
 	x.d.log.Info("retry", "request", x.req.ID, "engine", engine, "cause", cause.Error(), "allowed", ok, "sent", sent)
 	if ok {
--- a/internal/dispatch/walk.go
+++ b/internal/dispatch/walk.go
@@ -106,6 +106,10 @@
 
 // attempt sends the request to one engine and reports whether another should be tried.
 func (x *exchange) attempt(ctx context.Context) (again bool) {
+	if !clock.Now().Before(x.deadline) {
+		x.refuseExpired()
+		return false
+	}
 	if x.mustForward() {
 		if handled, again := x.forward(ctx); handled {
 			return again
@@ -304,7 +308,7 @@
 
 // attemptFor returns what is sent to an engine.
 func (x *exchange) attemptFor(now time.Time, e placement.Engine) Attempt {
-	return Attempt{Engine: e, SendBefore: x.sendBefore, Team: x.teamName(), TransferFrom: x.choice.TransferFrom, Urgency: x.urgency(), TimeLeft: x.deadline.Sub(now), LastEventID: x.lastEventID, BeforeWrite: x.beforeWrite,
+	return Attempt{Engine: e, SendBefore: x.sendBefore, Team: x.teamName(), TransferFrom: x.choice.TransferFrom, Urgency: x.urgency(), TimeLeft: x.deadline.Sub(now), LastEventID: x.lastEventID, MayWrite: x.mayWrite,
 		OpenOnly: x.mayForward() && x.reach.Unconnectable()}
 }
 
@@ -334,6 +338,10 @@
 		x.abortAnswer(now)
 		return false
 	}
+	if errors.Is(err, ErrExpired) {
+		x.handleExpired(now, err)
+		return false
+	}
 	if errors.Is(err, ErrTooLate) {
 		x.call.End(now, placement.Aborted)
 		x.d.placement.DrainIncarnation(x.choice.Engine)
@@ -387,11 +395,6 @@
 	return r
 }
 
-// callerLeft reports whether the caller closed its connection or was cut off.
-func (x *exchange) callerLeft(ctx context.Context) bool {
-	return errors.Is(context.Cause(ctx), context.Canceled) || x.buffer != nil && x.buffer.Err() != nil
-}
-
 // refuse sends the caller its final answer if no engine did. An answer that has begun can only be
 // aborted.
 func (x *exchange) refuse(r Refusal) {
@@ -427,7 +430,7 @@
 		"cost_ms", int(x.choice.Cost), "wait_ms", int(x.choice.Wait), "held_ms", x.queuedFor.Milliseconds(), "give_way", math.Round(100*x.shedShare)/100, "prompt_tokens", x.req.Prompt.Tokens, "session", x.req.Prompt.Session(), "unread_tokens", x.choice.PrefillTokens,
 		"ahead_tokens", x.choice.QueuedTokens, "read_rate", math.Round(10*x.choice.PrefillRate)/10, "tight", x.choice.GapSensitive, "slowdown", math.Round(100*x.slowdown)/100, "leaving_ms", x.leavingFor.Milliseconds(), "transfer_tokens", x.choice.TransferTokens, "transfer_from", x.choice.TransferFrom,
 		"first_ms", x.firstByte.Milliseconds(), "gap_ms", x.maxGap.Milliseconds(), "total_ms", now.Sub(x.arrived).Milliseconds(), "patience_ms", x.deadline.Sub(x.arrived).Milliseconds(),
-		"unread_ms", x.req.Unread.Milliseconds(), "decided_ms", x.sinceArrival(x.sentAt), "written_ms", x.sinceArrival(x.written.time()), "closed_at_write", x.written.closed.Load(),
+		"unread_ms", x.req.Unread.Milliseconds(), "decided_ms", x.sinceArrival(x.sentAt), "written_ms", x.sinceArrival(x.written.time()),
 		"engine_limit", x.engineLimit, "permit_ms", x.permitWait.Milliseconds(), "opens_ms", x.capacityDelay.Milliseconds(), "target_ms", x.route.Target.Milliseconds(), "longest_gap_ms", x.route.MaxGap.Milliseconds(),
 		"come_back_ms", x.refusal.RetryAfter.Milliseconds(), "config_version", x.d.Version(), "proof_age_ms", x.d.proof.AgeMs(now))
 	x.d.observer.Ended(x.route.Name, outcome, x.firstByte, now.Sub(x.arrived))
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -38,12 +38,6 @@
 		sent      atomic.Int64
 	}
 
-	// countedConn counts the writes that sent something.
-	countedConn struct {
-		net.Conn
-		writes atomic.Int64
-	}
-
 	// answerBody is the body of an answer; closing it ends the request at the other node.
 	answerBody struct {
 		io.ReadCloser
@@ -60,7 +54,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &countedConn{Conn: conn}, nil
+			return dial.NewRequestConn(conn), nil
 		},
 		DisableCompression: true, MaxResponseHeaderBytes: dial.MaxHeadBytes, MaxIdleConnsPerHost: idleConns, IdleConnTimeout: idleTimeout, ReadBufferSize: bufferBytes, WriteBufferSize: bufferBytes,
 	}}
@@ -72,16 +66,6 @@
 // Sent returns how many requests were sent to other nodes.
 func (c *Client) Sent() int64 { return c.sent.Load() }
 
-// Write counts a write that sent something.
-func (c *countedConn) Write(p []byte) (int, error) {
-	c.writes.Add(1)
-	n, err := c.Conn.Write(p)
-	if n == 0 && err != nil {
-		c.writes.Add(-1)
-	}
-	return n, err
-}
-
 // Close closes the body and ends the request.
 func (b *answerBody) Close() error {
 	err := b.ReadCloser.Close()
@@ -89,18 +73,19 @@
 	return err
 }
 
-// Forward sends a request to the node at an address. The error is dispatch.ErrNotSent if nothing was sent.
-func (c *Client) Forward(ctx context.Context, address string, r *dispatch.Request, f dispatch.Forwarded) (*dispatch.Response, *dispatch.Refusal, error) {
+// Forward sends a request to the node at an address, while mayWrite, unless it is nil, returns no error. The error is
+// dispatch.ErrNotSent if nothing was sent.
+func (c *Client) Forward(ctx context.Context, address string, r *dispatch.Request, f dispatch.Forwarded, mayWrite func(now time.Time) error) (*dispatch.Response, *dispatch.Refusal, error) {
 	raw, err := writeHead(headOf(r, f))
 	if err != nil {
 		return nil, nil, fmt.Errorf("%w: %w", dispatch.ErrNotSent, err)
 	}
-	var conn *countedConn
+	var conn *dial.RequestConn
 	var before int64
 	ctx, cancel := context.WithCancel(ctx)
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if conn, _ = info.Conn.(*countedConn); conn != nil {
-			before = conn.writes.Load()
+		if conn, _ = info.Conn.(*dial.RequestConn); conn != nil {
+			before = conn.Begin(mayWrite)
 		}
 	}})
 	req, err := http.NewRequestWithContext(traced, http.MethodPost, "http://"+address+Path, io.NopCloser(io.MultiReader(bytes.NewReader(raw), bytes.NewReader(r.Body))))
@@ -112,7 +97,7 @@
 	resp, err := c.transport.RoundTrip(req)
 	if err != nil {
 		cancel()
-		if conn == nil || conn.writes.Load() == before {
+		if conn == nil || conn.Writes() == before {
 			err = fmt.Errorf("%w: %w", dispatch.ErrNotSent, err)
 		}
 		return nil, nil, fmt.Errorf("forward to %s: %w", address, err)
--- a/internal/forward/endless_test.go
+++ b/internal/forward/endless_test.go
@@ -38,7 +38,7 @@
 		c := forward.NewClient()
 		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 		begin := time.Now()
-		_, refusal, err := c.Forward(ctx, l.Addr().String(), &dispatch.Request{ID: "a"}, dispatch.Forwarded{})
+		_, refusal, err := c.Forward(ctx, l.Addr().String(), &dispatch.Request{ID: "a"}, dispatch.Forwarded{}, nil)
 		if err == nil || refusal != nil || time.Since(begin) > 5*time.Second {
 			t.Errorf("%q: %v after %v", beginning, err, time.Since(begin))
 		}
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -283,7 +283,7 @@
 	l.Close()
 	c := forward.NewClient()
 	defer c.Close()
-	if _, _, err := c.Forward(context.Background(), address, &dispatch.Request{ID: "a"}, dispatch.Forwarded{}); !errors.Is(err, dispatch.ErrNotSent) {
+	if _, _, err := c.Forward(context.Background(), address, &dispatch.Request{ID: "a"}, dispatch.Forwarded{}, nil); !errors.Is(err, dispatch.ErrNotSent) {
 		t.Errorf("got %v, want ErrNotSent", err)
 	}
 }
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -54,14 +54,18 @@
 // ServeHTTP implements http.Handler. The key and the route are checked anew, with the configuration of
 // this node. The time that the request has spent at its first node counts.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	unread := caller.ConnOf(r.Context()).State().Quiet
+	read := clock.Now()
+	arrived, left := caller.ConnOf(r.Context()).Arrival(read)
+	if left {
+		panic(http.ErrAbortHandler)
+	}
 	req, err := h.read(w, r)
 	if err != nil {
 		h.log.Warn("invalid forwarded request", "error", err.Error())
 		http.Error(w, "invalid request", http.StatusBadRequest)
 		return
 	}
-	req.Unread = unread
+	req.Unread = read.Sub(arrived)
 	now := clock.Now()
 	a := &answer{Writer: reply.New(w, h.limits.Write), version: h.dispatcher.Version, log: h.log, id: req.ID}
 	route, team, refusal := h.dispatcher.Check(now, req)
@@ -69,7 +73,7 @@
 		h.dispatcher.Refused(now, req, refusal)
 		a.Refuse(*refusal)
 	} else {
-		h.dispatcher.Serve(r.Context(), now.Add(-req.Forwarded.Spent), req, route, team, a)
+		h.dispatcher.Serve(r.Context(), arrived.Add(-req.Forwarded.Spent), req, route, team, a)
 	}
 	a.Finish()
 }
--- a/internal/front/completions.go
+++ b/internal/front/completions.go
@@ -56,10 +56,15 @@
 
 // ServeHTTP implements http.Handler.
 func (c *Completions) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	arrived := clock.Now()
+	read := clock.Now()
+	arrived, left := caller.ConnOf(r.Context()).Arrival(read)
 	a := &completionAnswer{Writer: reply.New(w, c.limits.WriteTimeout), w: w, id: newID(), log: c.log}
 	req, failure := completionHead(r, a.id)
-	req.Unread = caller.ConnOf(r.Context()).State().Quiet
+	req.Unread = read.Sub(arrived)
+	if left {
+		c.dispatcher.Refused(read, req, &dispatch.Refusal{Reason: dispatch.CallerLeft})
+		panic(http.ErrAbortHandler)
+	}
 	if failure != nil {
 		c.badRequest(a, req, failure)
 		return
