Pinning: a row of one version is not believed beside engines of another

A stream could be joined from two versions after all nodes had been killed. Where no engine of the row's version can take a stream, it begins at another one, also while the row can't be written (the store slow or down, its writer gone), and nodes that have just started begin streams before they know the row. Records at nodes tell such streams apart until all nodes are lost; then the row's claim that one version serves alone was read anew, and believed.

Sole now believes such a row only if this node knows no engine of another version.

--- a/internal/edge/rowstore_test.go
+++ b/internal/edge/rowstore_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -14,6 +15,8 @@
 	mu   sync.Mutex
 	ver  int64
 	rows map[string]storedRow // rows holds the rows by table and key.
+
+	readOnly atomic.Bool // readOnly makes all writes fail.
 }
 
 // storedRow is a row as it goes over the wire.
@@ -34,6 +37,8 @@
 	}
 	table := r.URL.Query().Get("table")
 	switch {
+	case r.URL.Path == "/-/rows-tx" && s.readOnly.Load():
+		http.Error(w, "read only", http.StatusServiceUnavailable)
 	case r.URL.Path == "/-/rows-tx":
 		s.transact(w, r)
 	case r.URL.Path == "/-/rows-get" && strings.HasPrefix(table, "croftturn-"):
--- a/internal/edge/version_test.go
+++ b/internal/edge/version_test.go
@@ -86,6 +86,28 @@
 	}
 }
 
+// TestVersionThatTheRowLacksIsNotJoined checks streams that began while the row of their pool could not be written.
+func TestVersionThatTheRowLacksIsNotJoined(t *testing.T) {
+	w := newVersionCluster(t, 3, "a", "a")
+	waitFor(t, func() bool { return w.rows.has("croftturn-versions/p") }, "no row for the pool")
+	w.rows.readOnly.Store(true)
+	w.engines[0].gone.Store(true)
+	w.engines[1].set("b")
+	w.revision.Add(1)
+	g := &streamResult{versions: map[string]bool{}}
+	waitFor(t, func() bool { w.attempt(0, "first", "k", g, leaveAfter); return g.began }, "no stream begins")
+	began := fmt.Sprint(g.versions)
+	w.engines[0].gone.Store(false)
+	w.revision.Add(1)
+	w.restartAll(t)
+	for i := range 4 {
+		status, _ := w.attempt(i%3, fmt.Sprint("again-", i), "k", g, 0)
+		if len(g.versions) != 1 || status != http.StatusServiceUnavailable {
+			t.Fatalf("began at %s: status %d, versions %v", began, status, g.versions)
+		}
+	}
+}
+
 func TestRecordsOutliveNodesThatAreKilledOneAfterAnother(t *testing.T) {
 	w := newVersionCluster(t, 5, "a", "b", "b", "b")
 	for i := range 8 {
--- a/internal/pinning/history.go
+++ b/internal/pinning/history.go
@@ -163,7 +163,12 @@
 
 // pending reports whether engines have a version that the row does not allow streams to begin at.
 func (s *poolState) pending() bool {
-	return s.row.Revision > 0 && !s.row.Several && slices.ContainsFunc(s.observed, func(v string) bool { return v != s.row.Version })
+	return s.row.Revision > 0 && !s.row.Several && s.observedOther(s.row.Version)
+}
+
+// observedOther reports whether this node has seen engines of another version than one.
+func (s *poolState) observedOther(version string) bool {
+	return slices.ContainsFunc(s.observed, func(v string) bool { return v != version })
 }
 
 // Established returns the only version at which streams of a pool may begin while its row has not been
@@ -179,8 +184,9 @@
 }
 
 // Sole returns the version at which all streams of a pool that callers can still take up have begun. It
-// reads the row anew, unless that is known to name several versions. The error is ErrSeveral or that of
-// the store.
+// reads the row anew, unless that is known to name several versions. A row that names one is not believed
+// while engines of another are known: streams begin there also while it can't be changed. The error is
+// ErrSeveral or that of the store.
 func (h *History) Sole(ctx context.Context, now time.Time, pool string) (version string, err error) {
 	h.mu.Lock()
 	several := h.state(pool).row.Several
@@ -193,7 +199,8 @@
 		return "", err
 	}
 	h.mu.Lock()
-	several = h.state(pool).row.Several
+	s := h.state(pool)
+	several = s.row.Several || s.pending()
 	h.mu.Unlock()
 	if several || r.row.copied() {
 		return "", ErrSeveral
