Pinning: a pool's first row names several versions if it comes after the first has left

Where the first row of a pool could only be written late (the store down or slow from the start), it named the version of the engines then alone, since ever, though streams had begun at one that had left meanwhile. Once no node had their records, for instance after all nodes were killed, such streams went on at the new version: the first part from the old one, the rest from the new one.

The first row now says "several" if this node has seen engines of another version. TestFirstRowKnowsVersionsThatAreGone failed before (Sole answered v2) and passes.

--- a/internal/pinning/history.go
+++ b/internal/pinning/history.go
@@ -338,7 +338,10 @@
 		}
 		return row, true
 	case s.row.Revision == 0:
-		return PoolVersion{Version: versions[0], Several: len(versions) > 1}, true
+		if len(versions) > 1 || s.observedOther(versions[0]) {
+			return PoolVersion{Several: true}, true // Streams have begun at any of them meanwhile.
+		}
+		return PoolVersion{Version: versions[0]}, true
 	case several:
 		return PoolVersion{Several: true}, !s.row.Several
 	case s.row.Several && now.Sub(s.singleAt) >= settleTime:
--- a/internal/pinning/pinning_test.go
+++ b/internal/pinning/pinning_test.go
@@ -223,6 +223,20 @@
 	}
 }
 
+// TestFirstRowKnowsVersionsThatAreGone checks a pool whose first row could only be written once its first version had left.
+func TestFirstRowKnowsVersionsThatAreGone(t *testing.T) {
+	store, engines, ctx, now := &fakeStore{nowMs: 5, down: true}, &versions{"v1"}, context.Background(), time.Now()
+	h := newHistory(store, engines, true)
+	h.update(ctx, now, "p")
+	*engines = versions{"v2"}
+	h.Observe("p", "v2")
+	store.down = false
+	h.update(ctx, now, "p")
+	if v, err := newHistory(store, engines, false).Sole(ctx, now, "p"); !errors.Is(err, ErrSeveral) {
+		t.Errorf("got %q, %v", v, err)
+	}
+}
+
 func TestPoolHasOneVersionAgainAfterItsTime(t *testing.T) {
 	store, engines, ctx, now := &fakeStore{nowMs: 5}, &versions{"v1", "v2"}, context.Background(), time.Now()
 	h := newHistory(store, engines, true)
