Withhold requests whose engine began to drain, left or started anew since it was chosen

Only leaving engines of interactive pools had a time until which a request may be written; what became known of any other after the choice did not count.

Where the first byte is written the engine is looked up again: one that is gone, started anew or drains since the choice gets nothing, and the request goes to another.

--- a/internal/dispatch/departed.go
+++ b/internal/dispatch/departed.go
@@ -59,6 +59,17 @@
 	return nil
 }
 
+// mayWriteTo returns what is asked before each write of the request to an engine. Once the first part is written
+// the engine has it, whatever becomes known of the engine.
+func (x *exchange) mayWriteTo(c placement.Choice) func(now time.Time) error {
+	return func(now time.Time) error {
+		if x.written.at.Load() == nil && !x.d.placement.StillChosen(c) {
+			return ErrTooLate
+		}
+		return x.mayWrite(now)
+	}
+}
+
 // callerLeft reports whether the caller closed its connection or was cut off.
 func (x *exchange) callerLeft(ctx context.Context) bool {
 	return errors.Is(context.Cause(ctx), context.Canceled) || x.buffer != nil && x.buffer.Err() != nil || x.caller.Left()
--- a/internal/dispatch/walk.go
+++ b/internal/dispatch/walk.go
@@ -308,7 +308,7 @@
 
 // attemptFor returns what is sent to an engine.
 func (x *exchange) attemptFor(now time.Time, e placement.Engine) Attempt {
-	return Attempt{Engine: e, SendBefore: x.sendBefore, Team: x.teamName(), TransferFrom: x.choice.TransferFrom, Urgency: x.urgency(), TimeLeft: x.deadline.Sub(now), LastEventID: x.lastEventID, MayWrite: x.mayWrite,
+	return Attempt{Engine: e, SendBefore: x.sendBefore, Team: x.teamName(), TransferFrom: x.choice.TransferFrom, Urgency: x.urgency(), TimeLeft: x.deadline.Sub(now), LastEventID: x.lastEventID, MayWrite: x.mayWriteTo(x.choice),
 		OpenOnly: x.mayForward() && x.reach.Unconnectable()}
 }
 
--- a/internal/placement/leaving.go
+++ b/internal/placement/leaving.go
@@ -98,6 +98,15 @@
 	return until, ok && p.reserveSlot(now, e)
 }
 
+// StillChosen reports whether nothing has become known of a chosen engine that rules it out: it is still the one
+// that was chosen, and is not draining unless it was then.
+func (p *Placement) StillChosen(c Choice) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e := p.engines[c.Engine.ID]
+	return e != nil && e.Incarnation == c.Engine.Incarnation && (!e.Draining || c.Engine.Draining)
+}
+
 // usesLeaving reports whether a draining engine is still used. The caller must hold the lock.
 func (p *Placement) usesLeaving(now time.Time, e *engine) bool {
 	return !e.LastSend.IsZero() && !p.evacuated[e.Hall] && now.Before(e.useEnd()) && p.storeKnown(now)
