croftturn run: withhold calls whose callers have left while they waited

The engine client asks the kernel before each write, as the node on the platform does. Calls that run at most once under a key still go on without their caller: their context names no connection.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -10,9 +10,11 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"sync/atomic"
 	"time"
 
+	"github.com/croftturn/croftturn/internal/caller"
 	"github.com/croftturn/croftturn/internal/dial"
 	"github.com/croftturn/croftturn/internal/header"
 	"github.com/croftturn/croftturn/internal/sse"
@@ -37,6 +39,9 @@
 	// not run there.
 	ErrNotSent = errors.New("engine: not reachable")
 
+	// ErrCallerLeft means that the request was not sent, or not whole, because its caller had left.
+	ErrCallerLeft = errors.New("engine: the request's caller has left")
+
 	// ErrRejected means that the engine rejected the request as invalid.
 	ErrRejected = errors.New("engine: request rejected")
 
@@ -104,10 +109,17 @@
 // NewClient returns a client that cancels a request when its engine sends no data
 // for the duration stall.
 func NewClient(stall time.Duration) *Client {
+	d := dial.New(dialTimeout)
 	return &Client{
 		stall: stall,
 		http: &http.Client{
-			Transport: &http.Transport{DialContext: dial.New(dialTimeout).DialContext, MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: dial.MaxHeadBytes},
+			Transport: &http.Transport{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+				conn, err := d.DialContext(ctx, network, address)
+				if err != nil {
+					return nil, err
+				}
+				return dial.NewRequestConn(conn), nil
+			}, MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: dial.MaxHeadBytes},
 			CheckRedirect: func(*http.Request, []*http.Request) error {
 				return http.ErrUseLastResponse
 			},
@@ -199,9 +211,26 @@
 	return b.Closer.Close()
 }
 
-// send sends one HTTP request. The body is wrapped so that it can't be rewound, since
+// mayWrite is asked before each write of a request whose context names the connection of its caller.
+func mayWrite(ctx context.Context) func(now time.Time) error {
+	conn := caller.ConnOf(ctx)
+	return func(time.Time) error {
+		if conn.Left() {
+			return ErrCallerLeft
+		}
+		return nil
+	}
+}
+
+// send sends one HTTP request, unless its caller has left. The body is wrapped so that it can't be rewound, since
 // the transport retries requests without a body or with a rewindable one.
 func (c *Client) send(ctx context.Context, method, url string, header http.Header, body []byte) (*http.Response, error) {
+	ask := mayWrite(ctx)
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if conn, ok := info.Conn.(*dial.RequestConn); ok {
+			conn.Begin(ask)
+		}
+	}})
 	req, err := http.NewRequestWithContext(ctx, method, url, io.NopCloser(bytes.NewReader(body)))
 	if err != nil {
 		return nil, fmt.Errorf("build request: %w: %w", ErrNotSent, err)
@@ -212,6 +241,9 @@
 	if err == nil {
 		return resp, nil
 	}
+	if errors.Is(err, ErrCallerLeft) {
+		return nil, err
+	}
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/croftturn/croftturn/internal/caller"
 	"github.com/croftturn/croftturn/internal/clock"
 	"github.com/croftturn/croftturn/internal/config"
 	"github.com/croftturn/croftturn/internal/header"
@@ -193,5 +194,5 @@
 	if !c.atMostOnce() {
 		return ctx
 	}
-	return context.WithoutCancel(ctx)
+	return caller.Detach(ctx)
 }
--- a/internal/front/chat.go
+++ b/internal/front/chat.go
@@ -111,7 +111,7 @@
 	switch {
 	case err == nil, errors.Is(err, engine.ErrRejected):
 		return broker.StatusOK
-	case errors.Is(err, errCallerGone), ctx.Err() != nil:
+	case errors.Is(err, errCallerGone), errors.Is(err, engine.ErrCallerLeft), ctx.Err() != nil:
 		return broker.StatusCancelled
 	case errors.Is(err, engine.ErrFull):
 		return broker.StatusFull
@@ -119,9 +119,10 @@
 	return broker.StatusFailed
 }
 
-// callerGoneOr wraps err in errCallerGone if the caller's context has ended.
+// callerGoneOr wraps err in errCallerGone if the caller's context has ended, or if the request was withheld because
+// the caller had left.
 func callerGoneOr(ctx context.Context, err error) error {
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || errors.Is(err, engine.ErrCallerLeft) {
 		return fmt.Errorf("%w: %w", errCallerGone, err)
 	}
 	return err
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -189,3 +190,34 @@
 		<-time.After(writeTimeout + 50*time.Millisecond)
 	}
 }
+
+// TestRequestIsNotSentOnceItsCallerHasLeft checks that only calls with a key go on when their callers leave.
+func TestRequestIsNotSentOnceItsCallerHasLeft(t *testing.T) {
+	for _, test := range []struct {
+		path, key string
+		sent      int
+	}{{"/v1/chat/completions", "", 0}, {"/services/bids/x", "", 0}, {"/services/bids/x", "k", 1}} {
+		var sent atomic.Int64
+		r := newTestServer(t, func(w http.ResponseWriter, _ *http.Request) { sent.Add(1) })
+		for i := range 20 {
+			conn, err := net.Dial("tcp", strings.TrimPrefix(r.url, "http://"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			r.sched.waiting = func() { conn.Close() }
+			sent.Store(0)
+			key := ""
+			if test.key != "" {
+				key = fmt.Sprintf("%s: offer\r\n%s: %s%d\r\n", front.HeaderClass, front.HeaderKey, test.key, i)
+			}
+			before := len(r.sched.ended())
+			fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\n%sContent-Length: %d\r\n\r\n%s", test.path, token, key, len(hello), hello)
+			for begin := time.Now(); len(r.sched.ended()) == before && time.Since(begin) < 2*time.Second; {
+				time.Sleep(time.Millisecond)
+			}
+			if n := int(sent.Load()); n != test.sent {
+				t.Errorf("%s with key %q: sent %d times", test.path, test.key, n)
+			}
+		}
+	}
+}
--- a/internal/front/rig_test.go
+++ b/internal/front/rig_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"github.com/croftturn/croftturn/internal/caller"
 	"github.com/croftturn/croftturn/internal/claim"
 	"github.com/croftturn/croftturn/internal/config"
 	"github.com/croftturn/croftturn/internal/engine"
@@ -50,6 +51,7 @@
 		results  []sched.Result
 		refusals []*sched.Refusal
 		after    *sched.Refusal // after is the refusal for requests after the first grant.
+		waiting  func()         // waiting is called while a request waits; nil for nothing.
 	}
 
 	// table is an in-memory table that can be made unavailable.
@@ -77,6 +79,9 @@
 
 // Acquire grants the next engine, or returns the next planned refusal.
 func (s *roundRobin) Acquire(_ context.Context, req sched.Request) (sched.Grant, error) {
+	if s.waiting != nil {
+		s.waiting()
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.refusals) > 0 {
@@ -104,6 +109,13 @@
 	s.results = append(s.results, res)
 }
 
+// ended returns the results so far.
+func (s *roundRobin) ended() []sched.Result {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.results
+}
+
 // Get reads a row.
 func (t *table) Get(_ context.Context, key string) (kv.Row, error) {
 	t.mu.Lock()
@@ -186,7 +198,9 @@
 		front.WithQuarantine(quarantine.New(func(time.Time, quarantine.Fingerprint) bool { return false }, tele.Log), quarantine.NewParts(func(time.Time, string) bool { return false }, tele.Log), func() {}),
 		front.WithClaims(keeper, claim.NewIssuer(time.Now(), "n1", 1, time.Minute), claim.NewRegistry(time.Minute)),
 		front.WithLimits(front.Limits{MaxBody: maxBody, WriteTimeout: writeTimeout, EntryPointTTL: time.Second}))
-	srv := httptest.NewServer(f)
+	srv := httptest.NewUnstartedServer(f)
+	srv.Config.ConnContext = caller.WithConn
+	srv.Start()
 	t.Cleanup(srv.Close)
 	r.url = srv.URL
 	return r
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,6 +14,7 @@
 
 	"github.com/croftturn/croftturn/internal/admin"
 	"github.com/croftturn/croftturn/internal/broker"
+	"github.com/croftturn/croftturn/internal/caller"
 	"github.com/croftturn/croftturn/internal/claim"
 	"github.com/croftturn/croftturn/internal/clock"
 	"github.com/croftturn/croftturn/internal/config"
@@ -174,7 +175,7 @@
 	s := n.settings
 	n.callers = &http.Server{
 		Handler: n.closeWhenStopping(n.front), MaxHeaderBytes: s.MaxHeaderBytes, ReadTimeout: ms(s.ReadTimeoutMs), ReadHeaderTimeout: ms(s.ReadTimeoutMs),
-		IdleTimeout: time.Minute,
+		IdleTimeout: time.Minute, ConnContext: caller.WithConn,
 	}
 	n.control = &http.Server{Handler: n.admin, ReadHeaderTimeout: adminTimeout}
 	n.start(n.server.Serve)
