Soak: nodes that are behind, and callers that leave

One to three nodes at once run for a part of the time only (100 ms of each second, 300 of 1,500, 12 of 100), while callers ask them on new and kept connections and close, half-close, reset, or stay beyond their deadline. No run may begin over 0.5 s after its caller left, but for requests that the way to the engine held back.

--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -43,6 +43,7 @@
 	{"kill a node", time.Second, true, nodeFault(killNode)},
 	{"stop a node", time.Second, true, nodeFault(stopNode)},
 	{"freeze a node", maxFaultDuration, true, nodeFault(freezeNode)},
+	{"nodes are behind and callers leave", maxFaultDuration, true, putNodesBehind},
 	{"hang up a node", time.Second, false, nodeFault(reloadNode)},
 	{"cut a node from the store", maxFaultDuration, true, storeLinkFault(relay.Cut)},
 	{"silence the store for a node", maxFaultDuration, true, storeLinkFault(relay.Hold)},
--- a/lab/soak/ledger.go
+++ b/lab/soak/ledger.go
@@ -47,6 +47,7 @@
 		runs       map[string][]run
 		results    map[string]result
 		revoked    map[string]time.Time   // revoked holds when the revocation of a key was acknowledged.
+		left       map[string]time.Time   // left holds when callers left, or when the deadlines of those that stayed passed, by request id.
 		leaving    map[string]time.Time   // leaving holds when the draining state of an engine was acknowledged.
 		faults     []interval             // faults of nodes and of the store
 		crashes    map[string][]time.Time // crashes holds the times of engine crashes, by body of the request that caused them.
@@ -73,7 +74,7 @@
 // newLedger returns an empty ledger.
 func newLedger() *Ledger {
 	return &Ledger{
-		runs: map[string][]run{}, results: map[string]result{}, revoked: map[string]time.Time{}, leaving: map[string]time.Time{}, crashes: map[string][]time.Time{},
+		runs: map[string][]run{}, results: map[string]result{}, revoked: map[string]time.Time{}, left: map[string]time.Time{}, leaving: map[string]time.Time{}, crashes: map[string][]time.Time{},
 		partArrivals: map[string][]time.Time{}, partCrashes: map[string][]time.Time{},
 		senders: map[string]sender{}, arrivals: map[string][]arrival{}, signals: map[string][]sentSignals{}, outages: map[string][]interval{},
 	}
@@ -195,6 +196,7 @@
 	out = append(out, l.lateCrashes()...)
 	out = append(out, l.ignoredSignals()...)
 	out = append(out, l.streamsLost()...)
+	out = append(out, l.runsWithoutCaller()...)
 	for id, e := range l.results {
 		out = append(out, l.requestViolations(id, e)...)
 	}
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -159,6 +159,10 @@
 			}
 			l.recordSignals("e", "a", engineSignals{}, at.Add(9*time.Second))
 		},
+		"caller left": func(l *Ledger) {
+			l.recordTime(l.left, "a", at.Add(-leftWithin-time.Millisecond))
+			l.recordRun("a", goodRun)
+		},
 		"node cut off": func(l *Ledger) {
 			l.recordCut("n", at.Add(-4*time.Second), at.Add(2*time.Second))
 			for i := range 40 {
