Egress: an engine gets the time that is left once its connection is open

Deadline-Ms was worked out before a connection was looked for. Opening one takes up to 0.4 s, and on a node that is behind its goroutine waits on top; the engine worked on for that long beyond its caller's deadline. It is now set again when the transport has the connection.

--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -50,11 +50,11 @@
 		Engine       placement.Engine
 		SendBefore   time.Time // SendBefore is until when the request may be sent; zero for no limit.
 		Team         string
-		Urgency      int           // Urgency orders requests at the engine; 0 is the most urgent.
-		TimeLeft     time.Duration // TimeLeft is how much longer the caller waits.
-		TransferFrom string        // TransferFrom is the address of the engine from which cached prompt parts are copied; empty for none.
-		OpenOnly     bool          // OpenOnly sends the request over an open connection or not at all.
-		LastEventID  string        // LastEventID is the event after which the engine resumes; empty for a whole answer.
+		Urgency      int       // Urgency orders requests at the engine; 0 is the most urgent.
+		Deadline     time.Time // Deadline is until when the caller waits.
+		TransferFrom string    // TransferFrom is the address of the engine from which cached prompt parts are copied; empty for none.
+		OpenOnly     bool      // OpenOnly sends the request over an open connection or not at all.
+		LastEventID  string    // LastEventID is the event after which the engine resumes; empty for a whole answer.
 
 		// MayWrite is asked right before each write of the request, which does not happen if it returns an
 		// error. Other goroutines than the caller of Send may ask. It may be nil.
--- a/internal/dispatch/walk.go
+++ b/internal/dispatch/walk.go
@@ -194,7 +194,7 @@
 	defer cancel(nil)
 	x.watchRestart(ctx, cancel)
 	watch, silence := x.watchFirstByte(cancel), x.watchSilence(now)
-	resp, err := x.d.sender.Send(ctx, x.req, x.attemptFor(now, x.choice.Engine))
+	resp, err := x.d.sender.Send(ctx, x.req, x.attemptFor(x.choice.Engine))
 	watch.Stop()
 	silence.Stop()
 	if err != nil {
@@ -307,8 +307,8 @@
 }
 
 // attemptFor returns what is sent to an engine.
-func (x *exchange) attemptFor(now time.Time, e placement.Engine) Attempt {
-	return Attempt{Engine: e, SendBefore: x.sendBefore, Team: x.teamName(), TransferFrom: x.choice.TransferFrom, Urgency: x.urgency(), TimeLeft: x.deadline.Sub(now), LastEventID: x.lastEventID, MayWrite: x.mayWriteTo(x.choice),
+func (x *exchange) attemptFor(e placement.Engine) Attempt {
+	return Attempt{Engine: e, SendBefore: x.sendBefore, Team: x.teamName(), TransferFrom: x.choice.TransferFrom, Urgency: x.urgency(), Deadline: x.deadline, LastEventID: x.lastEventID, MayWrite: x.mayWriteTo(x.choice),
 		OpenOnly: x.mayForward() && x.reach.Unconnectable()}
 }
 
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -174,7 +174,7 @@
 		if c := ask(context.Background(), t, first, "unsafe"); c.status != status || c.body != "whole" || c.aborted {
 			t.Errorf("got %+v, want status %d", c, status)
 		}
-		if second.count() != 1 || second.sent[0].Team != "t" || second.sent[0].TimeLeft > 2*time.Second {
+		if second.count() != 1 || second.sent[0].Team != "t" || time.Until(second.sent[0].Deadline) > 2*time.Second {
 			t.Errorf("sent %+v", second.sent)
 		}
 	}
