--- a/lab/soak/faults_behind.go
+++ b/lab/soak/faults_behind.go
@@ -81,17 +81,20 @@
 	}
 	defer conn.Close()
 	key, _ := env.randomKey(r)
-	route, deadline := routes[r.IntN(len(routes))], 50+r.IntN(350)
-	stay := time.Duration(deadline) * time.Millisecond
+	route, stay, how := routes[r.IntN(len(routes))], 50*time.Millisecond+time.Duration(r.Int64N(int64(350*time.Millisecond))), r.IntN(4)
+	deadline := stay
+	if how > 0 {
+		deadline = requestTimeoutMs * time.Millisecond
+	}
 	if r.IntN(3) == 0 {
 		fmt.Fprintf(conn, "GET /none/x HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s-before\r\n\r\n", host, id)
 	}
 	if _, err := io.WriteString(conn, fmt.Sprintf("POST /%s/x HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\nAuthorization: Bearer %s\r\nModel: m\r\nToken-Counts: 100,10\r\nPrompt-Prefix: a:50,b:50\r\nContent-Length: 4\r\n\r\nleft",
-		route, host, id, deadline, key)); err != nil {
+		route, host, id, deadline.Milliseconds(), key)); err != nil {
 		return
 	}
-	if how := r.IntN(4); how > 0 {
-		pause.For(ctx, time.Duration(r.Int64N(int64(stay))))
+	pause.For(ctx, stay)
+	if how > 0 {
 		tcp := conn.(*net.TCPConn)
 		switch how {
 		case 1:
@@ -102,12 +105,9 @@
 		if how != 1 {
 			_ = conn.Close()
 		}
-		env.ledger.recordTime(env.ledger.left, id, time.Now())
-		pause.For(ctx, leftWithin)
-		return
 	}
-	env.ledger.recordTime(env.ledger.left, id, time.Now().Add(stay))
-	pause.For(ctx, stay+2*leftWithin)
+	env.ledger.recordTime(env.ledger.left, id, time.Now())
+	pause.For(ctx, 2*leftWithin)
 }
 
 // runsWithoutCaller returns the runs that began after their callers had left, but for those held back on the way
