Configuration: a list of tenants or regions that is empty lets none through

Members that restrict now decode into a type that knows whether they were there; an empty or null list of tenants lets no key in, and an empty list of regions allows none.

--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -54,7 +54,7 @@
 		Public     bool          // Public routes require no key.
 		Resumable  bool          // Resumable streams may continue on another engine.
 		Shares     []Share       // Shares are the pools that serve the route.
-		Regions    []string      // Regions is where requests may be served; empty means anywhere.
+		Regions    *[]string     // Regions is where requests may be served; nil means anywhere.
 	}
 
 	// Share is the weight of one pool in a route's traffic split.
@@ -90,7 +90,7 @@
 		Keys []string
 		Tier *int // Tier overrides the route's tier if set.
 
-		Regions []string // Regions is where its requests may be served; empty means anywhere.
+		Regions *[]string // Regions is where its requests may be served; nil means anywhere.
 	}
 
 	// Limits bounds what a caller may send.
@@ -119,10 +119,11 @@
 	return r.Kind == Safe || r.Kind == Stream && r.Resumable
 }
 
-// NewTable builds the Table of one version of the configuration.
+// NewTable builds the Table of one version of the configuration. teams is nil if requests need no key; with an
+// empty list they need one and none is good.
 func NewTable(version int, routes []*Route, pools []*Pool, teams []*Team, limits Limits) *Table {
 	t := &Table{
-		Version: version, Limits: limits, requiresKey: len(teams) > 0,
+		Version: version, Limits: limits, requiresKey: teams != nil,
 		hosts: map[string][]*Route{}, pools: map[string]*Pool{}, teams: map[string]*Team{}, lowestTier: map[string]int{}, lastUrgency: map[string]int{}, maxTarget: map[string]time.Duration{},
 	}
 	for _, r := range routes {
@@ -227,8 +228,8 @@
 	return m.LinkMbps * bytesPerMsPerMbps / m.BytesPerToken
 }
 
-// RequiresKey reports whether the configuration has teams, so that requests need a key unless
-// their route is public.
+// RequiresKey reports whether the configuration has a list of teams, maybe an empty one, so that requests need a
+// key unless their route is public.
 func (t *Table) RequiresKey() bool { return t.requiresKey }
 
 // Pools returns all pools in no particular order.
--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -88,6 +88,7 @@
 	{"hall evacuated", maxFaultDuration, false, evacuateHall},
 	{"key taken away", 100 * time.Millisecond, false, revokeKey},
 	{"key taken away unseen", partitionDuration, true, revokeWhilePartitioned},
+	{"all keys taken away", 2 * time.Second, false, takeAllKeys},
 	{"key given back", 100 * time.Millisecond, false, addKey},
 }
 
--- a/lab/soak/faults_key.go
+++ b/lab/soak/faults_key.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/croftturn/croftturn/internal/pause"
@@ -48,6 +50,20 @@
 	return err
 }
 
+// takeAllKeys takes all keys away for a time, so that the configuration has an empty list of teams.
+func takeAllKeys(ctx context.Context, env *Environment, _ *rand.Rand, d time.Duration) error {
+	env.mu.Lock()
+	taken := env.keys
+	env.keys = nil
+	env.mu.Unlock()
+	err := env.putConfig()
+	pause.For(ctx, d)
+	env.mu.Lock()
+	env.keys = append(slices.Clone(taken), env.keys...)
+	env.mu.Unlock()
+	return errors.Join(err, env.putConfig())
+}
+
 // addKey adds a key that no caller uses, which raises the configuration version.
 func addKey(_ context.Context, env *Environment, r *rand.Rand, _ time.Duration) error {
 	env.mu.Lock()
--- a/lab/soak/planted_test.go
+++ b/lab/soak/planted_test.go
@@ -25,6 +25,7 @@
 	{"a stream is ended by a failure", " got ", "engines misbehave", "internal/dispatch/relay.go", "if x.answerBegun && !success {", "if x.answerBegun && !success && x.sent > 9 {"},
 	{"the end of its connection ends a stream", " got ", "engines misbehave", "internal/dispatch/relay.go", "if success && x.needsEndCheck(resp) {", "if success && x.sent > 9 && x.needsEndCheck(resp) {"},
 	{"a node that reaches no engine keeps its requests", "while it was cut off", "node cut off from engines", "internal/dispatch/forward.go", "return x.d.forwarder != nil &&", "return x.d.forwarder == nil &&"},
+	{"an empty list of teams lets all in", "its key belongs to", "all keys taken away", "internal/routing/routing.go", "requiresKey: teams != nil", "requiresKey: len(teams) > 0"},
 	{"a caller's close is not looked for", "its caller had left", "nodes are behind and callers leave", "internal/caller/caller.go", "s.Closed = info.State != tcpEstablished && info.State != tcpSynRecv", "s.Closed = false"},
 	{"a deadline begins when the request is read", "its caller had left", "nodes are behind and callers leave", "internal/caller/caller.go", "return now.Add(-s.Quiet), s.Closed", "return now, s.Closed"},
 	{"a stream goes on at any version", "of several versions", "", "internal/dispatch/continuation.go", "if !x.takenUp() || x.origin.bound {", "if !x.takenUp() || x.sent == 0 {"},
--- a/lab/soak/rows.go
+++ b/lab/soak/rows.go
@@ -82,7 +82,7 @@
 	}
 	version := env.version
 	env.mu.Unlock()
-	var tenants, list []any
+	tenants, list := []any{}, []any{}
 	for team, keys := range teams {
 		tenants = append(tenants, map[string]any{"name": team, "api_keys": keys, "priority": 1})
 	}
