--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -49,7 +49,7 @@
 	Snapshot struct {
 		Rows    []Row
 		Era     int64     // Era is that of the reply, as in history.Position.
-		Version int64     // Version is the newest version of all tables at the time of the reply.
+		Version int64     // Version is the newest version of all tables at the time of the reply; every change up to it is in Rows, and none after it.
 		AsOf    time.Time // AsOf is a local monotonic time at which the reply was current.
 		Sent    time.Time // Sent is when the call was sent; zero if unknown.
 		NowMs   int64     // NowMs is the time of the reply on the store's monotonic clock, in milliseconds.
