Egress, forward: idle connections let go of the requests they carried

The check that a connection asks before a write holds the request with its body; it stayed set until the next request, with up to 16 idle connections for each engine. It is dropped with the answer now. Found by reading; not measured.

--- a/internal/dial/request_conn.go
+++ b/internal/dial/request_conn.go
@@ -20,13 +20,14 @@
 func NewRequestConn(c net.Conn) *RequestConn { return &RequestConn{Conn: c} }
 
 // Begin begins a request: mayWrite, unless it is nil, is asked before each write from now on, which fails with
-// its error. It returns the number of writes so far.
-func (c *RequestConn) Begin(mayWrite func(now time.Time) error) (writes int64) {
-	c.mayWrite.Store(nil)
-	if mayWrite != nil {
-		c.mayWrite.Store(&mayWrite)
+// its error. It returns the number of writes so far. end lets go of mayWrite, also if another request has begun.
+func (c *RequestConn) Begin(mayWrite func(now time.Time) error) (writes int64, end func()) {
+	ask := &mayWrite
+	if mayWrite == nil {
+		ask = nil
 	}
-	return c.writes.Load()
+	c.mayWrite.Store(ask)
+	return c.writes.Load(), func() { c.mayWrite.CompareAndSwap(ask, nil) }
 }
 
 // Writes returns how many writes have sent something, or are about to.
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -41,7 +41,7 @@
 	// answerBody is the body of an answer; closing it ends the request at the other node.
 	answerBody struct {
 		io.ReadCloser
-		cancel context.CancelFunc
+		cancel func()
 	}
 )
 
@@ -82,10 +82,11 @@
 	}
 	var conn *dial.RequestConn
 	var before int64
+	written := func() {}
 	ctx, cancel := context.WithCancel(ctx)
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if conn, _ = info.Conn.(*dial.RequestConn); conn != nil {
-			before = conn.Begin(mayWrite)
+			before, written = conn.Begin(mayWrite)
 		}
 	}})
 	req, err := http.NewRequestWithContext(traced, http.MethodPost, "http://"+address+Path, io.NopCloser(io.MultiReader(bytes.NewReader(raw), bytes.NewReader(r.Body))))
@@ -103,11 +104,11 @@
 		return nil, nil, fmt.Errorf("forward to %s: %w", address, err)
 	}
 	c.sent.Add(1)
-	return c.decode(resp, cancel)
+	return c.decode(resp, func() { cancel(); written() })
 }
 
 // decode decodes the answer of a node.
-func (c *Client) decode(resp *http.Response, cancel context.CancelFunc) (*dispatch.Response, *dispatch.Refusal, error) {
+func (c *Client) decode(resp *http.Response, cancel func()) (*dispatch.Response, *dispatch.Refusal, error) {
 	body := &answerBody{resp.Body, cancel}
 	if resp.StatusCode != http.StatusOK {
 		body.Close()
