Dispatch: an answer without a length that ends with its leaving engine is broken off

Leaving engines, and those whose entry is gone, are asked as well, and a probe speaks for the end of an answer only if it began after it. Streams that can be resumed go on elsewhere, others end as broken off; answers of engines that serve on stay whole.

--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -186,17 +186,17 @@
 // from all engines each of them seems to have ended.
 func (x *exchange) probeEngine(ctx context.Context, now time.Time) (ended bool, took time.Duration) {
 	engine := x.choice.Engine
-	probe := x.d.crashes.probe(ctx, now, engine.Address)
+	probe := x.d.crashes.probe(ctx, now, now.Add(-probeTTL), engine.Address)
 	return probe.ended && (x.reach == nil || x.reach.OthersAccept(context.WithoutCancel(ctx), engine.ID)), probe.took
 }
 
-// engineEnded reports whether the engine has ended without notice by the time that its answer has. No other engine is asked: a node
-// that has just got the end of an answer is not partitioned.
+// engineEnded reports whether the engine has ended by the time that its answer has, with or without notice. No other engine is asked:
+// a node that has just got the end of an answer is not partitioned. That the engine was alive before the end says nothing.
 func (x *exchange) engineEnded(ctx context.Context, now time.Time) bool {
-	if x.d.crashes.prober == nil || x.d.placement.Leaving(x.choice.Engine.ID) {
+	if x.d.crashes.prober == nil {
 		return false
 	}
-	return x.d.crashes.probe(ctx, now, x.choice.Engine.Address).ended
+	return x.d.crashes.probe(ctx, now, now, x.choice.Engine.Address).ended
 }
 
 // partNames returns the first maxLoggedParts shared parts of a prompt, as in log lines.
--- a/internal/dispatch/ended.go
+++ b/internal/dispatch/ended.go
@@ -58,11 +58,11 @@
 	return func(d *Dispatcher) { d.crashes.prober = p }
 }
 
-// probe checks an engine, or returns the result of a recent check by another request.
-func (c *crashDetector) probe(ctx context.Context, now time.Time, address string) *probe {
+// probe checks an engine, or returns the result of a check by another request that began at since or later.
+func (c *crashDetector) probe(ctx context.Context, now, since time.Time, address string) *probe {
 	c.mu.Lock()
 	p := c.probes[address]
-	if p != nil && now.Sub(p.startedAt) <= probeTTL {
+	if p != nil && !p.startedAt.Before(since) {
 		c.mu.Unlock()
 		<-p.done
 		return p
