Dispatch: a stopping node takes only requests that fit into what is left

A request that may run only once is taken, and after a wait sent, only if its longest run fits: 1.5 times the longest recent run of its route or, where fewer than 20 are known, the time its caller waits. Otherwise it is refused at once, truly not run. Short requests are served up to the last second as before, and so is what may be repeated.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -56,6 +56,7 @@
 		stopBy        atomic.Pointer[time.Time]
 		active        atomic.Int64
 		rate          rateMeter
+		runs          runTimes
 		started       atomic.Bool // started is set once this node has been able to serve.
 		proof         *freshness.Proof
 		placement     *placement.Placement
@@ -155,11 +156,8 @@
 			return nil, nil, &Refusal{Reason: UnknownKey}
 		}
 	}
-	if stop := d.stopBy.Load(); stop != nil {
-		left := stop.Sub(now)
-		if left < stopMargin || route.Kind == routing.Stream && left < streamStopMargin {
-			return nil, nil, &Refusal{Reason: Stopping, RetryAfter: shortRetryAfter}
-		}
+	if stop := d.stopBy.Load(); stop != nil && !d.fitsBeforeStop(stop.Sub(now), r, route) {
+		return nil, nil, &Refusal{Reason: Stopping, RetryAfter: shortRetryAfter}
 	}
 	return route, team, nil
 }
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -154,6 +154,31 @@
 	}
 }
 
+// TestStoppingNodeTakesOnlyWhatItCanFinish checks requests that may run once, by how long others of their route have run.
+func TestStoppingNodeTakesOnlyWhatItCanFinish(t *testing.T) {
+	e := &fakeSender{serve: func(context.Context, int, dispatch.Attempt) (*dispatch.Response, error) {
+		time.Sleep(20 * time.Millisecond)
+		return respond(http.StatusOK, "x"), nil
+	}}
+	left := func(d *dispatch.Dispatcher, route string, patience, left time.Duration) (taken bool) {
+		now := time.Now()
+		d.StopBy(now.Add(left))
+		_, _, refusal := d.Check(now, &dispatch.Request{Host: "h", Path: "/" + route + "/", Key: "k", Patience: patience})
+		return refusal == nil
+	}
+	unknown := newDispatcher(e, 0)
+	if left(unknown, "unsafe", timeout, timeout-time.Millisecond) || !left(unknown, "unsafe", timeout, timeout+time.Second) || !left(unknown, "safe", timeout, timeout-time.Millisecond) {
+		t.Error("a request that may outlast the node is taken, or one that can't is not")
+	}
+	known := newDispatcher(e, 0)
+	for range 20 {
+		serve(t, known, "unsafe")
+	}
+	if !left(known, "unsafe", timeout, 1010*time.Millisecond) {
+		t.Error("a request of a route with short runs is refused")
+	}
+}
+
 // TestAwaitStart checks that a request that arrives before the node has a configuration is served
 // once it does, that it waits for a bounded time, and that a node that could serve before makes no
 // request wait.
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -215,6 +215,7 @@
 	if x.via != "" {
 		return // The other node has recorded it.
 	}
+	x.d.runs.add(now, x.route.Name, now.Sub(x.sentAt))
 	if x.route.Kind == routing.Stream && x.interactive() {
 		x.d.placement.NoteAnswer(x.choice, x.events, now.Sub(x.firstEventAt))
 	}
--- a/internal/dispatch/walk.go
+++ b/internal/dispatch/walk.go
@@ -221,11 +221,14 @@
 }
 
 // recheckSending checks again what may have changed while the request waited for a slot: its key may have been
-// revoked, and the request may have become held.
+// revoked, the request may have become held, and it may no longer fit before the node stops.
 func (x *exchange) recheckSending(now time.Time) *Refusal {
 	if refusal := x.stillAllowed(now); refusal != nil {
 		return refusal
 	}
+	if stop := x.d.stopBy.Load(); stop != nil && !x.route.Repeatable() && !x.d.fitsBeforeStop(stop.Sub(now), x.req, x.route) {
+		return &Refusal{Reason: x.unlessMayHaveRun(Stopping), RetryAfter: shortRetryAfter}
+	}
 	return x.refuseHeld(now)
 }
 
