Withhold: an engine is looked up again on each connection that a request is tried on

A request whose reused connection turned out to be closed is tried on another one. The first try had marked it as written, though nothing was, so that an engine which began to drain in between was not looked up again: engines that leave close their connections just then. What is asked before a write is now told by the connection whether it is the first of the request there. Found by reading; callers were not seen to be harmed.

--- a/internal/dispatch/departed.go
+++ b/internal/dispatch/departed.go
@@ -48,7 +48,7 @@
 }
 
 // mayWrite is asked right before each write of the request. It may run in another goroutine than the exchange.
-func (x *exchange) mayWrite(now time.Time) error {
+func (x *exchange) mayWrite(now time.Time, _ bool) error {
 	switch {
 	case !now.Before(x.deadline):
 		return ErrExpired
@@ -61,12 +61,12 @@
 
 // mayWriteTo returns what is asked before each write of the request to an engine. Once the first part is written
 // the engine has it, whatever becomes known of the engine.
-func (x *exchange) mayWriteTo(c placement.Choice) func(now time.Time) error {
-	return func(now time.Time) error {
-		if x.written.at.Load() == nil && !x.d.placement.StillChosen(c) {
+func (x *exchange) mayWriteTo(c placement.Choice) func(now time.Time, first bool) error {
+	return func(now time.Time, first bool) error {
+		if first && !x.d.placement.StillChosen(c) {
 			return ErrTooLate
 		}
-		return x.mayWrite(now)
+		return x.mayWrite(now, first)
 	}
 }
 
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -29,7 +29,7 @@
 
 		// Forward sends a request to a node and returns its answer or refusal. mayWrite is as in Attempt.
 		// The error is ErrNotSent if no byte was sent.
-		Forward(ctx context.Context, address string, r *Request, f Forwarded, mayWrite func(now time.Time) error) (*Response, *Refusal, error)
+		Forward(ctx context.Context, address string, r *Request, f Forwarded, mayWrite func(now time.Time, first bool) error) (*Response, *Refusal, error)
 	}
 
 	// Forwarded is what a node tells another of a request besides the request itself. The
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -57,8 +57,9 @@
 		LastEventID  string    // LastEventID is the event after which the engine resumes; empty for a whole answer.
 
 		// MayWrite is asked right before each write of the request, which does not happen if it returns an
-		// error. Other goroutines than the caller of Send may ask. It may be nil.
-		MayWrite func(now time.Time) error
+		// error. first is set until a part was written on the present connection. Other goroutines than the
+		// caller of Send may ask. It may be nil.
+		MayWrite func(now time.Time, first bool) error
 	}
 
 	// Response is an engine's answer.
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -212,9 +212,9 @@
 }
 
 // mayWrite is asked before each write of a request whose context names the connection of its caller.
-func mayWrite(ctx context.Context) func(now time.Time) error {
+func mayWrite(ctx context.Context) func(now time.Time, first bool) error {
 	conn := caller.ConnOf(ctx)
-	return func(time.Time) error {
+	return func(time.Time, bool) error {
 		if conn.Left() {
 			return ErrCallerLeft
 		}
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -75,7 +75,7 @@
 
 // Forward sends a request to the node at an address, while mayWrite, unless it is nil, returns no error. The error is
 // dispatch.ErrNotSent if nothing was sent.
-func (c *Client) Forward(ctx context.Context, address string, r *dispatch.Request, f dispatch.Forwarded, mayWrite func(now time.Time) error) (*dispatch.Response, *dispatch.Refusal, error) {
+func (c *Client) Forward(ctx context.Context, address string, r *dispatch.Request, f dispatch.Forwarded, mayWrite func(now time.Time, first bool) error) (*dispatch.Response, *dispatch.Refusal, error) {
 	raw, err := writeHead(headOf(r, f))
 	if err != nil {
 		return nil, nil, fmt.Errorf("%w: %w", dispatch.ErrNotSent, err)
