Dispatch: caller_left says "not run" only of requests that have not run

Since requests are withheld, caller_left is answered with 503, which a client that closed only its writing side can still read. A safe request that had been sent to one engine and waited for another got it, too, though the first may have run it. Such a refusal is engine_failed now, as others are. Found by reading; no test of its own.

--- a/internal/dispatch/interactive.go
+++ b/internal/dispatch/interactive.go
@@ -131,7 +131,7 @@
 	}
 	now = clock.Now()
 	if x.callerLeft(ctx) {
-		return &Refusal{Reason: CallerLeft}
+		return &Refusal{Reason: x.unlessMayHaveRun(CallerLeft)}
 	}
 	q.countOutcome(now, x.route.Tier, placed, x.queuedFor <= slotWait)
 	if placed {
--- a/internal/dispatch/line.go
+++ b/internal/dispatch/line.go
@@ -249,7 +249,7 @@
 	placed := x.mayUseSlot(x.choice) && q.noneAhead(x.tier(), x.boundVersion()) || x.waitInQueue(ctx, now, q, limit, request)
 	now = clock.Now()
 	if x.callerLeft(ctx) {
-		return &Refusal{Reason: CallerLeft} // Not counted as without a slot: it may have left before one got free.
+		return &Refusal{Reason: x.unlessMayHaveRun(CallerLeft)} // Not counted as without a slot: it may have left before one got free.
 	}
 	if !placed {
 		q.countOutcome(now, x.route.Tier, false, false)
@@ -271,7 +271,7 @@
 		return nil
 	}
 	if x.callerLeft(ctx) {
-		return &Refusal{Reason: CallerLeft}
+		return &Refusal{Reason: x.unlessMayHaveRun(CallerLeft)}
 	}
 	return &Refusal{Reason: Busy, RetryAfter: x.retryAfter()}
 }
--- a/internal/dispatch/permit.go
+++ b/internal/dispatch/permit.go
@@ -119,7 +119,7 @@
 // recheckAfterWait checks a request again after it has waited.
 func (x *exchange) recheckAfterWait(ctx context.Context) *Refusal {
 	if x.callerLeft(ctx) {
-		return &Refusal{Reason: CallerLeft}
+		return &Refusal{Reason: x.unlessMayHaveRun(CallerLeft)}
 	}
 	return x.stillAllowed(clock.Now())
 }
