Dispatch: a stopping node takes requests of any kind only if they fit

Callers saw connections closed without an answer under requests that may be repeated, sent 4.8 to 5.6 s after a SIGTERM, and refusals of streams of 30 ms for most of a stop.

Cause: only requests that may run once had to fit into what is left; others were taken until a second before the end and streams until 4.7 s before it, whatever the grace, the route and its runs are.

Now one rule holds for all kinds, on arrival, while a request waits for a slot and before it is sent. Runs that were ended and those in progress count, so that engines that have become slower are seen. The margins are shares of the grace.

--- a/internal/dispatch/absence.go
+++ b/internal/dispatch/absence.go
@@ -6,6 +6,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/croftturn/croftturn/internal/routing"
 )
 
 // A machine may be suspended for seconds. Go timers stop meanwhile, so a request in progress would
@@ -36,6 +38,19 @@
 	}
 }
 
+// oldest returns how long the oldest request of a route has been in progress.
+func (a *activeExchanges) oldest(now time.Time, route *routing.Route) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	oldest := time.Duration(0)
+	for x := range a.cancels {
+		if x.route.Name == route.Name {
+			oldest = max(oldest, now.Sub(x.arrived))
+		}
+	}
+	return oldest
+}
+
 // Resumed is called when this process was suspended until now. Requests in progress end at their
 // deadlines on a clock that includes the suspension, unsent ones are decided again, and new ones
 // wait until the node can serve, as after a start.
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -27,14 +27,6 @@
 
 	// shortRetryAfter is the retry delay for callers that another node can serve at once.
 	shortRetryAfter = 50 * time.Millisecond
-
-	// streamStopMargin is how long before the end of the process streams are no longer accepted.
-	// Most streams of users end within it. A stream accepted within the first three seconds of the
-	// usual 7.6 of a shutdown may be cut off at the end.
-	streamStopMargin = 4700 * time.Millisecond
-
-	// stopMargin is how long before the end of the process requests are no longer accepted.
-	stopMargin = time.Second
 )
 
 type (
@@ -53,7 +45,7 @@
 	// Dispatcher serves requests. It is safe for concurrent use.
 	Dispatcher struct {
 		table         atomic.Pointer[routing.Table]
-		stopBy        atomic.Pointer[time.Time]
+		stop          atomic.Pointer[stop] // stop is nil until the process stops.
 		active        atomic.Int64
 		rate          rateMeter
 		runs          runTimes
@@ -114,9 +106,6 @@
 	}
 }
 
-// StopBy makes the dispatcher refuse requests that cannot end before the process stops.
-func (d *Dispatcher) StopBy(at time.Time) { d.stopBy.Store(&at) }
-
 // Active returns the number of requests in progress.
 func (d *Dispatcher) Active() int { return int(d.active.Load()) }
 
@@ -128,7 +117,7 @@
 	switch {
 	case d.table.Load() == nil:
 		return NotReady
-	case d.stopBy.Load() != nil:
+	case d.stop.Load() != nil:
 		return Stopping
 	case !d.proof.Fresh(now):
 		return Stale
@@ -156,7 +145,7 @@
 			return nil, nil, &Refusal{Reason: UnknownKey}
 		}
 	}
-	if stop := d.stopBy.Load(); stop != nil && !d.fitsBeforeStop(stop.Sub(now), r, route) {
+	if !d.fitsBeforeStop(now, r, route) {
 		return nil, nil, &Refusal{Reason: Stopping, RetryAfter: shortRetryAfter}
 	}
 	return route, team, nil
--- a/internal/dispatch/line.go
+++ b/internal/dispatch/line.go
@@ -315,7 +315,7 @@
 
 // pollForSlot looks for a slot until the limit, while the request is at the head of its queue.
 func (x *exchange) pollForSlot(ctx context.Context, begin time.Time, q *queue, w *waiter, limit time.Duration, request placement.Request) bool {
-	for now := begin; now.Sub(begin) < limit && ctx.Err() == nil && !x.mustForward(); now = clock.Now() {
+	for now := begin; now.Sub(begin) < limit && ctx.Err() == nil && !x.mustForward() && !x.mustLeave(now); now = clock.Now() {
 		if q.isHead(w) {
 			request.NeedSlot = now.Sub(begin) > preferredEngineWait
 			request.Reserved = q.reservedVersions(w.tier)
--- a/internal/dispatch/run_times.go
+++ b/internal/dispatch/run_times.go
@@ -3,8 +3,6 @@
 import (
 	"sync"
 	"time"
-
-	"github.com/croftturn/croftturn/internal/routing"
 )
 
 const (
@@ -13,9 +11,6 @@
 
 	// minRuns is how many recent runs of a route tell how long others may take.
 	minRuns = 20
-
-	// longestRunMargin is how much longer than the longest recent run another may take.
-	longestRunMargin = 1.5
 )
 
 type (
@@ -37,6 +32,21 @@
 func (t *runTimes) add(now time.Time, route string, took time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	r := t.current(now, route)
+	r.count++
+	r.longest = max(r.longest, took)
+}
+
+// addUnfinished records a run that was ended after a time. It would have taken longer.
+func (t *runTimes) addUnfinished(now time.Time, route string, took time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.current(now, route)
+	r.longest = max(r.longest, took)
+}
+
+// current returns the runs of a route with the window of a time. The caller holds the lock.
+func (t *runTimes) current(now time.Time, route string) *routeRuns {
 	if t.routes == nil {
 		t.routes = map[string]*routeRuns{}
 	}
@@ -48,8 +58,7 @@
 	if now.Sub(r.began) >= runTimesWindow {
 		*r = routeRuns{began: now, before: r.count, former: r.longest}
 	}
-	r.count++
-	r.longest = max(r.longest, took)
+	return r
 }
 
 // longest returns the longest recent run of a route; ok is false if there were few.
@@ -62,19 +71,3 @@
 	}
 	return max(r.longest, r.former), true
 }
-
-// fitsBeforeStop reports whether a request can end before this node does. One that may run again is only delayed if
-// it is cut off; any other must fit as long as it may take, which recent runs of its route tell.
-func (d *Dispatcher) fitsBeforeStop(left time.Duration, r *Request, route *routing.Route) bool {
-	if left < stopMargin || route.Kind == routing.Stream && left < streamStopMargin {
-		return false
-	}
-	if route.Repeatable() {
-		return true
-	}
-	longest := patience(r, route)
-	if took, ok := d.runs.longest(route.Name); ok {
-		longest = min(longest, time.Duration(longestRunMargin*float64(took)))
-	}
-	return left >= longest
-}
--- /dev/null
+++ b/internal/dispatch/stop.go
@@ -0,0 +1,62 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/croftturn/croftturn/internal/routing"
+)
+
+const (
+	// longestRunMargin is how much longer than the longest recent run another may take.
+	longestRunMargin = 1.5
+
+	// stopMarginPart is the inverse of the share of a stop at whose end no request is accepted: what was accepted
+	// just before may be late.
+	stopMarginPart = 16
+)
+
+// stop is the planned end of the process.
+type stop struct {
+	by     time.Time     // by is when the process ends.
+	margin time.Duration // margin is how long before that no request is accepted.
+}
+
+// StopBy makes the dispatcher refuse requests that cannot end before the process stops.
+func (d *Dispatcher) StopBy(now, at time.Time) {
+	d.stop.Store(&stop{by: at, margin: at.Sub(now) / stopMarginPart})
+}
+
+// fitsBeforeStop reports whether a request can end before this node does. It must fit as long as it may take, which
+// the runs of its route tell: the recent ones, and those in progress, since engines may have become slower.
+func (d *Dispatcher) fitsBeforeStop(now time.Time, r *Request, route *routing.Route) bool {
+	s := d.stop.Load()
+	if s == nil {
+		return true
+	}
+	longest := patience(r, route)
+	if took, ok := d.runs.longest(route.Name); ok {
+		took = max(took, d.exchanges.oldest(now, route))
+		longest = min(longest, time.Duration(longestRunMargin*float64(took)))
+	}
+	return s.by.Sub(now) >= longest+s.margin
+}
+
+// mustLeave reports whether the request has to be served by another node because this one stops. An answer that has
+// begun can't: it goes on for as long as this node runs.
+func (x *exchange) mustLeave(now time.Time) bool {
+	return !x.answerBegun && !x.d.fitsBeforeStop(now, x.req, x.route)
+}
+
+// refuseStopping returns the refusal of a request that has to be served by another node.
+func (x *exchange) refuseStopping() *Refusal {
+	return &Refusal{Reason: x.unlessMayHaveRun(Stopping), RetryAfter: shortRetryAfter}
+}
+
+// unlessStopping returns a refusal, or that of a request which has to be served by another node.
+func (x *exchange) unlessStopping(ctx context.Context, now time.Time, refusal Refusal) Refusal {
+	if !x.callerLeft(ctx) && x.mustLeave(now) {
+		return *x.refuseStopping()
+	}
+	return refusal
+}
--- a/internal/dispatch/walk.go
+++ b/internal/dispatch/walk.go
@@ -125,11 +125,11 @@
 		if x.mustForward() {
 			return true // The engines became unreachable while the request waited.
 		}
-		x.refuse(*refusal)
+		x.refuse(x.unlessStopping(ctx, clock.Now(), *refusal))
 		return false
 	}
 	if refusal := x.acquirePermit(ctx, request); refusal != nil {
-		x.refuse(*refusal)
+		x.refuse(x.unlessStopping(ctx, clock.Now(), *refusal))
 		return false
 	}
 	now = clock.Now()
@@ -226,8 +226,8 @@
 	if refusal := x.stillAllowed(now); refusal != nil {
 		return refusal
 	}
-	if stop := x.d.stopBy.Load(); stop != nil && !x.route.Repeatable() && !x.d.fitsBeforeStop(stop.Sub(now), x.req, x.route) {
-		return &Refusal{Reason: x.unlessMayHaveRun(Stopping), RetryAfter: shortRetryAfter}
+	if x.mustLeave(now) {
+		return x.refuseStopping()
 	}
 	return x.refuseHeld(now)
 }
@@ -428,6 +428,9 @@
 // recordEnd records how the request ended.
 func (x *exchange) recordEnd(now time.Time) {
 	outcome := x.outcome()
+	if x.refusal.Reason != "" && x.mayHaveRun && x.via == "" {
+		x.d.runs.addUnfinished(now, x.route.Name, now.Sub(x.sentAt))
+	}
 	x.overloadLog().Info("request ended", "request", x.req.ID, "route", x.route.Name, "team", x.teamName(), "urgency", routing.Urgency(x.route, x.team), "pool", x.pool,
 		"outcome", outcome, "via", x.via, "forwarded_by", x.forwardedBy(), "status", x.status, "unframed", x.unframed, "engine", x.choice.Engine.ID, "engine_version", x.choice.Engine.Version, "sent", x.sent, "unsent", x.unreachable,
 		"cost_ms", int(x.choice.Cost), "wait_ms", int(x.choice.Wait), "held_ms", x.queuedFor.Milliseconds(), "give_way", math.Round(100*x.shedShare)/100, "prompt_tokens", x.req.Prompt.Tokens, "session", x.req.Prompt.Session(), "unread_tokens", x.choice.PrefillTokens,
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -77,12 +77,14 @@
 	// the next call and for the gossip to peers.
 	enginesLongPollShare = 0.4
 
-	// stopMargin is how long before the platform kills the process the node exits.
-	stopMargin = 400 * time.Millisecond
+	// stopMargin is how long before the platform kills the process the node exits, at most the
+	// part stopMarginPart of the whole time.
+	stopMargin     = 400 * time.Millisecond
+	stopMarginPart = 8
 
 	// minStopTime is the least time for which a stopping node serves requests, since clients cache
-	// addresses for up to three times two seconds.
-	minStopTime = 6200 * time.Millisecond
+	// addresses for up to three times as long as they may, and a request takes time to arrive.
+	minStopTime = 3*platform.AddressTTL + 200*time.Millisecond
 
 	// maxLibraryLogBytes is how much of a log line written by a library is kept.
 	maxLibraryLogBytes = 48
@@ -368,8 +370,10 @@
 // that still come, and exits when it is idle or its time is up.
 func (e *Edge) Close() error {
 	begin := clock.Now()
-	end := begin.Add(ms(e.settings.StopGraceMs) - stopMargin)
-	e.dispatcher.StopBy(end)
+	grace := ms(e.settings.StopGraceMs)
+	margin := min(stopMargin, grace/stopMarginPart)
+	end := begin.Add(grace - margin)
+	e.dispatcher.StopBy(begin, end)
 	e.log.Info("node stops", "active", e.dispatcher.Active(), "within_ms", clock.Until(end).Milliseconds())
 	if e.duties != nil {
 		e.duties.Stop()
--- a/internal/edge/says_rig_test.go
+++ b/internal/edge/says_rig_test.go
@@ -39,12 +39,13 @@
 	scriptedEngine struct {
 		id, hall   string
 		address    string
-		limit      atomic.Pointer[float64] // limit is the limit it announces; nil for none.
-		draining   atomic.Bool             // draining is the state in its entry.
-		leaving    atomic.Bool             // leaving makes it announce in its responses that it leaves.
-		status     atomic.Int64            // status is that of its responses; 0 for 200. With 503 it has not run the request.
-		retryAfter atomic.Pointer[string]  // retryAfter is the Retry-After value of its 503 responses; nil for none.
-		startedAt  atomic.Int64            // startedAt is its start time as stated in its entry.
+		limit      atomic.Pointer[float64]          // limit is the limit it announces; nil for none.
+		draining   atomic.Bool                      // draining is the state in its entry.
+		leaving    atomic.Bool                      // leaving makes it announce in its responses that it leaves.
+		status     atomic.Int64                     // status is that of its responses; 0 for 200. With 503 it has not run the request.
+		retryAfter atomic.Pointer[string]           // retryAfter is the Retry-After value of its 503 responses; nil for none.
+		startedAt  atomic.Int64                     // startedAt is its start time as stated in its entry.
+		serve      atomic.Pointer[http.HandlerFunc] // serve answers its requests; nil for the answers above.
 
 		mu         sync.Mutex
 		arrivals   []time.Time
@@ -117,6 +118,10 @@
 
 // ServeHTTP answers a request with the announcements that the test has set.
 func (e *scriptedEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if serve := e.serve.Load(); serve != nil {
+		serve.ServeHTTP(w, r)
+		return
+	}
 	node, _, _ := strings.Cut(r.Header.Get("Attempt-Id"), "-")
 	e.mu.Lock()
 	e.arrivals = append(e.arrivals, time.Now())
--- /dev/null
+++ b/internal/edge/stop_test.go
@@ -0,0 +1,170 @@
+package edge
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// stopConfig is a configuration with a route of each kind; callers wait for as long as the node may take to stop.
+const stopConfig = `{"version":3,"routes":[` +
+	`{"name":"safe","host":"h","path_prefix":"/safe/","kind":"safe","timeout_ms":4000,"priority":0,"service":"p","max_attempts":2},` +
+	`{"name":"unsafe","host":"h","path_prefix":"/unsafe/","kind":"unsafe","timeout_ms":4000,"priority":0,"service":"p","max_attempts":2},` +
+	`{"name":"stream","host":"h","path_prefix":"/stream/","kind":"streaming","timeout_ms":4000,"priority":0,"service":"p","max_attempts":1},` +
+	`{"name":"resumable","host":"h","path_prefix":"/resumable/","kind":"streaming","resumable":true,"timeout_ms":4000,"priority":0,"service":"p","max_attempts":2}],` +
+	`"services":[{"name":"p","max_connections":900}],"limits":{"max_body_bytes":1000},"tenants":[{"name":"t","api_keys":["k"]}]}`
+
+// stopRig is a node that stops while callers send requests over kept connections.
+type stopRig struct {
+	node *Edge
+
+	mu    sync.Mutex
+	begun map[string]bool // begun holds the requests that an engine has begun.
+}
+
+// newStopRig starts a node with a grace time, and engines that run each request for the time in its path.
+func newStopRig(t *testing.T, grace time.Duration) *stopRig {
+	t.Helper()
+	c := newScriptedClusterWith(t, 2, 1, stopConfig, 0)
+	rig := &stopRig{node: c.nodes[0], begun: map[string]bool{}}
+	rig.node.settings.StopGraceMs = int(grace.Milliseconds())
+	engine := http.HandlerFunc(rig.run)
+	for _, e := range c.engines {
+		e.serve.Store(&engine)
+	}
+	return rig
+}
+
+// run runs a request: an event is sent after half of its time and one at its end.
+func (s *stopRig) run(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("Attempt-Id")
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return
+	}
+	s.mu.Lock()
+	s.begun[id] = true
+	s.mu.Unlock()
+	work, err := strconv.Atoi(r.URL.Path[strings.LastIndex(r.URL.Path, "/")+1:])
+	if err != nil {
+		return
+	}
+	w.Header().Set("Attempt-Id", id)
+	w.Header().Set("Response-Seal", "seal")
+	w.Header().Set("Content-Type", "text/event-stream")
+	for i := range 2 {
+		select {
+		case <-r.Context().Done():
+			return
+		case <-time.After(ms(work) / 2):
+		}
+		if strings.HasPrefix(r.URL.Path, "/stream") || strings.HasPrefix(r.URL.Path, "/resumable") || i == 1 {
+			fmt.Fprintf(w, "id: %d\ndata: x\n\n", i)
+			_ = http.NewResponseController(w).Flush() // The caller has left.
+		}
+	}
+}
+
+// send sends one request. answered is set if a whole answer came.
+func (s *stopRig) send(c *http.Client, id, kind string, work time.Duration) (status int, answered bool) {
+	r, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s/%s/%d", s.node.settings.CallerAddress, kind, work.Milliseconds()), strings.NewReader("body"))
+	if err != nil {
+		return 0, false
+	}
+	r.Host, r.GetBody = "h", nil // Without GetBody the client never sends it again by itself.
+	r.Header.Set("Attempt-Id", id)
+	r.Header.Set("Authorization", "Bearer k")
+	r.Header.Set("Deadline-Ms", "4000")
+	resp, err := c.Do(r)
+	if err != nil {
+		return 0, false
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode, err == nil
+}
+
+// load sends requests of a kind with drawn times to run until done is closed, from some callers that each keep a connection. It
+// calls onEnd with each outcome.
+func (s *stopRig) load(done <-chan struct{}, callers int, kind string, work func() time.Duration, onEnd func(id string, sent time.Time, status int, answered bool)) *sync.WaitGroup {
+	wg := &sync.WaitGroup{}
+	for i := range callers {
+		wg.Go(func() {
+			transport := &http.Transport{DisableCompression: true}
+			defer transport.CloseIdleConnections()
+			c := &http.Client{Transport: transport}
+			for n := 0; ; n++ {
+				select {
+				case <-done:
+					return
+				case <-time.After(rand.N(10 * time.Millisecond)):
+				}
+				id, sent := fmt.Sprintf("%s-%d-%d", kind, i, n), time.Now()
+				status, answered := s.send(c, id, kind, work())
+				onEnd(id, sent, status, answered)
+			}
+		})
+	}
+	return wg
+}
+
+// TestStopCutsNoRequestOff guards against requests of any kind that a stopping node passes on and then ends by closing
+// the connection, against refusals that say "not run" of what has run, and against a node that refuses short requests
+// while it could still serve them.
+func TestStopCutsNoRequestOff(t *testing.T) {
+	for _, kind := range []string{"safe", "unsafe", "stream", "resumable"} {
+		t.Run(kind, func(t *testing.T) {
+			t.Parallel()
+			for _, test := range []struct {
+				least, most time.Duration // least and most bound the time that a request runs.
+				served      time.Duration // served is for how long after the stop began requests are served at least.
+			}{
+				{20 * time.Millisecond, 60 * time.Millisecond, 2 * time.Second},
+				{20 * time.Millisecond, 900 * time.Millisecond, 900 * time.Millisecond},
+				{100 * time.Millisecond, 1800 * time.Millisecond, 0},
+			} {
+				checkStop(t, kind, func() time.Duration { return test.least + rand.N(test.most-test.least) }, test.served)
+			}
+		})
+	}
+}
+
+// checkStop stops a node under requests of a kind that run for drawn times.
+func checkStop(t *testing.T, kind string, work func() time.Duration, served time.Duration) {
+	t.Helper()
+	s := newStopRig(t, 3*time.Second)
+	var mu sync.Mutex
+	var lastServed time.Time
+	lost, untrue := 0, 0
+	done := make(chan struct{})
+	calls := s.load(done, 15, kind, work, func(id string, sent time.Time, status int, answered bool) {
+		s.mu.Lock()
+		begun := s.begun[id]
+		s.mu.Unlock()
+		mu.Lock()
+		defer mu.Unlock()
+		switch {
+		case !answered && begun:
+			lost++
+		case status == http.StatusServiceUnavailable && begun:
+			untrue++
+		case status == http.StatusOK && sent.After(lastServed):
+			lastServed = sent
+		}
+	})
+	time.Sleep(3 * time.Second) // Runs of all lengths are known then.
+	begin := time.Now()
+	if err := s.node.Close(); err != nil {
+		t.Error(err)
+	}
+	close(done)
+	calls.Wait()
+	if lost > 0 || untrue > 0 || served > 0 && lastServed.Sub(begin) < served {
+		t.Errorf("%d requests lost, %d refused as not run though they had run, the last one served came %v after the stop began, want %v", lost, untrue, lastServed.Sub(begin), served)
+	}
+}
