Edge: what is in progress at the end of a stop gets an answer

Callers whose requests were still in progress when a node ended only saw their connections close. They could not tell a request that had waited, and had not run, from one that an engine was at work on, and the log said caller_left of both. Complete answers on their way were cut as well: a request counts as ended before its last bytes are written.

Now the node ends them itself: 503 node_stopping if no engine had the request, 502 cut_off_by_stop if one may have run it; an answer that has begun is broken off. The servers are shut down in order, for at most half of what is left. A node that forwarded a request takes that end as a failure of the other node and sends what may be repeated to another engine.

TestRequestsAtTheEndOfANodeAreAnswered, before: {status:0 answered:false} for all four kinds. TestForwardedRequestOutlivesTheOtherNode, without the case in forward: a safe request got engine_failed. Both pass, five runs with -race.

--- a/internal/dispatch/absence.go
+++ b/internal/dispatch/absence.go
@@ -24,6 +24,7 @@
 
 	mu      sync.Mutex
 	cancels map[*exchange]context.CancelCauseFunc
+	ended   error // ended is the cause with which all requests end; nil while they may go on.
 }
 
 // add registers a request. The returned function removes it and is called when the request ends.
@@ -31,6 +32,9 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.cancels[x] = cancel
+	if a.ended != nil {
+		cancel(a.ended)
+	}
 	return func() {
 		a.mu.Lock()
 		defer a.mu.Unlock()
@@ -38,6 +42,16 @@
 	}
 }
 
+// end ends all requests in progress, and each one that is added later.
+func (a *activeExchanges) end(cause error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.ended = cause
+	for _, cancel := range a.cancels {
+		cancel(cause)
+	}
+}
+
 // oldest returns how long the oldest request of a route has been in progress.
 func (a *activeExchanges) oldest(now time.Time, route *routing.Route) time.Duration {
 	a.mu.Lock()
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -202,25 +203,40 @@
 }
 
 // TestWaitingRequestsLeaveAStoppingNode guards against requests that wait for a slot until the node ends, though another
-// one could serve them.
+// one could serve them, and against answers other than "not run" to those that it ends.
 func TestWaitingRequestsLeaveAStoppingNode(t *testing.T) {
-	e := &fakeSender{serve: func(ctx context.Context, _ int, _ dispatch.Attempt) (*dispatch.Response, error) {
-		<-ctx.Done()
-		return nil, context.Cause(ctx)
-	}}
-	table := table(1, "k")
-	table.Route("h", "/unsafe/x").Target = timeout
-	d := newDispatcherWith(e, 0, table, 1, "e1")
-	answers := make(chan *recordedAnswer, 2)
-	go func() { answers <- servePatience(t, d, "unsafe", timeout) }()
-	e.awaitSent(t, 1)
-	go func() { answers <- servePatience(t, d, "unsafe", timeout) }()
-	time.Sleep(50 * time.Millisecond)
-	d.StopBy(time.Now(), time.Now().Add(timeout/2))
-	if got := (<-answers).refusal; got.Reason != dispatch.Stopping || e.sentCount() != 1 {
-		t.Errorf("refused with %v, want %v; %d were sent", got.Reason, dispatch.Stopping, e.sentCount())
+	for _, cut := range []bool{false, true} {
+		e := &fakeSender{serve: func(ctx context.Context, _ int, _ dispatch.Attempt) (*dispatch.Response, error) {
+			<-ctx.Done()
+			return nil, context.Cause(ctx)
+		}}
+		table := table(1, "k")
+		table.Route("h", "/unsafe/x").Target = timeout
+		d := newDispatcherWith(e, 0, table, 1, "e1")
+		answers := make(chan *recordedAnswer, 2)
+		go func() { answers <- servePatience(t, d, "unsafe", timeout) }()
+		e.awaitSent(t, 1)
+		go func() { answers <- servePatience(t, d, "unsafe", timeout) }()
+		time.Sleep(50 * time.Millisecond)
+		want := []dispatch.Reason{dispatch.Stopping, dispatch.CutOff}
+		if cut {
+			d.CutOff()
+		} else {
+			d.StopBy(time.Now(), time.Now().Add(timeout/2))
+		}
+		first := <-answers
+		if !cut {
+			d.CutOff()
+		}
+		got := []dispatch.Reason{first.refusal.Reason, (<-answers).refusal.Reason}
+		if cut {
+			slices.Sort(got)
+			slices.Sort(want)
+		}
+		if !slices.Equal(got, want) || e.sentCount() != 1 {
+			t.Errorf("cut off %v: refused with %v, want %v; %d were sent", cut, got, want, e.sentCount())
+		}
 	}
-	<-answers
 }
 
 // TestAwaitStart checks that a request that arrives before the node has a configuration is served
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -20,6 +20,9 @@
 // maxForwards is how many nodes a request is forwarded to until one takes it.
 const maxForwards = 3
 
+// errNodeStopped is the failure of a node that stopped while an engine ran a request which was forwarded to it.
+var errNodeStopped = errors.New("dispatch: the node stopped")
+
 type (
 	// Forwarder sends requests to other nodes.
 	Forwarder interface {
@@ -118,8 +121,16 @@
 		case errors.Is(err, ErrExpired):
 			x.handleExpired(clock.Now(), err)
 			return true, false
+		case cutOff(ctx):
+			if resp != nil {
+				resp.Body.Close()
+			}
+			x.endCutOff(!errors.Is(err, ErrNotSent) && (refusal == nil || refusal.Reason.MayHaveRun()))
+			return true, false
 		case errors.Is(err, ErrNotSent) || refusal != nil && x.mayTryNextNode(refusal):
 			continue
+		case refusal != nil && refusal.Reason == CutOff:
+			return true, x.handleForwardError(ctx, errNodeStopped)
 		case err != nil:
 			return true, x.handleForwardError(ctx, err)
 		case refusal != nil:
--- a/internal/dispatch/refusal.go
+++ b/internal/dispatch/refusal.go
@@ -30,6 +30,9 @@
 	// Stopping means that the node stops before the request could end.
 	Stopping Reason = "node_stopping"
 
+	// CutOff means that the node stopped while an engine ran the request.
+	CutOff Reason = "cut_off_by_stop"
+
 	// NoEngine means that no engine of the pool could be reached.
 	NoEngine Reason = "no_engine"
 
@@ -107,6 +110,7 @@
 	MayCrashEngines:   http.StatusServiceUnavailable,
 	Expired:           http.StatusServiceUnavailable,
 	CallerLeft:        http.StatusServiceUnavailable,
+	CutOff:            http.StatusBadGateway,
 	EngineFailed:      http.StatusBadGateway,
 	TimedOut:          http.StatusGatewayTimeout,
 }
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -343,6 +343,10 @@
 		x.abortAnswer(now)
 		return false
 	}
+	if cutOff(ctx) {
+		x.endCutOff(true)
+		return false
+	}
 	x.mayHaveRun = true
 	x.call.End(now, x.bodyErrorOutcome(now))
 	if x.via == "" && !x.gaveUp(now) {
--- a/internal/dispatch/stop.go
+++ b/internal/dispatch/stop.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
+	"github.com/croftturn/croftturn/internal/clock"
+	"github.com/croftturn/croftturn/internal/placement"
 	"github.com/croftturn/croftturn/internal/routing"
 )
 
@@ -16,9 +19,12 @@
 	stopMarginPart = 16
 )
 
+// errCutOff ends the requests in progress when the process ends.
+var errCutOff = errors.New("dispatch: the process ends")
+
 // stop is the planned end of the process.
 type stop struct {
-	by     time.Time     // by is when the process ends.
+	by     time.Time     // by is when the requests in progress are ended.
 	margin time.Duration // margin is how long before that no request is accepted.
 }
 
@@ -27,6 +33,10 @@
 	d.stop.Store(&stop{by: at, margin: at.Sub(now) / stopMarginPart})
 }
 
+// CutOff ends all requests in progress, and each one that comes later, with an answer: a caller whose connection only
+// closes can't tell a request that has not run from one that has.
+func (d *Dispatcher) CutOff() { d.exchanges.end(errCutOff) }
+
 // fitsBeforeStop reports whether a request can end before this node does. It must fit as long as it may take, which
 // the runs of its route tell: the recent ones, and those in progress, since engines may have become slower.
 func (d *Dispatcher) fitsBeforeStop(now time.Time, r *Request, route *routing.Route) bool {
@@ -50,13 +60,26 @@
 
 // refuseStopping returns the refusal of a request that has to be served by another node.
 func (x *exchange) refuseStopping() *Refusal {
-	return &Refusal{Reason: x.unlessMayHaveRun(Stopping), RetryAfter: shortRetryAfter}
+	if x.mayHaveRun {
+		return &Refusal{Reason: CutOff}
+	}
+	return &Refusal{Reason: Stopping, RetryAfter: shortRetryAfter}
 }
 
 // unlessStopping returns a refusal, or that of a request which has to be served by another node.
 func (x *exchange) unlessStopping(ctx context.Context, now time.Time, refusal Refusal) Refusal {
-	if !x.callerLeft(ctx) && x.mustLeave(now) {
+	if !x.callerLeft(ctx) && (cutOff(ctx) || x.mustLeave(now)) {
 		return *x.refuseStopping()
 	}
 	return refusal
 }
+
+// cutOff reports whether a request ends because the process does.
+func cutOff(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errCutOff) }
+
+// endCutOff ends a request whose attempt was ended because the process ends. sent is set if its engine may have it.
+func (x *exchange) endCutOff(sent bool) {
+	x.call.End(clock.Now(), placement.Aborted)
+	x.mayHaveRun = x.mayHaveRun || sent
+	x.refuse(*x.refuseStopping())
+}
--- a/internal/dispatch/walk.go
+++ b/internal/dispatch/walk.go
@@ -106,6 +106,10 @@
 
 // attempt sends the request to one engine and reports whether another should be tried.
 func (x *exchange) attempt(ctx context.Context) (again bool) {
+	if cutOff(ctx) {
+		x.refuse(*x.refuseStopping())
+		return false
+	}
 	if !clock.Now().Before(x.deadline) {
 		x.refuseExpired()
 		return false
@@ -341,6 +345,10 @@
 		x.abortAnswer(now)
 		return false
 	}
+	if cutOff(ctx) {
+		x.endCutOff(!errors.Is(err, ErrNotSent))
+		return false
+	}
 	if errors.Is(err, ErrExpired) {
 		x.handleExpired(now, err)
 		return false
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -77,8 +77,8 @@
 	// the next call and for the gossip to peers.
 	enginesLongPollShare = 0.4
 
-	// stopMargin is how long before the platform kills the process the node exits, at most the
-	// part stopMarginPart of the whole time.
+	// stopMargin is how long before the platform kills the process the node ends what is in progress, at most the
+	// part stopMarginPart of the whole time. Half of it is for the last answers, the rest for stopping all components.
 	stopMargin     = 400 * time.Millisecond
 	stopMarginPart = 8
 
@@ -393,9 +393,23 @@
 		}
 	}
 	e.log.Info("node stopped", "active", e.dispatcher.Active(), "after_ms", clock.Since(begin).Milliseconds())
+	e.endRequests(margin / 2)
 	return e.stop()
 }
 
+// endRequests ends the requests in progress with an answer, and waits until the answers are sent, but not longer than
+// a given time.
+func (e *Edge) endRequests(longest time.Duration) {
+	e.dispatcher.CutOff()
+	ctx, cancel := context.WithTimeout(context.Background(), longest)
+	defer cancel()
+	var servers sync.WaitGroup
+	for _, s := range e.servers {
+		servers.Go(func() { _ = s.Shutdown(ctx) }) // What does not end in time is closed.
+	}
+	servers.Wait()
+}
+
 // stop stops all components and waits for them.
 func (e *Edge) stop() error {
 	var errs []error
--- a/internal/edge/stop_test.go
+++ b/internal/edge/stop_test.go
@@ -168,3 +168,39 @@
 		t.Errorf("%d requests lost, %d refused as not run though they had run, the last one served came %v after the stop began, want %v", lost, untrue, lastServed.Sub(begin), served)
 	}
 }
+
+// TestRequestsAtTheEndOfANodeAreAnswered guards against connections that only close under requests whose runs are
+// longer than all others of their route.
+func TestRequestsAtTheEndOfANodeAreAnswered(t *testing.T) {
+	for kind, want := range map[string]int{"safe": http.StatusBadGateway, "unsafe": http.StatusBadGateway, "stream": http.StatusBadGateway, "resumable": http.StatusBadGateway} {
+		t.Run(kind, func(t *testing.T) {
+			t.Parallel()
+			s := newStopRig(t, time.Second)
+			for i := range 25 {
+				if status, _ := s.send(http.DefaultClient, fmt.Sprint("short-", i), kind, time.Millisecond); status != http.StatusOK {
+					t.Fatalf("got status %d, want 200", status)
+				}
+			}
+			type outcome struct {
+				status   int
+				answered bool
+			}
+			ended := make(chan outcome, 1)
+			go func() {
+				status, answered := s.send(http.DefaultClient, "long", kind, 3500*time.Millisecond)
+				ended <- outcome{status, answered}
+			}()
+			waitFor(t, func() bool {
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				return s.begun["long"]
+			}, "the request was not begun")
+			if err := s.node.Close(); err != nil {
+				t.Error(err)
+			}
+			if got := <-ended; got != (outcome{want, true}) {
+				t.Errorf("got %+v, want the status %d", got, want)
+			}
+		})
+	}
+}
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -342,3 +342,40 @@
 		t.Errorf("got %+v from %+v", c, second.sent)
 	}
 }
+
+// relink is a link that leads to a third node once the second one has sent a request.
+type relink struct {
+	*link
+	second *sender
+	third  string
+}
+
+func (l relink) Choose(now time.Time, pool string, resumable bool, avoid []string) (string, string, bool) {
+	node, address, ok := l.link.Choose(now, pool, resumable, avoid)
+	if l.second.count() > 0 {
+		return "n2", l.third, true
+	}
+	return node, address, ok
+}
+
+// TestForwardedRequestOutlivesTheOtherNode guards against repeatable requests that end with the node that they were
+// forwarded to, and against others that are told "not run" or sent again.
+func TestForwardedRequestOutlivesTheOtherNode(t *testing.T) {
+	for route, want := range map[string]dispatch.Reason{"safe": "", "unsafe": dispatch.EngineFailed, "stream": dispatch.EngineFailed} {
+		var other *dispatch.Dispatcher
+		second, third := &sender{}, answering(200, 4, func(context.Context) io.Reader { return strings.NewReader("well") })
+		second.serve = func(ctx context.Context, _ *dispatch.Request, _ dispatch.Attempt) (*dispatch.Response, error) {
+			other.CutOff()
+			<-ctx.Done()
+			return nil, context.Cause(ctx)
+		}
+		other = newNode(t, "n1", second, table(2, "k"), nil)
+		_, _, l, _ := newPairOf(t, other)
+		_, _, last, _ := newPairOf(t, newNode(t, "n2", third, table(2, "k"), nil))
+		first := newNode(t, "n0", &sender{serve: unreachable}, table(2, "k"), relink{l, second, last.address})
+		c := ask(context.Background(), t, first, route)
+		if c.refusal != want || want == "" && c.got() != "well" || second.count() != 1 || third.count() > 0 != (want == "") {
+			t.Errorf("%s: got %q and %q, want %q; sent %d times by the second node, %d by the third", route, c.refusal, c.got(), want, second.count(), third.count())
+		}
+	}
+}
