croftturn run: calls in progress after the drain time get an answer

Callers of calls that outlast the drain time of a planned stop saw their connection close and could not tell whether the call had run: Node.Close closed all connections.

The node now ends these calls: 503 node_stopping with the outcome not_run if no engine had them, 502 with the outcome unknown otherwise, and waits half a second for the answers.

TestCallsAtTheEndOfANodeAreAnswered holds it for both kinds of calls, waiting and running. Front.CutOff is new, so that the test cannot run on the code before.

--- a/internal/front/chat.go
+++ b/internal/front/chat.go
@@ -120,8 +120,11 @@
 }
 
 // callerGoneOr wraps err in errCallerGone if the caller's context has ended, or if the request was withheld because
-// the caller had left.
+// the caller had left, and in errCutOff if the process ends.
 func callerGoneOr(ctx context.Context, err error) error {
+	if cutOff(ctx) {
+		return fmt.Errorf("%w: %w", errCutOff, err)
+	}
 	if ctx.Err() != nil || errors.Is(err, engine.ErrCallerLeft) {
 		return fmt.Errorf("%w: %w", errCallerGone, err)
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -80,6 +80,7 @@
 		quarantine *quarantine.Quarantine // quarantine is nil if requests that crash engines are not tracked; then parts is, too.
 		parts      *quarantine.Parts
 		onCrash    func()
+		active     activeCalls
 		mux        *http.ServeMux
 	}
 
@@ -105,6 +106,7 @@
 	f := &Front{
 		views: views, members: members, peers: peers, engines: engines, journal: j, tele: tele,
 		schedulers: map[config.PoolScheduler]sched.Scheduler{}, budget: newRetryBudget(), mux: http.NewServeMux(),
+		active: activeCalls{cancels: map[*call]context.CancelCauseFunc{}},
 	}
 	for _, o := range opts {
 		o(f)
--- a/internal/front/rig_test.go
+++ b/internal/front/rig_test.go
@@ -11,6 +11,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -51,6 +52,7 @@
 		results  []sched.Result
 		refusals []*sched.Refusal
 		after    *sched.Refusal // after is the refusal for requests after the first grant.
+		full     atomic.Bool    // full makes all requests wait.
 		waiting  func()         // waiting is called while a request waits; nil for nothing.
 	}
 
@@ -78,10 +80,14 @@
 func (singleNode) Call(context.Context, string, string, any, any) error { return io.ErrClosedPipe }
 
 // Acquire grants the next engine, or returns the next planned refusal.
-func (s *roundRobin) Acquire(_ context.Context, req sched.Request) (sched.Grant, error) {
+func (s *roundRobin) Acquire(ctx context.Context, req sched.Request) (sched.Grant, error) {
 	if s.waiting != nil {
 		s.waiting()
 	}
+	if s.full.Load() {
+		<-ctx.Done()
+		return sched.Grant{}, ctx.Err()
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.refusals) > 0 {
@@ -152,6 +158,7 @@
 type testServer struct {
 	sched *roundRobin
 	table *table
+	front *front.Front
 	url   string
 }
 
@@ -198,6 +205,7 @@
 		front.WithQuarantine(quarantine.New(func(time.Time, quarantine.Fingerprint) bool { return false }, tele.Log), quarantine.NewParts(func(time.Time, string) bool { return false }, tele.Log), func() {}),
 		front.WithClaims(keeper, claim.NewIssuer(time.Now(), "n1", 1, time.Minute), claim.NewRegistry(time.Minute)),
 		front.WithLimits(front.Limits{MaxBody: maxBody, WriteTimeout: writeTimeout, EntryPointTTL: time.Second}))
+	r.front = f
 	srv := httptest.NewUnstartedServer(f)
 	srv.Config.ConnContext = caller.WithConn
 	srv.Start()
--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -80,9 +80,11 @@
 	span.SetAttributes(attribute.String("request", c.id), attribute.String("class", c.class.Name), attribute.String("team", c.team.Name))
 	w.Header().Set(HeaderRequestID, c.id)
 	f.journal.Begin(c.arrived, journal.Entry{ID: c.id, Class: c.class.Name, Team: c.team.Name, Pool: c.pool.Name, Tier: c.class.Tier})
+	ctx, remove := f.active.add(c.detached(ctx), c)
+	defer remove()
 	var end callResult
 	if c.atMostOnce() {
-		end = f.runOnce(c.detached(ctx), w, c, x)
+		end = f.runOnce(ctx, w, c, x)
 	} else {
 		end = f.run(ctx, w, c, x, nil)
 	}
@@ -183,6 +185,8 @@
 		return callResult{state: journal.Refused, failure: &CallerError{
 			Status: status, Code: refusal.Reason, Message: refusal.Why, RetryAfter: refusal.RetryAfter,
 		}}
+	case cutOff(ctx):
+		return cutOffResult(true)
 	case ctx.Err() != nil:
 		return callResult{state: journal.Cancelled}
 	}
@@ -217,6 +221,8 @@
 	switch {
 	case errors.As(err, &rejected):
 		return callResult{state: journal.Refused, failure: &CallerError{Status: rejected.Status, Code: "engine_rejected", Message: string(rejected.Body)}}, true
+	case errors.Is(err, errCutOff):
+		return cutOffResult(notRun), true
 	case errors.Is(err, errCallerGone):
 		return callResult{state: journal.Cancelled}, true
 	case notRun && try < maxAttempts:
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -32,8 +32,13 @@
 	"github.com/croftturn/croftturn/internal/wire"
 )
 
-// adminTimeout bounds reading the header of an administration API request.
-const adminTimeout = 10 * time.Second
+const (
+	// adminTimeout bounds reading the header of an administration API request.
+	adminTimeout = 10 * time.Second
+
+	// cutOffTime is how long the answers to the requests that are ended with the process may take.
+	cutOffTime = 500 * time.Millisecond
+)
 
 // Node is one running process.
 type Node struct {
@@ -257,7 +262,7 @@
 	err := n.callers.Shutdown(ctx)
 	if err != nil {
 		err = fmt.Errorf("requests cut off after the drain time: %w", err)
-		n.callers.Close()
+		n.endRequests()
 	}
 	n.control.Close()
 	n.cancel()
@@ -271,5 +276,14 @@
 	return errors.Join(err, serverErr, n.tele.Close())
 }
 
+// endRequests ends the requests in progress with an answer, and closes what has not got it in time.
+func (n *Node) endRequests() {
+	n.front.CutOff()
+	ctx, cancel := context.WithTimeout(context.Background(), cutOffTime)
+	defer cancel()
+	_ = n.callers.Shutdown(ctx) // Its error says that the time was over.
+	n.callers.Close()
+}
+
 // ms converts milliseconds to a duration.
 func ms(n int) time.Duration { return time.Duration(n) * time.Millisecond }
