croftturn run: a call that is given up aborts its connection

A caller that closes its writing side after the request got "200 OK" with an empty body, framed as whole, for a call that no engine had.

Cause: the call is withheld because its caller counts as gone, and the handler returned without an answer, which net/http completes with 200.

The handler now aborts the connection, as croftturn edge does.

--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -103,6 +103,8 @@
 	f.tele.Log.Info("request ended", "request", c.id, "class", c.class.Name, "team", c.team.Name, "pool", c.pool.Name,
 		"state", end.state, "reason", reason, "ms", clock.Since(c.arrived).Milliseconds())
 	switch {
+	case end.state == journal.Cancelled:
+		panic(http.ErrAbortHandler) // A handler that only returns ends with a whole answer.
 	case end.failure == nil:
 	case x.started():
 		x.abort(w, end.failure)
--- a/internal/front/stop_test.go
+++ b/internal/front/stop_test.go
@@ -1,8 +1,12 @@
 package front_test
 
 import (
+	"bufio"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -45,3 +49,28 @@
 		}
 	}
 }
+
+// TestCallerThatStopsSendingGetsNoEmptySuccess guards against an answer that looks like a whole, empty one for a call
+// that was given up because its caller had closed its writing side.
+func TestCallerThatStopsSendingGetsNoEmptySuccess(t *testing.T) {
+	for _, path := range []string{"/v1/chat/completions", "/services/bids/x"} {
+		r := newTestServer(t, streams("well"))
+		conn, err := net.Dial("tcp", strings.TrimPrefix(r.url, "http://"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		r.sched.waiting = func() {
+			_ = conn.(*net.TCPConn).CloseWrite() // A test that fails here gets an answer below.
+			time.Sleep(50 * time.Millisecond)
+		}
+		fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", path, token, len(hello), hello)
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err == nil {
+			resp.Body.Close()
+			if resp.StatusCode < http.StatusMultipleChoices {
+				t.Errorf("%s: got status %d with %d bytes", path, resp.StatusCode, resp.ContentLength)
+			}
+		}
+	}
+}
