Feed: the log tells of which calls a full table was made

A read in several pages could not be told from one in a single call, nor whether the changes between the pages were known: 'table read' now has the rows, the version, the pages, the calls for changes and whether rows are of a later state. One line for each full read.

No behaviour changes; tests of feed and platform pass with -race.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -52,9 +52,17 @@
 		Version int64     // Version is the newest version of all tables at the time of the reply; every change up to it is in Rows, and none after it.
 		AsOf    time.Time // AsOf is a local monotonic time at which the reply was current.
 		Sent    time.Time // Sent is when the call was sent; zero if unknown.
+		Calls   Calls     // Calls are those of which a List is made.
 		NowMs   int64     // NowMs is the time of the reply on the store's monotonic clock, in milliseconds.
 	}
 
+	// Calls counts the calls of which a list is made.
+	Calls struct {
+		Pages   int  // Pages counts the calls for rows, of all reads.
+		Changes int  // Changes counts the calls for what changed between the pages.
+		Mixed   bool // Mixed is set if the history was forgotten, so that some rows are of a later state.
+	}
+
 	// Tx is an atomic transaction.
 	Tx struct {
 		Expect []Row // Expect lists rows with their required versions; 0 means absent.
--- a/internal/feed/reader.go
+++ b/internal/feed/reader.go
@@ -135,6 +135,7 @@
 	if at, ok := r.Table.Position(); ok && snap.Era < at.Era {
 		return fmt.Errorf("rows of %s: %w", r.Table.Name(), ErrStale)
 	}
+	r.Log.Info("table read", "table", r.Table.Name(), "rows", len(snap.Rows), "version", snap.Version, "era", snap.Era, "pages", snap.Calls.Pages, "changes", snap.Calls.Changes, "mixed", snap.Calls.Mixed)
 	r.Table.replace(clock.Now(), update{rows: peerRows(snap.Rows), at: snap.Position(), base: snap.Version, acceptedAfter: r.currentAt})
 	r.recordSuccess(snap)
 	return nil
