Routing: no team owns the empty key

With an empty string among the keys of a team, requests without a key, or with an empty one, ran as that team's, in every deployment whose list has one. Found by a test of odd lists; none is known to have had one.

Cause: a request without a key has an empty string as its key, and the table of keys had one, too.

--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -173,8 +173,13 @@
 	return nil
 }
 
-// Team returns the team that owns a key, or nil.
-func (t *Table) Team(key string) *Team { return t.teams[key] }
+// Team returns the team that owns a key, or nil. A request without a key has an empty one, which no team owns.
+func (t *Table) Team(key string) *Team {
+	if key == "" {
+		return nil
+	}
+	return t.teams[key]
+}
 
 // Tier returns the tier of a request: the team's if it is set, else the route's.
 func Tier(r *Route, t *Team) int {
