Edge: a configuration that needs no keys any more is logged

A version that drops tenants altogether frees all routes of keys, and the log had the same line as for any other version. Nodes now warn of it once.

TestKeysThatAreNoLongerNeededAreLogged: not logged for an empty list, logged for an absent one; before, no line.

--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -27,8 +27,11 @@
 	for _, p := range table.Pools() {
 		e.placement.SetColdLimit(p.Name, e.coldLimit(p))
 	}
-	before := e.dispatcher.Version()
+	before, old := e.dispatcher.Version(), e.dispatcher.Table()
 	taken := e.dispatcher.SetTable(table)
+	if taken && old != nil && old.RequiresKey() && !table.RequiresKey() {
+		e.log.Warn("requests need no key any more", "version", table.Version, "before", before)
+	}
 	e.versions.Wake()
 	e.log.Info("configuration", "version", table.Version, "before", before, "taken", taken, "ms", clock.Since(begin).Milliseconds())
 }
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -364,3 +364,21 @@
 		t.Errorf("ready %v after, want soon after the end of the suspension, a second later", took)
 	}
 }
+
+// TestKeysThatAreNoLongerNeededAreLogged guards against a configuration that opens all routes without a word.
+func TestKeysThatAreNoLongerNeededAreLogged(t *testing.T) {
+	out := &logBuffer{}
+	e, err := Start(context.Background(), newSettings(t, "n1", newStore(t)), out)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = e.stop() })
+	waitFor(t, func() bool { return e.Ready(time.Now()) }, "not ready: %s", out)
+	for version, config := range []string{configRow, strings.Replace(configRow, `[{"name":"t","api_keys":["k"]}]`, "[]", 1), strings.Replace(configRow, `,"tenants":[{"name":"t","api_keys":["k"]}]`, "", 1)} {
+		config = strings.Replace(config, `"version":3`, fmt.Sprintf(`"version":%d`, 10+version), 1)
+		e.applyConfig(time.Now(), []feed.Row{{Key: "config", Value: []byte(config), Version: int64(10 + version)}})
+		if open := strings.Contains(out.String(), "requests need no key any more"); open != !e.dispatcher.Table().RequiresKey() {
+			t.Errorf("version %d: keys are needed: %v, logged that none is: %v", 10+version, e.dispatcher.Table().RequiresKey(), open)
+		}
+	}
+}
