Dispatch: a stopping node gives no slow engine up for an attempt that won't fit

Callers of safe requests, and of resumable streams that had not begun, got 502 from a stopping node 0.6 s after they had sent them, though their engines were at work and would have answered in time.

Cause: an engine that is silent for twice the target is given up for another one; its attempt was ended first, and the next one then refused because it no longer fits into the stop.

An attempt is now given up only if another one fits.

TestSlowRequestStaysAtItsEngineWhileTheNodeStops, before: safe and resumable refused with cut_off_by_stop; after, both are answered by their first engine.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"net/http"
@@ -202,6 +203,29 @@
 	<-done
 }
 
+// TestSlowRequestStaysAtItsEngineWhileTheNodeStops guards against a repeatable request that is taken from a slow engine to
+// be sent to another one, and then refused because it no longer fits.
+func TestSlowRequestStaysAtItsEngineWhileTheNodeStops(t *testing.T) {
+	for _, route := range []string{"safe", "resumable"} {
+		e := &fakeSender{serve: func(ctx context.Context, n int, _ dispatch.Attempt) (*dispatch.Response, error) {
+			select {
+			case <-ctx.Done():
+				return nil, context.Cause(ctx)
+			case <-time.After(10 * target):
+			}
+			return respond(http.StatusOK, fmt.Sprintf("id: %d\n\n", n)), nil
+		}}
+		d := newDispatcher(e, 10)
+		answers := make(chan *recordedAnswer, 1)
+		go func() { answers <- servePatience(t, d, route, timeout) }()
+		e.awaitSent(t, 1)
+		d.StopBy(time.Now(), time.Now().Add(timeout/2))
+		if a := <-answers; a.status != http.StatusOK || a.body.String() != "id: 1\n\n" {
+			t.Errorf("%s: got status %d, %q, refusal %+v", route, a.status, a.body.String(), a.refusal)
+		}
+	}
+}
+
 // TestWaitingRequestsLeaveAStoppingNode guards against requests that wait for a slot until the node ends, though another
 // one could serve them, and against answers other than "not run" to those that it ends.
 func TestWaitingRequestsLeaveAStoppingNode(t *testing.T) {
--- a/internal/dispatch/stop.go
+++ b/internal/dispatch/stop.go
@@ -58,7 +58,7 @@
 	return !x.answerBegun && !x.d.fitsBeforeStop(now, x.req, x.route)
 }
 
-// refuseStopping returns the refusal of a request that has to be served by another node.
+// refuseStopping returns the refusal of a request that ends with the process.
 func (x *exchange) refuseStopping() *Refusal {
 	if x.mayHaveRun {
 		return &Refusal{Reason: CutOff}
@@ -68,8 +68,13 @@
 
 // unlessStopping returns a refusal, or that of a request which has to be served by another node.
 func (x *exchange) unlessStopping(ctx context.Context, now time.Time, refusal Refusal) Refusal {
-	if !x.callerLeft(ctx) && (cutOff(ctx) || x.mustLeave(now)) {
+	switch {
+	case x.callerLeft(ctx):
+		return refusal
+	case cutOff(ctx):
 		return *x.refuseStopping()
+	case x.mustLeave(now):
+		return Refusal{Reason: x.unlessMayHaveRun(Stopping), RetryAfter: shortRetryAfter}
 	}
 	return refusal
 }
--- a/internal/dispatch/walk.go
+++ b/internal/dispatch/walk.go
@@ -231,7 +231,7 @@
 		return refusal
 	}
 	if x.mustLeave(now) {
-		return x.refuseStopping()
+		return &Refusal{Reason: x.unlessMayHaveRun(Stopping), RetryAfter: shortRetryAfter}
 	}
 	return x.refuseHeld(now)
 }
