Soak: stops under requests of all lengths, tables in pages, answers cut at any byte

New faults: a node gets SIGTERM, SIGHUP and SIGTERM again while callers send it requests of all kinds that run for 0.1 to 2.5 s, over connections that they keep until it is gone; engines drain while all nodes, just started, read their table in pages. The store answers with three rows at most. An engine may end its connection after any byte of an answer.

--- a/lab/platform/platform.go
+++ b/lab/platform/platform.go
@@ -42,6 +42,7 @@
 	Faults struct {
 		Down     bool `json:"down"`      // Down answers everything with 503.
 		SlowMs   int  `json:"slow_ms"`   // SlowMs delays every answer.
+		PageMs   int  `json:"page_ms"`   // PageMs delays every page of rows but the first.
 		LoseAcks int  `json:"lose_acks"` // LoseAcks is how many of the next writes take effect without an answer.
 		LagMs    int  `json:"lag_ms"`    // LagMs is how far the list of instances lags behind.
 		Deaf     bool `json:"deaf"`      // Deaf lets feeds hear nothing until their calls end.
@@ -70,6 +71,8 @@
 
 	// Platform serves the stand-in.
 	Platform struct {
+		PageRows int // PageRows is the most rows of an answer; 0 for as many as asked for. It is set before the first call.
+
 		mu       sync.Mutex
 		rows     map[rowName]row
 		changes  []row
--- a/lab/platform/rows.go
+++ b/lab/platform/rows.go
@@ -14,6 +14,11 @@
 	table, part, from, to := q.Get("table"), q.Get("part"), q.Get("from"), q.Get("target_version")
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if wait := time.Duration(p.faults.PageMs) * time.Millisecond; from != "" && wait > 0 {
+		p.mu.Unlock()
+		time.Sleep(wait)
+		p.mu.Lock()
+	}
 	list := p.list(table, part)
 	out := []row{}
 	for _, found := range list {
@@ -22,6 +27,9 @@
 		}
 	}
 	limit, err := strconv.Atoi(q.Get("limit"))
+	if p.PageRows > 0 && (err != nil || limit > p.PageRows) {
+		limit, err = p.PageRows, nil
+	}
 	more := err == nil && len(out) > limit
 	if more {
 		out = out[:limit]
--- a/lab/soak/engine.go
+++ b/lab/soak/engine.go
@@ -25,6 +25,7 @@
 	modeDropConnection // modeDropConnection runs the request and closes its connection.
 	modeNoResponse     // modeNoResponse runs the request and never responds.
 	modeTruncateStream // modeTruncateStream cuts a stream off inside its second event.
+	modeCutAnywhere    // modeCutAnywhere ends the connection after any byte of the answer, its head included.
 	modeCount          // modeCount is the number of modes.
 )
 
@@ -72,12 +73,12 @@
 
 // serve starts an incarnation of the engine on a listener.
 func (e *engine) serve(listener net.Listener) {
-	e.listener, e.server = listener, &http.Server{Handler: e}
+	e.listener, e.server = listener, &http.Server{Handler: e, ConnContext: withCut}
 	e.startedAt.Store(time.Now().UnixMilli())
 	server := e.server
 	e.wg.Go(func() {
 		// Returns when the server is closed; callers notice any other error.
-		_ = server.Serve(listener)
+		_ = server.Serve(cutListener{listener})
 	})
 }
 
@@ -171,6 +172,9 @@
 		panic(http.ErrAbortHandler)
 	case modeNoResponse:
 		<-r.Context().Done()
+	case modeCutAnywhere:
+		cutAnyByte(r, id)
+		e.answer(w, r, id, mode)
 	default:
 		e.answer(w, r, id, mode)
 	}
@@ -180,6 +184,7 @@
 func (e *engine) answer(w http.ResponseWriter, r *http.Request, id string, mode int) {
 	route := strings.Split(r.URL.Path, "/")[1]
 	if !isStream(route) {
+		pause.For(r.Context(), workOf(r))
 		body := expectedBody(route, id)
 		frameOf(id).set(w, r, len(body))
 		fmt.Fprint(w, body)
@@ -206,11 +211,21 @@
 		select {
 		case <-r.Context().Done():
 			return
-		case <-time.After(eventInterval):
+		case <-time.After(max(eventInterval, workOf(r)/time.Duration(events(stream)))):
 		}
 	}
 }
 
+// workOf returns how long a request is to run, by its path; 0 if it does not say.
+func workOf(r *http.Request) time.Duration {
+	parts := strings.Split(r.URL.Path, "/")
+	ms, err := strconv.Atoi(parts[2])
+	if err != nil {
+		return 0
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
 // events returns the number of events in the stream of a request.
 func events(id string) int {
 	h := fnv.New32a()
--- a/lab/soak/engine_frame.go
+++ b/lab/soak/engine_frame.go
@@ -5,6 +5,7 @@
 	"hash/fnv"
 	"net/http"
 	"strconv"
+	"strings"
 )
 
 // Ways in which an engine frames its answers.
@@ -27,12 +28,15 @@
 	return frame(h.Sum32() % uint32(frameCount))
 }
 
-// endsBetweenEvents reports whether an answer without a frame ends early after a whole event: nothing in
-// it, nor at the end of its connection, tells it from a whole one.
-func endsBetweenEvents(id string, e result) bool {
-	if f := frameOf(cmp.Or(e.last, id)); f != frameNone && f != frameOldHTTP || !isStream(e.route) {
+// endsUnseen reports whether an answer without a frame ends early, a stream after a whole event: nothing in it, nor at
+// the end of its connection, tells it from a whole one.
+func endsUnseen(id string, e result) bool {
+	if f := frameOf(cmp.Or(e.last, id)); f != frameNone && f != frameOldHTTP {
 		return false
 	}
+	if !isStream(e.route) {
+		return strings.HasPrefix(expectedBody(e.route, id), e.body)
+	}
 	whole := ""
 	for n := 1; n <= events(id); n++ {
 		if whole += event(id, n); versionLine.ReplaceAllString(e.body, "") == whole {
--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -20,6 +20,10 @@
 	// maxFaultDuration bounds the duration of a single fault.
 	maxFaultDuration = 6 * time.Second
 
+	// faultStop and faultUnreadDrain are the names of faults that the ledger tells from others.
+	faultStop        = "stop a node under requests of all lengths"
+	faultUnreadDrain = "engines drain while all nodes read their table"
+
 	// partSeriesTime is longer, so that requests are observed once nodes have found the part.
 	partSeriesTime = 14 * time.Second
 )
@@ -42,6 +46,8 @@
 var faults = []fault{
 	{"kill a node", time.Second, true, nodeFault(killNode)},
 	{"stop a node", time.Second, true, nodeFault(stopNode)},
+	{faultStop, 3 * time.Second, true, nodeFault(stopUnderLoad)},
+	{faultUnreadDrain, 3 * time.Second, true, drainWhileRead},
 	{"freeze a node", maxFaultDuration, true, nodeFault(freezeNode)},
 	{"nodes are behind and callers leave", maxFaultDuration, true, putNodesBehind},
 	{"hang up a node", time.Second, false, nodeFault(reloadNode)},
@@ -108,6 +114,7 @@
 			defer wg.Done()
 			begin := time.Now()
 			err := f.inject(ctx, env, faultRand, d)
+			env.ledger.recordInjected(f.name, begin, time.Now())
 			if f.suspendsTimeBounds {
 				env.ledger.recordFault(begin, time.Now())
 			}
--- a/lab/soak/ledger.go
+++ b/lab/soak/ledger.go
@@ -61,6 +61,10 @@
 		partSeries  []partSeries
 		streamTries []streamTry
 
+		stopped       []string              // stopped holds the requests that were sent to nodes that stop.
+		drainedUnread map[string]time.Time  // drainedUnread holds when engines began to drain while nodes read of them.
+		injected      map[string][]interval // injected holds the faults of all kinds, by name.
+
 		partArrivals map[string][]time.Time // partArrivals holds when requests with a part that crashes engines reached them, by part.
 		partCrashes  map[string][]time.Time // partCrashes holds the times of the crashes, by part.
 
@@ -75,7 +79,7 @@
 func newLedger() *Ledger {
 	return &Ledger{
 		runs: map[string][]run{}, results: map[string]result{}, revoked: map[string]time.Time{}, left: map[string]time.Time{}, leaving: map[string]time.Time{}, crashes: map[string][]time.Time{},
-		partArrivals: map[string][]time.Time{}, partCrashes: map[string][]time.Time{},
+		drainedUnread: map[string]time.Time{}, injected: map[string][]interval{}, partArrivals: map[string][]time.Time{}, partCrashes: map[string][]time.Time{},
 		senders: map[string]sender{}, arrivals: map[string][]arrival{}, signals: map[string][]sentSignals{}, outages: map[string][]interval{},
 	}
 }
@@ -197,6 +201,8 @@
 	out = append(out, l.ignoredSignals()...)
 	out = append(out, l.streamsLost()...)
 	out = append(out, l.runsWithoutCaller()...)
+	out = append(out, l.cutByStops()...)
+	out = append(out, l.startsAfterUnreadDrains()...)
 	for id, e := range l.results {
 		out = append(out, l.requestViolations(id, e)...)
 	}
@@ -234,7 +240,7 @@
 	if (e.status == unavailable || e.status == tooManyRequests) && once && len(runs) > 0 {
 		out = append(out, fmt.Sprintf("%s %s ran, though its caller got %d", e.route, id, e.status))
 	}
-	if e.status == success && e.complete && versionLine.ReplaceAllString(e.body, "") != expectedBody(e.route, id) && !endsBetweenEvents(id, e) {
+	if e.status == success && e.complete && versionLine.ReplaceAllString(e.body, "") != expectedBody(e.route, id) && !endsUnseen(id, e) {
 		out = append(out, fmt.Sprintf("%s %s got %q", e.route, id, e.body))
 	}
 	if len(versionsIn(e.body)) > 1 {
--- a/lab/soak/world.go
+++ b/lab/soak/world.go
@@ -44,6 +44,9 @@
 	// stopGrace bounds the time from the stop signal until a node has exited.
 	stopGrace = 8 * time.Second
 
+	// pageRows is the most rows of an answer of the store, so that tables have several pages.
+	pageRows = 3
+
 	// relayDelay is what a relay in Delay mode adds to each chunk, in both directions.
 	relayDelay = 300 * time.Millisecond
 )
@@ -94,6 +97,7 @@
 	}
 	env.storeAddress = l.Addr().String()
 	env.platform = platform.New(2000, 400)
+	env.platform.PageRows = pageRows
 	env.store = &http.Server{Handler: env.platform.Handler()}
 	go func() { _ = env.store.Serve(l) }() // Returns when close closes the server.
 	for i := range o.Engines {
