croftturn run: SIGHUP no longer ends the node

A SIGHUP ended a node of croftturn run at once, with all its requests, also while it stopped. Callers saw their connections close.

Cause: the signal was taken by croftturn edge only; its default ends a process.

The node takes it and says that its settings are read at the start.

--- a/cmd/croftturn/main.go
+++ b/cmd/croftturn/main.go
@@ -87,12 +87,27 @@
 	if err != nil {
 		return err
 	}
+	hangUp, stop := notifyHangUp()
+	defer stop()
 	n, err := node.Start(context.WithoutCancel(ctx), s, os.Stdout)
 	if err != nil {
 		return fmt.Errorf("start node: %w", err)
 	}
-	<-ctx.Done()
-	return n.Close()
+	for {
+		select {
+		case <-ctx.Done():
+			return n.Close()
+		case <-hangUp:
+			n.HangUp()
+		}
+	}
+}
+
+// notifyHangUp returns a channel that receives each SIGHUP, which would end the process otherwise.
+func notifyHangUp() (hangUp <-chan os.Signal, stop func()) {
+	c := make(chan os.Signal, 1)
+	signal.Notify(c, syscall.SIGHUP)
+	return c, func() { signal.Stop(c) }
 }
 
 // runEdge runs a node on the users' platform until the context ends, and reloads the
@@ -105,9 +120,8 @@
 	if err != nil {
 		return err
 	}
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
-	defer signal.Stop(reload)
+	reload, stop := notifyHangUp()
+	defer stop()
 	e, err := edge.Start(context.WithoutCancel(ctx), s, os.Stdout)
 	if err != nil {
 		return fmt.Errorf("start node: %w", err)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -233,6 +233,9 @@
 	}
 }
 
+// HangUp logs that the settings are read at the start only.
+func (n *Node) HangUp() { n.tele.Log.Warn("SIGHUP changes nothing; settings are read at the start") }
+
 // closeWhenStopping wraps a handler so that responses of a stopping node close their
 // connection. Idle connections stay open until callers know of the stop: a request sent while
 // its connection is being closed fails, and its caller can't know that it has not run. That
--- a/lab/proofs/stop_test.go
+++ b/lab/proofs/stop_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
@@ -86,6 +87,31 @@
 	}
 }
 
+// TestHangUpCutsOffNothing guards against a SIGHUP that ends a node and all its requests, also while it stops.
+func TestHangUpCutsOffNothing(t *testing.T) {
+	r := start(t, cluster.Options{Nodes: 2, Engines: 2, Services: 1, Slots: 16, Queue: 16, Settings: quickLeave})
+	r.caller.FirstOnly = true
+	ctx, cancel := context.WithCancel(context.Background())
+	r.traffic(ctx, 10, load.ClassLoad{Class: "explain", Tier: 3, Model: "desk-1", Tokens: 100, TokensSpread: 0.5}, load.ClassLoad{Class: "submit", Tier: 1, Service: "bids", Once: true})
+	for range 3 {
+		r.pause(500 * time.Millisecond)
+		must(t, r.Nodes[0].Signal(syscall.SIGHUP))
+	}
+	r.pause(500 * time.Millisecond)
+	if r.Nodes[0].Exited() {
+		t.Fatal("the node has ended")
+	}
+	time.AfterFunc(100*time.Millisecond, func() {
+		_ = r.Nodes[0].Signal(syscall.SIGHUP) // It may have ended.
+	})
+	if err := r.Nodes[0].Stop(30 * time.Second); err != nil {
+		t.Errorf("planned stop after a hang-up: %v", err)
+	}
+	cancel()
+	r.verdict()
+	r.allCompleted()
+}
+
 // TestKeptConnectionIsServedWhileANodeLeaves asks over a connection that was idle when its
 // node began to stop: a caller that has not heard of the stop must not find it closed.
 func TestKeptConnectionIsServedWhileANodeLeaves(t *testing.T) {
--- a/lab/soak/planted_test.go
+++ b/lab/soak/planted_test.go
@@ -47,7 +47,7 @@
 	{"a stream leaves an engine that is silent for a moment", "it fell silent", "engine silent for a moment", "internal/dispatch/relay.go", "if x.reach != nil && x.reach.Accepts(ctx, address) {", "if x.reach == nil && x.reach.Accepts(ctx, address) {"},
 	{"a rest is forgotten", "a Retry-After of", "engine asks for rest", "internal/placement/rest.go", "return r.until", "return time.Time{}"},
 	{"a hall that is evacuated gets new requests", "was evacuated", "hall evacuated", "internal/placement/placement.go", "if !e.Draining && !p.evacuated[e.Hall] {", "if !e.Draining {"},
-	{"a reload ends the process", "exited unexpectedly", "hang up a node", "cmd/croftturn/main.go", "signal.Notify(reload, syscall.SIGHUP)", ""},
+	{"a reload ends the process", "exited unexpectedly", "hang up a node", "cmd/croftturn/main.go", "signal.Notify(c, syscall.SIGHUP)", ""},
 	{"a request that crashes engines is never held", "later than", "a request crashes engines", "internal/quarantine/record.go", "return len(r.crashes) >= crashThreshold", "return false"},
 	{"a part that crashes engines is never held", "after the fifth crash", "a part of prompts crashes engines", "internal/quarantine/judge.go", "if moments(crashes, p.ID, func(*partCrash) bool { return true }) >= heldMoments {", "if moments(crashes, p.ID, func(*partCrash) bool { return false }) >= heldMoments {"},
 	{"all shared parts of a crashing prompt are held", "sound requests beside part", "a part of prompts crashes engines", "internal/quarantine/parts.go", "if c.at.After(a.at) || key.version", "if !c.at.IsZero() || key.version"},
