Dispatch: a few runs of a route also tell what fits before a stop

Where fewer than 20 runs of a route were known, a stopping node refused all requests of callers that wait longer than what is left.

The margin over the longest run now widens with fewer runs: half of it from 20 on, twice for five, ten times for one.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -180,6 +180,13 @@
 		if left(unknown, route, timeout) || !left(unknown, route, timeout+time.Second) {
 			t.Errorf("%s: a request that may outlast the node is taken, or one that can't is not", route)
 		}
+		few := newDispatcher(e, 0)
+		for range 4 {
+			serve(t, few, route)
+		}
+		if left(few, route, 70*time.Millisecond) || !left(few, route, timeout/2) {
+			t.Errorf("%s: a request of a route with few and short runs is refused, or one that they don't vouch for is not", route)
+		}
 		known := newDispatcher(e, 0)
 		for range 20 {
 			serve(t, known, route)
--- a/internal/dispatch/run_times.go
+++ b/internal/dispatch/run_times.go
@@ -8,9 +8,6 @@
 const (
 	// runTimesWindow is for how long a run counts at least among the recent ones of its route.
 	runTimesWindow = 30 * time.Second
-
-	// minRuns is how many recent runs of a route tell how long others may take.
-	minRuns = 20
 )
 
 type (
@@ -61,13 +58,13 @@
 	return r
 }
 
-// longest returns the longest recent run of a route; ok is false if there were few.
-func (t *runTimes) longest(route string) (took time.Duration, ok bool) {
+// longest returns the longest recent run of a route, and how many are known.
+func (t *runTimes) longest(route string) (took time.Duration, known int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.routes[route]
-	if r == nil || r.count+r.before < minRuns {
-		return 0, false
+	if r == nil {
+		return 0, 0
 	}
-	return max(r.longest, r.former), true
+	return max(r.longest, r.former), r.count + r.before
 }
--- a/internal/dispatch/stop.go
+++ b/internal/dispatch/stop.go
@@ -12,8 +12,10 @@
 )
 
 const (
-	// longestRunMargin is how much longer than the longest recent run another may take.
-	longestRunMargin = 1.5
+	// leastRunMargin is how much longer than the longest of many recent runs another may take, as a share of it, and
+	// fewRunsMargin the same for a single run, divided by how many are known.
+	leastRunMargin = 0.5
+	fewRunsMargin  = 10
 
 	// stopMarginPart is the inverse of the share of a stop at whose end no request is accepted: what was accepted
 	// just before may be late.
@@ -40,7 +42,7 @@
 	longestRun struct {
 		at    time.Time
 		took  time.Duration
-		known bool // known is unset if too few runs are known.
+		known int // known is how many runs are known.
 	}
 )
 
@@ -61,8 +63,9 @@
 		return true
 	}
 	longest := patience(r, route)
-	if run := d.longestRun(now, s, route); run.known {
-		longest = min(longest, time.Duration(longestRunMargin*float64(run.took)))
+	if run := d.longestRun(now, s, route); run.known > 0 {
+		margin := max(leastRunMargin, fewRunsMargin/float64(run.known))
+		longest = min(longest, time.Duration((1+margin)*float64(run.took)))
 	}
 	return s.by.Sub(now) >= longest+s.margin
 }
@@ -76,7 +79,7 @@
 		return run
 	}
 	run.at = now
-	if run.took, run.known = d.runs.longest(route.Name); run.known {
+	if run.took, run.known = d.runs.longest(route.Name); run.known > 0 {
 		run.took = max(run.took, d.exchanges.oldest(now, route))
 	}
 	s.runs[route.Name] = run
