--- a/internal/dispatch/stop.go
+++ b/internal/dispatch/stop.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// leastRunMargin is how much longer than the longest of many recent runs another may take, as a share of it, and
-	// fewRunsMargin the same for a single run, divided by how many are known.
+	// Where n recent runs are known, another may take longer than the longest of them by fewRunsMargin/n of it, and by
+	// leastRunMargin at least.
 	leastRunMargin = 0.5
 	fewRunsMargin  = 10
 
