Dispatch: the log tells what the kernel held of a request when its connection was closed

The hypotheses of the incident (requests that were sent on after their callers had left) could not be told apart: written_ms is when the caller's connection was looked at, not when the write returned, and nothing told what was still on its way when a request was given up. 'request ended' has write_ms (from the look to the end of the write), unacked_bytes and unsent_bytes (at the close of its connection), left_read and left_kernel (by what the node knows that the caller left).

--- a/internal/dial/request_conn.go
+++ b/internal/dial/request_conn.go
@@ -3,34 +3,53 @@
 import (
 	"net"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/croftturn/croftturn/internal/clock"
 )
 
-// RequestConn is a connection on which requests are written one after the other, and nothing else. Each can be
-// withheld up to the moment at which it is written.
-type RequestConn struct {
-	net.Conn
-	mayWrite atomic.Pointer[func(now time.Time, first bool) error]
-	writes   atomic.Int64
-	begun    atomic.Int64 // begun is how many writes came before the present request.
-}
+type (
+	// RequestConn is a connection on which requests are written one after the other, and nothing else. Each can be
+	// withheld up to the moment at which it is written.
+	RequestConn struct {
+		net.Conn
+		hooks  atomic.Pointer[Hooks]
+		writes atomic.Int64
+		begun  atomic.Int64 // begun is how many writes came before the present request.
+	}
+
+	// Hooks are what a RequestConn calls for one request, in any goroutine. Each may be nil.
+	Hooks struct {
+		// MayWrite is asked before each write, which fails with its error; first is set until a write has sent
+		// something.
+		MayWrite func(now time.Time, first bool) error
+
+		// Wrote is called after each write with the time since MayWrite was asked.
+		Wrote func(took time.Duration)
+
+		// Closing is called when the connection is closed before the request has ended.
+		Closing func(q Queue)
+	}
+
+	// Queue is what the kernel holds of the bytes written to a connection.
+	Queue struct {
+		Unacked int // Unacked is how many bytes the peer has not acknowledged.
+		Unsent  int // Unsent is how many of these were never sent.
+	}
+)
 
 // NewRequestConn returns a RequestConn on a connection.
 func NewRequestConn(c net.Conn) *RequestConn { return &RequestConn{Conn: c} }
 
-// Begin begins a request: mayWrite, unless it is nil, is asked before each write from now on, which fails with
-// its error; first is set until a write has sent something. It returns the number of writes so far. end lets go of mayWrite, also if another request has begun.
-func (c *RequestConn) Begin(mayWrite func(now time.Time, first bool) error) (writes int64, end func()) {
-	ask := &mayWrite
-	if mayWrite == nil {
-		ask = nil
-	}
+// Begin begins a request and returns the number of writes so far. end ends it, unless another has begun.
+func (c *RequestConn) Begin(h Hooks) (writes int64, end func()) {
 	writes = c.writes.Load()
 	c.begun.Store(writes)
-	c.mayWrite.Store(ask)
-	return writes, func() { c.mayWrite.CompareAndSwap(ask, nil) }
+	c.hooks.Store(&h)
+	return writes, func() { c.hooks.CompareAndSwap(&h, nil) }
 }
 
 // Writes returns how many writes have sent something, or are about to.
@@ -38,8 +57,9 @@
 
 // Write counts the write before it starts, and discounts one that failed without sending anything.
 func (c *RequestConn) Write(p []byte) (int, error) {
-	if ask := c.mayWrite.Load(); ask != nil {
-		if err := (*ask)(clock.Now(), c.writes.Load() == c.begun.Load()); err != nil {
+	h, now := c.hooks.Load(), clock.Now()
+	if h != nil && h.MayWrite != nil {
+		if err := h.MayWrite(now, c.writes.Load() == c.begun.Load()); err != nil {
 			return 0, err
 		}
 	}
@@ -48,5 +68,39 @@
 	if n == 0 && err != nil {
 		c.writes.Add(-1)
 	}
+	if h != nil && h.Wrote != nil {
+		h.Wrote(clock.Since(now))
+	}
 	return n, err
 }
+
+// Close closes the connection.
+func (c *RequestConn) Close() error {
+	if h := c.hooks.Swap(nil); h != nil && h.Closing != nil {
+		h.Closing(c.queue())
+	}
+	return c.Conn.Close()
+}
+
+// queue asks the kernel for the state of the send buffer.
+func (c *RequestConn) queue() Queue {
+	var q Queue
+	socket, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return q
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return q
+	}
+	// An error means that the connection is closed, or no TCP connection: it holds nothing.
+	_ = raw.Control(func(fd uintptr) {
+		if n, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ); err == nil {
+			q.Unacked = n
+		}
+		if n, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQNSD); err == nil {
+			q.Unsent = n
+		}
+	})
+	return q
+}
--- a/internal/dispatch/departed.go
+++ b/internal/dispatch/departed.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/croftturn/croftturn/internal/dial"
 	"github.com/croftturn/croftturn/internal/placement"
 )
 
@@ -30,14 +31,40 @@
 	ErrTooLate = fmt.Errorf("%w: its engine leaves", ErrWithheld)
 )
 
-// writeRecord tells when a request was last written. The goroutine that writes is another than the one that
+// writeRecord tells how a request was last written. The goroutine that writes is another than the one that
 // serves the request.
 type writeRecord struct {
-	at atomic.Pointer[time.Time] // at is when its first byte was written; nil if none was
+	at   atomic.Pointer[time.Time]  // at is when its first byte was about to be written; nil if none was
+	took atomic.Int64               // took is the longest time from then, or from a later write, until that write returned, in ns
+	held atomic.Pointer[dial.Queue] // held is what the kernel held when its connection was closed; nil if it was not
 }
 
 // clear forgets the record, for another attempt.
-func (r *writeRecord) clear() { r.at.Store(nil) }
+func (r *writeRecord) clear() {
+	r.at.Store(nil)
+	r.took.Store(0)
+	r.held.Store(nil)
+}
+
+// wrote records how long a write took.
+func (r *writeRecord) wrote(took time.Duration) {
+	for old := r.took.Load(); int64(took) > old && !r.took.CompareAndSwap(old, int64(took)); old = r.took.Load() {
+	}
+}
+
+// closing records what the kernel holds of a request when its connection is closed.
+func (r *writeRecord) closing(q dial.Queue) { r.held.Store(&q) }
+
+// longest returns how long the longest write took.
+func (r *writeRecord) longest() time.Duration { return time.Duration(r.took.Load()) }
+
+// queue returns what the kernel held of the request when its connection was closed.
+func (r *writeRecord) queue() dial.Queue {
+	if q := r.held.Load(); q != nil {
+		return *q
+	}
+	return dial.Queue{}
+}
 
 // time returns when the first byte was written, zero if none was.
 func (r *writeRecord) time() time.Time {
@@ -47,6 +74,11 @@
 	return time.Time{}
 }
 
+// hooks returns what is called for the connection on which the request is sent.
+func (x *exchange) hooks(mayWrite func(now time.Time, first bool) error) dial.Hooks {
+	return dial.Hooks{MayWrite: mayWrite, Wrote: x.written.wrote, Closing: x.written.closing}
+}
+
 // mayWrite is asked right before each write of the request. It may run in another goroutine than the exchange.
 func (x *exchange) mayWrite(now time.Time, _ bool) error {
 	switch {
@@ -75,6 +107,16 @@
 	return errors.Is(context.Cause(ctx), context.Canceled) || x.buffer != nil && x.buffer.Err() != nil || x.caller.Left()
 }
 
+// readLeft reports whether the end of the caller's connection has been read.
+func (x *exchange) readLeft() bool {
+	select {
+	case <-x.left:
+		return true
+	default:
+		return false
+	}
+}
+
 // refuseExpired ends a request whose deadline has passed before it was sent to an engine, or to another one.
 func (x *exchange) refuseExpired() {
 	reason := Expired
--- a/internal/dispatch/departed_test.go
+++ b/internal/dispatch/departed_test.go
@@ -17,11 +17,11 @@
 	var first, second error
 	e := &fakeSender{serve: func(_ context.Context, n int, a dispatch.Attempt) (*dispatch.Response, error) {
 		if n == 1 {
-			first = a.MayWrite(time.Now(), true)
+			first = a.Hooks.MayWrite(time.Now(), true)
 			leaving := a.Engine
 			leaving.Draining = true
 			p.Set(leaving)
-			second = a.MayWrite(time.Now(), true)
+			second = a.Hooks.MayWrite(time.Now(), true)
 			return nil, dispatch.ErrTooLate
 		}
 		return respond(http.StatusOK, "x"), nil
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/croftturn/croftturn/internal/clock"
+	"github.com/croftturn/croftturn/internal/dial"
 	"github.com/croftturn/croftturn/internal/pinning"
 	"github.com/croftturn/croftturn/internal/placement"
 	"github.com/croftturn/croftturn/internal/routing"
@@ -30,9 +31,9 @@
 		// resumable stream it must be one that keeps streams at the version that began them.
 		Choose(now time.Time, pool string, resumable bool, avoid []string) (node, address string, ok bool)
 
-		// Forward sends a request to a node and returns its answer or refusal. mayWrite is as in Attempt.
+		// Forward sends a request to a node and returns its answer or refusal. The hooks are as in Attempt.
 		// The error is ErrNotSent if no byte was sent.
-		Forward(ctx context.Context, address string, r *Request, f Forwarded, mayWrite func(now time.Time, first bool) error) (*Response, *Refusal, error)
+		Forward(ctx context.Context, address string, r *Request, f Forwarded, h dial.Hooks) (*Response, *Refusal, error)
 	}
 
 	// Forwarded is what a node tells another of a request besides the request itself. The
@@ -151,7 +152,7 @@
 	resp, refusal, err := x.d.forwarder.Forward(ctx, address, x.req, Forwarded{
 		From: x.d.node, Spent: now.Sub(x.arrived), Sent: x.sent, LastEventID: x.lastEventID, MayHaveRun: x.mayHaveRun, Counted: x.counted,
 		Bound: x.origin.bound, Pool: x.origin.Pool, Version: x.origin.Version, Trial: x.trial || !x.partTrial.IsZero(),
-	}, x.mayWrite)
+	}, x.hooks(x.mayWrite))
 	result, reason := "answered", Reason("")
 	switch {
 	case err != nil:
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/croftturn/croftturn/internal/dial"
 	"github.com/croftturn/croftturn/internal/placement"
 )
 
@@ -56,10 +57,7 @@
 		OpenOnly     bool      // OpenOnly sends the request over an open connection or not at all.
 		LastEventID  string    // LastEventID is the event after which the engine resumes; empty for a whole answer.
 
-		// MayWrite is asked right before each write of the request, which does not happen if it returns an
-		// error. first is set until a part was written on the present connection. Other goroutines than the
-		// caller of Send may ask. It may be nil.
-		MayWrite func(now time.Time, first bool) error
+		Hooks dial.Hooks // Hooks are called for the connection to the engine.
 	}
 
 	// Response is an engine's answer.
--- a/internal/dispatch/walk.go
+++ b/internal/dispatch/walk.go
@@ -315,7 +315,7 @@
 
 // attemptFor returns what is sent to an engine.
 func (x *exchange) attemptFor(e placement.Engine) Attempt {
-	return Attempt{Engine: e, SendBefore: x.sendBefore, Team: x.teamName(), TransferFrom: x.choice.TransferFrom, Urgency: x.urgency(), Deadline: x.deadline, LastEventID: x.lastEventID, MayWrite: x.mayWriteTo(x.choice),
+	return Attempt{Engine: e, SendBefore: x.sendBefore, Team: x.teamName(), TransferFrom: x.choice.TransferFrom, Urgency: x.urgency(), Deadline: x.deadline, LastEventID: x.lastEventID, Hooks: x.hooks(x.mayWriteTo(x.choice)),
 		OpenOnly: x.mayForward() && x.reach.Unconnectable()}
 }
 
@@ -444,7 +444,8 @@
 		"cost_ms", int(x.choice.Cost), "wait_ms", int(x.choice.Wait), "held_ms", x.queuedFor.Milliseconds(), "give_way", math.Round(100*x.shedShare)/100, "prompt_tokens", x.req.Prompt.Tokens, "session", x.req.Prompt.Session(), "unread_tokens", x.choice.PrefillTokens,
 		"ahead_tokens", x.choice.QueuedTokens, "read_rate", math.Round(10*x.choice.PrefillRate)/10, "tight", x.choice.GapSensitive, "slowdown", math.Round(100*x.slowdown)/100, "leaving_ms", x.leavingFor.Milliseconds(), "transfer_tokens", x.choice.TransferTokens, "transfer_from", x.choice.TransferFrom,
 		"first_ms", x.firstByte.Milliseconds(), "gap_ms", x.maxGap.Milliseconds(), "total_ms", now.Sub(x.arrived).Milliseconds(), "patience_ms", x.deadline.Sub(x.arrived).Milliseconds(),
-		"unread_ms", x.req.Unread.Milliseconds(), "decided_ms", x.sinceArrival(x.sentAt), "written_ms", x.sinceArrival(x.written.time()),
+		"unread_ms", x.req.Unread.Milliseconds(), "decided_ms", x.sinceArrival(x.sentAt), "written_ms", x.sinceArrival(x.written.time()), "write_ms", x.written.longest().Milliseconds(),
+		"unacked_bytes", x.written.queue().Unacked, "unsent_bytes", x.written.queue().Unsent, "left_read", x.readLeft(), "left_kernel", x.caller.Left(),
 		"engine_limit", x.engineLimit, "permit_ms", x.permitWait.Milliseconds(), "opens_ms", x.capacityDelay.Milliseconds(), "target_ms", x.route.Target.Milliseconds(), "longest_gap_ms", x.route.MaxGap.Milliseconds(),
 		"come_back_ms", x.refusal.RetryAfter.Milliseconds(), "config_version", x.d.Version(), "proof_age_ms", x.d.proof.AgeMs(now))
 	x.d.observer.Ended(x.route.Name, outcome, x.firstByte, now.Sub(x.arrived))
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -228,7 +228,7 @@
 	ask := mayWrite(ctx)
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if conn, ok := info.Conn.(*dial.RequestConn); ok {
-			conn.Begin(ask)
+			conn.Begin(dial.Hooks{MayWrite: ask})
 		}
 	}})
 	req, err := http.NewRequestWithContext(ctx, method, url, io.NopCloser(bytes.NewReader(body)))
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -73,9 +73,8 @@
 	return err
 }
 
-// Forward sends a request to the node at an address, while mayWrite, unless it is nil, returns no error. The error is
-// dispatch.ErrNotSent if nothing was sent.
-func (c *Client) Forward(ctx context.Context, address string, r *dispatch.Request, f dispatch.Forwarded, mayWrite func(now time.Time, first bool) error) (*dispatch.Response, *dispatch.Refusal, error) {
+// Forward sends a request to the node at an address. The error is dispatch.ErrNotSent if nothing was sent.
+func (c *Client) Forward(ctx context.Context, address string, r *dispatch.Request, f dispatch.Forwarded, h dial.Hooks) (*dispatch.Response, *dispatch.Refusal, error) {
 	raw, err := writeHead(headOf(r, f))
 	if err != nil {
 		return nil, nil, fmt.Errorf("%w: %w", dispatch.ErrNotSent, err)
@@ -86,7 +85,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if conn, _ = info.Conn.(*dial.RequestConn); conn != nil {
-			before, written = conn.Begin(mayWrite)
+			before, written = conn.Begin(h)
 		}
 	}})
 	req, err := http.NewRequestWithContext(traced, http.MethodPost, "http://"+address+Path, io.NopCloser(io.MultiReader(bytes.NewReader(raw), bytes.NewReader(r.Body))))
--- a/internal/forward/endless_test.go
+++ b/internal/forward/endless_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/croftturn/croftturn/internal/dial"
 	"github.com/croftturn/croftturn/internal/dispatch"
 	"github.com/croftturn/croftturn/internal/forward"
 )
@@ -38,7 +39,7 @@
 		c := forward.NewClient()
 		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 		begin := time.Now()
-		_, refusal, err := c.Forward(ctx, l.Addr().String(), &dispatch.Request{ID: "a"}, dispatch.Forwarded{}, nil)
+		_, refusal, err := c.Forward(ctx, l.Addr().String(), &dispatch.Request{ID: "a"}, dispatch.Forwarded{}, dial.Hooks{})
 		if err == nil || refusal != nil || time.Since(begin) > 5*time.Second {
 			t.Errorf("%q: %v after %v", beginning, err, time.Since(begin))
 		}
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -15,6 +15,7 @@
 	"testing"
 	"time"
 
+	"github.com/croftturn/croftturn/internal/dial"
 	"github.com/croftturn/croftturn/internal/dispatch"
 	"github.com/croftturn/croftturn/internal/forward"
 	"github.com/croftturn/croftturn/internal/freshness"
@@ -283,7 +284,7 @@
 	l.Close()
 	c := forward.NewClient()
 	defer c.Close()
-	if _, _, err := c.Forward(context.Background(), address, &dispatch.Request{ID: "a"}, dispatch.Forwarded{}, nil); !errors.Is(err, dispatch.ErrNotSent) {
+	if _, _, err := c.Forward(context.Background(), address, &dispatch.Request{ID: "a"}, dispatch.Forwarded{}, dial.Hooks{}); !errors.Is(err, dispatch.ErrNotSent) {
 		t.Errorf("got %v, want ErrNotSent", err)
 	}
 }
