--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -54,6 +54,9 @@
 		Sent    time.Time // Sent is when the call was sent; zero if unknown.
 		Calls   Calls     // Calls are those of which a List is made.
 		NowMs   int64     // NowMs is the time of the reply on the store's monotonic clock, in milliseconds.
+
+		LastKey    string // LastKey is the key of the last row, readable or not; empty if it is not known.
+		Unreadable int    // Unreadable is how many rows were left out because they can't be read.
 	}
 
 	// Calls counts the calls of which a list is made.
--- a/internal/feed/reader.go
+++ b/internal/feed/reader.go
@@ -135,7 +135,7 @@
 	if at, ok := r.Table.Position(); ok && snap.Era < at.Era {
 		return fmt.Errorf("rows of %s: %w", r.Table.Name(), ErrStale)
 	}
-	r.Log.Info("table read", "table", r.Table.Name(), "rows", len(snap.Rows), "version", snap.Version, "era", snap.Era, "pages", snap.Calls.Pages, "changes", snap.Calls.Changes, "mixed", snap.Calls.Mixed)
+	r.Log.Info("table read", "table", r.Table.Name(), "rows", len(snap.Rows), "version", snap.Version, "era", snap.Era, "pages", snap.Calls.Pages, "changes", snap.Calls.Changes, "mixed", snap.Calls.Mixed, "unreadable", snap.Unreadable)
 	r.Table.replace(clock.Now(), update{rows: peerRows(snap.Rows), at: snap.Position(), base: snap.Version, acceptedAfter: r.currentAt})
 	r.recordSuccess(snap)
 	return nil
@@ -147,6 +147,9 @@
 		r.Log.Info("store is available again", "table", r.Table.Name(), "version", snap.Version, "era", snap.Era)
 	}
 	r.failing = false
+	if snap.Unreadable > 0 {
+		r.Log.Error("rows can't be read and are left out", "table", r.Table.Name(), "rows", snap.Unreadable, "version", snap.Version)
+	}
 	r.at, r.hasRead, r.currentAt = history.Later(r.at, snap.Position()), true, snap.AsOf
 	if r.OnSuccess != nil {
 		r.OnSuccess(snap.AsOf)
