Dial: a request that is given up does not lie in the kernel until its engine reads on

What callers saw: engines worked for callers that had left. The look at the caller's connection comes before the write; what was written and not sent yet lay in the kernel, and the connection was closed in the ordinary way, after which the kernel goes on sending. An engine that did not read for a time, or a link that took nothing, got the whole request when its caller was long gone.

Price: an engine sees a reset in place of an end of file.

--- a/internal/dial/request_conn.go
+++ b/internal/dial/request_conn.go
@@ -74,10 +74,16 @@
 	return n, err
 }
 
-// Close closes the connection.
+// Close closes the connection. Before a request has ended it resets the connection, or the kernel would still send
+// what it holds of the request.
 func (c *RequestConn) Close() error {
-	if h := c.hooks.Swap(nil); h != nil && h.Closing != nil {
-		h.Closing(c.queue())
+	if h := c.hooks.Swap(nil); h != nil {
+		if h.Closing != nil {
+			h.Closing(c.queue())
+		}
+		if tcp, ok := c.Conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0) // An error means that the connection is closed.
+		}
 	}
 	return c.Conn.Close()
 }
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -211,6 +211,18 @@
 	return b.Closer.Close()
 }
 
+// endingBody is a body that ends its request on the connection once it has been read or given up.
+type endingBody struct {
+	io.ReadCloser
+	end func()
+}
+
+// Close closes the body, and the connection if the body was not read to its end.
+func (b *endingBody) Close() error {
+	defer b.end()
+	return b.ReadCloser.Close()
+}
+
 // mayWrite is asked before each write of a request whose context names the connection of its caller.
 func mayWrite(ctx context.Context) func(now time.Time, first bool) error {
 	conn := caller.ConnOf(ctx)
@@ -225,10 +237,10 @@
 // send sends one HTTP request, unless its caller has left. The body is wrapped so that it can't be rewound, since
 // the transport retries requests without a body or with a rewindable one.
 func (c *Client) send(ctx context.Context, method, url string, header http.Header, body []byte) (*http.Response, error) {
-	ask := mayWrite(ctx)
+	ask, end := mayWrite(ctx), func() {}
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if conn, ok := info.Conn.(*dial.RequestConn); ok {
-			conn.Begin(dial.Hooks{MayWrite: ask})
+			_, end = conn.Begin(dial.Hooks{MayWrite: ask})
 		}
 	}})
 	req, err := http.NewRequestWithContext(ctx, method, url, io.NopCloser(bytes.NewReader(body)))
@@ -243,6 +255,7 @@
 		return nil, fmt.Errorf("status %d is not a final one: %w", resp.StatusCode, ErrBroken)
 	}
 	if err == nil {
+		resp.Body = &endingBody{resp.Body, end}
 		return resp, nil
 	}
 	if errors.Is(err, ErrCallerLeft) {
