Dispatch: requests wait at the node while its link is full, and not in the link

What callers saw: engines got requests over half a second after their callers had closed. While many nodes restart the others carry their callers, and small nodes have 10 Mbit/s.

internal/uplink counts what the node writes (requests, answers, tables, datagrams) against its bandwidth, and lets the next request out, the highest tier first, when the link takes 25 ms for what is queued. The caller's connection is looked at after the wait. What would wait for too long is refused at once with a short time to come back, since other nodes have links of their own. Without a known bandwidth nothing changes. Class: a queue where nothing can be taken back.

The soak fills a node's link while its callers leave, and finds the planted fault (no waiting) in its first runs.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -61,6 +61,7 @@
 		parts         *quarantine.Parts      // parts is nil if prompt parts that crash engines are not tracked.
 		leaveObserver LeaveObserver          // leaveObserver is nil if engines do not announce that they leave.
 		relay         relayBuffers
+		link          Link           // link is nil if this machine's link is not known.
 		permits       Permits        // permits is nil if engines declare no rate limits.
 		reach         *reach.Monitor // reach is nil if connectivity to engines is not monitored.
 		forwarder     Forwarder      // forwarder is nil if no requests are forwarded to other nodes.
--- a/internal/dispatch/walk.go
+++ b/internal/dispatch/walk.go
@@ -82,6 +82,8 @@
 	events        int           // events counts the pieces received from the current engine
 	firstEventAt  time.Time     // firstEventAt is when the first of them was received
 	slowdown      float64       // slowdown is that of the engine in the latest answer; 0 if it did not say
+	linkWait      time.Duration // linkWait is how long the latest attempt waited for the link
+	linkQueue     time.Duration // linkQueue is how long the link took for what was queued in it before
 	queuedFor     time.Duration // queuedFor is how long the request waited at this node for a slot
 	permitWait    time.Duration // permitWait is how long it waited for permits
 	capacityDelay time.Duration // capacityDelay is how long after a refusal an engine accepts requests again; 0 if unknown
@@ -114,6 +116,10 @@
 		x.refuseExpired()
 		return false
 	}
+	if refusal := x.awaitLink(ctx); refusal != nil {
+		x.refuse(x.unlessStopping(ctx, clock.Now(), *refusal))
+		return false
+	}
 	if x.mustForward() {
 		if handled, again := x.forward(ctx); handled {
 			return again
@@ -444,7 +450,7 @@
 		"cost_ms", int(x.choice.Cost), "wait_ms", int(x.choice.Wait), "held_ms", x.queuedFor.Milliseconds(), "give_way", math.Round(100*x.shedShare)/100, "prompt_tokens", x.req.Prompt.Tokens, "session", x.req.Prompt.Session(), "unread_tokens", x.choice.PrefillTokens,
 		"ahead_tokens", x.choice.QueuedTokens, "read_rate", math.Round(10*x.choice.PrefillRate)/10, "tight", x.choice.GapSensitive, "slowdown", math.Round(100*x.slowdown)/100, "leaving_ms", x.leavingFor.Milliseconds(), "transfer_tokens", x.choice.TransferTokens, "transfer_from", x.choice.TransferFrom,
 		"first_ms", x.firstByte.Milliseconds(), "gap_ms", x.maxGap.Milliseconds(), "total_ms", now.Sub(x.arrived).Milliseconds(), "patience_ms", x.deadline.Sub(x.arrived).Milliseconds(),
-		"unread_ms", x.req.Unread.Milliseconds(), "decided_ms", x.sinceArrival(x.sentAt), "written_ms", x.sinceArrival(x.written.time()), "write_ms", x.written.longest().Milliseconds(),
+		"link_ms", x.linkWait.Milliseconds(), "link_queue_ms", x.linkQueue.Milliseconds(), "unread_ms", x.req.Unread.Milliseconds(), "decided_ms", x.sinceArrival(x.sentAt), "written_ms", x.sinceArrival(x.written.time()), "write_ms", x.written.longest().Milliseconds(),
 		"unacked_bytes", x.written.queue().Unacked, "unsent_bytes", x.written.queue().Unsent, "left_read", x.readLeft(), "left_kernel", x.caller.Left(),
 		"engine_limit", x.engineLimit, "permit_ms", x.permitWait.Milliseconds(), "opens_ms", x.capacityDelay.Milliseconds(), "target_ms", x.route.Target.Milliseconds(), "longest_gap_ms", x.route.MaxGap.Milliseconds(),
 		"come_back_ms", x.refusal.RetryAfter.Milliseconds(), "config_version", x.d.Version(), "proof_age_ms", x.d.proof.AgeMs(now))
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -43,6 +43,7 @@
 	"github.com/croftturn/croftturn/internal/retry"
 	"github.com/croftturn/croftturn/internal/settings"
 	"github.com/croftturn/croftturn/internal/telemetry"
+	"github.com/croftturn/croftturn/internal/uplink"
 	"github.com/croftturn/croftturn/platform"
 )
 
@@ -109,6 +110,7 @@
 	duties        *duty.Duties // duties is nil where the settings name none.
 	dutyClient    *platform.DutyClient
 	budget        *retry.Budget
+	link          *uplink.Link     // link is nil if its bandwidth is not known.
 	relayBudget   *relaybuf.Budget // relayBudget is nil if no pool can be interactive.
 	gossip        *gossip.Gossip
 	dispatcher    *dispatch.Dispatcher
@@ -198,13 +200,14 @@
 		Cores: cores(s),
 	}
 	var err error
+	e.link = uplink.New(s.LinkMbps)
 	e.proof = freshness.New(proofMaxAge(s))
 	e.limits = limit.New(e.log)
 	e.placement = placement.New(s.Hall, placement.WithLimits(e.limits), placement.WithUnseenNodes(e.unheardPeers), placement.WithSenders(s.Instance, e.senders), placement.WithRegions(s.HallRegions), placement.WithStoreKnown(e.storeKnown))
 	e.quarantine = quarantine.New(func(now time.Time, f quarantine.Fingerprint) bool { return e.maySendTrial(now, f.String()) }, e.log)
 	e.parts = quarantine.NewParts(e.maySendTrial, e.log)
 	e.evacuations = evacuation.New(e.placement, e.log)
-	if e.gossip, err = gossip.New(self, e.log); err != nil {
+	if e.gossip, err = gossip.New(self, e.log, gossip.WithLink(e.link)); err != nil {
 		return fmt.Errorf("start gossip: %w", err)
 	}
 	listener, err := net.Listen("tcp", s.PeerAddress)
@@ -228,11 +231,11 @@
 	e.traffic = &peer.Traffic{}
 	e.peerClient = peer.NewClient(e.traffic, peer.WithIdleTimeout(feed.PullIdleTimeout))
 	e.store = platform.NewStore(s.PlatformAddresses, platform.StoreTimeout)
-	e.peerServer = peer.NewServer(listener, e.traffic, e.log)
+	e.peerServer = peer.NewServer(e.link.Listener(listener), e.traffic, e.log)
 	e.newPinning()
 	e.discovery = discovery.New(platform.DecodeEngine, engineSink{e.placement, e.egress, e.limits, e.cacheWatcher, e.versions, func(id string, restarted bool) { e.dispatcher.EngineGone(clock.Now(), id, restarted) }}, ms(s.EngineDrainMs), e.log, discovery.WithSpotNotice(ms(s.SpotNoticeMs)))
 	e.permits = limit.NewPermits(e.limits, e.peerClient, e.permitIssuer, e.gossip.ReachableShare, e.log)
-	e.dispatcher = dispatch.New(e.proof, e.placement, e.budget, e.egress, e.metrics, e.log, dispatch.WithProber(e.egress), dispatch.WithQuarantine(e.quarantine), dispatch.WithParts(e.parts), dispatch.WithLeaveObserver(e.discovery), dispatch.WithPermits(e.permits), dispatch.WithReach(e.reach), dispatch.WithInteractiveTarget(ms(s.InteractiveTargetMs)), dispatch.WithOverloadObserver(e.metrics), dispatch.WithLeavingObserver(e.metrics), dispatch.WithPinning(e.pins, e.versions, e.metrics), e.forwarding(), e.relayBuffers())
+	e.dispatcher = dispatch.New(e.proof, e.placement, e.budget, e.egress, e.metrics, e.log, dispatch.WithProber(e.egress), dispatch.WithLink(e.link), dispatch.WithQuarantine(e.quarantine), dispatch.WithParts(e.parts), dispatch.WithLeaveObserver(e.discovery), dispatch.WithPermits(e.permits), dispatch.WithReach(e.reach), dispatch.WithInteractiveTarget(ms(s.InteractiveTargetMs)), dispatch.WithOverloadObserver(e.metrics), dispatch.WithLeavingObserver(e.metrics), dispatch.WithPinning(e.pins, e.versions, e.metrics), e.forwarding(), e.relayBuffers())
 	e.register = register.New(now, e.store, self, slices.Collect(maps.Keys(s.HallRegions)), s.FirstStart, e.gossip, e.log)
 	e.configTable = feed.NewTable(platform.TableConfig, e.applyConfig, feed.WithCarry(configCarry()), feed.WithReturnObserver(e.storeReturned))
 	e.engineTable = feed.NewTable(platform.TableEngines, e.discovery.Apply, feed.WithCarry(engineCarry(s)), feed.WithReturnObserver(e.storeReturned))
@@ -339,7 +342,7 @@
 	}
 	server := e.newServer(handler)
 	e.startGoroutine(func() {
-		if err := server.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(e.link.Listener(l)); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			e.log.Error("server failed", "address", address, "error", err.Error())
 		}
 	})
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -15,6 +15,7 @@
 
 	"github.com/croftturn/croftturn/internal/clock"
 	"github.com/croftturn/croftturn/internal/placement"
+	"github.com/croftturn/croftturn/internal/uplink"
 )
 
 const (
@@ -35,6 +36,9 @@
 )
 
 type (
+	// Option configures a Gossip.
+	Option func(*Gossip)
+
 	// Node provides the state that Gossip sends and handles the state of peers.
 	Node interface {
 		// LocalState returns the state to send to peers.
@@ -51,6 +55,7 @@
 		node Node
 		log  *slog.Logger
 		conn *net.UDPConn
+		link *uplink.Link // link counts the bytes of messages; nil if it is not known.
 
 		mu         sync.Mutex
 		peers      map[string]*Peer
@@ -82,8 +87,11 @@
 	}
 )
 
+// WithLink counts the bytes of messages at the link of this machine.
+func WithLink(l *uplink.Link) Option { return func(g *Gossip) { g.link = l } }
+
 // New returns a Gossip that listens on the node's peer address. Run starts it.
-func New(self NodeInfo, log *slog.Logger) (*Gossip, error) {
+func New(self NodeInfo, log *slog.Logger, options ...Option) (*Gossip, error) {
 	addr, err := net.ResolveUDPAddr("udp4", self.PeerAddress)
 	if err != nil {
 		return nil, fmt.Errorf("peer address: %w", err)
@@ -94,6 +102,9 @@
 	}
 	g := newGossip(self, log)
 	g.conn = conn
+	for _, option := range options {
+		option(g)
+	}
 	return g, nil
 }
 
--- a/internal/gossip/loadupdate.go
+++ b/internal/gossip/loadupdate.go
@@ -154,6 +154,7 @@
 // sendLoadUpdate sends an update to its peers.
 func (g *Gossip) sendLoadUpdate(o outgoingUpdate) {
 	for _, p := range o.to {
+		g.link.Sent(clock.Now(), len(o.packet))
 		if _, err := g.conn.WriteToUDP(o.packet, p.addr); err != nil {
 			g.log.Debug("sending load update to peer failed", "peer", p.Name, "error", err.Error())
 		}
--- a/internal/gossip/send.go
+++ b/internal/gossip/send.go
@@ -104,6 +104,7 @@
 		g.log.Error("encoding message to peer failed", "error", err.Error())
 		return
 	}
+	g.link.Sent(clock.Now(), len(packet))
 	if _, err := g.conn.WriteToUDP(packet, o.to.addr); err != nil {
 		g.log.Debug("sending message to peer failed", "peer", o.to.Name, "error", err.Error())
 	}
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -110,6 +110,10 @@
 	// entry points stopped naming it, in milliseconds.
 	LeaveNoticeMs int `json:"leave_notice_ms,omitempty,omitzero"`
 
+	// LinkMbps is the bandwidth of this machine's link, in megabits a second; 0 if it
+	// is not known.
+	LinkMbps float64 `json:"link_mbps,omitempty,omitzero"`
+
 	// LogLevel is the least level that is logged.
 	LogLevel SettingsLogLevel `json:"log_level,omitempty,omitzero"`
 
@@ -490,6 +494,15 @@
 	if 0 > plain.LeaveNoticeMs {
 		return fmt.Errorf("field %s: must be >= %v", "leave_notice_ms", 0)
 	}
+	if v, ok := raw["link_mbps"]; !ok || v == nil {
+		plain.LinkMbps = 0.0
+	}
+	if 1e+07 < plain.LinkMbps {
+		return fmt.Errorf("field %s: must be <= %v", "link_mbps", 1e+07)
+	}
+	if 0 > plain.LinkMbps {
+		return fmt.Errorf("field %s: must be >= %v", "link_mbps", 0)
+	}
 	if v, ok := raw["log_level"]; !ok || v == nil {
 		plain.LogLevel = "info"
 	}
--- a/lab/relay/relay.go
+++ b/lab/relay/relay.go
@@ -38,6 +38,7 @@
 	changed  *sync.Cond
 	conns    map[net.Conn]string // conns holds the open connections with their sources.
 	sources  map[string]Mode     // sources holds the modes of single sources.
+	links    map[string]*Link    // links holds the links of single sources.
 	closed   bool
 }
 
@@ -47,7 +48,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Relay{address: l.Addr().String(), listener: l, target: target, delay: delay, conns: map[net.Conn]string{}, sources: map[string]Mode{}}
+	r := &Relay{address: l.Addr().String(), listener: l, target: target, delay: delay, conns: map[net.Conn]string{}, sources: map[string]Mode{}, links: map[string]*Link{}}
 	r.changed = sync.NewCond(&r.mu)
 	r.wg.Add(1)
 	go r.accept(l)
@@ -197,7 +198,13 @@
 	buf := make([]byte, size)
 	for {
 		n, err := from.Read(buf)
-		if err != nil || !r.waitToForward(source, fromTarget) {
+		if err != nil {
+			return
+		}
+		if !fromTarget {
+			r.linkOf(source).carry(n)
+		}
+		if !r.waitToForward(source, fromTarget) {
 			return
 		}
 		if _, err := to.Write(buf[:n]); err != nil {
--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -50,6 +50,7 @@
 	{faultUnreadDrain, 3 * time.Second, true, drainWhileRead},
 	{"freeze a node", maxFaultDuration, true, nodeFault(freezeNode)},
 	{"nodes are behind and callers leave", maxFaultDuration, true, putNodesBehind},
+	{"a node's link is full and callers leave", maxFaultDuration, true, fillLink},
 	{"hang up a node", time.Second, false, nodeFault(reloadNode)},
 	{"cut a node from the store", maxFaultDuration, true, storeLinkFault(relay.Cut)},
 	{"silence the store for a node", maxFaultDuration, true, storeLinkFault(relay.Hold)},
--- a/lab/soak/faults_behind.go
+++ b/lab/soak/faults_behind.go
@@ -43,7 +43,7 @@
 			defer env.ledger.beginOutage(n.name)()
 			var leavers sync.WaitGroup
 			defer leavers.Wait()
-			leavers.Go(func() { env.askAndLeave(ctx, n, rand.New(rand.NewPCG(seed, 68)), d) })
+			leavers.Go(func() { env.askAndLeave(ctx, n, rand.New(rand.NewPCG(seed, 68)), d, "left") })
 			for end := time.Now().Add(d); time.Now().Before(end) && ctx.Err() == nil; {
 				if err := n.Signal(syscall.SIGSTOP); err != nil {
 					env.ledger.recordExit(err.Error())
@@ -62,19 +62,19 @@
 }
 
 // askAndLeave sends requests to a node whose callers leave soon.
-func (env *Environment) askAndLeave(ctx context.Context, n *node, r *rand.Rand, d time.Duration) {
+func (env *Environment) askAndLeave(ctx context.Context, n *node, r *rand.Rand, d time.Duration, body string) {
 	var leavers sync.WaitGroup
 	defer leavers.Wait()
 	for end := time.Now().Add(d); time.Now().Before(end) && ctx.Err() == nil; {
 		id, random := fmt.Sprintf("left-%s-%d", n.name, r.Uint64()), rand.New(rand.NewPCG(r.Uint64(), 1))
-		leavers.Go(func() { env.leaver(ctx, n.callerAddress, id, random) })
+		leavers.Go(func() { env.leaver(ctx, n.callerAddress, id, body, random) })
 		pause.For(ctx, leaversInterval/2+time.Duration(r.Int64N(int64(leaversInterval))))
 	}
 }
 
 // leaver sends one request, maybe after another on the same connection, and closes the connection or its writing
 // side, resets it, or stays beyond its deadline.
-func (env *Environment) leaver(ctx context.Context, address, id string, r *rand.Rand) {
+func (env *Environment) leaver(ctx context.Context, address, id, body string, r *rand.Rand) {
 	conn, err := (&net.Dialer{Timeout: 3 * time.Second}).DialContext(ctx, "tcp", address)
 	if err != nil {
 		return // The node may be down, too.
@@ -89,8 +89,8 @@
 	if r.IntN(3) == 0 {
 		fmt.Fprintf(conn, "GET /none/x HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s-before\r\n\r\n", host, id)
 	}
-	if _, err := io.WriteString(conn, fmt.Sprintf("POST /%s/x HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\nAuthorization: Bearer %s\r\nModel: m\r\nToken-Counts: 100,10\r\nPrompt-Prefix: a:50,b:50\r\nContent-Length: 4\r\n\r\nleft",
-		route, host, id, deadline.Milliseconds(), key)); err != nil {
+	if _, err := io.WriteString(conn, fmt.Sprintf("POST /%s/x HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\nAuthorization: Bearer %s\r\nModel: m\r\nToken-Counts: 100,10\r\nPrompt-Prefix: a:50,b:50\r\nContent-Length: %d\r\n\r\n%s",
+		route, host, id, deadline.Milliseconds(), key, len(body), body)); err != nil {
 		return
 	}
 	pause.For(ctx, stay)
--- a/lab/soak/node.go
+++ b/lab/soak/node.go
@@ -50,7 +50,7 @@
 	}
 	text, err := json.Marshal(map[string]any{
 		"instance": n.name, "hall": hallOf(i), "region": "r", "hall_regions": regions, "caller_address": n.callerAddress, "directory_address": n.directoryAddress,
-		"ready_address": n.readyAddress, "peer_address": n.peerAddress, "admin_address": admin, "forward_address": forward, "engine_source_ip": n.sourceIP, "platform_addresses": []string{n.store.Address()},
+		"ready_address": n.readyAddress, "peer_address": n.peerAddress, "admin_address": admin, "forward_address": forward, "engine_source_ip": n.sourceIP, "link_mbps": nodeLinkMbps, "platform_addresses": []string{n.store.Address()},
 		"revoke_within_ms": 5000, "stop_grace_ms": stopGrace.Milliseconds(), "retry_share": 0.2, "retry_extra": 50, "memory_mb": 200, "trace_share": 0,
 		"duties": []string{"usage"}, "duties_address": env.storeAddress, "lease_ms": 1500, "usage_window_ms": 500, "usage_late_ms": 3000,
 		"interactive_target_ms": interactiveTargetMs * (env.opts.Seed % 2), // The pool of streams is interactive with odd seeds.
--- a/lab/soak/planted_test.go
+++ b/lab/soak/planted_test.go
@@ -30,6 +30,7 @@
 	{"changes between two pages are not read", "between two pages", faultUnreadDrain, "platform/store.go", "if all = pages; last != pages.Version {", "if all, all.Version = pages, last; last < 0 {"},
 	{"a short answer is passed on as whole", " got ", "engines cut answers off", "internal/dispatch/relay.go", "return false, fmt.Errorf(\"read answer: %w\", err)\n\t\t}\n\t}", "return true, nil\n\t\t}\n\t}"},
 	{"a caller's close is not looked for", "its caller had left", "nodes are behind and callers leave", "internal/caller/caller.go", "s.Closed = info.State != tcpEstablished && info.State != tcpSynRecv", "s.Closed = false"},
+	{"requests do not wait for a full link", "its caller had left", "a node's link is full and callers leave", "internal/uplink/uplink.go", "if mbps <= 0 {", "if mbps > 0 {"},
 	{"a deadline begins when the request is read", "its caller had left", "nodes are behind and callers leave", "internal/caller/caller.go", "return now.Add(-s.Quiet), s.Closed", "return now, s.Closed"},
 	{"a stream goes on at any version", "of several versions", "", "internal/dispatch/continuation.go", "if !x.takenUp() || x.origin.bound {", "if !x.takenUp() || x.sent == 0 {"},
 	{"a stream changes its version inside an answer", "of several versions", "engines misbehave for long", "internal/dispatch/continuation.go", "case x.origin.bound:", "case x.origin.bound && !x.answerBegun:"},
