Pinning: a row that names one version is not believed while engines of others join unheard

Cause: streams begin at a version that the row of their pool lacks while the row can't be changed and no other engine takes them. Sole did not believe a row beside engines of another version, but only those that this node had heard of. A node that reaches no keeper of the record and whose table is old bound the stream to the row's version. Class: a belief about others without a proof that it is as new as the decision.

TestNodeWithAnOldViewDoesNotJoinVersions failed before in three runs of three (versions a and b, status 200), and passed in three of three now: 503 with a time to come back. The read of the row is followed by a call for changed engines after the table's position, shared by the requests that wait for the read: an engine of another version in it, or no answer, means that nobody can say yet. It costs one more call to the store where a stream without a record is taken up in a pool of one version.

--- a/internal/edge/pinning.go
+++ b/internal/edge/pinning.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -13,6 +14,7 @@
 	"github.com/croftturn/croftturn/internal/peer"
 	"github.com/croftturn/croftturn/internal/pinning"
 	"github.com/croftturn/croftturn/internal/telemetry"
+	"github.com/croftturn/croftturn/platform"
 )
 
 // handoverDelay is how long after it began to stop a node hands its records over: by then its peers know
@@ -43,7 +45,7 @@
 // newPinning creates what records where streams begin.
 func (e *Edge) newPinning() {
 	e.pins = pinning.NewKeeper(pinMembers{e}, e.peerClient, e.log)
-	e.versions = pinning.NewHistory(e.store, e.placement, e.resumablePools, e.writesVersions, e.settings.FirstStart, e.log)
+	e.versions = pinning.NewHistory(e.store, versionedEngines{e}, e.resumablePools, e.writesVersions, e.settings.FirstStart, e.log)
 	e.peerServer.Handle(pinning.MethodRecord, peer.Typed(e.pins.HandleRecord))
 	e.peerServer.Handle(pinning.MethodFind, peer.Typed(e.pins.HandleFind))
 }
@@ -94,3 +96,27 @@
 func (m *metrics) Continued(pool, decision string) {
 	m.continued.Add(context.Background(), 1, metric.WithAttributes(attribute.String("pool", pool), attribute.String("decision", decision)))
 }
+
+// versionedEngines are the engines of which this node knows the versions.
+type versionedEngines struct{ *Edge }
+
+// Versions implements pinning.Engines.
+func (v versionedEngines) Versions(pool string) []string { return v.placement.Versions(pool) }
+
+// Unheard implements pinning.Engines.
+func (v versionedEngines) Unheard(ctx context.Context, pool, version string) (bool, error) {
+	at, ok := v.engineTable.Position()
+	if !ok {
+		return true, nil
+	}
+	changes, err := v.store.Changes(ctx, platform.TableEngines, at.Version, 0)
+	if err != nil {
+		return false, fmt.Errorf("read engines: %w", err)
+	}
+	unheard := changes.Era != at.Era || changes.Unreadable > 0
+	for _, row := range changes.Rows {
+		engine, err := platform.DecodeEngine(clock.Now(), row)
+		unheard = unheard || err == nil && engine.Pool == pool && engine.Version != version
+	}
+	return unheard, nil
+}
--- a/internal/edge/version_test.go
+++ b/internal/edge/version_test.go
@@ -3,7 +3,10 @@
 import (
 	"fmt"
 	"net/http"
+	"net/http/httptest"
+	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -151,3 +154,39 @@
 		t.Error("another node may have records")
 	}
 }
+
+// TestNodeWithAnOldViewDoesNotJoinVersions guards against streams that go on at another version at a node that has not heard
+// of the engines which began them, nor reaches the nodes that keep their records.
+func TestNodeWithAnOldViewDoesNotJoinVersions(t *testing.T) {
+	w := newVersionCluster(t, 2, "a", "a")
+	waitFor(t, func() bool { return w.rows.has("croftturn-versions/p") }, "no row for the pool")
+	w.engines[1].gone.Store(true) // It joins with another version.
+	w.revision.Add(1)
+	var deaf atomic.Bool
+	deafStore := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		if since := r.URL.Query().Get("since_revision"); deaf.Load() && r.URL.Path == "/-/rows-feed" && r.URL.Query().Get("wait_ms") != "0" {
+			time.Sleep(20 * time.Millisecond)
+			fmt.Fprintf(rw, `{"rows":[],"ver":%s,"now_ms":%d}`, since, time.Now().UnixMilli())
+			return
+		}
+		w.store(rw, r)
+	}))
+	defer deafStore.Close()
+	old := startNodeWith(t, newSettings(t, "old", deafStore.Listener.Addr().String()))
+	waitFor(t, func() bool { return len(old.placement.Versions("p")) > 0 }, "the node has no engines")
+	old.gossip.AddPeer(time.Now(), gossip.NodeInfo{Name: "not reached", Incarnation: 1, PeerAddress: "127.0.0.1:1", Hall: "h1"})
+	deaf.Store(true)
+	w.rows.readOnly.Store(true)
+	w.engines[0].gone.Store(true)
+	w.engines[1].gone.Store(false)
+	w.engines[1].set("b")
+	w.revision.Add(1)
+	waitFor(t, func() bool { return slices.Equal(w.node(0).placement.Versions("p"), []string{"b"}) }, "the new version is not known")
+	g := &streamResult{versions: map[string]bool{}}
+	waitFor(t, func() bool { w.attempt(0, "first", "k", g, leaveAfter); return g.began }, "no stream begins")
+	w.nodes = append(w.nodes, old)
+	status, retryAfter := w.attempt(2, "again", "k", g, 0)
+	if len(g.versions) != 1 || status != http.StatusServiceUnavailable || retryAfter <= 0 {
+		t.Errorf("status %d, Retry-After %v, whole %t, versions %v", status, retryAfter, g.whole, g.versions)
+	}
+}
--- a/internal/pinning/history.go
+++ b/internal/pinning/history.go
@@ -48,7 +48,8 @@
 	// ErrSeveral is returned if the streams of a pool may have begun at several versions.
 	ErrSeveral = errors.New("pinning: streams of the pool have begun at several versions")
 
-	errClosed = errors.New("pinning: closed")
+	errClosed  = errors.New("pinning: closed")
+	errUnheard = errors.New("pinning: engines of another version have joined")
 )
 
 type (
@@ -62,6 +63,10 @@
 	Engines interface {
 		// Versions returns the software versions of a pool's engines, draining ones included.
 		Versions(pool string) []string
+
+		// Unheard reports whether the store has engines of a pool with another version which this node has not
+		// heard of.
+		Unheard(ctx context.Context, pool, version string) (bool, error)
 	}
 
 	// PoolVersion says at which versions the streams of a pool have begun, as stored.
@@ -115,6 +120,7 @@
 		row       PoolVersion
 		nowMs     int64
 		err       error
+		unheard   error // unheard is set unless, after the read, this node had heard of all engines of other versions.
 	}
 
 	// historyRow is the stored form of a PoolVersion.
@@ -185,7 +191,7 @@
 
 // Sole returns the version at which all streams of a pool that callers can still take up have begun. It
 // reads the row anew, unless that is known to name several versions. A row that names one is not believed
-// while engines of another are known: streams begin there also while it can't be changed. The error is
+// while engines of another may serve: streams begin there also while it can't be changed. The error is
 // ErrSeveral or that of the store.
 func (h *History) Sole(ctx context.Context, now time.Time, pool string) (version string, err error) {
 	h.mu.Lock()
@@ -205,6 +211,9 @@
 	if several || r.row.copied() {
 		return "", ErrSeveral
 	}
+	if r.unheard != nil {
+		return "", r.unheard
+	}
 	if r.row.Revision == 0 || r.row.Several || r.row.SinceMs > 0 && r.nowMs-r.row.SinceMs < soleTime.Milliseconds() {
 		return "", ErrSeveral
 	}
--- a/internal/pinning/pinning_test.go
+++ b/internal/pinning/pinning_test.go
@@ -192,6 +192,8 @@
 
 func (v *versions) Versions(string) []string { return *v }
 
+func (v *versions) Unheard(context.Context, string, string) (bool, error) { return false, nil }
+
 func newHistory(f *fakeStore, v *versions, first bool) *History {
 	h := NewHistory(f, v, func() []string { return []string{"p"} }, func(time.Time, string) bool { return true }, first, quiet)
 	for _, each := range *v {
--- a/internal/pinning/read.go
+++ b/internal/pinning/read.go
@@ -50,6 +50,7 @@
 	}
 	if r.err == nil {
 		h.learn(clock.Now(), r.row)
+		r.unheard = h.checkEngines(ctx, r.row)
 	}
 	h.mu.Lock()
 	delete(h.reads, pool)
@@ -57,6 +58,22 @@
 	close(r.done)
 }
 
+// checkEngines returns an error if engines of another version than that of a row may serve of which this node has not
+// heard.
+func (h *History) checkEngines(ctx context.Context, row PoolVersion) error {
+	if row.Revision == 0 || row.Several {
+		return nil // It names no version to be believed.
+	}
+	unheard, err := h.engines.Unheard(ctx, row.Pool, row.Version)
+	switch {
+	case err != nil:
+		return fmt.Errorf("versions of %s: %w", row.Pool, err)
+	case unheard:
+		return fmt.Errorf("versions of %s: %w", row.Pool, errUnheard)
+	}
+	return nil
+}
+
 // decodeRow decodes a row.
 func decodeRow(row feed.Row) (PoolVersion, error) {
 	var stored historyRow
