Soak: all nodes start beside a row that is odd for the decoder

The stand-in store adds a row to each list of the engines whose value is JSON nested 20,000 levels, all nodes are killed, and one must serve within 12 s.

--- a/lab/platform/platform.go
+++ b/lab/platform/platform.go
@@ -47,6 +47,7 @@
 		LagMs    int  `json:"lag_ms"`    // LagMs is how far the list of instances lags behind.
 		Deaf     bool `json:"deaf"`      // Deaf lets feeds hear nothing until their calls end.
 		Forget   bool `json:"forget"`    // Forget drops the history of changes, once.
+		OddRow   bool `json:"odd_row"`   // OddRow adds a row to each list of the engines whose value is no text but nested deeply.
 		ClockMs  int  `json:"clock_ms"`  // ClockMs is added to the steady clock, which then is not steady.
 	}
 
--- a/lab/platform/rows.go
+++ b/lab/platform/rows.go
@@ -2,12 +2,17 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"sort"
 	"strconv"
+	"strings"
 	"time"
 )
 
+// tableEngines holds the entries of engines.
+const tableEngines = "servers"
+
 // handleRows reads the rows of a part of a table by key.
 func (p *Platform) handleRows(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
@@ -34,7 +39,22 @@
 	if more {
 		out = out[:limit]
 	}
-	answer(w, http.StatusOK, map[string]any{"rows": out, "has_more": more, "ver": p.version, "now_ms": p.nowMs()})
+	doc := map[string]any{"rows": out, "has_more": more, "ver": p.version, "now_ms": p.nowMs()}
+	if p.faults.OddRow && table == tableEngines {
+		answerWithOddRow(w, doc)
+		return
+	}
+	answer(w, http.StatusOK, doc)
+}
+
+// answerWithOddRow answers with a list whose first row is odd.
+func answerWithOddRow(w http.ResponseWriter, doc map[string]any) {
+	const depth = 20_000
+	odd := fmt.Sprintf(`"rows":[{"table":%q,"part":"","tls_key":"!odd","ver":1,"value":%s%s},`, tableEngines, strings.Repeat("[", depth), strings.Repeat("]", depth))
+	var text strings.Builder
+	_ = json.NewEncoder(&text).Encode(doc) // A builder takes everything.
+	w.Header().Set("Content-Type", "application/json")
+	fmt.Fprint(w, strings.Replace(text.String(), `"rows":[{`, odd+"{", 1))
 }
 
 // list returns the rows of a part of a table in the order of their keys; the list
--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -22,6 +22,7 @@
 
 	// faultStop and faultUnreadDrain are the names of faults that the ledger tells from others.
 	faultStop        = "stop a node under requests of all lengths"
+	faultOddRow      = "all nodes start beside an odd row"
 	faultUnreadDrain = "engines drain while all nodes read their table"
 
 	// partSeriesTime is longer, so that requests are observed once nodes have found the part.
@@ -92,6 +93,7 @@
 	{"engine starts again under its id", 2 * time.Second, false, restartEngine},
 	{"a request crashes engines", maxFaultDuration, false, crashingRequest},
 	{"a part of prompts crashes engines", partSeriesTime, false, crashingPartSeries},
+	{faultOddRow, time.Second, true, startBesideOddRow},
 	{"entries of other writers", 2 * time.Second, false, invalidEntries},
 	{"hall evacuated", maxFaultDuration, false, evacuateHall},
 	{"key taken away", 100 * time.Millisecond, false, revokeKey},
--- a/lab/soak/faults_entry.go
+++ b/lab/soak/faults_entry.go
@@ -4,15 +4,23 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"strings"
 	"time"
 
 	"github.com/croftturn/croftturn/internal/pause"
+	"github.com/croftturn/croftturn/lab/cluster"
+	"github.com/croftturn/croftturn/lab/platform"
 	"github.com/croftturn/croftturn/lab/relay"
 )
 
-// maxEntrySize is the length in bytes of an oversized zone in an invalid entry.
-const maxEntrySize = 60_000
+const (
+	// maxEntrySize is the length in bytes of an oversized zone in an invalid entry.
+	maxEntrySize = 60_000
+
+	// oddRowRecovery is how long after all nodes have started a request must be served at the latest.
+	oddRowRecovery = 12 * time.Second
+)
 
 // reserveEngine removes an engine from the environment, so that no other fault picks it; it
 // returns nil if at most two are left. releaseEngine adds it again.
@@ -99,3 +107,33 @@
 	}
 	return good
 }
+
+// startBesideOddRow kills all nodes while the list of engines has an odd row. One of them must serve again.
+func startBesideOddRow(ctx context.Context, env *Environment, r *rand.Rand, d time.Duration) error {
+	if err := env.post("/control/faults", platform.Faults{OddRow: true}); err != nil {
+		return err
+	}
+	if err := killAllNodes(ctx, env, r, d); err != nil {
+		return err
+	}
+	served := func() bool {
+		for i, n := range env.nodes {
+			key, _ := env.randomKey(r)
+			req, err := newRequest(ctx, n.callerAddress, routeSafe, fmt.Sprintf("odd-%d-%d", i, r.Uint64()), key, "a:50", "odd")
+			if err != nil {
+				return false
+			}
+			if resp, err := http.DefaultClient.Do(req); err == nil {
+				resp.Body.Close()
+				if resp.StatusCode == success {
+					return true
+				}
+			}
+		}
+		return false
+	}
+	if err := cluster.Wait("a request is served", oddRowRecovery, served); err != nil && ctx.Err() == nil {
+		env.ledger.recordExit("no request was served beside an odd row of the store")
+	}
+	return env.post("/control/faults", platform.Faults{})
+}
--- a/lab/soak/planted_test.go
+++ b/lab/soak/planted_test.go
@@ -28,6 +28,7 @@
 	{"an empty list of teams lets all in", "its key belongs to", "all keys taken away", "internal/routing/routing.go", "requiresKey: teams != nil", "requiresKey: len(teams) > 0"},
 	{"a stopping node takes what may outlast it", "was cut off by a stop", faultStop, "internal/dispatch/stop.go", "return s.by.Sub(now) >= longest+s.margin", "return s.by.Sub(now) >= s.margin && longest > 0"},
 	{"changes between two pages are not read", "between two pages", faultUnreadDrain, "platform/store.go", "if all = pages; last != pages.Version {", "if all, all.Version = pages, last; last < 0 {"},
+	{"an odd row hides all others", "served beside an odd row", faultOddRow, "platform/store_rows.go", "return json.Unmarshal(withoutDepth(data), into)", "return err"},
 	{"a short answer is passed on as whole", " got ", "engines cut answers off", "internal/dispatch/relay.go", "return false, fmt.Errorf(\"read answer: %w\", err)\n\t\t}\n\t}", "return true, nil\n\t\t}\n\t}"},
 	{"a caller's close is not looked for", "its caller had left", "nodes are behind and callers leave", "internal/caller/caller.go", "s.Closed = info.State != tcpEstablished && info.State != tcpSynRecv", "s.Closed = false"},
 	{"requests do not wait for a full link", "its caller had left", "a node's link is full and callers leave", "internal/uplink/uplink.go", "if mbps <= 0 {", "if mbps > 0 {"},
