Uplink tests: what decides is tested with time as an argument, and a stand-in link loses nothing to late timers

The tests measured how long requests waited in real time, and the stand-in links of the platform's test and of the soak counted a late timer as idle time, by which they were slower than their bandwidth on a busy machine. Both are as strict as before or stricter: the queue of a link is checked each millisecond, and that the highest tier goes first over all.

--- a/internal/uplink/uplink_test.go
+++ b/internal/uplink/uplink_test.go
@@ -1,86 +1,85 @@
-package uplink_test
+package uplink
 
 import (
 	"context"
-	"sync"
 	"testing"
 	"time"
-
-	"github.com/croftturn/croftturn/internal/uplink"
 )
 
-// TestQueueOfALinkStaysShort guards against requests that are let out while others are still queued in the link.
+// TestQueueOfALinkStaysShort guards against requests that are let out while others are still queued in the link, and
+// against a link that is left idle while requests wait.
 func TestQueueOfALinkStaysShort(t *testing.T) {
-	link := uplink.New(8) // A megabyte a second.
-	begin := time.Now()
-	var wg sync.WaitGroup
-	var mu sync.Mutex
-	var longest time.Duration
-	out := 0
+	link, begin := New(8), time.Unix(1000, 0) // A megabyte a second.
+	var waiting []*waiter
 	for n := range 200 {
-		wg.Go(func() {
-			if !link.Await(context.Background(), begin, n%3, 10_000, 300*time.Millisecond) {
-				return
+		w := &waiter{tier: n % 3, bytes: 10_000, wake: make(chan struct{}, 1)}
+		if link.enter(begin, w, 300*time.Millisecond) {
+			waiting = append(waiting, w)
+		}
+	}
+	out, tiers := 0, [3]int{}
+	for now := begin; now.Before(begin.Add(300 * time.Millisecond)); now = now.Add(time.Millisecond) {
+		for _, w := range waiting {
+			if link.waiting[0] != w {
+				continue
+			}
+			if _, ok := link.tryLeave(now, w); ok {
+				out++
+				tiers[w.tier]++
 			}
-			mu.Lock()
-			defer mu.Unlock()
-			out++
-			longest = max(longest, link.Queue(time.Now()))
-		})
+			break
+		}
+		if queued := link.Queue(now); queued > maxQueue+11*time.Millisecond {
+			t.Fatalf("the link takes %v for its queue", queued)
+		}
 	}
-	wg.Wait()
-	if longest > 50*time.Millisecond {
-		t.Errorf("the queue of the link took %v", longest)
+	if out < 29 || out > 32 {
+		t.Errorf("%d requests were let out in 300 ms, of tiers %v; the link takes 29 and the queue 3 more", out, tiers)
 	}
-	if out < 20 || out > 40 {
-		t.Errorf("%d requests were let out in 300 ms, the link takes 29", out)
+	if tiers[1]+tiers[2] > 0 {
+		t.Errorf("requests of lower tiers were let out before those of the highest: %v", tiers)
 	}
 }
 
-// TestMoreUrgentRequestsLeaveFirst guards against a full link that is shared without regard to tiers.
-func TestMoreUrgentRequestsLeaveFirst(t *testing.T) {
-	link, now := uplink.New(8), time.Now()
-	link.Sent(now, 200_000)
-	left := make(chan int, 4)
-	for _, tier := range []int{2, 1, 2, 0} {
-		go func() {
-			if link.Await(context.Background(), now, tier, 50_000, time.Minute) {
-				left <- tier
-			}
-		}()
-		time.Sleep(10 * time.Millisecond) // They come in this order.
+// TestWaitThatWouldTakeTooLongIsRefusedAtOnce guards against callers that wait for a link in vain.
+func TestWaitThatWouldTakeTooLongIsRefusedAtOnce(t *testing.T) {
+	link, now := New(8), time.Unix(1000, 0)
+	link.Sent(now, 300_000)
+	w := &waiter{bytes: 100, wake: make(chan struct{}, 1)}
+	if link.enter(now, w, 50*time.Millisecond) {
+		t.Error("a request waits for 50 ms where the link is busy for 300 ms")
 	}
-	for _, want := range []int{0, 1, 2, 2} {
-		if tier := <-left; tier != want {
-			t.Fatalf("a request of tier %d left, want %d", tier, want)
-		}
+	if !link.enter(now, w, 400*time.Millisecond) {
+		t.Error("a request that can wait for the link was refused")
 	}
 }
 
-// TestWaitsForALinkEnd guards against requests that are forgotten in the queue, or hold others up that come after.
-func TestWaitsForALinkEnd(t *testing.T) {
-	link, now := uplink.New(8), time.Now()
+// TestRequestsThatAreGivenUpHoldNoneUp guards against requests that stay in the queue when their context has ended.
+func TestRequestsThatAreGivenUpHoldNoneUp(t *testing.T) {
+	link, now := New(8), time.Now()
 	link.Sent(now, 300_000)
-	if begin := time.Now(); link.Await(context.Background(), now, 0, 100, 50*time.Millisecond) || time.Since(begin) > 40*time.Millisecond {
-		t.Errorf("a wait that would take too long was not refused at once")
-	}
 	ctx, cancel := context.WithCancel(context.Background())
-	given := make(chan bool)
+	given, next := make(chan bool), make(chan bool)
 	go func() { given <- link.Await(ctx, now, 0, 100_000, time.Minute) }()
-	time.Sleep(10 * time.Millisecond)
-	next := make(chan time.Duration)
-	go func() {
-		link.Await(context.Background(), now, 0, 100, time.Minute)
-		next <- time.Since(now)
-	}()
+	for len(link.queued()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	go func() { next <- link.Await(context.Background(), now, 0, 100, time.Minute) }()
 	cancel()
 	if <-given {
 		t.Error("a request that was given up was let out")
 	}
-	if took := <-next; took > 380*time.Millisecond {
-		t.Errorf("the request after it was let out after %v", took)
+	if !<-next {
+		t.Error("the request after it was not let out")
 	}
-	if !(*uplink.Link)(nil).Await(context.Background(), now, 0, 1, 0) {
+	if !(*Link)(nil).Await(context.Background(), now, 0, 1, 0) {
 		t.Error("an unknown link held a request up")
 	}
 }
+
+// queued returns the requests that wait.
+func (l *Link) queued() []*waiter {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.waiting
+}
--- a/lab/relay/link.go
+++ b/lab/relay/link.go
@@ -5,15 +5,13 @@
 	"time"
 )
 
-// timerDelay is how late a link may wake up without being counted as idle.
-const timerDelay = 20 * time.Millisecond
-
 // Link is the link of a source, which carries what all its connections send one after the other.
 type Link struct {
 	perByte time.Duration
 
-	mu   sync.Mutex
-	free time.Time // free is when all that was sent will have been carried.
+	mu      sync.Mutex
+	free    time.Time // free is when all that was sent will have been carried.
+	pending int       // pending counts the pieces that were sent and not carried yet.
 }
 
 // NewLink returns a link of a bandwidth in megabits a second.
@@ -39,11 +37,15 @@
 		return
 	}
 	l.mu.Lock()
-	if now := time.Now(); now.Sub(l.free) > timerDelay {
+	if now := time.Now(); l.pending == 0 && l.free.Before(now) {
 		l.free = now
 	}
+	l.pending++
 	l.free = l.free.Add(time.Duration(bytes) * l.perByte)
 	until := l.free
 	l.mu.Unlock()
 	time.Sleep(time.Until(until))
+	l.mu.Lock()
+	l.pending--
+	l.mu.Unlock()
 }
