Edge test: the node with an old view does not find the others by way of the register

On a busy machine the node heard the others before its stream was taken up, was told where it began, and went on there (status 200, one version). Its store now answers nothing about the register.

--- a/internal/edge/version_test.go
+++ b/internal/edge/version_test.go
@@ -164,12 +164,16 @@
 	w.revision.Add(1)
 	var deaf atomic.Bool
 	deafStore := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
-		if since := r.URL.Query().Get("since_revision"); deaf.Load() && r.URL.Path == "/-/rows-feed" && r.URL.Query().Get("wait_ms") != "0" {
+		q := r.URL.Query()
+		switch {
+		case deaf.Load() && r.URL.Path == "/-/rows-feed" && q.Get("wait_ms") != "0":
 			time.Sleep(20 * time.Millisecond)
-			fmt.Fprintf(rw, `{"rows":[],"ver":%s,"now_ms":%d}`, since, time.Now().UnixMilli())
-			return
+			fmt.Fprintf(rw, `{"rows":[],"ver":%s,"now_ms":%d}`, q.Get("since_revision"), time.Now().UnixMilli())
+		case r.URL.Path == "/-/rows-tx" || q.Get("table") == "croftturn-register": // The node and the others don't find each other.
+			rw.WriteHeader(http.StatusServiceUnavailable)
+		default:
+			w.store(rw, r)
 		}
-		w.store(rw, r)
 	}))
 	defer deafStore.Close()
 	old := startNodeWith(t, newSettings(t, "old", deafStore.Listener.Addr().String()))
