--- a/internal/dispatch/uplink.go
+++ b/internal/dispatch/uplink.go
@@ -12,8 +12,8 @@
 	// the link.
 	linkWaitPart = 4
 
-	// headLines is about what the head of a request takes besides the caller's headers, in bytes.
-	headLines = 300
+	// baseHeadBytes is about what the head of a request takes besides the headers of its caller.
+	baseHeadBytes = 300
 )
 
 // Link is this machine's link to the network, whose queue is kept short.
@@ -63,7 +63,7 @@
 
 // sendBytes returns about how many bytes the request takes.
 func (x *exchange) sendBytes() int {
-	n := headLines + len(x.req.Target) + len(x.req.Body)
+	n := baseHeadBytes + len(x.req.Target) + len(x.req.Body)
 	for name, values := range x.req.Header {
 		for _, v := range values {
 			n += len(name) + len(v)
--- a/internal/uplink/uplink.go
+++ b/internal/uplink/uplink.go
@@ -14,11 +14,11 @@
 )
 
 const (
-	// maxQueue is the time that the link takes for what is queued in it when another request is let out. It keeps the
-	// link busy while the next request is woken.
+	// maxQueue is the longest queue, as the time that the link takes for it, at which another request is let out. It
+	// keeps the link busy while the next request is woken.
 	maxQueue = 25 * time.Millisecond
 
-	// segmentBytes is what a packet carries of a connection, and headerBytes what it takes besides.
+	// segmentBytes is the payload of a full packet, and headerBytes the length of its headers, on Ethernet.
 	segmentBytes = 1448
 	headerBytes  = 66
 )
