Soak: an engine that was replaced while a fault had it is not added again

A fault may choose an engine before another takes it out of the list; the other's end put it back. An engine that was replaced stays out now.

--- a/lab/soak/faults_entry.go
+++ b/lab/soak/faults_entry.go
@@ -36,8 +36,13 @@
 	return e
 }
 
-// releaseEngine adds a reserved engine to the environment again.
+// releaseEngine adds a reserved engine to the environment again, unless another fault has replaced it meanwhile.
 func (env *Environment) releaseEngine(e *engine) {
+	e.entryMu.Lock()
+	defer e.entryMu.Unlock()
+	if e.replaced {
+		return
+	}
 	env.mu.Lock()
 	defer env.mu.Unlock()
 	env.engines = append(env.engines, e)
