Forward: a request that lay unread for long goes back to the node that has its caller

What callers saw: engines worked for callers that had left, by way of two nodes that were behind.

Cause: the first node stands still when its caller closes, so that its connection to the second one stays open. The second reads the request 0.73 to 0.99 s after it came, looks at that connection and sends it. Class: a belief that is older than what it is used for.

A forwarded request that lay unread for over 250 ms is refused as not run, and the first node goes on as after any node that reaches no engine: to the next, or by itself.

--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -15,6 +15,7 @@
 	"testing"
 	"time"
 
+	connection "github.com/croftturn/croftturn/internal/caller"
 	"github.com/croftturn/croftturn/internal/dial"
 	"github.com/croftturn/croftturn/internal/dispatch"
 	"github.com/croftturn/croftturn/internal/forward"
@@ -289,6 +290,26 @@
 	}
 }
 
+// TestForwardedRequestThatLayUnreadIsDecidedAgain guards against requests that a node which is behind sends after their
+// callers have left another one.
+func TestForwardedRequestThatLayUnreadIsDecidedAgain(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	engines := &sender{serve: unreachable}
+	handler := forward.NewHandler(newNode(t, "second", engines, table(1, "k"), nil), forward.Limits{Read: time.Second, Write: time.Second}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	server := &http.Server{Handler: handler, ConnContext: connection.WithConn}
+	defer server.Close()
+	time.AfterFunc(400*time.Millisecond, func() { _ = server.Serve(l) }) // The node is behind.
+	c := forward.NewClient()
+	defer c.Close()
+	_, refusal, err := c.Forward(context.Background(), l.Addr().String(), &dispatch.Request{ID: "a", Host: "h", Path: "/unsafe/x", Key: "k", Method: "POST", Target: "/unsafe/x"}, dispatch.Forwarded{From: "first"}, dial.Hooks{})
+	if err != nil || refusal == nil || refusal.Reason != dispatch.NoEngine || engines.count() > 0 {
+		t.Errorf("got %+v, %v, sent to %d engines", refusal, err, engines.count())
+	}
+}
+
 // BenchmarkForward measures a request that goes by way of another node, of 4 KB in both directions.
 func BenchmarkForward(b *testing.B) {
 	text := strings.Repeat("x", 4<<10)
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -15,6 +15,9 @@
 	"github.com/croftturn/croftturn/internal/routing"
 )
 
+// maxUnread is how long a forwarded request may lie unread. A node that keeps up reads it in a few milliseconds.
+const maxUnread = 250 * time.Millisecond
+
 type (
 	// Dispatcher checks and serves requests.
 	Dispatcher interface {
@@ -69,6 +72,10 @@
 	now := clock.Now()
 	a := &answer{Writer: reply.New(w, h.limits.Write), version: h.dispatcher.Version, log: h.log, id: req.ID}
 	route, team, refusal := h.dispatcher.Check(now, req)
+	if req.Unread > maxUnread {
+		// Its caller may have left by now without a sign from the first node, which decides again.
+		refusal = &dispatch.Refusal{Reason: dispatch.NoEngine}
+	}
 	if refusal != nil {
 		h.dispatcher.Refused(now, req, refusal)
 		a.Refuse(*refusal)
