--- a/internal/dial/request_conn.go
+++ b/internal/dial/request_conn.go
@@ -18,6 +18,7 @@
 		net.Conn
 		hooks  atomic.Pointer[Hooks]
 		writes atomic.Int64
+		closed atomic.Bool
 		begun  atomic.Int64 // begun is how many writes came before the present request.
 	}
 
@@ -77,7 +78,8 @@
 // Close closes the connection. Before a request has ended it resets the connection, or the kernel would still send
 // what it holds of the request.
 func (c *RequestConn) Close() error {
-	if h := c.hooks.Swap(nil); h != nil {
+	// The hooks stay: a write beside the close asks them still.
+	if h := c.hooks.Load(); h != nil && !c.closed.Swap(true) {
 		if h.Closing != nil {
 			h.Closing(c.queue())
 		}
