Edge, dispatch: what a stop ends, by which plan, is logged and counted

What callers saw: answers that had begun ended without a whole answer around a SIGTERM. Neither logs nor metrics told which answers the node had ended by itself, by which plan, how far each was, or when the process had last been late.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -46,6 +46,8 @@
 	Dispatcher struct {
 		table         atomic.Pointer[routing.Table]
 		stop          atomic.Pointer[stop] // stop is nil until the process stops.
+		cutAnswers    atomic.Int64         // cutAnswers counts the answers that had begun and were ended by the stop.
+		cutRequests   atomic.Int64         // cutRequests counts the other requests that engines had then.
 		active        atomic.Int64
 		rate          rateMeter
 		runs          runTimes
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -141,7 +141,7 @@
 func TestStopping(t *testing.T) {
 	d := newDispatcher(&fakeSender{}, 0)
 	now := time.Now()
-	d.StopBy(now, now.Add(10*time.Second))
+	d.StopBy(dispatch.Stop{Begin: now, By: now.Add(10 * time.Second)})
 	for _, test := range []struct {
 		route string
 		after time.Duration
@@ -171,7 +171,7 @@
 	}}
 	left := func(d *dispatch.Dispatcher, route string, left time.Duration) (taken bool) {
 		now := time.Now()
-		d.StopBy(now, now.Add(left))
+		d.StopBy(dispatch.Stop{Begin: now, By: now.Add(left)})
 		_, _, refusal := d.Check(now, &dispatch.Request{Host: "h", Path: "/" + route + "/", Key: "k", Patience: timeout})
 		return refusal == nil
 	}
@@ -226,7 +226,7 @@
 		answers := make(chan *recordedAnswer, 1)
 		go func() { answers <- servePatience(t, d, route, timeout) }()
 		e.awaitSent(t, 1)
-		d.StopBy(time.Now(), time.Now().Add(timeout/2))
+		d.StopBy(dispatch.Stop{Begin: time.Now(), By: time.Now().Add(timeout / 2)})
 		if a := <-answers; a.status != http.StatusOK || a.body.String() != "id: 1\n\n" {
 			t.Errorf("%s: got status %d, %q, refusal %+v", route, a.status, a.body.String(), a.refusal)
 		}
@@ -253,7 +253,7 @@
 		if cut {
 			d.CutOff()
 		} else {
-			d.StopBy(time.Now(), time.Now().Add(timeout/2))
+			d.StopBy(dispatch.Stop{Begin: time.Now(), By: time.Now().Add(timeout / 2)})
 		}
 		first := <-answers
 		if !cut {
--- a/internal/dispatch/stop.go
+++ b/internal/dispatch/stop.go
@@ -29,10 +29,18 @@
 var errCutOff = errors.New("dispatch: the process ends")
 
 type (
+	// Stop is the plan of a stop of the process.
+	Stop struct {
+		Begin time.Time     // Begin is when the process saw the signal.
+		By    time.Time     // By is when the requests that are accepted must have ended.
+		Kill  time.Time     // Kill is when the platform kills the process, as far as that is known.
+		Late  time.Duration // Late is how late the process is.
+	}
+
 	// stop is the planned end of the process.
 	stop struct {
-		by     time.Time     // by is when the requests in progress are ended.
-		margin time.Duration // margin is how long before that no request is accepted.
+		Stop
+		margin time.Duration // margin is how long before its end no request is accepted.
 
 		mu   sync.Mutex
 		runs map[string]longestRun // runs holds what the runs of each route told last.
@@ -47,14 +55,19 @@
 )
 
 // StopBy makes the dispatcher refuse requests that cannot end before the process stops.
-func (d *Dispatcher) StopBy(now, at time.Time) {
-	d.stop.Store(&stop{by: at, margin: at.Sub(now) / stopMarginPart, runs: map[string]longestRun{}})
+func (d *Dispatcher) StopBy(s Stop) {
+	d.stop.Store(&stop{Stop: s, margin: s.By.Sub(s.Begin) / stopMarginPart, runs: map[string]longestRun{}})
 }
 
 // CutOff ends all requests in progress, and each one that comes later, with an answer: a caller whose connection only
 // closes can't tell a request that has not run from one that has.
 func (d *Dispatcher) CutOff() { d.exchanges.end(errCutOff) }
 
+// EndedByStop returns how many answers that had begun the stop has ended, and how many requests that engines had otherwise.
+func (d *Dispatcher) EndedByStop() (answers, requests int64) {
+	return d.cutAnswers.Load(), d.cutRequests.Load()
+}
+
 // fitsBeforeStop reports whether a request can end before this node does. It must fit as long as it may take, which
 // the runs of its route tell: the recent ones, and those in progress, since engines may have become slower.
 func (d *Dispatcher) fitsBeforeStop(now time.Time, r *Request, route *routing.Route) bool {
@@ -67,7 +80,7 @@
 		margin := max(leastRunMargin, fewRunsMargin/float64(run.known))
 		longest = min(longest, time.Duration((1+margin)*float64(run.took)))
 	}
-	return s.by.Sub(now) >= longest+s.margin
+	return s.By.Sub(now) >= longest+s.margin
 }
 
 // longestRun returns the longest run of a route while the process stops.
@@ -121,7 +134,25 @@
 
 // endCutOff ends a request whose attempt was ended because the process ends. sent is set if its engine may have it.
 func (x *exchange) endCutOff(sent bool) {
-	x.call.End(clock.Now(), placement.Aborted)
+	now := clock.Now()
+	x.call.End(now, placement.Aborted)
 	x.mayHaveRun = x.mayHaveRun || sent
+	x.logCutOff(now)
 	x.refuse(*x.refuseStopping())
 }
+
+// logCutOff logs a request that was sent to an engine and is ended by the stop: what the plan was, and how far it had come.
+func (x *exchange) logCutOff(now time.Time) {
+	s := x.d.stop.Load()
+	if s == nil || !x.mayHaveRun {
+		return
+	}
+	x.d.log.Warn("request ended by the stop", "request", x.req.ID, "route", x.route.Name, "engine", x.choice.Engine.ID, "via", x.via, "forwarded_by", x.forwardedBy(),
+		"begun", x.answerBegun, "pieces", x.events, "sent", x.sent, "ran_ms", now.Sub(x.arrived).Milliseconds(), "left_ms", x.deadline.Sub(now).Milliseconds(), "arrived_ms", x.arrived.Sub(s.Begin).Milliseconds(),
+		"stopping_ms", now.Sub(s.Begin).Milliseconds(), "kill_ms", s.Kill.Sub(now).Milliseconds(), "late_ms", s.Late.Milliseconds())
+	if x.answerBegun {
+		x.d.cutAnswers.Add(1)
+	} else {
+		x.d.cutRequests.Add(1)
+	}
+}
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/croftturn/croftturn/internal/clock"
+	"github.com/croftturn/croftturn/internal/dispatch"
 	"github.com/croftturn/croftturn/platform"
 )
 
@@ -50,7 +51,8 @@
 func (e *Edge) Close() error {
 	begin := clock.Now()
 	plan := e.planStop(begin, begin)
-	e.log.Info("node stops", "active", e.dispatcher.Active(), "within_ms", clock.Until(plan.end).Milliseconds(), "late_ms", e.lateness.Recent(begin).Milliseconds())
+	late, ago := e.lateness.Worst(begin)
+	e.log.Info("node stops", "active", e.dispatcher.Active(), "within_ms", plan.end.Sub(begin).Milliseconds(), "late_ms", late.Milliseconds(), "late_ago_ms", ago.Milliseconds())
 	if e.duties != nil {
 		e.duties.Stop()
 	}
@@ -65,16 +67,20 @@
 		e.shutDownServers(left)
 	}
 	served := clock.Now()
-	e.log.Info("node stopped", "active", e.dispatcher.Active(), "after_ms", served.Sub(begin).Milliseconds(), "late_ms", e.lateness.Recent(served).Milliseconds())
+	late, ago = e.lateness.Worst(served)
+	e.log.Info("node stopped", "active", e.dispatcher.Active(), "after_ms", served.Sub(begin).Milliseconds(), "late_ms", late.Milliseconds(), "late_ago_ms", ago.Milliseconds())
 	e.endRequests(plan.answerTime)
-	e.log.Info("connections ended", "served_ms", served.Sub(begin).Milliseconds(), "after_ms", clock.Since(begin).Milliseconds(), "left", e.connections())
+	answers, requests := e.dispatcher.EndedByStop()
+	e.log.Info("connections ended", "served_ms", served.Sub(begin).Milliseconds(), "after_ms", clock.Since(begin).Milliseconds(), "left", e.connections(), "answers_cut", answers, "requests_cut", requests)
 	return e.stop()
 }
 
 // planStop returns the plan of a stop that began at a time, and makes the dispatcher keep to it.
 func (e *Edge) planStop(begin, now time.Time) stopPlan {
-	p := newStopPlan(begin, ms(e.settings.StopGraceMs), e.lateness.Recent(now))
-	e.dispatcher.StopBy(begin, p.end)
+	grace := ms(e.settings.StopGraceMs)
+	late := e.lateness.Recent(now)
+	p := newStopPlan(begin, grace, late)
+	e.dispatcher.StopBy(dispatch.Stop{Begin: begin, By: p.end, Kill: begin.Add(grace), Late: late})
 	return p
 }
 
@@ -90,6 +96,7 @@
 		last = now
 		if p := newStopPlan(begin, ms(e.settings.StopGraceMs), e.lateness.Recent(now)); p.end.Before(plan.end) {
 			plan = e.planStop(begin, now)
+			e.log.Info("stop planned again", "active", e.dispatcher.Active(), "stopping_ms", now.Sub(begin).Milliseconds(), "within_ms", plan.end.Sub(now).Milliseconds(), "late_ms", e.lateness.Recent(now).Milliseconds())
 		}
 		idle := e.dispatcher.Active() == 0 && now.Sub(begin) >= minStopTime
 		if idle || now.After(plan.end) {
