Soak: a node that stood still before its stop ends answers early; known red

A real node stands still for 1 s with a request unread, has all its time for two seconds, and gets SIGTERM while long answers of each kind are in progress.

--- a/lab/soak/descriptors_test.go
+++ b/lab/soak/descriptors_test.go
@@ -18,7 +18,7 @@
 // TestRequestsAreServedBesideIdleConnections guards against a node that serves nobody, since idle connections take all
 // its descriptors.
 func TestRequestsAreServedBesideIdleConnections(t *testing.T) {
-	_, n := startTwoNodes(t)
+	_, n := startTwoNodes(t, 0)
 	if err := n.LimitDescriptors(spareDescriptors); err != nil {
 		t.Fatal(err)
 	}
--- a/lab/soak/rows.go
+++ b/lab/soak/rows.go
@@ -97,7 +97,7 @@
 			attempts = 2
 		}
 		list = append(list, map[string]any{
-			"name": name, "host": host, "path_prefix": "/" + name + "/", "kind": kind, "timeout_ms": requestTimeoutMs, "target_latency_ms": 300, "priority": i % 3,
+			"name": name, "host": host, "path_prefix": "/" + name + "/", "kind": kind, "timeout_ms": env.opts.timeoutMs(), "target_latency_ms": 300, "priority": i % 3,
 			"service": service, "max_attempts": attempts, "public": false, "resumable": name == routeResumable, "gap_aim_ms": 250,
 		})
 	}
--- a/lab/soak/run.go
+++ b/lab/soak/run.go
@@ -25,6 +25,15 @@
 	Dir      string        // Dir receives settings files and logs.
 	Program  string        // Program is the path of the node program; "croftturn" from this repository if empty.
 	Only     string        // Only restricts the run to the fault with this name; all faults if empty.
+	Timeout  time.Duration // Timeout is that of all routes; requestTimeoutMs if zero.
+}
+
+// timeoutMs returns the timeout of all routes, in milliseconds.
+func (o Options) timeoutMs() int {
+	if o.Timeout > 0 {
+		return int(o.Timeout.Milliseconds())
+	}
+	return requestTimeoutMs
 }
 
 // Run runs a soak and returns the ledger of observations.
--- a/lab/soak/stop_test.go
+++ b/lab/soak/stop_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -15,6 +16,10 @@
 )
 
 const (
+	// longRun is how long the longest requests run, and standstill how long a node stands still some time before its stop.
+	longRun    = 5 * time.Second
+	standstill = time.Second
+
 	// frozenFor is how long a process stands still around the end of its stop.
 	frozenFor = 700 * time.Millisecond
 
@@ -92,9 +97,9 @@
 }
 
 // startTwoNodes starts two nodes and two engines until the end of a test, and returns one of the nodes.
-func startTwoNodes(t *testing.T) (*Environment, *node) {
+func startTwoNodes(t *testing.T, timeout time.Duration) (*Environment, *node) {
 	t.Helper()
-	env, err := start(Options{Seed: 2, Nodes: 2, Engines: 2, Dir: t.TempDir(), Program: "croftturn"})
+	env, err := start(Options{Seed: 2, Nodes: 2, Engines: 2, Dir: t.TempDir(), Program: "croftturn", Timeout: timeout})
 	if env != nil {
 		t.Cleanup(env.close)
 	}
@@ -107,7 +112,7 @@
 // TestStopAnswersWhatLiesInTheKernel guards against requests that get no answer since they lie unread in a connection or
 // in a listener's backlog when the stop of a node ends.
 func TestStopAnswersWhatLiesInTheKernel(t *testing.T) {
-	env, n := startTwoNodes(t)
+	env, n := startTwoNodes(t, 0)
 	env.expectExit(n)
 	f := frozenStop{n.Process, n.callerAddress, 6200 * time.Millisecond, func(address, id string) (*http.Request, error) {
 		return newRequest(t.Context(), address, routeSafe, id, "key-1", id+":100", "body of "+id)
@@ -134,3 +139,58 @@
 	}}
 	f.check(t)
 }
+
+// longID returns the id of a request whose stream has many events, so that no pause between two of them is long.
+func longID(name string) string {
+	for i := 0; ; i++ {
+		if id := fmt.Sprint(name, "-", i); events(id) >= 7 {
+			return id
+		}
+	}
+}
+
+// TestStandstillBeforeAStopEndsNoAnswers guards against answers that a node ends seconds before the end of its stop, since it
+// stood still some time before.
+func TestStandstillBeforeAStopEndsNoAnswers(t *testing.T) {
+	env, n := startTwoNodes(t, longRun+time.Second)
+	env.expectExit(n)
+	send := func(route, id string, work time.Duration) (status int, body string, err error) {
+		req, err := newRequest(t.Context(), n.callerAddress, fmt.Sprintf("%s/%d", route, work.Milliseconds()), id, "key-1", id+":100", "body of "+id)
+		if err != nil {
+			return 0, "", err
+		}
+		req.Header.Set("Deadline-Ms", fmt.Sprint((longRun + time.Second).Milliseconds()))
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			return 0, "", err
+		}
+		defer resp.Body.Close()
+		text, err := io.ReadAll(resp.Body)
+		return resp.StatusCode, string(text), err
+	}
+	if err := n.Signal(syscall.SIGSTOP); err != nil {
+		t.Fatal(err)
+	}
+	var callers sync.WaitGroup
+	callers.Go(func() { _, _, _ = send(routeSafe, "short", time.Millisecond) }) // It lies unread while the node stands still.
+	time.Sleep(standstill)
+	if err := n.Signal(syscall.SIGCONT); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(2 * standstill)
+	for i := range callersOfEach / 4 { // The engines have slots for all.
+		for _, route := range routes {
+			callers.Go(func() {
+				id := longID(fmt.Sprint(route, "-", i))
+				if status, body, err := send(route, id, longRun); err != nil || status != success || versionLine.ReplaceAllString(body, "") != expectedBody(route, id) {
+					t.Errorf("%s got status %d, %q, %v", id, status, body, err)
+				}
+			})
+		}
+	}
+	time.Sleep(standstill / 2)
+	if err := n.Stop(stopGrace); err != nil {
+		t.Error(err)
+	}
+	callers.Wait()
+}
