Edge: a stop ends answers in its last part, whatever the process was late by before

What callers saw: streams that had begun, read whole and passed on, were closed without a whole answer around the SIGTERM of their node; plain requests got 502 cut_off_by_stop.

Cause: the plan of a stop kept four times the greatest lateness of the last 4 to 8 s free and ended everything by it, and only ever moved to an earlier time. A node that stood still for 1 s three seconds before its SIGTERM ended its answers 3.8 s after it, 4.2 s before the kill, though it had all its time again. Class: a protection whose cost is what it protects from: a kill at 8 s would have cut none of the answers that ended before.

Change: what gains from an early end is apart from what does not. What was never sent to an engine is refused as not run early, by how late the process was recently, as before; nothing more is taken from then on, and idle connections end. What engines have goes on until the process must end, planned by how late it is now, and never before the last sixth of the grace. The process is late for twice as long as it stood still. A beat tells when; it also tells for how long a signal may have waited, in place of one more lateness. The plan moves in both directions.

--- a/internal/dispatch/absence.go
+++ b/internal/dispatch/absence.go
@@ -52,6 +52,17 @@
 	}
 }
 
+// endUnsent ends the requests in progress that were never sent.
+func (a *activeExchanges) endUnsent(cause error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for x, cancel := range a.cancels {
+		if !x.everSent.Load() {
+			cancel(cause)
+		}
+	}
+}
+
 // oldest returns how long the oldest request of a route has been in progress.
 func (a *activeExchanges) oldest(now time.Time, route *routing.Route) time.Duration {
 	a.mu.Lock()
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -147,6 +147,7 @@
 
 // forwardTo sends the request to another node.
 func (x *exchange) forwardTo(ctx context.Context, now time.Time, node, address string) (*Response, *Refusal, error) {
+	x.everSent.Store(true)
 	x.via, x.sentAt, x.bufferedSince, x.choice = node, now, now, placement.Choice{}
 	x.call, x.headReceived, x.sendBefore, x.leavingFor = x.d.placement.ForwardedCall(now), false, time.Time{}, 0
 	resp, refusal, err := x.d.forwarder.Forward(ctx, address, x.req, Forwarded{
--- a/internal/dispatch/stop.go
+++ b/internal/dispatch/stop.go
@@ -63,6 +63,10 @@
 // closes can't tell a request that has not run from one that has.
 func (d *Dispatcher) CutOff() { d.exchanges.end(errCutOff) }
 
+// RefuseUnsent ends the requests in progress that were never sent to an engine or another node: only these can be refused
+// as not run, and gain by an early end.
+func (d *Dispatcher) RefuseUnsent() { d.exchanges.endUnsent(errCutOff) }
+
 // EndedByStop returns how many answers that had begun the stop has ended, and how many requests that engines had otherwise.
 func (d *Dispatcher) EndedByStop() (answers, requests int64) {
 	return d.cutAnswers.Load(), d.cutRequests.Load()
--- a/internal/dispatch/walk.go
+++ b/internal/dispatch/walk.go
@@ -66,6 +66,7 @@
 	shedShare     float64           // shedShare is the share of requests of its tier refused on arrival because tiers above lack slots
 	headReceived  bool              // headReceived is set once the current engine has sent the head of its answer
 	answerBegun   bool              // answerBegun is set once the answer to the caller has begun
+	everSent      atomic.Bool       // everSent is set once the request was handed over for sending, to an engine or another node
 	sentAt        time.Time         // sentAt is when the request was last handed over for sending
 	written       writeRecord       // written tells when the request was last written
 	choice        placement.Choice
@@ -157,6 +158,7 @@
 	x.noteLeaving(now, until)
 	x.trial, x.headReceived, x.unframed = false, false, false
 	x.tried[x.choice.Engine.ID] = true
+	x.everSent.Store(true)
 	x.sentAt, x.bufferedSince = now, now
 	x.written.clear()
 	x.via = ""
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -251,6 +251,7 @@
 	heldParts := quarantine.NewPartPersister(e.parts, e.store, s.FirstStart, e.rewritesHeld, e.log)
 	e.onReturn = []func(){held.StoreReturned, heldParts.StoreReturned, e.register.StoreReturned, e.versions.StoreReturned, e.wakeSettled}
 	e.removeClockHook = clock.OnResume(e.afterSuspension)
+	e.startGoroutine(func() { e.lateness.Run(ctx) })
 	e.startGoroutine(func() { e.handleSuspensions(ctx) })
 	e.startRelaySweeps(ctx)
 	e.startGoroutine(e.peerServer.Serve)
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -21,9 +21,15 @@
 	stopMargin     = 400 * time.Millisecond
 	stopMarginPart = 8
 
-	// lateTurns is how many steps of a stop a late process may come late to: the signal, the end of its requests, that of
-	// their answers and its own.
-	lateTurns = 4
+	// lateTurns is how many steps a late process may come late to until the requests that it refuses at a stop are
+	// answered and it has ended: the refusal, the answers and its own end. For the last two of them it is enough if it
+	// comes late to lateEndTurns.
+	lateTurns    = 3
+	lateEndTurns = 2
+
+	// cutPart is the inverse of the share of a stop, at its end, in which answers may be ended, however late the process is:
+	// it would be no worse for them if the process were killed.
+	cutPart = 6
 
 	// minStopTime is the least time for which a stopping node serves requests, since clients cache
 	// addresses for up to three times as long as they may, and a request takes time to arrive.
@@ -33,26 +39,47 @@
 	stopPollInterval = 50 * time.Millisecond
 )
 
-// stopPlan divides the time of a planned stop.
-type stopPlan struct {
-	end        time.Time     // end is when the requests in progress are ended.
-	answerTime time.Duration // answerTime is how long their answers may take.
-}
+type (
+	// stopPlan divides the time of a planned stop.
+	stopPlan struct {
+		refuse     time.Time     // refuse is when what no engine has is refused, since it can still be answered as not run.
+		cut        time.Time     // cut is when all else that is in progress is ended, which gains nothing by an earlier end.
+		answerTime time.Duration // answerTime is how long the last answers may take.
+	}
+
+	// stopping is a planned stop.
+	stopping struct {
+		*Edge
+		begin time.Time // begin is when this process saw the signal.
+		kill  time.Time // kill is when the platform may kill the process: it may have seen the signal late.
+		plan  stopPlan
+	}
+)
 
-// newStopPlan returns the plan of a stop that this process saw begin at a time, being late by a duration.
-func newStopPlan(begin time.Time, grace, late time.Duration) stopPlan {
+// newStopPlan returns the plan of a stop of a process that was late by a duration recently, and is late by another now.
+func newStopPlan(kill time.Time, grace, recent, present time.Duration) stopPlan {
 	margin := min(stopMargin, grace/stopMarginPart)
-	late = min(late, (grace-margin)*2/3/lateTurns) // The rest is for serving.
-	return stopPlan{begin.Add(grace - max(margin, margin/2+lateTurns*late)), margin/2 + late}
+	recent = min(recent, (grace-margin)*2/3/(lateTurns+1)) // The rest is for serving.
+	before := func(turns, late time.Duration) time.Time { return kill.Add(-max(margin, margin/2+turns*late)) }
+	p := stopPlan{refuse: before(lateTurns, recent), cut: before(lateEndTurns, present), answerTime: margin/2 + present}
+	if latest := kill.Add(-grace / cutPart); p.cut.Before(latest) {
+		p.cut = latest
+	}
+	if p.cut.Before(p.refuse) {
+		p.cut = p.refuse
+	}
+	return p
 }
 
 // Close shuts the node down gracefully: its address is no longer given to callers, it serves those
 // that still come, and exits when it is idle or its time is up.
 func (e *Edge) Close() error {
 	begin := clock.Now()
-	plan := e.planStop(begin, begin)
+	grace := ms(e.settings.StopGraceMs)
+	s := &stopping{Edge: e, begin: begin, kill: begin.Add(grace - min(e.lateness.Unnoticed(begin), grace/2))}
+	s.replan(begin)
 	late, ago := e.lateness.Worst(begin)
-	e.log.Info("node stops", "active", e.dispatcher.Active(), "within_ms", plan.end.Sub(begin).Milliseconds(), "late_ms", late.Milliseconds(), "late_ago_ms", ago.Milliseconds())
+	e.log.Info("node stops", "active", e.dispatcher.Active(), "within_ms", s.plan.cut.Sub(begin).Milliseconds(), "kill_ms", s.kill.Sub(begin).Milliseconds(), "late_ms", late.Milliseconds(), "late_ago_ms", ago.Milliseconds())
 	if e.duties != nil {
 		e.duties.Stop()
 	}
@@ -62,61 +89,68 @@
 	}
 	cancel()
 	e.startGoroutine(func() { e.handOverPins(begin) })
-	plan = e.awaitIdle(begin, plan)
-	if left := clock.Until(plan.end); left > 0 {
-		e.shutDownServers(left)
-	}
+	s.serve()
 	served := clock.Now()
 	late, ago = e.lateness.Worst(served)
-	e.log.Info("node stopped", "active", e.dispatcher.Active(), "after_ms", served.Sub(begin).Milliseconds(), "late_ms", late.Milliseconds(), "late_ago_ms", ago.Milliseconds())
-	e.endRequests(plan.answerTime)
 	answers, requests := e.dispatcher.EndedByStop()
-	e.log.Info("connections ended", "served_ms", served.Sub(begin).Milliseconds(), "after_ms", clock.Since(begin).Milliseconds(), "left", e.connections(), "answers_cut", answers, "requests_cut", requests)
+	e.log.Info("connections ended", "after_ms", served.Sub(begin).Milliseconds(), "left", e.connections(), "late_ms", late.Milliseconds(), "late_ago_ms", ago.Milliseconds(), "answers_cut", answers, "requests_cut", requests)
 	return e.stop()
 }
 
-// planStop returns the plan of a stop that began at a time, and makes the dispatcher keep to it.
-func (e *Edge) planStop(begin, now time.Time) stopPlan {
-	grace := ms(e.settings.StopGraceMs)
-	late := e.lateness.Recent(now)
-	p := newStopPlan(begin, grace, late)
-	e.dispatcher.StopBy(dispatch.Stop{Begin: begin, By: p.end, Kill: begin.Add(grace), Late: late})
-	return p
+// replan makes the plan anew by how late the process is.
+func (s *stopping) replan(now time.Time) {
+	recent, present := s.lateness.Recent(now), s.lateness.Present(now)
+	before := s.plan
+	s.plan = newStopPlan(s.kill, ms(s.settings.StopGraceMs), recent, present)
+	if s.plan.refuse != before.refuse {
+		s.dispatcher.StopBy(dispatch.Stop{Begin: s.begin, By: s.plan.refuse, Kill: s.kill, Late: present})
+	}
+	if moved := max(s.plan.refuse.Sub(before.refuse).Abs(), s.plan.cut.Sub(before.cut).Abs()); moved >= stopMargin && !before.cut.IsZero() {
+		s.log.Info("stop planned again", "active", s.dispatcher.Active(), "stopping_ms", now.Sub(s.begin).Milliseconds(), "refuse_ms", s.plan.refuse.Sub(now).Milliseconds(), "within_ms", s.plan.cut.Sub(now).Milliseconds(), "late_ms", present.Milliseconds())
+	}
 }
 
-// awaitIdle serves what comes until the node is idle or its time is up. It returns the plan, which is an earlier one if the
-// process falls behind meanwhile.
-func (e *Edge) awaitIdle(begin time.Time, plan stopPlan) stopPlan {
+// serve serves what comes until the node is idle or no time is left to take more, and then what is in progress until it has
+// ended or the process must end. Whatever is left then is ended with an answer.
+func (s *stopping) serve() {
 	tick := time.NewTicker(stopPollInterval)
 	defer tick.Stop()
-	for last := clock.Now(); ; {
-		<-tick.C
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var ended chan struct{} // ended is closed when all connections have ended; nil while more are taken.
+	for {
 		now := clock.Now()
-		e.lateness.Observe(now, now.Sub(last)-stopPollInterval)
-		last = now
-		if p := newStopPlan(begin, ms(e.settings.StopGraceMs), e.lateness.Recent(now)); p.end.Before(plan.end) {
-			plan = e.planStop(begin, now)
-			e.log.Info("stop planned again", "active", e.dispatcher.Active(), "stopping_ms", now.Sub(begin).Milliseconds(), "within_ms", plan.end.Sub(now).Milliseconds(), "late_ms", e.lateness.Recent(now).Milliseconds())
+		s.replan(now)
+		mustRefuse := !now.Before(s.plan.refuse)
+		idle := s.dispatcher.Active() == 0 && now.Sub(s.begin) >= minStopTime
+		if ended == nil && (idle || mustRefuse) {
+			s.log.Info("node stopped", "active", s.dispatcher.Active(), "after_ms", now.Sub(s.begin).Milliseconds())
+			ended = make(chan struct{})
+			go func() {
+				s.shutDownServers(ctx)
+				close(ended)
+			}()
 		}
-		idle := e.dispatcher.Active() == 0 && now.Sub(begin) >= minStopTime
-		if idle || now.After(plan.end) {
-			return plan
+		if mustRefuse {
+			s.dispatcher.RefuseUnsent()
+			s.reads.Interrupt()
+		}
+		if !now.Before(s.plan.cut) {
+			s.dispatcher.CutOff()
+			time.AfterFunc(s.plan.answerTime, cancel)
+			<-ended
+			return
+		}
+		select {
+		case <-ended:
+			return
+		case <-tick.C:
 		}
 	}
 }
 
-// endRequests ends the requests in progress with an answer, those that have not arrived whole too, and waits until the
-// answers are sent, but not longer than a given time.
-func (e *Edge) endRequests(longest time.Duration) {
-	e.dispatcher.CutOff()
-	e.reads.Interrupt()
-	e.shutDownServers(longest)
-}
-
-// shutDownServers serves what has been sent to this node, and ends all connections. It takes a given time at most.
-func (e *Edge) shutDownServers(longest time.Duration) {
-	ctx, cancel := context.WithTimeout(context.Background(), longest)
-	defer cancel()
+// shutDownServers serves what has been sent to this node, and ends all connections, until the context ends.
+func (e *Edge) shutDownServers(ctx context.Context) {
 	var servers sync.WaitGroup
 	for _, s := range e.servers {
 		servers.Go(func() {
--- a/internal/lateness/lateness.go
+++ b/internal/lateness/lateness.go
@@ -2,34 +2,119 @@
 package lateness
 
 import (
+	"context"
+	"math/bits"
 	"sync"
 	"time"
+
+	"github.com/croftturn/croftturn/internal/clock"
 )
 
-// window is how long an observation counts at least; it counts twice as long at most.
-const window = 4 * time.Second
+const (
+	// window is how long an observation counts at least among the recent ones; it counts twice as long at most.
+	window = 4 * time.Second
 
-// Gauge holds the greatest lateness that was observed recently. It is safe for concurrent use.
-type Gauge struct {
-	mu           sync.Mutex
-	since        time.Time // since is when the present window began.
-	last, latest observation
-}
+	// BeatInterval is the time between two beats of a process that is not behind.
+	BeatInterval = 50 * time.Millisecond
 
-// observation is the greatest lateness of a window, and when it was observed.
-type observation struct {
-	late time.Duration
-	at   time.Time
-}
+	// recovery is for how many times as long as it was late a process must have been on time to be no longer behind. One
+	// that gets a third of the time or less, in turns, is behind throughout.
+	recovery = 2
+
+	// levels is how many sizes of lateness are told apart, each twice as long as the one before; the first is below a
+	// millisecond.
+	levels = 24
+)
+
+type (
+	// Gauge holds how late the process was lately. It is safe for concurrent use.
+	Gauge struct {
+		mu           sync.Mutex
+		since        time.Time // since is when the present window began.
+		last, latest observation
+		bySize       [levels]observation // bySize holds the latest observation of each size.
+		beats        [2]time.Time        // beats are the last two beats.
+	}
+
+	// observation is how late something was done at a time.
+	observation struct {
+		late time.Duration
+		at   time.Time
+	}
+)
 
 // Observe adds that something was done later than it could have been.
 func (g *Gauge) Observe(now time.Time, late time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.observe(now, late)
+}
+
+// observe implements Observe. The caller holds the lock.
+func (g *Gauge) observe(now time.Time, late time.Duration) {
+	if late <= 0 {
+		return
+	}
 	g.turn(now)
 	if late >= g.latest.late {
 		g.latest = observation{late, now}
 	}
+	same := &g.bySize[min(bits.Len64(uint64(late.Milliseconds())), levels-1)]
+	if same.counts(now) {
+		late = max(late, same.late)
+	}
+	*same = observation{late, now}
+}
+
+// counts reports whether the process is still behind by the observation.
+func (o observation) counts(now time.Time) bool { return now.Sub(o.at) < recovery*o.late }
+
+// Run beats until the context ends.
+func (g *Gauge) Run(ctx context.Context) {
+	tick := time.NewTicker(BeatInterval)
+	defer tick.Stop()
+	for {
+		g.Beat(clock.Now())
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+// Beat adds that the process ran. It is called once in each BeatInterval, or as soon as possible after it.
+func (g *Gauge) Beat(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if before := g.beats[1]; !before.IsZero() {
+		g.observe(now, now.Sub(before)-BeatInterval)
+	}
+	g.beats = [2]time.Time{g.beats[1], now}
+}
+
+// Present returns how late the process is now: the greatest lateness after which it has not been on time for long enough.
+func (g *Gauge) Present(now time.Time) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	late := time.Duration(0)
+	for _, o := range g.bySize {
+		if o.counts(now) {
+			late = max(late, o.late)
+		}
+	}
+	return late
+}
+
+// Unnoticed returns for how long something may have waited that the process notices now: since its beat before the last
+// one, if that is longer ago than it would be in a process that is not behind.
+func (g *Gauge) Unnoticed(now time.Time) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.beats[0].IsZero() {
+		return 0
+	}
+	return max(0, now.Sub(g.beats[0])-2*BeatInterval)
 }
 
 // Recent returns the greatest lateness that was observed recently.
--- a/internal/lateness/lateness_test.go
+++ b/internal/lateness/lateness_test.go
@@ -21,3 +21,67 @@
 		}
 	}
 }
+
+// TestProcessIsLateForAsLongAsItShows guards against a gauge that takes a process for late which has its time again, or for
+// one that keeps up while it gets little time in turns.
+func TestProcessIsLateForAsLongAsItShows(t *testing.T) {
+	g, now := &Gauge{}, time.Unix(1000, 0)
+	run := func(d time.Duration) {
+		for end := now.Add(d); now.Before(end); now = now.Add(BeatInterval) {
+			g.Beat(now)
+		}
+	}
+	run(time.Second)
+	if late := g.Present(now); late != 0 {
+		t.Errorf("a process that keeps up is %v late", late)
+	}
+	for _, cycle := range []struct{ runs, rests time.Duration }{{100 * time.Millisecond, 900 * time.Millisecond}, {50 * time.Millisecond, 350 * time.Millisecond}} {
+		for range 8 {
+			now = now.Add(cycle.rests)
+			run(cycle.runs)
+			if late := g.Present(now); late < cycle.rests-BeatInterval {
+				t.Errorf("a process that rests for %v at a time is %v late", cycle.rests, late)
+			}
+		}
+	}
+	for _, stood := range []time.Duration{200 * time.Millisecond, time.Second} {
+		run(10 * time.Second)
+		now = now.Add(stood)
+		g.Beat(now)
+		if late := g.Present(now); late < stood-2*BeatInterval || late > stood {
+			t.Errorf("right after it stood still for %v it is %v late", stood, late)
+		}
+		if run(3 * stood); g.Present(now) != 0 || g.Recent(now) < stood-2*BeatInterval {
+			t.Errorf("long after it stood still for %v it is %v late, and was %v late", stood, g.Present(now), g.Recent(now))
+		}
+	}
+}
+
+// TestSignalOfAProcessThatStoodStillMayBeOld guards against a stop that is planned from when its signal is seen.
+func TestSignalOfAProcessThatStoodStillMayBeOld(t *testing.T) {
+	const stood = time.Second
+	for name, test := range map[string]struct {
+		beat bool          // beat is set if the process beats before it sees the signal.
+		ran  time.Duration // ran is how long it has run again.
+		want time.Duration
+	}{
+		"seen first":           {false, 0, stood},
+		"seen after a beat":    {true, BeatInterval / 5, stood},
+		"seen in a later beat": {true, 3 * BeatInterval, 0},
+	} {
+		g, now := &Gauge{}, time.Unix(1000, 0)
+		for range 4 {
+			g.Beat(now)
+			now = now.Add(BeatInterval)
+		}
+		now = now.Add(stood)
+		if test.beat {
+			for at := time.Duration(0); at <= test.ran; at += BeatInterval {
+				g.Beat(now.Add(at))
+			}
+		}
+		if got := g.Unnoticed(now.Add(test.ran)); got < test.want-2*BeatInterval || got > test.want+BeatInterval {
+			t.Errorf("%s: it may have waited for %v, want %v", name, got, test.want)
+		}
+	}
+}
