Reply: a stream that names its length is passed on as it arrives

Cause: each piece was flushed only if the answer had no length. Class: a property of the frame taken for one of the content.

Change: event streams are flushed piece by piece, however they are framed. TestStreamWithALengthIsPassedOnAsItArrives failed before and passes now.

--- a/internal/reply/reply.go
+++ b/internal/reply/reply.go
@@ -46,7 +46,7 @@
 	if resp.Length >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(resp.Length, 10))
 	}
-	w.stream = resp.Length < 0
+	w.stream = resp.Length < 0 || header.EventStream(resp.Header)
 	w.w.WriteHeader(resp.Status)
 }
 
--- a/internal/reply/reply_test.go
+++ b/internal/reply/reply_test.go
@@ -197,3 +197,35 @@
 		t.Error("the write does not end")
 	}
 }
+
+// TestStreamWithALengthIsPassedOnAsItArrives guards against events that lie in a buffer since their stream names its length.
+func TestStreamWithALengthIsPassedOnAsItArrives(t *testing.T) {
+	const event = "id: 1\ndata: x\n\n"
+	next := make(chan struct{})
+	defer close(next)
+	answered := make(chan string, 1)
+	go func() {
+		resp, err := ask(t, func(w *reply.Writer) {
+			w.Begin(head(2*int64(len(event)), http.Header{"Content-Type": {"text/event-stream"}}))
+			write(t, w, event)
+			<-next
+			w.Abort()
+		})
+		if err != nil {
+			return
+		}
+		defer resp.Body.Close()
+		got := make([]byte, len(event))
+		if _, err := io.ReadFull(resp.Body, got); err == nil {
+			answered <- string(got)
+		}
+	}()
+	select {
+	case got := <-answered:
+		if got != event {
+			t.Errorf("got %q, want the first event", got)
+		}
+	case <-time.After(10 * limit):
+		t.Error("the first event does not arrive before the next one")
+	}
+}
