--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -321,6 +321,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
 	defer cancel()
+	defer context.AfterFunc(p.m.ctx, cancel)() // Close waits for the checks, and the context may be that of no request.
 	answers := make(chan bool, len(sample))
 	for _, e := range sample {
 		started := p.m.start(func() {
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -19,6 +19,7 @@
 	engines   int
 	connected map[string]bool // connected holds the engines that accept connections.
 	answering map[string]bool // answering holds those that answer.
+	silent    bool            // silent is set if attempts to connect end with their contexts only.
 	probes    int
 	changes   int
 }
@@ -42,7 +43,10 @@
 
 func (w *world) Accepts(ctx context.Context, address string) bool {
 	connected, _ := w.Probe(ctx, address)
-	return connected
+	if w.silent {
+		<-ctx.Done()
+	}
+	return connected && !w.silent
 }
 
 // newPool returns a pool whose engines all answer, or accept connections only, or neither.
@@ -147,6 +151,28 @@
 	w.mu.Unlock()
 }
 
+// TestCloseDoesNotWaitForSilentEngines guards against a node that is killed as its stop waits for engines to accept
+// connections.
+func TestCloseDoesNotWaitForSilentEngines(t *testing.T) {
+	w, p, m := newPool(t, 4, true, true)
+	w.silent = true
+	reached := make(chan bool)
+	go func() { reached <- p.OthersAccept(t.Context(), "e0") }()
+	await(t, "the engines are asked", func() bool {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		return w.probes > 0
+	})
+	begin := time.Now()
+	m.Close()
+	if took := time.Since(begin); took > 100*time.Millisecond {
+		t.Errorf("Close waited for %v", took)
+	}
+	if <-reached {
+		t.Error("a silent engine counts as reached")
+	}
+}
+
 // TestBusyEnginesShowThatTheirPoolIsReached guards against crashes that are taken for a partition, or known late, since the other engines are
 // too busy to answer.
 func TestBusyEnginesShowThatTheirPoolIsReached(t *testing.T) {
