Edge: each wait of the end of a stop is bounded by what is left until the kill

The stop of the components and the flush of the log waited without an end, and the removal of the node's row for a second before anything else.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -167,13 +167,13 @@
 	e := &Edge{settings: s, logWriter: logline.New(out), startedAt: clock.Now(), wakeConfig: make(chan struct{}, 1), wakeEngines: make(chan struct{}, 1), suspensionEnded: make(chan time.Duration, 1), incarnations: map[string]int64{}, firstAnswer: make(chan struct{}), eraBegan: make(chan struct{}, 1), removeClockHook: func() {}}
 	tele, err := telemetry.New(ctx, s, e.logWriter)
 	if err != nil {
-		return nil, errors.Join(fmt.Errorf("start telemetry: %w", err), e.logWriter.Close())
+		return nil, errors.Join(fmt.Errorf("start telemetry: %w", err), e.logWriter.Close(ctx))
 	}
 	e.tele, e.log = tele, tele.Log
 	log.SetFlags(0)
 	log.SetOutput(libraryLog{e.log})
 	if err := e.build(clock.Now()); err != nil {
-		return nil, errors.Join(err, tele.Close(), e.logWriter.Close())
+		return nil, errors.Join(err, tele.Close(), e.logWriter.Close(ctx))
 	}
 	ctx, e.cancel = context.WithCancel(ctx)
 	if err := e.run(ctx); err != nil {
--- a/internal/edge/says_rig_test.go
+++ b/internal/edge/says_rig_test.go
@@ -28,11 +28,12 @@
 	scriptedCluster struct {
 		nodes     []*Edge
 		engines   []*scriptedEngine
-		address   string       // address is the store's.
-		version   atomic.Int64 // version is that of the newest change of an entry, and of all rows.
-		config    string       // config is the operators' configuration; empty for twoTierConfig.
-		slots     int          // slots is that of the engines' entries; 0 for 64.
-		storeDown atomic.Bool  // storeDown makes the store reject all calls.
+		address   string                          // address is the store's.
+		version   atomic.Int64                    // version is that of the newest change of an entry, and of all rows.
+		config    string                          // config is the operators' configuration; empty for twoTierConfig.
+		slots     int                             // slots is that of the engines' entries; 0 for 64.
+		storeDown atomic.Bool                     // storeDown makes the store reject all calls.
+		silent    atomic.Pointer[<-chan struct{}] // silent is until when the store answers nothing; nil if it answers.
 	}
 
 	// scriptedEngine is a fake engine.
@@ -94,6 +95,9 @@
 
 // store is the store's handler: it returns the configuration and the engines' entries.
 func (w *scriptedCluster) store(rw http.ResponseWriter, r *http.Request) {
+	if until := w.silent.Load(); until != nil {
+		<-*until
+	}
 	if w.storeDown.Load() {
 		http.Error(rw, "away", http.StatusServiceUnavailable)
 		return
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/croftturn/croftturn/internal/clock"
@@ -27,6 +28,10 @@
 	lateTurns    = 3
 	lateEndTurns = 2
 
+	// lastWaitPart is the inverse of the share of what is left until the kill that each wait of the end may take, however late
+	// the process is: it may run for this time yet.
+	lastWaitPart = 8
+
 	// cutPart is the inverse of the share of a stop, at its end, in which answers may be ended, however late the process is:
 	// it would be no worse for them if the process were killed.
 	cutPart = 6
@@ -42,9 +47,14 @@
 type (
 	// stopPlan divides the time of a planned stop.
 	stopPlan struct {
-		refuse     time.Time     // refuse is when what no engine has is refused, since it can still be answered as not run.
-		cut        time.Time     // cut is when all else that is in progress is ended, which gains nothing by an earlier end.
-		answerTime time.Duration // answerTime is how long the last answers may take.
+		refuse time.Time // refuse is when what no engine has is refused, since it can still be answered as not run.
+		cut    time.Time // cut is when all else that is in progress is ended, which gains nothing by an earlier end.
+	}
+
+	// component is a part of a node that is stopped at its end.
+	component struct {
+		name string
+		stop func() error
 	}
 
 	// stopping is a planned stop.
@@ -61,7 +71,7 @@
 	margin := min(stopMargin, grace/stopMarginPart)
 	recent = min(recent, (grace-margin)*2/3/(lateTurns+1)) // The rest is for serving.
 	before := func(turns, late time.Duration) time.Time { return kill.Add(-max(margin, margin/2+turns*late)) }
-	p := stopPlan{refuse: before(lateTurns, recent), cut: before(lateEndTurns, present), answerTime: margin/2 + present}
+	p := stopPlan{refuse: before(lateTurns, recent), cut: before(lateEndTurns, present)}
 	if latest := kill.Add(-grace / cutPart); p.cut.Before(latest) {
 		p.cut = latest
 	}
@@ -71,6 +81,12 @@
 	return p
 }
 
+// lastWait returns how long a wait of the end may take for a process that is late by a duration, if the platform may kill it
+// after another one: half of it, since more follows, but a late process keeps the time of a turn.
+func lastWait(left, late time.Duration) time.Duration {
+	return max(0, left/lastWaitPart, min(left/2, left-late))
+}
+
 // Close shuts the node down gracefully: its address is no longer given to callers, it serves those
 // that still come, and exits when it is idle or its time is up.
 func (e *Edge) Close() error {
@@ -84,17 +100,24 @@
 		e.duties.Stop()
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
-	if err := e.register.Leave(ctx); err != nil {
-		e.log.Warn("could not remove the node from the register", "error", err.Error())
-	}
-	cancel()
+	e.startGoroutine(func() {
+		if err := e.register.Leave(ctx); err != nil {
+			e.log.Warn("could not remove the node from the register", "error", err.Error())
+		}
+	})
 	e.startGoroutine(func() { e.handOverPins(begin) })
 	s.serve()
+	cancel()
 	served := clock.Now()
 	late, ago = e.lateness.Worst(served)
 	answers, requests := e.dispatcher.EndedByStop()
 	e.log.Info("connections ended", "after_ms", served.Sub(begin).Milliseconds(), "left", e.connections(), "late_ms", late.Milliseconds(), "late_ago_ms", ago.Milliseconds(), "answers_cut", answers, "requests_cut", requests)
-	return e.stop()
+	return s.end()
+}
+
+// lastWait returns how long a wait of the end may take.
+func (s *stopping) lastWait(now time.Time) time.Duration {
+	return lastWait(s.kill.Sub(now), s.lateness.Present(now))
 }
 
 // replan makes the plan anew by how late the process is.
@@ -137,7 +160,7 @@
 		}
 		if !now.Before(s.plan.cut) {
 			s.dispatcher.CutOff()
-			time.AfterFunc(s.plan.answerTime, cancel)
+			time.AfterFunc(s.lastWait(now), cancel)
 			<-ended
 			return
 		}
@@ -172,33 +195,80 @@
 	return n
 }
 
-// stop stops all components and waits for them.
+// stop stops a node that serves nobody, and waits for all components.
 func (e *Edge) stop() error {
-	var errs []error
-	for _, s := range e.servers {
-		errs = append(errs, s.Close())
-	}
-	e.removeClockHook()
-	e.cancel()
-	errs = append(errs, e.follower.Close(), e.peerServer.Close())
-	e.configTable.Close()
-	e.engineTable.Close()
-	e.pins.Close()
-	e.versions.Close()
-	e.peerClient.Close()
-	e.wg.Wait()
-	e.reach.Close()
-	e.forwards.Close()
-	e.egress.Close()
-	e.cacheEvents.Close()
-	e.store.Close()
-	if e.dutyClient != nil {
-		e.dutyClient.Close()
+	var stopped atomic.Int32
+	if err := errors.Join(stopAll(e.components(), &stopped), e.logWriter.Close(context.Background())); err != nil {
+		return fmt.Errorf("stop node: %w", err)
+	}
+	return nil
+}
+
+// end stops all components, and waits for them for as long as the process has. What still runs then ends with the process:
+// callers have their answers, and nothing that others rely on is written this late.
+func (s *stopping) end() error {
+	components := s.components()
+	var stopped atomic.Int32
+	ended := make(chan error, 1)
+	go func() { ended <- stopAll(components, &stopped) }()
+	var err error
+	select {
+	case err = <-ended:
+		s.log.Info("components stopped")
+	case <-time.After(s.lastWait(clock.Now())):
+		left := components[min(int(stopped.Load()), len(components)-1)]
+		s.log.Warn("a component has not stopped; the process ends", "component", left.name)
 	}
-	e.log.Info("components stopped")
-	errs = append(errs, e.tele.Close(), e.logWriter.Close())
-	if err := errors.Join(errs...); err != nil {
+	ctx, cancel := context.WithTimeout(context.Background(), s.lastWait(clock.Now()))
+	defer cancel()
+	_ = s.logWriter.Close(ctx) // Nobody reads the log who could be told.
+	if err != nil {
 		return fmt.Errorf("stop node: %w", err)
 	}
 	return nil
 }
+
+// stopAll stops components one after the other and counts them.
+func stopAll(components []component, stopped *atomic.Int32) error {
+	var errs []error
+	for _, c := range components {
+		errs = append(errs, c.stop())
+		stopped.Add(1)
+	}
+	return errors.Join(errs...)
+}
+
+// components returns the parts of the node in the order in which they are stopped.
+func (e *Edge) components() []component {
+	closing := func(f func()) func() error {
+		return func() error {
+			f()
+			return nil
+		}
+	}
+	var list []component
+	for _, s := range e.servers {
+		list = append(list, component{"server", s.Close})
+	}
+	list = append(list,
+		component{"clock hook", closing(e.removeClockHook)},
+		component{"context", closing(e.cancel)},
+		component{"follower", e.follower.Close},
+		component{"server of peers", e.peerServer.Close},
+		component{"configuration", closing(e.configTable.Close)},
+		component{"engines", closing(e.engineTable.Close)},
+		component{"records of streams", closing(e.pins.Close)},
+		component{"versions", closing(e.versions.Close)},
+		component{"client of peers", closing(e.peerClient.Close)},
+		component{"goroutines", closing(e.wg.Wait)},
+		component{"reachability", closing(e.reach.Close)},
+		component{"forwarding", closing(e.forwards.Close)},
+		component{"egress", closing(e.egress.Close)},
+		component{"cache events", closing(e.cacheEvents.Close)},
+		component{"store", closing(e.store.Close)},
+	)
+	if e.dutyClient != nil {
+		list = append(list, component{"client of duties", closing(e.dutyClient.Close)})
+	}
+	return append(list, component{"telemetry", e.tele.Close})
+}
--- a/internal/edge/stop_test.go
+++ b/internal/edge/stop_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/croftturn/croftturn/internal/clock"
+	"github.com/croftturn/croftturn/internal/logline"
 )
 
 // stopConfig is a configuration with a route of each kind; callers wait for as long as the node may take to stop.
@@ -32,6 +33,15 @@
 	begun map[string]bool // begun holds the requests that an engine has begun.
 }
 
+// blockedWriter takes nothing until it is closed.
+type blockedWriter <-chan struct{}
+
+// Write implements io.Writer.
+func (w blockedWriter) Write(p []byte) (int, error) {
+	<-w
+	return len(p), nil
+}
+
 // newStopRig starts a node with a grace time, and engines that run each request for the time in its path.
 func newStopRig(t *testing.T, grace time.Duration) *stopRig {
 	t.Helper()
@@ -191,6 +201,10 @@
 		if ended := p.refuse.Add(late + late + late); ended.After(kill) {
 			t.Errorf("a process that is %v late has refused requests and ended %v after its kill", late, ended.Sub(kill))
 		}
+		left := kill.Sub(p.cut)
+		if answered := p.cut.Add(lastWait(left, late)); left > late && answered.Add(late).After(kill) && lastWait(left, late) > left/lastWaitPart {
+			t.Errorf("a process that is %v late waits for its last answers until %v before its kill", late, kill.Sub(answered))
+		}
 		ended := p.cut.Add(late)
 		if 2*late < grace/cutPart {
 			ended = ended.Add(late)
@@ -201,6 +215,46 @@
 	}
 }
 
+// TestStopEndsBeforeItsKill guards against nodes that are killed as their stop waits for something that does not come.
+func TestStopEndsBeforeItsKill(t *testing.T) {
+	const grace = time.Second
+	for name, block := range map[string]func(node *Edge, w *scriptedCluster, until <-chan struct{}){
+		"a goroutine that does not end": func(node *Edge, _ *scriptedCluster, until <-chan struct{}) {
+			node.startGoroutine(func() { <-until })
+		},
+		"a log that nobody reads": func(node *Edge, _ *scriptedCluster, until <-chan struct{}) {
+			node.logWriter = logline.New(blockedWriter(until))
+			for range 1000 {
+				_, _ = node.logWriter.Write([]byte("line")) // It never fails.
+			}
+		},
+		"a silent store": func(_ *Edge, w *scriptedCluster, until <-chan struct{}) {
+			w.silent.Store(&until)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w := newScriptedClusterWith(t, 1, 1, stopConfig, 0)
+			node, until := w.nodes[0], make(chan struct{})
+			defer close(until)
+			node.settings.StopGraceMs = int(grace.Milliseconds())
+			waitFor(t, node.register.Joined, "not registered")
+			block(node, w, until)
+			closed := make(chan error, 1)
+			begin := time.Now()
+			go func() { closed <- node.Close() }()
+			select {
+			case err := <-closed:
+				if took := time.Since(begin); err != nil || took > grace {
+					t.Errorf("stopped after %v with %v", took, err)
+				}
+			case <-time.After(2 * grace):
+				t.Error("does not stop")
+			}
+		})
+	}
+}
+
 // TestStopEndsNoAnswerBeforeItsLastPart guards against answers that are ended long before the kill, which would be no worse
 // for them, however late the process is or was.
 func TestStopEndsNoAnswerBeforeItsLastPart(t *testing.T) {
--- a/internal/logline/logline.go
+++ b/internal/logline/logline.go
@@ -3,9 +3,9 @@
 package logline
 
 import (
+	"context"
 	"fmt"
 	"io"
-	"sync"
 	"sync/atomic"
 )
 
@@ -19,7 +19,6 @@
 	lines   chan []byte
 	dropped atomic.Int64
 	done    chan struct{}
-	once    sync.Once
 }
 
 // New returns a Writer that writes to out.
@@ -43,13 +42,20 @@
 // Dropped returns the number of lines dropped so far.
 func (w *Writer) Dropped() int64 { return w.dropped.Load() }
 
-// Close flushes the queue and stops; lines written afterwards are dropped.
-func (w *Writer) Close() error {
-	w.once.Do(func() {
-		w.lines <- nil
-		<-w.done
-	})
-	return nil
+// Close flushes the queue and stops; lines written afterwards are dropped. It returns the error of the context if nobody
+// takes the lines in time.
+func (w *Writer) Close(ctx context.Context) error {
+	select {
+	case w.lines <- nil:
+	case <-w.done:
+	case <-ctx.Done():
+	}
+	select {
+	case <-w.done:
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("flush log: %w", ctx.Err())
+	}
 }
 
 // run writes queued lines until Close and reports the number of dropped lines.
--- a/internal/logline/logline_test.go
+++ b/internal/logline/logline_test.go
@@ -37,7 +37,7 @@
 		t.Fatal("no line was dropped")
 	}
 	close(out.open)
-	if err := w.Close(); err != nil {
+	if err := w.Close(t.Context()); err != nil {
 		t.Fatal(err)
 	}
 	if !strings.Contains(out.text.String(), `"log lines dropped","count":`) {
