Lateness: a process is late by its beats, and a signal as old as its last standstill

A caller could make a node look late: a request behind another on its connection counted as read late (late_ms 604 in a process that was on time), so that its stop refused earlier. And the age of a signal was taken from the last beat but one: after a standstill the ticker beats again a few ms later, and the signal seemed new (0 in place of 2 s).

Only beats tell of lateness now, which run all the time; what is seen within two beats of a late one may be as old as that. The cases of two beats at once failed before.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -148,7 +148,7 @@
 	peerHTTP    *linger.Server // peerHTTP is that of servers which gets connections of peerServer; nil if there is none.
 	serverStats linger.Stats
 	reads       caller.BodyReads // reads are the requests that have not arrived whole.
-	lateness    lateness.Gauge   // lateness is how late this process read requests and ticked.
+	lateness    lateness.Gauge   // lateness is how late this process beats.
 	cancel      context.CancelFunc
 	wg          sync.WaitGroup
 }
@@ -311,7 +311,7 @@
 		callerShare /= 2 // Callers have two addresses.
 	}
 	servers := []endpoint{
-		{s.CallerAddress, platform.NewIngress(e.dispatcher, platform.Timeouts{Read: ms(s.ReadTimeoutMs), Write: ms(s.WriteTimeoutMs)}, platform.WithLateness(&e.lateness), platform.WithReads(&e.reads)), callerShare},
+		{s.CallerAddress, platform.NewIngress(e.dispatcher, platform.Timeouts{Read: ms(s.ReadTimeoutMs), Write: ms(s.WriteTimeoutMs)}, platform.WithReads(&e.reads)), callerShare},
 		{s.DirectoryAddress, platform.NewDirectoryHandler(e, e.log), linger.OtherShare},
 		{s.ReadyAddress, platform.NewReadinessHandler(e), linger.OtherShare},
 		{s.AdminAddress, control, linger.OtherShare},
--- a/internal/lateness/lateness.go
+++ b/internal/lateness/lateness.go
@@ -33,7 +33,8 @@
 		since        time.Time // since is when the present window began.
 		last, latest observation
 		bySize       [levels]observation // bySize holds the latest observation of each size.
-		beats        [2]time.Time        // beats are the last two beats.
+		beat         time.Time           // beat is the last beat.
+		missed       observation         // missed is the last beat that came late by a BeatInterval or more.
 	}
 
 	// observation is how late something was done at a time.
@@ -43,14 +44,7 @@
 	}
 )
 
-// Observe adds that something was done later than it could have been.
-func (g *Gauge) Observe(now time.Time, late time.Duration) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.observe(now, late)
-}
-
-// observe implements Observe. The caller holds the lock.
+// observe adds that something was done later than it could have been. The caller holds the lock.
 func (g *Gauge) observe(now time.Time, late time.Duration) {
 	if late <= 0 {
 		return
@@ -87,10 +81,13 @@
 func (g *Gauge) Beat(now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if before := g.beats[1]; !before.IsZero() {
-		g.observe(now, now.Sub(before)-BeatInterval)
+	if late := now.Sub(g.beat) - BeatInterval; !g.beat.IsZero() {
+		g.observe(now, late)
+		if late >= BeatInterval {
+			g.missed = observation{late, now}
+		}
 	}
-	g.beats = [2]time.Time{g.beats[1], now}
+	g.beat = now
 }
 
 // Present returns how late the process is now: the greatest lateness after which it has not been on time for long enough.
@@ -106,15 +103,20 @@
 	return late
 }
 
-// Unnoticed returns for how long something may have waited that the process notices now: since its beat before the last
-// one, if that is longer ago than it would be in a process that is not behind.
+// Unnoticed returns for how long something may have waited that the process notices now: since it stood still, if that was a
+// moment ago.
 func (g *Gauge) Unnoticed(now time.Time) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.beats[0].IsZero() {
+	switch overdue := now.Sub(g.beat) - BeatInterval; {
+	case g.beat.IsZero():
 		return 0
+	case overdue >= BeatInterval:
+		return overdue
+	case now.Sub(g.missed.at) <= 2*BeatInterval:
+		return g.missed.late + now.Sub(g.missed.at)
 	}
-	return max(0, now.Sub(g.beats[0])-2*BeatInterval)
+	return 0
 }
 
 // Recent returns the greatest lateness that was observed recently.
--- a/internal/lateness/lateness_test.go
+++ b/internal/lateness/lateness_test.go
@@ -8,8 +8,10 @@
 // TestGaugeRemembersTheWorst guards against a gauge that forgets within a window, or tells of long ago.
 func TestGaugeRemembersTheWorst(t *testing.T) {
 	g, begin := &Gauge{}, time.Unix(1000, 0)
-	g.Observe(begin, 300*time.Millisecond)
-	g.Observe(begin.Add(time.Second), 10*time.Millisecond)
+	g.Beat(begin.Add(-300*time.Millisecond - BeatInterval))
+	for at := begin; at.Before(begin.Add(time.Second)); at = at.Add(BeatInterval + time.Millisecond) {
+		g.Beat(at)
+	}
 	for _, test := range []struct{ after, want time.Duration }{
 		{window - 1, 300 * time.Millisecond},
 		{window, 300 * time.Millisecond},
@@ -61,13 +63,15 @@
 func TestSignalOfAProcessThatStoodStillMayBeOld(t *testing.T) {
 	const stood = time.Second
 	for name, test := range map[string]struct {
-		beat bool          // beat is set if the process beats before it sees the signal.
-		ran  time.Duration // ran is how long it has run again.
-		want time.Duration
+		beats []time.Duration // beats are when the process beats after it runs again.
+		seen  time.Duration   // seen is when it sees the signal after that.
+		want  time.Duration
 	}{
-		"seen first":           {false, 0, stood},
-		"seen after a beat":    {true, BeatInterval / 5, stood},
-		"seen in a later beat": {true, 3 * BeatInterval, 0},
+		"seen first":               {nil, 0, stood},
+		"seen after a beat":        {[]time.Duration{0}, BeatInterval / 5, stood},
+		"seen after two at once":   {[]time.Duration{0, BeatInterval / 10}, BeatInterval / 5, stood},
+		"seen in a later beat":     {[]time.Duration{0, BeatInterval, 2 * BeatInterval}, 3 * BeatInterval, 0},
+		"seen as it had run again": {[]time.Duration{0, BeatInterval / 10, BeatInterval, 2 * BeatInterval}, 5 * BeatInterval / 2, 0},
 	} {
 		g, now := &Gauge{}, time.Unix(1000, 0)
 		for range 4 {
@@ -75,12 +79,10 @@
 			now = now.Add(BeatInterval)
 		}
 		now = now.Add(stood)
-		if test.beat {
-			for at := time.Duration(0); at <= test.ran; at += BeatInterval {
-				g.Beat(now.Add(at))
-			}
+		for _, at := range test.beats {
+			g.Beat(now.Add(at))
 		}
-		if got := g.Unnoticed(now.Add(test.ran)); got < test.want-2*BeatInterval || got > test.want+BeatInterval {
+		if got := g.Unnoticed(now.Add(test.seen)); got < test.want-2*BeatInterval || got > test.want+BeatInterval {
 			t.Errorf("%s: it may have waited for %v, want %v", name, got, test.want)
 		}
 	}
