Edge: the estimate of the kill ends no answer before the last part of a stop

A late node whose caller had opened a connection and sent nothing waited for it until it was killed.

Cause: the last part of the stop was counted from the earliest time at which the platform may kill the process, which assumes that the signal is as old as the standstill.

What was refused is not taken back when the process has its time again. If nothing is in progress the connections that are left are closed once the refusals have had their time.

--- a/internal/dispatch/stop.go
+++ b/internal/dispatch/stop.go
@@ -32,8 +32,8 @@
 	// Stop is the plan of a stop of the process.
 	Stop struct {
 		Begin time.Time     // Begin is when the process saw the signal.
-		By    time.Time     // By is when the requests that are accepted must have ended.
-		Kill  time.Time     // Kill is when the platform kills the process, as far as that is known.
+		By    time.Time     // By is when requests must be expected to end to be accepted.
+		Kill  time.Time     // Kill is when the platform may kill the process.
 		Late  time.Duration // Late is how late the process is.
 	}
 
@@ -153,7 +153,7 @@
 	}
 	x.d.log.Warn("request ended by the stop", "request", x.req.ID, "route", x.route.Name, "engine", x.choice.Engine.ID, "via", x.via, "forwarded_by", x.forwardedBy(),
 		"begun", x.answerBegun, "pieces", x.events, "sent", x.sent, "ran_ms", now.Sub(x.arrived).Milliseconds(), "left_ms", x.deadline.Sub(now).Milliseconds(), "arrived_ms", x.arrived.Sub(s.Begin).Milliseconds(),
-		"stopping_ms", now.Sub(s.Begin).Milliseconds(), "kill_ms", s.Kill.Sub(now).Milliseconds(), "late_ms", s.Late.Milliseconds())
+		"stopping_ms", now.Sub(s.Begin).Milliseconds(), "kill_ms", s.Kill.Sub(now).Milliseconds(), "late_now_ms", s.Late.Milliseconds())
 	if x.answerBegun {
 		x.d.cutAnswers.Add(1)
 	} else {
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -22,11 +22,10 @@
 	stopMargin     = 400 * time.Millisecond
 	stopMarginPart = 8
 
-	// lateTurns is how many steps a late process may come late to until the requests that it refuses at a stop are
-	// answered and it has ended: the refusal, the answers and its own end. For the last two of them it is enough if it
-	// comes late to lateEndTurns.
-	lateTurns    = 3
-	lateEndTurns = 2
+	// refuseSteps is how many wake-ups of a late process must fit between the refusal of what waits at a stop and the kill:
+	// for the refusal, for the answers and for its own end. cutSteps is the same for the end of what engines have.
+	refuseSteps = 3
+	cutSteps    = 2
 
 	// lastWaitPart is the inverse of the share of what is left until the kill that each wait of the end may take, however late
 	// the process is: it may run for this time yet.
@@ -60,20 +59,23 @@
 	// stopping is a planned stop.
 	stopping struct {
 		*Edge
-		begin time.Time // begin is when this process saw the signal.
-		kill  time.Time // kill is when the platform may kill the process: it may have seen the signal late.
+		begin time.Time     // begin is when this process saw the signal.
+		grace time.Duration // grace is how long after the signal the platform kills the process.
+		kill  time.Time     // kill is when that is at the earliest: the process may have seen the signal late.
 		plan  stopPlan
 	}
 )
 
-// newStopPlan returns the plan of a stop of a process that was late by a duration recently, and is late by another now.
-func newStopPlan(kill time.Time, grace, recent, present time.Duration) stopPlan {
+// newStopPlan returns the plan of a stop whose signal was seen at begin, of a process that may be killed from kill on, was late
+// by a duration recently and is late by another now.
+func newStopPlan(begin, kill time.Time, grace, recent, present time.Duration) stopPlan {
 	margin := min(stopMargin, grace/stopMarginPart)
-	recent = min(recent, (grace-margin)*2/3/(lateTurns+1)) // The rest is for serving.
-	before := func(turns, late time.Duration) time.Time { return kill.Add(-max(margin, margin/2+turns*late)) }
-	p := stopPlan{refuse: before(lateTurns, recent), cut: before(lateEndTurns, present)}
-	if latest := kill.Add(-grace / cutPart); p.cut.Before(latest) {
-		p.cut = latest
+	recent = min(max(recent, present), (grace-margin)*2/3/(refuseSteps+1)) // The rest is for serving.
+	before := func(steps, late time.Duration) time.Time { return kill.Add(-max(margin, margin/2+steps*late)) }
+	p := stopPlan{refuse: before(refuseSteps, recent), cut: before(cutSteps, present)}
+	// The signal may have come when it was seen: the estimate of the kill must not end an answer sooner either.
+	if earliest := begin.Add(grace - grace/cutPart); p.cut.Before(earliest) {
+		p.cut = earliest
 	}
 	if p.cut.Before(p.refuse) {
 		p.cut = p.refuse
@@ -81,6 +83,12 @@
 	return p
 }
 
+// answered returns by when what was refused has been answered, for a process that is killed at a time: callers that have
+// opened a connection and sent nothing are not waited for any longer.
+func (p stopPlan) answered(kill time.Time) time.Time {
+	return p.refuse.Add(kill.Sub(p.refuse) / refuseSteps)
+}
+
 // lastWait returns how long a wait of the end may take for a process that is late by a duration, if the platform may kill it
 // after another one: half of it, since more follows, but a late process keeps the time of a turn.
 func lastWait(left, late time.Duration) time.Duration {
@@ -92,7 +100,7 @@
 func (e *Edge) Close() error {
 	begin := clock.Now()
 	grace := ms(e.settings.StopGraceMs)
-	s := &stopping{Edge: e, begin: begin, kill: begin.Add(grace - min(e.lateness.Unnoticed(begin), grace/2))}
+	s := &stopping{Edge: e, begin: begin, grace: grace, kill: begin.Add(grace - min(e.lateness.Unnoticed(begin), grace/2))}
 	s.replan(begin)
 	late, ago := e.lateness.Worst(begin)
 	e.log.Info("node stops", "active", e.dispatcher.Active(), "within_ms", s.plan.cut.Sub(begin).Milliseconds(), "kill_ms", s.kill.Sub(begin).Milliseconds(), "late_ms", late.Milliseconds(), "late_ago_ms", ago.Milliseconds())
@@ -117,19 +125,26 @@
 
 // lastWait returns how long a wait of the end may take.
 func (s *stopping) lastWait(now time.Time) time.Duration {
-	return lastWait(s.kill.Sub(now), s.lateness.Present(now))
+	kill := s.kill
+	if !now.Before(kill) {
+		kill = s.begin.Add(s.grace) // The signal was not as old as it might have been.
+	}
+	return lastWait(kill.Sub(now), s.lateness.Present(now))
 }
 
-// replan makes the plan anew by how late the process is.
+// replan makes the plan anew by how late the process is. What was refused is not taken back.
 func (s *stopping) replan(now time.Time) {
 	recent, present := s.lateness.Recent(now), s.lateness.Present(now)
 	before := s.plan
-	s.plan = newStopPlan(s.kill, ms(s.settings.StopGraceMs), recent, present)
+	s.plan = newStopPlan(s.begin, s.kill, s.grace, recent, present)
+	if !before.refuse.IsZero() && !now.Before(before.refuse) {
+		s.plan.refuse = before.refuse
+	}
 	if s.plan.refuse != before.refuse {
 		s.dispatcher.StopBy(dispatch.Stop{Begin: s.begin, By: s.plan.refuse, Kill: s.kill, Late: present})
 	}
 	if moved := max(s.plan.refuse.Sub(before.refuse).Abs(), s.plan.cut.Sub(before.cut).Abs()); moved >= stopMargin && !before.cut.IsZero() {
-		s.log.Info("stop planned again", "active", s.dispatcher.Active(), "stopping_ms", now.Sub(s.begin).Milliseconds(), "refuse_ms", s.plan.refuse.Sub(now).Milliseconds(), "within_ms", s.plan.cut.Sub(now).Milliseconds(), "late_ms", present.Milliseconds())
+		s.log.Info("stop planned again", "active", s.dispatcher.Active(), "stopping_ms", now.Sub(s.begin).Milliseconds(), "refuse_ms", s.plan.refuse.Sub(now).Milliseconds(), "within_ms", s.plan.cut.Sub(now).Milliseconds(), "late_now_ms", present.Milliseconds())
 	}
 }
 
@@ -158,7 +173,8 @@
 			s.dispatcher.RefuseUnsent()
 			s.reads.Interrupt()
 		}
-		if !now.Before(s.plan.cut) {
+		answered := mustRefuse && s.dispatcher.Active() == 0 && !now.Before(s.plan.answered(s.kill))
+		if answered || !now.Before(s.plan.cut) {
 			s.dispatcher.CutOff()
 			time.AfterFunc(s.lastWait(now), cancel)
 			<-ended
