Dispatch: a refusal of a forwarded request tells only of the node that it comes from

A resumable stream that was forwarded and had begun ended when its second node stopped and the third one did not take it, though a fourth would have. Repeatable requests got 502 the same way.

Cause: the first node told the others that the request might have run before, so that they answered "failed" in place of "not run", after which no other node is tried. They also noted a run that they had never begun.

Forwarded requests no longer carry this. The first node combines a refusal with what it knows, as before.

TestBegunStreamGoesOnAtTheNextNode, before: aborted after the first event, for a node that reaches no engine and for one that stops; after, both whole. go test -race ./internal/forward ./internal/dispatch passes.

--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -38,12 +38,13 @@
 
 	// Forwarded is what a node tells another of a request besides the request itself. The
 	// engines that were tried are not included: the fault is as likely the first node's connectivity.
+	// Nor is whether one of them may have run it: a refusal tells what happened at the node that it
+	// comes from, so that the first node knows whether another may take the request.
 	Forwarded struct {
 		From        string        `cbor:"1,keyasint,omitempty"` // From is the node that the caller sent the request to.
 		Spent       time.Duration `cbor:"2,keyasint,omitempty"` // Spent is the time since the request arrived there.
 		Sent        int           `cbor:"3,keyasint,omitempty"` // Sent is how many engines the request was sent to.
 		LastEventID string        `cbor:"4,keyasint,omitempty"` // LastEventID is the event after which a stream goes on; empty for a whole answer.
-		MayHaveRun  bool          `cbor:"5,keyasint,omitempty"` // MayHaveRun is set if an engine may have run the request.
 		Counted     bool          `cbor:"6,keyasint,omitempty"` // Counted is set if the request was counted for the budget of retries.
 		Bound       bool          `cbor:"7,keyasint,omitempty"` // Bound is set if the stream may go on at one pool and version only.
 		Pool        string        `cbor:"8,keyasint,omitempty"`
@@ -62,7 +63,7 @@
 	if f == nil {
 		return
 	}
-	x.sent, x.mayHaveRun, x.counted, x.lastEventID = f.Sent, f.MayHaveRun, f.Counted, f.LastEventID
+	x.sent, x.counted, x.lastEventID = f.Sent, f.Counted, f.LastEventID
 	if f.Trial {
 		x.trial, x.partTrial = true, clock.Now()
 	}
@@ -151,7 +152,7 @@
 	x.via, x.sentAt, x.bufferedSince, x.choice = node, now, now, placement.Choice{}
 	x.call, x.headReceived, x.sendBefore, x.leavingFor = x.d.placement.ForwardedCall(now), false, time.Time{}, 0
 	resp, refusal, err := x.d.forwarder.Forward(ctx, address, x.req, Forwarded{
-		From: x.d.node, Spent: now.Sub(x.arrived), Sent: x.sent, LastEventID: x.lastEventID, MayHaveRun: x.mayHaveRun, Counted: x.counted,
+		From: x.d.node, Spent: now.Sub(x.arrived), Sent: x.sent, LastEventID: x.lastEventID, Counted: x.counted,
 		Bound: x.origin.bound, Pool: x.origin.Pool, Version: x.origin.Version, Trial: x.trial || !x.partTrial.IsZero(),
 	}, x.hooks(x.mayWrite))
 	result, reason := "answered", Reason("")
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -115,13 +115,13 @@
 }
 
 // newNodeWith returns a dispatcher with a placement.
-func newNodeWith(t testing.TB, name string, s *sender, conf *routing.Table, f dispatch.Forwarder, p *placement.Placement) *dispatch.Dispatcher {
+func newNodeWith(t testing.TB, name string, s *sender, conf *routing.Table, f dispatch.Forwarder, p *placement.Placement, options ...dispatch.Option) *dispatch.Dispatcher {
 	t.Helper()
 	now, proof, log := time.Now(), freshness.New(time.Hour), slog.New(slog.NewTextHandler(io.Discard, nil))
 	proof.Renew(now)
 	m := reach.New(p, nobody{}, func(string) {}, log)
 	t.Cleanup(m.Close)
-	options := []dispatch.Option{dispatch.WithReach(m)}
+	options = append(options, dispatch.WithReach(m))
 	if f != nil {
 		options = append(options, dispatch.WithForwarder(name, f))
 	}
--- /dev/null
+++ b/internal/forward/stop_test.go
@@ -0,0 +1,84 @@
+package forward_test
+
+import (
+	"context"
+	"io"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/croftturn/croftturn/internal/dispatch"
+	"github.com/croftturn/croftturn/internal/placement"
+)
+
+type (
+	// chain is a link that leads to one node after another.
+	chain struct {
+		*link
+		addresses []string
+		next      atomic.Int64
+	}
+
+	// stoppingLink is the link of a node that refuses what it has not sent while requests wait for that link.
+	stoppingLink struct{ node *dispatch.Dispatcher }
+)
+
+func (c *chain) Choose(time.Time, string, bool, []string) (node, address string, ok bool) {
+	n := int(c.next.Add(1)) - 1
+	if n >= len(c.addresses) {
+		return "", "", false
+	}
+	return c.addresses[n], c.addresses[n], true
+}
+
+func (l *stoppingLink) Queue(time.Time) time.Duration { return 0 }
+
+func (l *stoppingLink) Await(ctx context.Context, _ time.Time, _, _ int, _ time.Duration) bool {
+	l.node.RefuseUnsent()
+	<-ctx.Done()
+	return false
+}
+
+// untilCut is a body that ends with its request, once its node has cut it off.
+type untilCut struct {
+	ctx  context.Context
+	node *dispatch.Dispatcher
+}
+
+func (b untilCut) Read([]byte) (int, error) {
+	b.node.CutOff()
+	<-b.ctx.Done()
+	return 0, context.Cause(b.ctx)
+}
+
+// TestBegunStreamGoesOnAtTheNextNode guards against streams that end with the node that they were forwarded to, or because the
+// next node does not take them, though another one would.
+func TestBegunStreamGoesOnAtTheNextNode(t *testing.T) {
+	for name, refusing := range map[string]func(t *testing.T) string{
+		"reaches no engine": func(t *testing.T) string {
+			_, _, l, _ := newPair(t, &sender{serve: unreachable}, table(2, "k"))
+			return l.address
+		},
+		"stops": func(t *testing.T) string {
+			l := &stoppingLink{}
+			l.node = newNodeWith(t, "n2", &sender{serve: unreachable}, table(2, "k"), nil, placement.New("hall"), dispatch.WithLink(l))
+			_, _, at, _ := newPairOf(t, l.node)
+			return at.address
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var stopping *dispatch.Dispatcher
+			stopping = newNode(t, "n1", answering(200, -1, func(ctx context.Context) io.Reader {
+				return io.MultiReader(strings.NewReader("id: 1\n\n"), untilCut{ctx, stopping})
+			}), table(2, "k"), nil)
+			_, _, l, _ := newPairOf(t, stopping)
+			_, _, last, _ := newPair(t, answering(200, -1, func(context.Context) io.Reader { return strings.NewReader("id: 2\n\n") }), table(2, "k"))
+			c := &chain{link: l, addresses: []string{l.address, refusing(t), last.address}}
+			got := ask(context.Background(), t, newNode(t, "n0", &sender{serve: unreachable}, table(2, "k"), c), "resumable")
+			if got.aborted || got.got() != "id: 1\n\nid: 2\n\n" {
+				t.Errorf("got %q, aborted %v", got.got(), got.aborted)
+			}
+		})
+	}
+}
