Dispatch: a stopping node forwards nothing that does not fit into its stop

A request whose body arrived for long after the signal was forwarded, ran at an engine and was ended with its first node, which could have refused it as not run: only the way to the node's own engines decided that anew.

--- a/internal/forward/stop_test.go
+++ b/internal/forward/stop_test.go
@@ -82,3 +82,28 @@
 		})
 	}
 }
+
+// TestStoppingNodeForwardsNothingThatDoesNotFit guards against requests that run by way of another node and end with the node of
+// their caller, which could have refused them as not run.
+func TestStoppingNodeForwardsNothingThatDoesNotFit(t *testing.T) {
+	second := answering(200, 4, func(context.Context) io.Reader { return strings.NewReader("well") })
+	first, engines, _, _ := newPair(t, second, table(2, "k"))
+	for end := time.Now().Add(5 * time.Second); ; { // Until it forwards without a try at its engines.
+		tries := engines.count()
+		if ask(context.Background(), t, first, "unsafe"); engines.count() == tries {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatal("the node goes on trying its engines")
+		}
+	}
+	ran := second.count()
+	r := &dispatch.Request{ID: "id", Host: "h", Path: "/unsafe/x", Key: "k", Method: "POST", Patience: 2 * time.Second}
+	now := time.Now()
+	route, team, _ := first.Check(now, r)
+	first.StopBy(dispatch.Stop{Begin: now, By: now.Add(time.Second), Kill: now.Add(2 * time.Second)}) // While the body arrives.
+	c := &caller{}
+	if first.Serve(context.Background(), now, r, route, team, c); c.refusal != dispatch.Stopping || second.count() > ran {
+		t.Errorf("got %+v, sent %d times", c, second.count()-ran)
+	}
+}
