Dispatch: a stopping node leaves begun streams at silent engines that may go on

A resumable stream whose engine paused for 1.75 s went on at another engine though its run could not end before the node, and was ended with it; the first engine would have ended it in time.

Whether another run fits was asked only for answers that had not begun. It is asked now unless the engine accepts no connections any more.

TestSilentEngineKeepsItsStreamsWhereNoOtherEndsThemInTime, before: sent twice and aborted after the first event; after: whole, also where the engine is gone.

--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -321,14 +321,15 @@
 	var events atomic.Int64
 	begun := x.answerBegun
 	passedOn := func() bool { return events.Load() > 0 }
-	abandon, address := x.abandonSlow(cancel, x.canMove(passedOn), func() bool { return begun || passedOn() }), x.choice.Engine.Address
+	abandon, address := x.abandonSlow(cancel, x.canMove(passedOn)), x.choice.Engine.Address
 	stall = time.AfterFunc(streamStallTimeout, func() {
 		now, before := clock.Now(), events.Load()
-		if x.reach != nil && x.reach.Accepts(ctx, address) {
+		accepts := x.reach != nil && x.reach.Accepts(ctx, address)
+		if accepts {
 			pause.For(ctx, silentGrace-clock.Since(now))
 		}
 		if ctx.Err() == nil && events.Load() == before {
-			abandon()
+			abandon(accepts || !begun && before == 0) // An engine that is gone ends no answer that has begun.
 		}
 	})
 	return stall, func() {
--- a/internal/dispatch/resend.go
+++ b/internal/dispatch/resend.go
@@ -35,21 +35,21 @@
 	if !x.mayTryNext() || x.route.Target <= 0 {
 		return time.NewTimer(clock.Until(x.deadline))
 	}
-	begun := x.answerBegun
-	return time.AfterFunc(firstByteTargets*x.route.Target, x.abandonSlow(cancel, x.canMove(func() bool { return false }), func() bool { return begun }))
+	abandon := x.abandonSlow(cancel, x.canMove(func() bool { return false }))
+	return time.AfterFunc(firstByteTargets*x.route.Target, func() { abandon(true) })
 }
 
-// abandonSlow returns a timer function that abandons the current attempt for another engine if there is one, the
-// retry budget allows it and another attempt fits before the node stops; begun reports whether the answer has begun.
-// Otherwise the attempt goes on, since the answer may still arrive.
-func (x *exchange) abandonSlow(cancel context.CancelCauseFunc, canMove func(now time.Time) bool, begun func() bool) func() {
+// abandonSlow returns a function that abandons the current attempt for another engine if there is one and the retry
+// budget allows it. Otherwise the attempt goes on, since the answer may still arrive. If it must fit, it goes on as well
+// where another attempt, which reads the prompt again, may not end before the node stops.
+func (x *exchange) abandonSlow(cancel context.CancelCauseFunc, canMove func(now time.Time) bool) func(mustFit bool) {
 	engine, sent := x.choice.Engine.ID, x.sent
-	return func() {
+	return func(mustFit bool) {
 		now := clock.Now()
 		if x.team != nil && (!x.d.proof.Fresh(now) || !x.keyValid()) {
 			return // The request may not be sent to another engine.
 		}
-		if !canMove(now) || !begun() && !x.d.fitsBeforeStop(now, x.req, x.route) {
+		if !canMove(now) || mustFit && !x.d.fitsBeforeStop(now, x.req, x.route) {
 			return
 		}
 		if x.takeRetry(now, engine, sent, errEngineSilent) {
--- a/internal/dispatch/silent_test.go
+++ b/internal/dispatch/silent_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"strings"
 	"testing"
 	"time"
 
@@ -51,10 +50,19 @@
 // servePausing serves a resumable stream whose first engine pauses, and returns how often it was sent and
 // how long that took.
 func servePausing(t *testing.T, accepts bool, pause time.Duration) (sent int, took time.Duration, a *recordedAnswer) {
+	t.Helper()
+	e, d := newPausing(t, accepts, pause, 0)
+	now := time.Now()
+	a = serve(t, d, "resumable")
+	return e.sentCount(), time.Since(now), a
+}
+
+// newPausing returns a dispatcher, and engines of which the first that gets a stream pauses in it, and the second before it.
+func newPausing(t *testing.T, accepts bool, pause, second time.Duration) (*fakeSender, *dispatch.Dispatcher) {
 	t.Helper()
 	e := &fakeSender{serve: func(ctx context.Context, n int, a dispatch.Attempt) (*dispatch.Response, error) {
 		resp := respond(200, "")
-		resp.Length, resp.Body = -1, io.NopCloser(strings.NewReader("id: 2\ndata: y\n\n"))
+		resp.Length, resp.Body = -1, io.NopCloser(&pausingStream{ctx: ctx, pieces: []string{"", "id: 2\ndata: y\n\n"}, pause: second})
 		if n == 1 {
 			resp.Body = io.NopCloser(&pausingStream{ctx: ctx, pieces: []string{"id: 1\ndata: x\n\n", "id: 2\ndata: y\n\n"}, pause: pause})
 		}
@@ -69,8 +77,33 @@
 	t.Cleanup(m.Close)
 	d := dispatch.New(proof, p, retry.New(now, retry.Limits{Extra: 5, Window: 10 * time.Second}, func() int { return 1 }), e, retryObserver{}, log, dispatch.WithReach(m))
 	d.SetTable(table(1, "k"))
-	a = serve(t, d, "resumable")
-	return e.sentCount(), time.Since(now), a
+	return e, d
+}
+
+// TestSilentEngineKeepsItsStreamsWhereNoOtherEndsThemInTime guards against begun streams of a stopping node that are taken from an
+// engine which would have ended them in time, for one that does not, and against ones that stay at an engine which is gone.
+func TestSilentEngineKeepsItsStreamsWhereNoOtherEndsThemInTime(t *testing.T) {
+	const left, patience = 4 * time.Second, 10 * time.Second
+	for _, test := range []struct {
+		accepts       bool
+		pause, second time.Duration
+	}{{true, left / 2, patience}, {false, patience, 0}} {
+		t.Run(fmt.Sprint("accepts connections ", test.accepts), func(t *testing.T) {
+			t.Parallel()
+			e, d := newPausing(t, test.accepts, test.pause, test.second)
+			d.Table().Route("h", "/resumable/x").Timeout = patience
+			now := time.Now()
+			end := time.AfterFunc(left, d.CutOff)
+			defer end.Stop()
+			answers := make(chan *recordedAnswer, 1)
+			go func() { answers <- servePatience(t, d, "resumable", patience) }()
+			e.awaitSent(t, 1)
+			d.StopBy(dispatch.Stop{Begin: now, By: now.Add(left), Kill: now.Add(left)})
+			if a := <-answers; a.aborted || a.body.String() != "id: 1\ndata: x\n\nid: 2\ndata: y\n\n" {
+				t.Errorf("sent %d times, body %q, aborted %v", e.sentCount(), a.body.String(), a.aborted)
+			}
+		})
+	}
 }
 
 func TestSilentEngineThatGoesOnKeepsItsStreams(t *testing.T) {
