Dispatch: the time in which a body arrives counts as no run at a stop

A stopping node that could serve for 1.7 s more refused a request of 20 ms whose body had taken 0.8 s, and the next ones of its route: requests in progress, which tell that runs have become slower, counted from the arrival of their heads.

TestTimeOfABodyCountsAsNoRun, before: refused with node_stopping; after: served.

--- a/internal/dispatch/absence.go
+++ b/internal/dispatch/absence.go
@@ -63,14 +63,14 @@
 	}
 }
 
-// oldest returns how long the oldest request of a route has been in progress.
+// oldest returns how long the oldest request of a route has been in progress, without the time in which its body arrived.
 func (a *activeExchanges) oldest(now time.Time, route *routing.Route) time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	oldest := time.Duration(0)
 	for x := range a.cancels {
 		if x.route.Name == route.Name {
-			oldest = max(oldest, now.Sub(x.arrived))
+			oldest = max(oldest, now.Sub(x.whole))
 		}
 	}
 	return oldest
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -175,7 +175,7 @@
 	d.rate.add(arrived)
 	defer d.active.Add(-1)
 	x := &exchange{
-		d: d, req: r, route: route, team: team, answer: a, arrived: arrived, deadline: arrived.Add(patience(r, route)),
+		d: d, req: r, route: route, team: team, answer: a, arrived: arrived, whole: clock.Now(), deadline: arrived.Add(patience(r, route)),
 		caller: caller.ConnOf(ctx), pool: route.ChoosePool(r.ID), tried: map[string]bool{}, lastEventID: r.LastEventID, engineLimit: noLimit,
 	}
 	x.reach = d.reachOf(x.pool)
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -409,3 +409,21 @@
 		}
 	}
 }
+
+// TestTimeOfABodyCountsAsNoRun guards against a stopping node that refuses short requests since the body of one took long to
+// arrive.
+func TestTimeOfABodyCountsAsNoRun(t *testing.T) {
+	e := &fakeSender{serve: func(context.Context, int, dispatch.Attempt) (*dispatch.Response, error) {
+		return respond(http.StatusOK, "well"), nil
+	}}
+	d := newDispatcher(e, 0)
+	for range 20 {
+		serve(t, d, "unsafe")
+	}
+	now, r, a := time.Now(), &dispatch.Request{ID: "id", Host: "h", Path: "/unsafe/x", Key: "k", Patience: timeout}, &recordedAnswer{}
+	route, team, _ := d.Check(now, r)
+	d.StopBy(dispatch.Stop{Begin: now, By: now.Add(timeout / 2)})
+	if d.Serve(context.Background(), now.Add(-timeout/2), r, route, team, a); a.status != http.StatusOK {
+		t.Errorf("got status %d, refusal %+v", a.status, a.refusal)
+	}
+}
--- a/internal/dispatch/walk.go
+++ b/internal/dispatch/walk.go
@@ -35,6 +35,7 @@
 	caller   *caller.Conn     // caller is the connection to the caller; nil if it is not known
 	buffer   *relaybuf.Buffer // buffer holds what the caller has not read; nil if the answer is not buffered
 	arrived  time.Time
+	whole    time.Time // whole is when this node had read the whole request
 	deadline time.Time
 	pool     string
 	reach    *reach.Pool // reach is the connectivity to the pool's engines; nil if it is not monitored
