Forward: requests that have not arrived at a stop are refused, not dropped

A forwarded request whose body had not arrived when its second node ended got a bare close, which its first node has to take for "may have run". The reading of callers' requests is interrupted at a stop; that of forwarded ones is now too. Its answer, as to any request that can't be read, says "not sent" to the first node, and no longer waits for the rest of the body.

TestRequestsThatArriveSlowlyAreAnsweredAtAStop gets two cases. Forwarded, before: closed without an answer; after: refused. In chunks: refused before and after.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -321,7 +321,7 @@
 		servers = append(servers, endpoint{s.ChatAddress, completions, callerShare})
 	}
 	forwarded := http.NewServeMux()
-	forwarded.Handle("POST "+forward.Path, forward.NewHandler(e.dispatcher, forward.Limits{Read: ms(s.ReadTimeoutMs), Write: ms(s.WriteTimeoutMs)}, e.log))
+	forwarded.Handle("POST "+forward.Path, forward.NewHandler(e.dispatcher, forward.Limits{Read: ms(s.ReadTimeoutMs), Write: ms(s.WriteTimeoutMs)}, e.log, forward.WithReads(&e.reads)))
 	if s.ForwardAddress != "" {
 		servers = append(servers, endpoint{s.ForwardAddress, forwarded, linger.OtherShare})
 	} else {
--- a/internal/edge/stop_test.go
+++ b/internal/edge/stop_test.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/croftturn/croftturn/internal/clock"
+	"github.com/croftturn/croftturn/internal/forward"
+	"github.com/croftturn/croftturn/internal/settings"
 )
 
 // stopConfig is a configuration with a route of each kind; callers wait for as long as the node may take to stop.
@@ -217,27 +219,42 @@
 }
 
 // TestRequestsThatArriveSlowlyAreAnsweredAtAStop guards against connections that only close under requests whose bodies have
-// not arrived when the node ends.
+// not arrived when the node ends, those of callers and those that other nodes forward.
 func TestRequestsThatArriveSlowlyAreAnsweredAtAStop(t *testing.T) {
-	s := newStopRig(t, time.Second)
-	conn, err := net.Dial("tcp", s.node.settings.CallerAddress)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer conn.Close()
-	if _, err := io.WriteString(conn, "POST /unsafe/1 HTTP/1.1\r\nHost: h\r\nAttempt-Id: slow\r\nAuthorization: Bearer k\r\nDeadline-Ms: 4000\r\nContent-Length: 100\r\n\r\nthe first"); err != nil {
-		t.Fatal(err)
-	}
-	time.Sleep(100 * time.Millisecond) // The node reads the body.
-	closed := make(chan error, 1)
-	go func() { closed <- s.node.Close() }()
-	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
-	if err != nil || resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") == "" {
-		t.Errorf("got %v, %v; want a refusal that says when to come again", resp, err)
-	}
-	conn.Close()
-	if err := <-closed; err != nil {
-		t.Error(err)
+	const head = "POST %s HTTP/1.1\r\nHost: h\r\nAttempt-Id: slow\r\nAuthorization: Bearer k\r\nDeadline-Ms: 4000\r\n"
+	for name, test := range map[string]struct {
+		address      func(s *settings.Settings) string
+		path, body   string
+		status       int
+		mayComeAgain bool
+	}{
+		"with a length": {func(s *settings.Settings) string { return s.CallerAddress }, "/unsafe/1", "Content-Length: 100\r\n\r\nthe first", http.StatusServiceUnavailable, true},
+		"in chunks":     {func(s *settings.Settings) string { return s.CallerAddress }, "/unsafe/1", "Transfer-Encoding: chunked\r\n\r\n9\r\nthe first\r\n", http.StatusServiceUnavailable, true},
+		"forwarded":     {func(s *settings.Settings) string { return s.PeerAddress }, forward.Path, "Content-Length: 100\r\n\r\n\x00\x00\x00\x50", http.StatusBadRequest, false}, // The other node takes it as not run.
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newStopRig(t, time.Second)
+			conn, err := net.Dial("tcp", test.address(s.node.settings))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			if _, err := fmt.Fprintf(conn, head+test.body, test.path); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(100 * time.Millisecond) // The node reads the body.
+			closed := make(chan error, 1)
+			go func() { closed <- s.node.Close() }()
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil || resp.StatusCode != test.status || (resp.Header.Get("Retry-After") != "") != test.mayComeAgain {
+				t.Errorf("got %v, %v; want status %d that says when to come again: %v", resp, err, test.status, test.mayComeAgain)
+			}
+			conn.Close()
+			if err := <-closed; err != nil {
+				t.Error(err)
+			}
+		})
 	}
 }
 
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -37,9 +37,13 @@
 	Handler struct {
 		dispatcher Dispatcher
 		limits     Limits
+		reads      *caller.BodyReads
 		log        *slog.Logger
 	}
 
+	// Option configures a Handler.
+	Option func(*Handler)
+
 	// answer writes the answer to a forwarded request.
 	answer struct {
 		*reply.Writer
@@ -49,9 +53,16 @@
 	}
 )
 
+// WithReads sets what can interrupt the reading of requests.
+func WithReads(r *caller.BodyReads) Option { return func(h *Handler) { h.reads = r } }
+
 // NewHandler returns the handler of forwarded requests.
-func NewHandler(d Dispatcher, l Limits, log *slog.Logger) *Handler {
-	return &Handler{dispatcher: d, limits: l, log: log}
+func NewHandler(d Dispatcher, l Limits, log *slog.Logger, opts ...Option) *Handler {
+	h := &Handler{dispatcher: d, limits: l, log: log}
+	for _, o := range opts {
+		o(h)
+	}
+	return h
 }
 
 // ServeHTTP implements http.Handler. The key and the route are checked anew, with the configuration of
@@ -72,6 +83,7 @@
 	}
 	if err != nil {
 		h.log.Warn("invalid forwarded request", "error", err.Error())
+		w.Header().Set("Connection", "close") // Otherwise the server reads the body before it sends the refusal.
 		http.Error(w, "invalid request", http.StatusBadRequest)
 		return
 	}
@@ -92,19 +104,18 @@
 	a.Finish()
 }
 
-// read reads a forwarded request.
+// read reads a forwarded request. One that does not arrive before the node ends is refused like an invalid one, so that its
+// first node knows that it has not run.
 func (h *Handler) read(w http.ResponseWriter, r *http.Request) (*dispatch.Request, error) {
 	control := http.NewResponseController(w)
 	if err := control.SetReadDeadline(time.Now().Add(h.limits.Read)); err != nil {
 		return nil, fmt.Errorf("set read deadline: %w", err)
 	}
-	head := &requestHead{}
-	if err := readHead(r.Body, head); err != nil {
-		return nil, err
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	end := h.reads.Begin(control)
+	head, body, err := readMessage(w, r)
+	end() // Before the deadline is cleared: it must not be set again.
 	if err != nil {
-		return nil, fmt.Errorf("read body: %w", err)
+		return nil, err
 	}
 	if err := control.SetReadDeadline(time.Time{}); err != nil {
 		return nil, fmt.Errorf("clear read deadline: %w", err)
@@ -112,6 +123,19 @@
 	return head.request(body), nil
 }
 
+// readMessage reads the head and the body of a forwarded request.
+func readMessage(w http.ResponseWriter, r *http.Request) (*requestHead, []byte, error) {
+	head := &requestHead{}
+	if err := readHead(r.Body, head); err != nil {
+		return nil, nil, err
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	if err != nil {
+		return nil, nil, fmt.Errorf("read body: %w", err)
+	}
+	return head, body, nil
+}
+
 // Refuse implements dispatch.AnswerWriter.
 func (a *answer) Refuse(r dispatch.Refusal) {
 	a.begin(&responseHead{Refusal: r.Reason, RetryAfter: r.RetryAfter, Version: a.version()})
