Dispatch: a slow request is not taken from the only engine that works on it

Cause: only streams that had begun were asked whether there is another engine to go to. Class: given up for something that is not there.

TestSlowRequestStaysAtTheOnlyEngine: 502 for a safe request and a resumable stream before, both answered now.

--- a/internal/dispatch/continuation.go
+++ b/internal/dispatch/continuation.go
@@ -185,12 +185,12 @@
 // canMove returns a function that reports whether another engine may take over from the current one, for the
 // time of this attempt. passedOn reports whether an event of the current engine was passed on.
 func (x *exchange) canMove(passedOn func() bool) func(now time.Time) bool {
-	if !x.resumable() {
-		return func(time.Time) bool { return true }
-	}
-	bound, pool, version, tried := x.origin.bound, x.pool, x.choice.Engine.Version, maps.Clone(x.tried)
+	resumable, bound, pool, version, tried := x.resumable(), x.origin.bound, x.pool, x.choice.Engine.Version, maps.Clone(x.tried)
 	return func(now time.Time) bool {
-		return !bound && !passedOn() || x.d.placement.HasVersion(now, pool, version, tried)
+		if resumable && (bound || passedOn()) {
+			return x.d.placement.HasVersion(now, pool, version, tried)
+		}
+		return x.d.placement.HasOther(now, pool, tried)
 	}
 }
 
--- a/internal/dispatch/silent_test.go
+++ b/internal/dispatch/silent_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"net/http"
 	"testing"
 	"time"
 
@@ -144,3 +145,23 @@
 		t.Errorf("got %+v after %d attempts", a.refusal, e.sentCount())
 	}
 }
+
+// TestSlowRequestStaysAtTheOnlyEngine guards against requests that fail since they were taken from an engine that works on
+// them, though there is no other.
+func TestSlowRequestStaysAtTheOnlyEngine(t *testing.T) {
+	for _, route := range []string{"safe", "resumable"} {
+		e := &fakeSender{}
+		e.serve = func(ctx context.Context, _ int, _ dispatch.Attempt) (*dispatch.Response, error) {
+			select {
+			case <-ctx.Done():
+				return nil, context.Cause(ctx)
+			case <-time.After(4 * target):
+				return respond(http.StatusOK, "id: 1\ndata: x\n\n"), nil
+			}
+		}
+		d := newDispatcherWithPlacement(placement.New("hall"), e, 5, table(1, "k"), 8, "e1")
+		if a := serve(t, d, route); a.status != http.StatusOK || e.sentCount() != 1 {
+			t.Errorf("%s: status %d, refusal %+v after %d attempts, want an answer of the first", route, a.status, a.refusal, e.sentCount())
+		}
+	}
+}
--- a/internal/placement/version.go
+++ b/internal/placement/version.go
@@ -76,11 +76,19 @@
 // HasVersion reports whether a pool has an engine with a software version that gets requests, other than
 // those to avoid.
 func (p *Placement) HasVersion(now time.Time, pool, version string, avoid map[string]bool) bool {
+	return p.hasEngine(now, pool, func(e *engine) bool { return e.Version == version && !avoid[e.ID] })
+}
+
+// HasOther reports whether a pool has an engine that gets requests, other than those to avoid.
+func (p *Placement) HasOther(now time.Time, pool string, avoid map[string]bool) bool {
+	return p.hasEngine(now, pool, func(e *engine) bool { return !avoid[e.ID] })
+}
+
+// hasEngine reports whether a pool has an engine of some kind that gets requests.
+func (p *Placement) hasEngine(now time.Time, pool string, is func(e *engine) bool) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return slices.ContainsFunc(p.pool(pool).withLeaving, func(e *engine) bool {
-		return e.Version == version && !avoid[e.ID] && (!e.Draining || p.usesLeaving(now, e))
-	})
+	return slices.ContainsFunc(p.pool(pool).withLeaving, func(e *engine) bool { return is(e) && (!e.Draining || p.usesLeaving(now, e)) })
 }
 
 // VersionGone reports whether a pool has no engine with a software version any more. While changes in the
