Soak: two planted faults of a stop that ends answers early

The ledger says in which part of the stop a request was ended: only an end before the last part shows these faults.

--- a/lab/soak/faults_starved.go
+++ b/lab/soak/faults_starved.go
@@ -333,9 +333,9 @@
 			continue
 		}
 		sigterm := l.sigtermBefore(k.node, k.ended)
-		switch early := l.endedByStop(k, sigterm); {
+		switch early, when := l.endedByStop(k, sigterm); {
 		case early:
-			out = append(out, fmt.Sprintf("%s %s was not answered: ended by the stop of %s %v after the SIGTERM, sent %v after it, runs %d, answer begun %v, given as cut off %v", k.route, k.id, k.node, k.ended.Sub(sigterm), k.sent.Sub(sigterm), len(l.runs[k.id]), k.begun, k.cutOff))
+			out = append(out, fmt.Sprintf("%s %s was not answered: ended by the stop of %s %s, %v after the SIGTERM, sent %v after it, runs %d, answer begun %v, given as cut off %v", k.route, k.id, k.node, when, k.ended.Sub(sigterm), k.sent.Sub(sigterm), len(l.runs[k.id]), k.begun, k.cutOff))
 		case !k.answered && !crossed && (len(l.runs[k.id]) == 0 || !mayBeEnded(k, sigterm)):
 			out = append(out, fmt.Sprintf("%s %s was not answered: its connection ended %v after its last byte, runs %d, first of its connection %v", k.route, k.id, after, len(l.runs[k.id]), k.fresh))
 		}
--- a/lab/soak/ledger_stop.go
+++ b/lab/soak/ledger_stop.go
@@ -27,14 +27,22 @@
 	return last
 }
 
+// beforeLastPart reports whether a request ended before the part of a stop in which a node may end what engines have.
+func beforeLastPart(k keptRequest, sigterm time.Time) bool {
+	return k.ended.Before(sigterm.Add(stopGrace - stopGrace/endPart))
+}
+
 // mayBeEnded reports whether a stopping node might end a request that engines had when it ended.
 func mayBeEnded(k keptRequest, sigterm time.Time) bool {
-	return !k.sent.After(sigterm.Add(lateSent)) && !k.ended.Before(sigterm.Add(stopGrace-stopGrace/endPart))
+	return !k.sent.After(sigterm.Add(lateSent)) && !beforeLastPart(k, sigterm)
 }
 
 // endedByStop reports whether a stopping node ended a request that an engine had, or an answer that had begun, earlier than
-// it may. From stopGrace after the SIGTERM on the node is killed.
-func (l *Ledger) endedByStop(k keptRequest, sigterm time.Time) bool {
+// it may, and in which part of its stop. From stopGrace after the SIGTERM on the node is killed.
+func (l *Ledger) endedByStop(k keptRequest, sigterm time.Time) (early bool, when string) {
 	begun := k.begun || len(l.runs[k.id]) > 0
-	return begun && (!k.answered || k.cutOff) && k.ended.Before(sigterm.Add(stopGrace)) && !mayBeEnded(k, sigterm)
+	if when = "in its last part"; beforeLastPart(k, sigterm) {
+		when = "before its last part"
+	}
+	return begun && (!k.answered || k.cutOff) && k.ended.Before(sigterm.Add(stopGrace)) && !mayBeEnded(k, sigterm), when
 }
--- a/lab/soak/planted_test.go
+++ b/lab/soak/planted_test.go
@@ -30,6 +30,8 @@
 	{"a listener is closed with its backlog", "was not answered", faultStarved, "internal/linger/conn.go", "if empty && l.empty {", "if empty || !l.empty {"},
 	{"a connection with an unread request is closed", "was not answered", faultStarved, "internal/linger/conn.go", "case !c.isIdle():", "case c.server.closed.Load():"},
 	{"a stop begins when its signal is seen", "did not stop within", faultStarved, "internal/edge/stop.go", "kill.Add(-max(margin, margin/2+turns*late))", "kill.Add(-margin + 0*turns*late)"},
+	{"answers end by how late the process was before", "before its last part", faultStarved, "internal/edge/stop.go", "kill.Add(-grace / cutPart); p.cut.Before(latest) {", "p.refuse; !latest.IsZero() {"},
+	{"what engines have ends with what none has", "before its last part", faultStarved, "internal/dispatch/stop.go", "d.exchanges.endUnsent(errCutOff)", "d.exchanges.end(errCutOff)"},
 	{"changes between two pages are not read", "between two pages", faultUnreadDrain, "platform/store.go", "if all = pages; last != pages.Version {", "if all, all.Version = pages, last; last < 0 {"},
 	{"an odd row hides all others", "served beside an odd row", faultOddRow, "platform/store_rows.go", "return json.Unmarshal(withoutDepth(data), into)", "return err"},
 	{"a short answer is passed on as whole", " got ", "engines cut answers off", "internal/dispatch/relay.go", "return false, fmt.Errorf(\"read answer: %w\", err)\n\t\t}\n\t}", "return true, nil\n\t\t}\n\t}"},
