--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -337,9 +337,9 @@
 	if err != nil {
 		return fmt.Errorf("start server: %w", err)
 	}
-	server := e.newServer(at.handler, at.share)
+	serve := e.newServer(at.handler, at.share).Add(e.link.Listener(l))
 	e.startGoroutine(func() {
-		if err := server.Serve(e.link.Listener(l)); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		if err := serve(); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			e.log.Error("server failed", "address", at.address, "error", err.Error())
 		}
 	})
--- a/internal/linger/linger.go
+++ b/internal/linger/linger.go
@@ -92,18 +92,24 @@
 }
 
 // Serve accepts and serves the connections of a listener until Shutdown or Close. Its error is never nil.
-func (s *Server) Serve(l net.Listener) error {
+func (s *Server) Serve(l net.Listener) error { return s.Add(l)() }
+
+// Add takes over a listener, so that Shutdown waits for what it holds, and returns what serves it, as Serve does. Serve in a
+// goroutine of its own may run after Shutdown.
+func (s *Server) Add(l net.Listener) (serve func() error) {
 	done := make(chan struct{})
-	defer close(done)
 	own := &listener{Listener: l, server: s, raw: rawOf(l), done: done}
 	s.mu.Lock()
 	s.listeners = append(s.listeners, own)
 	s.mu.Unlock()
-	err := s.http.Serve(own)
-	if s.ending.Load() || s.closed.Load() {
-		return http.ErrServerClosed
+	return func() error {
+		defer close(done)
+		err := s.http.Serve(own)
+		if s.ending.Load() || s.closed.Load() {
+			return http.ErrServerClosed
+		}
+		return err
 	}
-	return err
 }
 
 // Shutdown ends the server in order: it takes no new connections but serves those that wait to be accepted, answers what
--- a/internal/linger/linger_test.go
+++ b/internal/linger/linger_test.go
@@ -103,10 +103,10 @@
 	}
 	r := &rig{t: t, address: l.Addr().String()}
 	r.server = New(&http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second, ConnContext: caller.WithConn}, &r.stats, slog.New(slog.DiscardHandler))
-	served := make(chan struct{})
+	serve, served := r.server.Add(wrap(l)), make(chan struct{})
 	go func() {
 		defer close(served)
-		if err := r.server.Serve(wrap(l)); !errors.Is(err, http.ErrServerClosed) {
+		if err := serve(); !errors.Is(err, http.ErrServerClosed) {
 			t.Errorf("serve: %v", err)
 		}
 	}()
@@ -276,6 +276,37 @@
 	}
 }
 
+// TestShutdownWaitsForAServerThatHasNotRun guards against a stop that ends at once, and resets what a listener holds, since
+// the goroutine that serves it has not run yet.
+func TestShutdownWaitsForAServerThatHasNotRun(t *testing.T) {
+	l, err := Listen(t.Context(), "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &rig{t: t, address: l.Addr().String()}
+	r.server = New(&http.Server{Handler: http.HandlerFunc(ok), ReadHeaderTimeout: 5 * time.Second, ConnContext: caller.WithConn}, &r.stats, slog.New(slog.DiscardHandler))
+	serve := r.server.Add(l)
+	c := r.dial()
+	r.write(c)
+	ended := r.shutdown(t.Context())
+	select {
+	case err := <-ended:
+		t.Errorf("ended before the listener was served, with %v", err)
+	case <-time.After(100 * time.Millisecond):
+	}
+	served := make(chan error, 1)
+	go func() { served <- serve() }()
+	if resp, err := r.read(c); err != nil || !resp.Close {
+		t.Errorf("got %v, %v; want an answer that closes its connection", resp, err)
+	}
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+	if err := <-served; !errors.Is(err, http.ErrServerClosed) {
+		t.Errorf("serve: %v", err)
+	}
+}
+
 // TestShutdownIsBounded guards against a stop that lasts as long as callers keep silent connections.
 func TestShutdownIsBounded(t *testing.T) {
 	r := newRig(t, func(l net.Listener) net.Listener { return l }, ok)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -202,8 +202,8 @@
 	n.start(func() {
 		n.watchStore(ctx, func() { n.start(func() { n.claims.StoreReturned(ctx) }) }, held.StoreReturned, heldParts.StoreReturned)
 	})
-	n.start(func() { n.serve(n.callers, callers) })
-	n.start(func() { n.serve(n.control, control) })
+	n.serve(n.callers, callers)
+	n.serve(n.control, control)
 }
 
 // start runs f on a goroutine that Close waits for.
@@ -217,9 +217,12 @@
 
 // serve serves HTTP until the server is shut down.
 func (n *Node) serve(s *linger.Server, l net.Listener) {
-	if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
-		n.tele.Log.Error("server failed", "address", l.Addr().String(), "error", err.Error())
-	}
+	serve := s.Add(l)
+	n.start(func() {
+		if err := serve(); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			n.tele.Log.Error("server failed", "address", l.Addr().String(), "error", err.Error())
+		}
+	})
 }
 
 // Ready returns nil if the node can serve callers, else the reason.
