--- /dev/null
+++ b/lab/soak/signal_test.go
@@ -0,0 +1,127 @@
+package soak
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/croftturn/croftturn/lab/cluster"
+	"github.com/croftturn/croftturn/lab/relay"
+)
+
+const (
+	// endlessRun is how long a request runs that no stop can wait for.
+	endlessRun = 12 * time.Second
+
+	// lastPart is how long before the end of its grace a node may end answers.
+	lastPart = stopGrace / 6
+)
+
+// ask sends a request that runs for some time to a node, and returns its answer.
+func ask(t *testing.T, n *node, route, id string, work time.Duration) (status int, body string, err error) {
+	t.Helper()
+	req, err := newRequest(t.Context(), n.callerAddress, fmt.Sprintf("%s/%d", route, work.Milliseconds()), id, "key-1", id+":100", "body of "+id)
+	if err != nil {
+		return 0, "", err
+	}
+	req.Header.Set("Deadline-Ms", fmt.Sprint(endlessRun.Milliseconds()))
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, "", err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(text), err
+}
+
+// TestStopAtOddMoments guards against answers that a stop ends before the last part of its grace, and against processes that
+// have not ended by then, where the signal comes beside other things.
+func TestStopAtOddMoments(t *testing.T) {
+	for name, around := range map[string]func(env *Environment, n *node) (before, after error){
+		"a reload before": func(_ *Environment, n *node) (before, after error) {
+			return n.Signal(syscall.SIGHUP), n.Signal(syscall.SIGTERM)
+		},
+		"twice, and a reload": func(_ *Environment, n *node) (before, after error) {
+			before = n.Signal(syscall.SIGTERM)
+			time.Sleep(time.Second)
+			return before, errors.Join(n.Signal(syscall.SIGTERM), n.Signal(syscall.SIGHUP))
+		},
+		"an evacuation": func(env *Environment, n *node) (before, after error) {
+			return env.write(row{"op", "evacuate/" + hallOf(0), map[string]any{}}), n.Signal(syscall.SIGTERM)
+		},
+		"a process that stands still": func(_ *Environment, n *node) (before, after error) {
+			before = errors.Join(n.Signal(syscall.SIGSTOP), n.Signal(syscall.SIGTERM))
+			time.Sleep(900 * time.Millisecond)
+			return before, n.Signal(syscall.SIGCONT)
+		},
+		"a process that stands still at the cut": func(_ *Environment, n *node) (before, after error) {
+			before = n.Signal(syscall.SIGTERM)
+			time.Sleep(stopGrace - lastPart)
+			stop := n.Signal(syscall.SIGSTOP)
+			time.Sleep(900 * time.Millisecond)
+			return before, errors.Join(stop, n.Signal(syscall.SIGCONT))
+		},
+		"a store that is silent": func(env *Environment, n *node) (before, after error) {
+			n.store.Set(relay.Hold)
+			return nil, n.Signal(syscall.SIGTERM)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			env, n := startTwoNodes(t, endlessRun)
+			env.expectExit(n)
+			var callers sync.WaitGroup
+			var cut time.Time // cut is when the endless request ended.
+			for _, route := range routes {
+				callers.Go(func() {
+					id := longID(route)
+					if status, body, err := ask(t, n, route, id, longRun); err != nil || status != success || versionLine.ReplaceAllString(body, "") != expectedBody(route, id) {
+						t.Errorf("%s got status %d, %q, %v", id, status, body, err)
+					}
+				})
+			}
+			callers.Go(func() {
+				_, _, _ = ask(t, n, routeUnsafe, "endless", endlessRun) // How it ends does not matter, but when.
+				cut = time.Now()
+			})
+			time.Sleep(standstill / 2)
+			begin := time.Now()
+			if before, after := around(env, n); before != nil || after != nil {
+				t.Fatal(before, after)
+			}
+			if err := cluster.Wait("the node has ended", stopGrace-time.Since(begin), n.Exited); err != nil {
+				t.Error(err)
+			}
+			callers.Wait()
+			if after := cut.Sub(begin); after < stopGrace-lastPart || after > stopGrace {
+				t.Errorf("the endless request ended %v after the signal", after)
+			}
+		})
+	}
+}
+
+// TestStopDuringTheStart guards against processes that do not end when the signal comes before they are ready.
+func TestStopDuringTheStart(t *testing.T) {
+	env, n := startTwoNodes(t, 0)
+	env.expectExit(n)
+	n.Kill()
+	n.store.Set(relay.Hold)
+	for _, after := range []time.Duration{0, 5 * time.Millisecond, 50 * time.Millisecond, 500 * time.Millisecond} {
+		if err := env.launch(n); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(after)
+		if err := n.Signal(syscall.SIGTERM); err != nil {
+			t.Fatal(err)
+		}
+		if err := cluster.Wait(fmt.Sprint("a node that got the signal ", after, " after its start has ended"), stopGrace, n.Exited); err != nil {
+			t.Error(err)
+			n.Kill()
+		}
+	}
+}
