--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -327,6 +327,7 @@
 		if x.reach != nil && x.reach.Accepts(ctx, address) {
 			pause.For(ctx, silentGrace-clock.Since(now))
 		}
+		readUnread(ctx)
 		if ctx.Err() == nil && events.Load() == before {
 			abandon()
 		}
--- a/internal/dispatch/resend.go
+++ b/internal/dispatch/resend.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/croftturn/croftturn/internal/clock"
+	"github.com/croftturn/croftturn/internal/pause"
 )
 
 const (
@@ -19,6 +20,10 @@
 	// to batch changes and a message, 100 ms each). A request sent to the current incarnation
 	// before that has had a sign, or soon will.
 	restartSilence = 500 * time.Millisecond
+
+	// unreadTime is how long a process runs at least before an engine counts as silent: what came while the process stood
+	// still is read meanwhile. It is shorter than the turns of a process that gets little time.
+	unreadTime = 10 * time.Millisecond
 )
 
 var (
@@ -30,13 +35,30 @@
 )
 
 // watchFirstByte abandons an attempt whose engine sends nothing for too long, if another engine may
-// be tried.
-func (x *exchange) watchFirstByte(cancel context.CancelCauseFunc) *time.Timer {
+// be tried. The context is that of the attempt; answered reports whether an answer has come.
+func (x *exchange) watchFirstByte(ctx context.Context, cancel context.CancelCauseFunc, answered func() bool) *time.Timer {
 	if !x.mayTryNext() || x.route.Target <= 0 {
 		return time.NewTimer(clock.Until(x.deadline))
 	}
 	begun := x.answerBegun
-	return time.AfterFunc(firstByteTargets*x.route.Target, x.abandonSlow(cancel, x.canMove(func() bool { return false }), func() bool { return begun }))
+	abandon := x.abandonSlow(cancel, x.canMove(func() bool { return false }), func() bool { return begun })
+	return time.AfterFunc(firstByteTargets*x.route.Target, func() {
+		readUnread(ctx)
+		if ctx.Err() == nil && !answered() {
+			abandon()
+		}
+	})
+}
+
+// readUnread returns once the process has run for unreadTime without a break, or the context has ended.
+func readUnread(ctx context.Context) {
+	for ctx.Err() == nil {
+		begin := clock.Now()
+		pause.For(ctx, unreadTime)
+		if clock.Since(begin) < 2*unreadTime {
+			return
+		}
+	}
 }
 
 // abandonSlow returns a timer function that abandons the current attempt for another engine if there is one, the
--- a/internal/dispatch/walk.go
+++ b/internal/dispatch/walk.go
@@ -205,8 +205,10 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	x.watchRestart(ctx, cancel)
-	watch, silence := x.watchFirstByte(cancel), x.watchSilence(now)
+	var answered atomic.Bool
+	watch, silence := x.watchFirstByte(ctx, cancel, answered.Load), x.watchSilence(now)
 	resp, err := x.d.sender.Send(ctx, x.req, x.attemptFor(x.choice.Engine))
+	answered.Store(true)
 	watch.Stop()
 	silence.Stop()
 	if err != nil {
--- a/lab/soak/signal_test.go
+++ b/lab/soak/signal_test.go
@@ -125,3 +125,39 @@
 		}
 	}
 }
+
+// TestAnswersThatCameDuringAStandstillAreTaken guards against attempts that are given up as if their engines were silent, since
+// the process stood still while the answers came.
+func TestAnswersThatCameDuringAStandstillAreTaken(t *testing.T) {
+	env, n := startTwoNodes(t, endlessRun)
+	for round := range 4 {
+		var callers sync.WaitGroup
+		var ids []string
+		for i := range callersOfEach {
+			route := []string{routeSafe, routeResumable}[i%2]
+			id := longID(fmt.Sprint(route, "-", round, "-", i))
+			ids = append(ids, id)
+			callers.Go(func() {
+				if status, body, err := ask(t, n, route, id, 300*time.Millisecond); err != nil || status != success || versionLine.ReplaceAllString(body, "") != expectedBody(route, id) {
+					t.Errorf("%s got status %d, %q, %v", id, status, body, err)
+				}
+			})
+		}
+		time.Sleep(100 * time.Millisecond)
+		if err := n.Signal(syscall.SIGSTOP); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(2 * standstill)
+		if err := n.Signal(syscall.SIGCONT); err != nil {
+			t.Fatal(err)
+		}
+		callers.Wait()
+		env.ledger.mu.Lock()
+		for _, id := range ids {
+			if runs := len(env.ledger.runs[id]); runs != 1 {
+				t.Errorf("%s ran %d times", id, runs)
+			}
+		}
+		env.ledger.mu.Unlock()
+	}
+}
