--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -328,6 +328,7 @@
 		if accepts {
 			pause.For(ctx, silentGrace-clock.Since(now))
 		}
+		readUnread(ctx)
 		if ctx.Err() == nil && events.Load() == before {
 			abandon(accepts || !begun && before == 0) // An engine that is gone ends no answer that has begun.
 		}
