Dispatch: what a stopping node takes is bounded by runs of requests as large

What callers saw: requests of a rare, large kind (prompts of 40,000 tokens, bodies of 110 KB) that a node took after its SIGTERM were ended by the stop.

Cause: fitsBeforeStop bounds a run by the recent runs of its route at this node, whatever their size. Runs of small requests vouched for large ones, so did answers that say a request is faulty, and streams that were taken up near their end. A request that is forwarded was not looked at again after its body was read or it had waited. Class: a bound learnt from other things than it is applied to.

Change: runs are counted by route and size (tokens of the prompt and ten times the longest answer that the request allows, or bytes of the body; four classes for a power of two, 112 for a route). The margin is counted from the runs of requests at least as large; where there are none, the time that the caller waits counts. The longest run stays that of all sizes, in progress too: nothing is taken that was refused before, and the smallest requests are taken as before. Answers without success and resumed streams count by how long they ran, but vouch for none. A request is looked at again before it is forwarded.

Evidence: TestStoppingNodeRefusesWhatIsLargerThanAllItKnows, six of six were taken and ended after 2.65 s before (200 and broken off, or 502), now refused at once, and a small one after it is served; TestStoppingNodeTakesNoLargerRequestThanItKnows, eight of thirteen cases failed before.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math"
 	"net/http"
 	"slices"
 	"strings"
@@ -210,6 +211,59 @@
 	<-done
 }
 
+// TestStoppingNodeTakesNoLargerRequestThanItKnows guards against requests that a stopping node takes and then cuts off since
+// it knows short runs only: of smaller requests, of failures, or of streams that were taken up near their end.
+func TestStoppingNodeTakesNoLargerRequestThanItKnows(t *testing.T) {
+	tokens := func(prompt, output, expected int) *dispatch.Request {
+		return &dispatch.Request{Prompt: placement.Prompt{Tokens: prompt}, OutputTokens: output, ExpectedTokens: expected}
+	}
+	body := func(n int) *dispatch.Request { return &dispatch.Request{Body: make([]byte, n)} }
+	resumed := tokens(40000, 10, 0)
+	resumed.LastEventID = "7"
+	for name, test := range map[string]struct {
+		known, asked *dispatch.Request
+		status       int
+		taken        bool
+	}{
+		"the same":                   {tokens(1000, 10, 0), tokens(1000, 10, 0), http.StatusOK, true},
+		"smaller":                    {tokens(1000, 10, 0), tokens(100, 5, 0), http.StatusOK, true},
+		"little larger":              {tokens(1000, 10, 0), tokens(1020, 11, 0), http.StatusOK, true},
+		"long prompt":                {tokens(1000, 10, 0), tokens(40000, 10, 0), http.StatusOK, false},
+		"long answer":                {tokens(1000, 10, 0), tokens(1000, 400, 0), http.StatusOK, false},
+		"long answer expected":       {tokens(1000, 0, 10), tokens(1000, 0, 400), http.StatusOK, false},
+		"any number of tokens":       {tokens(1000, 10, 0), tokens(math.MaxInt, math.MaxInt, 0), http.StatusOK, false},
+		"same body":                  {body(500), body(500), http.StatusOK, true},
+		"long body":                  {body(500), body(110_000), http.StatusOK, false},
+		"no body read yet":           {tokens(1000, 10, 0), body(0), http.StatusOK, true},
+		"body longer than tokens":    {tokens(400, 10, 0), body(400), http.StatusOK, false},
+		"others failed":              {tokens(40000, 10, 0), tokens(40000, 10, 0), http.StatusBadRequest, false},
+		"others taken up at the end": {resumed, tokens(40000, 10, 0), http.StatusOK, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDispatcher(&fakeSender{serve: func(context.Context, int, dispatch.Attempt) (*dispatch.Response, error) {
+				return respond(test.status, "id: 1\n\n"), nil
+			}}, 0)
+			request := func(like *dispatch.Request) *dispatch.Request {
+				r := *like
+				r.ID, r.Host, r.Path, r.Key, r.Patience = "id", "h", "/resumable/x", "k", timeout
+				return &r
+			}
+			for range 20 {
+				serveRequest(context.Background(), t, d, request(test.known))
+			}
+			now := time.Now()
+			d.StopBy(dispatch.Stop{Begin: now, By: now.Add(timeout / 2)})
+			if _, _, refusal := d.Check(now, request(test.asked)); (refusal == nil) != test.taken || refusal != nil && refusal.Reason != dispatch.Stopping {
+				t.Errorf("got the refusal %+v, want taken %v", refusal, test.taken)
+			}
+			d.StopBy(dispatch.Stop{Begin: now, By: now.Add(2 * timeout)})
+			if _, _, refusal := d.Check(now, request(test.asked)); refusal != nil {
+				t.Errorf("got the refusal %+v though the caller waits for less than what is left", refusal)
+			}
+		})
+	}
+}
+
 // TestSlowRequestStaysAtItsEngineWhileTheNodeStops guards against a repeatable request that is taken from a slow engine to
 // be sent to another one, and then refused because it no longer fits.
 func TestSlowRequestStaysAtItsEngineWhileTheNodeStops(t *testing.T) {
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -98,11 +98,7 @@
 	var avoid []string
 	for range maxForwards {
 		now := clock.Now()
-		if refusal := x.stillAllowed(now); refusal != nil {
-			x.refuse(*refusal)
-			return true, false
-		}
-		if refusal := x.refuseHeld(now); refusal != nil {
+		if refusal := x.recheckSending(now); refusal != nil {
 			x.refuse(*refusal)
 			return true, false
 		}
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -215,7 +215,11 @@
 	if x.via != "" {
 		return // The other node has recorded it.
 	}
-	x.d.runs.add(now, x.route.Name, now.Sub(x.sentAt))
+	if took := now.Sub(x.sentAt); x.continues || x.status >= http.StatusMultipleChoices {
+		x.d.runs.addPart(now, x.route.Name, took)
+	} else {
+		x.d.runs.add(now, x.route.Name, sizeOf(x.req), took)
+	}
 	if x.route.Kind == routing.Stream && x.interactive() {
 		x.d.placement.NoteAnswer(x.choice, x.events, now.Sub(x.firstEventAt))
 	}
--- a/internal/dispatch/stop.go
+++ b/internal/dispatch/stop.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// Where n recent runs are known, another may take longer than the longest of them by fewRunsMargin/n of it, and by
-	// leastRunMargin at least.
+	// Where n recent runs of requests at least as large are known, another may take longer than the longest of them by
+	// fewRunsMargin/n of it, and by leastRunMargin at least.
 	leastRunMargin = 0.5
 	fewRunsMargin  = 10
 
@@ -48,9 +48,8 @@
 
 	// longestRun is the longest run of a route as of a time.
 	longestRun struct {
-		at    time.Time
-		took  time.Duration
-		known int // known is how many runs are known.
+		at   time.Time
+		took time.Duration
 	}
 )
 
@@ -73,34 +72,32 @@
 }
 
 // fitsBeforeStop reports whether a request can end before this node does. It must fit as long as it may take, which
-// the runs of its route tell: the recent ones, and those in progress, since engines may have become slower.
+// the runs of its route tell: the recent ones, and those in progress, since engines may have become slower. Runs of smaller
+// requests tell nothing of how long it takes at most.
 func (d *Dispatcher) fitsBeforeStop(now time.Time, r *Request, route *routing.Route) bool {
 	s := d.stop.Load()
 	if s == nil {
 		return true
 	}
 	longest := patience(r, route)
-	if run := d.longestRun(now, s, route); run.known > 0 {
-		margin := max(leastRunMargin, fewRunsMargin/float64(run.known))
-		longest = min(longest, time.Duration((1+margin)*float64(run.took)))
+	if known := d.runs.known(route.Name, sizeOf(r)); known > 0 {
+		margin := max(leastRunMargin, fewRunsMargin/float64(known))
+		longest = min(longest, time.Duration((1+margin)*float64(d.longestRun(now, s, route))))
 	}
 	return s.By.Sub(now) >= longest+s.margin
 }
 
-// longestRun returns the longest run of a route while the process stops.
-func (d *Dispatcher) longestRun(now time.Time, s *stop, route *routing.Route) longestRun {
+// longestRun returns the longest run of a route while the process stops, whatever its size: a smaller request seldom runs for
+// longer.
+func (d *Dispatcher) longestRun(now time.Time, s *stop, route *routing.Route) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	run, ok := s.runs[route.Name]
-	if ok && now.Sub(run.at) < runsRefresh {
-		return run
+	if !ok || now.Sub(run.at) >= runsRefresh {
+		run = longestRun{at: now, took: max(d.runs.longest(route.Name), d.exchanges.oldest(now, route))}
+		s.runs[route.Name] = run
 	}
-	run.at = now
-	if run.took, run.known = d.runs.longest(route.Name); run.known > 0 {
-		run.took = max(run.took, d.exchanges.oldest(now, route))
-	}
-	s.runs[route.Name] = run
-	return run
+	return run.took
 }
 
 // mustLeave reports whether the request has to be served by another node because this one stops. An answer that has
--- a/internal/dispatch/walk.go
+++ b/internal/dispatch/walk.go
@@ -66,6 +66,7 @@
 	shedShare     float64           // shedShare is the share of requests of its tier refused on arrival because tiers above lack slots
 	headReceived  bool              // headReceived is set once the current engine has sent the head of its answer
 	answerBegun   bool              // answerBegun is set once the answer to the caller has begun
+	continues     bool              // continues is set if the current engine got the request to take up an answer
 	everSent      atomic.Bool       // everSent is set once the request was handed over for sending, to an engine or another node
 	sentAt        time.Time         // sentAt is when the request was last handed over for sending
 	written       writeRecord       // written tells when the request was last written
@@ -159,7 +160,7 @@
 	x.trial, x.headReceived, x.unframed = false, false, false
 	x.tried[x.choice.Engine.ID] = true
 	x.everSent.Store(true)
-	x.sentAt, x.bufferedSince = now, now
+	x.sentAt, x.bufferedSince, x.continues = now, now, x.lastEventID != ""
 	x.written.clear()
 	x.via = ""
 	x.call = x.d.placement.Start(now, x.choice, request)
@@ -445,7 +446,7 @@
 func (x *exchange) recordEnd(now time.Time) {
 	outcome := x.outcome()
 	if x.refusal.Reason != "" && x.mayHaveRun && x.via == "" {
-		x.d.runs.addUnfinished(now, x.route.Name, now.Sub(x.sentAt))
+		x.d.runs.addPart(now, x.route.Name, now.Sub(x.sentAt))
 	}
 	x.overloadLog().Info("request ended", "request", x.req.ID, "route", x.route.Name, "team", x.teamName(), "urgency", routing.Urgency(x.route, x.team), "pool", x.pool,
 		"outcome", outcome, "via", x.via, "forwarded_by", x.forwardedBy(), "status", x.status, "unframed", x.unframed, "engine", x.choice.Engine.ID, "engine_version", x.choice.Engine.Version, "sent", x.sent, "unsent", x.unreachable,
--- a/internal/edge/stop_test.go
+++ b/internal/edge/stop_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/croftturn/croftturn/internal/clock"
+	"github.com/croftturn/croftturn/internal/dispatch"
 )
 
 // stopConfig is a configuration with a route of each kind; callers wait for as long as the node may take to stop.
@@ -76,10 +77,18 @@
 
 // send sends one request. answered is set if a whole answer came.
 func (s *stopRig) send(c *http.Client, id, kind string, work time.Duration) (status int, answered bool) {
-	r, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s/%s/%d", s.node.settings.CallerAddress, kind, work.Milliseconds()), strings.NewReader("body"))
+	return s.sendSized(c, id, kind, work, "", strings.NewReader("body"))
+}
+
+// sendSized is send for a request with a body and counts of its tokens, empty for none.
+func (s *stopRig) sendSized(c *http.Client, id, kind string, work time.Duration, tokens string, body io.Reader) (status int, answered bool) {
+	r, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s/%s/%d", s.node.settings.CallerAddress, kind, work.Milliseconds()), body)
 	if err != nil {
 		return 0, false
 	}
+	if tokens != "" {
+		r.Header.Set("Token-Counts", tokens)
+	}
 	r.Host, r.GetBody = "h", nil // Without GetBody the client never sends it again by itself.
 	r.Header.Set("Attempt-Id", id)
 	r.Header.Set("Authorization", "Bearer k")
@@ -276,3 +285,52 @@
 		})
 	}
 }
+
+// TestStoppingNodeRefusesWhatIsLargerThanAllItKnows guards against a request that a stopping node takes since it knows short
+// runs only, all of smaller requests, and then cuts off: it must be told at once that it has not run, and small ones be served.
+func TestStoppingNodeRefusesWhatIsLargerThanAllItKnows(t *testing.T) {
+	const grace = 3 * time.Second
+	large := strings.Repeat("x", 900)
+	for name, test := range map[string]struct {
+		few, many string // few and many are the counts of tokens of small requests and of a large one.
+		body      func() io.Reader
+	}{
+		"tokens":         {"100,5", "40000,5", func() io.Reader { return strings.NewReader("body") }},
+		"body":           {"", "", func() io.Reader { return strings.NewReader(large) }},
+		"body in chunks": {"", "", func() io.Reader { return io.MultiReader(strings.NewReader(large)) }}, // Its length isn't told.
+	} {
+		for _, kind := range []string{"unsafe", "resumable"} {
+			t.Run(name+" "+kind, func(t *testing.T) {
+				t.Parallel()
+				s := newStopRig(t, grace)
+				small := func(id string) (status int) {
+					status, _ = s.sendSized(http.DefaultClient, id, kind, 20*time.Millisecond, test.few, strings.NewReader("body"))
+					return status
+				}
+				for i := range 25 {
+					if status := small(fmt.Sprint("before-", i)); status != http.StatusOK {
+						t.Errorf("a small request got status %d", status)
+					}
+				}
+				closed, stopped := make(chan error, 1), time.Now()
+				go func() { closed <- s.node.Close() }()
+				waitFor(t, func() bool { return s.node.dispatcher.Ready(clock.Now()) == dispatch.Stopping }, "the node does not stop")
+				begin := time.Now()
+				status, _ := s.sendSized(http.DefaultClient, "large", kind, 3500*time.Millisecond, test.many, test.body())
+				s.mu.Lock()
+				begun := s.begun["large"]
+				s.mu.Unlock()
+				if took := time.Since(begin); status != http.StatusServiceUnavailable || begun || took > time.Second {
+					t.Errorf("got status %d after %v, begun %v; want a refusal at once", status, took, begun)
+				}
+				plan := newStopPlan(stopped.Add(grace), grace, s.node.lateness.Recent(clock.Now()), 0) // A process that is late refuses all of them earlier.
+				if status := small("after"); status != http.StatusOK && time.Until(plan.refuse) > grace/2 {
+					t.Errorf("a small request got status %d", status)
+				}
+				if err := <-closed; err != nil {
+					t.Error(err)
+				}
+			})
+		}
+	}
+}
