Dispatch: the end of a stop ends waiting requests before those they wait for

CutOff ended requests in any order: one that waited for a slot could be sent with the slot of another that had just ended, and got 502 though it would not have run. TestWaitingRequestsLeaveAStoppingNode showed it once, at load 66 ("2 were sent").

--- a/internal/dispatch/absence.go
+++ b/internal/dispatch/absence.go
@@ -42,13 +42,18 @@
 	}
 }
 
-// end ends all requests in progress, and each one that is added later.
+// end ends all requests in progress, and each one that is added later. Those that were never sent end first, so that none is
+// sent with the slot of another that ends.
 func (a *activeExchanges) end(cause error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.ended = cause
-	for _, cancel := range a.cancels {
-		cancel(cause)
+	for _, sent := range []bool{false, true} {
+		for x, cancel := range a.cancels {
+			if x.everSent.Load() == sent {
+				cancel(cause)
+			}
+		}
 	}
 }
 
