Front: event streams of services are passed on as they arrive

Chat completions are written event by event and were not affected.

Change: event streams, and answers without a length, are flushed piece by piece. TestServiceStreamIsPassedOnAsItArrives failed before in four of four cases, with and without a length, with and without a ticket, and passes now.

--- a/internal/front/service.go
+++ b/internal/front/service.go
@@ -65,13 +65,15 @@
 	return res, nil
 }
 
-// copyResponse copies a response to the caller.
+// copyResponse copies a response to the caller. An event stream, and what names no length, is passed on as it arrives.
 func (x *serviceExchange) copyResponse(w http.ResponseWriter, resp *http.Response) error {
 	defer resp.Body.Close()
-	if resp.ContentLength >= 0 && resp.ContentLength <= copyBuffer {
+	stream := resp.ContentLength < 0 || header.EventStream(resp.Header)
+	if !stream && resp.ContentLength <= copyBuffer {
 		return x.copyBuffered(w, resp)
 	}
 	x.copyHeader(w, resp)
+	out := http.NewResponseController(w)
 	buf := make([]byte, copyBuffer)
 	for {
 		n, err := resp.Body.Read(buf)
@@ -80,6 +82,11 @@
 			if _, werr := w.Write(buf[:n]); werr != nil {
 				return fmt.Errorf("%w: %w", errCallerGone, werr)
 			}
+			if stream {
+				if ferr := out.Flush(); ferr != nil {
+					return fmt.Errorf("%w: %w", errCallerGone, ferr)
+				}
+			}
 		}
 		if errors.Is(err, io.EOF) {
 			return nil
--- a/internal/front/service_test.go
+++ b/internal/front/service_test.go
@@ -6,6 +6,9 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
+
+	"github.com/croftturn/croftturn/internal/front"
 )
 
 // TestHopByHopHeadersAreDropped checks that hop-by-hop headers and the team's token
@@ -55,3 +58,51 @@
 		}
 	}
 }
+
+// TestServiceStreamIsPassedOnAsItArrives guards against events that lie in a buffer until their stream ends, whether or not it
+// names its length, and whether or not the answer is kept for a key.
+func TestServiceStreamIsPassedOnAsItArrives(t *testing.T) {
+	const event = "id: 1\ndata: x\n\n"
+	for _, headers := range [][]string{{}, {"Content-Length", fmt.Sprint(2 * len(event))}} {
+		for _, key := range []string{"", "ticket"} {
+			next := make(chan struct{})
+			r := newTestServer(t, func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Content-Type", "text/event-stream")
+				for i := 0; i+1 < len(headers); i += 2 {
+					w.Header().Set(headers[i], headers[i+1])
+				}
+				fmt.Fprint(w, event)
+				if err := http.NewResponseController(w).Flush(); err != nil {
+					t.Error(err)
+				}
+				<-next
+				fmt.Fprint(w, event)
+			})
+			if key != "" {
+				key = r.ticket(t)
+			}
+			req, err := http.NewRequest(http.MethodPost, r.url+"/services/bids/x", strings.NewReader("b"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			req.Header.Set("Authorization", "Bearer "+token)
+			req.Header.Set(front.HeaderKey, key)
+			late := time.AfterFunc(2*time.Second, func() { close(next) })
+			resp, err := http.DefaultClient.Do(req)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, err = io.ReadFull(resp.Body, make([]byte, len(event)))
+			if !late.Stop() {
+				t.Errorf("%v, key %q: the first event arrives with the second", headers, key)
+			} else {
+				close(next)
+			}
+			rest, restErr := io.ReadAll(resp.Body)
+			resp.Body.Close()
+			if err != nil || restErr != nil || string(rest) != event {
+				t.Errorf("%v, key %q: got %v, then %q, %v", headers, key, err, rest, restErr)
+			}
+		}
+	}
+}
