Front, node: the stop of croftturn run answers, logs and counts all that it ends

What callers saw: a call with a ticket of another node, sent to a node that stopped, ended with EOF half a second after the drain time.

Cause: CutOff ends the calls that the node runs; those that it had forwarded to a peer were not in the list, and their connections were closed. Class: a list of what is in progress that lacks one kind.

Change: forwarded calls are in the list and get 502 with the outcome unknown. Each call that the node ends is logged ("request ended by the stop", with its id, how long it ran and how long the node had been stopping) and counted; "connections ended" has the totals.

No setting was added: nothing but drain_ms would follow from one.

--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -88,6 +88,9 @@
 	} else {
 		end = f.run(ctx, w, c, x, nil)
 	}
+	if cutOff(ctx) && end.state != journal.Completed {
+		f.logCutOff(clock.Now(), c, x.started(), end)
+	}
 	f.finish(w, c, x, end)
 }
 
--- a/internal/front/ticket.go
+++ b/internal/front/ticket.go
@@ -9,6 +9,7 @@
 
 	"github.com/croftturn/croftturn/internal/claim"
 	"github.com/croftturn/croftturn/internal/clock"
+	"github.com/croftturn/croftturn/internal/journal"
 	"github.com/croftturn/croftturn/internal/telemetry"
 	"github.com/croftturn/croftturn/internal/wire"
 )
@@ -69,7 +70,14 @@
 	if ticket.Node == self.Name && ticket.Incarnation == self.Incarnation {
 		return false
 	}
-	f.replay(w, c.id, f.forward(r.Context(), r, c, ticket))
+	ctx, remove := f.active.add(r.Context(), c)
+	defer remove()
+	o := f.forward(ctx, r, c, ticket)
+	if cutOff(ctx) && o.State == wire.OutcomeStateUnknown {
+		o.Reason = stoppedReason
+		f.logCutOff(clock.Now(), c, false, callResult{state: journal.Unknown})
+	}
+	f.replay(w, c.id, o)
 	return true
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -257,10 +257,11 @@
 // accepts no new requests, those in flight finish within the drain time, and the other
 // components stop. It returns an error if requests were cut off.
 func (n *Node) Close() error {
-	s := n.settings
+	s, begin := n.settings, clock.Now()
 	close(n.stopping)
-	n.tele.Log.Info("node is leaving", "notice_ms", s.LeaveNoticeMs, "drain_ms", s.DrainMs)
-	n.table.Leave(clock.Now())
+	n.front.NoteStop(begin)
+	n.tele.Log.Info("node is leaving", "notice_ms", s.LeaveNoticeMs, "drain_ms", s.DrainMs, "active", n.front.Active())
+	n.table.Leave(begin)
 	time.Sleep(ms(s.LeaveNoticeMs))
 	ctx, cancel := context.WithTimeout(context.Background(), ms(s.DrainMs))
 	defer cancel()
@@ -268,7 +269,10 @@
 	if err != nil {
 		err = fmt.Errorf("requests cut off after the drain time: %w", err)
 	}
+	n.tele.Log.Info("node stopped serving", "active", n.front.Active(), "after_ms", clock.Since(begin).Milliseconds())
 	n.endRequests()
+	answers, requests := n.front.EndedByStop()
+	n.tele.Log.Info("connections ended", "after_ms", clock.Since(begin).Milliseconds(), "left", n.callers.Connections(), "answers_cut", answers, "requests_cut", requests)
 	n.callers.Close()
 	n.control.Close()
 	n.cancel()
