Front: a call that another node runs is waited for while that node is alive

Cause: askHolderTimeout bounded the wait for the node that runs the call. Class: a constant in place of what is known of the peer.

Change: the bound is that of one call between nodes; it is repeated while the node is alive in the same incarnation and can be connected to. A node answers each with the outcome of the one run, since the ticket or the claim names it.

--- a/internal/front/once.go
+++ b/internal/front/once.go
@@ -10,12 +10,13 @@
 	"github.com/croftturn/croftturn/internal/claim"
 	"github.com/croftturn/croftturn/internal/clock"
 	"github.com/croftturn/croftturn/internal/journal"
+	"github.com/croftturn/croftturn/internal/peer"
 	"github.com/croftturn/croftturn/internal/wire"
 )
 
 const (
-	// askHolderTimeout bounds the wait for the outcome of a request that the claim's
-	// holder may still be running.
+	// askHolderTimeout is how long the holder of a claim or a ticket is waited for until
+	// it is asked again whether it still runs the request.
 	askHolderTimeout = 30 * time.Second
 
 	// claimUnsettledRetryAfter is the Retry-After while the platform is unavailable.
@@ -194,17 +195,40 @@
 	if !ok || m.Incarnation != r.Incarnation || m.State == wire.MemberStateD {
 		return gone
 	}
-	ctx, cancel := context.WithTimeout(ctx, askHolderTimeout)
-	defer cancel()
 	o := wire.Outcome{}
 	req := &wire.OutcomeRequest{Key: key, Attempt: r.Attempt}
-	if err := f.peers.Call(ctx, m.PeerAddress, MethodOutcome, req, &o); err != nil {
+	if err := f.callHolder(ctx, m, MethodOutcome, req, &o); err != nil {
 		gone.Reason = "an earlier sending may have run; the node that took it does not answer"
 		return gone
 	}
 	return o
 }
 
+// callHolder calls a method of a node that holds a claim or a ticket, however long it runs the request. A call that takes long
+// is repeated while the node is alive, over another connection if nothing came over this one; the node answers each with the
+// same outcome.
+func (f *Front) callHolder(ctx context.Context, m wire.Member, method string, req any, o *wire.Outcome) error {
+	for {
+		err := f.callOnce(ctx, m.PeerAddress, method, req, o)
+		if !errors.Is(err, context.DeadlineExceeded) || errors.Is(err, peer.ErrUnreachable) || ctx.Err() != nil || !f.alive(m.Name, m.Incarnation) {
+			return err
+		}
+	}
+}
+
+// callOnce calls a method of a peer and waits for at most askHolderTimeout.
+func (f *Front) callOnce(ctx context.Context, address, method string, req any, o *wire.Outcome) error {
+	ctx, cancel := context.WithTimeout(ctx, askHolderTimeout)
+	defer cancel()
+	return f.peers.Call(ctx, address, method, req, o)
+}
+
+// alive reports whether a process is a member of the cluster.
+func (f *Front) alive(name string, incarnation int) bool {
+	m, ok := f.members.Member(name)
+	return ok && m.Incarnation == incarnation && m.State != wire.MemberStateD
+}
+
 // HandleOutcome waits for the outcome of a request that this process holds; it
 // is the handler of MethodOutcome.
 func (f *Front) HandleOutcome(ctx context.Context, req *wire.OutcomeRequest) (any, error) {
--- a/internal/front/ticket.go
+++ b/internal/front/ticket.go
@@ -87,8 +87,6 @@
 	if !ok || m.Incarnation != t.Incarnation || m.State == wire.MemberStateD {
 		return wire.Outcome{State: wire.OutcomeStateUnknown, Reason: "the process that issued the ticket is gone; the request may have run"}
 	}
-	ctx, cancel := context.WithTimeout(ctx, askHolderTimeout)
-	defer cancel()
 	parent := http.Header{}
 	telemetry.Propagator.Inject(ctx, headerCarrier(parent))
 	req := &wire.RunRequest{
@@ -96,7 +94,7 @@
 		Path: r.URL.RequestURI(), ContentType: r.Header.Get("Content-Type"), TraceParent: parent.Get("Traceparent"), Body: c.body,
 	}
 	o := wire.Outcome{}
-	if err := f.peers.Call(ctx, m.PeerAddress, MethodRun, req, &o); err != nil {
+	if err := f.callHolder(ctx, m, MethodRun, req, &o); err != nil {
 		return wire.Outcome{State: wire.OutcomeStateUnknown, Reason: "the process that issued the ticket does not answer; the request may have run"}
 	}
 	return o
--- a/lab/proofs/stop_test.go
+++ b/lab/proofs/stop_test.go
@@ -214,6 +214,27 @@
 	}
 }
 
+// TestForwardedCallsLastAsLongAsOthers guards against calls whose outcome is unknown since the wait for the node that runs them
+// is bounded, though that node is alive: those forwarded with a ticket, and those whose key another node has claimed.
+func TestForwardedCallsLastAsLongAsOthers(t *testing.T) {
+	long(t)
+	r := start(t, cluster.Options{Nodes: 2, Engines: 1, Services: 1, Settings: func(_ int, s map[string]any) { s["engine_stall_ms"] = 60_000 }})
+	r.faults(r.Services[0], service.Faults{DelayMs: 35_000})
+	for i := range 2 {
+		req := at(r.request(submit, i, 1), r.Nodes[1], 1)
+		if i == 0 {
+			req.Key = r.ticket(r.Nodes[0])
+		} else {
+			r.send(at(req, r.Nodes[0], 1))
+			time.Sleep(time.Second) // The first has claimed the key.
+		}
+		r.send(req)
+	}
+	if completed, executed := r.verdict(); completed != 3 || executed != 2 {
+		t.Errorf("%d of 3 calls were completed, %d ran", completed, executed)
+	}
+}
+
 // TestKeptConnectionIsServedWhileANodeLeaves asks over a connection that was idle when its
 // node began to stop: a caller that has not heard of the stop must not find it closed.
 func TestKeptConnectionIsServedWhileANodeLeaves(t *testing.T) {
