--- a/internal/front/ticket.go
+++ b/internal/front/ticket.go
@@ -9,6 +9,7 @@
 
 	"github.com/croftturn/croftturn/internal/claim"
 	"github.com/croftturn/croftturn/internal/clock"
+	"github.com/croftturn/croftturn/internal/journal"
 	"github.com/croftturn/croftturn/internal/telemetry"
 	"github.com/croftturn/croftturn/internal/wire"
 )
@@ -69,7 +70,14 @@
 	if ticket.Node == self.Name && ticket.Incarnation == self.Incarnation {
 		return false
 	}
-	f.replay(w, c.id, f.forward(r.Context(), r, c, ticket))
+	ctx, remove := f.active.add(r.Context(), c)
+	defer remove()
+	o := f.forward(ctx, r, c, ticket)
+	if cutOff(ctx) && o.State == wire.OutcomeStateUnknown {
+		o.Reason = stoppedReason
+		f.logCutOff(clock.Now(), c, false, callResult{state: journal.Unknown})
+	}
+	f.replay(w, c.id, o)
 	return true
 }
 
@@ -79,8 +87,6 @@
 	if !ok || m.Incarnation != t.Incarnation || m.State == wire.MemberStateD {
 		return wire.Outcome{State: wire.OutcomeStateUnknown, Reason: "the process that issued the ticket is gone; the request may have run"}
 	}
-	ctx, cancel := context.WithTimeout(ctx, askHolderTimeout)
-	defer cancel()
 	parent := http.Header{}
 	telemetry.Propagator.Inject(ctx, headerCarrier(parent))
 	req := &wire.RunRequest{
@@ -88,7 +94,7 @@
 		Path: r.URL.RequestURI(), ContentType: r.Header.Get("Content-Type"), TraceParent: parent.Get("Traceparent"), Body: c.body,
 	}
 	o := wire.Outcome{}
-	if err := f.peers.Call(ctx, m.PeerAddress, MethodRun, req, &o); err != nil {
+	if err := f.callHolder(ctx, m, MethodRun, req, &o); err != nil {
 		return wire.Outcome{State: wire.OutcomeStateUnknown, Reason: "the process that issued the ticket does not answer; the request may have run"}
 	}
 	return o
