Dispatch: a silent engine is given up only if another one takes the request

A resumable stream in progress whose engine paused for 1.75 s ended if all other engines had asked this node to back off, and a repeatable request that had waited for twice its target got 502 if its pool had no other engine: the attempt was ended first, and the next engine chosen after.

Placement is now asked before, with the input of the attempt that follows. A stream that has stalled looks again every 250 ms.

TestSlowEngineIsKeptIfThereIsNoOther, before: engine_failed for safe and resumable; TestBegunStreamStaysAtASilentEngineIfNoOtherTakesIt, before: aborted after its first event; both whole after.

go test -race passes for internal/dispatch, forward and placement.

--- a/internal/dispatch/continuation.go
+++ b/internal/dispatch/continuation.go
@@ -185,23 +185,20 @@
 // canMove returns a function that reports whether another engine may take over from the current one, for the
 // time of this attempt. passedOn reports whether an event of the current engine was passed on.
 func (x *exchange) canMove(passedOn func() bool) func(now time.Time) bool {
-	if !x.resumable() {
-		return func(time.Time) bool { return true }
+	d, request, bound, version := x.d, x.placementRequest(), x.origin.bound, x.choice.Engine.Version
+	request.Avoid = maps.Clone(x.tried)
+	unreachable := func() bool { return false }
+	if x.mayForward() {
+		unreachable = x.reach.Unreachable
 	}
-	bound, pool, version, tried := x.origin.bound, x.pool, x.choice.Engine.Version, maps.Clone(x.tried)
 	return func(now time.Time) bool {
-		return !bound && !passedOn() || x.d.placement.HasVersion(now, pool, version, tried)
-	}
-}
-
-// placeAnywhere places a stream that has not begun if no engine can take it whose version is certain and
-// established, and reports whether it did.
-func (x *exchange) placeAnywhere(now time.Time, request placement.Request) (choice placement.Choice, ok bool) {
-	if !request.Resumable || x.origin.bound {
-		return placement.Choice{}, false
+		r, begun := request, bound || passedOn()
+		if r.Resumable && begun {
+			r.VersionBound, r.Version, r.MayLeave = true, version, true
+		}
+		next, ok := d.pickEngine(now, r, begun)
+		return ok && !next.Full && !next.AvailableAt.After(now) || unreachable() // Another node may reach them.
 	}
-	request.VersionBound, request.Resumable = false, false
-	return x.d.placement.Choose(now, request)
 }
 
 // refuseGone returns the refusal of a stream whose version has no engines any more, or nil.
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -410,6 +410,24 @@
 	}
 }
 
+// TestSlowEngineIsKeptIfThereIsNoOther guards against repeatable requests that are taken from a slow engine, and refused because
+// there is no other.
+func TestSlowEngineIsKeptIfThereIsNoOther(t *testing.T) {
+	for _, route := range []string{"safe", "resumable"} {
+		e := &fakeSender{serve: func(ctx context.Context, _ int, _ dispatch.Attempt) (*dispatch.Response, error) {
+			select {
+			case <-ctx.Done():
+				return nil, context.Cause(ctx)
+			case <-time.After(10 * target):
+			}
+			return respond(http.StatusOK, "id: 1\n\n"), nil
+		}}
+		if a := serve(t, newDispatcherWith(e, 10, table(1, "k"), 8, "e1"), route); a.status != http.StatusOK || a.body.String() != "id: 1\n\n" {
+			t.Errorf("%s: got status %d, %q, refusal %+v", route, a.status, a.body.String(), a.refusal)
+		}
+	}
+}
+
 // TestTimeOfABodyCountsAsNoRun guards against a stopping node that refuses short requests since the body of one took long to
 // arrive.
 func TestTimeOfABodyCountsAsNoRun(t *testing.T) {
--- a/internal/dispatch/permit.go
+++ b/internal/dispatch/permit.go
@@ -39,15 +39,24 @@
 // pickEngine chooses an engine for the request: one that can take it now or, if there is none, the
 // one whose rate limit allows it first.
 func (x *exchange) pickEngine(now time.Time, request placement.Request) (placement.Choice, bool) {
-	choice, ok := x.d.placement.Choose(now, request)
+	return x.d.pickEngine(now, request, x.origin.bound)
+}
+
+// pickEngine is pickEngine of a request; bound is set if it is for a stream of which the caller has events. One that has not
+// begun goes anywhere if no engine can take it whose version is certain and established.
+func (d *Dispatcher) pickEngine(now time.Time, request placement.Request, bound bool) (placement.Choice, bool) {
+	choice, ok := d.placement.Choose(now, request)
 	if ok {
 		return choice, true
 	}
-	if limited, ok := x.d.placement.ChooseLimited(now, request); ok {
+	if limited, ok := d.placement.ChooseLimited(now, request); ok {
 		return limited, true
 	}
-	if anywhere, ok := x.placeAnywhere(now, request); ok {
-		return anywhere, true
+	if request.Resumable && !bound {
+		request.VersionBound, request.Resumable = false, false
+		if anywhere, ok := d.placement.Choose(now, request); ok {
+			return anywhere, true
+		}
 	}
 	return choice, false
 }
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -34,6 +34,9 @@
 	// on, and callers leave after two seconds at the earliest.
 	streamStallTimeout = time.Second
 	silentGrace        = 750 * time.Millisecond
+
+	// stallRecheck is how often such a stream looks again for an engine that takes it, if there was none.
+	stallRecheck = 250 * time.Millisecond
 )
 
 // errCrashedAtEnd is the failure of an engine that had crashed when an answer without a length ended.
@@ -328,8 +331,9 @@
 		if accepts {
 			pause.For(ctx, silentGrace-clock.Since(now))
 		}
-		if ctx.Err() == nil && events.Load() == before {
-			abandon(accepts || !begun && before == 0) // An engine that is gone ends no answer that has begun.
+		mustFit := accepts || !begun && before == 0 // An engine that is gone ends no answer that has begun.
+		for ctx.Err() == nil && events.Load() == before && !abandon(mustFit) {
+			pause.For(ctx, stallRecheck)
 		}
 	})
 	return stall, func() {
--- a/internal/dispatch/resend.go
+++ b/internal/dispatch/resend.go
@@ -41,21 +41,26 @@
 
 // abandonSlow returns a function that abandons the current attempt for another engine if there is one and the retry
 // budget allows it. Otherwise the attempt goes on, since the answer may still arrive. If it must fit, it goes on as well
-// where another attempt, which reads the prompt again, may not end before the node stops.
-func (x *exchange) abandonSlow(cancel context.CancelCauseFunc, canMove func(now time.Time) bool) func(mustFit bool) {
+// where another attempt, which reads the prompt again, may not end before the node stops. The function reports whether
+// that was decided.
+func (x *exchange) abandonSlow(cancel context.CancelCauseFunc, canMove func(now time.Time) bool) func(mustFit bool) (decided bool) {
 	engine, sent := x.choice.Engine.ID, x.sent
-	return func(mustFit bool) {
+	return func(mustFit bool) bool {
 		now := clock.Now()
 		if x.team != nil && (!x.d.proof.Fresh(now) || !x.keyValid()) {
-			return // The request may not be sent to another engine.
+			return true // The request may not be sent to another engine.
 		}
-		if !canMove(now) || mustFit && !x.d.fitsBeforeStop(now, x.req, x.route) {
-			return
+		if mustFit && !x.d.fitsBeforeStop(now, x.req, x.route) {
+			return true
+		}
+		if !canMove(now) {
+			return false
 		}
 		if x.takeRetry(now, engine, sent, errEngineSilent) {
 			x.retryReserved.Store(true)
 			cancel(errEngineSilent)
 		}
+		return true
 	}
 }
 
--- a/internal/dispatch/silent_test.go
+++ b/internal/dispatch/silent_test.go
@@ -51,14 +51,14 @@
 // how long that took.
 func servePausing(t *testing.T, accepts bool, pause time.Duration) (sent int, took time.Duration, a *recordedAnswer) {
 	t.Helper()
-	e, d := newPausing(t, accepts, pause, 0)
+	e, d, _ := newPausing(t, accepts, pause, 0)
 	now := time.Now()
 	a = serve(t, d, "resumable")
 	return e.sentCount(), time.Since(now), a
 }
 
 // newPausing returns a dispatcher, and engines of which the first that gets a stream pauses in it, and the second before it.
-func newPausing(t *testing.T, accepts bool, pause, second time.Duration) (*fakeSender, *dispatch.Dispatcher) {
+func newPausing(t *testing.T, accepts bool, pause, second time.Duration) (*fakeSender, *dispatch.Dispatcher, *placement.Placement) {
 	t.Helper()
 	e := &fakeSender{serve: func(ctx context.Context, n int, a dispatch.Attempt) (*dispatch.Response, error) {
 		resp := respond(200, "")
@@ -77,7 +77,24 @@
 	t.Cleanup(m.Close)
 	d := dispatch.New(proof, p, retry.New(now, retry.Limits{Extra: 5, Window: 10 * time.Second}, func() int { return 1 }), e, retryObserver{}, log, dispatch.WithReach(m))
 	d.SetTable(table(1, "k"))
-	return e, d
+	return e, d, p
+}
+
+// TestBegunStreamStaysAtASilentEngineIfNoOtherTakesIt guards against streams that are taken from an engine which goes on, and end
+// because the others take no requests.
+func TestBegunStreamStaysAtASilentEngineIfNoOtherTakesIt(t *testing.T) {
+	const pause, patience = 2 * time.Second, 10 * time.Second
+	e, d, p := newPausing(t, true, pause, 0)
+	d.Table().Route("h", "/resumable/x").Timeout = patience
+	answers := make(chan *recordedAnswer, 1)
+	go func() { answers <- servePatience(t, d, "resumable", patience) }()
+	e.awaitSent(t, 1)
+	for _, id := range []string{"e1", "e2", "e3", "e4"} {
+		p.BackOff(time.Now(), id, patience)
+	}
+	if a := <-answers; a.aborted || a.body.String() != "id: 1\ndata: x\n\nid: 2\ndata: y\n\n" {
+		t.Errorf("sent %d times, body %q, aborted %v", e.sentCount(), a.body.String(), a.aborted)
+	}
 }
 
 // TestSilentEngineKeepsItsStreamsWhereNoOtherEndsThemInTime guards against begun streams of a stopping node that are taken from an
@@ -90,7 +107,7 @@
 	}{{true, left / 2, patience}, {false, patience, 0}} {
 		t.Run(fmt.Sprint("accepts connections ", test.accepts), func(t *testing.T) {
 			t.Parallel()
-			e, d := newPausing(t, test.accepts, test.pause, test.second)
+			e, d, _ := newPausing(t, test.accepts, test.pause, test.second)
 			d.Table().Route("h", "/resumable/x").Timeout = patience
 			now := time.Now()
 			end := time.AfterFunc(left, d.CutOff)
--- a/internal/placement/version.go
+++ b/internal/placement/version.go
@@ -73,16 +73,6 @@
 	return out
 }
 
-// HasVersion reports whether a pool has an engine with a software version that gets requests, other than
-// those to avoid.
-func (p *Placement) HasVersion(now time.Time, pool, version string, avoid map[string]bool) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return slices.ContainsFunc(p.pool(pool).withLeaving, func(e *engine) bool {
-		return e.Version == version && !avoid[e.ID] && (!e.Draining || p.usesLeaving(now, e))
-	})
-}
-
 // VersionGone reports whether a pool has no engine with a software version any more. While changes in the
 // platform's store do not reach this node, that is not known.
 func (p *Placement) VersionGone(now time.Time, pool, version string) bool {
