Caller: a standstill between the clock and the kernel is not counted twice

Cause: the node read the clock, stood still, and asked the kernel for how long the connection had been quiet. Class: two readings taken for one moment.

TestStandstillBeforeTheKernelIsAskedCountsOnce failed before (a request 300 ms older than it was).

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/croftturn/croftturn/internal/clock"
 )
 
 // States of a TCP connection, as in Linux's tcp_states.h.
@@ -18,6 +20,13 @@
 	tcpSynRecv     = 3
 )
 
+const (
+	// maxReadGap is how far apart the clock and the state of a connection may be read, and arrivalTries how often a process
+	// that keeps standing still between the two reads them again.
+	maxReadGap   = 5 * time.Millisecond
+	arrivalTries = 4
+)
+
 // connKey is the key of a Conn in contexts.
 type connKey struct{}
 
@@ -109,9 +118,17 @@
 	return s
 }
 
-// Arrival returns when the caller sent its last data, as far as that is known, and whether it has left by now.
+// Arrival returns when the caller sent its last data, as far as that is known, and whether it has left by now. The kernel
+// tells for how long the connection has been quiet: if the process stood still since it read the clock, both are read again.
 func (c *Conn) Arrival(now time.Time) (at time.Time, left bool) {
 	s := c.State()
+	for range arrivalTries {
+		read := clock.Now()
+		if read.Sub(now) < maxReadGap {
+			break
+		}
+		now, s = read, c.State()
+	}
 	return now.Add(-s.Quiet), s.Closed
 }
 
--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -95,6 +95,22 @@
 	}
 }
 
+// TestStandstillBeforeTheKernelIsAskedCountsOnce guards against requests that look older than they are, since the process
+// stood still after it had read the clock.
+func TestStandstillBeforeTheKernelIsAskedCountsOnce(t *testing.T) {
+	const stood = 300 * time.Millisecond
+	client, server := connect(t, "tcp")
+	conn := caller.ConnOf(caller.WithConn(context.Background(), server))
+	if _, err := io.WriteString(client, "a request"); err != nil {
+		t.Fatal(err)
+	}
+	sent := time.Now()
+	time.Sleep(stood)
+	if at, left := conn.Arrival(sent); at.Sub(sent).Abs() > stood/3 || left {
+		t.Errorf("arrived %v after it was sent, left: %v", at.Sub(sent), left)
+	}
+}
+
 // BenchmarkState measures what a look at a connection costs.
 func BenchmarkState(b *testing.B) {
 	_, server := connect(b, "tcp")
