Dispatch: the next node pays for the retry of a forwarded request

Resumable streams ended with the node that they were forwarded to, and repeatable requests got 502, though a third node could have gone on: requests count for the budget of retries at the node that places them, so that a node which forwards all has only its part of the fixed retries.

Such a request now goes on marked as a retry that nobody has paid for. The next node takes it from its own budget before an engine gets the request, or refuses it as not run. The sum over all nodes stays what it was.

TestNextNodePaysForARetry, before: aborted after its first event; after: whole, and aborted without being sent where the third node has no retries. go test -race ./internal/dispatch ./internal/forward passes.

--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -50,6 +50,7 @@
 		Pool        string        `cbor:"8,keyasint,omitempty"`
 		Version     string        `cbor:"9,keyasint,omitempty"`  // Version is that of the engines' software.
 		Trial       bool          `cbor:"10,keyasint,omitempty"` // Trial is set if the request is the trial of a held request or of held prompt parts.
+		Unpaid      bool          `cbor:"11,keyasint,omitempty"` // Unpaid is set if the request is a retry that the receiving node takes from its budget.
 	}
 )
 
@@ -63,7 +64,7 @@
 	if f == nil {
 		return
 	}
-	x.sent, x.counted, x.lastEventID = f.Sent, f.Counted, f.LastEventID
+	x.sent, x.counted, x.lastEventID, x.unpaid = f.Sent, f.Counted, f.LastEventID, f.Unpaid
 	if f.Trial {
 		x.trial, x.partTrial = true, clock.Now()
 	}
@@ -149,7 +150,7 @@
 	x.call, x.headReceived, x.sendBefore, x.leavingFor = x.d.placement.ForwardedCall(now), false, time.Time{}, 0
 	resp, refusal, err := x.d.forwarder.Forward(ctx, address, x.req, Forwarded{
 		From: x.d.node, Spent: now.Sub(x.arrived), Sent: x.sent, LastEventID: x.lastEventID, Counted: x.counted,
-		Bound: x.origin.bound, Pool: x.origin.Pool, Version: x.origin.Version, Trial: x.trial || !x.partTrial.IsZero(),
+		Bound: x.origin.bound, Pool: x.origin.Pool, Version: x.origin.Version, Trial: x.trial || !x.partTrial.IsZero(), Unpaid: x.unpaid,
 	}, x.hooks(x.mayWrite))
 	result, reason := "answered", Reason("")
 	switch {
@@ -158,6 +159,7 @@
 	case refusal != nil:
 		result, reason = "refused", refusal.Reason
 	}
+	x.unpaid = x.unpaid && (errors.Is(err, ErrNotSent) || refusal != nil && !refusal.Reason.MayHaveRun())
 	x.d.log.Info("request forwarded", "request", x.req.ID, "node", node, "pool", x.pool, "unsent", x.unreachable, "result", result, "reason", reason, "after_ms", clock.Since(now).Milliseconds())
 	return resp, refusal, err
 }
--- a/internal/dispatch/resend.go
+++ b/internal/dispatch/resend.go
@@ -118,12 +118,26 @@
 }
 
 // retry reports whether a repeatable request goes to another engine after a failure, and charges
-// the retry budget.
+// the retry budget. That of the next node is charged if this one has none left for a request that was forwarded:
+// requests count at the node that places them.
 func (x *exchange) retry(now time.Time, cause error) bool {
 	if !x.route.Repeatable() || x.sent >= x.route.MaxEngines || !now.Before(x.deadline) {
 		return false
 	}
-	return x.useRetry(now, cause)
+	if x.useRetry(now, cause) {
+		return true
+	}
+	x.unpaid = x.via != "" && x.mustForward() && !x.caller.Left()
+	return x.unpaid
+}
+
+// payRetry charges the retry budget for a request that no node has charged it for yet, and reports whether it may be sent.
+func (x *exchange) payRetry(now time.Time) bool {
+	if x.unpaid && !x.takeRetry(now, "", x.sent, errNodeStopped) {
+		return false
+	}
+	x.unpaid = false
+	return true
 }
 
 // useRetry uses the retry reserved when a slow engine was abandoned, or takes one from the budget.
--- a/internal/dispatch/walk.go
+++ b/internal/dispatch/walk.go
@@ -59,6 +59,7 @@
 	lastEventID   string
 	origin        origin            // origin is the software version that a resumable stream is bound to
 	retryReserved atomic.Bool       // retryReserved is set if a retry was taken from the budget and not used yet
+	unpaid        bool              // unpaid is set if the next attempt is a retry that no node has taken from its budget
 	mayHaveRun    bool              // mayHaveRun is set if an engine got the request and did not report that it did not run it
 	topTier       bool              // topTier is set if the request is of the highest tier that its pool serves
 	standing      overload.Standing // standing is what the request may claim in an interactive pool
@@ -156,6 +157,10 @@
 	if !ok {
 		return true // The engine left, or is about to, since it was chosen.
 	}
+	if !x.payRetry(now) {
+		x.refuse(Refusal{Reason: x.unlessMayHaveRun(NoEngine), RetryAfter: shortRetryAfter})
+		return false
+	}
 	x.noteLeaving(now, until)
 	x.trial, x.headReceived, x.unframed = false, false, false
 	x.tried[x.choice.Engine.ID] = true
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -116,6 +116,12 @@
 
 // newNodeWith returns a dispatcher with a placement.
 func newNodeWith(t testing.TB, name string, s *sender, conf *routing.Table, f dispatch.Forwarder, p *placement.Placement, options ...dispatch.Option) *dispatch.Dispatcher {
+	t.Helper()
+	return newNodeWithBudget(t, name, s, conf, f, p, retry.Limits{Extra: 10, Window: 10 * time.Second}, options...)
+}
+
+// newNodeWithBudget returns a dispatcher with a budget of retries.
+func newNodeWithBudget(t testing.TB, name string, s *sender, conf *routing.Table, f dispatch.Forwarder, p *placement.Placement, limits retry.Limits, options ...dispatch.Option) *dispatch.Dispatcher {
 	t.Helper()
 	now, proof, log := time.Now(), freshness.New(time.Hour), slog.New(slog.NewTextHandler(io.Discard, nil))
 	proof.Renew(now)
@@ -125,7 +131,7 @@
 	if f != nil {
 		options = append(options, dispatch.WithForwarder(name, f))
 	}
-	d := dispatch.New(proof, p, retry.New(now, retry.Limits{Extra: 10, Window: 10 * time.Second}, func() int { return 1 }), s, nobody{}, log, options...)
+	d := dispatch.New(proof, p, retry.New(now, limits, func() int { return 1 }), s, nobody{}, log, options...)
 	d.SetTable(conf)
 	return d
 }
--- a/internal/forward/stop_test.go
+++ b/internal/forward/stop_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/croftturn/croftturn/internal/dispatch"
 	"github.com/croftturn/croftturn/internal/placement"
+	"github.com/croftturn/croftturn/internal/retry"
 )
 
 type (
@@ -107,3 +108,29 @@
 		t.Errorf("got %+v, sent %d times", c, second.count()-ran)
 	}
 }
+
+// TestNextNodePaysForARetry guards against streams that end with the node that they were forwarded to, since the first node, whose
+// requests count where they are placed, has no retries left; and against retries that no budget has.
+func TestNextNodePaysForARetry(t *testing.T) {
+	none := retry.Limits{Window: 10 * time.Second}
+	for retries, want := range map[float64]string{1: "id: 1\n\nid: 2\n\n", 0: "id: 1\n\n"} {
+		var stopping *dispatch.Dispatcher
+		stopping = newNode(t, "n1", answering(200, -1, func(ctx context.Context) io.Reader {
+			return io.MultiReader(strings.NewReader("id: 1\n\n"), untilCut{ctx, stopping})
+		}), table(2, "k"), nil)
+		_, _, l, _ := newPairOf(t, stopping)
+		third := answering(200, -1, func(context.Context) io.Reader { return strings.NewReader("id: 2\n\n") })
+		p := placement.New("hall")
+		p.Set(placement.Engine{ID: "e", Pool: "p", Hall: "hall", Slots: 8})
+		_, _, last, _ := newPairOf(t, newNodeWithBudget(t, "n2", third, table(2, "k"), nil, p, retry.Limits{Extra: retries, Window: 10 * time.Second}))
+		c := &chain{link: l, addresses: []string{l.address, last.address}}
+		p = placement.New("hall")
+		for _, id := range []string{"e0", "e1", "e2"} {
+			p.Set(placement.Engine{ID: id, Pool: "p", Hall: "hall", Slots: 8})
+		}
+		got := ask(context.Background(), t, newNodeWithBudget(t, "n0", &sender{serve: unreachable}, table(2, "k"), c, p, none), "resumable")
+		if got.aborted != (retries == 0) || got.got() != want || third.count() != int(retries) {
+			t.Errorf("%v retries: got %q, aborted %v, sent %d times by the third node", retries, got.got(), got.aborted, third.count())
+		}
+	}
+}
