--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -100,7 +100,7 @@
 func (e *Edge) Close() error {
 	begin := clock.Now()
 	grace := ms(e.settings.StopGraceMs)
-	s := &stopping{Edge: e, begin: begin, grace: grace, kill: begin.Add(grace - min(e.lateness.Unnoticed(begin), grace/2))}
+	s := &stopping{Edge: e, begin: begin, grace: grace, kill: begin.Add(grace - min(e.lateness.NoticeDelay(begin), grace/2))}
 	s.replan(begin)
 	late, ago := e.lateness.Worst(begin)
 	e.log.Info("node stops", "active", e.dispatcher.Active(), "within_ms", s.plan.cut.Sub(begin).Milliseconds(), "kill_ms", s.kill.Sub(begin).Milliseconds(), "late_ms", late.Milliseconds(), "late_ago_ms", ago.Milliseconds())
--- a/internal/lateness/lateness.go
+++ b/internal/lateness/lateness.go
@@ -21,9 +21,8 @@
 	// that gets a third of the time or less, in turns, is behind throughout.
 	recovery = 2
 
-	// levels is how many sizes of lateness are told apart, each twice as long as the one before; the first is below a
-	// millisecond.
-	levels = 24
+	// sizes is how many sizes of lateness are told apart, each twice the one before; the first is below a millisecond.
+	sizes = 24
 )
 
 type (
@@ -32,9 +31,9 @@
 		mu           sync.Mutex
 		since        time.Time // since is when the present window began.
 		last, latest observation
-		bySize       [levels]observation // bySize holds the latest observation of each size.
-		beat         time.Time           // beat is the last beat.
-		missed       observation         // missed is the last beat that came late by a BeatInterval or more.
+		latestBySize [sizes]observation // latestBySize holds the latest observation of each size.
+		beat         time.Time          // beat is the last beat.
+		missed       observation        // missed is the last beat that came late by a BeatInterval or more.
 	}
 
 	// observation is how late something was done at a time.
@@ -53,7 +52,7 @@
 	if late >= g.latest.late {
 		g.latest = observation{late, now}
 	}
-	same := &g.bySize[min(bits.Len64(uint64(late.Milliseconds())), levels-1)]
+	same := &g.latestBySize[min(bits.Len64(uint64(late.Milliseconds())), sizes-1)]
 	if same.counts(now) {
 		late = max(late, same.late)
 	}
@@ -95,7 +94,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	late := time.Duration(0)
-	for _, o := range g.bySize {
+	for _, o := range g.latestBySize {
 		if o.counts(now) {
 			late = max(late, o.late)
 		}
@@ -103,9 +102,9 @@
 	return late
 }
 
-// Unnoticed returns for how long something may have waited that the process notices now: since it stood still, if that was a
-// moment ago.
-func (g *Gauge) Unnoticed(now time.Time) time.Duration {
+// NoticeDelay returns for how long, at most, something may have waited that the process notices now: since it stood still, if
+// that was a moment ago.
+func (g *Gauge) NoticeDelay(now time.Time) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	switch overdue := now.Sub(g.beat) - BeatInterval; {
--- a/internal/lateness/lateness_test.go
+++ b/internal/lateness/lateness_test.go
@@ -82,7 +82,7 @@
 		for _, at := range test.beats {
 			g.Beat(now.Add(at))
 		}
-		if got := g.Unnoticed(now.Add(test.seen)); got < test.want-2*BeatInterval || got > test.want+BeatInterval {
+		if got := g.NoticeDelay(now.Add(test.seen)); got < test.want-2*BeatInterval || got > test.want+BeatInterval {
 			t.Errorf("%s: it may have waited for %v, want %v", name, got, test.want)
 		}
 	}
--- a/lab/soak/signal_test.go
+++ b/lab/soak/signal_test.go
@@ -39,6 +39,14 @@
 	return resp.StatusCode, string(text), err
 }
 
+// askWhole sends a request that runs for some time to a node, and reports an answer that is not whole.
+func askWhole(t *testing.T, n *node, route, id string, work time.Duration) {
+	t.Helper()
+	if status, body, err := ask(t, n, route, id, work); err != nil || status != success || versionLine.ReplaceAllString(body, "") != expectedBody(route, id) {
+		t.Errorf("%s got status %d, %q, %v", id, status, body, err)
+	}
+}
+
 // TestStopAtOddMoments guards against answers that a stop ends before the last part of its grace, and against processes that
 // have not ended by then, where the signal comes beside other things.
 func TestStopAtOddMoments(t *testing.T) {
@@ -78,12 +86,7 @@
 			var callers sync.WaitGroup
 			var cut time.Time // cut is when the endless request ended.
 			for _, route := range routes {
-				callers.Go(func() {
-					id := longID(route)
-					if status, body, err := ask(t, n, route, id, longRun); err != nil || status != success || versionLine.ReplaceAllString(body, "") != expectedBody(route, id) {
-						t.Errorf("%s got status %d, %q, %v", id, status, body, err)
-					}
-				})
+				callers.Go(func() { askWhole(t, n, route, longID(route), longRun) })
 			}
 			callers.Go(func() {
 				_, _, _ = ask(t, n, routeUnsafe, "endless", endlessRun) // How it ends does not matter, but when.
@@ -137,11 +140,7 @@
 			route := []string{routeSafe, routeResumable}[i%2]
 			id := longID(fmt.Sprint(route, "-", round, "-", i))
 			ids = append(ids, id)
-			callers.Go(func() {
-				if status, body, err := ask(t, n, route, id, 300*time.Millisecond); err != nil || status != success || versionLine.ReplaceAllString(body, "") != expectedBody(route, id) {
-					t.Errorf("%s got status %d, %q, %v", id, status, body, err)
-				}
-			})
+			callers.Go(func() { askWhole(t, n, route, id, 300*time.Millisecond) })
 		}
 		time.Sleep(100 * time.Millisecond)
 		if err := n.Signal(syscall.SIGSTOP); err != nil {
--- a/lab/soak/stop_test.go
+++ b/lab/soak/stop_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -145,25 +144,11 @@
 func TestStandstillBeforeAStopEndsNoAnswers(t *testing.T) {
 	env, n := startTwoNodes(t, longRun+time.Second)
 	env.expectExit(n)
-	send := func(route, id string, work time.Duration) (status int, body string, err error) {
-		req, err := newRequest(t.Context(), n.callerAddress, fmt.Sprintf("%s/%d", route, work.Milliseconds()), id, "key-1", id+":100", "body of "+id)
-		if err != nil {
-			return 0, "", err
-		}
-		req.Header.Set("Deadline-Ms", fmt.Sprint((longRun + time.Second).Milliseconds()))
-		resp, err := http.DefaultClient.Do(req)
-		if err != nil {
-			return 0, "", err
-		}
-		defer resp.Body.Close()
-		text, err := io.ReadAll(resp.Body)
-		return resp.StatusCode, string(text), err
-	}
 	if err := n.Signal(syscall.SIGSTOP); err != nil {
 		t.Fatal(err)
 	}
 	var callers sync.WaitGroup
-	callers.Go(func() { _, _, _ = send(routeSafe, "short", time.Millisecond) }) // It lies unread while the node stands still.
+	callers.Go(func() { _, _, _ = ask(t, n, routeSafe, "short", time.Millisecond) }) // It lies unread while the node stands still.
 	time.Sleep(standstill)
 	if err := n.Signal(syscall.SIGCONT); err != nil {
 		t.Fatal(err)
@@ -171,12 +156,7 @@
 	time.Sleep(2 * standstill)
 	for i := range callersOfEach / 4 { // The engines have slots for all.
 		for _, route := range routes {
-			callers.Go(func() {
-				id := longID(fmt.Sprint(route, "-", i))
-				if status, body, err := send(route, id, longRun); err != nil || status != success || versionLine.ReplaceAllString(body, "") != expectedBody(route, id) {
-					t.Errorf("%s got status %d, %q, %v", id, status, body, err)
-				}
-			})
+			callers.Go(func() { askWhole(t, n, route, longID(fmt.Sprint(route, "-", i)), longRun) })
 		}
 	}
 	time.Sleep(standstill / 2)
