Dispatch: forwarded runs tell a stopping node how long forwarded requests take

Cause: the runs of its own engines were taken for those by way of another node, which may begin a slow request anew as it does not know of the stop. Class: a bound learnt from other things than it is applied to.

Change: both kinds of runs are known apart, and which counts is asked when the way is known. TestRunsOfThisNodeTellNothingOfForwardedOnes failed before. The request of TestStoppingNodeForwardsNothingThatDoesNotFit is larger than all that were forwarded in it, since those runs count now.

--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -215,13 +215,13 @@
 func (x *exchange) finishAnswer(now time.Time) {
 	x.refusal = Refusal{}
 	x.call.End(now, placement.Answered)
-	if x.via != "" {
-		return // The other node has recorded it.
-	}
-	if took := now.Sub(x.sentAt); x.continues || x.status >= http.StatusMultipleChoices {
-		x.d.runs.addPart(now, x.route.Name, took)
+	if took, runs := now.Sub(x.sentAt), runsOf(x.route, x.via != ""); x.continues || x.status >= http.StatusMultipleChoices {
+		x.d.runs.addPart(now, runs, took)
 	} else {
-		x.d.runs.add(now, x.route.Name, sizeOf(x.req), took)
+		x.d.runs.add(now, runs, sizeOf(x.req), took)
+	}
+	if x.via != "" {
+		return // The other node has recorded the rest.
 	}
 	if x.route.Kind == routing.Stream && x.interactive() {
 		x.d.placement.NoteAnswer(x.choice, x.events, now.Sub(x.firstEventAt))
--- a/internal/dispatch/stop.go
+++ b/internal/dispatch/stop.go
@@ -73,29 +73,44 @@
 
 // fitsBeforeStop reports whether a request can end before this node does. It must fit as long as it may take, which
 // the runs of its route tell: the recent ones, and those in progress, since engines may have become slower. Runs of smaller
-// requests tell nothing of how long it takes at most.
+// requests tell nothing of how long it takes at most. Which way it goes may not be known yet; that is asked again before it
+// is sent.
 func (d *Dispatcher) fitsBeforeStop(now time.Time, r *Request, route *routing.Route) bool {
+	return d.fitsBy(now, r, route, runsOf(route, false)) || d.forwarder != nil && d.fitsBy(now, r, route, runsOf(route, true))
+}
+
+// fitsBy is fitsBeforeStop of a request whose time some of the runs tell.
+func (d *Dispatcher) fitsBy(now time.Time, r *Request, route *routing.Route, runs string) bool {
 	s := d.stop.Load()
 	if s == nil {
 		return true
 	}
 	longest := patience(r, route)
-	if known := d.runs.known(route.Name, sizeOf(r)); known > 0 {
+	if known := d.runs.known(runs, sizeOf(r)); known > 0 {
 		margin := max(leastRunMargin, fewRunsMargin/float64(known))
-		longest = min(longest, time.Duration((1+margin)*float64(d.longestRun(now, s, route))))
+		longest = min(longest, time.Duration((1+margin)*float64(d.longestRun(now, s, route, runs))))
 	}
 	return s.By.Sub(now) >= longest+s.margin
 }
 
+// runsOf returns the name under which runs of a route are known. Those by way of another node are told apart: it does not
+// know of the stop of this one, and may begin a slow request anew.
+func runsOf(route *routing.Route, forwarded bool) string {
+	if forwarded {
+		return route.Name + "\x00forwarded"
+	}
+	return route.Name
+}
+
 // longestRun returns the longest run of a route while the process stops, whatever its size: a smaller request seldom runs for
 // longer.
-func (d *Dispatcher) longestRun(now time.Time, s *stop, route *routing.Route) time.Duration {
+func (d *Dispatcher) longestRun(now time.Time, s *stop, route *routing.Route, runs string) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	run, ok := s.runs[route.Name]
+	run, ok := s.runs[runs]
 	if !ok || now.Sub(run.at) >= runsRefresh {
-		run = longestRun{at: now, took: max(d.runs.longest(route.Name), d.exchanges.oldest(now, route))}
-		s.runs[route.Name] = run
+		run = longestRun{at: now, took: max(d.runs.longest(runs), d.exchanges.oldest(now, route))}
+		s.runs[runs] = run
 	}
 	return run.took
 }
@@ -103,7 +118,7 @@
 // mustLeave reports whether the request has to be served by another node because this one stops. An answer that has
 // begun can't: it goes on for as long as this node runs.
 func (x *exchange) mustLeave(now time.Time) bool {
-	return !x.answerBegun && !x.d.fitsBeforeStop(now, x.req, x.route)
+	return !x.answerBegun && !x.d.fitsBy(now, x.req, x.route, runsOf(x.route, x.mustForward()))
 }
 
 // refuseStopping returns the refusal of a request that ends with the process.
--- a/internal/forward/stop_test.go
+++ b/internal/forward/stop_test.go
@@ -102,6 +102,7 @@
 	r := &dispatch.Request{ID: "id", Host: "h", Path: "/unsafe/x", Key: "k", Method: "POST", Patience: 2 * time.Second}
 	now := time.Now()
 	route, team, _ := first.Check(now, r)
+	r.Body = make([]byte, 1000)                                                                       // It is larger than all that were forwarded, so that their runs tell nothing of it.
 	first.StopBy(dispatch.Stop{Begin: now, By: now.Add(time.Second), Kill: now.Add(2 * time.Second)}) // While the body arrives.
 	c := &caller{}
 	if first.Serve(context.Background(), now, r, route, team, c); c.refusal != dispatch.Stopping || second.count() > ran {
@@ -109,6 +110,39 @@
 	}
 }
 
+// TestRunsOfThisNodeTellNothingOfForwardedOnes guards against requests that a stopping node forwards since its own engines ran such
+// ones shortly, and that it ends with itself.
+func TestRunsOfThisNodeTellNothingOfForwardedOnes(t *testing.T) {
+	for name, own := range map[string]bool{"runs of its own": true, "runs by way of another node": false} {
+		second := answering(200, 4, func(context.Context) io.Reader { return strings.NewReader("well") })
+		first, engines, _, _ := newPair(t, second, table(2, "k"))
+		reached, cut := answering(200, 4, func(context.Context) io.Reader { return strings.NewReader("well") }).serve, engines.serve
+		if own {
+			engines.serve = reached
+		}
+		for range 40 {
+			ask(context.Background(), t, first, "unsafe")
+		}
+		ran := second.count()
+		if own != (ran == 0) {
+			t.Fatalf("%s: %d forwarded", name, ran)
+		}
+		engines.serve = cut
+		now := time.Now()
+		first.StopBy(dispatch.Stop{Begin: now, By: now.Add(time.Second), Kill: now.Add(2 * time.Second)})
+		var served, forwarded int
+		for range 4 {
+			if got := ask(context.Background(), t, first, "unsafe"); got.refusal == "" {
+				served++
+			}
+		}
+		forwarded = second.count() - ran
+		if own && forwarded > 0 || !own && served < 4 {
+			t.Errorf("%s are known: served %d, forwarded %d", name, served, forwarded)
+		}
+	}
+}
+
 // TestNextNodePaysForARetry guards against streams that end with the node that they were forwarded to, since the first node, whose
 // requests count where they are placed, has no retries left; and against retries that no budget has.
 func TestNextNodePaysForARetry(t *testing.T) {
