--- a/internal/dispatch/unconfirmed.go
+++ b/internal/dispatch/unconfirmed.go
@@ -21,8 +21,7 @@
 
 // failedRun is a request whose engine failed while running it.
 type failedRun struct {
-	sent   time.Time // sent is when the request was sent.
-	resent time.Time // resent is sent if another engine had crashed under it before, else zero.
+	resent time.Time // resent is when the request was sent if another engine had crashed under it before, else zero.
 	at     time.Time
 	engine placement.Engine
 	pool   string
@@ -36,7 +35,7 @@
 
 // failedRun returns what is known of the request whose engine failed at a time.
 func (x *exchange) failedRun(at time.Time) failedRun {
-	f := failedRun{sent: x.sentAt, at: at, engine: x.choice.Engine, pool: x.pool, reach: x.reach, parts: x.req.Prompt.SharedIDs(), fingerprint: x.fingerprint, subject: quarantine.Subject{Team: x.teamName(), Route: x.route.Name}}
+	f := failedRun{at: at, engine: x.choice.Engine, pool: x.pool, reach: x.reach, parts: x.req.Prompt.SharedIDs(), fingerprint: x.fingerprint, subject: quarantine.Subject{Team: x.teamName(), Route: x.route.Name}}
 	if x.crashedEngine {
 		f.resent = x.sentAt
 	}
@@ -68,7 +67,7 @@
 // recordCrash records the crash of an engine under a request.
 func (d *Dispatcher) recordCrash(now time.Time, f *failedRun) {
 	if d.quarantine != nil {
-		d.quarantine.RecordCrash(now, f.sent, f.at, f.fingerprint, f.subject, f.engine.ID)
+		d.quarantine.RecordCrash(now, f.at, f.fingerprint, f.subject, f.engine.ID)
 	}
 	if d.parts != nil {
 		d.parts.RecordCrash(now, f.resent, f.at, f.pool, quarantine.EngineRun{ID: f.engine.ID, Version: f.engine.Version, Incarnation: f.engine.Incarnation}, f.parts)
--- a/internal/front/held.go
+++ b/internal/front/held.go
@@ -101,7 +101,7 @@
 		}
 		c.crashedEngine = true
 		f.tele.Log.Warn("engine failed while running request", "request", c.id, "fingerprint", c.fingerprint.String(), "pool", c.pool.Name, "team", c.team.Name, "engine", e.Name, "ended", true, "error", err.Error())
-		f.quarantine.RecordCrash(now, sent, now, c.fingerprint, quarantine.Subject{Team: c.team.Name, Route: c.pool.Name}, e.Name)
+		f.quarantine.RecordCrash(now, now, c.fingerprint, quarantine.Subject{Team: c.team.Name, Route: c.pool.Name}, e.Name)
 		f.parts.RecordCrash(now, resent, now, c.pool.Name, quarantine.EngineRun{ID: e.Name}, c.parts)
 		f.onCrash()
 	}
--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -36,33 +36,21 @@
 // String returns the part's ID in hexadecimal, as in log lines and row keys.
 func (p Part) String() string { return fmt.Sprintf("%016x", p.ID) }
 
-// momentCounter counts at how many different moments crashes occurred that are added in their order. Crashes that lie close
-// together are told apart by a request that was sent after the one before.
-type momentCounter struct {
-	n           int
-	first, last time.Time // first and last are those of the latest moment.
-}
-
-// add adds a crash, and reports whether it is the first of its moment. sent is when its request was sent; zero if that does
-// not tell crashes apart.
-func (m *momentCounter) add(at, sent time.Time) bool {
-	begins := m.n == 0 || at.Sub(m.first) > crashMoment || sent.After(m.last)
-	if begins {
-		m.n, m.first = m.n+1, at
-	}
-	m.last = at
-	return begins
-}
-
-// moments returns at how many different moments some of the crashes under a part, sorted by time, occurred.
+// moments returns at how many different moments some of the crashes under a part, sorted by time, occurred. Crashes that lie close
+// together are told apart by a request with the part that was sent again after the one before.
 func moments(crashes []*partCrash, id uint64, counts func(c *partCrash) bool) int {
-	var m momentCounter
+	n := 0
+	var first, last time.Time // first and last are those of the latest moment.
 	for _, c := range crashes {
-		if counts(c) {
-			m.add(c.at, c.parts[id])
+		if !counts(c) {
+			continue
 		}
+		if n == 0 || c.at.Sub(first) > crashMoment || c.parts[id].After(last) {
+			n, first = n+1, c.at
+		}
+		last = c.at
 	}
-	return m.n
+	return n
 }
 
 // judge finds the suspects, under which engines crashed at enough moments without an answer between, and which of them are held.
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -213,7 +213,7 @@
 }
 
 // restore adds a request that was held before this node started. The times of its crashes are not known on
-// this node's clock: they count as different moments, and the delay to its next trial starts now. A row older than rowTTL is deleted.
+// this node's clock, so the delay to its next trial starts now. A row older than rowTTL is deleted.
 func (q *Quarantine) restore(now time.Time, f Fingerprint, held row) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -223,7 +223,7 @@
 	}
 	s := Subject{Team: held.Team, Route: held.Route}
 	for i, engine := range held.Engines {
-		q.addCrash(now, f, s, Crash{Engine: engine, At: now.Add(time.Duration(i-len(held.Engines)) * 2 * crashMoment)})
+		q.addCrash(now, f, s, Crash{Engine: engine, At: now.Add(time.Duration(i-len(held.Engines)) * time.Millisecond)})
 	}
 }
 
--- a/internal/quarantine/keeper_test.go
+++ b/internal/quarantine/keeper_test.go
@@ -59,7 +59,7 @@
 	now := time.Now()
 	q, s := newQuarantine(never), &store{failures: 2, written: make(chan feed.Tx, 9)}
 	for i := range 3 {
-		q.RecordCrash(now, time.Time{}, now.Add(time.Duration(i-3)*100*time.Millisecond), fingerprint, subject, fmt.Sprint("e", i))
+		q.RecordCrash(now, now, fingerprint, subject, fmt.Sprint("e", i))
 	}
 	runPersister(t, q, s)
 	put := (<-s.written).Put
@@ -96,7 +96,7 @@
 	for _, writer := range []bool{true, false} {
 		q, s := newQuarantine(never), &store{written: make(chan feed.Tx, 9)}
 		for i := range 3 {
-			q.RecordCrash(now, time.Time{}, now.Add(time.Duration(i-3)*100*time.Millisecond), fingerprint, subject, fmt.Sprint("e", i))
+			q.RecordCrash(now, now, fingerprint, subject, fmt.Sprint("e", i))
 		}
 		p := quarantine.NewPersister(q, s, true, func(time.Time) bool { return writer }, slog.New(slog.DiscardHandler))
 		ctx, cancel := context.WithCancel(context.Background())
@@ -105,7 +105,7 @@
 		first := (<-s.written).Put[0]
 		const other = quarantine.Fingerprint(0xff)
 		for i := range 3 {
-			q.RecordCrash(now, time.Time{}, now.Add(time.Duration(i-3)*100*time.Millisecond), other, subject, fmt.Sprint("e", i))
+			q.RecordCrash(now, now, other, subject, fmt.Sprint("e", i))
 		}
 		<-s.written
 		q.Release(now.Add(time.Second), other)
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -9,10 +9,8 @@
 )
 
 const (
-	// crashThreshold is at how many moments engines must crash while running a request before it is held. With two, a
-	// request that is sent again after a crash and then meets an unrelated crash would be held. Engines that are lost at
-	// one moment count once, unless the request was sent after the loss before: what took them down together is most likely
-	// not the request.
+	// crashThreshold is how many engines must crash while running a request before it is held. With two, a request
+	// that is sent again after a crash and then meets an unrelated crash would be held.
 	crashThreshold = 3
 
 	// sameCrashWindow is how far apart nodes may observe the same crash: each when its own connections
@@ -33,7 +31,7 @@
 	firstTrialDelay   = time.Minute
 	maxTrialDoublings = 5
 
-	// maxCrashesKept is how many crashes are kept per request; the number of their moments determines the trial delay.
+	// maxCrashesKept is how many crashes are kept per request; their number determines the trial delay.
 	maxCrashesKept = crashThreshold + maxTrialDoublings
 
 	// answeredTTL is how long the record of an answered request is kept, so that all peers learn of the answer.
@@ -53,7 +51,6 @@
 	Crash struct {
 		Engine string
 		At     time.Time
-		Sent   time.Time // Sent is when the request was sent to it; zero if not known.
 	}
 
 	// Held is a request that is not sent to engines, and the reason.
@@ -85,11 +82,11 @@
 	return &Quarantine{maySendTrial: maySendTrial, log: log, records: map[Fingerprint]*record{}, answered: map[string]*recentAnswers{}, unsaved: map[Fingerprint]bool{}, wake: make(chan struct{}, 1)}
 }
 
-// RecordCrash records that an engine crashed at a time while it ran a request. sent is when the request was sent to it.
-func (q *Quarantine) RecordCrash(now, sent, at time.Time, f Fingerprint, s Subject, engine string) {
+// RecordCrash records that an engine crashed at a time while it ran a request.
+func (q *Quarantine) RecordCrash(now, at time.Time, f Fingerprint, s Subject, engine string) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if !q.addCrash(now, f, s, Crash{Engine: engine, At: at, Sent: sent}) {
+	if !q.addCrash(now, f, s, Crash{Engine: engine, At: at}) {
 		return
 	}
 	r := q.records[f]
@@ -116,7 +113,9 @@
 	if !before {
 		r.crashes = slices.DeleteFunc(r.crashes, func(o Crash) bool { return now.Sub(o.At) > suspectTTL })
 	}
-	r.insert(e)
+	r.crashes = append(r.crashes, e)
+	slices.SortFunc(r.crashes, func(a, b Crash) int { return a.At.Compare(b.At) })
+	r.crashes = r.crashes[max(0, len(r.crashes)-maxCrashesKept):]
 	r.changed = now
 	if r.isHeld() {
 		q.log.Warn("request held", "fingerprint", f.String(), "team", s.Team, "route", s.Route, "engines", engineIDs(r.crashes), "since_ms", now.Sub(r.crashes[0].At).Milliseconds(),
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -42,7 +42,7 @@
 		engine string
 		held   bool
 	}{{0, "e1", false}, {50, "e1", false}, {400, "e2", false}, {450, "e1", false}, {900, "e3", true}} {
-		q.RecordCrash(at(end.ms), time.Time{}, at(end.ms), fingerprint, subject, end.engine)
+		q.RecordCrash(at(end.ms), at(end.ms), fingerprint, subject, end.engine)
 		if got := isHeld(q, at(end.ms), fingerprint); got != end.held {
 			t.Errorf("after crash %d: held %v, want %v", i, got, end.held)
 		}
@@ -60,49 +60,13 @@
 func TestRepeatedCrashOfOneEngineCounts(t *testing.T) {
 	q := newQuarantine(never)
 	for i := range 3 {
-		q.RecordCrash(at(5000*i), time.Time{}, at(5000*i), fingerprint, subject, "e1")
+		q.RecordCrash(at(5000*i), at(5000*i), fingerprint, subject, "e1")
 	}
 	if !isHeld(q, at(10_000), fingerprint) {
 		t.Error("a request that crashed one engine three times is not held")
 	}
 }
 
-// TestEnginesLostAtOneMomentCountOnce guards against a popular request that is refused for good since it ran on engines that
-// one disruption took down.
-func TestEnginesLostAtOneMomentCountOnce(t *testing.T) {
-	q, peer := newQuarantine(never), newQuarantine(never)
-	for moment := range 3 {
-		base := 5000 * moment
-		for i := range 12 {
-			q.RecordCrash(at(base+4*i), at(base-10*i-1), at(base+4*i), fingerprint, subject, fmt.Sprint("e", moment, "-", i))
-		}
-		peer.MergeGossip(at(base+60), q.GossipEntries(at(base+50), time.Second))
-		for node, known := range []*quarantine.Quarantine{q, peer} {
-			if got, want := isHeld(known, at(base+70), fingerprint), moment == 2; got != want {
-				t.Errorf("node %d after 12 engines each at %d moments: held %v, want %v", node, moment+1, got, want)
-			}
-		}
-	}
-	if held, _ := q.Admit(at(11_000), fingerprint); held == nil || held.TrialAt.After(at(11_000).Add(time.Minute)) {
-		t.Errorf("held: %+v, want a trial a minute after the third moment", held)
-	}
-}
-
-// TestRetriesThatCrashEnginesAtOnceHoldARequest guards against a request that crashes engines within moments and counts once.
-func TestRetriesThatCrashEnginesAtOnceHoldARequest(t *testing.T) {
-	q, peer, third := newQuarantine(never), newQuarantine(never), newQuarantine(never)
-	for i := range 3 {
-		q.RecordCrash(at(10*i), at(10*i-5), at(10*i), fingerprint, subject, fmt.Sprint("e", i))
-	}
-	peer.MergeGossip(at(40), q.GossipEntries(at(30), time.Second))
-	third.MergeGossip(at(60), peer.GossipEntries(at(50), time.Second))
-	for node, known := range []*quarantine.Quarantine{q, peer, third} {
-		if !isHeld(known, at(70), fingerprint) {
-			t.Errorf("node %d does not hold it", node)
-		}
-	}
-}
-
 // TestAPopularRequestIsNotHeld checks that a request which engines answer frequently is still served although several
 // engines running it crash at once, repeatedly, and that a complete answer releases a held request.
 func TestAPopularRequestIsNotHeld(t *testing.T) {
@@ -110,7 +74,7 @@
 	for ms := 0; ms < 30_000; ms += 10 {
 		if ms%5000 == 4990 {
 			for i := range 4 {
-				q.RecordCrash(at(ms+i), at(ms+i), at(ms+i), fingerprint, subject, fmt.Sprint("e", i))
+				q.RecordCrash(at(ms+i), at(ms+i), fingerprint, subject, fmt.Sprint("e", i))
 			}
 		}
 		if isHeld(q, at(ms), fingerprint) {
@@ -120,13 +84,13 @@
 	}
 	q = newQuarantine(never)
 	for i := range 3 {
-		q.RecordCrash(at(100*i), time.Time{}, at(100*i), fingerprint, subject, fmt.Sprint("e", i))
+		q.RecordCrash(at(i), at(i), fingerprint, subject, fmt.Sprint("e", i))
 	}
-	if !isHeld(q, at(210), fingerprint) {
+	if !isHeld(q, at(10), fingerprint) {
 		t.Fatal("three crashes and no answer: not held")
 	}
-	q.RecordAnswer(at(220), fingerprint, subject.Team)
-	if isHeld(q, at(230), fingerprint) || q.Len() != 0 {
+	q.RecordAnswer(at(20), fingerprint, subject.Team)
+	if isHeld(q, at(30), fingerprint) || q.Len() != 0 {
 		t.Error("held although an engine answered it completely")
 	}
 }
@@ -140,9 +104,9 @@
 		q.RecordAnswer(at(1), fingerprint+1+quarantine.Fingerprint(i), "other")
 	}
 	for i := range 3 {
-		q.RecordCrash(at(100+100*i), time.Time{}, at(100+100*i), fingerprint, subject, fmt.Sprint("e", i))
+		q.RecordCrash(at(100), at(100), fingerprint, subject, fmt.Sprint("e", i))
 	}
-	if isHeld(q, at(310), fingerprint) {
+	if isHeld(q, at(110), fingerprint) {
 		t.Error("held, though it was answered 100 ms before")
 	}
 }
@@ -152,17 +116,17 @@
 func TestRecordsAreEvictedFromTheLargestTeam(t *testing.T) {
 	q := newQuarantine(never)
 	for i := range 3 {
-		q.RecordCrash(at(100*i), time.Time{}, at(100*i), fingerprint, subject, fmt.Sprint("e", i))
+		q.RecordCrash(at(i), at(i), fingerprint, subject, fmt.Sprint("e", i))
 	}
-	q.RecordCrash(at(5), time.Time{}, at(5), fingerprint+1, subject, "e9")
+	q.RecordCrash(at(5), at(5), fingerprint+1, subject, "e9")
 	for i := range 3 * 4096 {
-		q.RecordCrash(at(10+i/100), time.Time{}, at(10+i/100), fingerprint+2+quarantine.Fingerprint(i), quarantine.Subject{Team: "other"}, "e1")
+		q.RecordCrash(at(10+i/100), at(10+i/100), fingerprint+2+quarantine.Fingerprint(i), quarantine.Subject{Team: "other"}, "e1")
 	}
 	if !isHeld(q, at(500), fingerprint) {
 		t.Error("the record of a held request was evicted")
 	}
-	q.RecordCrash(at(600), time.Time{}, at(600), fingerprint+1, subject, "e10")
-	q.RecordCrash(at(700), time.Time{}, at(700), fingerprint+1, subject, "e11")
+	q.RecordCrash(at(600), at(600), fingerprint+1, subject, "e10")
+	q.RecordCrash(at(700), at(700), fingerprint+1, subject, "e11")
 	if !isHeld(q, at(700), fingerprint+1) {
 		t.Error("the crashes of a request were evicted by another team's records")
 	}
@@ -173,7 +137,7 @@
 	q := newQuarantine(never)
 	for i := range 6 {
 		now := start.Add(time.Duration(i) * 6 * time.Minute)
-		q.RecordCrash(now, time.Time{}, now, fingerprint, subject, fmt.Sprint("e", i))
+		q.RecordCrash(now, now, fingerprint, subject, fmt.Sprint("e", i))
 		if isHeld(q, now, fingerprint) {
 			t.Fatalf("held after %d crashes six minutes apart", i+1)
 		}
@@ -186,7 +150,7 @@
 	mine := false
 	q := newQuarantine(func(time.Time, quarantine.Fingerprint) bool { return mine })
 	for i := range 3 {
-		q.RecordCrash(at(100*i), time.Time{}, at(100*i), fingerprint, subject, fmt.Sprint("e", i))
+		q.RecordCrash(at(i), at(i), fingerprint, subject, fmt.Sprint("e", i))
 	}
 	trial := func(now time.Time) bool {
 		held, trial := q.Admit(now, fingerprint)
@@ -200,7 +164,7 @@
 	if trial(soon) || !trial(due) || trial(due.Add(time.Second)) {
 		t.Error("want one trial after a minute")
 	}
-	q.RecordCrash(due, time.Time{}, due, fingerprint, subject, "e4")
+	q.RecordCrash(due, due, fingerprint, subject, "e4")
 	if trial(due.Add(119*time.Second)) || !trial(due.Add(121*time.Second)) {
 		t.Error("want the next trial two minutes after the crash in the first")
 	}
@@ -229,8 +193,8 @@
 		}
 	}
 	for i := range 3 {
-		all[i].RecordCrash(at(100*i), time.Time{}, at(100*i), fingerprint, subject, fmt.Sprint("e", i))
-		all[i+1].RecordCrash(at(100*i+30), time.Time{}, at(100*i+30), fingerprint, subject, fmt.Sprint("e", i)) // Another node ran a copy of the request on the same engine.
+		all[i].RecordCrash(at(100*i), at(100*i), fingerprint, subject, fmt.Sprint("e", i))
+		all[i+1].RecordCrash(at(100*i+30), at(100*i+30), fingerprint, subject, fmt.Sprint("e", i)) // Another node ran a copy of the request on the same engine.
 		exchange(100*i + 50)
 	}
 	for i, q := range all {
@@ -260,17 +224,17 @@
 	one, other := newQuarantine(never), newQuarantine(never)
 	other.RecordAnswer(at(0), fingerprint, subject.Team)
 	for i := range 4 {
-		one.RecordCrash(at(100+100*i), time.Time{}, at(100+100*i), fingerprint, subject, fmt.Sprint("e", i))
+		one.RecordCrash(at(100), at(100), fingerprint, subject, fmt.Sprint("e", i))
 	}
-	if !isHeld(one, at(410), fingerprint) {
+	if !isHeld(one, at(110), fingerprint) {
 		t.Fatal("not held at first")
 	}
-	other.MergeGossip(at(420), one.GossipEntries(at(410), time.Second))
-	if isHeld(other, at(430), fingerprint) {
+	other.MergeGossip(at(120), one.GossipEntries(at(110), time.Second))
+	if isHeld(other, at(130), fingerprint) {
 		t.Error("held by the node with the answer")
 	}
-	one.MergeGossip(at(440), other.GossipEntries(at(430), time.Second))
-	if isHeld(one, at(450), fingerprint) {
+	one.MergeGossip(at(140), other.GossipEntries(at(130), time.Second))
+	if isHeld(one, at(150), fingerprint) {
 		t.Error("held although a peer reported an answer 100 ms before the crashes")
 	}
 }
@@ -279,14 +243,14 @@
 // often nodes exchange it. Each message makes the answer seem a little later.
 func TestGossipedAnswerDoesNotGetYounger(t *testing.T) {
 	one, other := newQuarantine(never), newQuarantine(never)
-	one.RecordCrash(at(0), time.Time{}, at(0), fingerprint, subject, "e0")
-	other.RecordCrash(at(0), time.Time{}, at(0), fingerprint, subject, "e0")
+	one.RecordCrash(at(0), at(0), fingerprint, subject, "e0")
+	other.RecordCrash(at(0), at(0), fingerprint, subject, "e0")
 	one.RecordAnswer(at(10), fingerprint, subject.Team)
 	other.MergeGossip(at(40), one.GossipEntries(at(20), time.Second))
 	for i := range 3 {
-		one.RecordCrash(at(3000+100*i), time.Time{}, at(3000+100*i), fingerprint, subject, fmt.Sprint("e", i))
+		one.RecordCrash(at(3000+i), at(3000+i), fingerprint, subject, fmt.Sprint("e", i))
 	}
-	for ms := 3300; ms < 600_000; ms += 1000 {
+	for ms := 3100; ms < 600_000; ms += 1000 {
 		other.MergeGossip(at(ms+30), one.GossipEntries(at(ms), time.Second))
 		one.MergeGossip(at(ms+80), other.GossipEntries(at(ms+50), time.Second))
 	}
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -16,31 +16,8 @@
 	changed  time.Time // changed is when something was learned that peers may not know.
 }
 
-// isHeld reports whether engines crashed at enough moments for the request to be held.
-func (r *record) isHeld() bool {
-	return len(r.crashes) >= crashThreshold && r.moments() >= crashThreshold
-}
-
-// moments returns at how many moments engines crashed.
-func (r *record) moments() int {
-	var m momentCounter
-	for _, c := range r.crashes {
-		m.add(c.At, c.Sent)
-	}
-	return m.n
-}
-
-// insert adds a crash. Beyond maxCrashesKept a crash is removed that is not the first of its moment, or else the oldest.
-func (r *record) insert(c Crash) {
-	r.crashes = append(r.crashes, c)
-	slices.SortFunc(r.crashes, func(a, b Crash) int { return a.At.Compare(b.At) })
-	if len(r.crashes) <= maxCrashesKept {
-		return
-	}
-	var m momentCounter
-	remove := max(0, slices.IndexFunc(r.crashes, func(c Crash) bool { return !m.add(c.At, c.Sent) }))
-	r.crashes = slices.Delete(r.crashes, remove, remove+1)
-}
+// isHeld reports whether enough engines crashed for the request to be held.
+func (r *record) isHeld() bool { return len(r.crashes) >= crashThreshold }
 
 // held returns the description of a held request.
 func (r *record) held(f Fingerprint) *Held {
@@ -58,7 +35,7 @@
 	if r.tried.After(newest) {
 		newest = r.tried
 	}
-	return newest.Add(firstTrialDelay << (r.moments() - crashThreshold))
+	return newest.Add(firstTrialDelay << (len(r.crashes) - crashThreshold))
 }
 
 // engineIDs returns the engines that crashed.
--- a/internal/quarantine/tell.go
+++ b/internal/quarantine/tell.go
@@ -53,8 +53,8 @@
 // gossipEntry returns the gossip entry of a record.
 func (r *record) gossipEntry(now time.Time, f Fingerprint, age time.Duration) GossipEntry {
 	t := GossipEntry{Fingerprint: uint64(f), Team: r.Team, Route: r.Route, AnsweredAgeMs: -1, Age: age}
-	for i, at := range r.tellingTimes() {
-		t.Crashes = append(t.Crashes, GossipCrash{Engine: r.crashes[i].Engine, AgeMs: now.Sub(at).Milliseconds()})
+	for _, e := range r.crashes {
+		t.Crashes = append(t.Crashes, GossipCrash{Engine: e.Engine, AgeMs: now.Sub(e.At).Milliseconds()})
 	}
 	if !r.answered.IsZero() {
 		t.AnsweredAgeMs = now.Sub(r.answered).Milliseconds()
@@ -62,27 +62,6 @@
 	return t
 }
 
-// tellingTimes returns the times of the crashes as peers are told them: those of different moments lie far enough apart
-// for peers to count them alike, since they are not told when the requests were sent.
-func (r *record) tellingTimes() []time.Time {
-	var m momentCounter
-	begins, out := make([]bool, len(r.crashes)), make([]time.Time, len(r.crashes))
-	for i, c := range r.crashes {
-		begins[i] = m.add(c.At, c.Sent)
-	}
-	var next time.Time // next is when the moment after begins; zero for the latest one.
-	for i := len(r.crashes) - 1; i >= 0; i-- {
-		out[i] = r.crashes[i].At
-		if latest := next.Add(-crashMoment - time.Millisecond); !next.IsZero() && out[i].After(latest) {
-			out[i] = latest
-		}
-		if begins[i] {
-			next = out[i]
-		}
-	}
-	return out
-}
-
 // MergeGossip merges the entries of a peer. What was new to this node is passed on.
 func (q *Quarantine) MergeGossip(now time.Time, list []GossipEntry) {
 	q.mu.Lock()
