--- a/lab/soak/stop_test.go
+++ b/lab/soak/stop_test.go
@@ -22,6 +22,9 @@
 	// frozenFor is how long a process stands still around the end of its stop.
 	frozenFor = 700 * time.Millisecond
 
+	// knownRuns is how many short requests of each route a node has run before its stop.
+	knownRuns = 25
+
 	// callersOfEach is how many callers there are with a kept connection, and how many with a new one.
 	callersOfEach = 8
 )
@@ -165,3 +168,51 @@
 	}
 	callers.Wait()
 }
+
+// TestLongRequestsLateInAStopAreNotCut guards against requests that a stopping node takes since it knows short runs only, and
+// cuts at the end of its grace.
+func TestLongRequestsLateInAStopAreNotCut(t *testing.T) {
+	env, n := startTwoNodes(t, longDeadline)
+	env.expectExit(n)
+	for i := range knownRuns {
+		for _, route := range routes {
+			askWhole(t, n, route, longID(fmt.Sprint(route, "-before-", i)), 0)
+		}
+	}
+	stopped := make(chan error, 1)
+	go func() { stopped <- n.Stop(stopGrace) }()
+	var callers sync.WaitGroup
+	for _, after := range []time.Duration{lateSent + 100*time.Millisecond, 5 * time.Second} {
+		for i := range callersOfEach / 4 {
+			for _, route := range routes {
+				callers.Go(func() {
+					time.Sleep(after)
+					askLate(t, env, n, route, longID(fmt.Sprintf("%s-%v-%d", route, after, i)), stopGrace-after)
+				})
+			}
+		}
+	}
+	callers.Wait()
+	if err := <-stopped; err != nil {
+		t.Error(err)
+	}
+}
+
+// askLate sends a request that runs for some time to a stopping node. It must be served, be refused at once as not run, or be
+// told apart from one that has not run if it may be sent again.
+func askLate(t *testing.T, env *Environment, n *node, route, id string, work time.Duration) {
+	t.Helper()
+	begin := time.Now()
+	status, body, err := ask(t, n, route, id, work)
+	took := time.Since(begin)
+	env.ledger.mu.Lock()
+	ran := len(env.ledger.runs[id])
+	env.ledger.mu.Unlock()
+	switch {
+	case err == nil && status == success && versionLine.ReplaceAllString(body, "") == expectedBody(route, id):
+	case err == nil && status == unavailable && ran == 0 && took < time.Second:
+	case err == nil && status == http.StatusBadGateway && route == routeSafe:
+	default:
+		t.Errorf("%s got status %d, %q, %v after %v, runs %d", id, status, body, err, took, ran)
+	}
+}
