Dispatch: a stopping node takes what its deadline bounds, not what its recent runs promise

What callers saw: in a planned stop, in calm, requests that came late in the grace were taken and passed on, and cut at its end: streams closed in their answers, unsafe requests with a 502 that says they may have run.

Cause: fitsBeforeStop took what fitted by 1.5 times the longest recent run among requests at least as large. What ran lately bounds nothing; a request may run until its caller's deadline or its route's timeout. Class: an estimate used where a promise is needed.

Fix: a request is taken if its deadline is before the end of the stop, whatever the route's runs tell; it is told at once that it has not run otherwise. The time that it lay unread or spent at another node counts. What is resent, forwarded or waits asks the same, of its own deadline in place of a whole one from then on. Recent runs still vouch for safe requests whose answers are held until they are whole: these get an answer in any case and may be sent again, so that the refusal would cost more callers than the end does. Routes with larger answers, which begin before they are whole, are no longer vouched for.

Tests: those that asked for the estimate asked for the fault. They ask the same of safe requests as before; of all others that they are taken exactly while their deadline fits, and that none of them is ended by the stop.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -148,7 +148,7 @@
 			return nil, nil, &Refusal{Reason: UnknownKey}
 		}
 	}
-	if !d.fitsBeforeStop(now, r, route) {
+	if !d.fitsBeforeStop(now, r.deadline(now, route), r, route) {
 		return nil, nil, &Refusal{Reason: Stopping, RetryAfter: shortRetryAfter}
 	}
 	return route, team, nil
@@ -209,6 +209,15 @@
 	return wait
 }
 
+// deadline returns when a request that is checked at a time ends at the latest.
+func (r *Request) deadline(now time.Time, route *routing.Route) time.Time {
+	spent := r.Unread
+	if r.Forwarded != nil {
+		spent += r.Forwarded.Spent
+	}
+	return now.Add(patience(r, route) - spent)
+}
+
 // Refused records a request that was refused before Serve.
 func (d *Dispatcher) Refused(now time.Time, r *Request, refusal *Refusal) {
 	d.log.Info("request refused", "request", r.ID, "host", r.Host, "path", r.Path, "outcome", refusal.Reason,
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -159,7 +159,7 @@
 }
 
 // TestStoppingNodeTakesOnlyWhatItCanFinish guards against requests of any kind that a stopping node takes and then cuts
-// off: how long they may take is told by their callers, by others of their route that have run, and by those that run.
+// off. Short runs of their route vouch only for those that are answered whole and may be sent again.
 func TestStoppingNodeTakesOnlyWhatItCanFinish(t *testing.T) {
 	var slow atomic.Bool
 	release := make(chan struct{})
@@ -185,17 +185,27 @@
 		for range 4 {
 			serve(t, few, route)
 		}
-		if left(few, route, 70*time.Millisecond) || !left(few, route, timeout/2) {
+		vouched := route == "safe"
+		if left(few, route, 70*time.Millisecond) || left(few, route, timeout/2) != vouched {
 			t.Errorf("%s: a request of a route with few and short runs is refused, or one that they don't vouch for is not", route)
 		}
 		known := newDispatcher(e, 0)
 		for range 20 {
 			serve(t, known, route)
 		}
-		if left(known, route, 20*time.Millisecond) || !left(known, route, time.Second) {
+		if left(known, route, 20*time.Millisecond) || left(known, route, time.Second) != vouched || left(known, route, timeout) != vouched || !left(known, route, timeout+time.Second) {
 			t.Errorf("%s: a request of a route with short runs is refused, or one that does not fit is not", route)
 		}
 	}
+	large := newDispatcher(&fakeSender{serve: func(context.Context, int, dispatch.Attempt) (*dispatch.Response, error) {
+		return respond(http.StatusOK, strings.Repeat("x", 300<<10)), nil
+	}}, 0)
+	for range 20 {
+		serve(t, large, "safe")
+	}
+	if left(large, "safe", time.Second) {
+		t.Error("a request is taken whose answer may have begun when it is cut off")
+	}
 	slower := newDispatcher(e, 0)
 	for range 20 {
 		serve(t, slower, "safe")
@@ -245,7 +255,7 @@
 			}}, 0)
 			request := func(like *dispatch.Request) *dispatch.Request {
 				r := *like
-				r.ID, r.Host, r.Path, r.Key, r.Patience = "id", "h", "/resumable/x", "k", timeout
+				r.ID, r.Host, r.Path, r.Key, r.Patience = "id", "h", "/safe/x", "k", timeout
 				return &r
 			}
 			for range 20 {
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -195,6 +195,7 @@
 		x.abortAnswer(now)
 		return false
 	case !whole:
+		x.d.runs.addLarge(now, runsOf(x.route, x.via != ""))
 		return x.copyRest(ctx, resp)
 	case !buffered:
 		x.finishAnswer(now)
--- a/internal/dispatch/resend.go
+++ b/internal/dispatch/resend.go
@@ -73,7 +73,7 @@
 		if x.team != nil && (!x.d.proof.Fresh(now) || !x.keyValid()) {
 			return true // The request may not be sent to another engine.
 		}
-		if mustFit && !x.d.fitsBeforeStop(now, x.req, x.route) {
+		if mustFit && !x.d.fitsBeforeStop(now, x.deadline, x.req, x.route) {
 			return true
 		}
 		if !canMove(now) {
--- a/internal/dispatch/run_times.go
+++ b/internal/dispatch/run_times.go
@@ -40,6 +40,7 @@
 		began           time.Time // began is when the present window began.
 		count, before   map[size]int
 		longest, former time.Duration // former is the longest of the window before.
+		large, wasLarge bool          // large is set if an answer was relayed before it was whole, wasLarge for the window before.
 	}
 )
 
@@ -85,6 +86,13 @@
 	r.longest = max(r.longest, took)
 }
 
+// addLarge records that an answer of a route was relayed before it was whole.
+func (t *runTimes) addLarge(now time.Time, route string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.current(now, route).large = true
+}
+
 // current returns the runs of a route with the window of a time. The caller holds the lock.
 func (t *runTimes) current(now time.Time, route string) *routeRuns {
 	if t.routes == nil {
@@ -96,7 +104,7 @@
 		t.routes[route] = r
 	}
 	if now.Sub(r.began) >= runTimesWindow {
-		*r = routeRuns{began: now, count: map[size]int{}, before: r.count, former: r.longest}
+		*r = routeRuns{began: now, count: map[size]int{}, before: r.count, former: r.longest, wasLarge: r.large}
 	}
 	return r
 }
@@ -112,12 +120,13 @@
 	return max(r.longest, r.former)
 }
 
-// known returns how many recent runs of a route are known of requests at least as large.
+// known returns how many recent runs of a route are known of requests at least as large, 0 if an end might break off an answer
+// that has begun.
 func (t *runTimes) known(route string, s size) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.routes[route]
-	if r == nil {
+	if r == nil || r.large || r.wasLarge {
 		return 0
 	}
 	n := 0
--- a/internal/dispatch/stop.go
+++ b/internal/dispatch/stop.go
@@ -71,26 +71,32 @@
 	return d.cutAnswers.Load(), d.cutRequests.Load()
 }
 
-// fitsBeforeStop reports whether a request can end before this node does. It must fit as long as it may take, which
-// the runs of its route tell: the recent ones, and those in progress, since engines may have become slower. Runs of smaller
-// requests tell nothing of how long it takes at most. Which way it goes may not be known yet; that is asked again before it
-// is sent.
-func (d *Dispatcher) fitsBeforeStop(now time.Time, r *Request, route *routing.Route) bool {
-	return d.fitsBy(now, r, route, runsOf(route, false)) || d.forwarder != nil && d.fitsBy(now, r, route, runsOf(route, true))
+// fitsBeforeStop reports whether a request with a deadline ends before this node does. Nothing else bounds how long it runs. What
+// its recent runs tell is enough only where an end by the stop loses nothing that can't be had again. Which way it goes may not
+// be known yet; that is asked again before it is sent.
+func (d *Dispatcher) fitsBeforeStop(now, deadline time.Time, r *Request, route *routing.Route) bool {
+	return d.fitsBy(now, deadline, r, route, runsOf(route, false)) || d.forwarder != nil && d.fitsBy(now, deadline, r, route, runsOf(route, true))
 }
 
 // fitsBy is fitsBeforeStop of a request whose time some of the runs tell.
-func (d *Dispatcher) fitsBy(now time.Time, r *Request, route *routing.Route, runs string) bool {
+func (d *Dispatcher) fitsBy(now, deadline time.Time, r *Request, route *routing.Route, runs string) bool {
 	s := d.stop.Load()
 	if s == nil {
 		return true
 	}
-	longest := patience(r, route)
-	if known := d.runs.known(runs, sizeOf(r)); known > 0 {
-		margin := max(leastRunMargin, fewRunsMargin/float64(known))
-		longest = min(longest, time.Duration((1+margin)*float64(d.longestRun(now, s, route, runs))))
+	latest := s.By.Add(-s.margin)
+	if !deadline.After(latest) {
+		return true
+	}
+	known := 0
+	if route.Kind == routing.Safe {
+		known = d.runs.known(runs, sizeOf(r))
+	}
+	if known == 0 {
+		return false
 	}
-	return s.By.Sub(now) >= longest+s.margin
+	margin := max(leastRunMargin, fewRunsMargin/float64(known))
+	return !now.Add(time.Duration((1 + margin) * float64(d.longestRun(now, s, route, runs)))).After(latest)
 }
 
 // runsOf returns the name under which runs of a route are known. Those by way of another node are told apart: it does not
@@ -118,7 +124,7 @@
 // mustLeave reports whether the request has to be served by another node because this one stops. An answer that has
 // begun can't: it goes on for as long as this node runs.
 func (x *exchange) mustLeave(now time.Time) bool {
-	return !x.answerBegun && !x.d.fitsBy(now, x.req, x.route, runsOf(x.route, x.mustForward()))
+	return !x.answerBegun && !x.d.fitsBy(now, x.deadline, x.req, x.route, runsOf(x.route, x.mustForward()))
 }
 
 // refuseStopping returns the refusal of a request that ends with the process.
--- a/internal/edge/stop_test.go
+++ b/internal/edge/stop_test.go
@@ -30,7 +30,8 @@
 
 // stopRig is a node that stops while callers send requests over kept connections.
 type stopRig struct {
-	node *Edge
+	node     *Edge
+	patience time.Duration // patience is how long callers wait.
 
 	mu    sync.Mutex
 	begun map[string]bool // begun holds the requests that an engine has begun.
@@ -49,7 +50,7 @@
 func newStopRig(t *testing.T, grace time.Duration) *stopRig {
 	t.Helper()
 	c := newScriptedClusterWith(t, 2, 1, stopConfig, 0)
-	rig := &stopRig{node: c.nodes[0], begun: map[string]bool{}}
+	rig := &stopRig{node: c.nodes[0], patience: 4 * time.Second, begun: map[string]bool{}}
 	rig.node.settings.StopGraceMs = int(grace.Milliseconds())
 	engine := http.HandlerFunc(rig.run)
 	for _, e := range c.engines {
@@ -104,7 +105,7 @@
 	r.Host, r.GetBody = "h", nil // Without GetBody the client never sends it again by itself.
 	r.Header.Set("Attempt-Id", id)
 	r.Header.Set("Authorization", "Bearer k")
-	r.Header.Set("Deadline-Ms", "4000")
+	r.Header.Set("Deadline-Ms", fmt.Sprint(s.patience.Milliseconds()))
 	resp, err := c.Do(r)
 	if err != nil {
 		return 0, false
@@ -158,12 +159,13 @@
 	}
 }
 
-// checkStop stops a node under requests of a kind that run for drawn times. Requests must be served for as long as one
-// and a half times the longest of them fits into what is left.
+// checkStop stops a node under requests of a kind that run for drawn times. Requests must be served for as long as their
+// callers wait no longer than what is left, and safe ones for as long as one and a half times the longest of them fits into it.
 func checkStop(t *testing.T, kind string, work func() time.Duration) {
 	t.Helper()
-	const grace, spacing = 3 * time.Second, 200 * time.Millisecond // spacing is more than callers leave between requests.
+	const grace, spacing = 5 * time.Second, 200 * time.Millisecond // spacing is more than callers leave between requests.
 	s := newStopRig(t, grace)
+	s.patience = 2 * time.Second
 	var mu sync.Mutex
 	var lastServed time.Time
 	var longest time.Duration
@@ -176,7 +178,7 @@
 		mu.Lock()
 		defer mu.Unlock()
 		switch {
-		case !answered && begun:
+		case !answered && begun, kind != "safe" && status == http.StatusBadGateway:
 			lost++
 		case status == http.StatusServiceUnavailable && begun:
 			untrue++
@@ -195,7 +197,11 @@
 	close(done)
 	calls.Wait()
 	whole := newStopPlan(begin, begin.Add(grace), grace, s.node.lateness.Recent(clock.Now()), 0).refuse.Sub(begin) // A process that is late has less.
-	served := whole - whole/16 - longest*3/2 - spacing
+	bound := s.patience
+	if kind == "safe" {
+		bound = longest * 3 / 2
+	}
+	served := whole - whole/16 - bound - spacing
 	if lost > 0 || untrue > 0 || lastServed.Sub(begin) < served {
 		t.Errorf("%d requests lost, %d refused as not run though they had run, the last one served came %v after the stop began, want %v", lost, untrue, lastServed.Sub(begin), served)
 	}
@@ -366,7 +372,7 @@
 }
 
 // TestStoppingNodeRefusesWhatIsLargerThanAllItKnows guards against a request that a stopping node takes since it knows short
-// runs only, all of smaller requests, and then cuts off: it must be told at once that it has not run, and small ones be served.
+// runs only, all of smaller requests, and then cuts off: it must be told at once that it has not run, and small safe ones be served.
 func TestStoppingNodeRefusesWhatIsLargerThanAllItKnows(t *testing.T) {
 	const grace = 3 * time.Second
 	large := strings.Repeat("x", 900)
@@ -378,7 +384,7 @@
 		"body":           {"", "", func() io.Reader { return strings.NewReader(large) }},
 		"body in chunks": {"", "", func() io.Reader { return io.MultiReader(strings.NewReader(large)) }}, // Its length isn't told.
 	} {
-		for _, kind := range []string{"unsafe", "resumable"} {
+		for kind, wantSmall := range map[string]int{"safe": http.StatusOK, "unsafe": http.StatusServiceUnavailable, "resumable": http.StatusServiceUnavailable} {
 			t.Run(name+" "+kind, func(t *testing.T) {
 				t.Parallel()
 				s := newStopRig(t, grace)
@@ -403,8 +409,8 @@
 					t.Errorf("got status %d after %v, begun %v; want a refusal at once", status, took, begun)
 				}
 				plan := newStopPlan(stopped, stopped.Add(grace), grace, s.node.lateness.Recent(clock.Now()), 0) // A process that is late refuses all of them earlier.
-				if status := small("after"); status != http.StatusOK && time.Until(plan.refuse) > grace/2 {
-					t.Errorf("a small request got status %d", status)
+				if status := small("after"); status != wantSmall && time.Until(plan.refuse) > grace/2 {
+					t.Errorf("a small request got status %d, want %d", status, wantSmall)
 				}
 				if err := <-closed; err != nil {
 					t.Error(err)
