Dispatch: a stop ends nothing that it took, also where the process falls behind later

What callers saw: a stopping node took a request that fitted into what was left as the plan was then. The process fell behind later, the plan ended what engines had earlier, and the request was ended before its deadline: an unsafe one got 502, streams were closed.

Cause: the promise was made by the plan of the moment. A plan may move until its last sixth. Class: as before, an estimate used where a promise is needed.

Fix: what a stopping node takes must end before the earliest moment at which the plan may end it, which no lateness moves.

--- a/internal/dispatch/stop.go
+++ b/internal/dispatch/stop.go
@@ -33,6 +33,7 @@
 	Stop struct {
 		Begin time.Time     // Begin is when the process saw the signal.
 		By    time.Time     // By is when requests must be expected to end to be accepted.
+		Cut   time.Time     // Cut is when requests that engines have are ended at the earliest, however late the process is by then; zero for By.
 		Kill  time.Time     // Kill is when the platform may kill the process.
 		Late  time.Duration // Late is how late the process is.
 	}
@@ -85,7 +86,7 @@
 		return true
 	}
 	latest := s.By.Add(-s.margin)
-	if !deadline.After(latest) {
+	if !deadline.After(latest) && (s.Cut.IsZero() || !deadline.After(s.Cut)) {
 		return true
 	}
 	known := 0
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -74,7 +74,7 @@
 	before := func(steps, late time.Duration) time.Time { return kill.Add(-max(margin, margin/2+steps*late)) }
 	p := stopPlan{refuse: before(refuseSteps, recent), cut: before(cutSteps, present)}
 	// The signal may have come when it was seen: the estimate of the kill must not end an answer sooner either.
-	if earliest := begin.Add(grace - grace/cutPart); p.cut.Before(earliest) {
+	if earliest := earliestCut(begin, grace); p.cut.Before(earliest) {
 		p.cut = earliest
 	}
 	if p.cut.Before(p.refuse) {
@@ -83,6 +83,11 @@
 	return p
 }
 
+// earliestCut returns when a stop ends what engines have at the earliest, however late the process is.
+func earliestCut(begin time.Time, grace time.Duration) time.Time {
+	return begin.Add(grace - grace/cutPart)
+}
+
 // answered returns by when what was refused has been answered, for a process that is killed at a time: callers that have
 // opened a connection and sent nothing are not waited for any longer.
 func (p stopPlan) answered(kill time.Time) time.Time {
@@ -141,7 +146,7 @@
 		s.plan.refuse = before.refuse
 	}
 	if s.plan.refuse != before.refuse {
-		s.dispatcher.StopBy(dispatch.Stop{Begin: s.begin, By: s.plan.refuse, Kill: s.kill, Late: present})
+		s.dispatcher.StopBy(dispatch.Stop{Begin: s.begin, By: s.plan.refuse, Cut: earliestCut(s.begin, s.grace), Kill: s.kill, Late: present})
 	}
 	if moved := max(s.plan.refuse.Sub(before.refuse).Abs(), s.plan.cut.Sub(before.cut).Abs()); moved >= stopMargin && !before.cut.IsZero() {
 		s.log.Info("stop planned again", "active", s.dispatcher.Active(), "stopping_ms", now.Sub(s.begin).Milliseconds(), "refuse_ms", s.plan.refuse.Sub(now).Milliseconds(), "within_ms", s.plan.cut.Sub(now).Milliseconds(), "late_now_ms", present.Milliseconds())
--- a/lab/soak/stop_test.go
+++ b/lab/soak/stop_test.go
@@ -198,6 +198,36 @@
 	}
 }
 
+// TestLateProcessEndsNothingThatItTookInAStop guards against requests that a stopping node takes as they fit, and ends before their
+// time since it falls behind later.
+func TestLateProcessEndsNothingThatItTookInAStop(t *testing.T) {
+	env, n := startTwoNodes(t, longDeadline)
+	env.expectExit(n)
+	stopped := make(chan error, 1)
+	go func() { stopped <- n.Stop(stopGrace) }()
+	var callers sync.WaitGroup
+	for _, after := range []time.Duration{300 * time.Millisecond, time.Second} {
+		for _, route := range routes {
+			callers.Go(func() {
+				time.Sleep(after)
+				askLate(t, env, n, route, longID(fmt.Sprintf("%s-%v", route, after)), longDeadline-200*time.Millisecond)
+			})
+		}
+	}
+	time.Sleep(stopGrace - lastPart - 6*standstill/5)
+	if err := n.Signal(syscall.SIGSTOP); err != nil {
+		t.Error(err)
+	}
+	time.Sleep(standstill)
+	if err := n.Signal(syscall.SIGCONT); err != nil {
+		t.Error(err)
+	}
+	callers.Wait()
+	if err := <-stopped; err != nil {
+		t.Error(err)
+	}
+}
+
 // askLate sends a request that runs for some time to a stopping node. It must be served, be refused at once as not run, or be
 // told apart from one that has not run if it may be sent again.
 func askLate(t *testing.T, env *Environment, n *node, route, id string, work time.Duration) {
@@ -212,6 +242,7 @@
 	case err == nil && status == success && versionLine.ReplaceAllString(body, "") == expectedBody(route, id):
 	case err == nil && status == unavailable && ran == 0 && took < time.Second:
 	case err == nil && status == http.StatusBadGateway && route == routeSafe:
+	case err == nil && status == http.StatusGatewayTimeout && took >= longDeadline:
 	default:
 		t.Errorf("%s got status %d, %q, %v after %v, runs %d", id, status, body, err, took, ran)
 	}
