Dispatch: a stop breaks off no answer that only recent runs vouched for

What callers saw: a safe request that came late in a stop got the head and 300 KB of an answer, and then a closed connection.

Cause: recent runs vouch for safe requests of which an end by the stop loses nothing, since their answers are held until they are whole. Answers of more than 256 KB are not held. That those of the last 30 s were shorter bounds the next one as little as their time bounds its run. Class: an estimate used where a promise is needed.

Evidence: TestStopBreaksOffNoAnswerLargerThanThoseBefore on the code before: "got status 200, whole false".

Fix: a request remembers when it is sent whether its deadline, or only its route's runs, tell that it ends in time. In the second case its answer does not begin unless it is whole: one that is too large to be held ends with 502, which safe requests may be sent again after, and the route is not vouched for any more.

--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -178,6 +178,13 @@
 	if err != nil {
 		return x.handleBodyError(ctx, err)
 	}
+	if !whole {
+		x.d.runs.addLarge(now, runsOf(x.route, x.via != ""))
+		if x.vouched {
+			x.endCutOff(true) // The stop would break off an answer that has begun.
+			return false
+		}
+	}
 	x.beginAnswer(resp)
 	ended := x.ended
 	if whole {
@@ -195,7 +202,6 @@
 		x.abortAnswer(now)
 		return false
 	case !whole:
-		x.d.runs.addLarge(now, runsOf(x.route, x.via != ""))
 		return x.copyRest(ctx, resp)
 	case !buffered:
 		x.finishAnswer(now)
--- a/internal/dispatch/stop.go
+++ b/internal/dispatch/stop.go
@@ -81,15 +81,10 @@
 
 // fitsBy is fitsBeforeStop of a request whose time some of the runs tell.
 func (d *Dispatcher) fitsBy(now, deadline time.Time, r *Request, route *routing.Route, runs string) bool {
-	s := d.stop.Load()
-	if s == nil {
-		return true
-	}
-	latest := s.By.Add(-s.margin)
-	if !deadline.After(latest) && (s.Cut.IsZero() || !deadline.After(s.Cut)) {
+	if d.endsBeforeStop(deadline) {
 		return true
 	}
-	known := 0
+	s, known := d.stop.Load(), 0
 	if route.Kind == routing.Safe {
 		known = d.runs.known(runs, sizeOf(r))
 	}
@@ -97,9 +92,18 @@
 		return false
 	}
 	margin := max(leastRunMargin, fewRunsMargin/float64(known))
-	return !now.Add(time.Duration((1 + margin) * float64(d.longestRun(now, s, route, runs)))).After(latest)
+	return !now.Add(time.Duration((1 + margin) * float64(d.longestRun(now, s, route, runs)))).After(s.latest())
 }
 
+// endsBeforeStop reports whether a request with a deadline ends before this node does, however long it runs.
+func (d *Dispatcher) endsBeforeStop(deadline time.Time) bool {
+	s := d.stop.Load()
+	return s == nil || !deadline.After(s.latest()) && (s.Cut.IsZero() || !deadline.After(s.Cut))
+}
+
+// latest returns until when requests must end to be accepted.
+func (s *stop) latest() time.Time { return s.By.Add(-s.margin) }
+
 // runsOf returns the name under which runs of a route are known. Those by way of another node are told apart: it does not
 // know of the stop of this one, and may begin a slow request anew.
 func runsOf(route *routing.Route, forwarded bool) string {
--- a/internal/dispatch/walk.go
+++ b/internal/dispatch/walk.go
@@ -69,6 +69,7 @@
 	headReceived  bool              // headReceived is set once the current engine has sent the head of its answer
 	answerBegun   bool              // answerBegun is set once the answer to the caller has begun
 	continues     bool              // continues is set if the current engine got the request to take up an answer
+	vouched       bool              // vouched is set if only recent runs tell that the current attempt ends before the node stops
 	everSent      atomic.Bool       // everSent is set once the request was handed over for sending, to an engine or another node
 	sentAt        time.Time         // sentAt is when the request was last handed over for sending
 	written       writeRecord       // written tells when the request was last written
@@ -250,6 +251,7 @@
 	if x.mustLeave(now) {
 		return &Refusal{Reason: x.unlessMayHaveRun(Stopping), RetryAfter: shortRetryAfter}
 	}
+	x.vouched = x.route.Kind == routing.Safe && !x.d.endsBeforeStop(x.deadline)
 	return x.refuseHeld(now)
 }
 
--- a/internal/edge/stop_test.go
+++ b/internal/edge/stop_test.go
@@ -75,6 +75,9 @@
 	w.Header().Set("Attempt-Id", id)
 	w.Header().Set("Response-Seal", "seal")
 	w.Header().Set("Content-Type", "text/event-stream")
+	if strings.HasPrefix(id, "large") {
+		_, _ = w.Write(make([]byte, 300<<10)) // The caller has left.
+	}
 	for i := range 2 {
 		select {
 		case <-r.Context().Done():
@@ -370,6 +373,30 @@
 	}
 }
 
+// TestStopBreaksOffNoAnswerLargerThanThoseBefore guards against a request that a stopping node takes since it knows short runs
+// with short answers, and then breaks off in a larger answer.
+func TestStopBreaksOffNoAnswerLargerThanThoseBefore(t *testing.T) {
+	const grace = 3 * time.Second
+	s := newStopRig(t, grace)
+	for i := range 25 {
+		if status, _ := s.send(http.DefaultClient, fmt.Sprint("before-", i), "safe", 20*time.Millisecond); status != http.StatusOK {
+			t.Errorf("a request got status %d", status)
+		}
+	}
+	closed := make(chan error, 1)
+	go func() { closed <- s.node.Close() }()
+	waitFor(t, func() bool { return s.node.dispatcher.Ready(clock.Now()) == dispatch.Stopping }, "the node does not stop")
+	if status, answered := s.send(http.DefaultClient, "large", "safe", 3500*time.Millisecond); status != http.StatusBadGateway || !answered || !s.begun["large"] {
+		t.Errorf("got status %d, whole %v; want an answer that tells that it was cut off", status, answered)
+	}
+	if status, answered := s.send(http.DefaultClient, "after", "safe", 20*time.Millisecond); status != http.StatusServiceUnavailable || !answered {
+		t.Errorf("got status %d, whole %v; want a refusal since answers are large", status, answered)
+	}
+	if err := <-closed; err != nil {
+		t.Error(err)
+	}
+}
+
 // TestStoppingNodeRefusesWhatIsLargerThanAllItKnows guards against a request that a stopping node takes since it knows short
 // runs only, all of smaller requests, and then cuts off: it must be told at once that it has not run, and small safe ones be served.
 func TestStoppingNodeRefusesWhatIsLargerThanAllItKnows(t *testing.T) {
