Dispatch: a stopping node moves begun streams from silent engines by what recent runs tell

What callers saw: resumable streams at a stopping node whose engine fell silent were closed at the end of the stop, though other engines would have ended them seconds before.

Cause: since abandoning a silent engine in a stop asks whether the deadline of the stream is before the end of the stop. Streams of before the SIGTERM with a longer deadline outlast it whether they move or not; there is no promise to keep.

Evidence: a real node, grace 8 s, timeout 12 s: 7 of 12 streams closed 7.6 s after the SIGTERM, none on. TestSilentEngineLosesItsStreamsWhereOthersEndThemInTime before: sent 21 times, body with its first event only, aborted true.

Fix: begun streams are moved if their deadline fits or recent runs tell that another run ends in time. What has not begun asks for the deadline, as its sending does.

--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -343,8 +343,9 @@
 			pause.For(ctx, silentGrace-clock.Since(now))
 		}
 		readUnread(ctx)
-		mustFit := accepts || !begun && before == 0 // An engine that is gone ends no answer that has begun.
-		for ctx.Err() == nil && events.Load() == before && !abandon(mustFit) {
+		hasPart := begun || before > 0
+		mustFit := accepts || !hasPart // An engine that is gone ends no answer that has begun.
+		for ctx.Err() == nil && events.Load() == before && !abandon(mustFit, hasPart) {
 			pause.For(ctx, stallRecheck)
 		}
 	})
--- a/internal/dispatch/resend.go
+++ b/internal/dispatch/resend.go
@@ -42,11 +42,12 @@
 	if !x.mayTryNext() || x.route.Target <= 0 {
 		return time.NewTimer(clock.Until(x.deadline))
 	}
+	begun := x.answerBegun
 	abandon := x.abandonSlow(cancel, x.canMove(func() bool { return false }))
 	return time.AfterFunc(firstByteTargets*x.route.Target, func() {
 		readUnread(ctx)
 		if ctx.Err() == nil && !answered() {
-			abandon(true)
+			abandon(true, begun)
 		}
 	})
 }
@@ -65,15 +66,15 @@
 // abandonSlow returns a function that abandons the current attempt for another engine if there is one and the retry
 // budget allows it. Otherwise the attempt goes on, since the answer may still arrive. If it must fit, it goes on as well
 // where another attempt, which reads the prompt again, may not end before the node stops. The function reports whether
-// that was decided.
-func (x *exchange) abandonSlow(cancel context.CancelCauseFunc, canMove func(now time.Time) bool) func(mustFit bool) (decided bool) {
+// that was decided; begun is set if the caller has a part of the answer.
+func (x *exchange) abandonSlow(cancel context.CancelCauseFunc, canMove func(now time.Time) bool) func(mustFit, begun bool) (decided bool) {
 	engine, sent := x.choice.Engine.ID, x.sent
-	return func(mustFit bool) bool {
+	return func(mustFit, begun bool) bool {
 		now := clock.Now()
 		if x.team != nil && (!x.d.proof.Fresh(now) || !x.keyValid()) {
 			return true // The request may not be sent to another engine.
 		}
-		if mustFit && !x.d.fitsBeforeStop(now, x.deadline, x.req, x.route) {
+		if mustFit && !x.mayMove(now, begun) {
 			return true
 		}
 		if !canMove(now) {
--- a/internal/dispatch/silent_test.go
+++ b/internal/dispatch/silent_test.go
@@ -123,6 +123,26 @@
 	}
 }
 
+// TestSilentEngineLosesItsStreamsWhereOthersEndThemInTime guards against begun streams of a stopping node that stay at an engine
+// which is silent for good, though runs of their route are far shorter than what is left.
+func TestSilentEngineLosesItsStreamsWhereOthersEndThemInTime(t *testing.T) {
+	const left, patience = 6 * time.Second, 10 * time.Second
+	e, d, _ := newPausing(t, true, patience, 0)
+	d.Table().Route("h", "/resumable/x").Timeout = patience
+	answers := make(chan *recordedAnswer, 1)
+	go func() { answers <- servePatience(t, d, "resumable", patience) }()
+	e.awaitSent(t, 1)
+	for range 20 {
+		serve(t, d, "resumable")
+	}
+	now := time.Now()
+	defer time.AfterFunc(left, d.CutOff).Stop()
+	d.StopBy(dispatch.Stop{Begin: now, By: now.Add(left), Kill: now.Add(left)})
+	if a := <-answers; a.aborted || a.body.String() != "id: 1\ndata: x\n\nid: 2\ndata: y\n\n" {
+		t.Errorf("sent %d times, body %q, aborted %v", e.sentCount(), a.body.String(), a.aborted)
+	}
+}
+
 func TestSilentEngineThatGoesOnKeepsItsStreams(t *testing.T) {
 	if sent, _, a := servePausing(t, true, 1300*time.Millisecond); sent != 1 || a.aborted || a.body.String() != "id: 1\ndata: x\n\nid: 2\ndata: y\n\n" {
 		t.Errorf("sent %d times, body %q, aborted %v", sent, a.body.String(), a.aborted)
--- a/internal/dispatch/stop.go
+++ b/internal/dispatch/stop.go
@@ -81,20 +81,31 @@
 
 // fitsBy is fitsBeforeStop of a request whose time some of the runs tell.
 func (d *Dispatcher) fitsBy(now, deadline time.Time, r *Request, route *routing.Route, runs string) bool {
-	if d.endsBeforeStop(deadline) {
-		return true
-	}
-	s, known := d.stop.Load(), 0
-	if route.Kind == routing.Safe {
-		known = d.runs.known(runs, sizeOf(r))
-	}
-	if known == 0 {
-		return false
+	return d.endsBeforeStop(deadline) || route.Kind == routing.Safe && d.expectedBeforeStop(now, r, route, runs)
+}
+
+// expectedBeforeStop reports whether a request ends before this node does by what some of the recent runs tell.
+func (d *Dispatcher) expectedBeforeStop(now time.Time, r *Request, route *routing.Route, runs string) bool {
+	s, known := d.stop.Load(), d.runs.known(runs, sizeOf(r))
+	if s == nil || known == 0 {
+		return s == nil
 	}
 	margin := max(leastRunMargin, fewRunsMargin/float64(known))
 	return !now.Add(time.Duration((1 + margin) * float64(d.longestRun(now, s, route, runs)))).After(s.latest())
 }
 
+// mayMove reports whether another run of the request may end before this node does. For that of a begun answer it is enough that
+// recent runs tell so: the caller gets no more from an engine that stays silent.
+func (x *exchange) mayMove(now time.Time, begun bool) bool {
+	if x.d.fitsBeforeStop(now, x.deadline, x.req, x.route) {
+		return true
+	}
+	expected := func(forwarded bool) bool {
+		return x.d.expectedBeforeStop(now, x.req, x.route, runsOf(x.route, forwarded))
+	}
+	return begun && (expected(false) || x.d.forwarder != nil && expected(true))
+}
+
 // endsBeforeStop reports whether a request with a deadline ends before this node does, however long it runs.
 func (d *Dispatcher) endsBeforeStop(deadline time.Time) bool {
 	s := d.stop.Load()
