Soak: requests that become long late in a stop

Callers could not tell the node how long their requests run: all are of one size, short until 2 to 6 s after its SIGTERM and long from then on, of all four routes, over kept and new connections, with deadlines of 3 to 6 s. Some runs have engines that become slower after the SIGTERM, or refuse and break off, and nodes of a forwarded request that both stop. A request that a node with all its time took after its SIGTERM must end whole, by its deadline, be refused within a second as not run, or get cut_off_by_stop on the safe route; nothing else.

--- a/lab/soak/engine.go
+++ b/lab/soak/engine.go
@@ -54,6 +54,7 @@
 	entryMu     sync.Mutex                                 // entryMu is held while its entry is written with other slots.
 	replaced    bool                                       // replaced is set once another engine has its place, so that its entry must not say ready again.
 	startedAt   atomic.Int64                               // startedAt is the last start, in Unix milliseconds.
+	slower      atomic.Int64                               // slower is by how much longer it runs each request that says how long, in nanoseconds.
 	crash       func(e *engine, record func(at time.Time)) // crash stops the engine while it runs a request, and restarts it later.
 	lifecycleMu sync.Mutex                                 // lifecycleMu is held while the engine restarts or must not restart, and is never released after its final stop.
 	wg          sync.WaitGroup
@@ -136,6 +137,7 @@
 	defer leave()
 	mode := e.nextMode()
 	if mode == modeFull {
+		e.ledger.recordTime(e.ledger.broken, id, time.Now())
 		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -164,6 +166,9 @@
 func (e *engine) run(w http.ResponseWriter, r *http.Request, id string, mode int) {
 	e.ledger.recordRun(id, run{engine: e.id, hall: e.hall, team: r.Header.Get("Tenant"), at: time.Now()})
 	w.Header().Set("Response-Seal", "seal-"+id)
+	if mode == modeError || mode == modeDropConnection {
+		e.ledger.recordTime(e.ledger.broken, id, time.Now())
+	}
 	switch mode {
 	case modeError:
 		w.WriteHeader(http.StatusInternalServerError)
@@ -184,7 +189,7 @@
 func (e *engine) answer(w http.ResponseWriter, r *http.Request, id string, mode int) {
 	route := strings.Split(r.URL.Path, "/")[1]
 	if !isStream(route) {
-		pause.For(r.Context(), workOf(r))
+		pause.For(r.Context(), e.workOf(r))
 		body := expectedBody(route, id)
 		frameOf(id).set(w, r, len(body))
 		fmt.Fprint(w, body)
@@ -206,6 +211,7 @@
 		text := versionLine + event(stream, n)
 		if mode == modeTruncateStream && n > after+1 {
 			fmt.Fprint(w, text[:len(text)/2])
+			e.ledger.recordTime(e.ledger.broken, id, time.Now())
 			f.cut()
 			return
 		}
@@ -214,19 +220,19 @@
 		select {
 		case <-r.Context().Done():
 			return
-		case <-time.After(max(eventInterval, workOf(r)/time.Duration(events(stream)))):
+		case <-time.After(max(eventInterval, e.workOf(r)/time.Duration(events(stream)))):
 		}
 	}
 }
 
-// workOf returns how long a request is to run, by its path; 0 if it does not say.
-func workOf(r *http.Request) time.Duration {
+// workOf returns how long a request runs, by its path; 0 if it does not say.
+func (e *engine) workOf(r *http.Request) time.Duration {
 	parts := strings.Split(r.URL.Path, "/")
 	ms, err := strconv.Atoi(parts[2])
 	if err != nil {
 		return 0
 	}
-	return time.Duration(ms) * time.Millisecond
+	return time.Duration(ms)*time.Millisecond + time.Duration(e.slower.Load())
 }
 
 // events returns the number of events in the stream of a request.
--- a/lab/soak/faults_starved.go
+++ b/lab/soak/faults_starved.go
@@ -63,6 +63,7 @@
 		standstill time.Duration    // standstill is when it does, counted from the SIGTERM, and length for how long.
 		length     time.Duration
 		cutOff     bool // cutOff is set if the node reaches no engine, so that it forwards its requests.
+		late       lateLoad
 	}
 
 	// keptCaller sends requests one after the other over a connection that it keeps until the node ends it.
@@ -74,6 +75,10 @@
 		long bool // long is set if its requests are long.
 		sent int
 
+		longFrom time.Time // longFrom is from when on they are long, if they were short before; zero otherwise.
+		hangsUp  bool      // hangsUp is set if it sends one request over each connection.
+		apart    bool      // apart is set if its node reaches no engine.
+
 		conn    net.Conn
 		answers *bufio.Reader
 		fresh   bool // fresh is set until the first request of the connection has ended.
@@ -90,6 +95,10 @@
 		begun           bool // begun is set if part of the body of an answer came.
 		answered        bool // answered is set if a whole answer came.
 		cutOff          bool // cutOff is set if the answer says that a stop ended the request while an engine may have run it.
+		status          int
+		refusal         string // refusal is an answer that is no success.
+		apart           bool   // apart is set if the node reached no engine.
+		late            bool   // late is set if the node had all its time, and only the deadline told how long the request might run.
 	}
 
 	// slowBody is a body that is sent in two pieces.
@@ -122,9 +131,12 @@
 	}
 	for i := range list {
 		s := &list[i]
-		if s.seed = r.Uint64(); once {
+		switch s.seed = r.Uint64(); {
+		case env.late():
+			s.late = drawLateLoad(r)
+		case once:
 			s.drawStandstill(r)
-		} else {
+		default:
 			s.cycle = cycle
 		}
 		lead = max(lead, -s.standstill)
@@ -181,8 +193,14 @@
 	}
 	for i := range keptCallers + longCallers {
 		c := &keptCaller{env: env, node: n.name, long: i >= keptCallers, name: fmt.Sprintf("kept-%s-%d-%d", n.name, time.Now().UnixMicro(), i), rand: rand.New(rand.NewPCG(s.seed, uint64(i)))}
+		if s.late.after > 0 {
+			c.long, c.longFrom, c.hangsUp, c.apart = true, signal.Add(s.late.after), i%4 == 0, s.cutOff
+		}
 		others.Go(func() { c.run(ctx, gone, n.callerAddress) })
 	}
+	if s.late.after > 0 {
+		others.Go(func() { env.disturb(ctx, gone, n, s.late, signal, rand.New(rand.NewPCG(s.seed, 1))) })
+	}
 	pause.For(ctx, time.Until(signal))
 	env.ledger.recordSigterm(n.name, time.Now())
 	if err := n.Stop(stopGrace); err != nil {
@@ -268,7 +286,7 @@
 // send sends one request and records how it ended.
 func (c *keptCaller) send(ctx context.Context, address string) {
 	c.sent++
-	k := keptRequest{id: fmt.Sprintf("%s-%d", c.name, c.sent), route: routes[c.rand.IntN(len(routes))], node: c.node, deadline: requestTimeoutMs * time.Millisecond, fresh: c.fresh}
+	k := keptRequest{id: fmt.Sprintf("%s-%d", c.name, c.sent), route: routes[c.rand.IntN(len(routes))], node: c.node, deadline: requestTimeoutMs * time.Millisecond, fresh: c.fresh, apart: c.apart}
 	e := result{route: k.route, first: "kept"}
 	e.key, e.team = c.env.randomKey(c.rand)
 	work, to := 10+c.rand.IntN(700), host
@@ -276,6 +294,11 @@
 		k.id, k.deadline, to = longID(k.id), longDeadline, longHost
 		work = int((shortestLong + time.Duration(c.rand.Int64N(int64(longestLong-shortestLong)))).Milliseconds())
 	}
+	if k.late = !c.longFrom.IsZero(); k.late {
+		var d time.Duration
+		k.deadline, d = lateWork(c.rand, time.Now(), c.longFrom)
+		work = int(d.Milliseconds())
+	}
 	body := "body of " + k.id
 	req, err := newRequest(ctx, address, fmt.Sprintf("%s/%d", k.route, work), k.id, e.key, "kept:2500,"+k.id+":400", body)
 	if err != nil {
@@ -295,13 +318,16 @@
 		text, readErr := io.ReadAll(resp.Body)
 		e.status, e.body, e.complete, closing = resp.StatusCode, string(text), readErr == nil, resp.Close
 		k.cutOff = e.status == http.StatusBadGateway && strings.Contains(e.body, "cut_off_by_stop")
-		k.begun, k.answered = len(text) > 0 && !k.cutOff, readErr == nil
+		k.begun, k.answered, k.status = len(text) > 0 && !k.cutOff, readErr == nil, e.status
+		if k.status != success {
+			k.begun, k.refusal = false, e.body
+		}
 	}
 	k.ended, c.fresh = time.Now(), false
 	e.sent, e.ended = k.sent, k.ended
 	c.env.ledger.recordResult(k.id, e)
 	c.env.ledger.recordKept(k)
-	if closing || !k.answered {
+	if closing || !k.answered || c.hangsUp {
 		c.hangUp()
 	}
 }
@@ -329,11 +355,16 @@
 	for _, k := range l.kept {
 		after := k.ended.Sub(k.written)
 		crossed := !k.fresh && after < crossingTime && len(l.runs[k.id]) == 0
-		if k.ended.Sub(k.sent).Seconds() >= usedShare*k.deadline.Seconds() || l.otherFault(faultStarved, k.sent, k.ended) {
+		sigterm := l.sigtermBefore(k.node, k.ended)
+		if l.otherFault(faultStarved, k.sent, k.ended) || l.brokenOff(k) {
 			continue
 		}
-		sigterm := l.sigtermBefore(k.node, k.ended)
 		switch early, when := l.endedByStop(k, sigterm); {
+		case k.late && k.sent.After(sigterm):
+			if !crossed && !l.endedInTime(k) {
+				out = append(out, fmt.Sprintf("%s %s, taken %v after the SIGTERM of %s, ended %v after it, %v before its deadline, and %v after its last byte: status %d %s, runs %d, whole %v, begun %v, last broken off %v before", k.route, k.id, k.sent.Sub(sigterm), k.node, k.ended.Sub(sigterm), k.deadline-k.ended.Sub(k.sent), after, k.status, k.refusal, len(l.runs[k.id]), k.answered, k.begun, k.ended.Sub(l.broken[k.id])))
+			}
+		case k.ended.Sub(k.sent).Seconds() >= usedShare*k.deadline.Seconds():
 		case early:
 			out = append(out, fmt.Sprintf("%s %s was not answered: ended by the stop of %s %s, %v after the SIGTERM, sent %v after it, runs %d, answer begun %v, given as cut off %v", k.route, k.id, k.node, when, k.ended.Sub(sigterm), k.sent.Sub(sigterm), len(l.runs[k.id]), k.begun, k.cutOff))
 		case !k.answered && !crossed && (len(l.runs[k.id]) == 0 || !mayBeEnded(k, sigterm)):
--- a/lab/soak/faults_stop.go
+++ b/lab/soak/faults_stop.go
@@ -38,8 +38,14 @@
 	env.expectExit(n)
 	gone, name := make(chan struct{}), fmt.Sprintf("stop-%s-%d", n.name, time.Now().UnixMicro())
 	var callers sync.WaitGroup
+	var longFrom time.Time
+	if env.late() {
+		longFrom = time.Now().Add(stopLoadTime + drawLateLoad(rand.New(rand.NewPCG(uint64(d), 1))).after)
+	}
 	for i := range stopCallers {
-		callers.Go(func() { newCaller(env, fmt.Sprint(name, "-", i), uint64(d)+uint64(i)).sendUntil(ctx, gone, n) })
+		callers.Go(func() {
+			newCaller(env, fmt.Sprint(name, "-", i), uint64(d)+uint64(i)).sendUntil(ctx, gone, n, longFrom)
+		})
 	}
 	pause.For(ctx, stopLoadTime)
 	again := time.AfterFunc(d, func() {
@@ -56,8 +62,8 @@
 	return env.launch(n)
 }
 
-// sendUntil sends requests to a node over one connection until it is gone.
-func (c *caller) sendUntil(ctx context.Context, gone <-chan struct{}, n *node) {
+// sendUntil sends requests to a node over one connection until it is gone. They are short until a time, unless it is zero.
+func (c *caller) sendUntil(ctx context.Context, gone <-chan struct{}, n *node, longFrom time.Time) {
 	defer c.client.CloseIdleConnections()
 	for {
 		select {
@@ -69,7 +75,10 @@
 		}
 		c.sent++
 		id, work := fmt.Sprintf("%s-%d", c.name, c.sent), 100+c.rand.IntN(int(longestWork.Milliseconds())-100)
-		e := result{route: routes[c.rand.IntN(len(routes))], first: "stop", sent: time.Now()}
+		if time.Now().Before(longFrom) {
+			work = 10 + c.rand.IntN(int(longestShort.Milliseconds()))
+		}
+		e := result{route: routes[c.rand.IntN(len(routes))], first: "stop", sent: time.Now(), late: !longFrom.IsZero()}
 		e.key, e.team = c.env.randomKey(c.rand)
 		c.env.ledger.recordSender(id, n.name, e.sent)
 		req, err := newRequest(ctx, n.callers.Address(), fmt.Sprintf("%s/%d", e.route, work), id, e.key, "stop:2500,"+id+":400", "body of "+id)
@@ -161,7 +170,8 @@
 		e := l.results[id]
 		given := e.status == http.StatusBadGateway && strings.Contains(e.body, "cut_off_by_stop")
 		spent := e.ended.Sub(e.sent).Seconds() * 1000 / requestTimeoutMs
-		if len(l.runs[id]) > 0 && (!e.complete || given) && spent < usedShare && !l.otherFault(faultStop, e.sent, e.ended) {
+		told := given && e.late && e.route == routeSafe // Its caller may send it again.
+		if len(l.runs[id]) > 0 && (!e.complete || given && !told) && spent < usedShare && !l.otherFault(faultStop, e.sent, e.ended) {
 			out = append(out, fmt.Sprintf("%s %s was cut off by a stop after %v, status %d", e.route, id, e.ended.Sub(e.sent), e.status))
 		}
 	}
--- a/lab/soak/ledger.go
+++ b/lab/soak/ledger.go
@@ -29,6 +29,7 @@
 		status           int  // status is 0 if no complete response header arrived.
 		complete         bool // complete is set if the body was read to its end.
 		body             string
+		late             bool   // late is set if requests became long late in the stop of its node, though nothing in them said so.
 		last             string // last is the last attempt if the caller took the stream up; empty otherwise.
 	}
 
@@ -48,6 +49,7 @@
 		results    map[string]result
 		revoked    map[string]time.Time   // revoked holds when the revocation of a key was acknowledged.
 		left       map[string]time.Time   // left holds when callers left, or when the deadlines of those that stayed passed, by request id.
+		broken     map[string]time.Time   // broken holds when an engine last refused a request or broke it off, by request id.
 		leaving    map[string]time.Time   // leaving holds when the draining state of an engine was acknowledged.
 		faults     []interval             // faults of nodes and of the store
 		crashes    map[string][]time.Time // crashes holds the times of engine crashes, by body of the request that caused them.
@@ -80,7 +82,7 @@
 // newLedger returns an empty ledger.
 func newLedger() *Ledger {
 	return &Ledger{
-		runs: map[string][]run{}, results: map[string]result{}, revoked: map[string]time.Time{}, left: map[string]time.Time{}, leaving: map[string]time.Time{}, crashes: map[string][]time.Time{},
+		runs: map[string][]run{}, results: map[string]result{}, revoked: map[string]time.Time{}, left: map[string]time.Time{}, leaving: map[string]time.Time{}, broken: map[string]time.Time{}, crashes: map[string][]time.Time{},
 		sigterms: map[string][]time.Time{}, drainedUnread: map[string]time.Time{}, injected: map[string][]interval{}, partArrivals: map[string][]time.Time{}, partCrashes: map[string][]time.Time{},
 		senders: map[string]sender{}, arrivals: map[string][]arrival{}, signals: map[string][]sentSignals{}, outages: map[string][]interval{},
 	}
--- a/lab/soak/ledger_stop.go
+++ b/lab/soak/ledger_stop.go
@@ -1,12 +1,21 @@
 package soak
 
-import "time"
+import (
+	"net/http"
+	"time"
+)
 
 const (
 	// endPart is the inverse of the share of a stop, at its end, in which a node may end requests that engines have, if they
 	// were sent up to lateSent after the SIGTERM.
 	endPart  = 6
 	lateSent = 3 * time.Second
+
+	// refuseWithin bounds how long after its last byte a request is refused, or told that an engine broke it off.
+	refuseWithin = time.Second
+
+	// deadlineSlack is how long before its deadline a request may be ended by it, by the clock of its caller.
+	deadlineSlack = 100 * time.Millisecond
 )
 
 // recordSigterm records that a node gets a SIGTERM.
@@ -46,3 +55,25 @@
 	}
 	return begun && (!k.answered || k.cutOff) && k.ended.Before(sigterm.Add(stopGrace)) && !mayBeEnded(k, sigterm), when
 }
+
+// endedInTime reports whether a request that a stopping node with all its time took has a whole answer, was refused at once as not
+// run, was told apart from one that has not run if it may be sent again, or ended by its deadline. A node that reaches no engine may
+// not know whether one has it.
+func (l *Ledger) endedInTime(k keptRequest) bool {
+	runs := len(l.runs[k.id])
+	switch {
+	case k.cutOff:
+		return k.route == routeSafe
+	case k.answered && k.status == success, k.deadline-k.ended.Sub(k.sent) <= deadlineSlack:
+		return true
+	case k.answered && (k.status == unavailable || k.status == tooManyRequests) && runs == 0:
+		return k.ended.Sub(k.written) < refuseWithin
+	}
+	return k.answered && k.apart && k.status == http.StatusBadGateway
+}
+
+// brokenOff reports whether a request ended by what an engine did, and not by a stop.
+func (l *Ledger) brokenOff(k keptRequest) bool {
+	at, ok := l.broken[k.id]
+	return ok && !k.cutOff && k.ended.Sub(at) < refuseWithin
+}
--- a/lab/soak/run.go
+++ b/lab/soak/run.go
@@ -25,6 +25,7 @@
 	Dir      string        // Dir receives settings files and logs.
 	Program  string        // Program is the path of the node program; "croftturn" from this repository if empty.
 	Only     string        // Only restricts the run to the fault with this name; all faults if empty.
+	Late     bool          // Late makes requests long late in each stop, whatever the seed.
 	Timeout  time.Duration // Timeout is that of all routes; requestTimeoutMs if zero.
 }
 
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -1,8 +1,10 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"net/http"
 	"os"
 	"strconv"
 	"strings"
@@ -30,7 +32,7 @@
 }
 
 // TestSoak runs the soak with several seeds and expects no violations. SOAK_SEEDS=FROM-TO
-// selects other seeds, SOAK_ONLY one kind of fault, SOAK_SECONDS the time of faults, and SOAK_NODES, SOAK_ENGINES and
+// selects other seeds, SOAK_ONLY one kind of fault, SOAK_LATE requests that become long late in each stop, SOAK_SECONDS the time of faults, and SOAK_NODES, SOAK_ENGINES and
 // SOAK_CALLERS the size.
 func TestSoak(t *testing.T) {
 	seconds := fromEnv("SOAK_SECONDS", 8)
@@ -54,7 +56,7 @@
 				}
 			}
 			ledger, err := Run(context.Background(), Options{
-				Seed: seed, Nodes: nodes, Engines: engines, Callers: callers, Faults: time.Duration(seconds) * time.Second, Cooldown: 2 * time.Second, Dir: dir, Only: os.Getenv("SOAK_ONLY"),
+				Seed: seed, Nodes: nodes, Engines: engines, Callers: callers, Faults: time.Duration(seconds) * time.Second, Cooldown: 2 * time.Second, Dir: dir, Only: os.Getenv("SOAK_ONLY"), Late: os.Getenv("SOAK_LATE") != "",
 			})
 			if err != nil {
 				t.Fatal(err)
@@ -77,6 +79,15 @@
 	at := time.Unix(1000, 0)
 	goodResult := result{route: routeUnsafe, key: "k", team: "t", sent: at, status: success, complete: true, body: expectedBody(routeUnsafe, "a")}
 	goodRun := run{engine: "e", team: "t", at: at}
+	lateInAStop := func(k keptRequest, ran bool) func(l *Ledger) {
+		return func(l *Ledger) {
+			l.recordSigterm("n", at)
+			k.id, k.node, k.deadline, k.late, k.sent, k.ended = "a", "n", longDeadline, true, at.Add(time.Second), at.Add(3*time.Second)
+			if l.recordKept(k); ran {
+				l.recordRun("a", goodRun)
+			}
+		}
+	}
 	tests := map[string]func(l *Ledger){
 		"ran twice": func(l *Ledger) { l.recordRun("a", goodRun); l.recordRun("a", goodRun); l.recordResult("a", goodResult) },
 		"reported as not run, but run": func(l *Ledger) {
@@ -234,6 +245,21 @@
 			l.recordSigterm("n", at)
 			l.recordKept(keptRequest{node: "n", deadline: longDeadline, sent: at.Add(lateSent + time.Millisecond), ended: at.Add(stopGrace - time.Millisecond), begun: true})
 		},
+		"request cut off by a stop that may not be sent again": func(l *Ledger) {
+			l.recordRun("a", goodRun)
+			e := goodResult
+			e.status, e.body, e.late = http.StatusBadGateway, "cut_off_by_stop", true
+			l.recordResult("a", e)
+			l.recordStopped("a")
+		},
+		"request taken late in a stop and given as cut off": lateInAStop(keptRequest{route: routeUnsafe, answered: true, cutOff: true}, true),
+		"stream taken late in a stop and ended":             lateInAStop(keptRequest{route: routeResumable, begun: true}, true),
+		"request refused late in a stop, not at once":       lateInAStop(keptRequest{route: routeUnsafe, answered: true, status: unavailable}, false),
+		"request refused late in a stop that ran":           lateInAStop(keptRequest{route: routeSafe, answered: true, status: unavailable, written: at.Add(3 * time.Second)}, true),
+		"request ended late in a stop long after an engine broke it off": func(l *Ledger) {
+			l.recordTime(l.broken, "a", at)
+			lateInAStop(keptRequest{route: routeResumable, begun: true}, true)(l)
+		},
 		"unexpected exit": func(l *Ledger) { l.recordExit("node-1 exited unexpectedly") },
 	}
 	for name, plant := range tests {
@@ -255,6 +281,10 @@
 	l.outages["e"] = []interval{{at.Add(-2 * time.Second), at}}
 	l.recordSigterm("n", at)
 	l.recordKept(keptRequest{id: "a", node: "n", deadline: longDeadline, sent: at.Add(2 * time.Second), ended: at.Add(stopGrace * 6 / 7), begun: true})
+	for _, k := range []keptRequest{{route: routeSafe, answered: true, cutOff: true}, {answered: true, status: success}, {answered: true, status: unavailable, id: "b", written: at.Add(3 * time.Second)}, {deadline: 2 * time.Second, begun: true}} {
+		k.node, k.late, k.sent, k.ended, k.deadline = "n", true, at.Add(time.Second), at.Add(3*time.Second), cmp.Or(k.deadline, longDeadline)
+		l.recordKept(k)
+	}
 	if violations := l.Violations(); len(violations) > 0 {
 		t.Errorf("violations found although the store had a fault, the way to the engine held a request back, or an answer was ended in the last part of a stop: %v", violations)
 	}
