--- a/lab/soak/faults_late.go
+++ b/lab/soak/faults_late.go
@@ -21,6 +21,14 @@
 	latestLong   = 6 * time.Second
 	longestShort = 300 * time.Millisecond
 
+	// lateCallers is how many callers each node has, few enough for the engines to have slots for all.
+	lateCallers = 12
+
+	// probeInterval is how often a node is asked whether it is ready. One that takes longer than longestProbe does not have all
+	// its time.
+	probeInterval = 20 * time.Millisecond
+	longestProbe  = 200 * time.Millisecond
+
 	// shortestDeadline is the shortest deadline of these requests, longDeadline the longest.
 	shortestDeadline = 3 * time.Second
 
@@ -79,3 +87,23 @@
 	<-gone
 	changes.Wait()
 }
+
+// watchTime records when a node does not run, until it is gone: the machine may be busy with other things.
+func (env *Environment) watchTime(gone <-chan struct{}, n *node) {
+	for {
+		begin := time.Now()
+		if resp, err := env.client.Get("http://" + n.readyAddress + "/-/ready"); err == nil {
+			resp.Body.Close()
+		}
+		if end := time.Now(); end.Sub(begin) > longestProbe {
+			env.ledger.mu.Lock()
+			env.ledger.standstills[n.name] = append(env.ledger.standstills[n.name], interval{begin, end})
+			env.ledger.mu.Unlock()
+		}
+		select {
+		case <-gone:
+			return
+		case <-time.After(probeInterval):
+		}
+	}
+}
--- a/lab/soak/ledger.go
+++ b/lab/soak/ledger.go
@@ -66,6 +66,7 @@
 		stopped       []string               // stopped holds the requests that were sent to nodes that stop.
 		kept          []keptRequest          // kept holds the requests that were sent over kept connections to nodes that stop.
 		sigterms      map[string][]time.Time // sigterms holds when nodes got a SIGTERM, by node.
+		standstills   map[string][]interval  // standstills holds when nodes that should have all their time did not run, by node.
 		drainedUnread map[string]time.Time   // drainedUnread holds when engines began to drain while nodes read of them.
 		injected      map[string][]interval  // injected holds the faults of all kinds, by name.
 
@@ -83,7 +84,7 @@
 func newLedger() *Ledger {
 	return &Ledger{
 		runs: map[string][]run{}, results: map[string]result{}, revoked: map[string]time.Time{}, left: map[string]time.Time{}, leaving: map[string]time.Time{}, broken: map[string]time.Time{}, crashes: map[string][]time.Time{},
-		sigterms: map[string][]time.Time{}, drainedUnread: map[string]time.Time{}, injected: map[string][]interval{}, partArrivals: map[string][]time.Time{}, partCrashes: map[string][]time.Time{},
+		sigterms: map[string][]time.Time{}, standstills: map[string][]interval{}, drainedUnread: map[string]time.Time{}, injected: map[string][]interval{}, partArrivals: map[string][]time.Time{}, partCrashes: map[string][]time.Time{},
 		senders: map[string]sender{}, arrivals: map[string][]arrival{}, signals: map[string][]sentSignals{}, outages: map[string][]interval{},
 	}
 }
