Front: a stopping node begins a call only if it has its whole time on an engine

What callers saw: in a planned stop of `croftturn run`, in calm, calls that came late, waited for a slot or were forwarded were sent to engines, and cut at its end: streams broken off in their answers, at-most-once calls with 502 and the outcome unknown. Those that still waited then were told only at the cut that they had not run.

Cause: nothing asked whether a call that is sent after the SIGTERM can end before the cut. Class: a promise to take work that nothing bounds. No class and no caller of this interface names a deadline: max_wait_ms bounds the wait for a slot, engine_stall_ms silence, total_ms is a target. The one bound that an operator states is drain_ms.

Evidence: TestCallsSentLateInAStopAreNotCut (a node with a notice of 1 s, a drain of 3 s; calls of 2 s and streams of 3 s, each 0.25 s from the SIGTERM on, over connections that were unused until then, some waiting, some with tickets to and from the other node).

Fix: from the SIGTERM on a call is sent to an engine only while max(drain_ms, engine_stall_ms, total_ms of its class) is left, asked when it comes, when it gets its slot, after its claim and before each new try. A call that waits is told as soon as that time is over. An answer that has begun goes on at another engine as before. A call with a ticket of another node is not passed on: 503, outcome unknown, since that ticket may have run; by way of another node it brings the outcome.

Weighed: with the defaults (2 s and 30 s) a node begins no call once its notice is over; before, it served what came over unused connections, waited or was forwarded for 30 s more, and most of these ended in time. Their callers get another node at once and lose their place in the queue; a cut costs all that was waited for, and at-most-once calls the answer to whether they ran. During the notice nothing more is refused, unless engine_stall_ms or total_ms exceeds drain_ms. A call that runs for longer than drain_ms is cut as before, as is one that ran at the signal.

--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -86,8 +86,11 @@
 	}
 }
 
-// fail writes an error response.
+// fail writes an error response. That of a stopping node closes its connection.
 func (f *Front) fail(w http.ResponseWriter, id string, e *CallerError) {
+	if f.active.stopping() != nil {
+		w.Header().Set("Connection", "close")
+	}
 	f.extendWriteDeadline(w)
 	if err := e.write(w, id); err != nil {
 		f.tele.Log.Debug("failed to write the error response", "request", id, "error", err.Error())
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -106,7 +106,7 @@
 	f := &Front{
 		views: views, members: members, peers: peers, engines: engines, journal: j, tele: tele,
 		schedulers: map[config.PoolScheduler]sched.Scheduler{}, budget: newRetryBudget(), mux: http.NewServeMux(),
-		active: activeCalls{cancels: map[*call]context.CancelCauseFunc{}},
+		active: activeCalls{cancels: map[*call]context.CancelCauseFunc{}, waits: map[*call]context.CancelCauseFunc{}},
 	}
 	for _, o := range opts {
 		o(f)
--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -79,7 +80,7 @@
 	span := trace.SpanFromContext(ctx)
 	span.SetAttributes(attribute.String("request", c.id), attribute.String("class", c.class.Name), attribute.String("team", c.team.Name))
 	w.Header().Set(HeaderRequestID, c.id)
-	f.journal.Begin(c.arrived, journal.Entry{ID: c.id, Class: c.class.Name, Team: c.team.Name, Pool: c.pool.Name, Tier: c.class.Tier})
+	f.journal.Begin(c.arrived, c.entry())
 	ctx, remove := f.active.add(c.detached(ctx), c)
 	defer remove()
 	var end callResult
@@ -94,17 +95,27 @@
 	f.finish(w, c, x, end)
 }
 
-// finish records the result of a call and sends a pending error to the caller.
-func (f *Front) finish(w http.ResponseWriter, c *call, x exchange, end callResult) {
+// entry returns the call's entry in the journal.
+func (c *call) entry() journal.Entry {
+	return journal.Entry{ID: c.id, Class: c.class.Name, Team: c.team.Name, Pool: c.pool.Name, Tier: c.class.Tier}
+}
+
+// record records the result of a call.
+func (f *Front) record(now time.Time, c *call, end callResult) {
 	reason := ""
 	if end.failure != nil {
 		reason = end.failure.Code
 	}
-	f.journal.End(clock.Now(), c.id, end.state, reason)
+	f.journal.End(now, c.id, end.state, reason)
 	f.tele.Requests.Add(context.Background(), 1, metric.WithAttributes(
 		attribute.String("class", c.class.Name), attribute.String("state", end.state)))
 	f.tele.Log.Info("request ended", "request", c.id, "class", c.class.Name, "team", c.team.Name, "pool", c.pool.Name,
-		"state", end.state, "reason", reason, "ms", clock.Since(c.arrived).Milliseconds())
+		"state", end.state, "reason", reason, "ms", now.Sub(c.arrived).Milliseconds())
+}
+
+// finish records the result of a call and sends a pending error to the caller.
+func (f *Front) finish(w http.ResponseWriter, c *call, x exchange, end callResult) {
+	f.record(clock.Now(), c, end)
 	switch {
 	case end.state == journal.Cancelled:
 		panic(http.ErrAbortHandler) // A handler that only returns ends with a whole answer.
@@ -127,8 +138,11 @@
 		if failure := f.refuseHeld(clock.Now(), c); failure != nil {
 			return callResult{state: journal.Refused, failure: failure}.withEarlierTry(started)
 		}
+		if !x.started() && !f.mayBegin(clock.Now(), c) {
+			return cutOffResult(true).withEarlierTry(started)
+		}
 		want := c.schedRequest(exclude)
-		g, err := f.acquire(ctx, scheduler, want)
+		g, err := f.acquire(ctx, scheduler, want, c, x)
 		if err != nil {
 			return f.acquireFailed(ctx, err).withEarlierTry(started)
 		}
@@ -144,6 +158,10 @@
 			}
 			check = nil
 		}
+		if !x.started() && !f.mayBegin(clock.Now(), c) {
+			scheduler.Release(want, g, sched.Result{Status: broker.StatusCancelled})
+			return cutOffResult(true).withEarlierTry(started)
+		}
 		sent := clock.Now()
 		res, err := f.send(ctx, w, c, x, g)
 		scheduler.Release(want, g, res)
@@ -164,11 +182,20 @@
 	}
 }
 
-// acquire waits for a slot within a trace span.
-func (f *Front) acquire(ctx context.Context, s sched.Scheduler, want sched.Request) (sched.Grant, error) {
+// acquire waits for a slot within a trace span. A call whose answer has begun waits as long as it can.
+func (f *Front) acquire(ctx context.Context, s sched.Scheduler, want sched.Request, c *call, x exchange) (sched.Grant, error) {
 	ctx, span := f.tele.Tracer.Start(ctx, "acquire")
 	defer span.End()
-	return s.Acquire(ctx, want)
+	if !x.started() {
+		var end func()
+		ctx, end = f.active.limitWait(ctx, clock.Now(), c)
+		defer end()
+	}
+	g, err := s.Acquire(ctx, want)
+	if err != nil && errors.Is(context.Cause(ctx), errNoTimeLeft) {
+		return g, fmt.Errorf("%w: %w", errNoTimeLeft, err)
+	}
+	return g, err
 }
 
 // send sends a call to an engine within a trace span.
@@ -190,7 +217,7 @@
 		return callResult{state: journal.Refused, failure: &CallerError{
 			Status: status, Code: refusal.Reason, Message: refusal.Why, RetryAfter: refusal.RetryAfter,
 		}}
-	case cutOff(ctx):
+	case cutOff(ctx), errors.Is(err, errNoTimeLeft):
 		return cutOffResult(true)
 	case ctx.Err() != nil:
 		return callResult{state: journal.Cancelled}
--- a/internal/front/ticket.go
+++ b/internal/front/ticket.go
@@ -70,6 +70,13 @@
 	if ticket.Node == self.Name && ticket.Incarnation == self.Incarnation {
 		return false
 	}
+	if now := clock.Now(); !f.mayBegin(now, c) {
+		end := notForwarded()
+		f.journal.Begin(c.arrived, c.entry())
+		f.record(now, c, end)
+		f.fail(w, c.id, end.failure)
+		return true
+	}
 	ctx, remove := f.active.add(r.Context(), c)
 	defer remove()
 	o := f.forward(ctx, r, c, ticket)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -262,7 +262,10 @@
 func (n *Node) Close() error {
 	s, begin := n.settings, clock.Now()
 	close(n.stopping)
-	n.front.NoteStop(begin)
+	n.front.NoteStop(begin, front.Stop{
+		Begin: begin, End: begin.Add(ms(s.LeaveNoticeMs) + ms(s.DrainMs)),
+		Run: max(ms(s.DrainMs), ms(s.EngineStallMs)), // A silent engine is not known to be one before.
+	})
 	n.tele.Log.Info("node is leaving", "notice_ms", s.LeaveNoticeMs, "drain_ms", s.DrainMs, "active", n.front.Active())
 	n.table.Leave(begin)
 	time.Sleep(ms(s.LeaveNoticeMs))
--- a/lab/load/caller.go
+++ b/lab/load/caller.go
@@ -49,6 +49,9 @@
 		until map[seat]time.Time
 	}
 
+	// Dial opens a connection.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
 	// seat is one of a team's callers.
 	seat struct {
 		team string
@@ -67,7 +70,11 @@
 
 // NewCaller returns a caller that knows some nodes.
 func NewCaller(nodes []string) *Caller {
-	dial := (&net.Dialer{Timeout: askTimeout}).DialContext
+	return NewCallerOver((&net.Dialer{Timeout: askTimeout}).DialContext, nodes)
+}
+
+// NewCallerOver returns a caller that opens its connections with dial.
+func NewCallerOver(dial Dial, nodes []string) *Caller {
 	return &Caller{
 		nodes: nodes, kept: map[seat][]string{}, until: map[seat]time.Time{},
 		http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256, DialContext: dial}},
--- a/lab/proofs/proofs_test.go
+++ b/lab/proofs/proofs_test.go
@@ -73,11 +73,8 @@
 
 // send sends a request in the background and records what came of it.
 func (r *rig) send(req load.Request) {
-	r.wg.Add(1)
-	go func() {
-		defer r.wg.Done()
-		r.keep(r.caller.Send(context.Background(), req))
-	}()
+	caller := r.caller
+	r.wg.Go(func() { r.keep(caller.Send(context.Background(), req)) })
 }
 
 // keep records a sending.
--- a/lab/proofs/stop_test.go
+++ b/lab/proofs/stop_test.go
@@ -214,6 +214,77 @@
 	}
 }
 
+// TestCallsSentLateInAStopAreNotCut guards against calls that a stopping node begins though they may outlast its stop, and
+// against calls that learn only at its end that it has not begun them.
+func TestCallsSentLateInAStopAreNotCut(t *testing.T) {
+	const (
+		notice = time.Second
+		drain  = 3 * time.Second
+		work   = 2 * time.Second
+		step   = 25 * time.Millisecond
+		slots  = 8
+		rounds = 15
+		soon   = 500 * time.Millisecond
+	)
+	r := start(t, cluster.Options{Nodes: 2, Engines: 1, Services: 3, Slots: slots, StepBase: step, StepEach: time.Microsecond, Settings: func(i int, s map[string]any) {
+		quickLeave(i, s)
+		s["leave_notice_ms"], s["drain_ms"], s["engine_stall_ms"] = notice.Milliseconds(), drain.Milliseconds(), drain.Milliseconds()
+	}})
+	for _, s := range r.Services {
+		r.faults(s, service.Faults{DelayMs: int(work.Milliseconds())})
+	}
+	node, offer := r.Nodes[0], &load.ClassLoad{Class: "offer", Tier: 2, Model: "desk-1"}
+	var late [rounds][]load.Request // late are the calls of each round; the first two wait for a slot.
+	unused := make(chan net.Conn, 4*rounds)
+	for i := range late {
+		own, forwarded := at(r.request(submit, 2*rounds+i, 1), r.Nodes[1], 1), at(r.request(submit, rounds+i, 1), node, 1)
+		own.Key, forwarded.Key = r.ticket(node), r.ticket(r.Nodes[1])
+		repeatable := at(r.request(tell, i, int(drain/step)), node, 1)
+		repeatable.Key = ""
+		late[i] = []load.Request{repeatable, at(r.request(offer, i, int(drain/step)), node, 1), at(r.request(submit, i, 1), node, 1), own, forwarded}
+		for range cap(unused) / rounds {
+			conn, err := net.Dial("tcp", node.Caller)
+			must(t, err)
+			unused <- conn
+		}
+	}
+	for i := range slots {
+		r.send(at(r.request(tell, rounds+i, int(drain/step)), r.Nodes[1], 1))
+	}
+	must(t, cluster.Wait("all slots are taken", 10*time.Second, func() bool {
+		executions, err := record.Read[record.Execution](r.ExecutionsLog())
+		return err == nil && len(executions) == slots
+	}))
+	r.caller = load.NewCallerOver(func(ctx context.Context, network, address string) (net.Conn, error) {
+		if address == node.Caller {
+			return <-unused, nil
+		}
+		return (&net.Dialer{}).DialContext(ctx, network, address)
+	}, r.CallerAddresses())
+	signalled, stopped := record.NowMs(), make(chan error, 1)
+	go func() { stopped <- node.Stop(30 * time.Second) }()
+	for _, round := range late {
+		for _, req := range round {
+			r.send(req)
+		}
+		time.Sleep((notice + drain) / (rounds + 1))
+	}
+	if err := <-stopped; err != nil {
+		t.Errorf("the node says that it cut calls off: %v", err)
+	}
+	r.verdict()
+	counts := map[string]int{}
+	for _, s := range r.sent {
+		sent := time.Duration(s.SentMs-signalled) * time.Millisecond
+		ended := sent + time.Duration(s.TotalMs)*time.Millisecond
+		counts[s.Outcome+" "+s.Code]++
+		if s.Outcome != "completed" && (s.Code != "node_stopping" || s.RetryAfter == 0 || ended > max(sent, notice)+soon) || s.Outcome != "completed" && s.Key != "" && s.Class == submit.Class && sent < notice-soon {
+			t.Errorf("%s, sent %v after the signal, ended %v after it: %s %s", s.Mark, sent, ended, s.Outcome, s.Code)
+		}
+	}
+	t.Log(counts)
+}
+
 // TestForwardedCallsLastAsLongAsOthers guards against calls whose outcome is unknown since the wait for the node that runs them
 // is bounded, though that node is alive: those forwarded with a ticket, and those whose key another node has claimed.
 func TestForwardedCallsLastAsLongAsOthers(t *testing.T) {
