Front: a call whose body still arrives is answered at a stop

What callers saw: a call whose body had not arrived whole when its node ended was closed without an answer, and no line named it.

Cause: calls are known to the stop from the moment their body is whole; the reading of bodies was bounded by read_timeout_ms alone.

Fix: once the node begins no call any more it ends the reading of bodies, with the means that the completions of `croftturn edge` have, and answers 503 node_stopping; a line tells the call's id and how long it had been read. The outcome is not_run, but unknown for a call with a key that must run at most once: whether an earlier sending has run is asked only afterwards.

--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -98,7 +98,12 @@
 	}
 	marked := r.Header.Get(HeaderNotRepeatable)
 	c.notRepeatable = c.class.NotRepeatable || strings.EqualFold(marked, "true")
-	if c.body, failure = readBody(w, r, f.limits.MaxBody); failure != nil {
+	end := f.reads.Begin(http.NewResponseController(w))
+	c.body, failure = readBody(w, r, f.limits.MaxBody)
+	if interrupted := end(); failure != nil && interrupted {
+		failure = f.refuseUnread(clock.Now(), w, c)
+	}
+	if failure != nil {
 		return nil, failure
 	}
 	return c, nil
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -10,6 +10,7 @@
 
 	"go.opentelemetry.io/otel/trace"
 
+	"github.com/croftturn/croftturn/internal/caller"
 	"github.com/croftturn/croftturn/internal/claim"
 	"github.com/croftturn/croftturn/internal/clock"
 	"github.com/croftturn/croftturn/internal/config"
@@ -81,6 +82,7 @@
 		parts      *quarantine.Parts
 		onCrash    func()
 		active     activeCalls
+		reads      caller.BodyReads
 		mux        *http.ServeMux
 	}
 
--- a/internal/front/stop.go
+++ b/internal/front/stop.go
@@ -110,6 +110,7 @@
 	f.active.mu.Lock()
 	defer f.active.mu.Unlock()
 	f.active.stop = &s
+	time.AfterFunc(s.End.Add(-s.Run).Sub(now), f.reads.Interrupt)
 	for c, cancel := range f.active.waits {
 		s.endWait(now, c, cancel)
 	}
@@ -171,11 +172,22 @@
 	}}
 }
 
-// notForwarded returns the result of a call that a stopping node does not pass on to the process that issued its ticket. Only that
-// one knows whether an earlier sending has run; the ticket brings the outcome by way of another node.
-func notForwarded() callResult {
+// notSent returns the result of a call that a stopping node gives up before it looks for earlier sendings with the same key. The
+// key brings their outcome by way of another node.
+func notSent(c *call) callResult {
 	end := cutOffResult(true)
-	end.state = journal.Unknown
-	end.failure.Outcome, end.failure.Message = OutcomeUnknown, "the node stops and did not pass the request on; send the same ticket to another node"
+	if c.atMostOnce() {
+		end.state = journal.Unknown
+		end.failure.Outcome, end.failure.Message = OutcomeUnknown, "the node stops and did not send the request; ask another node with the same key"
+	}
 	return end
 }
+
+// refuseUnread logs a call whose body has not arrived when this node begins no call any more, and returns its error.
+func (f *Front) refuseUnread(now time.Time, w http.ResponseWriter, c *call) *CallerError {
+	end := notSent(c)
+	w.Header().Set(HeaderRequestID, c.id)
+	f.tele.Log.Info("request ended while its body arrived", "request", c.id, "class", c.class.Name, "team", c.team.Name,
+		"state", end.state, "reason", end.failure.Code, "ms", now.Sub(c.arrived).Milliseconds())
+	return end.failure
+}
--- a/internal/front/ticket.go
+++ b/internal/front/ticket.go
@@ -71,7 +71,7 @@
 		return false
 	}
 	if now := clock.Now(); !f.mayBegin(now, c) {
-		end := notForwarded()
+		end := notSent(c)
 		f.journal.Begin(c.arrived, c.entry())
 		f.record(now, c, end)
 		f.fail(w, c.id, end.failure)
--- a/lab/proofs/stop_test.go
+++ b/lab/proofs/stop_test.go
@@ -285,6 +285,39 @@
 	t.Log(counts)
 }
 
+// TestSlowBodiesAreAnsweredAtAStop guards against calls that end without an answer, since a part of their body is missing when
+// their node stops.
+func TestSlowBodiesAreAnsweredAtAStop(t *testing.T) {
+	const notice, drain, soon = 500 * time.Millisecond, 3 * time.Second, 500 * time.Millisecond
+	r := start(t, cluster.Options{Nodes: 2, Engines: 1, Services: 1, Settings: func(i int, s map[string]any) {
+		quickLeave(i, s)
+		s["leave_notice_ms"], s["drain_ms"], s["engine_stall_ms"] = notice.Milliseconds(), drain.Milliseconds(), drain.Milliseconds()
+	}})
+	answers := map[string]*bufio.Reader{}
+	for path, headers := range map[string]string{"/v1/chat/completions": "Content-Length: 9000", "/services/bids/x": "Transfer-Encoding: chunked", "/services/bids/once": "Content-Length: 9000\r\nCroftturn-Not-Repeatable: true\r\nIdempotency-Key: k"} {
+		conn, err := net.Dial("tcp", r.Nodes[0].Caller)
+		must(t, err)
+		defer conn.Close()
+		_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\n%s\r\n\r\n9\r\n", path, alfa.Token, headers)
+		must(t, err)
+		answers[path] = bufio.NewReader(conn)
+	}
+	begin, stopped := time.Now(), make(chan error, 1)
+	go func() { stopped <- r.Nodes[0].Stop(30 * time.Second) }()
+	for path, answer := range answers {
+		resp, err := http.ReadResponse(answer, nil)
+		if err != nil {
+			t.Errorf("%s ended %v after the signal without an answer: %v", path, time.Since(begin), err)
+			continue
+		}
+		want := map[bool]string{false: "not_run", true: "unknown"}[strings.HasSuffix(path, "once")]
+		if got := resp.Header.Get("Croftturn-Outcome"); resp.StatusCode != http.StatusServiceUnavailable || got != want || !resp.Close || time.Since(begin) > notice+soon {
+			t.Errorf("%s: got status %d, outcome %s, close %v after %v", path, resp.StatusCode, got, resp.Close, time.Since(begin))
+		}
+	}
+	must(t, <-stopped)
+}
+
 // TestForwardedCallsLastAsLongAsOthers guards against calls whose outcome is unknown since the wait for the node that runs them
 // is bounded, though that node is alive: those forwarded with a ticket, and those whose key another node has claimed.
 func TestForwardedCallsLastAsLongAsOthers(t *testing.T) {
