Node: a stop counts the answers whose callers did not read

What operators saw: `connections ended` with answers_cut 0 while the stop broke off answers whose callers had not read for half a second. Their lines came after it, if the process had not ended before.

Cause: such a call is blocked in a write. The end of calls does not reach it, the close of its connection does; the count was taken before the close, and nothing waited for what follows it.

Evidence: TestCallsOfSlowReadersAreCountedAtAStop failed before: eight answers were broken off, eight lines, none counted (two runs). The lines were there, written 0.1 to 1.5 ms after the connections were closed, and 0.3 ms before the last line of the process. It passes now (one run).

Fix: connections are closed first, then the node waits for their calls, up to 0.2 s, and counts.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -25,6 +25,7 @@
 	"github.com/croftturn/croftturn/internal/linger"
 	"github.com/croftturn/croftturn/internal/member"
 	"github.com/croftturn/croftturn/internal/order"
+	"github.com/croftturn/croftturn/internal/pause"
 	"github.com/croftturn/croftturn/internal/peer"
 	"github.com/croftturn/croftturn/internal/quarantine"
 	"github.com/croftturn/croftturn/internal/sched"
@@ -39,6 +40,9 @@
 
 	// cutOffTime is how long the answers to the requests that are ended with the process may take.
 	cutOffTime = 500 * time.Millisecond
+
+	// closedTime is how long calls whose connections are closed may take to end.
+	closedTime = 200 * time.Millisecond
 )
 
 // Node is one running process.
@@ -277,9 +281,11 @@
 	}
 	n.tele.Log.Info("node stopped serving", "active", n.front.Active(), "after_ms", clock.Since(begin).Milliseconds())
 	n.endRequests()
-	answers, requests := n.front.EndedByStop()
-	n.tele.Log.Info("connections ended", "after_ms", clock.Since(begin).Milliseconds(), "left", n.callers.Connections(), "answers_cut", answers, "requests_cut", requests)
+	left := n.callers.Connections()
 	n.callers.Close()
+	n.awaitCalls()
+	answers, requests := n.front.EndedByStop()
+	n.tele.Log.Info("connections ended", "after_ms", clock.Since(begin).Milliseconds(), "left", left, "answers_cut", answers, "requests_cut", requests)
 	n.control.Close()
 	n.cancel()
 	n.claims.Close()
@@ -301,5 +307,14 @@
 	_ = errors.Join(n.callers.Shutdown(ctx), n.control.Shutdown(ctx), n.server.Shutdown(ctx))
 }
 
+// awaitCalls waits until the calls whose connections were closed have ended and are logged.
+func (n *Node) awaitCalls() {
+	ctx, cancel := context.WithTimeout(context.Background(), closedTime)
+	defer cancel()
+	for n.front.Active() > 0 && ctx.Err() == nil {
+		pause.For(ctx, time.Millisecond)
+	}
+}
+
 // ms converts milliseconds to a duration.
 func ms(n int) time.Duration { return time.Duration(n) * time.Millisecond }
--- a/lab/proofs/stop_test.go
+++ b/lab/proofs/stop_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"slices"
@@ -17,6 +18,7 @@
 	"testing"
 	"time"
 
+	"github.com/croftturn/croftturn/internal/config"
 	"github.com/croftturn/croftturn/lab/cluster"
 	"github.com/croftturn/croftturn/lab/engine"
 	"github.com/croftturn/croftturn/lab/load"
@@ -302,6 +304,43 @@
 	r.allCompleted()
 }
 
+// TestCallsOfSlowReadersAreCountedAtAStop guards against answers that end with their node and that it does not count, since their
+// callers did not read.
+func TestCallsOfSlowReadersAreCountedAtAStop(t *testing.T) {
+	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		for chunk := make([]byte, 1<<20); ; {
+			if _, err := w.Write(chunk); err != nil {
+				return
+			}
+		}
+	}))
+	defer backend.Close()
+	r := start(t, cluster.Options{Nodes: 1, Engines: 1, Config: func(c *config.Config) {
+		c.Engines = append(c.Engines, config.Engine{Name: "s1", Pool: "bids", Address: strings.TrimPrefix(backend.URL, "http://"), Slots: 9})
+	}, Settings: func(i int, s map[string]any) {
+		quickLeave(i, s)
+		s["drain_ms"] = 500
+	}})
+	const calls = 8
+	for range calls {
+		req, err := http.NewRequest(http.MethodPost, "http://"+r.Nodes[0].Caller+"/services/bids/x", nil)
+		must(t, err)
+		req.Header.Set("Authorization", "Bearer "+alfa.Token)
+		resp, err := http.DefaultClient.Do(req)
+		must(t, err)
+		defer resp.Body.Close()
+	}
+	if err := r.Nodes[0].Stop(30 * time.Second); err == nil {
+		t.Error("the node says that it cut no call off")
+	}
+	log, err := os.ReadFile(filepath.Join(filepath.Dir(r.ExecutionsLog()), "n1.out"))
+	must(t, err)
+	counted := strings.Contains(string(log), fmt.Sprintf(`"answers_cut":%d`, calls))
+	if logged := strings.Count(string(log), `"request ended by the stop"`); logged != calls || !counted {
+		t.Errorf("%d of %d calls are in the log, all of them counted: %v", logged, calls, counted)
+	}
+}
+
 // TestSlowBodiesAreAnsweredAtAStop guards against calls that end without an answer, since a part of their body is missing when
 // their node stops.
 func TestSlowBodiesAreAnsweredAtAStop(t *testing.T) {
