Front: log the calls that are forwarded with a ticket

What operators saw: a call with a ticket of another node left no line at the node that answered its caller, under the id that the caller was given, whatever came of it.

Cause: the node that runs a call logs its end, under an id of its own; the one that forwards it logged only those that a stop cut off.

Fix: `forwarded request ended`, with the id, the other node and the outcome.

--- a/internal/front/ticket.go
+++ b/internal/front/ticket.go
@@ -89,6 +89,8 @@
 		o.Reason = stoppedReason
 		f.logCutOff(clock.Now(), c, false, callResult{state: journal.Unknown})
 	}
+	f.tele.Log.Info("forwarded request ended", "request", c.id, "class", c.class.Name, "team", c.team.Name, "pool", c.pool.Name,
+		"peer", ticket.Node, "state", o.State, "ms", clock.Since(c.arrived).Milliseconds())
 	f.replay(w, c.id, o)
 	return true
 }
--- a/lab/proofs/stop_test.go
+++ b/lab/proofs/stop_test.go
@@ -122,7 +122,7 @@
 }
 
 // TestForwardedCallsEndBeforeTheirNode guards against calls whose outcome is unknown, since the node to which another one
-// forwarded them stops while a backend server runs them.
+// forwarded them stops while a backend server runs them, and against calls of which no line tells at the node that answered them.
 func TestForwardedCallsEndBeforeTheirNode(t *testing.T) {
 	r := start(t, cluster.Options{Nodes: 2, Engines: 1, Services: 1, Settings: quickLeave})
 	must(t, r.Post(r.Services[0].Address, "/control/faults", service.Faults{DelayMs: 2500}))
@@ -138,6 +138,13 @@
 	must(t, r.Nodes[0].Stop(30*time.Second))
 	r.verdict()
 	r.allCompleted()
+	log, err := os.ReadFile(filepath.Join(filepath.Dir(r.ExecutionsLog()), "n2.out"))
+	must(t, err)
+	for _, s := range r.sent {
+		if !strings.Contains(string(log), s.Request) {
+			t.Errorf("no line of the node that forwarded %s tells of it", s.Request)
+		}
+	}
 }
 
 // TestStandstillEndsNoCallsEarly guards against calls that a stopping node ends before the time that its settings give, since
