Front: a stopping node does not wait for outcomes that come after its end

What callers saw: a call with a key that another node had claimed and still ran, sent late to a stopping node, got 502 with the outcome unknown at the cut, up to 2 s after it was sent.

Cause: the node waited for the other one's outcome, which is bounded by nothing either. The same cause as for the calls that it runs, on another path.

Fix: once the node begins no call of the class any more it answers 503 node_stopping, outcome unknown, at once; the key brings the outcome by way of any other node.

--- a/internal/front/once.go
+++ b/internal/front/once.go
@@ -176,6 +176,11 @@
 	}
 	f.journal.Note(clock.Now(), c.id, "", "", err.Error())
 	o := wire.Outcome{State: wire.OutcomeStateNotRun, Reason: "superseded"}
+	if now := clock.Now(); !taken.Void() && !f.mayBegin(now, c) {
+		end := notSent(c)
+		f.registry.Abandon(now, run, wire.Outcome{State: wire.OutcomeStateUnknown, Reason: end.failure.Message})
+		return end
+	}
 	if !taken.Void() {
 		o = f.askHolder(ctx, c.scopedKey(), taken.Record)
 	}
--- a/lab/proofs/stop_test.go
+++ b/lab/proofs/stop_test.go
@@ -244,19 +244,23 @@
 	}
 	node, offer := r.Nodes[0], &load.ClassLoad{Class: "offer", Tier: 2, Model: "desk-1"}
 	var late [rounds][]load.Request // late are the calls of each round; the first two wait for a slot.
-	unused := make(chan net.Conn, 4*rounds)
+	unused := make(chan net.Conn, 5*rounds-1)
 	for i := range late {
+		claimed := r.request(submit, 3*rounds+i, 1) // The other node runs it when this one asks for its outcome.
 		own, forwarded := at(r.request(submit, 2*rounds+i, 1), r.Nodes[1], 1), at(r.request(submit, rounds+i, 1), node, 1)
 		own.Key, forwarded.Key = r.ticket(node), r.ticket(r.Nodes[1])
 		repeatable := at(r.request(tell, i, int(drain/step)), node, 1)
 		repeatable.Key = ""
-		late[i] = []load.Request{repeatable, at(r.request(offer, i, int(drain/step)), node, 1), at(r.request(submit, i, 1), node, 1), own, forwarded}
-		for range cap(unused) / rounds {
-			conn, err := net.Dial("tcp", node.Caller)
-			must(t, err)
-			unused <- conn
+		late[i] = []load.Request{repeatable, at(r.request(offer, i, int(drain/step)), node, 1), at(r.request(submit, i, 1), node, 1), own, forwarded, at(claimed, r.Nodes[1], 1)}
+		if i > 0 {
+			late[i] = append(late[i], at(r.request(submit, 3*rounds+i-1, 1), node, 2))
 		}
 	}
+	for range cap(unused) {
+		conn, err := net.Dial("tcp", node.Caller)
+		must(t, err)
+		unused <- conn
+	}
 	for i := range slots {
 		r.send(at(r.request(tell, rounds+i, int(drain/step)), r.Nodes[1], 1))
 	}
