Front: test that a stopping node tries no call again that it may cut

The tries after a failure, and answers that go on at another engine, are asked of no test with processes.

--- a/internal/front/stop_test.go
+++ b/internal/front/stop_test.go
@@ -50,6 +50,30 @@
 	}
 }
 
+// TestStoppingNodeTriesNoCallAgainThatItMayCut guards against calls that are sent to another engine with less than their time left,
+// and against answers that have begun and are given up though another engine could go on.
+func TestStoppingNodeTriesNoCallAgainThatItMayCut(t *testing.T) {
+	for begun, want := range map[string]int{"": http.StatusServiceUnavailable, "well": http.StatusOK} {
+		var r *testServer
+		tries := 0
+		r = newTestServer(t, func(w http.ResponseWriter, req *http.Request) {
+			r.front.NoteStop(time.Now(), front.Stop{Begin: time.Now(), End: time.Now().Add(time.Second), Run: 2 * time.Second})
+			if begun != "" {
+				fmt.Fprint(w, event(begun))
+			}
+			http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}, func(w http.ResponseWriter, req *http.Request) {
+			tries++
+			streams("done")(w, req)
+		})
+		resp, body := r.send(t, "/v1/chat/completions", hello)
+		if resp.StatusCode != want || want == http.StatusOK && text(body) != "welldone" || tries != len(begun)/4 || (want != http.StatusOK) != resp.Close {
+			t.Errorf("begun %q: got status %d, close %v, %q after %d more tries", begun, resp.StatusCode, resp.Close, body, tries)
+		}
+	}
+}
+
 // TestCallerThatStopsSendingGetsNoEmptySuccess guards against an answer that looks like a whole, empty one for a call
 // that was given up because its caller had closed its writing side.
 func TestCallerThatStopsSendingGetsNoEmptySuccess(t *testing.T) {
