--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -10,6 +10,7 @@
 
 	"go.opentelemetry.io/otel/trace"
 
+	"github.com/croftturn/croftturn/internal/caller"
 	"github.com/croftturn/croftturn/internal/claim"
 	"github.com/croftturn/croftturn/internal/clock"
 	"github.com/croftturn/croftturn/internal/config"
@@ -81,6 +82,7 @@
 		parts      *quarantine.Parts
 		onCrash    func()
 		active     activeCalls
+		reads      caller.BodyReads
 		mux        *http.ServeMux
 	}
 
@@ -106,7 +108,7 @@
 	f := &Front{
 		views: views, members: members, peers: peers, engines: engines, journal: j, tele: tele,
 		schedulers: map[config.PoolScheduler]sched.Scheduler{}, budget: newRetryBudget(), mux: http.NewServeMux(),
-		active: activeCalls{cancels: map[*call]context.CancelCauseFunc{}},
+		active: activeCalls{cancels: map[*call]context.CancelCauseFunc{}, waits: map[*call]context.CancelCauseFunc{}},
 	}
 	for _, o := range opts {
 		o(f)
--- a/internal/front/ticket.go
+++ b/internal/front/ticket.go
@@ -42,13 +42,18 @@
 func (m *memoryWriter) SetWriteDeadline(time.Time) error { return nil }
 
 // handleTicket issues a ticket: an idempotency key that only this process runs and
-// that other nodes forward here.
+// that other nodes forward here. Once the process stops, it may be gone before a
+// ticket is used, and nobody could tell then whether its request has run.
 func (f *Front) handleTicket(w http.ResponseWriter, r *http.Request) {
 	team, failure := authenticate(f.views.View(), r)
 	if failure != nil {
 		f.fail(w, "", failure)
 		return
 	}
+	if f.active.stopping() != nil {
+		f.fail(w, "", cutOffResult(true).failure)
+		return
+	}
 	f.writeJSON(w, struct {
 		Ticket string `json:"ticket"`
 	}{f.issuer.Issue(clock.Now(), team.Name)})
@@ -70,6 +75,13 @@
 	if ticket.Node == self.Name && ticket.Incarnation == self.Incarnation {
 		return false
 	}
+	if now := clock.Now(); !f.mayBegin(now, c) {
+		end := notSent(c)
+		f.journal.Begin(c.arrived, c.entry())
+		f.record(now, c, end)
+		f.fail(w, c.id, end.failure)
+		return true
+	}
 	ctx, remove := f.active.add(r.Context(), c)
 	defer remove()
 	o := f.forward(ctx, r, c, ticket)
@@ -77,6 +89,8 @@
 		o.Reason = stoppedReason
 		f.logCutOff(clock.Now(), c, false, callResult{state: journal.Unknown})
 	}
+	f.tele.Log.Info("forwarded request ended", "request", c.id, "class", c.class.Name, "team", c.team.Name, "pool", c.pool.Name,
+		"peer", ticket.Node, "state", o.State, "ms", clock.Since(c.arrived).Milliseconds())
 	f.replay(w, c.id, o)
 	return true
 }
--- a/lab/proofs/stop_test.go
+++ b/lab/proofs/stop_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"slices"
@@ -17,6 +18,7 @@
 	"testing"
 	"time"
 
+	"github.com/croftturn/croftturn/internal/config"
 	"github.com/croftturn/croftturn/lab/cluster"
 	"github.com/croftturn/croftturn/lab/engine"
 	"github.com/croftturn/croftturn/lab/load"
@@ -120,7 +122,7 @@
 }
 
 // TestForwardedCallsEndBeforeTheirNode guards against calls whose outcome is unknown, since the node to which another one
-// forwarded them stops while a backend server runs them.
+// forwarded them stops while a backend server runs them, and against calls of which no line tells at the node that answered them.
 func TestForwardedCallsEndBeforeTheirNode(t *testing.T) {
 	r := start(t, cluster.Options{Nodes: 2, Engines: 1, Services: 1, Settings: quickLeave})
 	must(t, r.Post(r.Services[0].Address, "/control/faults", service.Faults{DelayMs: 2500}))
@@ -136,6 +138,13 @@
 	must(t, r.Nodes[0].Stop(30*time.Second))
 	r.verdict()
 	r.allCompleted()
+	log, err := os.ReadFile(filepath.Join(filepath.Dir(r.ExecutionsLog()), "n2.out"))
+	must(t, err)
+	for _, s := range r.sent {
+		if !strings.Contains(string(log), s.Request) {
+			t.Errorf("no line of the node that forwarded %s tells of it", s.Request)
+		}
+	}
 }
 
 // TestStandstillEndsNoCallsEarly guards against calls that a stopping node ends before the time that its settings give, since
@@ -214,6 +223,177 @@
 	}
 }
 
+// TestCallsSentLateInAStopAreNotCut guards against calls that a stopping node begins though they may outlast its stop, and
+// against calls that learn only at its end that it has not begun them.
+func TestCallsSentLateInAStopAreNotCut(t *testing.T) {
+	const (
+		notice = time.Second
+		drain  = 3 * time.Second
+		work   = 2 * time.Second
+		step   = 25 * time.Millisecond
+		slots  = 8
+		rounds = 15
+		early  = 6 // early is how many rounds are sent during the notice.
+		soon   = time.Second
+	)
+	r := start(t, cluster.Options{Nodes: 2, Engines: 1, Services: 3, Slots: slots, StepBase: step, StepEach: time.Microsecond, Settings: func(i int, s map[string]any) {
+		quickLeave(i, s)
+		s["leave_notice_ms"], s["drain_ms"], s["engine_stall_ms"] = notice.Milliseconds(), drain.Milliseconds(), (drain + time.Duration(i)*time.Minute).Milliseconds()
+	}})
+	delay := func(d time.Duration) {
+		for _, s := range r.Services {
+			r.faults(s, service.Faults{DelayMs: int(d.Milliseconds())})
+		}
+	}
+	node, other, offer := r.Nodes[0], r.Nodes[1], &load.ClassLoad{Class: "offer", Tier: 2, Model: "desk-1"}
+	claimed := r.request(submit, 3*rounds, 1) // The other node runs it when this one is asked for its outcome.
+	var late [rounds][]load.Request           // The first two of each round wait for a slot.
+	unused := make(chan net.Conn, 5*rounds-early)
+	for i := range late {
+		repeatable, forwarded, own := at(r.request(tell, i, int(drain/step)), node, 1), at(r.request(submit, rounds+i, 1), node, 1), at(r.request(submit, 2*rounds+i, 1), other, 1)
+		repeatable.Key, forwarded.Key, own.Key = "", r.ticket(other), r.ticket(node)
+		late[i] = []load.Request{repeatable, at(r.request(offer, i, int(drain/step)), node, 1), at(r.request(submit, i, 1), node, 1), forwarded, own}
+		if i >= early {
+			late[i] = append(late[i], at(claimed, node, 2+i))
+		}
+	}
+	for range cap(unused) {
+		conn, err := net.Dial("tcp", node.Caller)
+		must(t, err)
+		unused <- conn
+	}
+	delay(notice + drain + work)
+	r.send(at(claimed, other, 1))
+	for i := range slots {
+		r.send(at(r.request(tell, rounds+i, int(drain/step)), other, 1))
+	}
+	must(t, cluster.Wait("all slots are taken", 10*time.Second, func() bool {
+		executions, err := record.Read[record.Execution](r.ExecutionsLog())
+		return err == nil && len(executions) == slots+1
+	}))
+	delay(work)
+	r.caller = load.NewCallerOver(func(ctx context.Context, network, address string) (net.Conn, error) {
+		if address == node.Caller {
+			return <-unused, nil
+		}
+		return (&net.Dialer{}).DialContext(ctx, network, address)
+	}, r.CallerAddresses())
+	signalled, stopped := record.NowMs(), make(chan error, 1)
+	go func() { stopped <- node.Stop(30 * time.Second) }()
+	must(t, r.waitState(other, "leaving", 1)) // From now on it keeps no connection.
+	for _, round := range late {
+		for _, req := range round {
+			r.send(req)
+		}
+		time.Sleep((notice + drain) / rounds * 3 / 4)
+	}
+	if err := <-stopped; err != nil {
+		t.Errorf("the node says that it cut calls off: %v", err)
+	}
+	r.verdict()
+	for _, s := range r.sent {
+		ended := time.Duration(s.SentMs+int64(s.TotalMs)-signalled) * time.Millisecond
+		refused := s.Outcome == "not_run" && s.Code == "node_stopping" && s.RetryAfter > 0
+		if s.Node == node.Caller && s.Key == "" && (!refused || ended > max(ended-time.Duration(s.TotalMs)*time.Millisecond, notice)+soon) {
+			t.Errorf("%s ended %v after the signal: %s %s", s.Mark, ended, s.Outcome, s.Code)
+		}
+	}
+	log, err := os.ReadFile(filepath.Join(filepath.Dir(r.ExecutionsLog()), "n1.out"))
+	must(t, err)
+	cut, refused := strings.Count(string(log), `"request ended by the stop"`), strings.Count(string(log), `"reason":"node_stopping"`)
+	t.Logf("%d calls were cut off, %d were refused", cut, refused)
+	if cut > 0 || refused < 2*rounds {
+		t.Errorf("%d calls were cut off, %d were refused, want at least the %d that waited", cut, refused, 2*rounds)
+	}
+}
+
+// TestStoppingNodeIssuesNoTickets guards against calls that never ran and whose outcome is unknown, since the node that issued
+// their ticket while it stopped has gone.
+func TestStoppingNodeIssuesNoTickets(t *testing.T) {
+	r := start(t, cluster.Options{Nodes: 2, Engines: 1, Services: 1})
+	node, stopped := r.Nodes[0], make(chan error, 1)
+	go func() { stopped <- node.Stop(30 * time.Second) }()
+	must(t, r.waitState(r.Nodes[1], "leaving", 1))
+	req := at(r.request(submit, 0, 1), r.Nodes[1], 1)
+	if req.Key = r.ticket(node); req.Key == "" {
+		req.Key = r.ticket(r.Nodes[1])
+	}
+	must(t, <-stopped)
+	r.send(req)
+	r.verdict()
+	r.allCompleted()
+}
+
+// TestCallsOfSlowReadersAreCountedAtAStop guards against answers that end with their node and that it does not count, since their
+// callers did not read.
+func TestCallsOfSlowReadersAreCountedAtAStop(t *testing.T) {
+	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		for chunk := make([]byte, 1<<20); ; {
+			if _, err := w.Write(chunk); err != nil {
+				return
+			}
+		}
+	}))
+	defer backend.Close()
+	r := start(t, cluster.Options{Nodes: 1, Engines: 1, Config: func(c *config.Config) {
+		c.Engines = append(c.Engines, config.Engine{Name: "s1", Pool: "bids", Address: strings.TrimPrefix(backend.URL, "http://"), Slots: 9})
+	}, Settings: func(i int, s map[string]any) {
+		quickLeave(i, s)
+		s["drain_ms"] = 500
+	}})
+	const calls = 8
+	for range calls {
+		req, err := http.NewRequest(http.MethodPost, "http://"+r.Nodes[0].Caller+"/services/bids/x", nil)
+		must(t, err)
+		req.Header.Set("Authorization", "Bearer "+alfa.Token)
+		resp, err := http.DefaultClient.Do(req)
+		must(t, err)
+		defer resp.Body.Close()
+	}
+	if err := r.Nodes[0].Stop(30 * time.Second); err == nil {
+		t.Error("the node says that it cut no call off")
+	}
+	log, err := os.ReadFile(filepath.Join(filepath.Dir(r.ExecutionsLog()), "n1.out"))
+	must(t, err)
+	counted := strings.Contains(string(log), fmt.Sprintf(`"answers_cut":%d`, calls))
+	if logged := strings.Count(string(log), `"request ended by the stop"`); logged != calls || !counted {
+		t.Errorf("%d of %d calls are in the log, all of them counted: %v", logged, calls, counted)
+	}
+}
+
+// TestSlowBodiesAreAnsweredAtAStop guards against calls that end without an answer, since a part of their body is missing when
+// their node stops.
+func TestSlowBodiesAreAnsweredAtAStop(t *testing.T) {
+	const notice, drain, soon = 500 * time.Millisecond, 3 * time.Second, time.Second
+	r := start(t, cluster.Options{Nodes: 2, Engines: 1, Services: 1, Settings: func(i int, s map[string]any) {
+		quickLeave(i, s)
+		s["leave_notice_ms"], s["drain_ms"], s["engine_stall_ms"] = notice.Milliseconds(), drain.Milliseconds(), drain.Milliseconds()
+	}})
+	answers := map[string]*bufio.Reader{}
+	for path, headers := range map[string]string{"/v1/chat/completions": "Content-Length: 9000", "/services/bids/x": "Transfer-Encoding: chunked", "/services/bids/once": "Content-Length: 9000\r\nCroftturn-Not-Repeatable: true\r\nIdempotency-Key: k"} {
+		conn, err := net.Dial("tcp", r.Nodes[0].Caller)
+		must(t, err)
+		defer conn.Close()
+		_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\n%s\r\n\r\n9\r\n", path, alfa.Token, headers)
+		must(t, err)
+		answers[path] = bufio.NewReader(conn)
+	}
+	begin, stopped := time.Now(), make(chan error, 1)
+	go func() { stopped <- r.Nodes[0].Stop(30 * time.Second) }()
+	for path, answer := range answers {
+		resp, err := http.ReadResponse(answer, nil)
+		if err != nil {
+			t.Errorf("%s ended %v after the signal without an answer: %v", path, time.Since(begin), err)
+			continue
+		}
+		want := map[bool]string{false: "not_run", true: "unknown"}[strings.HasSuffix(path, "once")]
+		if got := resp.Header.Get("Croftturn-Outcome"); resp.StatusCode != http.StatusServiceUnavailable || got != want || !resp.Close || time.Since(begin) > notice+soon {
+			t.Errorf("%s: got status %d, outcome %s, close %v after %v", path, resp.StatusCode, got, resp.Close, time.Since(begin))
+		}
+	}
+	must(t, <-stopped)
+}
+
 // TestForwardedCallsLastAsLongAsOthers guards against calls whose outcome is unknown since the wait for the node that runs them
 // is bounded, though that node is alive: those forwarded with a ticket, and those whose key another node has claimed.
 func TestForwardedCallsLastAsLongAsOthers(t *testing.T) {
