Linger, edge: the head of an answer asks its caller to leave if the node stops by then

What callers saw: the answer to a request that was in progress at the SIGTERM did not ask its caller to leave, so that the next request went to the stopping node and was refused there if it did not fit. Chat completions did not ask at all until the node ended its connections.

Cause: Connection: close was decided when a request arrived, by the handler of platform requests. Class: a decision made too early.

Fix: the server decides as the head is written, for all handlers of a node, those of croftturn run too. A process that leaves is told apart from a server that ends its connections.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -120,7 +120,7 @@
 	switch {
 	case d.table.Load() == nil:
 		return NotReady
-	case d.stop.Load() != nil:
+	case d.Stopping():
 		return Stopping
 	case !d.proof.Fresh(now):
 		return Stale
--- a/internal/dispatch/stop.go
+++ b/internal/dispatch/stop.go
@@ -58,6 +58,9 @@
 	d.stop.Store(&stop{Stop: s, margin: s.By.Sub(s.Begin) / stopMarginPart, runs: map[string]longestRun{}})
 }
 
+// Stopping reports whether the process stops.
+func (d *Dispatcher) Stopping() bool { return d.stop.Load() != nil }
+
 // CutOff ends all requests in progress, and each one that comes later, with an answer: a caller whose connection only
 // closes can't tell a request that has not run from one that has.
 func (d *Dispatcher) CutOff() { d.exchanges.end(errCutOff) }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -352,7 +352,7 @@
 	server := linger.New(&http.Server{
 		Handler: handler, MaxHeaderBytes: s.MaxHeaderBytes, ReadHeaderTimeout: ms(s.ReadTimeoutMs), IdleTimeout: clientIdleTimeout,
 		ConnContext: caller.WithConn, ErrorLog: slog.NewLogLogger(e.log.Handler(), slog.LevelDebug),
-	}, &e.serverStats, e.log, linger.WithShare(share))
+	}, &e.serverStats, e.log, linger.WithShare(share), linger.WithLeaving(e.dispatcher.Stopping))
 	e.servers = append(e.servers, server)
 	return server
 }
--- a/internal/linger/linger.go
+++ b/internal/linger/linger.go
@@ -35,6 +35,7 @@
 		stats   *Stats
 		log     *slog.Logger
 		handler http.Handler
+		leaving func() bool // leaving reports whether callers should go elsewhere.
 		share   float64     // share is that of the process's descriptors which connections may take, 0 for no bound.
 		ending  atomic.Bool // ending is set once Shutdown was called.
 		closed  atomic.Bool // closed is set once Close was called.
@@ -59,7 +60,7 @@
 
 // New returns a Server that serves as the given one, which is not used otherwise any more.
 func New(h *http.Server, stats *Stats, log *slog.Logger, opts ...Option) *Server {
-	s := &Server{http: h, stats: stats, log: log, handler: h.Handler, conns: map[*conn]struct{}{}}
+	s := &Server{http: h, stats: stats, log: log, handler: h.Handler, leaving: func() bool { return false }, conns: map[*conn]struct{}{}}
 	for _, o := range opts {
 		o(s)
 	}
@@ -85,10 +86,9 @@
 			panic(http.ErrAbortHandler)
 		}
 	}()
-	if s.ending.Load() {
-		w.Header().Set("Connection", "close")
-	}
-	s.handler.ServeHTTP(w, r)
+	a := &answer{ResponseWriter: w, server: s}
+	s.handler.ServeHTTP(a, r)
+	a.begin()
 }
 
 // Serve accepts and serves the connections of a listener until Shutdown or Close. Its error is never nil.
--- a/internal/linger/linger_test.go
+++ b/internal/linger/linger_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -95,14 +96,14 @@
 }
 
 // newRig serves on a listener with an answer to each request.
-func newRig(t *testing.T, wrap func(net.Listener) net.Listener, handler http.HandlerFunc) *rig {
+func newRig(t *testing.T, wrap func(net.Listener) net.Listener, handler http.HandlerFunc, opts ...Option) *rig {
 	t.Helper()
 	l, err := Listen(t.Context(), "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	r := &rig{t: t, address: l.Addr().String()}
-	r.server = New(&http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second, ConnContext: caller.WithConn}, &r.stats, slog.New(slog.DiscardHandler))
+	r.server = New(&http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second, ConnContext: caller.WithConn}, &r.stats, slog.New(slog.DiscardHandler), opts...)
 	serve, served := r.server.Add(wrap(l)), make(chan struct{})
 	go func() {
 		defer close(served)
@@ -348,3 +349,29 @@
 		}
 	}
 }
+
+// TestAnswersThatBeginWhileTheProcessLeavesAskToClose guards against callers that stay with a process which leaves, since it
+// did not leave yet when their requests came; the head of an answer may be written in several ways.
+func TestAnswersThatBeginWhileTheProcessLeavesAskToClose(t *testing.T) {
+	for name, write := range map[string]func(w http.ResponseWriter) error{
+		"head":    func(w http.ResponseWriter) error { w.WriteHeader(http.StatusServiceUnavailable); return nil },
+		"body":    func(w http.ResponseWriter) error { _, err := io.WriteString(w, "ok"); return err },
+		"flush":   func(w http.ResponseWriter) error { return http.NewResponseController(w).Flush() },
+		"nothing": func(http.ResponseWriter) error { return nil },
+	} {
+		for _, leaves := range []bool{false, true} {
+			var leaving atomic.Bool
+			r := newRig(t, func(l net.Listener) net.Listener { return l }, func(w http.ResponseWriter, _ *http.Request) {
+				leaving.Store(leaves)
+				if err := write(w); err != nil {
+					t.Error(err)
+				}
+			}, WithLeaving(leaving.Load))
+			c := r.dial()
+			r.write(c)
+			if resp, err := r.read(c); err != nil || resp.Close != leaves {
+				t.Errorf("%s, leaves %v: got %v, %v", name, leaves, resp, err)
+			}
+		}
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -181,9 +181,9 @@
 func (n *Node) run(ctx context.Context, callers, control net.Listener) {
 	s := n.settings
 	n.callers = linger.New(&http.Server{
-		Handler: n.closeWhenStopping(n.front), MaxHeaderBytes: s.MaxHeaderBytes, ReadTimeout: ms(s.ReadTimeoutMs), ReadHeaderTimeout: ms(s.ReadTimeoutMs),
+		Handler: n.front, MaxHeaderBytes: s.MaxHeaderBytes, ReadTimeout: ms(s.ReadTimeoutMs), ReadHeaderTimeout: ms(s.ReadTimeoutMs),
 		IdleTimeout: time.Minute, ConnContext: caller.WithConn,
-	}, &n.serverStats, n.tele.Log, linger.WithShare(linger.CallerShare))
+	}, &n.serverStats, n.tele.Log, linger.WithShare(linger.CallerShare), linger.WithLeaving(n.leaving))
 	n.control = linger.New(&http.Server{Handler: n.admin, ReadHeaderTimeout: adminTimeout}, &n.serverStats, n.tele.Log, linger.WithShare(linger.OtherShare))
 	n.start(n.server.Serve)
 	n.start(func() { n.members.Run(ctx) })
@@ -241,19 +241,16 @@
 // HangUp logs that the settings are read at the start only.
 func (n *Node) HangUp() { n.tele.Log.Warn("SIGHUP changes nothing; settings are read at the start") }
 
-// closeWhenStopping wraps a handler so that responses of a stopping node close their
-// connection. Idle connections stay open until callers know of the stop: a request sent while
-// its connection is being closed fails, and its caller can't know that it has not run. That
-// happened to 1 of 64 requests of a rolling restart.
-func (n *Node) closeWhenStopping(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		select {
-		case <-n.stopping:
-			w.Header().Set("Connection", "close")
-		default:
-		}
-		next.ServeHTTP(w, r)
-	})
+// leaving reports whether this node stops. Idle connections stay open until callers know of the stop: a request sent while
+// its connection is being closed fails, and its caller can't know that it has not run. That happened to 1 of 64 requests of
+// a rolling restart.
+func (n *Node) leaving() bool {
+	select {
+	case <-n.stopping:
+		return true
+	default:
+		return false
+	}
 }
 
 // Close stops the node gracefully. Peers and entry points stop advertising it, then it
