Edge, dispatch, linger: each request that a stop ends has a line that names it

What operators saw: streams closed around a SIGTERM, and a log that says nothing of them, or blames their callers (caller_left, caller_too_slow).

Cause: the cut ends attempts at engines. A request that is blocked in a write to a slow caller is ended by the close of its connection after the last wait, when the log may have ended; one that waits for room in its buffer was taken for one whose caller does not read; one whose engine had failed just before was answered without the line. What a kill ends was never named.

Fix: the writes that are left are ended before the connections are, and waited for as each wait of the end is; the outcome is cut_off_by_stop, counted like the line. Whether a caller has left is asked before, since net/http closes the connection of a write that fails. requests in progress names the open requests each second of a stop and at the cut; connection closed under a request what the close of a server meets, 100 lines at most and then a number.

--- a/internal/caller/body_reads.go
+++ b/internal/caller/body_reads.go
@@ -49,5 +49,12 @@
 	}
 }
 
+// Len returns how many bodies are being read.
+func (r *BodyReads) Len() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.conns)
+}
+
 // expire sets a read deadline that has passed. An error means that the connection is closed, which ends the read too.
 func expire(c deadliner) { _ = c.SetReadDeadline(time.Unix(1, 0)) }
--- a/internal/dispatch/absence.go
+++ b/internal/dispatch/absence.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -68,6 +70,31 @@
 	}
 }
 
+// endWrites ends what is written to callers. Whether one has left is asked before: a write that fails closes its connection.
+func (a *activeExchanges) endWrites() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for x := range a.cancels {
+		x.writesEnded.Store(!x.caller.Left())
+		if i, ok := x.answer.(Interrupter); ok {
+			i.Interrupt()
+		}
+	}
+}
+
+// ids returns the ids of at most so many requests in progress, the oldest first.
+func (a *activeExchanges) ids(most int) []string {
+	a.mu.Lock()
+	list := slices.Collect(maps.Keys(a.cancels))
+	a.mu.Unlock()
+	slices.SortFunc(list, func(x, y *exchange) int { return x.arrived.Compare(y.arrived) })
+	ids := make([]string, 0, min(len(list), most))
+	for _, x := range list[:cap(ids)] {
+		ids = append(ids, x.req.ID)
+	}
+	return ids
+}
+
 // oldest returns how long the oldest request of a route has been in progress, without the time in which its body arrived.
 func (a *activeExchanges) oldest(now time.Time, route *routing.Route) time.Duration {
 	a.mu.Lock()
--- a/internal/dispatch/buffer.go
+++ b/internal/dispatch/buffer.go
@@ -109,7 +109,7 @@
 
 // deliver waits until the caller has got all that is buffered of its answer. An answer that is
 // complete at this node is delivered for as long as its caller reads, also after its deadline.
-func (x *exchange) deliver() {
+func (x *exchange) deliver(ctx context.Context) {
 	if x.buffer == nil {
 		return
 	}
@@ -118,7 +118,7 @@
 	switch {
 	case errors.As(err, &cut):
 		x.answer.Abort()
-		if x.refusal.Reason != CallerTooSlow { // Otherwise it is counted already.
+		if x.refusal.Reason != CallerTooSlow && !x.endedByStop(ctx) { // Otherwise it is counted already, or the stop is.
 			x.d.relay.onCut(x.pool, cut.Reason)
 		}
 		x.refusal = Refusal{Reason: CallerTooSlow}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -192,7 +192,8 @@
 	defer d.exchanges.add(x, end)()
 	defer x.closeBuffer()
 	x.run(ctx)
-	x.deliver()
+	x.deliver(ctx)
+	x.noteStop(ctx)
 	x.recordEnd(clock.Now())
 }
 
--- a/internal/dispatch/stop.go
+++ b/internal/dispatch/stop.go
@@ -8,6 +8,7 @@
 
 	"github.com/croftturn/croftturn/internal/clock"
 	"github.com/croftturn/croftturn/internal/placement"
+	"github.com/croftturn/croftturn/internal/relaybuf"
 	"github.com/croftturn/croftturn/internal/routing"
 )
 
@@ -21,6 +22,9 @@
 	// just before may be late.
 	stopMarginPart = 16
 
+	// maxOpenListed is how many requests in progress a line of the log names.
+	maxOpenListed = 100
+
 	// runsRefresh is how long what the runs of a route tell is used: waiting requests ask for it again and again.
 	runsRefresh = 50 * time.Millisecond
 )
@@ -69,6 +73,12 @@
 // as not run, and gain by an early end.
 func (d *Dispatcher) RefuseUnsent() { d.exchanges.endUnsent(errCutOff) }
 
+// EndWrites ends the requests whose answers wait for callers that do not read them: nothing else would before the process ends.
+func (d *Dispatcher) EndWrites() { d.exchanges.endWrites() }
+
+// InProgress returns the ids of the requests in progress, the oldest first and not more than a log line can take.
+func (d *Dispatcher) InProgress() []string { return d.exchanges.ids(maxOpenListed) }
+
 // EndedByStop returns how many answers that had begun the stop has ended, and how many requests that engines had otherwise.
 func (d *Dispatcher) EndedByStop() (answers, requests int64) {
 	return d.cutAnswers.Load(), d.cutRequests.Load()
@@ -149,11 +159,17 @@
 	case cutOff(ctx):
 		return *x.refuseStopping()
 	case x.mustLeave(now):
-		return Refusal{Reason: x.unlessMayHaveRun(Stopping), RetryAfter: shortRetryAfter}
+		return *x.refuseResend()
 	}
 	return refusal
 }
 
+// refuseResend returns the refusal of a request that can't be sent, or sent again, since this node stops.
+func (x *exchange) refuseResend() *Refusal {
+	x.leftByStop = true
+	return &Refusal{Reason: x.unlessMayHaveRun(Stopping), RetryAfter: shortRetryAfter}
+}
+
 // cutOff reports whether a request ends because the process does.
 func cutOff(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errCutOff) }
 
@@ -166,14 +182,43 @@
 	x.refuse(*x.refuseStopping())
 }
 
-// logCutOff logs a request that was sent to an engine and is ended by the stop: what the plan was, and how far it had come.
+// endedByStop reports whether the stop has ended a request whose answer can't be delivered: its caller did not read all of it
+// in time.
+func (x *exchange) endedByStop(ctx context.Context) bool {
+	if x.writesEnded.Load() || x.buffer == nil {
+		return x.writesEnded.Load()
+	}
+	cut := (*relaybuf.CutError)(nil)
+	return cutOff(ctx) && errors.As(x.buffer.Err(), &cut) && cut.Reason == relaybuf.Deadline
+}
+
+// noteStop records the end of a request that the stop has ended by something else than the end of its attempt.
+func (x *exchange) noteStop(ctx context.Context) {
+	switch x.refusal.Reason {
+	case CallerLeft, CallerTooSlow:
+		if !x.endedByStop(ctx) {
+			return
+		}
+		x.refusal, x.mayHaveRun = Refusal{Reason: CutOff}, true
+	case CutOff:
+	default:
+		if !x.leftByStop {
+			return
+		}
+	}
+	x.logCutOff(clock.Now())
+}
+
+// logCutOff logs, once, a request that was sent to an engine and is ended by the stop: what the plan was, and how far it had
+// come.
 func (x *exchange) logCutOff(now time.Time) {
 	s := x.d.stop.Load()
-	if s == nil || !x.mayHaveRun {
+	if s == nil || !x.mayHaveRun || x.cutLogged {
 		return
 	}
+	x.cutLogged = true
 	x.d.log.Warn("request ended by the stop", "request", x.req.ID, "route", x.route.Name, "engine", x.choice.Engine.ID, "via", x.via, "forwarded_by", x.forwardedBy(),
-		"begun", x.answerBegun, "pieces", x.events, "sent", x.sent, "ran_ms", now.Sub(x.arrived).Milliseconds(), "left_ms", x.deadline.Sub(now).Milliseconds(), "arrived_ms", x.arrived.Sub(s.Begin).Milliseconds(),
+		"begun", x.answerBegun, "outcome", x.refusal.Reason, "writing", x.writesEnded.Load(), "pieces", x.events, "sent", x.sent, "ran_ms", now.Sub(x.arrived).Milliseconds(), "left_ms", x.deadline.Sub(now).Milliseconds(), "arrived_ms", x.arrived.Sub(s.Begin).Milliseconds(),
 		"stopping_ms", now.Sub(s.Begin).Milliseconds(), "kill_ms", s.Kill.Sub(now).Milliseconds(), "late_now_ms", s.Late.Milliseconds())
 	if x.answerBegun {
 		x.d.cutAnswers.Add(1)
--- a/internal/dispatch/walk.go
+++ b/internal/dispatch/walk.go
@@ -75,9 +75,12 @@
 	choice        placement.Choice
 	call          *placement.Call
 	refusal       Refusal
-	via           string // via is the node that the request was last forwarded to; empty if this node sent it
-	forwardFailed bool   // forwardFailed is set if no other node took the request
-	counted       bool   // counted is set if the request was counted for the budget of retries
+	via           string      // via is the node that the request was last forwarded to; empty if this node sent it
+	forwardFailed bool        // forwardFailed is set if no other node took the request
+	leftByStop    bool        // leftByStop is set if the request was not sent, or not again, because this node stops
+	cutLogged     bool        // cutLogged is set once the log tells that the stop has ended the request
+	writesEnded   atomic.Bool // writesEnded is set if the stop has ended what is written to the caller
+	counted       bool        // counted is set if the request was counted for the budget of retries
 	status        int
 	unframed      bool          // unframed is set if the latest answer ends with its connection
 	engineLimit   float64       // engineLimit is the rate limit in the latest answer, in requests per second; -1 for none
@@ -248,7 +251,7 @@
 		return refusal
 	}
 	if x.mustLeave(now) {
-		return &Refusal{Reason: x.unlessMayHaveRun(Stopping), RetryAfter: shortRetryAfter}
+		return x.refuseResend()
 	}
 	return x.refuseHeld(now)
 }
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -41,6 +41,12 @@
 
 	// stopPollInterval is how often a stopping node checks whether it is idle.
 	stopPollInterval = 50 * time.Millisecond
+
+	// endPollInterval is the same for its last step.
+	endPollInterval = 2 * time.Millisecond
+
+	// reportInterval is how often a stopping node logs which requests are in progress.
+	reportInterval = time.Second
 )
 
 type (
@@ -63,6 +69,8 @@
 		grace time.Duration // grace is how long after the signal the platform kills the process.
 		kill  time.Time     // kill is when that is at the earliest: the process may have seen the signal late.
 		plan  stopPlan
+
+		report time.Time // report is when the requests in progress are logged next.
 	}
 )
 
@@ -169,15 +177,19 @@
 				close(ended)
 			}()
 		}
+		if !now.Before(s.report) {
+			s.logInProgress(now)
+			s.report = now.Add(reportInterval)
+		}
 		if mustRefuse {
 			s.dispatcher.RefuseUnsent()
 			s.reads.Interrupt()
 		}
 		answered := mustRefuse && s.dispatcher.Active() == 0 && !now.Before(s.plan.answered(s.kill))
 		if answered || !now.Before(s.plan.cut) {
+			s.logInProgress(now)
 			s.dispatcher.CutOff()
-			time.AfterFunc(s.lastWait(now), cancel)
-			<-ended
+			s.awaitLast(now, ended, cancel)
 			return
 		}
 		select {
@@ -188,6 +200,36 @@
 	}
 }
 
+// awaitLast waits until all connections have ended, for as long as the last answers may take.
+func (s *stopping) awaitLast(now time.Time, ended <-chan struct{}, cancel context.CancelFunc) {
+	select {
+	case <-ended:
+	case <-time.After(s.lastWait(now)):
+		s.endWrites()
+		cancel()
+		<-ended
+	}
+}
+
+// endWrites ends the requests whose callers do not read their answers in time, so that each has a line in the log.
+func (s *stopping) endWrites() {
+	s.dispatcher.EndWrites()
+	for end := clock.Now().Add(s.lastWait(clock.Now())); s.dispatcher.Active() > 0 && clock.Now().Before(end); {
+		time.Sleep(endPollInterval)
+	}
+	if s.dispatcher.Active() > 0 {
+		s.logInProgress(clock.Now())
+	}
+}
+
+// logInProgress logs which requests are in progress, since a kill leaves no line that names them.
+func (s *stopping) logInProgress(now time.Time) {
+	if s.dispatcher.Active() == 0 && s.reads.Len() == 0 {
+		return
+	}
+	s.log.Info("requests in progress", "active", s.dispatcher.Active(), "requests", s.dispatcher.InProgress(), "arriving", s.reads.Len(), "stopping_ms", now.Sub(s.begin).Milliseconds(), "kill_ms", s.kill.Sub(now).Milliseconds())
+}
+
 // shutDownServers serves what has been sent to this node, and ends all connections, until the context ends.
 func (e *Edge) shutDownServers(ctx context.Context) {
 	var servers sync.WaitGroup
--- a/internal/linger/conn.go
+++ b/internal/linger/conn.go
@@ -9,9 +9,14 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/croftturn/croftturn/internal/caller"
 )
 
 type (
+	// connKey is the key of a conn in contexts.
+	connKey struct{}
+
 	// listener accepts connections and adds them to its server.
 	listener struct {
 		net.Listener
@@ -26,16 +31,43 @@
 	conn struct {
 		net.Conn
 		server     *Server
-		raw        rawConn       // raw is nil if the socket is not known.
-		idle       atomic.Bool   // idle is set between two requests, until a byte of the next one is read.
-		idleSince  atomic.Int64  // idleSince is when the connection became idle, in Unix nanoseconds.
-		read       atomic.Uint64 // read counts the bytes that were read.
-		halfClosed atomic.Bool   // halfClosed is set once the writing side is closed.
-		crossed    atomic.Bool   // crossed is set if something was read after that.
+		raw        rawConn                     // raw is nil if the socket is not known.
+		idle       atomic.Bool                 // idle is set between two requests, until a byte of the next one is read.
+		idleSince  atomic.Int64                // idleSince is when the connection became idle, in Unix nanoseconds.
+		read       atomic.Uint64               // read counts the bytes that were read.
+		halfClosed atomic.Bool                 // halfClosed is set once the writing side is closed.
+		crossed    atomic.Bool                 // crossed is set if something was read after that.
+		serving    atomic.Bool                 // serving is set while a handler runs.
+		caller     atomic.Pointer[caller.Conn] // caller is the same connection as handlers know it; nil if they don't.
 		closed     sync.Once
 	}
 )
 
+// withConn returns a ConnContext that adds to another one, nil for none, what the server knows of a connection.
+func withConn(next func(ctx context.Context, c net.Conn) context.Context) func(ctx context.Context, c net.Conn) context.Context {
+	return func(ctx context.Context, c net.Conn) context.Context {
+		if next != nil {
+			ctx = next(ctx, c)
+		}
+		own, ok := c.(*conn)
+		if !ok {
+			return ctx
+		}
+		own.caller.Store(caller.ConnOf(ctx))
+		return context.WithValue(ctx, connKey{}, own)
+	}
+}
+
+// setServing records that a handler runs on the connection of a context, until the returned function is called.
+func setServing(ctx context.Context) (end func()) {
+	own, ok := ctx.Value(connKey{}).(*conn)
+	if !ok {
+		return func() {}
+	}
+	own.serving.Store(true)
+	return func() { own.serving.Store(false) }
+}
+
 // Listen listens on a TCP address, without multipath TCP: the kernel can't refuse handshakes of such a listener.
 func Listen(ctx context.Context, address string) (net.Listener, error) {
 	var config net.ListenConfig
@@ -182,5 +214,5 @@
 		return
 	}
 	c.server.stats.ClosedUnread.Add(1)
-	c.server.log.Warn("connection closed with unread bytes", "bytes", bytes, "unread_ms", tcpInfo(c.raw).Last_data_recv, "caller", c.RemoteAddr().String())
+	c.server.log.Warn("connection closed with unread bytes", "request", c.caller.Load().Request(), "bytes", bytes, "unread_ms", tcpInfo(c.raw).Last_data_recv, "caller", c.RemoteAddr().String())
 }
--- a/internal/linger/linger.go
+++ b/internal/linger/linger.go
@@ -26,6 +26,9 @@
 
 	// maxStack is how much of the stack of a panic is logged, in bytes.
 	maxStack = 2 << 10
+
+	// maxClosedLogged is how many connections that Close cuts short have a line of their own.
+	maxClosedLogged = 100
 )
 
 type (
@@ -51,6 +54,7 @@
 		Aborts        atomic.Int64 // Aborts counts requests whose handler closed the connection without a whole answer.
 		ClosedUnread  atomic.Int64 // ClosedUnread counts connections that were closed though bytes lay unread in them.
 		ClosedUntaken atomic.Int64 // ClosedUntaken counts connections that their listener held when it was closed.
+		ClosedWaiting atomic.Int64 // ClosedWaiting counts connections that Close closed though their callers had not got a whole answer.
 		Crossed       atomic.Int64 // Crossed counts requests that were sent before their callers could see the close.
 	}
 
@@ -64,7 +68,7 @@
 	for _, o := range opts {
 		o(s)
 	}
-	h.Handler, h.ConnState = s, s.stateChanged
+	h.Handler, h.ConnState, h.ConnContext = s, s.stateChanged, withConn(h.ConnContext)
 	return s
 }
 
@@ -86,6 +90,7 @@
 			panic(http.ErrAbortHandler)
 		}
 	}()
+	defer setServing(r.Context())()
 	a := &answer{ResponseWriter: w, server: s}
 	s.handler.ServeHTTP(a, r)
 	a.begin()
@@ -147,6 +152,7 @@
 	for _, l := range s.listeners {
 		untaken += backlog(l.raw)
 	}
+	s.logWaiting()
 	for c := range s.conns {
 		_ = c.SetReadDeadline(time.Unix(1, 0)) // Ends lingering; an error means that the connection is closed.
 	}
@@ -161,6 +167,25 @@
 	return nil
 }
 
+// logWaiting logs and counts the connections whose callers wait for an answer or for the rest of one. What the kernel holds
+// of it still leaves this machine. The caller holds the lock.
+func (s *Server) logWaiting() {
+	waiting := 0
+	for c := range s.conns {
+		serving, unacknowledged := c.serving.Load(), c.caller.Load().Unread()
+		if !serving && unacknowledged <= 0 {
+			continue
+		}
+		if waiting++; waiting <= maxClosedLogged {
+			s.log.Warn("connection closed under a request", "request", c.caller.Load().Request(), "serving", serving, "unacknowledged_bytes", unacknowledged, "unread_bytes", unread(c.raw), "caller", c.RemoteAddr().String())
+		}
+	}
+	if waiting > maxClosedLogged {
+		s.log.Warn("more connections closed under requests", "connections", waiting-maxClosedLogged)
+	}
+	s.stats.ClosedWaiting.Add(int64(waiting))
+}
+
 // stopListening closes the listeners that hold no connections any more. It reports whether one may still accept.
 func (s *Server) stopListening() bool {
 	s.mu.Lock()
--- a/internal/linger/linger_test.go
+++ b/internal/linger/linger_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -9,6 +10,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -375,3 +377,47 @@
 		}
 	}
 }
+
+// TestConnectionsClosedUnderRequestsAreLogged guards against requests that the end of a server leaves without a trace: those
+// that are served yet, and those whose answers have not arrived whole. Of many, some lines and their number suffice.
+func TestConnectionsClosedUnderRequestsAreLogged(t *testing.T) {
+	const callers = maxClosedLogged + 5
+	var log bytes.Buffer
+	release := make(chan struct{})
+	var served sync.WaitGroup
+	served.Add(callers)
+	r := newRig(t, func(l net.Listener) net.Listener { return l }, func(w http.ResponseWriter, r *http.Request) {
+		caller.ConnOf(r.Context()).SetRequest("request of " + r.Method)
+		if r.Method == http.MethodGet {
+			served.Done()
+			<-release
+			return
+		}
+		_, _ = w.Write(make([]byte, 128<<10)) // The kernel takes more than the caller's does.
+	})
+	defer close(release)
+	r.server.log = slog.New(slog.NewTextHandler(&log, nil))
+	for range callers {
+		r.write(r.dial())
+	}
+	served.Wait()
+	r.dial() // Nothing was sent on it.
+	c := r.dial().(*net.TCPConn)
+	if err := c.SetReadBuffer(4 << 10); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.WriteString(c, "PUT / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(50 * time.Millisecond) // The answer is written.
+	if err := r.server.Close(); err != nil {
+		t.Error(err)
+	}
+	lines := strings.Count(log.String(), "connection closed under a request")
+	if waiting := r.stats.ClosedWaiting.Load(); waiting != callers+1 || lines != maxClosedLogged || !strings.Contains(log.String(), "connections="+strconv.Itoa(callers+1-maxClosedLogged)) {
+		t.Errorf("%d connections counted, %d lines; want %d: %s", waiting, lines, callers+1, log.String())
+	}
+	if !strings.Contains(log.String(), `request="request of GET" serving=true`) {
+		t.Errorf("the log does not name a request that is served: %s", log.String())
+	}
+}
--- a/lab/soak/engine.go
+++ b/lab/soak/engine.go
@@ -185,7 +185,7 @@
 	route := strings.Split(r.URL.Path, "/")[1]
 	if !isStream(route) {
 		pause.For(r.Context(), workOf(r))
-		body := expectedBody(route, id)
+		body := expectedBody(route, id) + strings.Repeat(".", sizeOf(r))
 		frameOf(id).set(w, r, len(body))
 		fmt.Fprint(w, body)
 		if frameOf(id) == frameChunked {
@@ -196,6 +196,9 @@
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	w.Header().Set("Content-Type", "text/event-stream")
 	stream, versionLine := streamID(r), "v: "+e.version+"\n"
+	if size := sizeOf(r); size > 0 {
+		versionLine = ":" + strings.Repeat(".", size/events(stream)) + "\n" + versionLine
+	}
 	length := 0
 	for n := after + 1; n <= events(stream); n++ {
 		length += len(versionLine) + len(event(stream, n))
@@ -229,6 +232,16 @@
 	return time.Duration(ms) * time.Millisecond
 }
 
+// sizeOf returns how many bytes are added to the answer to a request, by its path; 0 if it does not say.
+func sizeOf(r *http.Request) int {
+	parts := strings.Split(r.URL.Path, "/")
+	size, err := strconv.Atoi(parts[len(parts)-2])
+	if err != nil || len(parts) < 5 {
+		return 0
+	}
+	return size
+}
+
 // events returns the number of events in the stream of a request.
 func events(id string) int {
 	h := fnv.New32a()
--- a/lab/soak/stop_test.go
+++ b/lab/soak/stop_test.go
@@ -101,7 +101,13 @@
 // startTwoNodes starts two nodes and two engines until the end of a test, and returns one of the nodes.
 func startTwoNodes(t *testing.T, timeout time.Duration) (*Environment, *node) {
 	t.Helper()
-	env, err := start(Options{Seed: 2, Nodes: 2, Engines: 2, Dir: t.TempDir(), Program: "croftturn", Timeout: timeout})
+	return startNodesOf(t, 2, timeout)
+}
+
+// startNodesOf is startTwoNodes with a seed; the pool of streams is interactive with odd ones.
+func startNodesOf(t *testing.T, seed uint64, timeout time.Duration) (*Environment, *node) {
+	t.Helper()
+	env, err := start(Options{Seed: seed, Nodes: 2, Engines: 2, Dir: t.TempDir(), Program: "croftturn", Timeout: timeout})
 	if env != nil {
 		t.Cleanup(env.close)
 	}
