--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -120,7 +120,7 @@
 	switch {
 	case d.table.Load() == nil:
 		return NotReady
-	case d.stop.Load() != nil:
+	case d.Stopping():
 		return Stopping
 	case !d.proof.Fresh(now):
 		return Stale
@@ -192,7 +192,8 @@
 	defer d.exchanges.add(x, end)()
 	defer x.closeBuffer()
 	x.run(ctx)
-	x.deliver()
+	x.deliver(ctx)
+	x.noteStop(ctx)
 	x.recordEnd(clock.Now())
 }
 
--- a/internal/linger/linger.go
+++ b/internal/linger/linger.go
@@ -26,6 +26,9 @@
 
 	// maxStack is how much of the stack of a panic is logged, in bytes.
 	maxStack = 2 << 10
+
+	// maxClosedLogged is how many connections that Close cuts short have a line of their own.
+	maxClosedLogged = 100
 )
 
 type (
@@ -35,6 +38,7 @@
 		stats   *Stats
 		log     *slog.Logger
 		handler http.Handler
+		leaving func() bool // leaving reports whether callers should go elsewhere.
 		share   float64     // share is that of the process's descriptors which connections may take, 0 for no bound.
 		ending  atomic.Bool // ending is set once Shutdown was called.
 		closed  atomic.Bool // closed is set once Close was called.
@@ -50,6 +54,7 @@
 		Aborts        atomic.Int64 // Aborts counts requests whose handler closed the connection without a whole answer.
 		ClosedUnread  atomic.Int64 // ClosedUnread counts connections that were closed though bytes lay unread in them.
 		ClosedUntaken atomic.Int64 // ClosedUntaken counts connections that their listener held when it was closed.
+		ClosedWaiting atomic.Int64 // ClosedWaiting counts connections that Close closed though their callers had not got a whole answer.
 		Crossed       atomic.Int64 // Crossed counts requests that were sent before their callers could see the close.
 	}
 
@@ -59,11 +64,11 @@
 
 // New returns a Server that serves as the given one, which is not used otherwise any more.
 func New(h *http.Server, stats *Stats, log *slog.Logger, opts ...Option) *Server {
-	s := &Server{http: h, stats: stats, log: log, handler: h.Handler, conns: map[*conn]struct{}{}}
+	s := &Server{http: h, stats: stats, log: log, handler: h.Handler, leaving: func() bool { return false }, conns: map[*conn]struct{}{}}
 	for _, o := range opts {
 		o(s)
 	}
-	h.Handler, h.ConnState = s, s.stateChanged
+	h.Handler, h.ConnState, h.ConnContext = s, s.stateChanged, withConn(h.ConnContext)
 	return s
 }
 
@@ -85,10 +90,10 @@
 			panic(http.ErrAbortHandler)
 		}
 	}()
-	if s.ending.Load() {
-		w.Header().Set("Connection", "close")
-	}
-	s.handler.ServeHTTP(w, r)
+	defer setServing(r.Context())()
+	a := &answer{ResponseWriter: w, server: s}
+	s.handler.ServeHTTP(a, r)
+	a.begin()
 }
 
 // Serve accepts and serves the connections of a listener until Shutdown or Close. Its error is never nil.
@@ -147,6 +152,7 @@
 	for _, l := range s.listeners {
 		untaken += backlog(l.raw)
 	}
+	s.logWaiting()
 	for c := range s.conns {
 		_ = c.SetReadDeadline(time.Unix(1, 0)) // Ends lingering; an error means that the connection is closed.
 	}
@@ -161,6 +167,25 @@
 	return nil
 }
 
+// logWaiting logs and counts the connections whose callers wait for an answer or for the rest of one. What the kernel holds
+// of it still leaves this machine. The caller holds the lock.
+func (s *Server) logWaiting() {
+	waiting := 0
+	for c := range s.conns {
+		serving, unacknowledged := c.serving.Load(), c.caller.Load().Unread()
+		if !serving && unacknowledged <= 0 {
+			continue
+		}
+		if waiting++; waiting <= maxClosedLogged {
+			s.log.Warn("connection closed under a request", "request", c.caller.Load().Request(), "serving", serving, "unacknowledged_bytes", unacknowledged, "unread_bytes", unread(c.raw), "caller", c.RemoteAddr().String())
+		}
+	}
+	if waiting > maxClosedLogged {
+		s.log.Warn("more connections closed under requests", "connections", waiting-maxClosedLogged)
+	}
+	s.stats.ClosedWaiting.Add(int64(waiting))
+}
+
 // stopListening closes the listeners that hold no connections any more. It reports whether one may still accept.
 func (s *Server) stopListening() bool {
 	s.mu.Lock()
--- a/internal/linger/linger_test.go
+++ b/internal/linger/linger_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -9,8 +10,10 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -95,14 +98,14 @@
 }
 
 // newRig serves on a listener with an answer to each request.
-func newRig(t *testing.T, wrap func(net.Listener) net.Listener, handler http.HandlerFunc) *rig {
+func newRig(t *testing.T, wrap func(net.Listener) net.Listener, handler http.HandlerFunc, opts ...Option) *rig {
 	t.Helper()
 	l, err := Listen(t.Context(), "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	r := &rig{t: t, address: l.Addr().String()}
-	r.server = New(&http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second, ConnContext: caller.WithConn}, &r.stats, slog.New(slog.DiscardHandler))
+	r.server = New(&http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second, ConnContext: caller.WithConn}, &r.stats, slog.New(slog.DiscardHandler), opts...)
 	serve, served := r.server.Add(wrap(l)), make(chan struct{})
 	go func() {
 		defer close(served)
@@ -348,3 +351,73 @@
 		}
 	}
 }
+
+// TestAnswersThatBeginWhileTheProcessLeavesAskToClose guards against callers that stay with a process which leaves, since it
+// did not leave yet when their requests came; the head of an answer may be written in several ways.
+func TestAnswersThatBeginWhileTheProcessLeavesAskToClose(t *testing.T) {
+	for name, write := range map[string]func(w http.ResponseWriter) error{
+		"head":    func(w http.ResponseWriter) error { w.WriteHeader(http.StatusServiceUnavailable); return nil },
+		"body":    func(w http.ResponseWriter) error { _, err := io.WriteString(w, "ok"); return err },
+		"flush":   func(w http.ResponseWriter) error { return http.NewResponseController(w).Flush() },
+		"nothing": func(http.ResponseWriter) error { return nil },
+	} {
+		for _, leaves := range []bool{false, true} {
+			var leaving atomic.Bool
+			r := newRig(t, func(l net.Listener) net.Listener { return l }, func(w http.ResponseWriter, _ *http.Request) {
+				leaving.Store(leaves)
+				if err := write(w); err != nil {
+					t.Error(err)
+				}
+			}, WithLeaving(leaving.Load))
+			c := r.dial()
+			r.write(c)
+			if resp, err := r.read(c); err != nil || resp.Close != leaves {
+				t.Errorf("%s, leaves %v: got %v, %v", name, leaves, resp, err)
+			}
+		}
+	}
+}
+
+// TestConnectionsClosedUnderRequestsAreLogged guards against requests that the end of a server leaves without a trace: those
+// that are served yet, and those whose answers have not arrived whole. Of many, some lines and their number suffice.
+func TestConnectionsClosedUnderRequestsAreLogged(t *testing.T) {
+	const callers = maxClosedLogged + 5
+	var log bytes.Buffer
+	release := make(chan struct{})
+	var served sync.WaitGroup
+	served.Add(callers)
+	r := newRig(t, func(l net.Listener) net.Listener { return l }, func(w http.ResponseWriter, r *http.Request) {
+		caller.ConnOf(r.Context()).SetRequest("request of " + r.Method)
+		if r.Method == http.MethodGet {
+			served.Done()
+			<-release
+			return
+		}
+		_, _ = w.Write(make([]byte, 128<<10)) // The kernel takes more than the caller's does.
+	})
+	defer close(release)
+	r.server.log = slog.New(slog.NewTextHandler(&log, nil))
+	for range callers {
+		r.write(r.dial())
+	}
+	served.Wait()
+	r.dial() // Nothing was sent on it.
+	c := r.dial().(*net.TCPConn)
+	if err := c.SetReadBuffer(4 << 10); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.WriteString(c, "PUT / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(50 * time.Millisecond) // The answer is written.
+	if err := r.server.Close(); err != nil {
+		t.Error(err)
+	}
+	lines := strings.Count(log.String(), "connection closed under a request")
+	if waiting := r.stats.ClosedWaiting.Load(); waiting != callers+1 || lines != maxClosedLogged || !strings.Contains(log.String(), "connections="+strconv.Itoa(callers+1-maxClosedLogged)) {
+		t.Errorf("%d connections counted, %d lines; want %d: %s", waiting, lines, callers+1, log.String())
+	}
+	if !strings.Contains(log.String(), `request="request of GET" serving=true`) {
+		t.Errorf("the log does not name a request that is served: %s", log.String())
+	}
+}
