--- a/lab/soak/slow_test.go
+++ b/lab/soak/slow_test.go
@@ -15,6 +15,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/croftturn/croftturn/lab/relay"
 )
 
 // slowCaller is a caller that reads its answer slowly.
@@ -37,7 +39,7 @@
 	return r.Conn.Read(p[:min(len(p), max(1, r.rate/turns))])
 }
 
-// ask sends a request, more bytes right after it, and reads the answer, of which it got some bytes, until the context ends.
+// ask sends a request, more bytes while it runs, and reads the answer, of which it got some bytes, until the context ends.
 func (c slowCaller) ask(ctx context.Context, path, id, more string) (status int, got int64, err error) {
 	dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) (err error) {
 		if c.buffer == 0 {
@@ -64,9 +66,7 @@
 	if err := req.Write(conn); err != nil {
 		return 0, 0, err
 	}
-	if _, err := io.WriteString(conn, more); err != nil {
-		return 0, 0, err
-	}
+	defer time.AfterFunc(standstill, func() { _, _ = io.WriteString(conn, more) }).Stop() // The answer shows what came of it.
 	resp, err := http.ReadResponse(bufio.NewReader(slowReader{conn, c.rate}), req)
 	if err != nil {
 		return 0, 0, err
@@ -142,3 +142,59 @@
 		})
 	}
 }
+
+// TestWholeAnswersArriveAfterAStop guards against answers that are whole at a node when its stop ends and are lost with it,
+// since their callers are far away, read slowly, or have sent more.
+func TestWholeAnswersArriveAfterAStop(t *testing.T) {
+	const next = "POST /safe/x HTTP/1.1\r\nHost: " + host + "\r\nAttempt-Id: next\r\nContent-Length: 4\r\n\r\nbody"
+	env, n := startTwoNodes(t, endlessRun)
+	env.expectExit(n)
+	n.callers.Set(relay.Delay)
+	var callers sync.WaitGroup
+	var lost sync.Map
+	for name, c := range map[string]slowCaller{
+		"slow": {n.callerAddress, 4 << 10, 32 << 10},
+		"far":  {n.callers.Address(), 0, 10 << 20},
+	} {
+		for _, more := range []string{"", next} {
+			for i, route := range []string{routeSafe, routeResumable} {
+				for _, size := range []int{100 << 10, 1 << 20} {
+					if size > 100<<10 && name == "slow" {
+						c.buffer, c.rate = 64<<10, 256<<10
+					}
+					work := 2*standstill + stopGrace - 700*time.Millisecond - time.Duration(i)*200*time.Millisecond // They end just before the cut.
+					if name == "far" {
+						work -= 2 * relayDelay
+					}
+					id := longID(fmt.Sprint(name, "-", route, "-", size, "-", len(more)))
+					callers.Go(func() {
+						status, got, err := c.ask(t.Context(), fmt.Sprintf("%s/%d/%d", route, work.Milliseconds(), size), id, more)
+						if status != success || got < int64(size) || err != nil {
+							lost.Store(id, fmt.Sprintf("status %d, %d bytes, %v", status, got, err))
+						}
+					})
+				}
+			}
+		}
+	}
+	time.Sleep(2 * standstill)
+	if err := n.Stop(stopGrace); err != nil {
+		t.Error(err)
+	}
+	callers.Wait()
+	for _, message := range []string{"request ended by the stop", "request ended"} {
+		for _, line := range linesOf(t, env, n, message) {
+			if line["outcome"] != "answered" {
+				lost.Delete(line["request"]) // It was not whole at the node.
+			}
+		}
+	}
+	lost.Range(func(id, how any) bool {
+		t.Errorf("%v got %v", id, how)
+		return true
+	})
+	whole := len(linesOf(t, env, n, "request ended")) - len(linesOf(t, env, n, "request ended by the stop"))
+	if t.Logf("%d answers were whole at the node, %d not yet with their callers at its end", whole, len(linesOf(t, env, n, "connection closed under a request"))); whole < callersOfEach {
+		t.Error("too few requests ended before the stop did")
+	}
+}
