--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -509,3 +509,24 @@
 		t.Errorf("got status %d, refusal %+v", a.status, a.refusal)
 	}
 }
+
+// TestFailedRequestsThatAStopKeepsFromAnotherEngineAreCounted guards against requests of which no line says that the stop ended
+// them: those that were to be sent again, which did not fit any more or came to the cut.
+func TestFailedRequestsThatAStopKeepsFromAnotherEngineAreCounted(t *testing.T) {
+	for name, stop := range map[string]func(d *dispatch.Dispatcher){
+		"does not fit": func(*dispatch.Dispatcher) {},
+		"cut":          (*dispatch.Dispatcher).CutOff,
+	} {
+		var d *dispatch.Dispatcher
+		e := &fakeSender{serve: func(context.Context, int, dispatch.Attempt) (*dispatch.Response, error) {
+			d.StopBy(dispatch.Stop{Begin: time.Now(), By: time.Now()})
+			stop(d)
+			return respond(http.StatusInternalServerError, ""), nil
+		}}
+		d = newDispatcher(e, 10)
+		a := serve(t, d, "safe")
+		if answers, requests := d.EndedByStop(); answers != 0 || requests != 1 || e.sentCount() != 1 {
+			t.Errorf("%s: %d answers and %d requests counted, refusal %+v after %d attempts", name, answers, requests, a.refusal, e.sentCount())
+		}
+	}
+}
