--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -493,19 +493,42 @@
 }
 
 // TestTimeOfABodyCountsAsNoRun guards against a stopping node that refuses short requests since the body of one took long to
-// arrive.
+// arrive: it is no run, and what is left until the deadline is all that must fit.
 func TestTimeOfABodyCountsAsNoRun(t *testing.T) {
 	e := &fakeSender{serve: func(context.Context, int, dispatch.Attempt) (*dispatch.Response, error) {
 		return respond(http.StatusOK, "well"), nil
 	}}
-	d := newDispatcher(e, 0)
-	for range 20 {
-		serve(t, d, "unsafe")
+	for route, left := range map[string]time.Duration{"safe": timeout / 2, "unsafe": timeout * 3 / 4} {
+		d := newDispatcher(e, 0)
+		for range 20 {
+			serve(t, d, route)
+		}
+		now, r, a := time.Now(), &dispatch.Request{ID: "id", Host: "h", Path: "/" + route + "/x", Key: "k", Patience: timeout}, &recordedAnswer{}
+		checked, team, _ := d.Check(now, r)
+		d.StopBy(dispatch.Stop{Begin: now, By: now.Add(left)})
+		if d.Serve(context.Background(), now.Add(-timeout/2), r, checked, team, a); a.status != http.StatusOK {
+			t.Errorf("%s: got status %d, refusal %+v", route, a.status, a.refusal)
+		}
 	}
-	now, r, a := time.Now(), &dispatch.Request{ID: "id", Host: "h", Path: "/unsafe/x", Key: "k", Patience: timeout}, &recordedAnswer{}
-	route, team, _ := d.Check(now, r)
-	d.StopBy(dispatch.Stop{Begin: now, By: now.Add(timeout / 2)})
-	if d.Serve(context.Background(), now.Add(-timeout/2), r, route, team, a); a.status != http.StatusOK {
-		t.Errorf("got status %d, refusal %+v", a.status, a.refusal)
+}
+
+// TestFailedRequestsThatAStopKeepsFromAnotherEngineAreCounted guards against requests of which no line says that the stop ended
+// them: those that were to be sent again, which did not fit any more or came to the cut.
+func TestFailedRequestsThatAStopKeepsFromAnotherEngineAreCounted(t *testing.T) {
+	for name, stop := range map[string]func(d *dispatch.Dispatcher){
+		"does not fit": func(*dispatch.Dispatcher) {},
+		"cut":          (*dispatch.Dispatcher).CutOff,
+	} {
+		var d *dispatch.Dispatcher
+		e := &fakeSender{serve: func(context.Context, int, dispatch.Attempt) (*dispatch.Response, error) {
+			d.StopBy(dispatch.Stop{Begin: time.Now(), By: time.Now()})
+			stop(d)
+			return respond(http.StatusInternalServerError, ""), nil
+		}}
+		d = newDispatcher(e, 10)
+		a := serve(t, d, "safe")
+		if answers, requests := d.EndedByStop(); answers != 0 || requests != 1 || e.sentCount() != 1 {
+			t.Errorf("%s: %d answers and %d requests counted, refusal %+v after %d attempts", name, answers, requests, a.refusal, e.sentCount())
+		}
 	}
 }
