Cluster: a process that does not stop in time prints its stacks

Seven stops of the soak were not over within 8 s beside load 35 to 60, some of them 0.4 s and more after the last line of the log, so that nothing told a process that waits from one that the machine did not run. It gets SIGQUIT now, and the error says whether it ended by itself soon after.

--- a/lab/cluster/process.go
+++ b/lab/cluster/process.go
@@ -15,7 +15,7 @@
 	"github.com/croftturn/croftturn/internal/testport"
 )
 
-// stopTimeout bounds the wait for a process to stop after SIGSTOP.
+// stopTimeout bounds the wait for a process to stop after SIGSTOP, and to end after SIGQUIT.
 const stopTimeout = time.Second
 
 // Build builds the programs once for this process and returns their folder.
@@ -152,7 +152,7 @@
 	<-p.done
 }
 
-// Stop asks a process to stop and returns how it exited.
+// Stop asks a process to stop and returns how it exited. One that takes longer is made to print its stacks.
 func (p *Process) Stop(within time.Duration) error {
 	if err := p.Signal(syscall.SIGTERM); err != nil {
 		return err
@@ -161,6 +161,13 @@
 	case <-p.done:
 		return p.err
 	case <-time.After(within):
+	}
+	_ = p.Signal(syscall.SIGQUIT) // It may have ended. If not, its output tells what it waited for.
+	late := time.Now()
+	select {
+	case <-p.done:
+		return fmt.Errorf("%s did not stop within %v, but %v later: %v", p.Name, within, time.Since(late), p.err)
+	case <-time.After(stopTimeout):
 		return fmt.Errorf("%s did not stop within %v", p.Name, within)
 	}
 }
