Front: the text that is kept of a chat completion is bounded

Cause: a chat completion keeps its text, to give it as one document or to go on at another engine, and nothing bounded it; no length, no share of the process, and no time, since the stall timer starts again at each event. Class: bytes kept before they are counted.

A stream that may hold no more goes on to its caller but can't be resumed; any other answer begins anew at another engine, and ends with 502 if there is none.

internal/testendless has the bytes without end for tests of all readers, and measures what is live in the heap meanwhile.

--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -41,6 +41,7 @@
 		notRepeatable bool
 		body          []byte
 		arrived       time.Time
+		held          *heldAnswer // held is the text of a chat completion received so far, over all tries.
 
 		fingerprint   quarantine.Fingerprint
 		trial         bool      // trial is set if the next try is the trial of a held request.
--- a/internal/front/chat.go
+++ b/internal/front/chat.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/croftturn/croftturn/internal/broker"
@@ -23,8 +22,8 @@
 	f *Front
 	c *call
 
-	content strings.Builder // content is the text received so far, over all tries.
-	tokens  int             // tokens counts the tokens received so far.
+	dropped bool // dropped is set once the text of a stream is no longer kept.
+	tokens  int  // tokens counts the tokens received so far.
 	finish  string
 	usage   *engine.Usage
 	sent    bool // sent is set once part of the response was written to the caller.
@@ -74,7 +73,7 @@
 
 // resumable reports whether another engine can continue the response from the text
 // received so far.
-func (x *chatExchange) resumable() bool { return x.finish == "" }
+func (x *chatExchange) resumable() bool { return x.finish == "" && !x.dropped }
 
 // send streams the completion from one engine to the caller.
 func (x *chatExchange) send(ctx context.Context, w http.ResponseWriter, g sched.Grant) (sched.Result, error) {
@@ -100,6 +99,12 @@
 	if err == nil {
 		return res, nil
 	}
+	if errors.Is(err, errTooLong) {
+		x.f.tele.Wasted.Add(ctx, int64(x.tokens))
+		x.tokens, x.finish, x.usage = 0, "", nil
+		x.c.held.release()
+		return res, err
+	}
 	if !x.resumable() || errors.Is(callerGoneOr(ctx, err), errCallerGone) {
 		x.f.tele.Wasted.Add(ctx, int64(x.tokens))
 	}
@@ -174,7 +179,7 @@
 	last, err := json.Marshal(struct {
 		Role    string `json:"role"`
 		Content string `json:"content"`
-	}{"assistant", x.content.String()})
+	}{"assistant", string(x.c.held.body)})
 	if err != nil {
 		return fmt.Errorf("encode partial answer: %w", err)
 	}
@@ -204,7 +209,9 @@
 		if e.Done {
 			return x.complete(w, out)
 		}
-		x.recordEvent(ctx, e)
+		if !x.recordEvent(ctx, e) {
+			return errTooLong
+		}
 		if !x.c.stream || (e.Usage != nil && e.Content == "" && !x.c.includeUsage) {
 			continue
 		}
@@ -214,8 +221,8 @@
 	}
 }
 
-// recordEvent updates the text, token count and usage from an event.
-func (x *chatExchange) recordEvent(ctx context.Context, e engine.Event) {
+// recordEvent updates the text, token count and usage from an event, and reports whether the answer can still be given.
+func (x *chatExchange) recordEvent(ctx context.Context, e engine.Event) bool {
 	if e.Usage != nil {
 		x.usage = e.Usage
 	}
@@ -223,7 +230,7 @@
 		x.finish = e.Finish
 	}
 	if e.Content == "" {
-		return
+		return true
 	}
 	if x.first.IsZero() {
 		x.first = clock.Now()
@@ -231,8 +238,20 @@
 	}
 	x.f.noteProgress(clock.Now(), x.c)
 	x.tokens++
-	x.content.WriteString(e.Content)
 	x.f.tele.Tokens.Add(ctx, 1)
+	return x.keep(e.Content)
+}
+
+// keep keeps a piece of the text, and reports whether the answer can still be given: a stream whose text has become too long
+// goes on, but can't be resumed.
+func (x *chatExchange) keep(text string) bool {
+	if x.dropped || x.c.held.add([]byte(text)) {
+		return true
+	}
+	if x.dropped = x.c.stream; x.dropped {
+		x.c.held.release()
+	}
+	return x.dropped
 }
 
 // writeEvent writes one event to the caller; flush is false while more events are buffered.
@@ -302,7 +321,7 @@
 		Usage   engine.Usage `json:"usage"`
 	}{
 		"chatcmpl-" + x.c.id, "chat.completion", clock.Wall(x.c.arrived).Unix(), x.c.model,
-		[]choice{{Message: message{"assistant", x.content.String()}, FinishReason: x.finish}}, usage,
+		[]choice{{Message: message{"assistant", string(x.c.held.body)}, FinishReason: x.finish}}, usage,
 	}
 }
 
--- /dev/null
+++ b/internal/front/endless_test.go
@@ -0,0 +1,99 @@
+package front_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/croftturn/croftturn/internal/front"
+	"github.com/croftturn/croftturn/internal/testendless"
+)
+
+const (
+	// endlessCallers call an engine whose answers have no end at the same time.
+	endlessCallers = 8
+
+	// endlessTime bounds a call whose answer has no end, with several engines one after another.
+	endlessTime = time.Minute
+
+	// writeInterval is the time between two writes of 64 KB of an engine.
+	writeInterval = 3 * time.Millisecond
+
+	// readTime is how long a caller reads a stream that goes on for as long.
+	readTime = 3 * time.Second
+
+	// heldBound is what answers may hold together; a buffer that grows is there twice.
+	heldBound = 3 * front.MaxHeldBytes
+)
+
+// writesEndless returns a handler that writes a piece until its caller is gone.
+func writesEndless(contentType, piece string) http.HandlerFunc {
+	pieces := strings.Repeat(piece, 1+(64<<10)/len(piece))
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", contentType)
+		for tick := time.Tick(writeInterval); ; <-tick { // A faster engine makes more garbage than the collector finds in time.
+			if _, err := io.WriteString(w, pieces); err != nil {
+				return
+			}
+		}
+	}
+}
+
+// drain sends a call, reads its answer for some time and reports whether it ended, in an error or with a failure.
+func (r *testServer) drain(t *testing.T, within time.Duration, path, body string, headers ...string) (ended bool) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), within)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, r.url+path, strings.NewReader(body))
+	if err != nil {
+		t.Error(err)
+		return false
+	}
+	req.Header.Set("Authorization", "Bearer "+token)
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err == nil {
+		defer resp.Body.Close()
+		_, err = io.Copy(io.Discard, resp.Body)
+	}
+	if err == nil && resp.StatusCode == http.StatusOK {
+		t.Errorf("the call of %s got a whole answer", path)
+	}
+	return ctx.Err() == nil
+}
+
+// TestAnswersWithoutEndAreNotKept guards against a process that runs out of memory, since it keeps what engines send without end.
+func TestAnswersWithoutEndAreNotKept(t *testing.T) {
+	words := writesEndless("text/event-stream", event(strings.Repeat("word ", 1<<10)))
+	for name, c := range map[string]struct {
+		engine http.HandlerFunc
+		call   func(t *testing.T, r *testServer)
+	}{
+		"text of an answer": {words, func(t *testing.T, r *testServer) {
+			if !r.drain(t, endlessTime, "/v1/chat/completions", strings.Replace(hello, "true", "false", 1)) {
+				t.Error("the call did not end")
+			}
+		}},
+		"text of a stream": {words, func(t *testing.T, r *testServer) { r.drain(t, readTime, "/v1/chat/completions", hello) }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newTestServer(t, c.engine, c.engine)
+			held := testendless.Held(func() {
+				var calls sync.WaitGroup
+				for range endlessCallers {
+					calls.Go(func() { c.call(t, r) })
+				}
+				calls.Wait()
+			})
+			if held > heldBound {
+				t.Errorf("%d bytes were held, want at most %d", held, heldBound)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/front/export_test.go
@@ -0,0 +1,4 @@
+package front
+
+// MaxHeldBytes is what answers may hold together.
+const MaxHeldBytes = maxHeldBytes
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -77,6 +77,7 @@
 		issuer     *claim.Issuer
 		registry   *claim.Registry
 		budget     *retryBudget
+		held       heldBytes
 		quarantine *quarantine.Quarantine // quarantine is nil if requests that crash engines are not tracked; then parts is, too.
 		parts      *quarantine.Parts
 		onCrash    func()
--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -82,6 +82,8 @@
 	f.journal.Begin(c.arrived, journal.Entry{ID: c.id, Class: c.class.Name, Team: c.team.Name, Pool: c.pool.Name, Tier: c.class.Tier})
 	ctx, remove := f.active.add(c.detached(ctx), c)
 	defer remove()
+	c.held = f.held.open()
+	defer c.held.release()
 	var end callResult
 	if c.atMostOnce() {
 		end = f.runOnce(ctx, w, c, x)
--- /dev/null
+++ b/internal/testendless/testendless.go
@@ -0,0 +1,135 @@
+// Package testendless has servers for tests that send bytes without end in place of an answer, and measures what a
+// reader of them holds.
+package testendless
+
+import (
+	"net"
+	"runtime"
+	"runtime/metrics"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+const (
+	// KernelBytes is more than the kernel buffers of what a closed connection's server wrote.
+	KernelBytes = 8 << 20
+
+	// pieceBytes is the size of a write.
+	pieceBytes = 64 << 10
+
+	// sampleInterval is the time between two measurements of the heap.
+	sampleInterval = 10 * time.Millisecond
+)
+
+// Bytes are bytes without end: a beginning, and a piece that is repeated.
+type Bytes struct{ Name, Beginning, Piece string }
+
+// Heads returns heads without end.
+func Heads() []Bytes {
+	return []Bytes{
+		{"raw bytes", "", "x"},
+		{"status line", "HTTP/1.1 200 ", "x"},
+		{"header", "HTTP/1.1 200 OK\r\nX: ", "x"},
+		{"header lines", "HTTP/1.1 200 OK\r\n", "X: y\r\n"},
+		{"interim header", "HTTP/1.1 100 Continue\r\nX: ", "x"},
+		{"interim heads", "", "HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\n"},
+		{"headers of a refusal", "HTTP/1.1 503 No\r\n", "X: y\r\n"},
+	}
+}
+
+// Bodies returns bodies without end behind a head with some header lines, each of which ends in CRLF.
+func Bodies(headers string) []Bytes {
+	ok := "HTTP/1.1 200 OK\r\n" + headers
+	chunked := ok + "Transfer-Encoding: chunked\r\n\r\n"
+	return []Bytes{
+		{"no length", ok + "\r\n", "x"},
+		{"a large length", ok + "Content-Length: 1000000000000\r\n\r\n", "x"},
+		{"chunk extension", chunked + "1;", "x"},
+		{"zeros of a chunk size", chunked, "0"},
+		{"chunks", chunked, "400\r\n" + strings.Repeat("x", 0x400) + "\r\n"},
+		{"small chunks with extensions", chunked, "1;xxxxxxxx\r\nx\r\n"},
+		{"trailers", chunked + "0\r\n", "X: y\r\n"},
+		{"one event", ok + "\r\ndata: ", "x"},
+		{"comments", ok + "\r\n", ": still here\n"},
+		{"empty events", ok + "\r\n", "\n"},
+		{"JSON string", ok + "\r\n{\"rows\": \"", "x"},
+		{"JSON white space", ok + "\r\n{", " "},
+		{"JSON depth", ok + "\r\n", "["},
+		{"failure", "HTTP/1.1 500 No\r\n" + headers + "\r\n", "x"},
+		{"refusal", "HTTP/1.1 503 No\r\n" + headers + "\r\n", "x"},
+		{"refusal with a large length", "HTTP/1.1 503 No\r\n" + headers + "Content-Length: 1000000000000\r\n\r\n", "x"},
+	}
+}
+
+// Write writes until the connection is closed, and returns how many bytes went out.
+func (b Bytes) Write(conn net.Conn) (written int) {
+	piece := []byte(strings.Repeat(b.Piece, max(1, pieceBytes/len(b.Piece))))
+	for out := []byte(b.Beginning); ; out = piece {
+		n, err := conn.Write(out)
+		if written += n; err != nil {
+			return written
+		}
+	}
+}
+
+// Serve starts a server that writes the bytes to each connection until the test ends. wrote returns how many bytes went
+// out at most on one connection, once all that were accepted are closed.
+func (b Bytes) Serve(t testing.TB) (address string, wrote func() int) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var serving, writing sync.WaitGroup
+	var most atomic.Int64
+	stop := sync.OnceFunc(func() { l.Close(); serving.Wait() })
+	t.Cleanup(stop)
+	serving.Go(func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			writing.Go(func() {
+				defer conn.Close()
+				n := int64(b.Write(conn))
+				for old := most.Load(); n > old && !most.CompareAndSwap(old, n); old = most.Load() {
+				}
+			})
+		}
+	})
+	return l.Addr().String(), func() int {
+		stop()
+		writing.Wait()
+		return int(most.Load())
+	}
+}
+
+// Held calls f and returns by how many bytes the heap in use grew at most meanwhile. Nothing else may run in the process.
+func Held(f func()) (most int) {
+	inUse := func() int {
+		live := []metrics.Sample{{Name: "/gc/heap/live:bytes"}} // What a collection found in use, without garbage.
+		runtime.GC()
+		metrics.Read(live)
+		return int(live[0].Value.Uint64())
+	}
+	before, ended := inUse(), make(chan struct{})
+	var sampler sync.WaitGroup
+	sampler.Go(func() {
+		for tick := time.Tick(sampleInterval); ; {
+			select {
+			case <-ended:
+				return
+			case <-tick:
+				most = max(most, inUse()-before)
+			}
+		}
+	})
+	f()
+	close(ended)
+	sampler.Wait()
+	return most
+}
