Front: an answer without end to a key is not read on for nobody

One without end is read without end: it takes a slot of its engine and a share of the processor until the engine or the node ends, and the key never has an outcome.

Cause: what is read for the record was bounded in what is kept, not in what is read. Class: a wait without a bound.

The recorded beginning of such an answer is no longer kept either.

--- a/internal/front/endless_test.go
+++ b/internal/front/endless_test.go
@@ -30,12 +30,12 @@
 	heldBound = 3 * front.MaxHeldBytes
 )
 
-// writesEndless returns a handler that writes a piece until its caller is gone.
-func writesEndless(contentType, piece string) http.HandlerFunc {
+// writesEndless returns a handler that writes a piece until its caller is gone or the test ends.
+func writesEndless(t *testing.T, contentType, piece string) http.HandlerFunc {
 	pieces := strings.Repeat(piece, 1+(64<<10)/len(piece))
 	return func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", contentType)
-		for tick := time.Tick(writeInterval); ; <-tick { // A faster engine makes more garbage than the collector finds in time.
+		for tick := time.Tick(writeInterval); t.Context().Err() == nil; <-tick { // A faster engine makes more garbage than the collector finds in time.
 			if _, err := io.WriteString(w, pieces); err != nil {
 				return
 			}
@@ -70,7 +70,7 @@
 
 // TestAnswersWithoutEndAreNotKept guards against a process that runs out of memory, since it keeps what engines send without end.
 func TestAnswersWithoutEndAreNotKept(t *testing.T) {
-	words := writesEndless("text/event-stream", event(strings.Repeat("word ", 1<<10)))
+	words := writesEndless(t, "text/event-stream", event(strings.Repeat("word ", 1<<10)))
 	for name, c := range map[string]struct {
 		engine http.HandlerFunc
 		call   func(t *testing.T, r *testServer)
@@ -97,3 +97,23 @@
 		})
 	}
 }
+
+// TestAnswerWithoutEndIsNotReadForNobody guards against an engine's slot that is taken without end, since the answer to a key is
+// read on after its caller has left.
+func TestAnswerWithoutEndIsNotReadForNobody(t *testing.T) {
+	ended, sends := make(chan struct{}, 1), writesEndless(t, "text/plain", "x")
+	r := newTestServer(t, func(w http.ResponseWriter, req *http.Request) {
+		sends(w, req)
+		ended <- struct{}{}
+	})
+	r.drain(t, time.Second/2, "/services/bids/offers", "x", front.HeaderClass, "offer", front.HeaderKey, "k1")
+	select {
+	case <-ended:
+	case <-time.After(endlessTime / 4):
+		t.Fatal("the engine still sends its answer")
+	}
+	resp, body := r.send(t, "/services/bids/offers", "x", front.HeaderClass, "offer", front.HeaderKey, "k1")
+	if resp.Header.Get(front.HeaderOutcome) != front.OutcomeUnknown {
+		t.Errorf("the key's outcome is %v %s", resp.Header, body)
+	}
+}
--- a/internal/front/once.go
+++ b/internal/front/once.go
@@ -32,6 +32,7 @@
 	http.ResponseWriter
 	status     int
 	body       bytes.Buffer
+	written    int // written is the length of the answer so far.
 	callerGone bool
 	truncated  bool
 }
@@ -42,13 +43,14 @@
 	r.ResponseWriter.WriteHeader(status)
 }
 
-// Write records the bytes and relays them while the caller is connected.
+// Write records the bytes and relays them while the caller is connected. It fails once an answer has become so long that its
+// engine may be sending without end, and nobody reads it.
 func (r *recorder) Write(p []byte) (int, error) {
 	if r.status == 0 {
 		r.status = http.StatusOK
 	}
-	if r.body.Len()+len(p) > maxRecordedBytes {
-		r.truncated = true
+	if r.written += len(p); r.written > maxRecordedBytes {
+		r.truncated, r.body = true, bytes.Buffer{}
 	} else {
 		r.body.Write(p)
 	}
@@ -57,6 +59,9 @@
 			r.callerGone = true
 		}
 	}
+	if r.callerGone && r.written > maxHeldAnswer {
+		return 0, errTooLong
+	}
 	return len(p), nil
 }
 
