Front: an answer that goes to another node is bounded

What callers saw (croftturn run, by our own test): a call with a ticket of another node is run there, and its answer is returned in one message. An engine that answers it without end fills the memory of the node that runs it, and the requests of all its callers end with the process.

Cause: memoryWriter kept whatever came; a message between nodes carries at most 24 MB, so that most of it could never be returned. Class: bytes kept before they are counted.

Why it works: such an answer is held within the bound of chat completions (16 MB, 32 MB for all); one that does not fit fails its write, and its outcome is unknown, which says why.

--- a/internal/front/endless_test.go
+++ b/internal/front/endless_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/croftturn/croftturn/internal/front"
 	"github.com/croftturn/croftturn/internal/testendless"
+	"github.com/croftturn/croftturn/internal/wire"
 )
 
 const (
@@ -20,6 +21,9 @@
 	// endlessTime bounds a call whose answer has no end, with several engines one after another.
 	endlessTime = time.Minute
 
+	// engineTime is how long an engine sends that nobody stops.
+	engineTime = 20 * time.Second
+
 	// writeInterval is the time between two writes of 64 KB of an engine.
 	writeInterval = 3 * time.Millisecond
 
@@ -30,12 +34,12 @@
 	heldBound = 3 * front.MaxHeldBytes
 )
 
-// writesEndless returns a handler that writes a piece until its caller is gone or the test ends.
-func writesEndless(t *testing.T, contentType, piece string) http.HandlerFunc {
+// writesEndless returns a handler that writes a piece until its caller is gone, or long after any should be.
+func writesEndless(contentType, piece string) http.HandlerFunc {
 	pieces := strings.Repeat(piece, 1+(64<<10)/len(piece))
 	return func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", contentType)
-		for tick := time.Tick(writeInterval); t.Context().Err() == nil; <-tick { // A faster engine makes more garbage than the collector finds in time.
+		for tick, end := time.Tick(writeInterval), time.Now().Add(engineTime); time.Now().Before(end); <-tick { // A faster engine makes more garbage than the collector finds in time.
 			if _, err := io.WriteString(w, pieces); err != nil {
 				return
 			}
@@ -70,7 +74,7 @@
 
 // TestAnswersWithoutEndAreNotKept guards against a process that runs out of memory, since it keeps what engines send without end.
 func TestAnswersWithoutEndAreNotKept(t *testing.T) {
-	words := writesEndless(t, "text/event-stream", event(strings.Repeat("word ", 1<<10)))
+	words := writesEndless("text/event-stream", event(strings.Repeat("word ", 1<<10)))
 	for name, c := range map[string]struct {
 		engine http.HandlerFunc
 		call   func(t *testing.T, r *testServer)
@@ -81,6 +85,12 @@
 			}
 		}},
 		"text of a stream": {words, func(t *testing.T, r *testServer) { r.drain(t, readTime, "/v1/chat/completions", hello) }},
+		"answer to another node": {writesEndless("text/plain", "x"), func(t *testing.T, r *testServer) {
+			o, err := r.front.HandleRun(t.Context(), &wire.RunRequest{Ticket: r.ticket(t), Token: "Bearer " + token, Method: http.MethodPost, Path: "/services/bids/offers", Body: []byte("x")})
+			if err != nil || o.(*wire.Outcome).State != wire.OutcomeStateUnknown {
+				t.Errorf("the call ended with %v, %v", o, err)
+			}
+		}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := newTestServer(t, c.engine, c.engine)
@@ -101,7 +111,7 @@
 // TestAnswerWithoutEndIsNotReadForNobody guards against an engine's slot that is taken without end, since the answer to a key is
 // read on after its caller has left.
 func TestAnswerWithoutEndIsNotReadForNobody(t *testing.T) {
-	ended, sends := make(chan struct{}, 1), writesEndless(t, "text/plain", "x")
+	ended, sends := make(chan struct{}, 1), writesEndless("text/plain", "x")
 	r := newTestServer(t, func(w http.ResponseWriter, req *http.Request) {
 		sends(w, req)
 		ended <- struct{}{}
@@ -109,7 +119,7 @@
 	r.drain(t, time.Second/2, "/services/bids/offers", "x", front.HeaderClass, "offer", front.HeaderKey, "k1")
 	select {
 	case <-ended:
-	case <-time.After(endlessTime / 4):
+	case <-time.After(engineTime / 2):
 		t.Fatal("the engine still sends its answer")
 	}
 	resp, body := r.send(t, "/services/bids/offers", "x", front.HeaderClass, "offer", front.HeaderKey, "k1")
--- a/internal/front/ticket.go
+++ b/internal/front/ticket.go
@@ -16,9 +16,10 @@
 
 // memoryWriter buffers a response that is returned to a peer.
 type memoryWriter struct {
-	header http.Header
-	status int
-	body   bytes.Buffer
+	*heldAnswer
+	header  http.Header
+	status  int
+	tooLong bool
 }
 
 // Header implements http.ResponseWriter.
@@ -27,12 +28,17 @@
 // WriteHeader implements http.ResponseWriter.
 func (m *memoryWriter) WriteHeader(status int) { m.status = status }
 
-// Write implements io.Writer.
+// Write implements io.Writer. It fails once the response is too long to be held.
 func (m *memoryWriter) Write(p []byte) (int, error) {
 	if m.status == 0 {
 		m.status = http.StatusOK
 	}
-	return m.body.Write(p)
+	if m.tooLong || !m.add(p) {
+		m.tooLong = true
+		m.release()
+		return 0, errTooLong
+	}
+	return len(p), nil
 }
 
 // FlushError does nothing; http.ResponseController calls it.
@@ -112,7 +118,8 @@
 	r.Header.Set(HeaderKey, req.Ticket)
 	r.Header.Set("Content-Type", req.ContentType)
 	r.Header.Set("Traceparent", req.TraceParent)
-	rec := &memoryWriter{header: http.Header{}}
+	rec := &memoryWriter{heldAnswer: f.held.open(), header: http.Header{}}
+	defer rec.release()
 	broken := f.serveInto(rec, r)
 	return f.recorded(rec, broken), nil
 }
@@ -133,9 +140,11 @@
 
 // recorded turns a buffered response into an outcome.
 func (f *Front) recorded(rec *memoryWriter, broken bool) *wire.Outcome {
-	o := &wire.Outcome{State: wire.OutcomeStateUnknown, Status: rec.status, ContentType: rec.Header().Get("Content-Type"), Body: rec.body.Bytes()}
+	o := &wire.Outcome{State: wire.OutcomeStateUnknown, Status: rec.status, ContentType: rec.Header().Get("Content-Type"), Body: rec.body}
 	o.RetryAfterMs, _ = strconv.Atoi(rec.Header().Get(HeaderRetryAfterMs))
 	switch {
+	case rec.tooLong:
+		return &wire.Outcome{State: wire.OutcomeStateUnknown, Reason: "the answer is too long to be returned by another node"}
 	case broken:
 		return &wire.Outcome{State: wire.OutcomeStateUnknown, Reason: "the request broke off"}
 	case rec.Header().Get(HeaderOutcome) == OutcomeCompleted:
