Tests: each reader of answers has its rows of bytes without end

The tests measure what is live in the heap, by the bounds in the code, beside the bytes on the wire and the time. The bounds of bytes and time are the earlier ones; a body in chunks of one byte is counted without its framing.

--- a/internal/engine/endless_test.go
+++ b/internal/engine/endless_test.go
@@ -1,30 +1,19 @@
 package engine
 
 import (
-	"bytes"
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"testing"
 	"time"
-)
 
-// writeEndless writes a beginning and then a piece again and again, until the connection is closed, and returns how
-// many bytes went out.
-func writeEndless(conn net.Conn, beginning, piece string) (written int) {
-	chunk := bytes.Repeat([]byte(piece), 64<<10/len(piece))
-	for out := []byte(beginning); ; out = chunk {
-		n, err := conn.Write(out)
-		if written += n; err != nil {
-			return written
-		}
-	}
-}
+	"github.com/croftturn/croftturn/internal/testendless"
+)
 
 // TestEndlessBytesOfAnEngineAreNotRead guards against a head, line, comment or refusal without end.
 func TestEndlessBytesOfAnEngineAreNotRead(t *testing.T) {
 	const bytesBound, timeBound = 8 << 20, 5 * time.Second // The kernel buffers some megabytes of what is not read.
+	const heldBound = 4 * maxEventBytes                    // A line that grows is there twice.
 	client, watcher := NewClient(time.Second), NewWatcher()
 	defer client.Close()
 	readers := map[string]func(ctx context.Context, address string) error{
@@ -45,41 +34,39 @@
 			}
 			return err
 		},
+		"order": func(ctx context.Context, address string) error {
+			if err := client.Order(ctx, address, 1, "drain", time.Now().Add(time.Second)); err != nil {
+				return err
+			}
+			return fmt.Errorf("accepted by its status")
+		},
+		"whether it refuses": func(ctx context.Context, address string) error {
+			client.Refuses(ctx, address)
+			client.Accepts(ctx, address)
+			return fmt.Errorf("its answer is not read")
+		},
 		"load": func(ctx context.Context, address string) error {
 			_, err := watcher.fetch(ctx, address)
 			return err
 		},
 	}
-	for _, bytes := range [][2]string{
-		{"", "x"}, {"HTTP/1.1 200 OK\r\nX: ", "x"}, {"HTTP/1.1 200 OK\r\n\r\ndata: ", "x"}, {"HTTP/1.1 200 OK\r\n\r\n", ": still here\n"}, {"HTTP/1.1 200 OK\r\n\r\n", "\n"}, {"HTTP/1.1 503 No\r\n\r\n", "x"},
-	} {
+	for _, b := range append(testendless.Heads(), testendless.Bodies("")...) {
 		for name, read := range readers {
-			t.Run(fmt.Sprintf("%s %q", name, bytes), func(t *testing.T) {
-				l, err := net.Listen("tcp", "127.0.0.1:0")
-				if err != nil {
-					t.Fatal(err)
-				}
-				defer l.Close()
-				wrote := make(chan int, 1)
-				go func() {
-					conn, err := l.Accept()
-					if err != nil {
-						return
-					}
-					defer conn.Close()
-					wrote <- writeEndless(conn, bytes[0], bytes[1])
-				}()
+			t.Run(b.Name+" to "+name, func(t *testing.T) {
+				address, wrote := b.Serve(t)
 				ctx, cancel := context.WithTimeout(context.Background(), 2*timeBound)
 				defer cancel()
 				begin := time.Now()
-				if err := read(ctx, l.Addr().String()); err == nil {
-					t.Error("endless bytes are accepted")
-				}
-				if took := time.Since(begin); took > timeBound {
-					t.Errorf("ended after %v", took)
+				held := testendless.Held(func() {
+					if err := read(ctx, address); err == nil {
+						t.Error("endless bytes are accepted")
+					}
+				})
+				if took := time.Since(begin); took > timeBound || held > heldBound {
+					t.Errorf("ended after %v, %d bytes were held, want at most %d", took, held, heldBound)
 				}
-				if n := <-wrote; n > bytesBound {
-					t.Errorf("%d bytes were taken", n)
+				if n, most := wrote(), bytesBound*(1+b.Framing); n > most {
+					t.Errorf("%d bytes were taken, want at most %d", n, most)
 				}
 			})
 		}
--- a/internal/peer/endless_test.go
+++ b/internal/peer/endless_test.go
@@ -10,11 +10,11 @@
 	"time"
 
 	"github.com/croftturn/croftturn/internal/peer"
+	"github.com/croftturn/croftturn/internal/testendless"
 )
 
 // writeEndless writes a message that never ends, until the connection is closed, and returns how many bytes went out.
-func writeEndless(conn net.Conn) (written int) {
-	head := binary.AppendUvarint(nil, 1<<40)
+func writeEndless(conn net.Conn, head []byte) (written int) {
 	chunk := bytes.Repeat([]byte("x"), 64<<10)
 	for piece := append(head, '"'); ; piece = chunk {
 		n, err := conn.Write(piece)
@@ -26,7 +26,19 @@
 
 // TestEndlessMessageIsNotRead guards against a message of a peer without end.
 func TestEndlessMessageIsNotRead(t *testing.T) {
-	const bound = 32 << 20
+	for name, head := range map[string][]byte{
+		"a large length":       binary.AppendUvarint(nil, 1<<40),
+		"the largest length":   binary.AppendUvarint(nil, 24<<20),
+		"a length without end": bytes.Repeat([]byte{0x80}, 64),
+	} {
+		t.Run(name, func(t *testing.T) { endEndlessMessage(t, head) })
+	}
+}
+
+// endEndlessMessage checks that a server and a client end the connection of a message that begins with a head.
+func endEndlessMessage(t *testing.T, head []byte) {
+	t.Helper()
+	const bound, heldBound = 32 << 20, 3 * 24 << 20 // A message has up to 24 MB, and its buffer is there twice as it grows.
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -37,8 +49,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if n := writeEndless(conn); n > bound {
-		t.Errorf("the server read a call of %d bytes", n)
+	held := testendless.Held(func() {
+		if n := writeEndless(conn, head); n > bound {
+			t.Errorf("the server read a call of %d bytes", n)
+		}
+	})
+	if held > heldBound {
+		t.Errorf("the server held %d bytes", held)
 	}
 	conn.Close()
 	if err := server.Close(); err != nil {
@@ -56,14 +73,19 @@
 			return
 		}
 		defer conn.Close()
-		wrote <- writeEndless(conn)
+		wrote <- writeEndless(conn, head)
 	}()
 	client := peer.NewClient(&peer.Traffic{})
 	defer client.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	if err := client.Call(ctx, other.Addr().String(), "m", struct{}{}, nil); err == nil {
-		t.Error("an endless answer is accepted")
+	held = testendless.Held(func() {
+		if err := client.Call(ctx, other.Addr().String(), "m", struct{}{}, nil); err == nil {
+			t.Error("an endless answer is accepted")
+		}
+	})
+	if held > heldBound {
+		t.Errorf("the client held %d bytes", held)
 	}
 	if n := <-wrote; n > bound {
 		t.Errorf("the client read an answer of %d bytes", n)
--- a/internal/testendless/testendless.go
+++ b/internal/testendless/testendless.go
@@ -21,22 +21,27 @@
 	pieceBytes = 64 << 10
 
 	// sampleInterval is the time between two measurements of the heap.
-	sampleInterval = 10 * time.Millisecond
+	sampleInterval = 20 * time.Millisecond
 )
 
-// Bytes are bytes without end: a beginning, and a piece that is repeated.
-type Bytes struct{ Name, Beginning, Piece string }
+// Bytes are bytes without end.
+type Bytes struct {
+	Name      string
+	Beginning string
+	Piece     string // Piece is repeated after the beginning.
+	Framing   int    // Framing is how many bytes frame each byte of a body, if it is more than a few percent.
+}
 
 // Heads returns heads without end.
 func Heads() []Bytes {
 	return []Bytes{
-		{"raw bytes", "", "x"},
-		{"status line", "HTTP/1.1 200 ", "x"},
-		{"header", "HTTP/1.1 200 OK\r\nX: ", "x"},
-		{"header lines", "HTTP/1.1 200 OK\r\n", "X: y\r\n"},
-		{"interim header", "HTTP/1.1 100 Continue\r\nX: ", "x"},
-		{"interim heads", "", "HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\n"},
-		{"headers of a refusal", "HTTP/1.1 503 No\r\n", "X: y\r\n"},
+		{Name: "raw bytes", Beginning: "", Piece: "x"},
+		{Name: "status line", Beginning: "HTTP/1.1 200 ", Piece: "x"},
+		{Name: "header", Beginning: "HTTP/1.1 200 OK\r\nX: ", Piece: "x"},
+		{Name: "header lines", Beginning: "HTTP/1.1 200 OK\r\n", Piece: "X: y\r\n"},
+		{Name: "interim header", Beginning: "HTTP/1.1 100 Continue\r\nX: ", Piece: "x"},
+		{Name: "interim heads", Beginning: "", Piece: "HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\n"},
+		{Name: "headers of a refusal", Beginning: "HTTP/1.1 503 No\r\n", Piece: "X: y\r\n"},
 	}
 }
 
@@ -45,22 +50,22 @@
 	ok := "HTTP/1.1 200 OK\r\n" + headers
 	chunked := ok + "Transfer-Encoding: chunked\r\n\r\n"
 	return []Bytes{
-		{"no length", ok + "\r\n", "x"},
-		{"a large length", ok + "Content-Length: 1000000000000\r\n\r\n", "x"},
-		{"chunk extension", chunked + "1;", "x"},
-		{"zeros of a chunk size", chunked, "0"},
-		{"chunks", chunked, "400\r\n" + strings.Repeat("x", 0x400) + "\r\n"},
-		{"small chunks with extensions", chunked, "1;xxxxxxxx\r\nx\r\n"},
-		{"trailers", chunked + "0\r\n", "X: y\r\n"},
-		{"one event", ok + "\r\ndata: ", "x"},
-		{"comments", ok + "\r\n", ": still here\n"},
-		{"empty events", ok + "\r\n", "\n"},
-		{"JSON string", ok + "\r\n{\"rows\": \"", "x"},
-		{"JSON white space", ok + "\r\n{", " "},
-		{"JSON depth", ok + "\r\n", "["},
-		{"failure", "HTTP/1.1 500 No\r\n" + headers + "\r\n", "x"},
-		{"refusal", "HTTP/1.1 503 No\r\n" + headers + "\r\n", "x"},
-		{"refusal with a large length", "HTTP/1.1 503 No\r\n" + headers + "Content-Length: 1000000000000\r\n\r\n", "x"},
+		{Name: "no length", Beginning: ok + "\r\n", Piece: "x"},
+		{Name: "a large length", Beginning: ok + "Content-Length: 1000000000000\r\n\r\n", Piece: "x"},
+		{Name: "chunk extension", Beginning: chunked + "1;", Piece: "x"},
+		{Name: "zeros of a chunk size", Beginning: chunked, Piece: "0"},
+		{Name: "chunks", Beginning: chunked, Piece: "400\r\n" + strings.Repeat("x", 0x400) + "\r\n"},
+		{Name: "small chunks with extensions", Beginning: chunked, Piece: "1;xxxxxxxx\r\nx\r\n", Framing: 14},
+		{Name: "trailers", Beginning: chunked + "0\r\n", Piece: "X: y\r\n"},
+		{Name: "one event", Beginning: ok + "\r\ndata: ", Piece: "x"},
+		{Name: "comments", Beginning: ok + "\r\n", Piece: ": still here\n"},
+		{Name: "empty events", Beginning: ok + "\r\n", Piece: "\n"},
+		{Name: "JSON string", Beginning: ok + "\r\n{\"rows\": \"", Piece: "x"},
+		{Name: "JSON white space", Beginning: ok + "\r\n{", Piece: " "},
+		{Name: "JSON depth", Beginning: ok + "\r\n", Piece: "["},
+		{Name: "failure", Beginning: "HTTP/1.1 500 No\r\n" + headers + "\r\n", Piece: "x"},
+		{Name: "refusal", Beginning: "HTTP/1.1 503 No\r\n" + headers + "\r\n", Piece: "x"},
+		{Name: "refusal with a large length", Beginning: "HTTP/1.1 503 No\r\n" + headers + "Content-Length: 1000000000000\r\n\r\n", Piece: "x"},
 	}
 }
 
