Soak: engines that send heads without end, and a look at memory

A kind of fault, "engines send without end", makes about half of the engines send heads without end.

--- a/lab/soak/engine_endless.go
+++ b/lab/soak/engine_endless.go
@@ -8,7 +8,7 @@
 	"github.com/croftturn/croftturn/internal/testendless"
 )
 
-// endlessInterval is the time between two writes of 64 KB. Faster ones take the processor from the nodes.
+// endlessInterval is the time between two writes of 64 KB of a body. Faster ones take the processor from the nodes.
 const endlessInterval = 10 * time.Millisecond
 
 // pacedConn is a connection that pauses before each write.
@@ -23,7 +23,8 @@
 // writeEndless writes bytes without end in place of an answer, until the node closes the connection.
 func (e *engine) writeEndless(w http.ResponseWriter, id string) {
 	kinds := testendless.Heads()
-	if e.endlessBodies.Load() {
+	bodies := e.endlessBodies.Load()
+	if bodies {
 		kinds = testendless.Bodies("Attempt-Id: " + id + "\r\nResponse-Seal: seal-" + id + "\r\n")
 	}
 	conn, _, err := http.NewResponseController(w).Hijack()
@@ -31,5 +32,8 @@
 		return
 	}
 	defer conn.Close()
-	kinds[int(e.received.Load())%len(kinds)].Write(pacedConn{conn})
+	if bodies {
+		conn = pacedConn{conn}
+	}
+	kinds[int(e.received.Load())%len(kinds)].Write(conn)
 }
--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -77,6 +77,7 @@
 	{"engines misbehave for long", maxFaultDuration, false, misbehave},
 	{"engines misbehave, then well", 2 * time.Second, false, misbehave},
 	{"engines cut answers off", 4 * time.Second, false, cutAnswers},
+	{"engines send without end", 4 * time.Second, false, sendEndless},
 	{"way to an engine cut", 3 * time.Second, false, engineLinkFault(relay.Cut)},
 	{"way to an engine silent", 3 * time.Second, false, engineLinkFault(relay.Hold)},
 	{"node cut off from engines", 3 * time.Second, false, cutOffNode},
--- a/lab/soak/faults_engine.go
+++ b/lab/soak/faults_engine.go
@@ -27,6 +27,11 @@
 	return setModes(ctx, env, r, d, func() int { return modeCutAnywhere })
 }
 
+// sendEndless makes about half of the engines send heads without end in place of their answers.
+func sendEndless(ctx context.Context, env *Environment, r *rand.Rand, d time.Duration) error {
+	return setModes(ctx, env, r, d, func() int { return modeEndless })
+}
+
 // setModes sets drawn modes on about half of the engines, for a time.
 func setModes(ctx context.Context, env *Environment, r *rand.Rand, d time.Duration, mode func() int) error {
 	env.mu.Lock()
--- a/lab/soak/node.go
+++ b/lab/soak/node.go
@@ -25,6 +25,7 @@
 	store                                                      *relay.Relay
 	callers                                                    *relay.Relay
 	reserved                                                   bool // reserved is set while a fault owns the process.
+	overMemory                                                 bool // overMemory is set once a violation of its memory is recorded.
 	exitExpected                                               bool // exitExpected is set if an exit is not a violation.
 }
 
@@ -83,7 +84,7 @@
 	return nil
 }
 
-// checkExits records processes that exited unexpectedly.
+// checkExits records processes that exited unexpectedly, or took more memory than they may use.
 func (env *Environment) checkExits() {
 	env.mu.Lock()
 	defer env.mu.Unlock()
@@ -92,6 +93,13 @@
 			n.exitExpected = true
 			env.ledger.recordExit(n.name + " exited unexpectedly")
 		}
+		if n.Process == nil || n.overMemory {
+			continue
+		}
+		if peak, err := n.PeakMemory(); err == nil && peak > nodeMemoryMB<<20 { // There is none once the process has ended.
+			n.overMemory = true
+			env.ledger.recordExit(fmt.Sprintf("%s had %d bytes of memory", n.name, peak))
+		}
 	}
 }
 
--- a/lab/soak/planted_test.go
+++ b/lab/soak/planted_test.go
@@ -34,6 +34,7 @@
 	{"what engines have ends with what none has", "before its last part", faultStarved, "internal/dispatch/stop.go", "d.exchanges.endUnsent(errCutOff)", "d.exchanges.end(errCutOff)"},
 	{"changes between two pages are not read", "between two pages", faultUnreadDrain, "platform/store.go", "if all = pages; last != pages.Version {", "if all, all.Version = pages, last; last < 0 {"},
 	{"an odd row hides all others", "served beside an odd row", faultOddRow, "platform/store_rows.go", "return json.Unmarshal(withoutDepth(data), into)", "return err"},
+	{"the heads of answers have no bound", "bytes of memory", "engines send without end", "internal/dial/head.go", "const MaxHeadBytes = 64 << 10", "const MaxHeadBytes = 1 << 30"},
 	{"a short answer is passed on as whole", " got ", "engines cut answers off", "internal/dispatch/relay.go", "return false, fmt.Errorf(\"read answer: %w\", err)\n\t\t}\n\t}", "return true, nil\n\t\t}\n\t}"},
 	{"a caller's close is not looked for", "its caller had left", "nodes are behind and callers leave", "internal/caller/caller.go", "s.Closed = info.State != tcpEstablished && info.State != tcpSynRecv", "s.Closed = false"},
 	{"requests do not wait for a full link", "its caller had left", "a node's link is full and callers leave", "internal/uplink/uplink.go", "if mbps <= 0 {", "if mbps > 0 {"},
