--- a/lab/soak/node.go
+++ b/lab/soak/node.go
@@ -14,6 +14,9 @@
 // interactiveTargetMs makes pools interactive whose streams have the target of the soak's routes.
 const interactiveTargetMs = 300
 
+// nodeMemoryMB is the memory that a node may use, in megabytes.
+const nodeMemoryMB = 200
+
 // node is a node process with the relays in front of the store and of its caller address.
 type node struct {
 	*cluster.Process
@@ -22,6 +25,7 @@
 	store                                                      *relay.Relay
 	callers                                                    *relay.Relay
 	reserved                                                   bool // reserved is set while a fault owns the process.
+	overMemory                                                 bool // overMemory is set once a violation of its memory is recorded.
 	exitExpected                                               bool // exitExpected is set if an exit is not a violation.
 }
 
@@ -51,7 +55,7 @@
 	text, err := json.Marshal(map[string]any{
 		"instance": n.name, "hall": hallOf(i), "region": "r", "hall_regions": regions, "caller_address": n.callerAddress, "directory_address": n.directoryAddress,
 		"ready_address": n.readyAddress, "peer_address": n.peerAddress, "admin_address": admin, "forward_address": forward, "engine_source_ip": n.sourceIP, "link_mbps": nodeLinkMbps, "platform_addresses": []string{n.store.Address()},
-		"revoke_within_ms": 5000, "stop_grace_ms": stopGrace.Milliseconds(), "retry_share": 0.2, "retry_extra": 50, "memory_mb": 200, "trace_share": 0,
+		"revoke_within_ms": 5000, "stop_grace_ms": stopGrace.Milliseconds(), "retry_share": 0.2, "retry_extra": 50, "memory_mb": nodeMemoryMB, "trace_share": 0,
 		"duties": []string{"usage"}, "duties_address": env.storeAddress, "lease_ms": 1500, "usage_window_ms": 500, "usage_late_ms": 3000,
 		"interactive_target_ms": interactiveTargetMs * (env.opts.Seed % 2), // The pool of streams is interactive with odd seeds.
 	})
@@ -80,7 +84,7 @@
 	return nil
 }
 
-// checkExits records processes that exited unexpectedly.
+// checkExits records processes that exited unexpectedly, or took more memory than they may use.
 func (env *Environment) checkExits() {
 	env.mu.Lock()
 	defer env.mu.Unlock()
@@ -89,6 +93,13 @@
 			n.exitExpected = true
 			env.ledger.recordExit(n.name + " exited unexpectedly")
 		}
+		if n.Process == nil || n.overMemory {
+			continue
+		}
+		if peak, err := n.PeakMemory(); err == nil && peak > nodeMemoryMB<<20 { // There is none once the process has ended.
+			n.overMemory = true
+			env.ledger.recordExit(fmt.Sprintf("%s had %d bytes of memory", n.name, peak))
+		}
 	}
 }
 
