--- a/lab/soak/slow_test.go
+++ b/lab/soak/slow_test.go
@@ -159,6 +159,7 @@
 		for _, more := range []string{"", next} {
 			for i, route := range []string{routeSafe, routeResumable} {
 				for _, size := range []int{100 << 10, 1 << 20} {
+					c := c
 					if size > 100<<10 && name == "slow" {
 						c.buffer, c.rate = 64<<10, 256<<10
 					}
