--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -180,7 +180,7 @@
 	}
 	if !whole {
 		x.d.runs.addLarge(now, runsOf(x.route, x.via != ""))
-		if x.vouched {
+		if x.byEstimate {
 			x.endCutOff(true) // The stop would break off an answer that has begun.
 			return false
 		}
--- a/internal/dispatch/stop.go
+++ b/internal/dispatch/stop.go
@@ -85,9 +85,9 @@
 	return d.cutAnswers.Load(), d.cutRequests.Load()
 }
 
-// fitsBeforeStop reports whether a request with a deadline ends before this node does. Nothing else bounds how long it runs. What
-// its recent runs tell is enough only where an end by the stop loses nothing that can't be had again. Which way it goes may not
-// be known yet; that is asked again before it is sent.
+// fitsBeforeStop reports whether a request with a deadline ends before this node does. Only the deadline bounds how long it runs;
+// recent run times are accepted for safe requests alone, which may be sent again. Whether it is forwarded may not be known yet;
+// that is asked again before it is sent.
 func (d *Dispatcher) fitsBeforeStop(now, deadline time.Time, r *Request, route *routing.Route) bool {
 	return d.fitsBy(now, deadline, r, route, runsOf(route, false)) || d.forwarder != nil && d.fitsBy(now, deadline, r, route, runsOf(route, true))
 }
@@ -182,7 +182,7 @@
 
 // refuseResend returns the refusal of a request that can't be sent, or sent again, since this node stops.
 func (x *exchange) refuseResend() *Refusal {
-	x.leftByStop = true
+	x.unsentByStop = true
 	return &Refusal{Reason: x.unlessMayHaveRun(Stopping), RetryAfter: shortRetryAfter}
 }
 
@@ -218,7 +218,7 @@
 		x.refusal, x.mayHaveRun = Refusal{Reason: CutOff}, true
 	case CutOff:
 	default:
-		if !x.leftByStop {
+		if !x.unsentByStop {
 			return
 		}
 	}
--- a/internal/dispatch/walk.go
+++ b/internal/dispatch/walk.go
@@ -69,7 +69,7 @@
 	headReceived  bool              // headReceived is set once the current engine has sent the head of its answer
 	answerBegun   bool              // answerBegun is set once the answer to the caller has begun
 	continues     bool              // continues is set if the current engine got the request to take up an answer
-	vouched       bool              // vouched is set if only recent runs tell that the current attempt ends before the node stops
+	byEstimate    bool              // byEstimate is set if the deadline of the current attempt is after the end of the stop, and recent runs were shorter
 	everSent      atomic.Bool       // everSent is set once the request was handed over for sending, to an engine or another node
 	sentAt        time.Time         // sentAt is when the request was last handed over for sending
 	written       writeRecord       // written tells when the request was last written
@@ -78,7 +78,7 @@
 	refusal       Refusal
 	via           string      // via is the node that the request was last forwarded to; empty if this node sent it
 	forwardFailed bool        // forwardFailed is set if no other node took the request
-	leftByStop    bool        // leftByStop is set if the request was not sent, or not again, because this node stops
+	unsentByStop  bool        // unsentByStop is set if the request was not sent, or not again, because this node stops
 	cutLogged     bool        // cutLogged is set once the log tells that the stop has ended the request
 	writesEnded   atomic.Bool // writesEnded is set if the stop has ended what is written to the caller
 	counted       bool        // counted is set if the request was counted for the budget of retries
@@ -254,7 +254,7 @@
 	if x.mustLeave(now) {
 		return x.refuseResend()
 	}
-	x.vouched = x.route.Kind == routing.Safe && !x.d.endsBeforeStop(x.deadline)
+	x.byEstimate = x.route.Kind == routing.Safe && !x.d.endsBeforeStop(x.deadline)
 	return x.refuseHeld(now)
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -246,8 +246,7 @@
 func (n *Node) HangUp() { n.tele.Log.Warn("SIGHUP changes nothing; settings are read at the start") }
 
 // leaving reports whether this node stops. Idle connections stay open until callers know of the stop: a request sent while
-// its connection is being closed fails, and its caller can't know that it has not run. That happened to 1 of 64 requests of
-// a rolling restart.
+// its connection is being closed fails, and its caller can't know that it has not run.
 func (n *Node) leaving() bool {
 	select {
 	case <-n.stopping:
