--- a/internal/edge/stop_test.go
+++ b/internal/edge/stop_test.go
@@ -196,8 +196,12 @@
 	var mu sync.Mutex
 	var lastServed, begin time.Time
 	var longest time.Duration
-	var unserved []time.Duration // unserved holds how long after the stop began callers got something other than an answer.
-	var lost []string
+	var lost, early []string
+	type outcome struct {
+		what string
+		at   time.Duration
+	}
+	var unserved []outcome // unserved holds what callers got after the stop had begun other than an answer.
 	untrue := 0
 	done := make(chan struct{})
 	onEnd := func(id string, sent time.Time, status int, answered bool) {
@@ -221,7 +225,7 @@
 				lastServed = sent
 			}
 		} else if !begin.IsZero() {
-			unserved = append(unserved, ended.Sub(begin))
+			unserved = append(unserved, outcome{fmt.Sprintf("%s with status %d, sent at %v", id, status, sent.Sub(begin)), ended.Sub(begin)})
 		}
 	}
 	calls := s.load(done, 15, kind, work, onEnd)
@@ -251,15 +255,14 @@
 	if kind == "safe" {
 		serves = whole - whole/16 - longest*3/2
 	}
-	early := 0
-	for _, after := range unserved {
-		if after < serves {
-			early++
+	for _, o := range unserved {
+		if o.at < serves {
+			early = append(early, fmt.Sprintf("%s, ended at %v", o.what, o.at))
 		}
 	}
 	// A late process may read the last request only when it is too late.
-	if served := serves - spacing - late; len(lost) > 0 || untrue > 0 || early > 0 || lastServed.Sub(begin) < served {
-		t.Errorf("lost %q, %d refused as not run though they had run, %d not served though they fitted, the last one served came %v after the stop began, want %v", lost, untrue, early, lastServed.Sub(begin), served)
+	if served := serves - spacing - late; len(lost) > 0 || untrue > 0 || len(early) > 0 || lastServed.Sub(begin) < served {
+		t.Errorf("lost %q, %d refused as not run though they had run, not served though they fitted %q, the last one served came %v after the stop began, want %v", lost, untrue, early, lastServed.Sub(begin), served)
 	}
 }
 
