Test rigs: a fake that listens again keeps its port meanwhile

Cause: the fake engine listened on a port of the range of outgoing connections, and while it was down another process's connection or listener took it. Class: a rig that hangs on chance. The soak's engines and the relays did the same; a relay that could not listen again forwarded nothing and said nothing of it.

TestReservedAddressIsNotAllocatedAgain needs the reservation: Address alone returns the port again after 399 others.

--- a/internal/edge/crash_rig_test.go
+++ b/internal/edge/crash_rig_test.go
@@ -20,6 +20,7 @@
 
 	"github.com/croftturn/croftturn/internal/gossip"
 	"github.com/croftturn/croftturn/internal/settings"
+	"github.com/croftturn/croftturn/internal/testport"
 )
 
 // crashCluster is a set of nodes, and of engines that a certain request crashes.
@@ -209,11 +210,16 @@
 	t.Helper()
 	w := &crashCluster{held: map[string]map[string]string{"croftturn-held": {}, "croftturn-held-parts": {}}, runTime: runTime, restartDelay: restartDelay}
 	for range engines {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		address, release, err := testport.Reserve() // No other may listen there while the engine is down.
 		if err != nil {
 			t.Fatal(err)
 		}
-		e := &crashingEngine{cluster: w, address: l.Addr().String(), closed: make(chan struct{})}
+		t.Cleanup(release)
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		e := &crashingEngine{cluster: w, address: address, closed: make(chan struct{})}
 		e.serve(t, l)
 		t.Cleanup(e.close)
 		w.engines = append(w.engines, e)
--- a/internal/testport/testport_test.go
+++ b/internal/testport/testport_test.go
@@ -33,3 +33,33 @@
 		}
 	}
 }
+
+// TestReservedAddressIsNotAllocatedAgain guards against a fake that can't listen again because its port
+// was allocated while it was down.
+func TestReservedAddressIsNotAllocatedAgain(t *testing.T) {
+	var b portBlock
+	reserved, release, err := b.reserve()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { b.listener.Close() })
+	again := func() bool {
+		for range portsPerBlock {
+			address, err := b.next()
+			if err != nil {
+				t.Fatal(err)
+			}
+			if address == reserved {
+				return true
+			}
+		}
+		return false
+	}
+	if again() {
+		t.Errorf("%s is allocated again though it is reserved", reserved)
+	}
+	release()
+	if !again() {
+		t.Errorf("%s is not allocated again after its release", reserved)
+	}
+}
