Usage: an odd row of the previous holder hides no others

By reading: Ledger.Load ended at the first row that could not be decoded, so that windows in later rows were never reported, and a node that could not read the row of all nodes began at the present window. Class: one row decides about all others'. The table is written by nodes only, so that this takes a damaged row or one of another release.

Rows are decoded one by one; the error, which is logged at each takeover, names all odd ones. Where the first unsettled window is not known because of that, it is taken from the settled windows, so that they get no further counts.

--- a/internal/duty/hold.go
+++ b/internal/duty/hold.go
@@ -117,7 +117,7 @@
 func (d *Duties) beginTerm(rows []feed.Row) error {
 	now := clock.Now()
 	if err := d.ledger.Load(now, rows, d.copied(rows)); err != nil {
-		d.log.Error("cannot decode the counts of the previous holder", "error", err.Error())
+		d.log.Error("cannot decode some counts of the previous holder; leaving them out", "error", err.Error())
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/usage/rows.go
+++ b/internal/usage/rows.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"sort"
 	"strconv"
@@ -28,19 +29,34 @@
 }
 
 // Load loads the rows of the previous holder. State of an earlier term of this node is discarded. copied is set if
-// the rows are those of a copy from which the store has come back: nodes then send what it lacks.
+// the rows are those of a copy from which the store has come back: nodes then send what it lacks. Rows that can't
+// be decoded are left out; the error names them.
 func (l *Ledger) Load(now time.Time, rows []feed.Row, copied bool) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.copied = copied
 	l.since, l.revision, l.storedRevision, l.nextKnown, l.next = now, 0, 0, false, 0
 	l.windows, l.nodes = map[int64]*Window{}, map[string]*node{}
+	var odd []error
 	for _, r := range rows {
 		if err := l.load(now, r); err != nil {
-			return err
+			odd = append(odd, err)
+		}
+	}
+	if len(odd) > 0 && !l.nextKnown {
+		l.restoreNext()
+	}
+	return errors.Join(odd...)
+}
+
+// restoreNext takes the first unsettled window from the settled ones where it may be in a row that can't be decoded,
+// so that no settled window gets further counts. The caller holds the lock.
+func (l *Ledger) restoreNext() {
+	for number, w := range l.windows {
+		if w.Settled && number >= l.next {
+			l.nextKnown, l.next = true, number+1
 		}
 	}
-	return nil
 }
 
 // load loads one row.
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -158,6 +158,38 @@
 	}
 }
 
+// TestOddRowDoesNotHideOthers guards against windows that are never reported, or counted anew, because another row
+// of the previous holder can't be read.
+func TestOddRowDoesNotHideOthers(t *testing.T) {
+	number := fmt.Sprint(prefixWindows, firstWindow())
+	for key, value := range map[string]string{prefixWindows + "0": "[", prefixWindows + "1": `{"counts":7}`, prefixWindows + "x": "{}", keyNodes: `{"next":"7"}`} {
+		t.Run(key, func(t *testing.T) {
+			r := newTestCluster(t, 0, 0)
+			r.countRequests(after(100), 1, "a", 4)
+			r.send(after(200), 1, false)
+			r.send(after(5100), 1, false)
+			r.due(after(6600))
+			r.rows[key] = []byte(value)
+			rows := []feed.Row{{Key: key, Value: r.rows[key]}} // The odd row comes first.
+			for each, stored := range r.rows {
+				if each != key {
+					rows = append(rows, feed.Row{Key: each, Value: stored})
+				}
+			}
+			if err := r.ledger.Load(after(9000), rows, false); err == nil {
+				t.Error("the odd row is not reported")
+			}
+			r.token++
+			r.countRequests(after(4900), 1, "a", 2) // A late count.
+			r.send(after(9100), 1, false)
+			w, ok := r.due(after(9200))
+			if !ok || w.Number != firstWindow() || w.Counts["a"] != 4 {
+				t.Errorf("%+v is due, %v; want window %s with 4 requests", w, ok, number)
+			}
+		})
+	}
+}
+
 // TestWindowWaitsForActiveNodes checks that a window is settled once all nodes that counted recently have reported up to its
 // end, and in time although a node stays silent.
 func TestWindowWaitsForActiveNodes(t *testing.T) {
