Pinning: a pool's row that can't be decoded is written anew

By reading: each read of such a row failed, also the one before a write, so that it stayed for ever, and streams without a record could not be taken up. Class: one odd row is never repaired; the table is written by nodes only.

The row now says that streams may have begun at any version, which is what is known of it. Take-ups without a record are refused meanwhile, as before, and the row is written anew once all engines have had one version for a minute.

TestOddRowOfAPoolIsWrittenAnew (four kinds of rows) failed for all of them before and passes now; go test -race ./internal/pinning passes. Rows that the store's client leaves out are still open (VERSIONS-odd-row).

--- a/internal/pinning/pinning_test.go
+++ b/internal/pinning/pinning_test.go
@@ -294,6 +294,25 @@
 	}
 }
 
+// TestOddRowOfAPoolIsWrittenAnew guards against a row that can't be decoded and stays for ever; until it is written
+// anew, streams may have begun at any version.
+func TestOddRowOfAPoolIsWrittenAnew(t *testing.T) {
+	for _, value := range []string{"[", "7", `{"version":7}`, `{"since_ms":"x"}`} {
+		store, engines, ctx, now := &fakeStore{nowMs: 5, row: feed.Row{Key: "p", Value: []byte(value), Version: 3}}, &versions{"v1"}, context.Background(), time.Now()
+		h := newHistory(store, engines, false)
+		for _, at := range []time.Duration{0, settleTime / 2, settleTime} {
+			h.update(ctx, now.Add(at), "p")
+			if v, err := h.Sole(ctx, now, "p"); !errors.Is(err, ErrSeveral) {
+				t.Errorf("%s: got %q, %v", value, v, err)
+			}
+		}
+		store.nowMs += soleTime.Milliseconds()
+		if v, err := newHistory(store, engines, false).Sole(ctx, now, "p"); v != "v1" || err != nil {
+			t.Errorf("%s, after its time: got %q, %v", value, v, err)
+		}
+	}
+}
+
 // TestLostVersionOfAPoolIsNotForgotten guards against a single version that only the copy names.
 func TestLostVersionOfAPoolIsNotForgotten(t *testing.T) {
 	for name, copied := range map[string]bool{"the copy has the row before": true, "the copy has no row": false} {
--- a/internal/pinning/read.go
+++ b/internal/pinning/read.go
@@ -45,7 +45,7 @@
 	}
 	for _, row := range snap.Rows {
 		if r.row, err = decodeRow(row); err != nil {
-			r.err = err
+			h.log.Warn("cannot decode the versions of a pool; it is taken to have several", "pool", pool, "error", err.Error())
 		}
 	}
 	if r.err == nil {
@@ -74,11 +74,12 @@
 	return nil
 }
 
-// decodeRow decodes a row.
+// decodeRow decodes a row. One that can't be decoded says that streams may have begun at any version, so that it is
+// written anew like other such rows.
 func decodeRow(row feed.Row) (PoolVersion, error) {
 	var stored historyRow
 	if err := json.Unmarshal(row.Value, &stored); err != nil {
-		return PoolVersion{}, fmt.Errorf("decode versions of %s: %w", row.Key, err)
+		return PoolVersion{Pool: row.Key, Several: true, Revision: row.Version, Era: row.Era, Written: row.Era}, fmt.Errorf("decode versions of %s: %w", row.Key, err)
 	}
 	return PoolVersion{Pool: row.Key, Version: stored.Version, Several: stored.Several, SinceMs: stored.SinceMs, Revision: row.Version, Era: row.Era, Written: stored.Era}, nil
 }
