Dispatch: a silence does not count as the run that keeps begun streams at a silent engine in a stop

What callers saw: a resumable stream that had begun before the SIGTERM stayed at an engine that had fallen silent, and was closed 7.6 s after the signal with nothing in between, though another engine of its version had room.

Cause: whether another run ends in time was told by the longest run, those in progress among them. The stream's own run, most of it the silence, counted, and with few known runs the margin on it is large: six known runs of at most 0.23 s did not move a stream 2.1 s after the signal. Class: an estimate that feeds on what it is asked about.

Change: for a begun answer only runs that have ended count.

Measured: TestSilentEngineLosesItsStreamsWhereOthersEndThemInTime, eight known runs: broken off after its first event before, whole after (with -race). Nothing is refused by it: it is asked for begun streams of silent engines at a stop only.

--- a/internal/dispatch/silent_test.go
+++ b/internal/dispatch/silent_test.go
@@ -124,22 +124,27 @@
 }
 
 // TestSilentEngineLosesItsStreamsWhereOthersEndThemInTime guards against begun streams of a stopping node that stay at an engine
-// which is silent for good, though runs of their route are far shorter than what is left.
+// which is silent for good, though runs of their route are far shorter than what is left, be they many or few.
 func TestSilentEngineLosesItsStreamsWhereOthersEndThemInTime(t *testing.T) {
 	const left, patience = 6 * time.Second, 10 * time.Second
-	e, d, _ := newPausing(t, true, patience, 0)
-	d.Table().Route("h", "/resumable/x").Timeout = patience
-	answers := make(chan *recordedAnswer, 1)
-	go func() { answers <- servePatience(t, d, "resumable", patience) }()
-	e.awaitSent(t, 1)
-	for range 20 {
-		serve(t, d, "resumable")
-	}
-	now := time.Now()
-	defer time.AfterFunc(left, d.CutOff).Stop()
-	d.StopBy(dispatch.Stop{Begin: now, By: now.Add(left), Kill: now.Add(left)})
-	if a := <-answers; a.aborted || a.body.String() != "id: 1\ndata: x\n\nid: 2\ndata: y\n\n" {
-		t.Errorf("sent %d times, body %q, aborted %v", e.sentCount(), a.body.String(), a.aborted)
+	for _, known := range []int{20, 8} {
+		t.Run(fmt.Sprint(known, " runs"), func(t *testing.T) {
+			t.Parallel()
+			e, d, _ := newPausing(t, true, patience, 0)
+			d.Table().Route("h", "/resumable/x").Timeout = patience
+			answers := make(chan *recordedAnswer, 1)
+			go func() { answers <- servePatience(t, d, "resumable", patience) }()
+			e.awaitSent(t, 1)
+			for range known {
+				serve(t, d, "resumable")
+			}
+			now := time.Now()
+			defer time.AfterFunc(left, d.CutOff).Stop()
+			d.StopBy(dispatch.Stop{Begin: now, By: now.Add(left), Kill: now.Add(left)})
+			if a := <-answers; a.aborted || a.body.String() != "id: 1\ndata: x\n\nid: 2\ndata: y\n\n" {
+				t.Errorf("sent %d times, body %q, aborted %v", e.sentCount(), a.body.String(), a.aborted)
+			}
+		})
 	}
 }
 
--- a/internal/dispatch/stop.go
+++ b/internal/dispatch/stop.go
@@ -99,22 +99,28 @@
 
 // expectedBeforeStop reports whether a request ends before this node does by what some of the recent runs tell.
 func (d *Dispatcher) expectedBeforeStop(now time.Time, r *Request, route *routing.Route, runs string) bool {
-	s, known := d.stop.Load(), d.runs.known(runs, sizeOf(r))
-	if s == nil || known == 0 {
-		return s == nil
-	}
-	margin := max(leastRunMargin, fewRunsMargin/float64(known))
-	return !now.Add(time.Duration((1 + margin) * float64(d.longestRun(now, s, route, runs)))).After(s.latest())
+	s := d.stop.Load()
+	return s == nil || d.runFits(now, s, r, runs, d.longestRun(now, s, route, runs))
+}
+
+// runFits reports whether a request that runs little longer than the longest run ends before this node does.
+func (d *Dispatcher) runFits(now time.Time, s *stop, r *Request, runs string, longest time.Duration) bool {
+	known := d.runs.known(runs, sizeOf(r))
+	margin := max(leastRunMargin, fewRunsMargin/float64(max(known, 1)))
+	return known > 0 && !now.Add(time.Duration((1+margin)*float64(longest))).After(s.latest())
 }
 
 // mayMove reports whether another run of the request may end before this node does. For that of a begun answer it is enough that
-// recent runs tell so: the caller gets no more from an engine that stays silent.
+// runs which ended lately tell so: the caller gets no more from an engine that stays silent, and those in progress there, its own
+// among them, only tell how long the silence lasts.
 func (x *exchange) mayMove(now time.Time, begun bool) bool {
-	if x.d.fitsBeforeStop(now, x.deadline, x.req, x.route) {
+	s := x.d.stop.Load()
+	if s == nil || x.d.fitsBeforeStop(now, x.deadline, x.req, x.route) {
 		return true
 	}
 	expected := func(forwarded bool) bool {
-		return x.d.expectedBeforeStop(now, x.req, x.route, runsOf(x.route, forwarded))
+		runs := runsOf(x.route, forwarded)
+		return x.d.runFits(now, s, x.req, runs, x.d.runs.longest(runs))
 	}
 	return begun && (expected(false) || x.d.forwarder != nil && expected(true))
 }
