Engine: a stream that adds nothing to its answer ends

Cause and class: the stall time counts bytes, and any byte is taken for progress; a wait without a bound.

A stream ends as malformed once its engine has sent for 60 times engine_stall_ms (5 minutes by default) nothing that adds to the answer: text, or any other part of a delta that is not empty, as reasoning and tool calls are. An engine that is busy with a prompt may send comments or empty events for as long.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -11,10 +11,12 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 	"sync/atomic"
 	"time"
 
 	"github.com/croftturn/croftturn/internal/caller"
+	"github.com/croftturn/croftturn/internal/clock"
 	"github.com/croftturn/croftturn/internal/dial"
 	"github.com/croftturn/croftturn/internal/header"
 	"github.com/croftturn/croftturn/internal/sse"
@@ -24,6 +26,10 @@
 	// maxEventBytes is the maximum size of one event of an engine's stream.
 	maxEventBytes = 1 << 20
 
+	// idleStalls is for how many times the stall time a stream may add nothing to its answer, though its engine sends. Engines
+	// that are busy with a prompt may send comments or empty events meanwhile.
+	idleStalls = 60
+
 	// dialTimeout bounds connecting to an engine.
 	dialTimeout = time.Second
 
@@ -49,8 +55,11 @@
 	// have run partly or completely.
 	ErrBroken = errors.New("engine: broke off")
 
-	// ErrMalformed means that the engine sent an invalid event.
+	// ErrMalformed means that the engine sent an invalid event, or goes on without an answer.
 	ErrMalformed = errors.New("engine: malformed event")
+
+	// emptyParts are the values of a part of an event that adds nothing.
+	emptyParts = []string{"null", `""`, "[]", "{}"}
 )
 
 type (
@@ -67,6 +76,7 @@
 		Done    bool   // Done marks the end of a complete stream.
 		Finish  string // Finish is the finish reason; empty before the last part.
 		Usage   *Usage // Usage is set on the event that carries it.
+		Adds    bool   // Adds is set if the event adds text or something else, such as reasoning or a tool call, to the answer.
 	}
 
 	// Usage is the token usage reported by the engine.
@@ -82,6 +92,8 @@
 		lines  *bufio.Reader
 		cancel context.CancelFunc
 		watch  *stallTimer
+
+		addedAt time.Time // addedAt is when the last event came that added something to the answer.
 	}
 
 	// RejectedError is the engine's response to an invalid request.
@@ -156,7 +168,7 @@
 		defer watch.timer.Stop()
 		return nil, statusError(resp)
 	}
-	return &Stream{body: resp.Body, lines: bufio.NewReaderSize(resp.Body, 8<<10), cancel: cancel, watch: watch}, nil
+	return &Stream{body: resp.Body, lines: bufio.NewReaderSize(resp.Body, 8<<10), cancel: cancel, watch: watch, addedAt: clock.Now()}, nil
 }
 
 // Do sends a call to a backend server and returns its response, whose body the
@@ -282,7 +294,7 @@
 }
 
 // Next returns the next event. The event with Done set is the last. An error means
-// that the stream is incomplete.
+// that the stream is incomplete. One that adds nothing to its answer for too long ends with ErrMalformed.
 func (s *Stream) Next() (Event, error) {
 	for skipped := 0; skipped <= maxEventBytes; {
 		line, err := s.lines.ReadSlice('\n')
@@ -295,10 +307,20 @@
 		s.watch.timer.Reset(s.watch.after)
 		skipped += len(line)
 		line = bytes.TrimRight(line, "\r\n")
-		if len(line) == 0 || line[0] == ':' {
-			continue
+		var e Event
+		if len(line) > 0 && line[0] != ':' {
+			if e, err = parseEvent(line); err != nil || e.Done {
+				return e, err
+			}
+		}
+		if now := clock.Now(); e.Adds {
+			s.addedAt = now
+		} else if idle := now.Sub(s.addedAt); idle > idleStalls*s.watch.after {
+			return Event{}, fmt.Errorf("%v without an addition to the answer: %w", idle, ErrMalformed)
+		}
+		if e.Data != nil {
+			return e, nil
 		}
-		return parseEvent(line)
 	}
 	return Event{}, fmt.Errorf("%d bytes without an event: %w", maxEventBytes, ErrMalformed)
 }
@@ -357,11 +379,32 @@
 	e := Event{Data: data, Usage: chunk.Usage}
 	if len(chunk.Choices) > 0 {
 		e.Content = chunk.Choices[0].Delta.Content
+		e.Adds = e.Content != "" || addsOther(data)
 		e.Finish = chunk.Choices[0].FinishReason
 	}
 	return e, nil
 }
 
+// addsOther reports whether an event adds something other than text. Engines name such parts differently.
+func addsOther(data []byte) bool {
+	var chunk struct {
+		Choices []struct {
+			Delta map[string]json.RawMessage `json:"delta"`
+		} `json:"choices"`
+	}
+	if err := json.Unmarshal(data, &chunk); err != nil {
+		return false
+	}
+	for _, c := range chunk.Choices {
+		for name, part := range c.Delta {
+			if name != "role" && !slices.Contains(emptyParts, string(part)) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // Close closes the stream and cancels an unfinished request.
 func (s *Stream) Close() {
 	s.watch.timer.Stop()
--- a/internal/engine/endless_test.go
+++ b/internal/engine/endless_test.go
@@ -1,12 +1,16 @@
 package engine
 
 import (
+	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/croftturn/croftturn/internal/clock"
 	"github.com/croftturn/croftturn/internal/testendless"
 )
 
@@ -72,3 +76,35 @@
 		}
 	}
 }
+
+// TestStreamThatAddsNothingEnds guards against an engine that holds a call without end, since it goes on sending what is no answer.
+func TestStreamThatAddsNothingEnds(t *testing.T) {
+	const stall = time.Minute
+	event := func(delta string) string { return `data: {"choices":[{"delta":` + delta + `}]}` + "\n\n" }
+	for name, tc := range map[string]struct {
+		text string
+		ends bool
+	}{
+		"no text":     {event(`{"role":"assistant","content":"","tool_calls":[],"refusal":null}`), true},
+		"no delta":    {event("null"), true},
+		"usage":       {`data: {"choices":[],"usage":{"prompt_tokens":1}}` + "\n\n", true},
+		"comments":    {": still here\n\n", true},
+		"text":        {event(`{"content":"a"}`), false},
+		"reasoning":   {event(`{"content":"","reasoning_content":"a"}`), false},
+		"a tool call": {event(`{"tool_calls":[{"index":0}]}`), false},
+		"the end":     {"data: [DONE]\n\n", false},
+	} {
+		for late, ends := range map[time.Duration]bool{idleStalls*stall - stall: false, idleStalls * stall: tc.ends} {
+			lines := bufio.NewReader(strings.NewReader(tc.text + tc.text + "data: [DONE]\n\n"))
+			s := &Stream{lines: lines, watch: newStallTimer(stall, func() {}), addedAt: clock.Now().Add(-late)}
+			e, err := s.Next()
+			for err == nil && !e.Done {
+				e, err = s.Next()
+			}
+			if got := errors.Is(err, ErrMalformed); got != ends || err != nil && !got {
+				t.Errorf("%s: %v after the last addition, the stream ended with %v", name, late, err)
+			}
+			s.watch.timer.Stop()
+		}
+	}
+}
