--- a/lab/cluster/cluster.go
+++ b/lab/cluster/cluster.go
@@ -145,6 +145,9 @@
 // path returns a path in the cluster's folder.
 func (c *Cluster) path(name string) string { return filepath.Join(c.opts.Dir, name) }
 
+// Dir returns the folder of logs and programs.
+func (c *Cluster) Dir() string { return c.opts.Dir }
+
 // ExecutionsLog returns the path of the log that all backends write.
 func (c *Cluster) ExecutionsLog() string { return c.path("executions.log") }
 
