Claim: what lay unread when a key was refused does not run afterwards

Callers of `croftturn run` were told not_run, and another node ran the key afterwards: an earlier sending had lain unread in its kernel while the void was written, and counted as a new try.

Cause: a node took the moment at which it read a sending for that at which it was sent. Class: a promise about all nodes that each keeps by what it has read.

A void bounds by the platform's steady clock, which each read of a row tells, until when a sending must have come to be one of before; the kernel tells since when one lies unread. Such a sending is refused as superseded and makes the key void again, as does an attempt that finds a void when it claims. The bound lies after the answer; Retry-After-Ms after the bound. A platform that is too slow for that makes the answer unknown.

--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -22,13 +22,19 @@
 	loseAcks int
 	calls    int
 	era      int64
+	started  time.Time     // started is when the table's clock read zero; zero if it tells no clock.
+	slow     time.Duration // slow is how long a transaction takes.
 }
 
 // Get reads a row.
 func (t *table) Get(_ context.Context, key string) (kv.Row, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.rows[key], nil
+	row := t.rows[key]
+	if now := time.Now(); !t.started.IsZero() {
+		row.Read = kv.Moment{Ms: now.Sub(t.started).Milliseconds(), Sent: now, Answered: now}
+	}
+	return row, nil
 }
 
 // List reads rows by prefix.
@@ -48,6 +54,7 @@
 
 // Transact checks and writes rows; its acknowledgement may be lost.
 func (t *table) Transact(_ context.Context, txn kv.Txn) error {
+	time.Sleep(t.slow)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.calls++
@@ -92,7 +99,7 @@
 // begin begins an attempt on a key that must be unclaimed.
 func begin(t *testing.T, k *claim.Claimer, key, id string) *claim.Attempt {
 	t.Helper()
-	a, err := k.Begin(context.Background(), key, id)
+	a, err := k.Begin(context.Background(), key, id, time.Now())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -213,6 +220,53 @@
 	}
 }
 
+// TestVoidHoldsUntilItsCallerKnows guards against requests that run though they reached a node before the caller of a refused one
+// had its answer, at a platform that takes its time as well.
+func TestVoidHoldsUntilItsCallerKnows(t *testing.T) {
+	for _, slow := range []time.Duration{0, 100 * time.Millisecond, time.Second} {
+		tab := &table{rows: map[string]kv.Row{}, started: time.Now().Add(-time.Hour), slow: slow}
+		k := newClaimer(t, tab, "n1")
+		refused := begin(t, k, "k", "a1")
+		err := refused.Void(context.Background(), time.Now())
+		if slow == time.Second {
+			if !errors.Is(err, claim.ErrUnsettled) {
+				t.Errorf("transactions take %v: %v", slow, err)
+			}
+			continue
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		if again := begin(t, k, "k", "a2"); !again.Superseded() { // It reaches its node as the caller gets the answer.
+			t.Errorf("transactions take %v: a request that came before the answer may run", slow)
+		}
+		time.Sleep(time.Until(refused.RetryAt()))
+		again := begin(t, k, "k", "a3")
+		if again.Superseded() || again.Claim(context.Background(), time.Now()) != nil {
+			t.Errorf("transactions take %v: a new try may not run", slow)
+		}
+	}
+}
+
+// TestVoidOverAnotherHolds guards against a key that is reported as not run since another attempt was, whose void does not hold for
+// what came after it.
+func TestVoidOverAnotherHolds(t *testing.T) {
+	tab := &table{rows: map[string]kv.Row{}, started: time.Now().Add(-time.Hour)}
+	k := newClaimer(t, tab, "n1")
+	late, refused := begin(t, k, "k", "a1"), begin(t, k, "k", "a2")
+	if err := refused.Void(context.Background(), time.Now()); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(time.Until(refused.RetryAt()))
+	reached := time.Now()
+	if err := late.Void(context.Background(), time.Now()); err != nil {
+		t.Fatal(err)
+	}
+	if a, err := k.Begin(context.Background(), "k", "a3", reached); err != nil || !a.Superseded() {
+		t.Errorf("a request that came before the second refusal may run: %v", err)
+	}
+}
+
 // TestClaimCanBeVoidedByItsHolder checks that an attempt which claimed a key and then
 // found no engine can still void it.
 func TestClaimCanBeVoidedByItsHolder(t *testing.T) {
@@ -307,7 +361,7 @@
 	if removed, err := s.SweepPage(context.Background(), now); err != nil || removed != 1 {
 		t.Errorf("SweepPage() = %d, %v, want 1", removed, err)
 	}
-	if _, err := k.Begin(context.Background(), "new", "x"); err == nil {
+	if _, err := k.Begin(context.Background(), "new", "x", time.Now()); err == nil {
 		t.Error("the new claim was removed")
 	}
 }
@@ -325,7 +379,7 @@
 	clear(tab.rows)
 	tab.era++
 	tab.mu.Unlock()
-	if _, err := b.Begin(ctx, "key", "again"); !errors.Is(err, claim.ErrUnsettled) {
+	if _, err := b.Begin(ctx, "key", "again", time.Now()); !errors.Is(err, claim.ErrUnsettled) {
 		t.Errorf("before the claim is written again another attempt gets %v", err)
 	}
 	if err := under.Claim(ctx, time.Now()); !errors.Is(err, claim.ErrUnsettled) {
@@ -334,7 +388,7 @@
 	a.StoreReturned(ctx)
 	a.StoreReturned(ctx)
 	var taken *claim.TakenError
-	if _, err := b.Begin(ctx, "key", "again"); !errors.As(err, &taken) || taken.Record.Attempt != "first" {
+	if _, err := b.Begin(ctx, "key", "again", time.Now()); !errors.As(err, &taken) || taken.Record.Attempt != "first" {
 		t.Errorf("after it is written again: %v", err)
 	}
 }
--- a/internal/claim/keeper.go
+++ b/internal/claim/keeper.go
@@ -25,9 +25,23 @@
 	stateClaimed = "claimed"
 
 	// stateVoid means that the request was rejected with not_run: attempts that
-	// read the key before can no longer claim it, while new attempts can.
+	// read the key before, or whose requests had reached their nodes before, can no
+	// longer claim it, while new attempts can.
 	stateVoid = "void"
 
+	// maxVoidTries limits how often a void is written again.
+	maxVoidTries = 4
+
+	// voidLead is for how long after its refusal a key is void for requests that reach a node: half of it for the write,
+	// two gathering times and a transaction, half for the way of the answer. Requests that are sent before the caller
+	// knows of the refusal don't run; maxVoidLead bounds it where the platform is slow.
+	voidLead    = 100 * time.Millisecond
+	maxVoidLead = 2 * time.Second
+
+	// arrivalMargin is by how much sooner than it came a request may seem to reach its node: a tick of the kernel's, the
+	// time in which the platform answers and the resolution of its clock.
+	arrivalMargin = 25 * time.Millisecond
+
 	// maxBatchKeys limits the keys in one transaction.
 	maxBatchKeys = 64
 
@@ -59,6 +73,11 @@
 		Incarnation int    `json:"i"`
 		Attempt     string `json:"a"`
 		AtMs        int64  `json:"t"` // AtMs is Unix time on the writer's clock; only used to remove old rows.
+
+		// A void holds for requests that have reached a node when the platform's steady clock reads VoidMs. At the write
+		// that clock read VoidFromMs at least. Both are 0 if the platform did not tell its clock.
+		VoidFromMs int64 `json:"vf,omitempty"`
+		VoidMs     int64 `json:"vt,omitempty"`
 	}
 
 	// TakenError reports that another attempt holds a key.
@@ -91,8 +110,13 @@
 
 		claimer *Claimer
 		key     string
-		version int   // version is the row's version when the request arrived.
-		era     int64 // era is that of the platform then.
+		version int       // version is the row's version when the request arrived.
+		era     int64     // era is that of the platform then.
+		reached time.Time // reached is when the request had reached this node, at the earliest.
+		read    kv.Moment // read is when the row was read.
+		void    *Record   // void is the void that the row held then, nil if none.
+
+		voidUntil time.Time // voidUntil is until when a void of this attempt holds for requests that reach a node.
 	}
 
 	// op writes one row if it still has the given version.
@@ -139,14 +163,15 @@
 }
 
 // Begin reads a key's row when a request arrives. It returns a *TakenError if the
-// key is claimed, and ErrUnsettled if the row can't be read.
-func (c *Claimer) Begin(ctx context.Context, key, attempt string) (*Attempt, error) {
+// key is claimed, and ErrUnsettled if the row can't be read. reached is when the request
+// had reached this node, at the earliest; an attempt that is Superseded must be made void.
+func (c *Claimer) Begin(ctx context.Context, key, attempt string, reached time.Time) (*Attempt, error) {
 	row, err := c.table.Get(ctx, rowPrefix+key)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrUnsettled, err)
 	}
 	era, _ := c.table.Era()
-	a := &Attempt{ID: attempt, claimer: c, key: key, version: row.Version, era: era}
+	a := &Attempt{ID: attempt, claimer: c, key: key, version: row.Version, era: era, reached: reached, read: row.Read}
 	taken, err := decode(row)
 	if err != nil {
 		return nil, err
@@ -157,9 +182,26 @@
 	if c.recent.mayLack(clock.Now(), era) {
 		return nil, fmt.Errorf("%w: the platform may have lost a claim of the key", ErrUnsettled)
 	}
+	if taken != nil {
+		a.void = &taken.Record
+	}
 	return a, nil
 }
 
+// Superseded reports whether the request may have reached its node before the key was
+// made void elsewhere: it lay unread then. The platform's clock tells, which all nodes
+// read; one that reads less than at the void has started anew since.
+func (a *Attempt) Superseded() bool {
+	if a.void == nil || a.void.VoidMs == 0 {
+		return false
+	}
+	earliest, _ := a.read.Bounds(a.reached)
+	if a.read.Ms < a.void.VoidFromMs {
+		return earliest < 0
+	}
+	return earliest < a.void.VoidMs
+}
+
 // decode decodes a row; it returns nil for an absent one.
 func decode(row kv.Row) (*TakenError, error) {
 	if row.Version == 0 {
@@ -182,17 +224,55 @@
 	return nil
 }
 
-// Void guarantees that the request did not run and will not: no attempt at any
-// node that read the key before can still claim it. It must succeed before a
-// caller is told not_run, and returns the same errors as Claim.
+// Void guarantees that the request did not run and will not: no attempt at any node
+// that read the key before can still claim it, and no request that has reached a node by
+// the time of the answer can any more. It must succeed before a caller is told not_run,
+// and returns the same errors as Claim, but none for voids of other attempts. A void
+// whose write leaves too little of its time for the answer is written again with more.
 func (a *Attempt) Void(ctx context.Context, now time.Time) error {
-	return a.write(ctx, now, stateVoid)
+	lead := voidLead
+	for range maxVoidTries {
+		a.voidUntil = now.Add(lead)
+		err := a.write(ctx, now, stateVoid)
+		var taken *TakenError
+		took := clock.Since(now)
+		switch {
+		case err == nil && (!a.read.Known() || took <= lead/2):
+			return nil
+		case err == nil && lead == maxVoidLead:
+			return fmt.Errorf("%w: the key could not be made void in time", ErrUnsettled)
+		case err == nil:
+			a.version++
+			lead = min(4*took, maxVoidLead)
+		case errors.As(err, &taken) && taken.Void():
+			a.version = taken.Version
+		default:
+			return err
+		}
+		now = now.Add(took)
+	}
+	return fmt.Errorf("%w: others keep making the key void", ErrUnsettled)
+}
+
+// RetryAt returns from when on a new try of a key that was made void is told from the
+// sendings before; zero if the platform does not tell its clock.
+func (a *Attempt) RetryAt() time.Time {
+	if !a.read.Known() {
+		return time.Time{}
+	}
+	earliest, latest := a.read.Bounds(a.voidUntil)
+	return a.voidUntil.Add(time.Duration(latest-earliest)*time.Millisecond + arrivalMargin)
 }
 
 // write queues a row for the next batch and waits for its result.
 func (a *Attempt) write(ctx context.Context, now time.Time, state string) error {
 	c := a.claimer
-	o := newOp(a.key, a.version, Record{State: state, Node: c.node, Incarnation: c.incarnation, Attempt: a.ID, AtMs: clock.Wall(now).UnixMilli()})
+	r := Record{State: state, Node: c.node, Incarnation: c.incarnation, Attempt: a.ID, AtMs: clock.Wall(now).UnixMilli()}
+	if state == stateVoid && a.read.Known() {
+		r.VoidFromMs, _ = a.read.Bounds(now)
+		_, r.VoidMs = a.read.Bounds(a.voidUntil)
+	}
+	o := newOp(a.key, a.version, r)
 	select {
 	case c.destination() <- o:
 	case <-ctx.Done():
@@ -355,7 +435,7 @@
 		return err
 	case taken == nil:
 		return fmt.Errorf("%w: the row was removed", ErrUnsettled)
-	case taken.Record.Attempt == o.record.Attempt && taken.Record.State == o.record.State:
+	case taken.Record == o.record:
 		return nil
 	}
 	return taken
--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -28,6 +28,9 @@
 
 	// maxKeyBytes is the maximum length of an idempotency key, in bytes.
 	maxKeyBytes = 200
+
+	// kernelTick is the longest tick in which kernels count for how long a connection has been quiet.
+	kernelTick = 10 * time.Millisecond
 )
 
 type (
@@ -41,6 +44,7 @@
 		notRepeatable bool
 		body          []byte
 		arrived       time.Time
+		reached       time.Time   // reached is when the kernel had the request at the earliest, as far as it had come when this node read it.
 		held          *heldAnswer // held is the text of a chat completion received so far, over all tries.
 
 		fingerprint   quarantine.Fingerprint
@@ -84,7 +88,10 @@
 		return nil, failure
 	}
 	c := &call{id: newID(), team: team, arrived: clock.Now(), request: r}
-	caller.ConnOf(r.Context()).SetRequest(c.id)
+	conn := caller.ConnOf(r.Context())
+	conn.SetRequest(c.id)
+	at, _ := conn.Arrival(c.arrived)
+	c.reached = at.Add(-kernelTick)
 	name := r.Header.Get(HeaderClass)
 	if name == "" {
 		name = team.DefaultClass
--- a/internal/front/once.go
+++ b/internal/front/once.go
@@ -22,6 +22,9 @@
 	// claimUnsettledRetryAfter is the Retry-After while the platform is unavailable.
 	claimUnsettledRetryAfter = 2 * time.Second
 
+	// supersededRetryAfter is the Retry-After of a call that lay unread while its key was refused elsewhere.
+	supersededRetryAfter = 50 * time.Millisecond
+
 	// maxRecordedBytes is the maximum size of a recorded body, in bytes.
 	maxRecordedBytes = 1 << 20
 )
@@ -147,16 +150,23 @@
 
 // runClaimed runs a call once its key is claimed in the platform's table.
 func (f *Front) runClaimed(ctx context.Context, rec *recorder, c *call, x exchange, run *claim.Run) callResult {
-	attempt, err := f.claims.Begin(ctx, c.scopedKey(), c.id)
+	attempt, err := f.claims.Begin(ctx, c.scopedKey(), c.id, c.reached)
 	if err != nil {
 		return f.claimFailed(ctx, rec, c, run, err)
 	}
-	end := f.run(ctx, rec, c, x, func(ctx context.Context) error {
-		f.journal.Note(clock.Now(), c.id, "", "", "claiming its key")
-		return attempt.Claim(ctx, clock.Now())
-	})
-	if end.preconditionErr != nil {
-		return f.claimFailed(ctx, rec, c, run, end.preconditionErr)
+	end := superseded()
+	if !attempt.Superseded() {
+		end = f.run(ctx, rec, c, x, func(ctx context.Context) error {
+			f.journal.Note(clock.Now(), c.id, "", "", "claiming its key")
+			return attempt.Claim(ctx, clock.Now())
+		})
+	}
+	var taken *claim.TakenError
+	if err := end.preconditionErr; errors.As(err, &taken) && taken.Void() {
+		f.journal.Note(clock.Now(), c.id, "", "", err.Error())
+		end = superseded()
+	} else if err != nil {
+		return f.claimFailed(ctx, rec, c, run, err)
 	}
 	if end.state != journal.Refused {
 		f.registry.Finish(clock.Now(), run, rec.outcome(end))
@@ -165,10 +175,21 @@
 	if err := attempt.Void(ctx, clock.Now()); err != nil {
 		return f.claimFailed(ctx, rec, c, run, err)
 	}
+	if failure := *end.failure; failure.RetryAfter > 0 { // A new try that comes sooner would have to come again.
+		failure.RetryAfter = max(failure.RetryAfter, clock.Until(attempt.RetryAt()).Round(time.Millisecond))
+		end.failure = &failure
+	}
 	f.registry.Abandon(clock.Now(), run, notRun(end.failure))
 	return end
 }
 
+// superseded returns the result of a call that had reached this node, or had been read, before its key was refused elsewhere.
+func superseded() callResult {
+	return callResult{state: journal.Refused, failure: &CallerError{
+		Status: http.StatusTooManyRequests, Code: "superseded", Message: "the key was refused while this sending waited; send it again", RetryAfter: supersededRetryAfter,
+	}}
+}
+
 // claimFailed ends a call whose key this node could not claim or void. The call did
 // not run here; the claim's holder knows whether it ran elsewhere.
 func (f *Front) claimFailed(ctx context.Context, rec *recorder, c *call, run *claim.Run, err error) callResult {
@@ -180,15 +201,12 @@
 		return callResult{state: journal.Unknown, failure: e}
 	}
 	f.journal.Note(clock.Now(), c.id, "", "", err.Error())
-	o := wire.Outcome{State: wire.OutcomeStateNotRun, Reason: "superseded"}
-	if now := clock.Now(); !taken.Void() && !f.mayBegin(now, c) {
+	if now := clock.Now(); !f.mayBegin(now, c) {
 		end := notSent(c)
 		f.registry.Abandon(now, run, wire.Outcome{State: wire.OutcomeStateUnknown, Reason: end.failure.Message})
 		return end
 	}
-	if !taken.Void() {
-		o = f.askHolder(ctx, c.scopedKey(), taken.Record)
-	}
+	o := f.askHolder(ctx, c.scopedKey(), taken.Record)
 	f.registry.Abandon(clock.Now(), run, o)
 	return f.replayed(rec, c, o)
 }
--- a/internal/front/once_test.go
+++ b/internal/front/once_test.go
@@ -4,11 +4,14 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/croftturn/croftturn/internal/claim"
 	"github.com/croftturn/croftturn/internal/front"
+	"github.com/croftturn/croftturn/internal/kv"
 	"github.com/croftturn/croftturn/internal/sched"
 )
 
@@ -49,7 +52,7 @@
 	r := newTestServer(t, func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "accepted") })
 	stale := claim.NewClaimer(r.table, "n2", 1, time.Millisecond)
 	defer stale.Close()
-	attempt, err := stale.Begin(context.Background(), "alfa/k1", "stale")
+	attempt, err := stale.Begin(context.Background(), "alfa/k1", "stale", time.Now())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -66,6 +69,81 @@
 	}
 }
 
+// TestUnreadSendingDoesNotRunAfterItsKeyWasRefused guards against a key that runs after its caller was told not_run, since an
+// earlier sending lay unread at another node then, and against new tries that are taken for such sendings.
+func TestUnreadSendingDoesNotRunAfterItsKeyWasRefused(t *testing.T) {
+	var runs atomic.Int64
+	backend := func(w http.ResponseWriter, _ *http.Request) {
+		runs.Add(1)
+		fmt.Fprint(w, "accepted")
+	}
+	for _, restarts := range []bool{false, true} {
+		tab, read := &table{rows: map[string]kv.Row{}, started: time.Now().Add(-time.Minute)}, make(chan struct{})
+		late, node := newTestNode(t, "n2", tab, read, backend), newTestNode(t, "n1", tab, nil, backend)
+		offer := func(r *testServer, key string) (*http.Response, string) {
+			return r.send(t, "/services/bids/offers", "x", front.HeaderClass, "offer", front.HeaderKey, key)
+		}
+		unread := make(chan string)
+		for _, key := range []string{"k0", "k1", "k2"} {
+			go func() {
+				resp, _ := offer(late, key)
+				unread <- resp.Header.Get(front.HeaderOutcome)
+			}()
+		}
+		time.Sleep(50 * time.Millisecond) // All are in the kernel.
+		for i := range 3 {
+			node.sched.refusals = []*sched.Refusal{{Reason: "queue_full", RetryAfter: time.Millisecond}}
+			if resp, body := offer(node, fmt.Sprint("k", i)); resp.Header.Get(front.HeaderOutcome) != front.OutcomeNotRun {
+				t.Fatalf("answer = %s %v", body, resp.Header)
+			}
+		}
+		if restarts {
+			time.Sleep(100 * time.Millisecond)
+			tab.started = time.Now().Add(-50 * time.Millisecond)
+		}
+		runs.Store(0)
+		close(read)
+		for range 3 {
+			if outcome := <-unread; outcome != front.OutcomeNotRun {
+				t.Errorf("clock restarts %v: a sending that lay unread got %q", restarts, outcome)
+			}
+		}
+		if n := runs.Load(); n != 0 {
+			t.Errorf("clock restarts %v: %d of 3 keys ran after they had been refused", restarts, n)
+		}
+		time.Sleep(250 * time.Millisecond)
+		for i := range 3 {
+			if _, body := offer(late, fmt.Sprint("k", i)); body != "accepted" {
+				t.Errorf("clock restarts %v: a new try got %s", restarts, body)
+			}
+		}
+	}
+}
+
+// TestNewTriesOfRefusedKeysRun guards against new tries that come when the refusal says, and are taken for sendings from before it.
+func TestNewTriesOfRefusedKeysRun(t *testing.T) {
+	tab := &table{rows: map[string]kv.Row{}, started: time.Now().Add(-time.Minute)}
+	backend := func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "accepted") }
+	nodes := []*testServer{newTestNode(t, "n1", tab, nil, backend), newTestNode(t, "n2", tab, nil, backend)}
+	longest := time.Duration(0)
+	for i := range 40 {
+		key := fmt.Sprint("k", i)
+		nodes[i%2].sched.refusals = []*sched.Refusal{{Reason: "queue_full", RetryAfter: time.Millisecond}}
+		resp, _ := nodes[i%2].send(t, "/services/bids/offers", "x", front.HeaderClass, "offer", front.HeaderKey, key)
+		ms, err := strconv.Atoi(resp.Header.Get(front.HeaderRetryAfterMs))
+		if err != nil {
+			t.Fatal(err)
+		}
+		wait := time.Duration(ms) * time.Millisecond
+		longest = max(longest, wait)
+		time.Sleep(wait)
+		if _, body := nodes[(i+i/2)%2].send(t, "/services/bids/offers", "x", front.HeaderClass, "offer", front.HeaderKey, key); body != "accepted" {
+			t.Errorf("new try after %v: %s", wait, body)
+		}
+	}
+	t.Logf("callers were asked to wait for %v at most", longest)
+}
+
 // TestOutageRefusesKeysButServesTickets checks that during a platform outage calls
 // with a ticket run and calls with the caller's own key don't.
 func TestOutageRefusesKeysButServesTickets(t *testing.T) {
--- a/internal/front/rig_test.go
+++ b/internal/front/rig_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -58,12 +59,40 @@
 
 	// table is an in-memory table that can be made unavailable.
 	table struct {
-		mu   sync.Mutex
-		rows map[string]kv.Row
-		down bool
+		mu      sync.Mutex
+		rows    map[string]kv.Row
+		down    bool
+		started time.Time // started is when the table's clock read zero; zero if it tells no clock.
+	}
+
+	// unreadListener leaves what comes on its connections unread until a channel is closed.
+	unreadListener struct {
+		net.Listener
+		read <-chan struct{}
+	}
+
+	// unreadConn is a connection of an unreadListener.
+	unreadConn struct {
+		net.Conn
+		read <-chan struct{}
 	}
 )
 
+// Accept implements net.Listener.
+func (l unreadListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return unreadConn{c, l.read}, err
+}
+
+// Read implements net.Conn.
+func (c unreadConn) Read(p []byte) (int, error) {
+	<-c.read
+	return c.Conn.Read(p)
+}
+
+// NetConn returns the connection to the caller.
+func (c unreadConn) NetConn() net.Conn { return c.Conn }
+
 // View returns the configuration.
 func (v views) View() *config.View { return v.view }
 
@@ -129,7 +158,11 @@
 	if t.down {
 		return kv.Row{}, kv.ErrUnavailable
 	}
-	return t.rows[key], nil
+	row := t.rows[key]
+	if now := time.Now(); !t.started.IsZero() {
+		row.Read = kv.Moment{Ms: now.Sub(t.started).Milliseconds(), Sent: now, Answered: now}
+	}
+	return row, nil
 }
 
 // Era returns the table's era.
@@ -177,6 +210,12 @@
 // newTestServer starts a Front with one engine and one backend server per
 // handler.
 func newTestServer(t *testing.T, engines ...http.HandlerFunc) *testServer {
+	t.Helper()
+	return newTestNode(t, "n1", &table{rows: map[string]kv.Row{}}, nil, engines...)
+}
+
+// newTestNode starts a Front with a table, which leaves what comes unread until a channel is closed, if there is one.
+func newTestNode(t *testing.T, name string, tab *table, read <-chan struct{}, engines ...http.HandlerFunc) *testServer {
 	t.Helper()
 	c := &config.Config{
 		Classes: []config.Class{{Name: "explain", Tier: 3}, {Name: "offer", Tier: 2, NotRepeatable: true}},
@@ -195,10 +234,10 @@
 		t.Fatal(err)
 	}
 	tele := quietTelemetry(t)
-	r := &testServer{sched: &roundRobin{views: views{view}}, table: &table{rows: map[string]kv.Row{}}}
+	r := &testServer{sched: &roundRobin{views: views{view}}, table: tab}
 	client := engine.NewClient(2 * time.Second)
 	t.Cleanup(client.Close)
-	keeper := claim.NewClaimer(r.table, "n1", 1, time.Millisecond)
+	keeper := claim.NewClaimer(r.table, name, 1, time.Millisecond)
 	t.Cleanup(keeper.Close)
 	f := front.New(views{view}, singleNode{}, singleNode{}, client, journal.New(), tele,
 		front.WithScheduler(config.PoolSchedulerDirect, r.sched),
@@ -208,6 +247,9 @@
 	r.front = f
 	srv := httptest.NewUnstartedServer(f)
 	srv.Config.ConnContext = caller.WithConn
+	if read != nil {
+		srv.Listener = unreadListener{srv.Listener, read}
+	}
 	srv.Start()
 	t.Cleanup(srv.Close)
 	r.url = srv.URL
--- a/internal/kv/client.go
+++ b/internal/kv/client.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/croftturn/croftturn/internal/clock"
 	"github.com/croftturn/croftturn/internal/feed"
 	"github.com/croftturn/croftturn/internal/fence"
 	"github.com/croftturn/croftturn/internal/history"
@@ -45,6 +46,7 @@
 		Value   json.RawMessage `json:"value,omitempty"`
 		Version int             `json:"version"` // Version increases with each write of the row in an era; 0 means that it does not exist.
 		Era     int64           `json:"-"`       // Era is that of the store when the row was read, as in history.Position.
+		Read    Moment          `json:"-"`       // Read is when Get read the row.
 	}
 
 	// Check is a precondition of a transaction: the row must have this version.
@@ -115,10 +117,12 @@
 	if err != nil {
 		return Row{}, fmt.Errorf("get row %s: %w", key, err)
 	}
+	read := Moment{Ms: snap.NowMs, Sent: snap.Sent, Answered: clock.Now()}
 	found := toRows(snap.Rows)
 	if len(found) == 0 {
-		return Row{Key: key, Version: absentVersion, Era: snap.Era}, nil
+		return Row{Key: key, Version: absentVersion, Era: snap.Era, Read: read}, nil
 	}
+	found[0].Read = read
 	return found[0], nil
 }
 
