Gossip: late rounds of a node lose no update

Cause: crashes, limits and leaving engines go into messages while the sender has known them for less than the interval to the peer and three rounds, 0.4 s between near nodes. A process that does not run for longer than that after it learned one sends it in no message before the full state, which comes every 5 s. Class: what was sent is judged by the clock, not by what was sent.

The window now begins with the round that many rounds back, by when it was composed. Messages of a node on time are the same.

TestLateRoundsLoseNoUpdate: with rounds 0.35 and 2 s late all peers of four got an entry in no message before, and get it in two to six now. go test -race ./internal/gossip passes.

--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -50,10 +50,11 @@
 // LocalState returns this node's state as reported to its peers.
 func (e *Edge) LocalState(now time.Time) gossip.State {
 	silent, unreachable := e.checkSilence(now), e.reach.Unreachable()
+	window := e.gossip.RecentWindow(now)
 	tables := e.follower.Announcement() // Read before the loads, which may be of later entries but not of earlier ones.
 	s := gossip.State{
 		Ready: e.Ready(now), Stopping: e.dispatcher.Ready(now) == dispatch.Stopping, Rate: float32(e.dispatcher.Rate(now)), Loads: e.placement.Loads(), Uses: e.placement.TakeUses(), Slowdowns: e.placement.Slowdowns(now), Versions: tables.Versions, Eras: tables.Eras, Kept: tables.Kept, ReturnAgeMs: e.returnAgeMs(now),
-		ConfigVersion: e.dispatcher.Version(), ProofAgeMs: -1, CannotReadStore: e.readFailing(now), StoreSilentMs: -1, StoreFailureAgeMs: -1, TierStats: e.dispatcher.TierStats(now), Holder: e.announcedHolder(now), Crashing: e.quarantine.GossipEntries(now, gossip.UpdateLifetime), CrashingParts: e.parts.GossipEntries(now, gossip.UpdateLifetime), Limits: e.limits.GossipEntries(now, gossip.UpdateLifetime), Leaving: e.discovery.GossipEntries(now, gossip.UpdateLifetime), Evicted: e.cacheWatcher.TakeEvicted(),
+		ConfigVersion: e.dispatcher.Version(), ProofAgeMs: -1, CannotReadStore: e.readFailing(now), StoreSilentMs: -1, StoreFailureAgeMs: -1, TierStats: e.dispatcher.TierStats(now), Holder: e.announcedHolder(now), Crashing: e.quarantine.GossipEntries(now, window), CrashingParts: e.parts.GossipEntries(now, window), Limits: e.limits.GossipEntries(now, window), Leaving: e.discovery.GossipEntries(now, window), Evicted: e.cacheWatcher.TakeEvicted(),
 		TeamWork: e.dispatcher.TeamWork(now), LowerAdmitted: e.dispatcher.LowerAdmitted(now),
 		Unreachable: unreachable, Partitioned: e.partitioned(unreachable), ForwardPort: e.forwardPort(), Brittle: e.placement.Brittle(now), PinsStreams: true, PoolVersions: e.versions.GossipEntries(now),
 	}
--- a/internal/gossip/cadence.go
+++ b/internal/gossip/cadence.go
@@ -68,15 +68,21 @@
 	updateRounds    = 3
 	fullStateRounds = 50
 
-	// UpdateLifetime is how long a recent list entry is sent to the peers with the longest message
-	// interval.
-	UpdateLifetime = (spokeRounds + updateRounds) * roundInterval
+	// updateLifetime is how long a recent list entry is sent to the peers with the longest message
+	// interval, if no round is late.
+	updateLifetime = (spokeRounds + updateRounds) * roundInterval
 
 	// busyRate is the number of requests per second from which a spoke reports its load; the
 	// platform's own checks reach each node about once a second.
 	busyRate = 2
 )
 
+// composedRound is a round whose messages were composed.
+type composedRound struct {
+	number int
+	at     time.Time
+}
+
 // target is a peer that gets a message in this round.
 type target struct {
 	Peer
@@ -210,6 +216,38 @@
 	return !maps.Equal(s.Versions, before.Versions) || !maps.Equal(s.Eras, before.Eras) || !maps.Equal(s.Kept, before.Kept)
 }
 
+// recordRound records that the messages of a round are composed.
+func (g *Gossip) recordRound(now time.Time, round int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.rounds = append(g.rounds, composedRound{round, now})
+	for len(g.rounds) > 1 && g.rounds[1].number <= round-spokeRounds-updateRounds {
+		g.rounds = g.rounds[1:]
+	}
+}
+
+// RecentWindow returns how long ago this node learned of the list entries that are recent for any peer.
+func (g *Gossip) RecentWindow(now time.Time) time.Duration { return g.recentWindow(now, spokeRounds) }
+
+// recentWindow returns how long ago this node learned of the list entries that are recent for peers that get a
+// message every given number of rounds. It is counted in the rounds that were sent: those of a process that gets
+// little time come late, and an entry must be in as many messages.
+func (g *Gossip) recentWindow(now time.Time, rounds int) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	window := time.Duration(rounds+updateRounds) * roundInterval
+	if len(g.rounds) == 0 {
+		return window
+	}
+	newest, from := g.rounds[len(g.rounds)-1].number, g.rounds[0].at
+	for _, r := range g.rounds {
+		if r.number <= newest-rounds-updateRounds {
+			from = r.at
+		}
+	}
+	return max(window, now.Sub(from))
+}
+
 // busy reports whether the node serves enough requests for its loads to matter.
 func (s *State) busy() bool { return s.Rate >= busyRate }
 
--- a/internal/gossip/cadence_test.go
+++ b/internal/gossip/cadence_test.go
@@ -165,7 +165,7 @@
 			p.heardAt = now
 		}
 		node.state = State{Crashing: []quarantine.GossipEntry{{Fingerprint: 1, Age: now.Sub(start)}, {Fingerprint: 2, Age: time.Hour}}}
-		if round*int(roundInterval) > int(UpdateLifetime) {
+		if round*int(roundInterval) > int(updateLifetime) {
 			node.state.Crashing = node.state.Crashing[1:]
 		}
 		for _, o := range g.compose(func() time.Time { return now }, round) {
@@ -193,6 +193,51 @@
 	}
 }
 
+// TestLateRoundsLoseNoUpdate guards against an entry that is in no message since the sender's rounds came late: peers
+// then learned of it seconds later, with the full state.
+func TestLateRoundsLoseNoUpdate(t *testing.T) {
+	for _, peers := range []int{4, 30} {
+		for _, late := range []time.Duration{0, 350 * time.Millisecond, 2 * time.Second} {
+			start := time.Unix(1000, 0)
+			g := newTestGossip(t, start, peers)
+			g.isHub = true
+			node := &fakeNode{}
+			g.node = node
+			got, want, learned, now := map[string]int{}, map[string]int{}, start.Add(time.Hour), start
+			const learnedIn = 21 // No peer gets its full state in the rounds after it.
+			for round := range fullStateRounds {
+				now = now.Add(roundInterval + late)
+				for _, p := range g.peers {
+					p.heardAt = now
+				}
+				node.state = State{}
+				if age := now.Sub(learned); age >= 0 && age <= g.RecentWindow(now) {
+					node.state.Crashing = []quarantine.GossipEntry{{Fingerprint: 1, Age: age}}
+				}
+				for _, o := range g.compose(func() time.Time { return now }, round) {
+					var state State
+					if err := cbor.Unmarshal(o.State, &state); err != nil {
+						t.Fatal(err)
+					}
+					got[o.to.Name] += len(state.Crashing)
+					want[o.to.Name] = 2
+					if o.to.rounds == spokeRounds {
+						want[o.to.Name] = 1 // Messages to idle spokes are too rare for two.
+					}
+				}
+				if round == learnedIn {
+					learned = now.Add(time.Millisecond)
+				}
+			}
+			for name, n := range got {
+				if n < want[name] || n > 6 {
+					t.Errorf("%d peers, rounds late by %v: %s got the entry %d times, want %d to 6", peers, late, name, n, want[name])
+				}
+			}
+		}
+	}
+}
+
 // TestEvictionsAreInTwoMessages checks that a peer gets each eviction in two messages whatever its
 // interval, so that the loss of one does not matter, and that idle spokes get none.
 func TestEvictionsAreInTwoMessages(t *testing.T) {
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -62,6 +62,7 @@
 		lastState  State // lastState is the state sent last.
 		urgent     bool  // urgent reports whether the next state has newer table versions or a new hub choice.
 		seq        uint32
+		rounds     []composedRound              // rounds are the newest rounds, the oldest first.
 		sentTimes  [sentHistory]time.Time       // sentTimes holds the send times of the newest messages by sequence number.
 		recentUses [usesHistory][]placement.Use // recentUses holds the prompt parts of the newest rounds by round; only send uses it.
 
--- a/internal/gossip/send.go
+++ b/internal/gossip/send.go
@@ -27,17 +27,12 @@
 }
 
 // selectEntries returns the entries of a list, sorted newest first, that go into a payload: all or
-// only recent ones. age returns how long ago the sender learned of an entry.
-func selectEntries[T any](c payloadKind, list []T, age func(T) time.Duration) []T {
+// only those within a window. age returns how long ago the sender learned of an entry.
+func selectEntries[T any](c payloadKind, window time.Duration, list []T, age func(T) time.Duration) []T {
 	if c.full {
 		return list
 	}
-	return news.Recent(list, age, c.recentWindow())
-}
-
-// recentWindow returns how long ago the sender learned of the entries that are recent for the payload.
-func (c payloadKind) recentWindow() time.Duration {
-	return time.Duration(c.rounds+updateRounds) * roundInterval
+	return news.Recent(list, age, window)
 }
 
 // send sends the messages of a round.
@@ -55,6 +50,7 @@
 	g.UpdateHubs(before)
 	targets := g.targets(before, round)
 	now := clock()
+	g.recordRound(now, round)
 	state := g.node.LocalState(now)
 	state.Nodes = g.advertisedCount()
 	state.TakesLoadUpdates = g.loadNode != nil
@@ -70,14 +66,14 @@
 	for _, to := range targets {
 		kind := payloadKind{rounds: to.rounds, full: to.sentCount%(fullStateRounds/to.rounds) == 0, withHubs: to.withHubs}
 		if encoded[kind] == nil {
-			s := g.stateFor(state, round, to.rounds)
-			s.Crashing = selectEntries(kind, state.Crashing, func(t quarantine.GossipEntry) time.Duration { return t.Age })
+			s, window := g.stateFor(state, round, to.rounds), g.recentWindow(now, to.rounds)
+			s.Crashing = selectEntries(kind, window, state.Crashing, func(t quarantine.GossipEntry) time.Duration { return t.Age })
 			if !kind.full {
-				s.CrashingParts = state.CrashingParts.Recent(kind.recentWindow())
+				s.CrashingParts = state.CrashingParts.Recent(window)
 			}
-			s.Limits = selectEntries(kind, state.Limits, func(t limit.GossipEntry) time.Duration { return t.Age })
-			s.Leaving = selectEntries(kind, state.Leaving, func(t discovery.GossipEntry) time.Duration { return t.Age })
-			s.PoolVersions = selectEntries(kind, state.PoolVersions, func(v pinning.PoolVersion) time.Duration { return v.Age })
+			s.Limits = selectEntries(kind, window, state.Limits, func(t limit.GossipEntry) time.Duration { return t.Age })
+			s.Leaving = selectEntries(kind, window, state.Leaving, func(t discovery.GossipEntry) time.Duration { return t.Age })
+			s.PoolVersions = selectEntries(kind, window, state.PoolVersions, func(v pinning.PoolVersion) time.Duration { return v.Age })
 			if kind.withHubs {
 				s.ChosenHubs = g.chosenHubInfo()
 			}
