Bodies of requests are bounded together

What operators saw: each body was bounded, all together were not. A node with memory_mb 200 had 350,457,856 bytes resident with 300 callers that held back the last byte of 1 MB, 544,817,152 when they named no length, and 1,022,107,648 with 8 forwarded requests of 60 MB from a faulty node; croftturn run had 977,707,008 with 100 callers of 4 MB. A machine with no more memory ends the process with the requests of all its other callers.

Cause and class: bytes kept before they are counted.

caller.BodyRoom: a quarter of memory_mb for request bodies, at run too, which did not read this setting; 0 bounds nothing, as before. A body takes its length once 64 KB have come, and a small one takes its own; one without a length takes more as it comes; a chat completion at run counts three times, as it is held three times. What exceeds the room gets 503 request_bodies_full, not run, with Retry-After, and a forwarded request 503, on which its first node chooses another. Bodies up to 64 KB have a quarter more room; a body that is alone is always taken.

--- a/internal/dispatch/refusal.go
+++ b/internal/dispatch/refusal.go
@@ -18,6 +18,9 @@
 	// BadRequest means that the request is malformed.
 	BadRequest Reason = "bad_request"
 
+	// BodiesFull means that the bodies of other requests take the memory that its body needs.
+	BodiesFull Reason = "request_bodies_full"
+
 	// TooSlow means that the caller did not send its request in time.
 	TooSlow Reason = "request_too_slow"
 
@@ -97,6 +100,7 @@
 	TooLarge:          http.StatusRequestEntityTooLarge,
 	BadRequest:        http.StatusBadRequest,
 	TooSlow:           http.StatusRequestTimeout,
+	BodiesFull:        http.StatusServiceUnavailable,
 	NotReady:          http.StatusServiceUnavailable,
 	Stale:             http.StatusServiceUnavailable,
 	Stopping:          http.StatusServiceUnavailable,
@@ -127,3 +131,6 @@
 func (r Reason) MayHaveRun() bool {
 	return r.Status() == http.StatusBadGateway || r.Status() == http.StatusGatewayTimeout
 }
+
+// NoRoomForBody returns the refusal of a request whose body has no room here. Another node may have some.
+func NoRoomForBody() *Refusal { return &Refusal{Reason: BodiesFull, RetryAfter: shortRetryAfter} }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -148,6 +148,7 @@
 	peerHTTP    *linger.Server // peerHTTP is that of servers which gets connections of peerServer; nil if there is none.
 	serverStats linger.Stats
 	reads       caller.BodyReads // reads are the requests that have not arrived whole.
+	bodies      caller.BodyRoom  // bodies bounds the memory of requests.
 	lateness    lateness.Gauge   // lateness is how late this process beats.
 	cancel      context.CancelFunc
 	wg          sync.WaitGroup
@@ -163,8 +164,8 @@
 // Start starts a node that writes its log to out; Close stops it.
 func Start(ctx context.Context, s *settings.Settings, out io.Writer) (*Edge, error) {
 	debug.SetGCPercent(gcPercent)
-	setMemoryLimit(s)
 	e := &Edge{settings: s, logWriter: logline.New(out), startedAt: clock.Now(), wakeConfig: make(chan struct{}, 1), wakeEngines: make(chan struct{}, 1), suspensionEnded: make(chan time.Duration, 1), incarnations: map[string]int64{}, firstAnswer: make(chan struct{}), eraBegan: make(chan struct{}, 1), removeClockHook: func() {}}
+	e.setMemory(s)
 	tele, err := telemetry.New(ctx, s, e.logWriter)
 	if err != nil {
 		return nil, errors.Join(fmt.Errorf("start telemetry: %w", err), e.logWriter.Close(ctx))
@@ -311,17 +312,17 @@
 		callerShare /= 2 // Callers have two addresses.
 	}
 	servers := []endpoint{
-		{s.CallerAddress, platform.NewIngress(e.dispatcher, platform.Timeouts{Read: ms(s.ReadTimeoutMs), Write: ms(s.WriteTimeoutMs)}, platform.WithReads(&e.reads)), callerShare},
+		{s.CallerAddress, platform.NewIngress(e.dispatcher, platform.Timeouts{Read: ms(s.ReadTimeoutMs), Write: ms(s.WriteTimeoutMs)}, platform.WithReads(&e.reads), platform.WithRoom(&e.bodies)), callerShare},
 		{s.DirectoryAddress, platform.NewDirectoryHandler(e, e.log), linger.OtherShare},
 		{s.ReadyAddress, platform.NewReadinessHandler(e), linger.OtherShare},
 		{s.AdminAddress, control, linger.OtherShare},
 	}
 	if s.ChatAddress != "" {
-		completions := front.NewCompletions(e.dispatcher, front.Limits{MaxBody: int64(s.MaxBodyBytes), WriteTimeout: ms(s.WriteTimeoutMs), ReadTimeout: ms(s.ReadTimeoutMs)}, e.log, front.WithReads(&e.reads))
+		completions := front.NewCompletions(e.dispatcher, front.Limits{MaxBody: int64(s.MaxBodyBytes), WriteTimeout: ms(s.WriteTimeoutMs), ReadTimeout: ms(s.ReadTimeoutMs)}, e.log, front.WithReads(&e.reads), front.WithRoom(&e.bodies))
 		servers = append(servers, endpoint{s.ChatAddress, completions, callerShare})
 	}
 	forwarded := http.NewServeMux()
-	forwarded.Handle("POST "+forward.Path, forward.NewHandler(e.dispatcher, forward.Limits{Read: ms(s.ReadTimeoutMs), Write: ms(s.WriteTimeoutMs)}, e.log, forward.WithReads(&e.reads)))
+	forwarded.Handle("POST "+forward.Path, forward.NewHandler(e.dispatcher, forward.Limits{Read: ms(s.ReadTimeoutMs), Write: ms(s.WriteTimeoutMs)}, e.log, forward.WithReads(&e.reads), forward.WithRoom(&e.bodies)))
 	if s.ForwardAddress != "" {
 		servers = append(servers, endpoint{s.ForwardAddress, forwarded, linger.OtherShare})
 	} else {
--- a/internal/edge/reload.go
+++ b/internal/edge/reload.go
@@ -23,7 +23,7 @@
 	}
 	e.proof.SetMaxAge(proofMaxAge(s))
 	e.budget.SetLimits(retryLimits(s))
-	setMemoryLimit(s)
+	e.setMemory(s)
 	if e.relayBudget != nil {
 		e.relayBudget.SetLimit(clock.Now(), relaybuf.Limit(s.MemoryMb))
 	}
@@ -56,8 +56,9 @@
 	return retry.Limits{Share: s.RetryShare, Extra: s.RetryExtra, Window: ms(s.RetryWindowMs)}
 }
 
-// setMemoryLimit sets the soft memory limit of the garbage collector.
-func setMemoryLimit(s *settings.Settings) {
+// setMemory sets the soft memory limit of the garbage collector, and what the bodies of requests may take.
+func (e *Edge) setMemory(s *settings.Settings) {
+	e.bodies.SetMemory(s.MemoryMb)
 	limit := int64(math.MaxInt64)
 	if s.MemoryMb > 0 {
 		limit = int64(memoryLimitShare * s.MemoryMb * (1 << 20))
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -1,9 +1,10 @@
 package forward
 
 import (
+	"bytes"
 	"context"
+	"errors"
 	"fmt"
-	"io"
 	"log/slog"
 	"net/http"
 	"time"
@@ -38,6 +39,7 @@
 		dispatcher Dispatcher
 		limits     Limits
 		reads      *caller.BodyReads
+		room       *caller.BodyRoom
 		log        *slog.Logger
 	}
 
@@ -56,6 +58,9 @@
 // WithReads sets what can interrupt the reading of requests.
 func WithReads(r *caller.BodyReads) Option { return func(h *Handler) { h.reads = r } }
 
+// WithRoom sets what bounds the memory of bodies.
+func WithRoom(r *caller.BodyRoom) Option { return func(h *Handler) { h.room = r } }
+
 // NewHandler returns the handler of forwarded requests.
 func NewHandler(d Dispatcher, l Limits, log *slog.Logger, opts ...Option) *Handler {
 	h := &Handler{dispatcher: d, limits: l, log: log}
@@ -71,7 +76,9 @@
 	read := clock.Now()
 	conn := caller.ConnOf(r.Context())
 	arrived, left := conn.Arrival(read)
-	req, err := h.read(w, r)
+	body := h.room.Open()
+	defer body.Close()
+	req, err := h.read(w, r, body)
 	if err == nil {
 		conn.SetRequest(req.ID)
 	}
@@ -84,7 +91,11 @@
 	if err != nil {
 		h.log.Warn("invalid forwarded request", "error", err.Error())
 		w.Header().Set("Connection", "close") // Otherwise the server reads the body before it sends the refusal.
-		http.Error(w, "invalid request", http.StatusBadRequest)
+		status := http.StatusBadRequest
+		if errors.Is(err, caller.ErrNoRoom) {
+			status = http.StatusServiceUnavailable
+		}
+		http.Error(w, "invalid request", status) // Its first node chooses another one.
 		return
 	}
 	req.Unread = read.Sub(arrived)
@@ -104,15 +115,15 @@
 	a.Finish()
 }
 
-// read reads a forwarded request. One that does not arrive before the node ends is refused like an invalid one, so that its
-// first node knows that it has not run.
-func (h *Handler) read(w http.ResponseWriter, r *http.Request) (*dispatch.Request, error) {
+// read reads a forwarded request. One that does not arrive before the node ends, or has no room, is refused like an invalid one,
+// so that its first node knows that it has not run.
+func (h *Handler) read(w http.ResponseWriter, r *http.Request, room *caller.Body) (*dispatch.Request, error) {
 	control := http.NewResponseController(w)
 	if err := control.SetReadDeadline(time.Now().Add(h.limits.Read)); err != nil {
 		return nil, fmt.Errorf("set read deadline: %w", err)
 	}
 	end := h.reads.Begin(control)
-	head, body, err := readMessage(w, r)
+	head, body, err := readMessage(w, r, room)
 	end() // Before the deadline is cleared: it must not be set again.
 	if err != nil {
 		return nil, err
@@ -124,16 +135,16 @@
 }
 
 // readMessage reads the head and the body of a forwarded request.
-func readMessage(w http.ResponseWriter, r *http.Request) (*requestHead, []byte, error) {
-	head := &requestHead{}
-	if err := readHead(r.Body, head); err != nil {
-		return nil, nil, err
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+func readMessage(w http.ResponseWriter, r *http.Request, room *caller.Body) (*requestHead, []byte, error) {
+	whole, err := room.Read(http.MaxBytesReader(w, r.Body, 4+maxHead+maxBody), r.ContentLength)
 	if err != nil {
-		return nil, nil, fmt.Errorf("read body: %w", err)
+		return nil, nil, fmt.Errorf("read request: %w", err)
+	}
+	head, body := &requestHead{}, bytes.NewReader(whole)
+	if err := readHead(body, head); err != nil {
+		return nil, nil, err
 	}
-	return head, body, nil
+	return head, whole[len(whole)-body.Len():], nil
 }
 
 // Refuse implements dispatch.AnswerWriter.
--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -6,7 +6,6 @@
 	"encoding/hex"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -16,6 +15,7 @@
 	"github.com/croftturn/croftturn/internal/caller"
 	"github.com/croftturn/croftturn/internal/clock"
 	"github.com/croftturn/croftturn/internal/config"
+	"github.com/croftturn/croftturn/internal/dispatch"
 	"github.com/croftturn/croftturn/internal/header"
 	"github.com/croftturn/croftturn/internal/quarantine"
 	"github.com/croftturn/croftturn/internal/sched"
@@ -26,6 +26,9 @@
 	// cacheable prefix, in bytes.
 	minPrefixBytes = 256
 
+	// decodedCopies is how often the process holds the body of a chat completion: as it came, decoded, and as it is sent.
+	decodedCopies = 3
+
 	// maxKeyBytes is the maximum length of an idempotency key, in bytes.
 	maxKeyBytes = 200
 )
@@ -77,7 +80,7 @@
 }
 
 // newCall authenticates a caller and reads the parts common to all requests.
-func (f *Front) newCall(w http.ResponseWriter, r *http.Request) (*call, *CallerError) {
+func (f *Front) newCall(w http.ResponseWriter, r *http.Request, room *caller.Body) (*call, *CallerError) {
 	view := f.views.View()
 	team, failure := authenticate(view, r)
 	if failure != nil {
@@ -100,7 +103,7 @@
 	marked := r.Header.Get(HeaderNotRepeatable)
 	c.notRepeatable = c.class.NotRepeatable || strings.EqualFold(marked, "true")
 	end := f.reads.Begin(http.NewResponseController(w))
-	c.body, failure = readBody(w, r, f.limits.MaxBody)
+	c.body, failure = readBody(w, r, room, f.limits.MaxBody)
 	if interrupted := end(); failure != nil && interrupted {
 		failure = f.refuseUnread(clock.Now(), w, c)
 	}
@@ -120,25 +123,38 @@
 	return team, nil
 }
 
-// readBody reads a body of at most limit bytes and refuses a truncated one.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *CallerError) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+// readBody reads a body of at most limit bytes and refuses a truncated one, and one that has no room.
+func readBody(w http.ResponseWriter, r *http.Request, room *caller.Body, limit int64) ([]byte, *CallerError) {
+	body, err := room.Read(http.MaxBytesReader(w, r.Body, limit), r.ContentLength)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return nil, &CallerError{Status: http.StatusRequestEntityTooLarge, Code: "body_too_large", Message: "the body is longer than " + strconv.FormatInt(tooLarge.Limit, 10) + " bytes"}
+	case errors.Is(err, caller.ErrNoRoom):
+		return nil, noRoom(w)
 	case err != nil:
 		return nil, &CallerError{Status: http.StatusBadRequest, Code: "body_cut_short", Message: "the body could not be read whole"}
 	}
 	return body, nil
 }
 
+// noRoom refuses a request whose body has no room and closes its connection: otherwise the server reads the body before it sends
+// the refusal.
+func noRoom(w http.ResponseWriter) *CallerError {
+	w.Header().Set("Connection", "close")
+	refusal := dispatch.NoRoomForBody()
+	return &CallerError{Status: refusal.Reason.Status(), Code: string(refusal.Reason), Message: caller.ErrNoRoom.Error(), RetryAfter: refusal.RetryAfter}
+}
+
 // readChat parses a chat completion request.
-func (f *Front) readChat(w http.ResponseWriter, r *http.Request) (*call, *CallerError) {
-	c, failure := f.newCall(w, r)
+func (f *Front) readChat(w http.ResponseWriter, r *http.Request, room *caller.Body) (*call, *CallerError) {
+	c, failure := f.newCall(w, r, room)
 	if failure != nil {
 		return nil, failure
 	}
+	if !room.Resize(decodedCopies * int64(len(c.body))) {
+		return nil, noRoom(w)
+	}
 	doc, failure := parseCompletion(c.body)
 	if failure != nil {
 		return nil, failure
@@ -162,13 +178,13 @@
 }
 
 // readService parses a service call.
-func (f *Front) readService(w http.ResponseWriter, r *http.Request) (*call, *CallerError) {
+func (f *Front) readService(w http.ResponseWriter, r *http.Request, room *caller.Body) (*call, *CallerError) {
 	name := r.PathValue("pool")
 	pool := f.views.View().Pool(name)
 	if pool == nil || pool.Kind != config.PoolKindService {
 		return nil, &CallerError{Status: http.StatusNotFound, Code: "pool_not_found", Message: "no service pool " + strconv.Quote(name)}
 	}
-	c, failure := f.newCall(w, r)
+	c, failure := f.newCall(w, r, room)
 	if failure != nil {
 		return nil, failure
 	}
--- a/internal/front/completions.go
+++ b/internal/front/completions.go
@@ -36,6 +36,7 @@
 		limits     Limits
 		log        *slog.Logger
 		reads      *caller.BodyReads
+		room       *caller.BodyRoom
 	}
 
 	// CompletionsOption configures Completions.
@@ -53,6 +54,9 @@
 // WithReads sets what can interrupt the reading of bodies.
 func WithReads(r *caller.BodyReads) CompletionsOption { return func(c *Completions) { c.reads = r } }
 
+// WithRoom sets what bounds the memory of bodies.
+func WithRoom(r *caller.BodyRoom) CompletionsOption { return func(c *Completions) { c.room = r } }
+
 // NewCompletions returns a handler for the completions endpoint.
 func NewCompletions(d Dispatcher, l Limits, log *slog.Logger, opts ...CompletionsOption) http.Handler {
 	c := &Completions{dispatcher: d, limits: l, log: log}
@@ -89,8 +93,15 @@
 		a.Refuse(*refusal)
 		return
 	}
-	failure, interrupted := c.read(w, r, req)
+	body := c.room.Open()
+	defer body.Close()
+	failure, interrupted := c.read(w, r, req, body)
 	switch {
+	case failure != nil && failure.Code == string(dispatch.BodiesFull):
+		refusal := dispatch.NoRoomForBody()
+		c.dispatcher.Refused(clock.Now(), req, refusal)
+		a.Refuse(*refusal)
+		return
 	case interrupted:
 		refusal := dispatch.NotRunAtStop()
 		c.dispatcher.Refused(clock.Now(), req, refusal)
@@ -122,13 +133,13 @@
 }
 
 // read reads and decodes the body into req, within the read timeout. interrupted is set if the node ends before.
-func (c *Completions) read(w http.ResponseWriter, r *http.Request, req *dispatch.Request) (failure *CallerError, interrupted bool) {
+func (c *Completions) read(w http.ResponseWriter, r *http.Request, req *dispatch.Request, room *caller.Body) (failure *CallerError, interrupted bool) {
 	control := http.NewResponseController(w)
 	if err := control.SetReadDeadline(time.Now().Add(c.limits.ReadTimeout)); err != nil {
 		return &CallerError{Status: http.StatusInternalServerError, Code: "internal", Message: "the reading of the body can't be bounded"}, false
 	}
 	end := c.reads.Begin(control)
-	body, failure := readBody(w, r, c.limits.MaxBody)
+	body, failure := readBody(w, r, room, c.limits.MaxBody)
 	interrupted = end()
 	if err := control.SetReadDeadline(time.Time{}); err != nil {
 		c.log.Debug("failed to clear the read deadline", "request", req.ID, "error", err.Error())
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -61,6 +61,7 @@
 		MaxBody       int64         // MaxBody is in bytes.
 		WriteTimeout  time.Duration // WriteTimeout bounds one write to a caller.
 		ReadTimeout   time.Duration // ReadTimeout bounds the reading of a completion's body.
+		MemoryMB      float64       // MemoryMB is what the process may use; 0 for no limit.
 		EntryPointTTL time.Duration // EntryPointTTL is how long callers may cache the entry points.
 	}
 
@@ -84,6 +85,7 @@
 		onCrash    func()
 		active     activeCalls
 		reads      caller.BodyReads
+		room       caller.BodyRoom
 		mux        *http.ServeMux
 	}
 
@@ -102,7 +104,12 @@
 }
 
 // WithLimits sets the limits on requests.
-func WithLimits(l Limits) Option { return func(f *Front) { f.limits = l } }
+func WithLimits(l Limits) Option {
+	return func(f *Front) {
+		f.limits = l
+		f.room.SetMemory(l.MemoryMB)
+	}
+}
 
 // New returns a Front with its routes registered.
 func New(views Views, members Members, peers PeerCaller, engines *engine.Client, j *journal.Journal, tele *telemetry.Telemetry, opts ...Option) *Front {
--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -12,6 +12,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/croftturn/croftturn/internal/broker"
+	"github.com/croftturn/croftturn/internal/caller"
 	"github.com/croftturn/croftturn/internal/clock"
 	"github.com/croftturn/croftturn/internal/engine"
 	"github.com/croftturn/croftturn/internal/journal"
@@ -63,8 +64,10 @@
 
 // handle parses a call and serves it here, or forwards it to the process that
 // issued its ticket.
-func (f *Front) handle(w http.ResponseWriter, r *http.Request, read func(http.ResponseWriter, *http.Request) (*call, *CallerError), with func(c *call) exchange) {
-	c, failure := read(w, r)
+func (f *Front) handle(w http.ResponseWriter, r *http.Request, read func(http.ResponseWriter, *http.Request, *caller.Body) (*call, *CallerError), with func(c *call) exchange) {
+	room := f.room.Open()
+	defer room.Close()
+	c, failure := read(w, r, room)
 	if failure != nil {
 		f.fail(w, "", failure)
 		return
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -152,7 +152,7 @@
 		front.WithScheduler(config.PoolSchedulerRoundRobin, sched.NewRoundRobin(n.store)),
 		front.WithQuarantine(n.quarantine, n.parts, n.noteCrash),
 		front.WithClaims(n.claims, claim.NewIssuer(now, s.Instance, self.Incarnation, ms(s.TicketLifeMs)), claim.NewRegistry(ms(s.TicketLifeMs))),
-		front.WithLimits(front.Limits{MaxBody: int64(s.MaxBodyBytes), WriteTimeout: ms(s.WriteTimeoutMs), EntryPointTTL: ms(s.EntryKeepMs)}),
+		front.WithLimits(front.Limits{MaxBody: int64(s.MaxBodyBytes), WriteTimeout: ms(s.WriteTimeoutMs), MemoryMB: s.MemoryMb, EntryPointTTL: ms(s.EntryKeepMs)}),
 	)
 	n.admin = admin.New(n.store, n.keeper, n.table, n.client, n, log,
 		admin.WithBootstrap(s.BootstrapTokenSha256), admin.WithAccepted(n.members.SendNow),
--- a/internal/relaybuf/budget.go
+++ b/internal/relaybuf/budget.go
@@ -140,7 +140,7 @@
 	return &Account{budget: b, cut: cut, caller: c, lastUnread: -1}
 }
 
-// AddBody counts the body of a request, which is never refused. n is negative when it is released.
+// AddBody counts the body of a request, which is never refused here. n is negative when it is released.
 func (b *Budget) AddBody(now time.Time, n int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/lab/proofs/endless_test.go
+++ b/lab/proofs/endless_test.go
@@ -195,3 +195,58 @@
 	}
 	t.Logf("%d answers without end ended, %d callers left; %d sound calls, the longest took %v", ended.Load(), left.Load(), sound, late)
 }
+
+// TestRequestBodiesDoNotTakeTheMemoryOfRun guards against a process that runs out of memory, since each body is bounded and all
+// together are not, and against small requests that are refused because of large ones.
+func TestRequestBodiesDoNotTakeTheMemoryOfRun(t *testing.T) {
+	const memoryMB, callers, bodyBytes, bodyTime = 200, 100, 4 << 20, 4 * time.Second
+	r := start(t, cluster.Options{Nodes: 1, Engines: 1, Services: 1, Slots: 16, Queue: 16, Settings: func(_ int, s map[string]any) { s["memory_mb"] = memoryMB }})
+	node, began := r.Nodes[0], time.Now()
+	const chat = `{"model":"desk-1","max_tokens":4,"messages":[{"role":"user","content":"hello"}]}`
+	var refused, served atomic.Int64
+	var large sync.WaitGroup
+	for i := range callers {
+		path, end := "/services/bids/x", "x"
+		if i%2 == 0 {
+			path, end = "/v1/chat/completions", chat
+		}
+		large.Go(func() {
+			rest, w := io.Pipe()
+			defer rest.Close()
+			time.AfterFunc(bodyTime, func() { _, _ = io.WriteString(w, end); w.Close() }) // A refused caller reads no more.
+			req, err := http.NewRequest(http.MethodPost, "http://"+node.Caller+path, io.MultiReader(strings.NewReader(strings.Repeat(" ", bodyBytes-len(end))), rest))
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			req.ContentLength = bodyBytes
+			req.Header.Set("Authorization", "Bearer "+alfa.Token)
+			resp, err := http.DefaultClient.Do(req)
+			switch took := time.Since(began); {
+			case err != nil:
+				t.Errorf("a large call got no answer: %v", err)
+				return
+			case resp.StatusCode == http.StatusOK:
+				served.Add(1)
+			case resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get(front.HeaderOutcome) != front.OutcomeNotRun || resp.Header.Get("Retry-After") == "":
+				t.Errorf("a large call got status %d, %v after %v", resp.StatusCode, resp.Header, took)
+			default:
+				refused.Add(1)
+			}
+			resp.Body.Close()
+		})
+	}
+	for try := 0; time.Since(began) < bodyTime+time.Second; try++ {
+		ctx, cancel := context.WithTimeout(t.Context(), soundTime)
+		if whole, err := callRun(ctx, node, []string{"/services/bids/x", "/v1/chat/completions"}[try%2], []string{"x", chat}[try%2], "", true); !whole {
+			t.Errorf("the small call %d got no whole answer: %v", try, err)
+		}
+		cancel()
+	}
+	large.Wait()
+	peak, err := node.PeakMemory()
+	if most := memoryMB << 20 / 4 / bodyBytes; err != nil || node.Exited() || peak > memoryMB<<20 || served.Load() == 0 || int(served.Load()) > most {
+		t.Errorf("the node had up to %d bytes, %d MB allowed; %d large calls were served, %d may; exited: %t, %v", peak, memoryMB, served.Load(), most, node.Exited(), err)
+	}
+	t.Logf("the node had up to %d MB; %d large calls were served, %d refused", peak>>20, served.Load(), refused.Load())
+}
