Dispatch: a long request that may be repeated is not ended at an engine that responds

Cause: the attempt was ended after twice the target, and the second ran as long and did not fit into what was left. Class: silence that is as long as the work taken for failure, and the old let go before the new is certain.

Change: after twice the target the engine counts as failing only if it has sent this node nothing lately and does not answer a call that runs nothing. Then another engine runs the request beside it, as early as before. Where it responds, another one does so only while a run of the usual time just fits, and within an allowance of a thirtieth of the time of answered runs; the first that answers is used. Pools of models, where no two engines may run a request at once, wait for an engine that responds. Streams before their first event likewise.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -55,6 +55,7 @@
 		proof         *freshness.Proof
 		placement     *placement.Placement
 		budget        *retry.Budget
+		allowance     retry.Allowance
 		queues        queues
 		overloads     overloads
 		crashes       crashDetector
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -151,6 +151,9 @@
 // handleRejection handles an engine that did not run the request.
 func (x *exchange) handleRejection(now time.Time, cause error) (again bool) {
 	x.refusal = Refusal{Reason: x.unlessMayHaveRun(EnginesFull), RetryAfter: fullRetryAfter}
+	if !x.beside.none() && now.Before(x.deadline) {
+		return true // Another engine has it already.
+	}
 	next, ok := x.pickEngine(now, x.placementRequest())
 	if ok && !next.Full && x.sent < x.route.MaxEngines && now.Before(x.deadline) && x.useRetry(now, cause) {
 		return true
@@ -230,6 +233,9 @@
 	if x.via != "" {
 		return // The other node has recorded the rest.
 	}
+	if x.route.Repeatable() {
+		x.d.allowance.Answered(x.pool, now.Sub(x.sentAt))
+	}
 	if x.route.Kind == routing.Stream && x.interactive() {
 		x.d.placement.NoteAnswer(x.choice, x.events, now.Sub(x.firstEventAt))
 	}
@@ -335,7 +341,11 @@
 	var events atomic.Int64
 	begun := x.answerBegun
 	passedOn := func() bool { return events.Load() > 0 }
-	abandon, address := x.abandonSlow(cancel, x.canMove(passedOn)), x.choice.Engine.Address
+	abandon, address, call := x.abandonSlow(cancel, x.canMove(passedOn)), x.choice.Engine.Address, x.call
+	// Before its first event a stream may be as silent as its prompt is long, at any engine.
+	works := func(now time.Time) bool {
+		return call.HeardSince(now.Add(-streamStallTimeout)) || x.reach != nil && x.reach.Answers(ctx, now, address, maxAskTime)
+	}
 	stall = time.AfterFunc(streamStallTimeout, func() {
 		now, before := clock.Now(), events.Load()
 		accepts := x.reach != nil && x.reach.Accepts(ctx, address)
@@ -345,7 +355,7 @@
 		readUnread(ctx)
 		hasPart := begun || before > 0
 		mustFit := accepts || !hasPart // An engine that is gone ends no answer that has begun.
-		for ctx.Err() == nil && events.Load() == before && !abandon(mustFit, hasPart) {
+		for ctx.Err() == nil && events.Load() == before && (!hasPart && works(clock.Now()) || !abandon(mustFit, hasPart)) {
 			pause.For(ctx, stallRecheck)
 		}
 	})
--- a/internal/dispatch/resend.go
+++ b/internal/dispatch/resend.go
@@ -7,13 +7,10 @@
 
 	"github.com/croftturn/croftturn/internal/clock"
 	"github.com/croftturn/croftturn/internal/pause"
+	"github.com/croftturn/croftturn/internal/placement"
 )
 
 const (
-	// firstByteTargets is how long a repeatable request waits for the first byte of an engine
-	// before it goes to another, as a multiple of its target.
-	firstByteTargets = 2
-
 	// restartSilence is how long a request may get no sign of life from an engine that is known to
 	// have restarted before it is assumed to have been sent to the previous incarnation. It is
 	// twice the time that an entry takes from the store to a node by way of another node (a delay
@@ -36,22 +33,6 @@
 	errEngineRestarted = errors.New("dispatch: engine restarted")
 )
 
-// watchFirstByte abandons an attempt whose engine sends nothing for too long, if another engine may
-// be tried. The context is that of the attempt; answered reports whether an answer has come.
-func (x *exchange) watchFirstByte(ctx context.Context, cancel context.CancelCauseFunc, answered func() bool) *time.Timer {
-	if !x.mayTryNext() || x.route.Target <= 0 {
-		return time.NewTimer(clock.Until(x.deadline))
-	}
-	begun := x.answerBegun
-	abandon := x.abandonSlow(cancel, x.canMove(func() bool { return false }))
-	return time.AfterFunc(firstByteTargets*x.route.Target, func() {
-		readUnread(ctx)
-		if ctx.Err() == nil && !answered() {
-			abandon(true, begun)
-		}
-	})
-}
-
 // readUnread returns once the process has run for unreadTime without a break, or the context has ended.
 func readUnread(ctx context.Context) {
 	for range unreadTries {
@@ -99,9 +80,8 @@
 // watchRestart ends an attempt whose engine has restarted: the request no longer runs there, and
 // its connection may stay silent until the deadline. An answer may have been sent before the restart
 // and not be read because its caller lags, so only time in which it is read counts as silence.
-func (x *exchange) watchRestart(ctx context.Context, cancel context.CancelCauseFunc) {
+func (x *exchange) watchRestart(ctx context.Context, cancel context.CancelCauseFunc, call *placement.Call) {
 	var (
-		call   = x.call
 		lostAt time.Time
 		check  func()
 	)
@@ -145,6 +125,9 @@
 // the retry budget. That of the next node is charged if this one has none left for a request that was forwarded:
 // requests count at the node that places them.
 func (x *exchange) retry(now time.Time, cause error) bool {
+	if !x.beside.none() && now.Before(x.deadline) {
+		return true // Another engine has it already.
+	}
 	if !x.route.Repeatable() || x.sent >= x.route.MaxEngines || !now.Before(x.deadline) {
 		return false
 	}
--- a/internal/dispatch/run_times.go
+++ b/internal/dispatch/run_times.go
@@ -14,6 +14,10 @@
 	// time, answers are made one by one.
 	outputWeight = 10
 
+	// usualPart is the share of runs that end within the usual time, and fewestUsual how many must be known to tell.
+	usualPart   = 0.9
+	fewestUsual = 10
+
 	// sizeSteps is into how many size classes each power of two is divided, by sizeStepBits bits: a request is larger than the
 	// smallest of its class by a quarter at most, which leastRunMargin covers. Sizes of more than maxSizeBits bits share a class.
 	sizeStepBits = 2
@@ -39,8 +43,9 @@
 	routeRuns struct {
 		began           time.Time // began is when the present window began.
 		count, before   map[size]int
-		longest, former time.Duration // former is the longest of the window before.
-		large, wasLarge bool          // large is set if an answer was relayed before it was whole, wasLarge for the window before.
+		took, tookLast  [sizeClasses]int32 // took counts runs by the class of their time in milliseconds, tookLast those of the window before.
+		longest, former time.Duration      // former is the longest of the window before.
+		large, wasLarge bool               // large is set if an answer was relayed before it was whole, wasLarge for the window before.
 	}
 )
 
@@ -74,6 +79,7 @@
 	defer t.mu.Unlock()
 	r := t.current(now, route)
 	r.count[s]++
+	r.took[sizeClass(int(took.Milliseconds()))]++
 	r.longest = max(r.longest, took)
 }
 
@@ -104,7 +110,7 @@
 		t.routes[route] = r
 	}
 	if now.Sub(r.began) >= runTimesWindow {
-		*r = routeRuns{began: now, count: map[size]int{}, before: r.count, former: r.longest, wasLarge: r.large}
+		*r = routeRuns{began: now, count: map[size]int{}, before: r.count, tookLast: r.took, former: r.longest, wasLarge: r.large}
 	}
 	return r
 }
@@ -120,6 +126,38 @@
 	return max(r.longest, r.former)
 }
 
+// usual returns the time within which usualPart of the recent runs of a route have ended, rounded up to its class; 0 if too few
+// are known.
+func (t *runTimes) usual(route string) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.routes[route]
+	if r == nil {
+		return 0
+	}
+	total := int32(0)
+	for i := range r.took {
+		total += r.took[i] + r.tookLast[i]
+	}
+	if total < fewestUsual {
+		return 0
+	}
+	seen, class := int32(0), 0
+	for ; float64(seen) < usualPart*float64(total); class++ {
+		seen += r.took[class] + r.tookLast[class]
+	}
+	return time.Duration(classEnd(class-1)) * time.Millisecond
+}
+
+// classEnd returns the smallest number above those of a class.
+func classEnd(class int) int {
+	if class < sizeSteps {
+		return class + 1
+	}
+	length := class/sizeSteps + sizeStepBits
+	return (sizeSteps + class%sizeSteps + 1) << (length - 1 - sizeStepBits)
+}
+
 // known returns how many recent runs of a route are known of requests at least as large, 0 if an end might break off an answer
 // that has begun.
 func (t *runTimes) known(route string, s size) int {
--- a/internal/dispatch/silent_test.go
+++ b/internal/dispatch/silent_test.go
@@ -59,6 +59,12 @@
 
 // newPausing returns a dispatcher, and engines of which the first that gets a stream pauses in it, and the second before it.
 func newPausing(t *testing.T, accepts bool, pause, second time.Duration) (*fakeSender, *dispatch.Dispatcher, *placement.Placement) {
+	t.Helper()
+	return newPausingWith(t, silentProber(accepts), pause, second)
+}
+
+// newPausingWith is newPausing with a prober.
+func newPausingWith(t *testing.T, prober reach.Prober, pause, second time.Duration) (*fakeSender, *dispatch.Dispatcher, *placement.Placement) {
 	t.Helper()
 	e := &fakeSender{serve: func(ctx context.Context, n int, a dispatch.Attempt) (*dispatch.Response, error) {
 		resp := respond(200, "")
@@ -73,7 +79,7 @@
 		p.Set(placement.Engine{ID: id, Pool: "p", Hall: "hall", Slots: 8})
 	}
 	proof.Renew(now)
-	m := reach.New(p, silentProber(accepts), func(string) {}, log)
+	m := reach.New(p, prober, func(string) {}, log)
 	t.Cleanup(m.Close)
 	d := dispatch.New(proof, p, retry.New(now, retry.Limits{Extra: 5, Window: 10 * time.Second}, func() int { return 1 }), e, retryObserver{}, log, dispatch.WithReach(m))
 	d.SetTable(table(1, "k"))
@@ -97,6 +103,27 @@
 	}
 }
 
+// workingProber says that engines answer calls that run nothing.
+type workingProber struct{ silentProber }
+
+func (workingProber) Probe(context.Context, string) (connected, answered bool) { return true, true }
+
+// TestStreamStaysAtAWorkingEngineBeforeItsFirstEvent guards against streams with long prompts that are begun anew, and late or
+// never answered for that.
+func TestStreamStaysAtAWorkingEngineBeforeItsFirstEvent(t *testing.T) {
+	const prompt, patience = 2500 * time.Millisecond, 4 * time.Second
+	e, d, _ := newPausingWith(t, workingProber{true}, 0, prompt)
+	e.serve = func(ctx context.Context, _ int, _ dispatch.Attempt) (*dispatch.Response, error) {
+		resp := respond(200, "")
+		resp.Length, resp.Body = -1, io.NopCloser(&pausingStream{ctx: ctx, pieces: []string{"", "id: 1\ndata: x\n\n"}, pause: prompt})
+		return resp, nil
+	}
+	d.Table().Route("h", "/resumable/x").Timeout = patience
+	if a := servePatience(t, d, "resumable", patience); e.sentCount() != 1 || a.aborted || a.body.String() != "id: 1\ndata: x\n\n" {
+		t.Errorf("sent %d times, body %q, aborted %v, refusal %+v", e.sentCount(), a.body.String(), a.aborted, a.refusal)
+	}
+}
+
 // TestSilentEngineKeepsItsStreamsWhereNoOtherEndsThemInTime guards against begun streams of a stopping node that are taken from an
 // engine which would have ended them in time, for one that does not, and against ones that stay at an engine which is gone.
 func TestSilentEngineKeepsItsStreamsWhereNoOtherEndsThemInTime(t *testing.T) {
--- a/internal/dispatch/walk.go
+++ b/internal/dispatch/walk.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -75,6 +76,8 @@
 	written       writeRecord       // written tells when the request was last written
 	choice        placement.Choice
 	call          *placement.Call
+	beside        *beside        // beside are the attempts beside the current one; nil if there can be none
+	siblings      sync.WaitGroup // siblings counts those that have not returned
 	refusal       Refusal
 	via           string      // via is the node that the request was last forwarded to; empty if this node sent it
 	forwardFailed bool        // forwardFailed is set if no other node took the request
@@ -106,6 +109,8 @@
 		x.refuse(*refusal)
 		return
 	}
+	defer x.siblings.Wait()
+	defer func() { x.beside.end() }()
 	for {
 		again := x.attempt(ctx)
 		if !again {
@@ -124,6 +129,9 @@
 		x.refuseExpired()
 		return false
 	}
+	if !x.beside.none() {
+		return x.awaitBeside(ctx)
+	}
 	if refusal := x.awaitLink(ctx); refusal != nil {
 		x.refuse(x.unlessStopping(ctx, clock.Now(), *refusal))
 		return false
@@ -212,16 +220,18 @@
 }
 
 // send sends the request to the chosen engine and reports whether another should be tried.
-func (x *exchange) send(ctx context.Context, now time.Time) (again bool) {
-	ctx, cancel := context.WithCancelCause(ctx)
+func (x *exchange) send(whole context.Context, now time.Time) (again bool) {
+	ctx, cancel := context.WithCancelCause(whole)
 	defer cancel(nil)
-	x.watchRestart(ctx, cancel)
-	var answered atomic.Bool
-	watch, silence := x.watchFirstByte(ctx, cancel, answered.Load), x.watchSilence(now)
-	resp, err := x.d.sender.Send(ctx, x.req, x.attemptFor(x.choice.Engine))
-	answered.Store(true)
+	x.watchRestart(ctx, cancel, x.call)
+	watch, silence := x.watchFirstByte(whole, cancel), x.watchSilence(now)
+	resp, err := x.d.sender.Send(ctx, x.req, x.attemptFor(x.choice))
 	watch.Stop()
 	silence.Stop()
+	if s := x.countBeside(answers(resp, err)); s != nil && (answers(resp, err) || errors.Is(context.Cause(ctx), errAnsweredBeside)) {
+		x.loseTo(s, resp, err)
+		return x.adopt(s)
+	}
 	if err != nil {
 		return x.handleSendError(ctx, err)
 	}
@@ -336,17 +346,17 @@
 }
 
 // attemptFor returns what is sent to an engine.
-func (x *exchange) attemptFor(e placement.Engine) Attempt {
-	return Attempt{Engine: e, SendBefore: x.sendBefore, Team: x.teamName(), TransferFrom: x.choice.TransferFrom, Urgency: x.urgency(), Deadline: x.deadline, LastEventID: x.lastEventID, Hooks: x.hooks(x.mayWriteTo(x.choice)),
+func (x *exchange) attemptFor(c placement.Choice) Attempt {
+	return Attempt{Engine: c.Engine, SendBefore: x.sendBefore, Team: x.teamName(), TransferFrom: c.TransferFrom, Urgency: x.urgencyAt(c), Deadline: x.deadline, LastEventID: x.lastEventID, Hooks: x.hooks(x.mayWriteTo(c)),
 		OpenOnly: x.mayForward() && x.reach.Unconnectable()}
 }
 
-// urgency returns the urgency of the request at the chosen engine. If slots are scarce, all
+// urgencyAt returns the urgency of the request at a chosen engine. If slots are scarce, all
 // requests have the lowest urgency of their pool: an engine without free slots preempts running
 // requests for more urgent ones, which delays the streams of the preempted and repeats their
 // prefill. Which request gets a slot has been decided by this node.
-func (x *exchange) urgency() int {
-	if x.choice.SlotsScarce {
+func (x *exchange) urgencyAt(c placement.Choice) int {
+	if c.SlotsScarce {
 		return x.d.Table().LastUrgency(x.pool)
 	}
 	return routing.Urgency(x.route, x.team)
@@ -413,7 +423,7 @@
 // another one or by way of another node.
 func (x *exchange) tryNextUnsent(now time.Time) (again bool) {
 	x.unreachable++
-	if now.Before(x.deadline) && (x.unreachable < maxUnreachable || x.mustForward()) {
+	if now.Before(x.deadline) && (!x.beside.none() || x.unreachable < maxUnreachable || x.mustForward()) {
 		return true
 	}
 	x.refuse(Refusal{Reason: x.unlessMayHaveRun(NoEngine), RetryAfter: shortRetryAfter})
--- a/internal/placement/call.go
+++ b/internal/placement/call.go
@@ -216,6 +216,13 @@
 	return now.Sub(c.lastSign)
 }
 
+// HeardSince reports whether the engine has sent this node something, for any request, after a time at which it had this one.
+func (c *Call) HeardSince(t time.Time) bool {
+	c.p.mu.Lock()
+	defer c.p.mu.Unlock()
+	return c.engine.lastData.After(t) || c.engine.answeredAt.After(t)
+}
+
 // OnLost registers a function to call once the engine is known to have restarted after the
 // request was sent. If that is already known, it calls the function at once.
 func (c *Call) OnLost(f func()) {
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -33,6 +33,9 @@
 	// probeTimeout bounds one probe. It leaves an answer the time of one that waits for another step.
 	probeTimeout = 400 * time.Millisecond
 
+	// askedTTL is how long an answer is kept; longer than any call takes.
+	askedTTL = 2 * time.Second
+
 	// acceptTimeout bounds the check whether an engine accepts connections.
 	acceptTimeout = 250 * time.Millisecond
 )
@@ -68,6 +71,13 @@
 		pools map[string]*Pool
 	}
 
+	// ask is one engine being asked whether it responds. answers is set before done is closed.
+	ask struct {
+		at      time.Time
+		done    chan struct{}
+		answers bool
+	}
+
 	// Pool is the connectivity of this node to the engines of one pool.
 	Pool struct {
 		m    *Monitor
@@ -80,6 +90,7 @@
 		unreachable   bool            // unreachable is set if enough engines have failed.
 		unconnectable bool            // unconnectable is set if enough engines accept no connection.
 		probing       bool            // probing is set while the pool is being probed.
+		asked         map[string]*ask // asked holds the newest answers of engines that were asked whether they respond, by address.
 	}
 )
 
@@ -312,6 +323,46 @@
 	return p.m.prober.Accepts(ctx, address)
 }
 
+// Answers reports whether an engine answers a call that runs nothing within a time. All requests share an answer that is no
+// older than that.
+func (p *Pool) Answers(ctx context.Context, now time.Time, address string, within time.Duration) bool {
+	p.mu.Lock()
+	a := p.asked[address]
+	if a == nil || now.Sub(a.at) > within {
+		a = &ask{at: now, done: make(chan struct{})}
+		p.forgetAsked(now)
+		p.asked[address] = a
+		started := p.m.start(func() {
+			defer close(a.done)
+			ctx, cancel := context.WithTimeout(p.m.ctx, within)
+			defer cancel()
+			_, a.answers = p.m.prober.Probe(ctx, address)
+		})
+		if !started {
+			close(a.done)
+		}
+	}
+	p.mu.Unlock()
+	select {
+	case <-a.done:
+		return a.answers
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// forgetAsked forgets old answers. The caller must hold the lock.
+func (p *Pool) forgetAsked(now time.Time) {
+	if p.asked == nil {
+		p.asked = map[string]*ask{}
+	}
+	for address, a := range p.asked {
+		if now.Sub(a.at) > askedTTL {
+			delete(p.asked, address)
+		}
+	}
+}
+
 // OthersAccept reports whether an engine of the pool other than a given one accepts a connection now, or
 // there is no other. An answer would show no more of the way there, and busy engines take their time.
 func (p *Pool) OthersAccept(ctx context.Context, engine string) bool {
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -62,14 +62,26 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.window(pool)
-	allowed := b.limits.Share*float64(w.requests.Sum(now)) + b.limits.Extra/float64(max(1, b.nodes()))
-	if float64(w.retries.Sum(now)+1) > allowed {
+	if float64(w.retries.Sum(now)+1) > b.allowed(now, w) {
 		return false
 	}
 	w.retries.Add(now)
 	return true
 }
 
+// Spare reports whether at least half of the retries of a pool are left. It counts nothing.
+func (b *Budget) Spare(now time.Time, pool string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.window(pool)
+	return float64(w.retries.Sum(now)+1) <= b.allowed(now, w)/2
+}
+
+// allowed returns how many retries a pool has in all. The caller holds the lock.
+func (b *Budget) allowed(now time.Time, w *window) float64 {
+	return b.limits.Share*float64(w.requests.Sum(now)) + b.limits.Extra/float64(max(1, b.nodes()))
+}
+
 // window returns the window of a pool. The caller holds the lock.
 func (b *Budget) window(pool string) *window {
 	w := b.pools[pool]
