--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -87,6 +87,7 @@
 	{"engine leaves", 2500 * time.Millisecond, false, drainEngine},
 	{"engine leaves, its entry ready", 2500 * time.Millisecond, false, drainByHeader},
 	{"engine names a limit", 2 * time.Second, false, advertiseLimit},
+	{faultLong, time.Second, false, sendLongPairs},
 	{"engine silent for a moment", silenceTime, false, silenceEngine},
 	{"engines brittle", 2 * time.Second, false, makeBrittle},
 	{"engine asks for rest", 4 * time.Second, false, sendRetryAfter},
--- a/lab/soak/ledger.go
+++ b/lab/soak/ledger.go
@@ -60,6 +60,7 @@
 		cuts        []cut
 		brittle     []brittlePeriod
 		silences    []silence
+		pairs       []longPair
 		partSeries  []partSeries
 		streamTries []streamTry
 
@@ -209,6 +210,7 @@
 	out = append(out, l.cutByStops()...)
 	out = append(out, l.endedWithoutAnswer()...)
 	out = append(out, l.startsAfterUnreadDrains()...)
+	out = append(out, l.longLost()...)
 	for id, e := range l.results {
 		out = append(out, l.requestViolations(id, e)...)
 	}
--- a/lab/soak/planted_test.go
+++ b/lab/soak/planted_test.go
@@ -54,6 +54,7 @@
 	{"each node keeps to a limit by itself", "had advertised a limit", "engine names a limit", "internal/limit/permits.go", "case node.Self:", "case node.Self || !req.Forwarded:"},
 	{"brittle engines get as many requests as others", "fell over", "engines brittle", "internal/placement/brittle.go", "if e.Slots <= 0 || !known.brittle(now) {", "if e.Slots <= 0 || !known.brittle(now) || len(known.engines) > 0 {"},
 	{"a stream leaves an engine that is silent for a moment", "it fell silent", "engine silent for a moment", "internal/dispatch/relay.go", "accepts := x.reach != nil && x.reach.Accepts(ctx, address)", "accepts := x.reach == nil && x.reach.Accepts(ctx, address)"},
+	{"long requests leave engines that respond", "that ran as long were answered", faultLong, "internal/dispatch/beside.go", "pause.For(w.ctx, after)", "pause.For(w.ctx, after)\n\t\t\tw.abandon(true, w.begun)"},
 	{"a rest is forgotten", "a Retry-After of", "engine asks for rest", "internal/placement/rest.go", "return r.until", "return time.Time{}"},
 	{"a hall that is evacuated gets new requests", "was evacuated", "hall evacuated", "internal/placement/placement.go", "if !e.Draining && !p.evacuated[e.Hall] {", "if !e.Draining {"},
 	{"a reload ends the process", "exited unexpectedly", "hang up a node", "cmd/croftturn/main.go", "signal.Notify(c, syscall.SIGHUP)", ""},
--- a/lab/soak/world.go
+++ b/lab/soak/world.go
@@ -69,6 +69,8 @@
 
 		brittleMu sync.Mutex // brittleMu is held while engines are brittle.
 
+		pairsMu sync.Mutex // pairsMu is held while pairs of long requests are sent, for which engines have slots.
+
 		platform *platform.Platform
 
 		writeMu sync.Mutex               // writeMu is held while a row is written.
