Edge: tests wait longer for their nodes to start, before they measure

"a node is not ready" after 5 s ended 8 of 56 cases of TestPartOfPromptsThatCrashesEnginesReachesFew (eight runs, four copies with -race, load 40 to 76) and 3 of 165 of TestLeavingEngineGetsNoMoreRequests (load 72). Class: a bound of the rig that hangs on the machine's load; 5 s is no target, and how soon a node is ready after a start has tests of its own.

Nodes of a rig have 30 s to be ready and to have heard of each other. The wait is for a condition as before, and nothing is measured until it holds.

--- a/internal/edge/crash_rig_test.go
+++ b/internal/edge/crash_rig_test.go
@@ -248,7 +248,7 @@
 	t.Helper()
 	introduce(nodes)
 	for _, e := range nodes {
-		waitFor(t, func() bool {
+		waitWithin(t, startTime, func() bool {
 			now := time.Now()
 			heard := len(e.gossip.Peers(now))
 			return e.Ready(now) && e.placement.HasEngines() && (heard == len(nodes)-1 || len(nodes) > 12 && heard > 0)
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -21,8 +21,13 @@
 	"github.com/croftturn/croftturn/platform"
 )
 
-// operatorsToken is the operators' token at all nodes.
-const operatorsToken = "operators"
+const (
+	// operatorsToken is the operators' token at all nodes.
+	operatorsToken = "operators"
+
+	// startTime is how long the nodes of a test may take until they are ready, before it begins to measure.
+	startTime = 30 * time.Second
+)
 
 // configRow is a configuration with one team, in the operators' format.
 const configRow = `{"version":3,"routes":[{"name":"r","host":"h","path_prefix":"/a/","kind":"safe","timeout_ms":1000,"target_latency_ms":100,` +
@@ -114,7 +119,13 @@
 // waitFor waits until a condition holds, and fails the test if it does not within five seconds.
 func waitFor(t *testing.T, condition func() bool, format string, args ...any) {
 	t.Helper()
-	deadline := time.Now().Add(5 * time.Second)
+	waitWithin(t, 5*time.Second, condition, format, args...)
+}
+
+// waitWithin is waitFor with a bound.
+func waitWithin(t *testing.T, bound time.Duration, condition func() bool, format string, args ...any) {
+	t.Helper()
+	deadline := time.Now().Add(bound)
 	for !condition() {
 		if time.Now().After(deadline) {
 			t.Fatalf(format, args...)
