Dial: a process that stood still is asked again before it writes a request

Cause: whether the caller has left is asked of the kernel, a system call after which a busy process may wait for the processor, and the write came whenever it ran again. Class: a look that is older than what is done upon it.

RequestConn.Write asks again if the answer is over 5 ms old, at most four times. What remains is a standstill between the last answer and the write.

TestWriteAfterAStandstillIsAskedAgain failed before (the request was sent) and passes. go test -race of dial, dispatch, forward and engine passes.

--- a/internal/dial/request_conn.go
+++ b/internal/dial/request_conn.go
@@ -11,6 +11,13 @@
 	"github.com/croftturn/croftturn/internal/clock"
 )
 
+const (
+	// maxAskTime is how old the answer may be with which a write begins, and askTries how often a process that keeps
+	// standing still asks.
+	maxAskTime = 5 * time.Millisecond
+	askTries   = 4
+)
+
 type (
 	// RequestConn is a connection on which requests are written one after the other, and nothing else. Each can be
 	// withheld up to the moment at which it is written.
@@ -24,8 +31,8 @@
 
 	// Hooks are what a RequestConn calls for one request, in any goroutine. Each may be nil.
 	Hooks struct {
-		// MayWrite is asked before each write, which fails with its error; first is set until a write has sent
-		// something.
+		// MayWrite is asked before each write, which fails with its error, and again if the process stood still since;
+		// first is set until a write has sent something.
 		MayWrite func(now time.Time, first bool) error
 
 		// Wrote is called after each write with the time since MayWrite was asked.
@@ -60,7 +67,8 @@
 func (c *RequestConn) Write(p []byte) (int, error) {
 	h, now := c.hooks.Load(), clock.Now()
 	if h != nil && h.MayWrite != nil {
-		if err := h.MayWrite(now, c.writes.Load() == c.begun.Load()); err != nil {
+		var err error
+		if now, err = c.ask(h, now); err != nil {
 			return 0, err
 		}
 	}
@@ -75,6 +83,22 @@
 	return n, err
 }
 
+// ask asks whether a write may begin, and again if the process stood still since: a write is as late as the answer
+// is old. It returns when the question was asked last.
+func (c *RequestConn) ask(h *Hooks, now time.Time) (askedAt time.Time, err error) {
+	for range askTries {
+		if err := h.MayWrite(now, c.writes.Load() == c.begun.Load()); err != nil {
+			return now, err
+		}
+		answered := clock.Now()
+		if answered.Sub(now) < maxAskTime {
+			break
+		}
+		now = answered
+	}
+	return now, nil
+}
+
 // Close closes the connection. Before a request has ended it resets the connection, or the kernel would still send
 // what it holds of the request.
 func (c *RequestConn) Close() error {
--- a/internal/dispatch/departed.go
+++ b/internal/dispatch/departed.go
@@ -12,9 +12,9 @@
 )
 
 // A process that is behind learns late that a caller has closed its connection, and reads requests late whose time
-// is over. What decides is asked of the kernel and the clock where the request is written, because nothing
-// can come between this and the write: no request is written once its caller's close has reached this machine or
-// its deadline has passed.
+// is over. What decides is asked of the kernel and the clock right before the request is written, and again if the
+// process stood still since: no request is written once its caller's close has reached this machine or its deadline
+// has passed, but for a standstill between the last answer and the write.
 
 var (
 	// ErrWithheld means that a request was not written because nobody waits for its answer any more, or because
@@ -80,14 +80,25 @@
 }
 
 // mayWrite is asked right before each write of the request. It may run in another goroutine than the exchange.
-func (x *exchange) mayWrite(now time.Time, _ bool) error {
+func (x *exchange) mayWrite(now time.Time, first bool) error {
+	err := x.withhold(now)
+	switch {
+	case err == nil:
+		x.written.at.CompareAndSwap(nil, &now)
+	case first:
+		x.written.at.Store(nil) // It was allowed before the process stood still.
+	}
+	return err
+}
+
+// withhold returns why the request must not be written any more, or nil.
+func (x *exchange) withhold(now time.Time) error {
 	switch {
 	case !now.Before(x.deadline):
 		return ErrExpired
 	case x.caller.Left():
 		return ErrCallerLeft
 	}
-	x.written.at.CompareAndSwap(nil, &now)
 	return nil
 }
 
