--- a/lab/soak/rows.go
+++ b/lab/soak/rows.go
@@ -90,7 +90,7 @@
 	for i, name := range slices.Concat(routes, routes) {
 		to, suffix, timeout := host, "", env.opts.timeoutMs()
 		if i >= len(routes) {
-			to, suffix, timeout = longHost, "-long", int(longDeadline.Milliseconds())
+			to, suffix, timeout = longHost, "-long", int(endlessTimeout.Milliseconds())
 		}
 		service, kind, attempts := "llm", "streaming", 1
 		switch name {
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -255,6 +255,8 @@
 		"request taken late in a stop and given as cut off":                 lateInAStop(keptRequest{route: routeUnsafe, answered: true, cutOff: true}, true),
 		"request given as cut off before the last part that was taken late": lateInAStop(keptRequest{route: routeSafe, answered: true, cutOff: true}, true),
 		"stream taken late in a stop and ended":                             lateInAStop(keptRequest{route: routeResumable, begun: true}, true),
+		"stream left at a silent engine in a stop":                          lateInAStop(keptRequest{route: routeResumable, begun: true, silent: true}, true),
+		"answer late in a stop that keeps its caller":                       lateInAStop(keptRequest{answered: true, status: success, stays: true, headAt: at.Add(2 * time.Second)}, true),
 		"request refused late in a stop, not at once":                       lateInAStop(keptRequest{route: routeUnsafe, answered: true, status: unavailable}, false),
 		"request refused late in a stop that ran":                           lateInAStop(keptRequest{route: routeSafe, answered: true, status: unavailable, written: at.Add(3 * time.Second)}, true),
 		"request ended late in a stop long after an engine broke it off": func(l *Ledger) {
