--- a/internal/dispatch/beside.go
+++ b/internal/dispatch/beside.go
@@ -33,6 +33,7 @@
 		changed chan struct{}     // changed is signalled once an attempt has ended; it has room for one.
 		open    map[*sibling]bool // open holds those that were not answered yet.
 		won     *sibling          // won is the first one that was answered; nil if none was.
+		last    bool              // last is set once the exchange's own attempt has failed.
 		closed  bool              // closed is set once none may begin or be used any more.
 		sent    map[string]bool   // sent holds the engines of those that the exchange has not counted yet.
 	}
@@ -237,7 +238,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	delete(b.open, s)
-	if b.closed || b.won != nil || !answers(resp, err) {
+	failure := b.last && len(b.open) == 0 && err == nil && !resp.NotRun && !resp.Replaced // It is passed on if there is nothing better.
+	if b.closed || b.won != nil || !answers(resp, err) && !failure {
 		return false
 	}
 	b.won, s.resp = s, resp
@@ -289,6 +291,7 @@
 	won := b.won
 	none := won == nil && len(b.open) == 0
 	b.closed = b.closed || answered && won == nil || none
+	b.last = b.last || !answered
 	b.mu.Unlock()
 	if won != nil || answered {
 		b.end()
