Croftctl: an answer over its bound is an error, and a head has 64 KB

What operators saw: croftctl -json printed an answer over 64 MB cut off, with status 0.

Cause and class: a reader that stops at its bound can not tell a whole answer from a cut one.

--- a/cmd/croftctl/client.go
+++ b/cmd/croftctl/client.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/croftturn/croftturn/internal/admin"
+	"github.com/croftturn/croftturn/internal/dial"
 	"github.com/croftturn/croftturn/internal/wire"
 )
 
@@ -28,11 +29,14 @@
 type client struct {
 	options
 	http *http.Client
+	out  io.Writer // out takes results.
 }
 
 // newClient returns a client with the given options.
 func newClient(o options) *client {
-	return &client{options: o, http: &http.Client{Timeout: requestTimeout}}
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.MaxResponseHeaderBytes = dial.MaxHeadBytes
+	return &client{options: o, http: &http.Client{Timeout: requestTimeout, Transport: transport}, out: os.Stdout}
 }
 
 // runPrefixed returns a subcommand whose statement starts with word.
@@ -92,10 +96,13 @@
 		return fmt.Errorf("no answer; look for change %s in the history: %w", id, err)
 	}
 	defer resp.Body.Close()
-	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
 	if err != nil {
 		return fmt.Errorf("answer cut short; look for change %s in the history: %w", id, err)
 	}
+	if len(answer) > maxAnswerBytes {
+		return fmt.Errorf("answer over %d MB; look for change %s in the history", maxAnswerBytes>>20, id)
+	}
 	if resp.StatusCode != http.StatusOK {
 		return fmt.Errorf("status %d: %s", resp.StatusCode, strings.TrimSpace(string(answer)))
 	}
@@ -105,7 +112,7 @@
 // print prints a result as JSON or as a table.
 func (c *client) print(answer []byte) error {
 	if c.json {
-		_, err := os.Stdout.Write(answer)
+		_, err := c.out.Write(answer)
 		return err
 	}
 	var r admin.Result
@@ -113,16 +120,16 @@
 		return fmt.Errorf("decode answer: %w", err)
 	}
 	if r.Change != nil {
-		fmt.Printf("accepted as version %d, change %s\n", r.Change.Version, r.Change.ID)
+		fmt.Fprintf(c.out, "accepted as version %d, change %s\n", r.Change.Version, r.Change.ID)
 	}
-	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	w := tabwriter.NewWriter(c.out, 0, 4, 2, ' ', 0)
 	printChanges(w, r.Changes)
 	printRows(w, r.Rows)
 	if err := w.Flush(); err != nil {
 		return fmt.Errorf("print result: %w", err)
 	}
 	if len(r.Missing) > 0 {
-		fmt.Printf("PARTIAL: no answer from %s\n", strings.Join(r.Missing, ", "))
+		fmt.Fprintf(c.out, "PARTIAL: no answer from %s\n", strings.Join(r.Missing, ", "))
 	}
 	return nil
 }
