Placement: what can't be sent again goes to a leaving engine only if it must end there

Callers of interactive pools lost unsafe requests, and streams that can't be resumed, with engines that left: 502, or 504 after the whole time.

Cause: such a request was sent if three times the average answer ended before the engine; only the deadline bounds the one that runs longer, and the send after a wait was not checked. Class: an estimate where a promise is needed.

The shorter of deadline and route timeout must now be before the end of the engine, counted from when its entry may have been written, as it is chosen and again as the request is sent. Else it waits, goes elsewhere or is refused unsent. Engines that would not take it don't count as in use for it. What may be sent again goes by the estimate as before.

Tests: TestLeavingEnginesServeOn and TestDrainingEngineServesWithinItsTime wanted requests that may outlast the engine to be sent there, and TestLeavingEngineIsUsedWithinItsTime one that had been placed earlier: they asked for the fault. The first two have deadlines that fit, with all bounds as before; the third wants the opposite, and two cases more.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -69,7 +69,7 @@
 
 		learnedAt time.Time // learnedAt is when this node learned of an answer that announced it; zero if there was none.
 
-		leavesAt, lastSend time.Time // leavesAt and lastSend are as in placement.Engine.
+		leavesAt, lastSend, servesUntil time.Time // These are as in placement.Engine.
 	}
 )
 
@@ -148,7 +148,7 @@
 		d.leaving.Add(e.ID)
 	}
 	e.Draining, e.Since = current.draining, current.first
-	e.LeavesAt, e.LastSend = current.leavesAt, current.lastSend
+	e.LeavesAt, e.LastSend, e.ServesUntil = current.leavesAt, current.lastSend, current.servesUntil
 	delete(d.dropAt, e.ID)
 	if log {
 		d.log.Info("engine", "engine", e.ID, "pool", e.Pool, "address", e.Address, "hall", e.Hall, "draining", e.Draining, "last_send_ms", max(0, e.LastSend.Sub(now).Milliseconds()), "version", r.Version)
--- a/internal/discovery/leave_time.go
+++ b/internal/discovery/leave_time.go
@@ -45,14 +45,27 @@
 	return leavesAt, r.AcceptedAfter.Add(d.drain - sendMargin)
 }
 
+// servesUntil returns until when an engine serves at least which leaves at a time that counts from the reading of its entry: the
+// entry was written before. It is zero if either is unknown.
+func servesUntil(now time.Time, r feed.Row, leavesAt time.Time) time.Time {
+	if leavesAt.IsZero() || r.AcceptedAfter.IsZero() {
+		return time.Time{}
+	}
+	return leavesAt.Add(-now.Sub(r.AcceptedAfter))
+}
+
 // noteDraining records that an engine has an entry with "draining". The times of the first one hold; a
 // later one may only bring the end forward.
 func (d *Discovery) noteDraining(now time.Time, r feed.Row, e placement.Engine, known *incarnation) {
 	if !known.draining {
 		known.draining = true
 		known.leavesAt, known.lastSend = d.leaveTimes(now, r, e)
+		known.servesUntil = servesUntil(now, r, known.leavesAt)
 	}
 	if !e.LeavesAt.IsZero() && e.LeavesAt.Before(known.leavesAt) {
 		known.leavesAt = e.LeavesAt
 	}
+	if end := servesUntil(now, r, e.LeavesAt); !e.LeavesAt.IsZero() && end.Before(known.servesUntil) {
+		known.servesUntil = end
+	}
 }
--- a/internal/discovery/leave_time_test.go
+++ b/internal/discovery/leave_time_test.go
@@ -44,6 +44,7 @@
 		{"later entry extends it", 2000 * ms, []step{{0, draining(true, 0), 0}, {time.Second, ready, 0}, {time.Second, draining(true, 9*time.Second), 0}}, nil, 2000 * ms, 1500 * ms},
 		{"later entry after an old one", 2000 * ms, []step{{0, draining(true, 0), -1}, {100 * ms, draining(true, time.Second), 0}}, nil, 0, 0},
 		{"later entry brings it forward", 2000 * ms, []step{{0, draining(true, 0), 0}, {100 * ms, draining(true, time.Second), 0}}, nil, time.Second, 1500 * ms},
+		{"later entry is read late", 2000 * ms, []step{{0, draining(true, 0), 50 * ms}, {950 * ms, draining(true, time.Second), 50 * ms}}, nil, time.Second, 1450 * ms},
 		{"announced in an answer", 2000 * ms, []step{{0, draining(true, 0), 0}}, func(d *discovery.Discovery) {
 			d.Leaves(start, "e", 1)
 			d.Apply(start, []feed.Row{engineRow(draining(true, 0), 9, start)})
@@ -73,9 +74,14 @@
 			}
 			return at.Sub(start)
 		}
-		if e := got["e"]; since(e.LeavesAt) != test.leavesAt || since(e.LastSend) != test.lastSend {
+		e := got["e"]
+		if since(e.LeavesAt) != test.leavesAt || since(e.LastSend) != test.lastSend {
 			t.Errorf("%s: leaves at %v, last request at %v", test.name, since(e.LeavesAt), since(e.LastSend))
 		}
+		// What must end before the engine does counts from when the entry may have been written.
+		if age := max(0, test.steps[0].age); !e.LastSend.IsZero() && since(e.ServesUntil) != test.leavesAt-age {
+			t.Errorf("%s: serves until %v, the entry was %v old", test.name, since(e.ServesUntil), age)
+		}
 	}
 }
 
--- a/internal/discovery/leaving.go
+++ b/internal/discovery/leaving.go
@@ -28,7 +28,8 @@
 		return
 	}
 	d.log.Info("engine is leaving", "engine", id, "born", born, "from", from, "entry_draining", known.draining)
-	known.draining, known.learnedAt, known.leavesAt, known.lastSend = true, now, time.Time{}, time.Time{}
+	known.draining, known.learnedAt = true, now
+	known.leavesAt, known.lastSend, known.servesUntil = time.Time{}, time.Time{}, time.Time{}
 	d.known[id] = known
 	d.leaving.Add(id)
 	d.leaving.MarkChanged(id)
--- a/internal/dispatch/leaving_test.go
+++ b/internal/dispatch/leaving_test.go
@@ -68,7 +68,7 @@
 		p := placement.New("hall", placement.WithLimits(limited))
 		leave := func(id string, after time.Duration) {
 			now := time.Now()
-			p.Set(placement.Engine{ID: id, Pool: "p", Hall: "hall", Slots: 8, Draining: true, LeavesAt: now.Add(after + time.Minute), LastSend: now.Add(after)})
+			p.Set(placement.Engine{ID: id, Pool: "p", Hall: "hall", Slots: 8, Draining: true, LeavesAt: now.Add(after + time.Minute), LastSend: now.Add(after), ServesUntil: now.Add(after + time.Minute)})
 		}
 		e := &fakeSender{serve: func(_ context.Context, _ int, a dispatch.Attempt) (*dispatch.Response, error) {
 			if a.SendBefore.IsZero() != (test.leaveFor == 0) || a.Engine.ID == left {
--- a/internal/dispatch/walk.go
+++ b/internal/dispatch/walk.go
@@ -305,13 +305,13 @@
 	r.Regions, r.RegionBound = regions, !everywhere
 	x.restrictVersion(&r)
 	r.Reserved = x.d.queues.reservedVersions(x.pool, x.tier())
+	r.Recoverable, r.Deadline = x.mayTryNext(), x.deadline
 	pool := x.d.Table().Pool(x.pool)
 	if x.route.Kind == routing.Stream && pool != nil && pool.Model != nil {
 		r.MaxGap, r.TokensPerEvent = x.route.MaxGap, pool.Model.TokensPerEvent
 		r.Events = x.req.ExpectedTokens / max(1, pool.Model.TokensPerEvent)
 	}
 	if r.Interactive = x.interactive(); r.Interactive {
-		r.Recoverable = x.mayTryNext()
 		r.TransferRate, r.Target = pool.Model.TransferRate(), x.route.Target
 	}
 	return r
--- a/internal/edge/leaving_test.go
+++ b/internal/edge/leaving_test.go
@@ -1,8 +1,11 @@
 package edge
 
 import (
+	"fmt"
+	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -92,9 +95,9 @@
 // TestDrainingEngineServesWithinItsTime guards against an engine of an interactive pool that is dropped
 // as soon as its entry says "draining", and in any pool against requests later than engine_drain_ms
 // after the entry, also where the store fails or the entry is gone before the end. Three nodes send
-// requests; two of them read the store.
+// requests, which may run for less than that; two of them read the store.
 func TestDrainingEngineServesWithinItsTime(t *testing.T) {
-	config := strings.NewReplacer(`"safe"`, `"streaming"`, `"target_latency_ms":600`, `"target_latency_ms":300`,
+	config := strings.NewReplacer(`"safe"`, `"streaming"`, `"timeout_ms":2000`, `"timeout_ms":500`, `"target_latency_ms":600`, `"target_latency_ms":300`,
 		`"max_connections":90`, `"max_connections":90,"engine":{"slots":8,"kv_capacity":90000,"stride":5}`).Replace(twoTierConfig)
 	for _, test := range []struct {
 		name          string
@@ -128,3 +131,68 @@
 		})
 	}
 }
+
+// unsafeConfig is a configuration of an interactive pool with engines of eight slots, whose route "low" has requests that can't be
+// sent again.
+var unsafeConfig = strings.NewReplacer(`/high/","kind":"safe"`, `/high/","kind":"streaming"`, `/low/","kind":"safe"`, `/low/","kind":"unsafe"`,
+	`"target_latency_ms":600`, `"target_latency_ms":300`, `"max_connections":90`, `"max_connections":90,"engine":{"slots":8,"kv_capacity":90000,"stride":5}`).Replace(twoTierConfig)
+
+// serveUntil makes an engine take a time for each request, and break off those that it has when it ends.
+func (e *scriptedEngine) serveUntil(took *atomic.Int64, end <-chan struct{}) {
+	h := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		e.mu.Lock()
+		e.arrivals = append(e.arrivals, time.Now())
+		e.mu.Unlock()
+		_, _ = io.Copy(io.Discard, r.Body) // The caller may have left.
+		select {
+		case <-time.After(time.Duration(took.Load())):
+		case <-end:
+			panic(http.ErrAbortHandler)
+		}
+		w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
+		w.Header().Set("Response-Seal", "seal")
+		_, _ = io.WriteString(w, "well") // The caller may have left.
+	})
+	e.serve.Store(&h)
+}
+
+// TestLeavingEngineEndsUnderNoUnsafeRequest guards against requests that can't be sent again and are lost with an engine that leaves:
+// those before them were short, as far as that tells, while its last ones run for as long as they may.
+func TestLeavingEngineEndsUnderNoUnsafeRequest(t *testing.T) {
+	w := newScriptedClusterWith(t, 2, 1, unsafeConfig, 500)
+	w.slots = 8
+	var took atomic.Int64
+	took.Store(int64(20 * time.Millisecond))
+	ended := make(chan struct{})
+	w.engines[0].serveUntil(&took, ended)
+	w.engines[1].serveUntil(&took, make(chan struct{}))
+	w.load(10*time.Millisecond, time.Second, func(string, int, time.Time, result) {})
+	took.Store(int64(1900 * time.Millisecond))
+	leaver, begin := w.engines[0], time.Now()
+	leaver.draining.Store(true)
+	w.version.Add(1)
+	time.AfterFunc(time.Duration(w.nodes[0].settings.EngineDrainMs)*time.Millisecond, func() { close(ended) })
+	time.Sleep(200 * time.Millisecond)
+	counts := map[int]int{}
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for i := range 40 {
+		wg.Go(func() {
+			got := w.send(w.nodes[0], "low", fmt.Sprintf("n0-unsafe-%d", i))
+			mu.Lock()
+			defer mu.Unlock()
+			counts[got.status]++
+		})
+		time.Sleep(20 * time.Millisecond)
+	}
+	wg.Wait()
+	t.Logf("answers by status: %v, %d at the engine that left", counts, leaver.countBetween(begin.Add(100*time.Millisecond), time.Now()))
+	for status, n := range counts {
+		if status != http.StatusOK && status != http.StatusServiceUnavailable && status != http.StatusTooManyRequests {
+			t.Errorf("%d requests got %d", n, status)
+		}
+	}
+	if counts[http.StatusOK] == 0 {
+		t.Error("none was served by the engine that stays")
+	}
+}
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -57,6 +57,10 @@
 		// LeavesAt is when a draining engine leaves, and LastSend until when requests may be sent to
 		// it; both are zero if unknown or if it announced in an answer that it leaves.
 		LeavesAt, LastSend time.Time
+
+		// ServesUntil is until when a draining engine serves at least, by what its entry says and however old that was
+		// when it was read; zero if unknown.
+		ServesUntil time.Time
 	}
 
 	// Load is the load of an engine from one node or from all nodes.
--- a/internal/placement/leaving.go
+++ b/internal/placement/leaving.go
@@ -6,7 +6,8 @@
 )
 
 // In an interactive pool, a draining engine serves on until shortly before it leaves, with requests that
-// are expected to end by then. When draining engines were dropped at once and two halls were reclaimed
+// are expected to end by then. Those that can't be repeated or resumed must end by then: they may run
+// until their deadline, whatever others took. When draining engines were dropped at once and two halls were reclaimed
 // within 1.2 s, the engines in use fell from 179 to 65 while replacements took 4 s, and the share of
 // answers in time fell from 0.98 to 0.62.
 
@@ -15,9 +16,8 @@
 	leaveMargin = 200 * time.Millisecond
 
 	// answerMargin multiplies the expected time of an answer: callers' guesses of its length are right
-	// in the median only. lostAnswerMargin replaces it for requests that can't be repeated or resumed.
-	answerMargin     = 1.5
-	lostAnswerMargin = 2 * answerMargin
+	// in the median only.
+	answerMargin = 1.5
 
 	// priorEventTime is the assumed time per event, in milliseconds, before any answer was observed:
 	// 5 to 7 steps of an engine.
@@ -93,7 +93,7 @@
 	case e == nil || e.Incarnation != c.Engine.Incarnation:
 		return time.Time{}, false
 	case e.Draining:
-		until, ok = e.useEnd(), p.usesLeaving(now, e)
+		until, ok = e.useEnd(), p.usesLeaving(now, e) && e.servesToEnd(r)
 	}
 	return until, ok && p.reserveSlot(now, e)
 }
@@ -158,7 +158,7 @@
 		return engines, usable
 	}
 	for _, e := range known.leaving {
-		if p.usesLeaving(now, e) {
+		if p.usesLeaving(now, e) && e.servesToEnd(r) {
 			engines++
 			if !p.throttled(now, e) {
 				usable++
@@ -168,16 +168,21 @@
 	return engines, usable
 }
 
+// servesToEnd reports whether a draining engine serves as long as a request may run, or whether it may be
+// tried elsewhere if it does not.
+func (e *engine) servesToEnd(r Request) bool {
+	return r.Recoverable || !r.Deadline.IsZero() && !r.Deadline.After(e.ServesUntil)
+}
+
 // takesWhileLeaving reports whether a draining engine that is in use takes a request with the given
-// choice: whether the answer is expected to end before the engine leaves. Long prompts go where they would
+// choice: whether the answer ends, or is expected to, before the engine leaves. Long prompts go where they would
 // break the pauses of its streams only if no other engine takes them. The caller must hold the lock.
 func (p *pool) takesWhileLeaving(now time.Time, e *engine, r Request, c *Choice) bool {
-	margin := answerMargin
-	if !r.Recoverable {
-		margin = lostAnswerMargin
+	if !e.servesToEnd(r) {
+		return false
 	}
-	answer := time.Duration(margin * float64(p.answersOf(r.gapSensitive).expected(r.Events)))
-	if now.Add(time.Duration(c.Wait*float64(time.Millisecond)) + answer).After(e.LeavesAt) {
+	answer := time.Duration(answerMargin * float64(p.answersOf(r.gapSensitive).expected(r.Events)))
+	if r.Recoverable && now.Add(time.Duration(c.Wait*float64(time.Millisecond))+answer).After(e.LeavesAt) {
 		return false
 	}
 	if load := e.load(now); r.separated && !r.gapSensitive && load.Streams > 0 && p.prefillAt(now, e, load, *c) > p.setLimit(r, c.usualRate(r), c.slowdown) {
--- a/internal/placement/leaving_test.go
+++ b/internal/placement/leaving_test.go
@@ -52,7 +52,7 @@
 	longRate := (m.load*stepCapacity*1000*count - shortRate*shortTokens) / longUncached
 	send := func(now time.Time, r placement.Request, uncached int) {
 		x := &leavingRequest{node: nodes[rng.IntN(len(nodes))], events: max(1, int(float64(r.Events)*math.Exp(0.6*rng.NormFloat64())))}
-		r.Recoverable = uncached == shortTokens
+		r.Recoverable, r.Deadline = uncached == shortTokens, now.Add(time.Second)
 		c, ok := x.node.Choose(now, r)
 		if !ok {
 			return
@@ -69,7 +69,7 @@
 				for _, p := range nodes {
 					switch {
 					case now.Equal(noticed):
-						p.Set(placement.Engine{ID: fmt.Sprint("e", i), Pool: "p", Hall: fmt.Sprint("h", i%2), Slots: stepSlots, Spot: true, Draining: true, LeavesAt: now.Add(notice), LastSend: now.Add(lastSend)})
+						p.Set(placement.Engine{ID: fmt.Sprint("e", i), Pool: "p", Hall: fmt.Sprint("h", i%2), Slots: stepSlots, Spot: true, Draining: true, LeavesAt: now.Add(notice), LastSend: now.Add(lastSend), ServesUntil: now.Add(notice)})
 					case now.Equal(noticed.Add(notice)):
 						p.Remove(fmt.Sprint("e", i))
 					}
@@ -148,11 +148,13 @@
 // any more, that would be cut off, or that were not to be sent to such engines at all. It is the only
 // engine, and short streams take 0.8 s from the first event to the last.
 func TestLeavingEngineIsUsedWithinItsTime(t *testing.T) {
-	leaving := placement.Engine{ID: "e0", Pool: "p", Hall: "h0", Slots: stepSlots, Draining: true, LeavesAt: start.Add(2500 * time.Millisecond), LastSend: start.Add(1500 * time.Millisecond)}
+	leaving := placement.Engine{ID: "e0", Pool: "p", Hall: "h0", Slots: stepSlots, Draining: true, LeavesAt: start.Add(2500 * time.Millisecond), LastSend: start.Add(1500 * time.Millisecond), ServesUntil: start.Add(2400 * time.Millisecond)}
 	answers := placement.Choice{Engine: leaving, GapSensitive: true}
 	short := shortStream(1)
 	recoverable, plain, unknown := short, short, leaving
 	recoverable.Recoverable, plain.Interactive, unknown.LastSend = true, false, time.Time{}
+	fits, outlasts := short, short
+	fits.Deadline, outlasts.Deadline = start.Add(2400*time.Millisecond), start.Add(2401*time.Millisecond)
 	for _, test := range []struct {
 		name   string
 		after  time.Duration
@@ -164,6 +166,8 @@
 		{"ends in time by a margin", time.Second, recoverable, nil, true},
 		{"would be cut off", 1400 * time.Millisecond, recoverable, nil, false},
 		{"cannot be resumed and might be cut off", 200 * time.Millisecond, short, nil, false},
+		{"cannot be resumed and ends in time", time.Second, fits, nil, true},
+		{"cannot be resumed and may outlast the engine", time.Millisecond, outlasts, nil, false},
 		{"after the last time to send", 1500 * time.Millisecond, longPrompt(1), nil, false},
 		{"pool that is not interactive", 0, plain, nil, false},
 		{"store lost", 0, recoverable, func(p *placement.Placement) { placement.WithStoreKnown(func(time.Time) bool { return false })(p) }, false},
@@ -184,8 +188,8 @@
 		if ok != test.chosen || ok && c.Engines != 1 {
 			t.Errorf("%s: chosen %t, %d engines", test.name, ok, c.Engines)
 		}
-		// A request that was placed earlier, and waited, is held to the last time to send.
-		want := test.chosen || test.after > 0 && test.after < 1500*time.Millisecond || !test.r.Interactive
+		// A request that was placed earlier, and waited, is held to the last time to send, and to its deadline if it can't be resumed.
+		want := test.chosen || test.r.Recoverable && test.after > 0 && test.after < 1500*time.Millisecond || !test.r.Interactive
 		if _, ok := p.MaySend(now, before, test.r); ok != want {
 			t.Errorf("%s: may be sent %t", test.name, ok)
 		}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -46,6 +46,7 @@
 		TransferRate   float64       // TransferRate is how many cached tokens an engine copies from another in a millisecond; 0 for none.
 		Target         time.Duration // Target is the time to the first event that the caller expects; 0 for none.
 		Recoverable    bool          // Recoverable means that the request may be repeated or resumed if its engine is lost.
+		Deadline       time.Time     // Deadline is when the request ends at the latest; zero if unknown.
 
 		bound        *boundEngines // the engines that a version-bound request may go to; nil for others
 		gapSensitive bool          // whether it is a stream to be separated from long prompts
@@ -161,7 +162,7 @@
 		return nil, false
 	case known.Incarnation == e.Incarnation:
 		if known.Draining && known.LastSend.IsZero() {
-			e.LeavesAt, e.LastSend = time.Time{}, time.Time{} // Its use has ended.
+			e.LeavesAt, e.LastSend, e.ServesUntil = time.Time{}, time.Time{}, time.Time{} // Its use has ended.
 		}
 		known.Engine = e
 		return nil, false
@@ -179,7 +180,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if e := p.engines[id]; e != nil && (!e.Draining || !e.LastSend.IsZero()) {
-		e.Draining, e.LeavesAt, e.LastSend = true, time.Time{}, time.Time{}
+		e.Draining, e.LeavesAt, e.LastSend, e.ServesUntil = true, time.Time{}, time.Time{}, time.Time{}
 		p.changed = true
 	}
 }
