Front: a refusal before the key is looked up does not say that nothing ran

Callers of `croftturn run` with a key were told not_run though it had run: where a node refuses a sending before it reads the key's row, as after a change of the configuration (no such class, pool or model), for a token, for a bad body, or before it has a configuration.

Cause: not_run is the outcome of an error that names none. Class: a promise about all nodes made by one that has not asked.

Such refusals of requests with a key say unknown, and that this sending did not run; status and code are as before.

--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -65,6 +65,17 @@
 	return e.Outcome
 }
 
+// beforeClaim returns the error of a request that is refused before its key, if it has one, was looked up: this sending did not
+// run, but an earlier one may have, and nothing keeps one that lies elsewhere from running.
+func (e *CallerError) beforeClaim(r *http.Request) *CallerError {
+	if e.Outcome != "" || r.Header.Get(HeaderKey) == "" {
+		return e
+	}
+	failure := *e
+	failure.Outcome, failure.Message = OutcomeUnknown, e.Message+"; this sending did not run, others with its key may have"
+	return &failure
+}
+
 // errorType returns the published API's error type for a status.
 func errorType(status int) string {
 	switch {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -125,7 +125,8 @@
 // ServeHTTP implements http.Handler.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if !f.awaitConfig(r.Context(), clock.Now()) {
-		f.fail(w, "", &CallerError{Status: http.StatusServiceUnavailable, Code: "not_ready", Message: "this node has no configuration yet", RetryAfter: time.Second})
+		e := &CallerError{Status: http.StatusServiceUnavailable, Code: "not_ready", Message: "this node has no configuration yet", RetryAfter: time.Second}
+		f.fail(w, "", e.beforeClaim(r))
 		return
 	}
 	ctx := telemetry.Propagator.Extract(r.Context(), headerCarrier(r.Header))
--- a/internal/front/once_test.go
+++ b/internal/front/once_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -144,6 +145,31 @@
 	t.Logf("callers were asked to wait for %v at most", longest)
 }
 
+// TestRefusalsThatLookForNoEarlierSendingPromiseNothing guards against a key that has run and is reported as not run, by a node that
+// refuses a sending of it before it looks for others, as after a change of the configuration.
+func TestRefusalsThatLookForNoEarlierSendingPromiseNothing(t *testing.T) {
+	r := newTestServer(t, func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "accepted") })
+	for name, test := range map[string]struct {
+		path, class, auth, body string
+		key, outcome            string
+	}{
+		"pool gone":      {"/services/none/offers", "offer", token, "x", "k1", front.OutcomeUnknown},
+		"model gone":     {"/v1/chat/completions", "offer", token, strings.Replace(hello, `"m"`, `"n"`, 1), "k1", front.OutcomeUnknown},
+		"class gone":     {"/services/bids/offers", "none", token, "x", "k1", front.OutcomeUnknown},
+		"token gone":     {"/services/bids/offers", "offer", "none", "x", "k1", front.OutcomeUnknown},
+		"body too large": {"/services/bids/offers", "offer", token, strings.Repeat("x", maxBody+1), "k1", front.OutcomeUnknown},
+		"no key":         {"/services/none/offers", "offer", token, "x", "", front.OutcomeNotRun},
+	} {
+		if _, body := r.send(t, "/services/bids/offers", "x", front.HeaderClass, "offer", front.HeaderKey, "k1"); body != "accepted" {
+			t.Fatal(body)
+		}
+		resp, body := r.send(t, test.path, test.body, "Authorization", "Bearer "+test.auth, front.HeaderClass, test.class, front.HeaderKey, test.key)
+		if got := resp.Header.Get(front.HeaderOutcome); got != test.outcome || resp.StatusCode < 400 {
+			t.Errorf("%s: outcome %q, want %q: %d %s", name, got, test.outcome, resp.StatusCode, body)
+		}
+	}
+}
+
 // TestOutageRefusesKeysButServesTickets checks that during a platform outage calls
 // with a ticket run and calls with the caller's own key don't.
 func TestOutageRefusesKeysButServesTickets(t *testing.T) {
--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -66,7 +66,7 @@
 func (f *Front) handle(w http.ResponseWriter, r *http.Request, read func(http.ResponseWriter, *http.Request) (*call, *CallerError), with func(c *call) exchange) {
 	c, failure := read(w, r)
 	if failure != nil {
-		f.fail(w, "", failure)
+		f.fail(w, "", failure.beforeClaim(r))
 		return
 	}
 	if f.forwarded(w, r, c) {
