--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -69,7 +69,7 @@
 	defer room.Close()
 	c, failure := read(w, r, room)
 	if failure != nil {
-		f.fail(w, "", failure)
+		f.fail(w, "", failure.beforeClaim(r))
 		return
 	}
 	if f.forwarded(w, r, c) {
