Tests of bytes without end: measured at rest, and kernel buffers are bounded

What a collection finds in use counts what is allocated while it marks, which takes long beside load while a reader goes on to allocate what it gets: what sends without end now waits while the heap is measured (AwaitTurn), which is repeated until less than 256 KB were allocated during a collection. On the wire, the kernel takes up to 32 MB at the reader (tcp_rmem) and 4 MB at the sender, not the 8 MB that the bounds reckon with: both are set to 128 KB. The collections of the sampler took most of the time of a reader; they take a third at most now. No bound is changed.

--- a/internal/peer/endless_test.go
+++ b/internal/peer/endless_test.go
@@ -17,6 +17,7 @@
 func writeEndless(conn net.Conn, head []byte) (written int) {
 	chunk := bytes.Repeat([]byte("x"), 64<<10)
 	for piece := append(head, '"'); ; piece = chunk {
+		testendless.AwaitTurn()
 		n, err := conn.Write(piece)
 		if written += n; err != nil {
 			return written
--- a/internal/testendless/testendless.go
+++ b/internal/testendless/testendless.go
@@ -3,6 +3,7 @@
 package testendless
 
 import (
+	"math"
 	"net"
 	"runtime"
 	"runtime/metrics"
@@ -11,6 +12,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -20,10 +23,26 @@
 	// pieceBytes is the size of a write.
 	pieceBytes = 64 << 10
 
-	// sampleInterval is the time between two measurements of the heap.
+	// sampleInterval is the time between two measurements of the heap; it is longer where these take long, so that readers
+	// have most of the time.
 	sampleInterval = 20 * time.Millisecond
+	restShare      = 2
+
+	// maxCollections bounds a measurement, and restBytes is what the process allocates at most during a collection while its
+	// readers are at rest.
+	maxCollections = 20
+	restBytes      = 256 << 10
+
+	// kernelBuffer bounds what the kernel takes of bytes that no reader gets, which is up to 36 MB otherwise.
+	kernelBuffer = 128 << 10
+
+	// maxDescriptors is more than a test has.
+	maxDescriptors = 1024
 )
 
+// measuring is closed once the heap is measured; nil if it is not being measured.
+var measuring atomic.Pointer[chan struct{}]
+
 // Bytes are bytes without end.
 type Bytes struct {
 	Name      string
@@ -73,6 +92,7 @@
 func (b Bytes) Write(conn net.Conn) (written int) {
 	piece := []byte(strings.Repeat(b.Piece, max(1, pieceBytes/len(b.Piece))))
 	for out := []byte(b.Beginning); ; out = piece {
+		AwaitTurn()
 		n, err := conn.Write(out)
 		if written += n; err != nil {
 			return written
@@ -80,6 +100,23 @@
 	}
 }
 
+// boundBuffers bounds what the kernel takes of the bytes that are written to a connection and not read. The reader is in this
+// process too; its socket is the one with the connection's other address.
+func boundBuffers(conn net.Conn) {
+	_ = conn.(*net.TCPConn).SetWriteBuffer(kernelBuffer) // On an error more goes out.
+	reader := conn.RemoteAddr().(*net.TCPAddr)
+	for fd := range maxDescriptors {
+		address, err := unix.Getsockname(fd)
+		if err != nil {
+			continue
+		}
+		if a, ok := address.(*unix.SockaddrInet4); ok && a.Port == reader.Port && net.IP(a.Addr[:]).Equal(reader.IP) {
+			_ = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, kernelBuffer) // On an error more goes out.
+			return
+		}
+	}
+}
+
 // Serve starts a server that writes the bytes to each connection until the test ends. wrote returns how many bytes went
 // out at most on one connection, once all that were accepted are closed.
 func (b Bytes) Serve(t testing.TB) (address string, wrote func() int) {
@@ -100,6 +137,7 @@
 			}
 			writing.Go(func() {
 				defer conn.Close()
+				boundBuffers(conn)
 				n := int64(b.Write(conn))
 				for old := most.Load(); n > old && !most.CompareAndSwap(old, n); old = most.Load() {
 				}
@@ -113,23 +151,50 @@
 	}
 }
 
-// Held calls f and returns by how many bytes the heap in use grew at most meanwhile. Nothing else may run in the process.
-func Held(f func()) (most int) {
-	inUse := func() int {
-		live := []metrics.Sample{{Name: "/gc/heap/live:bytes"}} // What a collection found in use, without garbage.
+// AwaitTurn blocks while the heap is measured. What sends without end calls it before each write.
+func AwaitTurn() {
+	for ended := measuring.Load(); ended != nil; ended = measuring.Load() {
+		<-*ended
+	}
+}
+
+// inUse returns what a collection found in use. What is allocated while it marks counts as in use, so that it is repeated until
+// the readers have read what was sent, and are at rest.
+func inUse() (least int) {
+	ended := make(chan struct{})
+	measuring.Store(&ended)
+	defer func() {
+		measuring.Store(nil)
+		close(ended)
+	}()
+	samples := []metrics.Sample{{Name: "/gc/heap/allocs:bytes"}, {Name: "/gc/heap/live:bytes"}}
+	least = math.MaxInt
+	for range maxCollections {
+		metrics.Read(samples)
+		before := samples[0].Value.Uint64()
 		runtime.GC()
-		metrics.Read(live)
-		return int(live[0].Value.Uint64())
+		metrics.Read(samples)
+		least = min(least, int(samples[1].Value.Uint64()))
+		if samples[0].Value.Uint64()-before < restBytes {
+			break
+		}
 	}
+	return least
+}
+
+// Held calls f and returns by how many bytes the heap in use grew at most meanwhile. Nothing else may run in the process.
+func Held(f func()) (most int) {
 	before, ended := inUse(), make(chan struct{})
 	var sampler sync.WaitGroup
 	sampler.Go(func() {
-		for tick := time.Tick(sampleInterval); ; {
+		for rest := sampleInterval; ; {
 			select {
 			case <-ended:
 				return
-			case <-tick:
+			case <-time.After(rest):
+				began := time.Now()
 				most = max(most, inUse()-before)
+				rest = max(sampleInterval, time.Since(began)*restShare)
 			}
 		}
 	})
