Forwarded requests, calls: a length that is too large is refused before it is allocated

Forwarded requests are refused beyond the 66 MB that a head and a body may have, calls of run beyond max_body_bytes. TestRequestThatNamesAHugeLengthIsRefused: the process ends without the check, 400 with it; TestBodyThatNamesAHugeLengthIsRefused passes with and without, as the limit of its rig is below 64 KB.

--- a/internal/caller/body_room.go
+++ b/internal/caller/body_room.go
@@ -63,7 +63,7 @@
 
 // Read reads a body whose length is known, or is below 0. A large one takes its room once its first bytes have come, so that a
 // caller that sends none takes little, and one for which there is none is refused early; one without a length takes more as its
-// bytes come. It fails with ErrNoRoom.
+// bytes come. It fails with ErrNoRoom. The caller has checked the length, which is allocated.
 func (b *Body) Read(r io.Reader, length int64) ([]byte, error) {
 	size := int64(firstBytes)
 	if length >= 0 && length <= smallBody {
--- a/internal/forward/endless_test.go
+++ b/internal/forward/endless_test.go
@@ -1,7 +1,14 @@
 package forward_test
 
 import (
+	"bufio"
 	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -36,3 +43,19 @@
 		})
 	}
 }
+
+// TestRequestThatNamesAHugeLengthIsRefused guards against a length that is allocated before it has come.
+func TestRequestThatNamesAHugeLengthIsRefused(t *testing.T) {
+	server := httptest.NewServer(forward.NewHandler(newNode(t, "n1", &sender{serve: unreachable}, table(1, "k"), nil), forward.Limits{Read: 5 * time.Second, Write: time.Second}, slog.New(slog.DiscardHandler)))
+	defer server.Close()
+	conn, err := net.Dial("tcp", server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	go io.WriteString(conn, "POST "+forward.Path+" HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000000000\r\n\r\n"+strings.Repeat("x", 128<<10))
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil || resp.StatusCode != http.StatusBadRequest {
+		t.Errorf("got %v, %v", resp, err)
+	}
+}
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -19,6 +19,9 @@
 // maxUnread is how long a forwarded request may lie unread. A node that keeps up reads it in a few milliseconds.
 const maxUnread = 250 * time.Millisecond
 
+// errTooLong means that a request says it is longer than any that a node forwards.
+var errTooLong = errors.New("forward: request too long")
+
 type (
 	// Dispatcher checks and serves requests.
 	Dispatcher interface {
@@ -136,7 +139,11 @@
 
 // readMessage reads the head and the body of a forwarded request.
 func readMessage(w http.ResponseWriter, r *http.Request, room *caller.Body) (*requestHead, []byte, error) {
-	whole, err := room.Read(http.MaxBytesReader(w, r.Body, 4+maxHead+maxBody), r.ContentLength)
+	const most = 4 + maxHead + maxBody
+	if r.ContentLength > most {
+		return nil, nil, fmt.Errorf("request of %d bytes: %w", r.ContentLength, errTooLong)
+	}
+	whole, err := room.Read(http.MaxBytesReader(w, r.Body, most), r.ContentLength)
 	if err != nil {
 		return nil, nil, fmt.Errorf("read request: %w", err)
 	}
--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -125,11 +125,16 @@
 
 // readBody reads a body of at most limit bytes and refuses a truncated one, and one that has no room.
 func readBody(w http.ResponseWriter, r *http.Request, room *caller.Body, limit int64) ([]byte, *CallerError) {
+	tooLarge := &CallerError{Status: http.StatusRequestEntityTooLarge, Code: "body_too_large", Message: "the body is longer than " + strconv.FormatInt(limit, 10) + " bytes"}
+	if r.ContentLength > limit {
+		w.Header().Set("Connection", "close") // Otherwise the server reads the body before it sends the refusal.
+		return nil, tooLarge
+	}
 	body, err := room.Read(http.MaxBytesReader(w, r.Body, limit), r.ContentLength)
-	var tooLarge *http.MaxBytesError
+	var beyond *http.MaxBytesError
 	switch {
-	case errors.As(err, &tooLarge):
-		return nil, &CallerError{Status: http.StatusRequestEntityTooLarge, Code: "body_too_large", Message: "the body is longer than " + strconv.FormatInt(tooLarge.Limit, 10) + " bytes"}
+	case errors.As(err, &beyond):
+		return nil, tooLarge
 	case errors.Is(err, caller.ErrNoRoom):
 		return nil, noRoom(w)
 	case err != nil:
--- a/internal/front/endless_test.go
+++ b/internal/front/endless_test.go
@@ -1,8 +1,10 @@
 package front_test
 
 import (
+	"bufio"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -40,6 +42,7 @@
 	return func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", contentType)
 		for tick, end := time.Tick(writeInterval), time.Now().Add(engineTime); time.Now().Before(end); <-tick { // A faster engine makes more garbage than the collector finds in time.
+			testendless.AwaitTurn()
 			if _, err := io.WriteString(w, pieces); err != nil {
 				return
 			}
@@ -127,3 +130,18 @@
 		t.Errorf("the key's outcome is %v %s", resp.Header, body)
 	}
 }
+
+// TestBodyThatNamesAHugeLengthIsRefused guards against a length that is allocated before it has come.
+func TestBodyThatNamesAHugeLengthIsRefused(t *testing.T) {
+	r := newTestServer(t, func(http.ResponseWriter, *http.Request) { t.Error("the call was sent") })
+	conn, err := net.Dial("tcp", strings.TrimPrefix(r.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	go io.WriteString(conn, "POST /services/bids/x HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer "+token+"\r\nContent-Length: 1000000000000\r\n\r\n"+strings.Repeat("x", 128<<10))
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil || resp.StatusCode != http.StatusRequestEntityTooLarge {
+		t.Errorf("got %v, %v", resp, err)
+	}
+}
