Dispatch: a second attempt waits for a full link as a first one does

A second attempt beside the first was written while this machine's link was full; what waits in the kernel can't be withheld once the caller has left (GONE).

--- a/internal/dispatch/beside.go
+++ b/internal/dispatch/beside.go
@@ -143,6 +143,12 @@
 	if w.apart {
 		return w.abandon(true, w.begun)
 	}
+	if x.d.link != nil {
+		if !x.d.link.Await(w.ctx, now, x.tier(), x.sendBytes(), slow.left/linkWaitPart) || w.over() {
+			return false // What waits for a full link can't be withheld once its caller has left.
+		}
+		now = clock.Now()
+	}
 	if x.team != nil && (!x.d.proof.Fresh(now) || !x.keyValid()) || !x.mayMove(now, false) || x.mayCrash(now) {
 		return true // The request may not be sent to another engine.
 	}
