--- a/internal/testendless/testendless.go
+++ b/internal/testendless/testendless.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/croftturn/croftturn/internal/clock"
 )
 
 const (
@@ -192,9 +194,9 @@
 			case <-ended:
 				return
 			case <-time.After(rest):
-				began := time.Now()
+				began := clock.Now()
 				most = max(most, inUse()-before)
-				rest = max(sampleInterval, time.Since(began)*restShare)
+				rest = max(sampleInterval, clock.Since(began)*restShare)
 			}
 		}
 	})
