Linger: lines of requests that got no answer tell how long before them their connection was closed

Two causes of a request that is read and not answered could not be told apart: its caller had left, or this node had closed the connection and its caller did not know. 'request crossed the close' and 'connection aborted' tell the time since the close now, and the first one whether the caller's kernel knew.

--- a/internal/linger/conn.go
+++ b/internal/linger/conn.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/croftturn/croftturn/internal/caller"
+	"github.com/croftturn/croftturn/internal/clock"
 )
 
 type (
@@ -36,6 +37,7 @@
 		idleSince  atomic.Int64                // idleSince is when the connection became idle, in Unix nanoseconds.
 		read       atomic.Uint64               // read counts the bytes that were read.
 		halfClosed atomic.Bool                 // halfClosed is set once the writing side is closed.
+		closedAt   atomic.Int64                // closedAt is when that was, in Unix nanoseconds.
 		crossed    atomic.Bool                 // crossed is set if something was read after that.
 		serving    atomic.Bool                 // serving is set while a handler runs.
 		caller     atomic.Pointer[caller.Conn] // caller is the same connection as handlers know it; nil if they don't.
@@ -68,6 +70,14 @@
 	return func() { own.serving.Store(false) }
 }
 
+// closedBefore returns how long ago this side closed the connection of a context, -1 ms if it did not or is not known to.
+func closedBefore(ctx context.Context) time.Duration {
+	if own, ok := ctx.Value(connKey{}).(*conn); ok {
+		return own.sinceClose()
+	}
+	return -time.Millisecond
+}
+
 // Listen listens on a TCP address, without multipath TCP: the kernel can't refuse handshakes of such a listener.
 func Listen(ctx context.Context, address string) (net.Listener, error) {
 	var config net.ListenConfig
@@ -144,7 +154,7 @@
 		c.read.Add(uint64(n))
 		if c.halfClosed.Load() && !c.crossed.Swap(true) {
 			c.server.stats.Crossed.Add(1)
-			c.server.log.Warn("request crossed the close", "caller", c.RemoteAddr().String())
+			c.server.log.Warn("request crossed the close", "closed_ms", c.sinceClose().Milliseconds(), "acknowledged", closeAcknowledged(c.raw), "caller", c.RemoteAddr().String())
 		}
 	}
 	return n, err
@@ -152,10 +162,19 @@
 
 // CloseWrite closes the writing side; http.Server calls it where a caller may still send the rest of a request.
 func (c *conn) CloseWrite() error {
+	c.closedAt.CompareAndSwap(0, clock.Now().UnixNano())
 	c.halfClosed.Store(true)
 	return halfClose(c.raw)
 }
 
+// sinceClose returns how long ago the writing side was closed, -1 ms if it is open.
+func (c *conn) sinceClose() time.Duration {
+	if at := c.closedAt.Load(); at != 0 {
+		return clock.Since(time.Unix(0, at))
+	}
+	return -time.Millisecond
+}
+
 // Close closes the connection, and lingers before if the caller may still send something: it would be reset otherwise,
 // and the answer lost.
 func (c *conn) Close() error {
--- a/internal/linger/linger.go
+++ b/internal/linger/linger.go
@@ -81,7 +81,7 @@
 		case nil:
 		case http.ErrAbortHandler:
 			s.stats.Aborts.Add(1)
-			s.log.Info("connection aborted", "request", conn.Request(), "path", r.URL.Path)
+			s.log.Info("connection aborted", "request", conn.Request(), "path", r.URL.Path, "closed_ms", closedBefore(r.Context()).Milliseconds())
 			panic(p)
 		default:
 			s.stats.Panics.Add(1)
