Linger: an idle connection is closed by the goroutine that reads it, so that no request is read which can't be answered

What callers saw: a request over a kept connection to a stopping node got neither an answer nor a refusal, and its end came late. Callers of unsafe requests could not know whether it had run.

Cause: a server that ended closed the writing side of an idle connection, and went on reading. If the packet with the close is lost, or waits behind others, the caller does not know of the close; the node read its request whole, took it for that of a caller that has left, and could write nothing. The kernel sends a lost packet again after 200 ms or more.

Change: the end of an idle connection ends its reads; the goroutine that reads has read nothing then, and closes it. If something came meanwhile, that is answered. A request that comes later lies unread and meets a reset at once, which also tells a caller that did not get the close; so does one that comes as the idle timeout passes, which was read and thrown away before.

--- a/internal/linger/conn.go
+++ b/internal/linger/conn.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/croftturn/croftturn/internal/caller"
-	"github.com/croftturn/croftturn/internal/clock"
 )
 
 type (
@@ -28,20 +27,24 @@
 		empty    bool            // empty is set if the backlog was empty at the last look.
 	}
 
-	// conn is a connection of a server.
+	// conn is a connection of a server. A request is read only while it can be answered: to end a connection between two
+	// requests, its reads are ended, and the goroutine that reads closes it.
 	conn struct {
 		net.Conn
 		server     *Server
 		raw        rawConn                     // raw is nil if the socket is not known.
-		idle       atomic.Bool                 // idle is set between two requests, until a byte of the next one is read.
-		idleSince  atomic.Int64                // idleSince is when the connection became idle, in Unix nanoseconds.
-		read       atomic.Uint64               // read counts the bytes that were read.
+		idleSince  atomic.Int64                // idleSince is when the last answer ended, in Unix nanoseconds.
 		halfClosed atomic.Bool                 // halfClosed is set once the writing side is closed.
-		closedAt   atomic.Int64                // closedAt is when that was, in Unix nanoseconds.
-		crossed    atomic.Bool                 // crossed is set if something was read after that.
-		serving    atomic.Bool                 // serving is set while a handler runs.
 		caller     atomic.Pointer[caller.Conn] // caller is the same connection as handlers know it; nil if they don't.
 		closed     sync.Once
+
+		mu       sync.Mutex
+		between  bool      // between is set from the end of an answer until a byte of the next request is read.
+		idle     bool      // idle is set while a read waits between two requests.
+		begun    bool      // begun is set once something was read.
+		serving  bool      // serving is set while a handler runs.
+		ending   bool      // ending is set once reads are ended.
+		deadline time.Time // deadline is the read deadline that the server has set.
 	}
 )
 
@@ -66,16 +69,8 @@
 	if !ok {
 		return func() {}
 	}
-	own.serving.Store(true)
-	return func() { own.serving.Store(false) }
-}
-
-// closedBefore returns how long ago this side closed the connection of a context, -1 ms if it did not or is not known to.
-func closedBefore(ctx context.Context) time.Duration {
-	if own, ok := ctx.Value(connKey{}).(*conn); ok {
-		return own.sinceClose()
-	}
-	return -time.Millisecond
+	own.setServing(true)
+	return func() { own.setServing(false) }
 }
 
 // Listen listens on a TCP address, without multipath TCP: the kernel can't refuse handshakes of such a listener.
@@ -146,41 +141,97 @@
 	return c.raw, nil
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. It fails with io.EOF, and has read nothing, if the connection ends between two requests.
 func (c *conn) Read(p []byte) (int, error) {
+	c.await()
 	n, err := c.Conn.Read(p)
+	if n == 0 && c.isEnding() {
+		return 0, io.EOF
+	}
 	if n > 0 {
-		c.idle.Store(false) // Before the bytes are counted, so that they are never taken for those of an idle connection.
-		c.read.Add(uint64(n))
-		if c.halfClosed.Load() && !c.crossed.Swap(true) {
-			c.server.stats.Crossed.Add(1)
-			c.server.log.Warn("request crossed the close", "closed_ms", c.sinceClose().Milliseconds(), "acknowledged", closeAcknowledged(c.raw), "caller", c.RemoteAddr().String())
-		}
+		c.arrive()
 	}
 	return n, err
 }
 
+// await records that a read begins.
+func (c *conn) await() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle = c.between && !c.serving
+}
+
+// arrive records that something was read. A connection whose reads were being ended goes on: what was read is answered.
+func (c *conn) arrive() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.begun, c.between, c.idle = true, false, false
+	if c.ending {
+		c.ending = false
+		_ = c.Conn.SetReadDeadline(c.deadline) // An error shows at the next read.
+	}
+}
+
+// isEnding reports whether reads are ended.
+func (c *conn) isEnding() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ending
+}
+
+// isServing reports whether a handler runs.
+func (c *conn) isServing() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.serving
+}
+
+// isIdle reports whether a read waits between two requests.
+func (c *conn) isIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.idle
+}
+
+// setServing records whether a handler runs.
+func (c *conn) setServing(serving bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.serving = serving
+}
+
+// setBetween records whether the last answer has ended and nothing of the next request has come.
+func (c *conn) setBetween(between bool, now time.Time) {
+	c.idleSince.Store(now.UnixNano())
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.between = between
+	c.idle = c.idle && between
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = t
+	if c.ending {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
 // CloseWrite closes the writing side; http.Server calls it where a caller may still send the rest of a request.
 func (c *conn) CloseWrite() error {
-	c.closedAt.CompareAndSwap(0, clock.Now().UnixNano())
 	c.halfClosed.Store(true)
 	return halfClose(c.raw)
 }
 
-// sinceClose returns how long ago the writing side was closed, -1 ms if it is open.
-func (c *conn) sinceClose() time.Duration {
-	if at := c.closedAt.Load(); at != 0 {
-		return clock.Since(time.Unix(0, at))
-	}
-	return -time.Millisecond
-}
-
-// Close closes the connection, and lingers before if the caller may still send something: it would be reset otherwise,
-// and the answer lost.
+// Close closes the connection, and lingers before if the caller may still send the rest of a request: it would be reset
+// otherwise, and the answer lost.
 func (c *conn) Close() error {
 	var err error
 	c.closed.Do(func() {
-		if !c.server.closed.Load() && (c.halfClosed.Load() || unread(c.raw) > 0) && open(c.raw) {
+		if !c.server.closed.Load() && !c.isIdle() && (c.halfClosed.Load() || unread(c.raw) > 0) && open(c.raw) {
 			c.linger()
 		}
 		c.logUnread()
@@ -192,38 +243,40 @@
 
 // linger reads what the caller still sends until it closes the connection, but not longer than it may take for a request.
 func (c *conn) linger() {
-	_ = c.CloseWrite()                                                     // It may be closed already.
-	_ = c.SetReadDeadline(time.Now().Add(c.server.http.ReadHeaderTimeout)) // An error shows at the read.
+	_ = c.CloseWrite()                                                          // It may be closed already.
+	_ = c.Conn.SetReadDeadline(time.Now().Add(c.server.http.ReadHeaderTimeout)) // An error shows at the read.
 	if c.server.closed.Load() {
 		return
 	}
 	_, _ = io.Copy(io.Discard, c.Conn) // The caller may reset the connection.
 }
 
-// end ends the connection if it is idle, and reports whether it is closed. The caller learns of the end first. The server
-// is locked.
-func (c *conn) end() bool {
-	switch {
-	case !c.isIdle():
-		return false
-	case !c.halfClosed.Load():
-		_ = c.CloseWrite() // The caller may have reset the connection.
-		return false
-	case !closeAcknowledged(c.raw):
-		return false
+// end ends the connection if it is idle and nothing lies unread in it. What comes from now on is not read, so that the caller's
+// request meets a reset at once: it could not be answered any more, and the caller may not know of the close for long.
+func (c *conn) end() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.idle && !c.serving && unread(c.raw) == 0 {
+		c.endReads()
 	}
-	_ = c.Conn.Close() // It may be closed already.
-	return true
 }
 
-// isIdle reports whether the connection is between two requests and nothing of the next one has come. The kernel's count
-// of bytes also tells of those that were read a moment ago.
-func (c *conn) isIdle() bool {
-	if unread(c.raw) > 0 {
-		return false
+// stopReading ends the connection if nothing of a request has been read, whether or not one lies unread in it, and lingering.
+func (c *conn) stopReading() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.idle && !c.serving, !c.begun:
+		c.endReads()
+	case c.halfClosed.Load():
+		_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // An error means that the connection is closed.
 	}
-	read, received := c.read.Load(), tcpInfo(c.raw).Bytes_received
-	return c.idle.Load() && (received == 0 || received == read)
+}
+
+// endReads makes the read that waits fail, and each one after it. The caller holds the lock.
+func (c *conn) endReads() {
+	c.ending = true
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // An error means that the connection is closed.
 }
 
 // logUnread logs bytes that are lost when the connection is closed now.
@@ -232,6 +285,10 @@
 	if bytes == 0 {
 		return
 	}
-	c.server.stats.ClosedUnread.Add(1)
-	c.server.log.Warn("connection closed with unread bytes", "request", c.caller.Load().Request(), "bytes", bytes, "unread_ms", tcpInfo(c.raw).Last_data_recv, "caller", c.RemoteAddr().String())
+	message, counter := "connection closed with unread bytes", &c.server.stats.ClosedUnread
+	if c.isEnding() && !c.server.closed.Load() {
+		message, counter = "request crossed the close", &c.server.stats.Crossed
+	}
+	counter.Add(1)
+	c.server.log.Warn(message, "request", c.caller.Load().Request(), "bytes", bytes, "unread_ms", tcpInfo(c.raw).Last_data_recv, "caller", c.RemoteAddr().String())
 }
--- /dev/null
+++ b/internal/linger/crossing_test.go
@@ -0,0 +1,61 @@
+package linger
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// loseFINs makes the kernel of a caller lose the packets that close its connection; the server's sends them again.
+func loseFINs(t *testing.T, c net.Conn) {
+	t.Helper()
+	const flags, fin = 13, 0x01
+	filter := []unix.SockFilter{
+		{Code: unix.BPF_LD | unix.BPF_B | unix.BPF_ABS, K: flags},
+		{Code: unix.BPF_JMP | unix.BPF_JSET | unix.BPF_K, K: fin, Jf: 1},
+		{Code: unix.BPF_RET | unix.BPF_K, K: 0},
+		{Code: unix.BPF_RET | unix.BPF_K, K: 0xffff},
+	}
+	program := &unix.SockFprog{Len: uint16(len(filter)), Filter: &filter[0]}
+	if err := control(rawOf(c), func(fd int) error {
+		return unix.SetsockoptSockFprog(fd, unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, program)
+	}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestRequestThatCrossesACloseIsNotRead guards against requests that are read though they can't be answered any more, and whose
+// callers are not told, since the packet that closes their connection was lost.
+func TestRequestThatCrossesACloseIsNotRead(t *testing.T) {
+	const slack = 200 * time.Millisecond // The kernel sends a lost packet again later than that.
+	var served atomic.Int64
+	r := newRig(t, func(l net.Listener) net.Listener { return l }, func(w http.ResponseWriter, _ *http.Request) {
+		served.Add(1)
+		ok(w, nil)
+	})
+	c := r.dial()
+	r.write(c)
+	if _, err := r.read(c); err != nil {
+		t.Fatal(err)
+	}
+	loseFINs(t, c)
+	ended := r.shutdown(t.Context())
+	time.Sleep(5 * pollInterval) // The connection is closed.
+	r.write(c)
+	sent := time.Now()
+	if _, err := r.read(c); !errors.Is(err, syscall.ECONNRESET) || time.Since(sent) > slack {
+		t.Errorf("%v after its last byte the request got %v, want a reset at once", time.Since(sent), err)
+	}
+	if n := served.Load() - 1; n != 0 || r.stats.Crossed.Load() != 0 {
+		t.Errorf("%d requests were served over a closed connection, %d read", n, r.stats.Crossed.Load())
+	}
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/linger/linger.go
+++ b/internal/linger/linger.go
@@ -81,7 +81,7 @@
 		case nil:
 		case http.ErrAbortHandler:
 			s.stats.Aborts.Add(1)
-			s.log.Info("connection aborted", "request", conn.Request(), "path", r.URL.Path, "closed_ms", closedBefore(r.Context()).Milliseconds())
+			s.log.Info("connection aborted", "request", conn.Request(), "path", r.URL.Path)
 			panic(p)
 		default:
 			s.stats.Panics.Add(1)
@@ -154,7 +154,7 @@
 	}
 	s.logWaiting()
 	for c := range s.conns {
-		_ = c.SetReadDeadline(time.Unix(1, 0)) // Ends lingering; an error means that the connection is closed.
+		c.stopReading()
 	}
 	s.mu.Unlock()
 	s.stats.ClosedUntaken.Add(int64(untaken))
@@ -172,7 +172,7 @@
 func (s *Server) logWaiting() {
 	waiting := 0
 	for c := range s.conns {
-		serving, unacknowledged := c.serving.Load(), c.caller.Load().Unread()
+		serving, unacknowledged := c.isServing(), c.caller.Load().Unread()
 		if !serving && unacknowledged <= 0 {
 			continue
 		}
@@ -202,9 +202,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		if c.end() {
-			delete(s.conns, c)
-		}
+		c.end()
 	}
 	return len(s.conns)
 }
@@ -215,10 +213,7 @@
 	if !ok {
 		return
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	c.idleSince.Store(clock.Now().UnixNano())
-	c.idle.Store(state == http.StateIdle)
+	c.setBetween(state == http.StateIdle, clock.Now())
 }
 
 // remove forgets a connection that is closed.
--- a/internal/linger/room.go
+++ b/internal/linger/room.go
@@ -53,15 +53,13 @@
 	}
 	var idle []*conn
 	for c := range s.conns {
-		if c.idle.Load() {
+		if c.isIdle() {
 			idle = append(idle, c)
 		}
 	}
 	slices.SortFunc(idle, func(a, b *conn) int { return cmp.Compare(a.idleSince.Load(), b.idleSince.Load()) })
 	for _, c := range idle[:min(len(idle), excess+1)] {
-		if c.end() {
-			delete(s.conns, c)
-		}
+		c.end()
 	}
 	return len(s.conns) < most
 }
