Linger: a request that was read as its server is closed is answered

Cause: Close closed all connections at once, also one whose request had just been read and had no handler yet; http.Server drops it once it is being closed.

Change: Close first ends the reads of connections of which no request was read, so that what comes from then on lies unread and meets a reset, and waits for up to 20 ms until what was read is answered.

--- a/internal/linger/conn.go
+++ b/internal/linger/conn.go
@@ -261,12 +261,13 @@
 	}
 }
 
-// stopReading ends the connection if nothing of a request has been read, whether or not one lies unread in it, and lingering.
+// stopReading ends the connection if nothing of a request has been read, whether or not one lies unread in it, and lingering. A
+// caller that has not got the whole of its last answer sends no request yet.
 func (c *conn) stopReading() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
-	case c.idle && !c.serving, !c.begun:
+	case c.idle && !c.serving && c.caller.Load().Unread() <= 0, !c.begun:
 		c.endReads()
 	case c.halfClosed.Load():
 		_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // An error means that the connection is closed.
--- a/internal/linger/crossing_test.go
+++ b/internal/linger/crossing_test.go
@@ -12,6 +12,40 @@
 	"golang.org/x/sys/unix"
 )
 
+type (
+	// slowConns is a listener of slowConns.
+	slowConns struct {
+		net.Listener
+		slow atomic.Bool
+		read chan struct{} // read receives a value for each read that has taken bytes while slow is set.
+	}
+
+	// slowConn returns what it has read after a while, as in a process that does not get the processor.
+	slowConn struct {
+		*net.TCPConn
+		of *slowConns
+	}
+)
+
+// Accept implements net.Listener.
+func (l *slowConns) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &slowConn{c.(*net.TCPConn), l}, nil
+}
+
+// Read implements net.Conn.
+func (c *slowConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if n > 0 && c.of.slow.Load() {
+		c.of.read <- struct{}{}
+		time.Sleep(closeTimeout / 4)
+	}
+	return n, err
+}
+
 // loseFINs makes the kernel of a caller lose the packets that close its connection; the server's sends them again.
 func loseFINs(t *testing.T, c net.Conn) {
 	t.Helper()
@@ -59,3 +93,28 @@
 		t.Error(err)
 	}
 }
+
+// TestRequestReadAsTheServerClosesIsAnswered guards against requests that are read, and dropped since the server is closed before
+// their handlers run.
+func TestRequestReadAsTheServerClosesIsAnswered(t *testing.T) {
+	conns := &slowConns{read: make(chan struct{}, 2)}
+	r := newRig(t, func(l net.Listener) net.Listener { conns.Listener = l; return conns }, ok)
+	kept, fresh := r.dial(), r.dial()
+	r.write(kept)
+	if _, err := r.read(kept); err != nil {
+		t.Fatal(err)
+	}
+	conns.slow.Store(true)
+	r.write(kept)
+	r.write(fresh)
+	<-conns.read
+	<-conns.read
+	if err := r.server.Close(); err != nil {
+		t.Error(err)
+	}
+	for name, c := range map[string]net.Conn{"kept": kept, "fresh": fresh} {
+		if resp, err := r.read(c); err != nil || !resp.Close {
+			t.Errorf("the request over the %s connection got %v, %v; want an answer that closes it", name, resp, err)
+		}
+	}
+}
--- a/internal/linger/linger.go
+++ b/internal/linger/linger.go
@@ -24,6 +24,10 @@
 	// begun end within it.
 	pollInterval = 10 * time.Millisecond
 
+	// closeTimeout bounds how long Close waits for answers, and closePollInterval is how often it looks.
+	closeTimeout      = 20 * time.Millisecond
+	closePollInterval = time.Millisecond
+
 	// maxStack is how much of the stack of a panic is logged, in bytes.
 	maxStack = 2 << 10
 
@@ -144,19 +148,14 @@
 	return len(s.conns)
 }
 
-// Close closes all connections at once, and logs what is lost by it.
+// Close closes all connections, and logs what is lost by it. Requests that were read a moment ago are answered if their
+// handlers are quick.
 func (s *Server) Close() error {
+	s.ending.Store(true)
 	s.closed.Store(true)
-	s.mu.Lock()
-	untaken := 0
-	for _, l := range s.listeners {
-		untaken += backlog(l.raw)
-	}
+	untaken := s.stopReading()
+	s.awaitRead()
 	s.logWaiting()
-	for c := range s.conns {
-		c.stopReading()
-	}
-	s.mu.Unlock()
 	s.stats.ClosedUntaken.Add(int64(untaken))
 	if untaken > 0 {
 		s.log.Warn("listener closed before its connections were taken", "connections", untaken)
@@ -167,9 +166,31 @@
 	return nil
 }
 
+// stopReading ends the connections of which no request has been read, and returns how many the listeners hold.
+func (s *Server) stopReading() (untaken int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, l := range s.listeners {
+		untaken += backlog(l.raw)
+	}
+	for c := range s.conns {
+		c.stopReading()
+	}
+	return untaken
+}
+
+// awaitRead waits until all connections are closed, since what was read of them is answered, for at most closeTimeout.
+func (s *Server) awaitRead() {
+	for end := clock.Now().Add(closeTimeout); s.Connections() > 0 && clock.Now().Before(end); {
+		time.Sleep(closePollInterval)
+	}
+}
+
 // logWaiting logs and counts the connections whose callers wait for an answer or for the rest of one. What the kernel holds
-// of it still leaves this machine. The caller holds the lock.
+// of it still leaves this machine.
 func (s *Server) logWaiting() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	waiting := 0
 	for c := range s.conns {
 		serving, unacknowledged := c.isServing(), c.caller.Load().Unread()
