Linger: a request behind the last answer of a connection is not read

Cause: a connection that closes while something lies unread in it lingers: it is read until the caller closes it, so that the answer is not destroyed by a reset. What was read was thrown away, be it the rest of the answered request or a whole one behind it. The same class as requests that cross a close: read, and not answered.

Change: if the answered request was read whole, what lies unread belongs to another one. The connection then waits for the caller's close without reading.

--- a/internal/linger/conn.go
+++ b/internal/linger/conn.go
@@ -5,12 +5,14 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/croftturn/croftturn/internal/caller"
+	"github.com/croftturn/croftturn/internal/clock"
 )
 
 type (
@@ -43,6 +45,7 @@
 		idle     bool      // idle is set while a read waits between two requests.
 		begun    bool      // begun is set once something was read.
 		serving  bool      // serving is set while a handler runs.
+		answered bool      // answered is set once the last request that was read has been read whole and answered.
 		ending   bool      // ending is set once reads are ended.
 		deadline time.Time // deadline is the read deadline that the server has set.
 	}
@@ -63,14 +66,14 @@
 	}
 }
 
-// setServing records that a handler runs on the connection of a context, until the returned function is called.
-func setServing(ctx context.Context) (end func()) {
-	own, ok := ctx.Value(connKey{}).(*conn)
+// setServing records that a handler runs for a request, until the returned function is called.
+func setServing(r *http.Request) (end func()) {
+	own, ok := r.Context().Value(connKey{}).(*conn)
 	if !ok {
 		return func() {}
 	}
-	own.setServing(true)
-	return func() { own.setServing(false) }
+	own.setServing(true, false)
+	return func() { own.setServing(false, !r.Close) } // http.Server reads the rest of a body, unless the caller asked it to close.
 }
 
 // Listen listens on a TCP address, without multipath TCP: the kernel can't refuse handshakes of such a listener.
@@ -166,6 +169,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.begun, c.between, c.idle = true, false, false
+	c.answered = c.answered && c.serving
 	if c.ending {
 		c.ending = false
 		_ = c.Conn.SetReadDeadline(c.deadline) // An error shows at the next read.
@@ -193,11 +197,18 @@
 	return c.idle
 }
 
-// setServing records whether a handler runs.
-func (c *conn) setServing(serving bool) {
+// setServing records whether a handler runs, and whether the request has been read whole and answered.
+func (c *conn) setServing(serving, answered bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.serving = serving
+	c.serving, c.answered = serving, answered
+}
+
+// isAnswered reports whether all that was read has been answered.
+func (c *conn) isAnswered() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.answered
 }
 
 // setBetween records whether the last answer has ended and nothing of the next request has come.
@@ -231,8 +242,12 @@
 func (c *conn) Close() error {
 	var err error
 	c.closed.Do(func() {
-		if !c.server.closed.Load() && !c.isIdle() && (c.halfClosed.Load() || unread(c.raw) > 0) && open(c.raw) {
+		switch {
+		case c.server.closed.Load() || c.isIdle() || !open(c.raw):
+		case c.halfClosed.Load(), unread(c.raw) > 0 && !c.isAnswered():
 			c.linger()
+		case unread(c.raw) > 0:
+			c.awaitClose()
 		}
 		c.logUnread()
 		c.server.remove(c)
@@ -251,6 +266,15 @@
 	_, _ = io.Copy(io.Discard, c.Conn) // The caller may reset the connection.
 }
 
+// awaitClose waits until the caller closes the connection, but not longer than it may take for a request. The request that it has
+// sent behind the last one to be answered is not read.
+func (c *conn) awaitClose() {
+	_ = c.CloseWrite() // The caller may have reset the connection.
+	for end := clock.Now().Add(c.server.http.ReadHeaderTimeout); open(c.raw) && clock.Now().Before(end) && !c.server.closed.Load(); {
+		time.Sleep(pollInterval)
+	}
+}
+
 // end ends the connection if it is idle and nothing lies unread in it. What comes from now on is not read, so that the caller's
 // request meets a reset at once: it could not be answered any more, and the caller may not know of the close for long.
 func (c *conn) end() {
--- a/internal/linger/kernel.go
+++ b/internal/linger/kernel.go
@@ -94,16 +94,6 @@
 	return false
 }
 
-// closeAcknowledged reports whether the caller's kernel knows that this side was closed, so that the caller sends no more
-// requests that cross the close.
-func closeAcknowledged(raw rawConn) bool {
-	switch tcpInfo(raw).State {
-	case tcpEstablished, tcpFinWait1:
-		return false
-	}
-	return true
-}
-
 // halfClose closes the writing side of a connection.
 func halfClose(raw rawConn) error {
 	return control(raw, func(fd int) error { return unix.Shutdown(fd, unix.SHUT_WR) })
--- a/internal/linger/linger.go
+++ b/internal/linger/linger.go
@@ -94,7 +94,7 @@
 			panic(http.ErrAbortHandler)
 		}
 	}()
-	defer setServing(r.Context())()
+	defer setServing(r)()
 	a := &answer{ResponseWriter: w, server: s}
 	s.handler.ServeHTTP(a, r)
 	a.begin()
