Soak: callers rest until their node closes their connections, and lose the packet that closes them

Of each node that stops while it gets little time, eight callers send one request before the SIGTERM and another one 6 to 8 s after it, over the same connection. A socket filter drops the packets that close a connection, as a full link may.

--- a/lab/soak/faults_starved.go
+++ b/lab/soak/faults_starved.go
@@ -232,6 +232,7 @@
 		}
 		others.Go(func() { env.disturb(ctx, gone, n, s.late, signal, rand.New(rand.NewPCG(s.seed, 1))) })
 	}
+	env.crossCloses(ctx, &others, n, signal, s.seed)
 	pause.For(ctx, time.Until(signal))
 	env.ledger.recordSigterm(n.name, time.Now())
 	if err := n.Stop(stopGrace); err != nil {
