--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -55,7 +55,7 @@
 		telemetry.Gauge{Name: "croftturn.edge.connections_closed_unread", Help: "callers' connections closed by this node though bytes lay unread in them", Read: e.serverStats.ClosedUnread.Load},
 		telemetry.Gauge{Name: "croftturn.edge.connections_closed_waiting", Help: "callers' connections closed at the end of this node though they had not got a whole answer", Read: e.serverStats.ClosedWaiting.Load},
 		telemetry.Gauge{Name: "croftturn.edge.connections_closed_untaken", Help: "connections that a listener held when it was closed", Read: e.serverStats.ClosedUntaken.Load},
-		telemetry.Gauge{Name: "croftturn.edge.requests_crossed", Help: "requests that came after this node had closed their connections", Read: e.serverStats.Crossed.Load},
+		telemetry.Gauge{Name: "croftturn.edge.requests_crossed", Help: "idle connections that this node closed as a request came", Read: e.serverStats.Crossed.Load},
 		telemetry.Gauge{Name: "croftturn.edge.late_ms", Help: "how late this process was at most in the last seconds", Read: func() int64 { return e.lateness.Recent(clock.Now()).Milliseconds() }},
 		telemetry.Gauge{Name: "croftturn.edge.answers_ended_by_stop", Help: "answers that had begun and were ended by the stop of this node", Read: func() int64 { n, _ := e.dispatcher.EndedByStop(); return n }},
 		telemetry.Gauge{Name: "croftturn.edge.requests_ended_by_stop", Help: "requests that engines had, without an answer that had begun, ended by the stop of this node", Read: func() int64 { _, n := e.dispatcher.EndedByStop(); return n }},
--- a/internal/linger/linger.go
+++ b/internal/linger/linger.go
@@ -59,7 +59,7 @@
 		ClosedUnread  atomic.Int64 // ClosedUnread counts connections that were closed though bytes lay unread in them.
 		ClosedUntaken atomic.Int64 // ClosedUntaken counts connections that their listener held when it was closed.
 		ClosedWaiting atomic.Int64 // ClosedWaiting counts connections that Close closed though their callers had not got a whole answer.
-		Crossed       atomic.Int64 // Crossed counts requests that were sent before their callers could see the close.
+		Crossed       atomic.Int64 // Crossed counts idle connections that were closed as a request came, which was not read.
 	}
 
 	// Option configures a Server.
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -167,7 +167,7 @@
 		telemetry.Gauge{Name: "croftturn.connections.closed_unread", Help: "Callers' connections closed by this node though bytes lay unread in them.", Read: n.serverStats.ClosedUnread.Load},
 		telemetry.Gauge{Name: "croftturn.connections.closed_waiting", Help: "Callers' connections closed at the end of this node though they had not got a whole answer.", Read: n.serverStats.ClosedWaiting.Load},
 		telemetry.Gauge{Name: "croftturn.connections.closed_untaken", Help: "Connections that a listener held when it was closed.", Read: n.serverStats.ClosedUntaken.Load},
-		telemetry.Gauge{Name: "croftturn.requests.crossed", Help: "Requests that came after this node had closed their connections.", Read: n.serverStats.Crossed.Load},
+		telemetry.Gauge{Name: "croftturn.requests.crossed", Help: "Idle connections that this node closed as a request came.", Read: n.serverStats.Crossed.Load},
 		telemetry.Gauge{Name: "croftturn.answers_ended_by_stop", Help: "Answers that had begun and were ended by the stop of this node.", Read: func() int64 { n, _ := n.front.EndedByStop(); return n }},
 		telemetry.Gauge{Name: "croftturn.requests_ended_by_stop", Help: "Requests without an answer that had begun, ended by the stop of this node.", Read: func() int64 { _, n := n.front.EndedByStop(); return n }},
 		telemetry.Gauge{Name: "croftturn.requests.live", Help: "Requests that have not ended.", Read: func() int64 { return int64(n.journal.Live()) }},
