--- a/lab/soak/faults_crossing.go
+++ b/lab/soak/faults_crossing.go
@@ -20,6 +20,9 @@
 	crossFrom      = 6 * time.Second
 	crossSpan      = 2 * time.Second
 
+	// crossPatience is how long they wait for an answer, or for the end of the connection.
+	crossPatience = 3 * time.Second
+
 	// crossSeed tells the draws of these callers from those of others.
 	crossSeed = 7
 )
@@ -46,6 +49,7 @@
 	c.send(ctx, address)
 	pause.For(ctx, time.Until(signal.Add(crossFrom+time.Duration(c.rand.Int64N(int64(crossSpan))))))
 	if c.conn != nil && ctx.Err() == nil {
+		_ = c.conn.SetReadDeadline(time.Now().Add(crossPatience)) // An error shows at the read.
 		c.send(ctx, address)
 	}
 }
