Gossip: an update of the hubs as of an older time does not end the process

Cause: the register reads the clock, waits for the store while it reads the heads of the halls, and then updates the hubs as of that time. The rounds of gossip had updated them meanwhile, as of a later time. If 0.7 s or more lie between, the time for which no hub was heard is negative, and so is the number by which the number of fallback hubs is doubled. That takes a node that has become a hub and hears none of its hall, among more than 13 nodes, and a store that is slow: many nodes that start at once. Class: a time that was read before a wait is used after it.

Change: the hubs are never updated as of an older time than before.

TestHubsAreUpdatedWithAnOlderTime panicked before, in the same way. All tests of gossip and register passed with -race.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -74,6 +74,7 @@
 		chosenHubs    []string             // chosenHubs are the hubs that this node, as a hub, chose for its hall.
 		choiceVersion int                  // choiceVersion counts changes of chosenHubs.
 		hubHeardAt    map[string]time.Time // hubHeardAt is, by hall, when a hub there was last heard or first missed.
+		hubsUpdatedAt time.Time            // hubsUpdatedAt is the time of the last update of the hubs.
 
 		unheardSince map[string]time.Time // unheardSince is, by hall, since when none of the hubs that others advertise there is heard.
 		promoted     chan struct{}        // promoted wakes a sleeping spoke that a hub has chosen as a hub.
--- a/internal/gossip/hubs.go
+++ b/internal/gossip/hubs.go
@@ -72,13 +72,18 @@
 }
 
 // UpdateHubs recomputes which nodes are hubs, including this one. Each round calls it; it may also be
-// called in between, such as when many nodes have just become known.
+// called in between, such as when many nodes have just become known. Several goroutines call it, so a
+// time older than that of the last update counts as that one.
 func (g *Gossip) UpdateHubs(now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.fullMesh() {
 		return
 	}
+	if now.Before(g.hubsUpdatedAt) {
+		now = g.hubsUpdatedAt
+	}
+	g.hubsUpdatedAt = now
 	advertised := g.advertisedHubs(now)
 	hubs := map[string]bool{}
 	g.addHubs(now, hubs, g.self.Hall, advertised)
--- a/internal/gossip/hubs_test.go
+++ b/internal/gossip/hubs_test.go
@@ -348,6 +348,23 @@
 	}
 }
 
+// TestHubsAreUpdatedWithAnOlderTime guards against processes that end because a time that was read before a wait is used after one
+// that was read later.
+func TestHubsAreUpdatedWithAnOlderTime(t *testing.T) {
+	n := newNetwork(t, 2, maxFullMeshPeers, 0, 1)
+	for _, heard := range []bool{false, true} {
+		for back := time.Duration(0); back <= 20*widenInterval; back += widenInterval / 2 {
+			node := n.nodes["n1-4"]
+			node.UpdateHubs(n.now)
+			node.UpdateHubs(n.now.Add(-back))
+			if hubs := len(node.hubs); hubs == 0 {
+				t.Errorf("heard %v, %v back: no hubs are known", heard, back)
+			}
+		}
+		n.run(5 * time.Second)
+	}
+}
+
 // TestChosenHubsAreResent guards against a spoke that hears a hub but has no hub itself: the message
 // with the addresses of the chosen hubs was lost, so the spoke does not know the hubs that are
 // advertised to it.
