Overload: a refusal as of a time before the first promise does not panic

By a test: a request that read the clock over 0.1 s before the first one that is told when to come back, and is refused after it, got no answer: its handler panicked with an index below zero.

Here the schedule of promises begins at the later one.

Change: the schedule takes no time before its start.

TestPromiseAsOfATimeBeforeTheFirstOne panicked before ('index out of range').

--- a/internal/overload/schedule.go
+++ b/internal/overload/schedule.go
@@ -39,7 +39,7 @@
 // should come back: within the first of them after the least time, or within the last slot that it
 // heeds if none is free. A cost of 0 reserves nothing.
 func (s *schedule) promise(now time.Time, cost, least, heeded, capacity time.Duration) time.Duration {
-	s.move(now)
+	now = s.move(now)
 	heeded = max(0, heeded) // The caller may have been held beyond its time by a suspension.
 	last := s.newest + min(slotCount-1, int64((now.Sub(s.start)+heeded)/slotLength)-s.newest)
 	at := min(max(s.newest+1, int64((now.Sub(s.start)+least)/slotLength)+1), last)
@@ -60,16 +60,21 @@
 	return max(0, from+scale(s.spread, min(slotLength, heeded-from)))
 }
 
-// move drops the slots that have passed.
-func (s *schedule) move(now time.Time) {
+// move drops the slots that have passed, and returns the time. It is the start of the schedule at the earliest: a request that
+// began it may have read the clock after one that waited since.
+func (s *schedule) move(now time.Time) time.Time {
 	if s.start.IsZero() {
 		s.start = now
 	}
+	if now.Before(s.start) {
+		now = s.start
+	}
 	at := int64(now.Sub(s.start) / slotLength)
 	for slot := max(s.newest, at-slotCount); slot < at; slot++ {
 		s.used[slot%slotCount] = 0
 	}
 	s.newest = max(s.newest, at)
+	return now
 }
 
 // perSlot returns this node's part of the engine time in a slot. The caller holds the lock.
