Edge, node: a component that panics stops the process in order

Cause: a panic in any goroutine ends a Go process at once.

Change: internal/guard runs the goroutines of a node and reports a panic. The process then stops as after SIGTERM, within its grace: it leaves the directory, answers what is in progress, and exits with status 1, so that the platform starts it anew. Goroutines that components start themselves are not covered.

TestPanicOfAComponentLosesNoRequest could not pass before: the panic ended the test's process.

--- a/cmd/croftturn/main.go
+++ b/cmd/croftturn/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"os"
@@ -97,6 +98,8 @@
 		select {
 		case <-ctx.Done():
 			return n.Close()
+		case err := <-n.Failed():
+			return errors.Join(err, n.Close())
 		case <-hangUp:
 			n.HangUp()
 		}
@@ -130,6 +133,8 @@
 		select {
 		case <-ctx.Done():
 			return e.Close()
+		case err := <-e.Failed():
+			return errors.Join(err, e.Close())
 		case <-reload:
 			e.Reload(func() (*settings.Settings, error) { return loadSettings(args) })
 		}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -30,6 +30,7 @@
 	"github.com/croftturn/croftturn/internal/freshness"
 	"github.com/croftturn/croftturn/internal/front"
 	"github.com/croftturn/croftturn/internal/gossip"
+	"github.com/croftturn/croftturn/internal/guard"
 	"github.com/croftturn/croftturn/internal/lateness"
 	"github.com/croftturn/croftturn/internal/limit"
 	"github.com/croftturn/croftturn/internal/linger"
@@ -151,7 +152,7 @@
 	bodies      caller.BodyRoom  // bodies bounds the memory of requests.
 	lateness    lateness.Gauge   // lateness is how late this process beats.
 	cancel      context.CancelFunc
-	wg          sync.WaitGroup
+	wg          *guard.Group
 }
 
 // endpoint is an address and the handler served there.
@@ -171,6 +172,7 @@
 		return nil, errors.Join(fmt.Errorf("start telemetry: %w", err), e.logWriter.Close(ctx))
 	}
 	e.tele, e.log = tele, tele.Log
+	e.wg = guard.New(e.log)
 	log.SetFlags(0)
 	log.SetOutput(libraryLog{e.log})
 	if err := e.build(clock.Now()); err != nil {
@@ -359,13 +361,10 @@
 }
 
 // startGoroutine runs a function in a goroutine that Close waits for.
-func (e *Edge) startGoroutine(f func()) {
-	e.wg.Add(1)
-	go func() {
-		defer e.wg.Done()
-		f()
-	}()
-}
+func (e *Edge) startGoroutine(f func()) { e.wg.Go(f) }
+
+// Failed receives an error if a component has panicked. The node still serves requests, and has to be closed.
+func (e *Edge) Failed() <-chan error { return e.wg.Failed() }
 
 // scaleMs returns a fraction of a time given in milliseconds.
 func scaleMs(part float64, n int) time.Duration { return time.Duration(part * float64(ms(n))) }
--- a/internal/edge/stop_test.go
+++ b/internal/edge/stop_test.go
@@ -507,3 +507,27 @@
 		}
 	}
 }
+
+// TestPanicOfAComponentLosesNoRequest guards against requests in progress that end with the process, without an answer, since
+// something panicked that has nothing to do with them.
+func TestPanicOfAComponentLosesNoRequest(t *testing.T) {
+	s := newStopRig(t, 2*time.Second)
+	var calls sync.WaitGroup
+	for i := range 8 {
+		kind := []string{"safe", "unsafe", "stream", "resumable"}[i%4]
+		calls.Go(func() {
+			if status, answered := s.send(&http.Client{}, fmt.Sprint(kind, i), kind, time.Second); status != http.StatusOK || !answered {
+				t.Errorf("%s got %d, whole: %v", kind, status, answered)
+			}
+		})
+	}
+	time.Sleep(300 * time.Millisecond) // The requests are in progress.
+	s.node.startGoroutine(func() { panic("planted") })
+	if err := <-s.node.Failed(); err == nil || !strings.Contains(err.Error(), "planted") {
+		t.Errorf("reported %v", err)
+	}
+	if err := s.node.Close(); err != nil {
+		t.Error(err)
+	}
+	calls.Wait()
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -9,7 +9,6 @@
 	"io"
 	"net"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/croftturn/croftturn/internal/admin"
@@ -20,6 +19,7 @@
 	"github.com/croftturn/croftturn/internal/config"
 	"github.com/croftturn/croftturn/internal/engine"
 	"github.com/croftturn/croftturn/internal/front"
+	"github.com/croftturn/croftturn/internal/guard"
 	"github.com/croftturn/croftturn/internal/journal"
 	"github.com/croftturn/croftturn/internal/kv"
 	"github.com/croftturn/croftturn/internal/linger"
@@ -78,7 +78,7 @@
 	serverStats linger.Stats
 	stopping    chan struct{}
 	cancel      context.CancelFunc
-	wg          sync.WaitGroup
+	wg          *guard.Group
 }
 
 // Start starts a node that logs to out. Close stops it.
@@ -87,7 +87,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("start telemetry: %w", err)
 	}
-	n := &Node{settings: s, tele: tele, stopping: make(chan struct{})}
+	n := &Node{settings: s, tele: tele, wg: guard.New(tele.Log), stopping: make(chan struct{})}
 	listeners, err := listen(s.PeerAddress, s.CallerAddress, s.AdminAddress)
 	if err != nil {
 		return nil, errors.Join(err, tele.Close())
@@ -211,13 +211,10 @@
 }
 
 // start runs f on a goroutine that Close waits for.
-func (n *Node) start(f func()) {
-	n.wg.Add(1)
-	go func() {
-		defer n.wg.Done()
-		f()
-	}()
-}
+func (n *Node) start(f func()) { n.wg.Go(f) }
+
+// Failed receives an error if a component has panicked. The node still serves calls, and has to be closed.
+func (n *Node) Failed() <-chan error { return n.wg.Failed() }
 
 // serve serves HTTP until the server is shut down.
 func (n *Node) serve(s *linger.Server, l net.Listener) {
