Hangup: SIGHUP ends no process that starts or exits

Cause: the signal was taken after all packages were initialized and the settings were read and checked. It was given back before the exit. Now a package that imports nothing but the standard library takes it as it is initialized, which comes right after os/signal, and keeps it. What is left is the time until the runtime has started.

The planted fault 'a reload ends the process' names the new place.

--- a/cmd/croftturn/main.go
+++ b/cmd/croftturn/main.go
@@ -13,6 +13,7 @@
 	"github.com/google/subcommands"
 
 	"github.com/croftturn/croftturn/internal/edge"
+	"github.com/croftturn/croftturn/internal/hangup"
 	"github.com/croftturn/croftturn/internal/node"
 	"github.com/croftturn/croftturn/internal/settings"
 )
@@ -87,8 +88,6 @@
 	if err != nil {
 		return err
 	}
-	hangUp, stop := notifyHangUp()
-	defer stop()
 	n, err := node.Start(context.WithoutCancel(ctx), s, os.Stdout)
 	if err != nil {
 		return fmt.Errorf("start node: %w", err)
@@ -97,19 +96,12 @@
 		select {
 		case <-ctx.Done():
 			return n.Close()
-		case <-hangUp:
+		case <-hangup.Received():
 			n.HangUp()
 		}
 	}
 }
 
-// notifyHangUp returns a channel that receives each SIGHUP, which would end the process otherwise.
-func notifyHangUp() (hangUp <-chan os.Signal, stop func()) {
-	c := make(chan os.Signal, 1)
-	signal.Notify(c, syscall.SIGHUP)
-	return c, func() { signal.Stop(c) }
-}
-
 // runEdge runs a node on the users' platform until the context ends, and reloads the
 // settings on SIGHUP.
 func runEdge(ctx context.Context, args []string) error {
@@ -120,8 +112,6 @@
 	if err != nil {
 		return err
 	}
-	reload, stop := notifyHangUp()
-	defer stop()
 	e, err := edge.Start(context.WithoutCancel(ctx), s, os.Stdout)
 	if err != nil {
 		return fmt.Errorf("start node: %w", err)
@@ -130,7 +120,7 @@
 		select {
 		case <-ctx.Done():
 			return e.Close()
-		case <-reload:
+		case <-hangup.Received():
 			e.Reload(func() (*settings.Settings, error) { return loadSettings(args) })
 		}
 	}
--- a/lab/soak/planted_test.go
+++ b/lab/soak/planted_test.go
@@ -64,7 +64,7 @@
 	{"long requests leave engines that respond", "that ran as long were answered", faultLong, "internal/dispatch/beside.go", "pause.For(w.ctx, after)", "pause.For(w.ctx, after)\n\t\t\tw.abandon(true, w.begun)"},
 	{"a rest is forgotten", "a Retry-After of", "engine asks for rest", "internal/placement/rest.go", "return r.until", "return time.Time{}"},
 	{"a hall that is evacuated gets new requests", "was evacuated", "hall evacuated", "internal/placement/placement.go", "if !e.Draining && !p.evacuated[e.Hall] {", "if !e.Draining {"},
-	{"a reload ends the process", "exited unexpectedly", "hang up a node", "cmd/croftturn/main.go", "signal.Notify(c, syscall.SIGHUP)", ""},
+	{"a reload ends the process", "exited unexpectedly", "hang up a node", "internal/hangup/hangup.go", "signal.Notify(c, syscall.SIGHUP)", "_, _ = signal.Notify, syscall.SIGHUP"},
 	{"a request that crashes engines is never held", "later than", "a request crashes engines", "internal/quarantine/record.go", "return len(r.crashes) >= crashThreshold", "return false"},
 	{"a part that crashes engines is never held", "after the fifth crash", "a part of prompts crashes engines", "internal/quarantine/judge.go", "if moments(crashes, p.ID, func(*partCrash) bool { return true }) >= heldMoments {", "if moments(crashes, p.ID, func(*partCrash) bool { return false }) >= heldMoments {"},
 	{"all shared parts of a crashing prompt are held", "sound requests beside part", "a part of prompts crashes engines", "internal/quarantine/parts.go", "if c.at.After(a.at) || key.version", "if !c.at.IsZero() || key.version"},
--- a/lab/soak/signal_test.go
+++ b/lab/soak/signal_test.go
@@ -1,15 +1,22 @@
 package soak
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/croftturn/croftturn/lab/cluster"
 	"github.com/croftturn/croftturn/lab/relay"
 )
@@ -20,6 +27,9 @@
 
 	// lastPart is how long before the end of its grace a node may end answers.
 	lastPart = stopGrace / 6
+
+	// startWithin bounds how long a node takes to start.
+	startWithin = 5 * time.Second
 )
 
 // ask sends a request that runs for some time to a node, and returns its answer.
@@ -129,6 +139,69 @@
 	}
 }
 
+// TestHangUpWhileTheSettingsAreReadDoesNotEndTheProcess guards against nodes that a reload ends while they start.
+func TestHangUpWhileTheSettingsAreReadDoesNotEndTheProcess(t *testing.T) {
+	env, n := startTwoNodes(t, 0)
+	env.expectExit(n)
+	n.Kill()
+	text, err := os.ReadFile(n.settingsPath)
+	if err != nil {
+		t.Fatal(err)
+	}
+	path, output := filepath.Join(t.TempDir(), "settings"), filepath.Join(t.TempDir(), "log")
+	if err := unix.Mkfifo(path, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if n.Process, err = cluster.Launch(output, n.name, "croftturn", "edge", path); err != nil {
+		t.Fatal(err)
+	}
+	var pipe *os.File // pipe can be opened once the process reads from it.
+	if err := cluster.Wait("the process reads its settings", startWithin, func() bool {
+		pipe, err = os.OpenFile(path, os.O_WRONLY|unix.O_NONBLOCK, 0)
+		return err == nil
+	}); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Rename(n.settingsPath, path); err != nil { // They are read once more for the signal.
+		t.Fatal(err)
+	}
+	if err := n.Signal(syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := pipe.Write(text); err != nil {
+		t.Error(err)
+	}
+	if err := pipe.Close(); err != nil {
+		t.Error(err)
+	}
+	if err := cluster.Wait("the node has started and reloaded its settings", startWithin, func() bool {
+		log, err := os.ReadFile(output)
+		return err == nil && bytes.Contains(log, []byte(`"settings reloaded"`)) || n.Exited()
+	}); err != nil || n.Exited() {
+		t.Errorf("%v, process ended: %v", err, n.Exited())
+	}
+}
+
+// TestHangUpIsTakenAsSoonAsSignalsAre guards against nodes that a reload ends before they read their settings.
+func TestHangUpIsTakenAsSoonAsSignalsAre(t *testing.T) {
+	dir, err := cluster.Build()
+	if err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command(filepath.Join(dir, "croftturn"), "version")
+	cmd.Env = append(os.Environ(), "GODEBUG=inittrace=1")
+	trace, err := cmd.CombinedOutput()
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, after, _ := strings.Cut(string(trace), "init os/signal ")
+	_, next, _ := strings.Cut(after, "\n")
+	if !strings.HasPrefix(next, "init github.com/croftturn/croftturn/internal/hangup ") {
+		next, _, _ = strings.Cut(next, "\n")
+		t.Errorf("the package initialized after os/signal is another one: %q", next)
+	}
+}
+
 // TestAnswersThatCameDuringAStandstillAreTaken guards against attempts that are given up as if their engines were silent, since
 // the process stood still while the answers came.
 func TestAnswersThatCameDuringAStandstillAreTaken(t *testing.T) {
