Croftturn: a reload does not delay a stop

What callers saw: where a SIGHUP came before the SIGTERM and the settings file did not answer, the node never began its stop, and the kill ended whatever ran there. Cause: the goroutine that waits for SIGTERM also read and checked the settings. Reloads have a goroutine of their own now, which ends as the stop begins and is not waited for.

--- a/cmd/croftturn/main.go
+++ b/cmd/croftturn/main.go
@@ -116,10 +116,17 @@
 	if err != nil {
 		return fmt.Errorf("start node: %w", err)
 	}
+	go reloadOnHangUp(ctx, e, args) // Not waited for: a file that is slow to read must not delay the stop.
+	<-ctx.Done()
+	return e.Close()
+}
+
+// reloadOnHangUp reloads the settings on each SIGHUP until the context ends.
+func reloadOnHangUp(ctx context.Context, e *edge.Edge, args []string) {
 	for {
 		select {
 		case <-ctx.Done():
-			return e.Close()
+			return
 		case <-hangup.Received():
 			e.Reload(func() (*settings.Settings, error) { return loadSettings(args) })
 		}
--- a/lab/soak/signal_test.go
+++ b/lab/soak/signal_test.go
@@ -202,6 +202,30 @@
 	}
 }
 
+// TestReloadDoesNotDelayAStop guards against stops that begin only once the settings are read that a signal asked for before.
+func TestReloadDoesNotDelayAStop(t *testing.T) {
+	env, n := startTwoNodes(t, longRun+time.Second)
+	env.expectExit(n)
+	pipe := filepath.Join(t.TempDir(), "settings") // Nothing is written to it, so that its reading does not end.
+	if err := errors.Join(unix.Mkfifo(pipe, 0o600), os.Rename(pipe, n.settingsPath)); err != nil {
+		t.Fatal(err)
+	}
+	var callers sync.WaitGroup
+	for _, route := range routes {
+		callers.Go(func() { askWhole(t, n, route, longID(route), longRun) })
+	}
+	time.Sleep(standstill / 2)
+	if err := n.Signal(syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(standstill / 2)
+	if err := n.Stop(stopGrace); err != nil {
+		t.Error(err)
+		n.Kill()
+	}
+	callers.Wait()
+}
+
 // TestHangUpIsTakenAsSoonAsSignalsAre guards against nodes that a reload ends before they read their settings.
 func TestHangUpIsTakenAsSoonAsSignalsAre(t *testing.T) {
 	dir, err := cluster.Build()
