--- a/cmd/croftturn/main.go
+++ b/cmd/croftturn/main.go
@@ -14,6 +14,7 @@
 	"github.com/google/subcommands"
 
 	"github.com/croftturn/croftturn/internal/edge"
+	"github.com/croftturn/croftturn/internal/hangup"
 	"github.com/croftturn/croftturn/internal/node"
 	"github.com/croftturn/croftturn/internal/settings"
 )
@@ -88,8 +89,6 @@
 	if err != nil {
 		return err
 	}
-	hangUp, stop := notifyHangUp()
-	defer stop()
 	n, err := node.Start(context.WithoutCancel(ctx), s, os.Stdout)
 	if err != nil {
 		return fmt.Errorf("start node: %w", err)
@@ -100,19 +99,12 @@
 			return n.Close()
 		case err := <-n.Failed():
 			return errors.Join(err, n.Close())
-		case <-hangUp:
+		case <-hangup.Received():
 			n.HangUp()
 		}
 	}
 }
 
-// notifyHangUp returns a channel that receives each SIGHUP, which would end the process otherwise.
-func notifyHangUp() (hangUp <-chan os.Signal, stop func()) {
-	c := make(chan os.Signal, 1)
-	signal.Notify(c, syscall.SIGHUP)
-	return c, func() { signal.Stop(c) }
-}
-
 // runEdge runs a node on the users' platform until the context ends, and reloads the
 // settings on SIGHUP.
 func runEdge(ctx context.Context, args []string) error {
@@ -123,19 +115,26 @@
 	if err != nil {
 		return err
 	}
-	reload, stop := notifyHangUp()
-	defer stop()
 	e, err := edge.Start(context.WithoutCancel(ctx), s, os.Stdout)
 	if err != nil {
 		return fmt.Errorf("start node: %w", err)
 	}
+	go reloadOnHangUp(ctx, e, args) // Not waited for: a file that is slow to read must not delay the stop.
+	select {
+	case <-ctx.Done():
+		return e.Close()
+	case err := <-e.Failed():
+		return errors.Join(err, e.Close())
+	}
+}
+
+// reloadOnHangUp reloads the settings on each SIGHUP until the context ends.
+func reloadOnHangUp(ctx context.Context, e *edge.Edge, args []string) {
 	for {
 		select {
 		case <-ctx.Done():
-			return e.Close()
-		case err := <-e.Failed():
-			return errors.Join(err, e.Close())
-		case <-reload:
+			return
+		case <-hangup.Received():
 			e.Reload(func() (*settings.Settings, error) { return loadSettings(args) })
 		}
 	}
