Forward: a request is written once its second node asks for it

Callers saw: at a node that reaches no engine, a request that crossed the close of the connection to its second node got 502 if it is unsafe or a stream that can't be resumed, though nobody had read it; a repeatable one needed a retry. Where the close was lost on its way they waited for it, or got 504 at their deadline.

Cause: the first node wrote the whole request at once, so that an end without an answer told nothing. Class: a request is handed over before the other side is known to be there.

Works because: with Expect: 100-continue nothing of a request is written until the second node asks; what was not written can't run, however the connection ends. It goes to the next node, or is refused as not run.

Tests changed: TestForwardedRequestThatLayUnreadIsDecidedAgain keeps its case with a longer wait of the client, and has one for the request that was asked for. TestForwardedAnswersCutAtAnyByteNeverLookWhole took a run that began after its connection was cut for one of the next request, which the new cut right after "100 Continue" shows; it counts by id, to the end of the second node.

--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -20,6 +21,10 @@
 	// dialTimeout bounds connecting to a node.
 	dialTimeout = 400 * time.Millisecond
 
+	// takeTimeout bounds how long a node may take to ask for a request. A packet in each direction may have to be sent again, or
+	// wait in a full link; a node that has closed the connection tells so within that time.
+	takeTimeout = time.Second
+
 	// idleTimeout is how long an idle connection to a node is kept; idleConns is how many.
 	idleTimeout = 4 * time.Second
 	idleConns   = 32
@@ -28,14 +33,31 @@
 	bufferBytes = 2 << 10
 )
 
-// errStatus means that a node did not understand a forwarded request, which it did not run.
-var errStatus = errors.New("forward: node does not take the request")
+var (
+	// errStatus means that a node did not understand a forwarded request, which it did not run.
+	errStatus = errors.New("forward: node does not take the request")
+
+	// errNotAsked means that a node did not ask for a request in time.
+	errNotAsked = errors.New("forward: node does not ask for the request")
+)
 
 type (
 	// Client sends requests to other nodes.
 	Client struct {
-		transport *http.Transport
-		sent      atomic.Int64
+		transport   *http.Transport
+		takeTimeout time.Duration
+		sent        atomic.Int64
+	}
+
+	// exchange is one request and how far it has come.
+	exchange struct {
+		hooks   dial.Hooks
+		timeout time.Duration // timeout bounds the wait for the node to ask for the request.
+		cancel  context.CancelCauseFunc
+		conn    *dial.RequestConn // conn is nil until there is a connection.
+		before  int64             // before is how many writes the connection has seen without the request itself.
+		written func()            // written is called when the request has ended.
+		wait    *time.Timer       // wait ends the request unless the node asks for it in time; nil until there is a connection.
 	}
 
 	// answerBody is the body of an answer; closing it ends the request at the other node.
@@ -48,7 +70,7 @@
 // NewClient returns a Client without connections.
 func NewClient() *Client {
 	d := dial.New(dialTimeout)
-	return &Client{transport: &http.Transport{
+	return &Client{takeTimeout: takeTimeout, transport: &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := d.DialContext(ctx, network, address)
 			if err != nil {
@@ -56,7 +78,7 @@
 			}
 			return dial.NewRequestConn(conn), nil
 		},
-		DisableCompression: true, MaxResponseHeaderBytes: dial.MaxHeadBytes, MaxIdleConnsPerHost: idleConns, IdleConnTimeout: idleTimeout, ReadBufferSize: bufferBytes, WriteBufferSize: bufferBytes,
+		DisableCompression: true, MaxResponseHeaderBytes: dial.MaxHeadBytes, MaxIdleConnsPerHost: idleConns, IdleConnTimeout: idleTimeout, ExpectContinueTimeout: math.MaxInt64, ReadBufferSize: bufferBytes, WriteBufferSize: bufferBytes,
 	}}
 }
 
@@ -73,39 +95,58 @@
 	return err
 }
 
-// Forward sends a request to the node at an address. The error is dispatch.ErrNotSent if nothing was sent.
+// Forward sends a request to the node at an address, once that node asks for it: it may close the connection at any time, and
+// a request that it did not ask for can't have run. The error is dispatch.ErrNotSent if nothing of the request was sent.
 func (c *Client) Forward(ctx context.Context, address string, r *dispatch.Request, f dispatch.Forwarded, h dial.Hooks) (*dispatch.Response, *dispatch.Refusal, error) {
 	raw, err := writeHead(headOf(r, f))
 	if err != nil {
 		return nil, nil, fmt.Errorf("%w: %w", dispatch.ErrNotSent, err)
 	}
-	var conn *dial.RequestConn
-	var before int64
-	written := func() {}
-	ctx, cancel := context.WithCancel(ctx)
-	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if conn, _ = info.Conn.(*dial.RequestConn); conn != nil {
-			before, written = conn.Begin(h)
-		}
-	}})
-	req, err := http.NewRequestWithContext(traced, http.MethodPost, "http://"+address+Path, io.NopCloser(io.MultiReader(bytes.NewReader(raw), bytes.NewReader(r.Body))))
+	ctx, cancel := context.WithCancelCause(ctx)
+	e := &exchange{hooks: h, timeout: c.takeTimeout, cancel: cancel}
+	req, err := http.NewRequestWithContext(e.trace(ctx), http.MethodPost, "http://"+address+Path, io.NopCloser(io.MultiReader(bytes.NewReader(raw), bytes.NewReader(r.Body))))
 	if err != nil {
-		cancel()
+		cancel(nil)
 		return nil, nil, fmt.Errorf("%w: %w", dispatch.ErrNotSent, err)
 	}
 	req.ContentLength = int64(len(raw) + len(r.Body))
+	req.Header.Set("Expect", "100-continue")
 	resp, err := c.transport.RoundTrip(req)
+	e.endWait()
 	if err != nil {
-		cancel()
-		if conn == nil || conn.Writes() == before {
+		cancel(nil)
+		if !e.sent() {
 			err = fmt.Errorf("%w: %w", dispatch.ErrNotSent, err)
 		}
 		return nil, nil, fmt.Errorf("forward to %s: %w", address, err)
 	}
 	c.sent.Add(1)
-	return c.decode(resp, func() { cancel(); written() })
+	return c.decode(resp, func() { cancel(nil); e.written() })
 }
 
+// trace returns a context whose request tells the exchange how far it has come.
+func (e *exchange) trace(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			e.conn = info.Conn.(*dial.RequestConn)
+			e.before, e.written = e.conn.Begin(e.hooks)
+			e.wait = time.AfterFunc(e.timeout, func() { e.cancel(errNotAsked) })
+		},
+		Wait100Continue: func() { e.before = e.conn.Writes() },
+		Got100Continue:  e.endWait,
+	})
+}
+
+// endWait ends the wait for the node to ask for the request.
+func (e *exchange) endWait() {
+	if e.wait != nil {
+		e.wait.Stop()
+	}
+}
+
+// sent reports whether some of the request may have been sent. The transport, which has failed, writes no more.
+func (e *exchange) sent() bool { return e.conn != nil && e.conn.Writes() > e.before }
+
 // decode decodes the answer of a node.
 func (c *Client) decode(resp *http.Response, cancel func()) (*dispatch.Response, *dispatch.Refusal, error) {
 	body := &answerBody{resp.Body, cancel}
--- a/internal/forward/cut_test.go
+++ b/internal/forward/cut_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/croftturn/croftturn/internal/dispatch"
 	"github.com/croftturn/croftturn/internal/forward"
 )
 
@@ -79,18 +80,17 @@
 				t.Parallel()
 				second := answering(200, test.length, func(context.Context) io.Reader { return strings.NewReader(test.body) })
 				d := newNode(t, "n1", second, table(2, "k"), nil)
-				_, _, l, _ := newPairOf(t, d)
+				_, _, l, server := newPairOf(t, d)
 				c := newCutter(t, l.address, reset)
+				refused := map[string]dispatch.Reason{}
 				whole := func(after int64) bool {
 					c.after.Store(after)
 					link := &link{Client: forward.NewClient(), address: c.listener.Addr().String()}
 					defer link.Close()
 					first := newNode(t, "n0", &sender{serve: unreachable}, table(2, "k"), link)
-					ran := second.count()
-					got := ask(context.Background(), t, first, test.route)
-					if second.count() > ran+1 || got.refusal != "" && !got.refusal.MayHaveRun() && second.count() > ran {
-						t.Errorf("cut after %d bytes: ran %d times, refused with %q", after, second.count()-ran, got.refusal)
-					}
+					id := fmt.Sprint("cut after ", after)
+					got := askAs(context.Background(), t, first, test.route, id)
+					refused[id] = got.refusal
 					return !got.aborted && got.refusal == "" && got.status == 200
 				}
 				if !whole(1 << 20) {
@@ -104,6 +104,14 @@
 						t.Errorf("an answer cut after %d bytes looks whole", i)
 					}
 				}
+				server.Close() // What was sent runs until then, also after the connection was cut.
+				second.mu.Lock()
+				defer second.mu.Unlock()
+				for id, refusal := range refused {
+					if ran := second.runs[id]; ran > 1 || refusal != "" && !refusal.MayHaveRun() && ran > 0 {
+						t.Errorf("%s: ran %d times, refused with %q", id, ran, refusal)
+					}
+				}
 			})
 		}
 	}
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -33,6 +33,7 @@
 
 		mu   sync.Mutex
 		sent []dispatch.Attempt
+		runs map[string]int // runs counts the attempts by the id of the request.
 	}
 
 	// caller records what a caller gets.
@@ -51,12 +52,46 @@
 		tries   atomic.Int64
 	}
 
+	// lateListener is a listener on whose connections one read, counted from 1, is late.
+	lateListener struct {
+		net.Listener
+		read int64
+		late time.Duration
+	}
+
+	// lateConn is such a connection.
+	lateConn struct {
+		*net.TCPConn
+		*lateListener
+		reads atomic.Int64
+	}
+
 	// nobody is a prober that reaches no engine, and an observer that counts nothing.
 	nobody struct{}
 )
 
 var errRefused = errors.New("connection refused")
 
+// Accept implements net.Listener.
+func (l *lateListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &lateConn{TCPConn: c.(*net.TCPConn), lateListener: l}, nil
+}
+
+// Read implements net.Conn.
+func (c *lateConn) Read(p []byte) (int, error) {
+	if c.reads.Add(1) == c.read {
+		time.Sleep(c.late)
+	}
+	return c.TCPConn.Read(p)
+}
+
+// Close implements net.Conn.
+func (c *lateConn) Close() error { return c.TCPConn.Close() }
+
 func (nobody) Accepts(context.Context, string) bool { return false }
 
 func (nobody) Probe(context.Context, string) (connected, answered bool) { return false, false }
@@ -77,6 +112,10 @@
 func (s *sender) Send(ctx context.Context, r *dispatch.Request, a dispatch.Attempt) (*dispatch.Response, error) {
 	s.mu.Lock()
 	s.sent = append(s.sent, a)
+	if s.runs == nil {
+		s.runs = map[string]int{}
+	}
+	s.runs[r.ID]++
 	s.mu.Unlock()
 	return s.serve(ctx, r, a)
 }
@@ -164,7 +203,13 @@
 // ask sends a request to a node.
 func ask(ctx context.Context, t *testing.T, d *dispatch.Dispatcher, route string) *caller {
 	t.Helper()
-	r := &dispatch.Request{ID: "id", Host: "h", Path: "/" + route + "/x", Key: "k", Method: "POST", Patience: 2 * time.Second, Header: http.Header{"A": {"b"}}, Body: []byte("body")}
+	return askAs(ctx, t, d, route, "id")
+}
+
+// askAs sends a request with an id to a node.
+func askAs(ctx context.Context, t *testing.T, d *dispatch.Dispatcher, route, id string) *caller {
+	t.Helper()
+	r := &dispatch.Request{ID: id, Host: "h", Path: "/" + route + "/x", Key: "k", Method: "POST", Patience: 2 * time.Second, Header: http.Header{"A": {"b"}}, Body: []byte("body")}
 	now := time.Now()
 	matched, team, refusal := d.Check(now, r)
 	if refusal != nil {
@@ -297,22 +342,30 @@
 }
 
 // TestForwardedRequestThatLayUnreadIsDecidedAgain guards against requests that a node which is behind sends after their
-// callers have left another one.
+// callers have left another one, whether it reads the head late or the request that it asked for.
 func TestForwardedRequestThatLayUnreadIsDecidedAgain(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	engines := &sender{serve: unreachable}
-	handler := forward.NewHandler(newNode(t, "second", engines, table(1, "k"), nil), forward.Limits{Read: time.Second, Write: time.Second}, slog.New(slog.NewTextHandler(io.Discard, nil)))
-	server := &http.Server{Handler: handler, ConnContext: connection.WithConn}
-	defer server.Close()
-	time.AfterFunc(400*time.Millisecond, func() { _ = server.Serve(l) }) // The node is behind.
-	c := forward.NewClient()
-	defer c.Close()
-	_, refusal, err := c.Forward(context.Background(), l.Addr().String(), &dispatch.Request{ID: "a", Host: "h", Path: "/unsafe/x", Key: "k", Method: "POST", Target: "/unsafe/x"}, dispatch.Forwarded{From: "first"}, dial.Hooks{})
-	if err != nil || refusal == nil || refusal.Reason != dispatch.NoEngine || engines.count() > 0 {
-		t.Errorf("got %+v, %v, sent to %d engines", refusal, err, engines.count())
+	const late = 400 * time.Millisecond
+	for name, lateRead := range map[string]int64{"head": 0, "request": 2} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		engines := &sender{serve: unreachable}
+		handler := forward.NewHandler(newNode(t, "second", engines, table(1, "k"), nil), forward.Limits{Read: time.Second, Write: time.Second}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		server := &http.Server{Handler: handler, ConnContext: connection.WithConn}
+		defer server.Close()
+		if lateRead == 0 {
+			time.AfterFunc(late, func() { _ = server.Serve(l) }) // The node is behind.
+		} else {
+			go func() { _ = server.Serve(&lateListener{Listener: l, read: lateRead, late: late}) }() // It falls behind.
+		}
+		c := forward.NewClient()
+		defer c.Close()
+		forward.SetTakeTimeout(c, 10*time.Second)
+		_, refusal, err := c.Forward(context.Background(), l.Addr().String(), &dispatch.Request{ID: "a", Host: "h", Path: "/unsafe/x", Key: "k", Method: "POST", Target: "/unsafe/x"}, dispatch.Forwarded{From: "first"}, dial.Hooks{})
+		if err != nil || refusal == nil || refusal.Reason != dispatch.NoEngine || engines.count() > 0 {
+			t.Errorf("%s: got %+v, %v, sent to %d engines", name, refusal, err, engines.count())
+		}
 	}
 }
 
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -76,15 +76,20 @@
 // ServeHTTP implements http.Handler. The key and the route are checked anew, with the configuration of
 // this node. The time that the request has spent at its first node counts.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	read := clock.Now()
+	asked := clock.Now()
 	conn := caller.ConnOf(r.Context())
-	arrived, left := conn.Arrival(read)
+	arrived, left := conn.Arrival(asked)
+	if left {
+		panic(http.ErrAbortHandler) // The first node is not asked for the request, so that another one may run it.
+	}
 	body := h.room.Open()
 	defer body.Close()
-	req, err := h.read(w, r, body)
+	req, err := h.read(w, r, body) // The first node is asked for the request by this.
 	if err == nil {
 		conn.SetRequest(req.ID)
 	}
+	read := clock.Now()
+	sent, left := conn.Arrival(read)
 	if left {
 		if err == nil {
 			h.dispatcher.Refused(read, req, &dispatch.Refusal{Reason: dispatch.CallerLeft})
@@ -101,7 +106,7 @@
 		http.Error(w, "invalid request", status) // Its first node chooses another one.
 		return
 	}
-	req.Unread = read.Sub(arrived)
+	req.Unread = max(asked.Sub(arrived), read.Sub(sent))
 	now := clock.Now()
 	a := &answer{Writer: reply.New(w, h.limits.Write), version: h.dispatcher.Version, log: h.log, id: req.ID}
 	route, team, refusal := h.dispatcher.Check(now, req)
