Peer: a stop waits until peers have the answers of the calls it ran

Callers saw: a call with a ticket of another node, which stops, got the outcome "unknown" though it had run whole.

Cause: the stop waited until an answer was written, not until it was received. The next message of that peer on the closed connection meets a reset, which destroys what is still on its way. Class: written is taken for received.

Works because: what a peer's kernel has acknowledged can be read after a reset. The wait is bounded by the context, as the wait for calls was.

--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -13,6 +13,7 @@
 
 	"github.com/sourcegraph/jsonrpc2"
 
+	"github.com/croftturn/croftturn/internal/caller"
 	"github.com/croftturn/croftturn/internal/clock"
 	"github.com/croftturn/croftturn/internal/linger"
 )
@@ -34,7 +35,7 @@
 	// Server answers the calls of peers.
 	Server struct {
 		handlers map[string]Handler
-		awaited  map[string]bool // awaited holds the methods whose calls Shutdown waits for.
+		awaited  map[string]bool // awaited holds the methods whose calls, and answers on their way, Shutdown waits for.
 		running  atomic.Int64    // running is how many such calls have not been answered.
 		traffic  *Traffic
 		log      *slog.Logger
@@ -45,9 +46,10 @@
 		wg       sync.WaitGroup
 		served   chan struct{} // served is closed when nothing more is accepted.
 
-		mu     sync.Mutex
-		closed bool // closed is set once Close waits.
-		conns  map[*jsonrpc2.Conn]bool
+		mu       sync.Mutex
+		closed   bool // closed is set once Close waits.
+		conns    map[*jsonrpc2.Conn]bool
+		answered map[*caller.Conn]bool // answered holds the connections on which answers of awaited methods may be on their way.
 	}
 )
 
@@ -63,6 +65,7 @@
 		ctx:      ctx,
 		cancel:   cancel,
 		conns:    map[*jsonrpc2.Conn]bool{},
+		answered: map[*caller.Conn]bool{},
 		served:   make(chan struct{}),
 	}
 }
@@ -134,7 +137,8 @@
 		}
 		conn = sniffed
 	}
-	rpc := jsonrpc2.NewConn(ctx, stream(&countingConn{Conn: conn, traffic: s.traffic, opened: clock.Now()}), jsonrpc2.AsyncHandler(requestHandler{s}),
+	socket := caller.ConnOf(caller.WithConn(ctx, conn))
+	rpc := jsonrpc2.NewConn(ctx, stream(&countingConn{Conn: conn, traffic: s.traffic, opened: clock.Now()}), jsonrpc2.AsyncHandler(requestHandler{s, socket}),
 		jsonrpc2.SetLogger(noLogger{}))
 	s.mu.Lock()
 	s.conns[rpc] = true
@@ -146,17 +150,21 @@
 	}
 	s.mu.Lock()
 	delete(s.conns, rpc)
+	delete(s.answered, socket)
 	s.mu.Unlock()
 }
 
 // requestHandler handles the requests of a connection.
-type requestHandler struct{ server *Server }
+type requestHandler struct {
+	server *Server
+	socket *caller.Conn
+}
 
 // Handle answers a request and notifies the result once it was sent.
 func (h requestHandler) Handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
 	if h.server.awaited[req.Method] {
 		h.server.running.Add(1)
-		defer h.server.running.Add(-1)
+		defer h.server.endAwaited(h.socket)
 	}
 	var result any
 	jsonrpc2.HandlerWithError(func(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
@@ -201,13 +209,39 @@
 	return nil
 }
 
-// Shutdown stops accepting, and waits until the calls of awaited methods are answered. Calls that come over open
-// connections are still answered, until Close.
+// endAwaited records that a call of an awaited method was answered. Of a connection that is closed nothing is kept.
+func (s *Server) endAwaited(socket *caller.Conn) {
+	s.mu.Lock()
+	if socket.Unread() > 0 {
+		s.answered[socket] = true
+	}
+	s.mu.Unlock()
+	s.running.Add(-1)
+}
+
+// awaiting reports whether calls of awaited methods run, or peers' kernels may not have all of their answers: once the
+// connection is closed, a peer's next message would meet a reset, which destroys what is on its way.
+func (s *Server) awaiting() bool {
+	if s.running.Load() > 0 {
+		return true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for socket := range s.answered {
+		if socket.Unread() <= 0 {
+			delete(s.answered, socket)
+		}
+	}
+	return len(s.answered) > 0
+}
+
+// Shutdown stops accepting, and waits until the calls of awaited methods are answered and the answers have arrived. Calls that
+// come over open connections are still answered, until Close.
 func (s *Server) Shutdown(ctx context.Context) error {
 	if err := s.StopAccepting(ctx); err != nil {
 		return err
 	}
-	for tick := time.Tick(pollInterval); s.running.Load() > 0; {
+	for tick := time.Tick(pollInterval); s.awaiting(); {
 		select {
 		case <-ctx.Done():
 			return fmt.Errorf("wait for calls: %w", ctx.Err())
--- a/internal/peer/stop_test.go
+++ b/internal/peer/stop_test.go
@@ -2,14 +2,21 @@
 
 import (
 	"bufio"
+	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"log/slog"
 	"net"
 	"net/http"
+	"strings"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/sourcegraph/jsonrpc2"
+	"golang.org/x/sys/unix"
+
 	"github.com/croftturn/croftturn/internal/linger"
 	"github.com/croftturn/croftturn/internal/peer"
 )
@@ -70,3 +77,57 @@
 		resp.Body.Close()
 	}
 }
+
+// TestAnswersOnTheirWayArrive guards against calls that have run and whose answers are lost, since a peer's next message meets a
+// reset while the answer is still on its way.
+func TestAnswersOnTheirWayArrive(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	answer, answered := strings.Repeat("x", 128<<10), make(chan struct{}, 2)
+	server := peer.NewServer(l, &peer.Traffic{}, slog.New(slog.DiscardHandler))
+	server.HandleAwaited("run", func(context.Context, json.RawMessage) (any, error) {
+		answered <- struct{}{}
+		return answer, nil
+	})
+	go server.Serve()
+	slow := net.Dialer{Control: func(_, _ string, c syscall.RawConn) (err error) { // It takes little of an answer at a time.
+		controlErr := c.Control(func(fd uintptr) { err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, 4<<10) })
+		if controlErr != nil {
+			return controlErr
+		}
+		return err
+	}}
+	conn, err := slow.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	stream := jsonrpc2.NewBufferedStream(conn, jsonrpc2.VarintObjectCodec{})
+	call := func(id uint64) {
+		params := json.RawMessage("{}")
+		if err := stream.WriteObject(&jsonrpc2.Request{Method: "run", Params: &params, ID: jsonrpc2.ID{Num: id}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	call(1)
+	<-answered
+	stopped := make(chan error, 1)
+	go func() {
+		err := server.Shutdown(t.Context())
+		_ = server.Close() // Its errors don't matter here.
+		stopped <- err
+	}()
+	time.Sleep(100 * time.Millisecond) // The answer is written, and the server ends.
+	call(2)
+	_ = conn.SetReadDeadline(time.Now().Add(10 * time.Second)) // An error shows at the read.
+	got := &jsonrpc2.Response{}
+	if err := stream.ReadObject(got); err != nil || got.ID.Num != 1 || got.Result == nil || len(*got.Result) != len(answer)+2 {
+		t.Errorf("got an answer to call %d, %v", got.ID.Num, err)
+	}
+	conn.Close()
+	if err := <-stopped; err != nil {
+		t.Error(err)
+	}
+}
