--- a/internal/forward/message.go
+++ b/internal/forward/message.go
@@ -2,7 +2,8 @@
 // to another node, which serves it like its own callers' requests and relays the answer.
 //
 // A message is a head in CBOR, preceded by its length, and a body. The transport is HTTP with chunks, so
-// that an answer which was broken off never looks complete.
+// that an answer which was broken off never looks complete. A request is written once the other node has
+// asked for it with 100 Continue, so that one which that node did not take is known not to have run.
 package forward
 
 import (
