--- a/internal/forward/crossing_test.go
+++ b/internal/forward/crossing_test.go
@@ -82,6 +82,17 @@
 	return n, err
 }
 
+// awaitClose waits until a connection is closed, unless that is to come with the next read.
+func awaitClose(t *testing.T, c *watchedConn) {
+	t.Helper()
+	state := connection.ConnOf(connection.WithConn(t.Context(), c))
+	for end := time.Now().Add(5 * time.Second); c.end.Load() == nil && !state.Left(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the connection is not closed")
+		}
+	}
+}
+
 // TestRequestThatCrossesTheCloseOfItsNodeIsSentToAnother guards against forwarded requests that fail, or wait for their
 // deadline, since the node closed the connection under them without having read them.
 func TestRequestThatCrossesTheCloseOfItsNodeIsSentToAnother(t *testing.T) {
@@ -129,7 +140,7 @@
 				}
 				dropFIN(t, kept)
 				test.end(server, watched.last.Load())
-				time.Sleep(50 * time.Millisecond) // The server has closed it.
+				awaitClose(t, watched.last.Load())
 				c.next.Store(0)
 				if !test.silent {
 					forward.SetTakeTimeout(last.Client, time.Minute)
