Linger: the rest of a body that was not read whole is read

What callers saw: nothing yet; by the test: a caller that sends a long body in chunks, whose reading a stop had interrupted, could not finish its request for 5 s, and then lost the answer to a reset.

Cause: since a connection is closed without reading if its last request has been answered and the caller did not ask for the close. A body whose reading fails is answered too, but its rest is still to come.

Change: a request counts as read whole once its handler has seen the end of its body. Otherwise the connection lingers, as before.

--- a/internal/linger/conn.go
+++ b/internal/linger/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -45,10 +46,17 @@
 		idle     bool      // idle is set while a read waits between two requests.
 		begun    bool      // begun is set once something was read.
 		serving  bool      // serving is set while a handler runs.
+		whole    bool      // whole is set once the handler's request has been read whole.
 		answered bool      // answered is set once the last request that was read has been read whole and answered.
 		ending   bool      // ending is set once reads are ended.
 		deadline time.Time // deadline is the read deadline that the server has set.
 	}
+
+	// body is the body of a request, which tells its connection when it has been read whole.
+	body struct {
+		io.ReadCloser
+		conn *conn
+	}
 )
 
 // withConn returns a ConnContext that adds to another one, nil for none, what the server knows of a connection.
@@ -66,14 +74,27 @@
 	}
 }
 
-// setServing records that a handler runs for a request, until the returned function is called.
-func setServing(r *http.Request) (end func()) {
+// Read implements io.Reader.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		b.conn.setWhole()
+	}
+	return n, err
+}
+
+// beginServing records that a handler runs for a request, until end is called. The handler gets the returned request.
+func beginServing(r *http.Request) (served *http.Request, end func()) {
 	own, ok := r.Context().Value(connKey{}).(*conn)
 	if !ok {
-		return func() {}
+		return r, func() {}
 	}
-	own.setServing(true, false)
-	return func() { own.setServing(false, !r.Close) } // http.Server reads the rest of a body, unless the caller asked it to close.
+	own.beginServing(r.Body == http.NoBody)
+	if r.Body != http.NoBody {
+		r = r.WithContext(r.Context())
+		r.Body = &body{r.Body, own}
+	}
+	return r, own.endServing
 }
 
 // Listen listens on a TCP address, without multipath TCP: the kernel can't refuse handshakes of such a listener.
@@ -197,11 +218,25 @@
 	return c.idle
 }
 
-// setServing records whether a handler runs, and whether the request has been read whole and answered.
-func (c *conn) setServing(serving, answered bool) {
+// beginServing records that a handler runs, and whether its request has been read whole.
+func (c *conn) beginServing(whole bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.serving, c.whole, c.answered = true, whole, false
+}
+
+// setWhole records that the request of the handler that runs has been read whole.
+func (c *conn) setWhole() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.whole = true
+}
+
+// endServing records that the handler has ended.
+func (c *conn) endServing() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.serving, c.answered = serving, answered
+	c.serving, c.answered = false, c.whole
 }
 
 // isAnswered reports whether all that was read has been answered.
--- a/internal/linger/crossing_test.go
+++ b/internal/linger/crossing_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"errors"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -153,3 +156,37 @@
 		t.Errorf("%d bytes were read, the second request ends at %d", n, 2*len(request))
 	}
 }
+
+// TestAnswerToABodyWhoseReadingWasInterruptedArrives guards against callers that get no answer, since nobody reads the rest of a
+// body that they send first.
+func TestAnswerToABodyWhoseReadingWasInterruptedArrives(t *testing.T) {
+	r := newRig(t, func(l net.Listener) net.Listener { return l }, func(w http.ResponseWriter, r *http.Request) {
+		control := http.NewResponseController(w)
+		_, _ = r.Body.Read(make([]byte, 1))
+		_ = control.SetReadDeadline(time.Unix(1, 0))
+		if _, err := io.Copy(io.Discard, r.Body); err == nil {
+			t.Error("the whole body was read")
+		}
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}, WithLeaving(func() bool { return true }))
+	c := r.dial()
+	begin := time.Now()
+	if err := c.SetWriteDeadline(begin.Add(20 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	chunk := fmt.Sprintf("%x\r\n%s\r\n", 100_000, strings.Repeat("x", 100_000))
+	for i := range 200 {
+		if _, err := io.WriteString(c, chunk); err != nil {
+			t.Fatalf("write of chunk %d, after %v: %v", i, time.Since(begin), err)
+		}
+	}
+	if _, err := io.WriteString(c, "0\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	if resp, err := r.read(c); err != nil || resp.StatusCode != http.StatusServiceUnavailable || time.Since(begin) > 4*time.Second {
+		t.Errorf("got %v, %v after %v; want the answer", resp, err, time.Since(begin))
+	}
+}
--- a/internal/linger/linger.go
+++ b/internal/linger/linger.go
@@ -94,9 +94,10 @@
 			panic(http.ErrAbortHandler)
 		}
 	}()
-	defer setServing(r)()
+	served, end := beginServing(r)
+	defer end()
 	a := &answer{ResponseWriter: w, server: s}
-	s.handler.ServeHTTP(a, r)
+	s.handler.ServeHTTP(a, served)
 	a.begin()
 }
 
