Linger: nothing is taken while a server closes

Cause: Close ended the reads of the connections that it found idle. Two kinds went on: those that were accepted later, and those whose callers had not got the whole of their last answer. The next request of such a caller brings the acknowledgement with it.

Change: a connection that is accepted while the server closes is not read, and the reads of idle ones are ended whether or not the last answer is acknowledged. The connection stays until it is, so that Close still tells of those that are not.

--- a/internal/linger/conn.go
+++ b/internal/linger/conn.go
@@ -119,6 +119,9 @@
 	l.server.mu.Lock()
 	defer l.server.mu.Unlock()
 	l.server.conns[c] = struct{}{}
+	if l.server.closed.Load() {
+		c.stopReading()
+	}
 	return c, nil
 }
 
@@ -170,6 +173,7 @@
 	c.await()
 	n, err := c.Conn.Read(p)
 	if n == 0 && c.isEnding() {
+		c.awaitLastAnswer()
 		return 0, io.EOF
 	}
 	if n > 0 {
@@ -178,6 +182,14 @@
 	return n, err
 }
 
+// awaitLastAnswer waits until the caller has got the whole of its last answer, or until the connection is closed, if the server is
+// being closed: Close tells of those that have not.
+func (c *conn) awaitLastAnswer() {
+	for c.server.closed.Load() && c.caller.Load().Unread() > 0 {
+		time.Sleep(closePollInterval)
+	}
+}
+
 // await records that a read begins.
 func (c *conn) await() {
 	c.mu.Lock()
@@ -320,13 +332,12 @@
 	}
 }
 
-// stopReading ends the connection if nothing of a request has been read, whether or not one lies unread in it, and lingering. A
-// caller that has not got the whole of its last answer sends no request yet.
+// stopReading ends the connection if nothing of a request has been read, whether or not one lies unread in it, and lingering.
 func (c *conn) stopReading() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
-	case c.idle && !c.serving && c.caller.Load().Unread() <= 0, !c.begun:
+	case c.idle && !c.serving, !c.begun:
 		c.endReads()
 	case c.halfClosed.Load():
 		_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // An error means that the connection is closed.
--- a/internal/linger/crossing_test.go
+++ b/internal/linger/crossing_test.go
@@ -4,8 +4,10 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -190,3 +192,69 @@
 		t.Errorf("got %v, %v after %v; want the answer", resp, err, time.Since(begin))
 	}
 }
+
+// TestNothingIsTakenWhileAServerCloses guards against requests that are read over connections which come, or whose callers get the rest
+// of an answer, while Close waits for its last answers: it may cut them.
+func TestNothingIsTakenWhileAServerCloses(t *testing.T) {
+	for _, name := range []string{"fresh", "kept"} {
+		t.Run(name, func(t *testing.T) {
+			const size = 256 << 10 // The kernel takes more than the caller's does.
+			var served atomic.Int64
+			release := make(chan struct{})
+			r := newRig(t, func(l net.Listener) net.Listener { return l }, func(w http.ResponseWriter, r *http.Request) {
+				served.Add(1)
+				switch r.Method {
+				case http.MethodPut:
+					_, _ = w.Write(make([]byte, size))
+				case http.MethodPost:
+					<-release
+				}
+			})
+			defer close(release)
+			kept := r.dial().(*net.TCPConn)
+			if err := kept.SetReadBuffer(32 << 10); err != nil {
+				t.Fatal(err)
+			}
+			if _, err := io.WriteString(kept, "PUT / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+				t.Fatal(err)
+			}
+			if _, err := io.WriteString(r.dial(), "POST / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+				t.Fatal(err)
+			}
+			for served.Load() < 2 {
+				time.Sleep(time.Millisecond)
+			}
+			idle := func() bool {
+				r.server.mu.Lock()
+				defer r.server.mu.Unlock()
+				return slices.ContainsFunc(slices.Collect(maps.Keys(r.server.conns)), (*conn).isIdle)
+			}
+			for !idle() {
+				time.Sleep(time.Millisecond) // The answer is being written.
+			}
+			closed := make(chan error, 1)
+			go func() { closed <- r.server.Close() }()
+			for !r.server.closed.Load() {
+				time.Sleep(closePollInterval / 10)
+			}
+			time.Sleep(closePollInterval)
+			c := net.Conn(kept)
+			if name == "fresh" {
+				var err error
+				if c, err = net.Dial("tcp", r.address); err != nil {
+					return // The server has closed by now.
+				}
+				defer c.Close()
+			} else if _, err := r.read(c); err != nil {
+				t.Logf("the answer ended with %v", err) // The server has closed by now.
+			}
+			_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+			if err := <-closed; err != nil {
+				t.Error(err)
+			}
+			if n := served.Load(); n != 2 {
+				t.Error("a request was taken while the server closed")
+			}
+		})
+	}
+}
