Linger: Close gives the last answers turns, not time

Cause: Close waited for 20 ms. A process that is stopped by its quota for longer than that has had no turn in which to answer what it had read.

Change: Close looks 20 times, 1 ms apart. A stop bounds this as it bounds the rest of its end.

No test shows it by itself.

--- a/internal/linger/crossing_test.go
+++ b/internal/linger/crossing_test.go
@@ -48,7 +48,7 @@
 	c.of.took.Add(int64(n))
 	if n > 0 && c.of.slow.Load() {
 		c.of.read <- struct{}{}
-		time.Sleep(closeTimeout / 4)
+		time.Sleep(closeTurns * closePollInterval / 4)
 	}
 	return n, err
 }
--- a/internal/linger/linger.go
+++ b/internal/linger/linger.go
@@ -24,8 +24,9 @@
 	// begun end within it.
 	pollInterval = 10 * time.Millisecond
 
-	// closeTimeout bounds how long Close waits for answers, and closePollInterval is how often it looks.
-	closeTimeout      = 20 * time.Millisecond
+	// closeTurns bounds how often Close looks whether the last answers have been written, and closePollInterval is how long it
+	// waits between. Turns are counted, not time: a process that stood still has not answered meanwhile.
+	closeTurns        = 20
 	closePollInterval = time.Millisecond
 
 	// maxStack is how much of the stack of a panic is logged, in bytes.
@@ -180,9 +181,9 @@
 	return untaken
 }
 
-// awaitRead waits until all connections are closed, since what was read of them is answered, for at most closeTimeout.
+// awaitRead waits until all connections are closed, since what was read of them is answered, but not for long.
 func (s *Server) awaitRead() {
-	for end := clock.Now().Add(closeTimeout); s.Connections() > 0 && clock.Now().Before(end); {
+	for turn := 0; s.Connections() > 0 && turn < closeTurns; turn++ {
 		time.Sleep(closePollInterval)
 	}
 }
