--- a/internal/linger/conn.go
+++ b/internal/linger/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -45,10 +46,17 @@
 		idle     bool      // idle is set while a read waits between two requests.
 		begun    bool      // begun is set once something was read.
 		serving  bool      // serving is set while a handler runs.
+		whole    bool      // whole is set once the handler's request has been read whole.
 		answered bool      // answered is set once the last request that was read has been read whole and answered.
 		ending   bool      // ending is set once reads are ended.
 		deadline time.Time // deadline is the read deadline that the server has set.
 	}
+
+	// body is the body of a request, which tells its connection when it has been read whole.
+	body struct {
+		io.ReadCloser
+		conn *conn
+	}
 )
 
 // withConn returns a ConnContext that adds to another one, nil for none, what the server knows of a connection.
@@ -66,14 +74,27 @@
 	}
 }
 
-// setServing records that a handler runs for a request, until the returned function is called.
-func setServing(r *http.Request) (end func()) {
+// Read implements io.Reader.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		b.conn.setWhole()
+	}
+	return n, err
+}
+
+// beginServing records that a handler runs for a request, until end is called. The handler gets the returned request.
+func beginServing(r *http.Request) (served *http.Request, end func()) {
 	own, ok := r.Context().Value(connKey{}).(*conn)
 	if !ok {
-		return func() {}
+		return r, func() {}
+	}
+	own.beginServing(r.Body == http.NoBody)
+	if r.Body != http.NoBody {
+		r = r.WithContext(r.Context())
+		r.Body = &body{r.Body, own}
 	}
-	own.setServing(true, false)
-	return func() { own.setServing(false, !r.Close) } // http.Server reads the rest of a body, unless the caller asked it to close.
+	return r, own.endServing
 }
 
 // Listen listens on a TCP address, without multipath TCP: the kernel can't refuse handshakes of such a listener.
@@ -98,6 +119,9 @@
 	l.server.mu.Lock()
 	defer l.server.mu.Unlock()
 	l.server.conns[c] = struct{}{}
+	if l.server.closed.Load() {
+		c.stopReading()
+	}
 	return c, nil
 }
 
@@ -149,6 +173,7 @@
 	c.await()
 	n, err := c.Conn.Read(p)
 	if n == 0 && c.isEnding() {
+		c.awaitLastAnswer()
 		return 0, io.EOF
 	}
 	if n > 0 {
@@ -157,6 +182,14 @@
 	return n, err
 }
 
+// awaitLastAnswer waits until the caller has got the whole of its last answer, or until the connection is closed, if the server is
+// being closed: Close tells of those that have not.
+func (c *conn) awaitLastAnswer() {
+	for c.server.closed.Load() && c.caller.Load().Unread() > 0 {
+		time.Sleep(closePollInterval)
+	}
+}
+
 // await records that a read begins.
 func (c *conn) await() {
 	c.mu.Lock()
@@ -197,11 +230,25 @@
 	return c.idle
 }
 
-// setServing records whether a handler runs, and whether the request has been read whole and answered.
-func (c *conn) setServing(serving, answered bool) {
+// beginServing records that a handler runs, and whether its request has been read whole.
+func (c *conn) beginServing(whole bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.serving, c.whole, c.answered = true, whole, false
+}
+
+// setWhole records that the request of the handler that runs has been read whole.
+func (c *conn) setWhole() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.whole = true
+}
+
+// endServing records that the handler has ended.
+func (c *conn) endServing() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.serving, c.answered = serving, answered
+	c.serving, c.answered = false, c.whole
 }
 
 // isAnswered reports whether all that was read has been answered.
@@ -285,13 +332,12 @@
 	}
 }
 
-// stopReading ends the connection if nothing of a request has been read, whether or not one lies unread in it, and lingering. A
-// caller that has not got the whole of its last answer sends no request yet.
+// stopReading ends the connection if nothing of a request has been read, whether or not one lies unread in it, and lingering.
 func (c *conn) stopReading() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
-	case c.idle && !c.serving && c.caller.Load().Unread() <= 0, !c.begun:
+	case c.idle && !c.serving, !c.begun:
 		c.endReads()
 	case c.halfClosed.Load():
 		_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // An error means that the connection is closed.
