Directory: callers ask for addresses again after 1 s while nodes stop

Cause: callers use an answer of the directory for 2 s, some for 6 s. In a rolling restart 0.7 s apart three to nine of the nodes that it names stop meanwhile, and a stopping node refuses what may outlast it. With two or three addresses of a hall, all of which stop, a caller is refused by the same nodes again every 50 ms until its tries are used up.

Change: while a tenth of the nodes, or of those of the caller's hall, stop, an answer may be used for 1 s.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -6,6 +6,8 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"log/slog"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -297,6 +299,37 @@
 	}
 }
 
+// TestAddressesAreUsedForLessInARoll guards against callers that go on using the addresses of nodes which stop one after another.
+func TestAddressesAreUsedForLessInARoll(t *testing.T) {
+	ready, stopping := gossip.State{Ready: true}, gossip.State{Stopping: true}
+	peers := map[string]gossip.State{"2-a": ready, "2-b": ready}
+	for i := range rollPart - 2 { // Few enough for each node to hear all others.
+		peers[fmt.Sprint("3-", i)] = ready
+	}
+	for name, test := range map[string]struct {
+		stopping []string
+		hall     string
+		want     string
+	}{
+		"none stops":                 {nil, "h2", `"ttl_s":2}`},
+		"one of the hall stops":      {[]string{"2-c"}, "h2", `"ttl_s":1}`},
+		"one of another hall stops":  {[]string{"2-c"}, "h3", `"ttl_s":2}`},
+		"a tenth of all nodes stops": {[]string{"2-c", "2-d"}, "h3", `"ttl_s":1}`},
+	} {
+		t.Run(name, func(t *testing.T) {
+			said := maps.Clone(peers)
+			for _, peer := range test.stopping {
+				said[peer] = stopping
+			}
+			answer := httptest.NewRecorder()
+			platform.NewDirectoryHandler(startWithPeers(t, said), slog.New(slog.DiscardHandler)).ServeHTTP(answer, httptest.NewRequest(http.MethodGet, "/-/resolve?zone="+test.hall, nil))
+			if !strings.Contains(answer.Body.String(), test.want) {
+				t.Errorf("got %q, want %s", answer.Body, test.want)
+			}
+		})
+	}
+}
+
 // TestAnInvalidConfigurationChangesNothing checks that a malformed or invalid configuration is
 // counted, leaves the one in force and its proof unchanged, and does not delay the next one.
 func TestAnInvalidConfigurationChangesNothing(t *testing.T) {
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -8,6 +8,13 @@
 	"github.com/croftturn/croftturn/internal/entry"
 )
 
+// rollPart is the inverse of the share of nodes from which on those that stop are taken for a rolling restart. In a large
+// cluster some node nearly always stops.
+const rollPart = 10
+
+// stopCount counts how many of some nodes stop.
+type stopCount struct{ nodes, stopping int }
+
 // Ready reports whether this node serves callers.
 func (e *Edge) Ready(now time.Time) bool { return e.dispatcher.Ready(now) == "" }
 
@@ -29,3 +36,31 @@
 	}
 	return entry.Choose(hall, nodes, rand.Float64)
 }
+
+// Rolling reports whether so many nodes stop, of a hall or of all that this node hears, that the next ones may stop while callers
+// use the addresses that they were given.
+func (e *Edge) Rolling(now time.Time, hall string) bool {
+	var all, local stopCount
+	add := func(in string, stopping bool) {
+		all.add(stopping)
+		if in == hall {
+			local.add(stopping)
+		}
+	}
+	add(e.settings.Hall, e.dispatcher.Stopping())
+	for _, p := range e.gossip.Peers(now) {
+		add(p.Hall, p.State.Stopping)
+	}
+	return all.rolling() || local.rolling()
+}
+
+// add counts a node.
+func (c *stopCount) add(stopping bool) {
+	c.nodes++
+	if stopping {
+		c.stopping++
+	}
+}
+
+// rolling reports whether enough of the nodes stop.
+func (c stopCount) rolling() bool { return c.stopping > 0 && c.stopping*rollPart >= c.nodes }
