Dispatch: callers come back later while no node but stopping ones is left

Cause: near the end of a rolling restart all nodes stop or start for some tenths of a second or seconds. A refusal sent its caller on after 50 ms, to the next stopping node or the same one, until its tries were used up.

Change: while no other node accepts callers, a stopping node's refusal tells its caller to come back after 500 ms.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -67,6 +67,7 @@
 		link          Link           // link is nil if this machine's link is not known.
 		permits       Permits        // permits is nil if engines declare no rate limits.
 		reach         *reach.Monitor // reach is nil if connectivity to engines is not monitored.
+		nodes         Nodes          // nodes is nil if other nodes are not known.
 		forwarder     Forwarder      // forwarder is nil if no requests are forwarded to other nodes.
 		node          string         // node is the name of this node.
 		origins       Origins        // origins is nil if the origins of streams are not recorded; then versions and continuations are, too.
@@ -150,7 +151,7 @@
 		}
 	}
 	if !d.fitsBeforeStop(now, r.deadline(now, route), r, route) {
-		return nil, nil, &Refusal{Reason: Stopping, RetryAfter: shortRetryAfter}
+		return nil, nil, d.notRunAtStop(now)
 	}
 	return route, team, nil
 }
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -158,6 +158,24 @@
 	}
 }
 
+// otherReady is whether another node accepts callers.
+type otherReady bool
+
+func (r otherReady) OtherReady(time.Time) bool { return bool(r) }
+
+// TestCallersComeBackLaterWhileNoNodeIsReady guards against callers that use up their tries at stopping nodes before another
+// one is ready.
+func TestCallersComeBackLaterWhileNoNodeIsReady(t *testing.T) {
+	for ready, want := range map[otherReady]time.Duration{true: 50 * time.Millisecond, false: 500 * time.Millisecond} {
+		d, now := newDispatcher(&fakeSender{}, 0), time.Now()
+		dispatch.WithNodes(ready)(d)
+		d.StopBy(dispatch.Stop{Begin: now, By: now.Add(timeout / 2)})
+		if _, _, refusal := d.Check(now, &dispatch.Request{Host: "h", Path: "/unsafe/", Key: "k"}); refusal == nil || refusal.Reason != dispatch.Stopping || refusal.RetryAfter != want {
+			t.Errorf("another node is ready %v: got %+v, want a retry after %v", ready, refusal, want)
+		}
+	}
+}
+
 // TestStoppingNodeTakesOnlyWhatItCanFinish guards against requests of any kind that a stopping node takes and then cuts
 // off. Short runs of their route vouch only for those that are answered whole and may be sent again.
 func TestStoppingNodeTakesOnlyWhatItCanFinish(t *testing.T) {
--- a/internal/dispatch/stop.go
+++ b/internal/dispatch/stop.go
@@ -22,6 +22,10 @@
 	// just before may be late.
 	stopMarginPart = 16
 
+	// noneReadyRetryAfter is the retry delay while no other node accepts callers. They try a few times only, and one that has
+	// ended takes some seconds to be ready again.
+	noneReadyRetryAfter = 500 * time.Millisecond
+
 	// maxOpenListed is how many requests in progress a line of the log names.
 	maxOpenListed = 100
 
@@ -33,6 +37,12 @@
 var errCutOff = errors.New("dispatch: the process ends")
 
 type (
+	// Nodes knows the other nodes.
+	Nodes interface {
+		// OtherReady reports whether another node accepts callers.
+		OtherReady(now time.Time) bool
+	}
+
 	// Stop is the plan of a stop of the process.
 	Stop struct {
 		Begin time.Time     // Begin is when the process saw the signal.
@@ -58,6 +68,19 @@
 	}
 )
 
+// WithNodes makes callers that a stopping node refuses come back later while no other node accepts them.
+func WithNodes(n Nodes) Option {
+	return func(d *Dispatcher) { d.nodes = n }
+}
+
+// notRunAtStop returns the refusal of a request that can't end before this node stops.
+func (d *Dispatcher) notRunAtStop(now time.Time) *Refusal {
+	if d.nodes == nil || d.nodes.OtherReady(now) {
+		return NotRunAtStop()
+	}
+	return &Refusal{Reason: Stopping, RetryAfter: noneReadyRetryAfter}
+}
+
 // StopBy makes the dispatcher refuse requests that cannot end before the process stops.
 func (d *Dispatcher) StopBy(s Stop) {
 	d.stop.Store(&stop{Stop: s, margin: s.By.Sub(s.Begin) / stopMarginPart, runs: map[string]longestRun{}})
@@ -181,15 +204,17 @@
 	case cutOff(ctx):
 		return *x.refuseStopping()
 	case x.mustLeave(now):
-		return *x.refuseResend()
+		return *x.refuseResend(now)
 	}
 	return refusal
 }
 
 // refuseResend returns the refusal of a request that can't be sent, or sent again, since this node stops.
-func (x *exchange) refuseResend() *Refusal {
+func (x *exchange) refuseResend(now time.Time) *Refusal {
 	x.unsentByStop = true
-	return &Refusal{Reason: x.unlessMayHaveRun(Stopping), RetryAfter: shortRetryAfter}
+	refusal := x.d.notRunAtStop(now)
+	refusal.Reason = x.unlessMayHaveRun(refusal.Reason)
+	return refusal
 }
 
 // cutOff reports whether a request ends because the process does.
--- a/internal/dispatch/walk.go
+++ b/internal/dispatch/walk.go
@@ -262,7 +262,7 @@
 		return refusal
 	}
 	if x.mustLeave(now) {
-		return x.refuseResend()
+		return x.refuseResend(now)
 	}
 	x.byEstimate = x.route.Kind == routing.Safe && !x.d.endsBeforeStop(x.deadline)
 	return x.refuseHeld(now)
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -330,6 +330,25 @@
 	}
 }
 
+// TestOtherReady checks for which peers callers that a stopping node refuses come back at once.
+func TestOtherReady(t *testing.T) {
+	for name, test := range map[string]struct {
+		peer  gossip.State
+		after time.Duration
+		want  bool
+	}{
+		"a ready peer":             {gossip.State{Ready: true}, 0, true},
+		"a peer that stops":        {gossip.State{Stopping: true}, 0, false},
+		"a peer that is not ready": {gossip.State{}, 0, false},
+		"a peer that is not heard": {gossip.State{Ready: true}, time.Minute, false},
+	} {
+		e := startWithPeers(t, map[string]gossip.State{"1-a": test.peer})
+		if got := e.gossip.OtherReady(time.Now().Add(test.after)); got != test.want {
+			t.Errorf("%s: %v, want %v", name, got, test.want)
+		}
+	}
+}
+
 // TestAnInvalidConfigurationChangesNothing checks that a malformed or invalid configuration is
 // counted, leaves the one in force and its proof unchanged, and does not delay the next one.
 func TestAnInvalidConfigurationChangesNothing(t *testing.T) {
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -153,6 +153,18 @@
 	return out
 }
 
+// OtherReady reports whether a peer that is alive accepts callers.
+func (g *Gossip) OtherReady(now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, p := range g.peers {
+		if p.State.Ready && g.alive(now, p) {
+			return true
+		}
+	}
+	return false
+}
+
 // Isolated reports whether this node hears no peer; on a spoke, whether it hears no hub.
 func (g *Gossip) Isolated(now time.Time) bool {
 	g.mu.Lock()
