Quarantine: one disruption is one piece of evidence against a request

Cause: crashes were counted one by one, and nothing told a request that crashes engines from one that was there when they were lost. Class: one disruption counted as several pieces of evidence.

Change: requests and parts count by one rule (momentCounter): crashes within 60 ms are one piece of evidence, unless an engine had been running the request for at most 250 ms. Nodes know the runs of their requests and tell peers how long those that ended in crashes had lasted, in a field of its own that nodes of the release before skip. Runs that go on at a node for longer speak for their request there.

--- a/internal/dispatch/beside.go
+++ b/internal/dispatch/beside.go
@@ -391,6 +391,7 @@
 	x.beside.mu.Unlock()
 	x.d.allowance.Settle(x.pool, s.aside, 0)
 	x.choice, x.call, x.sentAt, x.bufferedSince = s.choice, s.call, s.sentAt, s.sentAt
+	x.beginRun(s.sentAt)
 	x.noteLeaving(s.sentAt, time.Time{})
 	x.headReceived, x.unframed = false, false
 	x.byEstimate = x.route.Kind == routing.Safe && !x.d.endsBeforeStop(x.deadline)
--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -120,6 +120,22 @@
 	}
 }
 
+// beginRun records that the current engine gets the request at a time, and no other one any longer.
+func (x *exchange) beginRun(now time.Time) {
+	if x.d.quarantine != nil {
+		x.endRun()
+		x.running = x.d.quarantine.BeginRun(now, x.fingerprint, x.choice.Engine.ID)
+	}
+}
+
+// endRun records that the engine that got the request last does not run it any longer.
+func (x *exchange) endRun() {
+	if x.running != nil {
+		x.d.quarantine.EndRun(x.running)
+		x.running = nil
+	}
+}
+
 // recordFailure records whether a failed engine crashed under the request. An engine that is still
 // alive has most likely run the request, because connections can break and lose answers. With 18 in
 // 100 answers lost, the usage counts of teams were off by 8 in 100 if these requests were not
@@ -127,9 +143,9 @@
 func (x *exchange) recordFailure(ctx context.Context, now time.Time, cause error) {
 	ended := x.engineCrashed(ctx, now, cause)
 	if ended {
-		now := clock.Now()
-		f := x.failedRun(now)
-		x.d.recordCrash(now, &f)
+		confirmed := clock.Now()
+		f := x.failedRun(now, confirmed)
+		x.d.recordCrash(confirmed, &f)
 	}
 	x.crashedEngine = x.crashedEngine || ended
 	if !ended && !x.headReceived && ctx.Err() == nil {
--- a/internal/dispatch/unconfirmed.go
+++ b/internal/dispatch/unconfirmed.go
@@ -23,6 +23,7 @@
 type failedRun struct {
 	resent time.Time // resent is when the request was sent if another engine had crashed under it before, else zero.
 	at     time.Time
+	ran    time.Duration // ran is how long the engine had run the request or an equal one of this node.
 	engine placement.Engine
 	pool   string
 	parts  []uint64
@@ -33,12 +34,15 @@
 	subject     quarantine.Subject
 }
 
-// failedRun returns what is known of the request whose engine failed at a time.
-func (x *exchange) failedRun(at time.Time) failedRun {
+// failedRun returns what is known of the request whose engine failed, and was found to have crashed at a time.
+func (x *exchange) failedRun(failed, at time.Time) failedRun {
 	f := failedRun{at: at, engine: x.choice.Engine, pool: x.pool, reach: x.reach, parts: x.req.Prompt.SharedIDs(), fingerprint: x.fingerprint, subject: quarantine.Subject{Team: x.teamName(), Route: x.route.Name}}
 	if x.crashedEngine {
 		f.resent = x.sentAt
 	}
+	if x.d.quarantine != nil {
+		f.ran = x.d.quarantine.Ran(failed, x.fingerprint, x.choice.Engine.ID)
+	}
 	return f
 }
 
@@ -60,14 +64,14 @@
 	}
 	if total < maxUnconfirmed {
 		id := x.choice.Engine.ID
-		c.unconfirmed[id] = append(c.unconfirmed[id], x.failedRun(now))
+		c.unconfirmed[id] = append(c.unconfirmed[id], x.failedRun(now, now))
 	}
 }
 
 // recordCrash records the crash of an engine under a request.
 func (d *Dispatcher) recordCrash(now time.Time, f *failedRun) {
 	if d.quarantine != nil {
-		d.quarantine.RecordCrash(now, f.at, f.fingerprint, f.subject, f.engine.ID)
+		d.quarantine.RecordRunCrash(now, f.fingerprint, f.subject, quarantine.Crash{Engine: f.engine.ID, At: f.at, Ran: f.ran})
 	}
 	if d.parts != nil {
 		d.parts.RecordCrash(now, f.resent, f.at, f.pool, quarantine.EngineRun{ID: f.engine.ID, Version: f.engine.Version, Incarnation: f.engine.Incarnation}, f.parts)
--- a/internal/dispatch/walk.go
+++ b/internal/dispatch/walk.go
@@ -53,6 +53,7 @@
 	trial       bool      // trial is set if the next attempt is the trial of a request held in the quarantine
 	partTrial   time.Time // partTrial is when the request became the trial of held parts of its prompt; zero if it is none
 
+	running       *quarantine.Run // running is the run at the current engine; nil if there is none
 	crashedEngine bool            // crashedEngine is set once an engine has crashed under the request
 	tried         map[string]bool // tried holds the engines that were tried
 	sent          int             // sent counts the engines that the request was sent to
@@ -186,6 +187,8 @@
 		x.choice.TransferFrom, x.choice.TransferTokens = "", 0 // The source is gone since the choice.
 	}
 	x.noteContinuation("sent")
+	x.beginRun(now)
+	defer x.endRun()
 	defer x.endTrial() // Its end has shown what the parts do; another attempt is decided on anew.
 	return x.send(ctx, now)
 }
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -8,6 +8,7 @@
 	"github.com/croftturn/croftturn/internal/feed"
 	"github.com/croftturn/croftturn/internal/gossip"
 	"github.com/croftturn/croftturn/internal/pinning"
+	"github.com/croftturn/croftturn/internal/quarantine"
 	"github.com/croftturn/croftturn/platform"
 )
 
@@ -83,7 +84,7 @@
 	e.dispatcher.SetPeerTierStats(now, p.Name, s.TierStats)
 	e.dispatcher.SetPeerTeamWork(now, p.Name, s.TeamWork)
 	e.dispatcher.SetPeerLowerAdmitted(now, p.Name, s.LowerAdmitted)
-	e.quarantine.MergeGossip(now, s.Crashing)
+	e.quarantine.MergeGossip(now, quarantine.JoinRuns(s.Crashing, s.CrashRuns))
 	e.parts.MergeGossip(now, s.CrashingParts)
 	e.limits.MergeGossip(now, s.Limits)
 	e.placement.MergeBrittle(now, s.Brittle)
--- a/internal/front/held.go
+++ b/internal/front/held.go
@@ -80,6 +80,15 @@
 	}
 }
 
+// beginRun records that an engine gets the call, and returns a function that records the end of its run.
+func (f *Front) beginRun(now time.Time, c *call, e *config.Engine) (end func()) {
+	if f.quarantine == nil {
+		return func() {}
+	}
+	run := f.quarantine.BeginRun(now, c.fingerprint, e.Name)
+	return func() { f.quarantine.EndRun(run) }
+}
+
 // recordTry records what the end of a try, sent at a time, shows of the call: a complete response, or the crash of its engine.
 func (f *Front) recordTry(ctx context.Context, c *call, e *config.Engine, sent time.Time, status string, err error) {
 	if f.quarantine == nil {
@@ -94,6 +103,7 @@
 		f.quarantine.RecordAnswer(now, c.fingerprint, c.team.Name)
 		f.parts.RecordAnswer(now, c.pool.Name, "", c.parts)
 	case broke && f.crashed(ctx, c.pool.Name, e):
+		ran := f.quarantine.Ran(now, c.fingerprint, e.Name)
 		now = clock.Now()
 		var resent time.Time
 		if c.crashedEngine {
@@ -101,7 +111,7 @@
 		}
 		c.crashedEngine = true
 		f.tele.Log.Warn("engine failed while running request", "request", c.id, "fingerprint", c.fingerprint.String(), "pool", c.pool.Name, "team", c.team.Name, "engine", e.Name, "ended", true, "error", err.Error())
-		f.quarantine.RecordCrash(now, now, c.fingerprint, quarantine.Subject{Team: c.team.Name, Route: c.pool.Name}, e.Name)
+		f.quarantine.RecordRunCrash(now, c.fingerprint, quarantine.Subject{Team: c.team.Name, Route: c.pool.Name}, quarantine.Crash{Engine: e.Name, At: now, Ran: ran})
 		f.parts.RecordCrash(now, resent, now, c.pool.Name, quarantine.EngineRun{ID: e.Name}, c.parts)
 		f.onCrash()
 	}
--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -168,9 +168,11 @@
 			return cutOffResult(true).withEarlierTry(started)
 		}
 		sent := clock.Now()
+		endRun := f.beginRun(sent, c, g.Engine)
 		res, err := f.send(ctx, w, c, x, g)
 		scheduler.Release(want, g, res)
 		f.recordTry(ctx, c, g.Engine, sent, res.Status, err)
+		endRun()
 		if err == nil {
 			return callResult{state: journal.Completed}
 		}
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -65,6 +65,7 @@
 		Kept              map[string]uint64               `cbor:"32,keyasint,omitempty"` // Kept are the digests of what the node's tables keep of earlier eras.
 		PoolEras          map[string][2]int64             `cbor:"34,keyasint,omitempty"` // PoolEras are the eras of PoolVersions, as pinning.Eras returns them.
 		ReturnAgeMs       int64                           `cbor:"33,keyasint,omitempty"` // ReturnAgeMs is how long ago the store is known to have come back from a copy, at least 1; 0 if not lately.
+		CrashRuns         [][]int64                       `cbor:"35,keyasint,omitempty"` // CrashRuns are the runs of Crashing, as quarantine.SplitRuns returns them.
 	}
 
 	// HubInfo identifies a hub in the sender's hall and says how to reach it.
--- a/internal/gossip/send.go
+++ b/internal/gossip/send.go
@@ -68,6 +68,7 @@
 		if encoded[kind] == nil {
 			s, window := g.stateFor(state, round, to.rounds), g.recentWindow(now, to.rounds)
 			s.Crashing = selectEntries(kind, window, state.Crashing, func(t quarantine.GossipEntry) time.Duration { return t.Age })
+			s.CrashRuns = quarantine.SplitRuns(s.Crashing)
 			if !kind.full {
 				s.CrashingParts = state.CrashingParts.Recent(window)
 			}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// crashThreshold is how many engines must crash while running a request before it is held. With two, a request
-	// that is sent again after a crash and then meets an unrelated crash would be held.
+	// crashThreshold is how many pieces of evidence against a request hold it. With two, a request that is sent again
+	// after a crash and then meets an unrelated crash would be held.
 	crashThreshold = 3
 
 	// sameCrashWindow is how far apart nodes may observe the same crash: each when its own connections
@@ -51,6 +51,7 @@
 	Crash struct {
 		Engine string
 		At     time.Time
+		Ran    time.Duration // Ran is how long the engine had run it by then, the longest of several runs; 0 if that is not known.
 	}
 
 	// Held is a request that is not sent to engines, and the reason.
@@ -71,6 +72,7 @@
 		mu       sync.Mutex
 		records  map[Fingerprint]*record
 		answered map[string]*recentAnswers // answered holds the latest complete answers by team.
+		runs     map[Fingerprint][]*Run    // runs holds the requests that engines run for this node.
 		unsaved  map[Fingerprint]bool      // unsaved holds the requests whose rows may be out of date.
 		wake     chan struct{}             // wake wakes the Persister when there are unsaved requests.
 	}
@@ -79,14 +81,19 @@
 // New returns an empty quarantine. Once the trial of a held request is due, the node for which maySendTrial
 // returns true sends it to an engine once.
 func New(maySendTrial func(now time.Time, f Fingerprint) bool, log *slog.Logger) *Quarantine {
-	return &Quarantine{maySendTrial: maySendTrial, log: log, records: map[Fingerprint]*record{}, answered: map[string]*recentAnswers{}, unsaved: map[Fingerprint]bool{}, wake: make(chan struct{}, 1)}
+	return &Quarantine{maySendTrial: maySendTrial, log: log, records: map[Fingerprint]*record{}, answered: map[string]*recentAnswers{}, runs: map[Fingerprint][]*Run{}, unsaved: map[Fingerprint]bool{}, wake: make(chan struct{}, 1)}
 }
 
-// RecordCrash records that an engine crashed at a time while it ran a request.
+// RecordCrash records that an engine crashed at a time while it ran a request, for a time that is not known.
 func (q *Quarantine) RecordCrash(now, at time.Time, f Fingerprint, s Subject, engine string) {
+	q.RecordRunCrash(now, f, s, Crash{Engine: engine, At: at})
+}
+
+// RecordRunCrash records the crash of an engine while it ran a request.
+func (q *Quarantine) RecordRunCrash(now time.Time, f Fingerprint, s Subject, c Crash) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if !q.addCrash(now, f, s, Crash{Engine: engine, At: at}) {
+	if !q.addCrash(now, f, s, c) {
 		return
 	}
 	r := q.records[f]
@@ -106,16 +113,18 @@
 	if r == nil {
 		r = q.addRecord(now, f, s)
 	}
-	if r.hasCrash(e) {
+	before := r.isHeld()
+	if known := r.findCrash(e); known != nil {
+		if e.Ran > known.Ran {
+			known.Ran, r.changed = e.Ran, now
+			q.noteReleased(now, f, r, before)
+		}
 		return false
 	}
-	before := r.isHeld()
 	if !before {
 		r.crashes = slices.DeleteFunc(r.crashes, func(o Crash) bool { return now.Sub(o.At) > suspectTTL })
 	}
-	r.crashes = append(r.crashes, e)
-	slices.SortFunc(r.crashes, func(a, b Crash) int { return a.At.Compare(b.At) })
-	r.crashes = r.crashes[max(0, len(r.crashes)-maxCrashesKept):]
+	r.insert(e)
 	r.changed = now
 	if r.isHeld() {
 		q.log.Warn("request held", "fingerprint", f.String(), "team", s.Team, "route", s.Route, "engines", engineIDs(r.crashes), "since_ms", now.Sub(r.crashes[0].At).Milliseconds(),
@@ -185,17 +194,28 @@
 		return
 	}
 	r.changed = now
-	if before && !r.isHeld() {
-		q.held.Add(-1)
-		if r.seenHere {
-			q.markUnsaved(f)
-		}
-		q.log.Warn("request no longer held", "fingerprint", f.String(), "team", r.Team, "route", r.Route, "answered_ms", now.Sub(r.answered).Milliseconds())
+	q.noteReleased(now, f, r, before)
+}
+
+// noteReleased counts and logs that a request is no longer held, if it was before. The caller holds the lock.
+func (q *Quarantine) noteReleased(now time.Time, f Fingerprint, r *record, before bool) {
+	if !before || r.isHeld() {
+		return
+	}
+	q.held.Add(-1)
+	if r.seenHere {
+		q.markUnsaved(f)
+	}
+	answered := int64(unknownAge)
+	if !r.answered.IsZero() {
+		answered = now.Sub(r.answered).Milliseconds()
 	}
+	q.log.Warn("request no longer held", "fingerprint", f.String(), "team", r.Team, "route", r.Route, "answered_ms", answered)
 }
 
 // Admit returns the reason why a request must not be sent to an engine, or nil if it may be sent. A held request may be
-// sent once as a trial, if the trial is due and this node may send it.
+// sent once as a trial, if the trial is due and this node may send it. One for which its other runs at this node speak
+// is sent as usual.
 func (q *Quarantine) Admit(now time.Time, f Fingerprint) (held *Held, trial bool) {
 	if q.held.Load() == 0 {
 		return nil, false
@@ -204,7 +224,7 @@
 	defer q.mu.Unlock()
 	r := q.records[f]
 	switch {
-	case r == nil || !r.isHeld():
+	case r == nil || !r.isHeld() || q.evidenceBesideRuns(now, f, r) < crashThreshold:
 		return nil, false
 	case now.Before(r.trialAt()) || !q.maySendTrial(now, f):
 		return r.held(f), false
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -16,17 +16,48 @@
 	changed  time.Time // changed is when something was learned that peers may not know.
 }
 
-// isHeld reports whether enough engines crashed for the request to be held.
-func (r *record) isHeld() bool { return len(r.crashes) >= crashThreshold }
+// isHeld reports whether there is enough evidence for the request to be held.
+func (r *record) isHeld() bool {
+	return len(r.crashes) >= crashThreshold && r.evidence() >= crashThreshold
+}
+
+// evidence returns how many pieces of evidence the crashes are.
+func (r *record) evidence() int {
+	var m momentCounter
+	for _, c := range r.crashes {
+		m.add(c.At, time.Time{}, c.isOwnEvidence())
+	}
+	return m.n
+}
+
+// isOwnEvidence reports whether the engine crashed soon after it had got the request, or may have.
+func (c Crash) isOwnEvidence() bool { return c.Ran <= shortRun }
+
+// insert adds a crash. Beyond maxCrashesKept one is removed that adds no evidence, or else the oldest.
+func (r *record) insert(c Crash) {
+	r.crashes = append(r.crashes, c)
+	slices.SortFunc(r.crashes, func(a, b Crash) int { return a.At.Compare(b.At) })
+	if len(r.crashes) <= maxCrashesKept {
+		return
+	}
+	var m momentCounter
+	remove := max(0, slices.IndexFunc(r.crashes, func(c Crash) bool { return !m.add(c.At, time.Time{}, c.isOwnEvidence()) }))
+	r.crashes = slices.Delete(r.crashes, remove, remove+1)
+}
 
 // held returns the description of a held request.
 func (r *record) held(f Fingerprint) *Held {
 	return &Held{Subject: r.Subject, Fingerprint: f, Crashes: slices.Clone(r.crashes), TrialAt: r.trialAt()}
 }
 
-// hasCrash reports whether a crash is already recorded.
-func (r *record) hasCrash(e Crash) bool {
-	return slices.ContainsFunc(r.crashes, func(o Crash) bool { return o.Engine == e.Engine && e.At.Sub(o.At).Abs() <= sameCrashWindow })
+// findCrash returns the record of a crash, or nil if it is new.
+func (r *record) findCrash(e Crash) *Crash {
+	for i := range r.crashes {
+		if o := &r.crashes[i]; o.Engine == e.Engine && e.At.Sub(o.At).Abs() <= sameCrashWindow {
+			return o
+		}
+	}
+	return nil
 }
 
 // trialAt returns when the next trial is due; the delay grows with the number of crashes.
@@ -35,7 +66,7 @@
 	if r.tried.After(newest) {
 		newest = r.tried
 	}
-	return newest.Add(firstTrialDelay << (len(r.crashes) - crashThreshold))
+	return newest.Add(firstTrialDelay << (r.evidence() - crashThreshold))
 }
 
 // engineIDs returns the engines that crashed.
--- a/internal/quarantine/tell.go
+++ b/internal/quarantine/tell.go
@@ -22,6 +22,7 @@
 		Fingerprint   uint64
 		Team, Route   string
 		Crashes       []GossipCrash
+		RanMs         []int64       `cbor:"-"` // RanMs holds by crash how long the engine had run the request, 0 if that is not known; SplitRuns and JoinRuns carry it beside the entries.
 		AnsweredAgeMs int64         // AnsweredAgeMs is how long ago it was answered completely; -1 if not known.
 		Age           time.Duration `cbor:"-"` // Age is how long ago the sender last learned something about it; it is not sent.
 	}
@@ -55,6 +56,7 @@
 	t := GossipEntry{Fingerprint: uint64(f), Team: r.Team, Route: r.Route, AnsweredAgeMs: -1, Age: age}
 	for _, e := range r.crashes {
 		t.Crashes = append(t.Crashes, GossipCrash{Engine: e.Engine, AgeMs: now.Sub(e.At).Milliseconds()})
+		t.RanMs = append(t.RanMs, int64((e.Ran+time.Millisecond-1)/time.Millisecond)) // Rounded up, since 0 stands for unknown.
 	}
 	if !r.answered.IsZero() {
 		t.AnsweredAgeMs = now.Sub(r.answered).Milliseconds()
@@ -62,6 +64,24 @@
 	return t
 }
 
+// SplitRuns returns the RanMs of entries. Nodes of releases that do not know it refuse longer entries.
+func SplitRuns(list []GossipEntry) [][]int64 {
+	var out [][]int64
+	for _, t := range list {
+		out = append(out, t.RanMs)
+	}
+	return out
+}
+
+// JoinRuns sets the RanMs of entries; runs is empty if their sender does not know it.
+func JoinRuns(list []GossipEntry, runs [][]int64) []GossipEntry {
+	out := slices.Clone(list)
+	for i := range min(len(out), len(runs)) {
+		out[i].RanMs = runs[i]
+	}
+	return out
+}
+
 // MergeGossip merges the entries of a peer. What was new to this node is passed on.
 func (q *Quarantine) MergeGossip(now time.Time, list []GossipEntry) {
 	q.mu.Lock()
@@ -71,9 +91,13 @@
 		if r, at := q.records[f], now.Add(-millis(t.AnsweredAgeMs)); r != nil && t.AnsweredAgeMs >= 0 && at.Sub(r.answered) > sameAnswerWindow {
 			q.clearCrashes(now, at, f, r)
 		}
-		for _, e := range t.Crashes {
+		for i, e := range t.Crashes {
 			at := now.Add(-millis(e.AgeMs))
-			if !q.addCrash(now, f, s, Crash{Engine: e.Engine, At: at}) {
+			c := Crash{Engine: e.Engine, At: at}
+			if i < len(t.RanMs) {
+				c.Ran = max(0, millis(t.RanMs[i]))
+			}
+			if !q.addCrash(now, f, s, c) {
 				q.correctPeers(now, f, s, at)
 			}
 		}
--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -96,6 +96,7 @@
 	{"engine starts again under its id", 2 * time.Second, false, restartEngine},
 	{"a request crashes engines", maxFaultDuration, false, crashingRequest},
 	{"a part of prompts crashes engines", partSeriesTime, false, crashingPartSeries},
+	{faultPopular, time.Second, false, losePopular},
 	{faultOddRow, time.Second, true, startBesideOddRow},
 	{"entries of other writers", 2 * time.Second, false, invalidEntries},
 	{"hall evacuated", maxFaultDuration, false, evacuateHall},
--- a/lab/soak/faults_brittle.go
+++ b/lab/soak/faults_brittle.go
@@ -77,7 +77,7 @@
 
 // makeBrittle makes the engines of a pool brittle, after a time in which they say so and have room.
 func makeBrittle(ctx context.Context, env *Environment, r *rand.Rand, d time.Duration) error {
-	pool := []string{"llm", "desk"}[r.IntN(2)]
+	pool := []string{streamPool, deskPool}[r.IntN(2)]
 	if !env.brittleMu.TryLock() {
 		return nil
 	}
--- a/lab/soak/faults_version.go
+++ b/lab/soak/faults_version.go
@@ -11,8 +11,10 @@
 	"github.com/croftturn/croftturn/internal/pause"
 )
 
-// streamPool is the pool that serves the streams.
-const streamPool = "llm"
+const (
+	streamPool = "llm"  // streamPool is the pool that serves the streams.
+	deskPool   = "desk" // deskPool is the pool that serves all other requests.
+)
 
 // initialVersion returns the software version of an engine that is started first: with two seeds of three
 // there are two versions from the start.
--- a/lab/soak/ledger.go
+++ b/lab/soak/ledger.go
@@ -62,6 +62,7 @@
 		silences    []silence
 		pairs       []longPair
 		partSeries  []partSeries
+		popular     []popularSeries
 		streamTries []streamTry
 
 		stopped       []string               // stopped holds the requests that were sent to nodes that stop.
@@ -211,6 +212,7 @@
 	out = append(out, l.endedWithoutAnswer()...)
 	out = append(out, l.startsAfterUnreadDrains()...)
 	out = append(out, l.longLost()...)
+	out = append(out, l.popularRefused()...)
 	for id, e := range l.results {
 		out = append(out, l.requestViolations(id, e)...)
 	}
--- a/lab/soak/planted_test.go
+++ b/lab/soak/planted_test.go
@@ -66,6 +66,7 @@
 	{"a hall that is evacuated gets new requests", "was evacuated", "hall evacuated", "internal/placement/placement.go", "if !e.Draining && !p.evacuated[e.Hall] {", "if !e.Draining {"},
 	{"a reload ends the process", "exited unexpectedly", "hang up a node", "cmd/croftturn/main.go", "signal.Notify(c, syscall.SIGHUP)", ""},
 	{"a request that crashes engines is never held", "later than", "a request crashes engines", "internal/quarantine/record.go", "return len(r.crashes) >= crashThreshold", "return false"},
+	{"engines lost at one moment count one by one", "were refused for good", faultPopular, "internal/quarantine/record.go", "return c.Ran <= shortRun", "return true"},
 	{"a part that crashes engines is never held", "after the fifth crash", "a part of prompts crashes engines", "internal/quarantine/judge.go", "if moments(crashes, p.ID, func(*partCrash) bool { return true }) >= heldMoments {", "if moments(crashes, p.ID, func(*partCrash) bool { return false }) >= heldMoments {"},
 	{"all shared parts of a crashing prompt are held", "sound requests beside part", "a part of prompts crashes engines", "internal/quarantine/parts.go", "if c.at.After(a.at) || key.version", "if !c.at.IsZero() || key.version"},
 	{"the team is not the key's", "its key belongs to", "", "platform/egress.go", "h.Set(headerTeam, a.Team)", `h.Set(headerTeam, a.Team+"x")`},
--- a/lab/soak/rows.go
+++ b/lab/soak/rows.go
@@ -95,9 +95,9 @@
 		service, kind, attempts := "llm", "streaming", 1
 		switch name {
 		case routeSafe:
-			service, kind, attempts = "desk", "safe", 2
+			service, kind, attempts = deskPool, "safe", 2
 		case routeUnsafe:
-			service, kind = "desk", "unsafe"
+			service, kind = deskPool, "unsafe"
 		case routeResumable:
 			attempts = 2
 		}
@@ -108,7 +108,7 @@
 	}
 	return env.write(row{"op", "config", map[string]any{
 		"version": version, "routes": list, "tenants": tenants, "limits": map[string]any{"max_body_bytes": 1 << 20},
-		"services": []any{map[string]any{"name": "desk", "max_connections": 200}, map[string]any{"name": "llm", "max_connections": 200, "engine": map[string]any{"slots": 8, "stride": 6, "moves": true, "kv_bytes": 1000, "link_mbps": 10000, "most": 4}}},
+		"services": []any{map[string]any{"name": deskPool, "max_connections": 200}, map[string]any{"name": "llm", "max_connections": 200, "engine": map[string]any{"slots": 8, "stride": 6, "moves": true, "kv_bytes": 1000, "link_mbps": 10000, "most": 4}}},
 	}})
 }
 
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -208,6 +208,9 @@
 				l.recordCrash("crash x", at.Add(time.Duration(i)*2*time.Second))
 			}
 		},
+		"popular request refused for good after one loss": func(l *Ledger) {
+			l.recordPopular(popularSeries{interval{at, at.Add(time.Second)}, 1, 3})
+		},
 		"part that crashes engines": func(l *Ledger) {
 			for i := range 9 {
 				l.recordPartCrash("bad-x", at.Add(time.Duration(i)*time.Second))
