Linger: what lies behind an answered request is read again before its connection closes

Cause: leave such a request unread, so that nothing is read in vain. When the process ends, the kernel resets a connection with unread bytes, and drops what is on its way of the answer before them.

--- a/internal/linger/conn.go
+++ b/internal/linger/conn.go
@@ -2,18 +2,15 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/croftturn/croftturn/internal/caller"
-	"github.com/croftturn/croftturn/internal/clock"
 )
 
 type (
@@ -46,17 +43,9 @@
 		idle     bool      // idle is set while a read waits between two requests.
 		begun    bool      // begun is set once something was read.
 		serving  bool      // serving is set while a handler runs.
-		whole    bool      // whole is set once the handler's request has been read whole.
-		answered bool      // answered is set once the last request that was read has been read whole and answered.
 		ending   bool      // ending is set once reads are ended.
 		deadline time.Time // deadline is the read deadline that the server has set.
 	}
-
-	// body is the body of a request, which tells its connection when it has been read whole.
-	body struct {
-		io.ReadCloser
-		conn *conn
-	}
 )
 
 // withConn returns a ConnContext that adds to another one, nil for none, what the server knows of a connection.
@@ -74,27 +63,14 @@
 	}
 }
 
-// Read implements io.Reader.
-func (b *body) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	if errors.Is(err, io.EOF) {
-		b.conn.setWhole()
-	}
-	return n, err
-}
-
-// beginServing records that a handler runs for a request, until end is called. The handler gets the returned request.
-func beginServing(r *http.Request) (served *http.Request, end func()) {
-	own, ok := r.Context().Value(connKey{}).(*conn)
+// setServing records that a handler runs on the connection of a context, until the returned function is called.
+func setServing(ctx context.Context) (end func()) {
+	own, ok := ctx.Value(connKey{}).(*conn)
 	if !ok {
-		return r, func() {}
+		return func() {}
 	}
-	own.beginServing(r.Body == http.NoBody)
-	if r.Body != http.NoBody {
-		r = r.WithContext(r.Context())
-		r.Body = &body{r.Body, own}
-	}
-	return r, own.endServing
+	own.setServing(true)
+	return func() { own.setServing(false) }
 }
 
 // Listen listens on a TCP address, without multipath TCP: the kernel can't refuse handshakes of such a listener.
@@ -202,7 +178,6 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.begun, c.between, c.idle = true, false, false
-	c.answered = c.answered && c.serving
 	if c.ending {
 		c.ending = false
 		_ = c.Conn.SetReadDeadline(c.deadline) // An error shows at the next read.
@@ -230,32 +205,11 @@
 	return c.idle
 }
 
-// beginServing records that a handler runs, and whether its request has been read whole.
-func (c *conn) beginServing(whole bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.serving, c.whole, c.answered = true, whole, false
-}
-
-// setWhole records that the request of the handler that runs has been read whole.
-func (c *conn) setWhole() {
+// setServing records whether a handler runs.
+func (c *conn) setServing(serving bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.whole = true
-}
-
-// endServing records that the handler has ended.
-func (c *conn) endServing() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.serving, c.answered = false, c.whole
-}
-
-// isAnswered reports whether all that was read has been answered.
-func (c *conn) isAnswered() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.answered
+	c.serving = serving
 }
 
 // setBetween records whether the last answer has ended and nothing of the next request has come.
@@ -284,17 +238,13 @@
 	return halfClose(c.raw)
 }
 
-// Close closes the connection, and lingers before if the caller may still send the rest of a request: it would be reset
-// otherwise, and the answer lost.
+// Close closes the connection, and lingers before if the caller may still send something behind an answered request: it would be
+// reset otherwise, and the answer lost.
 func (c *conn) Close() error {
 	var err error
 	c.closed.Do(func() {
-		switch {
-		case c.server.closed.Load() || c.isIdle() || !open(c.raw):
-		case c.halfClosed.Load(), unread(c.raw) > 0 && !c.isAnswered():
+		if !c.server.closed.Load() && !c.isIdle() && (c.halfClosed.Load() || unread(c.raw) > 0) && open(c.raw) {
 			c.linger()
-		case unread(c.raw) > 0:
-			c.awaitClose()
 		}
 		c.logUnread()
 		c.server.remove(c)
@@ -313,15 +263,6 @@
 	_, _ = io.Copy(io.Discard, c.Conn) // The caller may reset the connection.
 }
 
-// awaitClose waits until the caller closes the connection, but not longer than it may take for a request. The request that it has
-// sent behind the last one to be answered is not read.
-func (c *conn) awaitClose() {
-	_ = c.CloseWrite() // The caller may have reset the connection.
-	for end := clock.Now().Add(c.server.http.ReadHeaderTimeout); open(c.raw) && clock.Now().Before(end) && !c.server.closed.Load(); {
-		time.Sleep(pollInterval)
-	}
-}
-
 // end ends the connection if it is idle and nothing lies unread in it. What comes from now on is not read, so that the caller's
 // request meets a reset at once: it could not be answered any more, and the caller may not know of the close for long.
 func (c *conn) end() {
--- a/internal/linger/linger.go
+++ b/internal/linger/linger.go
@@ -95,10 +95,9 @@
 			panic(http.ErrAbortHandler)
 		}
 	}()
-	served, end := beginServing(r)
-	defer end()
+	defer setServing(r.Context())()
 	a := &answer{ResponseWriter: w, server: s}
-	s.handler.ServeHTTP(a, served)
+	s.handler.ServeHTTP(a, r)
 	a.begin()
 }
 
