--- a/lab/soak/faults_crossing.go
+++ b/lab/soak/faults_crossing.go
@@ -31,7 +31,7 @@
 // when the node closes it. The packets that close it are lost, as on a full link.
 func (env *Environment) crossCloses(ctx context.Context, others *sync.WaitGroup, n *node, signal time.Time, seed uint64) {
 	for i := range restingCallers {
-		c := &keptCaller{env: env, node: n.name, name: fmt.Sprintf("resting-%s-%d-%d", n.name, time.Now().UnixMicro(), i), rand: rand.New(rand.NewPCG(seed+uint64(i), crossSeed))}
+		c := &keptCaller{env: env, fault: faultStarved, node: n.name, name: fmt.Sprintf("resting-%s-%d-%d", n.name, time.Now().UnixMicro(), i), rand: rand.New(rand.NewPCG(seed+uint64(i), crossSeed))}
 		others.Go(func() { c.crossClose(ctx, signal, n.callerAddress) })
 	}
 }
