--- a/review/fleet2/cut.go
+++ b/review/fleet2/cut.go
@@ -3,6 +3,7 @@
 package fleet2
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -28,7 +29,7 @@
 
 // ListenCut listens at an address.
 func ListenCut(address string) (*CutListener, error) {
-	l, err := net.Listen("tcp", address)
+	l, err := listen(address)
 	if err != nil {
 		return nil, err
 	}
@@ -104,3 +105,41 @@
 		}
 	})
 }
+
+// dropFrom returns a filter that drops packets from an IPv4 address and keeps all others.
+func dropFrom(ip net.IP) []syscall.SockFilter {
+	const netOff, sourceAt = 0xfff00000, 12 // The network header, and where its source address stands.
+	b := ip.To4()
+	address := uint32(b[0])<<24 | uint32(b[1])<<16 | uint32(b[2])<<8 | uint32(b[3])
+	return []syscall.SockFilter{
+		{Code: syscall.BPF_LD | syscall.BPF_W | syscall.BPF_ABS, K: netOff + sourceAt},
+		{Code: syscall.BPF_JMP | syscall.BPF_JEQ | syscall.BPF_K, K: address, Jt: 0, Jf: 1},
+		{Code: syscall.BPF_RET | syscall.BPF_K, K: 0},
+		{Code: syscall.BPF_RET | syscall.BPF_K, K: 0xffff},
+	}
+}
+
+// CutFrom cuts an engine off from one machine, whose connections come from an address.
+func (e *Engine) CutFrom(ip string) {
+	program := dropFrom(net.ParseIP(ip))
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	attach := func(c any) {
+		raw, err := c.(syscall.Conn).SyscallConn()
+		if err != nil {
+			return
+		}
+		_ = raw.Control(func(fd uintptr) { _ = syscall.AttachLsf(int(fd), program) })
+	}
+	attach(e.listener)
+	for c := range e.conns {
+		attach(c)
+	}
+}
+
+// listen listens at an address without multipath TCP, whose sockets take no filter.
+func listen(address string) (net.Listener, error) {
+	var config net.ListenConfig
+	config.SetMultipathTCP(false)
+	return config.Listen(context.Background(), "tcp", address)
+}
--- a/review/fleet2/engine.go
+++ b/review/fleet2/engine.go
@@ -46,7 +46,7 @@
 
 // AddEngine starts an engine and keeps its entry in the store.
 func (w *World) AddEngine(id, service, hall, ip string, slots int, handle func(e *Engine, r *Request) bool) (*Engine, error) {
-	l, err := net.Listen("tcp", ip+":0")
+	l, err := listen(ip + ":0")
 	if err != nil {
 		return nil, err
 	}
--- a/review/fleet2/fleet.go
+++ b/review/fleet2/fleet.go
@@ -8,6 +8,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -35,6 +36,7 @@
 	Store    string       // Store is the address of the platform's store.
 	Platform http.Handler // Platform serves the store; a node may have an address of its own there.
 	begin    time.Time
+	network  int // network is the second byte of the addresses of this world.
 
 	mu      sync.Mutex
 	record  *os.File
@@ -60,7 +62,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &World{Dir: dir, Program: program, begin: time.Now()}
+	w := &World{Dir: dir, Program: program, begin: time.Now(), network: 10 + rand.IntN(240)}
 	if w.record, err = os.Create(recordPath); err != nil {
 		return nil, err
 	}
@@ -134,24 +136,34 @@
 	return w.Commit(nil, []Row{{Table: table, Key: key}})
 }
 
-// FreeAddress returns a free address on a loopback IP.
-func FreeAddress(ip string) string {
-	l, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		panic(err)
+// IP returns a loopback address for a purpose of one machine. Each world has a range of its own.
+func (w *World) IP(machine, purpose int) string {
+	return fmt.Sprintf("127.%d.%d.%d", w.network, 20+machine, purpose)
+}
+
+// freeAddresses returns addresses on an IP whose ports are free.
+func freeAddresses(ip string, n int) ([]string, error) {
+	var out []string
+	for range n {
+		l, err := net.Listen("tcp", ip+":0")
+		if err != nil {
+			return nil, err
+		}
+		defer l.Close() // All are held until the last one is chosen.
+		out = append(out, l.Addr().String())
 	}
-	defer l.Close()
-	return l.Addr().String()
+	return out, nil
 }
 
 // AddNode writes the settings of a node, as the template lays them out, and starts it. extra replaces single settings.
 func (w *World) AddNode(i int, hall string, extra map[string]any) (*Node, error) {
-	ip := fmt.Sprintf("127.0.%d.1", 20+i)
 	n := &Node{Name: fmt.Sprintf("edge-%s-%d", hall, i), Hall: hall, w: w}
-	admin := FreeAddress(ip)
-	for _, a := range []*string{&n.Caller, &n.Directory, &n.Ready, &n.Peer, &n.Forward} {
-		*a = FreeAddress(ip)
+	free, err := freeAddresses(w.IP(i, 1), 6)
+	if err != nil {
+		return nil, err
 	}
+	admin := free[0]
+	n.Caller, n.Directory, n.Ready, n.Peer, n.Forward = free[1], free[2], free[3], free[4], free[5]
 	s := map[string]any{
 		"instance": n.Name, "hall": hall, "region": "ebro-norte", "hall_regions": map[string]string{"zgz-a": "ebro-norte", "zgz-b": "ebro-norte", "pam-c": "ebro-norte"},
 		"caller_address": n.Caller, "directory_address": n.Directory, "ready_address": n.Ready, "peer_address": n.Peer, "forward_address": n.Forward, "admin_address": admin,
@@ -235,7 +247,8 @@
 				}
 			}
 			if time.Now().After(end) {
-				return fmt.Errorf("%s is not ready", n.Name)
+				log, _ := os.ReadFile(n.LogPath)
+				return fmt.Errorf("%s is not ready: %.600s", n.Name, log)
 			}
 			time.Sleep(20 * time.Millisecond)
 		}
