Review case 10: no node starts where a bound is a fraction of a second

The settings template appends zeros to seconds; with grace_s 8.5 each node that is stopped in a roll ends at every start, until none serves.

--- a/review/10/main.go
+++ b/review/10/main.go
@@ -1,25 +1,24 @@
 //go:build review
 
-// Command case10 makes a route public by a new configuration while clients go on sending their keys, and looks which tenant the
-// engines get.
+// Command case10 changes the settings of three nodes to a grace of eight and a half seconds, restarts them in turn, and looks
+// whether they start and serve.
 package main
 
 import (
-	"bufio"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"os"
+	"strings"
+	"syscall"
 	"time"
 
 	"github.com/croftturn/croftturn/review/fleet2"
 )
 
-const host = "ficu95.example"
-
-// keys are the keys of two tenants.
-var keys = map[string]string{"hule930": "n2ctnfzs989anu6wsjnb", "fida11": "anfqasnmgkcuyj8pjbvk"}
+const (
+	template = "../../deploy/settings.json.tmpl"
+	recoverS = 12 // recoverS is recovery_s.
+)
 
 func main() { os.Exit(run()) }
 
@@ -29,117 +28,134 @@
 }
 
 func run() int {
-	public := os.Getenv("TROUBLE") != "0"
+	grace := 8.5
+	if os.Getenv("TROUBLE") == "0" {
+		grace = 9
+	}
 	w, err := fleet2.New(os.Args[2], os.Args[1])
 	if err != nil {
 		return fail(err)
 	}
 	defer w.End()
-	var engines []*fleet2.Engine
-	for i := range 3 {
-		e, err := w.AddEngine(fmt.Sprintf("i-%d", i), "station-desk", "zgz-a", "127.0.0.1", 6, nil)
-		if err != nil {
-			return fail(err)
-		}
-		engines = append(engines, e)
-	}
-	if err := w.Put("op", "config", configuration(3, false)); err != nil {
+	text, err := os.ReadFile(template)
+	if err != nil {
 		return fail(err)
 	}
-	n, err := w.AddNode(0, "zgz-a", nil)
-	if err != nil {
+	if _, err := w.AddEngine("i-0", "bid-desk", "zgz-a", "127.0.0.1", 6, nil); err != nil {
 		return fail(err)
 	}
-	if err := w.AwaitReady(20 * time.Second); err != nil {
+	if err := w.Put("op", "config", map[string]any{
+		"version":  3,
+		"routes":   []any{map[string]any{"name": "r1", "host": "ficu95.example", "path_prefix": "/cufi504/", "kind": "safe", "timeout_ms": 600, "target_latency_ms": 100, "priority": 1, "service": "bid-desk", "max_attempts": 2, "public": true}},
+		"services": []any{map[string]any{"name": "bid-desk", "health_path": "/health", "max_connections": 96}},
+		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+	}); err != nil {
 		return fail(err)
 	}
-	time.Sleep(time.Second)
-	holders := map[string]string{} // holders is the tenant that holds the key of each request.
-	ask := func(round string) error {
-		for tenant, key := range keys {
-			for i := range 5 {
-				id := fmt.Sprintf("%s-%s-%d", round, tenant, i)
-				holders[id] = tenant
-				status, err := send(n.Caller, id, key)
-				if err != nil {
-					return err
-				}
-				w.Logf("client of %s sent %s with its key and got %s", tenant, id, status)
-			}
+	var nodes []*fleet2.Node
+	var fields []map[string]any
+	for i := range 3 {
+		f, n, err := w.PlanNode(i, "zgz-a")
+		if err != nil {
+			return fail(err)
 		}
-		return nil
+		if err := settle(n, string(text), f, 8, true); err != nil {
+			return fail(err)
+		}
+		if err := n.Start(); err != nil {
+			return fail(err)
+		}
+		nodes, fields = append(nodes, n), append(fields, f)
 	}
-	if err := ask("before"); err != nil {
+	if err := w.AwaitReady(20 * time.Second); err != nil {
 		return fail(err)
 	}
-	if err := w.Put("op", "config", configuration(7, public)); err != nil {
-		return fail(err)
+	served := 0
+	for _, n := range nodes {
+		served += ask(w, n, "before")
 	}
-	w.Logf("the operator's store acknowledges version 7: public is %v", public)
-	time.Sleep(3 * time.Second) // config_deadline_ms is 2,000.
-	if err := ask("after"); err != nil {
-		return fail(err)
+	if served < len(nodes) {
+		return fail(fmt.Errorf("%d of %d nodes serve before the change", served, len(nodes)))
 	}
-	ran, bad := 0, 0
-	for _, e := range engines {
-		for _, r := range e.Requests() {
-			id := r.Header.Get("Attempt-Id")
-			want, ok := holders[id]
-			if !ok {
-				continue
-			}
-			ran++
-			if got := r.Header.Values("Tenant"); len(got) != 1 || got[0] != want {
-				bad++
-				w.Logf("BROKEN: %s ran with the tenants %q, its key is held by %s", id, got, want)
+	for i, n := range nodes {
+		if err := settle(n, string(text), fields[i], grace, false); err != nil {
+			return fail(err)
+		}
+		n.Signal(syscall.SIGHUP)
+	}
+	w.Logf("grace_s is %v", grace)
+	time.Sleep(time.Second)
+	for _, n := range nodes {
+		n.Signal(syscall.SIGTERM)
+		for end := time.Now().Add(9 * time.Second); !n.Exited() && time.Now().Before(end); {
+			time.Sleep(20 * time.Millisecond)
+		}
+		if !n.Exited() {
+			n.Signal(syscall.SIGKILL)
+		}
+		if err := n.Start(); err != nil {
+			return fail(err)
+		}
+		time.Sleep(time.Second)
+	}
+	// A process that ends is started again after a short delay.
+	starts := 0
+	for end := time.Now().Add(recoverS * time.Second); time.Now().Before(end); time.Sleep(time.Second) {
+		for _, n := range nodes {
+			if n.Exited() {
+				log, _ := os.ReadFile(n.LogPath)
+				lines := strings.Split(strings.TrimSpace(string(log)), "\n")
+				w.Logf("%s has ended: %.200s", n.Name, lines[len(lines)-1])
+				starts++
+				if err := n.Start(); err != nil {
+					return fail(err)
+				}
 			}
 		}
 	}
-	w.Logf("%d requests sent, %d run, %d of them with another tenant than that of their key", len(holders), ran, bad)
-	switch {
-	case bad > 0:
-		fmt.Println("UNASKED is broken")
+	after := 0
+	for _, n := range nodes {
+		after += ask(w, n, "after")
+	}
+	w.Logf("%d of 3 nodes serve %d s after they were started again; they ended by themselves %d times", after, recoverS, starts)
+	if after < len(nodes) || starts > 0 {
+		fmt.Printf("%d of 3 nodes serve; they ended by themselves %d times\n", after, starts)
 		return 1
-	case ran < len(holders):
-		return fail(fmt.Errorf("only %d of %d ran", ran, len(holders)))
 	}
 	fmt.Println("the rule held")
 	return 0
 }
 
-// send sends one request on a connection of its own and returns the status.
-func send(address, id, key string) (string, error) {
-	c, err := net.Dial("tcp", address)
+// settle fills the template with a node's fields and writes it where the settings lie.
+func settle(n *fleet2.Node, text string, fields map[string]any, grace float64, first bool) error {
+	fields["bootstrap"] = first
+	fields["bounds"].(map[string]any)["grace_s"] = grace
+	filled, err := fleet2.Fill(text, fields)
 	if err != nil {
-		return "", err
-	}
-	defer c.Close()
-	if err := c.SetDeadline(time.Now().Add(3 * time.Second)); err != nil {
-		return "", err
+		return err
 	}
-	if _, err := fmt.Fprintf(c, "POST /puxa403/2f HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: 1000\r\nAuthorization: Bearer %s\r\nContent-Length: 6\r\n\r\nlookup", host, id, key); err != nil {
-		return "", err
+	return os.WriteFile(n.Settings, []byte(filled), 0o644)
+}
+
+// ask sends a request to a node and returns 1 if it is served.
+func ask(w *fleet2.World, n *fleet2.Node, when string) int {
+	req, err := http.NewRequest(http.MethodGet, "http://"+n.Caller+"/cufi504/2f", nil)
+	if err != nil {
+		return 0
 	}
-	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	req.Host = "ficu95.example"
+	req.Header.Set("Attempt-Id", when+"-"+n.Name)
+	req.Header.Set("Deadline-Ms", "600")
+	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Do(req)
 	if err != nil {
-		return "", err
+		w.Logf("%s the change, %s: %v", when, n.Name, err)
+		return 0
 	}
 	defer resp.Body.Close()
-	_, err = io.Copy(io.Discard, resp.Body)
-	return resp.Status, err
-}
-
-// configuration returns a version in which the route is public or not.
-func configuration(version int, public bool) map[string]any {
-	var tenants []any
-	for name, key := range keys {
-		tenants = append(tenants, map[string]any{"name": name, "api_keys": []string{key}, "priority": 1})
-	}
-	return map[string]any{
-		"version":  version,
-		"routes":   []any{map[string]any{"name": "r1", "host": host, "path_prefix": "/puxa403/", "kind": "unsafe", "timeout_ms": 1000, "target_latency_ms": 150, "priority": 1, "service": "station-desk", "max_attempts": 1, "public": public}},
-		"services": []any{map[string]any{"name": "station-desk", "health_path": "/health", "max_connections": 100}},
-		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants":  tenants,
+	w.Logf("%s the change, %s: %s", when, n.Name, resp.Status)
+	if resp.StatusCode == http.StatusOK {
+		return 1
 	}
+	return 0
 }
