Settings: bounds with fractions stop no node from starting

Cause: the template of the users' platform made milliseconds of seconds by adding three zeros to the text, 8.5000, and the schema takes whole milliseconds only. 8.0 became 8 ms for the same reason. Fractions of a millisecond in revoke_ms, drain_ms and lease_ms were refused as well.

A refused settings file was in the log only; croftturn_edge_settings_refused shows it.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -11,6 +11,7 @@
 	"log"
 	"log/slog"
 	"maps"
+	"math"
 	"net/http"
 	"runtime/debug"
 	"slices"
@@ -137,7 +138,8 @@
 
 	onReturn []func() // onReturn are called after it is seen that the store has come back from a copy.
 
-	configsRefused atomic.Int64 // configsRefused counts configurations that were rejected as invalid.
+	configsRefused  atomic.Int64 // configsRefused counts configurations that were rejected as invalid.
+	settingsRefused atomic.Int64 // settingsRefused is 1 if the settings that were last read are invalid.
 
 	suspensions     atomic.Int64       // suspensions counts how often this process was suspended.
 	suspensionEnded chan time.Duration // suspensionEnded receives the length of each suspension when it is over.
@@ -367,7 +369,9 @@
 func (e *Edge) Failed() <-chan error { return e.wg.Failed() }
 
 // scaleMs returns a fraction of a time given in milliseconds.
-func scaleMs(part float64, n int) time.Duration { return time.Duration(part * float64(ms(n))) }
+func scaleMs(part, n float64) time.Duration { return time.Duration(part * float64(ms(n))) }
 
 // ms converts milliseconds, as used in the settings, to a duration.
-func ms(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+func ms[T int | float64](n T) time.Duration {
+	return time.Duration(math.Round(float64(n) * float64(time.Millisecond)))
+}
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -63,6 +63,7 @@
 		telemetry.Gauge{Name: "croftturn.edge.config_age_ms", Help: "age of the proof that the configuration is the newest", Read: func() int64 { return e.proof.AgeMs(clock.Now()) }},
 		telemetry.Gauge{Name: "croftturn.edge.entries_refused", Help: "changes of engines' entries that could not be understood", Read: func() int64 { return e.discovery.Refused() }},
 		telemetry.Gauge{Name: "croftturn.edge.configs_refused", Help: "configurations that could not be understood", Read: func() int64 { return e.configsRefused.Load() }},
+		telemetry.Gauge{Name: "croftturn.edge.settings_refused", Help: "1 if the settings file that was last read is faulty, so that this node would not start with it", Read: e.settingsRefused.Load},
 		telemetry.Gauge{Name: "croftturn.edge.store_era", Help: "how often the store has come back from an older copy, as its answers say", Read: func() int64 { return e.store.Era() }},
 		telemetry.Gauge{Name: "croftturn.edge.store_returns", Help: "tables taken over anew since the store came back from an older copy", Read: func() int64 { return e.returns.Load() }},
 		telemetry.Gauge{Name: "croftturn.edge.store_rows_kept", Help: "rows and deletions in force of earlier eras of the store", Read: func() int64 { return int64(e.configTable.Kept() + e.engineTable.Kept()) }},
--- a/internal/edge/reload.go
+++ b/internal/edge/reload.go
@@ -18,9 +18,11 @@
 func (e *Edge) Reload(load func() (*settings.Settings, error)) {
 	s, err := load()
 	if err != nil {
+		e.settingsRefused.Store(1)
 		e.log.Error("settings not reloaded; the previous ones stay in force", "error", err.Error())
 		return
 	}
+	e.settingsRefused.Store(0)
 	e.proof.SetMaxAge(proofMaxAge(s))
 	e.budget.SetLimits(retryLimits(s))
 	e.setMemory(s)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"time"
@@ -310,4 +311,6 @@
 }
 
 // ms converts milliseconds to a duration.
-func ms(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+func ms[T int | float64](n T) time.Duration {
+	return time.Duration(math.Round(float64(n) * float64(time.Millisecond)))
+}
--- a/internal/usage/counter.go
+++ b/internal/usage/counter.go
@@ -116,7 +116,7 @@
 
 // windowNumber returns the number of the window that contains a wall-clock time.
 func windowNumber(wall time.Time, length time.Duration) int64 {
-	return wall.UnixMilli() / length.Milliseconds()
+	return wall.UnixNano() / length.Nanoseconds()
 }
 
 // NewCounter returns the counter of a node for windows of a length.
--- a/internal/usage/settle.go
+++ b/internal/usage/settle.go
@@ -11,7 +11,8 @@
 	idleReportPeriod = 15 * time.Second
 	nodeWaitPeriod   = idleReportPeriod - 3*emptyReportInterval
 
-	// minSettleDelay is the least time between a window's end and its settlement: nodes send four times a second.
+	// minSettleDelay is the least time between a window's end and its settlement, unless the window is due too soon for it:
+	// nodes send four times a second.
 	minSettleDelay = 1500 * time.Millisecond
 
 	// nodeWaitShare is the share of the time until a window is due during which silent nodes are waited for, as when they are
@@ -50,7 +51,7 @@
 
 // windowEnd returns when a window ends.
 func (l *Ledger) windowEnd(number int64) time.Time {
-	return time.UnixMilli((number + 1) * l.length.Milliseconds())
+	return time.Unix(0, (number+1)*l.length.Nanoseconds())
 }
 
 // canSettle reports whether a window that ends at a wall-clock time can be settled. The caller holds the lock.
@@ -58,10 +59,11 @@
 	after := wall.Sub(end)
 	listening := now.Sub(l.since) < clockListenTime && after < time.Duration(listenShare*float64(l.dueAfter))
 	resending := l.copied && now.Sub(l.since) < resendTime
-	if after < minSettleDelay || listening || resending {
+	wait := time.Duration(nodeWaitShare * float64(l.dueAfter))
+	if after < min(minSettleDelay, wait) || listening || resending {
 		return false
 	}
-	if after >= time.Duration(nodeWaitShare*float64(l.dueAfter)) {
+	if after >= wait {
 		return true
 	}
 	for _, n := range l.nodes {
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -278,3 +278,32 @@
 		t.Errorf("adjusted by %v for an offset that message delays explain", moved)
 	}
 }
+
+// TestWindowsMayHaveFractionsOfAMillisecond guards against windows that drift from those of the platform since their length
+// was cut to whole milliseconds.
+func TestWindowsMayHaveFractionsOfAMillisecond(t *testing.T) {
+	const length = 750*time.Millisecond + 500*time.Microsecond
+	l := NewLedger(length, dueAfter, NewClock(base, base))
+	number := windowNumber(base, length)
+	if want := base.UnixMicro() / length.Microseconds(); number != want {
+		t.Errorf("window %d, want %d", number, want)
+	}
+	if end := l.windowEnd(number); !end.After(base) || end.Sub(base) > length || windowNumber(end, length) != number+1 {
+		t.Errorf("window %d ends %v after a time in it, and window %d begins then", number, end.Sub(base), windowNumber(end, length))
+	}
+}
+
+// TestWindowThatIsDueSoonIsSettledInTime guards against a window that is settled after it was due, since the wait for reports
+// did not depend on the time until then.
+func TestWindowThatIsDueSoonIsSettledInTime(t *testing.T) {
+	const due = 1200 * time.Millisecond
+	l := NewLedger(window, due, NewClock(base, base))
+	l.AddReport(base, 1, Report{Node: "n0/1", WallMs: base.UnixMilli(), Batches: []Batch{{Number: 1, Counts: Counts{firstWindow(): {"t": 1}}}}})
+	end := base.Add(window)
+	if early := l.Settle(end.Add(due / 2)); len(early) > 0 {
+		t.Errorf("settled %d windows before the nodes have reported", len(early))
+	}
+	if settled := l.Settle(end.Add(due * 3 / 4)); len(settled) != 1 || settled[0].Requests() != 1 {
+		t.Errorf("settled %v three quarters of the way to when the window is due, want it", settled)
+	}
+}
--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -24,6 +24,7 @@
 	faultStop        = "stop a node under requests of all lengths"
 	faultOddRow      = "all nodes start beside an odd row"
 	faultUnreadDrain = "engines drain while all nodes read their table"
+	faultFractions   = "a node's times get fractions and it is restarted"
 
 	// partSeriesTime is longer, so that requests are observed once nodes have found the part.
 	partSeriesTime = 14 * time.Second
@@ -55,6 +56,7 @@
 	{"nodes are behind and callers leave", maxFaultDuration, true, putNodesBehind},
 	{"a node's link is full and callers leave", maxFaultDuration, true, fillLink},
 	{"hang up a node", time.Second, false, nodeFault(reloadNode)},
+	{faultFractions, time.Second, true, nodeFault(restartWithFractions)},
 	{"cut a node from the store", maxFaultDuration, true, storeLinkFault(relay.Cut)},
 	{"silence the store for a node", maxFaultDuration, true, storeLinkFault(relay.Hold)},
 	{"delay the store for a node", maxFaultDuration, true, storeLinkFault(relay.Delay)},
--- a/lab/soak/faults_node.go
+++ b/lab/soak/faults_node.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"os"
+	"strings"
 	"syscall"
 	"time"
 
@@ -58,3 +61,30 @@
 func reloadNode(_ context.Context, env *Environment, n *node, _ time.Duration) error {
 	return n.Signal(syscall.SIGHUP)
 }
+
+// restartWithFractions gives all times in a node's settings a fraction, makes it reload them and restarts it.
+func restartWithFractions(ctx context.Context, env *Environment, n *node, d time.Duration) error {
+	text, err := os.ReadFile(n.settingsPath)
+	if err != nil {
+		return fmt.Errorf("read settings: %w", err)
+	}
+	var s map[string]any
+	if err := json.Unmarshal(text, &s); err != nil {
+		return fmt.Errorf("decode settings: %w", err)
+	}
+	for name, value := range s {
+		if ms, ok := value.(float64); ok && ms > 0 && strings.HasSuffix(name, "_ms") {
+			s[name] = ms + 0.5
+		}
+	}
+	if text, err = json.Marshal(s); err != nil {
+		return fmt.Errorf("encode settings: %w", err)
+	}
+	if err := os.WriteFile(n.settingsPath, text, 0o644); err != nil {
+		return fmt.Errorf("write settings: %w", err)
+	}
+	if err := reloadNode(ctx, env, n, d); err != nil {
+		return err
+	}
+	return stopNode(ctx, env, n, d)
+}
--- a/lab/soak/planted_test.go
+++ b/lab/soak/planted_test.go
@@ -68,6 +68,7 @@
 	{"a rest is forgotten", "a Retry-After of", "engine asks for rest", "internal/placement/rest.go", "return r.until", "return time.Time{}"},
 	{"a hall that is evacuated gets new requests", "was evacuated", "hall evacuated", "internal/placement/placement.go", "if !e.Draining && !p.evacuated[e.Hall] {", "if !e.Draining {"},
 	{"a reload ends the process", "exited unexpectedly", "hang up a node", "internal/hangup/hangup.go", "signal.Notify(c, syscall.SIGHUP)", "_, _ = signal.Notify, syscall.SIGHUP"},
+	{"settings take whole milliseconds only", "exited unexpectedly", faultFractions, "schema/settings.json", `"stop_grace_ms": {"type": "number"`, `"stop_grace_ms": {"type": "integer"`},
 	{"a request that crashes engines is never held", "later than", "a request crashes engines", "internal/quarantine/record.go", "return len(r.crashes) >= crashThreshold", "return false"},
 	{"engines lost at one moment count one by one", "were refused for good", faultPopular, "internal/quarantine/record.go", "return c.Ran <= shortRun", "return true"},
 	{"a part that crashes engines is never held", "after the fifth crash", "a part of prompts crashes engines", "internal/quarantine/judge.go", "if moments(crashes, p.ID, func(*partCrash) bool { return true }) >= heldMoments {", "if moments(crashes, p.ID, func(*partCrash) bool { return false }) >= heldMoments {"},
