Dial: an answer that breaks with its upload is not whole

What callers saw: a part of an answer as the whole of it.

Cause: such an answer ends with its connection. The kernel tells of a reset once; the write that waits takes the error, and the read beside it meets what looks like an orderly end, which net/http believes.

Change: dial.Transport believes the end of a connection only once the request was written without an error, and waits for a write in progress, which may hold the error. Answers of nodes without a length or chunks are refused; no node sends them.

--- a/cmd/croftctl/client.go
+++ b/cmd/croftctl/client.go
@@ -36,7 +36,7 @@
 func newClient(o options) *client {
 	transport := http.DefaultTransport.(*http.Transport).Clone()
 	transport.MaxResponseHeaderBytes = dial.MaxHeadBytes
-	return &client{options: o, http: &http.Client{Timeout: requestTimeout, Transport: transport}, out: os.Stdout}
+	return &client{options: o, http: &http.Client{Timeout: requestTimeout, Transport: dial.NewTransport(transport)}, out: os.Stdout}
 }
 
 // runPrefixed returns a subcommand whose statement starts with word.
--- a/internal/dial/request_conn.go
+++ b/internal/dial/request_conn.go
@@ -1,7 +1,10 @@
 package dial
 
 import (
+	"errors"
+	"io"
 	"net"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -27,6 +30,13 @@
 		writes atomic.Int64
 		closed atomic.Bool
 		begun  atomic.Int64 // begun is how many writes came before the present request.
+
+		sending atomic.Pointer[sending] // sending is that of the latest request of a Transport; nil if there was none.
+		closing chan struct{}           // closing is closed before the connection is.
+		close   func()                  // close closes closing, once.
+
+		writing  sync.Mutex // writing is held during a write.
+		writeErr error      // writeErr is that of the first write that failed.
 	}
 
 	// Hooks are what a RequestConn calls for one request, in any goroutine. Each may be nil.
@@ -50,7 +60,13 @@
 )
 
 // NewRequestConn returns a RequestConn on a connection.
-func NewRequestConn(c net.Conn) *RequestConn { return &RequestConn{Conn: c} }
+func NewRequestConn(c net.Conn) *RequestConn {
+	closing := make(chan struct{})
+	return &RequestConn{Conn: c, closing: closing, close: sync.OnceFunc(func() { close(closing) })}
+}
+
+// requestConn makes a connection known that embeds a RequestConn.
+func (c *RequestConn) requestConn() *RequestConn { return c }
 
 // Begin begins a request and returns the number of writes so far. end ends it, unless another has begun.
 func (c *RequestConn) Begin(h Hooks) (writes int64, end func()) {
@@ -73,7 +89,7 @@
 		}
 	}
 	c.writes.Add(1)
-	n, err := c.Conn.Write(p)
+	n, err := c.write(p)
 	if n == 0 && err != nil {
 		c.writes.Add(-1)
 	}
@@ -83,6 +99,28 @@
 	return n, err
 }
 
+// write writes and keeps the first error for reads.
+func (c *RequestConn) write(p []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(p)
+	if err != nil && c.writeErr == nil {
+		c.writeErr = err
+	}
+	return n, err
+}
+
+// Read reads from the connection. It returns io.EOF only where that can be the end that the peer made.
+func (c *RequestConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if errors.Is(err, io.EOF) {
+		if cut := c.checkEnd(); cut != nil {
+			return n, cut
+		}
+	}
+	return n, err
+}
+
 // ask asks whether a write may begin, and again if the process stood still since: a write is as late as the answer
 // is old. It returns when the question was asked last.
 func (c *RequestConn) ask(h *Hooks, now time.Time) (askedAt time.Time, err error) {
@@ -102,6 +140,7 @@
 // Close closes the connection. Before a request has ended it resets the connection, or the kernel would still send
 // what it holds of the request.
 func (c *RequestConn) Close() error {
+	c.close()
 	// The hooks stay: a write beside the close asks them still.
 	if h := c.hooks.Load(); h != nil && !c.closed.Swap(true) {
 		if h.Closing != nil {
--- /dev/null
+++ b/internal/dial/transport.go
@@ -0,0 +1,100 @@
+package dial
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"github.com/croftturn/croftturn/internal/header"
+)
+
+// defaultTimeout bounds the time to connect of a Transport whose connections nothing else opens.
+const defaultTimeout = time.Second
+
+// ErrCutOff means that a connection broke while a request was written, so that its end is not that of the answer.
+var ErrCutOff = errors.New("dial: connection broke while the request was written")
+
+type (
+	// Transport is an http.Transport that returns no part of an answer as a whole one. Its connections are RequestConns.
+	Transport struct{ *http.Transport }
+
+	// sending is the writing of one request on one connection.
+	sending struct {
+		written chan struct{} // written is closed when the request has been written or its writing has failed.
+		err     error         // err is why writing failed; it is set before written is closed.
+		ends    atomic.Bool   // ends is set if the end of the connection is to be that of the answer.
+	}
+
+	// requester is implemented by a RequestConn and what embeds one.
+	requester interface{ requestConn() *RequestConn }
+)
+
+// NewTransport returns a Transport with the options and the dialer of an http.Transport, which it takes over.
+func NewTransport(base *http.Transport) *Transport {
+	open := base.DialContext
+	if open == nil {
+		open = New(defaultTimeout).DialContext
+	}
+	base.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := open(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		if _, ok := conn.(requester); ok {
+			return conn, nil
+		}
+		return NewRequestConn(conn), nil
+	}
+	return &Transport{base}
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
+	var s *sending // s is the latest one: the transport ends one before it begins another.
+	trace := &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			s = &sending{written: make(chan struct{})}
+			if c, ok := info.Conn.(requester); ok {
+				c.requestConn().sending.Store(s)
+			}
+		},
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			s.err = info.Err
+			close(s.written)
+		},
+	}
+	resp, err := t.Transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+	if err != nil {
+		return nil, err
+	}
+	s.ends.Store(header.Unframed(resp))
+	return resp, nil
+}
+
+// checkEnd is called when a connection has ended in order, and returns an error unless its request had been written. The
+// kernel tells of a reset once: if a write learns of it, a read beside it meets what looks like the end that the peer made.
+func (c *RequestConn) checkEnd() error {
+	s := c.sending.Load()
+	if s == nil || !s.ends.Load() {
+		return nil
+	}
+	select {
+	case <-s.written:
+	case <-c.closing:
+		return net.ErrClosed
+	}
+	if s.err != nil {
+		return fmt.Errorf("%w: %w", ErrCutOff, s.err)
+	}
+	c.writing.Lock() // The last bytes may leave after the request counts as written.
+	defer c.writing.Unlock()
+	if c.writeErr != nil {
+		return fmt.Errorf("%w: %w", ErrCutOff, c.writeErr)
+	}
+	return nil
+}
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -121,17 +121,10 @@
 // NewClient returns a client that cancels a request when its engine sends no data
 // for the duration stall.
 func NewClient(stall time.Duration) *Client {
-	d := dial.New(dialTimeout)
 	return &Client{
 		stall: stall,
 		http: &http.Client{
-			Transport: &http.Transport{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-				conn, err := d.DialContext(ctx, network, address)
-				if err != nil {
-					return nil, err
-				}
-				return dial.NewRequestConn(conn), nil
-			}, MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: dial.MaxHeadBytes},
+			Transport: dial.NewTransport(&http.Transport{DialContext: dial.New(dialTimeout).DialContext, MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: dial.MaxHeadBytes}),
 			CheckRedirect: func(*http.Request, []*http.Request) error {
 				return http.ErrUseLastResponse
 			},
--- a/internal/engine/load.go
+++ b/internal/engine/load.go
@@ -48,7 +48,7 @@
 // NewWatcher returns a Watcher without engines.
 func NewWatcher() *Watcher {
 	return &Watcher{
-		http:  &http.Client{Timeout: loadTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: dial.MaxHeadBytes}},
+		http:  &http.Client{Timeout: loadTimeout, Transport: dial.NewTransport(&http.Transport{MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: dial.MaxHeadBytes})},
 		loads: map[string]Load{},
 	}
 }
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"math"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
@@ -15,6 +14,7 @@
 
 	"github.com/croftturn/croftturn/internal/dial"
 	"github.com/croftturn/croftturn/internal/dispatch"
+	"github.com/croftturn/croftturn/internal/header"
 )
 
 const (
@@ -37,6 +37,9 @@
 	// errStatus means that a node did not understand a forwarded request, which it did not run.
 	errStatus = errors.New("forward: node does not take the request")
 
+	// errUnframed means that the end of its connection would be that of an answer: no node sends such a one.
+	errUnframed = errors.New("forward: answer has neither a length nor chunks")
+
 	// errNotAsked means that a node did not ask for a request in time.
 	errNotAsked = errors.New("forward: node does not ask for the request")
 )
@@ -44,7 +47,7 @@
 type (
 	// Client sends requests to other nodes.
 	Client struct {
-		transport   *http.Transport
+		transport   *dial.Transport
 		takeTimeout time.Duration
 		sent        atomic.Int64
 	}
@@ -69,17 +72,9 @@
 
 // NewClient returns a Client without connections.
 func NewClient() *Client {
-	d := dial.New(dialTimeout)
-	return &Client{takeTimeout: takeTimeout, transport: &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := d.DialContext(ctx, network, address)
-			if err != nil {
-				return nil, err
-			}
-			return dial.NewRequestConn(conn), nil
-		},
-		DisableCompression: true, MaxResponseHeaderBytes: dial.MaxHeadBytes, MaxIdleConnsPerHost: idleConns, IdleConnTimeout: idleTimeout, ExpectContinueTimeout: math.MaxInt64, ReadBufferSize: bufferBytes, WriteBufferSize: bufferBytes,
-	}}
+	return &Client{takeTimeout: takeTimeout, transport: dial.NewTransport(&http.Transport{
+		DialContext: dial.New(dialTimeout).DialContext, DisableCompression: true, MaxResponseHeaderBytes: dial.MaxHeadBytes, MaxIdleConnsPerHost: idleConns, IdleConnTimeout: idleTimeout, ExpectContinueTimeout: math.MaxInt64, ReadBufferSize: bufferBytes, WriteBufferSize: bufferBytes,
+	})}
 }
 
 // Close closes idle connections.
@@ -154,6 +149,10 @@
 		body.Close()
 		return nil, nil, fmt.Errorf("%w: %w: status %d", dispatch.ErrNotSent, errStatus, resp.StatusCode)
 	}
+	if header.Unframed(resp) {
+		body.Close()
+		return nil, nil, errUnframed
+	}
 	head := &responseHead{}
 	if err := readHead(resp.Body, head); err != nil {
 		body.Close()
--- a/internal/forward/export_test.go
+++ b/internal/forward/export_test.go
@@ -6,6 +6,12 @@
 	"time"
 )
 
+// ResponseHead is the head of an answer.
+type ResponseHead = responseHead
+
+// WriteHead encodes a head with its length.
+func WriteHead(head *ResponseHead) ([]byte, error) { return writeHead(head) }
+
 // SetTakeTimeout sets how long a client waits for nodes to ask for requests.
 func SetTakeTimeout(c *Client, timeout time.Duration) { c.takeTimeout = timeout }
 
--- /dev/null
+++ b/internal/forward/odd_answers_test.go
@@ -0,0 +1,82 @@
+package forward_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/croftturn/croftturn/internal/dial"
+	"github.com/croftturn/croftturn/internal/dispatch"
+	"github.com/croftturn/croftturn/internal/forward"
+)
+
+// newOddNode starts what is called as a node and answers each forwarded request that it has read with a text.
+func newOddNode(t *testing.T, text string) (address string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				r, err := http.ReadRequest(bufio.NewReader(conn))
+				if err != nil {
+					return
+				}
+				_, _ = io.WriteString(conn, "HTTP/1.1 100 Continue\r\n\r\n") // The client may have gone.
+				if _, err := io.Copy(io.Discard, r.Body); err == nil {
+					_, _ = io.WriteString(conn, text)
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// recordedAnswer returns a forwarded answer with a head, without its framing.
+func recordedAnswer(t *testing.T, head *forward.ResponseHead, body string) string {
+	t.Helper()
+	raw, err := forward.WriteHead(head)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(raw) + body
+}
+
+// TestUnframedAnswerOfANodeIsNotWhole guards against a part of a forwarded answer that counts as the whole of it, since the
+// node that sent it ended.
+func TestUnframedAnswerOfANodeIsNotWhole(t *testing.T) {
+	address := newOddNode(t, "HTTP/1.1 200 OK\r\n\r\n"+recordedAnswer(t, &forward.ResponseHead{Status: 200, Length: -1}, "part"))
+	if body, err := forwardOnce(t, address); err == nil {
+		t.Errorf("got %q as the whole answer", body)
+	}
+}
+
+// forwardOnce forwards a request and returns the body of the answer.
+func forwardOnce(t *testing.T, address string) (string, error) {
+	t.Helper()
+	c := forward.NewClient()
+	defer c.Close()
+	r := &dispatch.Request{ID: "a", Host: "h", Path: "/x", Method: http.MethodPost, Target: "/x", Body: []byte(strings.Repeat("u", 100))}
+	resp, refusal, err := c.Forward(context.Background(), address, r, dispatch.Forwarded{}, dial.Hooks{})
+	if err != nil {
+		return "", err
+	}
+	if refusal != nil {
+		t.Fatalf("refused: %+v", refusal)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return string(body), err
+}
