Dial: a status outside 200 to 599 is no answer

Here both doors refused statuses below 200, but passed 600 and 999 on.

Cause: net/http takes any three digits, and each reader had a branch of its own for the rest. Usage that was answered with 000 counted as refused for good and was never reported; a forwarded request that was answered with 000 counted as not sent, so that it could run twice; loads were read under any status.

Change: dial.Transport returns no such answer; the request counts as sent and not answered. Heads of forwarded answers are held to the same range, and loads are read from a 200 only. The checks of single readers are gone.

--- a/internal/dial/transport.go
+++ b/internal/dial/transport.go
@@ -16,11 +16,20 @@
 // defaultTimeout bounds the time to connect of a Transport whose connections nothing else opens.
 const defaultTimeout = time.Second
 
-// ErrCutOff means that a connection broke while a request was written, so that its end is not that of the answer.
-var ErrCutOff = errors.New("dial: connection broke while the request was written")
+// maxStatus is the greatest status of HTTP; a greater one says nothing.
+const maxStatus = 599
+
+var (
+	// ErrCutOff means that a connection broke while a request was written, so that its end is not that of the answer.
+	ErrCutOff = errors.New("dial: connection broke while the request was written")
+
+	// ErrMalformed means that what a server sent is no answer of HTTP.
+	ErrMalformed = errors.New("dial: malformed answer")
+)
 
 type (
-	// Transport is an http.Transport that returns no part of an answer as a whole one. Its connections are RequestConns.
+	// Transport is an http.Transport that returns nothing as an answer that is none, and no part of one as a whole one. Its
+	// connections are RequestConns.
 	Transport struct{ *http.Transport }
 
 	// sending is the writing of one request on one connection.
@@ -73,9 +82,17 @@
 		return nil, err
 	}
 	s.ends.Store(header.Unframed(resp))
+	if !ValidStatus(resp.StatusCode) {
+		resp.Body.Close()
+		return nil, fmt.Errorf("status %03d: %w", resp.StatusCode, ErrMalformed)
+	}
 	return resp, nil
 }
 
+// ValidStatus reports whether a status is that of a final answer. That to a request to switch protocols is none, since no
+// client asks for it.
+func ValidStatus(status int) bool { return status >= http.StatusOK && status <= maxStatus }
+
 // checkEnd is called when a connection has ended in order, and returns an error unless its request had been written. The
 // kernel tells of a reset once: if a write learns of it, a read beside it meets what looks like the end that the peer made.
 func (c *RequestConn) checkEnd() error {
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -255,10 +255,6 @@
 	req.Header = header
 	req.ContentLength = int64(len(body))
 	resp, err := c.http.Do(req)
-	if err == nil && resp.StatusCode < http.StatusOK {
-		resp.Body.Close()
-		return nil, fmt.Errorf("status %d is not a final one: %w", resp.StatusCode, ErrBroken)
-	}
 	if err == nil {
 		resp.Body = &endingBody{resp.Body, end}
 		return resp, nil
--- a/internal/engine/load.go
+++ b/internal/engine/load.go
@@ -126,6 +126,9 @@
 		return load, fmt.Errorf("read load: %w", err)
 	}
 	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return load, fmt.Errorf("status %d: %w", resp.StatusCode, ErrBroken)
+	}
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxLoadBytes)).Decode(&load); err != nil {
 		return load, fmt.Errorf("decode load: %w", err)
 	}
--- a/internal/engine/odd_answers_test.go
+++ b/internal/engine/odd_answers_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"testing"
 	"time"
 
+	"github.com/croftturn/croftturn/internal/config"
 	"github.com/croftturn/croftturn/internal/engine"
 )
 
@@ -58,3 +61,28 @@
 		t.Errorf("%d of %d broken answers counted as whole", whole, rounds)
 	}
 }
+
+// TestOddStatusIsNoAnswer guards against a caller that gets what a backend server sent under a status that is none, and
+// against a load that is read out of an answer that is no report.
+func TestOddStatusIsNoAnswer(t *testing.T) {
+	const report = `{"running":7}`
+	for _, status := range []string{"000", "007", "099", "600", "999"} {
+		address := newOddServer(t, fmt.Sprintf("HTTP/1.1 %s Odd\r\nContent-Length: %d\r\n\r\n%s", status, len(report), report))
+		c := engine.NewClient(stall)
+		if resp, err := c.Do(context.Background(), http.MethodGet, "http://"+address+"/x", http.Header{}, nil); !errors.Is(err, engine.ErrBroken) {
+			t.Errorf("status %s: got %+v, %v", status, resp, err)
+		}
+		c.Close()
+	}
+	for status, want := range map[string]int{"200": 7, "000": 0, "500": 0, "600": 0} {
+		address := newOddServer(t, fmt.Sprintf("HTTP/1.1 %s Odd\r\nContent-Length: %d\r\n\r\n%s", status, len(report), report))
+		w := engine.NewWatcher()
+		w.Watch([]*config.Engine{{Name: "e", Address: address}})
+		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+		w.Run(ctx)
+		cancel()
+		if got := w.Load("e").Running; got != want {
+			t.Errorf("status %s: %d requests run, want %d", status, got, want)
+		}
+	}
+}
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -158,6 +158,10 @@
 		body.Close()
 		return nil, nil, err
 	}
+	if head.Refusal == "" && !dial.ValidStatus(head.Status) {
+		body.Close()
+		return nil, nil, fmt.Errorf("status %03d: %w", head.Status, dial.ErrMalformed)
+	}
 	if head.Refusal != "" {
 		body.Close()
 		return nil, &dispatch.Refusal{Reason: head.Refusal, RetryAfter: head.RetryAfter, Version: head.Version}, nil
--- a/internal/forward/odd_answers_test.go
+++ b/internal/forward/odd_answers_test.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"context"
+	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -80,3 +82,23 @@
 	body, err := io.ReadAll(resp.Body)
 	return string(body), err
 }
+
+// TestOddStatusOfANodeIsNoAnswer guards against a request that is sent again though it may have run, since a status that is
+// none counted as a refusal, and against a client that gets such a status out of the head of a forwarded answer.
+func TestOddStatusOfANodeIsNoAnswer(t *testing.T) {
+	for _, status := range []int{0, 7, 99, 600, 999} {
+		for name, text := range map[string]string{
+			"of the node":   fmt.Sprintf("HTTP/1.1 %03d Odd\r\nContent-Length: 0\r\n\r\n", status),
+			"of the answer": chunked(recordedAnswer(t, &forward.ResponseHead{Status: status, Length: 3}, "odd")),
+		} {
+			if body, err := forwardOnce(t, newOddNode(t, text)); err == nil || errors.Is(err, dispatch.ErrNotSent) {
+				t.Errorf("status %03d %s: got %q, %v, want an error of a request that may have run", status, name, body, err)
+			}
+		}
+	}
+}
+
+// chunked returns an answer in one chunk.
+func chunked(body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+}
