Dial: an answer with an odd field name is none

Cause: net/http takes names with blanks and keeps them, so that "Content-Length : 2" is no length; it adds a line that begins with a blank to the value before it.

Change: connections of dial.Transport check heads as they arrive, interim ones too. Names are checked in trailers and in the heads of forwarded answers. Such an answer is broken: what may be repeated goes to another engine.

--- a/internal/dial/request_conn.go
+++ b/internal/dial/request_conn.go
@@ -110,9 +110,15 @@
 	return n, err
 }
 
-// Read reads from the connection. It returns io.EOF only where that can be the end that the peer made.
+// Read reads from the connection. It fails in the head of an answer that is none, and returns io.EOF only where that can be
+// the end that the peer made.
 func (c *RequestConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if s := c.sending.Load(); s != nil {
+		if malformed := s.head.read(p[:n]); malformed != nil {
+			return 0, malformed
+		}
+	}
 	if errors.Is(err, io.EOF) {
 		if cut := c.checkEnd(); cut != nil {
 			return n, cut
--- a/internal/dial/transport.go
+++ b/internal/dial/transport.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -32,13 +33,21 @@
 	// connections are RequestConns.
 	Transport struct{ *http.Transport }
 
-	// sending is the writing of one request on one connection.
+	// sending is one request on one connection.
 	sending struct {
+		head headCheck // head checks the answer. The reader of the connection alone uses it.
+
 		written chan struct{} // written is closed when the request has been written or its writing has failed.
 		err     error         // err is why writing failed; it is set before written is closed.
 		ends    atomic.Bool   // ends is set if the end of the connection is to be that of the answer.
 	}
 
+	// trailedBody is the body of an answer that may end with a trailer.
+	trailedBody struct {
+		io.ReadCloser
+		resp *http.Response
+	}
+
 	// requester is implemented by a RequestConn and what embeds one.
 	requester interface{ requestConn() *RequestConn }
 )
@@ -86,9 +95,25 @@
 		resp.Body.Close()
 		return nil, fmt.Errorf("status %03d: %w", resp.StatusCode, ErrMalformed)
 	}
+	if len(resp.TransferEncoding) > 0 {
+		resp.Body = trailedBody{resp.Body, resp}
+	}
 	return resp, nil
 }
 
+// Read reads from the body. It returns io.EOF only after a valid trailer.
+func (b trailedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		for name := range b.resp.Trailer {
+			if !ValidName(name) {
+				return n, fmt.Errorf("field %q in the trailer: %w", name, ErrMalformed)
+			}
+		}
+	}
+	return n, err
+}
+
 // ValidStatus reports whether a status is that of a final answer. That to a request to switch protocols is none, since no
 // client asks for it.
 func ValidStatus(status int) bool { return status >= http.StatusOK && status <= maxStatus }
--- a/internal/engine/odd_answers_test.go
+++ b/internal/engine/odd_answers_test.go
@@ -86,3 +86,15 @@
 		}
 	}
 }
+
+// TestOddFieldNameIsNoAnswer guards against a caller that gets a body of another length than the backend server meant.
+func TestOddFieldNameIsNoAnswer(t *testing.T) {
+	for _, line := range []string{"X Trace: a", "X-Trace : a", "Content-Length : 2", " Content-Length: 2", "Transfer-Encoding : chunked"} {
+		address := newOddServer(t, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n"+line+"\r\n\r\nodd")
+		c := engine.NewClient(stall)
+		if resp, err := c.Do(context.Background(), http.MethodGet, "http://"+address+"/x", http.Header{}, nil); !errors.Is(err, engine.ErrBroken) {
+			t.Errorf("%q: got %+v, %v", line, resp, err)
+		}
+		c.Close()
+	}
+}
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -158,13 +158,13 @@
 		body.Close()
 		return nil, nil, err
 	}
-	if head.Refusal == "" && !dial.ValidStatus(head.Status) {
-		body.Close()
-		return nil, nil, fmt.Errorf("status %03d: %w", head.Status, dial.ErrMalformed)
-	}
 	if head.Refusal != "" {
 		body.Close()
 		return nil, &dispatch.Refusal{Reason: head.Refusal, RetryAfter: head.RetryAfter, Version: head.Version}, nil
 	}
+	if err := head.check(); err != nil {
+		body.Close()
+		return nil, nil, err
+	}
 	return &dispatch.Response{Status: head.Status, Header: head.Header, Length: head.Length, Unframed: head.Unframed, Engine: head.Engine, Pool: head.Pool, Version: head.EngineVersion, Tries: head.Tries, Body: body}, nil, nil
 }
--- a/internal/forward/message.go
+++ b/internal/forward/message.go
@@ -16,6 +16,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/croftturn/croftturn/internal/dial"
 	"github.com/croftturn/croftturn/internal/dispatch"
 	"github.com/croftturn/croftturn/internal/placement"
 )
@@ -102,6 +103,19 @@
 	return nil
 }
 
+// check returns an error unless the head is that of an answer which an engine may have sent.
+func (h *responseHead) check() error {
+	if !dial.ValidStatus(h.Status) {
+		return fmt.Errorf("status %03d: %w", h.Status, dial.ErrMalformed)
+	}
+	for name := range h.Header {
+		if !dial.ValidName(name) {
+			return fmt.Errorf("field %q: %w", name, dial.ErrMalformed)
+		}
+	}
+	return nil
+}
+
 // headOf returns the head of a request.
 func headOf(r *dispatch.Request, f dispatch.Forwarded) *requestHead {
 	return &requestHead{
--- a/internal/forward/odd_answers_test.go
+++ b/internal/forward/odd_answers_test.go
@@ -102,3 +102,18 @@
 func chunked(body string) string {
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body)
 }
+
+// TestOddFieldOfANodeIsNoAnswer guards against a client that gets fields with odd names, which came from another node.
+func TestOddFieldOfANodeIsNoAnswer(t *testing.T) {
+	for name, text := range map[string]string{
+		"of the node":   strings.Replace(chunked(recordedAnswer(t, &forward.ResponseHead{Status: 200, Length: 4}, "body")), "\r\n", "\r\nX-Trace : a\r\n", 1),
+		"of the answer": chunked(recordedAnswer(t, &forward.ResponseHead{Status: 200, Length: 4, Header: http.Header{"X Trace": {"a"}}}, "body")),
+	} {
+		if body, err := forwardOnce(t, newOddNode(t, text)); !errors.Is(err, dial.ErrMalformed) || errors.Is(err, dispatch.ErrNotSent) {
+			t.Errorf("%s: got %q, %v", name, body, err)
+		}
+	}
+	if body, err := forwardOnce(t, newOddNode(t, chunked(recordedAnswer(t, &forward.ResponseHead{Status: 200, Length: 4, Header: http.Header{"X-Trace": {"a"}}}, "body")))); body != "body" || err != nil {
+		t.Errorf("a proper answer: got %q, %v", body, err)
+	}
+}
--- a/lab/relay/relay.go
+++ b/lab/relay/relay.go
@@ -1,14 +1,22 @@
 // Package relay is a TCP relay for tests that can drop, reset, delay or half-open the
-// connections between two processes, in both directions or in one.
+// connections between two processes, in both directions or in one. It passes ends and resets on.
 package relay
 
 import (
+	"errors"
+	"io"
 	"math/rand/v2"
 	"net"
 	"sync"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
+// tcpClose is the state of a connection of which nothing is left, as after a reset.
+const tcpClose = 7
+
 // Mode is how a relay treats the data that it receives.
 type Mode int
 
@@ -199,6 +207,9 @@
 	for {
 		n, err := from.Read(buf)
 		if err != nil {
+			if wasReset(from, err) {
+				resetOnClose(to)
+			}
 			return
 		}
 		if !fromTarget {
@@ -208,11 +219,36 @@
 			return
 		}
 		if _, err := to.Write(buf[:n]); err != nil {
+			resetOnClose(from)
 			return
 		}
 	}
 }
 
+// wasReset reports whether a connection whose read failed was reset. The write beside it may have taken the error of the
+// reset, so that the read met an end.
+func wasReset(conn net.Conn, err error) bool {
+	if !errors.Is(err, io.EOF) {
+		return errors.Is(err, syscall.ECONNRESET)
+	}
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	closed := false
+	// An error means that this side has closed the connection.
+	_ = raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		closed = err == nil && info.State == tcpClose
+	})
+	return closed
+}
+
+// resetOnClose makes the close of a connection reset it.
+func resetOnClose(conn net.Conn) {
+	_ = conn.(*net.TCPConn).SetLinger(0) // An error means that it is closed.
+}
+
 // drop closes and unregisters a pair of connections.
 func (r *Relay) drop(conns ...net.Conn) {
 	r.mu.Lock()
--- a/lab/soak/engine.go
+++ b/lab/soak/engine.go
@@ -28,6 +28,7 @@
 	modeCutAnywhere    // modeCutAnywhere ends the connection after any byte of the answer, its head included.
 	modeCount          // modeCount is the number of modes so far, which faults draw.
 	modeEndless        // modeEndless sends heads or bodies without end, of all kinds in turn.
+	modeOdd            // modeOdd answers before the request was read, with a head that is none or a part of a body.
 )
 
 // usualSlots is how many slots the entries of engines name.
@@ -128,6 +129,11 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	mode := e.nextMode()
+	if mode == modeOdd {
+		e.answerOddly(w, r, id)
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return // An incomplete request is not run.
@@ -140,7 +146,6 @@
 		return
 	}
 	defer leave()
-	mode := e.nextMode()
 	if mode == modeFull {
 		e.ledger.recordTime(e.ledger.broken, id, time.Now())
 		w.Header().Set("Not-Executed", "1")
--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -80,6 +80,7 @@
 	{"engines misbehave for long", maxFaultDuration, false, misbehave},
 	{"engines misbehave, then well", 2 * time.Second, false, misbehave},
 	{"engines cut answers off", 4 * time.Second, false, cutAnswers},
+	{faultOdd, 4 * time.Second, false, oddAnswers},
 	{"engines send without end", 4 * time.Second, false, sendEndless},
 	{"way to an engine cut", 3 * time.Second, false, engineLinkFault(relay.Cut)},
 	{"way to an engine silent", 3 * time.Second, false, engineLinkFault(relay.Hold)},
--- a/lab/soak/ledger.go
+++ b/lab/soak/ledger.go
@@ -253,6 +253,9 @@
 	if e.status == success && e.complete && versionLine.ReplaceAllString(e.body, "") != expectedBody(e.route, id) && !endsUnseen(id, e) {
 		out = append(out, fmt.Sprintf("%s %s got %q", e.route, id, e.body))
 	}
+	if e.status > 599 {
+		out = append(out, fmt.Sprintf("%s %s got the status %d", e.route, id, e.status))
+	}
 	if len(versionsIn(e.body)) > 1 {
 		out = append(out, fmt.Sprintf("%s %s holds events of several versions: %q", e.route, id, e.body))
 	}
--- a/lab/soak/rows.go
+++ b/lab/soak/rows.go
@@ -107,7 +107,7 @@
 		})
 	}
 	return env.write(row{"op", "config", map[string]any{
-		"version": version, "routes": list, "tenants": tenants, "limits": map[string]any{"max_body_bytes": 1 << 20},
+		"version": version, "routes": list, "tenants": tenants, "limits": map[string]any{"max_body_bytes": env.opts.maxBody()},
 		"services": []any{map[string]any{"name": deskPool, "max_connections": 200}, map[string]any{"name": "llm", "max_connections": 200, "engine": map[string]any{"slots": 8, "stride": 6, "moves": true, "kv_bytes": 1000, "link_mbps": 10000, "most": 4}}},
 	}})
 }
--- a/lab/soak/run.go
+++ b/lab/soak/run.go
@@ -27,6 +27,7 @@
 	Only     string        // Only restricts the run to the fault with this name; all faults if empty.
 	Late     bool          // Late makes requests long late in each stop, whatever the seed.
 	Timeout  time.Duration // Timeout is that of all routes; requestTimeoutMs if zero.
+	MaxBody  int           // MaxBody is the longest body of a request; usualBodyBytes if zero. Run sets longBodyBytes.
 }
 
 // timeoutMs returns the timeout of all routes, in milliseconds.
@@ -37,11 +38,20 @@
 	return requestTimeoutMs
 }
 
+// maxBody returns the longest body that a request may have.
+func (o Options) maxBody() int {
+	if o.MaxBody > 0 {
+		return o.MaxBody
+	}
+	return usualBodyBytes
+}
+
 // Run runs a soak and returns the ledger of observations.
 func Run(ctx context.Context, o Options) (*Ledger, error) {
 	if o.Program == "" {
 		o.Program = "croftturn"
 	}
+	o.MaxBody = longBodyBytes
 	env, err := start(o)
 	if env != nil {
 		defer env.close()
