Front: the path of a service call reaches the server unchanged

What callers saw: a call for a%3Fb ran at the backend server as one for the path a with the query b; a%25b ended with 429, since the call could not be built.

Cause: the path was the unescaped one that the mux had matched.

Change: it is cut out of the escaped path.

--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -201,7 +201,9 @@
 		return nil, failure
 	}
 	c.pool = pool
-	c.path = "/" + r.PathValue("path")
+	// The path stays escaped: an escaped question mark would begin a query.
+	_, path, _ := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), "/services/"), "/")
+	c.path = "/" + path
 	if r.URL.RawQuery != "" {
 		c.path += "?" + r.URL.RawQuery
 	}
--- a/internal/front/service_test.go
+++ b/internal/front/service_test.go
@@ -31,6 +31,17 @@
 	}
 }
 
+// TestServicePathsArriveUnchanged guards against a backend server that runs a call with another path or query than its caller sent.
+func TestServicePathsArriveUnchanged(t *testing.T) {
+	var got string
+	r := newTestServer(t, func(_ http.ResponseWriter, req *http.Request) { got = req.RequestURI })
+	for _, path := range []string{"/x", "/a%3Fb", "/a%2Fb?c=%3F", "/a%20b", "/a%25b", "/%2F/x", "/"} {
+		if resp, body := r.send(t, "/services/bids"+path, "x"); resp.StatusCode != http.StatusOK || got != path {
+			t.Errorf("%q reached the backend server as %q (status %d, %s)", path, got, resp.StatusCode, body)
+		}
+	}
+}
+
 func TestUnframedServiceStreamCutInsideAnEventNeverLooksComplete(t *testing.T) {
 	for body, whole := range map[string]bool{"data: x\n\n": true, "data: x\n\ndata: y\n": false, "": false} {
 		r := newTestServer(t, func(w http.ResponseWriter, _ *http.Request) {
