Forward: a request is not served by an older configuration

Cause: a forwarded request did not name the version by which it was decided, and the second node decides anew by its own.

Change: it names the version. The second node waits up to 100 ms for it, and gives the request back as not run if it does not come.

--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -51,6 +51,7 @@
 		Version     string        `cbor:"9,keyasint,omitempty"`  // Version is that of the engines' software.
 		Trial       bool          `cbor:"10,keyasint,omitempty"` // Trial is set if the request is the trial of a held request or of held prompt parts.
 		Unpaid      bool          `cbor:"11,keyasint,omitempty"` // Unpaid is set if the request is a retry that the receiving node takes from its budget.
+		Config      int           `cbor:"12,keyasint,omitempty"` // Config is the version of the configuration that the sending node knows; 0 if it does not say.
 	}
 )
 
@@ -150,7 +151,7 @@
 	x.call, x.headReceived, x.sendBefore, x.leavingFor = x.d.placement.ForwardedCall(now), false, time.Time{}, 0
 	resp, refusal, err := x.d.forwarder.Forward(ctx, address, x.req, Forwarded{
 		From: x.d.node, Spent: now.Sub(x.arrived), Sent: x.sent, LastEventID: x.lastEventID, Counted: x.counted,
-		Bound: x.origin.bound, Pool: x.origin.Pool, Version: x.origin.Version, Trial: x.trial || !x.partTrial.IsZero(), Unpaid: x.unpaid,
+		Bound: x.origin.bound, Pool: x.origin.Pool, Version: x.origin.Version, Trial: x.trial || !x.partTrial.IsZero(), Unpaid: x.unpaid, Config: x.d.Version(),
 	}, x.hooks(x.mayWrite))
 	result, reason := "answered", Reason("")
 	switch {
--- a/internal/dispatch/start.go
+++ b/internal/dispatch/start.go
@@ -15,7 +15,11 @@
 	startWait      = 500 * time.Millisecond
 	startWaitShare = 0.25
 
-	// startPollInterval is how often a request checks whether the node has started.
+	// versionWait bounds how long a forwarded request waits for the configuration that its first node knows. A node that was
+	// suspended has it a few milliseconds after it has woken.
+	versionWait = 100 * time.Millisecond
+
+	// startPollInterval is how often a request checks whether the node has started, or has a configuration.
 	startPollInterval = 5 * time.Millisecond
 )
 
@@ -31,6 +35,14 @@
 	}
 }
 
+// AwaitVersion waits, within bounds, until this node knows a version of the configuration, and reports whether it does.
+func (d *Dispatcher) AwaitVersion(ctx context.Context, now time.Time, version int) bool {
+	for begun := now; d.Version() < version && now.Sub(begun) < versionWait && ctx.Err() == nil; now = clock.Now() {
+		pause.For(ctx, startPollInterval)
+	}
+	return d.Version() >= version
+}
+
 // hasStarted reports whether this node can serve or once could.
 func (d *Dispatcher) hasStarted(now time.Time) bool {
 	if !d.started.Load() && d.Ready(now) == "" && d.placement.HasEngines() {
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -327,6 +327,25 @@
 	}
 }
 
+// TestForwardedRequestIsNotServedByAnOlderConfiguration guards against a request that runs by a configuration which its first
+// node, and maybe its caller, have seen replaced: the other node had been frozen.
+func TestForwardedRequestIsNotServedByAnOlderConfiguration(t *testing.T) {
+	for _, test := range []struct {
+		version, later int // later is the version of the other node while the request waits; 0 for none.
+		served         bool
+	}{{1, 0, false}, {1, 2, true}, {1, 3, true}, {2, 0, true}, {3, 0, true}} {
+		second := answering(200, 5, func(context.Context) io.Reader { return strings.NewReader("whole") })
+		d := newNode(t, "n1", second, table(test.version, "k"), nil)
+		first, _, _, _ := newPairOf(t, d)
+		if test.later > 0 {
+			time.AfterFunc(30*time.Millisecond, func() { d.SetTable(table(test.later, "k")) })
+		}
+		if c := ask(context.Background(), t, first, "unsafe"); (c.body == "whole") != test.served || !test.served && (c.refusal != dispatch.NoEngine || second.count() > 0) {
+			t.Errorf("version %d there, then %d, 2 here: got %+v, %d requests sent", test.version, test.later, c, second.count())
+		}
+	}
+}
+
 func TestUnreachableNodeIsPassedOver(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -29,6 +29,7 @@
 		Serve(ctx context.Context, arrived time.Time, r *dispatch.Request, route *routing.Route, team *routing.Team, a dispatch.AnswerWriter)
 		Refused(now time.Time, r *dispatch.Request, refusal *dispatch.Refusal)
 		Version() int
+		AwaitVersion(ctx context.Context, now time.Time, version int) bool
 	}
 
 	// Limits bound what a sending node may take.
@@ -109,7 +110,12 @@
 	req.Unread = max(asked.Sub(arrived), read.Sub(sent))
 	now := clock.Now()
 	a := &answer{Writer: reply.New(w, h.limits.Write), version: h.dispatcher.Version, log: h.log, id: req.ID}
-	route, team, refusal := h.dispatcher.Check(now, req)
+	current := h.dispatcher.AwaitVersion(r.Context(), now, req.Forwarded.Config)
+	route, team, refusal := h.dispatcher.Check(clock.Now(), req)
+	if !current {
+		// Its first node, and maybe its caller, have seen the effect of a newer configuration.
+		refusal = &dispatch.Refusal{Reason: dispatch.Stale}
+	}
 	if req.Unread > maxUnread {
 		// Its caller may have left by now without a sign from the first node, which decides again.
 		refusal = &dispatch.Refusal{Reason: dispatch.NoEngine}
