Duty: the duties are given up after the last call

Cause: a release ends the term at once, and nothing waited for the calls in progress.

Change: a holder that gives the duties up begins no more calls, waits up to 0.2 s for those in progress, gives up the rest, and then writes the row.

--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -66,6 +66,9 @@
 	// maxCallTime bounds a call to the platform.
 	maxCallTime = 1500 * time.Millisecond
 
+	// lastCallTime is how long a holder that gives the duties up waits for its calls to the platform.
+	lastCallTime = 200 * time.Millisecond
+
 	// releaseAfter is how long the holder's calls to the platform may fail before it releases the lease to another node.
 	releaseAfter = 4 * time.Second
 
@@ -145,6 +148,9 @@
 		Released  bool      // Released is set if the holder released its term.
 	}
 
+	// apiCall is a call to the platform.
+	apiCall struct{ term lease.Term }
+
 	// Duties is one node's part. It is safe for concurrent use.
 	Duties struct {
 		settings Settings
@@ -172,6 +178,10 @@
 		storedOrders  string                     // storedOrders is the row of orders as last stored.
 		storedEra     int64                      // storedEra is the era in which this term's state was stored.
 		wake          chan struct{}              // wake wakes runLease early.
+
+		calls      sync.WaitGroup                  // calls are the calls to the platform in progress.
+		cancels    map[*apiCall]context.CancelFunc // cancels give them up.
+		endedToken int64                           // endedToken is the token of the latest term that was given up; no call begins in it.
 	}
 )
 
@@ -182,7 +192,7 @@
 		settings: s, store: store, fence: fence.New(store), platform: p, caller: caller, node: node, log: log,
 		clock: day, Counter: usage.NewCounter(s.ProcessID, s.Window, day), ledger: usage.NewLedger(s.Window, s.DueAfter, day),
 		lease:  lease.New(s.Name, s.PeerAddress, lease.Timing{TTL: s.leaseTTL(), Margin: takeoverMargin, ReturnDelay: s.ReturnDelay}, s.leaseOptions()...),
-		demand: demand{nodes: map[string]*nodeWork{}}, scalers: map[string]*scaling.Scaler{}, wake: make(chan struct{}, 1),
+		demand: demand{nodes: map[string]*nodeWork{}}, scalers: map[string]*scaling.Scaler{}, wake: make(chan struct{}, 1), cancels: map[*apiCall]context.CancelFunc{},
 	}
 }
 
@@ -342,6 +352,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
+	end, ok := d.beginCall(term, cancel)
+	if !ok {
+		return errNotHolder
+	}
+	defer end()
 	err := f(ctx)
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -353,3 +368,42 @@
 	}
 	return err
 }
+
+// beginCall records a call in a term, which cancel gives up; ok is false if the term has been given up. end is called after it.
+func (d *Duties) beginCall(term lease.Term, cancel context.CancelFunc) (end func(), ok bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if term.Token <= d.endedToken {
+		return nil, false
+	}
+	c := &apiCall{term}
+	d.cancels[c] = cancel
+	d.calls.Add(1)
+	return func() {
+		d.mu.Lock()
+		delete(d.cancels, c)
+		d.mu.Unlock()
+		d.calls.Done()
+	}, true
+}
+
+// endCalls waits for the calls in progress, and gives up those that take long. No other begins meanwhile.
+func (d *Duties) endCalls() {
+	ended := make(chan struct{})
+	go func() {
+		d.calls.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+		return
+	case <-time.After(lastCallTime):
+	}
+	d.mu.Lock()
+	for c, cancel := range d.cancels {
+		d.log.Warn("call to the platform given up with the duties", "token", c.term.Token)
+		cancel()
+	}
+	d.mu.Unlock()
+	<-ended
+}
--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -97,6 +97,36 @@
 	r.waitReported(n)
 }
 
+// TestDutiesAreGivenUpAfterTheLastCall guards against a call of a holder that stops, or whose calls get no answer, which arrives
+// after its successor's: the duties were given away while it was in progress.
+func TestDutiesAreGivenUpAfterTheLastCall(t *testing.T) {
+	r := newTestCluster(t, 2)
+	r.holder("n0")
+	r.platform.mark(r.platform.apiSilent, "n0")
+	n := r.countRequests(300*time.Millisecond, "n0", "n1")
+	inCall := func() bool {
+		r.platform.mu.Lock()
+		defer r.platform.mu.Unlock()
+		return r.platform.inCall["n0"] > 0
+	}
+	for end := time.Now().Add(5 * time.Second); !inCall(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("no call came")
+		}
+	}
+	r.platform.mark(r.platform.stopped, "n0")
+	r.nodes["n0"].Stop()
+	begun := time.Now()
+	r.holder("n1")
+	if took := time.Since(begun); took > 2*time.Second {
+		t.Errorf("the duties were taken over after %v", took)
+	}
+	r.waitReported(n)
+	if len(r.platform.givenUp) > 0 {
+		t.Errorf("%v gave the duties up during a call", r.platform.givenUp)
+	}
+}
+
 // TestLostAnswersOfTheStore checks that counts are reported completely and once although the store's answers are lost for a
 // second.
 func TestLostAnswersOfTheStore(t *testing.T) {
--- a/internal/duty/hold.go
+++ b/internal/duty/hold.go
@@ -334,9 +334,12 @@
 
 // release ends this node's term, and writes the remaining changes with it.
 func (d *Duties) release(ctx context.Context, rows []feed.Row) error {
+	d.mu.Lock()
+	d.endedToken, d.ownToken = max(d.endedToken, d.ownToken), 0
+	d.mu.Unlock()
+	d.endCalls() // One that arrived after the next holder's would count as that of a former one.
 	d.mu.Lock()
 	r, expect := d.lease.Release(clock.Now())
-	d.ownToken = 0
 	d.mu.Unlock()
 	d.log.Info("duties released", "token", r.Token)
 	if err := d.commit(ctx, r, expect, rows); err != nil {
--- a/internal/duty/rig_test.go
+++ b/internal/duty/rig_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -13,6 +14,7 @@
 
 	"github.com/croftturn/croftturn/internal/feed"
 	"github.com/croftturn/croftturn/internal/history"
+	"github.com/croftturn/croftturn/internal/lease"
 	"github.com/croftturn/croftturn/internal/scaling"
 	"github.com/croftturn/croftturn/internal/usage"
 )
@@ -35,6 +37,9 @@
 		storeDown   map[string]bool // storeDown holds the nodes that can't reach the store.
 		stopped     map[string]bool // stopped holds the nodes that others see as stopping or silent.
 		apiDown     map[string]bool // apiDown holds the nodes whose API calls fail.
+		apiSilent   map[string]bool // apiSilent holds the nodes whose API calls get no answer.
+		inCall      map[string]int  // inCall counts the calls without an answer in progress by node.
+		givenUp     []string        // givenUp holds the nodes that gave the duties up during such a call.
 
 		reports map[int64][]string // reports holds the reports by window.
 		calls   []platformCall
@@ -73,7 +78,7 @@
 var errDown = errors.New("unavailable")
 
 func newFakePlatform() *fakePlatform {
-	return &fakePlatform{rows: map[string]feed.Row{}, storeDown: map[string]bool{}, stopped: map[string]bool{}, apiDown: map[string]bool{}, reports: map[int64][]string{}}
+	return &fakePlatform{rows: map[string]feed.Row{}, storeDown: map[string]bool{}, stopped: map[string]bool{}, apiDown: map[string]bool{}, apiSilent: map[string]bool{}, inCall: map[string]int{}, reports: map[int64][]string{}}
 }
 
 func (m platformView) List(context.Context, string, string) (feed.Snapshot, error) {
@@ -101,6 +106,12 @@
 			return history.Position{Era: m.era}, &feed.ConflictError{}
 		}
 	}
+	for _, r := range tx.Put {
+		var record lease.Record
+		if r.Key == keyLease && json.Unmarshal(r.Value, &record) == nil && record.Released && m.inCall[m.name] > 0 {
+			m.givenUp = append(m.givenUp, m.name)
+		}
+	}
 	m.copies = append(m.copies, storeCopy{time.Now(), m.version, maps.Clone(m.rows)})
 	m.version++
 	for _, r := range tx.Put {
@@ -122,6 +133,14 @@
 	if m.apiDown[m.name] {
 		return errDown
 	}
+	if m.apiSilent[m.name] {
+		m.inCall[m.name]++
+		m.mu.Unlock()
+		<-ctx.Done()
+		m.mu.Lock()
+		m.inCall[m.name]--
+		return ctx.Err()
+	}
 	m.calls = append(m.calls, platformCall{holder, token, time.Now()})
 	m.reports[window] = append(m.reports[window], fmt.Sprint(counts))
 	return nil
