--- a/internal/dial/transport.go
+++ b/internal/dial/transport.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -37,6 +38,7 @@
 	sending struct {
 		head headCheck // head checks the answer. The reader of the connection alone uses it.
 
+		once    sync.Once     // once closes written.
 		written chan struct{} // written is closed when the request has been written or its writing has failed.
 		err     error         // err is why writing failed; it is set before written is closed.
 		ends    atomic.Bool   // ends is set if the end of the connection is to be that of the answer.
@@ -73,18 +75,15 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
-	var s *sending // s is the latest one: the transport ends one before it begins another.
+	s := newSending() // s is the latest one: the transport ends one before it begins another.
 	trace := &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
-			s = &sending{written: make(chan struct{})}
+			s = newSending()
 			if c, ok := info.Conn.(requester); ok {
 				c.requestConn().sending.Store(s)
 			}
 		},
-		WroteRequest: func(info httptrace.WroteRequestInfo) {
-			s.err = info.Err
-			close(s.written)
-		},
+		WroteRequest: func(info httptrace.WroteRequestInfo) { s.end(info.Err) },
 	}
 	resp, err := t.Transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	if err != nil {
@@ -101,6 +100,17 @@
 	return resp, nil
 }
 
+// newSending returns a sending that has not been written.
+func newSending() *sending { return &sending{written: make(chan struct{})} }
+
+// end ends the writing; only its first call counts.
+func (s *sending) end(err error) {
+	s.once.Do(func() {
+		s.err = err
+		close(s.written)
+	})
+}
+
 // Read reads from the body. It returns io.EOF only after a valid trailer.
 func (b trailedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"strings"
 	"testing"
@@ -127,6 +129,32 @@
 	}
 }
 
+// TestCallsGoOnInATermWhoseEndWasNotWritten guards against a holder that makes no calls until its next term, since it went on with
+// one that it had meant to give up.
+func TestCallsGoOnInATermWhoseEndWasNotWritten(t *testing.T) {
+	now := time.Now()
+	d := New(now, Settings{Name: "n", ReturnDelay: returnDelay, Window: window, DueAfter: dueAfter, FirstStart: true}, nil, nil, nil, nil, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	d.lease.Observe(now, lease.Record{}, history.Position{})
+	d.lease.Acquire(now)
+	d.lease.WriteSucceeded(now, history.Position{Version: 1})
+	begin := func() lease.Term {
+		if err := d.beginTerm(nil); err != nil {
+			t.Fatal(err)
+		}
+		term, _ := d.Holds(now)
+		return term
+	}
+	term := begin()
+	d.endedToken, d.ownToken = term.Token, 0
+	call := func(context.Context) error { return nil }
+	if err := d.callPlatform(context.Background(), term, call); !errors.Is(err, errNotHolder) {
+		t.Errorf("a call in a term that was given up: %v", err)
+	}
+	if err := d.callPlatform(context.Background(), begin(), call); err != nil {
+		t.Errorf("a call in the term that goes on: %v", err)
+	}
+}
+
 // TestLostAnswersOfTheStore checks that counts are reported completely and once although the store's answers are lost for a
 // second.
 func TestLostAnswersOfTheStore(t *testing.T) {
--- a/internal/duty/hold.go
+++ b/internal/duty/hold.go
@@ -135,6 +135,7 @@
 		}
 	}
 	d.ownToken, d.storedEra = term.Token, d.lease.Era()
+	d.endedToken = min(d.endedToken, term.Token-1) // A term goes on whose end was not written.
 	d.log.Info("duties acquired", "token", term.Token, "before", d.lease.Record().Recent, "rows", len(rows))
 	return nil
 }
