Dispatch: the order of two attempts in a test does not depend on the load

Cause: the case wants the second attempt to end before the first, and had it by time alone, 120 ms against 200 ms after the request. A second attempt that is sent 80 ms late ends after the first, which the case allows the dispatcher to use.

Change: the first attempt answers six targets after the second has ended, which is the same distance, whatever the load. All cases ask what they asked.

--- a/internal/dispatch/beside_test.go
+++ b/internal/dispatch/beside_test.go
@@ -31,13 +31,24 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
+			secondEnded := make(chan struct{})
 			e := &fakeSender{serve: func(ctx context.Context, n int, _ dispatch.Attempt) (*dispatch.Response, error) {
-				// The second is sent after two targets and ends before the first, unless that one fails.
-				answer, after := test.first, 10*target
-				if n > 1 {
+				// The second is sent after two targets and ends six before the first, unless that one fails.
+				answer, after := test.first, 6*target
+				switch {
+				case n > 1:
 					answer, after = test.second, 4*target
-				} else if answer == nil || answer.Status >= 500 {
+					if n == 2 {
+						defer close(secondEnded)
+					}
+				case answer == nil || answer.Status >= 500:
 					after = 3 * target
+				default:
+					select {
+					case <-ctx.Done():
+						return nil, context.Cause(ctx)
+					case <-secondEnded:
+					}
 				}
 				select {
 				case <-ctx.Done():
